Lay out the tree: build, checks, and the headers between modules

Cause: nothing stood yet; modules are to be written side by side, so the headers between them come first. Ruled out: an event loop for everything, and decisions under locks in each request's thread; see docs/DESIGN.md once it stands. Conclusion: the modules can start.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,115 @@
+# magnoliarail: plain make.  Targets: all deps check demo bench capacity
+# format lint test spec fuzz regress clean.
+
+CC        ?= gcc
+BUILD     ?= build
+SAN       ?=
+PKGS      := liburcu libtirpc jansson libsodium libcurl argtable2
+PKG_FLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+PKG_LIBS  := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
+WARN      := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
+	     -Wmissing-prototypes -Wvla
+SANFLAGS  := $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
+CFLAGS    ?= -O2 -g
+ALLFLAGS   = -std=gnu11 -D_GNU_SOURCE $(WARN) $(CFLAGS) $(SANFLAGS) -Isrc \
+	     $(PKG_FLAGS) -pthread -MMD -MP
+LIBS       = $(PKG_LIBS) -lcivetweb -lm -pthread
+
+# Every file of src/ but the two mains goes into one archive.
+MAINS     := src/magnoliad.c src/magctl.c
+GENERATED := $(wildcard src/rpc_gen_*.[ch])
+LIB_SRCS  := $(filter-out $(MAINS),$(wildcard src/*.c))
+LIB_OBJS  := $(LIB_SRCS:%.c=$(BUILD)/%.o)
+LIB       := $(BUILD)/libmagnolia.a
+PROGS     := $(patsubst src/%.c,$(BUILD)/%,$(wildcard $(MAINS)))
+FAKES     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/fake_*.c))
+CHECKS    := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/check_*.c))
+TOOLS     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/tool_*.c))
+BENCHES   := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench_*.c))
+STYLED    := $(filter-out $(GENERATED),$(wildcard src/*.[ch] regress/*.[ch] \
+	     bench/*.[ch]))
+TIDIED    := $(filter %.c,$(STYLED))
+
+.PHONY: all deps check demo bench capacity format format-check lint test \
+	spec fuzz regress clean events-check
+
+all: $(PROGS) $(FAKES) $(TOOLS) $(CHECKS) $(BENCHES)
+
+deps:
+	@sh .ci/deps
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALLFLAGS) -c -o $@ $<
+
+# Generated code is kept as the generator wrote it.
+$(BUILD)/src/rpc_gen_%.o: src/rpc_gen_%.c
+	@mkdir -p $(@D)
+	$(CC) $(ALLFLAGS) -w -c -o $@ $<
+
+$(LIB): $(LIB_OBJS)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(PROGS): $(BUILD)/%: $(BUILD)/src/%.o $(LIB)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
+
+$(FAKES) $(TOOLS): $(BUILD)/%: $(BUILD)/regress/%.o $(BUILD)/regress/fk.o $(LIB)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
+
+$(CHECKS): $(BUILD)/%: $(BUILD)/regress/%.o $(BUILD)/regress/script.o $(LIB)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS) -lcmocka
+
+$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(LIB)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
+
+format:
+	clang-format -i $(STYLED)
+
+format-check:
+	clang-format --dry-run -Werror $(STYLED)
+
+LINTS     := $(TIDIED:%=lint-%)
+
+lint: $(LINTS)
+
+$(LINTS): lint-%:
+	@clang-tidy --quiet $* -- -std=gnu11 -D_GNU_SOURCE -Isrc $(PKG_FLAGS) \
+		2>/dev/null || \
+		{ clang-tidy --quiet $* -- -std=gnu11 -D_GNU_SOURCE -Isrc \
+		$(PKG_FLAGS); exit 1; }
+
+# The scripted runs of the modules (no process but the test's own).
+test: $(CHECKS)
+	@sh regress/run-checks $(BUILD)
+
+# The scripted runs on real processes.
+regress: $(PROGS) $(FAKES) $(TOOLS)
+	@sh regress/run-processes $(BUILD)
+
+spec:
+	@sh spec/run
+
+fuzz:
+	@sh regress/fuzz/run
+
+check: deps
+	@sh .ci/check
+
+demo: deps
+	@$(MAKE) -s all
+	@sh examples/demo $(BUILD)
+
+bench: $(BENCHES)
+	@sh bench/run $(BUILD)
+
+capacity: all
+	@sh bench/capacity $(BUILD)
+
+events-check:
+	@sh regress/events-check
+
+clean:
+	rm -rf $(BUILD) build
+
+-include $(wildcard $(BUILD)/src/*.d $(BUILD)/regress/*.d $(BUILD)/bench/*.d)
--- /dev/null
+++ b/src/adm.h
@@ -0,0 +1,63 @@
+#ifndef ADM_H
+#define ADM_H
+
+/*
+ * Admission: per service a deficit round robin over client accounts by
+ * weight, cost in tokens; limits; early refusal by deadline; budgets for
+ * retries.  Deterministic.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cfg.h"
+#include "mag.h"
+
+struct adm;
+
+enum adm_verdict {
+	ADM_QUEUED,
+	ADM_QUEUE_FULL, /* 503 */
+	ADM_TOO_LATE,	/* 503: its start would lie past its deadline */
+	ADM_OVER_LIMIT, /* 429: a limit object */
+	ADM_OVER_SHARE, /* 429: the account is far over its share */
+};
+
+struct adm_offer {
+	uint64_t req;
+	int account;
+	int service;
+	uint32_t cost_tokens;
+	int64_t deadline_us;
+	uint32_t priority;
+};
+
+struct adm *adm_new(uint64_t seed, bool budgets);
+void adm_free(struct adm *adm);
+int adm_config(struct adm *adm, const struct cfg_set *set, int64_t now);
+
+/* What this instance may admit of a fleet-wide limit now. */
+void adm_set_share(struct adm *adm, int limit, double requests_per_s,
+		   double tokens_per_s, double concurrent);
+
+/* The rate at which the service's work gets done, for expected starts. */
+void adm_set_capacity(struct adm *adm, int service, double tokens_per_s);
+
+enum adm_verdict adm_offer(struct adm *adm, const struct adm_offer *offer,
+			   int64_t now);
+bool adm_peek(struct adm *adm, int service, uint64_t *req);
+void adm_start(struct adm *adm, uint64_t req, int64_t now);
+void adm_skip(struct adm *adm, int service);
+bool adm_next_expired(struct adm *adm, int64_t now, uint64_t *req);
+void adm_drop(struct adm *adm, uint64_t req, int64_t now);
+void adm_done(struct adm *adm, uint64_t req, uint32_t tokens, int64_t now);
+
+bool adm_may_retry(struct adm *adm, int account, int service, int endpoint,
+		   int64_t now);
+uint32_t adm_retry_after_s(struct adm *adm, int account, int service,
+			   int64_t now);
+double adm_demand(const struct adm *adm, int limit, int64_t now);
+int64_t adm_next_deadline(const struct adm *adm);
+uint32_t adm_waiting(const struct adm *adm, int service);
+
+#endif /* ADM_H */
--- /dev/null
+++ b/src/cfg.h
@@ -0,0 +1,151 @@
+#ifndef CFG_H
+#define CFG_H
+
+/*
+ * The operators' objects, checked as a whole set.  A set is immutable once
+ * parsed: every module reads it and none changes it.  Units stand in the
+ * field names; docs and magnolia.conf(5) name each field.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "mag.h"
+
+#define CFG_NOT_BEGUN_MAX 4  /* statuses that prove a refusal */
+#define CFG_SPLIT_MAX	  64 /* accounts that a route sends elsewhere */
+
+enum cfg_kind {
+	CFG_SERVICE,
+	CFG_ACCOUNT,
+	CFG_ROUTE,
+	CFG_LIMIT,
+	CFG_ENDPOINT,
+	CFG_KIND_COUNT
+};
+
+enum cfg_service_kind {
+	CFG_MODEL, /* a pipeline of engines, each with a range of layers */
+	CFG_PLAIN, /* one HTTP service, one endpoint a request */
+};
+
+/* What an endpoint does with the key that the router derives for it. */
+enum cfg_downstream {
+	CFG_DOWN_NONE,	 /* nothing: a lost answer stays unknown */
+	CFG_DOWN_LOOKUP, /* tells whether the key ran */
+	CFG_DOWN_RESEND, /* runs a key once, however often it is sent */
+};
+
+enum cfg_key_rule {
+	CFG_KEY_REQUIRED, /* a request without a key is refused */
+	CFG_KEY_OPTIONAL,
+	CFG_KEY_TIMED, /* required, and it must be a UUIDv7 */
+};
+
+enum cfg_drain {
+	CFG_ACTIVE,
+	CFG_DRAIN, /* gets no new work */
+};
+
+struct cfg_service {
+	char name[MAG_NAME_MAX];
+	enum cfg_service_kind kind;
+	uint32_t layers;	   /* model: layers 0 .. layers - 1 */
+	uint32_t activation_bytes; /* model: bytes a token sends over a link */
+	uint32_t default_deadline_ms;
+	uint32_t max_deadline_ms;
+	uint32_t queue_max;	/* requests that may wait */
+	uint32_t retry_percent; /* retries, in 100 first attempts */
+	uint32_t key_window_s;	/* how long a key is remembered */
+	int not_begun_status[CFG_NOT_BEGUN_MAX]; /* 0 ends the list */
+};
+
+struct cfg_account {
+	char name[MAG_NAME_MAX];
+	char key_hash[MAG_DIGEST_HEX]; /* BLAKE2b-256 of the bearer key */
+	uint32_t weight;
+	uint32_t priority; /* 0 is served first */
+};
+
+struct cfg_split {
+	int account; /* index into accounts */
+	char group[MAG_NAME_MAX];
+};
+
+struct cfg_route {
+	char name[MAG_NAME_MAX];
+	char host[MAG_NAME_MAX];  /* "" takes any host */
+	char path[128];		  /* prefix */
+	int service;		  /* index into services */
+	char group[MAG_NAME_MAX]; /* of endpoints; "" takes any */
+	bool idempotent;
+	enum cfg_key_rule key;
+	struct cfg_split *splits;
+	size_t split_count;
+};
+
+struct cfg_limit {
+	char name[MAG_NAME_MAX];
+	int account;		 /* index, or -1 for the sum of all accounts */
+	int service;		 /* index, or -1 for the sum of all services */
+	uint32_t requests_per_s; /* 0: no such limit, here and below */
+	uint32_t tokens_per_s;
+	uint32_t concurrent;
+};
+
+struct cfg_endpoint {
+	char name[MAG_NAME_MAX];
+	int service; /* index into services */
+	char data_centre[MAG_NAME_MAX];
+	char group[MAG_NAME_MAX];
+	char address[MAG_ADDR_MAX];
+	char accelerator[MAG_NAME_MAX];
+	uint32_t first_layer;
+	uint32_t last_layer;   /* inclusive */
+	uint32_t tokens_per_s; /* rated, of the declared range */
+	uint64_t link_bytes_per_s;
+	uint32_t concurrency; /* most requests at once */
+	bool checks_fencing;
+	enum cfg_downstream downstream_key;
+	enum cfg_drain state;
+};
+
+struct cfg_set {
+	uint64_t revision;
+	struct cfg_service *services;
+	size_t service_count;
+	struct cfg_account *accounts;
+	size_t account_count;
+	struct cfg_route *routes;
+	size_t route_count;
+	struct cfg_limit *limits;
+	size_t limit_count;
+	struct cfg_endpoint *endpoints;
+	size_t endpoint_count;
+};
+
+enum cfg_err {
+	CFG_OK = 0,
+	CFG_E_SYNTAX = -1,  /* not JSON, or not a set of objects */
+	CFG_E_INVALID = -2, /* at least one object is at fault */
+	CFG_E_MEMORY = -3,
+};
+
+struct cfg_faults; /* list of what is wrong, each kind/name: field: text */
+
+int cfg_parse(const char *text, size_t len, struct cfg_set **set,
+	      struct cfg_faults **faults);
+void cfg_free(struct cfg_set *set);
+size_t cfg_fault_count(const struct cfg_faults *faults);
+const char *cfg_fault_text(const struct cfg_faults *faults, size_t i);
+void cfg_faults_free(struct cfg_faults *faults);
+
+int cfg_find_account(const struct cfg_set *set, const char *key_hash);
+int cfg_find_service(const struct cfg_set *set, const char *name);
+int cfg_find_endpoint(const struct cfg_set *set, const char *name);
+int cfg_find_route(const struct cfg_set *set, const char *host,
+		   const char *path);
+const char *cfg_route_group(const struct cfg_set *set, int route, int account);
+
+#endif /* CFG_H */
--- /dev/null
+++ b/src/cnt.h
@@ -0,0 +1,51 @@
+#ifndef CNT_H
+#define CNT_H
+
+#include <stdint.h>
+#include <stdio.h>
+
+/*
+ * Counters of this instance.  CNT_COUNTER(id, name, help); the name is what
+ * /metrics shows after the prefix "magnolia_".
+ */
+/* clang-format off */
+#define CNT_COUNTERS \
+	/* core, req */ \
+	CNT_COUNTER(CNT_REQ_OFFERED, "requests_offered_total", "requests that arrived") \
+	CNT_COUNTER(CNT_REQ_RAN, "requests_ran_total", "requests answered with outcome ran") \
+	CNT_COUNTER(CNT_REQ_NOT_RUN, "requests_not_run_total", "requests answered with outcome not-run") \
+	CNT_COUNTER(CNT_REQ_UNKNOWN, "requests_unknown_total", "requests answered with outcome unknown") \
+	\
+	/* ldg */ \
+	\
+	\
+	/* flow, pick */ \
+	\
+	\
+	/* adm, quar */ \
+	\
+	\
+	/* peer, lim, rpc */ \
+	\
+	\
+	/* plc */ \
+	\
+	\
+	/* front, ep */ \
+	\
+	\
+	/* pf */ \
+	CNT_COUNTER(CNT_PF_CALLS, "platform_calls_total", "calls to the platform's service, waiting watches included")
+/* clang-format on */
+
+#define CNT_COUNTER(id, name, help) id,
+enum cnt_id {
+	CNT_COUNTERS CNT_COUNT
+};
+#undef CNT_COUNTER
+
+void cnt_add(enum cnt_id id, uint64_t n);
+uint64_t cnt_get(enum cnt_id id);
+void cnt_write(FILE *out);
+
+#endif /* CNT_H */
--- /dev/null
+++ b/src/kv.h
@@ -0,0 +1,60 @@
+#ifndef KV_H
+#define KV_H
+
+/*
+ * Calls to the platform's key-value service as the deterministic modules see
+ * them: a module leaves a struct kv_call, a shell carries it out and hands
+ * back a struct kv_reply under the same id.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define KV_KEY_MAX 128
+
+enum kv_op {
+	KV_GET,
+	KV_CAS,	       /* version 0: create if absent */
+	KV_DELETE,     /* only at the given version */
+	KV_LEASE_TAKE, /* also renews; value is the holder's name */
+	KV_LEASE_DROP,
+	KV_INSTANCES, /* the lagging list */
+	KV_LOADS,     /* load reports */
+	KV_OP_COUNT
+};
+
+/*
+ * How a call ended.  KV_LOST says that the call was sent and no answer came:
+ * a write may have landed or may still land.  KV_UNSENT says that it can
+ * never land.
+ */
+enum kv_status {
+	KV_OK,
+	KV_ABSENT,   /* no such key */
+	KV_CONFLICT, /* another version, or the lease is another's */
+	KV_LIMITED,  /* refused for its rate; nothing changed */
+	KV_UNSENT,
+	KV_LOST,
+};
+
+struct kv_call {
+	uint64_t id;
+	enum kv_op op;
+	char key[KV_KEY_MAX];
+	uint64_t version; /* KV_CAS, KV_DELETE: the version it replaces */
+	char *value;	  /* KV_CAS, KV_LEASE_TAKE; the shell frees it */
+	size_t len;
+	int64_t deadline_us;
+	uint32_t ttl_ms; /* KV_LEASE_TAKE */
+};
+
+struct kv_reply {
+	uint64_t id;
+	enum kv_status status;
+	uint64_t version; /* of the value, or a lease's fencing number */
+	char *value;	  /* KV_GET and lists; the module's caller frees it */
+	size_t len;
+};
+
+#endif /* KV_H */
--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,100 @@
+#include <stdarg.h>
+#include <stdio.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "log.h"
+#include "mag.h"
+
+#define LOG_LINE_MAX 1024
+
+struct log_entry {
+	enum log_id id;
+	const char *name;
+	enum log_prio prio;
+};
+
+static const struct log_entry *log_find(enum log_id id);
+static void log_to_stderr(void *ctx, enum log_prio prio, const char *line);
+
+#define LOG_EVENT(id, number, name, prio) { id, name, prio },
+static const struct log_entry log_entries[] = { LOG_EVENTS };
+#undef LOG_EVENT
+
+static const char *log_program = "magnolia";
+static enum log_prio log_threshold = LOG_PRIO_INFO;
+static log_sink_fn log_sink = log_to_stderr;
+static void *log_sink_ctx;
+
+/*
+ * Sets the program's name and the least severe priority that is written.
+ * To be called before threads start.
+ */
+void log_open(const char *program, enum log_prio threshold)
+{
+	log_program = program;
+	log_threshold = threshold;
+}
+
+/*
+ * Sends finished lines elsewhere, as tests do; a NULL sink drops them.  To
+ * be called before threads start.
+ */
+void log_set_sink(log_sink_fn sink, void *ctx)
+{
+	log_sink = sink;
+	log_sink_ctx = ctx;
+}
+
+/* Returns the name of a numbered event, as the catalogue lists it. */
+const char *log_event_name(enum log_id id)
+{
+	return log_find(id)->name;
+}
+
+/*
+ * Writes one line: number and name of the event, then the key=value fields
+ * that fmt makes.
+ */
+void log_event(enum log_id id, const char *fmt, ...)
+{
+	const struct log_entry *entry = log_find(id);
+	char line[LOG_LINE_MAX];
+	va_list ap;
+	int used;
+
+	if (!log_sink || entry->prio > log_threshold)
+		return;
+	used = snprintf(line, sizeof(line), "%d %s ", (int)id, entry->name);
+	va_start(ap, fmt);
+	vsnprintf(line + used, sizeof(line) - (size_t)used, fmt, ap);
+	va_end(ap);
+	log_sink(log_sink_ctx, entry->prio, line);
+}
+
+/* Finds the entry of an event; the table is short and starts sorted. */
+static const struct log_entry *log_find(enum log_id id)
+{
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(log_entries); i++) {
+		if (log_entries[i].id == id)
+			return &log_entries[i];
+	}
+	return &log_entries[0];
+}
+
+/* Writes a line as syslog would: priority, UTC time, program, process id. */
+static void log_to_stderr(void *ctx, enum log_prio prio, const char *line)
+{
+	char stamp[32];
+	struct timespec now;
+	struct tm utc;
+
+	(void)ctx;
+	clock_gettime(CLOCK_REALTIME, &now);
+	gmtime_r(&now.tv_sec, &utc);
+	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
+	fprintf(stderr, "<%d>%s.%03ldZ %s[%d]: %s\n", (int)prio, stamp,
+		now.tv_nsec / 1000000, log_program, (int)getpid(), line);
+}
--- /dev/null
+++ b/src/log.h
@@ -0,0 +1,24 @@
+#ifndef LOG_H
+#define LOG_H
+
+#include "log_events.h"
+
+/* Severities as syslog numbers them. */
+enum log_prio {
+	LOG_PRIO_ERR = 3,
+	LOG_PRIO_WARNING = 4,
+	LOG_PRIO_NOTICE = 5,
+	LOG_PRIO_INFO = 6,
+	LOG_PRIO_DEBUG = 7,
+};
+
+/* Where finished lines go; the default writes to standard error. */
+typedef void (*log_sink_fn)(void *ctx, enum log_prio prio, const char *line);
+
+void log_open(const char *program, enum log_prio threshold);
+void log_set_sink(log_sink_fn sink, void *ctx);
+const char *log_event_name(enum log_id id);
+void log_event(enum log_id id, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+#endif /* LOG_H */
--- /dev/null
+++ b/src/log_events.h
@@ -0,0 +1,54 @@
+#ifndef LOG_EVENTS_H
+#define LOG_EVENTS_H
+
+/*
+ * The numbered log events.  One range a module family; a number never gets
+ * another meaning.  LOG_EVENT(id, number, name, priority); docs/EVENTS.md
+ * holds the meaning of each and what an operator does.
+ */
+
+/* clang-format off */
+#define LOG_EVENTS \
+	/* 1000 cfg, set: objects and settings */ \
+	LOG_EVENT(LOG_SET_BAD, 1001, "settings-refused", LOG_PRIO_ERR) \
+	\
+	/* 1100 pub: publishing the configuration */ \
+	LOG_EVENT(LOG_CONFIG_APPLIED, 1101, "config-applied", LOG_PRIO_NOTICE) \
+	\
+	/* 2000 ldg: records of non-idempotent requests */ \
+	\
+	\
+	/* 3000 core, req: the life of a request */ \
+	LOG_EVENT(LOG_REQ_REFUSED, 3001, "request-refused", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_REQ_DISPATCHED, 3002, "request-dispatched", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_REQ_DONE, 3003, "request-done", LOG_PRIO_INFO) \
+	\
+	/* 4000 flow, pick: chains of endpoints */ \
+	\
+	\
+	/* 5000 adm, quar: admission, limits, quarantine */ \
+	\
+	\
+	/* 6000 peer, lim, rpc: membership and what spreads over it */ \
+	\
+	\
+	/* 7000 plc: placement */ \
+	\
+	\
+	/* 8000 daemon, front, ep: the shells */ \
+	LOG_EVENT(LOG_STARTED, 8001, "started", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_STOPPING, 8002, "stopping", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_STOPPED, 8003, "stopped", LOG_PRIO_NOTICE) \
+	\
+	/* 9000 pf: the platform's service */ \
+	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PF_UP, 9002, "platform-reachable", LOG_PRIO_NOTICE)
+/* clang-format on */
+
+#define LOG_EVENT(id, number, name, prio) id = number,
+enum log_id {
+	LOG_EVENTS
+};
+#undef LOG_EVENT
+
+#endif /* LOG_EVENTS_H */
--- /dev/null
+++ b/src/pick.h
@@ -0,0 +1,104 @@
+#ifndef PICK_H
+#define PICK_H
+
+/*
+ * Chooses the chain of endpoints for an attempt: a list of stages whose used
+ * ranges tile all layers once and in order, in proportion to a maximum flow
+ * over stages and links, corrected by work in flight and late load reports.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cfg.h"
+#include "mag.h"
+
+struct pick;
+
+enum pick_err {
+	PICK_OK = 0,
+	PICK_E_BUSY = -1, /* every chain has a stage at its limit */
+	PICK_E_NONE = -2, /* no live chain covers all layers */
+	PICK_E_MEMORY = -3,
+};
+
+struct pick_stage {
+	int endpoint; /* index into the set's endpoints */
+	uint32_t first_layer;
+	uint32_t last_layer; /* inclusive */
+};
+
+struct pick_chain {
+	struct pick_stage stages[MAG_CHAIN_MAX];
+	int count;
+};
+
+/* The ways to choose; the later ones are baselines for the bench. */
+enum pick_policy {
+	PICK_FLOW,
+	PICK_LEAST_IN_FLIGHT,
+	PICK_RANDOM,
+	PICK_STATIC_WEIGHTS,
+	PICK_POLICY_COUNT
+};
+
+struct pick_want {
+	int service;
+	const char *group;	       /* "" takes any */
+	const struct pick_chain *keep; /* chain to resume from, or NULL */
+	const int *avoid;	       /* endpoints that failed this request */
+	int avoid_count;
+	bool alone; /* a suspect: only endpoints with nothing else running */
+	uint64_t prefix; /* hash of the prompt's prefix, 0 for none */
+	uint32_t prompt_tokens;
+};
+
+enum pick_result_kind {
+	PICK_ENDED_WELL,
+	PICK_ENDED_FAILED,  /* the endpoint died or cut the stream */
+	PICK_ENDED_SLOW,    /* no progress until the deadline for it */
+	PICK_ENDED_REFUSED, /* it answered that it is full */
+	PICK_ENDED_OTHER,   /* cancelled, or not this endpoint's doing */
+};
+
+struct pick_result {
+	enum pick_result_kind kind;
+	int at_stage; /* the stage at fault, or -1 */
+	uint32_t tokens;
+	int64_t first_token_us; /* from dispatch, 0 if none came */
+	int64_t took_us;
+};
+
+struct pick_report {
+	uint32_t tokens_per_s; /* what the endpoint says it can do now */
+	uint32_t running;
+	int64_t taken_at_us; /* when it was measured, as far as known */
+};
+
+struct pick *pick_new(enum pick_policy policy, uint64_t seed);
+void pick_free(struct pick *pick);
+
+/* Takes a new set; what is known of an endpoint is kept by its name. */
+int pick_config(struct pick *pick, const struct cfg_set *set, int64_t now);
+void pick_leaving(struct pick *pick, int endpoint, bool leaving, int64_t now);
+void pick_report(struct pick *pick, int endpoint,
+		 const struct pick_report *report, int64_t now);
+void pick_cache_event(struct pick *pick, int endpoint, uint64_t sequence,
+		      uint64_t prefix, bool stored, int64_t now);
+
+int pick_choose(struct pick *pick, const struct pick_want *want, int64_t now,
+		struct pick_chain *chain);
+void pick_started(struct pick *pick, const struct pick_chain *chain,
+		  int64_t now);
+void pick_hops(struct pick *pick, const struct pick_chain *chain,
+	       const uint32_t *hop_us, int count, int64_t now);
+void pick_ended(struct pick *pick, const struct pick_chain *chain,
+		const struct pick_result *result, int64_t now);
+void pick_tick(struct pick *pick, int64_t now);
+int64_t pick_next_deadline(const struct pick *pick);
+
+bool pick_usable(const struct pick *pick, int endpoint, int64_t now);
+double pick_bound(const struct pick *pick, int service);
+double pick_bound_without(struct pick *pick, int service, int endpoint);
+
+#endif /* PICK_H */
--- /dev/null
+++ b/src/quar.h
@@ -0,0 +1,38 @@
+#ifndef QUAR_H
+#define QUAR_H
+
+/*
+ * Requests that crash the endpoints that run them.  When an endpoint dies,
+ * the fingerprints running on it become suspects; a suspect runs again only
+ * alone on its endpoints; two endpoints lost under one fingerprint
+ * quarantine it on every instance.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "mag.h"
+
+struct quar;
+
+enum quar_state {
+	QUAR_CLEAR,
+	QUAR_SUSPECT,	  /* run it alone */
+	QUAR_QUARANTINED, /* refuse it */
+};
+
+struct quar *quar_new(uint32_t max_entries, int64_t hold_us);
+void quar_free(struct quar *quar);
+enum quar_state quar_check(const struct quar *quar,
+			   const uint8_t print[MAG_DIGEST_BYTES], int64_t now);
+void quar_lost_endpoint(struct quar *quar,
+			const uint8_t print[MAG_DIGEST_BYTES], int endpoint,
+			bool was_alone, int64_t now);
+void quar_ended_well(struct quar *quar, const uint8_t print[MAG_DIGEST_BYTES],
+		     int64_t now);
+void quar_learn(struct quar *quar, const uint8_t print[MAG_DIGEST_BYTES],
+		uint32_t endpoints_lost, int64_t until_us, int64_t now);
+bool quar_next_news(struct quar *quar, uint8_t print[MAG_DIGEST_BYTES],
+		    uint32_t *endpoints_lost, int64_t *until_us);
+
+#endif /* QUAR_H */
