Let blocking users of the platform's service share one call table

Cause: publishing and magctl wait for a call, the core must not. Ruled out: a second client for them. Change: struct kv_backend and the watch operation in kv.h. Conclusion: one description of a call for both.

--- a/src/kv.h
+++ b/src/kv.h
@@ -15,6 +15,7 @@
 
 enum kv_op {
 	KV_GET,
+	KV_WATCH,      /* waits until the version differs, or the deadline */
 	KV_CAS,	       /* version 0: create if absent */
 	KV_DELETE,     /* only at the given version */
 	KV_LEASE_TAKE, /* also renews; value is the holder's name */
@@ -57,4 +58,14 @@
 	size_t len;
 };
 
+/*
+ * Who carries a call out, and waits for its end: the platform client of a
+ * shell, or a table in memory in tests.
+ */
+struct kv_backend {
+	void (*call)(void *ctx, const struct kv_call *call,
+		     struct kv_reply *reply);
+	void *ctx;
+};
+
 #endif /* KV_H */
