Write the core and the life of a request as one table

Cause: decisions have to be replayable, so that every fault can be brought about at every step. Ruled out: decisions in each request's thread under locks. Conclusion: compiles and lints; not run yet.

--- /dev/null
+++ b/src/core.c
@@ -0,0 +1,451 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "cnt.h"
+#include "core_int.h"
+#include "log.h"
+
+#define CORE_QUAR_ENTRIES 4096
+#define CORE_QUAR_HOLD_US (600 * MAG_US_PER_S)
+
+struct core_event_node {
+	struct cds_list_head node;
+	struct core_event event;
+};
+
+struct core_action_node {
+	struct cds_list_head node;
+	struct core_action action;
+};
+
+typedef void (*core_event_fn)(struct core *core, struct core_event *event);
+
+static void on_arrival(struct core *core, struct core_event *event);
+static void on_progress(struct core *core, struct core_event *event);
+static void on_ended(struct core *core, struct core_event *event);
+static void on_caller_gone(struct core *core, struct core_event *event);
+static void on_config(struct core *core, struct core_event *event);
+static void on_kv_reply(struct core *core, struct core_event *event);
+static void on_load(struct core *core, struct core_event *event);
+static void on_leaving(struct core *core, struct core_event *event);
+static void on_stop(struct core *core, struct core_event *event);
+static void event_system(struct core *core);
+static void ledger_system(struct core *core);
+static void capacity_system(struct core *core);
+static void stop_system(struct core *core);
+static void remap_all(struct core *core, const struct cfg_set *from);
+static void remap_req(struct core_req *req, const struct cfg_set *from,
+		      const struct cfg_set *to);
+static void remap_chain(struct pick_chain *chain, const struct cfg_set *from,
+			const struct cfg_set *to);
+static int remap_endpoint(int endpoint, const struct cfg_set *from,
+			  const struct cfg_set *to);
+static int remap_account(int account, const struct cfg_set *from,
+			 const struct cfg_set *to);
+static int remap_route(int route, const struct cfg_set *from,
+		       const struct cfg_set *to);
+
+static const core_event_fn core_handlers[CORE_EVENT_COUNT] = {
+	[CORE_EV_ARRIVAL] = on_arrival, [CORE_EV_PROGRESS] = on_progress,
+	[CORE_EV_ENDED] = on_ended,	[CORE_EV_CALLER_GONE] = on_caller_gone,
+	[CORE_EV_CONFIG] = on_config,	[CORE_EV_KV_REPLY] = on_kv_reply,
+	[CORE_EV_LOAD] = on_load,	[CORE_EV_LEAVING] = on_leaving,
+	[CORE_EV_STOP] = on_stop,
+};
+
+/* Makes a core without a configuration; NULL if memory is short. */
+struct core *core_new(const struct core_settings *settings)
+{
+	struct core *core = calloc(1, sizeof(*core));
+	int i;
+
+	if (!core)
+		return NULL;
+	core->settings = *settings;
+	core->pick = pick_new(settings->policy, settings->seed);
+	core->adm = adm_new(settings->seed, !settings->no_budgets);
+	core->quar = quar_new(CORE_QUAR_ENTRIES, CORE_QUAR_HOLD_US);
+	core->ldg = ldg_new(&settings->ledger);
+	for (i = 0; i < CORE_BUCKETS; i++)
+		CDS_INIT_LIST_HEAD(&core->buckets[i]);
+	CDS_INIT_LIST_HEAD(&core->all);
+	CDS_INIT_LIST_HEAD(&core->ready);
+	CDS_INIT_LIST_HEAD(&core->events);
+	CDS_INIT_LIST_HEAD(&core->actions);
+	core->due_us = MAG_NEVER;
+	if (!core->pick || !core->adm || !core->quar || !core->ldg) {
+		core_free(core);
+		return NULL;
+	}
+	return core;
+}
+
+/* Frees a core with all that waits in it. */
+void core_free(struct core *core)
+{
+	struct core_req *req, *next_req;
+	struct core_event_node *event, *next_event;
+	struct core_action action;
+
+	cds_list_for_each_entry_safe (req, next_req, &core->all, all_node)
+		core_req_free(core, req);
+	cds_list_for_each_entry_safe (event, next_event, &core->events, node) {
+		cds_list_del(&event->node);
+		free(event);
+	}
+	while (core_next_action(core, &action)) {
+		if (action.type == CORE_ACT_ANSWER)
+			free(action.answer.body);
+		if (action.type == CORE_ACT_KV)
+			free(action.kv.value);
+	}
+	pick_free(core->pick);
+	adm_free(core->adm);
+	quar_free(core->quar);
+	ldg_free(core->ldg);
+	cfg_free(core->set);
+	free(core);
+}
+
+/*
+ * Queues an event for the next tick.  What the event points to belongs to
+ * the core from here on.  Returns 0, or -1 if memory is short.
+ */
+int core_post(struct core *core, const struct core_event *event)
+{
+	struct core_event_node *node = malloc(sizeof(*node));
+
+	if (!node)
+		return -1;
+	node->event = *event;
+	cds_list_add_tail(&node->node, &core->events);
+	return 0;
+}
+
+/*
+ * Runs every system once, in this order: events, chains, ledger, deadlines,
+ * requests that are ready, admission, stop.  now is in microseconds and does
+ * not go back.
+ */
+void core_tick(struct core *core, int64_t now)
+{
+	core->now = now;
+	event_system(core);
+	pick_tick(core->pick, now);
+	ledger_system(core);
+	req_deadline_system(core);
+	capacity_system(core);
+	req_ready_system(core);
+	req_admit_system(core);
+	ledger_system(core);
+	stop_system(core);
+}
+
+/* Takes the oldest action; false if there is none. */
+bool core_next_action(struct core *core, struct core_action *action)
+{
+	struct core_action_node *node;
+
+	if (cds_list_empty(&core->actions))
+		return false;
+	node = cds_list_first_entry(&core->actions, struct core_action_node,
+				    node);
+	cds_list_del(&node->node);
+	*action = node->action;
+	free(node);
+	return true;
+}
+
+/* Returns when the next tick is due at the latest, MAG_NEVER for not. */
+int64_t core_next_deadline(const struct core *core)
+{
+	int64_t due = core->due_us;
+	int64_t other = pick_next_deadline(core->pick);
+
+	if (other < due)
+		due = other;
+	other = ldg_next_deadline(core->ldg);
+	if (other < due)
+		due = other;
+	other = adm_next_deadline(core->adm);
+	if (other < due)
+		due = other;
+	return due;
+}
+
+/* Returns the revision in force, 0 before the first. */
+uint64_t core_revision(const struct core *core)
+{
+	return core->set ? core->set->revision : 0;
+}
+
+/* Tells whether this instance should be given requests. */
+bool core_ready(const struct core *core)
+{
+	return core->set && !core->stopping;
+}
+
+/* Returns the live request of an id, NULL if it has been answered and ended. */
+struct core_req *core_find(struct core *core, uint64_t id)
+{
+	struct cds_list_head *bucket = &core->buckets[id % CORE_BUCKETS];
+	struct core_req *req;
+
+	cds_list_for_each_entry (req, bucket, bucket_node) {
+		if (req->arrival.req == id)
+			return req;
+	}
+	return NULL;
+}
+
+/* Notes that a request has a deadline, so that the tick will come in time. */
+void core_due(struct core *core, int64_t deadline_us)
+{
+	if (deadline_us < core->due_us)
+		core->due_us = deadline_us;
+}
+
+/*
+ * Appends an empty action.  Memory for it can't be missing without cutting a
+ * caller off, so the process ends there and the balancer sends elsewhere.
+ */
+struct core_action *core_act(struct core *core, enum core_action_type type)
+{
+	struct core_action_node *node = calloc(1, sizeof(*node));
+
+	if (!node)
+		abort();
+	node->action.type = type;
+	cds_list_add_tail(&node->node, &core->actions);
+	return &node->action;
+}
+
+/* Takes a request out of the tables. */
+void core_req_free(struct core *core, struct core_req *req)
+{
+	(void)core;
+	cds_list_del(&req->bucket_node);
+	cds_list_del(&req->all_node);
+	cds_list_del(&req->ready_node);
+	free(req);
+}
+
+static void event_system(struct core *core)
+{
+	struct core_event_node *node;
+
+	while (!cds_list_empty(&core->events)) {
+		node = cds_list_first_entry(&core->events,
+					    struct core_event_node, node);
+		cds_list_del(&node->node);
+		core_handlers[node->event.type](core, &node->event);
+		free(node);
+	}
+}
+
+static void on_arrival(struct core *core, struct core_event *event)
+{
+	cnt_add(CNT_REQ_OFFERED, 1);
+	req_arrive(core, &event->arrival);
+}
+
+static void on_progress(struct core *core, struct core_event *event)
+{
+	struct core_req *req = core_find(core, event->progress.req);
+
+	if (req && req->attempt == event->progress.attempt)
+		req_handle(core, req, REQ_EV_PROGRESS, &event->progress);
+}
+
+/* An end of an attempt that is no longer the current one changes nothing. */
+static void on_ended(struct core *core, struct core_event *event)
+{
+	struct core_req *req = core_find(core, event->ended.req);
+
+	if (req && req->attempt == event->ended.attempt)
+		req_handle(core, req, REQ_EV_ENDED, &event->ended);
+	free(event->ended.answer);
+}
+
+static void on_caller_gone(struct core *core, struct core_event *event)
+{
+	struct core_req *req = core_find(core, event->caller_gone);
+
+	if (req)
+		req_handle(core, req, REQ_EV_GONE, NULL);
+}
+
+/*
+ * Puts a revision in force.  An older one than that in force can come from a
+ * service that was restored from an old copy, or from a peer that lags; it
+ * is dropped, because an accepted configuration never reverts.
+ */
+static void on_config(struct core *core, struct core_event *event)
+{
+	struct cfg_set *old = core->set;
+	struct core_req *req;
+
+	if (old && event->config->revision <= old->revision) {
+		cfg_free(event->config);
+		return;
+	}
+	core->set = event->config;
+	pick_config(core->pick, core->set, core->now);
+	adm_config(core->adm, core->set, core->now);
+	if (old)
+		remap_all(core, old);
+	cfg_free(old);
+	log_event(LOG_CONFIG_APPLIED, "revision=%llu endpoints=%zu",
+		  (unsigned long long)core->set->revision,
+		  core->set->endpoint_count);
+}
+
+static void on_kv_reply(struct core *core, struct core_event *event)
+{
+	ldg_reply(core->ldg, &event->kv, core->now);
+	free(event->kv.value);
+}
+
+static void on_load(struct core *core, struct core_event *event)
+{
+	int endpoint;
+
+	if (!core->set)
+		return;
+	endpoint = cfg_find_endpoint(core->set, event->load.endpoint);
+	if (endpoint >= 0)
+		pick_report(core->pick, endpoint, &event->load.report,
+			    core->now);
+}
+
+static void on_leaving(struct core *core, struct core_event *event)
+{
+	int endpoint;
+
+	if (!core->set)
+		return;
+	endpoint = cfg_find_endpoint(core->set, event->leaving.endpoint);
+	if (endpoint >= 0)
+		pick_leaving(core->pick, endpoint, event->leaving.leaving,
+			     core->now);
+}
+
+static void on_stop(struct core *core, struct core_event *event)
+{
+	(void)event;
+	core->stopping = true;
+}
+
+/* Hands the ledger's calls out and its verdicts to the requests. */
+static void ledger_system(struct core *core)
+{
+	struct kv_call call;
+	struct ldg_result result;
+	struct core_req *req;
+
+	ldg_tick(core->ldg, core->now);
+	while (ldg_next_result(core->ldg, &result)) {
+		req = core_find(core, result.req);
+		if (req)
+			req_handle(core, req, REQ_EV_LEDGER, &result);
+		free(result.answer);
+	}
+	while (ldg_next_call(core->ldg, &call))
+		core_act(core, CORE_ACT_KV)->kv = call;
+}
+
+/* Tells admission how fast the work of each service gets done. */
+static void capacity_system(struct core *core)
+{
+	size_t i;
+
+	if (!core->set)
+		return;
+	for (i = 0; i < core->set->service_count; i++)
+		adm_set_capacity(core->adm, (int)i,
+				 pick_bound(core->pick, (int)i));
+}
+
+/* Says once that nothing is left in progress after a stop was asked for. */
+static void stop_system(struct core *core)
+{
+	if (!core->stopping || core->stopped_said)
+		return;
+	if (!cds_list_empty(&core->all) || !ldg_idle(core->ldg))
+		return;
+	core_act(core, CORE_ACT_STOPPED);
+	core->stopped_said = true;
+}
+
+/*
+ * Indices of the old set mean other objects in the new one; a request that
+ * kept them would be counted under another account or endpoint.
+ */
+static void remap_all(struct core *core, const struct cfg_set *from)
+{
+	struct core_req *req;
+
+	cds_list_for_each_entry (req, &core->all, all_node) {
+		remap_req(req, from, core->set);
+	}
+}
+
+/* Moves the indices of a live request from one set to the next by name. */
+static void remap_req(struct core_req *req, const struct cfg_set *from,
+		      const struct cfg_set *to)
+{
+	int i;
+
+	req->account = remap_account(req->account, from, to);
+	req->route = remap_route(req->route, from, to);
+	if (req->service >= 0)
+		req->service =
+			cfg_find_service(to, from->services[req->service].name);
+	remap_chain(&req->chain, from, to);
+	remap_chain(&req->last_chain, from, to);
+	for (i = 0; i < req->avoid_count; i++)
+		req->avoid[i] = remap_endpoint(req->avoid[i], from, to);
+}
+
+static void remap_chain(struct pick_chain *chain, const struct cfg_set *from,
+			const struct cfg_set *to)
+{
+	int i;
+
+	for (i = 0; i < chain->count; i++)
+		chain->stages[i].endpoint =
+			remap_endpoint(chain->stages[i].endpoint, from, to);
+}
+
+static int remap_endpoint(int endpoint, const struct cfg_set *from,
+			  const struct cfg_set *to)
+{
+	if (endpoint < 0)
+		return -1;
+	return cfg_find_endpoint(to, from->endpoints[endpoint].name);
+}
+
+static int remap_account(int account, const struct cfg_set *from,
+			 const struct cfg_set *to)
+{
+	size_t i;
+
+	for (i = 0; account >= 0 && i < to->account_count; i++) {
+		if (strcmp(to->accounts[i].name,
+			   from->accounts[account].name) == 0)
+			return (int)i;
+	}
+	return -1;
+}
+
+static int remap_route(int route, const struct cfg_set *from,
+		       const struct cfg_set *to)
+{
+	size_t i;
+
+	for (i = 0; route >= 0 && i < to->route_count; i++) {
+		if (strcmp(to->routes[i].name, from->routes[route].name) == 0)
+			return (int)i;
+	}
+	return -1;
+}
--- /dev/null
+++ b/src/core_int.h
@@ -0,0 +1,129 @@
+#ifndef CORE_INT_H
+#define CORE_INT_H
+
+/* The tables of a core and the request's life; internal to core and req. */
+
+#include <urcu/list.h>
+
+#include "adm.h"
+#include "core.h"
+#include "quar.h"
+
+#define CORE_BUCKETS	  1024
+#define CORE_ATTEMPTS_MAX 4
+
+/*
+ * The life of a request.  Only the table in req.c moves a request from one
+ * state to another; spec/ uses the same names.
+ */
+enum req_state {
+	REQ_WAITING,	/* in the queue of admission */
+	REQ_RESERVING,	/* the ledger has been asked for a reservation */
+	REQ_READY,	/* may be dispatched, no chain has been free yet */
+	REQ_RUNNING,	/* an attempt is with an endpoint */
+	REQ_CANCELLING, /* the attempt made no progress; its end is awaited */
+	REQ_CLOSING,	/* the caller has its answer; the end is awaited */
+	REQ_STATE_COUNT
+};
+
+enum req_event {
+	REQ_EV_GRANT,	 /* admission's turn has come, a chain is free */
+	REQ_EV_LEDGER,	 /* the ledger's verdict */
+	REQ_EV_PROGRESS, /* tokens came */
+	REQ_EV_ENDED,	 /* the attempt ended */
+	REQ_EV_GONE,	 /* the caller left */
+	REQ_EV_DEADLINE, /* the caller's deadline has passed */
+	REQ_EV_STALL,	 /* no progress until the deadline for it */
+	REQ_EV_COUNT
+};
+
+struct core_req {
+	struct cds_list_head bucket_node;
+	struct cds_list_head all_node;
+	struct cds_list_head ready_node; /* in core->ready while REQ_READY */
+	struct core_arrival arrival;
+	enum req_state state;
+	int account; /* index, -1 once the object was removed; so below */
+	int service;
+	int route;
+	uint8_t intent[MAG_DIGEST_BYTES];
+	int64_t arrived_us;
+	int64_t deadline_us;
+	int64_t stall_us;   /* when the attempt counts as stalled */
+	int64_t give_up_us; /* REQ_READY: when to stop waiting for a chain */
+	int64_t dispatched_us;
+	int64_t first_token_us; /* of this attempt, 0 if none yet */
+	uint32_t attempt;	/* 0 before the first */
+	uint32_t tokens;	/* delivered, all attempts */
+	uint32_t attempt_from;	/* tokens when this attempt began */
+	struct pick_chain chain;
+	bool chain_held; /* pick counts this chain as in flight */
+	struct pick_chain last_chain;
+	bool has_last_chain;
+	int avoid[CORE_AVOID_MAX];
+	int avoid_count;
+	bool idempotent;
+	bool keyed;	   /* a record in the ledger decides */
+	bool reserved;	   /* this request holds the record */
+	bool taken_over;   /* an earlier attempt may have run */
+	bool may_resend;   /* endpoints run a downstream key once */
+	bool may_have_run; /* some attempt of this request may have begun */
+	bool answered;
+	bool alone; /* a suspect, run alone */
+};
+
+struct core {
+	struct core_settings settings;
+	struct cfg_set *set;
+	struct pick *pick;
+	struct adm *adm;
+	struct quar *quar;
+	struct ldg *ldg;
+	struct cds_list_head buckets[CORE_BUCKETS];
+	struct cds_list_head all;
+	struct cds_list_head ready;
+	struct cds_list_head events;  /* struct core_event_node */
+	struct cds_list_head actions; /* struct core_action_node */
+	uint32_t running;
+	int64_t now;
+	int64_t due_us; /* no request's deadline lies before it */
+	bool stopping;
+	bool stopped_said;
+};
+
+struct core_req *core_find(struct core *core, uint64_t req);
+void core_due(struct core *core, int64_t deadline_us);
+struct core_action *core_act(struct core *core, enum core_action_type type);
+void core_req_free(struct core *core, struct core_req *req);
+
+/* req.c */
+void req_arrive(struct core *core, const struct core_arrival *arrival);
+void req_handle(struct core *core, struct core_req *req, enum req_event event,
+		void *data);
+void req_ready_system(struct core *core);
+void req_admit_system(struct core *core);
+void req_deadline_system(struct core *core);
+
+/* req_run.c */
+void req_dispatch(struct core *core, struct core_req *req,
+		  const struct pick_chain *chain);
+int req_choose(struct core *core, struct core_req *req,
+	       struct pick_chain *chain);
+void req_end_attempt(struct core *core, struct core_req *req,
+		     enum pick_result_kind kind, int at_stage);
+void req_cancel(struct core *core, struct core_req *req);
+bool req_try_again(struct core *core, struct core_req *req, int endpoint);
+
+/* req_answer.c */
+void req_refuse(struct core *core, struct core_req *req, int status,
+		enum mag_outcome outcome, uint32_t retry_after_s,
+		const char *why);
+void req_refuse_arrival(struct core *core, const struct core_arrival *arrival,
+			int status, const char *why);
+void req_relay(struct core *core, struct core_req *req);
+void req_replay(struct core *core, struct core_req *req,
+		struct ldg_result *result);
+enum mag_outcome req_outcome(const struct core_req *req);
+uint32_t req_retry_after(struct core *core, const struct core_req *req);
+
+#endif /* CORE_INT_H */
--- /dev/null
+++ b/src/req_answer.c
@@ -0,0 +1,155 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "cnt.h"
+#include "core_int.h"
+#include "log.h"
+
+static void count_outcome(enum mag_outcome outcome);
+static void log_done(const struct core *core, const struct core_req *req,
+		     const struct core_answer *answer);
+
+/*
+ * Returns what can be said of a request that gets no answer from an
+ * endpoint.  not-run needs proof for the intent: a key whose record was not
+ * read may have run through another instance.
+ */
+enum mag_outcome req_outcome(const struct core_req *req)
+{
+	if (req->state == REQ_RUNNING || req->state == REQ_CANCELLING)
+		return MAG_UNKNOWN;
+	if (req->may_have_run || req->taken_over)
+		return MAG_UNKNOWN;
+	if (req->keyed && !req->reserved)
+		return MAG_UNKNOWN;
+	return MAG_NOT_RUN;
+}
+
+/* Returns after how many seconds coming back makes sense. */
+uint32_t req_retry_after(struct core *core, const struct core_req *req)
+{
+	if (req->account < 0 || req->service < 0)
+		return 1;
+	return adm_retry_after_s(core->adm, req->account, req->service,
+				 core->now);
+}
+
+/* Leaves the router's own final answer; a request gets one answer only. */
+void req_refuse(struct core *core, struct core_req *req, int status,
+		enum mag_outcome outcome, uint32_t retry_after_s,
+		const char *why)
+{
+	struct core_answer *answer;
+
+	if (req->answered)
+		return;
+	req->answered = true;
+	answer = &core_act(core, CORE_ACT_ANSWER)->answer;
+	answer->req = req->arrival.req;
+	answer->kind = CORE_ANSWER_REFUSE;
+	answer->outcome = outcome;
+	answer->status = status;
+	answer->retry_after_s = retry_after_s;
+	snprintf(answer->why, sizeof(answer->why), "%s", why);
+	count_outcome(outcome);
+	log_event(LOG_REQ_REFUSED,
+		  "request=%llu account=%s status=%d outcome=%s attempts=%u "
+		  "why=\"%s\"",
+		  (unsigned long long)req->arrival.req,
+		  req->account < 0 ? "-"
+				   : core->set->accounts[req->account].name,
+		  status, mag_outcome_name(outcome), req->attempt, why);
+}
+
+/*
+ * Refuses a request that never got an entry.  No intent was formed, so
+ * nothing ran under it.
+ */
+void req_refuse_arrival(struct core *core, const struct core_arrival *arrival,
+			int status, const char *why)
+{
+	enum mag_outcome outcome = MAG_NOT_RUN;
+	struct core_answer *answer;
+
+	/* A key may have run through another instance. */
+	if (status == 503 && arrival->key[0])
+		outcome = MAG_UNKNOWN;
+	answer = &core_act(core, CORE_ACT_ANSWER)->answer;
+	answer->req = arrival->req;
+	answer->kind = CORE_ANSWER_REFUSE;
+	answer->outcome = outcome;
+	answer->status = status;
+	answer->retry_after_s = status == 503 ? 1 : 0;
+	snprintf(answer->why, sizeof(answer->why), "%s", why);
+	count_outcome(outcome);
+	log_event(LOG_REQ_REFUSED,
+		  "request=%llu account=- status=%d outcome=%s attempts=0 "
+		  "why=\"%s\"",
+		  (unsigned long long)arrival->req, status,
+		  mag_outcome_name(outcome), why);
+}
+
+/* Hands on the answer that the attempt brought. */
+void req_relay(struct core *core, struct core_req *req)
+{
+	struct core_answer *answer;
+
+	if (req->answered)
+		return;
+	req->answered = true;
+	answer = &core_act(core, CORE_ACT_ANSWER)->answer;
+	answer->req = req->arrival.req;
+	answer->kind = CORE_ANSWER_RELAY;
+	answer->outcome = MAG_RAN;
+	count_outcome(MAG_RAN);
+	log_done(core, req, answer);
+}
+
+/* Hands on the answer that the record kept, marked as a replay. */
+void req_replay(struct core *core, struct core_req *req,
+		struct ldg_result *result)
+{
+	struct core_answer *answer;
+
+	if (req->answered)
+		return;
+	req->answered = true;
+	answer = &core_act(core, CORE_ACT_ANSWER)->answer;
+	answer->req = req->arrival.req;
+	answer->kind = CORE_ANSWER_REPLAY;
+	answer->outcome = MAG_RAN;
+	answer->status = result->status;
+	answer->body = result->answer;
+	answer->body_len = result->answer_len;
+	result->answer = NULL;
+	if (!result->answer_kept)
+		snprintf(answer->why, sizeof(answer->why),
+			 "it ran; its answer was too long to keep");
+	count_outcome(MAG_RAN);
+	log_done(core, req, answer);
+}
+
+static void count_outcome(enum mag_outcome outcome)
+{
+	static const enum cnt_id counters[MAG_OUTCOME_COUNT] = {
+		[MAG_RAN] = CNT_REQ_RAN,
+		[MAG_NOT_RUN] = CNT_REQ_NOT_RUN,
+		[MAG_UNKNOWN] = CNT_REQ_UNKNOWN,
+	};
+
+	cnt_add(counters[outcome], 1);
+}
+
+static void log_done(const struct core *core, const struct core_req *req,
+		     const struct core_answer *answer)
+{
+	log_event(LOG_REQ_DONE,
+		  "request=%llu account=%s outcome=%s replay=%d attempts=%u "
+		  "tokens=%u took_us=%lld",
+		  (unsigned long long)req->arrival.req,
+		  req->account < 0 ? "-"
+				   : core->set->accounts[req->account].name,
+		  mag_outcome_name(answer->outcome),
+		  answer->kind == CORE_ANSWER_REPLAY, req->attempt, req->tokens,
+		  (long long)(core->now - req->arrived_us));
+}
