Write the shells for callers and endpoints, and the core's thread

Cause: the core decides but carries nothing; each request needs a thread that reads, calls and answers. Ruled out: reused connections for attempts that must not repeat, since libcurl sends a request again by itself when a reused connection closes early.

--- a/src/core.c
+++ b/src/core.c
@@ -283,7 +283,6 @@
 static void on_config(struct core *core, struct core_event *event)
 {
 	struct cfg_set *old = core->set;
-	struct core_req *req;
 
 	if (old && event->config->revision <= old->revision) {
 		cfg_free(event->config);
--- a/src/core.h
+++ b/src/core.h
@@ -139,6 +139,7 @@
 	uint32_t layers;
 	uint32_t priority;
 	int64_t deadline_us;
+	bool once; /* a second send could run it twice */
 	char downstream_key[MAG_DIGEST_HEX]; /* "" if none is sent */
 	int not_begun_status[CFG_NOT_BEGUN_MAX];
 	struct core_stage stages[MAG_CHAIN_MAX];
--- /dev/null
+++ b/src/ep.h
@@ -0,0 +1,65 @@
+#ifndef EP_H
+#define EP_H
+
+/*
+ * Calls to endpoints: one attempt at a time, in the thread of its request.
+ * The protocol of each kind of service stands behind a table of functions.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core.h"
+
+#define EP_ID_MAX   128
+#define EP_TYPE_MAX 64
+
+struct ep;
+
+enum ep_err {
+	EP_OK = 0,
+	EP_E_MEMORY = -1,
+};
+
+/* What the attempt sends; all pointers belong to the caller. */
+struct ep_request {
+	const struct core_dispatch *dispatch;
+	const char *id; /* Magnolia-Request */
+	const char *method;
+	const char *path; /* with its query */
+	const char *content_type;
+	const char *body;
+	size_t body_len;
+	const char *prompt; /* model: the rest */
+	uint32_t max_tokens;
+	char *const *given; /* tokens delivered so far */
+	uint32_t given_count;
+};
+
+/* Where the attempt reports to while it runs. */
+struct ep_sink {
+	/* A token with the expected index; false stops the attempt. */
+	bool (*token)(void *ctx, uint32_t index, const char *text,
+		      const uint32_t *hop_us, int hop_count);
+	/* Called often; true asks to cancel the attempt. */
+	bool (*cancelled)(void *ctx);
+	void *ctx;
+};
+
+struct ep_answer {
+	enum core_end end;
+	int stage;
+	int status;
+	char content_type[EP_TYPE_MAX];
+	char *body; /* the caller frees it */
+	size_t body_len;
+};
+
+struct ep *ep_new(void);
+void ep_free(struct ep *ep);
+void ep_run(struct ep *ep, const struct ep_request *request,
+	    const struct ep_sink *sink, struct ep_answer *answer);
+void ep_wake(struct ep *ep);
+
+#endif /* EP_H */
--- /dev/null
+++ b/src/ep_engine.c
@@ -0,0 +1,264 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "clk.h"
+#include "ep_int.h"
+
+#define EP_URL_MAX   256
+#define EP_CANCEL_MS 500L
+
+static int engine_prepare(struct ep_call *call);
+static bool engine_receive(struct ep_call *call, const char *bytes, size_t len);
+static void engine_finish(struct ep_call *call, CURLcode code);
+static void engine_cancel(struct ep_call *call);
+static char *engine_body(const struct ep_call *call);
+static json_t *engine_chain(const struct core_dispatch *dispatch);
+static json_t *engine_given(const struct ep_request *request);
+static int on_event(void *ctx, const char *name, const char *data);
+static int on_token(struct ep_call *call, const json_t *object);
+static void on_failed(struct ep_call *call, const json_t *object);
+static void on_done(struct ep_call *call, const json_t *object);
+static bool ids_match(const struct ep_call *call, const json_t *object);
+static int read_hops(const json_t *object, uint32_t *hop_us);
+static size_t drop_body(char *bytes, size_t size, size_t count, void *ctx);
+static void post_cancel(const char *address, const char *body);
+
+const struct ep_protocol ep_engine = {
+	.prepare = engine_prepare,
+	.receive = engine_receive,
+	.finish = engine_finish,
+	.cancel = engine_cancel,
+};
+
+static int engine_prepare(struct ep_call *call)
+{
+	char url[EP_URL_MAX];
+
+	snprintf(url, sizeof(url), "http://%s/v1/generate",
+		 call->request->dispatch->stages[0].address);
+	ep_sse_init(&call->sse, on_event, call);
+	call->sent = engine_body(call);
+	if (!call->sent)
+		return EP_E_MEMORY;
+	curl_easy_setopt(call->easy, CURLOPT_URL, url);
+	curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, call->sent);
+	return ep_add_header(call, "Content-Type", "application/json");
+}
+
+/* Makes the order to the first stage: the chain, and where to go on. */
+static char *engine_body(const struct ep_call *call)
+{
+	const struct ep_request *request = call->request;
+	const struct core_dispatch *dispatch = request->dispatch;
+	int64_t left_ms = (dispatch->deadline_us - clk_now_us()) / 1000;
+	json_t *body;
+	char *text;
+
+	body = json_pack(
+		"{s:s, s:i, s:i, s:o, s:i, s:i, s:I, s:s, s:i, s:o}", "request",
+		request->id, "attempt", (int)dispatch->attempt, "from",
+		(int)dispatch->resume, "given", engine_given(request),
+		"max_tokens", (int)request->max_tokens, "priority",
+		(int)dispatch->priority, "deadline_ms", (json_int_t)left_ms,
+		"prompt", request->prompt, "layers", (int)dispatch->layers,
+		"chain", engine_chain(dispatch));
+	if (!body)
+		return NULL;
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	return text;
+}
+
+static json_t *engine_chain(const struct core_dispatch *dispatch)
+{
+	json_t *chain = json_array();
+	int i;
+
+	for (i = 0; i < dispatch->stage_count; i++) {
+		const struct core_stage *stage = &dispatch->stages[i];
+
+		json_array_append_new(
+			chain,
+			json_pack("{s:s, s:s, s:i, s:i}", "endpoint",
+				  stage->endpoint, "address", stage->address,
+				  "first", (int)stage->first_layer, "last",
+				  (int)stage->last_layer));
+	}
+	return chain;
+}
+
+/* The tokens delivered so far, from which a new stage rebuilds its cache. */
+static json_t *engine_given(const struct ep_request *request)
+{
+	json_t *given = json_array();
+	uint32_t i;
+
+	for (i = 0; i < request->dispatch->resume; i++)
+		json_array_append_new(given, json_string(request->given[i]));
+	return given;
+}
+
+static bool engine_receive(struct ep_call *call, const char *bytes, size_t len)
+{
+	if (call->answer->status != 200)
+		return ep_append_body(call, bytes, len);
+	return ep_sse_feed(&call->sse, bytes, len) == EP_SSE_OK;
+}
+
+/* Takes one event of the stream; a value other than 0 breaks it off. */
+static int on_event(void *ctx, const char *name, const char *data)
+{
+	struct ep_call *call = ctx;
+	json_t *object = json_loads(data, 0, NULL);
+	int rc = 0;
+
+	if (!json_is_object(object) || !ids_match(call, object)) {
+		/* Another request's token must not reach this caller. */
+		call->wrong = true;
+		rc = -1;
+	} else if (strcmp(name, "done") == 0) {
+		on_done(call, object);
+	} else if (strcmp(name, "failed") == 0) {
+		on_failed(call, object);
+	} else if (name[0] == '\0' && !call->ended) {
+		rc = on_token(call, object);
+	}
+	json_decref(object);
+	return rc;
+}
+
+/*
+ * Delivers a token that has the expected index.  An index that was delivered
+ * before is a duplicate and dropped; one further on means that a token is
+ * missing, and the caller would get an answer with a hole.
+ */
+static int on_token(struct ep_call *call, const json_t *object)
+{
+	uint32_t hop_us[MAG_CHAIN_MAX];
+	json_int_t index = json_integer_value(json_object_get(object, "index"));
+	const char *text = json_string_value(json_object_get(object, "token"));
+	int hops;
+
+	if (!text || index < 0) {
+		call->wrong = true;
+		return -1;
+	}
+	if (index < (json_int_t)call->next)
+		return 0;
+	if (index > (json_int_t)call->next) {
+		call->wrong = true;
+		return -1;
+	}
+	hops = read_hops(object, hop_us);
+	if (!call->sink->token(call->sink->ctx, call->next, text, hop_us, hops))
+		return -1;
+	call->next++;
+	return 0;
+}
+
+static void on_failed(struct ep_call *call, const json_t *object)
+{
+	call->ended = true;
+	call->answer->end = CORE_END_STAGE;
+	call->answer->stage =
+		(int)json_integer_value(json_object_get(object, "stage"));
+}
+
+/* The stream is whole only if it counts the tokens that were delivered. */
+static void on_done(struct ep_call *call, const json_t *object)
+{
+	json_int_t tokens =
+		json_integer_value(json_object_get(object, "tokens"));
+
+	call->ended = true;
+	if (tokens == (json_int_t)call->next)
+		call->answer->end = CORE_END_WHOLE;
+	else
+		call->wrong = true;
+}
+
+static bool ids_match(const struct ep_call *call, const json_t *object)
+{
+	const char *id = json_string_value(json_object_get(object, "request"));
+	json_int_t attempt =
+		json_integer_value(json_object_get(object, "attempt"));
+
+	return id && strcmp(id, call->request->id) == 0 &&
+	       attempt == (json_int_t)call->request->dispatch->attempt;
+}
+
+static int read_hops(const json_t *object, uint32_t *hop_us)
+{
+	const json_t *hops = json_object_get(object, "hops_us");
+	size_t count = json_array_size(hops);
+	size_t i;
+
+	if (count > MAG_CHAIN_MAX)
+		count = MAG_CHAIN_MAX;
+	for (i = 0; i < count; i++)
+		hop_us[i] =
+			(uint32_t)json_integer_value(json_array_get(hops, i));
+	return (int)count;
+}
+
+static void engine_finish(struct ep_call *call, CURLcode code)
+{
+	struct ep_answer *answer = call->answer;
+
+	if (call->wrong)
+		answer->end = CORE_END_WRONG;
+	else if (call->ended)
+		return;
+	else if (code != CURLE_OK)
+		answer->end = ep_never_sent(call, code) ? CORE_END_UNSENT
+							: CORE_END_CUT;
+	else if (ep_status_proves_unbegun(call))
+		answer->end = CORE_END_REFUSED;
+	else if (answer->status != 200)
+		answer->end = CORE_END_STATUS;
+	else
+		answer->end = CORE_END_CUT;
+}
+
+/* Tells every stage to drop the attempt, so that no work runs for nobody. */
+static void engine_cancel(struct ep_call *call)
+{
+	const struct core_dispatch *dispatch = call->request->dispatch;
+	json_t *object = json_pack("{s:s, s:i}", "request", call->request->id,
+				   "attempt", (int)dispatch->attempt);
+	char *body = json_dumps(object, JSON_COMPACT);
+	int i;
+
+	for (i = 0; body && i < dispatch->stage_count; i++)
+		post_cancel(dispatch->stages[i].address, body);
+	json_decref(object);
+	free(body);
+}
+
+static void post_cancel(const char *address, const char *body)
+{
+	CURL *easy = curl_easy_init();
+	char url[EP_URL_MAX];
+
+	if (!easy)
+		return;
+	snprintf(url, sizeof(url), "http://%s/v1/cancel", address);
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, EP_CANCEL_MS);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, drop_body);
+	curl_easy_perform(easy);
+	curl_easy_cleanup(easy);
+}
+
+static size_t drop_body(char *bytes, size_t size, size_t count, void *ctx)
+{
+	(void)bytes;
+	(void)ctx;
+	return size * count;
+}
--- /dev/null
+++ b/src/ep_int.h
@@ -0,0 +1,54 @@
+#ifndef EP_INT_H
+#define EP_INT_H
+
+/* Between the call to an endpoint and the protocol that it speaks. */
+
+#include <curl/curl.h>
+
+#include "ep.h"
+#include "ep_sse.h"
+
+#define EP_BODY_MAX (1024 * 1024) /* longest answer that is taken */
+
+struct ep_call;
+
+/* A protocol towards endpoints; one for each enum cfg_service_kind. */
+struct ep_protocol {
+	/* Sets URL, headers and body; 0 or EP_E_MEMORY. */
+	int (*prepare)(struct ep_call *call);
+	/* Takes bytes of the answer; false breaks the transfer off. */
+	bool (*receive)(struct ep_call *call, const char *bytes, size_t len);
+	/* Says how the attempt ended, once the transfer has. */
+	void (*finish)(struct ep_call *call, CURLcode code);
+	/* Tells the endpoint that the attempt is cancelled. */
+	void (*cancel)(struct ep_call *call);
+};
+
+struct ep_call {
+	struct ep *ep;
+	CURL *easy;
+	struct curl_slist *headers;
+	const struct ep_protocol *protocol;
+	const struct ep_request *request;
+	const struct ep_sink *sink;
+	struct ep_answer *answer;
+	struct ep_sse sse;
+	char *sent;	      /* the body, when the protocol made it */
+	char echo[EP_ID_MAX]; /* Magnolia-Request of the answer */
+	char echo_attempt[16];
+	bool not_begun; /* header X-Not-Begun of the answer */
+	bool ended;	/* the stream said done or failed */
+	bool wrong;	/* ids of another request or attempt */
+	bool too_long;
+	uint32_t next; /* index of the next token to deliver */
+};
+
+extern const struct ep_protocol ep_engine;
+extern const struct ep_protocol ep_plain;
+
+int ep_add_header(struct ep_call *call, const char *name, const char *value);
+bool ep_append_body(struct ep_call *call, const char *bytes, size_t len);
+bool ep_status_proves_unbegun(const struct ep_call *call);
+bool ep_never_sent(const struct ep_call *call, CURLcode code);
+
+#endif /* EP_INT_H */
--- /dev/null
+++ b/src/ep_plain.c
@@ -0,0 +1,93 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "ep_int.h"
+
+#define EP_URL_MAX	  1024
+#define HTTP_SERVER_ERROR 500
+
+static int plain_prepare(struct ep_call *call);
+static bool plain_receive(struct ep_call *call, const char *bytes, size_t len);
+static void plain_finish(struct ep_call *call, CURLcode code);
+static void plain_cancel(struct ep_call *call);
+static bool echo_is_wrong(const struct ep_call *call);
+
+const struct ep_protocol ep_plain = {
+	.prepare = plain_prepare,
+	.receive = plain_receive,
+	.finish = plain_finish,
+	.cancel = plain_cancel,
+};
+
+/* Sends the caller's request as it came, with our ids and key. */
+static int plain_prepare(struct ep_call *call)
+{
+	const struct ep_request *request = call->request;
+	const struct core_dispatch *dispatch = request->dispatch;
+	char url[EP_URL_MAX];
+
+	snprintf(url, sizeof(url), "http://%s%s", dispatch->stages[0].address,
+		 request->path);
+	curl_easy_setopt(call->easy, CURLOPT_URL, url);
+	if (strcmp(request->method, "HEAD") == 0)
+		curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
+	else if (strcmp(request->method, "GET") != 0 || request->body_len) {
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE,
+				 (long)request->body_len);
+		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, request->body);
+	}
+	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, request->method);
+	if (request->content_type &&
+	    ep_add_header(call, "Content-Type", request->content_type))
+		return EP_E_MEMORY;
+	if (dispatch->downstream_key[0] &&
+	    ep_add_header(call, "Idempotency-Key", dispatch->downstream_key))
+		return EP_E_MEMORY;
+	return EP_OK;
+}
+
+static bool plain_receive(struct ep_call *call, const char *bytes, size_t len)
+{
+	return ep_append_body(call, bytes, len);
+}
+
+/*
+ * An answer counts only if it is whole and carries this attempt's ids: an
+ * endpoint or a relay that crosses answers would else hand one caller the
+ * booking of another.  A service that echoes no ids sends none; its fresh
+ * connection has carried this one request only.
+ */
+static void plain_finish(struct ep_call *call, CURLcode code)
+{
+	struct ep_answer *answer = call->answer;
+
+	if (code != CURLE_OK)
+		answer->end = ep_never_sent(call, code) ? CORE_END_UNSENT
+							: CORE_END_CUT;
+	else if (echo_is_wrong(call))
+		answer->end = CORE_END_WRONG;
+	else if (ep_status_proves_unbegun(call))
+		answer->end = CORE_END_REFUSED;
+	else if (answer->status >= HTTP_SERVER_ERROR)
+		answer->end = CORE_END_STATUS;
+	else
+		answer->end = CORE_END_WHOLE;
+}
+
+static bool echo_is_wrong(const struct ep_call *call)
+{
+	char attempt[16];
+
+	snprintf(attempt, sizeof(attempt), "%u",
+		 call->request->dispatch->attempt);
+	if (call->echo[0] && strcmp(call->echo, call->request->id) != 0)
+		return true;
+	return call->echo_attempt[0] &&
+	       strcmp(call->echo_attempt, attempt) != 0;
+}
+
+/* Closing the connection is all that a plain service can be told. */
+static void plain_cancel(struct ep_call *call)
+{
+	(void)call;
+}
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,239 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <urcu.h>
+
+#include "front_int.h"
+
+#define FRONT_DRAIN_POLL_US 10000
+
+static void *on_thread_start(const struct mg_context *ctx, int type);
+static void on_thread_end(const struct mg_context *ctx, int type, void *thread);
+static int on_request(struct mg_connection *conn);
+static struct cds_list_head *bucket_of(struct front *front, uint64_t id);
+static void enlist(struct front *front, struct front_req *req);
+static void delist(struct front *front, struct front_req *req);
+static struct front_req *find(struct front *front, uint64_t id);
+static uint64_t action_req(const struct core_action *action);
+
+/* Makes a front that does not listen yet; NULL if memory is short. */
+struct front *front_new(const struct front_settings *settings)
+{
+	struct front *front = calloc(1, sizeof(*front));
+	int i;
+
+	if (!front)
+		return NULL;
+	front->settings = *settings;
+	pthread_mutex_init(&front->lock, NULL);
+	for (i = 0; i < FRONT_BUCKETS; i++)
+		CDS_INIT_LIST_HEAD(&front->buckets[i]);
+	return front;
+}
+
+/* Starts to listen.  Returns 0 or FRONT_E_LISTEN. */
+int front_start(struct front *front, struct loop *loop)
+{
+	char threads[16];
+	const char *options[] = {
+		"listening_ports",
+		front->settings.listen,
+		"num_threads",
+		threads,
+		"enable_keep_alive",
+		"yes",
+		"keep_alive_timeout_ms",
+		"5000",
+		"request_timeout_ms",
+		"30000",
+		"tcp_nodelay",
+		"1",
+		"listen_backlog",
+		"1024",
+		"connection_queue",
+		"1024",
+		NULL,
+	};
+	struct mg_callbacks callbacks = {
+		.init_thread = on_thread_start,
+		.exit_thread = on_thread_end,
+		.begin_request = on_request,
+	};
+
+	front->loop = loop;
+	snprintf(threads, sizeof(threads), "%u", front->settings.threads);
+	front->server = mg_start(&callbacks, front, options);
+	return front->server ? FRONT_OK : FRONT_E_LISTEN;
+}
+
+/*
+ * Publishes the set that request threads read; the front owns it.  Readers
+ * of the old set may still run, so it is freed after a grace period.
+ */
+void front_set_config(struct front *front, struct cfg_set *set)
+{
+	struct cfg_set *old = front->set;
+
+	rcu_assign_pointer(front->set, set);
+	synchronize_rcu();
+	cfg_free(old);
+}
+
+/* Hands an action to the thread of its request; the loop's thread calls it. */
+void front_deliver(struct front *front, struct core_action *action)
+{
+	struct front_action *node = malloc(sizeof(*node));
+	struct front_req *req;
+
+	if (!node)
+		abort();
+	node->action = *action;
+	pthread_mutex_lock(&front->lock);
+	req = find(front, action_req(action));
+	if (req) {
+		cds_list_add_tail(&node->node, &req->actions);
+		pthread_cond_signal(&req->wake);
+		ep_wake(req->ep);
+	} else {
+		if (action->type == CORE_ACT_ANSWER)
+			free(action->answer.body);
+		free(node);
+	}
+	pthread_mutex_unlock(&front->lock);
+}
+
+/* From here on each new request is refused at once. */
+void front_refuse_new(struct front *front)
+{
+	atomic_store(&front->refusing, true);
+}
+
+/* Returns how many requests are in progress. */
+uint32_t front_open_requests(struct front *front)
+{
+	return atomic_load(&front->open);
+}
+
+/* Stops listening once no request is in progress, and frees the front. */
+void front_free(struct front *front)
+{
+	if (!front)
+		return;
+	while (front_open_requests(front) > 0)
+		usleep(FRONT_DRAIN_POLL_US);
+	if (front->server)
+		mg_stop(front->server);
+	cfg_free(front->set);
+	pthread_mutex_destroy(&front->lock);
+	free(front);
+}
+
+/* Each server thread gets its own state for calls to endpoints. */
+static void *on_thread_start(const struct mg_context *ctx, int type)
+{
+	const int worker = 1;
+
+	(void)ctx;
+	if (type != worker)
+		return NULL;
+	rcu_register_thread();
+	return ep_new();
+}
+
+static void on_thread_end(const struct mg_context *ctx, int type, void *thread)
+{
+	(void)ctx;
+	(void)type;
+	if (!thread)
+		return;
+	ep_free(thread);
+	rcu_unregister_thread();
+}
+
+/* Carries one request; returns the status to end CivetWeb's own handling. */
+static int on_request(struct mg_connection *conn)
+{
+	struct front *front = mg_get_user_data(mg_get_context(conn));
+	struct front_req req = {
+		.front = front,
+		.conn = conn,
+		.ep = mg_get_thread_pointer(conn),
+	};
+	const char *why = "";
+	int status;
+
+	atomic_fetch_add(&front->open, 1);
+	req.id = atomic_fetch_add(&front->next_id, 1) + 1;
+	snprintf(req.id_text, sizeof(req.id_text), "%s-%llx-%llu",
+		 front->settings.instance,
+		 (unsigned long long)front->settings.incarnation,
+		 (unsigned long long)req.id);
+	status = front_read(&req, &why);
+	if (status) {
+		front_write_refusal(&req, status, MAG_NOT_RUN, 0, why);
+	} else {
+		enlist(front, &req);
+		front_serve(&req);
+		delist(front, &req);
+	}
+	front_read_free(&req);
+	atomic_fetch_sub(&front->open, 1);
+	return 200;
+}
+
+static struct cds_list_head *bucket_of(struct front *front, uint64_t id)
+{
+	return &front->buckets[id % FRONT_BUCKETS];
+}
+
+static void enlist(struct front *front, struct front_req *req)
+{
+	pthread_cond_init(&req->wake, NULL);
+	CDS_INIT_LIST_HEAD(&req->actions);
+	pthread_mutex_lock(&front->lock);
+	cds_list_add(&req->node, bucket_of(front, req->id));
+	pthread_mutex_unlock(&front->lock);
+}
+
+/* Once this returns, no action can reach the request any more. */
+static void delist(struct front *front, struct front_req *req)
+{
+	struct front_action *action, *next;
+
+	pthread_mutex_lock(&front->lock);
+	cds_list_del(&req->node);
+	pthread_mutex_unlock(&front->lock);
+	cds_list_for_each_entry_safe (action, next, &req->actions, node) {
+		if (action->action.type == CORE_ACT_ANSWER)
+			free(action->action.answer.body);
+		free(action);
+	}
+	pthread_cond_destroy(&req->wake);
+}
+
+static struct front_req *find(struct front *front, uint64_t id)
+{
+	struct front_req *req;
+
+	cds_list_for_each_entry (req, bucket_of(front, id), node) {
+		if (req->id == id)
+			return req;
+	}
+	return NULL;
+}
+
+static uint64_t action_req(const struct core_action *action)
+{
+	switch (action->type) {
+	case CORE_ACT_DISPATCH:
+		return action->dispatch.req;
+	case CORE_ACT_CANCEL:
+		return action->cancel.req;
+	case CORE_ACT_ANSWER:
+		return action->answer.req;
+	default:
+		return 0;
+	}
+}
--- /dev/null
+++ b/src/front_int.h
@@ -0,0 +1,80 @@
+#ifndef FRONT_INT_H
+#define FRONT_INT_H
+
+/* One caller's request between its HTTP connection and the core. */
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <urcu/list.h>
+
+#include "ep.h"
+#include "front.h"
+
+#define FRONT_BUCKETS	 1024
+#define FRONT_TOKENS_MAX 65536
+
+struct front {
+	struct front_settings settings;
+	struct loop *loop;
+	struct mg_context *server;
+	struct cfg_set *set;  /* published by RCU */
+	pthread_mutex_t lock; /* of the buckets */
+	struct cds_list_head buckets[FRONT_BUCKETS];
+	atomic_uint_fast64_t next_id;
+	atomic_uint open;
+	atomic_bool refusing;
+};
+
+struct front_action {
+	struct cds_list_head node;
+	struct core_action action;
+};
+
+struct front_req {
+	struct cds_list_head node;
+	struct front *front;
+	struct mg_connection *conn;
+	struct ep *ep;
+	uint64_t id;
+	char id_text[EP_ID_MAX];
+	pthread_cond_t wake;
+	struct cds_list_head actions; /* under front->lock */
+	struct core_arrival arrival;
+	const char *method;
+	char path[CORE_PATH_MAX]; /* with its query */
+	const char *content_type;
+	char *body;
+	size_t body_len;
+	json_t *json; /* the body, if it is a JSON object */
+	bool is_model;
+	bool stream;
+	char **tokens;
+	uint32_t token_count;
+	uint32_t token_room;
+	const struct core_dispatch *running; /* the attempt under way */
+	struct ep_answer answer;
+	bool head_sent;	  /* of a stream */
+	bool caller_gone; /* a write failed */
+	bool answered;
+	int64_t progress_due_us;
+};
+
+/* front_in.c: 0, or the status of a refusal whose reason is in why. */
+int front_read(struct front_req *req, const char **why);
+void front_read_free(struct front_req *req);
+
+/* front_req.c */
+void front_serve(struct front_req *req);
+
+/* front_out.c */
+void front_write_token(struct front_req *req, uint32_t index, const char *text);
+void front_write_answer(struct front_req *req, struct core_answer *answer);
+void front_write_refusal(struct front_req *req, int status,
+			 enum mag_outcome outcome, uint32_t retry_after_s,
+			 const char *why);
+char *front_record_answer(const struct front_req *req, size_t *len);
+
+#endif /* FRONT_INT_H */
--- /dev/null
+++ b/src/front_req.c
@@ -0,0 +1,202 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "clk.h"
+#include "front_int.h"
+
+#define FRONT_PROGRESS_US (50 * MAG_US_PER_MS) /* between two reports */
+
+static bool take_action(struct front_req *req, struct core_action *action,
+			bool wait);
+static void run_attempt(struct front_req *req,
+			const struct core_dispatch *dispatch);
+static void post_ended(struct front_req *req,
+		       const struct core_dispatch *dispatch);
+static bool on_token(void *ctx, uint32_t index, const char *text,
+		     const uint32_t *hop_us, int hop_count);
+static bool on_poll(void *ctx);
+static bool keep_token(struct front_req *req, const char *text);
+static void post_progress(struct front_req *req, const uint32_t *hop_us,
+			  int hop_count);
+static void post_caller_gone(struct front_req *req);
+
+/*
+ * Carries a request that has been read: hands it to the core and does what
+ * the core says until the caller is answered and no attempt runs.
+ */
+void front_serve(struct front_req *req)
+{
+	struct core_event event = { .type = CORE_EV_ARRIVAL };
+	struct core_action action;
+
+	event.arrival = req->arrival;
+	if (loop_post(req->front->loop, &event)) {
+		front_write_refusal(req, 503, MAG_NOT_RUN, 1,
+				    "memory is short");
+		return;
+	}
+	while (!req->answered && take_action(req, &action, true)) {
+		if (action.type == CORE_ACT_DISPATCH) {
+			run_attempt(req, &action.dispatch);
+		} else if (action.type == CORE_ACT_ANSWER) {
+			front_write_answer(req, &action.answer);
+			free(action.answer.body);
+		}
+	}
+}
+
+/* Takes the next action, if need be after waiting for it. */
+static bool take_action(struct front_req *req, struct core_action *action,
+			bool wait)
+{
+	struct front_action *node = NULL;
+
+	pthread_mutex_lock(&req->front->lock);
+	while (wait && cds_list_empty(&req->actions))
+		pthread_cond_wait(&req->wake, &req->front->lock);
+	if (!cds_list_empty(&req->actions)) {
+		node = cds_list_first_entry(&req->actions, struct front_action,
+					    node);
+		cds_list_del(&node->node);
+		*action = node->action;
+	}
+	pthread_mutex_unlock(&req->front->lock);
+	if (!node)
+		return false;
+	free(node);
+	return true;
+}
+
+/* Carries one attempt and tells the core how it ended. */
+static void run_attempt(struct front_req *req,
+			const struct core_dispatch *dispatch)
+{
+	struct ep_request request = {
+		.dispatch = dispatch,
+		.id = req->id_text,
+		.method = req->method,
+		.path = req->path,
+		.content_type = req->content_type,
+		.body = req->body,
+		.body_len = req->body_len,
+		.prompt =
+			json_string_value(json_object_get(req->json, "prompt")),
+		.max_tokens = req->arrival.max_tokens,
+		.given = req->tokens,
+		.given_count = req->token_count,
+	};
+	struct ep_sink sink = {
+		.token = on_token,
+		.cancelled = on_poll,
+		.ctx = req,
+	};
+
+	req->running = dispatch;
+	req->progress_due_us = 0;
+	free(req->answer.body);
+	memset(&req->answer, 0, sizeof(req->answer));
+	ep_run(req->ep, &request, &sink, &req->answer);
+	req->running = NULL;
+	post_ended(req, dispatch);
+}
+
+static void post_ended(struct front_req *req,
+		       const struct core_dispatch *dispatch)
+{
+	struct core_event event = { .type = CORE_EV_ENDED };
+
+	event.ended.req = req->id;
+	event.ended.attempt = dispatch->attempt;
+	event.ended.end = req->answer.end;
+	event.ended.stage = req->answer.stage;
+	event.ended.status = req->answer.status;
+	event.ended.tokens = req->token_count;
+	if (req->answer.end == CORE_END_WHOLE && dispatch->downstream_key[0])
+		event.ended.answer =
+			front_record_answer(req, &event.ended.answer_len);
+	if (loop_post(req->front->loop, &event))
+		abort();
+}
+
+/* Hands a token on to the caller and, now and then, progress to the core. */
+static bool on_token(void *ctx, uint32_t index, const char *text,
+		     const uint32_t *hop_us, int hop_count)
+{
+	struct front_req *req = ctx;
+
+	if (!keep_token(req, text))
+		return false;
+	if (req->stream && !req->answered && !req->caller_gone) {
+		front_write_token(req, index, text);
+		if (req->caller_gone)
+			post_caller_gone(req);
+	}
+	if (clk_now_us() >= req->progress_due_us)
+		post_progress(req, hop_us, hop_count);
+	return true;
+}
+
+/*
+ * Looks at what the core has said meanwhile.  A final answer goes out while
+ * the attempt still runs; true says that the attempt is cancelled.
+ */
+static bool on_poll(void *ctx)
+{
+	struct front_req *req = ctx;
+	struct core_action action;
+	bool cancel = false;
+
+	while (take_action(req, &action, false)) {
+		if (action.type == CORE_ACT_ANSWER) {
+			front_write_answer(req, &action.answer);
+			free(action.answer.body);
+		} else if (action.type == CORE_ACT_CANCEL &&
+			   action.cancel.attempt == req->running->attempt) {
+			cancel = true;
+		}
+	}
+	return cancel;
+}
+
+/* Keeps a token: a later attempt has to be told what was delivered. */
+static bool keep_token(struct front_req *req, const char *text)
+{
+	uint32_t room = req->token_room ? 2 * req->token_room : 64;
+	char **tokens;
+
+	if (req->token_count == req->token_room) {
+		tokens = realloc(req->tokens, room * sizeof(*tokens));
+		if (!tokens)
+			return false;
+		req->tokens = tokens;
+		req->token_room = room;
+	}
+	req->tokens[req->token_count] = strdup(text);
+	if (!req->tokens[req->token_count])
+		return false;
+	req->token_count++;
+	return true;
+}
+
+static void post_progress(struct front_req *req, const uint32_t *hop_us,
+			  int hop_count)
+{
+	struct core_event event = { .type = CORE_EV_PROGRESS };
+
+	req->progress_due_us = clk_now_us() + FRONT_PROGRESS_US;
+	event.progress.req = req->id;
+	event.progress.attempt = req->running->attempt;
+	event.progress.tokens = req->token_count;
+	event.progress.hop_count = hop_count;
+	memcpy(event.progress.hop_us, hop_us,
+	       (size_t)hop_count * sizeof(*hop_us));
+	loop_post(req->front->loop, &event);
+}
+
+static void post_caller_gone(struct front_req *req)
+{
+	struct core_event event = { .type = CORE_EV_CALLER_GONE };
+
+	event.caller_gone = req->id;
+	loop_post(req->front->loop, &event);
+}
--- /dev/null
+++ b/src/loop.c
@@ -0,0 +1,204 @@
+#include <pthread.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include <urcu/list.h>
+
+#include "clk.h"
+#include "loop.h"
+
+#define LOOP_NS_PER_US 1000
+/* Longest sleep, so that a deadline that was missed can't wait for ever. */
+#define LOOP_SLEEP_MAX_US MAG_US_PER_S
+
+struct loop_event {
+	struct cds_list_head node;
+	struct core_event event;
+};
+
+struct loop_query_node {
+	struct cds_list_head node;
+	loop_query_fn fn;
+	void *ctx;
+	bool done;
+};
+
+struct loop {
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_cond_t wake;	/* the loop waits on it */
+	pthread_cond_t queried; /* those who query wait on it */
+	struct cds_list_head events;
+	struct cds_list_head queries;
+	struct core *core;
+	loop_deliver_fn deliver;
+	void *ctx;
+	bool started;
+	bool ending;
+};
+
+static void *loop_main(void *arg);
+static bool loop_collect(struct loop *loop);
+static void loop_run_queries(struct loop *loop);
+static void loop_wait(struct loop *loop);
+static void loop_deliver_all(struct loop *loop);
+
+/* Makes a loop around a new core; NULL if memory is short. */
+struct loop *loop_new(const struct core_settings *settings,
+		      loop_deliver_fn deliver, void *ctx)
+{
+	struct loop *loop = calloc(1, sizeof(*loop));
+	pthread_condattr_t attr;
+
+	if (!loop)
+		return NULL;
+	loop->core = core_new(settings);
+	if (!loop->core) {
+		free(loop);
+		return NULL;
+	}
+	loop->deliver = deliver;
+	loop->ctx = ctx;
+	CDS_INIT_LIST_HEAD(&loop->events);
+	CDS_INIT_LIST_HEAD(&loop->queries);
+	pthread_mutex_init(&loop->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&loop->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	pthread_cond_init(&loop->queried, NULL);
+	return loop;
+}
+
+/* Starts the thread.  Returns 0 or LOOP_E_THREAD. */
+int loop_start(struct loop *loop)
+{
+	if (pthread_create(&loop->thread, NULL, loop_main, loop))
+		return LOOP_E_THREAD;
+	loop->started = true;
+	return LOOP_OK;
+}
+
+/*
+ * Queues an event from any thread.  The core owns what it points to.
+ * Returns 0 or LOOP_E_MEMORY.
+ */
+int loop_post(struct loop *loop, const struct core_event *event)
+{
+	struct loop_event *node = malloc(sizeof(*node));
+
+	if (!node)
+		return LOOP_E_MEMORY;
+	node->event = *event;
+	pthread_mutex_lock(&loop->lock);
+	cds_list_add_tail(&node->node, &loop->events);
+	pthread_cond_signal(&loop->wake);
+	pthread_mutex_unlock(&loop->lock);
+	return LOOP_OK;
+}
+
+/* Runs fn on the loop's thread and waits until it has run. */
+void loop_query(struct loop *loop, loop_query_fn fn, void *ctx)
+{
+	struct loop_query_node query = { .fn = fn, .ctx = ctx };
+
+	pthread_mutex_lock(&loop->lock);
+	cds_list_add_tail(&query.node, &loop->queries);
+	pthread_cond_signal(&loop->wake);
+	while (!query.done)
+		pthread_cond_wait(&loop->queried, &loop->lock);
+	pthread_mutex_unlock(&loop->lock);
+}
+
+/* Ends the thread and frees the loop with its core. */
+void loop_free(struct loop *loop)
+{
+	struct loop_event *event, *next;
+
+	if (!loop)
+		return;
+	pthread_mutex_lock(&loop->lock);
+	loop->ending = true;
+	pthread_cond_signal(&loop->wake);
+	pthread_mutex_unlock(&loop->lock);
+	if (loop->started)
+		pthread_join(loop->thread, NULL);
+	cds_list_for_each_entry_safe (event, next, &loop->events, node)
+		free(event);
+	core_free(loop->core);
+	pthread_cond_destroy(&loop->wake);
+	pthread_cond_destroy(&loop->queried);
+	pthread_mutex_destroy(&loop->lock);
+	free(loop);
+}
+
+static void *loop_main(void *arg)
+{
+	struct loop *loop = arg;
+
+	while (loop_collect(loop)) {
+		core_tick(loop->core, clk_now_us());
+		loop_deliver_all(loop);
+	}
+	return NULL;
+}
+
+/* Waits for work and moves it to the core; false when the loop ends. */
+static bool loop_collect(struct loop *loop)
+{
+	struct loop_event *event;
+	bool ending;
+
+	pthread_mutex_lock(&loop->lock);
+	if (cds_list_empty(&loop->events) && cds_list_empty(&loop->queries) &&
+	    !loop->ending)
+		loop_wait(loop);
+	while (!cds_list_empty(&loop->events)) {
+		event = cds_list_first_entry(&loop->events, struct loop_event,
+					     node);
+		cds_list_del(&event->node);
+		core_post(loop->core, &event->event);
+		free(event);
+	}
+	loop_run_queries(loop);
+	ending = loop->ending;
+	pthread_mutex_unlock(&loop->lock);
+	return !ending;
+}
+
+/* Runs the queries that wait; called with the lock held. */
+static void loop_run_queries(struct loop *loop)
+{
+	struct loop_query_node *query;
+
+	while (!cds_list_empty(&loop->queries)) {
+		query = cds_list_first_entry(&loop->queries,
+					     struct loop_query_node, node);
+		cds_list_del(&query->node);
+		query->fn(loop->core, query->ctx);
+		query->done = true;
+	}
+	pthread_cond_broadcast(&loop->queried);
+}
+
+/* Sleeps until the core's next deadline or an event. */
+static void loop_wait(struct loop *loop)
+{
+	int64_t latest = clk_now_us() + LOOP_SLEEP_MAX_US;
+	int64_t due = core_next_deadline(loop->core);
+	struct timespec until;
+
+	if (due > latest)
+		due = latest;
+	until.tv_sec = due / MAG_US_PER_S;
+	until.tv_nsec = due % MAG_US_PER_S * LOOP_NS_PER_US;
+	pthread_cond_timedwait(&loop->wake, &loop->lock, &until);
+}
+
+static void loop_deliver_all(struct loop *loop)
+{
+	struct core_action action;
+
+	while (core_next_action(loop->core, &action))
+		loop->deliver(loop->ctx, &action);
+}
--- /dev/null
+++ b/src/loop.h
@@ -0,0 +1,32 @@
+#ifndef LOOP_H
+#define LOOP_H
+
+/*
+ * The thread that owns the core: it takes events from all threads, runs the
+ * tick when an event is there or a deadline is due, and hands the actions to
+ * the shells.
+ */
+
+#include "core.h"
+
+struct loop;
+
+/* Carries one action out; must not block. It owns what the action points to. */
+typedef void (*loop_deliver_fn)(void *ctx, struct core_action *action);
+/* Runs on the loop's thread between two ticks. */
+typedef void (*loop_query_fn)(struct core *core, void *ctx);
+
+enum loop_err {
+	LOOP_OK = 0,
+	LOOP_E_MEMORY = -1,
+	LOOP_E_THREAD = -2,
+};
+
+struct loop *loop_new(const struct core_settings *settings,
+		      loop_deliver_fn deliver, void *ctx);
+int loop_start(struct loop *loop);
+int loop_post(struct loop *loop, const struct core_event *event);
+void loop_query(struct loop *loop, loop_query_fn fn, void *ctx);
+void loop_free(struct loop *loop);
+
+#endif /* LOOP_H */
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -138,6 +138,7 @@
 	dispatch->kind = service->kind;
 	dispatch->layers = service->layers;
 	dispatch->deadline_us = req->deadline_us;
+	dispatch->once = !req->idempotent || service->kind == CFG_MODEL;
 	memcpy(dispatch->not_begun_status, service->not_begun_status,
 	       sizeof(dispatch->not_begun_status));
 	if (req->reserved)
