cfg: Read the operators' objects and check them as a whole set

Cause: nothing could be configured; routers and tool need one reading of a set, with every fault told at once and nothing half applied. Ruled out: stopping at the first fault (an operator mends a set of 10,000 endpoints in one go, not in 40); messages that are free text at each place of use (they can't be numbered or covered by a test). Change: field descriptors per kind of object (cfg_layout.c), one reader by type (cfg_field.c), checks of objects and of the set (cfg_check.c), of held layers (cfg_cover.c), one enum of numbered messages (cfg_int.h, cfg_msg.c). Objects are sorted by kind and name, so a set means the same in any order. Text quoted from a file is made printable, as it could forge lines on the operator's terminal: regress/cfg/hostile-text. A limit on tokens below 256 a second, and one above a broader limit, count as limits that can't be kept.

--- /dev/null
+++ b/regress/check_cfg.c
@@ -0,0 +1,220 @@
+#include <dirent.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "cfg_int.h"
+#include "script.h"
+
+/*
+ * Scripts of sets of objects.  base.json is a good set; a script changes it
+ * and has it checked:
+ *	add OBJECT | change KIND/NAME FIELDS | drop KIND/NAME
+ *	text DOCUMENT (in its place) | many N (objects) | check
+ *	route HOST PATH ACCOUNT | key HASH | find KIND NAME (in a good set)
+ */
+
+#define CHECK_DIR "regress/cfg"
+#define MSGS_MAX  128
+
+struct run {
+	json_t *doc;
+	char *text; /* in place of doc */
+	struct cfg_set *set;
+	FILE *out;
+};
+
+static json_t *find(struct run *run, const char *id, size_t *index)
+{
+	json_t *list = json_object_get(run->doc, "objects");
+	char text[256];
+	json_t *object;
+
+	for (*index = 0; *index < json_array_size(list); (*index)++) {
+		object = json_array_get(list, *index);
+		snprintf(text, sizeof(text), "%s/%s",
+			 json_string_value(json_object_get(object, "kind")),
+			 json_string_value(json_object_get(object, "name")));
+		if (strcmp(text, id) == 0)
+			return object;
+	}
+	fail_msg("no object %s", id);
+	return NULL;
+}
+
+static void many(struct run *run, int count)
+{
+	json_t *list = json_object_get(run->doc, "objects");
+
+	while (count-- > 0)
+		json_array_append_new(list, json_object());
+}
+
+static void check(struct run *run)
+{
+	char *text = run->text ? strdup(run->text) : json_dumps(run->doc, 0);
+	struct cfg_faults *faults;
+	int err;
+	size_t i;
+
+	cfg_free(run->set);
+	err = cfg_parse(text, strlen(text), &run->set, &faults);
+	fprintf(run->out, "%s\n",
+		err == CFG_OK	       ? "ok"
+		: err == CFG_E_SYNTAX  ? "syntax"
+		: err == CFG_E_INVALID ? "invalid"
+				       : "memory");
+	for (i = 0; i < cfg_fault_count(faults); i++)
+		fprintf(run->out, "  %s\n", cfg_fault_text(faults, i));
+	cfg_faults_free(faults);
+	free(text);
+}
+
+static void look_up(struct run *run, const char *what, const char *rest)
+{
+	char a[128] = "";
+	char b[128] = "";
+	char c[128] = "";
+	int i;
+	int k;
+
+	if (!run->set)
+		return;
+	sscanf(rest, "%127s %127s %127s", a, b, c);
+	if (strcmp(what, "key") == 0) {
+		i = cfg_find_account(run->set, a);
+		fprintf(run->out, "%s\n",
+			i < 0 ? "none" : run->set->accounts[i].name);
+	} else if (strcmp(what, "find") == 0) {
+		i = a[0] == 's' ? cfg_find_service(run->set, b)
+				: cfg_find_endpoint(run->set, b);
+		fprintf(run->out, "%d\n", i);
+	} else {
+		i = cfg_find_route(run->set, strcmp(a, "-") == 0 ? "" : a, b);
+		for (k = 0; k < (int)run->set->account_count; k++) {
+			if (strcmp(run->set->accounts[k].name, c) == 0)
+				break;
+		}
+		fprintf(run->out, "%s %s\n",
+			i < 0 ? "none" : run->set->routes[i].name,
+			i < 0 ? "-" : cfg_route_group(run->set, i, k));
+	}
+}
+
+static void change(struct run *run, char *rest)
+{
+	char *json = strchr(rest, ' ');
+	json_t *fields;
+	size_t i;
+
+	*json++ = '\0';
+	fields = json_loads(json, 0, NULL);
+	assert_non_null(fields);
+	json_object_update(find(run, rest, &i), fields);
+	json_decref(fields);
+}
+
+static void do_line(struct run *run, char *line)
+{
+	char *rest = strchr(line, ' ');
+	json_t *list = json_object_get(run->doc, "objects");
+	size_t i;
+
+	rest = rest ? (*rest = '\0', rest + 1) : line + strlen(line);
+	if (strcmp(line, "add") == 0) {
+		assert_int_equal(
+			json_array_append_new(
+				list, json_loads(rest, JSON_DECODE_ANY, NULL)),
+			0);
+	} else if (strcmp(line, "change") == 0) {
+		change(run, rest);
+	} else if (strcmp(line, "drop") == 0) {
+		find(run, rest, &i);
+		json_array_remove(list, i);
+	} else if (strcmp(line, "text") == 0) {
+		free(run->text);
+		run->text = strdup(rest);
+	} else if (strcmp(line, "many") == 0) {
+		many(run, atoi(rest));
+	} else if (strcmp(line, "check") == 0) {
+		check(run);
+	} else {
+		look_up(run, line, rest);
+	}
+}
+
+static void driver(FILE *in, FILE *out)
+{
+	struct run run = { .out = out };
+	char *line = NULL;
+	size_t room = 0;
+
+	run.doc = json_load_file(CHECK_DIR "/base.json", 0, NULL);
+	assert_non_null(run.doc);
+	while (getline(&line, &room, in) > 0) {
+		line[strcspn(line, "\n")] = '\0';
+		if (line[0] && line[0] != '#')
+			do_line(&run, line);
+	}
+	free(line);
+	free(run.text);
+	cfg_free(run.set);
+	json_decref(run.doc);
+}
+
+/* Notes the number that ends each line of an expected output. */
+static void note_numbers(const char *path, bool *seen)
+{
+	char line[1024];
+	FILE *file = fopen(path, "r");
+
+	assert_non_null(file);
+	while (fgets(line, sizeof(line), file)) {
+		const char *number = strrchr(line, '(');
+
+		if (number && atoi(number + 1) > 0 &&
+		    atoi(number + 1) < MSGS_MAX)
+			seen[atoi(number + 1)] = true;
+	}
+	fclose(file);
+}
+
+/* A message that no bad set brings up could be wrong without notice. */
+static void every_message_has_a_bad_set(void **state)
+{
+	bool seen[MSGS_MAX] = { false };
+	int numbers[MSGS_MAX];
+	size_t count = cfg_msg_list(numbers, MSGS_MAX);
+	DIR *dir = opendir(CHECK_DIR);
+	struct dirent *entry;
+	char path[512];
+	size_t i;
+
+	(void)state;
+	assert_non_null(dir);
+	while ((entry = readdir(dir))) {
+		snprintf(path, sizeof(path), CHECK_DIR "/%s", entry->d_name);
+		if (strstr(entry->d_name, ".out"))
+			note_numbers(path, seen);
+	}
+	closedir(dir);
+	for (i = 0; i < count; i++) {
+		if (!seen[numbers[i]])
+			fail_msg("message %d has no bad set", numbers[i]);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(every_message_has_a_bad_set),
+	};
+	int failed = script_main(CHECK_DIR, driver);
+
+	return failed + cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/cfg_int.h
@@ -0,0 +1,153 @@
+#ifndef CFG_INT_H
+#define CFG_INT_H
+
+/* What the files of the cfg family share; no other module includes it. */
+
+#include <jansson.h>
+
+#include "cfg.h"
+
+/*
+ * Every message of the validator.  CFG_MSG(id, number, format); a number
+ * never gets another meaning, as operators and scripts look it up in
+ * magnolia.conf(5).
+ */
+/* clang-format off */
+#define CFG_MSGS \
+	/* 1: the document and its objects */ \
+	CFG_MSG(CFG_M_SYNTAX, 1, "not JSON: line %d: %s") \
+	CFG_MSG(CFG_M_DOCUMENT, 2, "not an object that holds one list named \"objects\"") \
+	CFG_MSG(CFG_M_NOT_OBJECT, 3, "entry %zu of the list is not an object") \
+	CFG_MSG(CFG_M_KIND, 4, "not one of service, account, route, limit, endpoint") \
+	CFG_MSG(CFG_M_NAME, 5, "not 1 to 63 of a-z, 0-9, '-', '_', '.', starting with a letter or digit") \
+	CFG_MSG(CFG_M_NAME_TWICE, 6, "another %s has this name") \
+	CFG_MSG(CFG_M_TOO_MANY, 7, "%zu objects; a set holds at most %zu") \
+	\
+	/* 20: one field */ \
+	CFG_MSG(CFG_M_UNKNOWN, 20, "no such field in an object of kind %s") \
+	CFG_MSG(CFG_M_MISSING, 21, "missing") \
+	CFG_MSG(CFG_M_TYPE, 22, "not %s") \
+	CFG_MSG(CFG_M_RANGE, 23, "%lld is not between %llu and %llu") \
+	CFG_MSG(CFG_M_ZERO, 24, "zero would give it no work at all") \
+	CFG_MSG(CFG_M_WORD, 25, "\"%.40s\" is not one of %s") \
+	CFG_MSG(CFG_M_LENGTH, 26, "longer than %zu bytes") \
+	CFG_MSG(CFG_M_HASH, 27, "not 64 hexadecimal digits in lower case") \
+	CFG_MSG(CFG_M_ADDRESS, 28, "\"%.60s\" is not an IP number and a port, as in 127.0.0.1:8080 or [::1]:8080") \
+	CFG_MSG(CFG_M_HOST, 29, "\"%.60s\" is not a host name in lower case without a port") \
+	CFG_MSG(CFG_M_PATH, 30, "\"%.60s\" is not a path that starts with '/' and has no query, blank, empty part or dots alone") \
+	CFG_MSG(CFG_M_LIST_LONG, 31, "%zu entries; at most %zu are taken") \
+	CFG_MSG(CFG_M_LIST_TWICE, 32, "lists %.64s twice") \
+	CFG_MSG(CFG_M_REFERENCE, 33, "there is no %s named \"%.64s\"") \
+	\
+	/* 40: one object */ \
+	CFG_MSG(CFG_M_MODEL_ONLY, 40, "only a service of kind model has layers") \
+	CFG_MSG(CFG_M_DEADLINES, 41, "default_deadline_ms %u is above max_deadline_ms %u") \
+	CFG_MSG(CFG_M_WINDOW, 42, "a key would be forgotten after %u s while its request may run for %u ms") \
+	CFG_MSG(CFG_M_KEY_RULE, 43, "optional on a route that is not idempotent, so that a resend could run twice") \
+	CFG_MSG(CFG_M_LAYER_ORDER, 44, "first_layer %u lies after last_layer %u") \
+	CFG_MSG(CFG_M_LIMIT_EMPTY, 45, "limits nothing: requests_per_s, tokens_per_s and concurrent are all zero") \
+	CFG_MSG(CFG_M_LIMIT_TOKENS, 46, "%u is below the %u tokens of one request that names no max_tokens, so none would ever start") \
+	\
+	/* 60: the whole set */ \
+	CFG_MSG(CFG_M_LAYER_BEYOND, 60, "layer %u lies beyond the last layer %u of service/%s") \
+	CFG_MSG(CFG_M_GAP, 61, "no active endpoint holds layers %u to %u") \
+	CFG_MSG(CFG_M_GROUP_GAP, 62, "no active endpoint of group %s holds layers %u to %u of service/%s") \
+	CFG_MSG(CFG_M_NO_ENDPOINT, 63, "no active endpoint serves it") \
+	CFG_MSG(CFG_M_GROUP_EMPTY, 64, "no active endpoint of service/%s is in group %s") \
+	CFG_MSG(CFG_M_CHAIN_LONG, 65, "the shortest chain takes %u stages; at most %u are taken") \
+	CFG_MSG(CFG_M_ROUTE_OVERLAP, 66, "takes the same host and path as route/%s") \
+	CFG_MSG(CFG_M_LIMIT_PAIR, 67, "the same account and service as limit/%s") \
+	CFG_MSG(CFG_M_LIMIT_PLAIN, 68, "service/%s is plain and makes no tokens") \
+	CFG_MSG(CFG_M_LIMIT_ABOVE, 69, "%u could never be reached: limit/%s, which holds for the same requests, allows %u") \
+	CFG_MSG(CFG_M_HASH_TWICE, 70, "the same key as account/%s, so that a caller could not be told from another") \
+	CFG_MSG(CFG_M_ADDRESS_TWICE, 71, "the same address as endpoint/%s of this service")
+/* clang-format on */
+
+#define CFG_MSG(id, number, format) id = number,
+enum cfg_msg {
+	CFG_MSGS
+};
+#undef CFG_MSG
+
+#define CFG_OBJECTS_MAX	    100000
+#define CFG_REQUEST_TOKENS  256 /* max_tokens of a request that names none */
+#define CFG_DEADLINE_MAX_MS 3600000
+#define CFG_WINDOW_MAX_S    2592000
+
+/* One entry of the document, before and while its fields are read. */
+struct cfg_item {
+	enum cfg_kind kind;
+	const char *name;
+	json_t *object;
+	size_t faults; /* how many it had when its fields were read */
+};
+
+/* A set in the making. */
+struct cfg_build {
+	struct cfg_set *set;
+	struct cfg_faults *faults;
+	struct cfg_item *items; /* by kind, then by name */
+	size_t count;
+	size_t first[CFG_KIND_COUNT + 1]; /* of each kind in items */
+};
+
+enum cfg_type {
+	CFG_T_NAME,
+	CFG_T_HOST,
+	CFG_T_PATH,
+	CFG_T_HASH,
+	CFG_T_ADDRESS,
+	CFG_T_U32,
+	CFG_T_U64,
+	CFG_T_BOOL,
+	CFG_T_WORD,
+	CFG_T_REFERENCE,
+	CFG_T_STATUSES,
+	CFG_T_SPLITS,
+	CFG_TYPE_COUNT
+};
+
+enum cfg_need {
+	CFG_OPTIONAL,
+	CFG_REQUIRED,
+	CFG_POSITIVE, /* required, and zero is a fault of its own */
+};
+
+/* One field of an object: where it is kept and what it may hold. */
+struct cfg_field {
+	const char *name;
+	enum cfg_type type;
+	enum cfg_need need;
+	size_t offset;
+	size_t size; /* of a string */
+	uint64_t min;
+	uint64_t max;
+	int64_t fallback; /* when it is absent */
+	const char *const *words;
+	enum cfg_kind target; /* of a reference */
+};
+
+struct cfg_layout {
+	const char *kind;
+	size_t size; /* of the object's structure */
+	const struct cfg_field *fields;
+	size_t count;
+};
+
+const struct cfg_layout *cfg_layout(enum cfg_kind kind);
+void cfg_read_item(struct cfg_build *build, struct cfg_item *item, void *dst);
+void cfg_check_set(struct cfg_build *build);
+void cfg_check_cover(struct cfg_build *build);
+int cfg_index(const struct cfg_build *build, enum cfg_kind kind,
+	      const char *name);
+bool cfg_readable(const struct cfg_build *build, enum cfg_kind kind, int index);
+bool cfg_name_ok(const char *name);
+
+struct cfg_faults *cfg_faults_new(void);
+void cfg_faults_lose(struct cfg_faults *faults);
+bool cfg_faults_lost(const struct cfg_faults *faults);
+void cfg_fault(struct cfg_faults *faults, const char *kind, const char *name,
+	       const char *field, enum cfg_msg msg, ...);
+size_t cfg_msg_list(int *numbers, size_t max);
+
+#endif /* CFG_INT_H */
