Add the platform client

Cause: nothing carries out the calls that the modules leave. Ruled out: one multi handle on one thread, as blocking calls read straight and a watch needs a wait of its own. Change: src/pf.c sends every operation of kv.h over libcurl with a stored deadline; KV_UNSENT only when no byte was handed to the system. Conclusion: the shells can be written against it.

--- /dev/null
+++ b/src/pf.c
@@ -0,0 +1,584 @@
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <time.h>
+
+#include <curl/curl.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <urcu/list.h>
+
+#include "cnt.h"
+#include "log.h"
+#include "mag.h"
+#include "pf.h"
+#include "pf_gate.h"
+
+#define PF_ADDRESSES_MAX      8
+#define PF_URL_MAX	      512
+#define PF_CONNECT_TIMEOUT_MS 500
+#define PF_ANSWER_MAX	      (2U << 20) /* values are at most a megabyte */
+#define PF_WATCH_MARGIN_MS    100 /* a watch ends this much before its call */
+
+enum pf_http {
+	PF_HTTP_OK = 200,
+	PF_HTTP_CREATED = 201,
+	PF_HTTP_NO_CONTENT = 204,
+	PF_HTTP_UNCHANGED = 304,
+	PF_HTTP_ABSENT = 404,
+	PF_HTTP_CONFLICT = 409,
+	PF_HTTP_LIMITED = 429,
+};
+
+/* One libcurl handle with its open connections; one thread at a time. */
+struct pf_handle {
+	struct cds_list_head node;
+	CURL *curl;
+};
+
+struct pf {
+	pthread_mutex_t lock; /* guards the list and the gate */
+	struct cds_list_head idle;
+	struct pf_gate gate;
+	char addresses[PF_ADDRESSES_MAX][MAG_ADDR_MAX];
+	size_t address_count;
+	atomic_size_t preferred; /* address that answered last */
+	atomic_bool interrupted;
+};
+
+/* A call under way. */
+struct pf_request {
+	struct pf *pf;
+	const struct kv_call *call;
+	struct kv_reply *reply;
+	char url[PF_URL_MAX];
+	struct curl_slist *headers;
+	char *body; /* NULL: the call's own value, or none */
+	size_t body_len;
+	char *answer;
+	size_t answer_len;
+	uint64_t version;
+};
+
+/* How an operation is said in HTTP, and which counter it adds to. */
+struct pf_op {
+	const char *method;
+	bool writes;
+	enum cnt_id counter;
+	int (*prepare)(struct pf_request *req, const char *address);
+};
+
+static int pf_prepare_get(struct pf_request *req, const char *address);
+static int pf_prepare_watch(struct pf_request *req, const char *address);
+static int pf_prepare_write(struct pf_request *req, const char *address);
+static int pf_prepare_take(struct pf_request *req, const char *address);
+static int pf_prepare_drop(struct pf_request *req, const char *address);
+static int pf_prepare_instances(struct pf_request *req, const char *address);
+static int pf_prepare_loads(struct pf_request *req, const char *address);
+static void pf_call(void *ctx, const struct kv_call *call,
+		    struct kv_reply *reply);
+static enum kv_status pf_try_addresses(struct pf_request *req);
+static enum kv_status pf_try(struct pf_request *req, CURL *curl,
+			     const char *address);
+static void pf_set_options(struct pf_request *req, CURL *curl, int64_t left_ms);
+static enum kv_status pf_failed(CURL *curl, CURLcode code);
+static enum kv_status pf_answered(struct pf_request *req, CURL *curl);
+static void pf_take_fence(struct pf_request *req);
+static enum pf_gate_verdict pf_admit(struct pf *pf);
+static void pf_note_result(struct pf *pf, enum kv_status status);
+static struct pf_handle *pf_handle_get(struct pf *pf);
+static void pf_handle_put(struct pf *pf, struct pf_handle *handle);
+static size_t pf_on_body(char *data, size_t size, size_t count, void *ctx);
+static size_t pf_on_header(char *data, size_t size, size_t count, void *ctx);
+static int pf_on_progress(void *ctx, curl_off_t dltotal, curl_off_t dlnow,
+			  curl_off_t ultotal, curl_off_t ulnow);
+static int64_t pf_now_us(void);
+
+static const struct pf_op pf_ops[KV_OP_COUNT] = {
+	[KV_GET] = { "GET", false, CNT_PF_GETS, pf_prepare_get },
+	[KV_WATCH] = { "GET", false, CNT_PF_WATCHES, pf_prepare_watch },
+	[KV_CAS] = { "PUT", true, CNT_PF_SWAPS, pf_prepare_write },
+	[KV_DELETE] = { "DELETE", true, CNT_PF_DELETES, pf_prepare_write },
+	[KV_LEASE_TAKE] = { "POST", true, CNT_PF_LEASE_TAKES, pf_prepare_take },
+	[KV_LEASE_DROP] = { "DELETE", true, CNT_PF_LEASE_DROPS,
+			    pf_prepare_drop },
+	[KV_INSTANCES] = { "GET", false, CNT_PF_INSTANCES,
+			   pf_prepare_instances },
+	[KV_LOADS] = { "GET", false, CNT_PF_LOADS, pf_prepare_loads },
+};
+
+/*
+ * Opens a client of the service at the given "ip:port" addresses, which are
+ * copied.  No connection is made yet.  Returns NULL if memory is short or
+ * there is no usable address.  curl_global_init is called here; open the
+ * first client before threads start.
+ */
+struct pf *pf_open(const char *const *addresses, size_t count)
+{
+	struct pf *pf = calloc(1, sizeof(*pf));
+	uint64_t seed;
+	size_t i;
+
+	if (!pf || curl_global_init(CURL_GLOBAL_DEFAULT) || sodium_init() < 0)
+		goto fail;
+	for (i = 0; i < count && i < PF_ADDRESSES_MAX; i++) {
+		if (mag_copy_name(pf->addresses[i], MAG_ADDR_MAX,
+				  addresses[i]) < 0)
+			goto fail;
+	}
+	if (i == 0)
+		goto fail;
+	pf->address_count = i;
+	pthread_mutex_init(&pf->lock, NULL);
+	CDS_INIT_LIST_HEAD(&pf->idle);
+	randombytes_buf(&seed, sizeof(seed));
+	pf_gate_init(&pf->gate, seed);
+	return pf;
+fail:
+	free(pf);
+	return NULL;
+}
+
+/* Closes all connections; no call may be under way. */
+void pf_close(struct pf *pf)
+{
+	struct pf_handle *handle;
+	struct pf_handle *next;
+
+	if (!pf)
+		return;
+	cds_list_for_each_entry_safe (handle, next, &pf->idle, node) {
+		curl_easy_cleanup(handle->curl);
+		free(handle);
+	}
+	pthread_mutex_destroy(&pf->lock);
+	free(pf);
+}
+
+/*
+ * Sets the most calls a second (0: no bound) and at once.  Calls over the
+ * budget end as KV_LIMITED without reaching the service.
+ */
+void pf_set_budget(struct pf *pf, uint32_t calls_per_s, uint32_t burst)
+{
+	pthread_mutex_lock(&pf->lock);
+	pf_gate_budget(&pf->gate, calls_per_s, burst, pf_now_us());
+	pthread_mutex_unlock(&pf->lock);
+}
+
+/* Replaces the random seed of the pauses after failures. */
+void pf_set_seed(struct pf *pf, uint64_t seed)
+{
+	pthread_mutex_lock(&pf->lock);
+	pf->gate.random = seed | 1;
+	pthread_mutex_unlock(&pf->lock);
+}
+
+/*
+ * Makes the calls under way end, within about a second, and every later call
+ * end as KV_UNSENT; for a stop that must not wait for a watch.
+ */
+void pf_interrupt(struct pf *pf)
+{
+	atomic_store(&pf->interrupted, true);
+}
+
+/*
+ * Returns the call table over this client.  A call's value stays the
+ * caller's; the caller frees the reply's value.  A watch that ended
+ * unchanged is KV_OK with the version that was asked for and no value.
+ */
+struct kv_backend pf_backend(struct pf *pf)
+{
+	struct kv_backend backend = { .call = pf_call, .ctx = pf };
+
+	return backend;
+}
+
+/* Carries out one call and fills in its reply. */
+static void pf_call(void *ctx, const struct kv_call *call,
+		    struct kv_reply *reply)
+{
+	struct pf_request req = { .pf = ctx, .call = call, .reply = reply };
+	enum pf_gate_verdict verdict;
+
+	memset(reply, 0, sizeof(*reply));
+	reply->id = call->id;
+	reply->status = KV_UNSENT;
+	if (call->deadline_us <= pf_now_us() ||
+	    atomic_load(&req.pf->interrupted))
+		return;
+	verdict = pf_admit(req.pf);
+	if (verdict != PF_GATE_PASS) {
+		if (verdict == PF_GATE_OVER_BUDGET)
+			reply->status = KV_LIMITED;
+		return;
+	}
+	cnt_add(CNT_PF_CALLS, 1);
+	cnt_add(pf_ops[call->op].counter, 1);
+	reply->status = pf_try_addresses(&req);
+	pf_note_result(req.pf, reply->status);
+	free(req.answer);
+}
+
+/* Tries each address once, going on only if nothing was sent. */
+static enum kv_status pf_try_addresses(struct pf_request *req)
+{
+	struct pf *pf = req->pf;
+	struct pf_handle *handle = pf_handle_get(pf);
+	enum kv_status status = KV_UNSENT;
+	size_t first = atomic_load(&pf->preferred);
+	size_t at;
+	size_t i;
+
+	if (!handle)
+		return KV_UNSENT;
+	for (i = 0; i < pf->address_count && status == KV_UNSENT; i++) {
+		at = (first + i) % pf->address_count;
+		status = pf_try(req, handle->curl, pf->addresses[at]);
+	}
+	if (status == KV_LOST)
+		at = (at + 1) % pf->address_count;
+	if (status != KV_UNSENT)
+		atomic_store(&pf->preferred, at);
+	pf_handle_put(pf, handle);
+	return status;
+}
+
+/* Sends the call to one address and turns what came into a status. */
+static enum kv_status pf_try(struct pf_request *req, CURL *curl,
+			     const char *address)
+{
+	const struct pf_op *op = &pf_ops[req->call->op];
+	int64_t left_ms =
+		(req->call->deadline_us - pf_now_us()) / MAG_US_PER_MS;
+	enum kv_status status = KV_UNSENT;
+	CURLcode code;
+
+	if (left_ms <= 0)
+		return KV_UNSENT;
+	req->headers = NULL;
+	req->body = NULL;
+	req->answer_len = 0;
+	req->version = 0;
+	curl_easy_reset(curl);
+	if (op->prepare(req, address) == 0) {
+		pf_set_options(req, curl, left_ms);
+		code = curl_easy_perform(curl);
+		status = code ? pf_failed(curl, code) : pf_answered(req, curl);
+	}
+	curl_slist_free_all(req->headers);
+	free(req->body);
+	return status;
+}
+
+/* Sets up the handle for one transfer. */
+static void pf_set_options(struct pf_request *req, CURL *curl, int64_t left_ms)
+{
+	const struct pf_op *op = &pf_ops[req->call->op];
+	const char *body = req->body ? req->body : req->call->value;
+	size_t len = req->body ? req->body_len : req->call->len;
+
+	req->headers = curl_slist_append(req->headers, "Expect:");
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(curl, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(curl, CURLOPT_URL, req->url);
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, op->method);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, req->headers);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)left_ms);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)PF_CONNECT_TIMEOUT_MS);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, pf_on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, req);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, pf_on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, req);
+	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, pf_on_progress);
+	curl_easy_setopt(curl, CURLOPT_XFERINFODATA, req->pf);
+	if (!op->writes)
+		return;
+	if (body) {
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE_LARGE,
+				 (curl_off_t)len);
+	}
+	/*
+	 * libcurl sends a request again by itself when a connection that it
+	 * reused breaks before the answer.  A swap that landed would then
+	 * come back as a conflict with itself.  Writes therefore never go
+	 * over a reused connection.
+	 */
+	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
+}
+
+/*
+ * Tells what a failed transfer proves.  Only if no byte of the request was
+ * handed to the system is the call known to have no effect.
+ */
+static enum kv_status pf_failed(CURL *curl, CURLcode code)
+{
+	long sent = 0;
+
+	if (code == CURLE_COULDNT_CONNECT)
+		return KV_UNSENT;
+	if (curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent) == CURLE_OK &&
+	    sent == 0)
+		return KV_UNSENT;
+	return KV_LOST;
+}
+
+/* Turns the service's answer into the reply. */
+static enum kv_status pf_answered(struct pf_request *req, CURL *curl)
+{
+	struct kv_reply *reply = req->reply;
+	long status = 0;
+
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	reply->version = req->version;
+	switch (status) {
+	case PF_HTTP_OK:
+	case PF_HTTP_CREATED:
+	case PF_HTTP_NO_CONTENT:
+		if (req->call->op == KV_LEASE_TAKE)
+			pf_take_fence(req);
+		if (pf_ops[req->call->op].writes)
+			return KV_OK;
+		reply->value = req->answer;
+		reply->len = req->answer_len;
+		req->answer = NULL;
+		if (!reply->value)
+			reply->value = calloc(1, 1);
+		return reply->value ? KV_OK : KV_LOST;
+	case PF_HTTP_UNCHANGED:
+		reply->version = req->call->version;
+		return KV_OK;
+	case PF_HTTP_ABSENT:
+		return KV_ABSENT;
+	case PF_HTTP_CONFLICT:
+		return KV_CONFLICT;
+	case PF_HTTP_LIMITED:
+		return KV_LIMITED;
+	default:
+		return KV_LOST;
+	}
+}
+
+/* Reads a lease's fencing number; without one it is 0, which none has. */
+static void pf_take_fence(struct pf_request *req)
+{
+	json_t *body = json_loadb(req->answer ? req->answer : "",
+				  req->answer_len, 0, NULL);
+
+	req->reply->version =
+		(uint64_t)json_integer_value(json_object_get(body, "fence"));
+	json_decref(body);
+}
+
+/* GET of a key. */
+static int pf_prepare_get(struct pf_request *req, const char *address)
+{
+	snprintf(req->url, sizeof(req->url), "http://%s/kv/%s", address,
+		 req->call->key);
+	return 0;
+}
+
+/* GET that the service holds until the version differs. */
+static int pf_prepare_watch(struct pf_request *req, const char *address)
+{
+	int64_t wait_ms =
+		(req->call->deadline_us - pf_now_us()) / MAG_US_PER_MS -
+		PF_WATCH_MARGIN_MS;
+
+	snprintf(req->url, sizeof(req->url),
+		 "http://%s/kv/%s?wait_version=%" PRIu64 "&wait_ms=%" PRId64,
+		 address, req->call->key, req->call->version,
+		 wait_ms > 0 ? wait_ms : 0);
+	return 0;
+}
+
+/* PUT or DELETE under the condition of a version. */
+static int pf_prepare_write(struct pf_request *req, const char *address)
+{
+	char header[64];
+
+	snprintf(req->url, sizeof(req->url), "http://%s/kv/%s", address,
+		 req->call->key);
+	snprintf(header, sizeof(header), "If-Version: %" PRIu64,
+		 req->call->version);
+	req->headers = curl_slist_append(NULL, header);
+	return req->headers ? 0 : -1;
+}
+
+/* POST that takes or renews a lease. */
+static int pf_prepare_take(struct pf_request *req, const char *address)
+{
+	json_t *body = json_pack("{s:s%, s:I}", "holder", req->call->value,
+				 req->call->len, "ttl_ms",
+				 (json_int_t)req->call->ttl_ms);
+
+	snprintf(req->url, sizeof(req->url), "http://%s/lease/%s", address,
+		 req->call->key);
+	req->body = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	if (!req->body)
+		return -1;
+	req->body_len = strlen(req->body);
+	return 0;
+}
+
+/* DELETE of a lease that the caller holds. */
+static int pf_prepare_drop(struct pf_request *req, const char *address)
+{
+	char *holder =
+		curl_easy_escape(NULL, req->call->value, (int)req->call->len);
+
+	if (!holder)
+		return -1;
+	snprintf(req->url, sizeof(req->url), "http://%s/lease/%s?holder=%s",
+		 address, req->call->key, holder);
+	curl_free(holder);
+	return 0;
+}
+
+/* GET of the lagging list of instances. */
+static int pf_prepare_instances(struct pf_request *req, const char *address)
+{
+	snprintf(req->url, sizeof(req->url), "http://%s/instances", address);
+	return 0;
+}
+
+/* GET of the load reports. */
+static int pf_prepare_loads(struct pf_request *req, const char *address)
+{
+	snprintf(req->url, sizeof(req->url), "http://%s/loads", address);
+	return 0;
+}
+
+/* Asks the gate under its lock. */
+static enum pf_gate_verdict pf_admit(struct pf *pf)
+{
+	enum pf_gate_verdict verdict;
+
+	pthread_mutex_lock(&pf->lock);
+	verdict = pf_gate_ask(&pf->gate, pf_now_us());
+	pthread_mutex_unlock(&pf->lock);
+	return verdict;
+}
+
+/* Tells the gate how a call ended, and logs a change of reach. */
+static void pf_note_result(struct pf *pf, enum kv_status status)
+{
+	bool reached = status != KV_UNSENT && status != KV_LOST;
+	bool changed;
+	bool down;
+
+	if (atomic_load(&pf->interrupted))
+		return;
+	pthread_mutex_lock(&pf->lock);
+	changed = pf_gate_result(&pf->gate, reached, pf_now_us());
+	down = pf->gate.down;
+	pthread_mutex_unlock(&pf->lock);
+	if (!reached)
+		cnt_add(CNT_PF_FAILURES, 1);
+	if (changed)
+		log_event(down ? LOG_PF_DOWN : LOG_PF_UP, "address=%s",
+			  pf->addresses[atomic_load(&pf->preferred)]);
+}
+
+/* Takes an idle handle, or makes one; NULL if memory is short. */
+static struct pf_handle *pf_handle_get(struct pf *pf)
+{
+	struct pf_handle *handle = NULL;
+
+	pthread_mutex_lock(&pf->lock);
+	if (!cds_list_empty(&pf->idle)) {
+		handle =
+			cds_list_first_entry(&pf->idle, struct pf_handle, node);
+		cds_list_del(&handle->node);
+	}
+	pthread_mutex_unlock(&pf->lock);
+	if (handle)
+		return handle;
+	handle = calloc(1, sizeof(*handle));
+	if (!handle)
+		return NULL;
+	handle->curl = curl_easy_init();
+	if (!handle->curl) {
+		free(handle);
+		return NULL;
+	}
+	return handle;
+}
+
+/* Returns a handle; the one used last is taken first. */
+static void pf_handle_put(struct pf *pf, struct pf_handle *handle)
+{
+	pthread_mutex_lock(&pf->lock);
+	cds_list_add(&handle->node, &pf->idle);
+	pthread_mutex_unlock(&pf->lock);
+}
+
+/* Collects the answer's body, NUL-terminated, up to a bound. */
+static size_t pf_on_body(char *data, size_t size, size_t count, void *ctx)
+{
+	struct pf_request *req = ctx;
+	size_t len = size * count;
+	char *grown;
+
+	if (req->answer_len + len > PF_ANSWER_MAX)
+		return 0;
+	grown = realloc(req->answer, req->answer_len + len + 1);
+	if (!grown)
+		return 0;
+	req->answer = grown;
+	memcpy(grown + req->answer_len, data, len);
+	req->answer_len += len;
+	grown[req->answer_len] = '\0';
+	return len;
+}
+
+/* Picks the version out of the headers. */
+static size_t pf_on_header(char *data, size_t size, size_t count, void *ctx)
+{
+	static const char name[] = "X-Version:";
+	struct pf_request *req = ctx;
+	size_t len = size * count;
+	char line[64];
+
+	if (len < sizeof(line) && len > sizeof(name) &&
+	    strncasecmp(data, name, sizeof(name) - 1) == 0) {
+		memcpy(line, data, len);
+		line[len] = '\0';
+		req->version = strtoull(line + sizeof(name) - 1, NULL, 10);
+	}
+	return len;
+}
+
+/* Ends a transfer when the client is interrupted. */
+static int pf_on_progress(void *ctx, curl_off_t dltotal, curl_off_t dlnow,
+			  curl_off_t ultotal, curl_off_t ulnow)
+{
+	struct pf *pf = ctx;
+
+	(void)dltotal;
+	(void)dlnow;
+	(void)ultotal;
+	(void)ulnow;
+	return atomic_load(&pf->interrupted) ? 1 : 0;
+}
+
+/* The monotonic clock in microseconds. */
+static int64_t pf_now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return now.tv_sec * MAG_US_PER_S + now.tv_nsec / 1000;
+}
--- /dev/null
+++ b/src/pf_async.h
@@ -0,0 +1,24 @@
+#ifndef PF_ASYNC_H
+#define PF_ASYNC_H
+
+/* Carries calls to the platform's service out on threads of its own. */
+
+#include "kv.h"
+
+struct pf_async;
+
+/* Gets the reply on one of the pool's threads; the reply's value is its. */
+typedef void (*pf_async_fn)(void *ctx, const struct kv_reply *reply);
+
+enum pf_async_err {
+	PF_ASYNC_OK = 0,
+	PF_ASYNC_E_STOPPED = -1,
+	PF_ASYNC_E_MEMORY = -2,
+};
+
+struct pf_async *pf_async_start(const struct kv_backend *backend, int threads,
+				pf_async_fn fn, void *ctx);
+int pf_async_post(struct pf_async *async, const struct kv_call *call);
+void pf_async_stop(struct pf_async *async);
+
+#endif /* PF_ASYNC_H */
--- /dev/null
+++ b/src/pf_gate.c
@@ -0,0 +1,103 @@
+#include <string.h>
+
+#include "mag.h"
+#include "pf_gate.h"
+
+#define PF_GATE_FAILURES_DOWN 3 /* one slow answer is no outage */
+#define PF_GATE_PAUSE_MIN_US  (50 * MAG_US_PER_MS)
+#define PF_GATE_PAUSE_MAX_US  (2 * MAG_US_PER_S)
+#define PF_GATE_SHIFT_MAX     6
+
+static uint64_t pf_gate_random(struct pf_gate *gate);
+static int64_t pf_gate_pause(struct pf_gate *gate);
+
+/* Starts a gate without a budget; the seed spreads the pauses. */
+void pf_gate_init(struct pf_gate *gate, uint64_t seed)
+{
+	memset(gate, 0, sizeof(*gate));
+	gate->random = seed | 1;
+}
+
+/* Sets the most calls a second and at once; calls_per_s 0 lifts it. */
+void pf_gate_budget(struct pf_gate *gate, uint32_t calls_per_s, uint32_t burst,
+		    int64_t now)
+{
+	gate->calls_per_s = calls_per_s;
+	gate->burst = burst ? burst : calls_per_s;
+	gate->tokens = gate->burst;
+	gate->refilled_us = now;
+}
+
+/*
+ * Tells whether a call may go out.  While the service is down, one call a
+ * pause goes out as a probe and the others end at once: callers hear of the
+ * outage without waiting for it, and since each instance draws its own
+ * pauses, the fleet doesn't come back in one burst that would overload the
+ * service again.  The sign of such a burst would be refusals for the rate
+ * right after platform-reachable.
+ */
+enum pf_gate_verdict pf_gate_ask(struct pf_gate *gate, int64_t now)
+{
+	double refill;
+
+	if (gate->down && now < gate->retry_at_us)
+		return PF_GATE_PAUSED;
+	if (gate->calls_per_s) {
+		refill = (double)(now - gate->refilled_us) * gate->calls_per_s /
+			 MAG_US_PER_S;
+		gate->refilled_us = now;
+		gate->tokens += refill;
+		if (gate->tokens > gate->burst)
+			gate->tokens = gate->burst;
+		if (gate->tokens < 1)
+			return PF_GATE_OVER_BUDGET;
+		gate->tokens -= 1;
+	}
+	if (gate->down)
+		gate->retry_at_us = now + pf_gate_pause(gate);
+	return PF_GATE_PASS;
+}
+
+/*
+ * Notes how a call ended.  Returns true if the service has just gone down or
+ * come back, which gate->down tells.
+ */
+bool pf_gate_result(struct pf_gate *gate, bool reached, int64_t now)
+{
+	bool was_down = gate->down;
+
+	if (reached) {
+		gate->failures = 0;
+		gate->down = false;
+		return was_down;
+	}
+	gate->failures++;
+	if (gate->failures < PF_GATE_FAILURES_DOWN)
+		return false;
+	gate->down = true;
+	gate->retry_at_us = now + pf_gate_pause(gate);
+	return !was_down;
+}
+
+/* A pause that doubles with the failures, times 0.5 to 1.5. */
+static int64_t pf_gate_pause(struct pf_gate *gate)
+{
+	uint32_t shift = gate->failures - PF_GATE_FAILURES_DOWN;
+	int64_t pause;
+
+	if (shift > PF_GATE_SHIFT_MAX)
+		shift = PF_GATE_SHIFT_MAX;
+	pause = PF_GATE_PAUSE_MIN_US << shift;
+	if (pause > PF_GATE_PAUSE_MAX_US)
+		pause = PF_GATE_PAUSE_MAX_US;
+	return pause / 2 + (int64_t)(pf_gate_random(gate) % (uint64_t)pause);
+}
+
+/* xorshift64*: small, and the same for the same seed on every machine. */
+static uint64_t pf_gate_random(struct pf_gate *gate)
+{
+	gate->random ^= gate->random >> 12;
+	gate->random ^= gate->random << 25;
+	gate->random ^= gate->random >> 27;
+	return (gate->random * UINT64_C(2685821657736338717)) >> 33;
+}
