--- /dev/null
+++ b/regress/fake_engine.c
@@ -0,0 +1,699 @@
+/*
+ * Stand-in of model engines: each port is an endpoint that holds a range of
+ * layers.  The first stage of a chain takes the request and hands each token
+ * on; every stage runs its layers and passes the token to the next.
+ */
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <urcu/list.h>
+
+#include "fk.h"
+#include "mag.h"
+
+#define ENG_THREADS	 96
+#define ENG_PORTS_MAX	 256
+#define ENG_EXIT_DIED	 9
+#define ENG_WHY_MAX	 128
+#define ENG_ANSWER_MAX	 4096
+#define ENG_REPORT_US	 (500 * MAG_US_PER_MS)
+#define ENG_STEP_WAIT_MS 5000L
+#define ENG_BATCH_SHARE	 4 /* a quarter of the limit reaches the rated speed */
+
+/* A request as a stage knows it. */
+struct eng_attempt {
+	struct cds_list_head node;
+	char request[FK_ID_MAX];
+	long newest;
+	long cancelled; /* highest attempt that was cancelled */
+};
+
+struct eng_endpoint {
+	char name[MAG_NAME_MAX];
+	char model[MAG_NAME_MAX];
+	uint32_t first;
+	uint32_t last;
+	uint32_t layers;
+	long tokens_per_s;
+	long concurrency;
+	long activation_bytes;
+	long long link_bytes_per_s;
+	bool checks_fencing;
+	long fence;
+	atomic_long running;  /* streams that began here */
+	atomic_long in_steps; /* tokens being worked on now */
+	pthread_mutex_t lock;
+	struct cds_list_head attempts;
+	struct fk *fk;
+};
+
+/* A token on its way through the stages. */
+struct eng_step {
+	const char *request;
+	long attempt;
+	uint32_t index;
+	uint64_t state;
+	size_t stage;
+	json_t *chain;
+	uint32_t hops_us[MAG_CHAIN_MAX]; /* from this stage on */
+	size_t hop_count;
+	char token[FK_TOKEN_MAX];
+	size_t failed_stage;
+	char why[ENG_WHY_MAX];
+};
+
+static struct eng_endpoint eng_endpoints[ENG_PORTS_MAX];
+static int eng_count;
+static double eng_speed = 1;
+static const char *eng_poison;
+static const char *eng_platform;
+
+static int eng_pass_on(struct eng_step *step, CURL *curl);
+
+/* Notes an attempt; false if a newer one is known, or it was cancelled. */
+static bool eng_current(struct eng_endpoint *ep, const char *request,
+			long attempt, bool cancel)
+{
+	struct eng_attempt *seen = NULL;
+	struct eng_attempt *at;
+	bool current;
+
+	pthread_mutex_lock(&ep->lock);
+	cds_list_for_each_entry (at, &ep->attempts, node) {
+		if (strcmp(at->request, request) == 0) {
+			seen = at;
+			break;
+		}
+	}
+	if (!seen) {
+		seen = calloc(1, sizeof(*seen));
+		if (!seen || mag_copy_name(seen->request, FK_ID_MAX, request))
+			abort();
+		cds_list_add(&seen->node, &ep->attempts);
+	}
+	if (attempt > seen->newest)
+		seen->newest = attempt;
+	if (cancel && attempt > seen->cancelled)
+		seen->cancelled = attempt;
+	current = attempt == seen->newest && attempt > seen->cancelled;
+	pthread_mutex_unlock(&ep->lock);
+	return current;
+}
+
+/*
+ * Takes the time of one token: with few tokens at once each takes a fixed
+ * time, with more the endpoint stays at its rated speed.
+ */
+static void eng_work(struct eng_endpoint *ep, uint32_t first, uint32_t last)
+{
+	long batch = ep->concurrency / ENG_BATCH_SHARE;
+	long now = atomic_fetch_add(&ep->in_steps, 1) + 1;
+	double part = (double)(last - first + 1) / (ep->last - ep->first + 1);
+	double seconds;
+	long extra = 0;
+
+	if (now < batch)
+		now = batch;
+	if (now < 1)
+		now = 1;
+	seconds = (double)now / (double)ep->tokens_per_s * part;
+	fk_fault(ep->fk, "delay_us", &extra);
+	fk_sleep_us((int64_t)(seconds * MAG_US_PER_S / eng_speed) + extra);
+	atomic_fetch_sub(&ep->in_steps, 1);
+}
+
+/* The time that the activation takes over this endpoint's link. */
+static void eng_link(struct eng_endpoint *ep)
+{
+	double seconds = 0;
+	long extra = 0;
+
+	if (ep->link_bytes_per_s)
+		seconds = (double)ep->activation_bytes /
+			  (double)ep->link_bytes_per_s;
+	fk_fault(ep->fk, "link_us", &extra);
+	fk_sleep_us((int64_t)(seconds * MAG_US_PER_S / eng_speed) + extra);
+}
+
+static int eng_fail(struct eng_step *step, size_t stage, const char *why)
+{
+	step->failed_stage = stage;
+	snprintf(step->why, sizeof(step->why), "%s", why);
+	return -1;
+}
+
+/* Runs this stage's layers for a token, then the stages after it. */
+static int eng_run(struct eng_endpoint *ep, struct eng_step *step, CURL *curl)
+{
+	json_t *stage = json_array_get(step->chain, step->stage);
+	uint32_t first =
+		(uint32_t)json_integer_value(json_object_get(stage, "first"));
+	uint32_t last =
+		(uint32_t)json_integer_value(json_object_get(stage, "last"));
+	int64_t began = fk_now_us();
+	long value = 0;
+
+	if (first < ep->first || last > ep->last || first > last)
+		return eng_fail(step, step->stage, "layers not held");
+	if (fk_fault(ep->fk, "hang_ms", &value))
+		fk_sleep_us(value * MAG_US_PER_MS);
+	if (fk_fault(ep->fk, "die", NULL))
+		_exit(ENG_EXIT_DIED);
+	if (fk_fault(ep->fk, "die_at", &value) &&
+	    step->index >= (uint32_t)value)
+		_exit(ENG_EXIT_DIED);
+	if (step->stage > 0)
+		eng_link(ep);
+	eng_work(ep, first, last);
+	step->state = fk_fold(step->state, first, last);
+	fk_record("step endpoint=%s request=%s attempt=%ld index=%u first=%u "
+		  "last=%u",
+		  ep->name, step->request, step->attempt, step->index, first,
+		  last);
+	step->hops_us[0] = (uint32_t)(fk_now_us() - began);
+	step->hop_count = 1;
+	if (step->stage + 1 < json_array_size(step->chain))
+		return eng_pass_on(step, curl);
+	fk_token(step->token, step->state);
+	return 0;
+}
+
+struct eng_answer {
+	char text[ENG_ANSWER_MAX];
+	size_t len;
+};
+
+static size_t eng_on_body(char *data, size_t size, size_t count, void *ctx)
+{
+	struct eng_answer *answer = ctx;
+	size_t len = size * count;
+
+	if (answer->len + len >= sizeof(answer->text))
+		return 0;
+	memcpy(answer->text + answer->len, data, len);
+	answer->len += len;
+	return len;
+}
+
+/* Posts a body; returns the status, or 0 if no whole answer came. */
+static long eng_post(CURL *curl, const char *url, const char *body,
+		     struct eng_answer *answer)
+{
+	long status = 0;
+
+	answer->len = 0;
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, eng_on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, answer);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, ENG_STEP_WAIT_MS);
+	if (curl_easy_perform(curl) != CURLE_OK)
+		return 0;
+	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
+	return status;
+}
+
+/* Takes the token and the hop times from the next stage's answer. */
+static int eng_take(struct eng_step *step, long status,
+		    const struct eng_answer *answer)
+{
+	json_t *body = json_loadb(answer->text, answer->len, 0, NULL);
+	json_t *hops = json_object_get(body, "hops_us");
+	const char *token = json_string_value(json_object_get(body, "token"));
+	json_t *failed = json_object_get(body, "stage");
+	json_t *hop;
+	size_t i;
+	int err = 0;
+
+	if (status == 200 && token) {
+		snprintf(step->token, sizeof(step->token), "%s", token);
+		json_array_foreach (hops, i, hop) {
+			if (step->hop_count < MAG_CHAIN_MAX)
+				step->hops_us[step->hop_count++] =
+					(uint32_t)json_integer_value(hop);
+		}
+	} else if (failed) {
+		err = eng_fail(step, (size_t)json_integer_value(failed),
+			       json_string_value(json_object_get(body, "why")));
+	} else {
+		err = eng_fail(step, step->stage + 1,
+			       status ? "refused" : "no answer");
+	}
+	json_decref(body);
+	return err;
+}
+
+static int eng_pass_on(struct eng_step *step, CURL *curl)
+{
+	json_t *next = json_array_get(step->chain, step->stage + 1);
+	const char *address =
+		json_string_value(json_object_get(next, "address"));
+	struct eng_answer answer;
+	char url[128];
+	char state[24];
+	json_t *body;
+	char *text;
+	int err;
+
+	snprintf(state, sizeof(state), "%016" PRIx64, step->state);
+	body = json_pack("{s:s, s:I, s:I, s:s, s:I, s:O}", "request",
+			 step->request, "attempt", (json_int_t)step->attempt,
+			 "index", (json_int_t)step->index, "state", state,
+			 "stage", (json_int_t)step->stage + 1, "chain",
+			 step->chain);
+	text = json_dumps(body, JSON_COMPACT);
+	json_decref(body);
+	snprintf(url, sizeof(url), "http://%s/v1/step", address ? address : "");
+	err = eng_take(step, eng_post(curl, url, text, &answer), &answer);
+	free(text);
+	return err;
+}
+
+static json_t *eng_hops(const struct eng_step *step)
+{
+	json_t *list = json_array();
+	size_t i;
+
+	for (i = 0; i < step->hop_count; i++)
+		json_array_append_new(list, json_integer(step->hops_us[i]));
+	return list;
+}
+
+/* Frees the handle that a connection's steps used. */
+static void eng_closed(const struct mg_connection *conn)
+{
+	curl_easy_cleanup(mg_get_user_connection_data(conn));
+}
+
+/*
+ * The handle towards the next stage lives as long as the connection from the
+ * stage before, so an ended stream closes its connections all along.
+ */
+static CURL *eng_conn_curl(struct mg_connection *conn)
+{
+	CURL *curl = mg_get_user_connection_data(conn);
+
+	if (!curl) {
+		curl = curl_easy_init();
+		mg_set_user_connection_data(conn, curl);
+	}
+	return curl;
+}
+
+/* POST /v1/step: a token from the stage before. */
+static void eng_on_step(struct fk_request *req, json_t *body)
+{
+	struct eng_endpoint *ep = fk_ctx(req->fk);
+	struct eng_step step = { .chain = json_object_get(body, "chain") };
+	const char *state = json_string_value(json_object_get(body, "state"));
+
+	step.request = json_string_value(json_object_get(body, "request"));
+	step.attempt = json_integer_value(json_object_get(body, "attempt"));
+	step.index =
+		(uint32_t)json_integer_value(json_object_get(body, "index"));
+	step.stage = (size_t)json_integer_value(json_object_get(body, "stage"));
+	if (!step.request || !state) {
+		fk_answer(req, 400, "", "", 0);
+		return;
+	}
+	step.state = strtoull(state, NULL, 16);
+	if (!eng_current(ep, step.request, step.attempt, false))
+		fk_answer_json(req, 409, "",
+			       json_pack("{s:I, s:s}", "stage",
+					 (json_int_t)step.stage, "why",
+					 "old attempt"));
+	else if (eng_run(ep, &step, eng_conn_curl(req->conn)) < 0)
+		fk_answer_json(req, 502, "",
+			       json_pack("{s:I, s:s}", "stage",
+					 (json_int_t)step.failed_stage, "why",
+					 step.why));
+	else
+		fk_answer_json(req, 200, "",
+			       json_pack("{s:s, s:o}", "token", step.token,
+					 "hops_us", eng_hops(&step)));
+}
+
+/* Sends one event; false if the caller has gone. */
+static bool eng_event(struct fk_request *req, const char *name, json_t *data)
+{
+	char *text = json_dumps(data, JSON_COMPACT);
+	char *event = NULL;
+	int len;
+	bool sent;
+
+	json_decref(data);
+	if (name)
+		len = asprintf(&event, "event: %s\ndata: %s\n\n", name, text);
+	else
+		len = asprintf(&event, "data: %s\n\n", text);
+	sent = len > 0 &&
+	       mg_send_chunk(req->conn, event, (unsigned int)len) > 0;
+	free(event);
+	free(text);
+	return sent;
+}
+
+/* Sends a token, as the faults say: of another request, or twice. */
+static bool eng_send_token(struct fk_request *req, const struct eng_step *step)
+{
+	struct eng_endpoint *ep = fk_ctx(req->fk);
+	const char *id = step->request;
+	int times = fk_fault(ep->fk, "duplicate", NULL) ? 2 : 1;
+
+	if (fk_fault(ep->fk, "wrong_id", NULL))
+		id = "another";
+	while (times-- > 0) {
+		if (!eng_event(
+			    req, NULL,
+			    json_pack("{s:s, s:I, s:I, s:s, s:o}", "request",
+				      id, "attempt", (json_int_t)step->attempt,
+				      "index", (json_int_t)step->index, "token",
+				      step->token, "hops_us", eng_hops(step))))
+			return false;
+	}
+	return true;
+}
+
+/* Makes the tokens from..max-1; true if all were sent. */
+static bool eng_tokens(struct fk_request *req, struct eng_step *step,
+		       const char *prompt, uint32_t max)
+{
+	struct eng_endpoint *ep = fk_ctx(req->fk);
+	CURL *curl = curl_easy_init();
+	bool going = true;
+
+	for (; going && step->index < max; step->index++) {
+		step->state = fk_fold_start(prompt, step->index);
+		step->stage = 0;
+		if (!eng_current(ep, step->request, step->attempt, false)) {
+			going = false;
+		} else if (eng_run(ep, step, curl) == 0) {
+			going = eng_send_token(req, step);
+		} else {
+			eng_event(req, "failed",
+				  json_pack("{s:s, s:I, s:I, s:s}", "request",
+					    step->request, "attempt",
+					    (json_int_t)step->attempt, "stage",
+					    (json_int_t)step->failed_stage,
+					    "why", step->why));
+			going = false;
+		}
+	}
+	curl_easy_cleanup(curl);
+	return going;
+}
+
+/* Checks what the router says was delivered so far; NULL if it is right. */
+static const char *eng_check(json_t *body, const char *prompt, uint32_t from)
+{
+	json_t *given = json_object_get(body, "given");
+	uint32_t layers =
+		(uint32_t)json_integer_value(json_object_get(body, "layers"));
+	char right[FK_TOKEN_MAX];
+	json_t *token;
+	size_t i;
+
+	if (!layers || !json_array_size(json_object_get(body, "chain")))
+		return "no layers or no chain";
+	if (json_array_size(given) != from)
+		return "given tokens and from differ";
+	json_array_foreach (given, i, token) {
+		fk_whole_token(right, prompt, (uint32_t)i, layers);
+		if (!json_is_string(token) ||
+		    strcmp(json_string_value(token), right) != 0)
+			return "a given token is wrong";
+	}
+	return NULL;
+}
+
+/* POST /v1/generate: this is the first stage. */
+static void eng_on_generate(struct fk_request *req, json_t *body)
+{
+	struct eng_endpoint *ep = fk_ctx(req->fk);
+	struct eng_step step = { .chain = json_object_get(body, "chain") };
+	const char *prompt = json_string_value(json_object_get(body, "prompt"));
+	uint32_t max = (uint32_t)json_integer_value(
+		json_object_get(body, "max_tokens"));
+	const char *why;
+
+	step.request = json_string_value(json_object_get(body, "request"));
+	step.attempt = json_integer_value(json_object_get(body, "attempt"));
+	step.index =
+		(uint32_t)json_integer_value(json_object_get(body, "from"));
+	why = prompt && step.request ? eng_check(body, prompt, step.index)
+				     : "no prompt or no request";
+	if (why) {
+		fk_answer(req, 400, "", why, strlen(why));
+		return;
+	}
+	if (atomic_load(&ep->running) >= ep->concurrency ||
+	    fk_fault(ep->fk, "refuse", NULL)) {
+		fk_answer(req, 503, "X-Not-Begun: 1\r\n", "", 0);
+		return;
+	}
+	if (!eng_current(ep, step.request, step.attempt, false)) {
+		fk_answer(req, 409, "", "", 0);
+		return;
+	}
+	if (eng_poison && strstr(prompt, eng_poison))
+		_exit(ENG_EXIT_DIED);
+	atomic_fetch_add(&ep->running, 1);
+	mg_printf(req->conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			     "Content-Type: text/event-stream\r\n\r\n");
+	if (eng_tokens(req, &step, prompt, max))
+		eng_event(req, "done",
+			  json_pack("{s:s, s:I, s:I}", "request", step.request,
+				    "attempt", (json_int_t)step.attempt,
+				    "tokens", (json_int_t)max));
+	mg_send_chunk(req->conn, "", 0);
+	atomic_fetch_sub(&ep->running, 1);
+}
+
+static void eng_on_cancel(struct fk_request *req, json_t *body)
+{
+	const char *request =
+		json_string_value(json_object_get(body, "request"));
+
+	if (request)
+		eng_current(
+			fk_ctx(req->fk), request,
+			json_integer_value(json_object_get(body, "attempt")),
+			true);
+	fk_answer(req, request ? 200 : 400, "", "", 0);
+}
+
+/* POST /v1/order: what the endpoint is to hold. */
+static void eng_on_order(struct fk_request *req, json_t *body)
+{
+	struct eng_endpoint *ep = fk_ctx(req->fk);
+	long fence = json_integer_value(json_object_get(body, "fence"));
+	const char *model = json_string_value(json_object_get(body, "model"));
+	bool taken = false;
+
+	pthread_mutex_lock(&ep->lock);
+	if (!ep->checks_fencing || fence >= ep->fence) {
+		ep->fence = fence;
+		ep->first = (uint32_t)json_integer_value(
+			json_object_get(body, "first"));
+		ep->last = (uint32_t)json_integer_value(
+			json_object_get(body, "last"));
+		if (model)
+			snprintf(ep->model, sizeof(ep->model), "%s", model);
+		taken = true;
+	}
+	pthread_mutex_unlock(&ep->lock);
+	fk_record("order endpoint=%s fence=%ld taken=%d first=%u last=%u",
+		  ep->name, fence, taken, ep->first, ep->last);
+	fk_answer(req, taken ? 200 : 409, "", "", 0);
+}
+
+static void eng_on_state(struct fk_request *req, json_t *body)
+{
+	struct eng_endpoint *ep = fk_ctx(req->fk);
+
+	(void)body;
+	fk_answer_json(req, 200, "",
+		       json_pack("{s:s, s:s, s:I, s:I, s:I, s:I, s:I}",
+				 "endpoint", ep->name, "model", ep->model,
+				 "first", (json_int_t)ep->first, "last",
+				 (json_int_t)ep->last, "running",
+				 (json_int_t)atomic_load(&ep->running),
+				 "tokens_per_s", (json_int_t)ep->tokens_per_s,
+				 "fence", (json_int_t)ep->fence));
+}
+
+static void eng_handle(struct fk_request *req)
+{
+	static const struct {
+		const char *path;
+		void (*handle)(struct fk_request *req, json_t *body);
+	} calls[] = {
+		{ "/v1/generate", eng_on_generate },
+		{ "/v1/step", eng_on_step },
+		{ "/v1/cancel", eng_on_cancel },
+		{ "/v1/order", eng_on_order },
+		{ "/v1/state", eng_on_state },
+	};
+	json_t *body = json_loadb(req->body, req->len, 0, NULL);
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(calls); i++) {
+		if (strcmp(calls[i].path, req->path) == 0)
+			break;
+	}
+	if (i < MAG_ARRAY_SIZE(calls))
+		calls[i].handle(req, body);
+	else
+		fk_answer(req, 404, "", "", 0);
+	json_decref(body);
+}
+
+/* Hands the load reports of all endpoints of this process in, again and again.
+ */
+static void *eng_report(void *arg)
+{
+	CURL *curl = curl_easy_init();
+	struct eng_answer answer;
+	char url[128];
+	json_t *list;
+	char *text;
+	int i;
+
+	snprintf(url, sizeof(url), "http://%s/loads", eng_platform);
+	for (;;) {
+		list = json_array();
+		for (i = 0; i < eng_count; i++)
+			json_array_append_new(
+				list,
+				json_pack("{s:s, s:I, s:I}", "endpoint",
+					  eng_endpoints[i].name, "tokens_per_s",
+					  (json_int_t)eng_endpoints[i]
+						  .tokens_per_s,
+					  "running",
+					  (json_int_t)atomic_load(
+						  &eng_endpoints[i].running)));
+		list = json_pack("{s:o}", "loads", list);
+		text = json_dumps(list, JSON_COMPACT);
+		json_decref(list);
+		eng_post(curl, url, text, &answer);
+		free(text);
+		fk_sleep_us(ENG_REPORT_US);
+	}
+	return arg;
+}
+
+/* Reads an endpoint object; false if it isn't one of an engine here. */
+static bool eng_read(json_t *objects, json_t *object, int port, int count,
+		     struct eng_endpoint *ep, int *at)
+{
+	const char *name = "";
+	const char *service = "";
+	const char *address = "";
+	int64_t link = 125000000; /* as magnolia.conf(5) says */
+	int first = 0;
+	int last = -1;
+	int rate = 0;
+	int most = 1;
+	json_t *other;
+	size_t i;
+
+	json_unpack(object, "{s:s, s:s, s:s, s?:i, s:i, s:i, s?:i, s?:I, s?:b}",
+		    "name", &name, "service", &service, "address", &address,
+		    "first_layer", &first, "last_layer", &last, "tokens_per_s",
+		    &rate, "concurrency", &most, "link_bytes_per_s", &link,
+		    "checks_fencing", &ep->checks_fencing);
+	*at = strchr(address, ':') ? atoi(strchr(address, ':') + 1) : 0;
+	if (last < 0 || *at < port || *at >= port + count)
+		return false;
+	ep->activation_bytes = 16384;
+	json_array_foreach (objects, i, other) {
+		const char *of =
+			json_string_value(json_object_get(other, "name"));
+		json_t *bytes = json_object_get(other, "activation_bytes");
+
+		if (bytes && of && strcmp(of, service) == 0)
+			ep->activation_bytes = json_integer_value(bytes);
+	}
+	snprintf(ep->name, sizeof(ep->name), "%s", name);
+	snprintf(ep->model, sizeof(ep->model), "%s", service);
+	ep->first = (uint32_t)first;
+	ep->last = (uint32_t)last;
+	ep->tokens_per_s = rate ? rate : 1000;
+	ep->concurrency = most;
+	ep->link_bytes_per_s = link;
+	return true;
+}
+
+/* Starts one server for each endpoint object within the range of ports. */
+static void eng_start(const char *path, int port, int count)
+{
+	json_t *objects = fk_load_set(path);
+	json_t *object;
+	size_t i;
+	int at;
+
+	json_array_foreach (objects, i, object) {
+		const char *kind =
+			json_string_value(json_object_get(object, "kind"));
+		struct eng_endpoint *ep = &eng_endpoints[eng_count];
+
+		if (!kind || strcmp(kind, "endpoint") != 0 ||
+		    !eng_read(objects, object, port, count, ep, &at))
+			continue;
+		pthread_mutex_init(&ep->lock, NULL);
+		CDS_INIT_LIST_HEAD(&ep->attempts);
+		ep->fk = fk_start(at, ENG_THREADS, eng_handle, eng_closed, ep);
+		eng_count++;
+	}
+	json_decref(objects);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_int *port = arg_int1("p", "port", "N", "first port");
+	struct arg_int *count = arg_int0("n", "count", "N", "ports from it on");
+	struct arg_file *set = arg_file1(NULL, "set", "FILE",
+					 "objects that say what each port is");
+	struct arg_file *record = arg_file0(NULL, "record", "FILE",
+					    "a line for each token and stage");
+	struct arg_dbl *speed =
+		arg_dbl0(NULL, "speed", "X", "times faster than rated");
+	struct arg_str *poison =
+		arg_str0(NULL, "poison", "WORD", "die when a prompt holds it");
+	struct arg_str *platform =
+		arg_str0(NULL, "platform", "IP:PORT", "where load reports go");
+	struct arg_end *end = arg_end(8);
+	void *table[] = {
+		port, count, set, record, speed, poison, platform, end
+	};
+	pthread_t reporter;
+
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, "fake_engine");
+		return 2;
+	}
+	if (speed->count)
+		eng_speed = speed->dval[0];
+	if (poison->count)
+		eng_poison = poison->sval[0];
+	if (record->count && fk_record_open(record->filename[0]) < 0)
+		return 1;
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	fk_block_signals();
+	eng_start(set->filename[0], port->ival[0],
+		  count->count ? count->ival[0] : 1);
+	if (platform->count) {
+		eng_platform = platform->sval[0];
+		pthread_create(&reporter, NULL, eng_report, NULL);
+	}
+	fk_wait_signal();
+	_Exit(0);
+}
--- /dev/null
+++ b/regress/fk.c
@@ -0,0 +1,363 @@
+#include <fcntl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "fk.h"
+#include "mag.h"
+
+#define FK_FAULTS_MAX 16
+#define FK_BODY_MAX   (4U << 20)
+#define FK_HEAD_MAX   1024
+#define FK_LINE_MAX   512
+
+struct fk_fault {
+	char name[32];
+	long value;
+	long left; /* uses left; negative: no bound */
+};
+
+struct fk {
+	struct mg_context *server;
+	fk_handler_fn handler;
+	void *ctx;
+	int port;
+	pthread_mutex_t lock;
+	struct fk_fault faults[FK_FAULTS_MAX];
+};
+
+static int fk_begin(struct mg_connection *conn);
+static void fk_read_body(struct fk_request *req, long long length);
+static void fk_control(struct fk_request *req);
+
+static int fk_record_fd = -1;
+
+/*
+ * Listens on a port of the loopback; ends the process if it can't.  If closed
+ * isn't NULL it hears of each connection that has ended.
+ */
+struct fk *fk_start(int port, int threads, fk_handler_fn handler,
+		    fk_closed_fn closed, void *ctx)
+{
+	struct mg_callbacks callbacks = { .begin_request = fk_begin,
+					  .connection_close = closed };
+	struct fk *fk = calloc(1, sizeof(*fk));
+	char listen_on[32];
+	char count[16];
+	const char *options[] = { "listening_ports",
+				  listen_on,
+				  "num_threads",
+				  count,
+				  "enable_keep_alive",
+				  "yes",
+				  "keep_alive_timeout_ms",
+				  "5000",
+				  "tcp_nodelay",
+				  "1",
+				  "request_timeout_ms",
+				  "60000",
+				  NULL };
+
+	if (!fk)
+		exit(1);
+	snprintf(listen_on, sizeof(listen_on), "127.0.0.1:%d", port);
+	snprintf(count, sizeof(count), "%d", threads);
+	fk->handler = handler;
+	fk->ctx = ctx;
+	fk->port = port;
+	pthread_mutex_init(&fk->lock, NULL);
+	fk->server = mg_start(&callbacks, fk, options);
+	if (!fk->server) {
+		fprintf(stderr, "can't listen on port %d\n", port);
+		exit(1);
+	}
+	return fk;
+}
+
+void *fk_ctx(struct fk *fk)
+{
+	return fk->ctx;
+}
+
+int fk_port(const struct fk *fk)
+{
+	return fk->port;
+}
+
+/* To be called before the first thread, so that only the main one stops. */
+void fk_block_signals(void)
+{
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &set, NULL);
+}
+
+/* Waits until the process is asked to stop. */
+void fk_wait_signal(void)
+{
+	sigset_t set;
+	int got;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigwait(&set, &got);
+}
+
+/* Reads a request and hands it on; /control sets a fault. */
+static int fk_begin(struct mg_connection *conn)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+	struct fk_request req = { .fk = info->user_data, .conn = conn };
+
+	req.method = info->request_method;
+	req.path = info->local_uri_raw ? info->local_uri_raw : "";
+	req.query = info->query_string ? info->query_string : "";
+	fk_read_body(&req, info->content_length);
+	if (strcmp(req.path, "/control") == 0)
+		fk_control(&req);
+	else
+		req.fk->handler(&req);
+	free(req.body);
+	return 200;
+}
+
+static void fk_read_body(struct fk_request *req, long long length)
+{
+	size_t size = 0;
+	int got;
+
+	if (length > 0 && length < FK_BODY_MAX)
+		size = (size_t)length;
+	req->body = calloc(1, size + 1);
+	while (req->body && req->len < size) {
+		got = mg_read(req->conn, req->body + req->len, size - req->len);
+		if (got <= 0)
+			break;
+		req->len += (size_t)got;
+	}
+}
+
+/* POST /control {"fault", "value", "count"}: count 0 takes a fault away. */
+static void fk_control(struct fk_request *req)
+{
+	json_t *body = json_loadb(req->body, req->len, 0, NULL);
+	json_t *count = json_object_get(body, "count");
+	const char *name = json_string_value(json_object_get(body, "fault"));
+
+	if (name)
+		fk_set_fault(req->fk, name,
+			     json_integer_value(json_object_get(body, "value")),
+			     count ? json_integer_value(count) : -1);
+	json_decref(body);
+	fk_answer(req, name ? 200 : 400, "", "", 0);
+}
+
+/* Answers with a status, header lines (each ended by CRLF) and a body. */
+void fk_answer(struct fk_request *req, int status, const char *headers,
+	       const char *body, size_t len)
+{
+	char *text = malloc(FK_HEAD_MAX + len);
+	int used;
+
+	if (!text)
+		return;
+	used = snprintf(text, FK_HEAD_MAX,
+			"HTTP/1.1 %d Answer\r\nContent-Length: %zu\r\n%s\r\n",
+			status, len, headers);
+	if (used < 0 || used >= FK_HEAD_MAX)
+		abort();
+	memcpy(text + used, body, len);
+	mg_write(req->conn, text, (size_t)used + len);
+	free(text);
+}
+
+/* Answers with JSON, whose reference it takes. */
+void fk_answer_json(struct fk_request *req, int status, const char *headers,
+		    json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT);
+	char lines[FK_HEAD_MAX / 2];
+
+	json_decref(body);
+	if (!text)
+		abort();
+	snprintf(lines, sizeof(lines), "Content-Type: application/json\r\n%s",
+		 headers);
+	fk_answer(req, status, lines, text, strlen(text));
+	free(text);
+}
+
+/* Closes the connection without an answer, or in the middle of one. */
+void fk_cut(struct fk_request *req)
+{
+	mg_disable_connection_keep_alive(req->conn);
+}
+
+/* Returns a header's value, "" if it wasn't sent. */
+const char *fk_header(const struct fk_request *req, const char *name)
+{
+	const char *value = mg_get_header(req->conn, name);
+
+	return value ? value : "";
+}
+
+/* Returns a number of the query string, 0 if it isn't there. */
+long fk_query_number(const struct fk_request *req, const char *name)
+{
+	char value[32];
+
+	if (mg_get_var(req->query, strlen(req->query), name, value,
+		       sizeof(value)) < 0)
+		return 0;
+	return strtol(value, NULL, 10);
+}
+
+/* Sets a fault for the next count uses (negative: all), or clears it. */
+void fk_set_fault(struct fk *fk, const char *name, long value, long count)
+{
+	struct fk_fault *fault = NULL;
+	int i;
+
+	pthread_mutex_lock(&fk->lock);
+	for (i = 0; i < FK_FAULTS_MAX && !fault; i++) {
+		if (fk->faults[i].name[0] == '\0' ||
+		    strcmp(fk->faults[i].name, name) == 0)
+			fault = &fk->faults[i];
+	}
+	if (fault &&
+	    mag_copy_name(fault->name, sizeof(fault->name), name) == 0) {
+		fault->value = value;
+		fault->left = count;
+	}
+	pthread_mutex_unlock(&fk->lock);
+}
+
+/* Tells whether a fault is set, and uses it once. */
+bool fk_fault(struct fk *fk, const char *name, long *value)
+{
+	bool set = false;
+	int i;
+
+	pthread_mutex_lock(&fk->lock);
+	for (i = 0; i < FK_FAULTS_MAX && !set; i++) {
+		struct fk_fault *fault = &fk->faults[i];
+
+		if (strcmp(fault->name, name) != 0 || fault->left == 0)
+			continue;
+		set = true;
+		if (fault->left > 0)
+			fault->left--;
+		if (value)
+			*value = fault->value;
+	}
+	pthread_mutex_unlock(&fk->lock);
+	return set;
+}
+
+/* Opens the record file, which several processes may append to. */
+int fk_record_open(const char *path)
+{
+	fk_record_fd = open(path, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	return fk_record_fd < 0 ? -1 : 0;
+}
+
+/* Appends one line in one write, so that lines of processes don't mix. */
+void fk_record(const char *fmt, ...)
+{
+	char line[FK_LINE_MAX];
+	va_list ap;
+	int len;
+
+	if (fk_record_fd < 0)
+		return;
+	va_start(ap, fmt);
+	len = vsnprintf(line, sizeof(line) - 1, fmt, ap);
+	va_end(ap);
+	if (len < 0 || len >= (int)sizeof(line) - 1)
+		abort();
+	line[len] = '\n';
+	if (write(fk_record_fd, line, (size_t)len + 1) < 0)
+		abort();
+}
+
+/* The state that enters layer 0 for a token (FNV-1a of the prompt). */
+uint64_t fk_fold_start(const char *prompt, uint32_t index)
+{
+	uint64_t state = UINT64_C(14695981039346656037);
+
+	for (; *prompt; prompt++)
+		state = (state ^ (unsigned char)*prompt) *
+			UINT64_C(1099511628211);
+	return state ^ index;
+}
+
+/* Runs layers first..last; another order gives another state. */
+uint64_t fk_fold(uint64_t state, uint32_t first, uint32_t last)
+{
+	uint32_t layer;
+
+	for (layer = first; layer <= last; layer++) {
+		state ^= layer + 1;
+		state *= UINT64_C(0x9e3779b97f4a7c15);
+		state ^= state >> 29;
+	}
+	return state;
+}
+
+/* The text of a token. */
+void fk_token(char token[FK_TOKEN_MAX], uint64_t state)
+{
+	snprintf(token, FK_TOKEN_MAX, "w%08x", (unsigned int)(state >> 32));
+}
+
+/* The right token of a prompt at an index. */
+void fk_whole_token(char token[FK_TOKEN_MAX], const char *prompt,
+		    uint32_t index, uint32_t layers)
+{
+	fk_token(token, fk_fold(fk_fold_start(prompt, index), 0, layers - 1));
+}
+
+/* Reads the objects of a set file; ends the process if it can't. */
+json_t *fk_load_set(const char *path)
+{
+	json_error_t error;
+	json_t *set = json_load_file(path, 0, &error);
+	json_t *objects = json_object_get(set, "objects");
+
+	if (!json_is_array(objects)) {
+		fprintf(stderr, "%s: not a set of objects: %s\n", path,
+			error.text);
+		exit(1);
+	}
+	json_incref(objects);
+	json_decref(set);
+	return objects;
+}
+
+/* The monotonic clock in microseconds. */
+int64_t fk_now_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	return now.tv_sec * MAG_US_PER_S + now.tv_nsec / 1000;
+}
+
+void fk_sleep_us(int64_t us)
+{
+	struct timespec left = { .tv_sec = us / MAG_US_PER_S,
+				 .tv_nsec = us % MAG_US_PER_S * 1000 };
+
+	while (us > 0 && nanosleep(&left, &left) != 0)
+		;
+}
