set: Read the settings of magnoliad from a file and options over it

Cause: an instance learns its addresses and data centre from its settings, and a wrong one has to be named before anything listens. Ruled out: options with their own checks (a value would be judged twice and differently); stopping at the first fault. Lists of faults and the checks of names and addresses, which objects need as well, moved to flt.c and chk.c. Message numbers 101-115.

--- a/regress/check_cfg.c
+++ b/regress/check_cfg.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "cfg_int.h"
+#include "check_msgs.h"
 #include "script.h"
 
 /*
@@ -20,7 +21,6 @@
  */
 
 #define CHECK_DIR "regress/cfg"
-#define MSGS_MAX  128
 
 struct run {
 	json_t *doc;
@@ -167,46 +167,12 @@
 	json_decref(run.doc);
 }
 
-/* Notes the number that ends each line of an expected output. */
-static void note_numbers(const char *path, bool *seen)
-{
-	char line[1024];
-	FILE *file = fopen(path, "r");
-
-	assert_non_null(file);
-	while (fgets(line, sizeof(line), file)) {
-		const char *number = strrchr(line, '(');
-
-		if (number && atoi(number + 1) > 0 &&
-		    atoi(number + 1) < MSGS_MAX)
-			seen[atoi(number + 1)] = true;
-	}
-	fclose(file);
-}
-
-/* A message that no bad set brings up could be wrong without notice. */
 static void every_message_has_a_bad_set(void **state)
 {
-	bool seen[MSGS_MAX] = { false };
 	int numbers[MSGS_MAX];
-	size_t count = cfg_msg_list(numbers, MSGS_MAX);
-	DIR *dir = opendir(CHECK_DIR);
-	struct dirent *entry;
-	char path[512];
-	size_t i;
 
 	(void)state;
-	assert_non_null(dir);
-	while ((entry = readdir(dir))) {
-		snprintf(path, sizeof(path), CHECK_DIR "/%s", entry->d_name);
-		if (strstr(entry->d_name, ".out"))
-			note_numbers(path, seen);
-	}
-	closedir(dir);
-	for (i = 0; i < count; i++) {
-		if (!seen[numbers[i]])
-			fail_msg("message %d has no bad set", numbers[i]);
-	}
+	check_msgs(CHECK_DIR, numbers, cfg_msg_list(numbers, MSGS_MAX));
 }
 
 int main(void)
--- a/src/cfg_field.c
+++ b/src/cfg_field.c
@@ -1,10 +1,10 @@
-#include <arpa/inet.h>
 #include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "cfg_int.h"
+#include "chk.h"
 
 /* One field being read. */
 struct cfg_reader {
@@ -37,7 +37,6 @@
 static bool cfg_host_ok(const char *host);
 static bool cfg_path_ok(const char *path);
 static bool cfg_segment_ok(const char *segment);
-static bool cfg_address_ok(const char *address);
 
 static const cfg_read_fn read_fns[CFG_TYPE_COUNT] = {
 	[CFG_T_NAME] = cfg_read_name,
@@ -158,7 +157,7 @@
 		return;
 	if (s[0] == '\0' && r->field->need == CFG_OPTIONAL)
 		return;
-	if (cfg_name_ok(s))
+	if (chk_name(s))
 		mag_copy_name(r->dst + r->field->offset, r->field->size, s);
 	else
 		READ_FAULT(r, CFG_M_NAME);
@@ -210,7 +209,7 @@
 {
 	const char *s = cfg_string(r);
 
-	if (s && cfg_address_ok(s))
+	if (s && chk_address(s))
 		mag_copy_name(r->dst + r->field->offset, r->field->size, s);
 	else if (s)
 		READ_FAULT(r, CFG_M_ADDRESS, s);
@@ -380,7 +379,7 @@
 		READ_FAULT(r, CFG_M_TYPE, "a list of {account, group}");
 		return false;
 	}
-	if (!cfg_name_ok(group)) {
+	if (!chk_name(group)) {
 		READ_FAULT(r, CFG_M_NAME);
 		return false;
 	}
@@ -435,33 +434,3 @@
 		return segment[0] == '\0';
 	return !(len <= 2 && strspn(segment, ".") >= len);
 }
-
-/* Only IP numbers are taken: the router looks up no names. */
-static bool cfg_address_ok(const char *address)
-{
-	unsigned char ip[sizeof(struct in6_addr)];
-	char host[MAG_ADDR_MAX];
-	const char *colon = strrchr(address, ':');
-	size_t digits;
-	size_t len;
-	int family = AF_INET;
-
-	if (!colon)
-		return false;
-	digits = strspn(colon + 1, "0123456789");
-	if (digits < 1 || digits > 5 || colon[1 + digits] != '\0')
-		return false;
-	if (atoi(colon + 1) < 1 || atoi(colon + 1) > 65535)
-		return false;
-	len = (size_t)(colon - address);
-	if (len > 2 && address[0] == '[' && address[len - 1] == ']') {
-		family = AF_INET6;
-		address++;
-		len -= 2;
-	}
-	if (len == 0 || len >= sizeof(host))
-		return false;
-	memcpy(host, address, len);
-	host[len] = '\0';
-	return inet_pton(family, host, ip) == 1;
-}
--- a/src/cfg_int.h
+++ b/src/cfg_int.h
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "cfg.h"
+#include "chk.h"
 
 /*
  * Every message of the validator.  CFG_MSG(id, number, format); a number
@@ -19,7 +20,7 @@
 	CFG_MSG(CFG_M_DOCUMENT, 2, "not an object that holds one list named \"objects\"") \
 	CFG_MSG(CFG_M_NOT_OBJECT, 3, "entry %zu of the list is not an object") \
 	CFG_MSG(CFG_M_KIND, 4, "not one of service, account, route, limit, endpoint") \
-	CFG_MSG(CFG_M_NAME, 5, "not 1 to 63 of a-z, 0-9, '-', '_', '.', starting with a letter or digit") \
+	CFG_MSG(CFG_M_NAME, 5, "not " CHK_NAME_RULE) \
 	CFG_MSG(CFG_M_NAME_TWICE, 6, "another %s has this name") \
 	CFG_MSG(CFG_M_TOO_MANY, 7, "%zu objects; a set holds at most %zu") \
 	\
@@ -32,7 +33,7 @@
 	CFG_MSG(CFG_M_WORD, 25, "\"%.40s\" is not one of %s") \
 	CFG_MSG(CFG_M_LENGTH, 26, "longer than %zu bytes") \
 	CFG_MSG(CFG_M_HASH, 27, "not 64 hexadecimal digits in lower case") \
-	CFG_MSG(CFG_M_ADDRESS, 28, "\"%.60s\" is not an IP number and a port, as in 127.0.0.1:8080 or [::1]:8080") \
+	CFG_MSG(CFG_M_ADDRESS, 28, "\"%.60s\" is not " CHK_ADDRESS_RULE) \
 	CFG_MSG(CFG_M_HOST, 29, "\"%.60s\" is not a host name in lower case without a port") \
 	CFG_MSG(CFG_M_PATH, 30, "\"%.60s\" is not a path that starts with '/' and has no query, blank, empty part or dots alone") \
 	CFG_MSG(CFG_M_LIST_LONG, 31, "%zu entries; at most %zu are taken") \
@@ -141,7 +142,6 @@
 int cfg_index(const struct cfg_build *build, enum cfg_kind kind,
 	      const char *name);
 bool cfg_readable(const struct cfg_build *build, enum cfg_kind kind, int index);
-bool cfg_name_ok(const char *name);
 
 struct cfg_faults *cfg_faults_new(void);
 void cfg_faults_lose(struct cfg_faults *faults);
--- a/src/cfg_msg.c
+++ b/src/cfg_msg.c
@@ -1,17 +1,14 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "cfg_int.h"
+#include "flt.h"
 
 #define CFG_TEXT_MAX 512
 
 struct cfg_faults {
-	char **texts;
-	size_t count;
-	size_t room;
-	bool lost; /* memory ran out: the list is not whole */
+	struct flt_list *list;
 };
 
 struct cfg_msg_entry {
@@ -20,8 +17,6 @@
 };
 
 static const char *cfg_msg_format(enum cfg_msg msg);
-static void cfg_make_plain(char *text);
-static void cfg_faults_add(struct cfg_faults *faults, const char *text);
 
 #define CFG_MSG(id, number, format) { id, format },
 static const struct cfg_msg_entry cfg_msgs[] = { CFG_MSGS };
@@ -30,25 +25,42 @@
 /* Returns an empty list of faults, or NULL without memory. */
 struct cfg_faults *cfg_faults_new(void)
 {
-	return calloc(1, sizeof(struct cfg_faults));
+	struct cfg_faults *faults = calloc(1, sizeof(*faults));
+
+	if (!faults)
+		return NULL;
+	faults->list = flt_new();
+	if (faults->list)
+		return faults;
+	free(faults);
+	return NULL;
+}
+
+/* Frees a list of faults; NULL is taken. */
+void cfg_faults_free(struct cfg_faults *faults)
+{
+	if (!faults)
+		return;
+	flt_free(faults->list);
+	free(faults);
 }
 
 /* Notes that memory ran out, so that the set can't be judged. */
 void cfg_faults_lose(struct cfg_faults *faults)
 {
-	faults->lost = true;
+	flt_lose(faults->list);
 }
 
-/* Tells whether a fault could not be kept for want of memory. */
+/* Tells whether memory ran out while the set was judged. */
 bool cfg_faults_lost(const struct cfg_faults *faults)
 {
-	return faults->lost;
+	return flt_lost(faults->list);
 }
 
 /* Returns how many faults were found; a NULL list holds none. */
 size_t cfg_fault_count(const struct cfg_faults *faults)
 {
-	return faults ? faults->count : 0;
+	return faults ? flt_count(faults->list) : 0;
 }
 
 /*
@@ -57,20 +69,7 @@
  */
 const char *cfg_fault_text(const struct cfg_faults *faults, size_t i)
 {
-	return faults->texts[i];
-}
-
-/* Frees a list of faults; NULL is taken. */
-void cfg_faults_free(struct cfg_faults *faults)
-{
-	size_t i;
-
-	if (!faults)
-		return;
-	for (i = 0; i < faults->count; i++)
-		free(faults->texts[i]);
-	free(faults->texts);
-	free(faults);
+	return flt_text(faults->list, i);
 }
 
 /*
@@ -81,16 +80,13 @@
 	       const char *field, enum cfg_msg msg, ...)
 {
 	char what[CFG_TEXT_MAX];
-	char text[CFG_TEXT_MAX + 256];
 	va_list ap;
 
 	va_start(ap, msg);
 	vsnprintf(what, sizeof(what), cfg_msg_format(msg), ap);
 	va_end(ap);
-	snprintf(text, sizeof(text), "%s/%.64s: %.64s: %s (%d)", kind, name,
-		 field, what, (int)msg);
-	cfg_make_plain(text);
-	cfg_faults_add(faults, text);
+	flt_add(faults->list, "%s/%.64s: %.64s: %s (%d)", kind, name, field,
+		what, (int)msg);
 }
 
 /*
@@ -116,37 +112,3 @@
 	}
 	return "";
 }
-
-/*
- * Replaces all that is not printable ASCII.  A text quotes what a file holds:
- * a line feed or an escape sequence in it would forge other lines on the
- * operator's terminal, and a character that is cut in two is no JSON.
- */
-static void cfg_make_plain(char *text)
-{
-	for (; *text; text++) {
-		if (*text < ' ' || *text > '~')
-			*text = '?';
-	}
-}
-
-static void cfg_faults_add(struct cfg_faults *faults, const char *text)
-{
-	size_t room = faults->room ? 2 * faults->room : 8;
-	char **grown;
-
-	if (faults->count == faults->room) {
-		grown = realloc(faults->texts, room * sizeof(*grown));
-		if (!grown) {
-			faults->lost = true;
-			return;
-		}
-		faults->texts = grown;
-		faults->room = room;
-	}
-	faults->texts[faults->count] = strdup(text);
-	if (faults->texts[faults->count])
-		faults->count++;
-	else
-		faults->lost = true;
-}
--- a/src/cfg_parse.c
+++ b/src/cfg_parse.c
@@ -1,8 +1,8 @@
-#include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "cfg_int.h"
+#include "chk.h"
 
 static json_t *cfg_load(const char *text, size_t len,
 			struct cfg_faults *faults);
@@ -75,24 +75,6 @@
 	free(set);
 }
 
-/* Tells whether a string may name an object. */
-bool cfg_name_ok(const char *name)
-{
-	size_t len = strlen(name);
-	size_t i;
-
-	if (len == 0 || len >= MAG_NAME_MAX)
-		return false;
-	for (i = 0; i < len; i++) {
-		if (islower((unsigned char)name[i]) ||
-		    isdigit((unsigned char)name[i]))
-			continue;
-		if (i == 0 || !strchr("-_.", name[i]))
-			return false;
-	}
-	return true;
-}
-
 /*
  * Finds an object of the set in the making by its name.  Returns its index in
  * the table of its kind, or -1.
@@ -179,7 +161,7 @@
 			  CFG_M_KIND);
 		return false;
 	}
-	if (!name || !cfg_name_ok(name)) {
+	if (!name || !chk_name(name)) {
 		cfg_fault(build->faults, kind, name ? name : "-", "name",
 			  CFG_M_NAME);
 		return false;
--- /dev/null
+++ b/src/chk.c
@@ -0,0 +1,58 @@
+#include <arpa/inet.h>
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "chk.h"
+#include "mag.h"
+
+/* Tells whether a string may name an object, a group or an instance. */
+bool chk_name(const char *name)
+{
+	size_t len = strlen(name);
+	size_t i;
+
+	if (len == 0 || len >= MAG_NAME_MAX)
+		return false;
+	for (i = 0; i < len; i++) {
+		if (islower((unsigned char)name[i]) ||
+		    isdigit((unsigned char)name[i]))
+			continue;
+		if (i == 0 || !strchr("-_.", name[i]))
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Tells whether a string is an IP number and a port.  Host names are not
+ * taken, as the router looks up no names.
+ */
+bool chk_address(const char *address)
+{
+	unsigned char ip[sizeof(struct in6_addr)];
+	char host[MAG_ADDR_MAX];
+	const char *colon = strrchr(address, ':');
+	size_t digits;
+	size_t len;
+	int family = AF_INET;
+
+	if (!colon)
+		return false;
+	digits = strspn(colon + 1, "0123456789");
+	if (digits < 1 || digits > 5 || colon[1 + digits] != '\0')
+		return false;
+	if (atoi(colon + 1) < 1 || atoi(colon + 1) > 65535)
+		return false;
+	len = (size_t)(colon - address);
+	if (len > 2 && address[0] == '[' && address[len - 1] == ']') {
+		family = AF_INET6;
+		address++;
+		len -= 2;
+	}
+	if (len == 0 || len >= sizeof(host))
+		return false;
+	memcpy(host, address, len);
+	host[len] = '\0';
+	return inet_pton(family, host, ip) == 1;
+}
--- /dev/null
+++ b/src/chk.h
@@ -0,0 +1,16 @@
+#ifndef CHK_H
+#define CHK_H
+
+#include <stdbool.h>
+
+/* What objects and settings both ask of a word. */
+
+#define CHK_NAME_RULE                                                          \
+	"1 to 63 of a-z, 0-9, '-', '_', '.', starting with a letter or digit"
+#define CHK_ADDRESS_RULE                                                       \
+	"an IP number and a port, as in 127.0.0.1:8080 or [::1]:8080"
+
+bool chk_name(const char *name);
+bool chk_address(const char *address);
+
+#endif /* CHK_H */
--- /dev/null
+++ b/src/set_int.h
@@ -0,0 +1,82 @@
+#ifndef SET_INT_H
+#define SET_INT_H
+
+/* What the files of the set family share; no other module includes it. */
+
+#include <jansson.h>
+
+#include "chk.h"
+#include "set.h"
+
+/* Every message on settings; a number never gets another meaning. */
+/* clang-format off */
+#define SET_MSGS \
+	SET_MSG(SET_M_FILE, 101, "cannot be read: %s") \
+	SET_MSG(SET_M_LARGE, 102, "larger than %d bytes") \
+	SET_MSG(SET_M_SYNTAX, 103, "not JSON: line %d: %s") \
+	SET_MSG(SET_M_DOCUMENT, 104, "not an object of settings") \
+	SET_MSG(SET_M_UNKNOWN, 105, "no such setting") \
+	SET_MSG(SET_M_OPTION, 106, "%s") \
+	SET_MSG(SET_M_MISSING, 107, "missing; it has no default") \
+	SET_MSG(SET_M_TYPE, 108, "not %s") \
+	SET_MSG(SET_M_RANGE, 109, "%lld is not between %llu and %llu") \
+	SET_MSG(SET_M_WORD, 110, "\"%.40s\" is not one of %s") \
+	SET_MSG(SET_M_NAME, 111, "\"%.64s\" is not " CHK_NAME_RULE) \
+	SET_MSG(SET_M_ADDRESS, 112, "\"%.60s\" is not " CHK_ADDRESS_RULE) \
+	SET_MSG(SET_M_COUNT, 113, "%zu addresses; 1 to %zu are taken") \
+	SET_MSG(SET_M_TWICE, 114, "%s is listed twice") \
+	SET_MSG(SET_M_SAME, 115, "the same address as %s")
+/* clang-format on */
+
+#define SET_MSG(id, number, format) id = number,
+enum set_msg {
+	SET_MSGS
+};
+#undef SET_MSG
+
+#define SET_FILE_MAX   65536
+#define SET_SOURCE_MAX 256
+
+enum set_type {
+	SET_T_NAME,
+	SET_T_ADDRESS,
+	SET_T_ADDRESSES,
+	SET_T_U32,
+	SET_T_U64,
+	SET_T_BOOL,
+	SET_T_LEVEL,
+	SET_TYPE_COUNT
+};
+
+struct set_field {
+	const char *name;
+	enum set_type type;
+	bool required;
+	size_t offset;
+	uint64_t min;
+	uint64_t max; /* of a number, or of a list's length */
+	uint64_t fallback;
+	const char *datatype;
+	const char *help;
+};
+
+/* Settings in the making. */
+struct set_build {
+	struct set_settings *settings;
+	struct flt_list *faults;
+	const char *source; /* for messages: settings/FILE or option/- */
+	uint64_t given;	    /* a bit for each field that was named */
+};
+
+extern const struct set_field set_fields[];
+extern const size_t set_field_count;
+
+void set_fallbacks(struct set_settings *settings);
+void set_read(struct set_build *build, size_t field, json_t *value);
+bool set_parse(struct set_build *build, const char *text, size_t len);
+void set_check(struct set_build *build);
+void set_fault(struct set_build *build, const char *field, enum set_msg msg,
+	       ...);
+size_t set_msg_list(int *numbers, size_t max);
+
+#endif /* SET_INT_H */
