Reserve, settle and replay keyed requests by compare-and-swap

Change: the ledger keeps one record an intent in shards of segments that are appended by swap; all work that waits while a swap is under way goes into the next one. A reservation goes out only when a version of the segment holds its own nonce; a swap without an answer is read after, and a claim that was given up meanwhile is released once the version moved on.

--- /dev/null
+++ b/src/ldg_att.c
@@ -0,0 +1,156 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ldg_int.h"
+
+/*
+ * Enters a claim as an attempt that waits for its reservation.  expiry_ms
+ * counts for timed keys only.
+ */
+struct ldg_att *ldg_att_new(struct ldg *ldg, const struct ldg_claim *claim,
+			    int64_t expiry_ms, int64_t now)
+{
+	struct ldg_att *att = calloc(1, sizeof(*att));
+
+	att->shard = ldg_shard_of(ldg, claim->intent);
+	att->req = claim->req;
+	memcpy(att->intent, claim->intent, MAG_DIGEST_BYTES);
+	memcpy(att->fingerprint, claim->fingerprint, MAG_DIGEST_BYTES);
+	att->nonce.incarnation = ldg->set.incarnation;
+	att->nonce.number = ldg->next_nonce++;
+	att->may_resend = claim->may_resend;
+	att->timed = claim->timed;
+	att->expiry_ms = expiry_ms;
+	att->window_ms = (int64_t)claim->window_s * 1000;
+	att->wall_offset_ms = claim->wall_ms - now / MAG_US_PER_MS;
+	att->arrived_us = now;
+	att->deadline_us = claim->deadline_us;
+	att->state = ATT_WAITING;
+	att->due_us = now;
+	cds_list_add_tail(&att->node, &att->shard->work);
+	cds_list_add_tail(&att->by_req, &ldg->by_req[att->req % LDG_BUCKETS]);
+	cds_list_add_tail(&att->by_intent,
+			  &ldg->by_intent[att->intent[0] % LDG_BUCKETS]);
+	att->shard->att_count++;
+	ldg->att_count++;
+	return att;
+}
+
+struct ldg_att *ldg_att_find(const struct ldg *ldg, uint64_t req)
+{
+	struct ldg_att *att;
+
+	cds_list_for_each_entry (att, &ldg->by_req[req % LDG_BUCKETS], by_req) {
+		if (att->req == req)
+			return att;
+	}
+	return NULL;
+}
+
+/* The attempt of this instance that waits, or is out, for an intent. */
+const struct ldg_att *ldg_att_live(const struct ldg *ldg, const uint8_t *intent)
+{
+	const struct ldg_att *att;
+
+	cds_list_for_each_entry (att, &ldg->by_intent[intent[0] % LDG_BUCKETS],
+				 by_intent) {
+		if (att->state <= ATT_DISPATCHED &&
+		    memcmp(att->intent, intent, MAG_DIGEST_BYTES) == 0)
+			return att;
+	}
+	return NULL;
+}
+
+void ldg_att_free(struct ldg *ldg, struct ldg_att *att)
+{
+	if (att->state != ATT_DISPATCHED)
+		cds_list_del(&att->node);
+	cds_list_del(&att->by_req);
+	cds_list_del(&att->by_intent);
+	att->shard->att_count--;
+	ldg->att_count--;
+	free(att->answer);
+	free(att);
+}
+
+/* Puts a dispatched attempt back into its shard's work. */
+void ldg_att_queue(struct ldg_att *att, enum ldg_att_state state,
+		   int64_t due_us)
+{
+	att->state = state;
+	att->due_us = due_us;
+	cds_list_add_tail(&att->node, &att->shard->work);
+}
+
+/* A version of the segment holds the attempt's own nonce: it may send. */
+void ldg_att_go(struct ldg *ldg, struct ldg_att *att)
+{
+	enum ldg_verdict verdict = att->taken_over ? LDG_TAKEN_OVER : LDG_GO;
+
+	cds_list_del(&att->node);
+	att->state = ATT_DISPATCHED;
+	att->unsure = false;
+	ldg_tell(ldg, att->req, verdict, NULL, 0);
+}
+
+/*
+ * Nobody waits for the reservation any more.  If a swap that holds it may
+ * have landed or may still land, the record would name a dispatcher that
+ * never sends, and every repeat would be told that it may have run; so it
+ * stays here until the segment's version has moved on without it.
+ */
+void ldg_att_give_up(struct ldg *ldg, struct ldg_att *att, int64_t now)
+{
+	if (att->unsure || att->in_batch) {
+		att->state = ATT_VOIDING;
+		att->due_us = now;
+	} else {
+		ldg_att_free(ldg, att);
+	}
+}
+
+/*
+ * Answers a waiting attempt that got no reservation.  Only a view of the
+ * segments that is no older than the claim can prove that nothing ran, and
+ * only if no swap of this attempt is unanswered.
+ */
+void ldg_att_refuse(struct ldg *ldg, struct ldg_att *att, int64_t now)
+{
+	const struct ldg_shard *shard = att->shard;
+	enum ldg_verdict verdict = LDG_CANNOT_TELL;
+	int64_t retry_at_us = now + LDG_BUSY_RETRY_US;
+
+	if (shard->step == STEP_READY && shard->seen_us >= att->arrived_us &&
+	    !att->unsure && !att->in_batch) {
+		const struct ldg_rec *rec = ldg_shard_find(shard, att->intent);
+
+		if (ldg_judge(ldg, att, rec, now) == LDG_GO)
+			verdict = LDG_NOT_RUN;
+	}
+	if (ldg->down && ldg->down_until_us > now)
+		retry_at_us = ldg->down_until_us;
+	ldg_tell(ldg, att->req, verdict, NULL, retry_at_us);
+	ldg_att_give_up(ldg, att, now);
+}
+
+/* Leaves a result; rec is the one that a replay answers from, or NULL. */
+void ldg_tell(struct ldg *ldg, uint64_t req, enum ldg_verdict verdict,
+	      const struct ldg_rec *rec, int64_t retry_at_us)
+{
+	struct ldg_result_node *out = calloc(1, sizeof(*out));
+
+	out->result.req = req;
+	out->result.verdict = verdict;
+	out->result.retry_at_us = retry_at_us;
+	if (verdict == LDG_REPLAY) {
+		out->result.status = rec->status;
+		out->result.answer_kept = rec->answer_kept;
+		out->result.answer_len = rec->answer_len;
+		if (rec->answer) {
+			out->result.answer = calloc(1, rec->answer_len + 1);
+			memcpy(out->result.answer, rec->answer,
+			       rec->answer_len);
+		}
+	}
+	cds_list_add_tail(&out->node, &ldg->results);
+}
--- /dev/null
+++ b/src/ldg_int.h
@@ -0,0 +1,237 @@
+#ifndef LDG_INT_H
+#define LDG_INT_H
+
+/*
+ * What the files of the ledger share: records, segments, attempts, shards.
+ * Times that end in _us are monotonic and of this instance; those that end in
+ * _ms are wall clock and stand in records that other instances read.
+ */
+
+#include <urcu/list.h>
+
+#include "ldg.h"
+
+#define LDG_BUCKETS	   64
+#define LDG_ATTEMPTS_MAX   8192 /* bounds the memory of this instance */
+#define LDG_SKEW_MS	   INT64_C(60000) /* furthest two clocks may differ */
+#define LDG_AMBIGUOUS_KEPT 8 /* windows that an ambiguous record stays */
+#define LDG_SETTLE_WAIT_US (20 * MAG_US_PER_MS) /* for a swap to share */
+#define LDG_BACKOFF_US	   (5 * MAG_US_PER_MS)
+#define LDG_BACKOFF_MAX_US (80 * MAG_US_PER_MS)
+#define LDG_DOWN_US	   (100 * MAG_US_PER_MS)
+#define LDG_DOWN_MAX_US	   MAG_US_PER_S
+#define LDG_FAILURES_DOWN  2 /* lost answers in a row that mean an outage */
+#define LDG_FRESH_US	   (2 * MAG_US_PER_MS)
+#define LDG_GRACE_MS	   1000 /* after a dispatcher's deadline */
+#define LDG_BUSY_RETRY_US  MAG_US_PER_S
+#define LDG_HELD_RETRY_US  (5 * MAG_US_PER_S)
+
+/* Names the one dispatch that a reservation allows. */
+struct ldg_nonce {
+	uint64_t incarnation;
+	uint64_t number;
+};
+
+enum ldg_rec_state {
+	REC_RESERVED,  /* its dispatcher may send, or has sent */
+	REC_AMBIGUOUS, /* sent, and nobody knows the outcome */
+	REC_RELEASED,  /* its dispatcher sent nothing */
+	REC_SETTLED,   /* the outcome, which never changes */
+	REC_STATE_COUNT
+};
+
+struct ldg_rec {
+	struct cds_list_head order;
+	struct cds_list_head bucket;
+	uint8_t intent[MAG_DIGEST_BYTES];
+	uint8_t fingerprint[MAG_DIGEST_BYTES];
+	struct ldg_nonce nonce;
+	char instance[MAG_NAME_MAX];
+	enum ldg_rec_state state;
+	uint32_t takeovers;
+	int64_t deadline_ms; /* of the dispatcher's request */
+	int64_t expiry_ms;   /* the key is refused, or new, from here on */
+	int64_t window_ms;
+	bool timed;
+	int status;
+	char *answer;
+	size_t answer_len;
+	bool answer_kept;
+};
+
+struct ldg_seg {
+	struct cds_list_head node;
+	uint32_t number;
+	uint64_t version; /* 0: not created yet */
+	bool sealed;
+	struct cds_list_head recs;
+	struct cds_list_head buckets[LDG_BUCKETS];
+};
+
+enum ldg_att_state {
+	ATT_WAITING,	/* for a swap that holds its reservation */
+	ATT_DISPATCHED, /* the caller of the module was told to go */
+	ATT_SETTLING,
+	ATT_RELEASING,
+	ATT_HOLDING,
+	ATT_VOIDING, /* given up; a swap of it may yet land */
+};
+
+struct ldg_att {
+	struct cds_list_head node; /* in its shard's work, unless dispatched */
+	struct cds_list_head by_req; /* in the module's tables */
+	struct cds_list_head by_intent;
+	struct ldg_shard *shard;
+	uint64_t req;
+	uint8_t intent[MAG_DIGEST_BYTES];
+	uint8_t fingerprint[MAG_DIGEST_BYTES];
+	struct ldg_nonce nonce;
+	enum ldg_att_state state;
+	enum ldg_att_state batch_state; /* when it went into the swap */
+	bool in_batch;
+	bool may_resend;
+	bool taken_over;
+	bool timed;
+	int64_t expiry_ms;
+	int64_t window_ms;
+	int64_t wall_offset_ms; /* wall clock less monotonic clock */
+	int64_t arrived_us;
+	int64_t deadline_us;
+	int64_t due_us; /* latest start of the swap that carries it */
+	bool unsure;	/* a swap that holds it went unanswered */
+	uint32_t unsure_number;
+	uint64_t unsure_version; /* that the unanswered swap would replace */
+	int status;
+	char *answer;
+	size_t answer_len;
+	bool answer_kept;
+};
+
+enum ldg_step {
+	STEP_COLD,  /* nothing was read in this incarnation */
+	STEP_STALE, /* the current segment is to be read */
+	STEP_READY,
+};
+
+struct ldg_shard {
+	struct cds_list_head node;
+	char name[MAG_DIGEST_HEX];
+	bool single; /* holds one intent: the baseline */
+	enum ldg_step step;
+	struct cds_list_head segs; /* sealed ones, then the current one */
+	uint32_t first;		   /* the oldest live segment */
+	uint64_t head_version;
+	bool head_due;
+	struct cds_list_head work;  /* attempts, oldest first */
+	struct cds_list_head batch; /* records of the swap under way */
+	bool batch_seals;
+	uint64_t call_id; /* 0: none under way */
+	enum kv_op call_op;
+	bool call_head;
+	int64_t call_begun_us;
+	int64_t call_deadline_us;
+	int64_t seen_us; /* the view of the segments is no older */
+	int64_t retry_us;
+	int64_t backoff_us;
+	uint32_t att_count;
+	bool contended; /* the last cached version was another's */
+};
+
+struct ldg_call_node {
+	struct cds_list_head node;
+	struct kv_call call;
+};
+
+struct ldg_result_node {
+	struct cds_list_head node;
+	struct ldg_result result;
+};
+
+struct ldg {
+	struct ldg_settings set;
+	struct cds_list_head shards;
+	struct ldg_shard **table; /* by shard number; NULL until used */
+	struct cds_list_head by_req[LDG_BUCKETS];
+	struct cds_list_head by_intent[LDG_BUCKETS];
+	size_t att_count;
+	struct cds_list_head calls;
+	struct cds_list_head results;
+	uint64_t next_call;
+	uint64_t next_nonce;
+	uint64_t rng;
+	int64_t wall_offset_ms;
+	unsigned int calls_out;
+	int failures; /* calls in a row without an answer */
+	bool down;
+	int64_t down_until_us;
+	int64_t down_backoff_us;
+};
+
+/* ldg_seg.c */
+struct ldg_seg *ldg_seg_new(uint32_t number);
+void ldg_seg_free(struct ldg_seg *seg);
+struct ldg_rec *ldg_seg_find(const struct ldg_seg *seg, const uint8_t *intent);
+void ldg_seg_put(struct ldg_seg *seg, struct ldg_rec *rec);
+bool ldg_rec_droppable(const struct ldg_rec *rec, int64_t wall_ms);
+struct ldg_rec *ldg_rec_copy(const struct ldg_rec *rec);
+void ldg_rec_free(struct ldg_rec *rec);
+struct ldg_rec *ldg_batch_find(const struct cds_list_head *batch,
+			       const uint8_t *intent);
+
+/* ldg_json.c */
+int ldg_json_read(struct ldg_seg *seg, const char *text, size_t len);
+char *ldg_json_write(const struct ldg_seg *seg,
+		     const struct cds_list_head *batch, size_t seal_beyond,
+		     int64_t wall_ms, bool *seals);
+int ldg_json_read_head(const char *text, size_t len, uint32_t *first,
+		       uint32_t *last);
+char *ldg_json_write_head(uint32_t first, uint32_t last);
+
+/* ldg_judge.c */
+bool ldg_owns(const struct ldg_att *att, const struct ldg_rec *rec);
+enum ldg_verdict ldg_judge(const struct ldg *ldg, const struct ldg_att *att,
+			   const struct ldg_rec *rec, int64_t now);
+struct ldg_rec *ldg_apply(const struct ldg *ldg, struct ldg_att *att,
+			  const struct ldg_rec *rec, int64_t now);
+
+/* ldg_shard.c */
+struct ldg_shard *ldg_shard_of(struct ldg *ldg, const uint8_t *intent);
+void ldg_shard_free(struct ldg *ldg, struct ldg_shard *shard);
+struct ldg_seg *ldg_shard_current(const struct ldg_shard *shard);
+struct ldg_rec *ldg_shard_find(const struct ldg_shard *shard,
+			       const uint8_t *intent);
+bool ldg_shard_due(const struct ldg_shard *shard, int64_t now);
+int64_t ldg_shard_wake(const struct ldg *ldg, const struct ldg_shard *shard);
+void ldg_shard_refuse_waiting(struct ldg *ldg, struct ldg_shard *shard,
+			      int64_t now);
+
+/* ldg_call.c */
+void ldg_shard_advance(struct ldg *ldg, struct ldg_shard *shard, int64_t now);
+void ldg_shard_reply(struct ldg *ldg, struct ldg_shard *shard,
+		     const struct kv_reply *reply, int64_t now);
+
+/* ldg_batch.c */
+bool ldg_batch_answer(struct ldg *ldg, struct ldg_shard *shard, int64_t now);
+bool ldg_batch_build(struct ldg *ldg, struct ldg_shard *shard, int64_t now);
+void ldg_batch_commit(struct ldg *ldg, struct ldg_shard *shard);
+void ldg_batch_drop(struct ldg_shard *shard, bool unsure);
+
+/* ldg_att.c */
+struct ldg_att *ldg_att_new(struct ldg *ldg, const struct ldg_claim *claim,
+			    int64_t expiry_ms, int64_t now);
+struct ldg_att *ldg_att_find(const struct ldg *ldg, uint64_t req);
+const struct ldg_att *ldg_att_live(const struct ldg *ldg,
+				   const uint8_t *intent);
+void ldg_att_free(struct ldg *ldg, struct ldg_att *att);
+void ldg_att_queue(struct ldg_att *att, enum ldg_att_state state,
+		   int64_t due_us);
+void ldg_att_go(struct ldg *ldg, struct ldg_att *att);
+void ldg_att_give_up(struct ldg *ldg, struct ldg_att *att, int64_t now);
+void ldg_att_refuse(struct ldg *ldg, struct ldg_att *att, int64_t now);
+void ldg_tell(struct ldg *ldg, uint64_t req, enum ldg_verdict verdict,
+	      const struct ldg_rec *rec, int64_t retry_at_us);
+
+/* ldg_key.c */
+int ldg_key_mint_ms(const char *key, int64_t *mint_ms);
+
+#endif /* LDG_INT_H */
--- /dev/null
+++ b/src/ldg_key.c
@@ -0,0 +1,83 @@
+#include <ctype.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "ldg_int.h"
+
+#define UUID_LEN	36
+#define UUID_MINT_HEX	12 /* the first 48 bits: milliseconds since 1970 */
+#define UUID_VERSION_AT 14
+#define UUID_VARIANT_AT 19
+
+static void ldg_hash_field(crypto_generichash_state *hash, const char *field);
+static int ldg_hex_value(char c);
+
+/*
+ * The digest that names an intent.  Each field is hashed with its NUL, so
+ * that no two splits of one string into fields share a digest; the account
+ * keeps two callers apart who chose the same key.
+ */
+void ldg_intent(uint8_t intent[MAG_DIGEST_BYTES], const char *account,
+		const char *route, const char *key)
+{
+	crypto_generichash_state hash;
+
+	crypto_generichash_init(&hash, NULL, 0, MAG_DIGEST_BYTES);
+	ldg_hash_field(&hash, account);
+	ldg_hash_field(&hash, route);
+	ldg_hash_field(&hash, key);
+	crypto_generichash_final(&hash, intent, MAG_DIGEST_BYTES);
+}
+
+/*
+ * The key that a service downstream gets, in hex.  It is the same for every
+ * attempt and every instance, and it doesn't show the caller's own key.
+ */
+void ldg_downstream_key(char hex[MAG_DIGEST_HEX],
+			const uint8_t intent[MAG_DIGEST_BYTES])
+{
+	static const char label[] = "downstream";
+	uint8_t digest[MAG_DIGEST_BYTES];
+
+	crypto_generichash(digest, sizeof(digest), intent, MAG_DIGEST_BYTES,
+			   (const uint8_t *)label, sizeof(label));
+	sodium_bin2hex(hex, MAG_DIGEST_HEX, digest, sizeof(digest));
+}
+
+/*
+ * Reads the time at which a UUIDv7 (RFC 9562) was minted, in milliseconds of
+ * wall clock.  Returns LDG_E_KEY_FORM if the key is no UUIDv7.
+ */
+int ldg_key_mint_ms(const char *key, int64_t *mint_ms)
+{
+	int64_t mint = 0;
+	int i;
+
+	if (strlen(key) != UUID_LEN || key[UUID_VERSION_AT] != '7' ||
+	    !strchr("89abAB", key[UUID_VARIANT_AT]))
+		return LDG_E_KEY_FORM;
+	for (i = 0; i < UUID_LEN; i++) {
+		bool dash = i == 8 || i == 13 || i == 18 || i == 23;
+
+		if (dash ? key[i] != '-' : !isxdigit((unsigned char)key[i]))
+			return LDG_E_KEY_FORM;
+		if (!dash && i <= UUID_MINT_HEX)
+			mint = mint * 16 + ldg_hex_value(key[i]);
+	}
+	*mint_ms = mint;
+	return LDG_OK;
+}
+
+static void ldg_hash_field(crypto_generichash_state *hash, const char *field)
+{
+	crypto_generichash_update(hash, (const uint8_t *)field,
+				  strlen(field) + 1);
+}
+
+static int ldg_hex_value(char c)
+{
+	if (c <= '9')
+		return c - '0';
+	return tolower((unsigned char)c) - 'a' + 10;
+}
--- /dev/null
+++ b/src/ldg_seg.c
@@ -0,0 +1,112 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ldg_int.h"
+
+static const struct cds_list_head *ldg_seg_bucket(const struct ldg_seg *seg,
+						  const uint8_t *intent);
+
+/* A segment that isn't created yet. */
+struct ldg_seg *ldg_seg_new(uint32_t number)
+{
+	struct ldg_seg *seg = calloc(1, sizeof(*seg));
+	int i;
+
+	seg->number = number;
+	CDS_INIT_LIST_HEAD(&seg->recs);
+	for (i = 0; i < LDG_BUCKETS; i++)
+		CDS_INIT_LIST_HEAD(&seg->buckets[i]);
+	return seg;
+}
+
+void ldg_seg_free(struct ldg_seg *seg)
+{
+	struct ldg_rec *rec;
+	struct ldg_rec *next;
+
+	cds_list_for_each_entry_safe (rec, next, &seg->recs, order)
+		ldg_rec_free(rec);
+	free(seg);
+}
+
+/* The record of an intent in one segment, or NULL. */
+struct ldg_rec *ldg_seg_find(const struct ldg_seg *seg, const uint8_t *intent)
+{
+	struct ldg_rec *rec;
+
+	cds_list_for_each_entry (rec, ldg_seg_bucket(seg, intent), bucket) {
+		if (memcmp(rec->intent, intent, MAG_DIGEST_BYTES) == 0)
+			return rec;
+	}
+	return NULL;
+}
+
+/* Puts a record in place of the one of its intent; the segment owns it. */
+void ldg_seg_put(struct ldg_seg *seg, struct ldg_rec *rec)
+{
+	struct ldg_rec *old = ldg_seg_find(seg, rec->intent);
+	struct cds_list_head *bucket =
+		(struct cds_list_head *)ldg_seg_bucket(seg, rec->intent);
+
+	if (old) {
+		cds_list_del(&old->order);
+		cds_list_del(&old->bucket);
+		ldg_rec_free(old);
+	}
+	cds_list_add_tail(&rec->order, &seg->recs);
+	cds_list_add_tail(&rec->bucket, bucket);
+}
+
+/*
+ * Tells whether a record may be forgotten.  A record dropped too early lets
+ * its key run a second time, so the largest difference between two instances'
+ * clocks is added on both sides; an ambiguous record of a key without a time
+ * is the only trace of work that may have run, and stays for several windows.
+ */
+bool ldg_rec_droppable(const struct ldg_rec *rec, int64_t wall_ms)
+{
+	int64_t last_ms = rec->expiry_ms + 2 * LDG_SKEW_MS;
+
+	if (!rec->timed && rec->state <= REC_AMBIGUOUS)
+		last_ms += (LDG_AMBIGUOUS_KEPT - 1) * rec->window_ms;
+	return wall_ms > last_ms;
+}
+
+/* A copy that stands in no list. */
+struct ldg_rec *ldg_rec_copy(const struct ldg_rec *rec)
+{
+	struct ldg_rec *copy = malloc(sizeof(*copy));
+
+	*copy = *rec;
+	if (rec->answer) {
+		copy->answer = malloc(rec->answer_len + 1);
+		memcpy(copy->answer, rec->answer, rec->answer_len + 1);
+	}
+	return copy;
+}
+
+void ldg_rec_free(struct ldg_rec *rec)
+{
+	free(rec->answer);
+	free(rec);
+}
+
+/* The record of an intent in a swap that is being built, or NULL. */
+struct ldg_rec *ldg_batch_find(const struct cds_list_head *batch,
+			       const uint8_t *intent)
+{
+	struct ldg_rec *rec;
+
+	cds_list_for_each_entry (rec, batch, order) {
+		if (memcmp(rec->intent, intent, MAG_DIGEST_BYTES) == 0)
+			return rec;
+	}
+	return NULL;
+}
+
+static const struct cds_list_head *ldg_seg_bucket(const struct ldg_seg *seg,
+						  const uint8_t *intent)
+{
+	/* The first bytes choose the shard. */
+	return &seg->buckets[intent[MAG_DIGEST_BYTES - 1] % LDG_BUCKETS];
+}
--- /dev/null
+++ b/src/ldg_shard.c
@@ -0,0 +1,155 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "ldg_int.h"
+
+static struct ldg_shard *ldg_shard_new(struct ldg *ldg, const char *name);
+static struct ldg_shard *ldg_shard_single(struct ldg *ldg,
+					  const uint8_t *intent);
+static int64_t ldg_earlier(int64_t a, int64_t b);
+
+/* The shard that keeps an intent; every instance finds the same one. */
+struct ldg_shard *ldg_shard_of(struct ldg *ldg, const uint8_t *intent)
+{
+	uint32_t number = ((uint32_t)intent[0] << 24 | intent[1] << 16 |
+			   intent[2] << 8 | intent[3]) %
+			  ldg->set.shards;
+	char name[16];
+
+	if (ldg->set.one_record_each)
+		return ldg_shard_single(ldg, intent);
+	if (!ldg->table[number]) {
+		snprintf(name, sizeof(name), "%u", number);
+		ldg->table[number] = ldg_shard_new(ldg, name);
+	}
+	return ldg->table[number];
+}
+
+void ldg_shard_free(struct ldg *ldg, struct ldg_shard *shard)
+{
+	struct ldg_seg *seg;
+	struct ldg_seg *next;
+
+	ldg_batch_drop(shard, false);
+	cds_list_for_each_entry_safe (seg, next, &shard->segs, node)
+		ldg_seg_free(seg);
+	if (shard->call_id)
+		ldg->calls_out--;
+	cds_list_del(&shard->node);
+	free(shard);
+}
+
+/* The segment that takes reservations, as far as this instance knows. */
+struct ldg_seg *ldg_shard_current(const struct ldg_shard *shard)
+{
+	return cds_list_entry(shard->segs.prev, struct ldg_seg, node);
+}
+
+/* The newest record of an intent in the live segments, or NULL. */
+struct ldg_rec *ldg_shard_find(const struct ldg_shard *shard,
+			       const uint8_t *intent)
+{
+	struct ldg_seg *seg;
+
+	cds_list_for_each_entry_reverse(seg, &shard->segs, node)
+	{
+		struct ldg_rec *rec = ldg_seg_find(seg, intent);
+
+		if (rec)
+			return rec;
+	}
+	return NULL;
+}
+
+/* Tells whether work of a shard may not wait for company any longer. */
+bool ldg_shard_due(const struct ldg_shard *shard, int64_t now)
+{
+	const struct ldg_att *att;
+
+	if (shard->head_due)
+		return true;
+	cds_list_for_each_entry (att, &shard->work, node) {
+		if (att->due_us <= now)
+			return true;
+	}
+	return false;
+}
+
+/* When a shard needs a tick next; MAG_NEVER if a reply has to come first. */
+int64_t ldg_shard_wake(const struct ldg *ldg, const struct ldg_shard *shard)
+{
+	const struct ldg_att *att;
+	int64_t due = shard->head_due ? 0 : MAG_NEVER;
+	int64_t wake = MAG_NEVER;
+
+	cds_list_for_each_entry (att, &shard->work, node) {
+		due = ldg_earlier(due, att->due_us);
+		if (att->state == ATT_WAITING)
+			wake = ldg_earlier(wake, att->deadline_us);
+	}
+	if (shard->call_id)
+		return ldg_earlier(wake, shard->call_deadline_us);
+	if (due == MAG_NEVER || (ldg->down && ldg->calls_out > 0))
+		return wake;
+	if (due < shard->retry_us)
+		due = shard->retry_us;
+	if (ldg->down && due < ldg->down_until_us)
+		due = ldg->down_until_us;
+	return ldg_earlier(wake, due);
+}
+
+/* The service is out: whoever waits hears so at once. */
+void ldg_shard_refuse_waiting(struct ldg *ldg, struct ldg_shard *shard,
+			      int64_t now)
+{
+	struct ldg_att *att;
+	struct ldg_att *next;
+
+	cds_list_for_each_entry_safe (att, next, &shard->work, node) {
+		if (att->state == ATT_WAITING)
+			ldg_att_refuse(ldg, att, now);
+	}
+}
+
+static struct ldg_shard *ldg_shard_new(struct ldg *ldg, const char *name)
+{
+	struct ldg_shard *shard = calloc(1, sizeof(*shard));
+
+	snprintf(shard->name, sizeof(shard->name), "%s", name);
+	CDS_INIT_LIST_HEAD(&shard->segs);
+	CDS_INIT_LIST_HEAD(&shard->work);
+	CDS_INIT_LIST_HEAD(&shard->batch);
+	cds_list_add_tail(&ldg_seg_new(0)->node, &shard->segs);
+	shard->seen_us = INT64_MIN;
+	cds_list_add_tail(&shard->node, &ldg->shards);
+	return shard;
+}
+
+/*
+ * The shard of one intent, for the baseline: one record each.  It assumes
+ * that the record is absent, and the swap tells if it is not.
+ */
+static struct ldg_shard *ldg_shard_single(struct ldg *ldg,
+					  const uint8_t *intent)
+{
+	struct ldg_shard *shard;
+	char hex[MAG_DIGEST_HEX];
+
+	sodium_bin2hex(hex, sizeof(hex), intent, MAG_DIGEST_BYTES);
+	cds_list_for_each_entry (shard, &ldg->shards, node) {
+		if (strcmp(shard->name, hex) == 0)
+			return shard;
+	}
+	shard = ldg_shard_new(ldg, hex);
+	shard->single = true;
+	shard->step = STEP_READY;
+	return shard;
+}
+
+static int64_t ldg_earlier(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -16,7 +16,9 @@
 	LOG_EVENT(LOG_CONFIG_APPLIED, 1101, "config-applied", LOG_PRIO_NOTICE) \
 	\
 	/* 2000 ldg: records of non-idempotent requests */ \
-	\
+	LOG_EVENT(LOG_LDG_DOWN, 2001, "records-unreachable", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_LDG_UP, 2002, "records-reachable", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_LDG_BAD_SEGMENT, 2003, "record-segment-unreadable", LOG_PRIO_ERR) \
 	\
 	/* 3000 core, req: the life of a request */ \
 	LOG_EVENT(LOG_REQ_REFUSED, 3001, "request-refused", LOG_PRIO_INFO) \
