--- a/src/ldg.c
+++ b/src/ldg.c
@@ -8,6 +8,7 @@
 static void ldg_expire(struct ldg *ldg, struct ldg_shard *shard, int64_t now);
 static void ldg_call_overdue(struct ldg *ldg, struct ldg_shard *shard,
 			     int64_t now);
+static void ldg_forget(struct ldg *ldg);
 
 /* The records of one instance; nothing is read until the first claim. */
 struct ldg *ldg_new(const struct ldg_settings *settings)
@@ -162,6 +163,7 @@
 		if (shard->single && !shard->att_count && !shard->call_id)
 			ldg_shard_free(ldg, shard);
 	}
+	ldg_forget(ldg);
 }
 
 /* Takes the end of a call; one that was given up before is ignored. */
@@ -271,3 +273,23 @@
 	if (shard->call_id && shard->call_deadline_us <= now)
 		ldg_shard_reply(ldg, shard, &lost, now);
 }
+
+/* Forgets idle shards while more records are in memory than may be. */
+static void ldg_forget(struct ldg *ldg)
+{
+	struct ldg_shard *shard;
+	uint32_t count = 0;
+
+	cds_list_for_each_entry (shard, &ldg->shards, node)
+		count += ldg_shard_count(shard);
+	if (count <= LDG_RECS_MAX)
+		return;
+	cds_list_for_each_entry (shard, &ldg->shards, node) {
+		if (count <= LDG_RECS_MAX)
+			break;
+		if (ldg_shard_busy(shard) || shard->step != STEP_READY)
+			continue;
+		count -= ldg_shard_count(shard);
+		ldg_shard_forget(shard);
+	}
+}
--- a/src/ldg_call.c
+++ b/src/ldg_call.c
@@ -17,6 +17,12 @@
 			  int64_t now);
 static void ldg_call_next(struct ldg *ldg, struct ldg_shard *shard,
 			  int64_t now);
+static void ldg_call_empty(struct ldg *ldg, struct ldg_shard *shard,
+			   int64_t now);
+static void ldg_reply_by_target(struct ldg *ldg, struct ldg_shard *shard,
+				const struct kv_reply *reply, int64_t now);
+static void ldg_reply_empty(struct ldg_shard *shard,
+			    const struct kv_reply *reply);
 static void ldg_reply_head(struct ldg_shard *shard,
 			   const struct kv_reply *reply);
 static void ldg_reply_head_swap(struct ldg_shard *shard,
@@ -63,20 +69,37 @@
 		ldg_answered(ldg);
 	if (reply->status == KV_LIMITED)
 		ldg_shard_back_off(ldg, shard, now);
-	if (shard->call_op == KV_CAS && shard->call_head)
-		ldg_reply_head_swap(shard, reply);
-	else if (shard->call_op == KV_CAS)
-		ldg_reply_swap(ldg, shard, reply, now);
-	else if (shard->call_head)
-		ldg_reply_head(shard, reply);
-	else
-		ldg_reply_read(ldg, shard, reply);
+	ldg_reply_by_target(ldg, shard, reply, now);
 	if (!answered)
 		ldg_unanswered(ldg, shard, reply, now);
 	else if (shard->step == STEP_READY)
 		ldg_batch_answer(ldg, shard, now);
 }
 
+static void ldg_reply_by_target(struct ldg *ldg, struct ldg_shard *shard,
+				const struct kv_reply *reply, int64_t now)
+{
+	bool swap = shard->call_op == KV_CAS;
+
+	switch (shard->call_target) {
+	case TARGET_HEAD:
+		if (swap)
+			ldg_reply_head_swap(shard, reply);
+		else
+			ldg_reply_head(shard, reply);
+		break;
+	case TARGET_CURRENT:
+		if (swap)
+			ldg_reply_swap(ldg, shard, reply, now);
+		else
+			ldg_reply_read(ldg, shard, reply);
+		break;
+	case TARGET_EXPIRED:
+		ldg_reply_empty(shard, reply);
+		break;
+	}
+}
+
 /*
  * While the service is out, one call at a time asks whether it is back, so
  * that its return isn't met by every shard of every instance at once.
@@ -111,7 +134,7 @@
 	out->call.op = op;
 	snprintf(out->call.key, sizeof(out->call.key), "ledger/%s/%u",
 		 shard->name, seg->number);
-	shard->call_head = false;
+	shard->call_target = TARGET_CURRENT;
 	ldg_call_start(ldg, shard, out, now);
 }
 
@@ -129,25 +152,43 @@
 			shard->first, ldg_shard_current(shard)->number);
 		out->call.len = strlen(out->call.value);
 	}
-	shard->call_head = true;
+	shard->call_target = TARGET_HEAD;
 	ldg_call_start(ldg, shard, out, now);
 }
 
 static void ldg_call_swap(struct ldg *ldg, struct ldg_shard *shard, int64_t now)
 {
-	const struct ldg_seg *seg = ldg_shard_current(shard);
-	int64_t wall_ms = ldg->wall_offset_ms + now / MAG_US_PER_MS;
+	struct ldg_seg *seg = ldg_shard_current(shard);
 	size_t seal = shard->single ? SIZE_MAX : ldg->set.segment_bytes;
 	struct ldg_call_node *out;
 
 	ldg_call_segment(ldg, shard, KV_CAS, now);
 	out = cds_list_entry(ldg->calls.prev, struct ldg_call_node, node);
 	out->call.version = seg->version;
-	out->call.value = ldg_json_write(seg, &shard->batch, seal, wall_ms,
-					 &shard->batch_seals);
+	ldg_seg_purge(seg, ldg->wall_offset_ms + now / MAG_US_PER_MS);
+	out->call.value =
+		ldg_json_write(seg, &shard->batch, seal, &shard->batch_seals);
 	out->call.len = strlen(out->call.value);
 }
 
+/* Empties a segment that the head no longer counts as live. */
+static void ldg_call_empty(struct ldg *ldg, struct ldg_shard *shard,
+			   int64_t now)
+{
+	const struct ldg_seg *seg =
+		cds_list_first_entry(&shard->expired, struct ldg_seg, node);
+	struct ldg_call_node *out = calloc(1, sizeof(*out));
+
+	out->call.op = KV_CAS;
+	snprintf(out->call.key, sizeof(out->call.key), "ledger/%s/%u",
+		 shard->name, seg->number);
+	out->call.version = seg->version;
+	out->call.value = ldg_json_write_empty();
+	out->call.len = strlen(out->call.value);
+	shard->call_target = TARGET_EXPIRED;
+	ldg_call_start(ldg, shard, out, now);
+}
+
 /* The view is read: answers from it, refreshes it, or writes. */
 static void ldg_call_next(struct ldg *ldg, struct ldg_shard *shard, int64_t now)
 {
@@ -156,6 +197,8 @@
 	if (cds_list_empty(&shard->work)) {
 		if (shard->head_due)
 			ldg_call_head(ldg, shard, KV_CAS, now);
+		else if (!cds_list_empty(&shard->expired))
+			ldg_call_empty(ldg, shard, now);
 		return;
 	}
 	/* A swap from an old version costs a write; a read costs less. */
@@ -238,6 +281,19 @@
 	shard->seen_us = shard->call_begun_us;
 }
 
+/* A conflict says that another instance emptied it first. */
+static void ldg_reply_empty(struct ldg_shard *shard,
+			    const struct kv_reply *reply)
+{
+	struct ldg_seg *seg =
+		cds_list_first_entry(&shard->expired, struct ldg_seg, node);
+
+	if (reply->status == KV_LIMITED || reply->status == KV_UNSENT)
+		return;
+	cds_list_del(&seg->node);
+	ldg_seg_free(seg);
+}
+
 static void ldg_reply_swap(struct ldg *ldg, struct ldg_shard *shard,
 			   const struct kv_reply *reply, int64_t now)
 {
@@ -248,12 +304,18 @@
 		shard->backoff_us = 0;
 		if (shard->batch_seals) {
 			ldg_shard_next_segment(shard);
+			ldg_shard_trim(shard, ldg->wall_offset_ms +
+						      now / MAG_US_PER_MS);
 			shard->head_due = true;
 		}
 		return;
 	}
 	ldg_batch_drop(shard, reply->status == KV_LOST);
-	if (reply->status == KV_CONFLICT || reply->status == KV_LOST)
+	/*
+	 * After a swap that was limited too: reads have a rate of their own,
+	 * and a view from after the claim is what proves that nothing ran.
+	 */
+	if (reply->status != KV_UNSENT)
 		shard->step = STEP_STALE;
 	if (reply->status == KV_CONFLICT) {
 		shard->contended = true;
--- a/src/ldg_int.h
+++ b/src/ldg_int.h
@@ -12,7 +12,8 @@
 #include "ldg.h"
 
 #define LDG_BUCKETS	   64
-#define LDG_ATTEMPTS_MAX   8192 /* bounds the memory of this instance */
+#define LDG_ATTEMPTS_MAX   8192	  /* bounds the memory of this instance */
+#define LDG_RECS_MAX	   100000 /* idle shards are forgotten beyond */
 #define LDG_SKEW_MS	   INT64_C(60000) /* furthest two clocks may differ */
 #define LDG_AMBIGUOUS_KEPT 8 /* windows that an ambiguous record stays */
 #define LDG_SETTLE_WAIT_US (20 * MAG_US_PER_MS) /* for a swap to share */
@@ -64,6 +65,7 @@
 	uint32_t number;
 	uint64_t version; /* 0: not created yet */
 	bool sealed;
+	uint32_t count;
 	struct cds_list_head recs;
 	struct cds_list_head buckets[LDG_BUCKETS];
 };
@@ -113,6 +115,13 @@
 	STEP_READY,
 };
 
+/* What the call of a shard reads or writes. */
+enum ldg_target {
+	TARGET_HEAD,
+	TARGET_CURRENT,
+	TARGET_EXPIRED,
+};
+
 struct ldg_shard {
 	struct cds_list_head node;
 	char name[MAG_DIGEST_HEX];
@@ -122,12 +131,13 @@
 	uint32_t first;		   /* the oldest live segment */
 	uint64_t head_version;
 	bool head_due;
-	struct cds_list_head work;  /* attempts, oldest first */
-	struct cds_list_head batch; /* records of the swap under way */
+	struct cds_list_head expired; /* segments to be emptied */
+	struct cds_list_head work;    /* attempts, oldest first */
+	struct cds_list_head batch;   /* records of the swap under way */
 	bool batch_seals;
 	uint64_t call_id; /* 0: none under way */
 	enum kv_op call_op;
-	bool call_head;
+	enum ldg_target call_target;
 	int64_t call_begun_us;
 	int64_t call_deadline_us;
 	int64_t seen_us; /* the view of the segments is no older */
@@ -172,6 +182,7 @@
 void ldg_seg_free(struct ldg_seg *seg);
 struct ldg_rec *ldg_seg_find(const struct ldg_seg *seg, const uint8_t *intent);
 void ldg_seg_put(struct ldg_seg *seg, struct ldg_rec *rec);
+void ldg_seg_purge(struct ldg_seg *seg, int64_t wall_ms);
 bool ldg_rec_droppable(const struct ldg_rec *rec, int64_t wall_ms);
 struct ldg_rec *ldg_rec_copy(const struct ldg_rec *rec);
 void ldg_rec_free(struct ldg_rec *rec);
@@ -182,7 +193,8 @@
 int ldg_json_read(struct ldg_seg *seg, const char *text, size_t len);
 char *ldg_json_write(const struct ldg_seg *seg,
 		     const struct cds_list_head *batch, size_t seal_beyond,
-		     int64_t wall_ms, bool *seals);
+		     bool *seals);
+char *ldg_json_write_empty(void);
 int ldg_json_read_head(const char *text, size_t len, uint32_t *first,
 		       uint32_t *last);
 char *ldg_json_write_head(uint32_t first, uint32_t last);
@@ -197,9 +209,13 @@
 /* ldg_shard.c */
 struct ldg_shard *ldg_shard_of(struct ldg *ldg, const uint8_t *intent);
 void ldg_shard_free(struct ldg *ldg, struct ldg_shard *shard);
+void ldg_shard_forget(struct ldg_shard *shard);
+void ldg_shard_trim(struct ldg_shard *shard, int64_t wall_ms);
+uint32_t ldg_shard_count(const struct ldg_shard *shard);
 struct ldg_seg *ldg_shard_current(const struct ldg_shard *shard);
 struct ldg_rec *ldg_shard_find(const struct ldg_shard *shard,
 			       const uint8_t *intent);
+bool ldg_shard_busy(const struct ldg_shard *shard);
 bool ldg_shard_due(const struct ldg_shard *shard, int64_t now);
 int64_t ldg_shard_wake(const struct ldg *ldg, const struct ldg_shard *shard);
 void ldg_shard_refuse_waiting(struct ldg *ldg, struct ldg_shard *shard,
--- a/src/ldg_json.c
+++ b/src/ldg_json.c
@@ -56,13 +56,13 @@
 }
 
 /*
- * Writes the value that a segment has with the records of a batch in it,
- * without those that may be forgotten.  The value seals the segment if it is
- * longer than seal_beyond.  The caller frees it.
+ * Writes the value that a segment has with the records of a batch in it.
+ * The value seals the segment if it is longer than seal_beyond.  The caller
+ * frees it.
  */
 char *ldg_json_write(const struct ldg_seg *seg,
 		     const struct cds_list_head *batch, size_t seal_beyond,
-		     int64_t wall_ms, bool *seals)
+		     bool *seals)
 {
 	json_t *root = json_object();
 	json_t *recs = json_array();
@@ -70,8 +70,7 @@
 	char *text;
 
 	cds_list_for_each_entry (rec, &seg->recs, order) {
-		if (!ldg_batch_find(batch, rec->intent) &&
-		    !ldg_rec_droppable(rec, wall_ms))
+		if (!ldg_batch_find(batch, rec->intent))
 			json_array_append_new(recs, ldg_json_rec(rec));
 	}
 	cds_list_for_each_entry (rec, batch, order)
@@ -89,6 +88,17 @@
 	return text;
 }
 
+/* What stays of a segment that holds nothing any more. */
+char *ldg_json_write_empty(void)
+{
+	json_t *root = json_pack("{s:i, s:[], s:b}", "format", LDG_FORMAT,
+				 "records", "sealed", 1);
+	char *text = json_dumps(root, JSON_COMPACT);
+
+	json_decref(root);
+	return text;
+}
+
 /* Reads which segments of a shard live; a hint that may be old. */
 int ldg_json_read_head(const char *text, size_t len, uint32_t *first,
 		       uint32_t *last)
--- a/src/ldg_seg.c
+++ b/src/ldg_seg.c
@@ -5,6 +5,7 @@
 
 static const struct cds_list_head *ldg_seg_bucket(const struct ldg_seg *seg,
 						  const uint8_t *intent);
+static void ldg_seg_remove(struct ldg_seg *seg, struct ldg_rec *rec);
 
 /* A segment that isn't created yet. */
 struct ldg_seg *ldg_seg_new(uint32_t number)
@@ -48,13 +49,23 @@
 	struct cds_list_head *bucket =
 		(struct cds_list_head *)ldg_seg_bucket(seg, rec->intent);
 
-	if (old) {
-		cds_list_del(&old->order);
-		cds_list_del(&old->bucket);
-		ldg_rec_free(old);
-	}
+	if (old)
+		ldg_seg_remove(seg, old);
 	cds_list_add_tail(&rec->order, &seg->recs);
 	cds_list_add_tail(&rec->bucket, bucket);
+	seg->count++;
+}
+
+/* Drops the records that may be forgotten. */
+void ldg_seg_purge(struct ldg_seg *seg, int64_t wall_ms)
+{
+	struct ldg_rec *rec;
+	struct ldg_rec *next;
+
+	cds_list_for_each_entry_safe (rec, next, &seg->recs, order) {
+		if (ldg_rec_droppable(rec, wall_ms))
+			ldg_seg_remove(seg, rec);
+	}
 }
 
 /*
@@ -110,3 +121,11 @@
 	/* The first bytes choose the shard. */
 	return &seg->buckets[intent[MAG_DIGEST_BYTES - 1] % LDG_BUCKETS];
 }
+
+static void ldg_seg_remove(struct ldg_seg *seg, struct ldg_rec *rec)
+{
+	cds_list_del(&rec->order);
+	cds_list_del(&rec->bucket);
+	ldg_rec_free(rec);
+	seg->count--;
+}
--- a/src/ldg_shard.c
+++ b/src/ldg_shard.c
@@ -9,6 +9,8 @@
 static struct ldg_shard *ldg_shard_new(struct ldg *ldg, const char *name);
 static struct ldg_shard *ldg_shard_single(struct ldg *ldg,
 					  const uint8_t *intent);
+static bool ldg_shard_expires(const struct ldg_shard *shard);
+static void ldg_segs_free(struct cds_list_head *segs);
 static int64_t ldg_earlier(int64_t a, int64_t b);
 
 /* The shard that keeps an intent; every instance finds the same one. */
@@ -42,6 +44,61 @@
 	free(shard);
 }
 
+/*
+ * Forgets what was read of an idle shard, so that memory stays bounded; the
+ * next claim reads it again.
+ */
+void ldg_shard_forget(struct ldg_shard *shard)
+{
+	ldg_segs_free(&shard->segs);
+	cds_list_add_tail(&ldg_seg_new(0)->node, &shard->segs);
+	shard->step = STEP_COLD;
+	shard->first = 0;
+	shard->head_version = 0;
+	shard->seen_us = INT64_MIN;
+}
+
+/*
+ * Takes the oldest sealed segments out of use once all of their records may
+ * be forgotten.  The head names the new first segment before the old ones
+ * are emptied.  Their keys are never deleted: an instance that read the head
+ * long ago would take a deleted segment for one that is still to come, and
+ * create it a second time beside the current one.
+ */
+void ldg_shard_trim(struct ldg_shard *shard, int64_t wall_ms)
+{
+	struct ldg_seg *seg;
+	struct ldg_seg *next;
+
+	cds_list_for_each_entry_safe (seg, next, &shard->segs, node) {
+		if (!seg->sealed)
+			break;
+		ldg_seg_purge(seg, wall_ms);
+		if (seg->count > 0)
+			break;
+		cds_list_del(&seg->node);
+		cds_list_add_tail(&seg->node, &shard->expired);
+		shard->first = seg->number + 1;
+	}
+}
+
+uint32_t ldg_shard_count(const struct ldg_shard *shard)
+{
+	const struct ldg_seg *seg;
+	uint32_t count = 0;
+
+	cds_list_for_each_entry (seg, &shard->segs, node)
+		count += seg->count;
+	return count;
+}
+
+/* Tells whether a shard has attempts, calls or writes of its own to do. */
+bool ldg_shard_busy(const struct ldg_shard *shard)
+{
+	return shard->att_count > 0 || shard->call_id || shard->head_due ||
+	       ldg_shard_expires(shard);
+}
+
 /* The segment that takes reservations, as far as this instance knows. */
 struct ldg_seg *ldg_shard_current(const struct ldg_shard *shard)
 {
@@ -69,7 +126,7 @@
 {
 	const struct ldg_att *att;
 
-	if (shard->head_due)
+	if (shard->head_due || ldg_shard_expires(shard))
 		return true;
 	cds_list_for_each_entry (att, &shard->work, node) {
 		if (att->due_us <= now)
@@ -82,7 +139,8 @@
 int64_t ldg_shard_wake(const struct ldg *ldg, const struct ldg_shard *shard)
 {
 	const struct ldg_att *att;
-	int64_t due = shard->head_due ? 0 : MAG_NEVER;
+	bool tidy = shard->head_due || ldg_shard_expires(shard);
+	int64_t due = tidy ? 0 : MAG_NEVER;
 	int64_t wake = MAG_NEVER;
 
 	cds_list_for_each_entry (att, &shard->work, node) {
@@ -120,6 +178,7 @@
 
 	snprintf(shard->name, sizeof(shard->name), "%s", name);
 	CDS_INIT_LIST_HEAD(&shard->segs);
+	CDS_INIT_LIST_HEAD(&shard->expired);
 	CDS_INIT_LIST_HEAD(&shard->work);
 	CDS_INIT_LIST_HEAD(&shard->batch);
 	cds_list_add_tail(&ldg_seg_new(0)->node, &shard->segs);
@@ -149,6 +208,22 @@
 	return shard;
 }
 
+static bool ldg_shard_expires(const struct ldg_shard *shard)
+{
+	return shard->expired.next != &shard->expired;
+}
+
+static void ldg_segs_free(struct cds_list_head *segs)
+{
+	struct ldg_seg *seg;
+	struct ldg_seg *next;
+
+	cds_list_for_each_entry_safe (seg, next, segs, node) {
+		cds_list_del(&seg->node);
+		ldg_seg_free(seg);
+	}
+}
+
 static int64_t ldg_earlier(int64_t a, int64_t b)
 {
 	return a < b ? a : b;
