Choose chains along a maximum flow

Cause: requests need a chain of endpoints whose used ranges tile the layers, in proportion to what stages and links can carry. Change: src/flow.c (Dinic), src/flow_net.c (work from endpoints to the parts of the model, Newton steps on the minimum cut, exact for overlapping ranges), src/pick*.c (walk along the flow, search for resumes and probes, ejection, cache hints). pick_remap translates chains after pick_config; pick_want has a field careful, which keeps an attempt from being used as a probe. Ruled out: dividing an endpoint's work by steps along the cut; it stopped at 111.3 and 105.0 tokens a second in regress/flow/layers where 120 is the maximum (now found). Conclusion: regress/flow and regress/pick pass.

--- /dev/null
+++ b/regress/check_flow.c
@@ -0,0 +1,146 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow.h"
+#include "flow_net.h"
+#include "script.h"
+
+#define STAGES_MAX 64
+#define LINE_MAX_  256
+
+static struct flow_stage stages[STAGES_MAX];
+static bool joined[STAGES_MAX * STAGES_MAX];
+static struct flow_net_in in;
+
+/* Prints what binds a network. */
+static void print_limits(FILE *out, const struct flow_net *net)
+{
+	static const char *const kinds[] = {
+		[FLOW_LIMIT_WORK] = "work",
+		[FLOW_LIMIT_LINK] = "link",
+	};
+	int i;
+
+	for (i = 0; i < net->limit_count; i++) {
+		const struct flow_limit *limit = &net->limits[i];
+
+		fprintf(out, "binds %s stage=%d layers=%u-%u at %.1f\n",
+			kinds[limit->kind], limit->stage, limit->first,
+			limit->end - 1, limit->tokens_per_s);
+	}
+}
+
+/*
+ * Checks what any solution must keep: at each boundary as much goes in as
+ * comes out, and no endpoint does more than its rate or its link allows.
+ */
+static void check_net(FILE *out, const struct flow_net *net)
+{
+	int k;
+	int e;
+
+	for (k = 1; k + 1 < net->bounds; k++) {
+		double sum = 0;
+
+		for (e = 0; e < net->count; e++)
+			sum += net->enter[k * net->count + e] -
+			       net->leave[k * net->count + e];
+		if (sum > 0.01 || sum < -0.01)
+			fprintf(out, "not conserved at %u\n", net->bound[k]);
+	}
+	for (e = 0; e < net->count; e++) {
+		double work = 0;
+		double through = 0;
+		double link = 0;
+
+		for (k = 0; k + 1 < net->bounds; k++) {
+			through += net->enter[k * net->count + e] -
+				   net->leave[k * net->count + e];
+			work += through * (net->bound[k + 1] - net->bound[k]);
+			if (k > 0)
+				link += net->enter[k * net->count + e];
+		}
+		if (work >
+		    1.001 * stages[e].rate * (stages[e].end - stages[e].first))
+			fprintf(out, "stage %d works too much\n", e);
+		if (link > 1.001 * stages[e].link)
+			fprintf(out, "stage %d takes too much\n", e);
+	}
+}
+
+/* Solves what the script built. */
+static void solve(FILE *out)
+{
+	struct flow_net *net = flow_net_solve(&in);
+
+	fprintf(out, "value %.1f\n", net->value);
+	print_limits(out, net);
+	check_net(out, net);
+	flow_net_free(net);
+}
+
+/* Solves a plain graph: edges FROM TO CAPACITY until "end". */
+static void graph(FILE *in_file, FILE *out, int nodes)
+{
+	struct flow *flow = flow_new(nodes);
+	char line[LINE_MAX_];
+	double capacity;
+	int edges = 0;
+	int from;
+	int to;
+	int i;
+
+	while (fgets(line, sizeof(line), in_file) &&
+	       sscanf(line, "%d %d %lf", &from, &to, &capacity) == 3) {
+		flow_add_edge(flow, from, to, capacity);
+		edges++;
+	}
+	fprintf(out, "flow %.1f\n", flow_solve(flow, 0, nodes - 1));
+	for (i = 0; i < edges; i++)
+		fprintf(out, "edge %d carries %.1f%s\n", i, flow_on(flow, i),
+			flow_in_cut(flow, i) ? " binds" : "");
+	flow_free(flow);
+}
+
+/* Runs one script; see regress/flow. */
+static void driver(FILE *in_file, FILE *out)
+{
+	char line[LINE_MAX_];
+	int a;
+	int b;
+
+	memset(&in, 0, sizeof(in));
+	memset(joined, true, sizeof(joined));
+	in.stages = stages;
+	in.joined = joined;
+	in.centres = 1;
+	while (fgets(line, sizeof(line), in_file)) {
+		struct flow_stage *s = &stages[in.count];
+
+		if (line[0] == '#') {
+			fputs(line, out);
+		} else if (sscanf(line, "layers %u", &in.layers) == 1 ||
+			   sscanf(line, "centres %d", &in.centres) == 1) {
+			continue;
+		} else if (sscanf(line, "stage %u %u %lf %lf %d", &s->first,
+				  &s->end, &s->rate, &s->link,
+				  &s->centre) == 5) {
+			in.count++;
+		} else if (sscanf(line, "rate %d %d", &a, &b) == 2) {
+			stages[a].rate = b;
+		} else if (sscanf(line, "part %d %d", &a, &b) == 2) {
+			joined[a * in.centres + b] = false;
+			joined[b * in.centres + a] = false;
+		} else if (sscanf(line, "graph %d", &a) == 1) {
+			graph(in_file, out, a);
+		} else if (strcmp(line, "solve\n") == 0) {
+			solve(out);
+		}
+	}
+}
+
+/* Runs all scripts. */
+int main(void)
+{
+	return script_main("regress/flow", driver);
+}
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -24,7 +24,9 @@
 	LOG_EVENT(LOG_REQ_DONE, 3003, "request-done", LOG_PRIO_INFO) \
 	\
 	/* 4000 flow, pick: chains of endpoints */ \
-	\
+	LOG_EVENT(LOG_PICK_CHAIN, 4001, "chain-chosen", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_PICK_EJECTED, 4002, "endpoint-ejected", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PICK_RETURNED, 4003, "endpoint-returned", LOG_PRIO_NOTICE) \
 	\
 	/* 5000 adm, quar: admission, limits, quarantine */ \
 	\
--- /dev/null
+++ b/src/pick.c
@@ -0,0 +1,463 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "pick_int.h"
+
+#define PICK_SEED_MIX	     UINT64_C(0x9e3779b97f4a7c15)
+#define PICK_MIN_CONCURRENCY 1
+
+static int pick_decide(struct pick *pick, struct pick_net *net,
+		       const struct pick_want *want, int64_t now,
+		       struct pick_chain *chain);
+static int pick_take_services(struct pick *pick, const struct cfg_set *set);
+static int pick_take_endpoints(struct pick *pick, const struct cfg_set *set);
+static void pick_take_endpoint(struct pick *pick, struct pick_ep *ep,
+			       const struct cfg_endpoint *cfg);
+static int pick_take_centre(struct pick *pick, const char *name);
+static int pick_carry_over(struct pick *pick, struct pick_ep *old,
+			   int old_count);
+static void pick_carry(struct pick_ep *ep, struct pick_ep *old);
+static int pick_by_name(const void *a, const void *b);
+static int pick_take_nets(struct pick *pick, const struct cfg_set *set);
+static int pick_join(struct pick *pick);
+static void pick_drop_nets(struct pick *pick);
+static bool pick_known(const struct pick *pick, int endpoint);
+
+/*
+ * Makes an empty picker.  The seed fixes every random choice.  Returns NULL
+ * if memory is short.
+ */
+struct pick *pick_new(enum pick_policy policy, uint64_t seed)
+{
+	struct pick *pick = calloc(1, sizeof(*pick));
+
+	if (!pick)
+		return NULL;
+	pick->policy = policy;
+	pick->random = seed ^ PICK_SEED_MIX;
+	pick->tick_us = MAG_NEVER;
+	return pick;
+}
+
+/* Frees a picker; NULL is allowed. */
+void pick_free(struct pick *pick)
+{
+	int i;
+
+	if (!pick)
+		return;
+	pick_drop_nets(pick);
+	for (i = 0; i < pick->ep_count; i++)
+		free(pick->eps[i].cache);
+	free(pick->eps);
+	free(pick->services);
+	free(pick->centres);
+	free(pick->joined);
+	free(pick->load);
+	free(pick->load_tokens);
+	free(pick->remap);
+	free(pick);
+}
+
+/*
+ * Takes a new set; what is known of an endpoint is kept by its name.  Chains
+ * chosen under the former set are to be passed through pick_remap before
+ * they are used again.  Returns 0 or PICK_E_MEMORY.
+ */
+int pick_config(struct pick *pick, const struct cfg_set *set, int64_t now)
+{
+	struct pick_ep *old = pick->eps;
+	int old_count = pick->ep_count;
+	int err;
+
+	pick_drop_nets(pick);
+	err = pick_take_services(pick, set);
+	if (!err)
+		err = pick_take_endpoints(pick, set);
+	if (!err)
+		err = pick_carry_over(pick, old, old_count);
+	free(old);
+	if (!err)
+		err = pick_join(pick);
+	if (!err)
+		err = pick_take_nets(pick, set);
+	pick->tick_us = now;
+	return err;
+}
+
+/*
+ * Translates the endpoints of a chain that was chosen under the former set
+ * to this set's; a stage whose endpoint is gone gets -1.
+ */
+void pick_remap(const struct pick *pick, struct pick_chain *chain)
+{
+	int i;
+
+	for (i = 0; i < chain->count; i++) {
+		int *endpoint = &chain->stages[i].endpoint;
+
+		if (*endpoint >= 0 && *endpoint < pick->remap_count)
+			*endpoint = pick->remap[*endpoint];
+		else
+			*endpoint = -1;
+	}
+}
+
+/* Notes that an endpoint leaves, so that it gets no new work, or came back. */
+void pick_leaving(struct pick *pick, int endpoint, bool leaving, int64_t now)
+{
+	struct pick_ep *ep;
+
+	(void)now;
+	if (!pick_known(pick, endpoint))
+		return;
+	ep = &pick->eps[endpoint];
+	if (ep->leaving == leaving)
+		return;
+	ep->leaving = leaving;
+	pick_dirty(pick, ep->cfg.service, true);
+}
+
+/* Takes a load report; one older than the last is dropped. */
+void pick_report(struct pick *pick, int endpoint,
+		 const struct pick_report *report, int64_t now)
+{
+	struct pick_ep *ep;
+	uint32_t mine;
+
+	(void)now;
+	if (!pick_known(pick, endpoint))
+		return;
+	ep = &pick->eps[endpoint];
+	if (ep->reported && report->taken_at_us < ep->report_us)
+		return;
+	mine = ep->in_flight;
+	ep->others = report->running > mine ? report->running - mine : 0;
+	if (!ep->reported || ep->said != report->tokens_per_s)
+		pick_dirty(pick, ep->cfg.service, false);
+	ep->said = report->tokens_per_s;
+	ep->report_us = report->taken_at_us;
+	ep->reported = true;
+}
+
+/*
+ * Chooses a chain for an attempt.  Returns 0, PICK_E_BUSY if every chain has
+ * a stage at its limit, or PICK_E_NONE if no live chain covers all layers.
+ */
+int pick_choose(struct pick *pick, const struct pick_want *want, int64_t now,
+		struct pick_chain *chain)
+{
+	const char *group = want->group ? want->group : "";
+	struct pick_net *net;
+	int err;
+
+	chain->count = 0;
+	if (want->service < 0 || want->service >= pick->service_count)
+		return PICK_E_NONE;
+	net = pick_net_of(pick, want->service, group);
+	if (!net)
+		return PICK_E_MEMORY;
+	err = pick_net_solve(pick, net, now);
+	if (err)
+		return err;
+	return pick_decide(pick, net, want, now, chain);
+}
+
+/* Runs the ways to choose in their order and logs what came of it. */
+static int pick_decide(struct pick *pick, struct pick_net *net,
+		       const struct pick_want *want, int64_t now,
+		       struct pick_chain *chain)
+{
+	const char *why = "flow";
+	int err;
+
+	if (want->keep || want->alone) {
+		why = want->keep ? "keeps-survivors" : "alone";
+		err = pick_seek(pick, net, want, now, chain);
+	} else if (pick->closed > 0 &&
+		   pick_probe(pick, net, want, now, chain) == PICK_OK) {
+		why = "probe";
+		err = PICK_OK;
+	} else {
+		err = pick_walk(pick, net, want, now, chain);
+		if (err == PICK_E_NONE) {
+			why = "no-flow";
+			err = pick_seek(pick, net, want, now, chain);
+		}
+	}
+	if (err)
+		chain->count = 0;
+	else
+		pick_log_chain(pick, net, chain, why);
+	return err;
+}
+
+/* Counts an attempt on the stages of its chain. */
+void pick_started(struct pick *pick, const struct pick_chain *chain,
+		  int64_t now)
+{
+	int i;
+
+	for (i = 0; i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+
+		if (!pick_known(pick, e))
+			continue;
+		if (pick->eps[e].in_flight++ == 0)
+			pick->eps[e].progress_us = now;
+		pick->in_flight++;
+	}
+	if (pick->tick_us == MAG_NEVER)
+		pick->tick_us = now + PICK_TICK_US;
+}
+
+/* Takes an attempt off the stages of its chain and learns from its end. */
+void pick_ended(struct pick *pick, const struct pick_chain *chain,
+		const struct pick_result *result, int64_t now)
+{
+	int i;
+
+	for (i = 0; i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+
+		if (!pick_known(pick, e) || pick->eps[e].in_flight == 0)
+			continue;
+		pick->eps[e].in_flight--;
+		pick->in_flight--;
+	}
+	pick_health_ended(pick, chain, result, now);
+}
+
+/*
+ * Runs what is due: limits, ejections and the return from them, and solves
+ * networks whose estimates moved.
+ */
+void pick_tick(struct pick *pick, int64_t now)
+{
+	int i;
+
+	if (now < pick->tick_us)
+		return;
+	pick_health_tick(pick, now);
+	for (i = 0; i < pick->net_count; i++)
+		pick_net_solve(pick, &pick->nets[i], now);
+	pick->tick_us = MAG_NEVER;
+	if (pick->in_flight > 0 || pick->closed > 0)
+		pick->tick_us = now + PICK_TICK_US;
+}
+
+/* Returns when pick_tick is due next, MAG_NEVER if nothing is pending. */
+int64_t pick_next_deadline(const struct pick *pick)
+{
+	return pick->tick_us;
+}
+
+/* Tells whether an endpoint may get new work. */
+bool pick_usable(const struct pick *pick, int endpoint, int64_t now)
+{
+	return pick_known(pick, endpoint) &&
+	       pick_open(&pick->eps[endpoint], now);
+}
+
+/* Copies the services that the graphs are made for. */
+static int pick_take_services(struct pick *pick, const struct cfg_set *set)
+{
+	size_t count = set->service_count;
+
+	free(pick->services);
+	free(pick->load);
+	free(pick->load_tokens);
+	pick->service_count = (int)count;
+	pick->services = calloc(count + 1, sizeof(*pick->services));
+	pick->load = calloc(count + 1, sizeof(*pick->load));
+	pick->load_tokens = calloc(count + 1, sizeof(*pick->load_tokens));
+	if (!pick->services || !pick->load || !pick->load_tokens)
+		return PICK_E_MEMORY;
+	if (count > 0)
+		memcpy(pick->services, set->services,
+		       count * sizeof(*pick->services));
+	return PICK_OK;
+}
+
+/* Makes the table of endpoints anew. */
+static int pick_take_endpoints(struct pick *pick, const struct cfg_set *set)
+{
+	size_t count = set->endpoint_count;
+	size_t i;
+
+	free(pick->centres);
+	pick->centre_count = 0;
+	pick->ep_count = (int)count;
+	pick->eps = calloc(count + 1, sizeof(*pick->eps));
+	pick->centres = calloc(count + 1, sizeof(*pick->centres));
+	if (!pick->eps || !pick->centres)
+		return PICK_E_MEMORY;
+	for (i = 0; i < count; i++)
+		pick_take_endpoint(pick, &pick->eps[i], &set->endpoints[i]);
+	return PICK_OK;
+}
+
+/* Sets one endpoint to what its object says. */
+static void pick_take_endpoint(struct pick *pick, struct pick_ep *ep,
+			       const struct cfg_endpoint *cfg)
+{
+	const struct cfg_service *service = &pick->services[cfg->service];
+	uint32_t layers = pick_layers(pick, cfg->service);
+
+	ep->cfg = *cfg;
+	if (ep->cfg.concurrency < PICK_MIN_CONCURRENCY)
+		ep->cfg.concurrency = PICK_MIN_CONCURRENCY;
+	ep->centre = pick_take_centre(pick, cfg->data_centre);
+	ep->first = service->kind == CFG_MODEL ? cfg->first_layer : 0;
+	ep->end = service->kind == CFG_MODEL ? cfg->last_layer + 1 : 1;
+	if (ep->end > layers || ep->first >= ep->end) {
+		/* A range outside the model: the endpoint gets no work. */
+		ep->first = 0;
+		ep->end = layers;
+		ep->cfg.state = CFG_DRAIN;
+	}
+	ep->limit = ep->cfg.concurrency;
+	ep->scale = 1;
+	ep->health = PICK_HEALTHY;
+}
+
+/* Returns the number of a data centre, a new one on first sight. */
+static int pick_take_centre(struct pick *pick, const char *name)
+{
+	int i;
+
+	for (i = 0; i < pick->centre_count; i++) {
+		if (strcmp(pick->centres[i], name) == 0)
+			return i;
+	}
+	mag_copy_name(pick->centres[i], sizeof(pick->centres[i]), name);
+	return pick->centre_count++;
+}
+
+/* Carries over what is known of endpoints that both sets name. */
+static int pick_carry_over(struct pick *pick, struct pick_ep *old,
+			   int old_count)
+{
+	struct pick_ep **sorted;
+	int i;
+
+	free(pick->remap);
+	pick->remap = calloc((size_t)old_count + 1, sizeof(int));
+	sorted = calloc((size_t)pick->ep_count + 1, sizeof(struct pick_ep *));
+	if (!pick->remap || !sorted) {
+		free(sorted);
+		return PICK_E_MEMORY;
+	}
+	pick->remap_count = old_count;
+	for (i = 0; i < pick->ep_count; i++)
+		sorted[i] = &pick->eps[i];
+	qsort(sorted, (size_t)pick->ep_count, sizeof(struct pick_ep *),
+	      pick_by_name);
+	pick->in_flight = 0;
+	pick->closed = 0;
+	for (i = 0; i < old_count; i++) {
+		struct pick_ep *key = &old[i];
+		struct pick_ep **found =
+			bsearch(&key, sorted, (size_t)pick->ep_count,
+				sizeof(struct pick_ep *), pick_by_name);
+
+		pick->remap[i] = found ? (int)(*found - pick->eps) : -1;
+		if (found)
+			pick_carry(*found, key);
+		else
+			free(key->cache);
+	}
+	for (i = 0; i < pick->ep_count; i++) {
+		pick->in_flight += pick->eps[i].in_flight;
+		pick->closed += pick->eps[i].health != PICK_HEALTHY;
+	}
+	free(sorted);
+	return PICK_OK;
+}
+
+/* Carries over one endpoint; a changed range starts its estimates anew. */
+static void pick_carry(struct pick_ep *ep, struct pick_ep *old)
+{
+	struct pick_ep fresh = *ep;
+
+	*ep = *old;
+	ep->cfg = fresh.cfg;
+	ep->centre = fresh.centre;
+	ep->first = fresh.first;
+	ep->end = fresh.end;
+	if (ep->limit > fresh.limit ||
+	    old->cfg.concurrency != fresh.cfg.concurrency)
+		ep->limit = fresh.limit;
+	if (old->first == fresh.first && old->end == fresh.end &&
+	    old->cfg.tokens_per_s == fresh.cfg.tokens_per_s)
+		return;
+	ep->reported = false;
+	ep->scale = 1;
+	ep->hop_us = 0;
+	ep->base_us = 0;
+	ep->chain_us = 0;
+}
+
+/* Orders pointers to endpoints by name. */
+static int pick_by_name(const void *a, const void *b)
+{
+	const struct pick_ep *const *x = a;
+	const struct pick_ep *const *y = b;
+
+	return strcmp((*x)->cfg.name, (*y)->cfg.name);
+}
+
+/* Makes the networks that the routes ask for, before a request waits. */
+static int pick_take_nets(struct pick *pick, const struct cfg_set *set)
+{
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < set->service_count; i++) {
+		if (!pick_net_of(pick, (int)i, ""))
+			return PICK_E_MEMORY;
+	}
+	for (i = 0; i < set->route_count; i++) {
+		const struct cfg_route *route = &set->routes[i];
+
+		if (!pick_net_of(pick, route->service, route->group))
+			return PICK_E_MEMORY;
+		for (j = 0; j < route->split_count; j++) {
+			if (!pick_net_of(pick, route->service,
+					 route->splits[j].group))
+				return PICK_E_MEMORY;
+		}
+	}
+	return PICK_OK;
+}
+
+/* Starts with every data centre joined to every other. */
+static int pick_join(struct pick *pick)
+{
+	size_t size = (size_t)pick->centre_count * pick->centre_count;
+
+	free(pick->joined);
+	pick->joined = malloc(size + 1);
+	if (!pick->joined)
+		return PICK_E_MEMORY;
+	memset(pick->joined, true, size);
+	return PICK_OK;
+}
+
+/* Frees all networks. */
+static void pick_drop_nets(struct pick *pick)
+{
+	int i;
+
+	for (i = 0; i < pick->net_count; i++)
+		pick_net_drop(&pick->nets[i]);
+	free(pick->nets);
+	pick->nets = NULL;
+	pick->net_count = 0;
+}
+
+/* Tells whether an index names an endpoint of the present set. */
+static bool pick_known(const struct pick *pick, int endpoint)
+{
+	return endpoint >= 0 && endpoint < pick->ep_count;
+}
--- a/src/pick.h
+++ b/src/pick.h
@@ -48,7 +48,8 @@
 	const struct pick_chain *keep; /* chain to resume from, or NULL */
 	const int *avoid;	       /* endpoints that failed this request */
 	int avoid_count;
-	bool alone; /* a suspect: only endpoints with nothing else running */
+	bool alone;   /* a suspect: only endpoints with nothing else running */
+	bool careful; /* must not run twice: never used as a probe */
 	uint64_t prefix; /* hash of the prompt's prefix, 0 for none */
 	uint32_t prompt_tokens;
 };
@@ -80,6 +81,7 @@
 
 /* Takes a new set; what is known of an endpoint is kept by its name. */
 int pick_config(struct pick *pick, const struct cfg_set *set, int64_t now);
+void pick_remap(const struct pick *pick, struct pick_chain *chain);
 void pick_leaving(struct pick *pick, int endpoint, bool leaving, int64_t now);
 void pick_report(struct pick *pick, int endpoint,
 		 const struct pick_report *report, int64_t now);
--- /dev/null
+++ b/src/pick_health.c
@@ -0,0 +1,238 @@
+#include "log.h"
+#include "pick_int.h"
+
+#define PICK_EJECT_AFTER    2	/* failures in a row */
+#define PICK_DEAD_AFTER	    5	/* the same, where the load needs it */
+#define PICK_RATIO_RESULTS  10	/* results before the ratio counts */
+#define PICK_RATIO_MAX	    0.5 /* of failures among recent results */
+#define PICK_RATIO_STEP	    0.1
+#define PICK_BACKOFF_US	    (500 * MAG_US_PER_MS)
+#define PICK_BACKOFF_MAX_US (30 * MAG_US_PER_S)
+#define PICK_FULL_US	    (20 * MAG_US_PER_MS)
+#define PICK_SILENT_US	    (200 * MAG_US_PER_MS)
+#define PICK_HOP_STEP	    0.2
+#define PICK_LOAD_STEP	    0.05
+
+static void pick_health_failed(struct pick *pick, int e, int64_t now);
+static void pick_health_stalled(struct pick *pick,
+				const struct pick_chain *chain, int64_t now);
+static void pick_health_well(struct pick *pick, int e, int64_t now);
+static void pick_eject(struct pick *pick, int e, const char *why, int64_t now);
+static bool pick_spare(struct pick *pick, int e);
+static void pick_refused(struct pick_ep *ep, int64_t now);
+static void pick_note_load(struct pick *pick, int service);
+
+/* Tells whether an endpoint may get new work, its limit aside. */
+bool pick_open(const struct pick_ep *ep, int64_t now)
+{
+	(void)now;
+	return ep->cfg.state == CFG_ACTIVE && !ep->leaving &&
+	       ep->health == PICK_HEALTHY;
+}
+
+/* Tells whether an endpoint is under its limit. */
+bool pick_has_room(const struct pick_ep *ep, int64_t now)
+{
+	return now >= ep->full_until_us && ep->in_flight + 1 <= ep->limit &&
+	       ep->in_flight + ep->others < ep->cfg.concurrency;
+}
+
+/* Returns the work at an endpoint as a part of its limit. */
+double pick_load_of(const struct pick_ep *ep)
+{
+	return (ep->in_flight + ep->others) / ep->limit;
+}
+
+/* Learns from the time that tokens took at each stage of a chain. */
+void pick_hops(struct pick *pick, const struct pick_chain *chain,
+	       const uint32_t *hop_us, int count, int64_t now)
+{
+	double whole = 0;
+	int i;
+
+	for (i = 0; i < count; i++)
+		whole += hop_us[i];
+	for (i = 0; i < count && i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+		struct pick_ep *ep;
+
+		if (e < 0 || e >= pick->ep_count)
+			continue;
+		ep = &pick->eps[e];
+		ep->progress_us = now;
+		ep->samples++;
+		if (ep->chain_us <= 0) {
+			ep->hop_us = hop_us[i];
+			ep->base_us = hop_us[i];
+			ep->chain_us = whole;
+			continue;
+		}
+		ep->hop_us += PICK_HOP_STEP * (hop_us[i] - ep->hop_us);
+		ep->chain_us += PICK_HOP_STEP * (whole - ep->chain_us);
+		if (hop_us[i] < ep->base_us)
+			ep->base_us = hop_us[i];
+	}
+}
+
+/* Learns from the end of an attempt. */
+void pick_health_ended(struct pick *pick, const struct pick_chain *chain,
+		       const struct pick_result *result, int64_t now)
+{
+	int at = result->at_stage;
+	int i;
+
+	if (at < 0 && chain->count == 1)
+		at = 0;
+	for (i = 0; i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+
+		if (e < 0 || e >= pick->ep_count)
+			continue;
+		if (result->kind == PICK_ENDED_WELL)
+			pick_health_well(pick, e, now);
+		else if (result->kind == PICK_ENDED_FAILED && i == at)
+			pick_health_failed(pick, e, now);
+		else if (result->kind == PICK_ENDED_REFUSED && i == at)
+			pick_refused(&pick->eps[e], now);
+		if (i == 0)
+			pick->load_tokens[pick->eps[e].cfg.service] +=
+				result->tokens;
+	}
+	if (result->kind == PICK_ENDED_SLOW)
+		pick_health_stalled(pick, chain, now);
+}
+
+/* Adapts limits, ends probes that hang and notes the load. */
+void pick_health_tick(struct pick *pick, int64_t now)
+{
+	int i;
+
+	for (i = 0; i < pick->service_count; i++)
+		pick_note_load(pick, i);
+	for (i = 0; i < pick->ep_count; i++) {
+		struct pick_ep *ep = &pick->eps[i];
+
+		if (ep->health == PICK_PROBING &&
+		    (ep->in_flight == 0 || now >= ep->retry_at_us))
+			ep->health = PICK_EJECTED;
+	}
+}
+
+/* Counts a failure against an endpoint, and ejects it if that is enough. */
+static void pick_health_failed(struct pick *pick, int e, int64_t now)
+{
+	struct pick_ep *ep = &pick->eps[e];
+
+	ep->results++;
+	ep->failed_in_row++;
+	ep->fail_ratio += PICK_RATIO_STEP * (1 - ep->fail_ratio);
+	if (ep->health == PICK_PROBING) {
+		pick_eject(pick, e, "probe-failed", now);
+		return;
+	}
+	if (ep->health != PICK_HEALTHY)
+		return;
+	if (ep->failed_in_row >= PICK_DEAD_AFTER)
+		pick_eject(pick, e, "dead", now);
+	else if (ep->failed_in_row >= PICK_EJECT_AFTER && pick_spare(pick, e))
+		pick_eject(pick, e, "failed-in-a-row", now);
+	else if (ep->results >= PICK_RATIO_RESULTS &&
+		 ep->fail_ratio > PICK_RATIO_MAX && pick_spare(pick, e))
+		pick_eject(pick, e, "fails-often", now);
+}
+
+/*
+ * A stream that stopped doesn't say at which stage.  Stages that moved other
+ * streams meanwhile are cleared; only the silent ones are blamed.
+ */
+static void pick_health_stalled(struct pick *pick,
+				const struct pick_chain *chain, int64_t now)
+{
+	int i;
+
+	for (i = 0; i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+
+		if (e >= 0 && e < pick->ep_count &&
+		    now - pick->eps[e].progress_us > PICK_SILENT_US)
+			pick_health_failed(pick, e, now);
+	}
+}
+
+/* Notes that an endpoint did its part of a whole answer. */
+static void pick_health_well(struct pick *pick, int e, int64_t now)
+{
+	struct pick_ep *ep = &pick->eps[e];
+
+	ep->results++;
+	ep->failed_in_row = 0;
+	ep->fail_ratio -= PICK_RATIO_STEP * ep->fail_ratio;
+	ep->progress_us = now;
+	if (ep->health == PICK_HEALTHY)
+		return;
+	ep->health = PICK_HEALTHY;
+	ep->backoff_us = 0;
+	pick->closed--;
+	pick_dirty(pick, ep->cfg.service, true);
+	log_event(LOG_PICK_RETURNED, "endpoint=%s", ep->cfg.name);
+}
+
+/* Takes an endpoint out until a probe succeeds. */
+static void pick_eject(struct pick *pick, int e, const char *why, int64_t now)
+{
+	struct pick_ep *ep = &pick->eps[e];
+
+	if (ep->health == PICK_HEALTHY)
+		pick->closed++;
+	ep->health = PICK_EJECTED;
+	ep->backoff_us = ep->backoff_us ? 2 * ep->backoff_us : PICK_BACKOFF_US;
+	if (ep->backoff_us > PICK_BACKOFF_MAX_US)
+		ep->backoff_us = PICK_BACKOFF_MAX_US;
+	ep->retry_at_us = now + ep->backoff_us;
+	pick_dirty(pick, ep->cfg.service, true);
+	log_event(LOG_PICK_EJECTED, "endpoint=%s why=%s for_ms=%lld",
+		  ep->cfg.name, why,
+		  (long long)(ep->backoff_us / MAG_US_PER_MS));
+}
+
+/*
+ * Tells whether the load can do without an endpoint.  Ejecting on a mere
+ * suspicion while every endpoint is needed would turn one slow endpoint into
+ * an outage: the others, overloaded by its work, would be ejected in turn.
+ */
+static bool pick_spare(struct pick *pick, int e)
+{
+	int service = pick->eps[e].cfg.service;
+	int i;
+
+	for (i = 0; i < pick->net_count; i++) {
+		const struct pick_net *net = &pick->nets[i];
+		double needed = 0;
+
+		if (net->service != service || net->member_of[e] < 0)
+			continue;
+		if (net->group[0] == '\0')
+			needed = pick->load[service];
+		if (pick_net_value(pick, net, e) <= needed)
+			return false;
+	}
+	return true;
+}
+
+/* An endpoint that says it is full gets a rest and a lower limit. */
+static void pick_refused(struct pick_ep *ep, int64_t now)
+{
+	ep->full_until_us = now + PICK_FULL_US;
+	if (ep->limit > ep->in_flight + 1)
+		ep->limit = ep->in_flight + 1;
+}
+
+/* Updates the mean of what a service delivers here. */
+static void pick_note_load(struct pick *pick, int service)
+{
+	double rate = (double)pick->load_tokens[service] * MAG_US_PER_S /
+		      (double)PICK_TICK_US;
+
+	pick->load_tokens[service] = 0;
+	pick->load[service] += PICK_LOAD_STEP * (rate - pick->load[service]);
+}
--- /dev/null
+++ b/src/pick_int.h
@@ -0,0 +1,158 @@
+#ifndef PICK_INT_H
+#define PICK_INT_H
+
+/* What the files of the pick family share; no other module includes it. */
+
+#include "flow_net.h"
+#include "pick.h"
+
+#define PICK_TICK_US  (50 * MAG_US_PER_MS)
+#define PICK_PREFIXES 256 /* prefix hints kept for an endpoint */
+
+enum pick_health {
+	PICK_HEALTHY,
+	PICK_EJECTED, /* gets nothing until retry_at_us */
+	PICK_PROBING, /* half open: one request at a time */
+};
+
+/* What the cache events say an endpoint holds; a hint, never relied on. */
+struct pick_cache {
+	uint64_t prefix[PICK_PREFIXES];
+	uint64_t next_sequence;
+	int next;
+};
+
+struct pick_ep {
+	struct cfg_endpoint cfg;
+	int centre;
+	uint32_t first; /* boundaries of its range; 0 and 1 if plain */
+	uint32_t end;
+	bool leaving;
+	struct pick_cache *cache; /* NULL until its first event */
+
+	uint32_t in_flight; /* attempts of this instance */
+	uint32_t others;    /* of other instances, by the last report */
+	bool reported;
+	double said; /* tokens a second by the last report */
+	int64_t report_us;
+
+	double limit;	       /* attempts at once, adapted */
+	int64_t full_until_us; /* after a refusal */
+	double hop_us;	       /* a token's time at this stage, recent mean */
+	double base_us;	       /* the same without a queue */
+	double chain_us;     /* a token's time over whole chains through here */
+	uint32_t samples;    /* hop times since the last adaptation */
+	int64_t progress_us; /* last sign of life */
+	double scale;	     /* of its rate, under 1 while it is degraded */
+
+	enum pick_health health;
+	int failed_in_row;
+	double fail_ratio;
+	uint32_t results;
+	int64_t retry_at_us;
+	int64_t backoff_us;
+};
+
+/* An endpoint that may take over a stream at one boundary. */
+struct pick_option {
+	int ep;
+	double weight; /* tokens a second of the flow */
+	double credit; /* smooth weighted round robin */
+};
+
+struct pick_node {
+	struct pick_option *options;
+	int count;
+};
+
+/* Where an endpoint hands on; weight and credit as above. */
+struct pick_exit {
+	int bound;
+	double weight;
+	double credit;
+};
+
+struct pick_member {
+	int ep;
+	struct pick_exit *exits;
+	int exit_count;
+};
+
+/* The endpoints of one service that one group of routes may use. */
+struct pick_net {
+	int service;
+	char group[MAG_NAME_MAX];
+	struct pick_member *members;
+	int count;
+	int *member_of; /* endpoint: index into members, -1 if none */
+	struct flow_net *flow;
+	struct pick_node *nodes; /* bounds x centres */
+	int node_count;
+	bool dirty;
+	bool urgent; /* an endpoint came or went: solve at once */
+	int64_t solved_us;
+	double value;
+};
+
+struct pick {
+	enum pick_policy policy;
+	uint64_t random;
+	struct cfg_service *services;
+	int service_count;
+	struct pick_ep *eps;
+	int ep_count;
+	char (*centres)[MAG_NAME_MAX];
+	int centre_count;
+	bool *joined; /* centres x centres */
+	struct pick_net *nets;
+	int net_count;
+	double *load; /* service: tokens a second delivered here */
+	uint64_t *load_tokens;
+	int *remap; /* endpoint of the former set: index in this one */
+	int remap_count;
+	int64_t tick_us; /* next regular tick */
+	int closed;	 /* endpoints ejected or probing */
+	uint32_t in_flight;
+};
+
+/* pick_plan.c */
+struct pick_net *pick_net_of(struct pick *pick, int service, const char *group);
+int pick_net_solve(struct pick *pick, struct pick_net *net, int64_t now);
+double pick_net_value(const struct pick *pick, const struct pick_net *net,
+		      int without);
+void pick_net_drop(struct pick_net *net);
+void pick_dirty(struct pick *pick, int service, bool urgent);
+double pick_rate(const struct pick_ep *ep);
+uint32_t pick_layers(const struct pick *pick, int service);
+
+/* pick_walk.c */
+int pick_walk(struct pick *pick, struct pick_net *net,
+	      const struct pick_want *want, int64_t now,
+	      struct pick_chain *chain);
+double pick_random(struct pick *pick);
+
+/* pick_seek.c */
+int pick_seek(struct pick *pick, struct pick_net *net,
+	      const struct pick_want *want, int64_t now,
+	      struct pick_chain *chain);
+
+int pick_probe(struct pick *pick, struct pick_net *net,
+	       const struct pick_want *want, int64_t now,
+	       struct pick_chain *chain);
+
+/* pick_health.c */
+bool pick_open(const struct pick_ep *ep, int64_t now);
+bool pick_has_room(const struct pick_ep *ep, int64_t now);
+double pick_load_of(const struct pick_ep *ep);
+void pick_health_ended(struct pick *pick, const struct pick_chain *chain,
+		       const struct pick_result *result, int64_t now);
+void pick_health_tick(struct pick *pick, int64_t now);
+
+/* pick_cache.c */
+bool pick_cache_holds(const struct pick_ep *ep, uint64_t prefix);
+
+/* pick_show.c */
+void pick_log_chain(const struct pick *pick, const struct pick_net *net,
+		    const struct pick_chain *chain, const char *why);
+
+#endif /* PICK_INT_H */
