--- /dev/null
+++ b/src/daemon.c
@@ -0,0 +1,262 @@
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <sodium.h>
+
+#include "admin.h"
+#include "clk.h"
+#include "daemon.h"
+#include "front.h"
+#include "log.h"
+#include "loop.h"
+#include "pf.h"
+#include "pf_async.h"
+#include "watch.h"
+
+#define DAEMON_KV_THREADS 4
+
+struct daemon {
+	struct set_settings settings;
+	uint64_t incarnation;
+	struct loop *loop;
+	struct front *front;
+	struct admin *admin;
+	struct pf *pf;
+	struct pf_async *async;
+	struct watch *watch;
+	pthread_mutex_t lock; /* of stopped */
+	pthread_cond_t wake;
+	bool stopped; /* the core has nothing left in progress */
+};
+
+static int open_platform(struct daemon *daemon);
+static int make_loop(struct daemon *daemon);
+static int make_ports(struct daemon *daemon);
+static int start_threads(struct daemon *daemon);
+static void release(struct daemon *daemon);
+static void on_action(void *ctx, struct core_action *action);
+static void on_kv_reply(void *ctx, const struct kv_reply *reply);
+static void on_stopped(struct daemon *daemon);
+static void wait_stopped(struct daemon *daemon);
+
+/*
+ * Starts all parts of a router.  Returns 0 and the daemon, or a negative
+ * enum daemon_err with nothing left running.
+ */
+int daemon_start(const struct set_settings *settings, struct daemon **out)
+{
+	struct daemon *daemon = calloc(1, sizeof(*daemon));
+	int rc;
+
+	if (!daemon)
+		return DAEMON_E_MEMORY;
+	daemon->settings = *settings;
+	randombytes_buf(&daemon->incarnation, sizeof(daemon->incarnation));
+	pthread_mutex_init(&daemon->lock, NULL);
+	pthread_cond_init(&daemon->wake, NULL);
+	rc = open_platform(daemon);
+	if (!rc)
+		rc = make_loop(daemon);
+	if (!rc)
+		rc = make_ports(daemon);
+	if (!rc)
+		rc = start_threads(daemon);
+	if (rc) {
+		release(daemon);
+		return rc;
+	}
+	*out = daemon;
+	log_event(LOG_STARTED, "instance=%s data_centre=%s listen=%s admin=%s",
+		  settings->instance, settings->data_centre, settings->listen,
+		  settings->admin);
+	return DAEMON_OK;
+}
+
+/*
+ * Stops without cutting a request off: the health check fails first, so that
+ * the balancer sends elsewhere; after its notice new requests are refused;
+ * what runs ends; then the process may exit.
+ */
+void daemon_stop(struct daemon *daemon)
+{
+	struct core_event event = { .type = CORE_EV_STOP };
+
+	log_event(LOG_STOPPING, "open=%u notice_ms=%u",
+		  front_open_requests(daemon->front),
+		  daemon->settings.shutdown_notice_ms);
+	admin_set_stopping(daemon->admin);
+	usleep(daemon->settings.shutdown_notice_ms * 1000);
+	front_refuse_new(daemon->front);
+	loop_post(daemon->loop, &event);
+	wait_stopped(daemon);
+	release(daemon);
+	log_event(LOG_STOPPED, "open=0");
+}
+
+/* Returns what went wrong at start, for the operator. */
+const char *daemon_strerror(int err)
+{
+	switch (err) {
+	case DAEMON_E_LISTEN:
+		return "cannot listen at the configured address";
+	case DAEMON_E_THREAD:
+		return "cannot start a thread";
+	default:
+		return "memory is short";
+	}
+}
+
+static int open_platform(struct daemon *daemon)
+{
+	const struct set_addresses *from = &daemon->settings.platform;
+	const char *addresses[SET_PEERS_MAX];
+	size_t i;
+
+	for (i = 0; i < from->count; i++)
+		addresses[i] = from->list[i];
+	daemon->pf = pf_open(addresses, from->count);
+	if (!daemon->pf)
+		return DAEMON_E_MEMORY;
+	pf_set_seed(daemon->pf, daemon->incarnation);
+	pf_set_budget(daemon->pf, daemon->settings.kv_calls_per_s,
+		      daemon->settings.kv_calls_per_s);
+	return DAEMON_OK;
+}
+
+static int make_loop(struct daemon *daemon)
+{
+	const struct set_settings *from = &daemon->settings;
+	struct core_settings settings = {
+		.incarnation = daemon->incarnation,
+		.seed = from->seed ? from->seed : daemon->incarnation,
+		.policy = PICK_FLOW,
+		.progress_timeout_us =
+			from->progress_timeout_ms * MAG_US_PER_MS,
+		.first_timeout_us =
+			from->first_token_timeout_ms * MAG_US_PER_MS,
+		.kv_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS,
+		.ledger = {
+			.incarnation = daemon->incarnation,
+			.shards = from->ledger_shards,
+			.segment_bytes = from->ledger_segment_bytes,
+			.call_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS,
+			.batch_max = from->ledger_batch_max,
+		},
+	};
+
+	memcpy(settings.cluster, from->cluster, sizeof(settings.cluster));
+	memcpy(settings.instance, from->instance, sizeof(settings.instance));
+	memcpy(settings.data_centre, from->data_centre,
+	       sizeof(settings.data_centre));
+	memcpy(settings.ledger.instance, from->instance,
+	       sizeof(settings.ledger.instance));
+	daemon->loop = loop_new(&settings, on_action, daemon);
+	return daemon->loop ? DAEMON_OK : DAEMON_E_MEMORY;
+}
+
+static int make_ports(struct daemon *daemon)
+{
+	const struct set_settings *from = &daemon->settings;
+	struct front_settings front = {
+		.threads = from->threads,
+		.body_max = from->body_max_bytes,
+		.incarnation = daemon->incarnation,
+	};
+	struct admin_settings admin = { 0 };
+
+	memcpy(front.listen, from->listen, sizeof(front.listen));
+	memcpy(front.instance, from->instance, sizeof(front.instance));
+	memcpy(admin.listen, from->admin, sizeof(admin.listen));
+	memcpy(admin.cluster, from->cluster, sizeof(admin.cluster));
+	memcpy(admin.instance, from->instance, sizeof(admin.instance));
+	memcpy(admin.data_centre, from->data_centre, sizeof(admin.data_centre));
+	daemon->front = front_new(&front);
+	if (!daemon->front)
+		return DAEMON_E_MEMORY;
+	daemon->admin = admin_new(&admin, daemon->loop, daemon->front);
+	return daemon->admin ? DAEMON_OK : DAEMON_E_MEMORY;
+}
+
+/* The ports open last: a caller must find all parts at work. */
+static int start_threads(struct daemon *daemon)
+{
+	struct kv_backend backend = pf_backend(daemon->pf);
+	struct watch_settings watch = {
+		.call_timeout_us =
+			daemon->settings.kv_timeout_ms * MAG_US_PER_MS,
+		.seed = daemon->incarnation,
+	};
+
+	daemon->async = pf_async_start(&backend, DAEMON_KV_THREADS, on_kv_reply,
+				       daemon);
+	if (!daemon->async || loop_start(daemon->loop))
+		return DAEMON_E_THREAD;
+	daemon->watch =
+		watch_start(&watch, &backend, daemon->loop, daemon->front);
+	if (!daemon->watch)
+		return DAEMON_E_THREAD;
+	if (front_start(daemon->front, daemon->loop) ||
+	    admin_start(daemon->admin))
+		return DAEMON_E_LISTEN;
+	return DAEMON_OK;
+}
+
+/* Frees all that was started, in the order that nothing calls what is gone. */
+static void release(struct daemon *daemon)
+{
+	if (daemon->pf)
+		pf_interrupt(daemon->pf);
+	watch_stop(daemon->watch);
+	front_free(daemon->front);
+	admin_free(daemon->admin);
+	if (daemon->async)
+		pf_async_stop(daemon->async);
+	loop_free(daemon->loop);
+	if (daemon->pf)
+		pf_close(daemon->pf);
+	pthread_cond_destroy(&daemon->wake);
+	pthread_mutex_destroy(&daemon->lock);
+	free(daemon);
+}
+
+/* Carries an action of the core out; runs on the loop's thread. */
+static void on_action(void *ctx, struct core_action *action)
+{
+	struct daemon *daemon = ctx;
+
+	if (action->type == CORE_ACT_KV)
+		pf_async_post(daemon->async, &action->kv);
+	else if (action->type == CORE_ACT_STOPPED)
+		on_stopped(daemon);
+	else
+		front_deliver(daemon->front, action);
+}
+
+/* Hands a reply of the platform's service to the core. */
+static void on_kv_reply(void *ctx, const struct kv_reply *reply)
+{
+	struct daemon *daemon = ctx;
+	struct core_event event = { .type = CORE_EV_KV_REPLY };
+
+	event.kv = *reply;
+	loop_post(daemon->loop, &event);
+}
+
+static void on_stopped(struct daemon *daemon)
+{
+	pthread_mutex_lock(&daemon->lock);
+	daemon->stopped = true;
+	pthread_cond_signal(&daemon->wake);
+	pthread_mutex_unlock(&daemon->lock);
+}
+
+static void wait_stopped(struct daemon *daemon)
+{
+	pthread_mutex_lock(&daemon->lock);
+	while (!daemon->stopped)
+		pthread_cond_wait(&daemon->wake, &daemon->lock);
+	pthread_mutex_unlock(&daemon->lock);
+}
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -43,6 +43,7 @@
 	LOG_EVENT(LOG_STARTED, 8001, "started", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_STOPPING, 8002, "stopping", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_STOPPED, 8003, "stopped", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_START_FAILED, 8004, "start-failed", LOG_PRIO_ERR) \
 	\
 	/* 9000 pf: the platform's service */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -22,6 +22,7 @@
 		.avoid = req->avoid,
 		.avoid_count = req->avoid_count,
 		.alone = req->alone,
+		.careful = !req->idempotent,
 		.prefix = req->arrival.prefix,
 		.prompt_tokens = req->arrival.prompt_tokens,
 	};
--- /dev/null
+++ b/src/watch.c
@@ -0,0 +1,312 @@
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <jansson.h>
+
+#include "clk.h"
+#include "pub.h"
+#include "watch.h"
+
+#define WATCH_WAIT_US	     (20 * MAG_US_PER_S) /* one waiting watch */
+#define WATCH_LIST_PERIOD_US MAG_US_PER_S
+#define WATCH_BACKOFF_MIN_US (200 * MAG_US_PER_MS)
+#define WATCH_BACKOFF_MAX_US (2 * MAG_US_PER_S)
+#define WATCH_STALE_US	     (5 * MAG_US_PER_S) /* age of a report without one */
+
+struct watch {
+	struct watch_settings settings;
+	struct kv_backend backend;
+	struct loop *loop;
+	struct front *front;
+	pthread_t config_thread;
+	pthread_t list_thread;
+	pthread_mutex_t lock; /* of stopping */
+	pthread_cond_t wake;
+	bool stopping;
+	unsigned int seed;
+	atomic_uint_fast64_t revision;
+	json_t *leaving; /* names of endpoints listed as leaving */
+};
+
+static void *config_main(void *arg);
+static void *list_main(void *arg);
+static bool stopping(struct watch *watch);
+static void sleep_until(struct watch *watch, int64_t deadline_us);
+static int take_config(struct watch *watch, struct pub *pub);
+static void take_loads(struct watch *watch);
+static void take_load(struct watch *watch, const json_t *load);
+static void take_instances(struct watch *watch);
+static json_t *fetch(struct watch *watch, enum kv_op op, const char *field);
+static json_t *leaving_names(json_t *instances);
+static void post_leaving(struct watch *watch, const json_t *names,
+			 const json_t *others, bool leaving);
+
+/* Starts the threads that follow the platform; NULL if that fails. */
+struct watch *watch_start(const struct watch_settings *settings,
+			  const struct kv_backend *backend, struct loop *loop,
+			  struct front *front)
+{
+	struct watch *watch = calloc(1, sizeof(*watch));
+	pthread_condattr_t attr;
+
+	if (!watch)
+		return NULL;
+	watch->settings = *settings;
+	watch->seed = (unsigned int)settings->seed;
+	watch->backend = *backend;
+	watch->loop = loop;
+	watch->front = front;
+	watch->leaving = json_object();
+	pthread_mutex_init(&watch->lock, NULL);
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&watch->wake, &attr);
+	pthread_condattr_destroy(&attr);
+	if (pthread_create(&watch->config_thread, NULL, config_main, watch))
+		abort();
+	if (pthread_create(&watch->list_thread, NULL, list_main, watch))
+		abort();
+	return watch;
+}
+
+/* Ends the threads; calls that wait must have been interrupted before. */
+void watch_stop(struct watch *watch)
+{
+	if (!watch)
+		return;
+	pthread_mutex_lock(&watch->lock);
+	watch->stopping = true;
+	pthread_cond_broadcast(&watch->wake);
+	pthread_mutex_unlock(&watch->lock);
+	pthread_join(watch->config_thread, NULL);
+	pthread_join(watch->list_thread, NULL);
+	pthread_cond_destroy(&watch->wake);
+	pthread_mutex_destroy(&watch->lock);
+	json_decref(watch->leaving);
+	free(watch);
+}
+
+/*
+ * Puts a configuration in force here, unless one as new already is.  The
+ * core and the callers' threads each get a copy of their own.  Returns 0, or
+ * -1 if the text is no valid set.
+ */
+int watch_offer(struct watch *watch, const char *text, uint64_t revision)
+{
+	struct core_event event = { .type = CORE_EV_CONFIG };
+	struct cfg_faults *faults = NULL;
+	struct cfg_set *sets[2] = { NULL, NULL };
+	int rc;
+
+	rc = cfg_parse(text, strlen(text), &sets[0], &faults);
+	cfg_faults_free(faults);
+	if (rc)
+		return -1;
+	rc = cfg_parse(text, strlen(text), &sets[1], &faults);
+	cfg_faults_free(faults);
+	if (rc) {
+		cfg_free(sets[0]);
+		return -1;
+	}
+	sets[0]->revision = revision;
+	sets[1]->revision = revision;
+	atomic_store(&watch->revision, revision);
+	front_set_config(watch->front, sets[0]);
+	event.config = sets[1];
+	return loop_post(watch->loop, &event);
+}
+
+/* Reads the head, then waits for the next one, for ever. */
+static void *config_main(void *arg)
+{
+	struct watch *watch = arg;
+	struct pub *pub = pub_new(watch->backend);
+	int64_t backoff_us = WATCH_BACKOFF_MIN_US;
+	int rc;
+
+	while (pub && !stopping(watch)) {
+		rc = take_config(watch, pub);
+		if (rc == PUB_OK)
+			rc = pub_watch(pub, clk_now_us() + WATCH_WAIT_US);
+		if (rc == PUB_OK) {
+			backoff_us = WATCH_BACKOFF_MIN_US;
+			continue;
+		}
+		/* All instances come back at once after an outage; the
+		 * jitter spreads their calls over the service's rate. */
+		sleep_until(watch, clk_now_us() + backoff_us / 2 +
+					   rand_r(&watch->seed) % backoff_us);
+		backoff_us *= 2;
+		if (backoff_us > WATCH_BACKOFF_MAX_US)
+			backoff_us = WATCH_BACKOFF_MAX_US;
+	}
+	pub_free(pub);
+	return NULL;
+}
+
+/* Follows the lists of instances and loads, which lag anyway. */
+static void *list_main(void *arg)
+{
+	struct watch *watch = arg;
+
+	while (!stopping(watch)) {
+		take_instances(watch);
+		take_loads(watch);
+		sleep_until(watch, clk_now_us() + WATCH_LIST_PERIOD_US);
+	}
+	return NULL;
+}
+
+static bool stopping(struct watch *watch)
+{
+	bool value;
+
+	pthread_mutex_lock(&watch->lock);
+	value = watch->stopping;
+	pthread_mutex_unlock(&watch->lock);
+	return value;
+}
+
+static void sleep_until(struct watch *watch, int64_t deadline_us)
+{
+	struct timespec until = {
+		.tv_sec = deadline_us / MAG_US_PER_S,
+		.tv_nsec = deadline_us % MAG_US_PER_S * 1000,
+	};
+
+	pthread_mutex_lock(&watch->lock);
+	if (!watch->stopping)
+		pthread_cond_timedwait(&watch->wake, &watch->lock, &until);
+	pthread_mutex_unlock(&watch->lock);
+}
+
+/* Reads the head and puts it in force if it is newer than what is. */
+static int take_config(struct watch *watch, struct pub *pub)
+{
+	uint64_t revision = 0;
+	char *text = NULL;
+	int rc;
+
+	rc = pub_read(pub, clk_now_us() + watch->settings.call_timeout_us,
+		      &text, &revision);
+	if (rc == PUB_E_ABSENT)
+		return PUB_OK;
+	if (rc == PUB_OK &&
+	    pub_accept(atomic_load(&watch->revision), revision) &&
+	    watch_offer(watch, text, revision))
+		rc = PUB_E_DAMAGED;
+	free(text);
+	return rc;
+}
+
+static void take_loads(struct watch *watch)
+{
+	json_t *loads = fetch(watch, KV_LOADS, "loads");
+	json_t *load;
+	size_t i;
+
+	json_array_foreach (loads, i, load) {
+		take_load(watch, load);
+	}
+	json_decref(loads);
+}
+
+static void take_load(struct watch *watch, const json_t *load)
+{
+	struct core_event event = { .type = CORE_EV_LOAD };
+	const char *name = json_string_value(json_object_get(load, "endpoint"));
+	const json_t *age = json_object_get(load, "age_ms");
+	int64_t age_us = WATCH_STALE_US;
+
+	if (json_is_integer(age))
+		age_us = json_integer_value(age) * MAG_US_PER_MS;
+	if (!name || mag_copy_name(event.load.endpoint,
+				   sizeof(event.load.endpoint), name))
+		return;
+	event.load.report.tokens_per_s = (uint32_t)json_integer_value(
+		json_object_get(load, "tokens_per_s"));
+	event.load.report.running =
+		(uint32_t)json_integer_value(json_object_get(load, "running"));
+	event.load.report.taken_at_us = clk_now_us() - age_us;
+	loop_post(watch->loop, &event);
+}
+
+/* Posts what changed since the last list. */
+static void take_instances(struct watch *watch)
+{
+	json_t *instances = fetch(watch, KV_INSTANCES, "instances");
+	json_t *names;
+
+	if (!instances)
+		return;
+	names = leaving_names(instances);
+	post_leaving(watch, names, watch->leaving, true);
+	post_leaving(watch, watch->leaving, names, false);
+	json_decref(watch->leaving);
+	watch->leaving = names;
+	json_decref(instances);
+}
+
+/* Gets one list of the platform; NULL if there is none now. */
+static json_t *fetch(struct watch *watch, enum kv_op op, const char *field)
+{
+	struct kv_call call = {
+		.op = op,
+		.deadline_us = clk_now_us() + watch->settings.call_timeout_us,
+	};
+	struct kv_reply reply = { .status = KV_UNSENT };
+	json_t *root;
+	json_t *list;
+
+	watch->backend.call(watch->backend.ctx, &call, &reply);
+	root = reply.status == KV_OK
+		       ? json_loadb(reply.value, reply.len, 0, NULL)
+		       : NULL;
+	free(reply.value);
+	list = json_incref(json_object_get(root, field));
+	json_decref(root);
+	if (list && !json_is_array(list)) {
+		json_decref(list);
+		return NULL;
+	}
+	return list;
+}
+
+static json_t *leaving_names(json_t *instances)
+{
+	json_t *names = json_object();
+	json_t *instance;
+	size_t i;
+
+	json_array_foreach (instances, i, instance) {
+		const char *name =
+			json_string_value(json_object_get(instance, "name"));
+		const char *state =
+			json_string_value(json_object_get(instance, "state"));
+
+		if (name && state && strcmp(state, "leaving") == 0)
+			json_object_set_new(names, name, json_true());
+	}
+	return names;
+}
+
+/* Posts each name that is in names and not in others. */
+static void post_leaving(struct watch *watch, const json_t *names,
+			 const json_t *others, bool leaving)
+{
+	struct core_event event = { .type = CORE_EV_LEAVING };
+	const char *name;
+	json_t *value;
+
+	event.leaving.leaving = leaving;
+	json_object_foreach ((json_t *)names, name, value) {
+		if (json_object_get(others, name))
+			continue;
+		if (mag_copy_name(event.leaving.endpoint,
+				  sizeof(event.leaving.endpoint), name) == 0)
+			loop_post(watch->loop, &event);
+	}
+}
--- /dev/null
+++ b/src/watch.h
@@ -0,0 +1,23 @@
+#ifndef WATCH_H
+#define WATCH_H
+
+/* Takes up each accepted configuration, and what the platform lists. */
+
+#include "front.h"
+#include "kv.h"
+#include "loop.h"
+
+struct watch;
+
+struct watch_settings {
+	int64_t call_timeout_us;
+	uint64_t seed;
+};
+
+struct watch *watch_start(const struct watch_settings *settings,
+			  const struct kv_backend *backend, struct loop *loop,
+			  struct front *front);
+int watch_offer(struct watch *watch, const char *text, uint64_t revision);
+void watch_stop(struct watch *watch);
+
+#endif /* WATCH_H */
