Admit by deficit round robin, with limits, budgets, quarantine and shares

Cause: callers that ask for more than there is must get their share, hear a refusal at once when they can't be in time, and must not multiply an overload by repeats; a request that crashes endpoints must be held. Change: src/adm*.c, src/quar.c, src/shr.c. adm.h has adm_verdict_name, and ADM_TOO_LATE judges the expected end of the answer, not only its start.

--- /dev/null
+++ b/regress/check_quar.c
@@ -0,0 +1,90 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "quar.h"
+#include "script.h"
+
+#define TEXT_MAX 128
+
+static FILE *script_out;
+
+/* Log lines are part of the output. */
+static void log_line(void *ctx, enum log_prio prio, const char *line)
+{
+	(void)ctx;
+	(void)prio;
+	fprintf(script_out, "  log %s\n", line);
+}
+
+/* Makes a fingerprint from a letter. */
+static const uint8_t *print_of(char letter)
+{
+	static uint8_t print[MAG_DIGEST_BYTES];
+
+	memset(print, letter, sizeof(print));
+	return print;
+}
+
+/* Prints how a fingerprint stands. */
+static void check(const struct quar *quar, char letter, int64_t now)
+{
+	static const char *const states[] = {
+		[QUAR_CLEAR] = "clear",
+		[QUAR_SUSPECT] = "suspect",
+		[QUAR_QUARANTINED] = "quarantined",
+	};
+
+	fprintf(script_out, "%c is %s\n", letter,
+		states[quar_check(quar, print_of(letter), now)]);
+}
+
+/* Prints what the other instances are told. */
+static void news(struct quar *quar)
+{
+	uint8_t print[MAG_DIGEST_BYTES];
+	int64_t until;
+	uint32_t lost;
+
+	while (quar_next_news(quar, print, &lost, &until))
+		fprintf(script_out, "news: %c lost %u until %d ms\n", print[0],
+			lost, (int)(until / MAG_US_PER_MS));
+}
+
+/* Runs one script; see regress/quar. */
+static void driver(FILE *in, FILE *out)
+{
+	struct quar *quar = quar_new(3, 60 * MAG_US_PER_S);
+	char line[TEXT_MAX];
+	int64_t now = 0;
+	char letter;
+	int a;
+	int b;
+
+	script_out = out;
+	log_set_sink(log_line, NULL);
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] == '#')
+			fputs(line, out);
+		else if (sscanf(line, "at %d", &a) == 1)
+			now = a * MAG_US_PER_MS;
+		else if (sscanf(line, "check %c", &letter) == 1)
+			check(quar, letter, now);
+		else if (sscanf(line, "lost %c %d %d", &letter, &a, &b) == 3)
+			quar_lost_endpoint(quar, print_of(letter), a, b, now);
+		else if (sscanf(line, "well %c", &letter) == 1)
+			quar_ended_well(quar, print_of(letter), now);
+		else if (sscanf(line, "learn %c %d %d", &letter, &a, &b) == 3)
+			quar_learn(quar, print_of(letter), (uint32_t)a,
+				   b * MAG_US_PER_MS, now);
+		else if (strcmp(line, "news\n") == 0)
+			news(quar);
+	}
+	quar_free(quar);
+}
+
+/* Runs all scripts. */
+int main(void)
+{
+	return script_main("regress/quar", driver);
+}
--- a/src/adm.h
+++ b/src/adm.h
@@ -18,7 +18,7 @@
 enum adm_verdict {
 	ADM_QUEUED,
 	ADM_QUEUE_FULL, /* 503 */
-	ADM_TOO_LATE,	/* 503: its start would lie past its deadline */
+	ADM_TOO_LATE,	/* 503: its answer would come past its deadline */
 	ADM_OVER_LIMIT, /* 429: a limit object */
 	ADM_OVER_SHARE, /* 429: the account is far over its share */
 };
@@ -32,6 +32,7 @@
 	uint32_t priority;
 };
 
+const char *adm_verdict_name(enum adm_verdict verdict);
 struct adm *adm_new(uint64_t seed, bool budgets);
 void adm_free(struct adm *adm);
 int adm_config(struct adm *adm, const struct cfg_set *set, int64_t now);
--- /dev/null
+++ b/src/adm_queue.c
@@ -0,0 +1,271 @@
+#include <stdlib.h>
+
+#include "adm_int.h"
+
+/* Tokens that an account of weight 1 may start each time it comes round. */
+#define ADM_QUANTUM 64
+/* Requests of one queue that may be passed over in a round. */
+#define ADM_PASS_MAX  4
+#define ADM_HEAP_ROOM 256
+
+static struct adm_request *adm_candidate(const struct adm_queue *queue);
+static struct adm_request *adm_turn(struct adm *adm,
+				    struct adm_service *service);
+static void adm_round_ends(struct adm_service *service);
+static void adm_insert(struct adm_queue *queue, struct adm_request *request);
+static bool adm_before(const struct adm_request *a,
+		       const struct adm_request *b);
+static void adm_heap_put(struct adm *adm, struct adm_request *request, int at);
+static void adm_heap_up(struct adm *adm, int at);
+static void adm_heap_down(struct adm *adm, int at);
+static void adm_heap_remove(struct adm *adm, struct adm_request *request);
+
+/*
+ * Names the request whose turn it is at a service; false if none waits or
+ * all were passed over, which ends the round.  It stays the same until
+ * adm_start, adm_skip or adm_drop.
+ */
+bool adm_peek(struct adm *adm, int service, uint64_t *req)
+{
+	struct adm_service *s;
+
+	if (service < 0 || service >= adm->service_count)
+		return false;
+	s = &adm->services[service];
+	if (!s->peeked)
+		s->peeked = adm_turn(adm, s);
+	if (!s->peeked) {
+		adm_round_ends(s);
+		return false;
+	}
+	*req = s->peeked->id;
+	return true;
+}
+
+/*
+ * Passes over the request that adm_peek named, as no endpoint can take it
+ * now.  It keeps its place, and adm_peek names another one for the rest of
+ * this round.
+ */
+void adm_skip(struct adm *adm, int service)
+{
+	struct adm_service *s = &adm->services[service];
+
+	if (!s->peeked)
+		return;
+	adm_queue_at(adm, service, s->peeked->account)->passed++;
+	s->peeked = NULL;
+}
+
+/*
+ * Names a request that waited too long to be answered by its deadline; the
+ * caller answers and drops it.  Returns false if there is none.
+ */
+bool adm_next_expired(struct adm *adm, int64_t now, uint64_t *req)
+{
+	if (adm->heap_count == 0 || adm->heap[0]->give_up_us > now)
+		return false;
+	*req = adm->heap[0]->id;
+	return true;
+}
+
+/* Returns when the next waiting request expires, MAG_NEVER if none waits. */
+int64_t adm_next_deadline(const struct adm *adm)
+{
+	return adm->heap_count ? adm->heap[0]->give_up_us : MAG_NEVER;
+}
+
+/* Puts a request into its account's queue; the heap has room for it. */
+void adm_enqueue(struct adm *adm, struct adm_request *request)
+{
+	struct adm_service *service;
+	struct adm_queue *queue;
+
+	adm_heap_put(adm, request, adm->heap_count++);
+	adm_heap_up(adm, request->heap_at);
+	if (request->service < 0)
+		return;
+	service = &adm->services[request->service];
+	queue = adm_queue_at(adm, request->service, request->account);
+	if (queue->count == 0)
+		cds_list_add_tail(&queue->active, &service->active);
+	adm_insert(queue, request);
+	queue->count++;
+	queue->tokens += request->cost;
+	service->waiting++;
+	service->tokens += request->cost;
+}
+
+/* Takes a request out of its queue. */
+void adm_dequeue(struct adm *adm, struct adm_request *request)
+{
+	struct adm_service *service;
+	struct adm_queue *queue;
+
+	adm_heap_remove(adm, request);
+	if (request->service < 0)
+		return;
+	service = &adm->services[request->service];
+	queue = adm_queue_at(adm, request->service, request->account);
+	if (service->peeked == request)
+		service->peeked = NULL;
+	cds_list_del(&request->in_queue);
+	queue->count--;
+	queue->tokens -= request->cost;
+	service->waiting--;
+	service->tokens -= request->cost;
+	if (queue->count > 0)
+		return;
+	queue->passed = 0;
+	cds_list_del(&queue->active);
+}
+
+/* Makes room in the heap for one request more. */
+int adm_heap_reserve(struct adm *adm)
+{
+	int room = adm->heap_room ? 2 * adm->heap_room : ADM_HEAP_ROOM;
+	struct adm_request **heap;
+
+	if (adm->heap_count < adm->heap_room)
+		return 0;
+	heap = realloc(adm->heap, (size_t)room * sizeof(struct adm_request *));
+	if (!heap)
+		return -1;
+	adm->heap = heap;
+	adm->heap_room = room;
+	return 0;
+}
+
+/* Returns the first request of a queue that was not passed over, or NULL. */
+static struct adm_request *adm_candidate(const struct adm_queue *queue)
+{
+	struct adm_request *request;
+	uint32_t at = 0;
+
+	if (queue->passed >= ADM_PASS_MAX)
+		return NULL;
+	cds_list_for_each_entry (request, &queue->waiting, in_queue) {
+		if (at++ == queue->passed)
+			return request;
+	}
+	return NULL;
+}
+
+/*
+ * Deficit round robin: the queue at the head starts requests while its
+ * deficit covers them, then earns a quantum by weight and goes to the tail.
+ * A queue whose requests were all passed over earns nothing.
+ */
+static struct adm_request *adm_turn(struct adm *adm,
+				    struct adm_service *service)
+{
+	struct adm_queue *first_passed = NULL;
+
+	while (!cds_list_empty(&service->active)) {
+		struct adm_queue *queue = cds_list_first_entry(
+			&service->active, struct adm_queue, active);
+		struct adm_request *request = adm_candidate(queue);
+
+		if (request && queue->deficit >= request->cost)
+			return request;
+		if (!request && queue == first_passed)
+			return NULL;
+		if (request) {
+			first_passed = NULL;
+			queue->deficit += ADM_QUANTUM *
+					  adm->accounts[queue->account].weight;
+		} else if (!first_passed) {
+			first_passed = queue;
+		}
+		cds_list_del(&queue->active);
+		cds_list_add_tail(&queue->active, &service->active);
+	}
+	return NULL;
+}
+
+/* Forgets who was passed over. */
+static void adm_round_ends(struct adm_service *service)
+{
+	struct adm_queue *queue;
+
+	cds_list_for_each_entry (queue, &service->active, active)
+		queue->passed = 0;
+}
+
+/* Inserts by priority, those of one priority in the order of arrival. */
+static void adm_insert(struct adm_queue *queue, struct adm_request *request)
+{
+	struct cds_list_head *at = queue->waiting.prev;
+
+	while (at != &queue->waiting &&
+	       adm_before(request,
+			  cds_list_entry(at, struct adm_request, in_queue)))
+		at = at->prev;
+	cds_list_add(&request->in_queue, at);
+}
+
+/* Tells whether a request starts before another one of its account. */
+static bool adm_before(const struct adm_request *a, const struct adm_request *b)
+{
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	return (int32_t)(a->seq - b->seq) < 0;
+}
+
+/* Stores a request at a place of the heap. */
+static void adm_heap_put(struct adm *adm, struct adm_request *request, int at)
+{
+	adm->heap[at] = request;
+	request->heap_at = at;
+}
+
+/* Moves a request towards the root while it expires before its parent. */
+static void adm_heap_up(struct adm *adm, int at)
+{
+	struct adm_request *request = adm->heap[at];
+
+	while (at > 0) {
+		int parent = (at - 1) / 2;
+
+		if (adm->heap[parent]->give_up_us <= request->give_up_us)
+			break;
+		adm_heap_put(adm, adm->heap[parent], at);
+		at = parent;
+	}
+	adm_heap_put(adm, request, at);
+}
+
+/* Moves a request towards the leaves while a child expires before it. */
+static void adm_heap_down(struct adm *adm, int at)
+{
+	struct adm_request *request = adm->heap[at];
+
+	for (;;) {
+		int child = 2 * at + 1;
+
+		if (child >= adm->heap_count)
+			break;
+		if (child + 1 < adm->heap_count &&
+		    adm->heap[child + 1]->give_up_us <
+			    adm->heap[child]->give_up_us)
+			child++;
+		if (request->give_up_us <= adm->heap[child]->give_up_us)
+			break;
+		adm_heap_put(adm, adm->heap[child], at);
+		at = child;
+	}
+	adm_heap_put(adm, request, at);
+}
+
+/* Takes a request out of the heap. */
+static void adm_heap_remove(struct adm *adm, struct adm_request *request)
+{
+	struct adm_request *last = adm->heap[--adm->heap_count];
+	int at = request->heap_at;
+
+	if (last == request)
+		return;
+	adm_heap_put(adm, last, at);
+	adm_heap_down(adm, at);
+	adm_heap_up(adm, last->heap_at);
+}
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -29,7 +29,10 @@
 	LOG_EVENT(LOG_PICK_RETURNED, 4003, "endpoint-returned", LOG_PRIO_NOTICE) \
 	\
 	/* 5000 adm, quar: admission, limits, quarantine */ \
-	\
+	LOG_EVENT(LOG_ADM_REFUSED, 5001, "admission-refused", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_QUAR_SUSPECT, 5101, "request-suspected", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_QUAR_HELD, 5102, "request-quarantined", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_QUAR_CLEARED, 5103, "request-cleared", LOG_PRIO_NOTICE) \
 	\
 	/* 6000 peer, lim, rpc: membership and what spreads over it */ \
 	\
--- /dev/null
+++ b/src/shr.h
@@ -0,0 +1,45 @@
+#ifndef SHR_H
+#define SHR_H
+
+/*
+ * Shares: what each client account asked of each service and what its work
+ * cost each endpoint, so that an endpoint's owner sees whose callers loaded
+ * it.  One thread owns a table.
+ */
+
+#include <stdint.h>
+#include <stdio.h>
+
+#include "cfg.h"
+#include "pick.h"
+
+#define SHR_CELLS_MAX 4096 /* what is beyond is counted under "other" */
+
+struct shr;
+
+enum shr_err {
+	SHR_OK = 0,
+	SHR_E_MEMORY = -1,
+};
+
+/* Counted by account and service. */
+enum shr_count {
+	SHR_OFFERED,
+	SHR_ADMITTED,
+	SHR_REFUSED,
+	SHR_RETRIED,
+	SHR_COUNT
+};
+
+struct shr *shr_new(void);
+void shr_free(struct shr *shr);
+int shr_config(struct shr *shr, const struct cfg_set *set);
+void shr_add(struct shr *shr, int account, int service, enum shr_count what);
+void shr_retried_at(struct shr *shr, int account, int service, int endpoint);
+void shr_ran(struct shr *shr, int account, int service,
+	     const struct pick_chain *chain, uint32_t tokens,
+	     const uint32_t *hop_us);
+void shr_write_json(const struct shr *shr, FILE *out);
+void shr_write_metrics(const struct shr *shr, FILE *out);
+
+#endif /* SHR_H */
