--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,95 @@
+#ifndef PEER_H
+#define PEER_H
+
+/*
+ * Membership between the instances.  The platform's list, which lags, only
+ * seeds it; heartbeats decide who is up.  Within a data centre every instance
+ * sends to every other; between data centres the bridge instances of one rail
+ * send to each other.  Deterministic: time is passed in.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "mag.h"
+
+#define PEER_VERSION	  1
+#define PEER_RAILS	  2    /* bridge instances of a data centre */
+#define PEER_NEWS_MAX	  8    /* records in one message */
+#define PEER_DEMANDS_MAX  32   /* demand entries in one message */
+#define PEER_TABLE_MAX	  4096 /* instances that a table may hold */
+#define PEER_BYTES_FIXED  76   /* a message without lists, as encoded */
+#define PEER_BYTES_RPC	  68   /* IP, UDP and RPC headers before it */
+#define PEER_BYTES_DEMAND 8    /* one demand entry, as encoded */
+
+struct peer;
+
+enum peer_err {
+	PEER_OK = 0,
+	PEER_E_CLUSTER = -1, /* another cluster's message */
+	PEER_E_VERSION = -2,
+	PEER_E_FORM = -3, /* a field out of its bounds */
+	PEER_E_OLD = -4,  /* an earlier incarnation, or an earlier message */
+	PEER_E_STRANGER = -5, /* unknown sender that doesn't introduce itself */
+	PEER_E_FULL = -6,
+	PEER_E_SELF = -7, /* this instance's own name */
+	PEER_E_MEMORY = -8,
+};
+
+enum peer_flag {
+	PEER_F_RAIL0 = 1,    /* the sender is the bridge of rail 0 */
+	PEER_F_RAIL1 = 2,    /* ... of rail 1 */
+	PEER_F_GAP = 4,	     /* a message of the receiver was lost */
+	PEER_F_STOPPING = 8, /* the sender stops: count it out at once */
+	PEER_F_INTRO = 16,   /* name, data centre and address are present */
+};
+
+enum peer_record_kind {
+	PEER_REC_LEAVING,    /* an endpoint leaves, or no longer leaves */
+	PEER_REC_QUARANTINE, /* a fingerprint is refused for a while */
+	PEER_REC_COUNT
+};
+
+/* What spreads to every instance. */
+struct peer_record {
+	enum peer_record_kind kind;
+	char endpoint[MAG_NAME_MAX];	 /* PEER_REC_LEAVING */
+	uint8_t print[MAG_DIGEST_BYTES]; /* PEER_REC_QUARANTINE */
+	bool leaving;
+	uint32_t version;      /* PEER_REC_LEAVING: the higher one holds */
+	uint32_t lost;	       /* PEER_REC_QUARANTINE: endpoints lost */
+	uint32_t remaining_ms; /* PEER_REC_QUARANTINE: until it ends */
+};
+
+struct peer_demand {
+	uint32_t limit; /* hash of the limit's name */
+	float demand;
+};
+
+/* One heartbeat; src/magnolia.x holds its encoding. */
+struct peer_msg {
+	uint32_t version;
+	uint32_t cluster; /* hash of the cluster's name */
+	uint64_t from;	  /* hash of the sender's name */
+	uint64_t incarnation;
+	uint32_t seq;
+	uint32_t flags;
+	uint32_t next_ms;  /* the sender's next message comes within this */
+	uint32_t heard;	   /* of the receiver's incarnation; 0: not heard */
+	uint64_t revision; /* of the configuration */
+	uint32_t news_seq; /* up to here the receiver has all records */
+	uint32_t news_ack; /* up to here the sender has the receiver's */
+	uint32_t listed;   /* instances in the platform's list */
+	uint32_t group;	   /* instances that the sender can reach */
+	uint32_t group_hash;
+	char name[MAG_NAME_MAX]; /* with PEER_F_INTRO, as the next two */
+	char data_centre[MAG_NAME_MAX];
+	char address[MAG_ADDR_MAX];
+	struct peer_record news[PEER_NEWS_MAX];
+	uint32_t news_count;
+	struct peer_demand demands[PEER_DEMANDS_MAX];
+	uint32_t demand_count;
+};
+
+#endif /* PEER_H */
