--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	     bench/*.[ch]))
 TIDIED    := $(filter %.c,$(STYLED))
 
-.PHONY: all deps check demo bench capacity format format-check lint test \
+.PHONY: all deps check demo bench capacity generate format format-check lint test \
 	spec fuzz regress clean events-check
 
 all: $(PROGS) $(FAKES) $(TOOLS) $(CHECKS) $(BENCHES)
@@ -63,6 +63,15 @@
 $(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
 
+# Writes the committed code of the messages between instances again.
+generate:
+	@rm -rf $(BUILD)/gen && mkdir -p $(BUILD)/gen
+	@cp src/magnolia.x $(BUILD)/gen/rpc_gen_magnolia.x
+	cd $(BUILD)/gen && rpcgen -N -M -h -o rpc_gen_magnolia.h rpc_gen_magnolia.x
+	cd $(BUILD)/gen && rpcgen -N -M -c -o rpc_gen_magnolia_xdr.c rpc_gen_magnolia.x
+	cd $(BUILD)/gen && rpcgen -N -M -m -o rpc_gen_magnolia_svc.c rpc_gen_magnolia.x
+	cp $(BUILD)/gen/rpc_gen_magnolia*.[ch] src/
+
 format:
 	clang-format -i $(STYLED)
 
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,490 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "bud.h"
+#include "cnt.h"
+#include "fleet_list.h"
+#include "lim.h"
+#include "log.h"
+#include "spread.h"
+
+#define FLEET_BYTES_PER_S    9000
+#define FLEET_RECORDS_MAX    4096
+#define FLEET_RESEND_US	     (500 * MAG_US_PER_MS)
+#define FLEET_ASK_US	     (500 * MAG_US_PER_MS) /* between two fetches */
+#define FLEET_BRIDGE_POLL_US (5 * MAG_US_PER_S)
+#define FLEET_POLL_US	     (60 * MAG_US_PER_S)
+#define FLEET_RETRY_US	     (2 * MAG_US_PER_S)
+#define FLEET_LIST_CALL	     1 /* call ids; those of plc are larger */
+#define FLEET_PLC_CALLS	     1000
+
+struct fleet {
+	struct fleet_settings settings;
+	struct peer *peer;
+	struct spread *spread;
+	struct lim *lim;
+	struct plc *plc;
+	struct bud_backoff backoff;
+	const struct cfg_set *set;
+	int64_t now;
+	uint64_t revision;
+	uint64_t asked_revision;
+	int64_t ask_again_us;
+	bool ask_pending;
+	int ask_link;
+	int64_t list_due_us;
+	bool list_running;
+	bool list_pending;
+	int rail;
+};
+
+static int fleet_make(struct fleet *fleet, int64_t now);
+static void fleet_hurry(struct fleet *fleet);
+static void fleet_see_revision(struct fleet *fleet, int link, int64_t now);
+static void fleet_poll(struct fleet *fleet, int64_t now);
+static void fleet_take_list(struct fleet *fleet, const struct kv_reply *reply,
+			    int64_t now);
+static bool fleet_news_peer(struct fleet *fleet, struct fleet_news *news);
+static bool fleet_news_record(struct fleet *fleet, struct fleet_news *news);
+static bool fleet_news_share(struct fleet *fleet, struct fleet_news *news);
+static bool fleet_news_revision(struct fleet *fleet, struct fleet_news *news);
+static void fleet_log_role(struct fleet *fleet);
+
+/*
+ * Makes the fleet as one instance sees it.  Returns NULL when memory is
+ * short or the data centre's name is too long.
+ */
+struct fleet *fleet_new(const struct fleet_settings *settings, int64_t now)
+{
+	struct fleet *fleet = calloc(1, sizeof(*fleet));
+
+	if (!fleet)
+		return NULL;
+	fleet->settings = *settings;
+	if (fleet->settings.bytes_per_s == 0)
+		fleet->settings.bytes_per_s = FLEET_BYTES_PER_S;
+	if (fleet_make(fleet, now)) {
+		fleet_free(fleet);
+		return NULL;
+	}
+	return fleet;
+}
+
+/* Frees a fleet; NULL is allowed. */
+void fleet_free(struct fleet *fleet)
+{
+	if (!fleet)
+		return;
+	plc_free(fleet->plc);
+	lim_free(fleet->lim);
+	spread_free(fleet->spread);
+	peer_free(fleet->peer);
+	free(fleet);
+}
+
+/*
+ * Takes the set in force; it must stay until the next call.  Returns
+ * FLEET_E_MEMORY and keeps the old limits when memory is short.
+ */
+int fleet_config(struct fleet *fleet, const struct cfg_set *set, int64_t now)
+{
+	if (lim_config(fleet->lim, set, now))
+		return FLEET_E_MEMORY;
+	if (plc_config(fleet->plc, set, now))
+		return FLEET_E_MEMORY;
+	fleet->set = set;
+	spread_config(fleet->spread, set);
+	fleet_note_revision(fleet, set->revision, now);
+	return FLEET_OK;
+}
+
+/* Adds an instance that the settings name, for a start without the list. */
+int fleet_seed(struct fleet *fleet, const struct peer_listed *listed,
+	       int64_t now)
+{
+	int link = peer_add(fleet->peer, listed, now);
+
+	return link >= 0 || link == PEER_E_SELF ? FLEET_OK : FLEET_E_NAME;
+}
+
+/* Notes that this instance's own list shows an endpoint as leaving, or not. */
+int fleet_note_leaving(struct fleet *fleet, const char *endpoint, bool leaving,
+		       int64_t now)
+{
+	fleet->now = now;
+	if (spread_note_leaving(fleet->spread, endpoint, leaving))
+		return FLEET_E_NAME;
+	fleet_hurry(fleet);
+	return FLEET_OK;
+}
+
+/* Notes that this instance quarantined a fingerprint until until_us. */
+int fleet_note_quarantine(struct fleet *fleet,
+			  const uint8_t print[MAG_DIGEST_BYTES],
+			  uint32_t endpoints_lost, int64_t until_us,
+			  int64_t now)
+{
+	fleet->now = now;
+	if (spread_note_quarantine(fleet->spread, print, endpoints_lost,
+				   until_us, now))
+		return FLEET_E_MEMORY;
+	fleet_hurry(fleet);
+	return FLEET_OK;
+}
+
+/* Notes the recent demand here under a limit; lim_note_demand has the unit. */
+int fleet_note_demand(struct fleet *fleet, int limit, double demand)
+{
+	return lim_note_demand(fleet->lim, limit, demand) ? FLEET_E_UNKNOWN
+							  : FLEET_OK;
+}
+
+/* Notes the revision that is in force here; a lower one changes nothing. */
+void fleet_note_revision(struct fleet *fleet, uint64_t revision, int64_t now)
+{
+	if (revision <= fleet->revision)
+		return;
+	fleet->revision = revision;
+	peer_set_revision(fleet->peer, revision, now);
+}
+
+/* Notes that this instance stops: peers take over its part at once. */
+void fleet_note_stopping(struct fleet *fleet, int64_t now)
+{
+	peer_set_stopping(fleet->peer, now);
+	plc_stop(fleet->plc, now);
+}
+
+/* Runs what is due. */
+void fleet_tick(struct fleet *fleet, int64_t now)
+{
+	fleet->now = now;
+	peer_tick(fleet->peer, now);
+	if (peer_rail(fleet->peer) != fleet->rail)
+		fleet_log_role(fleet);
+	spread_tick(fleet->spread, fleet->peer, now);
+	lim_tick(fleet->lim, fleet->peer, now);
+	fleet_poll(fleet, now);
+	plc_tick(fleet->plc, now);
+}
+
+/* When fleet_tick has something to do next. */
+int64_t fleet_next_deadline(const struct fleet *fleet)
+{
+	int64_t next = peer_next_deadline(fleet->peer);
+	int64_t at = lim_next_deadline(fleet->lim);
+
+	if (at < next)
+		next = at;
+	at = plc_next_deadline(fleet->plc);
+	if (at < next)
+		next = at;
+	if (!fleet->list_running && fleet->list_due_us < next)
+		next = fleet->list_due_us;
+	return next;
+}
+
+/*
+ * Takes a message of a peer.  Returns FLEET_E_DROPPED for one that was
+ * counted and dropped.
+ */
+int fleet_receive(struct fleet *fleet, const struct peer_msg *msg, int64_t now)
+{
+	int link;
+
+	fleet->now = now;
+	if (peer_receive(fleet->peer, msg, now, &link))
+		return FLEET_E_DROPPED;
+	if (spread_take(fleet->spread, fleet->peer, link, msg, now) > 0) {
+		peer_hurry(fleet->peer, link, now);
+		fleet_hurry(fleet);
+	}
+	lim_take(fleet->lim, fleet->peer, link, msg);
+	fleet_see_revision(fleet, link, now);
+	return FLEET_OK;
+}
+
+/* Gives the next message to send, and where to. */
+bool fleet_next_send(struct fleet *fleet, char address[MAG_ADDR_MAX],
+		     struct peer_msg *msg)
+{
+	int link;
+
+	if (!peer_next_due(fleet->peer, fleet->now, &link))
+		return false;
+	memcpy(address, peer_link_address(fleet->peer, link), MAG_ADDR_MAX);
+	peer_fill(fleet->peer, link, fleet->now, msg);
+	spread_fill(fleet->spread, fleet->peer, link, fleet->now, msg);
+	lim_fill(fleet->lim, fleet->peer, link, msg);
+	if (msg->news_count > 0)
+		peer_hurry(fleet->peer, link, fleet->now + FLEET_RESEND_US);
+	return true;
+}
+
+/* Gives the next call to the platform's service. */
+bool fleet_next_call(struct fleet *fleet, struct kv_call *call)
+{
+	if (fleet->list_pending) {
+		fleet->list_pending = false;
+		memset(call, 0, sizeof(*call));
+		call->id = FLEET_LIST_CALL;
+		call->op = KV_INSTANCES;
+		call->deadline_us = fleet->now + fleet->settings.kv_timeout_us;
+		return true;
+	}
+	if (!plc_next_call(fleet->plc, call))
+		return false;
+	call->id += FLEET_PLC_CALLS;
+	call->deadline_us = fleet->now + fleet->settings.kv_timeout_us;
+	return true;
+}
+
+/* Takes the end of a call; the value stays the caller's. */
+int fleet_reply(struct fleet *fleet, const struct kv_reply *reply, int64_t now)
+{
+	struct kv_reply inner = *reply;
+
+	fleet->now = now;
+	if (reply->id == FLEET_LIST_CALL) {
+		fleet_take_list(fleet, reply, now);
+		return FLEET_OK;
+	}
+	if (reply->id < FLEET_PLC_CALLS)
+		return FLEET_E_UNKNOWN;
+	inner.id -= FLEET_PLC_CALLS;
+	return plc_reply(fleet->plc, &inner, now) ? FLEET_E_UNKNOWN : FLEET_OK;
+}
+
+/* Gives what the owner has to act on next. */
+bool fleet_next_news(struct fleet *fleet, struct fleet_news *news)
+{
+	return fleet_news_peer(fleet, news) || fleet_news_record(fleet, news) ||
+	       fleet_news_revision(fleet, news) ||
+	       fleet_news_share(fleet, news);
+}
+
+/* Gives the next order to an engine. */
+bool fleet_next_order(struct fleet *fleet, struct plc_order *order)
+{
+	return plc_next_order(fleet->plc, order);
+}
+
+/* Takes the end of an order. */
+int fleet_order_done(struct fleet *fleet, const struct plc_order_result *result,
+		     int64_t now)
+{
+	return plc_order_done(fleet->plc, result, now) ? FLEET_E_UNKNOWN
+						       : FLEET_OK;
+}
+
+/* True if this instance watches the platform for its data centre. */
+bool fleet_is_bridge(const struct fleet *fleet)
+{
+	return peer_rail(fleet->peer) >= 0;
+}
+
+/* How many instances pool limits with this one, itself included. */
+uint32_t fleet_group(const struct fleet *fleet)
+{
+	return lim_group(fleet->lim);
+}
+
+/* How many instances the platform's list holds. */
+uint32_t fleet_listed(const struct fleet *fleet)
+{
+	return lim_entitled(fleet->lim);
+}
+
+/*
+ * Gives the addresses of peers that are up, those of the own data centre
+ * first, to fetch the configuration from.
+ */
+size_t fleet_peer_addresses(const struct fleet *fleet,
+			    char (*addresses)[MAG_ADDR_MAX], size_t max)
+{
+	enum peer_link_kind kind;
+	size_t count = 0;
+	size_t i;
+
+	for (kind = PEER_LINK_LOCAL; kind <= PEER_LINK_BRIDGE; kind++) {
+		for (i = 0; i < peer_link_count(fleet->peer); i++) {
+			if (count < max && peer_link_up(fleet->peer, (int)i) &&
+			    peer_link_kind(fleet->peer, (int)i) == kind)
+				memcpy(addresses[count++],
+				       peer_link_address(fleet->peer, (int)i),
+				       MAG_ADDR_MAX);
+		}
+	}
+	return count;
+}
+
+/* Makes the modules; negative when one can't be made. */
+static int fleet_make(struct fleet *fleet, int64_t now)
+{
+	const struct fleet_settings *from = &fleet->settings;
+	struct peer_settings peer = { .incarnation = from->incarnation,
+				      .bytes_per_s = from->bytes_per_s };
+	struct plc_settings plc = { .incarnation = from->incarnation,
+				    .enabled = from->place };
+
+	memcpy(peer.cluster, from->cluster, MAG_NAME_MAX);
+	memcpy(peer.instance, from->instance, MAG_NAME_MAX);
+	memcpy(peer.data_centre, from->data_centre, MAG_NAME_MAX);
+	memcpy(peer.address, from->address, MAG_ADDR_MAX);
+	memcpy(plc.instance, from->instance, MAG_NAME_MAX);
+	memcpy(plc.data_centre, from->data_centre, MAG_NAME_MAX);
+	fleet->peer = peer_new(&peer, now);
+	fleet->spread = spread_new(FLEET_RECORDS_MAX);
+	fleet->lim = lim_new();
+	fleet->plc = plc_new(&plc, now);
+	bud_backoff_init(&fleet->backoff,
+			 from->seed ^ peer_hash(from->instance), FLEET_RETRY_US,
+			 FLEET_POLL_US);
+	fleet->now = now;
+	fleet->rail = -1;
+	fleet->list_due_us = now;
+	if (!fleet->peer || !fleet->spread || !fleet->lim || !fleet->plc)
+		return FLEET_E_MEMORY;
+	return FLEET_OK;
+}
+
+/* Sends early to those that lack a record. */
+static void fleet_hurry(struct fleet *fleet)
+{
+	size_t i;
+
+	for (i = 0; i < peer_link_count(fleet->peer); i++) {
+		if (peer_link_up(fleet->peer, (int)i) &&
+		    spread_pending(fleet->spread, fleet->peer, (int)i))
+			peer_hurry(fleet->peer, (int)i, fleet->now);
+	}
+}
+
+/* Notes that a peer has a newer configuration than this instance. */
+static void fleet_see_revision(struct fleet *fleet, int link, int64_t now)
+{
+	uint64_t theirs = peer_link_revision(fleet->peer, link);
+
+	if (theirs <= fleet->revision)
+		return;
+	if (theirs <= fleet->asked_revision && now < fleet->ask_again_us)
+		return;
+	fleet->asked_revision = theirs;
+	fleet->ask_again_us = now + FLEET_ASK_US;
+	fleet->ask_link = link;
+	fleet->ask_pending = true;
+}
+
+/*
+ * Asks for the platform's list: the bridges often, as they tell the others
+ * how many there are; the others seldom, as the list only seeds them.
+ */
+static void fleet_poll(struct fleet *fleet, int64_t now)
+{
+	if (fleet->list_running || now < fleet->list_due_us)
+		return;
+	fleet->list_running = true;
+	fleet->list_pending = true;
+}
+
+/* Takes the platform's list, or waits longer after a failure. */
+static void fleet_take_list(struct fleet *fleet, const struct kv_reply *reply,
+			    int64_t now)
+{
+	int64_t period =
+		fleet_is_bridge(fleet) ? FLEET_BRIDGE_POLL_US : FLEET_POLL_US;
+	struct fleet_list list;
+	size_t i;
+
+	fleet->list_running = false;
+	if (reply->status != KV_OK ||
+	    fleet_list_parse(reply->value, reply->len, &list)) {
+		fleet->list_due_us = bud_backoff_fail(&fleet->backoff, now);
+		return;
+	}
+	fleet->list_due_us = bud_backoff_spread(&fleet->backoff, now, period);
+	peer_list(fleet->peer, list.entries, list.entry_count, now);
+	for (i = 0; i < list.endpoint_count; i++)
+		spread_note_leaving(fleet->spread, list.endpoints[i].name,
+				    list.endpoints[i].leaving);
+	fleet_list_free(&list);
+	fleet_hurry(fleet);
+}
+
+static bool fleet_news_peer(struct fleet *fleet, struct fleet_news *news)
+{
+	struct peer_change change;
+
+	if (!peer_next_change(fleet->peer, &change))
+		return false;
+	news->type = FLEET_NEWS_PEER;
+	news->peer.up = change.up;
+	memcpy(news->peer.instance, peer_link_name(fleet->peer, change.link),
+	       MAG_NAME_MAX);
+	memcpy(news->peer.address, peer_link_address(fleet->peer, change.link),
+	       MAG_ADDR_MAX);
+	if (change.up)
+		log_event(LOG_PEER_UP, "peer=%s", news->peer.instance);
+	else
+		log_event(LOG_PEER_DOWN, "peer=%s", news->peer.instance);
+	return true;
+}
+
+static bool fleet_news_record(struct fleet *fleet, struct fleet_news *news)
+{
+	struct spread_news record;
+
+	if (!spread_next_news(fleet->spread, &record))
+		return false;
+	if (record.kind == PEER_REC_LEAVING) {
+		news->type = FLEET_NEWS_LEAVING;
+		news->leaving.leaving = record.leaving;
+		memcpy(news->leaving.endpoint, record.endpoint, MAG_NAME_MAX);
+		log_event(LOG_PEER_LEAVING, "endpoint=%s leaving=%d",
+			  record.endpoint, record.leaving);
+		return true;
+	}
+	news->type = FLEET_NEWS_QUARANTINE;
+	news->quarantine.endpoints_lost = record.lost;
+	news->quarantine.until_us = record.until_us;
+	memcpy(news->quarantine.print, record.print, MAG_DIGEST_BYTES);
+	return true;
+}
+
+static bool fleet_news_share(struct fleet *fleet, struct fleet_news *news)
+{
+	struct lim_share share;
+
+	if (!lim_next_share(fleet->lim, &share))
+		return false;
+	news->type = FLEET_NEWS_SHARE;
+	news->share.limit = share.limit;
+	news->share.requests_per_s = share.requests_per_s;
+	news->share.tokens_per_s = share.tokens_per_s;
+	news->share.concurrent = share.concurrent;
+	return true;
+}
+
+static bool fleet_news_revision(struct fleet *fleet, struct fleet_news *news)
+{
+	if (!fleet->ask_pending)
+		return false;
+	fleet->ask_pending = false;
+	news->type = FLEET_NEWS_REVISION;
+	news->revision.revision = fleet->asked_revision;
+	memcpy(news->revision.address,
+	       peer_link_address(fleet->peer, fleet->ask_link), MAG_ADDR_MAX);
+	return true;
+}
+
+/* Logs the role that this instance takes between data centres. */
+static void fleet_log_role(struct fleet *fleet)
+{
+	fleet->rail = peer_rail(fleet->peer);
+	log_event(LOG_PEER_ROLE, "rail=%d group=%u", fleet->rail,
+		  peer_local_group(fleet->peer));
+	/* A new bridge needs a fresh list for its data centre. */
+	if (fleet->rail >= 0 &&
+	    fleet->list_due_us > fleet->now + FLEET_BRIDGE_POLL_US)
+		fleet->list_due_us = fleet->now + FLEET_BRIDGE_POLL_US;
+}
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -84,6 +84,9 @@
 void fleet_free(struct fleet *fleet);
 int fleet_config(struct fleet *fleet, const struct cfg_set *set, int64_t now);
 
+int fleet_seed(struct fleet *fleet, const struct peer_listed *listed,
+	       int64_t now);
+
 /* What this instance saw or did itself. */
 int fleet_note_leaving(struct fleet *fleet, const char *endpoint, bool leaving,
 		       int64_t now);
--- /dev/null
+++ b/src/lim.h
@@ -0,0 +1,48 @@
+#ifndef LIM_H
+#define LIM_H
+
+/*
+ * Limits for the whole fleet, held in pieces.  Each instance is entitled to
+ * one part in all listed instances.  Those who reach each other pool their
+ * entitlements and divide the pool by demand, so the parts on all sides of a
+ * cut sum up to the limit.  Deterministic.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cfg.h"
+#include "peer.h"
+
+struct lim;
+
+enum lim_err {
+	LIM_OK = 0,
+	LIM_E_MEMORY = -1,
+	LIM_E_UNKNOWN = -2,
+};
+
+struct lim_share {
+	int limit;
+	double requests_per_s;
+	double tokens_per_s;
+	double concurrent;
+};
+
+struct lim *lim_new(void);
+void lim_free(struct lim *lim);
+int lim_config(struct lim *lim, const struct cfg_set *set, int64_t now);
+int lim_note_demand(struct lim *lim, int limit, double demand);
+void lim_take(struct lim *lim, const struct peer *peer, int link,
+	      const struct peer_msg *msg);
+void lim_fill(struct lim *lim, const struct peer *peer, int link,
+	      struct peer_msg *msg);
+void lim_tick(struct lim *lim, const struct peer *peer, int64_t now);
+int64_t lim_next_deadline(const struct lim *lim);
+bool lim_next_share(struct lim *lim, struct lim_share *share);
+uint32_t lim_group(const struct lim *lim);
+uint32_t lim_entitled(const struct lim *lim);
+double lim_fraction(double own, double total, uint32_t group, uint32_t entitled,
+		    double limit);
+
+#endif /* LIM_H */
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -30,7 +30,10 @@
 	\
 	\
 	/* 6000 peer, lim, rpc: membership and what spreads over it */ \
-	\
+	LOG_EVENT(LOG_PEER_UP, 6001, "peer-up", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PEER_DOWN, 6002, "peer-down", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PEER_ROLE, 6003, "peer-role", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PEER_LEAVING, 6004, "endpoint-leaving", LOG_PRIO_NOTICE) \
 	\
 	/* 7000 plc: placement */ \
 	\
--- a/src/peer.h
+++ b/src/peer.h
@@ -19,7 +19,7 @@
 #define PEER_NEWS_MAX	  8    /* records in one message */
 #define PEER_DEMANDS_MAX  32   /* demand entries in one message */
 #define PEER_TABLE_MAX	  4096 /* instances that a table may hold */
-#define PEER_BYTES_FIXED  76   /* a message without lists, as encoded */
+#define PEER_BYTES_FIXED  84   /* a message without lists, as encoded */
 #define PEER_BYTES_RPC	  68   /* IP, UDP and RPC headers before it */
 #define PEER_BYTES_DEMAND 8    /* one demand entry, as encoded */
 
@@ -75,14 +75,15 @@
 	uint64_t incarnation;
 	uint32_t seq;
 	uint32_t flags;
-	uint32_t next_ms;  /* the sender's next message comes within this */
-	uint32_t heard;	   /* of the receiver's incarnation; 0: not heard */
-	uint64_t revision; /* of the configuration */
-	uint32_t news_seq; /* up to here the receiver has all records */
-	uint32_t news_ack; /* up to here the sender has the receiver's */
-	uint32_t listed;   /* instances in the platform's list */
-	uint32_t group;	   /* instances that the sender can reach */
-	uint32_t group_hash;
+	uint32_t next_ms;    /* the sender's next message comes within this */
+	uint32_t heard;	     /* of the receiver's incarnation; 0: not heard */
+	uint64_t revision;   /* of the configuration */
+	uint32_t news_seq;   /* up to here the receiver has all records */
+	uint32_t news_ack;   /* up to here the sender has the receiver's */
+	uint32_t listed;     /* instances in the platform's list */
+	uint32_t group;	     /* instances that the sender can reach */
+	uint32_t group_hash; /* of the instances up in its data centre */
+	uint32_t reach_hash; /* of the data centres that a bridge reaches */
 	char name[MAG_NAME_MAX]; /* with PEER_F_INTRO, as the next two */
 	char data_centre[MAG_NAME_MAX];
 	char address[MAG_ADDR_MAX];
@@ -92,4 +93,69 @@
 	uint32_t demand_count;
 };
 
+struct peer_settings {
+	char cluster[MAG_NAME_MAX];
+	char instance[MAG_NAME_MAX];
+	char data_centre[MAG_NAME_MAX];
+	char address[MAG_ADDR_MAX];
+	uint64_t incarnation;
+	uint32_t bytes_per_s;
+};
+
+/* One line of the platform's list. */
+struct peer_listed {
+	char name[MAG_NAME_MAX];
+	char data_centre[MAG_NAME_MAX];
+	char address[MAG_ADDR_MAX];
+};
+
+/* What a link is used for. */
+enum peer_link_kind {
+	PEER_LINK_NONE,	  /* nothing is sent */
+	PEER_LINK_LOCAL,  /* an instance of the same data centre */
+	PEER_LINK_BRIDGE, /* a bridge of another data centre */
+};
+
+struct peer_change {
+	int link;
+	bool up;
+};
+
+struct peer *peer_new(const struct peer_settings *settings, int64_t now);
+void peer_free(struct peer *peer);
+int peer_list(struct peer *peer, const struct peer_listed *listed, size_t count,
+	      int64_t now);
+int peer_add(struct peer *peer, const struct peer_listed *listed, int64_t now);
+int peer_receive(struct peer *peer, const struct peer_msg *msg, int64_t now,
+		 int *link);
+void peer_tick(struct peer *peer, int64_t now);
+bool peer_next_due(struct peer *peer, int64_t now, int *link);
+void peer_fill(struct peer *peer, int link, int64_t now, struct peer_msg *msg);
+bool peer_next_change(struct peer *peer, struct peer_change *change);
+int64_t peer_next_deadline(const struct peer *peer);
+
+void peer_set_revision(struct peer *peer, uint64_t revision, int64_t now);
+void peer_set_stopping(struct peer *peer, int64_t now);
+void peer_hurry(struct peer *peer, int link, int64_t at_us);
+
+size_t peer_link_count(const struct peer *peer);
+enum peer_link_kind peer_link_kind(const struct peer *peer, int link);
+bool peer_link_up(const struct peer *peer, int link);
+uint32_t peer_link_epoch(const struct peer *peer, int link);
+int peer_link_rail(const struct peer *peer, int link);
+const char *peer_link_name(const struct peer *peer, int link);
+const char *peer_link_address(const struct peer *peer, int link);
+bool peer_link_agrees(const struct peer *peer, int link);
+uint32_t peer_link_group(const struct peer *peer, int link);
+uint32_t peer_link_listed(const struct peer *peer, int link);
+uint64_t peer_link_revision(const struct peer *peer, int link);
+bool peer_hears_us(const struct peer *peer, const struct peer_msg *msg);
+int peer_rail(const struct peer *peer);
+int peer_chief(const struct peer *peer);
+uint32_t peer_local_group(const struct peer *peer);
+uint32_t peer_listed_count(const struct peer *peer);
+uint32_t peer_demands_fit(const struct peer *peer);
+int64_t peer_hold_us(const struct peer *peer);
+uint64_t peer_hash(const char *text);
+
 #endif /* PEER_H */
--- /dev/null
+++ b/src/peer_send.c
@@ -0,0 +1,448 @@
+#include <string.h>
+
+#include "cnt.h"
+#include "peer_table.h"
+
+/*
+ * Who is sent to, when, and what the header of each message says.  The
+ * budget of bytes a second holds by construction: periods grow with the
+ * number of links, and what is left bounds the demand entries of a message.
+ */
+
+#define PEER_LOCAL_PART	 6 /* of 36 parts of the budget, for sending ... */
+#define PEER_BRIDGE_PART 5
+#define PEER_ALL_PARTS	 36 /* ... as much again is received */
+
+static bool peer_counts(const struct peer_node *node);
+static void peer_age(struct peer *peer, int64_t now);
+static void peer_summarise(struct peer *peer);
+static int64_t peer_pace(const struct peer *peer, uint32_t links, int part);
+static void peer_count_links(struct peer *peer);
+static void peer_queue(struct peer *peer, int64_t now);
+static int64_t peer_send_time(const struct peer_node *node);
+static int peer_ranked(const struct peer *peer, int dc, uint32_t rank);
+static void peer_aim_rail(struct peer *peer, int dc, int rail, int64_t now);
+static bool peer_claims(const struct peer *peer, int link, int rail,
+			int64_t now);
+
+/*
+ * Runs the systems over the table: who is up, who bridges, where each rail
+ * aims, and which links are due.
+ */
+void peer_tick(struct peer *peer, int64_t now)
+{
+	if (now < peer->next_us)
+		return;
+	peer->next_us = MAG_NEVER;
+	peer_age(peer, now);
+	peer_elect(peer);
+	peer_aim(peer, now);
+	peer_summarise(peer);
+	peer_count_links(peer);
+	peer_queue(peer, now);
+}
+
+/* When peer_tick has something to do next. */
+int64_t peer_next_deadline(const struct peer *peer)
+{
+	return peer->next_us;
+}
+
+/* Gives the next link to send to; its message is filled by peer_fill. */
+bool peer_next_due(struct peer *peer, int64_t now, int *link)
+{
+	struct peer_node *node;
+
+	if (peer->due_next == peer->due_count) {
+		peer->due_next = 0;
+		peer->due_count = 0;
+		return false;
+	}
+	*link = peer->due[peer->due_next++];
+	node = &peer->nodes[*link];
+	node->due = false;
+	node->hurry_us = MAG_NEVER;
+	node->not_before_us = now + PEER_SPACING_US;
+	node->next_send_us = now + (node->dc == 0 ? peer->local_period_us
+						  : peer->bridge_period_us);
+	if (node->next_send_us < peer->next_us)
+		peer->next_us = node->next_send_us;
+	return true;
+}
+
+/* Fills the header of the next message to a link. */
+void peer_fill(struct peer *peer, int link, int64_t now, struct peer_msg *msg)
+{
+	struct peer_node *node = &peer->nodes[link];
+	bool local = node->dc == 0;
+
+	memset(msg, 0, offsetof(struct peer_msg, news));
+	msg->news_count = 0;
+	msg->demand_count = 0;
+	msg->version = PEER_VERSION;
+	msg->cluster = peer->cluster;
+	msg->from = peer->self;
+	msg->incarnation = peer->set.incarnation;
+	msg->seq = ++node->seq_out;
+	msg->next_ms = (uint32_t)((local ? peer->local_period_us
+					 : peer->bridge_period_us) /
+				  MAG_US_PER_MS);
+	msg->heard = peer_is_heard(node, now) ? (uint32_t)node->incarnation : 0;
+	msg->revision = peer->revision;
+	msg->listed = peer->listed_count;
+	msg->group = peer->local_group;
+	msg->group_hash = peer->local_hash;
+	msg->reach_hash = peer->reach_hash;
+	msg->flags = (peer->rails[0] ? PEER_F_RAIL0 : 0) |
+		     (peer->rails[1] ? PEER_F_RAIL1 : 0) |
+		     (node->gap ? PEER_F_GAP : 0) |
+		     (peer->stopping ? PEER_F_STOPPING : 0);
+	node->gap = false;
+	if (node->hears_until_us <= now) {
+		msg->flags |= PEER_F_INTRO;
+		memcpy(msg->name, peer->set.instance, MAG_NAME_MAX);
+		memcpy(msg->data_centre, peer->set.data_centre, MAG_NAME_MAX);
+		memcpy(msg->address, peer->set.address, MAG_ADDR_MAX);
+	}
+	cnt_add(CNT_PEER_SENT, 1);
+}
+
+/* Asks for a message to a link soon, though none is due. */
+void peer_hurry(struct peer *peer, int link, int64_t at_us)
+{
+	struct peer_node *node = &peer->nodes[link];
+
+	if (at_us < node->hurry_us)
+		node->hurry_us = at_us;
+	if (peer->next_us > peer_send_time(node))
+		peer->next_us = peer_send_time(node);
+}
+
+/*
+ * Takes the revision that is in force here.  Only those who bridge, or who
+ * had it from no peer, tell it at once: all others heard it from them.
+ */
+void peer_set_revision(struct peer *peer, uint64_t revision, int64_t now)
+{
+	bool first = true;
+	size_t i;
+
+	if (revision <= peer->revision)
+		return;
+	peer->revision = revision;
+	for (i = 0; i < peer->node_count; i++) {
+		if (peer->nodes[i].up && peer->nodes[i].revision >= revision)
+			first = false;
+	}
+	if (!first && peer_rail(peer) < 0)
+		return;
+	for (i = 0; i < peer->node_count; i++) {
+		if (peer->nodes[i].up && peer->nodes[i].revision < revision)
+			peer_hurry(peer, (int)i, now);
+	}
+}
+
+/* Tells every peer that this instance stops, so that none waits for it. */
+void peer_set_stopping(struct peer *peer, int64_t now)
+{
+	size_t i;
+
+	peer->stopping = true;
+	for (i = 0; i < peer->node_count; i++) {
+		if (peer->nodes[i].up)
+			peer_hurry(peer, (int)i, now);
+	}
+}
+
+/* Rendezvous: the rank of an instance among those of its data centre. */
+uint64_t peer_score(const struct peer *peer, int dc, uint64_t id)
+{
+	uint64_t x = id ^ peer->dcs[dc].id;
+
+	x ^= x >> 30;
+	x *= UINT64_C(0xbf58476d1ce4e5b9);
+	x ^= x >> 27;
+	x *= UINT64_C(0x94d049bb133111eb);
+	x ^= x >> 31;
+	return x;
+}
+
+/*
+ * Finds the bridges of this data centre: the first two by rendezvous of
+ * those that are up.  The first one also sums up demand.
+ */
+void peer_elect(struct peer *peer)
+{
+	uint64_t own = peer_score(peer, 0, peer->self);
+	uint64_t best = own;
+	uint32_t above = 0;
+	uint32_t count = 0;
+	size_t i;
+
+	peer->chief = PEER_NO_NODE;
+	for (i = 0; i < peer->node_count; i++) {
+		const struct peer_node *node = &peer->nodes[i];
+		uint64_t score;
+
+		if (!peer_counts(node) || node->dc != 0)
+			continue;
+		count++;
+		score = peer_score(peer, 0, node->id);
+		if (score > own)
+			above++;
+		if (score > best) {
+			best = score;
+			peer->chief = (int)i;
+		}
+	}
+	peer->rails[0] = above == 0;
+	peer->rails[1] = count == 0 || above == 1;
+}
+
+/* Chooses, for each rail that is held here, the node to send to. */
+void peer_aim(struct peer *peer, int64_t now)
+{
+	int dc;
+	int rail;
+
+	for (dc = 1; dc < peer->dc_count; dc++) {
+		for (rail = 0; rail < PEER_RAILS; rail++) {
+			if (peer->rails[rail])
+				peer_aim_rail(peer, dc, rail, now);
+			else
+				peer->dcs[dc].target[rail] = PEER_NO_NODE;
+		}
+	}
+}
+
+/* A node of another data centre says that it bridges: aim at it. */
+void peer_claim(struct peer *peer, int link, int64_t now)
+{
+	const struct peer_node *node = &peer->nodes[link];
+	int rail;
+
+	for (rail = 0; rail < PEER_RAILS && node->dc != 0; rail++) {
+		struct peer_dc *dc = &peer->dcs[node->dc];
+		int old = dc->target[rail];
+
+		if (!peer_claims(peer, link, rail, now))
+			continue;
+		if (peer_claims(peer, old, rail, now) &&
+		    peer_score(peer, node->dc, peer->nodes[old].id) >
+			    peer_score(peer, node->dc, node->id))
+			continue;
+		dc->target[rail] = link;
+	}
+}
+
+/* True if a rail that is held here sends to this link. */
+bool peer_is_target(const struct peer *peer, int link)
+{
+	const struct peer_dc *dc = &peer->dcs[peer->nodes[link].dc];
+
+	return (peer->rails[0] && dc->target[0] == link) ||
+	       (peer->rails[1] && dc->target[1] == link);
+}
+
+/* True for a node that is up and stays. */
+static bool peer_counts(const struct peer_node *node)
+{
+	return node->used && node->up && !(node->flags & PEER_F_STOPPING);
+}
+
+/* Notes who came up or went down, and forgets who has long gone. */
+static void peer_age(struct peer *peer, int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < peer->node_count; i++) {
+		struct peer_node *node = &peer->nodes[i];
+
+		if (!node->used)
+			continue;
+		node->up =
+			peer_is_heard(node, now) && node->hears_until_us > now;
+		if (node->up && node->heard_until_us < peer->next_us)
+			peer->next_us = node->heard_until_us;
+		if (node->up && node->hears_until_us < peer->next_us)
+			peer->next_us = node->hears_until_us;
+		if (node->up != node->told_up &&
+		    peer->change_count < peer->node_cap) {
+			node->told_up = node->up;
+			peer->changes[peer->change_count++] =
+				(struct peer_change){ (int)i, node->up };
+		}
+		if (!node->listed && !node->due && !node->told_up &&
+		    node->incarnation != 0 &&
+		    node->heard_until_us + PEER_FORGET_US < now)
+			node->used = false;
+	}
+}
+
+/* Gives the next peer that came up or went down. */
+bool peer_next_change(struct peer *peer, struct peer_change *change)
+{
+	if (peer->change_next == peer->change_count) {
+		peer->change_next = 0;
+		peer->change_count = 0;
+		return false;
+	}
+	*change = peer->changes[peer->change_next++];
+	return true;
+}
+
+/* Works out the digests of what this instance reaches. */
+static void peer_summarise(struct peer *peer)
+{
+	uint32_t reach = (uint32_t)peer->dcs[0].id;
+	uint64_t hash = peer->self;
+	uint32_t group = 1;
+	size_t i;
+	int dc;
+
+	for (i = 0; i < peer->node_count; i++) {
+		if (peer->nodes[i].dc == 0 && peer_counts(&peer->nodes[i])) {
+			group++;
+			hash ^= peer->nodes[i].id;
+		}
+	}
+	for (dc = 1; dc < peer->dc_count; dc++) {
+		int rail = peer_rail(peer);
+		int link = rail < 0 ? PEER_NO_NODE : peer->dcs[dc].target[rail];
+
+		if (link >= 0 && peer_counts(&peer->nodes[link]))
+			reach ^= (uint32_t)peer->dcs[dc].id;
+	}
+	peer->local_group = group;
+	peer->local_hash = (uint32_t)hash;
+	peer->reach_hash = reach;
+}
+
+/* The period at which some links use their part of the budget. */
+static int64_t peer_pace(const struct peer *peer, uint32_t links, int part)
+{
+	int64_t bytes = (int64_t)links * (PEER_BYTES_FIXED + PEER_BYTES_RPC);
+	int64_t budget = (int64_t)peer->set.bytes_per_s * part / PEER_ALL_PARTS;
+	int64_t period = bytes * MAG_US_PER_S / budget;
+
+	if (period < PEER_PERIOD_MIN_US)
+		return PEER_PERIOD_MIN_US;
+	return period < PEER_PERIOD_MAX_US ? period : PEER_PERIOD_MAX_US;
+}
+
+/* Counts the links of each kind and sets the periods that follow. */
+static void peer_count_links(struct peer *peer)
+{
+	size_t i;
+
+	peer->local_links = 0;
+	peer->bridge_links = 0;
+	for (i = 0; i < peer->node_count; i++) {
+		enum peer_link_kind kind = peer_link_kind(peer, (int)i);
+
+		peer->local_links += kind == PEER_LINK_LOCAL;
+		peer->bridge_links += kind == PEER_LINK_BRIDGE;
+	}
+	peer->local_period_us =
+		peer_pace(peer, peer->local_links, PEER_LOCAL_PART);
+	peer->bridge_period_us =
+		peer_pace(peer, peer->bridge_links, PEER_BRIDGE_PART);
+}
+
+/* Queues the links that are due and notes when the next one is. */
+static void peer_queue(struct peer *peer, int64_t now)
+{
+	size_t i;
+
+	for (i = 0; i < peer->node_count; i++) {
+		struct peer_node *node = &peer->nodes[i];
+		int64_t at = peer_send_time(node);
+
+		if (node->due || peer_link_kind(peer, (int)i) == PEER_LINK_NONE)
+			continue;
+		if (at <= now) {
+			node->due = true;
+			peer->due[peer->due_count++] = (int)i;
+		} else if (at < peer->next_us) {
+			peer->next_us = at;
+		}
+	}
+}
+
+/* When a link is sent to next. */
+static int64_t peer_send_time(const struct peer_node *node)
+{
+	int64_t early = node->hurry_us;
+
+	if (early < node->not_before_us)
+		early = node->not_before_us;
+	return early < node->next_send_us ? early : node->next_send_us;
+}
+
+/* Finds the listed node of a data centre that has a rank by rendezvous. */
+static int peer_ranked(const struct peer *peer, int dc, uint32_t rank)
+{
+	uint64_t below = UINT64_MAX;
+	int found = PEER_NO_NODE;
+	uint32_t i;
+	size_t n;
+
+	for (i = 0; i <= rank; i++) {
+		uint64_t best = 0;
+
+		found = PEER_NO_NODE;
+		for (n = 0; n < peer->node_count; n++) {
+			const struct peer_node *node = &peer->nodes[n];
+			uint64_t score = peer_score(peer, dc, node->id);
+
+			if (node->used && node->dc == dc && score < below &&
+			    score >= best) {
+				best = score;
+				found = (int)n;
+			}
+		}
+		below = best;
+	}
+	return found;
+}
+
+/*
+ * Keeps a target that answers as bridge; else tries the instances of the
+ * data centre in the order of their rank, as its bridge may be one that the
+ * list lacks or ranks lower.
+ */
+static void peer_aim_rail(struct peer *peer, int dc, int rail, int64_t now)
+{
+	struct peer_dc *to = &peer->dcs[dc];
+
+	if (peer_claims(peer, to->target[rail], rail, now))
+		return;
+	if (to->target[rail] >= 0 && peer->nodes[to->target[rail]].used &&
+	    to->try_until_us[rail] > now)
+		return;
+	to->target[rail] =
+		peer_ranked(peer, dc, (uint32_t)rail + to->tries[rail]);
+	to->tries[rail]++;
+	if (to->target[rail] < 0) {
+		to->tries[rail] = 0;
+		to->target[rail] = peer_ranked(peer, dc, 0);
+	}
+	to->try_until_us[rail] = now + 2 * peer->bridge_period_us;
+	if (to->try_until_us[rail] < peer->next_us)
+		peer->next_us = to->try_until_us[rail];
+	if (to->target[rail] >= 0)
+		peer_hurry(peer, to->target[rail], now);
+}
+
+/* True if a node is heard and bridges the rail. */
+static bool peer_claims(const struct peer *peer, int link, int rail,
+			int64_t now)
+{
+	const struct peer_node *node;
+
+	if (link < 0)
+		return false;
+	node = &peer->nodes[link];
+	return node->used && peer_is_heard(node, now) &&
+	       (node->flags & (rail == 0 ? PEER_F_RAIL0 : PEER_F_RAIL1));
+}
--- /dev/null
+++ b/src/peer_wire.c
@@ -0,0 +1,204 @@
+#include <string.h>
+
+#include "peer_wire.h"
+#include "rpc_gen_magnolia.h"
+
+/* Room for what a message points to while it is encoded or decoded. */
+struct peer_wire_room {
+	mag_x_intro intro;
+	mag_x_record news[PEER_NEWS_MAX];
+	mag_x_demand demands[PEER_DEMANDS_MAX];
+};
+
+static void peer_wire_out(const struct peer_msg *msg, mag_x_heartbeat *out,
+			  struct peer_wire_room *room);
+static void peer_wire_record_out(const struct peer_record *from,
+				 mag_x_record *to);
+static int peer_wire_in(const mag_x_heartbeat *in, struct peer_msg *msg);
+static int peer_wire_record_in(const mag_x_record *from,
+			       struct peer_record *to);
+static bool_t peer_wire_call(XDR *xdr, struct rpc_msg *call);
+
+/*
+ * Encodes a heartbeat as an RPC call.  Returns its length, or
+ * PEER_WIRE_E_SHORT.
+ */
+int peer_wire_encode(const struct peer_msg *msg, uint32_t xid, char *buf,
+		     size_t size)
+{
+	struct rpc_msg call;
+	struct peer_wire_room room;
+	mag_x_heartbeat out;
+	XDR xdr;
+	bool_t ok;
+	int len;
+
+	memset(&call, 0, sizeof(call));
+	call.rm_xid = xid;
+	call.rm_direction = CALL;
+	call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+	call.rm_call.cb_prog = MAG_X_PROGRAM;
+	call.rm_call.cb_vers = MAG_X_VERSION;
+	call.rm_call.cb_proc = MAG_X_HEARTBEAT;
+	peer_wire_out(msg, &out, &room);
+	xdrmem_create(&xdr, buf, (u_int)size, XDR_ENCODE);
+	ok = xdr_callmsg(&xdr, &call) && xdr_mag_x_heartbeat(&xdr, &out);
+	len = (int)xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return ok ? len : PEER_WIRE_E_SHORT;
+}
+
+/*
+ * Decodes a datagram.  Returns 0, or PEER_WIRE_E_FORM for what isn't a
+ * heartbeat or exceeds a bound; nothing is kept of it then.
+ */
+int peer_wire_decode(char *buf, size_t len, struct peer_msg *msg)
+{
+	struct rpc_msg call;
+	mag_x_heartbeat in;
+	XDR xdr;
+	int err = PEER_WIRE_E_FORM;
+
+	memset(&in, 0, sizeof(in));
+	xdrmem_create(&xdr, buf, (u_int)len, XDR_DECODE);
+	if (peer_wire_call(&xdr, &call) && xdr_mag_x_heartbeat(&xdr, &in) &&
+	    xdr_getpos(&xdr) == len)
+		err = peer_wire_in(&in, msg);
+	xdr_destroy(&xdr);
+	xdr_free((xdrproc_t)xdr_mag_x_heartbeat, (char *)&in);
+	return err;
+}
+
+/* Reads the header of a call and checks that it is a heartbeat's. */
+static bool_t peer_wire_call(XDR *xdr, struct rpc_msg *call)
+{
+	char cred[MAX_AUTH_BYTES];
+	char verf[MAX_AUTH_BYTES];
+
+	memset(call, 0, sizeof(*call));
+	call->rm_call.cb_cred.oa_base = cred;
+	call->rm_call.cb_verf.oa_base = verf;
+	return xdr_callmsg(xdr, call) && call->rm_direction == CALL &&
+	       call->rm_call.cb_rpcvers == RPC_MSG_VERSION &&
+	       call->rm_call.cb_prog == MAG_X_PROGRAM &&
+	       call->rm_call.cb_vers == MAG_X_VERSION &&
+	       call->rm_call.cb_proc == MAG_X_HEARTBEAT;
+}
+
+/* Points the generated struct at the fields of a message. */
+static void peer_wire_out(const struct peer_msg *msg, mag_x_heartbeat *out,
+			  struct peer_wire_room *room)
+{
+	uint32_t i;
+
+	memset(out, 0, sizeof(*out));
+	out->format = msg->version;
+	out->cluster = msg->cluster;
+	out->sender = msg->from;
+	out->incarnation = msg->incarnation;
+	out->seq = msg->seq;
+	out->flags = msg->flags;
+	out->next_ms = msg->next_ms;
+	out->heard = msg->heard;
+	out->revision = msg->revision;
+	out->news_seq = msg->news_seq;
+	out->news_ack = msg->news_ack;
+	out->listed = msg->listed;
+	out->group = msg->group;
+	out->group_hash = msg->group_hash;
+	out->reach_hash = msg->reach_hash;
+	out->intro.intro_len = msg->flags & PEER_F_INTRO ? 1 : 0;
+	out->intro.intro_val = &room->intro;
+	room->intro.name = (char *)msg->name;
+	room->intro.data_centre = (char *)msg->data_centre;
+	room->intro.address = (char *)msg->address;
+	out->news.news_len = msg->news_count;
+	out->news.news_val = room->news;
+	for (i = 0; i < msg->news_count; i++)
+		peer_wire_record_out(&msg->news[i], &room->news[i]);
+	out->demands.demands_len = msg->demand_count;
+	out->demands.demands_val = room->demands;
+	for (i = 0; i < msg->demand_count; i++) {
+		room->demands[i].limit = msg->demands[i].limit;
+		room->demands[i].demand = msg->demands[i].demand;
+	}
+}
+
+static void peer_wire_record_out(const struct peer_record *from,
+				 mag_x_record *to)
+{
+	to->kind = (int)from->kind;
+	if (from->kind == PEER_REC_LEAVING) {
+		to->mag_x_record_u.leaving.endpoint = (char *)from->endpoint;
+		to->mag_x_record_u.leaving.leaving = from->leaving;
+		to->mag_x_record_u.leaving.edition = from->version;
+		return;
+	}
+	memcpy(to->mag_x_record_u.quarantine.print, from->print,
+	       MAG_DIGEST_BYTES);
+	to->mag_x_record_u.quarantine.lost = from->lost;
+	to->mag_x_record_u.quarantine.remaining_ms = from->remaining_ms;
+}
+
+/* Copies a decoded heartbeat; the decoder has checked the bounds. */
+static int peer_wire_in(const mag_x_heartbeat *in, struct peer_msg *msg)
+{
+	uint32_t i;
+
+	memset(msg, 0, sizeof(*msg));
+	msg->version = in->format;
+	msg->cluster = in->cluster;
+	msg->from = in->sender;
+	msg->incarnation = in->incarnation;
+	msg->seq = in->seq;
+	msg->flags = in->flags & ~(uint32_t)PEER_F_INTRO;
+	msg->next_ms = in->next_ms;
+	msg->heard = in->heard;
+	msg->revision = in->revision;
+	msg->news_seq = in->news_seq;
+	msg->news_ack = in->news_ack;
+	msg->listed = in->listed;
+	msg->group = in->group;
+	msg->group_hash = in->group_hash;
+	msg->reach_hash = in->reach_hash;
+	if (in->intro.intro_len == 1) {
+		const mag_x_intro *intro = in->intro.intro_val;
+
+		msg->flags |= PEER_F_INTRO;
+		if (mag_copy_name(msg->name, MAG_NAME_MAX, intro->name) ||
+		    mag_copy_name(msg->data_centre, MAG_NAME_MAX,
+				  intro->data_centre) ||
+		    mag_copy_name(msg->address, MAG_ADDR_MAX, intro->address))
+			return PEER_WIRE_E_FORM;
+	}
+	msg->news_count = in->news.news_len;
+	for (i = 0; i < msg->news_count; i++) {
+		if (peer_wire_record_in(&in->news.news_val[i], &msg->news[i]))
+			return PEER_WIRE_E_FORM;
+	}
+	msg->demand_count = in->demands.demands_len;
+	for (i = 0; i < msg->demand_count; i++) {
+		msg->demands[i].limit = in->demands.demands_val[i].limit;
+		msg->demands[i].demand = in->demands.demands_val[i].demand;
+	}
+	return 0;
+}
+
+static int peer_wire_record_in(const mag_x_record *from, struct peer_record *to)
+{
+	if (from->kind == PEER_REC_LEAVING) {
+		to->kind = PEER_REC_LEAVING;
+		to->leaving = from->mag_x_record_u.leaving.leaving;
+		to->version = from->mag_x_record_u.leaving.edition;
+		return mag_copy_name(to->endpoint, MAG_NAME_MAX,
+				     from->mag_x_record_u.leaving.endpoint);
+	}
+	if (from->kind != PEER_REC_QUARANTINE)
+		return PEER_WIRE_E_FORM;
+	to->kind = PEER_REC_QUARANTINE;
+	memcpy(to->print, from->mag_x_record_u.quarantine.print,
+	       MAG_DIGEST_BYTES);
+	to->lost = from->mag_x_record_u.quarantine.lost;
+	to->remaining_ms = from->mag_x_record_u.quarantine.remaining_ms;
+	return 0;
+}
--- a/src/plc.h
+++ b/src/plc.h
@@ -10,6 +10,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "cfg.h"
+#include "kv.h"
 #include "mag.h"
 
 struct plc;
@@ -53,4 +55,29 @@
 	bool loading;
 };
 
+struct plc_settings {
+	char instance[MAG_NAME_MAX];
+	char data_centre[MAG_NAME_MAX];
+	uint64_t incarnation;
+	bool enabled;
+};
+
+enum plc_err {
+	PLC_OK = 0,
+	PLC_E_MEMORY = -1,
+	PLC_E_UNKNOWN = -2, /* no such call or order */
+};
+
+struct plc *plc_new(const struct plc_settings *settings, int64_t now);
+void plc_free(struct plc *plc);
+int plc_config(struct plc *plc, const struct cfg_set *set, int64_t now);
+void plc_stop(struct plc *plc, int64_t now);
+void plc_tick(struct plc *plc, int64_t now);
+int64_t plc_next_deadline(const struct plc *plc);
+bool plc_next_call(struct plc *plc, struct kv_call *call);
+int plc_reply(struct plc *plc, const struct kv_reply *reply, int64_t now);
+bool plc_next_order(struct plc *plc, struct plc_order *order);
+int plc_order_done(struct plc *plc, const struct plc_order_result *result,
+		   int64_t now);
+
 #endif /* PLC_H */
--- /dev/null
+++ b/src/spread.h
@@ -0,0 +1,55 @@
+#ifndef SPREAD_H
+#define SPREAD_H
+
+/*
+ * Records that reach every instance: endpoints that leave, fingerprints in
+ * quarantine.  Each instance keeps a log of the newest version of each
+ * record; a link carries what the other side hasn't acknowledged yet, so a
+ * lost message or a long cut only delays a record.  Deterministic.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "cfg.h"
+#include "mag.h"
+#include "peer.h"
+
+struct spread;
+
+enum spread_err {
+	SPREAD_OK = 0,
+	SPREAD_E_FULL = -1,
+	SPREAD_E_NAME = -2,
+	SPREAD_E_MEMORY = -3,
+};
+
+/* A record as this instance has it now. */
+struct spread_news {
+	enum peer_record_kind kind;
+	char endpoint[MAG_NAME_MAX];
+	bool leaving;
+	uint8_t print[MAG_DIGEST_BYTES];
+	uint32_t lost;
+	int64_t until_us;
+};
+
+struct spread *spread_new(uint32_t max_records);
+void spread_free(struct spread *spread);
+void spread_config(struct spread *spread, const struct cfg_set *set);
+int spread_note_leaving(struct spread *spread, const char *endpoint,
+			bool leaving);
+int spread_note_quarantine(struct spread *spread,
+			   const uint8_t print[MAG_DIGEST_BYTES], uint32_t lost,
+			   int64_t until_us, int64_t now);
+int spread_take(struct spread *spread, const struct peer *peer, int link,
+		const struct peer_msg *msg, int64_t now);
+void spread_fill(struct spread *spread, const struct peer *peer, int link,
+		 int64_t now, struct peer_msg *msg);
+bool spread_pending(const struct spread *spread, const struct peer *peer,
+		    int link);
+void spread_tick(struct spread *spread, const struct peer *peer, int64_t now);
+bool spread_next_news(struct spread *spread, struct spread_news *news);
+uint32_t spread_count(const struct spread *spread);
+
+#endif /* SPREAD_H */
