Let instances act together: membership, records, limits in pieces

Cause: an endpoint that leaves, a quarantine, a revision or a demand known to one instance has to act on all, without a store of the project's own. Ruled out: one list that all read (it lags, and the platform has outages); gossip to random peers (its tail is longer than three seconds at the budget); escrowed tokens handed from peer to peer (a killed holder loses them until an agreement about its death, which nobody can make). Change: heartbeats decide who is up; two bridges a data centre by rendezvous; a log of records with an acknowledged place on each link; limits pooled among those who see the same group, in parts of the listed instances. A raised part waits for as long as a cut needs to be noticed.

--- /dev/null
+++ b/regress/check_fleet.c
@@ -0,0 +1,578 @@
+#include <math.h>
+#include <sodium.h>
+
+#include "log.h"
+#include "net.h"
+#include "script.h"
+
+/*
+ * Scripts of regress/fleet: many fleets act together in virtual time.  Nodes
+ * are written as numbers, 3-5, dN (a data centre), or all.
+ */
+
+#define LIMITS_MAX  400
+#define RECORDS_MAX 8
+
+/* What one instance was told. */
+struct told {
+	double share[LIMITS_MAX];
+	double demand[LIMITS_MAX];
+	bool leaving[RECORDS_MAX];
+	int quarantined;
+	int64_t quarantined_at;
+	int64_t knew_at;
+	uint64_t revision;
+	uint64_t highest;
+	bool reverted;
+	int64_t fetch_at_us;
+	uint64_t fetch;
+	uint64_t arrivals;
+	int64_t last_arrival;
+	int ups;
+	int downs;
+};
+
+struct run {
+	struct net net;
+	struct told told[NET_MAX];
+	struct cfg_set set;
+	struct cfg_limit limits[LIMITS_MAX];
+	struct cfg_endpoint endpoints[RECORDS_MAX];
+	int64_t marked;
+	FILE *out;
+};
+
+static void on_news(struct net *net, int node, const struct fleet_news *news)
+{
+	struct run *run = net->ctx;
+	struct told *told = &run->told[node];
+	int i;
+
+	switch (news->type) {
+	case FLEET_NEWS_SHARE:
+		told->share[news->share.limit] = news->share.requests_per_s;
+		break;
+	case FLEET_NEWS_LEAVING:
+		i = cfg_find_endpoint(&run->set, news->leaving.endpoint);
+		if (i >= 0)
+			told->leaving[i] = news->leaving.leaving;
+		told->knew_at = net->now;
+		break;
+	case FLEET_NEWS_QUARANTINE:
+		told->quarantined++;
+		told->quarantined_at = net->now;
+		break;
+	case FLEET_NEWS_REVISION:
+		told->fetch = news->revision.revision;
+		told->fetch_at_us = net->now + 50 * MAG_US_PER_MS;
+		break;
+	default:
+		told->ups += news->peer.up;
+		told->downs += !news->peer.up;
+	}
+}
+
+/* Reads a list of nodes; returns the rest of the text. */
+static int nodes(const struct run *run, const char *text, int *list)
+{
+	int low = 0;
+	int high = run->net.count - 1;
+	int count = 0;
+	int dc = -1;
+	int i;
+
+	if (text[0] == 'd')
+		dc = atoi(text + 1);
+	else if (strcmp(text, "all") != 0 &&
+		 sscanf(text, "%d-%d", &low, &high) == 1)
+		high = low;
+	for (i = low; i <= high; i++) {
+		if (dc < 0 || run->net.nodes[i].dc == dc)
+			list[count++] = i;
+	}
+	return count;
+}
+
+static void work(struct run *run)
+{
+	int i;
+
+	net_step(&run->net);
+	for (i = 0; i < run->net.count; i++) {
+		struct told *told = &run->told[i];
+
+		if (!run->net.nodes[i].alive || run->net.nodes[i].paused)
+			continue;
+		if (told->fetch && run->net.now >= told->fetch_at_us) {
+			told->revision = told->fetch;
+			told->fetch = 0;
+			told->knew_at = run->net.now;
+			fleet_note_revision(run->net.nodes[i].fleet,
+					    told->revision, run->net.now);
+		}
+		told->reverted |= told->revision < told->highest;
+		if (told->revision > told->highest)
+			told->highest = told->revision;
+		if (!told->leaving[0]) {
+			told->arrivals++;
+			told->last_arrival = run->net.now;
+		}
+	}
+}
+
+/* Runs for some time and prints how much of limit 0 the nodes used. */
+static void measure(struct run *run, long ms, const char *who)
+{
+	int list[NET_MAX];
+	int count = nodes(run, who, list);
+	double limit = run->limits[0].requests_per_s;
+	double least = 1e9;
+	double most = 0;
+	double sum = 0;
+	long steps = ms * MAG_US_PER_MS / NET_STEP_US;
+	long s;
+	int i;
+
+	for (s = 0; s < steps; s++) {
+		double used = 0;
+
+		work(run);
+		for (i = 0; i < count; i++) {
+			struct told *told = &run->told[list[i]];
+
+			if (run->net.nodes[list[i]].alive)
+				used += fmin(told->share[0], told->demand[0]);
+		}
+		least = fmin(least, used);
+		most = fmax(most, used);
+		sum += used / (double)steps;
+	}
+	fprintf(run->out,
+		"%s used of the limit: least %.1f%% mean %.1f%% "
+		"most %.1f%%\n",
+		who, 100 * least / limit, 100 * sum / limit,
+		100 * most / limit);
+}
+
+/* Draws a new demand for every node each period, and measures as one. */
+static void storm(struct run *run, long ms, long period_ms)
+{
+	double limit = run->limits[0].requests_per_s;
+	double most = 0;
+	double sum = 0;
+	double wanted = 0;
+	long t;
+	int i;
+
+	for (t = 0; t < ms; t += 10) {
+		double used = 0;
+		double demand = 0;
+
+		for (i = 0; i < run->net.count; i++) {
+			struct told *told = &run->told[i];
+
+			if (t % period_ms == 0)
+				told->demand[0] = net_random(&run->net) % 400;
+			fleet_note_demand(run->net.nodes[i].fleet, 0,
+					  told->demand[0]);
+		}
+		work(run);
+		for (i = 0; i < run->net.count; i++) {
+			struct told *told = &run->told[i];
+
+			if (!run->net.nodes[i].alive)
+				continue;
+			demand += told->demand[0];
+			used += fmin(told->share[0], told->demand[0]);
+		}
+		most = fmax(most, used);
+		sum += used;
+		wanted += fmin(demand, limit);
+	}
+	fprintf(run->out,
+		"used of what could be: mean %.1f%%; most of the "
+		"limit %.1f%%\n",
+		100 * sum / wanted, 100 * most / limit);
+}
+
+static void start(struct run *run, int dcs, int count, int limits)
+{
+	int i;
+
+	for (i = 0; i < limits; i++) {
+		snprintf(run->limits[i].name, MAG_NAME_MAX, "limit%d", i);
+		run->limits[i].requests_per_s = 1000;
+	}
+	for (i = 0; i < RECORDS_MAX; i++)
+		snprintf(run->endpoints[i].name, MAG_NAME_MAX, "e%d", i);
+	run->set.limits = run->limits;
+	run->set.limit_count = (size_t)limits;
+	run->set.endpoints = run->endpoints;
+	run->set.endpoint_count = RECORDS_MAX;
+	run->net.set = &run->set;
+	run->net.news = on_news;
+	run->net.ctx = run;
+	net_init(&run->net, dcs, count);
+}
+
+/* Prints when the last of the nodes came to know, after the mark. */
+static void show_known(struct run *run, const char *who, const char *what)
+{
+	int list[NET_MAX];
+	int count = nodes(run, who, list);
+	int known = 0;
+	int64_t last = run->marked;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		struct told *told = &run->told[list[i]];
+		int64_t at = told->knew_at;
+
+		if (what[0] == 'q')
+			at = told->quarantined_at;
+		known += at > run->marked;
+		if (at > last)
+			last = at;
+	}
+	fprintf(run->out, "%s: %d of %d were told, the last after %lld ms\n",
+		who, known, count,
+		(long long)(last - run->marked) / MAG_US_PER_MS);
+}
+
+static void show_arrivals(struct run *run)
+{
+	int64_t last = run->marked;
+	int i;
+
+	for (i = 0; i < run->net.count; i++) {
+		if (run->told[i].last_arrival > last)
+			last = run->told[i].last_arrival;
+	}
+	fprintf(run->out, "last arrival at e0 %lld ms after the mark\n",
+		(long long)(last - run->marked) / MAG_US_PER_MS);
+}
+
+static void show_groups(struct run *run, const char *who)
+{
+	int list[NET_MAX];
+	int count = nodes(run, who, list);
+	int bridges = 0;
+	int i;
+
+	fprintf(run->out, "%s groups:", who);
+	for (i = 0; i < count; i++) {
+		struct fleet *fleet = run->net.nodes[list[i]].fleet;
+
+		fprintf(run->out, " %u/%u", fleet_group(fleet),
+			fleet_listed(fleet));
+		bridges += fleet_is_bridge(fleet);
+	}
+	fprintf(run->out, " bridges %d\n", bridges);
+}
+
+/* Prints how many of the nodes keep e0 off, and know how many prints. */
+static void show_kept(struct run *run, const char *who)
+{
+	int list[NET_MAX];
+	int count = nodes(run, who, list);
+	int prints = INT32_MAX;
+	int leaving = 0;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		struct told *told = &run->told[list[i]];
+
+		leaving += told->leaving[0];
+		if (told->quarantined < prints)
+			prints = told->quarantined;
+	}
+	fprintf(run->out, "%s: %d of %d keep e0 off, each has %d prints\n", who,
+		leaving, count, prints);
+}
+
+static void show_revisions(struct run *run, const char *who)
+{
+	int list[NET_MAX];
+	int count = nodes(run, who, list);
+	uint64_t low = UINT64_MAX;
+	uint64_t high = 0;
+	bool reverted = false;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		struct told *told = &run->told[list[i]];
+
+		low = told->revision < low ? told->revision : low;
+		high = told->revision > high ? told->revision : high;
+		reverted |= told->reverted;
+	}
+	fprintf(run->out, "%s revisions %llu to %llu, %s\n", who,
+		(unsigned long long)low, (unsigned long long)high,
+		reverted ? "reverted" : "none reverted");
+}
+
+/* A heartbeat that node 0 never sent: what is done with it? */
+static void forge(struct run *run, const char *how)
+{
+	struct peer_msg msg = { .version = PEER_VERSION,
+				.from = peer_hash("i1"),
+				.incarnation = 1,
+				.seq = 1,
+				.next_ms = 500 };
+	int err;
+
+	msg.cluster = (uint32_t)peer_hash("test");
+	msg.incarnation = run->net.nodes[1].incarnation * 1000 + 1;
+	msg.seq = 1000000;
+	if (strcmp(how, "cluster") == 0)
+		msg.cluster++;
+	else if (strcmp(how, "version") == 0)
+		msg.version++;
+	else if (strcmp(how, "stranger") == 0)
+		msg.from++;
+	else if (strcmp(how, "late") == 0)
+		msg.seq = 999999;
+	else if (strcmp(how, "period") == 0)
+		msg.next_ms = 1u << 30;
+	else if (strcmp(how, "demands") == 0)
+		msg.demand_count = PEER_DEMANDS_MAX + 1;
+	err = fleet_receive(run->net.nodes[0].fleet, &msg, run->net.now);
+	fprintf(run->out, "forged %s: %s\n", how, err ? "dropped" : "taken");
+}
+
+static void each_node(struct run *run, const char *verb, const char *who,
+		      double value, int index)
+{
+	int list[NET_MAX];
+	int count = nodes(run, who, list);
+	uint8_t print[MAG_DIGEST_BYTES] = { 0 };
+	int i;
+
+	print[0] = (uint8_t)index;
+	for (i = 0; i < count; i++) {
+		struct net_node *node = &run->net.nodes[list[i]];
+		struct told *told = &run->told[list[i]];
+
+		if (strcmp(verb, "kill") == 0) {
+			node->alive = false;
+		} else if (strcmp(verb, "pause") == 0) {
+			node->paused = true;
+		} else if (strcmp(verb, "wake") == 0) {
+			node->paused = false;
+		} else if (strcmp(verb, "start") == 0) {
+			memset(told, 0, sizeof(*told));
+			net_start(&run->net, list[i]);
+		} else if (strcmp(verb, "stop") == 0) {
+			fleet_note_stopping(node->fleet, run->net.now);
+		} else if (strcmp(verb, "nolist") == 0) {
+			run->net.platform_cut[list[i]] = value > 0;
+		} else if (strcmp(verb, "demand") == 0) {
+			told->demand[index] = value;
+			fleet_note_demand(node->fleet, index, value);
+		} else if (strcmp(verb, "leaving") == 0) {
+			fleet_note_leaving(node->fleet,
+					   run->endpoints[index].name,
+					   value > 0, run->net.now);
+		} else if (strcmp(verb, "quarantine") == 0) {
+			told->quarantined++;
+			told->quarantined_at = run->net.now;
+			fleet_note_quarantine(
+				node->fleet, print, 2,
+				run->net.now + (int64_t)(value * MAG_US_PER_S),
+				run->net.now);
+		} else if (strcmp(verb, "revision") == 0) {
+			told->revision = (uint64_t)value;
+			told->knew_at = run->net.now;
+			fleet_note_revision(node->fleet, told->revision,
+					    run->net.now);
+		} else {
+			fprintf(run->out, "unknown verb %s\n", verb);
+			return;
+		}
+	}
+}
+
+static void cut(struct run *run, const char *from, const char *to, bool on,
+		bool both)
+{
+	int a[NET_MAX];
+	int b[NET_MAX];
+	int a_count = nodes(run, from, a);
+	int b_count = nodes(run, to, b);
+	int i;
+	int j;
+
+	for (i = 0; i < a_count; i++) {
+		for (j = 0; j < b_count; j++) {
+			net_cut(&run->net, a[i], b[j], on);
+			if (both)
+				net_cut(&run->net, b[j], a[i], on);
+		}
+	}
+}
+
+static void do_run(struct run *run, const char *a, const char *b)
+{
+	long ms;
+
+	(void)b;
+	for (ms = 0; ms < atol(a); ms += 10)
+		work(run);
+}
+
+static void do_measure(struct run *run, const char *a, const char *b)
+{
+	measure(run, atol(a), b);
+}
+
+static void do_storm(struct run *run, const char *a, const char *b)
+{
+	storm(run, atol(a), atol(b));
+}
+
+static void do_mark(struct run *run, const char *a, const char *b)
+{
+	(void)a;
+	(void)b;
+	run->marked = run->net.now;
+}
+
+static void do_loss(struct run *run, const char *a, const char *b)
+{
+	(void)b;
+	run->net.loss_percent = atoi(a);
+}
+
+static void do_platform(struct run *run, const char *a, const char *b)
+{
+	run->net.platform_down = strcmp(a, "down") == 0;
+	run->net.platform_delay_us = atol(b) * MAG_US_PER_MS;
+}
+
+/* From now on the list of the first bridge shows e0 as leaving. */
+static void do_list_leaving(struct run *run, const char *a, const char *b)
+{
+	int i = 0;
+
+	(void)a;
+	(void)b;
+	while (!fleet_is_bridge(run->net.nodes[i].fleet))
+		i++;
+	run->net.leaving = "e0";
+	run->net.leaving_seen_by = i;
+}
+
+static void do_cut(struct run *run, const char *a, const char *b)
+{
+	cut(run, a, b, true, true);
+}
+
+static void do_cut_one_way(struct run *run, const char *a, const char *b)
+{
+	cut(run, a, b, true, false);
+}
+
+static void do_join(struct run *run, const char *a, const char *b)
+{
+	cut(run, a, b, false, true);
+}
+
+static void do_forge(struct run *run, const char *a, const char *b)
+{
+	(void)b;
+	forge(run, a);
+}
+
+static void do_arrivals(struct run *run, const char *a, const char *b)
+{
+	(void)a;
+	(void)b;
+	show_arrivals(run);
+}
+
+static void do_groups(struct run *run, const char *a, const char *b)
+{
+	(void)b;
+	show_groups(run, a);
+}
+
+static void do_kept(struct run *run, const char *a, const char *b)
+{
+	(void)b;
+	show_kept(run, a);
+}
+
+static void do_revisions(struct run *run, const char *a, const char *b)
+{
+	(void)b;
+	show_revisions(run, a);
+}
+
+static const struct {
+	const char *verb;
+	void (*run)(struct run *run, const char *a, const char *b);
+} commands[] = {
+	{ "run", do_run },
+	{ "measure", do_measure },
+	{ "storm", do_storm },
+	{ "mark", do_mark },
+	{ "loss", do_loss },
+	{ "platform", do_platform },
+	{ "list-leaving", do_list_leaving },
+	{ "cut", do_cut },
+	{ "cut1", do_cut_one_way },
+	{ "join", do_join },
+	{ "forge", do_forge },
+	{ "known", show_known },
+	{ "arrivals", do_arrivals },
+	{ "groups", do_groups },
+	{ "kept", do_kept },
+	{ "revisions", do_revisions },
+};
+
+static void command(struct run *run, const char *line)
+{
+	char verb[32] = "";
+	char a[64] = "";
+	char b[64] = "";
+	double value = 0;
+	int index = 0;
+	size_t i;
+
+	if (sscanf(line, "%31s %63s %63s", verb, a, b) < 1)
+		return;
+	if (strcmp(verb, "fleet") == 0) {
+		start(run, atoi(a), atoi(b), 1);
+		return;
+	}
+	for (i = 0; i < MAG_ARRAY_SIZE(commands); i++) {
+		if (strcmp(verb, commands[i].verb) == 0) {
+			commands[i].run(run, a, b);
+			return;
+		}
+	}
+	sscanf(line, "%*s %*s %lf %d", &value, &index);
+	each_node(run, verb, a, value, index);
+}
+
+static void driver(FILE *in, FILE *out)
+{
+	struct run *run = calloc(1, sizeof(*run));
+	char line[256];
+
+	log_set_sink(NULL, NULL);
+	run->out = out;
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] != '#')
+			command(run, line);
+	}
+	net_free(&run->net);
+	free(run);
+}
+
+int main(void)
+{
+	if (sodium_init() < 0)
+		return 1;
+	return script_main("regress/fleet", driver);
+}
--- /dev/null
+++ b/regress/net.h
@@ -0,0 +1,264 @@
+#ifndef NET_H
+#define NET_H
+
+/*
+ * Many fleets in one process and in virtual time: messages take a step, may
+ * be lost or cut off one way, and the platform's list comes late.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet.h"
+#include "peer_wire.h"
+
+#define NET_MAX	    1024
+#define NET_STEP_US (10 * MAG_US_PER_MS)
+#define NET_IP_UDP  28 /* bytes of headers on each datagram */
+
+struct net_message {
+	int from;
+	int to;
+	int64_t at_us;
+	struct peer_msg msg;
+};
+
+struct net_node {
+	struct fleet *fleet;
+	int dc;
+	bool alive;
+	bool paused;
+	uint64_t incarnation;
+	uint64_t bytes_out;
+	uint64_t bytes_in;
+	uint64_t sent;
+	uint64_t received;
+	bool call_running;
+	uint64_t call_id;
+	int64_t call_done_us;
+};
+
+struct net {
+	struct net_node nodes[NET_MAX];
+	int count;
+	int dcs;
+	int64_t now;
+	struct net_message *queue;
+	size_t queue_len;
+	size_t queue_cap;
+	bool *cut; /* count * count: from, to */
+	uint64_t random;
+	int loss_percent;
+	bool platform_down;
+	bool platform_cut[NET_MAX]; /* from this instance */
+	int64_t platform_delay_us;
+	uint64_t calls;
+	const char *leaving; /* an endpoint that the list shows as leaving */
+	int leaving_seen_by; /* the list of this instance only; -1: all */
+	const struct cfg_set *set;
+	void (*news)(struct net *net, int node, const struct fleet_news *news);
+	void (*order)(struct net *net, int node, const struct plc_order *order);
+	bool place;
+	void *ctx;
+};
+
+static inline uint32_t net_random(struct net *net)
+{
+	net->random = net->random * UINT64_C(6364136223846793005) +
+		      UINT64_C(1442695040888963407);
+	return (uint32_t)(net->random >> 33);
+}
+
+static inline void net_name(char name[MAG_NAME_MAX], int node)
+{
+	snprintf(name, MAG_NAME_MAX, "i%d", node);
+}
+
+/* Starts an instance, or starts it again with an empty memory. */
+static inline void net_start(struct net *net, int i)
+{
+	struct net_node *node = &net->nodes[i];
+	struct fleet_settings settings = { .seed = (uint64_t)i + 1,
+					   .kv_timeout_us = MAG_US_PER_S };
+
+	fleet_free(node->fleet);
+	strcpy(settings.cluster, "test");
+	net_name(settings.instance, i);
+	snprintf(settings.data_centre, MAG_NAME_MAX, "d%d", node->dc);
+	snprintf(settings.address, MAG_ADDR_MAX, "%d", i);
+	settings.incarnation = ++node->incarnation * 1000 + (uint64_t)i;
+	settings.place = net->place;
+	node->fleet = fleet_new(&settings, net->now);
+	node->alive = true;
+	node->paused = false;
+	node->call_running = false;
+	if (net->set)
+		fleet_config(node->fleet, net->set, net->now);
+}
+
+static inline void net_init(struct net *net, int dcs, int count)
+{
+	int i;
+
+	net->dcs = dcs;
+	net->count = count;
+	net->now = MAG_US_PER_S;
+	net->random = 7;
+	net->leaving_seen_by = -1;
+	net->platform_delay_us = 5 * MAG_US_PER_MS;
+	net->cut = calloc((size_t)count * (size_t)count, sizeof(bool));
+	if (!net->cut)
+		abort();
+	for (i = 0; i < count; i++) {
+		net->nodes[i].dc = i % dcs;
+		net_start(net, i);
+	}
+}
+
+static inline void net_free(struct net *net)
+{
+	int i;
+
+	for (i = 0; i < net->count; i++)
+		fleet_free(net->nodes[i].fleet);
+	free(net->queue);
+	free(net->cut);
+}
+
+static inline void net_push(struct net *net, int from, int to,
+			    const struct peer_msg *msg)
+{
+	char buf[PEER_WIRE_MAX];
+	int len = peer_wire_encode(msg, 1, buf, sizeof(buf));
+
+	net->nodes[from].bytes_out += (uint64_t)len + NET_IP_UDP;
+	net->nodes[from].sent++;
+	if (net->cut[from * net->count + to] || !net->nodes[to].alive ||
+	    (net->loss_percent &&
+	     net_random(net) % 100 < (uint32_t)net->loss_percent))
+		return;
+	if (net->queue_len == net->queue_cap) {
+		net->queue_cap = net->queue_cap ? 2 * net->queue_cap : 256;
+		net->queue = realloc(net->queue,
+				     net->queue_cap * sizeof(*net->queue));
+	}
+	net->queue[net->queue_len++] =
+		(struct net_message){ from, to, net->now + NET_STEP_US, *msg };
+	net->nodes[to].bytes_in += (uint64_t)len + NET_IP_UDP;
+	net->nodes[to].received++;
+}
+
+/* Hands over what is due; what a paused instance gets waits for it. */
+static inline void net_deliver(struct net *net)
+{
+	size_t kept = 0;
+	size_t count = net->queue_len;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		struct net_message *m = &net->queue[i];
+		struct net_node *to = &net->nodes[m->to];
+
+		if (m->at_us > net->now || (to->paused && to->alive))
+			net->queue[kept++] = *m;
+		else if (to->alive)
+			fleet_receive(to->fleet, &m->msg, net->now);
+	}
+	net->queue_len = kept;
+}
+
+/* The platform's list as JSON: every instance that is alive. */
+static inline char *net_list(struct net *net, int for_node, size_t *len)
+{
+	char *text = NULL;
+	FILE *out = open_memstream(&text, len);
+	bool show = net->leaving && (net->leaving_seen_by < 0 ||
+				     net->leaving_seen_by == for_node);
+	int i;
+
+	fprintf(out, "{\"instances\":[");
+	for (i = 0; i < net->count; i++) {
+		if (net->nodes[i].alive)
+			fprintf(out,
+				"{\"name\":\"i%d\",\"address\":\"%d\","
+				"\"data_centre\":\"d%d\",\"state\":\"live\","
+				"\"kind\":\"entry\"},",
+				i, i, net->nodes[i].dc);
+	}
+	fprintf(out,
+		"{\"name\":\"%s\",\"state\":\"%s\",\"kind\":\"endpoint\"}]}",
+		net->leaving ? net->leaving : "e0", show ? "leaving" : "live");
+	fclose(out);
+	return text;
+}
+
+static inline void net_platform(struct net *net, int i)
+{
+	struct net_node *node = &net->nodes[i];
+	struct kv_call call;
+	struct kv_reply reply = { 0 };
+
+	while (!node->call_running && fleet_next_call(node->fleet, &call)) {
+		net->calls++;
+		node->call_running = true;
+		node->call_id = call.id;
+		node->call_done_us = net->now + net->platform_delay_us;
+		free(call.value);
+	}
+	if (!node->call_running || net->now < node->call_done_us)
+		return;
+	node->call_running = false;
+	reply.id = node->call_id;
+	reply.status = KV_UNSENT;
+	if (!net->platform_down && !net->platform_cut[i]) {
+		reply.status = KV_OK;
+		reply.value = net_list(net, i, &reply.len);
+	}
+	fleet_reply(node->fleet, &reply, net->now);
+	free(reply.value);
+}
+
+/* Ticks one instance and takes what it leaves. */
+static inline void net_tick(struct net *net, int i)
+{
+	struct net_node *node = &net->nodes[i];
+	struct fleet_news news;
+	struct plc_order order;
+	char address[MAG_ADDR_MAX];
+	struct peer_msg msg;
+
+	if (fleet_next_deadline(node->fleet) <= net->now)
+		fleet_tick(node->fleet, net->now);
+	while (fleet_next_send(node->fleet, address, &msg))
+		net_push(net, i, atoi(address), &msg);
+	while (fleet_next_news(node->fleet, &news)) {
+		if (net->news)
+			net->news(net, i, &news);
+	}
+	while (fleet_next_order(node->fleet, &order)) {
+		if (net->order)
+			net->order(net, i, &order);
+	}
+	net_platform(net, i);
+}
+
+static inline void net_step(struct net *net)
+{
+	int i;
+
+	net->now += NET_STEP_US;
+	net_deliver(net);
+	for (i = 0; i < net->count; i++) {
+		if (net->nodes[i].alive && !net->nodes[i].paused)
+			net_tick(net, i);
+	}
+}
+
+/* Cuts, or joins again, what goes from one instance to another. */
+static inline void net_cut(struct net *net, int from, int to, bool cut)
+{
+	net->cut[from * net->count + to] = cut;
+}
+
+#endif /* NET_H */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,19 +1,21 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "bud.h"
 #include "cnt.h"
 #include "fleet_list.h"
 #include "lim.h"
 #include "log.h"
+#include "pace.h"
 #include "spread.h"
 
 #define FLEET_BYTES_PER_S    9000
 #define FLEET_RECORDS_MAX    4096
 #define FLEET_RESEND_US	     (500 * MAG_US_PER_MS)
 #define FLEET_ASK_US	     (500 * MAG_US_PER_MS) /* between two fetches */
-#define FLEET_BRIDGE_POLL_US (5 * MAG_US_PER_S)
-#define FLEET_POLL_US	     (60 * MAG_US_PER_S)
+#define FLEET_POLL_MIN_US    MAG_US_PER_S	   /* of a bridge */
+#define FLEET_BRIDGE_POLLS_S 6 /* of all bridges, in a second */
+#define FLEET_POLL_US	     (60 * MAG_US_PER_S) /* of the others */
+#define FLEET_POLLS_S	     5 /* of all others, in a second at most */
 #define FLEET_RETRY_US	     (2 * MAG_US_PER_S)
 #define FLEET_LIST_CALL	     1 /* call ids; those of plc are larger */
 #define FLEET_PLC_CALLS	     1000
@@ -24,7 +26,7 @@
 	struct spread *spread;
 	struct lim *lim;
 	struct plc *plc;
-	struct bud_backoff backoff;
+	struct pace pace;
 	const struct cfg_set *set;
 	int64_t now;
 	uint64_t revision;
@@ -42,6 +44,7 @@
 static void fleet_hurry(struct fleet *fleet);
 static void fleet_see_revision(struct fleet *fleet, int link, int64_t now);
 static void fleet_poll(struct fleet *fleet, int64_t now);
+static int64_t fleet_poll_us(const struct fleet *fleet);
 static void fleet_take_list(struct fleet *fleet, const struct kv_reply *reply,
 			    int64_t now);
 static bool fleet_news_peer(struct fleet *fleet, struct fleet_news *news);
@@ -112,7 +115,8 @@
 		       int64_t now)
 {
 	fleet->now = now;
-	if (spread_note_leaving(fleet->spread, endpoint, leaving))
+	if (spread_note_leaving(fleet->spread, endpoint, SPREAD_BY_OWNER,
+				leaving))
 		return FLEET_E_NAME;
 	fleet_hurry(fleet);
 	return FLEET_OK;
@@ -337,9 +341,8 @@
 	fleet->spread = spread_new(FLEET_RECORDS_MAX);
 	fleet->lim = lim_new();
 	fleet->plc = plc_new(&plc, now);
-	bud_backoff_init(&fleet->backoff,
-			 from->seed ^ peer_hash(from->instance), FLEET_RETRY_US,
-			 FLEET_POLL_US);
+	pace_init(&fleet->pace, from->seed ^ peer_hash(from->instance),
+		  FLEET_RETRY_US, FLEET_POLL_US);
 	fleet->now = now;
 	fleet->rail = -1;
 	fleet->list_due_us = now;
@@ -387,26 +390,44 @@
 	fleet->list_pending = true;
 }
 
+/*
+ * How long until the next look at the list.  What one bridge sees there all
+ * instances know soon after, so the bridges share a fixed rate of calls, and
+ * the fleet's calls don't grow with it.
+ */
+static int64_t fleet_poll_us(const struct fleet *fleet)
+{
+	int64_t bridges = PEER_RAILS * peer_data_centres(fleet->peer);
+	int64_t others = peer_listed_count(fleet->peer);
+	int64_t period;
+
+	if (fleet_is_bridge(fleet)) {
+		period = bridges * MAG_US_PER_S / FLEET_BRIDGE_POLLS_S;
+		return period > FLEET_POLL_MIN_US ? period : FLEET_POLL_MIN_US;
+	}
+	period = others * MAG_US_PER_S / FLEET_POLLS_S;
+	return period > FLEET_POLL_US ? period : FLEET_POLL_US;
+}
+
 /* Takes the platform's list, or waits longer after a failure. */
 static void fleet_take_list(struct fleet *fleet, const struct kv_reply *reply,
 			    int64_t now)
 {
-	int64_t period =
-		fleet_is_bridge(fleet) ? FLEET_BRIDGE_POLL_US : FLEET_POLL_US;
 	struct fleet_list list;
 	size_t i;
 
 	fleet->list_running = false;
 	if (reply->status != KV_OK ||
 	    fleet_list_parse(reply->value, reply->len, &list)) {
-		fleet->list_due_us = bud_backoff_fail(&fleet->backoff, now);
+		fleet->list_due_us = pace_fail(&fleet->pace, now);
 		return;
 	}
-	fleet->list_due_us = bud_backoff_spread(&fleet->backoff, now, period);
+	fleet->list_due_us =
+		pace_spread(&fleet->pace, now, fleet_poll_us(fleet));
 	peer_list(fleet->peer, list.entries, list.entry_count, now);
 	for (i = 0; i < list.endpoint_count; i++)
 		spread_note_leaving(fleet->spread, list.endpoints[i].name,
-				    list.endpoints[i].leaving);
+				    SPREAD_BY_LIST, list.endpoints[i].leaving);
 	fleet_list_free(&list);
 	fleet_hurry(fleet);
 }
@@ -485,6 +506,6 @@
 		  peer_local_group(fleet->peer));
 	/* A new bridge needs a fresh list for its data centre. */
 	if (fleet->rail >= 0 &&
-	    fleet->list_due_us > fleet->now + FLEET_BRIDGE_POLL_US)
-		fleet->list_due_us = fleet->now + FLEET_BRIDGE_POLL_US;
+	    fleet->list_due_us > fleet->now + fleet_poll_us(fleet))
+		fleet->list_due_us = fleet->now + fleet_poll_us(fleet);
 }
--- a/src/lim.c
+++ b/src/lim.c
@@ -8,6 +8,7 @@
 #define LIM_STEP       0.05 /* a smaller change of demand isn't told */
 #define LIM_SHARE_STEP 0.01 /* a smaller change of share isn't told */
 #define LIM_NONE       1e-9 /* as good as nothing; 0 would mean no limit */
+#define LIM_SLOTS      5    /* of time, of which a raised share waits out all */
 #define LIM_ROUND_US   (250 * MAG_US_PER_MS)
 
 /* One limit as this instance sees it. */
@@ -17,13 +18,12 @@
 	double requests_per_s;
 	double tokens_per_s;
 	double concurrent;
-	float demand;	   /* here, as last noted */
-	float announced;   /* here, as peers are told */
-	float local;	   /* in this data centre, at its first bridge */
-	float total;	   /* of all in reach */
-	double window_min; /* least fraction since the window began */
-	double last_min;   /* ... and in the window before */
-	double told;	   /* fraction that the owner was told; -1: none */
+	float demand;		 /* here, as last noted */
+	float announced;	 /* here, as peers are told */
+	float local;		 /* in this data centre, at its first bridge */
+	float total;		 /* of all in reach */
+	double least[LIM_SLOTS]; /* least fraction in each slot of time */
+	double told; /* fraction that the owner was told; -1: none */
 };
 
 /* What a link brought, and what it was told; one float a row. */
@@ -41,7 +41,8 @@
 	size_t row_count;
 	struct lim_link *links;
 	size_t link_count;
-	int64_t window_end_us;
+	int64_t slot_end_us;
+	size_t slot;
 	int64_t next_us;
 	uint32_t group;	   /* who pool their parts, this one included */
 	uint32_t local;	   /* those of them in this data centre */
@@ -79,6 +80,7 @@
 static void lim_add_link(struct lim *lim, int link, bool local);
 static void lim_follow(struct lim *lim, const struct peer *peer, int chief);
 static void lim_window(struct lim *lim, const struct peer *peer, int64_t now);
+static double lim_least(const struct lim_row *row);
 
 /* Makes an empty table of limits; NULL when memory is short. */
 struct lim *lim_new(void)
@@ -130,8 +132,8 @@
 			continue;
 		rows[i].demand = lim->rows[old].demand;
 		rows[i].announced = lim->rows[old].announced;
-		rows[i].window_min = lim->rows[old].window_min;
-		rows[i].last_min = lim->rows[old].last_min;
+		memcpy(rows[i].least, lim->rows[old].least,
+		       sizeof(rows[i].least));
 	}
 	if (lim_remap(lim, rows, count)) {
 		free(rows);
@@ -238,7 +240,7 @@
 {
 	while (lim->news_next < lim->row_count) {
 		struct lim_row *row = &lim->rows[lim->news_next++];
-		double now = fmin(row->window_min, row->last_min);
+		double now = lim_least(row);
 
 		if (row->told >= 0 &&
 		    fabs(now - row->told) <= LIM_SHARE_STEP * row->told)
@@ -330,14 +332,16 @@
 static void lim_row_set(struct lim_row *row, const struct cfg_limit *from,
 			int index)
 {
+	size_t slot;
+
 	row->hash = (uint32_t)peer_hash(from->name);
 	row->limit = index;
 	row->requests_per_s = from->requests_per_s;
 	row->tokens_per_s = from->tokens_per_s;
 	row->concurrent = from->concurrent;
-	row->window_min = 1;
-	row->last_min = 1;
 	row->told = -1;
+	for (slot = 0; slot < LIM_SLOTS; slot++)
+		row->least[slot] = 1;
 }
 
 /* Moves what each link knows to the places of the new rows. */
@@ -446,7 +450,8 @@
 				       lim_value(&lim->rows[r], view),
 				       state->out[r]);
 
-		if (u <= 0 || (count == max && u <= urgency[count - 1]))
+		if (u <= 0 || max == 0 ||
+		    (count == max && u <= urgency[count - 1]))
 			continue;
 		if (count < max)
 			count++;
@@ -571,12 +576,14 @@
 
 	if ((size_t)chief < lim->link_count)
 		state = &lim->links[chief];
-	if (listed > lim->entitled)
-		lim->entitled = listed;
 	lim->group = 1;
 	if (state && state->in && state->sends_totals &&
-	    peer_link_agrees(peer, chief))
+	    peer_link_agrees(peer, chief)) {
 		lim->group = peer_link_group(peer, chief);
+		lim->entitled = listed; /* from a fresher list than this one */
+	} else if (listed > lim->entitled) {
+		lim->entitled = listed;
+	}
 	for (i = 0; i < lim->row_count; i++) {
 		struct lim_row *row = &lim->rows[i];
 
@@ -587,28 +594,38 @@
 }
 
 /*
- * Lowers each part at once and raises it only when it was higher for the
- * time that news takes.  Those who lose what this one gains would otherwise
- * still use it, and the sum would pass the limit whenever demand moves.
+ * Lowers each part at once and raises it only when it was higher for as long
+ * as a cut takes to be noticed and news to travel.  Those who lose what this
+ * one gains would otherwise still use it, and the sum would pass the limit
+ * whenever demand moves, or rises on one side of a fresh cut.
  */
 static void lim_window(struct lim *lim, const struct peer *peer, int64_t now)
 {
-	bool rotate = now >= lim->window_end_us;
+	bool next = now >= lim->slot_end_us;
 	size_t i;
 
-	if (rotate)
-		lim->window_end_us = now + peer_hold_us(peer);
+	if (next) {
+		lim->slot_end_us = now + peer_hold_us(peer) / (LIM_SLOTS - 1);
+		lim->slot = (lim->slot + 1) % LIM_SLOTS;
+	}
 	for (i = 0; i < lim->row_count; i++) {
 		struct lim_row *row = &lim->rows[i];
-		double now_is =
+		double part =
 			lim_fraction(row->announced, row->total, lim->group,
 				     lim->entitled, lim_size(row));
 
-		if (rotate) {
-			row->last_min = row->window_min;
-			row->window_min = now_is;
-		} else {
-			row->window_min = fmin(row->window_min, now_is);
-		}
+		if (next || part < row->least[lim->slot])
+			row->least[lim->slot] = part;
 	}
 }
+
+/* The least fraction in all slots: what may be used now. */
+static double lim_least(const struct lim_row *row)
+{
+	double least = row->least[0];
+	size_t slot;
+
+	for (slot = 1; slot < LIM_SLOTS; slot++)
+		least = fmin(least, row->least[slot]);
+	return least;
+}
--- a/src/peer.h
+++ b/src/peer.h
@@ -156,6 +156,7 @@
 uint32_t peer_listed_count(const struct peer *peer);
 uint32_t peer_demands_fit(const struct peer *peer);
 int64_t peer_hold_us(const struct peer *peer);
+int peer_data_centres(const struct peer *peer);
 uint64_t peer_hash(const char *text);
 
 #endif /* PEER_H */
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -10,7 +10,7 @@
 #define PEER_MISSED	   3 /* heartbeats in a row before one counts as down */
 #define PEER_SLACK_US	   (200 * MAG_US_PER_MS)
 #define PEER_SPACING_US	   (150 * MAG_US_PER_MS) /* between two early sends */
-#define PEER_PERIOD_MIN_US (500 * MAG_US_PER_MS)
+#define PEER_PERIOD_MIN_US (250 * MAG_US_PER_MS)
 #define PEER_PERIOD_MAX_US (5 * MAG_US_PER_S)
 #define PEER_FORGET_US	   (60 * MAG_US_PER_S)
 
--- a/src/peer_view.c
+++ b/src/peer_view.c
@@ -144,10 +144,22 @@
 }
 
 /*
- * How long a raised share waits, so that those who lose it have heard of it:
- * to the bridge, to the other bridges, and on to their data centres.
+ * How long a raised share waits: until a cut would have been noticed, and
+ * those who lose the share have heard of it, through the bridge, the other
+ * bridges and on to their data centres.
  */
 int64_t peer_hold_us(const struct peer *peer)
 {
-	return 2 * peer->local_period_us + peer->bridge_period_us;
+	int64_t slowest = peer->local_period_us > peer->bridge_period_us
+				  ? peer->local_period_us
+				  : peer->bridge_period_us;
+
+	return PEER_MISSED * slowest + PEER_SLACK_US +
+	       2 * peer->local_period_us + slowest;
+}
+
+/* How many data centres this instance knows, its own included. */
+int peer_data_centres(const struct peer *peer)
+{
+	return peer->dc_count;
 }
--- a/src/spread.c
+++ b/src/spread.c
@@ -13,10 +13,10 @@
 	struct cds_list_head news; /* not yet told to the owner */
 	bool has_news;
 	struct peer_record rec;
-	int64_t until_us; /* quarantine */
-	uint32_t seq;	  /* place in this instance's log */
-	int origin;	  /* link that it came from */
-	bool seen_here;	  /* leaving: this instance's own list said so */
+	int64_t until_us;   /* quarantine */
+	uint32_t seq;	    /* place in this instance's log */
+	int origin;	    /* link that it came from */
+	uint32_t seen_here; /* leaving: enum spread_source that say so */
 };
 
 /* What is known of the other side of a link. */
@@ -97,8 +97,9 @@
  * told must not call an endpoint back.
  */
 int spread_note_leaving(struct spread *spread, const char *endpoint,
-			bool leaving)
+			enum spread_source source, bool leaving)
 {
+	uint32_t seen;
 	struct peer_record rec = { .kind = PEER_REC_LEAVING };
 	struct spread_record *record;
 
@@ -111,9 +112,14 @@
 		record = spread_add(spread, &rec);
 	if (!record)
 		return SPREAD_E_FULL;
-	if (record->seen_here == leaving)
+	seen = record->seen_here & ~(uint32_t)source;
+	if (leaving)
+		seen |= source;
+	if ((seen != 0) == (record->seen_here != 0)) {
+		record->seen_here = seen;
 		return SPREAD_OK;
-	record->seen_here = leaving;
+	}
+	record->seen_here = seen;
 	if (record->rec.leaving == leaving)
 		return SPREAD_OK;
 	record->rec.leaving = leaving;
--- a/src/spread.h
+++ b/src/spread.h
@@ -24,6 +24,12 @@
 	SPREAD_E_MEMORY = -3,
 };
 
+/* Where an instance sees itself that an endpoint leaves. */
+enum spread_source {
+	SPREAD_BY_OWNER = 1, /* the owner of the fleet says so */
+	SPREAD_BY_LIST = 2,  /* the platform's list does */
+};
+
 /* A record as this instance has it now. */
 struct spread_news {
 	enum peer_record_kind kind;
@@ -38,7 +44,7 @@
 void spread_free(struct spread *spread);
 void spread_config(struct spread *spread, const struct cfg_set *set);
 int spread_note_leaving(struct spread *spread, const char *endpoint,
-			bool leaving);
+			enum spread_source source, bool leaving);
 int spread_note_quarantine(struct spread *spread,
 			   const uint8_t print[MAG_DIGEST_BYTES], uint32_t lost,
 			   int64_t until_us, int64_t now);
