--- a/src/core.c
+++ b/src/core.c
@@ -66,6 +66,7 @@
 	core->adm = adm_new(settings->seed, !settings->no_budgets);
 	core->quar = quar_new(CORE_QUAR_ENTRIES, CORE_QUAR_HOLD_US);
 	core->ldg = ldg_new(&settings->ledger);
+	core->shr = shr_new();
 	for (i = 0; i < CORE_BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&core->buckets[i]);
 	CDS_INIT_LIST_HEAD(&core->all);
@@ -73,7 +74,8 @@
 	CDS_INIT_LIST_HEAD(&core->events);
 	CDS_INIT_LIST_HEAD(&core->actions);
 	core->due_us = MAG_NEVER;
-	if (!core->pick || !core->adm || !core->quar || !core->ldg) {
+	if (!core->pick || !core->adm || !core->quar || !core->ldg ||
+	    !core->shr) {
 		core_free(core);
 		return NULL;
 	}
@@ -103,6 +105,7 @@
 	adm_free(core->adm);
 	quar_free(core->quar);
 	ldg_free(core->ldg);
+	shr_free(core->shr);
 	cfg_free(core->set);
 	free(core);
 }
@@ -173,6 +176,41 @@
 	return due;
 }
 
+/* Returns the set in force, NULL before the first; it lasts until a tick. */
+const struct cfg_set *core_config(const struct core *core)
+{
+	return core->set;
+}
+
+/* Takes the next fingerprint that was quarantined here; false for none. */
+bool core_next_quarantine(struct core *core, uint8_t print[MAG_DIGEST_BYTES],
+			  uint32_t *endpoints_lost, int64_t *until_us)
+{
+	return quar_next_news(core->quar, print, endpoints_lost, until_us);
+}
+
+/* Takes over what another instance lost to a fingerprint. */
+void core_learn_quarantine(struct core *core,
+			   const uint8_t print[MAG_DIGEST_BYTES],
+			   uint32_t endpoints_lost, int64_t until_us)
+{
+	quar_learn(core->quar, print, endpoints_lost, until_us, core->now);
+}
+
+/* Sets this instance's part of a fleet-wide limit. */
+void core_set_share(struct core *core, int limit, double requests_per_s,
+		    double tokens_per_s, double concurrent)
+{
+	adm_set_share(core->adm, limit, requests_per_s, tokens_per_s,
+		      concurrent);
+}
+
+/* Returns what callers ask of a limit here, in the limit's own unit. */
+double core_demand(const struct core *core, int limit)
+{
+	return adm_demand(core->adm, limit, core->now);
+}
+
 /* Returns the revision in force, 0 before the first. */
 uint64_t core_revision(const struct core *core)
 {
@@ -291,6 +329,7 @@
 	core->set = event->config;
 	pick_config(core->pick, core->set, core->now);
 	adm_config(core->adm, core->set, core->now);
+	shr_config(core->shr, core->set);
 	if (old)
 		remap_all(core, old);
 	cfg_free(old);
--- a/src/core.h
+++ b/src/core.h
@@ -194,6 +194,17 @@
 void core_tick(struct core *core, int64_t now);
 bool core_next_action(struct core *core, struct core_action *action);
 int64_t core_next_deadline(const struct core *core);
+/* What the node carries between a core and the other instances. */
+const struct cfg_set *core_config(const struct core *core);
+bool core_next_quarantine(struct core *core, uint8_t print[MAG_DIGEST_BYTES],
+			  uint32_t *endpoints_lost, int64_t *until_us);
+void core_learn_quarantine(struct core *core,
+			   const uint8_t print[MAG_DIGEST_BYTES],
+			   uint32_t endpoints_lost, int64_t until_us);
+void core_set_share(struct core *core, int limit, double requests_per_s,
+		    double tokens_per_s, double concurrent);
+double core_demand(const struct core *core, int limit);
+
 uint64_t core_revision(const struct core *core);
 bool core_ready(const struct core *core);
 
--- a/src/core_int.h
+++ b/src/core_int.h
@@ -8,6 +8,7 @@
 #include "adm.h"
 #include "core.h"
 #include "quar.h"
+#include "shr.h"
 
 #define CORE_BUCKETS	  1024
 #define CORE_ATTEMPTS_MAX 4
@@ -57,6 +58,7 @@
 	uint32_t tokens;	/* delivered, all attempts */
 	uint32_t attempt_from;	/* tokens when this attempt began */
 	struct pick_chain chain;
+	uint32_t hop_us[MAG_CHAIN_MAX]; /* of this attempt, the last report */
 	bool chain_held; /* pick counts this chain as in flight */
 	struct pick_chain last_chain;
 	bool has_last_chain;
@@ -79,6 +81,7 @@
 	struct adm *adm;
 	struct quar *quar;
 	struct ldg *ldg;
+	struct shr *shr;
 	struct cds_list_head buckets[CORE_BUCKETS];
 	struct cds_list_head all;
 	struct cds_list_head ready;
@@ -96,17 +99,31 @@
 struct core_action *core_act(struct core *core, enum core_action_type type);
 void core_req_free(struct core *core, struct core_req *req);
 
-/* req.c */
+/* req_arrive.c */
 void req_arrive(struct core *core, const struct core_arrival *arrival);
+void req_reserve(struct core *core, struct core_req *req);
+
+/* req.c */
 void req_handle(struct core *core, struct core_req *req, enum req_event event,
 		void *data);
+void req_enter(struct core_req *req, enum req_state state);
+void req_enter_ready(struct core *core, struct core_req *req);
 void req_ready_system(struct core *core);
 void req_admit_system(struct core *core);
 void req_deadline_system(struct core *core);
 
+/* req_end.c */
+void req_running_ended(struct core *core, struct core_req *req, void *data);
+void req_cancelling_ended(struct core *core, struct core_req *req, void *data);
+void req_closing_ended(struct core *core, struct core_req *req, void *data);
+void req_leave_record(struct core *core, struct core_req *req);
+
 /* req_run.c */
 void req_dispatch(struct core *core, struct core_req *req,
 		  const struct pick_chain *chain);
+void req_hold_chain(struct core *core, struct core_req *req,
+		    const struct pick_chain *chain);
+void req_drop_chain(struct core *core, struct core_req *req);
 int req_choose(struct core *core, struct core_req *req,
 	       struct pick_chain *chain);
 void req_end_attempt(struct core *core, struct core_req *req,
--- a/src/core_show.c
+++ b/src/core_show.c
@@ -22,13 +22,13 @@
 			adm_waiting(core->adm, (int)i),
 			core->set->services[i].name,
 			pick_bound(core->pick, (int)i));
+	shr_write_metrics(core->shr, out);
 }
 
 /* Writes each account's load by service and endpoint as JSON. */
 void core_show_shares(struct core *core, FILE *out)
 {
-	(void)core;
-	fputs("{\"shares\":[]}", out);
+	shr_write_json(core->shr, out);
 }
 
 /*
--- a/src/pick.c
+++ b/src/pick.c
@@ -6,6 +6,8 @@
 #define PICK_SEED_MIX	     UINT64_C(0x9e3779b97f4a7c15)
 #define PICK_MIN_CONCURRENCY 1
 
+static bool pick_is_idle(const struct pick *pick,
+			 const struct pick_chain *chain);
 static int pick_decide(struct pick *pick, struct pick_net *net,
 		       const struct pick_want *want, int64_t now,
 		       struct pick_chain *chain);
@@ -189,9 +191,30 @@
 		chain->count = 0;
 	else
 		pick_log_chain(pick, net, chain, why);
+	chain->alone = !err && want->alone && pick_is_idle(pick, chain);
 	return err;
 }
 
+/*
+ * A suspect that shares its endpoint with others would, if the endpoint
+ * died, leave open which of them it was; a chain counts as its own only if
+ * nothing else runs there.
+ */
+static bool pick_is_idle(const struct pick *pick,
+			 const struct pick_chain *chain)
+{
+	int i;
+
+	for (i = 0; i < chain->count; i++) {
+		const struct pick_ep *ep =
+			&pick->eps[chain->stages[i].endpoint];
+
+		if (ep->in_flight > 0 || ep->others > 0)
+			return false;
+	}
+	return true;
+}
+
 /* Counts an attempt on the stages of its chain. */
 void pick_started(struct pick *pick, const struct pick_chain *chain,
 		  int64_t now)
@@ -205,6 +228,7 @@
 			continue;
 		if (pick->eps[e].in_flight++ == 0)
 			pick->eps[e].progress_us = now;
+		pick->eps[e].exclusive += chain->alone;
 		pick->in_flight++;
 	}
 	if (pick->tick_us == MAG_NEVER)
@@ -223,6 +247,7 @@
 		if (!pick_known(pick, e) || pick->eps[e].in_flight == 0)
 			continue;
 		pick->eps[e].in_flight--;
+		pick->eps[e].exclusive -= chain->alone;
 		pick->in_flight--;
 	}
 	pick_health_ended(pick, chain, result, now);
--- a/src/pick.h
+++ b/src/pick.h
@@ -31,6 +31,7 @@
 struct pick_chain {
 	struct pick_stage stages[MAG_CHAIN_MAX];
 	int count;
+	bool alone; /* nothing else runs on its endpoints, nor may start */
 };
 
 /* The ways to choose; the later ones are baselines for the bench. */
--- a/src/req_answer.c
+++ b/src/req_answer.c
@@ -52,6 +52,7 @@
 	answer->retry_after_s = retry_after_s;
 	snprintf(answer->why, sizeof(answer->why), "%s", why);
 	count_outcome(outcome);
+	shr_add(core->shr, req->account, req->service, SHR_REFUSED);
 	log_event(LOG_REQ_REFUSED,
 		  "request=%llu account=%s status=%d outcome=%s attempts=%u "
 		  "why=\"%s\"",
--- /dev/null
+++ b/src/req_end.c
@@ -0,0 +1,164 @@
+#include "core_int.h"
+
+static void whole(struct core *core, struct core_req *req,
+		  const struct core_ended *ended);
+static void proved_unbegun(struct core *core, struct core_req *req,
+			   const struct core_ended *ended);
+static void failed(struct core *core, struct core_req *req,
+		   const struct core_ended *ended, enum pick_result_kind kind);
+static void give_up_failed(struct core *core, struct core_req *req);
+static int failed_endpoint(const struct core_req *req, int stage);
+
+void req_running_ended(struct core *core, struct core_req *req, void *data)
+{
+	const struct core_ended *ended = data;
+
+	req->tokens = ended->tokens;
+	switch (ended->end) {
+	case CORE_END_WHOLE:
+		whole(core, req, ended);
+		break;
+	case CORE_END_UNSENT:
+	case CORE_END_REFUSED:
+		proved_unbegun(core, req, ended);
+		break;
+	default:
+		failed(core, req, ended, PICK_ENDED_FAILED);
+		break;
+	}
+}
+
+void req_cancelling_ended(struct core *core, struct core_req *req, void *data)
+{
+	const struct core_ended *ended = data;
+
+	req->tokens = ended->tokens;
+	if (ended->end == CORE_END_WHOLE)
+		whole(core, req, ended);
+	else
+		failed(core, req, ended, PICK_ENDED_SLOW);
+}
+
+/* A late end still settles the record, so that a repeat gets the answer. */
+void req_closing_ended(struct core *core, struct core_req *req, void *data)
+{
+	const struct core_ended *ended = data;
+	struct ldg_outcome outcome = {
+		.status = ended->status,
+		.answer = ended->answer,
+		.answer_len = ended->answer_len,
+	};
+	bool unbegun =
+		ended->end == CORE_END_UNSENT || ended->end == CORE_END_REFUSED;
+
+	if (req->reserved && ended->end == CORE_END_WHOLE)
+		ldg_settle(core->ldg, req->arrival.req, &outcome, core->now);
+	else if (req->reserved && unbegun && !req->taken_over &&
+		 !req->may_have_run)
+		ldg_release(core->ldg, req->arrival.req, core->now);
+	req_end_attempt(core, req, PICK_ENDED_OTHER, -1);
+	adm_done(core->adm, req->arrival.req, ended->tokens, core->now);
+	core_req_free(core, req);
+}
+
+/* The whole answer came: settle the record and hand the answer on. */
+static void whole(struct core *core, struct core_req *req,
+		  const struct core_ended *ended)
+{
+	struct ldg_outcome outcome = {
+		.status = ended->status,
+		.answer = ended->answer,
+		.answer_len = ended->answer_len,
+	};
+
+	req_end_attempt(core, req, PICK_ENDED_WELL, -1);
+	quar_ended_well(core->quar, req->arrival.fingerprint, core->now);
+	if (req->reserved)
+		ldg_settle(core->ldg, req->arrival.req, &outcome, core->now);
+	req_relay(core, req);
+	adm_done(core->adm, req->arrival.req, ended->tokens, core->now);
+	core_req_free(core, req);
+}
+
+/*
+ * The endpoint provably began nothing: the connection was never made, or it
+ * refused in the way that its service declares as proof.  Any request may go
+ * elsewhere then.
+ */
+static void proved_unbegun(struct core *core, struct core_req *req,
+			   const struct core_ended *ended)
+{
+	int endpoint = failed_endpoint(req, 0);
+
+	req_end_attempt(core, req,
+			ended->end == CORE_END_REFUSED ? PICK_ENDED_REFUSED
+						       : PICK_ENDED_FAILED,
+			0);
+	if (req_try_again(core, req, endpoint)) {
+		req_enter_ready(core, req);
+		return;
+	}
+	give_up_failed(core, req);
+}
+
+/*
+ * The attempt failed and may have run.  Idempotent work goes elsewhere; a
+ * keyed booking only where endpoints run a downstream key once.
+ */
+static void failed(struct core *core, struct core_req *req,
+		   const struct core_ended *ended, enum pick_result_kind kind)
+{
+	int stage = ended->end == CORE_END_STAGE ? ended->stage : 0;
+	int endpoint = failed_endpoint(req, stage);
+	bool died = ended->end == CORE_END_CUT || ended->end == CORE_END_STAGE;
+
+	req->may_have_run = true;
+	if (kind == PICK_ENDED_SLOW)
+		stage = -1;
+	req_end_attempt(core, req, kind, stage);
+	if (died)
+		quar_lost_endpoint(core->quar, req->arrival.fingerprint,
+				   endpoint, req->chain.alone, core->now);
+	req->alone = quar_check(core->quar, req->arrival.fingerprint,
+				core->now) == QUAR_SUSPECT;
+	if ((req->idempotent || (req->reserved && req->may_resend)) &&
+	    req_try_again(core, req, endpoint)) {
+		req_enter_ready(core, req);
+		return;
+	}
+	give_up_failed(core, req);
+}
+
+/* No further attempt: the final answer, at once. */
+static void give_up_failed(struct core *core, struct core_req *req)
+{
+	enum quar_state state;
+
+	state = quar_check(core->quar, req->arrival.fingerprint, core->now);
+	if (state == QUAR_QUARANTINED)
+		req_refuse(core, req, 422, req_outcome(req), 0, "quarantined");
+	else
+		req_refuse(core, req, 502, req_outcome(req),
+			   req_retry_after(core, req), "attempt failed");
+	req_leave_record(core, req);
+	adm_done(core->adm, req->arrival.req, req->tokens, core->now);
+	core_req_free(core, req);
+}
+
+/* Releases the record if nothing was sent under it, else holds it. */
+void req_leave_record(struct core *core, struct core_req *req)
+{
+	if (!req->reserved)
+		return;
+	if (req->may_have_run || req->taken_over)
+		ldg_hold(core->ldg, req->arrival.req, core->now);
+	else
+		ldg_release(core->ldg, req->arrival.req, core->now);
+}
+
+static int failed_endpoint(const struct core_req *req, int stage)
+{
+	if (stage < 0 || stage >= req->chain.count)
+		return -1;
+	return req->chain.stages[stage].endpoint;
+}
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -32,11 +32,37 @@
 	if (req->route >= 0 && req->account >= 0)
 		want.group =
 			cfg_route_group(core->set, req->route, req->account);
-	if (req->has_last_chain && !core->settings.no_resume)
+	if (req->has_last_chain && !core->settings.no_resume && !req->alone)
 		want.keep = &req->last_chain;
 	return pick_choose(core->pick, &want, core->now, chain);
 }
 
+/*
+ * Keeps a chosen chain for a request whose record is being reserved, so that
+ * the place is still free once it may go.
+ */
+void req_hold_chain(struct core *core, struct core_req *req,
+		    const struct pick_chain *chain)
+{
+	req->chain = *chain;
+	req->chain_held = true;
+	pick_started(core->pick, chain, core->now);
+}
+
+/* Gives a chain back that nothing was sent to. */
+void req_drop_chain(struct core *core, struct core_req *req)
+{
+	struct pick_result result = {
+		.kind = PICK_ENDED_OTHER,
+		.at_stage = -1,
+	};
+
+	if (!req->chain_held)
+		return;
+	req->chain_held = false;
+	pick_ended(core->pick, &req->chain, &result, core->now);
+}
+
 /* Sends the next attempt of a request to a chain. */
 void req_dispatch(struct core *core, struct core_req *req,
 		  const struct pick_chain *chain)
@@ -44,18 +70,18 @@
 	struct core_dispatch *dispatch;
 
 	cds_list_del_init(&req->ready_node);
-	req->chain = *chain;
-	req->chain_held = true;
+	if (!req->chain_held)
+		req_hold_chain(core, req, chain);
 	req->attempt++;
 	req->dispatched_us = core->now;
 	req->first_token_us = 0;
+	memset(req->hop_us, 0, sizeof(req->hop_us));
 	req->attempt_from = req->tokens;
 	req->give_up_us = MAG_NEVER;
 	req->stall_us = core->now + core->settings.first_timeout_us;
 	core_due(core, req->stall_us);
 	core_due(core, req->deadline_us);
 	req->state = REQ_RUNNING;
-	pick_started(core->pick, chain, core->now);
 	core->running++;
 	dispatch = &core_act(core, CORE_ACT_DISPATCH)->dispatch;
 	fill_dispatch(core, req, dispatch);
@@ -85,6 +111,8 @@
 		result.first_token_us =
 			req->first_token_us - req->dispatched_us;
 	pick_ended(core->pick, &req->chain, &result, core->now);
+	shr_ran(core->shr, req->account, req->service, &req->chain,
+		result.tokens, req->hop_us);
 	req->chain_held = false;
 	req->last_chain = req->chain;
 	req->has_last_chain = true;
@@ -116,8 +144,12 @@
 	if (quar_check(core->quar, req->arrival.fingerprint, core->now) ==
 	    QUAR_QUARANTINED)
 		return false;
-	return adm_may_retry(core->adm, req->account, req->service, endpoint,
-			     core->now);
+	if (!adm_may_retry(core->adm, req->account, req->service, endpoint,
+			   core->now))
+		return false;
+	shr_add(core->shr, req->account, req->service, SHR_RETRIED);
+	shr_retried_at(core->shr, req->account, req->service, endpoint);
+	return true;
 }
 
 static void remember_failure(struct core_req *req, int endpoint)
--- a/src/watch.c
+++ b/src/watch.c
@@ -131,7 +131,7 @@
 		rc = take_config(watch, pub);
 		if (rc == PUB_OK)
 			rc = pub_watch(pub, clk_now_us() + WATCH_WAIT_US);
-		if (rc == PUB_OK) {
+		if (rc == PUB_OK || rc == PUB_E_ABSENT) {
 			backoff_us = WATCH_BACKOFF_MIN_US;
 			continue;
 		}
