pub: Publish the configuration all or nothing, and read it

Cause: a set has to reach every instance whole, an answer can be lost after the write, operators race, and the service can come back with an older head. Ruled out: one value for the set (2.7 MB at 10,000 endpoints, above what a value holds); chunks named by content alone (a chunk taken over just as it is pruned would leave a head that can't be read, so the key holds the revision that wrote it); telling a lost swap from a late one by time. A head with a lower revision, or with the same one made by another change, is refused. A set's text may name its revision, which is the base of the next change.

--- a/regress/check_cfg.c
+++ b/regress/check_cfg.c
@@ -9,6 +9,7 @@
 #include <cmocka.h>
 
 #include "cfg_int.h"
+#include "check_doc.h"
 #include "check_msgs.h"
 #include "script.h"
 
@@ -29,24 +30,6 @@
 	FILE *out;
 };
 
-static json_t *find(struct run *run, const char *id, size_t *index)
-{
-	json_t *list = json_object_get(run->doc, "objects");
-	char text[256];
-	json_t *object;
-
-	for (*index = 0; *index < json_array_size(list); (*index)++) {
-		object = json_array_get(list, *index);
-		snprintf(text, sizeof(text), "%s/%s",
-			 json_string_value(json_object_get(object, "kind")),
-			 json_string_value(json_object_get(object, "name")));
-		if (strcmp(text, id) == 0)
-			return object;
-	}
-	fail_msg("no object %s", id);
-	return NULL;
-}
-
 static void many(struct run *run, int count)
 {
 	json_t *list = json_object_get(run->doc, "objects");
@@ -106,37 +89,14 @@
 	}
 }
 
-static void change(struct run *run, char *rest)
-{
-	char *json = strchr(rest, ' ');
-	json_t *fields;
-	size_t i;
-
-	*json++ = '\0';
-	fields = json_loads(json, 0, NULL);
-	assert_non_null(fields);
-	json_object_update(find(run, rest, &i), fields);
-	json_decref(fields);
-}
-
 static void do_line(struct run *run, char *line)
 {
 	char *rest = strchr(line, ' ');
-	json_t *list = json_object_get(run->doc, "objects");
-	size_t i;
 
 	rest = rest ? (*rest = '\0', rest + 1) : line + strlen(line);
-	if (strcmp(line, "add") == 0) {
-		assert_int_equal(
-			json_array_append_new(
-				list, json_loads(rest, JSON_DECODE_ANY, NULL)),
-			0);
-	} else if (strcmp(line, "change") == 0) {
-		change(run, rest);
-	} else if (strcmp(line, "drop") == 0) {
-		find(run, rest, &i);
-		json_array_remove(list, i);
-	} else if (strcmp(line, "text") == 0) {
+	if (doc_edit(run->doc, line, rest))
+		return;
+	if (strcmp(line, "text") == 0) {
 		free(run->text);
 		run->text = strdup(rest);
 	} else if (strcmp(line, "many") == 0) {
--- /dev/null
+++ b/regress/check_pub.c
@@ -0,0 +1,495 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "pub.h"
+#include "check_doc.h"
+#include "script.h"
+
+/*
+ * Scripts of operators A, B, .. who publish through a service in memory:
+ *	A first		its document is regress/cfg/base.json
+ *	A get [N]	its document is what is in force (or was at N)
+ *	A read | A watch	as an instance does
+ *	A add.. | A change.. | A drop..	edits its document
+ *	A apply ID [base=N] [replace] [merge] [resume] [floor=N]
+ *	A history | A delta B	(from A's document to B's)
+ * and the service:
+ *	fault PREFIX KIND N [SCRIPT LINE]	for the next N calls that write,
+ *		or with "any-" before the kind all calls, to keys that start so:
+ *		after	the write lands and its answer is lost
+ *		never	the write is lost
+ *		late	the write lands only at "land"
+ *		unsent | limited
+ *		first	SCRIPT LINE runs before the write
+ *	land | save | restore (all keys) | damage PREFIX TEXT | remove PREFIX
+ *	put KEY TEXT | keys | head
+ * and the rules between instances:
+ *	accept NOW OFFERED | offer NOW OFFERED A [DIGEST] | patch A DELTA
+ */
+
+#define OPERATORS 4
+#define KEYS_MAX  8192
+
+struct entry {
+	char key[KV_KEY_MAX];
+	uint64_t version;
+	char *value;
+};
+
+struct table {
+	struct entry entries[KEYS_MAX];
+	size_t count;
+};
+
+struct operator
+{
+	struct pub *pub;
+	json_t *doc;
+};
+
+static struct {
+	struct table now;
+	struct table saved;
+	struct kv_call late;
+	char prefix[KV_KEY_MAX];
+	char kind[16];
+	int left;
+	char line[512]; /* of the fault "first" */
+	struct operator operators[OPERATORS];
+	FILE *out;
+} w;
+
+static void do_line(char *line);
+
+static struct entry *find(const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < w.now.count; i++) {
+		if (strcmp(w.now.entries[i].key, key) == 0)
+			return &w.now.entries[i];
+	}
+	return NULL;
+}
+
+static void answer(struct kv_reply *reply, enum kv_status status,
+		   const struct entry *e)
+{
+	reply->status = status;
+	reply->version = e ? e->version : 0;
+	if (status == KV_OK && e) {
+		reply->value = strdup(e->value);
+		reply->len = strlen(e->value);
+	}
+}
+
+static void land(const struct kv_call *call, struct kv_reply *reply)
+{
+	struct entry *e = find(call->key);
+
+	if ((e ? e->version : 0) != call->version) {
+		answer(reply, KV_CONFLICT, e);
+		return;
+	}
+	if (e && call->op == KV_DELETE) {
+		free(e->value);
+		*e = w.now.entries[--w.now.count];
+		reply->status = KV_OK;
+		return;
+	}
+	if (!e) {
+		assert_true(w.now.count < KEYS_MAX);
+		e = &w.now.entries[w.now.count++];
+		memset(e, 0, sizeof(*e));
+		mag_copy_name(e->key, sizeof(e->key), call->key);
+	}
+	free(e->value);
+	e->value = strndup(call->value, call->len);
+	e->version++;
+	reply->status = KV_OK;
+	reply->version = e->version;
+}
+
+static bool faulty(const struct kv_call *call, struct kv_reply *reply)
+{
+	bool any = strncmp(w.kind, "any-", 4) == 0;
+	const char *kind = any ? w.kind + 4 : w.kind;
+	char line[512];
+
+	if (w.left == 0 || strncmp(call->key, w.prefix, strlen(w.prefix)) != 0)
+		return false;
+	if (!any && call->op != KV_CAS)
+		return false;
+	w.left--;
+	reply->status = KV_LOST;
+	if (strcmp(kind, "first") == 0) {
+		snprintf(line, sizeof(line), "%s", w.line);
+		do_line(line);
+		return false;
+	}
+	if (strcmp(kind, "after") == 0)
+		land(call, &(struct kv_reply){ 0 });
+	else if (strcmp(kind, "late") == 0) {
+		w.late = *call;
+		w.late.value = strndup(call->value, call->len);
+	} else if (strcmp(kind, "unsent") == 0) {
+		reply->status = KV_UNSENT;
+	} else if (strcmp(kind, "limited") == 0) {
+		reply->status = KV_LIMITED;
+	}
+	return true;
+}
+
+static void service(void *ctx, const struct kv_call *call,
+		    struct kv_reply *reply)
+{
+	struct entry *e;
+
+	(void)ctx;
+	memset(reply, 0, sizeof(*reply));
+	reply->id = call->id;
+	if (faulty(call, reply))
+		return;
+	e = find(call->key);
+	if (call->op == KV_GET || call->op == KV_WATCH)
+		answer(reply, e ? KV_OK : KV_ABSENT, e);
+	else
+		land(call, reply);
+}
+
+static void copy_table(struct table *to, const struct table *from)
+{
+	size_t i;
+
+	for (i = 0; i < to->count; i++)
+		free(to->entries[i].value);
+	*to = *from;
+	for (i = 0; i < to->count; i++)
+		to->entries[i].value = strdup(from->entries[i].value);
+}
+
+static struct operator* operator_of(const char *name)
+{
+	struct operator* o = & w.operators[name[0] - 'A'];
+
+	if (!o->pub)
+		o->pub = pub_new((struct kv_backend){ service, NULL });
+	return o;
+}
+
+static char *doc_text(const struct operator* o)
+{
+	return json_dumps(o->doc, JSON_COMPACT);
+}
+
+static void set_doc(struct operator* o, const char *text)
+{
+	json_decref(o->doc);
+	o->doc = text ? json_loads(text, 0, NULL) : NULL;
+}
+
+static void print_result(int err, const struct pub_result *r)
+{
+	size_t i;
+
+	fprintf(w.out, "%s", pub_err_text((enum pub_err)err));
+	if (err == PUB_OK)
+		fprintf(w.out, ": revision %llu%s%s, %zu writes",
+			(unsigned long long)r->revision,
+			r->before ? ", by an earlier try" : "",
+			r->same ? ", nothing to change" : "", r->writes);
+	fputs("\n", w.out);
+	for (i = 0; i < cfg_fault_count(r->faults); i++)
+		fprintf(w.out, "  %s\n", cfg_fault_text(r->faults, i));
+	pub_diff_print(r->difference, w.out);
+}
+
+static void apply(struct operator* o, char *rest)
+{
+	struct pub_request request = { .change = { .author = "op",
+						   .time_ms = 1000 } };
+	struct pub_result result;
+	char *text = doc_text(o);
+	char *word = strtok(rest, " ");
+	int err;
+
+	mag_copy_name(request.change.id, PUB_ID_MAX, word);
+	request.text = text;
+	request.len = strlen(text);
+	request.base = (uint64_t)json_integer_value(
+		json_object_get(o->doc, "revision"));
+	while ((word = strtok(NULL, " "))) {
+		if (strncmp(word, "base=", 5) == 0)
+			request.base = strtoull(word + 5, NULL, 10);
+		else if (strncmp(word, "floor=", 6) == 0)
+			request.floor = strtoull(word + 6, NULL, 10);
+		request.replace |= strcmp(word, "replace") == 0;
+		request.merge |= strcmp(word, "merge") == 0;
+		request.resume |= strcmp(word, "resume") == 0;
+	}
+	err = pub_apply(o->pub, &request, &result);
+	print_result(err, &result);
+	pub_result_clear(&result);
+	free(text);
+}
+
+static void get(struct operator* o, const char *revision)
+{
+	char *text;
+	uint64_t now = strtoull(revision, NULL, 10);
+	int err = now ? pub_read_past(o->pub, 0, now, &text)
+		      : pub_read(o->pub, 0, &text, &now);
+
+	fprintf(w.out, "%s: revision %llu\n", pub_err_text((enum pub_err)err),
+		(unsigned long long)now);
+	if (err == PUB_OK)
+		set_doc(o, text);
+	free(text);
+}
+
+static void history(struct operator* o)
+{
+	struct pub_change changes[40];
+	size_t count;
+	size_t i;
+	int err = pub_history(o->pub, 0, changes, 40, &count);
+
+	fprintf(w.out, "%s: %zu changes:", pub_err_text((enum pub_err)err),
+		count);
+	for (i = 0; i < count; i++)
+		fprintf(w.out, " %llu=%s",
+			(unsigned long long)changes[i].revision, changes[i].id);
+	fputs("\n", w.out);
+}
+
+static void delta(struct operator* from, struct operator* to)
+{
+	char *old = doc_text(from);
+	char *new = doc_text(to);
+	char *text;
+	char *patched;
+
+	assert_int_equal(pub_delta(old, new, &text), PUB_OK);
+	fprintf(w.out, "%s\n", text);
+	fprintf(w.out, "patched: %s\n",
+		pub_err_text((enum pub_err)pub_patch(old, text, &patched)));
+	free(old);
+	free(new);
+	free(text);
+	free(patched);
+}
+
+static void patch(struct operator* o, const char *text)
+{
+	char *old = doc_text(o);
+	char *patched;
+
+	fprintf(w.out, "%s\n",
+		pub_err_text((enum pub_err)pub_patch(old, text, &patched)));
+	free(patched);
+	free(old);
+}
+
+static void offer(char *rest)
+{
+	uint64_t now = strtoull(strtok(rest, " "), NULL, 10);
+	uint64_t offered = strtoull(strtok(NULL, " "), NULL, 10);
+	char *text = doc_text(operator_of(strtok(NULL, " ")));
+	const char *given = strtok(NULL, " ");
+	char digest[PUB_DIGEST_HEX];
+	struct cfg_set *set;
+
+	pub_digest(text, strlen(text), digest);
+	fprintf(w.out, "%s",
+		pub_err_text((enum pub_err)pub_check_offer(
+			now, offered, given ? given : digest, text,
+			strlen(text), &set)));
+	if (set)
+		fprintf(w.out, ": revision %llu",
+			(unsigned long long)set->revision);
+	fputs("\n", w.out);
+	cfg_free(set);
+	free(text);
+}
+
+static void do_operator(struct operator* o, char *command)
+{
+	char *rest = strchr(command, ' ');
+	int err;
+
+	rest = rest ? (*rest = '\0', rest + 1) : command + strlen(command);
+	if (strcmp(command, "first") == 0) {
+		json_decref(o->doc);
+		o->doc = json_load_file("regress/cfg/base.json", 0, NULL);
+	} else if (strcmp(command, "get") == 0 ||
+		   strcmp(command, "read") == 0) {
+		get(o, rest);
+	} else if (strcmp(command, "watch") == 0) {
+		err = pub_watch(o->pub, 0);
+		fprintf(w.out, "%s\n",
+			err == PUB_OK	      ? "differs"
+			: err == PUB_E_ABSENT ? "same"
+					      : "down");
+	} else if (strcmp(command, "apply") == 0) {
+		apply(o, rest);
+	} else if (strcmp(command, "history") == 0) {
+		history(o);
+	} else if (strcmp(command, "delta") == 0) {
+		delta(o, operator_of(rest));
+	} else {
+		assert_true(doc_edit(o->doc, command, rest));
+	}
+}
+
+static void print_keys(void)
+{
+	size_t counts[3] = { 0 };
+	size_t i;
+
+	for (i = 0; i < w.now.count; i++)
+		counts[strncmp(w.now.entries[i].key, "config/chunk", 12) == 0
+			       ? 0
+		       : strncmp(w.now.entries[i].key, "config/past", 11) == 0
+			       ? 1
+			       : 2]++;
+	fprintf(w.out, "%zu chunks, %zu past heads, %zu others\n", counts[0],
+		counts[1], counts[2]);
+}
+
+/* Flips a bit of the values that hold a text, or removes the keys. */
+static void spoil(char *prefix, bool removed)
+{
+	char *text = strchr(prefix, ' ');
+	char *found;
+	size_t i;
+
+	if (text)
+		*text++ = '\0';
+
+	for (i = 0; i < w.now.count; i++) {
+		struct entry *e = &w.now.entries[i];
+
+		if (strncmp(e->key, prefix, strlen(prefix)) != 0)
+			continue;
+		if (removed) {
+			free(e->value);
+			*e = w.now.entries[--w.now.count];
+			i--;
+		} else {
+			found = text ? strstr(e->value, text) : NULL;
+			if (found)
+				*found ^= 1;
+		}
+	}
+}
+
+static void do_fault(char *rest)
+{
+	int used = 0;
+
+	w.line[0] = '\0';
+	assert_true(sscanf(rest, "%127s %15s %d %n", w.prefix, w.kind, &w.left,
+			   &used) == 3);
+	snprintf(w.line, sizeof(w.line), "%s", rest + used);
+}
+
+static void do_put(char *rest)
+{
+	char *text = strchr(rest, ' ');
+	struct kv_call call = { .op = KV_CAS };
+	struct entry *e;
+
+	*text++ = '\0';
+	e = find(rest);
+	call.version = e ? e->version : 0;
+	mag_copy_name(call.key, sizeof(call.key), rest);
+	call.value = text;
+	call.len = strlen(text);
+	land(&call, &(struct kv_reply){ 0 });
+}
+
+static void do_rule(const char *command, char *rest)
+{
+	unsigned long long now;
+	unsigned long long offered;
+
+	if (strcmp(command, "accept") == 0) {
+		sscanf(rest, "%llu %llu", &now, &offered);
+		fprintf(w.out, "%s\n", pub_accept(now, offered) ? "yes" : "no");
+	} else if (strcmp(command, "offer") == 0) {
+		offer(rest);
+	} else if (strcmp(command, "patch") == 0) {
+		patch(operator_of(rest), rest + 2);
+	} else {
+		fail_msg("no command %s", command);
+	}
+}
+
+static void do_line(char *line)
+{
+	struct kv_reply reply = { 0 };
+	char *rest = strchr(line, ' ');
+
+	rest = rest ? (*rest = '\0', rest + 1) : line + strlen(line);
+	if (strlen(line) == 1) {
+		do_operator(operator_of(line), rest);
+	} else if (strcmp(line, "fault") == 0) {
+		do_fault(rest);
+	} else if (strcmp(line, "land") == 0) {
+		land(&w.late, &reply);
+		free(w.late.value);
+		free(reply.value);
+		w.late.value = NULL;
+		fprintf(w.out, "late write: %s\n",
+			reply.status == KV_OK ? "landed" : "conflict");
+	} else if (strcmp(line, "save") == 0) {
+		copy_table(&w.saved, &w.now);
+	} else if (strcmp(line, "restore") == 0) {
+		copy_table(&w.now, &w.saved);
+	} else if (strcmp(line, "damage") == 0 || strcmp(line, "remove") == 0) {
+		spoil(rest, line[0] == 'r');
+	} else if (strcmp(line, "put") == 0) {
+		do_put(rest);
+	} else if (strcmp(line, "keys") == 0) {
+		print_keys();
+	} else if (strcmp(line, "head") == 0) {
+		fprintf(w.out, "%s\n", find("config/head")->value);
+	} else {
+		do_rule(line, rest);
+	}
+}
+
+static void driver(FILE *in, FILE *out)
+{
+	static const struct table empty;
+	char *line = NULL;
+	size_t room = 0;
+	size_t i;
+
+	w.out = out;
+	w.left = 0;
+	while (getline(&line, &room, in) > 0) {
+		line[strcspn(line, "\n")] = '\0';
+		if (line[0] && line[0] != '#')
+			do_line(line);
+	}
+	free(line);
+	for (i = 0; i < OPERATORS; i++) {
+		pub_free(w.operators[i].pub);
+		json_decref(w.operators[i].doc);
+		w.operators[i] = (struct operator){ 0 };
+	}
+	copy_table(&w.now, &empty);
+	copy_table(&w.saved, &empty);
+}
+
+int main(void)
+{
+	return script_main("regress/pub", driver);
+}
--- a/src/cfg_parse.c
+++ b/src/cfg_parse.c
@@ -6,6 +6,7 @@
 
 static json_t *cfg_load(const char *text, size_t len,
 			struct cfg_faults *faults);
+static bool cfg_document_ok(const json_t *doc);
 static void cfg_collect(struct cfg_build *build, json_t *list);
 static bool cfg_identify(struct cfg_build *build, json_t *object, size_t i,
 			 struct cfg_item *item);
@@ -16,7 +17,8 @@
 			size_t **count);
 
 /*
- * Reads a whole set of objects and checks it.  On CFG_OK *set is the new set,
+ * Reads a whole set of objects and checks it.  The set's revision is the one
+ * that the text names, or 0.  On CFG_OK *set is the new set,
  * to be freed with cfg_free, and *faults is NULL.  Otherwise *set is NULL and
  * *faults, unless memory ran out, lists every fault at once; it is to be
  * freed with cfg_faults_free.
@@ -41,6 +43,8 @@
 	if (doc) {
 		cfg_collect(&build, json_object_get(doc, "objects"));
 		err = cfg_fill(&build);
+		build.set->revision = (uint64_t)json_integer_value(
+			json_object_get(doc, "revision"));
 		free(build.items);
 		json_decref(doc);
 	} else {
@@ -109,14 +113,26 @@
 			  error.line, error.text);
 		return NULL;
 	}
-	if (json_is_object(doc) && json_object_size(doc) == 1 &&
-	    json_is_array(json_object_get(doc, "objects")))
+	if (cfg_document_ok(doc))
 		return doc;
 	cfg_fault(faults, "set", "-", "document", CFG_M_DOCUMENT);
 	json_decref(doc);
 	return NULL;
 }
 
+/* A set as it was published says its revision; a new one need not. */
+static bool cfg_document_ok(const json_t *doc)
+{
+	const json_t *revision = json_object_get(doc, "revision");
+	size_t fields = revision ? 2 : 1;
+
+	if (revision &&
+	    (!json_is_integer(revision) || json_integer_value(revision) < 0))
+		return false;
+	return json_object_size(doc) == fields &&
+	       json_is_array(json_object_get(doc, "objects"));
+}
+
 /* Lists the objects that have a kind and a name, sorted by both. */
 static void cfg_collect(struct cfg_build *build, json_t *list)
 {
--- /dev/null
+++ b/src/pub_read.c
@@ -0,0 +1,305 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <sodium.h>
+
+#include "pub_int.h"
+
+static int pub_load_key(struct pub *pub, const char *key, int64_t deadline_us,
+			struct pub_head *head, uint64_t *version);
+static int pub_load_chunk(struct pub *pub, int64_t deadline_us,
+			  const struct pub_chunk *chunk, json_t *cache,
+			  struct pub_objects *objects);
+static int pub_fetch_chunk(struct pub *pub, int64_t deadline_us,
+			   const struct pub_chunk *chunk, json_t **text);
+static int pub_add_chunk(struct pub_objects *objects, const char *text);
+static bool pub_is_stale(const struct pub *pub, const struct pub_head *head);
+static int pub_read_once(struct pub *pub, int64_t deadline_us, char **text,
+			 uint64_t *revision);
+
+static const char *const err_texts[] = {
+	[PUB_OK] = "done",
+	[-PUB_E_ABSENT] = "nothing was ever published",
+	[-PUB_E_DOWN] = "the platform's service does not answer",
+	[-PUB_E_UNKNOWN] = "no answer to the write; it may be in force",
+	[-PUB_E_RACE] = "another change came first",
+	[-PUB_E_INVALID] = "the set has faults",
+	[-PUB_E_DAMAGED] = "the service holds what is no configuration",
+	[-PUB_E_BASE] = "the set does not say which revision it was made from",
+	[-PUB_E_STALE] = "the service holds an older revision than was seen",
+	[-PUB_E_SIZE] = "too large for the platform's service",
+	[-PUB_E_GONE] = "that revision is no longer kept",
+	[-PUB_E_HOSTILE] = "the offer can't be what it says",
+	[-PUB_E_MEMORY] = "out of memory",
+};
+
+/* Returns what an error means, in words. */
+const char *pub_err_text(enum pub_err err)
+{
+	return err_texts[-(int)err];
+}
+
+/* Returns a reader and publisher over a service, or NULL without memory. */
+struct pub *pub_new(struct kv_backend backend)
+{
+	struct pub *pub = calloc(1, sizeof(*pub));
+
+	if (!pub || sodium_init() < 0) {
+		free(pub);
+		return NULL;
+	}
+	pub->backend = backend;
+	pub->cache = json_object();
+	return pub;
+}
+
+/* Frees it; NULL is taken. */
+void pub_free(struct pub *pub)
+{
+	if (!pub)
+		return;
+	json_decref(pub->cache);
+	free(pub);
+}
+
+/*
+ * Reads the set in force.  On PUB_OK the caller frees *text, which names its
+ * revision.  Chunks that were read before are not read again.
+ *
+ * The service may come back from an outage with an older head.  An instance
+ * that took it would undo changes which operators were told are in force; so
+ * a head below the highest revision seen is PUB_E_STALE and changes nothing.
+ */
+int pub_read(struct pub *pub, int64_t deadline_us, char **text,
+	     uint64_t *revision)
+{
+	int err = PUB_E_DAMAGED;
+	int try;
+
+	*text = NULL;
+	*revision = 0;
+	/* A chunk may be pruned between head and chunk: then read both again.
+	 */
+	for (try = 0; try < PUB_TRIES && err == PUB_E_DAMAGED; try++)
+		err = pub_read_once(pub, deadline_us, text, revision);
+	return err;
+}
+
+/*
+ * Waits until the head differs from the one that was read last, or the
+ * deadline.  Returns PUB_OK if it differs, PUB_E_ABSENT if the wait ended
+ * without, PUB_E_DOWN if the service does not answer.
+ */
+int pub_watch(struct pub *pub, int64_t deadline_us)
+{
+	struct kv_call call = { .op = KV_WATCH,
+				.key = PUB_HEAD_KEY,
+				.version = pub->version,
+				.deadline_us = deadline_us };
+	struct kv_reply reply = { 0 };
+
+	call.id = ++pub->next_id;
+	pub->backend.call(pub->backend.ctx, &call, &reply);
+	free(reply.value);
+	if (reply.status == KV_OK && reply.version != pub->version)
+		return PUB_OK;
+	if (reply.status == KV_OK || reply.status == KV_ABSENT ||
+	    reply.status == KV_CONFLICT)
+		return PUB_E_ABSENT;
+	return PUB_E_DOWN;
+}
+
+/* Reads the set of a past revision, or of the present one. */
+int pub_read_past(struct pub *pub, int64_t deadline_us, uint64_t revision,
+		  char **text)
+{
+	struct pub_objects objects = { 0 };
+	struct pub_head head;
+	uint64_t version;
+	int err = pub_load_head(pub, deadline_us, &head, &version);
+
+	*text = NULL;
+	if (err == PUB_OK && head.revision != revision) {
+		pub_head_free(&head);
+		err = pub_load_past(pub, deadline_us, revision, &head,
+				    &version);
+	}
+	if (err != PUB_OK)
+		return err;
+	err = pub_load_objects(pub, deadline_us, &head, &objects);
+	pub_head_free(&head);
+	if (err == PUB_OK)
+		*text = pub_objects_text(&objects, revision);
+	pub_objects_free(&objects);
+	return err == PUB_OK && !*text ? PUB_E_MEMORY : err;
+}
+
+/* Notes a head that was read whole or published. */
+void pub_see(struct pub *pub, const struct pub_head *head)
+{
+	pub->seen = head->revision;
+	mag_copy_name(pub->seen_id, sizeof(pub->seen_id),
+		      head->change_count ? head->changes[0].id : "");
+}
+
+/* Reads the head record and its version; the caller frees the head. */
+int pub_load_head(struct pub *pub, int64_t deadline_us, struct pub_head *head,
+		  uint64_t *version)
+{
+	return pub_load_key(pub, PUB_HEAD_KEY, deadline_us, head, version);
+}
+
+/* Reads the head record of a past revision; PUB_E_GONE if it is not kept. */
+int pub_load_past(struct pub *pub, int64_t deadline_us, uint64_t revision,
+		  struct pub_head *head, uint64_t *version)
+{
+	char key[KV_KEY_MAX];
+	int err;
+
+	pub_past_key(key, revision);
+	err = pub_load_key(pub, key, deadline_us, head, version);
+	return err == PUB_E_ABSENT ? PUB_E_GONE : err;
+}
+
+/* Reads all objects that a head names, sorted; the caller frees them. */
+int pub_load_objects(struct pub *pub, int64_t deadline_us,
+		     const struct pub_head *head, struct pub_objects *objects)
+{
+	json_t *cache = json_object();
+	int err = PUB_OK;
+	size_t kind;
+	size_t i;
+
+	memset(objects, 0, sizeof(*objects));
+	for (kind = 0; kind < CFG_KIND_COUNT; kind++) {
+		const struct pub_kind *k = &head->kinds[kind];
+
+		for (i = 0; i < k->count && err == PUB_OK; i++)
+			err = pub_load_chunk(pub, deadline_us, &k->chunks[i],
+					     cache, objects);
+	}
+	if (err != PUB_OK) {
+		json_decref(cache);
+		pub_objects_free(objects);
+		return err;
+	}
+	pub_objects_sort(objects);
+	json_decref(pub->cache);
+	pub->cache = cache;
+	return PUB_OK;
+}
+
+static int pub_read_once(struct pub *pub, int64_t deadline_us, char **text,
+			 uint64_t *revision)
+{
+	struct pub_objects objects;
+	struct pub_head head;
+	uint64_t version;
+	int err = pub_load_head(pub, deadline_us, &head, &version);
+
+	if (err != PUB_OK)
+		return err;
+	pub->version = version;
+	if (pub_is_stale(pub, &head)) {
+		pub_head_free(&head);
+		return PUB_E_STALE;
+	}
+	err = pub_load_objects(pub, deadline_us, &head, &objects);
+	if (err == PUB_OK) {
+		pub_see(pub, &head);
+		*revision = head.revision;
+		*text = pub_objects_text(&objects, head.revision);
+		pub_objects_free(&objects);
+		err = *text ? PUB_OK : PUB_E_MEMORY;
+	}
+	pub_head_free(&head);
+	return err;
+}
+
+/*
+ * A service that came back with an older head may be published to again, up
+ * to a number that was already given to other content: so the change that
+ * made the revision has to be the same as well.
+ */
+static bool pub_is_stale(const struct pub *pub, const struct pub_head *head)
+{
+	const char *id = head->change_count ? head->changes[0].id : "";
+
+	if (head->revision != pub->seen)
+		return head->revision < pub->seen;
+	return strcmp(id, pub->seen_id) != 0;
+}
+
+static int pub_load_key(struct pub *pub, const char *key, int64_t deadline_us,
+			struct pub_head *head, uint64_t *version)
+{
+	struct kv_reply reply;
+	enum kv_status status = pub_get(pub, key, deadline_us, &reply);
+	int err;
+
+	*version = reply.version;
+	if (status == KV_ABSENT)
+		err = PUB_E_ABSENT;
+	else if (status != KV_OK)
+		err = PUB_E_DOWN;
+	else
+		err = pub_head_parse(head, reply.value, reply.len);
+	free(reply.value);
+	return err;
+}
+
+/* Adds the objects of a chunk, from memory if it was read before. */
+static int pub_load_chunk(struct pub *pub, int64_t deadline_us,
+			  const struct pub_chunk *chunk, json_t *cache,
+			  struct pub_objects *objects)
+{
+	json_t *text;
+	int err = PUB_OK;
+
+	if (!chunk->digest[0])
+		return PUB_OK;
+	text = json_incref(json_object_get(pub->cache, chunk->digest));
+	if (!text)
+		err = pub_fetch_chunk(pub, deadline_us, chunk, &text);
+	if (err != PUB_OK)
+		return err;
+	err = pub_add_chunk(objects, json_string_value(text));
+	json_object_set_new(cache, chunk->digest, text);
+	return err;
+}
+
+/* Reads a chunk and holds it against the digest that names it. */
+static int pub_fetch_chunk(struct pub *pub, int64_t deadline_us,
+			   const struct pub_chunk *chunk, json_t **text)
+{
+	char digest[PUB_DIGEST_HEX];
+	struct kv_reply reply;
+	char key[KV_KEY_MAX];
+	enum kv_status status;
+
+	pub_chunk_key(key, chunk);
+	status = pub_get(pub, key, deadline_us, &reply);
+	*text = NULL;
+	if (status == KV_OK) {
+		pub_digest_bytes(reply.value, reply.len, digest);
+		if (strcmp(digest, chunk->digest) == 0)
+			*text = json_stringn(reply.value, reply.len);
+	}
+	free(reply.value);
+	if (*text)
+		return PUB_OK;
+	return status == KV_OK || status == KV_ABSENT ? PUB_E_DAMAGED
+						      : PUB_E_DOWN;
+}
+
+static int pub_add_chunk(struct pub_objects *objects, const char *text)
+{
+	json_t *list = json_loads(text, JSON_REJECT_DUPLICATES, NULL);
+	int err = json_is_array(list) ? PUB_OK : PUB_E_DAMAGED;
+	size_t i;
+
+	for (i = 0; i < json_array_size(list) && err == PUB_OK; i++)
+		err = pub_objects_add(objects, json_array_get(list, i));
+	json_decref(list);
+	return err;
+}
