--- a/src/cnt.h
+++ b/src/cnt.h
@@ -26,6 +26,15 @@
 	\
 	\
 	/* peer, lim, rpc */ \
+	CNT_COUNTER(CNT_PEER_SENT, "peer_messages_sent_total", "heartbeats handed to the network") \
+	CNT_COUNTER(CNT_PEER_RECEIVED, "peer_messages_received_total", "heartbeats taken") \
+	CNT_COUNTER(CNT_PEER_DROP_CLUSTER, "peer_dropped_cluster_total", "messages of another cluster") \
+	CNT_COUNTER(CNT_PEER_DROP_VERSION, "peer_dropped_version_total", "messages of an unknown version") \
+	CNT_COUNTER(CNT_PEER_DROP_FORM, "peer_dropped_form_total", "malformed messages") \
+	CNT_COUNTER(CNT_PEER_DROP_OLD, "peer_dropped_old_total", "messages that came late or twice") \
+	CNT_COUNTER(CNT_PEER_DROP_STRANGER, "peer_dropped_stranger_total", "messages of an unknown instance") \
+	CNT_COUNTER(CNT_PEER_DROP_FULL, "peer_dropped_full_total", "messages that found no room") \
+	CNT_COUNTER(CNT_SPREAD_FULL, "spread_records_refused_total", "records that found no room") \
 	\
 	\
 	/* plc */ \
@@ -35,7 +44,16 @@
 	\
 	\
 	/* pf */ \
-	CNT_COUNTER(CNT_PF_CALLS, "platform_calls_total", "calls to the platform's service, waiting watches included")
+	CNT_COUNTER(CNT_PF_CALLS, "platform_calls_total", "calls to the platform's service, waiting watches included") \
+	CNT_COUNTER(CNT_PF_GETS, "platform_gets_total", "reads of a key") \
+	CNT_COUNTER(CNT_PF_WATCHES, "platform_watches_total", "watches, each counted once however long it waits") \
+	CNT_COUNTER(CNT_PF_SWAPS, "platform_swaps_total", "compare-and-swap writes") \
+	CNT_COUNTER(CNT_PF_DELETES, "platform_deletes_total", "deletions of a key") \
+	CNT_COUNTER(CNT_PF_LEASE_TAKES, "platform_lease_takes_total", "leases taken or renewed") \
+	CNT_COUNTER(CNT_PF_LEASE_DROPS, "platform_lease_drops_total", "leases given back") \
+	CNT_COUNTER(CNT_PF_INSTANCES, "platform_instance_lists_total", "reads of the list of instances") \
+	CNT_COUNTER(CNT_PF_LOADS, "platform_load_reports_total", "reads of the load reports") \
+	CNT_COUNTER(CNT_PF_FAILURES, "platform_failures_total", "calls that got no answer")
 /* clang-format on */
 
 #define CNT_COUNTER(id, name, help) id,
