Run core and fleet on one thread

Cause: membership, shares and leaving endpoints have to reach the core. Ruled out: a second thread for the fleet, which would put locks between what is deterministic. Change: loop carries a node; the list of instances is the fleet's to read.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -34,10 +34,13 @@
 
 static int open_platform(struct daemon *daemon);
 static int make_loop(struct daemon *daemon);
+static void fill_core(const struct daemon *daemon, struct core_settings *to);
+static void fill_fleet(const struct daemon *daemon, struct fleet_settings *to);
 static int make_ports(struct daemon *daemon);
 static int start_threads(struct daemon *daemon);
 static void release(struct daemon *daemon);
-static void on_action(void *ctx, struct core_action *action);
+static void on_action(void *ctx, struct node_action *action);
+static void on_core_action(struct daemon *daemon, struct core_action *action);
 static void on_kv_reply(void *ctx, const struct kv_reply *reply);
 static void on_stopped(struct daemon *daemon);
 static void wait_stopped(struct daemon *daemon);
@@ -128,35 +131,53 @@
 
 static int make_loop(struct daemon *daemon)
 {
-	const struct set_settings *from = &daemon->settings;
-	struct core_settings settings = {
-		.incarnation = daemon->incarnation,
-		.seed = from->seed ? from->seed : daemon->incarnation,
-		.policy = PICK_FLOW,
-		.progress_timeout_us =
-			from->progress_timeout_ms * MAG_US_PER_MS,
-		.first_timeout_us =
-			from->first_token_timeout_ms * MAG_US_PER_MS,
-		.kv_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS,
-		.ledger = {
-			.incarnation = daemon->incarnation,
-			.shards = from->ledger_shards,
-			.segment_bytes = from->ledger_segment_bytes,
-			.call_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS,
-			.batch_max = from->ledger_batch_max,
-		},
-	};
+	struct node_settings settings = { 0 };
 
-	memcpy(settings.cluster, from->cluster, sizeof(settings.cluster));
-	memcpy(settings.instance, from->instance, sizeof(settings.instance));
-	memcpy(settings.data_centre, from->data_centre,
-	       sizeof(settings.data_centre));
-	memcpy(settings.ledger.instance, from->instance,
-	       sizeof(settings.ledger.instance));
+	fill_core(daemon, &settings.core);
+	fill_fleet(daemon, &settings.fleet);
 	daemon->loop = loop_new(&settings, on_action, daemon);
 	return daemon->loop ? DAEMON_OK : DAEMON_E_MEMORY;
 }
 
+/* Turns the operator's settings into those of the core. */
+static void fill_core(const struct daemon *daemon, struct core_settings *to)
+{
+	const struct set_settings *from = &daemon->settings;
+
+	memcpy(to->cluster, from->cluster, sizeof(to->cluster));
+	memcpy(to->instance, from->instance, sizeof(to->instance));
+	memcpy(to->data_centre, from->data_centre, sizeof(to->data_centre));
+	to->incarnation = daemon->incarnation;
+	to->seed = from->seed ? from->seed : daemon->incarnation;
+	to->policy = PICK_FLOW;
+	to->progress_timeout_us = from->progress_timeout_ms * MAG_US_PER_MS;
+	to->first_timeout_us = from->first_token_timeout_ms * MAG_US_PER_MS;
+	to->kv_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS;
+	memcpy(to->ledger.instance, from->instance,
+	       sizeof(to->ledger.instance));
+	to->ledger.incarnation = daemon->incarnation;
+	to->ledger.shards = from->ledger_shards;
+	to->ledger.segment_bytes = from->ledger_segment_bytes;
+	to->ledger.call_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS;
+	to->ledger.batch_max = from->ledger_batch_max;
+}
+
+/* Turns the operator's settings into those of the fleet. */
+static void fill_fleet(const struct daemon *daemon, struct fleet_settings *to)
+{
+	const struct set_settings *from = &daemon->settings;
+
+	memcpy(to->cluster, from->cluster, sizeof(to->cluster));
+	memcpy(to->instance, from->instance, sizeof(to->instance));
+	memcpy(to->data_centre, from->data_centre, sizeof(to->data_centre));
+	memcpy(to->address, from->rpc, sizeof(to->address));
+	to->incarnation = daemon->incarnation;
+	to->seed = from->seed ? from->seed : daemon->incarnation;
+	to->bytes_per_s = from->peer_bytes_per_s;
+	to->kv_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS;
+	to->place = from->place;
+}
+
 static int make_ports(struct daemon *daemon)
 {
 	const struct set_settings *from = &daemon->settings;
@@ -222,11 +243,17 @@
 	free(daemon);
 }
 
-/* Carries an action of the core out; runs on the loop's thread. */
-static void on_action(void *ctx, struct core_action *action)
+/* Carries an action of the node out; runs on the loop's thread. */
+static void on_action(void *ctx, struct node_action *action)
 {
 	struct daemon *daemon = ctx;
 
+	if (action->type == NODE_ACT_CORE)
+		on_core_action(daemon, &action->core);
+}
+
+static void on_core_action(struct daemon *daemon, struct core_action *action)
+{
 	if (action->type == CORE_ACT_KV)
 		pf_async_post(daemon->async, &action->kv);
 	else if (action->type == CORE_ACT_STOPPED)
--- a/src/loop.c
+++ b/src/loop.c
@@ -13,7 +13,7 @@
 
 struct loop_event {
 	struct cds_list_head node;
-	struct core_event event;
+	struct node_event event;
 };
 
 struct loop_query_node {
@@ -30,7 +30,7 @@
 	pthread_cond_t queried; /* those who query wait on it */
 	struct cds_list_head events;
 	struct cds_list_head queries;
-	struct core *core;
+	struct node *node;
 	loop_deliver_fn deliver;
 	void *ctx;
 	bool started;
@@ -43,8 +43,8 @@
 static void loop_wait(struct loop *loop);
 static void loop_deliver_all(struct loop *loop);
 
-/* Makes a loop around a new core; NULL if memory is short. */
-struct loop *loop_new(const struct core_settings *settings,
+/* Makes a loop around a new node; NULL if memory is short. */
+struct loop *loop_new(const struct node_settings *settings,
 		      loop_deliver_fn deliver, void *ctx)
 {
 	struct loop *loop = calloc(1, sizeof(*loop));
@@ -52,8 +52,8 @@
 
 	if (!loop)
 		return NULL;
-	loop->core = core_new(settings);
-	if (!loop->core) {
+	loop->node = node_new(settings, clk_now_us());
+	if (!loop->node) {
 		free(loop);
 		return NULL;
 	}
@@ -80,10 +80,19 @@
 }
 
 /*
- * Queues an event from any thread.  The core owns what it points to.
- * Returns 0 or LOOP_E_MEMORY.
+ * Queues an event of the core from any thread; the core owns what it points
+ * to.  Returns 0 or LOOP_E_MEMORY.
  */
 int loop_post(struct loop *loop, const struct core_event *event)
+{
+	struct node_event wrapped = { .type = NODE_EV_CORE };
+
+	wrapped.core = *event;
+	return loop_post_node(loop, &wrapped);
+}
+
+/* As loop_post, for any event of the node. */
+int loop_post_node(struct loop *loop, const struct node_event *event)
 {
 	struct loop_event *node = malloc(sizeof(*node));
 
@@ -125,7 +134,7 @@
 		pthread_join(loop->thread, NULL);
 	cds_list_for_each_entry_safe (event, next, &loop->events, node)
 		free(event);
-	core_free(loop->core);
+	node_free(loop->node);
 	pthread_cond_destroy(&loop->wake);
 	pthread_cond_destroy(&loop->queried);
 	pthread_mutex_destroy(&loop->lock);
@@ -137,13 +146,13 @@
 	struct loop *loop = arg;
 
 	while (loop_collect(loop)) {
-		core_tick(loop->core, clk_now_us());
+		node_tick(loop->node, clk_now_us());
 		loop_deliver_all(loop);
 	}
 	return NULL;
 }
 
-/* Waits for work and moves it to the core; false when the loop ends. */
+/* Waits for work and moves it to the node; false when the loop ends. */
 static bool loop_collect(struct loop *loop)
 {
 	struct loop_event *event;
@@ -157,7 +166,7 @@
 		event = cds_list_first_entry(&loop->events, struct loop_event,
 					     node);
 		cds_list_del(&event->node);
-		core_post(loop->core, &event->event);
+		node_post(loop->node, &event->event, clk_now_us());
 		free(event);
 	}
 	loop_run_queries(loop);
@@ -175,17 +184,17 @@
 		query = cds_list_first_entry(&loop->queries,
 					     struct loop_query_node, node);
 		cds_list_del(&query->node);
-		query->fn(loop->core, query->ctx);
+		query->fn(loop->node, query->ctx);
 		query->done = true;
 	}
 	pthread_cond_broadcast(&loop->queried);
 }
 
-/* Sleeps until the core's next deadline or an event. */
+/* Sleeps until the node's next deadline or an event. */
 static void loop_wait(struct loop *loop)
 {
 	int64_t latest = clk_now_us() + LOOP_SLEEP_MAX_US;
-	int64_t due = core_next_deadline(loop->core);
+	int64_t due = node_next_deadline(loop->node);
 	struct timespec until;
 
 	if (due > latest)
@@ -197,8 +206,8 @@
 
 static void loop_deliver_all(struct loop *loop)
 {
-	struct core_action action;
+	struct node_action action;
 
-	while (core_next_action(loop->core, &action))
+	while (node_next_action(loop->node, &action))
 		loop->deliver(loop->ctx, &action);
 }
--- a/src/watch.c
+++ b/src/watch.c
@@ -11,7 +11,7 @@
 #include "watch.h"
 
 #define WATCH_WAIT_US	     (20 * MAG_US_PER_S) /* one waiting watch */
-#define WATCH_LIST_PERIOD_US MAG_US_PER_S
+#define WATCH_LOAD_PERIOD_US MAG_US_PER_S
 #define WATCH_BACKOFF_MIN_US (200 * MAG_US_PER_MS)
 #define WATCH_BACKOFF_MAX_US (2 * MAG_US_PER_S)
 #define WATCH_STALE_US	     (5 * MAG_US_PER_S) /* age of a report without one */
@@ -22,27 +22,22 @@
 	struct loop *loop;
 	struct front *front;
 	pthread_t config_thread;
-	pthread_t list_thread;
+	pthread_t load_thread;
 	pthread_mutex_t lock; /* of stopping */
 	pthread_cond_t wake;
 	bool stopping;
 	unsigned int seed;
 	atomic_uint_fast64_t revision;
-	json_t *leaving; /* names of endpoints listed as leaving */
 };
 
 static void *config_main(void *arg);
-static void *list_main(void *arg);
+static void *load_main(void *arg);
 static bool stopping(struct watch *watch);
 static void sleep_until(struct watch *watch, int64_t deadline_us);
 static int take_config(struct watch *watch, struct pub *pub);
 static void take_loads(struct watch *watch);
 static void take_load(struct watch *watch, const json_t *load);
-static void take_instances(struct watch *watch);
 static json_t *fetch(struct watch *watch, enum kv_op op, const char *field);
-static json_t *leaving_names(json_t *instances);
-static void post_leaving(struct watch *watch, const json_t *names,
-			 const json_t *others, bool leaving);
 
 /* Starts the threads that follow the platform; NULL if that fails. */
 struct watch *watch_start(const struct watch_settings *settings,
@@ -59,7 +54,6 @@
 	watch->backend = *backend;
 	watch->loop = loop;
 	watch->front = front;
-	watch->leaving = json_object();
 	pthread_mutex_init(&watch->lock, NULL);
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
@@ -67,7 +61,7 @@
 	pthread_condattr_destroy(&attr);
 	if (pthread_create(&watch->config_thread, NULL, config_main, watch))
 		abort();
-	if (pthread_create(&watch->list_thread, NULL, list_main, watch))
+	if (pthread_create(&watch->load_thread, NULL, load_main, watch))
 		abort();
 	return watch;
 }
@@ -82,10 +76,9 @@
 	pthread_cond_broadcast(&watch->wake);
 	pthread_mutex_unlock(&watch->lock);
 	pthread_join(watch->config_thread, NULL);
-	pthread_join(watch->list_thread, NULL);
+	pthread_join(watch->load_thread, NULL);
 	pthread_cond_destroy(&watch->wake);
 	pthread_mutex_destroy(&watch->lock);
-	json_decref(watch->leaving);
 	free(watch);
 }
 
@@ -147,15 +140,14 @@
 	return NULL;
 }
 
-/* Follows the lists of instances and loads, which lag anyway. */
-static void *list_main(void *arg)
+/* Follows the load reports, which lag anyway. */
+static void *load_main(void *arg)
 {
 	struct watch *watch = arg;
 
 	while (!stopping(watch)) {
-		take_instances(watch);
 		take_loads(watch);
-		sleep_until(watch, clk_now_us() + WATCH_LIST_PERIOD_US);
+		sleep_until(watch, clk_now_us() + WATCH_LOAD_PERIOD_US);
 	}
 	return NULL;
 }
@@ -234,22 +226,6 @@
 	loop_post(watch->loop, &event);
 }
 
-/* Posts what changed since the last list. */
-static void take_instances(struct watch *watch)
-{
-	json_t *instances = fetch(watch, KV_INSTANCES, "instances");
-	json_t *names;
-
-	if (!instances)
-		return;
-	names = leaving_names(instances);
-	post_leaving(watch, names, watch->leaving, true);
-	post_leaving(watch, watch->leaving, names, false);
-	json_decref(watch->leaving);
-	watch->leaving = names;
-	json_decref(instances);
-}
-
 /* Gets one list of the platform; NULL if there is none now. */
 static json_t *fetch(struct watch *watch, enum kv_op op, const char *field)
 {
@@ -274,39 +250,3 @@
 	}
 	return list;
 }
-
-static json_t *leaving_names(json_t *instances)
-{
-	json_t *names = json_object();
-	json_t *instance;
-	size_t i;
-
-	json_array_foreach (instances, i, instance) {
-		const char *name =
-			json_string_value(json_object_get(instance, "name"));
-		const char *state =
-			json_string_value(json_object_get(instance, "state"));
-
-		if (name && state && strcmp(state, "leaving") == 0)
-			json_object_set_new(names, name, json_true());
-	}
-	return names;
-}
-
-/* Posts each name that is in names and not in others. */
-static void post_leaving(struct watch *watch, const json_t *names,
-			 const json_t *others, bool leaving)
-{
-	struct core_event event = { .type = CORE_EV_LEAVING };
-	const char *name;
-	json_t *value;
-
-	event.leaving.leaving = leaving;
-	json_object_foreach ((json_t *)names, name, value) {
-		if (json_object_get(others, name))
-			continue;
-		if (mag_copy_name(event.leaving.endpoint,
-				  sizeof(event.leaving.endpoint), name) == 0)
-			loop_post(watch->loop, &event);
-	}
-}
