--- a/src/cfg_check.c
+++ b/src/cfg_check.c
@@ -17,7 +17,6 @@
 
 static void cfg_check_objects(struct cfg_build *build);
 static void cfg_check_service(struct cfg_build *build, size_t i);
-static void cfg_check_route(struct cfg_build *build, size_t i);
 static void cfg_check_limit(struct cfg_build *build, size_t i);
 static void cfg_check_endpoint(struct cfg_build *build, size_t i);
 static void cfg_check_range(struct cfg_build *build,
@@ -37,7 +36,6 @@
 
 static const cfg_check_fn check_fns[CFG_KIND_COUNT] = {
 	[CFG_SERVICE] = cfg_check_service,
-	[CFG_ROUTE] = cfg_check_route,
 	[CFG_LIMIT] = cfg_check_limit,
 	[CFG_ENDPOINT] = cfg_check_endpoint,
 };
@@ -101,15 +99,6 @@
 			  CFG_M_WINDOW, s->key_window_s, s->max_deadline_ms);
 }
 
-static void cfg_check_route(struct cfg_build *build, size_t i)
-{
-	const struct cfg_route *r = &build->set->routes[i];
-
-	if (!r->idempotent && r->key == CFG_KEY_OPTIONAL)
-		cfg_fault(build->faults, "route", r->name, "key",
-			  CFG_M_KEY_RULE);
-}
-
 static void cfg_check_limit(struct cfg_build *build, size_t i)
 {
 	const struct cfg_limit *l = &build->set->limits[i];
--- a/src/cfg_int.h
+++ b/src/cfg_int.h
@@ -44,7 +44,6 @@
 	CFG_MSG(CFG_M_MODEL_ONLY, 40, "only a service of kind model has layers") \
 	CFG_MSG(CFG_M_DEADLINES, 41, "default_deadline_ms %u is above max_deadline_ms %u") \
 	CFG_MSG(CFG_M_WINDOW, 42, "a key would be forgotten after %u s while its request may run for %u ms") \
-	CFG_MSG(CFG_M_KEY_RULE, 43, "optional on a route that is not idempotent, so that a resend could run twice") \
 	CFG_MSG(CFG_M_LAYER_ORDER, 44, "first_layer %u lies after last_layer %u") \
 	CFG_MSG(CFG_M_LIMIT_EMPTY, 45, "limits nothing: requests_per_s, tokens_per_s and concurrent are all zero") \
 	CFG_MSG(CFG_M_LIMIT_TOKENS, 46, "%u is below the %u tokens of one request that names no max_tokens, so none would ever start") \
