Count a request without max_tokens the same everywhere

Cause: the front took 64 tokens where the checks of limits took 256. Ruled out: nothing. Conclusion: a limit that the checks pass can admit such a request.

--- a/src/front_in.c
+++ b/src/front_in.c
@@ -11,7 +11,6 @@
 #define FRONT_BEARER	       "Bearer "
 #define FRONT_PREFIX_BYTES     256 /* of a prompt, for affinity to caches */
 #define FRONT_BYTES_PER_TOKEN  4   /* estimate for a prompt's length */
-#define FRONT_DEFAULT_TOKENS   64
 #define FRONT_ALLOWANCE_MAX_MS 86400000
 
 static int read_line(struct front_req *req, const char **why);
@@ -206,7 +205,7 @@
 	req->stream = json_is_true(stream);
 	req->arrival.max_tokens =
 		max_tokens ? (uint32_t)json_integer_value(max_tokens)
-			   : FRONT_DEFAULT_TOKENS;
+			   : CFG_REQUEST_TOKENS;
 	req->arrival.prompt_tokens =
 		(uint32_t)(json_string_length(prompt) / FRONT_BYTES_PER_TOKEN);
 	hash_prefix(req, json_string_value(prompt));
