ctl: Give operators check, diff, apply, get, history and what instances see

Cause: operators drive the router only by editing objects, and need to know of each change whether it is in force, and on how many instances. Ruled out: a try without an id (a lost answer would be told as a failure, or the change made twice); one timeout for the whole command (a service that hangs on the first call left no time to find out what became of it). A floor that no site could have reached is refused (regress/pub/older-head: before, "floor=1048581" was published).

--- /dev/null
+++ b/src/ctl.h
@@ -0,0 +1,134 @@
+#ifndef CTL_H
+#define CTL_H
+
+/* The operators' tool: what its commands share. */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <jansson.h>
+
+#include "flt.h"
+#include "mag.h"
+#include "pub.h"
+
+#define CTL_ADDRESSES_MAX 64
+
+/* Exit codes; magctl(1) lists them, and they stay as they are. */
+enum ctl_exit {
+	CTL_DONE = 0,
+	CTL_USAGE = 1,	 /* the command line is wrong */
+	CTL_FAULTS = 2,	 /* the set has faults; nothing was published */
+	CTL_RACE = 3,	 /* another change came first, or no base was named */
+	CTL_DOWN = 4,	 /* the service or the instances don't answer */
+	CTL_UNKNOWN = 5, /* the change may be in force */
+	CTL_REFUSED = 6, /* damaged, stale, gone, too large */
+	CTL_WAITING = 7, /* not all instances hold the revision */
+	CTL_DIFFERS = 8, /* diff found a difference */
+};
+
+enum ctl_option {
+	CTL_O_FILE,   /* positional: a file, or "-" for standard input */
+	CTL_O_OBJECT, /* positional: kind/name */
+	CTL_O_PLATFORM,
+	CTL_O_ADMIN,
+	CTL_O_TIMEOUT,
+	CTL_O_REVISION,
+	CTL_O_BASE,
+	CTL_O_REPLACE,
+	CTL_O_MERGE,
+	CTL_O_CHANGE_ID,
+	CTL_O_FLOOR,
+	CTL_O_OPERATOR,
+	CTL_O_NOTE,
+	CTL_O_WAIT,
+	CTL_O_COUNT,
+	CTL_O_SERVICE,
+	CTL_O_JSON,
+	CTL_O_HELP,
+	CTL_OPTION_COUNT
+};
+
+#define CTL_BIT(option) (1U << (option))
+
+struct ctl_addresses {
+	size_t count;
+	char list[CTL_ADDRESSES_MAX][MAG_ADDR_MAX];
+};
+
+/* What a command was asked for. */
+struct ctl_args {
+	char *value[CTL_OPTION_COUNT]; /* NULL if it was not given */
+	bool json;
+	struct ctl_addresses platform;
+	struct ctl_addresses admin;
+	int64_t deadline_us;
+};
+
+struct ctl_command {
+	const char *name;
+	const char *help;
+	uint32_t options; /* CTL_BIT of each that it takes */
+	enum ctl_exit (*run)(const struct ctl_args *args);
+};
+
+/* A connection to the platform's service, each call with its own timeout. */
+struct ctl_store {
+	struct pf *pf;
+	struct kv_backend inner;
+	struct pub *pub;
+	int64_t deadline_us;
+};
+
+/* What one instance answered on its admin port. */
+struct ctl_answer {
+	const char *address;
+	json_t *body; /* NULL if it did not answer */
+};
+
+/* ctl_option.c */
+int ctl_read_args(const struct ctl_command *command, int argc, char **argv,
+		  struct ctl_args *args);
+void ctl_free_args(struct ctl_args *args);
+void ctl_help(const struct ctl_command *command, FILE *out);
+bool ctl_number(const struct ctl_args *args, enum ctl_option option,
+		uint64_t max, uint64_t *number);
+
+/* ctl_out.c */
+char *ctl_read_file(const char *path);
+enum ctl_exit ctl_fail(const struct ctl_args *args, enum ctl_exit code,
+		       const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+enum ctl_exit ctl_exit_of(int err);
+void ctl_print_json(json_t *doc);
+void ctl_print_table(const json_t *rows);
+json_t *ctl_fault_list(const struct cfg_faults *faults);
+
+/* ctl_store.c */
+bool ctl_store_open(struct ctl_store *store, const struct ctl_args *args);
+void ctl_store_close(struct ctl_store *store);
+
+/* ctl_http.c */
+void ctl_ask(const struct ctl_addresses *addresses, const char *path,
+	     int64_t deadline_us, struct ctl_answer *answers);
+void ctl_answers_free(struct ctl_answer *answers, size_t count);
+
+/* Commands. */
+enum ctl_exit ctl_check(const struct ctl_args *args);
+enum ctl_exit ctl_diff(const struct ctl_args *args);
+enum ctl_exit ctl_get(const struct ctl_args *args);
+enum ctl_exit ctl_history(const struct ctl_args *args);
+enum ctl_exit ctl_apply(const struct ctl_args *args);
+enum ctl_exit ctl_status(const struct ctl_args *args);
+enum ctl_exit ctl_shares(const struct ctl_args *args);
+enum ctl_exit ctl_bound(const struct ctl_args *args);
+enum ctl_exit ctl_explain(const struct ctl_args *args);
+
+/* ctl_fleet.c, for apply */
+uint64_t ctl_highest(const struct ctl_addresses *admin, int64_t deadline_us);
+size_t ctl_holders(const struct ctl_addresses *admin, uint64_t revision,
+		   int64_t deadline_us);
+
+#endif /* CTL_H */
--- /dev/null
+++ b/src/ctl_fleet.c
@@ -0,0 +1,280 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "clk.h"
+#include "ctl.h"
+
+#define CTL_ASK_US   (1 * MAG_US_PER_S) /* longest wait for all instances */
+#define CTL_PATH_MAX 256
+
+/* What the instances and the service hold. */
+struct ctl_fleet {
+	int reach; /* how reading the service's head ended */
+	uint64_t revision;
+	size_t holders;
+	json_t *rows;
+};
+
+static int64_t ctl_ask_deadline(int64_t deadline_us);
+static uint64_t ctl_revision_of(const json_t *status);
+static int ctl_head(const struct ctl_args *args, uint64_t *revision);
+static json_t *ctl_status_row(const struct ctl_answer *answer);
+static void ctl_print_fleet(const struct ctl_args *args,
+			    const struct ctl_fleet *fleet);
+static enum ctl_exit ctl_show(const struct ctl_args *args, const char *path,
+			      const char *list, bool sum);
+static json_t *ctl_by_instance(const struct ctl_answer *answers, size_t count);
+static void ctl_sum_rows(json_t *rows, const json_t *more);
+static bool ctl_same_row(const json_t *a, const json_t *b);
+static void ctl_add_row(json_t *row, const json_t *more);
+
+/* Returns the highest revision that an instance holds, 0 if none answers. */
+uint64_t ctl_highest(const struct ctl_addresses *admin, int64_t deadline_us)
+{
+	struct ctl_answer answers[CTL_ADDRESSES_MAX];
+	uint64_t highest = 0;
+	size_t i;
+
+	ctl_ask(admin, "/admin/status", ctl_ask_deadline(deadline_us), answers);
+	for (i = 0; i < admin->count; i++) {
+		uint64_t revision = ctl_revision_of(answers[i].body);
+
+		if (revision > highest && revision < PUB_REVISION_MAX)
+			highest = revision;
+	}
+	ctl_answers_free(answers, admin->count);
+	return highest;
+}
+
+/* Counts the instances that hold a revision or a later one. */
+size_t ctl_holders(const struct ctl_addresses *admin, uint64_t revision,
+		   int64_t deadline_us)
+{
+	struct ctl_answer answers[CTL_ADDRESSES_MAX];
+	size_t holders = 0;
+	size_t i;
+
+	ctl_ask(admin, "/admin/status", ctl_ask_deadline(deadline_us), answers);
+	for (i = 0; i < admin->count; i++)
+		holders += ctl_revision_of(answers[i].body) >= revision;
+	ctl_answers_free(answers, admin->count);
+	return holders;
+}
+
+/* magctl status: what each instance holds, and the service's head. */
+enum ctl_exit ctl_status(const struct ctl_args *args)
+{
+	struct ctl_answer answers[CTL_ADDRESSES_MAX];
+	size_t count = args->admin.count;
+	struct ctl_fleet fleet = { .rows = json_array() };
+	size_t i;
+
+	fleet.reach = ctl_head(args, &fleet.revision);
+	ctl_ask(&args->admin, "/admin/status",
+		ctl_ask_deadline(args->deadline_us), answers);
+	/* Without the service the newest that an instance holds counts. */
+	for (i = 0; i < count && fleet.reach != PUB_OK; i++) {
+		if (ctl_revision_of(answers[i].body) > fleet.revision)
+			fleet.revision = ctl_revision_of(answers[i].body);
+	}
+	for (i = 0; i < count; i++) {
+		json_array_append_new(fleet.rows, ctl_status_row(&answers[i]));
+		fleet.holders +=
+			answers[i].body &&
+			ctl_revision_of(answers[i].body) >= fleet.revision;
+	}
+	ctl_answers_free(answers, count);
+	ctl_print_fleet(args, &fleet);
+	json_decref(fleet.rows);
+	return fleet.holders == count ? CTL_DONE : CTL_WAITING;
+}
+
+/* magctl shares: the load of each account, summed over the instances. */
+enum ctl_exit ctl_shares(const struct ctl_args *args)
+{
+	return ctl_show(args, "/admin/shares", "shares", true);
+}
+
+/* magctl bound: as the first instance that answers sees it. */
+enum ctl_exit ctl_bound(const struct ctl_args *args)
+{
+	return ctl_show(args, "/admin/bound", "services", false);
+}
+
+/* magctl explain: how a service's requests are routed, by instance. */
+enum ctl_exit ctl_explain(const struct ctl_args *args)
+{
+	char path[CTL_PATH_MAX] = "/admin/explain";
+	char *service;
+
+	if (args->value[CTL_O_SERVICE]) {
+		service = curl_easy_escape(NULL, args->value[CTL_O_SERVICE], 0);
+		snprintf(path, sizeof(path), "/admin/explain?service=%.128s",
+			 service ? service : "");
+		curl_free(service);
+	}
+	return ctl_show(args, path, NULL, false);
+}
+
+static int64_t ctl_ask_deadline(int64_t deadline_us)
+{
+	int64_t soon_us = clk_now_us() + CTL_ASK_US;
+
+	return soon_us < deadline_us ? soon_us : deadline_us;
+}
+
+static uint64_t ctl_revision_of(const json_t *status)
+{
+	json_int_t n = json_integer_value(json_object_get(status, "revision"));
+
+	return n > 0 ? (uint64_t)n : 0;
+}
+
+/* Reads the revision that the service holds, if its address was given. */
+static int ctl_head(const struct ctl_args *args, uint64_t *revision)
+{
+	struct ctl_store store;
+	struct pub_change change;
+	size_t count;
+	int err;
+
+	*revision = 0;
+	if (args->platform.count == 0)
+		return PUB_E_ABSENT;
+	if (!ctl_store_open(&store, args))
+		return PUB_E_MEMORY;
+	err = pub_history(store.pub, args->deadline_us, &change, 1, &count);
+	ctl_store_close(&store);
+	if (err == PUB_OK && count)
+		*revision = change.revision;
+	return err;
+}
+
+static json_t *ctl_status_row(const struct ctl_answer *answer)
+{
+	json_t *row = json_pack("{s:s}", "admin", answer->address);
+
+	if (answer->body)
+		json_object_update(row, answer->body);
+	else
+		json_object_set_new(row, "instance",
+				    json_string("(no answer)"));
+	return row;
+}
+
+static void ctl_print_fleet(const struct ctl_args *args,
+			    const struct ctl_fleet *fleet)
+{
+	size_t count = args->admin.count;
+
+	if (args->json) {
+		ctl_print_json(json_pack(
+			"{s:I, s:s, s:I, s:O}", "revision",
+			(json_int_t)fleet->revision, "platform",
+			pub_err_text((enum pub_err)fleet->reach), "holders",
+			(json_int_t)fleet->holders, "instances", fleet->rows));
+		return;
+	}
+	ctl_print_table(fleet->rows);
+	printf("%zu of %zu instances hold revision %llu\n", fleet->holders,
+	       count, (unsigned long long)fleet->revision);
+	if (args->platform.count && fleet->reach != PUB_OK)
+		printf("platform: %s\n",
+		       pub_err_text((enum pub_err)fleet->reach));
+}
+
+/* Writes what the instances give, as JSON or as a table of one list. */
+static enum ctl_exit ctl_show(const struct ctl_args *args, const char *path,
+			      const char *list, bool sum)
+{
+	struct ctl_answer answers[CTL_ADDRESSES_MAX];
+	json_t *rows = json_array();
+	size_t answered = 0;
+	size_t i;
+
+	ctl_ask(&args->admin, path, ctl_ask_deadline(args->deadline_us),
+		answers);
+	for (i = 0; i < args->admin.count; i++) {
+		answered += answers[i].body != NULL;
+		if (list && answers[i].body && (sum || answered == 1))
+			ctl_sum_rows(rows,
+				     json_object_get(answers[i].body, list));
+	}
+	if (args->json || !list)
+		ctl_print_json(ctl_by_instance(answers, args->admin.count));
+	else
+		ctl_print_table(rows);
+	if (answered < args->admin.count)
+		fprintf(stderr, "magctl: %zu of %zu instances answer\n",
+			answered, args->admin.count);
+	ctl_answers_free(answers, args->admin.count);
+	json_decref(rows);
+	return answered ? CTL_DONE : CTL_DOWN;
+}
+
+static json_t *ctl_by_instance(const struct ctl_answer *answers, size_t count)
+{
+	json_t *doc = json_object();
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		json_object_set(doc, answers[i].address,
+				answers[i].body ? answers[i].body
+						: json_null());
+	return doc;
+}
+
+/* Adds rows to those whose texts are the same; numbers are summed. */
+static void ctl_sum_rows(json_t *rows, const json_t *more)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < json_array_size(more); i++) {
+		const json_t *row = json_array_get(more, i);
+
+		for (k = 0; k < json_array_size(rows); k++) {
+			if (ctl_same_row(json_array_get(rows, k), row))
+				break;
+		}
+		if (k < json_array_size(rows))
+			ctl_add_row(json_array_get(rows, k), row);
+		else
+			json_array_append_new(rows, json_deep_copy(row));
+	}
+}
+
+static bool ctl_same_row(const json_t *a, const json_t *b)
+{
+	const char *key;
+	json_t *value;
+
+	if (json_object_size(a) != json_object_size(b))
+		return false;
+	json_object_foreach ((json_t *)a, key, value) {
+		if (json_is_string(value) &&
+		    !json_equal(value, json_object_get(b, key)))
+			return false;
+	}
+	return true;
+}
+
+static void ctl_add_row(json_t *row, const json_t *more)
+{
+	const char *key;
+	json_t *value;
+
+	json_object_foreach (row, key, value) {
+		const json_t *other = json_object_get(more, key);
+
+		if (json_is_integer(value))
+			json_integer_set(value,
+					 json_integer_value(value) +
+						 json_integer_value(other));
+		else if (json_is_real(value))
+			json_real_set(value, json_real_value(value) +
+						     json_number_value(other));
+	}
+}
--- a/src/pub_apply.c
+++ b/src/pub_apply.c
@@ -256,7 +256,8 @@
 		above = request->floor;
 	if (job->pub->seen > above)
 		above = job->pub->seen;
-	if (above >= PUB_REVISION_MAX)
+	/* An instance that reports an absurd number must not lead there. */
+	if (!pub_accept(job->head.revision, above + 1))
 		return PUB_E_HOSTILE;
 	next->revision = above + 1;
 	next->previous = job->head.revision;
--- a/src/pub_read.c
+++ b/src/pub_read.c
@@ -28,7 +28,7 @@
 	[-PUB_E_BASE] = "the set does not say which revision it was made from",
 	[-PUB_E_STALE] = "the service holds an older revision than was seen",
 	[-PUB_E_SIZE] = "too large for the platform's service",
-	[-PUB_E_GONE] = "that revision is no longer kept",
+	[-PUB_E_GONE] = "that revision is not kept",
 	[-PUB_E_HOSTILE] = "the offer can't be what it says",
 	[-PUB_E_MEMORY] = "out of memory",
 };
