--- /dev/null
+++ b/regress/proc/examples.sh
@@ -0,0 +1,10 @@
+# The example sets pass the check, and are what their generator writes.
+B=$1
+cd "$(dirname "$0")/../.." || exit 1
+D=$(mktemp -d)
+trap 'rm -rf "$D"' EXIT
+sh examples/generate "$D"
+for set in kandy-ringwork fennelly-roche; do
+	cmp "$D/$set.json" "examples/$set.json" && echo "$set as generated"
+	"$B"/magctl check "examples/$set.json"
+done
