--- a/regress/check_pub.c
+++ b/regress/check_pub.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "log.h"
 #include "pub.h"
 #include "check_doc.h"
 #include "script.h"
@@ -465,6 +466,13 @@
 	}
 }
 
+static void log_line(void *ctx, enum log_prio prio, const char *line)
+{
+	(void)ctx;
+	(void)prio;
+	fprintf(w.out, "log %s\n", line);
+}
+
 static void driver(FILE *in, FILE *out)
 {
 	static const struct table empty;
@@ -473,6 +481,7 @@
 	size_t i;
 
 	w.out = out;
+	log_set_sink(log_line, NULL);
 	w.left = 0;
 	while (getline(&line, &room, in) > 0) {
 		line[strcspn(line, "\n")] = '\0';
--- a/regress/proc/examples.sh
+++ b/regress/proc/examples.sh
@@ -8,3 +8,9 @@
 	cmp "$D/$set.json" "examples/$set.json" && echo "$set as generated"
 	"$B"/magctl check "examples/$set.json"
 done
+# The set and the settings that the manual page shows pass as well.
+sed -n '/^A set:/,/^\.Ed/p' man/magnolia.conf.5 | grep -v '^\.\|^A set' |
+	"$B"/magctl check -
+sed -n '/^Settings:/,/^\.Ed/p' man/magnolia.conf.5 |
+	grep -v '^\.\|^Settings' >"$D/magnoliad.json"
+"$B"/magnoliad -s "$D/magnoliad.json" --check
--- a/src/cfg.h
+++ b/src/cfg.h
@@ -13,8 +13,9 @@
 
 #include "mag.h"
 
-#define CFG_NOT_BEGUN_MAX 4  /* statuses that prove a refusal */
-#define CFG_SPLIT_MAX	  64 /* accounts that a route sends elsewhere */
+#define CFG_NOT_BEGUN_MAX  4  /* statuses that prove a refusal */
+#define CFG_SPLIT_MAX	   64 /* accounts that a route sends elsewhere */
+#define CFG_DEFAULT_TOKENS 64 /* max_tokens of a request that names none */
 
 enum cfg_kind {
 	CFG_SERVICE,
--- a/src/cfg_check.c
+++ b/src/cfg_check.c
@@ -112,10 +112,10 @@
 	if (l->tokens_per_s && s && s->kind == CFG_PLAIN)
 		cfg_fault(build->faults, "limit", l->name, "tokens_per_s",
 			  CFG_M_LIMIT_PLAIN, s->name);
-	else if (l->tokens_per_s && l->tokens_per_s < CFG_REQUEST_TOKENS)
+	else if (l->tokens_per_s && l->tokens_per_s < CFG_DEFAULT_TOKENS)
 		cfg_fault(build->faults, "limit", l->name, "tokens_per_s",
 			  CFG_M_LIMIT_TOKENS, l->tokens_per_s,
-			  CFG_REQUEST_TOKENS);
+			  CFG_DEFAULT_TOKENS);
 }
 
 static void cfg_check_endpoint(struct cfg_build *build, size_t i)
--- a/src/cfg_int.h
+++ b/src/cfg_int.h
@@ -70,7 +70,6 @@
 #undef CFG_MSG
 
 #define CFG_OBJECTS_MAX	    100000
-#define CFG_REQUEST_TOKENS  256 /* max_tokens of a request that names none */
 #define CFG_DEADLINE_MAX_MS 3600000
 #define CFG_WINDOW_MAX_S    2592000
 
--- a/src/front_in.c
+++ b/src/front_in.c
@@ -11,7 +11,7 @@
 #define FRONT_BEARER	       "Bearer "
 #define FRONT_PREFIX_BYTES     256 /* of a prompt, for affinity to caches */
 #define FRONT_BYTES_PER_TOKEN  4   /* estimate for a prompt's length */
-#define FRONT_DEFAULT_TOKENS   64
+#define FRONT_DEFAULT_TOKENS   CFG_DEFAULT_TOKENS
 #define FRONT_ALLOWANCE_MAX_MS 86400000
 
 static int read_line(struct front_req *req, const char **why);
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -14,6 +14,8 @@
 	\
 	/* 1100 pub: publishing the configuration */ \
 	LOG_EVENT(LOG_CONFIG_APPLIED, 1101, "config-applied", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_CONFIG_STALE, 1102, "config-stale", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_CONFIG_DAMAGED, 1103, "config-damaged", LOG_PRIO_ERR) \
 	\
 	/* 2000 ldg: records of non-idempotent requests */ \
 	LOG_EVENT(LOG_LDG_DOWN, 2001, "records-unreachable", LOG_PRIO_WARNING) \
--- a/src/pub_int.h
+++ b/src/pub_int.h
@@ -59,6 +59,7 @@
 	char seen_id[PUB_ID_MAX]; /* of the change that made it */
 	uint64_t version;	  /* of the head's key */
 	json_t *cache;		  /* digest of a chunk: its text */
+	int last;		  /* how the last reading ended */
 };
 
 /* pub_objects.c */
--- a/src/pub_read.c
+++ b/src/pub_read.c
@@ -3,6 +3,7 @@
 
 #include <sodium.h>
 
+#include "log.h"
 #include "pub_int.h"
 
 static int pub_load_key(struct pub *pub, const char *key, int64_t deadline_us,
@@ -14,6 +15,7 @@
 			   const struct pub_chunk *chunk, json_t **text);
 static int pub_add_chunk(struct pub_objects *objects, const char *text);
 static bool pub_is_stale(const struct pub *pub, const struct pub_head *head);
+static void pub_log_change(struct pub *pub, int err);
 static int pub_read_once(struct pub *pub, int64_t deadline_us, char **text,
 			 uint64_t *revision);
 
@@ -82,6 +84,7 @@
 	 */
 	for (try = 0; try < PUB_TRIES && err == PUB_E_DAMAGED; try++)
 		err = pub_read_once(pub, deadline_us, text, revision);
+	pub_log_change(pub, err);
 	return err;
 }
 
@@ -189,6 +192,18 @@
 	return PUB_OK;
 }
 
+/* Logs a refused head once, however often it is read again. */
+static void pub_log_change(struct pub *pub, int err)
+{
+	if (err == PUB_E_STALE && pub->last != err)
+		log_event(LOG_CONFIG_STALE, "revision=%llu",
+			  (unsigned long long)pub->seen);
+	if (err == PUB_E_DAMAGED && pub->last != err)
+		log_event(LOG_CONFIG_DAMAGED, "revision=%llu",
+			  (unsigned long long)pub->seen);
+	pub->last = err;
+}
+
 static int pub_read_once(struct pub *pub, int64_t deadline_us, char **text,
 			 uint64_t *revision)
 {
