pub: Never say "nothing changed" while an earlier write may land

Cause: a held-up write of an earlier run can land as long as the head is the one that it replaces; a second run under the same id forgot that, and told exit 4 when the service refused it. Ruled out: waiting until the head moves (it may never). Change: a run that is told of an earlier try ends with "may be in force" where others end with "nothing was published". Conclusion: exit 4 of magctl apply means that nothing was and will be published by it.

--- a/regress/check_pub.c
+++ b/regress/check_pub.c
@@ -84,7 +84,7 @@
 {
 	reply->status = status;
 	reply->version = e ? e->version : 0;
-	if (status == KV_OK && e) {
+	if (status == KV_OK && e && e->value) {
 		reply->value = strdup(e->value);
 		reply->len = strlen(e->value);
 	}
@@ -111,7 +111,7 @@
 		mag_copy_name(e->key, sizeof(e->key), call->key);
 	}
 	free(e->value);
-	e->value = strndup(call->value, call->len);
+	e->value = call->value ? strndup(call->value, call->len) : NULL;
 	e->version++;
 	reply->status = KV_OK;
 	reply->version = e->version;
--- a/src/pub_apply.c
+++ b/src/pub_apply.c
@@ -70,6 +70,8 @@
 	}
 	if (err == PUB_AGAIN)
 		err = job.lost ? PUB_E_UNKNOWN : PUB_E_RACE;
+	else if (err == PUB_E_DOWN && job.lost)
+		err = PUB_E_UNKNOWN;
 	pub_job_clear(&job);
 	pub_objects_free(&job.mine);
 	return err;
@@ -121,8 +123,11 @@
 /*
  * Looks for the change's id.  After a swap without an answer, or if the
  * operator says that an earlier try may have landed, past heads are searched
- * as well: others may have published since.  Once the head has moved on and
- * none names the id, the swap can't land any more.
+ * as well: others may have published since.
+ *
+ * A swap of this run that got no answer can't land any more, as the head was
+ * seen to move on.  That of an earlier run may, as the head may still be the
+ * one that it replaces; so its request never ends with "nothing changed".
  */
 static int pub_settle(struct pub_job *job)
 {
@@ -140,7 +145,7 @@
 				      &job->head, id, &revision);
 	if (err != PUB_OK)
 		return PUB_E_UNKNOWN;
-	job->lost = false;
+	job->lost = job->request->resume;
 	job->result->before = revision != 0;
 	job->result->revision = revision;
 	return PUB_OK;
@@ -164,8 +169,6 @@
 		job->damaged = true;
 		return PUB_OK;
 	}
-	if (err == PUB_E_DOWN && job->lost)
-		return PUB_E_UNKNOWN;
 	return err;
 }
 
