--- a/src/front_in.c
+++ b/src/front_in.c
@@ -205,7 +205,7 @@
 	req->stream = json_is_true(stream);
 	req->arrival.max_tokens =
 		max_tokens ? (uint32_t)json_integer_value(max_tokens)
-			   : CFG_REQUEST_TOKENS;
+			   : CFG_DEFAULT_TOKENS;
 	req->arrival.prompt_tokens =
 		(uint32_t)(json_string_length(prompt) / FRONT_BYTES_PER_TOKEN);
 	hash_prefix(req, json_string_value(prompt));
