--- a/regress/check_cfg.c
+++ b/regress/check_cfg.c
@@ -9,6 +9,8 @@
 #include <cmocka.h>
 
 #include "cfg_int.h"
+#include "check_doc.h"
+#include "check_msgs.h"
 #include "script.h"
 
 /*
@@ -20,7 +22,6 @@
  */
 
 #define CHECK_DIR "regress/cfg"
-#define MSGS_MAX  128
 
 struct run {
 	json_t *doc;
@@ -29,24 +30,6 @@
 	FILE *out;
 };
 
-static json_t *find(struct run *run, const char *id, size_t *index)
-{
-	json_t *list = json_object_get(run->doc, "objects");
-	char text[256];
-	json_t *object;
-
-	for (*index = 0; *index < json_array_size(list); (*index)++) {
-		object = json_array_get(list, *index);
-		snprintf(text, sizeof(text), "%s/%s",
-			 json_string_value(json_object_get(object, "kind")),
-			 json_string_value(json_object_get(object, "name")));
-		if (strcmp(text, id) == 0)
-			return object;
-	}
-	fail_msg("no object %s", id);
-	return NULL;
-}
-
 static void many(struct run *run, int count)
 {
 	json_t *list = json_object_get(run->doc, "objects");
@@ -106,37 +89,14 @@
 	}
 }
 
-static void change(struct run *run, char *rest)
-{
-	char *json = strchr(rest, ' ');
-	json_t *fields;
-	size_t i;
-
-	*json++ = '\0';
-	fields = json_loads(json, 0, NULL);
-	assert_non_null(fields);
-	json_object_update(find(run, rest, &i), fields);
-	json_decref(fields);
-}
-
 static void do_line(struct run *run, char *line)
 {
 	char *rest = strchr(line, ' ');
-	json_t *list = json_object_get(run->doc, "objects");
-	size_t i;
 
 	rest = rest ? (*rest = '\0', rest + 1) : line + strlen(line);
-	if (strcmp(line, "add") == 0) {
-		assert_int_equal(
-			json_array_append_new(
-				list, json_loads(rest, JSON_DECODE_ANY, NULL)),
-			0);
-	} else if (strcmp(line, "change") == 0) {
-		change(run, rest);
-	} else if (strcmp(line, "drop") == 0) {
-		find(run, rest, &i);
-		json_array_remove(list, i);
-	} else if (strcmp(line, "text") == 0) {
+	if (doc_edit(run->doc, line, rest))
+		return;
+	if (strcmp(line, "text") == 0) {
 		free(run->text);
 		run->text = strdup(rest);
 	} else if (strcmp(line, "many") == 0) {
@@ -167,46 +127,12 @@
 	json_decref(run.doc);
 }
 
-/* Notes the number that ends each line of an expected output. */
-static void note_numbers(const char *path, bool *seen)
-{
-	char line[1024];
-	FILE *file = fopen(path, "r");
-
-	assert_non_null(file);
-	while (fgets(line, sizeof(line), file)) {
-		const char *number = strrchr(line, '(');
-
-		if (number && atoi(number + 1) > 0 &&
-		    atoi(number + 1) < MSGS_MAX)
-			seen[atoi(number + 1)] = true;
-	}
-	fclose(file);
-}
-
-/* A message that no bad set brings up could be wrong without notice. */
 static void every_message_has_a_bad_set(void **state)
 {
-	bool seen[MSGS_MAX] = { false };
 	int numbers[MSGS_MAX];
-	size_t count = cfg_msg_list(numbers, MSGS_MAX);
-	DIR *dir = opendir(CHECK_DIR);
-	struct dirent *entry;
-	char path[512];
-	size_t i;
 
 	(void)state;
-	assert_non_null(dir);
-	while ((entry = readdir(dir))) {
-		snprintf(path, sizeof(path), CHECK_DIR "/%s", entry->d_name);
-		if (strstr(entry->d_name, ".out"))
-			note_numbers(path, seen);
-	}
-	closedir(dir);
-	for (i = 0; i < count; i++) {
-		if (!seen[numbers[i]])
-			fail_msg("message %d has no bad set", numbers[i]);
-	}
+	check_msgs(CHECK_DIR, numbers, cfg_msg_list(numbers, MSGS_MAX));
 }
 
 int main(void)
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -16,7 +16,9 @@
 	LOG_EVENT(LOG_CONFIG_APPLIED, 1101, "config-applied", LOG_PRIO_NOTICE) \
 	\
 	/* 2000 ldg: records of non-idempotent requests */ \
-	\
+	LOG_EVENT(LOG_LDG_DOWN, 2001, "records-unreachable", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_LDG_UP, 2002, "records-reachable", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_LDG_BAD_SEGMENT, 2003, "record-segment-unreadable", LOG_PRIO_ERR) \
 	\
 	/* 3000 core, req: the life of a request */ \
 	LOG_EVENT(LOG_REQ_REFUSED, 3001, "request-refused", LOG_PRIO_INFO) \
@@ -24,13 +26,21 @@
 	LOG_EVENT(LOG_REQ_DONE, 3003, "request-done", LOG_PRIO_INFO) \
 	\
 	/* 4000 flow, pick: chains of endpoints */ \
-	\
+	LOG_EVENT(LOG_PICK_CHAIN, 4001, "chain-chosen", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_PICK_EJECTED, 4002, "endpoint-ejected", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PICK_RETURNED, 4003, "endpoint-returned", LOG_PRIO_NOTICE) \
 	\
 	/* 5000 adm, quar: admission, limits, quarantine */ \
-	\
+	LOG_EVENT(LOG_ADM_REFUSED, 5001, "admission-refused", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_QUAR_SUSPECT, 5101, "request-suspected", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_QUAR_HELD, 5102, "request-quarantined", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_QUAR_CLEARED, 5103, "request-cleared", LOG_PRIO_NOTICE) \
 	\
 	/* 6000 peer, lim, rpc: membership and what spreads over it */ \
-	\
+	LOG_EVENT(LOG_PEER_UP, 6001, "peer-up", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PEER_DOWN, 6002, "peer-down", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PEER_ROLE, 6003, "peer-role", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PEER_LEAVING, 6004, "endpoint-leaving", LOG_PRIO_NOTICE) \
 	\
 	/* 7000 plc: placement */ \
 	\
@@ -39,6 +49,7 @@
 	LOG_EVENT(LOG_STARTED, 8001, "started", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_STOPPING, 8002, "stopping", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_STOPPED, 8003, "stopped", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_START_FAILED, 8004, "start-failed", LOG_PRIO_ERR) \
 	\
 	/* 9000 pf: the platform's service */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
