--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 CHECKS    := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/check_*.c))
 TOOLS     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/tool_*.c))
 BENCHES   := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench_*.c))
+SIM_OBJS  := $(patsubst bench/%.c,$(BUILD)/bench/%.o,$(wildcard bench/sim*.c))
 STYLED    := $(filter-out $(GENERATED),$(wildcard src/*.[ch] regress/*.[ch] \
 	     bench/*.[ch]))
 TIDIED    := $(filter %.c,$(STYLED))
@@ -60,7 +61,7 @@
 $(CHECKS): $(BUILD)/%: $(BUILD)/regress/%.o $(BUILD)/regress/script.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
-$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(LIB)
+$(BENCHES): $(BUILD)/%: $(BUILD)/bench/%.o $(SIM_OBJS) $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
 
 format:
--- /dev/null
+++ b/bench/bench_pipeline.c
@@ -0,0 +1,338 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "sim.h"
+
+#define SEEDS_MAX    32
+#define FAULT_US     (20 * MAG_US_PER_S) /* when faults begin */
+#define MEASURE_US   (30 * MAG_US_PER_S) /* how long is measured */
+#define DRAIN_US     (17 * MAG_US_PER_S) /* longest allowance, and some */
+#define RECOVER_PART 0.95
+#define RECOVER_SPAN 20 /* buckets of a second */
+#define NEVER_MS     99999
+
+/* What a run is made of besides its seed. */
+struct variant {
+	const char *name;
+	enum pick_policy policy;
+	bool no_budgets;
+	bool no_resume;
+};
+
+struct scenario {
+	const char *name;
+	double load;
+	bool even;
+	enum sim_callers callers;
+	struct sim_fault faults[SIM_FAULTS_MAX]; /* times from FAULT_US */
+	int fault_count;
+	bool recovery; /* measured from the fault on */
+};
+
+static const struct variant variants[] = {
+	{ "flow", PICK_FLOW, false, false },
+	{ "least-in-flight", PICK_LEAST_IN_FLIGHT, false, false },
+	{ "random", PICK_RANDOM, false, false },
+	{ "static-weights", PICK_STATIC_WEIGHTS, false, false },
+	{ "no-budgets", PICK_FLOW, true, false },
+	{ "restart", PICK_FLOW, false, true },
+};
+
+static const struct scenario scenarios[] = {
+	{ .name = "steady-80", .load = 0.8 },
+	{ .name = "steady-100", .load = 1.0 },
+	{ .name = "steady-150", .load = 1.5 },
+	{ .name = "steady-300", .load = 3.0, .even = true },
+	{ .name = "lose-largest",
+	  .load = 1.0,
+	  .faults = { { 0, SIM_KILL, SIM_LARGEST, 0 } },
+	  .fault_count = 1,
+	  .recovery = true },
+	{ .name = "hang-largest",
+	  .load = 1.0,
+	  .faults = { { 0, SIM_HANG, SIM_LARGEST, 0 } },
+	  .fault_count = 1,
+	  .recovery = true },
+	{ .name = "slow-stage",
+	  .load = 1.0,
+	  .faults = { { 0, SIM_SLOW, SIM_LARGEST, 0.3 } },
+	  .fault_count = 1,
+	  .recovery = true },
+	{ .name = "degraded-link",
+	  .load = 1.0,
+	  .faults = { { 0, SIM_LINK, SIM_LARGEST, 0.002 } },
+	  .fault_count = 1,
+	  .recovery = true },
+	{ .name = "centre-cut",
+	  .load = 1.0,
+	  .faults = { { 0, SIM_CUT, 2, 0 } },
+	  .fault_count = 1,
+	  .recovery = true },
+	{ .name = "platform-outage",
+	  .load = 1.0,
+	  .faults = { { 0, SIM_REPORTS, 0, 0 } },
+	  .fault_count = 1 },
+	{ .name = "poison",
+	  .load = 0.8,
+	  .faults = { { 0, SIM_POISON, 3, 0 } },
+	  .fault_count = 1,
+	  .recovery = true },
+	{ .name = "greedy",
+	  .load = 0.8,
+	  .even = true,
+	  .faults = { { 0, SIM_DEMAND, 0, 10 } },
+	  .fault_count = 1 },
+	{ .name = "two-at-once",
+	  .load = 1.0,
+	  .faults = { { 0, SIM_KILL, SIM_LARGEST, 0 }, { 0, SIM_HANG, 5, 0 } },
+	  .fault_count = 2,
+	  .recovery = true },
+	{ .name = "storm",
+	  .load = 0.9,
+	  .callers = SIM_IMPATIENT,
+	  .faults = { { 0, SIM_DEMAND, -1, 5 },
+		      { 5 * MAG_US_PER_S, SIM_DEMAND, -1, 1 } },
+	  .fault_count = 2 },
+};
+
+/* The figures of one run that the tables show. */
+struct figures {
+	double goodput; /* of what could be served: offered or bound */
+	double bound;	/* tokens a second, what remained of it */
+	double recovery_ms;
+	double late;   /* of all calls */
+	double failed; /* of all calls */
+	double jain;
+	double others; /* goodput of accounts 1.. of what they asked */
+	double attempts;
+	double killed;
+};
+
+static struct sim_result result;
+
+/* Orders doubles for qsort. */
+static int order(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Returns Jain's index of what equal accounts were served. */
+static double jain(const struct sim_result *r)
+{
+	double sum = 0;
+	double squares = 0;
+	int i;
+
+	for (i = 0; i < SIM_ACCOUNTS; i++) {
+		sum += r->served[i];
+		squares += r->served[i] * r->served[i];
+	}
+	return squares > 0 ? sum * sum / (SIM_ACCOUNTS * squares) : 0;
+}
+
+/* Returns what accounts 1 and up got of what they asked for. */
+static double others(const struct sim_result *r)
+{
+	double served = 0;
+	double asked = 0;
+	int i;
+
+	for (i = 1; i < SIM_ACCOUNTS; i++) {
+		served += r->served[i];
+		asked += r->asked[i];
+	}
+	return asked > 0 ? served / asked : 0;
+}
+
+/*
+ * Returns the time from the fault until goodput over a second is back at 95
+ * in 100 of what the bound that remains lets through.
+ */
+static double recovery(const struct sim_result *r, double target)
+{
+	int from = (int)(FAULT_US / SIM_BUCKET_US);
+	int to = (int)((FAULT_US + MEASURE_US) / SIM_BUCKET_US);
+	int b;
+	int i;
+
+	target *= RECOVER_PART * RECOVER_SPAN * (double)SIM_BUCKET_US /
+		  (double)MAG_US_PER_S;
+	for (b = from; b < to; b++) {
+		double sum = 0;
+
+		for (i = 0; i < RECOVER_SPAN; i++)
+			sum += r->bucket[b + i];
+		if (sum >= target)
+			return (double)((b - from) * SIM_BUCKET_US) /
+			       (double)MAG_US_PER_MS;
+	}
+	return NEVER_MS;
+}
+
+/* Runs one scenario with one seed. */
+static void run(const struct scenario *scenario, const struct variant *variant,
+		int routers, uint64_t seed, struct figures *f)
+{
+	struct sim_settings s = {
+		.seed = seed,
+		.routers = routers,
+		.policy = variant->policy,
+		.no_budgets = variant->no_budgets,
+		.no_resume = variant->no_resume,
+		.callers = scenario->callers,
+		.load = scenario->load,
+		.even = scenario->even,
+		.from_us = FAULT_US,
+		.to_us = FAULT_US + MEASURE_US,
+		.end_us = FAULT_US + MEASURE_US + DRAIN_US,
+		.fault_count = scenario->fault_count,
+	};
+	double seconds = (double)MEASURE_US / (double)MAG_US_PER_S;
+	double could;
+	int i;
+
+	for (i = 0; i < s.fault_count; i++) {
+		s.faults[i] = scenario->faults[i];
+		s.faults[i].at_us += FAULT_US;
+	}
+	if (sim_run(&s, &result) < 0)
+		exit(1);
+	could = result.offered / seconds;
+	if (could > result.bound_after)
+		could = result.bound_after;
+	f->goodput = result.goodput / seconds / could;
+	f->bound = result.bound_after;
+	f->recovery_ms = recovery(&result, could);
+	f->late = (double)result.late / result.calls;
+	f->failed = (double)result.failed / result.calls;
+	f->jain = jain(&result);
+	f->others = others(&result);
+	f->attempts = (double)result.attempts;
+	f->killed = result.killed;
+}
+
+/* Returns the middle one of some figures, or the worst of them. */
+static double of_seeds(const struct figures *f, int seeds, size_t offset,
+		       bool largest_is_worst, bool worst)
+{
+	double v[SEEDS_MAX];
+	int i;
+
+	for (i = 0; i < seeds; i++)
+		memcpy(&v[i], (const char *)&f[i] + offset, sizeof(v[i]));
+	qsort(v, (size_t)seeds, sizeof(*v), order);
+	if (!worst)
+		return v[seeds / 2];
+	return largest_is_worst ? v[seeds - 1] : v[0];
+}
+
+#define MEDIAN(field) of_seeds(f, seeds, offsetof(struct figures, field), 0, 0)
+#define LEAST(field)  of_seeds(f, seeds, offsetof(struct figures, field), 0, 1)
+#define MOST(field)   of_seeds(f, seeds, offsetof(struct figures, field), 1, 1)
+
+/* Prints a line of the table, and its JSON if asked for. */
+static void print(const struct scenario *scenario,
+		  const struct variant *variant, int routers,
+		  const struct figures *f, int seeds, FILE *json, bool first)
+{
+	double slow = scenario->recovery ? MEDIAN(recovery_ms) : 0;
+	double slowest = scenario->recovery ? MOST(recovery_ms) : 0;
+
+	printf("%-16s %-16s %2d %7.0f %6.3f %6.3f %6.0f %6.0f %6.3f %6.3f "
+	       "%6.3f %6.3f %3.0f\n",
+	       scenario->name, variant->name, routers, MEDIAN(bound),
+	       MEDIAN(goodput), LEAST(goodput), slow, slowest, MOST(late),
+	       MOST(failed), LEAST(jain), LEAST(others), MOST(killed));
+	fflush(stdout);
+	if (!json)
+		return;
+	fprintf(json,
+		"%s\n{\"scenario\":\"%s\",\"variant\":\"%s\",\"routers\":%d,"
+		"\"seeds\":%d,\"bound\":%.0f,\"goodput_median\":%.4f,"
+		"\"goodput_worst\":%.4f,\"recovery_ms_median\":%.0f,"
+		"\"recovery_ms_worst\":%.0f,\"late_worst\":%.4f,"
+		"\"failed_worst\":%.4f,\"jain_worst\":%.4f,"
+		"\"others_worst\":%.4f,\"endpoints_lost_worst\":%.0f}",
+		first ? "" : ",", scenario->name, variant->name, routers, seeds,
+		MEDIAN(bound), MEDIAN(goodput), LEAST(goodput), slow, slowest,
+		MOST(late), MOST(failed), LEAST(jain), LEAST(others),
+		MOST(killed));
+}
+
+/* Tells whether a name is in a comma-separated list; "all" has every one. */
+static bool chosen(const char *list, const char *name)
+{
+	size_t len = strlen(name);
+	const char *at = list;
+
+	if (strcmp(list, "all") == 0)
+		return true;
+	while ((at = strstr(at, name))) {
+		if ((at == list || at[-1] == ',') &&
+		    (at[len] == ',' || at[len] == '\0'))
+			return true;
+		at += len;
+	}
+	return false;
+}
+
+/* Runs the chosen scenarios with every chosen variant and seed. */
+static void run_all(const char *which, const char *how, int routers, int seeds,
+		    FILE *json)
+{
+	struct figures f[SEEDS_MAX];
+	bool first = true;
+	size_t i;
+	size_t j;
+	int k;
+
+	printf("%-16s %-16s %2s %7s %6s %6s %6s %6s %6s %6s %6s %6s %3s\n",
+	       "scenario", "variant", "n", "bound", "good", "worst", "rec",
+	       "worst", "late", "failed", "jain", "others", "ko");
+	for (i = 0; i < MAG_ARRAY_SIZE(scenarios); i++) {
+		for (j = 0; j < MAG_ARRAY_SIZE(variants); j++) {
+			if (!chosen(which, scenarios[i].name) ||
+			    !chosen(how, variants[j].name))
+				continue;
+			for (k = 0; k < seeds; k++)
+				run(&scenarios[i], &variants[j], routers,
+				    (uint64_t)k + 1, &f[k]);
+			print(&scenarios[i], &variants[j], routers, f, seeds,
+			      json, first);
+			first = false;
+		}
+	}
+}
+
+/*
+ * bench_pipeline SEEDS ROUTERS [SCENARIOS [VARIANTS [JSON]]]: lists are
+ * separated by commas; "all" is every one.
+ */
+int main(int argc, char **argv)
+{
+	int seeds = argc > 1 ? atoi(argv[1]) : 5;
+	int routers = argc > 2 ? atoi(argv[2]) : 12;
+	const char *which = argc > 3 ? argv[3] : "all";
+	const char *how = argc > 4 ? argv[4] : "all";
+	FILE *json = argc > 5 ? fopen(argv[5], "w") : NULL;
+
+	if (seeds < 1 || seeds > SEEDS_MAX || routers < 1 ||
+	    routers > SIM_ROUTERS_MAX) {
+		fprintf(stderr, "seeds 1 .. %d, routers 1 .. %d\n", SEEDS_MAX,
+			SIM_ROUTERS_MAX);
+		return 2;
+	}
+	log_set_sink(NULL, NULL);
+	if (json)
+		fprintf(json, "[");
+	run_all(which, how, routers, seeds, json);
+	if (json) {
+		fprintf(json, "\n]\n");
+		fclose(json);
+	}
+	return 0;
+}
--- /dev/null
+++ b/bench/sim.h
@@ -0,0 +1,225 @@
+#ifndef SIM_H
+#define SIM_H
+
+/*
+ * The bench's world in virtual time: callers, some instances of the core and
+ * stand-in stages, each a server with a rate, a concurrency, a link and a
+ * delay.  Everything is drawn from one seed, so a run repeats exactly.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "core.h"
+
+#define SIM_STAGES_MAX	  64
+#define SIM_ROUTERS_MAX	  16
+#define SIM_ACCOUNTS	  10
+#define SIM_CENTRES	  3
+#define SIM_LAYERS	  48
+#define SIM_ACTIVATION	  16384 /* bytes a token */
+#define SIM_TOKENS_MEAN	  80
+#define SIM_TOKENS_MAX	  240
+#define SIM_BUCKET_US	  (50 * MAG_US_PER_MS) /* of goodput over time */
+#define SIM_BUCKETS_MAX	  2400
+#define SIM_FAULTS_MAX	  8
+#define SIM_LARGEST	  (-2) /* target of a fault: the largest stage */
+#define SIM_REPORT_LAG_US (700 * MAG_US_PER_MS)
+
+enum sim_event_type {
+	SIM_EV_ARRIVAL, /* a = account */
+	SIM_EV_RETURN,	/* a = call: a refused caller comes back */
+	SIM_EV_TOKEN,	/* a = stream, b = its generation */
+	SIM_EV_ENDED,	/* a = stream, b = its generation */
+	SIM_EV_TICK,	/* a = router */
+	SIM_EV_REPORT,
+	SIM_EV_FAULT, /* a = fault */
+	SIM_EVENT_COUNT
+};
+
+struct sim_event {
+	int64_t at_us;
+	uint64_t seq;
+	enum sim_event_type type;
+	int a;
+	uint32_t b;
+};
+
+/* What becomes of a stage or a link at some time. */
+enum sim_fault_kind {
+	SIM_KILL, /* connections are reset */
+	SIM_HANG, /* connections stay open and nothing comes */
+	SIM_REVIVE,
+	SIM_LINK, /* factor on the rate of its link */
+	SIM_SLOW, /* factor on its rate, not told in its reports */
+	SIM_CUT,  /* data centre: nothing passes in or out */
+	SIM_JOIN,
+	SIM_REPORTS, /* load reports stop (0) or go on (1) */
+	SIM_DEMAND,  /* account: factor on its demand; -1 for all */
+	SIM_POISON,  /* an account sends one poisonous request */
+};
+
+struct sim_fault {
+	int64_t at_us;
+	enum sim_fault_kind kind;
+	int target;
+	double factor;
+};
+
+struct sim_stage {
+	char name[MAG_NAME_MAX];
+	int centre;
+	uint32_t first; /* boundaries */
+	uint32_t end;
+	double rate; /* tokens a second over its whole range */
+	double link; /* tokens a second, each way */
+	uint32_t concurrency;
+	int64_t step_us; /* of a token besides its work */
+	bool dead;
+	bool hung;
+	double slow;
+	double link_factor;
+	int64_t free_us; /* when its work, its link in and out are free */
+	int64_t in_free_us;
+	int64_t out_free_us;
+	uint32_t running;
+};
+
+/* One attempt on its chain. */
+struct sim_stream {
+	bool used;
+	uint32_t generation;
+	int router;
+	int call;
+	uint32_t attempt;
+	int stage[MAG_CHAIN_MAX];
+	double share[MAG_CHAIN_MAX];
+	int count;
+	int at;		  /* stage that the token is at */
+	uint32_t next;	  /* index of the token */
+	uint32_t rebuild; /* tokens of work to rebuild a cache */
+	int64_t entered_us;
+	uint32_t hop_us[MAG_CHAIN_MAX];
+	int64_t progress_us; /* when the next progress event is due */
+	enum core_end end;
+	int end_stage;
+};
+
+/* A caller's request, over all its returns. */
+struct sim_call {
+	uint64_t req;
+	int account;
+	int router;
+	uint32_t tokens;
+	int64_t born_us;
+	int64_t deadline_us;
+	uint32_t allowance_ms;
+	int returns;
+	bool poison;
+	bool open;
+	int32_t *token_ms; /* when each token was delivered */
+};
+
+enum sim_callers {
+	SIM_LEAVE,     /* a refused caller doesn't come back */
+	SIM_RETURN,    /* comes back when it was told to */
+	SIM_IMPATIENT, /* comes back at once, a few times */
+};
+
+struct sim_settings {
+	uint64_t seed;
+	int routers;
+	enum pick_policy policy;
+	bool no_budgets;
+	bool no_resume;
+	enum sim_callers callers;
+	double load;	 /* offered, as a part of the bound */
+	bool even;	 /* all accounts ask for the same */
+	int64_t from_us; /* what is measured */
+	int64_t to_us;
+	int64_t end_us; /* what was let in until to_us can end by then */
+	struct sim_fault faults[SIM_FAULTS_MAX];
+	int fault_count;
+};
+
+struct sim_result {
+	double bound;	    /* before any fault, tokens a second */
+	double bound_after; /* after the last fault */
+	double offered;
+	double goodput; /* between from_us and to_us */
+	double served[SIM_ACCOUNTS];
+	double asked[SIM_ACCOUNTS];
+	double bucket[SIM_BUCKETS_MAX]; /* good tokens by time of delivery */
+	uint32_t calls;
+	uint32_t refused;
+	uint32_t late;	 /* let in, and not whole by the deadline */
+	uint32_t failed; /* let in, and given up by the router */
+	uint32_t quarantined;
+	uint32_t attempts;
+	uint32_t killed; /* stages lost to poison */
+	double made;	 /* tokens, whatever became of them */
+};
+
+struct sim {
+	struct sim_settings settings;
+	struct sim_result *result;
+	int64_t now;
+	uint64_t seq;
+	uint64_t random;
+	struct sim_event *heap;
+	int heap_count;
+	int heap_room;
+	struct sim_stage stages[SIM_STAGES_MAX];
+	int stage_count;
+	bool cut[SIM_CENTRES];
+	bool reports;
+	struct core *cores[SIM_ROUTERS_MAX];
+	int64_t tick_at[SIM_ROUTERS_MAX];
+	struct sim_stream *streams;
+	int stream_count;
+	int stream_room;
+	int stream_free; /* list through call, -1 ends it */
+	struct sim_call *calls;
+	int call_count;
+	int call_room;
+	double demand[SIM_ACCOUNTS]; /* requests a second */
+	double demand_factor[SIM_ACCOUNTS];
+};
+
+/* sim.c */
+int sim_run(const struct sim_settings *settings, struct sim_result *result);
+void sim_at(struct sim *sim, int64_t at_us, enum sim_event_type type, int a,
+	    uint32_t b);
+double sim_random(struct sim *sim);
+
+/* sim_world.c */
+void sim_world(struct sim *sim);
+char *sim_world_json(const struct sim *sim);
+double sim_bound(const struct sim *sim);
+int sim_largest(const struct sim *sim);
+int sim_stage_by_name(const struct sim *sim, const char *name);
+void sim_account_hash(int account, char hash[MAG_DIGEST_HEX]);
+
+/* sim_stage.c */
+void sim_dispatch(struct sim *sim, int router,
+		  const struct core_dispatch *dispatch);
+void sim_cancel(struct sim *sim, int router, const struct core_cancel *cancel);
+void sim_token(struct sim *sim, int stream, uint32_t generation);
+void sim_ended(struct sim *sim, int stream, uint32_t generation);
+void sim_fault(struct sim *sim, const struct sim_fault *fault);
+void sim_report(struct sim *sim);
+
+/* sim_caller.c */
+void sim_arrival(struct sim *sim, int account);
+void sim_return(struct sim *sim, int call);
+void sim_answer(struct sim *sim, const struct core_answer *answer);
+void sim_poison(struct sim *sim, int account);
+struct sim_call *sim_call_of(struct sim *sim, uint64_t req);
+
+/* sim_router.c */
+void sim_post(struct sim *sim, int router, const struct core_event *event);
+void sim_tick(struct sim *sim, int router);
+int sim_routers(struct sim *sim);
+
+#endif /* SIM_H */
--- /dev/null
+++ b/bench/sim_caller.c
@@ -0,0 +1,181 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sim.h"
+
+#define SIM_RETURNS_MAX	  5
+#define SIM_IMPATIENT_US  (100 * MAG_US_PER_MS)
+#define SIM_ALLOWANCE_MS  10000 /* least; the most is half as much again */
+#define SIM_PROMPT_TOKENS 40
+#define SIM_TOKENS_LEAST  20
+#define SIM_STATUS_HELD	  422
+
+static struct sim_call *sim_call_take(struct sim *sim, int account);
+static void sim_send(struct sim *sim, struct sim_call *call);
+static void sim_refused(struct sim *sim, struct sim_call *call,
+			const struct core_answer *answer);
+static void sim_good(struct sim *sim, const struct sim_call *call);
+static bool sim_counts(const struct sim *sim, const struct sim_call *call);
+
+/* A caller of an account comes; the next one is drawn. */
+void sim_arrival(struct sim *sim, int account)
+{
+	double rate = sim->demand[account] * sim->demand_factor[account];
+	double wait = -log(1 - sim_random(sim)) / rate;
+
+	sim_at(sim, sim->now + (int64_t)(wait * (double)MAG_US_PER_S),
+	       SIM_EV_ARRIVAL, account, 0);
+	sim_send(sim, sim_call_take(sim, account));
+}
+
+/* A refused caller comes back with a new request of the same work. */
+void sim_return(struct sim *sim, int at)
+{
+	struct sim_call *old = &sim->calls[at];
+	uint32_t tokens = old->tokens;
+	int returns = old->returns;
+	bool poison = old->poison;
+	struct sim_call *call = sim_call_take(sim, old->account);
+
+	call->tokens = tokens;
+	call->returns = returns + 1;
+	call->poison = poison;
+	sim_send(sim, call);
+}
+
+/* An account's one request that kills each stage that runs it. */
+void sim_poison(struct sim *sim, int account)
+{
+	struct sim_call *call = sim_call_take(sim, account);
+
+	call->poison = true;
+	sim_send(sim, call);
+}
+
+/* A router's final answer. */
+void sim_answer(struct sim *sim, const struct core_answer *answer)
+{
+	struct sim_call *call = sim_call_of(sim, answer->req);
+
+	if (!call->open)
+		return;
+	call->open = false;
+	if (answer->kind == CORE_ANSWER_REFUSE)
+		sim_refused(sim, call, answer);
+	else if (sim->now <= call->deadline_us)
+		sim_good(sim, call);
+	else
+		sim->result->late += sim_counts(sim, call);
+}
+
+/* Returns the call of a request id. */
+struct sim_call *sim_call_of(struct sim *sim, uint64_t req)
+{
+	return &sim->calls[req - 1];
+}
+
+/* Draws a new request. */
+static struct sim_call *sim_call_take(struct sim *sim, int account)
+{
+	struct sim_call *call;
+
+	if (sim->call_count == sim->call_room) {
+		sim->call_room = 2 * sim->call_room + 1024;
+		sim->calls = realloc(sim->calls,
+				     (size_t)sim->call_room * sizeof(*call));
+	}
+	call = &sim->calls[sim->call_count++];
+	memset(call, 0, sizeof(*call));
+	call->req = (uint64_t)sim->call_count;
+	call->account = account;
+	call->tokens = SIM_TOKENS_LEAST +
+		       (uint32_t)(sim_random(sim) * 2 *
+				  (SIM_TOKENS_MEAN - SIM_TOKENS_LEAST));
+	call->allowance_ms = SIM_ALLOWANCE_MS +
+			     (uint32_t)(sim_random(sim) * SIM_ALLOWANCE_MS / 2);
+	return call;
+}
+
+/* Sends a request through the balancer to some router. */
+static void sim_send(struct sim *sim, struct sim_call *call)
+{
+	struct core_event event = { .type = CORE_EV_ARRIVAL };
+	struct core_arrival *arrival = &event.arrival;
+	int poison = call->poison;
+
+	call->router = (int)(sim_random(sim) * sim->settings.routers);
+	call->born_us = sim->now;
+	call->deadline_us = sim->now + call->allowance_ms * MAG_US_PER_MS;
+	call->open = true;
+	call->token_ms = calloc(SIM_TOKENS_MAX, sizeof(*call->token_ms));
+	arrival->req = call->req;
+	sim_account_hash(call->account, arrival->account_key_hash);
+	snprintf(arrival->path, sizeof(arrival->path), "/v1/draft");
+	memcpy(arrival->fingerprint, &call->req, sizeof(call->req));
+	if (poison)
+		memset(arrival->fingerprint, 0xee,
+		       sizeof(arrival->fingerprint));
+	arrival->prompt_tokens = SIM_PROMPT_TOKENS;
+	arrival->max_tokens = call->tokens;
+	arrival->allowance_ms = call->allowance_ms;
+	if (sim_counts(sim, call)) {
+		sim->result->calls++;
+		sim->result->offered += call->tokens;
+		sim->result->asked[call->account] += call->tokens;
+	}
+	sim_post(sim, call->router, &event);
+}
+
+/* A refused caller leaves or comes back. */
+static void sim_refused(struct sim *sim, struct sim_call *call,
+			const struct core_answer *answer)
+{
+	int64_t back_us = answer->retry_after_s * MAG_US_PER_S;
+	int at = (int)(call - sim->calls);
+
+	if (sim_counts(sim, call)) {
+		if (answer->status == SIM_STATUS_HELD)
+			sim->result->quarantined++;
+		else if (answer->status == 504)
+			sim->result->late++;
+		else if (answer->status == 502)
+			sim->result->failed++;
+		else
+			sim->result->refused++;
+	}
+	if (call->returns >= SIM_RETURNS_MAX ||
+	    (sim->settings.callers == SIM_LEAVE && !call->poison))
+		return;
+	if (sim->settings.callers == SIM_IMPATIENT || call->poison)
+		back_us = SIM_IMPATIENT_US;
+	if (back_us > 0)
+		sim_at(sim, sim->now + back_us, SIM_EV_RETURN, at, 0);
+}
+
+/* A whole answer inside its deadline: its tokens count when they came. */
+static void sim_good(struct sim *sim, const struct sim_call *call)
+{
+	int64_t from = sim->settings.from_us / MAG_US_PER_MS;
+	int64_t to = sim->settings.to_us / MAG_US_PER_MS;
+	uint32_t i;
+
+	for (i = 0; i < call->tokens; i++) {
+		int64_t bucket =
+			call->token_ms[i] * MAG_US_PER_MS / SIM_BUCKET_US;
+
+		if (bucket < SIM_BUCKETS_MAX)
+			sim->result->bucket[bucket] += 1;
+		if (call->token_ms[i] < from || call->token_ms[i] >= to)
+			continue;
+		sim->result->goodput += 1;
+		sim->result->served[call->account] += 1;
+	}
+}
+
+/* Tells whether a request falls into the time that is measured. */
+static bool sim_counts(const struct sim *sim, const struct sim_call *call)
+{
+	return call->born_us >= sim->settings.from_us &&
+	       call->born_us < sim->settings.to_us;
+}
--- /dev/null
+++ b/bench/sim_world.c
@@ -0,0 +1,211 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "flow_net.h"
+#include "sim.h"
+
+/*
+ * The kinds of accelerators: what one does in tokens a second over its
+ * whole range, its link, and what it holds.  Links are 100 times apart.  A
+ * seed changes the rates and the data centres, not the kinds.
+ */
+struct sim_kind {
+	const char *name;
+	int count;
+	uint32_t first;
+	uint32_t end;
+	double rate;
+	double link_bytes;
+	int64_t step_us;
+	uint32_t concurrency;
+};
+
+static const struct sim_kind sim_kinds[] = {
+	{ "huge", 4, 0, 24, 900, 1e9, 9000, 96 },
+	{ "big", 6, 24, 48, 500, 1e9, 9000, 64 },
+	{ "wide", 8, 0, 48, 120, 1e8, 20000, 32 },
+	{ "slow", 12, 24, 48, 60, 1e7, 15000, 24 },
+	{ "mid", 10, 12, 36, 130, 2e7, 12000, 32 },
+};
+
+static void sim_world_stage(struct sim *sim, const struct sim_kind *kind,
+			    int n);
+static double sim_value(const struct sim *sim, int without, int side);
+static double sim_side(const struct sim *sim, int side);
+
+/* Makes the stages. */
+void sim_world(struct sim *sim)
+{
+	size_t k;
+	int n;
+
+	for (k = 0; k < MAG_ARRAY_SIZE(sim_kinds); k++) {
+		for (n = 0; n < sim_kinds[k].count; n++)
+			sim_world_stage(sim, &sim_kinds[k], n);
+	}
+}
+
+/* Writes the set of objects that the routers get; the caller frees it. */
+char *sim_world_json(const struct sim *sim)
+{
+	char *text = NULL;
+	char hash[MAG_DIGEST_HEX];
+	size_t len = 0;
+	FILE *out = open_memstream(&text, &len);
+	int i;
+
+	fprintf(out,
+		"{\"objects\":[\n"
+		"{\"kind\":\"service\",\"name\":\"model\",\"type\":\"model\","
+		"\"layers\":%d,\"activation_bytes\":%d,\"queue_max\":2000,"
+		"\"default_deadline_ms\":15000,\"max_deadline_ms\":60000},\n"
+		"{\"kind\":\"route\",\"name\":\"r\",\"path\":\"/\","
+		"\"service\":\"model\",\"idempotent\":true,"
+		"\"key\":\"optional\"}",
+		SIM_LAYERS, SIM_ACTIVATION);
+	for (i = 0; i < SIM_ACCOUNTS; i++) {
+		sim_account_hash(i, hash);
+		fprintf(out,
+			",\n{\"kind\":\"account\",\"name\":\"a%d\","
+			"\"key_hash\":\"%s\",\"weight\":1}",
+			i, hash);
+	}
+	for (i = 0; i < sim->stage_count; i++) {
+		const struct sim_stage *s = &sim->stages[i];
+
+		fprintf(out,
+			",\n{\"kind\":\"endpoint\",\"name\":\"%s\","
+			"\"service\":\"model\",\"data_centre\":\"dc%d\","
+			"\"address\":\"127.0.0.1:%d\",\"first_layer\":%u,"
+			"\"last_layer\":%u,\"tokens_per_s\":%.0f,"
+			"\"link_bytes_per_s\":%.0f,\"concurrency\":%u}",
+			s->name, s->centre, 20000 + i, s->first, s->end - 1,
+			s->rate, s->link * SIM_ACTIVATION, s->concurrency);
+	}
+	fprintf(out, "]}\n");
+	fclose(out);
+	return text;
+}
+
+/*
+ * Returns the bound that the world allows now, in tokens a second: the
+ * maximum flow at the stages' true rates.  While a data centre is cut off,
+ * each side can do no more than what its own callers ask for.
+ */
+double sim_bound(const struct sim *sim)
+{
+	int cut = 0;
+	int i;
+
+	for (i = 0; i < SIM_CENTRES; i++)
+		cut += sim->cut[i];
+	if (cut == 0)
+		return sim_value(sim, -1, -1);
+	return sim_side(sim, 0) + sim_side(sim, 1);
+}
+
+/* Returns what the side that is cut off (1) or the other one (0) can do. */
+static double sim_side(const struct sim *sim, int side)
+{
+	double value = sim_value(sim, -1, side);
+	double asked = 0;
+	int r;
+
+	for (r = 0; r < sim->settings.routers; r++) {
+		if (sim->cut[r % SIM_CENTRES] == side)
+			asked += sim->settings.load * sim->result->bound /
+				 sim->settings.routers;
+	}
+	return value < asked ? value : asked;
+}
+
+/* Returns the stage whose loss costs the most. */
+int sim_largest(const struct sim *sim)
+{
+	double least = -1;
+	int at = 0;
+	int i;
+
+	for (i = 0; i < sim->stage_count; i++) {
+		double value = sim_value(sim, i, -1);
+
+		if (least < 0 || value < least) {
+			least = value;
+			at = i;
+		}
+	}
+	return at;
+}
+
+/* Returns a stage's number, -1 if there is none of that name. */
+int sim_stage_by_name(const struct sim *sim, const char *name)
+{
+	int i;
+
+	for (i = 0; i < sim->stage_count; i++) {
+		if (strcmp(sim->stages[i].name, name) == 0)
+			return i;
+	}
+	return -1;
+}
+
+/* Makes the hash of an account's bearer key. */
+void sim_account_hash(int account, char hash[MAG_DIGEST_HEX])
+{
+	memset(hash, '0', MAG_DIGEST_HEX - 1);
+	hash[MAG_DIGEST_HEX - 1] = '\0';
+	hash[0] = (char)('a' + account % 6);
+	hash[1] = (char)('0' + account);
+}
+
+/* Makes one stage; rates differ by a fifth each way. */
+static void sim_world_stage(struct sim *sim, const struct sim_kind *kind, int n)
+{
+	struct sim_stage *s = &sim->stages[sim->stage_count];
+
+	snprintf(s->name, sizeof(s->name), "%s%d", kind->name, n);
+	s->centre = sim->stage_count % SIM_CENTRES;
+	s->first = kind->first;
+	s->end = kind->end;
+	s->rate = (double)(int)(kind->rate * (0.8 + 0.4 * sim_random(sim)));
+	s->link = kind->link_bytes / SIM_ACTIVATION;
+	s->concurrency = kind->concurrency;
+	s->step_us = kind->step_us;
+	s->slow = 1;
+	s->link_factor = 1;
+	sim->stage_count++;
+}
+
+/*
+ * Returns the maximum flow without one stage (-1 for none), on one side of a
+ * cut (-1 for all).
+ */
+static double sim_value(const struct sim *sim, int without, int side)
+{
+	struct flow_stage stages[SIM_STAGES_MAX];
+	bool joined[SIM_CENTRES * SIM_CENTRES];
+	struct flow_net_in in = {
+		.layers = SIM_LAYERS,
+		.stages = stages,
+		.count = sim->stage_count,
+		.centres = SIM_CENTRES,
+		.joined = joined,
+	};
+	int i;
+
+	for (i = 0; i < SIM_CENTRES * SIM_CENTRES; i++)
+		joined[i] = true;
+	for (i = 0; i < sim->stage_count; i++) {
+		const struct sim_stage *s = &sim->stages[i];
+
+		stages[i].first = s->first;
+		stages[i].end = s->end;
+		stages[i].rate = s->rate * s->slow;
+		stages[i].link = s->link * s->link_factor;
+		stages[i].centre = s->centre;
+		if (s->dead || s->hung || i == without ||
+		    (side >= 0 && sim->cut[s->centre] != side))
+			stages[i].rate = 0;
+	}
+	return flow_net_value(&in);
+}
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -29,6 +29,8 @@
 	LOG_EVENT(LOG_PICK_CHAIN, 4001, "chain-chosen", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_PICK_EJECTED, 4002, "endpoint-ejected", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_PICK_RETURNED, 4003, "endpoint-returned", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PICK_DEGRADED, 4004, "endpoint-degraded", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PICK_RESTORED, 4005, "endpoint-restored", LOG_PRIO_NOTICE) \
 	\
 	/* 5000 adm, quar: admission, limits, quarantine */ \
 	LOG_EVENT(LOG_ADM_REFUSED, 5001, "admission-refused", LOG_PRIO_INFO) \
--- a/src/pick.c
+++ b/src/pick.c
@@ -236,20 +236,23 @@
 {
 	int i;
 
-	if (now < pick->tick_us)
+	if (now < pick->tick_us && !pick->urgent)
 		return;
-	pick_health_tick(pick, now);
+	if (now >= pick->tick_us) {
+		pick_health_tick(pick, now);
+		pick->tick_us = MAG_NEVER;
+		if (pick->in_flight > 0 || pick->closed > 0)
+			pick->tick_us = now + PICK_TICK_US;
+	}
+	pick->urgent = false;
 	for (i = 0; i < pick->net_count; i++)
 		pick_net_solve(pick, &pick->nets[i], now);
-	pick->tick_us = MAG_NEVER;
-	if (pick->in_flight > 0 || pick->closed > 0)
-		pick->tick_us = now + PICK_TICK_US;
 }
 
 /* Returns when pick_tick is due next, MAG_NEVER if nothing is pending. */
 int64_t pick_next_deadline(const struct pick *pick)
 {
-	return pick->tick_us;
+	return pick->urgent ? 0 : pick->tick_us;
 }
 
 /* Tells whether an endpoint may get new work. */
@@ -318,6 +321,7 @@
 	}
 	ep->limit = ep->cfg.concurrency;
 	ep->scale = 1;
+	ep->solved_scale = 1;
 	ep->health = PICK_HEALTHY;
 }
 
@@ -393,6 +397,7 @@
 		return;
 	ep->reported = false;
 	ep->scale = 1;
+	ep->solved_scale = 1;
 	ep->hop_us = 0;
 	ep->base_us = 0;
 	ep->chain_us = 0;
--- /dev/null
+++ b/src/pick_adapt.c
@@ -0,0 +1,145 @@
+#include "log.h"
+#include "pick_int.h"
+
+/*
+ * Adapts an endpoint's limit and its estimated rate to what its streams
+ * show.  By Little's law the tokens that pass it a second are its attempts
+ * over the time that a token takes around the whole chain, and the tokens
+ * that wait at it are these times the time spent there beyond the shortest
+ * seen.  A few that wait keep it busy; more only make every stream slower,
+ * so that answers miss their deadlines while the throughput stays the same.
+ */
+#define PICK_WAIT_LEAST	   2.0 /* tokens waiting: the endpoint is busy */
+#define PICK_WAIT_MOST	   5.0 /* and here it has more than it can use */
+#define PICK_LIMIT_UP	   1.0
+#define PICK_LIMIT_UP_FULL 0.05 /* the same near the last refusal */
+#define PICK_LIMIT_LEAST   1.0
+#define PICK_SAMPLES_LEAST 3
+#define PICK_SCALE_STEP	   0.2
+#define PICK_SCALE_UP	   1.02 /* a tick without anything waiting */
+#define PICK_SCALE_LEAST   0.01
+#define PICK_SCALE_TOLD	   0.9 /* a drop below this counts as degraded */
+#define PICK_RESOLVE_PART  0.1 /* a change of the rate worth a new solve */
+#define PICK_BASE_CREEP	   1.0005
+
+static double pick_passing(const struct pick_ep *ep);
+static void pick_adapt_limit(struct pick_ep *ep, double waiting);
+static void pick_adapt_scale(struct pick_ep *ep, double passing,
+			     double waiting);
+static void pick_adapt_tell(struct pick *pick, struct pick_ep *ep);
+
+/* Learns from the time that tokens took at each stage of a chain. */
+void pick_hops(struct pick *pick, const struct pick_chain *chain,
+	       const uint32_t *hop_us, int count, int64_t now)
+{
+	double whole = 0;
+	int i;
+
+	for (i = 0; i < count; i++)
+		whole += hop_us[i];
+	for (i = 0; i < count && i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+
+		if (e >= 0 && e < pick->ep_count)
+			pick_adapt_hop(&pick->eps[e], hop_us[i], whole, now);
+	}
+}
+
+/* Takes one measured hop into an endpoint's means. */
+void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us,
+		    int64_t now)
+{
+	ep->progress_us = now;
+	ep->samples++;
+	if (ep->chain_us <= 0) {
+		ep->hop_us = hop_us;
+		ep->base_us = hop_us;
+		ep->chain_us = chain_us;
+		return;
+	}
+	ep->hop_us += PICK_HOP_STEP * (hop_us - ep->hop_us);
+	ep->chain_us += PICK_HOP_STEP * (chain_us - ep->chain_us);
+	if (hop_us < ep->base_us)
+		ep->base_us = hop_us;
+}
+
+/* Adapts one endpoint to what was measured since the last tick. */
+void pick_adapt(struct pick *pick, struct pick_ep *ep)
+{
+	double passing;
+	double waiting;
+
+	if (ep->samples < PICK_SAMPLES_LEAST || ep->chain_us <= 0)
+		return;
+	ep->samples = 0;
+	ep->base_us *= PICK_BASE_CREEP;
+	passing = pick_passing(ep);
+	waiting = passing * (ep->hop_us - ep->base_us) / (double)MAG_US_PER_S;
+	pick_adapt_limit(ep, waiting);
+	pick_adapt_scale(ep, passing, waiting);
+	pick_adapt_tell(pick, ep);
+}
+
+/* Returns the tokens a second that pass an endpoint, of all instances. */
+static double pick_passing(const struct pick_ep *ep)
+{
+	return (ep->in_flight + ep->others) * (double)MAG_US_PER_S /
+	       ep->chain_us;
+}
+
+/* Raises a limit that is used while little waits, lowers it when much does. */
+static void pick_adapt_limit(struct pick_ep *ep, double waiting)
+{
+	if (waiting > PICK_WAIT_MOST) {
+		if (ep->limit > ep->in_flight)
+			ep->limit = ep->in_flight;
+		ep->limit *= PICK_LIMIT_DOWN;
+	} else if (waiting < PICK_WAIT_LEAST &&
+		   ep->in_flight + 1 >= ep->limit) {
+		bool full = ep->refused_at > 0 &&
+			    ep->limit >= PICK_LIMIT_DOWN * ep->refused_at;
+
+		ep->limit += full ? PICK_LIMIT_UP_FULL : PICK_LIMIT_UP;
+	}
+	if (ep->limit < PICK_LIMIT_LEAST)
+		ep->limit = PICK_LIMIT_LEAST;
+	if (ep->limit > ep->cfg.concurrency)
+		ep->limit = ep->cfg.concurrency;
+}
+
+/*
+ * While tokens wait, what passes is all that the endpoint and its link can
+ * do; less than its rate means that one of them is degraded.  Without a
+ * queue it may be able to do more again, which more work will show.
+ */
+static void pick_adapt_scale(struct pick_ep *ep, double passing, double waiting)
+{
+	double rate = pick_rate(ep) / ep->scale;
+
+	if (waiting >= PICK_WAIT_LEAST)
+		ep->scale += PICK_SCALE_STEP * (passing / rate - ep->scale);
+	else
+		ep->scale *= PICK_SCALE_UP;
+	if (ep->scale < PICK_SCALE_LEAST)
+		ep->scale = PICK_SCALE_LEAST;
+	if (ep->scale > 1)
+		ep->scale = 1;
+}
+
+/* Has the graph solved again if the rate moved far, and logs it. */
+static void pick_adapt_tell(struct pick *pick, struct pick_ep *ep)
+{
+	double moved = ep->scale / ep->solved_scale - 1;
+
+	if (moved < PICK_RESOLVE_PART && moved > -PICK_RESOLVE_PART &&
+	    (ep->scale < 1 || ep->solved_scale >= 1))
+		return;
+	if (ep->scale < PICK_SCALE_TOLD && ep->solved_scale >= PICK_SCALE_TOLD)
+		log_event(LOG_PICK_DEGRADED, "endpoint=%s tokens_per_s=%.0f",
+			  ep->cfg.name, pick_rate(ep));
+	if (ep->scale >= PICK_SCALE_TOLD && ep->solved_scale < PICK_SCALE_TOLD)
+		log_event(LOG_PICK_RESTORED, "endpoint=%s tokens_per_s=%.0f",
+			  ep->cfg.name, pick_rate(ep));
+	ep->solved_scale = ep->scale;
+	pick_dirty(pick, ep->cfg.service, false);
+}
--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -10,7 +10,6 @@
 #define PICK_BACKOFF_MAX_US (30 * MAG_US_PER_S)
 #define PICK_FULL_US	    (20 * MAG_US_PER_MS)
 #define PICK_SILENT_US	    (200 * MAG_US_PER_MS)
-#define PICK_HOP_STEP	    0.2
 #define PICK_LOAD_STEP	    0.05
 
 static void pick_health_failed(struct pick *pick, int e, int64_t now);
@@ -43,37 +42,6 @@
 	return (ep->in_flight + ep->others) / ep->limit;
 }
 
-/* Learns from the time that tokens took at each stage of a chain. */
-void pick_hops(struct pick *pick, const struct pick_chain *chain,
-	       const uint32_t *hop_us, int count, int64_t now)
-{
-	double whole = 0;
-	int i;
-
-	for (i = 0; i < count; i++)
-		whole += hop_us[i];
-	for (i = 0; i < count && i < chain->count; i++) {
-		int e = chain->stages[i].endpoint;
-		struct pick_ep *ep;
-
-		if (e < 0 || e >= pick->ep_count)
-			continue;
-		ep = &pick->eps[e];
-		ep->progress_us = now;
-		ep->samples++;
-		if (ep->chain_us <= 0) {
-			ep->hop_us = hop_us[i];
-			ep->base_us = hop_us[i];
-			ep->chain_us = whole;
-			continue;
-		}
-		ep->hop_us += PICK_HOP_STEP * (hop_us[i] - ep->hop_us);
-		ep->chain_us += PICK_HOP_STEP * (whole - ep->chain_us);
-		if (hop_us[i] < ep->base_us)
-			ep->base_us = hop_us[i];
-	}
-}
-
 /* Learns from the end of an attempt. */
 void pick_health_ended(struct pick *pick, const struct pick_chain *chain,
 		       const struct pick_result *result, int64_t now)
@@ -115,6 +83,7 @@
 		if (ep->health == PICK_PROBING &&
 		    (ep->in_flight == 0 || now >= ep->retry_at_us))
 			ep->health = PICK_EJECTED;
+		pick_adapt(pick, ep);
 	}
 }
 
@@ -219,12 +188,20 @@
 	return true;
 }
 
-/* An endpoint that says it is full gets a rest and a lower limit. */
+/*
+ * An endpoint that says it is full gets a rest and a lower limit, and the
+ * limit goes up slowly where it was refused: other instances send there too,
+ * and each would otherwise run into the refusal again and again.
+ */
 static void pick_refused(struct pick_ep *ep, int64_t now)
 {
 	ep->full_until_us = now + PICK_FULL_US;
-	if (ep->limit > ep->in_flight + 1)
-		ep->limit = ep->in_flight + 1;
+	if (ep->limit > ep->in_flight)
+		ep->limit = ep->in_flight;
+	ep->refused_at = ep->limit;
+	ep->limit *= PICK_LIMIT_DOWN;
+	if (ep->limit < 1)
+		ep->limit = 1;
 }
 
 /* Updates the mean of what a service delivers here. */
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -6,8 +6,10 @@
 #include "flow_net.h"
 #include "pick.h"
 
-#define PICK_TICK_US  (50 * MAG_US_PER_MS)
-#define PICK_PREFIXES 256 /* prefix hints kept for an endpoint */
+#define PICK_TICK_US	(50 * MAG_US_PER_MS)
+#define PICK_LIMIT_DOWN 0.9
+#define PICK_HOP_STEP	0.2 /* of a new hop time in the mean */
+#define PICK_PREFIXES	256 /* prefix hints kept for an endpoint */
 
 enum pick_health {
 	PICK_HEALTHY,
@@ -37,12 +39,14 @@
 	int64_t report_us;
 
 	double limit;	       /* attempts at once, adapted */
+	double refused_at;     /* limit at the last refusal, 0 if none */
 	int64_t full_until_us; /* after a refusal */
 	double hop_us;	       /* a token's time at this stage, recent mean */
 	double base_us;	       /* the same without a queue */
 	double chain_us;     /* a token's time over whole chains through here */
 	uint32_t samples;    /* hop times since the last adaptation */
 	int64_t progress_us; /* last sign of life */
+	double solved_scale; /* of it when the graph was solved last */
 	double scale;	     /* of its rate, under 1 while it is degraded */
 
 	enum pick_health health;
@@ -111,6 +115,7 @@
 	int *remap; /* endpoint of the former set: index in this one */
 	int remap_count;
 	int64_t tick_us; /* next regular tick */
+	bool urgent;	 /* some network is to be solved at once */
 	int closed;	 /* endpoints ejected or probing */
 	uint32_t in_flight;
 };
@@ -148,6 +153,11 @@
 		       const struct pick_result *result, int64_t now);
 void pick_health_tick(struct pick *pick, int64_t now);
 
+/* pick_adapt.c */
+void pick_adapt(struct pick *pick, struct pick_ep *ep);
+void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us,
+		    int64_t now);
+
 /* pick_cache.c */
 bool pick_cache_holds(const struct pick_ep *ep, uint64_t prefix);
 
--- a/src/pick_plan.c
+++ b/src/pick_plan.c
@@ -139,6 +139,7 @@
 		pick->nets[i].dirty = true;
 		pick->nets[i].urgent |= urgent;
 	}
+	pick->urgent |= urgent;
 }
 
 /* Returns what an endpoint can do now, in tokens a second. */
--- a/src/pick_show.c
+++ b/src/pick_show.c
@@ -36,8 +36,8 @@
 }
 
 /*
- * Returns the bound of a service in tokens a second, with what is ejected or
- * leaving taken out; 0 if no chain covers all layers.
+ * Returns the bound of a service in tokens a second as solved last, with
+ * what is ejected or leaving taken out; 0 if no chain covers all layers.
  */
 double pick_bound(const struct pick *pick, int service)
 {
--- a/src/req.c
+++ b/src/req.c
@@ -688,7 +688,8 @@
 			ended->end == CORE_END_REFUSED ? PICK_ENDED_REFUSED
 						       : PICK_ENDED_FAILED,
 			0);
-	if (req_try_again(core, req, endpoint)) {
+	if (ended->end == CORE_END_REFUSED ||
+	    req_try_again(core, req, endpoint)) {
 		enter_ready(core, req);
 		return;
 	}
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -85,8 +85,11 @@
 			req->first_token_us - req->dispatched_us;
 	pick_ended(core->pick, &req->chain, &result, core->now);
 	req->chain_held = false;
-	req->last_chain = req->chain;
-	req->has_last_chain = true;
+	if (req->tokens > req->attempt_from) {
+		/* Only a chain that made tokens holds caches worth keeping. */
+		req->last_chain = req->chain;
+		req->has_last_chain = true;
+	}
 	core->running--;
 }
 
