--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -15,6 +15,7 @@
 static void pick_health_failed(struct pick *pick, int e, int64_t now);
 static void pick_health_stalled(struct pick *pick,
 				const struct pick_chain *chain, int64_t now);
+static bool pick_is_silent(const struct pick *pick, int e, int64_t now);
 static void pick_health_well(struct pick *pick, int e, int64_t now);
 static void pick_eject(struct pick *pick, int e, const char *why, int64_t now);
 static bool pick_spare(struct pick *pick, int e);
@@ -32,7 +33,8 @@
 /* Tells whether an endpoint is under its limit. */
 bool pick_has_room(const struct pick_ep *ep, int64_t now)
 {
-	return now >= ep->full_until_us && ep->in_flight + 1 <= ep->limit &&
+	return now >= ep->full_until_us && ep->exclusive == 0 &&
+	       ep->in_flight + 1 <= ep->limit &&
 	       ep->in_flight + ep->others < ep->cfg.concurrency;
 }
 
@@ -119,13 +121,41 @@
 {
 	int i;
 
+	for (i = 0; i < chain->count; i++) {
+		if (pick_is_silent(pick, chain->stages[i].endpoint, now))
+			pick_health_failed(pick, chain->stages[i].endpoint,
+					   now);
+	}
+}
+
+/*
+ * Returns the stage of a stalled chain that has shown no sign of life for
+ * longest, -1 if all of them move other streams.
+ */
+int pick_silent(const struct pick *pick, const struct pick_chain *chain,
+		int64_t now)
+{
+	int64_t since = MAG_NEVER;
+	int at = -1;
+	int i;
+
 	for (i = 0; i < chain->count; i++) {
 		int e = chain->stages[i].endpoint;
 
-		if (e >= 0 && e < pick->ep_count &&
-		    now - pick->eps[e].progress_us > PICK_SILENT_US)
-			pick_health_failed(pick, e, now);
+		if (!pick_is_silent(pick, e, now) ||
+		    pick->eps[e].progress_us >= since)
+			continue;
+		since = pick->eps[e].progress_us;
+		at = i;
 	}
+	return at;
+}
+
+/* Tells whether an endpoint has moved no stream lately. */
+static bool pick_is_silent(const struct pick *pick, int e, int64_t now)
+{
+	return e >= 0 && e < pick->ep_count &&
+	       now - pick->eps[e].progress_us > PICK_SILENT_US;
 }
 
 /* Notes that an endpoint did its part of a whole answer. */
