Spread an endpoint's work evenly over its range

Cause: any division of the work reaches the maximum, and the one found sent streams over chains of four stages; endpoints ran out of concurrency at 0.75 of their rate. Change: the parts that bind are divided as evenly over each endpoint as the rate allows (flow_level_even).

--- a/src/flow_net.c
+++ b/src/flow_net.c
@@ -3,6 +3,7 @@
 
 #include "flow.h"
 #include "flow_net.h"
+#include "mag.h"
 
 /* Demands count as met when this part of them is. */
 #define FLOW_NET_MET (1 - 1e-6)
@@ -66,6 +67,8 @@
 static bool flow_level_try(struct flow_level *level);
 static bool flow_level_bind(struct flow_level *level);
 static void flow_level_solve(struct flow_level *level);
+static void flow_level_even(struct flow_level *level);
+static void flow_level_spread(struct flow_level *level, double spread);
 static void flow_level_settle(struct flow_level *level, double rate);
 static bool flow_level_spent(const struct flow_level *level, int e);
 static int flow_level_limits(struct flow_level *level);
@@ -395,14 +398,14 @@
 	return stage->link;
 }
 
-/* Returns the layers of all open parts. */
+/* Returns the layers of the parts that are thought to bind. */
 static double flow_level_demand(const struct flow_level *level)
 {
 	double layers = 0;
 	int k;
 
 	for (k = 0; k < level->work->parts; k++) {
-		if (level->sink[k] >= 0)
+		if (level->binds[k])
 			layers += flow_level_layers(level, k);
 	}
 	return layers;
@@ -426,6 +429,60 @@
 		if (!flow_level_bind(level))
 			break;
 	}
+	flow_level_even(level);
+}
+
+/*
+ * Divides the work on the parts that bind as evenly over each endpoint's
+ * range as the rate allows.  Any division reaches the rate, but an endpoint
+ * that does much of one part and little of the next one makes streams change
+ * endpoints between them: their chains grow longer, a token takes longer
+ * around them, and more streams than the endpoints take at once are needed
+ * to keep them busy.
+ */
+static void flow_level_even(struct flow_level *level)
+{
+	static const double spreads[] = { 1.01, 1.25, 1.5, 2, 3, 5 };
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(spreads); i++) {
+		flow_level_spread(level, spreads[i]);
+		if (flow_level_try(level))
+			return;
+	}
+	flow_level_spread(level, FLOW_UNBOUNDED);
+	flow_level_try(level);
+}
+
+/* Lets each part have at most a multiple of its even share of the work. */
+static void flow_level_spread(struct flow_level *level, double spread)
+{
+	struct flow_work *work = level->work;
+	int e;
+	int k;
+
+	for (e = 0; e < work->in->count; e++) {
+		double link = flow_level_link(level, e);
+		double layers = 0;
+		double most;
+
+		if (level->source[e] < 0)
+			continue;
+		for (k = work->from[e]; k < work->to[e]; k++)
+			layers += level->binds[k] ? flow_level_layers(level, k)
+						  : 0;
+		most = layers > 0 ? spread * work->supply[e] / layers : 0;
+		if (most > link)
+			most = link;
+		for (k = work->from[e]; k < work->to[e]; k++) {
+			int edge = level->edge[e * work->parts + k];
+
+			if (edge >= 0)
+				flow_set_capacity(
+					level->flow, edge,
+					most * flow_level_layers(level, k));
+		}
+	}
 }
 
 /* Tries the present rate; true if every part gets the work that it needs. */
@@ -435,10 +492,11 @@
 	int k;
 
 	for (k = 0; k < level->work->parts; k++) {
+		double rate = level->binds[k] ? level->rate : 0;
+
 		if (level->sink[k] >= 0)
 			flow_set_capacity(level->flow, level->sink[k],
-					  level->rate *
-						  flow_level_layers(level, k));
+					  rate * flow_level_layers(level, k));
 	}
 	flow_reset(level->flow);
 	return flow_solve(level->flow, FLOW_NET_SOURCE, FLOW_NET_SINK) >=
@@ -460,7 +518,7 @@
 
 	for (k = 0; k < work->parts; k++) {
 		level->binds[k] =
-			level->sink[k] >= 0 &&
+			level->binds[k] &&
 			!flow_reached(level->flow, FLOW_NET_FIRST + k);
 		if (level->binds[k])
 			layers += flow_level_layers(level, k);
