--- a/src/pick.h
+++ b/src/pick.h
@@ -97,6 +97,8 @@
 	       const uint32_t *hop_us, int count, int64_t now);
 void pick_ended(struct pick *pick, const struct pick_chain *chain,
 		const struct pick_result *result, int64_t now);
+int pick_silent(const struct pick *pick, const struct pick_chain *chain,
+		int64_t now);
 void pick_tick(struct pick *pick, int64_t now);
 int64_t pick_next_deadline(const struct pick *pick);
 
