--- a/src/log_events.h
+++ b/src/log_events.h
@@ -31,7 +31,10 @@
 	LOG_EVENT(LOG_PICK_RETURNED, 4003, "endpoint-returned", LOG_PRIO_NOTICE) \
 	\
 	/* 5000 adm, quar: admission, limits, quarantine */ \
-	\
+	LOG_EVENT(LOG_ADM_REFUSED, 5001, "admission-refused", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_QUAR_SUSPECT, 5101, "request-suspected", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_QUAR_HELD, 5102, "request-quarantined", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_QUAR_CLEARED, 5103, "request-cleared", LOG_PRIO_NOTICE) \
 	\
 	/* 6000 peer, lim, rpc: membership and what spreads over it */ \
 	LOG_EVENT(LOG_PEER_UP, 6001, "peer-up", LOG_PRIO_NOTICE) \
@@ -46,6 +49,7 @@
 	LOG_EVENT(LOG_STARTED, 8001, "started", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_STOPPING, 8002, "stopping", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_STOPPED, 8003, "stopped", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_START_FAILED, 8004, "start-failed", LOG_PRIO_ERR) \
 	\
 	/* 9000 pf: the platform's service */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
