Carry heartbeats and the configuration between instances over ONC RPC

Cause: the fleet needs a shell: datagrams that never block the core's thread, and a way to take the configuration from a peer while the platform is down. Ruled out: heartbeats through the library's server (a peer that stops in the middle of a fetch holds that one thread); a client handle for each peer (a socket each); a port mapper. Conclusion: a new instance can be served by its peers alone.

--- /dev/null
+++ b/regress/check_rpc.c
@@ -0,0 +1,293 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+#include <sodium.h>
+
+#include "cnt.h"
+#include "peer_wire.h"
+#include "rpc_int.h"
+
+#define PORT_FIRST 21900
+#define PORT_TRIES 200
+#define TEXT_BYTES 700000
+
+/* What the handlers were given, and what they serve. */
+struct got {
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	int messages;
+	struct peer_msg last;
+	int fetches;
+	struct rpc_fetched fetched;
+	uint64_t revision;
+	size_t len;
+};
+
+static struct got got = { .lock = PTHREAD_MUTEX_INITIALIZER,
+			  .wake = PTHREAD_COND_INITIALIZER };
+static struct rpc *rpc;
+static char address[MAG_ADDR_MAX];
+
+static void on_message(void *ctx, const struct peer_msg *msg)
+{
+	(void)ctx;
+	pthread_mutex_lock(&got.lock);
+	got.messages++;
+	got.last = *msg;
+	pthread_cond_signal(&got.wake);
+	pthread_mutex_unlock(&got.lock);
+}
+
+static int on_serve(void *ctx, uint64_t at_least, uint64_t *revision,
+		    char **text, size_t *len)
+{
+	size_t i;
+
+	(void)ctx;
+	if (at_least > got.revision)
+		return -1;
+	*text = malloc(got.len + 1);
+	for (i = 0; i < got.len; i++)
+		(*text)[i] = (char)('a' + i * 7 % 26);
+	*revision = got.revision;
+	*len = got.len;
+	return 0;
+}
+
+static void on_fetched(void *ctx, const struct rpc_fetched *fetched)
+{
+	(void)ctx;
+	pthread_mutex_lock(&got.lock);
+	got.fetches++;
+	got.fetched = *fetched;
+	pthread_cond_signal(&got.wake);
+	pthread_mutex_unlock(&got.lock);
+}
+
+static int set_up(void **state)
+{
+	struct rpc_settings settings = { .cluster = "test",
+					 .fetch_timeout_us = 4 * MAG_US_PER_S };
+	struct rpc_handlers handlers = { on_message, on_serve, on_fetched,
+					 NULL };
+	int port = PORT_FIRST + getpid() % 1000;
+	int i;
+
+	(void)state;
+	for (i = 0; i < PORT_TRIES; i++) {
+		snprintf(address, sizeof(address), "127.0.0.1:%d", port + i);
+		memcpy(settings.listen, address, sizeof(address));
+		if (rpc_start(&settings, &handlers, &rpc) == RPC_OK)
+			return 0;
+	}
+	return -1;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	rpc_stop(rpc);
+	return 0;
+}
+
+static void wait_for(const int *count, int wanted)
+{
+	pthread_mutex_lock(&got.lock);
+	while (*count < wanted)
+		pthread_cond_wait(&got.wake, &got.lock);
+	pthread_mutex_unlock(&got.lock);
+}
+
+static struct peer_msg whole_message(void)
+{
+	struct peer_msg msg = { .version = PEER_VERSION,
+				.cluster = 7,
+				.from = UINT64_C(0x123456789abcdef0),
+				.incarnation = UINT64_MAX,
+				.seq = 5,
+				.flags = PEER_F_INTRO | PEER_F_RAIL1,
+				.next_ms = 250,
+				.revision = 1u << 31,
+				.name = "i1",
+				.data_centre = "d1",
+				.address = "127.0.0.1:1",
+				.news_count = 2,
+				.demand_count = PEER_DEMANDS_MAX };
+
+	msg.news[0].kind = PEER_REC_LEAVING;
+	mag_copy_name(msg.news[0].endpoint, MAG_NAME_MAX, "e1");
+	msg.news[0].leaving = true;
+	msg.news[0].version = 3;
+	msg.news[1].kind = PEER_REC_QUARANTINE;
+	memset(msg.news[1].print, 0xab, MAG_DIGEST_BYTES);
+	msg.news[1].remaining_ms = 1000;
+	msg.demands[PEER_DEMANDS_MAX - 1].limit = 9;
+	msg.demands[PEER_DEMANDS_MAX - 1].demand = 2.5F;
+	return msg;
+}
+
+/* A heartbeat comes out as it went in. */
+static void test_heartbeat(void **state)
+{
+	struct peer_msg msg = whole_message();
+
+	(void)state;
+	assert_int_equal(rpc_send(rpc, address, &msg), RPC_OK);
+	wait_for(&got.messages, 1);
+	assert_memory_equal(&msg, &got.last, sizeof(msg));
+}
+
+/*
+ * Datagrams that are cut short, changed in any byte, too long or no message
+ * at all come from a broken network or a foreign program.  They are dropped
+ * or decode within their bounds, and the next heartbeat is taken.
+ */
+static void test_malformed(void **state)
+{
+	struct peer_msg msg = whole_message();
+	struct peer_msg out;
+	char buf[PEER_WIRE_MAX];
+	char bad[PEER_WIRE_MAX];
+	int len = peer_wire_encode(&msg, 1, buf, sizeof(buf));
+	uint64_t dropped = cnt_get(CNT_RPC_MALFORMED);
+	struct sockaddr_in to;
+	int before = got.messages;
+	int i;
+
+	(void)state;
+	for (i = 0; i < len; i++)
+		assert_int_not_equal(peer_wire_decode(buf, (size_t)i, &out), 0);
+	for (i = 0; i < 255 * len; i++) {
+		memcpy(bad, buf, (size_t)len);
+		bad[i % len] = (char)(bad[i % len] + 1 + i / len);
+		if (peer_wire_decode(bad, (size_t)len, &out) == 0) {
+			assert_in_range(out.news_count, 0, PEER_NEWS_MAX);
+			assert_in_range(out.demand_count, 0, PEER_DEMANDS_MAX);
+		}
+	}
+	rpc_parse_address(address, &to);
+	sendto(rpc->udp, buf, (size_t)len - 1, 0, (struct sockaddr *)&to,
+	       sizeof(to));
+	rpc_send(rpc, address, &msg);
+	wait_for(&got.messages, before + 1);
+	assert_int_equal(cnt_get(CNT_RPC_MALFORMED), dropped + 1);
+}
+
+/* The text comes whole, in pieces, from a peer while nothing else serves it. */
+static void test_fetch(void **state)
+{
+	char *text;
+	uint64_t revision;
+	size_t len;
+	int before = got.fetches;
+
+	(void)state;
+	got.revision = 12;
+	got.len = TEXT_BYTES;
+	assert_int_equal(rpc_fetch(rpc, address, 11), RPC_OK);
+	wait_for(&got.fetches, before + 1);
+	assert_int_equal(got.fetched.err, RPC_OK);
+	assert_int_equal(got.fetched.revision, 12);
+	assert_int_equal(got.fetched.len, TEXT_BYTES);
+	on_serve(NULL, 0, &revision, &text, &len);
+	assert_memory_equal(got.fetched.text, text, TEXT_BYTES);
+	free(text);
+	free(got.fetched.text);
+}
+
+/* A peer that lacks the revision says so. */
+static void test_fetch_none(void **state)
+{
+	int before = got.fetches;
+
+	(void)state;
+	assert_int_equal(rpc_fetch(rpc, address, 13), RPC_OK);
+	wait_for(&got.fetches, before + 1);
+	assert_int_equal(got.fetched.err, RPC_E_NONE);
+	assert_null(got.fetched.text);
+}
+
+/* A text beyond the bound is refused, whatever a peer sends. */
+static void test_fetch_bound(void **state)
+{
+	int before = got.fetches;
+
+	(void)state;
+	got.len = (16u << 20) + 1;
+	assert_int_equal(rpc_fetch(rpc, address, 11), RPC_OK);
+	wait_for(&got.fetches, before + 1);
+	assert_int_equal(got.fetched.err, RPC_E_ANSWER);
+}
+
+/*
+ * A peer accepts the connection and then stands still.  The fetch ends with
+ * an error at its deadline, so that another peer can be asked.
+ */
+static void test_fetch_hung(void **state)
+{
+	struct sockaddr_in local = { .sin_family = AF_INET };
+	socklen_t len = sizeof(local);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int before = got.fetches;
+	char hung[MAG_ADDR_MAX];
+
+	(void)state;
+	local.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	assert_int_equal(bind(fd, (struct sockaddr *)&local, len), 0);
+	assert_int_equal(listen(fd, 1), 0);
+	getsockname(fd, (struct sockaddr *)&local, &len);
+	snprintf(hung, sizeof(hung), "127.0.0.1:%d", ntohs(local.sin_port));
+	assert_int_equal(rpc_fetch(rpc, hung, 1), RPC_OK);
+	wait_for(&got.fetches, before + 1);
+	assert_int_equal(got.fetched.err, RPC_E_REACH);
+	close(fd);
+	assert_int_equal(rpc_fetch(rpc, hung, 1), RPC_OK);
+	wait_for(&got.fetches, before + 2);
+	assert_int_equal(got.fetched.err, RPC_E_REACH);
+}
+
+/*
+ * A caller begins a request over the stream and never ends it.  Others are
+ * served all the same.
+ */
+static void test_half_request(void **state)
+{
+	struct sockaddr_in to;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int before = got.fetches;
+
+	(void)state;
+	got.len = 1000;
+	rpc_parse_address(address, &to);
+	assert_int_equal(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	assert_int_equal(write(fd, "\x80\0\0\x40half", 8), 8);
+	assert_int_equal(rpc_fetch(rpc, address, 12), RPC_OK);
+	wait_for(&got.fetches, before + 1);
+	assert_int_equal(got.fetched.err, RPC_OK);
+	free(got.fetched.text);
+	close(fd);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_heartbeat),
+		cmocka_unit_test(test_malformed),
+		cmocka_unit_test(test_fetch),
+		cmocka_unit_test(test_fetch_none),
+		cmocka_unit_test(test_fetch_bound),
+		cmocka_unit_test(test_fetch_hung),
+		cmocka_unit_test(test_half_request),
+	};
+
+	if (sodium_init() < 0)
+		return 1;
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
--- a/src/cnt.h
+++ b/src/cnt.h
@@ -35,6 +35,11 @@
 	CNT_COUNTER(CNT_PEER_DROP_STRANGER, "peer_dropped_stranger_total", "messages of an unknown instance") \
 	CNT_COUNTER(CNT_PEER_DROP_FULL, "peer_dropped_full_total", "messages that found no room") \
 	CNT_COUNTER(CNT_SPREAD_FULL, "spread_records_refused_total", "records that found no room") \
+	CNT_COUNTER(CNT_RPC_MALFORMED, "rpc_malformed_total", "datagrams and calls that no instance of this version sends") \
+	CNT_COUNTER(CNT_RPC_SEND_FAILED, "rpc_sends_failed_total", "heartbeats that the kernel took no more of") \
+	CNT_COUNTER(CNT_RPC_SERVED, "rpc_pieces_served_total", "pieces of the configuration given to peers") \
+	CNT_COUNTER(CNT_RPC_FETCHED, "rpc_fetches_total", "configurations fetched from peers") \
+	CNT_COUNTER(CNT_RPC_FETCH_FAILED, "rpc_fetches_failed_total", "fetches from peers that failed") \
 	\
 	\
 	/* plc */ \
--- /dev/null
+++ b/src/rpc.c
@@ -0,0 +1,201 @@
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "cnt.h"
+#include "log.h"
+#include "peer_wire.h"
+#include "rpc_int.h"
+
+#define RPC_BACKLOG	       64
+#define RPC_PORT_MAX	       65535
+#define RPC_DEFAULT_THREADS    2
+#define RPC_DEFAULT_BYTES      (16u << 20)
+#define RPC_DEFAULT_TIMEOUT_US (5 * MAG_US_PER_S)
+
+static void rpc_defaults(struct rpc *rpc);
+static int rpc_bind(const struct rpc *rpc, int type);
+static int rpc_run(struct rpc *rpc);
+static void *rpc_receiver(void *arg);
+static void rpc_take(struct rpc *rpc);
+
+/*
+ * Binds the port and starts the threads.  On RPC_OK *rpc is running and is
+ * to be stopped with rpc_stop; otherwise it is NULL.
+ */
+int rpc_start(const struct rpc_settings *settings,
+	      const struct rpc_handlers *handlers, struct rpc **rpc)
+{
+	struct rpc *new = calloc(1, sizeof(*new));
+	int err;
+
+	*rpc = NULL;
+	if (!new)
+		return RPC_E_MEMORY;
+	new->settings = *settings;
+	new->handlers = *handlers;
+	rpc_defaults(new);
+	new->cluster = (uint32_t)peer_hash(settings->cluster);
+	pthread_mutex_init(&new->lock, NULL);
+	pthread_cond_init(&new->wake, NULL);
+	CDS_INIT_LIST_HEAD(&new->jobs);
+	new->udp = rpc_bind(new, SOCK_DGRAM);
+	new->tcp = rpc_bind(new, SOCK_STREAM);
+	err = new->udp < 0 ? new->udp : new->tcp;
+	if (err >= 0)
+		err = rpc_run(new);
+	if (err) {
+		rpc_stop(new);
+		return err;
+	}
+	*rpc = new;
+	return RPC_OK;
+}
+
+/* Stops the threads, waits for them and frees all; NULL is allowed. */
+void rpc_stop(struct rpc *rpc)
+{
+	if (!rpc)
+		return;
+	atomic_store(&rpc->stopping, true);
+	rpc_fetch_stop(rpc);
+	rpc_serve_stop(rpc);
+	if (rpc->receiving)
+		pthread_join(rpc->receiver, NULL);
+	if (rpc->udp >= 0)
+		close(rpc->udp);
+	pthread_mutex_destroy(&rpc->lock);
+	pthread_cond_destroy(&rpc->wake);
+	free(rpc);
+}
+
+/*
+ * Sends a heartbeat.  It doesn't wait: a datagram for which the kernel has
+ * no room is counted as lost, and the next heartbeat makes up for it.
+ */
+int rpc_send(struct rpc *rpc, const char *address, const struct peer_msg *msg)
+{
+	char buf[PEER_WIRE_MAX];
+	struct sockaddr_in to;
+	int len;
+
+	if (rpc_parse_address(address, &to))
+		return RPC_E_ADDRESS;
+	len = peer_wire_encode(msg, atomic_fetch_add(&rpc->xid, 1), buf,
+			       sizeof(buf));
+	if (len < 0)
+		return RPC_E_ANSWER;
+	if (sendto(rpc->udp, buf, (size_t)len, MSG_DONTWAIT,
+		   (struct sockaddr *)&to, sizeof(to)) == len)
+		return RPC_OK;
+	cnt_add(CNT_RPC_SEND_FAILED, 1);
+	return RPC_E_SEND;
+}
+
+/* Reads "ip:port"; names aren't looked up. */
+int rpc_parse_address(const char *text, struct sockaddr_in *address)
+{
+	char ip[MAG_ADDR_MAX];
+	const char *colon = strrchr(text, ':');
+	char *end;
+	long port;
+
+	if (!colon || (size_t)(colon - text) >= sizeof(ip))
+		return RPC_E_ADDRESS;
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
+	port = strtol(colon + 1, &end, 10);
+	if (*end || end == colon + 1 || port < 0 || port > RPC_PORT_MAX)
+		return RPC_E_ADDRESS;
+	memset(address, 0, sizeof(*address));
+	address->sin_family = AF_INET;
+	address->sin_port = htons((uint16_t)port);
+	return inet_pton(AF_INET, ip, &address->sin_addr) == 1 ? RPC_OK
+							       : RPC_E_ADDRESS;
+}
+
+static void rpc_defaults(struct rpc *rpc)
+{
+	struct rpc_settings *set = &rpc->settings;
+
+	if (set->fetch_threads == 0)
+		set->fetch_threads = RPC_DEFAULT_THREADS;
+	if (set->fetch_threads > RPC_FETCH_THREADS_MAX)
+		set->fetch_threads = RPC_FETCH_THREADS_MAX;
+	if (set->fetch_bytes_max == 0)
+		set->fetch_bytes_max = RPC_DEFAULT_BYTES;
+	if (set->fetch_timeout_us == 0)
+		set->fetch_timeout_us = RPC_DEFAULT_TIMEOUT_US;
+}
+
+/* Returns a bound socket, listening if it is a stream. */
+static int rpc_bind(const struct rpc *rpc, int type)
+{
+	struct sockaddr_in address;
+	const int on = 1;
+	int fd;
+
+	if (rpc_parse_address(rpc->settings.listen, &address))
+		return RPC_E_ADDRESS;
+	fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return RPC_E_SOCKET;
+	if (type == SOCK_STREAM)
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
+	    (type == SOCK_STREAM && listen(fd, RPC_BACKLOG))) {
+		close(fd);
+		return RPC_E_SOCKET;
+	}
+	return fd;
+}
+
+/* Starts the threads. */
+static int rpc_run(struct rpc *rpc)
+{
+	int err = rpc_serve_start(rpc);
+
+	if (!err)
+		err = rpc_fetch_start(rpc);
+	if (err)
+		return err;
+	if (pthread_create(&rpc->receiver, NULL, rpc_receiver, rpc))
+		return RPC_E_THREAD;
+	rpc->receiving = true;
+	return RPC_OK;
+}
+
+/*
+ * Receives heartbeats on a thread of its own: a peer that stops in the
+ * middle of a fetch must not hold up the messages that decide who is up.
+ */
+static void *rpc_receiver(void *arg)
+{
+	struct rpc *rpc = arg;
+	struct pollfd fd = { .fd = rpc->udp, .events = POLLIN };
+
+	while (!atomic_load(&rpc->stopping)) {
+		if (poll(&fd, 1, RPC_POLL_MS) == 1)
+			rpc_take(rpc);
+	}
+	return NULL;
+}
+
+/* Takes one datagram; what is no heartbeat is counted and dropped. */
+static void rpc_take(struct rpc *rpc)
+{
+	char buf[PEER_WIRE_MAX];
+	struct peer_msg msg;
+	ssize_t len = recv(rpc->udp, buf, sizeof(buf), MSG_DONTWAIT);
+
+	if (len < 0)
+		return;
+	if (peer_wire_decode(buf, (size_t)len, &msg)) {
+		cnt_add(CNT_RPC_MALFORMED, 1);
+		return;
+	}
+	rpc->handlers.message(rpc->handlers.ctx, &msg);
+}
