Carry heartbeats, configuration and orders between instances and engines

Cause: the node's messages, fetches and orders had no shell. Ruled out: a watch at the head from every instance; a waiting watch counts as a call. Change: mesh (RPC), ord (orders to engines), roles of the watch; a bridge waits at the head, the others hear of a revision from it and look every 30 s.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -12,6 +12,8 @@
 #include "front.h"
 #include "log.h"
 #include "loop.h"
+#include "mesh.h"
+#include "ord.h"
 #include "pf.h"
 #include "pf_async.h"
 #include "watch.h"
@@ -27,6 +29,8 @@
 	struct pf *pf;
 	struct pf_async *async;
 	struct watch *watch;
+	struct mesh *mesh;
+	struct ord *ord;
 	pthread_mutex_t lock; /* of stopped */
 	pthread_cond_t wake;
 	bool stopped; /* the core has nothing left in progress */
@@ -38,6 +42,7 @@
 static void fill_fleet(const struct daemon *daemon, struct fleet_settings *to);
 static int make_ports(struct daemon *daemon);
 static int start_threads(struct daemon *daemon);
+static int start_mesh(struct daemon *daemon);
 static void release(struct daemon *daemon);
 static void on_action(void *ctx, struct node_action *action);
 static void on_core_action(struct daemon *daemon, struct core_action *action);
@@ -214,11 +219,14 @@
 
 	daemon->async = pf_async_start(&backend, DAEMON_KV_THREADS, on_kv_reply,
 				       daemon);
-	if (!daemon->async || loop_start(daemon->loop))
-		return DAEMON_E_THREAD;
+	daemon->ord = ord_start(daemon->loop);
 	daemon->watch =
 		watch_start(&watch, &backend, daemon->loop, daemon->front);
-	if (!daemon->watch)
+	if (!daemon->async || !daemon->ord || !daemon->watch)
+		return DAEMON_E_THREAD;
+	if (start_mesh(daemon))
+		return DAEMON_E_LISTEN;
+	if (loop_start(daemon->loop))
 		return DAEMON_E_THREAD;
 	if (front_start(daemon->front, daemon->loop) ||
 	    admin_start(daemon->admin))
@@ -226,14 +234,36 @@
 	return DAEMON_OK;
 }
 
+/* Listens for peers and names those that the settings know. */
+static int start_mesh(struct daemon *daemon)
+{
+	const struct set_settings *from = &daemon->settings;
+	struct node_event event = { .type = NODE_EV_SEED };
+	struct mesh_settings settings;
+	size_t i;
+
+	memcpy(settings.cluster, from->cluster, sizeof(settings.cluster));
+	memcpy(settings.listen, from->rpc, sizeof(settings.listen));
+	if (mesh_start(&settings, daemon->loop, daemon->watch, &daemon->mesh))
+		return DAEMON_E_LISTEN;
+	for (i = 0; i < from->peers.count; i++) {
+		memcpy(event.seed, from->peers.list[i], sizeof(event.seed));
+		loop_post_node(daemon->loop, &event);
+	}
+	return DAEMON_OK;
+}
+
 /* Frees all that was started, in the order that nothing calls what is gone. */
 static void release(struct daemon *daemon)
 {
 	if (daemon->pf)
 		pf_interrupt(daemon->pf);
-	watch_stop(daemon->watch);
 	front_free(daemon->front);
 	admin_free(daemon->admin);
+	loop_stop(daemon->loop);
+	mesh_stop(daemon->mesh);
+	ord_stop(daemon->ord);
+	watch_stop(daemon->watch);
 	if (daemon->async)
 		pf_async_stop(daemon->async);
 	loop_free(daemon->loop);
@@ -249,8 +279,25 @@
 {
 	struct daemon *daemon = ctx;
 
-	if (action->type == NODE_ACT_CORE)
+	switch (action->type) {
+	case NODE_ACT_CORE:
 		on_core_action(daemon, &action->core);
+		break;
+	case NODE_ACT_SEND:
+		mesh_send(daemon->mesh, &action->send);
+		break;
+	case NODE_ACT_FETCH:
+		mesh_fetch(daemon->mesh, &action->fetch);
+		break;
+	case NODE_ACT_ORDER:
+		ord_post(daemon->ord, &action->order);
+		break;
+	case NODE_ACT_ROLE:
+		watch_set_bridge(daemon->watch, action->bridge);
+		break;
+	default:
+		break;
+	}
 }
 
 static void on_core_action(struct daemon *daemon, struct core_action *action)
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -16,6 +16,7 @@
 	LOG_EVENT(LOG_CONFIG_APPLIED, 1101, "config-applied", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_CONFIG_STALE, 1102, "config-stale", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_CONFIG_DAMAGED, 1103, "config-damaged", LOG_PRIO_ERR) \
+	LOG_EVENT(LOG_CONFIG_OFFER_REFUSED, 1104, "config-offer-refused", LOG_PRIO_WARNING) \
 	\
 	/* 2000 ldg: records of non-idempotent requests */ \
 	LOG_EVENT(LOG_LDG_DOWN, 2001, "records-unreachable", LOG_PRIO_WARNING) \
--- a/src/loop.c
+++ b/src/loop.c
@@ -119,19 +119,27 @@
 	pthread_mutex_unlock(&loop->lock);
 }
 
-/* Ends the thread and frees the loop with its core. */
-void loop_free(struct loop *loop)
+/* Ends the thread; events that come later are kept and not handled. */
+void loop_stop(struct loop *loop)
 {
-	struct loop_event *event, *next;
-
-	if (!loop)
+	if (!loop || !loop->started)
 		return;
 	pthread_mutex_lock(&loop->lock);
 	loop->ending = true;
 	pthread_cond_signal(&loop->wake);
 	pthread_mutex_unlock(&loop->lock);
-	if (loop->started)
-		pthread_join(loop->thread, NULL);
+	pthread_join(loop->thread, NULL);
+	loop->started = false;
+}
+
+/* Frees a loop that has been stopped, with its node. */
+void loop_free(struct loop *loop)
+{
+	struct loop_event *event, *next;
+
+	if (!loop)
+		return;
+	loop_stop(loop);
 	cds_list_for_each_entry_safe (event, next, &loop->events, node)
 		free(event);
 	node_free(loop->node);
--- a/src/loop.h
+++ b/src/loop.h
@@ -28,6 +28,7 @@
 int loop_post(struct loop *loop, const struct core_event *event);
 int loop_post_node(struct loop *loop, const struct node_event *event);
 void loop_query(struct loop *loop, loop_query_fn fn, void *ctx);
+void loop_stop(struct loop *loop);
 void loop_free(struct loop *loop);
 
 #endif /* LOOP_H */
--- /dev/null
+++ b/src/mesh.c
@@ -0,0 +1,124 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "cnt.h"
+#include "log.h"
+#include "mesh.h"
+#include "pub.h"
+
+struct mesh {
+	struct loop *loop;
+	struct watch *watch;
+	struct rpc *rpc;
+};
+
+static void on_message(void *ctx, const struct peer_msg *msg);
+static int on_serve(void *ctx, uint64_t at_least, uint64_t *revision,
+		    char **text, size_t *len);
+static void on_fetched(void *ctx, const struct rpc_fetched *fetched);
+static void take_fetched(struct mesh *mesh, const struct rpc_fetched *fetched);
+
+/* Listens for peers.  Returns 0 or a negative enum rpc_error. */
+int mesh_start(const struct mesh_settings *settings, struct loop *loop,
+	       struct watch *watch, struct mesh **out)
+{
+	struct rpc_settings rpc = { 0 };
+	struct rpc_handlers handlers = {
+		.message = on_message,
+		.serve = on_serve,
+		.fetched = on_fetched,
+	};
+	struct mesh *mesh = calloc(1, sizeof(*mesh));
+	int rc;
+
+	if (!mesh)
+		return RPC_E_MEMORY;
+	mesh->loop = loop;
+	mesh->watch = watch;
+	handlers.ctx = mesh;
+	memcpy(rpc.cluster, settings->cluster, sizeof(rpc.cluster));
+	memcpy(rpc.listen, settings->listen, sizeof(rpc.listen));
+	rc = rpc_start(&rpc, &handlers, &mesh->rpc);
+	if (rc) {
+		free(mesh);
+		return rc;
+	}
+	*out = mesh;
+	return RPC_OK;
+}
+
+/* Sends a heartbeat; one that gets lost is made good by the next. */
+void mesh_send(struct mesh *mesh, const struct node_send *send)
+{
+	rpc_send(mesh->rpc, send->address, &send->msg);
+}
+
+/* Asks a peer for the configuration that it says it has. */
+void mesh_fetch(struct mesh *mesh, const struct node_fetch *fetch)
+{
+	if (fetch->revision > watch_revision(mesh->watch))
+		rpc_fetch(mesh->rpc, fetch->address, fetch->revision);
+}
+
+/* Stops listening and frees the shell. */
+void mesh_stop(struct mesh *mesh)
+{
+	if (!mesh)
+		return;
+	rpc_stop(mesh->rpc);
+	free(mesh);
+}
+
+static void on_message(void *ctx, const struct peer_msg *msg)
+{
+	struct mesh *mesh = ctx;
+	struct node_event event = { .type = NODE_EV_PEER_MSG };
+
+	event.msg = *msg;
+	loop_post_node(mesh->loop, &event);
+}
+
+static int on_serve(void *ctx, uint64_t at_least, uint64_t *revision,
+		    char **text, size_t *len)
+{
+	struct mesh *mesh = ctx;
+
+	return watch_text(mesh->watch, at_least, revision, text, len);
+}
+
+static void on_fetched(void *ctx, const struct rpc_fetched *fetched)
+{
+	struct mesh *mesh = ctx;
+
+	if (fetched->err == RPC_OK)
+		take_fetched(mesh, fetched);
+	free(fetched->text);
+}
+
+/*
+ * A peer that is wrong or hostile could offer a set that was never published,
+ * or one whose faults would take routes away; operators would see instances
+ * that route differently.  The offer is checked as a whole set first.
+ */
+static void take_fetched(struct mesh *mesh, const struct rpc_fetched *fetched)
+{
+	char digest[PUB_DIGEST_HEX];
+	struct cfg_set *set = NULL;
+	int rc;
+
+	rc = pub_digest(fetched->text, fetched->len, digest);
+	if (!rc)
+		rc = pub_check_offer(watch_revision(mesh->watch),
+				     fetched->revision, digest, fetched->text,
+				     fetched->len, &set);
+	cfg_free(set);
+	if (rc == PUB_E_STALE)
+		return;
+	if (rc)
+		log_event(LOG_CONFIG_OFFER_REFUSED,
+			  "peer=%s revision=%llu why=\"%s\"", fetched->address,
+			  (unsigned long long)fetched->revision,
+			  pub_err_text(rc));
+	else
+		watch_offer(mesh->watch, fetched->text, fetched->revision);
+}
--- /dev/null
+++ b/src/mesh.h
@@ -0,0 +1,23 @@
+#ifndef MESH_H
+#define MESH_H
+
+/* The shell between this instance's node and the other instances. */
+
+#include "loop.h"
+#include "rpc.h"
+#include "watch.h"
+
+struct mesh;
+
+struct mesh_settings {
+	char cluster[MAG_NAME_MAX];
+	char listen[MAG_ADDR_MAX]; /* "ip:port" */
+};
+
+int mesh_start(const struct mesh_settings *settings, struct loop *loop,
+	       struct watch *watch, struct mesh **mesh);
+void mesh_send(struct mesh *mesh, const struct node_send *send);
+void mesh_fetch(struct mesh *mesh, const struct node_fetch *fetch);
+void mesh_stop(struct mesh *mesh);
+
+#endif /* MESH_H */
--- a/src/node.c
+++ b/src/node.c
@@ -18,6 +18,8 @@
 	int64_t demand_due_us;
 	struct node_fetch fetch; /* the last news of a newer revision */
 	bool fetch_wanted;
+	bool bridge;
+	bool bridge_said;
 };
 
 typedef void (*node_news_fn)(struct node *node, const struct fleet_news *news);
@@ -33,6 +35,7 @@
 static void on_quarantine(struct node *node, const struct fleet_news *news);
 static void on_share(struct node *node, const struct fleet_news *news);
 static bool next_core_action(struct node *node, struct node_action *action);
+static bool next_role(struct node *node, struct node_action *action);
 
 /* What each kind of news changes here; a peer's coming and going nothing. */
 static const node_news_fn node_news[FLEET_NEWS_COUNT] = {
@@ -117,6 +120,8 @@
 		action->type = NODE_ACT_ORDER;
 		return true;
 	}
+	if (next_role(node, action))
+		return true;
 	if (node->fetch_wanted) {
 		node->fetch_wanted = false;
 		action->type = NODE_ACT_FETCH;
@@ -254,3 +259,17 @@
 	action->core.kv.id |= NODE_FLEET_CALL;
 	return true;
 }
+
+/* Says when this instance becomes a bridge, which watches, or no longer is. */
+static bool next_role(struct node *node, struct node_action *action)
+{
+	bool bridge = fleet_is_bridge(node->fleet);
+
+	if (node->bridge_said && bridge == node->bridge)
+		return false;
+	node->bridge = bridge;
+	node->bridge_said = true;
+	action->type = NODE_ACT_ROLE;
+	action->bridge = bridge;
+	return true;
+}
--- a/src/node.h
+++ b/src/node.h
@@ -39,6 +39,7 @@
 	NODE_ACT_SEND,	/* a heartbeat to a peer */
 	NODE_ACT_FETCH, /* get the configuration from a peer */
 	NODE_ACT_ORDER, /* an order to an engine */
+	NODE_ACT_ROLE,	/* whether this instance watches the head */
 	NODE_ACTION_COUNT
 };
 
@@ -59,6 +60,7 @@
 		struct node_send send;
 		struct node_fetch fetch;
 		struct plc_order order;
+		bool bridge; /* NODE_ACT_ROLE */
 	};
 };
 
--- a/src/watch.c
+++ b/src/watch.c
@@ -11,6 +11,7 @@
 #include "watch.h"
 
 #define WATCH_WAIT_US	     (20 * MAG_US_PER_S) /* one waiting watch */
+#define WATCH_LOOK_US	     (30 * MAG_US_PER_S) /* of one that is no bridge */
 #define WATCH_LOAD_PERIOD_US MAG_US_PER_S
 #define WATCH_BACKOFF_MIN_US (200 * MAG_US_PER_MS)
 #define WATCH_BACKOFF_MAX_US (2 * MAG_US_PER_S)
@@ -23,17 +24,21 @@
 	struct front *front;
 	pthread_t config_thread;
 	pthread_t load_thread;
-	pthread_mutex_t lock; /* of stopping */
+	pthread_mutex_t lock; /* of stopping and text */
 	pthread_cond_t wake;
 	bool stopping;
 	unsigned int seed;
 	atomic_uint_fast64_t revision;
+	atomic_bool bridge;
+	char *text; /* in force, under lock */
 };
 
 static void *config_main(void *arg);
 static void *load_main(void *arg);
 static bool stopping(struct watch *watch);
 static void sleep_until(struct watch *watch, int64_t deadline_us);
+static int keep_text(struct watch *watch, const char *text, uint64_t revision);
+static int wait_head(struct watch *watch, struct pub *pub);
 static int take_config(struct watch *watch, struct pub *pub);
 static void take_loads(struct watch *watch);
 static void take_load(struct watch *watch, const json_t *load);
@@ -54,6 +59,7 @@
 	watch->backend = *backend;
 	watch->loop = loop;
 	watch->front = front;
+	atomic_store(&watch->bridge, true);
 	pthread_mutex_init(&watch->lock, NULL);
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
@@ -79,6 +85,7 @@
 	pthread_join(watch->load_thread, NULL);
 	pthread_cond_destroy(&watch->wake);
 	pthread_mutex_destroy(&watch->lock);
+	free(watch->text);
 	free(watch);
 }
 
@@ -106,12 +113,77 @@
 	}
 	sets[0]->revision = revision;
 	sets[1]->revision = revision;
-	atomic_store(&watch->revision, revision);
+	if (keep_text(watch, text, revision)) {
+		cfg_free(sets[0]);
+		cfg_free(sets[1]);
+		return 0;
+	}
 	front_set_config(watch->front, sets[0]);
 	event.config = sets[1];
 	return loop_post(watch->loop, &event);
 }
 
+/*
+ * Keeps the text in force, for peers that ask.  Returns -1 if another thread
+ * has put as new a revision in force meanwhile.
+ */
+static int keep_text(struct watch *watch, const char *text, uint64_t revision)
+{
+	char *copy = strdup(text);
+	int rc = -1;
+
+	pthread_mutex_lock(&watch->lock);
+	if (copy && pub_accept(atomic_load(&watch->revision), revision)) {
+		free(watch->text);
+		watch->text = copy;
+		copy = NULL;
+		atomic_store(&watch->revision, revision);
+		rc = 0;
+	}
+	pthread_mutex_unlock(&watch->lock);
+	free(copy);
+	return rc;
+}
+
+/*
+ * Copies the text in force if it is at least as new as asked for.  Returns
+ * 0, or -1 if it is not; the caller frees the text.
+ */
+int watch_text(struct watch *watch, uint64_t at_least, uint64_t *revision,
+	       char **text, size_t *len)
+{
+	int rc = -1;
+
+	pthread_mutex_lock(&watch->lock);
+	if (watch->text && atomic_load(&watch->revision) >= at_least) {
+		*text = strdup(watch->text);
+		*len = strlen(watch->text);
+		*revision = atomic_load(&watch->revision);
+		rc = *text ? 0 : -1;
+	}
+	pthread_mutex_unlock(&watch->lock);
+	return rc;
+}
+
+/*
+ * Bridges wait at the head; the others hear of a revision from them and only
+ * look now and then.  A waiting watch counts as a call, and at 700 instances
+ * one each would be most of what the service takes.
+ */
+void watch_set_bridge(struct watch *watch, bool bridge)
+{
+	atomic_store(&watch->bridge, bridge);
+	pthread_mutex_lock(&watch->lock);
+	pthread_cond_broadcast(&watch->wake);
+	pthread_mutex_unlock(&watch->lock);
+}
+
+/* Returns the revision in force here, 0 before the first. */
+uint64_t watch_revision(const struct watch *watch)
+{
+	return atomic_load(&watch->revision);
+}
+
 /* Reads the head, then waits for the next one, for ever. */
 static void *config_main(void *arg)
 {
@@ -123,7 +195,7 @@
 	while (pub && !stopping(watch)) {
 		rc = take_config(watch, pub);
 		if (rc == PUB_OK)
-			rc = pub_watch(pub, clk_now_us() + WATCH_WAIT_US);
+			rc = wait_head(watch, pub);
 		if (rc == PUB_OK || rc == PUB_E_ABSENT) {
 			backoff_us = WATCH_BACKOFF_MIN_US;
 			continue;
@@ -175,6 +247,15 @@
 	pthread_mutex_unlock(&watch->lock);
 }
 
+/* Waits at the head as a bridge, or for the time of the next look. */
+static int wait_head(struct watch *watch, struct pub *pub)
+{
+	if (atomic_load(&watch->bridge))
+		return pub_watch(pub, clk_now_us() + WATCH_WAIT_US);
+	sleep_until(watch, clk_now_us() + WATCH_LOOK_US);
+	return PUB_OK;
+}
+
 /* Reads the head and puts it in force if it is newer than what is. */
 static int take_config(struct watch *watch, struct pub *pub)
 {
