Let peers that the settings name be known by address until they answer

Cause: two seeds without names overwrote each other in the table, and a seed's link stayed beside the real one; both numbered their messages apart. Seen by hand: 82 of 84 heartbeats dropped as old; a fourth instance with two seeds, and no platform, never joined. Ruled out: the network (each datagram was sent, to the last seed only). Change: a seed is named by its address, and goes when that address introduces itself.

--- a/src/node.c
+++ b/src/node.c
@@ -14,6 +14,7 @@
 struct node {
 	struct core *core;
 	struct fleet *fleet;
+	char data_centre[MAG_NAME_MAX];
 	uint64_t revision; /* that the fleet knows */
 	int64_t demand_due_us;
 	struct node_fetch fetch; /* the last news of a newer revision */
@@ -52,6 +53,8 @@
 
 	if (!node)
 		return NULL;
+	memcpy(node->data_centre, settings->fleet.data_centre,
+	       sizeof(node->data_centre));
 	node->core = core_new(&settings->core);
 	node->fleet = fleet_new(&settings->fleet, now);
 	if (!node->core || !node->fleet) {
@@ -87,7 +90,11 @@
 		return fleet_order_done(node->fleet, &event->order, now) ? -1
 									 : 0;
 	case NODE_EV_SEED:
+		/* Its name and data centre are learned when it answers. */
+		mag_copy_name(peer.name, sizeof(peer.name), event->seed);
 		mag_copy_name(peer.address, sizeof(peer.address), event->seed);
+		memcpy(peer.data_centre, node->data_centre,
+		       sizeof(peer.data_centre));
 		return fleet_seed(node->fleet, &peer, now) ? -1 : 0;
 	default:
 		post_core(node, &event->core, now);
--- a/src/peer.c
+++ b/src/peer.c
@@ -12,6 +12,7 @@
 static int peer_insert(struct peer *peer, uint64_t id, const char *name,
 		       const char *dc, const char *address, int64_t now);
 static int peer_check(const struct peer *peer, const struct peer_msg *msg);
+static void peer_drop_seed(struct peer *peer, const struct peer_msg *msg);
 static int peer_know(struct peer *peer, const struct peer_msg *msg,
 		     int64_t now);
 static int peer_order(struct peer_node *node, const struct peer_msg *msg);
@@ -273,12 +274,28 @@
 	return PEER_OK;
 }
 
+/*
+ * An instance that the settings name is known by its address only, until it
+ * introduces itself.  Two links to it would number their messages apart, and
+ * it would drop those of one of them as old.
+ */
+static void peer_drop_seed(struct peer *peer, const struct peer_msg *msg)
+{
+	int link = peer_find(peer, peer_hash(msg->address));
+
+	if (link >= 0 && strcmp(msg->address, msg->name) != 0)
+		peer->nodes[link].used = false;
+}
+
 /* Finds the sender's link; a newcomer that introduces itself gets one. */
 static int peer_know(struct peer *peer, const struct peer_msg *msg, int64_t now)
 {
 	int link = peer_find(peer, msg->from);
 	struct peer_node *node;
 
+	if (msg->flags & PEER_F_INTRO)
+		peer_drop_seed(peer, msg);
+
 	if (!(msg->flags & PEER_F_INTRO))
 		return link < 0 ? PEER_E_STRANGER : link;
 	if (link < 0)
