chk: Refuse a text that holds a NUL byte

Cause: jansson takes a NUL byte after a number for a blank, and whoever treats the text as a string takes it to end there: magctl read a torn file up to the NUL byte, and a set that passed the check could not be published as it was. Ruled out: cutting the text at the NUL byte (half a set would be published). Change: chk_json reads objects, settings and published records strictly; magctl reads whole files and refuses one with a NUL byte. Conclusion: what is checked is what is published.

--- a/regress/check_cfg.c
+++ b/regress/check_cfg.c
@@ -17,8 +17,8 @@
  * Scripts of sets of objects.  base.json is a good set; a script changes it
  * and has it checked:
  *	add OBJECT | change KIND/NAME FIELDS | drop KIND/NAME
- *	text DOCUMENT (in its place) | many N (objects) | check
- *	route HOST PATH ACCOUNT | key HASH | find KIND NAME (in a good set)
+ *	text DOCUMENT (in its place, @ stands for a NUL byte) | many N (objects)
+ *| check route HOST PATH ACCOUNT | key HASH | find KIND NAME (in a good set)
  */
 
 #define CHECK_DIR "regress/cfg"
@@ -41,12 +41,16 @@
 static void check(struct run *run)
 {
 	char *text = run->text ? strdup(run->text) : json_dumps(run->doc, 0);
+	size_t len = strlen(text);
+	char *nul;
 	struct cfg_faults *faults;
 	int err;
 	size_t i;
 
+	while (run->text && (nul = memchr(text, '@', len)))
+		*nul = '\0';
 	cfg_free(run->set);
-	err = cfg_parse(text, strlen(text), &run->set, &faults);
+	err = cfg_parse(text, len, &run->set, &faults);
 	fprintf(run->out, "%s\n",
 		err == CFG_OK	       ? "ok"
 		: err == CFG_E_SYNTAX  ? "syntax"
--- a/regress/check_pub.c
+++ b/regress/check_pub.c
@@ -137,6 +137,7 @@
 	if (strcmp(kind, "after") == 0)
 		land(call, &(struct kv_reply){ 0 });
 	else if (strcmp(kind, "late") == 0) {
+		free(w.late.value);
 		w.late = *call;
 		w.late.value = strndup(call->value, call->len);
 	} else if (strcmp(kind, "unsent") == 0) {
--- a/regress/check_set.c
+++ b/regress/check_set.c
@@ -70,12 +70,15 @@
 		set_version(out, "magnoliad");
 }
 
+/* Writes a file in which @ stands for a NUL byte. */
 static void write_file(const char *path, const char *text, int blanks)
 {
 	FILE *file = fopen(path, "w");
 
 	assert_non_null(file);
-	fprintf(file, "%s%*s", text, blanks, "");
+	for (; *text; text++)
+		fputc(*text == '@' ? '\0' : *text, file);
+	fprintf(file, "%*s", blanks, "");
 	fclose(file);
 }
 
--- a/regress/proc/magctl.sh
+++ b/regress/proc/magctl.sh
@@ -71,6 +71,9 @@
 echo '{"objects": []}' | run diff -
 run get --platform nowhere
 run apply "$D/none.json"
+printf '{"objects": []}\0{' >"$D/torn.json"
+run check "$D/torn.json"
+run check /
 run history --count many
 run nosuch
 kill $platform
--- a/src/cfg_parse.c
+++ b/src/cfg_parse.c
@@ -106,7 +106,7 @@
 static json_t *cfg_load(const char *text, size_t len, struct cfg_faults *faults)
 {
 	json_error_t error;
-	json_t *doc = json_loadb(text, len, JSON_REJECT_DUPLICATES, &error);
+	json_t *doc = chk_json(text, len, &error);
 
 	if (!doc) {
 		cfg_fault(faults, "set", "-", "document", CFG_M_SYNTAX,
--- a/src/chk.c
+++ b/src/chk.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <ctype.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -56,3 +57,25 @@
 	host[len] = '\0';
 	return inet_pton(family, host, ip) == 1;
 }
+
+/*
+ * Reads a JSON text strictly: no field twice and no NUL byte.  The library
+ * takes a NUL byte after a number for a blank, while whoever treats the text
+ * as a string takes it to end there, so that both would see different sets.
+ * NULL, with line and text of the error, if it is not JSON.
+ */
+json_t *chk_json(const char *text, size_t len, json_error_t *error)
+{
+	const char *nul = memchr(text, '\0', len);
+	const char *at = text;
+
+	if (!nul)
+		return json_loadb(text, len, JSON_REJECT_DUPLICATES, error);
+	error->line = 1;
+	while ((at = memchr(at, '\n', (size_t)(nul - at)))) {
+		error->line++;
+		at++;
+	}
+	snprintf(error->text, sizeof(error->text), "a NUL byte");
+	return NULL;
+}
--- a/src/chk.h
+++ b/src/chk.h
@@ -2,8 +2,11 @@
 #define CHK_H
 
 #include <stdbool.h>
+#include <stddef.h>
 
-/* What objects and settings both ask of a word. */
+#include <jansson.h>
+
+/* What objects and settings both ask of a text and of a word. */
 
 #define CHK_NAME_RULE                                                          \
 	"1 to 63 of a-z, 0-9, '-', '_', '.', starting with a letter or digit"
@@ -12,5 +15,6 @@
 
 bool chk_name(const char *name);
 bool chk_address(const char *address);
+json_t *chk_json(const char *text, size_t len, json_error_t *error);
 
 #endif /* CHK_H */
--- a/src/ctl_out.c
+++ b/src/ctl_out.c
@@ -6,32 +6,37 @@
 
 #define CTL_COLUMNS_MAX 24
 #define CTL_CELL_MAX	96
+#define CTL_BLOCK	16384
 
+static char *ctl_read_all(FILE *in, size_t *len);
 static const char *ctl_cell(const json_t *value, char text[CTL_CELL_MAX]);
 static void ctl_print_cell(const char *text, size_t width, bool last);
 static size_t ctl_columns(const json_t *rows, const char **names);
 
 /*
  * Reads a whole file, or standard input for NULL and "-".  The caller frees
- * it; NULL, with a line on standard error, if it can't be read.
+ * it; NULL, with a line on standard error, if it can't be read or is no text.
  */
 char *ctl_read_file(const char *path)
 {
 	bool standard = !path || strcmp(path, "-") == 0;
 	FILE *in = standard ? stdin : fopen(path, "r");
+	const char *name = standard ? "standard input" : path;
 	char *text = NULL;
-	size_t size = 0;
+	size_t len = 0;
 
-	if (in && getdelim(&text, &size, '\0', in) < 0) {
-		free(text);
-		text = ferror(in) ? NULL : strdup("");
-	}
+	if (in)
+		text = ctl_read_all(in, &len);
 	if (!text)
-		fprintf(stderr, "magctl: %s: cannot be read\n",
-			standard ? "standard input" : path);
+		fprintf(stderr, "magctl: %s: cannot be read\n", name);
 	if (in && !standard)
 		fclose(in);
-	return text;
+	if (!text || strlen(text) == len)
+		return text;
+	/* Only what stands before it would be checked and published. */
+	fprintf(stderr, "magctl: %s: holds a NUL byte\n", name);
+	free(text);
+	return NULL;
 }
 
 /* Tells the operator why nothing came of a command; returns its exit code. */
@@ -125,6 +130,24 @@
 	return list;
 }
 
+/* Reads to the end; NULL if that fails. */
+static char *ctl_read_all(FILE *in, size_t *len)
+{
+	char *text = NULL;
+	char block[CTL_BLOCK];
+	FILE *out = open_memstream(&text, len);
+	size_t got;
+
+	if (!out)
+		return NULL;
+	while ((got = fread(block, 1, sizeof(block), in)) > 0)
+		fwrite(block, 1, got, out);
+	if (fclose(out) == 0 && !ferror(in))
+		return text;
+	free(text);
+	return NULL;
+}
+
 /* The last cell of a line is not filled up. */
 static void ctl_print_cell(const char *text, size_t width, bool last)
 {
--- a/src/pub_head.c
+++ b/src/pub_head.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "chk.h"
 #include "pub_int.h"
 
 static int pub_head_read(struct pub_head *head, const json_t *doc);
@@ -21,7 +22,8 @@
  */
 int pub_head_parse(struct pub_head *head, const char *text, size_t len)
 {
-	json_t *doc = json_loadb(text, len, JSON_REJECT_DUPLICATES, NULL);
+	json_error_t error;
+	json_t *doc = chk_json(text, len, &error);
 	int err;
 
 	memset(head, 0, sizeof(*head));
--- a/src/pub_objects.c
+++ b/src/pub_objects.c
@@ -4,6 +4,7 @@
 
 #include <sodium.h>
 
+#include "chk.h"
 #include "pub_int.h"
 
 #define PUB_HASH_START 2166136261U /* FNV-1a: the buckets are for good */
@@ -30,7 +31,8 @@
  */
 int pub_objects_parse(struct pub_objects *objects, const char *text, size_t len)
 {
-	json_t *doc = json_loadb(text, len, JSON_REJECT_DUPLICATES, NULL);
+	json_error_t error;
+	json_t *doc = chk_json(text, len, &error);
 	const json_t *list = json_object_get(doc, "objects");
 	int err = json_is_array(list) ? PUB_OK : PUB_E_DAMAGED;
 	size_t i;
--- a/src/set.c
+++ b/src/set.c
@@ -13,7 +13,7 @@
 bool set_parse(struct set_build *build, const char *text, size_t len)
 {
 	json_error_t error;
-	json_t *doc = json_loadb(text, len, JSON_REJECT_DUPLICATES, &error);
+	json_t *doc = chk_json(text, len, &error);
 	const char *key;
 	json_t *value;
 	size_t i;
