--- a/src/req_run.c
+++ b/src/req_run.c
@@ -114,8 +114,11 @@
 	shr_ran(core->shr, req->account, req->service, &req->chain,
 		result.tokens, req->hop_us);
 	req->chain_held = false;
-	req->last_chain = req->chain;
-	req->has_last_chain = true;
+	if (req->tokens > req->attempt_from) {
+		/* Only a chain that made tokens holds caches worth keeping. */
+		req->last_chain = req->chain;
+		req->has_last_chain = true;
+	}
 	core->running--;
 }
 
