--- a/src/adm.c
+++ b/src/adm.c
@@ -9,9 +9,6 @@
 #define ADM_SEED_MIX	       UINT64_C(0x2545f4914f6cdd1d)
 #define ADM_LEAST_WEIGHT       1
 
-/* Part of a run's expected time that is kept in hand against its variance. */
-#define ADM_RUN_MARGIN 1.25
-
 static int adm_take_services(struct adm *adm, const struct cfg_set *set);
 static void adm_take_service(struct adm_service *service,
 			     const struct cfg_service *cfg,
@@ -34,6 +31,7 @@
 static enum adm_verdict adm_judge(struct adm *adm,
 				  const struct adm_offer *offer,
 				  struct adm_queue *queue, int64_t now);
+static uint32_t adm_run_tokens(const struct adm_offer *offer);
 static int adm_admit(struct adm *adm, const struct adm_offer *offer,
 		     int64_t now);
 static void adm_forget(struct adm *adm, struct adm_request *request);
@@ -296,6 +294,7 @@
 	service->measured = old[at].measured;
 	service->us_per_token = old[at].us_per_token;
 	service->mean_cost = old[at].mean_cost;
+	service->us_deviation = old[at].us_deviation;
 	service->used_part = old[at].used_part;
 }
 
@@ -491,9 +490,7 @@
 	struct adm_service *service = &adm->services[offer->service];
 	double share = adm_share(adm, queue);
 	double fair = service->queue_max * share;
-	int64_t run =
-		(int64_t)(ADM_RUN_MARGIN *
-			  (double)adm_run_us(service, offer->cost_tokens));
+	int64_t run = adm_run_us(service, adm_run_tokens(offer));
 
 	if (now + adm_wait_us(adm, queue) + run > offer->deadline_us)
 		return ADM_TOO_LATE;
@@ -509,6 +506,16 @@
 	return ADM_QUEUED;
 }
 
+/* Returns the tokens that a request may run for. */
+static uint32_t adm_run_tokens(const struct adm_offer *offer)
+{
+	uint32_t tokens = offer->run_tokens;
+
+	if (tokens == 0)
+		tokens = offer->cost_tokens;
+	return tokens ? tokens : 1;
+}
+
 /* Puts an admitted request into its queue. */
 static int adm_admit(struct adm *adm, const struct adm_offer *offer,
 		     int64_t now)
@@ -524,10 +531,11 @@
 	request->account = offer->account;
 	request->service = offer->service;
 	request->cost = offer->cost_tokens ? offer->cost_tokens : 1;
+	request->run = adm_run_tokens(offer);
 	request->priority = offer->priority;
 	request->offered_us = now;
 	request->give_up_us =
-		offer->deadline_us - adm_run_us(service, request->cost);
+		offer->deadline_us - adm_run_us(service, request->run);
 	request->seq = adm->seq++;
 	cds_list_add_tail(&request->by_id,
 			  &adm->by_id[offer->req & (ADM_BUCKETS - 1)]);
--- a/src/adm.h
+++ b/src/adm.h
@@ -27,7 +27,8 @@
 	uint64_t req;
 	int account;
 	int service;
-	uint32_t cost_tokens;
+	uint32_t cost_tokens; /* what its account is charged */
+	uint32_t run_tokens;  /* the longest answer; 0: the cost */
 	int64_t deadline_us;
 	uint32_t priority;
 };
--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -30,6 +30,7 @@
 	int account;
 	int service;
 	uint32_t cost;
+	uint32_t run;
 	uint32_t priority;
 	int64_t offered_us;
 	int64_t give_up_us; /* later starts would miss the deadline */
@@ -45,7 +46,7 @@
 	int account;
 	int service;
 	double deficit; /* tokens that it may start now */
-	double tokens;	/* sum of what waits */
+	double tokens;	/* to run, of what waits */
 	uint32_t count;
 	uint32_t inside; /* waiting or running */
 	uint32_t passed; /* requests passed over in this round */
@@ -60,7 +61,7 @@
 	struct cds_list_head active; /* queues with something waiting */
 	struct adm_request *peeked;
 	uint32_t waiting;
-	double tokens; /* sum of what waits */
+	double tokens; /* to run, of what waits */
 	uint32_t queue_max;
 	uint32_t retry_percent;
 	double capacity; /* tokens a second, as told */
@@ -68,8 +69,9 @@
 	double done;	 /* tokens since the measurement began */
 	int64_t since_us;
 	double us_per_token;
+	double us_deviation; /* mean of how far runs are from it */
 	double mean_cost;
-	double used_part; /* tokens delivered, as a part of the cost */
+	double used_part; /* tokens delivered, as a part of those asked for */
 };
 
 struct adm_account {
@@ -127,7 +129,7 @@
 double adm_service_rate(const struct adm_service *service);
 double adm_share(const struct adm *adm, const struct adm_queue *queue);
 int64_t adm_wait_us(const struct adm *adm, const struct adm_queue *queue);
-int64_t adm_run_us(const struct adm_service *service, double cost);
+int64_t adm_run_us(const struct adm_service *service, double tokens);
 void adm_measure(struct adm_service *service, double tokens, int64_t now);
 void adm_learn(struct adm *adm, const struct adm_request *request,
 	       uint32_t tokens, int64_t now);
--- a/src/adm_queue.c
+++ b/src/adm_queue.c
@@ -91,9 +91,9 @@
 		cds_list_add_tail(&queue->active, &service->active);
 	adm_insert(queue, request);
 	queue->count++;
-	queue->tokens += request->cost;
+	queue->tokens += request->run;
 	service->waiting++;
-	service->tokens += request->cost;
+	service->tokens += request->run;
 }
 
 /* Takes a request out of its queue. */
@@ -111,9 +111,9 @@
 		service->peeked = NULL;
 	cds_list_del(&request->in_queue);
 	queue->count--;
-	queue->tokens -= request->cost;
+	queue->tokens -= request->run;
 	service->waiting--;
-	service->tokens -= request->cost;
+	service->tokens -= request->run;
 	if (queue->count > 0)
 		return;
 	queue->passed = 0;
--- a/src/adm_rate.c
+++ b/src/adm_rate.c
@@ -1,8 +1,13 @@
+#include <math.h>
+
 #include "adm_int.h"
 
 #define ADM_MEASURE_US	 (500 * MAG_US_PER_MS)
 #define ADM_MEASURE_STEP 0.3
 #define ADM_LEARN_STEP	 0.05
+#define ADM_DEVIATIONS	 1
+/* An answer shorter than this part was cut off; its pace says nothing. */
+#define ADM_WHOLE_PART 0.5
 
 /*
  * Returns the rate at which a service's work gets done, in tokens a second:
@@ -31,20 +36,42 @@
 	return mine / sum;
 }
 
-/* Returns how long a request at the end of a queue will wait. */
+/*
+ * Returns how long a request at the end of a queue will wait.  While its
+ * queue is served, each other queue gets as much by weight, but no more than
+ * waits in it: a queue with one request doesn't slow down a long one for
+ * long.
+ */
 int64_t adm_wait_us(const struct adm *adm, const struct adm_queue *queue)
 {
 	const struct adm_service *service = &adm->services[queue->service];
-	double rate = adm_service_rate(service) * adm_share(adm, queue);
-	double tokens = queue->tokens * service->used_part;
+	double weight = adm->accounts[queue->account].weight;
+	double tokens = queue->tokens;
+	struct adm_queue *other;
+
+	cds_list_for_each_entry (other, &service->active, active) {
+		double most = queue->tokens *
+			      adm->accounts[other->account].weight / weight;
 
-	return (int64_t)(tokens / rate * (double)MAG_US_PER_S);
+		if (other != queue)
+			tokens += other->tokens < most ? other->tokens : most;
+	}
+	tokens *= service->used_part;
+	return (int64_t)(tokens / adm_service_rate(service) *
+			 (double)MAG_US_PER_S);
 }
 
-/* Returns how long a request runs once it started. */
-int64_t adm_run_us(const struct adm_service *service, double cost)
+/*
+ * Returns how long a request will run at the most, but for the slowest few:
+ * the mean and a part of the deviation.  With the mean alone, half of the
+ * requests that are let in at the last moment would miss their deadline.
+ */
+int64_t adm_run_us(const struct adm_service *service, double tokens)
 {
-	return (int64_t)(cost * service->used_part * service->us_per_token);
+	double us =
+		service->us_per_token + ADM_DEVIATIONS * service->us_deviation;
+
+	return (int64_t)(tokens * service->used_part * us);
 }
 
 /*
@@ -79,14 +106,17 @@
 {
 	struct adm_service *service = &adm->services[request->service];
 	double took = (double)(now - request->started_us);
+	double off;
 
 	adm_measure(service, tokens, now);
 	service->mean_cost +=
 		ADM_LEARN_STEP * (request->cost - service->mean_cost);
-	if (tokens == 0)
+	if (tokens < request->run * ADM_WHOLE_PART)
 		return;
-	service->us_per_token +=
-		ADM_LEARN_STEP * (took / tokens - service->us_per_token);
-	service->used_part += ADM_LEARN_STEP * ((double)tokens / request->cost -
+	off = took / tokens - service->us_per_token;
+	service->us_per_token += ADM_LEARN_STEP * off;
+	service->us_deviation +=
+		ADM_LEARN_STEP * (fabs(off) - service->us_deviation);
+	service->used_part += ADM_LEARN_STEP * ((double)tokens / request->run -
 						service->used_part);
 }
--- a/src/pick.h
+++ b/src/pick.h
@@ -53,6 +53,7 @@
 	bool careful; /* must not run twice: never used as a probe */
 	uint64_t prefix; /* hash of the prompt's prefix, 0 for none */
 	uint32_t prompt_tokens;
+	int64_t pace_us; /* a token may take so long, or the answer is late */
 };
 
 enum pick_result_kind {
--- a/src/pick_adapt.c
+++ b/src/pick_adapt.c
@@ -9,10 +9,11 @@
  * seen.  A few that wait keep it busy; more only make every stream slower,
  * so that answers miss their deadlines while the throughput stays the same.
  */
-#define PICK_WAIT_LEAST	   2.0 /* tokens waiting: the endpoint is busy */
-#define PICK_WAIT_MOST	   5.0 /* and here it has more than it can use */
-#define PICK_LIMIT_UP	   1.0
-#define PICK_LIMIT_UP_FULL 0.05 /* the same near the last refusal */
+#define PICK_WAIT_LEAST	   1.0 /* tokens waiting: the endpoint is busy */
+#define PICK_WAIT_WANTED   4.0 /* what the limits aim at */
+#define PICK_LIMIT_STEP	   0.3 /* of what is missing, a tick */
+#define PICK_LIMIT_FALL	   0.1 /* of a limit, the most a tick */
+#define PICK_LIMIT_FULL	   0.1 /* of a step near the last refusal */
 #define PICK_LIMIT_LEAST   1.0
 #define PICK_SAMPLES_LEAST 3
 #define PICK_SCALE_STEP	   0.2
@@ -87,20 +88,28 @@
 	       ep->chain_us;
 }
 
-/* Raises a limit that is used while little waits, lowers it when much does. */
+/*
+ * Moves a limit towards the one at which as many tokens wait as should: a
+ * limit that is used goes up while fewer do, and down while more do.  The
+ * other instances see the same queue and move theirs too, so each makes only
+ * its part of the step.
+ */
 static void pick_adapt_limit(struct pick_ep *ep, double waiting)
 {
-	if (waiting > PICK_WAIT_MOST) {
-		if (ep->limit > ep->in_flight)
-			ep->limit = ep->in_flight;
-		ep->limit *= PICK_LIMIT_DOWN;
-	} else if (waiting < PICK_WAIT_LEAST &&
-		   ep->in_flight + 1 >= ep->limit) {
-		bool full = ep->refused_at > 0 &&
-			    ep->limit >= PICK_LIMIT_DOWN * ep->refused_at;
+	double part =
+		(ep->in_flight + 1.0) / (ep->in_flight + ep->others + 1.0);
+	double step = PICK_LIMIT_STEP * part * (PICK_WAIT_WANTED - waiting);
 
-		ep->limit += full ? PICK_LIMIT_UP_FULL : PICK_LIMIT_UP;
-	}
+	if (step > 0 && ep->in_flight + 1 < ep->limit)
+		return;
+	if (step > 0 && ep->refused_at > 0 &&
+	    ep->limit >= PICK_LIMIT_DOWN * ep->refused_at)
+		step *= PICK_LIMIT_FULL;
+	if (step < 0 && ep->limit > ep->in_flight)
+		ep->limit = ep->in_flight;
+	if (step < -PICK_LIMIT_FALL * ep->limit)
+		step = -PICK_LIMIT_FALL * ep->limit;
+	ep->limit += step;
 	if (ep->limit < PICK_LIMIT_LEAST)
 		ep->limit = PICK_LIMIT_LEAST;
 	if (ep->limit > ep->cfg.concurrency)
--- a/src/pick_walk.c
+++ b/src/pick_walk.c
@@ -7,6 +7,9 @@
 /* An endpoint less loaded by this part of its limit goes first. */
 #define PICK_LOAD_MARGIN 0.1
 
+/* Streams get slower while they run; this much is kept in hand. */
+#define PICK_PACE_MARGIN 1.2
+
 /* A chain in the making. */
 struct pick_walk {
 	struct pick *pick;
@@ -28,6 +31,10 @@
 static int pick_best_exit(const struct pick_member *member, int k);
 static void pick_two(struct pick_walk *walk, const struct pick_node *node,
 		     int two[2]);
+static void pick_two_of(struct pick_walk *walk, const struct pick_node *node,
+			int two[2], int64_t pace_us);
+static bool pick_keeps_pace(const struct pick_walk *walk, int e,
+			    int64_t pace_us);
 static bool pick_takes(struct pick_walk *walk, int e);
 static bool pick_in_walk(const struct pick_walk *walk, int e);
 static double pick_rank(struct pick *pick, const struct pick_option *option);
@@ -146,9 +153,21 @@
 	return best;
 }
 
-/* Finds the first two options with room, the better one first. */
+/*
+ * Finds the first two options with room, the better one first.  Those that
+ * are too slow for the request's deadline count only if no other is left.
+ */
 static void pick_two(struct pick_walk *walk, const struct pick_node *node,
 		     int two[2])
+{
+	pick_two_of(walk, node, two, walk->want->pace_us);
+	if (two[0] < 0)
+		pick_two_of(walk, node, two, 0);
+}
+
+/* Finds two options whose chains take at most so long for a token. */
+static void pick_two_of(struct pick_walk *walk, const struct pick_node *node,
+			int two[2], int64_t pace_us)
 {
 	double rank[2] = { 0, 0 };
 	int i;
@@ -156,7 +175,8 @@
 	for (i = 0; i < node->count; i++) {
 		double r;
 
-		if (!pick_takes(walk, node->options[i].ep))
+		if (!pick_takes(walk, node->options[i].ep) ||
+		    !pick_keeps_pace(walk, node->options[i].ep, pace_us))
 			continue;
 		r = pick_rank(walk->pick, &node->options[i]);
 		if (two[0] < 0 || r > rank[0]) {
@@ -183,6 +203,15 @@
 	}
 }
 
+/* Tells whether streams through an endpoint are fast enough; 0: always. */
+static bool pick_keeps_pace(const struct pick_walk *walk, int e,
+			    int64_t pace_us)
+{
+	return pace_us <= 0 || walk->pick->policy != PICK_FLOW ||
+	       walk->pick->eps[e].chain_us * PICK_PACE_MARGIN <=
+		       (double)pace_us;
+}
+
 /* Tells whether an endpoint may join this chain now. */
 static bool pick_takes(struct pick_walk *walk, int e)
 {
--- a/src/req_arrive.c
+++ b/src/req_arrive.c
@@ -70,6 +70,7 @@
 		.service = req->service,
 		.cost_tokens =
 			req->arrival.prompt_tokens + req->arrival.max_tokens,
+		.run_tokens = req->arrival.max_tokens,
 		.deadline_us = req->deadline_us,
 		.priority = core->set->accounts[req->account].priority,
 	};
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -3,6 +3,7 @@
 #include "core_int.h"
 #include "log.h"
 
+static int64_t pace(const struct core *core, const struct core_req *req);
 static void remember_failure(struct core_req *req, int endpoint);
 static void fill_dispatch(struct core *core, struct core_req *req,
 			  struct core_dispatch *dispatch);
@@ -25,6 +26,7 @@
 		.careful = !req->idempotent,
 		.prefix = req->arrival.prefix,
 		.prompt_tokens = req->arrival.prompt_tokens,
+		.pace_us = pace(core, req),
 	};
 
 	if (req->service < 0)
@@ -37,6 +39,16 @@
 	return pick_choose(core->pick, &want, core->now, chain);
 }
 
+/* Returns how long a token may take for the answer to be in time. */
+static int64_t pace(const struct core *core, const struct core_req *req)
+{
+	int64_t left = req->deadline_us - core->now;
+
+	if (req->arrival.max_tokens <= req->tokens)
+		return left;
+	return left / (req->arrival.max_tokens - req->tokens);
+}
+
 /*
  * Keeps a chosen chain for a request whose record is being reserved, so that
  * the place is still free once it may go.
