--- a/regress/check_pub.c
+++ b/regress/check_pub.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "log.h"
 #include "pub.h"
 #include "check_doc.h"
 #include "script.h"
@@ -83,7 +84,7 @@
 {
 	reply->status = status;
 	reply->version = e ? e->version : 0;
-	if (status == KV_OK && e) {
+	if (status == KV_OK && e && e->value) {
 		reply->value = strdup(e->value);
 		reply->len = strlen(e->value);
 	}
@@ -110,7 +111,7 @@
 		mag_copy_name(e->key, sizeof(e->key), call->key);
 	}
 	free(e->value);
-	e->value = strndup(call->value, call->len);
+	e->value = call->value ? strndup(call->value, call->len) : NULL;
 	e->version++;
 	reply->status = KV_OK;
 	reply->version = e->version;
@@ -465,6 +466,13 @@
 	}
 }
 
+static void log_line(void *ctx, enum log_prio prio, const char *line)
+{
+	(void)ctx;
+	(void)prio;
+	fprintf(w.out, "log %s\n", line);
+}
+
 static void driver(FILE *in, FILE *out)
 {
 	static const struct table empty;
@@ -473,6 +481,7 @@
 	size_t i;
 
 	w.out = out;
+	log_set_sink(log_line, NULL);
 	w.left = 0;
 	while (getline(&line, &room, in) > 0) {
 		line[strcspn(line, "\n")] = '\0';
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -14,6 +14,9 @@
 	\
 	/* 1100 pub: publishing the configuration */ \
 	LOG_EVENT(LOG_CONFIG_APPLIED, 1101, "config-applied", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_CONFIG_STALE, 1102, "config-stale", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_CONFIG_DAMAGED, 1103, "config-damaged", LOG_PRIO_ERR) \
+	LOG_EVENT(LOG_CONFIG_OFFER_REFUSED, 1104, "config-offer-refused", LOG_PRIO_WARNING) \
 	\
 	/* 2000 ldg: records of non-idempotent requests */ \
 	LOG_EVENT(LOG_LDG_DOWN, 2001, "records-unreachable", LOG_PRIO_WARNING) \
@@ -29,6 +32,8 @@
 	LOG_EVENT(LOG_PICK_CHAIN, 4001, "chain-chosen", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_PICK_EJECTED, 4002, "endpoint-ejected", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_PICK_RETURNED, 4003, "endpoint-returned", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PICK_DEGRADED, 4004, "endpoint-degraded", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PICK_RESTORED, 4005, "endpoint-restored", LOG_PRIO_NOTICE) \
 	\
 	/* 5000 adm, quar: admission, limits, quarantine */ \
 	LOG_EVENT(LOG_ADM_REFUSED, 5001, "admission-refused", LOG_PRIO_INFO) \
