Skip links that went while they waited to be sent to

Cause: a seed's link can go between the queue of due links and its send. Ruled out: nothing seen yet; found by reading. Change: peer_next_due passes over entries that are no longer in use. Conclusion: no heartbeat to nobody.

--- a/src/peer_send.c
+++ b/src/peer_send.c
@@ -58,14 +58,16 @@
 {
 	struct peer_node *node;
 
-	if (peer->due_next == peer->due_count) {
-		peer->due_next = 0;
-		peer->due_count = 0;
-		return false;
-	}
-	*link = peer->due[peer->due_next++];
-	node = &peer->nodes[*link];
-	node->due = false;
+	do {
+		if (peer->due_next == peer->due_count) {
+			peer->due_next = 0;
+			peer->due_count = 0;
+			return false;
+		}
+		*link = peer->due[peer->due_next++];
+		node = &peer->nodes[*link];
+		node->due = false;
+	} while (!node->used);
 	node->hurry_us = MAG_NEVER;
 	node->not_before_us = now + PEER_SPACING_US;
 	node->next_send_us = now + (node->dc == 0 ? peer->local_period_us
