pub: Join the chunks that a head names without reading their objects

Cause: an instance read every object of the set anew for each change. Ruled out: keeping the objects in memory beside the chunks (twice the memory for what only the text is needed for). Change: pub_read joins the chunks' texts (pub_chunk.c); magctl get still writes the objects sorted.

--- a/bench/bench_pub.c
+++ b/bench/bench_pub.c
@@ -134,6 +134,7 @@
 	char *taken = NULL;
 	uint64_t revision;
 	double start = now_ms();
+	double read_ms;
 	int err;
 
 	mag_copy_name(request.change.id, PUB_ID_MAX, id);
@@ -143,11 +144,13 @@
 	       now_ms() - start);
 	pub_result_clear(&result);
 	bytes_read = 0;
+	start = now_ms();
 	err = pub_read(reader, 0, &taken, &revision);
+	read_ms = now_ms() - start;
 	if (old_text && err == PUB_OK)
 		pub_delta(old_text, taken, &delta);
-	printf(", %zu bytes read, %zu bytes of delta\n", bytes_read,
-	       delta ? strlen(delta) : 0);
+	printf(", %zu bytes read in %.1f ms, %zu bytes of delta\n", bytes_read,
+	       read_ms, delta ? strlen(delta) : 0);
 	free(delta);
 	free(text);
 	return taken;
--- a/src/ctl_set.c
+++ b/src/ctl_set.c
@@ -134,16 +134,20 @@
 		    uint64_t *revision)
 {
 	struct ctl_store store;
-	int err;
+	int err = PUB_OK;
 
 	*text = NULL;
 	*revision = wanted;
 	if (!ctl_store_open(&store, args))
 		return PUB_E_MEMORY;
-	if (wanted)
-		err = pub_read_past(store.pub, args->deadline_us, wanted, text);
-	else
+	if (!wanted)
 		err = pub_read(store.pub, args->deadline_us, text, revision);
+	free(*text);
+	*text = NULL;
+	/* People read it, so it is taken again sorted; the chunks are here. */
+	if (err == PUB_OK)
+		err = pub_read_past(store.pub, args->deadline_us, *revision,
+				    text);
 	ctl_store_close(&store);
 	return err;
 }
--- a/src/pub_int.h
+++ b/src/pub_int.h
@@ -113,8 +113,12 @@
 		  uint64_t *version);
 int pub_load_past(struct pub *pub, int64_t deadline_us, uint64_t revision,
 		  struct pub_head *head, uint64_t *version);
+
+/* pub_chunk.c */
 int pub_load_objects(struct pub *pub, int64_t deadline_us,
 		     const struct pub_head *head, struct pub_objects *objects);
+int pub_load_text(struct pub *pub, int64_t deadline_us,
+		  const struct pub_head *head, char **text);
 
 /* pub_past.c */
 int pub_find_change(struct pub *pub, int64_t deadline_us,
--- a/src/pub_read.c
+++ b/src/pub_read.c
@@ -8,12 +8,6 @@
 
 static int pub_load_key(struct pub *pub, const char *key, int64_t deadline_us,
 			struct pub_head *head, uint64_t *version);
-static int pub_load_chunk(struct pub *pub, int64_t deadline_us,
-			  const struct pub_chunk *chunk, json_t *cache,
-			  struct pub_objects *objects);
-static int pub_fetch_chunk(struct pub *pub, int64_t deadline_us,
-			   const struct pub_chunk *chunk, json_t **text);
-static int pub_add_chunk(struct pub_objects *objects, const char *text);
 static bool pub_is_stale(const struct pub *pub, const struct pub_head *head);
 static void pub_log_change(struct pub *pub, int err);
 static int pub_read_once(struct pub *pub, int64_t deadline_us, char **text,
@@ -66,7 +60,9 @@
 
 /*
  * Reads the set in force.  On PUB_OK the caller frees *text, which names its
- * revision.  Chunks that were read before are not read again.
+ * revision.  Chunks that were read before are not read again, and the objects
+ * stand in the order of the chunks: to sort 10,000 of them for each change
+ * would cost more than all else here.
  *
  * The service may come back from an outage with an older head.  An instance
  * that took it would undo changes which operators were told are in force; so
@@ -164,34 +160,6 @@
 	return err == PUB_E_ABSENT ? PUB_E_GONE : err;
 }
 
-/* Reads all objects that a head names, sorted; the caller frees them. */
-int pub_load_objects(struct pub *pub, int64_t deadline_us,
-		     const struct pub_head *head, struct pub_objects *objects)
-{
-	json_t *cache = json_object();
-	int err = PUB_OK;
-	size_t kind;
-	size_t i;
-
-	memset(objects, 0, sizeof(*objects));
-	for (kind = 0; kind < CFG_KIND_COUNT; kind++) {
-		const struct pub_kind *k = &head->kinds[kind];
-
-		for (i = 0; i < k->count && err == PUB_OK; i++)
-			err = pub_load_chunk(pub, deadline_us, &k->chunks[i],
-					     cache, objects);
-	}
-	if (err != PUB_OK) {
-		json_decref(cache);
-		pub_objects_free(objects);
-		return err;
-	}
-	pub_objects_sort(objects);
-	json_decref(pub->cache);
-	pub->cache = cache;
-	return PUB_OK;
-}
-
 /* Logs a refused head once, however often it is read again. */
 static void pub_log_change(struct pub *pub, int err)
 {
@@ -207,7 +175,6 @@
 static int pub_read_once(struct pub *pub, int64_t deadline_us, char **text,
 			 uint64_t *revision)
 {
-	struct pub_objects objects;
 	struct pub_head head;
 	uint64_t version;
 	int err = pub_load_head(pub, deadline_us, &head, &version);
@@ -219,13 +186,10 @@
 		pub_head_free(&head);
 		return PUB_E_STALE;
 	}
-	err = pub_load_objects(pub, deadline_us, &head, &objects);
+	err = pub_load_text(pub, deadline_us, &head, text);
 	if (err == PUB_OK) {
 		pub_see(pub, &head);
 		*revision = head.revision;
-		*text = pub_objects_text(&objects, head.revision);
-		pub_objects_free(&objects);
-		err = *text ? PUB_OK : PUB_E_MEMORY;
 	}
 	pub_head_free(&head);
 	return err;
@@ -262,59 +226,3 @@
 	free(reply.value);
 	return err;
 }
-
-/* Adds the objects of a chunk, from memory if it was read before. */
-static int pub_load_chunk(struct pub *pub, int64_t deadline_us,
-			  const struct pub_chunk *chunk, json_t *cache,
-			  struct pub_objects *objects)
-{
-	json_t *text;
-	int err = PUB_OK;
-
-	if (!chunk->digest[0])
-		return PUB_OK;
-	text = json_incref(json_object_get(pub->cache, chunk->digest));
-	if (!text)
-		err = pub_fetch_chunk(pub, deadline_us, chunk, &text);
-	if (err != PUB_OK)
-		return err;
-	err = pub_add_chunk(objects, json_string_value(text));
-	json_object_set_new(cache, chunk->digest, text);
-	return err;
-}
-
-/* Reads a chunk and holds it against the digest that names it. */
-static int pub_fetch_chunk(struct pub *pub, int64_t deadline_us,
-			   const struct pub_chunk *chunk, json_t **text)
-{
-	char digest[PUB_DIGEST_HEX];
-	struct kv_reply reply;
-	char key[KV_KEY_MAX];
-	enum kv_status status;
-
-	pub_chunk_key(key, chunk);
-	status = pub_get(pub, key, deadline_us, &reply);
-	*text = NULL;
-	if (status == KV_OK) {
-		pub_digest_bytes(reply.value, reply.len, digest);
-		if (strcmp(digest, chunk->digest) == 0)
-			*text = json_stringn(reply.value, reply.len);
-	}
-	free(reply.value);
-	if (*text)
-		return PUB_OK;
-	return status == KV_OK || status == KV_ABSENT ? PUB_E_DAMAGED
-						      : PUB_E_DOWN;
-}
-
-static int pub_add_chunk(struct pub_objects *objects, const char *text)
-{
-	json_t *list = json_loads(text, JSON_REJECT_DUPLICATES, NULL);
-	int err = json_is_array(list) ? PUB_OK : PUB_E_DAMAGED;
-	size_t i;
-
-	for (i = 0; i < json_array_size(list) && err == PUB_OK; i++)
-		err = pub_objects_add(objects, json_array_get(list, i));
-	json_decref(list);
-	return err;
-}
