--- a/src/pick.h
+++ b/src/pick.h
@@ -53,6 +53,7 @@
 	bool careful; /* must not run twice: never used as a probe */
 	uint64_t prefix; /* hash of the prompt's prefix, 0 for none */
 	uint32_t prompt_tokens;
+	int64_t pace_us; /* a token may take so long, or the answer is late */
 };
 
 enum pick_result_kind {
@@ -97,6 +98,8 @@
 	       const uint32_t *hop_us, int count, int64_t now);
 void pick_ended(struct pick *pick, const struct pick_chain *chain,
 		const struct pick_result *result, int64_t now);
+int pick_silent(const struct pick *pick, const struct pick_chain *chain,
+		int64_t now);
 void pick_tick(struct pick *pick, int64_t now);
 int64_t pick_next_deadline(const struct pick *pick);
 
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -83,7 +83,9 @@
 /*
  * The endpoint provably began nothing: the connection was never made, or it
  * refused in the way that its service declares as proof.  Any request may go
- * elsewhere then.
+ * elsewhere then.  A refusal is no failure, only a late load report: the
+ * request waits for room again and spends no retry, or a fleet at its limit
+ * would use up the budgets and give up requests that have time left.
  */
 static void proved_unbegun(struct core *core, struct core_req *req,
 			   const struct core_ended *ended)
@@ -94,7 +96,8 @@
 			ended->end == CORE_END_REFUSED ? PICK_ENDED_REFUSED
 						       : PICK_ENDED_FAILED,
 			0);
-	if (req_try_again(core, req, endpoint)) {
+	if (ended->end == CORE_END_REFUSED ||
+	    req_try_again(core, req, endpoint)) {
 		req_enter_ready(core, req);
 		return;
 	}
@@ -109,12 +112,13 @@
 		   const struct core_ended *ended, enum pick_result_kind kind)
 {
 	int stage = ended->end == CORE_END_STAGE ? ended->stage : 0;
-	int endpoint = failed_endpoint(req, stage);
 	bool died = ended->end == CORE_END_CUT || ended->end == CORE_END_STAGE;
+	int endpoint;
 
 	req->may_have_run = true;
 	if (kind == PICK_ENDED_SLOW)
-		stage = -1;
+		stage = pick_silent(core->pick, &req->chain, core->now);
+	endpoint = failed_endpoint(req, stage);
 	req_end_attempt(core, req, kind, stage);
 	if (died)
 		quar_lost_endpoint(core->quar, req->arrival.fingerprint,
