--- a/src/pick_adapt.c
+++ b/src/pick_adapt.c
@@ -9,9 +9,11 @@
  * seen.  A few that wait keep it busy; more only make every stream slower,
  * so that answers miss their deadlines while the throughput stays the same.
  */
-#define PICK_WAIT_LEAST	   1.0 /* tokens waiting: the endpoint is busy */
-#define PICK_WAIT_WANTED   4.0 /* what the limits aim at */
-#define PICK_LIMIT_STEP	   0.3 /* of what is missing, a tick */
+#define PICK_WAIT_LEAST	   1.0	 /* tokens waiting: the endpoint is busy */
+#define PICK_WAIT_S	   0.015 /* that a token should wait */
+#define PICK_WANTED_LEAST  1.0	 /* tokens waiting */
+#define PICK_WANTED_MOST   10.0
+#define PICK_LIMIT_STEP	   0.5 /* of what is missing, a tick */
 #define PICK_LIMIT_FALL	   0.1 /* of a limit, the most a tick */
 #define PICK_LIMIT_FULL	   0.1 /* of a step near the last refusal */
 #define PICK_LIMIT_LEAST   1.0
@@ -24,7 +26,9 @@
 #define PICK_BASE_CREEP	   1.0005
 
 static double pick_passing(const struct pick_ep *ep);
-static void pick_adapt_limit(struct pick_ep *ep, double waiting);
+static double pick_wanted(double passing);
+static void pick_adapt_limit(struct pick_ep *ep, double passing,
+			     double waiting);
 static void pick_adapt_scale(struct pick_ep *ep, double passing,
 			     double waiting);
 static void pick_adapt_tell(struct pick *pick, struct pick_ep *ep);
@@ -76,7 +80,7 @@
 	ep->base_us *= PICK_BASE_CREEP;
 	passing = pick_passing(ep);
 	waiting = passing * (ep->hop_us - ep->base_us) / (double)MAG_US_PER_S;
-	pick_adapt_limit(ep, waiting);
+	pick_adapt_limit(ep, passing, waiting);
 	pick_adapt_scale(ep, passing, waiting);
 	pick_adapt_tell(pick, ep);
 }
@@ -88,17 +92,31 @@
 	       ep->chain_us;
 }
 
+/*
+ * Returns how many tokens should wait: enough to keep the endpoint busy
+ * while streams come and go, and fewer at a slow one, where each that waits
+ * costs every stream a long time.
+ */
+static double pick_wanted(double passing)
+{
+	double wanted = passing * PICK_WAIT_S;
+
+	if (wanted < PICK_WANTED_LEAST)
+		return PICK_WANTED_LEAST;
+	return wanted < PICK_WANTED_MOST ? wanted : PICK_WANTED_MOST;
+}
+
 /*
  * Moves a limit towards the one at which as many tokens wait as should: a
  * limit that is used goes up while fewer do, and down while more do.  The
  * other instances see the same queue and move theirs too, so each makes only
  * its part of the step.
  */
-static void pick_adapt_limit(struct pick_ep *ep, double waiting)
+static void pick_adapt_limit(struct pick_ep *ep, double passing, double waiting)
 {
 	double part =
 		(ep->in_flight + 1.0) / (ep->in_flight + ep->others + 1.0);
-	double step = PICK_LIMIT_STEP * part * (PICK_WAIT_WANTED - waiting);
+	double step = PICK_LIMIT_STEP * part * (pick_wanted(passing) - waiting);
 
 	if (step > 0 && ep->in_flight + 1 < ep->limit)
 		return;
