--- a/regress/check_pub.c
+++ b/regress/check_pub.c
@@ -29,7 +29,7 @@
  *		unsent | limited
  *		first	SCRIPT LINE runs before the write
  *	land | save | restore (all keys) | damage PREFIX TEXT | remove PREFIX
- *	put KEY TEXT | keys | head
+ *	put KEY TEXT | keys | head | gets (answered since the last time)
  * and the rules between instances:
  *	accept NOW OFFERED | offer NOW OFFERED A [DIGEST] | patch A DELTA
  */
@@ -62,6 +62,7 @@
 	char kind[16];
 	int left;
 	char line[512]; /* of the fault "first" */
+	int gets;
 	struct operator operators[OPERATORS];
 	FILE *out;
 } w;
@@ -159,6 +160,7 @@
 	if (faulty(call, reply))
 		return;
 	e = find(call->key);
+	w.gets += call->op == KV_GET;
 	if (call->op == KV_GET || call->op == KV_WATCH)
 		answer(reply, e ? KV_OK : KV_ABSENT, e);
 	else
@@ -460,6 +462,9 @@
 		do_put(rest);
 	} else if (strcmp(line, "keys") == 0) {
 		print_keys();
+	} else if (strcmp(line, "gets") == 0) {
+		fprintf(w.out, "%d gets\n", w.gets);
+		w.gets = 0;
 	} else if (strcmp(line, "head") == 0) {
 		fprintf(w.out, "%s\n", find("config/head")->value);
 	} else {
@@ -484,6 +489,7 @@
 	w.out = out;
 	log_set_sink(log_line, NULL);
 	w.left = 0;
+	w.gets = 0;
 	while (getline(&line, &room, in) > 0) {
 		line[strcspn(line, "\n")] = '\0';
 		if (line[0] && line[0] != '#')
