ctl: Ask all instances at once

Cause: instances were asked one after another under one deadline, so that one that hangs used it up and those behind it were shown as not answering. Ruled out: a deadline for each in turn (700 instances would take minutes). Change: ctl_http.c asks through one curl multi handle. Figures: regress/proc/magctl with the first of two routers stopped by signal printed "0 of 2 instances hold revision 0" before, "1 of 2 instances hold revision 4" now.

--- a/regress/proc/magctl.sh
+++ b/regress/proc/magctl.sh
@@ -21,6 +21,7 @@
 	routers="$routers $!"
 done
 stop() {
+	kill -CONT $routers 2>/dev/null
 	kill $platform $routers 2>/dev/null
 	wait
 	rm -rf "$D"
@@ -81,3 +82,7 @@
 run get --timeout-ms 300
 run apply "$D/changed.json" --timeout-ms 300
 run status | cut -c 1-57
+# The first instance hangs; what the second one holds has to be seen all the
+# same, or an operator would take the whole fleet for lost.
+kill -STOP ${routers% *}
+run status | cut -c 1-57
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -14,7 +14,7 @@
 #include "mag.h"
 #include "pub.h"
 
-#define CTL_ADDRESSES_MAX 64
+#define CTL_ADDRESSES_MAX 1024
 
 /* Exit codes; magctl(1) lists them, and they stay as they are. */
 enum ctl_exit {
--- a/src/ctl_http.c
+++ b/src/ctl_http.c
@@ -6,34 +6,52 @@
 #include "clk.h"
 #include "ctl.h"
 
-#define CTL_URL_MAX	  512
-#define CTL_BODY_MAX	  (16U << 20)
-#define CTL_CONNECT_MS	  500L
-#define CTL_HTTP_NOTFOUND 404
+#define CTL_URL_MAX    512
+#define CTL_BODY_MAX   (16U << 20)
+#define CTL_CONNECT_MS 500L
+#define CTL_POLL_MS    100
 
-struct ctl_body {
+/* One instance being asked. */
+struct ctl_request {
+	CURL *curl;
 	char *text;
 	size_t len;
+	bool whole;
 };
 
-static json_t *ctl_ask_one(const char *address, const char *path,
-			   int64_t deadline_us);
+static void ctl_begin(struct ctl_request *request, CURLM *multi,
+		      const char *address, const char *path, long left_ms);
+static void ctl_run(CURLM *multi);
+static json_t *ctl_end(struct ctl_request *request, CURLM *multi);
 static size_t ctl_on_body(char *data, size_t size, size_t count, void *ctx);
 
 /*
- * Asks each instance's admin port for a page and reads its JSON.  An instance
- * that does not answer in time has no body.
+ * Asks the admin ports of all instances for a page, at once, and reads their
+ * JSON.  Asked one after another, an instance that hangs would leave no time
+ * for those behind it, and the whole fleet would look lost.  One that does
+ * not answer in time has no body.
  */
 void ctl_ask(const struct ctl_addresses *addresses, const char *path,
 	     int64_t deadline_us, struct ctl_answer *answers)
 {
+	struct ctl_request requests[CTL_ADDRESSES_MAX] = { 0 };
+	long left_ms = (long)((deadline_us - clk_now_us()) / MAG_US_PER_MS);
+	CURLM *multi = curl_multi_init();
 	size_t i;
 
 	for (i = 0; i < addresses->count; i++) {
 		answers[i].address = addresses->list[i];
-		answers[i].body =
-			ctl_ask_one(addresses->list[i], path, deadline_us);
+		answers[i].body = NULL;
+		if (multi && left_ms > 0)
+			ctl_begin(&requests[i], multi, answers[i].address, path,
+				  left_ms);
 	}
+	if (!multi)
+		return;
+	ctl_run(multi);
+	for (i = 0; i < addresses->count; i++)
+		answers[i].body = ctl_end(&requests[i], multi);
+	curl_multi_cleanup(multi);
 }
 
 /* Frees the bodies of answers. */
@@ -45,47 +63,78 @@
 		json_decref(answers[i].body);
 }
 
-static json_t *ctl_ask_one(const char *address, const char *path,
-			   int64_t deadline_us)
+static void ctl_begin(struct ctl_request *request, CURLM *multi,
+		      const char *address, const char *path, long left_ms)
 {
-	struct ctl_body body = { 0 };
-	int64_t left_ms = (deadline_us - clk_now_us()) / MAG_US_PER_MS;
-	CURL *curl = curl_easy_init();
 	char url[CTL_URL_MAX];
-	json_t *doc = NULL;
 
-	if (!curl || left_ms <= 0) {
-		curl_easy_cleanup(curl);
-		return NULL;
-	}
+	request->curl = curl_easy_init();
+	if (!request->curl)
+		return;
 	snprintf(url, sizeof(url), "http://%s%s", address, path);
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_PROXY, "");
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, CTL_CONNECT_MS);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)left_ms);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, ctl_on_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, &body);
-	if (curl_easy_perform(curl) == CURLE_OK && body.text)
-		doc = json_loadb(body.text, body.len, 0, NULL);
-	curl_easy_cleanup(curl);
-	free(body.text);
-	return doc;
+	curl_easy_setopt(request->curl, CURLOPT_URL, url);
+	curl_easy_setopt(request->curl, CURLOPT_PROXY, "");
+	curl_easy_setopt(request->curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(request->curl, CURLOPT_CONNECTTIMEOUT_MS,
+			 CTL_CONNECT_MS);
+	curl_easy_setopt(request->curl, CURLOPT_TIMEOUT_MS, left_ms);
+	curl_easy_setopt(request->curl, CURLOPT_WRITEFUNCTION, ctl_on_body);
+	curl_easy_setopt(request->curl, CURLOPT_WRITEDATA, request);
+	curl_easy_setopt(request->curl, CURLOPT_PRIVATE, request);
+	curl_multi_add_handle(multi, request->curl);
+}
+
+/* Drives all requests until each has ended; each has its own timeout. */
+static void ctl_run(CURLM *multi)
+{
+	struct ctl_request *request;
+	CURLMsg *message;
+	int running = 1;
+	int waiting;
+
+	while (running) {
+		if (curl_multi_perform(multi, &running) != CURLM_OK)
+			return;
+		while ((message = curl_multi_info_read(multi, &waiting))) {
+			if (message->msg != CURLMSG_DONE)
+				continue;
+			curl_easy_getinfo(message->easy_handle,
+					  CURLINFO_PRIVATE, &request);
+			request->whole = message->data.result == CURLE_OK;
+		}
+		if (running)
+			curl_multi_poll(multi, NULL, 0, CTL_POLL_MS, NULL);
+	}
+}
+
+/* Reads the JSON of a whole answer and frees what was asked with. */
+static json_t *ctl_end(struct ctl_request *request, CURLM *multi)
+{
+	json_t *body = NULL;
+
+	if (request->whole && request->text)
+		body = json_loadb(request->text, request->len, 0, NULL);
+	if (request->curl) {
+		curl_multi_remove_handle(multi, request->curl);
+		curl_easy_cleanup(request->curl);
+	}
+	free(request->text);
+	return body;
 }
 
 static size_t ctl_on_body(char *data, size_t size, size_t count, void *ctx)
 {
-	struct ctl_body *body = ctx;
+	struct ctl_request *request = ctx;
 	size_t len = size * count;
 	char *grown;
 
-	if (body->len + len > CTL_BODY_MAX)
+	if (request->len + len > CTL_BODY_MAX)
 		return 0;
-	grown = realloc(body->text, body->len + len + 1);
+	grown = realloc(request->text, request->len + len + 1);
 	if (!grown)
 		return 0;
-	body->text = grown;
-	memcpy(grown + body->len, data, len);
-	body->len += len;
+	request->text = grown;
+	memcpy(grown + request->len, data, len);
+	request->len += len;
 	return len;
 }
