--- a/src/node.c
+++ b/src/node.c
@@ -14,10 +14,13 @@
 struct node {
 	struct core *core;
 	struct fleet *fleet;
+	char data_centre[MAG_NAME_MAX];
 	uint64_t revision; /* that the fleet knows */
 	int64_t demand_due_us;
 	struct node_fetch fetch; /* the last news of a newer revision */
 	bool fetch_wanted;
+	bool bridge;
+	bool bridge_said;
 };
 
 typedef void (*node_news_fn)(struct node *node, const struct fleet_news *news);
@@ -33,6 +36,7 @@
 static void on_quarantine(struct node *node, const struct fleet_news *news);
 static void on_share(struct node *node, const struct fleet_news *news);
 static bool next_core_action(struct node *node, struct node_action *action);
+static bool next_role(struct node *node, struct node_action *action);
 
 /* What each kind of news changes here; a peer's coming and going nothing. */
 static const node_news_fn node_news[FLEET_NEWS_COUNT] = {
@@ -49,6 +53,8 @@
 
 	if (!node)
 		return NULL;
+	memcpy(node->data_centre, settings->fleet.data_centre,
+	       sizeof(node->data_centre));
 	node->core = core_new(&settings->core);
 	node->fleet = fleet_new(&settings->fleet, now);
 	if (!node->core || !node->fleet) {
@@ -84,7 +90,11 @@
 		return fleet_order_done(node->fleet, &event->order, now) ? -1
 									 : 0;
 	case NODE_EV_SEED:
+		/* Its name and data centre are learned when it answers. */
+		mag_copy_name(peer.name, sizeof(peer.name), event->seed);
 		mag_copy_name(peer.address, sizeof(peer.address), event->seed);
+		memcpy(peer.data_centre, node->data_centre,
+		       sizeof(peer.data_centre));
 		return fleet_seed(node->fleet, &peer, now) ? -1 : 0;
 	default:
 		post_core(node, &event->core, now);
@@ -117,6 +127,8 @@
 		action->type = NODE_ACT_ORDER;
 		return true;
 	}
+	if (next_role(node, action))
+		return true;
 	if (node->fetch_wanted) {
 		node->fetch_wanted = false;
 		action->type = NODE_ACT_FETCH;
@@ -254,3 +266,17 @@
 	action->core.kv.id |= NODE_FLEET_CALL;
 	return true;
 }
+
+/* Says when this instance becomes a bridge, which watches, or no longer is. */
+static bool next_role(struct node *node, struct node_action *action)
+{
+	bool bridge = fleet_is_bridge(node->fleet);
+
+	if (node->bridge_said && bridge == node->bridge)
+		return false;
+	node->bridge = bridge;
+	node->bridge_said = true;
+	action->type = NODE_ACT_ROLE;
+	action->bridge = bridge;
+	return true;
+}
--- a/src/pub_int.h
+++ b/src/pub_int.h
@@ -59,6 +59,7 @@
 	char seen_id[PUB_ID_MAX]; /* of the change that made it */
 	uint64_t version;	  /* of the head's key */
 	json_t *cache;		  /* digest of a chunk: its text */
+	int last;		  /* how the last reading ended */
 };
 
 /* pub_objects.c */
@@ -112,8 +113,12 @@
 		  uint64_t *version);
 int pub_load_past(struct pub *pub, int64_t deadline_us, uint64_t revision,
 		  struct pub_head *head, uint64_t *version);
+
+/* pub_chunk.c */
 int pub_load_objects(struct pub *pub, int64_t deadline_us,
 		     const struct pub_head *head, struct pub_objects *objects);
+int pub_load_text(struct pub *pub, int64_t deadline_us,
+		  const struct pub_head *head, char **text);
 
 /* pub_past.c */
 int pub_find_change(struct pub *pub, int64_t deadline_us,
