Place models on engines by lease, fencing numbers and deadlines

Cause: engines start empty or are replaced, and somebody has to tell them what to hold; the one who does may be paused and not know that it was replaced. Ruled out: an agreement among instances (no consensus group); trusting the fencing number alone (some engines ignore it). Moving engines off the ranges that operators declare is built and off, since routers take an engine at its declared range.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -461,6 +461,7 @@
 		news->type = FLEET_NEWS_LEAVING;
 		news->leaving.leaving = record.leaving;
 		memcpy(news->leaving.endpoint, record.endpoint, MAG_NAME_MAX);
+		plc_note_leaving(fleet->plc, record.endpoint, record.leaving);
 		log_event(LOG_PEER_LEAVING, "endpoint=%s leaving=%d",
 			  record.endpoint, record.leaving);
 		return true;
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -48,7 +48,11 @@
 	LOG_EVENT(LOG_PEER_LEAVING, 6004, "endpoint-leaving", LOG_PRIO_NOTICE) \
 	\
 	/* 7000 plc: placement */ \
-	\
+	LOG_EVENT(LOG_PLC_LEASE, 7001, "placement-lease", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PLC_DECIDED, 7002, "placement-decided", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PLC_ORDERED, 7003, "placement-ordered", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PLC_PLACED, 7004, "placement-reached", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PLC_DOWN, 7005, "engine-unread", LOG_PRIO_WARNING) \
 	\
 	/* 8000 daemon, front, ep: the shells */ \
 	LOG_EVENT(LOG_STARTED, 8001, "started", LOG_PRIO_NOTICE) \
--- a/src/plc.h
+++ b/src/plc.h
@@ -60,6 +60,12 @@
 	char data_centre[MAG_NAME_MAX];
 	uint64_t incarnation;
 	bool enabled;
+	/*
+	 * Engines may be ordered off the ranges that the operators declare.
+	 * Routers take an engine at its declared range, so this stays off
+	 * until they are told of the moves.
+	 */
+	bool moves;
 };
 
 enum plc_err {
@@ -71,6 +77,7 @@
 struct plc *plc_new(const struct plc_settings *settings, int64_t now);
 void plc_free(struct plc *plc);
 int plc_config(struct plc *plc, const struct cfg_set *set, int64_t now);
+void plc_note_leaving(struct plc *plc, const char *endpoint, bool leaving);
 void plc_stop(struct plc *plc, int64_t now);
 void plc_tick(struct plc *plc, int64_t now);
 int64_t plc_next_deadline(const struct plc *plc);
