--- a/regress/fake_engine.c
+++ b/regress/fake_engine.c
@@ -72,6 +72,7 @@
 static struct eng_endpoint eng_endpoints[ENG_PORTS_MAX];
 static int eng_count;
 static double eng_speed = 1;
+static int eng_threads = ENG_THREADS;
 static const char *eng_poison;
 static const char *eng_platform;
 
@@ -650,7 +651,7 @@
 			continue;
 		pthread_mutex_init(&ep->lock, NULL);
 		CDS_INIT_LIST_HEAD(&ep->attempts);
-		ep->fk = fk_start(at, ENG_THREADS, eng_handle, eng_closed, ep);
+		ep->fk = fk_start(at, eng_threads, eng_handle, eng_closed, ep);
 		eng_count++;
 	}
 	json_decref(objects);
@@ -670,10 +671,10 @@
 		arg_str0(NULL, "poison", "WORD", "die when a prompt holds it");
 	struct arg_str *platform =
 		arg_str0(NULL, "platform", "IP:PORT", "where load reports go");
+	struct arg_int *threads = arg_int0(NULL, "threads", "N", "a port");
 	struct arg_end *end = arg_end(8);
-	void *table[] = {
-		port, count, set, record, speed, poison, platform, end
-	};
+	void *table[] = { port,	  count,    set,     record, speed,
+			  poison, platform, threads, end };
 	pthread_t reporter;
 
 	if (arg_parse(argc, argv, table) > 0) {
@@ -682,6 +683,8 @@
 	}
 	if (speed->count)
 		eng_speed = speed->dval[0];
+	if (threads->count)
+		eng_threads = threads->ival[0];
 	if (poison->count)
 		eng_poison = poison->sval[0];
 	if (record->count && fk_record_open(record->filename[0]) < 0)
--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -106,7 +106,7 @@
 	{"kind":"endpoint","name":"engine-$1","service":"score-model",
 	 "data_centre":"dc-a","address":"127.0.0.1:$(engine_port "$1")",
 	 "first_layer":$2,"last_layer":$3,"tokens_per_s":400,
-	 "concurrency":16,"state":"${4:-active}"}
+	 "concurrency":${concurrency:-16},"state":"${4:-active}"}
 	EOF
 }
 
@@ -162,7 +162,8 @@
 # Starts an engine or a plain service, each a process that can be killed.
 start_engine() {
 	start engine-"$1" "$build/fake_engine" --port "$(engine_port "$1")" \
-		--set "$set" --record "$record" --platform "$platform"
+		--set "$set" --record "$record" --platform "$platform" \
+		--threads "${engine_threads:-96}"
 	until_ok answers "127.0.0.1:$(engine_port "$1")/v1/state"
 }
 
@@ -174,15 +175,15 @@
 	until_ok answers "127.0.0.1:$(port "$1")/"
 }
 
-# start_router NUMBER: its first peer is the router before it.
+# start_router NUMBER [PLATFORM]: its first peer is the router before it.
 start_router() {
 	peers=""
 	[ "$1" = 0 ] || peers="\"peers\":[\"$(peer $(($1 - 1)))\"],"
 	cat >"$work/router-$1.json" <<-EOF
 	{"cluster":"test","instance":"router-$1","data_centre":"dc-a",
 	 "listen":"$(router "$1")","admin":"$(admin "$1")",
-	 "rpc":"$(peer "$1")","platform":["$platform"],$peers
-	 "threads":64,"kv_timeout_ms":500,"shutdown_notice_ms":200,
+	 "rpc":"$(peer "$1")","platform":["${2:-$platform}"],$peers
+	 ${extra:-}"threads":${threads:-64},"kv_timeout_ms":500,"shutdown_notice_ms":200,
 	 "place":false}
 	EOF
 	start router-"$1" "$build/magnoliad" --settings "$work/router-$1.json"
--- a/regress/tool_load.c
+++ b/regress/tool_load.c
@@ -306,6 +306,7 @@
 	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, load_on_header);
 	curl_easy_setopt(curl, CURLOPT_HEADERDATA, call);
 	curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, lookup ? 0L : 1L);
+	curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, lookup ? 0L : 1L);
 	if (body)
 		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
 	code = curl_easy_perform(curl);
@@ -447,7 +448,7 @@
 	json_object_set_new(all, "first_p99_ms",
 			    json_real(load_percentile(load_first_us, 0.99)));
 	if (as_json) {
-		json_dumpf(all, stdout, JSON_COMPACT | JSON_REAL_PRECISION(4));
+		json_dumpf(all, stdout, JSON_COMPACT | JSON_REAL_PRECISION(9));
 		printf("\n");
 	} else {
 		json_object_foreach (all, name, value) {
