--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -193,6 +193,21 @@
 	curl -sf -m 1 -o /dev/null "http://$(admin "$1")/readyz"
 }
 
+# list_routers COUNT: the platform's list of instances, which says in how many
+# parts a limit of the whole fleet is held.
+list_routers() {
+	rows=""
+	i=0
+	while [ $i -lt "$1" ]; do
+		rows="$rows${rows:+,}{\"name\":\"router-$i\",
+			\"address\":\"$(peer $i)\",\"state\":\"live\",
+			\"kind\":\"entry\",\"data_centre\":\"dc-a\"}"
+		i=$((i + 1))
+	done
+	curl -s -m 2 -o /dev/null -X PUT "http://$platform/instances" \
+		-d "{\"instances\":[$rows]}"
+}
+
 # Publishes the set; what magctl says goes to the log.
 apply() {
 	"$build/magctl" apply --platform "$platform" --replace "$set" \
@@ -210,6 +225,7 @@
 		start_plain $i
 	done
 	apply || echo "apply failed"
+	list_routers "$1"
 	i=0
 	while [ $i -lt "$1" ]; do
 		start_router $i
