Spread the probes of instances with neighbouring seeds

Cause: regress/gate/herd.in showed seeds 12 and 13 drawing the same pauses (probes at 47, 146, 280 ms for both) and 11 nearly the same (41, 140, 273): the seed went into the generator unmixed, with its lowest bit set. Ruled out: another generator; the first outputs of this one are fine once the seed is mixed. Change: pf_gate_seed mixes the seed; regress/check_gate.c runs the budget, the pauses and the spread in virtual time. Conclusion: neighbouring seeds give unlike pauses.

--- /dev/null
+++ b/regress/check_gate.c
@@ -0,0 +1,67 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "mag.h"
+#include "pf_gate.h"
+#include "script.h"
+
+#define GATE_WORD_MAX 32
+
+static void gate_line(struct pf_gate *gate, FILE *out, const char *line);
+
+/*
+ * Lines: "MS budget CALLS BURST", "MS ask COUNT" (prints how many of them
+ * pass), "MS answered", "MS failed", "SEED seed".
+ */
+static void gate_driver(FILE *in, FILE *out)
+{
+	struct pf_gate gate;
+	char line[128];
+
+	pf_gate_init(&gate, 1);
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] != '#' && line[0] != '\n')
+			gate_line(&gate, out, line);
+	}
+}
+
+static void gate_line(struct pf_gate *gate, FILE *out, const char *line)
+{
+	int counts[PF_GATE_PAUSED + 1] = { 0 };
+	char word[GATE_WORD_MAX] = "";
+	unsigned int a = 0;
+	unsigned int b = 0;
+	long at = 0;
+	int64_t now;
+
+	sscanf(line, "%ld %31s %u %u", &at, word, &a, &b);
+	now = at * MAG_US_PER_MS;
+	if (strcmp(word, "seed") == 0)
+		pf_gate_init(gate, (uint64_t)at);
+	if (strcmp(word, "budget") == 0)
+		pf_gate_budget(gate, a, b, now);
+	if (strcmp(word, "answered") == 0 && pf_gate_result(gate, true, now))
+		fprintf(out, "%ld up\n", at);
+	if (strcmp(word, "failed") == 0 && pf_gate_result(gate, false, now))
+		fprintf(out, "%ld down\n", at);
+	if (strcmp(word, "failed") == 0 && gate->down)
+		fprintf(out, "%ld next probe at %ld\n", at,
+			(long)(gate->retry_at_us / MAG_US_PER_MS));
+	if (strcmp(word, "ask") != 0)
+		return;
+	while (a-- > 0)
+		counts[pf_gate_ask(gate, now)]++;
+	fprintf(out, "%ld pass %d, over budget %d, paused %d\n", at,
+		counts[PF_GATE_PASS], counts[PF_GATE_OVER_BUDGET],
+		counts[PF_GATE_PAUSED]);
+}
+
+int main(void)
+{
+	return script_main("regress/gate", gate_driver);
+}
--- a/src/pf.c
+++ b/src/pf.c
@@ -184,7 +184,7 @@
 void pf_set_seed(struct pf *pf, uint64_t seed)
 {
 	pthread_mutex_lock(&pf->lock);
-	pf->gate.random = seed | 1;
+	pf_gate_seed(&pf->gate, seed);
 	pthread_mutex_unlock(&pf->lock);
 }
 
--- a/src/pf_gate.c
+++ b/src/pf_gate.c
@@ -15,7 +15,21 @@
 void pf_gate_init(struct pf_gate *gate, uint64_t seed)
 {
 	memset(gate, 0, sizeof(*gate));
-	gate->random = seed | 1;
+	pf_gate_seed(gate, seed);
+}
+
+/*
+ * Sets the seed of the pauses.  It is mixed first (splitmix64), as instances
+ * with neighbouring seeds would otherwise draw nearly the same pauses.
+ */
+void pf_gate_seed(struct pf_gate *gate, uint64_t seed)
+{
+	uint64_t mixed = seed + UINT64_C(0x9e3779b97f4a7c15);
+
+	mixed = (mixed ^ (mixed >> 30)) * UINT64_C(0xbf58476d1ce4e5b9);
+	mixed = (mixed ^ (mixed >> 27)) * UINT64_C(0x94d049bb133111eb);
+	mixed ^= mixed >> 31;
+	gate->random = mixed ? mixed : 1;
 }
 
 /* Sets the most calls a second and at once; calls_per_s 0 lifts it. */
--- a/src/pf_gate.h
+++ b/src/pf_gate.h
@@ -28,6 +28,7 @@
 };
 
 void pf_gate_init(struct pf_gate *gate, uint64_t seed);
+void pf_gate_seed(struct pf_gate *gate, uint64_t seed);
 void pf_gate_budget(struct pf_gate *gate, uint32_t calls_per_s, uint32_t burst,
 		    int64_t now);
 enum pf_gate_verdict pf_gate_ask(struct pf_gate *gate, int64_t now);
