Show what the next choice of a chain would be made from

Cause: magctl explain had nothing to show. Ruled out: the log lines alone, which show only what was chosen. Change: pick_explain, one row for each group and endpoint. Conclusion: an operator sees which endpoints are taken, why, and at what rate.

--- a/bench/bench_capacity_core.c
+++ b/bench/bench_capacity_core.c
@@ -123,7 +123,7 @@
 	}
 	if (!make || bench->cell_count == KEYS_MAX)
 		return NULL;
-	strcpy(bench->cells[i].key, key);
+	snprintf(bench->cells[i].key, sizeof(bench->cells[i].key), "%s", key);
 	bench->cell_count++;
 	return &bench->cells[i];
 }
--- a/src/core_show.c
+++ b/src/core_show.c
@@ -57,7 +57,7 @@
 
 	if (index < 0)
 		return -1;
-	fprintf(out, "{\"service\":\"%s\"}", service);
+	pick_explain(core->pick, index, core->now, out);
 	return 0;
 }
 
--- a/src/pick.h
+++ b/src/pick.h
@@ -9,6 +9,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #include "cfg.h"
 #include "mag.h"
@@ -107,4 +108,6 @@
 double pick_bound(const struct pick *pick, int service);
 double pick_bound_without(struct pick *pick, int service, int endpoint);
 
+void pick_explain(struct pick *pick, int service, int64_t now, FILE *out);
+
 #endif /* PICK_H */
