Print what magctl explain gets as a table

Cause: it printed JSON where every other command prints a table. Ruled out: nothing. Change: the rows of the first instance that answers.

--- a/src/ctl_fleet.c
+++ b/src/ctl_fleet.c
@@ -103,7 +103,7 @@
 	return ctl_show(args, "/admin/bound", "services", false);
 }
 
-/* magctl explain: how a service's requests are routed, by instance. */
+/* magctl explain: what the first instance that answers would choose from. */
 enum ctl_exit ctl_explain(const struct ctl_args *args)
 {
 	char path[CTL_PATH_MAX] = "/admin/explain";
@@ -115,7 +115,7 @@
 			 service ? service : "");
 		curl_free(service);
 	}
-	return ctl_show(args, path, NULL, false);
+	return ctl_show(args, path, "endpoints", false);
 }
 
 static int64_t ctl_ask_deadline(int64_t deadline_us)
