Give up what can't be in time, probe sparingly, and tell a lost data centre

Every ejected endpoint was due for a probe at once, most requests were spent on probes and failed after four attempts (161 answers 502 on the cut side in 30 s). In overload and after a loss, streams that could no longer be whole by their deadline took the endpoints' time from those that could. Change: one probe in ten requests and one at a time into a data centre, none for a request that failed once; several silent endpoints of a data centre take the rest with them; a connection never made spends no budget; a stream at a pace 1.3 times too slow is given up.

--- a/src/core_int.h
+++ b/src/core_int.h
@@ -130,6 +130,7 @@
 		     enum pick_result_kind kind, int at_stage);
 void req_cancel(struct core *core, struct core_req *req);
 bool req_try_again(struct core *core, struct core_req *req, int endpoint);
+bool req_go_elsewhere(struct core *core, struct core_req *req, int endpoint);
 
 /* req_answer.c */
 void req_refuse(struct core *core, struct core_req *req, int status,
--- a/src/pick.c
+++ b/src/pick.c
@@ -38,6 +38,7 @@
 	pick->policy = policy;
 	pick->random = seed ^ PICK_SEED_MIX;
 	pick->tick_us = MAG_NEVER;
+	pick->probed_us = -MAG_US_PER_S;
 	return pick;
 }
 
@@ -173,6 +174,7 @@
 	const char *why = "flow";
 	int err;
 
+	pick->since_probe++;
 	if (want->keep || want->alone) {
 		why = want->keep ? "keeps-survivors" : "alone";
 		err = pick_seek(pick, net, want, now, chain);
--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -8,6 +8,7 @@
 #define PICK_RATIO_STEP	    0.1
 #define PICK_BACKOFF_US	    (500 * MAG_US_PER_MS)
 #define PICK_BACKOFF_MAX_US (30 * MAG_US_PER_S)
+#define PICK_CENTRE_EJECTED 3
 #define PICK_FULL_US	    (20 * MAG_US_PER_MS)
 #define PICK_SILENT_US	    (200 * MAG_US_PER_MS)
 #define PICK_LOAD_STEP	    0.05
@@ -18,6 +19,10 @@
 static bool pick_is_silent(const struct pick *pick, int e, int64_t now);
 static void pick_health_well(struct pick *pick, int e, int64_t now);
 static void pick_eject(struct pick *pick, int e, const char *why, int64_t now);
+static void pick_retry_centre(struct pick *pick, int centre, int64_t now);
+static bool pick_centre_lost(const struct pick *pick, int e, int64_t now);
+static void pick_eject_one(struct pick *pick, int e, const char *why,
+			   int64_t now);
 static bool pick_spare(struct pick *pick, int e);
 static void pick_refused(struct pick_ep *ep, int64_t now);
 static void pick_note_load(struct pick *pick, int service);
@@ -105,7 +110,9 @@
 		return;
 	if (ep->failed_in_row >= PICK_DEAD_AFTER)
 		pick_eject(pick, e, "dead", now);
-	else if (ep->failed_in_row >= PICK_EJECT_AFTER && pick_spare(pick, e))
+	else if ((ep->failed_in_row >= PICK_EJECT_AFTER ||
+		  pick_is_silent(pick, e, now)) &&
+		 pick_spare(pick, e))
 		pick_eject(pick, e, "failed-in-a-row", now);
 	else if (ep->results >= PICK_RATIO_RESULTS &&
 		 ep->fail_ratio > PICK_RATIO_MAX && pick_spare(pick, e))
@@ -172,12 +179,73 @@
 	ep->health = PICK_HEALTHY;
 	ep->backoff_us = 0;
 	pick->closed--;
+	pick_retry_centre(pick, ep->centre, now);
 	pick_dirty(pick, ep->cfg.service, true);
 	log_event(LOG_PICK_RETURNED, "endpoint=%s", ep->cfg.name);
 }
 
-/* Takes an endpoint out until a probe succeeds. */
+/* Lets the other ejected endpoints of a data centre be probed at once. */
+static void pick_retry_centre(struct pick *pick, int centre, int64_t now)
+{
+	int i;
+
+	for (i = 0; i < pick->ep_count; i++) {
+		struct pick_ep *ep = &pick->eps[i];
+
+		if (ep->centre == centre && ep->health == PICK_EJECTED &&
+		    ep->retry_at_us > now)
+			ep->retry_at_us = now;
+	}
+}
+
+/*
+ * Takes an endpoint out until a probe succeeds, and with it the data centre
+ * if nothing in it shows a sign of life any more.
+ */
 static void pick_eject(struct pick *pick, int e, const char *why, int64_t now)
+{
+	int centre = pick->eps[e].centre;
+	int i;
+
+	pick_eject_one(pick, e, why, now);
+	if (!pick_centre_lost(pick, e, now))
+		return;
+	for (i = 0; i < pick->ep_count; i++) {
+		if (pick->eps[i].centre == centre &&
+		    pick->eps[i].health == PICK_HEALTHY)
+			pick_eject_one(pick, i, "data-centre-silent", now);
+	}
+}
+
+/*
+ * Tells whether a data centre seems cut off: several endpoints of it were
+ * ejected and no other has moved a stream meanwhile, while other data
+ * centres have endpoints left.  Without this, each endpoint of a lost data
+ * centre would cost some requests a timeout before it is ejected.
+ */
+static bool pick_centre_lost(const struct pick *pick, int e, int64_t now)
+{
+	int centre = pick->eps[e].centre;
+	int ejected = 0;
+	bool elsewhere = false;
+	int i;
+
+	for (i = 0; i < pick->ep_count; i++) {
+		const struct pick_ep *ep = &pick->eps[i];
+
+		if (ep->centre != centre)
+			elsewhere |= ep->health == PICK_HEALTHY;
+		else if (ep->health != PICK_HEALTHY)
+			ejected++;
+		else if (!pick_is_silent(pick, i, now))
+			return false;
+	}
+	return elsewhere && ejected >= PICK_CENTRE_EJECTED;
+}
+
+/* Takes one endpoint out. */
+static void pick_eject_one(struct pick *pick, int e, const char *why,
+			   int64_t now)
 {
 	struct pick_ep *ep = &pick->eps[e];
 
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -115,9 +115,11 @@
 	uint64_t *load_tokens;
 	int *remap; /* endpoint of the former set: index in this one */
 	int remap_count;
-	int64_t tick_us; /* next regular tick */
-	bool urgent;	 /* some network is to be solved at once */
-	int closed;	 /* endpoints ejected or probing */
+	int64_t tick_us;      /* next regular tick */
+	bool urgent;	      /* some network is to be solved at once */
+	int64_t probed_us;    /* when the last probe was sent */
+	uint32_t since_probe; /* requests chosen for since then */
+	int closed;	      /* endpoints ejected or probing */
 	uint32_t in_flight;
 };
 
--- a/src/pick_seek.c
+++ b/src/pick_seek.c
@@ -9,7 +9,9 @@
 #define PICK_COST_STAGE	 1.0
 #define PICK_NO_CHAIN	 (-1e18)
 /* A probe that has not ended by then makes way for another one. */
-#define PICK_PROBE_US (2 * MAG_US_PER_S)
+#define PICK_PROBE_US	    (2 * MAG_US_PER_S)
+#define PICK_PROBE_EVERY_US (100 * MAG_US_PER_MS)
+#define PICK_PROBE_ONE_IN   10 /* requests that may be a probe */
 
 /*
  * The best chain from each boundary to the last one, found from the back.
@@ -44,8 +46,10 @@
 			 uint32_t end);
 static void pick_seek_read(const struct pick_seek *seek,
 			   struct pick_chain *chain);
+static bool pick_probe_allowed(const struct pick *pick, int64_t now);
 static int pick_due(const struct pick *pick, const struct pick_net *net,
 		    int64_t now);
+static bool pick_centre_probed(const struct pick *pick, int centre);
 
 /*
  * Chooses a chain by its own worth instead of the flow: one that keeps as
@@ -94,7 +98,8 @@
 	};
 	int err;
 
-	if (seek.via < 0 || want->careful)
+	if (seek.via < 0 || want->careful || want->avoid_count > 0 ||
+	    !pick_probe_allowed(pick, now))
 		return PICK_E_NONE;
 	err = pick_seek_open(&seek);
 	if (!err)
@@ -104,11 +109,27 @@
 	if (!err) {
 		pick->eps[seek.via].health = PICK_PROBING;
 		pick->eps[seek.via].retry_at_us = now + PICK_PROBE_US;
+		pick->probed_us = now;
+		pick->since_probe = 0;
 	}
 	pick_seek_close(&seek);
 	return err;
 }
 
+/*
+ * Tells whether a request may be spent on a probe now.  A probe that fails
+ * costs its caller a timeout; with a data centre cut off, dozens of ejected
+ * endpoints are due at once, and without this bound most requests would be
+ * sent into it.
+ */
+static bool pick_probe_allowed(const struct pick *pick, int64_t now)
+{
+	if (now - pick->probed_us < PICK_PROBE_EVERY_US)
+		return false;
+	return pick->since_probe >= PICK_PROBE_ONE_IN ||
+	       now - pick->probed_us >= PICK_PROBE_US;
+}
+
 /* Takes the memory of a search. */
 static int pick_seek_open(struct pick_seek *seek)
 {
@@ -289,18 +310,39 @@
 	}
 }
 
-/* Returns an ejected endpoint of the network that is due for a probe, or -1. */
+/*
+ * Returns the endpoint of the network that is due for a probe for longest,
+ * -1 if none is.  One probe at a time tells whether a data centre is back.
+ */
 static int pick_due(const struct pick *pick, const struct pick_net *net,
 		    int64_t now)
 {
+	int64_t since = now;
+	int due = -1;
 	int m;
 
 	for (m = 0; m < net->count; m++) {
 		const struct pick_ep *ep = &pick->eps[net->members[m].ep];
 
-		if (ep->health == PICK_EJECTED && now >= ep->retry_at_us &&
-		    ep->cfg.state == CFG_ACTIVE && !ep->leaving)
-			return net->members[m].ep;
+		if (ep->health != PICK_EJECTED || ep->retry_at_us > since ||
+		    ep->cfg.state != CFG_ACTIVE || ep->leaving ||
+		    pick_centre_probed(pick, ep->centre))
+			continue;
+		since = ep->retry_at_us;
+		due = net->members[m].ep;
 	}
-	return -1;
+	return due;
+}
+
+/* Tells whether a probe is under way in a data centre. */
+static bool pick_centre_probed(const struct pick *pick, int centre)
+{
+	int i;
+
+	for (i = 0; i < pick->ep_count; i++) {
+		if (pick->eps[i].centre == centre &&
+		    pick->eps[i].health == PICK_PROBING)
+			return true;
+	}
+	return false;
 }
--- a/src/req.c
+++ b/src/req.c
@@ -13,6 +13,11 @@
  * was answered, so that its outcome still gets into the record. */
 #define REQ_SETTLE_GRACE_US (30 * MAG_US_PER_S)
 
+/* Tokens after which the pace of a stream is known well enough. */
+#define REQ_PACE_TOKENS 10
+/* A stream that would take so many times what is left is given up. */
+#define REQ_HOPELESS 1.3
+
 typedef void (*req_handler_fn)(struct core *core, struct core_req *req,
 			       void *data);
 
@@ -27,6 +32,7 @@
 static void ready_leave(struct core *core, struct core_req *req, void *data);
 static void running_progress(struct core *core, struct core_req *req,
 			     void *data);
+static bool hopeless(const struct core *core, const struct core_req *req);
 static void running_leave(struct core *core, struct core_req *req, void *data);
 static void running_stall(struct core *core, struct core_req *req, void *data);
 static void closing_ledger(struct core *core, struct core_req *req, void *data);
@@ -326,6 +332,27 @@
 	memcpy(req->hop_us, progress->hop_us, sizeof(req->hop_us));
 	pick_hops(core->pick, &req->chain, progress->hop_us,
 		  progress->hop_count, core->now);
+	if (hopeless(core, req))
+		running_leave(core, req, NULL);
+}
+
+/*
+ * Tells whether a stream is so slow that its answer can't be whole by its
+ * deadline.  It would only take the endpoints' time from answers that can;
+ * after the loss of an endpoint, when more streams run than the others can
+ * carry, most of them would miss their deadlines by a little.
+ */
+static bool hopeless(const struct core *core, const struct core_req *req)
+{
+	uint32_t made = req->tokens - req->attempt_from;
+	int64_t took = core->now - req->first_token_us;
+	int64_t left = req->deadline_us - core->now;
+
+	if (!req->idempotent || made < REQ_PACE_TOKENS ||
+	    req->tokens >= req->arrival.max_tokens)
+		return false;
+	return (double)took / made * (req->arrival.max_tokens - req->tokens) >
+	       REQ_HOPELESS * (double)left;
 }
 
 /*
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -85,7 +85,8 @@
  * refused in the way that its service declares as proof.  Any request may go
  * elsewhere then.  A refusal is no failure, only a late load report: the
  * request waits for room again and spends no retry, or a fleet at its limit
- * would use up the budgets and give up requests that have time left.
+ * would use up the budgets and give up requests that have time left.  Nor
+ * does a connection that was never made: it cost no endpoint any work.
  */
 static void proved_unbegun(struct core *core, struct core_req *req,
 			   const struct core_ended *ended)
@@ -97,7 +98,7 @@
 						       : PICK_ENDED_FAILED,
 			0);
 	if (ended->end == CORE_END_REFUSED ||
-	    req_try_again(core, req, endpoint)) {
+	    req_go_elsewhere(core, req, endpoint)) {
 		req_enter_ready(core, req);
 		return;
 	}
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -150,21 +150,25 @@
  * is not multiplied by them.
  */
 bool req_try_again(struct core *core, struct core_req *req, int endpoint)
+{
+	if (!req_go_elsewhere(core, req, endpoint) ||
+	    !adm_may_retry(core->adm, req->account, req->service, endpoint,
+			   core->now))
+		return false;
+	shr_retried_at(core->shr, req->account, req->service, endpoint);
+	return true;
+}
+
+/* The same for a request that no endpoint has begun: it spends no budget. */
+bool req_go_elsewhere(struct core *core, struct core_req *req, int endpoint)
 {
 	remember_failure(req, endpoint);
 	if (req->attempt >= CORE_ATTEMPTS_MAX)
 		return false;
 	if (req->deadline_us <= core->now)
 		return false;
-	if (quar_check(core->quar, req->arrival.fingerprint, core->now) ==
-	    QUAR_QUARANTINED)
-		return false;
-	if (!adm_may_retry(core->adm, req->account, req->service, endpoint,
-			   core->now))
-		return false;
-	shr_add(core->shr, req->account, req->service, SHR_RETRIED);
-	shr_retried_at(core->shr, req->account, req->service, endpoint);
-	return true;
+	return quar_check(core->quar, req->arrival.fingerprint, core->now) !=
+	       QUAR_QUARANTINED;
 }
 
 static void remember_failure(struct core_req *req, int endpoint)
