--- a/bench/sim.h
+++ b/bench/sim.h
@@ -24,6 +24,7 @@
 #define SIM_BUCKET_US	  (50 * MAG_US_PER_MS) /* of goodput over time */
 #define SIM_BUCKETS_MAX	  2400
 #define SIM_FAULTS_MAX	  8
+#define SIM_NEWS_MAX	 64
 #define SIM_LARGEST	  (-2) /* target of a fault: the largest stage */
 #define SIM_REPORT_LAG_US (700 * MAG_US_PER_MS)
 
@@ -35,6 +36,7 @@
 	SIM_EV_TICK,	/* a = router */
 	SIM_EV_REPORT,
 	SIM_EV_FAULT, /* a = fault */
+	SIM_EV_NEWS,  /* a = news of a quarantine */
 	SIM_EVENT_COUNT
 };
 
@@ -162,6 +164,14 @@
 	double made;	 /* tokens, whatever became of them */
 };
 
+/* What one instance tells the others of a fingerprint. */
+struct sim_news {
+	int router;
+	uint8_t print[MAG_DIGEST_BYTES];
+	uint32_t lost;
+	int64_t until_us;
+};
+
 struct sim {
 	struct sim_settings settings;
 	struct sim_result *result;
@@ -184,6 +194,8 @@
 	struct sim_call *calls;
 	int call_count;
 	int call_room;
+	struct sim_news news[SIM_NEWS_MAX];
+	int news_count;
 	double demand[SIM_ACCOUNTS]; /* requests a second */
 	double demand_factor[SIM_ACCOUNTS];
 };
@@ -222,5 +234,6 @@
 void sim_post(struct sim *sim, int router, const struct core_event *event);
 void sim_tick(struct sim *sim, int router);
 int sim_routers(struct sim *sim);
+void sim_learn(struct sim *sim, int news);
 
 #endif /* SIM_H */
--- a/bench/sim_caller.c
+++ b/bench/sim_caller.c
@@ -6,6 +6,7 @@
 
 #define SIM_RETURNS_MAX	  5
 #define SIM_IMPATIENT_US  (100 * MAG_US_PER_MS)
+#define SIM_POISON_US	  MAG_US_PER_S /* until it is sent again */
 #define SIM_ALLOWANCE_MS  10000 /* least; the most is half as much again */
 #define SIM_PROMPT_TOKENS 40
 #define SIM_TOKENS_LEAST  20
@@ -147,8 +148,10 @@
 	if (call->returns >= SIM_RETURNS_MAX ||
 	    (sim->settings.callers == SIM_LEAVE && !call->poison))
 		return;
-	if (sim->settings.callers == SIM_IMPATIENT || call->poison)
+	if (sim->settings.callers == SIM_IMPATIENT)
 		back_us = SIM_IMPATIENT_US;
+	if (call->poison)
+		back_us = SIM_POISON_US;
 	if (back_us > 0)
 		sim_at(sim, sim->now + back_us, SIM_EV_RETURN, at, 0);
 }
--- a/bench/sim_router.c
+++ b/bench/sim_router.c
@@ -5,9 +5,11 @@
 #include "sim.h"
 
 #define SIM_PROGRESS_TIMEOUT_US (500 * MAG_US_PER_MS)
+#define SIM_NEWS_US		(500 * MAG_US_PER_MS) /* between instances */
 #define SIM_FIRST_TIMEOUT_US	(1500 * MAG_US_PER_MS)
 
 static int sim_configure(struct sim *sim, int router, const char *json);
+static void sim_spread(struct sim *sim, int router);
 static void sim_actions(struct sim *sim, int router);
 static void sim_kv(struct sim *sim, int router, struct kv_call *call);
 
@@ -60,6 +62,7 @@
 
 	core_tick(sim->cores[router], sim->now);
 	sim_actions(sim, router);
+	sim_spread(sim, router);
 	next = core_next_deadline(sim->cores[router]);
 	if (next == MAG_NEVER)
 		return;
@@ -89,6 +92,34 @@
 	return 0;
 }
 
+/* Sends what a router learnt of poisonous requests to the others. */
+static void sim_spread(struct sim *sim, int router)
+{
+	struct sim_news *news = &sim->news[sim->news_count];
+
+	while (sim->news_count < SIM_NEWS_MAX &&
+	       core_next_quarantine(sim->cores[router], news->print,
+				    &news->lost, &news->until_us)) {
+		news->router = router;
+		sim_at(sim, sim->now + SIM_NEWS_US, SIM_EV_NEWS,
+		       sim->news_count++, 0);
+		news++;
+	}
+}
+
+/* The other routers hear of a poisonous request. */
+void sim_learn(struct sim *sim, int at)
+{
+	const struct sim_news *news = &sim->news[at];
+	int i;
+
+	for (i = 0; i < sim->settings.routers; i++) {
+		if (i != news->router)
+			core_learn_quarantine(sim->cores[i], news->print,
+					      news->lost, news->until_us);
+	}
+}
+
 /* Carries out all actions of a router. */
 static void sim_actions(struct sim *sim, int router)
 {
--- a/bench/sim_stage.c
+++ b/bench/sim_stage.c
@@ -94,6 +94,7 @@
 	    s->at == s->count - 1) {
 		sim->result->killed++;
 		sim_kill(sim, s->stage[s->at]);
+		sim->result->bound_after = sim_bound(sim);
 		return;
 	}
 	if (stage->hung)
