regress: Let the run of magctl take free ports

Cause: its ports were fixed, so that two runs on one machine met: the second one published into the first one's platform, and it failed ("revision 2: nothing to change" where it expected "revision 2: published"). Ruled out: another fixed range. Change: regress/proc/magctl.sh uses lib.sh and its ports, which the output masks; what is expected is the same but for them. Conclusion: the run gives one verdict, whatever else runs.

--- a/regress/proc/magctl.sh
+++ b/regress/proc/magctl.sh
@@ -1,42 +1,36 @@
 # The operators' tool against two routers and a platform: a first set, a
 # change, a race, a lost answer, an outage.  What an operator sees at each
 # step, and the exit code that a script can rely on.
-B=$1
+. "$(dirname "$0")/lib.sh"
+init "$1"
 cd "$(dirname "$0")/../.." || exit 1
-D=$(mktemp -d)
-plat=127.0.0.1:23500
-MAGNOLIA_PLATFORM=$plat
-MAGNOLIA_ADMIN=127.0.0.1:23511,127.0.0.1:23512
+B=$build
+D=$work
+MAGNOLIA_PLATFORM=$platform
+MAGNOLIA_ADMIN=127.0.0.1:$(port 32),127.0.0.1:$(port 35)
 USER=nimal
 export MAGNOLIA_PLATFORM MAGNOLIA_ADMIN USER
 
-"$B"/fake_platform --port 23500 2>"$D/platform.log" &
-platform=$!
-routers=
+start platform "$B"/fake_platform --port "$base"
+until_ok answers "$platform/stats"
 for i in 1 2; do
-	"$B"/magnoliad --cluster t --instance r$i --data-centre dc$i \
-		--listen 127.0.0.1:2350$i --admin 127.0.0.1:2351$i \
-		--rpc 127.0.0.1:2352$i --platform $plat \
-		--shutdown-notice-ms 0 2>"$D/r$i.log" &
-	routers="$routers $!"
-done
-stop() {
-	kill -CONT $routers 2>/dev/null
-	kill $platform $routers 2>/dev/null
-	wait
-	rm -rf "$D"
-}
-trap stop EXIT
-for port in 23500/stats 23511/healthz 23512/healthz; do
-	until curl -s -o "$D/up" "http://127.0.0.1:$port"; do sleep 0.05; done
+	at=$((28 + 3 * i))
+	start r$i "$B"/magnoliad --cluster t --instance r$i \
+		--data-centre dc$i --listen "127.0.0.1:$(port $at)" \
+		--admin "127.0.0.1:$(port $((at + 1)))" \
+		--rpc "127.0.0.1:$(port $((at + 2)))" --platform "$platform" \
+		--shutdown-notice-ms 0
+	until_ok answers "127.0.0.1:$(port $((at + 1)))/healthz"
 done
 
-# Runs the tool and tells the exit code; ids and times differ from run to run.
+# Runs the tool and tells the exit code; ids, times and ports differ from run
+# to run.
 run() {
 	echo "\$ magctl $*" | sed "s|$D/||g"
 	"$B"/magctl "$@" >"$D/out" 2>"$D/err"
 	code=$?
-	sed -e "s|$D/||g" -e 's/[0-9a-f]\{32\}/ID/g' \
+	sed -e "s|$D/||g" -e "s/:$(port 32)/:ADMN1/g" \
+		-e "s/:$(port 35)/:ADMN2/g" -e 's/[0-9a-f]\{32\}/ID/g' \
 		-e 's/[0-9-]*T[0-9:]*Z/TIME/' -e 's/"time_ms":[0-9]*/"time_ms":N/' \
 		"$D/out" "$D/err"
 	echo "exit $code"
@@ -64,7 +58,7 @@
 run diff "$D/mine.json" --revision 1
 run apply regress/cfg/base.json
 curl -s -o "$D/up" -d '{"fault":"lose_after_write","count":1}' \
-	"http://$plat/control"
+	"http://$platform/control"
 run apply regress/cfg/base.json --replace --wait
 run history
 run history --count 1 --json
@@ -77,12 +71,12 @@
 run check /
 run history --count many
 run nosuch
-kill $platform
-wait $platform
+signal platform TERM
+ended platform
 run get --timeout-ms 300
 run apply "$D/changed.json" --timeout-ms 300
 run status | cut -c 1-57
 # The first instance hangs; what the second one holds has to be seen all the
 # same, or an operator would take the whole fleet for lost.
-kill -STOP ${routers% *}
+signal r1 STOP
 run status | cut -c 1-57
