Keep suspects apart from each other instead of alone

Change: a suspect runs on endpoints without another suspect, keeps its survivors, and makes way for the next one after 5 tokens; a second endpoint lost under it quarantines it. Losing a second endpoint beside another suspect no longer quarantines. Suspects of other instances are not known here: two that meet on an endpoint that dies are both quarantined.

--- a/bench/sim.h
+++ b/bench/sim.h
@@ -24,7 +24,7 @@
 #define SIM_BUCKET_US	  (50 * MAG_US_PER_MS) /* of goodput over time */
 #define SIM_BUCKETS_MAX	  2400
 #define SIM_FAULTS_MAX	  8
-#define SIM_NEWS_MAX	 64
+#define SIM_NEWS_MAX	  64
 #define SIM_LARGEST	  (-2) /* target of a fault: the largest stage */
 #define SIM_REPORT_LAG_US (700 * MAG_US_PER_MS)
 
--- a/src/pick.c
+++ b/src/pick.c
@@ -6,8 +6,8 @@
 #define PICK_SEED_MIX	     UINT64_C(0x9e3779b97f4a7c15)
 #define PICK_MIN_CONCURRENCY 1
 
-static bool pick_is_idle(const struct pick *pick,
-			 const struct pick_chain *chain);
+static bool pick_is_apart(const struct pick *pick,
+			  const struct pick_chain *chain);
 static int pick_decide(struct pick *pick, struct pick_net *net,
 		       const struct pick_want *want, int64_t now,
 		       struct pick_chain *chain);
@@ -176,7 +176,7 @@
 
 	pick->since_probe++;
 	if (want->keep || want->alone) {
-		why = want->keep ? "keeps-survivors" : "alone";
+		why = want->alone ? "alone" : "keeps-survivors";
 		err = pick_seek(pick, net, want, now, chain);
 	} else if (pick->closed > 0 &&
 		   pick_probe(pick, net, want, now, chain) == PICK_OK) {
@@ -193,30 +193,43 @@
 		chain->count = 0;
 	else
 		pick_log_chain(pick, net, chain, why);
-	chain->alone = !err && want->alone && pick_is_idle(pick, chain);
+	chain->alone = !err && want->alone && pick_is_apart(pick, chain);
 	return err;
 }
 
 /*
- * A suspect that shares its endpoint with others would, if the endpoint
- * died, leave open which of them it was; a chain counts as its own only if
- * nothing else runs there.
+ * Two suspects on one endpoint would, if it died, leave open which of them
+ * it was; others beside a suspect don't matter, they become suspects then.
  */
-static bool pick_is_idle(const struct pick *pick,
-			 const struct pick_chain *chain)
+static bool pick_is_apart(const struct pick *pick,
+			  const struct pick_chain *chain)
 {
 	int i;
 
 	for (i = 0; i < chain->count; i++) {
-		const struct pick_ep *ep =
-			&pick->eps[chain->stages[i].endpoint];
-
-		if (ep->in_flight > 0 || ep->others > 0)
+		if (pick->eps[chain->stages[i].endpoint].suspects > 0)
 			return false;
 	}
 	return true;
 }
 
+/*
+ * Lets the next suspect onto a chain's endpoints, as this one has run there
+ * for a while and nothing happened.
+ */
+void pick_proved(struct pick *pick, struct pick_chain *chain)
+{
+	int i;
+
+	for (i = 0; chain->alone && i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+
+		if (pick_known(pick, e) && pick->eps[e].suspects > 0)
+			pick->eps[e].suspects--;
+	}
+	chain->alone = false;
+}
+
 /* Counts an attempt on the stages of its chain. */
 void pick_started(struct pick *pick, const struct pick_chain *chain,
 		  int64_t now)
@@ -230,7 +243,7 @@
 			continue;
 		if (pick->eps[e].in_flight++ == 0)
 			pick->eps[e].progress_us = now;
-		pick->eps[e].exclusive += chain->alone;
+		pick->eps[e].suspects += chain->alone;
 		pick->in_flight++;
 	}
 	if (pick->tick_us == MAG_NEVER)
@@ -249,7 +262,8 @@
 		if (!pick_known(pick, e) || pick->eps[e].in_flight == 0)
 			continue;
 		pick->eps[e].in_flight--;
-		pick->eps[e].exclusive -= chain->alone;
+		if (chain->alone && pick->eps[e].suspects > 0)
+			pick->eps[e].suspects--;
 		pick->in_flight--;
 	}
 	pick_health_ended(pick, chain, result, now);
--- a/src/pick.h
+++ b/src/pick.h
@@ -31,7 +31,7 @@
 struct pick_chain {
 	struct pick_stage stages[MAG_CHAIN_MAX];
 	int count;
-	bool alone; /* nothing else runs on its endpoints, nor may start */
+	bool alone; /* a suspect: no other one runs on its endpoints */
 };
 
 /* The ways to choose; the later ones are baselines for the bench. */
@@ -49,8 +49,8 @@
 	const struct pick_chain *keep; /* chain to resume from, or NULL */
 	const int *avoid;	       /* endpoints that failed this request */
 	int avoid_count;
-	bool alone;   /* a suspect: only endpoints with nothing else running */
-	bool careful; /* must not run twice: never used as a probe */
+	bool alone;	 /* a suspect: only endpoints without another one */
+	bool careful;	 /* must not run twice: never used as a probe */
 	uint64_t prefix; /* hash of the prompt's prefix, 0 for none */
 	uint32_t prompt_tokens;
 	int64_t pace_us; /* a token may take so long, or the answer is late */
@@ -96,6 +96,7 @@
 		  int64_t now);
 void pick_hops(struct pick *pick, const struct pick_chain *chain,
 	       const uint32_t *hop_us, int count, int64_t now);
+void pick_proved(struct pick *pick, struct pick_chain *chain);
 void pick_ended(struct pick *pick, const struct pick_chain *chain,
 		const struct pick_result *result, int64_t now);
 int pick_silent(const struct pick *pick, const struct pick_chain *chain,
--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -38,8 +38,7 @@
 /* Tells whether an endpoint is under its limit. */
 bool pick_has_room(const struct pick_ep *ep, int64_t now)
 {
-	return now >= ep->full_until_us && ep->exclusive == 0 &&
-	       ep->in_flight + 1 <= ep->limit &&
+	return now >= ep->full_until_us && ep->in_flight + 1 <= ep->limit &&
 	       ep->in_flight + ep->others < ep->cfg.concurrency;
 }
 
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -33,7 +33,7 @@
 	struct pick_cache *cache; /* NULL until its first event */
 
 	uint32_t in_flight; /* attempts of this instance */
-	uint32_t exclusive; /* of them, those that run alone */
+	uint32_t suspects;  /* of them, those that must stay apart */
 	uint32_t others;    /* of other instances, by the last report */
 	bool reported;
 	double said; /* tokens a second by the last report */
--- a/src/pick_seek.c
+++ b/src/pick_seek.c
@@ -74,7 +74,7 @@
 	if (err == PICK_E_NONE) {
 		seek.crowd = true;
 		err = pick_seek_run(&seek, chain);
-		if (!err && !want->keep)
+		if (!err && (!want->keep || want->alone))
 			err = PICK_E_BUSY;
 	}
 	pick_seek_close(&seek);
@@ -251,12 +251,12 @@
 	}
 	if (e == seek->via)
 		return true;
+	if (seek->want->alone && ep->suspects > 0 && !seek->crowd)
+		return false;
 	if (pick_kept(seek, e))
 		return ep->health == PICK_HEALTHY;
 	if (!pick_open(ep, seek->now))
 		return false;
-	if (seek->want->alone && (ep->in_flight > 0 || ep->others > 0))
-		return seek->crowd;
 	return seek->crowd || pick_has_room(ep, seek->now);
 }
 
--- a/src/quar.c
+++ b/src/quar.c
@@ -16,9 +16,7 @@
 	struct cds_list_head by_age; /* the longest unchanged one first */
 	struct cds_list_head in_news;
 	uint8_t print[MAG_DIGEST_BYTES];
-	int endpoint[QUAR_ENDPOINTS_MAX]; /* those lost here */
-	uint32_t lost_here;
-	uint32_t lost; /* the most that this or another instance knows of */
+	uint32_t lost; /* endpoints, as far as this or another instance knows */
 	int64_t until_us;
 	bool news;
 };
@@ -90,9 +88,9 @@
 
 /*
  * Notes that an endpoint died while a request of this fingerprint ran on
- * it, with others beside it or alone.  Losing the same endpoint again counts
- * only if it ran alone: an endpoint that keeps dying by itself would
- * otherwise put its callers into quarantine.
+ * it.  The first loss makes it a suspect; a second one quarantines it if no
+ * other suspect was there (was_alone).  Otherwise it stays a suspect: what
+ * ran beside a poisonous request twice by chance would be refused with it.
  */
 void quar_lost_endpoint(struct quar *quar,
 			const uint8_t print[MAG_DIGEST_BYTES], int endpoint,
@@ -101,6 +99,7 @@
 	struct quar_entry *entry = quar_find(quar, print);
 	uint32_t before;
 
+	(void)endpoint;
 	if (entry && now >= entry->until_us) {
 		quar_forget(quar, entry);
 		entry = NULL;
@@ -110,13 +109,7 @@
 	if (!entry)
 		return;
 	before = entry->lost;
-	if (entry->lost_here > 0 && entry->endpoint[0] == endpoint &&
-	    !was_alone)
-		return;
-	if (entry->lost_here < QUAR_ENDPOINTS_MAX)
-		entry->endpoint[entry->lost_here++] = endpoint;
-	if (entry->lost < entry->lost_here ||
-	    (was_alone && entry->lost < QUAR_ENDPOINTS_MAX))
+	if (entry->lost == 0 || (was_alone && entry->lost < QUAR_ENDPOINTS_MAX))
 		entry->lost++;
 	entry->until_us = now + quar->hold_us;
 	quar_renew(quar, entry);
--- a/src/quar.h
+++ b/src/quar.h
@@ -4,8 +4,8 @@
 /*
  * Requests that crash the endpoints that run them.  When an endpoint dies,
  * the fingerprints running on it become suspects; a suspect runs again only
- * alone on its endpoints; two endpoints lost under one fingerprint
- * quarantine it on every instance.
+ * on endpoints without another one, until it has proved harmless there; a
+ * second endpoint lost under it quarantines it on every instance.
  */
 
 #include <stdbool.h>
@@ -17,7 +17,7 @@
 
 enum quar_state {
 	QUAR_CLEAR,
-	QUAR_SUSPECT,	  /* run it alone */
+	QUAR_SUSPECT,	  /* run it apart from other suspects */
 	QUAR_QUARANTINED, /* refuse it */
 };
 
--- a/src/req.c
+++ b/src/req.c
@@ -13,6 +13,10 @@
  * was answered, so that its outcome still gets into the record. */
 #define REQ_SETTLE_GRACE_US (30 * MAG_US_PER_S)
 
+/* Tokens after which a suspect makes way for the next one.  What crashes
+ * an endpoint does so when it begins; and there are as many suspects as ran
+ * on the endpoint, who would miss their deadlines one behind the other. */
+#define REQ_PROOF_TOKENS 5
 /* Tokens after which the pace of a stream is known well enough. */
 #define REQ_PACE_TOKENS 10
 /* A stream that would take so many times what is left is given up. */
@@ -332,6 +336,9 @@
 	memcpy(req->hop_us, progress->hop_us, sizeof(req->hop_us));
 	pick_hops(core->pick, &req->chain, progress->hop_us,
 		  progress->hop_count, core->now);
+	if (req->chain.alone &&
+	    req->tokens - req->attempt_from >= REQ_PROOF_TOKENS)
+		pick_proved(core->pick, &req->chain);
 	if (hopeless(core, req))
 		running_leave(core, req, NULL);
 }
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -34,7 +34,7 @@
 	if (req->route >= 0 && req->account >= 0)
 		want.group =
 			cfg_route_group(core->set, req->route, req->account);
-	if (req->has_last_chain && !core->settings.no_resume && !req->alone)
+	if (req->has_last_chain && !core->settings.no_resume)
 		want.keep = &req->last_chain;
 	return pick_choose(core->pick, &want, core->now, chain);
 }
