Tell engines of an attempt's end beside the request's thread

Cause: a request's thread told each stage of a cancelled attempt in turn, up to 0.5 s for a stage that hangs, before it told the core that the attempt had ended; and survivors of a chain that broke were not told at all. Ruled out: leaving it to the engines' own deadlines, which can be a minute. Change: ep_cancel, one thread with all such calls at once; every attempt that may have begun and did not end whole is told. The setting connect_timeout_ms is used. Conclusion: the next attempt no longer waits for a stage that hangs.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -191,6 +191,7 @@
 	struct front_settings front = {
 		.threads = from->threads,
 		.body_max = from->body_max_bytes,
+		.connect_timeout_ms = from->connect_timeout_ms,
 		.incarnation = daemon->incarnation,
 	};
 	struct admin_settings admin = { 0 };
--- a/src/ep.c
+++ b/src/ep.c
@@ -6,12 +6,7 @@
 #include "clk.h"
 #include "ep_int.h"
 
-#define EP_POLL_MS    200
-#define EP_CONNECT_MS 1000L
-
-struct ep {
-	CURLM *multi;
-};
+#define EP_POLL_MS 200
 
 static const struct ep_protocol *const ep_protocols[] = {
 	[CFG_MODEL] = &ep_engine,
@@ -20,6 +15,7 @@
 
 static size_t on_body(char *bytes, size_t size, size_t count, void *ctx);
 static size_t on_header(char *bytes, size_t size, size_t count, void *ctx);
+static bool began(enum core_end end);
 static int prepare(struct ep_call *call);
 static CURLcode transfer(struct ep_call *call, bool *cancelled);
 static bool finished(struct ep_call *call, CURLcode *code);
@@ -27,12 +23,14 @@
 			const char *name);
 
 /* Makes the state of one thread for its calls; NULL if memory is short. */
-struct ep *ep_new(void)
+struct ep *ep_new(long connect_ms, struct ep_cancel *cancel)
 {
 	struct ep *ep = calloc(1, sizeof(*ep));
 
 	if (!ep)
 		return NULL;
+	ep->connect_ms = connect_ms;
+	ep->cancel = cancel;
 	ep->multi = curl_multi_init();
 	if (!ep->multi) {
 		free(ep);
@@ -82,10 +80,10 @@
 		code = transfer(call, &cancelled);
 		call->protocol->finish(call, code);
 	}
-	if (cancelled && answer->end != CORE_END_WHOLE) {
+	if (cancelled && answer->end != CORE_END_WHOLE)
 		answer->end = CORE_END_CANCELLED;
+	if (began(answer->end))
 		call->protocol->cancel(call);
-	}
 	curl_slist_free_all(call->headers);
 	curl_easy_cleanup(call->easy);
 	free(call->sent);
@@ -159,6 +157,13 @@
 	return code == CURLE_OPERATION_TIMEDOUT && connects == 0 && sent == 0;
 }
 
+/* Tells whether endpoints may still be at work on an attempt that ended. */
+static bool began(enum core_end end)
+{
+	return end != CORE_END_WHOLE && end != CORE_END_UNSENT &&
+	       end != CORE_END_REFUSED;
+}
+
 /* Sets what all protocols share, then lets the protocol add its own. */
 static int prepare(struct ep_call *call)
 {
@@ -169,7 +174,8 @@
 	curl_easy_setopt(call->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(call->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(call->easy, CURLOPT_TCP_NODELAY, 1L);
-	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS, EP_CONNECT_MS);
+	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 call->ep->connect_ms);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_body);
 	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
 	curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, on_header);
--- a/src/ep.h
+++ b/src/ep.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 
 #include "core.h"
+#include "ep_cancel.h"
 
 #define EP_ID_MAX   128
 #define EP_TYPE_MAX 64
@@ -56,7 +57,7 @@
 	size_t body_len;
 };
 
-struct ep *ep_new(void);
+struct ep *ep_new(long connect_ms, struct ep_cancel *cancel);
 void ep_free(struct ep *ep);
 void ep_run(struct ep *ep, const struct ep_request *request,
 	    const struct ep_sink *sink, struct ep_answer *answer);
--- /dev/null
+++ b/src/ep_cancel.c
@@ -0,0 +1,180 @@
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <urcu/list.h>
+
+#include "ep_cancel.h"
+#include "mag.h"
+
+#define EP_CANCEL_URL_MAX    128
+#define EP_CANCEL_TIMEOUT_MS 500L
+#define EP_CANCEL_POLL_MS    1000
+#define EP_CANCEL_QUEUE_MAX  4096
+
+struct ep_cancel_note {
+	struct cds_list_head node;
+	char url[EP_CANCEL_URL_MAX];
+	char *body;
+};
+
+struct ep_cancel {
+	pthread_t thread;
+	pthread_mutex_t lock;
+	struct cds_list_head queue;
+	int queued;
+	bool stopping;
+	CURLM *multi;
+};
+
+static void *cancel_main(void *arg);
+static bool cancel_begin_all(struct ep_cancel *cancel);
+static void cancel_begin(struct ep_cancel *cancel, struct ep_cancel_note *note);
+static void cancel_end_done(struct ep_cancel *cancel);
+static size_t cancel_drop(char *bytes, size_t size, size_t count, void *ctx);
+
+/* Starts the thread; NULL if that fails. */
+struct ep_cancel *ep_cancel_start(void)
+{
+	struct ep_cancel *cancel = calloc(1, sizeof(*cancel));
+
+	if (!cancel)
+		return NULL;
+	CDS_INIT_LIST_HEAD(&cancel->queue);
+	pthread_mutex_init(&cancel->lock, NULL);
+	cancel->multi = curl_multi_init();
+	if (!cancel->multi ||
+	    pthread_create(&cancel->thread, NULL, cancel_main, cancel)) {
+		curl_multi_cleanup(cancel->multi);
+		free(cancel);
+		return NULL;
+	}
+	return cancel;
+}
+
+/*
+ * Queues a note to an engine.  A stage that hangs takes its time to answer;
+ * if the request's thread waited for it, the stream would go on that much
+ * later.  Returns 0, or -1 if the note was dropped: the engine then works for
+ * nobody until its own deadline.
+ */
+int ep_cancel_post(struct ep_cancel *cancel, const char *address,
+		   const char *body)
+{
+	struct ep_cancel_note *note = calloc(1, sizeof(*note));
+	int rc = -1;
+
+	if (!note)
+		return -1;
+	snprintf(note->url, sizeof(note->url), "http://%s/v1/cancel", address);
+	note->body = strdup(body);
+	pthread_mutex_lock(&cancel->lock);
+	if (note->body && cancel->queued < EP_CANCEL_QUEUE_MAX) {
+		cds_list_add_tail(&note->node, &cancel->queue);
+		cancel->queued++;
+		rc = 0;
+	}
+	pthread_mutex_unlock(&cancel->lock);
+	if (rc) {
+		free(note->body);
+		free(note);
+		return rc;
+	}
+	curl_multi_wakeup(cancel->multi);
+	return 0;
+}
+
+/* Sends what is queued, ends the thread and frees the state. */
+void ep_cancel_stop(struct ep_cancel *cancel)
+{
+	if (!cancel)
+		return;
+	pthread_mutex_lock(&cancel->lock);
+	cancel->stopping = true;
+	pthread_mutex_unlock(&cancel->lock);
+	curl_multi_wakeup(cancel->multi);
+	pthread_join(cancel->thread, NULL);
+	curl_multi_cleanup(cancel->multi);
+	pthread_mutex_destroy(&cancel->lock);
+	free(cancel);
+}
+
+static void *cancel_main(void *arg)
+{
+	struct ep_cancel *cancel = arg;
+	int running = 0;
+	bool stopping;
+
+	do {
+		stopping = cancel_begin_all(cancel);
+		curl_multi_perform(cancel->multi, &running);
+		cancel_end_done(cancel);
+		if (running || !stopping)
+			curl_multi_poll(cancel->multi, NULL, 0,
+					EP_CANCEL_POLL_MS, NULL);
+	} while (running || !stopping);
+	return NULL;
+}
+
+/* Starts what is queued; returns true once the thread is to end. */
+static bool cancel_begin_all(struct ep_cancel *cancel)
+{
+	struct ep_cancel_note *note;
+	bool stopping;
+
+	pthread_mutex_lock(&cancel->lock);
+	while (!cds_list_empty(&cancel->queue)) {
+		note = cds_list_first_entry(&cancel->queue,
+					    struct ep_cancel_note, node);
+		cds_list_del(&note->node);
+		cancel->queued--;
+		cancel_begin(cancel, note);
+	}
+	stopping = cancel->stopping;
+	pthread_mutex_unlock(&cancel->lock);
+	return stopping;
+}
+
+static void cancel_begin(struct ep_cancel *cancel, struct ep_cancel_note *note)
+{
+	CURL *easy = curl_easy_init();
+
+	if (easy) {
+		curl_easy_setopt(easy, CURLOPT_URL, note->url);
+		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, note->body);
+		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+				 EP_CANCEL_TIMEOUT_MS);
+		curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+		curl_easy_setopt(easy, CURLOPT_PROXY, "");
+		curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, cancel_drop);
+		curl_multi_add_handle(cancel->multi, easy);
+	}
+	free(note->body);
+	free(note);
+}
+
+/* Frees the calls that have ended; how they ended changes nothing. */
+static void cancel_end_done(struct ep_cancel *cancel)
+{
+	CURLMsg *msg;
+	CURL *easy;
+	int left;
+
+	while ((msg = curl_multi_info_read(cancel->multi, &left)) != NULL) {
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		easy = msg->easy_handle;
+		curl_multi_remove_handle(cancel->multi, easy);
+		curl_easy_cleanup(easy);
+	}
+}
+
+static size_t cancel_drop(char *bytes, size_t size, size_t count, void *ctx)
+{
+	(void)bytes;
+	(void)ctx;
+	return size * count;
+}
--- a/src/ep_engine.c
+++ b/src/ep_engine.c
@@ -7,8 +7,7 @@
 #include "clk.h"
 #include "ep_int.h"
 
-#define EP_URL_MAX   256
-#define EP_CANCEL_MS 500L
+#define EP_URL_MAX 256
 
 static int engine_prepare(struct ep_call *call);
 static bool engine_receive(struct ep_call *call, const char *bytes, size_t len);
@@ -23,8 +22,6 @@
 static void on_done(struct ep_call *call, const json_t *object);
 static bool ids_match(const struct ep_call *call, const json_t *object);
 static int read_hops(const json_t *object, uint32_t *hop_us);
-static size_t drop_body(char *bytes, size_t size, size_t count, void *ctx);
-static void post_cancel(const char *address, const char *body);
 
 const struct ep_protocol ep_engine = {
 	.prepare = engine_prepare,
@@ -223,7 +220,10 @@
 		answer->end = CORE_END_CUT;
 }
 
-/* Tells every stage to drop the attempt, so that no work runs for nobody. */
+/*
+ * Tells every stage to drop the attempt.  The survivors of a chain that broke
+ * would else go on working for nobody, and count as busy meanwhile.
+ */
 static void engine_cancel(struct ep_call *call)
 {
 	const struct core_dispatch *dispatch = call->request->dispatch;
@@ -233,32 +233,8 @@
 	int i;
 
 	for (i = 0; body && i < dispatch->stage_count; i++)
-		post_cancel(dispatch->stages[i].address, body);
+		ep_cancel_post(call->ep->cancel, dispatch->stages[i].address,
+			       body);
 	json_decref(object);
 	free(body);
 }
-
-static void post_cancel(const char *address, const char *body)
-{
-	CURL *easy = curl_easy_init();
-	char url[EP_URL_MAX];
-
-	if (!easy)
-		return;
-	snprintf(url, sizeof(url), "http://%s/v1/cancel", address);
-	curl_easy_setopt(easy, CURLOPT_URL, url);
-	curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
-	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, EP_CANCEL_MS);
-	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, drop_body);
-	curl_easy_perform(easy);
-	curl_easy_cleanup(easy);
-}
-
-static size_t drop_body(char *bytes, size_t size, size_t count, void *ctx)
-{
-	(void)bytes;
-	(void)ctx;
-	return size * count;
-}
--- a/src/ep_int.h
+++ b/src/ep_int.h
@@ -10,6 +10,12 @@
 
 #define EP_BODY_MAX (1024 * 1024) /* longest answer that is taken */
 
+struct ep {
+	CURLM *multi;
+	long connect_ms; /* longest wait for a connection */
+	struct ep_cancel *cancel;
+};
+
 struct ep_call;
 
 /* A protocol towards endpoints; one for each enum cfg_service_kind. */
--- a/src/front.c
+++ b/src/front.c
@@ -67,6 +67,9 @@
 	};
 
 	front->loop = loop;
+	front->cancel = ep_cancel_start();
+	if (!front->cancel)
+		return FRONT_E_MEMORY;
 	snprintf(threads, sizeof(threads), "%u", front->settings.threads);
 	front->server = mg_start(&callbacks, front, options);
 	return front->server ? FRONT_OK : FRONT_E_LISTEN;
@@ -135,6 +138,7 @@
 		usleep(FRONT_DRAIN_POLL_US);
 	if (front->server)
 		mg_stop(front->server);
+	ep_cancel_stop(front->cancel);
 	cfg_free(front->set);
 	pthread_mutex_destroy(&front->lock);
 	free(front);
@@ -145,11 +149,12 @@
 {
 	const int worker = 1;
 
-	(void)ctx;
+	struct front *front = mg_get_user_data(ctx);
+
 	if (type != worker)
 		return NULL;
 	rcu_register_thread();
-	return ep_new();
+	return ep_new(front->settings.connect_timeout_ms, front->cancel);
 }
 
 static void on_thread_end(const struct mg_context *ctx, int type, void *thread)
--- a/src/front.h
+++ b/src/front.h
@@ -21,9 +21,10 @@
 };
 
 struct front_settings {
-	char listen[MAG_ADDR_MAX]; /* "ip:port" */
-	uint32_t threads;	   /* concurrent requests */
-	uint32_t body_max;	   /* bytes of a request's body */
+	char listen[MAG_ADDR_MAX];   /* "ip:port" */
+	uint32_t threads;	     /* concurrent requests */
+	uint32_t connect_timeout_ms; /* to an endpoint */
+	uint32_t body_max;	     /* bytes of a request's body */
 	char instance[MAG_NAME_MAX];
 	uint64_t incarnation;
 };
--- a/src/front_int.h
+++ b/src/front_int.h
@@ -20,6 +20,7 @@
 	struct front_settings settings;
 	struct loop *loop;
 	struct mg_context *server;
+	struct ep_cancel *cancel;
 	struct cfg_set *set;  /* published by RCU */
 	pthread_mutex_t lock; /* of the buckets */
 	struct cds_list_head buckets[FRONT_BUCKETS];
