--- a/bench/bench_capacity_core.c
+++ b/bench/bench_capacity_core.c
@@ -123,7 +123,7 @@
 	}
 	if (!make || bench->cell_count == KEYS_MAX)
 		return NULL;
-	strcpy(bench->cells[i].key, key);
+	snprintf(bench->cells[i].key, KV_KEY_MAX, "%s", key);
 	bench->cell_count++;
 	return &bench->cells[i];
 }
@@ -206,7 +206,7 @@
 	event.arrival.req = id;
 	snprintf(event.arrival.account_key_hash, MAG_DIGEST_HEX, "%064d",
 		 (int)(id % ACCOUNTS));
-	strcpy(event.arrival.path, "/m");
+	snprintf(event.arrival.path, CORE_PATH_MAX, "/m");
 	snprintf(event.arrival.key, LDG_KEY_MAX, "key-%llu",
 		 (unsigned long long)id);
 	memcpy(event.arrival.fingerprint, &id, sizeof(id));
