Divide the fleet's budget of platform calls; copy a set instead of reading twice

Cause: each instance had a budget of its own, so a fleet of 700 might ask for 70000 calls/s of a service that takes 2000; and each change was read twice. Change: kv_fleet_calls_per_s, divided by the platform's list; watch_offer copies the set for its second owner.

--- a/bench/bench_capacity_config.c
+++ b/bench/bench_capacity_config.c
@@ -77,12 +77,14 @@
 {
 	struct cfg_faults *faults = NULL;
 	struct cfg_set *set = NULL;
+	struct cfg_set *copy = NULL;
 	int endpoints = argc > 1 ? atoi(argv[1]) : 100;
 	size_t len = 0;
 	char *text = text_of(endpoints, &len);
 	double before;
 	double memory = 0;
 	double took = 0;
+	double copying = 0;
 	int i;
 
 	for (i = 0; i < RUNS; i++) {
@@ -96,9 +98,15 @@
 		}
 		took += (cpu_ms() - start) / RUNS;
 		memory = heap() - before;
+		start = cpu_ms();
+		if (cfg_copy(set, &copy))
+			return 1;
+		copying += (cpu_ms() - start) / RUNS;
+		cfg_free(copy);
 		cfg_free(set);
 	}
-	printf("config\t%d\t%zu\t%.2f\t%.0f\n", endpoints, len, took, memory);
+	printf("config\t%d\t%zu\t%.2f\t%.0f\t%.2f\n", endpoints, len, took,
+	       memory, copying);
 	free(text);
 	return 0;
 }
--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -420,6 +420,42 @@
 		work(run);
 }
 
+/* Runs, and prints how many calls the platform got, and in its worst second. */
+static void do_calls(struct run *run, const char *a, const char *b)
+{
+	long seconds = atol(a) / 1000;
+	uint64_t first = run->net.calls;
+	uint64_t most = 0;
+	long s;
+
+	for (s = 0; s < seconds; s++) {
+		uint64_t before = run->net.calls;
+
+		do_run(run, "1000", b);
+		if (run->net.calls - before > most)
+			most = run->net.calls - before;
+	}
+	fprintf(run->out, "calls: mean %.1f/s, most in a second %llu\n",
+		(double)(run->net.calls - first) / (double)seconds,
+		(unsigned long long)most);
+}
+
+/* Prints the sum of all parts of a fleet-wide rate of calls. */
+static void do_parts(struct run *run, const char *a, const char *b)
+{
+	uint32_t sum = 0;
+	int i;
+
+	(void)b;
+	for (i = 0; i < run->net.count; i++) {
+		if (run->net.nodes[i].alive)
+			sum += fleet_call_part(
+				(uint32_t)atol(a),
+				fleet_listed(run->net.nodes[i].fleet));
+	}
+	fprintf(run->out, "parts of %s calls/s: sum %u\n", a, sum);
+}
+
 static void do_measure(struct run *run, const char *a, const char *b)
 {
 	measure(run, atol(a), b);
@@ -513,6 +549,8 @@
 	void (*run)(struct run *run, const char *a, const char *b);
 } commands[] = {
 	{ "run", do_run },
+	{ "calls", do_calls },
+	{ "parts", do_parts },
 	{ "measure", do_measure },
 	{ "storm", do_storm },
 	{ "mark", do_mark },
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -21,6 +21,7 @@
 #define DAEMON_KV_THREADS 4
 
 struct daemon {
+	uint32_t kv_calls_per_s; /* the budget in force */
 	struct set_settings settings;
 	uint64_t incarnation;
 	struct loop *loop;
@@ -45,6 +46,7 @@
 static int start_mesh(struct daemon *daemon);
 static void release(struct daemon *daemon);
 static void on_action(void *ctx, struct node_action *action);
+static void on_role(struct daemon *daemon, const struct node_role *role);
 static void on_core_action(struct daemon *daemon, struct core_action *action);
 static void on_kv_reply(void *ctx, const struct kv_reply *reply);
 static void on_stopped(struct daemon *daemon);
@@ -131,8 +133,9 @@
 		return DAEMON_E_MEMORY;
 	pf_set_pacing(daemon->pf, true);
 	pf_set_seed(daemon->pf, daemon->incarnation);
-	pf_set_budget(daemon->pf, daemon->settings.kv_calls_per_s,
-		      daemon->settings.kv_calls_per_s);
+	daemon->kv_calls_per_s = daemon->settings.kv_calls_per_s;
+	pf_set_budget(daemon->pf, daemon->kv_calls_per_s,
+		      daemon->kv_calls_per_s);
 	return DAEMON_OK;
 }
 
@@ -294,13 +297,32 @@
 		ord_post(daemon->ord, &action->order);
 		break;
 	case NODE_ACT_ROLE:
-		watch_set_bridge(daemon->watch, action->bridge);
+		on_role(daemon, &action->role);
 		break;
 	default:
 		break;
 	}
 }
 
+/*
+ * Takes this instance's part of the fleet's calls.  The service's rates don't
+ * grow with the fleet: were each instance to keep a budget of its own, a fleet
+ * that grew would be refused for its rate, bookings first.
+ */
+static void on_role(struct daemon *daemon, const struct node_role *role)
+{
+	uint32_t calls = fleet_call_part(daemon->settings.kv_fleet_calls_per_s,
+					 role->listed);
+
+	watch_set_bridge(daemon->watch, role->bridge);
+	if (calls > daemon->settings.kv_calls_per_s)
+		calls = daemon->settings.kv_calls_per_s;
+	if (calls == daemon->kv_calls_per_s)
+		return;
+	daemon->kv_calls_per_s = calls;
+	pf_set_budget(daemon->pf, calls, calls);
+}
+
 static void on_core_action(struct daemon *daemon, struct core_action *action)
 {
 	if (action->type == CORE_ACT_KV)
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -299,6 +299,18 @@
 	return lim_entitled(fleet->lim);
 }
 
+/*
+ * One instance's part of the calls that all may make to the platform's
+ * service, at least one.  Equal parts need no message between instances, so
+ * they hold across any cut.
+ */
+uint32_t fleet_call_part(uint32_t fleet_calls_per_s, uint32_t listed)
+{
+	uint32_t part = fleet_calls_per_s / (listed ? listed : 1);
+
+	return part ? part : 1;
+}
+
 /*
  * Gives the addresses of peers that are up, those of the own data centre
  * first, to fetch the configuration from.
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -121,6 +121,7 @@
 bool fleet_is_bridge(const struct fleet *fleet); /* watch the head record */
 uint32_t fleet_group(const struct fleet *fleet); /* instances in reach */
 uint32_t fleet_listed(const struct fleet *fleet);
+uint32_t fleet_call_part(uint32_t fleet_calls_per_s, uint32_t listed);
 size_t fleet_peer_addresses(const struct fleet *fleet,
 			    char (*addresses)[MAG_ADDR_MAX], size_t max);
 
--- a/src/node.c
+++ b/src/node.c
@@ -19,8 +19,8 @@
 	int64_t demand_due_us;
 	struct node_fetch fetch; /* the last news of a newer revision */
 	bool fetch_wanted;
-	bool bridge;
-	bool bridge_said;
+	struct node_role role;
+	bool role_said;
 };
 
 typedef void (*node_news_fn)(struct node *node, const struct fleet_news *news);
@@ -267,16 +267,19 @@
 	return true;
 }
 
-/* Says when this instance becomes a bridge, which watches, or no longer is. */
+/* Says when this instance becomes a bridge or not, or the fleet's size moves.
+ */
 static bool next_role(struct node *node, struct node_action *action)
 {
-	bool bridge = fleet_is_bridge(node->fleet);
+	struct node_role role = { .bridge = fleet_is_bridge(node->fleet),
+				  .listed = fleet_listed(node->fleet) };
 
-	if (node->bridge_said && bridge == node->bridge)
+	if (node->role_said && role.bridge == node->role.bridge &&
+	    role.listed == node->role.listed)
 		return false;
-	node->bridge = bridge;
-	node->bridge_said = true;
+	node->role = role;
+	node->role_said = true;
 	action->type = NODE_ACT_ROLE;
-	action->bridge = bridge;
+	action->role = role;
 	return true;
 }
--- a/src/node.h
+++ b/src/node.h
@@ -39,7 +39,7 @@
 	NODE_ACT_SEND,	/* a heartbeat to a peer */
 	NODE_ACT_FETCH, /* get the configuration from a peer */
 	NODE_ACT_ORDER, /* an order to an engine */
-	NODE_ACT_ROLE,	/* whether this instance watches the head */
+	NODE_ACT_ROLE,	/* towards the platform's service */
 	NODE_ACTION_COUNT
 };
 
@@ -53,6 +53,13 @@
 	struct peer_msg msg;
 };
 
+/* What this instance does towards the platform's service. */
+struct node_role {
+	bool bridge;	 /* watches the head for its data centre */
+	uint32_t listed; /* instances that share the fleet's budget; 0: unknown
+			  */
+};
+
 struct node_action {
 	enum node_action_type type;
 	union {
@@ -60,7 +67,7 @@
 		struct node_send send;
 		struct node_fetch fetch;
 		struct plc_order order;
-		bool bridge; /* NODE_ACT_ROLE */
+		struct node_role role;
 	};
 };
 
--- a/src/set.h
+++ b/src/set.h
@@ -53,11 +53,12 @@
 	uint32_t body_max_bytes;       /* of a caller's request */
 	uint32_t connect_timeout_ms;   /* to an endpoint */
 	uint32_t first_token_timeout_ms;
-	uint32_t progress_timeout_ms; /* between tokens */
-	uint32_t kv_timeout_ms;	      /* one call to the platform */
-	uint32_t kv_calls_per_s;      /* budget of this instance */
-	uint32_t shutdown_notice_ms;  /* health check fails, still open */
-	uint32_t ledger_shards;	      /* the same on all instances */
+	uint32_t progress_timeout_ms;  /* between tokens */
+	uint32_t kv_timeout_ms;	       /* one call to the platform */
+	uint32_t kv_calls_per_s;       /* most of this instance */
+	uint32_t kv_fleet_calls_per_s; /* of all, divided among them */
+	uint32_t shutdown_notice_ms;   /* health check fails, still open */
+	uint32_t ledger_shards;	       /* the same on all instances */
 	uint32_t ledger_segment_bytes;
 	uint32_t ledger_batch_max;
 	uint32_t peer_bytes_per_s;
--- a/src/set_field.c
+++ b/src/set_field.c
@@ -83,6 +83,8 @@
 	    "longest wait for the platform's service"),
 	U32(kv_calls_per_s, 1, 100000, 100, "N",
 	    "most calls to the platform's service"),
+	U32(kv_fleet_calls_per_s, 1, 1000000, 1500, "N",
+	    "most calls of all instances together, in equal parts"),
 	U32(shutdown_notice_ms, 0, 600000, 5000, "MS",
 	    "from failing the health check to refusing new work"),
 	U32(ledger_shards, 1, 1024, 16, "N",
--- a/src/watch.c
+++ b/src/watch.c
@@ -105,14 +105,11 @@
 	cfg_faults_free(faults);
 	if (rc)
 		return -1;
-	rc = cfg_parse(text, strlen(text), &sets[1], &faults);
-	cfg_faults_free(faults);
-	if (rc) {
+	sets[0]->revision = revision;
+	if (cfg_copy(sets[0], &sets[1])) {
 		cfg_free(sets[0]);
 		return -1;
 	}
-	sets[0]->revision = revision;
-	sets[1]->revision = revision;
 	if (keep_text(watch, text, revision)) {
 		cfg_free(sets[0]);
 		cfg_free(sets[1]);
