watch: Copy the set instead of reading its text twice

Cause: the core and the callers' threads each own a set, and each was parsed from the text. Change: the second set is a copy of the first (cfg_copy). Conclusion: one read and check for each new revision.

--- a/src/watch.c
+++ b/src/watch.c
@@ -105,9 +105,7 @@
 	cfg_faults_free(faults);
 	if (rc)
 		return -1;
-	rc = cfg_parse(text, strlen(text), &sets[1], &faults);
-	cfg_faults_free(faults);
-	if (rc) {
+	if (cfg_copy(sets[0], &sets[1])) {
 		cfg_free(sets[0]);
 		return -1;
 	}
