--- a/regress/check_pick.c
+++ b/regress/check_pick.c
@@ -273,14 +273,43 @@
 		fprintf(r->out, "bound %.1f\n", pick_bound(r->pick, 0));
 }
 
+/* proved ID: a suspect has run long enough */
+static void do_proved(struct run *r, char **word, int words)
+{
+	(void)words;
+	pick_proved(r->pick, &r->chains[atoi(word[1])]);
+}
+
+/* explain [GROUP [PREFIX]] */
+static void do_explain(struct run *r, char **word, int words)
+{
+	struct pick_want want = { .service = 0, .group = "" };
+
+	if (words > 1)
+		want.group = word[1];
+	if (words > 2)
+		want.prefix = (uint64_t)atoll(word[2]);
+	pick_explain(r->pick, &want, r->now, r->out);
+}
+
+/* bounds: the bound, what binds it, and without each endpoint */
+static void do_bounds(struct run *r, char **word, int words)
+{
+	(void)word;
+	(void)words;
+	pick_bound_write(r->pick, 0, r->now, r->out);
+}
+
 static const struct command commands[] = {
-	{ "service", do_service }, { "endpoint", do_endpoint },
-	{ "remove", do_remove },   { "config", do_config },
-	{ "policy", do_policy },   { "choose", do_choose },
-	{ "ended", do_ended },	   { "hops", do_hops },
-	{ "repeat", do_repeat },   { "report", do_report },
-	{ "leaving", do_leaving }, { "cache", do_cache },
-	{ "at", do_at },	   { "bound", do_bound },
+	{ "proved", do_proved },     { "explain", do_explain },
+	{ "bounds", do_bounds },     { "service", do_service },
+	{ "endpoint", do_endpoint }, { "remove", do_remove },
+	{ "config", do_config },     { "policy", do_policy },
+	{ "choose", do_choose },     { "ended", do_ended },
+	{ "hops", do_hops },	     { "repeat", do_repeat },
+	{ "report", do_report },     { "leaving", do_leaving },
+	{ "cache", do_cache },	     { "at", do_at },
+	{ "bound", do_bound },
 };
 
 /* Splits a line into words and runs its command. */
--- a/src/pick.h
+++ b/src/pick.h
@@ -9,6 +9,7 @@
 
 #include <stdbool.h>
 #include <stdint.h>
+#include <stdio.h>
 
 #include "cfg.h"
 #include "mag.h"
@@ -106,6 +107,9 @@
 
 bool pick_usable(const struct pick *pick, int endpoint, int64_t now);
 double pick_bound(const struct pick *pick, int service);
+int pick_bound_write(struct pick *pick, int service, int64_t now, FILE *out);
+int pick_explain(struct pick *pick, const struct pick_want *want, int64_t now,
+		 FILE *out);
 double pick_bound_without(struct pick *pick, int service, int endpoint);
 
 #endif /* PICK_H */
--- a/src/pick_cache.c
+++ b/src/pick_cache.c
@@ -3,6 +3,8 @@
 
 #include "pick_int.h"
 
+static uint64_t *pick_cache_set(struct pick_cache *cache, uint64_t prefix);
+
 /*
  * Takes an event of an endpoint's prefix cache.  Events come late and with
  * gaps: a gap forgets everything, as any prefix may have been dropped in it.
@@ -12,6 +14,7 @@
 {
 	struct pick_cache *cache;
 	struct pick_ep *ep;
+	uint64_t *set;
 	int i;
 
 	(void)now;
@@ -26,26 +29,35 @@
 	if (sequence != cache->next_sequence)
 		memset(cache->prefix, 0, sizeof(cache->prefix));
 	cache->next_sequence = sequence + 1;
-	for (i = 0; i < PICK_PREFIXES; i++) {
-		if (cache->prefix[i] == prefix)
-			cache->prefix[i] = 0;
+	set = pick_cache_set(cache, prefix);
+	for (i = 0; i < PICK_CACHE_WAYS; i++) {
+		if (set[i] == prefix)
+			set[i] = 0;
 	}
 	if (!stored)
 		return;
-	cache->prefix[cache->next] = prefix;
-	cache->next = (cache->next + 1) % PICK_PREFIXES;
+	memmove(set + 1, set, (PICK_CACHE_WAYS - 1) * sizeof(*set));
+	set[0] = prefix;
 }
 
 /* Tells whether an endpoint likely holds a prefix. */
 bool pick_cache_holds(const struct pick_ep *ep, uint64_t prefix)
 {
+	const uint64_t *set;
 	int i;
 
 	if (!ep->cache || prefix == 0)
 		return false;
-	for (i = 0; i < PICK_PREFIXES; i++) {
-		if (ep->cache->prefix[i] == prefix)
+	set = pick_cache_set(ep->cache, prefix);
+	for (i = 0; i < PICK_CACHE_WAYS; i++) {
+		if (set[i] == prefix)
 			return true;
 	}
 	return false;
 }
+
+/* Returns the places where a prefix may be; it is a hash already. */
+static uint64_t *pick_cache_set(struct pick_cache *cache, uint64_t prefix)
+{
+	return &cache->prefix[(prefix % PICK_CACHE_SETS) * PICK_CACHE_WAYS];
+}
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -9,7 +9,6 @@
 #define PICK_TICK_US	(50 * MAG_US_PER_MS)
 #define PICK_LIMIT_DOWN 0.9
 #define PICK_HOP_STEP	0.2 /* of a new hop time in the mean */
-#define PICK_PREFIXES	256 /* prefix hints kept for an endpoint */
 
 enum pick_health {
 	PICK_HEALTHY,
@@ -17,11 +16,14 @@
 	PICK_PROBING, /* half open: one request at a time */
 };
 
+/* Prefix hints kept for an endpoint, in sets by the hash. */
+#define PICK_CACHE_SETS 64
+#define PICK_CACHE_WAYS 4
+
 /* What the cache events say an endpoint holds; a hint, never relied on. */
 struct pick_cache {
-	uint64_t prefix[PICK_PREFIXES];
+	uint64_t prefix[PICK_CACHE_SETS * PICK_CACHE_WAYS]; /* 0: none */
 	uint64_t next_sequence;
-	int next;
 };
 
 struct pick_ep {
@@ -144,6 +146,9 @@
 	      const struct pick_want *want, int64_t now,
 	      struct pick_chain *chain);
 
+int pick_through(struct pick *pick, struct pick_net *net,
+		 const struct pick_want *want, int via, int64_t now,
+		 struct pick_chain *chain);
 int pick_probe(struct pick *pick, struct pick_net *net,
 	       const struct pick_want *want, int64_t now,
 	       struct pick_chain *chain);
--- a/src/pick_seek.c
+++ b/src/pick_seek.c
@@ -82,40 +82,54 @@
 }
 
 /*
- * Sends a request through an endpoint whose time out is over, one at a time,
- * to learn whether it works again.  Returns 0 if the chain is such a probe.
+ * Chooses the best chain that passes one endpoint, in whatever state that
+ * is.  Returns 0, PICK_E_NONE or PICK_E_MEMORY.
  */
-int pick_probe(struct pick *pick, struct pick_net *net,
-	       const struct pick_want *want, int64_t now,
-	       struct pick_chain *chain)
+int pick_through(struct pick *pick, struct pick_net *net,
+		 const struct pick_want *want, int via, int64_t now,
+		 struct pick_chain *chain)
 {
 	struct pick_seek seek = {
 		.pick = pick,
 		.net = net,
 		.want = want,
 		.now = now,
-		.via = pick_due(pick, net, now),
+		.via = via,
 	};
-	int err;
+	int err = pick_seek_open(&seek);
 
-	if (seek.via < 0 || want->careful || want->avoid_count > 0 ||
-	    !pick_probe_allowed(pick, now))
-		return PICK_E_NONE;
-	err = pick_seek_open(&seek);
 	if (!err)
 		err = pick_seek_run(&seek, chain);
 	if (!err && seek.worth[0] < PICK_WORTH_VIA / 2)
 		err = PICK_E_NONE;
-	if (!err) {
-		pick->eps[seek.via].health = PICK_PROBING;
-		pick->eps[seek.via].retry_at_us = now + PICK_PROBE_US;
-		pick->probed_us = now;
-		pick->since_probe = 0;
-	}
 	pick_seek_close(&seek);
 	return err;
 }
 
+/*
+ * Sends a request through an endpoint whose time out is over, one at a time,
+ * to learn whether it works again.  Returns 0 if the chain is such a probe.
+ */
+int pick_probe(struct pick *pick, struct pick_net *net,
+	       const struct pick_want *want, int64_t now,
+	       struct pick_chain *chain)
+{
+	int via = pick_due(pick, net, now);
+	int err;
+
+	if (via < 0 || want->careful || want->avoid_count > 0 ||
+	    !pick_probe_allowed(pick, now))
+		return PICK_E_NONE;
+	err = pick_through(pick, net, want, via, now, chain);
+	if (err)
+		return err;
+	pick->eps[via].health = PICK_PROBING;
+	pick->eps[via].retry_at_us = now + PICK_PROBE_US;
+	pick->probed_us = now;
+	pick->since_probe = 0;
+	return PICK_OK;
+}
+
 /*
  * Tells whether a request may be spent on a probe now.  A probe that fails
  * costs its caller a timeout; with a data centre cut off, dozens of ejected
--- a/src/pick_walk.c
+++ b/src/pick_walk.c
@@ -7,6 +7,9 @@
 /* An endpoint less loaded by this part of its limit goes first. */
 #define PICK_LOAD_MARGIN 0.1
 
+/* Load (as a part of the limit) that a token of a held prefix outweighs. */
+#define PICK_PREFIX_WORTH      0.0005
+#define PICK_PREFIX_WORTH_MOST 0.5
 /* Streams get slower while they run; this much is kept in hand. */
 #define PICK_PACE_MARGIN 1.2
 
@@ -31,6 +34,8 @@
 static int pick_best_exit(const struct pick_member *member, int k);
 static void pick_two(struct pick_walk *walk, const struct pick_node *node,
 		     int two[2]);
+static void pick_prefer_holder(struct pick_walk *walk,
+			       const struct pick_node *node, int two[2]);
 static void pick_two_of(struct pick_walk *walk, const struct pick_node *node,
 			int two[2], int64_t pace_us);
 static bool pick_keeps_pace(const struct pick_walk *walk, int e,
@@ -163,6 +168,40 @@
 	pick_two_of(walk, node, two, walk->want->pace_us);
 	if (two[0] < 0)
 		pick_two_of(walk, node, two, 0);
+	if (two[0] >= 0 && walk->want->prefix)
+		pick_prefer_holder(walk, node, two);
+}
+
+/*
+ * Puts an endpoint that likely holds the prompt's prefix first, if its work
+ * in flight is not so much larger that the wait would cost more than making
+ * the prefix again.  A hint that is stale costs just that time.
+ */
+static void pick_prefer_holder(struct pick_walk *walk,
+			       const struct pick_node *node, int two[2])
+{
+	const struct pick_ep *eps = walk->pick->eps;
+	double saved = walk->want->prompt_tokens * PICK_PREFIX_WORTH;
+	double most;
+	int best = -1;
+	int i;
+
+	if (saved > PICK_PREFIX_WORTH_MOST)
+		saved = PICK_PREFIX_WORTH_MOST;
+	most = pick_load_of(&eps[node->options[two[0]].ep]) + saved;
+	for (i = 0; i < node->count; i++) {
+		int e = node->options[i].ep;
+
+		if (!pick_cache_holds(&eps[e], walk->want->prefix) ||
+		    !pick_takes(walk, e) || pick_load_of(&eps[e]) > most)
+			continue;
+		most = pick_load_of(&eps[e]);
+		best = i;
+	}
+	if (best < 0 || best == two[0])
+		return;
+	two[1] = two[0];
+	two[0] = best;
 }
 
 /* Finds two options whose chains take at most so long for a token. */
