--- a/regress/check_flow.c
+++ b/regress/check_flow.c
@@ -68,6 +68,22 @@
 	}
 }
 
+/* Prints what passes each part of each stage. */
+static void print_through(FILE *out)
+{
+	struct flow_net *net = flow_net_solve(&in);
+	int e;
+	int k;
+
+	for (e = 0; e < net->count; e++) {
+		fprintf(out, "stage %d carries", e);
+		for (k = 0; k + 1 < net->bounds; k++)
+			fprintf(out, " %.1f", net->through[k * net->count + e]);
+		fprintf(out, "\n");
+	}
+	flow_net_free(net);
+}
+
 /* Solves what the script built. */
 static void solve(FILE *out)
 {
@@ -133,6 +149,8 @@
 			joined[b * in.centres + a] = false;
 		} else if (sscanf(line, "graph %d", &a) == 1) {
 			graph(in_file, out, a);
+		} else if (strcmp(line, "through\n") == 0) {
+			print_through(out);
 		} else if (strcmp(line, "solve\n") == 0) {
 			solve(out);
 		}
--- a/regress/check_pick.c
+++ b/regress/check_pick.c
@@ -289,7 +289,7 @@
 		want.group = word[1];
 	if (words > 2)
 		want.prefix = (uint64_t)atoll(word[2]);
-	pick_explain(r->pick, &want, r->now, r->out);
+	pick_explain_request(r->pick, &want, r->now, r->out);
 }
 
 /* bounds: the bound, what binds it, and without each endpoint */
--- a/src/flow_net.c
+++ b/src/flow_net.c
@@ -603,8 +603,8 @@
 			on = flow_on(level->flow, edge);
 			limit = &net->limits[net->limit_count];
 			limit->kind = FLOW_LIMIT_WORK;
-			if (on >=
-			    FLOW_NET_MET * flow_capacity(level->flow, edge))
+			if (on >= FLOW_NET_MET * flow_level_link(level, e) *
+					  flow_level_layers(level, k))
 				limit->kind = FLOW_LIMIT_LINK;
 			limit->stage = e;
 			limit->first = net->bound[k];
--- a/src/pick.h
+++ b/src/pick.h
@@ -108,8 +108,8 @@
 bool pick_usable(const struct pick *pick, int endpoint, int64_t now);
 double pick_bound(const struct pick *pick, int service);
 int pick_bound_write(struct pick *pick, int service, int64_t now, FILE *out);
-int pick_explain(struct pick *pick, const struct pick_want *want, int64_t now,
-		 FILE *out);
+int pick_explain_request(struct pick *pick, const struct pick_want *want,
+			 int64_t now, FILE *out);
 double pick_bound_without(struct pick *pick, int service, int endpoint);
 
 void pick_explain(struct pick *pick, int service, int64_t now, FILE *out);
--- a/src/pick_show.c
+++ b/src/pick_show.c
@@ -77,8 +77,8 @@
  * open one would lead to.  Changes nothing.  Returns 0, PICK_E_NONE if there
  * is no such service, or PICK_E_MEMORY.
  */
-int pick_explain(struct pick *pick, const struct pick_want *want, int64_t now,
-		 FILE *out)
+int pick_explain_request(struct pick *pick, const struct pick_want *want,
+			 int64_t now, FILE *out)
 {
 	struct pick_net *net;
 	int err;
