Show what binds the bound, and one explanation of choices

Cause: two explanations of the next choice stood side by side, and magctl bound did not say which edges bind. Ruled out: keeping both. Change: the pages of the admin port are made from pick_explain_request and pick_bound_write; the row of each service names the endpoints and links that bind it and the worst single loss. Conclusion: one place that explains.

--- a/src/core_show.c
+++ b/src/core_show.c
@@ -1,9 +1,16 @@
+#include <stdlib.h>
+#include <string.h>
+
 #include <jansson.h>
 
 #include "core_int.h"
 #include "core_show.h"
 
+#define SHOW_BINDS_MAX 512
+
 static json_t *bound_of(struct core *core, int service);
+static json_t *read_bound(struct core *core, int service);
+static void binds_text(const json_t *binds, char *text, size_t size);
 
 /* Writes what only the core knows, after the counters of cnt.h. */
 void core_show_metrics(struct core *core, FILE *out)
@@ -54,33 +61,81 @@
 int core_show_explain(struct core *core, const char *service, FILE *out)
 {
 	int index = core->set ? cfg_find_service(core->set, service) : -1;
+	struct pick_want want = { .group = "" };
 
 	if (index < 0)
 		return -1;
-	pick_explain(core->pick, index, core->now, out);
-	return 0;
+	want.service = index;
+	return pick_explain_request(core->pick, &want, core->now, out) ? -1 : 0;
 }
 
+/* Makes a row: the bound, the worst single loss, and what binds it. */
 static json_t *bound_of(struct core *core, int service)
 {
-	const struct cfg_set *set = core->set;
-	double bound = pick_bound(core->pick, service);
-	double least = bound;
+	json_t *bound = read_bound(core, service);
 	const char *worst = "";
+	char binds[SHOW_BINDS_MAX];
+	double value;
+	double least;
+	json_t *entry;
+	json_t *row;
 	size_t i;
 
-	for (i = 0; i < set->endpoint_count; i++) {
-		double without;
+	value = json_number_value(json_object_get(bound, "tokens_per_s"));
+	least = value;
+	json_array_foreach (json_object_get(bound, "without"), i, entry) {
+		double without = json_number_value(
+			json_object_get(entry, "tokens_per_s"));
 
-		if (set->endpoints[i].service != service)
-			continue;
-		without = pick_bound_without(core->pick, service, (int)i);
 		if (without < least) {
 			least = without;
-			worst = set->endpoints[i].name;
+			worst = json_string_value(
+				json_object_get(entry, "endpoint"));
 		}
 	}
-	return json_pack("{s:s, s:f, s:f, s:s}", "service",
-			 set->services[service].name, "tokens_per_s", bound,
-			 "tokens_per_s_worst_loss", least, "worst_loss", worst);
+	binds_text(json_object_get(bound, "binds"), binds, sizeof(binds));
+	row = json_pack("{s:s, s:f, s:f, s:s, s:s}", "service",
+			core->set->services[service].name, "tokens_per_s",
+			value, "tokens_per_s_worst_loss", least, "worst_loss",
+			worst, "bound_by", binds);
+	json_decref(bound);
+	return row;
+}
+
+/* Reads what pick writes of a service's bound; NULL if there is none. */
+static json_t *read_bound(struct core *core, int service)
+{
+	char *text = NULL;
+	size_t len = 0;
+	FILE *file = open_memstream(&text, &len);
+	json_t *bound;
+
+	if (!file)
+		return NULL;
+	pick_bound_write(core->pick, service, core->now, file);
+	fclose(file);
+	bound = json_loadb(text, len, 0, NULL);
+	free(text);
+	return bound;
+}
+
+/* Writes the endpoints that bind, each once for its work or its link. */
+static void binds_text(const json_t *binds, char *text, size_t size)
+{
+	json_t *entry;
+	char one[MAG_NAME_MAX + 16];
+	size_t used = 0;
+	size_t i;
+
+	text[0] = '\0';
+	json_array_foreach (binds, i, entry) {
+		snprintf(one, sizeof(one), "%s:%s",
+			 json_string_value(json_object_get(entry, "endpoint")),
+			 json_string_value(json_object_get(entry, "what")));
+		if (used >= size)
+			return;
+		if (!strstr(text, one))
+			used += (size_t)snprintf(text + used, size - used,
+						 "%s%s", used ? " " : "", one);
+	}
 }
--- a/src/pick.h
+++ b/src/pick.h
@@ -112,6 +112,4 @@
 			 int64_t now, FILE *out);
 double pick_bound_without(struct pick *pick, int service, int endpoint);
 
-void pick_explain(struct pick *pick, int service, int64_t now, FILE *out);
-
 #endif /* PICK_H */
