--- /dev/null
+++ b/src/adm_rate.c
@@ -0,0 +1,122 @@
+#include <math.h>
+
+#include "adm_int.h"
+
+#define ADM_MEASURE_US	 (500 * MAG_US_PER_MS)
+#define ADM_MEASURE_STEP 0.3
+#define ADM_LEARN_STEP	 0.05
+#define ADM_DEVIATIONS	 1
+/* An answer shorter than this part was cut off; its pace says nothing. */
+#define ADM_WHOLE_PART 0.5
+
+/*
+ * Returns the rate at which a service's work gets done, in tokens a second:
+ * what was measured while callers waited, or else what was told.
+ */
+double adm_service_rate(const struct adm_service *service)
+{
+	if (service->measured > 0)
+		return service->measured;
+	return service->capacity > 0 ? service->capacity : 1;
+}
+
+/*
+ * Returns the part of a service that an account gets while it and all that
+ * wait there want more, in 0 .. 1.
+ */
+double adm_share(const struct adm *adm, const struct adm_queue *queue)
+{
+	const struct adm_service *service = &adm->services[queue->service];
+	double mine = adm->accounts[queue->account].weight;
+	double sum = queue->count == 0 ? mine : 0;
+	struct adm_queue *other;
+
+	cds_list_for_each_entry (other, &service->active, active)
+		sum += adm->accounts[other->account].weight;
+	return mine / sum;
+}
+
+/*
+ * Returns how long a request at the end of a queue will wait.  While its
+ * queue is served, each other queue gets as much by weight, but no more than
+ * waits in it: a queue with one request doesn't slow down a long one for
+ * long.
+ */
+int64_t adm_wait_us(const struct adm *adm, const struct adm_queue *queue)
+{
+	const struct adm_service *service = &adm->services[queue->service];
+	double weight = adm->accounts[queue->account].weight;
+	double tokens = queue->tokens;
+	struct adm_queue *other;
+
+	cds_list_for_each_entry (other, &service->active, active) {
+		double most = queue->tokens *
+			      adm->accounts[other->account].weight / weight;
+
+		if (other != queue)
+			tokens += other->tokens < most ? other->tokens : most;
+	}
+	tokens *= service->used_part;
+	return (int64_t)(tokens / adm_service_rate(service) *
+			 (double)MAG_US_PER_S);
+}
+
+/*
+ * Returns how long a request will run at the most, but for the slowest few:
+ * the mean and a part of the deviation.  With the mean alone, half of the
+ * requests that are let in at the last moment would miss their deadline.
+ */
+int64_t adm_run_us(const struct adm_service *service, double tokens)
+{
+	double us =
+		service->us_per_token + ADM_DEVIATIONS * service->us_deviation;
+
+	return (int64_t)(tokens * service->used_part * us);
+}
+
+/*
+ * Counts work done.  The rate is only learnt from spans through which
+ * callers waited; otherwise it would be the callers' rate, not the
+ * service's.
+ */
+void adm_measure(struct adm_service *service, double tokens, int64_t now)
+{
+	double rate;
+
+	if (service->since_us == 0 || service->waiting == 0) {
+		service->since_us = now ? now : 1;
+		service->done = 0;
+		return;
+	}
+	service->done += tokens;
+	if (now - service->since_us < ADM_MEASURE_US)
+		return;
+	rate = service->done * (double)MAG_US_PER_S /
+	       (double)(now - service->since_us);
+	if (service->measured <= 0)
+		service->measured = rate;
+	service->measured += ADM_MEASURE_STEP * (rate - service->measured);
+	service->since_us = now;
+	service->done = 0;
+}
+
+/* Learns from a request that ended what requests cost and take. */
+void adm_learn(struct adm *adm, const struct adm_request *request,
+	       uint32_t tokens, int64_t now)
+{
+	struct adm_service *service = &adm->services[request->service];
+	double took = (double)(now - request->started_us);
+	double off;
+
+	adm_measure(service, tokens, now);
+	service->mean_cost +=
+		ADM_LEARN_STEP * (request->cost - service->mean_cost);
+	if (tokens < request->run * ADM_WHOLE_PART)
+		return;
+	off = took / tokens - service->us_per_token;
+	service->us_per_token += ADM_LEARN_STEP * off;
+	service->us_deviation +=
+		ADM_LEARN_STEP * (fabs(off) - service->us_deviation);
+	service->used_part += ADM_LEARN_STEP * ((double)tokens / request->run -
+						service->used_part);
+}
