--- a/regress/check_ldg.c
+++ b/regress/check_ldg.c
@@ -273,6 +273,20 @@
 	}
 }
 
+/* What waits for a router that wakes is read before it looks at the time. */
+static void drv_wake(int router)
+{
+	int i;
+
+	routers[router].paused = false;
+	for (i = 0; i < DRV_CALLS; i++) {
+		if (calls[i].phase == CALL_DONE && calls[i].router == router &&
+		    calls[i].at_us <= drv_now)
+			drv_finish(&calls[i]);
+	}
+	drv_drain(router);
+}
+
 static void drv_land(void)
 {
 	int i;
@@ -469,7 +483,7 @@
 	} else if (strcmp(name, "pause") == 0) {
 		routers[drv_router(words[1])].paused = true;
 	} else if (strcmp(name, "wake") == 0) {
-		routers[drv_router(words[1])].paused = false;
+		drv_wake(drv_router(words[1]));
 	} else if (strcmp(name, "skew") == 0) {
 		routers[drv_router(words[1])].skew_ms =
 			strtoll(words[2], NULL, 10);
--- a/src/ldg.c
+++ b/src/ldg.c
@@ -4,7 +4,8 @@
 #include "ldg_int.h"
 
 static int ldg_check_key(const struct ldg_claim *claim, int64_t *expiry_ms);
-static struct ldg_att *ldg_dispatched(const struct ldg *ldg, uint64_t req);
+static struct ldg_att *ldg_sent(const struct ldg *ldg, uint64_t req);
+static void ldg_drop_held(struct ldg *ldg, int64_t now);
 static void ldg_expire(struct ldg *ldg, struct ldg_shard *shard, int64_t now);
 static void ldg_call_overdue(struct ldg *ldg, struct ldg_shard *shard,
 			     int64_t now);
@@ -24,6 +25,7 @@
 	ldg->rng = settings->incarnation;
 	ldg->table = calloc(ldg->set.shards, sizeof(struct ldg_shard *));
 	CDS_INIT_LIST_HEAD(&ldg->shards);
+	CDS_INIT_LIST_HEAD(&ldg->held);
 	CDS_INIT_LIST_HEAD(&ldg->calls);
 	CDS_INIT_LIST_HEAD(&ldg->results);
 	for (i = 0; i < LDG_BUCKETS; i++) {
@@ -100,7 +102,7 @@
 int ldg_settle(struct ldg *ldg, uint64_t req, const struct ldg_outcome *outcome,
 	       int64_t now)
 {
-	struct ldg_att *att = ldg_dispatched(ldg, req);
+	struct ldg_att *att = ldg_sent(ldg, req);
 
 	if (!att)
 		return LDG_E_UNKNOWN_ID;
@@ -112,7 +114,7 @@
 		memcpy(att->answer, outcome->answer, outcome->answer_len);
 		att->answer_len = outcome->answer_len;
 	}
-	ldg_att_queue(att, ATT_SETTLING, now + LDG_SETTLE_WAIT_US);
+	ldg_att_queue(ldg, att, ATT_SETTLING, now + LDG_SETTLE_WAIT_US);
 	return LDG_OK;
 }
 
@@ -124,26 +126,29 @@
 {
 	struct ldg_att *att = ldg_att_find(ldg, req);
 
-	if (!att || att->state > ATT_DISPATCHED)
-		return LDG_E_UNKNOWN_ID;
-	if (att->state == ATT_WAITING)
+	if (att && att->state == ATT_WAITING) {
 		ldg_att_give_up(ldg, att, now);
-	else
-		ldg_att_queue(att, ATT_RELEASING, now);
+		return LDG_OK;
+	}
+	att = ldg_sent(ldg, req);
+	if (!att)
+		return LDG_E_UNKNOWN_ID;
+	ldg_att_queue(ldg, att, ATT_RELEASING, now);
 	return LDG_OK;
 }
 
 /*
  * Something may have been sent and the outcome is lost; the caller was told
  * unknown.  A repeat is told so too, or takes over with a downstream key.
+ * For LDG_HELD_KEEP_US the end may still be told by settle or release.
  */
 int ldg_hold(struct ldg *ldg, uint64_t req, int64_t now)
 {
-	struct ldg_att *att = ldg_dispatched(ldg, req);
+	struct ldg_att *att = ldg_att_find(ldg, req);
 
-	if (!att)
+	if (!att || att->state != ATT_DISPATCHED)
 		return LDG_E_UNKNOWN_ID;
-	ldg_att_queue(att, ATT_HOLDING, now);
+	ldg_att_queue(ldg, att, ATT_HOLDING, now);
 	return LDG_OK;
 }
 
@@ -163,6 +168,7 @@
 		if (shard->single && !shard->att_count && !shard->call_id)
 			ldg_shard_free(ldg, shard);
 	}
+	ldg_drop_held(ldg, now);
 	ldg_forget(ldg);
 }
 
@@ -225,10 +231,11 @@
 	return next;
 }
 
-/* True if no attempt is out and no outcome waits to be written. */
+/* True if no attempt is out and no outcome waits to be written; held ones
+ * don't count, their records are written. */
 bool ldg_idle(const struct ldg *ldg)
 {
-	return ldg->att_count == 0;
+	return ldg->att_count == ldg->held_count;
 }
 
 /*
@@ -247,11 +254,30 @@
 	return claim->wall_ms > *expiry_ms ? LDG_E_KEY_OLD : LDG_OK;
 }
 
-static struct ldg_att *ldg_dispatched(const struct ldg *ldg, uint64_t req)
+/* The attempt of a request whose end may still be told, or NULL. */
+static struct ldg_att *ldg_sent(const struct ldg *ldg, uint64_t req)
 {
 	struct ldg_att *att = ldg_att_find(ldg, req);
 
-	return att && att->state == ATT_DISPATCHED ? att : NULL;
+	if (!att)
+		return NULL;
+	if (att->state == ATT_DISPATCHED || att->state == ATT_HOLDING ||
+	    att->state == ATT_HELD)
+		return att;
+	return NULL;
+}
+
+/* Forgets held attempts whose end didn't come; the record stays as it is. */
+static void ldg_drop_held(struct ldg *ldg, int64_t now)
+{
+	struct ldg_att *att;
+	struct ldg_att *next;
+
+	cds_list_for_each_entry_safe (att, next, &ldg->held, node) {
+		if (att->due_us > now)
+			return;
+		ldg_att_free(ldg, att);
+	}
 }
 
 static void ldg_expire(struct ldg *ldg, struct ldg_shard *shard, int64_t now)
--- a/src/ldg_att.c
+++ b/src/ldg_att.c
@@ -65,6 +65,8 @@
 {
 	if (att->state != ATT_DISPATCHED)
 		cds_list_del(&att->node);
+	if (att->state == ATT_HELD)
+		ldg->held_count--;
 	cds_list_del(&att->by_req);
 	cds_list_del(&att->by_intent);
 	att->shard->att_count--;
@@ -73,26 +75,56 @@
 	free(att);
 }
 
-/* Puts a dispatched attempt back into its shard's work. */
-void ldg_att_queue(struct ldg_att *att, enum ldg_att_state state,
-		   int64_t due_us)
+/*
+ * Gives an attempt its last change of the record.  One that is in a swap
+ * already goes into the next one too, as its state differs then.
+ */
+void ldg_att_queue(struct ldg *ldg, struct ldg_att *att,
+		   enum ldg_att_state state, int64_t due_us)
 {
+	if (att->state == ATT_HELD) {
+		cds_list_del(&att->node);
+		ldg->held_count--;
+	}
+	if (att->state == ATT_HELD || att->state == ATT_DISPATCHED)
+		cds_list_add_tail(&att->node, &att->shard->work);
 	att->state = state;
 	att->due_us = due_us;
-	cds_list_add_tail(&att->node, &att->shard->work);
 }
 
-/* A version of the segment holds the attempt's own nonce: it may send. */
-void ldg_att_go(struct ldg *ldg, struct ldg_att *att)
+/*
+ * A version of the segment holds the attempt's own nonce: it may send,
+ * unless this instance was paused meanwhile.  Past its deadline the caller
+ * may have asked again and been told that nothing ran.
+ */
+void ldg_att_go(struct ldg *ldg, struct ldg_att *att, int64_t now)
 {
 	enum ldg_verdict verdict = att->taken_over ? LDG_TAKEN_OVER : LDG_GO;
 
+	att->unsure = false;
+	if (att->deadline_us <= now) {
+		ldg_tell(ldg, att->req,
+			 att->taken_over ? LDG_CANNOT_TELL : LDG_NOT_RUN, NULL,
+			 now + LDG_BUSY_RETRY_US);
+		att->state = ATT_RELEASING;
+		att->due_us = now;
+		return;
+	}
 	cds_list_del(&att->node);
 	att->state = ATT_DISPATCHED;
-	att->unsure = false;
 	ldg_tell(ldg, att->req, verdict, NULL, 0);
 }
 
+/* The record is ambiguous; the attempt's end may still come for a while. */
+void ldg_att_park(struct ldg *ldg, struct ldg_att *att, int64_t now)
+{
+	cds_list_del(&att->node);
+	att->state = ATT_HELD;
+	att->due_us = now + LDG_HELD_KEEP_US;
+	cds_list_add_tail(&att->node, &ldg->held);
+	ldg->held_count++;
+}
+
 /*
  * Nobody waits for the reservation any more.  If a swap that holds it may
  * have landed or may still land, the record would name a dispatcher that
--- a/src/ldg_batch.c
+++ b/src/ldg_batch.c
@@ -65,7 +65,7 @@
 }
 
 /* The swap landed: its records are the truth now. */
-void ldg_batch_commit(struct ldg *ldg, struct ldg_shard *shard)
+void ldg_batch_commit(struct ldg *ldg, struct ldg_shard *shard, int64_t now)
 {
 	struct ldg_seg *seg = ldg_shard_current(shard);
 	struct ldg_rec *rec;
@@ -84,7 +84,9 @@
 		if (att->state != att->batch_state)
 			continue; /* given up meanwhile: to be released */
 		if (att->state == ATT_WAITING)
-			ldg_att_go(ldg, att);
+			ldg_att_go(ldg, att, now);
+		else if (att->state == ATT_HOLDING)
+			ldg_att_park(ldg, att, now);
 		else
 			ldg_att_free(ldg, att);
 	}
@@ -126,7 +128,7 @@
 	int64_t retry_at_us = 0;
 
 	if (ldg_owns(att, rec)) {
-		ldg_att_go(ldg, att);
+		ldg_att_go(ldg, att, now);
 		return true;
 	}
 	verdict = ldg_judge(ldg, att, rec, now);
--- a/src/ldg_call.c
+++ b/src/ldg_call.c
@@ -15,6 +15,8 @@
 			  enum kv_op op, int64_t now);
 static void ldg_call_swap(struct ldg *ldg, struct ldg_shard *shard,
 			  int64_t now);
+static bool ldg_take_turn(struct ldg *ldg, struct ldg_shard *shard,
+			  int64_t now);
 static void ldg_call_next(struct ldg *ldg, struct ldg_shard *shard,
 			  int64_t now);
 static void ldg_call_empty(struct ldg *ldg, struct ldg_shard *shard,
@@ -34,6 +36,8 @@
 static void ldg_shard_next_segment(struct ldg_shard *shard);
 static void ldg_shard_back_off(struct ldg *ldg, struct ldg_shard *shard,
 			       int64_t now);
+static bool ldg_shard_unseen(const struct ldg_shard *shard);
+static void ldg_slow_down(struct ldg *ldg, int64_t now);
 static void ldg_answered(struct ldg *ldg);
 static void ldg_unanswered(struct ldg *ldg, struct ldg_shard *shard,
 			   const struct kv_reply *reply, int64_t now);
@@ -67,8 +71,10 @@
 	ldg->calls_out--;
 	if (answered)
 		ldg_answered(ldg);
-	if (reply->status == KV_LIMITED)
+	if (reply->status == KV_LIMITED) {
 		ldg_shard_back_off(ldg, shard, now);
+		ldg_slow_down(ldg, now);
+	}
 	ldg_reply_by_target(ldg, shard, reply, now);
 	if (!answered)
 		ldg_unanswered(ldg, shard, reply, now);
@@ -201,17 +207,38 @@
 			ldg_call_empty(ldg, shard, now);
 		return;
 	}
+	if (!ldg_take_turn(ldg, shard, now) && !need_read)
+		return;
 	/* A swap from an old version costs a write; a read costs less. */
 	if (shard->contended && now - shard->seen_us > LDG_FRESH_US)
 		need_read = true;
 	if (need_read) {
 		shard->step = STEP_STALE;
 		ldg_call_segment(ldg, shard, KV_GET, now);
-	} else if (ldg_batch_build(ldg, shard, now)) {
-		ldg_call_swap(ldg, shard, now);
+	} else {
+		shard->has_turn = false;
+		if (ldg_batch_build(ldg, shard, now))
+			ldg_call_swap(ldg, shard, now);
 	}
 }
 
+/*
+ * The shards of an instance take turns at the swaps that its pace allows.  A
+ * shard keeps its turn while it reads, or its view would be old again.
+ */
+static bool ldg_take_turn(struct ldg *ldg, struct ldg_shard *shard, int64_t now)
+{
+	if (shard->has_turn)
+		return true;
+	if (now < ldg->next_swap_us)
+		return false;
+	shard->has_turn = true;
+	ldg->next_swap_us = now + ldg->pace_us;
+	cds_list_del(&shard->node);
+	cds_list_add_tail(&shard->node, &ldg->shards);
+	return true;
+}
+
 /*
  * Segments are never deleted, so a head that is absent, old or unreadable
  * only makes this instance read more of them.
@@ -299,9 +326,10 @@
 {
 	if (reply->status == KV_OK) {
 		ldg_shard_current(shard)->version = reply->version;
-		ldg_batch_commit(ldg, shard);
+		ldg_batch_commit(ldg, shard, now);
 		shard->seen_us = shard->call_begun_us;
 		shard->backoff_us = 0;
+		ldg->pace_us -= ldg->pace_us / 8;
 		if (shard->batch_seals) {
 			ldg_shard_next_segment(shard);
 			ldg_shard_trim(shard, ldg->wall_offset_ms +
@@ -311,11 +339,13 @@
 		return;
 	}
 	ldg_batch_drop(shard, reply->status == KV_LOST);
+	if (reply->status == KV_CONFLICT || reply->status == KV_LOST)
+		shard->step = STEP_STALE;
 	/*
-	 * After a swap that was limited too: reads have a rate of their own,
-	 * and a view from after the claim is what proves that nothing ran.
+	 * Reads have a rate of their own, and a view from after the claim is
+	 * what proves that nothing ran.
 	 */
-	if (reply->status != KV_UNSENT)
+	if (reply->status == KV_LIMITED && ldg_shard_unseen(shard))
 		shard->step = STEP_STALE;
 	if (reply->status == KV_CONFLICT) {
 		shard->contended = true;
@@ -345,6 +375,31 @@
 		now + (int64_t)((ldg->rng >> 33) % (uint64_t)shard->backoff_us);
 }
 
+/* True if a claim that waits is younger than the view of the segments. */
+static bool ldg_shard_unseen(const struct ldg_shard *shard)
+{
+	const struct ldg_att *att;
+
+	cds_list_for_each_entry (att, &shard->work, node) {
+		if (att->state == ATT_WAITING &&
+		    att->arrived_us > shard->seen_us)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * The service refuses calls for their rate, which all instances share.  Fewer
+ * swaps, each with more work in it, get more bookings through than retries.
+ */
+static void ldg_slow_down(struct ldg *ldg, int64_t now)
+{
+	ldg->pace_us = ldg->pace_us + ldg->pace_us / 2 + LDG_PACE_US;
+	if (ldg->pace_us > LDG_PACE_MAX_US)
+		ldg->pace_us = LDG_PACE_MAX_US;
+	ldg->next_swap_us = now + ldg->pace_us;
+}
+
 static void ldg_answered(struct ldg *ldg)
 {
 	if (ldg->down)
--- a/src/ldg_int.h
+++ b/src/ldg_int.h
@@ -17,8 +17,11 @@
 #define LDG_SKEW_MS	   INT64_C(60000) /* furthest two clocks may differ */
 #define LDG_AMBIGUOUS_KEPT 8 /* windows that an ambiguous record stays */
 #define LDG_SETTLE_WAIT_US (20 * MAG_US_PER_MS) /* for a swap to share */
+#define LDG_HELD_KEEP_US   (60 * MAG_US_PER_S)	/* for a late end */
 #define LDG_BACKOFF_US	   (5 * MAG_US_PER_MS)
 #define LDG_BACKOFF_MAX_US (80 * MAG_US_PER_MS)
+#define LDG_PACE_US	   (2 * MAG_US_PER_MS)
+#define LDG_PACE_MAX_US	   (100 * MAG_US_PER_MS)
 #define LDG_DOWN_US	   (100 * MAG_US_PER_MS)
 #define LDG_DOWN_MAX_US	   MAG_US_PER_S
 #define LDG_FAILURES_DOWN  2 /* lost answers in a row that mean an outage */
@@ -77,6 +80,7 @@
 	ATT_RELEASING,
 	ATT_HOLDING,
 	ATT_VOIDING, /* given up; a swap of it may yet land */
+	ATT_HELD,    /* ambiguous on record; its end may yet be told */
 };
 
 struct ldg_att {
@@ -144,6 +148,7 @@
 	int64_t retry_us;
 	int64_t backoff_us;
 	uint32_t att_count;
+	bool has_turn;	/* may swap now; the instance paces its swaps */
 	bool contended; /* the last cached version was another's */
 };
 
@@ -164,6 +169,8 @@
 	struct cds_list_head by_req[LDG_BUCKETS];
 	struct cds_list_head by_intent[LDG_BUCKETS];
 	size_t att_count;
+	struct cds_list_head held; /* attempts in ATT_HELD, oldest first */
+	size_t held_count;
 	struct cds_list_head calls;
 	struct cds_list_head results;
 	uint64_t next_call;
@@ -171,6 +178,8 @@
 	uint64_t rng;
 	int64_t wall_offset_ms;
 	unsigned int calls_out;
+	int64_t pace_us; /* least time between two swaps of this instance */
+	int64_t next_swap_us;
 	int failures; /* calls in a row without an answer */
 	bool down;
 	int64_t down_until_us;
@@ -229,7 +238,7 @@
 /* ldg_batch.c */
 bool ldg_batch_answer(struct ldg *ldg, struct ldg_shard *shard, int64_t now);
 bool ldg_batch_build(struct ldg *ldg, struct ldg_shard *shard, int64_t now);
-void ldg_batch_commit(struct ldg *ldg, struct ldg_shard *shard);
+void ldg_batch_commit(struct ldg *ldg, struct ldg_shard *shard, int64_t now);
 void ldg_batch_drop(struct ldg_shard *shard, bool unsure);
 
 /* ldg_att.c */
@@ -239,9 +248,10 @@
 const struct ldg_att *ldg_att_live(const struct ldg *ldg,
 				   const uint8_t *intent);
 void ldg_att_free(struct ldg *ldg, struct ldg_att *att);
-void ldg_att_queue(struct ldg_att *att, enum ldg_att_state state,
-		   int64_t due_us);
-void ldg_att_go(struct ldg *ldg, struct ldg_att *att);
+void ldg_att_queue(struct ldg *ldg, struct ldg_att *att,
+		   enum ldg_att_state state, int64_t due_us);
+void ldg_att_go(struct ldg *ldg, struct ldg_att *att, int64_t now);
+void ldg_att_park(struct ldg *ldg, struct ldg_att *att, int64_t now);
 void ldg_att_give_up(struct ldg *ldg, struct ldg_att *att, int64_t now);
 void ldg_att_refuse(struct ldg *ldg, struct ldg_att *att, int64_t now);
 void ldg_tell(struct ldg *ldg, uint64_t req, enum ldg_verdict verdict,
--- a/src/ldg_judge.c
+++ b/src/ldg_judge.c
@@ -7,6 +7,8 @@
 					   const struct ldg_att *att,
 					   const struct ldg_rec *rec,
 					   int64_t now);
+static bool ldg_same_nonce(const struct ldg_att *att,
+			   const struct ldg_rec *rec);
 static int64_t ldg_wall_ms(const struct ldg_att *att, int64_t now);
 static struct ldg_rec *ldg_apply_reserve(const struct ldg *ldg,
 					 struct ldg_att *att,
@@ -21,9 +23,7 @@
 /* Tells whether a record is reserved under the attempt's own nonce. */
 bool ldg_owns(const struct ldg_att *att, const struct ldg_rec *rec)
 {
-	return rec && rec->state == REC_RESERVED &&
-	       rec->nonce.incarnation == att->nonce.incarnation &&
-	       rec->nonce.number == att->nonce.number;
+	return rec && rec->state == REC_RESERVED && ldg_same_nonce(att, rec);
 }
 
 /*
@@ -68,6 +68,7 @@
 	case ATT_HOLDING:
 		return ldg_apply_end(att, rec, REC_AMBIGUOUS, now);
 	case ATT_DISPATCHED:
+	case ATT_HELD:
 		break;
 	}
 	return NULL;
@@ -93,6 +94,12 @@
 	return att->may_resend ? LDG_TAKEN_OVER : LDG_HELD;
 }
 
+static bool ldg_same_nonce(const struct ldg_att *att, const struct ldg_rec *rec)
+{
+	return rec->nonce.incarnation == att->nonce.incarnation &&
+	       rec->nonce.number == att->nonce.number;
+}
+
 static int64_t ldg_wall_ms(const struct ldg_att *att, int64_t now)
 {
 	return att->wall_offset_ms + now / MAG_US_PER_MS;
@@ -148,7 +155,8 @@
 {
 	struct ldg_rec *new;
 
-	if (!ldg_owns(att, rec))
+	if (!rec || rec->state > REC_AMBIGUOUS || rec->state == state ||
+	    !ldg_same_nonce(att, rec))
 		return NULL;
 	new = ldg_rec_copy(rec);
 	new->state = state;
--- a/src/ldg_shard.c
+++ b/src/ldg_shard.c
@@ -154,6 +154,9 @@
 		return wake;
 	if (due < shard->retry_us)
 		due = shard->retry_us;
+	if (due < ldg->next_swap_us && shard->step == STEP_READY &&
+	    !shard->has_turn)
+		due = ldg->next_swap_us;
 	if (ldg->down && due < ldg->down_until_us)
 		due = ldg->down_until_us;
 	return ldg_earlier(wake, due);
--- a/src/set_field.c
+++ b/src/set_field.c
@@ -85,7 +85,7 @@
 	    "most calls to the platform's service"),
 	U32(shutdown_notice_ms, 0, 600000, 5000, "MS",
 	    "from failing the health check to refusing new work"),
-	U32(ledger_shards, 1, 1024, 16, "N",
+	U32(ledger_shards, 1, 1024, 2, "N",
 	    "shards of records, the same on all instances"),
 	U32(ledger_segment_bytes, 4096, 1000000, 262144, "BYTES",
 	    "size at which a segment of records is sealed"),
