--- a/src/fleet.c
+++ b/src/fleet.c
@@ -299,6 +299,18 @@
 	return lim_entitled(fleet->lim);
 }
 
+/*
+ * One instance's part of the calls that all may make to the platform's
+ * service, at least one.  Equal parts need no message between instances, so
+ * they hold across any cut.
+ */
+uint32_t fleet_call_part(uint32_t fleet_calls_per_s, uint32_t listed)
+{
+	uint32_t part = fleet_calls_per_s / (listed ? listed : 1);
+
+	return part ? part : 1;
+}
+
 /*
  * Gives the addresses of peers that are up, those of the own data centre
  * first, to fetch the configuration from.
@@ -461,6 +473,7 @@
 		news->type = FLEET_NEWS_LEAVING;
 		news->leaving.leaving = record.leaving;
 		memcpy(news->leaving.endpoint, record.endpoint, MAG_NAME_MAX);
+		plc_note_leaving(fleet->plc, record.endpoint, record.leaving);
 		log_event(LOG_PEER_LEAVING, "endpoint=%s leaving=%d",
 			  record.endpoint, record.leaving);
 		return true;
--- a/src/front.h
+++ b/src/front.h
@@ -21,9 +21,10 @@
 };
 
 struct front_settings {
-	char listen[MAG_ADDR_MAX]; /* "ip:port" */
-	uint32_t threads;	   /* concurrent requests */
-	uint32_t body_max;	   /* bytes of a request's body */
+	char listen[MAG_ADDR_MAX];   /* "ip:port" */
+	uint32_t threads;	     /* concurrent requests */
+	uint32_t connect_timeout_ms; /* to an endpoint */
+	uint32_t body_max;	     /* bytes of a request's body */
 	char instance[MAG_NAME_MAX];
 	uint64_t incarnation;
 };
@@ -32,6 +33,7 @@
 int front_start(struct front *front, struct loop *loop);
 void front_set_config(struct front *front, struct cfg_set *set);
 void front_deliver(struct front *front, struct core_action *action);
+void front_close_connections(struct front *front);
 void front_refuse_new(struct front *front);
 uint32_t front_open_requests(struct front *front);
 void front_free(struct front *front);
--- a/src/front_int.h
+++ b/src/front_int.h
@@ -20,12 +20,15 @@
 	struct front_settings settings;
 	struct loop *loop;
 	struct mg_context *server;
+	struct ep_cancel *cancel;
 	struct cfg_set *set;  /* published by RCU */
 	pthread_mutex_t lock; /* of the buckets */
 	struct cds_list_head buckets[FRONT_BUCKETS];
 	atomic_uint_fast64_t next_id;
 	atomic_uint open;
+	atomic_uint connections; /* each holds a thread of the server */
 	atomic_bool refusing;
+	atomic_bool closing; /* connections end after their answer */
 };
 
 struct front_action {
@@ -57,6 +60,7 @@
 	const struct core_dispatch *running; /* the attempt under way */
 	struct ep_answer answer;
 	bool head_sent;	  /* of a stream */
+	bool body_unread; /* the connection can't carry another request */
 	bool caller_gone; /* a write failed */
 	bool answered;
 	int64_t progress_due_us;
