lim: Give an instance without a list a part of each limit

Cause: with no entry in the platform's list, or no list at all, the number of parts was taken for zero, and the part for 1e-9 of the limit: every request but the first under any limit heard 429. A new chief of a data centre, on the other hand, took the size of its group for that of the fleet, whatever its members' lists said. Change: the own list, else the largest that a peer tells, else the last known, else the new setting instances_max. A new instance starts with a tenth of its part until the others had the time to hear of it. Conclusion: no part is zero; without any list the parts sum up to the limit while no more than instances_max instances run.

--- a/regress/net.h
+++ b/regress/net.h
@@ -112,6 +112,7 @@
 	snprintf(settings.address, MAG_ADDR_MAX, "%d", i);
 	settings.incarnation = ++node->incarnation * 1000 + (uint64_t)i;
 	settings.place = net->place;
+	settings.instances_max = (uint32_t)net->count;
 	node->fleet = fleet_new(&settings, net->now);
 	node->alive = true;
 	node->paused = false;
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -181,6 +181,7 @@
 	to->incarnation = daemon->incarnation;
 	to->seed = from->seed ? from->seed : daemon->incarnation;
 	to->bytes_per_s = from->peer_bytes_per_s;
+	to->instances_max = from->instances_max;
 	to->kv_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS;
 	to->place = from->place;
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -9,6 +9,7 @@
 #include "spread.h"
 
 #define FLEET_BYTES_PER_S    9000
+#define FLEET_INSTANCES_MAX  12 /* when the settings do not say */
 #define FLEET_RECORDS_MAX    4096
 #define FLEET_RESEND_US	     (500 * MAG_US_PER_MS)
 #define FLEET_ASK_US	     (500 * MAG_US_PER_MS) /* between two fetches */
@@ -66,6 +67,8 @@
 	fleet->settings = *settings;
 	if (fleet->settings.bytes_per_s == 0)
 		fleet->settings.bytes_per_s = FLEET_BYTES_PER_S;
+	if (fleet->settings.instances_max == 0)
+		fleet->settings.instances_max = FLEET_INSTANCES_MAX;
 	if (fleet_make(fleet, now)) {
 		fleet_free(fleet);
 		return NULL;
@@ -339,7 +342,7 @@
 	memcpy(plc.data_centre, from->data_centre, MAG_NAME_MAX);
 	fleet->peer = peer_new(&peer, now);
 	fleet->spread = spread_new(FLEET_RECORDS_MAX);
-	fleet->lim = lim_new();
+	fleet->lim = lim_new(from->instances_max);
 	fleet->plc = plc_new(&plc, now);
 	pace_init(&fleet->pace, from->seed ^ peer_hash(from->instance),
 		  FLEET_RETRY_US, FLEET_POLL_US);
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -36,7 +36,8 @@
 	char address[MAG_ADDR_MAX]; /* where peers reach this instance */
 	uint64_t incarnation;	    /* drawn at random at start, not 0 */
 	uint64_t seed;
-	uint32_t bytes_per_s; /* for messages sent and received; 0: 9000 */
+	uint32_t bytes_per_s;	/* for messages sent and received; 0: 9000 */
+	uint32_t instances_max; /* most that the site runs; 0: 12 */
 	int64_t kv_timeout_us;
 	bool place; /* this instance may hold the placement lease */
 };
--- a/src/lim.c
+++ b/src/lim.c
@@ -7,7 +7,7 @@
 #define LIM_FLOOR      0.04 /* part of a pool that is divided evenly */
 #define LIM_STEP       0.05 /* a smaller change of demand isn't told */
 #define LIM_SHARE_STEP 0.01 /* a smaller change of share isn't told */
-#define LIM_NONE       1e-9 /* as good as nothing; 0 would mean no limit */
+#define LIM_START      0.1  /* of its part, while a new instance is not known */
 #define LIM_SLOTS      5    /* of time, of which a raised share waits out all */
 #define LIM_ROUND_US   (250 * MAG_US_PER_MS)
 
@@ -47,6 +47,8 @@
 	uint32_t group;	   /* who pool their parts, this one included */
 	uint32_t local;	   /* those of them in this data centre */
 	uint32_t entitled; /* in how many parts a limit is held */
+	uint32_t known;	   /* instances of the last list, own or a peer's */
+	uint32_t instances_max; /* what a site without any list may have */
 	size_t news_next;
 };
 
@@ -63,6 +65,7 @@
 static int lim_compare(const void *a, const void *b);
 static void lim_row_set(struct lim_row *row, const struct cfg_limit *from,
 			int index);
+static void lim_start(const struct lim *lim, struct lim_row *row);
 static int lim_remap(struct lim *lim, const struct lim_row *rows, size_t count);
 static float *lim_column(const struct lim *lim, const float *old,
 			 const struct lim_row *rows, size_t count);
@@ -77,13 +80,18 @@
 		    float value, struct peer_msg *msg);
 static void lim_announce(struct lim *lim);
 static void lim_sum(struct lim *lim, const struct peer *peer);
+static uint32_t lim_listed(struct lim *lim, const struct peer *peer);
 static void lim_add_link(struct lim *lim, int link, bool local);
 static void lim_follow(struct lim *lim, const struct peer *peer, int chief);
 static void lim_window(struct lim *lim, const struct peer *peer, int64_t now);
 static double lim_least(const struct lim_row *row);
 
-/* Makes an empty table of limits; NULL when memory is short. */
-struct lim *lim_new(void)
+/*
+ * Makes an empty table of limits; NULL when memory is short.  instances_max
+ * is the most instances that the site runs, into which a limit is divided
+ * while no list is known.
+ */
+struct lim *lim_new(uint32_t instances_max)
 {
 	struct lim *lim = calloc(1, sizeof(*lim));
 
@@ -91,6 +99,8 @@
 		return NULL;
 	lim->group = 1;
 	lim->local = 1;
+	lim->instances_max = instances_max;
+	lim->entitled = instances_max;
 	return lim;
 }
 
@@ -118,6 +128,7 @@
 {
 	size_t count = set->limit_count;
 	struct lim_row *rows = calloc(count + 1, sizeof(*rows));
+	bool first = !lim->rows;
 	size_t i;
 
 	if (!rows)
@@ -126,8 +137,10 @@
 		lim_row_set(&rows[i], &set->limits[i], (int)i);
 	qsort(rows, count, sizeof(*rows), lim_compare);
 	for (i = 0; i < count; i++) {
-		int old = lim_find(lim, rows[i].hash);
+		int old = first ? -1 : lim_find(lim, rows[i].hash);
 
+		if (first)
+			lim_start(lim, &rows[i]);
 		if (old < 0)
 			continue;
 		rows[i].demand = lim->rows[old].demand;
@@ -270,20 +283,14 @@
 /*
  * The fraction of a limit that one instance may use.  A group of the
  * entitled ones holds group / entitled of it.  Demand below the pool is met
- * and the rest divided evenly; demand above it is met in proportion.
+ * and the rest divided evenly; demand above it is met in proportion.  The
+ * group is not empty and not larger than the entitled.
  */
 double lim_fraction(double own, double total, uint32_t group, uint32_t entitled,
 		    double limit)
 {
-	double pool;
+	double pool = limit * group / entitled;
 
-	/*
-	 * Without the list an instance can't tell into how many parts a limit
-	 * is divided; to take it all would let each newcomer use the whole.
-	 */
-	if (entitled == 0)
-		return LIM_NONE;
-	pool = limit * group / entitled;
 	if (total < own)
 		total = own;
 	if (total <= (1 - LIM_FLOOR) * pool)
@@ -344,6 +351,19 @@
 		row->least[slot] = 1;
 }
 
+/*
+ * Lets a new instance use a little until all others had the time to hear of
+ * it.  They share the whole limit without it, so its whole part would come on
+ * top; with nothing it would refuse the first callers that it gets.
+ */
+static void lim_start(const struct lim *lim, struct lim_row *row)
+{
+	size_t slot;
+
+	for (slot = 0; slot < LIM_SLOTS; slot++)
+		row->least[slot] = LIM_START / lim->instances_max;
+}
+
 /* Moves what each link knows to the places of the new rows. */
 static int lim_remap(struct lim *lim, const struct lim_row *rows, size_t count)
 {
@@ -513,7 +533,7 @@
 /* Sums up who and what is in reach, or takes the sums of the first bridge. */
 static void lim_sum(struct lim *lim, const struct peer *peer)
 {
-	uint32_t listed = peer_listed_count(peer);
+	uint32_t listed = lim_listed(lim, peer);
 	size_t i;
 
 	for (i = 0; i < lim->row_count; i++)
@@ -544,10 +564,37 @@
 	lim->entitled = listed;
 	if (peer_chief(peer) >= 0)
 		lim_follow(lim, peer, peer_chief(peer));
-	if (lim->entitled < lim->group && lim->group > 1)
+	if (lim->entitled < lim->group)
 		lim->entitled = lim->group;
 }
 
+/*
+ * Into how many parts a limit is divided as far as this instance knows.  One
+ * that is new during an outage of the platform has no list.  If it took the
+ * size of its group for that of the fleet, its side of a cut would use the
+ * whole limit and the other side its parts as well; if it took nothing, every
+ * caller under a limit would be refused until the platform is back.  So it
+ * goes by the size that peers tell, else by the last list, else by the most
+ * that the site runs.
+ */
+static uint32_t lim_listed(struct lim *lim, const struct peer *peer)
+{
+	uint32_t listed = peer_listed_count(peer);
+	uint32_t told = 0;
+	size_t i;
+
+	for (i = 0; i < peer_link_count(peer); i++) {
+		if (peer_link_up(peer, (int)i) &&
+		    peer_link_listed(peer, (int)i) > told)
+			told = peer_link_listed(peer, (int)i);
+	}
+	if (listed == 0)
+		listed = told;
+	if (listed > 0)
+		lim->known = listed;
+	return lim->known > 0 ? lim->known : lim->instances_max;
+}
+
 /* Adds what a link told to the sums. */
 static void lim_add_link(struct lim *lim, int link, bool local)
 {
--- a/src/lim.h
+++ b/src/lim.h
@@ -29,7 +29,7 @@
 	double concurrent;
 };
 
-struct lim *lim_new(void);
+struct lim *lim_new(uint32_t instances_max);
 void lim_free(struct lim *lim);
 int lim_config(struct lim *lim, const struct cfg_set *set, int64_t now);
 int lim_note_demand(struct lim *lim, int limit, double demand);
--- a/src/set.h
+++ b/src/set.h
@@ -61,7 +61,8 @@
 	uint32_t ledger_segment_bytes;
 	uint32_t ledger_batch_max;
 	uint32_t peer_bytes_per_s;
-	bool place; /* may hold the placement lease */
+	uint32_t instances_max; /* entry instances that the site runs */
+	bool place;		/* may hold the placement lease */
 	enum log_prio log_level;
 	uint64_t seed; /* 0: drawn at random at start */
 };
--- a/src/set_field.c
+++ b/src/set_field.c
@@ -93,6 +93,8 @@
 	    "most reservations in one write"),
 	U32(peer_bytes_per_s, 1000, 1000000, 9000, "BYTES",
 	    "most bytes a second to and from the other instances"),
+	U32(instances_max, 1, 4096, 12, "N",
+	    "most instances that the site runs, for limits without a list"),
 	{ .name = "place",
 	  .type = SET_T_BOOL,
 	  .offset = AT(place),
