--- a/src/lim.c
+++ b/src/lim.c
@@ -128,6 +128,7 @@
 {
 	size_t count = set->limit_count;
 	struct lim_row *rows = calloc(count + 1, sizeof(*rows));
+	bool first = !lim->rows;
 	size_t i;
 
 	if (!rows)
@@ -136,9 +137,9 @@
 		lim_row_set(&rows[i], &set->limits[i], (int)i);
 	qsort(rows, count, sizeof(*rows), lim_compare);
 	for (i = 0; i < count; i++) {
-		int old = lim_find(lim, rows[i].hash);
+		int old = first ? -1 : lim_find(lim, rows[i].hash);
 
-		if (!lim->rows)
+		if (first)
 			lim_start(lim, &rows[i]);
 		if (old < 0)
 			continue;
