--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -118,30 +118,27 @@
 		pick_eject(pick, e, "fails-often", now);
 }
 
-/*
- * A stream that stopped doesn't say at which stage.  Stages that moved other
- * streams meanwhile are cleared; only the silent ones are blamed.
- */
+/* Blames the stage at which a stream most likely stopped. */
 static void pick_health_stalled(struct pick *pick,
 				const struct pick_chain *chain, int64_t now)
 {
-	int i;
+	int at = pick_silent(pick, chain, now);
 
-	for (i = 0; i < chain->count; i++) {
-		if (pick_is_silent(pick, chain->stages[i].endpoint, now))
-			pick_health_failed(pick, chain->stages[i].endpoint,
-					   now);
-	}
+	if (at >= 0)
+		pick_health_failed(pick, chain->stages[at].endpoint, now);
 }
 
 /*
- * Returns the stage of a stalled chain that has shown no sign of life for
- * longest, -1 if all of them move other streams.
+ * Returns the stage of a stalled chain that most likely holds it up, -1 if
+ * all of them move other streams.  A stalled stream doesn't say where it
+ * stopped.  Of the stages without a sign of life it is the one with the most
+ * attempts: each of them would have shown one.  A small endpoint may be
+ * silent only because all its streams pass the one that hangs.
  */
 int pick_silent(const struct pick *pick, const struct pick_chain *chain,
 		int64_t now)
 {
-	int64_t since = MAG_NEVER;
+	uint32_t most = 0;
 	int at = -1;
 	int i;
 
@@ -149,9 +146,9 @@
 		int e = chain->stages[i].endpoint;
 
 		if (!pick_is_silent(pick, e, now) ||
-		    pick->eps[e].progress_us >= since)
+		    (at >= 0 && pick->eps[e].in_flight <= most))
 			continue;
-		since = pick->eps[e].progress_us;
+		most = pick->eps[e].in_flight;
 		at = i;
 	}
 	return at;
