Let modest accounts in by the mean pace

Change: an account that started clearly less than its share lately is judged by the mean pace, the others by the mean and the deviation.

--- a/src/adm.c
+++ b/src/adm.c
@@ -171,6 +171,7 @@
 	adm_dequeue(adm, request);
 	request->started_us = now ? now : 1;
 	queue->deficit -= request->cost;
+	adm_spend(queue, request->run, now);
 	if (queue->count == 0)
 		queue->deficit = 0;
 	adm_first_attempt(adm, queue, now);
@@ -490,7 +491,8 @@
 	struct adm_service *service = &adm->services[offer->service];
 	double share = adm_share(adm, queue);
 	double fair = service->queue_max * share;
-	int64_t run = adm_run_us(service, adm_run_tokens(offer));
+	int64_t run = adm_run_us(service, adm_run_tokens(offer),
+				 adm_is_modest(adm, queue, now));
 
 	if (now + adm_wait_us(adm, queue) + run > offer->deadline_us)
 		return ADM_TOO_LATE;
@@ -535,7 +537,12 @@
 	request->priority = offer->priority;
 	request->offered_us = now;
 	request->give_up_us =
-		offer->deadline_us - adm_run_us(service, request->run);
+		offer->deadline_us -
+		adm_run_us(service, request->run,
+			   adm_is_modest(adm,
+					 adm_queue_at(adm, offer->service,
+						      offer->account),
+					 now));
 	request->seq = adm->seq++;
 	cds_list_add_tail(&request->by_id,
 			  &adm->by_id[offer->req & (ADM_BUCKETS - 1)]);
--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -50,8 +50,10 @@
 	uint32_t count;
 	uint32_t inside; /* waiting or running */
 	uint32_t passed; /* requests passed over in this round */
-	double retries;	 /* balance of the retry budget */
-	double firsts;	 /* recent first attempts, decayed */
+	double spent;	 /* tokens started lately, decayed */
+	int64_t spent_us;
+	double retries; /* balance of the retry budget */
+	double firsts;	/* recent first attempts, decayed */
 	int64_t firsts_us;
 	int64_t return_us; /* when the next refused caller may come back */
 };
@@ -129,7 +131,12 @@
 double adm_service_rate(const struct adm_service *service);
 double adm_share(const struct adm *adm, const struct adm_queue *queue);
 int64_t adm_wait_us(const struct adm *adm, const struct adm_queue *queue);
-int64_t adm_run_us(const struct adm_service *service, double tokens);
+int64_t adm_run_us(const struct adm_service *service, double tokens,
+		   bool modest);
+bool adm_is_modest(const struct adm *adm, const struct adm_queue *queue,
+		   int64_t now);
+void adm_spend(struct adm_queue *queue, double tokens, int64_t now);
+double adm_decay(double value, int64_t since_us, int64_t now, double span_s);
 void adm_measure(struct adm_service *service, double tokens, int64_t now);
 void adm_learn(struct adm *adm, const struct adm_request *request,
 	       uint32_t tokens, int64_t now);
--- a/src/adm_limit.c
+++ b/src/adm_limit.c
@@ -12,8 +12,6 @@
 			     int service);
 static void adm_bucket_fill(struct adm_bucket *bucket, int64_t now);
 static int64_t adm_bucket_wait_us(struct adm_bucket *bucket, int64_t now);
-static double adm_decay(double value, int64_t since_us, int64_t now,
-			double span_s);
 static double adm_random(struct adm *adm);
 static double adm_some(double share);
 static bool adm_limits_have(struct adm *adm, const struct adm_offer *offer,
@@ -310,8 +308,7 @@
 }
 
 /* Returns what is left of a decaying sum. */
-static double adm_decay(double value, int64_t since_us, int64_t now,
-			double span_s)
+double adm_decay(double value, int64_t since_us, int64_t now, double span_s)
 {
 	double s = (double)(now - since_us) / (double)MAG_US_PER_S;
 
--- a/src/adm_rate.c
+++ b/src/adm_rate.c
@@ -2,10 +2,13 @@
 
 #include "adm_int.h"
 
-#define ADM_MEASURE_US	 (500 * MAG_US_PER_MS)
-#define ADM_MEASURE_STEP 0.3
-#define ADM_LEARN_STEP	 0.05
-#define ADM_DEVIATIONS	 1
+#define ADM_MEASURE_US	      (500 * MAG_US_PER_MS)
+#define ADM_MEASURE_STEP      0.3
+#define ADM_LEARN_STEP	      0.05
+#define ADM_DEVIATIONS	      1
+#define ADM_DEVIATIONS_MODEST 0
+#define ADM_SPENT_SPAN_S      5.0
+#define ADM_MODEST_PART	      0.85 /* of its share, and less */
 /* An answer shorter than this part was cut off; its pace says nothing. */
 #define ADM_WHOLE_PART 0.5
 
@@ -62,18 +65,55 @@
 }
 
 /*
- * Returns how long a request will run at the most, but for the slowest few:
- * the mean and a part of the deviation.  With the mean alone, half of the
- * requests that are let in at the last moment would miss their deadline.
+ * Returns how long a request will run: the mean and a part of the deviation.
+ * With the mean alone, half of what is let in at the last moment would miss
+ * its deadline.  An account that asks for less than its share (modest) is
+ * let in by the mean: the misses of others are not its doing.
  */
-int64_t adm_run_us(const struct adm_service *service, double tokens)
+int64_t adm_run_us(const struct adm_service *service, double tokens,
+		   bool modest)
 {
-	double us =
-		service->us_per_token + ADM_DEVIATIONS * service->us_deviation;
+	double part = modest ? ADM_DEVIATIONS_MODEST : ADM_DEVIATIONS;
+	double us = service->us_per_token + part * service->us_deviation;
 
 	return (int64_t)(tokens * service->used_part * us);
 }
 
+/* Counts what an account starts. */
+void adm_spend(struct adm_queue *queue, double tokens, int64_t now)
+{
+	queue->spent = adm_decay(queue->spent, queue->spent_us, now,
+				 ADM_SPENT_SPAN_S) +
+		       tokens;
+	queue->spent_us = now;
+}
+
+/* Tells whether an account got clearly less than its share lately. */
+bool adm_is_modest(const struct adm *adm, const struct adm_queue *queue,
+		   int64_t now)
+{
+	const struct adm_queue *first =
+		&adm->queues[queue->service * adm->account_count];
+	double mine = 0;
+	double sum = 0;
+	double weights = 0;
+	int i;
+
+	for (i = 0; i < adm->account_count; i++) {
+		double spent = adm_decay(first[i].spent, first[i].spent_us, now,
+					 ADM_SPENT_SPAN_S);
+
+		if (&first[i] == queue)
+			mine = spent;
+		else if (spent < 1)
+			continue;
+		sum += spent;
+		weights += adm->accounts[i].weight;
+	}
+	return mine * weights <
+	       ADM_MODEST_PART * sum * adm->accounts[queue->account].weight;
+}
+
 /*
  * Counts work done.  The rate is only learnt from spans through which
  * callers waited; otherwise it would be the callers' rate, not the
