Move streams off an endpoint that got slow under them

Cause: streams on a link that degraded were given up at their deadline though other chains had time left for them. Change: a stream at a pace that can't be in time, on a chain with an endpoint under 0.6 of its rate, resumes elsewhere; expected lengths come from what answers were, not from max_tokens.

--- a/src/adm.c
+++ b/src/adm.c
@@ -215,6 +215,14 @@
 	return adm->services[service].waiting;
 }
 
+/* Returns how many tokens an answer of at most max_tokens will likely have. */
+double adm_expected(const struct adm *adm, int service, uint32_t max_tokens)
+{
+	if (service < 0 || service >= adm->service_count)
+		return max_tokens;
+	return adm->services[service].used_part * max_tokens;
+}
+
 /* Returns the name of a verdict, as logs and answers show it. */
 const char *adm_verdict_name(enum adm_verdict verdict)
 {
--- a/src/pick.h
+++ b/src/pick.h
@@ -102,6 +102,7 @@
 		const struct pick_result *result, int64_t now);
 int pick_silent(const struct pick *pick, const struct pick_chain *chain,
 		int64_t now);
+int pick_degraded(const struct pick *pick, const struct pick_chain *chain);
 void pick_tick(struct pick *pick, int64_t now);
 int64_t pick_next_deadline(const struct pick *pick);
 
--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -9,6 +9,7 @@
 #define PICK_BACKOFF_US	    (500 * MAG_US_PER_MS)
 #define PICK_BACKOFF_MAX_US (30 * MAG_US_PER_S)
 #define PICK_CENTRE_EJECTED 3
+#define PICK_DEGRADED_SCALE 0.6 /* of its rate: streams move off it */
 #define PICK_FULL_US	    (20 * MAG_US_PER_MS)
 #define PICK_SILENT_US	    (200 * MAG_US_PER_MS)
 #define PICK_LOAD_STEP	    0.05
@@ -154,6 +155,27 @@
 	return at;
 }
 
+/*
+ * Returns the stage of a chain whose endpoint or link is far below its rate,
+ * the worst one, or -1.
+ */
+int pick_degraded(const struct pick *pick, const struct pick_chain *chain)
+{
+	double worst = PICK_DEGRADED_SCALE;
+	int at = -1;
+	int i;
+
+	for (i = 0; i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+
+		if (e < 0 || e >= pick->ep_count || pick->eps[e].scale >= worst)
+			continue;
+		worst = pick->eps[e].scale;
+		at = i;
+	}
+	return at;
+}
+
 /* Tells whether an endpoint has moved no stream lately. */
 static bool pick_is_silent(const struct pick *pick, int e, int64_t now)
 {
--- a/src/req.c
+++ b/src/req.c
@@ -37,6 +37,10 @@
 static void running_progress(struct core *core, struct core_req *req,
 			     void *data);
 static bool hopeless(const struct core *core, const struct core_req *req);
+static bool slowed_down(const struct core *core, const struct core_req *req);
+static bool too_slow(const struct core *core, const struct core_req *req,
+		     double us_per_token);
+static void leave(struct core *core, struct core_req *req, const char *why);
 static void running_leave(struct core *core, struct core_req *req, void *data);
 static void running_stall(struct core *core, struct core_req *req, void *data);
 static void closing_ledger(struct core *core, struct core_req *req, void *data);
@@ -339,8 +343,12 @@
 	if (req->chain.alone &&
 	    req->tokens - req->attempt_from >= REQ_PROOF_TOKENS)
 		pick_proved(core->pick, &req->chain);
-	if (hopeless(core, req))
-		running_leave(core, req, NULL);
+	if (!req->idempotent)
+		return;
+	if (slowed_down(core, req))
+		running_stall(core, req, NULL);
+	else if (hopeless(core, req))
+		leave(core, req, "too slow for its deadline");
 }
 
 /*
@@ -353,12 +361,38 @@
 {
 	uint32_t made = req->tokens - req->attempt_from;
 	int64_t took = core->now - req->first_token_us;
-	int64_t left = req->deadline_us - core->now;
 
-	if (!req->idempotent || made < REQ_PACE_TOKENS ||
-	    req->tokens >= req->arrival.max_tokens)
+	if (made < REQ_PACE_TOKENS)
 		return false;
-	return (double)took / made * (req->arrival.max_tokens - req->tokens) >
+	return too_slow(core, req, (double)took / made);
+}
+
+/*
+ * Tells whether a stream would miss its deadline because a stage of its
+ * chain got slow under it; elsewhere it can still be in time.
+ */
+static bool slowed_down(const struct core *core, const struct core_req *req)
+{
+	double pace = 0;
+	int i;
+
+	if (req->attempt >= CORE_ATTEMPTS_MAX ||
+	    pick_degraded(core->pick, &req->chain) < 0)
+		return false;
+	for (i = 0; i < req->chain.count; i++)
+		pace += req->hop_us[i];
+	return too_slow(core, req, pace);
+}
+
+/* Tells whether a pace leaves no hope of an answer in time. */
+static bool too_slow(const struct core *core, const struct core_req *req,
+		     double us_per_token)
+{
+	double tokens =
+		adm_expected(core->adm, req->service, req->arrival.max_tokens);
+	int64_t left = req->deadline_us - core->now;
+
+	return (tokens - req->tokens) * us_per_token >
 	       REQ_HOPELESS * (double)left;
 }
 
@@ -370,8 +404,13 @@
 static void running_leave(struct core *core, struct core_req *req, void *data)
 {
 	(void)data;
+	leave(core, req, "deadline passed");
+}
+
+static void leave(struct core *core, struct core_req *req, const char *why)
+{
 	req_refuse(core, req, 504, req_outcome(req), req_retry_after(core, req),
-		   "deadline passed");
+		   why);
 	if (req->reserved)
 		ldg_hold(core->ldg, req->arrival.req, core->now);
 	else
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -6,6 +6,7 @@
 			   const struct core_ended *ended);
 static void failed(struct core *core, struct core_req *req,
 		   const struct core_ended *ended, enum pick_result_kind kind);
+static int stalled_at(const struct core *core, const struct core_req *req);
 static void give_up_failed(struct core *core, struct core_req *req);
 static int failed_endpoint(const struct core_req *req, int stage);
 
@@ -118,7 +119,7 @@
 
 	req->may_have_run = true;
 	if (kind == PICK_ENDED_SLOW)
-		stage = pick_silent(core->pick, &req->chain, core->now);
+		stage = stalled_at(core, req);
 	endpoint = failed_endpoint(req, stage);
 	req_end_attempt(core, req, kind, stage);
 	if (died)
@@ -134,6 +135,16 @@
 	give_up_failed(core, req);
 }
 
+/* Returns the stage that holds a stream up, -1 if none stands out. */
+static int stalled_at(const struct core *core, const struct core_req *req)
+{
+	int stage = pick_silent(core->pick, &req->chain, core->now);
+
+	if (stage < 0)
+		stage = pick_degraded(core->pick, &req->chain);
+	return stage;
+}
+
 /* No further attempt: the final answer, at once. */
 static void give_up_failed(struct core *core, struct core_req *req)
 {
