--- a/src/fleet.h
+++ b/src/fleet.h
@@ -36,7 +36,8 @@
 	char address[MAG_ADDR_MAX]; /* where peers reach this instance */
 	uint64_t incarnation;	    /* drawn at random at start, not 0 */
 	uint64_t seed;
-	uint32_t bytes_per_s; /* for messages sent and received; 0: 9000 */
+	uint32_t bytes_per_s;	/* for messages sent and received; 0: 9000 */
+	uint32_t instances_max; /* most that the site runs; 0: 12 */
 	int64_t kv_timeout_us;
 	bool place; /* this instance may hold the placement lease */
 };
@@ -121,6 +122,7 @@
 bool fleet_is_bridge(const struct fleet *fleet); /* watch the head record */
 uint32_t fleet_group(const struct fleet *fleet); /* instances in reach */
 uint32_t fleet_listed(const struct fleet *fleet);
+uint32_t fleet_call_part(uint32_t fleet_calls_per_s, uint32_t listed);
 size_t fleet_peer_addresses(const struct fleet *fleet,
 			    char (*addresses)[MAG_ADDR_MAX], size_t max);
 
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -9,7 +9,6 @@
 #define PICK_TICK_US	(50 * MAG_US_PER_MS)
 #define PICK_LIMIT_DOWN 0.9
 #define PICK_HOP_STEP	0.2 /* of a new hop time in the mean */
-#define PICK_PREFIXES	256 /* prefix hints kept for an endpoint */
 
 enum pick_health {
 	PICK_HEALTHY,
@@ -17,11 +16,14 @@
 	PICK_PROBING, /* half open: one request at a time */
 };
 
+/* Prefix hints kept for an endpoint, in sets by the hash. */
+#define PICK_CACHE_SETS 64
+#define PICK_CACHE_WAYS 4
+
 /* What the cache events say an endpoint holds; a hint, never relied on. */
 struct pick_cache {
-	uint64_t prefix[PICK_PREFIXES];
+	uint64_t prefix[PICK_CACHE_SETS * PICK_CACHE_WAYS]; /* 0: none */
 	uint64_t next_sequence;
-	int next;
 };
 
 struct pick_ep {
@@ -33,7 +35,7 @@
 	struct pick_cache *cache; /* NULL until its first event */
 
 	uint32_t in_flight; /* attempts of this instance */
-	uint32_t exclusive; /* of them, those that run alone */
+	uint32_t suspects;  /* of them, those that must stay apart */
 	uint32_t others;    /* of other instances, by the last report */
 	bool reported;
 	double said; /* tokens a second by the last report */
@@ -115,9 +117,11 @@
 	uint64_t *load_tokens;
 	int *remap; /* endpoint of the former set: index in this one */
 	int remap_count;
-	int64_t tick_us; /* next regular tick */
-	bool urgent;	 /* some network is to be solved at once */
-	int closed;	 /* endpoints ejected or probing */
+	int64_t tick_us;      /* next regular tick */
+	bool urgent;	      /* some network is to be solved at once */
+	int64_t probed_us;    /* when the last probe was sent */
+	uint32_t since_probe; /* requests chosen for since then */
+	int closed;	      /* endpoints ejected or probing */
 	uint32_t in_flight;
 };
 
@@ -142,6 +146,9 @@
 	      const struct pick_want *want, int64_t now,
 	      struct pick_chain *chain);
 
+int pick_through(struct pick *pick, struct pick_net *net,
+		 const struct pick_want *want, int via, int64_t now,
+		 struct pick_chain *chain);
 int pick_probe(struct pick *pick, struct pick_net *net,
 	       const struct pick_want *want, int64_t now,
 	       struct pick_chain *chain);
--- a/src/req.c
+++ b/src/req.c
@@ -13,6 +13,15 @@
  * was answered, so that its outcome still gets into the record. */
 #define REQ_SETTLE_GRACE_US (30 * MAG_US_PER_S)
 
+/* Tokens after which a suspect makes way for the next one.  What crashes
+ * an endpoint does so when it begins; and there are as many suspects as ran
+ * on the endpoint, who would miss their deadlines one behind the other. */
+#define REQ_PROOF_TOKENS 5
+/* Tokens after which the pace of a stream is known well enough. */
+#define REQ_PACE_TOKENS 10
+/* A stream that would take so many times what is left is given up. */
+#define REQ_HOPELESS 1.3
+
 typedef void (*req_handler_fn)(struct core *core, struct core_req *req,
 			       void *data);
 
@@ -27,6 +36,11 @@
 static void ready_leave(struct core *core, struct core_req *req, void *data);
 static void running_progress(struct core *core, struct core_req *req,
 			     void *data);
+static bool hopeless(const struct core *core, const struct core_req *req);
+static bool slowed_down(const struct core *core, const struct core_req *req);
+static bool too_slow(const struct core *core, const struct core_req *req,
+		     double us_per_token);
+static void leave(struct core *core, struct core_req *req, const char *why);
 static void running_leave(struct core *core, struct core_req *req, void *data);
 static void running_stall(struct core *core, struct core_req *req, void *data);
 static void closing_ledger(struct core *core, struct core_req *req, void *data);
@@ -326,6 +340,60 @@
 	memcpy(req->hop_us, progress->hop_us, sizeof(req->hop_us));
 	pick_hops(core->pick, &req->chain, progress->hop_us,
 		  progress->hop_count, core->now);
+	if (req->chain.alone &&
+	    req->tokens - req->attempt_from >= REQ_PROOF_TOKENS)
+		pick_proved(core->pick, &req->chain);
+	if (!req->idempotent)
+		return;
+	if (slowed_down(core, req))
+		running_stall(core, req, NULL);
+	else if (hopeless(core, req))
+		leave(core, req, "too slow for its deadline");
+}
+
+/*
+ * Tells whether a stream is so slow that its answer can't be whole by its
+ * deadline.  It would only take the endpoints' time from answers that can;
+ * after the loss of an endpoint, when more streams run than the others can
+ * carry, most of them would miss their deadlines by a little.
+ */
+static bool hopeless(const struct core *core, const struct core_req *req)
+{
+	uint32_t made = req->tokens - req->attempt_from;
+	int64_t took = core->now - req->first_token_us;
+
+	if (made < REQ_PACE_TOKENS)
+		return false;
+	return too_slow(core, req, (double)took / made);
+}
+
+/*
+ * Tells whether a stream would miss its deadline because a stage of its
+ * chain got slow under it; elsewhere it can still be in time.
+ */
+static bool slowed_down(const struct core *core, const struct core_req *req)
+{
+	double pace = 0;
+	int i;
+
+	if (req->attempt >= CORE_ATTEMPTS_MAX ||
+	    pick_degraded(core->pick, &req->chain) < 0)
+		return false;
+	for (i = 0; i < req->chain.count; i++)
+		pace += req->hop_us[i];
+	return too_slow(core, req, pace);
+}
+
+/* Tells whether a pace leaves no hope of an answer in time. */
+static bool too_slow(const struct core *core, const struct core_req *req,
+		     double us_per_token)
+{
+	double tokens =
+		adm_expected(core->adm, req->service, req->arrival.max_tokens);
+	int64_t left = req->deadline_us - core->now;
+
+	return (tokens - req->tokens) * us_per_token >
+	       REQ_HOPELESS * (double)left;
 }
 
 /*
@@ -336,8 +404,13 @@
 static void running_leave(struct core *core, struct core_req *req, void *data)
 {
 	(void)data;
+	leave(core, req, "deadline passed");
+}
+
+static void leave(struct core *core, struct core_req *req, const char *why)
+{
 	req_refuse(core, req, 504, req_outcome(req), req_retry_after(core, req),
-		   "deadline passed");
+		   why);
 	if (req->reserved)
 		ldg_hold(core->ldg, req->arrival.req, core->now);
 	else
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -6,6 +6,7 @@
 			   const struct core_ended *ended);
 static void failed(struct core *core, struct core_req *req,
 		   const struct core_ended *ended, enum pick_result_kind kind);
+static int stalled_at(const struct core *core, const struct core_req *req);
 static void give_up_failed(struct core *core, struct core_req *req);
 static int failed_endpoint(const struct core_req *req, int stage);
 
@@ -85,7 +86,8 @@
  * refused in the way that its service declares as proof.  Any request may go
  * elsewhere then.  A refusal is no failure, only a late load report: the
  * request waits for room again and spends no retry, or a fleet at its limit
- * would use up the budgets and give up requests that have time left.
+ * would use up the budgets and give up requests that have time left.  Nor
+ * does a connection that was never made: it cost no endpoint any work.
  */
 static void proved_unbegun(struct core *core, struct core_req *req,
 			   const struct core_ended *ended)
@@ -97,7 +99,7 @@
 						       : PICK_ENDED_FAILED,
 			0);
 	if (ended->end == CORE_END_REFUSED ||
-	    req_try_again(core, req, endpoint)) {
+	    req_go_elsewhere(core, req, endpoint)) {
 		req_enter_ready(core, req);
 		return;
 	}
@@ -117,7 +119,7 @@
 
 	req->may_have_run = true;
 	if (kind == PICK_ENDED_SLOW)
-		stage = pick_silent(core->pick, &req->chain, core->now);
+		stage = stalled_at(core, req);
 	endpoint = failed_endpoint(req, stage);
 	req_end_attempt(core, req, kind, stage);
 	if (died)
@@ -133,6 +135,16 @@
 	give_up_failed(core, req);
 }
 
+/* Returns the stage that holds a stream up, -1 if none stands out. */
+static int stalled_at(const struct core *core, const struct core_req *req)
+{
+	int stage = pick_silent(core->pick, &req->chain, core->now);
+
+	if (stage < 0)
+		stage = pick_degraded(core->pick, &req->chain);
+	return stage;
+}
+
 /* No further attempt: the final answer, at once. */
 static void give_up_failed(struct core *core, struct core_req *req)
 {
