Hold what a booking was told by hand against its effects

Cause: bookings sent by ask left no line for the checker, and two at once shared one file for the answer's head. Ruled out: sending them all with tool_load, which shows no Retry-After.

--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -163,7 +163,7 @@
 start_engine() {
 	start engine-"$1" "$build/fake_engine" --port "$(engine_port "$1")" \
 		--set "$set" --record "$record" --platform "$platform" \
-		--threads "${engine_threads:-96}"
+		--threads "${engine_threads:-96}" ${poison:-}
 	until_ok answers "127.0.0.1:$(engine_port "$1")/v1/state"
 }
 
@@ -263,23 +263,26 @@
 ask() {
 	method=$1
 	shift
-	curl -s -m 20 -D "$work/head" -o "$work/body" -X "$method" \
+	head=$(mktemp "$work/head.XXXXXX")
+	curl -s -m 20 -D "$head" -o /dev/null -X "$method" \
 		-H "Authorization: Bearer ${key:-choir-key}" "$@" 2>/dev/null
-	printf '%s %s%s\n' "$(sed -n '1s/.* \([0-9][0-9]*\) .*/\1/p' \
-		"$work/head")" \
-		"$(sed -n 's/^Magnolia-Outcome: \([a-z-]*\).*/\1/p' \
-			"$work/head")" \
-		"$(sed -n 's/^Retry-After: [0-9].*/ retry-after/p' "$work/head")"
-	: >"$work/head"
+	printf '%s %s%s\n' "$(sed -n '1s/.* \([0-9][0-9]*\) .*/\1/p' "$head")" \
+		"$(sed -n 's/^Magnolia-Outcome: \([a-z-]*\).*/\1/p' "$head")" \
+		"$(sed -n 's/^Retry-After: [0-9].*/ retry-after/p' "$head")"
 }
 
-# book ROUTER PATH INTENT [CURL OPTION...]: one booking by hand.
+# book ROUTER PATH INTENT [CURL OPTION...]: one booking by hand; what it was
+# told goes to the record, for the checker.
 book() {
 	at=http://$(router "$1")$2
 	intent=$3
 	shift 3
-	ask POST "$at" -H "Idempotency-Key: $intent" \
-		-d "{\"intent\":\"$intent\"}" "$@"
+	told=$(ask POST "$at" -H "Idempotency-Key: $intent" \
+		-d "{\"intent\":\"$intent\"}" "$@")
+	echo "$told"
+	outcome=$(echo "$told" | cut -d' ' -f2)
+	echo "answer kind=booking intent=$intent outcome=${outcome:-cut}" \
+		>>"$record"
 }
 
 effects() {
