--- a/src/pick_adapt.c
+++ b/src/pick_adapt.c
@@ -19,7 +19,7 @@
 #define PICK_LIMIT_LEAST   1.0
 #define PICK_SAMPLES_LEAST 3
 #define PICK_SCALE_STEP	   0.2
-#define PICK_SCALE_UP	   1.02 /* a tick without anything waiting */
+#define PICK_SCALE_UP	   1.05 /* a tick without anything waiting */
 #define PICK_SCALE_LEAST   0.01
 #define PICK_SCALE_TOLD	   0.9 /* a drop below this counts as degraded */
 #define PICK_RESOLVE_PART  0.1 /* a change of the rate worth a new solve */
