--- a/bench/bench_pipeline.c
+++ b/bench/bench_pipeline.c
@@ -27,7 +27,8 @@
 	enum sim_callers callers;
 	struct sim_fault faults[SIM_FAULTS_MAX]; /* times from FAULT_US */
 	int fault_count;
-	bool recovery; /* measured from the fault on */
+	bool recovery;	    /* measured from the fault on */
+	int64_t recover_us; /* or from so long after it */
 };
 
 static const struct variant variants[] = {
@@ -37,6 +38,7 @@
 	{ "static-weights", PICK_STATIC_WEIGHTS, false, false },
 	{ "no-budgets", PICK_FLOW, true, false },
 	{ "restart", PICK_FLOW, false, true },
+	{ "restart-no-budgets", PICK_FLOW, true, true },
 };
 
 static const struct scenario scenarios[] = {
@@ -98,6 +100,14 @@
 	  .faults = { { 0, SIM_KILL, SIM_LARGEST, 0 }, { 0, SIM_HANG, 5, 0 } },
 	  .fault_count = 2,
 	  .recovery = true },
+	{ .name = "retry-storm",
+	  .load = 0.9,
+	  .callers = SIM_IMPATIENT,
+	  .faults = { { 0, SIM_SLOW, SIM_ALL, 0.05 },
+		      { 3 * MAG_US_PER_S, SIM_SLOW, SIM_ALL, 1 } },
+	  .fault_count = 2,
+	  .recovery = true,
+	  .recover_us = 3 * MAG_US_PER_S },
 	{ .name = "storm",
 	  .load = 0.9,
 	  .callers = SIM_IMPATIENT,
@@ -162,9 +172,10 @@
  * Returns the time from the fault until goodput over a second is back at 95
  * in 100 of what the bound that remains lets through.
  */
-static double recovery(const struct sim_result *r, double target)
+static double recovery(const struct sim_result *r, double target,
+		       int64_t after_us)
 {
-	int from = (int)(FAULT_US / SIM_BUCKET_US);
+	int from = (int)((FAULT_US + after_us) / SIM_BUCKET_US);
 	int to = (int)((FAULT_US + MEASURE_US) / SIM_BUCKET_US);
 	int b;
 	int i;
@@ -216,7 +227,7 @@
 		could = result.bound_after;
 	f->goodput = result.goodput / seconds / could;
 	f->bound = result.bound_after;
-	f->recovery_ms = recovery(&result, could);
+	f->recovery_ms = recovery(&result, could, scenario->recover_us);
 	f->late = (double)result.late / result.calls;
 	f->failed = (double)result.failed / result.calls;
 	f->jain = jain(&result);
@@ -252,7 +263,7 @@
 	double slow = scenario->recovery ? MEDIAN(recovery_ms) : 0;
 	double slowest = scenario->recovery ? MOST(recovery_ms) : 0;
 
-	printf("%-16s %-16s %2d %7.0f %6.3f %6.3f %6.0f %6.0f %6.3f %6.3f "
+	printf("%-16s %-18s %2d %7.0f %6.3f %6.3f %6.0f %6.0f %6.3f %6.3f "
 	       "%6.3f %6.3f %3.0f\n",
 	       scenario->name, variant->name, routers, MEDIAN(bound),
 	       MEDIAN(goodput), LEAST(goodput), slow, slowest, MOST(late),
@@ -300,7 +311,7 @@
 	size_t j;
 	int k;
 
-	printf("%-16s %-16s %2s %7s %6s %6s %6s %6s %6s %6s %6s %6s %3s\n",
+	printf("%-16s %-18s %2s %7s %6s %6s %6s %6s %6s %6s %6s %6s %3s\n",
 	       "scenario", "variant", "n", "bound", "good", "worst", "rec",
 	       "worst", "late", "failed", "jain", "others", "ko");
 	for (i = 0; i < MAG_ARRAY_SIZE(scenarios); i++) {
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -26,6 +26,7 @@
 #define SIM_FAULTS_MAX	  8
 #define SIM_NEWS_MAX	  64
 #define SIM_LARGEST	  (-2) /* target of a fault: the largest stage */
+#define SIM_ALL		  (-3) /* every stage */
 #define SIM_REPORT_LAG_US (700 * MAG_US_PER_MS)
 
 enum sim_event_type {
--- a/bench/sim_stage.c
+++ b/bench/sim_stage.c
@@ -163,7 +163,10 @@
 		stage->link_factor = fault->factor;
 		break;
 	case SIM_SLOW:
-		stage->slow = fault->factor;
+		for (i = 0; i < sim->stage_count; i++) {
+			if (target == SIM_ALL || target == i)
+				sim->stages[i].slow = fault->factor;
+		}
 		break;
 	case SIM_CUT:
 	case SIM_JOIN:
--- a/src/pick_adapt.c
+++ b/src/pick_adapt.c
@@ -45,16 +45,16 @@
 	for (i = 0; i < count && i < chain->count; i++) {
 		int e = chain->stages[i].endpoint;
 
-		if (e >= 0 && e < pick->ep_count)
-			pick_adapt_hop(&pick->eps[e], hop_us[i], whole, now);
+		if (e < 0 || e >= pick->ep_count)
+			continue;
+		pick_health_alive(pick, e, now);
+		pick_adapt_hop(&pick->eps[e], hop_us[i], whole);
 	}
 }
 
 /* Takes one measured hop into an endpoint's means. */
-void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us,
-		    int64_t now)
+void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us)
 {
-	ep->progress_us = now;
 	ep->samples++;
 	if (ep->chain_us <= 0) {
 		ep->hop_us = hop_us;
--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -191,11 +191,24 @@
 	ep->results++;
 	ep->failed_in_row = 0;
 	ep->fail_ratio -= PICK_RATIO_STEP * ep->fail_ratio;
+	ep->backoff_us = 0;
+	pick_health_alive(pick, e, now);
+}
+
+/*
+ * Notes a sign of life.  An endpoint that was ejected is back with it: to
+ * wait for a whole answer would keep it out for seconds after a short
+ * slowdown, and many endpoints after one that hit them all.
+ */
+void pick_health_alive(struct pick *pick, int e, int64_t now)
+{
+	struct pick_ep *ep = &pick->eps[e];
+
 	ep->progress_us = now;
 	if (ep->health == PICK_HEALTHY)
 		return;
 	ep->health = PICK_HEALTHY;
-	ep->backoff_us = 0;
+	ep->failed_in_row = 0;
 	pick->closed--;
 	pick_retry_centre(pick, ep->centre, now);
 	pick_dirty(pick, ep->cfg.service, true);
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -159,12 +159,12 @@
 double pick_load_of(const struct pick_ep *ep);
 void pick_health_ended(struct pick *pick, const struct pick_chain *chain,
 		       const struct pick_result *result, int64_t now);
+void pick_health_alive(struct pick *pick, int e, int64_t now);
 void pick_health_tick(struct pick *pick, int64_t now);
 
 /* pick_adapt.c */
 void pick_adapt(struct pick *pick, struct pick_ep *ep);
-void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us,
-		    int64_t now);
+void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us);
 
 /* pick_cache.c */
 bool pick_cache_holds(const struct pick_ep *ep, uint64_t prefix);
