Count plain services by how long their answers take

Cause: an endpoint of a plain service states no rate and counted as one request a second, so that admission refused bookings behind a short queue as too late. Change: concurrency over the mean time of whole answers, 50 ms before any; the work of a plain service is measured in requests.

--- a/regress/check_pick.c
+++ b/regress/check_pick.c
@@ -164,7 +164,7 @@
 		pick_started(r->pick, chain, r->now);
 }
 
-/* ended ID well|failed|slow|refused|other [STAGE] [TOKENS] */
+/* ended ID well|failed|slow|refused|other [STAGE [TOKENS [US]]] */
 static void do_ended(struct run *r, char **word, int words)
 {
 	static const char *const kinds[] = { "well", "failed", "slow",
@@ -180,7 +180,7 @@
 		result.at_stage = atoi(word[3]);
 	if (words > 4)
 		result.tokens = (uint32_t)atoi(word[4]);
-	result.took_us = 1000;
+	result.took_us = words > 5 ? atoll(word[5]) : 1000;
 	pick_ended(r->pick, &r->chains[atoi(word[1])], &result, r->now);
 }
 
--- a/src/adm.c
+++ b/src/adm.c
@@ -289,6 +289,7 @@
 	int at = -1;
 
 	mag_copy_name(service->name, sizeof(service->name), cfg->name);
+	service->plain = cfg->kind == CFG_PLAIN;
 	service->queue_max = cfg->queue_max;
 	service->retry_percent = cfg->retry_percent;
 	service->us_per_token = ADM_START_US_PER_TOKEN;
--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -64,6 +64,7 @@
 	struct adm_request *peeked;
 	uint32_t waiting;
 	double tokens; /* to run, of what waits */
+	bool plain;    /* requests are counted, not tokens */
 	uint32_t queue_max;
 	uint32_t retry_percent;
 	double capacity; /* tokens a second, as told */
--- a/src/adm_rate.c
+++ b/src/adm_rate.c
@@ -148,6 +148,8 @@
 	double took = (double)(now - request->started_us);
 	double off;
 
+	if (service->plain && tokens == 0)
+		tokens = request->run;
 	adm_measure(service, tokens, now);
 	service->mean_cost +=
 		ADM_LEARN_STEP * (request->cost - service->mean_cost);
--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -8,12 +8,15 @@
 #define PICK_RATIO_STEP	    0.1
 #define PICK_BACKOFF_US	    (500 * MAG_US_PER_MS)
 #define PICK_BACKOFF_MAX_US (30 * MAG_US_PER_S)
+#define PICK_TOOK_STEP	    0.1
+#define PICK_TOOK_MOVED	    1.25
 #define PICK_CENTRE_EJECTED 3
 #define PICK_DEGRADED_SCALE 0.6 /* of its rate: streams move off it */
 #define PICK_FULL_US	    (20 * MAG_US_PER_MS)
 #define PICK_SILENT_US	    (200 * MAG_US_PER_MS)
 #define PICK_LOAD_STEP	    0.05
 
+static void pick_took(struct pick *pick, int e, int64_t took_us);
 static void pick_health_failed(struct pick *pick, int e, int64_t now);
 static void pick_health_stalled(struct pick *pick,
 				const struct pick_chain *chain, int64_t now);
@@ -63,9 +66,11 @@
 
 		if (e < 0 || e >= pick->ep_count)
 			continue;
-		if (result->kind == PICK_ENDED_WELL)
+		if (result->kind == PICK_ENDED_WELL) {
 			pick_health_well(pick, e, now);
-		else if (result->kind == PICK_ENDED_FAILED && i == at)
+			pick_took(pick, e, result->took_us);
+		}
+		if (result->kind == PICK_ENDED_FAILED && i == at)
 			pick_health_failed(pick, e, now);
 		else if (result->kind == PICK_ENDED_REFUSED && i == at)
 			pick_refused(&pick->eps[e], now);
@@ -77,6 +82,23 @@
 		pick_health_stalled(pick, chain, now);
 }
 
+/* Learns how long whole answers take; a large change moves the bound. */
+static void pick_took(struct pick *pick, int e, int64_t took_us)
+{
+	struct pick_ep *ep = &pick->eps[e];
+
+	if (ep->cfg.tokens_per_s > 0 || took_us <= 0)
+		return;
+	if (ep->took_us <= 0)
+		ep->took_us = (double)took_us;
+	ep->took_us += PICK_TOOK_STEP * ((double)took_us - ep->took_us);
+	if (ep->took_us < PICK_TOOK_MOVED * ep->solved_took_us &&
+	    ep->solved_took_us < PICK_TOOK_MOVED * ep->took_us)
+		return;
+	ep->solved_took_us = ep->took_us;
+	pick_dirty(pick, ep->cfg.service, false);
+}
+
 /* Adapts limits, ends probes that hang and notes the load. */
 void pick_health_tick(struct pick *pick, int64_t now)
 {
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -46,8 +46,10 @@
 	int64_t full_until_us; /* after a refusal */
 	double hop_us;	       /* a token's time at this stage, recent mean */
 	double base_us;	       /* the same without a queue */
-	double chain_us;     /* a token's time over whole chains through here */
-	uint32_t samples;    /* hop times since the last adaptation */
+	double chain_us;  /* a token's time over whole chains through here */
+	uint32_t samples; /* hop times since the last adaptation */
+	double took_us;	  /* mean of whole answers, where no rate is given */
+	double solved_took_us;
 	int64_t progress_us; /* last sign of life */
 	double solved_scale; /* of it when the graph was solved last */
 	double scale;	     /* of its rate, under 1 while it is degraded */
--- a/src/pick_plan.c
+++ b/src/pick_plan.c
@@ -5,6 +5,7 @@
 
 /* A graph whose estimates moved is solved again no more often than this. */
 #define PICK_SOLVE_EVERY_US (100 * MAG_US_PER_MS)
+#define PICK_TOOK_US	    (50 * MAG_US_PER_MS) /* until some have ended */
 #define PICK_NO_LINK	    1e15 /* tokens a second over a link without limit */
 
 static bool pick_in_group(const struct pick_ep *ep, int service,
@@ -142,7 +143,11 @@
 	pick->urgent |= urgent;
 }
 
-/* Returns what an endpoint can do now, in tokens a second. */
+/*
+ * Returns what an endpoint can do now, in tokens a second.  A plain service
+ * gives no rate; it does as many requests as it takes at once in the time
+ * that they take, and each counts as one token.
+ */
 double pick_rate(const struct pick_ep *ep)
 {
 	double rate = ep->cfg.tokens_per_s;
@@ -150,7 +155,8 @@
 	if (ep->reported && ep->said > 0)
 		rate = ep->said;
 	if (rate <= 0)
-		rate = 1;
+		rate = ep->cfg.concurrency * (double)MAG_US_PER_S /
+		       (ep->took_us > 0 ? ep->took_us : PICK_TOOK_US);
 	return rate * ep->scale;
 }
 
