--- a/src/pick_adapt.c
+++ b/src/pick_adapt.c
@@ -19,7 +19,7 @@
 #define PICK_LIMIT_LEAST   1.0
 #define PICK_SAMPLES_LEAST 3
 #define PICK_SCALE_STEP	   0.2
-#define PICK_SCALE_UP	   1.02 /* a tick without anything waiting */
+#define PICK_SCALE_UP	   1.05 /* a tick without anything waiting */
 #define PICK_SCALE_LEAST   0.01
 #define PICK_SCALE_TOLD	   0.9 /* a drop below this counts as degraded */
 #define PICK_RESOLVE_PART  0.1 /* a change of the rate worth a new solve */
@@ -45,16 +45,16 @@
 	for (i = 0; i < count && i < chain->count; i++) {
 		int e = chain->stages[i].endpoint;
 
-		if (e >= 0 && e < pick->ep_count)
-			pick_adapt_hop(&pick->eps[e], hop_us[i], whole, now);
+		if (e < 0 || e >= pick->ep_count)
+			continue;
+		pick_health_alive(pick, e, now);
+		pick_adapt_hop(&pick->eps[e], hop_us[i], whole);
 	}
 }
 
 /* Takes one measured hop into an endpoint's means. */
-void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us,
-		    int64_t now)
+void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us)
 {
-	ep->progress_us = now;
 	ep->samples++;
 	if (ep->chain_us <= 0) {
 		ep->hop_us = hop_us;
