Let all instances share the looks at the load reports

Cause: each instance read all reports once a second, 700 calls/s at the target. Change: the period grows with the listed instances, 50 looks a second in all; the time of each look is drawn a tenth early or late.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -314,7 +314,7 @@
 	uint32_t calls = fleet_call_part(daemon->settings.kv_fleet_calls_per_s,
 					 role->listed);
 
-	watch_set_bridge(daemon->watch, role->bridge);
+	watch_set_role(daemon->watch, role->bridge, role->listed);
 	if (calls > daemon->settings.kv_calls_per_s)
 		calls = daemon->settings.kv_calls_per_s;
 	if (calls == daemon->kv_calls_per_s)
--- a/src/watch.c
+++ b/src/watch.c
@@ -7,12 +7,14 @@
 #include <jansson.h>
 
 #include "clk.h"
+#include "pace.h"
 #include "pub.h"
 #include "watch.h"
 
 #define WATCH_WAIT_US	     (20 * MAG_US_PER_S) /* one waiting watch */
 #define WATCH_LOOK_US	     (30 * MAG_US_PER_S) /* of one that is no bridge */
-#define WATCH_LOAD_PERIOD_US MAG_US_PER_S
+#define WATCH_LOAD_PERIOD_US MAG_US_PER_S	 /* the shortest */
+#define WATCH_LOADS_PER_S    50			 /* of all instances together */
 #define WATCH_BACKOFF_MIN_US (200 * MAG_US_PER_MS)
 #define WATCH_BACKOFF_MAX_US (2 * MAG_US_PER_S)
 #define WATCH_STALE_US	     (5 * MAG_US_PER_S) /* age of a report without one */
@@ -30,11 +32,13 @@
 	unsigned int seed;
 	atomic_uint_fast64_t revision;
 	atomic_bool bridge;
-	char *text; /* in force, under lock */
+	atomic_uint listed; /* instances that share the calls */
+	char *text;	    /* in force, under lock */
 };
 
 static void *config_main(void *arg);
 static void *load_main(void *arg);
+static int64_t load_period_us(struct watch *watch);
 static bool stopping(struct watch *watch);
 static void sleep_until(struct watch *watch, int64_t deadline_us);
 static int keep_text(struct watch *watch, const char *text, uint64_t revision);
@@ -167,9 +171,10 @@
  * look now and then.  A waiting watch counts as a call, and at 700 instances
  * one each would be most of what the service takes.
  */
-void watch_set_bridge(struct watch *watch, bool bridge)
+void watch_set_role(struct watch *watch, bool bridge, uint32_t listed)
 {
 	atomic_store(&watch->bridge, bridge);
+	atomic_store(&watch->listed, listed);
 	pthread_mutex_lock(&watch->lock);
 	pthread_cond_broadcast(&watch->wake);
 	pthread_mutex_unlock(&watch->lock);
@@ -213,14 +218,31 @@
 static void *load_main(void *arg)
 {
 	struct watch *watch = arg;
+	struct pace pace;
 
+	pace_init(&pace, watch->settings.seed, WATCH_BACKOFF_MIN_US,
+		  WATCH_BACKOFF_MAX_US);
 	while (!stopping(watch)) {
 		take_loads(watch);
-		sleep_until(watch, clk_now_us() + WATCH_LOAD_PERIOD_US);
+		sleep_until(watch, pace_spread(&pace, clk_now_us(),
+					       load_period_us(watch)));
 	}
 	return NULL;
 }
 
+/*
+ * A fleet that grows asks each instance to look less often.  At one look a
+ * second each, 700 instances would use a third of the reads that the platform
+ * takes, and the bookings' calls would be refused for their rate.
+ */
+static int64_t load_period_us(struct watch *watch)
+{
+	int64_t period = (int64_t)atomic_load(&watch->listed) * MAG_US_PER_S /
+			 WATCH_LOADS_PER_S;
+
+	return period > WATCH_LOAD_PERIOD_US ? period : WATCH_LOAD_PERIOD_US;
+}
+
 static bool stopping(struct watch *watch)
 {
 	bool value;
--- a/src/watch.h
+++ b/src/watch.h
@@ -18,7 +18,7 @@
 			  const struct kv_backend *backend, struct loop *loop,
 			  struct front *front);
 uint64_t watch_revision(const struct watch *watch);
-void watch_set_bridge(struct watch *watch, bool bridge);
+void watch_set_role(struct watch *watch, bool bridge, uint32_t listed);
 int watch_text(struct watch *watch, uint64_t at_least, uint64_t *revision,
 	       char **text, size_t *len);
 int watch_offer(struct watch *watch, const char *text, uint64_t revision);
