--- a/src/daemon.c
+++ b/src/daemon.c
@@ -184,6 +184,7 @@
 	to->incarnation = daemon->incarnation;
 	to->seed = from->seed ? from->seed : daemon->incarnation;
 	to->bytes_per_s = from->peer_bytes_per_s;
+	to->instances_max = from->instances_max;
 	to->kv_timeout_us = from->kv_timeout_ms * MAG_US_PER_MS;
 	to->place = from->place;
 }
@@ -194,6 +195,7 @@
 	struct front_settings front = {
 		.threads = from->threads,
 		.body_max = from->body_max_bytes,
+		.connect_timeout_ms = from->connect_timeout_ms,
 		.incarnation = daemon->incarnation,
 	};
 	struct admin_settings admin = { 0 };
