Keep the parts of a data centre that the list lost as a whole

Cause: the platform's list drops a data centre that is cut from the platform. Its instances live on with their part of each limit, and the others took that part over at once. Ruled out: keeping the part of every instance that the list drops (each dead one's part would stay unused: a quarter of each limit at today's four routers). Change: a data centre of two or more instances that goes from the list as a whole counts for five minutes more.

--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -364,8 +364,9 @@
 			net_start(&run->net, list[i]);
 		} else if (strcmp(verb, "stop") == 0) {
 			fleet_note_stopping(node->fleet, run->net.now);
-		} else if (strcmp(verb, "nolist") == 0) {
+		} else if (strcmp(verb, "platform-cut") == 0) {
 			run->net.platform_cut[list[i]] = value > 0;
+			run->net.unlisted[list[i]] = value > 0;
 		} else if (strcmp(verb, "demand") == 0) {
 			told->demand[index] = value;
 			fleet_note_demand(node->fleet, index, value);
--- a/regress/net.h
+++ b/regress/net.h
@@ -55,6 +55,7 @@
 	int loss_percent;
 	bool platform_down;
 	bool platform_cut[NET_MAX]; /* from this instance */
+	bool unlisted[NET_MAX];	    /* the list lacks this instance */
 	int64_t platform_delay_us;
 	uint64_t calls;
 	const char *leaving; /* an endpoint that the list shows as leaving */
@@ -218,7 +219,7 @@
 
 	fprintf(out, "{\"instances\":[");
 	for (i = 0; i < net->count; i++) {
-		if (net->nodes[i].alive)
+		if (net->nodes[i].alive && !net->unlisted[i])
 			fprintf(out,
 				"{\"name\":\"i%d\",\"address\":\"%d\","
 				"\"data_centre\":\"d%d\",\"state\":\"live\","
--- a/src/peer.c
+++ b/src/peer.c
@@ -7,6 +7,7 @@
 
 #define PEER_SEQ_WINDOW 1024 /* a lower seq within this is a late message */
 
+static uint32_t peer_held(struct peer *peer, int64_t now);
 static int peer_grow(struct peer *peer);
 static int peer_slot(struct peer *peer);
 static int peer_insert(struct peer *peer, uint64_t id, const char *name,
@@ -89,11 +90,43 @@
 		else if (link != PEER_E_SELF)
 			err = link;
 	}
-	peer->listed_count = (uint32_t)count;
+	peer->listed_count = (uint32_t)count + peer_held(peer, now);
 	peer->next_us = now;
 	return err;
 }
 
+/*
+ * Counts the instances of data centres that the list lost as a whole.  Such a
+ * data centre is rather cut off from the platform than dead, and goes on with
+ * its part of each limit; were its part divided among the others at once, the
+ * account would get more than its limit.  One instance that goes alone is
+ * taken for dead, as it most often is.
+ */
+static uint32_t peer_held(struct peer *peer, int64_t now)
+{
+	uint32_t count = 0;
+	size_t i;
+	int dc;
+
+	for (dc = 1; dc < peer->dc_count; dc++)
+		peer->dcs[dc].listed = 0;
+	for (i = 0; i < peer->node_count; i++)
+		peer->dcs[peer->nodes[i].dc].listed +=
+			peer->nodes[i].used && peer->nodes[i].listed;
+	for (dc = 1; dc < peer->dc_count; dc++) {
+		struct peer_dc *at = &peer->dcs[dc];
+
+		if (at->listed > 0) {
+			at->held = at->listed;
+			at->held_until_us = now + PEER_HELD_US;
+		} else if (at->held >= PEER_HELD_LEAST &&
+			   at->held_until_us > now) {
+			count += at->held;
+		}
+	}
+	return count;
+}
+
 /*
  * Adds one instance, or takes its new address.  Returns its link, or a
  * negative enum peer_err.
--- a/src/peer_table.h
+++ b/src/peer_table.h
@@ -16,6 +16,8 @@
 #define PEER_BRIDGE_PART   4
 #define PEER_DEMAND_PART   4
 #define PEER_ALL_PARTS	   36 /* ... as much again is received */
+#define PEER_HELD_US	   (300 * MAG_US_PER_S)
+#define PEER_HELD_LEAST	   2 /* instances of a data centre */
 #define PEER_FORGET_US	   (60 * MAG_US_PER_S)
 
 struct peer_node {
@@ -50,6 +52,9 @@
 struct peer_dc {
 	char name[MAG_NAME_MAX];
 	uint64_t id;
+	uint32_t listed;	/* its instances by the last list */
+	uint32_t held;		/* of a list that still had some */
+	int64_t held_until_us;	/* they count as long */
 	int target[PEER_RAILS]; /* the node that a rail sends to */
 	uint32_t tries[PEER_RAILS];
 	int64_t try_until_us[PEER_RAILS];
