--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -42,6 +42,14 @@
 # signal NAME SIGNAL: TERM asks for a stop; KILL is a crash; STOP a pause.
 signal() {
 	kill -"$2" "$(pid_of "$1")"
+	[ "$2" != STOP ] || until_ok stopped "$1"
+}
+
+# A signal is delivered after kill has returned; a thread that still ran could
+# take one more request.
+stopped() {
+	! grep -h '^State:' "/proc/$(pid_of "$1")"/task/*/status |
+		grep -qv 'T (stopped)'
 }
 
 # Waits for a process to end and returns its exit status.
