regress: Show that a service gets the key derived for it, the same each time

Cause: only the outcome of proc/lost-answer.sh spoke for the derived key. Ruled out: a fault: the key is sent, by both instances, and the caller's own isn't. Conclusion: no change to the router.

--- a/regress/fake_service.c
+++ b/regress/fake_service.c
@@ -88,6 +88,8 @@
 	char *text = NULL;
 
 	pthread_mutex_lock(&svc_lock);
+	fk_record("asked port=%d method=%s key=%s", fk_port(req->fk),
+		  req->method, *key ? key : "-");
 	if (svc_keys && *key)
 		text = svc_find(key);
 	if (!text) {
