cfg: Make the next set from the one in force and the lines that differ

Cause: a change of one object costs an instance the read and check of all. Change: pub_edit finds the lines that differ between two texts of one object a line; cfg_patch makes the next set from the old one and these, checks what they touch, and gives up (CFG_E_UNUSUAL) on whatever is out of the ordinary; rev holds the revision in force with the edits that led to it. Not called yet.

--- a/src/cfg.h
+++ b/src/cfg.h
@@ -131,12 +131,22 @@
 	CFG_E_SYNTAX = -1,  /* not JSON, or not a set of objects */
 	CFG_E_INVALID = -2, /* at least one object is at fault */
 	CFG_E_MEMORY = -3,
+	CFG_E_UNUSUAL = -4, /* cfg_patch: read the whole text instead */
+};
+
+/* One object as JSON, without the comma after it. */
+struct cfg_line {
+	const char *text;
+	size_t len;
 };
 
 struct cfg_faults; /* list of what is wrong, each kind/name: field: text */
 
 int cfg_parse(const char *text, size_t len, struct cfg_set **set,
 	      struct cfg_faults **faults);
+int cfg_patch(const struct cfg_set *old, const struct cfg_line *drop,
+	      size_t drops, const struct cfg_line *put, size_t puts,
+	      struct cfg_set **set);
 int cfg_copy(const struct cfg_set *set, struct cfg_set **copy);
 void cfg_free(struct cfg_set *set);
 size_t cfg_fault_count(const struct cfg_faults *faults);
--- a/src/cfg_check.c
+++ b/src/cfg_check.c
@@ -15,7 +15,6 @@
 	enum cfg_msg msg;
 };
 
-static void cfg_check_objects(struct cfg_build *build);
 static void cfg_check_service(struct cfg_build *build, size_t i);
 static void cfg_check_limit(struct cfg_build *build, size_t i);
 static void cfg_check_endpoint(struct cfg_build *build, size_t i);
@@ -52,28 +51,77 @@
 {
 	size_t i;
 
-	cfg_check_objects(build);
+	for (i = 0; i < build->count; i++)
+		cfg_check_item(build, i);
 	for (i = 0; i < MAG_ARRAY_SIZE(uniques); i++)
 		cfg_check_unique(build, &uniques[i]);
+	cfg_check_limits(build);
+}
+
+/* Checks the limits against each other. */
+void cfg_check_limits(struct cfg_build *build)
+{
+	size_t i;
+
 	for (i = 0; i < build->set->limit_count; i++)
 		cfg_check_above(build, &build->set->limits[i]);
 }
 
+/* Tells whether another object of a kind takes what only one may have. */
+bool cfg_clashes(const struct cfg_build *build, enum cfg_kind kind, size_t i)
+{
+	size_t size = cfg_layout(kind)->size;
+	size_t *count;
+	const char *table = *cfg_table(build->set, kind, &count);
+	const char *object = table + i * size;
+	size_t u;
+	size_t k;
+
+	for (u = 0; u < MAG_ARRAY_SIZE(uniques); u++) {
+		if (uniques[u].kind != kind)
+			continue;
+		for (k = 0; k < *count; k++) {
+			const char *other = table + k * size;
+
+			if (k != i && uniques[u].cmp(&object, &other) == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
 /*
- * Checks each object by itself.  One whose fields could not be read is left
- * out, as what its fallback values would bring up is not the operator's.
+ * Tells whether a service that changed is still one that the endpoints and
+ * limits of the former set fit: of the same kind, and with layers that no
+ * endpoint passes.
  */
-static void cfg_check_objects(struct cfg_build *build)
+bool cfg_check_kept(struct cfg_build *build, const struct cfg_service *old,
+		    size_t service)
 {
+	const struct cfg_set *set = build->set;
+	const struct cfg_service *s = &set->services[service];
 	size_t i;
 
-	for (i = 0; i < build->count; i++) {
-		const struct cfg_item *item = &build->items[i];
-
-		if (item->faults == 0 && check_fns[item->kind])
-			check_fns[item->kind](build,
-					      i - build->first[item->kind]);
+	if (s->kind != old->kind)
+		return false;
+	for (i = 0; i < set->endpoint_count && s->kind == CFG_MODEL; i++) {
+		if (set->endpoints[i].service == (int)service &&
+		    set->endpoints[i].last_layer >= s->layers)
+			return false;
 	}
+	return true;
+}
+
+/*
+ * Checks an object by itself.  One whose fields could not be read is left
+ * out, as what its fallback values would bring up is not the operator's.
+ */
+void cfg_check_item(struct cfg_build *build, size_t i)
+{
+	const struct cfg_item *item = &build->items[i];
+
+	if (item->faults == 0 && check_fns[item->kind])
+		check_fns[item->kind](build, i - build->first[item->kind]);
 }
 
 static void cfg_check_service(struct cfg_build *build, size_t i)
--- a/src/cfg_copy.c
+++ b/src/cfg_copy.c
@@ -1,9 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "cfg.h"
+#include "cfg_int.h"
 
-static void *cfg_copy_table(const void *table, size_t count, size_t size);
 static int cfg_copy_splits(struct cfg_set *copy);
 
 /*
@@ -39,7 +38,8 @@
 	return CFG_OK;
 }
 
-static void *cfg_copy_table(const void *table, size_t count, size_t size)
+/* Copies a table; one of no objects is not NULL either. */
+void *cfg_copy_table(const void *table, size_t count, size_t size)
 {
 	void *copy = calloc(count ? count : 1, size);
 
--- a/src/cfg_cover.c
+++ b/src/cfg_cover.c
@@ -40,9 +40,10 @@
 
 /*
  * Checks that every service, and every group that a route names, has active
- * endpoints that hold all layers in a chain that is not too long.
+ * endpoints that hold all layers in a chain that is not too long.  With a
+ * list of the services that are touched, by index, only those are checked.
  */
-void cfg_check_cover(struct cfg_build *build)
+void cfg_check_cover(struct cfg_build *build, const bool *touched)
 {
 	const struct cfg_set *set = build->set;
 	size_t i;
@@ -52,12 +53,15 @@
 		struct cfg_cover_at at = { "service", set->services[i].name,
 					   "layers" };
 
-		cfg_cover_service(build, (int)i, "", &at);
+		if (!touched || touched[i])
+			cfg_cover_service(build, (int)i, "", &at);
 	}
 	for (i = 0; i < set->route_count; i++) {
 		const struct cfg_route *route = &set->routes[i];
 		struct cfg_cover_at at = { "route", route->name, "group" };
 
+		if (touched && !touched[route->service])
+			continue;
 		if (route->group[0])
 			cfg_cover_service(build, route->service, route->group,
 					  &at);
--- a/src/cfg_int.h
+++ b/src/cfg_int.h
@@ -137,7 +137,17 @@
 const struct cfg_layout *cfg_layout(enum cfg_kind kind);
 void cfg_read_item(struct cfg_build *build, struct cfg_item *item, void *dst);
 void cfg_check_set(struct cfg_build *build);
-void cfg_check_cover(struct cfg_build *build);
+void cfg_check_cover(struct cfg_build *build, const bool *touched);
+void cfg_check_item(struct cfg_build *build, size_t i);
+void cfg_check_limits(struct cfg_build *build);
+bool cfg_clashes(const struct cfg_build *build, enum cfg_kind kind, size_t i);
+bool cfg_check_kept(struct cfg_build *build, const struct cfg_service *old,
+		    size_t service);
+bool cfg_identify(struct cfg_build *build, json_t *object, size_t i,
+		  struct cfg_item *item);
+int cfg_item_cmp(const void *a, const void *b);
+void **cfg_table(struct cfg_set *set, enum cfg_kind kind, size_t **count);
+void *cfg_copy_table(const void *table, size_t count, size_t size);
 int cfg_index(const struct cfg_build *build, enum cfg_kind kind,
 	      const char *name);
 bool cfg_readable(const struct cfg_build *build, enum cfg_kind kind, int index);
--- a/src/cfg_parse.c
+++ b/src/cfg_parse.c
@@ -8,13 +8,8 @@
 			struct cfg_faults *faults);
 static bool cfg_document_ok(const json_t *doc);
 static void cfg_collect(struct cfg_build *build, json_t *list);
-static bool cfg_identify(struct cfg_build *build, json_t *object, size_t i,
-			 struct cfg_item *item);
 static void cfg_sort(struct cfg_build *build);
-static int cfg_item_cmp(const void *a, const void *b);
 static int cfg_fill(struct cfg_build *build);
-static void **cfg_table(struct cfg_set *set, enum cfg_kind kind,
-			size_t **count);
 
 /*
  * Reads a whole set of objects and checks it.  The set's revision is the one
@@ -156,8 +151,8 @@
 }
 
 /* Reads kind and name of one entry; false, with a fault, if it lacks them. */
-static bool cfg_identify(struct cfg_build *build, json_t *object, size_t i,
-			 struct cfg_item *item)
+bool cfg_identify(struct cfg_build *build, json_t *object, size_t i,
+		  struct cfg_item *item)
 {
 	const char *kind = json_string_value(json_object_get(object, "kind"));
 	const char *name = json_string_value(json_object_get(object, "name"));
@@ -211,7 +206,8 @@
 	}
 }
 
-static int cfg_item_cmp(const void *a, const void *b)
+/* Orders objects by kind, then by name. */
+int cfg_item_cmp(const void *a, const void *b)
 {
 	const struct cfg_item *x = a;
 	const struct cfg_item *y = b;
@@ -246,12 +242,12 @@
 				      (char *)*table + i * size);
 	}
 	cfg_check_set(build);
-	cfg_check_cover(build);
+	cfg_check_cover(build, NULL);
 	return cfg_fault_count(build->faults) ? CFG_E_INVALID : CFG_OK;
 }
 
 /* Returns where a set keeps the table of a kind and its count. */
-static void **cfg_table(struct cfg_set *set, enum cfg_kind kind, size_t **count)
+void **cfg_table(struct cfg_set *set, enum cfg_kind kind, size_t **count)
 {
 	switch (kind) {
 	case CFG_SERVICE:
--- a/src/pub.h
+++ b/src/pub.h
@@ -75,6 +75,23 @@
 	struct cfg_faults *faults; /* PUB_E_INVALID */
 };
 
+/* One place where two texts differ, by line. */
+struct pub_hunk {
+	size_t at; /* line of the old text */
+	size_t drops;
+	size_t puts;
+};
+
+/* What differs between two texts that hold one object a line. */
+struct pub_edit {
+	struct pub_hunk *hunks;
+	size_t hunk_count;
+	struct cfg_line *drop;
+	size_t drops;
+	struct cfg_line *put;
+	size_t puts;
+};
+
 struct pub;
 
 const char *pub_err_text(enum pub_err err);
@@ -99,6 +116,14 @@
 		    const char *text, size_t len, struct cfg_set **set);
 int pub_delta(const char *old_text, const char *new_text, char **delta);
 int pub_patch(const char *old_text, const char *delta, char **new_text);
+bool pub_is_lined(const char *text);
+int pub_edit_make(const char *old_text, const char *new_text,
+		  struct pub_edit *edit);
+void pub_edit_free(struct pub_edit *edit);
+char *pub_edit_text(const struct pub_edit *edit, uint64_t revision,
+		    const char *new_text);
+int pub_edit_apply(const char *old_text, const char *edit, uint64_t *revision,
+		   char **new_text);
 json_t *pub_diff(const char *old_text, const char *new_text);
 void pub_diff_print(const json_t *difference, FILE *out);
 
--- /dev/null
+++ b/src/rev.h
@@ -0,0 +1,28 @@
+#ifndef REV_H
+#define REV_H
+
+/*
+ * The revision in force at one instance: its text, which peers may ask for,
+ * and the edits that led to it.  A new set is made from the one before and
+ * what differs; only when that can't be is the whole text read.  No lock: one
+ * thread at a time.
+ */
+
+#include <stdint.h>
+
+#include "cfg.h"
+
+struct rev;
+
+struct rev *rev_new(void);
+void rev_free(struct rev *rev);
+int rev_offer(struct rev *rev, const struct cfg_set *base, const char *text,
+	      uint64_t revision, struct cfg_set **set);
+int rev_offer_edits(struct rev *rev, const struct cfg_set *base, uint64_t have,
+		    const char *edits, struct cfg_set **set);
+uint64_t rev_revision(const struct rev *rev);
+const char *rev_text(const struct rev *rev);
+unsigned long rev_made(const struct rev *rev);
+char *rev_edits(const struct rev *rev, uint64_t have);
+
+#endif /* REV_H */
