Wake up when a stream's stall deadline moves closer

Cause: the first progress of an attempt shortens its stall deadline from the wait for the first token to the wait between tokens, but the core's next deadline stayed at the old one. regress/proc/hung-stage.sh: streams that hung 0.6 s after their dispatch were noticed 5.0 s after it (log: dispatched 34.904, ejected 39.905). Ruled out: the front's reports of progress, which come every 50 ms. Change: running_progress notes the deadline with core_due. Figures: the same run after it: noticed 1.0 s after the stages were stopped. Conclusion: progress_timeout_ms is kept.

--- a/src/req.c
+++ b/src/req.c
@@ -337,6 +337,7 @@
 		req->first_token_us = core->now;
 	req->tokens = progress->tokens;
 	req->stall_us = core->now + core->settings.progress_timeout_us;
+	core_due(core, req->stall_us);
 	memcpy(req->hop_us, progress->hop_us, sizeof(req->hop_us));
 	pick_hops(core->pick, &req->chain, progress->hop_us,
 		  progress->hop_count, core->now);
