Free what the load tool holds, so that the leak check passes

Cause: with the address sanitizer tool_load ended in the leak check before its totals were written: argtable's entries were never freed. Ruled out: switching the leak check off. Change: regress/tool_load.c frees its tables. Figures: thin, killed-stage, killed-router, lost-answer, platform-down, crossed, bad-input and graceful-stop give their expected output on a build with SAN=address,undefined, without a report. Conclusion: none of these paths shows a memory fault.

--- a/regress/tool_load.c
+++ b/regress/tool_load.c
@@ -546,5 +546,9 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	load_start();
 	load_print(json->count > 0);
+	arg_freetable(table, (size_t)used);
+	free(load_took_us);
+	free(load_first_us);
+	curl_global_cleanup();
 	return load_totals[LOAD_WRONG] ? 1 : 0;
 }
