Measure prefix affinity; eject at once only for a cut connection

Cause: the core had no event for prefix-cache events, so no hint ever reached the choice of chains; and a stalled stream ejected a silent endpoint at once, though it may only wait behind a long prompt.

--- a/bench/sim.c
+++ b/bench/sim.c
@@ -95,6 +95,9 @@
 	case SIM_EV_FAULT:
 		sim_fault(sim, &sim->settings.faults[event->a]);
 		break;
+	case SIM_EV_CACHE:
+		sim_cache_event(sim, event->a, event->b);
+		break;
 	case SIM_EV_NEWS:
 		sim_learn(sim, event->a);
 		break;
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -25,6 +25,9 @@
 #define SIM_BUCKETS_MAX	  2400
 #define SIM_FAULTS_MAX	  8
 #define SIM_NEWS_MAX	  64
+#define SIM_CACHE	  16   /* prefixes that a stage holds */
+#define SIM_PREFIXES	  120  /* that callers use */
+#define SIM_PROMPT_LONG	  600  /* tokens of a prompt with one */
 #define SIM_LARGEST	  (-2) /* target of a fault: the largest stage */
 #define SIM_ALL		  (-3) /* every stage */
 #define SIM_REPORT_LAG_US (700 * MAG_US_PER_MS)
@@ -38,6 +41,7 @@
 	SIM_EV_REPORT,
 	SIM_EV_FAULT, /* a = fault */
 	SIM_EV_NEWS,  /* a = news of a quarantine */
+	SIM_EV_CACHE, /* a = stage, b = prefix: the event arrives */
 	SIM_EVENT_COUNT
 };
 
@@ -87,6 +91,8 @@
 	int64_t in_free_us;
 	int64_t out_free_us;
 	uint32_t running;
+	uint32_t cache[SIM_CACHE]; /* prefixes held, the newest first */
+	uint64_t cache_sequence;
 };
 
 /* One attempt on its chain. */
@@ -99,9 +105,10 @@
 	int stage[MAG_CHAIN_MAX];
 	double share[MAG_CHAIN_MAX];
 	int count;
-	int at;		  /* stage that the token is at */
-	uint32_t next;	  /* index of the token */
-	uint32_t rebuild; /* tokens of work to rebuild a cache */
+	int at;			       /* stage that the token is at */
+	uint32_t next;		       /* index of the token */
+	uint32_t rebuild;	       /* tokens of work to rebuild a cache */
+	bool prefilled[MAG_CHAIN_MAX]; /* stages that have read the prompt */
 	int64_t entered_us;
 	uint32_t hop_us[MAG_CHAIN_MAX];
 	int64_t progress_us; /* when the next progress event is due */
@@ -119,6 +126,7 @@
 	int64_t deadline_us;
 	uint32_t allowance_ms;
 	int returns;
+	uint32_t prefix; /* 0: none */
 	bool poison;
 	bool open;
 	int32_t *token_ms; /* when each token was delivered */
@@ -137,9 +145,12 @@
 	bool no_budgets;
 	bool no_resume;
 	enum sim_callers callers;
-	double load;	 /* offered, as a part of the bound */
-	bool even;	 /* all accounts ask for the same */
-	int64_t from_us; /* what is measured */
+	double load;   /* offered, as a part of the bound */
+	bool even;     /* all accounts ask for the same */
+	bool prefixes; /* long prompts that start alike, and cost work */
+	bool no_affinity;
+	double cache_lost; /* part of the cache events that never arrive */
+	int64_t from_us;   /* what is measured */
 	int64_t to_us;
 	int64_t end_us; /* what was let in until to_us can end by then */
 	struct sim_fault faults[SIM_FAULTS_MAX];
@@ -161,8 +172,10 @@
 	uint32_t failed; /* let in, and given up by the router */
 	uint32_t quarantined;
 	uint32_t attempts;
-	uint32_t killed; /* stages lost to poison */
-	double made;	 /* tokens, whatever became of them */
+	uint32_t killed;     /* stages lost to poison */
+	double made;	     /* tokens, whatever became of them */
+	double prefills;     /* prompts read by a stage */
+	double prefill_hits; /* of them, those it held */
 };
 
 /* What one instance tells the others of a fingerprint. */
@@ -224,6 +237,10 @@
 void sim_fault(struct sim *sim, const struct sim_fault *fault);
 void sim_report(struct sim *sim);
 
+/* sim_cache.c */
+double sim_prefill(struct sim *sim, struct sim_stream *s);
+void sim_cache_event(struct sim *sim, int stage, uint32_t prefix);
+
 /* sim_caller.c */
 void sim_arrival(struct sim *sim, int account);
 void sim_return(struct sim *sim, int call);
--- a/bench/sim_caller.c
+++ b/bench/sim_caller.c
@@ -93,6 +93,8 @@
 	call->tokens = SIM_TOKENS_LEAST +
 		       (uint32_t)(sim_random(sim) * 2 *
 				  (SIM_TOKENS_MEAN - SIM_TOKENS_LEAST));
+	if (sim->settings.prefixes)
+		call->prefix = 1 + (uint32_t)(sim_random(sim) * SIM_PREFIXES);
 	call->allowance_ms = SIM_ALLOWANCE_MS +
 			     (uint32_t)(sim_random(sim) * SIM_ALLOWANCE_MS / 2);
 	return call;
@@ -118,6 +120,10 @@
 		memset(arrival->fingerprint, 0xee,
 		       sizeof(arrival->fingerprint));
 	arrival->prompt_tokens = SIM_PROMPT_TOKENS;
+	if (call->prefix)
+		arrival->prompt_tokens = SIM_PROMPT_LONG;
+	if (!sim->settings.no_affinity)
+		arrival->prefix = call->prefix;
 	arrival->max_tokens = call->tokens;
 	arrival->allowance_ms = call->allowance_ms;
 	if (sim_counts(sim, call)) {
--- a/bench/sim_stage.c
+++ b/bench/sim_stage.c
@@ -282,6 +282,8 @@
 		work += work * s->rebuild / SIM_REBUILD;
 		s->rebuild = 0;
 	}
+	if (sim->settings.prefixes)
+		work += work * sim_prefill(sim, s);
 	if (s->at > 0)
 		at = sim_queue(&stage->in_free_us, at, link);
 	at = sim_queue(&stage->free_us, at, work) + stage->step_us;
--- a/src/core.c
+++ b/src/core.c
@@ -28,6 +28,7 @@
 static void on_kv_reply(struct core *core, struct core_event *event);
 static void on_load(struct core *core, struct core_event *event);
 static void on_leaving(struct core *core, struct core_event *event);
+static void on_cache(struct core *core, struct core_event *event);
 static void on_stop(struct core *core, struct core_event *event);
 static void event_system(struct core *core);
 static void ledger_system(struct core *core);
@@ -50,7 +51,7 @@
 	[CORE_EV_ENDED] = on_ended,	[CORE_EV_CALLER_GONE] = on_caller_gone,
 	[CORE_EV_CONFIG] = on_config,	[CORE_EV_KV_REPLY] = on_kv_reply,
 	[CORE_EV_LOAD] = on_load,	[CORE_EV_LEAVING] = on_leaving,
-	[CORE_EV_STOP] = on_stop,
+	[CORE_EV_CACHE] = on_cache,	[CORE_EV_STOP] = on_stop,
 };
 
 /* Makes a core without a configuration; NULL if memory is short. */
@@ -368,6 +369,19 @@
 			     core->now);
 }
 
+static void on_cache(struct core *core, struct core_event *event)
+{
+	const struct core_cache *cache = &event->cache;
+	int endpoint;
+
+	if (!core->set)
+		return;
+	endpoint = cfg_find_endpoint(core->set, cache->endpoint);
+	if (endpoint >= 0)
+		pick_cache_event(core->pick, endpoint, cache->sequence,
+				 cache->prefix, cache->stored, core->now);
+}
+
 static void on_stop(struct core *core, struct core_event *event)
 {
 	(void)event;
--- a/src/core.h
+++ b/src/core.h
@@ -95,6 +95,7 @@
 	CORE_EV_KV_REPLY,
 	CORE_EV_LOAD,
 	CORE_EV_LEAVING,
+	CORE_EV_CACHE,
 	CORE_EV_STOP,
 	CORE_EVENT_COUNT
 };
@@ -109,6 +110,14 @@
 	bool leaving;
 };
 
+/* An event of an engine's prefix cache; late, and with gaps. */
+struct core_cache {
+	char endpoint[MAG_NAME_MAX];
+	uint64_t sequence; /* one higher with each event of the endpoint */
+	uint64_t prefix;
+	bool stored; /* false: dropped */
+};
+
 struct core_event {
 	enum core_event_type type;
 	union {
@@ -120,6 +129,7 @@
 		struct kv_reply kv;
 		struct core_load load;
 		struct core_leaving leaving;
+		struct core_cache cache;
 	};
 };
 
--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -17,7 +17,7 @@
 #define PICK_LOAD_STEP	    0.05
 
 static void pick_took(struct pick *pick, int e, int64_t took_us);
-static void pick_health_failed(struct pick *pick, int e, int64_t now);
+static void pick_health_failed(struct pick *pick, int e, bool cut, int64_t now);
 static void pick_health_stalled(struct pick *pick,
 				const struct pick_chain *chain, int64_t now);
 static bool pick_is_silent(const struct pick *pick, int e, int64_t now);
@@ -71,7 +71,7 @@
 			pick_took(pick, e, result->took_us);
 		}
 		if (result->kind == PICK_ENDED_FAILED && i == at)
-			pick_health_failed(pick, e, now);
+			pick_health_failed(pick, e, true, now);
 		else if (result->kind == PICK_ENDED_REFUSED && i == at)
 			pick_refused(&pick->eps[e], now);
 		if (i == 0)
@@ -116,8 +116,12 @@
 	}
 }
 
-/* Counts a failure against an endpoint, and ejects it if that is enough. */
-static void pick_health_failed(struct pick *pick, int e, int64_t now)
+/*
+ * Counts a failure against an endpoint, and ejects it if that is enough: one
+ * connection that was cut, or could not be made, if it shows no other sign of
+ * life.  A stream that only stopped may wait behind a long prompt.
+ */
+static void pick_health_failed(struct pick *pick, int e, bool cut, int64_t now)
 {
 	struct pick_ep *ep = &pick->eps[e];
 
@@ -133,7 +137,7 @@
 	if (ep->failed_in_row >= PICK_DEAD_AFTER)
 		pick_eject(pick, e, "dead", now);
 	else if ((ep->failed_in_row >= PICK_EJECT_AFTER ||
-		  pick_is_silent(pick, e, now)) &&
+		  (cut && pick_is_silent(pick, e, now))) &&
 		 pick_spare(pick, e))
 		pick_eject(pick, e, "failed-in-a-row", now);
 	else if (ep->results >= PICK_RATIO_RESULTS &&
@@ -148,7 +152,8 @@
 	int at = pick_silent(pick, chain, now);
 
 	if (at >= 0)
-		pick_health_failed(pick, chain->stages[at].endpoint, now);
+		pick_health_failed(pick, chain->stages[at].endpoint, false,
+				   now);
 }
 
 /*
