--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -42,6 +42,14 @@
 # signal NAME SIGNAL: TERM asks for a stop; KILL is a crash; STOP a pause.
 signal() {
 	kill -"$2" "$(pid_of "$1")"
+	[ "$2" != STOP ] || until_ok stopped "$1"
+}
+
+# A signal is delivered after kill has returned; a thread that still ran could
+# take one more request.
+stopped() {
+	! grep -h '^State:' "/proc/$(pid_of "$1")"/task/*/status |
+		grep -qv 'T (stopped)'
 }
 
 # Waits for a process to end and returns its exit status.
@@ -106,7 +114,7 @@
 	{"kind":"endpoint","name":"engine-$1","service":"score-model",
 	 "data_centre":"dc-a","address":"127.0.0.1:$(engine_port "$1")",
 	 "first_layer":$2,"last_layer":$3,"tokens_per_s":400,
-	 "concurrency":16,"state":"${4:-active}"}
+	 "concurrency":${concurrency:-16},"state":"${4:-active}"}
 	EOF
 }
 
@@ -162,7 +170,8 @@
 # Starts an engine or a plain service, each a process that can be killed.
 start_engine() {
 	start engine-"$1" "$build/fake_engine" --port "$(engine_port "$1")" \
-		--set "$set" --record "$record" --platform "$platform"
+		--set "$set" --record "$record" --platform "$platform" \
+		--threads "${engine_threads:-96}" ${poison:-}
 	until_ok answers "127.0.0.1:$(engine_port "$1")/v1/state"
 }
 
@@ -174,15 +183,15 @@
 	until_ok answers "127.0.0.1:$(port "$1")/"
 }
 
-# start_router NUMBER: its first peer is the router before it.
+# start_router NUMBER [PLATFORM]: its first peer is the router before it.
 start_router() {
 	peers=""
 	[ "$1" = 0 ] || peers="\"peers\":[\"$(peer $(($1 - 1)))\"],"
 	cat >"$work/router-$1.json" <<-EOF
 	{"cluster":"test","instance":"router-$1","data_centre":"dc-a",
 	 "listen":"$(router "$1")","admin":"$(admin "$1")",
-	 "rpc":"$(peer "$1")","platform":["$platform"],$peers
-	 "threads":64,"kv_timeout_ms":500,"shutdown_notice_ms":200,
+	 "rpc":"$(peer "$1")","platform":["${2:-$platform}"],$peers
+	 ${extra:-}"threads":${threads:-64},"kv_timeout_ms":500,"shutdown_notice_ms":200,
 	 "place":false}
 	EOF
 	start router-"$1" "$build/magnoliad" --settings "$work/router-$1.json"
@@ -192,6 +201,21 @@
 	curl -sf -m 1 -o /dev/null "http://$(admin "$1")/readyz"
 }
 
+# list_routers COUNT: the platform's list of instances, which says in how many
+# parts a limit of the whole fleet is held.
+list_routers() {
+	rows=""
+	i=0
+	while [ $i -lt "$1" ]; do
+		rows="$rows${rows:+,}{\"name\":\"router-$i\",
+			\"address\":\"$(peer $i)\",\"state\":\"live\",
+			\"kind\":\"entry\",\"data_centre\":\"dc-a\"}"
+		i=$((i + 1))
+	done
+	curl -s -m 2 -o /dev/null -X PUT "http://$platform/instances" \
+		-d "{\"instances\":[$rows]}"
+}
+
 # Publishes the set; what magctl says goes to the log.
 apply() {
 	"$build/magctl" apply --platform "$platform" --replace "$set" \
@@ -209,6 +233,7 @@
 		start_plain $i
 	done
 	apply || echo "apply failed"
+	list_routers "$1"
 	i=0
 	while [ $i -lt "$1" ]; do
 		start_router $i
@@ -246,23 +271,26 @@
 ask() {
 	method=$1
 	shift
-	curl -s -m 20 -D "$work/head" -o "$work/body" -X "$method" \
+	head=$(mktemp "$work/head.XXXXXX")
+	curl -s -m 20 -D "$head" -o /dev/null -X "$method" \
 		-H "Authorization: Bearer ${key:-choir-key}" "$@" 2>/dev/null
-	printf '%s %s%s\n' "$(sed -n '1s/.* \([0-9][0-9]*\) .*/\1/p' \
-		"$work/head")" \
-		"$(sed -n 's/^Magnolia-Outcome: \([a-z-]*\).*/\1/p' \
-			"$work/head")" \
-		"$(sed -n 's/^Retry-After: [0-9].*/ retry-after/p' "$work/head")"
-	: >"$work/head"
+	printf '%s %s%s\n' "$(sed -n '1s/.* \([0-9][0-9]*\) .*/\1/p' "$head")" \
+		"$(sed -n 's/^Magnolia-Outcome: \([a-z-]*\).*/\1/p' "$head")" \
+		"$(sed -n 's/^Retry-After: [0-9].*/ retry-after/p' "$head")"
 }
 
-# book ROUTER PATH INTENT [CURL OPTION...]: one booking by hand.
+# book ROUTER PATH INTENT [CURL OPTION...]: one booking by hand; what it was
+# told goes to the record, for the checker.
 book() {
 	at=http://$(router "$1")$2
 	intent=$3
 	shift 3
-	ask POST "$at" -H "Idempotency-Key: $intent" \
-		-d "{\"intent\":\"$intent\"}" "$@"
+	told=$(ask POST "$at" -H "Idempotency-Key: $intent" \
+		-d "{\"intent\":\"$intent\"}" "$@")
+	echo "$told"
+	outcome=$(echo "$told" | cut -d' ' -f2)
+	echo "answer kind=booking intent=$intent outcome=${outcome:-cut}" \
+		>>"$record"
 }
 
 effects() {
