req: Blame the endpoint that two stalls of a request share

Cause: a stream that brought no token doesn't show which stage hangs. The first silent stage was blamed each time, the hung one was kept as a survivor, and the healthy first stages were used up until the caller got 503 with a healthy chain idle. Change: a request remembers the endpoints of its last stall that weren't blamed; one that is in the next stall too is blamed then.

--- a/src/core.c
+++ b/src/core.c
@@ -457,6 +457,8 @@
 	remap_chain(&req->last_chain, from, to);
 	for (i = 0; i < req->avoid_count; i++)
 		req->avoid[i] = remap_endpoint(req->avoid[i], from, to);
+	for (i = 0; i < req->stalled_count; i++)
+		req->stalled[i] = remap_endpoint(req->stalled[i], from, to);
 }
 
 static void remap_chain(struct pick_chain *chain, const struct cfg_set *from,
--- a/src/core_int.h
+++ b/src/core_int.h
@@ -64,6 +64,9 @@
 	bool has_last_chain;
 	int avoid[CORE_AVOID_MAX];
 	int avoid_count;
+	int stalled[MAG_CHAIN_MAX]; /* endpoints of the last stall, but the one
+				     * that was blamed */
+	int stalled_count;
 	bool idempotent;
 	bool keyed;	   /* a record in the ledger decides */
 	bool reserved;	   /* this request holds the record */
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -6,7 +6,7 @@
 			   const struct core_ended *ended);
 static void failed(struct core *core, struct core_req *req,
 		   const struct core_ended *ended, enum pick_result_kind kind);
-static int stalled_at(const struct core *core, const struct core_req *req);
+static int stalled_at(const struct core *core, struct core_req *req);
 static void give_up_failed(struct core *core, struct core_req *req);
 static int failed_endpoint(const struct core_req *req, int stage);
 
@@ -135,13 +135,34 @@
 	give_up_failed(core, req);
 }
 
-/* Returns the stage that holds a stream up, -1 if none stands out. */
-static int stalled_at(const struct core *core, const struct core_req *req)
+/*
+ * Returns the stage that holds a stream up, -1 if none stands out.  A stream
+ * that brought nothing doesn't show which stage hangs, and blaming the first
+ * one each time would use up the healthy endpoints while the hung one is
+ * kept.  An endpoint that was in this request's last stall too, and wasn't
+ * blamed then, is the likelier one.
+ */
+static int stalled_at(const struct core *core, struct core_req *req)
 {
 	int stage = pick_silent(core->pick, &req->chain, core->now);
+	int i;
+	int j;
 
 	if (stage < 0)
 		stage = pick_degraded(core->pick, &req->chain);
+	for (i = 0; i < req->chain.count; i++) {
+		for (j = 0; j < req->stalled_count; j++) {
+			if (req->stalled[j] >= 0 &&
+			    req->chain.stages[i].endpoint == req->stalled[j])
+				stage = i;
+		}
+	}
+	req->stalled_count = 0;
+	for (i = 0; i < req->chain.count; i++) {
+		if (i != stage)
+			req->stalled[req->stalled_count++] =
+				req->chain.stages[i].endpoint;
+	}
 	return stage;
 }
 
