--- a/bench/bench_ledger.c
+++ b/bench/bench_ledger.c
@@ -105,7 +105,6 @@
 static void sim_stop(void);
 static void sim_run(const struct sim_case *c, struct sim_figures *f);
 static void sim_measure(const struct sim_case *c, struct sim_figures *f);
-static double sim_ms(int64_t us);
 static double sim_recovery(void);
 static int sim_order(const void *a, const void *b);
 static void sim_print(const struct sim_case *c, const struct sim_figures *f,
@@ -399,6 +398,7 @@
 	int64_t *waits = calloc(booking_count, sizeof(*waits));
 	size_t refused = 0;
 	size_t booked = 0;
+	size_t at;
 	size_t i;
 
 	for (i = 0; i < booking_count; i++) {
@@ -416,8 +416,10 @@
 	f->writes = (double)call_count[0] / (double)booked;
 	f->reads = (double)call_count[1] / (double)booked;
 	f->limited = (double)limited / (double)booked;
-	f->median_ms = sim_ms(waits[booked / 2]);
-	f->p99_ms = sim_ms(waits[booked * 99 / 100]);
+	at = booked / 2;
+	f->median_ms = (double)waits[at] / 1e3;
+	at = booked * 99 / 100;
+	f->p99_ms = (double)waits[at] / 1e3;
 	f->recovery_ms = c->outage ? sim_recovery() : -1;
 	free(waits);
 }
@@ -447,13 +449,8 @@
 	}
 	if (back < 0)
 		return -1;
-	return sim_ms((int64_t)(back - OUTAGE_SLOT) * SLOT_US);
-}
-
-/* Turns microseconds into milliseconds. */
-static double sim_ms(int64_t us)
-{
-	return (double)us / 1e3;
+	slot = (back - OUTAGE_SLOT) * SLOT_US;
+	return (double)slot / 1e3;
 }
 
 static int sim_order(const void *a, const void *b)
--- a/spec/ledger.pml
+++ b/spec/ledger.pml
@@ -10,7 +10,8 @@
  * next one beside the first.  `network` lands writes that hung in it.
  *
  * Each rule has a switch that takes it away; `spec/run` shows that the model
- * then fails.  DOWNKEY models a service that runs a downstream key once.
+ * then fails.  DOWNKEY models a service that runs a downstream key once,
+ * LATE_END an attempt whose outcome comes after its caller was answered.
  */
 
 #ifndef ATTEMPTS
@@ -264,6 +265,13 @@
 		:: else -> skip
 		fi
 	};
+#ifdef LATE_END			/* the end may still come after the answer */
+	if
+	:: skip
+	:: ran[i] -> goto answered
+	:: !ran[i] -> goto release	/* proved: nothing was sent */
+	fi;
+#endif
 	goto end;
 
 given_up:			/* an unanswered swap must not land later */
@@ -274,7 +282,8 @@
 #ifdef END_WITHOUT_NONCE
 		:: seg[INTENT(i)].state != NONE ->
 #else
-		:: seg[INTENT(i)].state == REC_RESERVED &&
+		:: (seg[INTENT(i)].state == REC_RESERVED ||
+		    seg[INTENT(i)].state == REC_AMBIGUOUS) &&
 		   seg[INTENT(i)].nonce == i ->
 #endif
 			if
--- a/src/ldg.c
+++ b/src/ldg.c
@@ -97,7 +97,8 @@
 
 /*
  * The work ran and this is its outcome, for every repeat of the key.  The
- * record may be written a little later; no result follows.
+ * record is written a little later while the service limits writes, to share
+ * a swap; no result follows.
  */
 int ldg_settle(struct ldg *ldg, uint64_t req, const struct ldg_outcome *outcome,
 	       int64_t now)
@@ -114,7 +115,7 @@
 		memcpy(att->answer, outcome->answer, outcome->answer_len);
 		att->answer_len = outcome->answer_len;
 	}
-	ldg_att_queue(ldg, att, ATT_SETTLING, now + LDG_SETTLE_WAIT_US);
+	ldg_att_queue(ldg, att, ATT_SETTLING, now + ldg->pace_us);
 	return LDG_OK;
 }
 
--- a/src/ldg_int.h
+++ b/src/ldg_int.h
@@ -16,14 +16,13 @@
 #define LDG_RECS_MAX	   100000 /* idle shards are forgotten beyond */
 #define LDG_SKEW_MS	   INT64_C(60000) /* furthest two clocks may differ */
 #define LDG_AMBIGUOUS_KEPT 8 /* windows that an ambiguous record stays */
-#define LDG_SETTLE_WAIT_US (20 * MAG_US_PER_MS) /* for a swap to share */
-#define LDG_HELD_KEEP_US   (60 * MAG_US_PER_S)	/* for a late end */
+#define LDG_HELD_KEEP_US   (60 * MAG_US_PER_S) /* for a late end */
 #define LDG_BACKOFF_US	   (5 * MAG_US_PER_MS)
 #define LDG_BACKOFF_MAX_US (80 * MAG_US_PER_MS)
 #define LDG_PACE_US	   (2 * MAG_US_PER_MS)
 #define LDG_PACE_MAX_US	   (100 * MAG_US_PER_MS)
 #define LDG_DOWN_US	   (100 * MAG_US_PER_MS)
-#define LDG_DOWN_MAX_US	   MAG_US_PER_S
+#define LDG_DOWN_MAX_US	   (250 * MAG_US_PER_MS)
 #define LDG_FAILURES_DOWN  2 /* lost answers in a row that mean an outage */
 #define LDG_FRESH_US	   (2 * MAG_US_PER_MS)
 #define LDG_GRACE_MS	   1000 /* after a dispatcher's deadline */
