--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # magnoliarail: plain make.  Targets: all deps check demo bench capacity
-# format lint test spec fuzz regress clean.
+# format lint test spec fuzz regress faults clean.
 
 CC        ?= gcc
 BUILD     ?= build
@@ -91,6 +91,10 @@
 test: $(CHECKS)
 	@sh regress/run-checks $(BUILD)
 
+# Runs the fault matrix and writes docs/FAULTS.md from it.
+faults: $(BUILD)/check_matrix
+	@FAULTS_WRITE=1 $(BUILD)/check_matrix
+
 # The scripted runs on real processes.
 regress: $(PROGS) $(FAKES) $(TOOLS)
 	@sh regress/run-processes $(BUILD)
