Take up changes of the configuration from what differs

Cause: a new revision was read and checked whole by each instance; one that got it from a peer fetched the whole text, computed its digest twice and read it three times. Two revisions offered at once could reach the callers' threads in the wrong order, as only the text was kept under a lock. Ruled out: a digest of the text computed from that same text, which proves nothing. Change: watch makes each set through rev; peers ask for the edits to what they hold (a procedure of its own, so that older ones still answer) and take the whole text if there are none, they are long, or they don't lead to the digest that they name. plc_config compares names in order, no longer each with each. Conclusion: the whole text is read at start and when anything is unusual.

--- a/regress/check_patch.c
+++ b/regress/check_patch.c
@@ -8,6 +8,7 @@
 
 #include "cfg_int.h"
 #include "pub.h"
+#include "rev.h"
 #include "script.h"
 
 /*
@@ -25,6 +26,9 @@
 	char *lines[LINES_MAX];
 	size_t count;
 	uint64_t revision;
+	struct rev *rev;  /* of an instance that reads the texts */
+	struct rev *peer; /* of one that gets edits from it */
+	struct cfg_set *peer_set;
 	uint64_t random;
 	long tally[2][2]; /* whole: refused, ok; short: none, made */
 	FILE *out;
@@ -34,7 +38,7 @@
 {
 	s->random = s->random * UINT64_C(6364136223846793005) +
 		    UINT64_C(1442695040888963407);
-	return (uint32_t)(s->random >> 33) % below;
+	return below ? (uint32_t)(s->random >> 33) % below : 0;
 }
 
 static void dump_field(FILE *out, const struct cfg_field *f, const char *at)
@@ -132,6 +136,64 @@
 	free(text);
 }
 
+/* Damaged edits change nothing; after them the right ones are still taken. */
+static void damage(struct state *s, uint64_t have, const char *edits)
+{
+	char *copy = strdup(edits);
+	struct cfg_set *set;
+	size_t i = draw(s, (uint32_t)strlen(copy));
+
+	copy[i] = (char)(copy[i] == '0' ? '1' : '0');
+	assert_int_not_equal(
+		rev_offer_edits(s->peer, s->peer_set, have, copy, &set),
+		PUB_OK);
+	assert_null(set);
+	assert_int_equal(rev_revision(s->peer), have);
+	assert_int_equal(
+		rev_offer_edits(s->peer, s->peer_set, have - 1, edits, &set),
+		PUB_E_BASE);
+	free(copy);
+}
+
+/* Lets the peer follow, now and then over several revisions at once. */
+static void follow(struct state *s, struct cfg_set *whole, const char *text)
+{
+	uint64_t have = rev_revision(s->peer);
+	struct cfg_set *set;
+	char *edits;
+	char *a;
+	char *b;
+
+	assert_int_equal(rev_offer(s->rev, s->set, text, s->revision + 1, &set),
+			 PUB_OK);
+	cfg_free(set);
+	assert_int_equal(rev_offer(s->rev, s->set, text, s->revision + 1, &set),
+			 PUB_E_STALE);
+	if (have > 0 && draw(s, 3) == 0)
+		return;
+	edits = rev_edits(s->rev, have);
+	if (edits) {
+		damage(s, have, edits);
+		assert_int_equal(rev_offer_edits(s->peer, s->peer_set, have,
+						 edits, &set),
+				 PUB_OK);
+	} else {
+		assert_int_equal(rev_offer(s->peer, s->peer_set, text,
+					   s->revision + 1, &set),
+				 PUB_OK);
+	}
+	free(edits);
+	cfg_free(s->peer_set);
+	s->peer_set = set;
+	whole->revision = s->revision + 1;
+	a = dump(whole);
+	b = dump(set);
+	assert_string_equal(a, b);
+	assert_string_equal(rev_text(s->peer), text);
+	free(a);
+	free(b);
+}
+
 /* Makes the next set in both ways; returns whether it is valid. */
 static bool step(struct state *s, bool show)
 {
@@ -172,6 +234,7 @@
 		free(next);
 		return false;
 	}
+	follow(s, whole, next);
 	cfg_free(s->set);
 	free(s->text);
 	s->set = whole;
@@ -246,11 +309,16 @@
 	}
 }
 
-/* Goes back to the lines of the set in force after one that failed. */
-static void restore(struct state *s, char **kept, size_t count)
+static void clear(struct state *s)
 {
 	while (s->count)
 		free(leave(s, s->count - 1));
+}
+
+/* Goes back to the lines of the set in force after one that failed. */
+static void restore(struct state *s, char **kept, size_t count)
+{
+	clear(s);
 	while (s->count < count) {
 		s->lines[s->count] = strdup(kept[s->count]);
 		s->count++;
@@ -291,6 +359,8 @@
 	ssize_t len;
 	bool objects = false;
 
+	s.rev = rev_new();
+	s.peer = rev_new();
 	while ((len = getline(&line, &room, in)) > 0) {
 		unsigned long seed;
 		long steps;
@@ -300,7 +370,7 @@
 			take(&s, s.count, strdup(line));
 		} else if (strcmp(line, "objects:") == 0) {
 			objects = true;
-			restore(&s, NULL, 0);
+			clear(&s);
 		} else if (objects && line[0] == '\0') {
 			objects = false;
 			step(&s, true);
@@ -308,10 +378,13 @@
 			random_steps(&s, seed, steps);
 		}
 	}
-	restore(&s, NULL, 0);
+	clear(&s);
 	free(line);
 	free(s.text);
 	cfg_free(s.set);
+	cfg_free(s.peer_set);
+	rev_free(s.rev);
+	rev_free(s.peer);
 }
 
 int main(void)
--- a/regress/check_rpc.c
+++ b/regress/check_rpc.c
@@ -61,6 +61,18 @@
 	return 0;
 }
 
+static int on_edits(void *ctx, uint64_t have, uint64_t *revision, char **text,
+		    size_t *len)
+{
+	(void)ctx;
+	if (have < 10)
+		return -1;
+	*text = strdup("edits");
+	*len = strlen(*text);
+	*revision = got.revision;
+	return 0;
+}
+
 static void on_fetched(void *ctx, const struct rpc_fetched *fetched)
 {
 	(void)ctx;
@@ -75,8 +87,8 @@
 {
 	struct rpc_settings settings = { .cluster = "test",
 					 .fetch_timeout_us = 4 * MAG_US_PER_S };
-	struct rpc_handlers handlers = { on_message, on_serve, on_fetched,
-					 NULL };
+	struct rpc_handlers handlers = { on_message, on_serve, on_edits,
+					 on_fetched, NULL };
 	int port = PORT_FIRST + getpid() % 1000;
 	int i;
 
@@ -191,7 +203,7 @@
 	(void)state;
 	got.revision = 12;
 	got.len = TEXT_BYTES;
-	assert_int_equal(rpc_fetch(rpc, address, 11), RPC_OK);
+	assert_int_equal(rpc_fetch(rpc, address, 11, 0), RPC_OK);
 	wait_for(&got.fetches, before + 1);
 	assert_int_equal(got.fetched.err, RPC_OK);
 	assert_int_equal(got.fetched.revision, 12);
@@ -202,13 +214,40 @@
 	free(got.fetched.text);
 }
 
+/*
+ * One that holds a revision gets edits to it; the whole text if the peer keeps
+ * none from so far back, or only to a revision that is too old.
+ */
+static void test_fetch_edits(void **state)
+{
+	int before = got.fetches;
+
+	(void)state;
+	assert_int_equal(rpc_fetch(rpc, address, 12, 11), RPC_OK);
+	wait_for(&got.fetches, before + 1);
+	assert_int_equal(got.fetched.err, RPC_OK);
+	assert_int_equal(got.fetched.have, 11);
+	assert_int_equal(got.fetched.revision, 12);
+	assert_string_equal(got.fetched.text, "edits");
+	free(got.fetched.text);
+	assert_int_equal(rpc_fetch(rpc, address, 12, 9), RPC_OK);
+	wait_for(&got.fetches, before + 2);
+	assert_int_equal(got.fetched.err, RPC_OK);
+	assert_int_equal(got.fetched.have, 0);
+	assert_int_equal(got.fetched.len, TEXT_BYTES);
+	free(got.fetched.text);
+	assert_int_equal(rpc_fetch(rpc, address, 13, 11), RPC_OK);
+	wait_for(&got.fetches, before + 3);
+	assert_int_equal(got.fetched.err, RPC_E_NONE);
+}
+
 /* A peer that lacks the revision says so. */
 static void test_fetch_none(void **state)
 {
 	int before = got.fetches;
 
 	(void)state;
-	assert_int_equal(rpc_fetch(rpc, address, 13), RPC_OK);
+	assert_int_equal(rpc_fetch(rpc, address, 13, 0), RPC_OK);
 	wait_for(&got.fetches, before + 1);
 	assert_int_equal(got.fetched.err, RPC_E_NONE);
 	assert_null(got.fetched.text);
@@ -221,7 +260,7 @@
 
 	(void)state;
 	got.len = (16u << 20) + 1;
-	assert_int_equal(rpc_fetch(rpc, address, 11), RPC_OK);
+	assert_int_equal(rpc_fetch(rpc, address, 11, 0), RPC_OK);
 	wait_for(&got.fetches, before + 1);
 	assert_int_equal(got.fetched.err, RPC_E_ANSWER);
 }
@@ -244,11 +283,11 @@
 	assert_int_equal(listen(fd, 1), 0);
 	getsockname(fd, (struct sockaddr *)&local, &len);
 	snprintf(hung, sizeof(hung), "127.0.0.1:%d", ntohs(local.sin_port));
-	assert_int_equal(rpc_fetch(rpc, hung, 1), RPC_OK);
+	assert_int_equal(rpc_fetch(rpc, hung, 1, 0), RPC_OK);
 	wait_for(&got.fetches, before + 1);
 	assert_int_equal(got.fetched.err, RPC_E_REACH);
 	close(fd);
-	assert_int_equal(rpc_fetch(rpc, hung, 1), RPC_OK);
+	assert_int_equal(rpc_fetch(rpc, hung, 1, 0), RPC_OK);
 	wait_for(&got.fetches, before + 2);
 	assert_int_equal(got.fetched.err, RPC_E_REACH);
 }
@@ -268,7 +307,7 @@
 	rpc_parse_address(address, &to);
 	assert_int_equal(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
 	assert_int_equal(write(fd, "\x80\0\0\x40half", 8), 8);
-	assert_int_equal(rpc_fetch(rpc, address, 12), RPC_OK);
+	assert_int_equal(rpc_fetch(rpc, address, 12, 0), RPC_OK);
 	wait_for(&got.fetches, before + 1);
 	assert_int_equal(got.fetched.err, RPC_OK);
 	free(got.fetched.text);
@@ -281,6 +320,7 @@
 		cmocka_unit_test(test_heartbeat),
 		cmocka_unit_test(test_malformed),
 		cmocka_unit_test(test_fetch),
+		cmocka_unit_test(test_fetch_edits),
 		cmocka_unit_test(test_fetch_none),
 		cmocka_unit_test(test_fetch_bound),
 		cmocka_unit_test(test_fetch_hung),
--- a/src/cfg_patch.c
+++ b/src/cfg_patch.c
@@ -27,6 +27,14 @@
 	bool *touched; /* by service: what covers its layers changed */
 };
 
+/* How far the table of one kind is made. */
+struct cfg_merge {
+	enum cfg_kind kind;
+	size_t at;  /* rows of the new table */
+	size_t put; /* next of what comes */
+	size_t dropped;
+};
+
 static int cfg_patch_make(struct cfg_patch *p);
 static int cfg_read_lines(struct cfg_patch *p, struct cfg_changes *changes,
 			  const struct cfg_line *lines, size_t count);
@@ -35,7 +43,10 @@
 		    const char *name);
 static bool cfg_lists_fit(const struct cfg_patch *p);
 static int cfg_splice(struct cfg_patch *p, enum cfg_kind kind);
-static int cfg_splice_one(struct cfg_patch *p, enum cfg_kind kind, size_t at,
+static int cfg_merge_row(struct cfg_patch *p, struct cfg_merge *m, size_t i);
+static void cfg_merge_puts(struct cfg_patch *p, struct cfg_merge *m,
+			   const char *before);
+static int cfg_splice_one(struct cfg_patch *p, struct cfg_merge *m,
 			  const void *from);
 static int cfg_read_puts(struct cfg_patch *p);
 static bool cfg_remap_accounts(struct cfg_patch *p);
@@ -200,73 +211,81 @@
  */
 static int cfg_splice(struct cfg_patch *p, enum cfg_kind kind)
 {
+	struct cfg_merge m = { .kind = kind };
 	size_t size = cfg_layout(kind)->size;
+	size_t wanted = 0;
 	size_t *old_count;
 	size_t *count;
-	size_t dropped = 0;
-	size_t wanted = 0;
-	size_t puts = 0;
-	size_t at = 0;
-	size_t i;
-	size_t j = 0;
 	void **table = cfg_table(p->build.set, kind, &count);
+	int err = CFG_OK;
+	size_t i;
 
 	cfg_table((struct cfg_set *)p->old, kind, &old_count);
-	p->build.first[kind] = p->build.count;
 	for (i = 0; i < p->drop.count; i++)
 		wanted += p->drop.items[i].kind == kind;
-	for (i = 0; i < p->put.count; i++)
-		puts += p->put.items[i].kind == kind;
-	while (j < p->put.count && p->put.items[j].kind < kind)
-		j++;
-	*table = calloc(*old_count + puts + 1, size);
+	while (m.put < p->put.count && p->put.items[m.put].kind < kind)
+		m.put++;
+	p->build.first[kind] = p->build.count;
+	*table = calloc(*old_count + p->put.count + 1, size);
 	if (!*table)
 		return CFG_E_MEMORY;
-	for (i = 0; i < *old_count; i++) {
-		const char *name = cfg_row(p->old, kind, i);
-		bool gone = cfg_has(&p->drop, kind, name);
-		int cmp = -1;
-
-		while (j < p->put.count && p->put.items[j].kind == kind &&
-		       (cmp = strcmp(p->put.items[j].name, name)) < 0) {
-			p->build.items[p->build.count++] = p->put.items[j++];
-			at++;
-		}
-		dropped += gone;
-		if (kind == CFG_ACCOUNT)
-			p->accounts[i] = gone && cmp != 0 ? -1 : (int)at;
-		if (gone)
-			continue;
-		if (cmp == 0 && j < p->put.count &&
-		    p->put.items[j].kind == kind)
-			return CFG_E_UNUSUAL;
-		*count = at + 1;
-		if (cfg_splice_one(p, kind, at++, name))
-			return CFG_E_MEMORY;
+	for (i = 0; i < *old_count && err == CFG_OK; i++) {
+		err = cfg_merge_row(p, &m, i);
+		*count = m.at;
 	}
-	for (; j < p->put.count && p->put.items[j].kind == kind; j++, at++)
-		p->build.items[p->build.count++] = p->put.items[j];
-	*count = at;
+	cfg_merge_puts(p, &m, NULL);
+	*count = m.at;
 	p->build.first[kind + 1] = p->build.count;
-	return dropped == wanted ? CFG_OK : CFG_E_UNUSUAL;
+	if (err == CFG_OK && m.dropped != wanted)
+		err = CFG_E_UNUSUAL;
+	return err;
+}
+
+/* Takes over one row of the old table, after what comes before it. */
+static int cfg_merge_row(struct cfg_patch *p, struct cfg_merge *m, size_t i)
+{
+	const char *name = cfg_row(p->old, m->kind, i);
+	bool gone = cfg_has(&p->drop, m->kind, name);
+	bool back = cfg_has(&p->put, m->kind, name);
+
+	cfg_merge_puts(p, m, name);
+	if (m->kind == CFG_ACCOUNT)
+		p->accounts[i] = gone && !back ? -1 : (int)m->at;
+	if (!gone)
+		return back ? CFG_E_UNUSUAL : cfg_splice_one(p, m, name);
+	m->dropped++;
+	return CFG_OK;
+}
+
+/* Adds what comes up to a name, or all; its fields are read later. */
+static void cfg_merge_puts(struct cfg_patch *p, struct cfg_merge *m,
+			   const char *before)
+{
+	const struct cfg_changes *put = &p->put;
+
+	while (m->put < put->count && put->items[m->put].kind == m->kind &&
+	       (!before || strcmp(put->items[m->put].name, before) < 0)) {
+		p->build.items[p->build.count++] = put->items[m->put++];
+		m->at++;
+	}
 }
 
 /* Copies one object of the old set into the new table. */
-static int cfg_splice_one(struct cfg_patch *p, enum cfg_kind kind, size_t at,
+static int cfg_splice_one(struct cfg_patch *p, struct cfg_merge *m,
 			  const void *from)
 {
-	char *to = (char *)cfg_row(p->build.set, kind, at);
 	struct cfg_item *item = &p->build.items[p->build.count++];
-	const struct cfg_route *route = from;
+	char *to = (char *)cfg_row(p->build.set, m->kind, m->at++);
+	struct cfg_route *route = (struct cfg_route *)(void *)to;
 
-	memcpy(to, from, cfg_layout(kind)->size);
-	item->kind = kind;
+	memcpy(to, from, cfg_layout(m->kind)->size);
+	item->kind = m->kind;
 	item->name = to;
-	if (kind != CFG_ROUTE)
+	if (m->kind != CFG_ROUTE)
 		return CFG_OK;
-	((struct cfg_route *)(void *)to)->splits = cfg_copy_table(
-		route->splits, route->split_count, sizeof(*route->splits));
-	return ((struct cfg_route *)(void *)to)->splits ? CFG_OK : CFG_E_MEMORY;
+	route->splits = cfg_copy_table(route->splits, route->split_count,
+				       sizeof(*route->splits));
+	return route->splits ? CFG_OK : CFG_E_MEMORY;
 }
 
 /* Reads the objects that came, now that all names are known. */
@@ -344,7 +363,10 @@
 	return cfg_fault_count(p->build.faults) == 0;
 }
 
-/* Notes the services of which the layers may be held otherwise now. */
+/*
+ * Notes the services of which the layers may no longer be held.  An endpoint
+ * that comes can only hold more, and one that changed goes first.
+ */
 static void cfg_touch(struct cfg_patch *p)
 {
 	const struct cfg_set *set = p->build.set;
@@ -369,8 +391,6 @@
 			p->touched[at] = true;
 		if (item->kind == CFG_ROUTE)
 			p->touched[set->routes[at].service] = true;
-		if (item->kind == CFG_ENDPOINT)
-			p->touched[set->endpoints[at].service] = true;
 	}
 }
 
--- a/src/cnt.h
+++ b/src/cnt.h
@@ -38,6 +38,8 @@
 	CNT_COUNTER(CNT_RPC_MALFORMED, "rpc_malformed_total", "datagrams and calls that no instance of this version sends") \
 	CNT_COUNTER(CNT_RPC_SEND_FAILED, "rpc_sends_failed_total", "heartbeats that the kernel took no more of") \
 	CNT_COUNTER(CNT_RPC_SERVED, "rpc_pieces_served_total", "pieces of the configuration given to peers") \
+	CNT_COUNTER(CNT_RPC_EDITS_SERVED, "rpc_edits_served_total", "edits of the configuration given to peers") \
+	CNT_COUNTER(CNT_RPC_EDITS_TAKEN, "rpc_edits_taken_total", "edits from peers that led to a new revision here") \
 	CNT_COUNTER(CNT_RPC_FETCHED, "rpc_fetches_total", "configurations fetched from peers") \
 	CNT_COUNTER(CNT_RPC_FETCH_FAILED, "rpc_fetches_failed_total", "fetches from peers that failed") \
 	\
--- a/src/magnolia.x
+++ b/src/magnolia.x
@@ -80,5 +80,7 @@
 	version MAG_X_VERSION {
 		void MAG_X_HEARTBEAT(mag_x_heartbeat) = 1;
 		mag_x_piece MAG_X_FETCH(mag_x_fetch) = 2;
+		/* revision: the one that the asker holds */
+		mag_x_piece MAG_X_EDITS(mag_x_fetch) = 3;
 	} = 1;
 } = 0x20074d41;
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -15,6 +15,8 @@
 static void on_message(void *ctx, const struct peer_msg *msg);
 static int on_serve(void *ctx, uint64_t at_least, uint64_t *revision,
 		    char **text, size_t *len);
+static int on_edits(void *ctx, uint64_t have, uint64_t *revision, char **text,
+		    size_t *len);
 static void on_fetched(void *ctx, const struct rpc_fetched *fetched);
 static void take_fetched(struct mesh *mesh, const struct rpc_fetched *fetched);
 
@@ -26,6 +28,7 @@
 	struct rpc_handlers handlers = {
 		.message = on_message,
 		.serve = on_serve,
+		.edits = on_edits,
 		.fetched = on_fetched,
 	};
 	struct mesh *mesh = calloc(1, sizeof(*mesh));
@@ -56,8 +59,10 @@
 /* Asks a peer for the configuration that it says it has. */
 void mesh_fetch(struct mesh *mesh, const struct node_fetch *fetch)
 {
-	if (fetch->revision > watch_revision(mesh->watch))
-		rpc_fetch(mesh->rpc, fetch->address, fetch->revision);
+	uint64_t have = watch_revision(mesh->watch);
+
+	if (fetch->revision > have)
+		rpc_fetch(mesh->rpc, fetch->address, fetch->revision, have);
 }
 
 /* Stops listening and frees the shell. */
@@ -86,6 +91,14 @@
 	return watch_text(mesh->watch, at_least, revision, text, len);
 }
 
+static int on_edits(void *ctx, uint64_t have, uint64_t *revision, char **text,
+		    size_t *len)
+{
+	struct mesh *mesh = ctx;
+
+	return watch_edits(mesh->watch, have, revision, text, len);
+}
+
 static void on_fetched(void *ctx, const struct rpc_fetched *fetched)
 {
 	struct mesh *mesh = ctx;
@@ -98,27 +111,27 @@
 /*
  * A peer that is wrong or hostile could offer a set that was never published,
  * or one whose faults would take routes away; operators would see instances
- * that route differently.  The offer is checked as a whole set first.
+ * that route differently.  The offer is checked as a whole set first, and
+ * edits that don't lead to the text that they name are dropped for the whole.
  */
 static void take_fetched(struct mesh *mesh, const struct rpc_fetched *fetched)
 {
-	char digest[PUB_DIGEST_HEX];
-	struct cfg_set *set = NULL;
-	int rc;
-
-	rc = pub_digest(fetched->text, fetched->len, digest);
-	if (!rc)
-		rc = pub_check_offer(watch_revision(mesh->watch),
-				     fetched->revision, digest, fetched->text,
-				     fetched->len, &set);
-	cfg_free(set);
-	if (rc == PUB_E_STALE)
+	int rc = PUB_E_HOSTILE;
+
+	if (fetched->have)
+		rc = watch_offer_edits(mesh->watch, fetched->have,
+				       fetched->text);
+	else if (strlen(fetched->text) == fetched->len)
+		rc = watch_offer(mesh->watch, fetched->text, fetched->revision);
+	if (rc == PUB_OK && fetched->have)
+		cnt_add(CNT_RPC_EDITS_TAKEN, 1);
+	if (rc == PUB_OK || rc == PUB_E_STALE)
 		return;
-	if (rc)
+	if (rc != PUB_E_BASE)
 		log_event(LOG_CONFIG_OFFER_REFUSED,
 			  "peer=%s revision=%llu why=\"%s\"", fetched->address,
 			  (unsigned long long)fetched->revision,
 			  pub_err_text(rc));
-	else
-		watch_offer(mesh->watch, fetched->text, fetched->revision);
+	if (fetched->have && fetched->revision > watch_revision(mesh->watch))
+		rpc_fetch(mesh->rpc, fetched->address, fetched->revision, 0);
 }
--- a/src/plc.c
+++ b/src/plc.c
@@ -73,7 +73,7 @@
 	struct plc_engine *old;
 	size_t old_count = plc->engine_count;
 	size_t i;
-	size_t j;
+	size_t j = 0;
 
 	if (!engines || !orders) {
 		free(engines);
@@ -92,10 +92,11 @@
 		if (set->service_count == 0 ||
 		    set->services[from->service].kind != CFG_MODEL)
 			continue;
-		for (j = 0; j < old_count; j++) {
-			if (strcmp(old[j].name, from->name) == 0)
-				*to = old[j];
-		}
+		/* Both stand in the order of names, as every set does. */
+		while (j < old_count && strcmp(old[j].name, from->name) < 0)
+			j++;
+		if (j < old_count && strcmp(old[j].name, from->name) == 0)
+			*to = old[j];
 		plc_fill(plc, to, (int)i);
 		plc->engine_count++;
 	}
--- a/src/pub_edit.c
+++ b/src/pub_edit.c
@@ -33,6 +33,8 @@
 static char *pub_edit_lines(const struct pub_lines *old, const char *hunks,
 			    uint64_t revision);
 static const char *pub_read_hunk(const char *at, struct pub_hunk *hunk);
+static const char *pub_put_lines(FILE *out, size_t *count, const char *at,
+				 size_t puts);
 static void pub_put_line(FILE *out, size_t *count, const struct cfg_line *line);
 
 /*
@@ -173,28 +175,24 @@
 static int pub_split(struct pub_lines *lines, const char *text)
 {
 	const char *at = pub_opened(text);
-	size_t room = 0;
 	const char *end;
+	size_t room = 0;
 
-	while (at && (end = strchr(at, '\n'))) {
+	for (end = at; end && (end = strchr(end, '\n')); end++)
+		room++;
+	lines->list = calloc(room + 1, sizeof(*lines->list));
+	if (!lines->list)
+		return PUB_E_MEMORY;
+	for (; at && (end = strchr(at, '\n')); at = end + 1) {
 		bool last = strcmp(end, PUB_CLOSE) == 0;
 		size_t len = (size_t)(end - at);
-		struct cfg_line *grown;
 
 		if (len < 2 || (at[len - 1] == ',') == last)
 			return PUB_E_DAMAGED;
-		if (lines->count == room) {
-			room = room ? 2 * room : 1024;
-			grown = realloc(lines->list, room * sizeof(*grown));
-			if (!grown)
-				return PUB_E_MEMORY;
-			lines->list = grown;
-		}
 		lines->list[lines->count++] =
 			(struct cfg_line){ at, last ? len : len - 1 };
 		if (last)
 			return PUB_OK;
-		at = end + 1;
 	}
 	return PUB_E_DAMAGED;
 }
@@ -331,15 +329,7 @@
 		while (a < hunk.at)
 			pub_put_line(out, &count, &old->list[a++]);
 		a += hunk.drops;
-		for (; hunk.puts > 0 && at; hunk.puts--) {
-			const char *end = strchr(at, '\n');
-			struct cfg_line line = { at,
-						 end ? (size_t)(end - at) : 0 };
-
-			if (line.len > 0)
-				pub_put_line(out, &count, &line);
-			at = line.len > 0 ? end + 1 : NULL;
-		}
+		at = pub_put_lines(out, &count, at, hunk.puts);
 	}
 	while (a < old->count)
 		pub_put_line(out, &count, &old->list[a++]);
@@ -362,6 +352,21 @@
 	return at + skip + 1;
 }
 
+/* Writes lines of an edit; returns what follows, NULL if there are too few. */
+static const char *pub_put_lines(FILE *out, size_t *count, const char *at,
+				 size_t puts)
+{
+	while (puts-- > 0 && at) {
+		const char *end = strchr(at, '\n');
+		struct cfg_line line = { at, end ? (size_t)(end - at) : 0 };
+
+		if (line.len > 0)
+			pub_put_line(out, count, &line);
+		at = line.len > 0 ? end + 1 : NULL;
+	}
+	return at;
+}
+
 static void pub_put_line(FILE *out, size_t *count, const struct cfg_line *line)
 {
 	fputs((*count)++ ? ",\n" : "\n", out);
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -41,6 +41,7 @@
 	int err;
 	char address[MAG_ADDR_MAX];
 	uint64_t revision;
+	uint64_t have; /* text holds edits to this revision; 0: it is whole */
 	char *text;
 	size_t len;
 };
@@ -57,6 +58,13 @@
 	 */
 	int (*serve)(void *ctx, uint64_t at_least, uint64_t *revision,
 		     char **text, size_t *len);
+	/*
+	 * Gives edits that lead from a revision to the one in force; returns
+	 * 0, or negative if there are none and the whole text is to be asked
+	 * for.  NULL: never any.
+	 */
+	int (*edits)(void *ctx, uint64_t have, uint64_t *revision, char **text,
+		     size_t *len);
 	void (*fetched)(void *ctx, const struct rpc_fetched *fetched);
 	void *ctx;
 };
@@ -65,6 +73,7 @@
 	      const struct rpc_handlers *handlers, struct rpc **rpc);
 void rpc_stop(struct rpc *rpc);
 int rpc_send(struct rpc *rpc, const char *address, const struct peer_msg *msg);
-int rpc_fetch(struct rpc *rpc, const char *address, uint64_t at_least);
+int rpc_fetch(struct rpc *rpc, const char *address, uint64_t at_least,
+	      uint64_t have);
 
 #endif /* RPC_H */
--- a/src/rpc_fetch.c
+++ b/src/rpc_fetch.c
@@ -32,6 +32,8 @@
 static int rpc_wait_connected(const struct rpc_part *part);
 static int rpc_pieces(struct rpc *rpc, const struct rpc_job *job,
 		      struct rpc_part *part);
+static bool rpc_edits(struct rpc *rpc, const struct rpc_job *job,
+		      struct rpc_part *part);
 static int rpc_add_piece(struct rpc *rpc, struct rpc_part *part,
 			 const mag_x_piece *piece);
 static int64_t rpc_now(void);
@@ -68,9 +70,11 @@
 
 /*
  * Asks for the configuration that a peer has in force, if its revision is at
- * least this one.  The end comes to the handler fetched.
+ * least this one.  With the revision that is held already (have, else 0) edits
+ * to it come if the peer has them.  The end comes to the handler fetched.
  */
-int rpc_fetch(struct rpc *rpc, const char *address, uint64_t at_least)
+int rpc_fetch(struct rpc *rpc, const char *address, uint64_t at_least,
+	      uint64_t have)
 {
 	struct rpc_job *job = calloc(1, sizeof(*job));
 	int err = RPC_OK;
@@ -78,6 +82,7 @@
 	if (!job)
 		return RPC_E_MEMORY;
 	job->at_least = at_least;
+	job->have = have;
 	if (mag_copy_name(job->address, MAG_ADDR_MAX, address)) {
 		free(job);
 		return RPC_E_ADDRESS;
@@ -132,7 +137,7 @@
 	memcpy(part.out.address, job->address, MAG_ADDR_MAX);
 	part.deadline_us = rpc_now() + rpc->settings.fetch_timeout_us;
 	part.out.err = rpc_connect(&part);
-	if (!part.out.err)
+	if (!part.out.err && !rpc_edits(rpc, job, &part))
 		part.out.err = rpc_pieces(rpc, job, &part);
 	if (part.client)
 		clnt_destroy(part.client);
@@ -188,6 +193,40 @@
 	return err ? RPC_E_REACH : RPC_OK;
 }
 
+/*
+ * Asks for edits, which are some hundred bytes where the text is megabytes.
+ * False if there are none that are new enough; the whole text is fetched then,
+ * also from a peer of a version that knows no edits.
+ */
+static bool rpc_edits(struct rpc *rpc, const struct rpc_job *job,
+		      struct rpc_part *part)
+{
+	mag_x_fetch ask = { .format = PEER_VERSION,
+			    .cluster = rpc->cluster,
+			    .revision = job->have };
+	mag_x_piece piece = { 0 };
+	bool got;
+
+	if (job->have == 0)
+		return false;
+	got = clnt_call(part->client, MAG_X_EDITS, (xdrproc_t)xdr_mag_x_fetch,
+			(caddr_t)&ask, (xdrproc_t)xdr_mag_x_piece,
+			(caddr_t)&piece, rpc_left(part)) == RPC_SUCCESS &&
+	      piece.revision >= job->at_least &&
+	      piece.total == piece.bytes.bytes_len &&
+	      rpc_add_piece(rpc, part, &piece) == RPC_OK;
+	xdr_free((xdrproc_t)xdr_mag_x_piece, (char *)&piece);
+	if (got) {
+		part->out.have = job->have;
+		return true;
+	}
+	free(part->out.text);
+	part->out.text = NULL;
+	part->out.len = 0;
+	part->begun = false;
+	return false;
+}
+
 /* Asks for piece after piece until the text is whole. */
 static int rpc_pieces(struct rpc *rpc, const struct rpc_job *job,
 		      struct rpc_part *part)
--- a/src/rpc_gen_magnolia.h
+++ b/src/rpc_gen_magnolia.h
@@ -117,6 +117,9 @@
 #define MAG_X_FETCH 2
 extern  enum clnt_stat mag_x_fetch_1(mag_x_fetch , mag_x_piece *, CLIENT *);
 extern  bool_t mag_x_fetch_1_svc(mag_x_fetch , mag_x_piece *, struct svc_req *);
+#define MAG_X_EDITS 3
+extern  enum clnt_stat mag_x_edits_1(mag_x_fetch , mag_x_piece *, CLIENT *);
+extern  bool_t mag_x_edits_1_svc(mag_x_fetch , mag_x_piece *, struct svc_req *);
 extern int mag_x_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -126,6 +129,9 @@
 #define MAG_X_FETCH 2
 extern  enum clnt_stat mag_x_fetch_1();
 extern  bool_t mag_x_fetch_1_svc();
+#define MAG_X_EDITS 3
+extern  enum clnt_stat mag_x_edits_1();
+extern  bool_t mag_x_edits_1_svc();
 extern int mag_x_program_1_freeresult ();
 #endif /* K&R C */
 
--- a/src/rpc_gen_magnolia_svc.c
+++ b/src/rpc_gen_magnolia_svc.c
@@ -28,15 +28,23 @@
 	return (mag_x_fetch_1_svc(*argp, result, rqstp));
 }
 
+int
+_mag_x_edits_1 (mag_x_fetch  *argp, void *result, struct svc_req *rqstp)
+{
+	return (mag_x_edits_1_svc(*argp, result, rqstp));
+}
+
 void
 mag_x_program_1(struct svc_req *rqstp, register SVCXPRT *transp)
 {
 	union {
 		mag_x_heartbeat mag_x_heartbeat_1_arg;
 		mag_x_fetch mag_x_fetch_1_arg;
+		mag_x_fetch mag_x_edits_1_arg;
 	} argument;
 	union {
 		mag_x_piece mag_x_fetch_1_res;
+		mag_x_piece mag_x_edits_1_res;
 	} result;
 	bool_t retval;
 	xdrproc_t _xdr_argument, _xdr_result;
@@ -59,6 +67,12 @@
 		local = (bool_t (*) (char *, void *,  struct svc_req *))_mag_x_fetch_1;
 		break;
 
+	case MAG_X_EDITS:
+		_xdr_argument = (xdrproc_t) xdr_mag_x_fetch;
+		_xdr_result = (xdrproc_t) xdr_mag_x_piece;
+		local = (bool_t (*) (char *, void *,  struct svc_req *))_mag_x_edits_1;
+		break;
+
 	default:
 		svcerr_noproc (transp);
 		return;
--- a/src/rpc_serve.c
+++ b/src/rpc_serve.c
@@ -82,6 +82,37 @@
 	return FALSE;
 }
 
+/* Answers with the edits that lead from the asker's revision to this one. */
+bool_t mag_x_edits_1_svc(mag_x_fetch arg, mag_x_piece *result,
+			 struct svc_req *request)
+{
+	struct rpc *rpc = rpc_served;
+	char *text = NULL;
+	size_t len = 0;
+
+	(void)request;
+	memset(result, 0, sizeof(*result));
+	result->status = RPC_STATUS_NONE;
+	if (arg.format != PEER_VERSION || arg.cluster != rpc->cluster) {
+		cnt_add(CNT_RPC_MALFORMED, 1);
+		return TRUE;
+	}
+	if (!rpc->handlers.edits ||
+	    rpc->handlers.edits(rpc->handlers.ctx, arg.revision,
+				&result->revision, &text, &len))
+		return TRUE;
+	if (len > MAG_X_PIECE) {
+		free(text);
+		return TRUE;
+	}
+	result->status = 0;
+	result->total = (u_int)len;
+	result->bytes.bytes_len = (u_int)len;
+	result->bytes.bytes_val = text;
+	cnt_add(CNT_RPC_EDITS_SERVED, 1);
+	return TRUE;
+}
+
 /* Answers with the piece of the text in force that begins at an offset. */
 bool_t mag_x_fetch_1_svc(mag_x_fetch arg, mag_x_piece *result,
 			 struct svc_req *request)
--- a/src/watch.c
+++ b/src/watch.c
@@ -8,6 +8,7 @@
 
 #include "clk.h"
 #include "pub.h"
+#include "rev.h"
 #include "watch.h"
 
 #define WATCH_WAIT_US	     (20 * MAG_US_PER_S) /* one waiting watch */
@@ -24,22 +25,25 @@
 	struct front *front;
 	pthread_t config_thread;
 	pthread_t load_thread;
-	pthread_mutex_t lock; /* of stopping and text */
+	pthread_mutex_t lock; /* of stopping */
 	pthread_cond_t wake;
 	bool stopping;
 	unsigned int seed;
 	atomic_uint_fast64_t revision;
 	atomic_bool bridge;
-	char *text; /* in force, under lock */
+	pthread_mutex_t offer; /* of rev and base, while a set is taken up */
+	struct rev *rev;
+	const struct cfg_set *base; /* in force; the front owns it */
 };
 
 static void *config_main(void *arg);
 static void *load_main(void *arg);
 static bool stopping(struct watch *watch);
 static void sleep_until(struct watch *watch, int64_t deadline_us);
-static int keep_text(struct watch *watch, const char *text, uint64_t revision);
+static int put_in_force(struct watch *watch, struct cfg_set *set);
 static int wait_head(struct watch *watch, struct pub *pub);
 static int take_config(struct watch *watch, struct pub *pub);
+static int take_text(struct watch *watch, const char *text, uint64_t revision);
 static void take_loads(struct watch *watch);
 static void take_load(struct watch *watch, const json_t *load);
 static json_t *fetch(struct watch *watch, enum kv_op op, const char *field);
@@ -60,7 +64,13 @@
 	watch->loop = loop;
 	watch->front = front;
 	atomic_store(&watch->bridge, true);
+	watch->rev = rev_new();
+	if (!watch->rev) {
+		free(watch);
+		return NULL;
+	}
 	pthread_mutex_init(&watch->lock, NULL);
+	pthread_mutex_init(&watch->offer, NULL);
 	pthread_condattr_init(&attr);
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&watch->wake, &attr);
@@ -85,62 +95,62 @@
 	pthread_join(watch->load_thread, NULL);
 	pthread_cond_destroy(&watch->wake);
 	pthread_mutex_destroy(&watch->lock);
-	free(watch->text);
+	pthread_mutex_destroy(&watch->offer);
+	rev_free(watch->rev);
 	free(watch);
 }
 
 /*
  * Puts a configuration in force here, unless one as new already is.  The
- * core and the callers' threads each get a copy of their own.  Returns 0, or
- * -1 if the text is no valid set.
+ * core and the callers' threads each get a copy of their own.  Returns
+ * PUB_OK, or a negative enum pub_err if the text was not taken.
  */
 int watch_offer(struct watch *watch, const char *text, uint64_t revision)
 {
-	struct core_event event = { .type = CORE_EV_CONFIG };
-	struct cfg_faults *faults = NULL;
-	struct cfg_set *sets[2] = { NULL, NULL };
-	int rc;
+	struct cfg_set *set;
+	int err;
+
+	pthread_mutex_lock(&watch->offer);
+	err = rev_offer(watch->rev, watch->base, text, revision, &set);
+	if (err == PUB_OK)
+		err = put_in_force(watch, set);
+	pthread_mutex_unlock(&watch->offer);
+	return err;
+}
 
-	rc = cfg_parse(text, strlen(text), &sets[0], &faults);
-	cfg_faults_free(faults);
-	if (rc)
-		return -1;
-	if (cfg_copy(sets[0], &sets[1])) {
-		cfg_free(sets[0]);
-		return -1;
-	}
-	sets[0]->revision = revision;
-	sets[1]->revision = revision;
-	if (keep_text(watch, text, revision)) {
-		cfg_free(sets[0]);
-		cfg_free(sets[1]);
-		return 0;
-	}
-	front_set_config(watch->front, sets[0]);
-	event.config = sets[1];
-	return loop_post(watch->loop, &event);
+/*
+ * The same with the edits that a peer made from the revision held here;
+ * PUB_E_BASE if another one is in force by now.
+ */
+int watch_offer_edits(struct watch *watch, uint64_t have, const char *edits)
+{
+	struct cfg_set *set;
+	int err;
+
+	pthread_mutex_lock(&watch->offer);
+	err = rev_offer_edits(watch->rev, watch->base, have, edits, &set);
+	if (err == PUB_OK)
+		err = put_in_force(watch, set);
+	pthread_mutex_unlock(&watch->offer);
+	return err;
 }
 
 /*
- * Keeps the text in force, for peers that ask.  Returns -1 if another thread
- * has put as new a revision in force meanwhile.
+ * Hands a set to those who use it.  The lock of offers is held, so that two
+ * revisions that come at once are handed over in their order; else the older
+ * could replace the newer one in the callers' threads.
  */
-static int keep_text(struct watch *watch, const char *text, uint64_t revision)
+static int put_in_force(struct watch *watch, struct cfg_set *set)
 {
-	char *copy = strdup(text);
-	int rc = -1;
+	struct core_event event = { .type = CORE_EV_CONFIG };
 
-	pthread_mutex_lock(&watch->lock);
-	if (copy && pub_accept(atomic_load(&watch->revision), revision)) {
-		free(watch->text);
-		watch->text = copy;
-		copy = NULL;
-		atomic_store(&watch->revision, revision);
-		rc = 0;
-	}
-	pthread_mutex_unlock(&watch->lock);
-	free(copy);
-	return rc;
+	atomic_store(&watch->revision, set->revision);
+	if (cfg_copy(set, &event.config))
+		abort();
+	/* The front frees the set before; nobody else gives it one. */
+	watch->base = set;
+	front_set_config(watch->front, set);
+	return loop_post(watch->loop, &event) ? PUB_E_MEMORY : PUB_OK;
 }
 
 /*
@@ -150,19 +160,36 @@
 int watch_text(struct watch *watch, uint64_t at_least, uint64_t *revision,
 	       char **text, size_t *len)
 {
+	const char *held;
 	int rc = -1;
 
-	pthread_mutex_lock(&watch->lock);
-	if (watch->text && atomic_load(&watch->revision) >= at_least) {
-		*text = strdup(watch->text);
-		*len = strlen(watch->text);
-		*revision = atomic_load(&watch->revision);
+	pthread_mutex_lock(&watch->offer);
+	held = rev_text(watch->rev);
+	if (held && rev_revision(watch->rev) >= at_least) {
+		*text = strdup(held);
+		*len = strlen(held);
+		*revision = rev_revision(watch->rev);
 		rc = *text ? 0 : -1;
 	}
-	pthread_mutex_unlock(&watch->lock);
+	pthread_mutex_unlock(&watch->offer);
 	return rc;
 }
 
+/*
+ * Gives the edits that lead from a revision to the one in force.  Returns 0,
+ * or -1 if they are not kept; the caller frees the text.
+ */
+int watch_edits(struct watch *watch, uint64_t have, uint64_t *revision,
+		char **text, size_t *len)
+{
+	pthread_mutex_lock(&watch->offer);
+	*text = rev_edits(watch->rev, have);
+	*revision = rev_revision(watch->rev);
+	pthread_mutex_unlock(&watch->offer);
+	*len = *text ? strlen(*text) : 0;
+	return *text ? 0 : -1;
+}
+
 /*
  * Bridges wait at the head; the others hear of a revision from them and only
  * look now and then.  A waiting watch counts as a call, and at 700 instances
@@ -265,14 +292,22 @@
 		      &text, &revision);
 	if (rc == PUB_E_ABSENT)
 		return PUB_OK;
-	if (rc == PUB_OK &&
-	    pub_accept(atomic_load(&watch->revision), revision) &&
-	    watch_offer(watch, text, revision))
-		rc = PUB_E_DAMAGED;
+	if (rc == PUB_OK)
+		rc = take_text(watch, text, revision);
 	free(text);
 	return rc;
 }
 
+/* Offers what the platform holds; a peer may have been faster. */
+static int take_text(struct watch *watch, const char *text, uint64_t revision)
+{
+	int rc = watch_offer(watch, text, revision);
+
+	if (rc == PUB_E_STALE)
+		return PUB_OK;
+	return rc == PUB_E_HOSTILE ? PUB_E_DAMAGED : rc;
+}
+
 static void take_loads(struct watch *watch)
 {
 	json_t *loads = fetch(watch, KV_LOADS, "loads");
--- a/src/watch.h
+++ b/src/watch.h
@@ -22,6 +22,9 @@
 int watch_text(struct watch *watch, uint64_t at_least, uint64_t *revision,
 	       char **text, size_t *len);
 int watch_offer(struct watch *watch, const char *text, uint64_t revision);
+int watch_offer_edits(struct watch *watch, uint64_t have, const char *edits);
+int watch_edits(struct watch *watch, uint64_t have, uint64_t *revision,
+		char **text, size_t *len);
 void watch_stop(struct watch *watch);
 
 #endif /* WATCH_H */
