adm: Keep what is left of limits and retry budgets over a change of the set

Cause: adm_config made every limit and every endpoint's retry budget anew and full, and dropped this instance's part of a limit until it was told again. At the target's 0.44 changes a second a limit let in up to a second's amount more for each change. Searches by name started from the front, so that one object that came or went made them quadratic. Change: levels, demand and parts are carried over by name; mag_name_near searches outward from the old place, in adm, shr and the remapping of requests. Conclusion: a change of the set is none of a limit that it doesn't name.

--- a/src/adm.c
+++ b/src/adm.c
@@ -21,9 +21,11 @@
 			   int64_t now);
 static int adm_take_endpoints(struct adm *adm, const struct cfg_set *set,
 			      int64_t now);
-static int adm_name_at(const char *names, size_t stride, int count,
-		       const char *name, int hint);
 static int adm_move_requests(struct adm *adm, const struct adm *old);
+static void adm_move_limits(struct adm *adm, const struct adm *old,
+			    int64_t now);
+static void adm_move_endpoints(struct adm *adm, const struct adm *old,
+			       int64_t now);
 static void adm_move_request(struct adm *adm, const struct adm *old,
 			     struct adm_request *request);
 static void adm_free_tables(struct adm *adm);
@@ -108,6 +110,8 @@
 				 old.services, old.service_count, (int)i);
 	if (adm_move_requests(adm, &old) < 0)
 		return -1;
+	adm_move_limits(adm, &old, now);
+	adm_move_endpoints(adm, &old, now);
 	adm_free_tables(&old);
 	return 0;
 }
@@ -286,8 +290,8 @@
 	service->mean_cost = ADM_START_COST;
 	service->used_part = 1;
 	if (old)
-		at = adm_name_at(old->name, sizeof(*old), old_count, cfg->name,
-				 hint);
+		at = mag_name_near(old->name, sizeof(*old), (size_t)old_count,
+				   cfg->name, hint);
 	if (at < 0)
 		return;
 	service->capacity = old[at].capacity;
@@ -341,6 +345,9 @@
 	limit->account = cfg->account;
 	limit->service = cfg->service;
 	limit->concurrent = cfg->concurrent;
+	limit->whole_requests = cfg->requests_per_s;
+	limit->whole_tokens = cfg->tokens_per_s;
+	limit->whole_concurrent = cfg->concurrent;
 	limit->demand_us = now;
 	adm_bucket_set(&limit->requests, cfg->requests_per_s,
 		       cfg->requests_per_s, now);
@@ -376,24 +383,6 @@
 	return 0;
 }
 
-/*
- * Returns where a name stands in a table of named entries, -1 if it doesn't.
- * Sets seldom change their order, so the same place is looked at first.
- */
-static int adm_name_at(const char *names, size_t stride, int count,
-		       const char *name, int hint)
-{
-	int i;
-
-	if (hint < count && strcmp(names + (size_t)hint * stride, name) == 0)
-		return hint;
-	for (i = 0; i < count; i++) {
-		if (strcmp(names + (size_t)i * stride, name) == 0)
-			return i;
-	}
-	return -1;
-}
-
 /* Moves the requests and budgets of the former set to the new tables. */
 static int adm_move_requests(struct adm *adm, const struct adm *old)
 {
@@ -410,10 +399,12 @@
 		const struct adm_queue *from = &old->queues[i];
 		const char *service = old->services[from->service].name;
 		const char *account = old->accounts[from->account].name;
-		int s = adm_name_at(adm->services->name, sizeof(*adm->services),
-				    adm->service_count, service, from->service);
-		int a = adm_name_at(adm->accounts->name, sizeof(*adm->accounts),
-				    adm->account_count, account, from->account);
+		int s = mag_name_near(
+			adm->services->name, sizeof(*adm->services),
+			(size_t)adm->service_count, service, from->service);
+		int a = mag_name_near(
+			adm->accounts->name, sizeof(*adm->accounts),
+			(size_t)adm->account_count, account, from->account);
 
 		if (s < 0 || a < 0)
 			continue;
@@ -425,6 +416,53 @@
 	return 0;
 }
 
+/*
+ * Keeps what is left of each limit, and this instance's part of it.  A limit
+ * that started full after every change of some object would let in its whole
+ * amount once more each time.
+ */
+static void adm_move_limits(struct adm *adm, const struct adm *old, int64_t now)
+{
+	int next = 0;
+	int i;
+
+	for (i = 0; i < adm->limit_count; i++) {
+		struct adm_limit *to = &adm->limits[i];
+		int at = -1;
+
+		if (old->limits)
+			at = mag_name_near(
+				old->limits->name, sizeof(*old->limits),
+				(size_t)old->limit_count, to->name, next);
+		if (at < 0)
+			continue;
+		next = at + 1;
+		adm_keep_limit(to, &old->limits[at], now);
+	}
+}
+
+/* The same for the retries that each endpoint may cause. */
+static void adm_move_endpoints(struct adm *adm, const struct adm *old,
+			       int64_t now)
+{
+	int next = 0;
+	int i;
+
+	for (i = 0; i < adm->endpoint_count; i++) {
+		struct adm_endpoint *to = &adm->endpoints[i];
+		int at = -1;
+
+		if (old->endpoints)
+			at = mag_name_near(
+				old->endpoints->name, sizeof(*old->endpoints),
+				(size_t)old->endpoint_count, to->name, next);
+		if (at < 0)
+			continue;
+		next = at + 1;
+		adm_bucket_keep(&to->retries, &old->endpoints[at].retries, now);
+	}
+}
+
 /* Moves one request; without its account or service it is given up. */
 static void adm_move_request(struct adm *adm, const struct adm *old,
 			     struct adm_request *request)
@@ -433,13 +471,13 @@
 	int account = -1;
 
 	if (request->service >= 0) {
-		service = adm_name_at(
+		service = mag_name_near(
 			adm->services->name, sizeof(*adm->services),
-			adm->service_count,
+			(size_t)adm->service_count,
 			old->services[request->service].name, request->service);
-		account = adm_name_at(
+		account = mag_name_near(
 			adm->accounts->name, sizeof(*adm->accounts),
-			adm->account_count,
+			(size_t)adm->account_count,
 			old->accounts[request->account].name, request->account);
 	}
 	if (service < 0 || account < 0) {
--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -90,6 +90,9 @@
 	uint32_t inside;
 	double demand; /* offered a second, decayed */
 	int64_t demand_us;
+	double whole_requests; /* what the object says, for the fleet */
+	double whole_tokens;
+	double whole_concurrent;
 };
 
 struct adm_endpoint {
@@ -135,6 +138,10 @@
 	       uint32_t tokens, int64_t now);
 
 /* adm_limit.c */
+void adm_bucket_keep(struct adm_bucket *bucket, struct adm_bucket *old,
+		     int64_t now);
+void adm_keep_limit(struct adm_limit *limit, struct adm_limit *old,
+		    int64_t now);
 void adm_bucket_set(struct adm_bucket *bucket, double rate, double most,
 		    int64_t now);
 bool adm_bucket_has(struct adm_bucket *bucket, double units, int64_t now);
--- a/src/adm_limit.c
+++ b/src/adm_limit.c
@@ -15,6 +15,7 @@
 static double adm_decay(double value, int64_t since_us, int64_t now,
 			double span_s);
 static double adm_random(struct adm *adm);
+static double adm_part(const struct adm_limit *limit);
 static double adm_some(double share);
 static bool adm_limits_have(struct adm *adm, const struct adm_offer *offer,
 			    int64_t now);
@@ -31,6 +32,52 @@
 		bucket->level = bucket->most;
 }
 
+/*
+ * Takes over from the bucket of the former set what is left in it and, if this
+ * one may hold as much as that one, the part that it had of it.
+ */
+void adm_bucket_keep(struct adm_bucket *bucket, struct adm_bucket *old,
+		     int64_t now)
+{
+	if (bucket->rate <= 0 || old->rate <= 0)
+		return;
+	adm_bucket_fill(old, now);
+	bucket->level = old->level < bucket->most ? old->level : bucket->most;
+}
+
+/*
+ * Keeps what is left of a limit, its demand, and this instance's part of it:
+ * until the next part is told, the same fraction of what the limit is now.
+ */
+void adm_keep_limit(struct adm_limit *limit, struct adm_limit *old, int64_t now)
+{
+	double part = adm_part(old);
+
+	limit->demand = old->demand;
+	limit->demand_us = old->demand_us;
+	if (limit->requests.rate > 0)
+		adm_bucket_set(&limit->requests, part * limit->whole_requests,
+			       part * limit->whole_requests, now);
+	if (limit->tokens.rate > 0)
+		adm_bucket_set(&limit->tokens, part * limit->whole_tokens,
+			       part * limit->whole_tokens, now);
+	limit->concurrent = part * limit->whole_concurrent;
+	adm_bucket_keep(&limit->requests, &old->requests, now);
+	adm_bucket_keep(&limit->tokens, &old->tokens, now);
+}
+
+/* The fraction of a limit that this instance was given last. */
+static double adm_part(const struct adm_limit *limit)
+{
+	if (limit->whole_requests > 0)
+		return limit->requests.rate / limit->whole_requests;
+	if (limit->whole_tokens > 0)
+		return limit->tokens.rate / limit->whole_tokens;
+	if (limit->whole_concurrent > 0)
+		return limit->concurrent / limit->whole_concurrent;
+	return 1;
+}
+
 /*
  * Tells whether a bucket has units; one not in use always has.  A request
  * larger than the bucket passes when the bucket is full.
--- a/src/core.c
+++ b/src/core.c
@@ -466,24 +466,18 @@
 static int remap_account(int account, const struct cfg_set *from,
 			 const struct cfg_set *to)
 {
-	size_t i;
-
-	for (i = 0; account >= 0 && i < to->account_count; i++) {
-		if (strcmp(to->accounts[i].name,
-			   from->accounts[account].name) == 0)
-			return (int)i;
-	}
-	return -1;
+	if (account < 0 || to->account_count == 0)
+		return -1;
+	return mag_name_near(to->accounts->name, sizeof(*to->accounts),
+			     to->account_count, from->accounts[account].name,
+			     account);
 }
 
 static int remap_route(int route, const struct cfg_set *from,
 		       const struct cfg_set *to)
 {
-	size_t i;
-
-	for (i = 0; route >= 0 && i < to->route_count; i++) {
-		if (strcmp(to->routes[i].name, from->routes[route].name) == 0)
-			return (int)i;
-	}
-	return -1;
+	if (route < 0 || to->route_count == 0)
+		return -1;
+	return mag_name_near(to->routes->name, sizeof(*to->routes),
+			     to->route_count, from->routes[route].name, route);
 }
--- a/src/mag.c
+++ b/src/mag.c
@@ -32,3 +32,30 @@
 	memcpy(dst, src, len + 1);
 	return 0;
 }
+
+/*
+ * Returns where a name stands in a table of entries that begin with theirs,
+ * -1 if it doesn't.  The search goes outward from where it stood before (-1
+ * for not known): a change of a set moves few entries, and none far, but to
+ * search from the start for each of thousands takes longer than all else.
+ */
+int mag_name_near(const char *names, size_t stride, size_t count,
+		  const char *name, int hint)
+{
+	size_t up = hint < 0 ? 0 : (size_t)hint;
+	size_t down;
+
+	if (up > count)
+		up = count;
+	for (down = up; up < count || down > 0; up++, down--) {
+		if (up < count && strcmp(names + up * stride, name) == 0)
+			return (int)up;
+		if (down == 0) {
+			down = 1;
+			continue;
+		}
+		if (strcmp(names + (down - 1) * stride, name) == 0)
+			return (int)(down - 1);
+	}
+	return -1;
+}
--- a/src/mag.h
+++ b/src/mag.h
@@ -33,5 +33,7 @@
 
 const char *mag_outcome_name(enum mag_outcome outcome);
 int mag_copy_name(char *dst, size_t size, const char *src);
+int mag_name_near(const char *names, size_t stride, size_t count,
+		  const char *name, int hint);
 
 #endif /* MAG_H */
--- a/src/shr.c
+++ b/src/shr.c
@@ -278,19 +278,12 @@
 	}
 }
 
-/* Returns where a name stands, the old place first; -1 if it is gone. */
+/* Returns where a name stands, -1 if it is gone. */
 static int shr_index(const shr_name *names, int count, const char *name,
 		     int hint)
 {
-	int i;
-
-	if (hint >= 0 && hint < count && strcmp(names[hint], name) == 0)
-		return hint;
-	for (i = 0; i < count; i++) {
-		if (strcmp(names[i], name) == 0)
-			return i;
-	}
-	return -1;
+	return mag_name_near(names[0], sizeof(*names), (size_t)count, name,
+			     hint);
 }
 
 /* Returns a name, "other" for what is none. */
