--- a/src/core.h
+++ b/src/core.h
@@ -72,6 +72,7 @@
 	uint32_t attempt;
 	enum core_end end;
 	int stage;	 /* CORE_END_STAGE: which one, from 0 */
+	uint32_t silent; /* stages, as bits, that gave no sign of life */
 	int status;	 /* HTTP status of the endpoint, 0 if none */
 	uint32_t tokens; /* delivered to the caller so far, all attempts */
 	char *answer;	 /* for the record, NULL if too long; core frees */
@@ -177,6 +178,7 @@
 struct core_cancel {
 	uint64_t req;
 	uint32_t attempt;
+	bool probe; /* find out which stages give no sign of life */
 };
 
 enum core_action_type {
--- a/src/core_int.h
+++ b/src/core_int.h
@@ -127,8 +127,9 @@
 int req_choose(struct core *core, struct core_req *req,
 	       struct pick_chain *chain);
 void req_end_attempt(struct core *core, struct core_req *req,
-		     enum pick_result_kind kind, int at_stage);
-void req_cancel(struct core *core, struct core_req *req);
+		     enum pick_result_kind kind, int at_stage, uint32_t silent);
+void req_avoid(struct core_req *req, int endpoint);
+void req_cancel(struct core *core, struct core_req *req, bool probe);
 bool req_try_again(struct core *core, struct core_req *req, int endpoint);
 bool req_go_elsewhere(struct core *core, struct core_req *req, int endpoint);
 
--- a/src/ep.h
+++ b/src/ep.h
@@ -38,19 +38,26 @@
 	uint32_t given_count;
 };
 
+enum ep_wish {
+	EP_GO_ON,
+	EP_CANCEL,
+	EP_CANCEL_AND_PROBE, /* also ask each stage for a sign of life */
+};
+
 /* Where the attempt reports to while it runs. */
 struct ep_sink {
 	/* A token with the expected index; false stops the attempt. */
 	bool (*token)(void *ctx, uint32_t index, const char *text,
 		      const uint32_t *hop_us, int hop_count);
-	/* Called often; true asks to cancel the attempt. */
-	bool (*cancelled)(void *ctx);
+	/* Called often; says whether the attempt is to go on. */
+	enum ep_wish (*wish)(void *ctx);
 	void *ctx;
 };
 
 struct ep_answer {
 	enum core_end end;
 	int stage;
+	uint32_t silent; /* stages, as bits, that did not answer the probe */
 	int status;
 	char content_type[EP_TYPE_MAX];
 	char *body; /* the caller frees it */
--- a/src/ep_engine.c
+++ b/src/ep_engine.c
@@ -27,6 +27,7 @@
 	.prepare = engine_prepare,
 	.receive = engine_receive,
 	.finish = engine_finish,
+	.probe = ep_engine_probe,
 	.cancel = engine_cancel,
 };
 
--- a/src/ep_int.h
+++ b/src/ep_int.h
@@ -26,6 +26,8 @@
 	bool (*receive)(struct ep_call *call, const char *bytes, size_t len);
 	/* Says how the attempt ended, once the transfer has. */
 	void (*finish)(struct ep_call *call, CURLcode code);
+	/* Asks each stage for a sign of life; returns the silent ones. */
+	uint32_t (*probe)(struct ep_call *call);
 	/* Tells the endpoint that the attempt is cancelled. */
 	void (*cancel)(struct ep_call *call);
 };
@@ -52,6 +54,7 @@
 extern const struct ep_protocol ep_engine;
 extern const struct ep_protocol ep_plain;
 
+uint32_t ep_engine_probe(struct ep_call *call);
 int ep_add_header(struct ep_call *call, const char *name, const char *value);
 bool ep_append_body(struct ep_call *call, const char *bytes, size_t len);
 bool ep_status_proves_unbegun(const struct ep_call *call);
--- a/src/ep_plain.c
+++ b/src/ep_plain.c
@@ -9,6 +9,7 @@
 static int plain_prepare(struct ep_call *call);
 static bool plain_receive(struct ep_call *call, const char *bytes, size_t len);
 static void plain_finish(struct ep_call *call, CURLcode code);
+static uint32_t plain_probe(struct ep_call *call);
 static void plain_cancel(struct ep_call *call);
 static bool echo_is_wrong(const struct ep_call *call);
 
@@ -16,6 +17,7 @@
 	.prepare = plain_prepare,
 	.receive = plain_receive,
 	.finish = plain_finish,
+	.probe = plain_probe,
 	.cancel = plain_cancel,
 };
 
@@ -91,3 +93,10 @@
 {
 	(void)call;
 }
+
+/* A plain service has one stage; nobody else can be silent. */
+static uint32_t plain_probe(struct ep_call *call)
+{
+	(void)call;
+	return 1;
+}
--- a/src/front_req.c
+++ b/src/front_req.c
@@ -14,7 +14,7 @@
 		       const struct core_dispatch *dispatch);
 static bool on_token(void *ctx, uint32_t index, const char *text,
 		     const uint32_t *hop_us, int hop_count);
-static bool on_poll(void *ctx);
+static enum ep_wish on_poll(void *ctx);
 static bool keep_token(struct front_req *req, const char *text);
 static void post_progress(struct front_req *req, const uint32_t *hop_us,
 			  int hop_count);
@@ -87,7 +87,7 @@
 	};
 	struct ep_sink sink = {
 		.token = on_token,
-		.cancelled = on_poll,
+		.wish = on_poll,
 		.ctx = req,
 	};
 
@@ -109,6 +109,7 @@
 	event.ended.attempt = dispatch->attempt;
 	event.ended.end = req->answer.end;
 	event.ended.stage = req->answer.stage;
+	event.ended.silent = req->answer.silent;
 	event.ended.status = req->answer.status;
 	event.ended.tokens = req->token_count;
 	if (req->answer.end == CORE_END_WHOLE && dispatch->downstream_key[0])
@@ -138,13 +139,13 @@
 
 /*
  * Looks at what the core has said meanwhile.  A final answer goes out while
- * the attempt still runs; true says that the attempt is cancelled.
+ * the attempt still runs; the result says whether the attempt goes on.
  */
-static bool on_poll(void *ctx)
+static enum ep_wish on_poll(void *ctx)
 {
 	struct front_req *req = ctx;
 	struct core_action action;
-	bool cancel = false;
+	enum ep_wish wish = EP_GO_ON;
 
 	while (take_action(req, &action, false)) {
 		if (action.type == CORE_ACT_ANSWER) {
@@ -152,10 +153,11 @@
 			free(action.answer.body);
 		} else if (action.type == CORE_ACT_CANCEL &&
 			   action.cancel.attempt == req->running->attempt) {
-			cancel = true;
+			wish = action.cancel.probe ? EP_CANCEL_AND_PROBE
+						   : EP_CANCEL;
 		}
 	}
-	return cancel;
+	return wish;
 }
 
 /* Keeps a token: a later attempt has to be told what was delivered. */
--- a/src/pick.h
+++ b/src/pick.h
@@ -67,7 +67,8 @@
 
 struct pick_result {
 	enum pick_result_kind kind;
-	int at_stage; /* the stage at fault, or -1 */
+	int at_stage;	 /* the stage at fault, or -1 */
+	uint32_t silent; /* stages, as bits, that did not answer when asked */
 	uint32_t tokens;
 	int64_t first_token_us; /* from dispatch, 0 if none came */
 	int64_t took_us;
--- a/src/pick_health.c
+++ b/src/pick_health.c
@@ -18,6 +18,9 @@
 
 static void pick_took(struct pick *pick, int e, int64_t took_us);
 static void pick_health_failed(struct pick *pick, int e, bool cut, int64_t now);
+static void pick_health_silent(struct pick *pick,
+			       const struct pick_chain *chain, uint32_t silent,
+			       int64_t now);
 static void pick_health_stalled(struct pick *pick,
 				const struct pick_chain *chain, int64_t now);
 static bool pick_is_silent(const struct pick *pick, int e, int64_t now);
@@ -78,7 +81,11 @@
 			pick->load_tokens[pick->eps[e].cfg.service] +=
 				result->tokens;
 	}
-	if (result->kind == PICK_ENDED_SLOW)
+	if (result->kind != PICK_ENDED_SLOW)
+		return;
+	if (result->silent)
+		pick_health_silent(pick, chain, result->silent, now);
+	else
 		pick_health_stalled(pick, chain, now);
 }
 
@@ -156,6 +163,21 @@
 				   now);
 }
 
+/* Stages that did not answer when asked hang, each of them for certain. */
+static void pick_health_silent(struct pick *pick,
+			       const struct pick_chain *chain, uint32_t silent,
+			       int64_t now)
+{
+	int i;
+
+	for (i = 0; i < chain->count; i++) {
+		int e = chain->stages[i].endpoint;
+
+		if ((silent & (1U << i)) && e >= 0 && e < pick->ep_count)
+			pick_health_failed(pick, e, true, now);
+	}
+}
+
 /*
  * Returns the stage of a stalled chain that most likely holds it up, -1 if
  * all of them move other streams.  A stalled stream doesn't say where it
--- a/src/req.c
+++ b/src/req.c
@@ -415,7 +415,7 @@
 	if (req->reserved)
 		ldg_hold(core->ldg, req->arrival.req, core->now);
 	else
-		req_cancel(core, req);
+		req_cancel(core, req, false);
 	req->deadline_us = core->now + REQ_SETTLE_GRACE_US;
 	core_due(core, req->deadline_us);
 	req_enter(req, REQ_CLOSING);
@@ -427,7 +427,7 @@
 	(void)data;
 	if (!req->idempotent)
 		return;
-	req_cancel(core, req);
+	req_cancel(core, req, true);
 	req_enter(req, REQ_CANCELLING);
 }
 
@@ -449,7 +449,7 @@
 			     void *data)
 {
 	(void)data;
-	req_cancel(core, req);
+	req_cancel(core, req, false);
 	req->deadline_us = MAG_NEVER;
 }
 
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -6,7 +6,8 @@
 			   const struct core_ended *ended);
 static void failed(struct core *core, struct core_req *req,
 		   const struct core_ended *ended, enum pick_result_kind kind);
-static int stalled_at(const struct core *core, const struct core_req *req);
+static int stalled_at(const struct core *core, struct core_req *req,
+		      uint32_t silent);
 static void give_up_failed(struct core *core, struct core_req *req);
 static int failed_endpoint(const struct core_req *req, int stage);
 
@@ -57,7 +58,7 @@
 	else if (req->reserved && unbegun && !req->taken_over &&
 		 !req->may_have_run)
 		ldg_release(core->ldg, req->arrival.req, core->now);
-	req_end_attempt(core, req, PICK_ENDED_OTHER, -1);
+	req_end_attempt(core, req, PICK_ENDED_OTHER, -1, 0);
 	adm_done(core->adm, req->arrival.req, ended->tokens, core->now);
 	core_req_free(core, req);
 }
@@ -72,7 +73,7 @@
 		.answer_len = ended->answer_len,
 	};
 
-	req_end_attempt(core, req, PICK_ENDED_WELL, -1);
+	req_end_attempt(core, req, PICK_ENDED_WELL, -1, 0);
 	quar_ended_well(core->quar, req->arrival.fingerprint, core->now);
 	if (req->reserved)
 		ldg_settle(core->ldg, req->arrival.req, &outcome, core->now);
@@ -97,7 +98,7 @@
 	req_end_attempt(core, req,
 			ended->end == CORE_END_REFUSED ? PICK_ENDED_REFUSED
 						       : PICK_ENDED_FAILED,
-			0);
+			0, 0);
 	if (ended->end == CORE_END_REFUSED ||
 	    req_go_elsewhere(core, req, endpoint)) {
 		req_enter_ready(core, req);
@@ -119,9 +120,9 @@
 
 	req->may_have_run = true;
 	if (kind == PICK_ENDED_SLOW)
-		stage = stalled_at(core, req);
+		stage = stalled_at(core, req, ended->silent);
 	endpoint = failed_endpoint(req, stage);
-	req_end_attempt(core, req, kind, stage);
+	req_end_attempt(core, req, kind, stage, ended->silent);
 	if (died)
 		quar_lost_endpoint(core->quar, req->arrival.fingerprint,
 				   endpoint, req->chain.alone, core->now);
@@ -136,9 +137,21 @@
 }
 
 /* Returns the stage that holds a stream up, -1 if none stands out. */
-static int stalled_at(const struct core *core, const struct core_req *req)
+static int stalled_at(const struct core *core, struct core_req *req,
+		      uint32_t silent)
 {
-	int stage = pick_silent(core->pick, &req->chain, core->now);
+	int stage = -1;
+	int i;
+
+	for (i = 0; i < req->chain.count; i++) {
+		if (!(silent & (1U << i)))
+			continue;
+		req_avoid(req, req->chain.stages[i].endpoint);
+		stage = i;
+	}
+	if (stage >= 0)
+		return stage;
+	stage = pick_silent(core->pick, &req->chain, core->now);
 
 	if (stage < 0)
 		stage = pick_degraded(core->pick, &req->chain);
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -4,7 +4,6 @@
 #include "log.h"
 
 static int64_t pace(const struct core *core, const struct core_req *req);
-static void remember_failure(struct core_req *req, int endpoint);
 static void fill_dispatch(struct core *core, struct core_req *req,
 			  struct core_dispatch *dispatch);
 static void fill_stage(const struct core *core, const struct pick_stage *from,
@@ -108,11 +107,12 @@
 
 /* Tells pick how the current attempt ended and gives its chain back. */
 void req_end_attempt(struct core *core, struct core_req *req,
-		     enum pick_result_kind kind, int at_stage)
+		     enum pick_result_kind kind, int at_stage, uint32_t silent)
 {
 	struct pick_result result = {
 		.kind = kind,
 		.at_stage = at_stage,
+		.silent = silent,
 		.tokens = req->tokens - req->attempt_from,
 		.took_us = core->now - req->dispatched_us,
 	};
@@ -135,13 +135,14 @@
 }
 
 /* Asks the shell to stop the current attempt and the endpoint's work. */
-void req_cancel(struct core *core, struct core_req *req)
+void req_cancel(struct core *core, struct core_req *req, bool probe)
 {
 	struct core_cancel *cancel;
 
 	cancel = &core_act(core, CORE_ACT_CANCEL)->cancel;
 	cancel->req = req->arrival.req;
 	cancel->attempt = req->attempt;
+	cancel->probe = probe;
 }
 
 /*
@@ -162,7 +163,7 @@
 /* The same for a request that no endpoint has begun: it spends no budget. */
 bool req_go_elsewhere(struct core *core, struct core_req *req, int endpoint)
 {
-	remember_failure(req, endpoint);
+	req_avoid(req, endpoint);
 	if (req->attempt >= CORE_ATTEMPTS_MAX)
 		return false;
 	if (req->deadline_us <= core->now)
@@ -171,7 +172,7 @@
 	       QUAR_QUARANTINED;
 }
 
-static void remember_failure(struct core_req *req, int endpoint)
+void req_avoid(struct core_req *req, int endpoint)
 {
 	if (endpoint < 0 || req->avoid_count >= CORE_AVOID_MAX)
 		return;
