Lock the block of ports that a run takes

Cause: thin.sh once failed with "can't listen" while another run on the same machine looked for free ports at the same moment and saw the same ones. Ruled out: trying again when a process can't listen, as the ports of the set are written before. Change: tool_ports gives aligned blocks; lib.sh keeps a lock on the block. Conclusion: two runs at once share no port.

--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -6,7 +6,7 @@
 	build=$1
 	work=$(mktemp -d)
 	pids=""
-	base=$("$build/tool_ports" 90)
+	take_ports
 	platform=127.0.0.1:$base
 	record=$work/record
 	set=$work/set.json
@@ -15,6 +15,19 @@
 	trap 'exit 1' INT TERM
 }
 
+# Takes a block of free ports and keeps it locked until the run has ended:
+# another run that looked for ports at the same moment would see the same ones
+# free, and one of the two could not listen.
+take_ports() {
+	locks=${TMPDIR:-/tmp}/magnoliarail-ports
+	mkdir -p "$locks"
+	while :; do
+		base=$("$build/tool_ports" 90) || exit 1
+		exec 9>"$locks/$base"
+		flock -n 9 && break
+	done
+}
+
 # Ends what is still running and removes the folder.
 finish() {
 	for pid in $pids; do
--- a/regress/tool_ports.c
+++ b/regress/tool_ports.c
@@ -1,4 +1,8 @@
-/* Prints the first of N neighbouring ports of the loopback that are free. */
+/*
+ * Prints the first of N neighbouring ports of the loopback that are free.  It
+ * starts a block of its own, so that whoever locks the block by its first port
+ * shares none of its ports.
+ */
 #include <arpa/inet.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -6,9 +10,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define PORTS_LOW  10000
-#define PORTS_HIGH 32000 /* above it the system picks ports of clients */
-#define PORTS_STEP 97
+#define PORTS_LOW   10000
+#define PORTS_HIGH  32000 /* above it the system picks ports of clients */
+#define PORTS_BLOCK 110
+#define PORTS_STEP  97
 
 static bool port_free(int port)
 {
@@ -28,15 +33,21 @@
 int main(int argc, char **argv)
 {
 	int count = argc > 1 ? atoi(argv[1]) : 1;
-	int span = PORTS_HIGH - PORTS_LOW - count;
-	int first = PORTS_LOW + (int)(getpid() * PORTS_STEP % span);
-	int found = 0;
-	int port;
+	int blocks = (PORTS_HIGH - PORTS_LOW) / PORTS_BLOCK;
+	int block = (int)(getpid() * PORTS_STEP % blocks);
+	int tried;
+	int first;
+	int i;
 
-	for (port = first; found < count && port < PORTS_HIGH; port++)
-		found = port_free(port) ? found + 1 : 0;
-	if (found < count)
+	for (tried = 0; tried < blocks; tried++) {
+		first = PORTS_LOW + (block + tried) % blocks * PORTS_BLOCK;
+		for (i = 0; i < count && port_free(first + i); i++)
+			;
+		if (i == count)
+			break;
+	}
+	if (tried == blocks || count > PORTS_BLOCK)
 		return 1;
-	printf("%d\n", port - count);
+	printf("%d\n", first);
 	return 0;
 }
