--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -46,8 +46,10 @@
 	int64_t full_until_us; /* after a refusal */
 	double hop_us;	       /* a token's time at this stage, recent mean */
 	double base_us;	       /* the same without a queue */
-	double chain_us;     /* a token's time over whole chains through here */
-	uint32_t samples;    /* hop times since the last adaptation */
+	double chain_us;  /* a token's time over whole chains through here */
+	uint32_t samples; /* hop times since the last adaptation */
+	double took_us;	  /* mean of whole answers, where no rate is given */
+	double solved_took_us;
 	int64_t progress_us; /* last sign of life */
 	double solved_scale; /* of it when the graph was solved last */
 	double scale;	     /* of its rate, under 1 while it is degraded */
@@ -159,12 +161,12 @@
 double pick_load_of(const struct pick_ep *ep);
 void pick_health_ended(struct pick *pick, const struct pick_chain *chain,
 		       const struct pick_result *result, int64_t now);
+void pick_health_alive(struct pick *pick, int e, int64_t now);
 void pick_health_tick(struct pick *pick, int64_t now);
 
 /* pick_adapt.c */
 void pick_adapt(struct pick *pick, struct pick_ep *ep);
-void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us,
-		    int64_t now);
+void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us);
 
 /* pick_cache.c */
 bool pick_cache_holds(const struct pick_ep *ep, uint64_t prefix);
