--- a/regress/check_pick.c
+++ b/regress/check_pick.c
@@ -105,6 +105,16 @@
 		(r->set.endpoint_count - (size_t)e) * sizeof(*r->endpoints));
 }
 
+/* rate NAME RATE: in the set to come; 0 drains it */
+static void do_rate(struct run *r, char **word, int words)
+{
+	struct cfg_endpoint *e = &r->endpoints[endpoint(word[1])];
+
+	(void)words;
+	e->tokens_per_s = (uint32_t)atoi(word[2]);
+	e->state = e->tokens_per_s ? CFG_ACTIVE : CFG_DRAIN;
+}
+
 /* config */
 static void do_config(struct run *r, char **word, int words)
 {
@@ -275,12 +285,13 @@
 
 static const struct command commands[] = {
 	{ "service", do_service }, { "endpoint", do_endpoint },
-	{ "remove", do_remove },   { "config", do_config },
-	{ "policy", do_policy },   { "choose", do_choose },
-	{ "ended", do_ended },	   { "hops", do_hops },
-	{ "repeat", do_repeat },   { "report", do_report },
-	{ "leaving", do_leaving }, { "cache", do_cache },
-	{ "at", do_at },	   { "bound", do_bound },
+	{ "remove", do_remove },   { "rate", do_rate },
+	{ "config", do_config },   { "policy", do_policy },
+	{ "choose", do_choose },   { "ended", do_ended },
+	{ "hops", do_hops },	   { "repeat", do_repeat },
+	{ "report", do_report },   { "leaving", do_leaving },
+	{ "cache", do_cache },	   { "at", do_at },
+	{ "bound", do_bound },
 };
 
 /* Splits a line into words and runs its command. */
