--- a/regress/check_pick.c
+++ b/regress/check_pick.c
@@ -174,7 +174,7 @@
 		pick_started(r->pick, chain, r->now);
 }
 
-/* ended ID well|failed|slow|refused|other [STAGE] [TOKENS] */
+/* ended ID well|failed|slow|refused|other [STAGE [TOKENS [US]]] */
 static void do_ended(struct run *r, char **word, int words)
 {
 	static const char *const kinds[] = { "well", "failed", "slow",
@@ -190,7 +190,7 @@
 		result.at_stage = atoi(word[3]);
 	if (words > 4)
 		result.tokens = (uint32_t)atoi(word[4]);
-	result.took_us = 1000;
+	result.took_us = words > 5 ? atoll(word[5]) : 1000;
 	pick_ended(r->pick, &r->chains[atoi(word[1])], &result, r->now);
 }
 
@@ -283,14 +283,51 @@
 		fprintf(r->out, "bound %.1f\n", pick_bound(r->pick, 0));
 }
 
+/* proved ID: a suspect has run long enough */
+static void do_proved(struct run *r, char **word, int words)
+{
+	(void)words;
+	pick_proved(r->pick, &r->chains[atoi(word[1])]);
+}
+
+/* explain [GROUP [PREFIX]] */
+static void do_explain(struct run *r, char **word, int words)
+{
+	struct pick_want want = { .service = 0, .group = "" };
+
+	if (words > 1)
+		want.group = word[1];
+	if (words > 2)
+		want.prefix = (uint64_t)atoll(word[2]);
+	pick_explain_request(r->pick, &want, r->now, r->out);
+}
+
+/* bounds: the bound, what binds it, and without each endpoint */
+static void do_bounds(struct run *r, char **word, int words)
+{
+	(void)word;
+	(void)words;
+	pick_bound_write(r->pick, 0, r->now, r->out);
+}
+
 static const struct command commands[] = {
-	{ "service", do_service }, { "endpoint", do_endpoint },
-	{ "remove", do_remove },   { "rate", do_rate },
-	{ "config", do_config },   { "policy", do_policy },
-	{ "choose", do_choose },   { "ended", do_ended },
-	{ "hops", do_hops },	   { "repeat", do_repeat },
-	{ "report", do_report },   { "leaving", do_leaving },
-	{ "cache", do_cache },	   { "at", do_at },
+	{ "proved", do_proved },
+	{ "explain", do_explain },
+	{ "bounds", do_bounds },
+	{ "service", do_service },
+	{ "endpoint", do_endpoint },
+	{ "remove", do_remove },
+	{ "rate", do_rate },
+	{ "config", do_config },
+	{ "policy", do_policy },
+	{ "choose", do_choose },
+	{ "ended", do_ended },
+	{ "hops", do_hops },
+	{ "repeat", do_repeat },
+	{ "report", do_report },
+	{ "leaving", do_leaving },
+	{ "cache", do_cache },
+	{ "at", do_at },
 	{ "bound", do_bound },
 };
 
--- a/src/pick.h
+++ b/src/pick.h
@@ -102,13 +102,15 @@
 		const struct pick_result *result, int64_t now);
 int pick_silent(const struct pick *pick, const struct pick_chain *chain,
 		int64_t now);
+int pick_degraded(const struct pick *pick, const struct pick_chain *chain);
 void pick_tick(struct pick *pick, int64_t now);
 int64_t pick_next_deadline(const struct pick *pick);
 
 bool pick_usable(const struct pick *pick, int endpoint, int64_t now);
 double pick_bound(const struct pick *pick, int service);
+int pick_bound_write(struct pick *pick, int service, int64_t now, FILE *out);
+int pick_explain_request(struct pick *pick, const struct pick_want *want,
+			 int64_t now, FILE *out);
 double pick_bound_without(struct pick *pick, int service, int endpoint);
 
-void pick_explain(struct pick *pick, int service, int64_t now, FILE *out);
-
 #endif /* PICK_H */
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -9,7 +9,6 @@
 #define PICK_TICK_US	(50 * MAG_US_PER_MS)
 #define PICK_LIMIT_DOWN 0.9
 #define PICK_HOP_STEP	0.2 /* of a new hop time in the mean */
-#define PICK_PREFIXES	256 /* prefix hints kept for an endpoint */
 
 enum pick_health {
 	PICK_HEALTHY,
@@ -17,11 +16,14 @@
 	PICK_PROBING, /* half open: one request at a time */
 };
 
+/* Prefix hints kept for an endpoint, in sets by the hash. */
+#define PICK_CACHE_SETS 64
+#define PICK_CACHE_WAYS 4
+
 /* What the cache events say an endpoint holds; a hint, never relied on. */
 struct pick_cache {
-	uint64_t prefix[PICK_PREFIXES];
+	uint64_t prefix[PICK_CACHE_SETS * PICK_CACHE_WAYS]; /* 0: none */
 	uint64_t next_sequence;
-	int next;
 };
 
 struct pick_ep {
@@ -44,8 +46,10 @@
 	int64_t full_until_us; /* after a refusal */
 	double hop_us;	       /* a token's time at this stage, recent mean */
 	double base_us;	       /* the same without a queue */
-	double chain_us;     /* a token's time over whole chains through here */
-	uint32_t samples;    /* hop times since the last adaptation */
+	double chain_us;  /* a token's time over whole chains through here */
+	uint32_t samples; /* hop times since the last adaptation */
+	double took_us;	  /* mean of whole answers, where no rate is given */
+	double solved_took_us;
 	int64_t progress_us; /* last sign of life */
 	double solved_scale; /* of it when the graph was solved last */
 	double scale;	     /* of its rate, under 1 while it is degraded */
@@ -145,6 +149,9 @@
 	      const struct pick_want *want, int64_t now,
 	      struct pick_chain *chain);
 
+int pick_through(struct pick *pick, struct pick_net *net,
+		 const struct pick_want *want, int via, int64_t now,
+		 struct pick_chain *chain);
 int pick_probe(struct pick *pick, struct pick_net *net,
 	       const struct pick_want *want, int64_t now,
 	       struct pick_chain *chain);
@@ -155,12 +162,12 @@
 double pick_load_of(const struct pick_ep *ep);
 void pick_health_ended(struct pick *pick, const struct pick_chain *chain,
 		       const struct pick_result *result, int64_t now);
+void pick_health_alive(struct pick *pick, int e, int64_t now);
 void pick_health_tick(struct pick *pick, int64_t now);
 
 /* pick_adapt.c */
 void pick_adapt(struct pick *pick, struct pick_ep *ep);
-void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us,
-		    int64_t now);
+void pick_adapt_hop(struct pick_ep *ep, double hop_us, double chain_us);
 
 /* pick_cache.c */
 bool pick_cache_holds(const struct pick_ep *ep, uint64_t prefix);
