--- a/regress/check_patch.c
+++ b/regress/check_patch.c
@@ -14,7 +14,8 @@
 /*
  * Scripts of regress/patch.  "objects:" is followed by lines of objects up to
  * an empty one: each such block is the next revision.  "random SEED STEPS"
- * goes on from the last with changes drawn at random.  For each revision the
+ * goes on from the last with changes drawn at random; "lined" shows whether a
+ * text is made of lines.  For each revision the
  * set made from the one in force must be what the whole text makes.
  */
 
@@ -351,6 +352,16 @@
 	assert_int_equal(s->tally[0][1], 0);
 }
 
+/* Tells whether a text may be taken line by line; '|' ends a line. */
+static void show_lined(struct state *s, char *text)
+{
+	char *at;
+
+	for (at = text; (at = strchr(at, '|')); at++)
+		*at = '\n';
+	fprintf(s->out, "%s\n", pub_is_lined(text) ? "lined" : "whole only");
+}
+
 static void run(FILE *in, FILE *out)
 {
 	struct state s = { .out = out };
@@ -374,6 +385,8 @@
 		} else if (objects && line[0] == '\0') {
 			objects = false;
 			step(&s, true);
+		} else if (strncmp(line, "lined ", 6) == 0) {
+			show_lined(&s, line + 6);
 		} else if (sscanf(line, "random %lu %ld", &seed, &steps) == 2) {
 			random_steps(&s, seed, steps);
 		}
