--- a/src/req_answer.c
+++ b/src/req_answer.c
@@ -6,8 +6,14 @@
 #include "log.h"
 
 static void count_outcome(enum mag_outcome outcome);
+static struct core_answer *answer(struct core *core, uint64_t req,
+				  enum core_answer_kind kind,
+				  enum mag_outcome outcome);
+static void refuse(struct core *core, uint64_t req, int status,
+		   enum mag_outcome outcome, uint32_t retry_after_s,
+		   const char *why);
 static void log_done(const struct core *core, const struct core_req *req,
-		     const struct core_answer *answer);
+		     bool replay);
 
 /*
  * Returns what can be said of a request that gets no answer from an
@@ -39,50 +45,35 @@
 		enum mag_outcome outcome, uint32_t retry_after_s,
 		const char *why)
 {
-	struct core_answer *answer;
+	const char *account = "-";
 
 	if (req->answered)
 		return;
 	req->answered = true;
-	answer = &core_act(core, CORE_ACT_ANSWER)->answer;
-	answer->req = req->arrival.req;
-	answer->kind = CORE_ANSWER_REFUSE;
-	answer->outcome = outcome;
-	answer->status = status;
-	answer->retry_after_s = retry_after_s;
-	snprintf(answer->why, sizeof(answer->why), "%s", why);
-	count_outcome(outcome);
+	if (req->account >= 0)
+		account = core->set->accounts[req->account].name;
 	shr_add(core->shr, req->account, req->service, SHR_REFUSED);
+	refuse(core, req->arrival.req, status, outcome, retry_after_s, why);
 	log_event(LOG_REQ_REFUSED,
 		  "request=%llu account=%s status=%d outcome=%s attempts=%u "
 		  "why=\"%s\"",
-		  (unsigned long long)req->arrival.req,
-		  req->account < 0 ? "-"
-				   : core->set->accounts[req->account].name,
-		  status, mag_outcome_name(outcome), req->attempt, why);
+		  (unsigned long long)req->arrival.req, account, status,
+		  mag_outcome_name(outcome), req->attempt, why);
 }
 
 /*
  * Refuses a request that never got an entry.  No intent was formed, so
- * nothing ran under it.
+ * nothing ran under it; but while this instance can't tell whose it is, a key
+ * may have run through another one.
  */
 void req_refuse_arrival(struct core *core, const struct core_arrival *arrival,
 			int status, const char *why)
 {
 	enum mag_outcome outcome = MAG_NOT_RUN;
-	struct core_answer *answer;
 
-	/* A key may have run through another instance. */
 	if (status == 503 && arrival->key[0])
 		outcome = MAG_UNKNOWN;
-	answer = &core_act(core, CORE_ACT_ANSWER)->answer;
-	answer->req = arrival->req;
-	answer->kind = CORE_ANSWER_REFUSE;
-	answer->outcome = outcome;
-	answer->status = status;
-	answer->retry_after_s = status == 503 ? 1 : 0;
-	snprintf(answer->why, sizeof(answer->why), "%s", why);
-	count_outcome(outcome);
+	refuse(core, arrival->req, status, outcome, status == 503 ? 1 : 0, why);
 	log_event(LOG_REQ_REFUSED,
 		  "request=%llu account=- status=%d outcome=%s attempts=0 "
 		  "why=\"%s\"",
@@ -93,41 +84,57 @@
 /* Hands on the answer that the attempt brought. */
 void req_relay(struct core *core, struct core_req *req)
 {
-	struct core_answer *answer;
-
 	if (req->answered)
 		return;
 	req->answered = true;
-	answer = &core_act(core, CORE_ACT_ANSWER)->answer;
-	answer->req = req->arrival.req;
-	answer->kind = CORE_ANSWER_RELAY;
-	answer->outcome = MAG_RAN;
-	count_outcome(MAG_RAN);
-	log_done(core, req, answer);
+	answer(core, req->arrival.req, CORE_ANSWER_RELAY, MAG_RAN);
+	log_done(core, req, false);
 }
 
 /* Hands on the answer that the record kept, marked as a replay. */
 void req_replay(struct core *core, struct core_req *req,
 		struct ldg_result *result)
 {
-	struct core_answer *answer;
+	struct core_answer *replay;
 
 	if (req->answered)
 		return;
 	req->answered = true;
-	answer = &core_act(core, CORE_ACT_ANSWER)->answer;
-	answer->req = req->arrival.req;
-	answer->kind = CORE_ANSWER_REPLAY;
-	answer->outcome = MAG_RAN;
-	answer->status = result->status;
-	answer->body = result->answer;
-	answer->body_len = result->answer_len;
+	replay = answer(core, req->arrival.req, CORE_ANSWER_REPLAY, MAG_RAN);
+	replay->status = result->status;
+	replay->body = result->answer;
+	replay->body_len = result->answer_len;
 	result->answer = NULL;
 	if (!result->answer_kept)
-		snprintf(answer->why, sizeof(answer->why),
-			 "it ran; its answer was too long to keep");
-	count_outcome(MAG_RAN);
-	log_done(core, req, answer);
+		mag_copy_name(replay->why, sizeof(replay->why),
+			      "it ran; its answer was too long to keep");
+	log_done(core, req, true);
+}
+
+/* Appends the action of a final answer and counts its outcome. */
+static struct core_answer *answer(struct core *core, uint64_t req,
+				  enum core_answer_kind kind,
+				  enum mag_outcome outcome)
+{
+	struct core_answer *made = &core_act(core, CORE_ACT_ANSWER)->answer;
+
+	made->req = req;
+	made->kind = kind;
+	made->outcome = outcome;
+	count_outcome(outcome);
+	return made;
+}
+
+static void refuse(struct core *core, uint64_t req, int status,
+		   enum mag_outcome outcome, uint32_t retry_after_s,
+		   const char *why)
+{
+	struct core_answer *refusal;
+
+	refusal = answer(core, req, CORE_ANSWER_REFUSE, outcome);
+	refusal->status = status;
+	refusal->retry_after_s = retry_after_s;
+	snprintf(refusal->why, sizeof(refusal->why), "%s", why);
 }
 
 static void count_outcome(enum mag_outcome outcome)
@@ -142,7 +149,7 @@
 }
 
 static void log_done(const struct core *core, const struct core_req *req,
-		     const struct core_answer *answer)
+		     bool replay)
 {
 	log_event(LOG_REQ_DONE,
 		  "request=%llu account=%s outcome=%s replay=%d attempts=%u "
@@ -150,7 +157,6 @@
 		  (unsigned long long)req->arrival.req,
 		  req->account < 0 ? "-"
 				   : core->set->accounts[req->account].name,
-		  mag_outcome_name(answer->outcome),
-		  answer->kind == CORE_ANSWER_REPLAY, req->attempt, req->tokens,
+		  mag_outcome_name(MAG_RAN), replay, req->attempt, req->tokens,
 		  (long long)(core->now - req->arrived_us));
 }
