--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,8 @@
 $(FAKES) $(TOOLS): $(BUILD)/%: $(BUILD)/regress/%.o $(BUILD)/regress/fk.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/fake_engine: $(BUILD)/regress/eng_stage.o
+
 $(CHECKS): $(BUILD)/%: $(BUILD)/regress/%.o $(BUILD)/regress/script.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
--- a/regress/fake_platform.c
+++ b/regress/fake_platform.c
@@ -1,6 +1,9 @@
 /*
  * Stand-in of the platform's service: keys under compare-and-swap, leases,
  * watches, the lagging list of instances, load reports, a weight store.
+ *
+ * Faults: lose_after_write, delay_ms, refuse (closes without an answer),
+ * limit_per_s, snapshot and rewind (returns with the older state).
  */
 #include <inttypes.h>
 #include <pthread.h>
--- a/regress/fake_service.c
+++ b/regress/fake_service.c
@@ -1,6 +1,10 @@
 /*
  * Stand-in of a plain service.  POST has an effect, one line each in the
  * record file; GET has none.  Both answer with what they were asked.
+ *
+ * Faults: refuse, die_before, delay_ms (before the effect), hang_ms (after
+ * it), die_after, lose_answer, wrong_id, swap (with the answer before it),
+ * duplicate.
  */
 #include <pthread.h>
 #include <stdio.h>
--- a/regress/tool_load.c
+++ b/regress/tool_load.c
@@ -483,70 +483,85 @@
 	return arg->count ? arg->ival[0] : absent;
 }
 
+/* The options as argtable reads them. */
+struct load_args {
+	struct arg_str *kind;
+	struct arg_str *path;
+	struct arg_str *name;
+	struct arg_str *prompt;
+	struct arg_int *count;
+	struct arg_int *threads;
+	struct arg_int *per_s;
+	struct arg_int *tokens;
+	struct arg_int *layers;
+	struct arg_int *retries;
+	struct arg_int *deadline;
+	struct arg_file *record;
+	struct arg_lit *json;
+	struct arg_str *targets;
+	struct arg_str *accounts;
+	struct arg_end *end;
+};
+
+/* All members are pointers, so the struct is also argtable's table. */
+#define LOAD_ARG_COUNT (sizeof(struct load_args) / sizeof(void *))
+
+static void load_make_args(struct load_args *args)
+{
+	args->kind = arg_str1("k", "kind", "KIND",
+			      "stream, unary, booking or lookup");
+	args->path = arg_str1(NULL, "path", "PATH", "of the route");
+	args->name = arg_str0(NULL, "name", "NAME", "start of intents' names");
+	args->prompt = arg_str0(NULL, "prompt", "TEXT", "start of prompts");
+	args->count = arg_int0("n", "count", "N", "requests");
+	args->threads = arg_int0("c", "concurrency", "N", "at once");
+	args->per_s = arg_int0("r", "rate", "N", "requests a second");
+	args->tokens = arg_int0(NULL, "tokens", "N", "an answer");
+	args->layers = arg_int0(NULL, "layers", "N", "of the model");
+	args->retries = arg_int0(NULL, "retries", "N", "a request");
+	args->deadline = arg_int0(NULL, "deadline-ms", "N", "sent");
+	args->record = arg_file0(NULL, "record", "FILE", "to add to");
+	args->json = arg_lit0("j", "json", "print one JSON object");
+	args->targets = arg_strn("t", "target", "IP:PORT", 1, 64, "routers");
+	args->accounts = arg_strn("a", "account", "KEY", 0, 64, "bearer keys");
+	args->end = arg_end(8);
+}
+
+static void load_take_args(const struct load_args *args)
+{
+	opt.kind = args->kind->sval[0];
+	opt.path = args->path->sval[0];
+	opt.name = args->name->count ? args->name->sval[0] : "intent";
+	opt.prompt = args->prompt->count ? args->prompt->sval[0] : "Ring";
+	opt.targets = args->targets;
+	opt.accounts = args->accounts;
+	opt.count = load_int(args->count, 1);
+	opt.threads = load_int(args->threads, 1);
+	opt.per_s = load_int(args->per_s, 0);
+	opt.tokens = load_int(args->tokens, 8);
+	opt.layers = load_int(args->layers, 12);
+	opt.retries = load_int(args->retries, 0);
+	opt.deadline_ms = load_int(args->deadline, 0);
+	if (opt.threads > LOAD_THREADS_MAX)
+		opt.threads = LOAD_THREADS_MAX;
+}
+
 int main(int argc, char **argv)
 {
-	struct arg_str *kind = arg_str1("k", "kind", "KIND",
-					"stream, unary, booking or lookup");
-	struct arg_str *path = arg_str1(NULL, "path", "PATH", "of the route");
-	struct arg_str *name =
-		arg_str0(NULL, "name", "NAME", "start of each intent's name");
-	struct arg_str *prompt =
-		arg_str0(NULL, "prompt", "TEXT", "start of each prompt");
-	struct arg_int *count = arg_int0("n", "count", "N", "requests");
-	struct arg_int *threads = arg_int0("c", "concurrency", "N", "at once");
-	struct arg_int *per_s = arg_int0("r", "rate", "N", "requests a second");
-	struct arg_int *tokens = arg_int0(NULL, "tokens", "N", "an answer");
-	struct arg_int *layers = arg_int0(NULL, "layers", "N", "of the model");
-	struct arg_int *retries = arg_int0(NULL, "retries", "N", "a request");
-	struct arg_int *deadline = arg_int0(NULL, "deadline-ms", "N", "sent");
-	struct arg_file *record =
-		arg_file0(NULL, "record", "FILE", "to add to");
-	struct arg_lit *json = arg_lit0("j", "json", "print one JSON object");
-	struct arg_end *end = arg_end(8);
-	void *table[16];
-	int used = 0;
-
-	opt.targets = arg_strn("t", "target", "IP:PORT", 1, 64, "routers");
-	opt.accounts = arg_strn("a", "account", "KEY", 0, 64, "bearer keys");
-	table[used++] = kind;
-	table[used++] = path;
-	table[used++] = name;
-	table[used++] = prompt;
-	table[used++] = count;
-	table[used++] = threads;
-	table[used++] = per_s;
-	table[used++] = tokens;
-	table[used++] = layers;
-	table[used++] = retries;
-	table[used++] = deadline;
-	table[used++] = record;
-	table[used++] = json;
-	table[used++] = opt.targets;
-	table[used++] = opt.accounts;
-	table[used++] = end;
-	if (arg_parse(argc, argv, table) > 0) {
-		arg_print_errors(stderr, end, "tool_load");
+	struct load_args args;
+
+	load_make_args(&args);
+	if (arg_parse(argc, argv, (void **)&args) > 0) {
+		arg_print_errors(stderr, args.end, "tool_load");
 		return 2;
 	}
-	opt.kind = kind->sval[0];
-	opt.path = path->sval[0];
-	opt.name = name->count ? name->sval[0] : "intent";
-	opt.prompt = prompt->count ? prompt->sval[0] : "Ring";
-	opt.count = load_int(count, 1);
-	opt.threads = load_int(threads, 1);
-	opt.per_s = load_int(per_s, 0);
-	opt.tokens = load_int(tokens, 8);
-	opt.layers = load_int(layers, 12);
-	opt.retries = load_int(retries, 0);
-	opt.deadline_ms = load_int(deadline, 0);
-	if (opt.threads > LOAD_THREADS_MAX)
-		opt.threads = LOAD_THREADS_MAX;
-	if (record->count && fk_record_open(record->filename[0]) < 0)
+	load_take_args(&args);
+	if (args.record->count && fk_record_open(args.record->filename[0]) < 0)
 		return 1;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	load_start();
-	load_print(json->count > 0);
-	arg_freetable(table, (size_t)used);
+	load_print(args.json->count > 0);
+	arg_freetable((void **)&args, LOAD_ARG_COUNT);
 	free(load_took_us);
 	free(load_first_us);
 	curl_global_cleanup();
