magctl: Don't fold an endpoint's row of shares into its service's

Cause: two rows counted as one if they had equally many fields and the first's names were in the second, so a plain service's row with endpoint and runs went into the row without one, and its owner saw no endpoint at all; rows of one account from two instances stayed apart when one had a field more. Change: rows are one if their names are the same both ways; a field that only one has is added. proc/magctl-load.sh runs shares, bound and explain on two routers. Conclusion: shares add up over instances and endpoints.

--- /dev/null
+++ b/regress/proc/magctl-load.sh
@@ -0,0 +1,33 @@
+# Two accounts call; an endpoint's owner asks whose callers loaded it, what the
+# service can do at most, and how a request would be routed now.  Counts that
+# were wrong here would have the owner blame someone else's callers.
+. "$(dirname "$0")/lib.sh"
+init "$1"
+start_all 2
+MAGNOLIA_PLATFORM=$platform
+MAGNOLIA_ADMIN=$(admin 0),$(admin 1)
+export MAGNOLIA_PLATFORM MAGNOLIA_ADMIN
+for i in 1 2 3; do
+	book 0 /book "choir-$i"
+done
+key=ringers-key book 1 /book ringers-1
+book 1 /book choir-4
+book 0 /book choir-1
+key=nobody book 0 /book nobody-1
+load stream /score --name tune --count 4 --concurrency 1 --tokens 5 \
+	--target "$(router 0)"
+echo "- shares"
+# Times differ from run to run, and so does who serves what; sums don't.
+"$build/magctl" shares >"$work/shares"
+awk 'NR == 1 { next }
+	$3 ~ /^(exchange|engine)-/ { at = $1 " " $2; runs[at] += $4
+		tokens[at] += $5; next }
+	{ print $1, $2, "offered", $3, "admitted", $4 }
+	END { for (at in runs)
+		print at, "runs", runs[at], "tokens", tokens[at] }' \
+	"$work/shares" | sort
+echo "- bound"
+"$build/magctl" bound | awk '$1 == "score-model" { print $1, $2, $3 }'
+echo "- explain"
+"$build/magctl" explain --service=score-model | awk '{ print $1, $2, $3, $4 }'
+"$build/magctl" explain --service exchange-app | wc -l
--- a/src/ctl_fleet.c
+++ b/src/ctl_fleet.c
@@ -28,6 +28,7 @@
 static json_t *ctl_by_instance(const struct ctl_answer *answers, size_t count);
 static void ctl_sum_rows(json_t *rows, const json_t *more);
 static bool ctl_same_row(const json_t *a, const json_t *b);
+static bool ctl_has_names(const json_t *row, const json_t *other);
 static void ctl_add_row(json_t *row, const json_t *more);
 
 /* Returns the highest revision that an instance holds, 0 if none answers. */
@@ -247,15 +248,19 @@
 }
 
 static bool ctl_same_row(const json_t *a, const json_t *b)
+{
+	return ctl_has_names(a, b) && ctl_has_names(b, a);
+}
+
+/* Tells whether a row has every name that another one has. */
+static bool ctl_has_names(const json_t *row, const json_t *other)
 {
 	const char *key;
 	json_t *value;
 
-	if (json_object_size(a) != json_object_size(b))
-		return false;
-	json_object_foreach ((json_t *)a, key, value) {
+	json_object_foreach ((json_t *)other, key, value) {
 		if (json_is_string(value) &&
-		    !json_equal(value, json_object_get(b, key)))
+		    !json_equal(value, json_object_get(row, key)))
 			return false;
 	}
 	return true;
@@ -266,15 +271,20 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach (row, key, value) {
-		const json_t *other = json_object_get(more, key);
-
-		if (json_is_integer(value))
-			json_integer_set(value,
-					 json_integer_value(value) +
-						 json_integer_value(other));
-		else if (json_is_real(value))
-			json_real_set(value, json_real_value(value) +
-						     json_number_value(other));
+	json_object_foreach ((json_t *)more, key, value) {
+		json_t *sum = json_object_get(row, key);
+
+		if (!sum)
+			json_object_set(row, key, value);
+		else if (json_is_integer(sum) && json_is_integer(value))
+			json_object_set_new(
+				row, key,
+				json_integer(json_integer_value(sum) +
+					     json_integer_value(value)));
+		else if (json_is_number(sum))
+			json_object_set_new(
+				row, key,
+				json_real(json_number_value(sum) +
+					  json_number_value(value)));
 	}
 }
