Log how each attempt failed

Ruled out: nothing yet. Change: event 3004 with the end, the endpoint it is counted against and the tokens so far.

--- a/src/log_events.h
+++ b/src/log_events.h
@@ -27,6 +27,7 @@
 	LOG_EVENT(LOG_REQ_REFUSED, 3001, "request-refused", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_REQ_DISPATCHED, 3002, "request-dispatched", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_REQ_DONE, 3003, "request-done", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_REQ_ATTEMPT_FAILED, 3004, "attempt-failed", LOG_PRIO_INFO) \
 	\
 	/* 4000 flow, pick: chains of endpoints */ \
 	LOG_EVENT(LOG_PICK_CHAIN, 4001, "chain-chosen", LOG_PRIO_INFO) \
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -1,4 +1,5 @@
 #include "core_int.h"
+#include "log.h"
 
 static void whole(struct core *core, struct core_req *req,
 		  const struct core_ended *ended);
@@ -11,6 +12,8 @@
 static int stalled_again(const struct core *core, struct core_req *req);
 static void give_up_failed(struct core *core, struct core_req *req);
 static int failed_endpoint(const struct core_req *req, int stage);
+static void log_attempt(const struct core *core, const struct core_req *req,
+			const struct core_ended *ended, int endpoint);
 
 void req_running_ended(struct core *core, struct core_req *req, void *data)
 {
@@ -96,6 +99,7 @@
 {
 	int endpoint = failed_endpoint(req, 0);
 
+	log_attempt(core, req, ended, endpoint);
 	req_end_attempt(core, req,
 			ended->end == CORE_END_REFUSED ? PICK_ENDED_REFUSED
 						       : PICK_ENDED_FAILED,
@@ -123,6 +127,7 @@
 	if (kind == PICK_ENDED_SLOW)
 		stage = stalled_at(core, req, ended->silent);
 	endpoint = failed_endpoint(req, stage);
+	log_attempt(core, req, ended, endpoint);
 	req_end_attempt(core, req, kind, stage, ended->silent);
 	if (died)
 		quar_lost_endpoint(core->quar, req->arrival.fingerprint,
@@ -223,3 +228,28 @@
 		return -1;
 	return req->chain.stages[stage].endpoint;
 }
+
+/* Writes how an attempt failed, and which endpoint it is counted against. */
+static void log_attempt(const struct core *core, const struct core_req *req,
+			const struct core_ended *ended, int endpoint)
+{
+	static const char *const ends[CORE_END_COUNT] = {
+		[CORE_END_WHOLE] = "whole",
+		[CORE_END_UNSENT] = "not-connected",
+		[CORE_END_REFUSED] = "refused",
+		[CORE_END_STAGE] = "stage-failed",
+		[CORE_END_CUT] = "cut",
+		[CORE_END_WRONG] = "wrong-ids",
+		[CORE_END_CANCELLED] = "stalled",
+		[CORE_END_STATUS] = "error-status",
+	};
+	const char *name = "-";
+
+	if (endpoint >= 0)
+		name = core->set->endpoints[endpoint].name;
+	log_event(LOG_REQ_ATTEMPT_FAILED,
+		  "request=%llu attempt=%u end=%s endpoint=%s status=%d "
+		  "tokens=%u",
+		  (unsigned long long)req->arrival.req, req->attempt,
+		  ends[ended->end], name, ended->status, req->tokens);
+}
