Let a stream go on whose stages all give a sign of life

Cause: under overload the next token of a stream can take longer than the progress timeout though nothing hangs. Ruled out: a longer timeout, which delays the notice of a stage that hangs. Change: a stall first asks the stages; only if one gives no sign of life, or after three stalls in a row without a token, is the attempt cancelled.

--- a/src/core.h
+++ b/src/core.h
@@ -82,6 +82,7 @@
 struct core_progress {
 	uint64_t req;
 	uint32_t attempt;
+	bool alive; /* nothing came, but every stage gives a sign of life */
 	uint32_t tokens;		/* delivered so far, all attempts */
 	uint32_t hop_us[MAG_CHAIN_MAX]; /* mean a token, by stage */
 	int hop_count;
@@ -178,7 +179,7 @@
 struct core_cancel {
 	uint64_t req;
 	uint32_t attempt;
-	bool probe; /* find out which stages give no sign of life */
+	bool probe; /* only if a stage gives no sign of life */
 };
 
 enum core_action_type {
--- a/src/core_int.h
+++ b/src/core_int.h
@@ -74,7 +74,8 @@
 	bool may_resend;   /* endpoints run a downstream key once */
 	bool may_have_run; /* some attempt of this request may have begun */
 	bool answered;
-	bool alone; /* a suspect, run alone */
+	bool alone;	 /* a suspect, run alone */
+	uint32_t stalls; /* in a row, with every stage alive */
 };
 
 struct core {
--- a/src/ep.c
+++ b/src/ep.c
@@ -17,7 +17,8 @@
 static size_t on_header(char *bytes, size_t size, size_t count, void *ctx);
 static bool began(enum core_end end);
 static int prepare(struct ep_call *call);
-static CURLcode transfer(struct ep_call *call, enum ep_wish *wish);
+static CURLcode transfer(struct ep_call *call, bool *cancelled);
+static bool to_cancel(struct ep_call *call);
 static bool finished(struct ep_call *call, CURLcode *code);
 static void copy_header(char *dst, size_t size, const char *line, size_t len,
 			const char *name);
@@ -62,7 +63,7 @@
 	    const struct ep_sink *sink, struct ep_answer *answer)
 {
 	struct ep_call *call = calloc(1, sizeof(*call));
-	enum ep_wish wish = EP_GO_ON;
+	bool cancelled = false;
 	CURLcode code;
 
 	memset(answer, 0, sizeof(*answer));
@@ -77,13 +78,11 @@
 	call->protocol = ep_protocols[request->dispatch->kind];
 	call->easy = curl_easy_init();
 	if (call->easy && prepare(call) == EP_OK) {
-		code = transfer(call, &wish);
+		code = transfer(call, &cancelled);
 		call->protocol->finish(call, code);
 	}
-	if (wish != EP_GO_ON && answer->end != CORE_END_WHOLE)
+	if (cancelled && answer->end != CORE_END_WHOLE)
 		answer->end = CORE_END_CANCELLED;
-	if (wish == EP_CANCEL_AND_PROBE && answer->end == CORE_END_CANCELLED)
-		answer->silent = call->protocol->probe(call);
 	if (began(answer->end))
 		call->protocol->cancel(call);
 	curl_slist_free_all(call->headers);
@@ -204,7 +203,7 @@
 }
 
 /* Runs the transfer until it ends or the sink asks to cancel it. */
-static CURLcode transfer(struct ep_call *call, enum ep_wish *wish)
+static CURLcode transfer(struct ep_call *call, bool *cancelled)
 {
 	CURLM *multi = call->ep->multi;
 	CURLcode code = CURLE_OK;
@@ -215,8 +214,8 @@
 		curl_multi_perform(multi, &running);
 		if (finished(call, &code))
 			break;
-		*wish = call->sink->wish(call->sink->ctx);
-		if (*wish != EP_GO_ON) {
+		if (to_cancel(call)) {
+			*cancelled = true;
 			code = CURLE_ABORTED_BY_CALLBACK;
 			break;
 		}
@@ -226,6 +225,23 @@
 	return code;
 }
 
+/* Does what the sink wishes; true ends the transfer. */
+static bool to_cancel(struct ep_call *call)
+{
+	switch (call->sink->wish(call->sink->ctx)) {
+	case EP_CANCEL:
+		return true;
+	case EP_PROBE:
+		call->answer->silent = call->protocol->probe(call);
+		if (call->answer->silent)
+			return true;
+		call->sink->alive(call->sink->ctx);
+		return false;
+	default:
+		return false;
+	}
+}
+
 /* Takes the transfer's result once there is one. */
 static bool finished(struct ep_call *call, CURLcode *code)
 {
--- a/src/ep.h
+++ b/src/ep.h
@@ -41,7 +41,7 @@
 enum ep_wish {
 	EP_GO_ON,
 	EP_CANCEL,
-	EP_CANCEL_AND_PROBE, /* also ask each stage for a sign of life */
+	EP_PROBE, /* cancel if a stage gives no sign of life */
 };
 
 /* Where the attempt reports to while it runs. */
@@ -51,6 +51,8 @@
 		      const uint32_t *hop_us, int hop_count);
 	/* Called often; says whether the attempt is to go on. */
 	enum ep_wish (*wish)(void *ctx);
+	/* Every stage gave a sign of life; the attempt goes on. */
+	void (*alive)(void *ctx);
 	void *ctx;
 };
 
--- a/src/front_req.c
+++ b/src/front_req.c
@@ -15,6 +15,7 @@
 static bool on_token(void *ctx, uint32_t index, const char *text,
 		     const uint32_t *hop_us, int hop_count);
 static enum ep_wish on_poll(void *ctx);
+static void on_alive(void *ctx);
 static bool keep_token(struct front_req *req, const char *text);
 static void post_progress(struct front_req *req, const uint32_t *hop_us,
 			  int hop_count);
@@ -88,6 +89,7 @@
 	struct ep_sink sink = {
 		.token = on_token,
 		.wish = on_poll,
+		.alive = on_alive,
 		.ctx = req,
 	};
 
@@ -153,13 +155,25 @@
 			free(action.answer.body);
 		} else if (action.type == CORE_ACT_CANCEL &&
 			   action.cancel.attempt == req->running->attempt) {
-			wish = action.cancel.probe ? EP_CANCEL_AND_PROBE
-						   : EP_CANCEL;
+			wish = action.cancel.probe ? EP_PROBE : EP_CANCEL;
 		}
 	}
 	return wish;
 }
 
+/* The core waits for the stream a while longer. */
+static void on_alive(void *ctx)
+{
+	struct front_req *req = ctx;
+	struct core_event event = { .type = CORE_EV_PROGRESS };
+
+	event.progress.req = req->id;
+	event.progress.attempt = req->running->attempt;
+	event.progress.tokens = req->token_count;
+	event.progress.alive = true;
+	loop_post(req->front->loop, &event);
+}
+
 /* Keeps a token: a later attempt has to be told what was delivered. */
 static bool keep_token(struct front_req *req, const char *text)
 {
--- a/src/req.c
+++ b/src/req.c
@@ -22,6 +22,9 @@
 /* A stream that would take so many times what is left is given up. */
 #define REQ_HOPELESS 1.3
 
+/* Stalls in a row that a stream may have while every stage is alive. */
+#define REQ_STALLS_MAX 3
+
 typedef void (*req_handler_fn)(struct core *core, struct core_req *req,
 			       void *data);
 
@@ -43,6 +46,9 @@
 static void leave(struct core *core, struct core_req *req, const char *why);
 static void running_leave(struct core *core, struct core_req *req, void *data);
 static void running_stall(struct core *core, struct core_req *req, void *data);
+static void move_away(struct core *core, struct core_req *req);
+static void cancelling_progress(struct core *core, struct core_req *req,
+				void *data);
 static void closing_ledger(struct core *core, struct core_req *req, void *data);
 static void closing_deadline(struct core *core, struct core_req *req,
 			     void *data);
@@ -94,7 +100,7 @@
 	[REQ_CANCELLING] = {
 		[REQ_EV_GRANT] = ignore,
 		[REQ_EV_LEDGER] = ignore,
-		[REQ_EV_PROGRESS] = ignore,
+		[REQ_EV_PROGRESS] = cancelling_progress,
 		[REQ_EV_ENDED] = req_cancelling_ended,
 		[REQ_EV_GONE] = running_leave,
 		[REQ_EV_DEADLINE] = running_leave,
@@ -336,6 +342,7 @@
 	if (!req->first_token_us)
 		req->first_token_us = core->now;
 	req->tokens = progress->tokens;
+	req->stalls = 0;
 	req->stall_us = core->now + core->settings.progress_timeout_us;
 	core_due(core, req->stall_us);
 	memcpy(req->hop_us, progress->hop_us, sizeof(req->hop_us));
@@ -347,7 +354,7 @@
 	if (!req->idempotent)
 		return;
 	if (slowed_down(core, req))
-		running_stall(core, req, NULL);
+		move_away(core, req);
 	else if (hopeless(core, req))
 		leave(core, req, "too slow for its deadline");
 }
@@ -421,7 +428,12 @@
 	req_enter(req, REQ_CLOSING);
 }
 
-/* An endpoint that hangs keeps the connection open and sends nothing. */
+/*
+ * An endpoint that hangs keeps the connection open and sends nothing.  So
+ * does one where the stream only waits its turn, and sending that stream
+ * elsewhere would add work where there is too much; the stages are asked
+ * first.
+ */
 static void running_stall(struct core *core, struct core_req *req, void *data)
 {
 	(void)data;
@@ -431,6 +443,36 @@
 	req_enter(req, REQ_CANCELLING);
 }
 
+/* Ends an attempt whose chain has become too slow for it. */
+static void move_away(struct core *core, struct core_req *req)
+{
+	req_cancel(core, req, false);
+	req_enter(req, REQ_CANCELLING);
+}
+
+/*
+ * Every stage of a stalled stream gives a sign of life: it goes on waiting.
+ * A stage that answers and yet makes nothing is given up after a few times.
+ */
+static void cancelling_progress(struct core *core, struct core_req *req,
+				void *data)
+{
+	const struct core_progress *progress = data;
+	int64_t patience_us = core->settings.progress_timeout_us;
+
+	if (!progress->alive)
+		return;
+	if (++req->stalls > REQ_STALLS_MAX) {
+		req_cancel(core, req, false);
+		return;
+	}
+	if (!req->first_token_us)
+		patience_us = core->settings.first_timeout_us;
+	req_enter(req, REQ_RUNNING);
+	req->stall_us = core->now + patience_us;
+	core_due(core, req->stall_us);
+}
+
 /* The reservation landed after its caller was answered: nothing was sent. */
 static void closing_ledger(struct core *core, struct core_req *req, void *data)
 {
