daemon: Take up no revision once the stop has begun

Cause: a stop frees the callers' side first, while a peer's revision could still be taken up and handed to it. Ruled out: the platform's side, whose calls are interrupted before. Change: watch_close, before the front is freed.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -264,6 +264,7 @@
 {
 	if (daemon->pf)
 		pf_interrupt(daemon->pf);
+	watch_close(daemon->watch);
 	front_free(daemon->front);
 	admin_free(daemon->admin);
 	loop_stop(daemon->loop);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -125,7 +125,7 @@
 		rc = watch_offer(mesh->watch, fetched->text, fetched->revision);
 	if (rc == PUB_OK && fetched->have)
 		cnt_add(CNT_RPC_EDITS_TAKEN, 1);
-	if (rc == PUB_OK || rc == PUB_E_STALE)
+	if (rc == PUB_OK || rc == PUB_E_STALE || rc == PUB_E_DOWN)
 		return;
 	if (rc != PUB_E_BASE)
 		log_event(LOG_CONFIG_OFFER_REFUSED,
--- a/src/watch.c
+++ b/src/watch.c
@@ -35,6 +35,7 @@
 	atomic_bool bridge;
 	atomic_uint listed;    /* instances that share the calls */
 	pthread_mutex_t offer; /* of rev and base, while a set is taken up */
+	bool closed;	       /* under offer: nothing is taken up any more */
 	struct rev *rev;
 	const struct cfg_set *base; /* in force; the front owns it */
 };
@@ -115,7 +116,9 @@
 	int err;
 
 	pthread_mutex_lock(&watch->offer);
-	err = rev_offer(watch->rev, watch->base, text, revision, &set);
+	err = watch->closed ? PUB_E_DOWN
+			    : rev_offer(watch->rev, watch->base, text, revision,
+					&set);
 	if (err == PUB_OK)
 		err = put_in_force(watch, set);
 	pthread_mutex_unlock(&watch->offer);
@@ -132,13 +135,29 @@
 	int err;
 
 	pthread_mutex_lock(&watch->offer);
-	err = rev_offer_edits(watch->rev, watch->base, have, edits, &set);
+	err = watch->closed ? PUB_E_DOWN
+			    : rev_offer_edits(watch->rev, watch->base, have,
+					      edits, &set);
 	if (err == PUB_OK)
 		err = put_in_force(watch, set);
 	pthread_mutex_unlock(&watch->offer);
 	return err;
 }
 
+/*
+ * Takes nothing up from here on.  A stop frees the front first, as callers go
+ * first; a revision that came in then would be given to what is gone, and the
+ * process would crash at the end of a graceful stop.
+ */
+void watch_close(struct watch *watch)
+{
+	if (!watch)
+		return;
+	pthread_mutex_lock(&watch->offer);
+	watch->closed = true;
+	pthread_mutex_unlock(&watch->offer);
+}
+
 /*
  * Hands a set to those who use it.  The lock of offers is held, so that two
  * revisions that come at once are handed over in their order; else the older
--- a/src/watch.h
+++ b/src/watch.h
@@ -25,6 +25,7 @@
 int watch_offer_edits(struct watch *watch, uint64_t have, const char *edits);
 int watch_edits(struct watch *watch, uint64_t have, uint64_t *revision,
 		char **text, size_t *len);
+void watch_close(struct watch *watch);
 void watch_stop(struct watch *watch);
 
 #endif /* WATCH_H */
