End only processes that still are the run's own

Cause: a run killed every id it had started once more at its end. Processes that had ended were reaped, and their ids could belong to another run's processes by then; idle-connections failed once with its platform stand-in gone, which fits, though that run can't prove it. Ruled out: a crash of the stand-in; it left no message, and the same script passed in the four runs after it. Conclusion: a stale id is left alone.

--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -28,9 +28,17 @@
 	done
 }
 
-# Ends what is still running and removes the folder.
+# When a process began, in the system's ticks; nothing if there is none.
+began() {
+	sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | cut -d' ' -f20
+}
+
+# Ends what is still running and removes the folder.  The id of a process that
+# has ended may be another's by now; the time that it began tells them apart.
 finish() {
-	for pid in $pids; do
+	for entry in $pids; do
+		pid=${entry%:*}
+		[ "$(began "$pid")" = "${entry#*:}" ] || continue
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
@@ -45,7 +53,7 @@
 	shift
 	"$@" >"$work/$name.log" 2>>"$work/$name.err" 3>&- &
 	echo $! >"$work/$name.pid"
-	pids="$pids $!"
+	pids="$pids $!:$(began $!)"
 }
 
 pid_of() {
