--- a/src/req_end.c
+++ b/src/req_end.c
@@ -1,4 +1,5 @@
 #include "core_int.h"
+#include "log.h"
 
 static void whole(struct core *core, struct core_req *req,
 		  const struct core_ended *ended);
@@ -8,8 +9,11 @@
 		   const struct core_ended *ended, enum pick_result_kind kind);
 static int stalled_at(const struct core *core, struct core_req *req,
 		      uint32_t silent);
+static int stalled_again(const struct core *core, struct core_req *req);
 static void give_up_failed(struct core *core, struct core_req *req);
 static int failed_endpoint(const struct core_req *req, int stage);
+static void log_attempt(const struct core *core, const struct core_req *req,
+			const struct core_ended *ended, int endpoint);
 
 void req_running_ended(struct core *core, struct core_req *req, void *data)
 {
@@ -95,6 +99,7 @@
 {
 	int endpoint = failed_endpoint(req, 0);
 
+	log_attempt(core, req, ended, endpoint);
 	req_end_attempt(core, req,
 			ended->end == CORE_END_REFUSED ? PICK_ENDED_REFUSED
 						       : PICK_ENDED_FAILED,
@@ -122,6 +127,7 @@
 	if (kind == PICK_ENDED_SLOW)
 		stage = stalled_at(core, req, ended->silent);
 	endpoint = failed_endpoint(req, stage);
+	log_attempt(core, req, ended, endpoint);
 	req_end_attempt(core, req, kind, stage, ended->silent);
 	if (died)
 		quar_lost_endpoint(core->quar, req->arrival.fingerprint,
@@ -136,7 +142,11 @@
 	give_up_failed(core, req);
 }
 
-/* Returns the stage that holds a stream up, -1 if none stands out. */
+/*
+ * Returns the stage that holds a stream up, -1 if none stands out.  Stages
+ * that gave no sign of life when they were asked hang for certain; all of
+ * them are avoided from now on.
+ */
 static int stalled_at(const struct core *core, struct core_req *req,
 		      uint32_t silent)
 {
@@ -151,10 +161,37 @@
 	}
 	if (stage >= 0)
 		return stage;
-	stage = pick_silent(core->pick, &req->chain, core->now);
+	return stalled_again(core, req);
+}
+
+/*
+ * Guesses the stage where nobody could be asked.  A stream that brought
+ * nothing doesn't show which stage hangs, and blaming the first one each time
+ * would use up the healthy endpoints while the hung one is kept.  An endpoint
+ * that was in this request's last stall too, and wasn't blamed then, is the
+ * likelier one.
+ */
+static int stalled_again(const struct core *core, struct core_req *req)
+{
+	int stage = pick_silent(core->pick, &req->chain, core->now);
+	int i;
+	int j;
 
 	if (stage < 0)
 		stage = pick_degraded(core->pick, &req->chain);
+	for (i = 0; i < req->chain.count; i++) {
+		for (j = 0; j < req->stalled_count; j++) {
+			if (req->stalled[j] >= 0 &&
+			    req->chain.stages[i].endpoint == req->stalled[j])
+				stage = i;
+		}
+	}
+	req->stalled_count = 0;
+	for (i = 0; i < req->chain.count; i++) {
+		if (i != stage)
+			req->stalled[req->stalled_count++] =
+				req->chain.stages[i].endpoint;
+	}
 	return stage;
 }
 
@@ -191,3 +228,28 @@
 		return -1;
 	return req->chain.stages[stage].endpoint;
 }
+
+/* Writes how an attempt failed, and which endpoint it is counted against. */
+static void log_attempt(const struct core *core, const struct core_req *req,
+			const struct core_ended *ended, int endpoint)
+{
+	static const char *const ends[CORE_END_COUNT] = {
+		[CORE_END_WHOLE] = "whole",
+		[CORE_END_UNSENT] = "not-connected",
+		[CORE_END_REFUSED] = "refused",
+		[CORE_END_STAGE] = "stage-failed",
+		[CORE_END_CUT] = "cut",
+		[CORE_END_WRONG] = "wrong-ids",
+		[CORE_END_CANCELLED] = "stalled",
+		[CORE_END_STATUS] = "error-status",
+	};
+	const char *name = "-";
+
+	if (endpoint >= 0)
+		name = core->set->endpoints[endpoint].name;
+	log_event(LOG_REQ_ATTEMPT_FAILED,
+		  "request=%llu attempt=%u end=%s endpoint=%s status=%d "
+		  "tokens=%u",
+		  (unsigned long long)req->arrival.req, req->attempt,
+		  ends[ended->end], name, ended->status, req->tokens);
+}
