Learn the length of answers from whole ones, however short

Cause: callers allow far more tokens than they get. Answers shorter than half of what was allowed taught nothing, so such callers were judged, and their streams given up, as if every answer had the length allowed. Failing first: regress/adm/long-allowed ended with 'offer 3: too-late' on the code before (with 'done' in place of 'cut'). Change: adm_answered learns from whole answers, the first ones count more; adm_done, for the others, only counts work. A stream is given up only by the least length that answers have but for a few, and once 20 are known.

--- a/regress/check_adm.c
+++ b/regress/check_adm.c
@@ -217,7 +217,7 @@
 
 		adm_start(run.adm, req, run.now);
 		run.now += (int64_t)(100 * 1e6 / atof(word[1]));
-		adm_done(run.adm, req, 100, run.now);
+		adm_answered(run.adm, req, 100, run.now);
 		if (account < OBJECTS_MAX)
 			served[account] += 100;
 	}
@@ -238,6 +238,13 @@
 
 /* done ID TOKENS */
 static void do_done(char **word)
+{
+	adm_answered(run.adm, (uint64_t)atoll(word[1]), (uint32_t)atoi(word[2]),
+		     run.now);
+}
+
+/* cut ID TOKENS: it failed after so many */
+static void do_cut(char **word)
 {
 	adm_done(run.adm, (uint64_t)atoll(word[1]), (uint32_t)atoi(word[2]),
 		 run.now);
@@ -341,31 +348,19 @@
 }
 
 static const struct command commands[] = {
-	{ "service", 4, do_service },
-	{ "account", 3, do_account },
-	{ "limit", 7, do_limit },
-	{ "endpoint", 3, do_endpoint },
-	{ "swap-accounts", 1, do_swap },
-	{ "remove-account", 1, do_remove },
-	{ "config", 1, do_config },
-	{ "capacity", 3, do_capacity },
-	{ "share", 5, do_share },
-	{ "at", 2, do_at },
-	{ "offer", 6, do_offer },
-	{ "offers", 6, do_offers },
-	{ "start", 2, do_start },
-	{ "skip", 2, do_skip },
-	{ "serve", 3, do_serve },
-	{ "backlog", 3, do_backlog },
-	{ "done", 3, do_done },
-	{ "drop", 2, do_drop },
-	{ "expired", 1, do_expired },
-	{ "retries", 4, do_retries },
-	{ "come-back", 3, do_come_back },
-	{ "state", 1, do_state },
-	{ "ran", 3, do_ran },
-	{ "shares", 1, do_shares },
-	{ "metrics", 1, do_metrics },
+	{ "service", 4, do_service },	 { "account", 3, do_account },
+	{ "limit", 7, do_limit },	 { "endpoint", 3, do_endpoint },
+	{ "swap-accounts", 1, do_swap }, { "remove-account", 1, do_remove },
+	{ "config", 1, do_config },	 { "capacity", 3, do_capacity },
+	{ "share", 5, do_share },	 { "at", 2, do_at },
+	{ "offer", 6, do_offer },	 { "offers", 6, do_offers },
+	{ "start", 2, do_start },	 { "skip", 2, do_skip },
+	{ "serve", 3, do_serve },	 { "backlog", 3, do_backlog },
+	{ "done", 3, do_done },		 { "cut", 3, do_cut },
+	{ "drop", 2, do_drop },		 { "expired", 1, do_expired },
+	{ "retries", 4, do_retries },	 { "come-back", 3, do_come_back },
+	{ "state", 1, do_state },	 { "ran", 3, do_ran },
+	{ "shares", 1, do_shares },	 { "metrics", 1, do_metrics },
 };
 
 /* Splits a line into words and runs its command. */
--- a/src/adm.c
+++ b/src/adm.c
@@ -7,6 +7,8 @@
 #define ADM_START_US_PER_TOKEN 1000 /* until some request has ended */
 #define ADM_START_COST	       100
 #define ADM_SEED_MIX	       UINT64_C(0x2545f4914f6cdd1d)
+#define ADM_USED_DEVIATIONS    2
+#define ADM_ANSWERS_LEAST      20
 #define ADM_LEAST_WEIGHT       1
 
 static int adm_take_services(struct adm *adm, const struct cfg_set *set);
@@ -191,6 +193,16 @@
 		adm_forget(adm, request);
 }
 
+/* Takes out a request whose whole answer came, and learns from its length. */
+void adm_answered(struct adm *adm, uint64_t req, uint32_t tokens, int64_t now)
+{
+	struct adm_request *request = adm_find(adm, req);
+
+	if (request && request->started_us && request->service >= 0)
+		adm_learn(adm, request, tokens, now);
+	adm_done(adm, req, tokens, now);
+}
+
 /*
  * Takes out a request that ended.  What it cost less than it was charged is
  * given back to its account.
@@ -204,7 +216,7 @@
 		return;
 	if (request->started_us && request->service >= 0) {
 		queue = adm_queue_at(adm, request->service, request->account);
-		adm_learn(adm, request, tokens, now);
+		adm_work_done(adm, request, tokens, now);
 		if (queue->count > 0 && tokens < request->cost)
 			queue->deficit += request->cost - tokens;
 	}
@@ -219,12 +231,23 @@
 	return adm->services[service].waiting;
 }
 
-/* Returns how many tokens an answer of at most max_tokens will likely have. */
+/*
+ * Returns how many tokens an answer of at most max_tokens will have at least,
+ * but for a few; 0 while too few answers are known.  Callers often allow far
+ * more tokens than they get.
+ */
 double adm_expected(const struct adm *adm, int service, uint32_t max_tokens)
 {
+	const struct adm_service *s;
+	double part;
+
 	if (service < 0 || service >= adm->service_count)
-		return max_tokens;
-	return adm->services[service].used_part * max_tokens;
+		return 0;
+	s = &adm->services[service];
+	part = s->used_part - ADM_USED_DEVIATIONS * s->used_deviation;
+	if (s->answers < ADM_ANSWERS_LEAST || part < 0)
+		return 0;
+	return part * max_tokens;
 }
 
 /* Returns the name of a verdict, as logs and answers show it. */
@@ -310,6 +333,8 @@
 	service->mean_cost = old[at].mean_cost;
 	service->us_deviation = old[at].us_deviation;
 	service->used_part = old[at].used_part;
+	service->used_deviation = old[at].used_deviation;
+	service->answers = old[at].answers;
 }
 
 /* Makes the accounts. */
--- a/src/adm.h
+++ b/src/adm.h
@@ -52,6 +52,7 @@
 void adm_skip(struct adm *adm, int service);
 bool adm_next_expired(struct adm *adm, int64_t now, uint64_t *req);
 void adm_drop(struct adm *adm, uint64_t req, int64_t now);
+void adm_answered(struct adm *adm, uint64_t req, uint32_t tokens, int64_t now);
 void adm_done(struct adm *adm, uint64_t req, uint32_t tokens, int64_t now);
 
 bool adm_may_retry(struct adm *adm, int account, int service, int endpoint,
--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -75,6 +75,8 @@
 	double us_deviation; /* mean of how far runs are from it */
 	double mean_cost;
 	double used_part; /* tokens delivered, as a part of those asked for */
+	double used_deviation; /* mean of how far answers are from it */
+	uint32_t answers;      /* learnt from */
 };
 
 struct adm_account {
@@ -142,6 +144,8 @@
 void adm_spend(struct adm_queue *queue, double tokens, int64_t now);
 double adm_decay(double value, int64_t since_us, int64_t now, double span_s);
 void adm_measure(struct adm_service *service, double tokens, int64_t now);
+void adm_work_done(struct adm *adm, const struct adm_request *request,
+		   uint32_t tokens, int64_t now);
 void adm_learn(struct adm *adm, const struct adm_request *request,
 	       uint32_t tokens, int64_t now);
 
--- a/src/adm_rate.c
+++ b/src/adm_rate.c
@@ -9,8 +9,6 @@
 #define ADM_DEVIATIONS_MODEST 0
 #define ADM_SPENT_SPAN_S      5.0
 #define ADM_MODEST_PART	      0.85 /* of its share, and less */
-/* An answer shorter than this part was cut off; its pace says nothing. */
-#define ADM_WHOLE_PART 0.5
 
 /*
  * Returns the rate at which a service's work gets done, in tokens a second:
@@ -140,25 +138,42 @@
 	service->done = 0;
 }
 
-/* Learns from a request that ended what requests cost and take. */
-void adm_learn(struct adm *adm, const struct adm_request *request,
-	       uint32_t tokens, int64_t now)
+/* Counts the work of a request that ended. */
+void adm_work_done(struct adm *adm, const struct adm_request *request,
+		   uint32_t tokens, int64_t now)
 {
 	struct adm_service *service = &adm->services[request->service];
-	double took = (double)(now - request->started_us);
-	double off;
 
 	if (service->plain && tokens == 0)
 		tokens = request->run;
 	adm_measure(service, tokens, now);
 	service->mean_cost +=
 		ADM_LEARN_STEP * (request->cost - service->mean_cost);
-	if (tokens < request->run * ADM_WHOLE_PART)
-		return;
+}
+
+/*
+ * Learns from a whole answer how long answers are and what a token takes.
+ * The first answers count more: callers may allow many times what they get,
+ * and would be refused as too late until that is known.
+ */
+void adm_learn(struct adm *adm, const struct adm_request *request,
+	       uint32_t tokens, int64_t now)
+{
+	struct adm_service *service = &adm->services[request->service];
+	double took = (double)(now - request->started_us);
+	double step = 1.0 / (service->answers + 1);
+	double off;
+
+	if (tokens == 0)
+		tokens = request->run;
 	off = took / tokens - service->us_per_token;
 	service->us_per_token += ADM_LEARN_STEP * off;
 	service->us_deviation +=
 		ADM_LEARN_STEP * (fabs(off) - service->us_deviation);
-	service->used_part += ADM_LEARN_STEP * ((double)tokens / request->run -
-						service->used_part);
+	if (step < ADM_LEARN_STEP)
+		step = ADM_LEARN_STEP;
+	off = (double)tokens / request->run - service->used_part;
+	service->used_part += step * off;
+	service->used_deviation += step * (fabs(off) - service->used_deviation);
+	service->answers++;
 }
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -78,7 +78,7 @@
 	if (req->reserved)
 		ldg_settle(core->ldg, req->arrival.req, &outcome, core->now);
 	req_relay(core, req);
-	adm_done(core->adm, req->arrival.req, ended->tokens, core->now);
+	adm_answered(core->adm, req->arrival.req, ended->tokens, core->now);
 	core_req_free(core, req);
 }
 
