--- a/src/req_end.c
+++ b/src/req_end.c
@@ -8,6 +8,7 @@
 		   const struct core_ended *ended, enum pick_result_kind kind);
 static int stalled_at(const struct core *core, struct core_req *req,
 		      uint32_t silent);
+static int stalled_again(const struct core *core, struct core_req *req);
 static void give_up_failed(struct core *core, struct core_req *req);
 static int failed_endpoint(const struct core_req *req, int stage);
 
@@ -136,7 +137,11 @@
 	give_up_failed(core, req);
 }
 
-/* Returns the stage that holds a stream up, -1 if none stands out. */
+/*
+ * Returns the stage that holds a stream up, -1 if none stands out.  Stages
+ * that gave no sign of life when they were asked hang for certain; all of
+ * them are avoided from now on.
+ */
 static int stalled_at(const struct core *core, struct core_req *req,
 		      uint32_t silent)
 {
@@ -151,10 +156,37 @@
 	}
 	if (stage >= 0)
 		return stage;
-	stage = pick_silent(core->pick, &req->chain, core->now);
+	return stalled_again(core, req);
+}
+
+/*
+ * Guesses the stage where nobody could be asked.  A stream that brought
+ * nothing doesn't show which stage hangs, and blaming the first one each time
+ * would use up the healthy endpoints while the hung one is kept.  An endpoint
+ * that was in this request's last stall too, and wasn't blamed then, is the
+ * likelier one.
+ */
+static int stalled_again(const struct core *core, struct core_req *req)
+{
+	int stage = pick_silent(core->pick, &req->chain, core->now);
+	int i;
+	int j;
 
 	if (stage < 0)
 		stage = pick_degraded(core->pick, &req->chain);
+	for (i = 0; i < req->chain.count; i++) {
+		for (j = 0; j < req->stalled_count; j++) {
+			if (req->stalled[j] >= 0 &&
+			    req->chain.stages[i].endpoint == req->stalled[j])
+				stage = i;
+		}
+	}
+	req->stalled_count = 0;
+	for (i = 0; i < req->chain.count; i++) {
+		if (i != stage)
+			req->stalled[req->stalled_count++] =
+				req->chain.stages[i].endpoint;
+	}
 	return stage;
 }
 
