--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -6,7 +6,7 @@
 	build=$1
 	work=$(mktemp -d)
 	pids=""
-	base=$("$build/tool_ports" 90)
+	take_ports
 	platform=127.0.0.1:$base
 	record=$work/record
 	set=$work/set.json
@@ -15,9 +15,30 @@
 	trap 'exit 1' INT TERM
 }
 
-# Ends what is still running and removes the folder.
+# Takes a block of free ports and keeps it locked until the run has ended:
+# another run that looked for ports at the same moment would see the same ones
+# free, and one of the two could not listen.
+take_ports() {
+	locks=${TMPDIR:-/tmp}/magnoliarail-ports
+	mkdir -p "$locks"
+	while :; do
+		base=$("$build/tool_ports" 90) || exit 1
+		exec 9>"$locks/$base"
+		flock -n 9 && break
+	done
+}
+
+# When a process began, in the system's ticks; nothing if there is none.
+began() {
+	sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | cut -d' ' -f20
+}
+
+# Ends what is still running and removes the folder.  The id of a process that
+# has ended may be another's by now; the time that it began tells them apart.
 finish() {
-	for pid in $pids; do
+	for entry in $pids; do
+		pid=${entry%:*}
+		[ "$(began "$pid")" = "${entry#*:}" ] || continue
 		kill -CONT "$pid" 2>/dev/null
 		kill -KILL "$pid" 2>/dev/null
 	done
@@ -32,7 +53,7 @@
 	shift
 	"$@" >"$work/$name.log" 2>>"$work/$name.err" 3>&- &
 	echo $! >"$work/$name.pid"
-	pids="$pids $!"
+	pids="$pids $!:$(began $!)"
 }
 
 pid_of() {
--- a/src/adm.c
+++ b/src/adm.c
@@ -7,6 +7,8 @@
 #define ADM_START_US_PER_TOKEN 1000 /* until some request has ended */
 #define ADM_START_COST	       100
 #define ADM_SEED_MIX	       UINT64_C(0x2545f4914f6cdd1d)
+#define ADM_USED_DEVIATIONS    2
+#define ADM_ANSWERS_LEAST      20
 #define ADM_LEAST_WEIGHT       1
 
 static int adm_take_services(struct adm *adm, const struct cfg_set *set);
@@ -21,9 +23,11 @@
 			   int64_t now);
 static int adm_take_endpoints(struct adm *adm, const struct cfg_set *set,
 			      int64_t now);
-static int adm_name_at(const char *names, size_t stride, int count,
-		       const char *name, int hint);
 static int adm_move_requests(struct adm *adm, const struct adm *old);
+static void adm_move_limits(struct adm *adm, const struct adm *old,
+			    int64_t now);
+static void adm_move_endpoints(struct adm *adm, const struct adm *old,
+			       int64_t now);
 static void adm_move_request(struct adm *adm, const struct adm *old,
 			     struct adm_request *request);
 static void adm_free_tables(struct adm *adm);
@@ -108,6 +112,8 @@
 				 old.services, old.service_count, (int)i);
 	if (adm_move_requests(adm, &old) < 0)
 		return -1;
+	adm_move_limits(adm, &old, now);
+	adm_move_endpoints(adm, &old, now);
 	adm_free_tables(&old);
 	return 0;
 }
@@ -187,6 +193,16 @@
 		adm_forget(adm, request);
 }
 
+/* Takes out a request whose whole answer came, and learns from its length. */
+void adm_answered(struct adm *adm, uint64_t req, uint32_t tokens, int64_t now)
+{
+	struct adm_request *request = adm_find(adm, req);
+
+	if (request && request->started_us && request->service >= 0)
+		adm_learn(adm, request, tokens, now);
+	adm_done(adm, req, tokens, now);
+}
+
 /*
  * Takes out a request that ended.  What it cost less than it was charged is
  * given back to its account.
@@ -200,7 +216,7 @@
 		return;
 	if (request->started_us && request->service >= 0) {
 		queue = adm_queue_at(adm, request->service, request->account);
-		adm_learn(adm, request, tokens, now);
+		adm_work_done(adm, request, tokens, now);
 		if (queue->count > 0 && tokens < request->cost)
 			queue->deficit += request->cost - tokens;
 	}
@@ -215,12 +231,23 @@
 	return adm->services[service].waiting;
 }
 
-/* Returns how many tokens an answer of at most max_tokens will likely have. */
+/*
+ * Returns how many tokens an answer of at most max_tokens will have at least,
+ * but for a few; 0 while too few answers are known.  Callers often allow far
+ * more tokens than they get.
+ */
 double adm_expected(const struct adm *adm, int service, uint32_t max_tokens)
 {
+	const struct adm_service *s;
+	double part;
+
 	if (service < 0 || service >= adm->service_count)
-		return max_tokens;
-	return adm->services[service].used_part * max_tokens;
+		return 0;
+	s = &adm->services[service];
+	part = s->used_part - ADM_USED_DEVIATIONS * s->used_deviation;
+	if (s->answers < ADM_ANSWERS_LEAST || part < 0)
+		return 0;
+	return part * max_tokens;
 }
 
 /* Returns the name of a verdict, as logs and answers show it. */
@@ -296,8 +323,8 @@
 	service->mean_cost = ADM_START_COST;
 	service->used_part = 1;
 	if (old)
-		at = adm_name_at(old->name, sizeof(*old), old_count, cfg->name,
-				 hint);
+		at = mag_name_near(old->name, sizeof(*old), (size_t)old_count,
+				   cfg->name, hint);
 	if (at < 0)
 		return;
 	service->capacity = old[at].capacity;
@@ -306,6 +333,8 @@
 	service->mean_cost = old[at].mean_cost;
 	service->us_deviation = old[at].us_deviation;
 	service->used_part = old[at].used_part;
+	service->used_deviation = old[at].used_deviation;
+	service->answers = old[at].answers;
 }
 
 /* Makes the accounts. */
@@ -351,6 +380,9 @@
 	limit->account = cfg->account;
 	limit->service = cfg->service;
 	limit->concurrent = cfg->concurrent;
+	limit->whole_requests = cfg->requests_per_s;
+	limit->whole_tokens = cfg->tokens_per_s;
+	limit->whole_concurrent = cfg->concurrent;
 	limit->demand_us = now;
 	adm_bucket_set(&limit->requests, cfg->requests_per_s,
 		       cfg->requests_per_s, now);
@@ -386,24 +418,6 @@
 	return 0;
 }
 
-/*
- * Returns where a name stands in a table of named entries, -1 if it doesn't.
- * Sets seldom change their order, so the same place is looked at first.
- */
-static int adm_name_at(const char *names, size_t stride, int count,
-		       const char *name, int hint)
-{
-	int i;
-
-	if (hint < count && strcmp(names + (size_t)hint * stride, name) == 0)
-		return hint;
-	for (i = 0; i < count; i++) {
-		if (strcmp(names + (size_t)i * stride, name) == 0)
-			return i;
-	}
-	return -1;
-}
-
 /* Moves the requests and budgets of the former set to the new tables. */
 static int adm_move_requests(struct adm *adm, const struct adm *old)
 {
@@ -420,10 +434,12 @@
 		const struct adm_queue *from = &old->queues[i];
 		const char *service = old->services[from->service].name;
 		const char *account = old->accounts[from->account].name;
-		int s = adm_name_at(adm->services->name, sizeof(*adm->services),
-				    adm->service_count, service, from->service);
-		int a = adm_name_at(adm->accounts->name, sizeof(*adm->accounts),
-				    adm->account_count, account, from->account);
+		int s = mag_name_near(
+			adm->services->name, sizeof(*adm->services),
+			(size_t)adm->service_count, service, from->service);
+		int a = mag_name_near(
+			adm->accounts->name, sizeof(*adm->accounts),
+			(size_t)adm->account_count, account, from->account);
 
 		if (s < 0 || a < 0)
 			continue;
@@ -435,6 +451,53 @@
 	return 0;
 }
 
+/*
+ * Keeps what is left of each limit, and this instance's part of it.  A limit
+ * that started full after every change of some object would let in its whole
+ * amount once more each time.
+ */
+static void adm_move_limits(struct adm *adm, const struct adm *old, int64_t now)
+{
+	int next = 0;
+	int i;
+
+	for (i = 0; i < adm->limit_count; i++) {
+		struct adm_limit *to = &adm->limits[i];
+		int at = -1;
+
+		if (old->limits)
+			at = mag_name_near(
+				old->limits->name, sizeof(*old->limits),
+				(size_t)old->limit_count, to->name, next);
+		if (at < 0)
+			continue;
+		next = at + 1;
+		adm_keep_limit(to, &old->limits[at], now);
+	}
+}
+
+/* The same for the retries that each endpoint may cause. */
+static void adm_move_endpoints(struct adm *adm, const struct adm *old,
+			       int64_t now)
+{
+	int next = 0;
+	int i;
+
+	for (i = 0; i < adm->endpoint_count; i++) {
+		struct adm_endpoint *to = &adm->endpoints[i];
+		int at = -1;
+
+		if (old->endpoints)
+			at = mag_name_near(
+				old->endpoints->name, sizeof(*old->endpoints),
+				(size_t)old->endpoint_count, to->name, next);
+		if (at < 0)
+			continue;
+		next = at + 1;
+		adm_bucket_keep(&to->retries, &old->endpoints[at].retries, now);
+	}
+}
+
 /* Moves one request; without its account or service it is given up. */
 static void adm_move_request(struct adm *adm, const struct adm *old,
 			     struct adm_request *request)
@@ -443,13 +506,13 @@
 	int account = -1;
 
 	if (request->service >= 0) {
-		service = adm_name_at(
+		service = mag_name_near(
 			adm->services->name, sizeof(*adm->services),
-			adm->service_count,
+			(size_t)adm->service_count,
 			old->services[request->service].name, request->service);
-		account = adm_name_at(
+		account = mag_name_near(
 			adm->accounts->name, sizeof(*adm->accounts),
-			adm->account_count,
+			(size_t)adm->account_count,
 			old->accounts[request->account].name, request->account);
 	}
 	if (service < 0 || account < 0) {
--- a/src/core.h
+++ b/src/core.h
@@ -72,6 +72,7 @@
 	uint32_t attempt;
 	enum core_end end;
 	int stage;	 /* CORE_END_STAGE: which one, from 0 */
+	uint32_t silent; /* stages, as bits, that gave no sign of life */
 	int status;	 /* HTTP status of the endpoint, 0 if none */
 	uint32_t tokens; /* delivered to the caller so far, all attempts */
 	char *answer;	 /* for the record, NULL if too long; core frees */
@@ -81,6 +82,7 @@
 struct core_progress {
 	uint64_t req;
 	uint32_t attempt;
+	bool alive; /* nothing came, but every stage gives a sign of life */
 	uint32_t tokens;		/* delivered so far, all attempts */
 	uint32_t hop_us[MAG_CHAIN_MAX]; /* mean a token, by stage */
 	int hop_count;
@@ -177,6 +179,7 @@
 struct core_cancel {
 	uint64_t req;
 	uint32_t attempt;
+	bool probe; /* only if a stage gives no sign of life */
 };
 
 enum core_action_type {
--- a/src/ep.c
+++ b/src/ep.c
@@ -18,6 +18,7 @@
 static bool began(enum core_end end);
 static int prepare(struct ep_call *call);
 static CURLcode transfer(struct ep_call *call, bool *cancelled);
+static bool to_cancel(struct ep_call *call);
 static bool finished(struct ep_call *call, CURLcode *code);
 static void copy_header(char *dst, size_t size, const char *line, size_t len,
 			const char *name);
@@ -213,7 +214,7 @@
 		curl_multi_perform(multi, &running);
 		if (finished(call, &code))
 			break;
-		if (call->sink->cancelled(call->sink->ctx)) {
+		if (to_cancel(call)) {
 			*cancelled = true;
 			code = CURLE_ABORTED_BY_CALLBACK;
 			break;
@@ -224,6 +225,23 @@
 	return code;
 }
 
+/* Does what the sink wishes; true ends the transfer. */
+static bool to_cancel(struct ep_call *call)
+{
+	switch (call->sink->wish(call->sink->ctx)) {
+	case EP_CANCEL:
+		return true;
+	case EP_PROBE:
+		call->answer->silent = call->protocol->probe(call);
+		if (call->answer->silent)
+			return true;
+		call->sink->alive(call->sink->ctx);
+		return false;
+	default:
+		return false;
+	}
+}
+
 /* Takes the transfer's result once there is one. */
 static bool finished(struct ep_call *call, CURLcode *code)
 {
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -1,4 +1,5 @@
 #include "core_int.h"
+#include "log.h"
 
 static void whole(struct core *core, struct core_req *req,
 		  const struct core_ended *ended);
@@ -6,9 +7,13 @@
 			   const struct core_ended *ended);
 static void failed(struct core *core, struct core_req *req,
 		   const struct core_ended *ended, enum pick_result_kind kind);
-static int stalled_at(const struct core *core, struct core_req *req);
+static int stalled_at(const struct core *core, struct core_req *req,
+		      uint32_t silent);
+static int stalled_again(const struct core *core, struct core_req *req);
 static void give_up_failed(struct core *core, struct core_req *req);
 static int failed_endpoint(const struct core_req *req, int stage);
+static void log_attempt(const struct core *core, const struct core_req *req,
+			const struct core_ended *ended, int endpoint);
 
 void req_running_ended(struct core *core, struct core_req *req, void *data)
 {
@@ -57,7 +62,7 @@
 	else if (req->reserved && unbegun && !req->taken_over &&
 		 !req->may_have_run)
 		ldg_release(core->ldg, req->arrival.req, core->now);
-	req_end_attempt(core, req, PICK_ENDED_OTHER, -1);
+	req_end_attempt(core, req, PICK_ENDED_OTHER, -1, 0);
 	adm_done(core->adm, req->arrival.req, ended->tokens, core->now);
 	core_req_free(core, req);
 }
@@ -72,12 +77,12 @@
 		.answer_len = ended->answer_len,
 	};
 
-	req_end_attempt(core, req, PICK_ENDED_WELL, -1);
+	req_end_attempt(core, req, PICK_ENDED_WELL, -1, 0);
 	quar_ended_well(core->quar, req->arrival.fingerprint, core->now);
 	if (req->reserved)
 		ldg_settle(core->ldg, req->arrival.req, &outcome, core->now);
 	req_relay(core, req);
-	adm_done(core->adm, req->arrival.req, ended->tokens, core->now);
+	adm_answered(core->adm, req->arrival.req, ended->tokens, core->now);
 	core_req_free(core, req);
 }
 
@@ -94,10 +99,11 @@
 {
 	int endpoint = failed_endpoint(req, 0);
 
+	log_attempt(core, req, ended, endpoint);
 	req_end_attempt(core, req,
 			ended->end == CORE_END_REFUSED ? PICK_ENDED_REFUSED
 						       : PICK_ENDED_FAILED,
-			0);
+			0, 0);
 	if (ended->end == CORE_END_REFUSED ||
 	    req_go_elsewhere(core, req, endpoint)) {
 		req_enter_ready(core, req);
@@ -119,9 +125,10 @@
 
 	req->may_have_run = true;
 	if (kind == PICK_ENDED_SLOW)
-		stage = stalled_at(core, req);
+		stage = stalled_at(core, req, ended->silent);
 	endpoint = failed_endpoint(req, stage);
-	req_end_attempt(core, req, kind, stage);
+	log_attempt(core, req, ended, endpoint);
+	req_end_attempt(core, req, kind, stage, ended->silent);
 	if (died)
 		quar_lost_endpoint(core->quar, req->arrival.fingerprint,
 				   endpoint, req->chain.alone, core->now);
@@ -136,13 +143,35 @@
 }
 
 /*
- * Returns the stage that holds a stream up, -1 if none stands out.  A stream
- * that brought nothing doesn't show which stage hangs, and blaming the first
- * one each time would use up the healthy endpoints while the hung one is
- * kept.  An endpoint that was in this request's last stall too, and wasn't
- * blamed then, is the likelier one.
+ * Returns the stage that holds a stream up, -1 if none stands out.  Stages
+ * that gave no sign of life when they were asked hang for certain; all of
+ * them are avoided from now on.
+ */
+static int stalled_at(const struct core *core, struct core_req *req,
+		      uint32_t silent)
+{
+	int stage = -1;
+	int i;
+
+	for (i = 0; i < req->chain.count; i++) {
+		if (!(silent & (1U << i)))
+			continue;
+		req_avoid(req, req->chain.stages[i].endpoint);
+		stage = i;
+	}
+	if (stage >= 0)
+		return stage;
+	return stalled_again(core, req);
+}
+
+/*
+ * Guesses the stage where nobody could be asked.  A stream that brought
+ * nothing doesn't show which stage hangs, and blaming the first one each time
+ * would use up the healthy endpoints while the hung one is kept.  An endpoint
+ * that was in this request's last stall too, and wasn't blamed then, is the
+ * likelier one.
  */
-static int stalled_at(const struct core *core, struct core_req *req)
+static int stalled_again(const struct core *core, struct core_req *req)
 {
 	int stage = pick_silent(core->pick, &req->chain, core->now);
 	int i;
@@ -199,3 +228,28 @@
 		return -1;
 	return req->chain.stages[stage].endpoint;
 }
+
+/* Writes how an attempt failed, and which endpoint it is counted against. */
+static void log_attempt(const struct core *core, const struct core_req *req,
+			const struct core_ended *ended, int endpoint)
+{
+	static const char *const ends[CORE_END_COUNT] = {
+		[CORE_END_WHOLE] = "whole",
+		[CORE_END_UNSENT] = "not-connected",
+		[CORE_END_REFUSED] = "refused",
+		[CORE_END_STAGE] = "stage-failed",
+		[CORE_END_CUT] = "cut",
+		[CORE_END_WRONG] = "wrong-ids",
+		[CORE_END_CANCELLED] = "stalled",
+		[CORE_END_STATUS] = "error-status",
+	};
+	const char *name = "-";
+
+	if (endpoint >= 0)
+		name = core->set->endpoints[endpoint].name;
+	log_event(LOG_REQ_ATTEMPT_FAILED,
+		  "request=%llu attempt=%u end=%s endpoint=%s status=%d "
+		  "tokens=%u",
+		  (unsigned long long)req->arrival.req, req->attempt,
+		  ends[ended->end], name, ended->status, req->tokens);
+}
