--- a/src/ldg_att.c
+++ b/src/ldg_att.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "cnt.h"
 #include "ldg_int.h"
 
 /*
@@ -171,6 +172,7 @@
 {
 	struct ldg_result_node *out = calloc(1, sizeof(*out));
 
+	cnt_add((enum cnt_id)(CNT_LDG_GO + (int)verdict), 1);
 	out->result.req = req;
 	out->result.verdict = verdict;
 	out->result.retry_at_us = retry_at_us;
