--- a/src/ctl_fleet.c
+++ b/src/ctl_fleet.c
@@ -192,6 +192,8 @@
 {
 	struct ctl_answer answers[CTL_ADDRESSES_MAX];
 	json_t *rows = json_array();
+	enum ctl_exit result = CTL_DONE;
+	const char *error = NULL;
 	size_t answered = 0;
 	size_t i;
 
@@ -199,6 +201,9 @@
 		answers);
 	for (i = 0; i < args->admin.count; i++) {
 		answered += answers[i].body != NULL;
+		if (!error)
+			error = json_string_value(
+				json_object_get(answers[i].body, "error"));
 		if (list && answers[i].body && (sum || answered == 1))
 			ctl_sum_rows(rows,
 				     json_object_get(answers[i].body, list));
@@ -210,9 +215,15 @@
 	if (answered < args->admin.count)
 		fprintf(stderr, "magctl: %zu of %zu instances answer\n",
 			answered, args->admin.count);
+	if (error)
+		fprintf(stderr, "magctl: %s\n", error);
+	if (!answered)
+		result = CTL_DOWN;
+	else if (error)
+		result = CTL_REFUSED;
 	ctl_answers_free(answers, args->admin.count);
 	json_decref(rows);
-	return answered ? CTL_DONE : CTL_DOWN;
+	return result;
 }
 
 static json_t *ctl_by_instance(const struct ctl_answer *answers, size_t count)
--- a/src/req_arrive.c
+++ b/src/req_arrive.c
@@ -41,7 +41,7 @@
 		core->set->routes[route].idempotent || arrival->safe_method;
 	req->keyed = !req->idempotent && arrival->key[0];
 	shr_add(core->shr, account, req->service, SHR_OFFERED);
-	req->may_resend = endpoints_resend(core, req);
+	req->may_resend = req->keyed && endpoints_resend(core, req);
 	req->deadline_us = arrival_deadline(core, arrival, req->service);
 	ldg_intent(req->intent, core->set->accounts[account].name,
 		   core->set->routes[route].name, arrival->key);
@@ -194,18 +194,25 @@
 	core_req_free(core, req);
 }
 
-/* Tells whether every endpoint of the service runs a downstream key once. */
+/*
+ * Tells whether every endpoint that may serve the request runs a downstream
+ * key once: those of its service, in the group that its route leads to.
+ */
 static bool endpoints_resend(const struct core *core,
 			     const struct core_req *req)
 {
 	const struct cfg_endpoint *endpoint;
+	const char *group;
 	bool any = false;
 	size_t i;
 
+	group = cfg_route_group(core->set, req->route, req->account);
 	for (i = 0; i < core->set->endpoint_count; i++) {
 		endpoint = &core->set->endpoints[i];
 		if (endpoint->service != req->service)
 			continue;
+		if (group[0] && strcmp(group, endpoint->group) != 0)
+			continue;
 		if (endpoint->downstream_key != CFG_DOWN_RESEND)
 			return false;
 		any = true;
