--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# magnoliarail: plain make.  Targets: all deps check demo bench capacity
+# magnoliarail: plain make.  Targets: all deps check demo bench path capacity
 # format lint test spec fuzz regress faults clean.
 
 CC        ?= gcc
@@ -31,7 +31,7 @@
 	     bench/*.[ch]))
 TIDIED    := $(filter %.c,$(STYLED))
 
-.PHONY: all deps check demo bench capacity generate format format-check lint test \
+.PHONY: all deps check demo bench path capacity generate format format-check lint test \
 	spec fuzz regress clean events-check
 
 all: $(PROGS) $(FAKES) $(TOOLS) $(CHECKS) $(BENCHES)
@@ -117,6 +117,11 @@
 bench: $(BENCHES)
 	@sh bench/run $(BUILD)
 
+# What a router adds to a request, on real processes.
+path: all
+	@sh bench/bench_path.sh $(BUILD)
+	@sh bench/bench_bookings.sh $(BUILD)
+
 capacity: all
 	@sh bench/capacity $(BUILD)
 
--- a/bench/bench_bookings.sh
+++ b/bench/bench_bookings.sh
@@ -38,6 +38,6 @@
 		sed 's/.*"gets":\([0-9]*\).*"swaps":\([0-9]*\).*/\2 \1/'
 }
 
-for shards in 16 4 1; do
+for shards in 16 4 2 1; do
 	(one $shards)
 done
