--- a/src/admin.c
+++ b/src/admin.c
@@ -38,7 +38,7 @@
 };
 
 static int on_request(struct mg_connection *conn);
-static void run_page(struct node *node, void *ctx);
+static void run_page(struct inst *inst, void *ctx);
 static void write_health(struct core *core, struct admin_page *page);
 static void write_ready(struct core *core, struct admin_page *page);
 static void write_metrics(struct core *core, struct admin_page *page);
@@ -140,11 +140,11 @@
 	return page.status;
 }
 
-static void run_page(struct node *node, void *ctx)
+static void run_page(struct inst *inst, void *ctx)
 {
 	struct admin_run *run = ctx;
 
-	run->path->write(node_core(node), run->page);
+	run->path->write(inst_core(inst), run->page);
 }
 
 /* The process lives, and its loop turns. */
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -45,8 +45,8 @@
 static int start_threads(struct daemon *daemon);
 static int start_mesh(struct daemon *daemon);
 static void release(struct daemon *daemon);
-static void on_action(void *ctx, struct node_action *action);
-static void on_role(struct daemon *daemon, const struct node_role *role);
+static void on_action(void *ctx, struct inst_action *action);
+static void on_role(struct daemon *daemon, const struct inst_role *role);
 static void on_core_action(struct daemon *daemon, struct core_action *action);
 static void on_kv_reply(void *ctx, const struct kv_reply *reply);
 static void on_stopped(struct daemon *daemon);
@@ -141,7 +141,7 @@
 
 static int make_loop(struct daemon *daemon)
 {
-	struct node_settings settings = { 0 };
+	struct inst_settings settings = { 0 };
 
 	fill_core(daemon, &settings.core);
 	fill_fleet(daemon, &settings.fleet);
@@ -244,7 +244,7 @@
 static int start_mesh(struct daemon *daemon)
 {
 	const struct set_settings *from = &daemon->settings;
-	struct node_event event = { .type = NODE_EV_SEED };
+	struct inst_event event = { .type = INST_EV_SEED };
 	struct mesh_settings settings;
 	size_t i;
 
@@ -254,7 +254,7 @@
 		return DAEMON_E_LISTEN;
 	for (i = 0; i < from->peers.count; i++) {
 		memcpy(event.seed, from->peers.list[i], sizeof(event.seed));
-		loop_post_node(daemon->loop, &event);
+		loop_post_inst(daemon->loop, &event);
 	}
 	return DAEMON_OK;
 }
@@ -281,25 +281,25 @@
 	free(daemon);
 }
 
-/* Carries an action of the node out; runs on the loop's thread. */
-static void on_action(void *ctx, struct node_action *action)
+/* Carries an action of the instance out; runs on the loop's thread. */
+static void on_action(void *ctx, struct inst_action *action)
 {
 	struct daemon *daemon = ctx;
 
 	switch (action->type) {
-	case NODE_ACT_CORE:
+	case INST_ACT_CORE:
 		on_core_action(daemon, &action->core);
 		break;
-	case NODE_ACT_SEND:
+	case INST_ACT_SEND:
 		mesh_send(daemon->mesh, &action->send);
 		break;
-	case NODE_ACT_FETCH:
+	case INST_ACT_FETCH:
 		mesh_fetch(daemon->mesh, &action->fetch);
 		break;
-	case NODE_ACT_ORDER:
+	case INST_ACT_ORDER:
 		ord_post(daemon->ord, &action->order);
 		break;
-	case NODE_ACT_ROLE:
+	case INST_ACT_ROLE:
 		on_role(daemon, &action->role);
 		break;
 	default:
@@ -312,7 +312,7 @@
  * grow with the fleet: were each instance to keep a budget of its own, a fleet
  * that grew would be refused for its rate, bookings first.
  */
-static void on_role(struct daemon *daemon, const struct node_role *role)
+static void on_role(struct daemon *daemon, const struct inst_role *role)
 {
 	uint32_t calls = fleet_call_part(daemon->settings.kv_fleet_calls_per_s,
 					 role->listed);
--- /dev/null
+++ b/src/inst.h
@@ -0,0 +1,83 @@
+#ifndef INST_H
+#define INST_H
+
+/*
+ * One instance without its shells: a core and a fleet, and what passes
+ * between them.  Deterministic, as they are; one thread owns an instance.
+ */
+
+#include "core.h"
+#include "fleet.h"
+
+struct inst;
+
+struct inst_settings {
+	struct core_settings core;
+	struct fleet_settings fleet;
+};
+
+enum inst_event_type {
+	INST_EV_CORE,	  /* an event of the core */
+	INST_EV_PEER_MSG, /* a heartbeat came */
+	INST_EV_ORDER,	  /* an order to an engine ended */
+	INST_EV_SEED,	  /* the settings name a peer */
+	INST_EVENT_COUNT
+};
+
+struct inst_event {
+	enum inst_event_type type;
+	union {
+		struct core_event core;
+		struct peer_msg msg;
+		struct plc_order_result order;
+		char seed[MAG_ADDR_MAX];
+	};
+};
+
+enum inst_action_type {
+	INST_ACT_CORE,	/* an action of the core */
+	INST_ACT_SEND,	/* a heartbeat to a peer */
+	INST_ACT_FETCH, /* get the configuration from a peer */
+	INST_ACT_ORDER, /* an order to an engine */
+	INST_ACT_ROLE,	/* towards the platform's service */
+	INST_ACTION_COUNT
+};
+
+struct inst_fetch {
+	uint64_t revision;
+	char address[MAG_ADDR_MAX];
+};
+
+struct inst_send {
+	char address[MAG_ADDR_MAX];
+	struct peer_msg msg;
+};
+
+/* What this instance does towards the platform's service. */
+struct inst_role {
+	bool bridge;	 /* watches the head for its data centre */
+	uint32_t listed; /* instances that share the fleet's budget; 0: unknown
+			  */
+};
+
+struct inst_action {
+	enum inst_action_type type;
+	union {
+		struct core_action core;
+		struct inst_send send;
+		struct inst_fetch fetch;
+		struct plc_order order;
+		struct inst_role role;
+	};
+};
+
+struct inst *inst_new(const struct inst_settings *settings, int64_t now);
+void inst_free(struct inst *inst);
+int inst_post(struct inst *inst, const struct inst_event *event, int64_t now);
+void inst_tick(struct inst *inst, int64_t now);
+bool inst_next_action(struct inst *inst, struct inst_action *action);
+int64_t inst_next_deadline(const struct inst *inst);
+struct core *inst_core(struct inst *inst);
+struct fleet *inst_fleet(struct inst *inst);
+
+#endif /* INST_H */
--- a/src/loop.c
+++ b/src/loop.c
@@ -13,7 +13,7 @@
 
 struct loop_event {
 	struct cds_list_head node;
-	struct node_event event;
+	struct inst_event event;
 };
 
 struct loop_query_node {
@@ -30,7 +30,7 @@
 	pthread_cond_t queried; /* those who query wait on it */
 	struct cds_list_head events;
 	struct cds_list_head queries;
-	struct node *node;
+	struct inst *inst;
 	loop_deliver_fn deliver;
 	void *ctx;
 	bool started;
@@ -43,8 +43,8 @@
 static void loop_wait(struct loop *loop);
 static void loop_deliver_all(struct loop *loop);
 
-/* Makes a loop around a new node; NULL if memory is short. */
-struct loop *loop_new(const struct node_settings *settings,
+/* Makes a loop around a new instance; NULL if memory is short. */
+struct loop *loop_new(const struct inst_settings *settings,
 		      loop_deliver_fn deliver, void *ctx)
 {
 	struct loop *loop = calloc(1, sizeof(*loop));
@@ -52,8 +52,8 @@
 
 	if (!loop)
 		return NULL;
-	loop->node = node_new(settings, clk_now_us());
-	if (!loop->node) {
+	loop->inst = inst_new(settings, clk_now_us());
+	if (!loop->inst) {
 		free(loop);
 		return NULL;
 	}
@@ -85,14 +85,14 @@
  */
 int loop_post(struct loop *loop, const struct core_event *event)
 {
-	struct node_event wrapped = { .type = NODE_EV_CORE };
+	struct inst_event wrapped = { .type = INST_EV_CORE };
 
 	wrapped.core = *event;
-	return loop_post_node(loop, &wrapped);
+	return loop_post_inst(loop, &wrapped);
 }
 
-/* As loop_post, for any event of the node. */
-int loop_post_node(struct loop *loop, const struct node_event *event)
+/* As loop_post, for any event of the instance. */
+int loop_post_inst(struct loop *loop, const struct inst_event *event)
 {
 	struct loop_event *node = malloc(sizeof(*node));
 
@@ -132,7 +132,7 @@
 	loop->started = false;
 }
 
-/* Frees a loop that has been stopped, with its node. */
+/* Frees a loop that has been stopped, with its instance. */
 void loop_free(struct loop *loop)
 {
 	struct loop_event *event, *next;
@@ -142,7 +142,7 @@
 	loop_stop(loop);
 	cds_list_for_each_entry_safe (event, next, &loop->events, node)
 		free(event);
-	node_free(loop->node);
+	inst_free(loop->inst);
 	pthread_cond_destroy(&loop->wake);
 	pthread_cond_destroy(&loop->queried);
 	pthread_mutex_destroy(&loop->lock);
@@ -154,13 +154,14 @@
 	struct loop *loop = arg;
 
 	while (loop_collect(loop)) {
-		node_tick(loop->node, clk_now_us());
+		inst_tick(loop->inst, clk_now_us());
 		loop_deliver_all(loop);
 	}
 	return NULL;
 }
 
-/* Waits for work and moves it to the node; false when the loop ends. */
+/* Waits for work and moves it to the core and fleet; false when the loop ends.
+ */
 static bool loop_collect(struct loop *loop)
 {
 	struct loop_event *event;
@@ -174,7 +175,7 @@
 		event = cds_list_first_entry(&loop->events, struct loop_event,
 					     node);
 		cds_list_del(&event->node);
-		node_post(loop->node, &event->event, clk_now_us());
+		inst_post(loop->inst, &event->event, clk_now_us());
 		free(event);
 	}
 	loop_run_queries(loop);
@@ -192,17 +193,17 @@
 		query = cds_list_first_entry(&loop->queries,
 					     struct loop_query_node, node);
 		cds_list_del(&query->node);
-		query->fn(loop->node, query->ctx);
+		query->fn(loop->inst, query->ctx);
 		query->done = true;
 	}
 	pthread_cond_broadcast(&loop->queried);
 }
 
-/* Sleeps until the node's next deadline or an event. */
+/* Sleeps until the instance's next deadline or an event. */
 static void loop_wait(struct loop *loop)
 {
 	int64_t latest = clk_now_us() + LOOP_SLEEP_MAX_US;
-	int64_t due = node_next_deadline(loop->node);
+	int64_t due = inst_next_deadline(loop->inst);
 	struct timespec until;
 
 	if (due > latest)
@@ -214,8 +215,8 @@
 
 static void loop_deliver_all(struct loop *loop)
 {
-	struct node_action action;
+	struct inst_action action;
 
-	while (node_next_action(loop->node, &action))
+	while (inst_next_action(loop->inst, &action))
 		loop->deliver(loop->ctx, &action);
 }
--- a/src/loop.h
+++ b/src/loop.h
@@ -2,19 +2,19 @@
 #define LOOP_H
 
 /*
- * The thread that owns the node: it takes events from all threads, runs the
- * tick when an event is there or a deadline is due, and hands the actions to
- * the shells.
+ * The thread that owns the instance (core and fleet): it takes events from all
+ * threads, runs the tick when an event is there or a deadline is due, and hands
+ * the actions to the shells.
  */
 
-#include "node.h"
+#include "inst.h"
 
 struct loop;
 
 /* Carries one action out; must not block. It owns what the action points to. */
-typedef void (*loop_deliver_fn)(void *ctx, struct node_action *action);
+typedef void (*loop_deliver_fn)(void *ctx, struct inst_action *action);
 /* Runs on the loop's thread between two ticks. */
-typedef void (*loop_query_fn)(struct node *node, void *ctx);
+typedef void (*loop_query_fn)(struct inst *inst, void *ctx);
 
 enum loop_err {
 	LOOP_OK = 0,
@@ -22,11 +22,11 @@
 	LOOP_E_THREAD = -2,
 };
 
-struct loop *loop_new(const struct node_settings *settings,
+struct loop *loop_new(const struct inst_settings *settings,
 		      loop_deliver_fn deliver, void *ctx);
 int loop_start(struct loop *loop);
 int loop_post(struct loop *loop, const struct core_event *event);
-int loop_post_node(struct loop *loop, const struct node_event *event);
+int loop_post_inst(struct loop *loop, const struct inst_event *event);
 void loop_query(struct loop *loop, loop_query_fn fn, void *ctx);
 void loop_stop(struct loop *loop);
 void loop_free(struct loop *loop);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -51,13 +51,13 @@
 }
 
 /* Sends a heartbeat; one that gets lost is made good by the next. */
-void mesh_send(struct mesh *mesh, const struct node_send *send)
+void mesh_send(struct mesh *mesh, const struct inst_send *send)
 {
 	rpc_send(mesh->rpc, send->address, &send->msg);
 }
 
 /* Asks a peer for the configuration that it says it has. */
-void mesh_fetch(struct mesh *mesh, const struct node_fetch *fetch)
+void mesh_fetch(struct mesh *mesh, const struct inst_fetch *fetch)
 {
 	uint64_t have = watch_revision(mesh->watch);
 
@@ -77,10 +77,10 @@
 static void on_message(void *ctx, const struct peer_msg *msg)
 {
 	struct mesh *mesh = ctx;
-	struct node_event event = { .type = NODE_EV_PEER_MSG };
+	struct inst_event event = { .type = INST_EV_PEER_MSG };
 
 	event.msg = *msg;
-	loop_post_node(mesh->loop, &event);
+	loop_post_inst(mesh->loop, &event);
 }
 
 static int on_serve(void *ctx, uint64_t at_least, uint64_t *revision,
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -16,8 +16,8 @@
 
 int mesh_start(const struct mesh_settings *settings, struct loop *loop,
 	       struct watch *watch, struct mesh **mesh);
-void mesh_send(struct mesh *mesh, const struct node_send *send);
-void mesh_fetch(struct mesh *mesh, const struct node_fetch *fetch);
+void mesh_send(struct mesh *mesh, const struct inst_send *send);
+void mesh_fetch(struct mesh *mesh, const struct inst_fetch *fetch);
 void mesh_stop(struct mesh *mesh);
 
 #endif /* MESH_H */
--- a/src/ord.c
+++ b/src/ord.c
@@ -107,10 +107,10 @@
 	struct ord_node *node;
 
 	while ((node = ord_take(ord)) != NULL) {
-		struct node_event event = { .type = NODE_EV_ORDER };
+		struct inst_event event = { .type = INST_EV_ORDER };
 
 		ord_carry(&node->order, &event.order);
-		loop_post_node(ord->loop, &event);
+		loop_post_inst(ord->loop, &event);
 		free(node);
 	}
 	return NULL;
