--- a/src/adm_int.h
+++ b/src/adm_int.h
@@ -128,6 +128,9 @@
 struct adm_queue *adm_queue_at(struct adm *adm, int service, int account);
 struct adm_request *adm_find(struct adm *adm, uint64_t id);
 
+/* adm_config.c */
+void adm_free_tables(struct adm *adm);
+
 /* adm_queue.c */
 void adm_enqueue(struct adm *adm, struct adm_request *request);
 void adm_dequeue(struct adm *adm, struct adm_request *request);
--- /dev/null
+++ b/src/pick_config.c
@@ -0,0 +1,363 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "pick_int.h"
+
+#define PICK_MIN_CONCURRENCY 1
+
+static bool pick_same_frame(const struct pick *pick, const struct cfg_set *set);
+static void pick_drop_changed(struct pick *pick, const struct pick_ep *old);
+static int pick_take_services(struct pick *pick, const struct cfg_set *set);
+static int pick_take_endpoints(struct pick *pick, const struct cfg_set *set);
+static void pick_take_endpoint(struct pick *pick, struct pick_ep *ep,
+			       const struct cfg_endpoint *cfg);
+static int pick_take_centre(struct pick *pick, const char *name);
+static int pick_carry_over(struct pick *pick, struct pick_ep *old,
+			   int old_count, bool same);
+static int pick_match(struct pick *pick, struct pick_ep *old, int old_count);
+static void pick_carry(struct pick_ep *ep, struct pick_ep *old);
+static int pick_by_name(const void *a, const void *b);
+static int pick_take_nets(struct pick *pick, const struct cfg_set *set);
+static int pick_want_net(struct pick *pick, int service, const char *group);
+static void pick_drop_unwanted(struct pick *pick);
+static int pick_join(struct pick *pick);
+
+/*
+ * Takes a new set; what is known of an endpoint is kept by its name.  Chains
+ * chosen under the former set are to be passed through pick_remap before
+ * they are used again.  Returns 0 or PICK_E_MEMORY.
+ */
+int pick_config(struct pick *pick, const struct cfg_set *set, int64_t now)
+{
+	struct pick_ep *old = pick->eps;
+	int old_count = pick->ep_count;
+	bool same = pick_same_frame(pick, set);
+	int err;
+
+	if (!same)
+		pick_drop_nets(pick);
+	err = pick_take_services(pick, set);
+	if (!err)
+		err = pick_take_endpoints(pick, set);
+	if (!err)
+		err = pick_carry_over(pick, old, old_count, same);
+	if (!err && same)
+		pick_drop_changed(pick, old);
+	free(old);
+	if (!err && !same)
+		err = pick_join(pick);
+	if (!err)
+		err = pick_take_nets(pick, set);
+	if (err)
+		pick_drop_nets(pick);
+	pick->tick_us = now;
+	return err;
+}
+
+/*
+ * Translates the endpoints of a chain that was chosen under the former set
+ * to this set's; a stage whose endpoint is gone gets -1.
+ */
+void pick_remap(const struct pick *pick, struct pick_chain *chain)
+{
+	int i;
+
+	for (i = 0; i < chain->count; i++) {
+		int *endpoint = &chain->stages[i].endpoint;
+
+		if (*endpoint >= 0 && *endpoint < pick->remap_count)
+			*endpoint = pick->remap[*endpoint];
+		else
+			*endpoint = -1;
+	}
+}
+
+/*
+ * Tells whether a set has the same services, and the same endpoints in the
+ * same places and data centres, as the one in force.  Then only the networks
+ * of services with a changed endpoint are made anew; to solve those of 10,000
+ * endpoints for each change of one takes most of what a change costs.
+ */
+static bool pick_same_frame(const struct pick *pick, const struct cfg_set *set)
+{
+	size_t i;
+
+	if (!pick->eps || pick->ep_count != (int)set->endpoint_count ||
+	    pick->service_count != (int)set->service_count ||
+	    memcmp(pick->services, set->services,
+		   set->service_count * sizeof(*set->services)) != 0)
+		return false;
+	for (i = 0; i < set->endpoint_count; i++) {
+		const struct cfg_endpoint *now = &pick->eps[i].cfg;
+		const struct cfg_endpoint *next = &set->endpoints[i];
+
+		if (strcmp(now->name, next->name) != 0 ||
+		    strcmp(now->data_centre, next->data_centre) != 0)
+			return false;
+	}
+	return true;
+}
+
+/* Drops the networks of services of which an endpoint changed. */
+static void pick_drop_changed(struct pick *pick, const struct pick_ep *old)
+{
+	int i;
+	int k;
+
+	for (k = 0; k < pick->net_count; k++)
+		pick->nets[k].wanted = true;
+	for (i = 0; i < pick->ep_count; i++) {
+		const struct cfg_endpoint *cfg = &pick->eps[i].cfg;
+		const struct cfg_endpoint *was = &old[i].cfg;
+
+		if (cfg_same_endpoint(cfg, was))
+			continue;
+		for (k = 0; k < pick->net_count; k++) {
+			if (pick->nets[k].service == cfg->service ||
+			    pick->nets[k].service == was->service)
+				pick->nets[k].wanted = false;
+		}
+	}
+	pick_drop_unwanted(pick);
+}
+
+/* Copies the services that the graphs are made for. */
+static int pick_take_services(struct pick *pick, const struct cfg_set *set)
+{
+	size_t count = set->service_count;
+
+	free(pick->services);
+	free(pick->load);
+	free(pick->load_tokens);
+	pick->service_count = (int)count;
+	pick->services = calloc(count + 1, sizeof(*pick->services));
+	pick->load = calloc(count + 1, sizeof(*pick->load));
+	pick->load_tokens = calloc(count + 1, sizeof(*pick->load_tokens));
+	if (!pick->services || !pick->load || !pick->load_tokens)
+		return PICK_E_MEMORY;
+	if (count > 0)
+		memcpy(pick->services, set->services,
+		       count * sizeof(*pick->services));
+	return PICK_OK;
+}
+
+/* Makes the table of endpoints anew. */
+static int pick_take_endpoints(struct pick *pick, const struct cfg_set *set)
+{
+	size_t count = set->endpoint_count;
+	size_t i;
+
+	free(pick->centres);
+	pick->centre_count = 0;
+	pick->ep_count = (int)count;
+	pick->eps = calloc(count + 1, sizeof(*pick->eps));
+	pick->centres = calloc(count + 1, sizeof(*pick->centres));
+	if (!pick->eps || !pick->centres)
+		return PICK_E_MEMORY;
+	for (i = 0; i < count; i++)
+		pick_take_endpoint(pick, &pick->eps[i], &set->endpoints[i]);
+	return PICK_OK;
+}
+
+/* Sets one endpoint to what its object says. */
+static void pick_take_endpoint(struct pick *pick, struct pick_ep *ep,
+			       const struct cfg_endpoint *cfg)
+{
+	const struct cfg_service *service = &pick->services[cfg->service];
+	uint32_t layers = pick_layers(pick, cfg->service);
+
+	ep->cfg = *cfg;
+	if (ep->cfg.concurrency < PICK_MIN_CONCURRENCY)
+		ep->cfg.concurrency = PICK_MIN_CONCURRENCY;
+	ep->centre = pick_take_centre(pick, cfg->data_centre);
+	ep->first = service->kind == CFG_MODEL ? cfg->first_layer : 0;
+	ep->end = service->kind == CFG_MODEL ? cfg->last_layer + 1 : 1;
+	if (ep->end > layers || ep->first >= ep->end) {
+		/* A range outside the model: the endpoint gets no work. */
+		ep->first = 0;
+		ep->end = layers;
+		ep->cfg.state = CFG_DRAIN;
+	}
+	ep->limit = ep->cfg.concurrency;
+	ep->scale = 1;
+	ep->solved_scale = 1;
+	ep->health = PICK_HEALTHY;
+}
+
+/* Returns the number of a data centre, a new one on first sight. */
+static int pick_take_centre(struct pick *pick, const char *name)
+{
+	int i;
+
+	for (i = 0; i < pick->centre_count; i++) {
+		if (strcmp(pick->centres[i], name) == 0)
+			return i;
+	}
+	mag_copy_name(pick->centres[i], sizeof(pick->centres[i]), name);
+	return pick->centre_count++;
+}
+
+/* Carries over what is known of endpoints that both sets name. */
+static int pick_carry_over(struct pick *pick, struct pick_ep *old,
+			   int old_count, bool same)
+{
+	int i;
+
+	free(pick->remap);
+	pick->remap = calloc((size_t)old_count + 1, sizeof(int));
+	if (!pick->remap)
+		return PICK_E_MEMORY;
+	pick->remap_count = old_count;
+	for (i = 0; i < old_count; i++)
+		pick->remap[i] = i;
+	if (!same && pick_match(pick, old, old_count) < 0)
+		return PICK_E_MEMORY;
+	for (i = 0; i < old_count; i++) {
+		if (pick->remap[i] < 0)
+			free(old[i].cache);
+		else
+			pick_carry(&pick->eps[pick->remap[i]], &old[i]);
+	}
+	pick->in_flight = 0;
+	pick->closed = 0;
+	for (i = 0; i < pick->ep_count; i++) {
+		pick->in_flight += pick->eps[i].in_flight;
+		pick->closed += pick->eps[i].health != PICK_HEALTHY;
+	}
+	return PICK_OK;
+}
+
+/* Finds where each endpoint of the former set stands now, -1 for nowhere. */
+static int pick_match(struct pick *pick, struct pick_ep *old, int old_count)
+{
+	struct pick_ep **sorted =
+		calloc((size_t)pick->ep_count + 1, sizeof(struct pick_ep *));
+	int i;
+
+	if (!sorted)
+		return PICK_E_MEMORY;
+	for (i = 0; i < pick->ep_count; i++)
+		sorted[i] = &pick->eps[i];
+	qsort(sorted, (size_t)pick->ep_count, sizeof(struct pick_ep *),
+	      pick_by_name);
+	for (i = 0; i < old_count; i++) {
+		struct pick_ep *key = &old[i];
+		struct pick_ep **found =
+			bsearch(&key, sorted, (size_t)pick->ep_count,
+				sizeof(struct pick_ep *), pick_by_name);
+
+		pick->remap[i] = found ? (int)(*found - pick->eps) : -1;
+	}
+	free(sorted);
+	return PICK_OK;
+}
+
+/* Carries over one endpoint; a changed range starts its estimates anew. */
+static void pick_carry(struct pick_ep *ep, struct pick_ep *old)
+{
+	struct pick_ep fresh = *ep;
+
+	*ep = *old;
+	ep->cfg = fresh.cfg;
+	ep->centre = fresh.centre;
+	ep->first = fresh.first;
+	ep->end = fresh.end;
+	if (ep->limit > fresh.limit ||
+	    old->cfg.concurrency != fresh.cfg.concurrency)
+		ep->limit = fresh.limit;
+	if (old->first == fresh.first && old->end == fresh.end &&
+	    old->cfg.tokens_per_s == fresh.cfg.tokens_per_s)
+		return;
+	ep->reported = false;
+	ep->scale = 1;
+	ep->solved_scale = 1;
+	ep->hop_us = 0;
+	ep->base_us = 0;
+	ep->chain_us = 0;
+}
+
+/* Orders pointers to endpoints by name. */
+static int pick_by_name(const void *a, const void *b)
+{
+	const struct pick_ep *const *x = a;
+	const struct pick_ep *const *y = b;
+
+	return strcmp((*x)->cfg.name, (*y)->cfg.name);
+}
+
+/*
+ * Makes the networks that the routes ask for, before a request waits, and
+ * drops those of groups that no route names any more.
+ */
+static int pick_take_nets(struct pick *pick, const struct cfg_set *set)
+{
+	int err = PICK_OK;
+	size_t i;
+	size_t j;
+	int k;
+
+	for (k = 0; k < pick->net_count; k++)
+		pick->nets[k].wanted = false;
+	for (i = 0; i < set->service_count && !err; i++)
+		err = pick_want_net(pick, (int)i, "");
+	for (i = 0; i < set->route_count && !err; i++) {
+		const struct cfg_route *route = &set->routes[i];
+
+		err = pick_want_net(pick, route->service, route->group);
+		for (j = 0; j < route->split_count && !err; j++)
+			err = pick_want_net(pick, route->service,
+					    route->splits[j].group);
+	}
+	pick_drop_unwanted(pick);
+	return err;
+}
+
+static int pick_want_net(struct pick *pick, int service, const char *group)
+{
+	struct pick_net *net = pick_net_of(pick, service, group);
+
+	if (!net)
+		return PICK_E_MEMORY;
+	net->wanted = true;
+	return PICK_OK;
+}
+
+/* Drops networks that aren't wanted; the others keep their order. */
+static void pick_drop_unwanted(struct pick *pick)
+{
+	int kept = 0;
+	int i;
+
+	for (i = 0; i < pick->net_count; i++) {
+		if (pick->nets[i].wanted)
+			pick->nets[kept++] = pick->nets[i];
+		else
+			pick_net_drop(&pick->nets[i]);
+	}
+	pick->net_count = kept;
+}
+
+/* Starts with every data centre joined to every other. */
+static int pick_join(struct pick *pick)
+{
+	size_t size = (size_t)pick->centre_count * pick->centre_count;
+
+	free(pick->joined);
+	pick->joined = malloc(size + 1);
+	if (!pick->joined)
+		return PICK_E_MEMORY;
+	memset(pick->joined, true, size);
+	return PICK_OK;
+}
+
+/* Frees all networks. */
+void pick_drop_nets(struct pick *pick)
+{
+	int i;
+
+	for (i = 0; i < pick->net_count; i++)
+		pick_net_drop(&pick->nets[i]);
+	free(pick->nets);
+	pick->nets = NULL;
+	pick->net_count = 0;
+}
--- a/src/pick_int.h
+++ b/src/pick_int.h
@@ -128,6 +128,9 @@
 	uint32_t in_flight;
 };
 
+/* pick_config.c */
+void pick_drop_nets(struct pick *pick);
+
 /* pick_plan.c */
 struct pick_net *pick_net_of(struct pick *pick, int service, const char *group);
 int pick_net_solve(struct pick *pick, struct pick_net *net, int64_t now);
