End what a run started when its reader goes away

Cause: a run whose output is cut short ends by SIGPIPE, which no trap caught; twenty-two stand-ins and routers of two such runs were still there. Ruled out: nothing. Change: HUP and PIPE end a run like INT and TERM.

--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -12,7 +12,7 @@
 	set=$work/set.json
 	: >"$record"
 	trap finish EXIT
-	trap 'exit 1' INT TERM
+	trap 'exit 1' HUP INT PIPE TERM
 }
 
 # Takes a block of free ports and keeps it locked until the run has ended:
