Reserve the open files that the threads need

Cause: at rest an instance with the default 512 threads holds 1,043 open files, as each thread has a pair to be woken by; the usual soft limit is 1,024. There the state of the last threads could not be made, and their first request would have ended the process. Ruled out: fewer threads by default, which bound concurrent streams. Change: at start the soft limit is raised to four files a thread and 256 more, within the hard limit; where that forbids it the instance does not start. A thread without its state refuses with 503. Not run: a start under a soft limit of 1,024, as limits are left as they are.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -9,6 +9,7 @@
 #include "admin.h"
 #include "clk.h"
 #include "daemon.h"
+#include "fd.h"
 #include "front.h"
 #include "log.h"
 #include "loop.h"
@@ -67,7 +68,9 @@
 	randombytes_buf(&daemon->incarnation, sizeof(daemon->incarnation));
 	pthread_mutex_init(&daemon->lock, NULL);
 	pthread_cond_init(&daemon->wake, NULL);
-	rc = open_platform(daemon);
+	rc = fd_reserve(settings->threads) ? DAEMON_E_FILES : DAEMON_OK;
+	if (!rc)
+		rc = open_platform(daemon);
 	if (!rc)
 		rc = make_loop(daemon);
 	if (!rc)
@@ -113,6 +116,9 @@
 	switch (err) {
 	case DAEMON_E_LISTEN:
 		return "cannot listen at the configured address";
+	case DAEMON_E_FILES:
+		return "the limit on open files is too low for the setting "
+		       "threads";
 	case DAEMON_E_THREAD:
 		return "cannot start a thread";
 	default:
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -12,6 +12,7 @@
 	DAEMON_E_MEMORY = -1,
 	DAEMON_E_LISTEN = -2,
 	DAEMON_E_THREAD = -3,
+	DAEMON_E_FILES = -4,
 };
 
 int daemon_start(const struct set_settings *settings, struct daemon **daemon);
--- a/src/front.c
+++ b/src/front.c
@@ -192,7 +192,7 @@
 		.conn = conn,
 		.ep = mg_get_thread_pointer(conn),
 	};
-	const char *why = "";
+	const char *why = "memory is short";
 	int status;
 
 	atomic_fetch_add(&front->open, 1);
@@ -201,7 +201,7 @@
 		 front->settings.instance,
 		 (unsigned long long)front->settings.incarnation,
 		 (unsigned long long)req.id);
-	status = front_read(&req, &why);
+	status = req.ep ? front_read(&req, &why) : 503;
 	if (status) {
 		front_write_refusal(&req, status, MAG_NOT_RUN, 0, why);
 	} else {
