Say unknown, not not-run, of a key that was not read

Cause: an instance that stops refused a keyed request as not-run before it had looked at the key; the same for a key whose account or route is gone. The booking may have run through another instance, and a caller told not-run asks under a new key and has it twice. Ruled out: reading the record first; a refusal must go out at once. Change: every refusal of a valid key whose record was not read says unknown; a 503 of the front says when to come back.

--- a/src/front.c
+++ b/src/front.c
@@ -7,12 +7,14 @@
 
 #include "front_int.h"
 
+#define FRONT_RETRY_AFTER_S 1
 #define FRONT_DRAIN_POLL_US 10000
 
 static void *on_thread_start(const struct mg_context *ctx, int type);
 static void on_thread_end(const struct mg_context *ctx, int type, void *thread);
 static int on_connection(const struct mg_connection *conn, void **data);
 static void on_connection_closed(const struct mg_connection *conn);
+static void refuse_unread(struct front_req *req, int status, const char *why);
 static int on_request(struct mg_connection *conn);
 static struct cds_list_head *bucket_of(struct front *front, uint64_t id);
 static void enlist(struct front *front, struct front_req *req);
@@ -183,6 +185,20 @@
 	atomic_fetch_sub(&front->connections, 1);
 }
 
+/*
+ * Refuses a request that the core never saw.  Without a key nothing can have
+ * run for it.  Of a key nothing was read: it may have run through another
+ * instance, and a caller that was told not-run would ask under a new one.
+ */
+static void refuse_unread(struct front_req *req, int status, const char *why)
+{
+	bool keyed = req->arrival.key[0] != '\0';
+	uint32_t retry_after_s = status == 503 ? FRONT_RETRY_AFTER_S : 0;
+
+	front_write_refusal(req, status, keyed ? MAG_UNKNOWN : MAG_NOT_RUN,
+			    retry_after_s, why);
+}
+
 /* Carries one request; returns the status to end CivetWeb's own handling. */
 static int on_request(struct mg_connection *conn)
 {
@@ -203,7 +219,7 @@
 		 (unsigned long long)req.id);
 	status = req.ep ? front_read(&req, &why) : 503;
 	if (status) {
-		front_write_refusal(&req, status, MAG_NOT_RUN, 0, why);
+		refuse_unread(&req, status, why);
 	} else {
 		enlist(front, &req);
 		front_serve(&req);
--- a/src/front_in.c
+++ b/src/front_in.c
@@ -32,15 +32,15 @@
 {
 	int status;
 
-	if (atomic_load(&req->front->refusing)) {
-		*why = "this instance is stopping";
-		return 503;
-	}
 	req->arrival.req = req->id;
 	req->arrival.wall_ms = clk_wall_ms();
 	status = read_line(req, why);
 	if (!status)
 		status = read_key(req, why);
+	if (!status && atomic_load(&req->front->refusing)) {
+		*why = "this instance is stopping";
+		status = 503;
+	}
 	if (!status)
 		status = read_allowance(req, why);
 	if (!status)
--- a/src/front_req.c
+++ b/src/front_req.c
@@ -32,8 +32,10 @@
 
 	event.arrival = req->arrival;
 	if (loop_post(req->front->loop, &event)) {
-		front_write_refusal(req, 503, MAG_NOT_RUN, 1,
-				    "memory is short");
+		front_write_refusal(req, 503,
+				    req->arrival.key[0] ? MAG_UNKNOWN
+							: MAG_NOT_RUN,
+				    1, "memory is short");
 		return;
 	}
 	while (!req->answered && take_action(req, &action, true)) {
--- a/src/req_answer.c
+++ b/src/req_answer.c
@@ -62,17 +62,15 @@
 }
 
 /*
- * Refuses a request that never got an entry.  No intent was formed, so
- * nothing ran under it; but while this instance can't tell whose it is, a key
- * may have run through another one.
+ * Refuses a request that never got an entry.  Without a key nothing can have
+ * run for it.  A key may have run through another instance, or here before
+ * its account or route was taken out of the configuration.
  */
 void req_refuse_arrival(struct core *core, const struct core_arrival *arrival,
 			int status, const char *why)
 {
-	enum mag_outcome outcome = MAG_NOT_RUN;
+	enum mag_outcome outcome = arrival->key[0] ? MAG_UNKNOWN : MAG_NOT_RUN;
 
-	if (status == 503 && arrival->key[0])
-		outcome = MAG_UNKNOWN;
 	refuse(core, arrival->req, status, outcome, status == 503 ? 1 : 0, why);
 	log_event(LOG_REQ_REFUSED,
 		  "request=%llu account=- status=%d outcome=%s attempts=0 "
