Pass headers between a caller and a plain service

Cause: only the content type passed, both ways; a service that answers by a header, or is asked by one, was changed by the router. Ruled out: passing all; headers of one connection stay, and the bearer key, the caller's own Idempotency-Key and what the router sets itself do not pass. Change: ep_header names what passes; 16 KiB of an answer's headers at most. A replay still carries type and body only. Conclusion: an ordinary service can stand behind a route.

--- a/regress/fake_service.c
+++ b/regress/fake_service.c
@@ -155,6 +155,10 @@
 			 ? "another"
 			 : fk_header(req, "Magnolia-Request"),
 		 fk_header(req, "Magnolia-Attempt"));
+	if (*fk_header(req, "X-Ask"))
+		snprintf(ids + strlen(ids), sizeof(ids) - strlen(ids),
+			 "X-Told: %.60s %s\r\n", fk_header(req, "X-Ask"),
+			 *fk_header(req, "Authorization") ? "key" : "no-key");
 	if (fk_fault(req->fk, "swap", NULL))
 		svc_cross(ids, &text);
 	fk_answer(req, 200, ids, text, strlen(text));
--- a/src/ep.c
+++ b/src/ep.c
@@ -95,10 +95,16 @@
 int ep_add_header(struct ep_call *call, const char *name, const char *value)
 {
 	char line[512];
-	struct curl_slist *list;
 
 	snprintf(line, sizeof(line), "%s: %s", name, value);
-	list = curl_slist_append(call->headers, line);
+	return ep_add_line(call, line);
+}
+
+/* Adds a whole line of a request's head.  Returns 0 or EP_E_MEMORY. */
+int ep_add_line(struct ep_call *call, const char *line)
+{
+	struct curl_slist *list = curl_slist_append(call->headers, line);
+
 	if (!list)
 		return EP_E_MEMORY;
 	call->headers = list;
@@ -287,7 +293,7 @@
 	copy_header(mark, sizeof(mark), bytes, len, "X-Not-Begun");
 	if (mark[0])
 		call->not_begun = true;
-	return len;
+	return call->protocol->header(call, bytes, len) ? len : 0;
 }
 
 /* Copies a header's value if the line is that header's. */
--- a/src/ep.h
+++ b/src/ep.h
@@ -30,6 +30,8 @@
 	const char *method;
 	const char *path; /* with its query */
 	const char *content_type;
+	const char *const *headers; /* plain: "Name: value", for the endpoint */
+	size_t header_count;
 	const char *body;
 	size_t body_len;
 	const char *prompt; /* model: the rest */
@@ -62,6 +64,8 @@
 	uint32_t silent; /* stages, as bits, that did not answer the probe */
 	int status;
 	char content_type[EP_TYPE_MAX];
+	char *headers; /* plain: lines for the caller; the caller frees it */
+	size_t headers_len;
 	char *body; /* the caller frees it */
 	size_t body_len;
 };
--- a/src/ep_engine.c
+++ b/src/ep_engine.c
@@ -10,6 +10,7 @@
 #define EP_URL_MAX 256
 
 static int engine_prepare(struct ep_call *call);
+static bool engine_header(struct ep_call *call, const char *line, size_t len);
 static bool engine_receive(struct ep_call *call, const char *bytes, size_t len);
 static void engine_finish(struct ep_call *call, CURLcode code);
 static void engine_cancel(struct ep_call *call);
@@ -25,6 +26,7 @@
 
 const struct ep_protocol ep_engine = {
 	.prepare = engine_prepare,
+	.header = engine_header,
 	.receive = engine_receive,
 	.finish = engine_finish,
 	.probe = ep_engine_probe,
@@ -239,3 +241,12 @@
 	json_decref(object);
 	free(body);
 }
+
+/* An engine's head says nothing to the caller. */
+static bool engine_header(struct ep_call *call, const char *line, size_t len)
+{
+	(void)call;
+	(void)line;
+	(void)len;
+	return true;
+}
--- /dev/null
+++ b/src/ep_header.h
@@ -0,0 +1,12 @@
+#ifndef EP_HEADER_H
+#define EP_HEADER_H
+
+/* Which headers pass between a caller and a plain service. */
+
+#include <stdbool.h>
+#include <stddef.h>
+
+bool ep_header_to_endpoint(const char *name);
+bool ep_header_to_caller(const char *line, size_t len);
+
+#endif /* EP_HEADER_H */
--- a/src/ep_int.h
+++ b/src/ep_int.h
@@ -8,7 +8,8 @@
 #include "ep.h"
 #include "ep_sse.h"
 
-#define EP_BODY_MAX (1024 * 1024) /* longest answer that is taken */
+#define EP_HEADERS_MAX 16384	     /* longest headers that are taken */
+#define EP_BODY_MAX    (1024 * 1024) /* longest answer that is taken */
 
 struct ep {
 	CURLM *multi;
@@ -22,6 +23,8 @@
 struct ep_protocol {
 	/* Sets URL, headers and body; 0 or EP_E_MEMORY. */
 	int (*prepare)(struct ep_call *call);
+	/* Takes a header line of the answer; false breaks the transfer off. */
+	bool (*header)(struct ep_call *call, const char *line, size_t len);
 	/* Takes bytes of the answer; false breaks the transfer off. */
 	bool (*receive)(struct ep_call *call, const char *bytes, size_t len);
 	/* Says how the attempt ended, once the transfer has. */
@@ -55,6 +58,7 @@
 extern const struct ep_protocol ep_plain;
 
 uint32_t ep_engine_probe(struct ep_call *call);
+int ep_add_line(struct ep_call *call, const char *line);
 int ep_add_header(struct ep_call *call, const char *name, const char *value);
 bool ep_append_body(struct ep_call *call, const char *bytes, size_t len);
 bool ep_status_proves_unbegun(const struct ep_call *call);
--- a/src/ep_plain.c
+++ b/src/ep_plain.c
@@ -1,12 +1,15 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "ep_header.h"
 #include "ep_int.h"
 
 #define EP_URL_MAX	  1024
 #define HTTP_SERVER_ERROR 500
 
 static int plain_prepare(struct ep_call *call);
+static bool plain_header(struct ep_call *call, const char *line, size_t len);
 static bool plain_receive(struct ep_call *call, const char *bytes, size_t len);
 static void plain_finish(struct ep_call *call, CURLcode code);
 static uint32_t plain_probe(struct ep_call *call);
@@ -15,6 +18,7 @@
 
 const struct ep_protocol ep_plain = {
 	.prepare = plain_prepare,
+	.header = plain_header,
 	.receive = plain_receive,
 	.finish = plain_finish,
 	.probe = plain_probe,
@@ -27,6 +31,7 @@
 	const struct ep_request *request = call->request;
 	const struct core_dispatch *dispatch = request->dispatch;
 	char url[EP_URL_MAX];
+	size_t i;
 
 	snprintf(url, sizeof(url), "http://%s%s", dispatch->stages[0].address,
 		 request->path);
@@ -39,6 +44,10 @@
 		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, request->body);
 	}
 	curl_easy_setopt(call->easy, CURLOPT_CUSTOMREQUEST, request->method);
+	for (i = 0; i < request->header_count; i++) {
+		if (ep_add_line(call, request->headers[i]))
+			return EP_E_MEMORY;
+	}
 	if (request->content_type &&
 	    ep_add_header(call, "Content-Type", request->content_type))
 		return EP_E_MEMORY;
@@ -100,3 +109,26 @@
 	(void)call;
 	return 1;
 }
+
+/*
+ * Keeps a line of the answer's head for the caller.  Beyond the bound the
+ * attempt breaks off: an answer without some of its headers is not whole.
+ */
+static bool plain_header(struct ep_call *call, const char *line, size_t len)
+{
+	struct ep_answer *answer = call->answer;
+	char *grown;
+
+	if (!ep_header_to_caller(line, len))
+		return true;
+	if (answer->headers_len + len > EP_HEADERS_MAX)
+		return false;
+	grown = realloc(answer->headers, answer->headers_len + len + 1);
+	if (!grown)
+		return false;
+	memcpy(grown + answer->headers_len, line, len);
+	answer->headers = grown;
+	answer->headers_len += len;
+	grown[answer->headers_len] = '\0';
+	return true;
+}
--- a/src/front_in.c
+++ b/src/front_in.c
@@ -6,6 +6,7 @@
 #include <urcu.h>
 
 #include "clk.h"
+#include "ep_header.h"
 #include "front_int.h"
 
 #define FRONT_BEARER	       "Bearer "
@@ -18,6 +19,7 @@
 static int read_allowance(struct front_req *req, const char **why);
 static int read_body(struct front_req *req, const char **why);
 static int read_more(struct front_req *req, size_t room, const char **why);
+static int read_headers(struct front_req *req, const char **why);
 static int read_model(struct front_req *req, const char **why);
 static void hash_account(struct front_req *req);
 static void hash_fingerprint(struct front_req *req);
@@ -53,7 +55,7 @@
 	req->is_model = routes_to_model(req);
 	if (req->is_model)
 		return read_model(req, why);
-	return 0;
+	return read_headers(req, why);
 }
 
 /* Frees what front_read took. */
@@ -65,7 +67,10 @@
 		free(req->tokens[i]);
 	free(req->tokens);
 	json_decref(req->json);
+	while (req->header_count > 0)
+		free(req->headers[--req->header_count]);
 	free(req->body);
+	free(req->answer.headers);
 	free(req->answer.body);
 }
 
@@ -178,6 +183,27 @@
 	return 0;
 }
 
+/* Takes the headers that a plain service gets to see. */
+static int read_headers(struct front_req *req, const char **why)
+{
+	const struct mg_request_info *info = mg_get_request_info(req->conn);
+	int i;
+
+	for (i = 0; i < info->num_headers; i++) {
+		const struct mg_header *header = &info->http_headers[i];
+
+		if (!ep_header_to_endpoint(header->name))
+			continue;
+		if (asprintf(&req->headers[req->header_count], "%s: %s",
+			     header->name, header->value) < 0) {
+			*why = "memory is short";
+			return 503;
+		}
+		req->header_count++;
+	}
+	return 0;
+}
+
 /* Takes the fields of a model request from its JSON body. */
 static int read_model(struct front_req *req, const char **why)
 {
--- a/src/front_int.h
+++ b/src/front_int.h
@@ -49,6 +49,8 @@
 	const char *method;
 	char path[CORE_PATH_MAX]; /* with its query */
 	const char *content_type;
+	char *headers[MG_MAX_HEADERS]; /* for a plain service */
+	size_t header_count;
 	char *body;
 	size_t body_len;
 	json_t *json; /* the body, if it is a JSON object */
--- a/src/front_out.c
+++ b/src/front_out.c
@@ -108,19 +108,24 @@
 			enum mag_outcome outcome, const char *extra,
 			const char *type, const char *body, size_t len)
 {
-	char head[FRONT_HEAD_MAX];
+	char *head = NULL;
 	int used;
 
-	used = snprintf(head, sizeof(head),
+	used = asprintf(&head,
 			"HTTP/1.1 %d %s\r\nContent-Type: %s\r\n"
 			"Content-Length: %zu\r\nMagnolia-Request: %s\r\n"
 			"Magnolia-Outcome: %s\r\n%s%s\r\n",
 			status, mg_get_response_code_text(req->conn, status),
 			type, len, req->id_text, mag_outcome_name(outcome),
 			extra, connection_header(req));
+	if (used < 0) {
+		req->caller_gone = true;
+		return;
+	}
 	to_caller(req, head, (size_t)used);
 	if (strcmp(req->method ? req->method : "", "HEAD") != 0)
 		to_caller(req, body, len);
+	free(head);
 }
 
 /*
@@ -191,7 +196,8 @@
 	char *text;
 
 	if (!req->is_model) {
-		write_whole(req, answer->status, MAG_RAN, "",
+		write_whole(req, answer->status, MAG_RAN,
+			    answer->headers ? answer->headers : "",
 			    answer->content_type[0] ? answer->content_type
 						    : FRONT_DEFAULT_TYPE,
 			    answer->body ? answer->body : "", answer->body_len);
--- a/src/front_req.c
+++ b/src/front_req.c
@@ -80,6 +80,8 @@
 		.method = req->method,
 		.path = req->path,
 		.content_type = req->content_type,
+		.headers = (const char *const *)req->headers,
+		.header_count = req->header_count,
 		.body = req->body,
 		.body_len = req->body_len,
 		.prompt =
@@ -97,6 +99,7 @@
 
 	req->running = dispatch;
 	req->progress_due_us = 0;
+	free(req->answer.headers);
 	free(req->answer.body);
 	memset(&req->answer, 0, sizeof(req->answer));
 	ep_run(req->ep, &request, &sink, &req->answer);
