--- /dev/null
+++ b/regress/proc/reformatted.sh
@@ -0,0 +1,18 @@
+# A booking is sent again by another version of the caller's library, which
+# writes the same fields in another order.  Compared byte for byte it would be
+# taken for another booking under a used key, and the caller would get 422 in
+# place of its answer.  A changed amount is another booking.
+. "$(dirname "$0")/lib.sh"
+init "$1"
+start_all 1
+send() {
+	ask POST "http://$(router 0)/book" -H "Idempotency-Key: bells" -d "$1"
+	grep -o '"effect":[0-9]*' "$work/body"
+}
+echo "- first"
+send '{"intent":"bells","set":4,"day":"friday"}'
+echo "- the same, reformatted"
+send '{ "day": "friday", "intent": "bells", "set": 4 }'
+echo "- another set"
+send '{"intent":"bells","set":5,"day":"friday"}'
+echo "effects: $(effects bells)"
