Compare the answers of the reformatted repeat, too

Cause: the run looked for the effect's number in a body that was not kept. Ruled out: nothing. Change: the run keeps the body itself. Conclusion: the repeat gets the first answer, not only its status.

--- a/regress/proc/reformatted.sh
+++ b/regress/proc/reformatted.sh
@@ -6,8 +6,10 @@
 init "$1"
 start_all 1
 send() {
-	ask POST "http://$(router 0)/book" -H "Idempotency-Key: bells" -d "$1"
-	grep -o '"effect":[0-9]*' "$work/body"
+	curl -s -m 20 -o "$work/body" -w '%{http_code} ' \
+		-H "Authorization: Bearer choir-key" \
+		-H "Idempotency-Key: bells" -d "$1" "http://$(router 0)/book"
+	grep -o '"effect":[0-9]*\|"outcome":"[a-z-]*"' "$work/body"
 }
 echo "- first"
 send '{"intent":"bells","set":4,"day":"friday"}'
