--- a/Makefile
+++ b/Makefile
@@ -4,30 +4,32 @@
 CC        ?= gcc
 BUILD     ?= build
 SAN       ?=
-PKGS      := liburcu libtirpc jansson libsodium libcurl argtable2
+PKGS      := liburcu libtirpc jansson libsodium libcurl argtable2 libevent
 PKG_FLAGS := $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 PKG_LIBS  := $(shell pkg-config --libs $(PKGS) 2>/dev/null)
 WARN      := -Wall -Wextra -Werror -Wshadow -Wstrict-prototypes \
 	     -Wmissing-prototypes -Wvla
 SANFLAGS  := $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer)
 CFLAGS    ?= -O2 -g
-ALLFLAGS   = -std=gnu11 -D_GNU_SOURCE $(WARN) $(CFLAGS) $(SANFLAGS) -Isrc \
+ALLFLAGS   = -std=gnu11 -D_GNU_SOURCE $(WARN) $(CFLAGS) $(SANFLAGS) -Isrc -Iplatform \
 	     $(PKG_FLAGS) -pthread -MMD -MP
-LIBS       = $(PKG_LIBS) -lcivetweb -lm -pthread
+LIBS       = $(PKG_LIBS) -lhttp_parser -lcivetweb -lm -pthread
 
 # Every file of src/ but the two mains goes into one archive.
-MAINS     := src/magnoliad.c src/magctl.c
+MAINS     := src/magnoliad.c src/magctl.c src/edge_main.c
 GENERATED := $(wildcard src/rpc_gen_*.[ch])
-LIB_SRCS  := $(filter-out $(MAINS),$(wildcard src/*.c))
+LIB_SRCS  := $(filter-out $(MAINS),$(wildcard src/*.c platform/*.c))
 LIB_OBJS  := $(LIB_SRCS:%.c=$(BUILD)/%.o)
 LIB       := $(BUILD)/libmagnolia.a
-PROGS     := $(patsubst src/%.c,$(BUILD)/%,$(wildcard $(MAINS)))
+PROGS     := $(BUILD)/magnoliad $(BUILD)/magctl $(BUILD)/magnolia-edge
+EDGE_LIBS := -levent_core -lhttp_parser -ljansson -lsodium -ltirpc -lurcu-common
 FAKES     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/fake_*.c))
 CHECKS    := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/check_*.c))
 TOOLS     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/tool_*.c))
 BENCHES   := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench_*.c))
 SIM_OBJS  := $(patsubst bench/%.c,$(BUILD)/bench/%.o,$(wildcard bench/sim*.c))
-STYLED    := $(filter-out $(GENERATED),$(wildcard src/*.[ch] regress/*.[ch] \
+STYLED    := $(filter-out $(GENERATED),$(wildcard src/*.[ch] platform/*.[ch] \
+	     regress/*.[ch] \
 	     bench/*.[ch]))
 TIDIED    := $(filter %.c,$(STYLED))
 
@@ -52,9 +54,13 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-$(PROGS): $(BUILD)/%: $(BUILD)/src/%.o $(LIB)
+$(BUILD)/magnoliad $(BUILD)/magctl: $(BUILD)/%: $(BUILD)/src/%.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
 
+# The router on a platform needs few libraries, which keeps it small.
+$(BUILD)/magnolia-edge: $(BUILD)/src/edge_main.o $(LIB)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(EDGE_LIBS) -lm
+
 $(FAKES) $(TOOLS): $(BUILD)/%: $(BUILD)/regress/%.o $(BUILD)/regress/fk.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $(filter-out $(LIB),$^) $(LIB) $(LIBS)
 
@@ -86,7 +92,7 @@
 lint: $(LINTS)
 
 $(LINTS): lint-%:
-	@clang-tidy --quiet $* -- -std=gnu11 -D_GNU_SOURCE -Isrc $(PKG_FLAGS) \
+	@clang-tidy --quiet $* -- -std=gnu11 -D_GNU_SOURCE -Isrc -Iplatform $(PKG_FLAGS) \
 		2>/dev/null | grep -E '(error|warning):' && exit 1 || true
 
 # The scripted runs of the modules (no process but the test's own).
@@ -131,4 +137,4 @@
 clean:
 	rm -rf $(BUILD) build
 
--include $(wildcard $(BUILD)/src/*.d $(BUILD)/regress/*.d $(BUILD)/bench/*.d)
+-include $(wildcard $(BUILD)/src/*.d $(BUILD)/platform/*.d $(BUILD)/regress/*.d $(BUILD)/bench/*.d)
--- /dev/null
+++ b/src/bud.c
@@ -0,0 +1,70 @@
+#include <string.h>
+
+#include "bud.h"
+
+/*
+ * The window is kept longer than the bound's own by an eighth, because slices
+ * are coarse and a sliding window of the bound may begin inside of one.
+ */
+#define BUD_WINDOW_SLICES 56
+#define BUD_MARGIN	  1.125
+
+static struct bud_slice *bud_slice_at(struct bud *bud, int64_t now);
+
+/* Prepares an empty budget. */
+void bud_init(struct bud *bud, int64_t window_us, double ratio, double slack)
+{
+	memset(bud, 0, sizeof(*bud));
+	bud->slice_us =
+		(int64_t)((double)window_us * BUD_MARGIN / BUD_WINDOW_SLICES);
+	bud->ratio = ratio;
+	bud->slack = slack;
+}
+
+void bud_set_slack(struct bud *bud, double slack)
+{
+	bud->slack = slack;
+}
+
+/* Notes the first send of a request. */
+void bud_request(struct bud *bud, int64_t now)
+{
+	bud_slice_at(bud, now)->requests++;
+}
+
+/* Takes one second send, if the window still has one. */
+bool bud_take(struct bud *bud, int64_t now)
+{
+	if (bud_left(bud, now) < 1)
+		return false;
+	bud_slice_at(bud, now)->repeats++;
+	return true;
+}
+
+/* Returns how many second sends are left now. */
+double bud_left(const struct bud *bud, int64_t now)
+{
+	int64_t number = now / bud->slice_us;
+	int requests = 0;
+	int repeats = 0;
+	int i;
+
+	for (i = 0; i < BUD_SLICES; i++) {
+		if (bud->slices[i].number <= number - BUD_WINDOW_SLICES)
+			continue;
+		requests += bud->slices[i].requests;
+		repeats += bud->slices[i].repeats;
+	}
+	return bud->ratio * requests + bud->slack - repeats;
+}
+
+/* Returns the slice of a moment, emptied if it held an older one. */
+static struct bud_slice *bud_slice_at(struct bud *bud, int64_t now)
+{
+	int64_t number = now / bud->slice_us;
+	struct bud_slice *slice = &bud->slices[number % BUD_SLICES];
+
+	if (slice->number != number)
+		*slice = (struct bud_slice){ number, 0, 0 };
+	return slice;
+}
--- /dev/null
+++ b/src/chn.c
@@ -0,0 +1,275 @@
+#include <string.h>
+
+#include "chn.h"
+
+#define CHN_FAR 1e300
+
+/*
+ * Price of memory: at the limit a layer counts as if it took so many times
+ * as long, so that streams spread over the holders of a layer before one of
+ * them is full, when a preemption would read a whole prompt again.
+ */
+#define CHN_PRESSURE 4.0
+
+/* The cheapest way to have run the layers before a position. */
+struct chn_step {
+	double cost;
+	int worker; /* the hop that ends here, -1: none */
+	int start;  /* where that hop began */
+	int before; /* data centre of the hop before it, -1: it is the first */
+};
+
+struct chn_walk {
+	const struct chn_want *want;
+	const struct chn_worker *workers;
+	int count;
+	int centres;
+	bool boundary[CHN_LAYERS_MAX + 1];
+	struct chn_step at[CHN_LAYERS_MAX + 1][CHN_CENTRES_MAX];
+	bool use_memory;
+};
+
+static void chn_boundaries(struct chn_walk *walk);
+static void chn_relax(struct chn_walk *walk, int position, int worker);
+static double chn_enter(const struct chn_walk *walk, int position, int worker,
+			int *before);
+static double chn_layer_cost(const struct chn_worker *worker);
+static bool chn_has_room(const struct chn_want *want,
+			 const struct chn_worker *worker, int layers);
+static int chn_solve(struct chn_walk *walk, struct chn_chain *chain);
+static int chn_trace(const struct chn_walk *walk, int centre,
+		     struct chn_chain *chain);
+static void chn_merge_repeats(struct chn_chain *chain);
+
+/*
+ * Finds the cheapest chain.  If none fits, the error says what was missing:
+ * holders, memory or places at first workers.
+ */
+int chn_choose(const struct chn_want *want, const struct chn_worker *workers,
+	       int count, struct chn_chain *chain)
+{
+	static _Thread_local struct chn_walk walk;
+	int i;
+
+	if (want->layers > CHN_LAYERS_MAX)
+		return CHN_E_NONE;
+	memset(&walk, 0, sizeof(walk));
+	walk.want = want;
+	walk.workers = workers;
+	walk.count = count;
+	walk.centres = 1;
+	for (i = 0; i < count; i++) {
+		if (workers[i].centre >= CHN_CENTRES_MAX)
+			return CHN_E_NONE;
+		if (workers[i].centre >= walk.centres)
+			walk.centres = workers[i].centre + 1;
+	}
+	chn_boundaries(&walk);
+	walk.use_memory = true;
+	if (chn_solve(&walk, chain) == CHN_OK)
+		return CHN_OK;
+	if (!chn_covered(workers, count, want->layers))
+		return CHN_E_NONE;
+	walk.use_memory = false;
+	return chn_solve(&walk, chain) == CHN_OK ? CHN_E_MEMORY : CHN_E_SLOTS;
+}
+
+/* Tells whether every layer has a holder. */
+bool chn_covered(const struct chn_worker *workers, int count, int layers)
+{
+	int position = 0;
+	int reach;
+	int i;
+
+	while (position < layers) {
+		reach = position;
+		for (i = 0; i < count; i++) {
+			if (workers[i].from <= position &&
+			    workers[i].to > reach)
+				reach = workers[i].to;
+		}
+		if (reach == position)
+			return false;
+		position = reach;
+	}
+	return true;
+}
+
+/* Hops begin and end only where some worker's range does. */
+static void chn_boundaries(struct chn_walk *walk)
+{
+	int i;
+
+	walk->boundary[0] = true;
+	walk->boundary[walk->want->layers] = true;
+	for (i = 0; i < walk->count; i++) {
+		if (walk->workers[i].to > walk->want->layers)
+			continue;
+		walk->boundary[walk->workers[i].from] = true;
+		walk->boundary[walk->workers[i].to] = true;
+	}
+}
+
+static int chn_solve(struct chn_walk *walk, struct chn_chain *chain)
+{
+	int layers = walk->want->layers;
+	double best = CHN_FAR;
+	int centre = -1;
+	int position;
+	int i;
+
+	for (position = 0; position <= layers; position++) {
+		for (i = 0; i < walk->centres; i++)
+			walk->at[position][i] =
+				(struct chn_step){ CHN_FAR, -1, 0, -1 };
+	}
+	for (position = 0; position < layers; position++) {
+		if (!walk->boundary[position])
+			continue;
+		for (i = 0; i < walk->count; i++) {
+			if (walk->workers[i].from <= position &&
+			    walk->workers[i].to > position)
+				chn_relax(walk, position, i);
+		}
+	}
+	for (i = 0; i < walk->centres; i++) {
+		if (walk->at[layers][i].cost < best) {
+			best = walk->at[layers][i].cost;
+			centre = i;
+		}
+	}
+	if (centre < 0)
+		return CHN_E_NONE;
+	chain->token_us = best;
+	return chn_trace(walk, centre, chain);
+}
+
+/* Tries every hop of a worker that begins at a position. */
+static void chn_relax(struct chn_walk *walk, int position, int worker)
+{
+	const struct chn_worker *w = &walk->workers[worker];
+	double layer = chn_layer_cost(w);
+	struct chn_step *step;
+	double enter;
+	double cost;
+	int before;
+	int end;
+
+	enter = chn_enter(walk, position, worker, &before);
+	if (enter >= CHN_FAR)
+		return;
+	for (end = position + 1; end <= w->to && end <= walk->want->layers;
+	     end++) {
+		if (!walk->boundary[end])
+			continue;
+		if (walk->use_memory &&
+		    !chn_has_room(walk->want, w, end - position))
+			return;
+		cost = enter + layer * (end - position);
+		step = &walk->at[end][w->centre];
+		if (cost >= step->cost)
+			continue;
+		step->cost = cost;
+		step->worker = worker;
+		step->start = position;
+		step->before = before;
+	}
+}
+
+/* Returns the cost of all before a hop, and of handing on to it. */
+static double chn_enter(const struct chn_walk *walk, int position, int worker,
+			int *before)
+{
+	const struct chn_want *want = walk->want;
+	const struct chn_worker *w = &walk->workers[worker];
+	double best = CHN_FAR;
+	double cost;
+	int i;
+
+	*before = -1;
+	if (position == 0) {
+		if (w->firsts_left <= 0)
+			return CHN_FAR;
+		return want->centre == w->centre ? 0 : want->away_us;
+	}
+	for (i = 0; i < walk->centres; i++) {
+		cost = walk->at[position][i].cost;
+		if (cost >= CHN_FAR)
+			continue;
+		cost += i == w->centre ? want->hop_us : want->centre_us;
+		if (cost < best) {
+			best = cost;
+			*before = i;
+		}
+	}
+	return best;
+}
+
+static double chn_layer_cost(const struct chn_worker *worker)
+{
+	double used;
+
+	if (worker->memory <= 0)
+		return worker->layer_us;
+	used = worker->held / worker->memory;
+	return worker->layer_us * (1 + CHN_PRESSURE * used * used);
+}
+
+static bool chn_has_room(const struct chn_want *want,
+			 const struct chn_worker *worker, int layers)
+{
+	return worker->held + want->tokens * layers <=
+	       worker->memory * CHN_MEMORY_LIMIT;
+}
+
+/* Writes the hops down from the last one back to the first. */
+static int chn_trace(const struct chn_walk *walk, int centre,
+		     struct chn_chain *chain)
+{
+	struct chn_hop back[CHN_LAYERS_MAX];
+	const struct chn_step *step;
+	int position = walk->want->layers;
+	int count = 0;
+	int i;
+
+	while (position > 0) {
+		step = &walk->at[position][centre];
+		back[count].ref = walk->workers[step->worker].ref;
+		back[count].from = step->start;
+		back[count].to = position;
+		count++;
+		position = step->start;
+		centre = step->before;
+	}
+	if (count > CHN_HOPS_MAX)
+		return CHN_E_NONE;
+	for (i = 0; i < count; i++)
+		chain->hops[i] = back[count - 1 - i];
+	chain->count = count;
+	chn_merge_repeats(chain);
+	return CHN_OK;
+}
+
+/*
+ * A worker may stand in a chain only once.  Where the cheapest way leaves a
+ * worker and comes back, it runs what lies between, too: its range has no
+ * gap.
+ */
+static void chn_merge_repeats(struct chn_chain *chain)
+{
+	int i;
+	int k;
+
+	for (i = 0; i < chain->count; i++) {
+		for (k = chain->count - 1; k > i; k--) {
+			if (chain->hops[k].ref != chain->hops[i].ref)
+				continue;
+			chain->hops[i].to = chain->hops[k].to;
+			memmove(&chain->hops[i + 1], &chain->hops[k + 1],
+				(size_t)(chain->count - k - 1) *
+					sizeof(chain->hops[0]));
+			chain->count -= k - i;
+			break;
+		}
+	}
+}
--- /dev/null
+++ b/src/chn.h
@@ -0,0 +1,72 @@
+#ifndef CHN_H
+#define CHN_H
+
+/*
+ * Chooses the chain of workers for one stream: hops whose ranges tile all
+ * layers once and in order, at the least expected time for a token, under
+ * the memory that is left.  Pure: all that it knows is in its arguments.
+ *
+ * Load pattern: at the evening's peak a data centre's accelerators hold about
+ * a third of the streams that fit; when a worker or a data centre is lost,
+ * its streams press into the rest within a second.  Memory binds before
+ * arithmetic does, so a chain is refused where it would pass the memory
+ * limit, and the pressure on memory is part of the price of a hop before it
+ * is reached.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "mag.h"
+
+#define CHN_HOPS_MAX	32
+#define CHN_LAYERS_MAX	256
+#define CHN_CENTRES_MAX 32
+
+/* Share of a worker's request memory that is given away. */
+#define CHN_MEMORY_LIMIT 0.92
+
+enum chn_err {
+	CHN_OK = 0,
+	CHN_E_NONE = -1,   /* no usable workers hold every layer */
+	CHN_E_MEMORY = -2, /* some layer has no room for the request */
+	CHN_E_SLOTS = -3,  /* no worker takes another request as the first */
+};
+
+struct chn_worker {
+	int ref;    /* the caller's own index */
+	int centre; /* data centre, from 0 */
+	int from;   /* layers [from, to) that it holds */
+	int to;
+	double layer_us; /* time of one layer for one token */
+	double memory;	 /* tokens x layers that it can hold */
+	double held;	 /* of these, given away so far */
+	int firsts_left; /* requests that it still takes as the first */
+};
+
+struct chn_want {
+	int layers;
+	int centre;	  /* of this instance, -1: unknown */
+	double tokens;	  /* that the request is expected to hold at its end */
+	double hop_us;	  /* time between two workers of a data centre */
+	double centre_us; /* between two data centres */
+	double away_us;	  /* price of a first worker in another one */
+};
+
+struct chn_hop {
+	int ref;
+	int from;
+	int to;
+};
+
+struct chn_chain {
+	struct chn_hop hops[CHN_HOPS_MAX];
+	int count;
+	double token_us; /* expected time of a token */
+};
+
+int chn_choose(const struct chn_want *want, const struct chn_worker *workers,
+	       int count, struct chn_chain *chain);
+bool chn_covered(const struct chn_worker *workers, int count, int layers);
+
+#endif /* CHN_H */
--- a/src/clk.c
+++ b/src/clk.c
@@ -16,6 +16,19 @@
 	return now.tv_sec * MAG_US_PER_S + now.tv_nsec / CLK_NS_PER_US;
 }
 
+/*
+ * Returns microseconds of the clock that goes on while the machine is
+ * suspended.  A deadline kept in it has passed when a frozen process wakes,
+ * so that a lease or a reading from before the freeze is not trusted.
+ */
+int64_t clk_boot_us(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_BOOTTIME, &now);
+	return now.tv_sec * MAG_US_PER_S + now.tv_nsec / CLK_NS_PER_US;
+}
+
 /* Returns milliseconds since 1970, which timed keys carry. */
 int64_t clk_wall_ms(void)
 {
--- a/src/clk.h
+++ b/src/clk.h
@@ -4,6 +4,7 @@
 #include <stdint.h>
 
 int64_t clk_now_us(void);
+int64_t clk_boot_us(void);
 int64_t clk_wall_ms(void);
 
 #endif /* CLK_H */
--- /dev/null
+++ b/src/edge.c
@@ -0,0 +1,65 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "edge.h"
+#include "jlog.h"
+
+/* Returns the number of a data centre, a new one for a new name. */
+int edge_centre(struct edge *edge, const char *name)
+{
+	int i;
+
+	for (i = 0; i < edge->centre_count; i++) {
+		if (strcmp(edge->centres[i], name) == 0)
+			return i;
+	}
+	if (i == EDGE_CENTRES_MAX)
+		return EDGE_CENTRES_MAX - 1;
+	snprintf(edge->centres[i], sizeof(edge->centres[i]), "%s", name);
+	return edge->centre_count++;
+}
+
+/*
+ * Returns the budget of second sends to a service.  This instance's part of
+ * the slack is what divides it over all instances that may exist: those it
+ * sees, and half as many again that may have just come.
+ */
+struct bud *edge_budget(struct edge *edge, const char *service)
+{
+	int routers = 1 + pres_peer_count(edge->pres);
+	double slack = edge->set.retry_slack / (routers + routers / 2 + 1);
+	struct edge_budget *budget;
+	int i;
+
+	for (i = 0; i < edge->budget_count; i++) {
+		if (strcmp(edge->budgets[i].service, service) == 0)
+			break;
+	}
+	if (i == EDGE_BUDGETS_MAX)
+		i = EDGE_BUDGETS_MAX - 1;
+	budget = &edge->budgets[i];
+	if (i == edge->budget_count) {
+		edge->budget_count++;
+		snprintf(budget->service, sizeof(budget->service), "%s",
+			 service);
+		bud_init(&budget->bud, edge->set.retry_window_us,
+			 edge->set.retry_ratio, slack);
+	}
+	bud_set_slack(&budget->bud, slack);
+	return &budget->bud;
+}
+
+/* Draws a number (xorshift); for choices and spreads, not for secrets. */
+uint64_t edge_random(struct edge *edge)
+{
+	edge->seed ^= edge->seed << 13;
+	edge->seed ^= edge->seed >> 7;
+	edge->seed ^= edge->seed << 17;
+	return edge->seed;
+}
+
+/* Tells whether this router should get callers. */
+bool edge_is_ready(const struct edge *edge)
+{
+	return edge->rt && edge->workers_listed && !edge->stopping;
+}
--- /dev/null
+++ b/src/edge.h
@@ -0,0 +1,71 @@
+#ifndef EDGE_H
+#define EDGE_H
+
+/* One router on a platform: what its modules share.  One thread owns it. */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <event2/event.h>
+#include <urcu/list.h>
+
+#include "bud.h"
+#include "eset.h"
+#include "hc.h"
+#include "hs.h"
+#include "met.h"
+#include "pres.h"
+#include "quar.h"
+#include "rt.h"
+#include "sto.h"
+#include "wk.h"
+
+#define EDGE_CENTRES_MAX 32
+#define EDGE_BUDGETS_MAX 32
+
+/* Budget of second sends to a service; kept when the configuration changes. */
+struct edge_budget {
+	char service[MAG_NAME_MAX];
+	struct bud bud;
+};
+
+struct edge {
+	struct event_base *base;
+	struct eset set;
+	struct hc *hc;
+	struct hs *callers;
+	struct hs *readiness;
+	struct hs *metrics;
+	struct sto *sto;
+	struct pres *pres;
+	struct hint *hint;
+	struct wk_table workers;
+	struct quar *quar;
+
+	struct rt_set *rt;   /* NULL until the first configuration */
+	int64_t rt_fresh_us; /* it was the newest at this time */
+	bool workers_listed;
+	bool store_reachable;
+	int64_t store_back_us; /* when the store was last regained */
+
+	char centres[EDGE_CENTRES_MAX][MAG_NAME_MAX];
+	int centre_count;
+	struct edge_budget budgets[EDGE_BUDGETS_MAX];
+	int budget_count;
+
+	struct cds_list_head requests; /* of struct eq, by arrival */
+	int request_count;
+	uint64_t seed;
+
+	bool stopping;
+	int64_t stop_by_us;
+	int64_t stopped_us;
+	struct met met;
+};
+
+int edge_centre(struct edge *edge, const char *name);
+struct bud *edge_budget(struct edge *edge, const char *service);
+uint64_t edge_random(struct edge *edge);
+bool edge_is_ready(const struct edge *edge);
+
+#endif /* EDGE_H */
--- /dev/null
+++ b/src/edge_main.c
@@ -0,0 +1,492 @@
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+
+#include <event2/event.h>
+#include <sodium.h>
+
+#include "clk.h"
+#include "edge.h"
+#include "eq.h"
+#include "hint.h"
+#include "jlog.h"
+#include "pl_config.h"
+#include "pl_store.h"
+#include "pl_worker.h"
+#include "plr.h"
+#include "wkp.h"
+
+#define EDGE_EXIT_SETTINGS 2
+#define EDGE_EXIT_START	   3
+#define EDGE_SETTINGS_ENV  "MAGNOLIARAIL_NODE_FILE"
+/*
+ * Deadlines are looked at this often: a tenth of the shortest one that
+ * matters to a caller, the 250 ms between two events.
+ */
+#define EDGE_TICK_MS	 25
+#define EDGE_LOG_LINES_S 400
+#define EDGE_WHY_MAX	 256
+/*
+ * A watch of the configuration is answered after this at the latest, which
+ * proves that nothing newer was there when it was sent.
+ */
+#define EDGE_CONFIG_WATCH_MS 1500
+#define EDGE_WORKER_WATCH_MS 2000
+/* Entries that lapsed in an outage of the store are back by then. */
+#define EDGE_LAPSED_US (1700 * MAG_US_PER_MS)
+/* For so long after an outage a missing entry may have lapsed in it. */
+#define EDGE_AFTER_OUTAGE_US (3 * MAG_US_PER_S)
+#define EDGE_SETTINGS_US     MAG_US_PER_S
+/* The balancer asks every second and takes a router out after two misses. */
+#define EDGE_LINGER_US	    (2500 * MAG_US_PER_MS)
+#define EDGE_STOP_MARGIN_US (600 * MAG_US_PER_MS)
+#define EDGE_QUARANTINES    4096
+#define EDGE_QUARANTINE_US  (60 * MAG_US_PER_S)
+#define EDGE_ROUTERS_LIKELY 8
+
+struct edge_run {
+	struct edge edge;
+	const char *settings_path;
+	struct timespec settings_time;
+	int64_t settings_next_us;
+	struct event *tick;
+	struct event *term;
+	struct event *hup;
+	bool hup_seen;
+	int bad_entries;
+};
+
+static int edge_start(struct edge_run *run);
+static int edge_listen(struct edge *edge);
+static int edge_follow(struct edge_run *run);
+static void edge_tick(evutil_socket_t fd, short what, void *arg);
+static void edge_on_term(evutil_socket_t fd, short what, void *arg);
+static void edge_on_hup(evutil_socket_t fd, short what, void *arg);
+static void edge_reload(struct edge_run *run, int64_t now);
+static void edge_stop_tick(struct edge *edge, int64_t now);
+static void edge_ask_ready(void *ctx, struct hs_conn *conn);
+static void edge_ask_metrics(void *ctx, struct hs_conn *conn);
+static void edge_asker_gone(void *ctx, struct hs_conn *conn, void *user);
+static void edge_config_begin(void *user);
+static void edge_config_item(void *user, const struct wire_item *item);
+static void edge_config_end(void *user);
+static void edge_config_fresh(void *user, int64_t sent_us);
+static void edge_workers_begin(void *user);
+static void edge_workers_item(void *user, const struct wire_item *item);
+static void edge_workers_end(void *user);
+static void edge_workers_fresh(void *user, int64_t sent_us);
+static void edge_reachable(void *user, bool reachable);
+static int64_t edge_gone_us(const struct edge *edge, int64_t now);
+
+static const struct sto_follow_ops edge_config_ops = {
+	.begin = edge_config_begin,
+	.item = edge_config_item,
+	.end = edge_config_end,
+	.fresh = edge_config_fresh,
+	.reachable = edge_reachable,
+};
+
+static const struct sto_follow_ops edge_workers_ops = {
+	.begin = edge_workers_begin,
+	.item = edge_workers_item,
+	.end = edge_workers_end,
+	.fresh = edge_workers_fresh,
+};
+
+/* The router on a platform: serves until SIGTERM, then lets work end. */
+int main(void)
+{
+	static struct edge_run run;
+	char why[EDGE_WHY_MAX];
+	int rc;
+
+	run.settings_path = getenv(EDGE_SETTINGS_ENV);
+	jlog_open("starting", 1, EDGE_LOG_LINES_S);
+	if (!run.settings_path) {
+		jlog(LOG_SET_BAD, "\"why\":\"%s is not set\"",
+		     EDGE_SETTINGS_ENV);
+		jlog_flush();
+		return EDGE_EXIT_SETTINGS;
+	}
+	rc = eset_load(run.settings_path, &run.edge.set, why, sizeof(why));
+	if (rc) {
+		jlog(LOG_SET_BAD, "\"why\":\"%s\"", why);
+		jlog_flush();
+		return EDGE_EXIT_SETTINGS;
+	}
+	jlog_open(run.edge.set.instance, 1, EDGE_LOG_LINES_S);
+	signal(SIGPIPE, SIG_IGN);
+	if (sodium_init() < 0 || edge_start(&run)) {
+		jlog_flush();
+		return EDGE_EXIT_START;
+	}
+	jlog(LOG_STARTED, "\"data_centre\":\"%s\",\"callers\":\"%s\"",
+	     run.edge.set.data_centre, run.edge.set.callers);
+	event_base_dispatch(run.edge.base);
+	jlog(LOG_STOPPED, "\"requests_open\":%d", run.edge.request_count);
+	jlog_flush();
+	return 0;
+}
+
+static int edge_start(struct edge_run *run)
+{
+	struct timeval every = { 0, EDGE_TICK_MS * 1000 };
+	struct event_config *config = event_config_new();
+	struct edge *edge = &run->edge;
+	uint64_t incarnation;
+	char peer[MAG_ADDR_MAX * 2];
+
+	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER |
+					      EVENT_BASE_FLAG_NOLOCK);
+	edge->base = event_base_new_with_config(config);
+	event_config_free(config);
+	randombytes_buf(&edge->seed, sizeof(edge->seed));
+	randombytes_buf(&incarnation, sizeof(incarnation));
+	edge->seed |= 1;
+	CDS_INIT_LIST_HEAD(&edge->requests);
+	edge->hc = edge->base ? hc_new(edge->base) : NULL;
+	edge->quar = quar_new(EDGE_QUARANTINES, EDGE_QUARANTINE_US);
+	if (!edge->hc || !edge->quar) {
+		jlog(LOG_START_FAILED, "\"why\":\"out of memory\"");
+		return -1;
+	}
+	wk_init(&edge->workers, edge->hc);
+	edge_centre(edge, edge->set.data_centre);
+	if (edge_listen(edge) || edge_follow(run))
+		return -1;
+	snprintf(peer, sizeof(peer), "%s:%d", edge->set.address,
+		 edge->set.peer_port);
+	edge->pres = pres_new(edge->sto, edge->set.instance, peer,
+			      edge->set.store_lease_ms_min, incarnation);
+	if (!edge->pres || hint_new(edge, &edge->hint)) {
+		jlog(LOG_START_FAILED, "\"why\":\"peer socket %s\"", peer);
+		return -1;
+	}
+	run->tick = event_new(edge->base, -1, EV_PERSIST, edge_tick, run);
+	run->term = evsignal_new(edge->base, SIGTERM, edge_on_term, run);
+	run->hup = evsignal_new(edge->base, SIGHUP, edge_on_hup, run);
+	event_add(run->tick, &every);
+	event_add(run->term, NULL);
+	event_add(run->hup, NULL);
+	return 0;
+}
+
+static int edge_listen(struct edge *edge)
+{
+	static const struct hs_ops callers = { eq_arrive, eq_caller_gone };
+	static const struct hs_ops ready = { edge_ask_ready, edge_asker_gone };
+	static const struct hs_ops metrics = { edge_ask_metrics,
+					       edge_asker_gone };
+	char address[MAG_ADDR_MAX * 2];
+
+	if (hs_new(edge->base, edge->set.callers, &callers, edge,
+		   &edge->callers)) {
+		jlog(LOG_START_FAILED, "\"why\":\"cannot listen on %s\"",
+		     edge->set.callers);
+		return -1;
+	}
+	if (hs_new(edge->base, edge->set.readiness, &ready, edge,
+		   &edge->readiness)) {
+		jlog(LOG_START_FAILED, "\"why\":\"cannot listen on %s\"",
+		     edge->set.readiness);
+		return -1;
+	}
+	snprintf(address, sizeof(address), "%s:%d", edge->set.address,
+		 edge->set.metrics_port);
+	if (hs_new(edge->base, address, &metrics, edge, &edge->metrics)) {
+		jlog(LOG_START_FAILED, "\"why\":\"cannot listen on %s\"",
+		     address);
+		return -1;
+	}
+	return 0;
+}
+
+static int edge_follow(struct edge_run *run)
+{
+	struct edge *edge = &run->edge;
+	struct sto_follow_settings config = { PL_OPERATOR, EDGE_CONFIG_WATCH_MS,
+					      &edge_config_ops, run };
+	struct sto_follow_settings workers = { PL_WORKERS, EDGE_WORKER_WATCH_MS,
+					       &edge_workers_ops, run };
+
+	edge->store_reachable = true;
+	if (sto_new(edge->hc, edge->set.store, edge_random(edge), &edge->sto) ||
+	    sto_follow(edge->sto, &config, NULL) ||
+	    sto_follow(edge->sto, &workers, NULL)) {
+		jlog(LOG_START_FAILED, "\"why\":\"store %s\"", edge->set.store);
+		return -1;
+	}
+	return 0;
+}
+
+/* Runs every system over its table, in this order. */
+static void edge_tick(evutil_socket_t fd, short what, void *arg)
+{
+	struct edge_run *run = arg;
+	struct edge *edge = &run->edge;
+	int64_t now = clk_boot_us();
+
+	(void)fd;
+	(void)what;
+	edge_reload(run, now);
+	hc_tick(edge->hc, now);
+	hs_tick(edge->callers, now);
+	hs_tick(edge->readiness, now);
+	hs_tick(edge->metrics, now);
+	sto_tick(edge->sto, now);
+	pres_tick(edge->pres, now);
+	wk_tick(&edge->workers, now);
+	wkp_tick(edge, now);
+	plr_tick(edge, now);
+	hint_tick(edge->hint, now);
+	eq_tick(edge, now);
+	if (edge->stopping)
+		edge_stop_tick(edge, now);
+	jlog_flush();
+}
+
+/*
+ * Begins to stop: the balancer is told, connections close after their next
+ * answer, and what is in progress goes on.
+ */
+static void edge_on_term(evutil_socket_t fd, short what, void *arg)
+{
+	struct edge_run *run = arg;
+	struct edge *edge = &run->edge;
+	int64_t now = clk_boot_us();
+
+	(void)fd;
+	(void)what;
+	if (edge->stopping)
+		return;
+	edge->stopping = true;
+	edge->stopped_us = now;
+	edge->stop_by_us = now + edge->set.stop_us - EDGE_STOP_MARGIN_US;
+	jlog(LOG_STOPPING, "\"requests_open\":%d", edge->request_count);
+	pres_leave(edge->pres);
+	hs_stop_keeping(edge->callers);
+}
+
+static void edge_stop_tick(struct edge *edge, int64_t now)
+{
+	bool idle =
+		edge->request_count == 0 && hs_open_count(edge->callers) == 0;
+
+	if ((idle && now - edge->stopped_us > EDGE_LINGER_US) ||
+	    now >= edge->stop_by_us)
+		event_base_loopbreak(edge->base);
+}
+
+static void edge_on_hup(evutil_socket_t fd, short what, void *arg)
+{
+	struct edge_run *run = arg;
+
+	(void)fd;
+	(void)what;
+	run->hup_seen = true;
+}
+
+/* Reads the settings again after SIGHUP, or when the file has changed. */
+static void edge_reload(struct edge_run *run, int64_t now)
+{
+	char why[EDGE_WHY_MAX];
+	struct eset fresh;
+	struct stat st;
+
+	if (!run->hup_seen && now < run->settings_next_us)
+		return;
+	run->settings_next_us = now + EDGE_SETTINGS_US;
+	if (stat(run->settings_path, &st))
+		return;
+	if (!run->hup_seen && st.st_mtim.tv_sec == run->settings_time.tv_sec &&
+	    st.st_mtim.tv_nsec == run->settings_time.tv_nsec)
+		return;
+	run->hup_seen = false;
+	run->settings_time = st.st_mtim;
+	if (eset_load(run->settings_path, &fresh, why, sizeof(why))) {
+		jlog(LOG_SET_BAD, "\"why\":\"%s\",\"kept\":true", why);
+		return;
+	}
+	/* Addresses hold until the next start; limits hold at once. */
+	run->edge.set = fresh;
+	jlog(LOG_SET_RELOADED, "\"path\":\"%s\"", run->settings_path);
+}
+
+static void edge_ask_ready(void *ctx, struct hs_conn *conn)
+{
+	struct edge *edge = ctx;
+
+	hs_reply(conn, edge_is_ready(edge) ? 200 : 503, NULL, NULL, 0);
+}
+
+static void edge_ask_metrics(void *ctx, struct hs_conn *conn)
+{
+	struct edge *edge = ctx;
+	struct evbuffer *out = evbuffer_new();
+
+	if (!out) {
+		hs_reply(conn, 503, NULL, NULL, 0);
+		return;
+	}
+	met_write(&edge->met, out);
+	evbuffer_add_printf(out,
+			    "magnolia_requests_open %d\n"
+			    "magnolia_workers %d\n"
+			    "magnolia_store_calls_total %llu\n"
+			    "magnolia_log_lines_dropped_total %llu\n",
+			    edge->request_count, edge->workers.count,
+			    (unsigned long long)sto_calls(edge->sto),
+			    (unsigned long long)jlog_dropped());
+	hs_reply(conn, 200, "Content-Type: text/plain; version=0.0.4\r\n",
+		 evbuffer_pullup(out, -1), evbuffer_get_length(out));
+	evbuffer_free(out);
+}
+
+static void edge_asker_gone(void *ctx, struct hs_conn *conn, void *user)
+{
+	(void)ctx;
+	(void)conn;
+	(void)user;
+}
+
+static void edge_config_begin(void *user)
+{
+	(void)user;
+}
+
+/* Takes a newer configuration; an older one never comes back. */
+static void edge_config_item(void *user, const struct wire_item *item)
+{
+	struct edge_run *run = user;
+	struct edge *edge = &run->edge;
+	struct hs_limits limits;
+	char why[EDGE_WHY_MAX];
+	struct rt_set *fresh;
+
+	if (strcmp(item->key, PL_CONFIG_KEY) != 0 || item->deleted)
+		return;
+	if (pl_config_decode(item->value, item->len, &fresh, why,
+			     sizeof(why))) {
+		char text[EDGE_WHY_MAX];
+
+		jlog(LOG_RT_BAD, "\"why\":\"%s\"",
+		     jlog_text(text, sizeof(text), why));
+		return;
+	}
+	if (edge->rt && fresh->version <= edge->rt->version) {
+		rt_drop(fresh);
+		return;
+	}
+	jlog(LOG_RT_TAKEN,
+	     "\"version\":%lld,\"before\":%lld,\"routes\":%d,\"services\":%d,"
+	     "\"accounts\":%d,\"revision\":%lld",
+	     (long long)fresh->version,
+	     edge->rt ? (long long)edge->rt->version : -1LL, fresh->route_count,
+	     fresh->service_count, fresh->account_count,
+	     (long long)item->revision);
+	rt_drop(edge->rt);
+	edge->rt = fresh;
+	limits = (struct hs_limits){ fresh->limits.header_bytes,
+				     fresh->limits.body_bytes,
+				     fresh->limits.header_ms,
+				     fresh->limits.idle_ms };
+	hs_set_limits(edge->callers, &limits);
+}
+
+static void edge_config_end(void *user)
+{
+	(void)user;
+}
+
+static void edge_config_fresh(void *user, int64_t sent_us)
+{
+	struct edge_run *run = user;
+
+	run->edge.rt_fresh_us = sent_us;
+}
+
+static void edge_workers_begin(void *user)
+{
+	struct edge_run *run = user;
+
+	wk_list_begin(&run->edge.workers);
+}
+
+/* Takes an entry of the workers' list; one that cannot be read names none. */
+static void edge_workers_item(void *user, const struct wire_item *item)
+{
+	struct edge_run *run = user;
+	struct edge *edge = &run->edge;
+	struct wire_worker worker;
+	char why[EDGE_WHY_MAX];
+	char text[EDGE_WHY_MAX];
+	int64_t now = clk_boot_us();
+	struct wk *wk;
+	int service;
+
+	if (item->deleted) {
+		wk_remove(&edge->workers, item->key + strlen(PL_WORKERS),
+			  edge_gone_us(edge, now), now);
+		return;
+	}
+	if (pl_worker_decode(item->key, item->value, item->len, &worker, why,
+			     sizeof(why))) {
+		jlog(LOG_WK_UNREAD, "\"why\":\"%s\"",
+		     jlog_text(text, sizeof(text), why));
+		return;
+	}
+	if (wk_list_put(&edge->workers, &worker, now, &wk))
+		return;
+	service = edge->rt ? rt_service_named(edge->rt, worker.service) : -1;
+	if (service >= 0)
+		hc_host_limit(wk->host,
+			      edge->rt->services[service].max_connections /
+				      EDGE_ROUTERS_LIKELY);
+}
+
+static void edge_workers_end(void *user)
+{
+	struct edge_run *run = user;
+	struct edge *edge = &run->edge;
+	int64_t now = clk_boot_us();
+
+	wk_list_end(&edge->workers, edge_gone_us(edge, now), now);
+	edge->workers_listed = true;
+}
+
+static void edge_workers_fresh(void *user, int64_t sent_us)
+{
+	(void)user;
+	(void)sent_us;
+}
+
+static void edge_reachable(void *user, bool reachable)
+{
+	struct edge_run *run = user;
+	struct edge *edge = &run->edge;
+
+	edge->store_reachable = reachable;
+	if (reachable)
+		edge->store_back_us = clk_boot_us();
+	jlog(reachable ? LOG_PF_UP : LOG_PF_DOWN, "\"store\":\"%s\"",
+	     edge->set.store);
+}
+
+/*
+ * When a worker whose entry is missing counts as gone: at once, unless the
+ * entry may have lapsed while the store was away.  The worker writes it again
+ * within two seconds then, and to drop all workers at once would refuse
+ * every caller for as long.
+ */
+static int64_t edge_gone_us(const struct edge *edge, int64_t now)
+{
+	if (!edge->store_reachable ||
+	    (edge->store_back_us &&
+	     now - edge->store_back_us < EDGE_AFTER_OUTAGE_US))
+		return now + EDGE_LAPSED_US;
+	return now;
+}
--- /dev/null
+++ b/src/eset.c
@@ -0,0 +1,145 @@
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "eset.h"
+
+enum eset_type {
+	ESET_TEXT,
+	ESET_INT,    /* int */
+	ESET_WIDE,   /* int64_t */
+	ESET_MS,     /* milliseconds, kept as int64_t microseconds */
+	ESET_S,	     /* seconds, kept as int64_t microseconds */
+	ESET_NUMBER, /* double */
+	ESET_FLAG,
+};
+
+struct eset_field {
+	const char *name;
+	enum eset_type type;
+	size_t offset;
+	size_t size; /* of a text */
+};
+
+#define ESET_TEXT_FIELD(member)                                                \
+	{                                                                      \
+#member, ESET_TEXT, offsetof(struct eset, member),             \
+			sizeof(((struct eset *)0)->member)                     \
+	}
+
+static const struct eset_field eset_fields[] = {
+	ESET_TEXT_FIELD(instance),
+	ESET_TEXT_FIELD(data_centre),
+	ESET_TEXT_FIELD(address),
+	ESET_TEXT_FIELD(callers),
+	ESET_TEXT_FIELD(readiness),
+	ESET_TEXT_FIELD(store),
+	{ "peer_port", ESET_INT, offsetof(struct eset, peer_port), 0 },
+	{ "metrics_port", ESET_INT, offsetof(struct eset, metrics_port), 0 },
+	{ "store_lease_ms_min", ESET_WIDE,
+	  offsetof(struct eset, store_lease_ms_min), 0 },
+	{ "first_start", ESET_FLAG, offsetof(struct eset, first_start), 0 },
+	{ "stop_s", ESET_S, offsetof(struct eset, stop_us), 0 },
+	{ "drain_ms", ESET_MS, offsetof(struct eset, drain_us), 0 },
+	{ "keys_stale_ms", ESET_MS, offsetof(struct eset, keys_stale_us), 0 },
+	{ "keys_fail_closed", ESET_FLAG,
+	  offsetof(struct eset, keys_fail_closed), 0 },
+	{ "retry_ratio", ESET_NUMBER, offsetof(struct eset, retry_ratio), 0 },
+	{ "retry_window_s", ESET_S, offsetof(struct eset, retry_window_us), 0 },
+	{ "retry_slack", ESET_NUMBER, offsetof(struct eset, retry_slack), 0 },
+	{ "stall_ms", ESET_MS, offsetof(struct eset, stall_us), 0 },
+	{ "open_files", ESET_INT, offsetof(struct eset, open_files), 0 },
+};
+
+static int eset_take(const struct eset_field *field, const json_t *value,
+		     struct eset *set);
+static int eset_number(const struct eset_field *field, const json_t *value,
+		       void *at);
+
+/*
+ * Reads and checks a settings file.  Fields that are not known are ignored,
+ * because a newer platform may add some.  On an error nothing is taken and
+ * why names the field.
+ */
+int eset_load(const char *path, struct eset *set, char *why, int why_size)
+{
+	const struct eset_field *field;
+	struct eset fresh = { 0 };
+	json_error_t error;
+	json_t *root;
+	size_t i;
+
+	root = json_load_file(path, 0, &error);
+	if (!json_is_object(root)) {
+		snprintf(why, (size_t)why_size, "%s: line %d: %s", path,
+			 error.line, error.text);
+		json_decref(root);
+		return ESET_E_READ;
+	}
+	for (i = 0; i < MAG_ARRAY_SIZE(eset_fields); i++) {
+		field = &eset_fields[i];
+		if (eset_take(field, json_object_get(root, field->name),
+			      &fresh)) {
+			snprintf(why, (size_t)why_size,
+				 "settings: %s: missing or malformed",
+				 field->name);
+			json_decref(root);
+			return ESET_E_BAD;
+		}
+	}
+	json_decref(root);
+	*set = fresh;
+	return ESET_OK;
+}
+
+static int eset_take(const struct eset_field *field, const json_t *value,
+		     struct eset *set)
+{
+	char *at = (char *)set + field->offset;
+
+	switch (field->type) {
+	case ESET_TEXT:
+		if (!json_is_string(value) || json_string_length(value) == 0 ||
+		    json_string_length(value) >= field->size)
+			return ESET_E_BAD;
+		strcpy(at, json_string_value(value));
+		return ESET_OK;
+	case ESET_FLAG:
+		if (!json_is_boolean(value))
+			return ESET_E_BAD;
+		*(bool *)at = json_is_true(value);
+		return ESET_OK;
+	default:
+		return eset_number(field, value, at);
+	}
+}
+
+static int eset_number(const struct eset_field *field, const json_t *value,
+		       void *at)
+{
+	double number;
+
+	if (!json_is_number(value) || json_number_value(value) < 0)
+		return ESET_E_BAD;
+	number = json_number_value(value);
+	switch (field->type) {
+	case ESET_INT:
+		*(int *)at = (int)number;
+		break;
+	case ESET_WIDE:
+		*(int64_t *)at = (int64_t)number;
+		break;
+	case ESET_MS:
+		*(int64_t *)at = (int64_t)(number * MAG_US_PER_MS);
+		break;
+	case ESET_S:
+		*(int64_t *)at = (int64_t)(number * MAG_US_PER_S);
+		break;
+	default:
+		*(double *)at = number;
+		break;
+	}
+	return ESET_OK;
+}
--- /dev/null
+++ b/src/evs.h
@@ -0,0 +1,38 @@
+#ifndef EVS_H
+#define EVS_H
+
+/*
+ * Splits a stream of server-sent events into whole events.  Pure.  A caller
+ * is handed whole events only, so that after a break another worker can go
+ * on behind the last one.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define EVS_NO_ID (-1)
+/* An event beyond this is no event of ours (bytes). */
+#define EVS_EVENT_MAX (1 << 20)
+
+struct evs {
+	char *bytes;
+	size_t start; /* of the next event */
+	size_t len;
+	size_t cap;
+	size_t scanned;
+};
+
+struct evs_event {
+	const char *bytes; /* with its blank line; valid until the next feed */
+	size_t len;
+	int64_t id; /* EVS_NO_ID if it has none */
+};
+
+int evs_feed(struct evs *evs, const void *bytes, size_t len);
+bool evs_next(struct evs *evs, struct evs_event *event);
+size_t evs_pending(const struct evs *evs);
+void evs_reset(struct evs *evs);
+void evs_free(struct evs *evs);
+
+#endif /* EVS_H */
--- /dev/null
+++ b/src/hdr.c
@@ -0,0 +1,141 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "hdr.h"
+
+static int hdr_reserve(struct hdr_list *list, size_t more);
+static int hdr_append(struct hdr_list *list, const char *bytes, size_t len);
+static int hdr_new_slot(struct hdr_list *list);
+
+/* Forgets all fields and keeps the memory for the next message. */
+void hdr_reset(struct hdr_list *list)
+{
+	list->len = 0;
+	list->count = 0;
+	list->in_value = false;
+}
+
+/* Releases the memory of a list; the list itself is the caller's. */
+void hdr_free(struct hdr_list *list)
+{
+	free(list->text);
+	free(list->slots);
+	memset(list, 0, sizeof(*list));
+}
+
+/* Adds bytes of a field's name; the first ones after a value begin a field. */
+int hdr_add_name(struct hdr_list *list, const char *bytes, size_t len)
+{
+	if (list->in_value || list->count == 0) {
+		if (hdr_new_slot(list))
+			return HDR_E_MEMORY;
+		list->in_value = false;
+	}
+	return hdr_append(list, bytes, len);
+}
+
+/* Adds bytes of the value of the field whose name came last. */
+int hdr_add_value(struct hdr_list *list, const char *bytes, size_t len)
+{
+	if (!list->in_value) {
+		if (hdr_reserve(list, 1))
+			return HDR_E_MEMORY;
+		list->text[list->len++] = '\0';
+		list->slots[list->count - 1].value = (uint32_t)list->len;
+		list->in_value = true;
+	}
+	return hdr_append(list, bytes, len);
+}
+
+/* Returns the value of the first field of a name, or NULL. */
+const char *hdr_get(const struct hdr_list *list, const char *name)
+{
+	int i;
+
+	for (i = 0; i < list->count; i++) {
+		if (strcasecmp(hdr_name(list, i), name) == 0)
+			return hdr_value(list, i);
+	}
+	return NULL;
+}
+
+const char *hdr_name(const struct hdr_list *list, int i)
+{
+	return list->text + list->slots[i].name;
+}
+
+const char *hdr_value(const struct hdr_list *list, int i)
+{
+	return list->text + list->slots[i].value;
+}
+
+/* Tells whether a comma-separated value holds a token, in any case. */
+bool hdr_has_token(const char *value, const char *token)
+{
+	size_t want = strlen(token);
+	size_t len;
+
+	while (value && *value) {
+		value += strspn(value, ", \t");
+		len = strcspn(value, ", \t");
+		if (len == want && strncasecmp(value, token, len) == 0)
+			return true;
+		value += len;
+	}
+	return false;
+}
+
+/* Makes room for more bytes and the NUL behind them. */
+static int hdr_reserve(struct hdr_list *list, size_t more)
+{
+	size_t need = list->len + more + 1;
+	size_t cap = list->cap ? list->cap : 512;
+	char *text;
+
+	if (need <= list->cap)
+		return HDR_OK;
+	while (cap < need)
+		cap *= 2;
+	text = realloc(list->text, cap);
+	if (!text)
+		return HDR_E_MEMORY;
+	list->text = text;
+	list->cap = cap;
+	return HDR_OK;
+}
+
+static int hdr_append(struct hdr_list *list, const char *bytes, size_t len)
+{
+	if (hdr_reserve(list, len))
+		return HDR_E_MEMORY;
+	memcpy(list->text + list->len, bytes, len);
+	list->len += len;
+	list->text[list->len] = '\0';
+	return HDR_OK;
+}
+
+/* Begins a field with an empty name and an empty value. */
+static int hdr_new_slot(struct hdr_list *list)
+{
+	struct hdr_slot *slots;
+	int cap;
+
+	if (list->count == list->slot_cap) {
+		cap = list->slot_cap ? list->slot_cap * 2 : 16;
+		slots = realloc(list->slots, (size_t)cap * sizeof(*slots));
+		if (!slots)
+			return HDR_E_MEMORY;
+		list->slots = slots;
+		list->slot_cap = cap;
+	}
+	if (hdr_reserve(list, 1))
+		return HDR_E_MEMORY;
+	if (list->count > 0)
+		list->text[list->len++] = '\0';
+	list->text[list->len] = '\0';
+	list->slots[list->count].name = (uint32_t)list->len;
+	list->slots[list->count].value = (uint32_t)list->len;
+	list->count++;
+	return HDR_OK;
+}
--- /dev/null
+++ b/src/hdr.h
@@ -0,0 +1,42 @@
+#ifndef HDR_H
+#define HDR_H
+
+/*
+ * Header fields of one HTTP message in the order in which they came.  Bytes
+ * may be added in pieces, as a parser hands them out.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct hdr_slot {
+	uint32_t name;
+	uint32_t value;
+};
+
+struct hdr_list {
+	char *text; /* names and values, each with its NUL */
+	size_t len;
+	size_t cap;
+	struct hdr_slot *slots;
+	int count;
+	int slot_cap;
+	bool in_value;
+};
+
+enum hdr_err {
+	HDR_OK = 0,
+	HDR_E_MEMORY = -1,
+};
+
+void hdr_reset(struct hdr_list *list);
+void hdr_free(struct hdr_list *list);
+int hdr_add_name(struct hdr_list *list, const char *bytes, size_t len);
+int hdr_add_value(struct hdr_list *list, const char *bytes, size_t len);
+const char *hdr_get(const struct hdr_list *list, const char *name);
+const char *hdr_name(const struct hdr_list *list, int i);
+const char *hdr_value(const struct hdr_list *list, int i);
+bool hdr_has_token(const char *value, const char *token);
+
+#endif /* HDR_H */
--- /dev/null
+++ b/src/hint.c
@@ -0,0 +1,305 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+#include <event2/util.h>
+#include <rpc/rpc.h>
+
+#include "clk.h"
+#include "hint.h"
+#include "jlog.h"
+#include "pres.h"
+
+#define HINT_MAGIC   0x4d414748U
+#define HINT_VERSION 1U
+/*
+ * Streams live for seconds, so their load told four times a second is fresh
+ * enough; with 4 routers and 38 workers that is 2 KB/s a router.
+ */
+#define HINT_EVERY_US (250 * MAG_US_PER_MS)
+/* A router that was not heard for so long holds nothing. */
+#define HINT_OLD_US (1200 * MAG_US_PER_MS)
+/* A datagram stays below the smallest common transfer unit. */
+#define HINT_BYTES_MAX 1400
+#define HINT_LOADS_MAX 80
+#define HINT_NEWS_MAX  4
+#define HINT_PEERS_MAX 1024
+/*
+ * Peers told in one round; with more of them each hears of us less often, so
+ * that the traffic of a router does not grow with the fleet.
+ */
+#define HINT_FAN_OUT 8
+
+struct hint_load {
+	uint32_t worker; /* hash of its id */
+	float held;	 /* tokens x layers */
+	uint32_t firsts;
+};
+
+struct hint_news {
+	uint8_t print[MAG_DIGEST_BYTES];
+	uint32_t lost;
+};
+
+struct hint_message {
+	uint32_t magic;
+	uint32_t version;
+	char *name;
+	uint32_t load_count;
+	struct hint_load loads[HINT_LOADS_MAX];
+	uint32_t news_count;
+	struct hint_news news[HINT_NEWS_MAX];
+};
+
+/* What a peer said last. */
+struct hint_peer {
+	char name[MAG_NAME_MAX];
+	int64_t heard_us;
+	uint32_t load_count;
+	struct hint_load loads[HINT_LOADS_MAX];
+};
+
+struct hint {
+	struct edge *edge;
+	int fd;
+	struct event *readable;
+	int64_t next_us;
+	int turn; /* of the peers, which one is told next */
+	struct hint_peer *peers;
+	int peer_count;
+};
+
+static void hint_readable(evutil_socket_t fd, short what, void *arg);
+static bool_t hint_xdr(XDR *xdr, struct hint_message *message);
+static void hint_send(struct hint *hint);
+static void hint_collect(struct hint *hint, struct hint_message *message);
+static void hint_take(struct hint *hint, const struct hint_message *message);
+static void hint_add_up(struct hint *hint, int64_t now);
+static uint32_t hint_hash(const char *id);
+
+int hint_new(struct edge *edge, struct hint **out)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	struct hint *hint = calloc(1, sizeof(*hint));
+
+	if (!hint)
+		return HINT_E_MEMORY;
+	hint->edge = edge;
+	hint->peers = calloc(HINT_PEERS_MAX, sizeof(*hint->peers));
+	hint->fd =
+		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	addr.sin_port = htons((uint16_t)edge->set.peer_port);
+	if (!hint->peers || hint->fd < 0 ||
+	    inet_pton(AF_INET, edge->set.address, &addr.sin_addr) != 1 ||
+	    bind(hint->fd, (struct sockaddr *)&addr, sizeof(addr))) {
+		hint_free(hint);
+		return HINT_E_SOCKET;
+	}
+	hint->readable = event_new(edge->base, hint->fd, EV_READ | EV_PERSIST,
+				   hint_readable, hint);
+	if (!hint->readable) {
+		hint_free(hint);
+		return HINT_E_MEMORY;
+	}
+	event_add(hint->readable, NULL);
+	*out = hint;
+	return HINT_OK;
+}
+
+void hint_free(struct hint *hint)
+{
+	if (!hint)
+		return;
+	if (hint->readable)
+		event_free(hint->readable);
+	if (hint->fd >= 0)
+		close(hint->fd);
+	free(hint->peers);
+	free(hint);
+}
+
+/* Tells some peers, and adds up what all said. */
+void hint_tick(struct hint *hint, int64_t now)
+{
+	if (now < hint->next_us)
+		return;
+	hint->next_us = now + HINT_EVERY_US;
+	hint_add_up(hint, now);
+	hint_send(hint);
+}
+
+static void hint_send(struct hint *hint)
+{
+	static struct hint_message message;
+	struct sockaddr_in addr;
+	char bytes[HINT_BYTES_MAX];
+	int addr_len;
+	int peers = pres_peer_count(hint->edge->pres);
+	int told;
+	XDR xdr;
+
+	hint_collect(hint, &message);
+	xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
+	if (!hint_xdr(&xdr, &message))
+		return;
+	for (told = 0; told < peers && told < HINT_FAN_OUT; told++) {
+		hint->turn = (hint->turn + 1) % peers;
+		addr_len = sizeof(addr);
+		if (evutil_parse_sockaddr_port(
+			    pres_peer(hint->edge->pres, hint->turn)->address,
+			    (struct sockaddr *)&addr, &addr_len))
+			continue;
+		/* A full link drops it; the next one says the same. */
+		(void)sendto(hint->fd, bytes, xdr_getpos(&xdr), 0,
+			     (struct sockaddr *)&addr, (socklen_t)addr_len);
+	}
+}
+
+/* Fills a message with our load, the most loaded workers if too many. */
+static void hint_collect(struct hint *hint, struct hint_message *message)
+{
+	struct edge *edge = hint->edge;
+	int64_t until_us;
+	struct wk *wk;
+
+	message->magic = HINT_MAGIC;
+	message->version = HINT_VERSION;
+	message->name = edge->set.instance;
+	message->load_count = 0;
+	message->news_count = 0;
+	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+		if (message->load_count == HINT_LOADS_MAX)
+			break;
+		if (wk->firsts == 0 && wk->held <= 0)
+			continue;
+		message->loads[message->load_count++] =
+			(struct hint_load){ hint_hash(wk->is.id),
+					    (float)wk->held,
+					    (uint32_t)wk->firsts };
+	}
+	while (message->news_count < HINT_NEWS_MAX &&
+	       quar_next_news(
+		       edge->quar, message->news[message->news_count].print,
+		       &message->news[message->news_count].lost, &until_us))
+		message->news_count++;
+}
+
+static void hint_readable(evutil_socket_t fd, short what, void *arg)
+{
+	static struct hint_message message;
+	char name[MAG_NAME_MAX];
+	char bytes[HINT_BYTES_MAX];
+	struct hint *hint = arg;
+	ssize_t len;
+	XDR xdr;
+
+	(void)what;
+	while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+		message.name = name;
+		xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
+		if (hint_xdr(&xdr, &message) && message.magic == HINT_MAGIC &&
+		    message.version == HINT_VERSION)
+			hint_take(hint, &message);
+	}
+}
+
+static bool_t hint_xdr(XDR *xdr, struct hint_message *message)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(xdr, &message->magic) ||
+	    !xdr_uint32_t(xdr, &message->version) ||
+	    !xdr_string(xdr, &message->name, MAG_NAME_MAX - 1) ||
+	    !xdr_uint32_t(xdr, &message->load_count) ||
+	    message->load_count > HINT_LOADS_MAX)
+		return FALSE;
+	for (i = 0; i < message->load_count; i++) {
+		if (!xdr_uint32_t(xdr, &message->loads[i].worker) ||
+		    !xdr_float(xdr, &message->loads[i].held) ||
+		    !xdr_uint32_t(xdr, &message->loads[i].firsts))
+			return FALSE;
+	}
+	if (!xdr_uint32_t(xdr, &message->news_count) ||
+	    message->news_count > HINT_NEWS_MAX)
+		return FALSE;
+	for (i = 0; i < message->news_count; i++) {
+		if (!xdr_opaque(xdr, (char *)message->news[i].print,
+				MAG_DIGEST_BYTES) ||
+		    !xdr_uint32_t(xdr, &message->news[i].lost))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+/* Time for which a request that crashes workers is refused after a hint. */
+#define HINT_QUARANTINE_US (60 * MAG_US_PER_S)
+
+static void hint_take(struct hint *hint, const struct hint_message *message)
+{
+	int64_t now = clk_boot_us();
+	struct hint_peer *peer;
+	uint32_t k;
+	int i;
+
+	for (i = 0; i < hint->peer_count; i++) {
+		if (strcmp(hint->peers[i].name, message->name) == 0)
+			break;
+	}
+	if (i == HINT_PEERS_MAX)
+		return;
+	peer = &hint->peers[i];
+	if (i == hint->peer_count) {
+		hint->peer_count++;
+		strcpy(peer->name, message->name);
+	}
+	peer->heard_us = now;
+	peer->load_count = message->load_count;
+	memcpy(peer->loads, message->loads,
+	       message->load_count * sizeof(peer->loads[0]));
+	for (k = 0; k < message->news_count; k++)
+		quar_learn(hint->edge->quar, message->news[k].print,
+			   message->news[k].lost, now + HINT_QUARANTINE_US,
+			   now);
+}
+
+/* Adds the load of all peers up for each worker. */
+static void hint_add_up(struct hint *hint, int64_t now)
+{
+	const struct hint_peer *peer;
+	uint32_t hash;
+	struct wk *wk;
+	uint32_t k;
+	int i;
+
+	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
+		wk->peer_held = 0;
+		wk->peer_firsts = 0;
+		hash = hint_hash(wk->is.id);
+		for (i = 0; i < hint->peer_count; i++) {
+			peer = &hint->peers[i];
+			if (now - peer->heard_us > HINT_OLD_US)
+				continue;
+			for (k = 0; k < peer->load_count; k++) {
+				if (peer->loads[k].worker != hash)
+					continue;
+				wk->peer_held += (double)peer->loads[k].held;
+				wk->peer_firsts += (int)peer->loads[k].firsts;
+			}
+		}
+	}
+}
+
+/* FNV-1a of a worker's id. */
+static uint32_t hint_hash(const char *id)
+{
+	uint32_t hash = 2166136261U;
+
+	for (; *id; id++)
+		hash = (hash ^ (unsigned char)*id) * 16777619U;
+	return hash;
+}
--- /dev/null
+++ b/src/hint.h
@@ -0,0 +1,24 @@
+#ifndef HINT_H
+#define HINT_H
+
+/*
+ * Hints between the routers: how much of each worker they have taken, and
+ * which requests crash workers.  Datagrams in XDR; a lost one is made up for
+ * by the next.  Nothing that must hold rests on them.
+ */
+
+#include <stdint.h>
+
+#include "edge.h"
+
+enum hint_err {
+	HINT_OK = 0,
+	HINT_E_SOCKET = -1,
+	HINT_E_MEMORY = -2,
+};
+
+int hint_new(struct edge *edge, struct hint **out);
+void hint_free(struct hint *hint);
+void hint_tick(struct hint *hint, int64_t now);
+
+#endif /* HINT_H */
--- /dev/null
+++ b/src/hs.h
@@ -0,0 +1,66 @@
+#ifndef HS_H
+#define HS_H
+
+/*
+ * The server's side of HTTP/1.1 on an event loop.  A connection carries one
+ * request at a time; what a caller pipelines waits in its socket.  Framing is
+ * strict: both lengths given, a bad chunk or an oversize header end the
+ * connection with an error answer, so that no request hides in another.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include "hdr.h"
+
+struct hs;
+struct hs_conn;
+
+enum hs_err {
+	HS_OK = 0,
+	HS_E_MEMORY = -1,
+	HS_E_LISTEN = -2,
+};
+
+struct hs_limits {
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint32_t header_ms; /* from the first byte to the whole header */
+	uint32_t idle_ms;   /* between two requests */
+};
+
+/* What the owner of a server is called with. */
+struct hs_ops {
+	/* A whole request has been read; answer it now or later. */
+	void (*request)(void *ctx, struct hs_conn *conn);
+	/* The caller left before its answer was out; conn is gone after. */
+	void (*gone)(void *ctx, struct hs_conn *conn, void *user);
+};
+
+int hs_new(struct event_base *base, const char *address,
+	   const struct hs_ops *ops, void *ctx, struct hs **out);
+void hs_free(struct hs *hs);
+void hs_set_limits(struct hs *hs, const struct hs_limits *limits);
+void hs_stop_keeping(struct hs *hs);
+int hs_open_count(const struct hs *hs);
+void hs_tick(struct hs *hs, int64_t now);
+
+const char *hs_method(const struct hs_conn *conn);
+const char *hs_target(const struct hs_conn *conn);
+const struct hdr_list *hs_headers(const struct hs_conn *conn);
+struct evbuffer *hs_body(struct hs_conn *conn);
+void hs_set_user(struct hs_conn *conn, void *user);
+
+void hs_reply(struct hs_conn *conn, int status, const char *fields,
+	      const void *body, size_t len);
+void hs_stream_begin(struct hs_conn *conn, int status, const char *fields);
+void hs_stream_data(struct hs_conn *conn, const void *bytes, size_t len);
+void hs_stream_end(struct hs_conn *conn);
+void hs_abort(struct hs_conn *conn);
+size_t hs_unsent(struct hs_conn *conn);
+
+#endif /* HS_H */
--- /dev/null
+++ b/src/jlog.c
@@ -0,0 +1,109 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "clk.h"
+#include "jlog.h"
+#include "log.h"
+#include "mag.h"
+
+#define JLOG_BUFFER   65536
+#define JLOG_LINE_MAX 1024
+
+static char jlog_buffer[JLOG_BUFFER];
+static size_t jlog_len;
+static char jlog_instance[MAG_NAME_MAX];
+static int jlog_fd = STDOUT_FILENO;
+static int jlog_per_s;
+static int64_t jlog_second;
+static int jlog_this_second;
+static uint64_t jlog_lost;
+
+/*
+ * Sets where lines go and how many a second are kept.  The descriptor is made
+ * non-blocking: a reader that stops must not stop the router.
+ */
+void jlog_open(const char *instance, int fd, int lines_per_s)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	snprintf(jlog_instance, sizeof(jlog_instance), "%s", instance);
+	jlog_fd = fd;
+	jlog_per_s = lines_per_s;
+	if (flags >= 0)
+		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+}
+
+void jlog(enum log_id id, const char *fmt, ...)
+{
+	int64_t now = clk_boot_us();
+	char line[JLOG_LINE_MAX];
+	va_list ap;
+	int used;
+	int more;
+
+	if (now / MAG_US_PER_S != jlog_second) {
+		jlog_second = now / MAG_US_PER_S;
+		jlog_this_second = 0;
+	}
+	if (jlog_per_s > 0 && jlog_this_second >= jlog_per_s) {
+		jlog_lost++;
+		return;
+	}
+	jlog_this_second++;
+	used = snprintf(line, sizeof(line),
+			"{\"t_ms\":%" PRId64 ",\"instance\":\"%s\","
+			"\"event\":%d,\"name\":\"%s\",",
+			clk_wall_ms(), jlog_instance, (int)id,
+			log_event_name(id));
+	va_start(ap, fmt);
+	more = vsnprintf(line + used, sizeof(line) - (size_t)used - 3, fmt, ap);
+	va_end(ap);
+	if (more < 0 || (size_t)(used + more) >= sizeof(line) - 3 ||
+	    jlog_len + (size_t)(used + more) + 2 > sizeof(jlog_buffer)) {
+		jlog_lost++;
+		return;
+	}
+	used += more;
+	line[used++] = '}';
+	line[used++] = '\n';
+	memcpy(jlog_buffer + jlog_len, line, (size_t)used);
+	jlog_len += (size_t)used;
+}
+
+/* Writes what the reader takes without waiting; the rest stays. */
+void jlog_flush(void)
+{
+	ssize_t n;
+
+	if (jlog_len == 0)
+		return;
+	n = write(jlog_fd, jlog_buffer, jlog_len);
+	if (n <= 0)
+		return; /* full or closed: lines are dropped and counted */
+	memmove(jlog_buffer, jlog_buffer + n, jlog_len - (size_t)n);
+	jlog_len -= (size_t)n;
+}
+
+uint64_t jlog_dropped(void)
+{
+	return jlog_lost;
+}
+
+const char *jlog_text(char *dst, unsigned int size, const char *text)
+{
+	unsigned int i;
+
+	for (i = 0; text && text[i] && i + 1 < size; i++) {
+		dst[i] = text[i];
+		if ((unsigned char)text[i] < 0x20 || text[i] == '"' ||
+		    text[i] == '\\' || (unsigned char)text[i] >= 0x7f)
+			dst[i] = '?';
+	}
+	dst[i] = '\0';
+	return dst;
+}
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -63,7 +63,25 @@
 	\
 	/* 9000 pf: the platform's service */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
-	LOG_EVENT(LOG_PF_UP, 9002, "platform-reachable", LOG_PRIO_NOTICE)
+	LOG_EVENT(LOG_PF_UP, 9002, "platform-reachable", LOG_PRIO_NOTICE) \
+	\
+	/* 10000 the router on a platform */ \
+	LOG_EVENT(LOG_EQ_SENT, 10001, "request-sent", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_EQ_AGAIN, 10002, "request-again", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_EQ_END, 10003, "request-ended", LOG_PRIO_INFO) \
+	LOG_EVENT(LOG_WK_SEEN, 10101, "worker-seen", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_WK_GONE, 10102, "worker-gone", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_WK_LEAVING, 10103, "worker-leaving", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_WK_RESTARTED, 10104, "worker-restarted", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_WK_SUSPECT, 10105, "worker-suspected", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_WK_CLEARED, 10106, "worker-cleared", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_WK_UNREAD, 10107, "worker-unread", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PLR_ORDERED, 10201, "layers-ordered", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PLR_UNSURE, 10202, "order-unsure", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PRES_PLACER, 10301, "placer", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_RT_TAKEN, 10401, "configuration-taken", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_RT_BAD, 10402, "configuration-bad", LOG_PRIO_ERR) \
+	LOG_EVENT(LOG_SET_RELOADED, 10403, "settings-reloaded", LOG_PRIO_NOTICE)
 /* clang-format on */
 
 #define LOG_EVENT(id, number, name, prio) id = number,
--- /dev/null
+++ b/src/plr.c
@@ -0,0 +1,245 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "clk.h"
+#include "jlog.h"
+#include "lay.h"
+#include "pl_header.h"
+#include "pl_worker.h"
+#include "plr.h"
+#include "pres.h"
+#include "wkp.h"
+
+#define PLR_CARDS_MAX 4096
+/* A new placer lets the list of workers settle before the first orders. */
+#define PLR_SETTLE_US (500 * MAG_US_PER_MS)
+/*
+ * A hole in a data centre's copy is closed by widening its neighbours only
+ * after this long: a worker that crashed is mostly back, and empty, by then,
+ * and a widened worker keeps less memory for requests for good.
+ */
+#define PLR_WIDEN_US (3 * MAG_US_PER_S)
+#define PLR_ORDER_US (600 * MAG_US_PER_MS)
+/* A worker that is busy with an order is asked again after this. */
+#define PLR_ASK_US (700 * MAG_US_PER_MS)
+/*
+ * An order without an effect is given again after this; a late one may still
+ * arrive, and does no harm: it names the same layers and the order count.
+ */
+#define PLR_AGAIN_US (2500 * MAG_US_PER_MS)
+
+struct plr_call {
+	struct edge *edge;
+	struct wk *wk;
+	int status;
+};
+
+static void plr_service(struct edge *edge, const struct rt_service *service,
+			int64_t now);
+static int plr_cards(struct edge *edge, const struct rt_service *service,
+		     struct lay_card *cards, struct wk **workers, int64_t now);
+static bool plr_has_hole(const struct lay_model *model,
+			 const struct lay_card *cards, int count, int centre);
+static void plr_order(struct edge *edge, struct wk *wk,
+		      const struct wire_range *range, int64_t now);
+static bool plr_on_headers(void *user, const struct hc_answer *answer);
+static void plr_on_body(void *user, const void *bytes, size_t len);
+static void plr_on_end(void *user, enum hc_end end);
+
+static const struct hc_ops plr_ops = {
+	.headers = plr_on_headers,
+	.body = plr_on_body,
+	.ended = plr_on_end,
+};
+
+/* Plans and orders while this instance holds the placer's lease. */
+void plr_tick(struct edge *edge, int64_t now)
+{
+	static int64_t placer_since_us;
+	int i;
+
+	if (!pres_is_placer(edge->pres, now) || !edge->rt ||
+	    !edge->workers_listed) {
+		placer_since_us = 0;
+		return;
+	}
+	if (!placer_since_us)
+		placer_since_us = now;
+	if (now - placer_since_us < PLR_SETTLE_US)
+		return;
+	for (i = 0; i < edge->rt->service_count; i++) {
+		if (edge->rt->services[i].has_engine)
+			plr_service(edge, &edge->rt->services[i], now);
+	}
+}
+
+static void plr_service(struct edge *edge, const struct rt_service *service,
+			int64_t now)
+{
+	static struct lay_card cards[PLR_CARDS_MAX];
+	static struct wk *workers[PLR_CARDS_MAX];
+	static int64_t hole_since_us;
+	struct lay_model model = { service->engine.layers,
+				   service->engine.layer_mb };
+	struct wire_range range;
+	bool hole = false;
+	int count;
+	int i;
+
+	count = plr_cards(edge, service, cards, workers, now);
+	for (i = 0; i < edge->centre_count && !hole; i++)
+		hole = plr_has_hole(&model, cards, count, i);
+	if (!hole)
+		hole_since_us = 0;
+	else if (!hole_since_us)
+		hole_since_us = now;
+	lay_plan(&model, cards, count,
+		 hole && now - hole_since_us > PLR_WIDEN_US);
+	for (i = 0; i < count; i++) {
+		range = (struct wire_range){ cards[i].want_from,
+					     cards[i].want_to };
+		if (range.from == range.to ||
+		    (range.from == workers[i]->layers.from &&
+		     range.to == workers[i]->layers.to))
+			continue;
+		plr_order(edge, workers[i], &range, now);
+	}
+}
+
+/* Lists the workers of a service as cards; what is ordered counts as held. */
+static int plr_cards(struct edge *edge, const struct rt_service *service,
+		     struct lay_card *cards, struct wk **workers, int64_t now)
+{
+	const struct rt_kind *kind;
+	struct lay_card *card;
+	struct wk *wk;
+	int count = 0;
+
+	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+		if (count == PLR_CARDS_MAX)
+			break;
+		if (strcmp(wk->is.service, service->name) != 0 || !wk->listed ||
+		    !wk_alive(wk, now))
+			continue;
+		kind = rt_kind_named(&service->engine, wk->is.kind);
+		if (!kind)
+			continue;
+		card = &cards[count];
+		workers[count++] = wk;
+		memset(card, 0, sizeof(*card));
+		card->centre = edge_centre(edge, wk->is.data_centre);
+		card->memory_mb = kind->memory_mb;
+		card->step_factor = kind->step_factor;
+		card->from = wk->ordered ? wk->order.from : wk->layers.from;
+		card->to = wk->ordered ? wk->order.to : wk->layers.to;
+		card->usable = true;
+	}
+	return count;
+}
+
+/* Tells whether a data centre that holds layers lacks some. */
+static bool plr_has_hole(const struct lay_model *model,
+			 const struct lay_card *cards, int count, int centre)
+{
+	bool held[LAY_LAYERS_MAX] = { false };
+	bool any = false;
+	bool all = true;
+	int i;
+	int k;
+
+	for (i = 0; i < count; i++) {
+		if (cards[i].centre != centre)
+			continue;
+		for (k = cards[i].from; k < cards[i].to; k++)
+			held[k] = true;
+	}
+	for (k = 0; k < model->layers; k++) {
+		any |= held[k];
+		all &= held[k];
+	}
+	return any && !all;
+}
+
+/*
+ * Orders a worker to hold layers.  The order carries the count of orders that
+ * the worker has taken, so that it is refused if another one came between;
+ * the lease is checked last, because this process may have been paused.
+ */
+static void plr_order(struct edge *edge, struct wk *wk,
+		      const struct wire_range *range, int64_t now)
+{
+	struct hc_send send = { 0 };
+	struct plr_call *call;
+	struct hc_call *started;
+	char body[256];
+
+	if (wk->ordered && now - wk->ordered_us < PLR_AGAIN_US)
+		return;
+	if (wk->on_trial && now < wk->suspect_until_us)
+		return;
+	if (wk->orders_taken < 0 || wk->busy ||
+	    (wk->ordered && wk->reported_us < wk->ordered_us)) {
+		if (now - wk->probed_us >= PLR_ASK_US)
+			wkp_ask(edge, wk, now);
+		return;
+	}
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		return;
+	pl_order_place(body, sizeof(body), range, wk->orders_taken);
+	call->edge = edge;
+	call->wk = wk;
+	send.request =
+		pl_call_encode("POST", PL_ORDER_PATH, wk->is.address, body);
+	send.ops = &plr_ops;
+	send.user = call;
+	send.connect_by_us = now + PLR_ORDER_US;
+	send.deadline_us = now + PLR_ORDER_US;
+	if (!send.request || !pres_is_placer(edge->pres, clk_boot_us()) ||
+	    hc_start(wk->host, &send, &started)) {
+		free(call);
+		return;
+	}
+	wk_hold(wk);
+	met_add(&edge->met, MET_ORDERS);
+	wk->ordered = true;
+	wk->ordered_us = now;
+	wk->order = *range;
+	jlog(LOG_PLR_ORDERED,
+	     "\"worker\":\"%s\",\"holds\":\"%d-%d\",\"layers\":\"%d-%d\","
+	     "\"orders_taken\":%lld",
+	     wk->is.id, wk->layers.from, wk->layers.to, range->from, range->to,
+	     (long long)wk->orders_taken);
+}
+
+static bool plr_on_headers(void *user, const struct hc_answer *answer)
+{
+	struct plr_call *call = user;
+
+	call->status = answer->status;
+	return true;
+}
+
+static void plr_on_body(void *user, const void *bytes, size_t len)
+{
+	(void)user;
+	(void)bytes;
+	(void)len;
+}
+
+static void plr_on_end(void *user, enum hc_end end)
+{
+	struct plr_call *call = user;
+	struct wk *wk = call->wk;
+
+	if (end == HC_WHOLE && call->status / 100 != 2) {
+		/* It was not taken: the state it rested on has changed. */
+		wk->ordered = false;
+		wk->orders_taken = -1;
+	}
+	if (end != HC_WHOLE || call->status / 100 != 2)
+		jlog(LOG_PLR_UNSURE, "\"worker\":\"%s\",\"status\":%d",
+		     wk->is.id, end == HC_WHOLE ? call->status : 0);
+	wk_drop(wk);
+	free(call);
+}
--- /dev/null
+++ b/src/plr.h
@@ -0,0 +1,12 @@
+#ifndef PLR_H
+#define PLR_H
+
+/* The placer: the holder of its lease orders workers to hold layers. */
+
+#include <stdint.h>
+
+#include "edge.h"
+
+void plr_tick(struct edge *edge, int64_t now);
+
+#endif /* PLR_H */
--- /dev/null
+++ b/src/pres.c
@@ -0,0 +1,344 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "clk.h"
+#include "jlog.h"
+#include "pres.h"
+
+#define PRES_PREFIX "mag/"
+#define PRES_PEER   "mag/instance/"
+#define PRES_PLACER "mag/placer"
+/*
+ * The lease ends this long after its holder was heard last: long enough for
+ * two lost renewals, short enough that another placer orders layers within
+ * the time in which callers come back.
+ */
+#define PRES_LEASE_MS 3000
+#define PRES_RENEW_US (1000 * MAG_US_PER_MS)
+/* Taken off the lease, for the time that a renewal was on its way. */
+#define PRES_MARGIN_US (300 * MAG_US_PER_MS)
+#define PRES_WATCH_MS  5000
+#define PRES_RETRY_US  (500 * MAG_US_PER_MS)
+
+struct pres {
+	struct sto *sto;
+	char name[MAG_NAME_MAX];
+	char key[WIRE_KEY_MAX];
+	char value[128]; /* address of the peer socket */
+	char title[128]; /* what the placer's key holds if it is us */
+	int64_t lease_ms;
+	int64_t lease;	  /* 0: none */
+	int64_t sent_us;  /* of the renewal in progress */
+	int64_t valid_us; /* the lease holds until then at least */
+	int64_t next_us;  /* when to take or renew a lease next */
+	bool asking;	  /* a call about the lease is in progress */
+	bool registered;
+	bool registering;
+	bool standing; /* a try to become placer is in progress */
+	bool leaving;
+
+	bool listed;
+	int64_t own_revision;	/* of our key as listed, 0: none */
+	char placer[128];	/* what the placer's key holds, "": free */
+	int64_t placer_free_us; /* since when it is */
+	struct pres_peer *peers;
+	bool *seen;
+	int peer_count;
+};
+
+static void pres_begin(void *user);
+static void pres_item(void *user, const struct wire_item *item);
+static void pres_end(void *user);
+static void pres_fresh(void *user, int64_t sent_us);
+static void pres_take(struct pres *pres, int64_t now);
+static void pres_taken(void *user, enum sto_result result, const char *body,
+		       size_t len);
+static void pres_kept(void *user, enum sto_result result, const char *body,
+		      size_t len);
+static void pres_registered(void *user, enum sto_result result,
+			    const char *body, size_t len);
+static void pres_stood(void *user, enum sto_result result, const char *body,
+		       size_t len);
+static void pres_ended(void *user, enum sto_result result, const char *body,
+		       size_t len);
+static void pres_peer_item(struct pres *pres, const struct wire_item *item);
+static void pres_forget(struct pres *pres, int i);
+
+static const struct sto_follow_ops pres_ops = {
+	.begin = pres_begin,
+	.item = pres_item,
+	.end = pres_end,
+	.fresh = pres_fresh,
+};
+
+/* Begins to take part; address is that of the peer socket. */
+struct pres *pres_new(struct sto *sto, const char *name, const char *address,
+		      int64_t lease_ms_min, uint64_t incarnation)
+{
+	struct sto_follow_settings follow = { PRES_PREFIX, PRES_WATCH_MS,
+					      &pres_ops, NULL };
+	struct pres *pres = calloc(1, sizeof(*pres));
+
+	if (!pres)
+		return NULL;
+	pres->peers = calloc(PRES_PEERS_MAX, sizeof(*pres->peers));
+	pres->seen = calloc(PRES_PEERS_MAX, sizeof(*pres->seen));
+	if (!pres->peers || !pres->seen) {
+		pres_free(pres);
+		return NULL;
+	}
+	pres->sto = sto;
+	pres->lease_ms = PRES_LEASE_MS;
+	if (pres->lease_ms < lease_ms_min)
+		pres->lease_ms = lease_ms_min;
+	snprintf(pres->name, sizeof(pres->name), "%s", name);
+	snprintf(pres->key, sizeof(pres->key), PRES_PEER "%s", name);
+	snprintf(pres->value, sizeof(pres->value), "%s", address);
+	snprintf(pres->title, sizeof(pres->title), "%s %" PRIx64, name,
+		 incarnation);
+	follow.user = pres;
+	if (sto_follow(sto, &follow, NULL)) {
+		pres_free(pres);
+		return NULL;
+	}
+	return pres;
+}
+
+void pres_free(struct pres *pres)
+{
+	if (!pres)
+		return;
+	free(pres->peers);
+	free(pres->seen);
+	free(pres);
+}
+
+/* Renews the lease, registers, and stands for placer if there is none. */
+void pres_tick(struct pres *pres, int64_t now)
+{
+	if (pres->leaving)
+		return;
+	if (pres->lease && now >= pres->valid_us + PRES_MARGIN_US) {
+		/* It may have ended while we slept or were cut off. */
+		pres->lease = 0;
+		pres->registered = false;
+	}
+	if (!pres->asking && now >= pres->next_us) {
+		pres_take(pres, now);
+		return;
+	}
+	if (!pres->lease || !pres->listed || now >= pres->valid_us)
+		return;
+	if (!pres->registered && !pres->registering) {
+		pres->registering = true;
+		sto_swap(pres->sto, pres->key, pres->value, pres->own_revision,
+			 pres->lease, pres_registered, pres);
+	}
+	if (!pres->placer[0] && !pres->standing &&
+	    now >= pres->placer_free_us) {
+		pres->standing = true;
+		sto_swap(pres->sto, PRES_PLACER, pres->title, 0, pres->lease,
+			 pres_stood, pres);
+	}
+}
+
+/* Gives the lease back, so that others take over at once. */
+void pres_leave(struct pres *pres)
+{
+	if (pres->leaving)
+		return;
+	pres->leaving = true;
+	if (pres->lease)
+		sto_end_lease(pres->sto, pres->lease, pres_ended, pres);
+	pres->lease = 0;
+}
+
+/*
+ * Tells whether this instance may give orders now.  To be asked right before
+ * each send: a process that was paused wakes up with a lease long over.
+ */
+bool pres_is_placer(const struct pres *pres, int64_t now)
+{
+	return !pres->leaving && pres->lease && now < pres->valid_us &&
+	       strcmp(pres->placer, pres->title) == 0;
+}
+
+int pres_peer_count(const struct pres *pres)
+{
+	return pres->peer_count;
+}
+
+const struct pres_peer *pres_peer(const struct pres *pres, int i)
+{
+	return &pres->peers[i];
+}
+
+static void pres_take(struct pres *pres, int64_t now)
+{
+	pres->asking = true;
+	pres->sent_us = now;
+	if (pres->lease)
+		sto_keep(pres->sto, pres->lease, pres_kept, pres);
+	else
+		sto_lease(pres->sto, pres->lease_ms, pres_taken, pres);
+}
+
+static void pres_taken(void *user, enum sto_result result, const char *body,
+		       size_t len)
+{
+	struct pres *pres = user;
+	int64_t ttl_ms;
+
+	pres->asking = false;
+	pres->next_us = pres->sent_us + PRES_RETRY_US;
+	if (result != STO_DONE ||
+	    sto_read_lease(body, len, &pres->lease, &ttl_ms))
+		return;
+	pres->lease_ms = ttl_ms;
+	pres->valid_us =
+		pres->sent_us + ttl_ms * MAG_US_PER_MS - PRES_MARGIN_US;
+	pres->next_us = pres->sent_us + PRES_RENEW_US;
+	pres->registered = false;
+}
+
+static void pres_kept(void *user, enum sto_result result, const char *body,
+		      size_t len)
+{
+	struct pres *pres = user;
+
+	(void)body;
+	(void)len;
+	pres->asking = false;
+	pres->next_us = pres->sent_us + PRES_RETRY_US;
+	if (result == STO_DONE) {
+		pres->valid_us = pres->sent_us +
+				 pres->lease_ms * MAG_US_PER_MS -
+				 PRES_MARGIN_US;
+		pres->next_us = pres->sent_us + PRES_RENEW_US;
+	} else if (result == STO_MISSING) {
+		pres->lease = 0;
+		pres->registered = false;
+		pres->next_us = pres->sent_us;
+	}
+}
+
+static void pres_registered(void *user, enum sto_result result,
+			    const char *body, size_t len)
+{
+	struct pres *pres = user;
+
+	(void)body;
+	(void)len;
+	pres->registering = false;
+	/* A lost answer or a conflict: the watch shows what holds. */
+	pres->registered = result == STO_DONE;
+}
+
+static void pres_stood(void *user, enum sto_result result, const char *body,
+		       size_t len)
+{
+	struct pres *pres = user;
+
+	(void)body;
+	(void)len;
+	pres->standing = false;
+	pres->placer_free_us = clk_boot_us() + PRES_RETRY_US;
+	if (result != STO_DONE)
+		return;
+	strcpy(pres->placer, pres->title);
+	jlog(LOG_PRES_PLACER, "\"placer\":\"%s\",\"self\":true", pres->name);
+}
+
+static void pres_ended(void *user, enum sto_result result, const char *body,
+		       size_t len)
+{
+	(void)user;
+	(void)result;
+	(void)body;
+	(void)len;
+}
+
+static void pres_begin(void *user)
+{
+	struct pres *pres = user;
+
+	memset(pres->seen, 0, PRES_PEERS_MAX * sizeof(*pres->seen));
+	pres->placer[0] = '\0';
+	pres->own_revision = 0;
+}
+
+static void pres_item(void *user, const struct wire_item *item)
+{
+	struct pres *pres = user;
+
+	if (strncmp(item->key, PRES_PEER, strlen(PRES_PEER)) == 0) {
+		pres_peer_item(pres, item);
+		return;
+	}
+	if (strcmp(item->key, PRES_PLACER) != 0)
+		return;
+	pres->placer[0] = '\0';
+	pres->placer_free_us = clk_boot_us();
+	if (!item->deleted)
+		snprintf(pres->placer, sizeof(pres->placer), "%s", item->value);
+	jlog(LOG_PRES_PLACER, "\"placer\":\"%s\",\"self\":%s", pres->placer,
+	     strcmp(pres->placer, pres->title) ? "false" : "true");
+}
+
+static void pres_end(void *user)
+{
+	struct pres *pres = user;
+	int i;
+
+	for (i = pres->peer_count - 1; i >= 0; i--) {
+		if (!pres->seen[i])
+			pres_forget(pres, i);
+	}
+	pres->listed = true;
+}
+
+static void pres_fresh(void *user, int64_t sent_us)
+{
+	(void)user;
+	(void)sent_us;
+}
+
+/* Takes the key of an instance, which holds its peer address. */
+static void pres_peer_item(struct pres *pres, const struct wire_item *item)
+{
+	const char *name = item->key + strlen(PRES_PEER);
+	int i;
+
+	if (strcmp(name, pres->name) == 0) {
+		pres->own_revision = item->deleted ? 0 : item->revision;
+		if (item->deleted)
+			pres->registered = false;
+		return;
+	}
+	for (i = 0; i < pres->peer_count; i++) {
+		if (strcmp(pres->peers[i].name, name) == 0)
+			break;
+	}
+	if (item->deleted) {
+		if (i < pres->peer_count)
+			pres_forget(pres, i);
+		return;
+	}
+	if (i == PRES_PEERS_MAX || item->len >= MAG_ADDR_MAX ||
+	    strlen(name) >= MAG_NAME_MAX)
+		return;
+	if (i == pres->peer_count)
+		pres->peer_count++;
+	strcpy(pres->peers[i].name, name);
+	strcpy(pres->peers[i].address, item->value);
+	pres->seen[i] = true;
+}
+
+static void pres_forget(struct pres *pres, int i)
+{
+	pres->peer_count--;
+	pres->peers[i] = pres->peers[pres->peer_count];
+	pres->seen[i] = pres->seen[pres->peer_count];
+}
--- /dev/null
+++ b/src/pres.h
@@ -0,0 +1,34 @@
+#ifndef PRES_H
+#define PRES_H
+
+/*
+ * Presence in the store: this instance's leased key, the keys of the others,
+ * and the lease of the placer.  Peers are hints; only the placer's lease is
+ * a right, and it is checked on the boot clock before each use.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "mag.h"
+#include "sto.h"
+
+#define PRES_PEERS_MAX 1024
+
+struct pres;
+
+struct pres_peer {
+	char name[MAG_NAME_MAX];
+	char address[MAG_ADDR_MAX]; /* "ip:port" of its peer socket */
+};
+
+struct pres *pres_new(struct sto *sto, const char *name, const char *address,
+		      int64_t lease_ms_min, uint64_t incarnation);
+void pres_free(struct pres *pres);
+void pres_tick(struct pres *pres, int64_t now);
+void pres_leave(struct pres *pres);
+bool pres_is_placer(const struct pres *pres, int64_t now);
+int pres_peer_count(const struct pres *pres);
+const struct pres_peer *pres_peer(const struct pres *pres, int i);
+
+#endif /* PRES_H */
--- /dev/null
+++ b/src/rt.c
@@ -0,0 +1,135 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "rt.h"
+
+static int rt_by_prefix(const void *a, const void *b);
+static int rt_by_key(const void *a, const void *b);
+static bool rt_same_host(const char *pattern, const char *host);
+
+/* Makes a set with room for so many objects; NULL if memory is short. */
+struct rt_set *rt_new(int routes, int services, int accounts, int keys)
+{
+	struct rt_set *set = calloc(1, sizeof(*set));
+
+	if (!set)
+		return NULL;
+	set->refs = 1;
+	set->routes = calloc((size_t)routes + 1, sizeof(*set->routes));
+	set->services = calloc((size_t)services + 1, sizeof(*set->services));
+	set->accounts = calloc((size_t)accounts + 1, sizeof(*set->accounts));
+	set->keys = calloc((size_t)keys + 1, sizeof(*set->keys));
+	if (!set->routes || !set->services || !set->accounts || !set->keys) {
+		rt_drop(set);
+		return NULL;
+	}
+	return set;
+}
+
+struct rt_set *rt_hold(struct rt_set *set)
+{
+	set->refs++;
+	return set;
+}
+
+/* Gives a set back; the last one frees it.  NULL is allowed. */
+void rt_drop(struct rt_set *set)
+{
+	if (!set || --set->refs > 0)
+		return;
+	free(set->routes);
+	free(set->services);
+	free(set->accounts);
+	free(set->keys);
+	free(set);
+}
+
+/* Orders the tables for look-ups; to be called once they are filled. */
+void rt_finish(struct rt_set *set)
+{
+	qsort(set->routes, (size_t)set->route_count, sizeof(*set->routes),
+	      rt_by_prefix);
+	qsort(set->keys, (size_t)set->key_count, sizeof(*set->keys), rt_by_key);
+}
+
+/* Returns the route of the longest prefix that begins the path, or NULL. */
+const struct rt_route *rt_find(const struct rt_set *set, const char *host,
+			       const char *target)
+{
+	const struct rt_route *route;
+	size_t path_len = strcspn(target, "?#");
+	int i;
+
+	for (i = 0; i < set->route_count; i++) {
+		route = &set->routes[i];
+		if (route->prefix_len <= path_len &&
+		    memcmp(route->prefix, target, route->prefix_len) == 0 &&
+		    rt_same_host(route->host, host))
+			return route;
+	}
+	return NULL;
+}
+
+/* Returns the index of the account that holds a key, or -1. */
+int rt_account_of(const struct rt_set *set, const char *key)
+{
+	const struct rt_key *found;
+	struct rt_key want;
+
+	if (strlen(key) >= sizeof(want.key))
+		return -1;
+	strcpy(want.key, key);
+	found = bsearch(&want, set->keys, (size_t)set->key_count,
+			sizeof(*set->keys), rt_by_key);
+	return found ? found->account : -1;
+}
+
+/* Returns the index of a service, or -1. */
+int rt_service_named(const struct rt_set *set, const char *name)
+{
+	int i;
+
+	for (i = 0; i < set->service_count; i++) {
+		if (strcmp(set->services[i].name, name) == 0)
+			return i;
+	}
+	return -1;
+}
+
+/* Returns a kind of accelerator by its name, or NULL. */
+const struct rt_kind *rt_kind_named(const struct rt_engine *engine,
+				    const char *name)
+{
+	int i;
+
+	for (i = 0; i < engine->kind_count; i++) {
+		if (strcmp(engine->kinds[i].name, name) == 0)
+			return &engine->kinds[i];
+	}
+	return NULL;
+}
+
+static int rt_by_prefix(const void *a, const void *b)
+{
+	const struct rt_route *x = a;
+	const struct rt_route *y = b;
+
+	if (x->prefix_len != y->prefix_len)
+		return x->prefix_len < y->prefix_len ? 1 : -1;
+	return strcmp(x->name, y->name);
+}
+
+static int rt_by_key(const void *a, const void *b)
+{
+	return strcmp(((const struct rt_key *)a)->key,
+		      ((const struct rt_key *)b)->key);
+}
+
+/* Compares a route's host with a Host field, whose port does not count. */
+static bool rt_same_host(const char *pattern, const char *host)
+{
+	size_t len = strcspn(host, ":");
+
+	return strlen(pattern) == len && strncasecmp(pattern, host, len) == 0;
+}
--- /dev/null
+++ b/src/rt.h
@@ -0,0 +1,135 @@
+#ifndef RT_H
+#define RT_H
+
+/*
+ * The configuration that a platform's operator publishes, decoded: routes to
+ * services, services with their engines, client accounts with their keys.  A
+ * set does not change once it is made; requests hold the one they began with.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "mag.h"
+
+#define RT_SPLIT_MAX  8
+#define RT_HOST_MAX   128
+#define RT_PREFIX_MAX 256
+#define RT_KEY_MAX    128
+#define RT_KIND_MAX   16
+
+enum rt_err {
+	RT_OK = 0,
+	RT_E_MEMORY = -1,
+	RT_E_BAD = -2, /* the text says which object and field */
+};
+
+/* What may be done again with a request that failed. */
+enum rt_repeat {
+	RT_IDEMPOTENT, /* may run any number of times */
+	RT_ONCE,       /* at most once for each attempt of a client */
+	RT_STREAM,     /* events with increasing ids */
+};
+
+struct rt_split {
+	int service;
+	double weight;
+};
+
+struct rt_route {
+	char name[MAG_NAME_MAX];
+	char host[RT_HOST_MAX];
+	char prefix[RT_PREFIX_MAX];
+	size_t prefix_len;
+	enum rt_repeat repeat;
+	bool resumable;	 /* a stream may go on at another worker */
+	bool no_account; /* needs no key */
+	bool generates;	 /* carries a prompt for a model */
+	int64_t timeout_us;
+	int64_t target_us; /* an answer within this is worth the most */
+	int64_t gap_us;	   /* longest pause between events in time */
+	int priority;	   /* 0 is the most urgent */
+	int max_attempts;
+	struct rt_split splits[RT_SPLIT_MAX];
+	int split_count;
+};
+
+/* One kind of accelerator. */
+struct rt_kind {
+	char name[MAG_NAME_MAX];
+	double memory_mb;
+	double step_factor; /* time of a step against the reference */
+	double read_factor; /* time of reading a prompt, likewise */
+};
+
+/* How the model's workers behave; times are those of all layers. */
+struct rt_engine {
+	char model[MAG_NAME_MAX];
+	int layers;
+	double layer_mb;
+	double token_bytes; /* memory of a token over all layers */
+	double step_ms;
+	double per_sequence_ms;
+	double context_ms_per_k;
+	double read_tokens_per_s;
+	double load_s; /* of the whole model */
+	int slots;
+	int usual_prompt;
+	int usual_answer;
+	struct rt_kind kinds[RT_KIND_MAX];
+	int kind_count;
+};
+
+struct rt_service {
+	char name[MAG_NAME_MAX];
+	char health_path[RT_PREFIX_MAX];
+	int max_connections; /* at a worker, from all callers */
+	bool has_engine;
+	struct rt_engine engine;
+};
+
+struct rt_account {
+	char name[MAG_NAME_MAX];
+	int priority; /* goes before the route's; -1: none */
+};
+
+struct rt_key {
+	char key[RT_KEY_MAX];
+	int account;
+};
+
+struct rt_limits {
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	uint32_t header_ms;
+	uint32_t idle_ms;
+};
+
+struct rt_set {
+	int refs;
+	int64_t version;
+	struct rt_route *routes; /* longest prefix first */
+	int route_count;
+	struct rt_service *services;
+	int service_count;
+	struct rt_account *accounts;
+	int account_count;
+	struct rt_key *keys; /* sorted by key */
+	int key_count;
+	bool has_accounts;
+	struct rt_limits limits;
+};
+
+struct rt_set *rt_new(int routes, int services, int accounts, int keys);
+struct rt_set *rt_hold(struct rt_set *set);
+void rt_drop(struct rt_set *set);
+void rt_finish(struct rt_set *set);
+const struct rt_route *rt_find(const struct rt_set *set, const char *host,
+			       const char *target);
+int rt_account_of(const struct rt_set *set, const char *key);
+int rt_service_named(const struct rt_set *set, const char *name);
+const struct rt_kind *rt_kind_named(const struct rt_engine *engine,
+				    const char *name);
+
+#endif /* RT_H */
--- /dev/null
+++ b/src/sto.c
@@ -0,0 +1,419 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <urcu/list.h>
+
+#include "clk.h"
+#include "jlog.h"
+#include "pl_header.h"
+#include "pl_store.h"
+#include "sto.h"
+
+/*
+ * Longest wait for an answer beyond the time that a watch stays open.  The
+ * store answers in 4 ms; at sixty times that it must not be given up.
+ */
+#define STO_PATIENCE_US (900 * MAG_US_PER_MS)
+#define STO_CONNECT_US	(400 * MAG_US_PER_MS)
+/*
+ * Waits after a failure: short at first, because a cut watch is no outage,
+ * and bounded so that an outage's end is seen within half a second.  Drawn
+ * between half and the whole, so that instances do not come back at once.
+ */
+#define STO_RETRY_US	 (80 * MAG_US_PER_MS)
+#define STO_RETRY_MAX_US (500 * MAG_US_PER_MS)
+#define STO_CONNECTIONS	 16
+
+struct sto {
+	struct hc *hc;
+	struct hc_host *host;
+	char address[MAG_ADDR_MAX];
+	struct cds_list_head follows;
+	uint64_t seed;
+	uint64_t calls;
+};
+
+/* A single call in progress. */
+struct sto_call {
+	struct sto *sto;
+	sto_done_fn done;
+	void *user;
+	int status;
+	struct evbuffer *body;
+};
+
+enum sto_follow_state {
+	STO_LISTING,
+	STO_WATCHING,
+	STO_PAUSING, /* until retry_us, then a list or a watch */
+};
+
+struct sto_follow {
+	struct cds_list_head node;
+	struct sto *sto;
+	char prefix[WIRE_KEY_MAX];
+	char after[WIRE_KEY_MAX]; /* last key of the page before */
+	int64_t wait_ms;
+	const struct sto_follow_ops *ops;
+	void *user;
+	enum sto_follow_state state;
+	bool list_next;	  /* after the pause: a list, not a watch */
+	int64_t revision; /* of the store, up to which all was told */
+	int64_t list_revision;
+	int64_t sent_us;
+	int64_t list_sent_us;
+	int64_t retry_us;
+	int failures; /* in a row */
+};
+
+static void sto_start(struct sto *sto, const char *method, const char *path,
+		      const char *body, int64_t wait_us, sto_done_fn done,
+		      void *user);
+static bool sto_on_headers(void *user, const struct hc_answer *answer);
+static void sto_on_body(void *user, const void *bytes, size_t len);
+static void sto_on_end(void *user, enum hc_end end);
+static enum sto_result sto_result_of(int status);
+static void sto_list(struct sto_follow *follow);
+static void sto_watch(struct sto_follow *follow);
+static void sto_listed(void *user, enum sto_result result, const char *body,
+		       size_t len);
+static void sto_watched(void *user, enum sto_result result, const char *body,
+			size_t len);
+static void sto_pause(struct sto_follow *follow, bool list_next);
+static void sto_answered(struct sto_follow *follow);
+static void sto_tell(struct sto_follow *follow, struct wire_items *items);
+static uint64_t sto_random(struct sto *sto);
+
+static const struct hc_ops sto_ops = {
+	.headers = sto_on_headers,
+	.body = sto_on_body,
+	.ended = sto_on_end,
+};
+
+int sto_new(struct hc *hc, const char *address, uint64_t seed, struct sto **out)
+{
+	struct sto *sto = calloc(1, sizeof(*sto));
+
+	if (!sto)
+		return STO_E_MEMORY;
+	sto->hc = hc;
+	sto->seed = seed | 1;
+	strncpy(sto->address, address, sizeof(sto->address) - 1);
+	CDS_INIT_LIST_HEAD(&sto->follows);
+	if (hc_host_new(hc, address, STO_CONNECTIONS, &sto->host)) {
+		free(sto);
+		return STO_E_ADDRESS;
+	}
+	*out = sto;
+	return STO_OK;
+}
+
+/* Frees the client; calls in progress are not told. */
+void sto_free(struct sto *sto)
+{
+	struct sto_follow *follow;
+	struct sto_follow *next;
+
+	if (!sto)
+		return;
+	cds_list_for_each_entry_safe (follow, next, &sto->follows, node)
+		free(follow);
+	hc_host_free(sto->host);
+	free(sto);
+}
+
+/* Goes on with followers whose pause is over. */
+void sto_tick(struct sto *sto, int64_t now)
+{
+	struct sto_follow *follow;
+
+	cds_list_for_each_entry (follow, &sto->follows, node) {
+		if (follow->state != STO_PAUSING || now < follow->retry_us)
+			continue;
+		if (follow->list_next)
+			sto_list(follow);
+		else
+			sto_watch(follow);
+	}
+}
+
+/* Returns the calls made so far; a waiting watch counts as one. */
+uint64_t sto_calls(const struct sto *sto)
+{
+	return sto->calls;
+}
+
+void sto_lease(struct sto *sto, int64_t ttl_ms, sto_done_fn done, void *user)
+{
+	char path[PL_PATH_MAX];
+	char body[64];
+
+	pl_store_lease(path);
+	pl_store_lease_body(body, sizeof(body), ttl_ms);
+	sto_start(sto, "POST", path, body, 0, done, user);
+}
+
+void sto_keep(struct sto *sto, int64_t lease, sto_done_fn done, void *user)
+{
+	char path[PL_PATH_MAX];
+
+	pl_store_keep(path, lease);
+	sto_start(sto, "POST", path, NULL, 0, done, user);
+}
+
+void sto_end_lease(struct sto *sto, int64_t lease, sto_done_fn done, void *user)
+{
+	char path[PL_PATH_MAX];
+
+	pl_store_end(path, lease);
+	sto_start(sto, "DELETE", path, NULL, 0, done, user);
+}
+
+void sto_swap(struct sto *sto, const char *key, const char *value,
+	      int64_t revision, int64_t lease, sto_done_fn done, void *user)
+{
+	struct pl_swap swap = { key, value, revision, lease };
+	char path[PL_PATH_MAX];
+	char *body = pl_store_swap_body(&swap);
+
+	pl_store_swap(path);
+	sto_start(sto, "POST", path, body, 0, done, user);
+	free(body);
+}
+
+/* Reads the answer to sto_lease; negative if it is malformed. */
+int sto_read_lease(const char *body, size_t len, int64_t *lease,
+		   int64_t *ttl_ms)
+{
+	return pl_store_lease_id(body, len, lease, ttl_ms);
+}
+
+/* Follows all keys under a prefix from now on. */
+int sto_follow(struct sto *sto, const struct sto_follow_settings *settings,
+	       struct sto_follow **out)
+{
+	struct sto_follow *follow = calloc(1, sizeof(*follow));
+
+	if (!follow)
+		return STO_E_MEMORY;
+	follow->sto = sto;
+	strncpy(follow->prefix, settings->prefix, sizeof(follow->prefix) - 1);
+	follow->wait_ms = settings->wait_ms;
+	follow->ops = settings->ops;
+	follow->user = settings->user;
+	cds_list_add_tail(&follow->node, &sto->follows);
+	sto_list(follow);
+	if (out)
+		*out = follow;
+	return STO_OK;
+}
+
+static void sto_start(struct sto *sto, const char *method, const char *path,
+		      const char *body, int64_t wait_us, sto_done_fn done,
+		      void *user)
+{
+	int64_t now = clk_boot_us();
+	struct sto_call *call = calloc(1, sizeof(*call));
+	struct hc_send send = { 0 };
+	struct hc_call *started;
+
+	if (!call || !(call->body = evbuffer_new())) {
+		free(call);
+		done(user, STO_REFUSED, NULL, 0);
+		return;
+	}
+	call->sto = sto;
+	call->done = done;
+	call->user = user;
+	send.request = pl_call_encode(method, path, sto->address, body);
+	send.ops = &sto_ops;
+	send.user = call;
+	send.connect_by_us = now + STO_CONNECT_US;
+	send.deadline_us = now + wait_us + STO_PATIENCE_US;
+	sto->calls++;
+	if (send.request && hc_start(sto->host, &send, &started) == HC_OK)
+		return;
+	evbuffer_free(call->body);
+	free(call);
+	done(user, STO_REFUSED, NULL, 0);
+}
+
+static bool sto_on_headers(void *user, const struct hc_answer *answer)
+{
+	struct sto_call *call = user;
+
+	call->status = answer->status;
+	return true;
+}
+
+static void sto_on_body(void *user, const void *bytes, size_t len)
+{
+	struct sto_call *call = user;
+
+	evbuffer_add(call->body, bytes, len);
+}
+
+static void sto_on_end(void *user, enum hc_end end)
+{
+	struct sto_call *call = user;
+	enum sto_result result = STO_LOST;
+	size_t len = evbuffer_get_length(call->body);
+	const char *body;
+
+	if (end == HC_WHOLE)
+		result = sto_result_of(call->status);
+	else if (end == HC_UNSENT)
+		result = STO_REFUSED;
+	/* What waits in idle connections may have fallen silent, too. */
+	if (end == HC_TIMED_OUT)
+		hc_host_drop_idle(call->sto->host);
+	body = (const char *)evbuffer_pullup(call->body, -1);
+	call->done(call->user, result, body, len);
+	evbuffer_free(call->body);
+	free(call);
+}
+
+static enum sto_result sto_result_of(int status)
+{
+	switch (status) {
+	case 200:
+		return STO_DONE;
+	case 404:
+		return STO_MISSING;
+	case 410:
+	case 412:
+		return STO_CONFLICT;
+	case 429:
+	case 503:
+		return STO_REFUSED;
+	default:
+		return STO_LOST;
+	}
+}
+
+static void sto_list(struct sto_follow *follow)
+{
+	char path[PL_PATH_MAX];
+
+	follow->state = STO_LISTING;
+	follow->sent_us = clk_boot_us();
+	if (!follow->after[0])
+		follow->list_sent_us = follow->sent_us;
+	pl_store_range(path, follow->prefix, follow->after);
+	sto_start(follow->sto, "GET", path, NULL, 0, sto_listed, follow);
+}
+
+static void sto_watch(struct sto_follow *follow)
+{
+	char path[PL_PATH_MAX];
+
+	follow->state = STO_WATCHING;
+	follow->sent_us = clk_boot_us();
+	pl_store_watch(path, follow->prefix, follow->revision, follow->wait_ms);
+	sto_start(follow->sto, "GET", path, NULL,
+		  follow->wait_ms * MAG_US_PER_MS, sto_watched, follow);
+}
+
+/* A page of the list has come, or has not. */
+static void sto_listed(void *user, enum sto_result result, const char *body,
+		       size_t len)
+{
+	struct sto_follow *follow = user;
+	struct wire_items items;
+
+	if (result != STO_DONE || pl_store_items(body, len, &items)) {
+		follow->after[0] = '\0';
+		sto_pause(follow, true);
+		return;
+	}
+	sto_answered(follow);
+	if (!follow->after[0]) {
+		/* Pages are no snapshot: watch from before the first one. */
+		follow->list_revision = items.revision;
+		follow->ops->begin(follow->user);
+	}
+	sto_tell(follow, &items);
+	if (items.more && items.count > 0) {
+		strcpy(follow->after, items.items[items.count - 1].key);
+		pl_store_items_free(&items);
+		sto_list(follow);
+		return;
+	}
+	pl_store_items_free(&items);
+	follow->after[0] = '\0';
+	follow->revision = follow->list_revision;
+	follow->ops->end(follow->user);
+	follow->ops->fresh(follow->user, follow->list_sent_us);
+	sto_watch(follow);
+}
+
+static void sto_watched(void *user, enum sto_result result, const char *body,
+			size_t len)
+{
+	struct sto_follow *follow = user;
+	struct wire_items items;
+
+	if (result == STO_CONFLICT) {
+		/* The store forgot what lies between: read all again. */
+		sto_answered(follow);
+		sto_list(follow);
+		return;
+	}
+	if (result != STO_DONE || pl_store_events(body, len, &items)) {
+		sto_pause(follow, false);
+		return;
+	}
+	sto_answered(follow);
+	sto_tell(follow, &items);
+	if (items.revision > follow->revision)
+		follow->revision = items.revision;
+	pl_store_items_free(&items);
+	follow->ops->fresh(follow->user, follow->sent_us);
+	sto_watch(follow);
+}
+
+static void sto_tell(struct sto_follow *follow, struct wire_items *items)
+{
+	int i;
+
+	for (i = 0; i < items->count; i++)
+		follow->ops->item(follow->user, &items->items[i]);
+}
+
+/* Waits after a failure, longer with each further one. */
+static void sto_pause(struct sto_follow *follow, bool list_next)
+{
+	int64_t wait = STO_RETRY_US;
+	int i;
+
+	for (i = 0; i < follow->failures && wait < STO_RETRY_MAX_US; i++)
+		wait *= 2;
+	if (wait > STO_RETRY_MAX_US)
+		wait = STO_RETRY_MAX_US;
+	wait = wait / 2 +
+	       (int64_t)(sto_random(follow->sto) % (uint64_t)(wait / 2));
+	follow->failures++;
+	/* One failure is a cut watch; two in a row are an outage. */
+	if (follow->failures == 2 && follow->ops->reachable)
+		follow->ops->reachable(follow->user, false);
+	follow->state = STO_PAUSING;
+	follow->list_next = list_next;
+	follow->retry_us = clk_boot_us() + wait;
+}
+
+static void sto_answered(struct sto_follow *follow)
+{
+	if (follow->failures >= 2 && follow->ops->reachable)
+		follow->ops->reachable(follow->user, true);
+	follow->failures = 0;
+}
+
+/* Draws a number (xorshift); it only spreads waits. */
+static uint64_t sto_random(struct sto *sto)
+{
+	sto->seed ^= sto->seed << 13;
+	sto->seed ^= sto->seed >> 7;
+	sto->seed ^= sto->seed << 17;
+	return sto->seed;
+}
--- /dev/null
+++ b/src/wk.c
@@ -0,0 +1,253 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "jlog.h"
+#include "wk.h"
+
+/*
+ * A suspect gets nothing new for this long at first and twice as long after
+ * each further failure: a restart takes some seconds, and a worker that goes
+ * down and up by turns must not be given streams at each turn.
+ */
+#define WK_SUSPECT_US	  (1500 * MAG_US_PER_MS)
+#define WK_SUSPECT_DOUBLE 3
+/* Weight of the newest outcome in the smoothed figures. */
+#define WK_SMOOTH 0.1
+
+static void wk_take_entry(struct wk *wk, const struct wire_worker *worker,
+			  int64_t now);
+static void wk_forget(struct wk_table *table, struct wk *wk);
+
+void wk_init(struct wk_table *table, struct hc *hc)
+{
+	memset(table, 0, sizeof(*table));
+	CDS_INIT_LIST_HEAD(&table->workers);
+	table->hc = hc;
+	table->connections = 64;
+}
+
+/* Begins to read a whole list; wk_list_end tells who is missing from it. */
+void wk_list_begin(struct wk_table *table)
+{
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &table->workers, node)
+		wk->seen = false;
+}
+
+/* Takes an entry of the list, new or changed. */
+int wk_list_put(struct wk_table *table, const struct wire_worker *worker,
+		int64_t now, struct wk **out)
+{
+	struct wk *wk = wk_by_id(table, worker->id);
+
+	if (wk && strcmp(wk->is.address, worker->address) != 0) {
+		/* The same name at another address is another process. */
+		wk_remove(table, wk->is.id, now, now);
+		wk->is.id[0] = '\0';
+		wk = NULL;
+	}
+	if (!wk) {
+		wk = calloc(1, sizeof(*wk));
+		if (!wk)
+			return WK_E_MEMORY;
+		if (hc_host_new(table->hc, worker->address, table->connections,
+				&wk->host)) {
+			free(wk);
+			return WK_E_ADDRESS;
+		}
+		wk->is = *worker;
+		wk->leaving_us = MAG_NEVER;
+		wk->orders_taken = -1;
+		wk->slowdown = 1;
+		wk->layers = worker->layers;
+		cds_list_add_tail(&wk->node, &table->workers);
+		table->count++;
+		jlog(LOG_WK_SEEN,
+		     "\"worker\":\"%s\",\"address\":\"%s\","
+		     "\"data_centre\":\"%s\",\"layers\":\"%d-%d\"",
+		     wk->is.id, wk->is.address, wk->is.data_centre,
+		     wk->layers.from, wk->layers.to);
+	}
+	wk_take_entry(wk, worker, now);
+	if (out)
+		*out = wk;
+	return WK_OK;
+}
+
+/* Workers that the whole list lacks are gone from gone_us on. */
+void wk_list_end(struct wk_table *table, int64_t gone_us, int64_t now)
+{
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &table->workers, node) {
+		if (!wk->seen && wk->listed)
+			wk_remove(table, wk->is.id, gone_us, now);
+	}
+}
+
+/* An entry was removed: the worker is taken for gone from gone_us on. */
+void wk_remove(struct wk_table *table, const char *id, int64_t gone_us,
+	       int64_t now)
+{
+	struct wk *wk = wk_by_id(table, id);
+
+	if (!wk || !wk->listed)
+		return;
+	wk->listed = false;
+	wk->gone_us = gone_us;
+	jlog(LOG_WK_GONE, "\"worker\":\"%s\",\"in_ms\":%d", wk->is.id,
+	     (int)((gone_us - now) / MAG_US_PER_MS));
+}
+
+/* Frees workers that are gone and that nobody points at. */
+void wk_tick(struct wk_table *table, int64_t now)
+{
+	struct wk *wk;
+	struct wk *next;
+
+	cds_list_for_each_entry_safe (wk, next, &table->workers, node) {
+		if (wk->listed || wk->refs > 0 || now < wk->gone_us)
+			continue;
+		wk_forget(table, wk);
+	}
+}
+
+struct wk *wk_by_id(const struct wk_table *table, const char *id)
+{
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &table->workers, node) {
+		if (strcmp(wk->is.id, id) == 0)
+			return wk;
+	}
+	return NULL;
+}
+
+/* Returns the listed worker at an address; addresses are used again. */
+struct wk *wk_by_address(const struct wk_table *table, const char *address)
+{
+	struct wk *found = NULL;
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &table->workers, node) {
+		if (strcmp(wk->is.address, address) != 0)
+			continue;
+		if (!found || wk->listed)
+			found = wk;
+	}
+	return found;
+}
+
+/* Tells whether a worker is neither gone nor leaving. */
+bool wk_alive(const struct wk *wk, int64_t now)
+{
+	if (wk->is.draining)
+		return false;
+	return wk->listed || now < wk->gone_us;
+}
+
+/* Tells whether a worker may get new work. */
+bool wk_usable(const struct wk *wk, int64_t now)
+{
+	return wk_alive(wk, now) && !wk->on_trial;
+}
+
+/*
+ * Notes that a worker seems dead or stuck.  It gets nothing new for a while;
+ * after that a report of its own, or an answer, has to clear it.
+ */
+void wk_suspect(struct wk *wk, int64_t now, const char *why)
+{
+	int64_t hold = WK_SUSPECT_US;
+	int i;
+
+	if (now < wk->suspect_until_us)
+		return;
+	for (i = 0; i < wk->suspect_times && i < WK_SUSPECT_DOUBLE; i++)
+		hold *= 2;
+	wk->suspect_until_us = now + hold;
+	wk->suspect_times++;
+	wk->on_trial = true;
+	hc_host_drop_idle(wk->host);
+	jlog(LOG_WK_SUSPECT,
+	     "\"worker\":\"%s\",\"address\":\"%s\",\"why\":\"%s\","
+	     "\"for_ms\":%d,\"times\":%d",
+	     wk->is.id, wk->is.address, why, (int)(hold / MAG_US_PER_MS),
+	     wk->suspect_times);
+}
+
+/* The worker has proved that it works. */
+void wk_clear(struct wk *wk)
+{
+	if (!wk->on_trial)
+		return;
+	wk->on_trial = false;
+	wk->suspect_times = 0;
+	wk->suspect_until_us = 0;
+	jlog(LOG_WK_CLEARED, "\"worker\":\"%s\",\"address\":\"%s\"", wk->is.id,
+	     wk->is.address);
+}
+
+/* Notes how a request ended at a worker, and how long it took. */
+void wk_result(struct wk *wk, bool good, int64_t took_us)
+{
+	wk->fail_share += WK_SMOOTH * ((good ? 0 : 1) - wk->fail_share);
+	if (!good)
+		return;
+	if (wk->answer_us <= 0)
+		wk->answer_us = (double)took_us;
+	wk->answer_us += WK_SMOOTH * ((double)took_us - wk->answer_us);
+}
+
+struct wk *wk_hold(struct wk *wk)
+{
+	wk->refs++;
+	return wk;
+}
+
+void wk_drop(struct wk *wk)
+{
+	wk->refs--;
+}
+
+static void wk_take_entry(struct wk *wk, const struct wire_worker *worker,
+			  int64_t now)
+{
+	bool reborn = worker->born_ms != wk->is.born_ms;
+	bool moved = worker->layers.from != wk->is.layers.from ||
+		     worker->layers.to != wk->is.layers.to;
+
+	wk->seen = true;
+	wk->listed = true;
+	wk->gone_us = MAG_NEVER;
+	if (worker->draining && wk->leaving_us == MAG_NEVER) {
+		wk->leaving_us = now;
+		jlog(LOG_WK_LEAVING, "\"worker\":\"%s\"", worker->id);
+	}
+	if (reborn) {
+		/* It lost its layers, its orders and its faults. */
+		jlog(LOG_WK_RESTARTED, "\"worker\":\"%s\",\"born_ms\":%lld",
+		     worker->id, (long long)worker->born_ms);
+		wk->orders_taken = -1;
+		wk->reported_us = 0;
+		wk->leaving_us = worker->draining ? now : MAG_NEVER;
+		wk->on_trial = false;
+		wk->ordered = false;
+		hc_host_drop_idle(wk->host);
+	}
+	if (reborn || moved)
+		wk->layers = worker->layers;
+	if (wk->ordered && wk->layers.from == wk->order.from &&
+	    wk->layers.to == wk->order.to)
+		wk->ordered = false;
+	wk->is = *worker;
+}
+
+static void wk_forget(struct wk_table *table, struct wk *wk)
+{
+	cds_list_del(&wk->node);
+	table->count--;
+	hc_host_free(wk->host);
+	free(wk);
+}
--- /dev/null
+++ b/src/wk.h
@@ -0,0 +1,85 @@
+#ifndef WK_H
+#define WK_H
+
+/*
+ * The table of workers: what the store's list says of each, and what this
+ * instance has seen of it since.  The list is one witness: a worker that is
+ * listed may be dead, and one that answers wrongly may call itself healthy.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <urcu/list.h>
+
+#include "hc.h"
+#include "wire.h"
+
+struct wk {
+	struct cds_list_head node;
+	struct wire_worker is; /* as the list says */
+	struct hc_host *host;
+	int refs;	    /* requests and calls that point here */
+	bool listed;	    /* the store's list has it */
+	bool seen;	    /* in the listing that is being read */
+	int64_t gone_us;    /* taken for gone from then on; MAG_NEVER */
+	int64_t leaving_us; /* its leaving was first seen; MAG_NEVER */
+
+	struct wire_range layers; /* newest word: list, report or answer */
+	int64_t orders_taken;	  /* -1: unknown */
+	int64_t reported_us;	  /* of the last report, 0: none */
+	bool busy;		  /* with an order, by the last report */
+	double slowdown;
+
+	int64_t suspect_until_us; /* gets nothing new until then */
+	int suspect_times;	  /* in a row */
+	bool on_trial;		  /* the suspicion ran out, nothing proved */
+	double fail_share;	  /* of late requests, smoothed */
+	double answer_us;	  /* time of an answer, smoothed */
+
+	int firsts;	   /* requests of ours that it took */
+	int peer_firsts;   /* of other instances, by their word */
+	double held;	   /* tokens x layers that our requests hold */
+	double peer_held;  /* those of other instances */
+	bool probing;	   /* a question to it is on its way */
+	int64_t probed_us; /* when it was asked last */
+
+	/* The placer's order that may not have been carried out yet. */
+	bool ordered;
+	int64_t ordered_us;
+	struct wire_range order;
+};
+
+struct wk_table {
+	struct cds_list_head workers;
+	struct hc *hc;
+	int count;
+	int connections; /* that this instance may have to one worker */
+};
+
+enum wk_err {
+	WK_OK = 0,
+	WK_E_MEMORY = -1,
+	WK_E_ADDRESS = -2,
+};
+
+void wk_init(struct wk_table *table, struct hc *hc);
+void wk_list_begin(struct wk_table *table);
+int wk_list_put(struct wk_table *table, const struct wire_worker *worker,
+		int64_t now, struct wk **out);
+void wk_list_end(struct wk_table *table, int64_t gone_us, int64_t now);
+void wk_remove(struct wk_table *table, const char *id, int64_t gone_us,
+	       int64_t now);
+void wk_tick(struct wk_table *table, int64_t now);
+struct wk *wk_by_id(const struct wk_table *table, const char *id);
+struct wk *wk_by_address(const struct wk_table *table, const char *address);
+
+bool wk_alive(const struct wk *wk, int64_t now);
+bool wk_usable(const struct wk *wk, int64_t now);
+void wk_suspect(struct wk *wk, int64_t now, const char *why);
+void wk_clear(struct wk *wk);
+void wk_result(struct wk *wk, bool good, int64_t took_us);
+struct wk *wk_hold(struct wk *wk);
+void wk_drop(struct wk *wk);
+
+#endif /* WK_H */
--- /dev/null
+++ b/src/wkp.c
@@ -0,0 +1,154 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "clk.h"
+#include "eq.h"
+#include "jlog.h"
+#include "pl_header.h"
+#include "pl_worker.h"
+#include "wkp.h"
+
+/*
+ * A worker that lives answers a question in a few milliseconds; what has not
+ * come by then is a dead or silent worker.
+ */
+#define WKP_ANSWER_US (350 * MAG_US_PER_MS)
+#define WKP_AGAIN_US  (200 * MAG_US_PER_MS)
+
+struct wkp_call {
+	struct edge *edge;
+	struct wk *wk;
+	int status;
+	bool engine;
+	struct evbuffer *body;
+};
+
+static bool wkp_on_headers(void *user, const struct hc_answer *answer);
+static void wkp_on_body(void *user, const void *bytes, size_t len);
+static void wkp_on_end(void *user, enum hc_end end);
+static void wkp_report(struct wkp_call *call, int64_t now);
+
+static const struct hc_ops wkp_ops = {
+	.headers = wkp_on_headers,
+	.body = wkp_on_body,
+	.ended = wkp_on_end,
+};
+
+/*
+ * Asks an engine for its report, or a plain worker for its health.  One
+ * question at a time, and not again at once: each one is paid for.
+ */
+void wkp_ask(struct edge *edge, struct wk *wk, int64_t now)
+{
+	int service =
+		edge->rt ? rt_service_named(edge->rt, wk->is.service) : -1;
+	struct hc_send send = { 0 };
+	struct wkp_call *call;
+	struct hc_call *started;
+
+	if (service < 0 || wk->probing || now - wk->probed_us < WKP_AGAIN_US)
+		return;
+	call = calloc(1, sizeof(*call));
+	if (!call)
+		return;
+	call->body = evbuffer_new();
+	if (!call->body) {
+		free(call);
+		return;
+	}
+	call->edge = edge;
+	call->engine = edge->rt->services[service].has_engine;
+	send.request = pl_call_encode(
+		"GET",
+		call->engine ? PL_REPORT_PATH
+			     : edge->rt->services[service].health_path,
+		wk->is.address, NULL);
+	send.ops = &wkp_ops;
+	send.user = call;
+	send.connect_by_us = now + WKP_ANSWER_US;
+	send.deadline_us = now + WKP_ANSWER_US;
+	met_add(&edge->met, MET_PROBES);
+	if (!send.request || hc_start(wk->host, &send, &started)) {
+		evbuffer_free(call->body);
+		free(call);
+		return;
+	}
+	call->wk = wk_hold(wk);
+	wk->probing = true;
+	wk->probed_us = now;
+}
+
+/* Asks suspects whose time is over; their answer clears them. */
+void wkp_tick(struct edge *edge, int64_t now)
+{
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+		if (wk->on_trial && now >= wk->suspect_until_us &&
+		    wk_alive(wk, now))
+			wkp_ask(edge, wk, now);
+	}
+}
+
+static bool wkp_on_headers(void *user, const struct hc_answer *answer)
+{
+	struct wkp_call *call = user;
+
+	call->status = answer->status;
+	return true;
+}
+
+static void wkp_on_body(void *user, const void *bytes, size_t len)
+{
+	struct wkp_call *call = user;
+
+	evbuffer_add(call->body, bytes, len);
+}
+
+static void wkp_on_end(void *user, enum hc_end end)
+{
+	struct wkp_call *call = user;
+	struct wk *wk = call->wk;
+	struct edge *edge = call->edge;
+	int64_t now = clk_boot_us();
+
+	wk->probing = false;
+	wk_drop(wk);
+	if (end == HC_WHOLE && call->engine) {
+		wkp_report(call, now);
+	} else if (end == HC_WHOLE) {
+		if (call->status == 200)
+			wk_clear(wk);
+	} else {
+		wk->suspect_until_us = 0;
+		wk_suspect(wk, now, "no answer to a question");
+		eq_on_suspect(edge, wk, now);
+	}
+	evbuffer_free(call->body);
+	free(call);
+}
+
+/* Takes an engine's report; it is some hundred milliseconds old. */
+static void wkp_report(struct wkp_call *call, int64_t now)
+{
+	static struct wire_report report;
+	size_t len = evbuffer_get_length(call->body);
+	const char *text = (const char *)evbuffer_pullup(call->body, -1);
+	struct wk *wk = call->wk;
+
+	if (call->status != 200 || pl_report_decode(text, len, &report)) {
+		jlog(LOG_WK_UNREAD, "\"worker\":\"%s\",\"status\":%d",
+		     wk->is.id, call->status);
+		return;
+	}
+	wk->reported_us = now;
+	wk->busy = report.busy;
+	wk->orders_taken = report.orders_taken;
+	wk->slowdown = report.slowdown > 0 ? report.slowdown : 1;
+	wk->layers = report.layers;
+	if (wk->ordered && !report.busy && wk->layers.from == wk->order.from &&
+	    wk->layers.to == wk->order.to)
+		wk->ordered = false;
+	wk_clear(wk);
+	eq_on_report(call->edge, wk, &report, now);
+}
