Price a hop between data centres; read the list anew after each call's end

Cause: streams wait for one pipe between data centres that each prompt holds for 10 ms; chains crossed it twice and nothing recovered after a crash. Second cause: ending a call may close the next one in the list (exit 139). Ruled out: memory of the engines (18 preempted), slow steps (gaps 100 ms before the crash).

--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -7,17 +7,22 @@
 
 /* A worker in reach accepts a connection in a few milliseconds. */
 #define EQ_CONNECT_US (250 * MAG_US_PER_MS)
+/* Time between two workers of a data centre for one token. */
+#define EQ_HOP_US 250
 /*
- * Time between workers for one token, on a hop in a data centre and between
- * two: the links' delays on the users' sites with what a transfer adds.
+ * Price of a hop from one data centre to another.  Its delay is 1 ms, but all
+ * streams share one pipe there, and each stream's prompt alone holds it for
+ * 10 ms: beyond some 80 crossings a second every stream waits for the pipe.
+ * Priced as several chains' worth of steps, a crossing is taken only where
+ * no chain stays inside one data centre.
  */
-#define EQ_HOP_US    250
-#define EQ_CENTRE_US 1100
+#define EQ_CENTRE_US 40000
 /*
- * Price of a first worker in another data centre: the stream's own bytes
- * cross there, which the users pay dearly for, and its chain mostly stays.
+ * Price of a first worker in another data centre: only the stream's own bytes
+ * cross there, which the users pay for, so that a whole chain elsewhere goes
+ * before a crossing, and a chain at home before both.
  */
-#define EQ_AWAY_US 4000
+#define EQ_AWAY_US 8000
 /* Sends of one request, refused ones included. */
 #define EQ_SENDS_MAX 6
 /*
--- a/src/hc.c
+++ b/src/hc.c
@@ -79,6 +79,7 @@
 static void hc_end(struct hc_call *call, enum hc_end end);
 static void hc_close(struct hc_call *call);
 static void hc_hint(struct hc_call *call, int64_t now);
+static bool hc_end_one_due(struct hc_host *host, int64_t now);
 static int hc_on_field(http_parser *parser, const char *at, size_t len);
 static int hc_on_value(http_parser *parser, const char *at, size_t len);
 static int hc_on_begin(http_parser *parser);
@@ -124,22 +125,35 @@
 void hc_tick(struct hc *hc, int64_t now)
 {
 	struct hc_host *host;
-	struct hc_call *call;
-	struct hc_call *next;
 
 	cds_list_for_each_entry (host, &hc->hosts, node) {
-		cds_list_for_each_entry_safe (call, next, &host->conns, node) {
-			if (call->state == HC_IDLE &&
-			    now >= call->idle_until_us)
-				hc_close(call);
-			else if (call->state == HC_CONNECTING &&
-				 now >= call->connect_by_us)
-				hc_end(call, HC_UNSENT);
-			else if (call->state == HC_ACTIVE &&
-				 now >= call->deadline_us)
-				hc_end(call, HC_TIMED_OUT);
-		}
+		/*
+		 * What is told of an end may close other connections of the
+		 * host, so the list is read anew after each one.
+		 */
+		while (hc_end_one_due(host, now))
+			;
+	}
+}
+
+/* Ends one call or idle connection that is due; false if there is none. */
+static bool hc_end_one_due(struct hc_host *host, int64_t now)
+{
+	struct hc_call *call;
+
+	cds_list_for_each_entry (call, &host->conns, node) {
+		if (call->state == HC_IDLE && now >= call->idle_until_us)
+			hc_close(call);
+		else if (call->state == HC_CONNECTING &&
+			 now >= call->connect_by_us)
+			hc_end(call, HC_UNSENT);
+		else if (call->state == HC_ACTIVE && now >= call->deadline_us)
+			hc_end(call, HC_TIMED_OUT);
+		else
+			continue;
+		return true;
 	}
+	return false;
 }
 
 /* Makes a host of "ip:port"; nothing is opened yet. */
