Plan layers for the peak, back up fast cards by slow ones, refuse with a wait that helps

Cause: each copy was dealt in proportion to memory, so that 36 of 80 layers of a data centre ran on the slowest cards, and the loss of any worker broke the copy; orders were given before all workers had registered; refused callers came back within 0.8 s and were refused again. Ruled out: more widths by memory (same memory, 20 in 100 slower tokens).

--- a/src/edge.c
+++ b/src/edge.c
@@ -21,16 +21,29 @@
 
 /*
  * Returns the budget of second sends to a service.  This instance's part of
- * the slack is what divides it over all instances that may exist: those it
- * sees, and half as many again that may have just come.
+ * the slack is what divides it over the most instances seen so far, and half
+ * as many again that may have just come.  A process that has just started
+ * has no slack yet: its predecessor may have spent it in the same window, and
+ * routers that are restarted in turn would each spend it anew.
  */
-struct bud *edge_budget(struct edge *edge, const char *service)
+struct bud *edge_budget(struct edge *edge, const char *service, int64_t now)
 {
 	int routers = 1 + pres_peer_count(edge->pres);
-	double slack = edge->set.retry_slack / (routers + routers / 2 + 1);
+	double slack;
+	double share;
 	struct edge_budget *budget;
 	int i;
 
+	if (routers > edge->routers_most)
+		edge->routers_most = routers;
+	share = (double)(now - edge->started_us) /
+			(double)edge->set.retry_window_us -
+		1;
+	if (share > 1 || edge->set.first_start)
+		share = 1;
+	if (share < 0)
+		share = 0;
+	slack = share * edge->set.retry_slack / (edge->routers_most * 1.5 + 1);
 	for (i = 0; i < edge->budget_count; i++) {
 		if (strcmp(edge->budgets[i].service, service) == 0)
 			break;
@@ -58,8 +71,15 @@
 	return edge->seed;
 }
 
-/* Tells whether this router should get callers. */
-bool edge_is_ready(const struct edge *edge)
+/*
+ * Tells whether this router should get callers.  One that is cut off from the
+ * store cannot check keys much longer: callers are better served by others,
+ * if there are any.
+ */
+bool edge_is_ready(const struct edge *edge, int64_t now)
 {
-	return edge->rt && edge->workers_listed && !edge->stopping;
+	if (!edge->rt || !edge->workers_listed || edge->stopping)
+		return false;
+	return !edge->rt->has_accounts || !edge->set.keys_fail_closed ||
+	       now - edge->rt_fresh_us < edge->set.keys_stale_us * 3 / 5;
 }
--- a/src/edge.h
+++ b/src/edge.h
@@ -52,6 +52,8 @@
 	int centre_count;
 	struct edge_budget budgets[EDGE_BUDGETS_MAX];
 	int budget_count;
+	int routers_most; /* routers seen at once, this one included */
+	int64_t started_us;
 
 	struct cds_list_head requests; /* of struct eq, by arrival */
 	int request_count;
@@ -64,8 +66,8 @@
 };
 
 int edge_centre(struct edge *edge, const char *name);
-struct bud *edge_budget(struct edge *edge, const char *service);
+struct bud *edge_budget(struct edge *edge, const char *service, int64_t now);
 uint64_t edge_random(struct edge *edge);
-bool edge_is_ready(const struct edge *edge);
+bool edge_is_ready(const struct edge *edge, int64_t now);
 
 #endif /* EDGE_H */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -147,6 +147,7 @@
 	randombytes_buf(&edge->seed, sizeof(edge->seed));
 	randombytes_buf(&incarnation, sizeof(incarnation));
 	edge->seed |= 1;
+	edge->started_us = clk_boot_us();
 	CDS_INIT_LIST_HEAD(&edge->requests);
 	edge->hc = edge->base ? hc_new(edge->base) : NULL;
 	edge->quar = quar_new(EDGE_QUARANTINES, EDGE_QUARANTINE_US);
@@ -320,7 +321,9 @@
 {
 	struct edge *edge = ctx;
 
-	hs_reply(conn, edge_is_ready(edge) ? 200 : 503, NULL, NULL, 0);
+	bool ready = edge_is_ready(edge, clk_boot_us());
+
+	hs_reply(conn, ready ? 200 : 503, NULL, NULL, 0);
 }
 
 static void edge_ask_metrics(void *ctx, struct hs_conn *conn)
--- a/src/eq.c
+++ b/src/eq.c
@@ -8,14 +8,17 @@
 #include "eq.h"
 #include "jlog.h"
 
-/*
- * A refused caller is told to come back after this long at least, and up to
- * twice that, so that refused callers do not return at one moment (seconds).
- */
-#define EQ_RETRY_AFTER_S 0.4
+/* A caller that another router can take at once comes back after this. */
+#define EQ_RETRY_ELSEWHERE_S 0.05
+/* Part of its time that a caller waits at most before it comes back. */
+#define EQ_RETRY_SHARE 0.32
 /* The answer is written so long before the deadline that it arrives by it. */
 #define EQ_ANSWER_MARGIN_US (15 * MAG_US_PER_MS)
-/* A caller that names no limit waits for the route's. */
+/*
+ * A stopping router takes new requests for this long: the balancer asks every
+ * second and moves callers away after two misses.
+ */
+#define EQ_STOP_TAKES_US (2600 * MAG_US_PER_MS)
 
 static struct eq *eq_new(struct edge *edge, struct hs_conn *conn, int64_t now);
 static bool eq_route(struct eq *eq);
@@ -25,7 +28,10 @@
 static const struct rt_service *eq_service(struct eq *eq);
 static void eq_log_end(const struct eq *eq, int status, const char *why);
 static void eq_free(struct eq *eq);
+static void eq_retry_fields(const struct eq *eq, enum eq_retry retry,
+			    char *fields, size_t size);
 static void eq_refuse_early(struct edge *edge, struct hs_conn *conn);
+static bool eq_too_late_to_begin(const struct eq *eq, int64_t now);
 
 /* A whole request of a caller has been read. */
 void eq_arrive(void *ctx, struct hs_conn *conn)
@@ -48,6 +54,10 @@
 	if (!eq_route(eq) || !eq_admit(eq, now))
 		return;
 	eq_deadlines(eq);
+	if (eq_too_late_to_begin(eq, now)) {
+		eq_refuse(eq, 503, EQ_RETRY_ELSEWHERE, "stopping");
+		return;
+	}
 	eq_try(eq, now);
 }
 
@@ -85,28 +95,56 @@
  * Refuses a request that has not run and never will.  Where it may have run,
  * the caller hears 502 instead.
  */
-void eq_refuse(struct eq *eq, int status, double retry_after_s, const char *why)
+void eq_refuse(struct eq *eq, int status, enum eq_retry retry, const char *why)
 {
 	char fields[64];
-	double spread;
 
 	if (eq->may_have_run) {
 		eq_fail(eq, 502, why);
 		return;
 	}
-	fields[0] = '\0';
-	if (retry_after_s > 0) {
-		spread = (double)(edge_random(eq->edge) % 1000) / 1000;
-		snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n",
-			 retry_after_s * (1 + spread));
-	}
+	eq_retry_fields(eq, retry, fields, sizeof(fields));
 	met_add(&eq->edge->met, MET_REFUSED);
 	eq_log_end(eq, status, why);
+	if (retry == EQ_RETRY_ELSEWHERE)
+		hs_close_after(eq->caller);
 	hs_reply(eq->caller, status, fields, NULL, 0);
 	eq->caller = NULL;
 	eq_free(eq);
 }
 
+/*
+ * Tells a caller when to come back.  Load drains at the pace at which streams
+ * end, in some seconds; a caller that comes sooner is refused again and gives
+ * up.  Callers take a wait of up to a third of the time that they have, so
+ * the wait is drawn from the upper half of that, which also spreads them.
+ */
+static void eq_retry_fields(const struct eq *eq, enum eq_retry retry,
+			    char *fields, size_t size)
+{
+	int64_t wait = eq->asks.wait_ms;
+	double left;
+	double spread;
+
+	fields[0] = '\0';
+	if (retry == EQ_RETRY_NEVER)
+		return;
+	if (retry == EQ_RETRY_ELSEWHERE) {
+		snprintf(fields, size, "Retry-After: %.2f\r\n",
+			 EQ_RETRY_ELSEWHERE_S);
+		return;
+	}
+	if (wait <= 0)
+		wait = eq->route ? eq->route->timeout_us / MAG_US_PER_MS : 1000;
+	left = (double)wait / 1000 -
+	       (double)(clk_boot_us() - eq->arrived_us) / MAG_US_PER_S;
+	spread = (double)(edge_random(eq->edge) % 1000) / 1000;
+	left = left * EQ_RETRY_SHARE * (0.5 + 0.5 * spread);
+	if (left < 0.05)
+		left = 0.05;
+	snprintf(fields, size, "Retry-After: %.2f\r\n", left);
+}
+
 /* Ends a request that may have run, or that ran out of time. */
 void eq_fail(struct eq *eq, int status, const char *why)
 {
@@ -138,6 +176,21 @@
 	eq_free(eq);
 }
 
+/*
+ * A router that stops takes what still reaches it while the balancer moves
+ * callers away.  Where all routers of a data centre stop at once, callers
+ * keep coming: a stream that begins late is cut by the kill at the end, and
+ * its caller has waited in vain.  It is refused at once instead.
+ */
+static bool eq_too_late_to_begin(const struct eq *eq, int64_t now)
+{
+	const struct edge *edge = eq->edge;
+
+	if (!edge->stopping)
+		return false;
+	return now - edge->stopped_us > EQ_STOP_TAKES_US;
+}
+
 static void eq_refuse_early(struct edge *edge, struct hs_conn *conn)
 {
 	met_add(&edge->met, MET_REFUSED);
@@ -184,12 +237,12 @@
 			rt_find(eq->rt, eq->asks.host, hs_target(eq->caller));
 	if (!eq->route) {
 		met_add(&eq->edge->met, MET_NO_ROUTE);
-		eq_refuse(eq, 404, 0, "no route");
+		eq_refuse(eq, 404, EQ_RETRY_NEVER, "no route");
 		return false;
 	}
 	eq->service = eq_service(eq);
 	if (!eq->service) {
-		eq_refuse(eq, 503, EQ_RETRY_AFTER_S, "route has no service");
+		eq_refuse(eq, 503, EQ_RETRY_LATER, "route has no service");
 		return false;
 	}
 	if (!eq->rt->has_accounts || eq->route->no_account)
@@ -197,7 +250,7 @@
 	account = eq->asks.key ? rt_account_of(eq->rt, eq->asks.key) : -1;
 	if (account < 0) {
 		met_add(&eq->edge->met, MET_NO_KEY);
-		eq_refuse(eq, 401, 0, "unknown key");
+		eq_refuse(eq, 401, EQ_RETRY_NEVER, "unknown key");
 		return false;
 	}
 	eq->account = eq->rt->accounts[account].name;
@@ -216,13 +269,13 @@
 
 	if (eq->account && edge->set.keys_fail_closed &&
 	    stale > edge->set.keys_stale_us * 9 / 10) {
-		eq_refuse(eq, 503, EQ_RETRY_AFTER_S, "keys too old");
+		eq_refuse(eq, 503, EQ_RETRY_ELSEWHERE, "keys too old");
 		return false;
 	}
 	eq_fingerprint(eq);
 	if (quar_check(edge->quar, eq->print, now) == QUAR_QUARANTINED) {
 		met_add(&eq->edge->met, MET_POISON);
-		eq_refuse(eq, 503, 0, "crashes workers");
+		eq_refuse(eq, 503, EQ_RETRY_NEVER, "crashes workers");
 		return false;
 	}
 	return true;
--- a/src/eq.h
+++ b/src/eq.h
@@ -73,8 +73,14 @@
 void eq_arrive(void *ctx, struct hs_conn *conn);
 void eq_caller_gone(void *ctx, struct hs_conn *conn, void *user);
 void eq_tick(struct edge *edge, int64_t now);
-void eq_refuse(struct eq *eq, int status, double retry_after_s,
-	       const char *why);
+/* When a refused caller should come back. */
+enum eq_retry {
+	EQ_RETRY_NEVER,
+	EQ_RETRY_ELSEWHERE, /* at once: another router takes it */
+	EQ_RETRY_LATER,	    /* when the present load has drained */
+};
+
+void eq_refuse(struct eq *eq, int status, enum eq_retry retry, const char *why);
 void eq_fail(struct eq *eq, int status, const char *why);
 void eq_finish(struct eq *eq);
 
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -35,10 +35,12 @@
 
 	jlog(LOG_EQ_AGAIN,
 	     "\"request\":\"%s\",\"why\":\"%s\",\"sends\":%d,\"runs\":%d,"
-	     "\"may_have_run\":%s,\"last_event\":%lld",
+	     "\"may_have_run\":%s,\"last_event\":%lld,\"answer\":%d,"
+	     "\"at_fault\":\"%s\"",
 	     jlog_text(id, sizeof(id), eq->asks.attempt_id), why, eq->sends,
 	     eq->runs, eq->may_have_run ? "true" : "false",
-	     (long long)eq->last_event);
+	     (long long)eq->last_event, eq->answered ? eq->status : 0,
+	     eq->at_fault);
 	eq_release(eq);
 	if (eq->may_have_run && !repeatable) {
 		eq_fail(eq, 502, why);
@@ -176,7 +178,8 @@
 	/* A failure of an idempotent request may be another's success. */
 	if (eq->status / 100 == 5 && eq->state != EQ_STREAMS && idempotent &&
 	    eq->runs < eq->route->max_attempts &&
-	    bud_left(edge_budget(eq->edge, eq->service->name), now) > 1) {
+	    bud_left(edge_budget(eq->edge, eq->service->name, now),
+		     now) > 1) {
 		eq_avoid(eq, wk);
 		eq_again(eq, "worker failed it");
 		return;
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -59,7 +59,7 @@
 	enum eq_choice choice;
 
 	if (eq->sends >= EQ_SENDS_MAX) {
-		eq_refuse(eq, 503, 0.5, "no worker took it");
+		eq_refuse(eq, 503, EQ_RETRY_LATER, "no worker took it");
 		return;
 	}
 	if (eq->service->has_engine)
@@ -133,7 +133,7 @@
 		eq->wait_until_us = now + patience;
 	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX)
 		return;
-	eq_refuse(eq, 503, 0.4,
+	eq_refuse(eq, 503, EQ_RETRY_LATER,
 		  choice == EQ_BUSY ? "all workers busy" : "no worker");
 }
 
@@ -290,7 +290,7 @@
 static void eq_send(struct eq *eq, int64_t now)
 {
 	struct wk *wk = eq->hops[0].worker;
-	struct bud *bud = edge_budget(eq->edge, eq->service->name);
+	struct bud *bud = edge_budget(eq->edge, eq->service->name, now);
 	struct hc_send send = { 0 };
 	char id[WIRE_ID_MAX];
 
@@ -302,7 +302,7 @@
 		if (eq->state == EQ_STREAMS)
 			eq_fail(eq, 502, "retry budget spent");
 		else
-			eq_refuse(eq, 503, 1, "retry budget spent");
+			eq_refuse(eq, 503, EQ_RETRY_LATER, "retry budget spent");
 		return;
 	} else {
 		met_add(&eq->edge->met, MET_REPEATS);
--- a/src/hs.c
+++ b/src/hs.c
@@ -226,6 +226,11 @@
 	conn->user = user;
 }
 
+void hs_close_after(struct hs_conn *conn)
+{
+	conn->keep_alive = false;
+}
+
 /*
  * Answers the request with a whole body.  fields holds further header lines,
  * each ended by CR LF, or is NULL.
--- a/src/hs.h
+++ b/src/hs.h
@@ -55,6 +55,8 @@
 struct evbuffer *hs_body(struct hs_conn *conn);
 void hs_set_user(struct hs_conn *conn, void *user);
 
+/* The connection closes after the answer, so that a caller goes elsewhere. */
+void hs_close_after(struct hs_conn *conn);
 void hs_reply(struct hs_conn *conn, int status, const char *fields,
 	      const void *body, size_t len);
 void hs_stream_begin(struct hs_conn *conn, int status, const char *fields);
--- a/src/lay.c
+++ b/src/lay.c
@@ -13,10 +13,17 @@
 #define LAY_CARD_SHARE 0.85
 /* A chain has at most 32 hops; copies stay below it with some to spare. */
 #define LAY_CARDS_A_COPY 26
+/* How much less memory for requests is wanted where layers do not fit. */
+#define LAY_SHRINK 0.93
+#define LAY_STEPS  40
+/*
+ * Part of the wanted tokens that a card must hold when it has taken over its
+ * neighbours' layers: by then streams go to other copies, too.
+ */
+#define LAY_BACK_UP 0.6
 #define LAY_CENTRES_MAX	 32
 #define LAY_CARDS_MAX	 4096
 
-static bool lay_is_fresh(const struct lay_card *cards, int count);
 static void lay_deal_all(const struct lay_model *model, struct lay_card *cards,
 			 int count);
 static void lay_deal_centres(const struct lay_model *model,
@@ -27,6 +34,20 @@
 			    struct lay_card **group, int count, int copies);
 static void lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
 			  int count);
+static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
+		       int count, int *widths);
+static int lay_beside(const struct lay_model *model,
+		      const struct lay_card *card, double tokens);
+static void lay_interleave(struct lay_card **copy, int *widths, int count,
+			   struct lay_card **order);
+static void lay_back_up(const struct lay_model *model, struct lay_card **order,
+			int count);
+static void lay_back_up_one(const struct lay_model *model,
+			    struct lay_card **order, int count, int at);
+static bool lay_can_back_up(const struct lay_model *model,
+			    const struct lay_card *card, int own, int holds);
+static void lay_join_back_up(struct lay_card *cards, int count);
+static int lay_by_speed(const void *a, const void *b);
 static int lay_most(const struct lay_model *model, const struct lay_card *card);
 static int lay_by_memory(const void *a, const void *b);
 static void lay_repair(const struct lay_model *model, struct lay_card *cards,
@@ -39,6 +60,19 @@
 static void lay_widen(const struct lay_model *model, struct lay_card *cards,
 		      int count, int centre);
 
+/* Takes the layers that cards back up into what they are to hold. */
+static void lay_join_back_up(struct lay_card *cards, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (cards[i].back_to <= cards[i].back_from)
+			continue;
+		cards[i].want_from = cards[i].back_from;
+		cards[i].want_to = cards[i].back_to;
+	}
+}
+
 /*
  * Sets what each card is to hold.  While nobody holds anything, whole copies
  * are dealt; later only empty cards are filled and, if widen is set, holders
@@ -55,14 +89,19 @@
 	for (i = 0; i < count; i++) {
 		cards[i].want_from = cards[i].from;
 		cards[i].want_to = cards[i].to;
+		cards[i].back_from = 0;
+		cards[i].back_to = 0;
 	}
-	if (lay_is_fresh(cards, count))
+	if (lay_is_fresh(cards, count)) {
 		lay_deal_all(model, cards, count);
-	else
+		lay_join_back_up(cards, count);
+	} else {
 		lay_repair(model, cards, count, widen);
+	}
 }
 
-static bool lay_is_fresh(const struct lay_card *cards, int count)
+/* Tells whether no card holds any layer. */
+bool lay_is_fresh(const struct lay_card *cards, int count)
 {
 	int i;
 
@@ -161,33 +200,181 @@
 	}
 }
 
-/* Deals all layers over the cards of one copy in proportion to memory. */
-static void lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
-			  int count)
+/* Deals all layers over the cards of one copy. */
+static void lay_deal_copy(const struct lay_model *model,
+			  struct lay_card **copy, int count)
 {
-	double memory = 0;
-	double sum = 0;
+	int widths[LAY_CARDS_MAX];
+	struct lay_card *order[LAY_CARDS_MAX];
 	int position = 0;
-	int end;
+	int i;
+
+	qsort(copy, (size_t)count, sizeof(*copy), lay_by_speed);
+	if (!lay_widths(model, copy, count, widths))
+		return;
+	lay_interleave(copy, widths, count, order);
+	for (i = 0; i < count; i++) {
+		order[i]->want_from = position;
+		position += widths[i];
+		order[i]->want_to = position;
+	}
+	lay_back_up(model, order, count);
+}
+
+/*
+ * Sets how many layers each card of a copy holds, the fast ones first.  Where
+ * the layers do not fit beside the wanted memory for requests, less memory
+ * is wanted.  Returns false if they do not fit at all.
+ */
+static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
+		       int count, int *widths)
+{
+	double tokens = model->tokens;
+	int left;
 	int most;
 	int i;
+	int step;
+
+	for (step = 0; step < LAY_STEPS; step++) {
+		left = model->layers - count;
+		for (i = 0; i < count; i++) {
+			widths[i] = 1;
+			most = lay_beside(model, copy[i], tokens) - 1;
+			if (most > left)
+				most = left;
+			if (most > 0) {
+				widths[i] += most;
+				left -= most;
+			}
+		}
+		if (left <= 0)
+			return left == 0;
+		tokens *= LAY_SHRINK;
+	}
+	return false;
+}
+
+/* Returns the layers that fit beside the memory of so many tokens. */
+static int lay_beside(const struct lay_model *model,
+		      const struct lay_card *card, double tokens)
+{
+	int fit = (int)(card->memory_mb /
+			(model->layer_mb + tokens * model->token_mb));
+	int most = lay_most(model, card);
+
+	return fit < most ? fit : most;
+}
+
+/*
+ * Puts the slowest cards between the others at even distances, because each
+ * of them backs up its neighbours.
+ */
+static void lay_interleave(struct lay_card **copy, int *widths, int count,
+			   struct lay_card **order)
+{
+	int sorted[LAY_CARDS_MAX];
+	double slowest = copy[count - 1]->step_factor;
+	int slow = 0;
+	int taken = 0;
+	int put = 0;
+	int i;
+
+	memcpy(sorted, widths, (size_t)count * sizeof(*widths));
+	while (slow < count && copy[count - 1 - slow]->step_factor >= slowest)
+		slow++;
+	for (i = 0; i < count; i++) {
+		/* The first place is a fast card's: it takes the prompts. */
+		if (put < slow && (long)(put + 1) * count <=
+					  (long)(i + 1) * (slow + 1) - 1) {
+			order[i] = copy[count - slow + put];
+			widths[i] = sorted[count - slow + put];
+			put++;
+		} else if (taken < count - slow) {
+			order[i] = copy[taken];
+			widths[i] = sorted[taken];
+			taken++;
+		} else {
+			order[i] = copy[count - slow + put];
+			widths[i] = sorted[count - slow + put];
+			put++;
+		}
+	}
+}
+
+/*
+ * Lets the slowest cards hold layers of their neighbours besides their own,
+ * while memory is left for the streams that pass them now, and for most of
+ * those that would pass if a neighbour were lost.
+ */
+static void lay_back_up(const struct lay_model *model, struct lay_card **order,
+			int count)
+{
+	double slowest = 0;
+	struct lay_card *card;
+	int i;
 
-	for (i = 0; i < count; i++)
-		memory += copy[i]->memory_mb;
 	for (i = 0; i < count; i++) {
-		sum += copy[i]->memory_mb;
-		end = (int)(model->layers * sum / memory + 0.5);
-		if (i == count - 1)
-			end = model->layers;
-		most = lay_most(model, copy[i]);
-		if (end - position > most)
-			end = position + most;
-		copy[i]->want_from = position;
-		copy[i]->want_to = end;
-		position = end;
+		if (order[i]->step_factor > slowest)
+			slowest = order[i]->step_factor;
+	}
+	for (i = 0; i < count; i++) {
+		card = order[i];
+		if (card->step_factor < slowest)
+			continue;
+		lay_back_up_one(model, order, count, i);
 	}
 }
 
+static void lay_back_up_one(const struct lay_model *model,
+			    struct lay_card **order, int count, int at)
+{
+	struct lay_card *card = order[at];
+	int own = card->want_to - card->want_from;
+	int left = at > 0 ? order[at - 1]->want_from : card->want_from;
+	int right = at + 1 < count ? order[at + 1]->want_to : card->want_to;
+	int from = card->want_from;
+	int to = card->want_to;
+	bool grew = true;
+
+	/* A slow neighbour backs nothing up: it has its own to hold. */
+	if (at > 0 && order[at - 1]->step_factor >= card->step_factor)
+		left = from;
+	if (at + 1 < count && order[at + 1]->step_factor >= card->step_factor)
+		right = to;
+	/* An even larger neighbour is more than this card could take over. */
+	if (from - left > lay_most(model, card))
+		left = from;
+	if (right - to > lay_most(model, card))
+		right = to;
+	while (grew) {
+		grew = false;
+		if (to < right &&
+		    lay_can_back_up(model, card, own, to - from + 1)) {
+			to++;
+			grew = true;
+		}
+		if (from > left &&
+		    lay_can_back_up(model, card, own, to - from + 1)) {
+			from--;
+			grew = true;
+		}
+	}
+	card->back_from = from;
+	card->back_to = to;
+}
+
+static bool lay_can_back_up(const struct lay_model *model,
+			    const struct lay_card *card, int own, int holds)
+{
+	double spare = card->memory_mb - holds * model->layer_mb;
+	double needs = model->tokens * model->token_mb * own;
+	double taken_over = model->tokens * model->token_mb * LAY_BACK_UP *
+			    (own + (holds - own) / 2.0);
+
+	return holds <= lay_most(model, card) && spare >= needs &&
+	       spare >= taken_over;
+}
+
 /* Returns the most layers that a card may hold. */
 static int lay_most(const struct lay_model *model, const struct lay_card *card)
 {
@@ -204,6 +391,17 @@
 	return x < y ? -1 : x > y;
 }
 
+/* The fastest cards first, of equal ones the largest. */
+static int lay_by_speed(const void *a, const void *b)
+{
+	const struct lay_card *x = *(struct lay_card *const *)a;
+	const struct lay_card *y = *(struct lay_card *const *)b;
+
+	if (x->step_factor != y->step_factor)
+		return x->step_factor > y->step_factor ? 1 : -1;
+	return lay_by_memory(a, b);
+}
+
 static void lay_repair(const struct lay_model *model, struct lay_card *cards,
 		       int count, bool widen)
 {
--- a/src/lay.h
+++ b/src/lay.h
@@ -4,13 +4,15 @@
 /*
  * Plans which layers each worker holds.  Pure.
  *
- * Load pattern: memory for requests binds at the evening's peak, and any
+ * Load pattern: at the evening's peak a data centre runs about a hundred
+ * streams at once, half as many more when another one loses a worker, and any
  * worker, rack or data centre may be lost at that time.  Each data centre
- * therefore holds whole copies of its own where its memory allows, so that
- * its streams stay inside it; within a copy the layers are dealt in
- * proportion to memory, so that all workers of a chain fill at the same
- * number of requests; a hole left by a loss is closed by workers that are
- * empty or, if there are none, by widening the holders beside it.
+ * holds whole copies of its own where its memory allows, so that its streams
+ * need no slow link.  In a copy the fast cards hold as many layers as leave
+ * memory for the streams of that peak, the slow ones the rest: the time of a
+ * token is the sum over all layers, and streams that end sooner hold memory
+ * for less long.  The memory that slow cards have left holds the layers of
+ * the cards beside them, so that the loss of one leaves the copy whole.
  */
 
 #include <stdbool.h>
@@ -28,13 +30,18 @@
 	bool usable;   /* neither leaving nor thought lost */
 	int want_from; /* out: what it is to hold */
 	int want_to;
+	int back_from; /* with its neighbours' layers; planner's own */
+	int back_to;
 };
 
 struct lay_model {
 	int layers;
 	double layer_mb;
+	double token_mb; /* memory of a token in one layer */
+	double tokens;	 /* that a copy is to hold at once, of all requests */
 };
 
+bool lay_is_fresh(const struct lay_card *cards, int count);
 void lay_plan(const struct lay_model *model, struct lay_card *cards, int count,
 	      bool widen);
 
--- a/src/plr.c
+++ b/src/plr.c
@@ -11,14 +11,20 @@
 #include "wkp.h"
 
 #define PLR_CARDS_MAX 4096
-/* A new placer lets the list of workers settle before the first orders. */
-#define PLR_SETTLE_US (500 * MAG_US_PER_MS)
+/*
+ * Workers that start together register within a second or so.  Copies are
+ * dealt once no new one has come for this long: dealt over half of them, the
+ * layers would leave no memory for requests, and a worker gives none up.
+ */
+#define PLR_SETTLE_US (1200 * MAG_US_PER_MS)
 /*
  * A hole in a data centre's copy is closed by widening its neighbours only
  * after this long: a worker that crashed is mostly back, and empty, by then,
  * and a widened worker keeps less memory for requests for good.
  */
 #define PLR_WIDEN_US (3 * MAG_US_PER_S)
+/* Part of a first worker's places that are taken at the peak. */
+#define PLR_PLACES_USED 0.85
 #define PLR_ORDER_US (600 * MAG_US_PER_MS)
 /* A worker that is busy with an order is asked again after this. */
 #define PLR_ASK_US (700 * MAG_US_PER_MS)
@@ -36,6 +42,7 @@
 
 static void plr_service(struct edge *edge, const struct rt_service *service,
 			int64_t now);
+static struct lay_model plr_model(const struct rt_engine *engine);
 static int plr_cards(struct edge *edge, const struct rt_service *service,
 		     struct lay_card *cards, struct wk **workers, int64_t now);
 static bool plr_has_hole(const struct lay_model *model,
@@ -55,17 +62,10 @@
 /* Plans and orders while this instance holds the placer's lease. */
 void plr_tick(struct edge *edge, int64_t now)
 {
-	static int64_t placer_since_us;
 	int i;
 
 	if (!pres_is_placer(edge->pres, now) || !edge->rt ||
-	    !edge->workers_listed) {
-		placer_since_us = 0;
-		return;
-	}
-	if (!placer_since_us)
-		placer_since_us = now;
-	if (now - placer_since_us < PLR_SETTLE_US)
+	    !edge->workers_listed)
 		return;
 	for (i = 0; i < edge->rt->service_count; i++) {
 		if (edge->rt->services[i].has_engine)
@@ -79,14 +79,16 @@
 	static struct lay_card cards[PLR_CARDS_MAX];
 	static struct wk *workers[PLR_CARDS_MAX];
 	static int64_t hole_since_us;
-	struct lay_model model = { service->engine.layers,
-				   service->engine.layer_mb };
+	struct lay_model model = plr_model(&service->engine);
 	struct wire_range range;
 	bool hole = false;
 	int count;
 	int i;
 
 	count = plr_cards(edge, service, cards, workers, now);
+	if (lay_is_fresh(cards, count) &&
+	    now - edge->workers.grew_us < PLR_SETTLE_US)
+		return;
 	for (i = 0; i < edge->centre_count && !hole; i++)
 		hole = plr_has_hole(&model, cards, count, i);
 	if (!hole)
@@ -106,6 +108,24 @@
 	}
 }
 
+/* Describes the model of an engine to the planner. */
+static struct lay_model plr_model(const struct rt_engine *engine)
+{
+	struct lay_model model;
+
+	model.layers = engine->layers;
+	model.layer_mb = engine->layer_mb;
+	model.token_mb = engine->token_bytes / 1e6 / engine->layers;
+	/*
+	 * A copy begins at one worker, which takes so many requests at once;
+	 * in the middle of their lives each holds its prompt and half of its
+	 * answer.
+	 */
+	model.tokens = PLR_PLACES_USED * engine->slots *
+		       (engine->usual_prompt + engine->usual_answer / 2.0);
+	return model;
+}
+
 /* Lists the workers of a service as cards; what is ordered counts as held. */
 static int plr_cards(struct edge *edge, const struct rt_service *service,
 		     struct lay_card *cards, struct wk **workers, int64_t now)
--- a/src/wk.c
+++ b/src/wk.c
@@ -63,6 +63,7 @@
 		wk->layers = worker->layers;
 		cds_list_add_tail(&wk->node, &table->workers);
 		table->count++;
+		table->grew_us = now;
 		jlog(LOG_WK_SEEN,
 		     "\"worker\":\"%s\",\"address\":\"%s\","
 		     "\"data_centre\":\"%s\",\"layers\":\"%d-%d\"",
--- a/src/wk.h
+++ b/src/wk.h
@@ -54,6 +54,7 @@
 	struct cds_list_head workers;
 	struct hc *hc;
 	int count;
+	int64_t grew_us; /* when a worker was last seen for the first time */
 	int connections; /* that this instance may have to one worker */
 };
 
