Close a caller's connection after the last byte of its answer only

Cause: after SIGTERM the tick closed connections that waited for their next request, also those with the end of an answer unsent; and the process ended with such bytes left. Ruled out: the worker (its run ended 200 a millisecond before). The connection now closes when its output is empty.

--- a/src/hs.c
+++ b/src/hs.c
@@ -168,19 +168,27 @@
 
 	hs->keep = false;
 	cds_list_for_each_entry_safe (conn, next, &hs->conns, node) {
-		if (conn->state == HS_READING && !conn->begun)
+		if (conn->state == HS_READING && !conn->begun &&
+		    hs_unsent(conn) == 0)
 			conn->due_us = 0;
+		else if (conn->state == HS_READING && !conn->begun)
+			conn->state = HS_CLOSING;
 	}
 }
 
-/* Returns the connections with a request that is read or answered. */
+/*
+ * Returns the connections with a request that is read or answered, or with an
+ * answer of which some bytes still wait to be sent.
+ */
 int hs_open_count(const struct hs *hs)
 {
 	const struct hs_conn *conn;
 	int count = 0;
 
 	cds_list_for_each_entry (conn, &hs->conns, node)
-		count += conn->state != HS_READING || conn->begun;
+		count += conn->state != HS_READING || conn->begun ||
+			 evbuffer_get_length(
+				 bufferevent_get_output(conn->bev)) > 0;
 	return count;
 }
 
@@ -424,9 +432,8 @@
 	conn->chunked = false;
 	conn->target_len = 0;
 	conn->header_len = 0;
-	conn->due_us = clk_boot_us();
-	if (conn->hs->keep)
-		conn->due_us += conn->hs->limits.idle_ms * MAG_US_PER_MS;
+	conn->due_us =
+		clk_boot_us() + conn->hs->limits.idle_ms * MAG_US_PER_MS;
 	hdr_reset(&conn->headers);
 	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
 	http_parser_init(&conn->parser, HTTP_REQUEST);
@@ -468,10 +475,11 @@
 static void hs_end_answer(struct hs_conn *conn)
 {
 	conn->user = NULL;
-	if (conn->keep_alive) {
+	if (conn->keep_alive && conn->hs->keep) {
 		hs_next(conn);
 		return;
 	}
+	/* It closes once the last byte is out, not before. */
 	conn->state = HS_CLOSING;
 	bufferevent_enable(conn->bev, EV_WRITE);
 }
