--- a/src/edge.c
+++ b/src/edge.c
@@ -81,5 +81,5 @@
 	if (!edge->rt || !edge->workers_listed || edge->stopping)
 		return false;
 	return !edge->rt->has_accounts || !edge->set.keys_fail_closed ||
-	       now - edge->rt_fresh_us < edge->set.keys_stale_us * 3 / 5;
+	       now - edge->rt_fresh_us < edge->set.keys_stale_us * 17 / 20;
 }
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -31,11 +31,11 @@
 #define EDGE_LOG_LINES_S 400
 #define EDGE_WHY_MAX	 256
 /*
- * A watch of the configuration is answered after this at the latest, which
- * proves that nothing newer was there when it was sent.
+ * A watch is answered after this at the latest, which proves that nothing
+ * newer was there when it was sent.  Twice this, with what the store takes,
+ * stays below the time for which keys are trusted.
  */
-#define EDGE_CONFIG_WATCH_MS 1500
-#define EDGE_WORKER_WATCH_MS 2000
+#define EDGE_WATCH_MS 2000
 /* Entries that lapsed in an outage of the store are back by then. */
 #define EDGE_LAPSED_US (1700 * MAG_US_PER_MS)
 /* For so long after an outage a missing entry may have lapsed in it. */
@@ -71,32 +71,23 @@
 static void edge_ask_ready(void *ctx, struct hs_conn *conn);
 static void edge_ask_metrics(void *ctx, struct hs_conn *conn);
 static void edge_asker_gone(void *ctx, struct hs_conn *conn, void *user);
-static void edge_config_begin(void *user);
-static void edge_config_item(void *user, const struct wire_item *item);
-static void edge_config_end(void *user);
-static void edge_config_fresh(void *user, int64_t sent_us);
-static void edge_workers_begin(void *user);
-static void edge_workers_item(void *user, const struct wire_item *item);
-static void edge_workers_end(void *user);
-static void edge_workers_fresh(void *user, int64_t sent_us);
+static void edge_begin(void *user);
+static void edge_item(void *user, const struct wire_item *item);
+static void edge_end(void *user);
+static void edge_fresh(void *user, int64_t sent_us);
+static void edge_config_item(struct edge *edge, const struct wire_item *item);
+static void edge_worker_item(struct edge *edge, const struct wire_item *item);
 static void edge_reachable(void *user, bool reachable);
 static int64_t edge_gone_us(const struct edge *edge, int64_t now);
 
-static const struct sto_follow_ops edge_config_ops = {
-	.begin = edge_config_begin,
-	.item = edge_config_item,
-	.end = edge_config_end,
-	.fresh = edge_config_fresh,
+static const struct sto_follow_ops edge_ops = {
+	.begin = edge_begin,
+	.item = edge_item,
+	.end = edge_end,
+	.fresh = edge_fresh,
 	.reachable = edge_reachable,
 };
 
-static const struct sto_follow_ops edge_workers_ops = {
-	.begin = edge_workers_begin,
-	.item = edge_workers_item,
-	.end = edge_workers_end,
-	.fresh = edge_workers_fresh,
-};
-
 /* The router on a platform: serves until SIGTERM, then lets work end. */
 int main(void)
 {
@@ -157,8 +148,14 @@
 	}
 	wk_init(&edge->workers, edge->hc);
 	edge_centre(edge, edge->set.data_centre);
-	if (edge_listen(edge) || edge_follow(run))
+	if (edge_listen(edge))
 		return -1;
+	if (sto_new(edge->hc, edge->set.store, edge_random(edge),
+		    &edge->sto)) {
+		jlog(LOG_START_FAILED, "\"why\":\"store %s\"",
+		     edge->set.store);
+		return -1;
+	}
 	snprintf(peer, sizeof(peer), "%s:%d", edge->set.address,
 		 edge->set.peer_port);
 	edge->pres = pres_new(edge->sto, edge->set.instance, peer,
@@ -167,6 +164,8 @@
 		jlog(LOG_START_FAILED, "\"why\":\"peer socket %s\"", peer);
 		return -1;
 	}
+	if (edge_follow(run))
+		return -1;
 	run->tick = event_new(edge->base, -1, EV_PERSIST, edge_tick, run);
 	run->term = evsignal_new(edge->base, SIGTERM, edge_on_term, run);
 	run->hup = evsignal_new(edge->base, SIGHUP, edge_on_hup, run);
@@ -206,19 +205,19 @@
 	return 0;
 }
 
+/*
+ * Follows all that the store holds by one watch: configuration, workers and
+ * routers.  A watch for each would cost as many calls each time that one
+ * comes back, and calls are paid for.
+ */
 static int edge_follow(struct edge_run *run)
 {
+	struct sto_follow_settings all = { "", EDGE_WATCH_MS, &edge_ops, run };
 	struct edge *edge = &run->edge;
-	struct sto_follow_settings config = { PL_OPERATOR, EDGE_CONFIG_WATCH_MS,
-					      &edge_config_ops, run };
-	struct sto_follow_settings workers = { PL_WORKERS, EDGE_WORKER_WATCH_MS,
-					       &edge_workers_ops, run };
 
 	edge->store_reachable = true;
-	if (sto_new(edge->hc, edge->set.store, edge_random(edge), &edge->sto) ||
-	    sto_follow(edge->sto, &config, NULL) ||
-	    sto_follow(edge->sto, &workers, NULL)) {
-		jlog(LOG_START_FAILED, "\"why\":\"store %s\"", edge->set.store);
+	if (sto_follow(edge->sto, &all, NULL)) {
+		jlog(LOG_START_FAILED, "\"why\":\"out of memory\"");
 		return -1;
 	}
 	return 0;
@@ -356,21 +355,56 @@
 	(void)user;
 }
 
-static void edge_config_begin(void *user)
+/* A whole list of the store's keys begins. */
+static void edge_begin(void *user)
 {
-	(void)user;
+	struct edge_run *run = user;
+
+	wk_list_begin(&run->edge.workers);
+	pres_begin(run->edge.pres);
 }
 
-/* Takes a newer configuration; an older one never comes back. */
-static void edge_config_item(void *user, const struct wire_item *item)
+/* Hands a key to the module that it belongs to. */
+static void edge_item(void *user, const struct wire_item *item)
+{
+	struct edge_run *run = user;
+	struct edge *edge = &run->edge;
+
+	if (strcmp(item->key, PL_CONFIG_KEY) == 0)
+		edge_config_item(edge, item);
+	else if (strncmp(item->key, PL_WORKERS, strlen(PL_WORKERS)) == 0)
+		edge_worker_item(edge, item);
+	else if (strncmp(item->key, PRES_PREFIX, strlen(PRES_PREFIX)) == 0)
+		pres_item(edge->pres, item);
+}
+
+static void edge_end(void *user)
 {
 	struct edge_run *run = user;
 	struct edge *edge = &run->edge;
+	int64_t now = clk_boot_us();
+
+	wk_list_end(&edge->workers, edge_gone_us(edge, now), now);
+	edge->workers_listed = true;
+	pres_end(edge->pres);
+}
+
+/* All that was told was the newest when the call was sent. */
+static void edge_fresh(void *user, int64_t sent_us)
+{
+	struct edge_run *run = user;
+
+	run->edge.rt_fresh_us = sent_us;
+}
+
+/* Takes a newer configuration; an older one never comes back. */
+static void edge_config_item(struct edge *edge, const struct wire_item *item)
+{
 	struct hs_limits limits;
 	char why[EDGE_WHY_MAX];
 	struct rt_set *fresh;
 
-	if (strcmp(item->key, PL_CONFIG_KEY) != 0 || item->deleted)
+	if (item->deleted)
 		return;
 	if (pl_config_decode(item->value, item->len, &fresh, why,
 			     sizeof(why))) {
@@ -400,30 +434,9 @@
 	hs_set_limits(edge->callers, &limits);
 }
 
-static void edge_config_end(void *user)
-{
-	(void)user;
-}
-
-static void edge_config_fresh(void *user, int64_t sent_us)
-{
-	struct edge_run *run = user;
-
-	run->edge.rt_fresh_us = sent_us;
-}
-
-static void edge_workers_begin(void *user)
-{
-	struct edge_run *run = user;
-
-	wk_list_begin(&run->edge.workers);
-}
-
 /* Takes an entry of the workers' list; one that cannot be read names none. */
-static void edge_workers_item(void *user, const struct wire_item *item)
+static void edge_worker_item(struct edge *edge, const struct wire_item *item)
 {
-	struct edge_run *run = user;
-	struct edge *edge = &run->edge;
 	struct wire_worker worker;
 	char why[EDGE_WHY_MAX];
 	char text[EDGE_WHY_MAX];
@@ -451,22 +464,6 @@
 				      EDGE_ROUTERS_LIKELY);
 }
 
-static void edge_workers_end(void *user)
-{
-	struct edge_run *run = user;
-	struct edge *edge = &run->edge;
-	int64_t now = clk_boot_us();
-
-	wk_list_end(&edge->workers, edge_gone_us(edge, now), now);
-	edge->workers_listed = true;
-}
-
-static void edge_workers_fresh(void *user, int64_t sent_us)
-{
-	(void)user;
-	(void)sent_us;
-}
-
 static void edge_reachable(void *user, bool reachable)
 {
 	struct edge_run *run = user;
--- a/src/pres.c
+++ b/src/pres.c
@@ -48,10 +48,6 @@
 	int peer_count;
 };
 
-static void pres_begin(void *user);
-static void pres_item(void *user, const struct wire_item *item);
-static void pres_end(void *user);
-static void pres_fresh(void *user, int64_t sent_us);
 static void pres_take(struct pres *pres, int64_t now);
 static void pres_taken(void *user, enum sto_result result, const char *body,
 		       size_t len);
@@ -66,19 +62,10 @@
 static void pres_peer_item(struct pres *pres, const struct wire_item *item);
 static void pres_forget(struct pres *pres, int i);
 
-static const struct sto_follow_ops pres_ops = {
-	.begin = pres_begin,
-	.item = pres_item,
-	.end = pres_end,
-	.fresh = pres_fresh,
-};
-
 /* Begins to take part; address is that of the peer socket. */
 struct pres *pres_new(struct sto *sto, const char *name, const char *address,
 		      int64_t lease_ms_min, uint64_t incarnation)
 {
-	struct sto_follow_settings follow = { PRES_PREFIX, PRES_WATCH_MS,
-					      &pres_ops, NULL };
 	struct pres *pres = calloc(1, sizeof(*pres));
 
 	if (!pres)
@@ -98,11 +85,6 @@
 	snprintf(pres->value, sizeof(pres->value), "%s", address);
 	snprintf(pres->title, sizeof(pres->title), "%s %" PRIx64, name,
 		 incarnation);
-	follow.user = pres;
-	if (sto_follow(sto, &follow, NULL)) {
-		pres_free(pres);
-		return NULL;
-	}
 	return pres;
 }
 
@@ -260,19 +242,17 @@
 	(void)len;
 }
 
-static void pres_begin(void *user)
+/* A whole list of the keys begins. */
+void pres_begin(struct pres *pres)
 {
-	struct pres *pres = user;
-
 	memset(pres->seen, 0, PRES_PEERS_MAX * sizeof(*pres->seen));
 	pres->placer[0] = '\0';
 	pres->own_revision = 0;
 }
 
-static void pres_item(void *user, const struct wire_item *item)
+/* Takes one key, new, changed or deleted. */
+void pres_item(struct pres *pres, const struct wire_item *item)
 {
-	struct pres *pres = user;
-
 	if (strncmp(item->key, PRES_PEER, strlen(PRES_PEER)) == 0) {
 		pres_peer_item(pres, item);
 		return;
@@ -287,9 +267,9 @@
 	     strcmp(pres->placer, pres->title) ? "false" : "true");
 }
 
-static void pres_end(void *user)
+/* The list is whole: peers that it lacks are gone. */
+void pres_end(struct pres *pres)
 {
-	struct pres *pres = user;
 	int i;
 
 	for (i = pres->peer_count - 1; i >= 0; i--) {
@@ -299,12 +279,6 @@
 	pres->listed = true;
 }
 
-static void pres_fresh(void *user, int64_t sent_us)
-{
-	(void)user;
-	(void)sent_us;
-}
-
 /* Takes the key of an instance, which holds its peer address. */
 static void pres_peer_item(struct pres *pres, const struct wire_item *item)
 {
--- a/src/pres.h
+++ b/src/pres.h
@@ -13,6 +13,7 @@
 #include "mag.h"
 #include "sto.h"
 
+#define PRES_PREFIX    "mag/"
 #define PRES_PEERS_MAX 1024
 
 struct pres;
@@ -25,6 +26,10 @@
 struct pres *pres_new(struct sto *sto, const char *name, const char *address,
 		      int64_t lease_ms_min, uint64_t incarnation);
 void pres_free(struct pres *pres);
+/* What the store's keys under PRES_PREFIX hold; from the one follower. */
+void pres_begin(struct pres *pres);
+void pres_item(struct pres *pres, const struct wire_item *item);
+void pres_end(struct pres *pres);
 void pres_tick(struct pres *pres, int64_t now);
 void pres_leave(struct pres *pres);
 bool pres_is_placer(const struct pres *pres, int64_t now);
--- a/src/sto.c
+++ b/src/sto.c
@@ -23,7 +23,13 @@
  */
 #define STO_RETRY_US	 (80 * MAG_US_PER_MS)
 #define STO_RETRY_MAX_US (500 * MAG_US_PER_MS)
-#define STO_CONNECTIONS	 16
+/*
+ * After a watch that told of a change, the next one waits so long: workers
+ * and routers that start, and configurations in quick succession, then cost
+ * one call for many changes, and each is known within a tenth of its bound.
+ */
+#define STO_GATHER_US	(200 * MAG_US_PER_MS)
+#define STO_CONNECTIONS 16
 
 struct sto {
 	struct hc *hc;
@@ -370,6 +376,14 @@
 		follow->revision = items.revision;
 	pl_store_items_free(&items);
 	follow->ops->fresh(follow->user, follow->sent_us);
+	if (clk_boot_us() - follow->sent_us <
+	    follow->wait_ms * MAG_US_PER_MS) {
+		/* Changes come in bursts; one call takes what gathers. */
+		follow->state = STO_PAUSING;
+		follow->list_next = false;
+		follow->retry_us = clk_boot_us() + STO_GATHER_US;
+		return;
+	}
 	sto_watch(follow);
 }
 
