Hold workers off that refuse, tell peers of suspects, keep more memory for requests

Change: a worker that refuses gets nothing for 200 ms and is asked; peers are told of a suspect at once; a tenth of noise in prices; copies keep memory for 1.5 times a first worker's places.

--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -208,21 +208,26 @@
 	eq_finish(eq);
 }
 
-/* The worker says that it did not begin the request. */
+/*
+ * The worker says that it did not begin the request.  Of a chain it names the
+ * worker at fault, which may be dead, leaving or short of memory: it is asked
+ * which, and until then gets nothing new.
+ */
 static void eq_not_run(struct eq *eq, struct wk *wk, int64_t now)
 {
+	struct edge *edge = eq->edge;
 	struct wk *fault = NULL;
 
 	if (eq->at_fault[0])
-		fault = wk_by_address(&eq->edge->workers, eq->at_fault);
-	if (eq->status == 421 && !fault && !eq->service->has_engine)
+		fault = wk_by_address(&edge->workers, eq->at_fault);
+	if (!fault)
 		fault = wk;
-	if (fault) {
-		eq_avoid(eq, fault);
-		if (eq->status == 421)
-			wk_suspect(fault, now, "does not hold its part");
-	} else {
-		eq_avoid(eq, wk);
+	eq_avoid(eq, fault);
+	if (eq->service->has_engine) {
+		wk_hold_off(fault, now);
+		wkp_ask(edge, fault, now);
+	} else if (eq->status == 421) {
+		wk_suspect(fault, now, "another worker has its address");
 	}
 	eq_again(eq, "worker did not begin it");
 }
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -23,6 +23,8 @@
  * before a crossing, and a chain at home before both.
  */
 #define EQ_AWAY_US 8000
+/* Spread of the price of a worker, as a part of it. */
+#define EQ_NOISE 0.1
 /* Sends of one request, refused ones included. */
 #define EQ_SENDS_MAX 6
 /*
@@ -48,6 +50,7 @@
 static int eq_chain_workers(struct eq *eq, struct chn_worker *list,
 			    struct wk **workers, int64_t now);
 static double eq_tokens(const struct eq *eq);
+static double eq_noise(struct edge *edge);
 static void eq_take_hop(struct eq *eq, struct wk *wk, int from, int to);
 static void eq_send(struct eq *eq, int64_t now);
 static void eq_not_placed(struct eq *eq, enum eq_choice choice, int64_t now);
@@ -245,7 +248,7 @@
 		w->from = wk->layers.from;
 		w->to = wk->layers.to;
 		w->layer_us = engine->step_ms * 1000 * kind->step_factor *
-			      wk->slowdown / engine->layers;
+			      wk->slowdown * eq_noise(edge) / engine->layers;
 		spare_mb = kind->memory_mb - held * engine->layer_mb;
 		w->memory =
 			spare_mb * 1e6 * engine->layers / engine->token_bytes;
@@ -255,6 +258,17 @@
 	return count;
 }
 
+/*
+ * Routers know each other's load of a moment ago only: without this all of
+ * them would send to the one cheapest chain until they hear that it is full.
+ */
+static double eq_noise(struct edge *edge)
+{
+	double draw = (double)(edge_random(edge) % 1000) / 1000;
+
+	return 1 + EQ_NOISE * (draw - 0.5);
+}
+
 /* Tokens that a request is expected to hold at its end. */
 static double eq_tokens(const struct eq *eq)
 {
--- a/src/hint.c
+++ b/src/hint.c
@@ -14,6 +14,7 @@
 #include "hint.h"
 #include "jlog.h"
 #include "pres.h"
+#include "wkp.h"
 
 #define HINT_MAGIC   0x4d414748U
 #define HINT_VERSION 1U
@@ -24,10 +25,13 @@
 #define HINT_EVERY_US (250 * MAG_US_PER_MS)
 /* A router that was not heard for so long holds nothing. */
 #define HINT_OLD_US (1200 * MAG_US_PER_MS)
+/* A suspicion is told in all messages of this time, as one may be lost. */
+#define HINT_SUSPECT_US (600 * MAG_US_PER_MS)
 /* A datagram stays below the smallest common transfer unit. */
 #define HINT_BYTES_MAX 1400
 #define HINT_LOADS_MAX 80
 #define HINT_NEWS_MAX  4
+#define HINT_SUSPECTS_MAX 16
 #define HINT_PEERS_MAX 1024
 /*
  * Peers told in one round; with more of them each hears of us less often, so
@@ -54,6 +58,8 @@
 	struct hint_load loads[HINT_LOADS_MAX];
 	uint32_t news_count;
 	struct hint_news news[HINT_NEWS_MAX];
+	uint32_t suspect_count;
+	uint32_t suspects[HINT_SUSPECTS_MAX]; /* hashes of workers' ids */
 };
 
 /* What a peer said last. */
@@ -76,11 +82,14 @@
 
 static void hint_readable(evutil_socket_t fd, short what, void *arg);
 static bool_t hint_xdr(XDR *xdr, struct hint_message *message);
-static void hint_send(struct hint *hint);
+static void hint_send(struct hint *hint, int most);
+static bool hint_has_suspect(struct hint *hint);
 static void hint_collect(struct hint *hint, struct hint_message *message);
 static void hint_take(struct hint *hint, const struct hint_message *message);
 static void hint_add_up(struct hint *hint, int64_t now);
 static uint32_t hint_hash(const char *id);
+static void hint_suspect(struct hint *hint, uint32_t hash, const char *peer,
+			 int64_t now);
 
 int hint_new(struct edge *edge, struct hint **out)
 {
@@ -126,14 +135,37 @@
 /* Tells some peers, and adds up what all said. */
 void hint_tick(struct hint *hint, int64_t now)
 {
+	if (hint_has_suspect(hint)) {
+		hint_send(hint, HINT_PEERS_MAX);
+		return;
+	}
 	if (now < hint->next_us)
 		return;
 	hint->next_us = now + HINT_EVERY_US;
 	hint_add_up(hint, now);
-	hint_send(hint);
+	hint_send(hint, HINT_FAN_OUT);
+}
+
+/*
+ * Tells whether a worker came under suspicion by our own requests since the
+ * last message; all peers hear of it at once.
+ */
+static bool hint_has_suspect(struct hint *hint)
+{
+	bool found = false;
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
+		if (wk->to_tell) {
+			wk->to_tell = false;
+			wk->told_us = clk_boot_us();
+			found = true;
+		}
+	}
+	return found;
 }
 
-static void hint_send(struct hint *hint)
+static void hint_send(struct hint *hint, int most)
 {
 	static struct hint_message message;
 	struct sockaddr_in addr;
@@ -147,7 +179,7 @@
 	xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
 	if (!hint_xdr(&xdr, &message))
 		return;
-	for (told = 0; told < peers && told < HINT_FAN_OUT; told++) {
+	for (told = 0; told < peers && told < most; told++) {
 		hint->turn = (hint->turn + 1) % peers;
 		addr_len = sizeof(addr);
 		if (evutil_parse_sockaddr_port(
@@ -164,6 +196,7 @@
 static void hint_collect(struct hint *hint, struct hint_message *message)
 {
 	struct edge *edge = hint->edge;
+	int64_t now = clk_boot_us();
 	int64_t until_us;
 	struct wk *wk;
 
@@ -172,9 +205,14 @@
 	message->name = edge->set.instance;
 	message->load_count = 0;
 	message->news_count = 0;
+	message->suspect_count = 0;
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+		if (wk->told_us && now - wk->told_us < HINT_SUSPECT_US &&
+		    message->suspect_count < HINT_SUSPECTS_MAX)
+			message->suspects[message->suspect_count++] =
+				hint_hash(wk->is.id);
 		if (message->load_count == HINT_LOADS_MAX)
-			break;
+			continue;
 		if (wk->firsts == 0 && wk->held <= 0)
 			continue;
 		message->loads[message->load_count++] =
@@ -233,6 +271,13 @@
 		    !xdr_uint32_t(xdr, &message->news[i].lost))
 			return FALSE;
 	}
+	if (!xdr_uint32_t(xdr, &message->suspect_count) ||
+	    message->suspect_count > HINT_SUSPECTS_MAX)
+		return FALSE;
+	for (i = 0; i < message->suspect_count; i++) {
+		if (!xdr_uint32_t(xdr, &message->suspects[i]))
+			return FALSE;
+	}
 	return TRUE;
 }
 
@@ -261,12 +306,34 @@
 	peer->load_count = message->load_count;
 	memcpy(peer->loads, message->loads,
 	       message->load_count * sizeof(peer->loads[0]));
+	for (k = 0; k < message->suspect_count; k++)
+		hint_suspect(hint, message->suspects[k], message->name, now);
 	for (k = 0; k < message->news_count; k++)
 		quar_learn(hint->edge->quar, message->news[k].print,
 			   message->news[k].lost, now + HINT_QUARANTINE_US,
 			   now);
 }
 
+/*
+ * A peer found a worker dead or stuck by its own requests.  It is asked at
+ * once: its answer clears it, its silence moves what waits for it here.
+ */
+static void hint_suspect(struct hint *hint, uint32_t hash, const char *peer,
+			 int64_t now)
+{
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
+		if (hint_hash(wk->is.id) != hash || wk->on_trial ||
+		    now < wk->hold_until_us)
+			continue;
+		wk_hold_off(wk, now);
+		jlog(LOG_WK_HINT, "\"worker\":\"%s\",\"peer\":\"%s\"",
+		     wk->is.id, peer);
+		wkp_ask(hint->edge, wk, now);
+	}
+}
+
 /* Adds the load of all peers up for each worker. */
 static void hint_add_up(struct hint *hint, int64_t now)
 {
--- a/src/plr.c
+++ b/src/plr.c
@@ -23,8 +23,14 @@
  * and a widened worker keeps less memory for requests for good.
  */
 #define PLR_WIDEN_US (3 * MAG_US_PER_S)
-/* Part of a first worker's places that are taken at the peak. */
-#define PLR_PLACES_USED 0.85
+/*
+ * Requests for which a copy keeps memory, as a part of a first worker's
+ * places.  Above one, because each takes more than its mean when it ends, and
+ * because a copy takes over the streams of a broken one.  Mean worth of the
+ * trouble days with 27 routers: 0.35 with 0.85, 0.57 with 1.2, 0.60 with
+ * 1.45, 0.59 with 1.7 (trials, one run each).
+ */
+#define PLR_PLACES_USED 1.5
 #define PLR_ORDER_US (600 * MAG_US_PER_MS)
 /* A worker that is busy with an order is asked again after this. */
 #define PLR_ASK_US (700 * MAG_US_PER_MS)
--- a/src/wk.c
+++ b/src/wk.c
@@ -11,6 +11,11 @@
  */
 #define WK_SUSPECT_US	  (1500 * MAG_US_PER_MS)
 #define WK_SUSPECT_DOUBLE 3
+/*
+ * A worker that refused gets nothing new for this long: streams end every
+ * few milliseconds, and a report that tells why takes 200 ms.
+ */
+#define WK_HOLD_OFF_US	  (200 * MAG_US_PER_MS)
 /* Weight of the newest outcome in the smoothed figures. */
 #define WK_SMOOTH 0.1
 
@@ -151,7 +156,7 @@
 /* Tells whether a worker may get new work. */
 bool wk_usable(const struct wk *wk, int64_t now)
 {
-	return wk_alive(wk, now) && !wk->on_trial;
+	return wk_alive(wk, now) && !wk->on_trial && now >= wk->hold_until_us;
 }
 
 /*
@@ -170,6 +175,7 @@
 	wk->suspect_until_us = now + hold;
 	wk->suspect_times++;
 	wk->on_trial = true;
+	wk->to_tell = wk->suspect_times == 1;
 	hc_host_drop_idle(wk->host);
 	jlog(LOG_WK_SUSPECT,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"why\":\"%s\","
@@ -178,6 +184,15 @@
 	     wk->suspect_times);
 }
 
+/*
+ * A worker refused a request, because it is short of memory or worse.  Each
+ * further request would be refused, too, and spend a second send.
+ */
+void wk_hold_off(struct wk *wk, int64_t now)
+{
+	wk->hold_until_us = now + WK_HOLD_OFF_US;
+}
+
 /* The worker has proved that it works. */
 void wk_clear(struct wk *wk)
 {
--- a/src/wk.h
+++ b/src/wk.h
@@ -31,9 +31,12 @@
 	bool busy;		  /* with an order, by the last report */
 	double slowdown;
 
+	int64_t hold_until_us; /* it refused: nothing new until then */
 	int64_t suspect_until_us; /* gets nothing new until then */
 	int suspect_times;	  /* in a row */
 	bool on_trial;		  /* the suspicion ran out, nothing proved */
+	bool to_tell;	 /* peers have not heard of the suspicion yet */
+	int64_t told_us; /* when they were told, 0: never */
 	double fail_share;	  /* of late requests, smoothed */
 	double answer_us;	  /* time of an answer, smoothed */
 
@@ -79,6 +82,7 @@
 bool wk_usable(const struct wk *wk, int64_t now);
 void wk_suspect(struct wk *wk, int64_t now, const char *why);
 void wk_clear(struct wk *wk);
+void wk_hold_off(struct wk *wk, int64_t now);
 void wk_result(struct wk *wk, bool good, int64_t took_us);
 struct wk *wk_hold(struct wk *wk);
 void wk_drop(struct wk *wk);
