--- a/src/chn.c
+++ b/src/chn.c
@@ -194,7 +194,8 @@
 	}
 	for (i = 0; i < walk->centres; i++) {
 		cost = walk->at[position][i].cost;
-		if (cost >= CHN_FAR)
+		if (cost >= CHN_FAR ||
+		    (i != w->centre && !want->may_cross))
 			continue;
 		cost += i == w->centre ? want->hop_us : want->centre_us;
 		if (cost < best) {
@@ -232,8 +233,11 @@
 	int count = 0;
 	int i;
 
+	chain->crossings = 0;
 	while (position > 0) {
 		step = &walk->at[position][centre];
+		if (step->before >= 0 && step->before != centre)
+			chain->crossings++;
 		back[count].ref = walk->workers[step->worker].ref;
 		back[count].from = step->start;
 		back[count].to = position;
--- a/src/chn.h
+++ b/src/chn.h
@@ -50,6 +50,7 @@
 	double tokens;	  /* that the request is expected to hold at its end */
 	double hop_us;	  /* time between two workers of a data centre */
 	double centre_us; /* between two data centres */
+	bool may_cross;	  /* a hop between data centres is allowed */
 	double away_us;	  /* price of a first worker in another one */
 };
 
@@ -62,6 +63,7 @@
 struct chn_chain {
 	struct chn_hop hops[CHN_HOPS_MAX];
 	int count;
+	int crossings;	 /* hops between data centres */
 	double token_us; /* expected time of a token */
 };
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -4,6 +4,9 @@
 #include "edge.h"
 #include "jlog.h"
 
+/* Part of a pipe between data centres that streams may take together. */
+#define EDGE_PIPE_SHARE 0.5
+
 /* Returns the number of a data centre, a new one for a new name. */
 int edge_centre(struct edge *edge, const char *name)
 {
@@ -62,6 +65,29 @@
 	return &budget->bud;
 }
 
+/*
+ * Tells whether a chain may lead through two data centres now.
+ *
+ * Load pattern: layers are lost, every router finds chains through another
+ * data centre, and the one pipe between the two takes all of their prompts,
+ * one after the other.  Beyond its capacity every stream on it stands still
+ * until its caller leaves, and is sent again.  Each router therefore keeps to
+ * its part of half a pipe; what does not fit is refused at once.
+ */
+bool edge_may_cross(struct edge *edge, const struct rt_engine *engine,
+		    int64_t now)
+{
+	double bytes_per_s = engine->pipe_mbps * 1e6 / 8 * EDGE_PIPE_SHARE /
+			     (edge->routers_most > 0 ? edge->routers_most : 1);
+
+	edge->cross_bytes += bytes_per_s * (double)(now - edge->cross_us) /
+			     MAG_US_PER_S;
+	edge->cross_us = now;
+	if (edge->cross_bytes > bytes_per_s)
+		edge->cross_bytes = bytes_per_s;
+	return edge->cross_bytes > 0;
+}
+
 /* Draws a number (xorshift); for choices and spreads, not for secrets. */
 uint64_t edge_random(struct edge *edge)
 {
--- a/src/edge.h
+++ b/src/edge.h
@@ -55,6 +55,9 @@
 	int routers_most; /* routers seen at once, this one included */
 	int64_t started_us;
 
+	double cross_bytes; /* that may still cross between data centres */
+	int64_t cross_us;   /* when that was counted */
+
 	struct cds_list_head requests; /* of struct eq, by arrival */
 	int request_count;
 	uint64_t seed;
@@ -67,6 +70,8 @@
 
 int edge_centre(struct edge *edge, const char *name);
 struct bud *edge_budget(struct edge *edge, const char *service, int64_t now);
+bool edge_may_cross(struct edge *edge, const struct rt_engine *engine,
+		    int64_t now);
 uint64_t edge_random(struct edge *edge);
 bool edge_is_ready(const struct edge *edge, int64_t now);
 
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -208,10 +208,13 @@
 	want.hop_us = EQ_HOP_US;
 	want.centre_us = EQ_CENTRE_US;
 	want.away_us = EQ_AWAY_US;
+	want.may_cross = edge_may_cross(edge, &eq->service->engine, now);
 	count = eq_chain_workers(eq, list, workers, now);
 	rc = chn_choose(&want, list, count, &chain);
 	if (rc)
 		return rc == CHN_E_NONE ? EQ_NONE : EQ_BUSY;
+	edge->cross_bytes -= chain.crossings * want.tokens *
+			     eq->service->engine.handed_bytes;
 	for (i = 0; i < chain.count; i++)
 		eq_take_hop(eq, workers[chain.hops[i].ref], chain.hops[i].from,
 			    chain.hops[i].to);
--- a/src/rt.h
+++ b/src/rt.h
@@ -73,6 +73,8 @@
 	double per_sequence_ms;
 	double context_ms_per_k;
 	double read_tokens_per_s;
+	double handed_bytes; /* of a token, from one worker to the next */
+	double pipe_mbps;    /* between two data centres, for all */
 	double load_s; /* of the whole model */
 	int slots;
 	int usual_prompt;
