Deal as many copies as run the most requests; fill the window that lacks most

Cause: a data centre with memory for two copies got one, whose first worker takes 192 requests; a restarted worker got 3 of the 4 layers of its hole. Ruled out: crossing streams (bounded before), memory limit of the choice.

--- a/src/lay.c
+++ b/src/lay.c
@@ -4,11 +4,13 @@
 #include "lay.h"
 
 /*
- * Share of a data centre's memory that weights may take.  A copy of the model
- * takes 140 GB of about 290 GB in each data centre of the users' sites; half
- * leaves room for some 280 requests of 900 tokens beside one copy.
+ * Requests for which a copy keeps memory, as a part of a first worker's
+ * places.  Above one, because each takes more than its mean when it ends, and
+ * because a copy takes over the streams of a broken one.  Mean worth of the
+ * trouble days with 27 routers: 0.35 with 0.85, 0.57 with 1.2, 0.60 with
+ * 1.45, 0.59 with 1.7 (trials, one run each).
  */
-#define LAY_WEIGHTS_SHARE 0.52
+#define LAY_PEAK 1.5
 /* Share of one card's memory that its layers may take at most. */
 #define LAY_CARD_SHARE 0.85
 /* A chain has at most 32 hops; copies stay below it with some to spare. */
@@ -21,6 +23,8 @@
  * neighbours' layers: by then streams go to other copies, too.
  */
 #define LAY_BACK_UP 0.6
+/* Weight of what all data centres lack beside what one lacks. */
+#define LAY_ELSEWHERE	 0.05
 #define LAY_CENTRES_MAX	 32
 #define LAY_CARDS_MAX	 4096
 
@@ -36,6 +40,7 @@
 			  int count);
 static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
 		       int count, int *widths);
+static double lay_wanted(const struct lay_model *model);
 static int lay_beside(const struct lay_model *model,
 		      const struct lay_card *card, double tokens);
 static void lay_interleave(struct lay_card **copy, int *widths, int count,
@@ -54,6 +59,7 @@
 		       int count, bool widen);
 static void lay_fill(const struct lay_model *model, struct lay_card *cards,
 		     int count, struct lay_card *card);
+static void lay_lacks(const struct lay_model *model, double *cover);
 static void lay_cover(const struct lay_model *model,
 		      const struct lay_card *cards, int count, int centre,
 		      double *cover);
@@ -100,6 +106,41 @@
 	}
 }
 
+/* Finds the layer of a data centre with room for the fewest tokens. */
+void lay_least(const struct lay_model *model, const struct lay_card *cards,
+	       int count, int centre, struct lay_cover *cover)
+{
+	double tokens;
+	int holders;
+	int layer;
+	int held;
+	int i;
+
+	memset(cover, 0, sizeof(*cover));
+	cover->tokens = -1;
+	for (i = 0; i < count; i++)
+		cover->cards += cards[i].centre == centre &&
+				cards[i].from < cards[i].to;
+	for (layer = 0; layer < model->layers; layer++) {
+		tokens = 0;
+		holders = 0;
+		for (i = 0; i < count; i++) {
+			held = cards[i].to - cards[i].from;
+			if (cards[i].centre != centre || !cards[i].usable ||
+			    cards[i].from > layer || cards[i].to <= layer)
+				continue;
+			holders++;
+			tokens += (cards[i].memory_mb - held * model->layer_mb) /
+				  (held * model->token_mb);
+		}
+		if (cover->tokens >= 0 && tokens >= cover->tokens)
+			continue;
+		cover->tokens = tokens;
+		cover->layer = layer;
+		cover->holders = holders;
+	}
+}
+
 /* Tells whether no card holds any layer. */
 bool lay_is_fresh(const struct lay_card *cards, int count)
 {
@@ -159,17 +200,34 @@
 	}
 }
 
-/* Returns how many copies of the model a group of cards is to hold. */
+/*
+ * Returns how many copies of the model a group of cards is to hold: as many
+ * as let it run the most requests.  A further copy takes memory from all, and
+ * brings the places of another first worker; the loss of a card then breaks a
+ * smaller part of the streams.
+ */
 static int lay_copies(const struct lay_model *model, double memory_mb,
 		      int cards)
 {
-	int copies = (int)(memory_mb * LAY_WEIGHTS_SHARE /
-			   (model->layers * model->layer_mb));
+	double weights = model->layers * model->layer_mb;
+	double request = model->request_tokens * model->token_mb *
+			 model->layers;
 	int least = (cards + LAY_CARDS_A_COPY - 1) / LAY_CARDS_A_COPY;
-
-	if (copies < least)
-		copies = least;
-	return copies < 1 ? 1 : copies;
+	int best = least > 0 ? least : 1;
+	double most = 0;
+	double runs;
+	int copies;
+
+	for (copies = best; copies <= cards; copies++) {
+		runs = (memory_mb / copies - weights) / request;
+		if (runs > model->places)
+			runs = model->places;
+		if (runs * copies <= most)
+			break;
+		most = runs * copies;
+		best = copies;
+	}
+	return best;
 }
 
 /* Splits a group into copies of like memory and deals the layers of each. */
@@ -229,7 +287,7 @@
 static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
 		       int count, int *widths)
 {
-	double tokens = model->tokens;
+	double tokens = lay_wanted(model);
 	int left;
 	int most;
 	int i;
@@ -254,6 +312,12 @@
 	return false;
 }
 
+/* Returns the tokens for which a copy is to have memory. */
+static double lay_wanted(const struct lay_model *model)
+{
+	return LAY_PEAK * model->places * model->request_tokens;
+}
+
 /* Returns the layers that fit beside the memory of so many tokens. */
 static int lay_beside(const struct lay_model *model,
 		      const struct lay_card *card, double tokens)
@@ -367,8 +431,8 @@
 			    const struct lay_card *card, int own, int holds)
 {
 	double spare = card->memory_mb - holds * model->layer_mb;
-	double needs = model->tokens * model->token_mb * own;
-	double taken_over = model->tokens * model->token_mb * LAY_BACK_UP *
+	double needs = lay_wanted(model) * model->token_mb * own;
+	double taken_over = lay_wanted(model) * model->token_mb * LAY_BACK_UP *
 			    (own + (holds - own) / 2.0);
 
 	return holds <= lay_most(model, card) && spare >= needs &&
@@ -417,46 +481,58 @@
 }
 
 /*
- * Gives an empty card the window of layers that its data centre holds least
- * of; where the centre holds all alike, what all centres hold least of.
+ * Gives an empty card the window of layers in which its data centre lacks the
+ * most, measured against what it holds of a layer in the mean; what all data
+ * centres lack decides between equal ones.
  */
 static void lay_fill(const struct lay_model *model, struct lay_card *cards,
 		     int count, struct lay_card *card)
 {
 	double near[LAY_LAYERS_MAX] = { 0 };
 	double all[LAY_LAYERS_MAX] = { 0 };
-	double total = 0;
-	double best = 0;
-	double have;
+	double best = -1;
+	double lacks;
 	int width;
-	int from = -1;
 	int start;
 	int i;
 
-	for (i = 0; i < count; i++) {
-		if (cards[i].usable && cards[i].centre == card->centre)
-			total += cards[i].memory_mb;
-	}
-	width = (int)(model->layers * card->memory_mb / total + 0.5);
-	if (width > lay_most(model, card))
-		width = lay_most(model, card);
+	width = lay_beside(model, card, lay_wanted(model));
 	if (width < 1)
 		width = 1;
+	if (width > model->layers)
+		width = model->layers;
 	lay_cover(model, cards, count, card->centre, near);
 	lay_cover(model, cards, count, -1, all);
+	lay_lacks(model, near);
+	lay_lacks(model, all);
 	for (start = 0; start + width <= model->layers; start++) {
-		have = 0;
+		lacks = 0;
 		for (i = start; i < start + width; i++)
-			have += near[i] + 0.1 * all[i];
-		if (from < 0 || have < best) {
-			best = have;
-			from = start;
+			lacks += near[i] + LAY_ELSEWHERE * all[i];
+		if (lacks > best) {
+			best = lacks;
+			card->want_from = start;
+			card->want_to = start + width;
 		}
 	}
-	if (from < 0)
-		return;
-	card->want_from = from;
-	card->want_to = from + width;
+}
+
+/* Turns the cover of each layer into what it lacks to the mean, in parts. */
+static void lay_lacks(const struct lay_model *model, double *cover)
+{
+	double mean = 0;
+	int i;
+
+	for (i = 0; i < model->layers; i++)
+		mean += cover[i] / model->layers;
+	for (i = 0; i < model->layers; i++) {
+		if (mean <= 0)
+			cover[i] = 1;
+		else
+			cover[i] = cover[i] < mean ? 1 - cover[i] / mean : 0;
+		/* One layer that nobody holds breaks every chain. */
+		cover[i] *= cover[i];
+	}
 }
 
 /*
--- a/src/lay.h
+++ b/src/lay.h
@@ -38,9 +38,20 @@
 	int layers;
 	double layer_mb;
 	double token_mb; /* memory of a token in one layer */
-	double tokens;	 /* that a copy is to hold at once, of all requests */
+	int places;	 /* requests that a first worker takes at once */
+	double request_tokens; /* of one request, in the middle of its life */
 };
 
+/* The layer of a data centre that has room for the fewest tokens. */
+struct lay_cover {
+	int cards;   /* that hold layers there */
+	int layer;
+	int holders; /* of that layer */
+	double tokens;
+};
+
+void lay_least(const struct lay_model *model, const struct lay_card *cards,
+	       int count, int centre, struct lay_cover *cover);
 bool lay_is_fresh(const struct lay_card *cards, int count);
 void lay_plan(const struct lay_model *model, struct lay_card *cards, int count,
 	      bool widen);
--- a/src/plr.c
+++ b/src/plr.c
@@ -23,14 +23,8 @@
  * and a widened worker keeps less memory for requests for good.
  */
 #define PLR_WIDEN_US (3 * MAG_US_PER_S)
-/*
- * Requests for which a copy keeps memory, as a part of a first worker's
- * places.  Above one, because each takes more than its mean when it ends, and
- * because a copy takes over the streams of a broken one.  Mean worth of the
- * trouble days with 27 routers: 0.35 with 0.85, 0.57 with 1.2, 0.60 with
- * 1.45, 0.59 with 1.7 (trials, one run each).
- */
-#define PLR_PLACES_USED 1.5
+/* How often the cover of the layers is logged. */
+#define PLR_COVER_US (2 * MAG_US_PER_S)
 #define PLR_ORDER_US (600 * MAG_US_PER_MS)
 /* A worker that is busy with an order is asked again after this. */
 #define PLR_ASK_US (700 * MAG_US_PER_MS)
@@ -48,6 +42,8 @@
 
 static void plr_service(struct edge *edge, const struct rt_service *service,
 			int64_t now);
+static void plr_log_cover(struct edge *edge, const struct lay_model *model,
+			  const struct lay_card *cards, int count, int64_t now);
 static struct lay_model plr_model(const struct rt_engine *engine);
 static int plr_cards(struct edge *edge, const struct rt_service *service,
 		     struct lay_card *cards, struct wk **workers, int64_t now);
@@ -101,6 +97,7 @@
 		hole_since_us = 0;
 	else if (!hole_since_us)
 		hole_since_us = now;
+	plr_log_cover(edge, &model, cards, count, now);
 	lay_plan(&model, cards, count,
 		 hole && now - hole_since_us > PLR_WIDEN_US);
 	for (i = 0; i < count; i++) {
@@ -114,6 +111,30 @@
 	}
 }
 
+/*
+ * Says for each data centre how many tokens its least held layer has room
+ * for: zero is a hole, and a figure far below the others is a bottleneck.
+ */
+static void plr_log_cover(struct edge *edge, const struct lay_model *model,
+			  const struct lay_card *cards, int count, int64_t now)
+{
+	static int64_t next_us;
+	struct lay_cover cover;
+	int i;
+
+	if (now < next_us)
+		return;
+	next_us = now + PLR_COVER_US;
+	for (i = 0; i < edge->centre_count; i++) {
+		lay_least(model, cards, count, i, &cover);
+		jlog(LOG_PLR_COVER,
+		     "\"data_centre\":\"%s\",\"workers\":%d,"
+		     "\"least_layer\":%d,\"holders\":%d,\"tokens\":%.0f",
+		     edge->centres[i], cover.cards, cover.layer, cover.holders,
+		     cover.tokens);
+	}
+}
+
 /* Describes the model of an engine to the planner. */
 static struct lay_model plr_model(const struct rt_engine *engine)
 {
@@ -122,13 +143,8 @@
 	model.layers = engine->layers;
 	model.layer_mb = engine->layer_mb;
 	model.token_mb = engine->token_bytes / 1e6 / engine->layers;
-	/*
-	 * A copy begins at one worker, which takes so many requests at once;
-	 * in the middle of their lives each holds its prompt and half of its
-	 * answer.
-	 */
-	model.tokens = PLR_PLACES_USED * engine->slots *
-		       (engine->usual_prompt + engine->usual_answer / 2.0);
+	model.places = engine->slots;
+	model.request_tokens = engine->usual_prompt + engine->usual_answer / 2.0;
 	return model;
 }
 
