--- a/src/lay.c
+++ b/src/lay.c
@@ -44,8 +44,8 @@
 		      int cards);
 static void lay_deal_copies(const struct lay_model *model,
 			    struct lay_card **group, int count, int copies);
-static void lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
-			  int count);
+static void lay_deal_copy(const struct lay_model *model,
+			  struct lay_card **copy, int count, double wanted);
 static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
 		       int count, double wanted, int *widths);
 static double lay_wanted(const struct lay_model *model, int copies);
