--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -17,8 +17,7 @@
 
 	if (count < WORKERS_MAX &&
 	    sscanf(line, "%*s %d %d %d %lf %lf %lf %d", &w.centre, &w.from,
-		   &w.to, &w.layer_us, &w.memory, &w.held,
-		   &w.firsts_left) == 7)
+		   &w.to, &w.layer_us, &w.memory, &w.held, &w.firsts_left) == 7)
 		workers[count++] = w;
 }
 
--- a/regress/check_lay.c
+++ b/regress/check_lay.c
@@ -51,9 +51,9 @@
 			cards[i].want_to,
 			(cards[i].want_to - cards[i].want_from) *
 						model.layer_mb >
-					cards[i].memory_mb ?
-				" too much" :
-				"");
+					cards[i].memory_mb
+				? " too much"
+				: "");
 }
 
 /* Says how each data centre stands; a layer without holder is a hole. */
--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -55,8 +55,8 @@
 		return;
 	}
 	fprintf(out, "orders %lld busy %d layers %d-%d slowdown %.1f\n",
-		(long long)report.orders_taken, report.busy,
-		report.layers.from, report.layers.to, report.slowdown);
+		(long long)report.orders_taken, report.busy, report.layers.from,
+		report.layers.to, report.slowdown);
 	for (i = 0; i < report.stalled_count; i++)
 		fprintf(out, "%s waits for %s\n", report.stalled[i].attempt_id,
 			report.stalled[i].address);
--- /dev/null
+++ b/regress/edge/keys.sh
@@ -0,0 +1,14 @@
+# A key is taken away.  With the store in reach its callers hear 401; a router
+# that is cut off refuses keys once it cannot know any more, and does not let
+# a removed one through.
+. edge/lib.sh
+start_platform
+put_config 2 '"key-2"'
+wait_for "logged 1 '\"version\":2,'"
+curl -s -o "$dir/null" -w '%{http_code}\n' -H 'Host: h.example' -H 'Attempt-Id: k1' -H 'Authorization: Token key-1' "http://$(router 1)/r/x"
+curl -s -o "$dir/null" -w '%{http_code}\n' -H 'Host: h.example' -H 'Attempt-Id: k2' -H 'Authorization: Token key-2' "http://$(router 1)/r/x"
+fault silent
+wait_for "! ready 1" && echo "not ready"
+wait_for "[ \$(curl -s -o $dir/null -w '%{http_code}' -H 'Host: h.example' -H 'Attempt-Id: k3' -H 'Authorization: Token key-2' http://$(router 1)/r/x) = 503 ]" && echo "refused"
+fault none
+wait_for "ready 1" && echo "ready"
--- /dev/null
+++ b/regress/edge/lib.sh
@@ -0,0 +1,112 @@
+# Starts the stand-ins of a platform and routers on it, each a process.  A
+# run's ports follow from its slot, so that runs beside each other do not meet;
+# they lie below the ports that the system gives to outgoing connections.
+build=$1
+dir=$(mktemp -d)
+base=$((12000 + ${SLOT:-0} * 100))
+store=127.0.0.1:$base
+pids=""
+
+end() {
+	for p in $pids; do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
+	wait 2>/dev/null
+	[ -n "$KEEP" ] && cp -r "$dir" "$KEEP"
+	rm -rf "$dir"
+}
+trap end EXIT
+
+start_store() {
+	"$build/fake_store" $store >"$dir/store.log" 2>&1 &
+	pids="$pids $!"
+	wait_for "curl -s -o $dir/null http://$store/api/kv-range?PathPrefix=x"
+}
+
+# start_worker NUMBER SERVICE ZONE [KIND]: sets worker_NUMBER to its pid.
+start_worker() {
+	"$build/fake_worker" $store 127.0.0.1:$((base + 10 + $1)) "w-$1-$$-$(date +%N)" \
+		"$2" "$3" $4 >>"$dir/worker.$1.log" 2>&1 &
+	eval "worker_$1=$!"
+	pids="$pids $!"
+}
+
+# start_router NUMBER ZONE: sets router_NUMBER to its pid.
+start_router() {
+	cat >"$dir/router.$1.json" <<-JSON
+	{"instance":"r-$1","data_centre":"$2","address":"127.0.0.1",
+	"callers":"127.0.0.1:$((base + 60 + $1))",
+	"readiness":"127.0.0.1:$((base + 70 + $1))",
+	"peer_port":$((base + 80 + $1)),"metrics_port":$((base + 90 + $1)),
+	"store":"${STORE_SEEN:-$store}","store_lease_ms_min":1000,"first_start":true,
+	"stop_s":8,"drain_ms":2000,"keys_stale_ms":5000,
+	"keys_fail_closed":true,"retry_ratio":0.2,"retry_window_s":10,
+	"retry_slack":200,"stall_ms":3000,"open_files":1000}
+	JSON
+	MAGNOLIARAIL_NODE_FILE="$dir/router.$1.json" "$build/magnolia-edge" \
+		>>"$dir/router.$1.log" 2>&1 &
+	eval "router_$1=$!"
+	pids="$pids $!"
+}
+
+# put_config VERSION [KEYS]: the operator's write.
+put_config() {
+	keys=${2:-\"key-1\"}
+	curl -s -X POST "http://$store/stand-in/put?Key=op/config" --data-binary @- <<-JSON
+	{"Version":$1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+	"Services":[{"Name":"model","HealthPath":"/healthz","MaxConnections":900,
+	"Engine":{"Slots":64,"KvTokenBytes":590000,"Models":[{"Name":"m","LoadS":1}],"step_ms":1,"per_seq_ms":0.004,"context_per_k":0.006,
+	"read_per_s":160000,"usual":{"prompt":100,"answer":20},"Layers":20,"LayerMb":1750,"ActBytes":29500,"PipeMbps":19000,
+	"Kinds":[{"Name":"big","Mb":72000,"pace":2.4,"ReadX":3.2},{"Name":"small","Mb":21600,"pace":16,"ReadX":8.2}]}},
+	{"Name":"app","HealthPath":"/healthz","MaxConnections":900}],
+	"Tenants":[{"Name":"acme","ApiKeys":[$keys]}],
+	"Routes":[{"Name":"s","Host":"h.example","PathPrefix":"/s/","Kind":"streaming","StreamResume":true,"SessionAffinity":true,"TimeoutMs":6000,"TargetLatencyMs":500,"GapAimMs":250,"MaxAttempts":2,"Service":"model"},
+	{"Name":"b","Host":"h.example","PathPrefix":"/b/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":1,"Service":"app"},
+	{"Name":"r","Host":"h.example","PathPrefix":"/r/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":2,"Service":"app"}]}
+	JSON
+}
+
+# wait_for COMMAND: until it succeeds, some seconds at most.
+wait_for() {
+	i=0
+	until eval "$1"; do
+		i=$((i + 1))
+		[ $i -gt 300 ] && { echo "gave up: $1"; return 1; }
+		sleep 0.05
+	done
+}
+
+ready() { curl -s -o "$dir/null" -f "http://127.0.0.1:$((base + 70 + $1))/ready"; }
+router() { echo "127.0.0.1:$((base + 60 + $1))"; }
+worker() { echo "127.0.0.1:$((base + 10 + $1))"; }
+fault() { curl -s -o "$dir/null" "http://$store/stand-in/fault?Kind=$1"; }
+logged() { grep -q "$2" "$dir/router.$1.log"; }
+
+# Two data centres, each with one large and three small engines and a plain
+# worker, and a router in each: the usual run.
+start_platform() {
+	start_store
+	put_config 1
+	start_worker 1 model a big
+	start_worker 2 model a small
+	start_worker 3 model a small
+	start_worker 4 model b big
+	start_worker 5 model b small
+	start_worker 6 model b small
+	start_worker 7 app a
+	start_worker 8 app b
+	start_router 1 a
+	start_router 2 b
+	wait_for "ready 1" && wait_for "ready 2"
+	wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 6 ]"
+	# A router hears of the layers with the workers' next entries.
+	wait_for "served_once"
+}
+
+served_once() {
+	"$build/tool_calls" probe$(date +%N) 0.5 8 $(router 1) $(router 2) >"$dir/probe"
+	! grep -v " 200 whole" "$dir/probe" >/dev/null
+}
+
+# verify LEAST: compares what callers saw with what workers did.
+verify() {
+	cat "$dir"/worker.*.log "$dir"/calls* | awk -v least="$1" -v detail=1 -f edge/promises.awk
+}
--- /dev/null
+++ b/regress/edge/promises.awk
@@ -0,0 +1,32 @@
+# Compares what callers saw (CALL lines) with what workers did (RUN and TOKEN
+# lines) and prints each promise with the number of times it was broken.
+$1 == "RUN" && $4 == "POST" { runs[$2]++ }
+$1 == "RUN" { ran[$2] = 1 }
+$1 == "TOKEN" {
+	ran[$2] = 1
+	key = $2 " " $3 " " $4
+	if ($5 != at[key] + 0)
+		layers++
+	at[key] = $6
+}
+$1 == "CALL" {
+	calls++
+	if ($3 != "s" && $4 == 200) answered++
+	if ($3 == "s" && $4 == 200 && $5 == "whole") streams++
+	if ($6 == "DISORDER" && $5 == "whole") disorder++
+	if ($6 == "DISORDER" && $5 != "whole") disorder_cut++
+	if ($7 == "FOREIGN") foreign++
+	if ($4 == 503 || $4 == 429 || $4 == 408 || $4 == 421) refused[$2] = 1
+}
+END {
+	for (id in runs) if (runs[id] > 1) twice++
+	for (id in refused) if (id in ran) untrue++
+	printf "bookings run twice: %d\n", twice
+	printf "refusals of what ran: %d\n", untrue
+	printf "answers of another request: %d\n", foreign
+	printf "streams out of order: %d\n", disorder + disorder_cut
+	printf "tokens with layers missing or twice: %d\n", layers
+	part = calls ? (answered + streams) / calls : 0
+	print (part >= least ? "enough" : "too little") " was served"
+	if (detail) printf "served %d of %d, streams %d, plain %d, refused %d\n", answered + streams, calls, streams, answered, length(refused) > "/dev/stderr"
+}
--- /dev/null
+++ b/regress/edge/store-down.sh
@@ -0,0 +1,15 @@
+# The store goes away for three seconds and forgets its history.  What is
+# loaded serves on, and a configuration written afterwards is in force.
+. edge/lib.sh
+start_platform
+"$build/tool_calls" down 6 30 $(router 1) $(router 2) >"$dir/calls" &
+calls=$!
+sleep 1
+fault reset
+sleep 3
+curl -s -o "$dir/null" "http://$store/stand-in/forget"
+fault none
+wait $calls
+put_config 2
+wait_for "logged 1 '\"version\":2,'" && wait_for "logged 2 '\"version\":2,'" && echo "version 2 in force"
+verify 0.5
--- /dev/null
+++ b/regress/fake_store.c
@@ -0,0 +1,417 @@
+/*
+ * Stand-in for the platform's store: items with revisions, leases, watches,
+ * and its faults, which a test asks for at /stand-in/fault.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+#include <sodium.h>
+
+#include "clk.h"
+#include "hs.h"
+#include "mag.h"
+
+#define ITEMS_MAX   1024
+#define EVENTS_MAX  65536
+#define LEASES_MAX  1024
+#define WATCHES_MAX 256
+#define TICK_MS	    20
+
+struct item {
+	char *key;
+	char *value; /* base64 */
+	int64_t revision;
+	int64_t created;
+	int64_t lease;
+	int64_t until_us; /* of entries that workers write; MAG_NEVER */
+};
+
+struct change {
+	int64_t revision;
+	char *key;
+};
+
+struct lease {
+	int64_t id;
+	int64_t ttl_ms;
+	int64_t until_us;
+};
+
+struct watch {
+	struct hs_conn *conn;
+	char prefix[128];
+	int64_t after;
+	int64_t until_us;
+};
+
+enum fault {
+	FAULT_NONE,
+	FAULT_BUSY,
+	FAULT_RESET,
+	FAULT_SILENT,
+	FAULT_LOST
+};
+
+static struct item items[ITEMS_MAX];
+static int item_count;
+static struct change changes[EVENTS_MAX];
+static int change_count;
+static int64_t oldest; /* changes up to here are forgotten */
+static struct lease leases[LEASES_MAX];
+static int lease_count;
+static struct watch watches[WATCHES_MAX];
+static int64_t revision = 1;
+static enum fault fault;
+
+/* Finds an item, or makes room for it. */
+static struct item *find(const char *key, bool make)
+{
+	int i;
+
+	for (i = 0; i < item_count; i++) {
+		if (strcmp(items[i].key, key) == 0)
+			return &items[i];
+	}
+	if (!make || item_count == ITEMS_MAX)
+		return NULL;
+	memset(&items[item_count], 0, sizeof(items[0]));
+	items[item_count].key = strdup(key);
+	return &items[item_count++];
+}
+
+static void note(const char *key)
+{
+	if (change_count == EVENTS_MAX)
+		exit(1);
+	changes[change_count].revision = revision;
+	changes[change_count++].key = strdup(key);
+}
+
+static void put(const char *key, const char *value, int64_t lease,
+		int64_t until_us)
+{
+	struct item *item = find(key, true);
+	bool same = item && item->value && strcmp(item->value, value) == 0;
+
+	if (!item)
+		return;
+	item->until_us = until_us;
+	if (same && item->lease == lease)
+		return;
+	revision++;
+	if (!item->value)
+		item->created = revision;
+	free(item->value);
+	item->value = strdup(value);
+	item->revision = revision;
+	item->lease = lease;
+	note(key);
+}
+
+static void drop(struct item *item)
+{
+	if (!item || !item->value)
+		return;
+	revision++;
+	free(item->value);
+	item->value = NULL;
+	note(item->key);
+}
+
+static json_t *as_json(const struct item *item)
+{
+	if (!item->value)
+		return json_pack("{s:s,s:I,s:b}", "Key", item->key, "Revision",
+				 (json_int_t)revision, "Deleted", 1);
+	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "Key", item->key, "Value",
+			 item->value, "Revision", (json_int_t)item->revision,
+			 "CreateRev", (json_int_t)item->created, "Lease",
+			 (json_int_t)item->lease);
+}
+
+static void answer(struct hs_conn *conn, int status, json_t *json)
+{
+	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
+
+	hs_reply(conn, status, "Content-Type: application/json\r\n", text,
+		 text ? strlen(text) : 0);
+	free(text);
+	json_decref(json);
+}
+
+/* Answers a watch if there is something for it, or if its time is over. */
+static bool serve_watch(struct watch *watch, int64_t now)
+{
+	json_t *events;
+	int i;
+
+	if (watch->after < oldest) {
+		answer(watch->conn, 410, NULL);
+		return true;
+	}
+	events = json_array();
+	for (i = 0; i < change_count; i++) {
+		if (changes[i].revision > watch->after &&
+		    strncmp(changes[i].key, watch->prefix,
+			    strlen(watch->prefix)) == 0)
+			json_array_append_new(
+				events, as_json(find(changes[i].key, false)));
+	}
+	if (json_array_size(events) == 0 && now < watch->until_us) {
+		json_decref(events);
+		return false;
+	}
+	answer(watch->conn, 200,
+	       json_pack("{s:o,s:I}", "events", events, "StoreRevision",
+			 (json_int_t)revision));
+	return true;
+}
+
+static void add_watch(struct hs_conn *conn, const char *prefix, int64_t after,
+		      int64_t wait_ms)
+{
+	int64_t now = clk_boot_us();
+	int i;
+
+	for (i = 0; i < WATCHES_MAX && watches[i].conn; i++)
+		;
+	if (i == WATCHES_MAX) {
+		answer(conn, 429, NULL);
+		return;
+	}
+	watches[i].conn = conn;
+	snprintf(watches[i].prefix, sizeof(watches[i].prefix), "%s", prefix);
+	watches[i].after = after;
+	watches[i].until_us = now + wait_ms * MAG_US_PER_MS;
+	hs_set_user(conn, &watches[i]);
+	if (serve_watch(&watches[i], now))
+		watches[i].conn = NULL;
+}
+
+static struct lease *find_lease(int64_t id)
+{
+	int i;
+
+	for (i = 0; i < lease_count; i++) {
+		if (leases[i].id == id && clk_boot_us() < leases[i].until_us)
+			return &leases[i];
+	}
+	return NULL;
+}
+
+static void swap(struct hs_conn *conn, const json_t *body)
+{
+	const json_t *expected = json_object_get(body, "Expected");
+	const json_t *row;
+	struct item *item;
+	int64_t lease;
+	size_t i;
+
+	json_array_foreach (expected, i, row) {
+		item = find(json_string_value(json_object_get(row, "Key")),
+			    false);
+		if ((item && item->value ? item->revision : 0) !=
+		    json_integer_value(json_object_get(row, "Revision"))) {
+			answer(conn, 412, json_pack("{s:[]}", "Items"));
+			return;
+		}
+	}
+	json_array_foreach (json_object_get(body, "Puts"), i, row) {
+		lease = json_integer_value(json_object_get(row, "Lease"));
+		if (lease && !find_lease(lease)) {
+			answer(conn, 404, NULL);
+			return;
+		}
+		put(json_string_value(json_object_get(row, "Key")),
+		    json_string_value(json_object_get(row, "Value")), lease,
+		    MAG_NEVER);
+	}
+	json_array_foreach (json_object_get(body, "Remove"), i, row)
+		drop(find(json_string_value(row), false));
+	answer(conn, 200, json_pack("{s:I}", "Revision", (json_int_t)revision));
+}
+
+static void new_lease(struct hs_conn *conn, const json_t *body)
+{
+	struct lease *lease = &leases[lease_count];
+
+	if (lease_count == LEASES_MAX)
+		exit(1);
+	lease->id = ++lease_count;
+	lease->ttl_ms = json_integer_value(json_object_get(body, "TtlMs"));
+	lease->until_us = clk_boot_us() + lease->ttl_ms * MAG_US_PER_MS;
+	answer(conn, 200,
+	       json_pack("{s:I,s:I}", "Lease", (json_int_t)lease->id, "TtlMs",
+			 (json_int_t)lease->ttl_ms));
+}
+
+/* What the operator, the workers and the tests do beside the pages. */
+static void stand_in(struct hs_conn *conn, const char *path,
+		     struct evkeyvalq *query)
+{
+	static const char *const faults[] = { "none", "busy", "reset", "silent",
+					      "lost" };
+	struct evbuffer *body = hs_body(conn);
+	const char *kind = evhttp_find_header(query, "Kind");
+	const char *key = evhttp_find_header(query, "Key");
+	const char *ttl = evhttp_find_header(query, "Ttl");
+	size_t len = evbuffer_get_length(body);
+	char *encoded;
+	size_t size;
+	size_t i;
+
+	if (strstr(path, "/put") && key) {
+		size = sodium_base64_ENCODED_LEN(
+			len, sodium_base64_VARIANT_ORIGINAL);
+		encoded = malloc(size);
+		sodium_bin2base64(encoded, size, evbuffer_pullup(body, -1), len,
+				  sodium_base64_VARIANT_ORIGINAL);
+		put(key, encoded, 0,
+		    ttl ? clk_boot_us() + atoll(ttl) * MAG_US_PER_MS
+			: MAG_NEVER);
+		free(encoded);
+	} else if (strstr(path, "/drop") && key) {
+		drop(find(key, false));
+	} else if (strstr(path, "/forget")) {
+		oldest = revision;
+	} else if (strstr(path, "/fault") && kind) {
+		for (i = 0; i < MAG_ARRAY_SIZE(faults); i++) {
+			if (strcmp(kind, faults[i]) == 0)
+				fault = (enum fault)i;
+		}
+	}
+	answer(conn, 200, NULL);
+}
+
+static void range(struct hs_conn *conn, const char *prefix, const char *after)
+{
+	json_t *list = json_array();
+	int i;
+
+	for (i = 0; i < item_count; i++) {
+		if (items[i].value &&
+		    strncmp(items[i].key, prefix, strlen(prefix)) == 0 &&
+		    (!after || strcmp(items[i].key, after) > 0))
+			json_array_append_new(list, as_json(&items[i]));
+	}
+	answer(conn, 200,
+	       json_pack("{s:o,s:b,s:I}", "Items", list, "HasMore", 0,
+			 "StoreRevision", (json_int_t)revision));
+}
+
+static void serve(struct hs_conn *conn, const char *path,
+		  struct evkeyvalq *query)
+{
+	const char *prefix = evhttp_find_header(query, "PathPrefix");
+	const char *after = evhttp_find_header(query, "After");
+	const char *wait = evhttp_find_header(query, "WaitMs");
+	struct evbuffer *body = hs_body(conn);
+	size_t len = evbuffer_get_length(body);
+	json_t *json =
+		json_loadb((char *)evbuffer_pullup(body, -1), len, 0, NULL);
+	struct lease *lease;
+
+	if (strcmp(path, "/api/kv-range") == 0) {
+		range(conn, prefix ? prefix : "", after);
+	} else if (strcmp(path, "/api/kv-watch") == 0) {
+		add_watch(conn, prefix ? prefix : "", after ? atoll(after) : 0,
+			  wait ? atoll(wait) : 0);
+	} else if (strcmp(path, "/api/kv-txn") == 0) {
+		swap(conn, json);
+	} else if (strcmp(path, "/api/kv-lease") == 0) {
+		new_lease(conn, json);
+	} else if (strncmp(path, "/api/kv-keep/", 13) == 0) {
+		lease = find_lease(atoll(path + 13));
+		if (lease)
+			lease->until_us =
+				clk_boot_us() + lease->ttl_ms * MAG_US_PER_MS;
+		answer(conn, lease ? 200 : 404,
+		       lease ? json_pack("{s:I}", "TtlMs",
+					 (json_int_t)lease->ttl_ms)
+			     : NULL);
+	} else if (strncmp(path, "/api/kv-lease-end/", 18) == 0) {
+		lease = find_lease(atoll(path + 18));
+		if (lease)
+			lease->until_us = 0;
+		answer(conn, lease ? 200 : 404, NULL);
+	} else {
+		answer(conn, 404, NULL);
+	}
+	json_decref(json);
+}
+
+static void on_request(void *ctx, struct hs_conn *conn)
+{
+	struct evhttp_uri *uri = evhttp_uri_parse(hs_target(conn));
+	struct evkeyvalq query = { 0 };
+	const char *path = evhttp_uri_get_path(uri);
+
+	(void)ctx;
+	if (evhttp_uri_get_query(uri))
+		evhttp_parse_query_str(evhttp_uri_get_query(uri), &query);
+	if (strncmp(path, "/stand-in/", 10) == 0)
+		stand_in(conn, path, &query);
+	else if (fault == FAULT_BUSY)
+		answer(conn, 503, NULL);
+	else if (fault == FAULT_RESET)
+		hs_abort(conn);
+	else if (fault != FAULT_SILENT)
+		serve(conn, path, &query);
+	evhttp_clear_headers(&query);
+	evhttp_uri_free(uri);
+}
+
+static void on_gone(void *ctx, struct hs_conn *conn, void *user)
+{
+	struct watch *watch = user;
+
+	(void)ctx;
+	(void)conn;
+	watch->conn = NULL;
+}
+
+/* Ends leases and entries that ran out, and serves watches. */
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	int64_t now = clk_boot_us();
+	int i;
+
+	(void)fd;
+	(void)what;
+	hs_tick(arg, now);
+	for (i = 0; i < item_count; i++) {
+		if (!items[i].value)
+			continue;
+		if (now > items[i].until_us ||
+		    (items[i].lease && !find_lease(items[i].lease)))
+			drop(&items[i]);
+	}
+	for (i = 0; i < WATCHES_MAX; i++) {
+		if (watches[i].conn && fault == FAULT_NONE &&
+		    serve_watch(&watches[i], now))
+			watches[i].conn = NULL;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct hs_ops ops = { on_request, on_gone };
+	struct timeval every = { 0, TICK_MS * 1000 };
+	struct event_base *base = event_base_new();
+	struct hs *hs;
+
+	if (argc != 2 || sodium_init() < 0 ||
+	    hs_new(base, argv[1], &ops, NULL, &hs)) {
+		fprintf(stderr, "usage: fake_store IP:PORT\n");
+		return 1;
+	}
+	event_add(event_new(base, -1, EV_PERSIST, on_tick, hs), &every);
+	event_base_dispatch(base);
+	return 0;
+}
--- /dev/null
+++ b/regress/fake_worker.c
@@ -0,0 +1,489 @@
+/*
+ * Stand-in for a worker: an engine that holds layers, takes orders and runs
+ * chains with other engines, or a plain service.  It registers in the store's
+ * stand-in and prints a line for each request that it begins and for each
+ * token that passes its layers.
+ */
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+#include <jansson.h>
+#include <urcu/list.h>
+
+#include "clk.h"
+#include "hc.h"
+#include "hs.h"
+#include "mag.h"
+#include "wire.h"
+
+#define TICK_MS	    10
+#define BEAT_US	    (300 * MAG_US_PER_MS)
+#define BEAT_TTL_MS 900
+#define STALL_US    (3 * MAG_US_PER_S)
+#define EVENT_US    (20 * MAG_US_PER_MS)
+#define EVENTS	    20
+
+/* A request that this worker runs as the first one. */
+struct job {
+	struct cds_list_head node;
+	struct hs_conn *conn;
+	char id[WIRE_ID_MAX];
+	struct wire_hop hops[WIRE_HOPS_MAX];
+	int hop_count;
+	int hop; /* the hop that the present token is at */
+	int event;
+	int run; /* number of this run at this worker */
+	int64_t due_us;
+	int64_t waits_since_us; /* for another worker, 0: it does not */
+	struct hc_call *call;
+	bool began;
+};
+
+/* Another worker that this one hands tokens on to. */
+struct peer {
+	struct cds_list_head node;
+	char address[MAG_ADDR_MAX];
+	struct hc_host *host;
+};
+
+static struct hc *hc;
+static struct hc_host *store;
+static const char *id;
+static const char *address;
+static const char *service;
+static const char *zone;
+static const char *kind; /* NULL: a plain service */
+static struct wire_range layers;
+static int orders;
+static int runs;
+static int64_t born_ms;
+static int64_t beat_us;
+static bool draining;
+static bool lose_answers; /* run a request and close without an answer */
+static CDS_LIST_HEAD(jobs);
+static CDS_LIST_HEAD(peers);
+
+static void end_job(struct job *job);
+static void next_hop(struct job *job);
+
+static bool ignore_headers(void *user, const struct hc_answer *answer)
+{
+	(void)user;
+	(void)answer;
+	return true;
+}
+
+static void ignore_body(void *user, const void *bytes, size_t len)
+{
+	(void)user;
+	(void)bytes;
+	(void)len;
+}
+
+static void ignore_end(void *user, enum hc_end end)
+{
+	(void)user;
+	(void)end;
+}
+
+/* Writes this worker's entry into the list of workers. */
+static void beat(int64_t now)
+{
+	static const struct hc_ops ops = { ignore_headers, ignore_body,
+					   ignore_end };
+	struct hc_send send = { .ops = &ops,
+				.connect_by_us = now + BEAT_US,
+				.deadline_us = now + BEAT_US };
+	struct hc_call *call;
+	char body[1024];
+	int len;
+
+	beat_us = now + BEAT_US;
+	len = snprintf(body, sizeof(body),
+		       "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"%s\","
+		       "\"Version\":\"v1\",\"Slots\":64,\"State\":\"%s\","
+		       "\"born\":%" PRId64 ",\"Sequence\":1",
+		       service, address, zone, draining ? "draining" : "ready",
+		       born_ms);
+	if (kind)
+		len += snprintf(body + len, sizeof(body) - (size_t)len,
+				",\"Kind\":\"%s\"", kind);
+	if (layers.to > layers.from)
+		len += snprintf(body + len, sizeof(body) - (size_t)len,
+				",\"Layers\":{\"From\":%d,\"Target\":%d,"
+				"\"Version\":1}",
+				layers.from, layers.to);
+	snprintf(body + len, sizeof(body) - (size_t)len, "}");
+	send.request = evbuffer_new();
+	evbuffer_add_printf(send.request,
+			    "POST /stand-in/put?Key=servers/%s&Ttl=%d "
+			    "HTTP/1.1\r\nHost: store\r\n"
+			    "Content-Length: %zu\r\n\r\n%s",
+			    id, BEAT_TTL_MS, strlen(body), body);
+	hc_start(store, &send, &call);
+}
+
+static void answer_json(struct hs_conn *conn, json_t *json)
+{
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	hs_reply(conn, 200, "Content-Type: application/json\r\n", text,
+		 strlen(text));
+	free(text);
+	json_decref(json);
+}
+
+static void report(struct hs_conn *conn)
+{
+	json_t *stalled = json_array();
+	struct job *job;
+	json_t *json;
+
+	cds_list_for_each_entry (job, &jobs, node) {
+		if (job->waits_since_us &&
+		    clk_boot_us() - job->waits_since_us > EVENT_US * 5)
+			json_array_append_new(
+				stalled,
+				json_pack("{s:s,s:s}", "Id", job->id, "Address",
+					  job->hops[job->hop].address));
+	}
+	json = json_pack("{s:b,s:i,s:I,s:f,s:o}", "Busy", 0, "Sequence", orders,
+			 "born", (json_int_t)born_ms, "pace", 1.0, "Stalled",
+			 stalled);
+	if (layers.to > layers.from)
+		json_object_set_new(json, "Layers",
+				    json_pack("{s:i,s:i}", "From", layers.from,
+					      "Target", layers.to));
+	answer_json(conn, json);
+}
+
+static void take_order(struct hs_conn *conn)
+{
+	struct evbuffer *body = hs_body(conn);
+	size_t len = evbuffer_get_length(body);
+	json_t *json =
+		json_loadb((char *)evbuffer_pullup(body, -1), len, 0, NULL);
+	const json_t *expected = json_object_get(json, "Expected");
+
+	if (expected && json_integer_value(expected) != orders) {
+		hs_reply(conn, 409, NULL, NULL, 0);
+	} else {
+		layers.from =
+			(int)json_integer_value(json_object_get(json, "From"));
+		layers.to = (int)json_integer_value(
+			json_object_get(json, "Target"));
+		orders++;
+		printf("ORDER %s %d-%d\n", id, layers.from, layers.to);
+		hs_reply(conn, 202, NULL, NULL, 0);
+		beat(clk_boot_us());
+	}
+	json_decref(json);
+}
+
+/* A token passes this worker's part of a chain. */
+static void step(struct hs_conn *conn)
+{
+	char job_id[WIRE_ID_MAX];
+	char run[WIRE_ID_MAX];
+	int event;
+	int from;
+	int to;
+
+	if (sscanf(hs_target(conn), "/stand-in/step/%63[^/]/%63[^/]/%d/%d-%d",
+		   job_id, run, &event, &from, &to) != 5 ||
+	    from < layers.from || to > layers.to || draining) {
+		hs_reply(conn, draining ? 503 : 421, NULL, NULL, 0);
+		return;
+	}
+	printf("TOKEN %s %s %d %d %d\n", job_id, run, event, from, to);
+	hs_reply(conn, 200, NULL, NULL, 0);
+}
+
+/* "IP:PORT=FROM-TO,..."; returns the number of hops. */
+static int parse_hops(const char *text, struct wire_hop *hops)
+{
+	int count = 0;
+
+	while (text && *text && count < WIRE_HOPS_MAX) {
+		if (sscanf(text, "%47[^=]=%d-%d", hops[count].address,
+			   &hops[count].from, &hops[count].to) != 3)
+			return 0;
+		count++;
+		text = strchr(text, ',');
+		text = text ? text + 1 : NULL;
+	}
+	return count;
+}
+
+static void refuse(struct hs_conn *conn, int status, const char *fault)
+{
+	char fields[256];
+
+	snprintf(fields, sizeof(fields), "Not-Executed: 1\r\n%s%s%s",
+		 fault ? "At-Server: " : "", fault ? fault : "",
+		 fault ? "\r\n" : "");
+	hs_reply(conn, status, fields, NULL, 0);
+}
+
+static void begin_job(struct hs_conn *conn)
+{
+	const char *hops = hdr_get(hs_headers(conn), "Hop-Count");
+	const char *target = hdr_get(hs_headers(conn), "Target-Instance");
+	const char *attempt = hdr_get(hs_headers(conn), "Attempt-Id");
+	const char *last = hdr_get(hs_headers(conn), "Last-Event-Id");
+	struct job *job;
+
+	if (target && strcmp(target, id) != 0) {
+		refuse(conn, 421, NULL);
+		return;
+	}
+	if (draining || !attempt) {
+		refuse(conn, 503, kind ? address : NULL);
+		return;
+	}
+	job = calloc(1, sizeof(*job));
+	snprintf(job->id, sizeof(job->id), "%s", attempt);
+	job->conn = conn;
+	job->run = ++runs;
+	job->hop_count = parse_hops(hops, job->hops);
+	if (kind && (job->hop_count == 0 || job->hops[0].from < layers.from ||
+		     job->hops[0].to > layers.to)) {
+		refuse(conn, 421, address);
+		free(job);
+		return;
+	}
+	job->event = last ? atoi(last) : 0;
+	job->due_us = clk_boot_us() + EVENT_US;
+	hs_set_user(conn, job);
+	cds_list_add_tail(&job->node, &jobs);
+	if (!kind)
+		printf("RUN %s %s %s\n", job->id, id, hs_method(conn));
+}
+
+static void on_request(void *ctx, struct hs_conn *conn)
+{
+	const char *target = hs_target(conn);
+
+	(void)ctx;
+	if (strcmp(target, "/api/report") == 0 && kind)
+		report(conn);
+	else if (strcmp(target, "/api/order") == 0 && kind)
+		take_order(conn);
+	else if (strncmp(target, "/stand-in/step/", 15) == 0)
+		step(conn);
+	else if (strcmp(target, "/stand-in/drain") == 0)
+		draining = true, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (strcmp(target, "/stand-in/lose") == 0)
+		lose_answers = true, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (strcmp(target, "/stand-in/keep") == 0)
+		lose_answers = false, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (strcmp(target, "/healthz") == 0)
+		hs_reply(conn, draining ? 503 : 200, NULL, NULL, 0);
+	else
+		begin_job(conn);
+}
+
+static void on_gone(void *ctx, struct hs_conn *conn, void *user)
+{
+	struct job *job = user;
+
+	(void)ctx;
+	(void)conn;
+	printf("GONE %s %s\n", job->id, id);
+	job->conn = NULL;
+	end_job(job);
+}
+
+static void end_job(struct job *job)
+{
+	if (job->call)
+		hc_cancel(job->call);
+	if (job->conn)
+		hs_set_user(job->conn, NULL);
+	cds_list_del(&job->node);
+	free(job);
+}
+
+static struct hc_host *peer_host(const char *peer_address)
+{
+	struct peer *peer;
+
+	cds_list_for_each_entry (peer, &peers, node) {
+		if (strcmp(peer->address, peer_address) == 0)
+			return peer->host;
+	}
+	peer = calloc(1, sizeof(*peer));
+	snprintf(peer->address, sizeof(peer->address), "%s", peer_address);
+	hc_host_new(hc, peer_address, 64, &peer->host);
+	cds_list_add_tail(&peer->node, &peers);
+	return peer->host;
+}
+
+/* All layers have run: the event goes to the caller. */
+static void emit(struct job *job)
+{
+	char event[128];
+	char fields[256];
+	int len;
+
+	job->event++;
+	if (!job->began) {
+		job->began = true;
+		snprintf(fields, sizeof(fields),
+			 "Attempt-Id: %s\r\nResponse-Seal: %s\r\n"
+			 "Content-Type: text/event-stream\r\n",
+			 job->id, id);
+		hs_stream_begin(job->conn, 200, fields);
+	}
+	len = snprintf(event, sizeof(event), "id: %d\ndata: piece %d\n\n",
+		       job->event, job->event);
+	hs_stream_data(job->conn, event, (size_t)len);
+	job->due_us = clk_boot_us() + EVENT_US;
+	if (job->event < EVENTS)
+		return;
+	hs_stream_end(job->conn);
+	job->conn = NULL;
+	end_job(job);
+}
+
+static bool step_headers(void *user, const struct hc_answer *answer)
+{
+	struct job *job = user;
+
+	if (answer->status != 200 && !job->began) {
+		/* The chain does not stand: say who is at fault. */
+		refuse(job->conn, answer->status, job->hops[job->hop].address);
+		job->conn = NULL;
+	}
+	return true;
+}
+
+static void step_ended(void *user, enum hc_end end)
+{
+	struct job *job = user;
+
+	job->call = NULL;
+	if (!job->conn) {
+		end_job(job);
+		return;
+	}
+	if (end != HC_WHOLE)
+		return; /* it stalls; the tick cuts it */
+	job->waits_since_us = 0;
+	job->hop++;
+	next_hop(job);
+}
+
+/* Hands the present token to the next worker of the chain. */
+static void next_hop(struct job *job)
+{
+	static const struct hc_ops ops = { step_headers, ignore_body,
+					   step_ended };
+	const struct wire_hop *hop = &job->hops[job->hop];
+	int64_t now = clk_boot_us();
+	struct hc_send send = { .ops = &ops,
+				.user = job,
+				.connect_by_us = now + STALL_US,
+				.deadline_us = now + STALL_US };
+
+	if (job->hop == job->hop_count) {
+		emit(job);
+		return;
+	}
+	send.request = evbuffer_new();
+	evbuffer_add_printf(send.request,
+			    "GET /stand-in/step/%s/%s.%d/%d/%d-%d HTTP/1.1\r\n"
+			    "Host: worker\r\n\r\n",
+			    job->id, id, job->run, job->event + 1, hop->from,
+			    hop->to);
+	job->waits_since_us = now;
+	if (hc_start(peer_host(hop->address), &send, &job->call))
+		job->call = NULL;
+}
+
+/* Goes on with a job that is due; false if it has ended. */
+static bool run_job(struct job *job, int64_t now)
+{
+	char fields[256];
+
+	if (job->waits_since_us) {
+		if (now - job->waits_since_us < STALL_US)
+			return true;
+		if (job->began)
+			hs_abort(job->conn);
+		else
+			refuse(job->conn, 503, job->hops[job->hop].address);
+		job->conn = NULL;
+		end_job(job);
+		return false;
+	}
+	if (job->call || now < job->due_us)
+		return true;
+	if (kind) {
+		printf("TOKEN %s %s.%d %d %d %d\n", job->id, id, job->run,
+		       job->event + 1, job->hops[0].from, job->hops[0].to);
+		job->hop = 1;
+		next_hop(job);
+		return false;
+	}
+	if (lose_answers) {
+		hs_abort(job->conn);
+	} else {
+		snprintf(fields, sizeof(fields),
+			 "Attempt-Id: %s\r\nResponse-Seal: %s\r\n", job->id,
+			 id);
+		hs_reply(job->conn, 200, fields, "done", 4);
+	}
+	job->conn = NULL;
+	end_job(job);
+	return false;
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	int64_t now = clk_boot_us();
+	struct job *job;
+	struct job *next;
+
+	(void)fd;
+	(void)what;
+	hc_tick(hc, now);
+	hs_tick(arg, now);
+	if (now >= beat_us)
+		beat(now);
+	cds_list_for_each_entry_safe (job, next, &jobs, node)
+		run_job(job, now);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct hs_ops ops = { on_request, on_gone };
+	struct timeval every = { 0, TICK_MS * 1000 };
+	struct event_base *base = event_base_new();
+	struct hs *hs;
+
+	if (argc < 6) {
+		fprintf(stderr,
+			"usage: fake_worker STORE ADDRESS ID SERVICE ZONE "
+			"[KIND]\n");
+		return 1;
+	}
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	hc = hc_new(base);
+	address = argv[2];
+	id = argv[3];
+	service = argv[4];
+	zone = argv[5];
+	kind = argc > 6 ? argv[6] : NULL;
+	born_ms = clk_wall_ms();
+	if (hc_host_new(hc, argv[1], 8, &store) ||
+	    hs_new(base, address, &ops, NULL, &hs))
+		return 1;
+	event_add(event_new(base, -1, EV_PERSIST, on_tick, hs), &every);
+	event_base_dispatch(base);
+	return 0;
+}
--- /dev/null
+++ b/regress/tool_calls.c
@@ -0,0 +1,160 @@
+/*
+ * Callers of the routers on a platform: streams, bookings and look-ups at a
+ * steady rate, each on its own attempt id.  Prints a line for each with what
+ * came of it; promises.awk compares that with what the workers printed.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/event.h>
+
+#include "clk.h"
+#include "evs.h"
+#include "hc.h"
+#include "mag.h"
+
+#define ROUTERS_MAX 16
+#define TICK_MS	    10
+#define PATIENCE_US (8 * MAG_US_PER_S)
+#define CONNECT_US  MAG_US_PER_S
+/* Streams must bring so many events, the workers' stand-in's length. */
+#define EVENTS 20
+
+struct call {
+	char id[32];
+	char kind;
+	int status;
+	int64_t last; /* event */
+	bool order;   /* events came in order, none twice, none missing */
+	bool foreign; /* an answer of another attempt */
+	struct evs evs;
+};
+
+static struct hc *hc;
+static struct hc_host *routers[ROUTERS_MAX];
+static int router_count;
+static struct event_base *base;
+static const char *prefix;
+static int64_t next_us;
+static int64_t every_us;
+static int64_t until_us;
+static int made;
+static int open_calls;
+
+static bool on_headers(void *user, const struct hc_answer *answer)
+{
+	struct call *call = user;
+	const char *id = hdr_get(answer->headers, "Attempt-Id");
+
+	call->status = answer->status;
+	if (id && strcmp(id, call->id) != 0)
+		call->foreign = true;
+	if (answer->status / 100 == 2 &&
+	    !hdr_get(answer->headers, "Response-Seal"))
+		call->foreign = true;
+	return true;
+}
+
+static void on_body(void *user, const void *bytes, size_t len)
+{
+	struct call *call = user;
+	struct evs_event event;
+
+	if (call->kind != 's' || call->status != 200)
+		return;
+	evs_feed(&call->evs, bytes, len);
+	while (evs_next(&call->evs, &event)) {
+		if (event.id != call->last + 1)
+			call->order = false;
+		call->last = event.id;
+	}
+}
+
+static void on_end(void *user, enum hc_end end)
+{
+	static const char *const ends[] = { "whole", "unsent", "broken",
+					    "garbled", "timeout" };
+	struct call *call = user;
+
+	if (end == HC_WHOLE && call->kind == 's' && call->status == 200 &&
+	    (call->last != EVENTS || evs_pending(&call->evs) > 0))
+		call->order = false;
+	printf("CALL %s %c %d %s %s %s\n", call->id, call->kind, call->status,
+	       ends[end], call->order ? "ordered" : "DISORDER",
+	       call->foreign ? "FOREIGN" : "own");
+	evs_free(&call->evs);
+	free(call);
+	open_calls--;
+}
+
+static void start(int64_t now)
+{
+	static const struct hc_ops ops = { on_headers, on_body, on_end };
+	struct call *call = calloc(1, sizeof(*call));
+	struct hc_send send = { .ops = &ops,
+				.user = call,
+				.fresh = true,
+				.connect_by_us = now + CONNECT_US,
+				.deadline_us = now + PATIENCE_US };
+	struct hc_call *started;
+
+	made++;
+	snprintf(call->id, sizeof(call->id), "%s-%06d", prefix, made);
+	call->kind = "ssbr"[made % 4];
+	call->order = true;
+	send.request = evbuffer_new();
+	evbuffer_add_printf(send.request,
+			    "%s /%c/x HTTP/1.1\r\nHost: h.example\r\n"
+			    "Attempt-Id: %s\r\nDeadline-Ms: 6000\r\n"
+			    "Token-Count: 100,20\r\n"
+			    "Authorization: Token key-1\r\n%s\r\n",
+			    call->kind == 'r' ? "GET" : "POST", call->kind,
+			    call->id,
+			    call->kind == 'r' ? "" : "Content-Length: 0\r\n");
+	open_calls++;
+	if (hc_start(routers[made % router_count], &send, &started))
+		on_end(call, HC_UNSENT);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *arg)
+{
+	int64_t now = clk_boot_us();
+
+	(void)fd;
+	(void)what;
+	(void)arg;
+	hc_tick(hc, now);
+	while (now < until_us && now >= next_us) {
+		start(now);
+		next_us += every_us;
+	}
+	if (now >= until_us && open_calls == 0)
+		event_base_loopbreak(base);
+}
+
+int main(int argc, char **argv)
+{
+	struct timeval every = { 0, TICK_MS * 1000 };
+	int i;
+
+	if (argc < 5) {
+		fprintf(stderr, "usage: tool_calls PREFIX SECONDS PER_S "
+				"ROUTER...\n");
+		return 1;
+	}
+	base = event_base_new();
+	hc = hc_new(base);
+	prefix = argv[1];
+	next_us = clk_boot_us();
+	until_us = next_us + (int64_t)(atof(argv[2]) * MAG_US_PER_S);
+	every_us = (int64_t)(MAG_US_PER_S / atof(argv[3]));
+	for (i = 4; i < argc && router_count < ROUTERS_MAX; i++) {
+		if (hc_host_new(hc, argv[i], 4096, &routers[router_count++]))
+			return 1;
+	}
+	event_add(event_new(base, -1, EV_PERSIST, on_tick, NULL), &every);
+	event_base_dispatch(base);
+	return 0;
+}
--- a/src/chn.c
+++ b/src/chn.c
@@ -194,8 +194,7 @@
 	}
 	for (i = 0; i < walk->centres; i++) {
 		cost = walk->at[position][i].cost;
-		if (cost >= CHN_FAR ||
-		    (i != w->centre && !want->may_cross))
+		if (cost >= CHN_FAR || (i != w->centre && !want->may_cross))
 			continue;
 		cost += i == w->centre ? want->hop_us : want->centre_us;
 		if (cost < best) {
--- a/src/edge.c
+++ b/src/edge.c
@@ -82,8 +82,8 @@
 	double bytes_per_s = engine->pipe_mbps * 1e6 / 8 * EDGE_PIPE_SHARE /
 			     (edge->routers_most > 0 ? edge->routers_most : 1);
 
-	edge->cross_bytes += bytes_per_s * (double)(now - edge->cross_us) /
-			     MAG_US_PER_S;
+	edge->cross_bytes +=
+		bytes_per_s * (double)(now - edge->cross_us) / MAG_US_PER_S;
 	edge->cross_us = now;
 	if (edge->cross_bytes > bytes_per_s)
 		edge->cross_bytes = bytes_per_s;
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -15,6 +15,7 @@
 #include "hint.h"
 #include "jlog.h"
 #include "pl_config.h"
+#include "pl_env.h"
 #include "pl_store.h"
 #include "pl_worker.h"
 #include "plr.h"
@@ -22,7 +23,7 @@
 
 #define EDGE_EXIT_SETTINGS 2
 #define EDGE_EXIT_START	   3
-#define EDGE_SETTINGS_ENV  "MAGNOLIARAIL_NODE_FILE"
+
 /*
  * Deadlines are looked at this often: a tenth of the shortest one that
  * matters to a caller, the 250 ms between two events.
@@ -95,11 +96,11 @@
 	char why[EDGE_WHY_MAX];
 	int rc;
 
-	run.settings_path = getenv(EDGE_SETTINGS_ENV);
+	run.settings_path = getenv(PL_SETTINGS_ENV);
 	jlog_open("starting", 1, EDGE_LOG_LINES_S);
 	if (!run.settings_path) {
 		jlog(LOG_SET_BAD, "\"why\":\"%s is not set\"",
-		     EDGE_SETTINGS_ENV);
+		     PL_SETTINGS_ENV);
 		jlog_flush();
 		return EDGE_EXIT_SETTINGS;
 	}
@@ -150,10 +151,8 @@
 	edge_centre(edge, edge->set.data_centre);
 	if (edge_listen(edge))
 		return -1;
-	if (sto_new(edge->hc, edge->set.store, edge_random(edge),
-		    &edge->sto)) {
-		jlog(LOG_START_FAILED, "\"why\":\"store %s\"",
-		     edge->set.store);
+	if (sto_new(edge->hc, edge->set.store, edge_random(edge), &edge->sto)) {
+		jlog(LOG_START_FAILED, "\"why\":\"store %s\"", edge->set.store);
 		return -1;
 	}
 	snprintf(peer, sizeof(peer), "%s:%d", edge->set.address,
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -71,7 +71,8 @@
 	eq->at_fault[0] = '\0';
 	if (eq->says.at_fault &&
 	    strlen(eq->says.at_fault) < sizeof(eq->at_fault))
-		strcpy(eq->at_fault, eq->says.at_fault);
+		mag_copy_name(eq->at_fault, sizeof(eq->at_fault),
+			      eq->says.at_fault);
 	if (eq->status / 100 == 2 && (!eq->says.sealed || eq->says.encoded))
 		eq->garbled = true;
 	if (eq->state != EQ_STREAMS) {
@@ -178,8 +179,7 @@
 	/* A failure of an idempotent request may be another's success. */
 	if (eq->status / 100 == 5 && eq->state != EQ_STREAMS && idempotent &&
 	    eq->runs < eq->route->max_attempts &&
-	    bud_left(edge_budget(eq->edge, eq->service->name, now),
-		     now) > 1) {
+	    bud_left(edge_budget(eq->edge, eq->service->name, now), now) > 1) {
 		eq_avoid(eq, wk);
 		eq_again(eq, "worker failed it");
 		return;
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -106,7 +106,8 @@
 {
 	if (eq->avoid_count == EQ_AVOID_MAX || eq_avoids(eq, wk))
 		return;
-	strcpy(eq->avoid[eq->avoid_count++], wk->is.id);
+	mag_copy_name(eq->avoid[eq->avoid_count++],
+		      sizeof(eq->avoid[eq->avoid_count++]), wk->is.id);
 }
 
 bool eq_uses(const struct eq *eq, const struct wk *wk)
@@ -319,7 +320,8 @@
 		if (eq->state == EQ_STREAMS)
 			eq_fail(eq, 502, "retry budget spent");
 		else
-			eq_refuse(eq, 503, EQ_RETRY_LATER, "retry budget spent");
+			eq_refuse(eq, 503, EQ_RETRY_LATER,
+				  "retry budget spent");
 		return;
 	} else {
 		met_add(&eq->edge->met, MET_REPEATS);
@@ -382,7 +384,8 @@
 	out.body = hs_body(eq->caller);
 	if (eq->service->has_engine) {
 		for (i = 0; i < eq->hop_count; i++) {
-			strcpy(hops[i].address, eq->hops[i].worker->is.address);
+			mag_copy_name(hops[i].address, sizeof(hops[i].address),
+				      eq->hops[i].worker->is.address);
 			hops[i].from = eq->hops[i].from;
 			hops[i].to = eq->hops[i].to;
 		}
--- a/src/eset.c
+++ b/src/eset.c
@@ -104,7 +104,7 @@
 		if (!json_is_string(value) || json_string_length(value) == 0 ||
 		    json_string_length(value) >= field->size)
 			return ESET_E_BAD;
-		strcpy(at, json_string_value(value));
+		mag_copy_name(at, field->size, json_string_value(value));
 		return ESET_OK;
 	case ESET_FLAG:
 		if (!json_is_boolean(value))
--- a/src/hint.c
+++ b/src/hint.c
@@ -28,11 +28,11 @@
 /* A suspicion is told in all messages of this time, as one may be lost. */
 #define HINT_SUSPECT_US (600 * MAG_US_PER_MS)
 /* A datagram stays below the smallest common transfer unit. */
-#define HINT_BYTES_MAX 1400
-#define HINT_LOADS_MAX 80
-#define HINT_NEWS_MAX  4
+#define HINT_BYTES_MAX	  1400
+#define HINT_LOADS_MAX	  80
+#define HINT_NEWS_MAX	  4
 #define HINT_SUSPECTS_MAX 16
-#define HINT_PEERS_MAX 1024
+#define HINT_PEERS_MAX	  1024
 /*
  * Peers told in one round; with more of them each hears of us less often, so
  * that the traffic of a router does not grow with the fleet.
@@ -300,7 +300,7 @@
 	peer = &hint->peers[i];
 	if (i == hint->peer_count) {
 		hint->peer_count++;
-		strcpy(peer->name, message->name);
+		mag_copy_name(peer->name, sizeof(peer->name), message->name);
 	}
 	peer->heard_us = now;
 	peer->load_count = message->load_count;
--- a/src/hs.c
+++ b/src/hs.c
@@ -432,8 +432,7 @@
 	conn->chunked = false;
 	conn->target_len = 0;
 	conn->header_len = 0;
-	conn->due_us =
-		clk_boot_us() + conn->hs->limits.idle_ms * MAG_US_PER_MS;
+	conn->due_us = clk_boot_us() + conn->hs->limits.idle_ms * MAG_US_PER_MS;
 	hdr_reset(&conn->headers);
 	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
 	http_parser_init(&conn->parser, HTTP_REQUEST);
--- a/src/jlog.c
+++ b/src/jlog.c
@@ -63,12 +63,12 @@
 	va_start(ap, fmt);
 	more = vsnprintf(line + used, sizeof(line) - (size_t)used - 3, fmt, ap);
 	va_end(ap);
-	if (more < 0 || (size_t)(used + more) >= sizeof(line) - 3 ||
-	    jlog_len + (size_t)(used + more) + 2 > sizeof(jlog_buffer)) {
+	used += more;
+	if (more < 0 || used >= JLOG_LINE_MAX - 3 ||
+	    jlog_len + (size_t)used + 2 > sizeof(jlog_buffer)) {
 		jlog_lost++;
 		return;
 	}
-	used += more;
 	line[used++] = '}';
 	line[used++] = '\n';
 	memcpy(jlog_buffer + jlog_len, line, (size_t)used);
--- a/src/lay.c
+++ b/src/lay.c
@@ -32,9 +32,9 @@
  */
 #define LAY_BACK_UP 0.6
 /* Weight of what all data centres lack beside what one lacks. */
-#define LAY_ELSEWHERE	 0.05
-#define LAY_CENTRES_MAX	 32
-#define LAY_CARDS_MAX	 4096
+#define LAY_ELSEWHERE	0.05
+#define LAY_CENTRES_MAX 32
+#define LAY_CARDS_MAX	4096
 
 static void lay_deal_all(const struct lay_model *model, struct lay_card *cards,
 			 int count);
@@ -44,11 +44,12 @@
 		      int cards);
 static void lay_deal_copies(const struct lay_model *model,
 			    struct lay_card **group, int count, int copies);
-static void lay_deal_copy(const struct lay_model *model,
-			  struct lay_card **copy, int count, double wanted);
+static void lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
+			  int count, double wanted);
 static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
 		       int count, double wanted, int *widths);
 static double lay_wanted(const struct lay_model *model, int copies);
+static void lay_even_out(struct lay_card **copy, int count, int *widths);
 static int lay_beside(const struct lay_model *model,
 		      const struct lay_card *card, double tokens);
 static void lay_interleave(struct lay_card **copy, int *widths, int count,
@@ -59,8 +60,8 @@
 			    struct lay_card **order, int count, int at,
 			    double wanted);
 static bool lay_can_back_up(const struct lay_model *model,
-			    const struct lay_card *card, double wanted,
-			    int own, int holds);
+			    const struct lay_card *card, double wanted, int own,
+			    int holds);
 static void lay_join_back_up(struct lay_card *cards, int count);
 static int lay_by_speed(const void *a, const void *b);
 static int lay_most(const struct lay_model *model, const struct lay_card *card);
@@ -142,8 +143,9 @@
 			    cards[i].from > layer || cards[i].to <= layer)
 				continue;
 			holders++;
-			tokens += (cards[i].memory_mb - held * model->layer_mb) /
-				  (held * model->token_mb);
+			tokens +=
+				(cards[i].memory_mb - held * model->layer_mb) /
+				(held * model->token_mb);
 		}
 		if (cover->tokens >= 0 && tokens >= cover->tokens)
 			continue;
@@ -222,8 +224,8 @@
 		      int cards)
 {
 	double weights = model->layers * model->layer_mb;
-	double request = model->request_tokens * model->token_mb *
-			 model->layers;
+	double request =
+		model->request_tokens * model->token_mb * model->layers;
 	int least = (cards + LAY_CARDS_A_COPY - 1) / LAY_CARDS_A_COPY;
 	int best = least > 0 ? least : 1;
 	double most = 0;
@@ -253,7 +255,7 @@
 	int k;
 	int i;
 
-	qsort(group, (size_t)count, sizeof(*group), lay_by_memory);
+	qsort(group, (size_t)count, sizeof(struct lay_card *), lay_by_memory);
 	for (k = 0; k < copies; k++) {
 		size = 0;
 		for (i = 0; i < count; i++) {
@@ -271,15 +273,15 @@
 }
 
 /* Deals all layers over the cards of one copy. */
-static void lay_deal_copy(const struct lay_model *model,
-			  struct lay_card **copy, int count, double wanted)
+static void lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
+			  int count, double wanted)
 {
 	int widths[LAY_CARDS_MAX];
 	struct lay_card *order[LAY_CARDS_MAX];
 	int position = 0;
 	int i;
 
-	qsort(copy, (size_t)count, sizeof(*copy), lay_by_speed);
+	qsort(copy, (size_t)count, sizeof(struct lay_card *), lay_by_speed);
 	if (!lay_widths(model, copy, count, wanted, widths))
 		return;
 	lay_interleave(copy, widths, count, order);
@@ -317,13 +319,41 @@
 				left -= most;
 			}
 		}
-		if (left <= 0)
+		if (left <= 0) {
+			lay_even_out(copy, count, widths);
 			return left == 0;
+		}
 		tokens *= LAY_SHRINK;
 	}
 	return false;
 }
 
+/*
+ * Spreads the layers of like cards evenly over them, so that each of the slow
+ * ones has memory left to back its neighbours up.
+ */
+static void lay_even_out(struct lay_card **copy, int count, int *widths)
+{
+	int first = 0;
+	int sum;
+	int end;
+	int i;
+
+	while (first < count) {
+		sum = 0;
+		for (end = first;
+		     end < count &&
+		     copy[end]->step_factor == copy[first]->step_factor &&
+		     copy[end]->memory_mb == copy[first]->memory_mb;
+		     end++)
+			sum += widths[end];
+		for (i = first; i < end; i++)
+			widths[i] = sum / (end - first) +
+				    (i - first < sum % (end - first));
+		first = end;
+	}
+}
+
 /* Returns the tokens for which a copy is to have memory. */
 static double lay_wanted(const struct lay_model *model, int copies)
 {
@@ -361,20 +391,21 @@
 	while (slow < count && copy[count - 1 - slow]->step_factor >= slowest)
 		slow++;
 	for (i = 0; i < count; i++) {
-		/* The first place is a fast card's: it takes the prompts. */
-		if (put < slow && (long)(put + 1) * count <=
-					  (long)(i + 1) * (slow + 1) - 1) {
+		/*
+		 * The first place is a fast card's: it takes the prompts.
+		 * When the others are used up, the slow ones that are left
+		 * follow.
+		 */
+		if (taken == count - slow ||
+		    (put < slow && (long)(put + 1) * count <=
+					   (long)(i + 1) * (slow + 1) - 1)) {
 			order[i] = copy[count - slow + put];
 			widths[i] = sorted[count - slow + put];
 			put++;
-		} else if (taken < count - slow) {
+		} else {
 			order[i] = copy[taken];
 			widths[i] = sorted[taken];
 			taken++;
-		} else {
-			order[i] = copy[count - slow + put];
-			widths[i] = sorted[count - slow + put];
-			put++;
 		}
 	}
 }
@@ -428,14 +459,12 @@
 	while (grew) {
 		grew = false;
 		if (to < right &&
-		    lay_can_back_up(model, card, wanted, own,
-				    to - from + 1)) {
+		    lay_can_back_up(model, card, wanted, own, to - from + 1)) {
 			to++;
 			grew = true;
 		}
 		if (from > left &&
-		    lay_can_back_up(model, card, wanted, own,
-				    to - from + 1)) {
+		    lay_can_back_up(model, card, wanted, own, to - from + 1)) {
 			from--;
 			grew = true;
 		}
@@ -445,8 +474,8 @@
 }
 
 static bool lay_can_back_up(const struct lay_model *model,
-			    const struct lay_card *card, double wanted,
-			    int own, int holds)
+			    const struct lay_card *card, double wanted, int own,
+			    int holds)
 {
 	double spare = card->memory_mb - holds * model->layer_mb;
 	double needs = wanted * model->token_mb * own;
@@ -470,7 +499,7 @@
 
 	if (x->memory_mb != y->memory_mb)
 		return x->memory_mb < y->memory_mb ? 1 : -1;
-	return x < y ? -1 : x > y;
+	return (x > y) - (x < y);
 }
 
 /* The fastest cards first, of equal ones the largest. */
@@ -514,9 +543,10 @@
 	int start;
 	int i;
 
-	width = lay_beside(model, card,
-			   lay_wanted(model, lay_copies_held(model, cards, count,
-							   card->centre)));
+	width = lay_beside(
+		model, card,
+		lay_wanted(model,
+			   lay_copies_held(model, cards, count, card->centre)));
 	if (width < 1)
 		width = 1;
 	if (width > model->layers)
--- a/src/lay.h
+++ b/src/lay.h
@@ -37,14 +37,14 @@
 struct lay_model {
 	int layers;
 	double layer_mb;
-	double token_mb; /* memory of a token in one layer */
-	int places;	 /* requests that a first worker takes at once */
+	double token_mb;       /* memory of a token in one layer */
+	int places;	       /* requests that a first worker takes at once */
 	double request_tokens; /* of one request, in the middle of its life */
 };
 
 /* The layer of a data centre that has room for the fewest tokens. */
 struct lay_cover {
-	int cards;   /* that hold layers there */
+	int cards; /* that hold layers there */
 	int layer;
 	int holders; /* of that layer */
 	double tokens;
--- a/src/plr.c
+++ b/src/plr.c
@@ -144,7 +144,8 @@
 	model.layer_mb = engine->layer_mb;
 	model.token_mb = engine->token_bytes / 1e6 / engine->layers;
 	model.places = engine->slots;
-	model.request_tokens = engine->usual_prompt + engine->usual_answer / 2.0;
+	model.request_tokens =
+		engine->usual_prompt + engine->usual_answer / 2.0;
 	return model;
 }
 
--- a/src/pres.c
+++ b/src/pres.c
@@ -229,7 +229,7 @@
 	pres->placer_free_us = clk_boot_us() + PRES_RETRY_US;
 	if (result != STO_DONE)
 		return;
-	strcpy(pres->placer, pres->title);
+	mag_copy_name(pres->placer, sizeof(pres->placer), pres->title);
 	jlog(LOG_PRES_PLACER, "\"placer\":\"%s\",\"self\":true", pres->name);
 }
 
@@ -305,8 +305,9 @@
 		return;
 	if (i == pres->peer_count)
 		pres->peer_count++;
-	strcpy(pres->peers[i].name, name);
-	strcpy(pres->peers[i].address, item->value);
+	mag_copy_name(pres->peers[i].name, sizeof(pres->peers[i].name), name);
+	mag_copy_name(pres->peers[i].address, sizeof(pres->peers[i].address),
+		      item->value);
 	pres->seen[i] = true;
 }
 
--- a/src/rt.c
+++ b/src/rt.c
@@ -79,7 +79,7 @@
 
 	if (strlen(key) >= sizeof(want.key))
 		return -1;
-	strcpy(want.key, key);
+	mag_copy_name(want.key, sizeof(want.key), key);
 	found = bsearch(&want, set->keys, (size_t)set->key_count,
 			sizeof(*set->keys), rt_by_key);
 	return found ? found->account : -1;
--- a/src/rt.h
+++ b/src/rt.h
@@ -75,7 +75,7 @@
 	double read_tokens_per_s;
 	double handed_bytes; /* of a token, from one worker to the next */
 	double pipe_mbps;    /* between two data centres, for all */
-	double load_s; /* of the whole model */
+	double load_s;	     /* of the whole model */
 	int slots;
 	int usual_prompt;
 	int usual_answer;
--- a/src/sto.c
+++ b/src/sto.c
@@ -341,7 +341,8 @@
 	}
 	sto_tell(follow, &items);
 	if (items.more && items.count > 0) {
-		strcpy(follow->after, items.items[items.count - 1].key);
+		mag_copy_name(follow->after, sizeof(follow->after),
+			      items.items[items.count - 1].key);
 		pl_store_items_free(&items);
 		sto_list(follow);
 		return;
@@ -376,8 +377,7 @@
 		follow->revision = items.revision;
 	pl_store_items_free(&items);
 	follow->ops->fresh(follow->user, follow->sent_us);
-	if (clk_boot_us() - follow->sent_us <
-	    follow->wait_ms * MAG_US_PER_MS) {
+	if (clk_boot_us() - follow->sent_us < follow->wait_ms * MAG_US_PER_MS) {
 		/* Changes come in bursts; one call takes what gathers. */
 		follow->state = STO_PAUSING;
 		follow->list_next = false;
--- a/src/wk.c
+++ b/src/wk.c
@@ -15,7 +15,7 @@
  * A worker that refused gets nothing new for this long: streams end every
  * few milliseconds, and a report that tells why takes 200 ms.
  */
-#define WK_HOLD_OFF_US	  (200 * MAG_US_PER_MS)
+#define WK_HOLD_OFF_US (200 * MAG_US_PER_MS)
 /* Weight of the newest outcome in the smoothed figures. */
 #define WK_SMOOTH 0.1
 
--- a/src/wk.h
+++ b/src/wk.h
@@ -31,14 +31,14 @@
 	bool busy;		  /* with an order, by the last report */
 	double slowdown;
 
-	int64_t hold_until_us; /* it refused: nothing new until then */
+	int64_t hold_until_us;	  /* it refused: nothing new until then */
 	int64_t suspect_until_us; /* gets nothing new until then */
 	int suspect_times;	  /* in a row */
 	bool on_trial;		  /* the suspicion ran out, nothing proved */
-	bool to_tell;	 /* peers have not heard of the suspicion yet */
-	int64_t told_us; /* when they were told, 0: never */
-	double fail_share;	  /* of late requests, smoothed */
-	double answer_us;	  /* time of an answer, smoothed */
+	bool to_tell;	   /* peers have not heard of the suspicion yet */
+	int64_t told_us;   /* when they were told, 0: never */
+	double fail_share; /* of late requests, smoothed */
+	double answer_us;  /* time of an answer, smoothed */
 
 	int firsts;	   /* requests of ours that it took */
 	int peer_firsts;   /* of other instances, by their word */
