--- /dev/null
+++ b/regress/tool_proxy.c
@@ -0,0 +1,199 @@
+/*
+ * A loopback proxy that harms what passes: it reads a word a line from its
+ * standard input and acts by it from then on: pass, delay (100 ms), reset
+ * (what is open and what comes), up or down (one direction is dropped),
+ * silent (both are).
+ */
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <urcu/list.h>
+
+#define DELAY_MS 100
+
+enum mode {
+	PASS,
+	DELAY,
+	RESET,
+	UP,
+	DOWN,
+	SILENT
+};
+
+/* One direction of a connection is two ends that know each other. */
+struct end {
+	struct bufferevent *bev;
+	struct pair *pair;
+	struct end *other;
+	bool is_caller;
+};
+
+struct pair {
+	struct cds_list_head node;
+	struct end ends[2];
+	struct event *later;
+	bool closing;
+};
+
+static struct event_base *base;
+static struct sockaddr_storage target;
+static int target_len = sizeof(target);
+static enum mode mode;
+static CDS_LIST_HEAD(pairs);
+
+static void close_pair(struct pair *pair)
+{
+	struct linger hard = { .l_onoff = 1, .l_linger = 0 };
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		setsockopt(bufferevent_getfd(pair->ends[i].bev), SOL_SOCKET,
+			   SO_LINGER, &hard, sizeof(hard));
+		bufferevent_free(pair->ends[i].bev);
+	}
+	event_free(pair->later);
+	cds_list_del(&pair->node);
+	free(pair);
+}
+
+static void forward(struct end *end)
+{
+	struct evbuffer *in = bufferevent_get_input(end->bev);
+
+	if (mode == SILENT || (mode == UP && end->is_caller) ||
+	    (mode == DOWN && !end->is_caller))
+		evbuffer_drain(in, evbuffer_get_length(in));
+	else
+		bufferevent_write_buffer(end->other->bev, in);
+}
+
+static void on_later(evutil_socket_t fd, short what, void *arg)
+{
+	struct pair *pair = arg;
+
+	(void)fd;
+	(void)what;
+	forward(&pair->ends[0]);
+	forward(&pair->ends[1]);
+	if (pair->closing)
+		close_pair(pair);
+}
+
+static void on_read(struct bufferevent *bev, void *arg)
+{
+	struct timeval wait = { 0, DELAY_MS * 1000 };
+	struct end *end = arg;
+
+	(void)bev;
+	if (mode == DELAY)
+		event_add(end->pair->later, &wait);
+	else
+		forward(end);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *arg)
+{
+	struct timeval wait = { 0, DELAY_MS * 1000 };
+	struct end *end = arg;
+
+	(void)bev;
+	if (what & BEV_EVENT_CONNECTED)
+		return;
+	/* What is on its way arrives before the other side is closed. */
+	end->pair->closing = true;
+	event_add(end->pair->later, &wait);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *addr, int addr_len, void *arg)
+{
+	struct pair *pair;
+	int i;
+
+	(void)listener;
+	(void)addr;
+	(void)addr_len;
+	(void)arg;
+	if (mode == RESET) {
+		close(fd);
+		return;
+	}
+	pair = calloc(1, sizeof(*pair));
+	pair->ends[0].bev =
+		bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+	pair->ends[1].bev =
+		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+	pair->ends[0].is_caller = true;
+	pair->later = event_new(base, -1, 0, on_later, pair);
+	cds_list_add_tail(&pair->node, &pairs);
+	for (i = 0; i < 2; i++) {
+		pair->ends[i].pair = pair;
+		pair->ends[i].other = &pair->ends[1 - i];
+		bufferevent_setcb(pair->ends[i].bev, on_read, NULL, on_event,
+				  &pair->ends[i]);
+	}
+	bufferevent_socket_connect(pair->ends[1].bev,
+				   (struct sockaddr *)&target, target_len);
+	for (i = 0; i < 2; i++)
+		bufferevent_enable(pair->ends[i].bev, EV_READ | EV_WRITE);
+}
+
+static void on_command(evutil_socket_t fd, short what, void *arg)
+{
+	static const char *const words[] = { "pass", "delay", "reset",
+					     "up",   "down",  "silent" };
+	struct pair *pair;
+	struct pair *next;
+	char line[64];
+	ssize_t len;
+	int i;
+
+	(void)what;
+	(void)arg;
+	len = read(fd, line, sizeof(line) - 1);
+	if (len <= 0)
+		return;
+	line[len] = '\0';
+	line[strcspn(line, "\n")] = '\0';
+	for (i = 0; i < 6; i++) {
+		if (strcmp(line, words[i]) == 0)
+			mode = (enum mode)i;
+	}
+	if (mode != RESET)
+		return;
+	cds_list_for_each_entry_safe (pair, next, &pairs, node)
+		close_pair(pair);
+}
+
+int main(int argc, char **argv)
+{
+	struct sockaddr_storage own;
+	int own_len = sizeof(own);
+
+	base = event_base_new();
+	if (argc != 3 ||
+	    evutil_parse_sockaddr_port(argv[1], (struct sockaddr *)&own,
+				       &own_len) ||
+	    evutil_parse_sockaddr_port(argv[2], (struct sockaddr *)&target,
+				       &target_len) ||
+	    !evconnlistener_new_bind(base, on_accept, NULL,
+				     LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE,
+				     -1, (struct sockaddr *)&own, own_len)) {
+		fprintf(stderr, "usage: tool_proxy OWN TARGET <commands\n");
+		return 1;
+	}
+	event_add(event_new(base, 0, EV_READ | EV_PERSIST, on_command, NULL),
+		  NULL);
+	event_base_dispatch(base);
+	return 0;
+}
