Let streams that wait for a chain try again; give a new worker what an old one leaves

Cause 1: the tick tried requests again that had not begun, but not streams whose resume found no place; they sat until their caller left. Cause 2: in a release the new worker came while nothing lacked, got other layers, and the old one's became a hole; it now waits 1.8 s.

--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -24,7 +24,6 @@
 #define BEAT_US	    (300 * MAG_US_PER_MS)
 #define BEAT_TTL_MS 900
 #define STALL_US    (3 * MAG_US_PER_S)
-#define EVENT_US    (20 * MAG_US_PER_MS)
 #define EVENTS	    20
 
 /* A request that this worker runs as the first one. */
@@ -62,6 +61,8 @@
 static int runs;
 static int64_t born_ms;
 static int64_t beat_us;
+static int64_t event_us = 20 * MAG_US_PER_MS;
+static int slots = 64;
 static bool draining;
 static bool lose_answers; /* run a request and close without an answer */
 static CDS_LIST_HEAD(jobs);
@@ -105,9 +106,9 @@
 	beat_us = now + BEAT_US;
 	len = snprintf(body, sizeof(body),
 		       "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"%s\","
-		       "\"Version\":\"v1\",\"Slots\":64,\"State\":\"%s\","
+		       "\"Version\":\"v1\",\"Slots\":%d,\"State\":\"%s\","
 		       "\"born\":%" PRId64 ",\"Sequence\":1",
-		       service, address, zone, draining ? "draining" : "ready",
+		       service, address, zone, slots, draining ? "draining" : "ready",
 		       born_ms);
 	if (kind)
 		len += snprintf(body + len, sizeof(body) - (size_t)len,
@@ -145,7 +146,7 @@
 
 	cds_list_for_each_entry (job, &jobs, node) {
 		if (job->waits_since_us &&
-		    clk_boot_us() - job->waits_since_us > EVENT_US * 5)
+		    clk_boot_us() - job->waits_since_us > event_us * 5)
 			json_array_append_new(
 				stalled,
 				json_pack("{s:s,s:s}", "Id", job->id, "Address",
@@ -257,7 +258,7 @@
 		return;
 	}
 	job->event = last ? atoi(last) : 0;
-	job->due_us = clk_boot_us() + EVENT_US;
+	job->due_us = clk_boot_us() + event_us;
 	hs_set_user(conn, job);
 	cds_list_add_tail(&job->node, &jobs);
 	if (!kind)
@@ -342,7 +343,7 @@
 	len = snprintf(event, sizeof(event), "id: %d\ndata: piece %d\n\n",
 		       job->event, job->event);
 	hs_stream_data(job->conn, event, (size_t)len);
-	job->due_us = clk_boot_us() + EVENT_US;
+	job->due_us = clk_boot_us() + event_us;
 	if (job->event < EVENTS)
 		return;
 	hs_stream_end(job->conn);
@@ -479,6 +480,10 @@
 	service = argv[4];
 	zone = argv[5];
 	kind = argc > 6 ? argv[6] : NULL;
+	if (getenv("FAKE_SLOTS"))
+		slots = atoi(getenv("FAKE_SLOTS"));
+	if (getenv("FAKE_EVENT_MS"))
+		event_us = atoi(getenv("FAKE_EVENT_MS")) * MAG_US_PER_MS;
 	born_ms = clk_wall_ms();
 	if (hc_host_new(hc, argv[1], 8, &store) ||
 	    hs_new(base, address, &ops, NULL, &hs))
--- a/src/eq.c
+++ b/src/eq.c
@@ -85,7 +85,8 @@
 			eq_fail(eq, 504, "deadline");
 	}
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (eq->state == EQ_WAITING && !eq->call)
+		/* Streams that wait for a chain to go on, too. */
+		if (!eq->call)
 			eq_try(eq, now);
 	}
 	eq_stall_tick(edge, now);
--- a/src/lay.c
+++ b/src/lay.c
@@ -538,15 +538,15 @@
 	double near[LAY_LAYERS_MAX] = { 0 };
 	double all[LAY_LAYERS_MAX] = { 0 };
 	double best = -1;
+	double wanted;
 	double lacks;
 	int width;
 	int start;
 	int i;
 
-	width = lay_beside(
-		model, card,
-		lay_wanted(model,
-			   lay_copies_held(model, cards, count, card->centre)));
+	wanted = lay_wanted(model, lay_copies_held(model, cards, count,
+						   card->centre));
+	width = lay_beside(model, card, wanted);
 	if (width < 1)
 		width = 1;
 	if (width > model->layers)
@@ -565,12 +565,16 @@
 			card->want_to = start + width;
 		}
 	}
-	/* A hole that is not closed whole serves nobody. */
+	/*
+	 * A hole that is not closed whole serves nobody; but a card without
+	 * memory for requests serves few, so the rest is left to others.
+	 */
+	width = lay_beside(model, card, wanted * LAY_BACK_UP);
 	while (card->want_to < model->layers && near[card->want_to] >= 1 &&
-	       card->want_to - card->want_from < lay_most(model, card))
+	       card->want_to - card->want_from < width)
 		card->want_to++;
 	while (card->want_from > 0 && near[card->want_from - 1] >= 1 &&
-	       card->want_to - card->want_from < lay_most(model, card))
+	       card->want_to - card->want_from < width)
 		card->want_from--;
 }
 
--- a/src/plr.c
+++ b/src/plr.c
@@ -25,6 +25,12 @@
 #define PLR_WIDEN_US (3 * MAG_US_PER_S)
 /* How often the cover of the layers is logged. */
 #define PLR_COVER_US (2 * MAG_US_PER_S)
+/*
+ * A worker that comes while its data centre lacks nothing waits so long for
+ * its layers: in a release the new one starts first and the old one leaves a
+ * moment later, and what it leaves is what the new one should hold.
+ */
+#define PLR_SPARE_US (1800 * MAG_US_PER_MS)
 #define PLR_ORDER_US (600 * MAG_US_PER_MS)
 /* A worker that is busy with an order is asked again after this. */
 #define PLR_ASK_US (700 * MAG_US_PER_MS)
@@ -84,12 +90,13 @@
 	struct lay_model model = plr_model(&service->engine);
 	struct wire_range range;
 	bool hole = false;
+	bool fresh;
 	int count;
 	int i;
 
 	count = plr_cards(edge, service, cards, workers, now);
-	if (lay_is_fresh(cards, count) &&
-	    now - edge->workers.grew_us < PLR_SETTLE_US)
+	fresh = lay_is_fresh(cards, count);
+	if (fresh && now - edge->workers.grew_us < PLR_SETTLE_US)
 		return;
 	for (i = 0; i < edge->centre_count && !hole; i++)
 		hole = plr_has_hole(&model, cards, count, i);
@@ -107,6 +114,9 @@
 		    (range.from == workers[i]->layers.from &&
 		     range.to == workers[i]->layers.to))
 			continue;
+		if (!fresh && now - workers[i]->seen_us < PLR_SPARE_US &&
+		    !plr_has_hole(&model, cards, count, cards[i].centre))
+			continue;
 		plr_order(edge, workers[i], &range, now);
 	}
 }
--- a/src/wk.c
+++ b/src/wk.c
@@ -62,6 +62,7 @@
 			return WK_E_ADDRESS;
 		}
 		wk->is = *worker;
+		wk->seen_us = now;
 		wk->leaving_us = MAG_NEVER;
 		wk->orders_taken = -1;
 		wk->slowdown = 1;
--- a/src/wk.h
+++ b/src/wk.h
@@ -20,6 +20,7 @@
 	struct wire_worker is; /* as the list says */
 	struct hc_host *host;
 	int refs;	    /* requests and calls that point here */
+	int64_t seen_us;    /* for the first time */
 	bool listed;	    /* the store's list has it */
 	bool seen;	    /* in the listing that is being read */
 	int64_t gone_us;    /* taken for gone from then on; MAG_NEVER */
