--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -108,8 +108,8 @@
 		       "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"%s\","
 		       "\"Version\":\"v1\",\"Slots\":%d,\"State\":\"%s\","
 		       "\"born\":%" PRId64 ",\"Sequence\":1",
-		       service, address, zone, slots, draining ? "draining" : "ready",
-		       born_ms);
+		       service, address, zone, slots,
+		       draining ? "draining" : "ready", born_ms);
 	if (kind)
 		len += snprintf(body + len, sizeof(body) - (size_t)len,
 				",\"Kind\":\"%s\"", kind);
@@ -261,6 +261,8 @@
 	job->due_us = clk_boot_us() + event_us;
 	hs_set_user(conn, job);
 	cds_list_add_tail(&job->node, &jobs);
+	if (strstr(hs_target(conn), "poison"))
+		exit(3);
 	if (!kind)
 		printf("RUN %s %s %s\n", job->id, id, hs_method(conn));
 }
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -14,6 +14,7 @@
 #include "eq.h"
 #include "hint.h"
 #include "jlog.h"
+#include "log.h"
 #include "pl_config.h"
 #include "pl_env.h"
 #include "pl_store.h"
@@ -61,6 +62,7 @@
 	int bad_entries;
 };
 
+static void edge_log(void *ctx, enum log_prio prio, const char *line);
 static int edge_start(struct edge_run *run);
 static int edge_listen(struct edge *edge);
 static int edge_follow(struct edge_run *run);
@@ -99,8 +101,7 @@
 	run.settings_path = getenv(PL_SETTINGS_ENV);
 	jlog_open("starting", 1, EDGE_LOG_LINES_S);
 	if (!run.settings_path) {
-		jlog(LOG_SET_BAD, "\"why\":\"%s is not set\"",
-		     PL_SETTINGS_ENV);
+		jlog(LOG_SET_BAD, "\"why\":\"%s is not set\"", PL_SETTINGS_ENV);
 		jlog_flush();
 		return EDGE_EXIT_SETTINGS;
 	}
@@ -111,6 +112,7 @@
 		return EDGE_EXIT_SETTINGS;
 	}
 	jlog_open(run.edge.set.instance, 1, EDGE_LOG_LINES_S);
+	log_set_sink(edge_log, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0 || edge_start(&run)) {
 		jlog_flush();
@@ -124,6 +126,16 @@
 	return 0;
 }
 
+/* Lines of modules that write plain text go into the structured log, too. */
+static void edge_log(void *ctx, enum log_prio prio, const char *line)
+{
+	char text[EDGE_WHY_MAX];
+
+	(void)ctx;
+	jlog(LOG_PLAIN, "\"severity\":%d,\"line\":\"%s\"", (int)prio,
+	     jlog_text(text, sizeof(text), line));
+}
+
 static int edge_start(struct edge_run *run)
 {
 	struct timeval every = { 0, EDGE_TICK_MS * 1000 };
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -248,8 +248,10 @@
 	eq->may_have_run = true;
 	eq->runs++;
 	wk_result(wk, false, 0);
-	if (end == HC_BROKEN)
+	if (end == HC_BROKEN) {
+		wk_add_victim(wk, eq->print, now);
 		wkp_ask(edge, wk, now);
+	}
 	eq_again(eq, eq->garbled || end == HC_GARBLED ? "garbled answer"
 						      : "connection broke");
 }
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -100,6 +100,7 @@
 {
 	bool first_died = eq->hops[0].worker == fault;
 
+	wk_add_victim(fault, eq->print, clk_boot_us());
 	hc_cancel(eq->call);
 	eq->call = NULL;
 	eq->may_have_run = true;
--- a/src/lay.c
+++ b/src/lay.c
@@ -544,8 +544,8 @@
 	int start;
 	int i;
 
-	wanted = lay_wanted(model, lay_copies_held(model, cards, count,
-						   card->centre));
+	wanted = lay_wanted(model,
+			    lay_copies_held(model, cards, count, card->centre));
 	width = lay_beside(model, card, wanted);
 	if (width < 1)
 		width = 1;
--- a/src/wk.c
+++ b/src/wk.c
@@ -217,6 +217,17 @@
 	wk->answer_us += WK_SMOOTH * ((double)took_us - wk->answer_us);
 }
 
+/* Remembers a request whose answer broke off at a worker; the oldest goes. */
+void wk_add_victim(struct wk *wk, const uint8_t print[MAG_DIGEST_BYTES],
+		   int64_t now)
+{
+	struct wk_victim *victim = &wk->victims[wk->victim_next];
+
+	wk->victim_next = (wk->victim_next + 1) % WK_VICTIMS_MAX;
+	memcpy(victim->print, print, MAG_DIGEST_BYTES);
+	victim->at_us = now;
+}
+
 struct wk *wk_hold(struct wk *wk)
 {
 	wk->refs++;
--- a/src/wk.h
+++ b/src/wk.h
@@ -15,6 +15,14 @@
 #include "hc.h"
 #include "wire.h"
 
+#define WK_VICTIMS_MAX 32
+
+/* A request that ran on a worker when its answer broke off. */
+struct wk_victim {
+	uint8_t print[MAG_DIGEST_BYTES];
+	int64_t at_us;
+};
+
 struct wk {
 	struct cds_list_head node;
 	struct wire_worker is; /* as the list says */
@@ -48,6 +56,10 @@
 	bool probing;	   /* a question to it is on its way */
 	int64_t probed_us; /* when it was asked last */
 
+	/* What to suspect if it turns out that the worker died. */
+	struct wk_victim victims[WK_VICTIMS_MAX];
+	int victim_next;
+
 	/* The placer's order that may not have been carried out yet. */
 	bool ordered;
 	int64_t ordered_us;
@@ -85,6 +97,8 @@
 void wk_clear(struct wk *wk);
 void wk_hold_off(struct wk *wk, int64_t now);
 void wk_result(struct wk *wk, bool good, int64_t took_us);
+void wk_add_victim(struct wk *wk, const uint8_t print[MAG_DIGEST_BYTES],
+		   int64_t now);
 struct wk *wk_hold(struct wk *wk);
 void wk_drop(struct wk *wk);
 
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -15,6 +15,9 @@
 #define WKP_ANSWER_US (350 * MAG_US_PER_MS)
 #define WKP_AGAIN_US  (200 * MAG_US_PER_MS)
 
+/* A request whose answer broke off so long before may be to blame. */
+#define WKP_VICTIM_US (2 * MAG_US_PER_S)
+
 struct wkp_call {
 	struct edge *edge;
 	struct wk *wk;
@@ -26,6 +29,7 @@
 static bool wkp_on_headers(void *user, const struct hc_answer *answer);
 static void wkp_on_body(void *user, const void *bytes, size_t len);
 static void wkp_on_end(void *user, enum hc_end end);
+static void wkp_died(struct edge *edge, struct wk *wk, int64_t now);
 static void wkp_report(struct wkp_call *call, int64_t now);
 
 static const struct hc_ops wkp_ops = {
@@ -123,11 +127,44 @@
 		wk->suspect_until_us = 0;
 		wk_suspect(wk, now, "no answer to a question");
 		eq_on_suspect(edge, wk, now);
+		if (end == HC_UNSENT)
+			wkp_died(edge, wk, now);
 	}
 	evbuffer_free(call->body);
 	free(call);
 }
 
+/*
+ * A worker does not even take a connection: it died, maybe of a request that
+ * it ran.  That request would be sent again, by its caller too, and take one
+ * worker after the other with it.  All that ran there come under suspicion;
+ * one that was the only suspect there for the second time is refused.
+ */
+static void wkp_died(struct edge *edge, struct wk *wk, int64_t now)
+{
+	struct wk_victim *victim;
+	int suspects = 0;
+	bool suspect;
+	int i;
+
+	for (i = 0; i < WK_VICTIMS_MAX; i++) {
+		victim = &wk->victims[i];
+		if (victim->at_us && now - victim->at_us < WKP_VICTIM_US &&
+		    quar_check(edge->quar, victim->print, now) != QUAR_CLEAR)
+			suspects++;
+	}
+	for (i = 0; i < WK_VICTIMS_MAX; i++) {
+		victim = &wk->victims[i];
+		if (!victim->at_us || now - victim->at_us >= WKP_VICTIM_US)
+			continue;
+		suspect = quar_check(edge->quar, victim->print, now) !=
+			  QUAR_CLEAR;
+		quar_lost_endpoint(edge->quar, victim->print, 0,
+				   suspects == (suspect ? 1 : 0), now);
+		victim->at_us = 0;
+	}
+}
+
 /* Takes an engine's report; it is some hundred milliseconds old. */
 static void wkp_report(struct wkp_call *call, int64_t now)
 {
