--- a/src/wkp.c
+++ b/src/wkp.c
@@ -127,7 +127,8 @@
 		wk->suspect_until_us = 0;
 		wk_suspect(wk, now, "no answer to a question");
 		eq_on_suspect(edge, wk, now);
-		if (end == HC_UNSENT)
+		/* Silence may be a freeze; a closed port is a death. */
+		if (end == HC_UNSENT || end == HC_BROKEN)
 			wkp_died(edge, wk, now);
 	}
 	evbuffer_free(call->body);
@@ -135,7 +136,7 @@
 }
 
 /*
- * A worker does not even take a connection: it died, maybe of a request that
+ * A worker takes no connection, or drops it: it died, maybe of a request that
  * it ran.  That request would be sent again, by its caller too, and take one
  * worker after the other with it.  All that ran there come under suspicion;
  * one that was the only suspect there for the second time is refused.
