Move a card that others back up over a hole that no neighbour can close

Ruled out: waiting for an empty worker (none comes in a scale-in). A report that lags behind an entry no longer makes the placer order twice.

--- a/src/lay.c
+++ b/src/lay.c
@@ -78,6 +78,15 @@
 		      double *cover);
 static void lay_widen(const struct lay_model *model, struct lay_card *cards,
 		      int count, int centre);
+static void lay_move(const struct lay_model *model, struct lay_card *cards,
+		     int count, int centre);
+static bool lay_first_hole(const struct lay_model *model,
+			   const struct lay_card *cards, int count, int centre,
+			   int *from, int *to);
+static bool lay_can_leave(const struct lay_card *cards, int count, int at,
+			  int from, int to);
+static int lay_window(const struct lay_model *model,
+		      const struct lay_card *card, int from, int to);
 
 /* Takes the layers that cards back up into what they are to hold. */
 static void lay_join_back_up(struct lay_card *cards, int count)
@@ -95,8 +104,7 @@
 /*
  * Sets what each card is to hold.  While nobody holds anything, whole copies
  * are dealt; later only empty cards are filled and, if widen is set, holders
- * beside a hole take it over.  A card that holds layers never gives one up,
- * because it would have to hold old and new ones at the same time.
+ * beside a hole take it over, or a card that others back up moves there.
  */
 void lay_plan(const struct lay_model *model, struct lay_card *cards, int count,
 	      bool widen)
@@ -523,8 +531,10 @@
 		if (cards[i].usable && cards[i].want_from == cards[i].want_to)
 			lay_fill(model, cards, count, &cards[i]);
 	}
-	for (centre = 0; widen && centre < LAY_CENTRES_MAX; centre++)
+	for (centre = 0; widen && centre < LAY_CENTRES_MAX; centre++) {
 		lay_widen(model, cards, count, centre);
+		lay_move(model, cards, count, centre);
+	}
 }
 
 /*
@@ -682,3 +692,107 @@
 			return;
 	}
 }
+
+/*
+ * Closes a hole that no neighbour can grow into: a card whose layers others
+ * of its data centre hold as well moves over it.  Of several the one that has
+ * the fewest layers to load goes.  Without this, the loss of one card for good
+ * leaves a whole data centre out of service.
+ */
+static void lay_move(const struct lay_model *model, struct lay_card *cards,
+		     int count, int centre)
+{
+	int best_loads = model->layers + 1;
+	int best = -1;
+	int best_from = 0;
+	int hole_from;
+	int hole_to;
+	int width;
+	int from;
+	int loads;
+	int i;
+	int k;
+
+	if (!lay_first_hole(model, cards, count, centre, &hole_from, &hole_to))
+		return;
+	for (i = 0; i < count; i++) {
+		width = cards[i].want_to - cards[i].want_from;
+		if (cards[i].centre != centre || !cards[i].usable ||
+		    cards[i].from != cards[i].want_from ||
+		    cards[i].to != cards[i].want_to ||
+		    width < hole_to - hole_from)
+			continue;
+		from = lay_window(model, &cards[i], hole_from, hole_to);
+		if (!lay_can_leave(cards, count, i, from, from + width))
+			continue;
+		loads = 0;
+		for (k = from; k < from + width; k++)
+			loads += k < cards[i].from || k >= cards[i].to;
+		if (loads < best_loads) {
+			best_loads = loads;
+			best = i;
+			best_from = from;
+		}
+	}
+	if (best < 0)
+		return;
+	width = cards[best].want_to - cards[best].want_from;
+	cards[best].want_from = best_from;
+	cards[best].want_to = best_from + width;
+}
+
+/* Finds the first run of layers that nobody of a data centre is to hold. */
+static bool lay_first_hole(const struct lay_model *model,
+			   const struct lay_card *cards, int count, int centre,
+			   int *from, int *to)
+{
+	double cover[LAY_LAYERS_MAX] = { 0 };
+	bool any = false;
+	int i;
+
+	lay_cover(model, cards, count, centre, cover);
+	for (i = 0; i < model->layers; i++)
+		any |= cover[i] > 0;
+	for (*from = 0; *from < model->layers && cover[*from] > 0; (*from)++)
+		;
+	for (*to = *from; *to < model->layers && cover[*to] <= 0; (*to)++)
+		;
+	return any && *from < model->layers;
+}
+
+/* Returns where a card of its width holds a hole, nearest to where it is. */
+static int lay_window(const struct lay_model *model,
+		      const struct lay_card *card, int from, int to)
+{
+	int width = card->want_to - card->want_from;
+	int start = card->want_from;
+
+	if (start > from)
+		start = from;
+	if (start + width < to)
+		start = to - width;
+	if (start + width > model->layers)
+		start = model->layers - width;
+	return start < 0 ? 0 : start;
+}
+
+/* Tells whether others hold what a card would give up. */
+static bool lay_can_leave(const struct lay_card *cards, int count, int at,
+			  int from, int to)
+{
+	bool held;
+	int layer;
+	int i;
+
+	for (layer = cards[at].want_from; layer < cards[at].want_to; layer++) {
+		held = layer >= from && layer < to;
+		for (i = 0; i < count && !held; i++)
+			held = i != at && cards[i].usable &&
+			       cards[i].centre == cards[at].centre &&
+			       cards[i].want_from <= layer &&
+			       cards[i].want_to > layer;
+		if (!held)
+			return false;
+	}
+	return true;
+}
--- a/src/wk.c
+++ b/src/wk.c
@@ -264,8 +264,10 @@
 		wk->ordered = false;
 		hc_host_drop_idle(wk->host);
 	}
-	if (reborn || moved)
+	if (reborn || moved) {
 		wk->layers = worker->layers;
+		wk->layers_us = now;
+	}
 	if (wk->ordered && wk->layers.from == wk->order.from &&
 	    wk->layers.to == wk->order.to)
 		wk->ordered = false;
--- a/src/wk.h
+++ b/src/wk.h
@@ -36,6 +36,7 @@
 
 	struct wire_range layers; /* newest word: list, report or answer */
 	int64_t orders_taken;	  /* -1: unknown */
+	int64_t layers_us;	  /* when the list last changed them */
 	int64_t reported_us;	  /* of the last report, 0: none */
 	bool busy;		  /* with an order, by the last report */
 	double slowdown;
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -15,6 +15,8 @@
 #define WKP_ANSWER_US (350 * MAG_US_PER_MS)
 #define WKP_AGAIN_US  (200 * MAG_US_PER_MS)
 
+/* Reports are as of some hundred milliseconds ago. */
+#define WKP_REPORT_LAG_US (500 * MAG_US_PER_MS)
 /* A request whose answer broke off so long before may be to blame. */
 #define WKP_VICTIM_US (2 * MAG_US_PER_S)
 
@@ -183,7 +185,9 @@
 	wk->busy = report.busy;
 	wk->orders_taken = report.orders_taken;
 	wk->slowdown = report.slowdown > 0 ? report.slowdown : 1;
-	wk->layers = report.layers;
+	/* A report is older than an entry that has just come. */
+	if (now - wk->layers_us > WKP_REPORT_LAG_US)
+		wk->layers = report.layers;
 	if (wk->ordered && !report.busy && wk->layers.from == wk->order.from &&
 	    wk->layers.to == wk->order.to)
 		wk->ordered = false;
