--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -462,6 +462,14 @@
 		run_job(job, now);
 }
 
+/* Reads a number that a test sets in the environment. */
+static int setting(const char *name, int otherwise)
+{
+	const char *text = getenv(name);
+
+	return text ? atoi(text) : otherwise;
+}
+
 int main(int argc, char **argv)
 {
 	static const struct hs_ops ops = { on_request, on_gone };
@@ -482,11 +490,8 @@
 	service = argv[4];
 	zone = argv[5];
 	kind = argc > 6 ? argv[6] : NULL;
-	if (getenv("FAKE_SLOTS"))
-		slots = atoi(getenv("FAKE_SLOTS"));
-	if (getenv("FAKE_EVENT_MS"))
-		event_us = atoi(getenv("FAKE_EVENT_MS")) * MAG_US_PER_MS;
-	born_ms = clk_wall_ms();
+	slots = setting("FAKE_SLOTS", slots);
+	event_us = setting("FAKE_EVENT_MS", 20) * MAG_US_PER_MS;
 	if (hc_host_new(hc, argv[1], 8, &store) ||
 	    hs_new(base, address, &ops, NULL, &hs))
 		return 1;
--- a/src/lay.c
+++ b/src/lay.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "lay.h"
+#include "lay_int.h"
 
 /*
  * Requests for which a copy keeps memory, as a part of a first worker's
@@ -24,17 +24,9 @@
 /* A chain has at most 32 hops; copies stay below it with some to spare. */
 #define LAY_CARDS_A_COPY 26
 /* How much less memory for requests is wanted where layers do not fit. */
-#define LAY_SHRINK 0.93
-#define LAY_STEPS  40
-/*
- * Part of the wanted tokens that a card must hold when it has taken over its
- * neighbours' layers: by then streams go to other copies, too.
- */
-#define LAY_BACK_UP 0.6
-/* Weight of what all data centres lack beside what one lacks. */
-#define LAY_ELSEWHERE	0.05
-#define LAY_CENTRES_MAX 32
-#define LAY_CARDS_MAX	4096
+#define LAY_SHRINK    0.93
+#define LAY_STEPS     40
+#define LAY_CARDS_MAX 4096
 
 static void lay_deal_all(const struct lay_model *model, struct lay_card *cards,
 			 int count);
@@ -48,10 +40,7 @@
 			  int count, double wanted);
 static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
 		       int count, double wanted, int *widths);
-static double lay_wanted(const struct lay_model *model, int copies);
 static void lay_even_out(struct lay_card **copy, int count, int *widths);
-static int lay_beside(const struct lay_model *model,
-		      const struct lay_card *card, double tokens);
 static void lay_interleave(struct lay_card **copy, int *widths, int count,
 			   struct lay_card **order);
 static void lay_back_up(const struct lay_model *model, struct lay_card **order,
@@ -64,29 +53,7 @@
 			    int holds);
 static void lay_join_back_up(struct lay_card *cards, int count);
 static int lay_by_speed(const void *a, const void *b);
-static int lay_most(const struct lay_model *model, const struct lay_card *card);
 static int lay_by_memory(const void *a, const void *b);
-static void lay_repair(const struct lay_model *model, struct lay_card *cards,
-		       int count, bool widen);
-static void lay_fill(const struct lay_model *model, struct lay_card *cards,
-		     int count, struct lay_card *card);
-static int lay_copies_held(const struct lay_model *model,
-			   const struct lay_card *cards, int count, int centre);
-static void lay_lacks(const struct lay_model *model, double *cover);
-static void lay_cover(const struct lay_model *model,
-		      const struct lay_card *cards, int count, int centre,
-		      double *cover);
-static void lay_widen(const struct lay_model *model, struct lay_card *cards,
-		      int count, int centre);
-static void lay_move(const struct lay_model *model, struct lay_card *cards,
-		     int count, int centre);
-static bool lay_first_hole(const struct lay_model *model,
-			   const struct lay_card *cards, int count, int centre,
-			   int *from, int *to);
-static bool lay_can_leave(const struct lay_card *cards, int count, int at,
-			  int from, int to);
-static int lay_window(const struct lay_model *model,
-		      const struct lay_card *card, int from, int to);
 
 /* Takes the layers that cards back up into what they are to hold. */
 static void lay_join_back_up(struct lay_card *cards, int count)
@@ -363,7 +330,7 @@
 }
 
 /* Returns the tokens for which a copy is to have memory. */
-static double lay_wanted(const struct lay_model *model, int copies)
+double lay_wanted(const struct lay_model *model, int copies)
 {
 	double peak = copies > 1 ? LAY_PEAK : LAY_PEAK_ALONE;
 
@@ -371,8 +338,8 @@
 }
 
 /* Returns the layers that fit beside the memory of so many tokens. */
-static int lay_beside(const struct lay_model *model,
-		      const struct lay_card *card, double tokens)
+int lay_beside(const struct lay_model *model, const struct lay_card *card,
+	       double tokens)
 {
 	int fit = (int)(card->memory_mb /
 			(model->layer_mb + tokens * model->token_mb));
@@ -495,7 +462,7 @@
 }
 
 /* Returns the most layers that a card may hold. */
-static int lay_most(const struct lay_model *model, const struct lay_card *card)
+int lay_most(const struct lay_model *model, const struct lay_card *card)
 {
 	return (int)(card->memory_mb * LAY_CARD_SHARE / model->layer_mb);
 }
@@ -520,279 +487,3 @@
 		return x->step_factor > y->step_factor ? 1 : -1;
 	return lay_by_memory(a, b);
 }
-
-static void lay_repair(const struct lay_model *model, struct lay_card *cards,
-		       int count, bool widen)
-{
-	int centre;
-	int i;
-
-	for (i = 0; i < count; i++) {
-		if (cards[i].usable && cards[i].want_from == cards[i].want_to)
-			lay_fill(model, cards, count, &cards[i]);
-	}
-	for (centre = 0; widen && centre < LAY_CENTRES_MAX; centre++) {
-		lay_widen(model, cards, count, centre);
-		lay_move(model, cards, count, centre);
-	}
-}
-
-/*
- * Gives an empty card the window of layers in which its data centre lacks the
- * most, measured against what it holds of a layer in the mean; what all data
- * centres lack decides between equal ones.
- */
-static void lay_fill(const struct lay_model *model, struct lay_card *cards,
-		     int count, struct lay_card *card)
-{
-	double near[LAY_LAYERS_MAX] = { 0 };
-	double all[LAY_LAYERS_MAX] = { 0 };
-	double best = -1;
-	double wanted;
-	double lacks;
-	int width;
-	int start;
-	int i;
-
-	wanted = lay_wanted(model,
-			    lay_copies_held(model, cards, count, card->centre));
-	width = lay_beside(model, card, wanted);
-	if (width < 1)
-		width = 1;
-	if (width > model->layers)
-		width = model->layers;
-	lay_cover(model, cards, count, card->centre, near);
-	lay_cover(model, cards, count, -1, all);
-	lay_lacks(model, near);
-	lay_lacks(model, all);
-	for (start = 0; start + width <= model->layers; start++) {
-		lacks = 0;
-		for (i = start; i < start + width; i++)
-			lacks += near[i] + LAY_ELSEWHERE * all[i];
-		if (lacks > best) {
-			best = lacks;
-			card->want_from = start;
-			card->want_to = start + width;
-		}
-	}
-	/*
-	 * A hole that is not closed whole serves nobody; but a card without
-	 * memory for requests serves few, so the rest is left to others.
-	 */
-	width = lay_beside(model, card, wanted * LAY_BACK_UP);
-	while (card->want_to < model->layers && near[card->want_to] >= 1 &&
-	       card->want_to - card->want_from < width)
-		card->want_to++;
-	while (card->want_from > 0 && near[card->want_from - 1] >= 1 &&
-	       card->want_to - card->want_from < width)
-		card->want_from--;
-}
-
-/* Returns how many whole copies a data centre's layers would make. */
-static int lay_copies_held(const struct lay_model *model,
-			   const struct lay_card *cards, int count, int centre)
-{
-	int held = 0;
-	int i;
-
-	for (i = 0; i < count; i++) {
-		if (cards[i].centre == centre)
-			held += cards[i].want_to - cards[i].want_from;
-	}
-	/* Backed up layers count twice, so more than one and a half. */
-	return held > model->layers * 3 / 2 ? 2 : 1;
-}
-
-/* Turns the cover of each layer into what it lacks to the mean, in parts. */
-static void lay_lacks(const struct lay_model *model, double *cover)
-{
-	double mean = 0;
-	int i;
-
-	for (i = 0; i < model->layers; i++)
-		mean += cover[i] / model->layers;
-	for (i = 0; i < model->layers; i++) {
-		if (mean <= 0)
-			cover[i] = 1;
-		else
-			cover[i] = cover[i] < mean ? 1 - cover[i] / mean : 0;
-		/* One layer that nobody holds breaks every chain. */
-		cover[i] *= cover[i];
-	}
-}
-
-/*
- * Sums for each layer the request memory of its holders, in one data centre
- * or in all (centre -1), with the plan as it stands.
- */
-static void lay_cover(const struct lay_model *model,
-		      const struct lay_card *cards, int count, int centre,
-		      double *cover)
-{
-	double part;
-	int held;
-	int i;
-	int k;
-
-	for (i = 0; i < count; i++) {
-		held = cards[i].want_to - cards[i].want_from;
-		if (!cards[i].usable || held <= 0 ||
-		    (centre >= 0 && cards[i].centre != centre))
-			continue;
-		part = (cards[i].memory_mb - held * model->layer_mb) / held;
-		for (k = cards[i].want_from; k < cards[i].want_to; k++)
-			cover[k] += part > 1 ? part : 1;
-	}
-}
-
-/*
- * Lets the holders beside a hole of a data centre grow into it, each by half
- * and as far as its memory allows.
- */
-static void lay_widen(const struct lay_model *model, struct lay_card *cards,
-		      int count, int centre)
-{
-	double cover[LAY_LAYERS_MAX] = { 0 };
-	struct lay_card *card;
-	int most;
-	int position;
-	int step;
-	bool grew;
-	int i;
-
-	lay_cover(model, cards, count, centre, cover);
-	for (i = 0; i < model->layers && cover[i] <= 0; i++)
-		;
-	if (i == model->layers)
-		return; /* it holds nothing at all */
-	for (step = 0; step < model->layers; step++) {
-		grew = false;
-		for (i = 0; i < count; i++) {
-			card = &cards[i];
-			most = lay_most(model, card);
-			if (!card->usable || card->centre != centre ||
-			    card->want_from == card->want_to ||
-			    card->want_to - card->want_from >= most)
-				continue;
-			position = card->want_to;
-			if (position < model->layers && cover[position] <= 0) {
-				cover[position] = 1;
-				card->want_to++;
-				grew = true;
-				continue;
-			}
-			position = card->want_from - 1;
-			if (position >= 0 && cover[position] <= 0) {
-				cover[position] = 1;
-				card->want_from--;
-				grew = true;
-			}
-		}
-		if (!grew)
-			return;
-	}
-}
-
-/*
- * Closes a hole that no neighbour can grow into: a card whose layers others
- * of its data centre hold as well moves over it.  Of several the one that has
- * the fewest layers to load goes.  Without this, the loss of one card for good
- * leaves a whole data centre out of service.
- */
-static void lay_move(const struct lay_model *model, struct lay_card *cards,
-		     int count, int centre)
-{
-	int best_loads = model->layers + 1;
-	int best = -1;
-	int best_from = 0;
-	int hole_from;
-	int hole_to;
-	int width;
-	int from;
-	int loads;
-	int i;
-	int k;
-
-	if (!lay_first_hole(model, cards, count, centre, &hole_from, &hole_to))
-		return;
-	for (i = 0; i < count; i++) {
-		width = cards[i].want_to - cards[i].want_from;
-		if (cards[i].centre != centre || !cards[i].usable ||
-		    cards[i].from != cards[i].want_from ||
-		    cards[i].to != cards[i].want_to ||
-		    width < hole_to - hole_from)
-			continue;
-		from = lay_window(model, &cards[i], hole_from, hole_to);
-		if (!lay_can_leave(cards, count, i, from, from + width))
-			continue;
-		loads = 0;
-		for (k = from; k < from + width; k++)
-			loads += k < cards[i].from || k >= cards[i].to;
-		if (loads < best_loads) {
-			best_loads = loads;
-			best = i;
-			best_from = from;
-		}
-	}
-	if (best < 0)
-		return;
-	width = cards[best].want_to - cards[best].want_from;
-	cards[best].want_from = best_from;
-	cards[best].want_to = best_from + width;
-}
-
-/* Finds the first run of layers that nobody of a data centre is to hold. */
-static bool lay_first_hole(const struct lay_model *model,
-			   const struct lay_card *cards, int count, int centre,
-			   int *from, int *to)
-{
-	double cover[LAY_LAYERS_MAX] = { 0 };
-	bool any = false;
-	int i;
-
-	lay_cover(model, cards, count, centre, cover);
-	for (i = 0; i < model->layers; i++)
-		any |= cover[i] > 0;
-	for (*from = 0; *from < model->layers && cover[*from] > 0; (*from)++)
-		;
-	for (*to = *from; *to < model->layers && cover[*to] <= 0; (*to)++)
-		;
-	return any && *from < model->layers;
-}
-
-/* Returns where a card of its width holds a hole, nearest to where it is. */
-static int lay_window(const struct lay_model *model,
-		      const struct lay_card *card, int from, int to)
-{
-	int width = card->want_to - card->want_from;
-	int start = card->want_from;
-
-	if (start > from)
-		start = from;
-	if (start + width < to)
-		start = to - width;
-	if (start + width > model->layers)
-		start = model->layers - width;
-	return start < 0 ? 0 : start;
-}
-
-/* Tells whether others hold what a card would give up. */
-static bool lay_can_leave(const struct lay_card *cards, int count, int at,
-			  int from, int to)
-{
-	bool held;
-	int layer;
-	int i;
-
-	for (layer = cards[at].want_from; layer < cards[at].want_to; layer++) {
-		held = layer >= from && layer < to;
-		for (i = 0; i < count && !held; i++)
-			held = i != at && cards[i].usable &&
-			       cards[i].centre == cards[at].centre &&
-			       cards[i].want_from <= layer &&
-			       cards[i].want_to > layer;
-		if (!held)
-			return false;
-	}
-	return true;
-}
