--- /dev/null
+++ b/regress/fuzz_pl.c
@@ -0,0 +1,52 @@
+#include <stdint.h>
+#include <string.h>
+
+#include "pl_config.h"
+#include "pl_store.h"
+#include "pl_worker.h"
+
+/*
+ * Any bytes as what the platform hands out: configuration, entries and reports
+ * of workers, answers of the store.  The first byte says which.
+ */
+
+#define WHY_MAX 256
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	static struct wire_report report;
+	const char *text = (const char *)data + 1;
+	struct wire_items items;
+	struct wire_worker worker;
+	struct rt_set *set;
+	char why[WHY_MAX];
+
+	if (size < 1)
+		return 0;
+	switch (data[0] % 4) {
+	case 0:
+		if (pl_config_decode(text, size - 1, &set, why, sizeof(why)) ==
+		    RT_OK) {
+			rt_find(set, "h.example", "/a/b");
+			rt_account_of(set, "key");
+			rt_drop(set);
+		}
+		break;
+	case 1:
+		pl_worker_decode("servers/i-1", text, size - 1, &worker, why,
+				 sizeof(why));
+		break;
+	case 2:
+		pl_report_decode(text, size - 1, &report);
+		break;
+	default:
+		if (pl_store_items(text, size - 1, &items) == PL_OK)
+			pl_store_items_free(&items);
+		if (pl_store_item(text, size - 1, &items) == PL_OK)
+			pl_store_items_free(&items);
+		break;
+	}
+	return 0;
+}
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -106,8 +106,9 @@
 {
 	if (eq->avoid_count == EQ_AVOID_MAX || eq_avoids(eq, wk))
 		return;
-	mag_copy_name(eq->avoid[eq->avoid_count++],
-		      sizeof(eq->avoid[eq->avoid_count++]), wk->is.id);
+	mag_copy_name(eq->avoid[eq->avoid_count], sizeof(eq->avoid[0]),
+		      wk->is.id);
+	eq->avoid_count++;
 }
 
 bool eq_uses(const struct eq *eq, const struct wk *wk)
