Share a worker's connections over the routers that exist; name what stood unnamed

Cause: each router took an eighth of a worker's bound, which 27 routers pass together. The placer's memory of holes is kept by service; the two types for callers' limits became one.

--- a/src/edge.h
+++ b/src/edge.h
@@ -20,8 +20,9 @@
 #include "sto.h"
 #include "wk.h"
 
-#define EDGE_CENTRES_MAX 32
-#define EDGE_BUDGETS_MAX 32
+#define EDGE_CENTRES_MAX  32
+#define EDGE_BUDGETS_MAX  32
+#define EDGE_SERVICES_MAX 32 /* with engines that are placed */
 
 /* Budget of second sends to a service; kept when the configuration changes. */
 struct edge_budget {
@@ -29,6 +30,13 @@
 	struct bud bud;
 };
 
+/* What the placer remembers from tick to tick. */
+struct edge_placer {
+	/* By service: some data centre lacks layers since then; 0: none. */
+	int64_t hole_since_us[EDGE_SERVICES_MAX];
+	int64_t cover_log_us; /* when the cover is logged next */
+};
+
 struct edge {
 	struct event_base *base;
 	struct eset set;
@@ -41,6 +49,7 @@
 	struct hint *hint;
 	struct wk_table workers;
 	struct quar *quar;
+	struct edge_placer placer;
 
 	struct rt_set *rt;   /* NULL until the first configuration */
 	int64_t rt_fresh_us; /* it was the newest at this time */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -29,7 +29,11 @@
  * Deadlines are looked at this often: a tenth of the shortest one that
  * matters to a caller, the 250 ms between two events.
  */
-#define EDGE_TICK_MS	 25
+#define EDGE_TICK_MS 25
+/*
+ * Lines of the log kept in a second: three for each of the 100 requests that
+ * a router takes at its peak, and some for what else happens.
+ */
 #define EDGE_LOG_LINES_S 400
 #define EDGE_WHY_MAX	 256
 /*
@@ -42,13 +46,23 @@
 #define EDGE_LAPSED_US (1700 * MAG_US_PER_MS)
 /* For so long after an outage a missing entry may have lapsed in it. */
 #define EDGE_AFTER_OUTAGE_US (3 * MAG_US_PER_S)
-#define EDGE_SETTINGS_US     MAG_US_PER_S
+/* The settings file may change without a signal. */
+#define EDGE_SETTINGS_US MAG_US_PER_S
 /* The balancer asks every second and takes a router out after two misses. */
-#define EDGE_LINGER_US	    (2500 * MAG_US_PER_MS)
+#define EDGE_LINGER_US (2500 * MAG_US_PER_MS)
+/* It ends so long before it would be killed, to end by itself. */
 #define EDGE_STOP_MARGIN_US (600 * MAG_US_PER_MS)
-#define EDGE_QUARANTINES    4096
-#define EDGE_QUARANTINE_US  (60 * MAG_US_PER_S)
-#define EDGE_ROUTERS_LIKELY 8
+/* Requests that crashed workers are remembered so many, and for so long. */
+#define EDGE_QUARANTINES   4096
+#define EDGE_QUARANTINE_US (60 * MAG_US_PER_S)
+/*
+ * A worker resets connections beyond its bound, which all routers share.
+ * Each takes its part of four fifths of it; until the others are seen, the
+ * part is that of four routers.
+ */
+#define EDGE_CONNECTIONS_SHARE 0.8
+#define EDGE_ROUTERS_LEAST     4
+#define EDGE_CONNECTIONS_LEAST 2
 
 struct edge_run {
 	struct edge edge;
@@ -59,7 +73,6 @@
 	struct event *term;
 	struct event *hup;
 	bool hup_seen;
-	int bad_entries;
 };
 
 static void edge_log(void *ctx, enum log_prio prio, const char *line);
@@ -80,6 +93,8 @@
 static void edge_fresh(void *user, int64_t sent_us);
 static void edge_config_item(struct edge *edge, const struct wire_item *item);
 static void edge_worker_item(struct edge *edge, const struct wire_item *item);
+static int edge_connections(const struct edge *edge,
+			    const struct rt_service *service);
 static void edge_reachable(void *user, bool reachable);
 static int64_t edge_gone_us(const struct edge *edge, int64_t now);
 
@@ -411,7 +426,6 @@
 /* Takes a newer configuration; an older one never comes back. */
 static void edge_config_item(struct edge *edge, const struct wire_item *item)
 {
-	struct hs_limits limits;
 	char why[EDGE_WHY_MAX];
 	struct rt_set *fresh;
 
@@ -438,11 +452,21 @@
 	     (long long)item->revision);
 	rt_drop(edge->rt);
 	edge->rt = fresh;
-	limits = (struct hs_limits){ fresh->limits.header_bytes,
-				     fresh->limits.body_bytes,
-				     fresh->limits.header_ms,
-				     fresh->limits.idle_ms };
-	hs_set_limits(edge->callers, &limits);
+	hs_set_limits(edge->callers, &fresh->limits);
+}
+
+/* Returns how many connections this router may have to one worker. */
+static int edge_connections(const struct edge *edge,
+			    const struct rt_service *service)
+{
+	int routers = 1 + pres_peer_count(edge->pres);
+	int part;
+
+	if (routers < EDGE_ROUTERS_LEAST)
+		routers = EDGE_ROUTERS_LEAST;
+	part = (int)(service->max_connections * EDGE_CONNECTIONS_SHARE /
+		     routers);
+	return part < EDGE_CONNECTIONS_LEAST ? EDGE_CONNECTIONS_LEAST : part;
 }
 
 /* Takes an entry of the workers' list; one that cannot be read names none. */
@@ -470,9 +494,9 @@
 		return;
 	service = edge->rt ? rt_service_named(edge->rt, worker.service) : -1;
 	if (service >= 0)
-		hc_host_limit(wk->host,
-			      edge->rt->services[service].max_connections /
-				      EDGE_ROUTERS_LIKELY);
+		hc_host_limit(
+			wk->host,
+			edge_connections(edge, &edge->rt->services[service]));
 }
 
 static void edge_reachable(void *user, bool reachable)
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -11,7 +11,11 @@
  * after two seconds of silence, so the silence itself is the sign: an event
  * comes every 50 to 150 ms, also when the engines are full.
  */
-#define EQ_SILENCE_US	    (350 * MAG_US_PER_MS)
+#define EQ_SILENCE_US (350 * MAG_US_PER_MS)
+/*
+ * A first event comes after 100 ms in the mean, and is worth the most within
+ * half a second: found by then, another chain can still bring it in time.
+ */
 #define EQ_FIRST_SILENCE_US (320 * MAG_US_PER_MS)
 /* Asked again while the silence lasts; reports are 200 ms old. */
 #define EQ_ASK_AGAIN_US (250 * MAG_US_PER_MS)
--- a/src/hs.h
+++ b/src/hs.h
@@ -16,6 +16,7 @@
 #include <event2/event.h>
 
 #include "hdr.h"
+#include "hs_limits.h"
 
 struct hs;
 struct hs_conn;
@@ -26,13 +27,6 @@
 	HS_E_LISTEN = -2,
 };
 
-struct hs_limits {
-	uint32_t header_bytes;
-	uint32_t body_bytes;
-	uint32_t header_ms; /* from the first byte to the whole header */
-	uint32_t idle_ms;   /* between two requests */
-};
-
 /* What the owner of a server is called with. */
 struct hs_ops {
 	/* A whole request has been read; answer it now or later. */
--- a/src/plr.c
+++ b/src/plr.c
@@ -46,8 +46,7 @@
 	int status;
 };
 
-static void plr_service(struct edge *edge, const struct rt_service *service,
-			int64_t now);
+static void plr_service(struct edge *edge, int index, int64_t now);
 static void plr_log_cover(struct edge *edge, const struct lay_model *model,
 			  const struct lay_card *cards, int count, int64_t now);
 static struct lay_model plr_model(const struct rt_engine *engine);
@@ -75,18 +74,19 @@
 	if (!pres_is_placer(edge->pres, now) || !edge->rt ||
 	    !edge->workers_listed)
 		return;
-	for (i = 0; i < edge->rt->service_count; i++) {
+	for (i = 0; i < edge->rt->service_count && i < EDGE_SERVICES_MAX; i++) {
 		if (edge->rt->services[i].has_engine)
-			plr_service(edge, &edge->rt->services[i], now);
+			plr_service(edge, i, now);
 	}
 }
 
-static void plr_service(struct edge *edge, const struct rt_service *service,
-			int64_t now)
+/* Plans one service's layers and gives the orders that are missing. */
+static void plr_service(struct edge *edge, int index, int64_t now)
 {
+	const struct rt_service *service = &edge->rt->services[index];
+	int64_t *hole_since_us = &edge->placer.hole_since_us[index];
 	static struct lay_card cards[PLR_CARDS_MAX];
 	static struct wk *workers[PLR_CARDS_MAX];
-	static int64_t hole_since_us;
 	struct lay_model model = plr_model(&service->engine);
 	struct wire_range range;
 	bool hole = false;
@@ -101,12 +101,12 @@
 	for (i = 0; i < edge->centre_count && !hole; i++)
 		hole = plr_has_hole(&model, cards, count, i);
 	if (!hole)
-		hole_since_us = 0;
-	else if (!hole_since_us)
-		hole_since_us = now;
+		*hole_since_us = 0;
+	else if (!*hole_since_us)
+		*hole_since_us = now;
 	plr_log_cover(edge, &model, cards, count, now);
 	lay_plan(&model, cards, count,
-		 hole && now - hole_since_us > PLR_WIDEN_US);
+		 hole && now - *hole_since_us > PLR_WIDEN_US);
 	for (i = 0; i < count; i++) {
 		range = (struct wire_range){ cards[i].want_from,
 					     cards[i].want_to };
@@ -128,13 +128,12 @@
 static void plr_log_cover(struct edge *edge, const struct lay_model *model,
 			  const struct lay_card *cards, int count, int64_t now)
 {
-	static int64_t next_us;
 	struct lay_cover cover;
 	int i;
 
-	if (now < next_us)
+	if (now < edge->placer.cover_log_us)
 		return;
-	next_us = now + PLR_COVER_US;
+	edge->placer.cover_log_us = now + PLR_COVER_US;
 	for (i = 0; i < edge->centre_count; i++) {
 		lay_least(model, cards, count, i, &cover);
 		jlog(LOG_PLR_COVER,
--- a/src/rt.h
+++ b/src/rt.h
@@ -11,6 +11,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "hs_limits.h"
 #include "mag.h"
 
 #define RT_SPLIT_MAX  8
@@ -101,13 +102,6 @@
 	int account;
 };
 
-struct rt_limits {
-	uint32_t header_bytes;
-	uint32_t body_bytes;
-	uint32_t header_ms;
-	uint32_t idle_ms;
-};
-
 struct rt_set {
 	int refs;
 	int64_t version;
@@ -120,7 +114,7 @@
 	struct rt_key *keys; /* sorted by key */
 	int key_count;
 	bool has_accounts;
-	struct rt_limits limits;
+	struct hs_limits limits;
 };
 
 struct rt_set *rt_new(int routes, int services, int accounts, int keys);
