--- /dev/null
+++ b/regress/edge/store-back.sh
@@ -0,0 +1,12 @@
+# The store is away for some seconds and back.  The first question to it after
+# that must be answered at once: a watch that stays open would tell only at its
+# end that keys can be checked again, and callers would be refused meanwhile.
+. edge/lib.sh
+start_platform
+grep -c '^WATCH 2000$' "$dir/store.log" >"$dir/null" && echo "watches stay open in calm times"
+fault reset
+wait_for "logged 1 platform-unreachable"
+lines=$(wc -l <"$dir/store.log")
+fault none
+wait_for "logged 1 platform-reachable"
+tail -n +$((lines + 1)) "$dir/store.log" | grep '^WATCH' | head -n 1
--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -320,6 +320,8 @@
 	if (strcmp(path, "/api/kv-range") == 0) {
 		range(conn, prefix ? prefix : "", after);
 	} else if (strcmp(path, "/api/kv-watch") == 0) {
+		printf("WATCH %s\n", wait ? wait : "0");
+		fflush(stdout);
 		add_watch(conn, prefix ? prefix : "", after ? atoll(after) : 0,
 			  wait ? atoll(wait) : 0);
 	} else if (strcmp(path, "/api/kv-txn") == 0) {
--- a/src/eq.c
+++ b/src/eq.c
@@ -6,6 +6,7 @@
 
 #include "clk.h"
 #include "eq.h"
+#include "hint.h"
 #include "jlog.h"
 
 /* A caller that another router can take at once comes back after this. */
@@ -23,6 +24,7 @@
 static struct eq *eq_new(struct edge *edge, struct hs_conn *conn, int64_t now);
 static bool eq_route(struct eq *eq);
 static bool eq_admit(struct eq *eq, int64_t now);
+static enum eq_retry eq_where(const struct eq *eq, int64_t now);
 static void eq_fingerprint(struct eq *eq);
 static void eq_deadlines(struct eq *eq);
 static const struct rt_service *eq_service(struct eq *eq);
@@ -55,7 +57,7 @@
 		return;
 	eq_deadlines(eq);
 	if (eq_too_late_to_begin(eq, now)) {
-		eq_refuse(eq, 503, EQ_RETRY_ELSEWHERE, "stopping");
+		eq_refuse(eq, 503, eq_where(eq, now), "stopping");
 		return;
 	}
 	eq_try(eq, now);
@@ -270,7 +272,7 @@
 
 	if (eq->account && edge->set.keys_fail_closed &&
 	    stale > edge->set.keys_stale_us * 9 / 10) {
-		eq_refuse(eq, 503, EQ_RETRY_ELSEWHERE, "keys too old");
+		eq_refuse(eq, 503, eq_where(eq, now), "keys too old");
 		return false;
 	}
 	eq_fingerprint(eq);
@@ -282,6 +284,16 @@
 	return true;
 }
 
+/*
+ * Callers of a router that cannot take them go to another one at once; where
+ * none can, as in an outage of the store, they would only be refused again.
+ */
+static enum eq_retry eq_where(const struct eq *eq, int64_t now)
+{
+	return hint_others_ready(eq->edge->hint, now) ? EQ_RETRY_ELSEWHERE
+						      : EQ_RETRY_LATER;
+}
+
 /* The same path, caller and body make the same fingerprint. */
 static void eq_fingerprint(struct eq *eq)
 {
--- a/src/hint.c
+++ b/src/hint.c
@@ -17,7 +17,7 @@
 #include "wkp.h"
 
 #define HINT_MAGIC   0x4d414748U
-#define HINT_VERSION 1U
+#define HINT_VERSION 2U
 /*
  * Streams live for seconds, so their load told four times a second is fresh
  * enough; with 4 routers and 38 workers that is 2 KB/s a router.
@@ -54,6 +54,7 @@
 	uint32_t magic;
 	uint32_t version;
 	char *name;
+	uint32_t ready; /* it takes callers and can check their keys */
 	uint32_t load_count;
 	struct hint_load loads[HINT_LOADS_MAX];
 	uint32_t news_count;
@@ -66,6 +67,7 @@
 struct hint_peer {
 	char name[MAG_NAME_MAX];
 	int64_t heard_us;
+	bool ready;
 	uint32_t load_count;
 	struct hint_load loads[HINT_LOADS_MAX];
 };
@@ -203,6 +205,7 @@
 	message->magic = HINT_MAGIC;
 	message->version = HINT_VERSION;
 	message->name = edge->set.instance;
+	message->ready = edge_is_ready(edge, now);
 	message->load_count = 0;
 	message->news_count = 0;
 	message->suspect_count = 0;
@@ -253,6 +256,7 @@
 	if (!xdr_uint32_t(xdr, &message->magic) ||
 	    !xdr_uint32_t(xdr, &message->version) ||
 	    !xdr_string(xdr, &message->name, MAG_NAME_MAX - 1) ||
+	    !xdr_uint32_t(xdr, &message->ready) ||
 	    !xdr_uint32_t(xdr, &message->load_count) ||
 	    message->load_count > HINT_LOADS_MAX)
 		return FALSE;
@@ -303,6 +307,7 @@
 		mag_copy_name(peer->name, sizeof(peer->name), message->name);
 	}
 	peer->heard_us = now;
+	peer->ready = message->ready != 0;
 	peer->load_count = message->load_count;
 	memcpy(peer->loads, message->loads,
 	       message->load_count * sizeof(peer->loads[0]));
@@ -334,6 +339,26 @@
 	}
 }
 
+/*
+ * Tells whether a caller that is refused here would be taken by another
+ * router: one was heard to be ready, or none was heard at all, when this
+ * router is the one that is cut off.
+ */
+bool hint_others_ready(const struct hint *hint, int64_t now)
+{
+	bool heard = false;
+	int i;
+
+	for (i = 0; i < hint->peer_count; i++) {
+		if (now - hint->peers[i].heard_us > HINT_OLD_US)
+			continue;
+		heard = true;
+		if (hint->peers[i].ready)
+			return true;
+	}
+	return !heard;
+}
+
 /* Adds the load of all peers up for each worker. */
 static void hint_add_up(struct hint *hint, int64_t now)
 {
--- a/src/hint.h
+++ b/src/hint.h
@@ -7,6 +7,7 @@
  * by the next.  Nothing that must hold rests on them.
  */
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "edge.h"
@@ -20,5 +21,6 @@
 int hint_new(struct edge *edge, struct hint **out);
 void hint_free(struct hint *hint);
 void hint_tick(struct hint *hint, int64_t now);
+bool hint_others_ready(const struct hint *hint, int64_t now);
 
 #endif /* HINT_H */
--- a/src/sto.c
+++ b/src/sto.c
@@ -28,8 +28,10 @@
  * and routers that start, and configurations in quick succession, then cost
  * one call for many changes, and each is known within a fifth of its bound.
  */
-#define STO_GATHER_US	(400 * MAG_US_PER_MS)
-#define STO_CONNECTIONS 16
+#define STO_GATHER_US (400 * MAG_US_PER_MS)
+/* How long the first watch after a failure stays open. */
+#define STO_BACK_WAIT_MS 20
+#define STO_CONNECTIONS	 16
 
 struct sto {
 	struct hc *hc;
@@ -312,13 +314,20 @@
 
 static void sto_watch(struct sto_follow *follow)
 {
+	int64_t wait_ms = follow->wait_ms;
 	char path[PL_PATH_MAX];
 
+	/*
+	 * After an outage an empty watch would tell only at its end that the
+	 * store is back, and keys would be refused for that much longer.
+	 */
+	if (follow->failures > 0)
+		wait_ms = STO_BACK_WAIT_MS;
 	follow->state = STO_WATCHING;
 	follow->sent_us = clk_boot_us();
-	pl_store_watch(path, follow->prefix, follow->revision, follow->wait_ms);
-	sto_start(follow->sto, "GET", path, NULL,
-		  follow->wait_ms * MAG_US_PER_MS, sto_watched, follow);
+	pl_store_watch(path, follow->prefix, follow->revision, wait_ms);
+	sto_start(follow->sto, "GET", path, NULL, wait_ms * MAG_US_PER_MS,
+		  sto_watched, follow);
 }
 
 /* A page of the list has come, or has not. */
