Read the tokens of a run in the order of time; show that the comparison sees each broken promise

The trace shows chains from worker 6 to worker 5: the check read the workers' logs one after the other, 5 before 6. Ruled out: the chain (both hops named, both ran once).

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -106,7 +106,12 @@
 	! grep -v " 200 whole" "$dir/probe" >/dev/null
 }
 
-# verify LEAST: compares what callers saw with what workers did.
+# verify LEAST: compares what callers saw with what workers did.  Tokens are
+# put in the order of time: their lines lie in a file for each worker.
 verify() {
-	cat "$dir"/worker.*.log "$dir"/calls* | awk -v least="$1" -v detail=1 -f edge/promises.awk
+	{
+		grep -h '^TOKEN' "$dir"/worker.*.log | sort -s -k 7,7n
+		grep -hv '^TOKEN' "$dir"/worker.*.log
+		cat "$dir"/calls*
+	} | awk -v least="$1" -v detail=1 -f edge/promises.awk
 }
--- /dev/null
+++ b/regress/edge/promises-seen.sh
@@ -0,0 +1,14 @@
+# The comparison itself: each kind of broken promise, made up, is seen.
+awk -v least=0 -f edge/promises.awk <<-LOGS
+	RUN twice w-1 POST
+	RUN twice w-2 POST
+	RUN refused w-1 GET
+	TOKEN gap w-1.1 1 0 10 5
+	TOKEN gap w-1.1 1 15 20 6
+	TOKEN again w-1.1 1 0 10 7
+	TOKEN again w-1.1 1 0 10 8
+	CALL refused r 503 whole ordered own
+	CALL foreign r 200 whole ordered FOREIGN
+	CALL mixed s 200 whole DISORDER own
+	CALL fine s 200 whole ordered own
+LOGS
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -200,7 +200,8 @@
 		hs_reply(conn, draining ? 503 : 421, NULL, NULL, 0);
 		return;
 	}
-	printf("TOKEN %s %s %d %d %d\n", job_id, run, event, from, to);
+	printf("TOKEN %s %s %d %d %d %" PRId64 "\n", job_id, run, event, from,
+	       to, clk_boot_us());
 	hs_reply(conn, 200, NULL, NULL, 0);
 }
 
@@ -427,8 +428,9 @@
 	if (job->call || now < job->due_us)
 		return true;
 	if (kind) {
-		printf("TOKEN %s %s.%d %d %d %d\n", job->id, id, job->run,
-		       job->event + 1, job->hops[0].from, job->hops[0].to);
+		printf("TOKEN %s %s.%d %d %d %d %" PRId64 "\n", job->id, id,
+		       job->run, job->event + 1, job->hops[0].from,
+		       job->hops[0].to, now);
 		job->hop = 1;
 		next_hop(job);
 		return false;
