Draw random numbers by one function

Ruled out: a state of zero, which two copies let stand still and two did not: every seed is made odd or scrambled first, so the sequences are the same. Before: five copies.

--- a/bench/sim.c
+++ b/bench/sim.c
@@ -63,10 +63,7 @@
 /* Returns the next random number in 0 .. 1. */
 double sim_random(struct sim *sim)
 {
-	sim->random ^= sim->random << 13;
-	sim->random ^= sim->random >> 7;
-	sim->random ^= sim->random << 17;
-	return (double)(sim->random >> 11) / (double)(UINT64_C(1) << 53);
+	return mag_random_unit(&sim->random);
 }
 
 /* Runs one event. */
--- a/src/adm_limit.c
+++ b/src/adm_limit.c
@@ -365,13 +365,7 @@
 /* Returns a random number in 0 .. 1, the next of the seeded sequence. */
 static double adm_random(struct adm *adm)
 {
-	uint64_t x = adm->random ? adm->random : 1;
-
-	x ^= x << 13;
-	x ^= x >> 7;
-	x ^= x << 17;
-	adm->random = x;
-	return (double)(x >> 11) / (double)(UINT64_C(1) << 53);
+	return mag_random_unit(&adm->random);
 }
 
 /* A share of nothing is not the same as no limit, which zero stands for. */
--- a/src/edge.c
+++ b/src/edge.c
@@ -90,13 +90,10 @@
 	return edge->cross_bytes > 0;
 }
 
-/* Draws a number (xorshift); for choices and spreads, not for secrets. */
+/* Draws a number for choices and spreads, not for secrets. */
 uint64_t edge_random(struct edge *edge)
 {
-	edge->seed ^= edge->seed << 13;
-	edge->seed ^= edge->seed >> 7;
-	edge->seed ^= edge->seed << 17;
-	return edge->seed;
+	return mag_random(&edge->seed);
 }
 
 /*
--- a/src/mag.c
+++ b/src/mag.c
@@ -59,3 +59,25 @@
 	}
 	return -1;
 }
+
+/*
+ * Returns the next number of a seeded sequence (xorshift), for choices and
+ * spreads, not for secrets.  A state of zero counts as one: the sequence would
+ * stand still.
+ */
+uint64_t mag_random(uint64_t *state)
+{
+	uint64_t x = *state ? *state : 1;
+
+	x ^= x << 13;
+	x ^= x >> 7;
+	x ^= x << 17;
+	*state = x;
+	return x;
+}
+
+/* Returns the next number of a seeded sequence in 0 .. 1. */
+double mag_random_unit(uint64_t *state)
+{
+	return (double)(mag_random(state) >> 11) / (double)(UINT64_C(1) << 53);
+}
--- a/src/pick_walk.c
+++ b/src/pick_walk.c
@@ -350,11 +350,5 @@
 /* Returns a random number in 0 .. 1, the next of the seeded sequence. */
 double pick_random(struct pick *pick)
 {
-	uint64_t x = pick->random ? pick->random : 1;
-
-	x ^= x << 13;
-	x ^= x >> 7;
-	x ^= x << 17;
-	pick->random = x;
-	return (double)(x >> 11) / (double)(UINT64_C(1) << 53);
+	return mag_random_unit(&pick->random);
 }
--- a/src/sto.c
+++ b/src/sto.c
@@ -91,7 +91,6 @@
 static void sto_pause(struct sto_follow *follow, bool list_next);
 static void sto_answered(struct sto_follow *follow);
 static void sto_tell(struct sto_follow *follow, struct wire_items *items);
-static uint64_t sto_random(struct sto *sto);
 
 static const struct hc_ops sto_ops = {
 	.headers = sto_on_headers,
@@ -415,7 +414,7 @@
 	if (wait > STO_RETRY_MAX_US)
 		wait = STO_RETRY_MAX_US;
 	wait = wait / 2 +
-	       (int64_t)(sto_random(follow->sto) % (uint64_t)(wait / 2));
+	       (int64_t)(mag_random(&follow->sto->seed) % (uint64_t)(wait / 2));
 	follow->failures++;
 	/* One failure is a cut watch; two in a row are an outage. */
 	if (follow->failures == 2 && follow->ops->reachable)
@@ -431,12 +430,3 @@
 		follow->ops->reachable(follow->user, true);
 	follow->failures = 0;
 }
-
-/* Draws a number (xorshift); it only spreads waits. */
-static uint64_t sto_random(struct sto *sto)
-{
-	sto->seed ^= sto->seed << 13;
-	sto->seed ^= sto->seed >> 7;
-	sto->seed ^= sto->seed << 17;
-	return sto->seed;
-}
