Move cards to where their data centre holds the least

Change: lay_value says how much a data centre runs now and after the worst single loss, with the places of first workers as a bound on layer 0; once a second the placer moves the card that raises it by a fifth or more, if the others hold as much as the weakest layer meanwhile.

--- a/regress/check_lay.c
+++ b/regress/check_lay.c
@@ -60,10 +60,15 @@
 static void print_cover(FILE *out, int centre)
 {
 	struct lay_cover cover;
+	double value;
+	int weakest;
 
 	lay_least(&model, cards, count, centre, &cover);
 	fprintf(out, "centre %d least layer %d holders %d tokens %.0f\n",
 		centre, cover.layer, cover.holders, cover.tokens);
+	value = lay_value(&model, cards, count, centre, &weakest);
+	fprintf(out, "centre %d value %.0f weakest %d\n", centre, value,
+		weakest);
 }
 
 /* Loses each card alone and counts the losses that leave a hole. */
@@ -106,6 +111,9 @@
 		else if (strncmp(line, "plan", 4) == 0)
 			lay_plan(&model, cards, count,
 				 strstr(line, "widen") != NULL);
+		else if (strncmp(line, "balance", 7) == 0)
+			lay_balance(&model, cards, count,
+				    strstr(line, "fresh") != NULL);
 		else if (strncmp(line, "hold", 4) == 0)
 			hold();
 		else if (sscanf(line, "lose %d", &n) == 1)
--- a/src/edge.h
+++ b/src/edge.h
@@ -34,6 +34,8 @@
 struct edge_placer {
 	/* By service: some data centre lacks layers since then; 0: none. */
 	int64_t hole_since_us[EDGE_SERVICES_MAX];
+	/* By service: when a card may be moved next. */
+	int64_t balance_us[EDGE_SERVICES_MAX];
 	int64_t cover_log_us; /* when the cover is logged next */
 	int64_t next_us;      /* when it plans next */
 };
--- a/src/lay.h
+++ b/src/lay.h
@@ -28,6 +28,7 @@
 	int from; /* layers [from, to) that it holds, from == to: none */
 	int to;
 	bool usable;   /* neither leaving nor thought lost */
+	bool moving;   /* an order to it is not carried out yet */
 	int want_from; /* out: what it is to hold */
 	int want_to;
 	int back_from; /* with its neighbours' layers; planner's own */
@@ -55,5 +56,9 @@
 bool lay_is_fresh(const struct lay_card *cards, int count);
 void lay_plan(const struct lay_model *model, struct lay_card *cards, int count,
 	      bool widen);
+void lay_balance(const struct lay_model *model, struct lay_card *cards,
+		 int count, bool fresh);
+double lay_value(const struct lay_model *model, const struct lay_card *cards,
+		 int count, int centre, int *weakest);
 
 #endif /* LAY_H */
--- a/src/plr.c
+++ b/src/plr.c
@@ -23,6 +23,11 @@
  * and a widened worker keeps less memory for requests for good.
  */
 #define PLR_WIDEN_US (3 * MAG_US_PER_S)
+/*
+ * How often a card may be moved to where its data centre holds least.  What
+ * the move before has brought shows in the list a second after its end.
+ */
+#define PLR_BALANCE_US MAG_US_PER_S
 /* How often the cover of the layers is logged. */
 #define PLR_COVER_US (2 * MAG_US_PER_S)
 /*
@@ -47,6 +52,9 @@
 };
 
 static void plr_service(struct edge *edge, int index, int64_t now);
+static void plr_balance(struct edge *edge, int index,
+			const struct lay_model *model, struct lay_card *cards,
+			int count, bool fresh, int64_t now);
 static void plr_log_cover(struct edge *edge, const struct lay_model *model,
 			  const struct lay_card *cards, int count, int64_t now);
 static struct lay_model plr_model(const struct rt_engine *engine);
@@ -107,6 +115,7 @@
 	plr_log_cover(edge, &model, cards, count, now);
 	lay_plan(&model, cards, count,
 		 hole && now - *hole_since_us > PLR_WIDEN_US);
+	plr_balance(edge, index, &model, cards, count, fresh, now);
 	for (i = 0; i < count; i++) {
 		range = (struct wire_range){ cards[i].want_from,
 					     cards[i].want_to };
@@ -121,6 +130,19 @@
 	}
 }
 
+/* Moves cards, now and then, to where their data centre holds the least. */
+static void plr_balance(struct edge *edge, int index,
+			const struct lay_model *model, struct lay_card *cards,
+			int count, bool fresh, int64_t now)
+{
+	int64_t *next_us = &edge->placer.balance_us[index];
+
+	if (!fresh && now < *next_us)
+		return;
+	*next_us = now + PLR_BALANCE_US;
+	lay_balance(model, cards, count, fresh);
+}
+
 /*
  * Says for each data centre how many tokens its least held layer has room
  * for: zero is a hole, and a figure far below the others is a bottleneck.
@@ -185,6 +207,7 @@
 		card->from = wk->ordered ? wk->order.from : wk->layers.from;
 		card->to = wk->ordered ? wk->order.to : wk->layers.to;
 		card->usable = true;
+		card->moving = wk->ordered || wk->busy;
 	}
 	return count;
 }
