Keep routers' addresses in the store for good, a lease for the placer only

Change: addresses are written once, without a lease; the placer alone takes a lease, of 1.6 s, renews it also when it may have ended, and the others stand for it one after the other.

--- a/src/pres.c
+++ b/src/pres.c
@@ -11,15 +11,19 @@
 #define PRES_PEER   "mag/instance/"
 #define PRES_PLACER "mag/placer"
 /*
- * The lease ends this long after its holder was heard last: long enough for
- * two lost renewals, short enough that another placer orders layers within
- * the time in which callers come back.
+ * Only the placer holds a lease; it ends this long after its holder was heard
+ * last.  Long enough for two lost renewals, short enough that another one
+ * orders layers before the callers of a lost data centre have given up.
  */
-#define PRES_LEASE_MS 3000
-#define PRES_RENEW_US (1000 * MAG_US_PER_MS)
+#define PRES_LEASE_MS 1600
+#define PRES_RENEW_US (500 * MAG_US_PER_MS)
 /* Taken off the lease, for the time that a renewal was on its way. */
 #define PRES_MARGIN_US (300 * MAG_US_PER_MS)
-#define PRES_WATCH_MS  5000
+/*
+ * When the placer is gone, the others stand for it spread over this much for
+ * each of them: every try costs two calls, and one is enough.
+ */
+#define PRES_SPREAD_US (75 * MAG_US_PER_MS)
 #define PRES_RETRY_US  (500 * MAG_US_PER_MS)
 
 struct pres {
@@ -32,23 +36,27 @@
 	int64_t lease;	  /* 0: none */
 	int64_t sent_us;  /* of the renewal in progress */
 	int64_t valid_us; /* the lease holds until then at least */
-	int64_t next_us;  /* when to take or renew a lease next */
+	int64_t next_us;  /* when to renew the lease next */
 	bool asking;	  /* a call about the lease is in progress */
-	bool registered;
 	bool registering;
-	bool standing; /* a try to become placer is in progress */
+	int64_t register_us; /* when to try that next */
+	bool standing;	     /* a try to become placer is in progress */
 	bool leaving;
 
 	bool listed;
 	int64_t own_revision;	/* of our key as listed, 0: none */
+	bool own_right;		/* it holds our address */
 	char placer[128];	/* what the placer's key holds, "": free */
-	int64_t placer_free_us; /* since when it is */
+	int64_t placer_free_us; /* when to stand for it, if it is free then */
+	uint64_t seed;
 	struct pres_peer *peers;
 	bool *seen;
 	int peer_count;
 };
 
-static void pres_take(struct pres *pres, int64_t now);
+static void pres_renew(struct pres *pres, int64_t now);
+static void pres_stand(struct pres *pres, int64_t now);
+static void pres_wait_to_stand(struct pres *pres, int64_t now);
 static void pres_taken(void *user, enum sto_result result, const char *body,
 		       size_t len);
 static void pres_kept(void *user, enum sto_result result, const char *body,
@@ -85,6 +93,7 @@
 	snprintf(pres->value, sizeof(pres->value), "%s", address);
 	snprintf(pres->title, sizeof(pres->title), "%s %" PRIx64, name,
 		 incarnation);
+	pres->seed = incarnation | 1;
 	return pres;
 }
 
@@ -97,36 +106,26 @@
 	free(pres);
 }
 
-/* Renews the lease, registers, and stands for placer if there is none. */
+/* Registers, stands for placer if there is none, and renews its lease. */
 void pres_tick(struct pres *pres, int64_t now)
 {
 	if (pres->leaving)
 		return;
-	if (pres->lease && now >= pres->valid_us + PRES_MARGIN_US) {
-		/* It may have ended while we slept or were cut off. */
-		pres->lease = 0;
-		pres->registered = false;
-	}
-	if (!pres->asking && now >= pres->next_us) {
-		pres_take(pres, now);
+	if (!pres->listed)
 		return;
-	}
-	if (!pres->lease || !pres->listed || now >= pres->valid_us)
-		return;
-	if (!pres->registered && !pres->registering) {
+	if (!pres->own_right && !pres->registering &&
+	    now >= pres->register_us) {
 		pres->registering = true;
 		sto_swap(pres->sto, pres->key, pres->value, pres->own_revision,
-			 pres->lease, pres_registered, pres);
-	}
-	if (!pres->placer[0] && !pres->standing &&
-	    now >= pres->placer_free_us) {
-		pres->standing = true;
-		sto_swap(pres->sto, PRES_PLACER, pres->title, 0, pres->lease,
-			 pres_stood, pres);
+			 0, pres_registered, pres);
 	}
+	if (pres->placer[0])
+		pres_renew(pres, now);
+	else if (now >= pres->placer_free_us)
+		pres_stand(pres, now);
 }
 
-/* Gives the lease back, so that others take over at once. */
+/* Gives the placer's lease back, so that others take over at once. */
 void pres_leave(struct pres *pres)
 {
 	if (pres->leaving)
@@ -157,14 +156,47 @@
 	return &pres->peers[i];
 }
 
-static void pres_take(struct pres *pres, int64_t now)
+/*
+ * Keeps the lease alive while this instance is the placer, also when it may
+ * have ended: leases may stand still while the store is away, and to go on as
+ * the placer spares the data centres some seconds without one.
+ */
+static void pres_renew(struct pres *pres, int64_t now)
 {
+	if (!pres->lease || pres->asking || now < pres->next_us ||
+	    strcmp(pres->placer, pres->title) != 0)
+		return;
 	pres->asking = true;
 	pres->sent_us = now;
-	if (pres->lease)
-		sto_keep(pres->sto, pres->lease, pres_kept, pres);
-	else
+	sto_keep(pres->sto, pres->lease, pres_kept, pres);
+}
+
+/* Takes a lease, and with it the placer's key if that is still free. */
+static void pres_stand(struct pres *pres, int64_t now)
+{
+	if (pres->asking || pres->standing)
+		return;
+	if (!pres->lease || now >= pres->valid_us) {
+		pres->lease = 0;
+		pres->asking = true;
+		pres->sent_us = now;
+		pres->placer_free_us = now + PRES_RETRY_US;
 		sto_lease(pres->sto, pres->lease_ms, pres_taken, pres);
+		return;
+	}
+	pres->standing = true;
+	sto_swap(pres->sto, PRES_PLACER, pres->title, 0, pres->lease,
+		 pres_stood, pres);
+}
+
+/* Spreads the tries of all instances, since when the placer is free. */
+static void pres_wait_to_stand(struct pres *pres, int64_t now)
+{
+	uint64_t spread =
+		(uint64_t)PRES_SPREAD_US * (uint64_t)(pres->peer_count + 1);
+
+	pres->placer_free_us =
+		now + (int64_t)(mag_random(&pres->seed) % spread);
 }
 
 static void pres_taken(void *user, enum sto_result result, const char *body,
@@ -174,7 +206,6 @@
 	int64_t ttl_ms;
 
 	pres->asking = false;
-	pres->next_us = pres->sent_us + PRES_RETRY_US;
 	if (result != STO_DONE ||
 	    sto_read_lease(body, len, &pres->lease, &ttl_ms))
 		return;
@@ -182,7 +213,8 @@
 	pres->valid_us =
 		pres->sent_us + ttl_ms * MAG_US_PER_MS - PRES_MARGIN_US;
 	pres->next_us = pres->sent_us + PRES_RENEW_US;
-	pres->registered = false;
+	/* Nobody stood first, as far as is known: on with it. */
+	pres->placer_free_us = pres->sent_us;
 }
 
 static void pres_kept(void *user, enum sto_result result, const char *body,
@@ -201,8 +233,6 @@
 		pres->next_us = pres->sent_us + PRES_RENEW_US;
 	} else if (result == STO_MISSING) {
 		pres->lease = 0;
-		pres->registered = false;
-		pres->next_us = pres->sent_us;
 	}
 }
 
@@ -215,7 +245,8 @@
 	(void)len;
 	pres->registering = false;
 	/* A lost answer or a conflict: the watch shows what holds. */
-	pres->registered = result == STO_DONE;
+	pres->own_right = result == STO_DONE;
+	pres->register_us = clk_boot_us() + PRES_RETRY_US;
 }
 
 static void pres_stood(void *user, enum sto_result result, const char *body,
@@ -227,8 +258,11 @@
 	(void)len;
 	pres->standing = false;
 	pres->placer_free_us = clk_boot_us() + PRES_RETRY_US;
-	if (result != STO_DONE)
+	if (result != STO_DONE) {
+		/* The watch tells who was first; our lease lapses. */
+		pres->lease = 0;
 		return;
+	}
 	mag_copy_name(pres->placer, sizeof(pres->placer), pres->title);
 	jlog(LOG_PRES_PLACER, "\"placer\":\"%s\",\"self\":true", pres->name);
 }
@@ -248,6 +282,7 @@
 	memset(pres->seen, 0, PRES_PEERS_MAX * sizeof(*pres->seen));
 	pres->placer[0] = '\0';
 	pres->own_revision = 0;
+	pres->own_right = false;
 }
 
 /* Takes one key, new, changed or deleted. */
@@ -260,7 +295,7 @@
 	if (strcmp(item->key, PRES_PLACER) != 0)
 		return;
 	pres->placer[0] = '\0';
-	pres->placer_free_us = clk_boot_us();
+	pres_wait_to_stand(pres, clk_boot_us());
 	if (!item->deleted)
 		snprintf(pres->placer, sizeof(pres->placer), "%s", item->value);
 	jlog(LOG_PRES_PLACER, "\"placer\":\"%s\",\"self\":%s", pres->placer,
@@ -276,6 +311,8 @@
 		if (!pres->seen[i])
 			pres_forget(pres, i);
 	}
+	if (!pres->listed && !pres->placer[0])
+		pres_wait_to_stand(pres, clk_boot_us());
 	pres->listed = true;
 }
 
@@ -287,8 +324,8 @@
 
 	if (strcmp(name, pres->name) == 0) {
 		pres->own_revision = item->deleted ? 0 : item->revision;
-		if (item->deleted)
-			pres->registered = false;
+		pres->own_right =
+			!item->deleted && strcmp(item->value, pres->value) == 0;
 		return;
 	}
 	for (i = 0; i < pres->peer_count; i++) {
--- a/src/pres.h
+++ b/src/pres.h
@@ -2,9 +2,11 @@
 #define PRES_H
 
 /*
- * Presence in the store: this instance's leased key, the keys of the others,
- * and the lease of the placer.  Peers are hints; only the placer's lease is
- * a right, and it is checked on the boot clock before each use.
+ * Presence in the store: the address of each instance, and the lease of the
+ * placer.  Addresses stay when an instance ends: each change would wake the
+ * watches of all, at a call each, and most instances come back under the same
+ * name.  They are hints; only the placer's lease is a right, and it is checked
+ * on the boot clock before each use.
  */
 
 #include <stdbool.h>
