Distrust workers whose requests break off, whatever they answer to questions

Change: three requests in a row that break off before their first event take a worker out for a second, each further one for twice as long, until a request works there; what it answers to questions does not matter.

--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -65,6 +65,7 @@
 static int slots = 64;
 static bool draining;
 static bool lose_answers; /* run a request and close without an answer */
+static bool break_all;	  /* cut each request off, but answer questions */
 static CDS_LIST_HEAD(jobs);
 static CDS_LIST_HEAD(peers);
 
@@ -297,6 +298,11 @@
 		refuse(conn, 503, kind ? address : NULL);
 		return;
 	}
+	if (break_all) {
+		printf("BROKE %s %s\n", attempt, id);
+		hs_abort(conn);
+		return;
+	}
 	job = calloc(1, sizeof(*job));
 	snprintf(job->id, sizeof(job->id), "%s", attempt);
 	job->conn = conn;
@@ -333,6 +339,8 @@
 		draining = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/lose") == 0)
 		lose_answers = true, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (strcmp(target, "/stand-in/break") == 0)
+		break_all = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/keep") == 0)
 		lose_answers = false, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/healthz") == 0)
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -151,6 +151,7 @@
 {
 	int i;
 
+	wk_worked(eq->hops[0].worker);
 	for (i = 0; i < eq->hop_count; i++)
 		wk_began(eq->hops[i].worker);
 }
@@ -193,6 +194,7 @@
 	eq->runs++;
 	wk_result(wk, good || eq->status / 100 == 4, now - eq->sent_us);
 	wk_clear(wk);
+	wk_worked(wk);
 	if (good) {
 		quar_ended_well(eq->edge->quar, eq->print, now);
 		if (eq->state == EQ_STREAMS && evs_pending(&eq->events) > 0) {
@@ -274,6 +276,8 @@
 	eq->may_have_run = true;
 	eq->runs++;
 	wk_result(wk, false, 0);
+	if (!eq->answered)
+		wk_broke(wk, now);
 	if (end == HC_BROKEN) {
 		wk_add_victim(wk, eq->print, now);
 		wkp_ask(edge, wk, now);
--- a/src/wk.c
+++ b/src/wk.c
@@ -23,6 +23,15 @@
  * seconds.  283 of 1,641 refused sends of a day were one such worker's.
  */
 #define WK_HOLD_DOUBLE 3
+/*
+ * A worker that breaks so many requests in a row off before their first event
+ * is not trusted, though it answers questions: by chance, of a worker that
+ * loses 3 answers in 100, that happens once in 37,000 requests.
+ */
+#define WK_BROKEN_MAX 3
+/* For this long at first; twice as long if the next request breaks, too. */
+#define WK_DISTRUST_US	   MAG_US_PER_S
+#define WK_DISTRUST_DOUBLE 3
 /* Weight of the newest outcome in the smoothed figures. */
 #define WK_SMOOTH 0.1
 
@@ -164,7 +173,8 @@
 /* Tells whether a worker may get new work. */
 bool wk_usable(const struct wk *wk, int64_t now)
 {
-	return wk_alive(wk, now) && !wk->on_trial && now >= wk->hold_until_us;
+	return wk_alive(wk, now) && !wk->on_trial && now >= wk->hold_until_us &&
+	       now >= wk->distrust_until_us;
 }
 
 /*
@@ -215,6 +225,38 @@
 	wk->refusals = 0;
 }
 
+/*
+ * A request to this worker broke off before its first event.  A worker whose
+ * answers to questions are sound may fail all requests, or those of some
+ * callers; sent to it, each spends a second send, and streams that may run
+ * only twice are lost.  What counts is how requests end.
+ */
+void wk_broke(struct wk *wk, int64_t now)
+{
+	int64_t hold;
+
+	wk->broken_in_row++;
+	if (now < wk->distrust_until_us ||
+	    (wk->distrust_times == 0 && wk->broken_in_row < WK_BROKEN_MAX))
+		return;
+	hold = WK_DISTRUST_US << wk->distrust_times;
+	wk->distrust_until_us = now + hold;
+	if (wk->distrust_times < WK_DISTRUST_DOUBLE)
+		wk->distrust_times++;
+	jlog(LOG_WK_SUSPECT,
+	     "\"worker\":\"%s\",\"address\":\"%s\",\"why\":\"%s\","
+	     "\"for_ms\":%d,\"times\":%d",
+	     wk->is.id, wk->is.address, "requests break off",
+	     (int)(hold / MAG_US_PER_MS), wk->broken_in_row);
+}
+
+/* A request to this worker came to its first event, or to its answer. */
+void wk_worked(struct wk *wk)
+{
+	wk->broken_in_row = 0;
+	wk->distrust_times = 0;
+}
+
 /* The worker has proved that it works. */
 void wk_clear(struct wk *wk)
 {
@@ -283,6 +325,8 @@
 		wk->leaving_us = worker->draining ? now : MAG_NEVER;
 		wk->on_trial = false;
 		wk->ordered = false;
+		wk->distrust_until_us = 0;
+		wk_worked(wk);
 		hc_host_drop_idle(wk->host);
 	}
 	if (reborn || moved) {
--- a/src/wk.h
+++ b/src/wk.h
@@ -46,10 +46,13 @@
 	int64_t suspect_until_us; /* gets nothing new until then */
 	int suspect_times;	  /* in a row */
 	bool on_trial;		  /* the suspicion ran out, nothing proved */
-	bool to_tell;	   /* peers have not heard of the suspicion yet */
-	int64_t told_us;   /* when they were told, 0: never */
-	double fail_share; /* of late requests, smoothed */
-	double answer_us;  /* time of an answer, smoothed */
+	bool to_tell;	    /* peers have not heard of the suspicion yet */
+	int64_t told_us;    /* when they were told, 0: never */
+	double fail_share;  /* of late requests, smoothed */
+	int broken_in_row;  /* requests that it broke off, no event since */
+	int distrust_times; /* in a row */
+	int64_t distrust_until_us; /* gets nothing, whatever it says */
+	double answer_us;	   /* time of an answer, smoothed */
 
 	int firsts;	       /* requests of ours that it took */
 	int peer_firsts;       /* of other instances, by their word */
@@ -104,6 +107,8 @@
 void wk_hold_off(struct wk *wk, int64_t now);
 void wk_refused(struct wk *wk, int64_t now);
 void wk_began(struct wk *wk);
+void wk_broke(struct wk *wk, int64_t now);
+void wk_worked(struct wk *wk);
 void wk_result(struct wk *wk, bool good, int64_t took_us);
 void wk_add_victim(struct wk *wk, const uint8_t print[MAG_DIGEST_BYTES],
 		   int64_t now);
