Take a worker's own report of its load where it is more than routers know

Change: for a second after a report (each refusal asks for one) the memory in use and the requests there are a lower bound of the load.

--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -22,6 +22,11 @@
 #define EQ_AWAY_US 8000
 /* Spread of the price of a worker, as a part of it. */
 #define EQ_NOISE 0.1
+/*
+ * A report of a worker's load counts for this long: streams live for some
+ * seconds, and routers that have just started know of no load at all.
+ */
+#define EQ_TOLD_US MAG_US_PER_S
 /* Workers that one choice looks at. */
 #define EQ_CHAIN_WORKERS_MAX 4096
 
@@ -35,6 +40,8 @@
 static const struct eq_hop *eq_hop_of(const struct eq *eq, const struct wk *wk);
 static void eq_change_hops(struct eq *eq, const struct chn_chain *rest,
 			   int64_t now);
+static void eq_known_load(const struct wk *wk, int64_t now, double *held,
+			  int *firsts);
 static double eq_tokens(const struct eq *eq);
 static double eq_read_us(const struct eq *eq, const struct rt_kind *kind);
 static double eq_noise(struct edge *edge);
@@ -159,6 +166,7 @@
 	struct chn_worker *w;
 	struct wk *wk;
 	double spare_mb;
+	int firsts;
 	int held;
 	int count = 0;
 
@@ -188,8 +196,8 @@
 		spare_mb = kind->memory_mb - held * engine->layer_mb;
 		w->memory =
 			spare_mb * 1e6 * engine->layers / engine->token_bytes;
-		w->held = wk->held + wk->peer_held;
-		w->firsts_left = wk->is.slots - wk->firsts - wk->peer_firsts;
+		eq_known_load(wk, now, &w->held, &firsts);
+		w->firsts_left = wk->is.slots - firsts;
 		w->keeps_from = keeps ? keeps->from : 0;
 		w->keeps_to = keeps ? keeps->to : 0;
 		w->read_us = eq_read_us(eq, kind);
@@ -247,6 +255,25 @@
 	}
 }
 
+/*
+ * Returns what is known of a worker's load: what routers say that they sent
+ * there, or its own newest report if that is more.  After a power loss of all
+ * routers the engines go on with requests that no router knows of, and refuse
+ * what these send for want of memory.
+ */
+static void eq_known_load(const struct wk *wk, int64_t now, double *held,
+			  int *firsts)
+{
+	*held = wk->held + wk->peer_held;
+	*firsts = wk->firsts + wk->peer_firsts;
+	if (!wk->reported_us || now - wk->reported_us > EQ_TOLD_US)
+		return;
+	if (wk->told_held > *held)
+		*held = wk->told_held;
+	if (wk->told_firsts > *firsts)
+		*firsts = wk->told_firsts;
+}
+
 /*
  * Routers know each other's load of a moment ago only: without this all of
  * them would send to the one cheapest chain until they hear that it is full.
--- a/src/wk.h
+++ b/src/wk.h
@@ -40,6 +40,8 @@
 	int64_t reported_us;	  /* of the last report, 0: none */
 	bool busy;		  /* with an order, by the last report */
 	double slowdown;
+	double told_held; /* memory in use, by the last report */
+	int told_firsts;  /* requests there as the first worker, likewise */
 
 	int64_t hold_until_us;	  /* it refused: nothing new until then */
 	int refusals;		  /* since it began a request of ours last */
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -207,6 +207,8 @@
 	}
 	wk->reported_us = now;
 	wk->busy = report.busy;
+	wk->told_held = report.memory_used;
+	wk->told_firsts = report.running + report.waiting;
 	wk->orders_taken = report.orders_taken;
 	wk->slowdown = report.slowdown > 0 ? report.slowdown : 1;
 	/* A report is older than an entry that has just come. */
