Tell the routers of the own data centre more often of our load

Change: an instance's key names its data centre; its peers there are told every 150 ms, four of the others besides.

--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -192,6 +192,7 @@
 	snprintf(peer, sizeof(peer), "%s:%d", edge->set.address,
 		 edge->set.peer_port);
 	edge->pres = pres_new(edge->sto, edge->set.instance, peer,
+			      edge->set.data_centre,
 			      edge->set.store_lease_ms_min, incarnation);
 	if (!edge->pres || hint_new(edge, &edge->hint)) {
 		jlog(LOG_START_FAILED, "\"why\":\"peer socket %s\"", peer);
--- a/src/hint.c
+++ b/src/hint.c
@@ -19,10 +19,12 @@
 #define HINT_MAGIC   0x4d414748U
 #define HINT_VERSION 2U
 /*
- * Streams live for seconds, so their load told four times a second is fresh
- * enough: 12 datagrams of half a kilobyte a second with 4 routers (worked out).
+ * Routers of a data centre share its workers: what one does not know of the
+ * others' new streams it sends to workers that are full.  A data centre starts
+ * 60 to 90 streams a second beside room for some 250, so load told this often
+ * is wrong by a twentieth.
  */
-#define HINT_EVERY_US (250 * MAG_US_PER_MS)
+#define HINT_EVERY_US (150 * MAG_US_PER_MS)
 /* A router that was not heard for so long holds nothing. */
 #define HINT_OLD_US (1200 * MAG_US_PER_MS)
 /* Time for which a request that crashes workers is refused after a hint. */
@@ -36,10 +38,12 @@
 #define HINT_SUSPECTS_MAX 16
 #define HINT_PEERS_MAX	  1024
 /*
- * Peers told in one round; with more of them each hears of us less often, so
- * that the traffic of a router does not grow with the fleet.
+ * Peers of the own data centre told in one round, and of the others; where
+ * there are more, each hears of us less often, so that the traffic of a router
+ * does not grow with the fleet: 240 datagrams a second at most (worked out).
  */
-#define HINT_FAN_OUT 8
+#define HINT_NEAR_MAX 32
+#define HINT_FAR_MAX  4
 
 struct hint_load {
 	uint32_t worker; /* hash of its id */
@@ -79,14 +83,16 @@
 	int fd;
 	struct event *readable;
 	int64_t next_us;
-	int turn; /* of the peers, which one is told next */
+	int turn; /* of the peers, which one is told first in the next round */
 	struct hint_peer *peers;
 	int peer_count;
 };
 
 static void hint_readable(evutil_socket_t fd, short what, void *arg);
 static bool_t hint_xdr(XDR *xdr, struct hint_message *message);
-static void hint_send(struct hint *hint, int most);
+static void hint_send(struct hint *hint, int near, int far);
+static void hint_send_to(struct hint *hint, const struct pres_peer *peer,
+			 const char *bytes, size_t len);
 static bool hint_has_suspect(struct hint *hint);
 static void hint_collect(struct hint *hint, struct hint_message *message);
 static void hint_take(struct hint *hint, const struct hint_message *message);
@@ -140,14 +146,14 @@
 void hint_tick(struct hint *hint, int64_t now)
 {
 	if (hint_has_suspect(hint)) {
-		hint_send(hint, HINT_PEERS_MAX);
+		hint_send(hint, HINT_PEERS_MAX, HINT_PEERS_MAX);
 		return;
 	}
 	if (now < hint->next_us)
 		return;
 	hint->next_us = now + HINT_EVERY_US;
 	hint_add_up(hint, now);
-	hint_send(hint, HINT_FAN_OUT);
+	hint_send(hint, HINT_NEAR_MAX, HINT_FAR_MAX);
 }
 
 /*
@@ -169,33 +175,49 @@
 	return found;
 }
 
-static void hint_send(struct hint *hint, int most)
+/* Sends a message to so many peers of our data centre, and of others. */
+static void hint_send(struct hint *hint, int near, int far)
 {
 	static struct hint_message message;
-	struct sockaddr_in addr;
 	char bytes[HINT_BYTES_MAX];
-	int addr_len;
 	int peers = pres_peer_count(hint->edge->pres);
-	int told;
+	const struct pres_peer *peer;
+	int *left;
 	XDR xdr;
+	int i;
 
 	hint_collect(hint, &message);
 	xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
 	if (!hint_xdr(&xdr, &message))
 		return;
-	for (told = 0; told < peers && told < most; told++) {
-		hint->turn = (hint->turn + 1) % peers;
-		addr_len = sizeof(addr);
-		if (evutil_parse_sockaddr_port(
-			    pres_peer(hint->edge->pres, hint->turn)->address,
-			    (struct sockaddr *)&addr, &addr_len))
+	if (peers > 0)
+		hint->turn = (hint->turn + HINT_FAR_MAX) % peers;
+	for (i = 0; i < peers && (near > 0 || far > 0); i++) {
+		peer = pres_peer(hint->edge->pres, (hint->turn + i) % peers);
+		left = strcmp(peer->data_centre, hint->edge->set.data_centre)
+			       ? &far
+			       : &near;
+		if (*left == 0)
 			continue;
-		/* A full link drops it; the next one says the same. */
-		(void)sendto(hint->fd, bytes, xdr_getpos(&xdr), 0,
-			     (struct sockaddr *)&addr, (socklen_t)addr_len);
+		(*left)--;
+		hint_send_to(hint, peer, bytes, xdr_getpos(&xdr));
 	}
 }
 
+static void hint_send_to(struct hint *hint, const struct pres_peer *peer,
+			 const char *bytes, size_t len)
+{
+	struct sockaddr_in addr;
+	int addr_len = sizeof(addr);
+
+	if (evutil_parse_sockaddr_port(peer->address, (struct sockaddr *)&addr,
+				       &addr_len))
+		return;
+	/* A full link drops it; the next one says the same. */
+	(void)sendto(hint->fd, bytes, len, 0, (struct sockaddr *)&addr,
+		     (socklen_t)addr_len);
+}
+
 /* Fills a message with our load, the most loaded workers if too many. */
 static void hint_collect(struct hint *hint, struct hint_message *message)
 {
--- a/src/pres.c
+++ b/src/pres.c
@@ -30,7 +30,7 @@
 	struct sto *sto;
 	char name[MAG_NAME_MAX];
 	char key[WIRE_KEY_MAX];
-	char value[128]; /* address of the peer socket */
+	char value[128]; /* address of the peer socket, data centre */
 	char title[128]; /* what the placer's key holds if it is us */
 	int64_t lease_ms;
 	int64_t lease;	  /* 0: none */
@@ -72,7 +72,8 @@
 
 /* Begins to take part; address is that of the peer socket. */
 struct pres *pres_new(struct sto *sto, const char *name, const char *address,
-		      int64_t lease_ms_min, uint64_t incarnation)
+		      const char *data_centre, int64_t lease_ms_min,
+		      uint64_t incarnation)
 {
 	struct pres *pres = calloc(1, sizeof(*pres));
 
@@ -90,7 +91,8 @@
 		pres->lease_ms = lease_ms_min;
 	snprintf(pres->name, sizeof(pres->name), "%s", name);
 	snprintf(pres->key, sizeof(pres->key), PRES_PEER "%s", name);
-	snprintf(pres->value, sizeof(pres->value), "%s", address);
+	snprintf(pres->value, sizeof(pres->value), "%s %s", address,
+		 data_centre);
 	snprintf(pres->title, sizeof(pres->title), "%s %" PRIx64, name,
 		 incarnation);
 	pres->seed = incarnation | 1;
@@ -320,6 +322,7 @@
 static void pres_peer_item(struct pres *pres, const struct wire_item *item)
 {
 	const char *name = item->key + strlen(PRES_PEER);
+	struct pres_peer peer = { 0 };
 	int i;
 
 	if (strcmp(name, pres->name) == 0) {
@@ -337,14 +340,14 @@
 			pres_forget(pres, i);
 		return;
 	}
-	if (i == PRES_PEERS_MAX || item->len >= MAG_ADDR_MAX ||
-	    strlen(name) >= MAG_NAME_MAX)
+	if (i == PRES_PEERS_MAX || strlen(name) >= MAG_NAME_MAX ||
+	    sscanf(item->value, "%47s %63s", peer.address, peer.data_centre) !=
+		    2)
 		return;
 	if (i == pres->peer_count)
 		pres->peer_count++;
-	mag_copy_name(pres->peers[i].name, sizeof(pres->peers[i].name), name);
-	mag_copy_name(pres->peers[i].address, sizeof(pres->peers[i].address),
-		      item->value);
+	mag_copy_name(peer.name, sizeof(peer.name), name);
+	pres->peers[i] = peer;
 	pres->seen[i] = true;
 }
 
--- a/src/pres.h
+++ b/src/pres.h
@@ -23,10 +23,12 @@
 struct pres_peer {
 	char name[MAG_NAME_MAX];
 	char address[MAG_ADDR_MAX]; /* "ip:port" of its peer socket */
+	char data_centre[MAG_NAME_MAX];
 };
 
 struct pres *pres_new(struct sto *sto, const char *name, const char *address,
-		      int64_t lease_ms_min, uint64_t incarnation);
+		      const char *data_centre, int64_t lease_ms_min,
+		      uint64_t incarnation);
 void pres_free(struct pres *pres);
 /* What the store's keys under PRES_PREFIX hold; from the one follower. */
 void pres_begin(struct pres *pres);
