--- a/src/sto.c
+++ b/src/sto.c
@@ -28,7 +28,7 @@
  * and routers that start, and configurations in quick succession, then cost
  * one call for many changes, and each is known within a fifth of its bound.
  */
-#define STO_GATHER_US (400 * MAG_US_PER_MS)
+#define STO_GATHER_US (800 * MAG_US_PER_MS)
 /* How long the first watch after a failure stays open. */
 #define STO_BACK_WAIT_MS 20
 #define STO_CONNECTIONS	 16
