Deal a data centre anew whose hole nothing else closes

Change: holes are closed whole or not at all, by widening, by a move, or by dealing the data centre's cards anew; cards of a kind keep their order, so that they load little. Tests: regress/lay/redeal; regress/lay/moved shows a card that no longer grows halfway into a hole that the move closes.

--- a/src/lay.c
+++ b/src/lay.c
@@ -24,9 +24,8 @@
 /* A chain has at most 32 hops; copies stay below it with some to spare. */
 #define LAY_CARDS_A_COPY 26
 /* How much less memory for requests is wanted where layers do not fit. */
-#define LAY_SHRINK    0.93
-#define LAY_STEPS     40
-#define LAY_CARDS_MAX 4096
+#define LAY_SHRINK 0.93
+#define LAY_STEPS  40
 
 static void lay_deal_all(const struct lay_model *model, struct lay_card *cards,
 			 int count);
@@ -51,12 +50,11 @@
 static bool lay_can_back_up(const struct lay_model *model,
 			    const struct lay_card *card, double wanted, int own,
 			    int holds);
-static void lay_join_back_up(struct lay_card *cards, int count);
 static int lay_by_speed(const void *a, const void *b);
 static int lay_by_memory(const void *a, const void *b);
 
 /* Takes the layers that cards back up into what they are to hold. */
-static void lay_join_back_up(struct lay_card *cards, int count)
+void lay_join_back_up(struct lay_card *cards, int count)
 {
 	int i;
 
@@ -167,26 +165,30 @@
 static void lay_deal_centres(const struct lay_model *model,
 			     struct lay_card *cards, int count)
 {
-	struct lay_card *group[LAY_CARDS_MAX];
-	double memory;
 	int centre;
-	int size;
+
+	for (centre = 0; centre < LAY_CENTRES_MAX; centre++)
+		lay_deal_centre(model, cards, count, centre);
+}
+
+/* Deals whole copies over a data centre's cards, if they have room for one. */
+void lay_deal_centre(const struct lay_model *model, struct lay_card *cards,
+		     int count, int centre)
+{
+	struct lay_card *group[LAY_CARDS_MAX];
+	double memory = 0;
+	int size = 0;
 	int i;
 
-	for (centre = 0; centre < LAY_CENTRES_MAX; centre++) {
-		memory = 0;
-		size = 0;
-		for (i = 0; i < count; i++) {
-			if (!cards[i].usable || cards[i].centre != centre)
-				continue;
-			group[size++] = &cards[i];
-			memory += cards[i].memory_mb;
-		}
-		if (memory * LAY_CARD_SHARE < model->layers * model->layer_mb)
+	for (i = 0; i < count; i++) {
+		if (!cards[i].usable || cards[i].centre != centre)
 			continue;
+		group[size++] = &cards[i];
+		memory += cards[i].memory_mb;
+	}
+	if (memory * LAY_CARD_SHARE >= model->layers * model->layer_mb)
 		lay_deal_copies(model, group, size,
 				lay_copies(model, memory, size));
-	}
 }
 
 /*
--- a/src/lay_int.h
+++ b/src/lay_int.h
@@ -6,6 +6,7 @@
 #include "lay.h"
 
 #define LAY_CENTRES_MAX 32
+#define LAY_CARDS_MAX	4096
 /*
  * Part of the wanted tokens that a card must hold when it has taken over its
  * neighbours' layers: by then streams go to other copies, too.
@@ -20,6 +21,18 @@
 /* The most layers that a card may hold. */
 int lay_most(const struct lay_model *model, const struct lay_card *card);
 
+/* Deals whole copies over a data centre's cards, if they have room for one. */
+void lay_deal_centre(const struct lay_model *model, struct lay_card *cards,
+		     int count, int centre);
+/* Takes the layers that cards back up into what they are to hold. */
+void lay_join_back_up(struct lay_card *cards, int count);
+/* Tells whether some layer of a data centre that holds any has no holder. */
+bool lay_has_hole(const struct lay_model *model, const struct lay_card *cards,
+		  int count, int centre);
+/* Deals a data centre anew to close a hole; false if that is not possible. */
+bool lay_redeal(const struct lay_model *model, struct lay_card *cards,
+		int count, int centre);
+
 void lay_repair(const struct lay_model *model, struct lay_card *cards,
 		int count, bool widen);
 
--- /dev/null
+++ b/src/lay_redeal.c
@@ -0,0 +1,113 @@
+#include <stdlib.h>
+
+#include "lay_int.h"
+
+/*
+ * Load pattern: a data centre with one copy loses a large card for good.  Each
+ * layer had one holder, so no neighbour can grow over the hole and no card can
+ * leave its place; the data centre would serve nothing for the rest of the
+ * day, and press on the others' memory.  Its cards are dealt anew then.  Those
+ * of a kind keep their order, so that each loads as little as may be.
+ */
+
+static void lay_keep_order(struct lay_card *cards, int count, int centre);
+static void lay_keep_order_of(struct lay_card **kind, int size);
+static int lay_by_held(const void *a, const void *b);
+static int lay_by_wanted(const void *a, const void *b);
+
+bool lay_redeal(const struct lay_model *model, struct lay_card *cards,
+		int count, int centre)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (cards[i].centre == centre && cards[i].usable &&
+		    cards[i].moving)
+			return false;
+	}
+	for (i = 0; i < count; i++) {
+		if (cards[i].centre != centre || !cards[i].usable)
+			continue;
+		cards[i].want_from = 0;
+		cards[i].want_to = 0;
+	}
+	lay_deal_centre(model, cards, count, centre);
+	lay_join_back_up(cards, count);
+	if (!lay_has_hole(model, cards, count, centre)) {
+		lay_keep_order(cards, count, centre);
+		return true;
+	}
+	for (i = 0; i < count; i++) {
+		if (cards[i].centre != centre || !cards[i].usable)
+			continue;
+		cards[i].want_from = cards[i].from;
+		cards[i].want_to = cards[i].to;
+	}
+	return false;
+}
+
+/* Swaps what was dealt among cards of a kind, in the order of what they hold.
+ */
+static void lay_keep_order(struct lay_card *cards, int count, int centre)
+{
+	struct lay_card *kind[LAY_CARDS_MAX];
+	int size;
+	int i;
+	int k;
+
+	for (i = 0; i < count; i++) {
+		if (cards[i].centre != centre || !cards[i].usable)
+			continue;
+		size = 0;
+		for (k = 0; k < count; k++) {
+			if (cards[k].centre != centre || !cards[k].usable ||
+			    cards[k].memory_mb != cards[i].memory_mb ||
+			    cards[k].step_factor != cards[i].step_factor)
+				continue;
+			/* A kind is done with its first card. */
+			if (k < i)
+				break;
+			kind[size++] = &cards[k];
+		}
+		if (k == count)
+			lay_keep_order_of(kind, size);
+	}
+}
+
+static void lay_keep_order_of(struct lay_card **kind, int size)
+{
+	struct lay_card *wanted[LAY_CARDS_MAX];
+	int from[LAY_CARDS_MAX];
+	int to[LAY_CARDS_MAX];
+	int i;
+
+	for (i = 0; i < size; i++)
+		wanted[i] = kind[i];
+	qsort(wanted, (size_t)size, sizeof(wanted[0]), lay_by_wanted);
+	for (i = 0; i < size; i++) {
+		from[i] = wanted[i]->want_from;
+		to[i] = wanted[i]->want_to;
+	}
+	qsort(kind, (size_t)size, sizeof(kind[0]), lay_by_held);
+	for (i = 0; i < size; i++) {
+		kind[i]->want_from = from[i];
+		kind[i]->want_to = to[i];
+	}
+}
+
+static int lay_by_held(const void *a, const void *b)
+{
+	const struct lay_card *x = *(struct lay_card *const *)a;
+	const struct lay_card *y = *(struct lay_card *const *)b;
+
+	return x->from != y->from ? x->from - y->from : (x > y) - (x < y);
+}
+
+static int lay_by_wanted(const void *a, const void *b)
+{
+	const struct lay_card *x = *(struct lay_card *const *)a;
+	const struct lay_card *y = *(struct lay_card *const *)b;
+
+	return x->want_from != y->want_from ? x->want_from - y->want_from
+					    : (x > y) - (x < y);
+}
--- a/src/lay_repair.c
+++ b/src/lay_repair.c
@@ -3,8 +3,20 @@
 /* Weight of what all data centres lack beside what one lacks. */
 #define LAY_ELSEWHERE 0.05
 
+/* What a card was to hold before something was tried. */
+struct lay_want {
+	int from;
+	int to;
+};
+
 static void lay_fill(const struct lay_model *model, struct lay_card *cards,
 		     int count, struct lay_card *card);
+static void lay_close(const struct lay_model *model, struct lay_card *cards,
+		      int count, int centre);
+static void lay_save(const struct lay_card *cards, int count,
+		     struct lay_want *saved);
+static void lay_restore(struct lay_card *cards, int count,
+			const struct lay_want *saved);
 static int lay_copies_held(const struct lay_model *model,
 			   const struct lay_card *cards, int count, int centre);
 static void lay_lacks(const struct lay_model *model, double *cover);
@@ -39,11 +51,64 @@
 			lay_fill(model, cards, count, &cards[i]);
 	}
 	for (centre = 0; widen && centre < LAY_CENTRES_MAX; centre++) {
-		lay_widen(model, cards, count, centre);
-		lay_move(model, cards, count, centre);
+		if (lay_has_hole(model, cards, count, centre))
+			lay_close(model, cards, count, centre);
 	}
 }
 
+/*
+ * Closes a data centre's holes whole, or not at all: a hole that is made
+ * smaller serves nobody and takes memory.  The fewest loads come first.
+ */
+static void lay_close(const struct lay_model *model, struct lay_card *cards,
+		      int count, int centre)
+{
+	struct lay_want saved[LAY_CARDS_MAX];
+
+	lay_save(cards, count, saved);
+	lay_widen(model, cards, count, centre);
+	if (!lay_has_hole(model, cards, count, centre))
+		return;
+	lay_restore(cards, count, saved);
+	lay_move(model, cards, count, centre);
+	if (!lay_has_hole(model, cards, count, centre))
+		return;
+	lay_restore(cards, count, saved);
+	lay_redeal(model, cards, count, centre);
+}
+
+static void lay_save(const struct lay_card *cards, int count,
+		     struct lay_want *saved)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		saved[i].from = cards[i].want_from;
+		saved[i].to = cards[i].want_to;
+	}
+}
+
+static void lay_restore(struct lay_card *cards, int count,
+			const struct lay_want *saved)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		cards[i].want_from = saved[i].from;
+		cards[i].want_to = saved[i].to;
+	}
+}
+
+/* Tells whether some layer of a data centre that holds any has no holder. */
+bool lay_has_hole(const struct lay_model *model, const struct lay_card *cards,
+		  int count, int centre)
+{
+	int from;
+	int to;
+
+	return lay_first_hole(model, cards, count, centre, &from, &to);
+}
+
 /*
  * Gives an empty card the window of layers in which its data centre lacks the
  * most, measured against what it holds of a layer in the mean; what all data
