Say not ready while no chain leads through all layers

Change: every 250 ms it is looked whether workers that may get new work hold every layer; without that for 0.6 s, and if chains stood before, the router is not ready, and the balancer sends its callers to other data centres.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -101,8 +101,11 @@
 	wait_for "served_once"
 }
 
-served_once() {
-	"$build/tool_calls" probe$(date +%N) 0.5 8 $(router 1) $(router 2) >"$dir/probe"
+served_once() { served_by $(router 1) $(router 2); }
+
+# served_by ROUTER...: all of some requests are answered whole.
+served_by() {
+	"$build/tool_calls" probe$(date +%N) 0.5 8 "$@" >"$dir/probe"
 	! grep -v " 200 whole" "$dir/probe" >/dev/null
 }
 
--- a/regress/edge/repaired-chain.sh
+++ b/regress/edge/repaired-chain.sh
@@ -13,11 +13,7 @@
 start_router 1 a
 wait_for "ready 1"
 wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 4 ]"
-served_by_one() {
-	"$build/tool_calls" probe$(date +%N) 0.5 8 $(router 1) >"$dir/probe"
-	! grep -v " 200 whole" "$dir/probe" >/dev/null
-}
-wait_for served_by_one
+wait_for "served_by $(router 1)"
 "$build/tool_calls" mend 6 30 $(router 1) >"$dir/calls" &
 calls=$!
 # Two engines hold the second half of the layers; one of them stops.
--- a/src/edge.c
+++ b/src/edge.c
@@ -6,6 +6,11 @@
 
 /* Part of its slack that a router has at its start. */
 #define EDGE_SLACK_AT_START 0.25
+/*
+ * A router without any chain counts as not ready after this: longer than a
+ * worker is held off for one refusal, shorter than a restart.
+ */
+#define EDGE_CHAINLESS_US (600 * MAG_US_PER_MS)
 /* Part of a pipe between data centres that streams may take together. */
 #define EDGE_PIPE_SHARE 0.5
 
@@ -112,13 +117,17 @@
 
 /*
  * Tells whether this router should get callers.  One that is cut off from the
- * store cannot check keys much longer: callers are better served by others,
- * if there are any.
+ * store cannot check keys much longer, and one that reaches no whole copy of
+ * the model can run no stream: callers are better served by others, if there
+ * are any.
  */
 bool edge_is_ready(const struct edge *edge, int64_t now)
 {
 	if (!edge->rt || !edge->workers_listed || edge->stopping)
 		return false;
+	if (edge->had_chains && edge->chainless_us &&
+	    now - edge->chainless_us > EDGE_CHAINLESS_US)
+		return false;
 	return !edge->rt->has_accounts || !edge->set.keys_fail_closed ||
 	       now - edge->rt_fresh_us < edge->set.keys_stale_us * 17 / 20;
 }
--- a/src/eq.c
+++ b/src/eq.c
@@ -97,6 +97,7 @@
 			eq_try(eq, now);
 	}
 	eq_stall_tick(edge, now);
+	eq_cover_tick(edge, now);
 }
 
 /*
--- a/src/eq.h
+++ b/src/eq.h
@@ -109,6 +109,7 @@
 
 enum eq_choice eq_choose_chain(struct eq *eq, int64_t now);
 bool eq_choose_mend(struct eq *eq, int64_t now);
+void eq_cover_tick(struct edge *edge, int64_t now);
 void eq_take_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
 const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -27,6 +27,8 @@
  * seconds, and routers that have just started know of no load at all.
  */
 #define EQ_TOLD_US MAG_US_PER_S
+/* How often it is looked whether chains stand: a quarter of what matters. */
+#define EQ_COVER_US (250 * MAG_US_PER_MS)
 /* Workers that one choice looks at. */
 #define EQ_CHAIN_WORKERS_MAX 4096
 
@@ -34,6 +36,8 @@
 static struct chn_worker eq_list[EQ_CHAIN_WORKERS_MAX];
 static struct wk *eq_listed[EQ_CHAIN_WORKERS_MAX];
 
+static bool eq_covered(struct edge *edge, const struct rt_service *service,
+		       int64_t now);
 static void eq_chain_want(struct eq *eq, struct chn_want *want, int64_t now);
 static int eq_chain_workers(struct eq *eq, const struct eq_hop *first,
 			    int64_t now);
@@ -95,6 +99,30 @@
 	return true;
 }
 
+/*
+ * Looks now and then whether a chain leads through all layers of each engine
+ * service.  A router that is cut off with half a copy of the model would take
+ * its data centre's callers and refuse them all; see edge_is_ready.
+ */
+void eq_cover_tick(struct edge *edge, int64_t now)
+{
+	bool stands = true;
+	int i;
+
+	if (!edge->rt || now < edge->cover_us)
+		return;
+	edge->cover_us = now + EQ_COVER_US;
+	for (i = 0; i < edge->rt->service_count; i++) {
+		if (edge->rt->services[i].has_engine)
+			stands &= eq_covered(edge, &edge->rt->services[i], now);
+	}
+	edge->had_chains |= stands;
+	if (stands)
+		edge->chainless_us = 0;
+	else if (!edge->chainless_us)
+		edge->chainless_us = now;
+}
+
 /* Writes the hops of a request down as they go onto the wire. */
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops)
 {
@@ -138,6 +166,25 @@
 	eq->hop_count++;
 }
 
+/* Tells whether workers that may get new work hold every layer. */
+static bool eq_covered(struct edge *edge, const struct rt_service *service,
+		       int64_t now)
+{
+	struct wk *wk;
+	int count = 0;
+
+	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+		if (count == EQ_CHAIN_WORKERS_MAX)
+			break;
+		if (!wk_usable(wk, now) ||
+		    strcmp(wk->is.service, service->name) != 0)
+			continue;
+		eq_list[count].from = wk->layers.from;
+		eq_list[count++].to = wk->layers.to;
+	}
+	return chn_covered(eq_list, count, service->engine.layers);
+}
+
 static void eq_chain_want(struct eq *eq, struct chn_want *want, int64_t now)
 {
 	struct edge *edge = eq->edge;
