Count the time of lapsed entries from the return of the store

Ruled out: the watch (it told of the removal within its 0.8 s). Change: a missing entry counts until 1.7 s after the return of the store, not after it was missed; the other figure, three seconds, goes.

--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -51,8 +51,6 @@
 #define EDGE_PLAN_US (50 * MAG_US_PER_MS)
 /* Entries that lapsed in an outage of the store are back by then. */
 #define EDGE_LAPSED_US (1700 * MAG_US_PER_MS)
-/* For so long after an outage a missing entry may have lapsed in it. */
-#define EDGE_AFTER_OUTAGE_US (3 * MAG_US_PER_S)
 /* The settings file may change without a signal. */
 #define EDGE_SETTINGS_US MAG_US_PER_S
 /* The balancer asks every second and takes a router out after two misses. */
@@ -529,14 +527,16 @@
 /*
  * When a worker whose entry is missing counts as gone: at once, unless the
  * entry may have lapsed while the store was away.  The worker writes it again
- * within two seconds then, and to drop all workers at once would refuse
- * every caller for as long.
+ * within two seconds of the store's return then, and to drop all workers at
+ * once would refuse every caller for as long.  The time runs from the return
+ * and not from when the entry was missed: a worker that leaves a second later
+ * must get nothing new within two seconds of that.
  */
 static int64_t edge_gone_us(const struct edge *edge, int64_t now)
 {
-	if (!edge->store_reachable ||
-	    (edge->store_back_us &&
-	     now - edge->store_back_us < EDGE_AFTER_OUTAGE_US))
+	int64_t lapsed_us = edge->store_back_us + EDGE_LAPSED_US;
+
+	if (!edge->store_reachable)
 		return now + EDGE_LAPSED_US;
-	return now;
+	return edge->store_back_us && now < lapsed_us ? lapsed_us : now;
 }
