--- a/src/wk.c
+++ b/src/wk.c
@@ -32,6 +32,13 @@
 /* For this long at first; twice as long if the next request breaks, too. */
 #define WK_DISTRUST_US	   MAG_US_PER_S
 #define WK_DISTRUST_DOUBLE 3
+/*
+ * A sound worker answers a question within 5 ms, 8 ms from another data
+ * centre.  One that has not done so yet gets nothing new: while a data centre
+ * is being cut off, streams that leave one of its workers would be sent to the
+ * next, and spend the runs that their route allows there.
+ */
+#define WK_ANSWER_US (15 * MAG_US_PER_MS)
 /* Weight of the newest outcome in the smoothed figures. */
 #define WK_SMOOTH 0.1
 
@@ -173,8 +180,10 @@
 /* Tells whether a worker may get new work. */
 bool wk_usable(const struct wk *wk, int64_t now)
 {
-	return wk_alive(wk, now) && !wk->on_trial && now >= wk->hold_until_us &&
-	       now >= wk->distrust_until_us;
+	bool waits = wk->probing && now - wk->probed_us > WK_ANSWER_US;
+
+	return wk_alive(wk, now) && !wk->on_trial && !waits &&
+	       now >= wk->hold_until_us && now >= wk->distrust_until_us;
 }
 
 /*
