--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -62,6 +62,38 @@
 			report.stalled[i].address);
 }
 
+/* "repath ID HOPS": an order with so many hops, the first ones shown. */
+static void show_repath(FILE *out, const char *line)
+{
+	static struct wire_hop hops[WIRE_HOPS_MAX];
+	char body[PL_ORDER_MAX];
+	char id[WIRE_ID_MAX];
+	int count = 0;
+	int i;
+
+	if (sscanf(line, "%63s %d", id, &count) != 2 || count > WIRE_HOPS_MAX)
+		return;
+	for (i = 0; i < count; i++) {
+		snprintf(hops[i].address, sizeof(hops[i].address),
+			 "10.100.200.%d:65535", 100 + i);
+		hops[i].from = 100 + i;
+		hops[i].to = 101 + i;
+	}
+	if (pl_order_repath(body, sizeof(body), id, hops, count))
+		fprintf(out, "too long\n");
+	else
+		fprintf(out, "%zu bytes %.100s\n", strlen(body), body);
+}
+
+/* "fault TEXT": whom an order was refused for. */
+static void show_fault(FILE *out, const char *text)
+{
+	char address[MAG_ADDR_MAX];
+
+	pl_order_fault(text, strlen(text), address, sizeof(address));
+	fprintf(out, "fault \"%s\"\n", address);
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	static char line[LINE_MAX_];
@@ -77,6 +109,10 @@
 			show_worker(out, line + 7);
 		else if (strncmp(line, "report ", 7) == 0)
 			show_report(out, line + 7);
+		else if (strncmp(line, "repath ", 7) == 0)
+			show_repath(out, line + 7);
+		else if (strncmp(line, "fault ", 6) == 0)
+			show_fault(out, line + 6);
 	}
 }
 
--- a/regress/edge/cut-off-chain.sh
+++ b/regress/edge/cut-off-chain.sh
@@ -2,17 +2,7 @@
 # centre is cut off.  To tell its first worker of another chain would be waited
 # for in vain, while callers count the pause: the streams go on elsewhere.
 . edge/lib.sh
-start_store
-put_config 1
-start_worker 1 model a small
-start_worker 2 model a small
-start_worker 3 model a small
-start_worker 4 model a small
-start_worker 5 app a
-start_router 1 a
-wait_for "ready 1"
-wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 4 ]"
-wait_for "served_by $(router 1)"
+start_halves
 "$build/tool_calls" cut 6 30 $(router 1) >"$dir/calls" &
 calls=$!
 sleep 2
--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -101,6 +101,22 @@
 	wait_for "served_once"
 }
 
+# One data centre with four small engines, which hold the layers in halves, two
+# of them each half, a plain worker and one router.
+start_halves() {
+	start_store
+	put_config 1
+	start_worker 1 model a small
+	start_worker 2 model a small
+	start_worker 3 model a small
+	start_worker 4 model a small
+	start_worker 5 app a
+	start_router 1 a
+	wait_for "ready 1"
+	wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 4 ]"
+	wait_for "served_by $(router 1)"
+}
+
 served_once() { served_by $(router 1) $(router 2); }
 
 # served_by ROUTER...: all of some requests are answered whole.
--- a/regress/edge/repaired-chain.sh
+++ b/regress/edge/repaired-chain.sh
@@ -3,17 +3,7 @@
 # told of another chain, so that a caller sees a short pause instead of a new
 # reading of the prompt, and no stream runs a second time.
 . edge/lib.sh
-start_store
-put_config 1
-start_worker 1 model a small
-start_worker 2 model a small
-start_worker 3 model a small
-start_worker 4 model a small
-start_worker 5 app a
-start_router 1 a
-wait_for "ready 1"
-wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 4 ]"
-wait_for "served_by $(router 1)"
+start_halves
 "$build/tool_calls" mend 6 30 $(router 1) >"$dir/calls" &
 calls=$!
 # Two engines hold the second half of the layers; one of them stops.
