Ask in one place whether a request is on a chain and which part a worker runs

Cause: eq_uses and eq_hop_of made the same search, the test whether a stream may be moved stood three times with the counter of stalls beside each, and what tells that a first worker lives stood half in eq_mend_alive. Change: eq_hop_of serves both; eq_on_chain and eq_move hold the test and the counter; eq_mend_alive holds all of it; the time to read a prompt is worked out for repairs only, not for each worker of each choice. The comment on runs says what is counted.

--- a/src/eq.h
+++ b/src/eq.h
@@ -60,7 +60,7 @@
 	struct eq_mend *mend; /* a repair is on its way; NULL: none */
 	int mends;	      /* repairs of this attempt's chain */
 	int sends;	      /* to workers, refused ones too */
-	int runs; /* of these, what may have run at a worker that lives */
+	int runs;	      /* of these, what may have run */
 	bool may_have_run;
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
 	int avoid_count;
@@ -98,7 +98,6 @@
 void eq_release(struct eq *eq);
 bool eq_avoids(const struct eq *eq, const struct wk *wk);
 void eq_avoid(struct eq *eq, const struct wk *wk);
-bool eq_uses(const struct eq *eq, const struct wk *wk);
 
 /* eq_chain.c */
 enum eq_choice {
@@ -112,6 +111,7 @@
 void eq_cover_tick(struct edge *edge, int64_t now);
 void eq_take_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
+const struct eq_hop *eq_hop_of(const struct eq *eq, const struct wk *wk);
 const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
 
 /* eq_mend.c */
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -41,7 +41,6 @@
 static void eq_chain_want(struct eq *eq, struct chn_want *want, int64_t now);
 static int eq_chain_workers(struct eq *eq, const struct eq_hop *first,
 			    int64_t now);
-static const struct eq_hop *eq_hop_of(const struct eq *eq, const struct wk *wk);
 static void eq_change_hops(struct eq *eq, const struct chn_chain *rest,
 			   int64_t now);
 static void eq_known_load(const struct wk *wk, int64_t now, double *held,
@@ -247,7 +246,7 @@
 		w->firsts_left = wk->is.slots - firsts;
 		w->keeps_from = keeps ? keeps->from : 0;
 		w->keeps_to = keeps ? keeps->to : 0;
-		w->read_us = eq_read_us(eq, kind);
+		w->read_us = first ? eq_read_us(eq, kind) : 0;
 		w->backlog_us = wk->read_until_us > now
 					? (double)(wk->read_until_us - now)
 					: 0;
@@ -256,7 +255,7 @@
 }
 
 /* Returns the part of a request's chain that a worker runs, or NULL. */
-static const struct eq_hop *eq_hop_of(const struct eq *eq, const struct wk *wk)
+const struct eq_hop *eq_hop_of(const struct eq *eq, const struct wk *wk)
 {
 	int i;
 
--- a/src/eq_mend.c
+++ b/src/eq_mend.c
@@ -58,9 +58,8 @@
 	struct eq_mend *mend;
 
 	if (!eq->call || eq->mend || eq->mends >= EQ_MENDS_MAX ||
-	    !eq_mend_alive(eq->hops[0].worker, now) || !eq->asks.attempt_id ||
-	    eq->hops[0].worker == fault || eq->hops[0].worker->mute ||
-	    eq->hops[0].worker->on_trial)
+	    !eq->asks.attempt_id || eq->hops[0].worker == fault ||
+	    !eq_mend_alive(eq->hops[0].worker, now))
 		return false;
 	eq_avoid(eq, fault);
 	if (!eq_choose_mend(eq, now))
@@ -91,9 +90,11 @@
 	return true;
 }
 
-/* Tells whether a first worker was heard a moment ago. */
+/* Tells whether a first worker was heard a moment ago and not lost since. */
 static bool eq_mend_alive(const struct wk *wk, int64_t now)
 {
+	if (wk->mute || wk->on_trial)
+		return false;
 	return now - wk->passed_us < EQ_MEND_ALIVE_US ||
 	       now - wk->reported_us < EQ_MEND_ALIVE_US;
 }
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -82,17 +82,6 @@
 	eq->avoid_count++;
 }
 
-bool eq_uses(const struct eq *eq, const struct wk *wk)
-{
-	int i;
-
-	for (i = 0; i < eq->hop_count; i++) {
-		if (eq->hops[i].worker == wk)
-			return true;
-	}
-	return false;
-}
-
 /* Waits while that can help, else ends the request at once. */
 static void eq_not_placed(struct eq *eq, enum eq_choice choice, int64_t now)
 {
@@ -209,9 +198,9 @@
 	send.fresh = eq->route->repeat == RT_ONCE;
 	send.head = strcmp(hs_method(eq->caller), "HEAD") == 0;
 	jlog(LOG_EQ_SENT,
-	     "\"request\":\"%s\",\"worker\":\"%s\",\"hops\":%d,\"chain\":\"%"
-	     "s\","
-	     "\"send\":%d,\"from_event\":%lld,\"requests_there\":%d,"
+	     "\"request\":\"%s\",\"worker\":\"%s\",\"hops\":%d,"
+	     "\"chain\":\"%s\",\"send\":%d,\"from_event\":%lld,"
+	     "\"requests_there\":%d,"
 	     "\"left_ms\":%d",
 	     jlog_text(id, sizeof(id), eq->asks.attempt_id), wk->is.id,
 	     eq->hop_count, eq_chain_text(eq, chain, sizeof(chain)), eq->sends,
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -39,6 +39,7 @@
 #define EQ_ASK_AGAIN_US (150 * MAG_US_PER_MS)
 #define EQ_ASKS_DOUBLE	3
 
+static bool eq_on_chain(const struct eq *eq);
 static bool eq_waits_for(const struct eq *eq, const struct wk *wk, int64_t now);
 static struct wk *eq_lost_hop(const struct eq *eq, int64_t now);
 static void eq_ask_quiet(struct eq *eq, int64_t now);
@@ -55,11 +56,10 @@
 	struct wk *lost;
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (!eq->call || eq->mend || !eq->service->has_engine)
+		if (!eq_on_chain(eq))
 			continue;
 		lost = eq_lost_hop(eq, now);
 		if (lost) {
-			met_add(&edge->met, MET_STALLS);
 			eq_move(eq, lost, "on a suspected worker");
 			continue;
 		}
@@ -97,6 +97,12 @@
 	return NULL;
 }
 
+/* Tells whether a stream is with a chain that nobody repairs just now. */
+static bool eq_on_chain(const struct eq *eq)
+{
+	return eq->call && !eq->mend && eq->service->has_engine;
+}
+
 /* Tells whether a stream, and all else through a worker, stands still. */
 static bool eq_waits_for(const struct eq *eq, const struct wk *wk, int64_t now)
 {
@@ -150,10 +156,9 @@
 		if (fault != wk)
 			wk_suspect(fault, now, "streams wait for it");
 		eq = eq_by_id(edge, stalled->attempt_id);
-		if (!eq || !eq->call || eq->mend || !eq_uses(eq, fault) ||
+		if (!eq || !eq_on_chain(eq) || !eq_hop_of(eq, fault) ||
 		    eq_silence(eq, now) < EQ_QUIET_US)
 			continue;
-		met_add(&edge->met, MET_STALLS);
 		eq_move(eq, fault, "stalled at a worker");
 	}
 	cds_list_for_each_entry (fault, &edge->workers.workers, node) {
@@ -169,10 +174,9 @@
 	struct eq *next;
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (!eq->call || eq->mend || !eq->service->has_engine ||
-		    !eq_uses(eq, wk) || !eq_waits_for(eq, wk, now))
+		if (!eq_on_chain(eq) || !eq_hop_of(eq, wk) ||
+		    !eq_waits_for(eq, wk, now))
 			continue;
-		met_add(&edge->met, MET_STALLS);
 		eq_move(eq, wk, "on a suspected worker");
 	}
 }
@@ -193,6 +197,7 @@
 {
 	int64_t now = clk_boot_us();
 
+	met_add(&eq->edge->met, MET_STALLS);
 	wk_add_victim(fault, eq->print, now);
 	if (eq_mend_start(eq, fault, now))
 		return;
