Double waits by one function; look for holes once a plan

Cause: the wait that doubles with each failure was written four times (three in wk, one in eq_stall), the log line of a suspicion twice, the search for a hole in plr and in lay, and plr made it anew for each worker without layers. Change: mag_backoff, wk_log_suspect and lay_has_hole serve all; holes are found once before the plan. PRES_PREFIX is defined once. Conclusion: ten lines fewer, and no search of all cards for each new worker.

--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -119,10 +119,11 @@
 	for (i = 0; i < eq->hop_count; i++) {
 		wk = eq->hops[i].worker;
 		if (now - wk->passed_us < EQ_QUIET_US ||
-		    now - wk->probed_us < EQ_ASK_AGAIN_US << wk->quiet_asks)
+		    now - wk->probed_us < mag_backoff(EQ_ASK_AGAIN_US,
+						      wk->quiet_asks,
+						      EQ_ASKS_DOUBLE))
 			continue;
-		if (wk->quiet_asks < EQ_ASKS_DOUBLE)
-			wk->quiet_asks++;
+		wk->quiet_asks++;
 		wkp_ask(eq->edge, wk, now);
 	}
 	if (eq_silence(eq, now) >= EQ_SILENCE_US)
--- a/src/lay.h
+++ b/src/lay.h
@@ -58,6 +58,8 @@
 	      bool widen);
 void lay_balance(const struct lay_model *model, struct lay_card *cards,
 		 int count, bool fresh);
+bool lay_has_hole(const struct lay_model *model, const struct lay_card *cards,
+		  int count, int centre);
 double lay_value(const struct lay_model *model, const struct lay_card *cards,
 		 int count, int centre, int *weakest);
 
--- a/src/lay_int.h
+++ b/src/lay_int.h
@@ -26,9 +26,6 @@
 		     int count, int centre);
 /* Takes the layers that cards back up into what they are to hold. */
 void lay_join_back_up(struct lay_card *cards, int count);
-/* Tells whether some layer of a data centre that holds any has no holder. */
-bool lay_has_hole(const struct lay_model *model, const struct lay_card *cards,
-		  int count, int centre);
 /* Tells whether every layer is to have a holder in a data centre. */
 bool lay_is_whole(const struct lay_model *model, const struct lay_card *cards,
 		  int count, int centre);
--- a/src/lay_repair.c
+++ b/src/lay_repair.c
@@ -113,7 +113,10 @@
 	return i == model->layers;
 }
 
-/* Tells whether some layer of a data centre that holds any has no holder. */
+/*
+ * Tells whether some layer of a data centre that is to hold any is to have no
+ * holder; before a plan, what is wanted is what is held.
+ */
 bool lay_has_hole(const struct lay_model *model, const struct lay_card *cards,
 		  int count, int centre)
 {
--- a/src/mag.c
+++ b/src/mag.c
@@ -76,6 +76,12 @@
 	return x;
 }
 
+/* Returns a wait that doubles with each failure before, up to a bound. */
+int64_t mag_backoff(int64_t first_us, int times, int doublings_max)
+{
+	return first_us << (times < doublings_max ? times : doublings_max);
+}
+
 /* Returns the next number of a seeded sequence in 0 .. 1. */
 double mag_random_unit(uint64_t *state)
 {
--- a/src/plr.c
+++ b/src/plr.c
@@ -60,8 +60,6 @@
 static struct lay_model plr_model(const struct rt_engine *engine);
 static int plr_cards(struct edge *edge, const struct rt_service *service,
 		     struct lay_card *cards, struct wk **workers, int64_t now);
-static bool plr_has_hole(const struct lay_model *model,
-			 const struct lay_card *cards, int count, int centre);
 static void plr_order(struct edge *edge, struct wk *wk,
 		      const struct wire_range *range, int64_t now);
 static bool plr_on_headers(void *user, const struct hc_answer *answer);
@@ -97,6 +95,7 @@
 	static struct wk *workers[PLR_CARDS_MAX];
 	struct lay_model model = plr_model(&service->engine);
 	struct wire_range range;
+	bool holes[EDGE_CENTRES_MAX];
 	bool hole = false;
 	bool fresh;
 	int count;
@@ -106,8 +105,10 @@
 	fresh = lay_is_fresh(cards, count);
 	if (fresh && now - edge->workers.grew_us < PLR_SETTLE_US)
 		return;
-	for (i = 0; i < edge->centre_count && !hole; i++)
-		hole = plr_has_hole(&model, cards, count, i);
+	for (i = 0; i < edge->centre_count; i++) {
+		holes[i] = lay_has_hole(&model, cards, count, i);
+		hole |= holes[i];
+	}
 	if (!hole)
 		*hole_since_us = 0;
 	else if (!*hole_since_us)
@@ -124,7 +125,7 @@
 		     range.to == workers[i]->layers.to))
 			continue;
 		if (!fresh && now - workers[i]->seen_us < PLR_SPARE_US &&
-		    !plr_has_hole(&model, cards, count, cards[i].centre))
+		    !holes[cards[i].centre])
 			continue;
 		plr_order(edge, workers[i], &range, now);
 	}
@@ -206,35 +207,14 @@
 		card->step_factor = kind->step_factor;
 		card->from = wk->ordered ? wk->order.from : wk->layers.from;
 		card->to = wk->ordered ? wk->order.to : wk->layers.to;
+		card->want_from = card->from;
+		card->want_to = card->to;
 		card->usable = true;
 		card->moving = wk->ordered || wk->busy;
 	}
 	return count;
 }
 
-/* Tells whether a data centre that holds layers lacks some. */
-static bool plr_has_hole(const struct lay_model *model,
-			 const struct lay_card *cards, int count, int centre)
-{
-	bool held[LAY_LAYERS_MAX] = { false };
-	bool any = false;
-	bool all = true;
-	int i;
-	int k;
-
-	for (i = 0; i < count; i++) {
-		if (cards[i].centre != centre)
-			continue;
-		for (k = cards[i].from; k < cards[i].to; k++)
-			held[k] = true;
-	}
-	for (k = 0; k < model->layers; k++) {
-		any |= held[k];
-		all &= held[k];
-	}
-	return any && !all;
-}
-
 /*
  * Orders a worker to hold layers.  The order carries the count of orders that
  * the worker has taken, so that it is refused if another one came between;
--- a/src/pres.c
+++ b/src/pres.c
@@ -7,9 +7,8 @@
 #include "jlog.h"
 #include "pres.h"
 
-#define PRES_PREFIX "mag/"
-#define PRES_PEER   "mag/instance/"
-#define PRES_PLACER "mag/placer"
+#define PRES_PEER   PRES_PREFIX "instance/"
+#define PRES_PLACER PRES_PREFIX "placer"
 /*
  * Only the placer holds a lease; it ends this long after its holder was heard
  * last.  Long enough for two lost renewals, short enough that another one
@@ -111,9 +110,7 @@
 /* Registers, stands for placer if there is none, and renews its lease. */
 void pres_tick(struct pres *pres, int64_t now)
 {
-	if (pres->leaving)
-		return;
-	if (!pres->listed)
+	if (pres->leaving || !pres->listed)
 		return;
 	if (!pres->own_right && !pres->registering &&
 	    now >= pres->register_us) {
--- a/src/wk.c
+++ b/src/wk.c
@@ -45,6 +45,8 @@
 static void wk_take_entry(struct wk *wk, const struct wire_worker *worker,
 			  int64_t now);
 static void wk_forget(struct wk_table *table, struct wk *wk);
+static void wk_log_suspect(const struct wk *wk, const char *why,
+			   int64_t hold_us, int times);
 
 void wk_init(struct wk_table *table, struct hc *hc)
 {
@@ -192,23 +194,17 @@
  */
 void wk_suspect(struct wk *wk, int64_t now, const char *why)
 {
-	int64_t hold = WK_SUSPECT_US;
-	int i;
+	int64_t hold = mag_backoff(WK_SUSPECT_US, wk->suspect_times,
+				   WK_SUSPECT_DOUBLE);
 
 	if (now < wk->suspect_until_us)
 		return;
-	for (i = 0; i < wk->suspect_times && i < WK_SUSPECT_DOUBLE; i++)
-		hold *= 2;
 	wk->suspect_until_us = now + hold;
 	wk->suspect_times++;
 	wk->on_trial = true;
 	wk->to_tell = wk->suspect_times == 1;
 	hc_host_drop_idle(wk->host);
-	jlog(LOG_WK_SUSPECT,
-	     "\"worker\":\"%s\",\"address\":\"%s\",\"why\":\"%s\","
-	     "\"for_ms\":%d,\"times\":%d",
-	     wk->is.id, wk->is.address, why, (int)(hold / MAG_US_PER_MS),
-	     wk->suspect_times);
+	wk_log_suspect(wk, why, hold, wk->suspect_times);
 }
 
 /* Gives a worker nothing new for a moment, while it is asked how it is. */
@@ -223,9 +219,9 @@
 	/* Those that were on their way together count as one. */
 	if (now < wk->hold_until_us)
 		return;
-	wk->hold_until_us = now + (WK_HOLD_OFF_US << wk->refusals);
-	if (wk->refusals < WK_HOLD_DOUBLE)
-		wk->refusals++;
+	wk->hold_until_us =
+		now + mag_backoff(WK_HOLD_OFF_US, wk->refusals, WK_HOLD_DOUBLE);
+	wk->refusals++;
 }
 
 /* A worker began a request: it refuses no more. */
@@ -248,15 +244,21 @@
 	if (now < wk->distrust_until_us ||
 	    (wk->distrust_times == 0 && wk->broken_in_row < WK_BROKEN_MAX))
 		return;
-	hold = WK_DISTRUST_US << wk->distrust_times;
+	hold = mag_backoff(WK_DISTRUST_US, wk->distrust_times,
+			   WK_DISTRUST_DOUBLE);
 	wk->distrust_until_us = now + hold;
-	if (wk->distrust_times < WK_DISTRUST_DOUBLE)
-		wk->distrust_times++;
+	wk->distrust_times++;
+	wk_log_suspect(wk, "requests break off", hold, wk->broken_in_row);
+}
+
+static void wk_log_suspect(const struct wk *wk, const char *why,
+			   int64_t hold_us, int times)
+{
 	jlog(LOG_WK_SUSPECT,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"why\":\"%s\","
 	     "\"for_ms\":%d,\"times\":%d",
-	     wk->is.id, wk->is.address, "requests break off",
-	     (int)(hold / MAG_US_PER_MS), wk->broken_in_row);
+	     wk->is.id, wk->is.address, why, (int)(hold_us / MAG_US_PER_MS),
+	     times);
 }
 
 /* A request to this worker came to its first event, or to its answer. */
