Split the parser's callbacks off the HTTP server

Cause: src/hs.c had grown to 602 lines with two jobs: connections with their answers, and filling a request while the parser reads it. Ruled out: splitting by connection and listener, which share every state. Change: hs_parse.c holds the callbacks and the limits they keep, hs_int.h what both parts share; a callback that did nothing is gone. Lines moved as they were. Conclusion: no behaviour changes.

--- a/src/hs.c
+++ b/src/hs.c
@@ -5,19 +5,13 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <event2/util.h>
-#include <http_parser.h>
-#include <urcu/list.h>
 
 #include "clk.h"
-#include "hs.h"
-#include "mag.h"
+#include "hs_int.h"
 
 /*
  * Bytes that one connection may hold unread beyond the request in progress:
@@ -25,7 +19,6 @@
  */
 #define HS_READ_AHEAD 65536
 #define HS_BACKLOG    1024
-#define HS_TARGET_MAX 8192
 /* A caller that takes no byte for so long is taken for gone (milliseconds). */
 #define HS_USER_TIMEOUT 5000
 #define HS_DEFAULT_IDLE 15000
@@ -33,42 +26,6 @@
 #define HS_HEADER_BYTES 16384
 #define HS_BODY_BYTES	(4U << 20)
 
-enum hs_state {
-	HS_READING,   /* waits for a request, or is in the middle of one */
-	HS_ANSWERING, /* a request is with the owner */
-	HS_CLOSING,   /* the answer drains, then the connection closes */
-};
-
-struct hs {
-	struct event_base *base;
-	struct evconnlistener *listener;
-	struct hs_ops ops;
-	void *ctx;
-	struct hs_limits limits;
-	struct cds_list_head conns;
-	bool keep; /* answers leave their connections open */
-};
-
-struct hs_conn {
-	struct cds_list_head node;
-	struct hs *hs;
-	struct bufferevent *bev;
-	http_parser parser;
-	enum hs_state state;
-	struct hdr_list headers;
-	struct evbuffer *body;
-	char target[HS_TARGET_MAX];
-	size_t target_len;
-	size_t header_len;
-	int64_t due_us; /* of the header, or of the next request */
-	void *user;
-	int error_status; /* found while parsing, 0: none */
-	bool begun;	  /* bytes of the next request have come */
-	bool whole;	  /* the request has been read to its end */
-	bool keep_alive;
-	bool chunked; /* the answer in progress */
-};
-
 static void hs_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *addr, int addr_len, void *arg);
 static void hs_read(struct bufferevent *bev, void *arg);
@@ -80,26 +37,8 @@
 static void hs_close(struct hs_conn *conn);
 static void hs_lost(struct hs_conn *conn);
 static void hs_end_answer(struct hs_conn *conn);
-static int hs_count_header(struct hs_conn *conn, size_t len);
-static int hs_on_url(http_parser *parser, const char *at, size_t len);
-static int hs_on_field(http_parser *parser, const char *at, size_t len);
-static int hs_on_value(http_parser *parser, const char *at, size_t len);
-static int hs_on_headers(http_parser *parser);
-static int hs_on_body(http_parser *parser, const char *at, size_t len);
-static int hs_on_begin(http_parser *parser);
-static int hs_on_complete(http_parser *parser);
 static const char *hs_reason(int status);
 
-static const http_parser_settings hs_settings = {
-	.on_message_begin = hs_on_begin,
-	.on_url = hs_on_url,
-	.on_header_field = hs_on_field,
-	.on_header_value = hs_on_value,
-	.on_headers_complete = hs_on_headers,
-	.on_body = hs_on_body,
-	.on_message_complete = hs_on_complete,
-};
-
 /*
  * Listens on "ip:port".  Returns HS_E_LISTEN if the address is not free or
  * not this machine's.
@@ -480,93 +419,6 @@
 	bufferevent_enable(conn->bev, EV_WRITE);
 }
 
-static int hs_on_begin(http_parser *parser)
-{
-	(void)parser;
-	return 0;
-}
-
-static int hs_on_url(http_parser *parser, const char *at, size_t len)
-{
-	struct hs_conn *conn = parser->data;
-
-	if (conn->target_len + len + 1 > sizeof(conn->target)) {
-		conn->error_status = 431;
-		return -1;
-	}
-	memcpy(conn->target + conn->target_len, at, len);
-	conn->target_len += len;
-	conn->target[conn->target_len] = '\0';
-	return 0;
-}
-
-/* Counts header bytes against the limit, so that no header fills memory. */
-static int hs_count_header(struct hs_conn *conn, size_t len)
-{
-	conn->header_len += len;
-	if (conn->header_len <= conn->hs->limits.header_bytes)
-		return 0;
-	conn->error_status = 431;
-	return -1;
-}
-
-static int hs_on_field(http_parser *parser, const char *at, size_t len)
-{
-	struct hs_conn *conn = parser->data;
-
-	if (hs_count_header(conn, len))
-		return -1;
-	return hdr_add_name(&conn->headers, at, len);
-}
-
-static int hs_on_value(http_parser *parser, const char *at, size_t len)
-{
-	struct hs_conn *conn = parser->data;
-
-	if (hs_count_header(conn, len))
-		return -1;
-	return hdr_add_value(&conn->headers, at, len);
-}
-
-/* Refuses a body that is known to be too long, and says that one may come. */
-static int hs_on_headers(http_parser *parser)
-{
-	struct hs_conn *conn = parser->data;
-	const char *expect = hdr_get(&conn->headers, "Expect");
-
-	conn->due_us = MAG_NEVER;
-	if (parser->content_length != UINT64_MAX &&
-	    parser->content_length > conn->hs->limits.body_bytes) {
-		conn->error_status = 413;
-		return -1;
-	}
-	if (expect && strcasecmp(expect, "100-continue") == 0)
-		evbuffer_add_printf(bufferevent_get_output(conn->bev),
-				    "HTTP/1.1 100 Continue\r\n\r\n");
-	return 0;
-}
-
-static int hs_on_body(http_parser *parser, const char *at, size_t len)
-{
-	struct hs_conn *conn = parser->data;
-	size_t have = evbuffer_get_length(conn->body);
-
-	if (have + len > conn->hs->limits.body_bytes) {
-		conn->error_status = 413;
-		return -1;
-	}
-	return evbuffer_add(conn->body, at, len);
-}
-
-static int hs_on_complete(http_parser *parser)
-{
-	struct hs_conn *conn = parser->data;
-
-	conn->whole = true;
-	http_parser_pause(parser, 1);
-	return 0;
-}
-
 static const char *hs_reason(int status)
 {
 	switch (status) {
