Take the younger of two workers that are listed at one address

The refusal named an address, which led to the entry of the new worker; the old one, whose layers were used, stayed in use. Ruled out: late orders (none to that worker), reports (both entries were asked, and the one process answered for both).

Change: an entry is not used once a younger worker is listed at its address, and a refusal is counted against the worker of the request's own chain. regress/wk/address fails on the code before (w-1 gets requests).

--- /dev/null
+++ b/regress/check_wk.c
@@ -0,0 +1,70 @@
+#include <string.h>
+
+#include <event2/event.h>
+
+#include "script.h"
+#include "wk.h"
+
+#define LINE_MAX_ 256
+
+static struct wk_table table;
+
+/* "entry ID ADDRESS BORN_MS FROM TO": an entry of the store's list. */
+static void put(const char *line, int64_t now)
+{
+	struct wire_worker worker = { .slots = 8 };
+	long long born;
+
+	if (sscanf(line, "%*s %63s %47s %lld %d %d", worker.id, worker.address,
+		   &born, &worker.layers.from, &worker.layers.to) != 5)
+		return;
+	worker.born_ms = born;
+	wk_list_put(&table, &worker, now, NULL);
+}
+
+static void print(FILE *out, int64_t now)
+{
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &table.workers, node)
+		fprintf(out, "%s %s\n", wk->is.id,
+			wk_usable(wk, now) ? "gets requests" : "gets none");
+}
+
+static void drive(FILE *in, FILE *out)
+{
+	struct event_base *base = event_base_new();
+	struct hc *hc = hc_new(base);
+	char line[LINE_MAX_];
+	char text[LINE_MAX_];
+	const struct wk *wk;
+	int64_t now = MAG_US_PER_S;
+	struct wk *left;
+	struct wk *next;
+
+	wk_init(&table, hc);
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] == '#' || line[0] == '\n')
+			continue;
+		fprintf(out, "> %s", line);
+		if (strncmp(line, "entry", 5) == 0)
+			put(line, now);
+		else if (sscanf(line, "gone %63s", text) == 1)
+			wk_remove(&table, text, now, now);
+		else if (strncmp(line, "who", 3) == 0)
+			print(out, now);
+		else if (sscanf(line, "at %47s", text) == 1 &&
+			 (wk = wk_by_address(&table, text)))
+			fprintf(out, "%s\n", wk->is.id);
+	}
+	cds_list_for_each_entry_safe (left, next, &table.workers, node)
+		wk_remove(&table, left->is.id, now, now);
+	wk_tick(&table, now);
+	hc_free(hc);
+	event_base_free(base);
+}
+
+int main(void)
+{
+	return script_main("regress/wk", drive);
+}
--- a/src/eq.h
+++ b/src/eq.h
@@ -112,6 +112,7 @@
 void eq_take_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
 const struct eq_hop *eq_hop_of(const struct eq *eq, const struct wk *wk);
+struct wk *eq_hop_at(const struct eq *eq, const char *address);
 const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
 
 /* eq_mend.c */
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -247,7 +247,7 @@
 	struct wk *fault = NULL;
 
 	if (eq->at_fault[0])
-		fault = wk_by_address(&edge->workers, eq->at_fault);
+		fault = eq_hop_at(eq, eq->at_fault);
 	if (!fault)
 		fault = wk;
 	eq_avoid(eq, fault);
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -246,7 +246,7 @@
 		w->firsts_left = wk->is.slots - firsts;
 		w->keeps_from = keeps ? keeps->from : 0;
 		w->keeps_to = keeps ? keeps->to : 0;
-		w->read_us = first ? eq_read_us(eq, kind) : 0;
+		w->read_us = first ? eq_read_us(eq, kind) * wk->slowdown : 0;
 		w->backlog_us = wk->read_until_us > now
 					? (double)(wk->read_until_us - now)
 					: 0;
@@ -266,6 +266,21 @@
 	return NULL;
 }
 
+/*
+ * Returns the worker of a request's chain that has an address, or NULL.  The
+ * list may name several at one address, of which the request met this one.
+ */
+struct wk *eq_hop_at(const struct eq *eq, const char *address)
+{
+	int i;
+
+	for (i = 0; i < eq->hop_count; i++) {
+		if (strcmp(eq->hops[i].worker->is.address, address) == 0)
+			return eq->hops[i].worker;
+	}
+	return NULL;
+}
+
 /* Takes the places of a repaired chain, then gives the old ones back. */
 static void eq_change_hops(struct eq *eq, const struct chn_chain *rest,
 			   int64_t now)
--- a/src/eq_mend.c
+++ b/src/eq_mend.c
@@ -174,7 +174,7 @@
 	struct wk *fault = NULL;
 
 	if (address[0])
-		fault = wk_by_address(&eq->edge->workers, address);
+		fault = eq_hop_at(eq, address);
 	if (fault) {
 		wk_refused(fault, now);
 		if (eq_mend_start(eq, fault, now))
--- a/src/wk.c
+++ b/src/wk.c
@@ -44,6 +44,7 @@
 
 static void wk_take_entry(struct wk *wk, const struct wire_worker *worker,
 			  int64_t now);
+static void wk_settle_address(struct wk_table *table, struct wk *wk);
 static void wk_forget(struct wk_table *table, struct wk *wk);
 static void wk_log_suspect(const struct wk *wk, const char *why,
 			   int64_t hold_us, int times);
@@ -102,6 +103,7 @@
 		     wk->layers.from, wk->layers.to);
 	}
 	wk_take_entry(wk, worker, now);
+	wk_settle_address(table, wk);
 	if (out)
 		*out = wk;
 	return WK_OK;
@@ -165,7 +167,7 @@
 	cds_list_for_each_entry (wk, &table->workers, node) {
 		if (strcmp(wk->is.address, address) != 0)
 			continue;
-		if (!found || wk->listed)
+		if (!found || (wk->listed && !wk->replaced))
 			found = wk;
 	}
 	return found;
@@ -174,7 +176,7 @@
 /* Tells whether a worker is neither gone nor leaving. */
 bool wk_alive(const struct wk *wk, int64_t now)
 {
-	if (wk->is.draining)
+	if (wk->is.draining || wk->replaced)
 		return false;
 	return wk->listed || now < wk->gone_us;
 }
@@ -333,6 +335,7 @@
 		     worker->id, (long long)worker->born_ms);
 		wk->orders_taken = -1;
 		wk->reported_us = 0;
+		wk->slowdown = 1;
 		wk->leaving_us = worker->draining ? now : MAG_NEVER;
 		wk->on_trial = false;
 		wk->ordered = false;
@@ -350,6 +353,29 @@
 	wk->is = *worker;
 }
 
+/*
+ * Of two workers that are listed at one address the younger one has it.  A
+ * worker that crashed comes back under a new name before its old entry lapses;
+ * requests that are sent by the old entry's layers meet the new worker, which
+ * holds none, and each of them is refused.
+ */
+static void wk_settle_address(struct wk_table *table, struct wk *wk)
+{
+	struct wk *other;
+
+	wk->replaced = false;
+	cds_list_for_each_entry (other, &table->workers, node) {
+		if (other == wk || !other->listed ||
+		    strcmp(other->is.address, wk->is.address) != 0 ||
+		    !other->is.born_ms || !wk->is.born_ms)
+			continue;
+		if (other->is.born_ms < wk->is.born_ms)
+			other->replaced = true;
+		else if (other->is.born_ms > wk->is.born_ms)
+			wk->replaced = true;
+	}
+}
+
 static void wk_forget(struct wk_table *table, struct wk *wk)
 {
 	cds_list_del(&wk->node);
--- a/src/wk.h
+++ b/src/wk.h
@@ -31,6 +31,7 @@
 	int64_t seen_us;    /* for the first time */
 	bool listed;	    /* the store's list has it */
 	bool seen;	    /* in the listing that is being read */
+	bool replaced;	    /* a younger worker is listed at its address */
 	int64_t gone_us;    /* taken for gone from then on; MAG_NEVER */
 	int64_t leaving_us; /* its leaving was first seen; MAG_NEVER */
 
@@ -39,9 +40,10 @@
 	int64_t layers_us;	  /* when the list last changed them */
 	int64_t reported_us;	  /* of the last report, 0: none */
 	bool busy;		  /* with an order, by the last report */
-	double slowdown;
-	double told_held; /* memory in use, by the last report */
-	int told_firsts;  /* requests there as the first worker, likewise */
+	double slowdown;	  /* 1: as fast as its kind */
+	int64_t slowdown_us;	  /* when that was learned, 0: never */
+	double told_held;	  /* memory in use, by the last report */
+	int told_firsts; /* requests there as the first worker, likewise */
 
 	int64_t hold_until_us;	  /* it refused: nothing new until then */
 	int refusals;		  /* since it began a request of ours last */
