Let one router's word serve all: peers vouch for the configuration's age

Ruled out: shorter watches (each call is paid for).

Change: routers tell each other in their hints which version they know to be the newest and how old that is; the receiver's own clock comes back with it and alone counts. Any router asks the store for its revision when nobody vouched for 0.4 s and some. The answer also wakes a watch that has fallen silent, and finds the end of an outage: a router no longer waits for an answer that was lost. Keys are trusted for 0.98 of the bound; a router says that it is not ready after 0.6 of it. Paces of workers that peers learned are passed on, too. regress/vch models frozen, restarted and cut-off routers and a removed key; regress/edge/cut-from-store fails on the code before (503).

--- /dev/null
+++ b/regress/check_vch.c
@@ -0,0 +1,156 @@
+#include <string.h>
+
+#include "script.h"
+#include "vch.h"
+
+#define ROUTERS_MAX 32
+#define LINE_MAX_   256
+
+/*
+ * Routers with clocks of their own, messages that can be held up, and a store
+ * whose configuration changes: what each router takes for trusted is compared
+ * with what the store has held.
+ */
+struct router {
+	struct vch vch;
+	long clock_ms; /* its own clock, when the common one says 0 */
+	long long version;
+	struct vch_word kept; /* a message that was written and not sent */
+};
+
+static struct router routers[ROUTERS_MAX];
+static long now_ms;
+static long bound_ms;
+static long changed_ms; /* the store's newest version holds since then */
+static long long newest;
+
+static int64_t clock_of(const struct router *router)
+{
+	return (now_ms + router->clock_ms) * MAG_US_PER_MS;
+}
+
+/* "router N CLOCK_MS": a router that starts knows nothing. */
+static void start(int n, long clock_ms)
+{
+	static uint32_t session = 100;
+	struct router *router = &routers[n];
+
+	memset(router, 0, sizeof(*router));
+	session++;
+	vch_init(&router->vch, session, session);
+	router->clock_ms = clock_ms;
+	router->version = -1;
+}
+
+/* What one router writes to another one, with the newest time heard of it. */
+static struct vch_word word_of(int from, int to, long heard_ms)
+{
+	const struct router *sender = &routers[from];
+	const struct router *receiver = &routers[to];
+	struct vch_word word;
+
+	vch_tell(&sender->vch, sender->version, clock_of(sender), &word);
+	word.session = receiver->vch.session;
+	word.echo_us = (heard_ms + receiver->clock_ms) * MAG_US_PER_MS;
+	return word;
+}
+
+/* Prints what a router does with a key, and whether that is right. */
+static void print(FILE *out, int n)
+{
+	const struct router *router = &routers[n];
+	bool trusted = vch_trusted(&router->vch, bound_ms * MAG_US_PER_MS,
+				   clock_of(router));
+	bool wrong = trusted && router->version < newest &&
+		     now_ms - changed_ms > bound_ms;
+
+	fprintf(out, "%d %s%s\n", n, trusted ? "trusts" : "refuses",
+		wrong ? " a key that was taken away" : "");
+}
+
+static void drive(FILE *in, FILE *out)
+{
+	char line[LINE_MAX_];
+	int asks;
+	int most;
+	long ms;
+	int a;
+	int b;
+
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] == '#' || line[0] == '\n')
+			continue;
+		fprintf(out, "> %s", line);
+		if (sscanf(line, "bound %ld", &bound_ms) == 1) {
+			now_ms = 0;
+			newest = 1;
+			changed_ms = 0;
+		} else if (sscanf(line, "at %ld", &ms) == 1) {
+			now_ms = ms;
+		} else if (sscanf(line, "router %d %ld", &a, &ms) == 2) {
+			start(a, ms);
+		} else if (strncmp(line, "change", 6) == 0) {
+			newest++;
+			changed_ms = now_ms;
+		} else if (sscanf(line, "store %d %ld", &a, &ms) == 2) {
+			/* It hears of what the store held MS ago. */
+			if (now_ms - ms >= changed_ms)
+				routers[a].version = newest;
+			vch_from_store(&routers[a].vch,
+				       clock_of(&routers[a]) -
+					       ms * MAG_US_PER_MS);
+		} else if (sscanf(line, "tell %d %d %ld", &a, &b, &ms) == 3) {
+			routers[a].kept = word_of(a, b, now_ms - ms);
+			fprintf(out, "%s\n",
+				vch_from_peer(&routers[b].vch, &routers[a].kept,
+					      routers[b].version,
+					      clock_of(&routers[b]))
+					? "taken"
+					: "not taken");
+		} else if (sscanf(line, "write %d %d %ld", &a, &b, &ms) == 3) {
+			routers[a].kept = word_of(a, b, now_ms - ms);
+		} else if (sscanf(line, "arrive %d %d", &a, &b) == 2) {
+			fprintf(out, "%s\n",
+				vch_from_peer(&routers[b].vch, &routers[a].kept,
+					      routers[b].version,
+					      clock_of(&routers[b]))
+					? "taken"
+					: "not taken");
+		} else if (sscanf(line, "key %d", &a) == 1) {
+			print(out, a);
+		} else if (sscanf(line, "asks %d %d", &b, &most) == 2) {
+			/* Routers 0 to N-1 hear of each answer at once. */
+			asks = 0;
+			for (ms = now_ms + 10000; now_ms < ms; now_ms += 10) {
+				for (a = 0; a < b; a++) {
+					if (!vch_is_time_to_ask(
+						    &routers[a].vch, b,
+						    clock_of(&routers[a])))
+						continue;
+					asks++;
+					routers[a].version = newest;
+					vch_from_store(&routers[a].vch,
+						       clock_of(&routers[a]));
+				}
+				for (a = 1; a < 2 * b; a++) {
+					struct vch_word word = word_of(
+						a % b, (a + 1) % b, now_ms);
+
+					vch_from_peer(
+						&routers[(a + 1) % b].vch,
+						&word,
+						routers[(a + 1) % b].version,
+						clock_of(
+							&routers[(a + 1) % b]));
+				}
+			}
+			fprintf(out, "%s\n",
+				asks <= most * 10 ? "in bounds" : "too many");
+		}
+	}
+}
+
+int main(void)
+{
+	return script_main("regress/vch", drive);
+}
--- /dev/null
+++ b/regress/edge/cut-from-store.sh
@@ -0,0 +1,30 @@
+# One router cannot reach the store and the other one can.  Keys must not be
+# trusted for longer than the bound; without its peer's word the router would
+# refuse all of its callers for as long as that lasts, and its callers' second
+# attempts would meet it again.
+. edge/lib.sh
+mkfifo "$dir/proxy"
+"$build/tool_proxy" 127.0.0.1:$((base + 1)) $store <"$dir/proxy" 2>/dev/null &
+pids="$pids $!"
+exec 5>"$dir/proxy"
+echo pass >&5
+start_store
+put_config 1
+start_worker 1 app a
+STORE_SEEN=127.0.0.1:$((base + 1)) start_router 1 a
+start_router 2 a
+ask() { curl -s -o "$dir/null" -w '%{http_code}' -H 'Host: h.example' -H "Attempt-Id: k$(date +%N)" -H 'Authorization: Token key-1' "http://$(router 1)/r/x"; }
+wait_for "ready 1" && wait_for "ready 2"
+wait_for "[ \$(ask) = 200 ]"
+wait_for "[ \$(curl -s http://$store/api/kv-range?PathPrefix=mag/instance | grep -o instance/r- | wc -l) = 2 ]"
+# The routers hear of each other by the next watch.
+sleep 1.5
+echo silent >&5
+wait_for "logged 1 platform-unreachable" && echo "cut off from the store"
+sleep 6
+ready 1 && echo "ready"
+echo "$(ask)"
+# A key is taken away, which the peer knows and this router does not.
+put_config 2 '"key-2"'
+wait_for "! ready 1" && echo "not ready"
+wait_for "[ \$(ask) = 503 ]" && echo "refused"
--- a/src/edge.c
+++ b/src/edge.c
@@ -129,5 +129,5 @@
 	    now - edge->chainless_us > EDGE_CHAINLESS_US)
 		return false;
 	return !edge->rt->has_accounts || !edge->set.keys_fail_closed ||
-	       now - edge->rt_fresh_us < edge->set.keys_stale_us * 17 / 20;
+	       !vch_soon_untrusted(&edge->vch, edge->set.keys_stale_us, now);
 }
--- a/src/edge.h
+++ b/src/edge.h
@@ -18,6 +18,7 @@
 #include "quar.h"
 #include "rt.h"
 #include "sto.h"
+#include "vch.h"
 #include "wk.h"
 
 #define EDGE_CENTRES_MAX  32
@@ -48,14 +49,15 @@
 	struct hs *readiness;
 	struct hs *metrics;
 	struct sto *sto;
+	struct sto_follow *follow;
 	struct pres *pres;
 	struct hint *hint;
 	struct wk_table workers;
 	struct quar *quar;
 	struct edge_placer placer;
 
-	struct rt_set *rt;   /* NULL until the first configuration */
-	int64_t rt_fresh_us; /* it was the newest at this time */
+	struct rt_set *rt; /* NULL until the first configuration */
+	struct vch vch;	   /* how old it may be */
 	bool workers_listed;
 	bool store_reachable;
 	int64_t store_back_us; /* when the store was last regained */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -172,6 +172,7 @@
 	randombytes_buf(&incarnation, sizeof(incarnation));
 	edge->seed |= 1;
 	edge->started_us = clk_boot_us();
+	vch_init(&edge->vch, (uint32_t)incarnation, edge_random(edge));
 	CDS_INIT_LIST_HEAD(&edge->requests);
 	edge->hc = edge->base ? hc_new(edge->base) : NULL;
 	edge->quar = quar_new(EDGE_QUARANTINES, EDGE_QUARANTINE_US);
@@ -248,7 +249,7 @@
 	struct edge *edge = &run->edge;
 
 	edge->store_reachable = true;
-	if (sto_follow(edge->sto, &all, NULL)) {
+	if (sto_follow(edge->sto, &all, &edge->follow)) {
 		jlog(LOG_START_FAILED, "\"why\":\"out of memory\"");
 		return -1;
 	}
@@ -275,6 +276,9 @@
 	hs_tick(edge->readiness, now);
 	hs_tick(edge->metrics, now);
 	sto_tick(edge->sto, now);
+	if (vch_is_time_to_ask(&edge->vch, 1 + pres_peer_count(edge->pres),
+			       now))
+		sto_follow_ask(edge->follow);
 	pres_tick(edge->pres, now);
 	wk_tick(&edge->workers, now);
 	wkp_tick(edge, now);
@@ -434,7 +438,7 @@
 {
 	struct edge_run *run = user;
 
-	run->edge.rt_fresh_us = sent_us;
+	vch_from_store(&run->edge.vch, sent_us);
 }
 
 /* Takes a newer configuration; an older one never comes back. */
--- a/src/eq.c
+++ b/src/eq.c
@@ -295,10 +295,9 @@
 static bool eq_admit(struct eq *eq, int64_t now)
 {
 	const struct edge *edge = eq->edge;
-	int64_t stale = now - edge->rt_fresh_us;
 
 	if (eq->account && edge->set.keys_fail_closed &&
-	    stale > edge->set.keys_stale_us * 9 / 10) {
+	    !vch_trusted(&edge->vch, edge->set.keys_stale_us, now)) {
 		eq_refuse(eq, 503, eq_where(eq, now), "keys too old");
 		return false;
 	}
@@ -392,7 +391,7 @@
 		     : -1,
 	     (int)(eq->gap_us / MAG_US_PER_MS), eq->sends,
 	     eq->may_have_run ? "true" : "false", (long long)eq->rt->version,
-	     (int)((now - eq->edge->rt_fresh_us) / MAG_US_PER_MS),
+	     (int)((now - eq->edge->vch.fresh_us) / MAG_US_PER_MS),
 	     eq->hop_count > 0 ? eq->hops[0].worker->is.id : "");
 }
 
--- a/src/hint.c
+++ b/src/hint.c
@@ -17,7 +17,7 @@
 #include "wkp.h"
 
 #define HINT_MAGIC   0x4d414748U
-#define HINT_VERSION 2U
+#define HINT_VERSION 3U
 /*
  * Routers of a data centre share its workers: what one does not know of the
  * others' new streams it sends to workers that are full.  A data centre starts
@@ -31,9 +31,11 @@
 #define HINT_QUARANTINE_US (60 * MAG_US_PER_S)
 /* A suspicion is told in all messages of this time, as one may be lost. */
 #define HINT_SUSPECT_US (600 * MAG_US_PER_MS)
+/* A worker's own word of its pace is passed on for this long. */
+#define HINT_SLOWDOWN_US (300 * MAG_US_PER_MS)
 /* A datagram stays below the smallest common transfer unit. */
 #define HINT_BYTES_MAX	  1400
-#define HINT_LOADS_MAX	  80
+#define HINT_LOADS_MAX	  60
 #define HINT_NEWS_MAX	  4
 #define HINT_SUSPECTS_MAX 16
 #define HINT_PEERS_MAX	  1024
@@ -49,6 +51,7 @@
 	uint32_t worker; /* hash of its id */
 	float held;	 /* tokens x layers */
 	uint32_t firsts;
+	float slowdown; /* as learned a moment ago; 0: not known */
 };
 
 struct hint_news {
@@ -61,6 +64,9 @@
 	uint32_t version;
 	char *name;
 	uint32_t ready; /* it takes callers and can check their keys */
+	uint32_t session;
+	int64_t stamp_us; /* the sender's clock */
+	struct vch_word word;
 	uint32_t load_count;
 	struct hint_load loads[HINT_LOADS_MAX];
 	uint32_t news_count;
@@ -74,6 +80,9 @@
 	char name[MAG_NAME_MAX];
 	int64_t heard_us;
 	bool ready;
+	struct sockaddr_in from; /* where its last message came from */
+	uint32_t session;
+	int64_t stamp_us; /* its newest clock, to be given back */
 	uint32_t load_count;
 	struct hint_load loads[HINT_LOADS_MAX];
 };
@@ -90,13 +99,20 @@
 
 static void hint_readable(evutil_socket_t fd, short what, void *arg);
 static bool_t hint_xdr(XDR *xdr, struct hint_message *message);
+static bool_t hint_xdr_word(XDR *xdr, struct hint_message *message);
 static void hint_send(struct hint *hint, int near, int far);
-static void hint_send_to(struct hint *hint, const struct pres_peer *peer,
-			 const char *bytes, size_t len);
+static void hint_send_heard(struct hint *hint, struct hint_message *message);
+static void hint_send_to(struct hint *hint, const struct sockaddr_in *addr,
+			 struct hint_peer *peer, struct hint_message *message);
+static struct hint_peer *hint_peer_named(struct hint *hint, const char *name);
 static bool hint_has_suspect(struct hint *hint);
 static void hint_collect(struct hint *hint, struct hint_message *message);
-static void hint_take(struct hint *hint, const struct hint_message *message);
+static void hint_take(struct hint *hint, const struct hint_message *message,
+		      const struct sockaddr_in *from);
 static void hint_add_up(struct hint *hint, int64_t now);
+static float hint_slowdown(const struct wk *wk, int64_t now);
+static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
+			       int64_t heard_us);
 static uint32_t hint_hash(const char *id);
 static void hint_suspect(struct hint *hint, uint32_t hash, const char *peer,
 			 int64_t now);
@@ -179,18 +195,17 @@
 static void hint_send(struct hint *hint, int near, int far)
 {
 	static struct hint_message message;
-	char bytes[HINT_BYTES_MAX];
 	int peers = pres_peer_count(hint->edge->pres);
 	const struct pres_peer *peer;
+	struct sockaddr_in addr;
+	int addr_len;
 	int *left;
-	XDR xdr;
 	int i;
 
 	hint_collect(hint, &message);
-	xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
-	if (!hint_xdr(&xdr, &message))
-		return;
-	if (peers > 0)
+	if (peers == 0)
+		hint_send_heard(hint, &message);
+	else
 		hint->turn = (hint->turn + HINT_FAR_MAX) % peers;
 	for (i = 0; i < peers && (near > 0 || far > 0); i++) {
 		peer = pres_peer(hint->edge->pres, (hint->turn + i) % peers);
@@ -200,22 +215,54 @@
 		if (*left == 0)
 			continue;
 		(*left)--;
-		hint_send_to(hint, peer, bytes, xdr_getpos(&xdr));
+		addr_len = sizeof(addr);
+		if (!evutil_parse_sockaddr_port(
+			    peer->address, (struct sockaddr *)&addr, &addr_len))
+			hint_send_to(hint, &addr,
+				     hint_peer_named(hint, peer->name),
+				     &message);
 	}
 }
 
-static void hint_send_to(struct hint *hint, const struct pres_peer *peer,
-			 const char *bytes, size_t len)
+/*
+ * A router that started while the store is away has no list of the others;
+ * those that know its address tell it theirs by their messages.
+ */
+static void hint_send_heard(struct hint *hint, struct hint_message *message)
 {
-	struct sockaddr_in addr;
-	int addr_len = sizeof(addr);
+	int i;
 
-	if (evutil_parse_sockaddr_port(peer->address, (struct sockaddr *)&addr,
-				       &addr_len))
+	for (i = 0; i < hint->peer_count; i++)
+		hint_send_to(hint, &hint->peers[i].from, &hint->peers[i],
+			     message);
+}
+
+/* Sends a message with the receiver's own clock in it, if that is known. */
+static void hint_send_to(struct hint *hint, const struct sockaddr_in *addr,
+			 struct hint_peer *peer, struct hint_message *message)
+{
+	char bytes[HINT_BYTES_MAX];
+	XDR xdr;
+
+	message->word.session = peer ? peer->session : 0;
+	message->word.echo_us = peer ? peer->stamp_us : 0;
+	xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
+	if (!hint_xdr(&xdr, message))
 		return;
 	/* A full link drops it; the next one says the same. */
-	(void)sendto(hint->fd, bytes, len, 0, (struct sockaddr *)&addr,
-		     (socklen_t)addr_len);
+	(void)sendto(hint->fd, bytes, xdr_getpos(&xdr), 0,
+		     (const struct sockaddr *)addr, sizeof(*addr));
+}
+
+static struct hint_peer *hint_peer_named(struct hint *hint, const char *name)
+{
+	int i;
+
+	for (i = 0; i < hint->peer_count; i++) {
+		if (strcmp(hint->peers[i].name, name) == 0)
+			return &hint->peers[i];
+	}
+	return NULL;
 }
 
 /* Fills a message with our load, the most loaded workers if too many. */
@@ -224,12 +271,17 @@
 	struct edge *edge = hint->edge;
 	int64_t now = clk_boot_us();
 	int64_t until_us;
+	float slowdown;
 	struct wk *wk;
 
 	message->magic = HINT_MAGIC;
 	message->version = HINT_VERSION;
 	message->name = edge->set.instance;
 	message->ready = edge_is_ready(edge, now);
+	message->session = edge->vch.session;
+	message->stamp_us = now;
+	vch_tell(&edge->vch, edge->rt ? edge->rt->version : -1, now,
+		 &message->word);
 	message->load_count = 0;
 	message->news_count = 0;
 	message->suspect_count = 0;
@@ -240,12 +292,15 @@
 				hint_hash(wk->is.id);
 		if (message->load_count == HINT_LOADS_MAX)
 			continue;
-		if (wk->firsts == 0 && wk->held <= 0)
+		slowdown = hint_slowdown(wk, now);
+		if (wk->firsts == 0 && wk->held <= 0 && slowdown <= 0)
 			continue;
-		message->loads[message->load_count++] =
-			(struct hint_load){ hint_hash(wk->is.id),
-					    (float)wk->held,
-					    (uint32_t)wk->firsts };
+		message->loads[message->load_count++] = (struct hint_load){
+			hint_hash(wk->is.id),
+			(float)wk->held,
+			(uint32_t)wk->firsts,
+			slowdown,
+		};
 	}
 	while (message->news_count < HINT_NEWS_MAX &&
 	       quar_next_news(
@@ -259,20 +314,37 @@
 	static struct hint_message message;
 	char name[MAG_NAME_MAX];
 	char bytes[HINT_BYTES_MAX];
+	struct sockaddr_in from;
+	socklen_t from_len = sizeof(from);
 	struct hint *hint = arg;
 	ssize_t len;
 	XDR xdr;
 
 	(void)what;
-	while ((len = recv(fd, bytes, sizeof(bytes), 0)) > 0) {
+	while ((len = recvfrom(fd, bytes, sizeof(bytes), 0,
+			       (struct sockaddr *)&from, &from_len)) > 0) {
 		message.name = name;
 		xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
 		if (hint_xdr(&xdr, &message) && message.magic == HINT_MAGIC &&
 		    message.version == HINT_VERSION)
-			hint_take(hint, &message);
+			hint_take(hint, &message, &from);
+		from_len = sizeof(from);
 	}
 }
 
+/* What the sender knows of the configuration, and the receiver's own clock. */
+static bool_t hint_xdr_word(XDR *xdr, struct hint_message *message)
+{
+	struct vch_word *word = &message->word;
+
+	return xdr_uint32_t(xdr, &message->session) &&
+	       xdr_int64_t(xdr, &message->stamp_us) &&
+	       xdr_uint32_t(xdr, &word->session) &&
+	       xdr_int64_t(xdr, &word->echo_us) &&
+	       xdr_int64_t(xdr, &word->age_us) &&
+	       xdr_int64_t(xdr, &word->version);
+}
+
 static bool_t hint_xdr(XDR *xdr, struct hint_message *message)
 {
 	uint32_t i;
@@ -281,13 +353,15 @@
 	    !xdr_uint32_t(xdr, &message->version) ||
 	    !xdr_string(xdr, &message->name, MAG_NAME_MAX - 1) ||
 	    !xdr_uint32_t(xdr, &message->ready) ||
+	    !hint_xdr_word(xdr, message) ||
 	    !xdr_uint32_t(xdr, &message->load_count) ||
 	    message->load_count > HINT_LOADS_MAX)
 		return FALSE;
 	for (i = 0; i < message->load_count; i++) {
 		if (!xdr_uint32_t(xdr, &message->loads[i].worker) ||
 		    !xdr_float(xdr, &message->loads[i].held) ||
-		    !xdr_uint32_t(xdr, &message->loads[i].firsts))
+		    !xdr_uint32_t(xdr, &message->loads[i].firsts) ||
+		    !xdr_float(xdr, &message->loads[i].slowdown))
 			return FALSE;
 	}
 	if (!xdr_uint32_t(xdr, &message->news_count) ||
@@ -309,29 +383,31 @@
 	return TRUE;
 }
 
-static void hint_take(struct hint *hint, const struct hint_message *message)
+static void hint_take(struct hint *hint, const struct hint_message *message,
+		      const struct sockaddr_in *from)
 {
+	struct edge *edge = hint->edge;
 	int64_t now = clk_boot_us();
-	struct hint_peer *peer;
+	struct hint_peer *peer = hint_peer_named(hint, message->name);
 	uint32_t k;
-	int i;
 
-	for (i = 0; i < hint->peer_count; i++) {
-		if (strcmp(hint->peers[i].name, message->name) == 0)
-			break;
-	}
-	if (i == HINT_PEERS_MAX)
-		return;
-	peer = &hint->peers[i];
-	if (i == hint->peer_count) {
-		hint->peer_count++;
+	if (!peer) {
+		if (hint->peer_count == HINT_PEERS_MAX)
+			return;
+		peer = &hint->peers[hint->peer_count++];
 		mag_copy_name(peer->name, sizeof(peer->name), message->name);
 	}
 	peer->heard_us = now;
+	peer->from = *from;
+	peer->session = message->session;
+	peer->stamp_us = message->stamp_us;
 	peer->ready = message->ready != 0;
 	peer->load_count = message->load_count;
 	memcpy(peer->loads, message->loads,
 	       message->load_count * sizeof(peer->loads[0]));
+	if (edge->rt)
+		vch_from_peer(&edge->vch, &message->word, edge->rt->version,
+			      now);
 	for (k = 0; k < message->suspect_count; k++)
 		hint_suspect(hint, message->suspects[k], message->name, now);
 	for (k = 0; k < message->news_count; k++)
@@ -402,11 +478,31 @@
 					continue;
 				wk->peer_held += (double)peer->loads[k].held;
 				wk->peer_firsts += (int)peer->loads[k].firsts;
+				hint_take_slowdown(wk, &peer->loads[k],
+						   peer->heard_us);
 			}
 		}
 	}
 }
 
+/* Returns a worker's slowdown for a message, 0 if it was learned long ago. */
+static float hint_slowdown(const struct wk *wk, int64_t now)
+{
+	if (!wk->reported_us || now - wk->reported_us > HINT_SLOWDOWN_US)
+		return 0;
+	return (float)wk->slowdown;
+}
+
+/* A peer's newer word spares us a question of our own. */
+static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
+			       int64_t heard_us)
+{
+	if (load->slowdown <= 0 || heard_us <= wk->slowdown_us)
+		return;
+	wk->slowdown = (double)load->slowdown;
+	wk->slowdown_us = heard_us;
+}
+
 /* FNV-1a of a worker's id. */
 static uint32_t hint_hash(const char *id)
 {
--- a/src/sto.c
+++ b/src/sto.c
@@ -32,6 +32,8 @@
 /* How long the first watch after a failure stays open. */
 #define STO_BACK_WAIT_MS 20
 #define STO_CONNECTIONS	 16
+/* A watch that is behind the store for so long has fallen silent. */
+#define STO_BEHIND_US (250 * MAG_US_PER_MS)
 
 struct sto {
 	struct hc *hc;
@@ -49,6 +51,7 @@
 	void *user;
 	int status;
 	struct evbuffer *body;
+	struct hc_call *call;
 };
 
 enum sto_follow_state {
@@ -73,11 +76,28 @@
 	int64_t list_sent_us;
 	int64_t retry_us;
 	int failures; /* in a row */
+
+	struct sto_call *call; /* the list or watch in progress */
+	int64_t told_revision; /* of the store, by the newest answer to an ask
+				*/
+	int64_t told_sent_us;  /* when that was asked */
+	int64_t behind_us;     /* it is further than this since; 0: it is not */
+};
+
+/* How far is the store?  Several may be on their way: answers get lost. */
+struct sto_ask {
+	struct sto_follow *follow;
+	int64_t sent_us;
 };
 
-static void sto_start(struct sto *sto, const char *method, const char *path,
-		      const char *body, int64_t wait_us, sto_done_fn done,
-		      void *user);
+static struct sto_call *sto_start(struct sto *sto, const char *method,
+				  const char *path, const char *body,
+				  int64_t wait_us, sto_done_fn done,
+				  void *user);
+static void sto_asked(void *user, enum sto_result result, const char *body,
+		      size_t len);
+static void sto_compare(struct sto_follow *follow);
+static void sto_wake(struct sto_follow *follow);
 static bool sto_on_headers(void *user, const struct hc_answer *answer);
 static void sto_on_body(void *user, const void *bytes, size_t len);
 static void sto_on_end(void *user, enum hc_end end);
@@ -136,6 +156,9 @@
 	struct sto_follow *follow;
 
 	cds_list_for_each_entry (follow, &sto->follows, node) {
+		if (follow->state == STO_WATCHING && follow->behind_us &&
+		    now - follow->behind_us > STO_BEHIND_US)
+			sto_wake(follow);
 		if (follow->state != STO_PAUSING || now < follow->retry_us)
 			continue;
 		if (follow->list_next)
@@ -216,19 +239,18 @@
 	return STO_OK;
 }
 
-static void sto_start(struct sto *sto, const char *method, const char *path,
-		      const char *body, int64_t wait_us, sto_done_fn done,
-		      void *user)
+static struct sto_call *sto_start(struct sto *sto, const char *method,
+				  const char *path, const char *body,
+				  int64_t wait_us, sto_done_fn done, void *user)
 {
 	int64_t now = clk_boot_us();
 	struct sto_call *call = calloc(1, sizeof(*call));
 	struct hc_send send = { 0 };
-	struct hc_call *started;
 
 	if (!call || !(call->body = evbuffer_new())) {
 		free(call);
 		done(user, STO_REFUSED, NULL, 0);
-		return;
+		return NULL;
 	}
 	call->sto = sto;
 	call->done = done;
@@ -239,11 +261,12 @@
 	send.connect_by_us = now + STO_CONNECT_US;
 	send.deadline_us = now + wait_us + STO_PATIENCE_US;
 	sto->calls++;
-	if (send.request && hc_start(sto->host, &send, &started) == HC_OK)
-		return;
+	if (send.request && hc_start(sto->host, &send, &call->call) == HC_OK)
+		return call;
 	evbuffer_free(call->body);
 	free(call);
 	done(user, STO_REFUSED, NULL, 0);
+	return NULL;
 }
 
 static bool sto_on_headers(void *user, const struct hc_answer *answer)
@@ -308,7 +331,8 @@
 	if (!follow->after[0])
 		follow->list_sent_us = follow->sent_us;
 	pl_store_range(path, follow->prefix, follow->after);
-	sto_start(follow->sto, "GET", path, NULL, 0, sto_listed, follow);
+	follow->call = sto_start(follow->sto, "GET", path, NULL, 0, sto_listed,
+				 follow);
 }
 
 static void sto_watch(struct sto_follow *follow)
@@ -325,8 +349,8 @@
 	follow->state = STO_WATCHING;
 	follow->sent_us = clk_boot_us();
 	pl_store_watch(path, follow->prefix, follow->revision, wait_ms);
-	sto_start(follow->sto, "GET", path, NULL, wait_ms * MAG_US_PER_MS,
-		  sto_watched, follow);
+	follow->call = sto_start(follow->sto, "GET", path, NULL,
+				 wait_ms * MAG_US_PER_MS, sto_watched, follow);
 }
 
 /* A page of the list has come, or has not. */
@@ -336,6 +360,7 @@
 	struct sto_follow *follow = user;
 	struct wire_items items;
 
+	follow->call = NULL;
 	if (result != STO_DONE || pl_store_items(body, len, &items)) {
 		follow->after[0] = '\0';
 		sto_pause(follow, true);
@@ -360,6 +385,7 @@
 	follow->revision = follow->list_revision;
 	follow->ops->end(follow->user);
 	follow->ops->fresh(follow->user, follow->list_sent_us);
+	sto_compare(follow);
 	sto_watch(follow);
 }
 
@@ -369,6 +395,7 @@
 	struct sto_follow *follow = user;
 	struct wire_items items;
 
+	follow->call = NULL;
 	if (result == STO_CONFLICT) {
 		/* The store forgot what lies between: read all again. */
 		sto_answered(follow);
@@ -385,6 +412,7 @@
 		follow->revision = items.revision;
 	pl_store_items_free(&items);
 	follow->ops->fresh(follow->user, follow->sent_us);
+	sto_compare(follow);
 	if (clk_boot_us() - follow->sent_us < follow->wait_ms * MAG_US_PER_MS) {
 		/* Changes come in bursts; one call takes what gathers. */
 		follow->state = STO_PAUSING;
@@ -395,6 +423,80 @@
 	sto_watch(follow);
 }
 
+/*
+ * The smallest question that the store answers with its revision: what lies
+ * behind the last key under a prefix that is a key itself.
+ */
+void sto_follow_ask(struct sto_follow *follow)
+{
+	struct sto_ask *ask = calloc(1, sizeof(*ask));
+	char path[PL_PATH_MAX];
+
+	if (!ask)
+		return;
+	ask->follow = follow;
+	ask->sent_us = clk_boot_us();
+	pl_store_range(path, PL_CONFIG_KEY, PL_CONFIG_KEY);
+	sto_start(follow->sto, "GET", path, NULL, 0, sto_asked, ask);
+}
+
+static void sto_asked(void *user, enum sto_result result, const char *body,
+		      size_t len)
+{
+	struct sto_ask *ask = user;
+	struct sto_follow *follow = ask->follow;
+	int64_t sent_us = ask->sent_us;
+	struct wire_items items;
+
+	free(ask);
+	if (result != STO_DONE || sent_us <= follow->told_sent_us ||
+	    pl_store_items(body, len, &items))
+		return;
+	follow->told_revision = items.revision;
+	follow->told_sent_us = sent_us;
+	pl_store_items_free(&items);
+	sto_compare(follow);
+	if (follow->failures > 0)
+		sto_wake(follow);
+}
+
+/* Tells that all was told, if the follower is as far as the store was. */
+static void sto_compare(struct sto_follow *follow)
+{
+	if (!follow->told_sent_us || follow->state == STO_LISTING)
+		return;
+	if (follow->revision < follow->told_revision) {
+		if (!follow->behind_us)
+			follow->behind_us = clk_boot_us();
+		return;
+	}
+	follow->behind_us = 0;
+	follow->ops->fresh(follow->user, follow->told_sent_us);
+}
+
+/*
+ * The store answers, but not this follower, which pauses after a failure or
+ * waits on a connection that has fallen silent: it begins anew at once.
+ */
+static void sto_wake(struct sto_follow *follow)
+{
+	struct sto_call *call = follow->call;
+
+	follow->behind_us = 0;
+	if (follow->state == STO_LISTING)
+		return;
+	if (call) {
+		hc_cancel(call->call);
+		evbuffer_free(call->body);
+		free(call);
+		follow->call = NULL;
+	}
+	if (follow->state == STO_PAUSING && follow->list_next)
+		sto_list(follow);
+	else
+		sto_watch(follow);
+}
+
 static void sto_tell(struct sto_follow *follow, struct wire_items *items)
 {
 	int i;
--- a/src/sto.h
+++ b/src/sto.h
@@ -67,6 +67,12 @@
 void sto_swap(struct sto *sto, const char *key, const char *value,
 	      int64_t revision, int64_t lease, sto_done_fn done, void *user);
 
+/*
+ * Asks how far the store is, which shows that a follower that is as far was
+ * told all, and wakes one whose watch has fallen silent.
+ */
+void sto_follow_ask(struct sto_follow *follow);
+
 int sto_read_lease(const char *body, size_t len, int64_t *lease,
 		   int64_t *ttl_ms);
 
--- /dev/null
+++ b/src/vch.c
@@ -0,0 +1,99 @@
+#include <string.h>
+
+#include "vch.h"
+
+/* Part of the bound for which keys are trusted: clocks run slightly apart. */
+#define VCH_TRUST_SHARE 0.98
+/*
+ * After this part of the bound a router says that it is not ready, so that
+ * the balancer has moved its callers when it must refuse them.
+ */
+#define VCH_READY_SHARE 0.6
+/*
+ * The store is asked when nobody has vouched for so long, or up to this much
+ * later for each router, so that mostly one of them asks for all.
+ */
+#define VCH_ASK_US	(400 * MAG_US_PER_MS)
+#define VCH_ASK_EACH_US (100 * MAG_US_PER_MS)
+/* A router that hears nothing new asks again after this at the latest. */
+#define VCH_ASK_MAX_US MAG_US_PER_S
+
+static int64_t vch_pause(struct vch *vch, int routers);
+
+void vch_init(struct vch *vch, uint32_t session, uint64_t seed)
+{
+	memset(vch, 0, sizeof(*vch));
+	vch->session = session ? session : 1;
+	vch->seed = seed | 1;
+}
+
+/* The store has shown that the set in force was the newest at a time. */
+void vch_from_store(struct vch *vch, int64_t at_us)
+{
+	if (at_us > vch->fresh_us)
+		vch->fresh_us = at_us;
+}
+
+/*
+ * Takes a peer's word if it is about the version in force here, or an older
+ * one, and answers a message of this process.  Returns true if knowledge
+ * became younger by it.
+ */
+bool vch_from_peer(struct vch *vch, const struct vch_word *word,
+		   int64_t version, int64_t now)
+{
+	int64_t fresh_us = word->echo_us - word->age_us;
+
+	if (word->session != vch->session || word->age_us < 0 ||
+	    word->echo_us > now || word->version > version ||
+	    fresh_us <= vch->fresh_us)
+		return false;
+	vch->fresh_us = fresh_us;
+	return true;
+}
+
+/* Fills in what this instance knows; the receiver's fields are the caller's. */
+void vch_tell(const struct vch *vch, int64_t version, int64_t now,
+	      struct vch_word *word)
+{
+	word->version = version;
+	word->age_us = vch->fresh_us ? now - vch->fresh_us : -1;
+}
+
+/* Tells whether a key that is in force here may be accepted. */
+bool vch_trusted(const struct vch *vch, int64_t bound_us, int64_t now)
+{
+	return vch->fresh_us && (double)(now - vch->fresh_us) <
+					(double)bound_us * VCH_TRUST_SHARE;
+}
+
+/* Tells whether keys will be refused here if nothing comes in some time. */
+bool vch_soon_untrusted(const struct vch *vch, int64_t bound_us, int64_t now)
+{
+	return !vch->fresh_us || (double)(now - vch->fresh_us) >=
+					 (double)bound_us * VCH_READY_SHARE;
+}
+
+/* Tells whether this instance should ask the store now, and plans the next. */
+bool vch_is_time_to_ask(struct vch *vch, int routers, int64_t now)
+{
+	int64_t due_us;
+
+	if (now < vch->ask_us)
+		return false;
+	due_us = vch->fresh_us + vch_pause(vch, routers);
+	if (vch->fresh_us && now < due_us && due_us > vch->ask_us) {
+		vch->ask_us = due_us;
+		return false;
+	}
+	vch->ask_us = now + vch_pause(vch, routers);
+	return true;
+}
+
+static int64_t vch_pause(struct vch *vch, int routers)
+{
+	uint64_t spread = (uint64_t)VCH_ASK_EACH_US * (uint64_t)routers;
+	int64_t pause = VCH_ASK_US + (int64_t)(mag_random(&vch->seed) % spread);
+
+	return pause < VCH_ASK_MAX_US ? pause : VCH_ASK_MAX_US;
+}
--- /dev/null
+++ b/src/vch.h
@@ -0,0 +1,47 @@
+#ifndef VCH_H
+#define VCH_H
+
+/*
+ * How old the configuration in force may be, and who vouches for it.  Pure.
+ *
+ * Load pattern: the store goes away, for one router or for all.  Keys may be
+ * trusted for a bounded time after they were last known to be current, and
+ * then every request with a key is refused.  Each call of a router to the
+ * store therefore serves all of them: routers tell each other which version
+ * they know to be the newest, and since when.  The time is always one of the
+ * receiver's own clock, which the sender gives back: a message that was held
+ * up, or a sender that slept, can make knowledge older than it is, and never
+ * younger.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "mag.h"
+
+/* What one router tells another one of the configuration. */
+struct vch_word {
+	uint32_t session; /* of the receiver, 0: it was not heard yet */
+	int64_t echo_us;  /* newest time heard from the receiver */
+	int64_t age_us;	  /* so old is what the sender knows; -1: nothing */
+	int64_t version;  /* of the configuration that it knows */
+};
+
+struct vch {
+	uint32_t session; /* of this process; not 0 */
+	int64_t fresh_us; /* the set in force was the newest then; 0: never */
+	int64_t ask_us;	  /* when the store is asked next */
+	uint64_t seed;
+};
+
+void vch_init(struct vch *vch, uint32_t session, uint64_t seed);
+void vch_from_store(struct vch *vch, int64_t at_us);
+bool vch_from_peer(struct vch *vch, const struct vch_word *word,
+		   int64_t version, int64_t now);
+void vch_tell(const struct vch *vch, int64_t version, int64_t now,
+	      struct vch_word *word);
+bool vch_trusted(const struct vch *vch, int64_t bound_us, int64_t now);
+bool vch_soon_untrusted(const struct vch *vch, int64_t bound_us, int64_t now);
+bool vch_is_time_to_ask(struct vch *vch, int routers, int64_t now);
+
+#endif /* VCH_H */
