Let streams of a lost worker begin anew while the budget allows it

Change: a stream begins anew where its route allows another run and 12 second sends are left; else its chain is repaired as before. The silence that is a sign follows from the pause that the route allows (0.4 of it), and a worker is mute after 20 ms. regress/edge/begun-anew fails on the code before. The test repaired-chain now sets a route that allows one run, where repairs still are the only way; what it checks stands.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -58,7 +58,7 @@
 	"Kinds":[{"Name":"big","Mb":72000,"pace":2.4,"ReadX":3.2},{"Name":"small","Mb":21600,"pace":16,"ReadX":8.2}]}},
 	{"Name":"app","HealthPath":"/healthz","MaxConnections":900}],
 	"Tenants":[{"Name":"acme","ApiKeys":[$keys]}],
-	"Routes":[{"Name":"s","Host":"h.example","PathPrefix":"/s/","Kind":"streaming","StreamResume":true,"SessionAffinity":true,"TimeoutMs":6000,"TargetLatencyMs":500,"GapAimMs":250,"MaxAttempts":2,"Service":"model"},
+	"Routes":[{"Name":"s","Host":"h.example","PathPrefix":"/s/","Kind":"streaming","StreamResume":true,"SessionAffinity":true,"TimeoutMs":6000,"TargetLatencyMs":500,"GapAimMs":250,"MaxAttempts":${STREAM_ATTEMPTS:-2},"Service":"model"},
 	{"Name":"b","Host":"h.example","PathPrefix":"/b/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":1,"Service":"app"},
 	{"Name":"r","Host":"h.example","PathPrefix":"/r/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":2,"Service":"app"}]}
 	JSON
--- a/regress/edge/repaired-chain.sh
+++ b/regress/edge/repaired-chain.sh
@@ -1,8 +1,10 @@
 # An engine in the middle of chains stops answering and keeps its connections
 # open.  Its streams stand still at a first worker that is well; that one is
-# told of another chain, so that a caller sees a short pause instead of a new
-# reading of the prompt, and no stream runs a second time.
+# told of another chain, so that a caller sees a pause instead of a stream that
+# is cut, and no stream runs a second time.  The route allows one run, so that
+# they cannot begin anew.
 . edge/lib.sh
+STREAM_ATTEMPTS=1
 start_halves
 "$build/tool_calls" mend 6 30 $(router 1) >"$dir/calls" &
 calls=$!
--- a/src/ask.c
+++ b/src/ask.c
@@ -1,7 +1,5 @@
 #include "ask.h"
 
-/* Nothing came through a worker for this long: two events are overdue. */
-#define ASK_QUIET_US (100 * MAG_US_PER_MS)
 /* A worker that answers but passes nothing is asked half as often each time:
  * those that all slow down together would be asked without end. */
 #define ASK_DOUBLE 3
@@ -29,7 +27,7 @@
 			 const struct ask_worker *worker, int64_t now)
 {
 	return now - stream->last_us >= stream->quiet_for_us &&
-	       now - worker->passed_us >= ASK_QUIET_US &&
+	       now - worker->passed_us >= stream->quiet_for_us &&
 	       now - worker->asked_us >=
 		       mag_backoff(ASK_AGAIN_US, worker->asks, ASK_DOUBLE);
 }
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -8,11 +8,13 @@
 
 /*
  * Load pattern: a worker in the middle of a chain dies or falls silent, and
- * the first worker, which is well, waits for it for seconds.  A pause of more
- * than a quarter of a second makes a stream late, and callers leave after two
- * seconds of silence, so the silence itself is the sign: once two events of a
- * stream are overdue, its workers are asked (ask.c).
+ * the first worker, which is well, waits for it for seconds.  A pause longer
+ * than its route allows makes a stream late, and callers leave after two
+ * seconds of silence, so the silence itself is the sign: after this part of
+ * the pause its workers are asked (ask.c), which leaves time to begin anew.
  */
+#define EQ_QUIET_SHARE 0.4
+/* The same where a route does not say which pause it allows. */
 #define EQ_QUIET_US (100 * MAG_US_PER_MS)
 /*
  * A worker that does not answer questions, or that a peer found dead, is as
@@ -23,6 +25,8 @@
 #define EQ_FIRST_QUIET_US (200 * MAG_US_PER_MS)
 /* Silent although its workers pass others' events: the first one knows why. */
 #define EQ_SILENCE_US (350 * MAG_US_PER_MS)
+/* Second sends that are kept for requests that cannot be repaired. */
+#define EQ_BUDGET_KEPT 12
 /* On slow engines a stream is silent after so many times its own pace. */
 #define EQ_QUIET_PACES 2
 static bool eq_on_chain(const struct eq *eq);
@@ -32,6 +36,7 @@
 static int64_t eq_quiet_limit(const struct eq *eq);
 static int64_t eq_silence(const struct eq *eq, int64_t now);
 static void eq_move(struct eq *eq, struct wk *fault, const char *why);
+static bool eq_may_begin_anew(struct eq *eq, int64_t now);
 static struct eq *eq_by_id(struct edge *edge, const char *attempt_id);
 
 /* Asks the workers of streams that have fallen silent. */
@@ -119,14 +124,20 @@
 	wkp_ask(eq->edge, eq->hops[0].worker, now);
 }
 
+/* Returns how long a stream is silent before its workers are asked. */
 static int64_t eq_quiet_limit(const struct eq *eq)
 {
+	int64_t quiet_us = EQ_QUIET_US;
+
+	if (eq->route->gap_us > 0)
+		quiet_us =
+			(int64_t)((double)eq->route->gap_us * EQ_QUIET_SHARE);
 	if (eq->state != EQ_STREAMS || !eq->answered ||
 	    eq->mended_us > eq->progress_us)
 		return EQ_FIRST_QUIET_US;
-	if (eq->pace_us * EQ_QUIET_PACES > EQ_QUIET_US)
+	if (eq->pace_us * EQ_QUIET_PACES > quiet_us)
 		return eq->pace_us * EQ_QUIET_PACES;
-	return EQ_QUIET_US;
+	return quiet_us;
 }
 
 /* A first worker has said which of its requests wait, and for whom. */
@@ -182,19 +193,32 @@
 	return now - since;
 }
 
-/* Repairs a stream's chain, or takes it off to go on at another one. */
+/* Takes a stream off its chain to go on at another one, or repairs that. */
 static void eq_move(struct eq *eq, struct wk *fault, const char *why)
 {
 	int64_t now = clk_boot_us();
 
 	met_add(&eq->edge->met, MET_STALLS);
 	wk_add_victim(fault, eq->print, now);
-	if (eq_mend_start(eq, fault, now))
-		return;
 	eq_avoid(eq, fault);
+	if (!eq_may_begin_anew(eq, now) && eq_mend_start(eq, fault, now))
+		return;
 	eq_restart(eq, why);
 }
 
+/*
+ * Tells whether a stream may begin anew on another chain and leave enough
+ * second sends to others.  In a repaired chain it waits for the workers that
+ * stay as well as for the new one, which all of its kind wait for.
+ */
+static bool eq_may_begin_anew(struct eq *eq, int64_t now)
+{
+	struct bud *bud = edge_budget(eq->edge, eq->service->name, now);
+
+	return eq->runs + 1 < eq->route->max_attempts &&
+	       bud_left(bud, now) > EQ_BUDGET_KEPT;
+}
+
 /*
  * Takes a stream off its chain; another one goes on where it stopped.  What
  * ran there counts against the runs that the route allows even if its first
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -20,7 +20,7 @@
  * they are moved before their pause makes them late.  Should it turn out that
  * only a packet was lost, a repair was made in vain and the worker is cleared.
  */
-#define WKP_MUTE_US (30 * MAG_US_PER_MS)
+#define WKP_MUTE_US (20 * MAG_US_PER_MS)
 
 /* Reports are as of some hundred milliseconds ago. */
 #define WKP_REPORT_LAG_US (500 * MAG_US_PER_MS)
