--- a/src/eq.c
+++ b/src/eq.c
@@ -380,7 +380,8 @@
 	jlog(LOG_EQ_END,
 	     "\"request\":\"%s\",\"route\":\"%s\",\"account\":\"%s\","
 	     "\"status\":%d,\"why\":\"%s\",\"took_ms\":%d,"
-	     "\"first_event_ms\":%d,\"longest_gap_ms\":%d,\"sends\":%d,"
+	     "\"first_event_ms\":%d,\"longest_gap_ms\":%d,"
+	     "\"target_ms\":%d,\"gap_aim_ms\":%d,\"sends\":%d,"
 	     "\"may_have_run\":%s,\"config\":%lld,\"config_age_ms\":%d,"
 	     "\"worker\":\"%s\"",
 	     jlog_text(id, sizeof(id), eq->asks.attempt_id),
@@ -389,8 +390,11 @@
 	     eq->first_us
 		     ? (int)((eq->first_us - eq->arrived_us) / MAG_US_PER_MS)
 		     : -1,
-	     (int)(eq->gap_us / MAG_US_PER_MS), eq->sends,
-	     eq->may_have_run ? "true" : "false", (long long)eq->rt->version,
+	     (int)(eq->gap_us / MAG_US_PER_MS),
+	     eq->route ? (int)(eq->route->target_us / MAG_US_PER_MS) : 0,
+	     eq->route ? (int)(eq->route->gap_us / MAG_US_PER_MS) : 0,
+	     eq->sends, eq->may_have_run ? "true" : "false",
+	     (long long)eq->rt->version,
 	     (int)((now - eq->edge->vch.fresh_us) / MAG_US_PER_MS),
 	     eq->hop_count > 0 ? eq->hops[0].worker->is.id : "");
 }
