--- a/regress/edge/store-back.sh
+++ b/regress/edge/store-back.sh
@@ -3,7 +3,7 @@
 # end that keys can be checked again, and callers would be refused meanwhile.
 . edge/lib.sh
 start_platform
-grep -c '^WATCH 2000$' "$dir/store.log" >"$dir/null" && echo "watches stay open in calm times"
+grep -c '^WATCH 10000$' "$dir/store.log" >"$dir/null" && echo "watches stay open in calm times"
 fault reset
 wait_for "logged 1 platform-unreachable"
 lines=$(wc -l <"$dir/store.log")
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -37,11 +37,10 @@
 #define EDGE_LOG_LINES_S 400
 #define EDGE_WHY_MAX	 256
 /*
- * A watch is answered after this at the latest, which proves that nothing
- * newer was there when it was sent.  Twice this, with what the store takes,
- * stays below the time for which keys are trusted.
+ * A watch is answered after this at the latest.  Each one that comes back is
+ * paid for; that a watch has fallen silent shows by what peers were told.
  */
-#define EDGE_WATCH_MS 2000
+#define EDGE_WATCH_MS 10000
 /*
  * A loop that ticks later than this was kept from running: whatever seems
  * unanswered may have been answered long ago.
--- a/src/hint.c
+++ b/src/hint.c
@@ -66,6 +66,7 @@
 	uint32_t ready; /* it takes callers and can check their keys */
 	uint32_t session;
 	int64_t stamp_us; /* the sender's clock */
+	int64_t revision; /* of the store, up to which it was told all */
 	struct vch_word word;
 	uint32_t load_count;
 	struct hint_load loads[HINT_LOADS_MAX];
@@ -280,6 +281,7 @@
 	message->ready = edge_is_ready(edge, now);
 	message->session = edge->vch.session;
 	message->stamp_us = now;
+	message->revision = sto_follow_revision(edge->follow);
 	vch_tell(&edge->vch, edge->rt ? edge->rt->version : -1, now,
 		 &message->word);
 	message->load_count = 0;
@@ -339,6 +341,7 @@
 
 	return xdr_uint32_t(xdr, &message->session) &&
 	       xdr_int64_t(xdr, &message->stamp_us) &&
+	       xdr_int64_t(xdr, &message->revision) &&
 	       xdr_uint32_t(xdr, &word->session) &&
 	       xdr_int64_t(xdr, &word->echo_us) &&
 	       xdr_int64_t(xdr, &word->age_us) &&
@@ -405,6 +408,7 @@
 	peer->load_count = message->load_count;
 	memcpy(peer->loads, message->loads,
 	       message->load_count * sizeof(peer->loads[0]));
+	sto_follow_heard(edge->follow, message->revision);
 	if (edge->rt)
 		vch_from_peer(&edge->vch, &message->word, edge->rt->version,
 			      now);
--- a/src/sto.c
+++ b/src/sto.c
@@ -32,8 +32,8 @@
 /* How long the first watch after a failure stays open. */
 #define STO_BACK_WAIT_MS 20
 #define STO_CONNECTIONS	 16
-/* A watch that is behind the store for so long has fallen silent. */
-#define STO_BEHIND_US (250 * MAG_US_PER_MS)
+/* Asks in a row without an answer after which a watch is given up, too. */
+#define STO_ASKS_LOST_MAX 2
 
 struct sto {
 	struct hc *hc;
@@ -77,11 +77,13 @@
 	int64_t retry_us;
 	int failures; /* in a row */
 
-	struct sto_call *call; /* the list or watch in progress */
-	int64_t told_revision; /* of the store, by the newest answer to an ask
-				*/
-	int64_t told_sent_us;  /* when that was asked */
-	int64_t behind_us;     /* it is further than this since; 0: it is not */
+	struct sto_call *call;	/* the list or watch in progress */
+	int64_t told_revision;	/* of the store, by the newest answer to an ask
+				 */
+	int64_t told_sent_us;	/* when that was asked */
+	int64_t known_revision; /* that the store had, by any word */
+	int64_t behind_us; /* this watch lags behind it since then; 0: no */
+	int asks_lost;	   /* in a row */
 };
 
 /* How far is the store?  Several may be on their way: answers get lost. */
@@ -97,7 +99,10 @@
 static void sto_asked(void *user, enum sto_result result, const char *body,
 		      size_t len);
 static void sto_compare(struct sto_follow *follow);
+static bool sto_is_deaf(struct sto_follow *follow, int64_t now);
+static void sto_ask_lost(struct sto_follow *follow);
 static void sto_wake(struct sto_follow *follow);
+static void sto_drop_call(struct sto_follow *follow);
 static bool sto_on_headers(void *user, const struct hc_answer *answer);
 static void sto_on_body(void *user, const void *bytes, size_t len);
 static void sto_on_end(void *user, enum hc_end end);
@@ -156,8 +161,7 @@
 	struct sto_follow *follow;
 
 	cds_list_for_each_entry (follow, &sto->follows, node) {
-		if (follow->state == STO_WATCHING && follow->behind_us &&
-		    now - follow->behind_us > STO_BEHIND_US)
+		if (sto_is_deaf(follow, now))
 			sto_wake(follow);
 		if (follow->state != STO_PAUSING || now < follow->retry_us)
 			continue;
@@ -347,6 +351,7 @@
 	if (follow->failures > 0)
 		wait_ms = STO_BACK_WAIT_MS;
 	follow->state = STO_WATCHING;
+	follow->behind_us = 0;
 	follow->sent_us = clk_boot_us();
 	pl_store_watch(path, follow->prefix, follow->revision, wait_ms);
 	follow->call = sto_start(follow->sto, "GET", path, NULL,
@@ -449,11 +454,16 @@
 	struct wire_items items;
 
 	free(ask);
-	if (result != STO_DONE || sent_us <= follow->told_sent_us ||
-	    pl_store_items(body, len, &items))
+	if (result != STO_DONE || pl_store_items(body, len, &items)) {
+		sto_ask_lost(follow);
 		return;
-	follow->told_revision = items.revision;
-	follow->told_sent_us = sent_us;
+	}
+	follow->asks_lost = 0;
+	if (sent_us > follow->told_sent_us) {
+		follow->told_revision = items.revision;
+		follow->told_sent_us = sent_us;
+	}
+	sto_follow_heard(follow, items.revision);
 	pl_store_items_free(&items);
 	sto_compare(follow);
 	if (follow->failures > 0)
@@ -463,15 +473,53 @@
 /* Tells that all was told, if the follower is as far as the store was. */
 static void sto_compare(struct sto_follow *follow)
 {
-	if (!follow->told_sent_us || follow->state == STO_LISTING)
-		return;
-	if (follow->revision < follow->told_revision) {
-		if (!follow->behind_us)
-			follow->behind_us = clk_boot_us();
-		return;
+	if (follow->told_sent_us && follow->state != STO_LISTING &&
+	    follow->revision >= follow->told_revision)
+		follow->ops->fresh(follow->user, follow->told_sent_us);
+}
+
+/* Another one, or an answer, has shown that the store has a revision. */
+void sto_follow_heard(struct sto_follow *follow, int64_t revision)
+{
+	if (revision > follow->known_revision)
+		follow->known_revision = revision;
+}
+
+/* Returns the revision up to which all was told. */
+int64_t sto_follow_revision(const struct sto_follow *follow)
+{
+	return follow->revision;
+}
+
+/*
+ * Tells whether a watch should have been answered long ago.  Connections may
+ * fall silent for good while new ones work; nothing that was written since
+ * then would be known here until the watch ends by itself.
+ */
+static bool sto_is_deaf(struct sto_follow *follow, int64_t now)
+{
+	if (follow->state != STO_WATCHING ||
+	    follow->revision >= follow->known_revision) {
+		follow->behind_us = 0;
+		return false;
 	}
-	follow->behind_us = 0;
-	follow->ops->fresh(follow->user, follow->told_sent_us);
+	if (!follow->behind_us)
+		follow->behind_us = now;
+	return now - follow->behind_us > STO_PATIENCE_US;
+}
+
+/*
+ * An ask was not answered.  The watch beside it would be waited for until its
+ * end; an outage, in which entries lapse, must be known before it is over.
+ */
+static void sto_ask_lost(struct sto_follow *follow)
+{
+	follow->asks_lost++;
+	if (follow->asks_lost < STO_ASKS_LOST_MAX ||
+	    follow->state != STO_WATCHING || follow->failures > 0)
+		return;
+	sto_drop_call(follow);
+	sto_pause(follow, false);
 }
 
 /*
@@ -480,23 +528,28 @@
  */
 static void sto_wake(struct sto_follow *follow)
 {
-	struct sto_call *call = follow->call;
-
-	follow->behind_us = 0;
 	if (follow->state == STO_LISTING)
 		return;
-	if (call) {
-		hc_cancel(call->call);
-		evbuffer_free(call->body);
-		free(call);
-		follow->call = NULL;
-	}
+	sto_drop_call(follow);
 	if (follow->state == STO_PAUSING && follow->list_next)
 		sto_list(follow);
 	else
 		sto_watch(follow);
 }
 
+/* Gives the call of a follower up that is in progress. */
+static void sto_drop_call(struct sto_follow *follow)
+{
+	struct sto_call *call = follow->call;
+
+	if (!call)
+		return;
+	hc_cancel(call->call);
+	evbuffer_free(call->body);
+	free(call);
+	follow->call = NULL;
+}
+
 static void sto_tell(struct sto_follow *follow, struct wire_items *items)
 {
 	int i;
