--- a/regress/check_vch.c
+++ b/regress/check_vch.c
@@ -68,11 +68,95 @@
 		wrong ? " a key that was taken away" : "");
 }
 
+static void arrive(FILE *out, int from, int to)
+{
+	struct router *router = &routers[to];
+
+	fprintf(out, "%s\n",
+		vch_from_peer(&router->vch, &routers[from].kept,
+			      router->version, clock_of(router))
+			? "taken"
+			: "not taken");
+}
+
+/* It hears of what the store held MS ago. */
+static void hear_store(int n, long ms)
+{
+	struct router *router = &routers[n];
+
+	if (now_ms - ms >= changed_ms)
+		router->version = newest;
+	vch_from_store(&router->vch, clock_of(router) - ms * MAG_US_PER_MS);
+}
+
+/* Each router tells the next one, around the ring and once more. */
+static void tell_around(int count)
+{
+	struct vch_word word;
+	int next;
+	int i;
+
+	for (i = 0; i < 2 * count; i++) {
+		next = (i + 1) % count;
+		word = word_of(i % count, next, now_ms);
+		vch_from_peer(&routers[next].vch, &word, routers[next].version,
+			      clock_of(&routers[next]));
+	}
+}
+
+/*
+ * Routers 0 to COUNT-1 ask the store for ten seconds and hear of each answer
+ * at once; prints whether it was asked more than MOST times a second.
+ */
+static void asks(FILE *out, int count, int most)
+{
+	long end_ms = now_ms + 10000;
+	int asked = 0;
+	int i;
+
+	for (; now_ms < end_ms; now_ms += 10) {
+		for (i = 0; i < count; i++) {
+			if (!vch_is_time_to_ask(&routers[i].vch, count,
+						clock_of(&routers[i])))
+				continue;
+			asked++;
+			hear_store(i, 0);
+		}
+		tell_around(count);
+	}
+	fprintf(out, "%s\n", asked <= most * 10 ? "in bounds" : "too many");
+}
+
+/* A line about one router or the time; returns false if it is another one. */
+static bool drive_one(const char *line, FILE *out)
+{
+	long ms;
+	int a;
+
+	if (sscanf(line, "bound %ld", &bound_ms) == 1) {
+		now_ms = 0;
+		newest = 1;
+		changed_ms = 0;
+	} else if (sscanf(line, "at %ld", &ms) == 1) {
+		now_ms = ms;
+	} else if (sscanf(line, "router %d %ld", &a, &ms) == 2) {
+		start(a, ms);
+	} else if (strncmp(line, "change", 6) == 0) {
+		newest++;
+		changed_ms = now_ms;
+	} else if (sscanf(line, "store %d %ld", &a, &ms) == 2) {
+		hear_store(a, ms);
+	} else if (sscanf(line, "key %d", &a) == 1) {
+		print(out, a);
+	} else {
+		return false;
+	}
+	return true;
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	char line[LINE_MAX_];
-	int asks;
-	int most;
 	long ms;
 	int a;
 	int b;
@@ -81,71 +165,17 @@
 		if (line[0] == '#' || line[0] == '\n')
 			continue;
 		fprintf(out, "> %s", line);
-		if (sscanf(line, "bound %ld", &bound_ms) == 1) {
-			now_ms = 0;
-			newest = 1;
-			changed_ms = 0;
-		} else if (sscanf(line, "at %ld", &ms) == 1) {
-			now_ms = ms;
-		} else if (sscanf(line, "router %d %ld", &a, &ms) == 2) {
-			start(a, ms);
-		} else if (strncmp(line, "change", 6) == 0) {
-			newest++;
-			changed_ms = now_ms;
-		} else if (sscanf(line, "store %d %ld", &a, &ms) == 2) {
-			/* It hears of what the store held MS ago. */
-			if (now_ms - ms >= changed_ms)
-				routers[a].version = newest;
-			vch_from_store(&routers[a].vch,
-				       clock_of(&routers[a]) -
-					       ms * MAG_US_PER_MS);
-		} else if (sscanf(line, "tell %d %d %ld", &a, &b, &ms) == 3) {
+		if (drive_one(line, out))
+			continue;
+		if (sscanf(line, "tell %d %d %ld", &a, &b, &ms) == 3) {
 			routers[a].kept = word_of(a, b, now_ms - ms);
-			fprintf(out, "%s\n",
-				vch_from_peer(&routers[b].vch, &routers[a].kept,
-					      routers[b].version,
-					      clock_of(&routers[b]))
-					? "taken"
-					: "not taken");
+			arrive(out, a, b);
 		} else if (sscanf(line, "write %d %d %ld", &a, &b, &ms) == 3) {
 			routers[a].kept = word_of(a, b, now_ms - ms);
 		} else if (sscanf(line, "arrive %d %d", &a, &b) == 2) {
-			fprintf(out, "%s\n",
-				vch_from_peer(&routers[b].vch, &routers[a].kept,
-					      routers[b].version,
-					      clock_of(&routers[b]))
-					? "taken"
-					: "not taken");
-		} else if (sscanf(line, "key %d", &a) == 1) {
-			print(out, a);
-		} else if (sscanf(line, "asks %d %d", &b, &most) == 2) {
-			/* Routers 0 to N-1 hear of each answer at once. */
-			asks = 0;
-			for (ms = now_ms + 10000; now_ms < ms; now_ms += 10) {
-				for (a = 0; a < b; a++) {
-					if (!vch_is_time_to_ask(
-						    &routers[a].vch, b,
-						    clock_of(&routers[a])))
-						continue;
-					asks++;
-					routers[a].version = newest;
-					vch_from_store(&routers[a].vch,
-						       clock_of(&routers[a]));
-				}
-				for (a = 1; a < 2 * b; a++) {
-					struct vch_word word = word_of(
-						a % b, (a + 1) % b, now_ms);
-
-					vch_from_peer(
-						&routers[(a + 1) % b].vch,
-						&word,
-						routers[(a + 1) % b].version,
-						clock_of(
-							&routers[(a + 1) % b]));
-				}
-			}
-			fprintf(out, "%s\n",
-				asks <= most * 10 ? "in bounds" : "too many");
+			arrive(out, a, b);
+		} else if (sscanf(line, "asks %d %d", &a, &b) == 2) {
+			asks(out, a, b);
 		}
 	}
 }
--- a/src/hint.c
+++ b/src/hint.c
@@ -8,16 +8,14 @@
 
 #include <event2/event.h>
 #include <event2/util.h>
-#include <rpc/rpc.h>
 
 #include "clk.h"
 #include "hint.h"
+#include "hint_msg.h"
 #include "jlog.h"
 #include "pres.h"
 #include "wkp.h"
 
-#define HINT_MAGIC   0x4d414748U
-#define HINT_VERSION 3U
 /*
  * Routers of a data centre share its workers: what one does not know of the
  * others' new streams it sends to workers that are full.  A data centre starts
@@ -33,12 +31,10 @@
 #define HINT_SUSPECT_US (600 * MAG_US_PER_MS)
 /* A worker's own word of its pace is passed on for this long. */
 #define HINT_SLOWDOWN_US (300 * MAG_US_PER_MS)
-/* A datagram stays below the smallest common transfer unit. */
-#define HINT_BYTES_MAX	  1400
-#define HINT_LOADS_MAX	  56
-#define HINT_NEWS_MAX	  4
-#define HINT_SUSPECTS_MAX 16
-#define HINT_PEERS_MAX	  1024
+/* A pace outside of this is no pace; a peer may be wrong. */
+#define HINT_SLOWDOWN_LEAST 0.01F
+#define HINT_SLOWDOWN_MOST  1000.0F
+#define HINT_PEERS_MAX	    1024
 /*
  * Peers of the own data centre told in one round, and of the others; where
  * there are more, each hears of us less often, so that the traffic of a router
@@ -47,35 +43,6 @@
 #define HINT_NEAR_MAX 32
 #define HINT_FAR_MAX  4
 
-struct hint_load {
-	uint32_t worker; /* hash of its id */
-	float held;	 /* tokens x layers */
-	uint32_t firsts;
-	float slowdown; /* as learned a moment ago; 0: not known */
-};
-
-struct hint_news {
-	uint8_t print[MAG_DIGEST_BYTES];
-	uint32_t lost;
-};
-
-struct hint_message {
-	uint32_t magic;
-	uint32_t version;
-	char *name;
-	uint32_t ready; /* it takes callers and can check their keys */
-	uint32_t session;
-	int64_t stamp_us; /* the sender's clock */
-	int64_t revision; /* of the store, up to which it was told all */
-	struct vch_word word;
-	uint32_t load_count;
-	struct hint_load loads[HINT_LOADS_MAX];
-	uint32_t news_count;
-	struct hint_news news[HINT_NEWS_MAX];
-	uint32_t suspect_count;
-	uint32_t suspects[HINT_SUSPECTS_MAX]; /* hashes of workers' ids */
-};
-
 /* What a peer said last. */
 struct hint_peer {
 	char name[MAG_NAME_MAX];
@@ -99,8 +66,6 @@
 };
 
 static void hint_readable(evutil_socket_t fd, short what, void *arg);
-static bool_t hint_xdr(XDR *xdr, struct hint_message *message);
-static bool_t hint_xdr_word(XDR *xdr, struct hint_message *message);
 static void hint_send(struct hint *hint, int near, int far);
 static void hint_send_heard(struct hint *hint, struct hint_message *message);
 static void hint_send_to(struct hint *hint, const struct sockaddr_in *addr,
@@ -243,16 +208,15 @@
 			 struct hint_peer *peer, struct hint_message *message)
 {
 	char bytes[HINT_BYTES_MAX];
-	XDR xdr;
+	size_t len;
 
 	message->word.session = peer ? peer->session : 0;
 	message->word.echo_us = peer ? peer->stamp_us : 0;
-	xdrmem_create(&xdr, bytes, sizeof(bytes), XDR_ENCODE);
-	if (!hint_xdr(&xdr, message))
+	if (hint_msg_encode(message, bytes, &len))
 		return;
 	/* A full link drops it; the next one says the same. */
-	(void)sendto(hint->fd, bytes, xdr_getpos(&xdr), 0,
-		     (const struct sockaddr *)addr, sizeof(*addr));
+	(void)sendto(hint->fd, bytes, len, 0, (const struct sockaddr *)addr,
+		     sizeof(*addr));
 }
 
 static struct hint_peer *hint_peer_named(struct hint *hint, const char *name)
@@ -275,9 +239,7 @@
 	float slowdown;
 	struct wk *wk;
 
-	message->magic = HINT_MAGIC;
-	message->version = HINT_VERSION;
-	message->name = edge->set.instance;
+	mag_copy_name(message->name, sizeof(message->name), edge->set.instance);
 	message->ready = edge_is_ready(edge, now);
 	message->session = edge->vch.session;
 	message->stamp_us = now;
@@ -314,78 +276,21 @@
 static void hint_readable(evutil_socket_t fd, short what, void *arg)
 {
 	static struct hint_message message;
-	char name[MAG_NAME_MAX];
 	char bytes[HINT_BYTES_MAX];
 	struct sockaddr_in from;
 	socklen_t from_len = sizeof(from);
 	struct hint *hint = arg;
 	ssize_t len;
-	XDR xdr;
 
 	(void)what;
 	while ((len = recvfrom(fd, bytes, sizeof(bytes), 0,
 			       (struct sockaddr *)&from, &from_len)) > 0) {
-		message.name = name;
-		xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
-		if (hint_xdr(&xdr, &message) && message.magic == HINT_MAGIC &&
-		    message.version == HINT_VERSION)
+		if (!hint_msg_decode(&message, bytes, (size_t)len))
 			hint_take(hint, &message, &from);
 		from_len = sizeof(from);
 	}
 }
 
-/* What the sender knows of the configuration, and the receiver's own clock. */
-static bool_t hint_xdr_word(XDR *xdr, struct hint_message *message)
-{
-	struct vch_word *word = &message->word;
-
-	return xdr_uint32_t(xdr, &message->session) &&
-	       xdr_int64_t(xdr, &message->stamp_us) &&
-	       xdr_int64_t(xdr, &message->revision) &&
-	       xdr_uint32_t(xdr, &word->session) &&
-	       xdr_int64_t(xdr, &word->echo_us) &&
-	       xdr_int64_t(xdr, &word->age_us) &&
-	       xdr_int64_t(xdr, &word->version);
-}
-
-static bool_t hint_xdr(XDR *xdr, struct hint_message *message)
-{
-	uint32_t i;
-
-	if (!xdr_uint32_t(xdr, &message->magic) ||
-	    !xdr_uint32_t(xdr, &message->version) ||
-	    !xdr_string(xdr, &message->name, MAG_NAME_MAX - 1) ||
-	    !xdr_uint32_t(xdr, &message->ready) ||
-	    !hint_xdr_word(xdr, message) ||
-	    !xdr_uint32_t(xdr, &message->load_count) ||
-	    message->load_count > HINT_LOADS_MAX)
-		return FALSE;
-	for (i = 0; i < message->load_count; i++) {
-		if (!xdr_uint32_t(xdr, &message->loads[i].worker) ||
-		    !xdr_float(xdr, &message->loads[i].held) ||
-		    !xdr_uint32_t(xdr, &message->loads[i].firsts) ||
-		    !xdr_float(xdr, &message->loads[i].slowdown))
-			return FALSE;
-	}
-	if (!xdr_uint32_t(xdr, &message->news_count) ||
-	    message->news_count > HINT_NEWS_MAX)
-		return FALSE;
-	for (i = 0; i < message->news_count; i++) {
-		if (!xdr_opaque(xdr, (char *)message->news[i].print,
-				MAG_DIGEST_BYTES) ||
-		    !xdr_uint32_t(xdr, &message->news[i].lost))
-			return FALSE;
-	}
-	if (!xdr_uint32_t(xdr, &message->suspect_count) ||
-	    message->suspect_count > HINT_SUSPECTS_MAX)
-		return FALSE;
-	for (i = 0; i < message->suspect_count; i++) {
-		if (!xdr_uint32_t(xdr, &message->suspects[i]))
-			return FALSE;
-	}
-	return TRUE;
-}
-
 static void hint_take(struct hint *hint, const struct hint_message *message,
 		      const struct sockaddr_in *from)
 {
@@ -501,7 +406,9 @@
 static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
 			       int64_t heard_us)
 {
-	if (load->slowdown <= 0 || heard_us <= wk->slowdown_us)
+	if (!(load->slowdown >= HINT_SLOWDOWN_LEAST &&
+	      load->slowdown <= HINT_SLOWDOWN_MOST) ||
+	    heard_us <= wk->slowdown_us)
 		return;
 	wk->slowdown = (double)load->slowdown;
 	wk->slowdown_us = heard_us;
--- /dev/null
+++ b/src/hint_msg.h
@@ -0,0 +1,51 @@
+#ifndef HINT_MSG_H
+#define HINT_MSG_H
+
+/* The datagram that routers tell each other, and its form in XDR. */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "mag.h"
+#include "vch.h"
+
+/* A datagram stays below the smallest common transfer unit. */
+#define HINT_BYTES_MAX	  1400
+#define HINT_LOADS_MAX	  56
+#define HINT_NEWS_MAX	  4
+#define HINT_SUSPECTS_MAX 16
+
+/* What a router has given a worker. */
+struct hint_load {
+	uint32_t worker; /* hash of its id */
+	float held;	 /* tokens x layers */
+	uint32_t firsts;
+	float slowdown; /* as learned a moment ago; 0: not known */
+};
+
+/* A request that crashes workers. */
+struct hint_news {
+	uint8_t print[MAG_DIGEST_BYTES];
+	uint32_t lost;
+};
+
+struct hint_message {
+	char name[MAG_NAME_MAX];
+	uint32_t ready; /* it takes callers and can check their keys */
+	uint32_t session;
+	int64_t stamp_us; /* the sender's clock */
+	int64_t revision; /* of the store, up to which it was told all */
+	struct vch_word word;
+	uint32_t load_count;
+	struct hint_load loads[HINT_LOADS_MAX];
+	uint32_t news_count;
+	struct hint_news news[HINT_NEWS_MAX];
+	uint32_t suspect_count;
+	uint32_t suspects[HINT_SUSPECTS_MAX]; /* hashes of workers' ids */
+};
+
+/* Each returns a negative number for what is no message, or does not fit. */
+int hint_msg_encode(struct hint_message *message, char *bytes, size_t *len);
+int hint_msg_decode(struct hint_message *message, char *bytes, size_t len);
+
+#endif /* HINT_MSG_H */
--- a/src/sto.h
+++ b/src/sto.h
@@ -54,7 +54,6 @@
 
 int sto_new(struct hc *hc, const char *address, uint64_t seed,
 	    struct sto **out);
-void sto_free(struct sto *sto);
 void sto_tick(struct sto *sto, int64_t now);
 uint64_t sto_calls(const struct sto *sto);
 
--- a/src/vch.c
+++ b/src/vch.c
@@ -42,11 +42,13 @@
 bool vch_from_peer(struct vch *vch, const struct vch_word *word,
 		   int64_t version, int64_t now)
 {
-	int64_t fresh_us = word->echo_us - word->age_us;
+	int64_t fresh_us;
 
-	if (word->session != vch->session || word->age_us < 0 ||
-	    word->echo_us > now || word->version > version ||
-	    fresh_us <= vch->fresh_us)
+	if (word->session != vch->session || word->version > version ||
+	    word->echo_us < 0 || word->echo_us > now || word->age_us < 0)
+		return false;
+	fresh_us = word->echo_us - word->age_us;
+	if (fresh_us <= vch->fresh_us)
 		return false;
 	vch->fresh_us = fresh_us;
 	return true;
