Let no entry of another service take a worker at the same address out

Cause, found by reading: an entry of another writer, well formed, with a worker's address, a later start and a service that nobody has, would have marked the sound worker as replaced.

--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -9,14 +9,16 @@
 
 static struct wk_table table;
 
-/* "entry ID ADDRESS BORN_MS FROM TO": an entry of the store's list. */
+/* "entry ID ADDRESS BORN_MS FROM TO [SERVICE]": an entry of the list. */
 static void put(const char *line, int64_t now)
 {
 	struct wire_worker worker = { .slots = 8 };
 	long long born;
 
-	if (sscanf(line, "%*s %63s %47s %lld %d %d", worker.id, worker.address,
-		   &born, &worker.layers.from, &worker.layers.to) != 5)
+	strcpy(worker.service, "model");
+	if (sscanf(line, "%*s %63s %47s %lld %d %d %63s", worker.id,
+		   worker.address, &born, &worker.layers.from,
+		   &worker.layers.to, worker.service) < 5)
 		return;
 	worker.born_ms = born;
 	wk_list_put(&table, &worker, now, NULL);
--- a/src/wk.c
+++ b/src/wk.c
@@ -357,7 +357,8 @@
  * Of two workers that are listed at one address the younger one has it.  A
  * worker that crashed comes back under a new name before its old entry lapses;
  * requests that are sent by the old entry's layers meet the new worker, which
- * holds none, and each of them is refused.
+ * holds none, and each of them is refused.  An entry of a service that nobody
+ * has, of another writer, takes no worker out.
  */
 static void wk_settle_address(struct wk_table *table, struct wk *wk)
 {
@@ -367,6 +368,7 @@
 	cds_list_for_each_entry (other, &table->workers, node) {
 		if (other == wk || !other->listed ||
 		    strcmp(other->is.address, wk->is.address) != 0 ||
+		    strcmp(other->is.service, wk->is.service) != 0 ||
 		    !other->is.born_ms || !wk->is.born_ms)
 			continue;
 		if (other->is.born_ms < wk->is.born_ms)
