--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -252,6 +252,18 @@
 }
 
 /* What the operator, the workers and the tests do beside the pages. */
+/* Open watches are never answered, and their connections stay open. */
+static void deafen(void)
+{
+	int i;
+
+	for (i = 0; i < WATCHES_MAX; i++) {
+		if (watches[i].conn)
+			hs_set_user(watches[i].conn, NULL);
+		watches[i].conn = NULL;
+	}
+}
+
 static void stand_in(struct hs_conn *conn, const char *path,
 		     struct evkeyvalq *query)
 {
@@ -280,6 +292,8 @@
 		drop(find(key, false));
 	} else if (strstr(path, "/forget")) {
 		oldest = revision;
+	} else if (strstr(path, "/deafen")) {
+		deafen();
 	} else if (strstr(path, "/fault") && kind) {
 		for (i = 0; i < MAG_ARRAY_SIZE(faults); i++) {
 			if (strcmp(kind, faults[i]) == 0)
@@ -375,7 +389,8 @@
 
 	(void)ctx;
 	(void)conn;
-	watch->conn = NULL;
+	if (watch)
+		watch->conn = NULL;
 }
 
 /* Ends leases and entries that ran out, and serves watches. */
