--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -117,6 +117,19 @@
 	wait_for "served_by $(router 1)"
 }
 
+# stop_second_half NAME: callers ask router 1 for 6 s, as NAME, and meanwhile
+# one of the two engines that hold the second half of the layers stops.
+stop_second_half() {
+	"$build/tool_calls" "$1" 6 30 $(router 1) >"$dir/calls" &
+	calls=$!
+	sleep 2
+	for n in 1 2 3 4; do
+		grep -q '^ORDER.* 10-20' "$dir/worker.$n.log" && break
+	done
+	eval "kill -STOP \$worker_$n"
+	wait $calls
+}
+
 served_once() { served_by $(router 1) $(router 2); }
 
 # served_by ROUTER...: all of some requests are answered whole.
--- a/regress/edge/repaired-chain.sh
+++ b/regress/edge/repaired-chain.sh
@@ -6,15 +6,7 @@
 . edge/lib.sh
 STREAM_ATTEMPTS=1
 start_halves
-"$build/tool_calls" mend 6 30 $(router 1) >"$dir/calls" &
-calls=$!
-# Two engines hold the second half of the layers; one of them stops.
-sleep 2
-for n in 1 2 3 4; do
-	grep -q '^ORDER.* 10-20' "$dir/worker.$n.log" && break
-done
-eval "kill -STOP \$worker_$n"
-wait $calls
+stop_second_half mend
 grep -q '^REPATH' "$dir"/worker.*.log && echo "chains were repaired"
 logged 1 '"name":"chain-repaired".*"status":202' && echo "and that was logged"
 verify 0.8
