Count a watch that is given up as a failure of the store

Cause: regress/edge/cut-from-store failed once in a run of all edge scripts ('gave up: logged 1 platform-unreachable'). A router that is cut off from the store and hears from its peer that the store went on took its watch for silent after 0.9 s and began it anew, just before the watch's own deadline after a failure; none of them ever counted, so that the router did not know that the store is out of reach, and paid for a call each time. Ruled out: the test's own wait (15 s, against 12 s for the slowest way to know).

Change: such a watch is given up like one beside two lost asks, which counts as a failure. The test now lets the store go on during the cut.

--- a/regress/edge/cut-from-store.sh
+++ b/regress/edge/cut-from-store.sh
@@ -20,6 +20,9 @@
 # The routers hear of each other by the next watch.
 sleep 1.5
 echo silent >&5
+# The store goes on meanwhile, which the router hears of from its peer; that must
+# not keep it from knowing that it is cut off.
+put_config 1
 wait_for "logged 1 platform-unreachable" && echo "cut off from the store"
 sleep 6
 ready 1 && echo "ready"
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -71,6 +71,7 @@
 static void sto_compare(struct sto_follow *follow);
 static bool sto_is_deaf(struct sto_follow *follow, int64_t now);
 static void sto_ask_lost(struct sto_follow *follow);
+static void sto_give_up(struct sto_follow *follow);
 static void sto_wake(struct sto_follow *follow);
 static void sto_drop_call(struct sto_follow *follow);
 static void sto_tell(struct sto_follow *follow, struct wire_items *items);
@@ -104,7 +105,7 @@
 
 	cds_list_for_each_entry (follow, &sto->follows, node) {
 		if (sto_is_deaf(follow, now))
-			sto_wake(follow);
+			sto_give_up(follow);
 		if (follow->state != STO_PAUSING || now < follow->retry_us)
 			continue;
 		if (follow->list_next)
@@ -306,6 +307,16 @@
 	if (follow->asks_lost < STO_ASKS_LOST_MAX ||
 	    follow->state != STO_WATCHING || follow->failures > 0)
 		return;
+	sto_give_up(follow);
+}
+
+/*
+ * Counts a watch that is not answered as a failure.  Begun anew without that,
+ * it could be given up again and again, and nobody would know that the store
+ * is out of reach.
+ */
+static void sto_give_up(struct sto_follow *follow)
+{
 	sto_drop_call(follow);
 	sto_pause(follow, false);
 }
