vch: spread the asks of a data centre; gather changes under the bounds

Cause: each router watches the store for itself, and on the large deployment calls to it cost more than all refused callers.

Change: the pause is drawn over its whole spread; changes gather for 0.4 of the shorter of the bounds of configuration and of leaving (settings: config_apply_ms, drain_ms), 0.8 s as before on the small sites.

--- a/regress/check_vch.c
+++ b/regress/check_vch.c
@@ -37,7 +37,8 @@
 
 	memset(router, 0, sizeof(*router));
 	session++;
-	vch_init(&router->vch, session, session);
+	/* Seeds of their own, as routers draw them. */
+	vch_init(&router->vch, session, session * 0x9e3779b97f4a7c15ULL);
 	router->clock_ms = clock_ms;
 	router->version = -1;
 }
@@ -146,6 +147,11 @@
 		changed_ms = now_ms;
 	} else if (sscanf(line, "store %d %ld", &a, &ms) == 2) {
 		hear_store(a, ms);
+	} else if (sscanf(line, "gather %ld %d", &ms, &a) == 2) {
+		fprintf(out, "%lld ms\n",
+			(long long)(vch_gather_us(ms * MAG_US_PER_MS,
+						  a * MAG_US_PER_MS) /
+				    MAG_US_PER_MS));
 	} else if (sscanf(line, "key %d", &a) == 1) {
 		print(out, a);
 	} else {
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -244,8 +244,12 @@
  */
 static int edge_follow(struct edge_run *run)
 {
-	struct sto_follow_settings all = { "", EDGE_WATCH_MS, &edge_ops, run };
 	struct edge *edge = &run->edge;
+	struct sto_follow_settings all = {
+		"", EDGE_WATCH_MS,
+		vch_gather_us(edge->set.config_apply_us, edge->set.drain_us),
+		&edge_ops, run
+	};
 
 	edge->store_reachable = true;
 	if (sto_follow(edge->sto, &all, &edge->follow)) {
--- a/src/eset.c
+++ b/src/eset.c
@@ -42,6 +42,8 @@
 	  offsetof(struct eset, store_lease_ms_min), 0 },
 	{ "first_start", ESET_FLAG, offsetof(struct eset, first_start), 0 },
 	{ "stop_s", ESET_S, offsetof(struct eset, stop_us), 0 },
+	{ "config_apply_ms", ESET_MS, offsetof(struct eset, config_apply_us),
+	  0 },
 	{ "drain_ms", ESET_MS, offsetof(struct eset, drain_us), 0 },
 	{ "keys_stale_ms", ESET_MS, offsetof(struct eset, keys_stale_us), 0 },
 	{ "keys_fail_closed", ESET_FLAG,
--- a/src/eset.h
+++ b/src/eset.h
@@ -26,6 +26,7 @@
 	int64_t store_lease_ms_min;
 	bool first_start; /* the whole system starts for the first time */
 	int64_t stop_us;  /* from the signal to stop until a kill */
+	int64_t config_apply_us; /* a configuration is in force within this */
 	int64_t drain_us; /* a leaving worker gets nothing new after this */
 	int64_t keys_stale_us; /* a removed key may work for so long */
 	bool keys_fail_closed;
--- a/src/sto.h
+++ b/src/sto.h
@@ -41,7 +41,8 @@
 
 struct sto_follow_settings {
 	const char *prefix;
-	int64_t wait_ms; /* that one watch stays open */
+	int64_t wait_ms;   /* that one watch stays open */
+	int64_t gather_us; /* from a change to the next watch */
 	const struct sto_follow_ops *ops;
 	void *user;
 };
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -12,12 +12,6 @@
  */
 #define STO_RETRY_US	 (80 * MAG_US_PER_MS)
 #define STO_RETRY_MAX_US (500 * MAG_US_PER_MS)
-/*
- * After a watch that told of a change, the next one waits so long: workers
- * and routers that start, and configurations in quick succession, then cost
- * one call for many changes, and each is known within a fifth of its bound.
- */
-#define STO_GATHER_US (800 * MAG_US_PER_MS)
 /* How long the first watch after a failure stays open. */
 #define STO_BACK_WAIT_MS 20
 /* Asks in a row without an answer after which a watch is given up, too. */
@@ -35,6 +29,7 @@
 	char prefix[WIRE_KEY_MAX];
 	char after[WIRE_KEY_MAX]; /* last key of the page before */
 	int64_t wait_ms;
+	int64_t gather_us;
 	const struct sto_follow_ops *ops;
 	void *user;
 	enum sto_follow_state state;
@@ -89,6 +84,7 @@
 	follow->sto = sto;
 	strncpy(follow->prefix, settings->prefix, sizeof(follow->prefix) - 1);
 	follow->wait_ms = settings->wait_ms;
+	follow->gather_us = settings->gather_us;
 	follow->ops = settings->ops;
 	follow->user = settings->user;
 	cds_list_add_tail(&follow->node, &sto->follows);
@@ -211,7 +207,7 @@
 		/* Changes come in bursts; one call takes what gathers. */
 		follow->state = STO_PAUSING;
 		follow->list_next = false;
-		follow->retry_us = clk_boot_us() + STO_GATHER_US;
+		follow->retry_us = clk_boot_us() + follow->gather_us;
 		return;
 	}
 	sto_watch(follow);
--- a/src/vch.c
+++ b/src/vch.c
@@ -10,13 +10,20 @@
  */
 #define VCH_READY_SHARE 0.6
 /*
- * The store is asked when nobody has vouched for so long, or up to this much
- * later for each router, so that mostly one of them asks for all.
+ * The store is asked when knowledge has not become younger for so long, or
+ * up to so much later for each router that hears the answer: mostly one of
+ * them asks for all.  The spread ends where keys would be refused for it.
  */
-#define VCH_ASK_US	(400 * MAG_US_PER_MS)
-#define VCH_ASK_EACH_US (100 * MAG_US_PER_MS)
-/* A router that hears nothing new asks again after this at the latest. */
-#define VCH_ASK_MAX_US MAG_US_PER_S
+#define VCH_ASK_US	  (400 * MAG_US_PER_MS)
+#define VCH_ASK_EACH_US	  (100 * MAG_US_PER_MS)
+#define VCH_ASK_SPREAD_US (1600 * MAG_US_PER_MS)
+/* A router whose ask has changed nothing asks again after this. */
+#define VCH_ASK_AGAIN_US (500 * MAG_US_PER_MS)
+/*
+ * Part of the shorter bound for which changes are gathered before the next
+ * watch: one call then tells of many, and a lost one can be made again.
+ */
+#define VCH_GATHER_SHARE 0.4
 
 static int64_t vch_pause(struct vch *vch, int routers);
 
@@ -76,26 +83,37 @@
 					 (double)bound_us * VCH_READY_SHARE;
 }
 
+/*
+ * Returns how long changes of the store may gather, under the bounds within
+ * which a configuration is in force and a leaving worker gets nothing new.
+ */
+int64_t vch_gather_us(int64_t config_apply_us, int64_t drain_us)
+{
+	int64_t bound_us =
+		config_apply_us < drain_us ? config_apply_us : drain_us;
+
+	return (int64_t)((double)bound_us * VCH_GATHER_SHARE);
+}
+
 /* Tells whether this instance should ask the store now, and plans the next. */
 bool vch_is_time_to_ask(struct vch *vch, int routers, int64_t now)
 {
-	int64_t due_us;
-
+	if (vch->planned_us != vch->fresh_us) {
+		vch->planned_us = vch->fresh_us;
+		vch->ask_us = vch->fresh_us + vch_pause(vch, routers);
+	}
 	if (now < vch->ask_us)
 		return false;
-	due_us = vch->fresh_us + vch_pause(vch, routers);
-	if (vch->fresh_us && now < due_us && due_us > vch->ask_us) {
-		vch->ask_us = due_us;
-		return false;
-	}
-	vch->ask_us = now + vch_pause(vch, routers);
+	vch->ask_us = now + VCH_ASK_AGAIN_US;
 	return true;
 }
 
 static int64_t vch_pause(struct vch *vch, int routers)
 {
-	uint64_t spread = (uint64_t)VCH_ASK_EACH_US * (uint64_t)routers;
-	int64_t pause = VCH_ASK_US + (int64_t)(mag_random(&vch->seed) % spread);
+	int64_t spread = VCH_ASK_EACH_US * routers;
 
-	return pause < VCH_ASK_MAX_US ? pause : VCH_ASK_MAX_US;
+	if (spread > VCH_ASK_SPREAD_US)
+		spread = VCH_ASK_SPREAD_US;
+	return VCH_ASK_US +
+	       (int64_t)(mag_random(&vch->seed) % (uint64_t)spread);
 }
