lay: deal copies over the fastest cards first; spares back up narrow cards

Change: the first copy lies on the fastest cards alone, the next one on the fastest that are left; one part of a first worker's places (0.7) replaces two. Spares take the layers whose only holders are narrow: a window over three v100 keeps three losses from breaking the copy, one over a part of an a100 none. The backing up of neighbours at the deal, the interleaving of slow cards and the count of copies are gone.

Tests: regress/lay/short and alone fail before (12 of 15 single losses left a hole, 3 now).

--- a/regress/check_lay.c
+++ b/regress/check_lay.c
@@ -8,7 +8,8 @@
 
 static struct lay_card cards[CARDS_MAX];
 static int count;
-static struct lay_model model;
+/* A token's time in a layer and between workers, as an engine tells it. */
+static struct lay_model model = { .layer_us = 12.75, .hop_us = 250 };
 
 /* Adds N alike cards; "card CENTRE N MEMORY_MB FACTOR [FROM TO]". */
 static void add_cards(const char *line)
--- a/src/chn.h
+++ b/src/chn.h
@@ -23,6 +23,8 @@
 #define CHN_LAYERS_MAX	256
 #define CHN_CENTRES_MAX 32
 
+/* Time between two workers of a data centre for one token. */
+#define CHN_HOP_US 250
 /* Share of a worker's request memory that is given away. */
 #define CHN_MEMORY_LIMIT 0.92
 
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -4,8 +4,6 @@
 
 #include "eq.h"
 
-/* Time between two workers of a data centre for one token. */
-#define EQ_HOP_US 250
 /*
  * Price of a hop from one data centre to another.  Its delay is 1 ms, but all
  * streams share one pipe there, and each stream's prompt alone holds it for
@@ -191,7 +189,7 @@
 	want->layers = eq->service->engine.layers;
 	want->centre = edge_centre(edge, edge->set.data_centre);
 	want->tokens = eq_tokens(eq);
-	want->hop_us = EQ_HOP_US;
+	want->hop_us = CHN_HOP_US;
 	want->centre_us = EQ_CENTRE_US;
 	want->away_us = EQ_AWAY_US;
 	want->may_cross = edge_may_cross(edge, &eq->service->engine, now);
--- a/src/lay.c
+++ b/src/lay.c
@@ -5,15 +5,10 @@
 
 /*
  * Requests for which a copy keeps memory, as a part of a first worker's
- * places.  Beside other copies it is above one: each request takes more than
- * its mean when it ends, and a copy takes over the streams of a broken one.
+ * places.  Fewer layers a card would keep more, but make every chain longer
+ * and slower, and slow streams hold their memory for longer.
  */
-#define LAY_PEAK 1.5
-/*
- * The same for the only copy of a data centre: memory that slow cards keep
- * free lets them back up their neighbours, so that a loss does not break it.
- */
-#define LAY_PEAK_ALONE 0.85
+#define LAY_PEAK 0.7
 /* Share of one card's memory that its layers may take at most. */
 #define LAY_CARD_SHARE 0.85
 /* A chain has at most 32 hops; copies stay below it with some to spare. */
@@ -22,49 +17,26 @@
 #define LAY_SHRINK 0.93
 #define LAY_STEPS  40
 
+static bool lay_is_dealt(const struct lay_card *cards, int count);
 static void lay_deal_all(const struct lay_model *model, struct lay_card *cards,
 			 int count);
 static void lay_deal_centres(const struct lay_model *model,
 			     struct lay_card *cards, int count);
-static int lay_copies(const struct lay_model *model, double memory_mb,
-		      int cards);
-static void lay_deal_copies(const struct lay_model *model,
-			    struct lay_card **group, int count, int copies);
-static void lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
-			  int count, double wanted);
-static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
-		       int count, double wanted, int *widths);
+static void lay_deal_group(const struct lay_model *model,
+			   struct lay_card **group, int count);
+static int lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
+			 int count, double wanted);
 static void lay_even_out(struct lay_card **copy, int count, int *widths);
-static void lay_interleave(struct lay_card **copy, int *widths, int count,
-			   struct lay_card **order);
-static void lay_back_up(const struct lay_model *model, struct lay_card **order,
-			int count, double wanted);
-static void lay_back_up_one(const struct lay_model *model,
-			    struct lay_card **order, int count, int at,
-			    double wanted);
-static bool lay_can_back_up(const struct lay_model *model,
-			    const struct lay_card *card, double wanted, int own,
-			    int holds);
-static int lay_by_speed(const void *a, const void *b);
-static int lay_by_memory(const void *a, const void *b);
-
-/* Takes the layers that cards back up into what they are to hold. */
-void lay_join_back_up(struct lay_card *cards, int count)
-{
-	int i;
-
-	for (i = 0; i < count; i++) {
-		if (cards[i].back_to <= cards[i].back_from)
-			continue;
-		cards[i].want_from = cards[i].back_from;
-		cards[i].want_to = cards[i].back_to;
-	}
-}
+static void lay_sort(const struct lay_model *model, struct lay_card **group,
+		     int count);
+static double lay_layer_cost(const struct lay_model *model,
+			     const struct lay_card *card);
 
 /*
  * Sets what each card is to hold.  While nobody holds anything, whole copies
- * are dealt; later only empty cards are filled and, if widen is set, holders
- * beside a hole take it over, or a card that others back up moves there.
+ * are dealt; cards that are left, or that come later, take the layers that
+ * lack the most.  If widen is set, holders beside a hole take it over, or a
+ * card that others back up moves there.
  */
 void lay_plan(const struct lay_model *model, struct lay_card *cards, int count,
 	      bool widen)
@@ -76,15 +48,12 @@
 	for (i = 0; i < count; i++) {
 		cards[i].want_from = cards[i].from;
 		cards[i].want_to = cards[i].to;
-		cards[i].back_from = 0;
-		cards[i].back_to = 0;
 	}
-	if (lay_is_fresh(cards, count)) {
+	if (lay_is_fresh(cards, count))
 		lay_deal_all(model, cards, count);
-		lay_join_back_up(cards, count);
-	} else {
-		lay_repair(model, cards, count, widen);
-	}
+	if (!lay_is_dealt(cards, count))
+		return;
+	lay_repair(model, cards, count, widen);
 }
 
 /* Finds the layer of a data centre with room for the fewest tokens. */
@@ -123,6 +92,18 @@
 	}
 }
 
+/* Tells whether some card is to hold layers. */
+static bool lay_is_dealt(const struct lay_card *cards, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (cards[i].want_from != cards[i].want_to)
+			return true;
+	}
+	return false;
+}
+
 /* Tells whether no card holds any layer. */
 bool lay_is_fresh(const struct lay_card *cards, int count)
 {
@@ -153,8 +134,7 @@
 	}
 	if (left > 0 &&
 	    memory * LAY_CARD_SHARE >= model->layers * model->layer_mb)
-		lay_deal_copies(model, pool, left,
-				lay_copies(model, memory, left));
+		lay_deal_group(model, pool, left);
 }
 
 static void lay_deal_centres(const struct lay_model *model,
@@ -182,122 +162,70 @@
 		memory += cards[i].memory_mb;
 	}
 	if (memory * LAY_CARD_SHARE >= model->layers * model->layer_mb)
-		lay_deal_copies(model, group, size,
-				lay_copies(model, memory, size));
+		lay_deal_group(model, group, size);
 }
 
 /*
- * Returns how many copies of the model a group of cards is to hold: as many
- * as let it run the most requests.  A further copy takes memory from all, and
- * brings the places of another first worker; the loss of a card then breaks a
- * smaller part of the streams.
+ * Deals copies one after the other, each over the fastest cards that are
+ * left, until these hold no whole one.  Where not even the first copy fits
+ * beside the wanted memory for requests, less memory is wanted.
  */
-static int lay_copies(const struct lay_model *model, double memory_mb,
-		      int cards)
+static void lay_deal_group(const struct lay_model *model,
+			   struct lay_card **group, int count)
 {
-	double weights = model->layers * model->layer_mb;
-	double request =
-		model->request_tokens * model->token_mb * model->layers;
-	int least = (cards + LAY_CARDS_A_COPY - 1) / LAY_CARDS_A_COPY;
-	int best = least > 0 ? least : 1;
-	double most = 0;
-	double runs;
-	int copies;
-
-	for (copies = best; copies <= cards; copies++) {
-		runs = (memory_mb / copies - weights) / request;
-		if (runs > model->places)
-			runs = model->places;
-		if (runs * copies <= most)
-			break;
-		most = runs * copies;
-		best = copies;
-	}
-	return best;
-}
-
-/* Splits a group into copies of like memory and deals the layers of each. */
-static void lay_deal_copies(const struct lay_model *model,
-			    struct lay_card **group, int count, int copies)
-{
-	struct lay_card *copy[LAY_CARDS_MAX];
-	int round;
-	int slot;
-	int size;
-	int k;
-	int i;
+	double wanted = lay_wanted(model);
+	int dealt = 0;
+	int used;
+	int step;
 
-	qsort(group, (size_t)count, sizeof(struct lay_card *), lay_by_memory);
-	for (k = 0; k < copies; k++) {
-		size = 0;
-		for (i = 0; i < count; i++) {
-			/* To and fro, so that each copy gets its part of
-			 * the large cards. */
-			round = i / copies;
-			slot = i % copies;
-			if (round % 2)
-				slot = copies - 1 - slot;
-			if (slot == k)
-				copy[size++] = group[i];
-		}
-		lay_deal_copy(model, copy, size, lay_wanted(model, copies));
+	lay_sort(model, group, count);
+	for (step = 0; step < LAY_STEPS && dealt == 0; step++) {
+		dealt = lay_deal_copy(model, group, count, wanted);
+		if (dealt == 0)
+			wanted *= LAY_SHRINK;
 	}
-}
-
-/* Deals all layers over the cards of one copy. */
-static void lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
-			  int count, double wanted)
-{
-	int widths[LAY_CARDS_MAX];
-	struct lay_card *order[LAY_CARDS_MAX];
-	int position = 0;
-	int i;
-
-	qsort(copy, (size_t)count, sizeof(struct lay_card *), lay_by_speed);
-	if (!lay_widths(model, copy, count, wanted, widths))
-		return;
-	lay_interleave(copy, widths, count, order);
-	for (i = 0; i < count; i++) {
-		order[i]->want_from = position;
-		position += widths[i];
-		order[i]->want_to = position;
+	used = dealt;
+	while (used > 0 && dealt < count) {
+		used = lay_deal_copy(model, group + dealt, count - dealt,
+				     wanted);
+		dealt += used;
 	}
-	lay_back_up(model, order, count, wanted);
 }
 
 /*
- * Sets how many layers each card of a copy holds, the fast ones first.  Where
- * the layers do not fit beside the wanted memory for requests, less memory
- * is wanted.  Returns false if they do not fit at all.
+ * Deals all layers over the first cards of a list; returns how many it took,
+ * 0 if the layers do not fit.
  */
-static bool lay_widths(const struct lay_model *model, struct lay_card **copy,
-		       int count, double wanted, int *widths)
+static int lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
+			 int count, double wanted)
 {
-	double tokens = wanted;
-	int left;
-	int most;
+	int widths[LAY_CARDS_A_COPY];
+	int left = model->layers;
+	int position = 0;
+	int used = 0;
 	int i;
-	int step;
 
-	for (step = 0; step < LAY_STEPS; step++) {
-		left = model->layers - count;
-		for (i = 0; i < count; i++) {
-			widths[i] = 1;
-			most = lay_beside(model, copy[i], tokens) - 1;
-			if (most > left)
-				most = left;
-			if (most > 0) {
-				widths[i] += most;
-				left -= most;
-			}
-		}
-		if (left <= 0) {
-			lay_even_out(copy, count, widths);
-			return left == 0;
-		}
-		tokens *= LAY_SHRINK;
+	while (used < count && used < LAY_CARDS_A_COPY && left > 0) {
+		widths[used] = lay_beside(model, copy[used], wanted);
+		if (widths[used] > left)
+			widths[used] = left;
+		left -= widths[used];
+		used++;
 	}
-	return false;
+	if (left > 0)
+		return 0;
+	lay_even_out(copy, used, widths);
+	for (i = 0; i < used; i++) {
+		copy[i]->want_from = position;
+		position += widths[i];
+		copy[i]->want_to = position;
+	}
+	/* The last card backs the one before it up with what it has left. */
+	copy[used - 1]->want_from =
+		model->layers - lay_beside(model, copy[used - 1], wanted);
+	if (copy[used - 1]->want_from < 0)
+		copy[used - 1]->want_from = 0;
+	return used;
 }
 
 /*
@@ -326,12 +254,10 @@
 	}
 }
 
-/* Returns the tokens for which a copy is to have memory. */
-double lay_wanted(const struct lay_model *model, int copies)
+/* Returns the tokens for which a card is to have memory. */
+double lay_wanted(const struct lay_model *model)
 {
-	double peak = copies > 1 ? LAY_PEAK : LAY_PEAK_ALONE;
-
-	return peak * model->places * model->request_tokens;
+	return LAY_PEAK * model->places * model->request_tokens;
 }
 
 /* Returns the layers that fit beside the memory of so many tokens. */
@@ -345,142 +271,41 @@
 	return fit < most ? fit : most;
 }
 
-/*
- * Puts the slowest cards between the others at even distances, because each
- * of them backs up its neighbours.
- */
-static void lay_interleave(struct lay_card **copy, int *widths, int count,
-			   struct lay_card **order)
+/* Returns the most layers that a card may hold. */
+int lay_most(const struct lay_model *model, const struct lay_card *card)
 {
-	int sorted[LAY_CARDS_MAX];
-	double slowest = copy[count - 1]->step_factor;
-	int slow = 0;
-	int taken = 0;
-	int put = 0;
-	int i;
-
-	memcpy(sorted, widths, (size_t)count * sizeof(*widths));
-	while (slow < count && copy[count - 1 - slow]->step_factor >= slowest)
-		slow++;
-	for (i = 0; i < count; i++) {
-		/*
-		 * The first place is a fast card's: it takes the prompts.
-		 * When the others are used up, the slow ones that are left
-		 * follow.
-		 */
-		if (taken == count - slow ||
-		    (put < slow && (long)(put + 1) * count <=
-					   (long)(i + 1) * (slow + 1) - 1)) {
-			order[i] = copy[count - slow + put];
-			widths[i] = sorted[count - slow + put];
-			put++;
-		} else {
-			order[i] = copy[taken];
-			widths[i] = sorted[taken];
-			taken++;
-		}
-	}
+	return (int)(card->memory_mb * LAY_CARD_SHARE / model->layer_mb);
 }
 
-/*
- * Lets the slowest cards hold layers of their neighbours besides their own,
- * while memory is left for the streams that pass them now, and for most of
- * those that would pass if a neighbour were lost.
- */
-static void lay_back_up(const struct lay_model *model, struct lay_card **order,
-			int count, double wanted)
+/* Orders cards by what a layer costs on them, equal ones as they came. */
+static void lay_sort(const struct lay_model *model, struct lay_card **group,
+		     int count)
 {
-	double slowest = 0;
 	struct lay_card *card;
+	int at;
 	int i;
 
-	for (i = 0; i < count; i++) {
-		if (order[i]->step_factor > slowest)
-			slowest = order[i]->step_factor;
-	}
-	for (i = 0; i < count; i++) {
-		card = order[i];
-		if (card->step_factor < slowest)
-			continue;
-		lay_back_up_one(model, order, count, i, wanted);
-	}
-}
-
-static void lay_back_up_one(const struct lay_model *model,
-			    struct lay_card **order, int count, int at,
-			    double wanted)
-{
-	struct lay_card *card = order[at];
-	int own = card->want_to - card->want_from;
-	int left = at > 0 ? order[at - 1]->want_from : card->want_from;
-	int right = at + 1 < count ? order[at + 1]->want_to : card->want_to;
-	int from = card->want_from;
-	int to = card->want_to;
-	bool grew = true;
-
-	/* A slow neighbour backs nothing up: it has its own to hold. */
-	if (at > 0 && order[at - 1]->step_factor >= card->step_factor)
-		left = from;
-	if (at + 1 < count && order[at + 1]->step_factor >= card->step_factor)
-		right = to;
-	/* An even larger neighbour is more than this card could take over. */
-	if (from - left > lay_most(model, card))
-		left = from;
-	if (right - to > lay_most(model, card))
-		right = to;
-	while (grew) {
-		grew = false;
-		if (to < right &&
-		    lay_can_back_up(model, card, wanted, own, to - from + 1)) {
-			to++;
-			grew = true;
-		}
-		if (from > left &&
-		    lay_can_back_up(model, card, wanted, own, to - from + 1)) {
-			from--;
-			grew = true;
+	for (i = 1; i < count; i++) {
+		card = group[i];
+		for (at = i; at > 0; at--) {
+			if (lay_layer_cost(model, group[at - 1]) <=
+			    lay_layer_cost(model, card))
+				break;
+			group[at] = group[at - 1];
 		}
+		group[at] = card;
 	}
-	card->back_from = from;
-	card->back_to = to;
 }
 
-static bool lay_can_back_up(const struct lay_model *model,
-			    const struct lay_card *card, double wanted, int own,
-			    int holds)
-{
-	double spare = card->memory_mb - holds * model->layer_mb;
-	double needs = wanted * model->token_mb * own;
-	double taken_over = wanted * model->token_mb * LAY_BACK_UP *
-			    (own + (holds - own) / 2.0);
-
-	return holds <= lay_most(model, card) && spare >= needs &&
-	       spare >= taken_over;
-}
-
-/* Returns the most layers that a card may hold. */
-int lay_most(const struct lay_model *model, const struct lay_card *card)
-{
-	return (int)(card->memory_mb * LAY_CARD_SHARE / model->layer_mb);
-}
-
-static int lay_by_memory(const void *a, const void *b)
-{
-	const struct lay_card *x = *(struct lay_card *const *)a;
-	const struct lay_card *y = *(struct lay_card *const *)b;
-
-	if (x->memory_mb != y->memory_mb)
-		return x->memory_mb < y->memory_mb ? 1 : -1;
-	return (x > y) - (x < y);
-}
-
-/* The fastest cards first, of equal ones the largest. */
-static int lay_by_speed(const void *a, const void *b)
+/*
+ * Returns a token's time in one layer of a full card, its part of the way to
+ * the next card included: a small card makes a chain longer.
+ */
+static double lay_layer_cost(const struct lay_model *model,
+			     const struct lay_card *card)
 {
-	const struct lay_card *x = *(struct lay_card *const *)a;
-	const struct lay_card *y = *(struct lay_card *const *)b;
+	int most = lay_most(model, card);
 
-	if (x->step_factor != y->step_factor)
-		return x->step_factor > y->step_factor ? 1 : -1;
-	return lay_by_memory(a, b);
+	return card->step_factor * model->layer_us +
+	       model->hop_us / (most > 0 ? most : 1);
 }
--- a/src/lay.h
+++ b/src/lay.h
@@ -6,13 +6,12 @@
  *
  * Load pattern: at the evening's peak a data centre runs about a hundred
  * streams at once, half as many more when another one loses a worker, and any
- * worker, rack or data centre may be lost at that time.  Each data centre
- * holds whole copies of its own where its memory allows, so that its streams
- * need no slow link.  In a copy the fast cards hold as many layers as leave
- * memory for the streams of that peak, the slow ones the rest: the time of a
- * token is the sum over all layers, and streams that end sooner hold memory
- * for less long.  The memory that slow cards have left holds the layers of
- * the cards beside them, so that the loss of one leaves the copy whole.
+ * worker, rack or data centre may be lost at that time.  A loss breaks every
+ * stream whose chain has the lost worker in it, so chains are to be short and
+ * streams soon over: each data centre holds whole copies of its own where its
+ * memory allows, the first one on its fastest cards alone, the next one on
+ * the fastest that are left.  Cards that are too few for another copy hold
+ * what the copies hold least of, so that a loss leaves them whole.
  */
 
 #include <stdbool.h>
@@ -31,8 +30,6 @@
 	bool moving;   /* an order to it is not carried out yet */
 	int want_from; /* out: what it is to hold */
 	int want_to;
-	int back_from; /* with its neighbours' layers; planner's own */
-	int back_to;
 };
 
 struct lay_model {
@@ -41,6 +38,8 @@
 	double token_mb;       /* memory of a token in one layer */
 	int places;	       /* requests that a first worker takes at once */
 	double request_tokens; /* of one request, in the middle of its life */
+	double layer_us;       /* a token's time in a layer at step factor 1 */
+	double hop_us;	       /* between two workers of a data centre */
 };
 
 /* The layer of a data centre that has room for the fewest tokens. */
--- a/src/lay_int.h
+++ b/src/lay_int.h
@@ -13,8 +13,8 @@
  */
 #define LAY_BACK_UP 0.6
 
-/* Tokens for which a copy is to have memory, beside so many copies. */
-double lay_wanted(const struct lay_model *model, int copies);
+/* Tokens for which a card is to have memory. */
+double lay_wanted(const struct lay_model *model);
 /* Layers that fit on a card beside the memory of so many tokens. */
 int lay_beside(const struct lay_model *model, const struct lay_card *card,
 	       double tokens);
@@ -24,8 +24,6 @@
 /* Deals whole copies over a data centre's cards, if they have room for one. */
 void lay_deal_centre(const struct lay_model *model, struct lay_card *cards,
 		     int count, int centre);
-/* Takes the layers that cards back up into what they are to hold. */
-void lay_join_back_up(struct lay_card *cards, int count);
 /* Tells whether every layer is to have a holder in a data centre. */
 bool lay_is_whole(const struct lay_model *model, const struct lay_card *cards,
 		  int count, int centre);
--- a/src/lay_redeal.c
+++ b/src/lay_redeal.c
@@ -33,7 +33,6 @@
 		cards[i].want_to = 0;
 	}
 	lay_deal_centre(model, cards, count, centre);
-	lay_join_back_up(cards, count);
 	if (!lay_is_whole(model, cards, count, centre))
 		return false;
 	lay_keep_order(cards, count, centre);
--- a/src/lay_repair.c
+++ b/src/lay_repair.c
@@ -2,6 +2,10 @@
 
 /* Weight of what all data centres lack beside what one lacks. */
 #define LAY_ELSEWHERE 0.05
+/* Weights, beside a layer that lacks all memory, of one without a holder... */
+#define LAY_HOLE 10.0
+/* ...and of a card that nobody backs up. */
+#define LAY_ALONE 4.0
 
 /* What a card was to hold before something was tried. */
 struct lay_want {
@@ -11,14 +15,15 @@
 
 static void lay_fill(const struct lay_model *model, struct lay_card *cards,
 		     int count, struct lay_card *card);
+static void lay_alone(const struct lay_model *model,
+		      const struct lay_card *cards, int count, int centre,
+		      double *alone);
 static void lay_close(const struct lay_model *model, struct lay_card *cards,
 		      int count, int centre);
 static void lay_save(const struct lay_card *cards, int count,
 		     struct lay_want *saved);
 static void lay_restore(struct lay_card *cards, int count,
 			const struct lay_want *saved);
-static int lay_copies_held(const struct lay_model *model,
-			   const struct lay_card *cards, int count, int centre);
 static void lay_lacks(const struct lay_model *model, double *cover);
 static void lay_cover(const struct lay_model *model,
 		      const struct lay_card *cards, int count, int centre,
@@ -128,23 +133,21 @@
 
 /*
  * Gives an empty card the window of layers in which its data centre lacks the
- * most, measured against what it holds of a layer in the mean; what all data
- * centres lack decides between equal ones.
+ * most; what all data centres lack decides between equal ones.
  */
 static void lay_fill(const struct lay_model *model, struct lay_card *cards,
 		     int count, struct lay_card *card)
 {
 	double near[LAY_LAYERS_MAX] = { 0 };
 	double all[LAY_LAYERS_MAX] = { 0 };
+	double alone[LAY_LAYERS_MAX] = { 0 };
 	double best = -1;
-	double wanted;
+	double wanted = lay_wanted(model);
 	double lacks;
 	int width;
 	int start;
 	int i;
 
-	wanted = lay_wanted(model,
-			    lay_copies_held(model, cards, count, card->centre));
 	width = lay_beside(model, card, wanted);
 	if (width < 1)
 		width = 1;
@@ -154,10 +157,13 @@
 	lay_cover(model, cards, count, -1, all);
 	lay_lacks(model, near);
 	lay_lacks(model, all);
+	lay_alone(model, cards, count, card->centre, alone);
 	for (start = 0; start + width <= model->layers; start++) {
 		lacks = 0;
 		for (i = start; i < start + width; i++)
-			lacks += near[i] + LAY_ELSEWHERE * all[i];
+			lacks += LAY_HOLE * (near[i] >= 1) +
+				 LAY_ALONE * alone[i] + near[i] +
+				 LAY_ELSEWHERE * all[i];
 		if (lacks > best) {
 			best = lacks;
 			card->want_from = start;
@@ -177,19 +183,33 @@
 		card->want_from--;
 }
 
-/* Returns how many whole copies a data centre's layers would make. */
-static int lay_copies_held(const struct lay_model *model,
-			   const struct lay_card *cards, int count, int centre)
+/*
+ * Sets for each layer with one holder in a data centre that holder's part of
+ * one card: a window over several narrow cards keeps the loss of any of them
+ * from breaking the copy, one over a part of a wide card keeps nothing.
+ */
+static void lay_alone(const struct lay_model *model,
+		      const struct lay_card *cards, int count, int centre,
+		      double *alone)
 {
-	int held = 0;
+	int holders[LAY_LAYERS_MAX] = { 0 };
+	int held;
 	int i;
+	int k;
 
 	for (i = 0; i < count; i++) {
-		if (cards[i].centre == centre)
-			held += cards[i].want_to - cards[i].want_from;
+		held = cards[i].want_to - cards[i].want_from;
+		if (!cards[i].usable || held <= 0 || cards[i].centre != centre)
+			continue;
+		for (k = cards[i].want_from; k < cards[i].want_to; k++) {
+			holders[k]++;
+			alone[k] = 1.0 / held;
+		}
+	}
+	for (k = 0; k < model->layers; k++) {
+		if (holders[k] != 1)
+			alone[k] = 0;
 	}
-	/* Backed up layers count twice, so more than one and a half. */
-	return held > model->layers * 3 / 2 ? 2 : 1;
 }
 
 /* Turns the cover of each layer into what it lacks to the mean, in parts. */
--- a/src/plr.c
+++ b/src/plr.c
@@ -1,6 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "chn.h"
 #include "clk.h"
 #include "jlog.h"
 #include "lay.h"
@@ -178,6 +179,8 @@
 	model.places = engine->slots;
 	model.request_tokens =
 		engine->usual_prompt + engine->usual_answer / 2.0;
+	model.layer_us = engine->step_ms * MAG_US_PER_MS / engine->layers;
+	model.hop_us = CHN_HOP_US;
 	return model;
 }
 
