chn: spread streams that begin anew by the reading before them

The reading that a worker has before it was part of a repair's price only.

Change: for a stream whose events have begun, reading is part of the price of a chain, and each choice notes the reading that it gives its workers. A worker reads a prompt in pieces with a step of its writers between them: the engine's piece is decoded, and counts.

Test: regress/chn/storm; without the price all 40 streams take the chain of one data centre.

--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -106,6 +106,36 @@
 	fprintf(out, " crossings %d\n", chain.crossings);
 }
 
+/*
+ * "storm TIMES": so many streams begin anew at once; prints how many of them
+ * each first worker takes.
+ */
+static void storm(FILE *out, int times)
+{
+	int taken[CHN_LAYERS_MAX] = { 0 };
+	struct chn_chain chain;
+	struct chn_worker *w;
+	int n;
+	int i;
+
+	want.reads = true;
+	for (n = 0; n < times; n++) {
+		if (chn_choose(&want, workers, count, &chain))
+			break;
+		taken[chain.hops[0].ref]++;
+		for (i = 0; i < chain.count; i++) {
+			w = &workers[chain.hops[i].ref];
+			w->backlog_us += w->read_us * (chain.hops[i].to -
+						       chain.hops[i].from);
+		}
+	}
+	want.reads = false;
+	for (i = 0; i < count; i++) {
+		if (taken[i] > 0)
+			fprintf(out, "worker %d takes %d\n", i, taken[i]);
+	}
+}
+
 /* "keeps WORKER FROM TO": the part of the stream that it runs already. */
 static void keep(const char *line)
 {
@@ -155,6 +185,8 @@
 			set_want(line);
 		else if (sscanf(line, "choose %d", &n) == 1)
 			choose(out, n);
+		else if (sscanf(line, "storm %d", &n) == 1)
+			storm(out, n);
 		else if (strncmp(line, "mend ", 5) == 0)
 			mend(line, out);
 		else if (strncmp(line, "keeps ", 6) == 0)
--- a/src/chn.c
+++ b/src/chn.c
@@ -50,6 +50,12 @@
 /*
  * Finds the cheapest chain.  If none fits, the error says what was missing:
  * holders, memory or places at first workers.
+ *
+ * Load pattern: a worker is lost and all streams of its data centre begin
+ * anew within milliseconds.  Sent to the one cheapest chain, the last of them
+ * waits until all prompts before it are read there; priced with the reading
+ * that each worker has before it, they spread over the chains of all data
+ * centres.
  */
 int chn_choose(const struct chn_want *want, const struct chn_worker *workers,
 	       int count, struct chn_chain *chain)
@@ -212,7 +218,7 @@
 		    !chn_has_room(walk->want, w, end - position))
 			continue;
 		cost = enter + layer * (end - position);
-		if (walk->start > 0)
+		if (walk->start > 0 || walk->want->reads)
 			cost += chn_read_cost(w, position, end);
 		step = &walk->at[end][w->centre];
 		if (cost >= step->cost)
--- a/src/chn.h
+++ b/src/chn.h
@@ -59,6 +59,7 @@
 	double centre_us; /* between two data centres */
 	bool may_cross;	  /* a hop between data centres is allowed */
 	double away_us;	  /* price of a first worker in another one */
+	bool reads;	  /* its events are due: reading is part of the price */
 };
 
 /* The first hop of a chain under repair, which stays as it is. */
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -39,6 +39,7 @@
 static void eq_chain_want(struct eq *eq, struct chn_want *want, int64_t now);
 static int eq_chain_workers(struct eq *eq, const struct eq_hop *first,
 			    int64_t now);
+static void eq_reads(const struct eq *eq, int listed, int layers, int64_t now);
 static void eq_change_hops(struct eq *eq, const struct chn_chain *rest,
 			   int64_t now);
 static void eq_known_load(const struct wk *wk, int64_t now, double *held,
@@ -64,9 +65,12 @@
 		return rc == CHN_E_NONE ? EQ_NONE : EQ_BUSY;
 	edge->cross_bytes -= chain.crossings * want.tokens *
 			     eq->service->engine.handed_bytes;
-	for (i = 0; i < chain.count; i++)
+	for (i = 0; i < chain.count; i++) {
+		eq_reads(eq, chain.hops[i].ref,
+			 chain.hops[i].to - chain.hops[i].from, now);
 		eq_take_hop(eq, eq_listed[chain.hops[i].ref],
 			    chain.hops[i].from, chain.hops[i].to);
+	}
 	return EQ_CHOSEN;
 }
 
@@ -192,6 +196,7 @@
 	want->hop_us = CHN_HOP_US;
 	want->centre_us = EQ_CENTRE_US;
 	want->away_us = EQ_AWAY_US;
+	want->reads = eq->state == EQ_STREAMS;
 	want->may_cross = edge_may_cross(edge, &eq->service->engine, now);
 }
 
@@ -244,7 +249,7 @@
 		w->firsts_left = wk->is.slots - firsts;
 		w->keeps_from = keeps ? keeps->from : 0;
 		w->keeps_to = keeps ? keeps->to : 0;
-		w->read_us = first ? eq_read_us(eq, kind) * wk->slowdown : 0;
+		w->read_us = eq_read_us(eq, kind) * wk->slowdown;
 		w->backlog_us = wk->read_until_us > now
 					? (double)(wk->read_until_us - now)
 					: 0;
@@ -279,6 +284,20 @@
 	return NULL;
 }
 
+/*
+ * Notes that a listed worker has a prompt to read through some layers; the
+ * other routers of the data centre move as many streams there.
+ */
+static void eq_reads(const struct eq *eq, int listed, int layers, int64_t now)
+{
+	struct wk *wk = eq_listed[listed];
+
+	if (wk->read_until_us < now)
+		wk->read_until_us = now;
+	wk->read_until_us += (int64_t)(eq_list[listed].read_us * layers *
+				       edge_routers_here(eq->edge));
+}
+
 /* Takes the places of a repaired chain, then gives the old ones back. */
 static void eq_change_hops(struct eq *eq, const struct chn_chain *rest,
 			   int64_t now)
@@ -302,11 +321,7 @@
 		if (kept < &old[count] && kept->from == hop->from &&
 		    kept->to == hop->to)
 			continue;
-		if (wk->read_until_us < now)
-			wk->read_until_us = now;
-		wk->read_until_us += (int64_t)(eq_list[hop->ref].read_us *
-					       (hop->to - hop->from) *
-					       edge_routers_here(eq->edge));
+		eq_reads(eq, hop->ref, hop->to - hop->from, now);
 	}
 	for (i = 1; i < count; i++) {
 		old[i].worker->held -= old[i].held;
@@ -361,14 +376,22 @@
 	return prompt + answer;
 }
 
-/* Time in which a worker reads the request's prompt through one layer. */
+/*
+ * Time in which a worker reads the request's prompt through one layer.  It
+ * reads in pieces, a step of the requests that it writes for between them.
+ */
 static double eq_read_us(const struct eq *eq, const struct rt_kind *kind)
 {
 	const struct rt_engine *engine = &eq->service->engine;
 	int prompt = eq->asks.prompt_tokens;
+	double pieces = 0;
+	double ms;
 
 	if (prompt <= 0)
 		prompt = engine->usual_prompt;
-	return prompt / engine->read_tokens_per_s * MAG_US_PER_S *
-	       kind->read_factor / engine->layers;
+	if (engine->piece_tokens > 0)
+		pieces = (double)prompt / engine->piece_tokens;
+	ms = prompt / engine->read_tokens_per_s * 1000 * kind->read_factor;
+	ms += pieces * engine->step_ms * kind->step_factor;
+	return ms * MAG_US_PER_MS / engine->layers;
 }
--- a/src/rt.h
+++ b/src/rt.h
@@ -74,6 +74,7 @@
 	double per_sequence_ms;
 	double context_ms_per_k;
 	double read_tokens_per_s;
+	int piece_tokens;    /* of a prompt, read in one step; 0: unknown */
 	double handed_bytes; /* of a token, from one worker to the next */
 	double pipe_mbps;    /* between two data centres, for all */
 	double load_s;	     /* of the whole model */
