vch: tell peers at once what the store has shown; back off in an outage

What one router learned reached the others of its data centre up to 150 ms later, and four or five of 24 asked meanwhile; routers without the store asked and tried their watch twice a second each for as long as the outage lasted.

Change: knowledge that is younger by 0.2 s goes out with the next tick; an ask that changes nothing doubles the pause to the next, up to 2 s; the pause of a failing watch grows with the fleet to 2 s, and a peer's word after an outage wakes it.

--- a/regress/check_vch.c
+++ b/regress/check_vch.c
@@ -128,6 +128,18 @@
 	fprintf(out, "%s\n", asked <= most * 10 ? "in bounds" : "too many");
 }
 
+/* "lost N MS": prints how often a router asks a store that does not answer. */
+static void lost(FILE *out, int n, long ms)
+{
+	long end_ms = now_ms + ms;
+	int asked = 0;
+
+	for (; now_ms < end_ms; now_ms += 10)
+		asked += vch_is_time_to_ask(&routers[n].vch, 1,
+					    clock_of(&routers[n]));
+	fprintf(out, "%d asks\n", asked);
+}
+
 /* A line about one router or the time; returns false if it is another one. */
 static bool drive_one(const char *line, FILE *out)
 {
@@ -147,6 +159,11 @@
 		changed_ms = now_ms;
 	} else if (sscanf(line, "store %d %ld", &a, &ms) == 2) {
 		hear_store(a, ms);
+	} else if (sscanf(line, "lost %d %ld", &a, &ms) == 2) {
+		lost(out, a, ms);
+	} else if (sscanf(line, "retry %d", &a) == 1) {
+		fprintf(out, "%lld ms\n",
+			(long long)(vch_retry_us(a) / MAG_US_PER_MS));
 	} else if (sscanf(line, "gather %ld %d", &ms, &a) == 2) {
 		fprintf(out, "%lld ms\n",
 			(long long)(vch_gather_us(ms * MAG_US_PER_MS,
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -46,6 +46,9 @@
  * unanswered may have been answered long ago.
  */
 #define EDGE_LATE_US (30 * MAG_US_PER_MS)
+/* Knowledge of the store that is younger by so much is told to peers at once.
+ */
+#define EDGE_TELL_US (200 * MAG_US_PER_MS)
 /* Workers come and go within seconds, and a plan takes a millisecond. */
 #define EDGE_PLAN_US (50 * MAG_US_PER_MS)
 /* Entries that lapsed in an outage of the store are back by then. */
@@ -278,6 +281,8 @@
 	hs_tick(edge->callers, now);
 	hs_tick(edge->readiness, now);
 	hs_tick(edge->metrics, now);
+	sto_follow_retry(edge->follow,
+			 vch_retry_us(1 + pres_peer_count(edge->pres)));
 	sto_tick(edge->sto, now);
 	if (vch_is_time_to_ask(&edge->vch, 1 + pres_peer_count(edge->pres),
 			       now))
@@ -439,9 +444,12 @@
 /* All that was told was the newest when the call was sent. */
 static void edge_fresh(void *user, int64_t sent_us)
 {
-	struct edge_run *run = user;
+	struct edge *edge = &((struct edge_run *)user)->edge;
+	int64_t before_us = edge->vch.fresh_us;
 
-	vch_from_store(&run->edge.vch, sent_us);
+	vch_from_store(&edge->vch, sent_us);
+	if (edge->vch.fresh_us - before_us >= EDGE_TELL_US)
+		hint_soon(edge->hint, clk_boot_us());
 }
 
 /* Takes a newer configuration; an older one never comes back. */
--- a/src/hint.c
+++ b/src/hint.c
@@ -34,7 +34,9 @@
 /* A pace outside of this is no pace; a peer may be wrong. */
 #define HINT_SLOWDOWN_LEAST 0.01F
 #define HINT_SLOWDOWN_MOST  1000.0F
-#define HINT_PEERS_MAX	    1024
+/* Nobody had heard of the store for so long: it was out of reach. */
+#define HINT_LEAP_US   (1200 * MAG_US_PER_MS)
+#define HINT_PEERS_MAX 1024
 /*
  * Peers of the own data centre told in one round, and of the others; where
  * there are more, each hears of us less often, so that the traffic of a router
@@ -75,6 +77,8 @@
 static void hint_collect(struct hint *hint, struct hint_message *message);
 static void hint_take(struct hint *hint, const struct hint_message *message,
 		      const struct sockaddr_in *from);
+static void hint_take_word(struct edge *edge, const struct vch_word *word,
+			   int64_t now);
 static void hint_add_up(struct hint *hint, int64_t now);
 static float hint_slowdown(const struct wk *wk, int64_t now);
 static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
@@ -138,6 +142,15 @@
 	hint_send(hint, HINT_NEAR_MAX, HINT_FAR_MAX);
 }
 
+/*
+ * Lets the next messages go at once: what the store has just shown here spares
+ * the other routers of the data centre a call of their own.
+ */
+void hint_soon(struct hint *hint, int64_t now)
+{
+	hint->next_us = now;
+}
+
 /*
  * Tells whether a worker came under suspicion by our own requests since the
  * last message; all peers hear of it at once.
@@ -314,9 +327,7 @@
 	memcpy(peer->loads, message->loads,
 	       message->load_count * sizeof(peer->loads[0]));
 	sto_follow_heard(edge->follow, message->revision);
-	if (edge->rt)
-		vch_from_peer(&edge->vch, &message->word, edge->rt->version,
-			      now);
+	hint_take_word(edge, &message->word, now);
 	for (k = 0; k < message->suspect_count; k++)
 		hint_suspect(hint, message->suspects[k], message->name, now);
 	for (k = 0; k < message->news_count; k++)
@@ -325,6 +336,22 @@
 			   now);
 }
 
+/*
+ * Takes a peer's word on the configuration's age.  A leap after an outage
+ * shows that the store answers again.
+ */
+static void hint_take_word(struct edge *edge, const struct vch_word *word,
+			   int64_t now)
+{
+	int64_t before_us = edge->vch.fresh_us;
+
+	if (!edge->rt ||
+	    !vch_from_peer(&edge->vch, word, edge->rt->version, now))
+		return;
+	if (edge->vch.fresh_us - before_us >= HINT_LEAP_US)
+		sto_follow_back(edge->follow);
+}
+
 /*
  * A peer found a worker dead or stuck by its own requests.  It is asked at
  * once: its answer clears it, its silence moves what waits for it here.
--- a/src/sto.h
+++ b/src/sto.h
@@ -72,6 +72,8 @@
  * told all, and wakes one whose watch has fallen silent.
  */
 void sto_follow_ask(struct sto_follow *follow);
+void sto_follow_retry(struct sto_follow *follow, int64_t retry_max_us);
+void sto_follow_back(struct sto_follow *follow);
 void sto_follow_heard(struct sto_follow *follow, int64_t revision);
 int64_t sto_follow_revision(const struct sto_follow *follow);
 
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -7,8 +7,8 @@
 
 /*
  * Waits after a failure: short at first, because a cut watch is no outage,
- * and bounded so that an outage's end is seen within half a second.  Drawn
- * between half and the whole, so that instances do not come back at once.
+ * and bounded so that an outage's end is seen soon.  Drawn between half and
+ * the whole, so that instances do not come back at once.
  */
 #define STO_RETRY_US	 (80 * MAG_US_PER_MS)
 #define STO_RETRY_MAX_US (500 * MAG_US_PER_MS)
@@ -30,6 +30,7 @@
 	char after[WIRE_KEY_MAX]; /* last key of the page before */
 	int64_t wait_ms;
 	int64_t gather_us;
+	int64_t retry_max_us;
 	const struct sto_follow_ops *ops;
 	void *user;
 	enum sto_follow_state state;
@@ -85,6 +86,7 @@
 	strncpy(follow->prefix, settings->prefix, sizeof(follow->prefix) - 1);
 	follow->wait_ms = settings->wait_ms;
 	follow->gather_us = settings->gather_us;
+	follow->retry_max_us = STO_RETRY_MAX_US;
 	follow->ops = settings->ops;
 	follow->user = settings->user;
 	cds_list_add_tail(&follow->node, &sto->follows);
@@ -270,6 +272,19 @@
 		follow->known_revision = revision;
 }
 
+/* Sets the longest pause between two tries while the store does not answer. */
+void sto_follow_retry(struct sto_follow *follow, int64_t retry_max_us)
+{
+	follow->retry_max_us = retry_max_us;
+}
+
+/* Another one was answered after an outage: what failed is tried at once. */
+void sto_follow_back(struct sto_follow *follow)
+{
+	if (follow->failures > 0)
+		sto_wake(follow);
+}
+
 /* Returns the revision up to which all was told. */
 int64_t sto_follow_revision(const struct sto_follow *follow)
 {
@@ -354,10 +369,10 @@
 	int64_t wait = STO_RETRY_US;
 	int i;
 
-	for (i = 0; i < follow->failures && wait < STO_RETRY_MAX_US; i++)
+	for (i = 0; i < follow->failures && wait < follow->retry_max_us; i++)
 		wait *= 2;
-	if (wait > STO_RETRY_MAX_US)
-		wait = STO_RETRY_MAX_US;
+	if (wait > follow->retry_max_us)
+		wait = follow->retry_max_us;
 	wait = wait / 2 +
 	       (int64_t)(mag_random(&follow->sto->seed) % (uint64_t)(wait / 2));
 	follow->failures++;
--- a/src/vch.c
+++ b/src/vch.c
@@ -17,8 +17,17 @@
 #define VCH_ASK_US	  (400 * MAG_US_PER_MS)
 #define VCH_ASK_EACH_US	  (100 * MAG_US_PER_MS)
 #define VCH_ASK_SPREAD_US (1600 * MAG_US_PER_MS)
-/* A router whose ask has changed nothing asks again after this. */
+/* Pause after an ask that changed nothing; twice as long each time. */
 #define VCH_ASK_AGAIN_US (500 * MAG_US_PER_MS)
+#define VCH_ASK_DOUBLE	 2
+/*
+ * A watch that fails is tried again after so long for each router at most:
+ * in an outage of the store the calls of all of them together stay bounded,
+ * and the first one that is answered tells the others.
+ */
+#define VCH_RETRY_EACH_US  (50 * MAG_US_PER_MS)
+#define VCH_RETRY_LEAST_US (500 * MAG_US_PER_MS)
+#define VCH_RETRY_MOST_US  (2 * MAG_US_PER_S)
 /*
  * Part of the shorter bound for which changes are gathered before the next
  * watch: one call then tells of many, and a lost one can be made again.
@@ -83,6 +92,16 @@
 					 (double)bound_us * VCH_READY_SHARE;
 }
 
+/* Returns the longest pause between two tries of a watch that fails. */
+int64_t vch_retry_us(int routers)
+{
+	int64_t pause = VCH_RETRY_EACH_US * routers;
+
+	if (pause < VCH_RETRY_LEAST_US)
+		return VCH_RETRY_LEAST_US;
+	return pause < VCH_RETRY_MOST_US ? pause : VCH_RETRY_MOST_US;
+}
+
 /*
  * Returns how long changes of the store may gather, under the bounds within
  * which a configuration is in force and a leaving worker gets nothing new.
@@ -101,10 +120,13 @@
 	if (vch->planned_us != vch->fresh_us) {
 		vch->planned_us = vch->fresh_us;
 		vch->ask_us = vch->fresh_us + vch_pause(vch, routers);
+		vch->asks = 0;
 	}
 	if (now < vch->ask_us)
 		return false;
-	vch->ask_us = now + VCH_ASK_AGAIN_US;
+	vch->ask_us =
+		now + mag_backoff(VCH_ASK_AGAIN_US, vch->asks, VCH_ASK_DOUBLE);
+	vch->asks++;
 	return true;
 }
 
--- a/src/vch.h
+++ b/src/vch.h
@@ -32,6 +32,7 @@
 	int64_t fresh_us;   /* the set in force was the newest then; 0: never */
 	int64_t ask_us;	    /* when the store is asked next */
 	int64_t planned_us; /* the fresh_us for which that was planned */
+	int asks;	    /* since then, without an answer */
 	uint64_t seed;
 };
 
@@ -43,6 +44,7 @@
 	      struct vch_word *word);
 bool vch_trusted(const struct vch *vch, int64_t bound_us, int64_t now);
 bool vch_soon_untrusted(const struct vch *vch, int64_t bound_us, int64_t now);
+int64_t vch_retry_us(int routers);
 int64_t vch_gather_us(int64_t config_apply_us, int64_t drain_us);
 bool vch_is_time_to_ask(struct vch *vch, int routers, int64_t now);
 
