quar: blame no request for a worker that was silent before it came

Change: a loss is evidence against a stream only if some event came through the worker after the stream was sent there, or nothing else ran on it. A request that crashes what begins to run it passes that test as before. Plain workers are judged as before.

Test: regress/quar/joined; a worker silent since before was evidence before.

--- a/regress/check_quar.c
+++ b/regress/check_quar.c
@@ -58,6 +58,7 @@
 	char line[TEXT_MAX];
 	int64_t now = 0;
 	char letter;
+	int others;
 	int a;
 	int b;
 
@@ -77,6 +78,11 @@
 		else if (sscanf(line, "learn %c %d %d", &letter, &a, &b) == 3)
 			quar_learn(quar, print_of(letter), (uint32_t)a,
 				   b * MAG_US_PER_MS, now);
+		else if (sscanf(line, "sent %d heard %d others %d", &a, &b,
+				&others) == 3)
+			fprintf(out, "%s\n",
+				quar_is_evidence(a, b, others) ? "evidence"
+							       : "none");
 		else if (strcmp(line, "news\n") == 0)
 			news(quar);
 	}
--- a/src/eq.h
+++ b/src/eq.h
@@ -98,6 +98,7 @@
 void eq_release(struct eq *eq);
 bool eq_avoids(const struct eq *eq, const struct wk *wk);
 void eq_avoid(struct eq *eq, const struct wk *wk);
+void eq_blame(struct eq *eq, struct wk *wk, int64_t now);
 
 /* eq_chain.c */
 enum eq_choice {
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -279,7 +279,7 @@
 	if (!eq->answered)
 		wk_broke(wk, now);
 	if (end == HC_BROKEN) {
-		wk_add_victim(wk, eq->print, now);
+		eq_blame(eq, wk, now);
 		wkp_ask(edge, wk, now);
 	}
 	eq_again(eq, eq->garbled || end == HC_GARBLED ? "garbled answer"
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -82,6 +82,25 @@
 	eq->avoid_count++;
 }
 
+/*
+ * Remembers a request as one that may have crashed a worker of its chain,
+ * unless that worker was silent before the request came there.
+ */
+void eq_blame(struct eq *eq, struct wk *wk, int64_t now)
+{
+	int64_t began_us = eq->sent_us;
+	const struct eq_hop *hop = eq_hop_of(eq, wk);
+	bool others = false;
+
+	/* Of plain workers it is not known when they were heard last. */
+	if (eq->service->has_engine && hop)
+		others = wk->firsts > (hop == eq->hops) || wk->held > hop->held;
+	if (eq->mended_us > began_us)
+		began_us = eq->mended_us;
+	if (quar_is_evidence(began_us, wk->passed_us, others))
+		wk_add_victim(wk, eq->print, now);
+}
+
 /* Waits while that can help, else ends the request at once. */
 static void eq_not_placed(struct eq *eq, enum eq_choice choice, int64_t now)
 {
--- a/src/quar.c
+++ b/src/quar.c
@@ -74,6 +74,17 @@
 	free(quar);
 }
 
+/*
+ * Tells whether the loss of an endpoint speaks against a request that was sent
+ * there: not if others ran there and it was heard for the last time, by any
+ * of them, before this one came.  Endpoints that are lost together are dead
+ * already when the requests of the first one reach the next.
+ */
+bool quar_is_evidence(int64_t began_us, int64_t alive_us, bool others)
+{
+	return !others || alive_us >= began_us;
+}
+
 /* Tells how a request of a fingerprint is to be treated. */
 enum quar_state quar_check(const struct quar *quar,
 			   const uint8_t print[MAG_DIGEST_BYTES], int64_t now)
