--- a/src/vch.c
+++ b/src/vch.c
@@ -29,9 +29,12 @@
 #define VCH_RETRY_LEAST_US (500 * MAG_US_PER_MS)
 #define VCH_RETRY_MOST_US  (2 * MAG_US_PER_S)
 /*
- * Part of the shorter bound for which changes are gathered before the next
- * watch: one call then tells of many, and a lost one can be made again.
+ * Changes are gathered for so long before the next watch, so that one call
+ * tells of many, but for no more than a part of the shorter bound: a lost call
+ * can be made again within it.  Work is placed by what workers were last told
+ * to hold, which is why a longer bound does not make it longer.
  */
+#define VCH_GATHER_US	 (800 * MAG_US_PER_MS)
 #define VCH_GATHER_SHARE 0.4
 
 static int64_t vch_pause(struct vch *vch, int routers);
@@ -110,8 +113,9 @@
 {
 	int64_t bound_us =
 		config_apply_us < drain_us ? config_apply_us : drain_us;
+	int64_t most_us = (int64_t)((double)bound_us * VCH_GATHER_SHARE);
 
-	return (int64_t)((double)bound_us * VCH_GATHER_SHARE);
+	return most_us < VCH_GATHER_US ? most_us : VCH_GATHER_US;
 }
 
 /* Tells whether this instance should ask the store now, and plans the next. */
