--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -76,10 +76,10 @@
 }
 
 /*
- * "mend TO CENTRE": the first hop, of a worker that is not in the list, runs
+ * "repair TO CENTRE": the first hop, of a worker that is not in the list, runs
  * [0, TO); takes the memory of new parts, and their reading as backlog.
  */
-static void mend(const char *line, FILE *out)
+static void repair(const char *line, FILE *out)
 {
 	struct chn_first first = { 0, 0 };
 	struct chn_chain chain;
@@ -87,7 +87,7 @@
 	int i;
 
 	sscanf(line, "%*s %d %d", &first.to, &first.centre);
-	if (chn_mend(&want, &first, workers, count, &chain)) {
+	if (chn_repair(&want, &first, workers, count, &chain)) {
 		fprintf(out, "no repair\n");
 		return;
 	}
@@ -187,8 +187,8 @@
 			choose(out, n);
 		else if (sscanf(line, "storm %d", &n) == 1)
 			storm(out, n);
-		else if (strncmp(line, "mend ", 5) == 0)
-			mend(line, out);
+		else if (strncmp(line, "repair ", 5) == 0)
+			repair(line, out);
 		else if (strncmp(line, "keeps ", 6) == 0)
 			keep(line);
 		else if (strncmp(line, "reads ", 6) == 0)
--- a/regress/edge/begun-anew.sh
+++ b/regress/edge/begun-anew.sh
@@ -5,7 +5,7 @@
 # budget of second sends goes.
 . edge/lib.sh
 start_halves
-stop_second_half mend
+stop_second_half repair
 logged 1 '"request-again".*"why":"on a suspected worker"' && echo "streams began anew"
 grep -q '^REPATH' "$dir"/worker.*.log || echo "none was repaired"
 verify 0.8
--- a/regress/edge/repaired-chain.sh
+++ b/regress/edge/repaired-chain.sh
@@ -6,7 +6,7 @@
 . edge/lib.sh
 STREAM_ATTEMPTS=1
 start_halves
-stop_second_half mend
+stop_second_half repair
 grep -q '^REPATH' "$dir"/worker.*.log && echo "chains were repaired"
 logged 1 '"name":"chain-repaired".*"status":202' && echo "and that was logged"
 verify 0.8
--- a/src/chn.c
+++ b/src/chn.c
@@ -83,9 +83,9 @@
  * every worker; repaired, through the new one only, which is why the reading
  * that a worker already has to do is part of its price.
  */
-int chn_mend(const struct chn_want *want, const struct chn_first *first,
-	     const struct chn_worker *workers, int count,
-	     struct chn_chain *chain)
+int chn_repair(const struct chn_want *want, const struct chn_first *first,
+	       const struct chn_worker *workers, int count,
+	       struct chn_chain *chain)
 {
 	static _Thread_local struct chn_walk walk;
 
--- a/src/chn.h
+++ b/src/chn.h
@@ -83,9 +83,9 @@
 
 int chn_choose(const struct chn_want *want, const struct chn_worker *workers,
 	       int count, struct chn_chain *chain);
-int chn_mend(const struct chn_want *want, const struct chn_first *first,
-	     const struct chn_worker *workers, int count,
-	     struct chn_chain *chain);
+int chn_repair(const struct chn_want *want, const struct chn_first *first,
+	       const struct chn_worker *workers, int count,
+	       struct chn_chain *chain);
 bool chn_covered(const struct chn_worker *workers, int count, int layers);
 
 #endif /* CHN_H */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -48,7 +48,7 @@
 #define EDGE_LATE_US (30 * MAG_US_PER_MS)
 /* Knowledge of the store that is younger by so much is told to peers at once.
  */
-#define EDGE_TELL_US (200 * MAG_US_PER_MS)
+#define EDGE_ANNOUNCE_US (200 * MAG_US_PER_MS)
 /* Workers come and go within seconds, and a plan takes a millisecond. */
 #define EDGE_PLAN_US (50 * MAG_US_PER_MS)
 /* Entries that lapsed in an outage of the store are back by then. */
@@ -448,7 +448,7 @@
 	int64_t before_us = edge->vch.fresh_us;
 
 	vch_from_store(&edge->vch, sent_us);
-	if (edge->vch.fresh_us - before_us >= EDGE_TELL_US)
+	if (edge->vch.fresh_us - before_us >= EDGE_ANNOUNCE_US)
 		hint_soon(edge->hint, clk_boot_us());
 }
 
--- a/src/eq.h
+++ b/src/eq.h
@@ -29,7 +29,7 @@
 	double held; /* tokens x layers taken from its memory */
 };
 
-struct eq_mend;
+struct eq_repair;
 
 struct eq {
 	struct cds_list_head node; /* all requests, by arrival */
@@ -49,7 +49,7 @@
 	int64_t sent_us;
 	int64_t progress_us; /* of this attempt: its send, or its last event */
 	int64_t asked_us;    /* when its workers were asked last */
-	int64_t mended_us;   /* its chain was repaired last; 0: never */
+	int64_t repaired_us; /* its chain was repaired last; 0: never */
 	int64_t gap_us;	     /* longest pause so far */
 	int64_t pace_us;     /* time between events, smoothed; 0: unknown */
 	int64_t first_us;    /* first event handed on, 0: none */
@@ -57,10 +57,10 @@
 	struct eq_hop hops[CHN_HOPS_MAX];
 	int hop_count;
 	struct hc_call *call;
-	struct eq_mend *mend; /* a repair is on its way; NULL: none */
-	int mends;	      /* repairs of this attempt's chain */
-	int sends;	      /* to workers, refused ones too */
-	int runs;	      /* of these, what may have run */
+	struct eq_repair *repair; /* a repair is on its way; NULL: none */
+	int repairs;		  /* repairs of this attempt's chain */
+	int sends;		  /* to workers, refused ones too */
+	int runs;		  /* of these, what may have run */
 	bool may_have_run;
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
 	int avoid_count;
@@ -108,7 +108,7 @@
 };
 
 enum eq_choice eq_choose_chain(struct eq *eq, int64_t now);
-bool eq_choose_mend(struct eq *eq, int64_t now);
+bool eq_choose_repair(struct eq *eq, int64_t now);
 void eq_cover_tick(struct edge *edge, int64_t now);
 void eq_take_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
@@ -116,9 +116,9 @@
 struct wk *eq_hop_at(const struct eq *eq, const char *address);
 const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
 
-/* eq_mend.c */
-bool eq_mend_start(struct eq *eq, struct wk *fault, int64_t now);
-void eq_mend_cancel(struct eq *eq);
+/* eq_repair.c */
+bool eq_repair_start(struct eq *eq, struct wk *fault, int64_t now);
+void eq_repair_cancel(struct eq *eq);
 
 /* eq_answer.c */
 extern const struct hc_ops eq_ops;
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -78,7 +78,7 @@
  * Replaces the workers behind the first one that the request avoids by now;
  * the others keep their part.  Returns false if no such chain fits.
  */
-bool eq_choose_mend(struct eq *eq, int64_t now)
+bool eq_choose_repair(struct eq *eq, int64_t now)
 {
 	struct edge *edge = eq->edge;
 	const struct eq_hop *hop = &eq->hops[0];
@@ -91,7 +91,7 @@
 	first.centre = edge_centre(edge, hop->worker->is.data_centre);
 	eq_chain_want(eq, &want, now);
 	count = eq_chain_workers(eq, hop, now);
-	if (chn_mend(&want, &first, eq_list, count, &rest) ||
+	if (chn_repair(&want, &first, eq_list, count, &rest) ||
 	    rest.count >= CHN_HOPS_MAX)
 		return false;
 	edge->cross_bytes -=
--- /dev/null
+++ b/src/eq_repair.c
@@ -0,0 +1,193 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "clk.h"
+#include "eq.h"
+#include "jlog.h"
+#include "pl_worker.h"
+
+/*
+ * Load pattern: a worker in the middle of chains dies, and every stream that
+ * ran through it stands still.  Sent again from its last event, a stream
+ * reads its prompt through all workers of a new chain, beside all the others
+ * that do the same; repaired in place, only the worker that is new reads it.
+ * The first worker keeps the stream and is told the new chain.
+ */
+
+/* Repairs of one attempt; a chain that needs more is not worth keeping. */
+#define EQ_REPAIRS_MAX 3
+/* A first worker that lives takes the order in a few milliseconds. */
+#define EQ_REPAIR_ANSWER_US (60 * MAG_US_PER_MS)
+/*
+ * It lives if it passed an event or answered a question so short a time ago:
+ * it was asked when its stream had been silent for 100 ms.  Where a whole data
+ * centre is cut off, its workers fall silent together, and an order to one of
+ * them would be waited for in vain.
+ */
+#define EQ_REPAIR_ALIVE_US (120 * MAG_US_PER_MS)
+
+/* A repair that the first worker was told of. */
+struct eq_repair {
+	struct eq *eq;
+	struct hc_call *call;
+	int status;
+	struct evbuffer *body;
+};
+
+static bool eq_repair_headers(void *user, const struct hc_answer *answer);
+static void eq_repair_body(void *user, const void *bytes, size_t len);
+static void eq_repair_end(void *user, enum hc_end end);
+static bool eq_repair_alive(const struct wk *wk, int64_t now);
+static struct evbuffer *eq_repair_message(const struct eq *eq);
+static void eq_repair_refused(struct eq *eq, const char *address, int64_t now);
+static void eq_repair_free(struct eq_repair *repair);
+
+static const struct hc_ops eq_repair_ops = {
+	.headers = eq_repair_headers,
+	.body = eq_repair_body,
+	.ended = eq_repair_end,
+};
+
+/*
+ * Replaces a worker behind the first one of a running chain.  Returns false
+ * if that is not possible; the request must be sent again then.
+ */
+bool eq_repair_start(struct eq *eq, struct wk *fault, int64_t now)
+{
+	struct hc_send send = { 0 };
+	struct eq_repair *repair;
+
+	if (!eq->call || eq->repair || eq->repairs >= EQ_REPAIRS_MAX ||
+	    !eq->asks.attempt_id || eq->hops[0].worker == fault ||
+	    !eq_repair_alive(eq->hops[0].worker, now))
+		return false;
+	eq_avoid(eq, fault);
+	if (!eq_choose_repair(eq, now))
+		return false;
+	repair = calloc(1, sizeof(*repair));
+	if (!repair)
+		return false;
+	repair->eq = eq;
+	repair->body = evbuffer_new();
+	if (!repair->body) {
+		free(repair);
+		return false;
+	}
+	send.request = eq_repair_message(eq);
+	send.ops = &eq_repair_ops;
+	send.user = repair;
+	send.connect_by_us = now + EQ_REPAIR_ANSWER_US;
+	send.deadline_us = now + EQ_REPAIR_ANSWER_US;
+	if (!send.request ||
+	    hc_start(eq->hops[0].worker->host, &send, &repair->call)) {
+		repair->call = NULL;
+		eq_repair_free(repair);
+		return false;
+	}
+	eq->repair = repair;
+	eq->repairs++;
+	eq->repaired_us = now;
+	return true;
+}
+
+/* Tells whether a first worker was heard a moment ago and not lost since. */
+static bool eq_repair_alive(const struct wk *wk, int64_t now)
+{
+	if (wk->mute || wk->on_trial)
+		return false;
+	return now - wk->passed_us < EQ_REPAIR_ALIVE_US ||
+	       now - wk->reported_us < EQ_REPAIR_ALIVE_US;
+}
+
+/* Forgets a repair; the order may still be carried out, which harms nobody. */
+void eq_repair_cancel(struct eq *eq)
+{
+	if (!eq->repair)
+		return;
+	eq_repair_free(eq->repair);
+	eq->repair = NULL;
+}
+
+static struct evbuffer *eq_repair_message(const struct eq *eq)
+{
+	struct wire_hop hops[CHN_HOPS_MAX];
+	char body[PL_ORDER_MAX];
+	int count = eq_wire_hops(eq, hops);
+
+	if (pl_order_repath(body, sizeof(body), eq->asks.attempt_id, hops,
+			    count))
+		return NULL;
+	return pl_call_encode("POST", PL_ORDER_PATH,
+			      eq->hops[0].worker->is.address, body);
+}
+
+static bool eq_repair_headers(void *user, const struct hc_answer *answer)
+{
+	struct eq_repair *repair = user;
+
+	repair->status = answer->status;
+	return true;
+}
+
+static void eq_repair_body(void *user, const void *bytes, size_t len)
+{
+	struct eq_repair *repair = user;
+
+	evbuffer_add(repair->body, bytes, len);
+}
+
+static void eq_repair_end(void *user, enum hc_end end)
+{
+	struct eq_repair *repair = user;
+	struct eq *eq = repair->eq;
+	char address[MAG_ADDR_MAX] = "";
+	char chain[EQ_CHAIN_TEXT];
+	char id[WIRE_ID_MAX];
+	int64_t now = clk_boot_us();
+	int status = end == HC_WHOLE ? repair->status : 0;
+
+	repair->call = NULL;
+	if (status == 409)
+		pl_order_fault((char *)evbuffer_pullup(repair->body, -1),
+			       evbuffer_get_length(repair->body), address,
+			       sizeof(address));
+	jlog(LOG_EQ_REPAIRED,
+	     "\"request\":\"%s\",\"worker\":\"%s\",\"hops\":%d,"
+	     "\"chain\":\"%s\",\"repair\":%d,\"status\":%d,\"at_fault\":\"%s\","
+	     "\"silent_ms\":%d",
+	     jlog_text(id, sizeof(id), eq->asks.attempt_id),
+	     eq->hops[0].worker->is.id, eq->hop_count,
+	     eq_chain_text(eq, chain, sizeof(chain)), eq->repairs, status,
+	     address, (int)((now - eq->progress_us) / MAG_US_PER_MS));
+	eq->repair = NULL;
+	eq_repair_free(repair);
+	if (status / 100 == 2) {
+		met_add(&eq->edge->met, MET_REPAIRS);
+		return;
+	}
+	eq_repair_refused(eq, address, now);
+}
+
+/* A worker of the new chain did not stand: another one is tried, or none. */
+static void eq_repair_refused(struct eq *eq, const char *address, int64_t now)
+{
+	struct wk *fault = NULL;
+
+	if (address[0])
+		fault = eq_hop_at(eq, address);
+	if (fault) {
+		wk_refused(fault, now);
+		if (eq_repair_start(eq, fault, now))
+			return;
+		eq_avoid(eq, fault);
+	}
+	eq_restart(eq, "chain not repaired");
+}
+
+static void eq_repair_free(struct eq_repair *repair)
+{
+	if (repair->call)
+		hc_cancel(repair->call);
+	evbuffer_free(repair->body);
+	free(repair);
+}
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -50,8 +50,8 @@
 {
 	int i;
 
-	eq_mend_cancel(eq);
-	eq->mends = 0;
+	eq_repair_cancel(eq);
+	eq->repairs = 0;
 	for (i = 0; i < eq->hop_count; i++) {
 		eq->hops[i].worker->held -= eq->hops[i].held;
 		if (i == 0)
@@ -95,8 +95,8 @@
 	/* Of plain workers it is not known when they were heard last. */
 	if (eq->service->has_engine && hop)
 		others = wk->firsts > (hop == eq->hops) || wk->held > hop->held;
-	if (eq->mended_us > began_us)
-		began_us = eq->mended_us;
+	if (eq->repaired_us > began_us)
+		began_us = eq->repaired_us;
 	if (quar_is_evidence(began_us, wk->passed_us, others))
 		wk_add_victim(wk, eq->print, now);
 }
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -87,7 +87,7 @@
 /* Tells whether a stream is with a chain that nobody repairs just now. */
 static bool eq_on_chain(const struct eq *eq)
 {
-	return eq->call && !eq->mend && eq->service->has_engine;
+	return eq->call && !eq->repair && eq->service->has_engine;
 }
 
 /* Tells whether a stream, and all else through a worker, stands still. */
@@ -133,7 +133,7 @@
 		quiet_us =
 			(int64_t)((double)eq->route->gap_us * EQ_QUIET_SHARE);
 	if (eq->state != EQ_STREAMS || !eq->answered ||
-	    eq->mended_us > eq->progress_us)
+	    eq->repaired_us > eq->progress_us)
 		return EQ_FIRST_QUIET_US;
 	if (eq->pace_us * EQ_QUIET_PACES > quiet_us)
 		return eq->pace_us * EQ_QUIET_PACES;
@@ -188,8 +188,8 @@
 
 	if (eq->sent_us > since)
 		since = eq->sent_us;
-	if (eq->mended_us > since)
-		since = eq->mended_us;
+	if (eq->repaired_us > since)
+		since = eq->repaired_us;
 	return now - since;
 }
 
@@ -201,7 +201,7 @@
 	met_add(&eq->edge->met, MET_STALLS);
 	eq_blame(eq, fault, now);
 	eq_avoid(eq, fault);
-	if (!eq_may_begin_anew(eq, now) && eq_mend_start(eq, fault, now))
+	if (!eq_may_begin_anew(eq, now) && eq_repair_start(eq, fault, now))
 		return;
 	eq_restart(eq, why);
 }
--- a/src/hint.c
+++ b/src/hint.c
@@ -77,8 +77,8 @@
 static void hint_collect(struct hint *hint, struct hint_message *message);
 static void hint_take(struct hint *hint, const struct hint_message *message,
 		      const struct sockaddr_in *from);
-static void hint_take_word(struct edge *edge, const struct vch_word *word,
-			   int64_t now);
+static void hint_take_attestation(struct edge *edge,
+				  const struct vch_word *word, int64_t now);
 static void hint_add_up(struct hint *hint, int64_t now);
 static float hint_slowdown(const struct wk *wk, int64_t now);
 static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
@@ -327,7 +327,7 @@
 	memcpy(peer->loads, message->loads,
 	       message->load_count * sizeof(peer->loads[0]));
 	sto_follow_heard(edge->follow, message->revision);
-	hint_take_word(edge, &message->word, now);
+	hint_take_attestation(edge, &message->word, now);
 	for (k = 0; k < message->suspect_count; k++)
 		hint_suspect(hint, message->suspects[k], message->name, now);
 	for (k = 0; k < message->news_count; k++)
@@ -340,8 +340,8 @@
  * Takes a peer's word on the configuration's age.  A leap after an outage
  * shows that the store answers again.
  */
-static void hint_take_word(struct edge *edge, const struct vch_word *word,
-			   int64_t now)
+static void hint_take_attestation(struct edge *edge,
+				  const struct vch_word *word, int64_t now)
 {
 	int64_t before_us = edge->vch.fresh_us;
 
--- a/src/lay.c
+++ b/src/lay.c
@@ -17,15 +17,15 @@
 #define LAY_SHRINK 0.93
 #define LAY_STEPS  40
 
-static bool lay_is_dealt(const struct lay_card *cards, int count);
-static void lay_deal_all(const struct lay_model *model, struct lay_card *cards,
-			 int count);
-static void lay_deal_centres(const struct lay_model *model,
-			     struct lay_card *cards, int count);
-static void lay_deal_group(const struct lay_model *model,
-			   struct lay_card **group, int count);
-static int lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
-			 int count, double wanted);
+static bool lay_is_assigned(const struct lay_card *cards, int count);
+static void lay_assign_all(const struct lay_model *model,
+			   struct lay_card *cards, int count);
+static void lay_assign_centres(const struct lay_model *model,
+			       struct lay_card *cards, int count);
+static void lay_assign_group(const struct lay_model *model,
+			     struct lay_card **group, int count);
+static int lay_assign_copy(const struct lay_model *model,
+			   struct lay_card **copy, int count, double wanted);
 static void lay_even_out(struct lay_card **copy, int count, int *widths);
 static void lay_sort(const struct lay_model *model, struct lay_card **group,
 		     int count);
@@ -34,7 +34,7 @@
 
 /*
  * Sets what each card is to hold.  While nobody holds anything, whole copies
- * are dealt; cards that are left, or that come later, take the layers that
+ * are assigned; cards that are left, or that come later, take the layers that
  * lack the most.  If widen is set, holders beside a hole take it over, or a
  * card that others back up moves there.
  */
@@ -50,8 +50,8 @@
 		cards[i].want_to = cards[i].to;
 	}
 	if (lay_is_fresh(cards, count))
-		lay_deal_all(model, cards, count);
-	if (!lay_is_dealt(cards, count))
+		lay_assign_all(model, cards, count);
+	if (!lay_is_assigned(cards, count))
 		return;
 	lay_repair(model, cards, count, widen);
 }
@@ -93,7 +93,7 @@
 }
 
 /* Tells whether some card is to hold layers. */
-static bool lay_is_dealt(const struct lay_card *cards, int count)
+static bool lay_is_assigned(const struct lay_card *cards, int count)
 {
 	int i;
 
@@ -116,16 +116,16 @@
 	return true;
 }
 
-/* Deals copies in each data centre that has room, else over all of them. */
-static void lay_deal_all(const struct lay_model *model, struct lay_card *cards,
-			 int count)
+/* Assigns copies in each data centre that has room, else over all of them. */
+static void lay_assign_all(const struct lay_model *model,
+			   struct lay_card *cards, int count)
 {
 	struct lay_card *pool[LAY_CARDS_MAX];
 	double memory = 0;
 	int left = 0;
 	int i;
 
-	lay_deal_centres(model, cards, count);
+	lay_assign_centres(model, cards, count);
 	for (i = 0; i < count; i++) {
 		if (!cards[i].usable || cards[i].want_from != cards[i].want_to)
 			continue;
@@ -134,21 +134,22 @@
 	}
 	if (left > 0 &&
 	    memory * LAY_CARD_SHARE >= model->layers * model->layer_mb)
-		lay_deal_group(model, pool, left);
+		lay_assign_group(model, pool, left);
 }
 
-static void lay_deal_centres(const struct lay_model *model,
-			     struct lay_card *cards, int count)
+static void lay_assign_centres(const struct lay_model *model,
+			       struct lay_card *cards, int count)
 {
 	int centre;
 
 	for (centre = 0; centre < LAY_CENTRES_MAX; centre++)
-		lay_deal_centre(model, cards, count, centre);
+		lay_assign_centre(model, cards, count, centre);
 }
 
-/* Deals whole copies over a data centre's cards, if they have room for one. */
-void lay_deal_centre(const struct lay_model *model, struct lay_card *cards,
-		     int count, int centre)
+/* Assigns whole copies over a data centre's cards, if they have room for one.
+ */
+void lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
+		       int count, int centre)
 {
 	struct lay_card *group[LAY_CARDS_MAX];
 	double memory = 0;
@@ -162,42 +163,42 @@
 		memory += cards[i].memory_mb;
 	}
 	if (memory * LAY_CARD_SHARE >= model->layers * model->layer_mb)
-		lay_deal_group(model, group, size);
+		lay_assign_group(model, group, size);
 }
 
 /*
- * Deals copies one after the other, each over the fastest cards that are
+ * Assigns copies one after the other, each over the fastest cards that are
  * left, until these hold no whole one.  Where not even the first copy fits
  * beside the wanted memory for requests, less memory is wanted.
  */
-static void lay_deal_group(const struct lay_model *model,
-			   struct lay_card **group, int count)
+static void lay_assign_group(const struct lay_model *model,
+			     struct lay_card **group, int count)
 {
 	double wanted = lay_wanted(model);
-	int dealt = 0;
+	int assigned = 0;
 	int used;
 	int step;
 
 	lay_sort(model, group, count);
-	for (step = 0; step < LAY_STEPS && dealt == 0; step++) {
-		dealt = lay_deal_copy(model, group, count, wanted);
-		if (dealt == 0)
+	for (step = 0; step < LAY_STEPS && assigned == 0; step++) {
+		assigned = lay_assign_copy(model, group, count, wanted);
+		if (assigned == 0)
 			wanted *= LAY_SHRINK;
 	}
-	used = dealt;
-	while (used > 0 && dealt < count) {
-		used = lay_deal_copy(model, group + dealt, count - dealt,
-				     wanted);
-		dealt += used;
+	used = assigned;
+	while (used > 0 && assigned < count) {
+		used = lay_assign_copy(model, group + assigned,
+				       count - assigned, wanted);
+		assigned += used;
 	}
 }
 
 /*
- * Deals all layers over the first cards of a list; returns how many it took,
+ * Assigns all layers over the first cards of a list; returns how many it took,
  * 0 if the layers do not fit.
  */
-static int lay_deal_copy(const struct lay_model *model, struct lay_card **copy,
-			 int count, double wanted)
+static int lay_assign_copy(const struct lay_model *model,
+			   struct lay_card **copy, int count, double wanted)
 {
 	int widths[LAY_CARDS_A_COPY];
 	int left = model->layers;
--- a/src/lay_balance.c
+++ b/src/lay_balance.c
@@ -19,12 +19,13 @@
 #define LAY_RESIZE 2
 /*
  * Gain for which a card is moved, as a part of what there is.  Nothing is
- * loaded yet when copies are dealt; later a move takes a holder away until
+ * loaded yet when copies are assigned; later a move takes a holder away until
  * its requests have ended and the layers are read, some seconds.
  */
 #define LAY_GAIN_FRESH 0.02
 #define LAY_GAIN       0.2
-/* Moves in a data centre's freshly dealt copies, each a millisecond's work. */
+/* Moves in a data centre's freshly assigned copies, each a millisecond's work.
+ */
 #define LAY_MOVES_FRESH 16
 
 /* What a data centre's cards hold of each layer, in tokens. */
--- a/src/lay_int.h
+++ b/src/lay_int.h
@@ -21,15 +21,16 @@
 /* The most layers that a card may hold. */
 int lay_most(const struct lay_model *model, const struct lay_card *card);
 
-/* Deals whole copies over a data centre's cards, if they have room for one. */
-void lay_deal_centre(const struct lay_model *model, struct lay_card *cards,
-		     int count, int centre);
+/* Assigns whole copies over a data centre's cards, if they have room for one.
+ */
+void lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
+		       int count, int centre);
 /* Tells whether every layer is to have a holder in a data centre. */
 bool lay_is_whole(const struct lay_model *model, const struct lay_card *cards,
 		  int count, int centre);
-/* Deals a data centre anew to close a hole; false if that is not possible. */
-bool lay_redeal(const struct lay_model *model, struct lay_card *cards,
-		int count, int centre);
+/* Assigns a data centre anew to close a hole; false if that is not possible. */
+bool lay_reassign(const struct lay_model *model, struct lay_card *cards,
+		  int count, int centre);
 
 void lay_repair(const struct lay_model *model, struct lay_card *cards,
 		int count, bool widen);
--- a/src/lay_redeal.c
+++ b/src/lay_reassign.c
@@ -6,8 +6,8 @@
  * Load pattern: a data centre with one copy loses a large card for good.  Each
  * layer had one holder, so no neighbour can grow over the hole and no card can
  * leave its place; the data centre would serve nothing for the rest of the
- * day, and press on the others' memory.  Its cards are dealt anew then.  Those
- * of a kind keep their order, so that each loads as little as may be.
+ * day, and press on the others' memory.  Its cards are assigned anew then.
+ * Those of a kind keep their order, so that each loads as little as may be.
  */
 
 static void lay_keep_order(struct lay_card *cards, int count, int centre);
@@ -16,8 +16,8 @@
 static int lay_by_wanted(const void *a, const void *b);
 
 /* Leaves what is wanted in any state if it returns false. */
-bool lay_redeal(const struct lay_model *model, struct lay_card *cards,
-		int count, int centre)
+bool lay_reassign(const struct lay_model *model, struct lay_card *cards,
+		  int count, int centre)
 {
 	int i;
 
@@ -32,14 +32,15 @@
 		cards[i].want_from = 0;
 		cards[i].want_to = 0;
 	}
-	lay_deal_centre(model, cards, count, centre);
+	lay_assign_centre(model, cards, count, centre);
 	if (!lay_is_whole(model, cards, count, centre))
 		return false;
 	lay_keep_order(cards, count, centre);
 	return true;
 }
 
-/* Swaps what was dealt among cards of a kind, by the order of what they hold.
+/* Swaps what was assigned among cards of a kind, by the order of what they
+ * hold.
  */
 static void lay_keep_order(struct lay_card *cards, int count, int centre)
 {
--- a/src/lay_repair.c
+++ b/src/lay_repair.c
@@ -41,7 +41,7 @@
 			  int from, int to);
 
 /*
- * Mends what the plan lacks after workers came and went: empty cards take the
+ * Repairs what the plan lacks after workers came and went: empty cards take the
  * window that lacks the most; if widen is set, holes are closed by the cards
  * beside them, or by one that others back up.
  */
@@ -79,7 +79,7 @@
 	if (!lay_has_hole(model, cards, count, centre))
 		return;
 	lay_restore(cards, count, saved);
-	if (!lay_redeal(model, cards, count, centre))
+	if (!lay_reassign(model, cards, count, centre))
 		lay_restore(cards, count, saved);
 }
 
--- a/src/plr.c
+++ b/src/plr.c
@@ -14,8 +14,8 @@
 #define PLR_CARDS_MAX 4096
 /*
  * Workers that start together register within a second or so.  Copies are
- * dealt once no new one has come for this long: dealt over half of them, the
- * layers would leave no memory for requests, and a worker gives none up.
+ * assigned once no new one has come for this long: assigned over half of them,
+ * the layers would leave no memory for requests, and a worker gives none up.
  */
 #define PLR_SETTLE_US (1200 * MAG_US_PER_MS)
 /*
