quar: blame no request for three workers that are lost within a second

A request reaches workers one after the other and is held after two, so three within a second have another cause.

Change: the third and each further worker that dies within a second takes no request under suspicion. One that crashes its workers alone is found after as many losses as before.

Test: regress/quar/joined, second part.

--- a/regress/check_quar.c
+++ b/regress/check_quar.c
@@ -78,6 +78,10 @@
 		else if (sscanf(line, "learn %c %d %d", &letter, &a, &b) == 3)
 			quar_learn(quar, print_of(letter), (uint32_t)a,
 				   b * MAG_US_PER_MS, now);
+		else if (sscanf(line, "together %d", &a) == 1)
+			fprintf(out, "%s\n",
+				quar_have_common_cause(a) ? "common cause"
+							  : "no common cause");
 		else if (sscanf(line, "sent %d heard %d others %d", &a, &b,
 				&others) == 3)
 			fprintf(out, "%s\n",
--- a/src/quar.c
+++ b/src/quar.c
@@ -74,6 +74,15 @@
 	free(quar);
 }
 
+/*
+ * Tells whether endpoints that were lost within a second have a cause in
+ * common: a request reaches one after the other, and is held after two.
+ */
+bool quar_have_common_cause(int lost_together)
+{
+	return lost_together > QUAR_ENDPOINTS_MAX;
+}
+
 /*
  * Tells whether the loss of an endpoint speaks against a request that was sent
  * there: not if others ran there and it was heard for the last time, by any
--- a/src/quar.h
+++ b/src/quar.h
@@ -23,6 +23,7 @@
 
 struct quar *quar_new(uint32_t max_entries, int64_t hold_us);
 void quar_free(struct quar *quar);
+bool quar_have_common_cause(int lost_together);
 bool quar_is_evidence(int64_t began_us, int64_t alive_us, bool others);
 enum quar_state quar_check(const struct quar *quar,
 			   const uint8_t print[MAG_DIGEST_BYTES], int64_t now);
--- a/src/wk.h
+++ b/src/wk.h
@@ -69,6 +69,7 @@
 	int quiet_asks;	   /* questions since an event of ours came through */
 	int64_t probed_us; /* when it was asked last */
 
+	int64_t died_us; /* its connections were refused or broke; 0: never */
 	/* What to suspect if it turns out that the worker died. */
 	struct wk_victim victims[WK_VICTIMS_MAX];
 	int victim_next;
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -34,6 +34,9 @@
 /* A request whose answer broke off so long before may be to blame. */
 #define WKP_VICTIM_US (2 * MAG_US_PER_S)
 
+/* Workers that died within this time may have a cause in common. */
+#define WKP_TOGETHER_US MAG_US_PER_S
+
 struct wkp_call {
 	struct edge *edge;
 	struct wk *wk;
@@ -51,6 +54,7 @@
 static void wkp_mute(struct wk *wk, int64_t now);
 static void wkp_silent(struct edge *edge, struct wk *wk, enum hc_end end,
 		       int64_t now);
+static int wkp_lost_together(const struct edge *edge, int64_t now);
 static void wkp_died(struct edge *edge, struct wk *wk, int64_t now);
 static void wkp_report(struct wkp_call *call, int64_t now);
 
@@ -199,6 +203,17 @@
 		wkp_died(edge, wk, now);
 }
 
+/* Returns how many workers died within the last second. */
+static int wkp_lost_together(const struct edge *edge, int64_t now)
+{
+	struct wk *wk;
+	int lost = 0;
+
+	cds_list_for_each_entry (wk, &edge->workers.workers, node)
+		lost += wk->died_us && now - wk->died_us < WKP_TOGETHER_US;
+	return lost;
+}
+
 /*
  * A worker takes no connection, or drops it: it died, maybe of a request that
  * it ran.  That request would be sent again, by its caller too, and take one
@@ -212,6 +227,11 @@
 	bool suspect;
 	int i;
 
+	wk->died_us = now;
+	if (quar_have_common_cause(wkp_lost_together(edge, now))) {
+		memset(wk->victims, 0, sizeof(wk->victims));
+		return;
+	}
 	for (i = 0; i < WK_VICTIMS_MAX; i++) {
 		victim = &wk->victims[i];
 		if (victim->at_us && now - victim->at_us < WKP_VICTIM_US &&
