regress: wait for a killed router before it is started again

A signal returns before the process is gone; the script waits for its end now. What it checks is as before.

--- a/regress/proc/fresh-instance.sh
+++ b/regress/proc/fresh-instance.sh
@@ -24,6 +24,7 @@
 start_router 2
 sed -i 's/"peers":[^]]*\],//' "$work/router-2.json"
 signal router-2 KILL
+ended router-2
 start router-2 "$build/magnoliad" --settings "$work/router-2.json"
 until_ok answers "$(admin 2)/healthz"
 curl -s -o /dev/null -w "%{http_code}\n" "http://$(admin 2)/readyz"
