lay: let the assignment say how many cards it took

Cause: after copies were assigned, lay_plan went over all cards once more by lay_is_assigned to learn whether anything had been, which the assignment knows; two comments still spoke of cards that back their neighbours up at the deal, and LAY_BACK_UP stood in the shared header for one user.

Ruled out: leaving out the check (regress/lay/none orders cards that hold no copy then) and the twin lay_is_fresh (it looks at what is held, not wanted).

Change: lay_assign_* return the number of cards; lay_is_assigned is gone; LAY_BACK_UP moved to lay_repair.c.

--- a/src/lay.c
+++ b/src/lay.c
@@ -17,13 +17,12 @@
 #define LAY_SHRINK 0.93
 #define LAY_STEPS  40
 
-static bool lay_is_assigned(const struct lay_card *cards, int count);
-static void lay_assign_all(const struct lay_model *model,
-			   struct lay_card *cards, int count);
-static void lay_assign_centres(const struct lay_model *model,
-			       struct lay_card *cards, int count);
-static void lay_assign_group(const struct lay_model *model,
-			     struct lay_card **group, int count);
+static int lay_assign_all(const struct lay_model *model, struct lay_card *cards,
+			  int count);
+static int lay_assign_centres(const struct lay_model *model,
+			      struct lay_card *cards, int count);
+static int lay_assign_group(const struct lay_model *model,
+			    struct lay_card **group, int count);
 static int lay_assign_copy(const struct lay_model *model,
 			   struct lay_card **copy, int count, double wanted);
 static void lay_even_out(struct lay_card **copy, int count, int *widths);
@@ -49,9 +48,8 @@
 		cards[i].want_from = cards[i].from;
 		cards[i].want_to = cards[i].to;
 	}
-	if (lay_is_fresh(cards, count))
-		lay_assign_all(model, cards, count);
-	if (!lay_is_assigned(cards, count))
+	if (lay_is_fresh(cards, count) &&
+	    lay_assign_all(model, cards, count) == 0)
 		return;
 	lay_repair(model, cards, count, widen);
 }
@@ -92,18 +90,6 @@
 	}
 }
 
-/* Tells whether some card is to hold layers. */
-static bool lay_is_assigned(const struct lay_card *cards, int count)
-{
-	int i;
-
-	for (i = 0; i < count; i++) {
-		if (cards[i].want_from != cards[i].want_to)
-			return true;
-	}
-	return false;
-}
-
 /* Tells whether no card holds any layer. */
 bool lay_is_fresh(const struct lay_card *cards, int count)
 {
@@ -116,16 +102,19 @@
 	return true;
 }
 
-/* Assigns copies in each data centre that has room, else over all of them. */
-static void lay_assign_all(const struct lay_model *model,
-			   struct lay_card *cards, int count)
+/*
+ * Assigns copies in each data centre that has room, and over what is left in
+ * all of them; returns how many cards it took.
+ */
+static int lay_assign_all(const struct lay_model *model, struct lay_card *cards,
+			  int count)
 {
 	struct lay_card *pool[LAY_CARDS_MAX];
+	int assigned = lay_assign_centres(model, cards, count);
 	double memory = 0;
 	int left = 0;
 	int i;
 
-	lay_assign_centres(model, cards, count);
 	for (i = 0; i < count; i++) {
 		if (!cards[i].usable || cards[i].want_from != cards[i].want_to)
 			continue;
@@ -134,22 +123,27 @@
 	}
 	if (left > 0 &&
 	    memory * LAY_CARD_SHARE >= model->layers * model->layer_mb)
-		lay_assign_group(model, pool, left);
+		assigned += lay_assign_group(model, pool, left);
+	return assigned;
 }
 
-static void lay_assign_centres(const struct lay_model *model,
-			       struct lay_card *cards, int count)
+static int lay_assign_centres(const struct lay_model *model,
+			      struct lay_card *cards, int count)
 {
+	int assigned = 0;
 	int centre;
 
 	for (centre = 0; centre < LAY_CENTRES_MAX; centre++)
-		lay_assign_centre(model, cards, count, centre);
+		assigned += lay_assign_centre(model, cards, count, centre);
+	return assigned;
 }
 
-/* Assigns whole copies over a data centre's cards, if they have room for one.
+/*
+ * Assigns whole copies over a data centre's cards, if they have room for one;
+ * returns how many cards it took.
  */
-void lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
-		       int count, int centre)
+int lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
+		      int count, int centre)
 {
 	struct lay_card *group[LAY_CARDS_MAX];
 	double memory = 0;
@@ -162,17 +156,19 @@
 		group[size++] = &cards[i];
 		memory += cards[i].memory_mb;
 	}
-	if (memory * LAY_CARD_SHARE >= model->layers * model->layer_mb)
-		lay_assign_group(model, group, size);
+	if (memory * LAY_CARD_SHARE < model->layers * model->layer_mb)
+		return 0;
+	return lay_assign_group(model, group, size);
 }
 
 /*
  * Assigns copies one after the other, each over the fastest cards that are
  * left, until these hold no whole one.  Where not even the first copy fits
- * beside the wanted memory for requests, less memory is wanted.
+ * beside the wanted memory for requests, less memory is wanted.  Returns how
+ * many cards it took.
  */
-static void lay_assign_group(const struct lay_model *model,
-			     struct lay_card **group, int count)
+static int lay_assign_group(const struct lay_model *model,
+			    struct lay_card **group, int count)
 {
 	double wanted = lay_wanted(model);
 	int assigned = 0;
@@ -191,6 +187,7 @@
 				       count - assigned, wanted);
 		assigned += used;
 	}
+	return assigned;
 }
 
 /*
@@ -230,8 +227,8 @@
 }
 
 /*
- * Spreads the layers of like cards evenly over them, so that each of the slow
- * ones has memory left to back its neighbours up.
+ * Spreads the layers of like cards evenly over them, so that none has less
+ * memory for requests than another.
  */
 static void lay_even_out(struct lay_card **copy, int count, int *widths)
 {
--- a/src/lay_balance.c
+++ b/src/lay_balance.c
@@ -24,8 +24,7 @@
  */
 #define LAY_GAIN_FRESH 0.02
 #define LAY_GAIN       0.2
-/* Moves in a data centre's freshly assigned copies, each a millisecond's work.
- */
+/* Moves in a data centre's freshly assigned copies; each takes a pass. */
 #define LAY_MOVES_FRESH 16
 
 /* What a data centre's cards hold of each layer, in tokens. */
--- a/src/lay_int.h
+++ b/src/lay_int.h
@@ -7,11 +7,6 @@
 
 #define LAY_CENTRES_MAX 32
 #define LAY_CARDS_MAX	4096
-/*
- * Part of the wanted tokens that a card must hold when it has taken over its
- * neighbours' layers: by then streams go to other copies, too.
- */
-#define LAY_BACK_UP 0.6
 
 /* Tokens for which a card is to have memory. */
 double lay_wanted(const struct lay_model *model);
@@ -21,10 +16,9 @@
 /* The most layers that a card may hold. */
 int lay_most(const struct lay_model *model, const struct lay_card *card);
 
-/* Assigns whole copies over a data centre's cards, if they have room for one.
- */
-void lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
-		       int count, int centre);
+/* Assigns copies over a data centre's cards; returns how many it took. */
+int lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
+		      int count, int centre);
 /* Tells whether every layer is to have a holder in a data centre. */
 bool lay_is_whole(const struct lay_model *model, const struct lay_card *cards,
 		  int count, int centre);
--- a/src/lay_repair.c
+++ b/src/lay_repair.c
@@ -2,6 +2,11 @@
 
 /* Weight of what all data centres lack beside what one lacks. */
 #define LAY_ELSEWHERE 0.05
+/*
+ * Part of the wanted tokens that a card must hold when it has taken over its
+ * neighbours' layers: by then streams go to other copies, too.
+ */
+#define LAY_BACK_UP 0.6
 /* Weights, beside a layer that lacks all memory, of one without a holder... */
 #define LAY_HOLE 10.0
 /* ...and of a card that nobody backs up. */
