sto_follow: take the longest pause of a try from its settings

Cause: the pause of 0.5 s stood twice, as STO_RETRY_MAX_US for the first tick and as VCH_RETRY_LEAST_US, which replaces it from then on.

Ruled out: setting it only at each tick, since the first list can fail before.

Change: sto_follow_settings carries it, from vch_retry_us of a router that knows no other; the constant is gone. A comment that broke over its end fits a line.

--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -46,8 +46,7 @@
  * unanswered may have been answered long ago.
  */
 #define EDGE_LATE_US (30 * MAG_US_PER_MS)
-/* Knowledge of the store that is younger by so much is told to peers at once.
- */
+/* What is known of the store goes to peers at once if younger by so much. */
 #define EDGE_ANNOUNCE_US (200 * MAG_US_PER_MS)
 /* Workers come and go within seconds, and a plan takes a millisecond. */
 #define EDGE_PLAN_US (50 * MAG_US_PER_MS)
@@ -249,9 +248,12 @@
 {
 	struct edge *edge = &run->edge;
 	struct sto_follow_settings all = {
-		"", EDGE_WATCH_MS,
+		"",
+		EDGE_WATCH_MS,
 		vch_gather_us(edge->set.config_apply_us, edge->set.drain_us),
-		&edge_ops, run
+		vch_retry_us(1),
+		&edge_ops,
+		run
 	};
 
 	edge->store_reachable = true;
--- a/src/sto.h
+++ b/src/sto.h
@@ -41,8 +41,9 @@
 
 struct sto_follow_settings {
 	const char *prefix;
-	int64_t wait_ms;   /* that one watch stays open */
-	int64_t gather_us; /* from a change to the next watch */
+	int64_t wait_ms;      /* that one watch stays open */
+	int64_t gather_us;    /* from a change to the next watch */
+	int64_t retry_max_us; /* between two tries while nothing answers */
 	const struct sto_follow_ops *ops;
 	void *user;
 };
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -10,8 +10,7 @@
  * and bounded so that an outage's end is seen soon.  Drawn between half and
  * the whole, so that instances do not come back at once.
  */
-#define STO_RETRY_US	 (80 * MAG_US_PER_MS)
-#define STO_RETRY_MAX_US (500 * MAG_US_PER_MS)
+#define STO_RETRY_US (80 * MAG_US_PER_MS)
 /* How long the first watch after a failure stays open. */
 #define STO_BACK_WAIT_MS 20
 /* Asks in a row without an answer after which a watch is given up, too. */
@@ -86,7 +85,7 @@
 	strncpy(follow->prefix, settings->prefix, sizeof(follow->prefix) - 1);
 	follow->wait_ms = settings->wait_ms;
 	follow->gather_us = settings->gather_us;
-	follow->retry_max_us = STO_RETRY_MAX_US;
+	follow->retry_max_us = settings->retry_max_us;
 	follow->ops = settings->ops;
 	follow->user = settings->user;
 	cds_list_add_tail(&follow->node, &sto->follows);
