--- a/src/core.h
+++ b/src/core.h
@@ -30,8 +30,8 @@
 	uint64_t incarnation; /* drawn at random at start */
 	uint64_t seed;
 	enum pick_policy policy;
-	bool no_budgets; /* baseline of the bench */
-	bool no_resume;	 /* baseline: restart a stream at its first token */
+	bool no_budgets; /* second sends have no bound */
+	bool no_resume;	 /* a stream begins again at its first token */
 	int64_t progress_timeout_us; /* longest wait for the next token */
 	int64_t first_timeout_us;    /* longest wait for the first */
 	int64_t kv_timeout_us;
