hint_load: tell peers the load of every worker

Cause: a message had room for 56 workers and took the first ones of the table. In a rush each of 24 routers has streams at nearly all of 89 workers, so that the other 33 looked empty to every peer: 5,079 sends were refused by eleven workers, 1,737 streams were preempted, and 41 of 100 streams that were let in had their first event late.

Ruled out: the choice of chains itself (the same code with all loads known sends past full workers seldom); larger datagrams (2,900 bytes measured the same, but do not fit a transfer unit).

Change: a load takes 8 bytes instead of 16, and a router's load as many datagrams as it needs, 448 workers at most; what is collected, told and added up is a module of its own with a test. regress/hint/rush failed with the old room.

--- /dev/null
+++ b/regress/check_hint.c
@@ -0,0 +1,128 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "hint_load.h"
+#include "script.h"
+
+#define LINE_MAX_   256
+#define WORKERS_MAX 512
+#define PEERS_MAX   8
+
+/*
+ * One router's table of workers, and peers that tell what they have given
+ * each: their messages are written and read as on the wire.
+ */
+static struct wk_table table;
+static struct wk workers[WORKERS_MAX];
+static int count;
+static struct hint_peer_loads peers[PEERS_MAX];
+static struct hint_loads given[PEERS_MAX];
+
+/* "workers N" */
+static void set_workers(int n)
+{
+	int i;
+
+	CDS_INIT_LIST_HEAD(&table.workers);
+	memset(workers, 0, sizeof(workers));
+	memset(peers, 0, sizeof(peers));
+	memset(given, 0, sizeof(given));
+	count = n;
+	for (i = 0; i < count; i++) {
+		snprintf(workers[i].is.id, sizeof(workers[i].is.id), "w-%d", i);
+		cds_list_add_tail(&workers[i].node, &table.workers);
+	}
+}
+
+/* "gives PEER FROM TO HELD FIRSTS": to workers FROM to TO - 1. */
+static void give(int peer, int from, int to, double held, int firsts)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		workers[i].held = i >= from && i < to ? held : 0;
+		workers[i].firsts = i >= from && i < to ? firsts : 0;
+	}
+	hint_load_collect(&table, 0, &given[peer]);
+}
+
+/* "tell PEER [LOST]": all parts but one that is lost. */
+static void tell(FILE *out, int peer, int lost)
+{
+	static struct hint_message message;
+	char bytes[HINT_BYTES_MAX];
+	uint32_t parts = hint_load_parts(&given[peer]);
+	uint32_t part;
+	size_t len;
+
+	memset(&message, 0, sizeof(message));
+	for (part = 0; part < parts; part++) {
+		hint_load_fill(&given[peer], part, &message);
+		if (hint_msg_encode(&message, bytes, &len)) {
+			fprintf(out, "part %u does not fit\n", part);
+			return;
+		}
+		if ((int)part == lost)
+			continue;
+		if (hint_msg_decode(&message, bytes, len))
+			fprintf(out, "part %u cannot be read\n", part);
+		else
+			hint_load_take(&peers[peer], &message);
+	}
+	fprintf(out, "%u parts\n", parts);
+}
+
+/* Adds up and prints the workers that differ from the one before them. */
+static void print(FILE *out)
+{
+	struct hint_index index = { 0 };
+	const struct wk *wk;
+	int i;
+
+	if (hint_load_begin(&index, &table))
+		return;
+	for (i = 0; i < PEERS_MAX; i++)
+		hint_load_add(&index, &peers[i], 1);
+	for (i = 0; i < count; i++) {
+		wk = &workers[i];
+		if (i > 0 && wk->peer_held == wk[-1].peer_held &&
+		    wk->peer_firsts == wk[-1].peer_firsts)
+			continue;
+		fprintf(out, "from worker %d: held %.0f firsts %d\n", i,
+			wk->peer_held, wk->peer_firsts);
+	}
+	hint_load_free(&index);
+}
+
+static void drive(FILE *in, FILE *out)
+{
+	char line[LINE_MAX_];
+	double held;
+	int peer;
+	int from;
+	int to;
+	int n;
+
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] == '#' || line[0] == '\n')
+			continue;
+		fprintf(out, "> %s", line);
+		if (sscanf(line, "workers %d", &n) == 1)
+			set_workers(n);
+		else if (sscanf(line, "gives %d %d %d %lf %d", &peer, &from,
+				&to, &held, &n) == 5)
+			give(peer, from, to, held, n);
+		else if (sscanf(line, "tell %d %d", &peer, &n) == 2)
+			tell(out, peer, n);
+		else if (sscanf(line, "tell %d", &peer) == 1)
+			tell(out, peer, -1);
+		else if (strncmp(line, "loads", 5) == 0)
+			print(out);
+	}
+}
+
+int main(void)
+{
+	return script_main("regress/hint", drive);
+}
--- a/src/hint.c
+++ b/src/hint.c
@@ -11,7 +11,7 @@
 
 #include "clk.h"
 #include "hint.h"
-#include "hint_msg.h"
+#include "hint_load.h"
 #include "jlog.h"
 #include "pres.h"
 #include "wkp.h"
@@ -29,11 +29,6 @@
 #define HINT_QUARANTINE_US (60 * MAG_US_PER_S)
 /* A suspicion is told in all messages of this time, as one may be lost. */
 #define HINT_SUSPECT_US (600 * MAG_US_PER_MS)
-/* A worker's own word of its pace is passed on for this long. */
-#define HINT_SLOWDOWN_US (300 * MAG_US_PER_MS)
-/* A pace outside of this is no pace; a peer may be wrong. */
-#define HINT_SLOWDOWN_LEAST 0.01F
-#define HINT_SLOWDOWN_MOST  1000.0F
 /* Nobody had heard of the store for so long: it was out of reach. */
 #define HINT_LEAP_US   (1200 * MAG_US_PER_MS)
 #define HINT_PEERS_MAX 1024
@@ -53,14 +48,7 @@
 	struct sockaddr_in from; /* where its last message came from */
 	uint32_t session;
 	int64_t stamp_us; /* its newest clock, to be given back */
-	uint32_t load_count;
-	struct hint_load loads[HINT_LOADS_MAX];
-};
-
-/* A worker by the hash of its id. */
-struct hint_slot {
-	uint32_t hash;
-	struct wk *wk;
+	struct hint_peer_loads loads;
 };
 
 struct hint {
@@ -71,9 +59,8 @@
 	int turn; /* of the peers, which one is told first in the next round */
 	struct hint_peer *peers;
 	int peer_count;
-	struct hint_slot *slots; /* sorted; as of the last adding up */
-	int slot_count;
-	int slot_max;
+	struct hint_loads own;
+	struct hint_index index; /* as of the last adding up */
 };
 
 static void hint_readable(evutil_socket_t fd, short what, void *arg);
@@ -89,14 +76,6 @@
 static void hint_take_attestation(struct edge *edge,
 				  const struct vch_word *word, int64_t now);
 static void hint_add_up(struct hint *hint, int64_t now);
-static int hint_index(struct hint *hint);
-static void hint_add_load(struct hint *hint, const struct hint_load *load,
-			  int64_t heard_us);
-static int hint_by_hash(const void *a, const void *b);
-static float hint_slowdown(const struct wk *wk, int64_t now);
-static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
-			       int64_t heard_us);
-static uint32_t hint_hash(const char *id);
 static void hint_suspect(struct hint *hint, uint32_t hash, const char *peer,
 			 int64_t now);
 
@@ -138,7 +117,7 @@
 	if (hint->fd >= 0)
 		close(hint->fd);
 	free(hint->peers);
-	free(hint->slots);
+	hint_load_free(&hint->index);
 	free(hint);
 }
 
@@ -230,20 +209,27 @@
 			     message);
 }
 
-/* Sends a message with the receiver's own clock in it, if that is known. */
+/*
+ * Sends all parts of a message, with the receiver's own clock in it if that is
+ * known.
+ */
 static void hint_send_to(struct hint *hint, const struct sockaddr_in *addr,
 			 struct hint_peer *peer, struct hint_message *message)
 {
 	char bytes[HINT_BYTES_MAX];
+	uint32_t part;
 	size_t len;
 
 	message->word.session = peer ? peer->session : 0;
 	message->word.echo_us = peer ? peer->stamp_us : 0;
-	if (hint_msg_encode(message, bytes, &len))
-		return;
-	/* A full link drops it; the next one says the same. */
-	(void)sendto(hint->fd, bytes, len, 0, (const struct sockaddr *)addr,
-		     sizeof(*addr));
+	for (part = 0; part < hint_load_parts(&hint->own); part++) {
+		hint_load_fill(&hint->own, part, message);
+		if (hint_msg_encode(message, bytes, &len))
+			return;
+		/* A full link drops it; the next one says the same. */
+		(void)sendto(hint->fd, bytes, len, 0,
+			     (const struct sockaddr *)addr, sizeof(*addr));
+	}
 }
 
 static struct hint_peer *hint_peer_named(struct hint *hint, const char *name)
@@ -257,13 +243,12 @@
 	return NULL;
 }
 
-/* Fills a message with our load, the most loaded workers if too many. */
+/* Collects our load, and what else a message says. */
 static void hint_collect(struct hint *hint, struct hint_message *message)
 {
 	struct edge *edge = hint->edge;
 	int64_t now = clk_boot_us();
 	int64_t until_us;
-	float slowdown;
 	struct wk *wk;
 
 	mag_copy_name(message->name, sizeof(message->name), edge->set.instance);
@@ -273,25 +258,14 @@
 	message->revision = sto_follow_revision(edge->follow);
 	vch_tell(&edge->vch, edge->rt ? edge->rt->version : -1, now,
 		 &message->word);
-	message->load_count = 0;
+	hint_load_collect(&edge->workers, now, &hint->own);
 	message->news_count = 0;
 	message->suspect_count = 0;
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
 		if (wk->told_us && now - wk->told_us < HINT_SUSPECT_US &&
 		    message->suspect_count < HINT_SUSPECTS_MAX)
 			message->suspects[message->suspect_count++] =
-				hint_hash(wk->is.id);
-		if (message->load_count == HINT_LOADS_MAX)
-			continue;
-		slowdown = hint_slowdown(wk, now);
-		if (wk->firsts == 0 && wk->held <= 0 && slowdown <= 0)
-			continue;
-		message->loads[message->load_count++] = (struct hint_load){
-			hint_hash(wk->is.id),
-			(float)wk->held,
-			(uint32_t)wk->firsts,
-			slowdown,
-		};
+				hint_load_hash(wk->is.id);
 	}
 	while (message->news_count < HINT_NEWS_MAX &&
 	       quar_next_news(
@@ -337,9 +311,7 @@
 	peer->session = message->session;
 	peer->stamp_us = message->stamp_us;
 	peer->ready = message->ready != 0;
-	peer->load_count = message->load_count;
-	memcpy(peer->loads, message->loads,
-	       message->load_count * sizeof(peer->loads[0]));
+	hint_load_take(&peer->loads, message);
 	sto_follow_heard(edge->follow, message->revision);
 	hint_take_attestation(edge, &message->word, now);
 	for (k = 0; k < message->suspect_count; k++)
@@ -376,7 +348,7 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		if (hint_hash(wk->is.id) != hash || wk->on_trial ||
+		if (hint_load_hash(wk->is.id) != hash || wk->on_trial ||
 		    now < wk->hold_until_us)
 			continue;
 		wk_hold_off(wk, now);
@@ -414,109 +386,14 @@
 static void hint_add_up(struct hint *hint, int64_t now)
 {
 	const struct hint_peer *peer;
-	uint32_t k;
 	int i;
 
-	if (hint_index(hint))
+	if (hint_load_begin(&hint->index, &hint->edge->workers))
 		return;
 	for (i = 0; i < hint->peer_count; i++) {
 		peer = &hint->peers[i];
 		if (now - peer->heard_us > HINT_OLD_US)
 			continue;
-		for (k = 0; k < peer->load_count; k++)
-			hint_add_load(hint, &peer->loads[k], peer->heard_us);
+		hint_load_add(&hint->index, &peer->loads, peer->heard_us);
 	}
 }
-
-/* Sorts the workers by their hash and clears what peers hold of each. */
-static int hint_index(struct hint *hint)
-{
-	struct hint_slot *slots;
-	struct wk *wk;
-	int count = 0;
-
-	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node)
-		count++;
-	hint->slot_count = 0;
-	if (count == 0)
-		return HINT_OK;
-	if (count > hint->slot_max) {
-		slots = realloc(hint->slots, (size_t)count * sizeof(*slots));
-		if (!slots)
-			return HINT_E_MEMORY;
-		hint->slots = slots;
-		hint->slot_max = count;
-	}
-	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		wk->peer_held = 0;
-		wk->peer_firsts = 0;
-		hint->slots[hint->slot_count++] =
-			(struct hint_slot){ hint_hash(wk->is.id), wk };
-	}
-	qsort(hint->slots, (size_t)hint->slot_count, sizeof(hint->slots[0]),
-	      hint_by_hash);
-	return HINT_OK;
-}
-
-/* Adds what one peer holds of the worker that it names. */
-static void hint_add_load(struct hint *hint, const struct hint_load *load,
-			  int64_t heard_us)
-{
-	int low = 0;
-	int high = hint->slot_count;
-	int mid;
-	struct wk *wk;
-
-	while (low < high) {
-		mid = low + (high - low) / 2;
-		if (hint->slots[mid].hash < load->worker)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	for (; low < hint->slot_count && hint->slots[low].hash == load->worker;
-	     low++) {
-		wk = hint->slots[low].wk;
-		wk->peer_held += (double)load->held;
-		wk->peer_firsts += (int)load->firsts;
-		hint_take_slowdown(wk, load, heard_us);
-	}
-}
-
-static int hint_by_hash(const void *a, const void *b)
-{
-	const struct hint_slot *x = a;
-	const struct hint_slot *y = b;
-
-	return (x->hash > y->hash) - (x->hash < y->hash);
-}
-
-/* Returns a worker's slowdown for a message, 0 if it was learned long ago. */
-static float hint_slowdown(const struct wk *wk, int64_t now)
-{
-	if (!wk->reported_us || now - wk->reported_us > HINT_SLOWDOWN_US)
-		return 0;
-	return (float)wk->slowdown;
-}
-
-/* A peer's newer word spares us a question of our own. */
-static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
-			       int64_t heard_us)
-{
-	if (!(load->slowdown >= HINT_SLOWDOWN_LEAST &&
-	      load->slowdown <= HINT_SLOWDOWN_MOST) ||
-	    heard_us <= wk->slowdown_us)
-		return;
-	wk->slowdown = (double)load->slowdown;
-	wk->slowdown_us = heard_us;
-}
-
-/* FNV-1a of a worker's id. */
-static uint32_t hint_hash(const char *id)
-{
-	uint32_t hash = 2166136261U;
-
-	for (; *id; id++)
-		hash = (hash ^ (unsigned char)*id) * 16777619U;
-	return hash;
-}
--- /dev/null
+++ b/src/hint_load.c
@@ -0,0 +1,190 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "hint_load.h"
+
+/* A worker's own report of its pace is passed on for this long. */
+#define HINT_SLOWDOWN_US (300 * MAG_US_PER_MS)
+/* A pace outside of this is no pace; a peer may be wrong. */
+#define HINT_SLOWDOWN_LEAST 0.01F
+#define HINT_SLOWDOWN_MOST  1000.0F
+
+static float hint_slowdown(const struct wk *wk, int64_t now);
+static void hint_add_load(const struct hint_index *index,
+			  const struct hint_load *load, int64_t heard_us);
+static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
+			       int64_t heard_us);
+static int hint_by_hash(const void *a, const void *b);
+
+/* Lists the workers that this router has given something. */
+void hint_load_collect(const struct wk_table *table, int64_t now,
+		       struct hint_loads *own)
+{
+	float slowdown;
+	struct wk *wk;
+
+	own->count = 0;
+	cds_list_for_each_entry (wk, &table->workers, node) {
+		if (own->count == MAG_ARRAY_SIZE(own->loads))
+			break;
+		slowdown = hint_slowdown(wk, now);
+		if (wk->firsts == 0 && wk->held <= 0 && slowdown <= 0)
+			continue;
+		own->loads[own->count++] = (struct hint_load){
+			hint_load_hash(wk->is.id),
+			(float)wk->held,
+			(uint32_t)wk->firsts,
+			slowdown,
+		};
+	}
+}
+
+/* Returns how many datagrams it takes to tell a load; an empty one takes one.
+ */
+uint32_t hint_load_parts(const struct hint_loads *own)
+{
+	if (own->count == 0)
+		return 1;
+	return (own->count + HINT_LOADS_MAX - 1) / HINT_LOADS_MAX;
+}
+
+/* Writes one part of a load into a message. */
+void hint_load_fill(const struct hint_loads *own, uint32_t part,
+		    struct hint_message *message)
+{
+	uint32_t first = part * HINT_LOADS_MAX;
+	uint32_t count = own->count - first;
+
+	if (count > HINT_LOADS_MAX)
+		count = HINT_LOADS_MAX;
+	message->part = part;
+	message->part_count = hint_load_parts(own);
+	message->load_count = count;
+	memcpy(message->loads, &own->loads[first],
+	       count * sizeof(message->loads[0]));
+}
+
+/* Takes a part of a peer's load; parts that are lost stay as they were. */
+void hint_load_take(struct hint_peer_loads *peer,
+		    const struct hint_message *message)
+{
+	uint32_t part;
+
+	for (part = peer->part_count; part < message->part_count; part++)
+		peer->counts[part] = 0;
+	peer->part_count = message->part_count;
+	peer->counts[message->part] = message->load_count;
+	memcpy(peer->loads[message->part], message->loads,
+	       message->load_count * sizeof(message->loads[0]));
+}
+
+/* Clears what peers hold of each worker and indexes the workers by hash. */
+int hint_load_begin(struct hint_index *index, const struct wk_table *table)
+{
+	struct hint_slot *slots;
+	struct wk *wk;
+	int count = 0;
+
+	cds_list_for_each_entry (wk, &table->workers, node)
+		count++;
+	index->count = 0;
+	if (count == 0)
+		return HINT_LOAD_OK;
+	if (count > index->max) {
+		slots = realloc(index->slots, (size_t)count * sizeof(*slots));
+		if (!slots)
+			return HINT_LOAD_E_MEMORY;
+		index->slots = slots;
+		index->max = count;
+	}
+	cds_list_for_each_entry (wk, &table->workers, node) {
+		wk->peer_held = 0;
+		wk->peer_firsts = 0;
+		index->slots[index->count++] =
+			(struct hint_slot){ hint_load_hash(wk->is.id), wk };
+	}
+	qsort(index->slots, (size_t)index->count, sizeof(index->slots[0]),
+	      hint_by_hash);
+	return HINT_LOAD_OK;
+}
+
+/* Adds what one peer holds to the workers that it names. */
+void hint_load_add(const struct hint_index *index,
+		   const struct hint_peer_loads *peer, int64_t heard_us)
+{
+	uint32_t part;
+	uint32_t i;
+
+	for (part = 0; part < peer->part_count; part++) {
+		for (i = 0; i < peer->counts[part]; i++)
+			hint_add_load(index, &peer->loads[part][i], heard_us);
+	}
+}
+
+void hint_load_free(struct hint_index *index)
+{
+	free(index->slots);
+	memset(index, 0, sizeof(*index));
+}
+
+/* FNV-1a of a worker's id. */
+uint32_t hint_load_hash(const char *id)
+{
+	uint32_t hash = 2166136261U;
+
+	for (; *id; id++)
+		hash = (hash ^ (unsigned char)*id) * 16777619U;
+	return hash;
+}
+
+/* Returns a worker's slowdown for a message, 0 if it was learned long ago. */
+static float hint_slowdown(const struct wk *wk, int64_t now)
+{
+	if (!wk->reported_us || now - wk->reported_us > HINT_SLOWDOWN_US)
+		return 0;
+	return (float)wk->slowdown;
+}
+
+static void hint_add_load(const struct hint_index *index,
+			  const struct hint_load *load, int64_t heard_us)
+{
+	int low = 0;
+	int high = index->count;
+	int mid;
+	struct wk *wk;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		if (index->slots[mid].hash < load->worker)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	for (; low < index->count && index->slots[low].hash == load->worker;
+	     low++) {
+		wk = index->slots[low].wk;
+		wk->peer_held += (double)load->held;
+		wk->peer_firsts += (int)load->firsts;
+		hint_take_slowdown(wk, load, heard_us);
+	}
+}
+
+/* A peer's newer report spares us a question of our own. */
+static void hint_take_slowdown(struct wk *wk, const struct hint_load *load,
+			       int64_t heard_us)
+{
+	if (!(load->slowdown >= HINT_SLOWDOWN_LEAST &&
+	      load->slowdown <= HINT_SLOWDOWN_MOST) ||
+	    heard_us <= wk->slowdown_us)
+		return;
+	wk->slowdown = (double)load->slowdown;
+	wk->slowdown_us = heard_us;
+}
+
+static int hint_by_hash(const void *a, const void *b)
+{
+	const struct hint_slot *x = a;
+	const struct hint_slot *y = b;
+
+	return (x->hash > y->hash) - (x->hash < y->hash);
+}
--- /dev/null
+++ b/src/hint_load.h
@@ -0,0 +1,61 @@
+#ifndef HINT_LOAD_H
+#define HINT_LOAD_H
+
+/*
+ * What the routers have given each worker: collected from the own table of
+ * workers, told to peers in one or more datagrams, and added up from what the
+ * peers said.  Pure.
+ *
+ * Load pattern: in a rush every router has streams at nearly every worker.  A
+ * worker that is left out of the message looks empty to all peers, and all of
+ * them send there until it refuses for want of memory.
+ */
+
+#include "hint_msg.h"
+#include "wk.h"
+
+/* A router's own load, all parts of its message. */
+struct hint_loads {
+	uint32_t count;
+	struct hint_load loads[HINT_LOADS_MAX * HINT_PARTS_MAX];
+};
+
+/* The newest of each part that a peer sent. */
+struct hint_peer_loads {
+	uint32_t part_count;
+	uint32_t counts[HINT_PARTS_MAX];
+	struct hint_load loads[HINT_PARTS_MAX][HINT_LOADS_MAX];
+};
+
+/* A worker by the hash of its id. */
+struct hint_slot {
+	uint32_t hash;
+	struct wk *wk;
+};
+
+/* Sorted by hash; valid until a worker is forgotten. */
+struct hint_index {
+	struct hint_slot *slots;
+	int count;
+	int max;
+};
+
+enum hint_load_err {
+	HINT_LOAD_OK = 0,
+	HINT_LOAD_E_MEMORY = -1,
+};
+
+void hint_load_collect(const struct wk_table *table, int64_t now,
+		       struct hint_loads *own);
+uint32_t hint_load_parts(const struct hint_loads *own);
+void hint_load_fill(const struct hint_loads *own, uint32_t part,
+		    struct hint_message *message);
+void hint_load_take(struct hint_peer_loads *peer,
+		    const struct hint_message *message);
+int hint_load_begin(struct hint_index *index, const struct wk_table *table);
+void hint_load_add(const struct hint_index *index,
+		   const struct hint_peer_loads *peer, int64_t heard_us);
+void hint_load_free(struct hint_index *index);
+uint32_t hint_load_hash(const char *id);
+
+#endif /* HINT_LOAD_H */
--- a/src/hint_msg.c
+++ b/src/hint_msg.c
@@ -1,12 +1,23 @@
+#include <math.h>
+
 #include <rpc/rpc.h>
 
 #include "hint_msg.h"
 
 #define HINT_MSG_MAGIC	 0x4d414748U
-#define HINT_MSG_VERSION 3U
+#define HINT_MSG_VERSION 4U
+/* A load on the wire: 16 bits of memory, 8 of firsts, 8 of slowdown. */
+#define HINT_HELD_UNIT	   1024.0F /* tokens x layers */
+#define HINT_HELD_MOST	   0xffffU
+#define HINT_FIRSTS_MOST   0xffU
+#define HINT_SLOWDOWN_UNIT (1 / 16.0F)
+#define HINT_SLOWDOWN_MOST 0xffU
 
 static bool_t hint_msg_xdr(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_word(XDR *xdr, struct hint_message *message);
+static bool_t hint_msg_loads(XDR *xdr, struct hint_message *message);
+static bool_t hint_msg_load(XDR *xdr, struct hint_load *load);
+static uint32_t hint_msg_round(float value, float unit, uint32_t most);
 
 /* Writes a message into HINT_BYTES_MAX bytes. */
 int hint_msg_encode(struct hint_message *message, char *bytes, size_t *len)
@@ -41,18 +52,8 @@
 	    !xdr_uint32_t(xdr, &version) || version != HINT_MSG_VERSION ||
 	    !xdr_string(xdr, &name, MAG_NAME_MAX - 1) ||
 	    !xdr_uint32_t(xdr, &message->ready) ||
-	    !hint_msg_word(xdr, message) ||
-	    !xdr_uint32_t(xdr, &message->load_count) ||
-	    message->load_count > HINT_LOADS_MAX)
-		return FALSE;
-	for (i = 0; i < message->load_count; i++) {
-		if (!xdr_uint32_t(xdr, &message->loads[i].worker) ||
-		    !xdr_float(xdr, &message->loads[i].held) ||
-		    !xdr_uint32_t(xdr, &message->loads[i].firsts) ||
-		    !xdr_float(xdr, &message->loads[i].slowdown))
-			return FALSE;
-	}
-	if (!xdr_uint32_t(xdr, &message->news_count) ||
+	    !hint_msg_word(xdr, message) || !hint_msg_loads(xdr, message) ||
+	    !xdr_uint32_t(xdr, &message->news_count) ||
 	    message->news_count > HINT_NEWS_MAX)
 		return FALSE;
 	for (i = 0; i < message->news_count; i++) {
@@ -84,3 +85,55 @@
 	       xdr_int64_t(xdr, &word->age_us) &&
 	       xdr_int64_t(xdr, &word->version);
 }
+
+/* One part of the sender's load. */
+static bool_t hint_msg_loads(XDR *xdr, struct hint_message *message)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(xdr, &message->part) ||
+	    !xdr_uint32_t(xdr, &message->part_count) ||
+	    message->part_count > HINT_PARTS_MAX ||
+	    message->part >= message->part_count ||
+	    !xdr_uint32_t(xdr, &message->load_count) ||
+	    message->load_count > HINT_LOADS_MAX)
+		return FALSE;
+	for (i = 0; i < message->load_count; i++) {
+		if (!hint_msg_load(xdr, &message->loads[i]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static bool_t hint_msg_load(XDR *xdr, struct hint_load *load)
+{
+	uint32_t packed = 0;
+
+	if (xdr->x_op == XDR_ENCODE) {
+		packed =
+			hint_msg_round(load->held, HINT_HELD_UNIT,
+				       HINT_HELD_MOST)
+				<< 16 |
+			hint_msg_round((float)load->firsts, 1, HINT_FIRSTS_MOST)
+				<< 8 |
+			hint_msg_round(load->slowdown, HINT_SLOWDOWN_UNIT,
+				       HINT_SLOWDOWN_MOST);
+	}
+	if (!xdr_uint32_t(xdr, &load->worker) || !xdr_uint32_t(xdr, &packed))
+		return FALSE;
+	load->held = (float)(packed >> 16) * HINT_HELD_UNIT;
+	load->firsts = packed >> 8 & HINT_FIRSTS_MOST;
+	load->slowdown =
+		(float)(packed & HINT_SLOWDOWN_MOST) * HINT_SLOWDOWN_UNIT;
+	return TRUE;
+}
+
+/* Rounds a value to whole units, at most so many. */
+static uint32_t hint_msg_round(float value, float unit, uint32_t most)
+{
+	float units = roundf(value / unit);
+
+	if (!(units > 0))
+		return 0;
+	return units < (float)most ? (uint32_t)units : most;
+}
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -11,11 +11,15 @@
 
 /* A datagram stays below the smallest common transfer unit. */
 #define HINT_BYTES_MAX	  1400
-#define HINT_LOADS_MAX	  56
+#define HINT_LOADS_MAX	  112 /* in one datagram */
+#define HINT_PARTS_MAX	  4   /* datagrams that tell one router's load */
 #define HINT_NEWS_MAX	  4
 #define HINT_SUSPECTS_MAX 16
 
-/* What a router has given a worker. */
+/*
+ * What a router has given a worker.  On the wire it takes eight bytes, with
+ * memory and slowdown rounded to the units in hint_msg.c.
+ */
 struct hint_load {
 	uint32_t worker; /* hash of its id */
 	float held;	 /* tokens x layers */
@@ -36,6 +40,8 @@
 	int64_t stamp_us; /* the sender's clock */
 	int64_t revision; /* of the store, up to which it was told all */
 	struct vch_word word;
+	uint32_t part; /* of the sender's load that is in this message */
+	uint32_t part_count;
 	uint32_t load_count;
 	struct hint_load loads[HINT_LOADS_MAX];
 	uint32_t news_count;
