room: count streams by what they hold in the mean of their life

Cause: each stream was counted with its prompt and its whole answer from its first token on, so that a twelfth of the memory of a full worker stayed empty. In a rush memory binds, and callers are refused for it.

Change: room.c holds what is known of a worker's memory and what a request takes; half of the answer counts. Bytes between data centres are still those of the whole stream. regress/room/mean failed with the whole answer.

--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "eq.h"
+#include "room.h"
 
 /*
  * Price of a hop from one data centre to another.  Its delay is 1 ms, but all
@@ -20,11 +21,6 @@
 #define EQ_AWAY_US 8000
 /* Spread of the price of a worker, as a part of it. */
 #define EQ_NOISE 0.1
-/*
- * A report of a worker's load counts for this long: streams live for some
- * seconds, and routers that have just started know of no load at all.
- */
-#define EQ_TOLD_US MAG_US_PER_S
 /* How often it is looked whether chains stand: a quarter of what matters. */
 #define EQ_COVER_US (250 * MAG_US_PER_MS)
 /* Workers that one choice looks at. */
@@ -42,9 +38,10 @@
 static void eq_reads(const struct eq *eq, int listed, int layers, int64_t now);
 static void eq_change_hops(struct eq *eq, const struct chn_chain *rest,
 			   int64_t now);
-static void eq_known_load(const struct wk *wk, int64_t now, double *held,
-			  int *firsts);
-static double eq_tokens(const struct eq *eq);
+static void eq_known_load(const struct wk *wk, int64_t now,
+			  struct chn_worker *w);
+static struct room_request eq_room(const struct eq *eq);
+static double eq_handed_bytes(const struct eq *eq, int crossings);
 static double eq_read_us(const struct eq *eq, const struct rt_kind *kind);
 static double eq_noise(struct edge *edge);
 
@@ -63,8 +60,7 @@
 	rc = chn_choose(&want, eq_list, count, &chain);
 	if (rc)
 		return rc == CHN_E_NONE ? EQ_NONE : EQ_BUSY;
-	edge->cross_bytes -= chain.crossings * want.tokens *
-			     eq->service->engine.handed_bytes;
+	edge->cross_bytes -= eq_handed_bytes(eq, chain.crossings);
 	for (i = 0; i < chain.count; i++) {
 		eq_reads(eq, chain.hops[i].ref,
 			 chain.hops[i].to - chain.hops[i].from, now);
@@ -94,8 +90,7 @@
 	if (chn_repair(&want, &first, eq_list, count, &rest) ||
 	    rest.count >= CHN_HOPS_MAX)
 		return false;
-	edge->cross_bytes -=
-		rest.crossings * want.tokens * eq->service->engine.handed_bytes;
+	edge->cross_bytes -= eq_handed_bytes(eq, rest.crossings);
 	eq_change_hops(eq, &rest, now);
 	return true;
 }
@@ -155,12 +150,13 @@
 /* Takes a place at a worker and, for layers, memory of it. */
 void eq_take_hop(struct eq *eq, struct wk *wk, int from, int to)
 {
+	struct room_request request = eq_room(eq);
 	struct eq_hop *hop = &eq->hops[eq->hop_count];
 
 	hop->worker = wk_hold(wk);
 	hop->from = from;
 	hop->to = to;
-	hop->held = to > from ? eq_tokens(eq) * (to - from) : 0;
+	hop->held = to > from ? room_tokens(&request) * (to - from) : 0;
 	wk->held += hop->held;
 	if (eq->hop_count == 0)
 		wk->firsts++;
@@ -188,11 +184,12 @@
 
 static void eq_chain_want(struct eq *eq, struct chn_want *want, int64_t now)
 {
+	struct room_request request = eq_room(eq);
 	struct edge *edge = eq->edge;
 
 	want->layers = eq->service->engine.layers;
 	want->centre = edge_centre(edge, edge->set.data_centre);
-	want->tokens = eq_tokens(eq);
+	want->tokens = room_tokens(&request);
 	want->hop_us = CHN_HOP_US;
 	want->centre_us = EQ_CENTRE_US;
 	want->away_us = EQ_AWAY_US;
@@ -200,6 +197,15 @@
 	want->may_cross = edge_may_cross(edge, &eq->service->engine, now);
 }
 
+/* Returns the bytes that a stream hands on between data centres. */
+static double eq_handed_bytes(const struct eq *eq, int crossings)
+{
+	struct room_request request = eq_room(eq);
+
+	return crossings * room_tokens_in_all(&request) *
+	       eq->service->engine.handed_bytes;
+}
+
 /*
  * Lists the workers that may take a part of the request.  For the repair of
  * its chain the first one is left out, and those that keep their part count
@@ -215,7 +221,6 @@
 	struct chn_worker *w;
 	struct wk *wk;
 	double spare_mb;
-	int firsts;
 	int held;
 	int count = 0;
 
@@ -245,8 +250,7 @@
 		spare_mb = kind->memory_mb - held * engine->layer_mb;
 		w->memory =
 			spare_mb * 1e6 * engine->layers / engine->token_bytes;
-		eq_known_load(wk, now, &w->held, &firsts);
-		w->firsts_left = wk->is.slots - firsts;
+		eq_known_load(wk, now, w);
 		w->keeps_from = keeps ? keeps->from : 0;
 		w->keeps_to = keeps ? keeps->to : 0;
 		w->read_us = eq_read_us(eq, kind) * wk->slowdown;
@@ -330,22 +334,26 @@
 }
 
 /*
- * Returns what is known of a worker's load: what routers say that they sent
- * there, or its own newest report if that is more.  After a power loss of all
- * routers the engines go on with requests that no router knows of, and refuse
- * what these send for want of memory.
+ * Fills in what is known of a worker's load.  After a power loss of all routers
+ * the engines go on with requests that no router knows of, and refuse what
+ * these send for want of memory, so that their own reports count as well.
  */
-static void eq_known_load(const struct wk *wk, int64_t now, double *held,
-			  int *firsts)
+static void eq_known_load(const struct wk *wk, int64_t now,
+			  struct chn_worker *w)
 {
-	*held = wk->held + wk->peer_held;
-	*firsts = wk->firsts + wk->peer_firsts;
-	if (!wk->reported_us || now - wk->reported_us > EQ_TOLD_US)
-		return;
-	if (wk->told_held > *held)
-		*held = wk->told_held;
-	if (wk->told_firsts > *firsts)
-		*firsts = wk->told_firsts;
+	struct room_known known = {
+		.own = wk->held,
+		.peers = wk->peer_held,
+		.reported = wk->told_held,
+		.reported_us = wk->reported_us,
+	};
+	int firsts = wk->firsts + wk->peer_firsts;
+
+	if (room_is_report_fresh(wk->reported_us, now) &&
+	    wk->told_firsts > firsts)
+		firsts = wk->told_firsts;
+	w->held = room_held(&known, now);
+	w->firsts_left = wk->is.slots - firsts;
 }
 
 /*
@@ -359,21 +367,17 @@
 	return 1 + EQ_NOISE * (draw - 0.5);
 }
 
-/* Tokens that a request is expected to hold at its end. */
-static double eq_tokens(const struct eq *eq)
+static struct room_request eq_room(const struct eq *eq)
 {
 	const struct rt_engine *engine = &eq->service->engine;
-	int prompt = eq->asks.prompt_tokens;
-	int answer = eq->asks.answer_tokens_hint;
 
-	if (prompt <= 0)
-		prompt = engine->usual_prompt;
-	if (answer <= 0)
-		answer = engine->usual_answer;
-	if (eq->asks.answer_tokens_max > 0 &&
-	    answer > eq->asks.answer_tokens_max)
-		answer = eq->asks.answer_tokens_max;
-	return prompt + answer;
+	return (struct room_request){
+		.prompt = eq->asks.prompt_tokens,
+		.answer_hint = eq->asks.answer_tokens_hint,
+		.answer_max = eq->asks.answer_tokens_max,
+		.usual_prompt = engine->usual_prompt,
+		.usual_answer = engine->usual_answer,
+	};
 }
 
 /*
