chn: price memory by what it serves, and look for the cheapest product

Cause: the price of a chain was a sum in which a full worker counted as a slower one. In a rush every fast worker was filled to its limit whatever was behind it, chains were put together from fast and slow parts, and the fast part's memory waited for the slow one. A hop was priced with 0.25 ms a token; by a fit over 1,115 streams of a calm start it adds 1.0 to 1.5 ms (the wait for the pass that a worker is in).

Change: a chain costs its time, and its memory for that time. Memory is priced by how full and how fast its worker is (chn_price.c); the search (chn_walk.c) runs with a few weights of memory against time and the best product is kept; where all workers are idle it runs once.

--- a/src/chn.c
+++ b/src/chn.c
@@ -1,51 +1,16 @@
-#include <string.h>
-
-#include "chn.h"
-
-#define CHN_FAR 1e300
+#include "chn_int.h"
 
 /*
- * Price of memory: at the limit a layer counts as if it took so many times
- * as long, so that streams spread over the holders of a layer before one of
- * them is full, when a preemption would read a whole prompt again.
+ * Weights of memory against time with which chains are looked for, as parts
+ * of the fastest time of a token.  They are a few steps on the way from "only
+ * time counts" to "only memory counts".
  */
-#define CHN_PRESSURE 4.0
+static const double chn_weights[] = { 0, 0.5, 1, 2, 4, 8, 16 };
 
-/* The cheapest way to have run the layers before a position. */
-struct chn_step {
-	double cost;
-	int worker; /* the hop that ends here, -1: none */
-	int start;  /* where that hop began */
-	int before; /* data centre of the hop before it, -1: it is the first */
-};
+/* A price of memory below this changes no choice worth the search. */
+#define CHN_NEGLIGIBLE 0.02
 
-struct chn_walk {
-	const struct chn_want *want;
-	const struct chn_worker *workers;
-	int count;
-	int centres;
-	bool boundary[CHN_LAYERS_MAX + 1];
-	struct chn_step at[CHN_LAYERS_MAX + 1][CHN_CENTRES_MAX];
-	bool use_memory;
-	int start;	  /* layers before it stay where they are */
-	int start_centre; /* data centre of the worker that runs them */
-};
-
-static int chn_begin(struct chn_walk *walk, const struct chn_want *want,
-		     const struct chn_worker *workers, int count);
-static void chn_boundaries(struct chn_walk *walk);
-static void chn_relax(struct chn_walk *walk, int position, int worker);
-static double chn_enter(const struct chn_walk *walk, int position, int worker,
-			int *before);
-static double chn_layer_cost(const struct chn_worker *worker);
-static bool chn_keeps(const struct chn_worker *worker, int from, int to);
-static double chn_read_cost(const struct chn_worker *worker, int from, int to);
-static bool chn_has_room(const struct chn_want *want,
-			 const struct chn_worker *worker, int layers);
 static int chn_solve(struct chn_walk *walk, struct chn_chain *chain);
-static int chn_trace(const struct chn_walk *walk, int centre,
-		     struct chn_chain *chain);
-static void chn_merge_repeats(struct chn_chain *chain);
 
 /*
  * Finds the cheapest chain.  If none fits, the error says what was missing:
@@ -62,7 +27,7 @@
 {
 	static _Thread_local struct chn_walk walk;
 
-	if (chn_begin(&walk, want, workers, count))
+	if (chn_walk_begin(&walk, want, workers, count))
 		return CHN_E_NONE;
 	if (chn_solve(&walk, chain) == CHN_OK)
 		return CHN_OK;
@@ -91,7 +56,7 @@
 
 	if (first->to <= 0 || first->to >= want->layers ||
 	    first->centre >= CHN_CENTRES_MAX ||
-	    chn_begin(&walk, want, workers, count))
+	    chn_walk_begin(&walk, want, workers, count))
 		return CHN_E_NONE;
 	walk.start = first->to;
 	walk.start_centre = first->centre;
@@ -122,225 +87,32 @@
 	return true;
 }
 
-static int chn_begin(struct chn_walk *walk, const struct chn_want *want,
-		     const struct chn_worker *workers, int count)
-{
-	int i;
-
-	if (want->layers > CHN_LAYERS_MAX)
-		return CHN_E_NONE;
-	memset(walk, 0, sizeof(*walk));
-	walk->want = want;
-	walk->workers = workers;
-	walk->count = count;
-	walk->centres = 1;
-	for (i = 0; i < count; i++) {
-		if (workers[i].centre >= CHN_CENTRES_MAX)
-			return CHN_E_NONE;
-		if (workers[i].centre >= walk->centres)
-			walk->centres = workers[i].centre + 1;
-	}
-	chn_boundaries(walk);
-	walk->use_memory = true;
-	return CHN_OK;
-}
-
-/* Hops begin and end only where some worker's range does. */
-static void chn_boundaries(struct chn_walk *walk)
-{
-	int i;
-
-	walk->boundary[0] = true;
-	walk->boundary[walk->want->layers] = true;
-	for (i = 0; i < walk->count; i++) {
-		if (walk->workers[i].to > walk->want->layers)
-			continue;
-		walk->boundary[walk->workers[i].from] = true;
-		walk->boundary[walk->workers[i].to] = true;
-	}
-}
-
+/*
+ * Finds the chain that costs callers least: its time, and the memory that it
+ * holds for that time.  A product has no shortest path, so the cheapest sums
+ * of time and weighted memory are found, and the best product among them.
+ */
 static int chn_solve(struct chn_walk *walk, struct chn_chain *chain)
 {
-	int layers = walk->want->layers;
-	double best = CHN_FAR;
-	int centre = -1;
-	int position;
-	int i;
-
-	for (position = 0; position <= layers; position++) {
-		for (i = 0; i < walk->centres; i++)
-			walk->at[position][i] =
-				(struct chn_step){ CHN_FAR, -1, 0, -1 };
-	}
-	if (walk->start > 0)
-		walk->at[walk->start][walk->start_centre].cost = 0;
-	for (position = walk->start; position < layers; position++) {
-		if (!walk->boundary[position])
-			continue;
-		for (i = 0; i < walk->count; i++) {
-			if (walk->workers[i].from <= position &&
-			    walk->workers[i].to > position)
-				chn_relax(walk, position, i);
-		}
-	}
-	for (i = 0; i < walk->centres; i++) {
-		if (walk->at[layers][i].cost < best) {
-			best = walk->at[layers][i].cost;
-			centre = i;
-		}
-	}
-	if (centre < 0)
-		return CHN_E_NONE;
-	chain->token_us = best;
-	return chn_trace(walk, centre, chain);
-}
-
-/* Tries every hop of a worker that begins at a position. */
-static void chn_relax(struct chn_walk *walk, int position, int worker)
-{
-	const struct chn_worker *w = &walk->workers[worker];
-	double layer = chn_layer_cost(w);
-	struct chn_step *step;
-	double enter;
-	double cost;
-	int before;
-	int end;
-
-	enter = chn_enter(walk, position, worker, &before);
-	if (enter >= CHN_FAR)
-		return;
-	for (end = position + 1; end <= w->to && end <= walk->want->layers;
-	     end++) {
-		if (!walk->boundary[end])
-			continue;
-		if (walk->use_memory && !chn_keeps(w, position, end) &&
-		    !chn_has_room(walk->want, w, end - position))
-			continue;
-		cost = enter + layer * (end - position);
-		if (walk->start > 0 || walk->want->reads)
-			cost += chn_read_cost(w, position, end);
-		step = &walk->at[end][w->centre];
-		if (cost >= step->cost)
-			continue;
-		step->cost = cost;
-		step->worker = worker;
-		step->start = position;
-		step->before = before;
-	}
-}
-
-/* Returns the cost of all before a hop, and of handing on to it. */
-static double chn_enter(const struct chn_walk *walk, int position, int worker,
-			int *before)
-{
-	const struct chn_want *want = walk->want;
-	const struct chn_worker *w = &walk->workers[worker];
+	struct chn_chain found;
 	double best = CHN_FAR;
 	double cost;
-	int i;
-
-	*before = -1;
-	if (position == 0) {
-		if (w->firsts_left <= 0)
-			return CHN_FAR;
-		return want->centre == w->centre ? 0 : want->away_us;
-	}
-	for (i = 0; i < walk->centres; i++) {
-		cost = walk->at[position][i].cost;
-		if (cost >= CHN_FAR || (i != w->centre && !want->may_cross))
-			continue;
-		cost += i == w->centre ? want->hop_us : want->centre_us;
+	size_t i;
+	int rc;
+
+	chn_price_workers(walk);
+	for (i = 0; i < MAG_ARRAY_SIZE(chn_weights); i++) {
+		walk->weight_us = chn_weights[i] * walk->fastest_us;
+		rc = chn_walk_solve(walk, &found);
+		if (rc)
+			return rc;
+		cost = chn_price_of_chain(&found);
 		if (cost < best) {
 			best = cost;
-			*before = i;
+			*chain = found;
 		}
-	}
-	return best;
-}
-
-static double chn_layer_cost(const struct chn_worker *worker)
-{
-	double used;
-
-	if (worker->memory <= 0)
-		return worker->layer_us;
-	used = worker->held / worker->memory;
-	return worker->layer_us * (1 + CHN_PRESSURE * used * used);
-}
-
-/* Tells whether a worker runs just these layers of the stream already. */
-static bool chn_keeps(const struct chn_worker *worker, int from, int to)
-{
-	return worker->keeps_from == from && worker->keeps_to == to;
-}
-
-/* Time until a worker has read the stream so far through new layers. */
-static double chn_read_cost(const struct chn_worker *worker, int from, int to)
-{
-	if (chn_keeps(worker, from, to))
-		return 0;
-	return worker->backlog_us + worker->read_us * (to - from);
-}
-
-static bool chn_has_room(const struct chn_want *want,
-			 const struct chn_worker *worker, int layers)
-{
-	return worker->held + want->tokens * layers <=
-	       worker->memory * CHN_MEMORY_LIMIT;
-}
-
-/* Writes the hops down from the last one back to the first. */
-static int chn_trace(const struct chn_walk *walk, int centre,
-		     struct chn_chain *chain)
-{
-	struct chn_hop back[CHN_LAYERS_MAX];
-	const struct chn_step *step;
-	int position = walk->want->layers;
-	int count = 0;
-	int i;
-
-	chain->crossings = 0;
-	while (position > walk->start) {
-		step = &walk->at[position][centre];
-		if (step->before >= 0 && step->before != centre)
-			chain->crossings++;
-		back[count].ref = walk->workers[step->worker].ref;
-		back[count].from = step->start;
-		back[count].to = position;
-		count++;
-		position = step->start;
-		centre = step->before;
-	}
-	if (count > CHN_HOPS_MAX)
-		return CHN_E_NONE;
-	for (i = 0; i < count; i++)
-		chain->hops[i] = back[count - 1 - i];
-	chain->count = count;
-	chn_merge_repeats(chain);
-	return CHN_OK;
-}
-
-/*
- * A worker may stand in a chain only once.  Where the cheapest way leaves a
- * worker and comes back, it runs what lies between, too: its range has no
- * gap.
- */
-static void chn_merge_repeats(struct chn_chain *chain)
-{
-	int i;
-	int k;
-
-	for (i = 0; i < chain->count; i++) {
-		for (k = chain->count - 1; k > i; k--) {
-			if (chain->hops[k].ref != chain->hops[i].ref)
-				continue;
-			chain->hops[i].to = chain->hops[k].to;
-			memmove(&chain->hops[i + 1], &chain->hops[k + 1],
-				(size_t)(chain->count - k - 1) *
-					sizeof(chain->hops[0]));
-			chain->count -= k - i;
+		if (i == 0 && found.memory < CHN_NEGLIGIBLE)
 			break;
-		}
 	}
+	return CHN_OK;
 }
--- a/src/chn.h
+++ b/src/chn.h
@@ -10,8 +10,7 @@
  * a third of the streams that fit; when a worker or a data centre is lost,
  * its streams press into the rest within a second.  Memory binds before
  * arithmetic does, so a chain is refused where it would pass the memory
- * limit, and the pressure on memory is part of the price of a hop before it
- * is reached.
+ * limit, and memory has a price (chn_price.c) before it is reached.
  */
 
 #include <stdbool.h>
@@ -22,9 +21,13 @@
 #define CHN_HOPS_MAX	32
 #define CHN_LAYERS_MAX	256
 #define CHN_CENTRES_MAX 32
+#define CHN_WORKERS_MAX 4096
 
-/* Time between two workers of a data centre for one token. */
-#define CHN_HOP_US 250
+/*
+ * What a hop adds to the time of a token: the way there, and the wait for the
+ * pass that the worker is in.
+ */
+#define CHN_HOP_US 1300
 /* Share of a worker's request memory that is given away. */
 #define CHN_MEMORY_LIMIT 0.92
 
@@ -79,6 +82,7 @@
 	int count;
 	int crossings;	 /* hops between data centres */
 	double token_us; /* expected time of a token */
+	double memory;	 /* price of what it holds; 0: all workers are idle */
 };
 
 int chn_choose(const struct chn_want *want, const struct chn_worker *workers,
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -23,12 +23,10 @@
 #define EQ_NOISE 0.1
 /* How often it is looked whether chains stand: a quarter of what matters. */
 #define EQ_COVER_US (250 * MAG_US_PER_MS)
-/* Workers that one choice looks at. */
-#define EQ_CHAIN_WORKERS_MAX 4096
 
 /* What the choice in progress looks at; one thread makes all choices. */
-static struct chn_worker eq_list[EQ_CHAIN_WORKERS_MAX];
-static struct wk *eq_listed[EQ_CHAIN_WORKERS_MAX];
+static struct chn_worker eq_list[CHN_WORKERS_MAX];
+static struct wk *eq_listed[CHN_WORKERS_MAX];
 
 static bool eq_covered(struct edge *edge, const struct rt_service *service,
 		       int64_t now);
@@ -171,7 +169,7 @@
 	int count = 0;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (count == EQ_CHAIN_WORKERS_MAX)
+		if (count == CHN_WORKERS_MAX)
 			break;
 		if (!wk_usable(wk, now) ||
 		    strcmp(wk->is.service, service->name) != 0)
@@ -226,7 +224,7 @@
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
 		held = wk->layers.to - wk->layers.from;
-		if (count == EQ_CHAIN_WORKERS_MAX)
+		if (count == CHN_WORKERS_MAX)
 			break;
 		keeps = first ? eq_hop_of(eq, wk) : NULL;
 		if (held <= 0 || eq_avoids(eq, wk) ||
