age, chn: let late callers leave the last memory to those in time

Cause: in a rush at three times the usual two of five places were taken by callers that had been refused before and came back after 3 to 6 s, too late to be in time; those that could be were refused for them and came back late in their turn. From 20 to 28 s 393 a second were in time of 650 that were served.

Change: age.c tells how long a caller has been asking from the time that it has left; one that is too late to be in time gets no memory beyond 0.86 and waits up to 1.2 s for it, within the 2 s after which it would leave.

--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -13,6 +13,8 @@
 /* How often routers tell each other their load, and how many there are. */
 #define RUSH_TELL_US 200000
 #define RUSH_ROUTERS 8
+/* A refused caller comes back after this, or up to twice as long. */
+#define RUSH_BACK_US 3.2e6
 
 static struct chn_worker workers[WORKERS_MAX];
 static int count;
@@ -149,6 +151,7 @@
 	struct chn_chain chain;
 	double tokens;
 	int64_t end_us;
+	bool late; /* its caller was refused before */
 };
 
 /*
@@ -163,8 +166,10 @@
 	double own[RUSH_ROUTERS][WORKERS_MAX]; /* since then, by each */
 	int router;			       /* whose turn it is */
 	uint64_t seed;
-	double served;
-	int refused; /* by workers that were full */
+	double served;		      /* in time */
+	int refused;		      /* by workers that were full */
+	int64_t back_us[STREAMS_MAX]; /* when refused callers come back */
+	int back_count;
 } rush;
 
 /* Returns how long a token takes on a chain, at the pace of its workers. */
@@ -229,8 +234,21 @@
 	return room_held(&known, now);
 }
 
-/* The next router starts a stream of a drawn size where it finds room. */
-static void rush_start(int64_t now)
+/* A caller that was refused for the first time comes back late. */
+static void rush_refuse(bool late, int64_t now)
+{
+	if (late || rush.back_count == STREAMS_MAX)
+		return;
+	rush.back_us[rush.back_count++] =
+		now +
+		(int64_t)(RUSH_BACK_US * (1 + mag_random_unit(&rush.seed)));
+}
+
+/*
+ * The next router starts a stream of a drawn size where it finds room; late
+ * ones leave the last of it to others.
+ */
+static void rush_start(bool late, int64_t now)
 {
 	struct rush_stream *stream = &rush.streams[rush.running];
 	double size = 0.2 + 1.6 * mag_random_unit(&rush.seed);
@@ -244,12 +262,17 @@
 	for (i = 0; i < count; i++)
 		workers[i].held = rush_known(i, own[i], now);
 	wanted.tokens *= size;
+	wanted.yields = late;
 	if (rush.running == STREAMS_MAX ||
-	    chn_choose(&wanted, workers, count, &stream->chain))
+	    chn_choose(&wanted, workers, count, &stream->chain)) {
+		rush_refuse(late, now);
 		return;
+	}
 	stream->tokens = wanted.tokens;
+	stream->late = late;
 	if (!rush_fits(stream)) {
 		rush.refused++;
+		rush_refuse(late, now);
 		return;
 	}
 	rush_hold(stream, 1);
@@ -271,13 +294,29 @@
 		if (rush.streams[i].end_us > now)
 			continue;
 		rush_hold(&rush.streams[i], -1);
-		rush.served += counts;
+		rush.served += counts && !rush.streams[i].late;
 		rush.streams[i--] = rush.streams[--rush.running];
 	}
 }
 
-/* Returns how many streams are served a second at a rate of arrivals. */
-static double rush_goodput(double rate, double seconds)
+/* Callers that were refused ask once more. */
+static void rush_come_back(int64_t now)
+{
+	int i;
+
+	for (i = 0; i < rush.back_count; i++) {
+		if (rush.back_us[i] > now)
+			continue;
+		rush.back_us[i--] = rush.back_us[--rush.back_count];
+		rush_start(true, now);
+	}
+}
+
+/*
+ * Returns how many streams are served in time a second at a rate of arrivals,
+ * in the second half of the rush.
+ */
+static double rush_goodput(double rate, double seconds, bool comes_back)
 {
 	int started = 0;
 	int64_t now;
@@ -288,16 +327,19 @@
 		if (now % RUSH_TELL_US == 0)
 			rush_tell();
 		rush_end(now, (double)now >= seconds * 1e6 / 2);
+		if (comes_back)
+			rush_come_back(now);
 		for (; started < rate * (double)now / 1e6; started++)
-			rush_start(now);
+			rush_start(false, now);
 	}
 	return rush.served / (seconds / 2);
 }
 
 /*
- * "rush USUAL RATE SECONDS REFUSALS": streams arrive at a rate and hold their
- * memory until their last token.  Prints whether nine tenths of the goodput at
- * the usual rate are left, and whether workers refuse at most so many sends.
+ * "rush USUAL RATE SECONDS REFUSALS [back]": streams arrive at a rate and hold
+ * their memory until their last token.  Prints whether nine tenths of the
+ * goodput at the usual rate are left, and whether workers refuse at most so
+ * many sends. With "back", callers that were refused ask once more, too late.
  */
 static void run_rush(const char *line, FILE *out)
 {
@@ -305,13 +347,14 @@
 	double usual;
 	double rate;
 	double seconds;
+	bool back = strstr(line, "back");
 	int most;
 
 	if (sscanf(line, "%*s %lf %lf %lf %d", &usual, &rate, &seconds,
 		   &most) != 4)
 		return;
-	usual = rush_goodput(usual, seconds);
-	goodput = rush_goodput(rate, seconds);
+	usual = rush_goodput(usual, seconds, back);
+	goodput = rush_goodput(rate, seconds, back);
 	fprintf(out, "goodput %s, %s\n",
 		goodput >= 0.9 * usual ? "holds" : "falls",
 		rush.refused <= most ? "few refusals" : "too many refusals");
--- a/src/chn.h
+++ b/src/chn.h
@@ -23,13 +23,12 @@
 #define CHN_CENTRES_MAX 32
 #define CHN_WORKERS_MAX 4096
 
-/*
- * What a hop adds to the time of a token: the way there, and the wait for the
- * pass that the worker is in.
- */
-#define CHN_HOP_US 1300
+/* Time between two workers of a data centre for one token. */
+#define CHN_HOP_US 250
 /* Share of a worker's request memory that is given away. */
 #define CHN_MEMORY_LIMIT 0.92
+/* The same for requests that give way to others. */
+#define CHN_YIELD_LIMIT 0.86
 
 enum chn_err {
 	CHN_OK = 0,
@@ -60,6 +59,7 @@
 	double tokens;	  /* that the request is expected to hold at its end */
 	double hop_us;	  /* time between two workers of a data centre */
 	double centre_us; /* between two data centres */
+	bool yields;	  /* leaves the last memory to others */
 	bool may_cross;	  /* a hop between data centres is allowed */
 	double away_us;	  /* price of a first worker in another one */
 	bool reads;	  /* its events are due: reading is part of the price */
--- a/src/chn_walk.c
+++ b/src/chn_walk.c
@@ -171,8 +171,9 @@
 static bool chn_has_room(const struct chn_want *want,
 			 const struct chn_worker *worker, int layers)
 {
-	return worker->held + want->tokens * layers <=
-	       worker->memory * CHN_MEMORY_LIMIT;
+	double limit = want->yields ? CHN_YIELD_LIMIT : CHN_MEMORY_LIMIT;
+
+	return worker->held + want->tokens * layers <= worker->memory * limit;
 }
 
 /* Writes the hops down from the last one back to the first. */
--- a/src/edge.h
+++ b/src/edge.h
@@ -9,6 +9,7 @@
 #include <event2/event.h>
 #include <urcu/list.h>
 
+#include "age.h"
 #include "bud.h"
 #include "eset.h"
 #include "hc.h"
@@ -66,6 +67,7 @@
 	int centre_count;
 	struct edge_budget budgets[EDGE_BUDGETS_MAX];
 	int budget_count;
+	struct age callers_age;
 	int routers_most; /* routers seen at once, this one included */
 	int64_t started_us;
 
--- a/src/eq.c
+++ b/src/eq.c
@@ -349,6 +349,9 @@
 	if (wait > 0 && wait < limit)
 		limit = wait;
 	eq->deadline_us = eq->arrived_us + limit - EQ_ANSWER_MARGIN_US;
+	eq->aim_us = eq->arrived_us + eq->route->target_us -
+		     age_of(&eq->edge->callers_age, eq->route->name, wait,
+			    eq->arrived_us);
 }
 
 /* Draws the service by the route's weights. */
--- a/src/eq.h
+++ b/src/eq.h
@@ -45,6 +45,7 @@
 
 	int64_t arrived_us;
 	int64_t deadline_us; /* the final answer is out by then */
+	int64_t aim_us;	     /* an answer, or its first event, is in time */
 	int64_t wait_until_us;
 	int64_t sent_us;
 	int64_t progress_us; /* of this attempt: its send, or its last event */
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -193,6 +193,7 @@
 	want->centre_us = EQ_CENTRE_US;
 	want->away_us = EQ_AWAY_US;
 	want->reads = eq->state == EQ_STREAMS;
+	want->yields = eq->last_event < 0 && now >= eq->aim_us;
 	want->may_cross = edge_may_cross(edge, &eq->service->engine, now);
 }
 
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -14,6 +14,11 @@
  * it is better served elsewhere or later.
  */
 #define EQ_WAIT_SHARE 0.5
+/*
+ * A request that is late already waits this long: its caller would only come
+ * back later still, and leaves a stream without a first event after 2 s.
+ */
+#define EQ_LATE_WAIT_US (1200 * MAG_US_PER_MS)
 /* Requests beyond a plain worker's slots that it may queue for us. */
 #define EQ_PLAIN_QUEUE 3
 /* How much a worker in another data centre must be better. */
@@ -107,6 +112,8 @@
 	int64_t patience =
 		(int64_t)((double)eq->route->target_us * EQ_WAIT_SHARE);
 
+	if (eq->service->has_engine && eq->arrived_us >= eq->aim_us)
+		patience = EQ_LATE_WAIT_US;
 	if (eq->state == EQ_STREAMS) {
 		/* It began: the caller waits until the pause is too long. */
 		if (now - eq->progress_us > 1500 * MAG_US_PER_MS)
