attest, wk: call attestation and unresponsive workers by the field's terms

Cause: `vch` ("vouch"), "word", "mute" and `told_*` were words of our own; the users ask for the usual ones. Ruled out: `fresh` as the prefix (hc has a `fresh` that means a connection of its own).

--- a/regress/check_vch.c
+++ b/regress/check_attest.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "script.h"
-#include "vch.h"
+#include "attest.h"
 
 #define ROUTERS_MAX 32
 #define LINE_MAX_   256
@@ -12,10 +12,10 @@
  * with what the store has held.
  */
 struct router {
-	struct vch vch;
+	struct attest attest;
 	long clock_ms; /* its own clock, when the common one says 0 */
 	long long version;
-	struct vch_word kept; /* a message that was written and not sent */
+	struct attest_claim kept; /* a message that was written and not sent */
 };
 
 static struct router routers[ROUTERS_MAX];
@@ -38,30 +38,30 @@
 	memset(router, 0, sizeof(*router));
 	session++;
 	/* Seeds of their own, as routers draw them. */
-	vch_init(&router->vch, session, session * 0x9e3779b97f4a7c15ULL);
+	attest_init(&router->attest, session, session * 0x9e3779b97f4a7c15ULL);
 	router->clock_ms = clock_ms;
 	router->version = -1;
 }
 
 /* What one router writes to another one, with the newest time heard of it. */
-static struct vch_word word_of(int from, int to, long heard_ms)
+static struct attest_claim claim_of(int from, int to, long heard_ms)
 {
 	const struct router *sender = &routers[from];
 	const struct router *receiver = &routers[to];
-	struct vch_word word;
+	struct attest_claim claim;
 
-	vch_tell(&sender->vch, sender->version, clock_of(sender), &word);
-	word.session = receiver->vch.session;
-	word.echo_us = (heard_ms + receiver->clock_ms) * MAG_US_PER_MS;
-	return word;
+	attest_make(&sender->attest, sender->version, clock_of(sender), &claim);
+	claim.session = receiver->attest.session;
+	claim.echo_us = (heard_ms + receiver->clock_ms) * MAG_US_PER_MS;
+	return claim;
 }
 
 /* Prints what a router does with a key, and whether that is right. */
 static void print(FILE *out, int n)
 {
 	const struct router *router = &routers[n];
-	bool trusted = vch_trusted(&router->vch, bound_ms * MAG_US_PER_MS,
-				   clock_of(router));
+	bool trusted = attest_trusted(&router->attest, bound_ms * MAG_US_PER_MS,
+				      clock_of(router));
 	bool wrong = trusted && router->version < newest &&
 		     now_ms - changed_ms > bound_ms;
 
@@ -74,8 +74,8 @@
 	struct router *router = &routers[to];
 
 	fprintf(out, "%s\n",
-		vch_from_peer(&router->vch, &routers[from].kept,
-			      router->version, clock_of(router))
+		attest_from_peer(&router->attest, &routers[from].kept,
+				 router->version, clock_of(router))
 			? "taken"
 			: "not taken");
 }
@@ -87,21 +87,23 @@
 
 	if (now_ms - ms >= changed_ms)
 		router->version = newest;
-	vch_from_store(&router->vch, clock_of(router) - ms * MAG_US_PER_MS);
+	attest_from_store(&router->attest,
+			  clock_of(router) - ms * MAG_US_PER_MS);
 }
 
 /* Each router tells the next one, around the ring and once more. */
 static void tell_around(int count)
 {
-	struct vch_word word;
+	struct attest_claim claim;
 	int next;
 	int i;
 
 	for (i = 0; i < 2 * count; i++) {
 		next = (i + 1) % count;
-		word = word_of(i % count, next, now_ms);
-		vch_from_peer(&routers[next].vch, &word, routers[next].version,
-			      clock_of(&routers[next]));
+		claim = claim_of(i % count, next, now_ms);
+		attest_from_peer(&routers[next].attest, &claim,
+				 routers[next].version,
+				 clock_of(&routers[next]));
 	}
 }
 
@@ -117,8 +119,8 @@
 
 	for (; now_ms < end_ms; now_ms += 10) {
 		for (i = 0; i < count; i++) {
-			if (!vch_is_time_to_ask(&routers[i].vch, count,
-						clock_of(&routers[i])))
+			if (!attest_is_time_to_ask(&routers[i].attest, count,
+						   clock_of(&routers[i])))
 				continue;
 			asked++;
 			hear_store(i, 0);
@@ -135,8 +137,8 @@
 	int asked = 0;
 
 	for (; now_ms < end_ms; now_ms += 10)
-		asked += vch_is_time_to_ask(&routers[n].vch, 1,
-					    clock_of(&routers[n]));
+		asked += attest_is_time_to_ask(&routers[n].attest, 1,
+					       clock_of(&routers[n]));
 	fprintf(out, "%d asks\n", asked);
 }
 
@@ -163,11 +165,11 @@
 		lost(out, a, ms);
 	} else if (sscanf(line, "retry %d", &a) == 1) {
 		fprintf(out, "%lld ms\n",
-			(long long)(vch_retry_us(a) / MAG_US_PER_MS));
+			(long long)(attest_retry_us(a) / MAG_US_PER_MS));
 	} else if (sscanf(line, "gather %ld %d", &ms, &a) == 2) {
 		fprintf(out, "%lld ms\n",
-			(long long)(vch_gather_us(ms * MAG_US_PER_MS,
-						  a * MAG_US_PER_MS) /
+			(long long)(attest_gather_us(ms * MAG_US_PER_MS,
+						     a * MAG_US_PER_MS) /
 				    MAG_US_PER_MS));
 	} else if (sscanf(line, "key %d", &a) == 1) {
 		print(out, a);
@@ -191,10 +193,10 @@
 		if (drive_one(line, out))
 			continue;
 		if (sscanf(line, "tell %d %d %ld", &a, &b, &ms) == 3) {
-			routers[a].kept = word_of(a, b, now_ms - ms);
+			routers[a].kept = claim_of(a, b, now_ms - ms);
 			arrive(out, a, b);
 		} else if (sscanf(line, "write %d %d %ld", &a, &b, &ms) == 3) {
-			routers[a].kept = word_of(a, b, now_ms - ms);
+			routers[a].kept = claim_of(a, b, now_ms - ms);
 		} else if (sscanf(line, "arrive %d %d", &a, &b) == 2) {
 			arrive(out, a, b);
 		} else if (sscanf(line, "asks %d %d", &a, &b) == 2) {
@@ -205,5 +207,5 @@
 
 int main(void)
 {
-	return script_main("regress/vch", drive);
+	return script_main("regress/attest", drive);
 }
--- a/spec/vouch.pml
+++ b/spec/attest.pml
@@ -1,5 +1,5 @@
 /*
- * Routers vouch for the age of the configuration (src/vch.c).  A key is taken
+ * Routers attest for the age of the configuration (src/attest.c).  A key is taken
  * away once, at any moment.  Two routers read the store, the first one
  * tells the second one what it knows; they are frozen anywhere in between, and
  * the second one starts anew.  Messages are held up for as long as they like.
--- a/src/vch.h
+++ b/src/attest.h
@@ -1,8 +1,8 @@
-#ifndef VCH_H
-#define VCH_H
+#ifndef ATTEST_H
+#define ATTEST_H
 
 /*
- * How old the configuration in force may be, and who vouches for it.  Pure.
+ * How old the configuration in force may be, and who attests it.  Pure.
  *
  * Load pattern: the store goes away, for one router or for all.  Keys may be
  * trusted for a bounded time after they were last known to be current, and
@@ -20,14 +20,14 @@
 #include "mag.h"
 
 /* What one router tells another one of the configuration. */
-struct vch_word {
+struct attest_claim {
 	uint32_t session; /* of the receiver, 0: it was not heard yet */
 	int64_t echo_us;  /* newest time heard from the receiver */
 	int64_t age_us;	  /* so old is what the sender knows; -1: nothing */
 	int64_t version;  /* of the configuration that it knows */
 };
 
-struct vch {
+struct attest {
 	uint32_t session;   /* of this process; not 0 */
 	int64_t fresh_us;   /* the set in force was the newest then; 0: never */
 	int64_t ask_us;	    /* when the store is asked next */
@@ -36,16 +36,17 @@
 	uint64_t seed;
 };
 
-void vch_init(struct vch *vch, uint32_t session, uint64_t seed);
-void vch_from_store(struct vch *vch, int64_t at_us);
-bool vch_from_peer(struct vch *vch, const struct vch_word *word,
-		   int64_t version, int64_t now);
-void vch_tell(const struct vch *vch, int64_t version, int64_t now,
-	      struct vch_word *word);
-bool vch_trusted(const struct vch *vch, int64_t bound_us, int64_t now);
-bool vch_soon_untrusted(const struct vch *vch, int64_t bound_us, int64_t now);
-int64_t vch_retry_us(int routers);
-int64_t vch_gather_us(int64_t config_apply_us, int64_t drain_us);
-bool vch_is_time_to_ask(struct vch *vch, int routers, int64_t now);
+void attest_init(struct attest *attest, uint32_t session, uint64_t seed);
+void attest_from_store(struct attest *attest, int64_t at_us);
+bool attest_from_peer(struct attest *attest, const struct attest_claim *claim,
+		      int64_t version, int64_t now);
+void attest_make(const struct attest *attest, int64_t version, int64_t now,
+		 struct attest_claim *claim);
+bool attest_trusted(const struct attest *attest, int64_t bound_us, int64_t now);
+bool attest_soon_untrusted(const struct attest *attest, int64_t bound_us,
+			   int64_t now);
+int64_t attest_retry_us(int routers);
+int64_t attest_gather_us(int64_t config_apply_us, int64_t drain_us);
+bool attest_is_time_to_ask(struct attest *attest, int routers, int64_t now);
 
-#endif /* VCH_H */
+#endif /* ATTEST_H */
--- a/src/edge.c
+++ b/src/edge.c
@@ -129,5 +129,6 @@
 	    now - edge->chainless_us > EDGE_CHAINLESS_US)
 		return false;
 	return !edge->rt->has_accounts || !edge->set.keys_fail_closed ||
-	       !vch_soon_untrusted(&edge->vch, edge->set.keys_stale_us, now);
+	       !attest_soon_untrusted(&edge->attest, edge->set.keys_stale_us,
+				      now);
 }
--- a/src/edge.h
+++ b/src/edge.h
@@ -19,7 +19,7 @@
 #include "quar.h"
 #include "rt.h"
 #include "sto.h"
-#include "vch.h"
+#include "attest.h"
 #include "wk.h"
 
 #define EDGE_CENTRES_MAX  32
@@ -57,8 +57,8 @@
 	struct quar *quar;
 	struct edge_placer placer;
 
-	struct rt_set *rt; /* NULL until the first configuration */
-	struct vch vch;	   /* how old it may be */
+	struct rt_set *rt;    /* NULL until the first configuration */
+	struct attest attest; /* how old it may be */
 	bool workers_listed;
 	bool store_reachable;
 	int64_t store_back_us; /* when the store was last regained */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -173,7 +173,7 @@
 	randombytes_buf(&incarnation, sizeof(incarnation));
 	edge->seed |= 1;
 	edge->started_us = clk_boot_us();
-	vch_init(&edge->vch, (uint32_t)incarnation, edge_random(edge));
+	attest_init(&edge->attest, (uint32_t)incarnation, edge_random(edge));
 	CDS_INIT_LIST_HEAD(&edge->requests);
 	edge->hc = edge->base ? hc_new(edge->base) : NULL;
 	edge->quar = quar_new(EDGE_QUARANTINES, EDGE_QUARANTINE_US);
@@ -250,8 +250,8 @@
 	struct sto_follow_settings all = {
 		"",
 		EDGE_WATCH_MS,
-		vch_gather_us(edge->set.config_apply_us, edge->set.drain_us),
-		vch_retry_us(1),
+		attest_gather_us(edge->set.config_apply_us, edge->set.drain_us),
+		attest_retry_us(1),
 		&edge_ops,
 		run
 	};
@@ -284,10 +284,10 @@
 	hs_tick(edge->readiness, now);
 	hs_tick(edge->metrics, now);
 	sto_follow_retry(edge->follow,
-			 vch_retry_us(1 + pres_peer_count(edge->pres)));
+			 attest_retry_us(1 + pres_peer_count(edge->pres)));
 	sto_tick(edge->sto, now);
-	if (vch_is_time_to_ask(&edge->vch, 1 + pres_peer_count(edge->pres),
-			       now))
+	if (attest_is_time_to_ask(&edge->attest,
+				  1 + pres_peer_count(edge->pres), now))
 		sto_follow_ask(edge->follow);
 	pres_tick(edge->pres, now);
 	wk_tick(&edge->workers, now);
@@ -447,10 +447,10 @@
 static void edge_fresh(void *user, int64_t sent_us)
 {
 	struct edge *edge = &((struct edge_run *)user)->edge;
-	int64_t before_us = edge->vch.fresh_us;
+	int64_t before_us = edge->attest.fresh_us;
 
-	vch_from_store(&edge->vch, sent_us);
-	if (edge->vch.fresh_us - before_us >= EDGE_ANNOUNCE_US)
+	attest_from_store(&edge->attest, sent_us);
+	if (edge->attest.fresh_us - before_us >= EDGE_ANNOUNCE_US)
 		hint_soon(edge->hint, clk_boot_us());
 }
 
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -346,14 +346,14 @@
 		.recent = wk->recent_held,
 		.peers = wk->peer_held,
 		.routers = edge_routers_here(eq->edge),
-		.reported = wk->told_held,
+		.reported = wk->reported_held,
 		.reported_us = wk->reported_us,
 	};
 	int firsts = wk->firsts + wk->peer_firsts;
 
 	if (room_is_report_fresh(wk->reported_us, now) &&
-	    wk->told_firsts > firsts)
-		firsts = wk->told_firsts;
+	    wk->reported_firsts > firsts)
+		firsts = wk->reported_firsts;
 	w->held = room_held(&known, now);
 	w->firsts_left = wk->is.slots - firsts;
 }
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -93,7 +93,7 @@
 /* Tells whether a first worker was heard a moment ago and not lost since. */
 static bool eq_repair_alive(const struct wk *wk, int64_t now)
 {
-	if (wk->mute || wk->on_trial)
+	if (wk->unresponsive || wk->on_trial)
 		return false;
 	return now - wk->passed_us < EQ_REPAIR_ALIVE_US ||
 	       now - wk->reported_us < EQ_REPAIR_ALIVE_US;
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -78,7 +78,8 @@
 
 	for (i = 0; i < eq->hop_count; i++) {
 		wk = eq->hops[i].worker;
-		if ((wk->mute || wk->on_trial) && eq_waits_for(eq, wk, now))
+		if ((wk->unresponsive || wk->on_trial) &&
+		    eq_waits_for(eq, wk, now))
 			return wk;
 	}
 	return NULL;
--- a/src/hint.c
+++ b/src/hint.c
@@ -74,7 +74,8 @@
 static void hint_take(struct hint *hint, const struct hint_message *message,
 		      const struct sockaddr_in *from);
 static void hint_take_attestation(struct edge *edge,
-				  const struct vch_word *word, int64_t now);
+				  const struct attest_claim *claim,
+				  int64_t now);
 static void hint_add_up(struct hint *hint, int64_t now);
 static void hint_suspect(struct hint *hint, uint32_t hash, const char *peer,
 			 int64_t now);
@@ -154,9 +155,9 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		if (wk->to_tell) {
-			wk->to_tell = false;
-			wk->told_us = clk_boot_us();
+		if (wk->to_announce) {
+			wk->to_announce = false;
+			wk->announced_us = clk_boot_us();
 			found = true;
 		}
 	}
@@ -220,8 +221,8 @@
 	uint32_t part;
 	size_t len;
 
-	message->word.session = peer ? peer->session : 0;
-	message->word.echo_us = peer ? peer->stamp_us : 0;
+	message->claim.session = peer ? peer->session : 0;
+	message->claim.echo_us = peer ? peer->stamp_us : 0;
 	for (part = 0; part < hint_load_parts(&hint->own); part++) {
 		hint_load_fill(&hint->own, part, message);
 		if (hint_msg_encode(message, bytes, &len))
@@ -253,16 +254,17 @@
 
 	mag_copy_name(message->name, sizeof(message->name), edge->set.instance);
 	message->ready = edge_is_ready(edge, now);
-	message->session = edge->vch.session;
+	message->session = edge->attest.session;
 	message->stamp_us = now;
 	message->revision = sto_follow_revision(edge->follow);
-	vch_tell(&edge->vch, edge->rt ? edge->rt->version : -1, now,
-		 &message->word);
+	attest_make(&edge->attest, edge->rt ? edge->rt->version : -1, now,
+		    &message->claim);
 	hint_load_collect(&edge->workers, now, &hint->own);
 	message->news_count = 0;
 	message->suspect_count = 0;
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (wk->told_us && now - wk->told_us < HINT_SUSPECT_US &&
+		if (wk->announced_us &&
+		    now - wk->announced_us < HINT_SUSPECT_US &&
 		    message->suspect_count < HINT_SUSPECTS_MAX)
 			message->suspects[message->suspect_count++] =
 				hint_load_hash(wk->is.id);
@@ -313,7 +315,7 @@
 	peer->ready = message->ready != 0;
 	hint_load_take(&peer->loads, message);
 	sto_follow_heard(edge->follow, message->revision);
-	hint_take_attestation(edge, &message->word, now);
+	hint_take_attestation(edge, &message->claim, now);
 	for (k = 0; k < message->suspect_count; k++)
 		hint_suspect(hint, message->suspects[k], message->name, now);
 	for (k = 0; k < message->news_count; k++)
@@ -323,18 +325,18 @@
 }
 
 /*
- * Takes a peer's word on the configuration's age.  A leap after an outage
+ * Takes a peer's statement on the configuration's age.  A leap after an outage
  * shows that the store answers again.
  */
 static void hint_take_attestation(struct edge *edge,
-				  const struct vch_word *word, int64_t now)
+				  const struct attest_claim *claim, int64_t now)
 {
-	int64_t before_us = edge->vch.fresh_us;
+	int64_t before_us = edge->attest.fresh_us;
 
 	if (!edge->rt ||
-	    !vch_from_peer(&edge->vch, word, edge->rt->version, now))
+	    !attest_from_peer(&edge->attest, claim, edge->rt->version, now))
 		return;
-	if (edge->vch.fresh_us - before_us >= HINT_LEAP_US)
+	if (edge->attest.fresh_us - before_us >= HINT_LEAP_US)
 		sto_follow_back(edge->follow);
 }
 
--- a/src/hint_msg.c
+++ b/src/hint_msg.c
@@ -14,7 +14,7 @@
 #define HINT_SLOWDOWN_MOST 0xffU
 
 static bool_t hint_msg_xdr(XDR *xdr, struct hint_message *message);
-static bool_t hint_msg_word(XDR *xdr, struct hint_message *message);
+static bool_t hint_msg_claim(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_loads(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_load(XDR *xdr, struct hint_load *load);
 static uint32_t hint_msg_round(float value, float unit, uint32_t most);
@@ -52,7 +52,7 @@
 	    !xdr_uint32_t(xdr, &version) || version != HINT_MSG_VERSION ||
 	    !xdr_string(xdr, &name, MAG_NAME_MAX - 1) ||
 	    !xdr_uint32_t(xdr, &message->ready) ||
-	    !hint_msg_word(xdr, message) || !hint_msg_loads(xdr, message) ||
+	    !hint_msg_claim(xdr, message) || !hint_msg_loads(xdr, message) ||
 	    !xdr_uint32_t(xdr, &message->news_count) ||
 	    message->news_count > HINT_NEWS_MAX)
 		return FALSE;
@@ -73,17 +73,17 @@
 }
 
 /* What the sender knows of the configuration, and the receiver's own clock. */
-static bool_t hint_msg_word(XDR *xdr, struct hint_message *message)
+static bool_t hint_msg_claim(XDR *xdr, struct hint_message *message)
 {
-	struct vch_word *word = &message->word;
+	struct attest_claim *claim = &message->claim;
 
 	return xdr_uint32_t(xdr, &message->session) &&
 	       xdr_int64_t(xdr, &message->stamp_us) &&
 	       xdr_int64_t(xdr, &message->revision) &&
-	       xdr_uint32_t(xdr, &word->session) &&
-	       xdr_int64_t(xdr, &word->echo_us) &&
-	       xdr_int64_t(xdr, &word->age_us) &&
-	       xdr_int64_t(xdr, &word->version);
+	       xdr_uint32_t(xdr, &claim->session) &&
+	       xdr_int64_t(xdr, &claim->echo_us) &&
+	       xdr_int64_t(xdr, &claim->age_us) &&
+	       xdr_int64_t(xdr, &claim->version);
 }
 
 /* One part of the sender's load. */
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -7,7 +7,7 @@
 #include <stdint.h>
 
 #include "mag.h"
-#include "vch.h"
+#include "attest.h"
 
 /* A datagram stays below the smallest common transfer unit. */
 #define HINT_BYTES_MAX	  1400
@@ -39,7 +39,7 @@
 	uint32_t session;
 	int64_t stamp_us; /* the sender's clock */
 	int64_t revision; /* of the store, up to which it was told all */
-	struct vch_word word;
+	struct attest_claim claim;
 	uint32_t part; /* of the sender's load that is in this message */
 	uint32_t part_count;
 	uint32_t load_count;
--- a/src/wk.c
+++ b/src/wk.c
@@ -204,7 +204,7 @@
 	wk->suspect_until_us = now + hold;
 	wk->suspect_times++;
 	wk->on_trial = true;
-	wk->to_tell = wk->suspect_times == 1;
+	wk->to_announce = wk->suspect_times == 1;
 	hc_host_drop_idle(wk->host);
 	wk_log_suspect(wk, why, hold, wk->suspect_times);
 }
--- a/src/wk.h
+++ b/src/wk.h
@@ -42,19 +42,19 @@
 	bool busy;		  /* with an order, by the last report */
 	double slowdown;	  /* 1: as fast as its kind */
 	int64_t slowdown_us;	  /* when that was learned, 0: never */
-	double told_held;	  /* memory in use, by the last report */
-	int told_firsts; /* requests there as the first worker, likewise */
+	double reported_held;	  /* memory in use, by the last report */
+	int reported_firsts; /* requests there as the first worker, likewise */
 
 	int64_t hold_until_us;	  /* it refused: nothing new until then */
 	int refusals;		  /* since it began a request of ours last */
 	int64_t suspect_until_us; /* gets nothing new until then */
 	int suspect_times;	  /* in a row */
 	bool on_trial;		  /* the suspicion ran out, nothing proved */
-	bool to_tell;	    /* peers have not heard of the suspicion yet */
-	int64_t told_us;    /* when they were told, 0: never */
-	double fail_share;  /* of late requests, smoothed */
-	int broken_in_row;  /* requests that it broke off, no event since */
-	int distrust_times; /* in a row */
+	bool to_announce;     /* peers have not heard of the suspicion yet */
+	int64_t announced_us; /* when they were told, 0: never */
+	double fail_share;    /* of late requests, smoothed */
+	int broken_in_row;    /* requests that it broke off, no event since */
+	int distrust_times;   /* in a row */
 	int64_t distrust_until_us; /* gets nothing, whatever it says */
 	double answer_us;	   /* time of an answer, smoothed */
 
@@ -66,7 +66,7 @@
 	int64_t read_until_us; /* prompts of repaired chains that it reads */
 	int64_t passed_us;     /* an event of ours came through it last */
 	bool probing;	       /* a question to it is on its way */
-	bool mute;	       /* it has not answered that question in time */
+	bool unresponsive;     /* it has not answered that question in time */
 	int quiet_asks;	   /* questions since an event of ours came through */
 	int64_t probed_us; /* when it was asked last */
 
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -16,12 +16,12 @@
 #define WKP_AGAIN_US  (100 * MAG_US_PER_MS)
 /*
  * A sound worker answers within a few milliseconds, from another data centre,
- * too.  One that is mute for longer keeps streams waiting that are silent
+ * too.  One that is unresponsive for longer keeps streams waiting that are silent
  * already: they are moved before their pause makes them late.  Should it turn
  * out that only a packet was lost, a repair was made in vain and the worker is
  * cleared.
  */
-#define WKP_MUTE_US (20 * MAG_US_PER_MS)
+#define WKP_UNRESPONSIVE_US (20 * MAG_US_PER_MS)
 
 /* Reports are as of some hundred milliseconds ago. */
 #define WKP_REPORT_LAG_US (500 * MAG_US_PER_MS)
@@ -51,7 +51,7 @@
 static void wkp_on_end(void *user, enum hc_end end);
 static void wkp_start(struct edge *edge, struct wk *wk, bool fresh,
 		      int64_t now);
-static void wkp_mute(struct wk *wk, int64_t now);
+static void wkp_unresponsive(struct wk *wk, int64_t now);
 static void wkp_silent(struct edge *edge, struct wk *wk, enum hc_end end,
 		       int64_t now);
 static int wkp_lost_together(const struct edge *edge, int64_t now);
@@ -114,7 +114,7 @@
 	}
 	call->wk = wk_hold(wk);
 	wk->probing = true;
-	wk->mute = false;
+	wk->unresponsive = false;
 	wk->probed_us = now;
 }
 
@@ -124,10 +124,10 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (wk->probing && !wk->mute &&
-		    now - wk->probed_us >= WKP_MUTE_US &&
-		    now - edge->late_us >= WKP_MUTE_US)
-			wkp_mute(wk, now);
+		if (wk->probing && !wk->unresponsive &&
+		    now - wk->probed_us >= WKP_UNRESPONSIVE_US &&
+		    now - edge->late_us >= WKP_UNRESPONSIVE_US)
+			wkp_unresponsive(wk, now);
 		if (wk->slowdown > WKP_SLOW && wk_alive(wk, now) &&
 		    now - wk->slowdown_us >= WKP_SLOW_AGAIN_US &&
 		    now - wk->probed_us >= WKP_SLOW_AGAIN_US)
@@ -139,12 +139,12 @@
 }
 
 /* A question has not been answered in the usual time; eq moves streams. */
-static void wkp_mute(struct wk *wk, int64_t now)
+static void wkp_unresponsive(struct wk *wk, int64_t now)
 {
-	wk->mute = true;
+	wk->unresponsive = true;
 	wk_hold_off(wk, now);
-	jlog(LOG_WK_MUTE, "\"worker\":\"%s\",\"asked_ms_ago\":%d", wk->is.id,
-	     (int)((now - wk->probed_us) / MAG_US_PER_MS));
+	jlog(LOG_WK_UNRESPONSIVE, "\"worker\":\"%s\",\"asked_ms_ago\":%d",
+	     wk->is.id, (int)((now - wk->probed_us) / MAG_US_PER_MS));
 }
 
 static bool wkp_on_headers(void *user, const struct hc_answer *answer)
@@ -172,7 +172,7 @@
 	wk->probing = false;
 	wk_drop(wk);
 	if (end == HC_WHOLE)
-		wk->mute = false;
+		wk->unresponsive = false;
 	if (end == HC_WHOLE && call->engine) {
 		wkp_report(call, now);
 	} else if (end == HC_WHOLE) {
@@ -265,8 +265,8 @@
 	}
 	wk->reported_us = now;
 	wk->busy = report.busy;
-	wk->told_held = report.memory_used;
-	wk->told_firsts = report.running + report.waiting;
+	wk->reported_held = report.memory_used;
+	wk->reported_firsts = report.running + report.waiting;
 	wk->orders_taken = report.orders_taken;
 	wk->slowdown = report.slowdown > 0 ? report.slowdown : 1;
 	wk->slowdown_us = now;
