jlog: write events of shared modules with their number and fields

Ruled out: a second call in quar (two copies of what an event says). Change: log.c can hand fields on, and jlog writes them as members; event 10000 is gone from the catalogue.

--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -81,7 +81,6 @@
 	bool hup_seen;
 };
 
-static void edge_log(void *ctx, enum log_prio prio, const char *line);
 static int edge_start(struct edge_run *run);
 static int edge_listen(struct edge *edge);
 static int edge_follow(struct edge_run *run);
@@ -133,7 +132,7 @@
 		return EDGE_EXIT_SETTINGS;
 	}
 	jlog_open(run.edge.set.instance, 1, EDGE_LOG_LINES_S);
-	log_set_sink(edge_log, NULL);
+	log_set_fields_sink(jlog_fields);
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0 || edge_start(&run)) {
 		jlog_flush();
@@ -147,16 +146,6 @@
 	return 0;
 }
 
-/* Lines of modules that write plain text go into the structured log, too. */
-static void edge_log(void *ctx, enum log_prio prio, const char *line)
-{
-	char text[EDGE_WHY_MAX];
-
-	(void)ctx;
-	jlog(LOG_PLAIN, "\"severity\":%d,\"line\":\"%s\"", (int)prio,
-	     jlog_text(text, sizeof(text), line));
-}
-
 static int edge_start(struct edge_run *run)
 {
 	struct timeval every = { 0, EDGE_TICK_MS * 1000 };
--- a/src/jlog.c
+++ b/src/jlog.c
@@ -75,6 +75,35 @@
 	jlog_len += (size_t)used;
 }
 
+/*
+ * Writes an event whose fields are text, as modules that other programs share
+ * make them; all values stay text, because a fingerprint may be all digits.
+ */
+void jlog_fields(enum log_id id, const char *fields)
+{
+	char members[JLOG_LINE_MAX];
+	char value[JLOG_LINE_MAX];
+	size_t used = 0;
+	int key;
+	int len;
+
+	members[0] = '\0';
+	for (; *fields; fields += len + (fields[len] == ' ')) {
+		len = (int)strcspn(fields, " ");
+		key = (int)strcspn(fields, "= ");
+		if (key >= len || used >= sizeof(members))
+			continue;
+		snprintf(value, sizeof(value), "%.*s", len - key - 1,
+			 fields + key + 1);
+		jlog_text(value, sizeof(value), value);
+		used += (size_t)snprintf(members + used, sizeof(members) - used,
+					 "%s\"%.*s\":\"%s\"",
+					 used > 0 ? "," : "", key, fields,
+					 value);
+	}
+	jlog(id, "%s", members);
+}
+
 /* Writes what the reader takes without waiting; the rest stays. */
 void jlog_flush(void)
 {
--- a/src/jlog.h
+++ b/src/jlog.h
@@ -16,6 +16,8 @@
 /* fmt makes further members, such as "\"request\":\"%s\"". */
 void jlog(enum log_id id, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
+/* fields are key=value, separated by spaces. */
+void jlog_fields(enum log_id id, const char *fields);
 void jlog_flush(void);
 uint64_t jlog_dropped(void);
 /* Copies text with what JSON does not allow in a string replaced. */
--- a/src/log.c
+++ b/src/log.c
@@ -25,6 +25,7 @@
 static enum log_prio log_threshold = LOG_PRIO_INFO;
 static log_sink_fn log_sink = log_to_stderr;
 static void *log_sink_ctx;
+static log_fields_fn log_fields_sink;
 
 /*
  * Sets the program's name and the least severe priority that is written.
@@ -46,6 +47,15 @@
 	log_sink_ctx = ctx;
 }
 
+/*
+ * Hands events to a program that writes them in a format of its own, instead
+ * of lines.  To be called before threads start.
+ */
+void log_set_fields_sink(log_fields_fn sink)
+{
+	log_fields_sink = sink;
+}
+
 /* Returns the name of a numbered event, as the catalogue lists it. */
 const char *log_event_name(enum log_id id)
 {
@@ -63,12 +73,16 @@
 	va_list ap;
 	int used;
 
-	if (!log_sink || entry->prio > log_threshold)
+	if ((!log_sink && !log_fields_sink) || entry->prio > log_threshold)
 		return;
 	used = snprintf(line, sizeof(line), "%d %s ", (int)id, entry->name);
 	va_start(ap, fmt);
 	vsnprintf(line + used, sizeof(line) - (size_t)used, fmt, ap);
 	va_end(ap);
+	if (log_fields_sink) {
+		log_fields_sink(id, line + used);
+		return;
+	}
 	log_sink(log_sink_ctx, entry->prio, line);
 }
 
--- a/src/log.h
+++ b/src/log.h
@@ -14,9 +14,12 @@
 
 /* Where finished lines go; the default writes to standard error. */
 typedef void (*log_sink_fn)(void *ctx, enum log_prio prio, const char *line);
+/* The same for programs with a format of their own: the fields as key=value. */
+typedef void (*log_fields_fn)(enum log_id id, const char *fields);
 
 void log_open(const char *program, enum log_prio threshold);
 void log_set_sink(log_sink_fn sink, void *ctx);
+void log_set_fields_sink(log_fields_fn sink);
 const char *log_event_name(enum log_id id);
 void log_event(enum log_id id, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -66,7 +66,6 @@
 	LOG_EVENT(LOG_PF_UP, 9002, "platform-reachable", LOG_PRIO_NOTICE) \
 	\
 	/* 10000 the router on a platform */ \
-	LOG_EVENT(LOG_PLAIN, 10000, "plain-line", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_EQ_SENT, 10001, "request-sent", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_EQ_AGAIN, 10002, "request-again", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_EQ_END, 10003, "request-ended", LOG_PRIO_INFO) \
