eq: bound the time that callers name by their route's

Cause: age.c compares the time that a caller has left with the most that others of its route had. One caller that named far more time than the route has made all others look late for half a minute, so that in a rush they gave way. Ruled out: a quantile of what callers name (more state a route, and a rush of such callers would move it as well).

--- a/src/eq.c
+++ b/src/eq.c
@@ -341,6 +341,10 @@
 	crypto_generichash_final(&state, eq->print, sizeof(eq->print));
 }
 
+/*
+ * Sets when the request ends at the latest, and until when it is in time.  A
+ * caller cannot make others look late by naming more time than its route has.
+ */
 static void eq_deadlines(struct eq *eq)
 {
 	int64_t limit = eq->route->timeout_us;
@@ -350,8 +354,8 @@
 		limit = wait;
 	eq->deadline_us = eq->arrived_us + limit - EQ_ANSWER_MARGIN_US;
 	eq->aim_us = eq->arrived_us + eq->route->target_us -
-		     age_of(&eq->edge->callers_age, eq->route->name, wait,
-			    eq->arrived_us);
+		     age_of(&eq->edge->callers_age, eq->route->name,
+			    wait > 0 ? limit : 0, eq->arrived_us);
 }
 
 /* Draws the service by the route's weights. */
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -16,10 +16,10 @@
 #define WKP_AGAIN_US  (100 * MAG_US_PER_MS)
 /*
  * A sound worker answers within a few milliseconds, from another data centre,
- * too.  One that is unresponsive for longer keeps streams waiting that are silent
- * already: they are moved before their pause makes them late.  Should it turn
- * out that only a packet was lost, a repair was made in vain and the worker is
- * cleared.
+ * too.  One that is unresponsive for longer keeps streams waiting that are
+ * silent already: they are moved before their pause makes them late.  Should it
+ * turn out that only a packet was lost, a repair was made in vain and the
+ * worker is cleared.
  */
 #define WKP_UNRESPONSIVE_US (20 * MAG_US_PER_MS)
 
