wk_limit: log the rate limit that a worker names

Cause not known yet: two workers of an incident named a limit in their answers and got three times as many requests.

Nothing is decided by it.

regress/pl/limits: what is a limit and what is none.

--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -1,6 +1,8 @@
 #include <string.h>
 
+#include "hdr.h"
 #include "pl_config.h"
+#include "pl_header.h"
 #include "pl_worker.h"
 #include "script.h"
 
@@ -94,6 +96,28 @@
 	fprintf(out, "fault \"%s\"\n", address);
 }
 
+/* "limit [TEXT]": what an answer says of the requests that a worker takes. */
+static void show_limit(FILE *out, const char *text)
+{
+	static const char name[] = "server-limit";
+	struct hdr_list headers = { 0 };
+	struct wire_limit limit;
+
+	hdr_add_name(&headers, "Attempt-Id", 10);
+	hdr_add_value(&headers, "a-1", 3);
+	if (*text) {
+		hdr_add_name(&headers, name, strlen(name));
+		hdr_add_value(&headers, text + 1, strlen(text + 1));
+	}
+	limit = pl_limit_decode(&headers);
+	if (limit.word == WIRE_LIMIT_NAMED)
+		fprintf(out, "%g a second\n", limit.per_s);
+	else
+		fprintf(out, "%s\n",
+			limit.word == WIRE_LIMIT_BAD ? "unreadable" : "none");
+	hdr_free(&headers);
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	static char line[LINE_MAX_];
@@ -113,6 +137,8 @@
 			show_repath(out, line + 7);
 		else if (strncmp(line, "fault ", 6) == 0)
 			show_fault(out, line + 6);
+		else if (strncmp(line, "limit", 5) == 0)
+			show_limit(out, line + 5);
 	}
 }
 
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -10,6 +10,7 @@
 #define EQ_PACE_PARTS 8
 
 static bool eq_on_headers(void *user, const struct hc_answer *answer);
+static void eq_take_limit(const struct eq *eq, const struct hc_answer *answer);
 static void eq_on_body(void *user, const void *bytes, size_t len);
 static void eq_on_end(void *user, enum hc_end end);
 static void eq_events(struct eq *eq, const void *bytes, size_t len);
@@ -71,6 +72,7 @@
 	if (eq->says.attempt_id && eq->asks.attempt_id &&
 	    strcmp(eq->says.attempt_id, eq->asks.attempt_id) != 0)
 		return false;
+	eq_take_limit(eq, answer);
 	eq->answered = true;
 	eq->status = answer->status;
 	eq->at_fault[0] = '\0';
@@ -88,6 +90,17 @@
 	return true;
 }
 
+/* Takes the rate limit that the first worker names, or no longer names. */
+static void eq_take_limit(const struct eq *eq, const struct hc_answer *answer)
+{
+	struct wire_limit limit = pl_limit_decode(answer->headers);
+	bool sound = answer->status / 100 == 2 && eq->says.sealed;
+
+	wk_take_limit(eq->hops[0].worker, &limit,
+		      sound ? WK_ANSWER_SOUND : WK_ANSWER_OTHER, eq->sent_us,
+		      clk_boot_us());
+}
+
 static void eq_on_body(void *user, const void *bytes, size_t len)
 {
 	struct eq *eq = user;
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -123,8 +123,11 @@
 
 static bool eq_repair_headers(void *user, const struct hc_answer *answer)
 {
+	struct wire_limit limit = pl_limit_decode(answer->headers);
 	struct eq_repair *repair = user;
 
+	wk_take_limit(repair->eq->hops[0].worker, &limit, WK_ANSWER_OTHER,
+		      repair->eq->repaired_us, clk_boot_us());
 	repair->status = answer->status;
 	return true;
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -36,6 +36,18 @@
 	struct wire_range layers;
 };
 
+/* Whether an answer names the requests a second that its worker takes. */
+enum wire_limit_word {
+	WIRE_LIMIT_NONE,
+	WIRE_LIMIT_NAMED,
+	WIRE_LIMIT_BAD, /* it cannot be read */
+};
+
+struct wire_limit {
+	enum wire_limit_word word;
+	double per_s; /* of all routers together */
+};
+
 /* A request that stands still, and the worker it waits for. */
 struct wire_stalled {
 	char attempt_id[WIRE_ID_MAX];
--- a/src/wk.h
+++ b/src/wk.h
@@ -13,6 +13,7 @@
 #include <urcu/list.h>
 
 #include "hc.h"
+#include "thr.h"
 #include "wire.h"
 
 #define WK_VICTIMS_MAX 32
@@ -70,6 +71,9 @@
 	int quiet_asks;	   /* questions since an event of ours came through */
 	int64_t probed_us; /* when it was asked last */
 
+	struct thr thr;	      /* the rate limit that it names */
+	int64_t limit_log_us; /* no line on a mere change before then */
+
 	int64_t died_us; /* its connections were refused or broke; 0: never */
 	/* What to suspect if it turns out that the worker died. */
 	struct wk_victim victims[WK_VICTIMS_MAX];
@@ -95,6 +99,14 @@
 	WK_E_ADDRESS = -2,
 };
 
+/* To what a worker answered. */
+enum wk_answer {
+	WK_ANSWER_SOUND, /* to a request, with a success of its own */
+	WK_ANSWER_OTHER, /* to a request, or an order on one */
+	WK_ANSWER_QUESTION,
+	WK_ANSWER_ORDER,
+};
+
 void wk_init(struct wk_table *table, struct hc *hc);
 void wk_list_begin(struct wk_table *table);
 int wk_list_put(struct wk_table *table, const struct wire_worker *worker,
@@ -118,6 +130,8 @@
 void wk_result(struct wk *wk, bool good, int64_t took_us);
 void wk_add_victim(struct wk *wk, const uint8_t print[MAG_DIGEST_BYTES],
 		   int64_t now);
+void wk_take_limit(struct wk *wk, const struct wire_limit *limit,
+		   enum wk_answer answer, int64_t sent_us, int64_t now);
 struct wk *wk_hold(struct wk *wk);
 void wk_drop(struct wk *wk);
 
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -149,8 +149,11 @@
 
 static bool wkp_on_headers(void *user, const struct hc_answer *answer)
 {
+	struct wire_limit limit = pl_limit_decode(answer->headers);
 	struct wkp_call *call = user;
 
+	wk_take_limit(call->wk, &limit, WK_ANSWER_QUESTION, call->wk->probed_us,
+		      clk_boot_us());
 	call->status = answer->status;
 	return true;
 }
