regress: reproduce a worker that gets more than the limit it names

The stand-in of a worker names a limit in all its answers (/stand-in/limit/N) and prints each request that it gets.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -138,6 +138,15 @@
 	! grep -v " 200 whole" "$dir/probe" >/dev/null
 }
 
+# name_limit NUMBER PER_S: a worker names a limit from now on, or none.
+name_limit() { curl -s -o "$dir/null" "http://$(worker $1)/stand-in/limit/$2"; }
+
+# limits: compares what limited workers got with what they take.
+limits() {
+	grep -h '^GOT\|^LIMIT' "$dir"/worker.*.log | sort -s -k 3,3n |
+		awk -f edge/limits.awk
+}
+
 # verify LEAST: compares what callers saw with what workers did.  Tokens are
 # put in the order of time: their lines lie in a file for each worker.
 verify() {
--- /dev/null
+++ b/regress/edge/limits.awk
@@ -0,0 +1,36 @@
+# Counts the requests (GOT lines) that a worker got while it named a limit (LIMIT
+# lines), sorted by time: from 3 s after it first named it, 4 s may bring one and
+# a half times what the limit allows, and 5 more.
+function judge(i, n) {
+	if (at - named[w] < 3e6)
+		return
+	n = 0
+	for (i = got[w]; i > 0 && when[w, i] > at - 4e6; i--)
+		n++
+	if (n > most[w])
+		most[w] = n
+	if (n > 1.5 * 4 * limit[w] + 5)
+		broken[w]++
+}
+{ w = $2; at = $3 }
+$1 == "LIMIT" && $4 == "none" { delete limit[w] }
+$1 == "LIMIT" && $4 != "none" {
+	if (!(w in limit)) {
+		named[w] = at
+		limited[w] = 1
+	}
+	limit[w] = $4
+}
+$1 == "GOT" {
+	when[w, ++got[w]] = at
+	if (w in limit)
+		judge()
+}
+END {
+	for (w in limited) {
+		workers++
+		over += broken[w] > 0
+		printf "%s: at most %d in 4 s\n", w, most[w] > "/dev/stderr"
+	}
+	printf "workers with a limit: %d, of these over it: %d\n", workers, over
+}
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -68,6 +68,7 @@
 static bool draining;
 static bool lose_answers;  /* run a request and close without an answer */
 static bool break_all;	   /* cut each request off, but answer questions */
+static const char *limit;  /* requests a second, named in all answers */
 static bool drop_question; /* reset the connection of the next question */
 static CDS_LIST_HEAD(jobs);
 static CDS_LIST_HEAD(peers);
@@ -97,6 +98,29 @@
 	(void)end;
 }
 
+/* Returns the header field that names this worker's limit, or "". */
+static const char *limit_field(void)
+{
+	static char field[64];
+
+	field[0] = '\0';
+	if (limit)
+		snprintf(field, sizeof(field), "Server-Limit: %s\r\n", limit);
+	return field;
+}
+
+/* Sets the limit to what follows in a target; nothing ends it. */
+static void set_limit(struct hs_conn *conn, const char *text)
+{
+	static char value[32];
+
+	snprintf(value, sizeof(value), "%s", text);
+	limit = value[0] ? value : NULL;
+	printf("LIMIT %s %" PRId64 " %s\n", id, clk_boot_us(),
+	       limit ? limit : "none");
+	hs_reply(conn, 200, NULL, NULL, 0);
+}
+
 /* Writes this worker's entry into the list of workers. */
 static void beat(int64_t now)
 {
@@ -137,9 +161,11 @@
 static void answer_json(struct hs_conn *conn, json_t *json)
 {
 	char *text = json_dumps(json, JSON_COMPACT);
+	char fields[128];
 
-	hs_reply(conn, 200, "Content-Type: application/json\r\n", text,
-		 strlen(text));
+	snprintf(fields, sizeof(fields), "Content-Type: application/json\r\n%s",
+		 limit_field());
+	hs_reply(conn, 200, fields, text, strlen(text));
 	free(text);
 	json_decref(json);
 }
@@ -281,8 +307,8 @@
 {
 	char fields[256];
 
-	snprintf(fields, sizeof(fields), "Not-Executed: 1\r\n%s%s%s",
-		 fault ? "At-Server: " : "", fault ? fault : "",
+	snprintf(fields, sizeof(fields), "Not-Executed: 1\r\n%s%s%s%s",
+		 limit_field(), fault ? "At-Server: " : "", fault ? fault : "",
 		 fault ? "\r\n" : "");
 	hs_reply(conn, status, fields, NULL, 0);
 }
@@ -295,6 +321,8 @@
 	const char *last = hdr_get(hs_headers(conn), "Last-Event-Id");
 	struct job *job;
 
+	printf("GOT %s %" PRId64 " %s\n", id, clk_boot_us(),
+	       attempt ? attempt : "-");
 	if (target && strcmp(target, id) != 0) {
 		refuse(conn, 421, NULL);
 		return;
@@ -354,8 +382,10 @@
 		drop_question = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/keep") == 0)
 		lose_answers = false, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (strncmp(target, "/stand-in/limit/", 16) == 0)
+		set_limit(conn, target + 16);
 	else if (strcmp(target, "/healthz") == 0)
-		hs_reply(conn, draining ? 503 : 200, NULL, NULL, 0);
+		hs_reply(conn, draining ? 503 : 200, limit_field(), NULL, 0);
 	else
 		begin_job(conn);
 }
@@ -408,8 +438,8 @@
 		job->began = true;
 		snprintf(fields, sizeof(fields),
 			 "Attempt-Id: %s\r\nResponse-Seal: %s\r\n"
-			 "Content-Type: text/event-stream\r\n",
-			 job->id, id);
+			 "Content-Type: text/event-stream\r\n%s",
+			 job->id, id, limit_field());
 		hs_stream_begin(job->conn, 200, fields);
 	}
 	len = snprintf(event, sizeof(event), "id: %d\ndata: piece %d\n\n",
@@ -515,8 +545,8 @@
 		hs_abort(job->conn);
 	} else {
 		snprintf(fields, sizeof(fields),
-			 "Attempt-Id: %s\r\nResponse-Seal: %s\r\n", job->id,
-			 id);
+			 "Attempt-Id: %s\r\nResponse-Seal: %s\r\n%s", job->id,
+			 id, limit_field());
 		hs_reply(job->conn, 200, fields, "done", 4);
 	}
 	job->conn = NULL;
