thr: keep to the rate limit that a worker names, all routers together

Class of fault: a bound on a worker that holds over all routers, and no way to it counted.

Ruled out: second sends, repairs, questions and orders (their counters stood still); several routers that each keep to the limit (one router sent all).

Change: thr is a leaky bucket for each worker at this router's part of the limit. Parts follow the callers' load at each router of the worker's data centre, from what all have told each other (hint_limit, in the message between routers, version 5). A worker without room counts as full in the choice of chains, of repairs and of plain workers. A success without the limit ends it.

--- a/regress/check_hint.c
+++ b/regress/check_hint.c
@@ -73,6 +73,34 @@
 	fprintf(out, "%u parts\n", parts);
 }
 
+/* "full": all that a message can hold is written and read again. */
+static void fill(FILE *out)
+{
+	static struct hint_message message;
+	static struct hint_message read;
+	char bytes[HINT_BYTES_MAX];
+	size_t len;
+
+	memset(&message, 0, sizeof(message));
+	memset(message.name, 'n', sizeof(message.name) - 1);
+	message.part_count = 1;
+	message.load_count = HINT_LOADS_MAX;
+	message.news_count = HINT_NEWS_MAX;
+	message.suspect_count = HINT_SUSPECTS_MAX;
+	message.limit_count = HINT_LIMITS_MAX;
+	message.limits[HINT_LIMITS_MAX - 1] =
+		(struct hint_limit){ 7, 8.25F, 1234 };
+	if (hint_msg_encode(&message, bytes, &len) ||
+	    hint_msg_decode(&read, bytes, len)) {
+		fprintf(out, "does not fit\n");
+		return;
+	}
+	fprintf(out, "worker %u takes %.2f a second, named %u ms ago\n",
+		read.limits[HINT_LIMITS_MAX - 1].worker,
+		(double)read.limits[HINT_LIMITS_MAX - 1].per_s,
+		read.limits[HINT_LIMITS_MAX - 1].age_ms);
+}
+
 /* Adds up and prints the workers that differ from the one before them. */
 static void print(FILE *out)
 {
@@ -117,6 +145,8 @@
 			tell(out, peer, n);
 		else if (sscanf(line, "tell %d", &peer) == 1)
 			tell(out, peer, -1);
+		else if (strncmp(line, "full", 4) == 0)
+			fill(out);
 		else if (strncmp(line, "loads", 5) == 0)
 			print(out);
 	}
--- a/regress/edge/limited-worker.sh
+++ b/regress/edge/limited-worker.sh
@@ -16,7 +16,7 @@
 calls=$!
 sleep 2
 name_limit 1 6
-name_limit 3 3
+name_limit 3 9
 wait $calls
 limits
 verify 0.95
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -93,12 +93,10 @@
 /* Takes the rate limit that the first worker names, or no longer names. */
 static void eq_take_limit(const struct eq *eq, const struct hc_answer *answer)
 {
-	struct wire_limit limit = pl_limit_decode(answer->headers);
 	bool sound = answer->status / 100 == 2 && eq->says.sealed;
 
-	wk_take_limit(eq->hops[0].worker, &limit,
-		      sound ? WK_ANSWER_SOUND : WK_ANSWER_OTHER, eq->sent_us,
-		      clk_boot_us());
+	wkp_take_limit(eq->edge, eq->hops[0].worker, answer,
+		       sound ? WK_ANSWER_SOUND : WK_ANSWER_OTHER, eq->sent_us);
 }
 
 static void eq_on_body(void *user, const void *bytes, size_t len)
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -251,6 +251,10 @@
 		w->memory =
 			spare_mb * 1e6 * engine->layers / engine->token_bytes;
 		eq_known_load(eq, wk, now, w);
+		if (!thr_may_send(&wk->thr, now)) {
+			w->memory = 0;
+			w->firsts_left = 0;
+		}
 		w->keeps_from = keeps ? keeps->from : 0;
 		w->keeps_to = keeps ? keeps->to : 0;
 		w->read_us = eq_read_us(eq, kind) * wk->slowdown;
@@ -325,6 +329,7 @@
 		if (kept < &old[count] && kept->from == hop->from &&
 		    kept->to == hop->to)
 			continue;
+		thr_sent(&wk->thr, now);
 		eq_reads(eq, hop->ref, hop->to - hop->from, now);
 	}
 	for (i = 1; i < count; i++) {
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -5,6 +5,7 @@
 #include "eq.h"
 #include "jlog.h"
 #include "pl_worker.h"
+#include "wkp.h"
 
 /*
  * Load pattern: a worker in the middle of chains dies, and every stream that
@@ -84,6 +85,7 @@
 		eq_repair_free(repair);
 		return false;
 	}
+	thr_sent(&eq->hops[0].worker->thr, now);
 	eq->repair = repair;
 	eq->repairs++;
 	eq->repaired_us = now;
@@ -123,11 +125,10 @@
 
 static bool eq_repair_headers(void *user, const struct hc_answer *answer)
 {
-	struct wire_limit limit = pl_limit_decode(answer->headers);
 	struct eq_repair *repair = user;
 
-	wk_take_limit(repair->eq->hops[0].worker, &limit, WK_ANSWER_OTHER,
-		      repair->eq->repaired_us, clk_boot_us());
+	wkp_take_limit(repair->eq->edge, repair->eq->hops[0].worker, answer,
+		       WK_ANSWER_OTHER, repair->eq->repaired_us);
 	repair->status = answer->status;
 	return true;
 }
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -147,6 +147,8 @@
 			if (pass == 0 && !wk_usable(wk, now))
 				continue;
 			any = true;
+			if (!thr_may_send(&wk->thr, now))
+				continue;
 			if (wk->firsts >= wk->is.slots + EQ_PLAIN_QUEUE)
 				continue;
 			cost = eq_plain_cost(eq, wk);
@@ -186,6 +188,7 @@
 	struct hc_send send = { 0 };
 	char chain[EQ_CHAIN_TEXT];
 	char id[WIRE_ID_MAX];
+	int i;
 
 	if (eq->sends == 0) {
 		bud_request(bud, now);
@@ -238,7 +241,10 @@
 		eq_release(eq);
 		if (eq->state == EQ_SENT)
 			eq->state = EQ_WAITING;
+		return;
 	}
+	for (i = 0; i < eq->hop_count; i++)
+		thr_sent(&eq->hops[i].worker->thr, now);
 }
 
 /* Makes the message to the first worker. */
--- a/src/hint.c
+++ b/src/hint.c
@@ -11,6 +11,7 @@
 
 #include "clk.h"
 #include "hint.h"
+#include "hint_limit.h"
 #include "hint_load.h"
 #include "jlog.h"
 #include "pres.h"
@@ -29,9 +30,14 @@
 #define HINT_QUARANTINE_US (60 * MAG_US_PER_S)
 /* A suspicion is told in all messages of this time, as one may be lost. */
 #define HINT_SUSPECT_US (600 * MAG_US_PER_MS)
+/* A router that was not heard for so long has no part of a worker's limit. */
+#define HINT_MEMBER_US (10 * MAG_US_PER_S)
+/* Loads of callers are told as requests in this many seconds. */
+#define HINT_DEMAND_S 100.0
+/* The load of callers is smoothed over this time. */
+#define HINT_DEMAND_US (2 * MAG_US_PER_S)
 /* Nobody had heard of the store for so long: it was out of reach. */
-#define HINT_LEAP_US   (1200 * MAG_US_PER_MS)
-#define HINT_PEERS_MAX 1024
+#define HINT_LEAP_US (1200 * MAG_US_PER_MS)
 /*
  * Peers of the own data centre told in one round, and of the others; where
  * there are more, each hears of us less often, so that the traffic of a router
@@ -49,6 +55,9 @@
 	uint32_t session;
 	int64_t stamp_us; /* its newest clock, to be given back */
 	struct hint_peer_loads loads;
+	struct hint_router router;
+	uint32_t limit_count;
+	struct hint_limit limits[HINT_LIMITS_MAX];
 };
 
 struct hint {
@@ -61,6 +70,11 @@
 	int peer_count;
 	struct hint_loads own;
 	struct hint_index index; /* as of the last adding up */
+	struct hint_router self; /* as peers were told last */
+	double demand;		 /* requests a second, smoothed */
+	uint64_t requests;	 /* of callers, when that was computed */
+	int64_t demand_us;	 /* likewise */
+	int limit_turn;		 /* which limit the next message begins with */
 };
 
 static void hint_readable(evutil_socket_t fd, short what, void *arg);
@@ -77,6 +91,8 @@
 				  const struct attest_claim *claim,
 				  int64_t now);
 static void hint_add_up(struct hint *hint, int64_t now);
+static void hint_take_demand(struct hint *hint, int64_t now);
+static void hint_share_limits(struct hint *hint, int64_t now);
 static void hint_suspect(struct hint *hint, uint32_t hash, const char *peer,
 			 int64_t now);
 
@@ -88,7 +104,9 @@
 	if (!hint)
 		return HINT_E_MEMORY;
 	hint->edge = edge;
-	hint->peers = calloc(HINT_PEERS_MAX, sizeof(*hint->peers));
+	hint->self.id = hint_load_hash(edge->set.instance);
+	hint->self.centre = hint_load_hash(edge->set.data_centre);
+	hint->peers = calloc(HINT_ROUTERS_MAX, sizeof(*hint->peers));
 	hint->fd =
 		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	addr.sin_port = htons((uint16_t)edge->set.peer_port);
@@ -126,13 +144,15 @@
 void hint_tick(struct hint *hint, int64_t now)
 {
 	if (hint_has_suspect(hint)) {
-		hint_send(hint, HINT_PEERS_MAX, HINT_PEERS_MAX);
+		hint_send(hint, HINT_ROUTERS_MAX, HINT_ROUTERS_MAX);
 		return;
 	}
 	if (now < hint->next_us)
 		return;
 	hint->next_us = now + HINT_EVERY_US;
+	hint_take_demand(hint, now);
 	hint_add_up(hint, now);
+	hint_share_limits(hint, now);
 	hint_send(hint, HINT_NEAR_MAX, HINT_FAR_MAX);
 }
 
@@ -260,6 +280,9 @@
 	attest_make(&edge->attest, edge->rt ? edge->rt->version : -1, now,
 		    &message->claim);
 	hint_load_collect(&edge->workers, now, &hint->own);
+	message->centre = hint->self.centre;
+	message->demand = (uint32_t)(hint->self.demand * HINT_DEMAND_S);
+	hint_limit_collect(&edge->workers, now, &hint->limit_turn, message);
 	message->news_count = 0;
 	message->suspect_count = 0;
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
@@ -303,7 +326,7 @@
 	uint32_t k;
 
 	if (!peer) {
-		if (hint->peer_count == HINT_PEERS_MAX)
+		if (hint->peer_count == HINT_ROUTERS_MAX)
 			return;
 		peer = &hint->peers[hint->peer_count++];
 		mag_copy_name(peer->name, sizeof(peer->name), message->name);
@@ -314,6 +337,12 @@
 	peer->stamp_us = message->stamp_us;
 	peer->ready = message->ready != 0;
 	hint_load_take(&peer->loads, message);
+	peer->router.id = hint_load_hash(peer->name);
+	peer->router.centre = message->centre;
+	peer->router.demand = (double)message->demand / HINT_DEMAND_S;
+	peer->limit_count = message->limit_count;
+	memcpy(peer->limits, message->limits,
+	       message->limit_count * sizeof(message->limits[0]));
 	sto_follow_heard(edge->follow, message->revision);
 	hint_take_attestation(edge, &message->claim, now);
 	for (k = 0; k < message->suspect_count; k++)
@@ -397,5 +426,52 @@
 		if (now - peer->heard_us > HINT_OLD_US)
 			continue;
 		hint_load_add(&hint->index, &peer->loads, peer->heard_us);
+		hint_limit_add(&hint->index, peer->limits, peer->limit_count,
+			       peer->heard_us, now);
 	}
 }
+
+/* Smooths the load of callers; parts of limits go by what peers were told. */
+static void hint_take_demand(struct hint *hint, int64_t now)
+{
+	uint64_t requests = hint->edge->met.counters[MET_REQUESTS];
+	double passed_us = (double)(now - hint->demand_us);
+	double weight = passed_us / HINT_DEMAND_US;
+	double rate;
+
+	if (passed_us <= 0)
+		return;
+	if (weight > 1)
+		weight = 1;
+	rate = (double)(requests - hint->requests) * MAG_US_PER_S / passed_us;
+	hint->demand += weight * (rate - hint->demand);
+	hint->requests = requests;
+	hint->demand_us = now;
+	hint->self.demand = hint->demand;
+}
+
+/* Sets this router's part of each limit that workers name. */
+static void hint_share_limits(struct hint *hint, int64_t now)
+{
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
+		if (wk->thr.limited)
+			thr_set_part(&wk->thr, hint_part(hint, wk, now), now);
+	}
+}
+
+/* Returns this router's part of the limit that a worker names. */
+double hint_part(const struct hint *hint, const struct wk *wk, int64_t now)
+{
+	static struct hint_router routers[HINT_ROUTERS_MAX + 1];
+	int count = 0;
+	int i;
+
+	routers[count++] = hint->self;
+	for (i = 0; i < hint->peer_count; i++) {
+		if (now - hint->peers[i].heard_us <= HINT_MEMBER_US)
+			routers[count++] = hint->peers[i].router;
+	}
+	return hint_limit_part(routers, count, hint->self.id, wk);
+}
--- /dev/null
+++ b/src/hint_limit.c
@@ -0,0 +1,81 @@
+#include "hint_limit.h"
+
+/*
+ * Lists the limits that are known, with the time since the worker named them.
+ * Where there are more than fit, the next message begins where this one ends.
+ */
+void hint_limit_collect(const struct wk_table *table, int64_t now, int *turn,
+			struct hint_message *message)
+{
+	struct hint_limit *limit;
+	struct wk *wk;
+	int known = 0;
+	int skip;
+
+	cds_list_for_each_entry (wk, &table->workers, node)
+		known += wk->thr.limited;
+	message->limit_count = 0;
+	if (known == 0)
+		return;
+	skip = known > HINT_LIMITS_MAX ? *turn % known : 0;
+	*turn = skip + HINT_LIMITS_MAX;
+	cds_list_for_each_entry (wk, &table->workers, node) {
+		if (!wk->thr.limited || skip-- > 0)
+			continue;
+		if (message->limit_count == HINT_LIMITS_MAX)
+			break;
+		limit = &message->limits[message->limit_count++];
+		limit->worker = hint_load_hash(wk->is.id);
+		limit->per_s = (float)wk->thr.limit;
+		limit->age_ms =
+			(uint32_t)((now - wk->thr.named_us) / MAG_US_PER_MS);
+	}
+}
+
+/* Takes the limits that a peer passed on at heard_us. */
+void hint_limit_add(const struct hint_index *index,
+		    const struct hint_limit *limits, uint32_t count,
+		    int64_t heard_us, int64_t now)
+{
+	const struct hint_slot *slot;
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		slot = hint_load_find(index, limits[i].worker);
+		for (; slot && slot < index->slots + index->count &&
+		       slot->hash == limits[i].worker;
+		     slot++)
+			wk_limit_from_peer(slot->wk, (double)limits[i].per_s,
+					   heard_us - limits[i].age_ms *
+							      MAG_US_PER_MS,
+					   now);
+	}
+}
+
+/*
+ * Returns a router's part of a worker's limit.  The routers of the worker's
+ * data centre share it, or all where none is there: others have workers of
+ * their own.
+ */
+double hint_limit_part(const struct hint_router *routers, int count,
+		       uint32_t self, const struct wk *wk)
+{
+	static struct thr_member members[HINT_ROUTERS_MAX];
+	uint32_t centre = hint_load_hash(wk->is.data_centre);
+	int found = 0;
+	bool all;
+	int i;
+
+	for (i = 0; i < count; i++)
+		found += routers[i].centre == centre;
+	all = found == 0;
+	found = 0;
+	for (i = 0; i < count && found < HINT_ROUTERS_MAX; i++) {
+		if (all || routers[i].centre == centre)
+			members[found++] =
+				(struct thr_member){ routers[i].id,
+						     routers[i].demand };
+	}
+	return thr_part(members, found, self, hint_load_hash(wk->is.id),
+			wk->thr.limit);
+}
--- a/src/hint_load.c
+++ b/src/hint_load.c
@@ -125,6 +125,26 @@
 	}
 }
 
+/* Returns the first worker with a hash, others may follow, or NULL. */
+const struct hint_slot *hint_load_find(const struct hint_index *index,
+				       uint32_t hash)
+{
+	int low = 0;
+	int high = index->count;
+	int mid;
+
+	while (low < high) {
+		mid = low + (high - low) / 2;
+		if (index->slots[mid].hash < hash)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	if (low == index->count || index->slots[low].hash != hash)
+		return NULL;
+	return &index->slots[low];
+}
+
 void hint_load_free(struct hint_index *index)
 {
 	free(index->slots);
@@ -152,24 +172,13 @@
 static void hint_add_load(const struct hint_index *index,
 			  const struct hint_load *load, int64_t heard_us)
 {
-	int low = 0;
-	int high = index->count;
-	int mid;
-	struct wk *wk;
+	const struct hint_slot *end = index->slots + index->count;
+	const struct hint_slot *slot = hint_load_find(index, load->worker);
 
-	while (low < high) {
-		mid = low + (high - low) / 2;
-		if (index->slots[mid].hash < load->worker)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	for (; low < index->count && index->slots[low].hash == load->worker;
-	     low++) {
-		wk = index->slots[low].wk;
-		wk->peer_held += (double)load->held;
-		wk->peer_firsts += (int)load->firsts;
-		hint_take_slowdown(wk, load, heard_us);
+	for (; slot && slot < end && slot->hash == load->worker; slot++) {
+		slot->wk->peer_held += (double)load->held;
+		slot->wk->peer_firsts += (int)load->firsts;
+		hint_take_slowdown(slot->wk, load, heard_us);
 	}
 }
 
--- a/src/hint_load.h
+++ b/src/hint_load.h
@@ -55,6 +55,8 @@
 int hint_load_begin(struct hint_index *index, const struct wk_table *table);
 void hint_load_add(const struct hint_index *index,
 		   const struct hint_peer_loads *peer, int64_t heard_us);
+const struct hint_slot *hint_load_find(const struct hint_index *index,
+				       uint32_t hash);
 void hint_load_free(struct hint_index *index);
 uint32_t hint_load_hash(const char *id);
 
--- a/src/hint_msg.c
+++ b/src/hint_msg.c
@@ -5,18 +5,24 @@
 #include "hint_msg.h"
 
 #define HINT_MSG_MAGIC	 0x4d414748U
-#define HINT_MSG_VERSION 4U
+#define HINT_MSG_VERSION 5U
 /* A load on the wire: 16 bits of memory, 8 of firsts, 8 of slowdown. */
 #define HINT_HELD_UNIT	   1024.0F /* tokens x layers */
 #define HINT_HELD_MOST	   0xffffU
 #define HINT_FIRSTS_MOST   0xffU
 #define HINT_SLOWDOWN_UNIT (1 / 16.0F)
 #define HINT_SLOWDOWN_MOST 0xffU
+/* A limit on the wire: 16 bits of requests a second, 16 of its age in ms. */
+#define HINT_LIMIT_UNIT (1 / 16.0F)
+#define HINT_LIMIT_MOST 0xffffU
+#define HINT_AGE_MOST	0xffffU
 
 static bool_t hint_msg_xdr(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_claim(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_loads(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_load(XDR *xdr, struct hint_load *load);
+static bool_t hint_msg_limits(XDR *xdr, struct hint_message *message);
+static bool_t hint_msg_limit(XDR *xdr, struct hint_limit *limit);
 static uint32_t hint_msg_round(float value, float unit, uint32_t most);
 
 /* Writes a message into HINT_BYTES_MAX bytes. */
@@ -69,7 +75,7 @@
 		if (!xdr_uint32_t(xdr, &message->suspects[i]))
 			return FALSE;
 	}
-	return TRUE;
+	return hint_msg_limits(xdr, message);
 }
 
 /* What the sender knows of the configuration, and the receiver's own clock. */
@@ -128,6 +134,41 @@
 	return TRUE;
 }
 
+/* Where the sender is, its load, and the limits of workers that it knows. */
+static bool_t hint_msg_limits(XDR *xdr, struct hint_message *message)
+{
+	uint32_t i;
+
+	if (!xdr_uint32_t(xdr, &message->centre) ||
+	    !xdr_uint32_t(xdr, &message->demand) ||
+	    !xdr_uint32_t(xdr, &message->limit_count) ||
+	    message->limit_count > HINT_LIMITS_MAX)
+		return FALSE;
+	for (i = 0; i < message->limit_count; i++) {
+		if (!hint_msg_limit(xdr, &message->limits[i]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
+static bool_t hint_msg_limit(XDR *xdr, struct hint_limit *limit)
+{
+	uint32_t packed = 0;
+
+	if (xdr->x_op == XDR_ENCODE) {
+		packed = hint_msg_round(limit->per_s, HINT_LIMIT_UNIT,
+					HINT_LIMIT_MOST)
+				 << 16 |
+			 (limit->age_ms < HINT_AGE_MOST ? limit->age_ms
+							: HINT_AGE_MOST);
+	}
+	if (!xdr_uint32_t(xdr, &limit->worker) || !xdr_uint32_t(xdr, &packed))
+		return FALSE;
+	limit->per_s = (float)(packed >> 16) * HINT_LIMIT_UNIT;
+	limit->age_ms = packed & HINT_AGE_MOST;
+	return TRUE;
+}
+
 /* Rounds a value to whole units, at most so many. */
 static uint32_t hint_msg_round(float value, float unit, uint32_t most)
 {
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -15,6 +15,8 @@
 #define HINT_PARTS_MAX	  4   /* datagrams that tell one router's load */
 #define HINT_NEWS_MAX	  4
 #define HINT_SUSPECTS_MAX 16
+#define HINT_LIMITS_MAX	  16
+#define HINT_ROUTERS_MAX  1024 /* that one router knows */
 
 /*
  * What a router has given a worker.  On the wire it takes eight bytes, with
@@ -27,6 +29,16 @@
 	float slowdown; /* as learned a moment ago; 0: not known */
 };
 
+/*
+ * A rate limit that a worker named.  On the wire it takes eight bytes, with
+ * limit and age rounded to the units in hint_msg.c.
+ */
+struct hint_limit {
+	uint32_t worker; /* hash of its id */
+	float per_s;	 /* requests a second of all routers */
+	uint32_t age_ms; /* since the worker named it */
+};
+
 /* A request that crashes workers. */
 struct hint_news {
 	uint8_t print[MAG_DIGEST_BYTES];
@@ -48,6 +60,10 @@
 	struct hint_news news[HINT_NEWS_MAX];
 	uint32_t suspect_count;
 	uint32_t suspects[HINT_SUSPECTS_MAX]; /* hashes of workers' ids */
+	uint32_t centre; /* hash of the sender's data centre */
+	uint32_t demand; /* requests of its callers in 100 s */
+	uint32_t limit_count;
+	struct hint_limit limits[HINT_LIMITS_MAX];
 };
 
 /* Each returns a negative number for what is no message, or does not fit. */
--- a/src/plr.c
+++ b/src/plr.c
@@ -259,6 +259,7 @@
 		return;
 	}
 	wk_hold(wk);
+	thr_sent(&wk->thr, now);
 	met_add(&edge->met, MET_ORDERS);
 	wk->ordered = true;
 	wk->ordered_us = now;
@@ -272,11 +273,10 @@
 
 static bool plr_on_headers(void *user, const struct hc_answer *answer)
 {
-	struct wire_limit limit = pl_limit_decode(answer->headers);
 	struct plr_call *call = user;
 
-	wk_take_limit(call->wk, &limit, WK_ANSWER_ORDER, call->wk->ordered_us,
-		      clk_boot_us());
+	wkp_take_limit(call->edge, call->wk, answer, WK_ANSWER_ORDER,
+		       call->wk->ordered_us);
 	call->status = answer->status;
 	return true;
 }
--- a/src/wk.c
+++ b/src/wk.c
@@ -340,6 +340,7 @@
 		wk->on_trial = false;
 		wk->ordered = false;
 		wk->distrust_until_us = 0;
+		wk->thr = (struct thr){ 0 };
 		wk_worked(wk);
 		hc_host_drop_idle(wk->host);
 	}
--- a/src/wk.h
+++ b/src/wk.h
@@ -130,8 +130,12 @@
 void wk_result(struct wk *wk, bool good, int64_t took_us);
 void wk_add_victim(struct wk *wk, const uint8_t print[MAG_DIGEST_BYTES],
 		   int64_t now);
-void wk_take_limit(struct wk *wk, const struct wire_limit *limit,
-		   enum wk_answer answer, int64_t sent_us, int64_t now);
+enum thr_change wk_take_limit(struct wk *wk, const struct wire_limit *limit,
+			      enum wk_answer answer, int64_t sent_us,
+			      int64_t now);
+void wk_limit_from_peer(struct wk *wk, double limit, int64_t named_us,
+			int64_t now);
+void wk_limit_tick(struct wk *wk, int64_t now);
 struct wk *wk_hold(struct wk *wk);
 void wk_drop(struct wk *wk);
 
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -3,6 +3,7 @@
 
 #include "clk.h"
 #include "eq.h"
+#include "hint.h"
 #include "jlog.h"
 #include "pl_header.h"
 #include "pl_worker.h"
@@ -64,13 +65,26 @@
 	.ended = wkp_on_end,
 };
 
+/* Takes the rate limit that any answer of a worker names, or does not name. */
+void wkp_take_limit(struct edge *edge, struct wk *wk,
+		    const struct hc_answer *answer, enum wk_answer kind,
+		    int64_t sent_us)
+{
+	struct wire_limit limit = pl_limit_decode(answer->headers);
+	int64_t now = clk_boot_us();
+
+	if (wk_take_limit(wk, &limit, kind, sent_us, now) != THR_SAME)
+		thr_set_part(&wk->thr, hint_part(edge->hint, wk, now), now);
+}
+
 /*
  * Asks an engine for its report, or a plain worker for its health.  One
  * question at a time, and not again at once: each one is paid for.
  */
 void wkp_ask(struct edge *edge, struct wk *wk, int64_t now)
 {
-	if (!wk->probing && now - wk->probed_us >= WKP_AGAIN_US)
+	if (!wk->probing && now - wk->probed_us >= WKP_AGAIN_US &&
+	    thr_may_ask(&wk->thr, wk->probed_us, now))
 		wkp_start(edge, wk, false, now);
 }
 
@@ -112,6 +126,7 @@
 		free(call);
 		return;
 	}
+	thr_sent(&wk->thr, now);
 	call->wk = wk_hold(wk);
 	wk->probing = true;
 	wk->unresponsive = false;
@@ -124,6 +139,7 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+		wk_limit_tick(wk, now);
 		if (wk->probing && !wk->unresponsive &&
 		    now - wk->probed_us >= WKP_UNRESPONSIVE_US &&
 		    now - edge->late_us >= WKP_UNRESPONSIVE_US)
@@ -149,11 +165,10 @@
 
 static bool wkp_on_headers(void *user, const struct hc_answer *answer)
 {
-	struct wire_limit limit = pl_limit_decode(answer->headers);
 	struct wkp_call *call = user;
 
-	wk_take_limit(call->wk, &limit, WK_ANSWER_QUESTION, call->wk->probed_us,
-		      clk_boot_us());
+	wkp_take_limit(call->edge, call->wk, answer, WK_ANSWER_QUESTION,
+		       call->wk->probed_us);
 	call->status = answer->status;
 	return true;
 }
