--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -78,6 +78,14 @@
 router() { echo "127.0.0.1:$((base + 60 + $1))"; }
 worker() { echo "127.0.0.1:$((base + 10 + $1))"; }
 fault() { curl -s -o "$dir/null" "http://$store/stand-in/fault?Kind=$1"; }
+store_copies() { curl -s -o "$dir/null" "http://$store/stand-in/copy"; }
+# store_returns AWAY_MS LATE_MS BUMP: the store is away, comes back from its copy,
+# gives so many revisions to others, and takes workers' entries only so much later.
+store_returns() {
+	curl -s -o "$dir/null" "http://$store/stand-in/restore?AwayMs=$1&LateMs=$2&Bump=$3"
+	wait_for "grep -q RESTORED $dir/store.log"
+}
+in_store() { curl -s "http://$store/api/kv-range?PathPrefix=$1" | grep -o '"Key":' | wc -l; }
 logged() { grep -q "$2" "$dir/router.$1.log"; }
 
 # Two data centres, each with one large and three small engines and a plain
--- /dev/null
+++ b/regress/edge/returned-key.sh
@@ -0,0 +1,36 @@
+# A key is taken away, and the store comes back from a copy in which it is there.  A
+# router that starts before the operator has written again knows only the copy;
+# it must not run a request with that key.
+. edge/lib.sh
+start_store
+put_config 1 '"key-1","key-2"'
+for n in 1 2; do start_worker $n model a big; done
+for n in 3 4; do start_worker $n app a; done
+for n in 1 2; do start_router $n a; done
+for n in 1 2; do wait_for "ready $n"; done
+wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 2 ]"
+wait_for "served_by $(router 1) $(router 2)"
+store_copies
+put_config 2
+wait_for "logged 1 '\"version\":2,' && logged 2 '\"version\":2,'"
+sleep 1
+store_returns 300 0 400
+start_router 3 a
+asked=0
+ran=0
+ask() {
+	curl -s -o "$dir/null" -w '%{http_code}' -X "$2" -H 'Host: h.example' -H "Attempt-Id: k-$1-$asked" \
+		-H "Authorization: Token $3" "http://$(router $1)/$4/x"
+}
+while [ $asked -lt 30 ]; do
+	asked=$((asked + 1))
+	for n in 1 2 3; do
+		[ "$(ask $n GET key-2 r)" = 200 ] && ran=$((ran + 1))
+	done
+	sleep 0.1
+done
+echo "requests that ran with the removed key: $ran"
+put_config 2
+wait_for "logged 3 '\"version\":2,'"
+wait_for "ready 3"
+for n in 1 2 3; do ask $n GET key-1 r; echo " with the other key"; done
--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -1,8 +1,11 @@
 /*
  * Stand-in for the platform's store: items with revisions, leases, watches,
- * and its faults, which a test asks for at /stand-in/fault.
+ * and its faults, which a test asks for at /stand-in/fault.  It can be away
+ * and come back from an older copy of itself: /stand-in/copy makes the copy,
+ * /stand-in/restore goes back to it.
  */
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -69,6 +72,23 @@
 static int64_t revision = 1;
 static enum fault fault;
 
+/* What a copy holds; history goes on from its revision. */
+struct copy {
+	struct item items[ITEMS_MAX];
+	int item_count;
+	struct lease leases[LEASES_MAX];
+	int lease_count;
+	int64_t revision;
+};
+
+static struct copy copy;
+static int64_t era = 1;
+static int64_t restore_us = MAG_NEVER; /* the store is away until then */
+static int64_t restore_bump;	       /* writes of others right after it */
+static int64_t late_us; /* writes of workers are lost until then */
+/* Entries of workers live for so long after a return without a new write. */
+#define RESTORED_TTL_US (3 * MAG_US_PER_S)
+
 /* Finds an item, or makes room for it. */
 static struct item *find(const char *key, bool make)
 {
@@ -138,9 +158,12 @@
 static void answer(struct hs_conn *conn, int status, json_t *json)
 {
 	char *text = json ? json_dumps(json, JSON_COMPACT) : NULL;
+	char fields[128];
 
-	hs_reply(conn, status, "Content-Type: application/json\r\n", text,
-		 text ? strlen(text) : 0);
+	snprintf(fields, sizeof(fields),
+		 "Content-Type: application/json\r\nStore-Era: %" PRId64 "\r\n",
+		 era);
+	hs_reply(conn, status, fields, text, text ? strlen(text) : 0);
 	free(text);
 	json_decref(json);
 }
@@ -151,7 +174,7 @@
 	json_t *events;
 	int i;
 
-	if (watch->after < oldest) {
+	if (watch->after < oldest || watch->after > revision) {
 		answer(watch->conn, 410, NULL);
 		return true;
 	}
@@ -251,6 +274,83 @@
 			 (json_int_t)lease->ttl_ms));
 }
 
+static char *copy_text(const char *text)
+{
+	return text ? strdup(text) : NULL;
+}
+
+/* Copies all items; what the copy held before is not freed. */
+static void copy_items(struct item *to, const struct item *from, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		to[i] = from[i];
+		to[i].key = copy_text(from[i].key);
+		to[i].value = copy_text(from[i].value);
+	}
+}
+
+static void make_copy(void)
+{
+	copy_items(copy.items, items, item_count);
+	copy.item_count = item_count;
+	memcpy(copy.leases, leases, sizeof(leases));
+	copy.lease_count = lease_count;
+	copy.revision = revision;
+}
+
+/* Comes back from the copy: all written since, leases too, is gone. */
+static void restore(int64_t now)
+{
+	int i;
+
+	restore_us = MAG_NEVER;
+	fault = FAULT_NONE;
+	era++;
+	copy_items(items, copy.items, copy.item_count);
+	item_count = copy.item_count;
+	memcpy(leases, copy.leases, sizeof(leases));
+	lease_count = copy.lease_count;
+	revision = copy.revision;
+	while (change_count > 0 &&
+	       changes[change_count - 1].revision > revision)
+		change_count--;
+	for (i = 0; i < lease_count; i++)
+		leases[i].until_us = now + leases[i].ttl_ms * MAG_US_PER_MS;
+	for (i = 0; i < item_count; i++) {
+		if (items[i].until_us != MAG_NEVER)
+			items[i].until_us = now + RESTORED_TTL_US;
+	}
+	for (i = 0; i < WATCHES_MAX; i++) {
+		if (!watches[i].conn)
+			continue;
+		hs_set_user(watches[i].conn, NULL);
+		hs_abort(watches[i].conn);
+		watches[i].conn = NULL;
+	}
+	/* Revisions that routers have seen are given to others. */
+	for (i = 0; i < restore_bump; i++)
+		put(i % 2 ? "others/a" : "others/b",
+		    i % 4 < 2 ? "MQ==" : "Mg==", 0, MAG_NEVER);
+	printf("RESTORED era %" PRId64 " revision %" PRId64 " at %" PRId64 "\n",
+	       era, revision, now);
+	fflush(stdout);
+}
+
+/* Is away for a while, as a fault says, and comes back from the copy. */
+static void restore_later(struct evkeyvalq *query)
+{
+	const char *away = evhttp_find_header(query, "AwayMs");
+	const char *late = evhttp_find_header(query, "LateMs");
+	const char *bump = evhttp_find_header(query, "Bump");
+
+	fault = FAULT_SILENT;
+	restore_us = clk_boot_us() + (away ? atoll(away) : 0) * MAG_US_PER_MS;
+	restore_bump = bump ? atoll(bump) : 0;
+	late_us = restore_us + (late ? atoll(late) : 0) * MAG_US_PER_MS;
+}
+
 /* What the operator, the workers and the tests do beside the pages. */
 /* Open watches are never answered, and their connections stay open. */
 static void deafen(void)
@@ -278,7 +378,15 @@
 	size_t size;
 	size_t i;
 
-	if (strstr(path, "/put") && key) {
+	if (strstr(path, "/put") && ttl && clk_boot_us() < late_us) {
+		answer(conn, 503, NULL);
+		return;
+	}
+	if (strstr(path, "/copy")) {
+		make_copy();
+	} else if (strstr(path, "/restore")) {
+		restore_later(query);
+	} else if (strstr(path, "/put") && key) {
 		size = sodium_base64_ENCODED_LEN(
 			len, sodium_base64_VARIANT_ORIGINAL);
 		encoded = malloc(size);
@@ -402,6 +510,8 @@
 	(void)fd;
 	(void)what;
 	hs_tick(arg, now);
+	if (now >= restore_us)
+		restore(now);
 	for (i = 0; i < item_count; i++) {
 		if (!items[i].value)
 			continue;
