era, sto: recover when the store comes back from an older copy

Seen on stand-ins: after the store came back without what was written in the last seconds, no router was listed and nobody was the placer, for good, where others had been given the revisions in between (the watch went on without a word); where nobody had, the routers took the copy at its word, with no layers at any worker and those that leave ready, and 40 of 540 calls were refused. A router that started in the window ran requests with a key that was taken away (30 of 30).

Cause: the router took it as given that a revision is given once and that nothing acknowledged is lost.

Change: positions are era and revision, compared in pos. An answer of another era than its call was sent in counts as lost. A new era begins with a whole list, which for two seconds adds and takes nothing away (wk_take_copy, pres, era); then all is read again and taken as it stands. The placer's title ends where the new era is seen, nobody stands for a lease's time, and the holder goes on only if its key is there under its own lease. Freshness is renewed only by what the operator wrote since, or after the two seconds; claims of peers count within one era; a router that starts hears its peers before it serves, and waits if they know a newer configuration.

Ruled out: fence numbers, orders carry the worker's own count.

--- /dev/null
+++ b/regress/check_era.c
@@ -0,0 +1,97 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "era.h"
+#include "pos.h"
+#include "script.h"
+
+#define LINE_MAX_ 256
+#define START_US  MAG_US_PER_S
+
+/* A client of the store: eras, a position, and the time after a return. */
+static struct pos_eras eras;
+static struct era era;
+static int64_t now;
+
+/* "answer SENT NAMED": to a call that was sent in one era, in another one. */
+static void answer(FILE *out, long long sent, long long named)
+{
+	int64_t before = eras.newest;
+	bool counts = pos_take_era(&eras, sent, named);
+
+	fprintf(out, "%s, era %lld%s\n", counts ? "counts" : "is lost",
+		(long long)eras.newest,
+		before != POS_ERA_NONE && eras.newest != before
+			? ", the store came back"
+			: "");
+	if (before != POS_ERA_NONE && eras.newest != before)
+		era_returned(&era, now);
+}
+
+/* "behind ERA REVISION ERA REVISION" */
+static void behind(FILE *out, const char *line)
+{
+	long long x[4];
+	struct pos at;
+	struct pos known;
+
+	if (sscanf(line, "%*s %lld %lld %lld %lld", &x[0], &x[1], &x[2],
+		   &x[3]) != 4)
+		return;
+	at = (struct pos){ x[0], x[1] };
+	known = (struct pos){ x[2], x[3] };
+	fprintf(out, "%s, %s\n",
+		pos_compare(at, known) < 0 ? "older" : "not older",
+		pos_is_behind(at, known) ? "missed something"
+					 : "missed nothing");
+}
+
+static void show(FILE *out)
+{
+	fprintf(out, "%s, %s, %s\n",
+		era_is_news(&era, now) ? "the store's word is news"
+				       : "the store's word may be old",
+		era.settling ? "settling" : "settled",
+		era_may_begin(&era, eras.newest != POS_ERA_NONE, now)
+			? "may begin"
+			: "waits for peers");
+}
+
+static void drive(FILE *in, FILE *out)
+{
+	char line[LINE_MAX_];
+	long long a;
+	long long b;
+
+	eras = (struct pos_eras){ POS_ERA_NONE, false };
+	now = START_US;
+	era_start(&era, now);
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] == '#' || line[0] == '\n')
+			continue;
+		fprintf(out, "> %s", line);
+		if (sscanf(line, "answer %lld %lld", &a, &b) == 2)
+			answer(out, a, b);
+		else if (strncmp(line, "behind", 6) == 0)
+			behind(out, line);
+		else if (sscanf(line, "after %lld", &a) == 1)
+			now += a * MAG_US_PER_MS;
+		else if (strncmp(line, "peer", 4) == 0)
+			era.peers_heard = true;
+		else if (strncmp(line, "config", 6) == 0)
+			era.config_written = true;
+		else if (strncmp(line, "ends", 4) == 0)
+			fprintf(out, "%s\n",
+				era_ends(&era, now) ? "read all" : "no");
+		else if (strncmp(line, "listed", 6) == 0)
+			fprintf(out, "%s\n",
+				era_settled(&era) ? "as it stands" : "no");
+		else if (strncmp(line, "show", 4) == 0)
+			show(out);
+	}
+}
+
+int main(void)
+{
+	return script_main("regress/era", drive);
+}
--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -3,6 +3,7 @@
 #include "hdr.h"
 #include "pl_config.h"
 #include "pl_header.h"
+#include "pl_store.h"
 #include "pl_worker.h"
 #include "script.h"
 
@@ -118,6 +119,25 @@
 	hdr_free(&headers);
 }
 
+/* "era [TEXT]": the era that an answer of the store names. */
+static void show_era(FILE *out, const char *text)
+{
+	struct hdr_list headers = { 0 };
+	int64_t era;
+
+	if (*text) {
+		hdr_add_name(&headers, "Store-Era", 9);
+		hdr_add_value(&headers, text + 1, strlen(text + 1));
+	}
+	era = pl_store_era(&headers);
+	if (era >= 0)
+		fprintf(out, "%lld\n", (long long)era);
+	else
+		fprintf(out, "%s\n",
+			era == POS_ERA_NONE ? "none" : "unreadable");
+	hdr_free(&headers);
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	static char line[LINE_MAX_];
@@ -137,6 +157,8 @@
 			show_repath(out, line + 7);
 		else if (strncmp(line, "fault ", 6) == 0)
 			show_fault(out, line + 6);
+		else if (strncmp(line, "era", 3) == 0)
+			show_era(out, line + 3);
 		else if (strncmp(line, "limit", 5) == 0)
 			show_limit(out, line + 5);
 	}
--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -15,6 +15,7 @@
 	struct wire_worker worker = { .slots = 8 };
 	long long born;
 
+	worker.draining = strstr(line, " leaves") != NULL;
 	strcpy(worker.service, "model");
 	if (sscanf(line, "%*s %63s %47s %lld %d %d %63s", worker.id,
 		   worker.address, &born, &worker.layers.from,
@@ -53,6 +54,17 @@
 			put(line, now);
 		else if (sscanf(line, "gone %63s", text) == 1)
 			wk_remove(&table, text, now, now);
+		else if (strncmp(line, "list", 4) == 0)
+			wk_list_begin(&table);
+		else if (strncmp(line, "end", 3) == 0)
+			wk_list_end(&table, now, now);
+		else if (strncmp(line, "returned", 8) == 0)
+			wk_returned(&table, now);
+		else if (strncmp(line, "settled", 7) == 0)
+			wk_settled(&table);
+		else if (sscanf(line, "layers %63s", text) == 1 &&
+			 (wk = wk_by_id(&table, text)))
+			fprintf(out, "%d-%d\n", wk->layers.from, wk->layers.to);
 		else if (strncmp(line, "who", 3) == 0)
 			print(out, now);
 		else if (sscanf(line, "at %47s", text) == 1 &&
--- a/regress/edge/store-returned.sh
+++ b/regress/edge/store-returned.sh
@@ -23,7 +23,7 @@
 "$build/tool_calls" returned 9 60 $(router 1) $(router 2) $(router 3) >"$dir/calls" &
 calls=$!
 sleep 1
-store_returns 600 800 400
+store_returns 600 800 ${BUMP:-400}
 sleep 2
 [ $(in_store mag/instance) -eq 3 ] && echo "all routers are listed after 2 s"
 [ $(in_store mag/placer) -eq 1 ] && echo "there is a placer after 2 s"
--- a/src/edge.c
+++ b/src/edge.c
@@ -115,6 +115,23 @@
 	return mag_random(&edge->seed);
 }
 
+/*
+ * Tells whether there is a configuration to serve by.  A router that starts
+ * after the store came back from a copy may read an older one than is in
+ * force: it waits for the word of its peers, and for the operator to write
+ * again what they name.
+ */
+bool edge_has_config(const struct edge *edge, int64_t now)
+{
+	if (!edge->rt)
+		return false;
+	if (edge->attest.fresh_us)
+		return true;
+	return edge->rt->version >= edge->newest_version &&
+	       era_may_begin(&edge->era, sto_era(edge->sto) != POS_ERA_NONE,
+			     now);
+}
+
 /*
  * Tells whether this router should get callers.  One that is cut off from the
  * store cannot check keys much longer, and one that reaches no whole copy of
@@ -123,7 +140,8 @@
  */
 bool edge_is_ready(const struct edge *edge, int64_t now)
 {
-	if (!edge->rt || !edge->workers_listed || edge->stopping)
+	if (!edge_has_config(edge, now) || !edge->workers_listed ||
+	    edge->stopping)
 		return false;
 	if (edge->had_chains && edge->chainless_us &&
 	    now - edge->chainless_us > EDGE_CHAINLESS_US)
--- a/src/edge.h
+++ b/src/edge.h
@@ -11,6 +11,7 @@
 
 #include "age.h"
 #include "bud.h"
+#include "era.h"
 #include "eset.h"
 #include "hc.h"
 #include "hs.h"
@@ -57,8 +58,13 @@
 	struct quar *quar;
 	struct edge_placer placer;
 
-	struct rt_set *rt;    /* NULL until the first configuration */
-	struct attest attest; /* how old it may be */
+	struct rt_set *rt;	/* NULL until the first configuration */
+	struct attest attest;	/* how old it may be */
+	struct era era;		/* since the store came back from a copy */
+	int64_t newer_us;	/* a peer had a newer one then; 0: never */
+	int64_t newest_version; /* of those that peers have named */
+	int64_t listed_version; /* that the store has */
+	bool in_list;		/* a whole list is being read */
 	bool workers_listed;
 	bool store_reachable;
 	int64_t store_back_us; /* when the store was last regained */
@@ -97,6 +103,7 @@
 		    int64_t now);
 uint64_t edge_random(struct edge *edge);
 int edge_routers_here(const struct edge *edge);
+bool edge_has_config(const struct edge *edge, int64_t now);
 bool edge_is_ready(const struct edge *edge, int64_t now);
 
 #endif /* EDGE_H */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -101,6 +101,8 @@
 static int edge_connections(const struct edge *edge,
 			    const struct rt_service *service);
 static void edge_reachable(void *user, bool reachable);
+static void edge_returned(void *user, int64_t from_era, int64_t to_era);
+static void edge_settled(struct edge *edge);
 static int64_t edge_gone_us(const struct edge *edge, int64_t now);
 
 static const struct sto_follow_ops edge_ops = {
@@ -108,6 +110,7 @@
 	.item = edge_item,
 	.end = edge_end,
 	.fresh = edge_fresh,
+	.returned = edge_returned,
 	.reachable = edge_reachable,
 };
 
@@ -162,6 +165,8 @@
 	randombytes_buf(&incarnation, sizeof(incarnation));
 	edge->seed |= 1;
 	edge->started_us = clk_boot_us();
+	edge->newest_version = -1;
+	era_start(&edge->era, edge->started_us);
 	attest_init(&edge->attest, (uint32_t)incarnation, edge_random(edge));
 	CDS_INIT_LIST_HEAD(&edge->requests);
 	edge->hc = edge->base ? hc_new(edge->base) : NULL;
@@ -274,6 +279,8 @@
 	hs_tick(edge->metrics, now);
 	sto_follow_retry(edge->follow,
 			 attest_retry_us(1 + pres_peer_count(edge->pres)));
+	if (era_ends(&edge->era, now))
+		edge_settled(edge);
 	sto_tick(edge->sto, now);
 	if (attest_is_time_to_ask(&edge->attest,
 				  1 + pres_peer_count(edge->pres), now))
@@ -382,9 +389,11 @@
 			    "magnolia_requests_open %d\n"
 			    "magnolia_workers %d\n"
 			    "magnolia_store_calls_total %llu\n"
+			    "magnolia_store_era %lld\n"
 			    "magnolia_log_lines_dropped_total %llu\n",
 			    edge->request_count, edge->workers.count,
 			    (unsigned long long)sto_calls(edge->sto),
+			    (long long)sto_era(edge->sto),
 			    (unsigned long long)jlog_dropped());
 	hs_reply(conn, 200, "Content-Type: text/plain; version=0.0.4\r\n",
 		 evbuffer_pullup(out, -1), evbuffer_get_length(out));
@@ -403,6 +412,7 @@
 {
 	struct edge_run *run = user;
 
+	run->edge.in_list = true;
 	wk_list_begin(&run->edge.workers);
 	pres_begin(run->edge.pres);
 }
@@ -427,17 +437,37 @@
 	struct edge *edge = &run->edge;
 	int64_t now = clk_boot_us();
 
+	if (era_settled(&edge->era)) {
+		met_time(&edge->met, MET_RECOVERY, now - edge->era.returned_us);
+		jlog(LOG_PF_SETTLED,
+		     "\"era\":%lld,\"took_ms\":%d,\"workers_gone\":%d,"
+		     "\"peers_gone\":%d,\"config\":%lld,"
+		     "\"config_in_store\":%lld",
+		     (long long)sto_era(edge->sto),
+		     (int)((now - edge->era.returned_us) / MAG_US_PER_MS),
+		     wk_missing(&edge->workers), pres_missing(edge->pres),
+		     edge->rt ? (long long)edge->rt->version : -1LL,
+		     (long long)edge->listed_version);
+	}
 	wk_list_end(&edge->workers, edge_gone_us(edge, now), now);
 	edge->workers_listed = true;
+	edge->in_list = false;
 	pres_end(edge->pres);
 }
 
-/* All that was told was the newest when the call was sent. */
+/*
+ * All that was told was the newest when the call was sent, unless the store
+ * has just come back from a copy, or a peer has a newer configuration.
+ */
 static void edge_fresh(void *user, int64_t sent_us)
 {
 	struct edge *edge = &((struct edge_run *)user)->edge;
 	int64_t before_us = edge->attest.fresh_us;
+	int64_t now = clk_boot_us();
 
+	if (!era_is_news(&edge->era, sent_us) || !edge_has_config(edge, now) ||
+	    edge->rt->version < edge->newest_version)
+		return;
 	attest_from_store(&edge->attest, sent_us);
 	if (edge->attest.fresh_us - before_us >= EDGE_ANNOUNCE_US)
 		hint_soon(edge->hint, clk_boot_us());
@@ -458,6 +488,9 @@
 		     jlog_text(text, sizeof(text), why));
 		return;
 	}
+	edge->listed_version = fresh->version;
+	if (!edge->in_list)
+		edge->era.config_written = true;
 	if (edge->rt && fresh->version <= edge->rt->version) {
 		rt_drop(fresh);
 		return;
@@ -518,6 +551,32 @@
 			edge_connections(edge, &edge->rt->services[service]));
 }
 
+/*
+ * The store has come back from an older copy: until all have written again, a
+ * list takes nothing away.
+ */
+static void edge_returned(void *user, int64_t from_era, int64_t to_era)
+{
+	struct edge *edge = &((struct edge_run *)user)->edge;
+	int64_t now = clk_boot_us();
+
+	(void)from_era;
+	(void)to_era;
+	met_add(&edge->met, MET_RETURNS);
+	era_returned(&edge->era, now);
+	wk_returned(&edge->workers, now);
+	pres_returned(edge->pres, now);
+	hint_soon(edge->hint, now);
+}
+
+/* All have written again by now: the next list is taken as it stands. */
+static void edge_settled(struct edge *edge)
+{
+	wk_settled(&edge->workers);
+	pres_settled(edge->pres);
+	sto_follow_list(edge->follow);
+}
+
 static void edge_reachable(void *user, bool reachable)
 {
 	struct edge_run *run = user;
--- a/src/eq.c
+++ b/src/eq.c
@@ -54,7 +54,7 @@
 	struct eq *eq;
 
 	met_add(&edge->met, MET_REQUESTS);
-	if (!edge->rt) {
+	if (!edge_has_config(edge, now)) {
 		/* No configuration yet: nobody knows what is a route. */
 		eq_refuse_early(edge, conn);
 		return;
--- /dev/null
+++ b/src/era.c
@@ -0,0 +1,60 @@
+#include <string.h>
+
+#include "era.h"
+
+void era_start(struct era *era, int64_t now)
+{
+	memset(era, 0, sizeof(*era));
+	era->started_us = now;
+}
+
+/* An answer has shown that the store has come back from a copy. */
+void era_returned(struct era *era, int64_t now)
+{
+	era->returned_us = now;
+	era->settled_us = now + ERA_SETTLE_US;
+	era->settling = true;
+	era->reading = false;
+	era->config_written = false;
+}
+
+/* Tells, once, that it is time to read all again and take it as it stands. */
+bool era_ends(struct era *era, int64_t now)
+{
+	if (!era->settling || era->reading || now < era->settled_us)
+		return false;
+	era->reading = true;
+	return true;
+}
+
+/* A whole list was read; tells whether it is the one to take as it stands. */
+bool era_settled(struct era *era)
+{
+	if (!era->reading)
+		return false;
+	era->settling = false;
+	era->reading = false;
+	return true;
+}
+
+/*
+ * Tells whether what the store showed at at_us proves that the configuration
+ * known was the newest then.  A copy does not: a newer one may be missing
+ * until the operator has written it again.
+ */
+bool era_is_news(const struct era *era, int64_t at_us)
+{
+	return !era->returned_us || era->config_written ||
+	       at_us >= era->settled_us;
+}
+
+/*
+ * Tells whether a router that has started may go by the store's configuration.
+ * It does not know when the store came back, but others may: it waits for
+ * their word, for a bounded time.
+ */
+bool era_may_begin(const struct era *era, bool has_eras, int64_t now)
+{
+	return !has_eras || era->peers_heard ||
+	       now - era->started_us >= ERA_PEERS_US;
+}
--- a/src/hint.c
+++ b/src/hint.c
@@ -82,6 +82,7 @@
 static void hint_send_heard(struct hint *hint, struct hint_message *message);
 static void hint_send_to(struct hint *hint, const struct sockaddr_in *addr,
 			 struct hint_peer *peer, struct hint_message *message);
+static void hint_greet(struct hint *hint, struct hint_peer *peer);
 static struct hint_peer *hint_peer_named(struct hint *hint, const char *name);
 static bool hint_has_suspect(struct hint *hint);
 static void hint_collect(struct hint *hint, struct hint_message *message);
@@ -90,6 +91,7 @@
 static void hint_take_attestation(struct edge *edge,
 				  const struct attest_claim *claim,
 				  int64_t now);
+static void hint_take_version(struct edge *edge, int64_t version, int64_t now);
 static void hint_add_up(struct hint *hint, int64_t now);
 static void hint_take_demand(struct hint *hint, int64_t now);
 static void hint_share_limits(struct hint *hint, int64_t now);
@@ -253,6 +255,15 @@
 	}
 }
 
+/* Tells a router that was heard for the first time; it may not be listed. */
+static void hint_greet(struct hint *hint, struct hint_peer *peer)
+{
+	static struct hint_message message;
+
+	hint_collect(hint, &message);
+	hint_send_to(hint, &peer->from, peer, &message);
+}
+
 static struct hint_peer *hint_peer_named(struct hint *hint, const char *name)
 {
 	int i;
@@ -276,7 +287,7 @@
 	message->ready = edge_is_ready(edge, now);
 	message->session = edge->attest.session;
 	message->stamp_us = now;
-	message->revision = sto_follow_revision(edge->follow);
+	message->at = sto_follow_pos(edge->follow);
 	attest_make(&edge->attest, edge->rt ? edge->rt->version : -1, now,
 		    &message->claim);
 	hint_load_collect(&edge->workers, now, &hint->own);
@@ -323,6 +334,7 @@
 	struct edge *edge = hint->edge;
 	int64_t now = clk_boot_us();
 	struct hint_peer *peer = hint_peer_named(hint, message->name);
+	bool is_new = false;
 	uint32_t k;
 
 	if (!peer) {
@@ -330,6 +342,8 @@
 			return;
 		peer = &hint->peers[hint->peer_count++];
 		mag_copy_name(peer->name, sizeof(peer->name), message->name);
+		/* It may wait for a word of others before it serves. */
+		is_new = true;
 	}
 	peer->heard_us = now;
 	peer->from = *from;
@@ -343,14 +357,28 @@
 	peer->limit_count = message->limit_count;
 	memcpy(peer->limits, message->limits,
 	       message->limit_count * sizeof(message->limits[0]));
-	sto_follow_heard(edge->follow, message->revision);
-	hint_take_attestation(edge, &message->claim, now);
+	sto_follow_heard(edge->follow, message->at);
+	edge->era.peers_heard = true;
+	hint_take_version(edge, message->claim.version, now);
+	if (message->at.era == sto_era(edge->sto))
+		hint_take_attestation(edge, &message->claim, now);
 	for (k = 0; k < message->suspect_count; k++)
 		hint_suspect(hint, message->suspects[k], message->name, now);
 	for (k = 0; k < message->news_count; k++)
 		quar_learn(hint->edge->quar, message->news[k].print,
 			   message->news[k].lost, now + HINT_QUARANTINE_US,
 			   now);
+	if (is_new)
+		hint_greet(hint, peer);
+}
+
+/* Notes that a peer has a newer configuration than this router. */
+static void hint_take_version(struct edge *edge, int64_t version, int64_t now)
+{
+	if (!edge->rt || version > edge->rt->version)
+		edge->newer_us = now;
+	if (version > edge->newest_version)
+		edge->newest_version = version;
 }
 
 /*
--- a/src/hint_msg.c
+++ b/src/hint_msg.c
@@ -5,7 +5,7 @@
 #include "hint_msg.h"
 
 #define HINT_MSG_MAGIC	 0x4d414748U
-#define HINT_MSG_VERSION 5U
+#define HINT_MSG_VERSION 6U
 /* A load on the wire: 16 bits of memory, 8 of firsts, 8 of slowdown. */
 #define HINT_HELD_UNIT	   1024.0F /* tokens x layers */
 #define HINT_HELD_MOST	   0xffffU
@@ -85,7 +85,8 @@
 
 	return xdr_uint32_t(xdr, &message->session) &&
 	       xdr_int64_t(xdr, &message->stamp_us) &&
-	       xdr_int64_t(xdr, &message->revision) &&
+	       xdr_int64_t(xdr, &message->at.era) &&
+	       xdr_int64_t(xdr, &message->at.revision) &&
 	       xdr_uint32_t(xdr, &claim->session) &&
 	       xdr_int64_t(xdr, &claim->echo_us) &&
 	       xdr_int64_t(xdr, &claim->age_us) &&
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -8,6 +8,7 @@
 
 #include "mag.h"
 #include "attest.h"
+#include "pos.h"
 
 /* A datagram stays below the smallest common transfer unit. */
 #define HINT_BYTES_MAX	  1400
@@ -50,7 +51,7 @@
 	uint32_t ready; /* it takes callers and can check their keys */
 	uint32_t session;
 	int64_t stamp_us; /* the sender's clock */
-	int64_t revision; /* of the store, up to which it was told all */
+	struct pos at;	  /* in the store's history, up to which it was told */
 	struct attest_claim claim;
 	uint32_t part; /* of the sender's load that is in this message */
 	uint32_t part_count;
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -64,6 +64,9 @@
 	/* 9000 pf: the platform's service */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_PF_UP, 9002, "platform-reachable", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PF_RETURNED, 9003, "store-returned", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_PF_SETTLED, 9004, "store-settled", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_PF_ERA_BAD, 9005, "store-era-unreadable", LOG_PRIO_ERR) \
 	\
 	/* 10000 the router on a platform */ \
 	LOG_EVENT(LOG_EQ_SENT, 10001, "request-sent", LOG_PRIO_INFO) \
--- a/src/met.c
+++ b/src/met.c
@@ -23,6 +23,8 @@
 	[MET_ANSWER] = { "answer_ms", "arrival to a plain answer" },
 	[MET_GAP] = { "longest_gap_ms", "longest pause in a stream" },
 	[MET_WAIT] = { "wait_ms", "arrival to the first send" },
+	[MET_RECOVERY] = { "store_recovery_ms",
+			   "the store's return to a whole list after it" },
 };
 
 void met_add(struct met *met, enum met_counter id)
--- a/src/met.h
+++ b/src/met.h
@@ -25,6 +25,7 @@
 	MET_COUNTER(MET_STALLS, "stalls_total", "streams found standing still") \
 	MET_COUNTER(MET_PROBES, "probes_total", "questions to workers about their state") \
 	MET_COUNTER(MET_ORDERS, "orders_total", "orders to workers") \
+	MET_COUNTER(MET_RETURNS, "store_returns_total", "returns of the store from an older copy") \
 	MET_COUNTER(MET_NO_KEY, "unauthorized_total", "requests without a valid key") \
 	MET_COUNTER(MET_NO_ROUTE, "no_route_total", "requests that no route takes") \
 	MET_COUNTER(MET_POISON, "poison_refused_total", "requests refused because they crash workers")
@@ -41,6 +42,7 @@
 	MET_ANSWER,	 /* from arrival to the answer of a plain service */
 	MET_GAP,	 /* longest pause between two events of a stream */
 	MET_WAIT,	 /* from arrival to the first send */
+	MET_RECOVERY,	 /* from the store's return until all is read again */
 	MET_HISTOGRAM_COUNT
 };
 
--- a/src/pres.c
+++ b/src/pres.c
@@ -24,6 +24,12 @@
  */
 #define PRES_SPREAD_US (75 * MAG_US_PER_MS)
 #define PRES_RETRY_US  (500 * MAG_US_PER_MS)
+/*
+ * Instances that the store has lost register again spread over so much for
+ * each of them, and over no more than the second: its rate of writes holds.
+ */
+#define PRES_AGAIN_EACH_US (4 * MAG_US_PER_MS)
+#define PRES_AGAIN_MOST_US (1200 * MAG_US_PER_MS)
 
 struct pres {
 	struct sto *sto;
@@ -47,6 +53,9 @@
 	bool own_right;		/* it holds our address */
 	char placer[128];	/* what the placer's key holds, "": free */
 	int64_t placer_free_us; /* when to stand for it, if it is free then */
+	int64_t stand_after_us; /* titles of before a return of the store end */
+	int64_t lost_lease;	/* ours when the store came back; 0: none */
+	bool settling;		/* the store lacks what was written lately */
 	uint64_t seed;
 	struct pres_peer *peers;
 	bool *seen;
@@ -120,10 +129,51 @@
 	}
 	if (pres->placer[0])
 		pres_renew(pres, now);
-	else if (now >= pres->placer_free_us)
+	else if (now >= pres->placer_free_us && now >= pres->stand_after_us)
 		pres_stand(pres, now);
 }
 
+/*
+ * The store has come back from an older copy.  Its lease numbers may be those
+ * of others now, so that ours counts only if the placer's key is still ours
+ * under it.  Nobody stands before the title of one that does not know of the
+ * return has ended.
+ */
+void pres_returned(struct pres *pres, int64_t now)
+{
+	uint64_t spread =
+		(uint64_t)PRES_AGAIN_EACH_US * (uint64_t)(pres->peer_count + 1);
+
+	if (spread > PRES_AGAIN_MOST_US)
+		spread = PRES_AGAIN_MOST_US;
+	pres->lost_lease = pres->lease;
+	pres->lease = 0;
+	pres->valid_us = 0;
+	pres->placer[0] = '\0';
+	pres->own_right = false;
+	pres->listed = false;
+	pres->settling = true;
+	pres->stand_after_us = now + pres->lease_ms * MAG_US_PER_MS;
+	pres->register_us = now + (int64_t)(mag_random(&pres->seed) % spread);
+}
+
+/* All have written again: who is missing from the next list is gone. */
+void pres_settled(struct pres *pres)
+{
+	pres->settling = false;
+}
+
+/* Returns how many peers the list that was read last lacks. */
+int pres_missing(const struct pres *pres)
+{
+	int missing = 0;
+	int i;
+
+	for (i = 0; i < pres->peer_count; i++)
+		missing += !pres->seen[i];
+	return missing;
+}
+
 /* Gives the placer's lease back, so that others take over at once. */
 void pres_leave(struct pres *pres)
 {
@@ -297,6 +347,13 @@
 	pres_wait_to_stand(pres, clk_boot_us());
 	if (!item->deleted)
 		snprintf(pres->placer, sizeof(pres->placer), "%s", item->value);
+	if (pres->lost_lease && item->lease == pres->lost_lease &&
+	    strcmp(pres->placer, pres->title) == 0) {
+		/* Still ours; it holds once it was renewed. */
+		pres->lease = pres->lost_lease;
+		pres->next_us = 0;
+	}
+	pres->lost_lease = 0;
 	jlog(LOG_PRES_PLACER, "\"placer\":\"%s\",\"self\":%s", pres->placer,
 	     strcmp(pres->placer, pres->title) ? "false" : "true");
 }
@@ -306,7 +363,7 @@
 {
 	int i;
 
-	for (i = pres->peer_count - 1; i >= 0; i--) {
+	for (i = pres->peer_count - 1; i >= 0 && !pres->settling; i--) {
 		if (!pres->seen[i])
 			pres_forget(pres, i);
 	}
--- a/src/sto.c
+++ b/src/sto.c
@@ -5,17 +5,21 @@
 #include <urcu/list.h>
 
 #include "clk.h"
+#include "jlog.h"
 #include "pl_header.h"
 #include "pl_store.h"
 #include "sto_int.h"
 
 #define STO_CONNECT_US	(400 * MAG_US_PER_MS)
 #define STO_CONNECTIONS 16
+/* Malformed eras are logged this often at most. */
+#define STO_BAD_ERA_US MAG_US_PER_S
 
 static bool sto_on_headers(void *user, const struct hc_answer *answer);
 static void sto_on_body(void *user, const void *bytes, size_t len);
 static void sto_on_end(void *user, enum hc_end end);
 static enum sto_result sto_result_of(int status);
+static bool sto_is_news(struct sto *sto, const struct sto_call *call);
 
 static const struct hc_ops sto_ops = {
 	.headers = sto_on_headers,
@@ -31,6 +35,7 @@
 		return STO_E_MEMORY;
 	sto->hc = hc;
 	sto->seed = seed | 1;
+	sto->eras.newest = POS_ERA_NONE;
 	strncpy(sto->address, address, sizeof(sto->address) - 1);
 	CDS_INIT_LIST_HEAD(&sto->follows);
 	if (hc_host_new(hc, address, STO_CONNECTIONS, &sto->host)) {
@@ -109,6 +114,8 @@
 	call->sto = sto;
 	call->done = done;
 	call->user = user;
+	call->sent_era = sto->eras.newest;
+	call->era = POS_ERA_NONE;
 	send.request = pl_call_encode(method, path, sto->address, body);
 	send.ops = &sto_ops;
 	send.user = call;
@@ -136,6 +143,7 @@
 	struct sto_call *call = user;
 
 	call->status = answer->status;
+	call->era = pl_store_era(answer->headers);
 	return true;
 }
 
@@ -150,10 +158,12 @@
 {
 	struct sto_call *call = user;
 	enum sto_result result = STO_LOST;
+	struct sto *sto = call->sto;
+	int64_t from_era = sto->eras.newest;
 	size_t len = evbuffer_get_length(call->body);
 	const char *body;
 
-	if (end == HC_WHOLE)
+	if (end == HC_WHOLE && sto_is_news(sto, call))
 		result = sto_result_of(call->status);
 	else if (end == HC_UNSENT)
 		result = STO_REFUSED;
@@ -164,6 +174,30 @@
 	call->done(call->user, result, body, len);
 	evbuffer_free(call->body);
 	free(call);
+	if (sto->eras.newest == from_era || from_era == POS_ERA_NONE)
+		return;
+	jlog(LOG_PF_RETURNED, "\"store\":\"%s\",\"from\":%lld,\"to\":%lld",
+	     sto->address, (long long)from_era, (long long)sto->eras.newest);
+	if (sto->come_back)
+		sto->come_back(sto, from_era);
+}
+
+/* Takes the era of an answer, and tells whether the answer counts. */
+static bool sto_is_news(struct sto *sto, const struct sto_call *call)
+{
+	int64_t now = clk_boot_us();
+
+	if (call->era < POS_ERA_NONE && now >= sto->bad_era_us) {
+		sto->bad_era_us = now + STO_BAD_ERA_US;
+		jlog(LOG_PF_ERA_BAD, "\"store\":\"%s\"", sto->address);
+	}
+	return pos_take_era(&sto->eras, call->sent_era, call->era);
+}
+
+/* Returns the newest era that the store has named, or POS_ERA_NONE. */
+int64_t sto_era(const struct sto *sto)
+{
+	return sto->eras.newest;
 }
 
 static enum sto_result sto_result_of(int status)
--- a/src/sto.h
+++ b/src/sto.h
@@ -12,6 +12,7 @@
 #include <stdint.h>
 
 #include "hc.h"
+#include "pos.h"
 #include "wire.h"
 
 struct sto;
@@ -22,7 +23,8 @@
 	STO_CONFLICT, /* another revision holds */
 	STO_MISSING,  /* no such key or lease */
 	STO_REFUSED,  /* nothing was done: over the rate, or not served */
-	STO_LOST,     /* no answer: it may be done, now or seconds later */
+	/* No answer, or one of another era: it may be done, now or later. */
+	STO_LOST,
 };
 
 typedef void (*sto_done_fn)(void *user, enum sto_result result,
@@ -35,6 +37,8 @@
 	void (*end)(void *user); /* the list is whole */
 	/* What was told so far was the newest at sent_us. */
 	void (*fresh)(void *user, int64_t sent_us);
+	/* The store has come back from an older copy; a list follows. */
+	void (*returned)(void *user, int64_t from_era, int64_t to_era);
 	/* reachable: a call was answered after some that were not. */
 	void (*reachable)(void *user, bool reachable);
 };
@@ -58,6 +62,7 @@
 	    struct sto **out);
 void sto_tick(struct sto *sto, int64_t now);
 uint64_t sto_calls(const struct sto *sto);
+int64_t sto_era(const struct sto *sto);
 
 /* Each call is told its result exactly once, later. */
 void sto_lease(struct sto *sto, int64_t ttl_ms, sto_done_fn done, void *user);
@@ -75,8 +80,9 @@
 void sto_follow_ask(struct sto_follow *follow);
 void sto_follow_retry(struct sto_follow *follow, int64_t retry_max_us);
 void sto_follow_back(struct sto_follow *follow);
-void sto_follow_heard(struct sto_follow *follow, int64_t revision);
-int64_t sto_follow_revision(const struct sto_follow *follow);
+void sto_follow_heard(struct sto_follow *follow, struct pos known);
+void sto_follow_list(struct sto_follow *follow);
+struct pos sto_follow_pos(const struct sto_follow *follow);
 
 int sto_read_lease(const char *body, size_t len, int64_t *lease,
 		   int64_t *ttl_ms);
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -13,6 +13,8 @@
 #define STO_RETRY_US (80 * MAG_US_PER_MS)
 /* How long the first watch after a failure stays open. */
 #define STO_BACK_WAIT_MS 20
+/* Instances that read all again at one event are spread over this. */
+#define STO_LIST_SPREAD_US (150 * MAG_US_PER_MS)
 /* Asks in a row without an answer after which a watch is given up, too. */
 #define STO_ASKS_LOST_MAX 2
 
@@ -33,20 +35,20 @@
 	const struct sto_follow_ops *ops;
 	void *user;
 	enum sto_follow_state state;
-	bool list_next;	  /* after the pause: a list, not a watch */
-	int64_t revision; /* of the store, up to which all was told */
+	bool list_next; /* after the pause: a list, not a watch */
+	struct pos at;	/* in the store's history; all before it was told */
 	int64_t list_revision;
 	int64_t sent_us;
 	int64_t list_sent_us;
 	int64_t retry_us;
 	int failures; /* in a row */
 
-	struct sto_call *call;	/* the list or watch in progress */
-	int64_t told_revision;	/* of the store, by the newest ask */
-	int64_t told_sent_us;	/* when that was asked */
-	int64_t known_revision; /* that the store had, by any word */
-	int64_t behind_us; /* this watch lags behind it since then; 0: no */
-	int asks_lost;	   /* in a row */
+	struct sto_call *call; /* the list or watch in progress */
+	struct pos told;       /* of the store, by the newest ask */
+	int64_t told_sent_us;  /* when that was asked */
+	struct pos known;      /* that the store had, by any word */
+	int64_t behind_us;     /* this watch lags behind it since then; 0: no */
+	int asks_lost;	       /* in a row */
 };
 
 /* How far is the store?  Several may be on their way: answers get lost. */
@@ -72,6 +74,7 @@
 static void sto_tell(struct sto_follow *follow, struct wire_items *items);
 static void sto_pause(struct sto_follow *follow, bool list_next);
 static void sto_answered(struct sto_follow *follow);
+static void sto_come_back(struct sto *sto, int64_t from_era);
 
 /* Follows all keys under a prefix from now on. */
 int sto_follow(struct sto *sto, const struct sto_follow_settings *settings,
@@ -88,7 +91,11 @@
 	follow->retry_max_us = settings->retry_max_us;
 	follow->ops = settings->ops;
 	follow->user = settings->user;
+	follow->at.era = POS_ERA_NONE;
+	follow->told.era = POS_ERA_NONE;
+	follow->known.era = POS_ERA_NONE;
 	cds_list_add_tail(&follow->node, &sto->follows);
+	sto->come_back = sto_come_back;
 	sto_list(follow);
 	if (out)
 		*out = follow;
@@ -139,7 +146,7 @@
 	follow->state = STO_WATCHING;
 	follow->behind_us = 0;
 	follow->sent_us = clk_boot_us();
-	pl_store_watch(path, follow->prefix, follow->revision, wait_ms);
+	pl_store_watch(path, follow->prefix, follow->at.revision, wait_ms);
 	follow->call = sto_start(follow->sto, "GET", path, NULL,
 				 wait_ms * MAG_US_PER_MS, sto_watched, follow);
 }
@@ -173,7 +180,8 @@
 	}
 	pl_store_items_free(&items);
 	follow->after[0] = '\0';
-	follow->revision = follow->list_revision;
+	follow->at =
+		(struct pos){ sto_era(follow->sto), follow->list_revision };
 	follow->ops->end(follow->user);
 	follow->ops->fresh(follow->user, follow->list_sent_us);
 	sto_compare(follow);
@@ -199,8 +207,9 @@
 	}
 	sto_answered(follow);
 	sto_tell(follow, &items);
-	if (items.revision > follow->revision)
-		follow->revision = items.revision;
+	follow->at.era = sto_era(follow->sto);
+	if (items.revision > follow->at.revision)
+		follow->at.revision = items.revision;
 	pl_store_items_free(&items);
 	follow->ops->fresh(follow->user, follow->sent_us);
 	sto_compare(follow);
@@ -246,10 +255,12 @@
 	}
 	follow->asks_lost = 0;
 	if (sent_us > follow->told_sent_us) {
-		follow->told_revision = items.revision;
+		follow->told =
+			(struct pos){ sto_era(follow->sto), items.revision };
 		follow->told_sent_us = sent_us;
 	}
-	sto_follow_heard(follow, items.revision);
+	sto_follow_heard(follow,
+			 (struct pos){ sto_era(follow->sto), items.revision });
 	pl_store_items_free(&items);
 	sto_compare(follow);
 	if (follow->failures > 0)
@@ -260,15 +271,51 @@
 static void sto_compare(struct sto_follow *follow)
 {
 	if (follow->told_sent_us && follow->state != STO_LISTING &&
-	    follow->revision >= follow->told_revision)
+	    pos_compare(follow->at, follow->told) >= 0)
 		follow->ops->fresh(follow->user, follow->told_sent_us);
 }
 
-/* Another one, or an answer, has shown that the store has a revision. */
-void sto_follow_heard(struct sto_follow *follow, int64_t revision)
+/*
+ * Another one, or an answer, has shown that the store has a position.  Of a
+ * new era the store itself is asked: a peer's word proves nothing.
+ */
+void sto_follow_heard(struct sto_follow *follow, struct pos known)
 {
-	if (revision > follow->known_revision)
-		follow->known_revision = revision;
+	bool new_era = known.era > follow->known.era &&
+		       known.era > sto_era(follow->sto);
+
+	if (pos_compare(known, follow->known) <= 0)
+		return;
+	follow->known = known;
+	if (new_era && sto_era(follow->sto) != POS_ERA_NONE)
+		sto_follow_ask(follow);
+}
+
+/* Reads all again, soon. */
+void sto_follow_list(struct sto_follow *follow)
+{
+	sto_drop_call(follow);
+	follow->after[0] = '\0';
+	follow->state = STO_PAUSING;
+	follow->list_next = true;
+	follow->retry_us =
+		clk_boot_us() +
+		(int64_t)(mag_random(&follow->sto->seed) % STO_LIST_SPREAD_US);
+}
+
+/* The store has come back from an older copy: what was told may not stand. */
+static void sto_come_back(struct sto *sto, int64_t from_era)
+{
+	struct sto_follow *follow;
+
+	cds_list_for_each_entry (follow, &sto->follows, node) {
+		follow->at = (struct pos){ sto_era(sto), 0 };
+		follow->told_sent_us = 0;
+		if (follow->ops->returned)
+			follow->ops->returned(follow->user, from_era,
+					      sto_era(sto));
+		sto_follow_list(follow);
+	}
 }
 
 /* Sets the longest pause between two tries while the store does not answer. */
@@ -284,10 +331,10 @@
 		sto_wake(follow);
 }
 
-/* Returns the revision up to which all was told. */
-int64_t sto_follow_revision(const struct sto_follow *follow)
+/* Returns the position up to which all was told. */
+struct pos sto_follow_pos(const struct sto_follow *follow)
 {
-	return follow->revision;
+	return follow->at;
 }
 
 /*
@@ -298,7 +345,7 @@
 static bool sto_is_deaf(struct sto_follow *follow, int64_t now)
 {
 	if (follow->state != STO_WATCHING ||
-	    follow->revision >= follow->known_revision) {
+	    !pos_is_behind(follow->at, follow->known)) {
 		follow->behind_us = 0;
 		return false;
 	}
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -20,6 +20,10 @@
 	struct cds_list_head follows; /* of struct sto_follow */
 	uint64_t seed;
 	uint64_t calls;
+	struct pos_eras eras;
+	int64_t bad_era_us; /* no line on a malformed one before then */
+	/* The era has risen; NULL while nothing is followed. */
+	void (*come_back)(struct sto *sto, int64_t from_era);
 };
 
 /* A single call in progress. */
@@ -28,6 +32,8 @@
 	sto_done_fn done;
 	void *user;
 	int status;
+	int64_t sent_era; /* the newest one when it was sent */
+	int64_t era;	  /* that its answer names */
 	struct evbuffer *body;
 	struct hc_call *call;
 };
--- a/src/wire.h
+++ b/src/wire.h
@@ -82,6 +82,7 @@
 	char *value; /* decoded bytes with a NUL behind; NULL if deleted */
 	size_t len;
 	int64_t revision;
+	int64_t lease; /* 0: none */
 	bool deleted;
 };
 
--- a/src/wk.c
+++ b/src/wk.c
@@ -39,11 +39,22 @@
  * next, and spend the runs that their route allows there.
  */
 #define WK_ANSWER_US (15 * MAG_US_PER_MS)
+/*
+ * So long after the store came back from a copy, entries that a list has of
+ * workers that were gone before count for nothing: they have not lapsed yet.
+ */
+#define WK_PAST_US (10 * MAG_US_PER_S)
 /* Weight of the newest outcome in the smoothed figures. */
 #define WK_SMOOTH 0.1
 
 static void wk_take_entry(struct wk *wk, const struct wire_worker *worker,
 			  int64_t now);
+static void wk_take_copy(struct wk *wk, const struct wire_worker *worker,
+			 int64_t now);
+static bool wk_is_past(const struct wk_table *table,
+		       const struct wire_worker *worker, int64_t now);
+static void wk_add_past(struct wk_table *table, const struct wk *wk,
+			int64_t now);
 static void wk_settle_address(struct wk_table *table, struct wk *wk);
 static void wk_forget(struct wk_table *table, struct wk *wk);
 static void wk_log_suspect(const struct wk *wk, const char *why,
@@ -62,6 +73,7 @@
 {
 	struct wk *wk;
 
+	table->listing = true;
 	cds_list_for_each_entry (wk, &table->workers, node)
 		wk->seen = false;
 }
@@ -72,6 +84,8 @@
 {
 	struct wk *wk = wk_by_id(table, worker->id);
 
+	if (table->listing && wk_is_past(table, worker, now))
+		return WK_E_OLD;
 	if (wk && strcmp(wk->is.address, worker->address) != 0) {
 		/* The same name at another address is another process. */
 		wk_remove(table, wk->is.id, now, now);
@@ -102,24 +116,57 @@
 		     wk->is.id, wk->is.address, wk->is.data_centre,
 		     wk->layers.from, wk->layers.to);
 	}
-	wk_take_entry(wk, worker, now);
+	if (table->listing && table->settling)
+		wk_take_copy(wk, worker, now);
+	else
+		wk_take_entry(wk, worker, now);
 	wk_settle_address(table, wk);
 	if (out)
 		*out = wk;
 	return WK_OK;
 }
 
-/* Workers that the whole list lacks are gone from gone_us on. */
+/*
+ * Workers that the whole list lacks are gone from gone_us on.  A store that has
+ * just come back from a copy lacks what was written since.
+ */
 void wk_list_end(struct wk_table *table, int64_t gone_us, int64_t now)
 {
 	struct wk *wk;
 
+	table->listing = false;
+	if (table->settling)
+		return;
 	cds_list_for_each_entry (wk, &table->workers, node) {
 		if (!wk->seen && wk->listed)
 			wk_remove(table, wk->is.id, gone_us, now);
 	}
 }
 
+/* The store has come back from an older copy. */
+void wk_returned(struct wk_table *table, int64_t now)
+{
+	table->settling = true;
+	table->returned_us = now;
+}
+
+/* All have written again: the next list is taken as it stands. */
+void wk_settled(struct wk_table *table)
+{
+	table->settling = false;
+}
+
+/* Returns how many workers the list that was read last lacks. */
+int wk_missing(const struct wk_table *table)
+{
+	const struct wk *wk;
+	int missing = 0;
+
+	cds_list_for_each_entry (wk, &table->workers, node)
+		missing += wk->listed && !wk->seen;
+	return missing;
+}
+
 /* An entry was removed: the worker is taken for gone from gone_us on. */
 void wk_remove(struct wk_table *table, const char *id, int64_t gone_us,
 	       int64_t now)
@@ -130,6 +177,7 @@
 		return;
 	wk->listed = false;
 	wk->gone_us = gone_us;
+	wk_add_past(table, wk, now);
 	jlog(LOG_WK_GONE, "\"worker\":\"%s\",\"in_ms\":%d", wk->is.id,
 	     (int)((gone_us - now) / MAG_US_PER_MS));
 }
@@ -315,10 +363,60 @@
 	wk->refs--;
 }
 
+/*
+ * Takes an entry of a store that has just come back from a copy: it shows that
+ * the worker is there, and that it leaves, and nothing else of one that is
+ * known; its state may be an old one.
+ */
+static void wk_take_copy(struct wk *wk, const struct wire_worker *worker,
+			 int64_t now)
+{
+	struct wire_worker known = wk->is;
+
+	if (worker->born_ms > known.born_ms) {
+		wk_take_entry(wk, worker, now);
+		return;
+	}
+	if (worker->born_ms == known.born_ms)
+		known.draining |= worker->draining;
+	wk_take_entry(wk, &known, now);
+}
+
+/* Tells whether an entry names a worker that is known to be gone. */
+static bool wk_is_past(const struct wk_table *table,
+		       const struct wire_worker *worker, int64_t now)
+{
+	const struct wk_past *past;
+	int i;
+
+	if (!table->returned_us || now - table->returned_us > WK_PAST_US)
+		return false;
+	for (i = 0; i < WK_PAST_MAX; i++) {
+		past = &table->past[i];
+		if (past->gone_us && past->gone_us <= table->returned_us &&
+		    worker->born_ms <= past->born_ms &&
+		    strcmp(past->id, worker->id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void wk_add_past(struct wk_table *table, const struct wk *wk,
+			int64_t now)
+{
+	struct wk_past *past = &table->past[table->past_next];
+
+	table->past_next = (table->past_next + 1) % WK_PAST_MAX;
+	mag_copy_name(past->id, sizeof(past->id), wk->is.id);
+	past->born_ms = wk->is.born_ms;
+	past->gone_us = now;
+}
+
 static void wk_take_entry(struct wk *wk, const struct wire_worker *worker,
 			  int64_t now)
 {
 	bool reborn = worker->born_ms != wk->is.born_ms;
+	bool leaving = wk->is.draining && !reborn;
 	bool moved = worker->layers.from != wk->is.layers.from ||
 		     worker->layers.to != wk->is.layers.to;
 
@@ -352,6 +450,8 @@
 	    wk->layers.to == wk->order.to)
 		wk->ordered = false;
 	wk->is = *worker;
+	/* Who leaves does not come back under the same start. */
+	wk->is.draining |= leaving;
 }
 
 /*
--- a/src/wk.h
+++ b/src/wk.h
@@ -17,6 +17,7 @@
 #include "wire.h"
 
 #define WK_VICTIMS_MAX 32
+#define WK_PAST_MAX    256
 
 /* A request that ran on a worker when its answer broke off. */
 struct wk_victim {
@@ -85,8 +86,20 @@
 	struct wire_range order;
 };
 
+/* A worker that was gone, by its entry or for want of one. */
+struct wk_past {
+	char id[WIRE_ID_MAX];
+	int64_t born_ms;
+	int64_t gone_us;
+};
+
 struct wk_table {
 	struct cds_list_head workers;
+	struct wk_past past[WK_PAST_MAX]; /* the oldest is replaced */
+	int past_next;
+	bool listing;  /* entries are read from a list, not as they change */
+	bool settling; /* the store has just come back from an older copy */
+	int64_t returned_us; /* when that was seen last; 0: never */
 	struct hc *hc;
 	int count;
 	int64_t grew_us; /* when a worker was last seen for the first time */
@@ -97,6 +110,7 @@
 	WK_OK = 0,
 	WK_E_MEMORY = -1,
 	WK_E_ADDRESS = -2,
+	WK_E_OLD = -3, /* the entry is of a copy, and what it names was gone */
 };
 
 /* To what a worker answered. */
@@ -112,6 +126,9 @@
 int wk_list_put(struct wk_table *table, const struct wire_worker *worker,
 		int64_t now, struct wk **out);
 void wk_list_end(struct wk_table *table, int64_t gone_us, int64_t now);
+void wk_returned(struct wk_table *table, int64_t now);
+void wk_settled(struct wk_table *table);
+int wk_missing(const struct wk_table *table);
 void wk_remove(struct wk_table *table, const char *id, int64_t gone_us,
 	       int64_t now);
 void wk_tick(struct wk_table *table, int64_t now);
