lay_balance: move no card while a holder beside it is suspected

Cause: the planner counted a suspect like any other holder when it asked what the others hold meanwhile.

Change: a data centre with a suspect in it is not settled, so that no card moves there until the suspect has answered or its entry is gone. Holes are closed as before.

regress/lay/suspect failed before (card 2 holds 0-8) and passes.

--- a/regress/check_lay.c
+++ b/regress/check_lay.c
@@ -119,6 +119,10 @@
 			hold();
 		else if (sscanf(line, "lose %d", &n) == 1)
 			lose(n, false);
+		else if (sscanf(line, "suspect %d", &n) == 1)
+			cards[n].suspect = true;
+		else if (sscanf(line, "cleared %d", &n) == 1)
+			cards[n].suspect = false;
 		else if (sscanf(line, "back %d", &n) == 1)
 			lose(n, true);
 		else if (sscanf(line, "cover %d", &n) == 1)
--- a/src/lay.h
+++ b/src/lay.h
@@ -28,6 +28,7 @@
 	int to;
 	bool usable;   /* neither leaving nor thought lost */
 	bool moving;   /* an order to it is not carried out yet */
+	bool suspect;  /* it may be lost, or answer again in a moment */
 	int want_from; /* out: what it is to hold */
 	int want_to;
 };
--- a/src/lay_balance.c
+++ b/src/lay_balance.c
@@ -260,14 +260,18 @@
 	}
 }
 
-/* Tells whether a data centre holds what it is to hold. */
+/*
+ * Tells whether a data centre holds what it is to hold, as far as is known: of
+ * a suspect it is not, and what it holds may hang on the card that would move.
+ */
 static bool lay_settled(const struct lay_card *cards, int count, int centre)
 {
 	int i;
 
 	for (i = 0; i < count; i++) {
 		if (cards[i].centre == centre && cards[i].usable &&
-		    (cards[i].moving || cards[i].from != cards[i].want_from ||
+		    (cards[i].moving || cards[i].suspect ||
+		     cards[i].from != cards[i].want_from ||
 		     cards[i].to != cards[i].want_to))
 			return false;
 	}
--- a/src/plr.c
+++ b/src/plr.c
@@ -214,6 +214,7 @@
 		card->want_to = card->to;
 		card->usable = true;
 		card->moving = wk->ordered || wk->busy;
+		card->suspect = wk->on_trial || wk->unresponsive;
 	}
 	return count;
 }
