--- a/regress/check_thr.c
+++ b/regress/check_thr.c
@@ -23,7 +23,7 @@
 static struct {
 	struct wk_table table;
 	struct wk wk;
-	struct hint_router self; /* as told last */
+	struct hint_router self; /* as reported last */
 	double rate;		 /* of its callers */
 	struct hint_message heard[ROUTERS_MAX];
 	int64_t heard_us[ROUTERS_MAX];
--- a/src/edge.h
+++ b/src/edge.h
@@ -61,7 +61,6 @@
 	struct rt_set *rt;	/* NULL until the first configuration */
 	struct attest attest;	/* how old it may be */
 	struct era era;		/* since the store came back from a copy */
-	int64_t newer_us;	/* a peer had a newer one then; 0: never */
 	int64_t newest_version; /* of those that peers have named */
 	int64_t listed_version; /* that the store has */
 	bool in_list;		/* a whole list is being read */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -456,7 +456,7 @@
 }
 
 /*
- * All that was told was the newest when the call was sent, unless the store
+ * All that was reported was the newest when the call was sent, unless the store
  * has just come back from a copy, or a peer has a newer configuration.
  */
 static void edge_fresh(void *user, int64_t sent_us)
--- a/src/hint.c
+++ b/src/hint.c
@@ -32,7 +32,7 @@
 #define HINT_SUSPECT_US (600 * MAG_US_PER_MS)
 /* A router that was not heard for so long has no part of a worker's limit. */
 #define HINT_MEMBER_US (10 * MAG_US_PER_S)
-/* Loads of callers are told as requests in this many seconds. */
+/* Loads of callers are reported as requests in so many seconds. */
 #define HINT_DEMAND_S 100.0
 /* The load of callers is smoothed over this time. */
 #define HINT_DEMAND_US (2 * MAG_US_PER_S)
@@ -70,7 +70,7 @@
 	int peer_count;
 	struct hint_loads own;
 	struct hint_index index; /* as of the last adding up */
-	struct hint_router self; /* as peers were told last */
+	struct hint_router self; /* as reported to peers last */
 	double demand;		 /* requests a second, smoothed */
 	uint64_t requests;	 /* of callers, when that was computed */
 	int64_t demand_us;	 /* likewise */
@@ -91,7 +91,6 @@
 static void hint_take_attestation(struct edge *edge,
 				  const struct attest_claim *claim,
 				  int64_t now);
-static void hint_take_version(struct edge *edge, int64_t version, int64_t now);
 static void hint_add_up(struct hint *hint, int64_t now);
 static void hint_take_demand(struct hint *hint, int64_t now);
 static void hint_share_limits(struct hint *hint, int64_t now);
@@ -255,7 +254,8 @@
 	}
 }
 
-/* Tells a router that was heard for the first time; it may not be listed. */
+/* Reports to a router that was heard for the first time; it may not be listed.
+ */
 static void hint_greet(struct hint *hint, struct hint_peer *peer)
 {
 	static struct hint_message message;
@@ -359,7 +359,8 @@
 	       message->limit_count * sizeof(message->limits[0]));
 	sto_follow_heard(edge->follow, message->at);
 	edge->era.peers_heard = true;
-	hint_take_version(edge, message->claim.version, now);
+	if (message->claim.version > edge->newest_version)
+		edge->newest_version = message->claim.version;
 	if (message->at.era == sto_era(edge->sto))
 		hint_take_attestation(edge, &message->claim, now);
 	for (k = 0; k < message->suspect_count; k++)
@@ -372,15 +373,6 @@
 		hint_greet(hint, peer);
 }
 
-/* Notes that a peer has a newer configuration than this router. */
-static void hint_take_version(struct edge *edge, int64_t version, int64_t now)
-{
-	if (!edge->rt || version > edge->rt->version)
-		edge->newer_us = now;
-	if (version > edge->newest_version)
-		edge->newest_version = version;
-}
-
 /*
  * Takes a peer's statement on the configuration's age.  A leap after an outage
  * shows that the store answers again.
@@ -459,7 +451,7 @@
 	}
 }
 
-/* Smooths the load of callers; parts of limits go by what peers were told. */
+/* Smooths the load of callers; parts of limits go by what was reported. */
 static void hint_take_demand(struct hint *hint, int64_t now)
 {
 	uint64_t requests = hint->edge->met.counters[MET_REQUESTS];
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -51,7 +51,8 @@
 	uint32_t ready; /* it takes callers and can check their keys */
 	uint32_t session;
 	int64_t stamp_us; /* the sender's clock */
-	struct pos at;	  /* in the store's history, up to which it was told */
+	struct pos at; /* in the store's history, up to which the sender knows
+			  all */
 	struct attest_claim claim;
 	uint32_t part; /* of the sender's load that is in this message */
 	uint32_t part_count;
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -36,19 +36,19 @@
 	void *user;
 	enum sto_follow_state state;
 	bool list_next; /* after the pause: a list, not a watch */
-	struct pos at;	/* in the store's history; all before it was told */
+	struct pos at;	/* in the store's history; all up to it was reported */
 	int64_t list_revision;
 	int64_t sent_us;
 	int64_t list_sent_us;
 	int64_t retry_us;
 	int failures; /* in a row */
 
-	struct sto_call *call; /* the list or watch in progress */
-	struct pos told;       /* of the store, by the newest ask */
-	int64_t told_sent_us;  /* when that was asked */
-	struct pos known;      /* that the store had, by any word */
-	int64_t behind_us;     /* this watch lags behind it since then; 0: no */
-	int asks_lost;	       /* in a row */
+	struct sto_call *call;	  /* the list or watch in progress */
+	struct pos reported;	  /* of the store, by the newest ask */
+	int64_t reported_sent_us; /* when that was asked */
+	struct pos known;	  /* that the store had, by any word */
+	int64_t behind_us; /* this watch lags behind it since then; 0: no */
+	int asks_lost;	   /* in a row */
 };
 
 /* How far is the store?  Several may be on their way: answers get lost. */
@@ -92,7 +92,7 @@
 	follow->ops = settings->ops;
 	follow->user = settings->user;
 	follow->at.era = POS_ERA_NONE;
-	follow->told.era = POS_ERA_NONE;
+	follow->reported.era = POS_ERA_NONE;
 	follow->known.era = POS_ERA_NONE;
 	cds_list_add_tail(&follow->node, &sto->follows);
 	sto->come_back = sto_come_back;
@@ -254,10 +254,10 @@
 		return;
 	}
 	follow->asks_lost = 0;
-	if (sent_us > follow->told_sent_us) {
-		follow->told =
+	if (sent_us > follow->reported_sent_us) {
+		follow->reported =
 			(struct pos){ sto_era(follow->sto), items.revision };
-		follow->told_sent_us = sent_us;
+		follow->reported_sent_us = sent_us;
 	}
 	sto_follow_heard(follow,
 			 (struct pos){ sto_era(follow->sto), items.revision });
@@ -270,9 +270,9 @@
 /* Tells that all was told, if the follower is as far as the store was. */
 static void sto_compare(struct sto_follow *follow)
 {
-	if (follow->told_sent_us && follow->state != STO_LISTING &&
-	    pos_compare(follow->at, follow->told) >= 0)
-		follow->ops->fresh(follow->user, follow->told_sent_us);
+	if (follow->reported_sent_us && follow->state != STO_LISTING &&
+	    pos_compare(follow->at, follow->reported) >= 0)
+		follow->ops->fresh(follow->user, follow->reported_sent_us);
 }
 
 /*
@@ -303,14 +303,15 @@
 		(int64_t)(mag_random(&follow->sto->seed) % STO_LIST_SPREAD_US);
 }
 
-/* The store has come back from an older copy: what was told may not stand. */
+/* The store has come back from an older copy: what was reported may no longer
+ * hold. */
 static void sto_come_back(struct sto *sto, int64_t from_era)
 {
 	struct sto_follow *follow;
 
 	cds_list_for_each_entry (follow, &sto->follows, node) {
 		follow->at = (struct pos){ sto_era(sto), 0 };
-		follow->told_sent_us = 0;
+		follow->reported_sent_us = 0;
 		if (follow->ops->returned)
 			follow->ops->returned(follow->user, from_era,
 					      sto_era(sto));
@@ -331,7 +332,7 @@
 		sto_wake(follow);
 }
 
-/* Returns the position up to which all was told. */
+/* Returns the position up to which all was reported. */
 struct pos sto_follow_pos(const struct sto_follow *follow)
 {
 	return follow->at;
--- a/src/thr.c
+++ b/src/thr.c
@@ -22,8 +22,7 @@
  * takes: what each may have ahead of its rate adds up over them.
  */
 #define THR_SENDERS_PER_LIMIT 0.5
-/* Least weight of a router, as a part of the mean: it may have had no caller.
- */
+/* Least weight of a router, as a part of the mean. */
 #define THR_LEAST_WEIGHT 0.25
 
 static double thr_rate(const struct thr *thr);
--- a/src/thr.h
+++ b/src/thr.h
@@ -48,7 +48,7 @@
 /* A router that may send to the worker. */
 struct thr_member {
 	uint32_t id;
-	double demand; /* requests a second of callers, as it said last */
+	double demand; /* requests a second of callers, as reported last */
 };
 
 enum thr_change thr_named(struct thr *thr, double limit, int64_t at_us,
