--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -147,7 +147,7 @@
 }
 
 # name_limit NUMBER PER_S: a worker names a limit from now on, or none.
-name_limit() { curl -s -o "$dir/null" "http://$(worker $1)/stand-in/limit/$2"; }
+name_limit() { curl -s -o "$dir/null" "http://$(worker $1)/stand-in/limit/${2:-}"; }
 
 # limits: compares what limited workers got with what they take.
 limits() {
