--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -125,6 +125,23 @@
 	wait_for "served_by $(router 1)"
 }
 
+# start_twins ROUTERS [KEYS]: one data centre with two large engines, each with all
+# layers, two plain workers and so many routers.
+start_twins() {
+	start_store
+	put_config 1 "$2"
+	for n in 1 2; do start_worker $n model a big; done
+	for n in 3 4; do start_worker $n app a; done
+	routers=""
+	for n in $(seq "$1"); do
+		start_router $n a
+		routers="$routers $(router $n)"
+	done
+	for n in $(seq "$1"); do wait_for "ready $n"; done
+	wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 2 ]"
+	wait_for "served_by $routers"
+}
+
 # stop_second_half NAME: callers ask router 1 for 6 s, as NAME, and meanwhile
 # one of the two engines that hold the second half of the layers stops.
 stop_second_half() {
--- a/regress/edge/returned-key.sh
+++ b/regress/edge/returned-key.sh
@@ -2,14 +2,7 @@
 # router that starts before the operator has written again knows only the copy;
 # it must not run a request with that key.
 . edge/lib.sh
-start_store
-put_config 1 '"key-1","key-2"'
-for n in 1 2; do start_worker $n model a big; done
-for n in 3 4; do start_worker $n app a; done
-for n in 1 2; do start_router $n a; done
-for n in 1 2; do wait_for "ready $n"; done
-wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 2 ]"
-wait_for "served_by $(router 1) $(router 2)"
+start_twins 2 '"key-1","key-2"'
 store_copies
 put_config 2
 wait_for "logged 1 '\"version\":2,' && logged 2 '\"version\":2,'"
