--- a/regress/fuzz_pl.c
+++ b/regress/fuzz_pl.c
@@ -14,6 +14,17 @@
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
+/* Reads the bytes as the era that an answer names. */
+static void read_era(const char *text, size_t len)
+{
+	struct hdr_list headers = { 0 };
+
+	if (hdr_add_name(&headers, "Store-Era", 9) == HDR_OK &&
+	    hdr_add_value(&headers, text, len) == HDR_OK)
+		pl_store_era(&headers);
+	hdr_free(&headers);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static struct wire_report report;
@@ -46,6 +57,7 @@
 			pl_store_items_free(&items);
 		if (pl_store_item(text, size - 1, &items) == PL_OK)
 			pl_store_items_free(&items);
+		read_era(text, size - 1);
 		break;
 	}
 	return 0;
