hint: greet a new router without taking news from the others

What callers would see: a request that crashes workers is refused at the router that has learned it and crashes the next workers through the router beside it.

Cause: a message to a router that is heard for the first time (added with the store's return) was made by the same function as those to all peers, which takes what was learned of such requests off a queue. What one newcomer was sent, nobody else heard.

Ruled out: the quarantine itself; regress/edge/poison-request passed all the time, because it asks the router that has learned.

Change: news are added to a message only where it goes to all peers.

--- /dev/null
+++ b/regress/tool_peers.c
@@ -0,0 +1,44 @@
+/*
+ * Routers that come one after the other: sends a router a message of a new
+ * peer every few milliseconds, as many as are asked for.
+ */
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "clk.h"
+#include "fk.h"
+#include "hint_msg.h"
+
+#define EVERY_US (5 * MAG_US_PER_MS)
+
+int main(int argc, char **argv)
+{
+	static struct hint_message message = {
+		.part_count = 1,
+		.at = { POS_ERA_NONE, 0 },
+	};
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+	char bytes[HINT_BYTES_MAX];
+	size_t len;
+	int i;
+
+	if (argc < 3) {
+		fprintf(stderr, "usage: tool_peers PORT COUNT\n");
+		return 1;
+	}
+	addr.sin_port = htons((uint16_t)atoi(argv[1]));
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	for (i = 0; i < atoi(argv[2]); i++) {
+		snprintf(message.name, sizeof(message.name), "peer-%d", i);
+		message.session = (uint32_t)i + 1;
+		if (hint_msg_encode(&message, bytes, &len) ||
+		    sendto(fd, bytes, len, 0, (struct sockaddr *)&addr,
+			   sizeof(addr)) < 0)
+			return 1;
+		fk_sleep_us(EVERY_US);
+	}
+	return 0;
+}
--- a/src/hint.c
+++ b/src/hint.c
@@ -86,6 +86,7 @@
 static struct hint_peer *hint_peer_named(struct hint *hint, const char *name);
 static bool hint_has_suspect(struct hint *hint);
 static void hint_collect(struct hint *hint, struct hint_message *message);
+static void hint_collect_news(struct hint *hint, struct hint_message *message);
 static void hint_take(struct hint *hint, const struct hint_message *message,
 		      const struct sockaddr_in *from);
 static void hint_take_attestation(struct edge *edge,
@@ -197,6 +198,7 @@
 	int i;
 
 	hint_collect(hint, &message);
+	hint_collect_news(hint, &message);
 	if (peers == 0)
 		hint_send_heard(hint, &message);
 	else
@@ -275,12 +277,11 @@
 	return NULL;
 }
 
-/* Collects our load, and what else a message says. */
+/* Collects our load, and what else each message says. */
 static void hint_collect(struct hint *hint, struct hint_message *message)
 {
 	struct edge *edge = hint->edge;
 	int64_t now = clk_boot_us();
-	int64_t until_us;
 	struct wk *wk;
 
 	mag_copy_name(message->name, sizeof(message->name), edge->set.instance);
@@ -303,10 +304,18 @@
 			message->suspects[message->suspect_count++] =
 				hint_load_hash(wk->is.id);
 	}
+}
+
+/* Adds what was learned of requests that crash workers; each is sent once. */
+static void hint_collect_news(struct hint *hint, struct hint_message *message)
+{
+	struct quar *quar = hint->edge->quar;
+	struct hint_news *news = message->news;
+	int64_t until_us;
+
 	while (message->news_count < HINT_NEWS_MAX &&
-	       quar_next_news(
-		       edge->quar, message->news[message->news_count].print,
-		       &message->news[message->news_count].lost, &until_us))
+	       quar_next_news(quar, news[message->news_count].print,
+			      &news[message->news_count].lost, &until_us))
 		message->news_count++;
 }
 
