--- a/src/thr.c
+++ b/src/thr.c
@@ -28,6 +28,7 @@
 static double thr_rate(const struct thr *thr);
 static double thr_level(const struct thr *thr, int64_t now);
 static int thr_recent(const struct thr *thr, int64_t now);
+static double thr_least_weight(const struct thr_member *members, int count);
 static uint32_t thr_rank(uint32_t member, uint32_t worker);
 static bool thr_is_sender(const struct thr_member *members, int count,
 			  int index, uint32_t worker, int senders);
@@ -158,26 +159,32 @@
 {
 	int senders = 1 + (int)(limit < count ? limit * THR_SENDERS_PER_LIMIT
 					      : count);
+	double least = thr_least_weight(members, count);
 	double sum = 0;
-	double least;
-	double own = -1;
-	int chosen = 0;
+	double own = 0;
+	double weight;
 	int i;
 
-	for (i = 0; i < count; i++)
-		sum += members[i].demand;
-	least = sum > 0 ? sum / count * THR_LEAST_WEIGHT : 1;
-	sum = 0;
 	for (i = 0; i < count; i++) {
 		if (!thr_is_sender(members, count, i, worker, senders))
 			continue;
-		chosen++;
-		sum += members[i].demand > least ? members[i].demand : least;
+		weight = members[i].demand > least ? members[i].demand : least;
+		sum += weight;
 		if (members[i].id == self)
-			own = members[i].demand > least ? members[i].demand
-							: least;
+			own = weight;
 	}
-	return chosen > 0 && own >= 0 ? own / sum : 0;
+	return own > 0 ? own / sum : 0;
+}
+
+/* Returns the weight of a router that may have had no caller. */
+static double thr_least_weight(const struct thr_member *members, int count)
+{
+	double sum = 0;
+	int i;
+
+	for (i = 0; i < count; i++)
+		sum += members[i].demand;
+	return sum > 0 ? sum / count * THR_LEAST_WEIGHT : 1;
 }
 
 /* Returns the requests a second that this router may send. */
