hint: list the routers once for the limits of all workers

Every 150 ms the list of routers was made anew for each worker with a limit. It is made once a round, and where no worker names a limit not at all, as before. The list of members has room for this router beside 1,024 others; it was one short. No other behaviour changes; regress/thr and regress/edge/limited-worker pass.

--- a/src/hint.c
+++ b/src/hint.c
@@ -95,6 +95,8 @@
 static void hint_add_up(struct hint *hint, int64_t now);
 static void hint_take_demand(struct hint *hint, int64_t now);
 static void hint_share_limits(struct hint *hint, int64_t now);
+static const struct hint_router *hint_routers(const struct hint *hint,
+					      int64_t now, int *count);
 static void hint_suspect(struct hint *hint, uint32_t hash, const char *peer,
 			 int64_t now);
 
@@ -482,25 +484,42 @@
 /* Sets this router's part of each limit that workers name. */
 static void hint_share_limits(struct hint *hint, int64_t now)
 {
+	const struct hint_router *routers = NULL;
+	int count = 0;
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		if (wk->thr.limited)
-			thr_set_part(&wk->thr, hint_part(hint, wk, now), now);
+		if (!wk->thr.limited)
+			continue;
+		if (!routers)
+			routers = hint_routers(hint, now, &count);
+		thr_set_part(&wk->thr,
+			     hint_limit_part(routers, count, hint->self.id, wk),
+			     now);
 	}
 }
 
 /* Returns this router's part of the limit that a worker names. */
 double hint_part(const struct hint *hint, const struct wk *wk, int64_t now)
+{
+	int count;
+	const struct hint_router *routers = hint_routers(hint, now, &count);
+
+	return hint_limit_part(routers, count, hint->self.id, wk);
+}
+
+/* Lists this router and those heard lately; valid until the next call. */
+static const struct hint_router *hint_routers(const struct hint *hint,
+					      int64_t now, int *count)
 {
 	static struct hint_router routers[HINT_ROUTERS_MAX + 1];
-	int count = 0;
 	int i;
 
-	routers[count++] = hint->self;
+	*count = 0;
+	routers[(*count)++] = hint->self;
 	for (i = 0; i < hint->peer_count; i++) {
 		if (now - hint->peers[i].heard_us <= HINT_MEMBER_US)
-			routers[count++] = hint->peers[i].router;
+			routers[(*count)++] = hint->peers[i].router;
 	}
-	return hint_limit_part(routers, count, hint->self.id, wk);
+	return routers;
 }
--- a/src/hint_limit.c
+++ b/src/hint_limit.c
@@ -60,7 +60,7 @@
 double hint_limit_part(const struct hint_router *routers, int count,
 		       uint32_t self, const struct wk *wk)
 {
-	static struct thr_member members[HINT_ROUTERS_MAX];
+	static struct thr_member members[HINT_ROUTERS_MAX + 1];
 	uint32_t centre = hint_load_hash(wk->is.data_centre);
 	int found = 0;
 	bool all;
@@ -70,7 +70,7 @@
 		found += routers[i].centre == centre;
 	all = found == 0;
 	found = 0;
-	for (i = 0; i < count && found < HINT_ROUTERS_MAX; i++) {
+	for (i = 0; i < count && found <= HINT_ROUTERS_MAX; i++) {
 		if (all || routers[i].centre == centre)
 			members[found++] =
 				(struct thr_member){ routers[i].id,
