wk, eq_chain: keep a worker's limit where its state and its room are kept

Limits lapsed in the loop that asks workers questions, and a limit without room was handled beside the function that fills in a worker's load, which is where the next reader looks.

--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -251,10 +251,6 @@
 		w->memory =
 			spare_mb * 1e6 * engine->layers / engine->token_bytes;
 		eq_known_load(eq, wk, now, w);
-		if (!thr_may_send(&wk->thr, now)) {
-			w->memory = 0;
-			w->firsts_left = 0;
-		}
 		w->keeps_from = keeps ? keeps->from : 0;
 		w->keeps_to = keeps ? keeps->to : 0;
 		w->read_us = eq_read_us(eq, kind) * wk->slowdown;
@@ -361,6 +357,11 @@
 		firsts = wk->reported_firsts;
 	w->held = room_held(&known, now);
 	w->firsts_left = wk->is.slots - firsts;
+	/* A worker at its rate limit has no room for anything. */
+	if (!thr_may_send(&wk->thr, now)) {
+		w->memory = 0;
+		w->firsts_left = 0;
+	}
 }
 
 /*
--- a/src/wk.c
+++ b/src/wk.c
@@ -182,13 +182,14 @@
 	     (int)((gone_us - now) / MAG_US_PER_MS));
 }
 
-/* Frees workers that are gone and that nobody points at. */
+/* Ends limits that lapsed; frees workers that are gone and nobody points at. */
 void wk_tick(struct wk_table *table, int64_t now)
 {
 	struct wk *wk;
 	struct wk *next;
 
 	cds_list_for_each_entry_safe (wk, next, &table->workers, node) {
+		wk_limit_tick(wk, now);
 		if (wk->listed || wk->refs > 0 || now < wk->gone_us)
 			continue;
 		wk_forget(table, wk);
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -139,7 +139,6 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		wk_limit_tick(wk, now);
 		if (wk->probing && !wk->unresponsive &&
 		    now - wk->probed_us >= WKP_UNRESPONSIVE_US &&
 		    now - edge->late_us >= WKP_UNRESPONSIVE_US)
