sto, edge: drop arguments and a flag that say what is known already

The callback of a return passed two eras that no one read (the client logs them), and edge.in_list said what the table of workers' listing says. No behaviour changes: store-returned, returned-twice and returned-key pass as before.

--- a/src/edge.h
+++ b/src/edge.h
@@ -63,7 +63,6 @@
 	struct era era;		/* since the store came back from a copy */
 	int64_t newest_version; /* of those that peers have named */
 	int64_t listed_version; /* that the store has */
-	bool in_list;		/* a whole list is being read */
 	bool workers_listed;
 	bool store_reachable;
 	int64_t store_back_us; /* when the store was last regained */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -101,7 +101,7 @@
 static int edge_connections(const struct edge *edge,
 			    const struct rt_service *service);
 static void edge_reachable(void *user, bool reachable);
-static void edge_returned(void *user, int64_t from_era, int64_t to_era);
+static void edge_returned(void *user);
 static void edge_settled(struct edge *edge);
 static int64_t edge_gone_us(const struct edge *edge, int64_t now);
 
@@ -412,7 +412,6 @@
 {
 	struct edge_run *run = user;
 
-	run->edge.in_list = true;
 	wk_list_begin(&run->edge.workers);
 	pres_begin(run->edge.pres);
 }
@@ -451,7 +450,6 @@
 	}
 	wk_list_end(&edge->workers, edge_gone_us(edge, now), now);
 	edge->workers_listed = true;
-	edge->in_list = false;
 	pres_end(edge->pres);
 }
 
@@ -489,7 +487,7 @@
 		return;
 	}
 	edge->listed_version = fresh->version;
-	if (!edge->in_list)
+	if (!edge->workers.listing)
 		edge->era.config_written = true;
 	if (edge->rt && fresh->version <= edge->rt->version) {
 		rt_drop(fresh);
@@ -555,13 +553,11 @@
  * The store has come back from an older copy: until all have written again, a
  * list takes nothing away.
  */
-static void edge_returned(void *user, int64_t from_era, int64_t to_era)
+static void edge_returned(void *user)
 {
 	struct edge *edge = &((struct edge_run *)user)->edge;
 	int64_t now = clk_boot_us();
 
-	(void)from_era;
-	(void)to_era;
 	met_add(&edge->met, MET_RETURNS);
 	era_returned(&edge->era, now);
 	wk_returned(&edge->workers, now);
--- a/src/sto.c
+++ b/src/sto.c
@@ -179,7 +179,7 @@
 	jlog(LOG_PF_RETURNED, "\"store\":\"%s\",\"from\":%lld,\"to\":%lld",
 	     sto->address, (long long)from_era, (long long)sto->eras.newest);
 	if (sto->come_back)
-		sto->come_back(sto, from_era);
+		sto->come_back(sto);
 }
 
 /* Takes the era of an answer, and tells whether the answer counts. */
--- a/src/sto.h
+++ b/src/sto.h
@@ -38,7 +38,7 @@
 	/* What was told so far was the newest at sent_us. */
 	void (*fresh)(void *user, int64_t sent_us);
 	/* The store has come back from an older copy; a list follows. */
-	void (*returned)(void *user, int64_t from_era, int64_t to_era);
+	void (*returned)(void *user);
 	/* reachable: a call was answered after some that were not. */
 	void (*reachable)(void *user, bool reachable);
 };
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -74,7 +74,7 @@
 static void sto_tell(struct sto_follow *follow, struct wire_items *items);
 static void sto_pause(struct sto_follow *follow, bool list_next);
 static void sto_answered(struct sto_follow *follow);
-static void sto_come_back(struct sto *sto, int64_t from_era);
+static void sto_come_back(struct sto *sto);
 
 /* Follows all keys under a prefix from now on. */
 int sto_follow(struct sto *sto, const struct sto_follow_settings *settings,
@@ -305,7 +305,7 @@
 
 /* The store has come back from an older copy: what was reported may no longer
  * hold. */
-static void sto_come_back(struct sto *sto, int64_t from_era)
+static void sto_come_back(struct sto *sto)
 {
 	struct sto_follow *follow;
 
@@ -313,8 +313,7 @@
 		follow->at = (struct pos){ sto_era(sto), 0 };
 		follow->reported_sent_us = 0;
 		if (follow->ops->returned)
-			follow->ops->returned(follow->user, from_era,
-					      sto_era(sto));
+			follow->ops->returned(follow->user);
 		sto_follow_list(follow);
 	}
 }
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -23,7 +23,7 @@
 	struct pos_eras eras;
 	int64_t bad_era_us; /* no line on a malformed one before then */
 	/* The era has risen; NULL while nothing is followed. */
-	void (*come_back)(struct sto *sto, int64_t from_era);
+	void (*come_back)(struct sto *sto);
 };
 
 /* A single call in progress. */
