edge_follow: what the router takes from the store, out of edge_main

No behaviour changes: 253 module scripts, store-returned, returned-leaving, calm and leaving-worker pass before and after.

--- a/bench/bench_return.sh
+++ b/bench/bench_return.sh
@@ -7,7 +7,8 @@
 shift
 cd "$(dirname "$0")/../regress" || exit 1
 
-# router NUMBER: an address of its own, so that ports need not differ.
+# bench_router NUMBER DATA_CENTRE: at an address of its own, so that ports need not
+# differ.
 bench_router() {
 	cat >"$dir/router.$1.json" <<-JSON
 	{"instance":"r-$1","data_centre":"$2","address":"127.0.2.$1",
--- a/src/edge.h
+++ b/src/edge.h
@@ -95,6 +95,11 @@
 	struct met met;
 };
 
+/* edge_follow.c */
+int edge_follow(struct edge *edge);
+void edge_follow_tick(struct edge *edge, int64_t now);
+
+/* edge.c */
 int edge_centre(struct edge *edge, const char *name);
 struct bud *edge_budget(struct edge *edge, const char *service, int64_t now);
 bool edge_may_cross(struct edge *edge, const struct rt_engine *engine,
