wk_advert: log the backoff that a worker requests

Cause: the logs cannot tell a router that does not read Retry-After in a worker's refusal from one whose workers refused without one, or from one that read it and let a later refusal replace it.

Change: the fields that a worker advertises are decoded in one place (pl_advert_decode) for every answer to a request, a probe, an order or a repair; event 10111 (worker-backoff) says for how long and in answer to what. wk_limit.c becomes wk_advert.c.

Evidence: regress/pl/backoffs (missing, zero, fractional, huge, no number, a date, another status). Existing tests of limits are unchanged.

--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "hdr.h"
@@ -97,12 +98,23 @@
 	fprintf(out, "fault \"%s\"\n", address);
 }
 
+static void print_number(FILE *out, const struct wire_number *number,
+			 const char *unit)
+{
+	if (number->status == WIRE_NUMBER_VALID)
+		fprintf(out, "%g %s\n", number->value, unit);
+	else
+		fprintf(out, "%s\n",
+			number->status == WIRE_NUMBER_INVALID ? "unreadable"
+							      : "none");
+}
+
 /* "limit [TEXT]": prints the rate limit in the header of a response. */
 static void print_limit(FILE *out, const char *text)
 {
 	static const char name[] = "server-limit";
 	struct hdr_list headers = { 0 };
-	struct wire_limit limit;
+	struct wire_advert advert;
 
 	hdr_add_name(&headers, "Attempt-Id", 10);
 	hdr_add_value(&headers, "a-1", 3);
@@ -110,13 +122,27 @@
 		hdr_add_name(&headers, name, strlen(name));
 		hdr_add_value(&headers, text + 1, strlen(text + 1));
 	}
-	limit = pl_limit_decode(&headers);
-	if (limit.status == WIRE_LIMIT_VALID)
-		fprintf(out, "%g a second\n", limit.per_s);
-	else
-		fprintf(out, "%s\n",
-			limit.status == WIRE_LIMIT_INVALID ? "unreadable"
-							   : "none");
+	pl_advert_decode(200, &headers, &advert);
+	print_number(out, &advert.limit, "a second");
+	hdr_free(&headers);
+}
+
+/* "backoff STATUS [TEXT]": prints the backoff that a response requests. */
+static void print_backoff(FILE *out, const char *text)
+{
+	struct hdr_list headers = { 0 };
+	struct wire_advert advert;
+	char *value;
+	int status = (int)strtol(text, &value, 10);
+
+	hdr_add_name(&headers, "Attempt-Id", 10);
+	hdr_add_value(&headers, "a-1", 3);
+	if (*value) {
+		hdr_add_name(&headers, "retry-after", 11);
+		hdr_add_value(&headers, value + 1, strlen(value + 1));
+	}
+	pl_advert_decode(status, &headers, &advert);
+	print_number(out, &advert.backoff_s, "s");
 	hdr_free(&headers);
 }
 
@@ -162,6 +188,8 @@
 			print_era(out, line + 3);
 		else if (strncmp(line, "limit", 5) == 0)
 			print_limit(out, line + 5);
+		else if (strncmp(line, "backoff ", 8) == 0)
+			print_backoff(out, line + 8);
 	}
 }
 
--- a/regress/check_thr.c
+++ b/regress/check_thr.c
@@ -123,12 +123,12 @@
 
 static void receive_answer(int64_t sent_us, int r)
 {
-	struct wire_limit stated = { limit < 0 ? WIRE_LIMIT_NONE
-					       : WIRE_LIMIT_VALID,
-				     limit };
+	struct wire_advert advert = { 0 };
 
-	if (wk_apply_limit(&routers[r].wk, &stated, WK_ANSWER_SUCCESS, sent_us,
-			   now) != THR_UNCHANGED)
+	if (limit >= 0)
+		advert.limit = (struct wire_number){ WIRE_NUMBER_VALID, limit };
+	if (wk_apply_advert(&routers[r].wk, &advert, WK_ANSWER_SUCCESS, sent_us,
+			    now) != THR_UNCHANGED)
 		update_fraction(r);
 }
 
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -13,8 +13,8 @@
 #define EQ_INTERVAL_WEIGHT 8
 
 static bool eq_on_headers(void *user, const struct hc_response *response);
-static void eq_apply_limit(const struct eq *eq,
-			   const struct hc_response *response);
+static void eq_apply_advert(const struct eq *eq,
+			    const struct hc_response *response);
 static void eq_on_body(void *user, const void *bytes, size_t len);
 static void eq_on_end(void *user, enum hc_result end);
 static void eq_forward_events(struct eq *eq, const void *bytes, size_t len);
@@ -78,7 +78,7 @@
 	if (eq->answer.attempt_id && eq->request.attempt_id &&
 	    strcmp(eq->answer.attempt_id, eq->request.attempt_id) != 0)
 		return false;
-	eq_apply_limit(eq, response);
+	eq_apply_advert(eq, response);
 	eq->answered = true;
 	eq->status = response->status;
 	eq->at_fault[0] = '\0';
@@ -97,16 +97,16 @@
 }
 
 /*
- * Applies the rate limit in the first worker's answer, or the absence of one.
+ * Applies what the first worker's answer advertises.
  */
-static void eq_apply_limit(const struct eq *eq,
-			   const struct hc_response *response)
+static void eq_apply_advert(const struct eq *eq,
+			    const struct hc_response *response)
 {
 	bool sound = response->status / 100 == 2 && eq->answer.sealed;
 
-	wkp_apply_limit(eq->edge, eq->hops[0].worker, response,
-			sound ? WK_ANSWER_SUCCESS : WK_ANSWER_OTHER,
-			eq->sent_us);
+	wkp_apply_advert(eq->edge, eq->hops[0].worker, response,
+			 sound ? WK_ANSWER_SUCCESS : WK_ANSWER_OTHER,
+			 eq->sent_us);
 }
 
 static void eq_on_body(void *user, const void *bytes, size_t len)
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -136,8 +136,8 @@
 {
 	struct eq_repair *repair = user;
 
-	wkp_apply_limit(repair->eq->edge, repair->eq->hops[0].worker, response,
-			WK_ANSWER_OTHER, repair->eq->repaired_us);
+	wkp_apply_advert(repair->eq->edge, repair->eq->hops[0].worker, response,
+			 WK_ANSWER_OTHER, repair->eq->repaired_us);
 	repair->status = response->status;
 	return true;
 }
--- a/src/plr.c
+++ b/src/plr.c
@@ -286,8 +286,8 @@
 {
 	struct plr_call *call = user;
 
-	wkp_apply_limit(call->edge, call->wk, response, WK_ANSWER_ORDER,
-			call->wk->ordered_us);
+	wkp_apply_advert(call->edge, call->wk, response, WK_ANSWER_ORDER,
+			 call->wk->ordered_us);
 	call->status = response->status;
 	return true;
 }
--- a/src/wire.h
+++ b/src/wire.h
@@ -37,16 +37,23 @@
 	struct wire_range layers;
 };
 
-/* Whether a response contains the rate limit of its worker. */
-enum wire_limit_status {
-	WIRE_LIMIT_NONE,
-	WIRE_LIMIT_VALID,
-	WIRE_LIMIT_INVALID, /* present but malformed */
+/* Whether a response has a numeric field, and whether it is well-formed. */
+enum wire_number_status {
+	WIRE_NUMBER_NONE,
+	WIRE_NUMBER_VALID,
+	WIRE_NUMBER_INVALID, /* present but malformed */
 };
 
-struct wire_limit {
-	enum wire_limit_status status;
-	double per_s; /* requests per second, over all routers together */
+struct wire_number {
+	enum wire_number_status status;
+	double value;
+};
+
+/* What a worker advertises of itself in the header of a response. */
+struct wire_advert {
+	struct wire_number limit; /* requests per second, of all routers */
+	/* Seconds for which this router is to send it nothing. */
+	struct wire_number backoff_s;
 };
 
 /* A stalled request and the worker it waits for. */
--- a/src/wk.h
+++ b/src/wk.h
@@ -91,6 +91,7 @@
 	struct thr thr; /* the rate limit that it advertises */
 	/* Changed and unreadable limits are not logged before then. */
 	int64_t next_limit_log_us;
+	int64_t next_backoff_log_us; /* the same for requested backoffs */
 
 	/* When its connections were refused or broken off; 0: never. */
 	int64_t died_us;
@@ -170,9 +171,9 @@
 void wk_add_interrupted(struct wk *wk,
 			const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			int64_t now);
-enum thr_change wk_apply_limit(struct wk *wk, const struct wire_limit *limit,
-			       enum wk_answer answer, int64_t sent_us,
-			       int64_t now);
+enum thr_change wk_apply_advert(struct wk *wk, const struct wire_advert *advert,
+				enum wk_answer answer, int64_t sent_us,
+				int64_t now);
 void wk_apply_peer_limit(struct wk *wk, double limit, int64_t advertised_us,
 			 int64_t now);
 void wk_expire_limit(struct wk *wk, int64_t now);
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -67,15 +67,16 @@
 	.ended = wkp_on_end,
 };
 
-/* Applies the rate limit in an answer of a worker, or the absence of one. */
-void wkp_apply_limit(struct edge *edge, struct wk *wk,
-		     const struct hc_response *response, enum wk_answer kind,
-		     int64_t sent_us)
+/* Applies what an answer of a worker advertises, or does not advertise. */
+void wkp_apply_advert(struct edge *edge, struct wk *wk,
+		      const struct hc_response *response, enum wk_answer kind,
+		      int64_t sent_us)
 {
-	struct wire_limit limit = pl_limit_decode(response->headers);
+	struct wire_advert advert;
 	int64_t now = clk_boot_us();
 
-	if (wk_apply_limit(wk, &limit, kind, sent_us, now) != THR_UNCHANGED)
+	pl_advert_decode(response->status, response->headers, &advert);
+	if (wk_apply_advert(wk, &advert, kind, sent_us, now) != THR_UNCHANGED)
 		thr_set_fraction(&wk->thr,
 				 hint_own_limit_part(edge->hint, wk, now), now);
 }
@@ -174,8 +175,8 @@
 {
 	struct wkp_call *call = user;
 
-	wkp_apply_limit(call->edge, call->wk, response, WK_ANSWER_PROBE,
-			call->wk->probed_us);
+	wkp_apply_advert(call->edge, call->wk, response, WK_ANSWER_PROBE,
+			 call->wk->probed_us);
 	call->status = response->status;
 	return true;
 }
