edge: failing tests of the backoff that workers request

Reproduced on the code as it stands, with stand-ins: a router sends to workers during the backoff that they requested, by first and second sends (engine and plain worker), although no other plain worker is left, by probes of silent streams and repairs, and by orders of layers.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -171,6 +171,16 @@
 # limit.
 name_limit() { curl -s -o "$dir/null" "http://$(worker $1)/stand-in/limit/${2:-}"; }
 
+# request_backoff NUMBER [SECONDS]: a worker refuses all but reports from now on
+# and requests this backoff, or accepts again.
+request_backoff() { curl -s -o "$dir/null" "http://$(worker $1)/stand-in/backoff/${2:-}"; }
+
+# backoffs: counts what routers sent during the backoffs that workers requested.
+backoffs() {
+	grep -h '^MESSAGE\|^BACKOFF' "$dir"/worker.*.log | sort -s -k 3,3n |
+		awk -f edge/backoffs.awk
+}
+
 # limits: compares the requests that limited workers received with their limits.
 limits() {
 	grep -h '^GOT\|^LIMIT' "$dir"/worker.*.log | sort -s -k 3,3n |
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -69,6 +69,8 @@
 static bool drop_replies;      /* run a request and close without a reply */
 static bool abort_requests;    /* abort all requests, but reply to reports */
 static const char *limit;      /* requests per second, sent in all replies */
+static const char *backoff;    /* refuse with this Retry-After (seconds) */
+static bool print_messages;    /* a line for every message of a router */
 static bool reset_next_report; /* reset the connection of the next one */
 static CDS_LIST_HEAD(jobs);
 static CDS_LIST_HEAD(peers);
@@ -121,6 +123,32 @@
 	hs_reply(conn, 200, NULL, NULL, 0);
 }
 
+/*
+ * Refuses requests, orders and health checks from now on and requests a backoff
+ * of as many seconds as the rest of a target says; an empty rest ends it.
+ */
+static void set_backoff(struct hs_conn *conn, const char *text)
+{
+	static char value[32];
+
+	snprintf(value, sizeof(value), "%s", text);
+	backoff = value[0] ? value : NULL;
+	print_messages = true;
+	hs_reply(conn, 200, NULL, NULL, 0);
+}
+
+/* Refuses a message of a router and requests a backoff. */
+static void refuse_with_backoff(struct hs_conn *conn)
+{
+	char fields[128];
+
+	printf("BACKOFF %s %" PRId64 " %s\n", id, clk_boot_us(), backoff);
+	snprintf(fields, sizeof(fields),
+		 "Not-Executed: 1\r\nRetry-After: %s\r\n%s", backoff,
+		 limit_field());
+	hs_reply(conn, 503, fields, NULL, 0);
+}
+
 /* Writes this worker's entry to the list of workers. */
 static void heartbeat(int64_t now)
 {
@@ -362,14 +390,21 @@
 	const char *target = hs_target(conn);
 
 	(void)ctx;
+	if (print_messages && strncmp(target, "/stand-in/", 10) != 0)
+		printf("MESSAGE %s %" PRId64 " %s\n", id, clk_boot_us(),
+		       target);
 	if (strcmp(target, "/api/report") == 0 && kind && reset_next_report)
 		reset_next_report = false, hs_abort(conn);
 	else if (strcmp(target, "/api/report") == 0 && kind)
 		send_report(conn);
-	else if (strcmp(target, "/api/order") == 0 && kind)
-		handle_order(conn);
 	else if (strncmp(target, "/stand-in/step/", 15) == 0)
 		handle_step(conn);
+	else if (strncmp(target, "/stand-in/backoff/", 18) == 0)
+		set_backoff(conn, target + 18);
+	else if (backoff && strncmp(target, "/stand-in/", 10) != 0)
+		refuse_with_backoff(conn);
+	else if (strcmp(target, "/api/order") == 0 && kind)
+		handle_order(conn);
 	else if (strcmp(target, "/stand-in/drain") == 0)
 		draining = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/slow") == 0)
