eq: refuse at once what only workers in a long backoff could serve

What callers saw: while all workers of a service were in the backoff that they had requested, each request waited half of its latency target and was refused then ("all workers busy" after 258 to 278 ms in regress/edge/backoff-refused), with a Retry-After that knew nothing of the backoffs.

Cause: the end of a backoff is known when the request cannot be placed, and was not looked at.

Change: chn_covered_at gives the time from which every layer (or the plain service) has a holder out of backoff. If that is after the request's time to wait, it is refused at once, "workers back off", with a Retry-After at the end of the backoffs or, as callers accept no longer one, within a third of their time.

Evidence: regress/chn/backoffs; backoff-refused fails before (refused after a wait, 0 refused without a send) and passes after: 55 of 56 refusals after 0 ms.

--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -86,6 +86,29 @@
 		fprintf(out, "%s\n", errors[-rc]);
 }
 
+/* "barred REF UNTIL_MS": the worker wants nothing until then. */
+static void bar_worker(const char *line)
+{
+	long long until_ms;
+	int ref;
+
+	if (sscanf(line, "%*s %d %lld", &ref, &until_ms) == 2 && ref < count)
+		workers[ref].barred_until_us = until_ms * MAG_US_PER_MS;
+}
+
+/* "covered": prints from when on, at 1 s, every layer has a holder. */
+static void print_covered(FILE *out)
+{
+	int64_t at_us =
+		chn_covered_at(workers, count, request.layers, MAG_US_PER_S);
+
+	if (at_us == MAG_NEVER)
+		fprintf(out, "never\n");
+	else
+		fprintf(out, "from %lld ms\n",
+			(long long)(at_us / MAG_US_PER_MS));
+}
+
 /*
  * "repair TO CENTRE": the first hop, of a worker that is not in the list, runs
  * layers [0, TO).  Reserves memory for new hops, and adds their reading to the
@@ -422,6 +445,10 @@
 			request.hop_us = n;
 		else if (strncmp(line, "rush ", 5) == 0)
 			run_rush(line, out);
+		else if (strncmp(line, "barred ", 7) == 0)
+			bar_worker(line);
+		else if (strncmp(line, "covered", 7) == 0)
+			print_covered(out);
 		else if (strncmp(line, "repair ", 7) == 0)
 			repair_chain(line, out);
 		else if (strncmp(line, "keeps ", 6) == 0)
--- a/src/chn.c
+++ b/src/chn.c
@@ -11,6 +11,8 @@
 #define CHN_NEGLIGIBLE_PRICE 0.02
 
 static int chn_find_cheapest(struct chn_walk *walk, struct chn_chain *chain);
+static bool chn_covers_by(const struct chn_worker *workers, int count,
+			  int layers, int64_t at_us);
 
 /*
  * Finds the cheapest chain.  If none fits, the error tells what is missing:
@@ -72,6 +74,42 @@
 
 /* Tells whether every layer has a holder. */
 bool chn_covers_layers(const struct chn_worker *workers, int count, int layers)
+{
+	return chn_covers_by(workers, count, layers, INT64_MAX);
+}
+
+/*
+ * Returns from when on every layer has a holder that is not barred: now, if
+ * that is so already, or MAG_NEVER.
+ *
+ * Load pattern: workers refuse for lack of resources and name the time for
+ * which they want nothing.  A request that lacks them until after its time to
+ * wait can be refused at once, and its caller told when to return.
+ */
+int64_t chn_covered_at(const struct chn_worker *workers, int count, int layers,
+		       int64_t now)
+{
+	int64_t at_us = now;
+	int64_t next_us;
+	int i;
+
+	while (!chn_covers_by(workers, count, layers, at_us)) {
+		next_us = MAG_NEVER;
+		for (i = 0; i < count; i++) {
+			if (workers[i].barred_until_us > at_us &&
+			    workers[i].barred_until_us < next_us)
+				next_us = workers[i].barred_until_us;
+		}
+		if (next_us == MAG_NEVER)
+			return MAG_NEVER;
+		at_us = next_us;
+	}
+	return at_us;
+}
+
+/* Tells whether every layer has a holder that is not barred after a time. */
+static bool chn_covers_by(const struct chn_worker *workers, int count,
+			  int layers, int64_t at_us)
 {
 	int position = 0;
 	int reach;
@@ -81,7 +119,8 @@
 		reach = position;
 		for (i = 0; i < count; i++) {
 			if (workers[i].from <= position &&
-			    workers[i].to > reach)
+			    workers[i].to > reach &&
+			    workers[i].barred_until_us <= at_us)
 				reach = workers[i].to;
 		}
 		if (reach == position)
--- a/src/chn.h
+++ b/src/chn.h
@@ -53,6 +53,7 @@
 	double prefill_us;
 	/* Prefill time of the prompts that are queued there already. */
 	double prefill_backlog_us;
+	int64_t barred_until_us; /* only for chn_covered_at() */
 };
 
 struct chn_request {
@@ -101,5 +102,7 @@
 	       const struct chn_worker *workers, int count,
 	       struct chn_chain *chain);
 bool chn_covers_layers(const struct chn_worker *workers, int count, int layers);
+int64_t chn_covered_at(const struct chn_worker *workers, int count, int layers,
+		       int64_t now);
 
 #endif /* CHN_H */
--- a/src/eq.c
+++ b/src/eq.c
@@ -46,6 +46,8 @@
 static void eq_free(struct eq *eq);
 static void eq_write_retry_after(const struct eq *eq, enum eq_retry retry,
 				 char *fields, size_t size);
+static double eq_retry_late_s(const struct eq *eq, enum eq_retry retry,
+			      double spread, int64_t now);
 static void eq_refuse_early(struct edge *edge, struct hs_conn *conn);
 static bool eq_refuses_while_stopping(const struct eq *eq, int64_t now);
 
@@ -145,40 +147,57 @@
 	eq_free(eq);
 }
 
-/*
- * Writes the Retry-After field.  Load drains as streams end, over some seconds;
- * a caller that retries sooner is refused again and gives up.  Callers accept a
- * wait of up to a third of their remaining time.  The wait is drawn from the
- * upper half of that range, which also spreads the retries.
- */
+/* Writes the Retry-After field. */
 static void eq_write_retry_after(const struct eq *eq, enum eq_retry retry,
 				 char *fields, size_t size)
 {
-	int64_t wait = eq->request.timeout_ms;
 	double spread = (double)(edge_random(eq->edge) % 1000) / 1000;
-	double left;
+	double wait_s = 0;
 
 	fields[0] = '\0';
-	if (retry == EQ_RETRY_NEVER)
-		return;
-	if (retry == EQ_RETRY_ELSEWHERE) {
-		snprintf(fields, size, "Retry-After: %.2f\r\n",
-			 EQ_RETRY_ELSEWHERE_S);
-		return;
-	}
-	if (retry == EQ_RETRY_SOON) {
-		snprintf(fields, size, "Retry-After: %.2f\r\n",
-			 EQ_RETRY_SOON_S * (1 + spread));
+	switch (retry) {
+	case EQ_RETRY_NEVER:
 		return;
+	case EQ_RETRY_ELSEWHERE:
+		wait_s = EQ_RETRY_ELSEWHERE_S;
+		break;
+	case EQ_RETRY_SOON:
+		wait_s = EQ_RETRY_SOON_S * (1 + spread);
+		break;
+	case EQ_RETRY_BACKOFF:
+	case EQ_RETRY_LATER:
+		wait_s = eq_retry_late_s(eq, retry, spread, clk_boot_us());
+		break;
 	}
-	if (wait <= 0)
-		wait = eq->route ? eq->route->timeout_us / MAG_US_PER_MS : 1000;
-	left = (double)wait / 1000 -
-	       (double)(clk_boot_us() - eq->arrived_us) / MAG_US_PER_S;
-	left = left * EQ_RETRY_FRACTION * (0.5 + 0.5 * spread);
-	if (left < 0.05)
-		left = 0.05;
-	snprintf(fields, size, "Retry-After: %.2f\r\n", left);
+	snprintf(fields, size, "Retry-After: %.2f\r\n", wait_s);
+}
+
+/*
+ * Returns how long a caller waits (seconds) before load has drained or backoffs
+ * of workers have ended.  Load drains as streams end, over some seconds; a
+ * caller that retries sooner is refused again and gives up.  Callers accept a
+ * wait of up to a third of their remaining time.  The wait is drawn from the
+ * upper half of that range, which also spreads the retries.
+ */
+static double eq_retry_late_s(const struct eq *eq, enum eq_retry retry,
+			      double spread, int64_t now)
+{
+	int64_t limit_ms = eq->request.timeout_ms;
+	double backoff_s;
+	double max_s;
+
+	if (limit_ms <= 0)
+		limit_ms = eq->route ? eq->route->timeout_us / MAG_US_PER_MS
+				     : 1000;
+	max_s = ((double)limit_ms / 1000 -
+		 (double)(now - eq->arrived_us) / MAG_US_PER_S) *
+		EQ_RETRY_FRACTION;
+	backoff_s = (double)(eq->backoff_end_us - now) / MAG_US_PER_S +
+		    EQ_RETRY_SOON_S * spread;
+	if (retry == EQ_RETRY_BACKOFF && backoff_s < max_s)
+		return backoff_s;
+	max_s *= 0.5 + 0.5 * spread;
+	return max_s > EQ_RETRY_ELSEWHERE_S ? max_s : EQ_RETRY_ELSEWHERE_S;
 }
 
 /* Ends a request that may have run or that has run out of time. */
--- a/src/eq.h
+++ b/src/eq.h
@@ -50,6 +50,7 @@
 	int64_t deadline_us;	    /* latest time for the final answer */
 	int64_t target_deadline_us; /* on time if answered or begun by then */
 	int64_t wait_until_us;
+	int64_t backoff_end_us; /* for EQ_RETRY_BACKOFF */
 	int64_t sent_us;
 	int64_t progress_us; /* of this attempt: when sent, or its last event */
 	int64_t probed_us;   /* when its workers were last probed */
@@ -90,6 +91,7 @@
 	EQ_RETRY_NEVER,
 	EQ_RETRY_ELSEWHERE, /* at once: another router accepts it */
 	EQ_RETRY_SOON,	    /* once the faulty worker is known */
+	EQ_RETRY_BACKOFF,   /* once the workers' backoffs have ended */
 	EQ_RETRY_LATER,	    /* once the present load has drained */
 };
 
@@ -113,6 +115,7 @@
 
 enum eq_choice eq_choose_chain(struct eq *eq, int64_t now);
 bool eq_choose_repair(struct eq *eq, int64_t now);
+int64_t eq_backoff_end(struct eq *eq, int64_t now);
 void eq_coverage_tick(struct edge *edge, int64_t now);
 void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -104,6 +104,33 @@
 	return true;
 }
 
+/*
+ * Returns when the backoffs that workers requested leave enough of them to
+ * serve the request; now, if other reasons keep it from being placed.
+ */
+int64_t eq_backoff_end(struct eq *eq, int64_t now)
+{
+	bool engine = eq->service->has_engine;
+	int64_t end_us;
+	struct wk *wk;
+	int count = 0;
+
+	cds_list_for_each_entry (wk, &eq->edge->workers.workers, node) {
+		if (count == CHN_WORKERS_MAX)
+			break;
+		if (!wk_alive(wk, now) || eq_avoids(eq, wk) ||
+		    strcmp(wk->entry.service, eq->service->name) != 0)
+			continue;
+		eq_candidates[count].from = engine ? wk->layers.from : 0;
+		eq_candidates[count].to = engine ? wk->layers.to : 1;
+		eq_candidates[count++].barred_until_us =
+			wk->adv.backoff_until_us;
+	}
+	end_us = chn_covered_at(eq_candidates, count,
+				engine ? eq->service->engine.layers : 1, now);
+	return end_us == MAG_NEVER ? now : end_us;
+}
+
 /*
  * Periodically checks whether every engine service has a chain through all of
  * its layers.  A router that is cut off with part of the model's layers would
@@ -191,7 +218,8 @@
 		    strcmp(wk->entry.service, service->name) != 0)
 			continue;
 		eq_candidates[count].from = wk->layers.from;
-		eq_candidates[count++].to = wk->layers.to;
+		eq_candidates[count].to = wk->layers.to;
+		eq_candidates[count++].barred_until_us = 0;
 	}
 	return chn_covers_layers(eq_candidates, count, service->engine.layers);
 }
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -128,6 +128,11 @@
 	}
 	if (!eq->wait_until_us)
 		eq->wait_until_us = now + max_wait_us;
+	eq->backoff_end_us = eq_backoff_end(eq, now);
+	if (eq->backoff_end_us > eq->wait_until_us) {
+		eq_refuse(eq, 503, EQ_RETRY_BACKOFF, "workers back off");
+		return;
+	}
 	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX)
 		return;
 	eq_refuse(eq, 503, EQ_RETRY_LATER,
