--- /dev/null
+++ b/regress/edge/leaving-in-answers.sh
@@ -0,0 +1,14 @@
+# An engine and a plain worker say in their answers that they are leaving, while
+# the store's list says for seconds that they are ready.  A router that learns it
+# from the list alone still sends them requests when they end.
+. edge/lib.sh
+start_twins 1
+"$build/tool_calls" leaving 8 60 $routers >"$dir/calls" &
+calls=$!
+sleep 1
+for plain in 3 4; do grep -q ^GOT "$dir/worker.$plain.log" && break; done
+leave 1
+leave $plain
+wait $calls
+after_leaving
+verify 1
--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -181,6 +181,24 @@
 		awk -f edge/backoffs.awk
 }
 
+# leave NUMBER: a worker says in all its answers that it is leaving; its entry in
+# the list stays as it is.
+leave() { curl -s -o "$dir/null" "http://$(worker $1)/stand-in/leaving"; }
+
+# after_leaving: counts the requests that workers received later than 2 s after
+# they began to say that they are leaving.
+after_leaving() {
+	grep -h '^GOT\|^LEAVING' "$dir"/worker.*.log | sort -s -k 3,3n | awk '
+		$1 == "LEAVING" { left[$2] = $3 }
+		$1 == "GOT" && $2 in left { told[$2] = 1 }
+		$1 == "GOT" && $2 in left && $3 > left[$2] + 2e6 { late++ }
+		END {
+			for (w in told) n++
+			print "workers that said it to callers: " n + 0
+			print "requests to them later: " late + 0
+		}'
+}
+
 # limits: compares the requests that limited workers received with their limits.
 limits() {
 	grep -h '^GOT\|^LIMIT' "$dir"/worker.*.log | sort -s -k 3,3n |
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -70,6 +70,7 @@
 static bool abort_requests;    /* abort all requests, but reply to reports */
 static const char *limit;      /* requests per second, sent in all replies */
 static const char *backoff;    /* refuse with this Retry-After (seconds) */
+static bool leaving;	       /* said in all answers, but not in the list */
 static bool print_messages;    /* a line for every message of a router */
 static bool reset_next_report; /* reset the connection of the next one */
 static CDS_LIST_HEAD(jobs);
@@ -100,15 +101,23 @@
 	(void)end;
 }
 
-/* Returns the header field with this worker's rate limit, or "". */
-static const char *limit_field(void)
+/* Returns the header fields that this worker adds to all of its answers. */
+static const char *advert_fields(void)
 {
-	static char field[64];
+	static char fields[96];
 
-	field[0] = '\0';
-	if (limit)
-		snprintf(field, sizeof(field), "Server-Limit: %s\r\n", limit);
-	return field;
+	snprintf(fields, sizeof(fields), "%s%s%s%s",
+		 limit ? "Server-Limit: " : "", limit ? limit : "",
+		 limit ? "\r\n" : "", leaving ? "Server-Leaving: 1\r\n" : "");
+	return fields;
+}
+
+/* Says in all answers from now on that this worker is leaving. */
+static void set_leaving(struct hs_conn *conn)
+{
+	leaving = true;
+	printf("LEAVING %s %" PRId64 "\n", id, clk_boot_us());
+	hs_reply(conn, 200, NULL, NULL, 0);
 }
 
 /* Sets the rate limit to the rest of a target; an empty rest removes it. */
@@ -145,7 +154,7 @@
 	printf("BACKOFF %s %" PRId64 " %s\n", id, clk_boot_us(), backoff);
 	snprintf(fields, sizeof(fields),
 		 "Not-Executed: 1\r\nRetry-After: %s\r\n%s", backoff,
-		 limit_field());
+		 advert_fields());
 	hs_reply(conn, 503, fields, NULL, 0);
 }
 
@@ -192,7 +201,7 @@
 	char fields[128];
 
 	snprintf(fields, sizeof(fields), "Content-Type: application/json\r\n%s",
-		 limit_field());
+		 advert_fields());
 	hs_reply(conn, 200, fields, text, strlen(text));
 	free(text);
 	json_decref(json);
@@ -261,7 +270,7 @@
 	memcpy(job->hops, hops, sizeof(hops));
 	job->hop_count = count;
 	job->path++;
-	hs_reply(conn, 202, NULL, NULL, 0);
+	hs_reply(conn, 202, advert_fields(), NULL, 0);
 	if (!job->call)
 		return;
 	hc_cancel(job->call);
@@ -289,7 +298,7 @@
 			json_object_get(json, "Target"));
 		orders++;
 		printf("ORDER %s %d-%d\n", id, layers.from, layers.to);
-		hs_reply(conn, 202, NULL, NULL, 0);
+		hs_reply(conn, 202, advert_fields(), NULL, 0);
 		heartbeat(clk_boot_us());
 	}
 	json_decref(json);
@@ -343,8 +352,9 @@
 	char fields[256];
 
 	snprintf(fields, sizeof(fields), "Not-Executed: 1\r\n%s%s%s%s%s%s%s",
-		 limit_field(), fault ? "At-Server: " : "", fault ? fault : "",
-		 fault ? "\r\n" : "", retry_after ? "Retry-After: " : "",
+		 advert_fields(), fault ? "At-Server: " : "",
+		 fault ? fault : "", fault ? "\r\n" : "",
+		 retry_after ? "Retry-After: " : "",
 		 retry_after ? retry_after : "", retry_after ? "\r\n" : "");
 	hs_reply(conn, status, fields, NULL, 0);
 }
@@ -412,6 +422,8 @@
 		send_report(conn);
 	else if (strncmp(target, "/stand-in/step/", 15) == 0)
 		handle_step(conn);
+	else if (strcmp(target, "/stand-in/leaving") == 0)
+		set_leaving(conn);
 	else if (strncmp(target, "/stand-in/backoff/", 18) == 0)
 		set_backoff(conn, target + 18);
 	else if (backoff && strncmp(target, "/stand-in/", 10) != 0)
@@ -433,7 +445,7 @@
 	else if (strncmp(target, "/stand-in/limit/", 16) == 0)
 		set_limit(conn, target + 16);
 	else if (strcmp(target, "/healthz") == 0)
-		hs_reply(conn, draining ? 503 : 200, limit_field(), NULL, 0);
+		hs_reply(conn, draining ? 503 : 200, advert_fields(), NULL, 0);
 	else
 		start_job(conn);
 }
@@ -487,7 +499,7 @@
 		snprintf(fields, sizeof(fields),
 			 "Attempt-Id: %s\r\nResponse-Seal: %s\r\n"
 			 "Content-Type: text/event-stream\r\n%s",
-			 job->id, id, limit_field());
+			 job->id, id, advert_fields());
 		hs_stream_begin(job->conn, 200, fields);
 	}
 	len = snprintf(event, sizeof(event), "id: %d\ndata: piece %d\n\n",
@@ -596,7 +608,7 @@
 	} else {
 		snprintf(fields, sizeof(fields),
 			 "Attempt-Id: %s\r\nResponse-Seal: %s\r\n%s", job->id,
-			 id, limit_field());
+			 id, advert_fields());
 		hs_reply(job->conn, 200, fields, "done", 4);
 	}
 	job->conn = NULL;
