wk: keep what a process advertised when its entry expires and comes back

What callers would see: the store is away, entries of living workers expire and are written again within seconds; the router forgot that such a worker was leaving, at its rate limit or in a requested backoff, and sent to it.

Cause: the state lived in the record of the list's entry, which is freed once the entry is gone; it belongs to the worker's process, by id and start.

Change: the table of workers that are gone keeps what they advertised, and the same process gets it back when it is listed again; a new start does not.

Evidence: regress/wk/adverts, last part: "gets requests" before, "gets none" after. Found by reading, not seen in a run.

--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -85,6 +85,8 @@
 			now = at_ms * MAG_US_PER_MS;
 		else if (sscanf(line, "gone %63s", text) == 1)
 			wk_remove(&table, text, now, now);
+		else if (strncmp(line, "tick", 4) == 0)
+			wk_tick(&table, now);
 		else if (strncmp(line, "list", 4) == 0)
 			wk_list_begin(&table);
 		else if (strncmp(line, "end", 3) == 0)
--- a/src/wk.c
+++ b/src/wk.c
@@ -63,6 +63,8 @@
 			     const struct wire_worker *worker, int64_t now);
 static void wk_remember_gone(struct wk_table *table, const struct wk *wk,
 			     int64_t now);
+static void wk_save_adv(struct wk_table *table, const struct wk *wk);
+static void wk_restore_adv(const struct wk_table *table, struct wk *wk);
 static void wk_resolve_address(struct wk_table *table, struct wk *wk);
 static void wk_free(struct wk_table *table, struct wk *wk);
 static void wk_log_suspect(const struct wk *wk, const char *why,
@@ -115,6 +117,7 @@
 		wk->orders_taken = -1;
 		wk->slowdown = 1;
 		wk->layers = worker->layers;
+		wk_restore_adv(table, wk);
 		cds_list_add_tail(&wk->node, &table->workers);
 		table->count++;
 		table->last_added_us = now;
@@ -430,6 +433,34 @@
 	mag_copy_name(gone->id, sizeof(gone->id), wk->entry.id);
 	gone->born_ms = wk->entry.started_ms;
 	gone->gone_us = now;
+	gone->adv = wk->adv;
+}
+
+/*
+ * Keeps what a worker advertised beyond the removal of its entry: the entry may
+ * have expired only because the store was unreachable.
+ */
+static void wk_save_adv(struct wk_table *table, const struct wk *wk)
+{
+	int i;
+
+	for (i = 0; i < WK_GONE_MAX; i++) {
+		if (table->gone[i].born_ms == wk->entry.started_ms &&
+		    strcmp(table->gone[i].id, wk->entry.id) == 0)
+			table->gone[i].adv = wk->adv;
+	}
+}
+
+/* Restores what the same process advertised before its entry was removed. */
+static void wk_restore_adv(const struct wk_table *table, struct wk *wk)
+{
+	int i;
+
+	for (i = 0; i < WK_GONE_MAX; i++) {
+		if (table->gone[i].born_ms == wk->entry.started_ms &&
+		    strcmp(table->gone[i].id, wk->entry.id) == 0)
+			wk->adv = table->gone[i].adv;
+	}
 }
 
 static void wk_update(struct wk *wk, const struct wire_worker *worker,
@@ -504,6 +535,7 @@
 
 static void wk_free(struct wk_table *table, struct wk *wk)
 {
+	wk_save_adv(table, wk);
 	cds_list_del(&wk->node);
 	table->count--;
 	hc_host_free(wk->host);
--- a/src/wk.h
+++ b/src/wk.h
@@ -112,6 +112,7 @@
 	char id[WIRE_ID_MAX];
 	int64_t born_ms;
 	int64_t gone_us;
+	struct adv adv; /* holds again if the same process is listed again */
 };
 
 struct wk_table {
