--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -116,7 +116,8 @@
 	jlog(LOG_STARTED, "\"data_centre\":\"%s\",\"callers\":\"%s\"",
 	     run.edge.set.data_centre, run.edge.set.callers);
 	event_base_dispatch(run.edge.base);
-	jlog(LOG_STOPPED, "\"requests_open\":%d", run.edge.request_count);
+	jlog(LOG_STOPPED, "\"requests_open\":%d,\"connections_unused\":%d",
+	     run.edge.request_count, hs_unused_count(run.edge.callers));
 	jlog_flush();
 	return 0;
 }
@@ -259,7 +260,8 @@
 	edge->stopping = true;
 	edge->stopped_us = now;
 	edge->stop_by_us = now + edge->set.stop_us - EDGE_STOP_MARGIN_US;
-	jlog(LOG_STOPPING, "\"requests_open\":%d", edge->request_count);
+	jlog(LOG_STOPPING, "\"requests_open\":%d,\"connections_unused\":%d",
+	     edge->request_count, hs_unused_count(edge->callers));
 	pres_leave(edge->pres);
 	hs_stop_keep_alive(edge->callers);
 }
--- a/src/hs.c
+++ b/src/hs.c
@@ -133,6 +133,18 @@
 	return count;
 }
 
+/* Returns the number of connections on which no byte of a request was read. */
+int hs_unused_count(const struct hs *hs)
+{
+	const struct hs_conn *conn;
+	int count = 0;
+
+	cds_list_for_each_entry (conn, &hs->conns, node)
+		count += conn->state == HS_READING && !conn->used &&
+			 !conn->started;
+	return count;
+}
+
 /* Closes connections whose header or next request did not arrive in time. */
 void hs_tick(struct hs *hs, int64_t now)
 {
@@ -359,6 +371,7 @@
 		return;
 	conn->complete = false;
 	conn->state = HS_RESPONDING;
+	conn->used = true;
 	conn->keep_alive = http_should_keep_alive(&conn->parser) != 0;
 	conn->hs->ops.request(conn->hs->ctx, conn);
 }
--- a/src/hs.h
+++ b/src/hs.h
@@ -45,6 +45,7 @@
 void hs_set_limits(struct hs *hs, const struct hs_limits *limits);
 void hs_stop_keep_alive(struct hs *hs);
 int hs_open_count(const struct hs *hs);
+int hs_unused_count(const struct hs *hs);
 void hs_tick(struct hs *hs, int64_t now);
 
 const char *hs_method(const struct hs_conn *conn);
--- a/src/hs_int.h
+++ b/src/hs_int.h
@@ -44,6 +44,7 @@
 	void *user;
 	int error_status; /* found while parsing; 0: none */
 	bool started;	  /* bytes of the next request have arrived */
+	bool used;	  /* a request has been read on it */
 	bool complete;	  /* the request has been read to its end */
 	bool keep_alive;
 	bool chunked; /* the response in progress is chunked */
