hs: answer callers that connect as a stopping router ends

Cause: the loop ended at the first tick without an open request while the listener was still open. A connection that the kernel had completed since the last accept was reset with the process (hypothesis 1). The same class, from reading: a connection that was accepted and not read yet did not count as open (2), and one that was accepted just before SIGTERM was closed as an idle one before its first request came (3).

Change: the end of a stop has two steps. First the router stops listening and accepts what the kernel has completed; then it ends once these connections have been answered, too, or at the latest time, 0.3 s after the first step. While keep-alive is off, a connection without a request counts as open and has 0.5 s for its first one. Kept connections are closed as before.

What remains is a connection completed between the last accept and the close of the listener, two system calls in a row; no run shows one.

--- a/src/edge.h
+++ b/src/edge.h
@@ -87,6 +87,7 @@
 
 	bool stopping;
 	int64_t stop_by_us;
+	bool stopped_listening; /* for callers */
 	int64_t last_tick_us;
 	int64_t last_late_tick_us;  /* answers may have been unread then */
 	int64_t next_wait_retry_us; /* of requests without a worker */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -52,6 +52,11 @@
  * failed polls.
  */
 #define EDGE_LINGER_US (2500 * MAG_US_PER_MS)
+/*
+ * The router stops listening this long before it must exit, so that the last
+ * callers to connect are answered.
+ */
+#define EDGE_LAST_CALLERS_US (300 * MAG_US_PER_MS)
 /* The router exits this long before it would be killed. */
 #define EDGE_STOP_MARGIN_US (600 * MAG_US_PER_MS)
 /*
@@ -266,14 +271,24 @@
 	hs_stop_keep_alive(edge->callers);
 }
 
+/*
+ * Ends the loop once nothing is open, or at the latest time for it.  Callers
+ * that have connected by the time the router stops listening are still
+ * answered.
+ */
 static void edge_stop_tick(struct edge *edge, int64_t now)
 {
-	bool idle =
-		edge->request_count == 0 && hs_open_count(edge->callers) == 0;
+	bool idle = edge->request_count == 0 &&
+		    hs_open_count(edge->callers) == 0 &&
+		    now - edge->stopped_us > EDGE_LINGER_US;
 
-	if ((idle && now - edge->stopped_us > EDGE_LINGER_US) ||
-	    now >= edge->stop_by_us)
+	if (!edge->stopped_listening &&
+	    (idle || now >= edge->stop_by_us - EDGE_LAST_CALLERS_US)) {
+		edge->stopped_listening = true;
+		hs_stop_listening(edge->callers);
+	} else if (idle || now >= edge->stop_by_us) {
 		event_base_loopbreak(edge->base);
+	}
 }
 
 static void edge_on_hup(evutil_socket_t fd, short what, void *arg)
--- a/src/hs.c
+++ b/src/hs.c
@@ -19,6 +19,11 @@
  */
 #define HS_INPUT_MAX 65536
 #define HS_BACKLOG   1024
+/*
+ * A client sends its first request right after it has connected.  Without
+ * keep-alive a connection on which none has come is closed after this time.
+ */
+#define HS_FIRST_REQUEST_US (500 * MAG_US_PER_MS)
 /* Drops a client that acknowledges no data for this long (milliseconds). */
 #define HS_USER_TIMEOUT_MS	5000
 #define HS_DEFAULT_IDLE_MS	15000
@@ -32,6 +37,7 @@
 static void hs_written(struct bufferevent *bev, void *arg);
 static void hs_event(struct bufferevent *bev, short what, void *arg);
 static void hs_parse(struct hs_conn *conn);
+static int64_t hs_idle_deadline(const struct hs_conn *conn);
 static void hs_reset_conn(struct hs_conn *conn);
 static void hs_send_error(struct hs_conn *conn, int status);
 static void hs_close(struct hs_conn *conn);
@@ -87,7 +93,8 @@
 		return;
 	cds_list_for_each_entry_safe (conn, next, &hs->conns, node)
 		hs_close(conn);
-	evconnlistener_free(hs->listener);
+	if (hs->listener)
+		evconnlistener_free(hs->listener);
 	free(hs);
 }
 
@@ -100,7 +107,7 @@
 /*
  * Disables keep-alive: every further response carries "Connection: close", and
  * idle connections are closed, by the next tick or once their last response
- * has been sent.
+ * has been sent.  New ones may still send their first request.
  */
 void hs_stop_keep_alive(struct hs *hs)
 {
@@ -109,17 +116,43 @@
 
 	hs->keep_alive = false;
 	cds_list_for_each_entry_safe (conn, next, &hs->conns, node) {
-		if (conn->state == HS_READING && !conn->started &&
-		    hs_unsent(conn) == 0)
+		if (conn->state != HS_READING || conn->started)
+			continue;
+		if (!conn->used)
+			conn->deadline_us = hs_idle_deadline(conn);
+		else if (hs_unsent(conn) == 0)
 			conn->deadline_us = 0;
-		else if (conn->state == HS_READING && !conn->started)
+		else
 			conn->state = HS_CLOSING;
 	}
 }
 
 /*
- * Returns the number of connections with a request in progress or with unsent
- * bytes of a response.
+ * Stops listening.  Connections that the kernel has completed by then are
+ * accepted, as their clients may have sent requests.
+ */
+void hs_stop_listening(struct hs *hs)
+{
+	evutil_socket_t listening;
+	evutil_socket_t fd;
+
+	if (!hs->listener)
+		return;
+	listening = evconnlistener_get_fd(hs->listener);
+	do {
+		fd = accept4(listening, NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd >= 0)
+			hs_accept(hs->listener, fd, NULL, 0, hs);
+	} while (fd >= 0 || errno == EINTR || errno == ECONNABORTED);
+	evconnlistener_free(hs->listener);
+	hs->listener = NULL;
+}
+
+/*
+ * Returns the number of connections with a request in progress, with unsent
+ * bytes of a response or, once keep-alive is disabled, without a request so
+ * far.
  */
 int hs_open_count(const struct hs *hs)
 {
@@ -128,6 +161,7 @@
 
 	cds_list_for_each_entry (conn, &hs->conns, node)
 		count += conn->state != HS_READING || conn->started ||
+			 (!conn->used && !hs->keep_alive) ||
 			 evbuffer_get_length(
 				 bufferevent_get_output(conn->bev)) > 0;
 	return count;
@@ -295,7 +329,7 @@
 	}
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
-	conn->deadline_us = clk_boot_us() + hs->limits.idle_ms * MAG_US_PER_MS;
+	conn->deadline_us = hs_idle_deadline(conn);
 	cds_list_add_tail(&conn->node, &hs->conns);
 	bufferevent_setcb(conn->bev, hs_read, hs_written, hs_event, conn);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, HS_INPUT_MAX);
@@ -376,6 +410,16 @@
 	conn->hs->ops.request(conn->hs->ctx, conn);
 }
 
+/* Returns when a connection on which no request comes is closed. */
+static int64_t hs_idle_deadline(const struct hs_conn *conn)
+{
+	int64_t idle_us = conn->hs->limits.idle_ms * MAG_US_PER_MS;
+
+	if (!conn->hs->keep_alive && idle_us > HS_FIRST_REQUEST_US)
+		idle_us = HS_FIRST_REQUEST_US;
+	return clk_boot_us() + idle_us;
+}
+
 /* Resets the connection for its next request. */
 static void hs_reset_conn(struct hs_conn *conn)
 {
@@ -386,8 +430,7 @@
 	conn->chunked = false;
 	conn->target_len = 0;
 	conn->header_len = 0;
-	conn->deadline_us =
-		clk_boot_us() + conn->hs->limits.idle_ms * MAG_US_PER_MS;
+	conn->deadline_us = hs_idle_deadline(conn);
 	hdr_reset(&conn->headers);
 	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
 	http_parser_init(&conn->parser, HTTP_REQUEST);
--- a/src/hs.h
+++ b/src/hs.h
@@ -44,6 +44,7 @@
 void hs_free(struct hs *hs);
 void hs_set_limits(struct hs *hs, const struct hs_limits *limits);
 void hs_stop_keep_alive(struct hs *hs);
+void hs_stop_listening(struct hs *hs);
 int hs_open_count(const struct hs *hs);
 int hs_unused_count(const struct hs *hs);
 void hs_tick(struct hs *hs, int64_t now);
