eq: do not take busy workers for workers in a backoff

What callers saw: those refused after their wait because all workers were busy were told to return within 0.25 s instead of once load had drained, and the log named the wrong reason.

"Covered now" was returned as the present time, which is past the end of the wait whenever a request has waited long enough.

Failing before: regress/edge/busy-workers ("taken for a backoff").

Change: no end of a backoff is 0.

--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -106,7 +106,7 @@
 
 /*
  * Returns when the backoffs that workers requested leave enough of them to
- * serve the request; now, if other reasons keep it from being placed.
+ * serve the request; 0, if other reasons keep it from being placed.
  */
 int64_t eq_backoff_end(struct eq *eq, int64_t now)
 {
@@ -128,7 +128,7 @@
 	}
 	end_us = chn_covered_at(eq_candidates, count,
 				engine ? eq->service->engine.layers : 1, now);
-	return end_us == MAG_NEVER ? now : end_us;
+	return end_us == MAG_NEVER || end_us <= now ? 0 : end_us;
 }
 
 /*
