wk: a restart clears all that was known of the worker's process

What callers would see: after a worker's restart a fault of the new process was overlooked for up to 12 s (wk_suspect returned early while the suspicion of the old process lasted), and a sound new process got nothing during the pause after a refusal of the old one.

Cause: wk_update cleared some fields by name and left suspect_until_us, suspect_count, paused_until_us, refusals, averages, silence and interrupted requests. The class: what belongs to a process and what to an entry or address.

Change: struct wk_process holds what belongs to a process, its wishes (rate limit, backoff, leaving) included, and is cleared whole by wk_begin_process. What stays: the entry, connections, our own requests and what peers say of theirs, and when the address died, which tells a common cause of several deaths.

Evidence: regress/wk/restart, failing before in both lines ("gets requests" after the new suspicion, "gets none" after the restart).

--- a/regress/check_thr.c
+++ b/regress/check_thr.c
@@ -87,7 +87,7 @@
 			};
 	}
 	thr_set_fraction(
-		&routers[r].wk.adv.thr,
+		&routers[r].wk.proc.adv.thr,
 		hint_limit_part(known, n, routers[r].self.id, &routers[r].wk),
 		now);
 }
@@ -148,10 +148,10 @@
 		wk_expire_limit(&routers[r].wk, now);
 		wanted = routers[r].rate * STEP_US / MAG_US_PER_S;
 		if (mag_random_unit(&seed) >= wanted ||
-		    !thr_may_send(&routers[r].wk.adv.thr, now) ||
+		    !thr_may_send(&routers[r].wk.proc.adv.thr, now) ||
 		    send_count == SENDS_MAX)
 			continue;
-		thr_sent(&routers[r].wk.adv.thr, now);
+		thr_sent(&routers[r].wk.proc.adv.thr, now);
 		sends[send_count].at_us = now;
 		sends[send_count++].router = r;
 	}
--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -85,6 +85,10 @@
 			now = at_ms * MAG_US_PER_MS;
 		else if (sscanf(line, "gone %63s", text) == 1)
 			wk_remove(&table, text, now, now);
+		else if (sscanf(line, "suspect %63s", text) == 1)
+			wk_suspect(wk_by_id(&table, text), now, "test");
+		else if (sscanf(line, "refuses %63s", text) == 1)
+			wk_on_refusal(wk_by_id(&table, text), now);
 		else if (strncmp(line, "tick", 4) == 0)
 			wk_tick(&table, now);
 		else if (strncmp(line, "list", 4) == 0)
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -124,7 +124,7 @@
 		eq_candidates[count].from = engine ? wk->layers.from : 0;
 		eq_candidates[count].to = engine ? wk->layers.to : 1;
 		eq_candidates[count++].barred_until_us =
-			wk->adv.backoff_until_us;
+			wk->proc.adv.backoff_until_us;
 	}
 	end_us = chn_covered_at(eq_candidates, count,
 				engine ? eq->service->engine.layers : 1, now);
@@ -278,7 +278,7 @@
 			break;
 		retained = first ? eq_find_hop(eq, wk) : NULL;
 		if (layers <= 0 || eq_avoids(eq, wk) ||
-		    !(retained ? wk_alive(wk, now) && !wk->suspected
+		    !(retained ? wk_alive(wk, now) && !wk->proc.suspected
 			       : wk_usable(wk, now)) ||
 		    strcmp(wk->entry.service, eq->service->name) != 0)
 			continue;
@@ -294,7 +294,7 @@
 		w->from = wk->layers.from;
 		w->to = wk->layers.to;
 		w->layer_us = engine->step_ms * 1000 *
-			      accelerator->step_factor * wk->slowdown *
+			      accelerator->step_factor * wk->proc.slowdown *
 			      eq_random_factor(edge) / engine->layers;
 		spare_mb = accelerator->memory_mb - layers * engine->layer_mb;
 		w->memory = spare_mb * 1e6 * engine->layers /
@@ -302,10 +302,11 @@
 		eq_known_load(eq, wk, now, w);
 		w->retained_from = retained ? retained->from : 0;
 		w->retained_to = retained ? retained->to : 0;
-		w->prefill_us = eq_prefill_us(eq, accelerator) * wk->slowdown;
+		w->prefill_us =
+			eq_prefill_us(eq, accelerator) * wk->proc.slowdown;
 		w->prefill_backlog_us =
-			wk->prefill_until_us > now
-				? (double)(wk->prefill_until_us - now)
+			wk->proc.prefill_until_us > now
+				? (double)(wk->proc.prefill_until_us - now)
 				: 0;
 	}
 	return count;
@@ -349,9 +350,9 @@
 {
 	struct wk *wk = eq_candidate_workers[index];
 
-	if (wk->prefill_until_us < now)
-		wk->prefill_until_us = now;
-	wk->prefill_until_us +=
+	if (wk->proc.prefill_until_us < now)
+		wk->proc.prefill_until_us = now;
+	wk->proc.prefill_until_us +=
 		(int64_t)(eq_candidates[index].prefill_us * layers *
 			  edge_routers_per_data_centre(eq->edge));
 }
@@ -379,7 +380,7 @@
 		if (kept < &old[count] && kept->from == hop->from &&
 		    kept->to == hop->to)
 			continue;
-		thr_sent(&wk->adv.thr, now);
+		thr_sent(&wk->proc.adv.thr, now);
 		eq_add_prefill(eq, hop->ref, hop->to - hop->from, now);
 	}
 	for (i = 1; i < count; i++) {
@@ -401,18 +402,18 @@
 		.recent = wk->recent_held,
 		.peers = wk->peer_held,
 		.routers = edge_routers_per_data_centre(eq->edge),
-		.reported = wk->reported_held,
-		.reported_us = wk->reported_us,
+		.reported = wk->proc.reported_held,
+		.reported_us = wk->proc.reported_us,
 	};
 	int firsts = wk->first_hops + wk->peer_first_hops;
 
-	if (room_is_report_fresh(wk->reported_us, now) &&
-	    wk->reported_first_hops > firsts)
-		firsts = wk->reported_first_hops;
+	if (room_is_report_fresh(wk->proc.reported_us, now) &&
+	    wk->proc.reported_first_hops > firsts)
+		firsts = wk->proc.reported_first_hops;
 	w->held = room_held(&load, now);
 	w->first_hops_left = wk->entry.slots - firsts;
 	/* A worker that advertises so accepts nothing. */
-	if (!adv_may_send(&wk->adv, ADV_REQUEST, now)) {
+	if (!adv_may_send(&wk->proc.adv, ADV_REQUEST, now)) {
 		w->memory = 0;
 		w->first_hops_left = 0;
 	}
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -64,7 +64,7 @@
 
 	if (!eq->call || eq->repair || eq->repairs >= EQ_REPAIRS_MAX ||
 	    !eq->request.attempt_id || eq->hops[0].worker == fault ||
-	    !adv_may_send(&eq->hops[0].worker->adv, ADV_REPAIR, now) ||
+	    !adv_may_send(&eq->hops[0].worker->proc.adv, ADV_REPAIR, now) ||
 	    !eq_is_first_alive(eq->hops[0].worker, now))
 		return false;
 	eq_avoid(eq, fault);
@@ -101,10 +101,10 @@
  */
 static bool eq_is_first_alive(const struct wk *wk, int64_t now)
 {
-	if (wk->unresponsive || wk->suspected)
+	if (wk->proc.unresponsive || wk->proc.suspected)
 		return false;
-	return now - wk->last_event_us < EQ_REPAIR_ALIVE_US ||
-	       now - wk->reported_us < EQ_REPAIR_ALIVE_US;
+	return now - wk->proc.last_event_us < EQ_REPAIR_ALIVE_US ||
+	       now - wk->proc.reported_us < EQ_REPAIR_ALIVE_US;
 }
 
 /*
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -105,7 +105,7 @@
 			 wk->held > hop->held;
 	if (eq->repaired_us > began_us)
 		began_us = eq->repaired_us;
-	if (quar_is_evidence(began_us, wk->last_event_us, others))
+	if (quar_is_evidence(began_us, wk->proc.last_event_us, others))
 		wk_add_interrupted(wk, eq->fingerprint, now);
 }
 
@@ -160,7 +160,7 @@
 			if (pass == 0 && !wk_usable(wk, now))
 				continue;
 			any = true;
-			if (!adv_may_send(&wk->adv, ADV_REQUEST, now))
+			if (!adv_may_send(&wk->proc.adv, ADV_REQUEST, now))
 				continue;
 			if (wk->first_hops >= wk->entry.slots + EQ_PLAIN_QUEUE)
 				continue;
@@ -184,14 +184,14 @@
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk)
 {
 	int running = wk->first_hops + wk->peer_first_hops;
-	double cost = wk->response_us > 0 ? wk->response_us : 50000;
+	double cost = wk->proc.response_us > 0 ? wk->proc.response_us : 50000;
 
 	if (running >= wk->entry.slots)
 		cost *= (double)(running + 1) / (wk->entry.slots + 1) + 1;
 	else
 		cost *= 1 + (double)running / (wk->entry.slots + 1);
 	/* A failure costs another attempt, or the caller its answer. */
-	cost *= 1 + 5 * wk->failure_rate;
+	cost *= 1 + 5 * wk->proc.failure_rate;
 	if (strcmp(wk->entry.data_centre, eq->edge->set.data_centre) != 0)
 		cost *= EQ_PLAIN_REMOTE;
 	return cost;
@@ -261,7 +261,7 @@
 		return;
 	}
 	for (i = 1; i < eq->hop_count; i++)
-		thr_sent(&eq->hops[i].worker->adv.thr, now);
+		thr_sent(&eq->hops[i].worker->proc.adv.thr, now);
 }
 
 /* Encodes the message to the first worker. */
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -78,8 +78,8 @@
 	int i;
 
 	for (i = 0; i < eq->hop_count; i++) {
-		eq->hops[i].worker->last_event_us = now;
-		eq->hops[i].worker->probes_since_event = 0;
+		eq->hops[i].worker->proc.last_event_us = now;
+		eq->hops[i].worker->proc.probes_since_event = 0;
 	}
 }
 
@@ -91,7 +91,7 @@
 
 	for (i = 0; i < eq->hop_count; i++) {
 		wk = eq->hops[i].worker;
-		if ((wk->unresponsive || wk->suspected) &&
+		if ((wk->proc.unresponsive || wk->proc.suspected) &&
 		    eq_is_stalled_at(eq, wk, now))
 			return wk;
 		if (eq_is_silent_in_backoff(eq, wk, now))
@@ -111,7 +111,7 @@
 			     int64_t now)
 {
 	return eq_silence(eq, now) >= EQ_SUSPECT_SILENCE_US &&
-	       now - wk->last_event_us >= EQ_SUSPECT_SILENCE_US;
+	       now - wk->proc.last_event_us >= EQ_SUSPECT_SILENCE_US;
 }
 
 /*
@@ -121,9 +121,9 @@
 static bool eq_is_silent_in_backoff(const struct eq *eq, const struct wk *wk,
 				    int64_t now)
 {
-	return adv_backs_off(&wk->adv, now) &&
+	return adv_backs_off(&wk->proc.adv, now) &&
 	       eq_silence(eq, now) >= EQ_LONG_SILENCE_US &&
-	       now - wk->last_event_us >= EQ_LONG_SILENCE_US;
+	       now - wk->proc.last_event_us >= EQ_LONG_SILENCE_US;
 }
 
 /* Probes those workers of a stream that may be dead, stuck or slow. */
@@ -139,14 +139,16 @@
 
 	for (i = 0; i < eq->hop_count; i++) {
 		wk = eq->hops[i].worker;
-		worker = (struct ask_worker){ wk->last_event_us, wk->probed_us,
-					      wk->slowdown_us,
-					      wk->probes_since_event };
+		worker = (struct ask_worker){ wk->proc.last_event_us,
+					      wk->probed_us,
+					      wk->proc.slowdown_us,
+					      wk->proc.probes_since_event };
 		why = ask_worker(&stream, &worker, now);
-		if (why == ASK_NONE || !adv_may_send(&wk->adv, ADV_PROBE, now))
+		if (why == ASK_NONE ||
+		    !adv_may_send(&wk->proc.adv, ADV_PROBE, now))
 			continue;
 		eq->probed_us = now;
-		wk->probes_since_event += why == ASK_SILENT;
+		wk->proc.probes_since_event += why == ASK_SILENT;
 		wkp_probe(eq->edge, wk, now);
 	}
 	if (eq_silence(eq, now) < EQ_LONG_SILENCE_US)
@@ -197,7 +199,7 @@
 		eq_move(eq, fault, "stalled at a worker");
 	}
 	cds_list_for_each_entry (fault, &edge->workers.workers, node) {
-		if (fault->suspected && report->stalled_count > 0)
+		if (fault->proc.suspected && report->stalled_count > 0)
 			eq_on_suspect(edge, fault, now);
 	}
 }
--- a/src/hint.c
+++ b/src/hint.c
@@ -189,9 +189,9 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		if (wk->to_announce) {
-			wk->to_announce = false;
-			wk->announced_us = clk_boot_us();
+		if (wk->proc.to_announce) {
+			wk->proc.to_announce = false;
+			wk->proc.announced_us = clk_boot_us();
 			found = true;
 		}
 	}
@@ -321,8 +321,8 @@
 	message->crash_count = 0;
 	message->suspect_count = 0;
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (wk->announced_us &&
-		    now - wk->announced_us < HINT_SUSPECT_REPEAT_US &&
+		if (wk->proc.announced_us &&
+		    now - wk->proc.announced_us < HINT_SUSPECT_REPEAT_US &&
 		    message->suspect_count < HINT_SUSPECTS_MAX)
 			message->suspects[message->suspect_count++] =
 				hint_load_hash(wk->entry.id);
@@ -435,8 +435,8 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		if (hint_load_hash(wk->entry.id) != hash || wk->suspected ||
-		    now < wk->paused_until_us)
+		if (hint_load_hash(wk->entry.id) != hash ||
+		    wk->proc.suspected || now < wk->proc.paused_until_us)
 			continue;
 		wk_pause(wk, now);
 		jlog(LOG_WK_HINT, "\"worker\":\"%s\",\"peer\":\"%s\"",
@@ -517,12 +517,12 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		if (!wk->adv.thr.limited)
+		if (!wk->proc.adv.thr.limited)
 			continue;
 		if (!routers)
 			routers = hint_list_routers(hint, now, &count);
 		thr_set_fraction(
-			&wk->adv.thr,
+			&wk->proc.adv.thr,
 			hint_limit_part(routers, count, hint->self.id, wk),
 			now);
 	}
--- a/src/hint_limit.c
+++ b/src/hint_limit.c
@@ -13,22 +13,23 @@
 	int skip;
 
 	cds_list_for_each_entry (wk, &table->workers, node)
-		known += wk->adv.thr.limited;
+		known += wk->proc.adv.thr.limited;
 	message->limit_count = 0;
 	if (known == 0)
 		return;
 	skip = known > HINT_LIMITS_MAX ? *next % known : 0;
 	*next = skip + HINT_LIMITS_MAX;
 	cds_list_for_each_entry (wk, &table->workers, node) {
-		if (!wk->adv.thr.limited || skip-- > 0)
+		if (!wk->proc.adv.thr.limited || skip-- > 0)
 			continue;
 		if (message->limit_count == HINT_LIMITS_MAX)
 			break;
 		limit = &message->limits[message->limit_count++];
 		limit->worker = hint_load_hash(wk->entry.id);
-		limit->per_s = (float)wk->adv.thr.limit;
-		limit->age_ms = (uint32_t)((now - wk->adv.thr.advertised_us) /
-					   MAG_US_PER_MS);
+		limit->per_s = (float)wk->proc.adv.thr.limit;
+		limit->age_ms =
+			(uint32_t)((now - wk->proc.adv.thr.advertised_us) /
+				   MAG_US_PER_MS);
 	}
 }
 
@@ -78,5 +79,5 @@
 	}
 	return thr_router_fraction(members, found, self,
 				   hint_load_hash(wk->entry.id),
-				   wk->adv.thr.limit);
+				   wk->proc.adv.thr.limit);
 }
--- a/src/hint_load.c
+++ b/src/hint_load.c
@@ -165,9 +165,10 @@
 /* Returns a worker's slowdown for a message, 0 if it is outdated. */
 static float hint_slowdown(const struct wk *wk, int64_t now)
 {
-	if (!wk->reported_us || now - wk->reported_us > HINT_SLOWDOWN_EXPIRY_US)
+	if (!wk->proc.reported_us ||
+	    now - wk->proc.reported_us > HINT_SLOWDOWN_EXPIRY_US)
 		return 0;
-	return (float)wk->slowdown;
+	return (float)wk->proc.slowdown;
 }
 
 static void hint_add_load(const struct hint_index *index,
@@ -189,10 +190,10 @@
 {
 	if (!(load->slowdown >= HINT_SLOWDOWN_MIN &&
 	      load->slowdown <= HINT_SLOWDOWN_MAX) ||
-	    received_us <= wk->slowdown_us)
+	    received_us <= wk->proc.slowdown_us)
 		return;
-	wk->slowdown = (double)load->slowdown;
-	wk->slowdown_us = received_us;
+	wk->proc.slowdown = (double)load->slowdown;
+	wk->proc.slowdown_us = received_us;
 }
 
 static int hint_compare_hash(const void *a, const void *b)
--- a/src/plr.c
+++ b/src/plr.c
@@ -218,13 +218,14 @@
 			edge_data_centre_index(edge, wk->entry.data_centre);
 		card->memory_mb = accelerator->memory_mb;
 		card->step_factor = accelerator->step_factor;
-		card->from = wk->ordered ? wk->order.from : wk->layers.from;
-		card->to = wk->ordered ? wk->order.to : wk->layers.to;
+		card->from = wk->proc.ordered ? wk->proc.order.from
+					      : wk->layers.from;
+		card->to = wk->proc.ordered ? wk->proc.order.to : wk->layers.to;
 		card->planned_from = card->from;
 		card->planned_to = card->to;
 		card->usable = true;
-		card->order_pending = wk->ordered || wk->busy;
-		card->suspect = wk->suspected || wk->unresponsive;
+		card->order_pending = wk->proc.ordered || wk->proc.busy;
+		card->suspect = wk->proc.suspected || wk->proc.unresponsive;
 	}
 	return count;
 }
@@ -242,14 +243,14 @@
 	struct hc_call *started;
 	char body[256];
 
-	if (wk->ordered && now - wk->ordered_us < PLR_REORDER_US)
+	if (wk->proc.ordered && now - wk->proc.ordered_us < PLR_REORDER_US)
 		return;
-	if (wk->suspected && now < wk->suspect_until_us)
+	if (wk->proc.suspected && now < wk->proc.suspect_until_us)
 		return;
-	if (!adv_may_send(&wk->adv, ADV_PLACE, now))
+	if (!adv_may_send(&wk->proc.adv, ADV_PLACE, now))
 		return;
-	if (wk->orders_taken < 0 || wk->busy ||
-	    (wk->ordered && wk->reported_us < wk->ordered_us)) {
+	if (wk->proc.orders_taken < 0 || wk->proc.busy ||
+	    (wk->proc.ordered && wk->proc.reported_us < wk->proc.ordered_us)) {
 		if (now - wk->probed_us >= PLR_PROBE_INTERVAL_US)
 			wkp_probe(edge, wk, now);
 		return;
@@ -257,7 +258,7 @@
 	call = calloc(1, sizeof(*call));
 	if (!call)
 		return;
-	pl_order_place_encode(body, sizeof(body), range, wk->orders_taken);
+	pl_order_place_encode(body, sizeof(body), range, wk->proc.orders_taken);
 	call->edge = edge;
 	call->wk = wk;
 	send.request =
@@ -273,14 +274,14 @@
 	}
 	wk_ref(wk);
 	met_increment(&edge->met, MET_ORDERS);
-	wk->ordered = true;
-	wk->ordered_us = now;
-	wk->order = *range;
+	wk->proc.ordered = true;
+	wk->proc.ordered_us = now;
+	wk->proc.order = *range;
 	jlog(LOG_PLR_ORDERED,
 	     "\"worker\":\"%s\",\"holds\":\"%d-%d\",\"layers\":\"%d-%d\","
 	     "\"orders_taken\":%lld",
 	     wk->entry.id, wk->layers.from, wk->layers.to, range->from,
-	     range->to, (long long)wk->orders_taken);
+	     range->to, (long long)wk->proc.orders_taken);
 }
 
 static bool plr_on_headers(void *user, const struct hc_response *response)
@@ -290,7 +291,7 @@
 
 	pl_advert_decode(response->status, response->headers, &advert);
 	wkp_apply_advert(call->edge, call->wk, &advert, WK_ANSWER_ORDER,
-			 call->wk->ordered_us);
+			 call->wk->proc.ordered_us);
 	call->status = response->status;
 	return true;
 }
@@ -309,8 +310,8 @@
 
 	if (end == HC_COMPLETE && call->status / 100 != 2) {
 		/* Refused: the state that the order relied on has changed. */
-		wk->ordered = false;
-		wk->orders_taken = -1;
+		wk->proc.ordered = false;
+		wk->proc.orders_taken = -1;
 	}
 	if (end != HC_COMPLETE || call->status / 100 != 2)
 		jlog(LOG_PLR_UNSURE, "\"worker\":\"%s\",\"status\":%d",
--- a/src/wk.c
+++ b/src/wk.c
@@ -54,6 +54,7 @@
 /* Weight of the newest sample in the moving averages. */
 #define WK_SMOOTHING 0.1
 
+static void wk_begin_process(struct wk *wk);
 static void wk_update(struct wk *wk, const struct wire_worker *worker,
 		      int64_t now);
 static void wk_update_from_backup(struct wk *wk,
@@ -113,9 +114,7 @@
 		}
 		wk->entry = *worker;
 		wk->first_seen_us = now;
-		wk->leaving_us = MAG_NEVER;
-		wk->orders_taken = -1;
-		wk->slowdown = 1;
+		wk_begin_process(wk);
 		wk->layers = worker->layers;
 		wk_restore_adv(table, wk);
 		cds_list_add_tail(&wk->node, &table->workers);
@@ -243,7 +242,7 @@
 /* Tells whether a worker is neither gone nor draining nor replaced. */
 bool wk_alive(const struct wk *wk, int64_t now)
 {
-	if (wk->entry.draining || wk->adv.leaving || wk->replaced)
+	if (wk->entry.draining || wk->proc.adv.leaving || wk->replaced)
 		return false;
 	return wk->listed || now < wk->gone_us;
 }
@@ -253,9 +252,10 @@
 {
 	bool overdue = wk->probing && now - wk->probed_us > WK_PROBE_OVERDUE_US;
 
-	return wk_alive(wk, now) && !wk->suspected && !overdue &&
-	       !adv_backs_off(&wk->adv, now) && now >= wk->paused_until_us &&
-	       now >= wk->distrust_until_us;
+	return wk_alive(wk, now) && !wk->proc.suspected && !overdue &&
+	       !adv_backs_off(&wk->proc.adv, now) &&
+	       now >= wk->proc.paused_until_us &&
+	       now >= wk->proc.distrust_until_us;
 }
 
 /*
@@ -264,40 +264,41 @@
  */
 void wk_suspect(struct wk *wk, int64_t now, const char *why)
 {
-	int64_t duration_us = mag_backoff(WK_SUSPECT_US, wk->suspect_count,
+	int64_t duration_us = mag_backoff(WK_SUSPECT_US, wk->proc.suspect_count,
 					  WK_SUSPECT_DOUBLINGS);
 
-	if (now < wk->suspect_until_us)
+	if (now < wk->proc.suspect_until_us)
 		return;
-	wk->suspect_until_us = now + duration_us;
-	wk->suspect_count++;
-	wk->suspected = true;
-	wk->to_announce = wk->suspect_count == 1;
+	wk->proc.suspect_until_us = now + duration_us;
+	wk->proc.suspect_count++;
+	wk->proc.suspected = true;
+	wk->proc.to_announce = wk->proc.suspect_count == 1;
 	hc_host_drop_idle(wk->host);
-	wk_log_suspect(wk, why, duration_us, wk->suspect_count);
+	wk_log_suspect(wk, why, duration_us, wk->proc.suspect_count);
 }
 
 /* Gives a worker no new work for a moment, while it is being probed. */
 void wk_pause(struct wk *wk, int64_t now)
 {
-	wk->paused_until_us = now + WK_PAUSE_US;
+	wk->proc.paused_until_us = now + WK_PAUSE_US;
 }
 
 /* Notes that a worker refused a request of ours. */
 void wk_on_refusal(struct wk *wk, int64_t now)
 {
 	/* Refusals of requests that were in flight together count as one. */
-	if (now < wk->paused_until_us)
+	if (now < wk->proc.paused_until_us)
 		return;
-	wk->paused_until_us = now + mag_backoff(WK_PAUSE_US, wk->refusals,
-						WK_PAUSE_DOUBLINGS);
-	wk->refusals++;
+	wk->proc.paused_until_us =
+		now +
+		mag_backoff(WK_PAUSE_US, wk->proc.refusals, WK_PAUSE_DOUBLINGS);
+	wk->proc.refusals++;
 }
 
 /* Notes that a worker began a request: the refusals have ended. */
 void wk_on_start(struct wk *wk)
 {
-	wk->refusals = 0;
+	wk->proc.refusals = 0;
 }
 
 /*
@@ -311,16 +312,17 @@
 {
 	int64_t duration_us;
 
-	wk->consecutive_breaks++;
-	if (now < wk->distrust_until_us ||
-	    (wk->distrust_count == 0 && wk->consecutive_breaks < WK_BREAKS_MAX))
+	wk->proc.consecutive_breaks++;
+	if (now < wk->proc.distrust_until_us ||
+	    (wk->proc.distrust_count == 0 &&
+	     wk->proc.consecutive_breaks < WK_BREAKS_MAX))
 		return;
-	duration_us = mag_backoff(WK_DISTRUST_US, wk->distrust_count,
+	duration_us = mag_backoff(WK_DISTRUST_US, wk->proc.distrust_count,
 				  WK_DISTRUST_DOUBLINGS);
-	wk->distrust_until_us = now + duration_us;
-	wk->distrust_count++;
+	wk->proc.distrust_until_us = now + duration_us;
+	wk->proc.distrust_count++;
 	wk_log_suspect(wk, "requests break off", duration_us,
-		       wk->consecutive_breaks);
+		       wk->proc.consecutive_breaks);
 }
 
 static void wk_log_suspect(const struct wk *wk, const char *why,
@@ -336,18 +338,18 @@
 /* Notes that a request to this worker reached its first event or its answer. */
 void wk_on_success(struct wk *wk)
 {
-	wk->consecutive_breaks = 0;
-	wk->distrust_count = 0;
+	wk->proc.consecutive_breaks = 0;
+	wk->proc.distrust_count = 0;
 }
 
 /* Clears a suspicion, after the worker has proved that it works. */
 void wk_clear_suspicion(struct wk *wk)
 {
-	if (!wk->suspected)
+	if (!wk->proc.suspected)
 		return;
-	wk->suspected = false;
-	wk->suspect_count = 0;
-	wk->suspect_until_us = 0;
+	wk->proc.suspected = false;
+	wk->proc.suspect_count = 0;
+	wk->proc.suspect_until_us = 0;
 	jlog(LOG_WK_CLEARED, "\"worker\":\"%s\",\"address\":\"%s\"",
 	     wk->entry.id, wk->entry.address);
 }
@@ -355,12 +357,14 @@
 /* Adds a request's outcome and duration to the moving averages. */
 void wk_add_result(struct wk *wk, bool good, int64_t took_us)
 {
-	wk->failure_rate += WK_SMOOTHING * ((good ? 0 : 1) - wk->failure_rate);
+	wk->proc.failure_rate +=
+		WK_SMOOTHING * ((good ? 0 : 1) - wk->proc.failure_rate);
 	if (!good)
 		return;
-	if (wk->response_us <= 0)
-		wk->response_us = (double)took_us;
-	wk->response_us += WK_SMOOTHING * ((double)took_us - wk->response_us);
+	if (wk->proc.response_us <= 0)
+		wk->proc.response_us = (double)took_us;
+	wk->proc.response_us +=
+		WK_SMOOTHING * ((double)took_us - wk->proc.response_us);
 }
 
 /* Remembers a request that broke off at a worker; replaces the oldest. */
@@ -368,9 +372,11 @@
 			const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			int64_t now)
 {
-	struct wk_interrupted *slot = &wk->interrupted[wk->interrupted_next];
+	struct wk_interrupted *slot =
+		&wk->proc.interrupted[wk->proc.interrupted_next];
 
-	wk->interrupted_next = (wk->interrupted_next + 1) % WK_INTERRUPTED_MAX;
+	wk->proc.interrupted_next =
+		(wk->proc.interrupted_next + 1) % WK_INTERRUPTED_MAX;
 	memcpy(slot->fingerprint, fingerprint, MAG_DIGEST_BYTES);
 	slot->at_us = now;
 }
@@ -433,7 +439,7 @@
 	mag_copy_name(gone->id, sizeof(gone->id), wk->entry.id);
 	gone->born_ms = wk->entry.started_ms;
 	gone->gone_us = now;
-	gone->adv = wk->adv;
+	gone->adv = wk->proc.adv;
 }
 
 /*
@@ -447,7 +453,7 @@
 	for (i = 0; i < WK_GONE_MAX; i++) {
 		if (table->gone[i].born_ms == wk->entry.started_ms &&
 		    strcmp(table->gone[i].id, wk->entry.id) == 0)
-			table->gone[i].adv = wk->adv;
+			table->gone[i].adv = wk->proc.adv;
 	}
 }
 
@@ -459,10 +465,19 @@
 	for (i = 0; i < WK_GONE_MAX; i++) {
 		if (table->gone[i].born_ms == wk->entry.started_ms &&
 		    strcmp(table->gone[i].id, wk->entry.id) == 0)
-			wk->adv = table->gone[i].adv;
+			wk->proc.adv = table->gone[i].adv;
 	}
 }
 
+/* Clears what was known of a worker's process: a new one has begun. */
+static void wk_begin_process(struct wk *wk)
+{
+	memset(&wk->proc, 0, sizeof(wk->proc));
+	wk->proc.leaving_us = MAG_NEVER;
+	wk->proc.orders_taken = -1;
+	wk->proc.slowdown = 1;
+}
+
 static void wk_update(struct wk *wk, const struct wire_worker *worker,
 		      int64_t now)
 {
@@ -474,34 +489,27 @@
 	wk->in_listing = true;
 	wk->listed = true;
 	wk->gone_us = MAG_NEVER;
-	if (worker->draining && wk->leaving_us == MAG_NEVER) {
-		wk->leaving_us = now;
+	if (worker->draining && wk->proc.leaving_us == MAG_NEVER) {
+		wk->proc.leaving_us = now;
 		jlog(LOG_WK_LEAVING, "\"worker\":\"%s\",\"source\":\"list\"",
 		     worker->id);
 	}
 	if (restarted) {
-		/* The new process has no layers, orders or faults. */
 		jlog(LOG_WK_RESTARTED, "\"worker\":\"%s\",\"born_ms\":%lld",
 		     worker->id, (long long)worker->started_ms);
-		wk->orders_taken = -1;
-		wk->reported_us = 0;
-		wk->slowdown = 1;
-		wk->leaving_us = worker->draining ? now : MAG_NEVER;
-		wk->suspected = false;
-		wk->ordered = false;
-		wk->distrust_until_us = 0;
-		wk->adv = (struct adv){ 0 };
+		wk_begin_process(wk);
+		if (worker->draining)
+			wk->proc.leaving_us = now;
 		wk->restarted_us = now;
-		wk_on_success(wk);
 		hc_host_drop_idle(wk->host);
 	}
 	if (restarted || layers_changed) {
 		wk->layers = worker->layers;
 		wk->layers_changed_us = now;
 	}
-	if (wk->ordered && wk->layers.from == wk->order.from &&
-	    wk->layers.to == wk->order.to)
-		wk->ordered = false;
+	if (wk->proc.ordered && wk->layers.from == wk->proc.order.from &&
+	    wk->layers.to == wk->proc.order.to)
+		wk->proc.ordered = false;
 	wk->entry = *worker;
 	/* A process that has begun to drain does not return to service. */
 	wk->entry.draining |= leaving;
--- a/src/wk.h
+++ b/src/wk.h
@@ -26,24 +26,15 @@
 	int64_t at_us;
 };
 
-struct wk {
-	struct cds_list_head node;
-	struct wire_worker entry; /* as listed in the store */
-	struct hc_host *host;
-	int refs; /* requests and calls that reference the worker */
-	int64_t first_seen_us; /* when the worker was first listed */
-	bool listed;	       /* it has an entry in the store's list */
-	bool in_listing;       /* it is in the listing that is being read */
-	bool replaced;	       /* a later start is listed at its address */
-	int64_t gone_us;       /* considered gone from then on; MAG_NEVER */
-	int64_t leaving_us;    /* when it was first seen draining; MAG_NEVER */
-	int64_t restarted_us;  /* when its restart was seen; 0: never */
+/*
+ * What is known of a worker's process.  A restart clears all of it, as the new
+ * process has neither the layers and faults nor the wishes of the old one.
+ */
+struct wk_process {
+	int64_t leaving_us; /* when it was first seen draining; MAG_NEVER */
 
-	/* The newest known range, from the list, a report or an answer. */
-	struct wire_range layers;
-	int64_t orders_taken;	   /* -1: unknown */
-	int64_t layers_changed_us; /* when the list last changed the range */
-	int64_t reported_us;	   /* time of the last report; 0: none */
+	int64_t orders_taken; /* -1: unknown */
+	int64_t reported_us;  /* time of the last report; 0: none */
 	bool busy;	      /* carrying out an order, by the last report */
 	double slowdown;      /* 1: as fast as others of its kind */
 	int64_t slowdown_us;  /* when the slowdown was reported; 0: never */
@@ -69,34 +60,17 @@
 	int64_t distrust_until_us;
 	double response_us; /* response time, smoothed */
 
-	int first_hops;	     /* our requests whose first hop is there */
-	int peer_first_hops; /* those of other instances, as they report */
-	double held;	     /* memory of our requests, tokens x layers */
-	/*
-	 * The part of held that was added since the peers' figures were last
-	 * summed.
-	 */
-	double recent_held;
-	double peer_held; /* memory of other instances' requests */
 	/*
 	 * When it will have finished the prefill of the prompts of the chains
 	 * that were assigned to it.
 	 */
 	int64_t prefill_until_us;
 	int64_t last_event_us;	/* when an event of ours last came through it */
-	bool probing;		/* a probe is in flight */
-	bool unresponsive;	/* that probe is overdue */
+	bool unresponsive;	/* the probe in flight is overdue */
 	int probes_since_event; /* probes since last_event_us */
-	int64_t probed_us;	/* when it was last probed */
 
 	struct adv adv; /* what it advertises */
-	/* Changed and unreadable limits are not logged before then. */
-	int64_t next_limit_log_us;
-	int64_t next_backoff_log_us; /* the same for requested backoffs */
-	int64_t next_leaving_log_us; /* the same for unreadable departures */
 
-	/* When its connections were refused or broken off; 0: never. */
-	int64_t died_us;
 	/* Requests that may have caused its death, if it turns out dead. */
 	struct wk_interrupted interrupted[WK_INTERRUPTED_MAX];
 	int interrupted_next;
@@ -107,6 +81,47 @@
 	struct wire_range order;
 };
 
+struct wk {
+	struct cds_list_head node;
+	struct wire_worker entry; /* as listed in the store */
+	struct hc_host *host;
+	int refs; /* requests and calls that reference the worker */
+	int64_t first_seen_us; /* when the worker was first listed */
+	bool listed;	       /* it has an entry in the store's list */
+	bool in_listing;       /* it is in the listing that is being read */
+	bool replaced;	       /* a later start is listed at its address */
+	int64_t gone_us;       /* considered gone from then on; MAG_NEVER */
+	int64_t restarted_us;  /* when its restart was seen; 0: never */
+	struct wk_process proc;
+
+	/* The newest known range, from the list, a report or an answer. */
+	struct wire_range layers;
+	int64_t layers_changed_us; /* when the list last changed the range */
+
+	int first_hops;	     /* our requests whose first hop is there */
+	int peer_first_hops; /* those of other instances, as they report */
+	double held;	     /* memory of our requests, tokens x layers */
+	/*
+	 * The part of held that was added since the peers' figures were last
+	 * summed.
+	 */
+	double recent_held;
+	double peer_held;  /* memory of other instances' requests */
+	bool probing;	   /* a probe is in flight */
+	int64_t probed_us; /* when it was last probed */
+
+	/* Changed and unreadable limits are not logged before then. */
+	int64_t next_limit_log_us;
+	int64_t next_backoff_log_us; /* the same for requested backoffs */
+	int64_t next_leaving_log_us; /* the same for unreadable departures */
+
+	/*
+	 * When its connections were refused or broken off; 0: never.  Kept over
+	 * a restart, as workers that die together have a common cause.
+	 */
+	int64_t died_us;
+};
+
 /* A worker whose entry was removed, or was missing from a complete listing. */
 struct wk_gone {
 	char id[WIRE_ID_MAX];
--- a/src/wk_advert.c
+++ b/src/wk_advert.c
@@ -51,12 +51,12 @@
 {
 	bool valid = leaving->status == WIRE_NUMBER_VALID;
 
-	if (valid && (leaving->value < 1 || wk->adv.leaving))
+	if (valid && (leaving->value < 1 || wk->proc.adv.leaving))
 		return;
 	if (!valid && now < wk->next_leaving_log_us)
 		return;
 	wk->next_leaving_log_us = now + WK_ADVERT_LOG_US;
-	wk->adv.leaving |= valid;
+	wk->proc.adv.leaving |= valid;
 	jlog(LOG_WK_LEAVING,
 	     "\"worker\":\"%s\",\"source\":\"%s\",\"readable\":%s",
 	     wk->entry.id, wk_answer_names[answer], valid ? "true" : "false");
@@ -71,7 +71,8 @@
 	if (backoff_s->status == WIRE_NUMBER_NONE)
 		return;
 	if (backoff_s->status == WIRE_NUMBER_VALID)
-		began = adv_request_backoff(&wk->adv, backoff_s->value, now);
+		began = adv_request_backoff(&wk->proc.adv, backoff_s->value,
+					    now);
 	if (!began && now < wk->next_backoff_log_us)
 		return;
 	wk->next_backoff_log_us = now + WK_ADVERT_LOG_US;
@@ -94,10 +95,10 @@
 		return THR_UNCHANGED;
 	}
 	if (limit->status == WIRE_NUMBER_VALID)
-		change = thr_limit_advertised(&wk->adv.thr, limit->value, now,
-					      now);
+		change = thr_limit_advertised(&wk->proc.adv.thr, limit->value,
+					      now, now);
 	else if (answer == WK_ANSWER_SUCCESS)
-		change = thr_limit_absent(&wk->adv.thr, sent_us);
+		change = thr_limit_absent(&wk->proc.adv.thr, sent_us);
 	if (change != THR_UNCHANGED)
 		wk_log_limit(wk, change, wk_answer_names[answer], now);
 	return change;
@@ -110,8 +111,8 @@
 void wk_apply_peer_limit(struct wk *wk, double limit, int64_t advertised_us,
 			 int64_t now)
 {
-	enum thr_change change =
-		thr_limit_advertised(&wk->adv.thr, limit, advertised_us, now);
+	enum thr_change change = thr_limit_advertised(&wk->proc.adv.thr, limit,
+						      advertised_us, now);
 
 	if (change != THR_UNCHANGED)
 		wk_log_limit(wk, change, "peer", now);
@@ -120,7 +121,7 @@
 /* Ends a limit that the worker has not advertised again for too long. */
 void wk_expire_limit(struct wk *wk, int64_t now)
 {
-	if (thr_expire(&wk->adv.thr, now) == THR_ENDED)
+	if (thr_expire(&wk->proc.adv.thr, now) == THR_ENDED)
 		wk_log_limit(wk, THR_ENDED, "", now);
 }
 
@@ -140,8 +141,8 @@
 	    now < wk->next_limit_log_us)
 		return;
 	wk->next_limit_log_us = now + WK_ADVERT_LOG_US;
-	if (wk->adv.thr.limited)
-		snprintf(value, sizeof(value), "%.3f", wk->adv.thr.limit);
+	if (wk->proc.adv.thr.limited)
+		snprintf(value, sizeof(value), "%.3f", wk->proc.adv.thr.limit);
 	jlog(LOG_WK_LIMIT,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"change\":\"%s\","
 	     "\"limit\":%s,\"source\":\"%s\"",
--- a/src/wk_send.c
+++ b/src/wk_send.c
@@ -17,7 +17,7 @@
 	struct hc_send bounded = *send;
 	int rc;
 
-	if (!adv_may_send(&wk->adv, message, now)) {
+	if (!adv_may_send(&wk->proc.adv, message, now)) {
 		evbuffer_free(send->request);
 		return WK_E_BARRED;
 	}
@@ -26,6 +26,6 @@
 	rc = hc_start(wk->host, &bounded, out);
 	if (rc)
 		return rc == HC_E_MEMORY ? WK_E_MEMORY : WK_E_FULL;
-	thr_sent(&wk->adv.thr, now);
+	thr_sent(&wk->proc.adv.thr, now);
 	return WK_OK;
 }
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -75,7 +75,7 @@
 	int64_t now = clk_boot_us();
 
 	if (wk_apply_advert(wk, advert, kind, sent_us, now) != THR_UNCHANGED)
-		thr_set_fraction(&wk->adv.thr,
+		thr_set_fraction(&wk->proc.adv.thr,
 				 hint_own_limit_part(edge->hint, wk, now), now);
 }
 
@@ -87,8 +87,8 @@
 void wkp_probe(struct edge *edge, struct wk *wk, int64_t now)
 {
 	if (!wk->probing && now - wk->probed_us >= WKP_PROBE_INTERVAL_US &&
-	    adv_may_send(&wk->adv, ADV_PROBE, now) &&
-	    thr_may_probe(&wk->adv.thr, wk->probed_us, now))
+	    adv_may_send(&wk->proc.adv, ADV_PROBE, now) &&
+	    thr_may_probe(&wk->proc.adv.thr, wk->probed_us, now))
 		wkp_send_probe(edge, wk, false, now);
 }
 
@@ -133,7 +133,7 @@
 	met_increment(&edge->met, MET_PROBES);
 	call->wk = wk_ref(wk);
 	wk->probing = true;
-	wk->unresponsive = false;
+	wk->proc.unresponsive = false;
 	wk->probed_us = now;
 }
 
@@ -146,15 +146,15 @@
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (wk->probing && !wk->unresponsive &&
+		if (wk->probing && !wk->proc.unresponsive &&
 		    now - wk->probed_us >= WKP_UNRESPONSIVE_US &&
 		    now - edge->last_late_tick_us >= WKP_UNRESPONSIVE_US)
 			wkp_mark_unresponsive(wk, now);
-		if (wk->slowdown > WKP_SLOW_FACTOR && wk_alive(wk, now) &&
-		    now - wk->slowdown_us >= WKP_SLOW_PROBE_US &&
+		if (wk->proc.slowdown > WKP_SLOW_FACTOR && wk_alive(wk, now) &&
+		    now - wk->proc.slowdown_us >= WKP_SLOW_PROBE_US &&
 		    now - wk->probed_us >= WKP_SLOW_PROBE_US)
 			wkp_probe(edge, wk, now);
-		if (wk->suspected && now >= wk->suspect_until_us &&
+		if (wk->proc.suspected && now >= wk->proc.suspect_until_us &&
 		    wk_alive(wk, now))
 			wkp_probe(edge, wk, now);
 	}
@@ -163,7 +163,7 @@
 /* Marks a worker whose probe is overdue; eq moves its streams. */
 static void wkp_mark_unresponsive(struct wk *wk, int64_t now)
 {
-	wk->unresponsive = true;
+	wk->proc.unresponsive = true;
 	wk_pause(wk, now);
 	jlog(LOG_WK_UNRESPONSIVE, "\"worker\":\"%s\",\"asked_ms_ago\":%d",
 	     wk->entry.id, (int)((now - wk->probed_us) / MAG_US_PER_MS));
@@ -198,7 +198,7 @@
 	wk->probing = false;
 	wk_unref(wk);
 	if (end == HC_COMPLETE)
-		wk->unresponsive = false;
+		wk->proc.unresponsive = false;
 	if (end == HC_COMPLETE && call->engine) {
 		wkp_apply_report(call, now);
 	} else if (end == HC_COMPLETE) {
@@ -224,7 +224,7 @@
 static void wkp_on_probe_failure(struct edge *edge, struct wk *wk,
 				 enum hc_result end, int64_t now)
 {
-	wk->suspect_until_us = 0;
+	wk->proc.suspect_until_us = 0;
 	wk_suspect(wk, now, "no answer to a probe");
 	eq_on_suspect(edge, wk, now);
 	/* Silence may be a freeze; a closed port means a dead process. */
@@ -260,11 +260,11 @@
 
 	wk->died_us = now;
 	if (quar_have_common_cause(wkp_count_recent_deaths(edge, now))) {
-		memset(wk->interrupted, 0, sizeof(wk->interrupted));
+		memset(wk->proc.interrupted, 0, sizeof(wk->proc.interrupted));
 		return;
 	}
 	for (i = 0; i < WK_INTERRUPTED_MAX; i++) {
-		candidate = &wk->interrupted[i];
+		candidate = &wk->proc.interrupted[i];
 		if (candidate->at_us &&
 		    now - candidate->at_us < WKP_INTERRUPTED_US &&
 		    quar_check(edge->quar, candidate->fingerprint, now) !=
@@ -272,7 +272,7 @@
 			suspects++;
 	}
 	for (i = 0; i < WK_INTERRUPTED_MAX; i++) {
-		candidate = &wk->interrupted[i];
+		candidate = &wk->proc.interrupted[i];
 		if (!candidate->at_us ||
 		    now - candidate->at_us >= WKP_INTERRUPTED_US)
 			continue;
@@ -297,19 +297,20 @@
 		     wk->entry.id, call->status);
 		return;
 	}
-	wk->reported_us = now;
-	wk->busy = report.busy;
-	wk->reported_held = report.memory_used;
-	wk->reported_first_hops = report.running + report.waiting;
-	wk->orders_taken = report.orders_taken;
-	wk->slowdown = report.slowdown > 0 ? report.slowdown : 1;
-	wk->slowdown_us = now;
+	wk->proc.reported_us = now;
+	wk->proc.busy = report.busy;
+	wk->proc.reported_held = report.memory_used;
+	wk->proc.reported_first_hops = report.running + report.waiting;
+	wk->proc.orders_taken = report.orders_taken;
+	wk->proc.slowdown = report.slowdown > 0 ? report.slowdown : 1;
+	wk->proc.slowdown_us = now;
 	/* A list entry that has just come is newer than the report. */
 	if (now - wk->layers_changed_us > WKP_REPORT_LAG_US)
 		wk->layers = report.layers;
-	if (wk->ordered && !report.busy && wk->layers.from == wk->order.from &&
-	    wk->layers.to == wk->order.to)
-		wk->ordered = false;
+	if (wk->proc.ordered && !report.busy &&
+	    wk->layers.from == wk->proc.order.from &&
+	    wk->layers.to == wk->proc.order.to)
+		wk->proc.ordered = false;
 	wk_clear_suspicion(wk);
 	eq_on_report(call->edge, wk, &report, now);
 }
