quar: an expired entry is as if absent

What callers would see: a request that two workers had died under, long ago, is refused for another minute because a peer merely suspects it.

Cause: quar_learn and quar_completed found entries whether expired or not; only two of four users compared the time.

Change: quar_find returns live entries only, in one place; a new entry takes the place of an expired one.

Evidence: regress/quar/expired, "p is quarantined" after the mere suspicion before, "p is suspect" after.

--- a/src/quar.c
+++ b/src/quar.c
@@ -32,7 +32,11 @@
 };
 
 static struct quar_entry *
-quar_find(const struct quar *quar, const uint8_t fingerprint[MAG_DIGEST_BYTES]);
+quar_lookup(const struct quar *quar,
+	    const uint8_t fingerprint[MAG_DIGEST_BYTES]);
+static struct quar_entry *quar_find(const struct quar *quar,
+				    const uint8_t fingerprint[MAG_DIGEST_BYTES],
+				    int64_t now);
 static struct quar_entry *quar_add(struct quar *quar,
 				   const uint8_t fingerprint[MAG_DIGEST_BYTES]);
 static struct cds_list_head *quar_bucket(const struct quar *quar,
@@ -102,9 +106,9 @@
 			   const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			   int64_t now)
 {
-	const struct quar_entry *entry = quar_find(quar, fingerprint);
+	const struct quar_entry *entry = quar_find(quar, fingerprint, now);
 
-	if (!entry || now >= entry->until_us)
+	if (!entry)
 		return QUAR_CLEAR;
 	return entry->endpoints_lost >= QUAR_ENDPOINTS_MAX ? QUAR_QUARANTINED
 							   : QUAR_SUSPECT;
@@ -120,14 +124,10 @@
 			const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			int endpoint, bool was_alone, int64_t now)
 {
-	struct quar_entry *entry = quar_find(quar, fingerprint);
+	struct quar_entry *entry = quar_find(quar, fingerprint, now);
 	uint32_t lost_before;
 
 	(void)endpoint;
-	if (entry && now >= entry->until_us) {
-		quar_remove(quar, entry);
-		entry = NULL;
-	}
 	if (!entry)
 		entry = quar_add(quar, fingerprint);
 	if (!entry)
@@ -155,9 +155,8 @@
 void quar_completed(struct quar *quar,
 		    const uint8_t fingerprint[MAG_DIGEST_BYTES], int64_t now)
 {
-	struct quar_entry *entry = quar_find(quar, fingerprint);
+	struct quar_entry *entry = quar_find(quar, fingerprint, now);
 
-	(void)now;
 	if (!entry || entry->endpoints_lost >= QUAR_ENDPOINTS_MAX)
 		return;
 	quar_log(LOG_QUAR_CLEARED, entry);
@@ -171,7 +170,7 @@
 void quar_learn(struct quar *quar, const uint8_t fingerprint[MAG_DIGEST_BYTES],
 		uint32_t endpoints_lost, int64_t until_us, int64_t now)
 {
-	struct quar_entry *entry = quar_find(quar, fingerprint);
+	struct quar_entry *entry = quar_find(quar, fingerprint, now);
 
 	if (endpoints_lost == 0 || until_us <= now)
 		return;
@@ -212,9 +211,20 @@
 	return true;
 }
 
-/* Finds the entry of a fingerprint, or NULL. */
+/* Finds the entry of a fingerprint that has not expired, or NULL. */
 static struct quar_entry *quar_find(const struct quar *quar,
-				    const uint8_t fingerprint[MAG_DIGEST_BYTES])
+				    const uint8_t fingerprint[MAG_DIGEST_BYTES],
+				    int64_t now)
+{
+	struct quar_entry *entry = quar_lookup(quar, fingerprint);
+
+	return entry && now < entry->until_us ? entry : NULL;
+}
+
+/* Finds the entry of a fingerprint, expired or not, or NULL. */
+static struct quar_entry *
+quar_lookup(const struct quar *quar,
+	    const uint8_t fingerprint[MAG_DIGEST_BYTES])
 {
 	struct cds_list_head *bucket = quar_bucket(quar, fingerprint);
 	struct quar_entry *entry;
@@ -227,12 +237,17 @@
 	return NULL;
 }
 
-/* Creates the entry of a fingerprint; NULL if out of memory. */
+/*
+ * Creates the entry of a fingerprint, in place of one that has expired; NULL if
+ * out of memory.
+ */
 static struct quar_entry *quar_add(struct quar *quar,
 				   const uint8_t fingerprint[MAG_DIGEST_BYTES])
 {
-	struct quar_entry *entry;
+	struct quar_entry *entry = quar_lookup(quar, fingerprint);
 
+	if (entry)
+		quar_remove(quar, entry);
 	if (quar->count >= quar->max_entries && quar->count > 0)
 		quar_remove(quar,
 			    cds_list_first_entry(&quar->by_age,
