--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -127,6 +127,26 @@
 	hdr_free(&headers);
 }
 
+/* "request FIELD: VALUE": prints the numbers of a client's request. */
+static void print_request(FILE *out, const char *text)
+{
+	struct hdr_list headers = { 0 };
+	struct pl_request request;
+	const char *value = strstr(text, ": ");
+	const char *bad;
+
+	if (!value)
+		return;
+	hdr_add_name(&headers, text, (size_t)(value - text));
+	hdr_add_value(&headers, value + 2, strlen(value + 2));
+	bad = pl_request_decode(&headers, &request);
+	fprintf(out, "%s%slimit %lld ms, tokens %d, at most %d, hint %d\n",
+		bad ? bad : "", bad ? " is too large: " : "",
+		(long long)request.timeout_ms, request.prompt_tokens,
+		request.answer_tokens_max, request.answer_tokens_hint);
+	hdr_free(&headers);
+}
+
 /* "leaving [TEXT]": prints whether a response says that its worker leaves. */
 static void print_leaving(FILE *out, const char *text)
 {
@@ -205,6 +225,8 @@
 			print_era(out, line + 3);
 		else if (strncmp(line, "limit", 5) == 0)
 			print_limit(out, line + 5);
+		else if (strncmp(line, "request ", 8) == 0)
+			print_request(out, line + 8);
 		else if (strncmp(line, "leaving", 7) == 0)
 			print_leaving(out, line + 7);
 		else if (strncmp(line, "backoff ", 8) == 0)
--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -60,6 +60,29 @@
 			wk_usable(wk, now) ? "gets requests" : "gets none");
 }
 
+/*
+ * "answer ...", "suspect ID", "refuses ID", "gone ID": what is learned of one
+ * worker.  False for another line.
+ */
+static bool drive_worker(const char *line, int64_t now)
+{
+	char id[LINE_MAX_];
+
+	if (strncmp(line, "entry", 5) == 0)
+		put_entry(line, now);
+	else if (strncmp(line, "answer", 6) == 0)
+		apply_answer(line, now);
+	else if (sscanf(line, "suspect %63s", id) == 1)
+		wk_suspect(wk_by_id(&table, id), now, "test");
+	else if (sscanf(line, "refuses %63s", id) == 1)
+		wk_on_refusal(wk_by_id(&table, id), now);
+	else if (sscanf(line, "gone %63s", id) == 1)
+		wk_remove(&table, id, now, now);
+	else
+		return false;
+	return true;
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	struct event_base *base = event_base_new();
@@ -77,18 +100,10 @@
 		if (line[0] == '#' || line[0] == '\n')
 			continue;
 		fprintf(out, "> %s", line);
-		if (strncmp(line, "entry", 5) == 0)
-			put_entry(line, now);
-		else if (strncmp(line, "answer", 6) == 0)
-			apply_answer(line, now);
-		else if (sscanf(line, "at_ms %lld", &at_ms) == 1)
+		if (drive_worker(line, now))
+			continue;
+		if (sscanf(line, "at_ms %lld", &at_ms) == 1)
 			now = at_ms * MAG_US_PER_MS;
-		else if (sscanf(line, "gone %63s", text) == 1)
-			wk_remove(&table, text, now, now);
-		else if (sscanf(line, "suspect %63s", text) == 1)
-			wk_suspect(wk_by_id(&table, text), now, "test");
-		else if (sscanf(line, "refuses %63s", text) == 1)
-			wk_on_refusal(wk_by_id(&table, text), now);
 		else if (strncmp(line, "tick", 4) == 0)
 			wk_tick(&table, now);
 		else if (strncmp(line, "list", 4) == 0)
--- a/regress/edge/bad-requests.sh
+++ b/regress/edge/bad-requests.sh
@@ -11,4 +11,5 @@
 send 'GET /nowhere/ HTTP/1.1\r\nHost: h.example\r\n\r\n'
 send 'POST /b/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 99999999\r\n\r\n'
 send "GET /r/x HTTP/1.1\r\nHost: h.example\r\nX: $(head -c 20000 /dev/zero | tr '\0' x)\r\n\r\n"
+send 'GET /r/x HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 9300000000000000\r\n\r\n'
 [ "$before" = "$(cat "$dir"/worker.*.log | grep -c '^RUN')" ] && echo "no worker ran anything"
--- a/regress/fuzz_pl.c
+++ b/regress/fuzz_pl.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "pl_config.h"
+#include "pl_header.h"
 #include "pl_store.h"
 #include "pl_worker.h"
 
@@ -26,6 +27,27 @@
 	hdr_free(&headers);
 }
 
+/* Decodes the bytes as every numeric field of requests and responses. */
+static void read_fields(const char *text, size_t len)
+{
+	static const char *const names[] = { "Deadline-Ms",   "Token-Count",
+					     "Length-Hint",   "Last-Event-Id",
+					     "Server-Limit",  "Retry-After",
+					     "Server-Leaving" };
+	struct hdr_list headers = { 0 };
+	struct pl_request request;
+	struct wire_advert advert;
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(names); i++) {
+		hdr_add_name(&headers, names[i], strlen(names[i]));
+		hdr_add_value(&headers, text, len);
+	}
+	pl_request_decode(&headers, &request);
+	pl_advert_decode(503, &headers, &advert);
+	hdr_free(&headers);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static struct wire_report report;
@@ -37,7 +59,7 @@
 
 	if (size < 1)
 		return 0;
-	switch (data[0] % 4) {
+	switch (data[0] % 5) {
 	case 0:
 		if (pl_config_decode(text, size - 1, &set, why, sizeof(why)) ==
 		    RT_OK) {
@@ -53,6 +75,9 @@
 	case 2:
 		pl_report_decode(text, size - 1, &report);
 		break;
+	case 4:
+		read_fields(text, size - 1);
+		break;
 	default:
 		if (pl_store_items(text, size - 1, &items) == PL_OK)
 			pl_store_items_free(&items);
--- a/src/eq.c
+++ b/src/eq.c
@@ -69,6 +69,10 @@
 		eq_refuse_early(edge, conn);
 		return;
 	}
+	if (eq->bad_field) {
+		eq_refuse(eq, 400, EQ_RETRY_NEVER, eq->bad_field);
+		return;
+	}
 	if (!eq_resolve_route(eq) || !eq_admit(eq, now))
 		return;
 	eq_set_deadlines(eq);
@@ -276,7 +280,7 @@
 	eq->rt = rt_hold(edge->rt);
 	eq->arrived_us = now;
 	eq->deadline_us = MAG_NEVER;
-	pl_request_decode(hs_headers(conn), &eq->request);
+	eq->bad_field = pl_request_decode(hs_headers(conn), &eq->request);
 	eq->last_event = eq->request.last_event;
 	cds_list_add_tail(&eq->node, &edge->requests);
 	edge->request_count++;
--- a/src/eq.h
+++ b/src/eq.h
@@ -43,6 +43,7 @@
 	const struct rt_service *service;
 	const char *account; /* NULL: the route requires none */
 	struct pl_request request;
+	const char *bad_field; /* of the request; NULL: none */
 	uint8_t fingerprint[MAG_DIGEST_BYTES];
 	enum eq_state state;
 
