edge: no two services share a retry budget, no two data centres an index

What callers would see: from the 32nd service on, retries of one service spend the budget of another; from the 32nd data centre on, workers of several count as one, so that chains cross unseen.

Cause: fixed tables whose last entry was shared in silence.

Change: what is kept of a service (its budget, the placer's deadlines, which followed the place in the configuration and not the service) is a list that grows with the services in use and drops those unused for two windows. The plan of layers walks the data centres that its cards are in.

--- a/src/chn.c
+++ b/src/chn.c
@@ -60,7 +60,7 @@
 	static _Thread_local struct chn_walk walk;
 
 	if (first->to <= 0 || first->to >= request->layers ||
-	    first->centre >= CHN_CENTRES_MAX ||
+	    first->centre < 0 || first->centre >= CHN_CENTRES_MAX ||
 	    chn_walk_begin(&walk, request, workers, count))
 		return CHN_E_NO_CHAIN;
 	walk.start = first->to;
--- a/src/chn.h
+++ b/src/chn.h
@@ -19,8 +19,8 @@
 #include "mag.h"
 
 #define CHN_HOPS_MAX	32
-#define CHN_LAYERS_MAX	256
-#define CHN_CENTRES_MAX 32
+#define CHN_LAYERS_MAX	MAG_LAYERS_MAX
+#define CHN_CENTRES_MAX MAG_DATA_CENTRES_MAX
 #define CHN_WORKERS_MAX 4096
 
 /* Network time of one token between two workers of a data centre. */
--- a/src/edge.c
+++ b/src/edge.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "edge.h"
@@ -14,7 +15,29 @@
 /* Fraction of a link between data centres that all streams together may use. */
 #define EDGE_LINK_FRACTION 0.5
 
-/* Returns the index of a data centre, adding a new name to the table. */
+static void edge_expire_services(struct edge *edge, int64_t now);
+
+/* Initialises the tables of data centres and services. */
+void edge_init(struct edge *edge)
+{
+	CDS_INIT_LIST_HEAD(&edge->services);
+	bud_init(&edge->no_service.bud, MAG_US_PER_S, 0, 0);
+}
+
+/* Frees the table of services. */
+void edge_free_services(struct edge *edge)
+{
+	struct edge_service *service;
+	struct edge_service *next;
+
+	cds_list_for_each_entry_safe (service, next, &edge->services, node)
+		free(service);
+}
+
+/*
+ * Returns the index of a data centre, adding a new name to the table; -1 if the
+ * table is full.  Workers of such a data centre are not used.
+ */
 int edge_data_centre_index(struct edge *edge, const char *name)
 {
 	int i;
@@ -23,13 +46,64 @@
 		if (strcmp(edge->data_centres[i], name) == 0)
 			return i;
 	}
-	if (i == EDGE_DATA_CENTRES_MAX)
-		return EDGE_DATA_CENTRES_MAX - 1;
+	if (i == MAG_DATA_CENTRES_MAX) {
+		if (!edge->data_centres_full)
+			jlog(LOG_EDGE_CENTRES,
+			     "\"data_centre\":\"%s\",\"max\":%d", name,
+			     MAG_DATA_CENTRES_MAX);
+		edge->data_centres_full = true;
+		return -1;
+	}
 	snprintf(edge->data_centres[i], sizeof(edge->data_centres[i]), "%s",
 		 name);
 	return edge->data_centre_count++;
 }
 
+/*
+ * Returns what is kept of a service, adding it to the table.  Without memory
+ * for it, the result is an entry whose requests are not retried.
+ */
+struct edge_service *edge_service(struct edge *edge, const char *name,
+				  int64_t now)
+{
+	struct edge_service *service;
+
+	cds_list_for_each_entry (service, &edge->services, node) {
+		if (strcmp(service->name, name) != 0)
+			continue;
+		service->used_us = now;
+		return service;
+	}
+	edge_expire_services(edge, now);
+	service = calloc(1, sizeof(*service));
+	if (!service) {
+		jlog(LOG_EDGE_MEMORY, "\"service\":\"%s\"", name);
+		return &edge->no_service;
+	}
+	mag_copy_name(service->name, sizeof(service->name), name);
+	service->used_us = now;
+	bud_init(&service->bud, edge->set.retry_window_us,
+		 edge->set.retry_ratio, 0);
+	cds_list_add_tail(&service->node, &edge->services);
+	edge->service_count++;
+	return service;
+}
+
+/* Drops the services that have not been used for longer than a budget lasts. */
+static void edge_expire_services(struct edge *edge, int64_t now)
+{
+	struct edge_service *service;
+	struct edge_service *next;
+
+	cds_list_for_each_entry_safe (service, next, &edge->services, node) {
+		if (now - service->used_us < 2 * edge->set.retry_window_us)
+			continue;
+		cds_list_del(&service->node);
+		edge->service_count--;
+		free(service);
+	}
+}
+
 /*
  * Returns the retry budget of a service.  This instance's part of the slack is
  * the total divided by one and a half times the most instances seen so far,
@@ -37,13 +111,11 @@
  * just started has little slack: its predecessor may have spent its part in the
  * same window, and routers restarted in turn would each spend it again.
  */
-struct bud *edge_budget(struct edge *edge, const char *service, int64_t now)
+struct bud *edge_budget(struct edge *edge, const char *name, int64_t now)
 {
+	struct edge_service *service = edge_service(edge, name, now);
 	int routers = 1 + pres_peer_count(edge->pres);
-	double slack;
 	double fraction;
-	struct edge_budget *budget;
-	int i;
 
 	if (routers > edge->max_routers_seen)
 		edge->max_routers_seen = routers;
@@ -54,24 +126,11 @@
 		fraction = 1;
 	if (fraction < EDGE_INITIAL_SLACK)
 		fraction = EDGE_INITIAL_SLACK;
-	slack = fraction * edge->set.retry_slack /
-		(edge->max_routers_seen * 1.5 + 1);
-	for (i = 0; i < edge->budget_count; i++) {
-		if (strcmp(edge->budgets[i].service, service) == 0)
-			break;
-	}
-	if (i == EDGE_BUDGETS_MAX)
-		i = EDGE_BUDGETS_MAX - 1;
-	budget = &edge->budgets[i];
-	if (i == edge->budget_count) {
-		edge->budget_count++;
-		snprintf(budget->service, sizeof(budget->service), "%s",
-			 service);
-		bud_init(&budget->bud, edge->set.retry_window_us,
-			 edge->set.retry_ratio, slack);
-	}
-	bud_set_slack(&budget->bud, slack);
-	return &budget->bud;
+	if (service != &edge->no_service)
+		bud_set_slack(&service->bud,
+			      fraction * edge->set.retry_slack /
+				      (edge->max_routers_seen * 1.5 + 1));
+	return &service->bud;
 }
 
 /*
--- a/src/edge.h
+++ b/src/edge.h
@@ -26,22 +26,19 @@
 #include "attest.h"
 #include "wk.h"
 
-#define EDGE_DATA_CENTRES_MAX 32
-#define EDGE_BUDGETS_MAX      32
-#define EDGE_SERVICES_MAX     32 /* services with engines that are placed */
-
-/* Retry budget of a service; survives changes of the configuration. */
-struct edge_budget {
-	char service[MAG_NAME_MAX];
-	struct bud bud;
+/* What a router keeps of a service over changes of the configuration. */
+struct edge_service {
+	struct cds_list_head node;
+	char name[MAG_NAME_MAX];
+	int64_t used_us; /* when it was last asked for */
+	struct bud bud;	 /* of retries */
+	/* For the placer: since when a data centre lacks layers; 0: none. */
+	int64_t coverage_gap_since_us;
+	int64_t next_balance_us; /* when an accelerator may be moved next */
 };
 
 /* State of the placer between ticks. */
 struct edge_placer {
-	/* Per service: since when a data centre lacks layers; 0: none does. */
-	int64_t coverage_gap_since_us[EDGE_SERVICES_MAX];
-	/* Per service: when an accelerator may be reassigned next. */
-	int64_t next_balance_us[EDGE_SERVICES_MAX];
 	int64_t next_coverage_log_us;
 	int64_t next_plan_us;
 };
@@ -70,10 +67,12 @@
 	bool store_reachable;
 	int64_t store_regained_us; /* reachable again; 0: never lost */
 
-	char data_centres[EDGE_DATA_CENTRES_MAX][MAG_NAME_MAX];
+	char data_centres[MAG_DATA_CENTRES_MAX][MAG_NAME_MAX];
 	int data_centre_count;
-	struct edge_budget budgets[EDGE_BUDGETS_MAX];
-	int budget_count;
+	bool data_centres_full;	       /* and that was logged */
+	struct cds_list_head services; /* of struct edge_service */
+	int service_count;
+	struct edge_service no_service; /* without retries; out of memory */
 	struct age caller_ages;
 	int max_routers_seen; /* at one time, this one included */
 	int64_t started_us;
@@ -105,7 +104,11 @@
 void edge_follow_tick(struct edge *edge, int64_t now);
 
 /* edge.c */
+void edge_init(struct edge *edge);
+void edge_free_services(struct edge *edge);
 int edge_data_centre_index(struct edge *edge, const char *name);
+struct edge_service *edge_service(struct edge *edge, const char *name,
+				  int64_t now);
 struct bud *edge_budget(struct edge *edge, const char *service, int64_t now);
 bool edge_may_cross_data_centres(struct edge *edge,
 				 const struct rt_engine *engine, int64_t now);
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -154,6 +154,7 @@
 		return -1;
 	}
 	wk_init(&edge->workers, edge->hc);
+	edge_init(edge);
 	edge_data_centre_index(edge, edge->set.data_centre);
 	if (edge_listen(edge))
 		return -1;
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -269,6 +269,7 @@
 	struct chn_worker *w;
 	struct wk *wk;
 	double spare_mb;
+	int centre;
 	int layers;
 	int count = 0;
 
@@ -285,12 +286,13 @@
 		if (first && wk == first->worker)
 			continue;
 		accelerator = rt_find_accelerator(engine, wk->entry.kind);
-		if (!accelerator)
+		centre = edge_data_centre_index(edge, wk->entry.data_centre);
+		if (!accelerator || centre < 0)
 			continue;
 		w = &eq_candidates[count];
 		eq_candidate_workers[count] = wk;
 		w->ref = count++;
-		w->centre = edge_data_centre_index(edge, wk->entry.data_centre);
+		w->centre = centre;
 		w->from = wk->layers.from;
 		w->to = wk->layers.to;
 		w->layer_us = engine->step_ms * 1000 *
--- a/src/lay.c
+++ b/src/lay.c
@@ -135,13 +135,27 @@
 	return assigned;
 }
 
+/* Returns one more than the highest data centre of the cards. */
+int lay_count_centres(const struct lay_card *cards, int count)
+{
+	int centres = 0;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (cards[i].centre >= centres)
+			centres = cards[i].centre + 1;
+	}
+	return centres;
+}
+
 static int lay_assign_centres(const struct lay_model *model,
 			      struct lay_card *cards, int count)
 {
+	int centres = lay_count_centres(cards, count);
 	int assigned = 0;
 	int centre;
 
-	for (centre = 0; centre < LAY_CENTRES_MAX; centre++)
+	for (centre = 0; centre < centres; centre++)
 		assigned += lay_assign_centre(model, cards, count, centre);
 	return assigned;
 }
@@ -164,7 +178,8 @@
 		group[size++] = &cards[i];
 		memory += cards[i].memory_mb;
 	}
-	if (memory * LAY_LAYERS_FRACTION < model->layers * model->layer_mb)
+	if (size == 0 ||
+	    memory * LAY_LAYERS_FRACTION < model->layers * model->layer_mb)
 		return 0;
 	return lay_assign_group(model, group, size);
 }
--- a/src/lay.h
+++ b/src/lay.h
@@ -20,7 +20,7 @@
 
 #include "mag.h"
 
-#define LAY_LAYERS_MAX 256
+#define LAY_LAYERS_MAX MAG_LAYERS_MAX
 
 struct lay_card {
 	int centre; /* data centre, from 0 */
--- a/src/lay_balance.c
+++ b/src/lay_balance.c
@@ -95,10 +95,11 @@
 {
 	double gain = initial ? LAY_GAIN_INITIAL : LAY_GAIN;
 	int moves = initial ? LAY_MOVES_INITIAL : 1;
+	int centres = lay_count_centres(cards, count);
 	int centre;
 	int i;
 
-	for (centre = 0; centre < LAY_CENTRES_MAX; centre++) {
+	for (centre = 0; centre < centres; centre++) {
 		if (!initial && !lay_is_settled(cards, count, centre))
 			continue;
 		for (i = 0; i < moves; i++) {
--- a/src/lay_int.h
+++ b/src/lay_int.h
@@ -5,8 +5,7 @@
 
 #include "lay.h"
 
-#define LAY_CENTRES_MAX 32
-#define LAY_CARDS_MAX	4096
+#define LAY_CARDS_MAX 4096
 
 /* Tokens that each card should have memory for. */
 double lay_target_tokens(const struct lay_model *model);
@@ -16,6 +15,8 @@
 /* The maximum of layers that a card may hold. */
 int lay_max_layers(const struct lay_model *model, const struct lay_card *card);
 
+/* Returns one more than the highest data centre of the cards. */
+int lay_count_centres(const struct lay_card *cards, int count);
 /* Plans copies over a data centre's cards; returns how many cards it used. */
 int lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
 		      int count, int centre);
--- a/src/lay_repair.c
+++ b/src/lay_repair.c
@@ -54,6 +54,7 @@
 void lay_repair(const struct lay_model *model, struct lay_card *cards,
 		int count, bool widen)
 {
+	int centres = lay_count_centres(cards, count);
 	int centre;
 	int i;
 
@@ -62,7 +63,7 @@
 		    cards[i].planned_from == cards[i].planned_to)
 			lay_fill_card(model, cards, count, &cards[i]);
 	}
-	for (centre = 0; widen && centre < LAY_CENTRES_MAX; centre++) {
+	for (centre = 0; widen && centre < centres; centre++) {
 		if (lay_has_hole(model, cards, count, centre))
 			lay_close_holes(model, cards, count, centre);
 	}
--- a/src/mag.h
+++ b/src/mag.h
@@ -9,14 +9,17 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define MAG_NAME_MAX	 64 /* longest object name, including the NUL */
-#define MAG_ADDR_MAX	 48 /* "ip:port", including the NUL */
-#define MAG_DIGEST_BYTES 32 /* BLAKE2b-256 */
-#define MAG_DIGEST_HEX	 (2 * MAG_DIGEST_BYTES + 1)
-#define MAG_CHAIN_MAX	 16 /* maximum of stages in a pipeline */
-#define MAG_US_PER_MS	 INT64_C(1000)
-#define MAG_US_PER_S	 INT64_C(1000000)
-#define MAG_NEVER	 INT64_MAX /* no deadline */
+/* Data centres that one instance can tell apart. */
+#define MAG_DATA_CENTRES_MAX 64
+#define MAG_LAYERS_MAX	     256 /* of a model */
+#define MAG_NAME_MAX	     64	 /* longest object name, including the NUL */
+#define MAG_ADDR_MAX	     48	 /* "ip:port", including the NUL */
+#define MAG_DIGEST_BYTES     32	 /* BLAKE2b-256 */
+#define MAG_DIGEST_HEX	     (2 * MAG_DIGEST_BYTES + 1)
+#define MAG_CHAIN_MAX	     16 /* maximum of stages in a pipeline */
+#define MAG_US_PER_MS	     INT64_C(1000)
+#define MAG_US_PER_S	     INT64_C(1000000)
+#define MAG_NEVER	     INT64_MAX /* no deadline */
 
 #define MAG_ARRAY_SIZE(a) (sizeof(a) / sizeof((a)[0]))
 
--- a/src/plr.c
+++ b/src/plr.c
@@ -54,7 +54,7 @@
 };
 
 static void plr_plan_service(struct edge *edge, int index, int64_t now);
-static void plr_balance(struct edge *edge, int index,
+static void plr_balance(struct edge_service *state,
 			const struct lay_model *model, struct lay_card *cards,
 			int count, bool initial, int64_t now);
 static void plr_log_bottlenecks(struct edge *edge,
@@ -85,7 +85,7 @@
 	if (!pres_is_placer(edge->pres, now) || !edge->rt ||
 	    !edge->workers_listed)
 		return;
-	for (i = 0; i < edge->rt->service_count && i < EDGE_SERVICES_MAX; i++) {
+	for (i = 0; i < edge->rt->service_count; i++) {
 		if (edge->rt->services[i].has_engine)
 			plr_plan_service(edge, i, now);
 	}
@@ -95,12 +95,13 @@
 static void plr_plan_service(struct edge *edge, int index, int64_t now)
 {
 	const struct rt_service *service = &edge->rt->services[index];
-	int64_t *hole_since_us = &edge->placer.coverage_gap_since_us[index];
+	struct edge_service *state = edge_service(edge, service->name, now);
+	int64_t *hole_since_us = &state->coverage_gap_since_us;
 	static struct lay_card cards[PLR_CARDS_MAX];
 	static struct wk *workers[PLR_CARDS_MAX];
 	struct lay_model model = plr_model(&service->engine);
 	struct wire_range range;
-	bool holes[EDGE_DATA_CENTRES_MAX];
+	bool holes[MAG_DATA_CENTRES_MAX];
 	bool hole = false;
 	bool initial;
 	int count;
@@ -121,7 +122,7 @@
 	plr_log_bottlenecks(edge, &model, cards, count, now);
 	lay_plan(&model, cards, count,
 		 hole && now - *hole_since_us > PLR_WIDEN_DELAY_US);
-	plr_balance(edge, index, &model, cards, count, initial, now);
+	plr_balance(state, &model, cards, count, initial, now);
 	for (i = 0; i < count; i++) {
 		range = (struct wire_range){ cards[i].planned_from,
 					     cards[i].planned_to };
@@ -138,15 +139,13 @@
 }
 
 /* Moves cards to the layers with the least capacity, once in an interval. */
-static void plr_balance(struct edge *edge, int index,
+static void plr_balance(struct edge_service *state,
 			const struct lay_model *model, struct lay_card *cards,
 			int count, bool initial, int64_t now)
 {
-	int64_t *next_us = &edge->placer.next_balance_us[index];
-
-	if (!initial && now < *next_us)
+	if (!initial && now < state->next_balance_us)
 		return;
-	*next_us = now + PLR_BALANCE_INTERVAL_US;
+	state->next_balance_us = now + PLR_BALANCE_INTERVAL_US;
 	lay_balance(model, cards, count, initial);
 }
 
@@ -199,6 +198,7 @@
 	const struct rt_accelerator *accelerator;
 	struct lay_card *card;
 	struct wk *wk;
+	int centre;
 	int count = 0;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
@@ -211,11 +211,13 @@
 			rt_find_accelerator(&service->engine, wk->entry.kind);
 		if (!accelerator)
 			continue;
+		centre = edge_data_centre_index(edge, wk->entry.data_centre);
+		if (centre < 0)
+			continue;
 		card = &cards[count];
 		workers[count++] = wk;
 		memset(card, 0, sizeof(*card));
-		card->centre =
-			edge_data_centre_index(edge, wk->entry.data_centre);
+		card->centre = centre;
 		card->memory_mb = accelerator->memory_mb;
 		card->step_factor = accelerator->step_factor;
 		card->from = wk->proc.ordered ? wk->proc.order.from
