--- a/src/lay.c
+++ b/src/lay.c
@@ -235,7 +235,7 @@
 		left -= widths[used];
 		used++;
 	}
-	if (left > 0)
+	if (used == 0 || left > 0)
 		return 0;
 	lay_spread_evenly(copy, used, widths);
 	for (i = 0; i < used; i++) {
