chn: name a denied crossing as the reason

What callers see of it: as before, the request waits half of its latency target, as a crossing may be allowed within that time, and is refused then. The log and the choice said "all workers busy" (no slots), so that an operator looked for busy workers where layers were missing in each data centre.

Change: CHN_E_CROSSING, "no crossing between data centres left". bench_served counts it, and "workers back off", as busy.

Evidence: regress/chn/crossing-denied and pipe-full, "no slots" before, "no crossing" after.

--- a/bench/bench_served.c
+++ b/bench/bench_served.c
@@ -147,6 +147,8 @@
 		{ "no configuration yet", NO_CONFIG },
 		{ "stopping", STOPPING },
 		{ "no worker", NO_CHAIN },
+		{ "no crossing between data centres left", BUSY },
+		{ "workers back off", BUSY },
 		{ "retry budget spent", BUDGET },
 		{ "answered", WORKER_FAILED },
 		{ "caller left", CALLER_LEFT },
--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -49,7 +49,7 @@
 static void choose_chains(FILE *out, int times)
 {
 	static const char *const errors[] = { "ok", "no holders", "no memory",
-					      "no slots" };
+					      "no slots", "no crossing" };
 	struct chn_chain chain;
 	int position;
 	int rc = CHN_OK;
--- a/src/chn.c
+++ b/src/chn.c
@@ -16,7 +16,7 @@
 
 /*
  * Finds the cheapest chain.  If none fits, the error tells what is missing:
- * holders of a layer, memory, or slots at first workers.
+ * holders of a layer, memory, a crossing, or slots at first workers.
  *
  * Load pattern: a worker is lost, and all streams of its data centre restart
  * within milliseconds.  If all went to the single cheapest chain, the last of
@@ -29,6 +29,7 @@
 	       struct chn_chain *chain)
 {
 	static _Thread_local struct chn_walk walk;
+	struct chn_request crossing = *request;
 
 	if (chn_walk_begin(&walk, request, workers, count))
 		return CHN_E_NO_CHAIN;
@@ -37,7 +38,11 @@
 	if (!chn_covers_layers(workers, count, request->layers))
 		return CHN_E_NO_CHAIN;
 	walk.use_memory = false;
-	return chn_find_cheapest(&walk, chain) == CHN_OK ? CHN_E_MEMORY
+	if (chn_find_cheapest(&walk, chain) == CHN_OK)
+		return CHN_E_MEMORY;
+	crossing.may_cross_centres = true;
+	walk.request = &crossing;
+	return chn_find_cheapest(&walk, chain) == CHN_OK ? CHN_E_CROSSING
 							 : CHN_E_SLOTS;
 }
 
--- a/src/chn.h
+++ b/src/chn.h
@@ -34,7 +34,8 @@
 	CHN_OK = 0,
 	CHN_E_NO_CHAIN = -1, /* the usable workers lack some layer */
 	CHN_E_MEMORY = -2,   /* some layer has no memory for the request */
-	CHN_E_SLOTS = -3,    /* no slot left, or no crossing allowed */
+	CHN_E_SLOTS = -3,    /* no slot left at first workers */
+	CHN_E_CROSSING = -4, /* only with a crossing, and none is allowed */
 };
 
 struct chn_worker {
--- a/src/eq.h
+++ b/src/eq.h
@@ -110,8 +110,9 @@
 /* eq_chain.c */
 enum eq_choice {
 	EQ_CHOSEN,
-	EQ_BUSY,      /* all workers are at their limit */
-	EQ_NO_WORKER, /* no worker serves this request */
+	EQ_BUSY,	/* all workers are at their limit */
+	EQ_NO_CROSSING, /* the link between data centres is at its limit */
+	EQ_NO_WORKER,	/* no worker serves this request */
 };
 
 enum eq_choice eq_choose_chain(struct eq *eq, int64_t now);
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -64,8 +64,10 @@
 	eq_fill_chain_request(eq, &chain_request, now);
 	count = eq_list_candidates(eq, NULL, now);
 	rc = chn_choose(&chain_request, eq_candidates, count, &chain);
+	if (rc == CHN_E_NO_CHAIN)
+		return EQ_NO_WORKER;
 	if (rc)
-		return rc == CHN_E_NO_CHAIN ? EQ_NO_WORKER : EQ_BUSY;
+		return rc == CHN_E_CROSSING ? EQ_NO_CROSSING : EQ_BUSY;
 	edge->crossing_budget_bytes -= eq_crossing_bytes(eq, chain.crossings);
 	for (i = 0; i < chain.count; i++) {
 		eq_add_prefill(eq, chain.hops[i].ref,
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -112,6 +112,11 @@
 /* Leaves an unplaced request waiting while that can help, else ends it. */
 static void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
 {
+	static const char *const whys[] = {
+		[EQ_BUSY] = "all workers busy",
+		[EQ_NO_CROSSING] = "no crossing between data centres left",
+		[EQ_NO_WORKER] = "no worker",
+	};
 	int64_t max_wait_us =
 		(int64_t)((double)eq->route->target_us * EQ_WAIT_FRACTION);
 
@@ -135,8 +140,7 @@
 	}
 	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX)
 		return;
-	eq_refuse(eq, 503, EQ_RETRY_LATER,
-		  choice == EQ_BUSY ? "all workers busy" : "no worker");
+	eq_refuse(eq, 503, EQ_RETRY_LATER, whys[choice]);
 }
 
 /*
