evs: an id that is no number is none

What callers would see: an event of a stream is missing. An id that is empty, no number or beyond 64 bits was read as 0 or cut to fewer digits, and the event was dropped as one that had been sent before.

Change: such an event has no id and is passed on.

Evidence: regress/evs/ids ("id: " 0 before, none after; 20 nines cut to 18 before; cut to a tenth before, read whole after).

--- a/src/evs.c
+++ b/src/evs.c
@@ -4,6 +4,7 @@
 #include "evs.h"
 
 static int64_t evs_id(const char *bytes, size_t len);
+static int64_t evs_number(const char *text, const char *end);
 static bool evs_find_end(const struct evs *evs, size_t *end);
 
 /*
@@ -107,23 +108,35 @@
 	const char *end = bytes + len;
 	const char *line = bytes;
 	const char *next;
-	int64_t id;
 
 	while (line < end) {
 		next = memchr(line, '\n', (size_t)(end - line));
 		if (!next)
 			break;
-		if (next - line > 3 && memcmp(line, "id:", 3) == 0) {
-			id = 0;
-			for (line += 3; line < next && *line == ' '; line++)
-				;
-			for (; line < next && *line >= '0' && *line <= '9' &&
-			       id < INT64_MAX / 16;
-			     line++)
-				id = id * 10 + (*line - '0');
-			return id;
-		}
+		if (next - line >= 3 && memcmp(line, "id:", 3) == 0)
+			return evs_number(line + 3, next);
 		line = next + 1;
 	}
 	return EVS_NO_ID;
 }
+
+/* Returns the decimal number of a field, or EVS_NO_ID if it is none. */
+static int64_t evs_number(const char *text, const char *end)
+{
+	int64_t number = 0;
+	const char *digits;
+
+	while (text < end && *text == ' ')
+		text++;
+	for (digits = text; text < end && *text >= '0' && *text <= '9';
+	     text++) {
+		if (number > (INT64_MAX - (*text - '0')) / 10)
+			return EVS_NO_ID;
+		number = number * 10 + (*text - '0');
+	}
+	if (text == digits)
+		return EVS_NO_ID;
+	if (text < end && *text == '\r')
+		text++;
+	return text == end ? number : EVS_NO_ID;
+}
