pl_store: a value that is too long is not written

Cause: pl_store_swap_body cut a value over 1608 bytes in silence, so that a router would have registered an address or a title other than its own. What routers write today is under 200 bytes.

Change: such a value has no body, and sto_swap reports the call as refused, as it does for one that cannot be sent.

Evidence: regress/pl/swap, 1609 and 8000 bytes cut to 1608 before.

--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -127,6 +127,30 @@
 	hdr_free(&headers);
 }
 
+/* "swap LENGTH": prints how much of a value of this length is encoded. */
+static void print_swap(FILE *out, const char *line)
+{
+	char value[8192];
+	size_t len = strtoul(line, NULL, 10);
+	struct pl_swap swap = { "mag/x", value, 1, 2 };
+	const char *encoded;
+	char *body;
+
+	if (len >= sizeof(value))
+		return;
+	memset(value, 'a', len);
+	value[len] = '\0';
+	body = pl_store_swap_body(&swap);
+	if (!body) {
+		fprintf(out, "too long\n");
+		return;
+	}
+	encoded = strstr(body, "\"Value\":\"");
+	fprintf(out, "%zu characters of base64\n",
+		encoded ? strcspn(encoded + 9, "\"") : 0);
+	free(body);
+}
+
 /* "request FIELD: VALUE": prints the numbers of a client's request. */
 static void print_request(FILE *out, const char *text)
 {
@@ -225,6 +249,8 @@
 			print_era(out, line + 3);
 		else if (strncmp(line, "limit", 5) == 0)
 			print_limit(out, line + 5);
+		else if (strncmp(line, "swap ", 5) == 0)
+			print_swap(out, line + 5);
 		else if (strncmp(line, "request ", 8) == 0)
 			print_request(out, line + 8);
 		else if (strncmp(line, "leaving", 7) == 0)
--- a/src/sto.c
+++ b/src/sto.c
@@ -87,6 +87,10 @@
 	char path[PL_PATH_MAX];
 	char *body = pl_store_swap_body(&swap);
 
+	if (!body) {
+		done(user, STO_REFUSED, NULL, 0);
+		return;
+	}
 	pl_store_swap_path(path);
 	sto_send_call(sto, "POST", path, body, 0, done, user);
 	free(body);
