--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -21,9 +21,11 @@
 	wait_for "curl -s -o $dir/null http://$store/api/kv-range?PathPrefix=x"
 }
 
-# start_worker NUMBER SERVICE ZONE [KIND]: sets worker_NUMBER to its pid.
+# start_worker NUMBER SERVICE ZONE [KIND]: sets worker_NUMBER to its pid.  It has a
+# new id, or the one that $WORKER_ID names.
 start_worker() {
-	"$build/fake_worker" $store 127.0.0.1:$((base + 10 + $1)) "w-$1-$$-$(date +%N)" \
+	"$build/fake_worker" $store 127.0.0.1:$((base + 10 + $1)) \
+		"${WORKER_ID:-w-$1-$$-$(date +%N)}" \
 		"$2" "$3" $4 >>"$dir/worker.$1.log" 2>&1 &
 	eval "worker_$1=$!"
 	pids="$pids $!"
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -660,6 +660,7 @@
 	service = argv[4];
 	zone = argv[5];
 	kind = argc > 6 ? argv[6] : NULL;
+	started_ms = clk_wall_ms();
 	slots = env_number("FAKE_SLOTS", slots);
 	event_us = env_number("FAKE_EVENT_MS", 20) * MAG_US_PER_MS;
 	if (hc_host_new(hc, argv[1], 8, &store) ||
