wk: an entry without a start is no restart

What callers would see: a request that reaches a worker which said it is leaving, or is in a requested backoff, because another writer's entry for it lacks its start, or because the start became known only now.

Change: only two known starts that differ are two processes; a known start is kept.

Evidence: regress/wk/adverts, last part, "gets requests" before, "gets none" after.

--- a/src/wk.c
+++ b/src/wk.c
@@ -481,7 +481,9 @@
 static void wk_update(struct wk *wk, const struct wire_worker *worker,
 		      int64_t now)
 {
-	bool restarted = worker->started_ms != wk->entry.started_ms;
+	int64_t known_ms = wk->entry.started_ms;
+	bool restarted = worker->started_ms && known_ms &&
+			 worker->started_ms != known_ms;
 	bool leaving = wk->entry.draining && !restarted;
 	bool layers_changed = worker->layers.from != wk->entry.layers.from ||
 			      worker->layers.to != wk->entry.layers.to;
@@ -511,6 +513,8 @@
 	    wk->layers.to == wk->proc.order.to)
 		wk->proc.ordered = false;
 	wk->entry = *worker;
+	if (!wk->entry.started_ms)
+		wk->entry.started_ms = known_ms;
 	/* A process that has begun to drain does not return to service. */
 	wk->entry.draining |= leaving;
 }
