--- a/src/eq.c
+++ b/src/eq.c
@@ -22,6 +22,8 @@
  * its reports have arrived.
  */
 #define EQ_RETRY_SOON_S 0.25
+/* Retry-After (seconds) of a router that has no configuration yet. */
+#define EQ_RETRY_UNCONFIGURED "0.5"
 /* Upper limit of Retry-After, as a fraction of the caller's remaining time. */
 #define EQ_RETRY_FRACTION 0.32
 /*
@@ -256,7 +258,8 @@
 {
 	met_increment(&edge->met, MET_REFUSED);
 	jlog(LOG_EQ_END, "\"status\":503,\"why\":\"no configuration yet\"");
-	hs_reply(conn, 503, "Retry-After: 0.5\r\n", NULL, 0);
+	hs_reply(conn, 503, "Retry-After: " EQ_RETRY_UNCONFIGURED "\r\n", NULL,
+		 0);
 }
 
 static struct eq *eq_new(struct edge *edge, struct hs_conn *conn, int64_t now)
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -21,6 +21,11 @@
  * two seconds.
  */
 #define EQ_LATE_WAIT_US (1200 * MAG_US_PER_MS)
+/*
+ * A stream that has begun may wait this long for a chain on which to resume;
+ * callers leave after two seconds of silence.
+ */
+#define EQ_RESUME_WAIT_US (1500 * MAG_US_PER_MS)
 /* Requests that a plain worker may queue beyond its slots. */
 #define EQ_PLAIN_QUEUE 3
 /* Cost factor of a worker in another data centre. */
@@ -123,11 +128,7 @@
 	if (eq->service->has_engine && eq->arrived_us >= eq->target_deadline_us)
 		max_wait_us = EQ_LATE_WAIT_US;
 	if (eq->state == EQ_STREAMING) {
-		/*
-		 * A stream that has begun may resume until the gap is too
-		 * long.
-		 */
-		if (now - eq->progress_us > 1500 * MAG_US_PER_MS)
+		if (now - eq->progress_us > EQ_RESUME_WAIT_US)
 			eq_fail(eq, 502, "no chain to go on");
 		return;
 	}
