adv, docs: plainer words; one search for the plain worker in use

What a newcomer would stop at: "wishes" of a worker, where the glossary has "advertise"; a blank line between declarations; the same search in two scripts.

--- a/regress/edge/backoff-worker.sh
+++ b/regress/edge/backoff-worker.sh
@@ -6,7 +6,7 @@
 "$build/tool_calls" backoff 12 60 $routers >"$dir/calls" &
 calls=$!
 sleep 1
-for plain in 3 4; do grep -q ^GOT "$dir/worker.$plain.log" && break; done
+find_plain_in_use
 request_backoff 1 2
 request_backoff $plain 2
 sleep 5
--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -183,6 +183,12 @@
 		awk -f edge/backoffs.awk
 }
 
+# find_plain_in_use: sets $plain to one of the two plain workers of start_twins that
+# has received requests.
+find_plain_in_use() {
+	for plain in 3 4; do grep -q ^GOT "$dir/worker.$plain.log" && break; done
+}
+
 # leave NUMBER: a worker says in all its answers that it is leaving; its entry in
 # the list stays as it is.
 leave() { curl -s -o "$dir/null" "http://$(worker $1)/stand-in/leaving"; }
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -73,7 +73,6 @@
 static bool eq_on_headers(void *user, const struct hc_response *response)
 {
 	struct eq *eq = user;
-
 	bool own;
 
 	pl_response_decode(response->status, response->headers, &eq->answer);
--- a/src/wk.h
+++ b/src/wk.h
@@ -28,7 +28,8 @@
 
 /*
  * What is known of a worker's process.  A restart clears all of it, as the new
- * process has neither the layers and faults nor the wishes of the old one.
+ * process has neither the layers and faults of the old one nor what that one
+ * advertised.
  */
 struct wk_process {
 	int64_t leaving_us; /* when it was first seen draining; MAG_NEVER */
--- a/src/wk_advert.c
+++ b/src/wk_advert.c
@@ -27,8 +27,8 @@
 
 /*
  * Applies what an answer advertises; the request, probe or order was sent at
- * sent_us.  What was sent before a restart was answered by the old process,
- * whose wishes have ended.  Returns the effect on the rate limit.
+ * sent_us.  What was sent before a restart was answered by the old process and
+ * no longer holds.  Returns the effect on the rate limit.
  */
 enum thr_change wk_apply_advert(struct wk *wk, const struct wire_advert *advert,
 				enum wk_answer answer, int64_t sent_us,
