wk, hint, hc: periodic work only for workers and hosts in use

Cause: a tick each 10 ms went over all workers four times (deadlines of their connections, rate limits, probes, suspicions to announce), and each 150 ms the workers were indexed and sorted to add up the peers' load. With 2,997 workers a router without a request spends its time there; a profile of 41 routers showed hc_tick 31%, wk_tick 16%, wkp_tick 12%, thr_expire 9%, hint_tick 3%. A listing looked for each entry's id and address among all workers, so that a complete list of n workers took n * n comparisons. Peers were kept in a table of 1,024.

Change: htab, a hash table with intrusive nodes that grows, finds workers by id, by the hash in a message and by address, and peers by name. A tick looks at the list of attended workers (gone, suspected, probed, slow, limited); loads are summed over the list of workers with load; deadlines of connections are looked for at hosts that have any. The load of a peer takes the memory of what it reports (7 KB a peer before). How long a peer's load counts follows from how often it sends where a data centre has more routers than a round reaches.

Ruled out: a longer tick (deadlines of callers need it); timers for each worker (what falls due is rare, and a list is enough while its length is what is in use).

Evidence: regress/hint, thr, wk, edge_state as before, with the table behind them. Work at rest no longer depends on the number of workers: the lists are empty then.

--- a/regress/check_hint.c
+++ b/regress/check_hint.c
@@ -24,15 +24,18 @@
 {
 	int i;
 
-	CDS_INIT_LIST_HEAD(&table.workers);
+	for (i = 0; i < PEERS_MAX; i++)
+		hint_load_free(&peers[i]);
+	htab_free(&table.ids);
+	htab_free(&table.addresses);
+	wk_init(&table, NULL);
 	memset(workers, 0, sizeof(workers));
-	memset(peers, 0, sizeof(peers));
 	memset(given, 0, sizeof(given));
 	count = n;
 	for (i = 0; i < count; i++) {
 		snprintf(workers[i].entry.id, sizeof(workers[i].entry.id),
 			 "w-%d", i);
-		cds_list_add_tail(&workers[i].node, &table.workers);
+		wk_link(&table, &workers[i]);
 	}
 }
 
@@ -44,6 +47,7 @@
 	for (i = 0; i < count; i++) {
 		workers[i].held = i >= from && i < to ? held : 0;
 		workers[i].first_hops = i >= from && i < to ? firsts : 0;
+		wk_add_loaded(&workers[i]);
 	}
 	hint_load_collect(&table, 0, &given[peer]);
 }
@@ -108,14 +112,12 @@
  */
 static void print_sums(FILE *out)
 {
-	struct hint_index index = { 0 };
 	const struct wk *wk;
 	int i;
 
-	if (hint_load_index_workers(&index, &table))
-		return;
+	hint_load_clear(&table, 0);
 	for (i = 0; i < PEERS_MAX; i++)
-		hint_load_add(&index, &peers[i], 1);
+		hint_load_add(&table, &peers[i], 1);
 	for (i = 0; i < count; i++) {
 		wk = &workers[i];
 		if (i > 0 && wk->peer_held == wk[-1].peer_held &&
@@ -124,7 +126,6 @@
 		fprintf(out, "from worker %d: held %.0f firsts %d\n", i,
 			wk->peer_held, wk->peer_first_hops);
 	}
-	hint_load_free(&index);
 }
 
 static void run_script(FILE *in, FILE *out)
--- a/regress/check_thr.c
+++ b/regress/check_thr.c
@@ -49,6 +49,10 @@
 {
 	int i;
 
+	for (i = 0; i < count; i++) {
+		htab_free(&routers[i].table.ids);
+		htab_free(&routers[i].table.addresses);
+	}
 	memset(routers, 0, sizeof(routers));
 	count = n;
 	loss = lost;
@@ -58,14 +62,13 @@
 	send_count = 0;
 	answered = 0;
 	for (i = 0; i < count; i++) {
-		CDS_INIT_LIST_HEAD(&routers[i].table.workers);
-		cds_list_add_tail(&routers[i].wk.node,
-				  &routers[i].table.workers);
 		snprintf(routers[i].wk.entry.id, sizeof(routers[i].wk.entry.id),
 			 "w-1");
 		strcpy(routers[i].wk.entry.data_centre, "a");
+		wk_init(&routers[i].table, NULL);
+		wk_link(&routers[i].table, &routers[i].wk);
 		routers[i].self.id = (uint32_t)(i * 7919 + 1);
-		routers[i].self.data_centre = hint_load_hash("a");
+		routers[i].self.data_centre = htab_hash("a");
 		routers[i].hint_us = now + HINT_US * i / count;
 	}
 }
@@ -96,7 +99,6 @@
 static void send_hint(int r)
 {
 	static struct hint_message message;
-	struct hint_index index = { 0 };
 	int turn = 0;
 	int i;
 
@@ -112,12 +114,10 @@
 		routers[i].received[r] = message;
 		routers[i].received_us[r] = now;
 	}
-	hint_load_index_workers(&index, &routers[r].table);
 	for (i = 0; i < count; i++)
-		hint_limit_add(&index, routers[r].received[i].limits,
+		hint_limit_add(&routers[r].table, routers[r].received[i].limits,
 			       routers[r].received[i].limit_count,
 			       routers[r].received_us[i], now);
-	hint_load_free(&index);
 	update_fraction(r);
 }
 
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -201,6 +201,7 @@
 	hop->held = to > from ? room_mean_tokens(&request) * (to - from) : 0;
 	wk->held += hop->held;
 	wk->recent_held += hop->held;
+	wk_add_loaded(wk);
 	if (eq->hop_count == 0)
 		wk->first_hops++;
 	eq->hop_count++;
--- a/src/hc.c
+++ b/src/hc.c
@@ -30,10 +30,12 @@
 struct hc {
 	struct event_base *base;
 	struct cds_list_head hosts;
+	struct cds_list_head busy; /* hosts with connections */
 };
 
 struct hc_host {
 	struct cds_list_head node;
+	struct cds_list_head in_busy;
 	struct hc *hc;
 	struct sockaddr_storage addr;
 	int addr_len;
@@ -79,6 +81,7 @@
 static void hc_finish(struct hc_call *call, enum hc_result result);
 static void hc_close(struct hc_call *call);
 static void hc_set_idle_timeout(struct hc_call *call, int64_t now);
+static bool hc_expire_any(struct hc *hc, int64_t now);
 static bool hc_expire_one(struct hc_host *host, int64_t now);
 static int hc_on_field(http_parser *parser, const char *at, size_t len);
 static int hc_on_value(http_parser *parser, const char *at, size_t len);
@@ -105,6 +108,7 @@
 		return NULL;
 	hc->base = base;
 	CDS_INIT_LIST_HEAD(&hc->hosts);
+	CDS_INIT_LIST_HEAD(&hc->busy);
 	return hc;
 }
 
@@ -133,7 +137,7 @@
 	struct hc_host *host;
 	struct hc_call *call;
 
-	cds_list_for_each_entry (host, &hc->hosts, node) {
+	cds_list_for_each_entry (host, &hc->busy, in_busy) {
 		cds_list_for_each_entry (call, &host->conns, node) {
 			if (call->state == HC_IDLE)
 				continue;
@@ -146,20 +150,28 @@
 
 /* Ends calls whose deadline has passed and closes expired idle connections. */
 void hc_tick(struct hc *hc, int64_t now)
+{
+	/*
+	 * The ended callback may close other connections, so the iteration
+	 * restarts after each one.
+	 */
+	while (hc_expire_any(hc, now))
+		;
+}
+
+/* Ends one expired call or idle connection; false if there is none. */
+static bool hc_expire_any(struct hc *hc, int64_t now)
 {
 	struct hc_host *host;
 
-	cds_list_for_each_entry (host, &hc->hosts, node) {
-		/*
-		 * The ended callback may close other connections of the host,
-		 * so the iteration restarts after each one.
-		 */
-		while (hc_expire_one(host, now))
-			;
+	cds_list_for_each_entry (host, &hc->busy, in_busy) {
+		if (hc_expire_one(host, now))
+			return true;
 	}
+	return false;
 }
 
-/* Ends one expired call or idle connection; false if there is none. */
+/* The same for one host. */
 static bool hc_expire_one(struct hc_host *host, int64_t now)
 {
 	struct hc_call *call;
@@ -310,7 +322,8 @@
 		return NULL;
 	}
 	call->state = HC_CONNECTING;
-	host->open++;
+	if (host->open++ == 0)
+		cds_list_add_tail(&host->in_busy, &host->hc->busy);
 	cds_list_add_tail(&call->node, &host->conns);
 	bufferevent_setcb(call->bev, hc_read, NULL, hc_event, call);
 	/* A connect that fails at once is reported through hc_event(), too. */
@@ -478,7 +491,8 @@
 	if (call->state == HC_IDLE)
 		cds_list_del(&call->in_idle);
 	cds_list_del(&call->node);
-	call->host->open--;
+	if (--call->host->open == 0)
+		cds_list_del(&call->host->in_busy);
 	if (call->request)
 		evbuffer_free(call->request);
 	bufferevent_free(call->bev);
--- a/src/hint.c
+++ b/src/hint.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <limits.h>
 #include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,8 +25,12 @@
  * the reported load is off by a twentieth.
  */
 #define HINT_INTERVAL_US (150 * MAG_US_PER_MS)
-/* The load of a router counts as zero after this long without a message. */
-#define HINT_EXPIRY_US (1200 * MAG_US_PER_MS)
+/*
+ * The load of a router counts as zero after this long without a message, or
+ * after as many of the intervals at which it sends to the same peer.
+ */
+#define HINT_EXPIRY_US	      (1200 * MAG_US_PER_MS)
+#define HINT_EXPIRY_INTERVALS 3
 /* How long a request that crashes workers is refused after a hint. */
 #define HINT_QUARANTINE_US (60 * MAG_US_PER_S)
 /*
@@ -57,6 +62,8 @@
 
 /* The last message of a peer. */
 struct hint_peer {
+	struct cds_list_head node;
+	struct htab_node by_name;
 	char name[MAG_NAME_MAX];
 	int64_t received_us;
 	bool ready;
@@ -74,11 +81,14 @@
 	int fd;
 	struct event *readable;
 	int64_t next_us;
-	int next_peer; /* the peer to begin the next round with */
-	struct hint_peer *peers;
+	int next_peer;		    /* the peer to begin the next round with */
+	struct cds_list_head peers; /* of struct hint_peer */
+	struct htab names;
 	int peer_count;
 	struct hint_loads own;
-	struct hint_index index; /* as of the last summation */
+	/* Routers that share the limits of workers, this one first. */
+	struct hint_router *routers;
+	int router_max;
 	struct hint_router self; /* as last reported to peers */
 	double demand;		 /* requests per second, smoothed */
 	uint64_t requests;	 /* of callers, when demand was updated */
@@ -94,6 +104,7 @@
 			 struct hint_peer *peer, struct hint_message *message);
 static void hint_send_first(struct hint *hint, struct hint_peer *peer);
 static struct hint_peer *hint_find_peer(struct hint *hint, const char *name);
+static struct hint_peer *hint_add_peer(struct hint *hint, const char *name);
 static bool hint_mark_suspects(struct hint *hint);
 static void hint_fill(struct hint *hint, struct hint_message *message);
 static void hint_fill_crashes(struct hint *hint, struct hint_message *message);
@@ -102,9 +113,10 @@
 static void hint_receive_claim(struct edge *edge,
 			       const struct attest_claim *claim, int64_t now);
 static void hint_sum_loads(struct hint *hint, int64_t now);
+static int64_t hint_expiry_us(const struct hint *hint);
 static void hint_update_demand(struct hint *hint, int64_t now);
 static void hint_update_limit_parts(struct hint *hint, int64_t now);
-static const struct hint_router *hint_list_routers(const struct hint *hint,
+static const struct hint_router *hint_list_routers(struct hint *hint,
 						   int64_t now, int *count);
 static void hint_receive_suspect(struct hint *hint, uint32_t hash,
 				 const char *peer, int64_t now);
@@ -117,13 +129,13 @@
 	if (!hint)
 		return HINT_E_MEMORY;
 	hint->edge = edge;
-	hint->self.id = hint_load_hash(edge->set.instance);
-	hint->self.data_centre = hint_load_hash(edge->set.data_centre);
-	hint->peers = calloc(HINT_ROUTERS_MAX, sizeof(*hint->peers));
+	hint->self.id = htab_hash(edge->set.instance);
+	hint->self.data_centre = htab_hash(edge->set.data_centre);
+	CDS_INIT_LIST_HEAD(&hint->peers);
 	hint->fd =
 		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	addr.sin_port = htons((uint16_t)edge->set.peer_port);
-	if (!hint->peers || hint->fd < 0 ||
+	if (hint->fd < 0 ||
 	    inet_pton(AF_INET, edge->set.address, &addr.sin_addr) != 1 ||
 	    bind(hint->fd, (struct sockaddr *)&addr, sizeof(addr))) {
 		hint_free(hint);
@@ -142,14 +154,21 @@
 
 void hint_free(struct hint *hint)
 {
+	struct hint_peer *peer;
+	struct hint_peer *next;
+
 	if (!hint)
 		return;
 	if (hint->readable)
 		event_free(hint->readable);
 	if (hint->fd >= 0)
 		close(hint->fd);
-	free(hint->peers);
-	hint_load_free(&hint->index);
+	cds_list_for_each_entry_safe (peer, next, &hint->peers, node) {
+		hint_load_free(&peer->loads);
+		free(peer);
+	}
+	htab_free(&hint->names);
+	free(hint->routers);
 	free(hint);
 }
 
@@ -157,7 +176,7 @@
 void hint_tick(struct hint *hint, int64_t now)
 {
 	if (hint_mark_suspects(hint)) {
-		hint_send(hint, HINT_ROUTERS_MAX, HINT_ROUTERS_MAX);
+		hint_send(hint, INT_MAX, INT_MAX);
 		return;
 	}
 	if (now < hint->next_us)
@@ -188,12 +207,12 @@
 	bool found = false;
 	struct wk *wk;
 
-	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		if (wk->proc.to_announce) {
-			wk->proc.to_announce = false;
-			wk->proc.announced_us = clk_boot_us();
-			found = true;
-		}
+	cds_list_for_each_entry (wk, &hint->edge->workers.attended, attended) {
+		if (!wk->proc.to_announce)
+			continue;
+		wk->proc.to_announce = false;
+		wk->announce_until_us = clk_boot_us() + HINT_SUSPECT_REPEAT_US;
+		found = true;
 	}
 	return found;
 }
@@ -244,11 +263,10 @@
 static void hint_send_to_senders(struct hint *hint,
 				 struct hint_message *message)
 {
-	int i;
+	struct hint_peer *peer;
 
-	for (i = 0; i < hint->peer_count; i++)
-		hint_send_to(hint, &hint->peers[i].address, &hint->peers[i],
-			     message);
+	cds_list_for_each_entry (peer, &hint->peers, node)
+		hint_send_to(hint, &peer->address, peer, message);
 }
 
 /*
@@ -291,15 +309,32 @@
 
 static struct hint_peer *hint_find_peer(struct hint *hint, const char *name)
 {
-	int i;
+	struct htab_node *node = htab_first(&hint->names, htab_hash(name));
+	struct hint_peer *peer;
 
-	for (i = 0; i < hint->peer_count; i++) {
-		if (strcmp(hint->peers[i].name, name) == 0)
-			return &hint->peers[i];
+	for (; node; node = htab_next(node)) {
+		peer = cds_list_entry(node, struct hint_peer, by_name);
+		if (strcmp(peer->name, name) == 0)
+			return peer;
 	}
 	return NULL;
 }
 
+/* Adds a peer; NULL without memory. */
+static struct hint_peer *hint_add_peer(struct hint *hint, const char *name)
+{
+	struct hint_peer *peer = calloc(1, sizeof(*peer));
+
+	if (!peer || htab_add(&hint->names, &peer->by_name, htab_hash(name))) {
+		free(peer);
+		return NULL;
+	}
+	mag_copy_name(peer->name, sizeof(peer->name), name);
+	cds_list_add_tail(&peer->node, &hint->peers);
+	hint->peer_count++;
+	return peer;
+}
+
 /* Fills in our load and the other fields that every message has. */
 static void hint_fill(struct hint *hint, struct hint_message *message)
 {
@@ -320,12 +355,11 @@
 	hint_limit_collect(&edge->workers, now, &hint->next_limit, message);
 	message->crash_count = 0;
 	message->suspect_count = 0;
-	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (wk->proc.announced_us &&
-		    now - wk->proc.announced_us < HINT_SUSPECT_REPEAT_US &&
+	cds_list_for_each_entry (wk, &edge->workers.attended, attended) {
+		if (now < wk->announce_until_us &&
 		    message->suspect_count < HINT_SUSPECTS_MAX)
 			message->suspects[message->suspect_count++] =
-				hint_load_hash(wk->entry.id);
+				htab_hash(wk->entry.id);
 	}
 }
 
@@ -371,10 +405,9 @@
 	uint32_t k;
 
 	if (!peer) {
-		if (hint->peer_count == HINT_ROUTERS_MAX)
+		peer = hint_add_peer(hint, message->name);
+		if (!peer)
 			return;
-		peer = &hint->peers[hint->peer_count++];
-		mag_copy_name(peer->name, sizeof(peer->name), message->name);
 		/* It may wait for a peer's message before it serves. */
 		is_new = true;
 	}
@@ -383,8 +416,9 @@
 	peer->session = message->session;
 	peer->clock_us = message->sent_us;
 	peer->ready = message->ready != 0;
-	hint_load_receive(&peer->loads, message);
-	peer->router.id = hint_load_hash(peer->name);
+	/* Without memory the load of its last message counts. */
+	(void)hint_load_receive(&peer->loads, message);
+	peer->router.id = htab_hash(peer->name);
 	peer->router.data_centre = message->data_centre;
 	peer->router.demand = (double)message->demand / HINT_DEMAND_S;
 	peer->limit_count = message->limit_count;
@@ -432,11 +466,10 @@
 static void hint_receive_suspect(struct hint *hint, uint32_t hash,
 				 const char *peer, int64_t now)
 {
-	struct wk *wk;
+	struct wk *wk = wk_by_hash(&hint->edge->workers, hash);
 
-	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
-		if (hint_load_hash(wk->entry.id) != hash ||
-		    wk->proc.suspected || now < wk->proc.paused_until_us)
+	for (; wk; wk = wk_next_by_hash(wk)) {
+		if (wk->proc.suspected || now < wk->proc.paused_until_us)
 			continue;
 		wk_pause(wk, now);
 		jlog(LOG_WK_HINT, "\"worker\":\"%s\",\"peer\":\"%s\"",
@@ -452,41 +485,51 @@
  */
 bool hint_others_ready(const struct hint *hint, int64_t now)
 {
+	int64_t expiry_us = hint_expiry_us(hint);
+	const struct hint_peer *peer;
 	bool any_recent = false;
-	int i;
 
-	for (i = 0; i < hint->peer_count; i++) {
-		if (now - hint->peers[i].received_us > HINT_EXPIRY_US)
+	cds_list_for_each_entry (peer, &hint->peers, node) {
+		if (now - peer->received_us > expiry_us)
 			continue;
 		any_recent = true;
-		if (hint->peers[i].ready)
+		if (peer->ready)
 			return true;
 	}
 	return !any_recent;
 }
 
-/*
- * Sums the load of all peers for each worker.  Peers identify workers by a
- * hash, which is looked up in a sorted index: hundreds of peers with dozens of
- * loads each are processed many times a second.
- */
+/* Sums the load of all peers for each worker that they name. */
 static void hint_sum_loads(struct hint *hint, int64_t now)
 {
+	struct wk_table *table = &hint->edge->workers;
+	int64_t expiry_us = hint_expiry_us(hint);
 	const struct hint_peer *peer;
-	int i;
 
-	if (hint_load_index_workers(&hint->index, &hint->edge->workers))
-		return;
-	for (i = 0; i < hint->peer_count; i++) {
-		peer = &hint->peers[i];
-		if (now - peer->received_us > HINT_EXPIRY_US)
+	hint_load_clear(table, now);
+	cds_list_for_each_entry (peer, &hint->peers, node) {
+		if (now - peer->received_us > expiry_us)
 			continue;
-		hint_load_add(&hint->index, &peer->loads, peer->received_us);
-		hint_limit_add(&hint->index, peer->limits, peer->limit_count,
+		hint_load_add(table, &peer->loads, peer->received_us);
+		hint_limit_add(table, peer->limits, peer->limit_count,
 			       peer->received_us, now);
 	}
 }
 
+/*
+ * Returns after how long without a message a peer's load no longer counts.  Of
+ * many routers in a data centre each sends to a part of the others at a time.
+ */
+static int64_t hint_expiry_us(const struct hint *hint)
+{
+	int routers = edge_routers_per_data_centre(hint->edge);
+	int64_t rounds =
+		(routers + HINT_LOCAL_PEERS_MAX - 1) / HINT_LOCAL_PEERS_MAX;
+	int64_t expiry_us = rounds * HINT_INTERVAL_US * HINT_EXPIRY_INTERVALS;
+
+	return expiry_us > HINT_EXPIRY_US ? expiry_us : HINT_EXPIRY_US;
+}
+
 /*
  * Smooths caller demand; the parts of limits are computed from the demand as
  * reported.
@@ -516,7 +559,7 @@
 	int count = 0;
 	struct wk *wk;
 
-	cds_list_for_each_entry (wk, &hint->edge->workers.workers, node) {
+	cds_list_for_each_entry (wk, &hint->edge->workers.attended, attended) {
 		if (!wk->proc.adv.thr.limited)
 			continue;
 		if (!routers)
@@ -529,8 +572,7 @@
 }
 
 /* Returns this router's part of the limit that a worker has advertised. */
-double hint_own_limit_part(const struct hint *hint, const struct wk *wk,
-			   int64_t now)
+double hint_own_limit_part(struct hint *hint, const struct wk *wk, int64_t now)
 {
 	int count;
 	const struct hint_router *routers =
@@ -539,18 +581,33 @@
 	return hint_limit_part(routers, count, hint->self.id, wk);
 }
 
-/* Lists this router and its recent senders; valid until the next call. */
-static const struct hint_router *hint_list_routers(const struct hint *hint,
+/*
+ * Lists this router and its recent senders; valid until the next call.  Without
+ * memory for all of them, fewer share the limits.
+ */
+static const struct hint_router *hint_list_routers(struct hint *hint,
 						   int64_t now, int *count)
 {
-	static struct hint_router routers[HINT_ROUTERS_MAX + 1];
-	int i;
-
-	*count = 0;
-	routers[(*count)++] = hint->self;
-	for (i = 0; i < hint->peer_count; i++) {
-		if (now - hint->peers[i].received_us <= HINT_MEMBER_EXPIRY_US)
-			routers[(*count)++] = hint->peers[i].router;
+	const struct hint_peer *peer;
+	struct hint_router *routers;
+	int max = hint->peer_count + 1;
+
+	if (max > hint->router_max) {
+		routers =
+			realloc(hint->routers, (size_t)max * sizeof(*routers));
+		if (routers) {
+			hint->routers = routers;
+			hint->router_max = max;
+		}
+	}
+	*count = 1;
+	if (hint->router_max == 0)
+		return &hint->self;
+	hint->routers[0] = hint->self;
+	cds_list_for_each_entry (peer, &hint->peers, node) {
+		if (*count < hint->router_max &&
+		    now - peer->received_us <= HINT_MEMBER_EXPIRY_US)
+			hint->routers[(*count)++] = peer->router;
 	}
-	return routers;
+	return hint->routers;
 }
--- a/src/hint.h
+++ b/src/hint.h
@@ -22,8 +22,7 @@
 void hint_free(struct hint *hint);
 void hint_tick(struct hint *hint, int64_t now);
 void hint_send_soon(struct hint *hint, int64_t now);
-double hint_own_limit_part(const struct hint *hint, const struct wk *wk,
-			   int64_t now);
+double hint_own_limit_part(struct hint *hint, const struct wk *wk, int64_t now);
 bool hint_others_ready(const struct hint *hint, int64_t now);
 
 #endif /* HINT_H */
--- a/src/hint_limit.c
+++ b/src/hint_limit.c
@@ -1,3 +1,5 @@
+#include <stdlib.h>
+
 #include "hint_limit.h"
 
 /*
@@ -12,20 +14,20 @@
 	int known = 0;
 	int skip;
 
-	cds_list_for_each_entry (wk, &table->workers, node)
+	cds_list_for_each_entry (wk, &table->attended, attended)
 		known += wk->proc.adv.thr.limited;
 	message->limit_count = 0;
 	if (known == 0)
 		return;
 	skip = known > HINT_LIMITS_MAX ? *next % known : 0;
 	*next = skip + HINT_LIMITS_MAX;
-	cds_list_for_each_entry (wk, &table->workers, node) {
+	cds_list_for_each_entry (wk, &table->attended, attended) {
 		if (!wk->proc.adv.thr.limited || skip-- > 0)
 			continue;
 		if (message->limit_count == HINT_LIMITS_MAX)
 			break;
 		limit = &message->limits[message->limit_count++];
-		limit->worker = hint_load_hash(wk->entry.id);
+		limit->worker = htab_hash(wk->entry.id);
 		limit->per_s = (float)wk->proc.adv.thr.limit;
 		limit->age_ms =
 			(uint32_t)((now - wk->proc.adv.thr.advertised_us) /
@@ -34,50 +36,56 @@
 }
 
 /* Applies the limits in a peer's message that was received at received_us. */
-void hint_limit_add(const struct hint_index *index,
+void hint_limit_add(const struct wk_table *table,
 		    const struct hint_limit *limits, uint32_t count,
 		    int64_t received_us, int64_t now)
 {
-	const struct hint_slot *slot;
+	int64_t advertised_us;
+	struct wk *wk;
 	uint32_t i;
 
 	for (i = 0; i < count; i++) {
-		slot = hint_load_find(index, limits[i].worker);
-		for (; slot && slot < index->slots + index->count &&
-		       slot->hash == limits[i].worker;
-		     slot++)
-			wk_apply_peer_limit(slot->wk, (double)limits[i].per_s,
-					    received_us - limits[i].age_ms *
-								  MAG_US_PER_MS,
-					    now);
+		advertised_us = received_us - limits[i].age_ms * MAG_US_PER_MS;
+		wk = wk_by_hash(table, limits[i].worker);
+		for (; wk; wk = wk_next_by_hash(wk))
+			wk_apply_peer_limit(wk, (double)limits[i].per_s,
+					    advertised_us, now);
 	}
 }
 
 /*
  * Returns a router's part of a worker's limit.  The routers of the worker's
  * data centre share it, or all routers if there is none: routers of other data
- * centres have workers of their own.
+ * centres have workers of their own.  Without memory each gets the same part.
  */
 double hint_limit_part(const struct hint_router *routers, int count,
 		       uint32_t self, const struct wk *wk)
 {
-	static struct thr_router members[HINT_ROUTERS_MAX + 1];
-	uint32_t centre = hint_load_hash(wk->entry.data_centre);
+	uint32_t centre = htab_hash(wk->entry.data_centre);
+	struct thr_router *members;
 	int found = 0;
+	double part;
 	bool all;
 	int i;
 
 	for (i = 0; i < count; i++)
 		found += routers[i].data_centre == centre;
 	all = found == 0;
+	if (all)
+		found = count;
+	members = calloc((size_t)(found > 0 ? found : 1), sizeof(*members));
+	if (!members)
+		return 1.0 / found;
 	found = 0;
-	for (i = 0; i < count && found <= HINT_ROUTERS_MAX; i++) {
+	for (i = 0; i < count; i++) {
 		if (all || routers[i].data_centre == centre)
 			members[found++] =
 				(struct thr_router){ routers[i].id,
 						     routers[i].demand };
 	}
-	return thr_router_fraction(members, found, self,
-				   hint_load_hash(wk->entry.id),
+	part = thr_router_fraction(members, found, self,
+				   htab_hash(wk->entry.id),
 				   wk->proc.adv.thr.limit);
+	free(members);
+	return part;
 }
--- a/src/hint_limit.h
+++ b/src/hint_limit.h
@@ -23,7 +23,7 @@
 
 void hint_limit_collect(const struct wk_table *table, int64_t now, int *next,
 			struct hint_message *message);
-void hint_limit_add(const struct hint_index *index,
+void hint_limit_add(const struct wk_table *table,
 		    const struct hint_limit *limits, uint32_t count,
 		    int64_t received_us, int64_t now);
 double hint_limit_part(const struct hint_router *routers, int count,
--- a/src/hint_load.h
+++ b/src/hint_load.h
@@ -23,21 +23,11 @@
 /* The newest version of each part of a peer's load. */
 struct hint_peer_loads {
 	uint32_t part_count;
-	uint32_t counts[HINT_PARTS_MAX];
-	struct hint_load loads[HINT_PARTS_MAX][HINT_LOADS_MAX];
-};
-
-/* A worker, indexed by the hash of its id. */
-struct hint_slot {
-	uint32_t hash;
-	struct wk *wk;
-};
-
-/* Sorted by hash; valid until a worker is removed. */
-struct hint_index {
-	struct hint_slot *slots;
-	int count;
-	int max;
+	struct {
+		uint32_t count;
+		uint32_t max;
+		struct hint_load *loads;
+	} parts[HINT_PARTS_MAX];
 };
 
 enum hint_load_err {
@@ -50,15 +40,11 @@
 uint32_t hint_load_part_count(const struct hint_loads *own);
 void hint_load_fill(const struct hint_loads *own, uint32_t part,
 		    struct hint_message *message);
-void hint_load_receive(struct hint_peer_loads *peer,
-		       const struct hint_message *message);
-int hint_load_index_workers(struct hint_index *index,
-			    const struct wk_table *table);
-void hint_load_add(const struct hint_index *index,
+int hint_load_receive(struct hint_peer_loads *peer,
+		      const struct hint_message *message);
+void hint_load_clear(struct wk_table *table, int64_t now);
+void hint_load_add(const struct wk_table *table,
 		   const struct hint_peer_loads *peer, int64_t received_us);
-const struct hint_slot *hint_load_find(const struct hint_index *index,
-				       uint32_t hash);
-void hint_load_free(struct hint_index *index);
-uint32_t hint_load_hash(const char *id);
+void hint_load_free(struct hint_peer_loads *peer);
 
 #endif /* HINT_LOAD_H */
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -17,7 +17,6 @@
 #define HINT_CRASHES_MAX  4
 #define HINT_SUSPECTS_MAX 16
 #define HINT_LIMITS_MAX	  16
-#define HINT_ROUTERS_MAX  1024 /* that a router knows */
 
 /*
  * The load that a router has given a worker.  It is encoded in eight bytes,
--- a/src/wk.c
+++ b/src/wk.c
@@ -54,6 +54,9 @@
 /* Weight of the newest sample in the moving averages. */
 #define WK_SMOOTHING 0.1
 
+static int wk_add(struct wk_table *table, const struct wire_worker *worker,
+		  int64_t now, struct wk **out);
+static bool wk_needs_ticks(const struct wk *wk, int64_t now);
 static void wk_begin_process(struct wk *wk);
 static void wk_update(struct wk *wk, const struct wire_worker *worker,
 		      int64_t now);
@@ -75,6 +78,8 @@
 {
 	memset(table, 0, sizeof(*table));
 	CDS_INIT_LIST_HEAD(&table->workers);
+	CDS_INIT_LIST_HEAD(&table->attended);
+	CDS_INIT_LIST_HEAD(&table->loaded);
 	table->hc = hc;
 	table->max_connections = 64;
 }
@@ -94,32 +99,22 @@
 		int64_t now, struct wk **out)
 {
 	struct wk *wk = wk_by_id(table, worker->id);
+	int rc;
 
 	if (table->listing && wk_is_known_gone(table, worker, now))
 		return WK_E_STALE;
 	if (wk && strcmp(wk->entry.address, worker->address) != 0) {
 		/* The same name at another address is another process. */
 		wk_remove(table, wk->entry.id, now, now);
+		htab_del(&table->ids, &wk->by_id);
 		wk->entry.id[0] = '\0';
+		htab_add(&table->ids, &wk->by_id, htab_hash(wk->entry.id));
 		wk = NULL;
 	}
 	if (!wk) {
-		wk = calloc(1, sizeof(*wk));
-		if (!wk)
-			return WK_E_MEMORY;
-		if (hc_host_new(table->hc, worker->address,
-				table->max_connections, &wk->host)) {
-			free(wk);
-			return WK_E_ADDRESS;
-		}
-		wk->entry = *worker;
-		wk->first_seen_us = now;
-		wk_begin_process(wk);
-		wk->layers = worker->layers;
-		wk_restore_adv(table, wk);
-		cds_list_add_tail(&wk->node, &table->workers);
-		table->count++;
-		table->last_added_us = now;
+		rc = wk_add(table, worker, now, &wk);
+		if (rc)
+			return rc;
 		jlog(LOG_WK_SEEN,
 		     "\"worker\":\"%s\",\"address\":\"%s\","
 		     "\"data_centre\":\"%s\",\"layers\":\"%d-%d\"",
@@ -136,6 +131,54 @@
 	return WK_OK;
 }
 
+/* Adds a worker that is not listed yet. */
+static int wk_add(struct wk_table *table, const struct wire_worker *worker,
+		  int64_t now, struct wk **out)
+{
+	struct wk *wk = calloc(1, sizeof(*wk));
+
+	if (!wk)
+		return WK_E_MEMORY;
+	if (hc_host_new(table->hc, worker->address, table->max_connections,
+			&wk->host)) {
+		free(wk);
+		return WK_E_ADDRESS;
+	}
+	wk->entry = *worker;
+	if (wk_link(table, wk)) {
+		hc_host_free(wk->host);
+		free(wk);
+		return WK_E_MEMORY;
+	}
+	wk->first_seen_us = now;
+	wk_begin_process(wk);
+	wk->layers = worker->layers;
+	wk_restore_adv(table, wk);
+	if (wk->proc.adv.thr.limited)
+		wk_attend(wk);
+	table->last_added_us = now;
+	*out = wk;
+	return WK_OK;
+}
+
+/* Puts a worker, whose entry is set, into a table. */
+int wk_link(struct wk_table *table, struct wk *wk)
+{
+	if (htab_add(&table->ids, &wk->by_id, htab_hash(wk->entry.id)))
+		return WK_E_MEMORY;
+	if (htab_add(&table->addresses, &wk->by_address,
+		     htab_hash(wk->entry.address))) {
+		htab_del(&table->ids, &wk->by_id);
+		return WK_E_MEMORY;
+	}
+	wk->table = table;
+	CDS_INIT_LIST_HEAD(&wk->attended);
+	CDS_INIT_LIST_HEAD(&wk->loaded);
+	cds_list_add_tail(&wk->node, &table->workers);
+	table->count++;
+	return WK_OK;
+}
+
 /*
  * Ends a listing: workers that it lacks are considered gone from gone_us on.
  * None is removed while the store settles after a restore, because an older
@@ -191,6 +234,7 @@
 		return;
 	wk->listed = false;
 	wk->gone_us = gone_us;
+	wk_attend(wk);
 	wk_remember_gone(table, wk, now);
 	jlog(LOG_WK_GONE, "\"worker\":\"%s\",\"in_ms\":%d", wk->entry.id,
 	     (int)((gone_us - now) / MAG_US_PER_MS));
@@ -202,23 +246,60 @@
 	struct wk *wk;
 	struct wk *next;
 
-	cds_list_for_each_entry_safe (wk, next, &table->workers, node) {
+	cds_list_for_each_entry_safe (wk, next, &table->attended, attended) {
 		wk_expire_limit(wk, now);
-		if (wk->listed || wk->refs > 0 || now < wk->gone_us)
-			continue;
-		wk_free(table, wk);
+		if (!wk->listed && wk->refs == 0 && now >= wk->gone_us)
+			wk_free(table, wk);
+		else if (!wk_needs_ticks(wk, now))
+			cds_list_del_init(&wk->attended);
 	}
 }
 
+/* Puts a worker among those that ticks look at. */
+void wk_attend(struct wk *wk)
+{
+	if (cds_list_empty(&wk->attended))
+		cds_list_add_tail(&wk->attended, &wk->table->attended);
+}
+
+/* Puts a worker among those whose load is summed and reported. */
+void wk_add_loaded(struct wk *wk)
+{
+	if (cds_list_empty(&wk->loaded))
+		cds_list_add_tail(&wk->loaded, &wk->table->loaded);
+}
+
+/* Returns whether something of a worker is to expire or to be probed. */
+static bool wk_needs_ticks(const struct wk *wk, int64_t now)
+{
+	return !wk->listed || wk->probing || wk->proc.suspected ||
+	       wk->proc.to_announce || now < wk->announce_until_us ||
+	       wk->proc.slowdown > 1 || wk->proc.adv.thr.limited;
+}
+
 struct wk *wk_by_id(const struct wk_table *table, const char *id)
 {
-	struct wk *wk;
+	struct wk *wk = wk_by_hash(table, htab_hash(id));
 
-	cds_list_for_each_entry (wk, &table->workers, node) {
-		if (strcmp(wk->entry.id, id) == 0)
-			return wk;
-	}
-	return NULL;
+	while (wk && strcmp(wk->entry.id, id) != 0)
+		wk = wk_next_by_hash(wk);
+	return wk;
+}
+
+/* Returns a worker whose id has a hash, or NULL. */
+struct wk *wk_by_hash(const struct wk_table *table, uint32_t hash)
+{
+	struct htab_node *node = htab_first(&table->ids, hash);
+
+	return node ? cds_list_entry(node, struct wk, by_id) : NULL;
+}
+
+/* Returns another worker with the same hash, or NULL. */
+struct wk *wk_next_by_hash(const struct wk *wk)
+{
+	struct htab_node *node = htab_next(&wk->by_id);
+
+	return node ? cds_list_entry(node, struct wk, by_id) : NULL;
 }
 
 /*
@@ -227,10 +308,13 @@
  */
 struct wk *wk_by_address(const struct wk_table *table, const char *address)
 {
+	struct htab_node *node =
+		htab_first(&table->addresses, htab_hash(address));
 	struct wk *found = NULL;
 	struct wk *wk;
 
-	cds_list_for_each_entry (wk, &table->workers, node) {
+	for (; node; node = htab_next(node)) {
+		wk = cds_list_entry(node, struct wk, by_address);
 		if (strcmp(wk->entry.address, address) != 0)
 			continue;
 		if (!found || (wk->listed && !wk->replaced))
@@ -273,6 +357,7 @@
 	wk->proc.suspect_count++;
 	wk->proc.suspected = true;
 	wk->proc.to_announce = wk->proc.suspect_count == 1;
+	wk_attend(wk);
 	hc_host_drop_idle(wk->host);
 	wk_log_suspect(wk, why, duration_us, wk->proc.suspect_count);
 }
@@ -529,10 +614,13 @@
  */
 static void wk_resolve_address(struct wk_table *table, struct wk *wk)
 {
+	struct htab_node *node =
+		htab_first(&table->addresses, wk->by_address.hash);
 	struct wk *other;
 
 	wk->replaced = false;
-	cds_list_for_each_entry (other, &table->workers, node) {
+	for (; node; node = htab_next(node)) {
+		other = cds_list_entry(node, struct wk, by_address);
 		if (other == wk || !other->listed ||
 		    strcmp(other->entry.address, wk->entry.address) != 0 ||
 		    strcmp(other->entry.service, wk->entry.service) != 0 ||
@@ -549,6 +637,10 @@
 {
 	wk_save_adv(table, wk);
 	cds_list_del(&wk->node);
+	cds_list_del(&wk->attended);
+	cds_list_del(&wk->loaded);
+	htab_del(&table->ids, &wk->by_id);
+	htab_del(&table->addresses, &wk->by_address);
 	table->count--;
 	hc_host_free(wk->host);
 	free(wk);
--- a/src/wk.h
+++ b/src/wk.h
@@ -14,6 +14,7 @@
 #include <urcu/list.h>
 
 #include "hc.h"
+#include "htab.h"
 #include "adv.h"
 #include "wire.h"
 
@@ -53,7 +54,6 @@
 	 */
 	bool suspected;
 	bool to_announce;	/* the suspicion was not sent to peers yet */
-	int64_t announced_us;	/* when peers were told; 0: never */
 	double failure_rate;	/* of recent requests, smoothed */
 	int consecutive_breaks; /* requests broken off since the last event */
 	int distrust_count;	/* consecutive times of distrust */
@@ -84,6 +84,12 @@
 
 struct wk {
 	struct cds_list_head node;
+	struct htab_node by_id;
+	struct htab_node by_address;
+	struct wk_table *table;
+	/* In the table's lists of the same names; self-linked if not. */
+	struct cds_list_head attended;
+	struct cds_list_head loaded;
 	struct wire_worker entry; /* as listed in the store */
 	struct hc_host *host;
 	int refs; /* requests and calls that reference the worker */
@@ -111,6 +117,9 @@
 	bool probing;	   /* a probe is in flight */
 	int64_t probed_us; /* when it was last probed */
 
+	int64_t announce_until_us; /* peers are told of a suspicion until then
+				    */
+
 	/* Changed and unreadable limits are not logged before then. */
 	int64_t next_limit_log_us;
 	int64_t next_backoff_log_us; /* the same for requested backoffs */
@@ -133,6 +142,15 @@
 
 struct wk_table {
 	struct cds_list_head workers;
+	struct htab ids;
+	struct htab addresses;
+	/*
+	 * Workers with something to do or to expire in a tick: those that are
+	 * gone, suspected, probed, slow, or limited.
+	 */
+	struct cds_list_head attended;
+	/* Workers with load of this router or its peers, or a fresh report. */
+	struct cds_list_head loaded;
 	struct wk_gone gone[WK_GONE_MAX]; /* a ring: the oldest is replaced */
 	int gone_next;
 	bool listing; /* a complete listing is being read, not single changes */
@@ -166,6 +184,7 @@
 };
 
 void wk_init(struct wk_table *table, struct hc *hc);
+int wk_link(struct wk_table *table, struct wk *wk);
 void wk_list_begin(struct wk_table *table);
 int wk_list_put(struct wk_table *table, const struct wire_worker *worker,
 		int64_t now, struct wk **out);
@@ -177,6 +196,8 @@
 	       int64_t now);
 void wk_tick(struct wk_table *table, int64_t now);
 struct wk *wk_by_id(const struct wk_table *table, const char *id);
+struct wk *wk_by_hash(const struct wk_table *table, uint32_t hash);
+struct wk *wk_next_by_hash(const struct wk *wk);
 struct wk *wk_by_address(const struct wk_table *table, const char *address);
 
 bool wk_alive(const struct wk *wk, int64_t now);
@@ -202,6 +223,8 @@
 void wk_expire_limit(struct wk *wk, int64_t now);
 int wk_send(struct wk *wk, enum adv_message message, const struct hc_send *send,
 	    int64_t now, struct hc_call **out);
+void wk_attend(struct wk *wk);
+void wk_add_loaded(struct wk *wk);
 struct wk *wk_ref(struct wk *wk);
 void wk_unref(struct wk *wk);
 
--- a/src/wk_advert.c
+++ b/src/wk_advert.c
@@ -99,6 +99,8 @@
 					      now, now);
 	else if (answer == WK_ANSWER_SUCCESS)
 		change = thr_limit_absent(&wk->proc.adv.thr, sent_us);
+	if (wk->proc.adv.thr.limited)
+		wk_attend(wk);
 	if (change != THR_UNCHANGED)
 		wk_log_limit(wk, change, wk_answer_names[answer], now);
 	return change;
@@ -114,6 +116,8 @@
 	enum thr_change change = thr_limit_advertised(&wk->proc.adv.thr, limit,
 						      advertised_us, now);
 
+	if (wk->proc.adv.thr.limited)
+		wk_attend(wk);
 	if (change != THR_UNCHANGED)
 		wk_log_limit(wk, change, "peer", now);
 }
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -133,6 +133,7 @@
 	met_increment(&edge->met, MET_PROBES);
 	call->wk = wk_ref(wk);
 	wk->probing = true;
+	wk_attend(wk);
 	wk->proc.unresponsive = false;
 	wk->probed_us = now;
 }
@@ -145,7 +146,7 @@
 {
 	struct wk *wk;
 
-	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+	cds_list_for_each_entry (wk, &edge->workers.attended, attended) {
 		if (wk->probing && !wk->proc.unresponsive &&
 		    now - wk->probed_us >= WKP_UNRESPONSIVE_US &&
 		    now - edge->last_late_tick_us >= WKP_UNRESPONSIVE_US)
@@ -298,11 +299,14 @@
 		return;
 	}
 	wk->proc.reported_us = now;
+	wk_add_loaded(wk);
 	wk->proc.busy = report.busy;
 	wk->proc.reported_held = report.memory_used;
 	wk->proc.reported_first_hops = report.running + report.waiting;
 	wk->proc.orders_taken = report.orders_taken;
 	wk->proc.slowdown = report.slowdown > 0 ? report.slowdown : 1;
+	if (wk->proc.slowdown > 1)
+		wk_attend(wk);
 	wk->proc.slowdown_us = now;
 	/* A list entry that has just come is newer than the report. */
 	if (now - wk->layers_changed_us > WKP_REPORT_LAG_US)
