--- a/bench/bench_return.sh
+++ b/bench/bench_return.sh
@@ -18,7 +18,7 @@
 	"metrics_port":8003,"store":"$store","store_lease_ms_min":1000,
 	"first_start":true,"stop_s":8,"config_apply_ms":2000,"drain_ms":2000,
 	"keys_stale_ms":5000,"keys_fail_closed":true,"retry_ratio":0.2,
-	"retry_window_s":10,"retry_slack":200,"stall_ms":3000,"open_files":400}
+	"retry_window_s":10,"retry_slack":200,"stall_ms":3000,"open_files":400,"link_mbps":1000}
 	JSON
 	MAGNOLIARAIL_NODE_FILE="$dir/router.$1.json" "$build/magnolia-edge" \
 		>"$dir/router.$1.log" 2>&1 &
--- a/regress/check_edge.c
+++ b/regress/check_edge.c
@@ -48,13 +48,16 @@
 
 static void drive(FILE *in, FILE *out)
 {
+	struct pres_settings presence = {
+		{ "r-1", "127.0.0.1:1", "a", 1000 }, 1000, 1, true
+	};
 	struct edge *edge = calloc(1, sizeof(*edge));
 	char line[LINE_MAX_];
 	char name[MAG_NAME_MAX];
 	int64_t now = MAG_US_PER_S;
 	int n;
 
-	edge->pres = pres_new(NULL, "r-1", "127.0.0.1:1", "a", 1000, 1);
+	edge->pres = pres_new(NULL, &presence);
 	edge->set.retry_window_us = 10 * MAG_US_PER_S;
 	edge->set.retry_slack = 50;
 	edge->set.first_start = true;
--- /dev/null
+++ b/regress/check_tree.c
@@ -0,0 +1,365 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "script.h"
+#include "tree.h"
+
+#define LINE_MAX_   256
+#define STEP_US	    (10 * MAG_US_PER_MS)
+#define BOUND_US    (5 * MAG_US_PER_S) /* of a change, and of removed keys */
+#define COALESCE_US (800 * MAG_US_PER_MS)
+#define QUERY_US    MAG_US_PER_S
+#define RETRY_US    (500 * MAG_US_PER_MS)
+#define TIMEOUT_US  (300 * MAG_US_PER_MS)
+#define FAST_LINKS  25 /* routers of a data centre with a faster link */
+#define START_US    (100 * MAG_US_PER_S)
+#define STORE_PAGES 9 /* calls of a complete list */
+
+/*
+ * A fleet of routers and a store in virtual time: each router follows the store
+ * or another router, as tree.c decides, and a message takes one step.
+ */
+struct router {
+	struct pres_peer self;
+	struct tree tree;
+	bool up;
+	bool frozen;	    /* it runs no more, but its connections stay */
+	bool cut;	    /* from the store */
+	int source;	    /* a router, TREE_STORE or TREE_WAIT */
+	long long revision; /* 0: nothing is known */
+	int64_t fresh_us;
+	int64_t joined_us;
+	/* Followers of the store. */
+	int64_t watch_us; /* not before then */
+	int64_t query_us;
+	/* The poll in progress. */
+	int poll_to; /* -1: none */
+	int candidate;
+	int64_t sent_us;
+	int64_t answer_by_us;
+};
+
+static struct router *routers;
+static int count;
+static int64_t now;
+static bool store_up;
+static long long newest; /* revision of the store */
+static int64_t changed_us;
+static long calls;
+static int64_t oldest_us; /* greatest age of any router's data */
+
+static bool is_running(const struct router *router)
+{
+	return router->up && !router->frozen;
+}
+
+static int find_router(const char *name)
+{
+	return atoi(name + 2);
+}
+
+/* Starts a router's process: it knows the list of routers, and nothing else. */
+static void start_router(struct router *router)
+{
+	const struct pres_peer **peers = calloc((size_t)count, sizeof(*peers));
+	int found = 0;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (&routers[i] != router)
+			peers[found++] = &routers[i].self;
+	}
+	tree_init(&router->tree, &router->self,
+		  (uint64_t)(router - routers) * 7919 + 1, BOUND_US);
+	tree_update(&router->tree, peers, found);
+	free(peers);
+	router->up = true;
+	router->frozen = false;
+	router->source = TREE_WAIT;
+	router->revision = 0;
+	router->fresh_us = 0;
+	router->joined_us = now;
+	router->watch_us = 0;
+	router->query_us = 0;
+	router->poll_to = -1;
+}
+
+/* "fleet ROUTERS DATA_CENTRES": all routers start at the same moment. */
+static void start_fleet(int n, int centres)
+{
+	int i;
+
+	free(routers);
+	routers = calloc((size_t)n, sizeof(*routers));
+	count = n;
+	now = START_US;
+	store_up = true;
+	newest = 1;
+	calls = 0;
+	oldest_us = 0;
+	for (i = 0; i < n; i++) {
+		snprintf(routers[i].self.name, MAG_NAME_MAX, "r-%d", i);
+		snprintf(routers[i].self.address, MAG_ADDR_MAX, "10.%d:1", i);
+		snprintf(routers[i].self.data_centre, MAG_NAME_MAX, "dc-%d",
+			 i % centres);
+		routers[i].self.link_mbps =
+			i / centres < FAST_LINKS ? 1000 : 50;
+	}
+	for (i = 0; i < n; i++)
+		start_router(&routers[i]);
+}
+
+/* A follower of the store: its watch, and queries where that is silent. */
+static void step_store(struct router *router)
+{
+	bool reached = store_up && !router->cut;
+
+	if (router->revision < newest && now >= router->watch_us) {
+		calls += router->revision ? 1 : STORE_PAGES;
+		router->watch_us = now + (reached ? COALESCE_US : RETRY_US);
+		if (reached) {
+			router->revision = newest;
+			router->fresh_us = now;
+		}
+	}
+	if (now - router->fresh_us >= QUERY_US && now >= router->query_us) {
+		calls++;
+		router->query_us = now + RETRY_US;
+		if (reached)
+			router->fresh_us = now;
+	}
+}
+
+static void send_poll(struct router *router, int candidate)
+{
+	int to = find_router(router->tree.candidates[candidate].name);
+
+	router->candidate = candidate;
+	router->poll_to = to;
+	router->sent_us = now;
+	router->answer_by_us =
+		now +
+		(router->source == to
+			 ? tree_wait_us(&router->tree, router->fresh_us, now)
+			 : 0);
+}
+
+/* The router that was polled answers. */
+static void receive_answer(struct router *router, const struct router *from)
+{
+	bool good;
+
+	router->poll_to = -1;
+	if (from->revision == 0 || from->revision < router->revision) {
+		tree_on_empty(&router->tree, router->candidate, now);
+		return;
+	}
+	good = tree_on_answer(&router->tree, router->candidate, from->fresh_us,
+			      now);
+	if (good || router->source == TREE_WAIT)
+		router->source = (int)(from - routers);
+	if (router->source == TREE_STORE)
+		return;
+	router->revision = from->revision;
+	if (from->fresh_us > router->fresh_us)
+		router->fresh_us = from->fresh_us;
+}
+
+static void step_poll(struct router *router)
+{
+	const struct router *to = &routers[router->poll_to];
+	bool may_answer = to->revision && to->revision >= router->revision;
+
+	if (!to->up ||
+	    (!is_running(to) && now >= router->answer_by_us + TIMEOUT_US)) {
+		router->poll_to = -1;
+		tree_on_failure(&router->tree, router->candidate, now);
+	} else if (is_running(to) && now > router->sent_us &&
+		   (now >= router->answer_by_us ||
+		    (may_answer && (to->revision > router->revision ||
+				    to->fresh_us > router->sent_us)))) {
+		receive_answer(router, to);
+	}
+}
+
+static void step_router(struct router *router)
+{
+	int64_t fresh_us =
+		router->fresh_us ? router->fresh_us : router->joined_us;
+	int choice;
+
+	if (router->source == TREE_STORE)
+		step_store(router);
+	if (router->poll_to >= 0) {
+		step_poll(router);
+		return;
+	}
+	choice = tree_choose(&router->tree, fresh_us, now);
+	if (choice == TREE_STORE)
+		router->source = TREE_STORE;
+	else if (choice >= 0)
+		send_poll(router, choice);
+}
+
+static void step(void)
+{
+	int i;
+
+	now += STEP_US;
+	for (i = 0; i < count; i++) {
+		if (!is_running(&routers[i]))
+			continue;
+		step_router(&routers[i]);
+		if (routers[i].fresh_us && !routers[i].cut &&
+		    now - routers[i].fresh_us > oldest_us)
+			oldest_us = now - routers[i].fresh_us;
+	}
+}
+
+static int count_behind(void)
+{
+	int behind = 0;
+	int i;
+
+	for (i = 0; i < count; i++)
+		behind += is_running(&routers[i]) && !routers[i].cut &&
+			  routers[i].revision < newest;
+	return behind;
+}
+
+static int count_followers(void)
+{
+	int followers = 0;
+	int i;
+
+	for (i = 0; i < count; i++)
+		followers += is_running(&routers[i]) &&
+			     routers[i].source == TREE_STORE;
+	return followers;
+}
+
+/* "known MS": runs until all know the newest change, at most so long after it.
+ */
+static void wait_known(FILE *out, long ms)
+{
+	while (count_behind() && now < changed_us + ms * MAG_US_PER_MS)
+		step();
+	if (count_behind())
+		fprintf(out, "%d routers do not know it\n", count_behind());
+	else
+		fprintf(out, "all know it within %ld ms\n", ms);
+}
+
+/* "run MS CALLS FOLLOWERS AGE_MS": prints what exceeds its bound meanwhile. */
+static void run(FILE *out, long ms, long calls_max, int followers_max,
+		long age_ms)
+{
+	int64_t end_us = now + ms * MAG_US_PER_MS;
+	int followers = 0;
+
+	calls = 0;
+	oldest_us = 0;
+	while (now < end_us) {
+		step();
+		if (count_followers() > followers)
+			followers = count_followers();
+	}
+	if (calls > calls_max)
+		fprintf(out, "too many calls: %ld\n", calls);
+	if (followers > followers_max)
+		fprintf(out, "too many follow the store: %d\n", followers);
+	if (oldest_us > age_ms * MAG_US_PER_MS)
+		fprintf(out, "data is too old: %ld ms\n",
+			(long)(oldest_us / MAG_US_PER_MS));
+	if (calls <= calls_max && followers <= followers_max &&
+	    oldest_us <= age_ms * MAG_US_PER_MS)
+		fprintf(out, "in bounds\n");
+}
+
+/* Returns the router at a place of the tree: the root, or a head by number. */
+static struct router *find_place(const char *place)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (routers[i].up && routers[i].tree.rank == 0 &&
+		    (strcmp(place, "root") == 0) ==
+			    (routers[i].tree.candidate_count == 0))
+			return &routers[i];
+	}
+	return NULL;
+}
+
+/* "kill|freeze|cut root|head": a fault of the router at a place. */
+static bool run_fault(const char *line)
+{
+	struct router *router;
+	char place[16];
+	char what[16];
+
+	if (sscanf(line, "%15s %15s", what, place) != 2 ||
+	    (strcmp(place, "root") != 0 && strcmp(place, "head") != 0))
+		return false;
+	router = find_place(place);
+	if (strcmp(what, "kill") == 0)
+		router->up = false;
+	else if (strcmp(what, "freeze") == 0)
+		router->frozen = true;
+	else if (strcmp(what, "cut") == 0)
+		router->cut = true;
+	return true;
+}
+
+/* "herd PERCENT": so many routers start again at the same moment. */
+static void restart_herd(int percent)
+{
+	uint64_t seed = 42;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (mag_random(&seed) % 100 < (uint64_t)percent)
+			start_router(&routers[i]);
+	}
+}
+
+static void run_script(FILE *in, FILE *out)
+{
+	char line[LINE_MAX_];
+	long ms;
+	long most;
+	long age;
+	int a;
+	int b;
+
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] == '#' || line[0] == '\n')
+			continue;
+		fprintf(out, "> %s", line);
+		if (sscanf(line, "fleet %d %d", &a, &b) == 2) {
+			start_fleet(a, b);
+			changed_us = now;
+		} else if (strncmp(line, "change", 6) == 0) {
+			newest++;
+			changed_us = now;
+		} else if (sscanf(line, "known %ld", &ms) == 1) {
+			wait_known(out, ms);
+		} else if (sscanf(line, "run %ld %ld %d %ld", &ms, &most, &a,
+				  &age) == 4) {
+			run(out, ms, most, a, age);
+		} else if (sscanf(line, "store %d", &a) == 1) {
+			store_up = a;
+		} else if (sscanf(line, "herd %d", &a) == 1) {
+			restart_herd(a);
+		} else if (!run_fault(line)) {
+			fprintf(out, "unknown command\n");
+		}
+	}
+	free(routers);
+	routers = NULL;
+}
+
+int main(void)
+{
+	return script_main("regress/tree", run_script);
+}
--- a/regress/edge/cut-from-store.sh
+++ b/regress/edge/cut-from-store.sh
@@ -16,7 +16,7 @@
 ask() { curl -s -o "$dir/null" -w '%{http_code}' -H 'Host: h.example' -H "Attempt-Id: k$(date +%N)" -H 'Authorization: Token key-1' "http://$(router 1)/r/x"; }
 wait_for "ready 1" && wait_for "ready 2"
 wait_for "[ \$(ask) = 200 ]"
-wait_for "[ \$(curl -s http://$store/api/kv-range?PathPrefix=mag/instance | grep -o instance/r- | wc -l) = 2 ]"
+wait_for "[ \$(curl -s http://$store/api/kv-range?PathPrefix=mag/instance | grep -o instance/[ab]/r- | wc -l) = 2 ]"
 # The routers learn of each other from their next watch.
 sleep 1.5
 echo silent >&5
--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -241,7 +241,11 @@
 			    false);
 		if ((item && item->value ? item->revision : 0) !=
 		    json_integer_value(json_object_get(row, "Revision"))) {
-			answer(conn, 412, json_pack("{s:[]}", "Items"));
+			answer(conn, 412,
+			       item && item->value
+				       ? json_pack("{s:[o]}", "Items",
+						   item_json(item))
+				       : json_pack("{s:[]}", "Items"));
 			return;
 		}
 	}
--- a/src/attest.c
+++ b/src/attest.c
@@ -21,6 +21,12 @@
 #define ATTEST_QUERY_US	       (400 * MAG_US_PER_MS)
 #define ATTEST_QUERY_EACH_US   (100 * MAG_US_PER_MS)
 #define ATTEST_QUERY_SPREAD_US (1600 * MAG_US_PER_MS)
+/*
+ * A router that others learn from queries after the first fraction of the
+ * bound, or up to the second one later.
+ */
+#define ATTEST_QUERY_FRACTION  0.15
+#define ATTEST_QUERY_VARIATION 0.1
 /* Delay after a query that confirmed nothing; it doubles each time. */
 #define ATTEST_QUERY_RETRY_US (500 * MAG_US_PER_MS)
 #define ATTEST_QUERY_BACKOFF  2
@@ -156,6 +162,11 @@
 {
 	int64_t spread = ATTEST_QUERY_EACH_US * routers;
 
+	if (attest->bound_us)
+		return (int64_t)((double)attest->bound_us *
+				 (ATTEST_QUERY_FRACTION +
+				  ATTEST_QUERY_VARIATION *
+					  mag_random_unit(&attest->seed)));
 	if (spread > ATTEST_QUERY_SPREAD_US)
 		spread = ATTEST_QUERY_SPREAD_US;
 	return ATTEST_QUERY_US +
--- a/src/attest.h
+++ b/src/attest.h
@@ -33,6 +33,11 @@
 	int64_t query_us;	/* when to query the store next */
 	int64_t planned_for_us; /* confirmed_us on which query_us is based */
 	int queries;		/* since then, unanswered */
+	/*
+	 * Not 0: others learn from this router alone, and must know a change
+	 * within this time.
+	 */
+	int64_t bound_us;
 	uint64_t seed;
 };
 
--- a/src/edge.h
+++ b/src/edge.h
@@ -19,8 +19,10 @@
 #include "hc.h"
 #include "hs.h"
 #include "met.h"
+#include "mir.h"
 #include "pres.h"
 #include "quar.h"
+#include "rel.h"
 #include "rt.h"
 #include "sto.h"
 #include "attest.h"
@@ -52,6 +54,8 @@
 	struct hs *metrics;
 	struct sto *sto;
 	struct sto_follow *follow;
+	struct rel *rel;
+	struct mir mir; /* of the store, for routers that follow this one */
 	struct pres *pres;
 	struct hint *hint;
 	struct wk_table workers;
@@ -100,7 +104,7 @@
 };
 
 /* edge_follow.c */
-int edge_follow(struct edge *edge);
+int edge_follow(struct edge *edge, const struct pres_peer *self);
 void edge_follow_tick(struct edge *edge, int64_t now);
 
 /* edge.c */
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -57,11 +57,11 @@
 };
 
 /*
- * Follows everything in the store with a single watch: configuration, workers
- * and routers.  Separate watches would each cost a call whenever one returns,
- * and calls are billed.
+ * Follows everything in the store, by itself or through another router:
+ * configuration, workers and routers.  One watch covers all of it; separate
+ * ones would each cost a call whenever one returns, and calls are billed.
  */
-int edge_follow(struct edge *edge)
+int edge_follow(struct edge *edge, const struct pres_peer *self)
 {
 	struct sto_follow_settings settings = {
 		"",
@@ -69,15 +69,23 @@
 		attest_coalesce_us(edge->set.config_apply_us,
 				   edge->set.drain_us),
 		attest_retry_max_us(1),
+		true,
 		&edge_ops,
 		edge
 	};
+	struct rel_owner owner = { &edge_ops, edge };
 
+	mir_init(&edge->mir);
 	edge->store_reachable = true;
 	if (sto_follow(edge->sto, &settings, &edge->follow)) {
 		jlog(LOG_START_FAILED, "\"why\":\"out of memory\"");
 		return -1;
 	}
+	if (rel_new(edge, self, &owner, &edge->rel)) {
+		jlog(LOG_START_FAILED, "\"why\":\"cannot listen on %s\"",
+		     self->address);
+		return -1;
+	}
 	return 0;
 }
 
@@ -89,8 +97,11 @@
 	sto_follow_set_retry_max(edge->follow, attest_retry_max_us(routers));
 	if (era_relist_due(&edge->era, now))
 		edge_end_recovery(edge);
+	rel_tick(edge->rel, now);
 	sto_tick(edge->sto, now);
-	if (attest_query_due(&edge->attest, routers, now))
+	edge->attest.bound_us = rel_served_bound_us(edge->rel);
+	if (rel_follows_store(edge->rel) &&
+	    attest_query_due(&edge->attest, routers, now))
 		sto_follow_query(edge->follow);
 }
 
@@ -99,6 +110,7 @@
 {
 	struct edge *edge = user;
 
+	mir_list_begin(&edge->mir);
 	wk_list_begin(&edge->workers);
 	pres_list_begin(edge->pres);
 }
@@ -108,6 +120,8 @@
 {
 	struct edge *edge = user;
 
+	if (mir_put(&edge->mir, item))
+		jlog(LOG_REL_BAD, "\"peer\":\"\",\"why\":\"out of memory\"");
 	if (strcmp(item->key, PL_CONFIG_KEY) == 0)
 		edge_apply_config(edge, item);
 	else if (strncmp(item->key, PL_WORKERS_PREFIX,
@@ -122,6 +136,7 @@
 	struct edge *edge = user;
 	int64_t now = clk_boot_us();
 
+	mir_list_end(&edge->mir, sto_follow_pos(edge->follow).revision);
 	if (era_list_done(&edge->era))
 		edge_log_recovery(edge, now);
 	wk_list_end(&edge->workers, edge_gone_us(edge, now), now);
@@ -140,12 +155,14 @@
 	int64_t before_us = edge->attest.confirmed_us;
 	int64_t now = clk_boot_us();
 
+	rel_on_fresh(edge->rel, sent_us);
 	if (!era_is_authoritative(&edge->era, sent_us) ||
 	    !edge_has_config(edge, now) ||
 	    edge->rt->version < edge->newest_peer_version)
 		return;
 	attest_from_store(&edge->attest, sent_us);
-	if (edge->attest.confirmed_us - before_us >= EDGE_ANNOUNCE_US)
+	if (rel_follows_store(edge->rel) &&
+	    edge->attest.confirmed_us - before_us >= EDGE_ANNOUNCE_US)
 		hint_send_soon(edge->hint, clk_boot_us());
 }
 
@@ -240,6 +257,7 @@
 	int64_t now = clk_boot_us();
 
 	met_increment(&edge->met, MET_RETURNS);
+	mir_clear(&edge->mir);
 	era_store_restored(&edge->era, now);
 	wk_store_restored(&edge->workers, now);
 	pres_store_restored(edge->pres, now);
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -78,6 +78,7 @@
 };
 
 static int edge_start(struct edge_run *run);
+static void edge_describe(const struct edge *edge, struct pres_peer *self);
 static int edge_listen(struct edge *edge);
 static void edge_tick(evutil_socket_t fd, short what, void *arg);
 static void edge_on_term(evutil_socket_t fd, short what, void *arg);
@@ -133,7 +134,7 @@
 	struct event_config *config = event_config_new();
 	struct edge *edge = &run->edge;
 	uint64_t incarnation;
-	char peer[MAG_ADDR_MAX * 2];
+	struct pres_settings presence = { 0 };
 
 	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER |
 					      EVENT_BASE_FLAG_NOLOCK);
@@ -162,16 +163,17 @@
 		jlog(LOG_START_FAILED, "\"why\":\"store %s\"", edge->set.store);
 		return -1;
 	}
-	snprintf(peer, sizeof(peer), "%s:%d", edge->set.address,
-		 edge->set.peer_port);
-	edge->pres = pres_new(edge->sto, edge->set.instance, peer,
-			      edge->set.data_centre,
-			      edge->set.store_lease_ms_min, incarnation);
+	edge_describe(edge, &presence.self);
+	presence.lease_ms_min = edge->set.store_lease_ms_min;
+	presence.incarnation = incarnation;
+	presence.first_start = edge->set.first_start;
+	edge->pres = pres_new(edge->sto, &presence);
 	if (!edge->pres || hint_new(edge, &edge->hint)) {
-		jlog(LOG_START_FAILED, "\"why\":\"peer socket %s\"", peer);
+		jlog(LOG_START_FAILED, "\"why\":\"peer socket %s\"",
+		     presence.self.address);
 		return -1;
 	}
-	if (edge_follow(edge))
+	if (edge_follow(edge, &presence.self))
 		return -1;
 	run->tick = event_new(edge->base, -1, EV_PERSIST, edge_tick, run);
 	run->term = evsignal_new(edge->base, SIGTERM, edge_on_term, run);
@@ -182,6 +184,20 @@
 	return 0;
 }
 
+/* Describes this router as other routers see it. */
+static void edge_describe(const struct edge *edge, struct pres_peer *self)
+{
+	char address[MAG_ADDR_MAX * 2];
+
+	snprintf(address, sizeof(address), "%s:%d", edge->set.address,
+		 edge->set.peer_port);
+	mag_copy_name(self->name, sizeof(self->name), edge->set.instance);
+	mag_copy_name(self->address, sizeof(self->address), address);
+	mag_copy_name(self->data_centre, sizeof(self->data_centre),
+		      edge->set.data_centre);
+	self->link_mbps = edge->set.link_mbps;
+}
+
 static int edge_listen(struct edge *edge)
 {
 	static const struct hs_ops callers = { eq_on_request,
@@ -356,6 +372,7 @@
 			    (unsigned long long)sto_calls(edge->sto),
 			    (long long)sto_era(edge->sto),
 			    (unsigned long long)jlog_dropped());
+	rel_write_metrics(edge->rel, clk_boot_us(), out);
 	hs_reply(conn, 200, "Content-Type: text/plain; version=0.0.4\r\n",
 		 evbuffer_pullup(out, -1), evbuffer_get_length(out));
 	evbuffer_free(out);
--- a/src/eset.c
+++ b/src/eset.c
@@ -53,6 +53,7 @@
 	{ "retry_slack", ESET_NUMBER, offsetof(struct eset, retry_slack), 0 },
 	{ "stall_ms", ESET_MS, offsetof(struct eset, stall_us), 0 },
 	{ "open_files", ESET_INT, offsetof(struct eset, open_files), 0 },
+	{ "link_mbps", ESET_INT, offsetof(struct eset, link_mbps), 0 },
 };
 
 static int eset_parse_field(const struct eset_field *field, const json_t *value,
--- a/src/eset.h
+++ b/src/eset.h
@@ -35,6 +35,7 @@
 	double retry_slack; /* of all instances together */
 	int64_t stall_us;   /* streams of a dead worker are cut after this */
 	int open_files;
+	int link_mbps; /* speed of this machine's network link */
 };
 
 int eset_load(const char *path, struct eset *set, char *why, int why_size);
--- a/src/pres.c
+++ b/src/pres.c
@@ -3,12 +3,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <urcu/list.h>
+
 #include "clk.h"
+#include "htab.h"
 #include "jlog.h"
+#include "pl_store.h"
 #include "pres.h"
 
-#define PRES_INSTANCE_PREFIX PRES_PREFIX "instance/"
-#define PRES_PLACER_KEY	     PRES_PREFIX "placer"
+#define PRES_PLACER_KEY PRES_PREFIX "placer"
 /*
  * Only the placer holds a lease; it expires this long after its holder's last
  * renewal.  It is long enough to survive two lost renewals, and short enough
@@ -36,12 +39,23 @@
  */
 #define PRES_REREGISTER_EACH_US (4 * MAG_US_PER_MS)
 #define PRES_REREGISTER_MAX_US	(1200 * MAG_US_PER_MS)
+/* Instances that start together register within this time. */
+#define PRES_REGISTER_SPREAD_US (500 * MAG_US_PER_MS)
+#define PRES_PEERS_MIN		64
+
+/* A peer in the table; its place there changes when others are removed. */
+struct pres_entry {
+	struct htab_node by_name;
+	struct pres_peer peer;
+	int index;
+	bool seen; /* in the list being read */
+};
 
 struct pres {
 	struct sto *sto;
 	char name[MAG_NAME_MAX];
 	char key[WIRE_KEY_MAX];
-	char value[128];	/* address of the peer socket, data centre */
+	char value[160]; /* address of the peer sockets, data centre, link */
 	char placer_value[128]; /* value of the placer's key if we hold it */
 	int64_t lease_ms;
 	int64_t lease;		 /* 0: none */
@@ -49,6 +63,7 @@
 	int64_t valid_until_us;	 /* the lease is valid at least until then */
 	int64_t renew_us;	 /* when to renew the lease next */
 	bool lease_call_pending; /* a call about the lease is in progress */
+	bool may_register;	 /* whether our key exists has been read */
 	bool registering;
 	int64_t register_us; /* earliest time of the next attempt */
 	bool acquiring;	     /* an attempt to become placer is in progress */
@@ -63,9 +78,11 @@
 	int64_t previous_lease;	  /* our lease before the restore; 0: none */
 	bool settling;		  /* the store lacks recently written entries */
 	uint64_t seed;
-	struct pres_peer *peers;
-	bool *seen; /* of each peer: it is in the list being read */
+	struct htab names;
+	struct pres_entry **peers;
 	int peer_count;
+	int peer_max;
+	unsigned int changes; /* of the peers so far */
 };
 
 static void pres_renew(struct pres *pres, int64_t now);
@@ -81,35 +98,36 @@
 			     const char *body, size_t len);
 static void pres_on_lease_ended(void *user, enum sto_result result,
 				const char *body, size_t len);
+static void pres_learn_own_key(struct pres *pres, const char *body, size_t len);
+static void pres_own_item(struct pres *pres, const struct wire_item *item);
 static void pres_peer_item(struct pres *pres, const struct wire_item *item);
-static void pres_remove_peer(struct pres *pres, int i);
+static struct pres_entry *pres_find(const struct pres *pres, const char *name);
+static struct pres_entry *pres_add_peer(struct pres *pres, const char *name);
+static void pres_remove_peer(struct pres *pres, struct pres_entry *entry);
 
-/* Starts presence; address is that of the peer socket. */
-struct pres *pres_new(struct sto *sto, const char *name, const char *address,
-		      const char *data_centre, int64_t lease_ms_min,
-		      uint64_t incarnation)
+/* Starts presence. */
+struct pres *pres_new(struct sto *sto, const struct pres_settings *settings)
 {
+	const struct pres_peer *self = &settings->self;
 	struct pres *pres = calloc(1, sizeof(*pres));
 
 	if (!pres)
 		return NULL;
-	pres->peers = calloc(PRES_PEERS_MAX, sizeof(*pres->peers));
-	pres->seen = calloc(PRES_PEERS_MAX, sizeof(*pres->seen));
-	if (!pres->peers || !pres->seen) {
-		pres_free(pres);
-		return NULL;
-	}
 	pres->sto = sto;
 	pres->lease_ms = PRES_LEASE_MS;
-	if (pres->lease_ms < lease_ms_min)
-		pres->lease_ms = lease_ms_min;
-	snprintf(pres->name, sizeof(pres->name), "%s", name);
-	snprintf(pres->key, sizeof(pres->key), PRES_INSTANCE_PREFIX "%s", name);
-	snprintf(pres->value, sizeof(pres->value), "%s %s", address,
-		 data_centre);
+	if (pres->lease_ms < settings->lease_ms_min)
+		pres->lease_ms = settings->lease_ms_min;
+	snprintf(pres->name, sizeof(pres->name), "%s", self->name);
+	snprintf(pres->key, sizeof(pres->key), PRES_INSTANCE_PREFIX "%s/%s",
+		 self->data_centre, self->name);
+	snprintf(pres->value, sizeof(pres->value), "%s %s %d", self->address,
+		 self->data_centre, self->link_mbps);
 	snprintf(pres->placer_value, sizeof(pres->placer_value), "%s %" PRIx64,
-		 name, incarnation);
-	pres->seed = incarnation | 1;
+		 self->name, settings->incarnation);
+	pres->seed = settings->incarnation | 1;
+	pres->may_register = settings->first_start;
+	pres->register_us = clk_boot_us() + (int64_t)(mag_random(&pres->seed) %
+						      PRES_REGISTER_SPREAD_US);
 	return pres;
 }
 
@@ -117,8 +135,10 @@
 {
 	if (!pres)
 		return;
+	while (pres->peer_count > 0)
+		pres_remove_peer(pres, pres->peers[pres->peer_count - 1]);
+	htab_free(&pres->names);
 	free(pres->peers);
-	free(pres->seen);
 	free(pres);
 }
 
@@ -128,14 +148,16 @@
  */
 void pres_tick(struct pres *pres, int64_t now)
 {
-	if (pres->leaving || !pres->listed)
+	if (pres->leaving)
 		return;
-	if (!pres->own_key_valid && !pres->registering &&
+	if (pres->may_register && !pres->own_key_valid && !pres->registering &&
 	    now >= pres->register_us) {
 		pres->registering = true;
 		sto_swap(pres->sto, pres->key, pres->value, pres->own_revision,
 			 0, pres_on_registered, pres);
 	}
+	if (!pres->listed)
+		return;
 	if (pres->placer[0])
 		pres_renew(pres, now);
 	else if (now >= pres->acquire_us && now >= pres->acquire_after_us)
@@ -160,6 +182,7 @@
 	pres->valid_until_us = 0;
 	pres->placer[0] = '\0';
 	pres->own_key_valid = false;
+	pres->may_register = false;
 	pres->listed = false;
 	pres->settling = true;
 	pres->acquire_after_us = now + pres->lease_ms * MAG_US_PER_MS;
@@ -182,7 +205,7 @@
 	int i;
 
 	for (i = 0; i < pres->peer_count; i++)
-		missing += !pres->seen[i];
+		missing += !pres->peers[i]->seen;
 	return missing;
 }
 
@@ -209,6 +232,18 @@
 	       strcmp(pres->placer, pres->placer_value) == 0;
 }
 
+/* Returns whether our own key has been seen in the store. */
+bool pres_own_listed(const struct pres *pres)
+{
+	return pres->own_key_valid;
+}
+
+/* Returns a number that changes whenever the peers do. */
+unsigned int pres_changes(const struct pres *pres)
+{
+	return pres->changes;
+}
+
 int pres_peer_count(const struct pres *pres)
 {
 	return pres->peer_count;
@@ -216,7 +251,7 @@
 
 const struct pres_peer *pres_peer(const struct pres *pres, int i)
 {
-	return &pres->peers[i];
+	return &pres->peers[i]->peer;
 }
 
 /*
@@ -306,12 +341,34 @@
 {
 	struct pres *pres = user;
 
-	(void)body;
-	(void)len;
 	pres->registering = false;
-	/* After a lost answer or a conflict the watch shows the result. */
+	/* After a lost answer the watch shows the result. */
 	pres->own_key_valid = result == STO_DONE;
 	pres->register_us = clk_boot_us() + PRES_RETRY_US;
+	if (result == STO_CONFLICT)
+		pres_learn_own_key(pres, body, len);
+}
+
+/* Takes our key's revision and value from the answer to a conflicting write. */
+static void pres_learn_own_key(struct pres *pres, const char *body, size_t len)
+{
+	struct wire_items items;
+	int i;
+
+	if (pl_store_conflict(body, len, &items))
+		return;
+	for (i = 0; i < items.count; i++) {
+		if (strcmp(items.items[i].key, pres->key) == 0)
+			pres_own_item(pres, &items.items[i]);
+	}
+	pl_store_items_free(&items);
+}
+
+static void pres_own_item(struct pres *pres, const struct wire_item *item)
+{
+	pres->own_revision = item->deleted ? 0 : item->revision;
+	pres->own_key_valid =
+		!item->deleted && strcmp(item->value, pres->value) == 0;
 }
 
 static void pres_on_acquired(void *user, enum sto_result result,
@@ -344,7 +401,10 @@
 /* Starts a complete list of the keys. */
 void pres_list_begin(struct pres *pres)
 {
-	memset(pres->seen, 0, PRES_PEERS_MAX * sizeof(*pres->seen));
+	int i;
+
+	for (i = 0; i < pres->peer_count; i++)
+		pres->peers[i]->seen = false;
 	pres->placer[0] = '\0';
 	pres->own_revision = 0;
 	pres->own_key_valid = false;
@@ -381,50 +441,102 @@
 	int i;
 
 	for (i = pres->peer_count - 1; i >= 0 && !pres->settling; i--) {
-		if (!pres->seen[i])
-			pres_remove_peer(pres, i);
+		if (!pres->peers[i]->seen)
+			pres_remove_peer(pres, pres->peers[i]);
 	}
 	if (!pres->listed && !pres->placer[0])
 		pres_schedule_acquire(pres, clk_boot_us());
 	pres->listed = true;
+	pres->may_register = true;
+}
+
+/*
+ * Our data centre's instances were read before the store is followed: whether
+ * our own key exists is known.
+ */
+void pres_read_own(struct pres *pres)
+{
+	pres->may_register = true;
 }
 
-/* Handles the key of an instance, which holds its peer address. */
+/* Handles the key of an instance, "data-centre/name", with its addresses. */
 static void pres_peer_item(struct pres *pres, const struct wire_item *item)
 {
-	const char *name = item->key + strlen(PRES_INSTANCE_PREFIX);
+	const char *name = strrchr(item->key, '/') + 1;
+	struct pres_entry *entry = pres_find(pres, name);
 	struct pres_peer peer = { 0 };
-	int i;
 
-	if (strcmp(name, pres->name) == 0) {
-		pres->own_revision = item->deleted ? 0 : item->revision;
-		pres->own_key_valid =
-			!item->deleted && strcmp(item->value, pres->value) == 0;
+	if (strcmp(item->key, pres->key) == 0) {
+		pres_own_item(pres, item);
 		return;
 	}
-	for (i = 0; i < pres->peer_count; i++) {
-		if (strcmp(pres->peers[i].name, name) == 0)
-			break;
-	}
 	if (item->deleted) {
-		if (i < pres->peer_count)
-			pres_remove_peer(pres, i);
+		if (entry)
+			pres_remove_peer(pres, entry);
 		return;
 	}
-	if (i == PRES_PEERS_MAX || strlen(name) >= MAG_NAME_MAX ||
-	    sscanf(item->value, "%47s %63s", peer.address, peer.data_centre) !=
-		    2)
+	if (strlen(name) >= MAG_NAME_MAX ||
+	    sscanf(item->value, "%47s %63s %d", peer.address, peer.data_centre,
+		   &peer.link_mbps) < 2)
 		return;
-	if (i == pres->peer_count)
-		pres->peer_count++;
 	mag_copy_name(peer.name, sizeof(peer.name), name);
-	pres->peers[i] = peer;
-	pres->seen[i] = true;
+	if (!entry)
+		entry = pres_add_peer(pres, name);
+	if (!entry)
+		return;
+	entry->seen = true;
+	if (memcmp(&entry->peer, &peer, sizeof(peer)) == 0)
+		return;
+	entry->peer = peer;
+	pres->changes++;
 }
 
-static void pres_remove_peer(struct pres *pres, int i)
+static struct pres_entry *pres_find(const struct pres *pres, const char *name)
 {
-	pres->peer_count--;
-	pres->peers[i] = pres->peers[pres->peer_count];
-	pres->seen[i] = pres->seen[pres->peer_count];
+	struct htab_node *node = htab_first(&pres->names, htab_hash(name));
+	struct pres_entry *entry;
+
+	for (; node; node = htab_next(node)) {
+		entry = cds_list_entry(node, struct pres_entry, by_name);
+		if (strcmp(entry->peer.name, name) == 0)
+			return entry;
+	}
+	return NULL;
+}
+
+/* Adds a peer without an address; NULL without memory. */
+static struct pres_entry *pres_add_peer(struct pres *pres, const char *name)
+{
+	int max = pres->peer_max ? pres->peer_max * 2 : PRES_PEERS_MIN;
+	struct pres_entry *entry = calloc(1, sizeof(*entry));
+	struct pres_entry **peers = pres->peers;
+
+	if (pres->peer_count == pres->peer_max) {
+		peers = realloc(pres->peers, (size_t)max * sizeof(*peers));
+		if (!peers) {
+			free(entry);
+			return NULL;
+		}
+		pres->peers = peers;
+		pres->peer_max = max;
+	}
+	if (!entry ||
+	    htab_add(&pres->names, &entry->by_name, htab_hash(name))) {
+		free(entry);
+		return NULL;
+	}
+	entry->index = pres->peer_count++;
+	peers[entry->index] = entry;
+	return entry;
+}
+
+static void pres_remove_peer(struct pres *pres, struct pres_entry *entry)
+{
+	struct pres_entry *last = pres->peers[--pres->peer_count];
+
+	pres->peers[entry->index] = last;
+	last->index = entry->index;
+	htab_del(&pres->names, &entry->by_name);
+	free(entry);
+	pres->changes++;
 }
--- /dev/null
+++ b/src/rel.c
@@ -0,0 +1,383 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "clk.h"
+#include "jlog.h"
+#include "pl_header.h"
+#include "pl_store.h"
+#include "rel_int.h"
+
+/* A connection to another router is established within this time. */
+#define REL_CONNECT_US (300 * MAG_US_PER_MS)
+/* Time for an answer beyond the time that a poll stays open. */
+#define REL_ANSWER_US (300 * MAG_US_PER_MS)
+/* Time for the first answer, which has all items. */
+#define REL_COMPLETE_US (3 * MAG_US_PER_S)
+/* Shortest interval between two polls. */
+#define REL_POLL_INTERVAL_US (20 * MAG_US_PER_MS)
+#define REL_UPDATE_US	     (300 * MAG_US_PER_MS)
+/* Polls to one router: the one in progress, and one that is being closed. */
+#define REL_CONNECTIONS_MAX 2
+
+static int64_t rel_bound_us(const struct edge *edge);
+static void rel_choose(struct rel *rel, int64_t now);
+static void rel_follow_store(struct rel *rel);
+static void rel_follow_peer(struct rel *rel);
+static bool rel_is_source(const struct rel *rel);
+static void rel_poll(struct rel *rel, int64_t now);
+static struct hc_host *rel_host(struct rel *rel, int source);
+static bool rel_on_headers(void *user, const struct hc_response *response);
+static void rel_on_body(void *user, const void *bytes, size_t len);
+static void rel_on_end(void *user, enum hc_result end);
+static void rel_apply(struct rel *rel, const struct rel_answer *answer,
+		      struct wire_items *items);
+static void rel_apply_reachable(struct rel *rel,
+				const struct rel_answer *answer);
+static void rel_reject(struct rel *rel, const char *why, int64_t now);
+
+static const struct hc_ops rel_ops = {
+	.headers = rel_on_headers,
+	.body = rel_on_body,
+	.ended = rel_on_end,
+};
+
+/* Starts to join the tree, and to serve other routers. */
+int rel_new(struct edge *edge, const struct pres_peer *self,
+	    const struct rel_owner *owner, struct rel **out)
+{
+	struct rel *rel = calloc(1, sizeof(*rel));
+	int rc;
+
+	if (!rel)
+		return REL_E_MEMORY;
+	rel->edge = edge;
+	rel->owner = *owner;
+	rel->source = TREE_WAIT;
+	rel->body = evbuffer_new();
+	tree_init(&rel->tree, self, edge_random(edge), rel_bound_us(edge));
+	rc = rel->body ? rel_serve_start(rel, self->address) : REL_E_MEMORY;
+	if (rc) {
+		rel_free(rel);
+		return rc;
+	}
+	*out = rel;
+	return REL_OK;
+}
+
+void rel_free(struct rel *rel)
+{
+	int i;
+
+	if (!rel)
+		return;
+	if (rel->hs)
+		rel_serve_stop(rel);
+	for (i = 0; i < TREE_CANDIDATES_MAX; i++)
+		hc_host_free(rel->hosts[i]);
+	if (rel->body)
+		evbuffer_free(rel->body);
+	free(rel->read);
+	free(rel);
+}
+
+/* Joins the tree, polls this router's source, and answers others. */
+void rel_tick(struct rel *rel, int64_t now)
+{
+	rel_serve_tick(rel, now);
+	if (!rel->joined) {
+		rel_join_tick(rel, now);
+		return;
+	}
+	if (rel->call)
+		return;
+	if (now >= rel->next_update_us) {
+		rel->next_update_us = now + REL_UPDATE_US;
+		if (pres_changes(rel->edge->pres) != rel->peers_seen)
+			rel_update(rel);
+	}
+	rel_choose(rel, now);
+}
+
+/* Notes that the items known here were current at a time. */
+void rel_on_fresh(struct rel *rel, int64_t at_us)
+{
+	if (at_us > rel->fresh_us)
+		rel->fresh_us = at_us;
+}
+
+/* Returns whether this router follows the store itself. */
+bool rel_follows_store(const struct rel *rel)
+{
+	return !sto_follow_is_paused(rel->edge->follow);
+}
+
+/*
+ * Returns the time within which others must learn a change through this router;
+ * 0 if each router follows the store.
+ */
+int64_t rel_served_bound_us(const struct rel *rel)
+{
+	return rel->tree.direct ? 0 : rel->tree.bound_us;
+}
+
+/* Chooses the candidates anew, as the list of routers has changed. */
+void rel_update(struct rel *rel)
+{
+	const struct pres *pres = rel->edge->pres;
+	int count = pres_peer_count(pres);
+	const struct pres_peer **peers =
+		calloc((size_t)count + 1, sizeof(*peers));
+	int i;
+
+	if (!peers)
+		return;
+	for (i = 0; i < count; i++)
+		peers[i] = pres_peer(pres, i);
+	if (!tree_update(&rel->tree, peers, count))
+		rel->peers_seen = pres_changes(pres);
+	free(peers);
+}
+
+void rel_write_metrics(const struct rel *rel, int64_t now, struct evbuffer *out)
+{
+	evbuffer_add_printf(
+		out,
+		"magnolia_tree_rank %d\n"
+		"magnolia_tree_follows_store %d\n"
+		"magnolia_tree_followers %d\n"
+		"magnolia_tree_age_seconds %.3f\n"
+		"magnolia_tree_polls_total %llu\n"
+		"magnolia_tree_answers_total %llu\n"
+		"magnolia_tree_bad_answers_total %llu\n",
+		rel->tree.rank, rel_follows_store(rel), rel->wait_count,
+		rel->fresh_us ? (double)(now - rel->fresh_us) / MAG_US_PER_S
+			      : -1.0,
+		(unsigned long long)rel->polls,
+		(unsigned long long)rel->answers,
+		(unsigned long long)rel->bad_answers);
+}
+
+/* The shortest time within which a change must be known everywhere. */
+static int64_t rel_bound_us(const struct edge *edge)
+{
+	const struct eset *set = &edge->set;
+
+	return set->config_apply_us < set->drain_us ? set->config_apply_us
+						    : set->drain_us;
+}
+
+/*
+ * Follows the best source.  While the store is followed, a candidate is polled
+ * without waiting, and takes over once it has answered well.
+ */
+static void rel_choose(struct rel *rel, int64_t now)
+{
+	int64_t fresh_us = rel->fresh_us ? rel->fresh_us : rel->joined_us;
+	int source = tree_choose(&rel->tree, fresh_us, now);
+
+	if (source == TREE_STORE)
+		rel_follow_store(rel);
+	else if (source >= 0 && now >= rel->next_poll_us) {
+		rel->call_source = source;
+		rel_poll(rel, now);
+	}
+}
+
+static void rel_follow_store(struct rel *rel)
+{
+	if (rel->source == TREE_STORE)
+		return;
+	rel->source = TREE_STORE;
+	rel->source_name[0] = '\0';
+	jlog(LOG_REL_SOURCE, "\"source\":\"store\",\"rank\":%d",
+	     rel->tree.rank);
+	sto_follow_resume(rel->edge->follow);
+}
+
+/* Follows the candidate that has answered. */
+static void rel_follow_peer(struct rel *rel)
+{
+	const char *name = rel->tree.candidates[rel->call_source].name;
+
+	rel->source = rel->call_source;
+	if (strcmp(rel->source_name, name) == 0)
+		return;
+	mag_copy_name(rel->source_name, sizeof(rel->source_name), name);
+	jlog(LOG_REL_SOURCE, "\"source\":\"%s\",\"rank\":%d", name,
+	     rel->tree.rank);
+	if (!sto_follow_is_paused(rel->edge->follow))
+		sto_follow_pause(rel->edge->follow);
+}
+
+/* Tells whether the candidate polled next is the one that is followed. */
+static bool rel_is_source(const struct rel *rel)
+{
+	const char *name = rel->tree.candidates[rel->call_source].name;
+
+	return rel->source != TREE_STORE && strcmp(rel->source_name, name) == 0;
+}
+
+static void rel_poll(struct rel *rel, int64_t now)
+{
+	struct edge *edge = rel->edge;
+	struct hc_host *host = rel_host(rel, rel->call_source);
+	struct hc_send send = { 0 };
+	char target[REL_TARGET_MAX];
+	struct rel_poll poll;
+
+	poll.after = sto_follow_pos(edge->follow);
+	poll.wait_us = rel_is_source(rel)
+			       ? tree_wait_us(&rel->tree, rel->fresh_us, now)
+			       : 0;
+	rel_poll_write(target, sizeof(target), &poll);
+	rel->sent_after = poll.after;
+	rel->sent_us = now;
+	rel->next_poll_us = now + REL_POLL_INTERVAL_US;
+	rel->status = 0;
+	evbuffer_drain(rel->body, evbuffer_get_length(rel->body));
+	send.request = pl_call_encode(
+		"GET", target, rel->tree.candidates[rel->call_source].address,
+		NULL);
+	send.ops = &rel_ops;
+	send.user = rel;
+	send.connect_by_us = now + REL_CONNECT_US;
+	send.deadline_us =
+		now + poll.wait_us +
+		(poll.after.revision > 0 ? REL_ANSWER_US : REL_COMPLETE_US);
+	rel->polls++;
+	if (!host || !send.request || hc_start(host, &send, &rel->call)) {
+		rel->call = NULL;
+		tree_on_failure(&rel->tree, rel->call_source, now);
+	}
+}
+
+/* Returns the host of a candidate, which may have moved to another place. */
+static struct hc_host *rel_host(struct rel *rel, int source)
+{
+	const char *address = rel->tree.candidates[source].address;
+
+	if (rel->hosts[source] && strcmp(rel->addresses[source], address) == 0)
+		return rel->hosts[source];
+	hc_host_free(rel->hosts[source]);
+	rel->hosts[source] = NULL;
+	if (hc_host_new(rel->edge->hc, address, REL_CONNECTIONS_MAX,
+			&rel->hosts[source]))
+		return NULL;
+	mag_copy_name(rel->addresses[source], sizeof(rel->addresses[source]),
+		      address);
+	return rel->hosts[source];
+}
+
+static bool rel_on_headers(void *user, const struct hc_response *response)
+{
+	struct rel *rel = user;
+
+	rel->status = response->status;
+	return true;
+}
+
+static void rel_on_body(void *user, const void *bytes, size_t len)
+{
+	struct rel *rel = user;
+
+	if (evbuffer_get_length(rel->body) + len <= REL_BYTES_MAX)
+		evbuffer_add(rel->body, bytes, len);
+}
+
+static void rel_on_end(void *user, enum hc_result end)
+{
+	struct rel *rel = user;
+	int64_t now = clk_boot_us();
+	size_t len = evbuffer_get_length(rel->body);
+	struct rel_answer answer;
+	struct wire_items items;
+	const char *body;
+
+	rel->call = NULL;
+	if (end == HC_COMPLETE && rel->status == 503) {
+		tree_on_empty(&rel->tree, rel->call_source, now);
+		return;
+	}
+	if (end != HC_COMPLETE || rel->status != 200) {
+		if (rel->hosts[rel->call_source])
+			hc_host_drop_idle(rel->hosts[rel->call_source]);
+		tree_on_failure(&rel->tree, rel->call_source, now);
+		return;
+	}
+	body = (const char *)evbuffer_pullup(rel->body, -1);
+	switch (rel_answer_decode(body, len, rel->sent_after, &answer,
+				  &items)) {
+	case REL_MSG_OK:
+		rel_apply(rel, &answer, &items);
+		pl_store_items_free(&items);
+		break;
+	case REL_MSG_E_ORDER:
+		rel_reject(rel, "position out of order", now);
+		break;
+	case REL_MSG_E_MEMORY:
+		rel_reject(rel, "out of memory", now);
+		break;
+	default:
+		rel_reject(rel, "unreadable", now);
+		break;
+	}
+}
+
+/* Takes over the changes of an answer, and follows its sender if it may. */
+static void rel_apply(struct rel *rel, const struct rel_answer *answer,
+		      struct wire_items *items)
+{
+	const struct sto_follow_ops *ops = rel->owner.ops;
+	struct sto_follow *follow = rel->edge->follow;
+	int64_t now = clk_boot_us();
+	int64_t fresh_us = rel->sent_us + answer->fresh_us;
+	bool good;
+	int i;
+
+	if (!answer->has_fresh || fresh_us > now)
+		fresh_us = 0;
+	/* Changes that the store has reported meanwhile are newer. */
+	if (!sto_follow_is_paused(follow) &&
+	    pos_compare(answer->pos, sto_follow_pos(follow)) < 0) {
+		tree_on_empty(&rel->tree, rel->call_source, now);
+		return;
+	}
+	good = tree_on_answer(&rel->tree, rel->call_source, fresh_us, now);
+	if (good || rel->source == TREE_WAIT)
+		rel_follow_peer(rel);
+	if (!sto_follow_is_paused(follow))
+		return;
+	sto_learn_era(rel->edge->sto, answer->pos.era);
+	rel_apply_reachable(rel, answer);
+	if (answer->complete)
+		ops->list_begin(rel->owner.user);
+	for (i = 0; i < items->count; i++)
+		ops->item(rel->owner.user, &items->items[i]);
+	sto_follow_set_pos(follow, answer->pos);
+	if (answer->complete)
+		ops->list_end(rel->owner.user);
+	if (fresh_us)
+		ops->confirmed(rel->owner.user, fresh_us);
+}
+
+/* Learns whether the store was unreachable, and until when. */
+static void rel_apply_reachable(struct rel *rel,
+				const struct rel_answer *answer)
+{
+	struct edge *edge = rel->edge;
+	int64_t regained_us = rel->sent_us + answer->regained_us;
+
+	if (answer->reachable != edge->store_reachable)
+		rel->owner.ops->reachable(rel->owner.user, answer->reachable);
+	if (answer->has_regained && regained_us > edge->store_regained_us)
+		edge->store_regained_us = regained_us;
+}
+
+/* Drops an answer: nothing of it is applied, and another source is tried. */
+static void rel_reject(struct rel *rel, const char *why, int64_t now)
+{
+	rel->bad_answers++;
+	jlog(LOG_REL_BAD, "\"peer\":\"%s\",\"why\":\"%s\"",
+	     rel->tree.candidates[rel->call_source].name, why);
+	tree_on_failure(&rel->tree, rel->call_source, now);
+}
--- /dev/null
+++ b/src/rel.h
@@ -0,0 +1,43 @@
+#ifndef REL_H
+#define REL_H
+
+/*
+ * Relay of the store's changes between routers: where this router learns them
+ * (from the store or from another router), and the routers that learn them
+ * here.  tree.h decides who follows whom.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "pos.h"
+#include "pres.h"
+#include "sto.h"
+
+struct edge;
+struct rel;
+struct evbuffer;
+
+enum rel_err {
+	REL_OK = 0,
+	REL_E_MEMORY = -1,
+	REL_E_LISTEN = -2,
+};
+
+/* What the owner does with what a relay learns. */
+struct rel_owner {
+	const struct sto_follow_ops *ops; /* of the store's follower, too */
+	void *user;
+};
+
+int rel_new(struct edge *edge, const struct pres_peer *self,
+	    const struct rel_owner *owner, struct rel **out);
+void rel_free(struct rel *rel);
+void rel_tick(struct rel *rel, int64_t now);
+void rel_on_fresh(struct rel *rel, int64_t at_us);
+bool rel_follows_store(const struct rel *rel);
+int64_t rel_served_bound_us(const struct rel *rel);
+void rel_write_metrics(const struct rel *rel, int64_t now,
+		       struct evbuffer *out);
+
+#endif /* REL_H */
--- /dev/null
+++ b/src/rel_int.h
@@ -0,0 +1,65 @@
+#ifndef REL_INT_H
+#define REL_INT_H
+
+/* Parts of the relay: joining, following another router, serving others. */
+
+#include <event2/buffer.h>
+#include <urcu/list.h>
+
+#include "edge.h"
+#include "hs.h"
+#include "rel.h"
+#include "rel_msg.h"
+#include "tree.h"
+
+struct rel_read;
+
+struct rel {
+	struct edge *edge;
+	struct rel_owner owner;
+	struct tree tree;
+	unsigned int peers_seen; /* pres_changes() of the last update */
+	int64_t next_update_us;
+	int64_t fresh_us; /* the items were current then; 0: never */
+
+	/* Joining: the data centre's routers are read before following. */
+	bool joined;
+	int64_t joined_us;
+	struct rel_read *read; /* in progress */
+	int64_t join_us;       /* when to read next */
+	int joins;	       /* reads so far */
+
+	/* Following. */
+	int source;			/* candidate, TREE_STORE or TREE_WAIT */
+	char source_name[MAG_NAME_MAX]; /* "": the store, or none yet */
+	struct hc_host *hosts[TREE_CANDIDATES_MAX];
+	char addresses[TREE_CANDIDATES_MAX][MAG_ADDR_MAX];
+	struct hc_call *call;
+	int call_source;
+	int status;
+	struct evbuffer *body;
+	struct pos sent_after;
+	int64_t sent_us;
+	int64_t next_poll_us;
+	uint64_t polls;
+	uint64_t bad_answers;
+
+	/* Serving. */
+	struct hs *hs;
+	struct cds_list_head waits; /* of struct rel_wait, by receipt */
+	int wait_count;
+	uint64_t answers;
+};
+
+/* rel.c */
+void rel_update(struct rel *rel);
+
+/* rel_join.c */
+void rel_join_tick(struct rel *rel, int64_t now);
+
+/* rel_serve.c */
+int rel_serve_start(struct rel *rel, const char *address);
+void rel_serve_stop(struct rel *rel);
+void rel_serve_tick(struct rel *rel, int64_t now);
+
+#endif /* REL_INT_H */
--- /dev/null
+++ b/src/rel_serve.c
@@ -0,0 +1,167 @@
+#include <stdlib.h>
+
+#include "clk.h"
+#include "rel_int.h"
+
+/*
+ * Polls that are open at once: those of the routers next in the tree, and of
+ * the ones after them while these fail.
+ */
+#define REL_WAITS_MAX (TREE_FANOUT * (TREE_FANOUT + 2))
+
+/* A poll that is not answered yet. */
+struct rel_wait {
+	struct cds_list_head node;
+	struct rel *rel;
+	struct hs_conn *conn;
+	struct pos after;
+	int64_t received_us;
+	int64_t answer_by_us;
+};
+
+static void rel_on_request(void *ctx, struct hs_conn *conn);
+static void rel_on_disconnect(void *ctx, struct hs_conn *conn, void *user);
+static bool rel_is_due(const struct rel *rel, const struct rel_wait *wait,
+		       int64_t now);
+static bool rel_may_answer(const struct rel *rel, const struct rel_wait *wait);
+static void rel_answer(struct rel *rel, struct rel_wait *wait);
+static void rel_drop_wait(struct rel_wait *wait);
+
+/* Listens for the polls of other routers. */
+int rel_serve_start(struct rel *rel, const char *address)
+{
+	static const struct hs_ops ops = { rel_on_request, rel_on_disconnect };
+
+	CDS_INIT_LIST_HEAD(&rel->waits);
+	if (hs_new(rel->edge->base, address, &ops, rel, &rel->hs))
+		return REL_E_LISTEN;
+	return REL_OK;
+}
+
+void rel_serve_stop(struct rel *rel)
+{
+	struct rel_wait *wait;
+	struct rel_wait *next;
+
+	cds_list_for_each_entry_safe (wait, next, &rel->waits, node) {
+		hs_set_user(wait->conn, NULL);
+		rel_drop_wait(wait);
+	}
+	hs_free(rel->hs);
+}
+
+/* Answers the polls that have waited long enough or for which there is news. */
+void rel_serve_tick(struct rel *rel, int64_t now)
+{
+	struct rel_wait *wait;
+	struct rel_wait *next;
+
+	cds_list_for_each_entry_safe (wait, next, &rel->waits, node) {
+		if (!rel_is_due(rel, wait, now))
+			continue;
+		hs_set_user(wait->conn, NULL);
+		rel_answer(rel, wait);
+		rel_drop_wait(wait);
+	}
+	hs_tick(rel->hs, now);
+}
+
+static void rel_on_request(void *ctx, struct hs_conn *conn)
+{
+	struct rel *rel = ctx;
+	struct rel_wait *wait;
+	struct rel_poll poll;
+
+	if (rel_poll_parse(hs_target(conn), &poll)) {
+		hs_reply(conn, 404, NULL, NULL, 0);
+		return;
+	}
+	wait = rel->wait_count < REL_WAITS_MAX ? calloc(1, sizeof(*wait))
+					       : NULL;
+	if (!wait) {
+		hs_reply(conn, 503, NULL, NULL, 0);
+		return;
+	}
+	wait->rel = rel;
+	wait->conn = conn;
+	wait->after = poll.after;
+	wait->received_us = clk_boot_us();
+	wait->answer_by_us = wait->received_us + poll.wait_us;
+	cds_list_add_tail(&wait->node, &rel->waits);
+	rel->wait_count++;
+	hs_set_user(conn, wait);
+}
+
+static void rel_on_disconnect(void *ctx, struct hs_conn *conn, void *user)
+{
+	(void)ctx;
+	(void)conn;
+	if (user)
+		rel_drop_wait(user);
+}
+
+/*
+ * Returns whether a poll is to be answered now: its time is up, there are
+ * changes, or the store has confirmed since its receipt that there are none.
+ */
+static bool rel_is_due(const struct rel *rel, const struct rel_wait *wait,
+		       int64_t now)
+{
+	struct pos pos = sto_follow_pos(rel->edge->follow);
+
+	if (now >= wait->answer_by_us || rel->edge->stopping)
+		return true;
+	if (!rel_may_answer(rel, wait))
+		return false;
+	return pos_compare(pos, wait->after) > 0 ||
+	       rel->fresh_us > wait->received_us;
+}
+
+/*
+ * Returns whether all items are known here up to the position of the router
+ * that polls; after a change of source it may be ahead.
+ */
+static bool rel_may_answer(const struct rel *rel, const struct rel_wait *wait)
+{
+	struct pos pos = sto_follow_pos(rel->edge->follow);
+
+	return mir_may_serve(&rel->edge->mir) && pos.revision > 0 &&
+	       pos_compare(pos, wait->after) >= 0;
+}
+
+/* A router that is stopping tells its followers to find another source. */
+static void rel_answer(struct rel *rel, struct rel_wait *wait)
+{
+	struct edge *edge = rel->edge;
+	struct rel_answer answer = { 0 };
+	char *body;
+	size_t len;
+
+	if (edge->stopping || !rel_may_answer(rel, wait)) {
+		hs_reply(wait->conn, edge->stopping ? 410 : 503, NULL, NULL, 0);
+		return;
+	}
+	answer.pos = sto_follow_pos(edge->follow);
+	answer.complete = answer.pos.era != wait->after.era ||
+			  !mir_has_changes(&edge->mir, wait->after.revision);
+	answer.has_fresh = rel->fresh_us != 0;
+	answer.fresh_us = rel->fresh_us - wait->received_us;
+	answer.reachable = edge->store_reachable;
+	answer.has_regained = edge->store_regained_us != 0;
+	answer.regained_us = edge->store_regained_us - wait->received_us;
+	if (rel_answer_encode(&answer, &edge->mir, wait->after.revision, &body,
+			      &len)) {
+		hs_reply(wait->conn, 503, NULL, NULL, 0);
+		return;
+	}
+	hs_reply(wait->conn, 200, NULL, body, len);
+	free(body);
+	rel->answers++;
+}
+
+static void rel_drop_wait(struct rel_wait *wait)
+{
+	cds_list_del(&wait->node);
+	wait->rel->wait_count--;
+	free(wait);
+}
--- a/src/sto.c
+++ b/src/sto.c
@@ -20,6 +20,7 @@
 static void sto_on_end(void *user, enum hc_result end);
 static enum sto_result sto_result_from_status(int status);
 static bool sto_accept_era(struct sto *sto, const struct sto_call *call);
+static void sto_note_era(struct sto *sto, int64_t from_era);
 
 static const struct hc_ops sto_ops = {
 	.headers = sto_on_headers,
@@ -96,6 +97,15 @@
 	free(body);
 }
 
+void sto_read_stale(struct sto *sto, const char *prefix, const char *after,
+		    sto_done_fn done, void *user)
+{
+	char path[PL_PATH_MAX];
+
+	pl_store_stale_range_path(path, prefix, after);
+	sto_send_call(sto, "GET", path, NULL, 0, done, user);
+}
+
 /* Parses the answer to sto_create_lease; negative if it is malformed. */
 int sto_parse_lease(const char *body, size_t len, int64_t *lease,
 		    int64_t *ttl_ms)
@@ -180,6 +190,21 @@
 	call->done(call->user, result, body, len);
 	evbuffer_free(call->body);
 	free(call);
+	sto_note_era(sto, from_era);
+}
+
+/* Takes over a newer era that another router has learned from the store. */
+void sto_learn_era(struct sto *sto, int64_t era)
+{
+	int64_t from_era = sto->eras.newest;
+
+	pos_accept_era(&sto->eras, from_era, era);
+	sto_note_era(sto, from_era);
+}
+
+/* Reports a restore of the store if the era has risen. */
+static void sto_note_era(struct sto *sto, int64_t from_era)
+{
 	if (sto->eras.newest == from_era || from_era == POS_ERA_NONE)
 		return;
 	jlog(LOG_PF_RETURNED, "\"store\":\"%s\",\"from\":%lld,\"to\":%lld",
--- a/src/sto.h
+++ b/src/sto.h
@@ -54,6 +54,7 @@
 	int64_t wait_ms;      /* how long a single watch stays open */
 	int64_t coalesce_us;  /* delay between a change and the next watch */
 	int64_t retry_max_us; /* longest delay between failing attempts */
+	bool paused;	      /* until sto_follow_resume() */
 	const struct sto_follow_ops *ops;
 	void *user;
 };
@@ -99,6 +100,23 @@
 void sto_follow_relist(struct sto_follow *follow);
 struct pos sto_follow_pos(const struct sto_follow *follow);
 
+/*
+ * While a follower is paused it makes no calls; its owner reports the changes
+ * that it learns from elsewhere, and the position that they lead to.
+ */
+void sto_follow_pause(struct sto_follow *follow);
+void sto_follow_resume(struct sto_follow *follow);
+bool sto_follow_is_paused(const struct sto_follow *follow);
+void sto_follow_set_pos(struct sto_follow *follow, struct pos pos);
+void sto_learn_era(struct sto *sto, int64_t era);
+
+/*
+ * Reads a page of the items under a prefix as the store knew them some seconds
+ * ago, which costs less than a current list.
+ */
+void sto_read_stale(struct sto *sto, const char *prefix, const char *after,
+		    sto_done_fn done, void *user);
+
 int sto_parse_lease(const char *body, size_t len, int64_t *lease,
 		    int64_t *ttl_ms);
 
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -23,6 +23,7 @@
 	STO_LISTING,
 	STO_WATCHING,
 	STO_DELAYING, /* until retry_us, then list or watch */
+	STO_PAUSED,   /* the owner learns the changes from elsewhere */
 };
 
 struct sto_follow {
@@ -101,12 +102,47 @@
 	follow->known_pos.era = POS_ERA_NONE;
 	cds_list_add_tail(&follow->node, &sto->followers);
 	sto->on_restored = sto_on_restored;
-	sto_start_list(follow);
+	if (settings->paused)
+		follow->state = STO_PAUSED;
+	else
+		sto_start_list(follow);
 	if (out)
 		*out = follow;
 	return STO_OK;
 }
 
+/* Stops following the store; calls in progress are cancelled. */
+void sto_follow_pause(struct sto_follow *follow)
+{
+	sto_cancel_current(follow);
+	follow->state = STO_PAUSED;
+	follow->after[0] = '\0';
+	follow->failures = 0;
+	follow->queries_lost = 0;
+}
+
+/* Follows the store from the position that has been reached. */
+void sto_follow_resume(struct sto_follow *follow)
+{
+	if (follow->state != STO_PAUSED)
+		return;
+	if (follow->pos.revision > 0)
+		sto_start_watch(follow);
+	else
+		sto_start_list(follow);
+}
+
+bool sto_follow_is_paused(const struct sto_follow *follow)
+{
+	return follow->state == STO_PAUSED;
+}
+
+/* Sets the position that a paused follower's owner has reached. */
+void sto_follow_set_pos(struct sto_follow *follow, struct pos pos)
+{
+	follow->pos = pos;
+}
+
 /* Continues followers whose delay has expired and restarts stuck watches. */
 void sto_tick(struct sto *sto, int64_t now)
 {
@@ -280,6 +316,8 @@
 	sto_follow_learn_pos(
 		follow, (struct pos){ sto_era(follow->sto), items.revision });
 	pl_store_items_free(&items);
+	if (follow->state == STO_PAUSED)
+		return;
 	sto_check_confirmed(follow);
 	if (follow->failures > 0)
 		sto_start_over(follow);
@@ -292,6 +330,7 @@
 static void sto_check_confirmed(struct sto_follow *follow)
 {
 	if (follow->store_pos_sent_us && follow->state != STO_LISTING &&
+	    follow->state != STO_PAUSED &&
 	    pos_compare(follow->pos, follow->store_pos) >= 0)
 		follow->ops->confirmed(follow->user, follow->store_pos_sent_us);
 }
@@ -309,15 +348,21 @@
 	if (pos_compare(known, follow->known_pos) <= 0)
 		return;
 	follow->known_pos = known;
-	if (new_era && sto_era(follow->sto) != POS_ERA_NONE)
+	if (new_era && sto_era(follow->sto) != POS_ERA_NONE &&
+	    follow->state != STO_PAUSED)
 		sto_follow_query(follow);
 }
 
 /* Lists all keys again after a short random delay. */
 void sto_follow_relist(struct sto_follow *follow)
 {
-	sto_cancel_current(follow);
 	follow->after[0] = '\0';
+	if (follow->state == STO_PAUSED) {
+		/* The owner gets a complete list from its source. */
+		follow->pos.revision = 0;
+		return;
+	}
+	sto_cancel_current(follow);
 	follow->state = STO_DELAYING;
 	follow->list_after_delay = true;
 	follow->retry_us =
--- /dev/null
+++ b/src/tree.c
@@ -0,0 +1,282 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "htab.h"
+#include "tree.h"
+
+/*
+ * Fractions of the bound within which a change must be known everywhere: how
+ * long a poll stays open, after how long without proof data is outdated, and
+ * the interval between the routers that then turn to the store one after the
+ * other.  The root proves its data within a fifth of the bound.
+ */
+#define TREE_WAIT_FRACTION 0.2
+#define TREE_OLD_FRACTION  0.35
+#define TREE_TURN_FRACTION 0.08
+#define TREE_WAIT_MAX_US   MAG_US_PER_S
+/* A failed candidate is tried again after this, doubled each time. */
+#define TREE_RETRY_US	     MAG_US_PER_S
+#define TREE_RETRY_DOUBLINGS 5
+/*
+ * A candidate with outdated data may have found a new source after this
+ * fraction of the bound.
+ */
+#define TREE_OLD_RETRY_FRACTION 0.06
+/* A starting candidate is given this long to get its first data. */
+#define TREE_EMPTY_US	    (2 * MAG_US_PER_S)
+#define TREE_EMPTY_RETRY_US (50 * MAG_US_PER_MS)
+/* Routers far from the top that lose all candidates turn to the store then. */
+#define TREE_ORPHAN_US MAG_US_PER_S
+
+static int64_t tree_part_us(const struct tree *tree, double fraction);
+static int tree_compare(const void *a, const void *b);
+static void tree_set_candidates(struct tree *tree,
+				const struct pres_peer *const *order, int rank);
+static void tree_keep_state(struct tree_candidate *candidate,
+			    const struct tree *old);
+static bool tree_all_dead(const struct tree *tree);
+
+/*
+ * Starts without peers.  A change of the store must be known everywhere within
+ * bound_us.
+ */
+void tree_init(struct tree *tree, const struct pres_peer *self, uint64_t seed,
+	       int64_t bound_us)
+{
+	memset(tree, 0, sizeof(*tree));
+	tree->self = *self;
+	tree->seed = seed | 1;
+	tree->bound_us = bound_us;
+	tree->direct = true;
+}
+
+/*
+ * Returns how long a poll without changes stays open.  Near the top it ends
+ * when the data known here becomes outdated, so that another source is found.
+ */
+int64_t tree_wait_us(const struct tree *tree, int64_t fresh_us, int64_t now)
+{
+	int64_t wait_us = tree_part_us(tree, TREE_WAIT_FRACTION);
+	int64_t left_us =
+		fresh_us + tree_part_us(tree, TREE_OLD_FRACTION) - now;
+
+	if (wait_us > TREE_WAIT_MAX_US)
+		wait_us = TREE_WAIT_MAX_US;
+	if (tree->rank <= TREE_FANOUT && left_us < wait_us)
+		wait_us = left_us > 0 ? left_us : 0;
+	return wait_us;
+}
+
+/* Returns a fraction of the bound. */
+static int64_t tree_part_us(const struct tree *tree, double fraction)
+{
+	return (int64_t)((double)tree->bound_us * fraction);
+}
+
+/*
+ * Chooses the candidates among the peers.  Returns a negative number without
+ * memory; the candidates are unchanged then.
+ */
+int tree_update(struct tree *tree, const struct pres_peer *const *peers,
+		int count)
+{
+	const struct pres_peer **order =
+		calloc((size_t)count + 1, sizeof(*order));
+	const struct pres_peer *self = &tree->self;
+	int heads = 0;
+	int own = 0;
+	int rank;
+	int i;
+
+	if (!order)
+		return -1;
+	memcpy(order, peers, (size_t)count * sizeof(*order));
+	order[count] = self;
+	qsort(order, (size_t)count + 1, sizeof(*order), tree_compare);
+	tree->direct = count + 1 <= TREE_DIRECT_MAX;
+	for (i = 0; order[i] != self; i++)
+		own += strcmp(order[i]->data_centre, self->data_centre) == 0;
+	rank = own;
+	tree->rank = rank;
+	/* Before its own place only routers that precede it matter. */
+	for (i = 0, own = 0; order[i] != self; i++) {
+		if (rank > 0 &&
+		    strcmp(order[i]->data_centre, self->data_centre) == 0)
+			order[own++] = order[i];
+	}
+	if (rank == 0) {
+		count = i;
+		for (i = 0; i < count; i++) {
+			for (own = 0; own < heads; own++) {
+				if (strcmp(order[own]->data_centre,
+					   order[i]->data_centre) == 0)
+					break;
+			}
+			if (own == heads)
+				order[heads++] = order[i];
+		}
+		rank = heads;
+		tree->turn = rank;
+	} else {
+		tree->turn = rank + 1;
+	}
+	tree_set_candidates(tree, order, rank);
+	free(order);
+	return 0;
+}
+
+/*
+ * Returns the candidate to follow, TREE_STORE or TREE_WAIT; the data known here
+ * was current at fresh_us.
+ */
+int tree_choose(const struct tree *tree, int64_t fresh_us, int64_t now)
+{
+	int i;
+
+	if (tree->direct || tree->candidate_count == 0)
+		return TREE_STORE;
+	for (i = 0; i < tree->candidate_count; i++) {
+		if (now >= tree->candidates[i].retry_us)
+			return i;
+	}
+	if (tree->rank > TREE_FANOUT)
+		return now >= tree->orphan_us && tree_all_dead(tree)
+			       ? TREE_STORE
+			       : TREE_WAIT;
+	if (tree_all_dead(tree) ||
+	    now - fresh_us >=
+		    tree_part_us(tree, TREE_OLD_FRACTION +
+					       TREE_TURN_FRACTION * tree->turn))
+		return TREE_STORE;
+	return TREE_WAIT;
+}
+
+/* A candidate did not answer, or wrongly. */
+void tree_on_failure(struct tree *tree, int i, int64_t now)
+{
+	struct tree_candidate *candidate = &tree->candidates[i];
+	int64_t delay_us = mag_backoff(TREE_RETRY_US, candidate->failures,
+				       TREE_RETRY_DOUBLINGS);
+
+	candidate->failures++;
+	candidate->alive = false;
+	candidate->empty_since_us = 0;
+	candidate->retry_us =
+		now + delay_us / 2 +
+		(int64_t)(mag_random(&tree->seed) % (uint64_t)(delay_us / 2));
+	if (tree_all_dead(tree))
+		tree->orphan_us = now + (int64_t)(mag_random(&tree->seed) %
+						  TREE_ORPHAN_US);
+}
+
+/* A candidate has no data yet. */
+void tree_on_empty(struct tree *tree, int i, int64_t now)
+{
+	struct tree_candidate *candidate = &tree->candidates[i];
+
+	candidate->alive = true;
+	if (!candidate->empty_since_us)
+		candidate->empty_since_us = now;
+	candidate->retry_us = now + TREE_EMPTY_RETRY_US;
+	if (now - candidate->empty_since_us > TREE_EMPTY_US)
+		tree_on_failure(tree, i, now);
+}
+
+/*
+ * A candidate answered, and its data was current at fresh_us.  Returns whether
+ * it may be followed further.  Far from the top outdated data is no reason to
+ * leave it: a router above it finds another source.
+ */
+bool tree_on_answer(struct tree *tree, int i, int64_t fresh_us, int64_t now)
+{
+	struct tree_candidate *candidate = &tree->candidates[i];
+
+	candidate->alive = true;
+	candidate->failures = 0;
+	candidate->empty_since_us = 0;
+	candidate->retry_us = 0;
+	if (tree->rank > TREE_FANOUT ||
+	    now - fresh_us < tree_part_us(tree, TREE_OLD_FRACTION))
+		return true;
+	candidate->retry_us = now + tree_part_us(tree, TREE_OLD_RETRY_FRACTION);
+	return false;
+}
+
+/* Orders routers by link, fastest first, then by the hash of their name. */
+static int tree_compare(const void *a, const void *b)
+{
+	const struct pres_peer *const *x = a;
+	const struct pres_peer *const *y = b;
+	uint32_t hash_x = htab_hash((*x)->name);
+	uint32_t hash_y = htab_hash((*y)->name);
+
+	if ((*x)->link_mbps != (*y)->link_mbps)
+		return (*x)->link_mbps > (*y)->link_mbps ? -1 : 1;
+	if (hash_x != hash_y)
+		return hash_x < hash_y ? -1 : 1;
+	return strcmp((*x)->name, (*y)->name);
+}
+
+/*
+ * Lists the candidates among the routers before this one in its heap: those on
+ * the path to the first, then the first ones.
+ */
+static void tree_set_candidates(struct tree *tree,
+				const struct pres_peer *const *order, int rank)
+{
+	bool taken[TREE_FANOUT + 1] = { false };
+	struct tree old = *tree;
+	struct tree_candidate *to;
+	int count = 0;
+	int i;
+
+	memset(tree->candidates, 0, sizeof(tree->candidates));
+	for (i = rank; i > 0 && count < TREE_CANDIDATES_MAX;) {
+		i = (i - 1) / TREE_FANOUT;
+		if (i <= TREE_FANOUT)
+			taken[i] = true;
+		to = &tree->candidates[count++];
+		mag_copy_name(to->name, sizeof(to->name), order[i]->name);
+		mag_copy_name(to->address, sizeof(to->address),
+			      order[i]->address);
+	}
+	for (i = 0; i <= TREE_FANOUT && i < rank && count < TREE_CANDIDATES_MAX;
+	     i++) {
+		if (taken[i])
+			continue;
+		to = &tree->candidates[count++];
+		mag_copy_name(to->name, sizeof(to->name), order[i]->name);
+		mag_copy_name(to->address, sizeof(to->address),
+			      order[i]->address);
+	}
+	tree->candidate_count = count;
+	for (i = 0; i < count; i++)
+		tree_keep_state(&tree->candidates[i], &old);
+}
+
+/* Keeps what is known of a candidate that was one before. */
+static void tree_keep_state(struct tree_candidate *candidate,
+			    const struct tree *old)
+{
+	int i;
+
+	for (i = 0; i < old->candidate_count; i++) {
+		if (strcmp(old->candidates[i].name, candidate->name) ||
+		    strcmp(old->candidates[i].address, candidate->address))
+			continue;
+		*candidate = old->candidates[i];
+		return;
+	}
+}
+
+/* Returns whether no candidate has answered its last poll. */
+static bool tree_all_dead(const struct tree *tree)
+{
+	int i;
+
+	for (i = 0; i < tree->candidate_count; i++) {
+		if (tree->candidates[i].alive || !tree->candidates[i].failures)
+			return false;
+	}
+	return true;
+}
