tree: a starting router waits for its starting parent

Cause: after all processes were killed, a router's parent had no data yet when it was polled, and the router tried the next candidate, a machine that had been removed for good: its connection hung for 300 ms while the parent became ready after 20.

Ruled out: the parent's backlog (1,024), the store's answers (a page took 10 ms).

Change: while it has no data a router waits for a candidate that is alive, and its poll stays open for the first data. Once it has data, a candidate that is behind is passed over as before: waiting for it too kept data until it was 3,010 ms old after the root was cut off (regress/tree/root-lost, bound 3,000).

Evidence: regress/tree/start (all start again, a twentieth of the machines gone).

--- a/regress/check_tree.c
+++ b/regress/check_tree.c
@@ -26,6 +26,7 @@
 	bool up;
 	bool frozen;	    /* it runs no more, but its connections stay */
 	bool cut;	    /* from the store */
+	bool gone;	    /* its machine was removed */
 	int source;	    /* a router, TREE_STORE or TREE_WAIT */
 	long long revision; /* 0: nothing is known */
 	int64_t fresh_us;
@@ -140,7 +141,7 @@
 	router->sent_us = now;
 	router->answer_by_us =
 		now +
-		(router->source == to
+		(router->source == to || !router->fresh_us
 			 ? tree_wait_us(&router->tree, router->fresh_us, now)
 			 : 0);
 }
@@ -172,7 +173,9 @@
 	bool may_answer = to->revision && to->revision >= router->revision;
 
 	if (!to->up ||
-	    (!is_running(to) && now >= router->answer_by_us + TIMEOUT_US)) {
+	    (!is_running(to) &&
+	     now >= (to->gone ? router->sent_us : router->answer_by_us) +
+			     TIMEOUT_US)) {
 		router->poll_to = -1;
 		tree_on_failure(&router->tree, router->candidate, now);
 	} else if (is_running(to) && now > router->sent_us &&
@@ -311,6 +314,23 @@
 	return true;
 }
 
+/*
+ * "gone PERCENT": the machines of so many routers are removed for good; the
+ * list still names them.
+ */
+static void remove_machines(int percent)
+{
+	uint64_t seed = 7;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (mag_random(&seed) % 100 >= (uint64_t)percent)
+			continue;
+		routers[i].frozen = true;
+		routers[i].gone = true;
+	}
+}
+
 /* "herd PERCENT": so many routers start again at the same moment. */
 static void restart_herd(int percent)
 {
@@ -318,9 +338,11 @@
 	int i;
 
 	for (i = 0; i < count; i++) {
-		if (mag_random(&seed) % 100 < (uint64_t)percent)
+		if (mag_random(&seed) % 100 < (uint64_t)percent &&
+		    !routers[i].gone)
 			start_router(&routers[i]);
 	}
+	changed_us = now;
 }
 
 static void run_script(FILE *in, FILE *out)
@@ -349,6 +371,8 @@
 			run(out, ms, most, a, age);
 		} else if (sscanf(line, "store %d", &a) == 1) {
 			store_up = a;
+		} else if (sscanf(line, "gone %d", &a) == 1) {
+			remove_machines(a);
 		} else if (sscanf(line, "herd %d", &a) == 1) {
 			restart_herd(a);
 		} else if (!run_fault(line)) {
--- a/src/rel.c
+++ b/src/rel.c
@@ -226,7 +226,7 @@
 	struct rel_poll poll;
 
 	poll.after = sto_follow_pos(edge->follow);
-	poll.wait_us = rel_is_source(rel)
+	poll.wait_us = rel_is_source(rel) || !rel->fresh_us
 			       ? tree_wait_us(&rel->tree, rel->fresh_us, now)
 			       : 0;
 	rel_poll_write(target, sizeof(target), &poll);
--- a/src/tree.c
+++ b/src/tree.c
@@ -25,6 +25,8 @@
 /* A starting candidate is given this long to get its first data. */
 #define TREE_EMPTY_US	    (2 * MAG_US_PER_S)
 #define TREE_EMPTY_RETRY_US (50 * MAG_US_PER_MS)
+/* A poll for the first data stays open for this long. */
+#define TREE_FIRST_WAIT_US (300 * MAG_US_PER_MS)
 /* Routers far from the top that lose all candidates turn to the store then. */
 #define TREE_ORPHAN_US MAG_US_PER_S
 
@@ -51,14 +53,19 @@
 }
 
 /*
- * Returns how long a poll without changes stays open.  Near the top it ends
- * when the data known here becomes outdated, so that another source is found.
+ * Returns how long a poll without changes stays open; fresh_us is 0 before the
+ * first data, which may come soon if the candidate has started, too.  Near the
+ * top it ends when the data known here becomes outdated, so that another source
+ * is found.
  */
 int64_t tree_wait_us(const struct tree *tree, int64_t fresh_us, int64_t now)
 {
 	int64_t wait_us = tree_part_us(tree, TREE_WAIT_FRACTION);
-	int64_t left_us =
-		fresh_us + tree_part_us(tree, TREE_OLD_FRACTION) - now;
+	int64_t left_us;
+
+	if (!fresh_us)
+		return TREE_FIRST_WAIT_US;
+	left_us = fresh_us + tree_part_us(tree, TREE_OLD_FRACTION) - now;
 
 	if (wait_us > TREE_WAIT_MAX_US)
 		wait_us = TREE_WAIT_MAX_US;
@@ -138,6 +145,9 @@
 	for (i = 0; i < tree->candidate_count; i++) {
 		if (now >= tree->candidates[i].retry_us)
 			return i;
+		/* It is starting; the next one may be gone. */
+		if (tree->candidates[i].empty_since_us && !tree->has_data)
+			return TREE_WAIT;
 	}
 	if (tree->rank > TREE_FANOUT)
 		return now >= tree->orphan_us && tree_all_dead(tree)
@@ -191,6 +201,7 @@
 {
 	struct tree_candidate *candidate = &tree->candidates[i];
 
+	tree->has_data = true;
 	candidate->alive = true;
 	candidate->failures = 0;
 	candidate->empty_since_us = 0;
--- a/src/tree.h
+++ b/src/tree.h
@@ -57,6 +57,7 @@
 	int64_t bound_us;  /* a change must be known everywhere within it */
 	int rank;	   /* in the order of its data centre; 0: the head */
 	int turn;	   /* order in which routers turn to the store */
+	bool has_data;	   /* a candidate has answered with data */
 	bool direct;	   /* the fleet is small */
 	int64_t orphan_us; /* without a parent: may follow the store then */
 	int candidate_count;
