bud: a part of the slack below one is drawn, not rounded down

Cause: a router's part of the slack is the slack over one and a half times the routers. With 985 routers and a slack of 1,040 that is 0.7 of a retry, and its own few requests add less than the rest of one: no request is ever retried, although the fleet may retry 1,040 times in ten seconds.

Ruled out: asking another router for its part (a message on the way of a retry); a larger part (the sum could exceed the slack).

Change: each router draws a number at its start, and may retry while what is left is at least that number. The sum is the slack over 1.5 on average, at any size; with whole parts it changes by less than one a router.

Evidence: regress/bud/fleet, failing before at 985 and more ("too few").

--- a/regress/check_bud.c
+++ b/regress/check_bud.c
@@ -10,6 +10,30 @@
  * Runs retries against the budget: "budget WINDOW_S RATIO SLACK", "at MS",
  * "requests N", "take N" and "slack SLACK".
  */
+/*
+ * "fleet INSTANCES SLACK": each instance has its part of the slack and wants
+ * three retries in one window; prints whether the sum keeps to the slack, and
+ * whether half of it could be used.
+ */
+static void run_fleet(FILE *out, int instances, double slack)
+{
+	uint64_t seed = 99;
+	struct bud bud;
+	int taken = 0;
+	int i;
+	int k;
+
+	for (i = 0; i < instances; i++) {
+		bud_init(&bud, 10 * MAG_US_PER_S, 0.2,
+			 slack / (instances * 1.5 + 1));
+		bud_set_draw(&bud, mag_random_unit(&seed));
+		for (k = 0; k < 3; k++)
+			taken += bud_take_retry(&bud, 0);
+	}
+	fprintf(out, "%s, %s\n", taken <= slack ? "in bounds" : "too many",
+		taken >= slack / 2 ? "half or more is used" : "too few");
+}
+
 static void run_script(FILE *in, FILE *out)
 {
 	struct bud bud;
@@ -40,6 +64,8 @@
 			while (n-- > 0)
 				taken += bud_take_retry(&bud, now);
 			fprintf(out, "%d taken\n", taken);
+		} else if (sscanf(line, "fleet %d %lf", &n, &slack) == 2) {
+			run_fleet(out, n, slack);
 		} else if (sscanf(line, "slack %lf", &slack) == 1) {
 			bud_set_slack(&bud, slack);
 		}
--- a/src/bud.c
+++ b/src/bud.c
@@ -19,6 +19,13 @@
 		(int64_t)((double)window_us * BUD_MARGIN / BUD_WINDOW_SLICES);
 	bud->ratio = ratio;
 	bud->slack = slack;
+	bud->draw = 1;
+}
+
+/* Sets the number that this instance drew, from 0 to 1; 1 without. */
+void bud_set_draw(struct bud *bud, double draw)
+{
+	bud->draw = draw;
 }
 
 void bud_set_slack(struct bud *bud, double slack)
@@ -32,10 +39,16 @@
 	bud_slice_at(bud, now)->requests++;
 }
 
+/* Returns whether the window has a retry left. */
+bool bud_may_retry(const struct bud *bud, int64_t now)
+{
+	return bud_left(bud, now) >= bud->draw;
+}
+
 /* Consumes one retry; returns false if the window has none left. */
 bool bud_take_retry(struct bud *bud, int64_t now)
 {
-	if (bud_left(bud, now) < 1)
+	if (!bud_may_retry(bud, now))
 		return false;
 	bud_slice_at(bud, now)->retries++;
 	return true;
--- a/src/bud.h
+++ b/src/bud.h
@@ -9,7 +9,9 @@
  * are already at their limit.  The bound over all instances is a fraction of
  * the requests plus a fixed slack.  Each instance limits its retries to that
  * fraction of its own requests plus its part of the slack, so that the sum
- * holds without messages between instances.
+ * holds without messages between instances.  Where there are more instances
+ * than retries, each one's part is below one: then as many of them may retry as
+ * the sum allows, by a number that each drew at its start.
  */
 
 #include <stdbool.h>
@@ -27,12 +29,19 @@
 	int64_t slice_us;
 	double ratio;
 	double slack; /* this instance's part */
+	/*
+	 * From 0 to 1, other for each instance: which of them may use a
+	 * fraction of a retry that is left.
+	 */
+	double draw;
 	struct bud_slice slices[BUD_SLICES];
 };
 
 void bud_init(struct bud *bud, int64_t window_us, double ratio, double slack);
+void bud_set_draw(struct bud *bud, double draw);
 void bud_set_slack(struct bud *bud, double slack);
 void bud_add_request(struct bud *bud, int64_t now);
+bool bud_may_retry(const struct bud *bud, int64_t now);
 bool bud_take_retry(struct bud *bud, int64_t now);
 double bud_left(const struct bud *bud, int64_t now);
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -84,6 +84,7 @@
 	service->used_us = now;
 	bud_init(&service->bud, edge->set.retry_window_us,
 		 edge->set.retry_ratio, 0);
+	bud_set_draw(&service->bud, mag_random_unit(&edge->seed));
 	cds_list_add_tail(&service->node, &edge->services);
 	edge->service_count++;
 	return service;
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -244,7 +244,7 @@
 	 */
 	if (eq->status / 100 == 5 && eq->state != EQ_STREAMING && idempotent &&
 	    eq->runs < eq->route->max_attempts &&
-	    bud_left(edge_budget(eq->edge, eq->service->name, now), now) > 1) {
+	    bud_may_retry(edge_budget(eq->edge, eq->service->name, now), now)) {
 		eq_avoid(eq, wk);
 		eq_retry_or_fail(eq, "worker failed it");
 		return;
