chn, lay, plr: tables that follow the number of workers

Cause: a chain was looked for among at most 4,096 workers, and layers were planned for at most 4,096 cards: with more, no chain is found and nothing is planned at all. The fleet has 2,927, and twice as many would get no service.

Change: the tables grow with the table of workers (chn_walk's prices, the candidates of eq_chain, the cards of plr and lay); nothing is on the stack any more. Without memory some workers are not considered, or a plan is left to the next tick.

--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -4,9 +4,10 @@
 #include "room.h"
 #include "script.h"
 
-#define WORKERS_MAX 128
-#define LINE_MAX_   256
-#define STREAMS_MAX 4096
+#define WORKERS_MAX	 8192
+#define RUSH_WORKERS_MAX 128
+#define LINE_MAX_	 256
+#define STREAMS_MAX	 4096
 /* Tokens that a stream of a burst generates. */
 #define RUSH_TOKENS  225
 #define RUSH_STEP_US 1000
@@ -32,6 +33,20 @@
 		workers[count++] = w;
 }
 
+/* "workers N CENTRE FROM TO LAYER_US": so many alike. */
+static void add_workers(const char *line)
+{
+	struct chn_worker w = { .memory = 1e7, .first_hops_left = 192 };
+	int n = 0;
+
+	sscanf(line, "%*s %d %d %d %d %lf", &n, &w.centre, &w.from, &w.to,
+	       &w.layer_us);
+	for (; n > 0 && count < WORKERS_MAX; n--) {
+		w.ref = count;
+		workers[count++] = w;
+	}
+}
+
 /* "want LAYERS CENTRE TOKENS CROSS" */
 static void set_request(const char *line)
 {
@@ -187,10 +202,11 @@
 static struct rush {
 	struct rush_stream streams[STREAMS_MAX];
 	int running;
-	double held[WORKERS_MAX];		/* actual figures */
-	double exchanged[WORKERS_MAX];		/* as of the last exchange */
-	double sent[RUSH_ROUTERS][WORKERS_MAX]; /* by each router, since then */
-	int router; /* the router whose turn it is */
+	double held[RUSH_WORKERS_MAX];	    /* actual figures */
+	double exchanged[RUSH_WORKERS_MAX]; /* as of the last exchange */
+	double sent[RUSH_ROUTERS]
+		   [RUSH_WORKERS_MAX]; /* by each router, since then */
+	int router;		       /* the router whose turn it is */
 	uint64_t seed;
 	double served; /* streams that ended, retries not counted */
 	int refused;   /* sends refused by full workers */
@@ -435,6 +451,8 @@
 		fprintf(out, "> %s", line);
 		if (strncmp(line, "worker ", 7) == 0)
 			add_worker(line);
+		else if (strncmp(line, "workers ", 8) == 0)
+			add_workers(line);
 		else if (strncmp(line, "want ", 5) == 0)
 			set_request(line);
 		else if (sscanf(line, "choose %d", &n) == 1)
--- a/regress/check_lay.c
+++ b/regress/check_lay.c
@@ -3,7 +3,7 @@
 #include "lay.h"
 #include "script.h"
 
-#define CARDS_MAX 256
+#define CARDS_MAX 8192
 #define LINE_MAX_ 256
 
 static struct lay_card cards[CARDS_MAX];
--- a/src/chn.h
+++ b/src/chn.h
@@ -21,7 +21,6 @@
 #define CHN_HOPS_MAX	32
 #define CHN_LAYERS_MAX	MAG_LAYERS_MAX
 #define CHN_CENTRES_MAX MAG_DATA_CENTRES_MAX
-#define CHN_WORKERS_MAX 4096
 
 /* Network time of one token between two workers of a data centre. */
 #define CHN_HOP_US 250
--- a/src/chn_int.h
+++ b/src/chn_int.h
@@ -28,7 +28,8 @@
 	int start_centre;  /* data centre of the worker that runs them */
 	double fastest_us; /* time per token through the fastest workers */
 	double weight_us;  /* time equivalent of a memory price of 1 */
-	double price[CHN_WORKERS_MAX]; /* of a layer's memory, by worker */
+	double *price;	   /* of a layer's memory, by worker */
+	int price_max; /* workers that price has room for; kept for the next */
 };
 
 /* chn_walk.c */
--- a/src/chn_walk.c
+++ b/src/chn_walk.c
@@ -1,7 +1,9 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "chn_int.h"
 
+static int chn_reserve(struct chn_walk *walk, int count);
 static void chn_set_boundaries(struct chn_walk *walk);
 static void chn_relax(struct chn_walk *walk, int position, int worker);
 static double chn_entry_cost(const struct chn_walk *walk, int position,
@@ -21,7 +23,7 @@
 {
 	int i;
 
-	if (request->layers > CHN_LAYERS_MAX || count > CHN_WORKERS_MAX)
+	if (request->layers > CHN_LAYERS_MAX || chn_reserve(walk, count))
 		return CHN_E_NO_CHAIN;
 	walk->request = request;
 	walk->workers = workers;
@@ -40,6 +42,21 @@
 	return CHN_OK;
 }
 
+/* Makes room for the prices of so many workers. */
+static int chn_reserve(struct chn_walk *walk, int count)
+{
+	double *price;
+
+	if (count <= walk->price_max)
+		return CHN_OK;
+	price = realloc(walk->price, (size_t)count * sizeof(*price));
+	if (!price)
+		return CHN_E_NO_CHAIN;
+	walk->price = price;
+	walk->price_max = count;
+	return CHN_OK;
+}
+
 /* Hops begin and end only where the range of some worker does. */
 static void chn_set_boundaries(struct chn_walk *walk)
 {
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -29,8 +29,11 @@
 #define EQ_COVERAGE_US (250 * MAG_US_PER_MS)
 
 /* Candidates of the choice in progress; one thread makes all choices. */
-static struct chn_worker eq_candidates[CHN_WORKERS_MAX];
-static struct wk *eq_candidate_workers[CHN_WORKERS_MAX];
+static struct chn_worker *eq_candidates;
+static struct wk **eq_candidate_workers;
+static int eq_candidates_max;
+
+static int eq_reserve_candidates(const struct edge *edge);
 
 static bool eq_is_covered(struct edge *edge, const struct rt_service *service,
 			  int64_t now);
@@ -115,10 +118,11 @@
 	bool engine = eq->service->has_engine;
 	int64_t end_us;
 	struct wk *wk;
+	int max = eq_reserve_candidates(eq->edge);
 	int count = 0;
 
 	cds_list_for_each_entry (wk, &eq->edge->workers.workers, node) {
-		if (count == CHN_WORKERS_MAX)
+		if (count == max)
 			break;
 		if (!wk_alive(wk, now) || eq_avoids(eq, wk) ||
 		    strcmp(wk->entry.service, eq->service->name) != 0)
@@ -207,15 +211,42 @@
 	eq->hop_count++;
 }
 
+/*
+ * Makes room for all workers as candidates.  Returns for how many there is
+ * room: without memory for more, some are not considered.
+ */
+static int eq_reserve_candidates(const struct edge *edge)
+{
+	int count = edge->workers.count;
+	struct chn_worker *candidates;
+	struct wk **workers;
+
+	if (count <= eq_candidates_max)
+		return eq_candidates_max;
+	candidates =
+		realloc(eq_candidates, (size_t)count * sizeof(*candidates));
+	if (!candidates)
+		return eq_candidates_max;
+	eq_candidates = candidates;
+	workers = realloc(eq_candidate_workers,
+			  (size_t)count * sizeof(struct wk *));
+	if (!workers)
+		return eq_candidates_max;
+	eq_candidate_workers = workers;
+	eq_candidates_max = count;
+	return count;
+}
+
 /* Tells whether the workers that accept new work hold every layer. */
 static bool eq_is_covered(struct edge *edge, const struct rt_service *service,
 			  int64_t now)
 {
 	struct wk *wk;
+	int max = eq_reserve_candidates(edge);
 	int count = 0;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (count == CHN_WORKERS_MAX)
+		if (count == max)
 			break;
 		if (!wk_usable(wk, now) ||
 		    strcmp(wk->entry.service, service->name) != 0)
@@ -272,13 +303,14 @@
 	struct chn_worker *w;
 	struct wk *wk;
 	double spare_mb;
+	int max = eq_reserve_candidates(edge);
 	int centre;
 	int layers;
 	int count = 0;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
 		layers = wk->layers.to - wk->layers.from;
-		if (count == CHN_WORKERS_MAX)
+		if (count == max)
 			break;
 		retained = first ? eq_find_hop(eq, wk) : NULL;
 		if (layers <= 0 || eq_avoids(eq, wk) ||
--- a/src/lay.c
+++ b/src/lay.c
@@ -48,7 +48,7 @@
 {
 	int i;
 
-	if (model->layers > LAY_LAYERS_MAX || count > LAY_CARDS_MAX)
+	if (model->layers > LAY_LAYERS_MAX)
 		return;
 	for (i = 0; i < count; i++) {
 		cards[i].planned_from = cards[i].from;
@@ -116,13 +116,13 @@
 static int lay_assign_all(const struct lay_model *model, struct lay_card *cards,
 			  int count)
 {
-	struct lay_card *pool[LAY_CARDS_MAX];
+	struct lay_card **pool = calloc((size_t)count + 1, sizeof(*pool));
 	int assigned = lay_assign_centres(model, cards, count);
 	double memory = 0;
 	int left = 0;
 	int i;
 
-	for (i = 0; i < count; i++) {
+	for (i = 0; pool && i < count; i++) {
 		if (!cards[i].usable ||
 		    cards[i].planned_from != cards[i].planned_to)
 			continue;
@@ -132,6 +132,7 @@
 	if (left > 0 &&
 	    memory * LAY_LAYERS_FRACTION >= model->layers * model->layer_mb)
 		assigned += lay_assign_group(model, pool, left);
+	free(pool);
 	return assigned;
 }
 
@@ -167,21 +168,23 @@
 int lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
 		      int count, int centre)
 {
-	struct lay_card *group[LAY_CARDS_MAX];
+	struct lay_card **group = calloc((size_t)count + 1, sizeof(*group));
 	double memory = 0;
+	int assigned = 0;
 	int size = 0;
 	int i;
 
-	for (i = 0; i < count; i++) {
+	for (i = 0; group && i < count; i++) {
 		if (!cards[i].usable || cards[i].centre != centre)
 			continue;
 		group[size++] = &cards[i];
 		memory += cards[i].memory_mb;
 	}
-	if (size == 0 ||
-	    memory * LAY_LAYERS_FRACTION < model->layers * model->layer_mb)
-		return 0;
-	return lay_assign_group(model, group, size);
+	if (size > 0 &&
+	    memory * LAY_LAYERS_FRACTION >= model->layers * model->layer_mb)
+		assigned = lay_assign_group(model, group, size);
+	free(group);
+	return assigned;
 }
 
 /*
--- a/src/lay_int.h
+++ b/src/lay_int.h
@@ -5,7 +5,11 @@
 
 #include "lay.h"
 
-#define LAY_CARDS_MAX 4096
+/* A card's planned range before a tentative change. */
+struct lay_saved_range {
+	int from;
+	int to;
+};
 
 /* Tokens that each card should have memory for. */
 double lay_target_tokens(const struct lay_model *model);
--- a/src/lay_reassign.c
+++ b/src/lay_reassign.c
@@ -46,12 +46,12 @@
  */
 static void lay_preserve_order(struct lay_card *cards, int count, int centre)
 {
-	struct lay_card *kind[LAY_CARDS_MAX];
+	struct lay_card **kind = calloc((size_t)count + 1, sizeof(*kind));
 	int size;
 	int i;
 	int k;
 
-	for (i = 0; i < count; i++) {
+	for (i = 0; kind && i < count; i++) {
 		if (cards[i].centre != centre || !cards[i].usable)
 			continue;
 		size = 0;
@@ -68,28 +68,28 @@
 		if (k == count)
 			lay_preserve_order_of_kind(kind, size);
 	}
+	free(kind);
 }
 
 static void lay_preserve_order_of_kind(struct lay_card **kind, int size)
 {
-	struct lay_card *planned[LAY_CARDS_MAX];
-	int from[LAY_CARDS_MAX];
-	int to[LAY_CARDS_MAX];
+	struct lay_saved_range *ranges = calloc((size_t)size, sizeof(*ranges));
 	int i;
 
-	for (i = 0; i < size; i++)
-		planned[i] = kind[i];
-	qsort(planned, (size_t)size, sizeof(struct lay_card *),
+	/* Without memory the order is not preserved, which costs loads. */
+	if (!ranges)
+		return;
+	qsort(kind, (size_t)size, sizeof(struct lay_card *),
 	      lay_compare_planned);
-	for (i = 0; i < size; i++) {
-		from[i] = planned[i]->planned_from;
-		to[i] = planned[i]->planned_to;
-	}
+	for (i = 0; i < size; i++)
+		ranges[i] = (struct lay_saved_range){ kind[i]->planned_from,
+						      kind[i]->planned_to };
 	qsort(kind, (size_t)size, sizeof(struct lay_card *), lay_compare_held);
 	for (i = 0; i < size; i++) {
-		kind[i]->planned_from = from[i];
-		kind[i]->planned_to = to[i];
+		kind[i]->planned_from = ranges[i].from;
+		kind[i]->planned_to = ranges[i].to;
 	}
+	free(ranges);
 }
 
 static int lay_compare_held(const void *a, const void *b)
--- a/src/lay_repair.c
+++ b/src/lay_repair.c
@@ -1,3 +1,5 @@
+#include <stdlib.h>
+
 #include "lay_int.h"
 
 /* Weight of the deficit in all data centres relative to that in one. */
@@ -12,12 +14,6 @@
 /* Added weight of all layers of a card that no other card backs up. */
 #define LAY_UNBACKED_WEIGHT 4.0
 
-/* A card's planned range before a tentative change. */
-struct lay_saved_range {
-	int from;
-	int to;
-};
-
 static void lay_fill_card(const struct lay_model *model, struct lay_card *cards,
 			  int count, struct lay_card *card);
 static void lay_weigh_unbacked(const struct lay_model *model,
@@ -77,19 +73,24 @@
 static void lay_close_holes(const struct lay_model *model,
 			    struct lay_card *cards, int count, int centre)
 {
-	struct lay_saved_range saved[LAY_CARDS_MAX];
+	struct lay_saved_range *saved =
+		calloc((size_t)count + 1, sizeof(*saved));
 
+	/* Without memory the holes stay until the next plan. */
+	if (!saved)
+		return;
 	lay_save(cards, count, saved);
 	lay_widen_neighbours(model, cards, count, centre);
-	if (!lay_has_hole(model, cards, count, centre))
-		return;
-	lay_restore(cards, count, saved);
-	lay_move_redundant_card(model, cards, count, centre);
-	if (!lay_has_hole(model, cards, count, centre))
-		return;
-	lay_restore(cards, count, saved);
-	if (!lay_reassign(model, cards, count, centre))
+	if (lay_has_hole(model, cards, count, centre)) {
 		lay_restore(cards, count, saved);
+		lay_move_redundant_card(model, cards, count, centre);
+	}
+	if (lay_has_hole(model, cards, count, centre)) {
+		lay_restore(cards, count, saved);
+		if (!lay_reassign(model, cards, count, centre))
+			lay_restore(cards, count, saved);
+	}
+	free(saved);
 }
 
 static void lay_save(const struct lay_card *cards, int count,
--- a/src/plr.c
+++ b/src/plr.c
@@ -11,7 +11,6 @@
 #include "pres.h"
 #include "wkp.h"
 
-#define PLR_CARDS_MAX 4096
 /*
  * Workers that start together register within about a second.  Copies are
  * planned only when no new worker has come for this long.  Planned over half of
@@ -54,6 +53,9 @@
 };
 
 static void plr_plan_service(struct edge *edge, int index, int64_t now);
+static void plr_plan_cards(struct edge *edge, const struct rt_service *service,
+			   struct lay_card *cards, struct wk **workers,
+			   int count, int64_t now);
 static void plr_balance(struct edge_service *state,
 			const struct lay_model *model, struct lay_card *cards,
 			int count, bool initial, int64_t now);
@@ -95,20 +97,33 @@
 static void plr_plan_service(struct edge *edge, int index, int64_t now)
 {
 	const struct rt_service *service = &edge->rt->services[index];
+	size_t max = (size_t)edge->workers.count + 1;
+	struct lay_card *cards = calloc(max, sizeof(*cards));
+	struct wk **workers = calloc(max, sizeof(struct wk *));
+	int count;
+
+	/* Without memory the next plan is the first to notice a change. */
+	if (cards && workers) {
+		count = plr_list_cards(edge, service, cards, workers, now);
+		plr_plan_cards(edge, service, cards, workers, count, now);
+	}
+	free(cards);
+	free(workers);
+}
+
+static void plr_plan_cards(struct edge *edge, const struct rt_service *service,
+			   struct lay_card *cards, struct wk **workers,
+			   int count, int64_t now)
+{
 	struct edge_service *state = edge_service(edge, service->name, now);
 	int64_t *hole_since_us = &state->coverage_gap_since_us;
-	static struct lay_card cards[PLR_CARDS_MAX];
-	static struct wk *workers[PLR_CARDS_MAX];
 	struct lay_model model = plr_model(&service->engine);
 	struct wire_range range;
 	bool holes[MAG_DATA_CENTRES_MAX];
 	bool hole = false;
-	bool initial;
-	int count;
+	bool initial = lay_is_empty(cards, count);
 	int i;
 
-	count = plr_list_cards(edge, service, cards, workers, now);
-	initial = lay_is_empty(cards, count);
 	if (initial && now - edge->workers.last_added_us < PLR_SETTLE_US)
 		return;
 	for (i = 0; i < edge->data_centre_count; i++) {
@@ -202,8 +217,6 @@
 	int count = 0;
 
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (count == PLR_CARDS_MAX)
-			break;
 		if (strcmp(wk->entry.service, service->name) != 0 ||
 		    !wk->listed || !wk_alive(wk, now))
 			continue;
