rel: an answer is passed on before it is applied, and applied in slices

Cause: a router answered those that follow it only after it had applied an answer: decoding some 4,000 entries takes a small machine (0.3 of a core) several hundred milliseconds, once for each level of the tree, and meanwhile its event loop served nobody.

Evidence: regress/edge/tree-root-lost as before.

Beside it the linter's findings in the files of this work: sizes of pointers by their type, comparisons of strings with 0, a buffer that is not const.

--- a/regress/check_tree.c
+++ b/regress/check_tree.c
@@ -63,7 +63,8 @@
 /* Starts a router's process: it knows the list of routers, and nothing else. */
 static void start_router(struct router *router)
 {
-	const struct pres_peer **peers = calloc((size_t)count, sizeof(*peers));
+	const struct pres_peer **peers =
+		calloc((size_t)count, sizeof(const struct pres_peer *));
 	int found = 0;
 	int i;
 
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -110,7 +110,8 @@
 {
 	struct edge *edge = user;
 
-	mir_list_begin(&edge->mir);
+	if (!rel_is_applying(edge->rel))
+		mir_list_begin(&edge->mir);
 	wk_list_begin(&edge->workers);
 	pres_list_begin(edge->pres);
 }
@@ -120,7 +121,7 @@
 {
 	struct edge *edge = user;
 
-	if (mir_put(&edge->mir, item))
+	if (!rel_is_applying(edge->rel) && mir_put(&edge->mir, item))
 		jlog(LOG_REL_BAD, "\"peer\":\"\",\"why\":\"out of memory\"");
 	if (strcmp(item->key, PL_CONFIG_KEY) == 0)
 		edge_apply_config(edge, item);
@@ -136,7 +137,8 @@
 	struct edge *edge = user;
 	int64_t now = clk_boot_us();
 
-	mir_list_end(&edge->mir, sto_follow_pos(edge->follow).revision);
+	if (!rel_is_applying(edge->rel))
+		mir_list_end(&edge->mir, sto_follow_pos(edge->follow).revision);
 	if (era_list_done(&edge->era))
 		edge_log_recovery(edge, now);
 	wk_list_end(&edge->workers, edge_gone_us(edge, now), now);
@@ -257,6 +259,7 @@
 	int64_t now = clk_boot_us();
 
 	met_increment(&edge->met, MET_RETURNS);
+	rel_drop_pending(edge->rel);
 	mir_clear(&edge->mir);
 	era_store_restored(&edge->era, now);
 	wk_store_restored(&edge->workers, now);
--- a/src/lay.c
+++ b/src/lay.c
@@ -116,7 +116,8 @@
 static int lay_assign_all(const struct lay_model *model, struct lay_card *cards,
 			  int count)
 {
-	struct lay_card **pool = calloc((size_t)count + 1, sizeof(*pool));
+	struct lay_card **pool =
+		calloc((size_t)count + 1, sizeof(struct lay_card *));
 	int assigned = lay_assign_centres(model, cards, count);
 	double memory = 0;
 	int left = 0;
@@ -168,7 +169,8 @@
 int lay_assign_centre(const struct lay_model *model, struct lay_card *cards,
 		      int count, int centre)
 {
-	struct lay_card **group = calloc((size_t)count + 1, sizeof(*group));
+	struct lay_card **group =
+		calloc((size_t)count + 1, sizeof(struct lay_card *));
 	double memory = 0;
 	int assigned = 0;
 	int size = 0;
--- a/src/lay_reassign.c
+++ b/src/lay_reassign.c
@@ -46,7 +46,8 @@
  */
 static void lay_preserve_order(struct lay_card *cards, int count, int centre)
 {
-	struct lay_card **kind = calloc((size_t)count + 1, sizeof(*kind));
+	struct lay_card **kind =
+		calloc((size_t)count + 1, sizeof(struct lay_card *));
 	int size;
 	int i;
 	int k;
@@ -73,7 +74,8 @@
 
 static void lay_preserve_order_of_kind(struct lay_card **kind, int size)
 {
-	struct lay_saved_range *ranges = calloc((size_t)size, sizeof(*ranges));
+	struct lay_saved_range *ranges =
+		calloc((size_t)size + 1, sizeof(*ranges));
 	int i;
 
 	/* Without memory the order is not preserved, which costs loads. */
--- a/src/pres.c
+++ b/src/pres.c
@@ -512,7 +512,8 @@
 	struct pres_entry **peers = pres->peers;
 
 	if (pres->peer_count == pres->peer_max) {
-		peers = realloc(pres->peers, (size_t)max * sizeof(*peers));
+		peers = realloc(pres->peers,
+				(size_t)max * sizeof(struct pres_entry *));
 		if (!peers) {
 			free(entry);
 			return NULL;
--- a/src/rel.c
+++ b/src/rel.c
@@ -22,17 +22,12 @@
 static int64_t rel_bound_us(const struct edge *edge);
 static void rel_choose(struct rel *rel, int64_t now);
 static void rel_follow_store(struct rel *rel);
-static void rel_follow_peer(struct rel *rel);
 static bool rel_is_source(const struct rel *rel);
 static void rel_poll(struct rel *rel, int64_t now);
 static struct hc_host *rel_host(struct rel *rel, int source);
 static bool rel_on_headers(void *user, const struct hc_response *response);
 static void rel_on_body(void *user, const void *bytes, size_t len);
 static void rel_on_end(void *user, enum hc_result end);
-static void rel_apply(struct rel *rel, const struct rel_answer *answer,
-		      struct wire_items *items);
-static void rel_apply_reachable(struct rel *rel,
-				const struct rel_answer *answer);
 static void rel_reject(struct rel *rel, const char *why, int64_t now);
 
 static const struct hc_ops rel_ops = {
@@ -55,7 +50,10 @@
 	rel->source = TREE_WAIT;
 	rel->body = evbuffer_new();
 	tree_init(&rel->tree, self, edge_random(edge), rel_bound_us(edge));
-	rc = rel->body ? rel_serve_start(rel, self->address) : REL_E_MEMORY;
+	rel->pending.event = evtimer_new(edge->base, rel_on_slice, rel);
+	rc = rel->body && rel->pending.event
+		     ? rel_serve_start(rel, self->address)
+		     : REL_E_MEMORY;
 	if (rc) {
 		rel_free(rel);
 		return rc;
@@ -76,6 +74,9 @@
 		hc_host_free(rel->hosts[i]);
 	if (rel->body)
 		evbuffer_free(rel->body);
+	rel_drop_pending(rel);
+	if (rel->pending.event)
+		event_free(rel->pending.event);
 	free(rel->read);
 	free(rel);
 }
@@ -88,7 +89,7 @@
 		rel_join_tick(rel, now);
 		return;
 	}
-	if (rel->call)
+	if (rel->call || rel->pending.active)
 		return;
 	if (now >= rel->next_update_us) {
 		rel->next_update_us = now + REL_UPDATE_US;
@@ -126,7 +127,7 @@
 	const struct pres *pres = rel->edge->pres;
 	int count = pres_peer_count(pres);
 	const struct pres_peer **peers =
-		calloc((size_t)count + 1, sizeof(*peers));
+		calloc((size_t)count + 1, sizeof(const struct pres_peer *));
 	int i;
 
 	if (!peers)
@@ -195,7 +196,7 @@
 }
 
 /* Follows the candidate that has answered. */
-static void rel_follow_peer(struct rel *rel)
+void rel_follow_peer(struct rel *rel)
 {
 	const char *name = rel->tree.candidates[rel->call_source].name;
 
@@ -291,7 +292,7 @@
 	size_t len = evbuffer_get_length(rel->body);
 	struct rel_answer answer;
 	struct wire_items items;
-	const char *body;
+	char *body;
 
 	rel->call = NULL;
 	if (end == HC_COMPLETE && rel->status == 503) {
@@ -304,12 +305,11 @@
 		tree_on_failure(&rel->tree, rel->call_source, now);
 		return;
 	}
-	body = (const char *)evbuffer_pullup(rel->body, -1);
+	body = (char *)evbuffer_pullup(rel->body, -1);
 	switch (rel_answer_decode(body, len, rel->sent_after, &answer,
 				  &items)) {
 	case REL_MSG_OK:
 		rel_apply(rel, &answer, &items);
-		pl_store_items_free(&items);
 		break;
 	case REL_MSG_E_ORDER:
 		rel_reject(rel, "position out of order", now);
@@ -323,56 +323,6 @@
 	}
 }
 
-/* Takes over the changes of an answer, and follows its sender if it may. */
-static void rel_apply(struct rel *rel, const struct rel_answer *answer,
-		      struct wire_items *items)
-{
-	const struct sto_follow_ops *ops = rel->owner.ops;
-	struct sto_follow *follow = rel->edge->follow;
-	int64_t now = clk_boot_us();
-	int64_t fresh_us = rel->sent_us + answer->fresh_us;
-	bool good;
-	int i;
-
-	if (!answer->has_fresh || fresh_us > now)
-		fresh_us = 0;
-	/* Changes that the store has reported meanwhile are newer. */
-	if (!sto_follow_is_paused(follow) &&
-	    pos_compare(answer->pos, sto_follow_pos(follow)) < 0) {
-		tree_on_empty(&rel->tree, rel->call_source, now);
-		return;
-	}
-	good = tree_on_answer(&rel->tree, rel->call_source, fresh_us, now);
-	if (good || rel->source == TREE_WAIT)
-		rel_follow_peer(rel);
-	if (!sto_follow_is_paused(follow))
-		return;
-	sto_learn_era(rel->edge->sto, answer->pos.era);
-	rel_apply_reachable(rel, answer);
-	if (answer->complete)
-		ops->list_begin(rel->owner.user);
-	for (i = 0; i < items->count; i++)
-		ops->item(rel->owner.user, &items->items[i]);
-	sto_follow_set_pos(follow, answer->pos);
-	if (answer->complete)
-		ops->list_end(rel->owner.user);
-	if (fresh_us)
-		ops->confirmed(rel->owner.user, fresh_us);
-}
-
-/* Learns whether the store was unreachable, and until when. */
-static void rel_apply_reachable(struct rel *rel,
-				const struct rel_answer *answer)
-{
-	struct edge *edge = rel->edge;
-	int64_t regained_us = rel->sent_us + answer->regained_us;
-
-	if (answer->reachable != edge->store_reachable)
-		rel->owner.ops->reachable(rel->owner.user, answer->reachable);
-	if (answer->has_regained && regained_us > edge->store_regained_us)
-		edge->store_regained_us = regained_us;
-}
-
 /* Drops an answer: nothing of it is applied, and another source is tried. */
 static void rel_reject(struct rel *rel, const char *why, int64_t now)
 {
--- a/src/rel.h
+++ b/src/rel.h
@@ -35,6 +35,8 @@
 void rel_free(struct rel *rel);
 void rel_tick(struct rel *rel, int64_t now);
 void rel_on_fresh(struct rel *rel, int64_t at_us);
+void rel_drop_pending(struct rel *rel);
+bool rel_is_applying(const struct rel *rel);
 bool rel_follows_store(const struct rel *rel);
 int64_t rel_served_bound_us(const struct rel *rel);
 void rel_write_metrics(const struct rel *rel, int64_t now,
--- a/src/rel_int.h
+++ b/src/rel_int.h
@@ -14,6 +14,17 @@
 
 struct rel_read;
 
+/* An answer whose changes are being applied; the mirror has them already. */
+struct rel_pending {
+	bool active;
+	bool complete;
+	struct pos pos;
+	int64_t fresh_us; /* 0: unknown */
+	struct wire_items items;
+	int next; /* item to apply */
+	struct event *event;
+};
+
 struct rel {
 	struct edge *edge;
 	struct rel_owner owner;
@@ -43,6 +54,7 @@
 	int64_t next_poll_us;
 	uint64_t polls;
 	uint64_t bad_answers;
+	struct rel_pending pending;
 
 	/* Serving. */
 	struct hs *hs;
@@ -53,6 +65,13 @@
 
 /* rel.c */
 void rel_update(struct rel *rel);
+void rel_follow_peer(struct rel *rel);
+
+/* rel_apply.c */
+void rel_apply(struct rel *rel, const struct rel_answer *answer,
+	       struct wire_items *items);
+struct pos rel_mirror_pos(const struct rel *rel);
+void rel_on_slice(evutil_socket_t fd, short what, void *arg);
 
 /* rel_join.c */
 void rel_join_tick(struct rel *rel, int64_t now);
--- a/src/rel_msg.c
+++ b/src/rel_msg.c
@@ -82,7 +82,7 @@
  * Decodes the answer to a poll for the changes after a position.  The caller
  * frees the items with pl_store_items_free().  On an error there are none.
  */
-int rel_answer_decode(const char *body, size_t len, struct pos after,
+int rel_answer_decode(char *body, size_t len, struct pos after,
 		      struct rel_answer *answer, struct wire_items *items)
 {
 	int rc = REL_MSG_E_FORMAT;
@@ -92,7 +92,7 @@
 	memset(items, 0, sizeof(*items));
 	if (len > REL_BYTES_MAX)
 		return REL_MSG_E_FORMAT;
-	xdrmem_create(&xdr, (char *)(uintptr_t)body, (u_int)len, XDR_DECODE);
+	xdrmem_create(&xdr, body, (u_int)len, XDR_DECODE);
 	if (!rel_xdr_head(&xdr, answer) ||
 	    answer->item_count > len / REL_ITEM_BYTES_MIN)
 		return REL_MSG_E_FORMAT;
--- a/src/rel_msg.h
+++ b/src/rel_msg.h
@@ -53,7 +53,7 @@
 int rel_poll_parse(const char *target, struct rel_poll *poll);
 int rel_answer_encode(struct rel_answer *answer, const struct mir *mir,
 		      int64_t after, char **body, size_t *len);
-int rel_answer_decode(const char *body, size_t len, struct pos after,
+int rel_answer_decode(char *body, size_t len, struct pos after,
 		      struct rel_answer *answer, struct wire_items *items);
 
 #endif /* REL_MSG_H */
--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -107,7 +107,7 @@
 static bool rel_is_due(const struct rel *rel, const struct rel_wait *wait,
 		       int64_t now)
 {
-	struct pos pos = sto_follow_pos(rel->edge->follow);
+	struct pos pos = rel_mirror_pos(rel);
 
 	if (now >= wait->answer_by_us || rel->edge->stopping)
 		return true;
@@ -123,7 +123,7 @@
  */
 static bool rel_may_answer(const struct rel *rel, const struct rel_wait *wait)
 {
-	struct pos pos = sto_follow_pos(rel->edge->follow);
+	struct pos pos = rel_mirror_pos(rel);
 
 	return mir_may_serve(&rel->edge->mir) && pos.revision > 0 &&
 	       pos_compare(pos, wait->after) >= 0;
@@ -141,7 +141,7 @@
 		hs_reply(wait->conn, edge->stopping ? 410 : 503, NULL, NULL, 0);
 		return;
 	}
-	answer.pos = sto_follow_pos(edge->follow);
+	answer.pos = rel_mirror_pos(rel);
 	answer.complete = answer.pos.era != wait->after.era ||
 			  !mir_has_changes(&edge->mir, wait->after.revision);
 	answer.has_fresh = rel->fresh_us != 0;
--- a/src/tree.c
+++ b/src/tree.c
@@ -88,7 +88,7 @@
 		int count)
 {
 	const struct pres_peer **order =
-		calloc((size_t)count + 1, sizeof(*order));
+		calloc((size_t)count + 1, sizeof(const struct pres_peer *));
 	const struct pres_peer *self = &tree->self;
 	int heads = 0;
 	int own = 0;
@@ -97,9 +97,10 @@
 
 	if (!order)
 		return -1;
-	memcpy(order, peers, (size_t)count * sizeof(*order));
+	memcpy(order, peers, (size_t)count * sizeof(const struct pres_peer *));
 	order[count] = self;
-	qsort(order, (size_t)count + 1, sizeof(*order), tree_compare);
+	qsort(order, (size_t)count + 1, sizeof(const struct pres_peer *),
+	      tree_compare);
 	tree->direct = count + 1 <= TREE_DIRECT_MAX;
 	for (i = 0; order[i] != self; i++)
 		own += strcmp(order[i]->data_centre, self->data_centre) == 0;
@@ -272,8 +273,8 @@
 	int i;
 
 	for (i = 0; i < old->candidate_count; i++) {
-		if (strcmp(old->candidates[i].name, candidate->name) ||
-		    strcmp(old->candidates[i].address, candidate->address))
+		if (strcmp(old->candidates[i].name, candidate->name) != 0 ||
+		    strcmp(old->candidates[i].address, candidate->address) != 0)
 			continue;
 		*candidate = old->candidates[i];
 		return;
