eq: a router without a configuration sends callers back by the time they have

Change: Retry-After is a tenth of the time that the caller has, and 0.5 s at least: a stream with 20 s returns after 2 s, a look-up with 0.8 s as before. Whoever comes back after 0.5 s is past the objective already. A configuration counts once the workers are listed, too: an answer that is applied in slices has the configuration first.

Ruled out: holding the request until the router is configured (no route, no time-out and no key is known); a longer wait for all (look-ups have no time for it).

--- a/src/edge.c
+++ b/src/edge.c
@@ -181,14 +181,14 @@
 }
 
 /*
- * Tells whether there is a configuration to serve by.  A router that starts
- * after the store was restored from a backup may read an older configuration
- * than the one in force.  It waits for the reports of its peers, and for the
- * operator to write the version that they report again.
+ * Tells whether there is a configuration to serve by, and a list of workers.  A
+ * router that starts after the store was restored from a backup may read an
+ * older configuration than the one in force.  It waits for the reports of its
+ * peers, and for the operator to write the version that they report again.
  */
 bool edge_has_config(const struct edge *edge, int64_t now)
 {
-	if (!edge->rt)
+	if (!edge->rt || !edge->workers_listed)
 		return false;
 	if (edge->attest.confirmed_us)
 		return true;
--- a/src/eq.c
+++ b/src/eq.c
@@ -22,8 +22,14 @@
  * its reports have arrived.
  */
 #define EQ_RETRY_SOON_S 0.25
-/* Retry-After (seconds) of a router that has no configuration yet. */
-#define EQ_RETRY_UNCONFIGURED "0.5"
+/*
+ * Retry-After of a router that has no configuration yet, in seconds and as a
+ * fraction of the time that the caller has: after a restart of the whole fleet
+ * the last routers are configured later, and a caller that has time should not
+ * come back before that.
+ */
+#define EQ_RETRY_UNCONFIGURED_S	       0.5
+#define EQ_RETRY_UNCONFIGURED_FRACTION 0.1
 /* Upper limit of Retry-After, as a fraction of the caller's remaining time. */
 #define EQ_RETRY_FRACTION 0.32
 /*
@@ -256,10 +262,24 @@
 
 static void eq_refuse_early(struct edge *edge, struct hs_conn *conn)
 {
+	struct pl_request request;
+	char fields[64];
+	double wait_s;
+
+	/* The fields that are decoded count, also if another one is not. */
+	memset(&request, 0, sizeof(request));
+	(void)pl_request_decode(hs_headers(conn), &request);
+	wait_s = (double)request.timeout_ms / 1000 *
+		 EQ_RETRY_UNCONFIGURED_FRACTION;
+	if (wait_s < EQ_RETRY_UNCONFIGURED_S)
+		wait_s = EQ_RETRY_UNCONFIGURED_S;
 	met_increment(&edge->met, MET_REFUSED);
-	jlog(LOG_EQ_END, "\"status\":503,\"why\":\"no configuration yet\"");
-	hs_reply(conn, 503, "Retry-After: " EQ_RETRY_UNCONFIGURED "\r\n", NULL,
-		 0);
+	jlog(LOG_EQ_END,
+	     "\"status\":503,\"why\":\"no configuration yet\","
+	     "\"retry_after_s\":%.2f",
+	     wait_s);
+	snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n", wait_s);
+	hs_reply(conn, 503, fields, NULL, 0);
 }
 
 static struct eq *eq_new(struct edge *edge, struct hs_conn *conn, int64_t now)
