pres: what was known holds until a list is complete

Cause: the beginning of a complete list dropped our own registration and the placer, and their keys in the list brought them back. Lists of the store had the same gap between their pages.

Change: what the list lacks is dropped at its end.

Ruled out: more followers of the store (as many as before among the routers logged).

Evidence: regress/pres/long-list: "not registered" within the list before.

--- a/src/pres.c
+++ b/src/pres.c
@@ -71,6 +71,8 @@
 
 	bool listed;
 	int64_t own_revision;	  /* of our key as listed, 0: none */
+	bool own_seen;		  /* our key is in the list being read */
+	bool placer_seen;	  /* the same for the placer's */
 	bool own_key_valid;	  /* our key holds our address */
 	char placer[128];	  /* value of the placer's key, "": no placer */
 	int64_t acquire_us;	  /* when to acquire the role if still free */
@@ -366,6 +368,7 @@
 
 static void pres_own_item(struct pres *pres, const struct wire_item *item)
 {
+	pres->own_seen = true;
 	pres->own_revision = item->deleted ? 0 : item->revision;
 	pres->own_key_valid =
 		!item->deleted && strcmp(item->value, pres->value) == 0;
@@ -405,9 +408,8 @@
 
 	for (i = 0; i < pres->peer_count; i++)
 		pres->peers[i]->seen = false;
-	pres->placer[0] = '\0';
-	pres->own_revision = 0;
-	pres->own_key_valid = false;
+	pres->own_seen = false;
+	pres->placer_seen = false;
 }
 
 /* Handles a key that was added, changed or deleted. */
@@ -421,6 +423,7 @@
 	if (strcmp(item->key, PRES_PLACER_KEY) != 0)
 		return;
 	pres->placer[0] = '\0';
+	pres->placer_seen = true;
 	pres_schedule_acquire(pres, clk_boot_us());
 	if (!item->deleted)
 		snprintf(pres->placer, sizeof(pres->placer), "%s", item->value);
@@ -435,11 +438,23 @@
 	     strcmp(pres->placer, pres->placer_value) ? "false" : "true");
 }
 
-/* The list is complete: removes peers that are missing from it. */
+/*
+ * The list is complete: what is missing from it is gone.  Until then what was
+ * known holds, as a long list is read in parts and ticks run between them.
+ */
 void pres_list_end(struct pres *pres)
 {
 	int i;
 
+	if (!pres->own_seen) {
+		pres->own_revision = 0;
+		pres->own_key_valid = false;
+	}
+	if (!pres->placer_seen && pres->placer[0]) {
+		pres->placer[0] = '\0';
+		pres_schedule_acquire(pres, clk_boot_us());
+	}
+
 	for (i = pres->peer_count - 1; i >= 0 && !pres->settling; i--) {
 		if (!pres->peers[i]->seen)
 			pres_remove_peer(pres, pres->peers[i]);
