--- a/src/hint.c
+++ b/src/hint.c
@@ -10,11 +10,8 @@
 #include <event2/util.h>
 
 #include "clk.h"
-#include "hint.h"
-#include "hint_limit.h"
-#include "hint_load.h"
+#include "hint_int.h"
 #include "hint_suspect.h"
-#include "hint_turn.h"
 #include "jlog.h"
 #include "pres.h"
 #include "wkp.h"
@@ -39,8 +36,6 @@
  * message.
  */
 #define HINT_MEMBER_EXPIRY_US (10 * MAG_US_PER_S)
-/* Caller demand is reported as the number of requests in this many seconds. */
-#define HINT_DEMAND_S 100.0
 /* Caller demand is smoothed over this time. */
 #define HINT_DEMAND_SMOOTHING_US (2 * MAG_US_PER_S)
 /*
@@ -48,77 +43,8 @@
  * the store was unreachable for all routers.
  */
 #define HINT_OUTAGE_US (1200 * MAG_US_PER_MS)
-/*
- * Peers in the own data centre, and in others, that are sent a message in each
- * round.  Where there are more peers, each receives messages less often, so
- * that the traffic of a router does not grow with the fleet.
- */
-#define HINT_LOCAL_PEERS_MAX  32
-#define HINT_REMOTE_PEERS_MAX 4
-/* Peers of other data centres that hear of a new suspicion at once. */
-#define HINT_REMOTE_PEERS_ALERTED 32
-
-/* The last message of a peer. */
-struct hint_peer {
-	struct cds_list_head node;
-	struct htab_node by_name;
-	char name[MAG_NAME_MAX];
-	int64_t received_us;
-	bool ready;
-	struct sockaddr_in address; /* source address of its last message */
-	uint32_t session;
-	int64_t clock_us; /* its newest clock reading, echoed to it */
-	struct hint_peer_loads loads;
-	struct hint_router router;
-	uint32_t limit_count;
-	struct hint_limit limits[HINT_LIMITS_MAX];
-};
-
-/* The peers of our data centre, or of the others. */
-struct hint_group {
-	struct hint_turn turn;
-	bool *eligible; /* by index of pres_peer() */
-	int count;
-};
-
-struct hint {
-	struct edge *edge;
-	int fd;
-	struct event *readable;
-	int64_t next_us;
-	unsigned int peers_seen; /* pres_changes() when the groups were made */
-	struct hint_group local;
-	struct hint_group remote;
-	struct cds_list_head peers; /* of struct hint_peer */
-	struct htab names;
-	int peer_count;
-	struct hint_loads own;
-	/* Routers that share the limits of workers, this one first. */
-	struct hint_router *routers;
-	int router_max;
-	struct hint_router self; /* as last reported to peers */
-	double demand;		 /* requests per second, smoothed */
-	uint64_t requests;	 /* of callers, when demand was updated */
-	int64_t demand_us;	 /* when demand was updated */
-	uint32_t next_suspect; /* the suspect to begin the next message with */
-	int next_limit;	       /* the limit to begin the next message with */
-};
-
 static void hint_on_readable(evutil_socket_t fd, short what, void *arg);
-static bool hint_has_remote_turn(const struct hint *hint);
-static void hint_send(struct hint *hint, int local, int remote);
-static int hint_sort_peers(struct hint *hint);
-static void hint_send_round(struct hint *hint, struct hint_group *group,
-			    int max, struct hint_message *message);
-static void hint_send_to_senders(struct hint *hint,
-				 struct hint_message *message);
-static void hint_send_to(struct hint *hint, const struct sockaddr_in *addr,
-			 struct hint_peer *peer, struct hint_message *message);
-static void hint_send_first(struct hint *hint, struct hint_peer *peer);
-static struct hint_peer *hint_find_peer(struct hint *hint, const char *name);
 static struct hint_peer *hint_add_peer(struct hint *hint, const char *name);
-static void hint_fill(struct hint *hint, struct hint_message *message);
-static void hint_fill_crashes(struct hint *hint, struct hint_message *message);
 static void hint_receive(struct hint *hint, const struct hint_message *message,
 			 const struct sockaddr_in *from);
 static void hint_receive_crash(struct hint *hint,
@@ -194,8 +120,7 @@
 void hint_tick(struct hint *hint, int64_t now)
 {
 	if (hint_suspect_announce(&hint->edge->workers, now)) {
-		hint_send(hint, HINT_LOCAL_PEERS_MAX,
-			  HINT_REMOTE_PEERS_ALERTED);
+		hint_send_alert(hint);
 		return;
 	}
 	if (now < hint->next_us)
@@ -204,22 +129,7 @@
 	hint_update_demand(hint, now);
 	hint_sum_loads(hint, now);
 	hint_update_limit_parts(hint, now);
-	hint_send(hint, HINT_LOCAL_PEERS_MAX,
-		  hint_has_remote_turn(hint) ? HINT_REMOTE_PEERS_MAX : 0);
-}
-
-/*
- * Returns whether this round goes to other data centres, too.  Messages across
- * data centres cost more than others; those of a data centre together do not
- * grow with its routers, as each of them takes turns.
- */
-static bool hint_has_remote_turn(const struct hint *hint)
-{
-	int routers = edge_routers_per_data_centre(hint->edge);
-
-	return routers <= HINT_LOCAL_PEERS_MAX ||
-	       edge_random(hint->edge) % (uint64_t)routers <
-		       HINT_LOCAL_PEERS_MAX;
+	hint_send_turn(hint);
 }
 
 /*
@@ -231,127 +141,7 @@
 	hint->next_us = now;
 }
 
-/*
- * Sends a message to at most this many peers of our data centre (local), and of
- * others (remote).
- */
-static void hint_send(struct hint *hint, int local, int remote)
-{
-	static struct hint_message message;
-
-	hint_fill(hint, &message);
-	hint_fill_crashes(hint, &message);
-	if (pres_peer_count(hint->edge->pres) == 0)
-		hint_send_to_senders(hint, &message);
-	else if (!hint_sort_peers(hint)) {
-		hint_send_round(hint, &hint->local, local, &message);
-		hint_send_round(hint, &hint->remote, remote, &message);
-	}
-}
-
-/* Notes which peers are in our data centre, if the peers have changed. */
-static int hint_sort_peers(struct hint *hint)
-{
-	const struct pres *pres = hint->edge->pres;
-	int count = pres_peer_count(pres);
-	bool *flags;
-	bool local;
-	int i;
-
-	if (hint->local.eligible && hint->peers_seen == pres_changes(pres))
-		return HINT_OK;
-	flags = realloc(hint->local.eligible, (size_t)count * 2);
-	if (!flags)
-		return HINT_E_MEMORY;
-	hint->local.eligible = flags;
-	hint->remote.eligible = flags + count;
-	hint->local.count = 0;
-	for (i = 0; i < count; i++) {
-		local = strcmp(pres_peer(pres, i)->data_centre,
-			       hint->edge->set.data_centre) == 0;
-		hint->local.eligible[i] = local;
-		hint->remote.eligible[i] = !local;
-		hint->local.count += local;
-	}
-	hint->remote.count = count - hint->local.count;
-	hint->peers_seen = pres_changes(pres);
-	return HINT_OK;
-}
-
-/* Sends a message to the next peers of a group, at most this many. */
-static void hint_send_round(struct hint *hint, struct hint_group *group,
-			    int max, struct hint_message *message)
-{
-	const struct pres *pres = hint->edge->pres;
-	const struct pres_peer *peer;
-	struct sockaddr_in addr;
-	int addr_len;
-	int i;
-
-	for (i = 0; i < max && i < group->count; i++) {
-		peer = pres_peer(pres,
-				 hint_turn_next(&group->turn, group->eligible,
-						pres_peer_count(pres)));
-		addr_len = sizeof(addr);
-		if (!evutil_parse_sockaddr_port(
-			    peer->address, (struct sockaddr *)&addr, &addr_len))
-			hint_send_to(hint, &addr,
-				     hint_find_peer(hint, peer->name), message);
-	}
-}
-
-/*
- * A router that started while the store is unreachable has no list of peers; it
- * learns their addresses from the messages of those that know its own.
- */
-static void hint_send_to_senders(struct hint *hint,
-				 struct hint_message *message)
-{
-	struct hint_peer *peer;
-
-	cds_list_for_each_entry (peer, &hint->peers, node)
-		hint_send_to(hint, &peer->address, peer, message);
-}
-
-/*
- * Sends all parts of a message, with the receiver's own clock echoed if it is
- * known.
- */
-static void hint_send_to(struct hint *hint, const struct sockaddr_in *addr,
-			 struct hint_peer *peer, struct hint_message *message)
-{
-	char bytes[HINT_BYTES_MAX];
-	uint32_t part;
-	size_t len;
-
-	message->claim.session = peer ? peer->session : 0;
-	message->claim.echo_us = peer ? peer->clock_us : 0;
-	for (part = 0; part < hint_load_part_count(&hint->own); part++) {
-		hint_load_fill(&hint->own, part, message);
-		if (hint_msg_encode(message, bytes, &len))
-			return;
-		/*
-		 * If the socket buffer is full, the datagram is dropped; the
-		 * next one repeats it.
-		 */
-		(void)sendto(hint->fd, bytes, len, 0,
-			     (const struct sockaddr *)addr, sizeof(*addr));
-	}
-}
-
-/*
- * Sends a message to a router from which the first one was received; it may not
- * be in the list of peers.
- */
-static void hint_send_first(struct hint *hint, struct hint_peer *peer)
-{
-	static struct hint_message message;
-
-	hint_fill(hint, &message);
-	hint_send_to(hint, &peer->address, peer, &message);
-}
-
-static struct hint_peer *hint_find_peer(struct hint *hint, const char *name)
+struct hint_peer *hint_find_peer(struct hint *hint, const char *name)
 {
 	struct htab_node *node = htab_first(&hint->names, htab_hash(name));
 	struct hint_peer *peer;
@@ -379,42 +169,6 @@
 	return peer;
 }
 
-/* Fills in our load and the other fields that every message has. */
-static void hint_fill(struct hint *hint, struct hint_message *message)
-{
-	struct edge *edge = hint->edge;
-	int64_t now = clk_boot_us();
-
-	mag_copy_name(message->name, sizeof(message->name), edge->set.instance);
-	message->ready = edge_is_ready(edge, now);
-	message->session = edge->attest.session;
-	message->sent_us = now;
-	message->store_pos = sto_follow_pos(edge->follow);
-	attest_fill_claim(&edge->attest, edge->rt ? edge->rt->version : -1, now,
-			  &message->claim);
-	hint_load_collect(&edge->workers, now, &hint->own);
-	message->data_centre = hint->self.data_centre;
-	message->demand = (uint32_t)(hint->self.demand * HINT_DEMAND_S);
-	hint_limit_collect(&edge->workers, now, &hint->next_limit, message);
-	message->crash_count = 0;
-	hint_suspect_collect(&edge->workers, hint->self.id, now,
-			     &hint->next_suspect, message);
-}
-
-/* Adds newly learned requests that crash workers; each is sent once. */
-static void hint_fill_crashes(struct hint *hint, struct hint_message *message)
-{
-	struct quar *quar = hint->edge->quar;
-	struct hint_crash *crashes = message->crashes;
-	int64_t until_us;
-
-	while (message->crash_count < HINT_CRASHES_MAX &&
-	       quar_next_update(quar, crashes[message->crash_count].fingerprint,
-				&crashes[message->crash_count].endpoints_lost,
-				&until_us))
-		message->crash_count++;
-}
-
 static void hint_on_readable(evutil_socket_t fd, short what, void *arg)
 {
 	static struct hint_message message;
--- /dev/null
+++ b/src/hint_int.h
@@ -0,0 +1,76 @@
+#ifndef HINT_INT_H
+#define HINT_INT_H
+
+/* Parts of hint: what is kept of the peers, and what is sent to them. */
+
+#include <netinet/in.h>
+
+#include <event2/event.h>
+#include <urcu/list.h>
+
+#include "hint.h"
+#include "hint_limit.h"
+#include "hint_load.h"
+#include "hint_turn.h"
+#include "htab.h"
+
+/* Peers in the own data centre that are sent a message in each round. */
+#define HINT_LOCAL_PEERS_MAX 32
+/* Caller demand is reported as the number of requests in this many seconds. */
+#define HINT_DEMAND_S 100.0
+
+/* The last message of a peer. */
+struct hint_peer {
+	struct cds_list_head node;
+	struct htab_node by_name;
+	char name[MAG_NAME_MAX];
+	int64_t received_us;
+	bool ready;
+	struct sockaddr_in address; /* source address of its last message */
+	uint32_t session;
+	int64_t clock_us; /* its newest clock reading, echoed to it */
+	struct hint_peer_loads loads;
+	struct hint_router router;
+	uint32_t limit_count;
+	struct hint_limit limits[HINT_LIMITS_MAX];
+};
+
+/* The peers of our data centre, or of the others. */
+struct hint_group {
+	struct hint_turn turn;
+	bool *eligible; /* by index of pres_peer() */
+	int count;
+};
+
+struct hint {
+	struct edge *edge;
+	int fd;
+	struct event *readable;
+	int64_t next_us;
+	unsigned int peers_seen; /* pres_changes() when the groups were made */
+	struct hint_group local;
+	struct hint_group remote;
+	struct cds_list_head peers; /* of struct hint_peer */
+	struct htab names;
+	int peer_count;
+	struct hint_loads own;
+	/* Routers that share the limits of workers, this one first. */
+	struct hint_router *routers;
+	int router_max;
+	struct hint_router self; /* as last reported to peers */
+	double demand;		 /* requests per second, smoothed */
+	uint64_t requests;	 /* of callers, when demand was updated */
+	int64_t demand_us;	 /* when demand was updated */
+	uint32_t next_suspect; /* the suspect to begin the next message with */
+	int next_limit;	       /* the limit to begin the next message with */
+};
+
+/* hint.c */
+struct hint_peer *hint_find_peer(struct hint *hint, const char *name);
+
+/* hint_send.c */
+void hint_send_turn(struct hint *hint);
+void hint_send_alert(struct hint *hint);
+void hint_send_first(struct hint *hint, struct hint_peer *peer);
+
+#endif /* HINT_INT_H */
--- a/src/tree.c
+++ b/src/tree.c
@@ -32,6 +32,11 @@
 
 static int64_t tree_part_us(const struct tree *tree, double fraction);
 static int tree_compare(const void *a, const void *b);
+static int tree_count_centre(const struct tree *tree,
+			     const struct pres_peer *const *order, int count);
+static void tree_keep_centre(const struct tree *tree,
+			     const struct pres_peer **order, int count);
+static int tree_keep_heads(const struct pres_peer **order, int count);
 static void tree_set_candidates(struct tree *tree,
 				const struct pres_peer *const *order, int rank);
 static void tree_keep_state(struct tree_candidate *candidate,
@@ -89,50 +94,79 @@
 {
 	const struct pres_peer **order =
 		calloc((size_t)count + 1, sizeof(const struct pres_peer *));
-	const struct pres_peer *self = &tree->self;
-	int heads = 0;
-	int own = 0;
-	int rank;
-	int i;
+	int before = 0;
 
 	if (!order)
 		return -1;
 	memcpy(order, peers, (size_t)count * sizeof(const struct pres_peer *));
-	order[count] = self;
+	order[count] = &tree->self;
 	qsort(order, (size_t)count + 1, sizeof(const struct pres_peer *),
 	      tree_compare);
 	tree->direct = count + 1 <= TREE_DIRECT_MAX;
-	for (i = 0; order[i] != self; i++)
-		own += strcmp(order[i]->data_centre, self->data_centre) == 0;
-	rank = own;
-	tree->rank = rank;
-	/* Before its own place only routers that precede it matter. */
-	for (i = 0, own = 0; order[i] != self; i++) {
-		if (rank > 0 &&
-		    strcmp(order[i]->data_centre, self->data_centre) == 0)
-			order[own++] = order[i];
-	}
-	if (rank == 0) {
-		count = i;
-		for (i = 0; i < count; i++) {
-			for (own = 0; own < heads; own++) {
-				if (strcmp(order[own]->data_centre,
-					   order[i]->data_centre) == 0)
-					break;
-			}
-			if (own == heads)
-				order[heads++] = order[i];
-		}
-		rank = heads;
-		tree->turn = rank;
+	/* Only routers that precede this one matter. */
+	while (order[before] != &tree->self)
+		before++;
+	tree->rank = tree_count_centre(tree, order, before);
+	if (tree->rank > 0) {
+		tree_keep_centre(tree, order, before);
+		tree->turn = tree->rank + 1;
+		tree_set_candidates(tree, order, tree->rank);
 	} else {
-		tree->turn = rank + 1;
+		tree->turn = tree_keep_heads(order, before);
+		tree_set_candidates(tree, order, tree->turn);
 	}
-	tree_set_candidates(tree, order, rank);
 	free(order);
 	return 0;
 }
 
+/* Counts the routers of the own data centre. */
+static int tree_count_centre(const struct tree *tree,
+			     const struct pres_peer *const *order, int count)
+{
+	int found = 0;
+	int i;
+
+	for (i = 0; i < count; i++)
+		found += strcmp(order[i]->data_centre,
+				tree->self.data_centre) == 0;
+	return found;
+}
+
+/* Moves the routers of the own data centre to the beginning. */
+static void tree_keep_centre(const struct tree *tree,
+			     const struct pres_peer **order, int count)
+{
+	int kept = 0;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (strcmp(order[i]->data_centre, tree->self.data_centre) == 0)
+			order[kept++] = order[i];
+	}
+}
+
+/*
+ * Moves the first router of each data centre to the beginning; returns how many
+ * there are.
+ */
+static int tree_keep_heads(const struct pres_peer **order, int count)
+{
+	int heads = 0;
+	int i;
+	int k;
+
+	for (i = 0; i < count; i++) {
+		for (k = 0; k < heads; k++) {
+			if (strcmp(order[k]->data_centre,
+				   order[i]->data_centre) == 0)
+				break;
+		}
+		if (k == heads)
+			order[heads++] = order[i];
+	}
+	return heads;
+}
+
 /*
  * Returns the candidate to follow, TREE_STORE or TREE_WAIT; the data known here
  * was current at fresh_us.
--- /dev/null
+++ b/src/wk_health.c
@@ -0,0 +1,222 @@
+#include <string.h>
+
+#include "jlog.h"
+#include "wk.h"
+
+/*
+ * A suspect gets no new work for this long, and for twice as long after each
+ * further failure, up to three doublings.  A restart takes some seconds, and a
+ * worker that alternates between up and down must not be given streams each
+ * time it is up.
+ */
+#define WK_SUSPECT_US	     (1500 * MAG_US_PER_MS)
+#define WK_SUSPECT_DOUBLINGS 3
+/*
+ * A worker that refused a request gets no new work for this long.  It is short
+ * of memory or worse, and each further request would cost a second send.
+ * Streams end every few milliseconds; a report that tells the reason takes 200
+ * ms.
+ */
+#define WK_PAUSE_US (200 * MAG_US_PER_MS)
+/*
+ * Routers that must have found a worker dead or stuck before others avoid it on
+ * their word alone: a single one may have lost its own link.
+ */
+#define WK_WITNESSES_MIN 2
+/* A suspicion that lasts longer than known by this is news to peers. */
+#define WK_HEARSAY_NEWS_US (500 * MAG_US_PER_MS)
+/*
+ * The pause doubles with each further refusal, up to 1.6 s: a worker that
+ * releases layers, or shuts down without notice, answers probes but refuses
+ * requests for seconds.
+ */
+#define WK_PAUSE_DOUBLINGS 3
+/*
+ * A worker that breaks off this many requests in a row before their first event
+ * is distrusted even if it answers probes.  A worker that loses 3 answers in
+ * 100 reaches this number by chance once in 37,000 requests.
+ */
+#define WK_BREAKS_MAX 3
+/*
+ * Duration of the first distrust; it doubles if the next request breaks off,
+ * too, up to three times.
+ */
+#define WK_DISTRUST_US	      MAG_US_PER_S
+#define WK_DISTRUST_DOUBLINGS 3
+/*
+ * A healthy worker answers a probe within 5 ms, or 8 ms from another data
+ * centre.  A worker whose probe is overdue gets no new work.  Otherwise, while
+ * a data centre is being cut off, streams that leave one of its workers would
+ * be sent to the next one there and use up the attempts that their route
+ * allows.
+ */
+#define WK_PROBE_OVERDUE_US (15 * MAG_US_PER_MS)
+/* Weight of the newest sample in the moving averages. */
+#define WK_SMOOTHING 0.1
+
+static bool wk_is_avoided_by_hearsay(const struct wk *wk, int64_t now);
+static void wk_log_suspect(const struct wk *wk, const char *why,
+			   int64_t duration_us, int times);
+
+/* Tells whether a worker may get new work. */
+bool wk_usable(const struct wk *wk, int64_t now)
+{
+	bool overdue = wk->probing && now - wk->probed_us > WK_PROBE_OVERDUE_US;
+
+	return wk_alive(wk, now) && !wk->proc.suspected && !overdue &&
+	       !adv_backs_off(&wk->proc.adv, now) &&
+	       now >= wk->proc.paused_until_us &&
+	       now >= wk->proc.distrust_until_us &&
+	       !wk_is_avoided_by_hearsay(wk, now);
+}
+
+/*
+ * Notes that a worker seems dead or stuck.  It gets no new work for a while;
+ * after that a report or another answer has to clear it.
+ */
+void wk_suspect(struct wk *wk, int64_t now, const char *why)
+{
+	int64_t duration_us = mag_backoff(WK_SUSPECT_US, wk->proc.suspect_count,
+					  WK_SUSPECT_DOUBLINGS);
+
+	if (now < wk->proc.suspect_until_us)
+		return;
+	wk->proc.suspect_until_us = now + duration_us;
+	wk->proc.suspect_count++;
+	wk->proc.suspected = true;
+	wk->proc.to_announce = true;
+	wk_attend(wk);
+	hc_host_drop_idle(wk->host);
+	wk_log_suspect(wk, why, duration_us, wk->proc.suspect_count);
+}
+
+/*
+ * Notes that other routers found a worker dead or stuck.  Returns whether that
+ * is news, for this router and for others.
+ */
+bool wk_hear_suspicion(struct wk *wk, uint32_t witnesses, int64_t until_us,
+		       int64_t now)
+{
+	bool news;
+
+	if (now >= wk->proc.hearsay_until_us)
+		wk->proc.witnesses = 0;
+	news = (witnesses & ~wk->proc.witnesses) ||
+	       until_us > wk->proc.hearsay_until_us + WK_HEARSAY_NEWS_US;
+	wk->proc.witnesses |= witnesses;
+	if (until_us > wk->proc.hearsay_until_us)
+		wk->proc.hearsay_until_us = until_us;
+	return news;
+}
+
+/* Tells whether enough other routers found a worker dead or stuck. */
+static bool wk_is_avoided_by_hearsay(const struct wk *wk, int64_t now)
+{
+	return now < wk->proc.hearsay_until_us &&
+	       __builtin_popcount(wk->proc.witnesses) >= WK_WITNESSES_MIN;
+}
+
+/* Gives a worker no new work for a moment, while it is being probed. */
+void wk_pause(struct wk *wk, int64_t now)
+{
+	wk->proc.paused_until_us = now + WK_PAUSE_US;
+}
+
+/* Notes that a worker refused a request of ours. */
+void wk_on_refusal(struct wk *wk, int64_t now)
+{
+	/* Refusals of requests that were in flight together count as one. */
+	if (now < wk->proc.paused_until_us)
+		return;
+	wk->proc.paused_until_us =
+		now +
+		mag_backoff(WK_PAUSE_US, wk->proc.refusals, WK_PAUSE_DOUBLINGS);
+	wk->proc.refusals++;
+}
+
+/* Notes that a worker began a request: the refusals have ended. */
+void wk_on_start(struct wk *wk)
+{
+	wk->proc.refusals = 0;
+}
+
+/*
+ * Notes that a request to this worker broke off before its first event.  A
+ * worker that answers probes may still fail all requests, or those of some
+ * callers.  Each request sent to it costs a second send, and streams that may
+ * run only twice are lost.  Therefore the outcome of requests counts here, not
+ * that of probes.
+ */
+void wk_on_break(struct wk *wk, int64_t now)
+{
+	int64_t duration_us;
+
+	wk->proc.consecutive_breaks++;
+	if (now < wk->proc.distrust_until_us ||
+	    (wk->proc.distrust_count == 0 &&
+	     wk->proc.consecutive_breaks < WK_BREAKS_MAX))
+		return;
+	duration_us = mag_backoff(WK_DISTRUST_US, wk->proc.distrust_count,
+				  WK_DISTRUST_DOUBLINGS);
+	wk->proc.distrust_until_us = now + duration_us;
+	wk->proc.distrust_count++;
+	wk_log_suspect(wk, "requests break off", duration_us,
+		       wk->proc.consecutive_breaks);
+}
+
+static void wk_log_suspect(const struct wk *wk, const char *why,
+			   int64_t duration_us, int times)
+{
+	jlog(LOG_WK_SUSPECT,
+	     "\"worker\":\"%s\",\"address\":\"%s\",\"why\":\"%s\","
+	     "\"for_ms\":%d,\"times\":%d",
+	     wk->entry.id, wk->entry.address, why,
+	     (int)(duration_us / MAG_US_PER_MS), times);
+}
+
+/* Notes that a request to this worker reached its first event or its answer. */
+void wk_on_success(struct wk *wk)
+{
+	wk->proc.consecutive_breaks = 0;
+	wk->proc.distrust_count = 0;
+}
+
+/* Clears a suspicion, after the worker has proved that it works. */
+void wk_clear_suspicion(struct wk *wk)
+{
+	if (!wk->proc.suspected)
+		return;
+	wk->proc.suspected = false;
+	wk->proc.hearsay_until_us = 0;
+	wk->proc.suspect_count = 0;
+	wk->proc.suspect_until_us = 0;
+	jlog(LOG_WK_CLEARED, "\"worker\":\"%s\",\"address\":\"%s\"",
+	     wk->entry.id, wk->entry.address);
+}
+
+/* Adds a request's outcome and duration to the moving averages. */
+void wk_add_result(struct wk *wk, bool good, int64_t took_us)
+{
+	wk->proc.failure_rate +=
+		WK_SMOOTHING * ((good ? 0 : 1) - wk->proc.failure_rate);
+	if (!good)
+		return;
+	if (wk->proc.response_us <= 0)
+		wk->proc.response_us = (double)took_us;
+	wk->proc.response_us +=
+		WK_SMOOTHING * ((double)took_us - wk->proc.response_us);
+}
+
+/* Remembers a request that broke off at a worker; replaces the oldest. */
+void wk_add_interrupted(struct wk *wk,
+			const uint8_t fingerprint[MAG_DIGEST_BYTES],
+			int64_t now)
+{
+	struct wk_interrupted *slot =
+		&wk->proc.interrupted[wk->proc.interrupted_next];
+
+	wk->proc.interrupted_next =
+		(wk->proc.interrupted_next + 1) % WK_INTERRUPTED_MAX;
+	memcpy(slot->fingerprint, fingerprint, MAG_DIGEST_BYTES);
+	slot->at_us = now;
+}
