regress/check_wk: free the table's indexes

AddressSanitizer: 5,120 bytes leaked in 10 allocations, the buckets of the tables by id and by address that the driver left behind. 289 passed, this one failed before.

--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -126,6 +126,8 @@
 	cds_list_for_each_entry_safe (remaining, next, &table.workers, node)
 		wk_remove(&table, remaining->entry.id, now, now);
 	wk_tick(&table, now);
+	htab_free(&table.ids);
+	htab_free(&table.addresses);
 	hc_free(hc);
 	event_base_free(base);
 }
