--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -83,6 +83,18 @@
 	return true;
 }
 
+static void free_workers(int64_t now)
+{
+	struct wk *remaining;
+	struct wk *next;
+
+	cds_list_for_each_entry_safe (remaining, next, &table.workers, node)
+		wk_remove(&table, remaining->entry.id, now, now);
+	wk_tick(&table, now);
+	htab_free(&table.ids);
+	htab_free(&table.addresses);
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	struct event_base *base = event_base_new();
@@ -92,8 +104,6 @@
 	const struct wk *wk;
 	int64_t now = MAG_US_PER_S;
 	long long at_ms;
-	struct wk *remaining;
-	struct wk *next;
 
 	wk_init(&table, hc);
 	while (fgets(line, sizeof(line), in)) {
@@ -123,11 +133,7 @@
 			 (wk = wk_by_address(&table, text)))
 			fprintf(out, "%s\n", wk->entry.id);
 	}
-	cds_list_for_each_entry_safe (remaining, next, &table.workers, node)
-		wk_remove(&table, remaining->entry.id, now, now);
-	wk_tick(&table, now);
-	htab_free(&table.ids);
-	htab_free(&table.addresses);
+	free_workers(now);
 	hc_free(hc);
 	event_base_free(base);
 }
