wkp: log what a worker's death is blamed on

The logs of the incident do not tell which requests a router weighed at a worker's crash, how many of them were suspects, and whether it dropped them because several workers died together. Event 10112 (worker-died) tells all three, and 10002 (request-again) names the fingerprint that 5101 to 5103 use. No decision changes.

--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -41,16 +41,17 @@
 	const struct rt_route *route = eq->route;
 	bool repeatable = route->kind == RT_IDEMPOTENT ||
 			  (route->kind == RT_STREAMING && route->resumable);
+	char fingerprint[QUAR_TEXT_SIZE];
 	char id[WIRE_ID_MAX];
 
 	jlog(LOG_EQ_AGAIN,
 	     "\"request\":\"%s\",\"why\":\"%s\",\"sends\":%d,\"runs\":%d,"
 	     "\"may_have_run\":%s,\"last_event\":%lld,\"answer\":%d,"
-	     "\"at_fault\":\"%s\"",
+	     "\"at_fault\":\"%s\",\"fingerprint\":\"%s\"",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id), why,
 	     eq->sends, eq->runs, eq->may_have_run ? "true" : "false",
 	     (long long)eq->last_event, eq->answered ? eq->status : 0,
-	     eq->at_fault);
+	     eq->at_fault, quar_text(eq->fingerprint, fingerprint));
 	eq_release(eq);
 	if (eq->may_have_run && !repeatable) {
 		eq_fail(eq, 502, why);
--- a/src/quar.c
+++ b/src/quar.c
@@ -9,7 +9,6 @@
 
 #define QUAR_BUCKETS	   1024 /* a power of two */
 #define QUAR_ENDPOINTS_MAX 2	/* losses that quarantine a fingerprint */
-#define QUAR_LOG_BYTES	   8	/* bytes of a fingerprint in a log line */
 
 struct quar_entry {
 	struct cds_list_head by_fingerprint;
@@ -310,14 +309,22 @@
 	cds_list_add_tail(&entry->by_age, &quar->by_age);
 }
 
-/* Writes a log line with the first bytes of the fingerprint. */
+/* Writes a log line of a fingerprint. */
 static void quar_log(enum log_id id, const struct quar_entry *entry)
 {
-	char text[2 * QUAR_LOG_BYTES + 1];
+	char text[QUAR_TEXT_SIZE];
+
+	log_event(id, "fingerprint=%s endpoints_lost=%u",
+		  quar_text(entry->fingerprint, text), entry->endpoints_lost);
+}
+
+/* Formats the first bytes of a fingerprint for the log; returns the text. */
+const char *quar_text(const uint8_t fingerprint[MAG_DIGEST_BYTES],
+		      char text[QUAR_TEXT_SIZE])
+{
 	int i;
 
-	for (i = 0; i < QUAR_LOG_BYTES; i++)
-		snprintf(text + 2 * i, 3, "%02x", entry->fingerprint[i]);
-	log_event(id, "fingerprint=%s endpoints_lost=%u", text,
-		  entry->endpoints_lost);
+	for (i = 0; i < (QUAR_TEXT_SIZE - 1) / 2; i++)
+		snprintf(text + 2 * i, 3, "%02x", fingerprint[i]);
+	return text;
 }
--- a/src/quar.h
+++ b/src/quar.h
@@ -14,6 +14,9 @@
 
 #include "mag.h"
 
+/* Size of a fingerprint as text, which holds its first bytes. */
+#define QUAR_TEXT_SIZE 17
+
 struct quar;
 
 enum quar_state {
@@ -40,5 +43,7 @@
 		  const uint8_t fingerprint[MAG_DIGEST_BYTES]);
 bool quar_next_update(struct quar *quar, uint8_t fingerprint[MAG_DIGEST_BYTES],
 		      uint32_t *endpoints_lost, int64_t *until_us);
+const char *quar_text(const uint8_t fingerprint[MAG_DIGEST_BYTES],
+		      char text[QUAR_TEXT_SIZE]);
 
 #endif /* QUAR_H */
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -255,22 +255,31 @@
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now)
 {
 	struct wk_interrupted *candidate;
+	int candidates = 0;
 	int suspects = 0;
+	int deaths;
 	bool suspect;
 	int i;
 
 	wk->died_us = now;
-	if (quar_have_common_cause(wkp_count_recent_deaths(edge, now))) {
-		memset(wk->proc.interrupted, 0, sizeof(wk->proc.interrupted));
-		return;
-	}
 	for (i = 0; i < WK_INTERRUPTED_MAX; i++) {
 		candidate = &wk->proc.interrupted[i];
-		if (candidate->at_us &&
-		    now - candidate->at_us < WKP_INTERRUPTED_US &&
-		    quar_check(edge->quar, candidate->fingerprint, now) !=
-			    QUAR_CLEAR)
-			suspects++;
+		if (!candidate->at_us ||
+		    now - candidate->at_us >= WKP_INTERRUPTED_US)
+			continue;
+		candidates++;
+		suspects += quar_check(edge->quar, candidate->fingerprint,
+				       now) != QUAR_CLEAR;
+	}
+	deaths = wkp_count_recent_deaths(edge, now);
+	jlog(LOG_WK_DIED,
+	     "\"worker\":\"%s\",\"address\":\"%s\",\"interrupted\":%d,"
+	     "\"suspects\":%d,\"died_together\":%d,\"common_cause\":%s",
+	     wk->entry.id, wk->entry.address, candidates, suspects, deaths,
+	     quar_have_common_cause(deaths) ? "true" : "false");
+	if (quar_have_common_cause(deaths)) {
+		memset(wk->proc.interrupted, 0, sizeof(wk->proc.interrupted));
+		return;
 	}
 	for (i = 0; i < WK_INTERRUPTED_MAX; i++) {
 		candidate = &wk->proc.interrupted[i];
