regress/edge: requests that crash workers, among many streams

Two requests crash each worker that runs them; four engines carry some twenty streams each, which break off with the worker, and three routers send.

The stand-in of a worker now crashes 60 ms after such a request came, as real ones do, not before it has answered anything; tool_calls can give each call a path of its own, so that calls differ in their fingerprint.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -217,3 +217,43 @@
 		cat "$dir"/calls*
 	} | awk -v least="$1" -v detail=1 -f edge/promises.awk
 }
+
+# start_four ROUTERS: one data centre with four large engines that each hold all
+# layers, a plain worker and ROUTERS routers.
+start_four() {
+	start_store
+	put_config 1
+	for n in 1 2 3 4; do start_worker $n model a big; done
+	start_worker 5 app a
+	routers=""
+	for n in $(seq "$1"); do
+		start_router $n a
+		routers="$routers $(router $n)"
+	done
+	for n in $(seq "$1"); do wait_for "ready $n"; done
+	wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 4 ]"
+	wait_for "served_by $routers"
+}
+
+# restart_crashed FROM TO: starts workers FROM to TO again, 1 s after each crash,
+# until $dir/over exists; counts the crashes in $dir/crashes.
+restart_crashed() {
+	while [ ! -e "$dir/over" ]; do
+		for n in $(seq "$1" "$2"); do
+			eval "pid=\$worker_$n"
+			kill -0 $pid 2>/dev/null && continue
+			echo $n >>"$dir/crashes"
+			sleep 1
+			start_worker $n model a big
+			echo $! >>"$dir/restarted"
+		done
+		sleep 0.05
+	done
+}
+
+# ask ROUTER ID PATH: sends a request and prints the status of its answer.
+ask() {
+	curl -s -m 8 -o "$dir/null" -w '%{http_code}\n' -H 'Host: h.example' \
+		-H "Attempt-Id: $2" -H 'Authorization: Token key-1' \
+		-H 'Token-Count: 100,20' -X "${METHOD:-GET}" "http://$(router $1)/$3"
+}
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -25,6 +25,9 @@
 #define HEARTBEAT_TTL_MS 900
 #define STALL_US	 (3 * MAG_US_PER_S)
 #define EVENT_COUNT	 20
+/* A request whose path holds "poison" crashes this worker so long after it
+ * came. */
+#define CRASH_US (60 * MAG_US_PER_MS)
 
 /* A request for which this worker is the first of the chain. */
 struct job {
@@ -72,6 +75,7 @@
 static const char *backoff;    /* refuse with this Retry-After (seconds) */
 static bool leaving;	       /* said in all answers, but not in the list */
 static bool print_messages;    /* a line for every message of a router */
+static int64_t crash_at_us;    /* 0: never */
 static bool reset_next_report; /* reset the connection of the next one */
 static CDS_LIST_HEAD(jobs);
 static CDS_LIST_HEAD(peers);
@@ -402,8 +406,11 @@
 	job->due_us = clk_boot_us() + event_us;
 	hs_set_user(conn, job);
 	cds_list_add_tail(&job->node, &jobs);
-	if (strstr(hs_target(conn), "poison"))
-		exit(3);
+	if (strstr(hs_target(conn), "poison")) {
+		job->due_us = MAG_NEVER;
+		if (!crash_at_us)
+			crash_at_us = clk_boot_us() + CRASH_US;
+	}
 	if (!kind)
 		printf("RUN %s %s %s\n", job->id, id, hs_method(conn));
 }
@@ -626,6 +633,8 @@
 	(void)what;
 	hc_tick(hc, now);
 	hs_tick(arg, now);
+	if (crash_at_us && now >= crash_at_us)
+		exit(3);
 	if (now >= next_heartbeat_us)
 		heartbeat(now);
 	cds_list_for_each_entry_safe (job, next, &jobs, node)
--- a/regress/tool_calls.c
+++ b/regress/tool_calls.c
@@ -1,7 +1,8 @@
 /*
  * Load generator for magnolia-edge: sends streams, bookings and lookups at a
- * constant rate, each with its own attempt id.  Prints the result of each call
- * on a line; promises.awk compares these with the workers' output.
+ * constant rate, each with its own attempt id and, with -d, its own path.
+ * Prints the result of each call on a line; promises.awk compares these with
+ * the workers' output.
  */
 
 #include <stdio.h>
@@ -42,6 +43,7 @@
 static int64_t until_us;
 static int started_count;
 static int open_calls;
+static bool distinct; /* each call has a path of its own */
 
 static bool on_headers(void *user, const struct hc_response *answer)
 {
@@ -106,12 +108,12 @@
 	call->in_order = true;
 	send.request = evbuffer_new();
 	evbuffer_add_printf(send.request,
-			    "%s /%c/x HTTP/1.1\r\nHost: h.example\r\n"
+			    "%s /%c/%s HTTP/1.1\r\nHost: h.example\r\n"
 			    "Attempt-Id: %s\r\nDeadline-Ms: 6000\r\n"
 			    "Token-Count: 100,20\r\n"
 			    "Authorization: Token key-1\r\n%s\r\n",
 			    call->kind == 'r' ? "GET" : "POST", call->kind,
-			    call->id,
+			    distinct ? call->id : "x", call->id,
 			    call->kind == 'r' ? "" : "Content-Length: 0\r\n");
 	open_calls++;
 	if (hc_start(routers[started_count % router_count], &send, &started))
@@ -139,8 +141,13 @@
 	struct timeval every = { 0, TICK_MS * 1000 };
 	int i;
 
+	if (argc > 1 && strcmp(argv[1], "-d") == 0) {
+		distinct = true;
+		argv++;
+		argc--;
+	}
 	if (argc < 5) {
-		fprintf(stderr, "usage: tool_calls PREFIX SECONDS PER_S "
+		fprintf(stderr, "usage: tool_calls [-d] PREFIX SECONDS PER_S "
 				"ROUTER...\n");
 		return 1;
 	}
