quar, hint: a loss is known by the endpoint's process

Fault: routers told each other how many endpoints a request had cost, and the highest number counted. Two routers that had each seen another worker crash knew of one loss, so that a harmful request went on; and a router that heard of a peer's loss before it saw the same worker's crash itself counted two, and refused a harmless request for one crash.

Evidence, the old check_quar on two scripts: "lost p 1 0, learn p 1" leaves "p is suspect" with endpoints_lost=1; "learn q 1, lost q 4 1" gives "q is quarantined".

Change: a loss is the fingerprint and the worker's process (hash of id and start), and routers merge sets of them, so that order and repetition do not matter. Three lost processes quarantine a fingerprint, or two if nothing else ran on one of them; whether something did is judged 100 ms later from what all routers have reported, where it was decided at once and by one. That a suspect completed is reported, too, ends a quarantine, and later reports of its losses count for nothing for 10 s. Losses that were seen here are sent at once, three times, and no request's reports keep back another's. Fingerprints are cut to 16 bytes; a message is as large as before. Instances of magnoliad share counts as before.

--- a/regress/check_quar.c
+++ b/regress/check_quar.c
@@ -5,7 +5,8 @@
 #include "quar.h"
 #include "script.h"
 
-#define TEXT_MAX 128
+#define TEXT_MAX    128
+#define REPORTS_MAX 6
 
 static FILE *script_out;
 
@@ -27,7 +28,7 @@
 }
 
 /* Prints the state of a fingerprint. */
-static void print_state(const struct quar *quar, char letter, int64_t now)
+static void print_state(struct quar *quar, char letter, int64_t now)
 {
 	static const char *const states[] = {
 		[QUAR_CLEAR] = "clear",
@@ -51,6 +52,56 @@
 			fingerprint[0], lost, (int)(until / MAG_US_PER_MS));
 }
 
+/* Prints one message's reports to other instances. */
+static void print_reports(struct quar *quar)
+{
+	struct quar_report reports[REPORTS_MAX];
+	int count = quar_collect(quar, reports, REPORTS_MAX);
+	int i;
+
+	fprintf(script_out, "message%s%s\n", count ? ":" : " without reports",
+		quar_take_alert(quar) ? " at once" : "");
+	for (i = 0; i < count; i++) {
+		if (reports[i].completed)
+			fprintf(script_out, "  %c completed\n",
+				reports[i].fingerprint[0]);
+		else
+			fprintf(script_out, "  %c lost endpoint %u%s\n",
+				reports[i].fingerprint[0], reports[i].endpoint,
+				reports[i].alone ? " alone" : "");
+	}
+}
+
+/*
+ * Runs a line about losses that are known by name: "loss" and "hear" with a
+ * letter, an endpoint and whether it ran alone there, "hear-well" with a
+ * letter. Returns false if it is another line.
+ */
+static bool run_named(struct quar *quar, const char *line, int64_t now)
+{
+	struct quar_report report = { 0 };
+	unsigned int endpoint;
+	char letter;
+	int alone;
+
+	if (sscanf(line, "loss %c %u %d", &letter, &endpoint, &alone) == 3 ||
+	    sscanf(line, "hear %c %u %d", &letter, &endpoint, &alone) == 3) {
+		report.endpoint = endpoint;
+		report.alone = alone != 0;
+	} else if (sscanf(line, "hear-well %c", &letter) == 1) {
+		report.completed = true;
+	} else {
+		return false;
+	}
+	memcpy(report.fingerprint, fingerprint_of(letter), MAG_DIGEST_BYTES);
+	if (line[0] == 'l')
+		quar_add_loss(quar, &report, now);
+	else
+		fprintf(script_out, "%s\n",
+			quar_hear(quar, &report, now) ? "news" : "known");
+	return true;
+}
+
 /* Runs one script; see regress/quar. */
 static void run_script(FILE *in, FILE *out)
 {
@@ -90,6 +141,10 @@
 							       : "none");
 		else if (strcmp(line, "news\n") == 0)
 			print_updates(quar);
+		else if (strcmp(line, "message\n") == 0)
+			print_reports(quar);
+		else if (!run_named(quar, line, now))
+			fprintf(out, "unknown: %s", line);
 	}
 	quar_free(quar);
 }
--- a/src/eq.c
+++ b/src/eq.c
@@ -7,6 +7,7 @@
 #include "clk.h"
 #include "eq.h"
 #include "hint.h"
+#include "hint_msg.h"
 #include "jlog.h"
 
 /*
@@ -380,7 +381,10 @@
 						      : EQ_RETRY_LATER;
 }
 
-/* Computes the fingerprint from the path, the caller's key and the body. */
+/*
+ * Computes the fingerprint from the path, the caller's key and the body: as
+ * many bytes as routers exchange, the others are zero.
+ */
 static void eq_set_fingerprint(struct eq *eq)
 {
 	struct evbuffer *body = hs_body(eq->caller);
@@ -388,7 +392,7 @@
 	const char *target = hs_target(eq->caller);
 	crypto_generichash_state state;
 
-	crypto_generichash_init(&state, NULL, 0, sizeof(eq->fingerprint));
+	crypto_generichash_init(&state, NULL, 0, HINT_DIGEST_BYTES);
 	crypto_generichash_update(&state, (const unsigned char *)target,
 				  strlen(target) + 1);
 	if (eq->request.key)
@@ -398,8 +402,7 @@
 	if (len > 0)
 		crypto_generichash_update(&state, evbuffer_pullup(body, -1),
 					  len);
-	crypto_generichash_final(&state, eq->fingerprint,
-				 sizeof(eq->fingerprint));
+	crypto_generichash_final(&state, eq->fingerprint, HINT_DIGEST_BYTES);
 }
 
 /*
--- a/src/hint.c
+++ b/src/hint.c
@@ -29,8 +29,6 @@
  */
 #define HINT_EXPIRY_US	      (1200 * MAG_US_PER_MS)
 #define HINT_EXPIRY_INTERVALS 3
-/* How long a request that crashes workers is refused after a hint. */
-#define HINT_QUARANTINE_US (60 * MAG_US_PER_S)
 /*
  * A router loses its part of a worker's limit after this long without a
  * message.
@@ -47,8 +45,6 @@
 static struct hint_peer *hint_add_peer(struct hint *hint, const char *name);
 static void hint_receive(struct hint *hint, const struct hint_message *message,
 			 const struct sockaddr_in *from);
-static void hint_receive_crash(struct hint *hint,
-			       const struct hint_crash *crash, int64_t now);
 static void hint_receive_claim(struct edge *edge,
 			       const struct attest_claim *claim, int64_t now);
 static void hint_sum_loads(struct hint *hint, int64_t now);
@@ -119,7 +115,9 @@
 /* Sends messages to some peers, and sums the load reported by all. */
 void hint_tick(struct hint *hint, int64_t now)
 {
-	if (hint_suspect_announce(&hint->edge->workers, now)) {
+	bool alert = hint_suspect_announce(&hint->edge->workers, now);
+
+	if (quar_take_alert(hint->edge->quar) || alert) {
 		hint_send_alert(hint);
 		return;
 	}
@@ -226,22 +224,11 @@
 		hint_receive_suspect(hint, &message->suspects[k], message->name,
 				     now);
 	for (k = 0; k < message->crash_count; k++)
-		hint_receive_crash(hint, &message->crashes[k], now);
+		(void)quar_hear(edge->quar, &message->crashes[k], now);
 	if (is_new)
 		hint_send_first(hint, peer);
 }
 
-/* Learns of a request that crashes workers, and passes on what is news. */
-static void hint_receive_crash(struct hint *hint,
-			       const struct hint_crash *crash, int64_t now)
-{
-	struct quar *quar = hint->edge->quar;
-
-	if (quar_learn(quar, crash->fingerprint, crash->endpoints_lost,
-		       now + HINT_QUARANTINE_US, now))
-		quar_pass_on(quar, crash->fingerprint);
-}
-
 /*
  * Processes a peer's claim on the age of the configuration.  If the confirmed
  * time advances by HINT_OUTAGE_US or more, an outage has ended and the store
--- a/src/hint_msg.c
+++ b/src/hint_msg.c
@@ -5,7 +5,7 @@
 #include "hint_msg.h"
 
 #define HINT_MSG_MAGIC	 0x4d414748U
-#define HINT_MSG_VERSION 7U
+#define HINT_MSG_VERSION 8U
 /* A load is encoded as 16 bits of memory, 8 of first hops, 8 of slowdown. */
 #define HINT_HELD_UNIT	    1024.0F /* tokens x layers */
 #define HINT_HELD_MAX	    0xffffU
@@ -17,14 +17,17 @@
 #define HINT_LIMIT_MAX	0xffffU
 #define HINT_AGE_MAX	0xffffU
 /* A suspicion is encoded as 8 bits of time and 24 of witnesses. */
-#define HINT_FOR_UNIT_MS    16U
-#define HINT_FOR_MAX	    0xffU
-#define HINT_WITNESSES_MASK ((1U << HINT_WITNESS_BITS) - 1)
+#define HINT_FOR_UNIT_MS     16U
+#define HINT_FOR_MAX	     0xffU
+#define HINT_CRASH_ALONE     (1U << 0)
+#define HINT_CRASH_COMPLETED (1U << 1)
+#define HINT_WITNESSES_MASK  ((1U << HINT_WITNESS_BITS) - 1)
 
 static bool_t hint_msg_xdr(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_claim(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_loads(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_load(XDR *xdr, struct hint_load *load);
+static bool_t hint_msg_crash(XDR *xdr, struct quar_report *report);
 static bool_t hint_msg_suspect(XDR *xdr, struct hint_suspect *suspect);
 static bool_t hint_msg_limits(XDR *xdr, struct hint_message *message);
 static bool_t hint_msg_limit(XDR *xdr, struct hint_limit *limit);
@@ -68,9 +71,7 @@
 	    message->crash_count > HINT_CRASHES_MAX)
 		return FALSE;
 	for (i = 0; i < message->crash_count; i++) {
-		if (!xdr_opaque(xdr, (char *)message->crashes[i].fingerprint,
-				MAG_DIGEST_BYTES) ||
-		    !xdr_uint32_t(xdr, &message->crashes[i].endpoints_lost))
+		if (!hint_msg_crash(xdr, &message->crashes[i]))
 			return FALSE;
 	}
 	if (!xdr_uint32_t(xdr, &message->suspect_count) ||
@@ -142,6 +143,20 @@
 	return TRUE;
 }
 
+/* A loss of a worker, or that a suspected request completes. */
+static bool_t hint_msg_crash(XDR *xdr, struct quar_report *report)
+{
+	uint32_t flags = (report->alone ? HINT_CRASH_ALONE : 0) |
+			 (report->completed ? HINT_CRASH_COMPLETED : 0);
+
+	if (!xdr_opaque(xdr, (char *)report->fingerprint, HINT_DIGEST_BYTES) ||
+	    !xdr_uint32_t(xdr, &report->endpoint) || !xdr_uint32_t(xdr, &flags))
+		return FALSE;
+	report->alone = (flags & HINT_CRASH_ALONE) != 0;
+	report->completed = (flags & HINT_CRASH_COMPLETED) != 0;
+	return TRUE;
+}
+
 static bool_t hint_msg_suspect(XDR *xdr, struct hint_suspect *suspect)
 {
 	uint32_t packed = 0;
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -9,12 +9,14 @@
 #include "mag.h"
 #include "attest.h"
 #include "pos.h"
+#include "quar.h"
 
 /* A datagram must fit the smallest common MTU. */
 #define HINT_BYTES_MAX	  1400
 #define HINT_LOADS_MAX	  112 /* per datagram */
 #define HINT_PARTS_MAX	  4   /* datagrams for the load of one router */
-#define HINT_CRASHES_MAX  4
+#define HINT_CRASHES_MAX  6
+#define HINT_DIGEST_BYTES 16 /* of a fingerprint */
 #define HINT_SUSPECTS_MAX 8
 #define HINT_LIMITS_MAX	  16
 #define HINT_WITNESS_BITS 24
@@ -40,12 +42,6 @@
 	uint32_t age_ms; /* since the worker advertised it */
 };
 
-/* A request that crashes workers. */
-struct hint_crash {
-	uint8_t fingerprint[MAG_DIGEST_BYTES];
-	uint32_t endpoints_lost; /* that crashed while they ran it */
-};
-
 /*
  * A worker that routers found dead or stuck through their own requests.  It is
  * encoded in eight bytes.
@@ -69,7 +65,7 @@
 	uint32_t load_count;
 	struct hint_load loads[HINT_LOADS_MAX];
 	uint32_t crash_count;
-	struct hint_crash crashes[HINT_CRASHES_MAX];
+	struct quar_report crashes[HINT_CRASHES_MAX];
 	uint32_t suspect_count;
 	struct hint_suspect suspects[HINT_SUSPECTS_MAX];
 	uint32_t data_centre; /* hash of the sender's data centre */
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -28,7 +28,6 @@
 static void hint_send_to(struct hint *hint, const struct sockaddr_in *addr,
 			 struct hint_peer *peer, struct hint_message *message);
 static void hint_fill(struct hint *hint, struct hint_message *message);
-static void hint_fill_crashes(struct hint *hint, struct hint_message *message);
 
 /* Sends messages to the peers whose turn it is. */
 void hint_send_turn(struct hint *hint)
@@ -66,7 +65,8 @@
 	static struct hint_message message;
 
 	hint_fill(hint, &message);
-	hint_fill_crashes(hint, &message);
+	message.crash_count = (uint32_t)quar_collect(
+		hint->edge->quar, message.crashes, HINT_CRASHES_MAX);
 	if (pres_peer_count(hint->edge->pres) == 0)
 		hint_send_to_senders(hint, &message);
 	else if (!hint_sort_peers(hint)) {
@@ -198,17 +198,3 @@
 	hint_suspect_collect(&edge->workers, hint->self.id, now,
 			     &hint->next_suspect, message);
 }
-
-/* Adds newly learned requests that crash workers; each is sent once. */
-static void hint_fill_crashes(struct hint *hint, struct hint_message *message)
-{
-	struct quar *quar = hint->edge->quar;
-	struct hint_crash *crashes = message->crashes;
-	int64_t until_us;
-
-	while (message->crash_count < HINT_CRASHES_MAX &&
-	       quar_next_update(quar, crashes[message->crash_count].fingerprint,
-				&crashes[message->crash_count].endpoints_lost,
-				&until_us))
-		message->crash_count++;
-}
--- a/src/quar.c
+++ b/src/quar.c
@@ -5,45 +5,17 @@
 #include <urcu/list.h>
 
 #include "log.h"
-#include "quar.h"
-
-#define QUAR_BUCKETS	   1024 /* a power of two */
-#define QUAR_ENDPOINTS_MAX 2	/* losses that quarantine a fingerprint */
-
-struct quar_entry {
-	struct cds_list_head by_fingerprint;
-	struct cds_list_head by_age; /* least recently changed first */
-	struct cds_list_head in_updates;
-	uint8_t fingerprint[MAG_DIGEST_BYTES];
-	/* The count that this or another instance knows of. */
-	uint32_t endpoints_lost;
-	int64_t until_us;
-	bool update_pending;
-};
-
-struct quar {
-	uint32_t max_entries;
-	uint32_t count;
-	int64_t hold_us;
-	struct cds_list_head by_fingerprint[QUAR_BUCKETS];
-	struct cds_list_head by_age;
-	struct cds_list_head updates;
-};
+#include "quar_int.h"
+
+#define QUAR_ENDPOINTS_MAX 2 /* counted losses that quarantine */
 
 static void quar_add_update(struct quar *quar, struct quar_entry *entry);
 static struct quar_entry *
 quar_lookup(const struct quar *quar,
 	    const uint8_t fingerprint[MAG_DIGEST_BYTES]);
-static struct quar_entry *quar_find(const struct quar *quar,
-				    const uint8_t fingerprint[MAG_DIGEST_BYTES],
-				    int64_t now);
-static struct quar_entry *quar_add(struct quar *quar,
-				   const uint8_t fingerprint[MAG_DIGEST_BYTES]);
 static struct cds_list_head *quar_bucket(const struct quar *quar,
 					 const uint8_t *fingerprint);
 static void quar_remove(struct quar *quar, struct quar_entry *entry);
-static void quar_touch(struct quar *quar, struct quar_entry *entry);
-static void quar_log(enum log_id id, const struct quar_entry *entry);
 
 /*
  * Creates an empty table that holds a fingerprint for hold_us after its last
@@ -63,6 +35,7 @@
 		CDS_INIT_LIST_HEAD(&quar->by_fingerprint[i]);
 	CDS_INIT_LIST_HEAD(&quar->by_age);
 	CDS_INIT_LIST_HEAD(&quar->updates);
+	CDS_INIT_LIST_HEAD(&quar->reports);
 	return quar;
 }
 
@@ -102,16 +75,16 @@
 }
 
 /* Returns how a request with this fingerprint is to be treated. */
-enum quar_state quar_check(const struct quar *quar,
+enum quar_state quar_check(struct quar *quar,
 			   const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			   int64_t now)
 {
-	const struct quar_entry *entry = quar_find(quar, fingerprint, now);
+	struct quar_entry *entry = quar_find(quar, fingerprint, now);
 
-	if (!entry)
+	if (!entry || entry->endpoints_lost == 0)
 		return QUAR_CLEAR;
-	return entry->endpoints_lost >= QUAR_ENDPOINTS_MAX ? QUAR_QUARANTINED
-							   : QUAR_SUSPECT;
+	quar_judge(quar, entry, now);
+	return entry->held ? QUAR_QUARANTINED : QUAR_SUSPECT;
 }
 
 /*
@@ -140,65 +113,54 @@
 	quar_touch(quar, entry);
 	if (entry->endpoints_lost == lost_before)
 		return;
-	quar_log(entry->endpoints_lost >= QUAR_ENDPOINTS_MAX ? LOG_QUAR_HELD
-							     : LOG_QUAR_SUSPECT,
-		 entry);
+	entry->held = entry->endpoints_lost >= QUAR_ENDPOINTS_MAX;
+	quar_log(entry->held ? LOG_QUAR_HELD : LOG_QUAR_SUSPECT, entry);
 	quar_add_update(quar, entry);
 }
 
 /*
  * Records that a request with this fingerprint completed: a suspect is
- * cleared.  A quarantine remains, because nothing should have run.
+ * cleared.  A quarantine by counted losses remains, because nothing should have
+ * run; one by named losses ends, because the request was running already.
  */
 void quar_completed(struct quar *quar,
 		    const uint8_t fingerprint[MAG_DIGEST_BYTES], int64_t now)
 {
 	struct quar_entry *entry = quar_find(quar, fingerprint, now);
 
-	if (!entry || entry->endpoints_lost >= QUAR_ENDPOINTS_MAX)
+	if (!entry)
 		return;
-	quar_log(LOG_QUAR_CLEARED, entry);
-	quar_remove(quar, entry);
+	if (entry->loss_count > 0 || entry->completed) {
+		quar_set_completed(quar, entry, now);
+	} else if (!entry->held) {
+		quar_log(LOG_QUAR_CLEARED, entry);
+		quar_remove(quar, entry);
+	}
 }
 
 /*
- * Merges the state of another instance: the higher count of losses and the
+ * Merges the count of another instance: the higher count of losses and the
  * later expiry apply.
  */
-bool quar_learn(struct quar *quar, const uint8_t fingerprint[MAG_DIGEST_BYTES],
+void quar_learn(struct quar *quar, const uint8_t fingerprint[MAG_DIGEST_BYTES],
 		uint32_t endpoints_lost, int64_t until_us, int64_t now)
 {
 	struct quar_entry *entry = quar_find(quar, fingerprint, now);
-	bool news;
 
 	if (endpoints_lost == 0 || until_us <= now)
-		return false;
+		return;
 	if (!entry)
 		entry = quar_add(quar, fingerprint);
 	if (!entry)
-		return false;
-	news = entry->endpoints_lost < endpoints_lost;
-	if (news) {
+		return;
+	if (entry->endpoints_lost < endpoints_lost) {
 		entry->endpoints_lost = endpoints_lost;
-		quar_log(entry->endpoints_lost >= QUAR_ENDPOINTS_MAX
-				 ? LOG_QUAR_HELD
-				 : LOG_QUAR_SUSPECT,
-			 entry);
+		entry->held = endpoints_lost >= QUAR_ENDPOINTS_MAX;
+		quar_log(entry->held ? LOG_QUAR_HELD : LOG_QUAR_SUSPECT, entry);
 	}
 	if (entry->until_us < until_us)
 		entry->until_us = until_us;
 	quar_touch(quar, entry);
-	return news;
-}
-
-/* Reports an entry again, so that what was learned reaches others, too. */
-void quar_pass_on(struct quar *quar,
-		  const uint8_t fingerprint[MAG_DIGEST_BYTES])
-{
-	struct quar_entry *entry = quar_lookup(quar, fingerprint);
-
-	if (entry)
-		quar_add_update(quar, entry);
 }
 
 static void quar_add_update(struct quar *quar, struct quar_entry *entry)
@@ -230,9 +192,9 @@
 }
 
 /* Finds the entry of a fingerprint that has not expired, or NULL. */
-static struct quar_entry *quar_find(const struct quar *quar,
-				    const uint8_t fingerprint[MAG_DIGEST_BYTES],
-				    int64_t now)
+struct quar_entry *quar_find(const struct quar *quar,
+			     const uint8_t fingerprint[MAG_DIGEST_BYTES],
+			     int64_t now)
 {
 	struct quar_entry *entry = quar_lookup(quar, fingerprint);
 
@@ -259,8 +221,8 @@
  * Creates the entry of a fingerprint, in place of one that has expired; NULL if
  * out of memory.
  */
-static struct quar_entry *quar_add(struct quar *quar,
-				   const uint8_t fingerprint[MAG_DIGEST_BYTES])
+struct quar_entry *quar_add(struct quar *quar,
+			    const uint8_t fingerprint[MAG_DIGEST_BYTES])
 {
 	struct quar_entry *entry = quar_lookup(quar, fingerprint);
 
@@ -298,19 +260,21 @@
 	cds_list_del(&entry->by_age);
 	if (entry->update_pending)
 		cds_list_del(&entry->in_updates);
+	if (entry->report_pending)
+		cds_list_del(&entry->in_reports);
 	quar->count--;
 	free(entry);
 }
 
 /* Moves an entry to the most recently changed end. */
-static void quar_touch(struct quar *quar, struct quar_entry *entry)
+void quar_touch(struct quar *quar, struct quar_entry *entry)
 {
 	cds_list_del(&entry->by_age);
 	cds_list_add_tail(&entry->by_age, &quar->by_age);
 }
 
 /* Writes a log line of a fingerprint. */
-static void quar_log(enum log_id id, const struct quar_entry *entry)
+void quar_log(enum log_id id, const struct quar_entry *entry)
 {
 	char text[QUAR_TEXT_SIZE];
 
--- a/src/quar.h
+++ b/src/quar.h
@@ -5,8 +5,15 @@
  * Quarantine of requests that crash the endpoints that run them.  When an
  * endpoint dies, the fingerprints running on it become suspects.  A suspect
  * runs again only on endpoints without another suspect, until it has completed
- * there.  A second endpoint lost while it runs quarantines it on every
- * instance.
+ * there.
+ *
+ * Instances that share counts quarantine a suspect at the second loss during
+ * which it was the only suspect there.
+ *
+ * Instances that share losses by name merge them as sets, so that a loss that
+ * several of them saw counts once, and losses that each of them saw add up.
+ * Three lost endpoints quarantine a fingerprint; two do if nothing else ran on
+ * one of them, by what all instances report.
  */
 
 #include <stdbool.h>
@@ -19,6 +26,14 @@
 
 struct quar;
 
+/* A loss of an endpoint, or the proof that a fingerprint completes. */
+struct quar_report {
+	uint8_t fingerprint[MAG_DIGEST_BYTES];
+	uint32_t endpoint; /* identity of the endpoint's process */
+	bool alone;	   /* nothing else ran there, as far as was known */
+	bool completed;	   /* it ran to its end; the endpoint is not set */
+};
+
 enum quar_state {
 	QUAR_CLEAR,
 	QUAR_SUSPECT,	  /* run it apart from other suspects */
@@ -29,7 +44,7 @@
 void quar_free(struct quar *quar);
 bool quar_have_common_cause(int lost_together);
 bool quar_is_evidence(int64_t began_us, int64_t alive_us, bool others);
-enum quar_state quar_check(const struct quar *quar,
+enum quar_state quar_check(struct quar *quar,
 			   const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			   int64_t now);
 void quar_endpoint_lost(struct quar *quar,
@@ -37,12 +52,17 @@
 			int endpoint, bool was_alone, int64_t now);
 void quar_completed(struct quar *quar,
 		    const uint8_t fingerprint[MAG_DIGEST_BYTES], int64_t now);
-bool quar_learn(struct quar *quar, const uint8_t fingerprint[MAG_DIGEST_BYTES],
+void quar_learn(struct quar *quar, const uint8_t fingerprint[MAG_DIGEST_BYTES],
 		uint32_t endpoints_lost, int64_t until_us, int64_t now);
-void quar_pass_on(struct quar *quar,
-		  const uint8_t fingerprint[MAG_DIGEST_BYTES]);
 bool quar_next_update(struct quar *quar, uint8_t fingerprint[MAG_DIGEST_BYTES],
 		      uint32_t *endpoints_lost, int64_t *until_us);
+bool quar_add_loss(struct quar *quar, const struct quar_report *loss,
+		   int64_t now);
+bool quar_hear(struct quar *quar, const struct quar_report *report,
+	       int64_t now);
+void quar_tick(struct quar *quar, int64_t now);
+int quar_collect(struct quar *quar, struct quar_report *reports, int max);
+bool quar_take_alert(struct quar *quar);
 const char *quar_text(const uint8_t fingerprint[MAG_DIGEST_BYTES],
 		      char text[QUAR_TEXT_SIZE]);
 
--- /dev/null
+++ b/src/quar_loss.c
@@ -0,0 +1,239 @@
+#include <string.h>
+
+#include "quar_int.h"
+
+/* Messages that report a loss, as some of them may be lost. */
+#define QUAR_REPORTS 3
+/* Time in which other instances report what they ran on a lost endpoint. */
+#define QUAR_SETTLE_US (100 * MAG_US_PER_MS)
+/*
+ * A fingerprint that has completed is not suspected for this long: equal
+ * requests may run at the same time, and reports of their losses arrive later.
+ */
+#define QUAR_COMPLETED_US (10 * MAG_US_PER_S)
+
+static const struct quar_loss *quar_find_loss(const struct quar_entry *entry,
+					      uint32_t endpoint);
+static bool quar_was_alone(const struct quar *quar,
+			   const struct quar_entry *entry,
+			   const struct quar_loss *loss, int64_t now);
+static void quar_queue_report(struct quar *quar, struct quar_entry *entry);
+static int quar_fill_reports(struct quar_entry *entry,
+			     struct quar_report *reports);
+static bool quar_has_reports(const struct quar_entry *entry);
+
+/*
+ * Records that an endpoint died while a request ran on it.  Returns whether
+ * this was not known; then it is reported to other instances at once.
+ */
+bool quar_add_loss(struct quar *quar, const struct quar_report *loss,
+		   int64_t now)
+{
+	bool news = quar_hear(quar, loss, now);
+
+	quar->alert |= news;
+	return news;
+}
+
+/*
+ * Merges what another instance reports.  Returns whether it is news, which is
+ * passed on.
+ */
+bool quar_hear(struct quar *quar, const struct quar_report *report, int64_t now)
+{
+	struct quar_entry *entry = quar_find(quar, report->fingerprint, now);
+	struct quar_loss *loss;
+
+	if (entry && entry->completed)
+		return false;
+	if (report->completed) {
+		if (entry)
+			quar_set_completed(quar, entry, now);
+		return entry != NULL;
+	}
+	if (!entry)
+		entry = quar_add(quar, report->fingerprint);
+	if (!entry || entry->loss_count == QUAR_LOSSES_MAX ||
+	    quar_find_loss(entry, report->endpoint))
+		return false;
+	loss = &entry->losses[entry->loss_count++];
+	loss->endpoint = report->endpoint;
+	loss->alone = report->alone;
+	loss->learned_us = now;
+	loss->reports_left = QUAR_REPORTS;
+	entry->changed_us = now;
+	entry->endpoints_lost = (uint32_t)entry->loss_count;
+	entry->until_us = now + quar->hold_us;
+	quar_touch(quar, entry);
+	quar_queue_report(quar, entry);
+	if (entry->loss_count == 1)
+		quar_log(LOG_QUAR_SUSPECT, entry);
+	quar_judge(quar, entry, now);
+	return true;
+}
+
+/* Quarantines fingerprints once others have reported what ran beside them. */
+void quar_tick(struct quar *quar, int64_t now)
+{
+	struct quar_entry *entry;
+
+	cds_list_for_each_entry_reverse(entry, &quar->by_age, by_age)
+	{
+		if (now - entry->changed_us > 2 * QUAR_SETTLE_US)
+			break;
+		quar_judge(quar, entry, now);
+	}
+}
+
+/* Quarantines a fingerprint if the losses that are known by name suffice. */
+void quar_judge(const struct quar *quar, struct quar_entry *entry, int64_t now)
+{
+	bool held = entry->loss_count == QUAR_LOSSES_MAX;
+	int i;
+
+	if (entry->held || entry->loss_count < 2)
+		return;
+	for (i = 0; i < entry->loss_count && !held; i++)
+		held = quar_was_alone(quar, entry, &entry->losses[i], now);
+	if (!held)
+		return;
+	entry->held = true;
+	quar_log(LOG_QUAR_HELD, entry);
+}
+
+/*
+ * Clears a fingerprint that completed.  Losses are no evidence against it for
+ * some time, as a request that crashes endpoints never completes.
+ */
+void quar_set_completed(struct quar *quar, struct quar_entry *entry,
+			int64_t now)
+{
+	bool known = entry->completed;
+
+	entry->completed = true;
+	entry->until_us = now + QUAR_COMPLETED_US;
+	if (known)
+		return;
+	quar_log(LOG_QUAR_CLEARED, entry);
+	entry->loss_count = 0;
+	entry->endpoints_lost = 0;
+	entry->held = false;
+	entry->changed_us = now;
+	entry->completed_reports = QUAR_REPORTS;
+	quar_touch(quar, entry);
+	quar_queue_report(quar, entry);
+}
+
+/*
+ * Copies what is to be reported to other instances.  Each entry's reports are
+ * copied together.  Returns their number, at most max.
+ */
+int quar_collect(struct quar *quar, struct quar_report *reports, int max)
+{
+	const struct quar_entry *last;
+	struct quar_entry *entry;
+	struct quar_entry *next;
+	int count = 0;
+
+	if (cds_list_empty(&quar->reports))
+		return 0;
+	last = cds_list_entry(quar->reports.prev, struct quar_entry,
+			      in_reports);
+	cds_list_for_each_entry_safe (entry, next, &quar->reports, in_reports) {
+		if (count + QUAR_LOSSES_MAX > max)
+			break;
+		cds_list_del(&entry->in_reports);
+		entry->report_pending = false;
+		count += quar_fill_reports(entry, reports + count);
+		if (quar_has_reports(entry))
+			quar_queue_report(quar, entry);
+		if (entry == last)
+			break;
+	}
+	return count;
+}
+
+/* Copies the reports of an entry that are due; returns their number. */
+static int quar_fill_reports(struct quar_entry *entry,
+			     struct quar_report *reports)
+{
+	struct quar_report report = { 0 };
+	int count = 0;
+	int i;
+
+	memcpy(report.fingerprint, entry->fingerprint, MAG_DIGEST_BYTES);
+	if (entry->completed_reports > 0) {
+		entry->completed_reports--;
+		report.completed = true;
+		reports[count++] = report;
+		return count;
+	}
+	for (i = 0; i < entry->loss_count; i++) {
+		if (entry->losses[i].reports_left == 0)
+			continue;
+		entry->losses[i].reports_left--;
+		report.endpoint = entry->losses[i].endpoint;
+		report.alone = entry->losses[i].alone;
+		reports[count++] = report;
+	}
+	return count;
+}
+
+/* Tells whether reports of an entry are due in later messages. */
+static bool quar_has_reports(const struct quar_entry *entry)
+{
+	int i;
+
+	for (i = 0; i < entry->loss_count; i++) {
+		if (entry->losses[i].reports_left > 0)
+			return true;
+	}
+	return entry->completed_reports > 0;
+}
+
+/* Returns whether a message is due at once, because of a loss seen here. */
+bool quar_take_alert(struct quar *quar)
+{
+	bool alert = quar->alert;
+
+	quar->alert = false;
+	return alert;
+}
+
+static const struct quar_loss *quar_find_loss(const struct quar_entry *entry,
+					      uint32_t endpoint)
+{
+	int i;
+
+	for (i = 0; i < entry->loss_count; i++) {
+		if (entry->losses[i].endpoint == endpoint)
+			return &entry->losses[i];
+	}
+	return NULL;
+}
+
+/*
+ * Tells whether nothing else ran on a lost endpoint, once the other instances
+ * have had time to report what they ran there.
+ */
+static bool quar_was_alone(const struct quar *quar,
+			   const struct quar_entry *entry,
+			   const struct quar_loss *loss, int64_t now)
+{
+	const struct quar_entry *other;
+
+	if (!loss->alone || now - loss->learned_us < QUAR_SETTLE_US)
+		return false;
+	cds_list_for_each_entry (other, &quar->by_age, by_age) {
+		if (other != entry && quar_find_loss(other, loss->endpoint))
+			return false;
+	}
+	return true;
+}
+
+static void quar_queue_report(struct quar *quar, struct quar_entry *entry)
+{
+	if (!entry->report_pending)
+		cds_list_add_tail(&entry->in_reports, &quar->reports);
+	entry->report_pending = true;
+}
--- a/src/wk.c
+++ b/src/wk.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -240,6 +241,19 @@
 	return wk;
 }
 
+/*
+ * Returns a hash of a worker's process: of its id and its start.  It is the
+ * same on all routers.
+ */
+uint32_t wk_process_hash(const struct wk *wk)
+{
+	char text[WIRE_ID_MAX + 24];
+
+	snprintf(text, sizeof(text), "%s %lld", wk->entry.id,
+		 (long long)wk->entry.started_ms);
+	return htab_hash(text);
+}
+
 /* Returns a worker whose id has a hash, or NULL. */
 struct wk *wk_by_hash(const struct wk_table *table, uint32_t hash)
 {
--- a/src/wk.h
+++ b/src/wk.h
@@ -233,6 +233,7 @@
 	    int64_t now, struct hc_call **out);
 void wk_attend(struct wk *wk);
 void wk_add_loaded(struct wk *wk);
+uint32_t wk_process_hash(const struct wk *wk);
 struct wk *wk_ref(struct wk *wk);
 void wk_unref(struct wk *wk);
 
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -140,12 +140,14 @@
 
 /*
  * Marks overdue probes.  Probes slow workers, and suspects whose time is over,
- * so that an answer clears them.
+ * so that an answer clears them.  Quarantines requests whose crashes all
+ * routers have had time to report.
  */
 void wkp_tick(struct edge *edge, int64_t now)
 {
 	struct wk *wk;
 
+	quar_tick(edge->quar, now);
 	cds_list_for_each_entry (wk, &edge->workers.attended, attended) {
 		if (wk->probing && !wk->proc.unresponsive &&
 		    now - wk->probed_us >= WKP_UNRESPONSIVE_US &&
@@ -255,6 +257,7 @@
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now)
 {
 	struct wk_interrupted *candidate;
+	struct quar_report loss = { 0 };
 	int candidates = 0;
 	int suspects = 0;
 	int deaths;
@@ -288,8 +291,11 @@
 			continue;
 		suspect = quar_check(edge->quar, candidate->fingerprint, now) !=
 			  QUAR_CLEAR;
-		quar_endpoint_lost(edge->quar, candidate->fingerprint, 0,
-				   suspects == (suspect ? 1 : 0), now);
+		memcpy(loss.fingerprint, candidate->fingerprint,
+		       MAG_DIGEST_BYTES);
+		loss.endpoint = wk_process_hash(wk);
+		loss.alone = suspects == (suspect ? 1 : 0);
+		quar_add_loss(edge->quar, &loss, now);
 		candidate->at_us = 0;
 	}
 }
