eq, wkp: a stream that has run for a while did not crash its worker

Change: a request whose attempt has made progress for half a second since its first event there is no candidate, unless nothing else ran on the worker. Whether something did is told by our own load, by that which other routers report, and by what broke off there in the last two seconds; it was told only by other suspects before, so that a harmless request was "alone" beside a harmful one that came for the first time.

--- a/src/eq.h
+++ b/src/eq.h
@@ -59,6 +59,8 @@
 	int64_t max_gap_us;  /* longest gap between events so far */
 	int64_t event_interval_us; /* smoothed; 0: unknown */
 	int64_t first_event_us;	   /* first event forwarded; 0: none */
+	/* First event of this attempt, on its present chain; 0: none. */
+	int64_t begun_us;
 
 	struct eq_hop hops[CHN_HOPS_MAX];
 	int hop_count;
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -175,6 +175,8 @@
 		eq_update_interval(eq, now - eq->progress_us);
 	}
 	eq->progress_us = now;
+	if (!eq->begun_us)
+		eq->begun_us = now;
 	eq_on_progress(eq, now);
 	hs_stream_data(eq->caller, evbuffer_pullup(out, -1), ready);
 	evbuffer_drain(out, ready);
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -93,6 +93,7 @@
 	eq->repair = repair;
 	eq->repairs++;
 	eq->repaired_us = now;
+	eq->begun_us = 0;
 	return true;
 }
 
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -30,10 +30,16 @@
 #define EQ_PLAIN_QUEUE 3
 /* Cost factor of a worker in another data centre. */
 #define EQ_PLAIN_REMOTE 1.3
+/*
+ * A request that crashes its worker does so within this time after its first
+ * event, with a margin.
+ */
+#define EQ_BEGINNING_US (500 * MAG_US_PER_MS)
 
 static enum eq_choice eq_choose_plain(struct eq *eq, int64_t now);
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk);
 static void eq_send(struct eq *eq, int64_t now);
+static bool eq_has_run_well(const struct eq *eq);
 static void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now);
 static struct evbuffer *eq_encode(struct eq *eq, int64_t now);
 
@@ -95,8 +101,10 @@
 }
 
 /*
- * Records a request that may have crashed a worker of its chain, unless that
- * worker had fallen silent before the request reached it.
+ * Records a request that may have crashed a worker of its chain.  It did not if
+ * that worker had fallen silent before the request reached it.  A request that
+ * crashes workers does so as it begins, so that one which has run for a while
+ * did not either, unless nothing else ran there.
  */
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now)
 {
@@ -104,17 +112,32 @@
 	const struct eq_hop *hop = eq_find_hop(eq, wk);
 	bool others = false;
 
+	if (!hop)
+		return;
 	/* For plain workers the time of the last sign of life is unknown. */
-	if (eq->service->has_engine && hop)
+	if (eq->service->has_engine)
 		others = wk->first_hops > (hop == eq->hops) ||
 			 wk->held > hop->held;
 	if (eq->repaired_us > began_us)
 		began_us = eq->repaired_us;
-	if (quar_is_evidence(began_us, wk->proc.last_event_us, others))
-		wk_add_interrupted(wk, eq->fingerprint, now);
+	if (!quar_is_evidence(began_us, wk->proc.last_event_us, others))
+		return;
+	others = wk_runs_others(wk, hop == eq->hops, hop->held, now);
+	if (others && eq_has_run_well(eq))
+		wk->proc.bystander_us = now;
+	else
+		wk_add_interrupted(wk, eq->fingerprint, others, now);
+}
+
+/* Tells whether an attempt was making progress for a while. */
+static bool eq_has_run_well(const struct eq *eq)
+{
+	return eq->begun_us &&
+	       eq->progress_us - eq->begun_us >= EQ_BEGINNING_US;
 }
 
 /* Leaves an unplaced request waiting while that can help, else ends it. */
+static bool eq_has_run_well(const struct eq *eq);
 static void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
 {
 	static const char *const whys[] = {
@@ -229,6 +252,7 @@
 	eq->sent_us = now;
 	eq->progress_us = eq->state == EQ_STREAMING ? eq->progress_us : now;
 	eq->probed_us = now;
+	eq->begun_us = 0;
 	eq->answered = false;
 	eq->garbled = false;
 	eq->status = 0;
--- a/src/wk.h
+++ b/src/wk.h
@@ -20,10 +20,16 @@
 
 #define WK_INTERRUPTED_MAX 32
 #define WK_GONE_MAX	   256
+/*
+ * A request whose answer broke off at most this long before the worker's death
+ * may have caused it.
+ */
+#define WK_INTERRUPTED_US (2 * MAG_US_PER_S)
 
 /* A request that was running on a worker when its answer broke off. */
 struct wk_interrupted {
 	uint8_t fingerprint[MAG_DIGEST_BYTES];
+	bool alone; /* nothing else ran there, as far as is known */
 	int64_t at_us;
 };
 
@@ -81,6 +87,8 @@
 	/* Requests that may have caused its death, if it turns out dead. */
 	struct wk_interrupted interrupted[WK_INTERRUPTED_MAX];
 	int interrupted_next;
+	/* When a request that cannot have caused it last broke off; 0: never */
+	int64_t bystander_us;
 
 	/* The placer's last order, until it is known to be carried out. */
 	bool ordered;
@@ -218,9 +226,10 @@
 void wk_on_break(struct wk *wk, int64_t now);
 void wk_on_success(struct wk *wk);
 void wk_add_result(struct wk *wk, bool good, int64_t took_us);
+bool wk_runs_others(const struct wk *wk, bool first, double held, int64_t now);
 void wk_add_interrupted(struct wk *wk,
 			const uint8_t fingerprint[MAG_DIGEST_BYTES],
-			int64_t now);
+			bool others, int64_t now);
 enum thr_change wk_apply_advert(struct wk *wk, const struct wire_advert *advert,
 				enum wk_answer answer, int64_t sent_us,
 				int64_t now);
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -31,12 +31,6 @@
  */
 #define WKP_SLOW_FACTOR	  1.3
 #define WKP_SLOW_PROBE_US MAG_US_PER_S
-/*
- * A request whose answer broke off at most this long before the worker's death
- * may have caused it.
- */
-#define WKP_INTERRUPTED_US (2 * MAG_US_PER_S)
-
 /* Workers that die within this time may have a common cause. */
 #define WKP_COMMON_CAUSE_US MAG_US_PER_S
 
@@ -59,6 +53,9 @@
 				 enum hc_result end, int64_t now);
 static int wkp_count_recent_deaths(const struct edge *edge, int64_t now);
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now);
+static int wkp_count_candidates(const struct wk *wk, int64_t now);
+static bool wkp_is_candidate(const struct wk_interrupted *interrupted,
+			     int64_t now);
 static void wkp_apply_report(struct wkp_call *call, int64_t now);
 
 static const struct hc_ops wkp_ops = {
@@ -249,55 +246,57 @@
 
 /*
  * Handles the death of a worker, which refuses or drops connections.  A request
- * that ran on it may have caused the crash.  That request would be sent again,
- * also by its caller, and crash one worker after the other.  All requests that
- * ran there become suspects; a request that was the only suspect there for the
- * second time is refused.
+ * that broke off there may have caused the crash.  It would be sent again, also
+ * by its caller, and crash one worker after the other, so that all such
+ * requests become suspects.
  */
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now)
 {
-	struct wk_interrupted *candidate;
+	const struct wk_interrupted *candidate;
 	struct quar_report loss = { 0 };
-	int candidates = 0;
-	int suspects = 0;
 	int deaths;
-	bool suspect;
+	int count;
 	int i;
 
 	wk->died_us = now;
-	for (i = 0; i < WK_INTERRUPTED_MAX; i++) {
-		candidate = &wk->proc.interrupted[i];
-		if (!candidate->at_us ||
-		    now - candidate->at_us >= WKP_INTERRUPTED_US)
-			continue;
-		candidates++;
-		suspects += quar_check(edge->quar, candidate->fingerprint,
-				       now) != QUAR_CLEAR;
-	}
+	count = wkp_count_candidates(wk, now);
 	deaths = wkp_count_recent_deaths(edge, now);
 	jlog(LOG_WK_DIED,
-	     "\"worker\":\"%s\",\"address\":\"%s\",\"interrupted\":%d,"
-	     "\"suspects\":%d,\"died_together\":%d,\"common_cause\":%s",
-	     wk->entry.id, wk->entry.address, candidates, suspects, deaths,
+	     "\"worker\":\"%s\",\"address\":\"%s\",\"candidates\":%d,"
+	     "\"died_together\":%d,\"common_cause\":%s",
+	     wk->entry.id, wk->entry.address, count, deaths,
 	     quar_have_common_cause(deaths) ? "true" : "false");
-	if (quar_have_common_cause(deaths)) {
-		memset(wk->proc.interrupted, 0, sizeof(wk->proc.interrupted));
-		return;
-	}
-	for (i = 0; i < WK_INTERRUPTED_MAX; i++) {
+	loss.endpoint = wk_process_hash(wk);
+	for (i = 0; i < WK_INTERRUPTED_MAX && count > 0; i++) {
 		candidate = &wk->proc.interrupted[i];
-		if (!candidate->at_us ||
-		    now - candidate->at_us >= WKP_INTERRUPTED_US)
+		if (!wkp_is_candidate(candidate, now) ||
+		    quar_have_common_cause(deaths))
 			continue;
-		suspect = quar_check(edge->quar, candidate->fingerprint, now) !=
-			  QUAR_CLEAR;
 		memcpy(loss.fingerprint, candidate->fingerprint,
 		       MAG_DIGEST_BYTES);
-		loss.endpoint = wk_process_hash(wk);
-		loss.alone = suspects == (suspect ? 1 : 0);
+		loss.alone = candidate->alone && count == 1;
 		quar_add_loss(edge->quar, &loss, now);
-		candidate->at_us = 0;
 	}
+	memset(wk->proc.interrupted, 0, sizeof(wk->proc.interrupted));
+}
+
+/* Returns how many requests may have caused a worker's death. */
+static int wkp_count_candidates(const struct wk *wk, int64_t now)
+{
+	int count = 0;
+	int i;
+
+	for (i = 0; i < WK_INTERRUPTED_MAX; i++)
+		count += wkp_is_candidate(&wk->proc.interrupted[i], now);
+	return count;
+}
+
+/* Tells whether a request broke off shortly before a worker's death. */
+static bool wkp_is_candidate(const struct wk_interrupted *interrupted,
+			     int64_t now)
+{
+	return interrupted->at_us &&
+	       now - interrupted->at_us < WK_INTERRUPTED_US;
 }
 
 /* Applies an engine's report, which is some hundred milliseconds old. */
