wkp: workers that die together are evidence against a request that ran on each

Fault: if more than two workers died within a second, the losses were dropped as having a common cause.

Change: such losses count, as three of them are needed and a request runs on few of the workers that a rack takes with it; only that a request was alone on one of them proves nothing.

--- a/src/wkp.c
+++ b/src/wkp.c
@@ -248,12 +248,14 @@
  * Handles the death of a worker, which refuses or drops connections.  A request
  * that broke off there may have caused the crash.  It would be sent again, also
  * by its caller, and crash one worker after the other, so that all such
- * requests become suspects.
+ * requests become suspects.  If workers die together, that a request was alone
+ * on one of them proves nothing.
  */
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now)
 {
 	const struct wk_interrupted *candidate;
 	struct quar_report loss = { 0 };
+	bool common_cause;
 	int deaths;
 	int count;
 	int i;
@@ -261,20 +263,20 @@
 	wk->died_us = now;
 	count = wkp_count_candidates(wk, now);
 	deaths = wkp_count_recent_deaths(edge, now);
+	common_cause = quar_have_common_cause(deaths);
 	jlog(LOG_WK_DIED,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"candidates\":%d,"
 	     "\"died_together\":%d,\"common_cause\":%s",
 	     wk->entry.id, wk->entry.address, count, deaths,
-	     quar_have_common_cause(deaths) ? "true" : "false");
+	     common_cause ? "true" : "false");
 	loss.endpoint = wk_process_hash(wk);
 	for (i = 0; i < WK_INTERRUPTED_MAX && count > 0; i++) {
 		candidate = &wk->proc.interrupted[i];
-		if (!wkp_is_candidate(candidate, now) ||
-		    quar_have_common_cause(deaths))
+		if (!wkp_is_candidate(candidate, now))
 			continue;
 		memcpy(loss.fingerprint, candidate->fingerprint,
 		       MAG_DIGEST_BYTES);
-		loss.alone = candidate->alone && count == 1;
+		loss.alone = candidate->alone && count == 1 && !common_cause;
 		quar_add_loss(edge->quar, &loss, now);
 	}
 	memset(wk->proc.interrupted, 0, sizeof(wk->proc.interrupted));
