eq: a request that is quarantined is not sent again, nor left at a worker

Fault: whether a request crashes workers was asked once, as it arrived. One that was sent again, or waited for a worker or at one, went on after its quarantine, as often as its route allows and at every router that held it. It was also sent again in the moment in which its second worker broke off, before a probe could tell that this worker was dead.

A request that may have crashed a second worker is sent again only 150 ms later, when all routers had time to report.

--- a/src/eq.c
+++ b/src/eq.c
@@ -107,7 +107,8 @@
 
 /*
  * Retries the placement of waiting requests, including streams waiting to
- * resume.
+ * resume, and takes those back that turn out to crash workers before they
+ * begin.
  */
 static void eq_dispatch_waiting(struct edge *edge, int64_t now)
 {
@@ -117,6 +118,8 @@
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
 		if (!eq->call)
 			eq_dispatch(eq, now);
+		else if (eq->state == EQ_SENT)
+			eq_refuse_quarantined(eq, now);
 	}
 }
 
@@ -362,11 +365,21 @@
 		return false;
 	}
 	eq_set_fingerprint(eq);
-	if (quar_check(edge->quar, eq->fingerprint, now) == QUAR_QUARANTINED) {
-		met_increment(&eq->edge->met, MET_POISON);
-		eq_refuse(eq, 503, EQ_RETRY_NEVER, "crashes workers");
+	return !eq_refuse_quarantined(eq, now);
+}
+
+/*
+ * Ends a request that crashes workers, wherever that was found; also one that
+ * waits at a worker to begin.  Returns whether it did.
+ */
+bool eq_refuse_quarantined(struct eq *eq, int64_t now)
+{
+	if (quar_check(eq->edge->quar, eq->fingerprint, now) !=
+	    QUAR_QUARANTINED)
 		return false;
-	}
+	met_increment(&eq->edge->met, MET_POISON);
+	eq->may_have_run |= eq->call != NULL;
+	eq_refuse(eq, 503, EQ_RETRY_NEVER, "crashes workers");
 	return true;
 }
 
--- a/src/eq.h
+++ b/src/eq.h
@@ -52,6 +52,7 @@
 	int64_t target_deadline_us; /* on time if answered or begun by then */
 	int64_t wait_until_us;
 	int64_t backoff_end_us; /* for EQ_RETRY_BACKOFF */
+	int64_t resend_us;	/* not sent again before then */
 	int64_t sent_us;
 	int64_t progress_us; /* of this attempt: when sent, or its last event */
 	int64_t probed_us;   /* when its workers were last probed */
@@ -70,6 +71,7 @@
 	int sends;		  /* to workers, including refused ones */
 	int runs;		  /* sends that may have run */
 	bool may_have_run;
+	bool crash_candidate; /* it may have crashed a worker */
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
 	int avoid_count;
 
@@ -101,6 +103,7 @@
 void eq_refuse(struct eq *eq, int status, enum eq_retry retry, const char *why);
 void eq_fail(struct eq *eq, int status, const char *why);
 void eq_finish(struct eq *eq);
+bool eq_refuse_quarantined(struct eq *eq, int64_t now);
 
 /* eq_send.c */
 void eq_dispatch(struct eq *eq, int64_t now);
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -35,6 +35,8 @@
  * event, with a margin.
  */
 #define EQ_BEGINNING_US (500 * MAG_US_PER_MS)
+/* Time until it is known which requests crashed a worker. */
+#define EQ_VERDICT_US (150 * MAG_US_PER_MS)
 
 static enum eq_choice eq_choose_plain(struct eq *eq, int64_t now);
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk);
@@ -48,6 +50,8 @@
 {
 	enum eq_choice choice;
 
+	if (now < eq->resend_us || eq_refuse_quarantined(eq, now))
+		return;
 	if (eq->sends >= EQ_SENDS_MAX) {
 		eq_refuse(eq, 503, EQ_RETRY_LATER, "no worker accepted it");
 		return;
@@ -104,7 +108,9 @@
  * Records a request that may have crashed a worker of its chain.  It did not if
  * that worker had fallen silent before the request reached it.  A request that
  * crashes workers does so as it begins, so that one which has run for a while
- * did not either, unless nothing else ran there.
+ * did not either, unless nothing else ran there.  A request that may have
+ * crashed two workers is not sent again before all routers could report what
+ * they know of it.
  */
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now)
 {
@@ -123,10 +129,15 @@
 	if (!quar_is_evidence(began_us, wk->proc.last_event_us, others))
 		return;
 	others = wk_runs_others(wk, hop == eq->hops, hop->held, now);
-	if (others && eq_has_run_well(eq))
+	if (others && eq_has_run_well(eq)) {
 		wk->proc.bystander_us = now;
-	else
-		wk_add_interrupted(wk, eq->fingerprint, others, now);
+		return;
+	}
+	wk_add_interrupted(wk, eq->fingerprint, others, now);
+	if (eq->crash_candidate ||
+	    quar_check(eq->edge->quar, eq->fingerprint, now) != QUAR_CLEAR)
+		eq->resend_us = now + EQ_VERDICT_US;
+	eq->crash_candidate = true;
 }
 
 /* Tells whether an attempt was making progress for a while. */
