hint: a router that starts learns of the quarantined requests

Fault: a quarantine was told when it began, and never again. A router that was killed and started, or joined later, let the request through and lost workers to it until it had seen losses of its own.

Change: the first message to a router whose session is new has the losses of all quarantined requests, in as many messages as needed, 16 at most.

If all routers are killed at once nobody knows: open.

--- a/src/hint.c
+++ b/src/hint.c
@@ -191,16 +191,15 @@
 	struct edge *edge = hint->edge;
 	int64_t now = clk_boot_us();
 	struct hint_peer *peer = hint_find_peer(hint, message->name);
-	bool is_new = false;
+	bool is_new;
 	uint32_t k;
 
-	if (!peer) {
+	/* It may wait for a peer's message before it serves. */
+	is_new = !peer || peer->session != message->session;
+	if (!peer)
 		peer = hint_add_peer(hint, message->name);
-		if (!peer)
-			return;
-		/* It may wait for a peer's message before it serves. */
-		is_new = true;
-	}
+	if (!peer)
+		return;
 	peer->received_us = now;
 	peer->address = *from;
 	peer->session = message->session;
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -15,6 +15,8 @@
  * the traffic of a router does not grow with the fleet.
  */
 #define HINT_REMOTE_PEERS_MAX 4
+/* Messages with quarantined requests to a router that has started. */
+#define HINT_FIRST_MESSAGES_MAX 16
 /* Peers of other data centres that hear of a new suspicion at once. */
 #define HINT_REMOTE_PEERS_ALERTED 32
 
@@ -166,15 +168,30 @@
 }
 
 /*
- * Sends a message to a router from which the first one was received; it may not
- * be in the list of peers.
+ * Sends messages to a router from which the first one was received, or the
+ * first one since it started; it may not be in the list of peers.  They hold
+ * all quarantined requests, as far as that router can take them in one go.
  */
 void hint_send_first(struct hint *hint, struct hint_peer *peer)
 {
 	static struct hint_message message;
-
-	hint_fill(hint, &message);
-	hint_send_to(hint, &peer->address, peer, &message);
+	const struct quar *quar = hint->edge->quar;
+	int sent = 0;
+	int held = 0;
+	int count;
+
+	do {
+		hint_fill(hint, &message);
+		do {
+			count = quar_held_losses(quar, held,
+						 message.crashes +
+							 message.crash_count);
+			message.crash_count += (uint32_t)count;
+			held += count > 0;
+		} while (count > 0 && message.crash_count + QUAR_LOSSES_MAX <=
+					      HINT_CRASHES_MAX);
+		hint_send_to(hint, &peer->address, peer, &message);
+	} while (count > 0 && ++sent < HINT_FIRST_MESSAGES_MAX);
 }
 
 /* Fills in our load and the other fields that every message has. */
--- a/src/quar.h
+++ b/src/quar.h
@@ -21,6 +21,7 @@
 
 #include "mag.h"
 
+#define QUAR_LOSSES_MAX 3 /* named losses that quarantine a fingerprint */
 /* Size of a fingerprint as text, which holds its first bytes. */
 #define QUAR_TEXT_SIZE 17
 
@@ -62,6 +63,8 @@
 	       int64_t now);
 void quar_tick(struct quar *quar, int64_t now);
 int quar_collect(struct quar *quar, struct quar_report *reports, int max);
+int quar_held_losses(const struct quar *quar, int index,
+		     struct quar_report reports[QUAR_LOSSES_MAX]);
 bool quar_take_alert(struct quar *quar);
 const char *quar_text(const uint8_t fingerprint[MAG_DIGEST_BYTES],
 		      char text[QUAR_TEXT_SIZE]);
--- a/src/quar_int.h
+++ b/src/quar_int.h
@@ -8,8 +8,7 @@
 #include "log.h"
 #include "quar.h"
 
-#define QUAR_BUCKETS	1024 /* a power of two */
-#define QUAR_LOSSES_MAX 3    /* named losses that quarantine a fingerprint */
+#define QUAR_BUCKETS 1024 /* a power of two */
 
 /* A loss that is known by its endpoint. */
 struct quar_loss {
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -20,6 +20,8 @@
 static void quar_queue_report(struct quar *quar, struct quar_entry *entry);
 static int quar_fill_reports(struct quar_entry *entry,
 			     struct quar_report *reports);
+static void quar_fill_loss(const struct quar_entry *entry, int index,
+			   struct quar_report *report);
 static bool quar_has_reports(const struct quar_entry *entry);
 
 /*
@@ -153,32 +155,60 @@
 	return count;
 }
 
+/*
+ * Copies the losses of a quarantined fingerprint, the index-th of them, for an
+ * instance that may not know of it.  Returns their number; 0 if there are fewer
+ * such fingerprints.
+ */
+int quar_held_losses(const struct quar *quar, int index,
+		     struct quar_report reports[QUAR_LOSSES_MAX])
+{
+	const struct quar_entry *entry;
+	int i;
+
+	cds_list_for_each_entry (entry, &quar->by_age, by_age) {
+		if (!entry->held || entry->loss_count == 0 || index-- > 0)
+			continue;
+		for (i = 0; i < entry->loss_count; i++)
+			quar_fill_loss(entry, i, &reports[i]);
+		return entry->loss_count;
+	}
+	return 0;
+}
+
 /* Copies the reports of an entry that are due; returns their number. */
 static int quar_fill_reports(struct quar_entry *entry,
 			     struct quar_report *reports)
 {
-	struct quar_report report = { 0 };
 	int count = 0;
 	int i;
 
-	memcpy(report.fingerprint, entry->fingerprint, MAG_DIGEST_BYTES);
 	if (entry->completed_reports > 0) {
 		entry->completed_reports--;
-		report.completed = true;
-		reports[count++] = report;
-		return count;
+		memset(reports, 0, sizeof(*reports));
+		memcpy(reports->fingerprint, entry->fingerprint,
+		       MAG_DIGEST_BYTES);
+		reports->completed = true;
+		return 1;
 	}
 	for (i = 0; i < entry->loss_count; i++) {
 		if (entry->losses[i].reports_left == 0)
 			continue;
 		entry->losses[i].reports_left--;
-		report.endpoint = entry->losses[i].endpoint;
-		report.alone = entry->losses[i].alone;
-		reports[count++] = report;
+		quar_fill_loss(entry, i, &reports[count++]);
 	}
 	return count;
 }
 
+static void quar_fill_loss(const struct quar_entry *entry, int index,
+			   struct quar_report *report)
+{
+	memset(report, 0, sizeof(*report));
+	memcpy(report->fingerprint, entry->fingerprint, MAG_DIGEST_BYTES);
+	report->endpoint = entry->losses[index].endpoint;
+	report->alone = entry->losses[index].alone;
+}
+
 /* Tells whether reports of an entry are due in later messages. */
 static bool quar_has_reports(const struct quar_entry *entry)
 {
