wk: requests that broke off at a worker are kept in a list

Fault: 32 requests were remembered of each worker, the oldest replaced.

Change: a list of at most 256, as many as a worker's places and queue, of those that may have caused the death; a worker without any needs no memory for them (it was 1,536 bytes a worker). Each holds the process that it ran on, and stays when a restart of the worker is seen.

--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -60,13 +60,27 @@
 			wk_usable(wk, now) ? "gets requests" : "gets none");
 }
 
+/* "breaks ID COUNT": so many requests break off at a worker. */
+static void break_requests(const char *id, int count, int64_t now)
+{
+	uint8_t fingerprint[MAG_DIGEST_BYTES] = { 0 };
+	struct wk *wk = wk_by_id(&table, id);
+	int i;
+
+	for (i = 0; wk && i < count; i++) {
+		fingerprint[0] = (uint8_t)i;
+		wk_add_interrupted(wk, fingerprint, false, now);
+	}
+}
+
 /*
- * "answer ...", "suspect ID", "refuses ID", "gone ID": what is learned of one
- * worker.  False for another line.
+ * "answer ...", "suspect ID", "refuses ID", "gone ID", "breaks ID COUNT": what
+ * is learned of one worker.  False for another line.
  */
 static bool drive_worker(const char *line, int64_t now)
 {
 	char id[LINE_MAX_];
+	int count;
 
 	if (strncmp(line, "entry", 5) == 0)
 		put_entry(line, now);
@@ -78,6 +92,8 @@
 		wk_on_refusal(wk_by_id(&table, id), now);
 	else if (sscanf(line, "gone %63s", id) == 1)
 		wk_remove(&table, id, now, now);
+	else if (sscanf(line, "breaks %63s %d", id, &count) == 2)
+		break_requests(id, count, now);
 	else
 		return false;
 	return true;
@@ -101,7 +117,7 @@
 	struct hc *hc = hc_new(base);
 	char line[LINE_MAX_];
 	char text[LINE_MAX_];
-	const struct wk *wk;
+	struct wk *wk;
 	int64_t now = MAG_US_PER_S;
 	long long at_ms;
 
@@ -127,6 +143,9 @@
 		else if (sscanf(line, "layers %63s", text) == 1 &&
 			 (wk = wk_by_id(&table, text)))
 			fprintf(out, "%d-%d\n", wk->layers.from, wk->layers.to);
+		else if (sscanf(line, "candidates %63s", text) == 1 &&
+			 (wk = wk_by_id(&table, text)))
+			fprintf(out, "%d\n", wk_count_interrupted(wk, now));
 		else if (strncmp(line, "who", 3) == 0)
 			print_workers(out, now);
 		else if (sscanf(line, "at %47s", text) == 1 &&
--- a/regress/edge/running-not-suspected.sh
+++ b/regress/edge/running-not-suspected.sh
@@ -3,7 +3,7 @@
 . edge/lib.sh
 export FAKE_EVENT_MS=80
 start_four 2
-"$build/tool_calls" -d run 5 60 $routers >"$dir/calls" &
+"$build/tool_calls" -d run 5 120 $routers >"$dir/calls" &
 calls=$!
 sleep 2.5
 kill -KILL $worker_1
--- a/src/wk.c
+++ b/src/wk.c
@@ -129,6 +129,7 @@
 	wk->table = table;
 	CDS_INIT_LIST_HEAD(&wk->attended);
 	CDS_INIT_LIST_HEAD(&wk->loaded);
+	CDS_INIT_LIST_HEAD(&wk->interrupted);
 	cds_list_add_tail(&wk->node, &table->workers);
 	table->count++;
 	return WK_OK;
@@ -229,7 +230,8 @@
 {
 	return !wk->listed || wk->probing || wk->proc.suspected ||
 	       wk->proc.to_announce || wk->announce_rounds > 0 ||
-	       wk->proc.slowdown > 1 || wk->proc.adv.thr.limited;
+	       wk->interrupted_count > 0 || wk->proc.slowdown > 1 ||
+	       wk->proc.adv.thr.limited;
 }
 
 struct wk *wk_by_id(const struct wk_table *table, const char *id)
@@ -469,6 +471,7 @@
 static void wk_free(struct wk_table *table, struct wk *wk)
 {
 	wk_save_adv(table, wk);
+	wk_forget_interrupted(wk, MAG_NEVER);
 	cds_list_del(&wk->node);
 	cds_list_del(&wk->attended);
 	cds_list_del(&wk->loaded);
--- a/src/wk.h
+++ b/src/wk.h
@@ -18,18 +18,14 @@
 #include "adv.h"
 #include "wire.h"
 
-#define WK_INTERRUPTED_MAX 32
-#define WK_GONE_MAX	   256
-/*
- * A request whose answer broke off at most this long before the worker's death
- * may have caused it.
- */
-#define WK_INTERRUPTED_US (2 * MAG_US_PER_S)
+#define WK_GONE_MAX 256
 
 /* A request that was running on a worker when its answer broke off. */
 struct wk_interrupted {
+	struct cds_list_head node;
 	uint8_t fingerprint[MAG_DIGEST_BYTES];
-	bool alone; /* nothing else ran there, as far as is known */
+	uint32_t process; /* hash of the worker's process */
+	bool alone;	  /* nothing else ran there, as far as is known */
 	int64_t at_us;
 };
 
@@ -84,9 +80,6 @@
 
 	struct adv adv; /* what it advertises */
 
-	/* Requests that may have caused its death, if it turns out dead. */
-	struct wk_interrupted interrupted[WK_INTERRUPTED_MAX];
-	int interrupted_next;
 	/* When a request that cannot have caused it last broke off; 0: never */
 	int64_t bystander_us;
 
@@ -144,6 +137,12 @@
 	 * a restart, as workers that die together have a common cause.
 	 */
 	int64_t died_us;
+	/*
+	 * Requests that may have caused its death, if it turns out dead, by
+	 * time. Kept over a restart, which proves that it died.
+	 */
+	struct cds_list_head interrupted;
+	int interrupted_count;
 };
 
 /* A worker whose entry was removed, or was missing from a complete listing. */
@@ -226,10 +225,12 @@
 void wk_on_break(struct wk *wk, int64_t now);
 void wk_on_success(struct wk *wk);
 void wk_add_result(struct wk *wk, bool good, int64_t took_us);
-bool wk_runs_others(const struct wk *wk, bool first, double held, int64_t now);
+bool wk_runs_others(struct wk *wk, bool first, double held, int64_t now);
 void wk_add_interrupted(struct wk *wk,
 			const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			bool others, int64_t now);
+int wk_count_interrupted(struct wk *wk, int64_t now);
+void wk_forget_interrupted(struct wk *wk, int64_t until_us);
 enum thr_change wk_apply_advert(struct wk *wk, const struct wire_advert *advert,
 				enum wk_answer answer, int64_t sent_us,
 				int64_t now);
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -55,7 +55,6 @@
 #define WK_SMOOTHING 0.1
 
 static bool wk_is_avoided_by_hearsay(const struct wk *wk, int64_t now);
-static bool wk_is_recent(int64_t broke_off_us, int64_t now);
 static void wk_log_suspect(const struct wk *wk, const char *why,
 			   int64_t duration_us, int times);
 
@@ -207,46 +206,3 @@
 	wk->proc.response_us +=
 		WK_SMOOTHING * ((double)took_us - wk->proc.response_us);
 }
-
-/*
- * Tells whether a worker runs, or just ran, anything besides one of our
- * requests, whose first worker it is or not, and which holds memory there.
- */
-bool wk_runs_others(const struct wk *wk, bool first, double held, int64_t now)
-{
-	int i;
-
-	if (wk->first_hops > first || wk->held > held ||
-	    wk->peer_first_hops > 0 || wk->peer_held > 0 ||
-	    wk_is_recent(wk->proc.bystander_us, now))
-		return true;
-	for (i = 0; i < WK_INTERRUPTED_MAX; i++) {
-		if (wk_is_recent(wk->proc.interrupted[i].at_us, now))
-			return true;
-	}
-	return false;
-}
-
-/* Tells whether a request broke off so lately that it counts at a death. */
-static bool wk_is_recent(int64_t broke_off_us, int64_t now)
-{
-	return broke_off_us && now - broke_off_us < WK_INTERRUPTED_US;
-}
-
-/*
- * Remembers a request that broke off at a worker, and whether others ran there;
- * replaces the oldest.
- */
-void wk_add_interrupted(struct wk *wk,
-			const uint8_t fingerprint[MAG_DIGEST_BYTES],
-			bool others, int64_t now)
-{
-	struct wk_interrupted *slot =
-		&wk->proc.interrupted[wk->proc.interrupted_next];
-
-	wk->proc.interrupted_next =
-		(wk->proc.interrupted_next + 1) % WK_INTERRUPTED_MAX;
-	memcpy(slot->fingerprint, fingerprint, MAG_DIGEST_BYTES);
-	slot->alone = !others;
-	slot->at_us = now;
-}
--- /dev/null
+++ b/src/wk_lost.c
@@ -0,0 +1,86 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "wk.h"
+
+/* Requests that are remembered of a worker: its places and its queue. */
+#define WK_INTERRUPTED_MAX 256
+/*
+ * A request whose answer broke off at most this long before the worker's death
+ * may have caused it.
+ */
+#define WK_INTERRUPTED_US (2 * MAG_US_PER_S)
+
+static void wk_free_interrupted(struct wk *wk,
+				struct wk_interrupted *interrupted);
+
+/*
+ * Tells whether a worker runs, or just ran, anything besides one of our
+ * requests, whose first worker it is or not, and which holds memory there.
+ */
+bool wk_runs_others(struct wk *wk, bool first, double held, int64_t now)
+{
+	return wk->first_hops > first || wk->held > held ||
+	       wk->peer_first_hops > 0 || wk->peer_held > 0 ||
+	       (wk->proc.bystander_us &&
+		now - wk->proc.bystander_us < WK_INTERRUPTED_US) ||
+	       wk_count_interrupted(wk, now) > 0;
+}
+
+/*
+ * Remembers a request that broke off at a worker, and whether others ran there,
+ * until it is known whether the worker died.  If there are too many, the oldest
+ * is forgotten; without memory this one is.
+ */
+void wk_add_interrupted(struct wk *wk,
+			const uint8_t fingerprint[MAG_DIGEST_BYTES],
+			bool others, int64_t now)
+{
+	struct wk_interrupted *added = malloc(sizeof(*added));
+
+	if (!added)
+		return;
+	if (wk_count_interrupted(wk, now) == WK_INTERRUPTED_MAX)
+		wk_free_interrupted(
+			wk, cds_list_first_entry(&wk->interrupted,
+						 struct wk_interrupted, node));
+	memcpy(added->fingerprint, fingerprint, MAG_DIGEST_BYTES);
+	added->process = wk_process_hash(wk);
+	added->alone = !others;
+	added->at_us = now;
+	cds_list_add_tail(&added->node, &wk->interrupted);
+	wk->interrupted_count++;
+	wk_attend(wk);
+}
+
+/*
+ * Returns how many requests may have caused a death of the worker now; forgets
+ * those that broke off too long ago.
+ */
+int wk_count_interrupted(struct wk *wk, int64_t now)
+{
+	wk_forget_interrupted(wk, now - WK_INTERRUPTED_US);
+	return wk->interrupted_count;
+}
+
+/* Forgets the requests that broke off at a time or before. */
+void wk_forget_interrupted(struct wk *wk, int64_t until_us)
+{
+	struct wk_interrupted *interrupted;
+	struct wk_interrupted *next;
+
+	cds_list_for_each_entry_safe (interrupted, next, &wk->interrupted,
+				      node) {
+		if (interrupted->at_us > until_us)
+			break;
+		wk_free_interrupted(wk, interrupted);
+	}
+}
+
+static void wk_free_interrupted(struct wk *wk,
+				struct wk_interrupted *interrupted)
+{
+	cds_list_del(&interrupted->node);
+	wk->interrupted_count--;
+	free(interrupted);
+}
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -53,9 +53,6 @@
 				 enum hc_result end, int64_t now);
 static int wkp_count_recent_deaths(const struct edge *edge, int64_t now);
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now);
-static int wkp_count_candidates(const struct wk *wk, int64_t now);
-static bool wkp_is_candidate(const struct wk_interrupted *interrupted,
-			     int64_t now);
 static void wkp_apply_report(struct wkp_call *call, int64_t now);
 
 static const struct hc_ops wkp_ops = {
@@ -258,10 +255,9 @@
 	bool common_cause;
 	int deaths;
 	int count;
-	int i;
 
 	wk->died_us = now;
-	count = wkp_count_candidates(wk, now);
+	count = wk_count_interrupted(wk, now);
 	deaths = wkp_count_recent_deaths(edge, now);
 	common_cause = quar_have_common_cause(deaths);
 	jlog(LOG_WK_DIED,
@@ -269,36 +265,14 @@
 	     "\"died_together\":%d,\"common_cause\":%s",
 	     wk->entry.id, wk->entry.address, count, deaths,
 	     common_cause ? "true" : "false");
-	loss.endpoint = wk_process_hash(wk);
-	for (i = 0; i < WK_INTERRUPTED_MAX && count > 0; i++) {
-		candidate = &wk->proc.interrupted[i];
-		if (!wkp_is_candidate(candidate, now))
-			continue;
+	cds_list_for_each_entry (candidate, &wk->interrupted, node) {
 		memcpy(loss.fingerprint, candidate->fingerprint,
 		       MAG_DIGEST_BYTES);
+		loss.endpoint = candidate->process;
 		loss.alone = candidate->alone && count == 1 && !common_cause;
 		quar_add_loss(edge->quar, &loss, now);
 	}
-	memset(wk->proc.interrupted, 0, sizeof(wk->proc.interrupted));
-}
-
-/* Returns how many requests may have caused a worker's death. */
-static int wkp_count_candidates(const struct wk *wk, int64_t now)
-{
-	int count = 0;
-	int i;
-
-	for (i = 0; i < WK_INTERRUPTED_MAX; i++)
-		count += wkp_is_candidate(&wk->proc.interrupted[i], now);
-	return count;
-}
-
-/* Tells whether a request broke off shortly before a worker's death. */
-static bool wkp_is_candidate(const struct wk_interrupted *interrupted,
-			     int64_t now)
-{
-	return interrupted->at_us &&
-	       now - interrupted->at_us < WK_INTERRUPTED_US;
+	wk_forget_interrupted(wk, now);
 }
 
 /* Applies an engine's report, which is some hundred milliseconds old. */
