wkp: a worker at which a request broke off is probed, if later

Fault: a worker is probed when a connection to it breaks, but not within 100 ms of its last probe, and then nothing probed it again. A crash under a harmful request shortly after a probe stayed unknown, and with it the request. And what had broken off before a probe that was answered stayed a candidate for two seconds, for the next death.

Change: as long as something broke off there after the last probe, the next tick that may probes; an answer of the worker clears what broke off before. One probe for each break at most, so that a worker that does not answer gets no more of them than before.

--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -69,13 +69,16 @@
 static double pace = 1; /* over 1: slow; appears only in the report */
 static int slots = 64;
 static bool draining;
-static bool drop_replies;      /* run a request and close without a reply */
-static bool abort_requests;    /* abort all requests, but reply to reports */
-static const char *limit;      /* requests per second, sent in all replies */
-static const char *backoff;    /* refuse with this Retry-After (seconds) */
-static bool leaving;	       /* said in all answers, but not in the list */
-static bool print_messages;    /* a line for every message of a router */
-static int64_t crash_at_us;    /* 0: never */
+static bool drop_replies;   /* run a request and close without a reply */
+static bool abort_requests; /* abort all requests, but reply to reports */
+static const char *limit;   /* requests per second, sent in all replies */
+static const char *backoff; /* refuse with this Retry-After (seconds) */
+static bool leaving;	    /* said in all answers, but not in the list */
+static bool print_messages; /* a line for every message of a router */
+static bool abort_next;	    /* abort the next request */
+static int64_t crash_at_us; /* 0: never */
+/* Time until a request whose path holds "poison" crashes this worker. */
+static int64_t crash_us;
 static bool reset_next_report; /* reset the connection of the next one */
 static CDS_LIST_HEAD(jobs);
 static CDS_LIST_HEAD(peers);
@@ -386,7 +389,8 @@
 		refuse(conn, 503, kind ? address : NULL);
 		return;
 	}
-	if (abort_requests) {
+	if (abort_requests || abort_next) {
+		abort_next = false;
 		printf("BROKE %s %s\n", attempt, id);
 		hs_abort(conn);
 		return;
@@ -409,7 +413,7 @@
 	if (strstr(hs_target(conn), "poison")) {
 		job->due_us = MAG_NEVER;
 		if (!crash_at_us)
-			crash_at_us = clk_boot_us() + CRASH_US;
+			crash_at_us = clk_boot_us() + crash_us;
 	}
 	if (!kind)
 		printf("RUN %s %s %s\n", job->id, id, hs_method(conn));
@@ -445,6 +449,8 @@
 		drop_replies = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/break") == 0)
 		abort_requests = true, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (strcmp(target, "/stand-in/break-next") == 0)
+		abort_next = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/drop") == 0)
 		reset_next_report = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/keep") == 0)
@@ -672,6 +678,7 @@
 	started_ms = clk_wall_ms();
 	slots = env_number("FAKE_SLOTS", slots);
 	event_us = env_number("FAKE_EVENT_MS", 20) * MAG_US_PER_MS;
+	crash_us = env_number("FAKE_CRASH_MS", 60) * MAG_US_PER_MS;
 	if (hc_host_new(hc, argv[1], 8, &store) ||
 	    hs_new(base, address, &ops, NULL, &hs))
 		return 1;
--- a/src/wk_lost.c
+++ b/src/wk_lost.c
@@ -63,6 +63,18 @@
 	return wk->interrupted_count;
 }
 
+/* Tells whether a request broke off at a worker since its last probe. */
+bool wk_broke_since_probe(struct wk *wk, int64_t now)
+{
+	const struct wk_interrupted *last;
+
+	if (wk_count_interrupted(wk, now) == 0)
+		return false;
+	last = cds_list_entry(wk->interrupted.prev, struct wk_interrupted,
+			      node);
+	return last->at_us > wk->probed_us;
+}
+
 /* Forgets the requests that broke off at a time or before. */
 void wk_forget_interrupted(struct wk *wk, int64_t until_us)
 {
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -154,6 +154,8 @@
 		if (wk->proc.suspected && now >= wk->proc.suspect_until_us &&
 		    wk_alive(wk, now))
 			wkp_probe(edge, wk, now);
+		if (wk_broke_since_probe(wk, now))
+			wkp_probe(edge, wk, now);
 	}
 }
 
@@ -194,8 +196,10 @@
 
 	wk->probing = false;
 	wk_unref(wk);
-	if (end == HC_COMPLETE)
+	if (end == HC_COMPLETE) {
 		wk->proc.unresponsive = false;
+		wk_forget_interrupted(wk, wk->probed_us);
+	}
 	if (end == HC_COMPLETE && call->engine) {
 		wkp_apply_report(call, now);
 	} else if (end == HC_COMPLETE) {
