wkp: a restart under its id proves that a worker crashed

Fault: what broke off at a worker was forgotten when the list showed its restart, although that is the proof of its death. A worker that requested a backoff may not be probed, so that nothing else could tell.

Change: what broke off at a process before the present one counts as interrupted by its death.

--- a/src/wk.h
+++ b/src/wk.h
@@ -229,6 +229,7 @@
 void wk_add_interrupted(struct wk *wk,
 			const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			bool others, int64_t now);
+bool wk_broke_before_restart(struct wk *wk, int64_t now);
 bool wk_broke_since_probe(struct wk *wk, int64_t now);
 int wk_count_interrupted(struct wk *wk, int64_t now);
 void wk_forget_interrupted(struct wk *wk, int64_t until_us);
--- a/src/wk_lost.c
+++ b/src/wk_lost.c
@@ -63,6 +63,18 @@
 	return wk->interrupted_count;
 }
 
+/* Tells whether a request broke off at a process before the present one. */
+bool wk_broke_before_restart(struct wk *wk, int64_t now)
+{
+	const struct wk_interrupted *first;
+
+	if (wk_count_interrupted(wk, now) == 0)
+		return false;
+	first = cds_list_first_entry(&wk->interrupted, struct wk_interrupted,
+				     node);
+	return first->process != wk_process_hash(wk);
+}
+
 /* Tells whether a request broke off at a worker since its last probe. */
 bool wk_broke_since_probe(struct wk *wk, int64_t now)
 {
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -154,7 +154,9 @@
 		if (wk->proc.suspected && now >= wk->proc.suspect_until_us &&
 		    wk_alive(wk, now))
 			wkp_probe(edge, wk, now);
-		if (wk_broke_since_probe(wk, now))
+		if (wk_broke_before_restart(wk, now))
+			wkp_on_death(edge, wk, now);
+		else if (wk_broke_since_probe(wk, now))
 			wkp_probe(edge, wk, now);
 	}
 }
@@ -246,11 +248,11 @@
 }
 
 /*
- * Handles the death of a worker, which refuses or drops connections.  A request
- * that broke off there may have caused the crash.  It would be sent again, also
- * by its caller, and crash one worker after the other, so that all such
- * requests become suspects.  If workers die together, that a request was alone
- * on one of them proves nothing.
+ * Handles the death of a worker, which refuses or drops connections or has been
+ * started again.  A request that broke off there may have caused the crash.  It
+ * would be sent again, also by its caller, and crash one worker after the other,
+ * so that all such requests become suspects.  If workers die together, that a
+ * request was alone on one of them proves nothing.
  */
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now)
 {
