--- a/src/wkp.c
+++ b/src/wkp.c
@@ -250,9 +250,9 @@
 /*
  * Handles the death of a worker, which refuses or drops connections or has been
  * started again.  A request that broke off there may have caused the crash.  It
- * would be sent again, also by its caller, and crash one worker after the other,
- * so that all such requests become suspects.  If workers die together, that a
- * request was alone on one of them proves nothing.
+ * would be sent again, also by its caller, and crash one worker after the
+ * other, so that all such requests become suspects.  If workers die together,
+ * that a request was alone on one of them proves nothing.
  */
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now)
 {
