eq, wk: a request that its caller left may still crash its worker

Fault: only requests whose answer broke off were blamed for a crash. One that was given up before (its caller left, or its time was over) was forgotten at once, though it may be at its worker still and crash it; its caller sends it again, and others that broke off there take the blame. And a request that found no connection suspected the worker without asking whether it had died, so that the crash was noticed 1.5 s later or not at all.

A worker that takes no connection is probed if something may have crashed it.

--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -63,13 +63,13 @@
 /* "breaks ID COUNT": so many requests break off at a worker. */
 static void break_requests(const char *id, int count, int64_t now)
 {
-	uint8_t fingerprint[MAG_DIGEST_BYTES] = { 0 };
+	struct wk_interrupted interrupted = { .at_us = now };
 	struct wk *wk = wk_by_id(&table, id);
 	int i;
 
 	for (i = 0; wk && i < count; i++) {
-		fingerprint[0] = (uint8_t)i;
-		wk_add_interrupted(wk, fingerprint, false, now);
+		interrupted.fingerprint[0] = (uint8_t)i;
+		wk_add_interrupted(wk, &interrupted);
 	}
 }
 
--- a/src/eq.c
+++ b/src/eq.c
@@ -488,8 +488,10 @@
 /* Cancels outstanding work for a request and releases all that it holds. */
 static void eq_free(struct eq *eq)
 {
-	if (eq->call)
+	if (eq->call) {
+		eq_add_left(eq, clk_boot_us());
 		hc_cancel(eq->call);
+	}
 	eq->call = NULL;
 	eq_release(eq);
 	cds_list_del(&eq->node);
--- a/src/eq.h
+++ b/src/eq.h
@@ -111,6 +111,7 @@
 bool eq_avoids(const struct eq *eq, const struct wk *wk);
 void eq_avoid(struct eq *eq, const struct wk *wk);
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now);
+void eq_add_left(struct eq *eq, int64_t now);
 
 /* eq_chain.c */
 enum eq_choice {
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -309,7 +309,11 @@
 
 	eq_avoid(eq, wk);
 	if (end == HC_UNSENT) {
-		wk_suspect(wk, now, "no connection");
+		/* A probe tells a death, and suspects the worker, too. */
+		if (wk_count_interrupted(wk, now) > 0)
+			wkp_probe(edge, wk, now);
+		if (!wk->probing)
+			wk_suspect(wk, now, "no connection");
 		eq_retry_or_fail(eq, "not sent");
 		eq_on_suspect(edge, wk, now);
 		return;
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -41,6 +41,8 @@
 static enum eq_choice eq_choose_plain(struct eq *eq, int64_t now);
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk);
 static void eq_send(struct eq *eq, int64_t now);
+static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
+			       bool left, int64_t now);
 static bool eq_has_run_well(const struct eq *eq);
 static void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now);
 static struct evbuffer *eq_encode(struct eq *eq, int64_t now);
@@ -128,18 +130,42 @@
 		began_us = eq->repaired_us;
 	if (!quar_is_evidence(began_us, wk->proc.last_event_us, others))
 		return;
-	others = wk_runs_others(wk, hop == eq->hops, hop->held, now);
-	if (others && eq_has_run_well(eq)) {
-		wk->proc.bystander_us = now;
+	if (!eq_add_interrupted(eq, hop, false, now))
 		return;
-	}
-	wk_add_interrupted(wk, eq->fingerprint, others, now);
 	if (eq->crash_candidate ||
 	    quar_check(eq->edge->quar, eq->fingerprint, now) != QUAR_CLEAR)
 		eq->resend_us = now + EQ_VERDICT_US;
 	eq->crash_candidate = true;
 }
 
+/*
+ * Records a request that is given up while it waits or begins at its worker,
+ * which it may still crash.
+ */
+void eq_add_left(struct eq *eq, int64_t now)
+{
+	if (!eq_has_run_well(eq))
+		eq_add_interrupted(eq, &eq->hops[0], true, now);
+}
+
+/* Returns whether a request may have crashed the worker of a hop. */
+static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
+			       bool left, int64_t now)
+{
+	struct wk_interrupted interrupted = { .left = left, .at_us = now };
+	bool others =
+		wk_runs_others(hop->worker, hop == eq->hops, hop->held, now);
+
+	if (others && eq_has_run_well(eq)) {
+		hop->worker->proc.bystander_us = now;
+		return false;
+	}
+	interrupted.alone = !others;
+	memcpy(interrupted.fingerprint, eq->fingerprint, MAG_DIGEST_BYTES);
+	wk_add_interrupted(hop->worker, &interrupted);
+	return true;
+}
+
 /* Tells whether an attempt was making progress for a while. */
 static bool eq_has_run_well(const struct eq *eq)
 {
@@ -148,6 +174,8 @@
 }
 
 /* Leaves an unplaced request waiting while that can help, else ends it. */
+static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
+			       bool left, int64_t now);
 static bool eq_has_run_well(const struct eq *eq);
 static void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
 {
--- a/src/wk.c
+++ b/src/wk.c
@@ -471,7 +471,7 @@
 static void wk_free(struct wk_table *table, struct wk *wk)
 {
 	wk_save_adv(table, wk);
-	wk_forget_interrupted(wk, MAG_NEVER);
+	wk_clear_interrupted(wk);
 	cds_list_del(&wk->node);
 	cds_list_del(&wk->attended);
 	cds_list_del(&wk->loaded);
--- a/src/wk.h
+++ b/src/wk.h
@@ -20,12 +20,13 @@
 
 #define WK_GONE_MAX 256
 
-/* A request that was running on a worker when its answer broke off. */
+/* A request that was running on a worker when it broke off or was left. */
 struct wk_interrupted {
 	struct cds_list_head node;
 	uint8_t fingerprint[MAG_DIGEST_BYTES];
 	uint32_t process; /* hash of the worker's process */
 	bool alone;	  /* nothing else ran there, as far as is known */
+	bool left;	  /* its caller left; it may still run */
 	int64_t at_us;
 };
 
@@ -227,12 +228,12 @@
 void wk_add_result(struct wk *wk, bool good, int64_t took_us);
 bool wk_runs_others(struct wk *wk, bool first, double held, int64_t now);
 void wk_add_interrupted(struct wk *wk,
-			const uint8_t fingerprint[MAG_DIGEST_BYTES],
-			bool others, int64_t now);
-bool wk_broke_before_restart(struct wk *wk, int64_t now);
-bool wk_broke_since_probe(struct wk *wk, int64_t now);
+			const struct wk_interrupted *interrupted);
 int wk_count_interrupted(struct wk *wk, int64_t now);
-void wk_forget_interrupted(struct wk *wk, int64_t until_us);
+bool wk_broke_before_restart(struct wk *wk, int64_t now);
+bool wk_broke_since_probe(const struct wk *wk);
+void wk_forget_broken(struct wk *wk, int64_t probed_us);
+void wk_clear_interrupted(struct wk *wk);
 enum thr_change wk_apply_advert(struct wk *wk, const struct wire_advert *advert,
 				enum wk_answer answer, int64_t sent_us,
 				int64_t now);
--- a/src/wk_lost.c
+++ b/src/wk_lost.c
@@ -28,26 +28,22 @@
 }
 
 /*
- * Remembers a request that broke off at a worker, and whether others ran there,
- * until it is known whether the worker died.  If there are too many, the oldest
- * is forgotten; without memory this one is.
+ * Remembers a request that broke off at a worker, or was left there by a caller
+ * that did not wait for it, until it is known whether the worker died.  If
+ * there are too many, the oldest is forgotten; without memory this one is.
  */
-void wk_add_interrupted(struct wk *wk,
-			const uint8_t fingerprint[MAG_DIGEST_BYTES],
-			bool others, int64_t now)
+void wk_add_interrupted(struct wk *wk, const struct wk_interrupted *interrupted)
 {
 	struct wk_interrupted *added = malloc(sizeof(*added));
 
 	if (!added)
 		return;
-	if (wk_count_interrupted(wk, now) == WK_INTERRUPTED_MAX)
+	if (wk_count_interrupted(wk, interrupted->at_us) == WK_INTERRUPTED_MAX)
 		wk_free_interrupted(
 			wk, cds_list_first_entry(&wk->interrupted,
 						 struct wk_interrupted, node));
-	memcpy(added->fingerprint, fingerprint, MAG_DIGEST_BYTES);
+	*added = *interrupted;
 	added->process = wk_process_hash(wk);
-	added->alone = !others;
-	added->at_us = now;
 	cds_list_add_tail(&added->node, &wk->interrupted);
 	wk->interrupted_count++;
 	wk_attend(wk);
@@ -59,7 +55,15 @@
  */
 int wk_count_interrupted(struct wk *wk, int64_t now)
 {
-	wk_forget_interrupted(wk, now - WK_INTERRUPTED_US);
+	struct wk_interrupted *interrupted;
+	struct wk_interrupted *next;
+
+	cds_list_for_each_entry_safe (interrupted, next, &wk->interrupted,
+				      node) {
+		if (now - interrupted->at_us < WK_INTERRUPTED_US)
+			break;
+		wk_free_interrupted(wk, interrupted);
+	}
 	return wk->interrupted_count;
 }
 
@@ -76,31 +80,42 @@
 }
 
 /* Tells whether a request broke off at a worker since its last probe. */
-bool wk_broke_since_probe(struct wk *wk, int64_t now)
+bool wk_broke_since_probe(const struct wk *wk)
 {
-	const struct wk_interrupted *last;
+	const struct wk_interrupted *interrupted;
 
-	if (wk_count_interrupted(wk, now) == 0)
-		return false;
-	last = cds_list_entry(wk->interrupted.prev, struct wk_interrupted,
-			      node);
-	return last->at_us > wk->probed_us;
+	cds_list_for_each_entry (interrupted, &wk->interrupted, node) {
+		if (!interrupted->left && interrupted->at_us > wk->probed_us)
+			return true;
+	}
+	return false;
 }
 
-/* Forgets the requests that broke off at a time or before. */
-void wk_forget_interrupted(struct wk *wk, int64_t until_us)
+/*
+ * Forgets the requests that broke off before a probe, which the worker has
+ * answered.  One that was left there may still crash it.
+ */
+void wk_forget_broken(struct wk *wk, int64_t probed_us)
 {
 	struct wk_interrupted *interrupted;
 	struct wk_interrupted *next;
 
 	cds_list_for_each_entry_safe (interrupted, next, &wk->interrupted,
 				      node) {
-		if (interrupted->at_us > until_us)
-			break;
-		wk_free_interrupted(wk, interrupted);
+		if (!interrupted->left && interrupted->at_us <= probed_us)
+			wk_free_interrupted(wk, interrupted);
 	}
 }
 
+void wk_clear_interrupted(struct wk *wk)
+{
+	struct wk_interrupted *interrupted;
+	struct wk_interrupted *next;
+
+	cds_list_for_each_entry_safe (interrupted, next, &wk->interrupted, node)
+		wk_free_interrupted(wk, interrupted);
+}
+
 static void wk_free_interrupted(struct wk *wk,
 				struct wk_interrupted *interrupted)
 {
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -156,7 +156,7 @@
 			wkp_probe(edge, wk, now);
 		if (wk_broke_before_restart(wk, now))
 			wkp_on_death(edge, wk, now);
-		else if (wk_broke_since_probe(wk, now))
+		else if (wk_broke_since_probe(wk))
 			wkp_probe(edge, wk, now);
 	}
 }
@@ -200,7 +200,7 @@
 	wk_unref(wk);
 	if (end == HC_COMPLETE) {
 		wk->proc.unresponsive = false;
-		wk_forget_interrupted(wk, wk->probed_us);
+		wk_forget_broken(wk, wk->probed_us);
 	}
 	if (end == HC_COMPLETE && call->engine) {
 		wkp_apply_report(call, now);
@@ -278,7 +278,7 @@
 		loss.alone = candidate->alone && count == 1 && !common_cause;
 		quar_add_loss(edge->quar, &loss, now);
 	}
-	wk_forget_interrupted(wk, now);
+	wk_clear_interrupted(wk);
 }
 
 /* Applies an engine's report, which is some hundred milliseconds old. */
