eq: a suspect that runs well elsewhere is cleared, not only at its end

Fault: a stream that broke off with its worker stayed a suspect until it was complete at another one, two to five seconds later. Meanwhile every crash beside it counted against it, though it had proved by then that it does not crash workers as it begins.

Change: half a second of progress clears it, as at the next crash it would be no candidate; the other routers hear of it.

--- a/src/eq.h
+++ b/src/eq.h
@@ -72,6 +72,7 @@
 	int runs;		  /* sends that may have run */
 	bool may_have_run;
 	bool crash_candidate; /* it may have crashed a worker */
+	bool ran_well;	      /* its present attempt did not crash one */
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
 	int avoid_count;
 
@@ -112,6 +113,7 @@
 void eq_avoid(struct eq *eq, const struct wk *wk);
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now);
 void eq_add_left(struct eq *eq, int64_t now);
+void eq_clear_suspect(struct eq *eq, int64_t now);
 
 /* eq_chain.c */
 enum eq_choice {
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -178,6 +178,7 @@
 	if (!eq->begun_us)
 		eq->begun_us = now;
 	eq_on_progress(eq, now);
+	eq_clear_suspect(eq, now);
 	hs_stream_data(eq->caller, evbuffer_pullup(out, -1), ready);
 	evbuffer_drain(out, ready);
 }
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -166,6 +166,18 @@
 	return true;
 }
 
+/*
+ * Clears a suspect whose attempt has run for so long that it does not crash its
+ * workers.
+ */
+void eq_clear_suspect(struct eq *eq, int64_t now)
+{
+	if (eq->ran_well || !eq_has_run_well(eq))
+		return;
+	eq->ran_well = true;
+	quar_completed(eq->edge->quar, eq->fingerprint, now);
+}
+
 /* Tells whether an attempt was making progress for a while. */
 static bool eq_has_run_well(const struct eq *eq)
 {
@@ -292,6 +304,7 @@
 	eq->progress_us = eq->state == EQ_STREAMING ? eq->progress_us : now;
 	eq->probed_us = now;
 	eq->begun_us = 0;
+	eq->ran_well = false;
 	eq->answered = false;
 	eq->garbled = false;
 	eq->status = 0;
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -68,9 +68,9 @@
 	entry->until_us = now + quar->hold_us;
 	quar_touch(quar, entry);
 	quar_queue_report(quar, entry);
-	if (entry->loss_count == 1)
-		quar_log(LOG_QUAR_SUSPECT, entry);
 	quar_judge(quar, entry, now);
+	if (!entry->held)
+		quar_log(LOG_QUAR_SUSPECT, entry);
 	return true;
 }
 
