eq: a connection that was open until the crash is evidence

Fault: a request was no candidate if nothing was heard from its worker after it was sent while other requests ran there, as that worker might have been dead already.

Change: the rule holds for silent workers, and for connections that are reset within 20 ms. A connection that is reset later was open until the crash.

--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -35,12 +35,19 @@
  * event, with a margin.
  */
 #define EQ_BEGINNING_US (500 * MAG_US_PER_MS)
+/*
+ * A process that is dead resets a connection within this time, also from
+ * another data centre.
+ */
+#define EQ_RESET_US (20 * MAG_US_PER_MS)
 /* Time until it is known which requests crashed a worker. */
 #define EQ_VERDICT_US (150 * MAG_US_PER_MS)
 
 static enum eq_choice eq_choose_plain(struct eq *eq, int64_t now);
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk);
 static void eq_send(struct eq *eq, int64_t now);
+static bool eq_is_evidence(const struct eq *eq, const struct eq_hop *hop,
+			   int64_t now);
 static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
 			       bool left, int64_t now);
 static bool eq_has_run_well(const struct eq *eq);
@@ -116,21 +123,10 @@
  */
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now)
 {
-	int64_t began_us = eq->sent_us;
 	const struct eq_hop *hop = eq_find_hop(eq, wk);
-	bool others = false;
 
-	if (!hop)
-		return;
-	/* For plain workers the time of the last sign of life is unknown. */
-	if (eq->service->has_engine)
-		others = wk->first_hops > (hop == eq->hops) ||
-			 wk->held > hop->held;
-	if (eq->repaired_us > began_us)
-		began_us = eq->repaired_us;
-	if (!quar_is_evidence(began_us, wk->proc.last_event_us, others))
-		return;
-	if (!eq_add_interrupted(eq, hop, false, now))
+	if (!hop || !eq_is_evidence(eq, hop, now) ||
+	    !eq_add_interrupted(eq, hop, false, now))
 		return;
 	if (eq->crash_candidate ||
 	    quar_check(eq->edge->quar, eq->fingerprint, now) != QUAR_CLEAR)
@@ -138,6 +134,28 @@
 	eq->crash_candidate = true;
 }
 
+/*
+ * Tells whether the worker of a hop was alive when the request reached it.  A
+ * dead process resets connections at once; a connection that was reset later
+ * was open until the crash.  For plain workers the time of the last sign of
+ * life is unknown.
+ */
+static bool eq_is_evidence(const struct eq *eq, const struct eq_hop *hop,
+			   int64_t now)
+{
+	const struct wk *wk = hop->worker;
+	int64_t began_us = eq->sent_us;
+	bool others;
+
+	if (!eq->service->has_engine ||
+	    (!eq->call && now - eq->sent_us >= EQ_RESET_US))
+		return true;
+	others = wk->first_hops > (hop == eq->hops) || wk->held > hop->held;
+	if (eq->repaired_us > began_us)
+		began_us = eq->repaired_us;
+	return quar_is_evidence(began_us, wk->proc.last_event_us, others);
+}
+
 /*
  * Records a request that is given up while it waits or begins at its worker,
  * which it may still crash.
