quar: a quarantine is reported before other losses

Fault: a crash makes candidates of all requests that were beginning there, 13 a router in the test, and their reports went out in turn, six a message and three times each. What a router had quarantined reached the others 0.8 s later, or after they had lost a worker of their own (found in the logs of edge/poison-among-streams: r-2 at 298.722 s, r-1 at 299.507 s and by its own loss at 300.083 s).

Change: what has lost several endpoints is reported first; first reports go before repeated ones; a quarantine is reported at once by each router that learns of it, and what was seen here in as many messages as it takes.

A failed try: that suspects begin on a worker without another suspect of this router (42 lines, waiting 0.3 s for one at most).

--- a/src/quar_int.h
+++ b/src/quar_int.h
@@ -16,6 +16,7 @@
 	bool alone;
 	int64_t learned_us;
 	int reports_left; /* messages that still report it */
+	bool own;	  /* seen by this instance */
 };
 
 struct quar_entry {
@@ -46,7 +47,7 @@
 	struct cds_list_head by_age;
 	struct cds_list_head updates;
 	struct cds_list_head reports;
-	bool alert; /* this instance saw a loss that no other may know of */
+	bool alert; /* a message is due at once */
 };
 
 /* quar.c */
@@ -59,7 +60,7 @@
 void quar_log(enum log_id id, const struct quar_entry *entry);
 
 /* quar_loss.c */
-void quar_judge(const struct quar *quar, struct quar_entry *entry, int64_t now);
+void quar_judge(struct quar *quar, struct quar_entry *entry, int64_t now);
 void quar_set_completed(struct quar *quar, struct quar_entry *entry,
 			int64_t now);
 
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -12,6 +12,8 @@
  */
 #define QUAR_COMPLETED_US (10 * MAG_US_PER_S)
 
+static bool quar_merge(struct quar *quar, const struct quar_report *report,
+		       bool own, int64_t now);
 static const struct quar_loss *quar_find_loss(const struct quar_entry *entry,
 					      uint32_t endpoint);
 static bool quar_was_alone(const struct quar *quar,
@@ -23,6 +25,7 @@
 static void quar_fill_loss(const struct quar_entry *entry, int index,
 			   struct quar_report *report);
 static bool quar_has_reports(const struct quar_entry *entry);
+static bool quar_is_unreported(const struct quar_entry *entry);
 
 /*
  * Records that an endpoint died while a request ran on it.  Returns whether
@@ -31,7 +34,7 @@
 bool quar_add_loss(struct quar *quar, const struct quar_report *loss,
 		   int64_t now)
 {
-	bool news = quar_hear(quar, loss, now);
+	bool news = quar_merge(quar, loss, true, now);
 
 	quar->alert |= news;
 	return news;
@@ -42,6 +45,13 @@
  * passed on.
  */
 bool quar_hear(struct quar *quar, const struct quar_report *report, int64_t now)
+{
+	return quar_merge(quar, report, false, now);
+}
+
+/* Merges a report of this instance (own) or of another one. */
+static bool quar_merge(struct quar *quar, const struct quar_report *report,
+		       bool own, int64_t now)
 {
 	struct quar_entry *entry = quar_find(quar, report->fingerprint, now);
 	struct quar_loss *loss;
@@ -63,6 +73,7 @@
 	loss->alone = report->alone;
 	loss->learned_us = now;
 	loss->reports_left = QUAR_REPORTS;
+	loss->own = own;
 	entry->changed_us = now;
 	entry->endpoints_lost = (uint32_t)entry->loss_count;
 	entry->until_us = now + quar->hold_us;
@@ -88,7 +99,7 @@
 }
 
 /* Quarantines a fingerprint if the losses that are known by name suffice. */
-void quar_judge(const struct quar *quar, struct quar_entry *entry, int64_t now)
+void quar_judge(struct quar *quar, struct quar_entry *entry, int64_t now)
 {
 	bool held = entry->loss_count == QUAR_LOSSES_MAX;
 	int i;
@@ -100,6 +111,7 @@
 	if (!held)
 		return;
 	entry->held = true;
+	quar->alert = true;
 	quar_log(LOG_QUAR_HELD, entry);
 }
 
@@ -132,26 +144,23 @@
  */
 int quar_collect(struct quar *quar, struct quar_report *reports, int max)
 {
-	const struct quar_entry *last;
 	struct quar_entry *entry;
 	struct quar_entry *next;
+	CDS_LIST_HEAD(again);
 	int count = 0;
 
-	if (cds_list_empty(&quar->reports))
-		return 0;
-	last = cds_list_entry(quar->reports.prev, struct quar_entry,
-			      in_reports);
 	cds_list_for_each_entry_safe (entry, next, &quar->reports, in_reports) {
-		if (count + QUAR_LOSSES_MAX > max)
+		if (count + QUAR_LOSSES_MAX > max) {
+			quar->alert |= quar_is_unreported(entry);
 			break;
-		cds_list_del(&entry->in_reports);
-		entry->report_pending = false;
+		}
 		count += quar_fill_reports(entry, reports + count);
-		if (quar_has_reports(entry))
-			quar_queue_report(quar, entry);
-		if (entry == last)
-			break;
+		cds_list_del(&entry->in_reports);
+		entry->report_pending = quar_has_reports(entry);
+		if (entry->report_pending)
+			cds_list_add_tail(&entry->in_reports, &again);
 	}
+	cds_list_splice(&again, quar->reports.prev);
 	return count;
 }
 
@@ -176,6 +185,17 @@
 	return 0;
 }
 
+/* Tells whether the latest loss was seen here and has not been reported. */
+static bool quar_is_unreported(const struct quar_entry *entry)
+{
+	const struct quar_loss *last;
+
+	if (entry->loss_count == 0)
+		return false;
+	last = &entry->losses[entry->loss_count - 1];
+	return last->own && last->reports_left == QUAR_REPORTS;
+}
+
 /* Copies the reports of an entry that are due; returns their number. */
 static int quar_fill_reports(struct quar_entry *entry,
 			     struct quar_report *reports)
@@ -221,7 +241,10 @@
 	return entry->completed_reports > 0;
 }
 
-/* Returns whether a message is due at once, because of a loss seen here. */
+/*
+ * Returns whether a message is due at once: a loss was seen here, or a request
+ * is quarantined from now on.
+ */
 bool quar_take_alert(struct quar *quar)
 {
 	bool alert = quar->alert;
@@ -261,9 +284,17 @@
 	return true;
 }
 
+/*
+ * Queues the reports of an entry.  What has lost several endpoints, or
+ * completed, goes before what has lost one, as few requests have.
+ */
 static void quar_queue_report(struct quar *quar, struct quar_entry *entry)
 {
-	if (!entry->report_pending)
+	if (entry->report_pending)
+		cds_list_del(&entry->in_reports);
+	if (entry->loss_count != 1)
+		cds_list_add(&entry->in_reports, &quar->reports);
+	else
 		cds_list_add_tail(&entry->in_reports, &quar->reports);
 	entry->report_pending = true;
 }
