--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -136,9 +136,9 @@
 
 /*
  * Tells whether the worker of a hop was alive when the request reached it.  A
- * dead process resets connections at once; a connection that was reset later
- * was open until the crash.  For plain workers the time of the last sign of
- * life is unknown.
+ * dead process resets connections at once; a connection that was reset later,
+ * so that the request has no call any more, was open until the crash.  For
+ * plain workers the time of the last sign of life is unknown.
  */
 static bool eq_is_evidence(const struct eq *eq, const struct eq_hop *hop,
 			   int64_t now)
@@ -204,9 +204,6 @@
 }
 
 /* Leaves an unplaced request waiting while that can help, else ends it. */
-static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
-			       bool left, int64_t now);
-static bool eq_has_run_well(const struct eq *eq);
 static void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
 {
 	static const char *const whys[] = {
