regress/suspect: probes of live workers that answer late, known red

A probe that is not answered in 350 ms makes its router a witness, as in wkp. Bound: three probes a second and data centre, at any size.

--- a/regress/check_suspect.c
+++ b/regress/check_suspect.c
@@ -11,6 +11,9 @@
 #define LOCAL_PEERS  32 /* that get a message in a round */
 #define REMOTE_PEERS 4
 #define START_US     (100 * MAG_US_PER_S)
+/* A router waits for an answer for this long, and probes not more often. */
+#define PROBE_TIMEOUT_US  (350 * MAG_US_PER_MS)
+#define PROBE_INTERVAL_US (100 * MAG_US_PER_MS)
 
 /*
  * A fleet of routers in virtual time that pass on suspicions of one service's
@@ -37,6 +40,7 @@
 static int64_t now;
 static double loss;
 static uint64_t seed;
+static int64_t late_us; /* until a worker answers a probe; 0: not simulated */
 
 static void free_fleet(void)
 {
@@ -84,6 +88,7 @@
 	worker_count = workers;
 	per_centre = (n + centres - 1) / centres;
 	loss = lost;
+	late_us = 0;
 	seed = 4711;
 	now = START_US;
 	for (i = 0; i < n; i++) {
@@ -107,6 +112,36 @@
 	}
 }
 
+static void probe(struct router *router, struct wk *wk)
+{
+	if (late_us && (wk->probing || now - wk->probed_us < PROBE_INTERVAL_US))
+		return;
+	wk->probing = late_us != 0;
+	wk->probed_us = now;
+	router->probes++;
+}
+
+/* Ends a router's probes that were answered or waited for too long. */
+static void end_probes(struct router *router)
+{
+	struct wk *wk;
+	int w;
+
+	for (w = 0; late_us && w < worker_count; w++) {
+		wk = &router->workers[w];
+		if (wk->probing && now - wk->probed_us >= PROBE_TIMEOUT_US) {
+			wk->probing = false;
+			wk->proc.suspect_until_us = 0;
+			wk_suspect(wk, now, "no answer");
+		} else if (wk->probing && now - wk->probed_us >= late_us) {
+			wk->probing = false;
+			wk_clear_suspicion(wk);
+		}
+		if (wk->proc.suspected && now >= wk->proc.suspect_until_us)
+			probe(router, wk);
+	}
+}
+
 /* A router hears of suspicions, and probes if it is to. */
 static void receive(struct router *router, const struct hint_message *message)
 {
@@ -121,10 +156,8 @@
 		    wk->proc.suspected || now < wk->proc.paused_until_us)
 			continue;
 		wk_pause(wk, now);
-		if (hint_suspect_probes(wk, known, count, &router->self, now)) {
-			wk->probed_us = now;
-			router->probes++;
-		}
+		if (hint_suspect_probes(wk, known, count, &router->self, now))
+			probe(router, wk);
 	}
 }
 
@@ -166,8 +199,22 @@
 	int i;
 
 	for (; now < end_us; now += ROUND_US) {
-		for (i = 0; i < count; i++)
+		for (i = 0; i < count; i++) {
+			end_probes(&routers[i]);
 			send_round(&routers[i]);
+		}
+	}
+}
+
+/* "in-use": requests of every router are at every worker. */
+static void use_all(void)
+{
+	int i;
+	int w;
+
+	for (i = 0; i < count; i++) {
+		for (w = 0; w < worker_count; w++)
+			routers[i].workers[w].refs = 1;
 	}
 }
 
@@ -255,6 +302,10 @@
 			print_probes(out, a);
 		else if (sscanf(line, "avoided %d", &a) == 1)
 			print_avoided(out, a);
+		else if (sscanf(line, "late %ld", &ms) == 1)
+			late_us = ms * MAG_US_PER_MS;
+		else if (strncmp(line, "in-use", 6) == 0)
+			use_all();
 		else if (strncmp(line, "answers", 7) == 0)
 			clear_all();
 	}
