hint: a router that was cut off is told of the quarantined requests

Fault, found by reading: a quarantine is reported three times, within half a second. A router that was cut off or frozen longer, known to the others and in the same session, was not told again, and let the request through to workers until it had lost three of its own.

Change: what a router that starts is told, one is told, too, that was not heard for as long as its load counts (1.2 s, or three turns of all peers). Only while something is quarantined, as routers of other data centres are heard seldom in a large fleet: then one message more for each that is heard from them.

--- a/regress/tool_peers.c
+++ b/regress/tool_peers.c
@@ -1,6 +1,8 @@
 /*
  * Simulates routers that join one after the other: sends a router the given
- * number of messages, each from a new peer, one every EVERY_US.
+ * number of messages, each from a new peer, one every EVERY_US.  With a name
+ * instead, that peer sends one message, in the same session each time, and
+ * prints how many losses of quarantined requests the router sends it.
  */
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -11,7 +13,23 @@
 #include "fk.h"
 #include "hint_msg.h"
 
-#define EVERY_US (5 * MAG_US_PER_MS)
+#define EVERY_US  (5 * MAG_US_PER_MS)
+#define ANSWER_US (300 * MAG_US_PER_MS)
+
+/* Prints how many losses the messages hold that have arrived. */
+static void print_losses(int fd)
+{
+	static struct hint_message message;
+	char bytes[HINT_BYTES_MAX];
+	unsigned int losses = 0;
+	ssize_t len;
+
+	while ((len = recv(fd, bytes, sizeof(bytes), MSG_DONTWAIT)) > 0) {
+		if (!hint_msg_decode(&message, bytes, (size_t)len))
+			losses += message.crash_count;
+	}
+	printf("%u\n", losses);
+}
 
 int main(int argc, char **argv)
 {
@@ -26,11 +44,22 @@
 	int i;
 
 	if (argc < 3) {
-		fprintf(stderr, "usage: tool_peers PORT COUNT\n");
+		fprintf(stderr, "usage: tool_peers PORT COUNT|NAME\n");
 		return 1;
 	}
 	addr.sin_port = htons((uint16_t)atoi(argv[1]));
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	if (atoi(argv[2]) == 0) {
+		snprintf(message.name, sizeof(message.name), "%s", argv[2]);
+		message.session = 1;
+		if (hint_msg_encode(&message, bytes, &len) ||
+		    sendto(fd, bytes, len, 0, (struct sockaddr *)&addr,
+			   sizeof(addr)) < 0)
+			return 1;
+		fk_sleep_us(ANSWER_US);
+		print_losses(fd);
+		return 0;
+	}
 	for (i = 0; i < atoi(argv[2]); i++) {
 		snprintf(message.name, sizeof(message.name), "peer-%d", i);
 		message.session = (uint32_t)i + 1;
--- a/src/hint.c
+++ b/src/hint.c
@@ -191,11 +191,14 @@
 	struct edge *edge = hint->edge;
 	int64_t now = clk_boot_us();
 	struct hint_peer *peer = hint_find_peer(hint, message->name);
+	struct quar_report held[QUAR_LOSSES_MAX];
 	bool is_new;
+	bool was_away;
 	uint32_t k;
 
 	/* It may wait for a peer's message before it serves. */
 	is_new = !peer || peer->session != message->session;
+	was_away = peer && now - peer->received_us > hint_expiry_us(hint);
 	if (!peer)
 		peer = hint_add_peer(hint, message->name);
 	if (!peer)
@@ -224,7 +227,8 @@
 				     now);
 	for (k = 0; k < message->crash_count; k++)
 		(void)quar_hear(edge->quar, &message->crashes[k], now);
-	if (is_new)
+	/* It may have been cut off when the others heard of a quarantine. */
+	if (is_new || (was_away && quar_held_losses(edge->quar, 0, held) > 0))
 		hint_send_first(hint, peer);
 }
 
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -169,7 +169,8 @@
 
 /*
  * Sends messages to a router from which the first one was received, or the
- * first one since it started; it may not be in the list of peers.  They hold
+ * first one since it started or was cut off; it may not be in the list of
+ * peers.  They hold
  * all quarantined requests, as far as that router can take them in one go.
  */
 void hint_send_first(struct hint *hint, struct hint_peer *peer)
