eq: a resumed stream is taken back, and no chain repaired, when quarantined

Fault, found by reading: only a request whose caller had received nothing was taken back from its worker. A stream that goes on at another worker, and waits there to begin, was left, and crashed that one, too. The repair of a chain handed a request to new workers without asking.

Change: whatever has not run for half a second on its present chain is taken back, and a repair asks as a send does; it begins that half second anew, as for its new workers the request begins.

Ruled out as a test of the repair: a script with three repairs one after the other did not fail before, as the stand-in hands no repaired token to an engine that crashes under it.

--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -77,7 +77,10 @@
 static bool print_messages; /* a line for every message of a router */
 static bool abort_next;	    /* abort the next request */
 static int64_t crash_at_us; /* 0: never */
-/* Time until a request whose path holds "poison" crashes this worker. */
+/*
+ * Time until a request whose path holds "poison" crashes this worker; with
+ * "late-poison" only one that goes on after an event of another worker.
+ */
 static int64_t crash_us;
 static bool reset_next_report; /* reset the connection of the next one */
 static CDS_LIST_HEAD(jobs);
@@ -410,7 +413,8 @@
 	job->due_us = clk_boot_us() + event_us;
 	hs_set_user(conn, job);
 	cds_list_add_tail(&job->node, &jobs);
-	if (strstr(hs_target(conn), "poison")) {
+	if (strstr(hs_target(conn), "poison") &&
+	    (last || !strstr(hs_target(conn), "late-poison"))) {
 		job->due_us = MAG_NEVER;
 		if (!crash_at_us)
 			crash_at_us = clk_boot_us() + crash_us;
--- a/src/eq.c
+++ b/src/eq.c
@@ -118,7 +118,7 @@
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
 		if (!eq->call)
 			eq_dispatch(eq, now);
-		else if (eq->state == EQ_SENT)
+		else if (!eq->ran_well)
 			eq_refuse_quarantined(eq, now);
 	}
 }
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -65,7 +65,9 @@
 	if (!eq->call || eq->repair || eq->repairs >= EQ_REPAIRS_MAX ||
 	    !eq->request.attempt_id || eq->hops[0].worker == fault ||
 	    !adv_may_send(&eq->hops[0].worker->proc.adv, ADV_REPAIR, now) ||
-	    !eq_is_first_alive(eq->hops[0].worker, now))
+	    !eq_is_first_alive(eq->hops[0].worker, now) ||
+	    quar_check(eq->edge->quar, eq->fingerprint, now) ==
+		    QUAR_QUARANTINED)
 		return false;
 	eq_avoid(eq, fault);
 	if (!eq_choose_repair(eq, now))
@@ -94,6 +96,7 @@
 	eq->repairs++;
 	eq->repaired_us = now;
 	eq->begun_us = 0;
+	eq->ran_well = false;
 	return true;
 }
 
