quar: a router is not told of a quarantine that has expired

Fault, found by reading: what a router that starts is told was not asked whether it is still in force. It held an expired quarantine for another minute and passed it on as news, so that a request could be refused as long as routers started.

--- a/regress/check_quar.c
+++ b/regress/check_quar.c
@@ -72,6 +72,18 @@
 	}
 }
 
+/* Prints what an instance is told that may not know of the quarantines. */
+static void print_held(const struct quar *quar, int64_t now)
+{
+	struct quar_report losses[QUAR_LOSSES_MAX];
+	int index = 0;
+	int count;
+
+	while ((count = quar_held_losses(quar, index++, losses, now)) > 0)
+		fprintf(script_out, "tells of %c, %d losses\n",
+			losses[0].fingerprint[0], count);
+}
+
 /*
  * Runs a line about losses that are known by name: "loss" and "hear" with a
  * letter, an endpoint and whether it ran alone there, "hear-well" with a
@@ -141,6 +153,8 @@
 							       : "none");
 		else if (strcmp(line, "news\n") == 0)
 			print_updates(quar);
+		else if (strcmp(line, "held\n") == 0)
+			print_held(quar, now);
 		else if (strcmp(line, "message\n") == 0)
 			print_reports(quar);
 		else if (!run_named(quar, line, now))
--- a/src/hint.c
+++ b/src/hint.c
@@ -228,7 +228,8 @@
 	for (k = 0; k < message->crash_count; k++)
 		(void)quar_hear(edge->quar, &message->crashes[k], now);
 	/* It may have been cut off when the others heard of a quarantine. */
-	if (is_new || (was_away && quar_held_losses(edge->quar, 0, held) > 0))
+	if (is_new ||
+	    (was_away && quar_held_losses(edge->quar, 0, held, now) > 0))
 		hint_send_first(hint, peer);
 }
 
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -177,6 +177,7 @@
 {
 	static struct hint_message message;
 	const struct quar *quar = hint->edge->quar;
+	int64_t now = clk_boot_us();
 	int sent = 0;
 	int held = 0;
 	int count;
@@ -184,9 +185,9 @@
 	do {
 		hint_fill(hint, &message);
 		do {
-			count = quar_held_losses(quar, held,
-						 message.crashes +
-							 message.crash_count);
+			count = quar_held_losses(
+				quar, held,
+				message.crashes + message.crash_count, now);
 			message.crash_count += (uint32_t)count;
 			held += count > 0;
 		} while (count > 0 && message.crash_count + QUAR_LOSSES_MAX <=
--- a/src/quar.h
+++ b/src/quar.h
@@ -64,7 +64,7 @@
 void quar_tick(struct quar *quar, int64_t now);
 int quar_collect(struct quar *quar, struct quar_report *reports, int max);
 int quar_held_losses(const struct quar *quar, int index,
-		     struct quar_report reports[QUAR_LOSSES_MAX]);
+		     struct quar_report reports[QUAR_LOSSES_MAX], int64_t now);
 bool quar_take_alert(struct quar *quar);
 const char *quar_text(const uint8_t fingerprint[MAG_DIGEST_BYTES],
 		      char text[QUAR_TEXT_SIZE]);
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -170,13 +170,14 @@
  * such fingerprints.
  */
 int quar_held_losses(const struct quar *quar, int index,
-		     struct quar_report reports[QUAR_LOSSES_MAX])
+		     struct quar_report reports[QUAR_LOSSES_MAX], int64_t now)
 {
 	const struct quar_entry *entry;
 	int i;
 
 	cds_list_for_each_entry (entry, &quar->by_age, by_age) {
-		if (!entry->held || entry->loss_count == 0 || index-- > 0)
+		if (!entry->held || entry->loss_count == 0 ||
+		    now >= entry->until_us || index-- > 0)
 			continue;
 		for (i = 0; i < entry->loss_count; i++)
 			quar_fill_loss(entry, i, &reports[i]);
