quar, hint: a reported loss keeps the time at which it expires

Fault, found by reading: a router that heard of a loss held it for a whole minute from then. One that was told shortly before the end held it for another minute, and its reports reached others that had dropped it, as news: a quarantine could outlive its minute by one for each relay.

Change: a report carries the time that is left, in the word that held its flags, so that a message is as large as before.

--- a/regress/check_quar.c
+++ b/regress/check_quar.c
@@ -53,10 +53,10 @@
 }
 
 /* Prints one message's reports to other instances. */
-static void print_reports(struct quar *quar)
+static void print_reports(struct quar *quar, int64_t now)
 {
 	struct quar_report reports[REPORTS_MAX];
-	int count = quar_collect(quar, reports, REPORTS_MAX);
+	int count = quar_collect(quar, reports, REPORTS_MAX, now);
 	int i;
 
 	fprintf(script_out, "message%s%s\n", count ? ":" : " without reports",
@@ -95,9 +95,17 @@
 	unsigned int endpoint;
 	char letter;
 	int alone;
+	int left_ms;
 
-	if (sscanf(line, "loss %c %u %d", &letter, &endpoint, &alone) == 3 ||
-	    sscanf(line, "hear %c %u %d", &letter, &endpoint, &alone) == 3) {
+	report.left_us = 60 * MAG_US_PER_S;
+	if (sscanf(line, "hear-old %c %u %d", &letter, &endpoint, &left_ms) ==
+	    3) {
+		report.endpoint = endpoint;
+		report.left_us = left_ms * MAG_US_PER_MS;
+	} else if (sscanf(line, "loss %c %u %d", &letter, &endpoint, &alone) ==
+			   3 ||
+		   sscanf(line, "hear %c %u %d", &letter, &endpoint, &alone) ==
+			   3) {
 		report.endpoint = endpoint;
 		report.alone = alone != 0;
 	} else if (sscanf(line, "hear-well %c", &letter) == 1) {
@@ -156,7 +164,7 @@
 		else if (strcmp(line, "held\n") == 0)
 			print_held(quar, now);
 		else if (strcmp(line, "message\n") == 0)
-			print_reports(quar);
+			print_reports(quar, now);
 		else if (!run_named(quar, line, now))
 			fprintf(out, "unknown: %s", line);
 	}
--- a/src/hint_msg.c
+++ b/src/hint_msg.c
@@ -17,8 +17,12 @@
 #define HINT_LIMIT_MAX	0xffffU
 #define HINT_AGE_MAX	0xffffU
 /* A suspicion is encoded as 8 bits of time and 24 of witnesses. */
-#define HINT_FOR_UNIT_MS     16U
-#define HINT_FOR_MAX	     0xffU
+#define HINT_FOR_UNIT_MS 16U
+#define HINT_FOR_MAX	 0xffU
+/* A crash is encoded as flags and the time until it expires. */
+#define HINT_CRASH_FLAG_BITS 8
+#define HINT_LEFT_UNIT_US    10000.0F
+#define HINT_LEFT_MAX	     0xffffffU
 #define HINT_CRASH_ALONE     (1U << 0)
 #define HINT_CRASH_COMPLETED (1U << 1)
 #define HINT_WITNESSES_MASK  ((1U << HINT_WITNESS_BITS) - 1)
@@ -143,17 +147,29 @@
 	return TRUE;
 }
 
-/* A loss of a worker, or that a suspected request completes. */
+/*
+ * A loss of a worker, or that a suspected request completes, and the time until
+ * that expires.
+ */
 static bool_t hint_msg_crash(XDR *xdr, struct quar_report *report)
 {
-	uint32_t flags = (report->alone ? HINT_CRASH_ALONE : 0) |
-			 (report->completed ? HINT_CRASH_COMPLETED : 0);
+	uint32_t packed = 0;
 
+	if (xdr->x_op == XDR_ENCODE) {
+		packed = hint_msg_round((float)report->left_us,
+					HINT_LEFT_UNIT_US, HINT_LEFT_MAX)
+			 << HINT_CRASH_FLAG_BITS;
+		packed |= (report->alone ? HINT_CRASH_ALONE : 0) |
+			  (report->completed ? HINT_CRASH_COMPLETED : 0);
+	}
 	if (!xdr_opaque(xdr, (char *)report->fingerprint, HINT_DIGEST_BYTES) ||
-	    !xdr_uint32_t(xdr, &report->endpoint) || !xdr_uint32_t(xdr, &flags))
+	    !xdr_uint32_t(xdr, &report->endpoint) ||
+	    !xdr_uint32_t(xdr, &packed))
 		return FALSE;
-	report->alone = (flags & HINT_CRASH_ALONE) != 0;
-	report->completed = (flags & HINT_CRASH_COMPLETED) != 0;
+	report->left_us = (int64_t)(packed >> HINT_CRASH_FLAG_BITS) *
+			  (int64_t)HINT_LEFT_UNIT_US;
+	report->alone = (packed & HINT_CRASH_ALONE) != 0;
+	report->completed = (packed & HINT_CRASH_COMPLETED) != 0;
 	return TRUE;
 }
 
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -67,8 +67,9 @@
 	static struct hint_message message;
 
 	hint_fill(hint, &message);
-	message.crash_count = (uint32_t)quar_collect(
-		hint->edge->quar, message.crashes, HINT_CRASHES_MAX);
+	message.crash_count =
+		(uint32_t)quar_collect(hint->edge->quar, message.crashes,
+				       HINT_CRASHES_MAX, clk_boot_us());
 	if (pres_peer_count(hint->edge->pres) == 0)
 		hint_send_to_senders(hint, &message);
 	else if (!hint_sort_peers(hint)) {
--- a/src/quar.h
+++ b/src/quar.h
@@ -33,6 +33,7 @@
 	uint32_t endpoint; /* identity of the endpoint's process */
 	bool alone;	   /* nothing else ran there, as far as was known */
 	bool completed;	   /* it ran to its end; the endpoint is not set */
+	int64_t left_us;   /* until the fingerprint's losses expire */
 };
 
 enum quar_state {
@@ -62,7 +63,8 @@
 bool quar_hear(struct quar *quar, const struct quar_report *report,
 	       int64_t now);
 void quar_tick(struct quar *quar, int64_t now);
-int quar_collect(struct quar *quar, struct quar_report *reports, int max);
+int quar_collect(struct quar *quar, struct quar_report *reports, int max,
+		 int64_t now);
 int quar_held_losses(const struct quar *quar, int index,
 		     struct quar_report reports[QUAR_LOSSES_MAX], int64_t now);
 bool quar_take_alert(struct quar *quar);
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -21,9 +21,9 @@
 			   const struct quar_loss *loss, int64_t now);
 static void quar_queue_report(struct quar *quar, struct quar_entry *entry);
 static int quar_fill_reports(struct quar_entry *entry,
-			     struct quar_report *reports);
+			     struct quar_report *reports, int64_t now);
 static void quar_fill_loss(const struct quar_entry *entry, int index,
-			   struct quar_report *report);
+			   struct quar_report *report, int64_t now);
 static bool quar_has_reports(const struct quar_entry *entry);
 static bool quar_is_unreported(const struct quar_entry *entry);
 
@@ -34,8 +34,11 @@
 bool quar_add_loss(struct quar *quar, const struct quar_report *loss,
 		   int64_t now)
 {
-	bool news = quar_merge(quar, loss, true, now);
+	struct quar_report own = *loss;
+	bool news;
 
+	own.left_us = quar->hold_us;
+	news = quar_merge(quar, &own, true, now);
 	quar->alert |= news;
 	return news;
 }
@@ -55,6 +58,7 @@
 {
 	struct quar_entry *entry = quar_find(quar, report->fingerprint, now);
 	struct quar_loss *loss;
+	int64_t until_us = now + report->left_us;
 
 	if (entry && entry->completed)
 		return false;
@@ -63,6 +67,8 @@
 			quar_set_completed(quar, entry, now);
 		return entry != NULL;
 	}
+	if (report->left_us <= 0 || report->left_us > quar->hold_us)
+		return false;
 	if (!entry)
 		entry = quar_add(quar, report->fingerprint);
 	if (!entry || entry->loss_count == QUAR_LOSSES_MAX ||
@@ -76,7 +82,8 @@
 	loss->own = own;
 	entry->changed_us = now;
 	entry->endpoints_lost = (uint32_t)entry->loss_count;
-	entry->until_us = now + quar->hold_us;
+	if (entry->until_us < until_us)
+		entry->until_us = until_us;
 	quar_touch(quar, entry);
 	quar_queue_report(quar, entry);
 	quar_judge(quar, entry, now);
@@ -142,7 +149,8 @@
  * Copies what is to be reported to other instances.  Each entry's reports are
  * copied together.  Returns their number, at most max.
  */
-int quar_collect(struct quar *quar, struct quar_report *reports, int max)
+int quar_collect(struct quar *quar, struct quar_report *reports, int max,
+		 int64_t now)
 {
 	struct quar_entry *entry;
 	struct quar_entry *next;
@@ -154,7 +162,7 @@
 			quar->alert |= quar_is_unreported(entry);
 			break;
 		}
-		count += quar_fill_reports(entry, reports + count);
+		count += quar_fill_reports(entry, reports + count, now);
 		cds_list_del(&entry->in_reports);
 		entry->report_pending = quar_has_reports(entry);
 		if (entry->report_pending)
@@ -180,7 +188,7 @@
 		    now >= entry->until_us || index-- > 0)
 			continue;
 		for (i = 0; i < entry->loss_count; i++)
-			quar_fill_loss(entry, i, &reports[i]);
+			quar_fill_loss(entry, i, &reports[i], now);
 		return entry->loss_count;
 	}
 	return 0;
@@ -199,7 +207,7 @@
 
 /* Copies the reports of an entry that are due; returns their number. */
 static int quar_fill_reports(struct quar_entry *entry,
-			     struct quar_report *reports)
+			     struct quar_report *reports, int64_t now)
 {
 	int count = 0;
 	int i;
@@ -216,18 +224,19 @@
 		if (entry->losses[i].reports_left == 0)
 			continue;
 		entry->losses[i].reports_left--;
-		quar_fill_loss(entry, i, &reports[count++]);
+		quar_fill_loss(entry, i, &reports[count++], now);
 	}
 	return count;
 }
 
 static void quar_fill_loss(const struct quar_entry *entry, int index,
-			   struct quar_report *report)
+			   struct quar_report *report, int64_t now)
 {
 	memset(report, 0, sizeof(*report));
 	memcpy(report->fingerprint, entry->fingerprint, MAG_DIGEST_BYTES);
 	report->endpoint = entry->losses[index].endpoint;
 	report->alone = entry->losses[index].alone;
+	report->left_us = entry->until_us - now;
 }
 
 /* Tells whether reports of an entry are due in later messages. */
