quar: what was quarantined once is quarantined again by one loss

Fault: a quarantine that expired left nothing, and the request crashed three workers more each minute.

Change: the losses of an expired quarantine are kept, as far as the table has room; one more quarantines the request again, unless it has completed since, here or elsewhere. A suspect that expires is as if absent, as before. Instances that share counts are not concerned (regress/quar/expired is unchanged).

--- a/src/quar.c
+++ b/src/quar.c
@@ -10,9 +10,6 @@
 #define QUAR_ENDPOINTS_MAX 2 /* counted losses that quarantine */
 
 static void quar_add_update(struct quar *quar, struct quar_entry *entry);
-static struct quar_entry *
-quar_lookup(const struct quar *quar,
-	    const uint8_t fingerprint[MAG_DIGEST_BYTES]);
 static struct cds_list_head *quar_bucket(const struct quar *quar,
 					 const uint8_t *fingerprint);
 static void quar_remove(struct quar *quar, struct quar_entry *entry);
@@ -126,7 +123,7 @@
 void quar_completed(struct quar *quar,
 		    const uint8_t fingerprint[MAG_DIGEST_BYTES], int64_t now)
 {
-	struct quar_entry *entry = quar_find(quar, fingerprint, now);
+	struct quar_entry *entry = quar_find_suspect(quar, fingerprint, now);
 
 	if (!entry)
 		return;
@@ -201,10 +198,22 @@
 	return entry && now < entry->until_us ? entry : NULL;
 }
 
+/*
+ * Finds the entry of a fingerprint that has not expired, or was quarantined
+ * once and may be again, or NULL.
+ */
+struct quar_entry *
+quar_find_suspect(const struct quar *quar,
+		  const uint8_t fingerprint[MAG_DIGEST_BYTES], int64_t now)
+{
+	struct quar_entry *entry = quar_lookup(quar, fingerprint);
+
+	return entry && (entry->held || now < entry->until_us) ? entry : NULL;
+}
+
 /* Finds the entry of a fingerprint, expired or not, or NULL. */
-static struct quar_entry *
-quar_lookup(const struct quar *quar,
-	    const uint8_t fingerprint[MAG_DIGEST_BYTES])
+struct quar_entry *quar_lookup(const struct quar *quar,
+			       const uint8_t fingerprint[MAG_DIGEST_BYTES])
 {
 	struct cds_list_head *bucket = quar_bucket(quar, fingerprint);
 	struct quar_entry *entry;
--- a/src/quar_int.h
+++ b/src/quar_int.h
@@ -54,6 +54,11 @@
 struct quar_entry *quar_find(const struct quar *quar,
 			     const uint8_t fingerprint[MAG_DIGEST_BYTES],
 			     int64_t now);
+struct quar_entry *quar_lookup(const struct quar *quar,
+			       const uint8_t fingerprint[MAG_DIGEST_BYTES]);
+struct quar_entry *
+quar_find_suspect(const struct quar *quar,
+		  const uint8_t fingerprint[MAG_DIGEST_BYTES], int64_t now);
 struct quar_entry *quar_add(struct quar *quar,
 			    const uint8_t fingerprint[MAG_DIGEST_BYTES]);
 void quar_touch(struct quar *quar, struct quar_entry *entry);
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -14,6 +14,8 @@
 
 static bool quar_merge(struct quar *quar, const struct quar_report *report,
 		       bool own, int64_t now);
+static struct quar_entry *
+quar_renew(struct quar *quar, const uint8_t fingerprint[MAG_DIGEST_BYTES]);
 static const struct quar_loss *quar_find_loss(const struct quar_entry *entry,
 					      uint32_t endpoint);
 static bool quar_was_alone(const struct quar *quar,
@@ -63,6 +65,7 @@
 	if (entry && entry->completed)
 		return false;
 	if (report->completed) {
+		entry = quar_find_suspect(quar, report->fingerprint, now);
 		if (entry)
 			quar_set_completed(quar, entry, now);
 		return entry != NULL;
@@ -70,7 +73,7 @@
 	if (report->left_us <= 0 || report->left_us > quar->hold_us)
 		return false;
 	if (!entry)
-		entry = quar_add(quar, report->fingerprint);
+		entry = quar_renew(quar, report->fingerprint);
 	if (!entry || entry->loss_count == QUAR_LOSSES_MAX ||
 	    quar_find_loss(entry, report->endpoint))
 		return false;
@@ -92,6 +95,23 @@
 	return true;
 }
 
+/*
+ * Returns an entry for a fingerprint whose losses have expired, or that has
+ * none.  If it was quarantined, one more loss quarantines it again: it has not
+ * completed since.  Returns NULL if out of memory.
+ */
+static struct quar_entry *
+quar_renew(struct quar *quar, const uint8_t fingerprint[MAG_DIGEST_BYTES])
+{
+	struct quar_entry *entry = quar_lookup(quar, fingerprint);
+
+	if (!entry || !entry->held || entry->loss_count == 0)
+		return quar_add(quar, fingerprint);
+	entry->held = false;
+	entry->loss_count = QUAR_LOSSES_MAX - 1;
+	return entry;
+}
+
 /* Quarantines fingerprints once others have reported what ran beside them. */
 void quar_tick(struct quar *quar, int64_t now)
 {
