regress/edge, eq: one start of a data centre; one time to a verdict

start_four repeated start_twins but for the numbers; both call start_centre now. The time that a router waits for a verdict is the time that others have to report, which quar states, and 50 ms for the probe; it was written again as 150 ms.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -129,23 +129,29 @@
 	wait_for "served_by $(router 1)"
 }
 
-# start_twins ROUTERS [KEYS]: one data centre with two large engines that each
-# hold all layers, two plain workers and ROUTERS routers.
-start_twins() {
+# start_centre ENGINES PLAIN ROUTERS [KEYS]: one data centre with so many large
+# engines that each hold all layers, plain workers and routers.
+start_centre() {
 	start_store
-	put_config 1 "$2"
-	for n in 1 2; do start_worker $n model a big; done
-	for n in 3 4; do start_worker $n app a; done
+	put_config 1 "$4"
+	for n in $(seq "$1"); do start_worker $n model a big; done
+	for n in $(seq $(($1 + 1)) $(($1 + $2))); do start_worker $n app a; done
 	routers=""
-	for n in $(seq "$1"); do
+	for n in $(seq "$3"); do
 		start_router $n a
 		routers="$routers $(router $n)"
 	done
-	for n in $(seq "$1"); do wait_for "ready $n"; done
-	wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 2 ]"
+	for n in $(seq "$3"); do wait_for "ready $n"; done
+	wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge $1 ]"
 	wait_for "served_by $routers"
 }
 
+# start_twins ROUTERS [KEYS]: the same with two engines and two plain workers.
+start_twins() { start_centre 2 2 "$1" "$2"; }
+
+# start_four ROUTERS: the same with four engines and one plain worker.
+start_four() { start_centre 4 1 "$1"; }
+
 # stop_second_half NAME: sends requests named NAME to router 1 for 6 s;
 # meanwhile stops one of the two engines that hold the second half of the
 # layers.
@@ -218,23 +224,6 @@
 	} | awk -v least="$1" -v detail=1 -f edge/promises.awk
 }
 
-# start_four ROUTERS: one data centre with four large engines that each hold all
-# layers, a plain worker and ROUTERS routers.
-start_four() {
-	start_store
-	put_config 1
-	for n in 1 2 3 4; do start_worker $n model a big; done
-	start_worker 5 app a
-	routers=""
-	for n in $(seq "$1"); do
-		start_router $n a
-		routers="$routers $(router $n)"
-	done
-	for n in $(seq "$1"); do wait_for "ready $n"; done
-	wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 4 ]"
-	wait_for "served_by $routers"
-}
-
 # restart_crashed FROM TO: starts workers FROM to TO again, 1 s after each crash,
 # until $dir/over exists; counts the crashes in $dir/crashes.
 restart_crashed() {
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -40,8 +40,8 @@
  * another data centre.
  */
 #define EQ_RESET_US (20 * MAG_US_PER_MS)
-/* Time until it is known which requests crashed a worker. */
-#define EQ_VERDICT_US (150 * MAG_US_PER_MS)
+/* Time until a probe has told a crash and all routers have judged it. */
+#define EQ_VERDICT_US (QUAR_SETTLE_US + 50 * MAG_US_PER_MS)
 
 static enum eq_choice eq_choose_plain(struct eq *eq, int64_t now);
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk);
--- a/src/quar.h
+++ b/src/quar.h
@@ -22,6 +22,8 @@
 #include "mag.h"
 
 #define QUAR_LOSSES_MAX 3 /* named losses that quarantine a fingerprint */
+/* Time in which other instances report what they ran on a lost endpoint. */
+#define QUAR_SETTLE_US (100 * MAG_US_PER_MS)
 /* Size of a fingerprint as text, which holds its first bytes. */
 #define QUAR_TEXT_SIZE 17
 
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -4,8 +4,6 @@
 
 /* Messages that report a loss, as some of them may be lost. */
 #define QUAR_REPORTS 3
-/* Time in which other instances report what they ran on a lost endpoint. */
-#define QUAR_SETTLE_US (100 * MAG_US_PER_MS)
 /*
  * A fingerprint that has completed is not suspected for this long: equal
  * requests may run at the same time, and reports of their losses arrive later.
