quar, hint: what is only passed on is hurried within the data centre

A router that saw a loss itself still tells 32 of them at once; one that passes a quarantine on tells its own data centre, and the others with its next messages.

--- a/regress/check_quar.c
+++ b/regress/check_quar.c
@@ -55,12 +55,17 @@
 /* Prints one message's reports to other instances. */
 static void print_reports(struct quar *quar, int64_t now)
 {
+	static const char *const alerts[] = {
+		[QUAR_ALERT_NONE] = "",
+		[QUAR_ALERT_NEAR] = " at once, near",
+		[QUAR_ALERT_ALL] = " at once",
+	};
 	struct quar_report reports[REPORTS_MAX];
 	int count = quar_collect(quar, reports, REPORTS_MAX, now);
 	int i;
 
 	fprintf(script_out, "message%s%s\n", count ? ":" : " without reports",
-		quar_take_alert(quar) ? " at once" : "");
+		alerts[quar_take_alert(quar)]);
 	for (i = 0; i < count; i++) {
 		if (reports[i].completed)
 			fprintf(script_out, "  %c completed\n",
--- a/src/hint.c
+++ b/src/hint.c
@@ -115,10 +115,12 @@
 /* Sends messages to some peers, and sums the load reported by all. */
 void hint_tick(struct hint *hint, int64_t now)
 {
-	bool alert = hint_suspect_announce(&hint->edge->workers, now);
+	enum quar_alert alert = quar_take_alert(hint->edge->quar);
 
-	if (quar_take_alert(hint->edge->quar) || alert) {
-		hint_send_alert(hint);
+	if (hint_suspect_announce(&hint->edge->workers, now))
+		alert = QUAR_ALERT_ALL;
+	if (alert != QUAR_ALERT_NONE) {
+		hint_send_alert(hint, alert);
 		return;
 	}
 	if (now < hint->next_us)
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -70,7 +70,7 @@
 
 /* hint_send.c */
 void hint_send_turn(struct hint *hint);
-void hint_send_alert(struct hint *hint);
+void hint_send_alert(struct hint *hint, enum quar_alert alert);
 void hint_send_first(struct hint *hint, struct hint_peer *peer);
 
 #endif /* HINT_INT_H */
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -38,10 +38,14 @@
 		  hint_has_remote_turn(hint) ? HINT_REMOTE_PEERS_MAX : 0);
 }
 
-/* Sends messages because of news that must not wait. */
-void hint_send_alert(struct hint *hint)
+/*
+ * Sends messages because of news that must not wait.  What is only passed on
+ * stays in the data centre, as messages across cost more.
+ */
+void hint_send_alert(struct hint *hint, enum quar_alert alert)
 {
-	hint_send(hint, HINT_LOCAL_PEERS_MAX, HINT_REMOTE_PEERS_ALERTED);
+	hint_send(hint, HINT_LOCAL_PEERS_MAX,
+		  alert == QUAR_ALERT_ALL ? HINT_REMOTE_PEERS_ALERTED : 0);
 }
 
 /*
--- a/src/quar.h
+++ b/src/quar.h
@@ -38,6 +38,13 @@
 	int64_t left_us;   /* until the fingerprint's losses expire */
 };
 
+/* Which instances are to be sent a message at once. */
+enum quar_alert {
+	QUAR_ALERT_NONE,
+	QUAR_ALERT_NEAR, /* of the data centre: it passes on a quarantine */
+	QUAR_ALERT_ALL,	 /* it saw a loss that no other one may know of */
+};
+
 enum quar_state {
 	QUAR_CLEAR,
 	QUAR_SUSPECT,	  /* run it apart from other suspects */
@@ -69,7 +76,7 @@
 		 int64_t now);
 int quar_held_losses(const struct quar *quar, int index,
 		     struct quar_report reports[QUAR_LOSSES_MAX], int64_t now);
-bool quar_take_alert(struct quar *quar);
+enum quar_alert quar_take_alert(struct quar *quar);
 const char *quar_text(const uint8_t fingerprint[MAG_DIGEST_BYTES],
 		      char text[QUAR_TEXT_SIZE]);
 
--- a/src/quar_int.h
+++ b/src/quar_int.h
@@ -47,7 +47,7 @@
 	struct cds_list_head by_age;
 	struct cds_list_head updates;
 	struct cds_list_head reports;
-	bool alert; /* a message is due at once */
+	enum quar_alert alert;
 };
 
 /* quar.c */
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -39,7 +39,8 @@
 
 	own.left_us = quar->hold_us;
 	news = quar_merge(quar, &own, true, now);
-	quar->alert |= news;
+	if (news)
+		quar->alert = QUAR_ALERT_ALL;
 	return news;
 }
 
@@ -136,7 +137,8 @@
 	if (!held)
 		return;
 	entry->held = true;
-	quar->alert = true;
+	if (quar->alert == QUAR_ALERT_NONE)
+		quar->alert = QUAR_ALERT_NEAR;
 	quar_log(LOG_QUAR_HELD, entry);
 }
 
@@ -177,7 +179,8 @@
 
 	cds_list_for_each_entry_safe (entry, next, &quar->reports, in_reports) {
 		if (count + QUAR_LOSSES_MAX > max) {
-			quar->alert |= quar_is_unreported(entry);
+			if (quar_is_unreported(entry))
+				quar->alert = QUAR_ALERT_ALL;
 			break;
 		}
 		count += quar_fill_reports(entry, reports + count, now);
@@ -269,15 +272,12 @@
 	return entry->completed_reports > 0;
 }
 
-/*
- * Returns whether a message is due at once: a loss was seen here, or a request
- * is quarantined from now on.
- */
-bool quar_take_alert(struct quar *quar)
+/* Returns to whom a message is due at once, each time once. */
+enum quar_alert quar_take_alert(struct quar *quar)
 {
-	bool alert = quar->alert;
+	enum quar_alert alert = quar->alert;
 
-	quar->alert = false;
+	quar->alert = QUAR_ALERT_NONE;
 	return alert;
 }
 
