--- a/src/jlog.c
+++ b/src/jlog.c
@@ -22,6 +22,12 @@
 static int64_t jlog_second;
 static int jlog_second_lines;
 static uint64_t jlog_drop_count;
+static uint64_t jlog_drops_logged;
+
+static void jlog_put(enum log_id id, const char *fmt, va_list ap)
+	__attribute__((format(printf, 2, 0)));
+static void jlog_put_drops(const char *fmt, ...)
+	__attribute__((format(printf, 1, 2)));
 
 /*
  * Sets the output and the maximum of lines per second; 0: no limit.  The
@@ -42,28 +48,51 @@
 void jlog(enum log_id id, const char *fmt, ...)
 {
 	int64_t now = clk_boot_us();
-	char line[JLOG_LINE_MAX];
 	va_list ap;
-	int used;
-	int more;
 
 	if (now / MAG_US_PER_S != jlog_second) {
 		jlog_second = now / MAG_US_PER_S;
 		jlog_second_lines = 0;
+		if (jlog_drop_count > jlog_drops_logged)
+			jlog_put_drops("\"lines\":%" PRIu64,
+				       jlog_drop_count - jlog_drops_logged);
 	}
 	if (jlog_max_per_s > 0 && jlog_second_lines >= jlog_max_per_s) {
 		jlog_drop_count++;
 		return;
 	}
 	jlog_second_lines++;
+	va_start(ap, fmt);
+	jlog_put(id, fmt, ap);
+	va_end(ap);
+}
+
+/* Logs how many lines were dropped since that was last logged. */
+static void jlog_put_drops(const char *fmt, ...)
+{
+	uint64_t dropped = jlog_drop_count;
+	va_list ap;
+
+	va_start(ap, fmt);
+	jlog_put(LOG_DROPPED, fmt, ap);
+	va_end(ap);
+	if (jlog_drop_count == dropped)
+		jlog_drops_logged = dropped;
+}
+
+/* Adds a line to the buffer, or counts it as dropped. */
+static void jlog_put(enum log_id id, const char *fmt, va_list ap)
+{
+	char line[JLOG_LINE_MAX];
+	int used;
+	int more;
+
 	used = snprintf(line, sizeof(line),
 			"{\"t_ms\":%" PRId64 ",\"instance\":\"%s\","
 			"\"event\":%d,\"name\":\"%s\",",
 			clk_wall_ms(), jlog_instance, (int)id,
 			log_event_name(id));
-	va_start(ap, fmt);
 	more = vsnprintf(line + used, sizeof(line) - (size_t)used - 3, fmt, ap);
-	va_end(ap);
 	used += more;
 	if (more < 0 || used >= JLOG_LINE_MAX - 3 ||
 	    jlog_len + (size_t)used + 2 > sizeof(jlog_buffer)) {
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -60,6 +60,7 @@
 	LOG_EVENT(LOG_STOPPING, 8002, "stopping", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_STOPPED, 8003, "stopped", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_START_FAILED, 8004, "start-failed", LOG_PRIO_ERR) \
+	LOG_EVENT(LOG_DROPPED, 8005, "log-lines-dropped", LOG_PRIO_WARNING) \
 	\
 	/* 9000 pf: connection to the platform */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
