--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -1,3 +1,4 @@
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -218,6 +219,7 @@
 	struct pl_request request;
 	const char *value = strstr(text, ": ");
 	const char *bad;
+	int i;
 
 	if (!value)
 		return;
@@ -228,6 +230,8 @@
 		bad ? bad : "", bad ? " is too large: " : "",
 		(long long)request.timeout_ms, request.prompt_tokens,
 		request.answer_tokens_max, request.answer_tokens_hint);
+	for (i = 0; i < request.part_count; i++)
+		fprintf(out, "part %" PRIx64 "\n", request.parts[i]);
 	hdr_free(&headers);
 }
 
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -1,3 +1,5 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,7 +13,10 @@
  * stream's smoothed interval.
  */
 #define EQ_INTERVAL_WEIGHT 8
+/* Buffer size for the parts of a prompt in the log, each with a space. */
+#define EQ_PARTS_TEXT (PL_PARTS_MAX * 17 + 1)
 
+static const char *eq_parts_text(const struct eq *eq, char *dst, size_t size);
 static bool eq_on_headers(void *user, const struct hc_response *response);
 static void eq_apply_advert(const struct eq *eq,
 			    const struct hc_response *response, bool own);
@@ -40,19 +45,21 @@
 	bool repeatable = route->kind == RT_IDEMPOTENT ||
 			  (route->kind == RT_STREAMING && route->resumable);
 	char fingerprint[QUAR_TEXT_SIZE];
+	char parts[EQ_PARTS_TEXT];
 	char id[WIRE_ID_MAX];
 
 	jlog(LOG_EQ_AGAIN,
 	     "\"request\":\"%s\",\"why\":\"%s\",\"sends\":%d,\"runs\":%d,"
 	     "\"may_have_run\":%s,\"last_event\":%lld,\"answer\":%d,"
 	     "\"at_fault\":\"%s\",\"fingerprint\":\"%s\","
-	     "\"framing\":\"%s\",\"events\":%lld,\"partial_bytes\":%zu",
+	     "\"parts\":\"%s\",\"framing\":\"%s\",\"events\":%lld,"
+	     "\"partial_bytes\":%zu",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id), why,
 	     eq->sends, eq->runs, eq->may_have_run ? "true" : "false",
 	     (long long)eq->last_event, eq->answered ? eq->status : 0,
 	     eq->at_fault, quar_text(eq->fingerprint, fingerprint),
-	     eq_framing_text(eq), (long long)eq->events.count,
-	     evs_pending(&eq->events));
+	     eq_parts_text(eq, parts, sizeof(parts)), eq_framing_text(eq),
+	     (long long)eq->events.count, evs_pending(&eq->events));
 	eq_release(eq);
 	if (eq->may_have_run && !repeatable) {
 		eq_fail(eq, 502, why);
@@ -69,6 +76,20 @@
 	eq_dispatch(eq, clk_boot_us());
 }
 
+/* Formats the parts of a request's prompt that others may share, for the log.
+ */
+static const char *eq_parts_text(const struct eq *eq, char *dst, size_t size)
+{
+	size_t len = 0;
+	int i;
+
+	dst[0] = '\0';
+	for (i = 0; i < eq->request.part_count && len < size; i++)
+		len += (size_t)snprintf(dst + len, size - len, "%s%" PRIx64,
+					i > 0 ? " " : "", eq->request.parts[i]);
+	return dst;
+}
+
 /* Returns how the answer of the last attempt was framed, for the log. */
 const char *eq_framing_text(const struct eq *eq)
 {
