regress/edge: requests that crash workers by a part of their prompts

The stand-in crashes at a part as it does at a path, and says when; the load generator gives prompts parts (-p) and says when a call began.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -325,3 +325,20 @@
 			exit !(calls > 0 && missed * 100 <= calls + 99)
 		}' "$file"
 }
+
+# crash_parts: compares the requests with a part that crashes workers, which the last
+# calls were sent with, with the crashes: how many reach workers later than 3 s after
+# the fifth one, and whether 9 of 10 others are served from 6 s after it, or after the
+# last one if there were fewer.
+crash_parts() {
+	grep -h '^GOT.*-crash-' "$dir"/worker.*.log | sort -s -k 3,3n >"$dir/arrivals"
+	grep -h '^CRASH' "$dir"/worker.*.log | sort -s -k 3,3n >"$dir/crash-times"
+	crashed=$(grep -c . "$dir/crash-times")
+	fifth=$(sed -n 5p "$dir/crash-times" | cut -d' ' -f3)
+	awk -v from="${fifth:-9e18}" '$3 > from + 3e6 { late++ }
+		END { print "after the fifth crash: " (late <= 3 ? "at most three" : late) }' "$dir/arrivals"
+	awk -v from="${fifth:-$(tail -n 1 "$dir/crash-times" | cut -d' ' -f3)}" '
+		$3 == "s" && $2 !~ /-crash-/ && $8 > from + 6e6 { calls++; served += $4 == 200 && $5 == "whole" }
+		END { print "sound ones: " (calls >= 20 && served >= 0.9 * calls ? "served" : served + 0 " of " calls + 0) }' "$dir/calls"
+	echo "workers crashed: $crashed, arrivals: $(grep -c . "$dir/arrivals")" >&2
+}
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -86,9 +86,12 @@
 static bool print_messages; /* a line for every message of a router */
 static bool abort_next;	    /* abort the next request */
 static int64_t crash_at_us; /* 0: never */
+/* The part of a prompt that crashes this worker. */
+#define CRASHING_PART ",dead:"
 /*
- * Time until a request whose path holds "poison" crashes this worker; with
- * "late-poison" only one that goes on after an event of another worker.
+ * Time until a request whose path holds "poison", or whose prompt holds a part
+ * that does so, crashes this worker; with "late-poison" only one that goes on
+ * after an event of another worker.
  */
 static int64_t crash_us;
 static bool reset_next_report; /* reset the connection of the next one */
@@ -386,6 +389,17 @@
 	refuse_for(conn, status, fault, NULL);
 }
 
+/* Tells whether a request crashes this worker as it begins, or goes on. */
+static bool crashes(struct hs_conn *conn, bool resumed)
+{
+	const char *parts = hdr_get(hs_headers(conn), "Prompt-Prefix");
+
+	if (parts && strstr(parts, CRASHING_PART))
+		return true;
+	return strstr(hs_target(conn), "poison") &&
+	       (resumed || !strstr(hs_target(conn), "late-poison"));
+}
+
 static void start_job(struct hs_conn *conn)
 {
 	const char *hops = hdr_get(hs_headers(conn), "Hop-Count");
@@ -429,8 +443,7 @@
 	}
 	hs_set_user(conn, job);
 	cds_list_add_tail(&job->node, &jobs);
-	if (strstr(hs_target(conn), "poison") &&
-	    (last || !strstr(hs_target(conn), "late-poison"))) {
+	if (crashes(conn, last != NULL)) {
 		job->due_us = MAG_NEVER;
 		if (!crash_at_us)
 			crash_at_us = clk_boot_us() + crash_us;
@@ -592,6 +605,7 @@
 		dprintf(bufferevent_getfd(job->conn->bev),
 			"HTTP/1.1 200 OK\r\n%s\r\nid: 1\nda", fields);
 	}
+	printf("CRASH %s %" PRId64 "\n", id, clk_boot_us());
 	exit(3);
 }
 
--- a/regress/tool_calls.c
+++ b/regress/tool_calls.c
@@ -1,10 +1,12 @@
 /*
  * Load generator for magnolia-edge: sends streams, bookings and lookups at a
- * constant rate, each with its own attempt id and, with -d, its own path.
- * Prints the result of each call on a line; promises.awk compares these with
- * the workers' output.
+ * constant rate, each with its own attempt id and, with -d, its own path.  With
+ * -p N the prompts of streams have parts: one of some subjects, in every N-th
+ * stream one that crashes workers, and one of its own.  Prints the result of
+ * each call on a line; promises.awk compares these with the workers' output.
  */
 
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -22,12 +24,15 @@
 #define CONNECT_US	MAG_US_PER_S
 /* Events of a complete stream, as the stand-in for the workers sends them. */
 #define EVENTS_PER_STREAM 20
+/* Parts that begin the prompts, one for each so many streams. */
+#define SUBJECTS 17
 
 struct call {
 	char id[32];
 	char kind;
 	int status;
-	int64_t last;	 /* id of the last event */
+	int64_t last; /* id of the last event */
+	int64_t started_us;
 	bool in_order;	 /* all events arrived, in order and once each */
 	bool mismatched; /* the answer is of another attempt or has no seal */
 	struct evs evs;
@@ -43,7 +48,9 @@
 static int64_t until_us;
 static int started_count;
 static int open_calls;
-static bool distinct; /* each call has a path of its own */
+static bool distinct;	/* each call has a path of its own */
+static int crash_every; /* streams to one that crashes workers; 0: no parts */
+static int stream_count;
 
 static bool on_headers(void *user, const struct hc_response *answer)
 {
@@ -83,14 +90,32 @@
 	if (end == HC_COMPLETE && call->kind == 's' && call->status == 200 &&
 	    (call->last != EVENTS_PER_STREAM || evs_pending(&call->evs) > 0))
 		call->in_order = false;
-	printf("CALL %s %c %d %s %s %s\n", call->id, call->kind, call->status,
-	       ends[end], call->in_order ? "ordered" : "DISORDER",
-	       call->mismatched ? "FOREIGN" : "own");
+	printf("CALL %s %c %d %s %s %s %" PRId64 "\n", call->id, call->kind,
+	       call->status, ends[end], call->in_order ? "ordered" : "DISORDER",
+	       call->mismatched ? "FOREIGN" : "own", call->started_us);
 	evs_free(&call->evs);
 	free(call);
 	open_calls--;
 }
 
+/* Writes the parts of a stream's prompt; one that crashes workers is named so.
+ */
+static void fill_parts(struct call *call, char *dst, size_t size)
+{
+	bool crashes;
+
+	stream_count++;
+	if (crash_every == 0)
+		return;
+	crashes = stream_count % crash_every == 0;
+	if (crashes)
+		snprintf(call->id, sizeof(call->id), "%s-crash-%06d", prefix,
+			 started_count);
+	snprintf(dst, size, "Prompt-Prefix: %x:40,%s%x:60\r\n",
+		 0xa0 + stream_count % SUBJECTS, crashes ? "dead:20," : "",
+		 0xf00000 + started_count);
+}
+
 static void start_call(int64_t now)
 {
 	static const struct hc_ops ops = { on_headers, on_body, on_end };
@@ -101,19 +126,23 @@
 				.connect_by_us = now + CONNECT_US,
 				.deadline_us = now + CALL_TIMEOUT_US };
 	struct hc_call *started;
+	char parts[96] = "";
 
 	started_count++;
 	snprintf(call->id, sizeof(call->id), "%s-%06d", prefix, started_count);
 	call->kind = "ssbr"[started_count % 4];
+	if (call->kind == 's')
+		fill_parts(call, parts, sizeof(parts));
 	call->in_order = true;
+	call->started_us = now;
 	send.request = evbuffer_new();
 	evbuffer_add_printf(send.request,
 			    "%s /%c/%s HTTP/1.1\r\nHost: h.example\r\n"
 			    "Attempt-Id: %s\r\nDeadline-Ms: 6000\r\n"
 			    "Token-Count: 100,20\r\n"
-			    "Authorization: Token key-1\r\n%s\r\n",
+			    "Authorization: Token key-1\r\n%s%s\r\n",
 			    call->kind == 'r' ? "GET" : "POST", call->kind,
-			    distinct ? call->id : "x", call->id,
+			    distinct ? call->id : "x", call->id, parts,
 			    call->kind == 'r' ? "" : "Content-Length: 0\r\n");
 	open_calls++;
 	if (hc_start(routers[started_count % router_count], &send, &started))
@@ -146,9 +175,15 @@
 		argv++;
 		argc--;
 	}
+	if (argc > 2 && strcmp(argv[1], "-p") == 0) {
+		crash_every = atoi(argv[2]);
+		argv += 2;
+		argc -= 2;
+	}
 	if (argc < 5) {
-		fprintf(stderr, "usage: tool_calls [-d] PREFIX SECONDS PER_S "
-				"ROUTER...\n");
+		fprintf(stderr,
+			"usage: tool_calls [-d] [-p N] PREFIX SECONDS PER_S "
+			"ROUTER...\n");
 		return 1;
 	}
 	base = event_base_new();
