quar_trait: requests that crash workers by what they share are refused

Cause: what crashes a worker is known by a fingerprint of path, account and body. Requests that share one part of their prompts, and nothing else, have others: each of them is new, and may crash three workers. Class: evidence is kept of requests, and not of what they have in common.

Change: losses are recorded of traits too: the parts of a prompt but the last, and path with body, by service. A run that began after a loss and did well clears all its traits, which keeps common parts served. Three losses by different requests quarantine a trait of which no run has done well before; others need five, and time for a run to clear them. Endpoints lost together count once; one request at all losses is left to quar. If other traits were lost on nearly as many endpoints, all are quarantined in doubt, and single requests try them, at few routers first: the outcome clears a trait or confirms it, and a confirmed one withdraws its losses as evidence from all others, from fingerprints too. Routers exchange losses in a datagram of their own, at once.

--- /dev/null
+++ b/regress/check_quar_trait.c
@@ -0,0 +1,176 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "log.h"
+#include "quar_trait.h"
+#include "script.h"
+
+#define TEXT_MAX    128
+#define INSTANCES   3
+#define REPORTS_MAX 55
+#define HOLD_US	    (600 * MAG_US_PER_S)
+
+static FILE *script_out;
+static struct quar_traits *instances[INSTANCES];
+
+/* Prints log lines as part of the output. */
+static void log_line(void *ctx, enum log_prio prio, const char *line)
+{
+	(void)ctx;
+	(void)prio;
+	fprintf(script_out, "  log %s\n", line);
+}
+
+/* Returns a part of a prompt, named by a letter; a content for a capital one.
+ */
+static struct quar_trait trait_of(char letter)
+{
+	struct quar_trait trait = { .value = (uint64_t)letter };
+
+	if (letter < 'a')
+		trait.kind = QUAR_TRAIT_CONTENT;
+	return trait;
+}
+
+/* Delivers the reports of each instance to the others until there are none. */
+static void exchange(int64_t now)
+{
+	struct quar_trait_report reports[REPORTS_MAX];
+	int count;
+	int from;
+	int to;
+	int i;
+
+	for (from = 0; from < INSTANCES; from++) {
+		count = quar_traits_collect(instances[from], reports,
+					    REPORTS_MAX, now);
+		for (i = 0; i < count; i++) {
+			for (to = 0; to < INSTANCES; to++) {
+				if (to != from)
+					quar_trait_hear(instances[to],
+							&reports[i], now);
+			}
+		}
+	}
+}
+
+/* Passes time in ticks of 10 ms, with messages between the instances. */
+static void pass(int64_t from, int64_t to)
+{
+	int64_t now;
+	int i;
+
+	for (now = from; now < to; now += 10 * MAG_US_PER_MS) {
+		for (i = 0; i < INSTANCES; i++)
+			quar_traits_tick(instances[i], now);
+		exchange(now);
+	}
+}
+
+/* Prints the state of a trait at each instance. */
+static void print_state(char letter, int64_t now)
+{
+	static const char *const states[] = {
+		[QUAR_CLEAR] = "clear",
+		[QUAR_SUSPECT] = "suspect",
+		[QUAR_QUARANTINED] = "quarantined",
+	};
+	struct quar_trait trait = trait_of(letter);
+	int i;
+
+	fprintf(script_out, "%c is", letter);
+	for (i = 0; i < INSTANCES; i++)
+		fprintf(script_out, " %s%s",
+			states[quar_trait_check(instances[i], &trait, now)],
+			quar_trait_is_in_doubt(instances[i], &trait, now)
+				? " in doubt"
+				: "");
+	fprintf(script_out, "\n");
+}
+
+/* Tells an instance that has started what another one quarantines. */
+static void restart(int started, int other, int64_t now)
+{
+	struct quar_trait_report reports[REPORTS_MAX];
+	int index = 0;
+	int count;
+	int i;
+
+	quar_traits_free(instances[started]);
+	instances[started] = quar_traits_new(64, HOLD_US);
+	while ((count = quar_traits_held(instances[other], &index, reports,
+					 REPORTS_MAX, now)) > 0) {
+		for (i = 0; i < count; i++)
+			quar_trait_hear(instances[started], &reports[i], now);
+	}
+}
+
+/*
+ * Runs a line: "loss INSTANCE TRAIT ENDPOINT REQUEST"; "well INSTANCE TRAIT
+ * MS", a run that began at MS did well; "try INSTANCE TRAIT RANK"; "restart
+ * INSTANCE OTHER"; "check TRAIT".
+ */
+static void run_line(const char *line, int64_t now)
+{
+	struct quar_trait_report loss = { 0 };
+	unsigned int endpoint;
+	unsigned int request;
+	char letter;
+	int at;
+	int a;
+
+	if (sscanf(line, "loss %d %c %u %u", &at, &letter, &endpoint,
+		   &request) == 4) {
+		loss.trait = trait_of(letter);
+		loss.endpoint = endpoint;
+		loss.request = request;
+		quar_trait_add_loss(instances[at], &loss, now);
+	} else if (sscanf(line, "well %d %c %d", &at, &letter, &a) == 3) {
+		loss.trait = trait_of(letter);
+		quar_trait_did_well(instances[at], &loss.trait,
+				    a * MAG_US_PER_MS, now);
+	} else if (sscanf(line, "try %d %c %d", &at, &letter, &a) == 3) {
+		loss.trait = trait_of(letter);
+		fprintf(script_out, "%c %s\n", letter,
+			quar_trait_take_trial(instances[at], &loss.trait, a,
+					      now)
+				? "is tried"
+				: "is not tried");
+	} else if (sscanf(line, "restart %d %d", &at, &a) == 2) {
+		restart(at, a, now);
+	} else if (sscanf(line, "check %c", &letter) == 1) {
+		print_state(letter, now);
+	}
+}
+
+/* Runs one script; "at MS" passes time until then. */
+static void run_script(FILE *in, FILE *out)
+{
+	char line[TEXT_MAX];
+	int64_t now = 0;
+	int ms;
+	int i;
+
+	script_out = out;
+	log_set_sink(log_line, NULL);
+	for (i = 0; i < INSTANCES; i++)
+		instances[i] = quar_traits_new(64, HOLD_US);
+	while (fgets(line, sizeof(line), in)) {
+		if (line[0] == '#')
+			fputs(line, out);
+		if (sscanf(line, "at %d", &ms) == 1) {
+			pass(now, ms * MAG_US_PER_MS);
+			now = ms * MAG_US_PER_MS;
+			fputs(line, out);
+		} else {
+			run_line(line, now);
+		}
+	}
+	for (i = 0; i < INSTANCES; i++)
+		quar_traits_free(instances[i]);
+}
+
+int main(void)
+{
+	return script_main("regress/quar_trait", run_script);
+}
--- a/src/edge.h
+++ b/src/edge.h
@@ -22,6 +22,7 @@
 #include "mir.h"
 #include "pres.h"
 #include "quar.h"
+#include "quar_trait.h"
 #include "rel.h"
 #include "rt.h"
 #include "sto.h"
@@ -60,6 +61,7 @@
 	struct hint *hint;
 	struct wk_table workers;
 	struct quar *quar;
+	struct quar_traits *traits;
 	struct edge_placer placer;
 
 	struct rt_set *rt;    /* configuration; NULL until the first one */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -65,6 +65,12 @@
  */
 #define EDGE_QUARANTINE_MAX 4096
 #define EDGE_QUARANTINE_US  (60 * MAG_US_PER_S)
+/*
+ * The same of what requests have in common: most entries are traits of sound
+ * requests.  Each end of a quarantine costs a worker, if the trait is harmful.
+ */
+#define EDGE_TRAITS_MAX 8192
+#define EDGE_TRAITS_US	(600 * MAG_US_PER_S)
 
 struct edge_run {
 	struct edge edge;
@@ -152,7 +158,8 @@
 	CDS_INIT_LIST_HEAD(&edge->requests);
 	edge->hc = edge->base ? hc_new(edge->base) : NULL;
 	edge->quar = quar_new(EDGE_QUARANTINE_MAX, EDGE_QUARANTINE_US);
-	if (!edge->hc || !edge->quar) {
+	edge->traits = quar_traits_new(EDGE_TRAITS_MAX, EDGE_TRAITS_US);
+	if (!edge->hc || !edge->quar || !edge->traits) {
 		jlog(LOG_START_FAILED, "\"why\":\"out of memory\"");
 		return -1;
 	}
--- a/src/eq.c
+++ b/src/eq.c
@@ -394,6 +394,7 @@
 		return false;
 	}
 	eq_set_fingerprint(eq);
+	eq_set_traits(eq);
 	return !eq_refuse_quarantined(eq, now);
 }
 
@@ -403,8 +404,8 @@
  */
 bool eq_refuse_quarantined(struct eq *eq, int64_t now)
 {
-	if (quar_check(eq->edge->quar, eq->fingerprint, now) !=
-	    QUAR_QUARANTINED)
+	if (eq_check_quarantine(eq, now) != QUAR_QUARANTINED ||
+	    eq_may_try(eq, now))
 		return false;
 	met_increment(&eq->edge->met, MET_POISON);
 	eq->may_have_run |= eq->call != NULL;
--- a/src/eq.h
+++ b/src/eq.h
@@ -11,6 +11,7 @@
 #include "evs.h"
 #include "hc.h"
 #include "pl_header.h"
+#include "quar_trait.h"
 
 #define EQ_AVOID_MAX 16
 /*
@@ -46,6 +47,9 @@
 	struct pl_request request;
 	const char *bad_field; /* of the request; NULL: none */
 	uint8_t fingerprint[MAG_DIGEST_BYTES];
+	struct quar_trait_list traits;
+	/* One that it tries although it is quarantined in doubt, or NULL. */
+	const struct quar_trait *tried;
 	enum eq_state state;
 
 	int64_t arrived_us;
@@ -149,6 +153,12 @@
 bool eq_repair_start(struct eq *eq, struct wk *fault, int64_t now);
 void eq_repair_cancel(struct eq *eq);
 
+/* eq_trait.c */
+void eq_set_traits(struct eq *eq);
+enum quar_state eq_check_quarantine(const struct eq *eq, int64_t now);
+bool eq_may_try(struct eq *eq, int64_t now);
+void eq_did_well(struct eq *eq, int64_t begun_us, int64_t now);
+
 /* eq_forward.c */
 bool eq_forward_start(struct eq *eq, int64_t now);
 
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -300,7 +300,7 @@
 	wk_clear_suspicion(wk, now);
 	wk_on_success(wk);
 	if (success) {
-		quar_completed(eq->edge->quar, eq->fingerprint, now);
+		eq_did_well(eq, eq->begun_us ? eq->begun_us : eq->sent_us, now);
 		eq_relay(eq);
 		return;
 	}
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -132,7 +132,7 @@
 	eq->may_have_run = true;
 	eq->runs = eq->route->max_attempts;
 	if (eq->status / 100 == 2)
-		quar_completed(eq->edge->quar, eq->fingerprint, now);
+		eq_did_well(eq, eq->sent_us, now);
 	else if (eq->state == EQ_STREAMING) {
 		eq_retry_or_fail(eq, "peer refused to go on");
 		return;
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -66,8 +66,7 @@
 	    !eq->request.attempt_id || eq->hops[0].worker == fault ||
 	    !adv_may_send(&eq->hops[0].worker->proc.adv, ADV_REPAIR, now) ||
 	    !eq_is_first_alive(eq->hops[0].worker, now) ||
-	    quar_check(eq->edge->quar, eq->fingerprint, now) ==
-		    QUAR_QUARANTINED)
+	    eq_check_quarantine(eq, now) == QUAR_QUARANTINED)
 		return false;
 	eq_avoid(eq, fault);
 	if (!eq_choose_repair(eq, now))
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -154,8 +154,7 @@
 	if (!hop || !eq_is_evidence(eq, hop, now) ||
 	    !eq_add_interrupted(eq, hop, false, now))
 		return;
-	if (eq->crash_candidate ||
-	    quar_check(eq->edge->quar, eq->fingerprint, now) != QUAR_CLEAR)
+	if (eq->crash_candidate || eq_check_quarantine(eq, now) != QUAR_CLEAR)
 		eq->resend_us = now + EQ_VERDICT_US;
 	eq->crash_candidate = true;
 }
@@ -205,6 +204,7 @@
 		return false;
 	}
 	interrupted.alone = !others;
+	interrupted.traits = eq->traits;
 	memcpy(interrupted.fingerprint, eq->fingerprint, MAG_DIGEST_BYTES);
 	wk_add_interrupted(hop->worker, &interrupted);
 	return true;
@@ -219,7 +219,7 @@
 	if (eq->ran_well || !eq_has_run_well(eq))
 		return;
 	eq->ran_well = true;
-	quar_completed(eq->edge->quar, eq->fingerprint, now);
+	eq_did_well(eq, eq->begun_us, now);
 }
 
 /* Tells whether an attempt was making progress for a while. */
--- a/src/hint.c
+++ b/src/hint.c
@@ -13,6 +13,7 @@
 #include "clk.h"
 #include "hint_int.h"
 #include "hint_suspect.h"
+#include "hint_trait.h"
 #include "jlog.h"
 #include "pres.h"
 #include "wkp.h"
@@ -51,6 +52,9 @@
 static struct hint_peer *hint_add_peer(struct hint *hint, const char *name);
 static void hint_receive(struct hint *hint, const struct hint_message *message,
 			 const struct sockaddr_in *from);
+static void hint_receive_traits(struct hint *hint,
+				const struct hint_trait_message *message);
+static bool hint_has_quarantines(const struct hint *hint, int64_t now);
 static void hint_receive_claim(struct edge *edge,
 			       const struct attest_claim *claim, int64_t now);
 static void hint_sum_loads(struct hint *hint, int64_t now);
@@ -124,6 +128,8 @@
 {
 	enum quar_alert alert = quar_take_alert(hint->edge->quar);
 
+	if (quar_traits_take_alert(hint->edge->traits) == QUAR_ALERT_ALL)
+		alert = QUAR_ALERT_ALL;
 	if (hint_suspect_announce(&hint->edge->workers, now))
 		alert = QUAR_ALERT_ALL;
 	if (alert != QUAR_ALERT_NONE) {
@@ -178,6 +184,7 @@
 
 static void hint_on_readable(evutil_socket_t fd, short what, void *arg)
 {
+	static struct hint_trait_message traits;
 	static struct hint_message message;
 	char bytes[HINT_BYTES_MAX];
 	struct sockaddr_in from;
@@ -188,7 +195,9 @@
 	(void)what;
 	while ((len = recvfrom(fd, bytes, sizeof(bytes), 0,
 			       (struct sockaddr *)&from, &from_len)) > 0) {
-		if (!hint_msg_decode(&message, bytes, (size_t)len))
+		if (!hint_trait_decode(&traits, bytes, (size_t)len))
+			hint_receive_traits(hint, &traits);
+		else if (!hint_msg_decode(&message, bytes, (size_t)len))
 			hint_receive(hint, &message, &from);
 		from_len = sizeof(from);
 	}
@@ -200,7 +209,6 @@
 	struct edge *edge = hint->edge;
 	int64_t now = clk_boot_us();
 	struct hint_peer *peer = hint_find_peer(hint, message->name);
-	struct quar_report held[QUAR_LOSSES_MAX];
 	bool is_new;
 	bool was_away;
 	uint32_t k;
@@ -234,14 +242,39 @@
 	for (k = 0; k < message->suspect_count; k++)
 		hint_receive_suspect(hint, &message->suspects[k], message->name,
 				     now);
-	for (k = 0; k < message->crash_count; k++)
-		(void)quar_hear(edge->quar, &message->crashes[k], now);
+	for (k = 0; k < message->crash_count; k++) {
+		if (!quar_traits_explain(edge->traits,
+					 message->crashes[k].endpoint))
+			(void)quar_hear(edge->quar, &message->crashes[k], now);
+	}
 	/* It may have been cut off when the others heard of a quarantine. */
-	if (is_new ||
-	    (was_away && quar_held_losses(edge->quar, 0, held, now) > 0))
+	if (is_new || (was_away && hint_has_quarantines(hint, now)))
 		hint_send_first(hint, peer);
 }
 
+/* Takes what a peer reports of losses under traits of requests. */
+static void hint_receive_traits(struct hint *hint,
+				const struct hint_trait_message *message)
+{
+	int64_t now = clk_boot_us();
+	uint32_t i;
+
+	for (i = 0; i < message->count; i++)
+		quar_trait_hear(hint->edge->traits, &message->reports[i], now);
+}
+
+/* Tells whether this router quarantines anything. */
+static bool hint_has_quarantines(const struct hint *hint, int64_t now)
+{
+	struct quar_trait_report traits[QUAR_TRAIT_PAIRS];
+	struct quar_report held[QUAR_LOSSES_MAX];
+	int index = 0;
+
+	return quar_held_losses(hint->edge->quar, 0, held, now) > 0 ||
+	       quar_traits_held(hint->edge->traits, &index, traits,
+				QUAR_TRAIT_PAIRS, now) > 0;
+}
+
 /*
  * Processes a peer's claim on the age of the configuration.  If the confirmed
  * time advances by HINT_OUTAGE_US or more, an outage has ended and the store
@@ -309,6 +342,19 @@
 	return !any_recent;
 }
 
+/*
+ * Returns the place of this router among all that it hears of, in an order that
+ * depends on the key.
+ */
+int hint_rank(struct hint *hint, uint32_t key, int64_t now)
+{
+	const struct hint_router *routers;
+	int count;
+
+	routers = hint_list_routers(hint, now, &count);
+	return hint_suspect_rank(key, routers, count, hint->self.id);
+}
+
 /* Tells whether a peer serves its callers by paths of its own. */
 bool hint_has_server(const struct hint *hint, int64_t now)
 {
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -11,6 +11,7 @@
 #include "hint.h"
 #include "hint_limit.h"
 #include "hint_load.h"
+#include "hint_trait.h"
 #include "hint_turn.h"
 #include "htab.h"
 
@@ -64,7 +65,10 @@
 	uint64_t requests;	 /* of callers, when demand was updated */
 	int64_t demand_us;	 /* when demand was updated */
 	uint32_t next_suspect; /* the suspect to begin the next message with */
-	int next_limit;	       /* the limit to begin the next message with */
+	/* Losses under traits that go with each message of a round. */
+	char traits[HINT_TRAIT_BYTES];
+	size_t traits_len; /* 0: none */
+	int next_limit;	   /* the limit to begin the next message with */
 };
 
 /* hint.c */
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -22,6 +22,9 @@
 
 static bool hint_has_remote_turn(const struct hint *hint);
 static void hint_send(struct hint *hint, int local, int remote);
+static void hint_fill_traits(struct hint *hint);
+static void hint_send_first_traits(struct hint *hint,
+				   const struct hint_peer *peer);
 static int hint_sort_peers(struct hint *hint);
 static void hint_send_round(struct hint *hint, struct hint_group *group,
 			    int max, struct hint_message *message);
@@ -74,12 +77,28 @@
 	message.crash_count =
 		(uint32_t)quar_collect(hint->edge->quar, message.crashes,
 				       HINT_CRASHES_MAX, clk_boot_us());
+	hint_fill_traits(hint);
 	if (pres_peer_count(hint->edge->pres) == 0)
 		hint_send_to_senders(hint, &message);
 	else if (!hint_sort_peers(hint)) {
 		hint_send_round(hint, &hint->local, local, &message);
 		hint_send_round(hint, &hint->remote, remote, &message);
 	}
+	hint->traits_len = 0;
+}
+
+/* Encodes the losses under traits that are to be reported, if any. */
+static void hint_fill_traits(struct hint *hint)
+{
+	static struct hint_trait_message message;
+
+	hint->traits_len = 0;
+	message.count = (uint32_t)quar_traits_collect(
+		hint->edge->traits, message.reports, HINT_TRAITS_MAX,
+		clk_boot_us());
+	if (message.count > 0 &&
+	    hint_trait_encode(&message, hint->traits, &hint->traits_len))
+		hint->traits_len = 0;
 }
 
 /* Notes which peers are in our data centre, if the peers have changed. */
@@ -170,6 +189,9 @@
 		(void)sendto(hint->fd, bytes, len, 0,
 			     (const struct sockaddr *)addr, sizeof(*addr));
 	}
+	if (hint->traits_len > 0)
+		(void)sendto(hint->fd, hint->traits, hint->traits_len, 0,
+			     (const struct sockaddr *)addr, sizeof(*addr));
 }
 
 /*
@@ -199,6 +221,30 @@
 					      HINT_CRASHES_MAX);
 		hint_send_to(hint, &peer->address, peer, &message);
 	} while (count > 0 && ++sent < HINT_FIRST_MESSAGES_MAX);
+	hint_send_first_traits(hint, peer);
+}
+
+/* Sends the quarantined traits, as far as a router can take them in one go. */
+static void hint_send_first_traits(struct hint *hint,
+				   const struct hint_peer *peer)
+{
+	static struct hint_trait_message message;
+	char bytes[HINT_TRAIT_BYTES];
+	int index = 0;
+	size_t len;
+	int sent;
+
+	for (sent = 0; sent < HINT_FIRST_MESSAGES_MAX; sent++) {
+		message.count = (uint32_t)quar_traits_held(
+			hint->edge->traits, &index, message.reports,
+			HINT_TRAITS_MAX, clk_boot_us());
+		if (message.count == 0 ||
+		    hint_trait_encode(&message, bytes, &len))
+			return;
+		(void)sendto(hint->fd, bytes, len, 0,
+			     (const struct sockaddr *)&peer->address,
+			     sizeof(peer->address));
+	}
 }
 
 /* Fills in our load and the other fields that every message has. */
--- a/src/hint_suspect.c
+++ b/src/hint_suspect.c
@@ -150,6 +150,19 @@
 	return before < max;
 }
 
+/* Returns how many routers come before this one in the order of a key. */
+int hint_suspect_rank(uint32_t key, const struct hint_router *routers,
+		      int count, uint32_t self)
+{
+	uint32_t own = hint_suspect_mix(key, self);
+	int before = 0;
+	int i;
+
+	for (i = 0; i < count; i++)
+		before += hint_suspect_mix(key, routers[i].id) < own;
+	return before;
+}
+
 /* Mixes two hashes. */
 static uint32_t hint_suspect_mix(uint32_t a, uint32_t b)
 {
--- a/src/hint_suspect.h
+++ b/src/hint_suspect.h
@@ -22,6 +22,8 @@
 			  uint32_t *next, struct hint_message *message);
 bool hint_suspect_hear(struct wk *wk, const struct hint_suspect *suspect,
 		       int64_t now);
+int hint_suspect_rank(uint32_t key, const struct hint_router *routers,
+		      int count, uint32_t self);
 bool hint_suspect_probes(const struct wk *wk, const struct hint_router *routers,
 			 int count, const struct hint_router *self,
 			 int64_t now);
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -41,6 +41,8 @@
 	LOG_EVENT(LOG_QUAR_SUSPECT, 5101, "request-suspected", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_QUAR_HELD, 5102, "request-quarantined", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_QUAR_CLEARED, 5103, "request-cleared", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_QUAR_TRAIT_HELD, 5104, "trait-quarantined", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_QUAR_TRAIT_CLEARED, 5105, "trait-cleared", LOG_PRIO_NOTICE) \
 	\
 	/* 6000 peer, lim, rpc: membership and replication among peers */ \
 	LOG_EVENT(LOG_PEER_UP, 6001, "peer-up", LOG_PRIO_NOTICE) \
--- a/src/quar.h
+++ b/src/quar.h
@@ -71,6 +71,7 @@
 		   int64_t now);
 bool quar_hear(struct quar *quar, const struct quar_report *report,
 	       int64_t now);
+void quar_withdraw_loss(struct quar *quar, uint32_t endpoint, int64_t now);
 void quar_tick(struct quar *quar, int64_t now);
 int quar_collect(struct quar *quar, struct quar_report *reports, int max,
 		 int64_t now);
--- a/src/quar_loss.c
+++ b/src/quar_loss.c
@@ -111,6 +111,36 @@
 	return entry;
 }
 
+/*
+ * Withdraws the loss of an endpoint as evidence: something else has caused it.
+ * A quarantine that rested on it ends, unless the other losses suffice.
+ */
+void quar_withdraw_loss(struct quar *quar, uint32_t endpoint, int64_t now)
+{
+	struct quar_entry *entry;
+	bool was_held;
+	int i;
+
+	cds_list_for_each_entry (entry, &quar->by_age, by_age) {
+		for (i = 0; i < entry->loss_count; i++) {
+			if (entry->losses[i].endpoint == endpoint)
+				break;
+		}
+		if (i == entry->loss_count)
+			continue;
+		entry->loss_count--;
+		memmove(&entry->losses[i], &entry->losses[i + 1],
+			(size_t)(entry->loss_count - i) *
+				sizeof(entry->losses[0]));
+		entry->endpoints_lost = (uint32_t)entry->loss_count;
+		was_held = entry->held;
+		entry->held = false;
+		quar_judge(quar, entry, now);
+		if (was_held && !entry->held)
+			quar_log(LOG_QUAR_CLEARED, entry);
+	}
+}
+
 /* Quarantines fingerprints once others have reported what ran beside them. */
 void quar_tick(struct quar *quar, int64_t now)
 {
--- a/src/wk.h
+++ b/src/wk.h
@@ -16,6 +16,7 @@
 #include "hc.h"
 #include "htab.h"
 #include "adv.h"
+#include "quar_trait.h"
 #include "reach.h"
 #include "wire.h"
 
@@ -25,6 +26,7 @@
 struct wk_interrupted {
 	struct cds_list_head node;
 	uint8_t fingerprint[MAG_DIGEST_BYTES];
+	struct quar_trait_list traits;
 	uint32_t process; /* hash of the worker's process */
 	bool alone;	  /* nothing else ran there, as far as is known */
 	bool left;	  /* its caller left; it may still run */
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -48,12 +48,16 @@
 static void wkp_on_end(void *user, enum hc_result end);
 static void wkp_send_probe(struct edge *edge, struct wk *wk,
 			   bool new_connection, int64_t now);
+static void wkp_judge(struct edge *edge, int64_t now);
 static void wkp_probe_path(struct edge *edge, int64_t now);
 static void wkp_mark_unresponsive(struct wk *wk, int64_t now);
 static void wkp_on_probe_failure(struct edge *edge, struct wk *wk,
 				 enum hc_result end, int64_t now);
 static int wkp_count_recent_deaths(const struct edge *edge, int64_t now);
 static void wkp_on_death(struct edge *edge, struct wk *wk, int64_t now);
+static void wkp_add_trait_losses(struct edge *edge,
+				 const struct wk_interrupted *candidate,
+				 int64_t now);
 static void wkp_apply_report(struct wkp_call *call, int64_t now);
 
 static const struct hc_ops wkp_ops = {
@@ -142,7 +146,7 @@
 {
 	struct wk *wk;
 
-	quar_tick(edge->quar, now);
+	wkp_judge(edge, now);
 	wkp_probe_path(edge, now);
 	cds_list_for_each_entry (wk, &edge->workers.attended, attended) {
 		if (wk->probing && !wk->proc.unresponsive &&
@@ -163,6 +167,20 @@
 	}
 }
 
+/*
+ * Quarantines what has crashed workers.  Losses that a shared trait explains
+ * count against no single request.
+ */
+static void wkp_judge(struct edge *edge, int64_t now)
+{
+	uint32_t endpoint;
+
+	quar_traits_tick(edge->traits, now);
+	while (quar_traits_next_explained(edge->traits, &endpoint))
+		quar_withdraw_loss(edge->quar, endpoint, now);
+	quar_tick(edge->quar, now);
+}
+
 /*
  * Finds out whether our own path to the workers is lost or back, by probes on
  * new connections while that is in doubt.
@@ -300,7 +318,11 @@
 	     "\"died_together\":%d,\"common_cause\":%s",
 	     wk->entry.id, wk->entry.address, count, deaths,
 	     common_cause ? "true" : "false");
+	cds_list_for_each_entry (candidate, &wk->interrupted, node)
+		wkp_add_trait_losses(edge, candidate, now);
 	cds_list_for_each_entry (candidate, &wk->interrupted, node) {
+		if (quar_traits_explain(edge->traits, candidate->process))
+			continue;
 		memcpy(loss.fingerprint, candidate->fingerprint,
 		       MAG_DIGEST_BYTES);
 		loss.endpoint = candidate->process;
@@ -310,6 +332,23 @@
 	wk_clear_interrupted(wk);
 }
 
+/* Records a worker's death under all traits of a request. */
+static void wkp_add_trait_losses(struct edge *edge,
+				 const struct wk_interrupted *candidate,
+				 int64_t now)
+{
+	struct quar_trait_report loss = { 0 };
+	int i;
+
+	loss.endpoint = candidate->process;
+	loss.age_us = now - candidate->at_us;
+	memcpy(&loss.request, candidate->fingerprint, sizeof(loss.request));
+	for (i = 0; i < candidate->traits.count; i++) {
+		loss.trait = candidate->traits.list[i];
+		quar_trait_add_loss(edge->traits, &loss, now);
+	}
+}
+
 /* Applies an engine's report, which is some hundred milliseconds old. */
 static void wkp_apply_report(struct wkp_call *call, int64_t now)
 {
