wkp: a worker that stays dead dies once

Cause: each probe that fails notes the death anew, and its time with it. Change: the process that was found dead is remembered until the worker answers; only the first time counts. Ruled out: dropping the re-probes, which find a worker that is back.

--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -74,8 +74,8 @@
 }
 
 /*
- * "answer ...", "suspect ID", "refuses ID", "gone ID", "breaks ID COUNT": what
- * is learned of one worker.  False for another line.
+ * "answer ...", "suspect ID", "refuses ID", "gone ID", "breaks ID COUNT",
+ * "lives ID": what is learned of one worker.  False for another line.
  */
 static bool drive_worker(const char *line, int64_t now)
 {
@@ -92,6 +92,8 @@
 		wk_on_refusal(wk_by_id(&table, id), now);
 	else if (sscanf(line, "gone %63s", id) == 1)
 		wk_remove(&table, id, now, now);
+	else if (sscanf(line, "lives %63s", id) == 1)
+		wk_clear_suspicion(wk_by_id(&table, id), now);
 	else if (sscanf(line, "breaks %63s %d", id, &count) == 2)
 		break_requests(id, count, now);
 	else
@@ -146,6 +148,14 @@
 		else if (sscanf(line, "candidates %63s", text) == 1 &&
 			 (wk = wk_by_id(&table, text)))
 			fprintf(out, "%d\n", wk_count_interrupted(wk, now));
+		else if (sscanf(line, "dead %63s", text) == 1 &&
+			 (wk = wk_by_id(&table, text)))
+			fprintf(out, "%s\n",
+				wk_note_dead(wk) ? "news" : "known");
+		else if (sscanf(line, "late %63s", text) == 1 &&
+			 (wk = wk_by_id(&table, text)))
+			fprintf(out, "%s\n",
+				wk_broke_at_dead(wk, now) ? "yes" : "no");
 		else if (strncmp(line, "who", 3) == 0)
 			print_workers(out, now);
 		else if (sscanf(line, "at %47s", text) == 1 &&
--- a/src/wk.h
+++ b/src/wk.h
@@ -151,6 +151,8 @@
 	 */
 	struct cds_list_head interrupted;
 	int interrupted_count;
+	/* Hash of the process that was last found dead; 0: none. */
+	uint32_t dead_process;
 };
 
 /* A worker whose entry was removed, or was missing from a complete listing. */
@@ -257,7 +259,8 @@
 void wk_add_interrupted(struct wk *wk,
 			const struct wk_interrupted *interrupted);
 int wk_count_interrupted(struct wk *wk, int64_t now);
-bool wk_broke_before_restart(struct wk *wk, int64_t now);
+bool wk_broke_at_dead(struct wk *wk, int64_t now);
+bool wk_note_dead(struct wk *wk);
 bool wk_broke_since_probe(const struct wk *wk);
 void wk_forget_broken(struct wk *wk, int64_t probed_us);
 void wk_clear_interrupted(struct wk *wk);
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -309,6 +309,7 @@
 void wk_clear_suspicion(struct wk *wk, int64_t now)
 {
 	wk->proc.answered_us = now;
+	wk->dead_process = 0;
 	if (!wk->proc.suspected)
 		return;
 	wk->proc.suspected = false;
--- a/src/wk_lost.c
+++ b/src/wk_lost.c
@@ -68,7 +68,7 @@
 }
 
 /* Tells whether a request broke off at a process before the present one. */
-bool wk_broke_before_restart(struct wk *wk, int64_t now)
+bool wk_broke_at_dead(struct wk *wk, int64_t now)
 {
 	const struct wk_interrupted *first;
 
@@ -79,6 +79,26 @@
 	return first->process != wk_process_hash(wk);
 }
 
+/*
+ * Records that the process is dead at which requests broke off, or the present
+ * one.  Returns whether that was not known.
+ */
+bool wk_note_dead(struct wk *wk)
+{
+	const struct wk_interrupted *first;
+	uint32_t process = wk_process_hash(wk);
+	bool news;
+
+	if (!cds_list_empty(&wk->interrupted)) {
+		first = cds_list_first_entry(&wk->interrupted,
+					     struct wk_interrupted, node);
+		process = first->process;
+	}
+	news = wk->dead_process != process;
+	wk->dead_process = process;
+	return news;
+}
+
 /* Tells whether a request broke off at a worker since its last probe. */
 bool wk_broke_since_probe(const struct wk *wk)
 {
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -160,7 +160,7 @@
 		if (wk->proc.suspected && now >= wk->proc.suspect_until_us &&
 		    wk_alive(wk, now))
 			wkp_probe(edge, wk, now);
-		if (wk_broke_before_restart(wk, now))
+		if (wk_broke_at_dead(wk, now))
 			wkp_on_death(edge, wk, now);
 		else if (wk_broke_since_probe(wk))
 			wkp_probe(edge, wk, now);
@@ -306,13 +306,18 @@
 	const struct wk_interrupted *candidate;
 	struct quar_report loss = { 0 };
 	bool common_cause;
+	bool news;
 	int deaths;
 	int count;
 
-	wk->died_us = now;
 	count = wk_count_interrupted(wk, now);
+	news = wk_note_dead(wk);
+	if (news)
+		wk->died_us = now;
 	deaths = wkp_count_recent_deaths(edge, now);
 	common_cause = quar_have_common_cause(deaths);
+	if (!news && count == 0)
+		return;
 	jlog(LOG_WK_DIED,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"candidates\":%d,"
 	     "\"died_together\":%d,\"common_cause\":%s",
@@ -326,7 +331,8 @@
 		memcpy(loss.fingerprint, candidate->fingerprint,
 		       MAG_DIGEST_BYTES);
 		loss.endpoint = candidate->process;
-		loss.alone = candidate->alone && count == 1 && !common_cause;
+		loss.alone =
+			candidate->alone && count == 1 && news && !common_cause;
 		quar_add_loss(edge->quar, &loss, now);
 	}
 	wk_clear_interrupted(wk);
