wkp: what breaks off at a worker known to be dead is weighed at once

What was seen (trial on regress/edge/poison-part): all routers told the same death twice, a tenth of a second apart, the second time with up to 8 requests more. In between a sound part took the blame, as the harmful request was among those that came late.

Cause: a request that breaks off after the probe that told the death waits for the next probe, which keeps its distance. Change: at a process that is known to be dead it needs none. It is no evidence of having run there alone. Evidence: regress/wk/dead, 'late w-1' was no before.

--- a/src/wk_lost.c
+++ b/src/wk_lost.c
@@ -67,7 +67,10 @@
 	return wk->interrupted_count;
 }
 
-/* Tells whether a request broke off at a process before the present one. */
+/*
+ * Tells whether a request broke off at a process that is known to be dead: the
+ * one that was last found so, or one before the present one.
+ */
 bool wk_broke_at_dead(struct wk *wk, int64_t now)
 {
 	const struct wk_interrupted *first;
@@ -76,7 +79,8 @@
 		return false;
 	first = cds_list_first_entry(&wk->interrupted, struct wk_interrupted,
 				     node);
-	return first->process != wk_process_hash(wk);
+	return first->process != wk_process_hash(wk) ||
+	       first->process == wk->dead_process;
 }
 
 /*
