quar_keep: a quarantined trait outlives all routers

Cause: routers know of a quarantine by each other alone. Change: a trait that is quarantined without doubt gets a key in the store under a lease of ten minutes. Every router reads the keys as it starts; the router that ranks first for the trait writes it with two calls, up to three others only if it does not appear. At most 64 keys. Removing a key lifts the quarantine, one loss renews it. A store that comes back older may have lost it: running routers keep what they know.

Ruled out: keeping what is in doubt, which single requests decide in seconds.

--- a/regress/check_quar_trait.c
+++ b/regress/check_quar_trait.c
@@ -105,10 +105,23 @@
 	}
 }
 
+/* Prints the traits that an instance has to keep in the store, each once. */
+static void keep(int at, int64_t now)
+{
+	struct quar_trait trait;
+	int64_t since_us;
+
+	while (quar_trait_next_unkept(instances[at], &trait, &since_us, now)) {
+		fprintf(script_out, "keeps %c\n", (char)trait.value);
+		quar_trait_set_kept(instances[at], &trait);
+	}
+}
+
 /*
  * Runs a line: "loss INSTANCE TRAIT ENDPOINT REQUEST"; "well INSTANCE TRAIT
  * MS", a run that began at MS did well; "try INSTANCE TRAIT RANK"; "restart
- * INSTANCE OTHER"; "check TRAIT".
+ * INSTANCE OTHER"; "keep INSTANCE", what it has to keep in the store; "restore
+ * INSTANCE TRAIT", "lift INSTANCE TRAIT", as the store says; "check TRAIT".
  */
 static void run_line(const char *line, int64_t now)
 {
@@ -138,6 +151,14 @@
 				: "is not tried");
 	} else if (sscanf(line, "restart %d %d", &at, &a) == 2) {
 		restart(at, a, now);
+	} else if (sscanf(line, "restore %d %c", &at, &letter) == 2) {
+		loss.trait = trait_of(letter);
+		quar_trait_restore(instances[at], &loss.trait, now);
+	} else if (sscanf(line, "lift %d %c", &at, &letter) == 2) {
+		loss.trait = trait_of(letter);
+		quar_trait_lift(instances[at], &loss.trait, now);
+	} else if (sscanf(line, "keep %d", &at) == 1) {
+		keep(at, now);
 	} else if (sscanf(line, "check %c", &letter) == 1) {
 		print_state(letter, now);
 	}
--- a/src/edge.h
+++ b/src/edge.h
@@ -62,6 +62,7 @@
 	struct wk_table workers;
 	struct quar *quar;
 	struct quar_traits *traits;
+	struct quar_keep *keep;
 	struct edge_placer placer;
 
 	struct rt_set *rt;    /* configuration; NULL until the first one */
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -7,6 +7,7 @@
 #include "pl_config.h"
 #include "pl_store.h"
 #include "pl_worker.h"
+#include "quar_keep.h"
 
 /*
  * Timeout of a watch at the store.  Each watch that returns is a billed call.
@@ -115,6 +116,7 @@
 		mir_list_begin(&edge->mir);
 	wk_list_begin(&edge->workers);
 	pres_list_begin(edge->pres);
+	quar_keep_list_begin(edge->keep);
 }
 
 /* Passes an entry to the module that its key belongs to. */
@@ -131,6 +133,9 @@
 		edge_apply_worker(edge, item);
 	else if (strncmp(item->key, PRES_PREFIX, strlen(PRES_PREFIX)) == 0)
 		pres_item(edge->pres, item);
+	else if (strncmp(item->key, QUAR_KEEP_PREFIX,
+			 strlen(QUAR_KEEP_PREFIX)) == 0)
+		quar_keep_item(edge->keep, item, clk_boot_us());
 }
 
 static void edge_list_end(void *user)
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -17,6 +17,7 @@
 #include "log.h"
 #include "pl_env.h"
 #include "plr.h"
+#include "quar_keep.h"
 #include "wkp.h"
 
 #define EDGE_EXIT_SETTINGS 2
@@ -159,7 +160,8 @@
 	edge->hc = edge->base ? hc_new(edge->base) : NULL;
 	edge->quar = quar_new(EDGE_QUARANTINE_MAX, EDGE_QUARANTINE_US);
 	edge->traits = quar_traits_new(EDGE_TRAITS_MAX, EDGE_TRAITS_US);
-	if (!edge->hc || !edge->quar || !edge->traits) {
+	edge->keep = quar_keep_new(edge);
+	if (!edge->hc || !edge->quar || !edge->traits || !edge->keep) {
 		jlog(LOG_START_FAILED, "\"why\":\"out of memory\"");
 		return -1;
 	}
@@ -261,6 +263,7 @@
 	hs_tick(edge->metrics, now);
 	edge_follow_tick(edge, now);
 	pres_tick(edge->pres, now);
+	quar_keep_tick(edge->keep, now);
 	wk_tick(&edge->workers, now);
 	wkp_tick(edge, now);
 	if (now >= edge->placer.next_plan_us) {
--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -15,8 +15,6 @@
 #define QUAR_TRAIT_TRIAL_US   (2 * MAG_US_PER_S)
 #define QUAR_TRAIT_TRIALS_MAX 16 /* doublings */
 
-static struct quar_trait_entry *quar_trait_add(struct quar_traits *traits,
-					       const struct quar_trait *trait);
 static void quar_trait_evict(struct quar_traits *traits);
 static void quar_trait_remove(struct quar_traits *traits,
 			      struct quar_trait_entry *entry);
@@ -287,8 +285,8 @@
 }
 
 /* Creates the entry of a trait; NULL if out of memory. */
-static struct quar_trait_entry *quar_trait_add(struct quar_traits *traits,
-					       const struct quar_trait *trait)
+struct quar_trait_entry *quar_trait_add(struct quar_traits *traits,
+					const struct quar_trait *trait)
 {
 	struct quar_trait_entry *entry;
 
@@ -389,14 +387,9 @@
 /* Writes a log line of a trait. */
 void quar_trait_log(enum log_id id, const struct quar_trait_entry *entry)
 {
-	static const char *const kinds[] = {
-		[QUAR_TRAIT_PART] = "part",
-		[QUAR_TRAIT_CONTENT] = "content",
-	};
-
 	log_event(id,
 		  "kind=%s value=%" PRIx64 " in_doubt=%d endpoints_lost=%d "
 		  "runs=%d",
-		  kinds[entry->trait.kind], entry->trait.value, entry->in_doubt,
-		  quar_trait_endpoints(entry), entry->runs);
+		  quar_trait_kind_name(entry->trait.kind), entry->trait.value,
+		  entry->in_doubt, quar_trait_endpoints(entry), entry->runs);
 }
--- a/src/quar_trait.h
+++ b/src/quar_trait.h
@@ -95,6 +95,18 @@
 bool quar_traits_explain(const struct quar_traits *traits, uint32_t endpoint);
 bool quar_traits_next_explained(struct quar_traits *traits, uint32_t *endpoint);
 
+/* quar_trait_kept.c */
+const char *quar_trait_kind_name(enum quar_trait_kind kind);
+bool quar_trait_next_unkept(struct quar_traits *traits,
+			    struct quar_trait *trait, int64_t *since_us,
+			    int64_t now);
+void quar_trait_set_kept(struct quar_traits *traits,
+			 const struct quar_trait *trait);
+void quar_trait_restore(struct quar_traits *traits,
+			const struct quar_trait *trait, int64_t now);
+void quar_trait_lift(struct quar_traits *traits, const struct quar_trait *trait,
+		     int64_t now);
+
 /* quar_trait_report.c */
 int quar_traits_collect(struct quar_traits *traits,
 			struct quar_trait_report *reports, int max,
--- a/src/quar_trait_int.h
+++ b/src/quar_trait_int.h
@@ -48,6 +48,7 @@
 	int64_t trial_until_us; /* a request that tries it may be running */
 	bool failed;		/* an endpoint was lost since */
 	bool report_pending;
+	bool kept;   /* in the store, too */
 	bool chosen; /* by the judgement in progress */
 };
 
@@ -60,6 +61,7 @@
 	struct cds_list_head suspects; /* with losses, or quarantined */
 	struct cds_list_head reports;
 	enum quar_alert alert;
+	bool has_unkept;	/* a trait was confirmed since the start */
 	int64_t judge_until_us; /* until then a loss may come to count */
 	/* Endpoints whose loss is explained: a ring. */
 	uint32_t explained[QUAR_EXPLAINED_MAX];
@@ -70,6 +72,8 @@
 /* quar_trait.c */
 struct quar_trait_entry *quar_trait_find(const struct quar_traits *traits,
 					 const struct quar_trait *trait);
+struct quar_trait_entry *quar_trait_add(struct quar_traits *traits,
+					const struct quar_trait *trait);
 void quar_trait_drop_pair(struct quar_trait_entry *entry, int index);
 void quar_trait_settle_list(struct quar_traits *traits,
 			    struct quar_trait_entry *entry);
--- a/src/quar_trait_judge.c
+++ b/src/quar_trait_judge.c
@@ -323,6 +323,7 @@
 	}
 	if (!news)
 		return;
+	traits->has_unkept |= !entry->in_doubt;
 	traits->alert = QUAR_ALERT_ALL;
 	quar_trait_watch(traits, now);
 	quar_trait_queue(traits, entry);
