quar_trait: a trait of one loss is not passed on

Cause, from counting before any run at that size: each instance passed on each loss that it heard of. When many workers die together, as a rack does, each of them leaves the traits of all requests that were beginning there, and each instance would send all of these on, twice.

Change: what was heard is passed on once the trait has losses at two moments, or is quarantined. In this model each instance may send at each tick of 10 ms; routers do so at once only for what they saw themselves.

--- a/regress/check_quar_trait.c
+++ b/regress/check_quar_trait.c
@@ -5,20 +5,27 @@
 #include "quar_trait.h"
 #include "script.h"
 
-#define TEXT_MAX    128
-#define INSTANCES   3
-#define REPORTS_MAX 55
-#define HOLD_US	    (600 * MAG_US_PER_S)
+#define TEXT_MAX      128
+#define INSTANCES_MAX 1000
+#define PRINTED_MAX   3 /* instances whose states are printed */
+#define REPORTS_MAX   55
+#define HOLD_US	      (600 * MAG_US_PER_S)
 
 static FILE *script_out;
-static struct quar_traits *instances[INSTANCES];
+static struct quar_traits *instances[INSTANCES_MAX];
+static int instance_count;
+static int fanout; /* instances that a message reaches */
+static int turn;
+static long sent;
+static uint64_t seed;
 
 /* Prints log lines as part of the output. */
 static void log_line(void *ctx, enum log_prio prio, const char *line)
 {
 	(void)ctx;
 	(void)prio;
-	fprintf(script_out, "  log %s\n", line);
+	if (instance_count <= PRINTED_MAX)
+		fprintf(script_out, "  log %s\n", line);
 }
 
 /* Returns a part of a prompt, named by a letter; a content for a capital one.
@@ -32,7 +39,7 @@
 	return trait;
 }
 
-/* Delivers the reports of each instance to the others until there are none. */
+/* Delivers the reports of each instance to so many of the others. */
 static void exchange(int64_t now)
 {
 	struct quar_trait_report reports[REPORTS_MAX];
@@ -40,16 +47,18 @@
 	int from;
 	int to;
 	int i;
+	int k;
 
-	for (from = 0; from < INSTANCES; from++) {
+	for (from = 0; from < instance_count; from++) {
 		count = quar_traits_collect(instances[from], reports,
 					    REPORTS_MAX, now);
-		for (i = 0; i < count; i++) {
-			for (to = 0; to < INSTANCES; to++) {
-				if (to != from)
-					quar_trait_hear(instances[to],
-							&reports[i], now);
-			}
+		for (k = 0; count > 0 && k < fanout; k++) {
+			to = (from + 1 + turn++ % (instance_count - 1)) %
+			     instance_count;
+			sent++;
+			for (i = 0; i < count; i++)
+				quar_trait_hear(instances[to], &reports[i],
+						now);
 		}
 	}
 }
@@ -61,7 +70,7 @@
 	int i;
 
 	for (now = from; now < to; now += 10 * MAG_US_PER_MS) {
-		for (i = 0; i < INSTANCES; i++)
+		for (i = 0; i < instance_count; i++)
 			quar_traits_tick(instances[i], now);
 		exchange(now);
 	}
@@ -79,7 +88,7 @@
 	int i;
 
 	fprintf(script_out, "%c is", letter);
-	for (i = 0; i < INSTANCES; i++)
+	for (i = 0; i < instance_count && i < PRINTED_MAX; i++)
 		fprintf(script_out, " %s%s",
 			states[quar_trait_check(instances[i], &trait, now)],
 			quar_trait_is_in_doubt(instances[i], &trait, now)
@@ -105,6 +114,61 @@
 	}
 }
 
+/* Prints at how many instances a trait is quarantined. */
+static void count_held(char letter, int64_t now)
+{
+	struct quar_trait trait = trait_of(letter);
+	int held = 0;
+	int i;
+
+	for (i = 0; i < instance_count; i++)
+		held += quar_trait_check(instances[i], &trait, now) ==
+			QUAR_QUARANTINED;
+	fprintf(script_out, "%c is quarantined at %d of %d\n", letter, held,
+		instance_count);
+}
+
+/*
+ * Endpoints are lost at once, each with so many requests of instances drawn at
+ * random, and two traits each.
+ */
+static void lose_many(int endpoints, int requests, int64_t now)
+{
+	struct quar_trait_report loss = { 0 };
+	int at;
+	int e;
+	int r;
+
+	for (e = 0; e < endpoints; e++) {
+		for (r = 0; r < requests; r++) {
+			at = (int)(mag_random(&seed) %
+				   (uint64_t)instance_count);
+			loss.endpoint = (uint32_t)(100000 + e);
+			loss.request = (uint32_t)mag_random(&seed);
+			loss.trait.kind = QUAR_TRAIT_PART;
+			loss.trait.value = 1000 + mag_random(&seed) % 500;
+			quar_trait_add_loss(instances[at], &loss, now);
+			loss.trait.kind = QUAR_TRAIT_CONTENT;
+			loss.trait.value = mag_random(&seed);
+			quar_trait_add_loss(instances[at], &loss, now);
+		}
+	}
+}
+
+/* Makes so many instances, of which a message reaches some. */
+static void make_instances(int count, int reached)
+{
+	int i;
+
+	for (i = 0; i < instance_count; i++)
+		quar_traits_free(instances[i]);
+	instance_count = count;
+	fanout = reached;
+	for (i = 0; i < count; i++)
+		instances[i] = quar_traits_new(64, HOLD_US);
+	seed = 1;
+}
+
 /* Prints the traits that an instance has to keep in the store, each once. */
 static void keep(int at, int64_t now)
 {
@@ -121,7 +185,9 @@
  * Runs a line: "loss INSTANCE TRAIT ENDPOINT REQUEST"; "well INSTANCE TRAIT
  * MS", a run that began at MS did well; "try INSTANCE TRAIT RANK"; "restart
  * INSTANCE OTHER"; "keep INSTANCE", what it has to keep in the store; "restore
- * INSTANCE TRAIT", "lift INSTANCE TRAIT", as the store says; "check TRAIT".
+ * INSTANCE TRAIT", "lift INSTANCE TRAIT", as the store says; "check TRAIT";
+ * "instances N M", a message of N instances reaches M; "many ENDPOINTS
+ * REQUESTS"; "held TRAIT"; "messages MOST".
  */
 static void run_line(const char *line, int64_t now)
 {
@@ -132,8 +198,19 @@
 	int at;
 	int a;
 
-	if (sscanf(line, "loss %d %c %u %u", &at, &letter, &endpoint,
-		   &request) == 4) {
+	if (sscanf(line, "instances %d %d", &at, &a) == 2) {
+		make_instances(at, a);
+	} else if (sscanf(line, "many %d %d", &at, &a) == 2) {
+		lose_many(at, a, now);
+	} else if (sscanf(line, "held %c", &letter) == 1) {
+		count_held(letter, now);
+	} else if (sscanf(line, "messages %d", &a) == 1) {
+		fprintf(script_out, "%s %d messages from each\n",
+			sent <= (long)a * instance_count ? "at most" : "over",
+			a);
+		sent = 0;
+	} else if (sscanf(line, "loss %d %c %u %u", &at, &letter, &endpoint,
+			  &request) == 4) {
 		loss.trait = trait_of(letter);
 		loss.endpoint = endpoint;
 		loss.request = request;
@@ -170,12 +247,10 @@
 	char line[TEXT_MAX];
 	int64_t now = 0;
 	int ms;
-	int i;
 
 	script_out = out;
 	log_set_sink(log_line, NULL);
-	for (i = 0; i < INSTANCES; i++)
-		instances[i] = quar_traits_new(64, HOLD_US);
+	make_instances(3, 2);
 	while (fgets(line, sizeof(line), in)) {
 		if (line[0] == '#')
 			fputs(line, out);
@@ -187,8 +262,7 @@
 			run_line(line, now);
 		}
 	}
-	for (i = 0; i < INSTANCES; i++)
-		quar_traits_free(instances[i]);
+	make_instances(0, 0);
 }
 
 int main(void)
--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -5,8 +5,14 @@
 #include "log.h"
 #include "quar_trait_int.h"
 
-/* Messages that pass on what was heard. */
+/*
+ * Messages that pass on what was heard.  A trait of one loss is not passed on:
+ * many workers that die together would flood all instances with those of sound
+ * requests.  Where an instance does not reach all others, it takes few losses
+ * more until some of them know of two.
+ */
 #define QUAR_TRAIT_RELAY_REPORTS 2
+#define QUAR_TRAIT_RELAY_LOSSES	 2
 /*
  * Time in which a request that tries a trait has an outcome.  After each of
  * them twice as many instances may try it: a trait that few requests have is
@@ -20,11 +26,12 @@
 			      struct quar_trait_entry *entry);
 static uint32_t quar_trait_hash(const struct quar_trait *trait);
 static bool quar_trait_merge(struct quar_traits *traits,
-			     const struct quar_trait_report *report,
-			     int reports, int64_t now);
+			     const struct quar_trait_report *report, bool own,
+			     int64_t now);
 static struct quar_trait_pair *
 quar_trait_new_pair(struct quar_trait_entry *entry, uint32_t endpoint,
 		    uint32_t request, int64_t now);
+static void quar_trait_relay(struct quar_trait_entry *entry);
 static bool quar_trait_clear(struct quar_traits *traits,
 			     struct quar_trait_entry *entry, int64_t begun_us,
 			     int reports);
@@ -103,7 +110,7 @@
 void quar_trait_add_loss(struct quar_traits *traits,
 			 const struct quar_trait_report *loss, int64_t now)
 {
-	if (quar_trait_merge(traits, loss, QUAR_TRAIT_OWN_REPORTS, now))
+	if (quar_trait_merge(traits, loss, true, now))
 		traits->alert = QUAR_ALERT_ALL;
 }
 
@@ -114,8 +121,7 @@
 	struct quar_trait_entry *entry;
 
 	if (!report->did_well) {
-		(void)quar_trait_merge(traits, report, QUAR_TRAIT_RELAY_REPORTS,
-				       now);
+		(void)quar_trait_merge(traits, report, false, now);
 		return;
 	}
 	entry = quar_trait_find(traits, &report->trait);
@@ -128,13 +134,13 @@
 }
 
 /*
- * Merges a loss.  Returns whether it is news, of which so many messages then
- * report.  A loss before a run that did well is no evidence, which whoever
+ * Merges a loss that was seen here (own) or heard of.  Returns whether it is
+ * news.  A loss before a run that did well is no evidence, which whoever
  * reports it is told.
  */
 static bool quar_trait_merge(struct quar_traits *traits,
-			     const struct quar_trait_report *report,
-			     int reports, int64_t now)
+			     const struct quar_trait_report *report, bool own,
+			     int64_t now)
 {
 	struct quar_trait_entry *entry =
 		quar_trait_find(traits, &report->trait);
@@ -163,11 +169,14 @@
 	if (!pair)
 		return false;
 	pair->at_us = at_us;
-	pair->reports_left = reports;
+	pair->reports_left = own ? QUAR_TRAIT_OWN_REPORTS : 0;
 	quar_trait_watch(traits, now);
 	quar_trait_settle_list(traits, entry);
 	quar_trait_queue(traits, entry);
 	entry->failed |= at_us > entry->held_us;
+	if (!own && (report->held ||
+		     quar_trait_moments(entry) >= QUAR_TRAIT_RELAY_LOSSES))
+		quar_trait_relay(entry);
 	if (report->held || quar_trait_is_held(entry, now))
 		quar_trait_hold(traits, entry, !confirmed, now);
 	return true;
@@ -203,6 +212,20 @@
 	return true;
 }
 
+/* Has the losses of a trait passed on that were not yet. */
+static void quar_trait_relay(struct quar_trait_entry *entry)
+{
+	int i;
+
+	for (i = 0; i < entry->pair_count; i++) {
+		if (entry->pairs[i].relayed)
+			continue;
+		entry->pairs[i].relayed = true;
+		if (entry->pairs[i].reports_left < QUAR_TRAIT_RELAY_REPORTS)
+			entry->pairs[i].reports_left = QUAR_TRAIT_RELAY_REPORTS;
+	}
+}
+
 /*
  * Adds an endpoint and a request to the losses of a trait, in place of the
  * oldest if there are too many.  Returns NULL if they are known already, or
@@ -233,6 +256,7 @@
 		       : oldest;
 	pair->endpoint = endpoint;
 	pair->request = request;
+	pair->relayed = false;
 	if (there == 0 && quar_trait_endpoints(entry) == QUAR_TRAIT_LOSSES)
 		entry->enough_us = now;
 	return pair;
--- a/src/quar_trait_int.h
+++ b/src/quar_trait_int.h
@@ -21,6 +21,7 @@
 	uint32_t request;
 	int64_t at_us;	  /* time of the loss */
 	int reports_left; /* messages that still report it */
+	bool relayed;	  /* it has been passed on */
 };
 
 struct quar_trait_entry {
@@ -83,6 +84,7 @@
 void quar_trait_log(enum log_id id, const struct quar_trait_entry *entry);
 
 /* quar_trait_judge.c */
+int quar_trait_moments(const struct quar_trait_entry *entry);
 void quar_trait_watch(struct quar_traits *traits, int64_t now);
 void quar_trait_expire(struct quar_traits *traits,
 		       struct quar_trait_entry *entry, int64_t now);
