--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -76,7 +76,7 @@
 		return QUAR_CLEAR;
 	if (quar_trait_is_held(entry, now))
 		return QUAR_QUARANTINED;
-	return !entry->known && quar_trait_endpoints(entry) >=
+	return !entry->known && quar_trait_moments(entry) >=
 					QUAR_TRAIT_LOSSES - 1
 		       ? QUAR_SUSPECT
 		       : QUAR_CLEAR;
