eq: a request refused in doubt may come back once its trait was tried

What callers saw (by reading, while the test's sound requests were counted): a sound request whose part is quarantined in doubt was refused without a Retry-After, like one that crashes workers for certain; its caller came back at once, was refused again and gave up, although single requests clear a sound part within some two seconds. Change: Retry-After of 1.5 to 3 s in that case. What is quarantined without doubt still gets none. regress/edge/poison-part passes as before (4 of 4).

--- a/src/eq.c
+++ b/src/eq.c
@@ -23,6 +23,11 @@
  * its reports have arrived.
  */
 #define EQ_RETRY_SOON_S 0.25
+/*
+ * Shortest Retry-After for a caller whose request is quarantined in doubt; the
+ * longest is twice as long.  By then single requests have mostly decided it.
+ */
+#define EQ_RETRY_TRIED_S 1.5
 /*
  * Retry-After of a router that has no configuration yet, in seconds and as a
  * fraction of the time that the caller has: after a restart of the whole fleet
@@ -209,6 +214,9 @@
 	case EQ_RETRY_SOON:
 		wait_s = EQ_RETRY_SOON_S * (1 + spread);
 		break;
+	case EQ_RETRY_TRIED:
+		wait_s = EQ_RETRY_TRIED_S * (1 + spread);
+		break;
 	case EQ_RETRY_BACKOFF:
 	case EQ_RETRY_LATER:
 		wait_s = eq_retry_late_s(eq, retry, spread, clk_boot_us());
@@ -409,7 +417,9 @@
 		return false;
 	met_increment(&eq->edge->met, MET_POISON);
 	eq->may_have_run |= eq->call != NULL;
-	eq_refuse(eq, 503, EQ_RETRY_NEVER, "crashes workers");
+	eq_refuse(eq, 503,
+		  eq_is_in_doubt(eq, now) ? EQ_RETRY_TRIED : EQ_RETRY_NEVER,
+		  "crashes workers");
 	return true;
 }
 
--- a/src/eq.h
+++ b/src/eq.h
@@ -108,6 +108,7 @@
 	EQ_RETRY_NEVER,
 	EQ_RETRY_ELSEWHERE, /* at once: another router accepts it */
 	EQ_RETRY_SOON,	    /* once the faulty worker is known */
+	EQ_RETRY_TRIED,	    /* once another request has tried a trait */
 	EQ_RETRY_BACKOFF,   /* once the workers' backoffs have ended */
 	EQ_RETRY_LATER,	    /* once the present load has drained */
 };
@@ -156,6 +157,7 @@
 /* eq_trait.c */
 void eq_set_traits(struct eq *eq);
 enum quar_state eq_check_quarantine(const struct eq *eq, int64_t now);
+bool eq_is_in_doubt(const struct eq *eq, int64_t now);
 bool eq_may_try(struct eq *eq, int64_t now);
 void eq_did_well(struct eq *eq, int64_t begun_us, int64_t now);
 
--- a/src/eq_trait.c
+++ b/src/eq_trait.c
@@ -96,6 +96,24 @@
 	return true;
 }
 
+/* Tells whether only traits in doubt quarantine a request. */
+bool eq_is_in_doubt(const struct eq *eq, int64_t now)
+{
+	const struct quar_trait *trait = eq->traits.list;
+	int i;
+
+	if (quar_check(eq->edge->quar, eq->fingerprint, now) ==
+	    QUAR_QUARANTINED)
+		return false;
+	for (i = 0; i < eq->traits.count; i++) {
+		if (quar_trait_check(eq->edge->traits, &trait[i], now) ==
+			    QUAR_QUARANTINED &&
+		    !quar_trait_is_in_doubt(eq->edge->traits, &trait[i], now))
+			return false;
+	}
+	return true;
+}
+
 /* Returns the trait that alone quarantines a request, or NULL. */
 static const struct quar_trait *eq_only_quarantined(const struct eq *eq,
 						    int64_t now)
