quar_trait: losses are weighed by moments throughout; sound traits need less memory

Cause, by reading: whether a trait's losses suffice was judged by moments, so that workers lost together count once, but which of several traits is likelier by endpoints: a sound trait at six workers that died together would have gone before the harmful one at three that died in turn, and no time was left for reports once its losses sufficed. Change: moments everywhere, reports have their time from the moment at which there are enough. The places for losses (320 bytes) are allocated with the first one: most of the 8,192 entries of a router are traits of sound requests and need 130 bytes then, not 470. regress/quar_trait and edge/poison-part (4 of 4) pass as before.

--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -29,8 +29,8 @@
 			     const struct quar_trait_report *report, bool own,
 			     int64_t now);
 static struct quar_trait_pair *
-quar_trait_new_pair(struct quar_trait_entry *entry, uint32_t endpoint,
-		    uint32_t request, int64_t now);
+quar_trait_new_pair(struct quar_trait_entry *entry,
+		    const struct quar_trait_report *report);
 static void quar_trait_relay(struct quar_trait_entry *entry);
 static bool quar_trait_clear(struct quar_traits *traits,
 			     struct quar_trait_entry *entry, int64_t begun_us,
@@ -147,6 +147,7 @@
 	bool confirmed = report->held && !report->in_doubt;
 	int64_t at_us = now - report->age_us;
 	struct quar_trait_pair *pair;
+	int before;
 
 	if (report->age_us < 0 || report->age_us >= traits->hold_us)
 		return false;
@@ -164,11 +165,15 @@
 		quar_trait_queue(traits, entry);
 		return false;
 	}
-	pair = quar_trait_new_pair(entry, report->endpoint, report->request,
-				   now);
+	before = quar_trait_moments(entry);
+	pair = quar_trait_new_pair(entry, report);
 	if (!pair)
 		return false;
 	pair->at_us = at_us;
+	entry->learned_us = now;
+	if (before < QUAR_TRAIT_LOSSES &&
+	    quar_trait_moments(entry) >= QUAR_TRAIT_LOSSES)
+		entry->enough_us = now;
 	pair->reports_left = own ? QUAR_TRAIT_OWN_REPORTS : 0;
 	quar_trait_watch(traits, now);
 	quar_trait_settle_list(traits, entry);
@@ -228,37 +233,39 @@
 
 /*
  * Adds an endpoint and a request to the losses of a trait, in place of the
- * oldest if there are too many.  Returns NULL if they are known already, or
- * enough requests are known of the endpoint.
+ * oldest if there are too many.  Returns NULL if they are known already, enough
+ * requests are known of the endpoint, or memory is exhausted.
  */
 static struct quar_trait_pair *
-quar_trait_new_pair(struct quar_trait_entry *entry, uint32_t endpoint,
-		    uint32_t request, int64_t now)
+quar_trait_new_pair(struct quar_trait_entry *entry,
+		    const struct quar_trait_report *report)
 {
 	struct quar_trait_pair *pair;
-	struct quar_trait_pair *oldest = entry->pairs;
+	struct quar_trait_pair *oldest;
 	int there = 0;
 
+	if (!entry->pairs)
+		entry->pairs = calloc(QUAR_TRAIT_PAIRS, sizeof(*pair));
+	if (!entry->pairs)
+		return NULL;
+	oldest = entry->pairs;
 	for (pair = entry->pairs; pair < entry->pairs + entry->pair_count;
 	     pair++) {
-		there += pair->endpoint == endpoint;
-		if (pair->endpoint == endpoint && pair->request == request)
+		there += pair->endpoint == report->endpoint;
+		if (pair->endpoint == report->endpoint &&
+		    pair->request == report->request)
 			return NULL;
 		if (pair->at_us < oldest->at_us)
 			oldest = pair;
 	}
 	if (there == QUAR_TRAIT_REQUESTS)
 		return NULL;
-	if (there == 0)
-		entry->learned_us = now;
 	pair = entry->pair_count < QUAR_TRAIT_PAIRS
 		       ? &entry->pairs[entry->pair_count++]
 		       : oldest;
-	pair->endpoint = endpoint;
-	pair->request = request;
-	pair->relayed = false;
-	if (there == 0 && quar_trait_endpoints(entry) == QUAR_TRAIT_LOSSES)
-		entry->enough_us = now;
+	memset(pair, 0, sizeof(*pair));
+	pair->endpoint = report->endpoint;
+	pair->request = report->request;
 	return pair;
 }
 
@@ -350,6 +357,7 @@
 	cds_list_del(&entry->by_age);
 	if (entry->report_pending)
 		cds_list_del(&entry->in_reports);
+	free(entry->pairs);
 	free(entry);
 }
 
@@ -360,6 +368,10 @@
 	bool suspect = entry->pair_count > 0 || entry->held_until_us ||
 		       entry->held_before;
 
+	if (!suspect) {
+		free(entry->pairs);
+		entry->pairs = NULL;
+	}
 	cds_list_del(&entry->by_age);
 	cds_list_add_tail(&entry->by_age,
 			  suspect ? &traits->suspects : &traits->sound);
--- a/src/quar_trait_int.h
+++ b/src/quar_trait_int.h
@@ -32,9 +32,9 @@
 	struct quar_trait trait;
 
 	/* Losses that nothing else explains and no run has cleared. */
-	struct quar_trait_pair pairs[QUAR_TRAIT_PAIRS];
+	struct quar_trait_pair *pairs; /* QUAR_TRAIT_PAIRS, or NULL */
 	int pair_count;
-	int64_t learned_us; /* when the last endpoint was added */
+	int64_t learned_us; /* when the last one was added */
 	int64_t enough_us;  /* when there first were enough of them */
 
 	int64_t well_us;  /* when the latest run that did well began */
--- a/src/quar_trait_judge.c
+++ b/src/quar_trait_judge.c
@@ -16,7 +16,7 @@
  * they ran there.
  */
 #define QUAR_TRAIT_SETTLE_US (250 * MAG_US_PER_MS)
-/* Endpoints lost that leave no doubt if no other trait was lost on as many. */
+/* Losses that leave no doubt if no other trait has as many. */
 #define QUAR_TRAIT_SURE_LOSSES 4
 
 static void quar_trait_choose(struct quar_traits *traits, int64_t now);
@@ -209,7 +209,7 @@
 {
 	if (a->known != b->known)
 		return b->known;
-	return quar_trait_endpoints(a) > quar_trait_endpoints(b);
+	return quar_trait_moments(a) > quar_trait_moments(b);
 }
 
 static int64_t quar_trait_first_loss(const struct quar_trait_entry *entry)
@@ -225,8 +225,8 @@
 }
 
 /*
- * Tells whether a trait in doubt was lost on an endpoint more, so that no other
- * one was lost on as many.
+ * Tells whether a trait in doubt has one loss more, so that no other one has as
+ * many.
  */
 static bool quar_trait_has_failed(const struct quar_traits *traits,
 				  const struct quar_trait_entry *entry,
@@ -235,11 +235,11 @@
 	return quar_trait_is_held(entry, now) && entry->in_doubt &&
 	       entry->failed &&
 	       now - entry->learned_us >= QUAR_TRAIT_SETTLE_US &&
-	       quar_trait_endpoints(entry) >
+	       quar_trait_moments(entry) >
 		       quar_trait_rival_losses(traits, entry);
 }
 
-/* Returns the most endpoints that were lost under another trait. */
+/* Returns the most losses of another trait. */
 static int quar_trait_rival_losses(const struct quar_traits *traits,
 				   const struct quar_trait_entry *entry)
 {
@@ -252,7 +252,7 @@
 		    other->known > entry->known ||
 		    (other->held_until_us && !other->in_doubt))
 			continue;
-		lost = quar_trait_endpoints(other);
+		lost = quar_trait_moments(other);
 		if (lost > most)
 			most = lost;
 	}
@@ -263,7 +263,7 @@
 static bool quar_trait_is_sure(const struct quar_traits *traits,
 			       const struct quar_trait_entry *entry)
 {
-	int lost = quar_trait_endpoints(entry);
+	int lost = quar_trait_moments(entry);
 	int margin = lost - quar_trait_rival_losses(traits, entry);
 
 	return entry->held_before || margin >= 2 ||
