quar_trait: one instance goes on trying once a trait has failed

Cause: more instances try as time passes, also where a try has cost an endpoint already. Change: from then on only the instance that ranks first tries.

--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -15,8 +15,8 @@
 #define QUAR_TRAIT_RELAY_LOSSES	 2
 /*
  * Time in which a request that tries a trait has an outcome.  After each of
- * them twice as many instances may try it: a trait that few requests have is
- * tried, too, and a harmful one fails early.
+ * them twice as many instances may try it, so that a trait that few requests
+ * have is tried, too; once an endpoint was lost, only one does.
  */
 #define QUAR_TRAIT_TRIAL_US   (2 * MAG_US_PER_S)
 #define QUAR_TRAIT_TRIALS_MAX 16 /* doublings */
@@ -210,7 +210,8 @@
 	if (!quar_trait_is_in_doubt(traits, trait, now) ||
 	    now < entry->trial_until_us)
 		return false;
-	rounds = (now - entry->held_us) / QUAR_TRAIT_TRIAL_US;
+	rounds = entry->failed ? 0
+			       : (now - entry->held_us) / QUAR_TRAIT_TRIAL_US;
 	if (rounds < QUAR_TRAIT_TRIALS_MAX && rank >= 1 << rounds)
 		return false;
 	entry->trial_until_us = now + QUAR_TRAIT_TRIAL_US;
