quar_trait: a trait is confirmed on evidence that all had time to report

And by reading: a harmful part of which no more losses are recorded than of a sound one stayed in doubt, with a crash each two seconds.

Cause: a margin between traits was taken from reports that were still coming in. Change: a trait's own losses count once they are 250 ms old, its rivals' at once. What is in doubt is confirmed by the endpoints that it lost while it was tried, more than any rival; then a rival stays quarantined only if what is left of its losses would have quarantined it. 16 places for losses instead of 10.

--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -76,7 +76,7 @@
 		return QUAR_CLEAR;
 	if (quar_trait_is_held(entry, now))
 		return QUAR_QUARANTINED;
-	return !entry->known && quar_trait_moments(entry) >=
+	return !entry->known && quar_trait_moments(entry, now) >=
 					QUAR_TRAIT_LOSSES - 1
 		       ? QUAR_SUSPECT
 		       : QUAR_CLEAR;
@@ -147,7 +147,6 @@
 	bool confirmed = report->held && !report->in_doubt;
 	int64_t at_us = now - report->age_us;
 	struct quar_trait_pair *pair;
-	int before;
 
 	if (report->age_us < 0 || report->age_us >= traits->hold_us)
 		return false;
@@ -165,22 +164,17 @@
 		quar_trait_queue(traits, entry);
 		return false;
 	}
-	before = quar_trait_moments(entry);
 	pair = quar_trait_new_pair(entry, report);
 	if (!pair)
 		return false;
 	pair->at_us = at_us;
-	entry->learned_us = now;
-	if (before < QUAR_TRAIT_LOSSES &&
-	    quar_trait_moments(entry) >= QUAR_TRAIT_LOSSES)
-		entry->enough_us = now;
+	pair->learned_us = now;
 	pair->reports_left = own ? QUAR_TRAIT_OWN_REPORTS : 0;
 	quar_trait_watch(traits, now);
 	quar_trait_settle_list(traits, entry);
 	quar_trait_queue(traits, entry);
-	entry->failed |= at_us > entry->held_us;
 	if (!own && (report->held ||
-		     quar_trait_moments(entry) >= QUAR_TRAIT_RELAY_LOSSES))
+		     quar_trait_moments(entry, now) >= QUAR_TRAIT_RELAY_LOSSES))
 		quar_trait_relay(entry);
 	if (report->held || quar_trait_is_held(entry, now))
 		quar_trait_hold(traits, entry, !confirmed, now);
@@ -210,8 +204,9 @@
 	if (!quar_trait_is_in_doubt(traits, trait, now) ||
 	    now < entry->trial_until_us)
 		return false;
-	rounds = entry->failed ? 0
-			       : (now - entry->held_us) / QUAR_TRAIT_TRIAL_US;
+	rounds = (now - entry->held_us) / QUAR_TRAIT_TRIAL_US;
+	if (quar_trait_failures(entry, now) > 0)
+		rounds = 0;
 	if (rounds < QUAR_TRAIT_TRIALS_MAX && rank >= 1 << rounds)
 		return false;
 	entry->trial_until_us = now + QUAR_TRAIT_TRIAL_US;
@@ -265,6 +260,7 @@
 		       ? &entry->pairs[entry->pair_count++]
 		       : oldest;
 	memset(pair, 0, sizeof(*pair));
+	pair->first = there == 0;
 	pair->endpoint = report->endpoint;
 	pair->request = report->request;
 	return pair;
--- a/src/quar_trait.h
+++ b/src/quar_trait.h
@@ -35,7 +35,8 @@
 #define QUAR_TRAIT_KNOWN_LOSSES 5
 /* Requests that are recorded of a trait at one endpoint. */
 #define QUAR_TRAIT_REQUESTS 2
-#define QUAR_TRAIT_PAIRS    (QUAR_TRAIT_KNOWN_LOSSES * QUAR_TRAIT_REQUESTS)
+/* Both together: trials cost a few endpoints more than those. */
+#define QUAR_TRAIT_PAIRS 16
 
 enum quar_trait_kind {
 	QUAR_TRAIT_PART,    /* of a prompt */
--- a/src/quar_trait_int.h
+++ b/src/quar_trait_int.h
@@ -19,9 +19,11 @@
 struct quar_trait_pair {
 	uint32_t endpoint;
 	uint32_t request;
-	int64_t at_us;	  /* time of the loss */
+	int64_t at_us; /* time of the loss */
+	int64_t learned_us;
 	int reports_left; /* messages that still report it */
 	bool relayed;	  /* it has been passed on */
+	bool first;	  /* of its endpoint */
 };
 
 struct quar_trait_entry {
@@ -34,8 +36,6 @@
 	/* Losses that nothing else explains and no run has cleared. */
 	struct quar_trait_pair *pairs; /* QUAR_TRAIT_PAIRS, or NULL */
 	int pair_count;
-	int64_t learned_us; /* when the last one was added */
-	int64_t enough_us;  /* when there first were enough of them */
 
 	int64_t well_us;  /* when the latest run that did well began */
 	int runs;	  /* that did well here */
@@ -47,7 +47,6 @@
 	bool in_doubt;		/* quarantined with others */
 	int64_t held_us;	/* since when it is */
 	int64_t trial_until_us; /* a request that tries it may be running */
-	bool failed;		/* an endpoint was lost since */
 	bool report_pending;
 	bool kept;   /* in the store, too */
 	bool chosen; /* by the judgement in progress */
@@ -57,7 +56,8 @@
 	struct htab entries;
 	uint32_t max_entries;
 	int64_t hold_us;
-	int64_t held_us; /* when traits were last quarantined here */
+	/* What was learned until then has been judged. */
+	int64_t judged_us;
 	struct cds_list_head sound;
 	struct cds_list_head suspects; /* with losses, or quarantined */
 	struct cds_list_head reports;
@@ -84,7 +84,8 @@
 void quar_trait_log(enum log_id id, const struct quar_trait_entry *entry);
 
 /* quar_trait_judge.c */
-int quar_trait_moments(const struct quar_trait_entry *entry);
+int quar_trait_moments(const struct quar_trait_entry *entry, int64_t until_us);
+int quar_trait_failures(const struct quar_trait_entry *entry, int64_t until_us);
 void quar_trait_watch(struct quar_traits *traits, int64_t now);
 void quar_trait_expire(struct quar_traits *traits,
 		       struct quar_trait_entry *entry, int64_t now);
--- a/src/quar_trait_judge.c
+++ b/src/quar_trait_judge.c
@@ -25,22 +25,25 @@
 static bool quar_trait_qualifies(const struct quar_traits *traits,
 				 const struct quar_trait_entry *entry,
 				 int64_t now);
-static bool quar_trait_was_judged(const struct quar_traits *traits,
-				  const struct quar_trait_entry *entry);
+static bool quar_trait_has_news(const struct quar_trait_entry *entry,
+				int64_t after_us, int64_t until_us);
 static int quar_trait_rival_losses(const struct quar_traits *traits,
-				   const struct quar_trait_entry *entry);
+				   const struct quar_trait_entry *entry,
+				   int64_t until_us);
 static int64_t quar_trait_lost_at(const struct quar_trait_entry *entry,
 				  int index);
 static bool
 quar_trait_have_common_request(const struct quar_trait_entry *entry);
 static bool quar_trait_is_likelier(const struct quar_trait_entry *a,
-				   const struct quar_trait_entry *b);
+				   const struct quar_trait_entry *b,
+				   int64_t until_us);
 static int64_t quar_trait_first_loss(const struct quar_trait_entry *entry);
 static bool quar_trait_has_failed(const struct quar_traits *traits,
 				  const struct quar_trait_entry *entry,
 				  int64_t now);
 static bool quar_trait_is_sure(const struct quar_traits *traits,
-			       const struct quar_trait_entry *entry);
+			       const struct quar_trait_entry *entry,
+			       int64_t now);
 static void quar_trait_unsuspect(struct quar_traits *traits,
 				 struct quar_trait_entry *entry);
 static void quar_trait_explain(struct quar_traits *traits, uint32_t endpoint);
@@ -78,21 +81,23 @@
 static void quar_trait_choose(struct quar_traits *traits, int64_t now)
 {
 	struct quar_trait_entry *best = NULL;
+	int64_t settled_us = now - QUAR_TRAIT_SETTLE_US;
 	struct quar_trait_entry *entry;
 	bool in_doubt;
 
 	cds_list_for_each_entry (entry, &traits->suspects, by_age) {
 		entry->chosen = quar_trait_qualifies(traits, entry, now);
 		if (entry->chosen &&
-		    (!best || quar_trait_is_likelier(entry, best)))
+		    (!best || quar_trait_is_likelier(entry, best, settled_us)))
 			best = entry;
 	}
 	if (!best)
 		return;
-	traits->held_us = now;
-	in_doubt = !quar_trait_is_sure(traits, best);
+	traits->judged_us = settled_us;
+	in_doubt = !quar_trait_is_sure(traits, best, now);
 	cds_list_for_each_entry (entry, &traits->suspects, by_age) {
-		if (entry->chosen && quar_trait_is_likelier(best, entry))
+		if (entry->chosen &&
+		    quar_trait_is_likelier(best, entry, settled_us))
 			entry->chosen = false;
 	}
 	while ((entry = quar_trait_next_chosen(traits))) {
@@ -122,32 +127,43 @@
 				 const struct quar_trait_entry *entry,
 				 int64_t now)
 {
+	int64_t settled_us = now - QUAR_TRAIT_SETTLE_US;
+	int moments;
+
 	if (quar_trait_is_held(entry, now) || entry->pair_count == 0)
 		return false;
 	if (entry->held_before)
 		return true;
 	if (entry->pair_count < QUAR_TRAIT_LOSSES ||
-	    now - entry->enough_us < QUAR_TRAIT_SETTLE_US ||
-	    quar_trait_was_judged(traits, entry) ||
+	    !quar_trait_has_news(entry, traits->judged_us, settled_us) ||
 	    quar_trait_have_common_request(entry))
 		return false;
+	moments = quar_trait_moments(entry, settled_us);
 	if (!entry->known)
-		return quar_trait_moments(entry) >= QUAR_TRAIT_LOSSES;
-	return quar_trait_moments(entry) >= QUAR_TRAIT_KNOWN_LOSSES &&
+		return moments >= QUAR_TRAIT_LOSSES;
+	return moments >= QUAR_TRAIT_KNOWN_LOSSES &&
 	       now - quar_trait_first_loss(entry) >= QUAR_TRAIT_CLEARING_US;
 }
 
-/* Tells whether a trait has lost nothing since traits were last quarantined. */
-static bool quar_trait_was_judged(const struct quar_traits *traits,
-				  const struct quar_trait_entry *entry)
+/* Tells whether a loss was learned of in a span of time. */
+static bool quar_trait_has_news(const struct quar_trait_entry *entry,
+				int64_t after_us, int64_t until_us)
 {
-	return entry->learned_us <= traits->held_us &&
-	       entry->enough_us + QUAR_TRAIT_SETTLE_US <= traits->held_us;
+	int i;
+
+	for (i = 0; i < entry->pair_count; i++) {
+		if (entry->pairs[i].learned_us > after_us &&
+		    entry->pairs[i].learned_us <= until_us)
+			return true;
+	}
+	return false;
 }
 
-/* Returns how many losses there are, those at the same moment counting as one.
+/*
+ * Returns how many losses are known by then, those at the same moment counting
+ * as one.
  */
-int quar_trait_moments(const struct quar_trait_entry *entry)
+int quar_trait_moments(const struct quar_trait_entry *entry, int64_t until_us)
 {
 	int64_t after_us = QUAR_TRAIT_UNSEEN;
 	int64_t next_us;
@@ -159,7 +175,8 @@
 		next_us = MAG_NEVER;
 		for (i = 0; i < entry->pair_count; i++) {
 			at_us = quar_trait_lost_at(entry, i);
-			if (at_us > after_us && at_us < next_us)
+			if (entry->pairs[i].learned_us <= until_us &&
+			    at_us > after_us && at_us < next_us)
 				next_us = at_us;
 		}
 		if (next_us == MAG_NEVER)
@@ -169,6 +186,19 @@
 	}
 }
 
+/* Returns how many endpoints a trait in doubt has lost, as known by then. */
+int quar_trait_failures(const struct quar_trait_entry *entry, int64_t until_us)
+{
+	int count = 0;
+	int i;
+
+	for (i = 0; i < entry->pair_count; i++)
+		count += entry->pairs[i].first &&
+			 entry->pairs[i].at_us > entry->held_us &&
+			 entry->pairs[i].learned_us <= until_us;
+	return count;
+}
+
 /* Returns when the endpoint of a pair was first seen lost. */
 static int64_t quar_trait_lost_at(const struct quar_trait_entry *entry,
 				  int index)
@@ -205,11 +235,13 @@
 
 /* Tells whether trait a is likelier than b to have caused its losses. */
 static bool quar_trait_is_likelier(const struct quar_trait_entry *a,
-				   const struct quar_trait_entry *b)
+				   const struct quar_trait_entry *b,
+				   int64_t until_us)
 {
 	if (a->known != b->known)
 		return b->known;
-	return quar_trait_moments(a) > quar_trait_moments(b);
+	return quar_trait_moments(a, until_us) >
+	       quar_trait_moments(b, until_us);
 }
 
 static int64_t quar_trait_first_loss(const struct quar_trait_entry *entry)
@@ -225,23 +257,34 @@
 }
 
 /*
- * Tells whether a trait in doubt has one loss more, so that no other one has as
- * many.
+ * Tells whether a trait was tried and lost endpoints, more than any other one
+ * in doubt, and none has more losses in all.
  */
 static bool quar_trait_has_failed(const struct quar_traits *traits,
 				  const struct quar_trait_entry *entry,
 				  int64_t now)
 {
-	return quar_trait_is_held(entry, now) && entry->in_doubt &&
-	       entry->failed &&
-	       now - entry->learned_us >= QUAR_TRAIT_SETTLE_US &&
-	       quar_trait_moments(entry) >
-		       quar_trait_rival_losses(traits, entry);
+	int64_t settled_us = now - QUAR_TRAIT_SETTLE_US;
+	int failures = quar_trait_failures(entry, settled_us);
+	const struct quar_trait_entry *other;
+
+	if (!quar_trait_is_held(entry, now) || !entry->in_doubt ||
+	    failures == 0)
+		return false;
+	cds_list_for_each_entry (other, &traits->suspects, by_age) {
+		if (other != entry && quar_trait_is_held(other, now) &&
+		    other->in_doubt &&
+		    quar_trait_failures(other, now) >= failures)
+			return false;
+	}
+	return quar_trait_moments(entry, now) >=
+	       quar_trait_rival_losses(traits, entry, now);
 }
 
 /* Returns the most losses of another trait. */
 static int quar_trait_rival_losses(const struct quar_traits *traits,
-				   const struct quar_trait_entry *entry)
+				   const struct quar_trait_entry *entry,
+				   int64_t until_us)
 {
 	const struct quar_trait_entry *other;
 	int most = 0;
@@ -252,19 +295,23 @@
 		    other->known > entry->known ||
 		    (other->held_until_us && !other->in_doubt))
 			continue;
-		lost = quar_trait_moments(other);
+		lost = quar_trait_moments(other, until_us);
 		if (lost > most)
 			most = lost;
 	}
 	return most;
 }
 
-/* Tells whether nothing but a trait explains its losses. */
+/*
+ * Tells whether nothing but a trait explains its losses.  Other traits may have
+ * more than has been reported yet.
+ */
 static bool quar_trait_is_sure(const struct quar_traits *traits,
-			       const struct quar_trait_entry *entry)
+			       const struct quar_trait_entry *entry,
+			       int64_t now)
 {
-	int lost = quar_trait_moments(entry);
-	int margin = lost - quar_trait_rival_losses(traits, entry);
+	int lost = quar_trait_moments(entry, now - QUAR_TRAIT_SETTLE_US);
+	int margin = lost - quar_trait_rival_losses(traits, entry, now);
 
 	return entry->held_before || margin >= 2 ||
 	       (margin == 1 && lost >= QUAR_TRAIT_SURE_LOSSES);
@@ -309,7 +356,6 @@
 	entry->in_doubt = in_doubt && (!was_held || entry->in_doubt);
 	if (!was_held) {
 		entry->held_us = now;
-		entry->failed = false;
 		entry->trial_until_us = 0;
 	}
 	entry->held_until_us = now + traits->hold_us;
@@ -356,7 +402,9 @@
 			if (entry->pairs[i].endpoint == endpoint)
 				quar_trait_drop_pair(entry, i);
 		}
-		if (entry->pair_count == 0 && entry->held_until_us)
+		/* What is left would not have quarantined it. */
+		if (entry->held_until_us &&
+		    quar_trait_moments(entry, MAG_NEVER) < QUAR_TRAIT_LOSSES)
 			quar_trait_release(entry);
 		quar_trait_unsuspect(traits, entry);
 	}
