--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -275,7 +275,7 @@
 			kill -0 $pid 2>/dev/null && continue
 			echo $n >>"$dir/crashes"
 			sleep 1
-			start_worker $n model a big
+			start_worker $n model a ${KIND:-big}
 			echo $! >>"$dir/restarted"
 		done
 		sleep 0.05
