--- a/regress/tool_calls.c
+++ b/regress/tool_calls.c
@@ -2,8 +2,9 @@
  * Load generator for magnolia-edge: sends streams, bookings and lookups at a
  * constant rate, each with its own attempt id and, with -d, its own path.  With
  * -p N the prompts of streams have parts: one of some subjects, in every N-th
- * stream one that crashes workers, and one of its own.  Prints the result of
- * each call on a line; promises.awk compares these with the workers' output.
+ * stream one that crashes workers, and one of its own; with -k KINDS the calls
+ * are of these kinds in turn, s, b or r.  Prints the result of each call on a
+ * line; promises.awk compares these with the workers' output.
  */
 
 #include <inttypes.h>
@@ -48,7 +49,9 @@
 static int64_t until_us;
 static int started_count;
 static int open_calls;
-static bool distinct;	/* each call has a path of its own */
+static bool distinct; /* each call has a path of its own */
+/* Kinds of calls, in turn: streams, bookings and lookups. */
+static const char *kinds = "ssbr";
 static int crash_every; /* streams to one that crashes workers; 0: no parts */
 static int stream_count;
 
@@ -130,7 +133,7 @@
 
 	started_count++;
 	snprintf(call->id, sizeof(call->id), "%s-%06d", prefix, started_count);
-	call->kind = "ssbr"[started_count % 4];
+	call->kind = kinds[(size_t)started_count % strlen(kinds)];
 	if (call->kind == 's')
 		fill_parts(call, parts, sizeof(parts));
 	call->in_order = true;
@@ -175,15 +178,20 @@
 		argv++;
 		argc--;
 	}
+	if (argc > 2 && strcmp(argv[1], "-k") == 0) {
+		kinds = argv[2];
+		argv += 2;
+		argc -= 2;
+	}
 	if (argc > 2 && strcmp(argv[1], "-p") == 0) {
 		crash_every = atoi(argv[2]);
 		argv += 2;
 		argc -= 2;
 	}
 	if (argc < 5) {
-		fprintf(stderr,
-			"usage: tool_calls [-d] [-p N] PREFIX SECONDS PER_S "
-			"ROUTER...\n");
+		fprintf(stderr, "usage: tool_calls [-d] [-k KINDS] [-p N] "
+				"PREFIX SECONDS PER_S "
+				"ROUTER...\n");
 		return 1;
 	}
 	base = event_base_new();
