hint_demand: a worker's limit is divided by what routers send to its service

Cause: each router's part of a rate limit followed the requests of all its callers. Where the callers of the limited service come to some routers, and those of other services to all, half of the limit belonged to routers that had nothing to send there, for as long as that lasted.

Change: routers count requests by service, and report them in a datagram beside their hints while any limit is known. A router that reports none counts with all its callers as before. The least weight of a router is a tenth of the mean instead of a quarter: what it has to send is known now.

--- a/src/edge.h
+++ b/src/edge.h
@@ -33,8 +33,11 @@
 struct edge_service {
 	struct cds_list_head node;
 	char name[MAG_NAME_MAX];
-	int64_t used_us; /* when it was last asked for */
-	struct bud bud;	 /* of retries */
+	int64_t used_us;   /* when it was last asked for */
+	struct bud bud;	   /* of retries */
+	uint64_t requests; /* for it, of callers and forwarding routers */
+	uint64_t requests_counted; /* in demand */
+	double demand;		   /* requests per second, smoothed */
 	/* For the placer: since when a data centre lacks layers; 0: none. */
 	int64_t coverage_gap_since_us;
 	int64_t next_balance_us; /* when an accelerator may be moved next */
--- a/src/eq.c
+++ b/src/eq.c
@@ -106,6 +106,7 @@
 	}
 	if (!eq_resolve_route(eq) || !eq_admit(eq, now))
 		return;
+	edge_service(edge, eq->service->name, now)->requests++;
 	eq_set_deadlines(eq);
 	if (eq_refuses_while_stopping(eq, now)) {
 		eq_refuse(eq, 503, eq_retry_target(eq, now), "stopping");
--- a/src/hint.c
+++ b/src/hint.c
@@ -54,6 +54,8 @@
 			 const struct sockaddr_in *from);
 static void hint_receive_traits(struct hint *hint,
 				const struct hint_trait_message *message);
+static void hint_receive_demands(struct hint *hint,
+				 const struct hint_demand_message *message);
 static bool hint_has_quarantines(const struct hint *hint, int64_t now);
 static void hint_receive_claim(struct edge *edge,
 			       const struct attest_claim *claim, int64_t now);
@@ -63,6 +65,12 @@
 static void hint_update_limit_parts(struct hint *hint, int64_t now);
 static const struct hint_router *hint_list_routers(struct hint *hint,
 						   int64_t now, int *count);
+static void hint_update_service_parts(struct hint *hint,
+				      const struct edge_service *service,
+				      int64_t now);
+static const struct hint_router *hint_list_senders(struct hint *hint,
+						   const char *service,
+						   int64_t now, int *count);
 static void hint_receive_suspect(struct hint *hint,
 				 const struct hint_suspect *suspect,
 				 const char *peer, int64_t now);
@@ -185,6 +193,7 @@
 static void hint_on_readable(evutil_socket_t fd, short what, void *arg)
 {
 	static struct hint_trait_message traits;
+	static struct hint_demand_message demands;
 	static struct hint_message message;
 	char bytes[HINT_BYTES_MAX];
 	struct sockaddr_in from;
@@ -197,6 +206,8 @@
 			       (struct sockaddr *)&from, &from_len)) > 0) {
 		if (!hint_trait_decode(&traits, bytes, (size_t)len))
 			hint_receive_traits(hint, &traits);
+		else if (!hint_demand_decode(&demands, bytes, (size_t)len))
+			hint_receive_demands(hint, &demands);
 		else if (!hint_msg_decode(&message, bytes, (size_t)len))
 			hint_receive(hint, &message, &from);
 		from_len = sizeof(from);
@@ -263,6 +274,18 @@
 		quar_trait_hear(hint->edge->traits, &message->reports[i], now);
 }
 
+/* Takes what a peer has to send by service. */
+static void hint_receive_demands(struct hint *hint,
+				 const struct hint_demand_message *message)
+{
+	struct hint_peer *peer = hint_find_peer(hint, message->name);
+
+	if (!peer)
+		return;
+	peer->demands = *message;
+	peer->demands_us = clk_boot_us();
+}
+
 /* Tells whether this router quarantines anything. */
 static bool hint_has_quarantines(const struct hint *hint, int64_t now)
 {
@@ -476,6 +499,7 @@
 	uint64_t requests = hint->edge->met.counters[MET_REQUESTS];
 	double elapsed_us = (double)(now - hint->demand_us);
 	double weight = elapsed_us / HINT_DEMAND_SMOOTHING_US;
+	struct edge_service *service;
 	double rate;
 
 	if (elapsed_us <= 0)
@@ -487,20 +511,45 @@
 	hint->requests = requests;
 	hint->demand_us = now;
 	hint->self.demand = hint->demand;
+	cds_list_for_each_entry (service, &hint->edge->services, node) {
+		rate = (double)(service->requests - service->requests_counted) *
+		       MAG_US_PER_S / elapsed_us;
+		service->demand += weight * (rate - service->demand);
+		service->requests_counted = service->requests;
+	}
 }
 
 /* Sets this router's part of each limit that a worker has advertised. */
 static void hint_update_limit_parts(struct hint *hint, int64_t now)
+{
+	struct edge_service *service;
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &hint->edge->workers.attended, attended) {
+		if (!wk->proc.adv.thr.limited)
+			continue;
+		cds_list_for_each_entry (service, &hint->edge->services, node)
+			hint_update_service_parts(hint, service, now);
+		return;
+	}
+}
+
+/* Computes this router's parts of the limits of a service's workers. */
+static void hint_update_service_parts(struct hint *hint,
+				      const struct edge_service *service,
+				      int64_t now)
 {
 	const struct hint_router *routers = NULL;
 	int count = 0;
 	struct wk *wk;
 
 	cds_list_for_each_entry (wk, &hint->edge->workers.attended, attended) {
-		if (!wk->proc.adv.thr.limited)
+		if (!wk->proc.adv.thr.limited ||
+		    strcmp(wk->entry.service, service->name) != 0)
 			continue;
 		if (!routers)
-			routers = hint_list_routers(hint, now, &count);
+			routers = hint_list_senders(hint, service->name, now,
+						    &count);
 		thr_set_fraction(
 			&wk->proc.adv.thr,
 			hint_limit_part(routers, count, hint->self.id, wk),
@@ -513,11 +562,42 @@
 {
 	int count;
 	const struct hint_router *routers =
-		hint_list_routers(hint, now, &count);
+		hint_list_senders(hint, wk->entry.service, now, &count);
 
 	return hint_limit_part(routers, count, hint->self.id, wk);
 }
 
+/*
+ * The same as hint_list_routers, with what each of them has to send to a
+ * service, or all that its callers send if it does not report that.
+ */
+static const struct hint_router *hint_list_senders(struct hint *hint,
+						   const char *service,
+						   int64_t now, int *count)
+{
+	const struct hint_router *routers = hint_list_routers(hint, now, count);
+	uint32_t hash = htab_hash(service);
+	const struct hint_peer *peer;
+	int i = 0;
+
+	if (hint->router_max == 0)
+		return routers;
+	hint->routers[i++].demand =
+		edge_service(hint->edge, service, now)->demand;
+	cds_list_for_each_entry (peer, &hint->peers, node) {
+		if (i >= *count)
+			break;
+		if (now - peer->received_us > HINT_MEMBER_EXPIRY_US)
+			continue;
+		if (peer->demands_us &&
+		    now - peer->demands_us <= HINT_MEMBER_EXPIRY_US)
+			hint->routers[i].demand =
+				hint_demand_find(&peer->demands, hash);
+		i++;
+	}
+	return hint->routers;
+}
+
 /*
  * Lists this router and its recent senders; valid until the next call.  Without
  * memory for all of them, fewer share the limits.
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -9,6 +9,7 @@
 #include <urcu/list.h>
 
 #include "hint.h"
+#include "hint_demand.h"
 #include "hint_limit.h"
 #include "hint_load.h"
 #include "hint_trait.h"
@@ -36,6 +37,8 @@
 	struct hint_router router;
 	uint32_t limit_count;
 	struct hint_limit limits[HINT_LIMITS_MAX];
+	struct hint_demand_message demands;
+	int64_t demands_us; /* when they were received; 0: never */
 };
 
 /* The peers of our data centre, or of the others. */
@@ -68,7 +71,10 @@
 	/* Losses under traits that go with each message of a round. */
 	char traits[HINT_TRAIT_BYTES];
 	size_t traits_len; /* 0: none */
-	int next_limit;	   /* the limit to begin the next message with */
+	/* What this router has to send by service; the same. */
+	char demands[HINT_DEMAND_BYTES];
+	size_t demands_len;
+	int next_limit; /* the limit to begin the next message with */
 };
 
 /* hint.c */
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -23,6 +23,7 @@
 static bool hint_has_remote_turn(const struct hint *hint);
 static void hint_send(struct hint *hint, int local, int remote);
 static void hint_fill_traits(struct hint *hint);
+static void hint_fill_demands(struct hint *hint, bool needed);
 static void hint_send_first_traits(struct hint *hint,
 				   const struct hint_peer *peer);
 static int hint_sort_peers(struct hint *hint);
@@ -78,6 +79,7 @@
 		(uint32_t)quar_collect(hint->edge->quar, message.crashes,
 				       HINT_CRASHES_MAX, clk_boot_us());
 	hint_fill_traits(hint);
+	hint_fill_demands(hint, message.limit_count > 0);
 	if (pres_peer_count(hint->edge->pres) == 0)
 		hint_send_to_senders(hint, &message);
 	else if (!hint_sort_peers(hint)) {
@@ -85,6 +87,7 @@
 		hint_send_round(hint, &hint->remote, remote, &message);
 	}
 	hint->traits_len = 0;
+	hint->demands_len = 0;
 }
 
 /* Encodes the losses under traits that are to be reported, if any. */
@@ -101,6 +104,31 @@
 		hint->traits_len = 0;
 }
 
+/*
+ * Encodes what this router has to send by service, while limits are known. More
+ * services than fit count as all requests of its callers do.
+ */
+static void hint_fill_demands(struct hint *hint, bool needed)
+{
+	static struct hint_demand_message message;
+	const struct edge_service *service;
+	struct hint_demand *demand;
+
+	hint->demands_len = 0;
+	if (!needed || hint->edge->service_count > HINT_DEMANDS_MAX)
+		return;
+	mag_copy_name(message.name, sizeof(message.name),
+		      hint->edge->set.instance);
+	message.count = 0;
+	cds_list_for_each_entry (service, &hint->edge->services, node) {
+		demand = &message.demands[message.count++];
+		demand->service = htab_hash(service->name);
+		demand->per_s = service->demand;
+	}
+	if (hint_demand_encode(&message, hint->demands, &hint->demands_len))
+		hint->demands_len = 0;
+}
+
 /* Notes which peers are in our data centre, if the peers have changed. */
 static int hint_sort_peers(struct hint *hint)
 {
@@ -192,6 +220,9 @@
 	if (hint->traits_len > 0)
 		(void)sendto(hint->fd, hint->traits, hint->traits_len, 0,
 			     (const struct sockaddr *)addr, sizeof(*addr));
+	if (hint->demands_len > 0)
+		(void)sendto(hint->fd, hint->demands, hint->demands_len, 0,
+			     (const struct sockaddr *)addr, sizeof(*addr));
 }
 
 /*
--- a/src/thr.c
+++ b/src/thr.c
@@ -23,7 +23,7 @@
  */
 #define THR_SENDERS_PER_LIMIT 0.5
 /* Minimum weight of a router, as a fraction of the mean. */
-#define THR_MIN_WEIGHT 0.25
+#define THR_MIN_WEIGHT 0.1
 
 static double thr_rate(const struct thr *thr);
 static double thr_level(const struct thr *thr, int64_t now);
--- a/src/thr.h
+++ b/src/thr.h
@@ -49,7 +49,7 @@
 /* A router that may send to the worker. */
 struct thr_router {
 	uint32_t id;
-	double demand; /* requests a second of its callers, as last reported */
+	double demand; /* requests a second for the service, as last reported */
 };
 
 enum thr_change thr_limit_advertised(struct thr *thr, double limit,
