thr: routers with nothing to send rank last for a worker's limit

Cause: where routers outnumber what a small limit bears, some of them get parts, by rank, whether they have anything to send or not. Evidence: regress/thr/few-with-callers, three routers of 64 have callers, limit 25: 0.4 a second were sent, and 15.9 once the callers had come to three others. Change: those with nothing to send rank behind the rest. Not covered: a worker whose callers come to more routers than its limit bears senders; each of these has parts at other workers.

--- a/src/thr.c
+++ b/src/thr.c
@@ -223,11 +223,15 @@
 	return sends;
 }
 
-/* Tells whether a router ranks among the given number of senders. */
+/*
+ * Tells whether a router ranks among the given number of senders.  Those that
+ * have nothing to send rank last.
+ */
 static bool thr_is_sender(const struct thr_router *routers, int count,
 			  int index, uint32_t worker, int senders)
 {
 	uint32_t rank = thr_rank(routers[index].id, worker);
+	bool idle = !(routers[index].demand > 0);
 	uint32_t other;
 	int before = 0;
 	int i;
@@ -235,6 +239,10 @@
 	if (count <= senders)
 		return true;
 	for (i = 0; i < count && before < senders; i++) {
+		if (!(routers[i].demand > 0) != idle) {
+			before += idle;
+			continue;
+		}
 		other = thr_rank(routers[i].id, worker);
 		before += other < rank || (other == rank && i < index);
 	}
