quar_trait: an instance follows another one that is sure, on losses it knows

Cause, by reading: what a report says of the quarantine was applied only with a loss that was news. An instance that knew all losses, and judged them not to suffice, did not learn that another one, which had read the trait from the store, quarantines it. Evidence: regress/quar_trait/told, 'quarantined clear clear' before, quarantined at all three after.

--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -32,6 +32,10 @@
 quar_trait_new_pair(struct quar_trait_entry *entry,
 		    const struct quar_trait_report *report);
 static void quar_trait_relay(struct quar_trait_entry *entry);
+static void quar_trait_follow(struct quar_traits *traits,
+			      struct quar_trait_entry *entry,
+			      const struct quar_trait_report *report,
+			      int64_t now);
 static bool quar_trait_clear(struct quar_traits *traits,
 			     struct quar_trait_entry *entry, int64_t begun_us,
 			     int reports);
@@ -165,8 +169,10 @@
 		return false;
 	}
 	pair = quar_trait_new_pair(entry, report);
-	if (!pair)
+	if (!pair) {
+		quar_trait_follow(traits, entry, report, now);
 		return false;
+	}
 	pair->at_us = at_us;
 	pair->learned_us = now;
 	pair->reports_left = own ? QUAR_TRAIT_OWN_REPORTS : 0;
@@ -181,6 +187,17 @@
 	return true;
 }
 
+/* Quarantines a trait if the reporting instance does, and is as sure of it. */
+static void quar_trait_follow(struct quar_traits *traits,
+			      struct quar_trait_entry *entry,
+			      const struct quar_trait_report *report,
+			      int64_t now)
+{
+	if (report->held && (!quar_trait_is_held(entry, now) ||
+			     (entry->in_doubt && !report->in_doubt)))
+		quar_trait_hold(traits, entry, report->in_doubt, now);
+}
+
 /* Tells whether a trait is quarantined, but in doubt. */
 bool quar_trait_is_in_doubt(const struct quar_traits *traits,
 			    const struct quar_trait *trait, int64_t now)
