eq_stall: a plain worker that answers nobody is probed

Cause: only streams are watched for silence. A lookup or booking waits at its plain worker until its deadline, and no failure of the worker is noted: as only the two engines had failed, and a path counts as lost after three workers, the router took its path for sound and sent the next ones the same way.

Change: a plain worker with a request of ours that waits for 300 ms, and that has answered nobody meanwhile, is probed; a busy one answers others. Without an answer it is suspected, and counts for the path. Lookups that wait there are sent elsewhere; a booking is not, as it may have arrived: the next ones go through a peer.

--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -39,7 +39,14 @@
  * intervals.
  */
 #define EQ_SILENCE_INTERVALS 2
-static bool eq_is_stuck_on_path(const struct eq *eq, int64_t now);
+/*
+ * A plain worker that has answered nobody for this long, with a request of ours
+ * waiting, is probed.  A busy one answers others meanwhile.
+ */
+#define EQ_PLAIN_SILENCE_US (300 * MAG_US_PER_MS)
+
+static bool eq_waits_for_plain(const struct eq *eq, int64_t now);
+static bool eq_is_stuck_at_plain(const struct eq *eq, int64_t now);
 static bool eq_runs_on_chain(const struct eq *eq);
 static bool eq_is_stalled_at(const struct eq *eq, const struct wk *wk,
 			     int64_t now);
@@ -53,7 +60,10 @@
 static bool eq_may_restart(struct eq *eq, int64_t now);
 static struct eq *eq_by_id(struct edge *edge, const char *attempt_id);
 
-/* Moves streams off lost workers and probes the workers of silent streams. */
+/*
+ * Moves streams and lookups off lost workers, and probes the workers of silent
+ * requests.
+ */
 void eq_stall_tick(struct edge *edge, int64_t now)
 {
 	struct eq *next;
@@ -61,10 +71,12 @@
 	struct wk *lost;
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (eq_is_stuck_on_path(eq, now)) {
-			eq_restart(eq, "path lost");
+		if (eq_is_stuck_at_plain(eq, now)) {
+			eq_restart(eq, "no sign of the worker");
 			continue;
 		}
+		if (eq_waits_for_plain(eq, now))
+			wkp_probe(edge, eq->hops[0].worker, now);
 		if (!eq_runs_on_chain(eq))
 			continue;
 		lost = eq_find_lost_worker(eq, now);
@@ -107,15 +119,32 @@
 	return NULL;
 }
 
+/* Tells whether a request waits for a plain worker that answers nobody. */
+static bool eq_waits_for_plain(const struct eq *eq, int64_t now)
+{
+	const struct wk *wk;
+
+	if (!eq->call || eq->hop_count == 0 || eq->service->has_engine ||
+	    eq->answered)
+		return false;
+	wk = eq->hops[0].worker;
+	return now - eq->sent_us >= EQ_PLAIN_SILENCE_US &&
+	       now - wk->proc.answered_us >= EQ_PLAIN_SILENCE_US;
+}
+
 /*
- * Tells whether a look-up waits for a worker that this router reaches no more.
+ * Tells whether a lookup waits for a worker that this router reaches no more.
  * Its connection may live on without a sign until the request's deadline.
  */
-static bool eq_is_stuck_on_path(const struct eq *eq, int64_t now)
+static bool eq_is_stuck_at_plain(const struct eq *eq, int64_t now)
 {
-	return reach_is_lost(&eq->edge->workers.reach) && eq->call &&
-	       eq->hop_count > 0 && eq->route->kind == RT_IDEMPOTENT &&
-	       !eq->answered && now - eq->sent_us >= EQ_SUSPECT_SILENCE_US;
+	if (!eq->call || eq->hop_count == 0 || eq->answered ||
+	    eq->route->kind != RT_IDEMPOTENT ||
+	    now - eq->sent_us < EQ_SUSPECT_SILENCE_US)
+		return false;
+	return reach_is_lost(&eq->edge->workers.reach) ||
+	       (eq->hops[0].worker->proc.suspected &&
+		eq_waits_for_plain(eq, now));
 }
 
 /* Tells whether a stream runs on a chain of ours that is not under repair. */
