quar_trait_weigh: what an entry's losses amount to, apart from the judgement

Cause: the judgement's file mixed the counting of one entry's losses with the choice between entries.

--- a/src/quar_trait_int.h
+++ b/src/quar_trait_int.h
@@ -84,8 +84,6 @@
 void quar_trait_log(enum log_id id, const struct quar_trait_entry *entry);
 
 /* quar_trait_judge.c */
-int quar_trait_moments(const struct quar_trait_entry *entry, int64_t until_us);
-int quar_trait_failures(const struct quar_trait_entry *entry, int64_t until_us);
 void quar_trait_watch(struct quar_traits *traits, int64_t now);
 void quar_trait_expire(struct quar_traits *traits,
 		       struct quar_trait_entry *entry, int64_t now);
@@ -93,6 +91,12 @@
 		     bool in_doubt, int64_t now);
 void quar_trait_release(struct quar_trait_entry *entry);
 
+/* quar_trait_weigh.c */
+int quar_trait_moments(const struct quar_trait_entry *entry, int64_t until_us);
+int quar_trait_failures(const struct quar_trait_entry *entry, int64_t until_us);
+bool quar_trait_have_common_request(const struct quar_trait_entry *entry);
+int64_t quar_trait_first_loss(const struct quar_trait_entry *entry);
+
 /* quar_trait_report.c */
 void quar_trait_queue(struct quar_traits *traits,
 		      struct quar_trait_entry *entry);
