quar_trait: a full table forgets no quarantine before a mere suspect

Cause, by reading: once the table holds suspects alone, the one that changed least recently goes first, and a trait that is quarantined changes no more, as its requests are refused. Many workers that die at once fill the table with traits of sound requests, and the harmful part would reach workers again. Ruled out: the usual case, in which traits without losses go first. Before: regress/quar_trait/full, 'clear' at all three instances after 20 endpoints were lost with eight requests each. Change: a suspect that is not quarantined, and was not, goes first. After: 'quarantined' at all three. Conclusion: kept; format, the linter on the file and regress/quar_trait pass.

--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -351,16 +351,26 @@
 	return entry;
 }
 
-/* Removes the least recently changed entry, a suspect only if it must be. */
+/*
+ * Removes the least recently changed entry: a suspect only if there is no other
+ * one, and one that is quarantined, or was, only if all are.
+ */
 static void quar_trait_evict(struct quar_traits *traits)
 {
 	struct cds_list_head *list = cds_list_empty(&traits->sound)
 					     ? &traits->suspects
 					     : &traits->sound;
+	struct quar_trait_entry *evicted =
+		cds_list_first_entry(list, struct quar_trait_entry, by_age);
+	struct quar_trait_entry *entry;
 
-	quar_trait_remove(
-		traits,
-		cds_list_first_entry(list, struct quar_trait_entry, by_age));
+	cds_list_for_each_entry (entry, list, by_age) {
+		if (entry->held_before)
+			continue;
+		evicted = entry;
+		break;
+	}
+	quar_trait_remove(traits, evicted);
 }
 
 /* Removes an entry from every list and frees it. */
