chn: the caller sets the memory limit of a request

A request carried only whether it yields its last memory to others; requests of different urgency need more than two limits. Weighed: a table of limits in chn, which would have to know urgencies; the caller's fraction keeps chn free of them.

--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -58,6 +58,7 @@
 	request.centre_us = 40000;
 	request.remote_entry_us = 8000;
 	request.may_cross_centres = cross != 0;
+	request.memory_limit = CHN_MEMORY_LIMIT;
 }
 
 /* Chooses chains, checks that they cover all layers, and reserves memory. */
@@ -304,7 +305,7 @@
 	for (i = 0; i < count; i++)
 		workers[i].held = rush_estimate(i, sent[i], now);
 	scaled.tokens *= size;
-	scaled.yields = is_retry;
+	scaled.memory_limit = is_retry ? CHN_YIELD_LIMIT : CHN_MEMORY_LIMIT;
 	if (rush.running == STREAMS_MAX ||
 	    chn_choose(&scaled, workers, count, &stream->chain)) {
 		rush_schedule_retry(is_retry, now);
--- a/src/chn.h
+++ b/src/chn.h
@@ -24,7 +24,7 @@
 
 /* Network time of one token between two workers of a data centre. */
 #define CHN_HOP_US 250
-/* Part of a worker's request memory that chains may use. */
+/* Fraction of a worker's request memory that chains may use. */
 #define CHN_MEMORY_LIMIT 0.92
 /* The same for requests that yield to others. */
 #define CHN_YIELD_LIMIT 0.86
@@ -62,8 +62,8 @@
 	double tokens;	  /* expected tokens of the request at its end */
 	double hop_us;	  /* time between two workers of a data centre */
 	double centre_us; /* time between two data centres */
-	/* The request uses memory only up to CHN_YIELD_LIMIT. */
-	bool yields;
+	/* Fraction of a worker's memory that the request may use up to. */
+	double memory_limit;
 	bool may_cross_centres; /* hops between data centres are allowed */
 	/* Price of a first worker outside the instance's data centre. */
 	double remote_entry_us;
--- a/src/chn_walk.c
+++ b/src/chn_walk.c
@@ -196,10 +196,8 @@
 static bool chn_has_room(const struct chn_request *request,
 			 const struct chn_worker *worker, int layers)
 {
-	double limit = request->yields ? CHN_YIELD_LIMIT : CHN_MEMORY_LIMIT;
-
 	return worker->held + request->tokens * layers <=
-	       worker->memory * limit;
+	       worker->memory * request->memory_limit;
 }
 
 /* Follows the hops back from the last one and stores them in order. */
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -283,8 +283,10 @@
 	chain_request->centre_us = EQ_CROSSING_US;
 	chain_request->remote_entry_us = EQ_REMOTE_US;
 	chain_request->price_prefill = eq->state == EQ_STREAMING;
-	chain_request->yields =
-		eq->last_event < 0 && now >= eq->target_deadline_us;
+	chain_request->memory_limit =
+		eq->last_event < 0 && now >= eq->target_deadline_us
+			? CHN_YIELD_LIMIT
+			: CHN_MEMORY_LIMIT;
 	chain_request->may_cross_centres =
 		edge_may_cross_data_centres(edge, &eq->service->engine, now);
 }
