eq_wait: what waits, and when refused callers return, in a file of its own

eq.c and eq_send.c each held a part of the life of a waiting request, and the time of a caller's return. They are moved without a change, so that the queue by urgency can take their place in one file.

--- a/src/eq.c
+++ b/src/eq.c
@@ -10,24 +10,6 @@
 #include "hint_msg.h"
 #include "jlog.h"
 
-/*
- * Interval between attempts to place waiting requests.  Each attempt considers
- * all workers, which takes a millisecond with 3,000 of them.
- */
-#define EQ_WAIT_RETRY_US (25 * MAG_US_PER_MS)
-/* Retry-After for a caller that another router can accept at once. */
-#define EQ_RETRY_ELSEWHERE_S 0.05
-/*
- * Shortest Retry-After for a caller whose request met a faulty worker; the
- * longest is twice as long.  By then the worker receives no new requests and
- * its reports have arrived.
- */
-#define EQ_RETRY_SOON_S 0.25
-/*
- * Shortest Retry-After for a caller whose request is quarantined in doubt; the
- * longest is twice as long.  By then single requests have mostly decided it.
- */
-#define EQ_RETRY_TRIED_S 1.5
 /*
  * Retry-After of a router that has no configuration yet, in seconds and as a
  * fraction of the time that the caller has: after a restart of the whole fleet
@@ -36,8 +18,6 @@
  */
 #define EQ_RETRY_UNCONFIGURED_S	       0.5
 #define EQ_RETRY_UNCONFIGURED_FRACTION 0.1
-/* Upper limit of Retry-After, as a fraction of the caller's remaining time. */
-#define EQ_RETRY_FRACTION 0.32
 /*
  * The answer is sent this long before the deadline so that it arrives in time.
  */
@@ -59,12 +39,7 @@
 static void eq_set_deadlines(struct eq *eq);
 static const struct rt_service *eq_pick_service(struct eq *eq);
 static void eq_log_end(const struct eq *eq, int status, const char *why);
-static void eq_dispatch_waiting(struct edge *edge, int64_t now);
 static void eq_free(struct eq *eq);
-static void eq_write_retry_after(const struct eq *eq, enum eq_retry retry,
-				 char *fields, size_t size);
-static double eq_retry_late_s(const struct eq *eq, enum eq_retry retry,
-			      double spread, int64_t now);
 static void eq_refuse_early(struct edge *edge, struct hs_conn *conn);
 static bool eq_refuses_while_stopping(const struct eq *eq, int64_t now);
 
@@ -140,24 +115,6 @@
 	eq_free(eq);
 }
 
-/*
- * Retries the placement of waiting requests, including streams waiting to
- * resume, and takes those back that turn out to crash workers before they
- * begin.
- */
-static void eq_dispatch_waiting(struct edge *edge, int64_t now)
-{
-	struct eq *eq;
-	struct eq *next;
-
-	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (!eq->call)
-			eq_dispatch(eq, now);
-		else if (!eq->ran_well)
-			eq_refuse_quarantined(eq, now);
-	}
-}
-
 /* Ends requests that have reached their deadline and retries waiting ones. */
 void eq_tick(struct edge *edge, int64_t now)
 {
@@ -168,10 +125,7 @@
 		if (now >= eq->deadline_us)
 			eq_fail(eq, 504, "deadline");
 	}
-	if (now >= edge->next_wait_retry_us) {
-		edge->next_wait_retry_us = now + EQ_WAIT_RETRY_US;
-		eq_dispatch_waiting(edge, now);
-	}
+	eq_wait_tick(edge, now);
 	eq_stall_tick(edge, now);
 	eq_coverage_tick(edge, now);
 }
@@ -198,62 +152,6 @@
 	eq_free(eq);
 }
 
-/* Writes the Retry-After field. */
-static void eq_write_retry_after(const struct eq *eq, enum eq_retry retry,
-				 char *fields, size_t size)
-{
-	double spread = (double)(edge_random(eq->edge) % 1000) / 1000;
-	double wait_s = 0;
-
-	fields[0] = '\0';
-	switch (retry) {
-	case EQ_RETRY_NEVER:
-		return;
-	case EQ_RETRY_ELSEWHERE:
-		wait_s = EQ_RETRY_ELSEWHERE_S;
-		break;
-	case EQ_RETRY_SOON:
-		wait_s = EQ_RETRY_SOON_S * (1 + spread);
-		break;
-	case EQ_RETRY_TRIED:
-		wait_s = EQ_RETRY_TRIED_S * (1 + spread);
-		break;
-	case EQ_RETRY_BACKOFF:
-	case EQ_RETRY_LATER:
-		wait_s = eq_retry_late_s(eq, retry, spread, clk_boot_us());
-		break;
-	}
-	snprintf(fields, size, "Retry-After: %.2f\r\n", wait_s);
-}
-
-/*
- * Returns how long a caller waits (seconds) before load has drained or backoffs
- * of workers have ended.  Load drains as streams end, over some seconds; a
- * caller that retries sooner is refused again and gives up.  Callers accept a
- * wait of up to a third of their remaining time.  The wait is drawn from the
- * upper half of that range, which also spreads the retries.
- */
-static double eq_retry_late_s(const struct eq *eq, enum eq_retry retry,
-			      double spread, int64_t now)
-{
-	int64_t limit_ms = eq->request.timeout_ms;
-	double backoff_s;
-	double max_s;
-
-	if (limit_ms <= 0)
-		limit_ms = eq->route ? eq->route->timeout_us / MAG_US_PER_MS
-				     : 1000;
-	max_s = ((double)limit_ms / 1000 -
-		 (double)(now - eq->arrived_us) / MAG_US_PER_S) *
-		EQ_RETRY_FRACTION;
-	backoff_s = (double)(eq->backoff_end_us - now) / MAG_US_PER_S +
-		    EQ_RETRY_SOON_S * spread;
-	if (retry == EQ_RETRY_BACKOFF && backoff_s < max_s)
-		return backoff_s;
-	max_s *= 0.5 + 0.5 * spread;
-	return max_s > EQ_RETRY_ELSEWHERE_S ? max_s : EQ_RETRY_ELSEWHERE_S;
-}
-
 /* Ends a request that may have run or that has run out of time. */
 void eq_fail(struct eq *eq, int status, const char *why)
 {
--- a/src/eq.h
+++ b/src/eq.h
@@ -14,6 +14,8 @@
 #include "quar_trait.h"
 
 #define EQ_AVOID_MAX 16
+/* Sends of one request, including refused ones. */
+#define EQ_SENDS_MAX 6
 /*
  * Buffer size for a chain in the log: 32 ids of 16 characters, each followed by
  * its first layer.
@@ -118,6 +120,19 @@
 void eq_finish(struct eq *eq);
 bool eq_refuse_quarantined(struct eq *eq, int64_t now);
 
+enum eq_choice {
+	EQ_CHOSEN,
+	EQ_BUSY,	/* all workers are at their limit */
+	EQ_NO_CROSSING, /* the link between data centres is at its limit */
+	EQ_NO_WORKER,	/* no worker serves this request */
+};
+
+/* eq_wait.c */
+void eq_wait_tick(struct edge *edge, int64_t now);
+void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now);
+void eq_write_retry_after(const struct eq *eq, enum eq_retry retry,
+			  char *fields, size_t size);
+
 /* eq_send.c */
 void eq_dispatch(struct eq *eq, int64_t now);
 void eq_begin_attempt(struct eq *eq, int64_t now);
@@ -133,13 +148,6 @@
 typedef bool (*eq_usable_fn)(const struct wk *wk, int64_t now);
 
 /* eq_chain.c */
-enum eq_choice {
-	EQ_CHOSEN,
-	EQ_BUSY,	/* all workers are at their limit */
-	EQ_NO_CROSSING, /* the link between data centres is at its limit */
-	EQ_NO_WORKER,	/* no worker serves this request */
-};
-
 enum eq_choice eq_choose_chain(struct eq *eq, int64_t now);
 bool eq_choose_repair(struct eq *eq, int64_t now);
 int64_t eq_backoff_end(struct eq *eq, int64_t now);
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -7,25 +7,6 @@
 
 /* Connection timeout.  A reachable worker accepts within a few milliseconds. */
 #define EQ_CONNECT_US (250 * MAG_US_PER_MS)
-/* Sends of one request, including refused ones. */
-#define EQ_SENDS_MAX 6
-/*
- * Time that a request waits for a free worker, as a fraction of its route's
- * latency target.  After that, another router or a later retry serves it
- * better.
- */
-#define EQ_WAIT_FRACTION 0.5
-/*
- * Waiting time of a request that is already late.  Its caller would otherwise
- * only retry even later, and it abandons a stream without a first event after
- * two seconds.
- */
-#define EQ_LATE_WAIT_US (1200 * MAG_US_PER_MS)
-/*
- * A stream that has begun may wait this long for a chain on which to resume;
- * callers leave after two seconds of silence.
- */
-#define EQ_RESUME_WAIT_US (1500 * MAG_US_PER_MS)
 /* Requests that a plain worker may queue beyond its slots. */
 #define EQ_PLAIN_QUEUE 3
 /* Cost factor of a worker in another data centre. */
@@ -40,8 +21,6 @@
  * another data centre.
  */
 #define EQ_RESET_US (20 * MAG_US_PER_MS)
-/* Interval between log lines on a lack of workers. */
-#define EQ_NO_WORKER_LOG_US MAG_US_PER_S
 /* Time until a probe has told a crash and all routers have judged it. */
 #define EQ_VERDICT_US (QUAR_SETTLE_US + 50 * MAG_US_PER_MS)
 
@@ -57,8 +36,6 @@
 static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
 			       bool left, int64_t now);
 static bool eq_has_run_well(const struct eq *eq);
-static void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now);
-static void eq_log_no_worker(const struct eq *eq, int64_t now);
 static struct evbuffer *eq_encode(struct eq *eq, int64_t now);
 
 /* Places a request at a worker and sends it, leaves it waiting, or ends it. */
@@ -229,59 +206,6 @@
 	       eq->progress_us - eq->begun_us >= EQ_BEGINNING_US;
 }
 
-/* Leaves an unplaced request waiting while that can help, else ends it. */
-static void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
-{
-	static const char *const whys[] = {
-		[EQ_BUSY] = "all workers busy",
-		[EQ_NO_CROSSING] = "no crossing between data centres left",
-		[EQ_NO_WORKER] = "no worker",
-	};
-	int64_t max_wait_us =
-		(int64_t)((double)eq->route->target_us * EQ_WAIT_FRACTION);
-
-	if (eq->service->has_engine && eq->arrived_us >= eq->target_deadline_us)
-		max_wait_us = EQ_LATE_WAIT_US;
-	if (eq->state == EQ_STREAMING) {
-		if (now - eq->progress_us > EQ_RESUME_WAIT_US)
-			eq_fail(eq, 502, "no chain to go on");
-		return;
-	}
-	if (!eq->wait_until_us)
-		eq->wait_until_us = now + max_wait_us;
-	eq->backoff_end_us = eq_backoff_end(eq, now);
-	if (eq->backoff_end_us > eq->wait_until_us) {
-		eq_refuse(eq, 503, EQ_RETRY_BACKOFF, "workers back off");
-		return;
-	}
-	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX)
-		return;
-	if (choice == EQ_NO_WORKER)
-		eq_log_no_worker(eq, now);
-	eq_refuse(eq, 503, EQ_RETRY_LATER, whys[choice]);
-}
-
-/* Logs why no worker of a service is usable, from time to time. */
-static void eq_log_no_worker(const struct eq *eq, int64_t now)
-{
-	struct wk_barred barred = { 0 };
-	struct edge *edge = eq->edge;
-	const struct wk *wk;
-
-	if (now < edge->next_no_worker_log_us)
-		return;
-	edge->next_no_worker_log_us = now + EQ_NO_WORKER_LOG_US;
-	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
-		if (strcmp(wk->entry.service, eq->service->name) == 0)
-			wk_count_barred(wk, &barred, now);
-	}
-	jlog(LOG_EQ_NO_WORKER,
-	     "\"service\":\"%s\",\"alive\":%d,\"suspected\":%d,"
-	     "\"hearsay\":%d,\"paused\":%d,\"overdue\":%d",
-	     eq->service->name, barred.alive, barred.suspected, barred.hearsay,
-	     barred.paused, barred.overdue);
-}
-
 /*
  * Chooses the worker of a plain service with the lowest expected answer time.
  */
--- /dev/null
+++ b/src/eq_wait.c
@@ -0,0 +1,189 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "clk.h"
+#include "eq.h"
+#include "jlog.h"
+
+/* Requests that wait for a worker, and when refused callers may retry. */
+
+/*
+ * Interval between attempts to place waiting requests.  Each attempt considers
+ * all workers, which takes a millisecond with 3,000 of them.
+ */
+#define EQ_WAIT_RETRY_US (25 * MAG_US_PER_MS)
+/* Retry-After for a caller that another router can accept at once. */
+#define EQ_RETRY_ELSEWHERE_S 0.05
+/*
+ * Shortest Retry-After for a caller whose request met a faulty worker; the
+ * longest is twice as long.  By then the worker receives no new requests and
+ * its reports have arrived.
+ */
+#define EQ_RETRY_SOON_S 0.25
+/*
+ * Shortest Retry-After for a caller whose request is quarantined in doubt; the
+ * longest is twice as long.  By then single requests have mostly decided it.
+ */
+#define EQ_RETRY_TRIED_S 1.5
+/* Upper limit of Retry-After, as a fraction of the caller's remaining time. */
+#define EQ_RETRY_FRACTION 0.32
+/*
+ * Time that a request waits for a free worker, as a fraction of its route's
+ * latency target.  After that, another router or a later retry serves it
+ * better.
+ */
+#define EQ_WAIT_FRACTION 0.5
+/*
+ * Waiting time of a request that is already late.  Its caller would otherwise
+ * only retry even later, and it abandons a stream without a first event after
+ * two seconds.
+ */
+#define EQ_LATE_WAIT_US (1200 * MAG_US_PER_MS)
+/*
+ * A stream that has begun may wait this long for a chain on which to resume;
+ * callers leave after two seconds of silence.
+ */
+#define EQ_RESUME_WAIT_US (1500 * MAG_US_PER_MS)
+/* Interval between log lines on a lack of workers. */
+#define EQ_NO_WORKER_LOG_US MAG_US_PER_S
+
+static void eq_dispatch_waiting(struct edge *edge, int64_t now);
+static void eq_log_no_worker(const struct eq *eq, int64_t now);
+static double eq_retry_late_s(const struct eq *eq, enum eq_retry retry,
+			      double spread, int64_t now);
+
+/* Retries the placement of waiting requests from time to time. */
+void eq_wait_tick(struct edge *edge, int64_t now)
+{
+	if (now < edge->next_wait_retry_us)
+		return;
+	edge->next_wait_retry_us = now + EQ_WAIT_RETRY_US;
+	eq_dispatch_waiting(edge, now);
+}
+
+/*
+ * Retries the placement of waiting requests, including streams waiting to
+ * resume, and takes those back that turn out to crash workers before they
+ * begin.
+ */
+static void eq_dispatch_waiting(struct edge *edge, int64_t now)
+{
+	struct eq *eq;
+	struct eq *next;
+
+	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
+		if (!eq->call)
+			eq_dispatch(eq, now);
+		else if (!eq->ran_well)
+			eq_refuse_quarantined(eq, now);
+	}
+}
+
+/* Leaves an unplaced request waiting while that can help, else ends it. */
+void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
+{
+	static const char *const whys[] = {
+		[EQ_BUSY] = "all workers busy",
+		[EQ_NO_CROSSING] = "no crossing between data centres left",
+		[EQ_NO_WORKER] = "no worker",
+	};
+	int64_t max_wait_us =
+		(int64_t)((double)eq->route->target_us * EQ_WAIT_FRACTION);
+
+	if (eq->service->has_engine && eq->arrived_us >= eq->target_deadline_us)
+		max_wait_us = EQ_LATE_WAIT_US;
+	if (eq->state == EQ_STREAMING) {
+		if (now - eq->progress_us > EQ_RESUME_WAIT_US)
+			eq_fail(eq, 502, "no chain to go on");
+		return;
+	}
+	if (!eq->wait_until_us)
+		eq->wait_until_us = now + max_wait_us;
+	eq->backoff_end_us = eq_backoff_end(eq, now);
+	if (eq->backoff_end_us > eq->wait_until_us) {
+		eq_refuse(eq, 503, EQ_RETRY_BACKOFF, "workers back off");
+		return;
+	}
+	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX)
+		return;
+	if (choice == EQ_NO_WORKER)
+		eq_log_no_worker(eq, now);
+	eq_refuse(eq, 503, EQ_RETRY_LATER, whys[choice]);
+}
+
+/* Logs why no worker of a service is usable, from time to time. */
+static void eq_log_no_worker(const struct eq *eq, int64_t now)
+{
+	struct wk_barred barred = { 0 };
+	struct edge *edge = eq->edge;
+	const struct wk *wk;
+
+	if (now < edge->next_no_worker_log_us)
+		return;
+	edge->next_no_worker_log_us = now + EQ_NO_WORKER_LOG_US;
+	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+		if (strcmp(wk->entry.service, eq->service->name) == 0)
+			wk_count_barred(wk, &barred, now);
+	}
+	jlog(LOG_EQ_NO_WORKER,
+	     "\"service\":\"%s\",\"alive\":%d,\"suspected\":%d,"
+	     "\"hearsay\":%d,\"paused\":%d,\"overdue\":%d",
+	     eq->service->name, barred.alive, barred.suspected, barred.hearsay,
+	     barred.paused, barred.overdue);
+}
+
+/* Writes the Retry-After field. */
+void eq_write_retry_after(const struct eq *eq, enum eq_retry retry,
+			  char *fields, size_t size)
+{
+	double spread = (double)(edge_random(eq->edge) % 1000) / 1000;
+	double wait_s = 0;
+
+	fields[0] = '\0';
+	switch (retry) {
+	case EQ_RETRY_NEVER:
+		return;
+	case EQ_RETRY_ELSEWHERE:
+		wait_s = EQ_RETRY_ELSEWHERE_S;
+		break;
+	case EQ_RETRY_SOON:
+		wait_s = EQ_RETRY_SOON_S * (1 + spread);
+		break;
+	case EQ_RETRY_TRIED:
+		wait_s = EQ_RETRY_TRIED_S * (1 + spread);
+		break;
+	case EQ_RETRY_BACKOFF:
+	case EQ_RETRY_LATER:
+		wait_s = eq_retry_late_s(eq, retry, spread, clk_boot_us());
+		break;
+	}
+	snprintf(fields, size, "Retry-After: %.2f\r\n", wait_s);
+}
+
+/*
+ * Returns how long a caller waits (seconds) before load has drained or backoffs
+ * of workers have ended.  Load drains as streams end, over some seconds; a
+ * caller that retries sooner is refused again and gives up.  Callers accept a
+ * wait of up to a third of their remaining time.  The wait is drawn from the
+ * upper half of that range, which also spreads the retries.
+ */
+static double eq_retry_late_s(const struct eq *eq, enum eq_retry retry,
+			      double spread, int64_t now)
+{
+	int64_t limit_ms = eq->request.timeout_ms;
+	double backoff_s;
+	double max_s;
+
+	if (limit_ms <= 0)
+		limit_ms = eq->route ? eq->route->timeout_us / MAG_US_PER_MS
+				     : 1000;
+	max_s = ((double)limit_ms / 1000 -
+		 (double)(now - eq->arrived_us) / MAG_US_PER_S) *
+		EQ_RETRY_FRACTION;
+	backoff_s = (double)(eq->backoff_end_us - now) / MAG_US_PER_S +
+		    EQ_RETRY_SOON_S * spread;
+	if (retry == EQ_RETRY_BACKOFF && backoff_s < max_s)
+		return backoff_s;
+	max_s *= 0.5 + 0.5 * spread;
+	return max_s > EQ_RETRY_ELSEWHERE_S ? max_s : EQ_RETRY_ELSEWHERE_S;
+}
