wq: rates over the time they could be seen, estimates kept by the entry

Starts were counted also while nothing waited, when they follow the arrivals and tell nothing about the capacity; a short shortage then began with a low rate.

Starts now count only while requests wait; arrivals and refusals count over the time in which the router ran, and wq_arrived is to be called for every request that is placed at once. A request begins to wait only with time to spare, and one that began without an estimate waits for its grace period only. Ruled out: one that takes up an estimate later, which may be refused after more than an eighth of its aim although nothing was promised to it.

--- a/src/wq.c
+++ b/src/wq.c
@@ -6,25 +6,33 @@
 #define WQ_SLICE_US  (50 * MAG_US_PER_MS)
 #define WQ_WINDOW_US MAG_US_PER_S
 /*
- * Without a waiting request, only a short time between two events counts as
- * time in which starts were to be expected.
+ * A longer time without an event is a pause: the router itself may not have
+ * run, so that starts and arrivals would not have been seen.
  */
-#define WQ_SEEN_IDLE_US (100 * MAG_US_PER_MS)
-/*
- * With one, a longer time without any event counts only up to this: the router
- * itself may not have run.
- */
-#define WQ_SEEN_WAITING_US (500 * MAG_US_PER_MS)
+#define WQ_PAUSE_US (500 * MAG_US_PER_MS)
 /* Below this much time or this many starts the rate is unknown. */
 #define WQ_SEEN_MIN_US (100 * MAG_US_PER_MS)
 #define WQ_STARTS_MIN  2
+/* Arrivals are divided by no less time: they may come at once after a pause. */
+#define WQ_RUNNING_MIN_US (200 * MAG_US_PER_MS)
+/*
+ * Part of the time to its latest start within which the turn of a request has
+ * to come for it to begin to wait.  The rest covers the variation of the rate
+ * in small samples; a request that waits already may use all of the time.
+ */
+#define WQ_BEGIN_FRACTION 0.7
+
+/*
+ * A rate that is left of the starts counts only from this part of them; below,
+ * it is within the error of the measurement.
+ */
+#define WQ_RATE_MIN 0.02
 
-/* Events of the window. */
-struct wq_sums {
-	double seen_s;
-	int starts;
-	int arrivals;
-	int refusals;
+/* Rates over the window, a second. */
+struct wq_rates {
+	double starts;
+	double arrivals;
+	double refusals;
 };
 
 static int wq_list_index(const struct wq_entry *entry);
@@ -32,8 +40,11 @@
 static int wq_count_ahead(const struct wq *wq, const struct wq_entry *entry);
 static struct wq_slice *wq_slice_at(struct wq *wq, int64_t at_us);
 static int64_t wq_seen_end(const struct wq *wq, int64_t now);
-static bool wq_see(struct wq *wq, int64_t now);
-static bool wq_sum(const struct wq *wq, int64_t now, struct wq_sums *sums);
+static void wq_see(struct wq *wq, bool waiting, int64_t now);
+static bool wq_get_rates(const struct wq *wq, int64_t now,
+			 struct wq_rates *rates);
+static bool wq_is_in_time(const struct wq *wq, const struct wq_entry *entry,
+			  int64_t now);
 static double wq_ahead_fraction(const struct wq *wq,
 				const struct wq_entry *entry, int64_t now);
 
@@ -66,6 +77,7 @@
 
 	wq_remove(wq, entry);
 	wq_arrived(wq, entry);
+	entry->estimated = wq_is_in_time(wq, entry, entry->since_us);
 	entry->list = wq_list_index(entry);
 	head = &wq->ranks[entry->list];
 	for (at = head->prev; at != head; at = at->prev) {
@@ -85,7 +97,8 @@
 		return;
 	cds_list_del_init(&entry->node);
 	wq->counts[entry->list]--;
-	wq->count--;
+	if (--wq->count == 0)
+		wq->emptied = true;
 }
 
 /* Returns the entry whose turn is next, or NULL. */
@@ -133,16 +146,17 @@
 }
 
 /*
- * Counts a request that arrived at its since_us while capacity was short.
- * wq_add does so itself; the caller does for a request that is placed without
- * having been queued.  An entry counts once.
+ * Counts a request that arrived at its since_us.  wq_add does so itself; the
+ * caller does for each request that is placed without having been queued, so
+ * that estimates know what goes ahead of less urgent ones.  An entry counts
+ * once.
  */
 void wq_arrived(struct wq *wq, struct wq_entry *entry)
 {
 	if (entry->counted)
 		return;
 	entry->counted = true;
-	wq_see(wq, entry->since_us);
+	wq_see(wq, wq->count > 0, entry->since_us);
 	wq_slice_at(wq, entry->since_us)->arrivals++;
 	wq->arrivals[wq->arrival_count++ % WQ_ARRIVALS_MAX] =
 		(struct wq_arrival){ entry->since_us, wq_list_index(entry),
@@ -150,77 +164,89 @@
 }
 
 /*
- * Counts the start of a request, queued or not, while capacity was short.  Call
- * it before the request's wq_remove, so that time in which it waited counts.
- * The first start after a time in which none were to be expected only begins
- * the measurement.
+ * Counts the start of a request, queued or not.  Starts while no request waits
+ * tell nothing about the capacity and do not count.  Call it next to the
+ * request's wq_remove, in any order.
  */
 void wq_started(struct wq *wq, int64_t now)
 {
-	if (wq_see(wq, now))
+	bool waiting = wq->count > 0 || wq->emptied;
+
+	wq_see(wq, waiting, now);
+	if (waiting)
 		wq_slice_at(wq, now)->starts++;
 }
 
 /*
- * Returns when the turn of an entry comes, or MAG_NEVER if that is unknown or
- * if as many requests go ahead of it as are started.  The entry need not be
- * queued.
+ * Returns when the turn of an entry comes: the entries ahead of it and itself,
+ * at the rate of starts less that of the arrivals that go ahead of it.  Returns
+ * MAG_NEVER if the rate of starts is unknown, and the time before if as many
+ * go ahead as are started.  The entry need not be queued.
  */
 int64_t wq_turn_us(const struct wq *wq, const struct wq_entry *entry,
 		   int64_t now)
 {
-	struct wq_sums sums;
-	double starts;
+	struct wq_rates rates;
+	double rate;
 
-	if (!wq_sum(wq, now, &sums))
-		return MAG_NEVER;
-	starts =
-		sums.starts - sums.arrivals * wq_ahead_fraction(wq, entry, now);
-	if (starts < 1)
+	if (!wq_get_rates(wq, now, &rates))
 		return MAG_NEVER;
-	return now + (int64_t)((wq_count_ahead(wq, entry) + 1) * sums.seen_s /
-			       starts * MAG_US_PER_S);
+	rate = rates.starts -
+	       rates.arrivals * wq_ahead_fraction(wq, entry, now);
+	if (rate < rates.starts * WQ_RATE_MIN)
+		return MAG_NEVER - 1;
+	return now +
+	       (int64_t)((wq_count_ahead(wq, entry) + 1) / rate * MAG_US_PER_S);
 }
 
 /*
- * Tells whether an entry may wait: during its grace period, and afterwards
- * while its turn is expected by its latest start.
+ * Tells whether an entry may wait: if its turn is expected by its latest start,
+ * or without an estimate during its grace period.  An entry that is not queued
+ * needs some time to spare.  One whose estimate did not hold when it was queued
+ * waits no longer than the grace period, whatever the estimate is by then.
  */
 bool wq_may_wait(const struct wq *wq, const struct wq_entry *entry, int64_t now)
 {
-	return now < entry->grace_until_us ||
-	       wq_turn_us(wq, entry, now) <= entry->start_by_us;
+	bool queued = entry->node.next != &entry->node;
+	int64_t turn_us;
+
+	if (now > entry->start_by_us)
+		return false;
+	if (queued && !entry->estimated && now >= entry->grace_until_us)
+		return false;
+	turn_us = wq_turn_us(wq, entry, now);
+	if (turn_us == MAG_NEVER)
+		return now < entry->grace_until_us;
+	return queued ? turn_us <= entry->start_by_us
+		      : wq_is_in_time(wq, entry, now);
 }
 
 /*
  * Returns after how many seconds a refused caller should return.  It is given a
  * slot if one lies within max_s, the longest wait that it accepts; else a time
- * in the upper half of max_s, by spread (random, 0 to 1).  Call it once for
- * each refused request: refusals count as demand.
+ * in the upper half of max_s, by spread (random, 0 to 1).  Slots are given only
+ * out of what new arrivals and refused ones leave of the rate of starts.  Call
+ * it once for each refused request.
  */
 double wq_return_s(struct wq *wq, double max_s, double spread, int64_t now)
 {
-	struct wq_sums sums;
+	struct wq_rates rates;
 	double spare = 0;
 	int64_t slot;
 
-	wq_see(wq, now);
+	wq_see(wq, wq->count > 0, now);
 	wq_slice_at(wq, now)->refusals++;
-	if (wq_sum(wq, now, &sums))
-		spare = sums.starts - sums.arrivals - sums.refusals;
-	if (spare >= 1) {
-		slot = now + (int64_t)(wq->count * sums.seen_s / sums.starts *
-				       MAG_US_PER_S);
-		if (slot < wq->next_slot_us)
-			slot = wq->next_slot_us;
-		if ((double)(slot - now) <= max_s * MAG_US_PER_S) {
-			wq->next_slot_us =
-				slot +
-				(int64_t)(sums.seen_s / spare * MAG_US_PER_S);
-			return (double)(slot - now) / MAG_US_PER_S;
-		}
-	}
-	return max_s * (0.5 + spread / 2);
+	if (wq_get_rates(wq, now, &rates))
+		spare = rates.starts - rates.arrivals - rates.refusals;
+	if (spare < rates.starts * WQ_RATE_MIN || !(spare > 0))
+		return max_s * (0.5 + spread / 2);
+	slot = now + (int64_t)(wq->count / rates.starts * MAG_US_PER_S);
+	if (slot < wq->next_slot_us)
+		slot = wq->next_slot_us;
+	if ((double)(slot - now) > max_s * MAG_US_PER_S)
+		return max_s * (0.5 + spread / 2);
+	wq->next_slot_us = slot + (int64_t)(MAG_US_PER_S / spare);
+	return (double)(slot - now) / MAG_US_PER_S;
 }
 
 /* Returns the list of an entry: its rank, within the ranks told apart. */
@@ -279,66 +305,90 @@
 	return slice;
 }
 
-/*
- * Returns until when starts would have been seen since the last event, or that
- * event's time if none were to be expected.
- */
+/* Returns until when starts would have been seen since the last event. */
 static int64_t wq_seen_end(const struct wq *wq, int64_t now)
 {
-	if (now - wq->seen_until_us <= WQ_SEEN_IDLE_US)
-		return now;
-	if (!wq->count)
-		return wq->seen_until_us;
-	if (now - wq->seen_until_us <= WQ_SEEN_WAITING_US)
-		return now;
-	return wq->seen_until_us + WQ_SEEN_WAITING_US;
+	return now - wq->event_us <= WQ_PAUSE_US ? now
+						 : wq->event_us + WQ_PAUSE_US;
 }
 
 /*
- * Adds the time since the last event to the slices.  Returns false if starts
- * were not to be expected until now.
+ * Notes an event.  The time since the last one is added to the slices if
+ * requests waited in it.
  */
-static bool wq_see(struct wq *wq, int64_t now)
+static void wq_see(struct wq *wq, bool waiting, int64_t now)
 {
-	int64_t from = wq->seen_until_us;
+	int64_t from = wq->event_us;
 	int64_t until = wq_seen_end(wq, now);
 	int64_t end;
 
+	wq->emptied = false;
 	if (now < from)
-		return true;
-	wq->seen_until_us = now;
-	while (from < until) {
+		return;
+	if (until < now)
+		wq->running_since_us = now;
+	wq->event_us = now;
+	while (waiting && from < until) {
 		end = (from / WQ_SLICE_US + 1) * WQ_SLICE_US;
 		if (end > until)
 			end = until;
 		wq_slice_at(wq, from)->seen_us += end - from;
 		from = end;
 	}
-	return until == now;
 }
 
-/* Sums up the window; returns false if the rate of starts is unknown. */
-static bool wq_sum(const struct wq *wq, int64_t now, struct wq_sums *sums)
+/*
+ * Computes the rates: of starts over the time in which requests waited, of the
+ * others over the time in which the router ran.  Returns false if the rate of
+ * starts is unknown.
+ */
+static bool wq_get_rates(const struct wq *wq, int64_t now,
+			 struct wq_rates *rates)
 {
-	int64_t begin = (now - WQ_WINDOW_US) / WQ_SLICE_US;
+	int64_t begin = (now - WQ_WINDOW_US) / WQ_SLICE_US + 1;
 	int64_t begin_us = begin * WQ_SLICE_US;
-	int64_t from =
-		wq->seen_until_us > begin_us ? wq->seen_until_us : begin_us;
+	int64_t from = wq->event_us > begin_us ? wq->event_us : begin_us;
 	int64_t until = wq_seen_end(wq, now);
-	int64_t seen_us = until > from ? until - from : 0;
+	int64_t seen_us = wq->count && until > from ? until - from : 0;
+	int64_t running_us = now - begin_us;
+	int starts = 0;
+	int arrivals = 0;
+	int refusals = 0;
 	int i;
 
-	*sums = (struct wq_sums){ 0 };
 	for (i = 0; i < WQ_SLICES; i++) {
 		if (wq->slices[i].number < begin)
 			continue;
 		seen_us += wq->slices[i].seen_us;
-		sums->starts += wq->slices[i].starts;
-		sums->arrivals += wq->slices[i].arrivals;
-		sums->refusals += wq->slices[i].refusals;
+		starts += wq->slices[i].starts;
+		arrivals += wq->slices[i].arrivals;
+		refusals += wq->slices[i].refusals;
 	}
-	sums->seen_s = (double)seen_us / MAG_US_PER_S;
-	return seen_us >= WQ_SEEN_MIN_US && sums->starts >= WQ_STARTS_MIN;
+	if (running_us > now - wq->running_since_us)
+		running_us = now - wq->running_since_us;
+	if (running_us < WQ_RUNNING_MIN_US)
+		running_us = WQ_RUNNING_MIN_US;
+	*rates = (struct wq_rates){ 0 };
+	if (seen_us < WQ_SEEN_MIN_US || starts < WQ_STARTS_MIN)
+		return false;
+	rates->starts = starts * (double)MAG_US_PER_S / (double)seen_us;
+	rates->arrivals = arrivals * (double)MAG_US_PER_S / (double)running_us;
+	rates->refusals = refusals * (double)MAG_US_PER_S / (double)running_us;
+	return true;
+}
+
+/*
+ * Tells whether the turn of an entry is expected early enough for it to begin
+ * to wait.
+ */
+static bool wq_is_in_time(const struct wq *wq, const struct wq_entry *entry,
+			  int64_t now)
+{
+	int64_t turn_us = wq_turn_us(wq, entry, now);
+
+	return turn_us < MAG_NEVER - 1 &&
+	       (double)(turn_us - now) <=
+		       (double)(entry->start_by_us - now) * WQ_BEGIN_FRACTION;
 }
 
 /*
--- a/src/wq.h
+++ b/src/wq.h
@@ -36,12 +36,13 @@
 	int64_t grace_until_us; /* waits until then without an estimate */
 	int list;		/* rank under which it is queued; internal */
 	bool counted;		/* as an arrival; internal */
+	bool estimated;		/* its estimate held when queued; internal */
 };
 
 /* Requests of one time slice. */
 struct wq_slice {
 	int64_t number;	 /* slices since time zero */
-	int64_t seen_us; /* part of it in which starts would have been seen */
+	int64_t seen_us; /* part of it in which requests waited */
 	int starts;
 	int arrivals; /* that were queued or placed */
 	int refusals;
@@ -62,8 +63,10 @@
 	struct wq_slice slices[WQ_SLICES];
 	struct wq_arrival arrivals[WQ_ARRIVALS_MAX]; /* ring */
 	unsigned int arrival_count;		     /* since the start */
-	int64_t seen_until_us; /* last event; 0: none yet */
-	int64_t next_slot_us;  /* next free return slot */
+	bool emptied;				     /* since the last event */
+	int64_t event_us;	  /* last event; 0: none yet */
+	int64_t running_since_us; /* when the events began, or a pause ended */
+	int64_t next_slot_us;	  /* next free return slot */
 };
 
 void wq_init(struct wq *wq);
