--- a/src/wq.c
+++ b/src/wq.c
@@ -1,9 +1,15 @@
+#include <math.h>
 #include <string.h>
 
 #include "mag.h"
 #include "wq.h"
 
-#define WQ_SLICE_US  (50 * MAG_US_PER_MS)
+#define WQ_SLICE_US (100 * MAG_US_PER_MS)
+/*
+ * Starts are counted over the last second in which requests waited, and other
+ * events over the last second.  Time in which requests waited is no older than
+ * all slices together.
+ */
 #define WQ_WINDOW_US MAG_US_PER_S
 /*
  * A longer time without an event is a pause: the router itself may not have
@@ -16,20 +22,27 @@
 /* Arrivals are divided by no less time: they may come at once after a pause. */
 #define WQ_RUNNING_MIN_US (200 * MAG_US_PER_MS)
 /*
- * Part of the time to its latest start within which the turn of a request has
- * to come for it to begin to wait.  The rest covers the variation of the rate
- * in small samples; a request that waits already may use all of the time.
+ * Standard deviations of the counts by which what is left of the rate of starts
+ * is lowered before a request begins to wait, or a return slot is given.
  */
+#define WQ_BEGIN_MARGIN 1.25
+#define WQ_SLOT_MARGIN	1.0
+/*
+ * The shortage that a caller was refused in lasts for a while: a slot comes no
+ * earlier than this after the queue has drained.
+ */
+#define WQ_SLOT_MIN_US MAG_US_PER_S
+/* Part of the time to its latest start that a new request's wait may take. */
 #define WQ_BEGIN_FRACTION 0.7
-
 /*
- * A rate that is left of the starts counts only from this part of them; below,
- * it is within the error of the measurement.
+ * Below this part of the starts, what is left of them for an entry is within
+ * the error of the measurement.
  */
 #define WQ_RATE_MIN 0.02
 
 /* Rates over the window, a second. */
 struct wq_rates {
+	double seen_s; /* over which the starts were counted */
 	double starts;
 	double arrivals;
 	double refusals;
@@ -43,6 +56,10 @@
 static void wq_see(struct wq *wq, bool waiting, int64_t now);
 static bool wq_get_rates(const struct wq *wq, int64_t now,
 			 struct wq_rates *rates);
+static double wq_left(const struct wq_rates *rates, double taken,
+		      double margin);
+static int64_t wq_turn_with(const struct wq *wq, const struct wq_entry *entry,
+			    double margin, int64_t now);
 static bool wq_is_in_time(const struct wq *wq, const struct wq_entry *entry,
 			  int64_t now);
 static double wq_ahead_fraction(const struct wq *wq,
@@ -186,39 +203,32 @@
 int64_t wq_turn_us(const struct wq *wq, const struct wq_entry *entry,
 		   int64_t now)
 {
-	struct wq_rates rates;
-	double rate;
-
-	if (!wq_get_rates(wq, now, &rates))
-		return MAG_NEVER;
-	rate = rates.starts -
-	       rates.arrivals * wq_ahead_fraction(wq, entry, now);
-	if (rate < rates.starts * WQ_RATE_MIN)
-		return MAG_NEVER - 1;
-	return now +
-	       (int64_t)((wq_count_ahead(wq, entry) + 1) / rate * MAG_US_PER_S);
+	return wq_turn_with(wq, entry, 0, now);
 }
 
 /*
  * Tells whether an entry may wait: if its turn is expected by its latest start,
  * or without an estimate during its grace period.  An entry that is not queued
- * needs some time to spare.  One whose estimate did not hold when it was queued
- * waits no longer than the grace period, whatever the estimate is by then.
+ * needs time to spare.  A queued one is refused when its turn comes too late
+ * even if nothing more goes ahead of it.  One whose estimate did not hold when
+ * it was queued waits no longer than the grace period, whatever the estimate is
+ * by then.
  */
 bool wq_may_wait(const struct wq *wq, const struct wq_entry *entry, int64_t now)
 {
-	bool queued = entry->node.next != &entry->node;
-	int64_t turn_us;
+	struct wq_rates rates;
 
 	if (now > entry->start_by_us)
 		return false;
-	if (queued && !entry->estimated && now >= entry->grace_until_us)
-		return false;
-	turn_us = wq_turn_us(wq, entry, now);
-	if (turn_us == MAG_NEVER)
+	if (!wq_get_rates(wq, now, &rates))
 		return now < entry->grace_until_us;
-	return queued ? turn_us <= entry->start_by_us
-		      : wq_is_in_time(wq, entry, now);
+	if (entry->node.next == &entry->node)
+		return wq_is_in_time(wq, entry, now);
+	if (!entry->estimated && now >= entry->grace_until_us)
+		return false;
+	return now + (int64_t)((wq_count_ahead(wq, entry) + 1) / rates.starts *
+			       MAG_US_PER_S) <=
+	       entry->start_by_us;
 }
 
 /*
@@ -237,10 +247,12 @@
 	wq_see(wq, wq->count > 0, now);
 	wq_slice_at(wq, now)->refusals++;
 	if (wq_get_rates(wq, now, &rates))
-		spare = rates.starts - rates.arrivals - rates.refusals;
-	if (spare < rates.starts * WQ_RATE_MIN || !(spare > 0))
+		spare = wq_left(&rates, rates.arrivals + rates.refusals,
+				WQ_SLOT_MARGIN);
+	if (!(spare > 0))
 		return max_s * (0.5 + spread / 2);
-	slot = now + (int64_t)(wq->count / rates.starts * MAG_US_PER_S);
+	slot = now + WQ_SLOT_MIN_US +
+	       (int64_t)(wq->count / rates.starts * MAG_US_PER_S);
 	if (slot < wq->next_slot_us)
 		slot = wq->next_slot_us;
 	if ((double)(slot - now) > max_s * MAG_US_PER_S)
@@ -345,24 +357,31 @@
 static bool wq_get_rates(const struct wq *wq, int64_t now,
 			 struct wq_rates *rates)
 {
-	int64_t begin = (now - WQ_WINDOW_US) / WQ_SLICE_US + 1;
-	int64_t begin_us = begin * WQ_SLICE_US;
-	int64_t from = wq->event_us > begin_us ? wq->event_us : begin_us;
+	int64_t number = now / WQ_SLICE_US;
+	int64_t begin = number - WQ_WINDOW_US / WQ_SLICE_US;
 	int64_t until = wq_seen_end(wq, now);
-	int64_t seen_us = wq->count && until > from ? until - from : 0;
-	int64_t running_us = now - begin_us;
+	int64_t seen_us = wq->count ? until - wq->event_us : 0;
+	int64_t running_us = now - (begin + 1) * WQ_SLICE_US;
+	const struct wq_slice *slice;
 	int starts = 0;
 	int arrivals = 0;
 	int refusals = 0;
 	int i;
 
-	for (i = 0; i < WQ_SLICES; i++) {
-		if (wq->slices[i].number < begin)
+	for (i = 0; i < WQ_SLICES && number >= 0; i++, number--) {
+		slice = &wq->slices[number % WQ_SLICES];
+		if (number <= begin && seen_us >= WQ_WINDOW_US)
+			break;
+		if (slice->number != number)
 			continue;
-		seen_us += wq->slices[i].seen_us;
-		starts += wq->slices[i].starts;
-		arrivals += wq->slices[i].arrivals;
-		refusals += wq->slices[i].refusals;
+		if (seen_us < WQ_WINDOW_US) {
+			seen_us += slice->seen_us;
+			starts += slice->starts;
+		}
+		if (number > begin) {
+			arrivals += slice->arrivals;
+			refusals += slice->refusals;
+		}
 	}
 	if (running_us > now - wq->running_since_us)
 		running_us = now - wq->running_since_us;
@@ -371,12 +390,44 @@
 	*rates = (struct wq_rates){ 0 };
 	if (seen_us < WQ_SEEN_MIN_US || starts < WQ_STARTS_MIN)
 		return false;
+	rates->seen_s = (double)seen_us / MAG_US_PER_S;
 	rates->starts = starts * (double)MAG_US_PER_S / (double)seen_us;
 	rates->arrivals = arrivals * (double)MAG_US_PER_S / (double)running_us;
 	rates->refusals = refusals * (double)MAG_US_PER_S / (double)running_us;
 	return true;
 }
 
+/*
+ * Returns what is left of the rate of starts when something takes a part of it,
+ * 0 if that is within the error of the measurement.  The margin is in standard
+ * deviations.
+ */
+static double wq_left(const struct wq_rates *rates, double taken, double margin)
+{
+	double left = rates->starts - taken -
+		      margin * sqrt((rates->starts + taken) / rates->seen_s);
+
+	return left > rates->starts * WQ_RATE_MIN ? left : 0;
+}
+
+/* Computes wq_turn_us with a margin in standard deviations. */
+static int64_t wq_turn_with(const struct wq *wq, const struct wq_entry *entry,
+			    double margin, int64_t now)
+{
+	struct wq_rates rates;
+	double rate;
+
+	if (!wq_get_rates(wq, now, &rates))
+		return MAG_NEVER;
+	rate = wq_left(&rates,
+		       rates.arrivals * wq_ahead_fraction(wq, entry, now),
+		       margin);
+	if (!(rate > 0))
+		return MAG_NEVER - 1;
+	return now +
+	       (int64_t)((wq_count_ahead(wq, entry) + 1) / rate * MAG_US_PER_S);
+}
+
 /*
  * Tells whether the turn of an entry is expected early enough for it to begin
  * to wait.
@@ -384,7 +435,7 @@
 static bool wq_is_in_time(const struct wq *wq, const struct wq_entry *entry,
 			  int64_t now)
 {
-	int64_t turn_us = wq_turn_us(wq, entry, now);
+	int64_t turn_us = wq_turn_with(wq, entry, WQ_BEGIN_MARGIN, now);
 
 	return turn_us < MAG_NEVER - 1 &&
 	       (double)(turn_us - now) <=
--- a/src/wq.h
+++ b/src/wq.h
@@ -21,8 +21,7 @@
 
 /* Ranks that are told apart; higher ones count as the last. */
 #define WQ_RANKS_MAX 16
-/* Slices of the last second, and the current one. */
-#define WQ_SLICES 32
+#define WQ_SLICES    40
 /* Recent arrivals whose order is known. */
 #define WQ_ARRIVALS_MAX 128
 
