eq: requests of several urgencies compete by rank, in one queue a service

Least urgent requests at twelve times their rate took the memory of engines from the most urgent ones: all were tried alike each 25 ms in the order in which they came, and neither priorities of routes nor of accounts were read.

Where the configuration gives the requests of a service several urgencies, each leaves free what the more urgent need in the next fraction of a second (urg), waits in the service's queue while its turn comes in time (wq), and is refused at once otherwise; Retry-After comes from the queue's drain. Late requests yield within their urgency. Workers are told the urgency. A service with one urgency takes the paths it took before.

Accounts of equal priority: the route decides, as accounts alone would leave nearly all equal.

--- a/src/edge.c
+++ b/src/edge.c
@@ -15,6 +15,7 @@
 /* Fraction of a link between data centres that all streams together may use. */
 #define EDGE_LINK_FRACTION 0.5
 
+static void edge_init_queue(struct edge_service *service);
 static void edge_expire_services(struct edge *edge, int64_t now);
 
 /* Initialises the tables of data centres and services. */
@@ -22,6 +23,15 @@
 {
 	CDS_INIT_LIST_HEAD(&edge->services);
 	bud_init(&edge->no_service.bud, MAG_US_PER_S, 0, 0);
+	edge_init_queue(&edge->no_service);
+}
+
+/* Initialises what decides between the requests of a service. */
+static void edge_init_queue(struct edge_service *service)
+{
+	urg_init(&service->urg);
+	urg_floor_init(&service->floor);
+	wq_init(&service->wq);
 }
 
 /* Frees the table of services. */
@@ -85,6 +95,7 @@
 	bud_init(&service->bud, edge->set.retry_window_us,
 		 edge->set.retry_ratio, 0);
 	bud_set_draw(&service->bud, mag_random_unit(&edge->seed));
+	edge_init_queue(service);
 	cds_list_add_tail(&service->node, &edge->services);
 	edge->service_count++;
 	return service;
@@ -97,7 +108,8 @@
 	struct edge_service *next;
 
 	cds_list_for_each_entry_safe (service, next, &edge->services, node) {
-		if (now - service->used_us < 2 * edge->set.retry_window_us)
+		if (now - service->used_us < 2 * edge->set.retry_window_us ||
+		    wq_first(&service->wq))
 			continue;
 		cds_list_del(&service->node);
 		edge->service_count--;
--- a/src/edge.h
+++ b/src/edge.h
@@ -26,6 +26,8 @@
 #include "rel.h"
 #include "rt.h"
 #include "sto.h"
+#include "urg.h"
+#include "wq.h"
 #include "attest.h"
 #include "wk.h"
 
@@ -38,6 +40,15 @@
 	uint64_t requests; /* for it, of callers and forwarding routers */
 	uint64_t requests_counted; /* in demand */
 	double demand;		   /* requests per second, smoothed */
+	struct urg urg;		   /* demand by urgency */
+	struct urg_floor floor;
+	struct wq wq;
+	int64_t short_us; /* when a request last found no room; 0: never */
+	/*
+	 * Memory of the usable workers in tokens x layers; 0: not known yet, or
+	 * not an engine service.
+	 */
+	double capacity;
 	/* For the placer: since when a data centre lacks layers; 0: none. */
 	int64_t coverage_gap_since_us;
 	int64_t next_balance_us; /* when an accelerator may be moved next */
--- a/src/eq.c
+++ b/src/eq.c
@@ -83,6 +83,7 @@
 		return;
 	edge_service(edge, eq->service->name, now)->requests++;
 	eq_set_deadlines(eq);
+	eq_set_urgency(eq, now);
 	if (eq_refuses_while_stopping(eq, now)) {
 		eq_refuse(eq, 503, eq_retry_target(eq, now), "stopping");
 		return;
@@ -142,6 +143,7 @@
 		eq_fail(eq, 502, why);
 		return;
 	}
+	eq_count_outcome(eq, false);
 	eq_write_retry_after(eq, retry, fields, sizeof(fields));
 	met_increment(&eq->edge->met, MET_REFUSED);
 	eq_log_end(eq, status, why);
@@ -245,6 +247,7 @@
 	eq->deadline_us = MAG_NEVER;
 	eq->bad_field = pl_request_decode(hs_headers(conn), &eq->request);
 	eq->last_event = eq->request.last_event;
+	wq_entry_init(&eq->wait);
 	cds_list_add_tail(&eq->node, &edge->requests);
 	edge->request_count++;
 	hs_set_user(conn, eq);
@@ -267,6 +270,7 @@
 		eq_refuse(eq, 404, EQ_RETRY_NEVER, "no route");
 		return false;
 	}
+	eq->urgency = urg_value(-1, eq->route->priority);
 	eq->service = eq_pick_service(eq);
 	if (!eq->service) {
 		eq_refuse(eq, 503, EQ_RETRY_LATER, "route has no service");
@@ -282,6 +286,8 @@
 		return false;
 	}
 	eq->account = eq->rt->accounts[account].name;
+	eq->urgency = urg_value(eq->rt->accounts[account].priority,
+				eq->route->priority);
 	return true;
 }
 
@@ -437,6 +443,7 @@
 	}
 	eq->call = NULL;
 	eq_release(eq);
+	eq_leave_queue(eq, clk_boot_us());
 	cds_list_del(&eq->node);
 	eq->edge->request_count--;
 	if (eq->caller)
--- a/src/eq.h
+++ b/src/eq.h
@@ -45,7 +45,10 @@
 	struct rt_set *rt; /* configuration at arrival */
 	const struct rt_route *route;
 	const struct rt_service *service;
-	const char *account; /* NULL: the route requires none */
+	const char *account;  /* NULL: the route requires none */
+	int urgency;	      /* lower is more urgent */
+	struct wq_entry wait; /* in its service's queue while it waits there */
+	bool counted;	      /* in its service's floor */
 	struct pl_request request;
 	const char *bad_field; /* of the request; NULL: none */
 	uint8_t fingerprint[MAG_DIGEST_BYTES];
@@ -127,14 +130,26 @@
 	EQ_NO_WORKER,	/* no worker serves this request */
 };
 
+/* eq_urgency.c */
+void eq_set_urgency(struct eq *eq, int64_t now);
+bool eq_is_ranked(const struct eq *eq);
+struct edge_service *eq_edge_service(const struct eq *eq, int64_t now);
+double eq_memory_limit(const struct eq *eq, int64_t now);
+int eq_queue_limit(const struct eq *eq, int max, int64_t now);
+void eq_count_outcome(struct eq *eq, bool served);
+
 /* eq_wait.c */
 void eq_wait_tick(struct edge *edge, int64_t now);
-void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now);
+bool eq_must_queue(const struct eq *eq, int64_t now);
+void eq_set_wait(struct eq *eq, int64_t now);
+void eq_note_placed(struct eq *eq, int64_t now);
+void eq_leave_queue(struct eq *eq, int64_t now);
+bool eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now);
 void eq_write_retry_after(const struct eq *eq, enum eq_retry retry,
 			  char *fields, size_t size);
 
 /* eq_send.c */
-void eq_dispatch(struct eq *eq, int64_t now);
+bool eq_dispatch(struct eq *eq, int64_t now);
 void eq_begin_attempt(struct eq *eq, int64_t now);
 void eq_fill_send(struct eq *eq, struct hc_send *send);
 void eq_release(struct eq *eq);
@@ -152,6 +167,7 @@
 bool eq_choose_repair(struct eq *eq, int64_t now);
 int64_t eq_backoff_end(struct eq *eq, int64_t now);
 void eq_coverage_tick(struct edge *edge, int64_t now);
+double eq_need(const struct eq *eq);
 void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
 const struct eq_hop *eq_find_hop(const struct eq *eq, const struct wk *wk);
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -234,6 +234,7 @@
 {
 	int i;
 
+	eq_count_outcome(eq, true);
 	if (eq->hop_count > 0)
 		wk_on_success(eq->hops[0].worker);
 	for (i = 0; i < eq->hop_count; i++)
@@ -299,6 +300,7 @@
 	wk_add_result(wk, success || eq->status / 100 == 4, now - eq->sent_us);
 	wk_clear_suspicion(wk, now);
 	wk_on_success(wk);
+	eq_count_outcome(eq, true);
 	if (success) {
 		eq_did_well(eq, eq->begun_us ? eq->begun_us : eq->sent_us, now);
 		eq_relay(eq);
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -40,6 +40,11 @@
 static void eq_fill_chain_request(struct eq *eq,
 				  struct chn_request *chain_request,
 				  int64_t now);
+static double eq_capacity(struct edge *edge, const struct rt_service *service,
+			  int64_t now);
+static double eq_worker_memory(const struct rt_engine *engine,
+			       const struct rt_accelerator *accelerator,
+			       int layers);
 static int eq_list_candidates(struct eq *eq, const struct eq_hop *first,
 			      eq_usable_fn usable, int64_t now);
 static void eq_add_prefill(const struct eq *eq, int index, int layers,
@@ -161,9 +166,11 @@
 		return;
 	edge->next_coverage_check_us = now + EQ_COVERAGE_US;
 	for (i = 0; i < edge->rt->service_count; i++) {
-		if (edge->rt->services[i].has_engine)
-			covered &= eq_is_covered(edge, &edge->rt->services[i],
-						 now);
+		if (!edge->rt->services[i].has_engine)
+			continue;
+		covered &= eq_is_covered(edge, &edge->rt->services[i], now);
+		edge_service(edge, edge->rt->services[i].name, now)->capacity =
+			eq_capacity(edge, &edge->rt->services[i], now);
 	}
 	edge->was_covered |= covered;
 	if (covered)
@@ -200,6 +207,17 @@
 	return dst;
 }
 
+/* Returns what a request needs: memory in tokens x layers, or one slot. */
+double eq_need(const struct eq *eq)
+{
+	struct room_request request;
+
+	if (!eq->service->has_engine)
+		return 1;
+	request = eq_room_request(eq);
+	return room_mean_tokens(&request) * eq->service->engine.layers;
+}
+
 /*
  * Adds a hop to the request's chain: reserves a slot at the worker if it is the
  * first one and, if it runs layers, memory there.
@@ -268,6 +286,42 @@
 	return chn_covers_layers(eq_candidates, count, service->engine.layers);
 }
 
+/* Returns the request memory of a service's usable workers, tokens x layers. */
+static double eq_capacity(struct edge *edge, const struct rt_service *service,
+			  int64_t now)
+{
+	const struct rt_accelerator *accelerator;
+	double sum = 0;
+	struct wk *wk;
+
+	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
+		if (strcmp(wk->entry.service, service->name) != 0 ||
+		    wk->layers.to <= wk->layers.from ||
+		    !wk_usable_by_own(wk, now))
+			continue;
+		accelerator =
+			rt_find_accelerator(&service->engine, wk->entry.kind);
+		if (accelerator)
+			sum += eq_worker_memory(&service->engine, accelerator,
+						wk->layers.to -
+							wk->layers.from);
+	}
+	return sum;
+}
+
+/*
+ * Returns the memory that a worker has for requests beside its layers, tokens x
+ * layers.
+ */
+static double eq_worker_memory(const struct rt_engine *engine,
+			       const struct rt_accelerator *accelerator,
+			       int layers)
+{
+	double spare_mb = accelerator->memory_mb - layers * engine->layer_mb;
+
+	return spare_mb * 1e6 * engine->layers / engine->kv_token_bytes;
+}
+
 static void eq_fill_chain_request(struct eq *eq,
 				  struct chn_request *chain_request,
 				  int64_t now)
@@ -283,10 +337,7 @@
 	chain_request->centre_us = EQ_CROSSING_US;
 	chain_request->remote_entry_us = EQ_REMOTE_US;
 	chain_request->price_prefill = eq->state == EQ_STREAMING;
-	chain_request->memory_limit =
-		eq->last_event < 0 && now >= eq->target_deadline_us
-			? CHN_YIELD_LIMIT
-			: CHN_MEMORY_LIMIT;
+	chain_request->memory_limit = eq_memory_limit(eq, now);
 	chain_request->may_cross_centres =
 		edge_may_cross_data_centres(edge, &eq->service->engine, now);
 }
@@ -314,7 +365,6 @@
 	struct edge *edge = eq->edge;
 	struct chn_worker *w;
 	struct wk *wk;
-	double spare_mb;
 	int max = eq_reserve_candidates(edge);
 	int centre;
 	int layers;
@@ -345,9 +395,7 @@
 		w->layer_us = engine->step_ms * 1000 *
 			      accelerator->step_factor * wk->proc.slowdown *
 			      eq_random_factor(edge) / engine->layers;
-		spare_mb = accelerator->memory_mb - layers * engine->layer_mb;
-		w->memory = spare_mb * 1e6 * engine->layers /
-			    engine->kv_token_bytes;
+		w->memory = eq_worker_memory(engine, accelerator, layers);
 		eq_known_load(eq, wk, now, w);
 		w->retained_from = retained ? retained->from : 0;
 		w->retained_to = retained ? retained->to : 0;
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -38,32 +38,37 @@
 static bool eq_has_run_well(const struct eq *eq);
 static struct evbuffer *eq_encode(struct eq *eq, int64_t now);
 
-/* Places a request at a worker and sends it, leaves it waiting, or ends it. */
-void eq_dispatch(struct eq *eq, int64_t now)
+/*
+ * Places a request at a worker and sends it, leaves it waiting, or ends it.
+ * Returns true if it has found no room and goes on waiting.
+ */
+bool eq_dispatch(struct eq *eq, int64_t now)
 {
 	enum eq_choice choice;
 
 	if (now < eq->resend_us || eq_refuse_quarantined(eq, now))
-		return;
+		return false;
 	if (eq->sends >= EQ_SENDS_MAX) {
 		eq_refuse(eq, 503, EQ_RETRY_LATER, "no worker accepted it");
-		return;
+		return false;
 	}
 	if (eq_doubts_path(eq) && eq_forward_start(eq, now))
-		return;
-	if (eq->service->has_engine)
+		return false;
+	if (eq_must_queue(eq, now))
+		choice = EQ_BUSY;
+	else if (eq->service->has_engine)
 		choice = eq_choose_chain(eq, now);
 	else
 		choice = eq_choose_plain(eq, now);
 	if (choice == EQ_NO_WORKER && eq_forward_start(eq, now))
-		return;
+		return false;
 	if (choice == EQ_NO_WORKER && !eq->service->has_engine)
 		choice = eq_choose_suspect(eq, now);
-	if (choice != EQ_CHOSEN) {
-		eq_on_unplaced(eq, choice, now);
-		return;
-	}
+	if (choice != EQ_CHOSEN)
+		return eq_on_unplaced(eq, choice, now);
+	eq_note_placed(eq, now);
 	eq_send(eq, now);
+	return false;
 }
 
 /*
@@ -230,6 +235,7 @@
 static enum eq_choice eq_choose_plain_of(struct eq *eq, eq_usable_fn usable,
 					 int64_t now)
 {
+	int queue_max = eq_queue_limit(eq, EQ_PLAIN_QUEUE, now);
 	struct wk *best = NULL;
 	bool any = false;
 	double best_cost = 0;
@@ -243,7 +249,7 @@
 		any = true;
 		if (!adv_may_send(&wk->proc.adv, ADV_REQUEST, now))
 			continue;
-		if (wk->first_hops >= wk->entry.slots + EQ_PLAIN_QUEUE)
+		if (wk->first_hops >= wk->entry.slots + queue_max)
 			continue;
 		cost = eq_plain_cost(eq, wk);
 		if (!best || cost < best_cost) {
@@ -373,7 +379,7 @@
 	out.last_event = -1;
 	if (eq->state == EQ_STREAMING)
 		out.last_event = eq->last_event;
-	out.urgency = -1;
+	out.urgency = urg_set_wire(&eq->service->urgencies, eq->urgency);
 	out.body = hs_body(eq->caller);
 	if (eq->service->has_engine) {
 		out.hops = hops;
--- /dev/null
+++ b/src/eq_urgency.c
@@ -0,0 +1,117 @@
+#include "clk.h"
+#include "eq.h"
+
+/*
+ * What the urgency of a request means for it: the room that it leaves free, its
+ * rank in the queue, and the least part of its route and account that is
+ * served.  Only requests of services with several urgencies are ranked; others
+ * are served as they come.
+ */
+
+/* Distinguishes accounts from routes of the same name. */
+#define EQ_ACCOUNT_KEY 0x61636374U
+
+static bool eq_is_below_floor(const struct eq *eq, int64_t now);
+static double eq_reserve(const struct eq *eq, int64_t now);
+static uint32_t eq_account_key(const struct eq *eq);
+
+/* Counts an arrived request in the demand, and sets its place in the queue. */
+void eq_set_urgency(struct eq *eq, int64_t now)
+{
+	if (!eq_is_ranked(eq))
+		return;
+	eq_set_wait(eq, now);
+	urg_arrived(&eq_edge_service(eq, now)->urg, eq->urgency, eq_need(eq));
+	eq->wait.late = now >= eq->target_deadline_us;
+	eq->wait.rank =
+		eq_is_below_floor(eq, now)
+			? 0
+			: urg_set_rank(&eq->service->urgencies, eq->urgency);
+}
+
+/* Tells whether the configuration gives the service's requests priorities. */
+bool eq_is_ranked(const struct eq *eq)
+{
+	return eq->service && eq->service->urgencies.count > 1;
+}
+
+/* Returns what is kept of the request's service. */
+struct edge_service *eq_edge_service(const struct eq *eq, int64_t now)
+{
+	return edge_service(eq->edge, eq->service->name, now);
+}
+
+/*
+ * Returns the fraction of a worker's memory that the request may use up to.
+ * Late requests leave the last memory to those of their urgency in time.
+ */
+double eq_memory_limit(const struct eq *eq, int64_t now)
+{
+	double limit = CHN_MEMORY_LIMIT - eq_reserve(eq, now);
+
+	if (eq->last_event < 0 && now >= eq->target_deadline_us)
+		limit -= CHN_MEMORY_LIMIT - CHN_YIELD_LIMIT;
+	return limit;
+}
+
+/*
+ * Returns how many requests a plain worker may queue for this one to be sent
+ * there; less urgent ones leave places to others.  Slots become free so often
+ * that none is kept.
+ */
+int eq_queue_limit(const struct eq *eq, int max, int64_t now)
+{
+	return eq_reserve(eq, now) > 0 ? max / 2 : max;
+}
+
+/*
+ * Counts once how a request ended or began, for the floor of its route and its
+ * account.
+ */
+void eq_count_outcome(struct eq *eq, bool served)
+{
+	int64_t now = clk_boot_us();
+	struct urg_floor *floor;
+
+	if (eq->counted || !eq_is_ranked(eq))
+		return;
+	eq->counted = true;
+	floor = &eq_edge_service(eq, now)->floor;
+	urg_floor_count(floor, htab_hash(eq->route->name), served, now);
+	if (eq->account)
+		urg_floor_count(floor, eq_account_key(eq), served, now);
+}
+
+/*
+ * Returns the fraction of the service's capacity that the request leaves free
+ * for more urgent ones.  A stream that goes on leaves none: its first part has
+ * run already.
+ */
+static double eq_reserve(const struct eq *eq, int64_t now)
+{
+	const struct edge_service *service;
+	double capacity;
+
+	if (!eq_is_ranked(eq) || eq->state == EQ_STREAMING ||
+	    eq_is_below_floor(eq, now))
+		return 0;
+	service = eq_edge_service(eq, now);
+	capacity = eq->service->has_engine ? service->capacity : 1;
+	return capacity > 0 ? urg_reserve(&service->urg, eq->urgency, capacity)
+			    : 0;
+}
+
+/* Tells whether too few requests of its route or account are served. */
+static bool eq_is_below_floor(const struct eq *eq, int64_t now)
+{
+	const struct urg_floor *floor = &eq_edge_service(eq, now)->floor;
+
+	return urg_floor_is_below(floor, htab_hash(eq->route->name), now) ||
+	       (eq->account &&
+		urg_floor_is_below(floor, eq_account_key(eq), now));
+}
+
+static uint32_t eq_account_key(const struct eq *eq)
+{
+	return htab_hash(eq->account) ^ EQ_ACCOUNT_KEY;
+}
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -44,10 +44,28 @@
  * callers leave after two seconds of silence.
  */
 #define EQ_RESUME_WAIT_US (1500 * MAG_US_PER_MS)
+/*
+ * Time that a ranked request waits without an estimate of its turn, as a
+ * fraction of its route's latency target: more of it would be missed by the
+ * caller's next attempt.
+ */
+#define EQ_GRACE_FRACTION 0.125
+/* Room counts as short for this long after a request has found none. */
+#define EQ_SHORT_US MAG_US_PER_S
+/*
+ * Requests of a queue that are tried in a row without finding room.  Those
+ * behind them are as or less urgent and would rarely find any.
+ */
+#define EQ_QUEUE_MISSES_MAX 4
 /* Interval between log lines on a lack of workers. */
 #define EQ_NO_WORKER_LOG_US MAG_US_PER_S
 
 static void eq_dispatch_waiting(struct edge *edge, int64_t now);
+static void eq_dispatch_queue(struct edge_service *service, int64_t now);
+static bool eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now);
+static int64_t eq_wait_us(const struct eq *eq);
+static bool eq_is_queued(const struct eq *eq);
+static bool eq_is_short(const struct edge_service *service, int64_t now);
 static void eq_log_no_worker(const struct eq *eq, int64_t now);
 static double eq_retry_late_s(const struct eq *eq, enum eq_retry retry,
 			      double spread, int64_t now);
@@ -68,47 +86,155 @@
  */
 static void eq_dispatch_waiting(struct edge *edge, int64_t now)
 {
+	struct edge_service *service;
 	struct eq *eq;
 	struct eq *next;
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (!eq->call)
+		if (!eq->call && !eq_is_queued(eq))
 			eq_dispatch(eq, now);
-		else if (!eq->ran_well)
+		else if (eq->call && !eq->ran_well)
 			eq_refuse_quarantined(eq, now);
 	}
+	cds_list_for_each_entry (service, &edge->services, node)
+		eq_dispatch_queue(service, now);
+}
+
+/*
+ * Retries the placement of the requests of a queue, in its order.  Those that
+ * have no more turn in time are refused.
+ */
+static void eq_dispatch_queue(struct edge_service *service, int64_t now)
+{
+	struct wq_entry *entry = wq_first(&service->wq);
+	struct wq_entry *next;
+	struct eq *eq;
+	int misses = 0;
+
+	for (; entry; entry = next) {
+		next = wq_next(&service->wq, entry);
+		eq = caa_container_of(entry, struct eq, wait);
+		if (misses < EQ_QUEUE_MISSES_MAX)
+			misses += eq_dispatch(eq, now);
+		else
+			eq_wait_in_queue(eq, EQ_BUSY, now);
+	}
+}
+
+/*
+ * Tells whether a new request goes to the queue without a try, because others
+ * that wait go first.
+ */
+bool eq_must_queue(const struct eq *eq, int64_t now)
+{
+	return eq_is_ranked(eq) && eq->state == EQ_WAITING && eq->sends == 0 &&
+	       !eq_is_queued(eq) &&
+	       wq_has_ahead(&eq_edge_service(eq, now)->wq, &eq->wait);
+}
+
+/* Notes that a request has found room and takes it from its queue. */
+void eq_note_placed(struct eq *eq, int64_t now)
+{
+	struct edge_service *service;
+
+	if (!eq_is_ranked(eq))
+		return;
+	service = eq_edge_service(eq, now);
+	if (eq->sends == 0 && eq_is_short(service, now)) {
+		wq_arrived(&service->wq, &eq->wait);
+		wq_started(&service->wq, now);
+	}
+	wq_remove(&service->wq, &eq->wait);
+}
+
+/* Takes a request from its queue, if it is there. */
+void eq_leave_queue(struct eq *eq, int64_t now)
+{
+	if (eq_is_queued(eq))
+		wq_remove(&eq_edge_service(eq, now)->wq, &eq->wait);
 }
 
-/* Leaves an unplaced request waiting while that can help, else ends it. */
-void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
+/*
+ * Leaves a ranked request in its queue while its turn comes in time, else
+ * refuses it.  Returns whether it waits.
+ */
+static bool eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now)
+{
+	struct edge_service *service = eq_edge_service(eq, now);
+
+	if (choice != EQ_NO_WORKER)
+		service->short_us = now;
+	if (!eq_is_queued(eq))
+		wq_add(&service->wq, &eq->wait);
+	if (eq->sends < EQ_SENDS_MAX &&
+	    wq_may_wait(&service->wq, &eq->wait, now))
+		return true;
+	eq_refuse(eq, 503, EQ_RETRY_LATER, "no room in time");
+	return false;
+}
+
+/*
+ * Leaves an unplaced request waiting while that can help, else ends it.
+ * Returns whether it waits in its queue.
+ */
+bool eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
 {
 	static const char *const whys[] = {
 		[EQ_BUSY] = "all workers busy",
 		[EQ_NO_CROSSING] = "no crossing between data centres left",
 		[EQ_NO_WORKER] = "no worker",
 	};
-	int64_t max_wait_us =
-		(int64_t)((double)eq->route->target_us * EQ_WAIT_FRACTION);
 
-	if (eq->service->has_engine && eq->arrived_us >= eq->target_deadline_us)
-		max_wait_us = EQ_LATE_WAIT_US;
 	if (eq->state == EQ_STREAMING) {
 		if (now - eq->progress_us > EQ_RESUME_WAIT_US)
 			eq_fail(eq, 502, "no chain to go on");
-		return;
+		return false;
 	}
 	if (!eq->wait_until_us)
-		eq->wait_until_us = now + max_wait_us;
+		eq->wait_until_us = now + eq_wait_us(eq);
 	eq->backoff_end_us = eq_backoff_end(eq, now);
 	if (eq->backoff_end_us > eq->wait_until_us) {
 		eq_refuse(eq, 503, EQ_RETRY_BACKOFF, "workers back off");
-		return;
+		return false;
+	}
+	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX) {
+		if (choice != EQ_NO_WORKER && eq_is_ranked(eq))
+			return eq_wait_in_queue(eq, choice, now);
+		eq_leave_queue(eq, now);
+		return false;
 	}
-	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX)
-		return;
 	if (choice == EQ_NO_WORKER)
 		eq_log_no_worker(eq, now);
 	eq_refuse(eq, 503, EQ_RETRY_LATER, whys[choice]);
+	return false;
+}
+
+/* Returns how long a request waits for a worker at the most. */
+static int64_t eq_wait_us(const struct eq *eq)
+{
+	if (eq->service->has_engine && eq->arrived_us >= eq->target_deadline_us)
+		return EQ_LATE_WAIT_US;
+	return (int64_t)((double)eq->route->target_us * EQ_WAIT_FRACTION);
+}
+
+/* Sets the times that decide how long a ranked request waits. */
+void eq_set_wait(struct eq *eq, int64_t now)
+{
+	eq->wait.since_us = now;
+	eq->wait.start_by_us = now + eq_wait_us(eq);
+	eq->wait.grace_until_us = now + (int64_t)((double)eq->route->target_us *
+						  EQ_GRACE_FRACTION);
+}
+
+static bool eq_is_queued(const struct eq *eq)
+{
+	return eq->wait.node.next != &eq->wait.node;
+}
+
+/* Tells whether a request of the service has lately found no room. */
+static bool eq_is_short(const struct edge_service *service, int64_t now)
+{
+	return service->short_us && now - service->short_us < EQ_SHORT_US;
 }
 
 /* Logs why no worker of a service is usable, from time to time. */
@@ -184,6 +310,9 @@
 		    EQ_RETRY_SOON_S * spread;
 	if (retry == EQ_RETRY_BACKOFF && backoff_s < max_s)
 		return backoff_s;
+	if (retry == EQ_RETRY_LATER && eq_is_ranked(eq))
+		return wq_return_s(&eq_edge_service(eq, now)->wq, max_s, spread,
+				   now);
 	max_s *= 0.5 + 0.5 * spread;
 	return max_s > EQ_RETRY_ELSEWHERE_S ? max_s : EQ_RETRY_ELSEWHERE_S;
 }
--- a/src/rt.c
+++ b/src/rt.c
@@ -7,6 +7,9 @@
 static int rt_by_prefix(const void *a, const void *b);
 static int rt_by_key(const void *a, const void *b);
 static bool rt_same_host(const char *pattern, const char *host);
+static void rt_list_urgencies(struct rt_set *set);
+static void rt_add_urgencies(struct rt_set *set, const struct rt_route *route,
+			     const struct urg_set *priorities);
 
 /* Allocates a set for the given numbers of objects; NULL if out of memory. */
 struct rt_set *rt_new(int routes, int services, int accounts, int keys)
@@ -45,12 +48,47 @@
 	free(set);
 }
 
-/* Sorts the tables for look-ups; to be called once they are filled. */
-void rt_sort_tables(struct rt_set *set)
+/*
+ * Sorts the tables for look-ups and lists the urgencies of each service; to be
+ * called once all tables are filled.
+ */
+void rt_index_tables(struct rt_set *set)
 {
 	qsort(set->routes, (size_t)set->route_count, sizeof(*set->routes),
 	      rt_by_prefix);
 	qsort(set->keys, (size_t)set->key_count, sizeof(*set->keys), rt_by_key);
+	rt_list_urgencies(set);
+}
+
+/* Lists the distinct urgencies of the requests of each service. */
+static void rt_list_urgencies(struct rt_set *set)
+{
+	struct urg_set priorities = { 0 };
+	int i;
+
+	for (i = 0; i < set->account_count; i++)
+		urg_set_add(&priorities, set->accounts[i].priority);
+	for (i = 0; i < set->route_count; i++)
+		rt_add_urgencies(set, &set->routes[i], &priorities);
+}
+
+/* Adds the urgencies of a route's requests to the services that it leads to. */
+static void rt_add_urgencies(struct rt_set *set, const struct rt_route *route,
+			     const struct urg_set *priorities)
+{
+	bool has_account = set->has_accounts && !route->auth_exempt;
+	struct urg_set *urgencies;
+	int i;
+	int k;
+
+	for (i = 0; i < route->split_count; i++) {
+		urgencies = &set->services[route->splits[i].service].urgencies;
+		if (!has_account)
+			urg_set_add(urgencies, urg_value(-1, route->priority));
+		for (k = 0; has_account && k < priorities->count; k++)
+			urg_set_add(urgencies, urg_value(priorities->values[k],
+							 route->priority));
+	}
 }
 
 /*
--- a/src/rt.h
+++ b/src/rt.h
@@ -14,6 +14,7 @@
 
 #include "hs_limits.h"
 #include "mag.h"
+#include "urg.h"
 
 #define RT_SPLIT_MAX	    8
 #define RT_HOST_MAX	    128
@@ -92,6 +93,8 @@
 	int max_connections; /* per worker, for all callers together */
 	bool has_engine;
 	struct rt_engine engine;
+	/* Of the requests that routes and accounts bring to it. */
+	struct urg_set urgencies;
 };
 
 struct rt_account {
@@ -122,7 +125,7 @@
 struct rt_set *rt_new(int routes, int services, int accounts, int keys);
 struct rt_set *rt_hold(struct rt_set *set);
 void rt_drop(struct rt_set *set);
-void rt_sort_tables(struct rt_set *set);
+void rt_index_tables(struct rt_set *set);
 const struct rt_route *rt_find_route(const struct rt_set *set, const char *host,
 				     const char *target);
 int rt_account_by_key(const struct rt_set *set, const char *key);
