--- a/src/hint_demand.c
+++ b/src/hint_demand.c
@@ -1,49 +1,40 @@
-#include <rpc/rpc.h>
-
 #include "hint_demand.h"
+#include "hint_xdr.h"
 
 #define HINT_DEMAND_MAGIC   0x4d414744U
 #define HINT_DEMAND_VERSION 1U
 /* Requests are reported as their number in this many seconds. */
 #define HINT_DEMAND_S 100.0
 
-static bool_t hint_demand_xdr(XDR *xdr, struct hint_demand_message *message);
+static bool_t hint_demand_body(XDR *xdr, void *arg);
+
+static const struct hint_xdr hint_demand_kind = { HINT_DEMAND_MAGIC,
+						  HINT_DEMAND_VERSION,
+						  HINT_DEMAND_BYTES,
+						  hint_demand_body };
 
 /* Encodes a message into a buffer of HINT_DEMAND_BYTES bytes. */
 int hint_demand_encode(struct hint_demand_message *message, char *bytes,
 		       size_t *len)
 {
-	XDR xdr;
-
-	xdrmem_create(&xdr, bytes, HINT_DEMAND_BYTES, XDR_ENCODE);
-	if (!hint_demand_xdr(&xdr, message))
-		return -1;
-	*len = xdr_getpos(&xdr);
-	return 0;
+	return hint_xdr_encode(&hint_demand_kind, message, bytes, len);
 }
 
 /* Decodes a message; one of another version is rejected. */
 int hint_demand_decode(struct hint_demand_message *message, char *bytes,
 		       size_t len)
 {
-	XDR xdr;
-
-	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
-	return hint_demand_xdr(&xdr, message) ? 0 : -1;
+	return hint_xdr_decode(&hint_demand_kind, message, bytes, len);
 }
 
-/* Encodes or decodes the whole message. */
-static bool_t hint_demand_xdr(XDR *xdr, struct hint_demand_message *message)
+/* Encodes or decodes a message behind its version. */
+static bool_t hint_demand_body(XDR *xdr, void *arg)
 {
-	uint32_t version = HINT_DEMAND_VERSION;
-	uint32_t magic = HINT_DEMAND_MAGIC;
-	char *name = message->name;
+	struct hint_demand_message *message = arg;
 	uint32_t number = 0;
 	uint32_t i;
 
-	if (!xdr_uint32_t(xdr, &magic) || magic != HINT_DEMAND_MAGIC ||
-	    !xdr_uint32_t(xdr, &version) || version != HINT_DEMAND_VERSION ||
-	    !xdr_string(xdr, &name, MAG_NAME_MAX - 1) ||
+	if (!hint_xdr_name(xdr, message->name) ||
 	    !xdr_uint32_t(xdr, &message->count) ||
 	    message->count > HINT_DEMANDS_MAX)
 		return FALSE;
--- a/src/hint_trait.c
+++ b/src/hint_trait.c
@@ -1,6 +1,5 @@
-#include <rpc/rpc.h>
-
 #include "hint_trait.h"
+#include "hint_xdr.h"
 #include "mag.h"
 
 #define HINT_TRAIT_MAGIC   0x4d414754U
@@ -14,43 +13,35 @@
 #define HINT_TRAIT_KIND	     (1U << 3)
 #define HINT_TRAIT_IN_DOUBT  (1U << 4)
 
-static bool_t hint_trait_xdr(XDR *xdr, struct hint_trait_message *message);
+static bool_t hint_trait_body(XDR *xdr, void *arg);
 static bool_t hint_trait_report(XDR *xdr, struct quar_trait_report *report);
 static uint32_t hint_trait_pack(const struct quar_trait_report *report);
 
+static const struct hint_xdr hint_trait_kind = {
+	HINT_TRAIT_MAGIC, HINT_TRAIT_VERSION, HINT_TRAIT_BYTES, hint_trait_body
+};
+
 /* Encodes a message into a buffer of HINT_TRAIT_BYTES bytes. */
 int hint_trait_encode(struct hint_trait_message *message, char *bytes,
 		      size_t *len)
 {
-	XDR xdr;
-
-	xdrmem_create(&xdr, bytes, HINT_TRAIT_BYTES, XDR_ENCODE);
-	if (!hint_trait_xdr(&xdr, message))
-		return -1;
-	*len = xdr_getpos(&xdr);
-	return 0;
+	return hint_xdr_encode(&hint_trait_kind, message, bytes, len);
 }
 
 /* Decodes a message; one of another version is rejected. */
 int hint_trait_decode(struct hint_trait_message *message, char *bytes,
 		      size_t len)
 {
-	XDR xdr;
-
-	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
-	return hint_trait_xdr(&xdr, message) ? 0 : -1;
+	return hint_xdr_decode(&hint_trait_kind, message, bytes, len);
 }
 
-/* Encodes or decodes the whole message. */
-static bool_t hint_trait_xdr(XDR *xdr, struct hint_trait_message *message)
+/* Encodes or decodes a message behind its version. */
+static bool_t hint_trait_body(XDR *xdr, void *arg)
 {
-	uint32_t version = HINT_TRAIT_VERSION;
-	uint32_t magic = HINT_TRAIT_MAGIC;
+	struct hint_trait_message *message = arg;
 	uint32_t i;
 
-	if (!xdr_uint32_t(xdr, &magic) || magic != HINT_TRAIT_MAGIC ||
-	    !xdr_uint32_t(xdr, &version) || version != HINT_TRAIT_VERSION ||
-	    !xdr_uint32_t(xdr, &message->count) ||
+	if (!xdr_uint32_t(xdr, &message->count) ||
 	    message->count > HINT_TRAITS_MAX)
 		return FALSE;
 	for (i = 0; i < message->count; i++) {
