--- a/src/log_events.h
+++ b/src/log_events.h
@@ -36,13 +36,15 @@
 	LOG_EVENT(LOG_PICK_DEGRADED, 4004, "endpoint-degraded", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_PICK_RESTORED, 4005, "endpoint-restored", LOG_PRIO_NOTICE) \
 	\
-	/* 5000 adm, quar: admission, limits, quarantine */ \
+	/* 5000 adm, quar, urg: admission, limits, quarantine, urgency */ \
 	LOG_EVENT(LOG_ADM_REFUSED, 5001, "admission-refused", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_QUAR_SUSPECT, 5101, "request-suspected", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_QUAR_HELD, 5102, "request-quarantined", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_QUAR_CLEARED, 5103, "request-cleared", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_QUAR_TRAIT_HELD, 5104, "trait-quarantined", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_QUAR_TRAIT_CLEARED, 5105, "trait-cleared", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_URG_SHORT, 5201, "capacity-short", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_URG_ENOUGH, 5202, "capacity-regained", LOG_PRIO_NOTICE) \
 	\
 	/* 6000 peer, lim, rpc: membership and replication among peers */ \
 	LOG_EVENT(LOG_PEER_UP, 6001, "peer-up", LOG_PRIO_NOTICE) \
