--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -51,9 +51,17 @@
 	pids="$pids $!"
 }
 
-# put_config VERSION [KEYS]: publishes a configuration as the operator does.
+# put_config VERSION [KEYS]: publishes a configuration as the operator does.  With
+# PRIORITIES=1 there are two more accounts, one of high and one of low priority, and
+# routes differ in priority, too.
 put_config() {
 	keys=${2:-\"key-1\"}
+	more="" first="" last=""
+	if [ "${PRIORITIES:-0}" = 1 ]; then
+		more=',{"Name":"gold","Priority":0,"ApiKeys":["key-gold"]},{"Name":"greedy","Priority":6,"ApiKeys":["key-greedy"]}'
+		first='"Priority":1,'
+		last='"Priority":4,'
+	fi
 	curl -s -X POST "http://$store/stand-in/put?Key=op/config" --data-binary @- <<-JSON
 	{"Version":$1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
 	"Services":[{"Name":"model","HealthPath":"/healthz","MaxConnections":900,
@@ -61,10 +69,10 @@
 	"read_per_s":160000,"usual":{"prompt":100,"answer":20},"Layers":20,"LayerMb":1750,"ActBytes":29500,"PipeMbps":19000,
 	"Kinds":[{"Name":"big","Mb":72000,"pace":2.4,"ReadX":3.2},{"Name":"small","Mb":21600,"pace":16,"ReadX":8.2}]}},
 	{"Name":"app","HealthPath":"/healthz","MaxConnections":900}],
-	"Tenants":[{"Name":"acme","ApiKeys":[$keys]}],
-	"Routes":[{"Name":"s","Host":"h.example","PathPrefix":"/s/","Kind":"streaming","StreamResume":true,"SessionAffinity":true,"TimeoutMs":6000,"TargetLatencyMs":500,"GapAimMs":250,"MaxAttempts":${STREAM_ATTEMPTS:-2},"Service":"model"},
+	"Tenants":[{"Name":"acme","ApiKeys":[$keys]}$more],
+	"Routes":[{"Name":"s",$first"Host":"h.example","PathPrefix":"/s/","Kind":"streaming","StreamResume":true,"SessionAffinity":true,"TimeoutMs":6000,"TargetLatencyMs":500,"GapAimMs":250,"MaxAttempts":${STREAM_ATTEMPTS:-2},"Service":"model"},
 	{"Name":"b","Host":"h.example","PathPrefix":"/b/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":1,"Service":"app"},
-	{"Name":"r","Host":"h.example","PathPrefix":"/r/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":2,"Service":"app"}]}
+	{"Name":"r",$last"Host":"h.example","PathPrefix":"/r/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":2,"Service":"app"}]}
 	JSON
 }
 
--- a/regress/tool_calls.c
+++ b/regress/tool_calls.c
@@ -3,7 +3,8 @@
  * constant rate, each with its own attempt id and, with -d, its own path.  With
  * -p N the prompts of streams have parts: one of some subjects, in every N-th
  * stream one that crashes workers, and one of its own; with -k KINDS the calls
- * are of these kinds in turn, s, b or r.  Prints the result of each call on a
+ * are of these kinds in turn, s, b or r; with -t TOKEN they are of the account
+ * with this key.  Prints the result of each call on a
  * line; promises.awk compares these with the workers' output.
  */
 
@@ -52,6 +53,7 @@
 static bool distinct; /* each call has a path of its own */
 /* Kinds of calls, in turn: streams, bookings and lookups. */
 static const char *kinds = "ssbr";
+static const char *token = "key-1";
 static int crash_every; /* streams to one that crashes workers; 0: no parts */
 static int stream_count;
 
@@ -143,9 +145,9 @@
 			    "%s /%c/%s HTTP/1.1\r\nHost: h.example\r\n"
 			    "Attempt-Id: %s\r\nDeadline-Ms: 6000\r\n"
 			    "Token-Count: 100,20\r\n"
-			    "Authorization: Token key-1\r\n%s%s\r\n",
+			    "Authorization: Token %s\r\n%s%s\r\n",
 			    call->kind == 'r' ? "GET" : "POST", call->kind,
-			    distinct ? call->id : "x", call->id, parts,
+			    distinct ? call->id : "x", call->id, token, parts,
 			    call->kind == 'r' ? "" : "Content-Length: 0\r\n");
 	open_calls++;
 	if (hc_start(routers[started_count % router_count], &send, &started))
@@ -188,9 +190,14 @@
 		argv += 2;
 		argc -= 2;
 	}
+	if (argc > 2 && strcmp(argv[1], "-t") == 0) {
+		token = argv[2];
+		argv += 2;
+		argc -= 2;
+	}
 	if (argc < 5) {
 		fprintf(stderr, "usage: tool_calls [-d] [-k KINDS] [-p N] "
-				"PREFIX SECONDS PER_S "
+				"[-t TOKEN] PREFIX SECONDS PER_S "
 				"ROUTER...\n");
 		return 1;
 	}
