eq: counts requests by urgency and account, and drops old reports first

The metrics and log events by urgency had no one to feed them. The reserve is computed after reports that expired while the router did not run are dropped, as callers may be read before the next tick.

--- a/src/eq.h
+++ b/src/eq.h
@@ -131,6 +131,7 @@
 };
 
 /* eq_urgency.c */
+struct met_urgent_key eq_met_key(const struct eq *eq);
 void eq_set_urgency(struct eq *eq, int64_t now);
 bool eq_is_ranked(const struct eq *eq);
 struct edge_service *eq_edge_service(const struct eq *eq, int64_t now);
--- a/src/eq_urgency.c
+++ b/src/eq_urgency.c
@@ -1,5 +1,6 @@
 #include "clk.h"
 #include "eq.h"
+#include "hint.h"
 
 /*
  * What the urgency of a request means for it: the room that it leaves free, its
@@ -15,11 +16,22 @@
 static double eq_reserve(const struct eq *eq, int64_t now);
 static uint32_t eq_account_key(const struct eq *eq);
 
+/* Returns the key under which a request is counted in the metrics. */
+struct met_urgent_key eq_met_key(const struct eq *eq)
+{
+	return (struct met_urgent_key){ eq->service->name, eq->account,
+					eq->urgency };
+}
+
 /* Counts an arrived request in the demand, and sets its place in the queue. */
 void eq_set_urgency(struct eq *eq, int64_t now)
 {
+	struct met_urgent_key key;
+
 	if (!eq_is_ranked(eq))
 		return;
+	key = eq_met_key(eq);
+	met_urgent_asked(&eq->edge->met_urgent, &key);
 	eq_set_wait(eq, now);
 	urg_arrived(&eq_edge_service(eq, now)->urg, eq->urgency, eq_need(eq));
 	eq->wait.late = now >= eq->target_deadline_us;
@@ -70,12 +82,18 @@
  */
 void eq_count_outcome(struct eq *eq, bool served)
 {
+	struct met_urgent_key key;
 	int64_t now = clk_boot_us();
 	struct urg_floor *floor;
 
 	if (eq->counted || !eq_is_ranked(eq))
 		return;
 	eq->counted = true;
+	key = eq_met_key(eq);
+	if (served)
+		met_urgent_begun(&eq->edge->met_urgent, &key, eq_need(eq));
+	else
+		met_urgent_refused(&eq->edge->met_urgent, &key);
 	floor = &eq_edge_service(eq, now)->floor;
 	urg_floor_count(floor, htab_hash(eq->route->name), served, now);
 	if (eq->account)
@@ -90,15 +108,22 @@
 static double eq_reserve(const struct eq *eq, int64_t now)
 {
 	const struct edge_service *service;
+	struct met_urgent_key key;
 	double capacity;
+	double reserve;
 
 	if (!eq_is_ranked(eq) || eq->state == EQ_STREAMING ||
 	    eq_is_below_floor(eq, now))
 		return 0;
+	hint_drop_expired(eq->edge->hint, now);
 	service = eq_edge_service(eq, now);
 	capacity = eq->service->has_engine ? service->capacity : 1;
-	return capacity > 0 ? urg_reserve(&service->urg, eq->urgency, capacity)
-			    : 0;
+	if (capacity <= 0)
+		return 0;
+	reserve = urg_reserve(&service->urg, eq->urgency, capacity);
+	key = eq_met_key(eq);
+	met_urgent_reserved(&eq->edge->met_urgent, &key, reserve, now);
+	return reserve;
 }
 
 /* Tells whether too few requests of its route or account are served. */
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -62,6 +62,7 @@
 
 static void eq_dispatch_waiting(struct edge *edge, int64_t now);
 static void eq_dispatch_queue(struct edge_service *service, int64_t now);
+static void eq_join_queue(struct eq *eq, int64_t now);
 static bool eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now);
 static int64_t eq_wait_us(const struct eq *eq);
 static bool eq_is_queued(const struct eq *eq);
@@ -144,14 +145,31 @@
 		wq_arrived(&service->wq, &eq->wait);
 		wq_started(&service->wq, now);
 	}
-	wq_remove(&service->wq, &eq->wait);
+	eq_leave_queue(eq, now);
 }
 
 /* Takes a request from its queue, if it is there. */
 void eq_leave_queue(struct eq *eq, int64_t now)
 {
+	struct met_urgent_key key;
+
+	if (!eq_is_queued(eq))
+		return;
+	key = eq_met_key(eq);
+	met_urgent_wait_ended(&eq->edge->met_urgent, &key);
+	wq_remove(&eq_edge_service(eq, now)->wq, &eq->wait);
+}
+
+/* Adds a request to its queue, unless it is there. */
+static void eq_join_queue(struct eq *eq, int64_t now)
+{
+	struct met_urgent_key key;
+
 	if (eq_is_queued(eq))
-		wq_remove(&eq_edge_service(eq, now)->wq, &eq->wait);
+		return;
+	key = eq_met_key(eq);
+	met_urgent_wait_began(&eq->edge->met_urgent, &key);
+	wq_add(&eq_edge_service(eq, now)->wq, &eq->wait);
 }
 
 /*
@@ -164,8 +182,7 @@
 
 	if (choice != EQ_NO_WORKER)
 		service->short_us = now;
-	if (!eq_is_queued(eq))
-		wq_add(&service->wq, &eq->wait);
+	eq_join_queue(eq, now);
 	if (eq->sends < EQ_SENDS_MAX &&
 	    wq_may_wait(&service->wq, &eq->wait, now))
 		return true;
