eq: slots are kept for more urgent requests as memory is

With a reserve of memory only, an account of low priority took all slots of the first workers: where slots run out before memory, the reserve kept none of them. The need that is expected is compared with both. A plain worker takes less urgent requests up to the same part of its slots and its queue.

--- a/src/edge.h
+++ b/src/edge.h
@@ -47,6 +47,9 @@
 	 * not an engine service.
 	 */
 	double capacity;
+	/* The same for slots of first workers, of requests of the usual size.
+	 */
+	double slot_capacity;
 	/* For the placer: since when a data centre lacks layers; 0: none. */
 	int64_t coverage_gap_since_us;
 	int64_t next_balance_us; /* when an accelerator may be moved next */
--- a/src/eq.h
+++ b/src/eq.h
@@ -45,8 +45,12 @@
 	struct rt_set *rt; /* configuration at arrival */
 	const struct rt_route *route;
 	const struct rt_service *service;
-	const char *account;  /* NULL: the route requires none */
-	int urgency;	      /* lower is more urgent */
+	const char *account; /* NULL: the route requires none */
+	int urgency;	     /* lower is more urgent */
+	/* Fractions of the memory and the first workers' slots it leaves free.
+	 */
+	double reserve;
+	double slot_reserve;
 	struct wq_entry wait; /* in its service's queue while it waits there */
 	bool counted;	      /* in its service's floor */
 	struct pl_request request;
@@ -135,8 +139,9 @@
 void eq_set_urgency(struct eq *eq, int64_t now);
 bool eq_is_ranked(const struct eq *eq);
 struct edge_service *eq_edge_service(const struct eq *eq, int64_t now);
+void eq_update_reserve(struct eq *eq, int64_t now);
 double eq_memory_limit(const struct eq *eq, int64_t now);
-int eq_queue_limit(const struct eq *eq, int max, int64_t now);
+int eq_slot_limit(const struct eq *eq, int slots);
 void eq_count_outcome(struct eq *eq, bool served);
 
 /* eq_wait.c */
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -40,8 +40,8 @@
 static void eq_fill_chain_request(struct eq *eq,
 				  struct chn_request *chain_request,
 				  int64_t now);
-static double eq_capacity(struct edge *edge, const struct rt_service *service,
-			  int64_t now);
+static void eq_update_capacity(struct edge *edge,
+			       const struct rt_service *service, int64_t now);
 static double eq_worker_memory(const struct rt_engine *engine,
 			       const struct rt_accelerator *accelerator,
 			       int layers);
@@ -73,6 +73,7 @@
 	int rc;
 	int i;
 
+	eq_update_reserve(eq, now);
 	eq_fill_chain_request(eq, &chain_request, now);
 	count = eq_list_candidates(eq, NULL, wk_usable, now);
 	rc = chn_choose(&chain_request, eq_candidates, count, &chain);
@@ -112,6 +113,7 @@
 	first.to = hop->to;
 	first.centre =
 		edge_data_centre_index(edge, hop->worker->entry.data_centre);
+	eq_update_reserve(eq, now);
 	eq_fill_chain_request(eq, &chain_request, now);
 	count = eq_list_candidates(eq, hop, wk_usable, now);
 	if (chn_repair(&chain_request, &first, eq_candidates, count,
@@ -166,11 +168,10 @@
 		return;
 	edge->next_coverage_check_us = now + EQ_COVERAGE_US;
 	for (i = 0; i < edge->rt->service_count; i++) {
-		if (!edge->rt->services[i].has_engine)
-			continue;
-		covered &= eq_is_covered(edge, &edge->rt->services[i], now);
-		edge_service(edge, edge->rt->services[i].name, now)->capacity =
-			eq_capacity(edge, &edge->rt->services[i], now);
+		if (edge->rt->services[i].has_engine)
+			covered &= eq_is_covered(edge, &edge->rt->services[i],
+						 now);
+		eq_update_capacity(edge, &edge->rt->services[i], now);
 	}
 	edge->was_covered |= covered;
 	if (covered)
@@ -286,27 +287,40 @@
 	return chn_covers_layers(eq_candidates, count, service->engine.layers);
 }
 
-/* Returns the request memory of a service's usable workers, tokens x layers. */
-static double eq_capacity(struct edge *edge, const struct rt_service *service,
-			  int64_t now)
+/*
+ * Sums up the slots of a service's usable workers, of an engine service only
+ * those of workers that begin chains, and their memory for requests.
+ */
+static void eq_update_capacity(struct edge *edge,
+			       const struct rt_service *service, int64_t now)
 {
+	const struct rt_engine *engine = &service->engine;
+	struct edge_service *kept = edge_service(edge, service->name, now);
+	const struct room_request usual = {
+		.usual_prompt = engine->usual_prompt,
+		.usual_answer = engine->usual_answer,
+	};
 	const struct rt_accelerator *accelerator;
-	double sum = 0;
 	struct wk *wk;
+	int slots = 0;
 
+	kept->capacity = 0;
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
 		if (strcmp(wk->entry.service, service->name) != 0 ||
-		    wk->layers.to <= wk->layers.from ||
 		    !wk_usable_by_own(wk, now))
 			continue;
-		accelerator =
-			rt_find_accelerator(&service->engine, wk->entry.kind);
-		if (accelerator)
-			sum += eq_worker_memory(&service->engine, accelerator,
-						wk->layers.to -
-							wk->layers.from);
+		if (!service->has_engine || wk->layers.from == 0)
+			slots += wk->entry.slots;
+		accelerator = rt_find_accelerator(engine, wk->entry.kind);
+		if (accelerator && wk->layers.to > wk->layers.from)
+			kept->capacity += eq_worker_memory(
+				engine, accelerator,
+				wk->layers.to - wk->layers.from);
 	}
-	return sum;
+	kept->slot_capacity = slots;
+	if (service->has_engine)
+		kept->slot_capacity *=
+			room_mean_tokens(&usual) * engine->layers;
 }
 
 /*
@@ -508,7 +522,8 @@
 	    wk->proc.reported_first_hops > firsts)
 		firsts = wk->proc.reported_first_hops;
 	w->held = room_held(&load, now);
-	w->first_hops_left = wk->entry.slots - firsts;
+	w->first_hops_left =
+		(int)(wk->entry.slots * (1 - eq->slot_reserve)) - firsts;
 	/* A worker that advertises so accepts nothing. */
 	if (!adv_may_send(&wk->proc.adv, ADV_REQUEST, now)) {
 		w->memory = 0;
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -216,8 +216,10 @@
  */
 static enum eq_choice eq_choose_plain(struct eq *eq, int64_t now)
 {
-	enum eq_choice choice = eq_choose_plain_of(eq, wk_usable, now);
+	enum eq_choice choice;
 
+	eq_update_reserve(eq, now);
+	choice = eq_choose_plain_of(eq, wk_usable, now);
 	/* Workers that only others suspect are used if there are no others. */
 	if (choice != EQ_CHOSEN)
 		choice = eq_choose_plain_of(eq, wk_usable_by_own, now);
@@ -235,7 +237,6 @@
 static enum eq_choice eq_choose_plain_of(struct eq *eq, eq_usable_fn usable,
 					 int64_t now)
 {
-	int queue_max = eq_queue_limit(eq, EQ_PLAIN_QUEUE, now);
 	struct wk *best = NULL;
 	bool any = false;
 	double best_cost = 0;
@@ -249,7 +250,8 @@
 		any = true;
 		if (!adv_may_send(&wk->proc.adv, ADV_REQUEST, now))
 			continue;
-		if (wk->first_hops >= wk->entry.slots + queue_max)
+		if (wk->first_hops >=
+		    eq_slot_limit(eq, wk->entry.slots + EQ_PLAIN_QUEUE))
 			continue;
 		cost = eq_plain_cost(eq, wk);
 		if (!best || cost < best_cost) {
--- a/src/eq_urgency.c
+++ b/src/eq_urgency.c
@@ -13,7 +13,6 @@
 #define EQ_ACCOUNT_KEY 0x61636374U
 
 static bool eq_is_below_floor(const struct eq *eq, int64_t now);
-static double eq_reserve(const struct eq *eq, int64_t now);
 static uint32_t eq_account_key(const struct eq *eq);
 
 /* Returns the key under which a request is counted in the metrics. */
@@ -53,13 +52,43 @@
 	return edge_service(eq->edge, eq->service->name, now);
 }
 
+/*
+ * Computes which fractions of the capacity the request leaves free for more
+ * urgent ones; to be called before workers are chosen for it.  A stream that
+ * goes on leaves none: its first part has run already.
+ */
+void eq_update_reserve(struct eq *eq, int64_t now)
+{
+	const struct edge_service *service;
+	struct met_urgent_key key;
+
+	eq->reserve = 0;
+	eq->slot_reserve = 0;
+	if (!eq_is_ranked(eq) || eq->state == EQ_STREAMING ||
+	    eq_is_below_floor(eq, now))
+		return;
+	hint_drop_expired(eq->edge->hint, now);
+	service = eq_edge_service(eq, now);
+	if (service->capacity > 0)
+		eq->reserve = urg_reserve(&service->urg, eq->urgency,
+					  service->capacity);
+	if (service->slot_capacity > 0)
+		eq->slot_reserve = urg_reserve(&service->urg, eq->urgency,
+					       service->slot_capacity);
+	key = eq_met_key(eq);
+	met_urgent_reserved(&eq->edge->met_urgent, &key,
+			    eq->reserve > eq->slot_reserve ? eq->reserve
+							   : eq->slot_reserve,
+			    now);
+}
+
 /*
  * Returns the fraction of a worker's memory that the request may use up to.
  * Late requests leave the last memory to those of their urgency in time.
  */
 double eq_memory_limit(const struct eq *eq, int64_t now)
 {
-	double limit = CHN_MEMORY_LIMIT - eq_reserve(eq, now);
+	double limit = CHN_MEMORY_LIMIT - eq->reserve;
 
 	if (eq->last_event < 0 && now >= eq->target_deadline_us)
 		limit -= CHN_MEMORY_LIMIT - CHN_YIELD_LIMIT;
@@ -67,13 +96,12 @@
 }
 
 /*
- * Returns how many requests a plain worker may queue for this one to be sent
- * there; less urgent ones leave places to others.  Slots become free so often
- * that none is kept.
+ * Returns how many requests a plain worker may have, of its slots and places in
+ * its queue together.
  */
-int eq_queue_limit(const struct eq *eq, int max, int64_t now)
+int eq_slot_limit(const struct eq *eq, int slots)
 {
-	return eq_reserve(eq, now) > 0 ? max / 2 : max;
+	return (int)(slots * (1 - eq->slot_reserve) + 0.5);
 }
 
 /*
@@ -100,32 +128,6 @@
 		urg_floor_count(floor, eq_account_key(eq), served, now);
 }
 
-/*
- * Returns the fraction of the service's capacity that the request leaves free
- * for more urgent ones.  A stream that goes on leaves none: its first part has
- * run already.
- */
-static double eq_reserve(const struct eq *eq, int64_t now)
-{
-	const struct edge_service *service;
-	struct met_urgent_key key;
-	double capacity;
-	double reserve;
-
-	if (!eq_is_ranked(eq) || eq->state == EQ_STREAMING ||
-	    eq_is_below_floor(eq, now))
-		return 0;
-	hint_drop_expired(eq->edge->hint, now);
-	service = eq_edge_service(eq, now);
-	capacity = eq->service->has_engine ? service->capacity : 1;
-	if (capacity <= 0)
-		return 0;
-	reserve = urg_reserve(&service->urg, eq->urgency, capacity);
-	key = eq_met_key(eq);
-	met_urgent_reserved(&eq->edge->met_urgent, &key, reserve, now);
-	return reserve;
-}
-
 /* Tells whether too few requests of its route or account are served. */
 static bool eq_is_below_floor(const struct eq *eq, int64_t now)
 {
