eq_wait: a request joins the queue only if its turn comes in time

The queue promises a turn when a request joins it, so whether it may wait is asked before. A request that is placed without having been queued counts as an arrival, else the estimates of less urgent ones are too early.

--- a/src/edge.h
+++ b/src/edge.h
@@ -43,12 +43,10 @@
 	uint64_t requests_counted; /* in demand */
 	double demand;		   /* requests per second, smoothed */
 	/*
-	 * Memory of the usable workers in tokens x layers; 0: not known yet, or
-	 * not an engine service.
+	 * Of the usable workers; 0: not known yet.  Memory in tokens x layers;
+	 * slots, which an engine service counts as memory of usual requests.
 	 */
 	double capacity;
-	/* The same for slots of first workers, of requests of the usual size.
-	 */
 	double slot_capacity;
 	/* For the placer: since when a data centre lacks layers; 0: none. */
 	int64_t coverage_gap_since_us;
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -522,8 +522,7 @@
 	    wk->proc.reported_first_hops > firsts)
 		firsts = wk->proc.reported_first_hops;
 	w->held = room_held(&load, now);
-	w->first_hops_left =
-		(int)(wk->entry.slots * (1 - eq->slot_reserve)) - firsts;
+	w->first_hops_left = eq_slot_limit(eq, wk->entry.slots) - firsts;
 	/* A worker that advertises so accepts nothing. */
 	if (!adv_may_send(&wk->proc.adv, ADV_REQUEST, now)) {
 		w->memory = 0;
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -142,7 +142,8 @@
 		return;
 	service = eq_edge_service(eq, now);
 	if (eq->sends == 0 && eq_is_short(service, now)) {
-		wq_arrived(&service->wq, &eq->wait);
+		if (!eq_is_queued(eq))
+			wq_arrived(&service->wq, &eq->wait);
 		wq_started(&service->wq, now);
 	}
 	eq_leave_queue(eq, now);
@@ -182,10 +183,11 @@
 
 	if (choice != EQ_NO_WORKER)
 		service->short_us = now;
-	eq_join_queue(eq, now);
 	if (eq->sends < EQ_SENDS_MAX &&
-	    wq_may_wait(&service->wq, &eq->wait, now))
+	    wq_may_wait(&service->wq, &eq->wait, now)) {
+		eq_join_queue(eq, now);
 		return true;
+	}
 	eq_refuse(eq, 503, EQ_RETRY_LATER, "no room in time");
 	return false;
 }
