--- a/src/urg.c
+++ b/src/urg.c
@@ -5,17 +5,25 @@
 
 #define URG_PRIORITY_MAX 255
 #define URG_WIRE_MAX	 9
-/* Time constant of the demand. */
-#define URG_SMOOTH_US MAG_US_PER_S
+/*
+ * Time constant of the demand, which follows a change within about a second.
+ * With a second, a peak of more urgent requests meets too little free capacity.
+ */
+#define URG_SMOOTH_US (500 * MAG_US_PER_MS)
 /* Demand of which nothing has arrived for this long is taken for zero. */
 #define URG_FORGET_US (5 * MAG_US_PER_S)
 /*
- * The capacity kept free is the need of this time.  It covers two rounds of
- * messages between routers, within which they learn of each other's requests.
+ * The need of more urgent requests in this time is kept free.  150 ms keeps too
+ * little for a peak of them while half of the workers crash; with 300 ms,
+ * requests of the middle urgencies are placed less often than the least urgent
+ * ones that are below the floor.
  */
-#define URG_AHEAD_S	0.3
+#define URG_AHEAD_US (200 * MAG_US_PER_MS)
+/* A round of messages between routers. */
+#define URG_ROUND_US	(150 * MAG_US_PER_MS)
 #define URG_RESERVE_MAX 0.25
 
+static double urg_per_s(const struct urg_level *level);
 static int urg_clamp(int priority);
 static struct urg_level *urg_level(struct urg *urg, int urgency);
 
@@ -76,6 +84,7 @@
 {
 	memset(urg, 0, sizeof(*urg));
 	urg->routers = 1;
+	urg->age_us = URG_ROUND_US;
 }
 
 /*
@@ -86,6 +95,7 @@
 {
 	struct urg_level *level = urg_level(urg, urgency);
 
+	urg->draw = mag_random_unit(&urg->seed);
 	if (level && need > 0)
 		level->arrived += need;
 }
@@ -120,6 +130,7 @@
 	}
 	urg->count = kept;
 	urg->tick_us = now;
+	urg->seed ^= (uint64_t)now;
 }
 
 /*
@@ -174,30 +185,50 @@
 	}
 }
 
+/*
+ * Sets the age of what a router knows of the others' requests: the time in
+ * which it hears from all routers of its data centre.
+ */
+void urg_set_age(struct urg *urg, int64_t age_us)
+{
+	urg->age_us = age_us;
+}
+
 /*
  * Returns the fraction of a service's capacity that a request of this urgency
- * leaves free.  Routers without a fresh report are counted with the mean of
- * the others, this one included.
+ * leaves free: the need of more urgent ones in URG_AHEAD_US, and a part of the
+ * need of its own urgency, drawn for each request that arrived.  Where routers
+ * learn of each other's requests late, all of them would otherwise use the same
+ * capacity as soon as they see it free; the draw lets as many of them use it as
+ * fit.  Routers without a fresh report are counted with the mean of the others,
+ * this one included.
  */
 double urg_reserve(const struct urg *urg, int urgency, double capacity)
 {
 	int known = urg->reports + 1;
 	double scale = urg->routers > known ? (double)urg->routers / known : 1;
-	double need_per_s = 0;
+	double own_us = (double)(urg->age_us - URG_ROUND_US) * urg->draw;
+	double need_us = 0;
 	double reserve;
 	int i;
 
 	for (i = 0; i < urg->count && urg->levels[i].urgency < urgency; i++)
-		need_per_s +=
-			urg->levels[i].own_per_s + urg->levels[i].peers_per_s;
-	if (!(need_per_s > 0))
+		need_us += urg_per_s(&urg->levels[i]) * URG_AHEAD_US;
+	if (!(need_us > 0))
 		return 0;
 	if (!(capacity > 0))
 		return URG_RESERVE_MAX;
-	reserve = need_per_s * scale * URG_AHEAD_S / capacity;
+	if (own_us > 0 && i < urg->count && urg->levels[i].urgency == urgency)
+		need_us += urg_per_s(&urg->levels[i]) * own_us;
+	reserve = need_us * scale / MAG_US_PER_S / capacity;
 	return reserve < URG_RESERVE_MAX ? reserve : URG_RESERVE_MAX;
 }
 
+static double urg_per_s(const struct urg_level *level)
+{
+	return level->own_per_s + level->peers_per_s;
+}
+
 static int urg_clamp(int priority)
 {
 	if (priority < 0)
--- a/src/urg.h
+++ b/src/urg.h
@@ -49,8 +49,11 @@
 	int count;
 	struct urg_level levels[URG_LEVELS_MAX]; /* ascending */
 	int64_t tick_us;			 /* 0: none yet */
-	int routers; /* all that are known, this one included */
-	int reports; /* fresh ones of peers */
+	int routers;	/* all that are known, this one included */
+	int reports;	/* fresh ones of peers */
+	int64_t age_us; /* of what is known of other routers */
+	uint64_t seed;
+	double draw; /* 0 to 1, new for each request that arrived */
 };
 
 /* Requests of a key or of all, in counts that decay. */
@@ -86,6 +89,7 @@
 void urg_peers_begin(struct urg *urg, int routers);
 void urg_peers_add(struct urg *urg, const struct urg_report *reports,
 		   int count);
+void urg_set_age(struct urg *urg, int64_t age_us);
 double urg_reserve(const struct urg *urg, int urgency, double capacity);
 
 void urg_floor_init(struct urg_floor *floor);
--- a/src/urg_floor.c
+++ b/src/urg_floor.c
@@ -3,8 +3,12 @@
 
 #include "urg.h"
 
-/* Time constant of the counts. */
-#define URG_FLOOR_DECAY_US (5 * MAG_US_PER_S)
+/*
+ * Time constant of the counts.  It outlasts a peak of more urgent requests of
+ * 6 s: with 10 s, the floor serves the least urgent requests more often than
+ * others in the middle of it.
+ */
+#define URG_FLOOR_DECAY_US (18 * MAG_US_PER_S)
 /* A margin over the required third of the fraction for all requests. */
 #define URG_FLOOR_PART 0.4
 /* Places in which a key may be. */
@@ -46,9 +50,11 @@
 
 /*
  * Tells whether a key's requests are served far less often than all requests,
- * and at least one more of them is due.  A router that sees a request of a key
- * only now and then is due a part of one; it draws whether that is the present
- * one, so that many such routers together keep the floor without exceeding it.
+ * and at least one more of them is due.  An exempt request is still refused as
+ * often as others, so that 1 / fraction of them are due for each one served.  A
+ * router that sees a request of a key only now and then is due a part of one;
+ * it draws whether that is the present one, so that many such routers together
+ * keep the floor without exceeding it.
  */
 bool urg_floor_is_below(const struct urg_floor *floor, uint32_t key,
 			int64_t now)
@@ -56,14 +62,16 @@
 	const struct urg_floor_key *entry = urg_floor_find(floor, key);
 	struct urg_floor_count all = urg_floor_decayed(&floor->all, now);
 	struct urg_floor_count own;
-	double part;
+	double fraction;
 
 	if (!entry || !(all.asked > 0))
 		return false;
 	own = urg_floor_decayed(&entry->count, now);
-	part = URG_FLOOR_PART * all.served / all.asked;
-	return own.served < part * own.asked &&
-	       part * (own.asked + 1) - own.served > entry->draw;
+	fraction = all.served / all.asked;
+	if (!(own.served < URG_FLOOR_PART * fraction * own.asked))
+		return false;
+	return URG_FLOOR_PART * (own.asked + 1) - own.served / fraction >
+	       entry->draw;
 }
 
 /* Returns the counts at a moment. */
