--- a/src/hint.c
+++ b/src/hint.c
@@ -471,14 +471,20 @@
  */
 int64_t hint_expiry_us(const struct hint *hint)
 {
-	int routers = edge_routers_per_data_centre(hint->edge);
-	int64_t rounds =
-		(routers + HINT_LOCAL_PEERS_MAX - 1) / HINT_LOCAL_PEERS_MAX;
-	int64_t expiry_us = rounds * HINT_INTERVAL_US * HINT_EXPIRY_INTERVALS;
+	int64_t expiry_us = hint_round_us(hint) * HINT_EXPIRY_INTERVALS;
 
 	return expiry_us > HINT_EXPIRY_US ? expiry_us : HINT_EXPIRY_US;
 }
 
+/* Returns the time in which a router sends to each peer of its data centre. */
+int64_t hint_round_us(const struct hint *hint)
+{
+	int routers = edge_routers_per_data_centre(hint->edge);
+
+	return (int64_t)(routers + HINT_LOCAL_PEERS_MAX - 1) /
+	       HINT_LOCAL_PEERS_MAX * HINT_INTERVAL_US;
+}
+
 /*
  * Smooths caller demand; the parts of limits are computed from the demand as
  * reported.
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -89,6 +89,7 @@
 /* hint.c */
 struct hint_peer *hint_find_peer(struct hint *hint, const char *name);
 int64_t hint_expiry_us(const struct hint *hint);
+int64_t hint_round_us(const struct hint *hint);
 
 /* hint_send.c */
 void hint_send_turn(struct hint *hint);
--- a/src/hint_urgent_peers.c
+++ b/src/hint_urgent_peers.c
@@ -90,6 +90,7 @@
 	int heard = 0;
 
 	urg_peers_begin(&service->urg, routers);
+	urg_set_age(&service->urg, hint_round_us(hint));
 	cds_list_for_each_entry (peer, &hint->peers, node) {
 		if (!peer->urgent_us || now - peer->urgent_us > expiry_us)
 			continue;
