quar_trait: a trait whose losses two others explain stays in doubt

Cause: a sound part that was beside two harmful ones has as many losses as both together. With four losses within the settling time its margin over each of them was two, and it was quarantined without doubt; with fewer, in doubt, crashes of requests in flight counted as its failed trials, as the harmful parts were not quarantined yet and their losses of the same time were not compared. It was then taken for sure, and the losses of both harmful parts were withdrawn. Change: a trait is confirmed only if no other suspect with two losses or more, quarantined or not, lost as many endpoints in the same time, and no two such suspects together were at all of its losses. Until then it is in doubt with them, and requests that have one of them alone decide. Withdrawing is unchanged: it follows from confirmed traits only. Ruled out: counting only losses that no other suspect shares, as one harmful part would then stay in doubt while sound parts crash beside it; a rival of one loss, as each request has traits of its own.

--- a/src/quar_trait.c
+++ b/src/quar_trait.c
@@ -222,7 +222,7 @@
 	    now < entry->trial_until_us)
 		return false;
 	rounds = (now - entry->held_us) / QUAR_TRAIT_TRIAL_US;
-	if (quar_trait_failures(entry, now) > 0)
+	if (quar_trait_failures(entry, entry->held_us, now) > 0)
 		rounds = 0;
 	if (rounds < QUAR_TRAIT_TRIALS_MAX && rank >= 1 << rounds)
 		return false;
--- a/src/quar_trait.h
+++ b/src/quar_trait.h
@@ -18,10 +18,11 @@
  * that are lost at the same moment count as one.  Losses that have one request
  * in common are left to quar.
  *
- * Where losses speak against several traits alike, all of them are quarantined
- * in doubt, and each is tried by one request.  It clears the trait, or is
- * one loss more; once one trait is left that explains the losses, these are no
- * evidence against anything else.
+ * Where losses speak against several traits alike, or against one and against
+ * two others that together explain them, all of them are quarantined in doubt,
+ * and each is tried by one request.  It clears the trait, or is one loss more;
+ * once one trait is left that explains the losses, these are no evidence
+ * against anything else.
  */
 
 #include <stdbool.h>
--- a/src/quar_trait_int.h
+++ b/src/quar_trait_int.h
@@ -93,7 +93,10 @@
 
 /* quar_trait_weigh.c */
 int quar_trait_moments(const struct quar_trait_entry *entry, int64_t until_us);
-int quar_trait_failures(const struct quar_trait_entry *entry, int64_t until_us);
+int quar_trait_failures(const struct quar_trait_entry *entry, int64_t since_us,
+			int64_t until_us);
+uint32_t quar_trait_shared_losses(const struct quar_trait_entry *entry,
+				  const struct quar_trait_entry *other);
 bool quar_trait_have_common_request(const struct quar_trait_entry *entry);
 int64_t quar_trait_first_loss(const struct quar_trait_entry *entry);
 
--- a/src/quar_trait_judge.c
+++ b/src/quar_trait_judge.c
@@ -13,6 +13,11 @@
 #define QUAR_TRAIT_SETTLE_US (250 * MAG_US_PER_MS)
 /* Losses that leave no doubt if no other trait has as many. */
 #define QUAR_TRAIT_SURE_LOSSES 4
+/*
+ * Losses of each of two traits that together may be the cause of another one's.
+ * With fewer, the traits that only one request has would be taken for causes.
+ */
+#define QUAR_TRAIT_CAUSE_LOSSES 2
 
 static void quar_trait_choose(struct quar_traits *traits, int64_t now);
 static struct quar_trait_entry *
@@ -31,6 +36,10 @@
 static bool quar_trait_has_failed(const struct quar_traits *traits,
 				  const struct quar_trait_entry *entry,
 				  int64_t now);
+static bool quar_trait_is_rival(const struct quar_trait_entry *entry,
+				const struct quar_trait_entry *other);
+static bool quar_trait_has_two_causes(const struct quar_traits *traits,
+				      const struct quar_trait_entry *entry);
 static bool quar_trait_is_sure(const struct quar_traits *traits,
 			       const struct quar_trait_entry *entry,
 			       int64_t now);
@@ -162,27 +171,78 @@
 
 /*
  * Tells whether a trait was tried and lost endpoints, more than any other one
- * in doubt, and none has more losses in all.
+ * in the same time, none has more losses in all, and no two together explain
+ * them.
  */
 static bool quar_trait_has_failed(const struct quar_traits *traits,
 				  const struct quar_trait_entry *entry,
 				  int64_t now)
 {
 	int64_t settled_us = now - QUAR_TRAIT_SETTLE_US;
-	int failures = quar_trait_failures(entry, settled_us);
+	int failures = quar_trait_failures(entry, entry->held_us, settled_us);
 	const struct quar_trait_entry *other;
+	int64_t since_us;
+	bool in_doubt;
 
 	if (!quar_trait_is_held(entry, now) || !entry->in_doubt ||
 	    failures == 0)
 		return false;
 	cds_list_for_each_entry (other, &traits->suspects, by_age) {
-		if (other != entry && quar_trait_is_held(other, now) &&
-		    other->in_doubt &&
-		    quar_trait_failures(other, now) >= failures)
+		in_doubt = quar_trait_is_held(other, now) && other->in_doubt;
+		if (other == entry ||
+		    (!in_doubt && !quar_trait_is_rival(entry, other)))
+			continue;
+		since_us = entry->held_us;
+		if (in_doubt && other->held_us < since_us)
+			since_us = other->held_us;
+		if (quar_trait_failures(other, since_us, now) >= failures)
 			return false;
 	}
 	return quar_trait_moments(entry, now) >=
-	       quar_trait_rival_losses(traits, entry, now);
+		       quar_trait_rival_losses(traits, entry, now) &&
+	       !quar_trait_has_two_causes(traits, entry);
+}
+
+/*
+ * Tells whether another trait has lost several endpoints, and may have caused
+ * losses of a trait as well.
+ */
+static bool quar_trait_is_rival(const struct quar_trait_entry *entry,
+				const struct quar_trait_entry *other)
+{
+	return other != entry && other->pair_count >= QUAR_TRAIT_CAUSE_LOSSES &&
+	       other->known <= entry->known &&
+	       (!other->held_until_us || other->in_doubt) &&
+	       quar_trait_moments(other, MAG_NEVER) >= QUAR_TRAIT_CAUSE_LOSSES;
+}
+
+/*
+ * Tells whether two other traits together were at all losses of a trait, and
+ * neither of them alone.
+ */
+static bool quar_trait_has_two_causes(const struct quar_traits *traits,
+				      const struct quar_trait_entry *entry)
+{
+	uint32_t all = (1U << entry->pair_count) - 1;
+	const struct quar_trait_entry *a;
+	const struct quar_trait_entry *b;
+	uint32_t shared;
+
+	cds_list_for_each_entry (a, &traits->suspects, by_age) {
+		shared = quar_trait_shared_losses(entry, a);
+		/* One of the two was at the first loss. */
+		if (!(shared & 1) || shared == all ||
+		    !quar_trait_is_rival(entry, a))
+			continue;
+		cds_list_for_each_entry (b, &traits->suspects, by_age) {
+			if ((shared | quar_trait_shared_losses(entry, b)) ==
+				    all &&
+			    quar_trait_shared_losses(entry, b) != all &&
+			    quar_trait_is_rival(entry, b))
+				return true;
+		}
+	}
+	return false;
 }
 
 /* Returns the most losses of another trait. */
@@ -207,7 +267,8 @@
 }
 
 /*
- * Tells whether nothing but a trait explains its losses.  Other traits may have
+ * Tells whether nothing but a trait explains its losses: no other one has
+ * nearly as many, and no two together have all of them.  Other traits may have
  * more than has been reported yet.
  */
 static bool quar_trait_is_sure(const struct quar_traits *traits,
@@ -217,8 +278,11 @@
 	int lost = quar_trait_moments(entry, now - QUAR_TRAIT_SETTLE_US);
 	int margin = lost - quar_trait_rival_losses(traits, entry, now);
 
-	return entry->held_before || margin >= 2 ||
-	       (margin == 1 && lost >= QUAR_TRAIT_SURE_LOSSES);
+	if (entry->held_before)
+		return true;
+	if (margin < 2 && (margin < 1 || lost < QUAR_TRAIT_SURE_LOSSES))
+		return false;
+	return !quar_trait_has_two_causes(traits, entry);
 }
 
 /* Ends a quarantine that is over, and forgets old losses. */
--- a/src/quar_trait_weigh.c
+++ b/src/quar_trait_weigh.c
@@ -36,19 +36,41 @@
 	}
 }
 
-/* Returns how many endpoints a trait in doubt has lost, as known by then. */
-int quar_trait_failures(const struct quar_trait_entry *entry, int64_t until_us)
+/* Returns how many endpoints were lost since then, as known by until_us. */
+int quar_trait_failures(const struct quar_trait_entry *entry, int64_t since_us,
+			int64_t until_us)
 {
 	int count = 0;
 	int i;
 
 	for (i = 0; i < entry->pair_count; i++)
 		count += entry->pairs[i].first &&
-			 entry->pairs[i].at_us > entry->held_us &&
+			 entry->pairs[i].at_us > since_us &&
 			 entry->pairs[i].learned_us <= until_us;
 	return count;
 }
 
+/*
+ * Returns at which losses of a trait another one was, too: bit i for the i-th
+ * loss.
+ */
+uint32_t quar_trait_shared_losses(const struct quar_trait_entry *entry,
+				  const struct quar_trait_entry *other)
+{
+	uint32_t shared = 0;
+	int i;
+	int j;
+
+	for (i = 0; i < entry->pair_count; i++) {
+		for (j = 0; j < other->pair_count; j++) {
+			if (other->pairs[j].endpoint ==
+			    entry->pairs[i].endpoint)
+				shared |= 1U << i;
+		}
+	}
+	return shared;
+}
+
 /* Tells whether one request was at each of the endpoints lost. */
 bool quar_trait_have_common_request(const struct quar_trait_entry *entry)
 {
