eq_move, eq_stall, wkp: silence by run time, moves once they are certain

A router that had been busy took a stream off five sound workers, found no retry left and ended it. Silence of probes, streams and workers now counts on the clock run; deadlines of calls are extended by what does not count. A stream that flows stays for as long as 0.4 of the allowed gap, two event intervals or its longest gap explain. Workers that refuse or reset connections, or are gone, count after 60 ms as before.

eq_restart cancelled the attempt before the budget and the next chain were known. eq_move keeps it until a run, a send, a retry, a reserved chain and a connection are at hand, and tries again after 25 ms. A stream whose connection broke waits up to 1.5 s for a retry, as it does for a chain. Crash evidence is recorded only when a request leaves its worker. Waiting for the whole allowed gap was ruled out: the next event is late then.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -33,7 +33,8 @@
 
 store_of() { echo ${STORE_SEEN:-$store}; }
 
-# start_router NUMBER ZONE: sets router_NUMBER to its pid.
+# start_router NUMBER ZONE: sets router_NUMBER to its pid.  $RETRY_RATIO and
+# $RETRY_SLACK set its retry budget.
 start_router() {
 	cat >"$dir/router.$1.json" <<-JSON
 	{"instance":"r-$1","data_centre":"$2","address":"127.0.0.1",
@@ -42,8 +43,8 @@
 	"peer_port":$((base + 80 + $1)),"metrics_port":$((base + 90 + $1)),
 	"store":"$(store_of $1)","store_lease_ms_min":1000,"first_start":true,
 	"stop_s":8,"config_apply_ms":2000,"drain_ms":2000,"keys_stale_ms":5000,
-	"keys_fail_closed":true,"retry_ratio":0.2,"retry_window_s":10,
-	"retry_slack":200,"stall_ms":3000,"open_files":1000,"link_mbps":1000}
+	"keys_fail_closed":true,"retry_ratio":${RETRY_RATIO:-0.2},"retry_window_s":10,
+	"retry_slack":${RETRY_SLACK:-200},"stall_ms":3000,"open_files":1000,"link_mbps":1000}
 	JSON
 	MAGNOLIARAIL_NODE_FILE="$dir/router.$1.json" "$build/magnolia-edge" \
 		>>"$dir/router.$1.log" 2>&1 &
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include <event2/event.h>
 #include <jansson.h>
@@ -75,7 +76,11 @@
 static int64_t started_ms;
 static int64_t next_heartbeat_us;
 static int64_t event_us = 20 * MAG_US_PER_MS;
-static double pace = 1; /* over 1: slow; appears only in the report */
+/* Every so many events of a stream one comes as much later; 0: none does. */
+#define GAP_EVERY 4
+static int64_t gap_us;
+static int64_t report_us; /* time to answer for a report */
+static double pace = 1;	  /* over 1: slow; appears only in the report */
 static int slots = 64;
 static bool draining;
 static bool drop_replies;   /* run a request and close without a reply */
@@ -238,6 +243,7 @@
 	struct job *job;
 	json_t *json;
 
+	usleep((useconds_t)report_us);
 	cds_list_for_each_entry (job, &jobs, node) {
 		if (job->waits_since_us &&
 		    clk_boot_us() - job->waits_since_us > event_us * 5)
@@ -629,6 +635,8 @@
 	len = format_event(event, sizeof(event), job->event);
 	hs_stream_data(job->conn, event, (size_t)len);
 	job->due_us = clk_boot_us() + event_us;
+	if (job->event % GAP_EVERY == 0)
+		job->due_us += gap_us;
 	if (job->event < EVENT_COUNT)
 		return;
 	hs_stream_end(job->conn);
@@ -789,6 +797,8 @@
 	slots = env_number("FAKE_SLOTS", slots);
 	answer_before_crash = env_number("FAKE_CRASH_ANSWER", 0);
 	event_us = env_number("FAKE_EVENT_MS", 20) * MAG_US_PER_MS;
+	gap_us = env_number("FAKE_GAP_MS", 0) * MAG_US_PER_MS;
+	report_us = env_number("FAKE_REPORT_MS", 0) * MAG_US_PER_MS;
 	crash_us = env_number("FAKE_CRASH_MS", 60) * MAG_US_PER_MS;
 	if (hc_host_new(hc, argv[1], 8, &store) ||
 	    hs_new(base, address, &ops, NULL, &hs))
--- a/src/edge.h
+++ b/src/edge.h
@@ -96,9 +96,7 @@
 
 	bool stopping;
 	int64_t stop_by_us;
-	bool stopped_listening; /* for callers */
-	int64_t last_tick_us;
-	int64_t last_late_tick_us;  /* answers may have been unread then */
+	bool stopped_listening;	    /* for callers */
 	int64_t next_wait_retry_us; /* of requests without a worker */
 	int64_t next_coverage_check_us;
 	int64_t next_no_worker_log_us;
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -34,11 +34,6 @@
  */
 #define EDGE_LOG_LINES_S 400
 #define EDGE_WHY_MAX	 256
-/*
- * A loop whose tick is later than this did not run in time: answers that seem
- * missing may have arrived long ago.
- */
-#define EDGE_LATE_TICK_US (30 * MAG_US_PER_MS)
 /*
  * Interval of placement planning.  Workers join and leave within seconds, and a
  * plan takes a millisecond.
@@ -247,15 +242,12 @@
 	struct edge_run *run = arg;
 	struct edge *edge = &run->edge;
 	int64_t now = clk_boot_us();
+	int64_t paused_us = run_tick(&edge->workers.run, now);
 
 	(void)fd;
 	(void)what;
-	if (edge->last_tick_us &&
-	    now - edge->last_tick_us > EDGE_LATE_TICK_US) {
-		edge->last_late_tick_us = now;
-		hc_extend_deadlines(edge->hc, now - edge->last_tick_us);
-	}
-	edge->last_tick_us = now;
+	if (paused_us > 0)
+		hc_extend_deadlines(edge->hc, paused_us);
 	edge_reload(run, now);
 	hc_tick(edge->hc, now);
 	hs_tick(edge->callers, now);
--- a/src/eq.h
+++ b/src/eq.h
@@ -63,10 +63,16 @@
 	int64_t probed_us;   /* when its workers were last probed */
 	int64_t repaired_us; /* last repair of its chain; 0: never */
 	int64_t max_gap_us;  /* longest gap between events so far */
-	int64_t event_interval_us; /* smoothed; 0: unknown */
+	int64_t event_interval_us; /* smoothed, by run.h; 0: unknown */
 	int64_t first_event_us;	   /* first event forwarded; 0: none */
 	/* First event of this attempt, on its present chain; 0: none. */
 	int64_t begun_us;
+	/* By the clock run.h: when it was sent, repaired, or had an event. */
+	int64_t heard_run_us;
+	int64_t longest_run_us; /* between two events on its present chain */
+	int64_t next_move_us;	/* it is not moved before then */
+	/* Its hops are not the workers that it runs on; it is to be moved. */
+	bool misrouted;
 
 	struct eq_hop hops[CHN_HOPS_MAX];
 	int hop_count;
@@ -118,11 +124,23 @@
 void eq_finish(struct eq *eq);
 bool eq_refuse_quarantined(struct eq *eq, int64_t now);
 
+enum eq_choice {
+	EQ_CHOSEN,
+	EQ_BUSY,	/* all workers are at their limit */
+	EQ_NO_CROSSING, /* the link between data centres is at its limit */
+	EQ_NO_WORKER,	/* no worker serves this request */
+};
+
 /* eq_send.c */
 void eq_dispatch(struct eq *eq, int64_t now);
+bool eq_doubts_path(const struct eq *eq);
+bool eq_may_send_again(const struct eq *eq);
+enum eq_choice eq_choose(struct eq *eq, int64_t now);
+void eq_send(struct eq *eq, int64_t now);
 void eq_begin_attempt(struct eq *eq, int64_t now);
 void eq_fill_send(struct eq *eq, struct hc_send *send);
 void eq_release(struct eq *eq);
+void eq_release_hops(struct eq *eq);
 bool eq_avoids(const struct eq *eq, const struct wk *wk);
 void eq_avoid(struct eq *eq, const struct wk *wk);
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now);
@@ -133,15 +151,10 @@
 typedef bool (*eq_usable_fn)(const struct wk *wk, int64_t now);
 
 /* eq_chain.c */
-enum eq_choice {
-	EQ_CHOSEN,
-	EQ_BUSY,	/* all workers are at their limit */
-	EQ_NO_CROSSING, /* the link between data centres is at its limit */
-	EQ_NO_WORKER,	/* no worker serves this request */
-};
-
 enum eq_choice eq_choose_chain(struct eq *eq, int64_t now);
-bool eq_choose_repair(struct eq *eq, int64_t now);
+bool eq_find_repair(struct eq *eq, struct chn_chain *replacement, int64_t now);
+void eq_use_repair(struct eq *eq, const struct chn_chain *replacement,
+		   int64_t now);
 int64_t eq_backoff_end(struct eq *eq, int64_t now);
 void eq_coverage_tick(struct edge *edge, int64_t now);
 void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
@@ -151,21 +164,26 @@
 const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
 
 /* eq_repair.c */
-bool eq_repair_start(struct eq *eq, struct wk *fault, int64_t now);
+bool eq_repair_start(struct eq *eq, struct wk *fault, bool may_have_crashed,
+		     int64_t now);
 void eq_repair_cancel(struct eq *eq);
 
 /* eq_trait.c */
 void eq_set_traits(struct eq *eq);
 enum quar_state eq_check_quarantine(const struct eq *eq, int64_t now);
+bool eq_is_barred_again(const struct eq *eq, int64_t now);
 bool eq_is_in_doubt(const struct eq *eq, int64_t now);
 bool eq_may_try(struct eq *eq, int64_t now);
 void eq_did_well(struct eq *eq, int64_t begun_us, int64_t now);
 
 /* eq_forward.c */
+bool eq_may_forward(const struct eq *eq, int64_t now);
 bool eq_forward_start(struct eq *eq, int64_t now);
 
 /* eq_answer.c */
 extern const struct hc_ops eq_ops;
+bool eq_is_repeatable(const struct eq *eq);
+void eq_log_again(const struct eq *eq, const char *why);
 void eq_retry_or_fail(struct eq *eq, const char *why);
 const char *eq_framing_text(const struct eq *eq);
 bool eq_take_headers(struct eq *eq, const struct hc_response *response);
@@ -173,10 +191,13 @@
 bool eq_is_truncated(const struct eq *eq);
 void eq_relay(struct eq *eq);
 
+/* eq_move.c */
+bool eq_move(struct eq *eq, struct wk *fault, const char *why, int64_t now);
+bool eq_restart(struct eq *eq, struct wk *fault, const char *why, int64_t now);
+
 /* eq_stall.c */
 void eq_stall_tick(struct edge *edge, int64_t now);
 void eq_on_progress(struct eq *eq, int64_t now);
-void eq_restart(struct eq *eq, const char *why);
 void eq_on_report(struct edge *edge, struct wk *wk,
 		  const struct wire_report *report, int64_t now);
 void eq_on_suspect(struct edge *edge, struct wk *wk, int64_t now);
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -23,7 +23,7 @@
 static void eq_on_end(void *user, enum hc_result end);
 static void eq_relay_events(struct eq *eq, const void *bytes, size_t len);
 static void eq_note_started(struct eq *eq);
-static void eq_update_interval(struct eq *eq, int64_t interval_us);
+static void eq_update_interval(struct eq *eq, int64_t now);
 static void eq_on_complete(struct eq *eq, struct wk *wk, int64_t now);
 static void eq_on_broken(struct eq *eq, struct wk *wk, enum hc_result end,
 			 int64_t now);
@@ -35,15 +35,18 @@
 	.ended = eq_on_end,
 };
 
-/*
- * Retries a request after an attempt that ended without its answer if the route
- * allows it; ends the request otherwise.
- */
-void eq_retry_or_fail(struct eq *eq, const char *why)
+/* Tells whether a request may be sent again although it may have run. */
+bool eq_is_repeatable(const struct eq *eq)
 {
 	const struct rt_route *route = eq->route;
-	bool repeatable = route->kind == RT_IDEMPOTENT ||
-			  (route->kind == RT_STREAMING && route->resumable);
+
+	return route->kind == RT_IDEMPOTENT ||
+	       (route->kind == RT_STREAMING && route->resumable);
+}
+
+/* Logs that an attempt is given up. */
+void eq_log_again(const struct eq *eq, const char *why)
+{
 	char fingerprint[QUAR_TEXT_SIZE];
 	char parts[EQ_PARTS_TEXT];
 	char id[WIRE_ID_MAX];
@@ -60,12 +63,21 @@
 	     eq->at_fault, quar_text(eq->fingerprint, fingerprint),
 	     eq_parts_text(eq, parts, sizeof(parts)), eq_framing_text(eq),
 	     (long long)eq->events.count, evs_pending(&eq->events));
+}
+
+/*
+ * Retries a request after an attempt that ended without its answer if the route
+ * allows it; ends the request otherwise.
+ */
+void eq_retry_or_fail(struct eq *eq, const char *why)
+{
+	eq_log_again(eq, why);
 	eq_release(eq);
-	if (eq->may_have_run && !repeatable) {
+	if (eq->may_have_run && !eq_is_repeatable(eq)) {
 		eq_fail(eq, 502, why);
 		return;
 	}
-	if (eq->runs >= route->max_attempts) {
+	if (eq->runs >= eq->route->max_attempts) {
 		eq_fail(eq, 502, why);
 		return;
 	}
@@ -218,9 +230,11 @@
 		hs_stream_begin(eq->caller, eq->status,
 				(const char *)evbuffer_pullup(eq->fields, -1));
 	} else {
-		eq_update_interval(eq, now - eq->progress_us);
+		eq_update_interval(eq, now);
 	}
 	eq->progress_us = now;
+	eq->heard_run_us = run_at(&eq->edge->workers.run, now);
+	eq->misrouted = false;
 	if (!eq->begun_us)
 		eq->begun_us = now;
 	eq_on_progress(eq, now);
@@ -240,11 +254,22 @@
 		wk_on_start(eq->hops[i].worker);
 }
 
-/* Updates the longest and the smoothed interval between events. */
-static void eq_update_interval(struct eq *eq, int64_t interval_us)
+/*
+ * Updates the longest gap that the caller saw, and the stream's pace, in which
+ * pauses of this router do not count.
+ */
+static void eq_update_interval(struct eq *eq, int64_t now)
 {
-	if (interval_us > eq->max_gap_us)
-		eq->max_gap_us = interval_us;
+	const struct run *run = &eq->edge->workers.run;
+	int64_t interval_us = run_since(run, eq->heard_run_us, now);
+
+	if (now - eq->progress_us > eq->max_gap_us)
+		eq->max_gap_us = now - eq->progress_us;
+	/* The first event after a move tells nothing of the stream's pace. */
+	if (!eq->begun_us)
+		return;
+	if (interval_us > eq->longest_run_us)
+		eq->longest_run_us = interval_us;
 	if (eq->event_interval_us == 0)
 		eq->event_interval_us = interval_us;
 	eq->event_interval_us +=
@@ -375,6 +400,7 @@
 		/* A probe tells a death, and suspects the worker, too. */
 		if (wk_count_interrupted(wk, now) > 0)
 			wkp_probe(edge, wk, now);
+		wk->proc.unreached = true;
 		if (!wk->probing)
 			wk_suspect(wk, now, "no connection");
 		eq_retry_or_fail(eq, "not sent");
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -92,16 +92,16 @@
 }
 
 /*
- * Replaces those workers behind the first one that the request now avoids; the
- * others retain their layers.  Returns false if no such chain fits.
+ * Finds replacements for those workers behind the first one that the request
+ * now avoids; the others retain their layers.  Returns false if no such chain
+ * fits.  Until eq_use_repair, nothing else may be chosen.
  */
-bool eq_choose_repair(struct eq *eq, int64_t now)
+bool eq_find_repair(struct eq *eq, struct chn_chain *replacement, int64_t now)
 {
 	struct edge *edge = eq->edge;
 	const struct eq_hop *hop = &eq->hops[0];
 	struct chn_first_hop first;
 	struct chn_request chain_request;
-	struct chn_chain replacement;
 	int count;
 
 	first.to = hop->to;
@@ -109,14 +109,18 @@
 		edge_data_centre_index(edge, hop->worker->entry.data_centre);
 	eq_fill_chain_request(eq, &chain_request, now);
 	count = eq_list_candidates(eq, hop, wk_usable, now);
-	if (chn_repair(&chain_request, &first, eq_candidates, count,
-		       &replacement) ||
-	    replacement.count >= CHN_HOPS_MAX)
-		return false;
-	edge->crossing_budget_bytes -=
-		eq_crossing_bytes(eq, replacement.crossings);
-	eq_replace_hops(eq, &replacement, now);
-	return true;
+	return !chn_repair(&chain_request, &first, eq_candidates, count,
+			   replacement) &&
+	       replacement->count < CHN_HOPS_MAX;
+}
+
+/* Replaces the hops of a chain as found. */
+void eq_use_repair(struct eq *eq, const struct chn_chain *replacement,
+		   int64_t now)
+{
+	eq->edge->crossing_budget_bytes -=
+		eq_crossing_bytes(eq, replacement->crossings);
+	eq_replace_hops(eq, replacement, now);
 }
 
 /*
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -38,6 +38,14 @@
 	.ended = eq_forward_end,
 };
 
+/* Tells whether a request may be forwarded, and a peer takes it. */
+bool eq_may_forward(const struct eq *eq, int64_t now)
+{
+	return !eq->is_forwarded && eq->forwards < EQ_FORWARDS_MAX &&
+	       eq->deadline_us - now >= EQ_FORWARD_LEFT_US &&
+	       hint_has_server(eq->edge->hint, now);
+}
+
 /*
  * Forwards a request to a peer that reaches the workers.  Returns false if
  * there is none, or if the request may not be forwarded.
@@ -49,8 +57,7 @@
 	struct hc_host *host;
 	char id[WIRE_ID_MAX];
 
-	if (eq->is_forwarded || eq->forwards >= EQ_FORWARDS_MAX ||
-	    eq->deadline_us - now < EQ_FORWARD_LEFT_US)
+	if (!eq_may_forward(eq, now))
 		return false;
 	host = hint_pick_server(edge->hint, eq->forwarded_to, now,
 				&eq->forwarded_to);
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -54,11 +54,13 @@
 };
 
 /*
- * Replaces a worker behind the first one of a running chain.  Returns false if
- * that is not possible; the caller must then send the request again.
+ * Replaces a worker behind the first one of a running chain, which the request
+ * may have crashed.  Returns false if that is not possible.
  */
-bool eq_repair_start(struct eq *eq, struct wk *fault, int64_t now)
+bool eq_repair_start(struct eq *eq, struct wk *fault, bool may_have_crashed,
+		     int64_t now)
 {
+	struct chn_chain replacement;
 	struct hc_send send = { 0 };
 	struct eq_repair *repair;
 
@@ -66,10 +68,11 @@
 	    !eq->request.attempt_id || eq->hops[0].worker == fault ||
 	    !adv_may_send(&eq->hops[0].worker->proc.adv, ADV_REPAIR, now) ||
 	    !eq_is_first_alive(eq->hops[0].worker, now) ||
+	    !hc_host_has_room(eq->hops[0].worker->host) ||
 	    eq_check_quarantine(eq, now) == QUAR_QUARANTINED)
 		return false;
 	eq_avoid(eq, fault);
-	if (!eq_choose_repair(eq, now))
+	if (!eq_find_repair(eq, &replacement, now))
 		return false;
 	repair = calloc(1, sizeof(*repair));
 	if (!repair)
@@ -80,6 +83,9 @@
 		free(repair);
 		return false;
 	}
+	if (may_have_crashed)
+		eq_add_crash_candidate(eq, fault, now);
+	eq_use_repair(eq, &replacement, now);
 	send.request = eq_repair_encode(eq);
 	send.ops = &eq_repair_ops;
 	send.user = repair;
@@ -89,11 +95,14 @@
 				     &repair->call)) {
 		repair->call = NULL;
 		eq_repair_free(repair);
+		eq->misrouted = true;
 		return false;
 	}
 	eq->repair = repair;
 	eq->repairs++;
 	eq->repaired_us = now;
+	eq->heard_run_us = run_at(&eq->edge->workers.run, now);
+	eq->longest_run_us = 0;
 	eq->begun_us = 0;
 	eq->ran_well = false;
 	return true;
@@ -106,7 +115,8 @@
 {
 	if (wk->proc.unresponsive || wk->proc.suspected)
 		return false;
-	return now - wk->proc.last_event_us < EQ_REPAIR_ALIVE_US ||
+	return run_since(&wk->table->run, wk->proc.last_event_run_us, now) <
+		       EQ_REPAIR_ALIVE_US ||
 	       now - wk->proc.reported_us < EQ_REPAIR_ALIVE_US;
 }
 
@@ -189,7 +199,8 @@
 
 /*
  * Handles a repair that the first worker refused or did not answer: tries again
- * without the worker at fault, or restarts the stream.
+ * without the worker at fault, or restarts the stream, at the latest once that
+ * is possible.
  */
 static void eq_repair_refused(struct eq *eq, const char *address, int64_t now)
 {
@@ -199,11 +210,13 @@
 		fault = eq_worker_at_address(eq, address);
 	if (fault) {
 		wk_on_refusal(fault, now);
-		if (eq_repair_start(eq, fault, now))
+		if (eq_repair_start(eq, fault, false, now))
 			return;
 		eq_avoid(eq, fault);
 	}
-	eq_restart(eq, "chain not repaired");
+	/* Otherwise the stream may still flow on its old chain. */
+	if (!eq_restart(eq, NULL, "chain not repaired", now))
+		eq->misrouted = true;
 }
 
 static void eq_repair_free(struct eq_repair *repair)
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -45,13 +45,12 @@
 /* Time until a probe has told a crash and all routers have judged it. */
 #define EQ_VERDICT_US (QUAR_SETTLE_US + 50 * MAG_US_PER_MS)
 
-static bool eq_doubts_path(const struct eq *eq);
+static bool eq_waits_for_budget(struct eq *eq, int64_t now);
 static enum eq_choice eq_choose_plain(struct eq *eq, int64_t now);
 static enum eq_choice eq_choose_suspect(struct eq *eq, int64_t now);
 static enum eq_choice eq_choose_plain_of(struct eq *eq, eq_usable_fn usable,
 					 int64_t now);
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk);
-static void eq_send(struct eq *eq, int64_t now);
 static bool eq_is_evidence(const struct eq *eq, const struct eq_hop *hop,
 			   int64_t now);
 static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
@@ -68,16 +67,15 @@
 
 	if (now < eq->resend_us || eq_refuse_quarantined(eq, now))
 		return;
-	if (eq->sends >= EQ_SENDS_MAX) {
+	if (!eq_may_send_again(eq)) {
 		eq_refuse(eq, 503, EQ_RETRY_LATER, "no worker accepted it");
 		return;
 	}
 	if (eq_doubts_path(eq) && eq_forward_start(eq, now))
 		return;
-	if (eq->service->has_engine)
-		choice = eq_choose_chain(eq, now);
-	else
-		choice = eq_choose_plain(eq, now);
+	if (eq_waits_for_budget(eq, now))
+		return;
+	choice = eq_choose(eq, now);
 	if (choice == EQ_NO_WORKER && eq_forward_start(eq, now))
 		return;
 	if (choice == EQ_NO_WORKER && !eq->service->has_engine)
@@ -89,12 +87,40 @@
 	eq_send(eq, now);
 }
 
+/*
+ * Tells whether a stream that has begun waits for the retry budget, which
+ * refills as requests come.  Ends it if that has taken too long.
+ */
+static bool eq_waits_for_budget(struct eq *eq, int64_t now)
+{
+	if (eq->state != EQ_STREAMING || eq->sends == 0 ||
+	    bud_may_retry(edge_budget(eq->edge, eq->service->name, now), now))
+		return false;
+	if (now - eq->progress_us > EQ_RESUME_WAIT_US)
+		eq_fail(eq, 502, "retry budget spent");
+	return true;
+}
+
+/* Tells whether the limit on sends of one request leaves another one. */
+bool eq_may_send_again(const struct eq *eq)
+{
+	return eq->sends < EQ_SENDS_MAX;
+}
+
+/* Chooses the worker or the chain of a request and reserves room there. */
+enum eq_choice eq_choose(struct eq *eq, int64_t now)
+{
+	if (eq->service->has_engine)
+		return eq_choose_chain(eq, now);
+	return eq_choose_plain(eq, now);
+}
+
 /*
  * Tells whether a peer rather serves a request than this router: its path to
  * the workers is lost, or nothing has come from any worker since this request's
  * last attempt was sent.
  */
-static bool eq_doubts_path(const struct eq *eq)
+bool eq_doubts_path(const struct eq *eq)
 {
 	const struct wk_table *workers = &eq->edge->workers;
 
@@ -105,10 +131,16 @@
 /* Releases slots and memory of the last attempt and abandons its repair. */
 void eq_release(struct eq *eq)
 {
-	int i;
-
 	eq_repair_cancel(eq);
 	eq->repairs = 0;
+	eq_release_hops(eq);
+}
+
+/* Releases slots and memory at a request's workers. */
+void eq_release_hops(struct eq *eq)
+{
+	int i;
+
 	for (i = 0; i < eq->hop_count; i++) {
 		eq->hops[i].worker->held -= eq->hops[i].held;
 		if (i == 0)
@@ -353,7 +385,8 @@
 	return cost;
 }
 
-static void eq_send(struct eq *eq, int64_t now)
+/* Sends a request to its chosen workers. */
+void eq_send(struct eq *eq, int64_t now)
 {
 	struct wk *wk = eq->hops[0].worker;
 	struct bud *bud = edge_budget(eq->edge, eq->service->name, now);
@@ -423,6 +456,9 @@
 	eq->sent_us = now;
 	eq->progress_us = eq->state == EQ_STREAMING ? eq->progress_us : now;
 	eq->probed_us = now;
+	eq->heard_run_us = run_at(&eq->edge->workers.run, now);
+	eq->longest_run_us = 0;
+	eq->misrouted = false;
 	eq->begun_us = 0;
 	eq->ran_well = false;
 	eq->answered = false;
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -1,9 +1,8 @@
 #include <string.h>
 
 #include "ask.h"
-#include "clk.h"
 #include "eq.h"
-#include "jlog.h"
+#include "stall.h"
 #include "wkp.h"
 
 /*
@@ -15,13 +14,15 @@
  * restart the stream.
  */
 #define EQ_SILENCE_FRACTION 0.4
-/* The same limit for a route that does not specify the allowed gap. */
-#define EQ_SILENCE_DEFAULT_US (100 * MAG_US_PER_MS)
+/* The allowed gap of a route that does not specify one. */
+#define EQ_GAP_DEFAULT_US (250 * MAG_US_PER_MS)
 /*
- * A worker that does not answer probes, or that a peer found dead, counts as
- * lost: streams that it has not passed on for this long are moved.
+ * A stream that is said to wait for a worker has done so for this long, on a
+ * route without an allowed gap.
  */
-#define EQ_SUSPECT_SILENCE_US (60 * MAG_US_PER_MS)
+#define EQ_REPORTED_SILENCE_US (100 * MAG_US_PER_MS)
+/* A plain request that waits this long at a worker that is lost is moved. */
+#define EQ_PLAIN_LOST_US (60 * MAG_US_PER_MS)
 /*
  * Silence limit for the first event, and for the first one after a move, which
  * normally arrives after 100 ms.
@@ -32,8 +33,6 @@
  * streams: its first worker is probed, because it knows the cause.
  */
 #define EQ_LONG_SILENCE_US (350 * MAG_US_PER_MS)
-/* Retries that are left in the budget for requests that cannot be repaired. */
-#define EQ_RETRIES_RESERVED 12
 /*
  * On slow engines a stream counts as silent after this many of its own event
  * intervals.
@@ -45,19 +44,21 @@
  */
 #define EQ_PLAIN_SILENCE_US (300 * MAG_US_PER_MS)
 
+static bool eq_retry_move(struct eq *eq, int64_t now);
 static bool eq_waits_for_plain(const struct eq *eq, int64_t now);
 static bool eq_is_stuck_at_plain(const struct eq *eq, int64_t now);
 static bool eq_runs_on_chain(const struct eq *eq);
 static bool eq_is_stalled_at(const struct eq *eq, const struct wk *wk,
 			     int64_t now);
+static struct stall_stream eq_view(const struct eq *eq, int64_t now);
+static int64_t eq_allowed_gap(const struct eq *eq);
+static int64_t eq_worker_silence(const struct wk *wk, int64_t now);
 static bool eq_is_silent_in_backoff(const struct eq *eq, const struct wk *wk,
 				    int64_t now);
 static struct wk *eq_find_lost_worker(const struct eq *eq, int64_t now);
 static void eq_probe(struct eq *eq, int64_t now);
 static int64_t eq_silence_limit(const struct eq *eq);
 static int64_t eq_silence(const struct eq *eq, int64_t now);
-static void eq_move(struct eq *eq, struct wk *fault, const char *why);
-static bool eq_may_restart(struct eq *eq, int64_t now);
 static struct eq *eq_by_id(struct edge *edge, const char *attempt_id);
 
 /*
@@ -71,33 +72,46 @@
 	struct wk *lost;
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (eq_is_stuck_at_plain(eq, now)) {
-			eq_restart(eq, "no sign of the worker");
+		if (eq_is_stuck_at_plain(eq, now) &&
+		    eq_move(eq, eq->hops[0].worker, "no sign of the worker",
+			    now))
 			continue;
-		}
 		if (eq_waits_for_plain(eq, now))
 			wkp_probe(edge, eq->hops[0].worker, now);
 		if (!eq_runs_on_chain(eq))
 			continue;
 		lost = eq_find_lost_worker(eq, now);
-		if (lost) {
-			eq_move(eq, lost, "on a suspected worker");
+		if (lost && eq_move(eq, lost, "on a suspected worker", now))
+			continue;
+		if (eq->misrouted && now >= eq->next_move_us &&
+		    eq_retry_move(eq, now))
 			continue;
-		}
 		if (now - eq->probed_us >= ASK_INTERVAL_US)
 			eq_probe(eq, now);
 	}
 }
 
+/*
+ * Moves a stream whose repair failed.  Returns false if it stays, to be moved
+ * later.
+ */
+static bool eq_retry_move(struct eq *eq, int64_t now)
+{
+	eq->next_move_us = now + ASK_INTERVAL_US;
+	return eq_restart(eq, NULL, "chain not repaired", now);
+}
+
 /* Notes that an event has come through all workers of the chain. */
 void eq_on_progress(struct eq *eq, int64_t now)
 {
+	int64_t run_us = run_at(&eq->edge->workers.run, now);
 	int i;
 
 	if (eq->hop_count > 0)
 		eq->edge->workers.heard_us = now;
 	for (i = 0; i < eq->hop_count; i++) {
 		eq->hops[i].worker->proc.last_event_us = now;
+		eq->hops[i].worker->proc.last_event_run_us = run_us;
 		eq->hops[i].worker->proc.probes_since_event = 0;
 	}
 }
@@ -128,7 +142,7 @@
 	    eq->answered)
 		return false;
 	wk = eq->hops[0].worker;
-	return now - eq->sent_us >= EQ_PLAIN_SILENCE_US &&
+	return eq_silence(eq, now) >= EQ_PLAIN_SILENCE_US &&
 	       now - wk->proc.answered_us >= EQ_PLAIN_SILENCE_US;
 }
 
@@ -140,7 +154,7 @@
 {
 	if (!eq->call || eq->hop_count == 0 || eq->answered ||
 	    eq->route->kind != RT_IDEMPOTENT ||
-	    now - eq->sent_us < EQ_SUSPECT_SILENCE_US)
+	    eq_silence(eq, now) < EQ_PLAIN_LOST_US)
 		return false;
 	return reach_is_lost(&eq->edge->workers.reach) ||
 	       (eq->hops[0].worker->proc.suspected &&
@@ -154,12 +168,38 @@
 	       eq->service->has_engine;
 }
 
-/* Tells whether a stream is silent and no other stream passes the worker. */
+/* Tells whether a worker that seems lost holds up a stream. */
 static bool eq_is_stalled_at(const struct eq *eq, const struct wk *wk,
 			     int64_t now)
 {
-	return eq_silence(eq, now) >= EQ_SUSPECT_SILENCE_US &&
-	       now - wk->proc.last_event_us >= EQ_SUSPECT_SILENCE_US;
+	struct stall_stream stream = eq_view(eq, now);
+	struct stall_worker worker = { eq_worker_silence(wk, now),
+				       wk_is_dead(wk, now) };
+
+	return stall_is_lost(&stream, &worker);
+}
+
+static struct stall_stream eq_view(const struct eq *eq, int64_t now)
+{
+	return (struct stall_stream){
+		.silent_us = eq_silence(eq, now),
+		.flows = eq->begun_us != 0,
+		.limit_us = eq_silence_limit(eq),
+		.longest_us = eq->longest_run_us,
+		.allowed_us = eq_allowed_gap(eq),
+	};
+}
+
+static int64_t eq_allowed_gap(const struct eq *eq)
+{
+	return eq->route->max_gap_us > 0 ? eq->route->max_gap_us
+					 : EQ_GAP_DEFAULT_US;
+}
+
+/* Returns how long this router has run without an event through a worker. */
+static int64_t eq_worker_silence(const struct wk *wk, int64_t now)
+{
+	return run_since(&wk->table->run, wk->proc.last_event_run_us, now);
 }
 
 /*
@@ -171,7 +211,7 @@
 {
 	return adv_backs_off(&wk->proc.adv, now) &&
 	       eq_silence(eq, now) >= EQ_LONG_SILENCE_US &&
-	       now - wk->proc.last_event_us >= EQ_LONG_SILENCE_US;
+	       eq_worker_silence(wk, now) >= EQ_LONG_SILENCE_US;
 }
 
 /* Probes those workers of a stream that may be dead, stuck or slow. */
@@ -187,7 +227,7 @@
 
 	for (i = 0; i < eq->hop_count; i++) {
 		wk = eq->hops[i].worker;
-		worker = (struct ask_worker){ wk->proc.last_event_us,
+		worker = (struct ask_worker){ now - eq_worker_silence(wk, now),
 					      wk->probed_us,
 					      wk->proc.slowdown_us,
 					      wk->proc.probes_since_event };
@@ -208,11 +248,9 @@
 /* Returns the silence after which the workers of a stream are probed. */
 static int64_t eq_silence_limit(const struct eq *eq)
 {
-	int64_t silence_us = EQ_SILENCE_DEFAULT_US;
+	int64_t silence_us =
+		(int64_t)((double)eq_allowed_gap(eq) * EQ_SILENCE_FRACTION);
 
-	if (eq->route->max_gap_us > 0)
-		silence_us = (int64_t)((double)eq->route->max_gap_us *
-				       EQ_SILENCE_FRACTION);
 	if (eq->state != EQ_STREAMING || !eq->answered ||
 	    eq->repaired_us > eq->progress_us)
 		return EQ_FIRST_EVENT_SILENCE_US;
@@ -229,6 +267,7 @@
 		  const struct wire_report *report, int64_t now)
 {
 	const struct wire_stalled *stalled;
+	struct stall_stream stream;
 	struct wk *fault;
 	struct eq *eq;
 	int i;
@@ -242,9 +281,12 @@
 			wk_suspect(fault, now, "streams wait for it");
 		eq = eq_by_id(edge, stalled->attempt_id);
 		if (!eq || !eq_runs_on_chain(eq) || !eq_find_hop(eq, fault) ||
-		    eq_silence(eq, now) < EQ_SILENCE_DEFAULT_US)
+		    eq_silence(eq, now) < EQ_REPORTED_SILENCE_US)
 			continue;
-		eq_move(eq, fault, "stalled at a worker");
+		stream = eq_view(eq, now);
+		if (stream.silent_us >=
+		    stall_limit(&stream, wk_is_dead(fault, now)))
+			eq_move(eq, fault, "stalled at a worker", now);
 	}
 	cds_list_for_each_entry (fault, &edge->workers.workers, node) {
 		if (fault->proc.suspected && report->stalled_count > 0)
@@ -262,64 +304,17 @@
 		if (!eq_runs_on_chain(eq) || !eq_find_hop(eq, wk) ||
 		    !eq_is_stalled_at(eq, wk, now))
 			continue;
-		eq_move(eq, wk, "on a suspected worker");
+		eq_move(eq, wk, "on a suspected worker", now);
 	}
 }
 
-static int64_t eq_silence(const struct eq *eq, int64_t now)
-{
-	int64_t since = eq->progress_us;
-
-	if (eq->sent_us > since)
-		since = eq->sent_us;
-	if (eq->repaired_us > since)
-		since = eq->repaired_us;
-	return now - since;
-}
-
 /*
- * Moves a stream off a faulty worker: restarts it on another chain, or repairs
- * its chain.
+ * Returns how long this router has run since a request was sent or repaired, or
+ * had an event.
  */
-static void eq_move(struct eq *eq, struct wk *fault, const char *why)
-{
-	int64_t now = clk_boot_us();
-
-	met_increment(&eq->edge->met, MET_STALLS);
-	eq_add_crash_candidate(eq, fault, now);
-	eq_avoid(eq, fault);
-	if (!eq_may_restart(eq, now) && eq_repair_start(eq, fault, now))
-		return;
-	eq_restart(eq, why);
-}
-
-/*
- * Tells whether a stream may restart on another chain and leave enough retries
- * in the budget for others.  In a repaired chain the stream would wait for the
- * remaining workers and for the replacement, which all streams under repair
- * wait for.
- */
-static bool eq_may_restart(struct eq *eq, int64_t now)
-{
-	struct bud *bud = edge_budget(eq->edge, eq->service->name, now);
-
-	return eq->runs + 1 < eq->route->max_attempts &&
-	       bud_left(bud, now) > EQ_RETRIES_RESERVED;
-}
-
-/*
- * Cancels a stream's attempt; another chain continues after the last event.
- * The run counts against the route's limit on runs even if its first worker
- * seems dead: silence does not prove death, and a stream whose worker was only
- * slow to answer would otherwise run on three.
- */
-void eq_restart(struct eq *eq, const char *why)
+static int64_t eq_silence(const struct eq *eq, int64_t now)
 {
-	hc_cancel(eq->call);
-	eq->call = NULL;
-	eq->may_have_run = true;
-	eq->runs++;
-	eq_retry_or_fail(eq, why);
+	return run_since(&eq->edge->workers.run, eq->heard_run_us, now);
 }
 
 static struct eq *eq_by_id(struct edge *edge, const char *attempt_id)
--- a/src/eq_trait.c
+++ b/src/eq_trait.c
@@ -6,6 +6,8 @@
 #include "hint.h"
 #include "htab.h"
 
+static enum quar_state eq_check_run(const struct eq *eq, bool begun,
+				    int64_t now);
 static uint64_t eq_content_hash(const struct eq *eq);
 static const struct quar_trait *eq_only_quarantined(const struct eq *eq,
 						    int64_t now);
@@ -56,6 +58,18 @@
 
 /* Tells whether a request may have crashed workers, by what is known of it. */
 enum quar_state eq_check_quarantine(const struct eq *eq, int64_t now)
+{
+	return eq_check_run(eq, eq->call && eq->begun_us, now);
+}
+
+/* Tells whether a request that was sent once must not be sent again. */
+bool eq_is_barred_again(const struct eq *eq, int64_t now)
+{
+	return eq_check_run(eq, false, now) == QUAR_QUARANTINED;
+}
+
+static enum quar_state eq_check_run(const struct eq *eq, bool begun,
+				    int64_t now)
 {
 	enum quar_state worst =
 		quar_check(eq->edge->quar, eq->fingerprint, now);
@@ -66,7 +80,7 @@
 		/* A run that has begun shows whether the trait is harmful. */
 		state = quar_trait_check(eq->edge->traits, &eq->traits.list[i],
 					 now);
-		if (state == QUAR_QUARANTINED && eq->call && eq->begun_us)
+		if (state == QUAR_QUARANTINED && begun)
 			continue;
 		if (state > worst)
 			worst = state;
--- a/src/hc.c
+++ b/src/hc.c
@@ -260,6 +260,13 @@
 	return host->open;
 }
 
+/* Tells whether a call can be started now. */
+bool hc_host_has_room(const struct hc_host *host)
+{
+	return host->open < host->max_connections ||
+	       host->idle.next != &host->idle;
+}
+
 /* Closes the idle connections of a host. */
 void hc_host_drop_idle(struct hc_host *host)
 {
--- a/src/wk.h
+++ b/src/wk.h
@@ -18,6 +18,7 @@
 #include "adv.h"
 #include "quar_trait.h"
 #include "reach.h"
+#include "run.h"
 #include "wire.h"
 
 #define WK_GONE_MAX 256
@@ -82,8 +83,10 @@
 	 * that were assigned to it.
 	 */
 	int64_t prefill_until_us;
-	int64_t last_event_us;	/* when an event of ours last came through it */
-	bool unresponsive;	/* the probe in flight is overdue */
+	int64_t last_event_us; /* when an event of ours last came through it */
+	int64_t last_event_run_us; /* the same by the clock run.h */
+	bool unresponsive;	   /* the probe in flight is overdue */
+	bool unreached; /* it refused or reset a connection since it answered */
 	int probes_since_event; /* probes since last_event_us */
 
 	struct adv adv; /* what it advertises */
@@ -128,9 +131,10 @@
 	 * summed.
 	 */
 	double recent_held;
-	double peer_held;  /* memory of other instances' requests */
-	bool probing;	   /* a probe is in flight */
-	int64_t probed_us; /* when it was last probed */
+	double peer_held;      /* memory of other instances' requests */
+	bool probing;	       /* a probe is in flight */
+	int64_t probed_us;     /* when it was last probed */
+	int64_t probed_run_us; /* the same by the clock run.h */
 
 	int64_t next_announce_us; /* of our own suspicion, while it lasts */
 	int announce_rounds;	  /* messages that still announce a suspicion */
@@ -195,6 +199,8 @@
 	struct hc *hc;
 	struct reach reach;
 	int64_t heard_us; /* when any worker last sent us anything */
+	struct run run;	  /* time in which this router ran */
+	int64_t probe_answered_run_us; /* on run: when any probe last was */
 	int count;
 	int64_t last_added_us; /* when a new worker was last added */
 	int max_connections;   /* to one worker */
@@ -235,6 +241,8 @@
 struct wk *wk_by_address(const struct wk_table *table, const char *address);
 
 bool wk_alive(const struct wk *wk, int64_t now);
+bool wk_is_dead(const struct wk *wk, int64_t now);
+int64_t wk_probe_age(const struct wk *wk, int64_t now);
 bool wk_usable(const struct wk *wk, int64_t now);
 bool wk_usable_by_own(const struct wk *wk, int64_t now);
 void wk_count_barred(const struct wk *wk, struct wk_barred *barred,
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -45,7 +45,8 @@
 #define WK_DISTRUST_DOUBLINGS 3
 /*
  * A healthy worker answers a probe within 5 ms, or 8 ms from another data
- * centre.  A worker whose probe is overdue gets no new work.  Otherwise, while
+ * centre.  A worker whose probe is overdue, by the clock run.h, gets no new
+ * work.  Otherwise, while
  * a data centre is being cut off, streams that leave one of its workers would
  * be sent to the next one there and use up the attempts that their route
  * allows.
@@ -84,7 +85,23 @@
 
 static bool wk_is_probe_overdue(const struct wk *wk, int64_t now)
 {
-	return wk->probing && now - wk->probed_us > WK_PROBE_OVERDUE_US;
+	return wk->probing && wk_probe_age(wk, now) > WK_PROBE_OVERDUE_US;
+}
+
+/* Returns how long this router has run since it last probed a worker. */
+int64_t wk_probe_age(const struct wk *wk, int64_t now)
+{
+	return run_since(&wk->table->run, wk->probed_run_us, now);
+}
+
+/*
+ * Tells whether a worker is known to be dead, rather than silent: it refused or
+ * reset a connection, its entry is gone, or another process has its address.
+ */
+bool wk_is_dead(const struct wk *wk, int64_t now)
+{
+	return wk->proc.unreached || wk->replaced ||
+	       (!wk->listed && now >= wk->gone_us);
 }
 
 /* Adds the reasons why a worker gets no new work. */
@@ -309,6 +326,7 @@
 void wk_clear_suspicion(struct wk *wk, int64_t now)
 {
 	wk->proc.answered_us = now;
+	wk->proc.unreached = false;
 	wk->dead_process = 0;
 	if (!wk->proc.suspected)
 		return;
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -7,6 +7,7 @@
 #include "jlog.h"
 #include "pl_header.h"
 #include "pl_worker.h"
+#include "stall.h"
 #include "wkp.h"
 
 /*
@@ -15,14 +16,6 @@
  */
 #define WKP_PROBE_TIMEOUT_US  (350 * MAG_US_PER_MS)
 #define WKP_PROBE_INTERVAL_US (100 * MAG_US_PER_MS)
-/*
- * A healthy worker answers within a few milliseconds, also from another data
- * centre.  One that has been unresponsive for longer holds up streams that are
- * already silent; they are moved before the gap makes their events late.  If
- * only a packet was lost, the repair was unnecessary and the worker is cleared.
- */
-#define WKP_UNRESPONSIVE_US (20 * MAG_US_PER_MS)
-
 /* Reports describe a state of some hundred milliseconds ago. */
 #define WKP_REPORT_LAG_US (500 * MAG_US_PER_MS)
 /*
@@ -50,6 +43,8 @@
 			   bool new_connection, int64_t now);
 static void wkp_judge(struct edge *edge, int64_t now);
 static void wkp_probe_path(struct edge *edge, int64_t now);
+static struct stall_probe wkp_view_probe(const struct wk *wk, int64_t now);
+static int wkp_count_late_probes(const struct edge *edge, int64_t now);
 static void wkp_mark_unresponsive(struct wk *wk, int64_t now);
 static void wkp_on_probe_failure(struct edge *edge, struct wk *wk,
 				 enum hc_result end, int64_t now);
@@ -135,6 +130,7 @@
 	wk_attend(wk);
 	wk->proc.unresponsive = false;
 	wk->probed_us = now;
+	wk->probed_run_us = run_at(&edge->workers.run, now);
 }
 
 /*
@@ -144,14 +140,18 @@
  */
 void wkp_tick(struct edge *edge, int64_t now)
 {
+	struct stall_probe probe;
 	struct wk *wk;
+	int late;
 
 	wkp_judge(edge, now);
 	wkp_probe_path(edge, now);
+	late = wkp_count_late_probes(edge, now);
 	cds_list_for_each_entry (wk, &edge->workers.attended, attended) {
+		probe = wkp_view_probe(wk, now);
+		probe.open = late;
 		if (wk->probing && !wk->proc.unresponsive &&
-		    now - wk->probed_us >= WKP_UNRESPONSIVE_US &&
-		    now - edge->last_late_tick_us >= WKP_UNRESPONSIVE_US)
+		    stall_is_overdue(&probe))
 			wkp_mark_unresponsive(wk, now);
 		if (wk->proc.slowdown > WKP_SLOW_FACTOR && wk_alive(wk, now) &&
 		    now - wk->proc.slowdown_us >= WKP_SLOW_PROBE_US &&
@@ -206,6 +206,30 @@
 		wkp_send_probe(edge, wk, true, now);
 }
 
+/* Describes the probe that a worker last got, but not the others. */
+static struct stall_probe wkp_view_probe(const struct wk *wk, int64_t now)
+{
+	return (struct stall_probe){
+		.asked_us = wk_probe_age(wk, now),
+		.answered =
+			wk->table->probe_answered_run_us >= wk->probed_run_us,
+	};
+}
+
+/* Returns how many workers leave a probe open for longer than sound ones. */
+static int wkp_count_late_probes(const struct edge *edge, int64_t now)
+{
+	struct stall_probe probe;
+	struct wk *wk;
+	int late = 0;
+
+	cds_list_for_each_entry (wk, &edge->workers.attended, attended) {
+		probe = wkp_view_probe(wk, now);
+		late += wk->probing && stall_is_late(&probe);
+	}
+	return late;
+}
+
 /* Marks a worker whose probe is overdue; eq moves its streams. */
 static void wkp_mark_unresponsive(struct wk *wk, int64_t now)
 {
@@ -218,9 +242,12 @@
 static bool wkp_on_headers(void *user, const struct hc_response *response)
 {
 	struct wkp_call *call = user;
+	struct wk_table *workers = &call->edge->workers;
 	struct wire_advert advert;
 
-	call->edge->workers.heard_us = clk_boot_us();
+	workers->heard_us = clk_boot_us();
+	workers->probe_answered_run_us =
+		run_at(&workers->run, workers->heard_us);
 	pl_advert_decode(response->status, response->headers, &advert);
 	wkp_apply_advert(call->edge, call->wk, &advert, WK_ANSWER_PROBE,
 			 call->wk->probed_us);
@@ -246,6 +273,7 @@
 	wk_unref(wk);
 	if (end == HC_COMPLETE) {
 		wk->proc.unresponsive = false;
+		wk->proc.unreached = false;
 		wk_forget_broken(wk, wk->probed_us);
 	}
 	if (end == HC_COMPLETE && call->engine) {
@@ -274,6 +302,8 @@
 				 enum hc_result end, int64_t now)
 {
 	wk->proc.suspect_until_us = 0;
+	if (end == HC_UNSENT || end == HC_CONN_LOST)
+		wk->proc.unreached = true;
 	wk_on_unreached(wk);
 	wk_suspect(wk, now, "no answer to a probe");
 	eq_on_suspect(edge, wk, now);
