--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -183,7 +183,7 @@
 
 	if (choice != EQ_NO_WORKER)
 		service->short_us = now;
-	if (eq->sends < EQ_SENDS_MAX &&
+	if (eq_may_send_again(eq) &&
 	    wq_may_wait(&service->wq, &eq->wait, now)) {
 		eq_join_queue(eq, now);
 		return true;
@@ -216,7 +216,7 @@
 		eq_refuse(eq, 503, EQ_RETRY_BACKOFF, "workers back off");
 		return false;
 	}
-	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX) {
+	if (now < eq->wait_until_us && eq_may_send_again(eq)) {
 		if (choice != EQ_NO_WORKER && eq_is_ranked(eq))
 			return eq_wait_in_queue(eq, choice, now);
 		eq_leave_queue(eq, now);
@@ -256,6 +256,20 @@
 	return service->short_us && now - service->short_us < EQ_SHORT_US;
 }
 
+/*
+ * Tells whether a stream that has begun waits for the retry budget, which
+ * refills as requests come.  Ends it if that has taken too long.
+ */
+bool eq_waits_for_budget(struct eq *eq, int64_t now)
+{
+	if (eq->state != EQ_STREAMING || eq->sends == 0 ||
+	    bud_may_retry(edge_budget(eq->edge, eq->service->name, now), now))
+		return false;
+	if (now - eq->progress_us > EQ_RESUME_WAIT_US)
+		eq_fail(eq, 502, "retry budget spent");
+	return true;
+}
+
 /* Logs why no worker of a service is usable, from time to time. */
 static void eq_log_no_worker(const struct eq *eq, int64_t now)
 {
