--- a/regress/check_stall.c
+++ b/regress/check_stall.c
@@ -14,6 +14,8 @@
 /* The first event after a move comes within this time of it. */
 #define MOVE_MS 100
 #define WAIT_MS 1000
+/* Sound workers may let a stream wait for as much longer. */
+#define GAP_MS 100
 
 /*
  * Simulates a router with one stream through some workers, in steps of a
@@ -177,6 +179,15 @@
 		pass(1, true);
 }
 
+/* Pauses and runs so many times. */
+static void take_turns(int count, long off_ms, long on_ms)
+{
+	while (count-- > 0) {
+		pass(off_ms, false);
+		pass(on_ms, true);
+	}
+}
+
 static void report(FILE *out)
 {
 	fprintf(out, "called unresponsive: %d, stream ", unresponsive);
@@ -208,18 +219,18 @@
 			   &answer_ms) == 3 ||
 		    sscanf(line, "gap %ld", &gap_ms) == 1)
 			continue;
-		if (strncmp(line, "probe", 5) == 0) {
-			run_until_probe();
-		} else if (sscanf(line, "run %ld", &ms) == 1) {
+		if (sscanf(line, "run %ld", &ms) == 1) {
 			pass(ms, true);
-		} else if (sscanf(line, "pause %ld", &ms) == 1) {
-			pass(ms, false);
 		} else if (sscanf(line, "turns %d %ld %ld", &n, &off_ms, &ms) ==
 			   3) {
-			while (n-- > 0) {
-				pass(off_ms, false);
-				pass(ms, true);
-			}
+			take_turns(n, off_ms, ms);
+		} else if (sscanf(line, "asked %d %ld %ld", &n, &off_ms, &ms) ==
+			   3) {
+			gap_ms = GAP_MS;
+			run_until_probe();
+			take_turns(n, off_ms, ms);
+			pass(WAIT_MS, true);
+			report(out);
 		} else if (sscanf(line, "hang %d", &n) == 1) {
 			while (n-- > 0)
 				workers[n].hung = true;
