eq_forward: a forwarded request leaves its queue

A ranked request that waited in its service's queue stayed there when it was forwarded to a peer. The next attempt at the queue forwarded or placed it again, overwrote its call, and the answer to the first one reached a request that was freed. eq_begin_attempt() would cover all sends, but the queue is not its subject; a placed request already leaves the queue in eq_note_placed(). regress/edge/queued-then-cut-off before: the router crashes, 15 requests are forwarded while at a peer.

--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -66,6 +66,7 @@
 		eq->call = NULL;
 		return false;
 	}
+	eq_leave_queue(eq, now);
 	eq_begin_attempt(eq, now);
 	eq->forwards++;
 	met_increment(&edge->met, MET_FORWARDED);
