eq_urgency: only admitted requests count for the floor

Every refusal of a service with several urgencies counted as one for lack of capacity, also of callers with unknown keys and of requests that crash workers. Such callers put a route or an account below the floor, whose requests then leave nothing free and are queued with the most urgent ones. Counting them as asked too was ruled out: it would not mend the floor. Now a request counts from its arrival in the demand on, and as refused only with a Retry-After for load. regress/edge/refused-for-key before: 50 of 50 calls with an unknown key count as refused for lack of capacity; after: none.

--- a/src/eq.c
+++ b/src/eq.c
@@ -143,7 +143,8 @@
 		eq_fail(eq, 502, why);
 		return;
 	}
-	eq_count_outcome(eq, false);
+	if (retry == EQ_RETRY_LATER || retry == EQ_RETRY_BACKOFF)
+		eq_count_outcome(eq, false);
 	eq_write_retry_after(eq, retry, fields, sizeof(fields));
 	met_increment(&eq->edge->met, MET_REFUSED);
 	eq_log_end(eq, status, why);
--- a/src/eq.h
+++ b/src/eq.h
@@ -52,6 +52,7 @@
 	double reserve;
 	double slot_reserve;
 	struct wq_entry wait; /* in its service's queue while it waits there */
+	bool asked;	      /* counted as arrived at its service */
 	bool counted;	      /* in its service's floor */
 	struct pl_request request;
 	const char *bad_field; /* of the request; NULL: none */
--- a/src/eq_urgency.c
+++ b/src/eq_urgency.c
@@ -29,6 +29,7 @@
 
 	if (!eq_is_ranked(eq))
 		return;
+	eq->asked = true;
 	key = eq_met_key(eq);
 	met_urgent_asked(&eq->edge->met_urgent, &key);
 	eq_set_wait(eq, now);
@@ -105,8 +106,10 @@
 }
 
 /*
- * Counts once how a request ended or began, for the floor of its route and its
- * account.
+ * Counts once whether an admitted request was served or lacked capacity, for
+ * the floor of its route and its account.  Others are not counted: callers with
+ * unknown keys or requests that crash workers would put a route or an account
+ * below the floor.
  */
 void eq_count_outcome(struct eq *eq, bool served)
 {
@@ -114,7 +117,7 @@
 	int64_t now = clk_boot_us();
 	struct urg_floor *floor;
 
-	if (eq->counted || !eq_is_ranked(eq))
+	if (eq->counted || !eq->asked)
 		return;
 	eq->counted = true;
 	key = eq_met_key(eq);
