wq: starts after a refusal count in the rate of starts

The rate was measured only while requests waited, and kept for four seconds. A low one, as of a trough, refused all requests at once; then none waited, and the starts that told otherwise did not count. The most urgent requests were refused without a wait while 30 a second were started. Dropping a rate older than a second was ruled out: it lets requests wait for their grace period each second only to find out.

--- a/src/wq.c
+++ b/src/wq.c
@@ -16,6 +16,11 @@
  * run, so that starts and arrivals would not have been seen.
  */
 #define WQ_PAUSE_US (500 * MAG_US_PER_MS)
+/*
+ * After a refusal the room counts as taken until the next start, for at most
+ * this long: callers that do not return are no sign of a lack of it.
+ */
+#define WQ_UNMET_US (100 * MAG_US_PER_MS)
 /* Below this much time or this many starts the rate is unknown. */
 #define WQ_SEEN_MIN_US (100 * MAG_US_PER_MS)
 #define WQ_STARTS_MIN  2
@@ -59,6 +64,7 @@
 static int wq_count_ahead(const struct wq *wq, const struct wq_entry *entry);
 static struct wq_slice *wq_slice_at(struct wq *wq, int64_t at_us);
 static int64_t wq_seen_end(const struct wq *wq, int64_t now);
+static int64_t wq_taken_end(const struct wq *wq, bool waiting, int64_t now);
 static void wq_see(struct wq *wq, bool waiting, int64_t now);
 static bool wq_get_rates(const struct wq *wq, int64_t now,
 			 struct wq_rates *rates);
@@ -189,16 +195,19 @@
 
 /*
  * Counts the start of a request, queued or not.  Starts while no request waits
- * tell nothing about the capacity and do not count.  Call it next to the
- * request's wq_remove, in any order.
+ * tell nothing about the capacity and do not count, unless one was just
+ * refused: else a low estimate, by which all are refused, would never be
+ * corrected.  Call it next to the request's wq_remove, in any order.
  */
 void wq_started(struct wq *wq, int64_t now)
 {
 	bool waiting = wq->count > 0 || wq->emptied;
+	bool unmet = now < wq->unmet_until_us;
 
 	wq_see(wq, waiting, now);
-	if (waiting)
+	if (waiting || unmet)
 		wq_slice_at(wq, now)->starts++;
+	wq->unmet_until_us = 0;
 }
 
 /*
@@ -255,6 +264,7 @@
 
 	wq_see(wq, wq->count > 0, now);
 	wq_slice_at(wq, now)->refusals++;
+	wq->unmet_until_us = now + WQ_UNMET_US;
 	if (wq_get_rates(wq, now, &rates))
 		spare = wq_left(&rates, rates.offered, WQ_SLOT_MARGIN);
 	if (!(spare > 0))
@@ -333,22 +343,34 @@
 }
 
 /*
- * Notes an event.  The time since the last one is added to the slices if
- * requests waited in it.
+ * Returns until when the room was taken since the last event: while requests
+ * wait, or after a refusal.
+ */
+static int64_t wq_taken_end(const struct wq *wq, bool waiting, int64_t now)
+{
+	int64_t until = wq_seen_end(wq, now);
+
+	return waiting || until < wq->unmet_until_us ? until
+						     : wq->unmet_until_us;
+}
+
+/*
+ * Notes an event.  The time since the last one is added to the slices if the
+ * room was taken in it.
  */
 static void wq_see(struct wq *wq, bool waiting, int64_t now)
 {
 	int64_t from = wq->event_us;
-	int64_t until = wq_seen_end(wq, now);
+	int64_t until = wq_taken_end(wq, waiting, now);
 	int64_t end;
 
 	wq->emptied = false;
 	if (now < from)
 		return;
-	if (until < now)
+	if (wq_seen_end(wq, now) < now)
 		wq->running_since_us = now;
 	wq->event_us = now;
-	while (waiting && from < until) {
+	while (from < until) {
 		end = (from / WQ_SLICE_US + 1) * WQ_SLICE_US;
 		if (end > until)
 			end = until;
@@ -367,8 +389,8 @@
 {
 	int64_t number = now / WQ_SLICE_US;
 	int64_t begin = number - WQ_WINDOW_US / WQ_SLICE_US;
-	int64_t until = wq_seen_end(wq, now);
-	int64_t seen_us = wq->count ? until - wq->event_us : 0;
+	int64_t until = wq_taken_end(wq, wq->count > 0, now);
+	int64_t seen_us = until > wq->event_us ? until - wq->event_us : 0;
 	const struct wq_slice *slice;
 	double offered_rate;
 	int starts = 0;
--- a/src/wq.h
+++ b/src/wq.h
@@ -62,7 +62,8 @@
 	struct wq_slice slices[WQ_SLICES];
 	struct wq_arrival arrivals[WQ_ARRIVALS_MAX]; /* ring */
 	unsigned int arrival_count;		     /* since the start */
-	bool emptied;				     /* since the last event */
+	int64_t unmet_until_us;	  /* after a refusal; 0: none since the start */
+	bool emptied;		  /* since the last event */
 	int64_t event_us;	  /* last event; 0: none yet */
 	int64_t running_since_us; /* when the events began, or a pause ended */
 	int64_t next_slot_us;	  /* next free return slot */
