eq_wait: what a worker refused queues, what may have run does not

A repeated request was tried before those that waited, whatever its urgency, as only its first send was held back; and one that may have run joined the queue with the times of its arrival, which had mostly passed, so that it ended at once with 502. Leaving all repeated requests out of the queue was ruled out: a refused one has not begun and can wait as a new one does.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -53,12 +53,14 @@
 
 # put_config VERSION [KEYS]: publishes a configuration as the operator does.  With
 # PRIORITIES=1 there are two more accounts, one of high and one of low priority, and
-# routes differ in priority, too.
+# routes differ in priority, too; with PRIORITIES=swapped these two are swapped.
 put_config() {
 	keys=${2:-\"key-1\"}
 	more="" first="" last=""
-	if [ "${PRIORITIES:-0}" = 1 ]; then
-		more=',{"Name":"gold","Priority":0,"ApiKeys":["key-gold"]},{"Name":"greedy","Priority":6,"ApiKeys":["key-greedy"]}'
+	if [ "${PRIORITIES:-0}" != 0 ]; then
+		high=gold low=greedy
+		[ $PRIORITIES = swapped ] && high=greedy low=gold
+		more=',{"Name":"'$high'","Priority":0,"ApiKeys":["key-'$high'"]},{"Name":"'$low'","Priority":6,"ApiKeys":["key-'$low'"]}'
 		first='"Priority":1,'
 		last='"Priority":4,'
 	fi
@@ -350,3 +352,29 @@
 		END { print "sound ones: " (calls >= 20 && served >= 0.9 * calls ? "served" : served + 0 " of " calls + 0) }' "$dir/calls"
 	echo "workers crashed: $crashed, arrivals: $(grep -c . "$dir/arrivals")" >&2
 }
+
+# serve_by_priority COMMAND [SETTLE_S PER_CENT]: sends streams of the account gold, and
+# of greedy far more than fit, to $routers for 10 s; runs COMMAND 3 s after the first.
+# From 3 s (SETTLE_S) after that on, 95 (PER_CENT) of 100 of gold must be served, and
+# greedy at least a third as often as all.
+serve_by_priority() {
+	"$build/tool_calls" -k s -t key-gold gold 10 20 $routers >"$dir/calls.gold" &
+	gold=$!
+	"$build/tool_calls" -k s -t key-greedy warm 1 100 $routers >"$dir/calls.warm" &
+	warm=$!
+	sleep 1
+	"$build/tool_calls" -k s -t key-greedy greedy 9 250 $routers >"$dir/calls.greedy" &
+	greedy=$!
+	sleep 2
+	failed_us=$(awk '{ printf "%d", $1 * 1e6 }' /proc/uptime)
+	$1
+	wait $gold $warm $greedy
+	cat "$dir/calls.gold" "$dir/calls.greedy" | awk -v from=$((failed_us + ${2:-3} * 1000000)) -v least="${3:-95}" '
+		$8 >= from { sub(/-.*/, "", $2); calls[$2]++; served[$2] += $4 == 200 && $5 == "whole" && $6 == "ordered" }
+		END {
+			printf "gold %d of %d, greedy %d of %d\n", served["gold"], calls["gold"], served["greedy"], calls["greedy"] >"/dev/stderr"
+			if (served["gold"] * 100 >= calls["gold"] * least && calls["gold"]) print "high priority: served"
+			if (served["greedy"] * 3 * (calls["gold"] + calls["greedy"]) >= calls["greedy"] * (served["gold"] + served["greedy"])) print "low priority: not starved"
+		}'
+	verify 0
+}
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -123,13 +123,14 @@
 }
 
 /*
- * Tells whether a new request goes to the queue without a try, because others
- * that wait go first.
+ * Tells whether a request goes to the queue without a try, because others that
+ * wait go first; also one that a worker has refused.  One that may have run is
+ * tried: its refusal would cost the caller the answer.
  */
 bool eq_must_queue(const struct eq *eq, int64_t now)
 {
-	return eq_is_ranked(eq) && eq->state == EQ_WAITING && eq->sends == 0 &&
-	       !eq_is_queued(eq) &&
+	return eq_is_ranked(eq) && eq->state == EQ_WAITING &&
+	       !eq->may_have_run && !eq_is_queued(eq) &&
 	       wq_has_ahead(&eq_edge_service(eq, now)->wq, &eq->wait);
 }
 
@@ -217,7 +218,8 @@
 		return false;
 	}
 	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX) {
-		if (choice != EQ_NO_WORKER && eq_is_ranked(eq))
+		if (choice != EQ_NO_WORKER && eq_is_ranked(eq) &&
+		    !eq->may_have_run)
 			return eq_wait_in_queue(eq, choice, now);
 		eq_leave_queue(eq, now);
 		return false;
