wkp, eq: probes call back, and what several files need stands in leaves

Fifteen files called each other in a circle: eq's, hint's and wkp. wkp now knows a table of functions for what a probe finds and for this router's part of a limit; which workers a request avoids and what it needs are in eq_avoid and eq_room, which call nothing of eq. Eight files of eq are left in a circle, and three of hint in one of their own; before this work there were eleven in one. Nothing that is decided changes: all scripts of the modules, and limit-by-need, urgent-first, killed-worker and poison-request of regress/edge pass.

--- a/src/edge.h
+++ b/src/edge.h
@@ -33,6 +33,8 @@
 #include "wk.h"
 #include "wq.h"
 
+struct wkp_ops;
+
 /* What a router keeps of a service over changes of the configuration. */
 struct edge_service {
 	struct cds_list_head node;
@@ -78,6 +80,7 @@
 	struct pres *pres;
 	struct hint *hint;
 	struct wk_table workers;
+	const struct wkp_ops *probe_ops; /* of wkp */
 	struct quar *quar;
 	struct quar_traits *traits;
 	struct quar_keep *keep;
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -134,6 +134,8 @@
 {
 	static const struct hs_ops forwarded = { eq_on_forwarded,
 						 eq_on_caller_gone };
+	static const struct wkp_ops probe_ops = { eq_on_suspect, eq_on_report,
+						  hint_own_limit_part };
 	struct timeval every = { 0, EDGE_TICK_MS * 1000 };
 	struct event_config *config = event_config_new();
 	struct edge *edge = &run->edge;
@@ -153,6 +155,7 @@
 	attest_init(&edge->attest, (uint32_t)incarnation, edge_random(edge));
 	CDS_INIT_LIST_HEAD(&edge->requests);
 	edge->hc = edge->base ? hc_new(edge->base) : NULL;
+	wkp_set_ops(edge, &probe_ops);
 	edge->quar = quar_new(EDGE_QUARANTINE_MAX, EDGE_QUARANTINE_US);
 	edge->traits = quar_traits_new(EDGE_TRAITS_MAX, EDGE_TRAITS_US);
 	edge->keep = quar_keep_new(edge);
--- a/src/eq.c
+++ b/src/eq.c
@@ -83,6 +83,7 @@
 		return;
 	edge_service(edge, eq->service->name, now)->requests++;
 	eq_set_deadlines(eq);
+	eq_set_wait(eq, now);
 	eq_set_urgency(eq, now);
 	if (eq_refuses_while_stopping(eq, now)) {
 		eq_refuse(eq, 503, eq_retry_target(eq, now), "stopping");
--- a/src/eq.h
+++ b/src/eq.h
@@ -12,6 +12,7 @@
 #include "hc.h"
 #include "pl_header.h"
 #include "quar_trait.h"
+#include "room.h"
 
 #define EQ_AVOID_MAX 16
 /*
@@ -139,6 +140,14 @@
 	EQ_NO_WORKER,	/* no worker serves this request */
 };
 
+/* eq_room.c */
+struct room_request eq_room_request(const struct eq *eq);
+double eq_need(const struct eq *eq);
+
+/* eq_avoid.c */
+bool eq_avoids(const struct eq *eq, const struct wk *wk);
+void eq_avoid(struct eq *eq, const struct wk *wk);
+
 /* eq_urgency.c */
 struct met_urgent_key eq_met_key(const struct eq *eq);
 void eq_set_urgency(struct eq *eq, int64_t now);
@@ -170,8 +179,6 @@
 void eq_fill_send(struct eq *eq, struct hc_send *send);
 void eq_release(struct eq *eq);
 void eq_release_hops(struct eq *eq);
-bool eq_avoids(const struct eq *eq, const struct wk *wk);
-void eq_avoid(struct eq *eq, const struct wk *wk);
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now);
 void eq_add_left(struct eq *eq, int64_t now);
 void eq_clear_suspect(struct eq *eq, int64_t now);
@@ -186,7 +193,6 @@
 		   int64_t now);
 int64_t eq_backoff_end(struct eq *eq, int64_t now);
 void eq_coverage_tick(struct edge *edge, int64_t now);
-double eq_need(const struct eq *eq);
 void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
 const struct eq_hop *eq_find_hop(const struct eq *eq, const struct wk *wk);
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -53,7 +53,6 @@
 			    int64_t now);
 static void eq_known_load(const struct eq *eq, const struct wk *wk, int64_t now,
 			  struct chn_worker *w);
-static struct room_request eq_room_request(const struct eq *eq);
 static double eq_crossing_bytes(const struct eq *eq, int crossings);
 static double eq_prefill_us(const struct eq *eq,
 			    const struct rt_accelerator *accelerator);
@@ -212,17 +211,6 @@
 	return dst;
 }
 
-/* Returns what a request needs: memory in tokens x layers, or one slot. */
-double eq_need(const struct eq *eq)
-{
-	struct room_request request;
-
-	if (!eq->service->has_engine)
-		return 1;
-	request = eq_room_request(eq);
-	return room_mean_tokens(&request) * eq->service->engine.layers;
-}
-
 /*
  * Adds a hop to the request's chain: reserves a slot at the worker if it is the
  * first one and, if it runs layers, memory there.
@@ -546,19 +534,6 @@
 	return 1 + EQ_COST_VARIATION * (draw - 0.5);
 }
 
-static struct room_request eq_room_request(const struct eq *eq)
-{
-	const struct rt_engine *engine = &eq->service->engine;
-
-	return (struct room_request){
-		.prompt = eq->request.prompt_tokens,
-		.answer_hint = eq->request.answer_tokens_hint,
-		.answer_max = eq->request.answer_tokens_max,
-		.usual_prompt = engine->usual_prompt,
-		.usual_answer = engine->usual_answer,
-	};
-}
-
 /*
  * Returns the prefill time of the request's prompt through one layer.  A worker
  * processes the prompt in chunks, with one decode step of its running requests
--- a/src/eq_urgency.c
+++ b/src/eq_urgency.c
@@ -32,7 +32,6 @@
 	eq->asked = true;
 	key = eq_met_key(eq);
 	met_urgent_asked(&eq->edge->met_urgent, &key);
-	eq_set_wait(eq, now);
 	urg_arrived(&eq_edge_service(eq, now)->urg, eq->urgency, eq_need(eq));
 	eq->wait.late = now >= eq->target_deadline_us;
 	eq->wait.rank =
--- a/src/hint.c
+++ b/src/hint.c
@@ -553,8 +553,9 @@
 }
 
 /* Returns this router's part of the limit that a worker has advertised. */
-double hint_own_limit_part(struct hint *hint, const struct wk *wk, int64_t now)
+double hint_own_limit_part(struct edge *edge, const struct wk *wk, int64_t now)
 {
+	struct hint *hint = edge->hint;
 	int count;
 	const struct hint_router *routers =
 		hint_list_senders(hint, wk->entry.service, now, &count);
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -2,8 +2,6 @@
 #include <string.h>
 
 #include "clk.h"
-#include "eq.h"
-#include "hint.h"
 #include "jlog.h"
 #include "pl_header.h"
 #include "pl_worker.h"
@@ -61,6 +59,12 @@
 	.ended = wkp_on_end,
 };
 
+/* Sets what is done about the results of probes; to be called at the start. */
+void wkp_set_ops(struct edge *edge, const struct wkp_ops *ops)
+{
+	edge->probe_ops = ops;
+}
+
 /* Applies what an answer of a worker advertises, or does not advertise. */
 void wkp_apply_advert(struct edge *edge, struct wk *wk,
 		      const struct wire_advert *advert, enum wk_answer kind,
@@ -70,7 +74,8 @@
 
 	if (wk_apply_advert(wk, advert, kind, sent_us, now) != THR_UNCHANGED)
 		thr_set_fraction(&wk->proc.adv.thr,
-				 hint_own_limit_part(edge->hint, wk, now), now);
+				 edge->probe_ops->limit_part(edge, wk, now),
+				 now);
 }
 
 /*
@@ -306,7 +311,7 @@
 		wk->proc.unreached = true;
 	wk_on_unreached(wk);
 	wk_suspect(wk, now, "no answer to a probe");
-	eq_on_suspect(edge, wk, now);
+	edge->probe_ops->suspected(edge, wk, now);
 	/* Silence may be a freeze; a closed port means a dead process. */
 	if (end == HC_UNSENT || end == HC_CONN_LOST)
 		wkp_on_death(edge, wk, now);
@@ -416,5 +421,5 @@
 	    wk->layers.to == wk->proc.order.to)
 		wk->proc.ordered = false;
 	wk_clear_suspicion(wk, now);
-	eq_on_report(call->edge, wk, &report, now);
+	call->edge->probe_ops->reported(call->edge, wk, &report, now);
 }
