hint: a router that resumes first hears what others hold

The loads of peers expire while a router is stopped, so that all workers looked free when it went on: it placed the less urgent requests that had arrived meanwhile, beyond what fits, and those in front of it found no room for seconds. Keeping the old loads was ruled out, as they tell nothing after 1.2 s. Now only requests of the first rank are tried, until each peer of the data centre had its turn to send; the others queue for their grace period.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -366,7 +366,7 @@
 	"$build/tool_calls" -k s -t key-greedy greedy 9 250 $routers >"$dir/calls.greedy" &
 	greedy=$!
 	sleep 2
-	failed_us=$(awk '{ printf "%d", $1 * 1e6 }' /proc/uptime)
+	failed_us=$(awk '{ printf "%.0f", $1 * 1e6 }' /proc/uptime)
 	$1
 	wait $gold $warm $greedy
 	cat "$dir/calls.gold" "$dir/calls.greedy" | awk -v from=$((failed_us + ${2:-3} * 1000000)) -v least="${3:-95}" '
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -3,6 +3,7 @@
 
 #include "clk.h"
 #include "eq.h"
+#include "hint.h"
 #include "jlog.h"
 
 /* Requests that wait for a worker, and when refused callers may retry. */
@@ -125,12 +126,16 @@
 /*
  * Tells whether a request goes to the queue without a try, because others that
  * wait go first; also one that a worker has refused.  One that may have run is
- * tried: its refusal would cost the caller the answer.
+ * tried: its refusal would cost the caller the answer.  While this router does
+ * not know what others hold, only the most urgent ones are tried.
  */
 bool eq_must_queue(const struct eq *eq, int64_t now)
 {
-	return eq_is_ranked(eq) && eq->state == EQ_WAITING &&
-	       !eq->may_have_run && !eq_is_queued(eq) &&
+	if (!eq_is_ranked(eq) || eq->state != EQ_WAITING || eq->may_have_run)
+		return false;
+	if (eq->wait.rank > 0 && hint_is_behind(eq->edge->hint, now))
+		return true;
+	return !eq_is_queued(eq) &&
 	       wq_has_ahead(&eq_edge_service(eq, now)->wq, &eq->wait);
 }
 
--- a/src/hint_urgent_peers.c
+++ b/src/hint_urgent_peers.c
@@ -46,11 +46,25 @@
 		hint_urgent_sum(hint, now);
 }
 
+/*
+ * Tells whether this router did not run for so long that the loads of its peers
+ * have expired, and has not yet heard of them again.  The workers look free to
+ * it meanwhile.
+ */
+bool hint_is_behind(const struct hint *hint, int64_t now)
+{
+	return now < hint->behind_until_us ||
+	       (hint->ticked_us &&
+		now - hint->ticked_us > hint_expiry_us(hint));
+}
+
 /* Updates the own demand in each tick, also between rounds. */
 void hint_urgent_tick(struct hint *hint, int64_t now)
 {
 	struct edge_service *service;
 
+	if (hint_is_behind(hint, now) && now >= hint->behind_until_us)
+		hint->behind_until_us = now + hint_round_us(hint);
 	/* Between two ticks the event loop reads the socket until it is empty.
 	 */
 	hint->urgent_unread =
