eq_chain: peers that are not heard of count for less urgent requests

A router that gets no messages of a listed peer took its load for nothing, and filled the workers with less urgent requests up to its own limit; the peer, which heard of it, found no room for its most urgent ones. The demand of such peers is already counted with the mean of the others, their load was not. Counting it for all requests was ruled out: the first rank and services with one urgency keep their paths.

--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -76,6 +76,9 @@
 static struct hs *servers[VIEWS_MAX + 1];
 static enum fault fault;
 static int port_shift; /* of workers, in the view that is being answered */
+/* A router whose messages port a view states wrongly, and that view's shift. */
+static char lost_router[MAG_NAME_MAX];
+static int lost_shift;
 
 /* Contents of a backup; history continues from its revision. */
 struct backup {
@@ -185,6 +188,53 @@
 	return strdup(base64);
 }
 
+/* Tells whether an entry is of the router that the present view loses. */
+static bool is_lost(const char *key)
+{
+	const char *name = strrchr(key, '/');
+
+	return lost_router[0] && port_shift == lost_shift && name &&
+	       strncmp(key, "mag/instance/", 13) == 0 &&
+	       strcmp(name + 1, lost_router) == 0;
+}
+
+/* Returns a router's entry with a port to which nothing is bound. */
+static char *lose_port(const char *value)
+{
+	char bytes[256] = "";
+	char base64[512];
+	const char *rest;
+
+	(void)sodium_base642bin((unsigned char *)bytes, sizeof(bytes) - 1,
+				value, strlen(value), NULL, NULL, NULL,
+				sodium_base64_VARIANT_ORIGINAL);
+	rest = strchr(bytes, ' ');
+	snprintf(bytes, sizeof(bytes), "127.0.0.1:1%s",
+		 rest ? strdupa(rest) : "");
+	sodium_bin2base64(base64, sizeof(base64), (unsigned char *)bytes,
+			  strlen(bytes), sodium_base64_VARIANT_ORIGINAL);
+	return strdup(base64);
+}
+
+/*
+ * Lets a view state a wrong port for a router's messages, so that routers which
+ * read through the view send it none.
+ */
+static void lose_router(const char *name, int view)
+{
+	int i;
+
+	mag_copy_name(lost_router, sizeof(lost_router), name);
+	lost_shift = view * VIEW_SHIFT;
+	port_shift = lost_shift;
+	for (i = 0; i < item_count; i++) {
+		if (!items[i].value || !is_lost(items[i].key))
+			continue;
+		revision++;
+		record_change(items[i].key);
+	}
+}
+
 static json_t *item_json(const struct item *item)
 {
 	char *value;
@@ -193,9 +243,12 @@
 	if (!item->value)
 		return json_pack("{s:s,s:I,s:b}", "Key", item->key, "Revision",
 				 (json_int_t)revision, "Deleted", 1);
-	value = port_shift && strncmp(item->key, "servers/", 8) == 0
-			? shift_port(item->value, port_shift)
-			: strdup(item->value);
+	if (is_lost(item->key))
+		value = lose_port(item->value);
+	else if (port_shift && strncmp(item->key, "servers/", 8) == 0)
+		value = shift_port(item->value, port_shift);
+	else
+		value = strdup(item->value);
 	json = json_pack("{s:s,s:s,s:I,s:I,s:I}", "Key", item->key, "Value",
 			 value, "Revision", (json_int_t)item->revision,
 			 "CreateRev", (json_int_t)item->created, "Lease",
@@ -430,6 +483,7 @@
 	const char *kind = evhttp_find_header(query, "Kind");
 	const char *key = evhttp_find_header(query, "Key");
 	const char *ttl = evhttp_find_header(query, "Ttl");
+	const char *view = evhttp_find_header(query, "View");
 	size_t len = evbuffer_get_length(body);
 	char *encoded;
 	size_t size;
@@ -455,6 +509,8 @@
 		free(encoded);
 	} else if (strstr(path, "/drop") && key) {
 		drop(find(key, false));
+	} else if (strstr(path, "/lose") && key && view) {
+		lose_router(key, atoi(view));
 	} else if (strstr(path, "/forget")) {
 		dropped_revision = revision;
 	} else if (strstr(path, "/deafen")) {
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -516,8 +517,10 @@
 		.reported = wk->proc.reported_held,
 		.reported_us = wk->proc.reported_us,
 	};
-	int firsts = wk->first_hops + wk->peer_first_hops;
+	double factor = eq_load_factor(eq);
+	int firsts = (int)ceil((wk->first_hops + wk->peer_first_hops) * factor);
 
+	load.peers += (wk->held + wk->peer_held) * (factor - 1);
 	if (room_is_report_fresh(wk->proc.reported_us, now) &&
 	    wk->proc.reported_first_hops > firsts)
 		firsts = wk->proc.reported_first_hops;
--- a/src/eq_urgency.c
+++ b/src/eq_urgency.c
@@ -96,6 +96,19 @@
 	return limit;
 }
 
+/*
+ * Returns by which factor what routers are known to hold is multiplied for the
+ * request.  Peers that this router does not hear of hold as much as the others;
+ * less urgent requests would otherwise take what they keep free.
+ */
+double eq_load_factor(const struct eq *eq)
+{
+	if (!eq_is_ranked(eq) || eq->wait.rank == 0 ||
+	    eq->state == EQ_STREAMING)
+		return 1;
+	return hint_unheard_factor(eq->edge->hint);
+}
+
 /*
  * Returns how many requests a plain worker may have, of its slots and places in
  * its queue together.
--- a/src/hint.h
+++ b/src/hint.h
@@ -24,6 +24,7 @@
 void hint_send_soon(struct hint *hint, int64_t now);
 void hint_drop_expired(struct hint *hint, int64_t now);
 bool hint_is_behind(const struct hint *hint, int64_t now);
+double hint_unheard_factor(const struct hint *hint);
 double hint_own_limit_part(struct hint *hint, const struct wk *wk, int64_t now);
 struct hc_host *hint_pick_server(struct hint *hint, uint32_t avoid, int64_t now,
 				 uint32_t *id);
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -82,9 +82,10 @@
 	size_t urgent_len;
 	int64_t urgent_summed_us; /* when peers' demand was last summed */
 	int64_t ticked_us;	  /* last tick; 0: none */
-	int64_t behind_until_us;  /* see hint_is_behind */
-	bool urgent_unread;	  /* the socket may hold old datagrams */
-	int next_limit;		  /* the limit to begin the next message with */
+	double unheard_factor;
+	int64_t behind_until_us; /* see hint_is_behind */
+	bool urgent_unread;	 /* the socket may hold old datagrams */
+	int next_limit;		 /* the limit to begin the next message with */
 };
 
 /* hint.c */
--- a/src/hint_urgent_peers.c
+++ b/src/hint_urgent_peers.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "clk.h"
 #include "hint_int.h"
 #include "pres.h"
@@ -14,6 +16,7 @@
 static int hint_urgent_sum_service(struct hint *hint,
 				   struct edge_service *service, int routers,
 				   int64_t now);
+static double hint_count_unheard(struct hint *hint, int64_t now);
 static int hint_urgent_routers(const struct hint *hint, int64_t now);
 static void hint_urgent_log(struct hint *hint, struct edge_service *service,
 			    int routers, int heard, int64_t now);
@@ -86,12 +89,46 @@
 	int heard;
 
 	hint->urgent_summed_us = now;
+	hint->unheard_factor = hint_count_unheard(hint, now);
 	cds_list_for_each_entry (service, &hint->edge->services, node) {
 		heard = hint_urgent_sum_service(hint, service, routers, now);
 		hint_urgent_log(hint, service, routers, heard, now);
 	}
 }
 
+/*
+ * Returns by which factor the load of the routers of the data centre that this
+ * one hears of is to be multiplied, so that those in the list that it does not
+ * hear of count with the mean of the others.
+ */
+static double hint_count_unheard(struct hint *hint, int64_t now)
+{
+	const struct pres *pres = hint->edge->pres;
+	const struct pres_peer *listed;
+	const struct hint_peer *peer;
+	int routers = 1;
+	int heard = 1;
+	int i;
+
+	for (i = 0; i < pres_peer_count(pres); i++) {
+		listed = pres_peer(pres, i);
+		if (strcmp(listed->data_centre, hint->edge->set.data_centre) !=
+		    0)
+			continue;
+		peer = hint_find_peer(hint, listed->name);
+		routers++;
+		heard +=
+			peer && now - peer->received_us <= hint_expiry_us(hint);
+	}
+	return (double)routers / heard;
+}
+
+/* Returns that factor, as of the last round; 1 before the first. */
+double hint_unheard_factor(const struct hint *hint)
+{
+	return hint->unheard_factor > 1 ? hint->unheard_factor : 1;
+}
+
 /* Returns how many peers have reported demand for the service. */
 static int hint_urgent_sum_service(struct hint *hint,
 				   struct edge_service *service, int routers,
