--- a/src/eq_urgency.c
+++ b/src/eq_urgency.c
@@ -12,6 +12,12 @@
 /* Distinguishes accounts from routes of the same name. */
 #define EQ_ACCOUNT_KEY 0x61636374U
 
+/*
+ * Largest factor for peers that are not heard of: routers that are gone stay in
+ * the list for a while.
+ */
+#define EQ_LOAD_FACTOR_MAX 2.0
+
 static bool eq_is_below_floor(const struct eq *eq, int64_t now);
 static uint32_t eq_account_key(const struct eq *eq);
 
@@ -95,6 +101,24 @@
 	return limit;
 }
 
+/*
+ * Returns by which factor what routers are known to hold is multiplied for the
+ * request.  While the service is short, peers that this router does not hear
+ * of hold as much as the others; less urgent requests would otherwise take what
+ * they keep free.
+ */
+double eq_load_factor(const struct eq *eq, int64_t now)
+{
+	double factor;
+
+	if (!eq_is_ranked(eq) || eq->wait.rank == 0 ||
+	    eq->state == EQ_STREAMING ||
+	    !edge_service_is_short(eq_edge_service(eq, now), now))
+		return 1;
+	factor = hint_unheard_factor(eq->edge->hint);
+	return factor < EQ_LOAD_FACTOR_MAX ? factor : EQ_LOAD_FACTOR_MAX;
+}
+
 /*
  * Returns how many requests a plain worker may have, of its slots and places in
  * its queue together.
