eq_send: eq_dispatch tells of refused requests that found no room

A round over a queue ends after four requests that find no room, as each one considers all workers, a millisecond with 3,000 of them. A request that was refused for it returned false and did not count, so that a queue whose turns had all become too late was tried as a whole: a second for a thousand requests. Now it counts too; one for which there is no worker does not, as it is forwarded or leaves the queue.

--- a/src/eq.h
+++ b/src/eq.h
@@ -152,7 +152,7 @@
 void eq_set_wait(struct eq *eq, int64_t now);
 void eq_note_placed(struct eq *eq, int64_t now);
 void eq_leave_queue(struct eq *eq, int64_t now);
-bool eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now);
+void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now);
 void eq_write_retry_after(const struct eq *eq, enum eq_retry retry,
 			  char *fields, size_t size);
 
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -40,7 +40,7 @@
 
 /*
  * Places a request at a worker and sends it, leaves it waiting, or ends it.
- * Returns true if it has found no room and goes on waiting.
+ * Returns true if it has found no room, whether it goes on waiting or not.
  */
 bool eq_dispatch(struct eq *eq, int64_t now)
 {
@@ -64,8 +64,10 @@
 		return false;
 	if (choice == EQ_NO_WORKER && !eq->service->has_engine)
 		choice = eq_choose_suspect(eq, now);
-	if (choice != EQ_CHOSEN)
-		return eq_on_unplaced(eq, choice, now);
+	if (choice != EQ_CHOSEN) {
+		eq_on_unplaced(eq, choice, now);
+		return choice != EQ_NO_WORKER;
+	}
 	eq_note_placed(eq, now);
 	eq_send(eq, now);
 	return false;
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -54,8 +54,9 @@
 /* Room counts as short for this long after a request has found none. */
 #define EQ_SHORT_US MAG_US_PER_S
 /*
- * Requests of a queue that are tried in a row without finding room.  Those
- * behind them are as or less urgent and would rarely find any.
+ * Requests of a queue that are tried at a time without finding room, whether
+ * they then wait or are refused.  Those behind them are as or less urgent and
+ * would rarely find any.
  */
 #define EQ_QUEUE_MISSES_MAX 4
 /* Interval between log lines on a lack of workers. */
@@ -64,7 +65,7 @@
 static void eq_dispatch_waiting(struct edge *edge, int64_t now);
 static void eq_dispatch_queue(struct edge_service *service, int64_t now);
 static void eq_join_queue(struct eq *eq, int64_t now);
-static bool eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now);
+static void eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now);
 static int64_t eq_wait_us(const struct eq *eq);
 static bool eq_is_queued(const struct eq *eq);
 static bool eq_is_short(const struct edge_service *service, int64_t now);
@@ -181,9 +182,9 @@
 
 /*
  * Leaves a ranked request in its queue while its turn comes in time, else
- * refuses it.  Returns whether it waits.
+ * refuses it.
  */
-static bool eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now)
+static void eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now)
 {
 	struct edge_service *service = eq_edge_service(eq, now);
 
@@ -192,17 +193,13 @@
 	if (eq->sends < EQ_SENDS_MAX &&
 	    wq_may_wait(&service->wq, &eq->wait, now)) {
 		eq_join_queue(eq, now);
-		return true;
+		return;
 	}
 	eq_refuse(eq, 503, EQ_RETRY_LATER, "no room in time");
-	return false;
 }
 
-/*
- * Leaves an unplaced request waiting while that can help, else ends it.
- * Returns whether it waits in its queue.
- */
-bool eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
+/* Leaves an unplaced request waiting while that can help, else ends it. */
+void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
 {
 	static const char *const whys[] = {
 		[EQ_BUSY] = "all workers busy",
@@ -213,26 +210,26 @@
 	if (eq->state == EQ_STREAMING) {
 		if (now - eq->progress_us > EQ_RESUME_WAIT_US)
 			eq_fail(eq, 502, "no chain to go on");
-		return false;
+		return;
 	}
 	if (!eq->wait_until_us)
 		eq->wait_until_us = now + eq_wait_us(eq);
 	eq->backoff_end_us = eq_backoff_end(eq, now);
 	if (eq->backoff_end_us > eq->wait_until_us) {
 		eq_refuse(eq, 503, EQ_RETRY_BACKOFF, "workers back off");
-		return false;
+		return;
 	}
 	if (now < eq->wait_until_us && eq->sends < EQ_SENDS_MAX) {
 		if (choice != EQ_NO_WORKER && eq_is_ranked(eq) &&
 		    !eq->may_have_run)
-			return eq_wait_in_queue(eq, choice, now);
-		eq_leave_queue(eq, now);
-		return false;
+			eq_wait_in_queue(eq, choice, now);
+		else
+			eq_leave_queue(eq, now);
+		return;
 	}
 	if (choice == EQ_NO_WORKER)
 		eq_log_no_worker(eq, now);
 	eq_refuse(eq, 503, EQ_RETRY_LATER, whys[choice]);
-	return false;
 }
 
 /* Returns how long a request waits for a worker at the most. */
