--- a/regress/edge/poison-part-killed.sh
+++ b/regress/edge/poison-part-killed.sh
@@ -8,6 +8,8 @@
 "$build/tool_calls" -d -p 15 before 12 120 $routers >"$dir/calls.before"
 grep -hq '"trait-quarantined".*"in_doubt":"0"' "$dir"/router.*.log && echo "quarantined"
 for n in 1 2 3; do eval "kill -KILL \$router_$n"; done
+# The ports of a killed process are free once it is gone.
+wait $router_1 $router_2 $router_3 2>/dev/null
 for n in 1 2 3; do start_router $n a; done
 for n in 1 2 3; do wait_for "ready $n"; done
 sleep 3
