eq: what belongs to one attempt stands in a struct of its own

Callers see no change. Chain, call and answer of an attempt were members of the request, so that a request could not have two. Callbacks of a call get the attempt, which names its request.

--- a/src/eq.c
+++ b/src/eq.c
@@ -183,7 +183,7 @@
 	} else {
 		met_observe(&eq->edge->met, MET_ANSWER, now - eq->arrived_us);
 	}
-	eq_log_end(eq, eq->status, "answered");
+	eq_log_end(eq, eq->attempt->status, "answered");
 	eq->caller = NULL;
 	eq_free(eq);
 }
@@ -232,13 +232,7 @@
 
 	if (!eq)
 		return NULL;
-	eq->fields = evbuffer_new();
-	eq->body = evbuffer_new();
-	if (!eq->fields || !eq->body) {
-		if (eq->fields)
-			evbuffer_free(eq->fields);
-		if (eq->body)
-			evbuffer_free(eq->body);
+	if (eq_attempts_init(eq)) {
 		free(eq);
 		return NULL;
 	}
@@ -323,7 +317,7 @@
 	    eq_may_try(eq, now))
 		return false;
 	met_increment(&eq->edge->met, MET_POISON);
-	eq->may_have_run |= eq->call != NULL;
+	eq->may_have_run |= eq->attempt->call != NULL;
 	eq_refuse(eq, 503,
 		  eq_is_in_doubt(eq, now) ? EQ_RETRY_TRIED : EQ_RETRY_NEVER,
 		  "crashes workers");
@@ -430,29 +424,28 @@
 	     eq->sends, eq->may_have_run ? "true" : "false",
 	     (long long)eq->rt->version,
 	     (int)((now - eq->edge->attest.confirmed_us) / MAG_US_PER_MS),
-	     eq->hop_count > 0 ? eq->hops[0].worker->entry.id : "",
-	     eq_framing_text(eq), (long long)eq->events.count,
-	     evs_pending(&eq->events));
+	     eq->attempt->hop_count > 0 ? eq->attempt->hops[0].worker->entry.id
+					: "",
+	     eq_framing_text(eq), (long long)eq->attempt->events.count,
+	     evs_pending(&eq->attempt->events));
 }
 
 /* Cancels outstanding work for a request and releases all that it holds. */
 static void eq_free(struct eq *eq)
 {
-	if (eq->call) {
-		if (eq->hop_count > 0)
+	if (eq->attempt->call) {
+		if (eq->attempt->hop_count > 0)
 			eq_add_left(eq, clk_boot_us());
-		hc_cancel(eq->call);
+		hc_cancel(eq->attempt->call);
 	}
-	eq->call = NULL;
+	eq->attempt->call = NULL;
 	eq_release(eq);
 	eq_leave_queue(eq, clk_boot_us());
 	cds_list_del(&eq->node);
 	eq->edge->request_count--;
 	if (eq->caller)
 		hs_set_user(eq->caller, NULL);
-	evbuffer_free(eq->fields);
-	evbuffer_free(eq->body);
-	evs_free(&eq->events);
+	eq_attempts_free(eq);
 	rt_drop(eq->rt);
 	free(eq);
 }
--- a/src/eq.h
+++ b/src/eq.h
@@ -36,6 +36,36 @@
 };
 
 struct eq_repair;
+struct eq;
+
+/* One send of a request to a chain of workers or to a peer, and its answer. */
+struct eq_attempt {
+	struct eq *eq;
+	struct hc_call *call; /* NULL: none is in progress */
+	struct eq_hop hops[CHN_HOPS_MAX];
+	int hop_count; /* 0 at a peer */
+	int64_t sent_us;
+	int repairs;	     /* of its chain */
+	int64_t repaired_us; /* last repair of its chain; 0: never */
+	/* Its hops are not the workers that it runs on; it is to be moved. */
+	bool misrouted;
+	bool ran_well; /* it did not crash a worker */
+
+	int64_t begun_us; /* first event on its present chain; 0: none */
+	/* By the clock run.h: when it was sent, repaired, or had an event. */
+	int64_t heard_run_us;
+	int64_t longest_run_us; /* between two events on its present chain */
+
+	int status;
+	struct pl_response answer;
+	char at_fault[MAG_ADDR_MAX];
+	bool answered; /* the header of its answer has been received */
+	enum hc_framing framing;
+	bool garbled;
+	struct evbuffer *fields;
+	struct evbuffer *body;
+	struct evs events;
+};
 
 struct eq {
 	struct cds_list_head node; /* in edge.requests, by arrival */
@@ -67,50 +97,27 @@
 	int64_t wait_until_us;
 	int64_t backoff_end_us; /* for EQ_RETRY_BACKOFF */
 	int64_t resend_us;	/* not sent again before then */
-	int64_t sent_us;
-	int64_t progress_us; /* of this attempt: when sent, or its last event */
-	int64_t probed_us;   /* when its workers were last probed */
-	int64_t repaired_us; /* last repair of its chain; 0: never */
-	int64_t max_gap_us;  /* longest gap between events so far */
+	int64_t progress_us;	/* when it was last sent, or its last event */
+	int64_t probed_us;	/* when its workers were last probed */
+	int64_t max_gap_us;	/* longest gap between events so far */
 	int64_t event_interval_us; /* smoothed, by run.h; 0: unknown */
 	int64_t first_event_us;	   /* first event forwarded; 0: none */
-	/* First event of this attempt, on its present chain; 0: none. */
-	int64_t begun_us;
-	/* By the clock run.h: when it was sent, repaired, or had an event. */
-	int64_t heard_run_us;
-	int64_t longest_run_us; /* between two events on its present chain */
-	int64_t next_move_us;	/* it is not moved before then */
-	/* Its hops are not the workers that it runs on; it is to be moved. */
-	bool misrouted;
+	int64_t next_move_us;	   /* it is not moved before then */
 
-	struct eq_hop hops[CHN_HOPS_MAX];
-	int hop_count;
-	struct hc_call *call;
-	struct eq_repair *repair; /* repair in progress, or NULL */
-	int repairs;		  /* repairs of this attempt's chain */
-	int sends;		  /* to workers, including refused ones */
-	int runs;		  /* sends that may have run */
+	struct eq_attempt attempts[1];
+	struct eq_attempt *attempt; /* the present one */
+	struct eq_repair *repair;   /* repair in progress, or NULL */
+	int sends;		    /* to workers, including refused ones */
+	int runs;		    /* sends that may have run */
 	bool may_have_run;
 	bool crash_candidate; /* it may have crashed a worker */
-	bool ran_well;	      /* its present attempt did not crash one */
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
 	int avoid_count;
 
 	bool is_forwarded;     /* a peer forwarded it to this router */
 	int forwards;	       /* peers that it was forwarded to */
 	uint32_t forwarded_to; /* hash of the last one's name */
-
-	/* The answer of the current attempt. */
-	int status;
-	struct pl_response answer;
-	char at_fault[MAG_ADDR_MAX];
-	bool answered; /* its header has been received */
-	enum hc_framing framing;
-	bool garbled;
-	struct evbuffer *fields;
-	struct evbuffer *body;
-	struct evs events;
-	int64_t last_event; /* id of the last event forwarded; -1: none */
+	int64_t last_event;    /* id of the last event forwarded; -1: none */
 };
 
 /* eq.c */
@@ -140,6 +147,10 @@
 	EQ_NO_WORKER,	/* no worker serves this request */
 };
 
+/* eq_attempt.c */
+int eq_attempts_init(struct eq *eq);
+void eq_attempts_free(struct eq *eq);
+
 /* eq_room.c */
 struct room_request eq_room_request(const struct eq *eq);
 double eq_need(const struct eq *eq);
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -59,10 +59,12 @@
 	     "\"partial_bytes\":%zu",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id), why,
 	     eq->sends, eq->runs, eq->may_have_run ? "true" : "false",
-	     (long long)eq->last_event, eq->answered ? eq->status : 0,
-	     eq->at_fault, quar_text(eq->fingerprint, fingerprint),
+	     (long long)eq->last_event,
+	     eq->attempt->answered ? eq->attempt->status : 0,
+	     eq->attempt->at_fault, quar_text(eq->fingerprint, fingerprint),
 	     eq_parts_text(eq, parts, sizeof(parts)), eq_framing_text(eq),
-	     (long long)eq->events.count, evs_pending(&eq->events));
+	     (long long)eq->attempt->events.count,
+	     evs_pending(&eq->attempt->events));
 }
 
 /*
@@ -112,12 +114,13 @@
 		[HC_FRAMING_CLOSE] = "close",
 	};
 
-	return eq->answered ? texts[eq->framing] : "";
+	return eq->attempt->answered ? texts[eq->attempt->framing] : "";
 }
 
 static bool eq_on_headers(void *user, const struct hc_response *response)
 {
-	struct eq *eq = user;
+	struct eq_attempt *attempt = user;
+	struct eq *eq = attempt->eq;
 	bool own = eq_take_headers(eq, response);
 
 	eq->edge->workers.heard_us = clk_boot_us();
@@ -133,25 +136,31 @@
 {
 	bool own;
 
-	pl_response_decode(response->status, response->headers, &eq->answer);
-	own = !eq->answer.attempt_id || !eq->request.attempt_id ||
-	      strcmp(eq->answer.attempt_id, eq->request.attempt_id) == 0;
-	eq->at_fault[0] = '\0';
-	if (own && eq->answer.at_fault &&
-	    strlen(eq->answer.at_fault) < sizeof(eq->at_fault))
-		mag_copy_name(eq->at_fault, sizeof(eq->at_fault),
-			      eq->answer.at_fault);
+	pl_response_decode(response->status, response->headers,
+			   &eq->attempt->answer);
+	own = !eq->attempt->answer.attempt_id || !eq->request.attempt_id ||
+	      strcmp(eq->attempt->answer.attempt_id, eq->request.attempt_id) ==
+		      0;
+	eq->attempt->at_fault[0] = '\0';
+	if (own && eq->attempt->answer.at_fault &&
+	    strlen(eq->attempt->answer.at_fault) <
+		    sizeof(eq->attempt->at_fault))
+		mag_copy_name(eq->attempt->at_fault,
+			      sizeof(eq->attempt->at_fault),
+			      eq->attempt->answer.at_fault);
 	if (!own)
 		return false;
-	eq->answered = true;
-	eq->status = response->status;
-	eq->framing = response->framing;
-	if (eq->status / 100 == 2 && (!eq->answer.sealed || eq->answer.encoded))
-		eq->garbled = true;
+	eq->attempt->answered = true;
+	eq->attempt->status = response->status;
+	eq->attempt->framing = response->framing;
+	if (eq->attempt->status / 100 == 2 &&
+	    (!eq->attempt->answer.sealed || eq->attempt->answer.encoded))
+		eq->attempt->garbled = true;
 	if (eq->state != EQ_STREAMING) {
-		evbuffer_drain(eq->fields, evbuffer_get_length(eq->fields));
-		pl_response_fields(response->headers, eq->fields);
-		evbuffer_add(eq->fields, "", 1);
+		evbuffer_drain(eq->attempt->fields,
+			       evbuffer_get_length(eq->attempt->fields));
+		pl_response_fields(response->headers, eq->attempt->fields);
+		evbuffer_add(eq->attempt->fields, "", 1);
 	}
 	return true;
 }
@@ -164,16 +173,17 @@
 static void eq_apply_advert(const struct eq *eq,
 			    const struct hc_response *response, bool own)
 {
-	bool sound = own && response->status / 100 == 2 && eq->answer.sealed;
-	struct wk *wk = eq->hops[0].worker;
+	bool sound = own && response->status / 100 == 2 &&
+		     eq->attempt->answer.sealed;
+	struct wk *wk = eq->attempt->hops[0].worker;
 	struct wire_advert advert;
 	struct wk *fault;
 
 	pl_advert_decode(response->status, response->headers, &advert);
 	wkp_apply_advert(eq->edge, wk, &advert,
 			 sound ? WK_ANSWER_SUCCESS : WK_ANSWER_OTHER,
-			 eq->sent_us);
-	fault = eq_worker_at_address(eq, eq->at_fault);
+			 eq->attempt->sent_us);
+	fault = eq_worker_at_address(eq, eq->attempt->at_fault);
 	if (fault && fault != wk)
 		wk_apply_backoff(fault, &advert.backoff_s, WK_ANSWER_OTHER,
 				 clk_boot_us());
@@ -182,14 +192,15 @@
 /* Takes a part of the answer's body: forwards its events, or stores it. */
 void eq_take_body(void *user, const void *bytes, size_t len)
 {
-	struct eq *eq = user;
+	struct eq_attempt *attempt = user;
+	struct eq *eq = attempt->eq;
 
-	if (eq->garbled)
+	if (eq->attempt->garbled)
 		return;
-	if (eq->status / 100 == 2 && eq->route->kind == RT_STREAMING)
+	if (eq->attempt->status / 100 == 2 && eq->route->kind == RT_STREAMING)
 		eq_relay_events(eq, bytes, len);
 	else
-		evbuffer_add(eq->body, bytes, len);
+		evbuffer_add(eq->attempt->body, bytes, len);
 }
 
 /* Relays complete events of a stream, each once and in order. */
@@ -200,19 +211,19 @@
 	struct evbuffer *out;
 	size_t ready;
 
-	if (evs_feed(&eq->events, bytes, len)) {
-		eq->garbled = true;
+	if (evs_feed(&eq->attempt->events, bytes, len)) {
+		eq->attempt->garbled = true;
 		return;
 	}
-	out = eq->body;
-	while (evs_next(&eq->events, &event)) {
+	out = eq->attempt->body;
+	while (evs_next(&eq->attempt->events, &event)) {
 		if (event.id != EVS_NO_ID) {
 			if (event.id <= eq->last_event)
 				continue;
 			if (eq->last_event >= 0 &&
 			    event.id != eq->last_event + 1) {
 				/* Event ids have a gap: an event is missing. */
-				eq->garbled = true;
+				eq->attempt->garbled = true;
 				break;
 			}
 			eq->last_event = event.id;
@@ -227,16 +238,17 @@
 		eq->state = EQ_STREAMING;
 		eq->first_event_us = now;
 		eq_note_started(eq);
-		hs_stream_begin(eq->caller, eq->status,
-				(const char *)evbuffer_pullup(eq->fields, -1));
+		hs_stream_begin(
+			eq->caller, eq->attempt->status,
+			(const char *)evbuffer_pullup(eq->attempt->fields, -1));
 	} else {
 		eq_update_interval(eq, now);
 	}
 	eq->progress_us = now;
-	eq->heard_run_us = run_at(&eq->edge->workers.run, now);
-	eq->misrouted = false;
-	if (!eq->begun_us)
-		eq->begun_us = now;
+	eq->attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
+	eq->attempt->misrouted = false;
+	if (!eq->attempt->begun_us)
+		eq->attempt->begun_us = now;
 	eq_on_progress(eq, now);
 	eq_clear_suspect(eq, now);
 	hs_stream_data(eq->caller, evbuffer_pullup(out, -1), ready);
@@ -249,10 +261,10 @@
 	int i;
 
 	eq_count_outcome(eq, true);
-	if (eq->hop_count > 0)
-		wk_on_success(eq->hops[0].worker);
-	for (i = 0; i < eq->hop_count; i++)
-		wk_on_start(eq->hops[i].worker);
+	if (eq->attempt->hop_count > 0)
+		wk_on_success(eq->attempt->hops[0].worker);
+	for (i = 0; i < eq->attempt->hop_count; i++)
+		wk_on_start(eq->attempt->hops[i].worker);
 }
 
 /*
@@ -262,15 +274,15 @@
 static void eq_update_interval(struct eq *eq, int64_t now)
 {
 	const struct run *run = &eq->edge->workers.run;
-	int64_t interval_us = run_since(run, eq->heard_run_us, now);
+	int64_t interval_us = run_since(run, eq->attempt->heard_run_us, now);
 
 	if (now - eq->progress_us > eq->max_gap_us)
 		eq->max_gap_us = now - eq->progress_us;
 	/* The first event after a move tells nothing of the stream's pace. */
-	if (!eq->begun_us)
+	if (!eq->attempt->begun_us)
 		return;
-	if (interval_us > eq->longest_run_us)
-		eq->longest_run_us = interval_us;
+	if (interval_us > eq->attempt->longest_run_us)
+		eq->attempt->longest_run_us = interval_us;
 	if (eq->event_interval_us == 0)
 		eq->event_interval_us = interval_us;
 	eq->event_interval_us +=
@@ -280,14 +292,16 @@
 /* Called at the end of an attempt; the call has been released. */
 static void eq_on_end(void *user, enum hc_result end)
 {
-	struct eq *eq = user;
-	struct wk *wk = eq->hops[0].worker;
+	struct eq_attempt *attempt = user;
+	struct eq *eq = attempt->eq;
+	struct wk *wk = eq->attempt->hops[0].worker;
 	int64_t now = clk_boot_us();
 
-	eq->call = NULL;
+	eq->attempt->call = NULL;
 	if (end == HC_COMPLETE && eq_is_truncated(eq))
 		end = HC_CONN_LOST;
-	if (end == HC_COMPLETE && !eq->garbled && eq->answered)
+	if (end == HC_COMPLETE && !eq->attempt->garbled &&
+	    eq->attempt->answered)
 		eq_on_complete(eq, wk, now);
 	else
 		eq_on_broken(eq, wk, end, now);
@@ -301,33 +315,37 @@
  */
 bool eq_is_truncated(const struct eq *eq)
 {
-	if (eq->route->kind != RT_STREAMING || eq->status / 100 != 2 ||
-	    eq->framing == HC_FRAMING_NONE)
+	if (eq->route->kind != RT_STREAMING || eq->attempt->status / 100 != 2 ||
+	    eq->attempt->framing == HC_FRAMING_NONE)
 		return false;
-	if (evs_pending(&eq->events) > 0)
+	if (evs_pending(&eq->attempt->events) > 0)
 		return true;
-	return eq->events.count == 0 &&
-	       (eq->last_event < 0 || eq->framing == HC_FRAMING_CLOSE);
+	return eq->attempt->events.count == 0 &&
+	       (eq->last_event < 0 || eq->attempt->framing == HC_FRAMING_CLOSE);
 }
 
 /* Handles a complete answer of the worker. */
 static void eq_on_complete(struct eq *eq, struct wk *wk, int64_t now)
 {
 	bool idempotent = eq->route->kind == RT_IDEMPOTENT;
-	bool success = eq->status / 100 == 2;
+	bool success = eq->attempt->status / 100 == 2;
 
-	if (eq->answer.not_run) {
+	if (eq->attempt->answer.not_run) {
 		eq_on_not_run(eq, wk, now);
 		return;
 	}
 	eq->may_have_run = true;
 	eq->runs++;
-	wk_add_result(wk, success || eq->status / 100 == 4, now - eq->sent_us);
+	wk_add_result(wk, success || eq->attempt->status / 100 == 4,
+		      now - eq->attempt->sent_us);
 	wk_clear_suspicion(wk, now);
 	wk_on_success(wk);
 	eq_count_outcome(eq, true);
 	if (success) {
-		eq_did_well(eq, eq->begun_us ? eq->begun_us : eq->sent_us, now);
+		eq_did_well(eq,
+			    eq->attempt->begun_us ? eq->attempt->begun_us
+						  : eq->attempt->sent_us,
+			    now);
 		eq_relay(eq);
 		return;
 	}
@@ -335,8 +353,8 @@
 	 * An idempotent request that fails at one worker may succeed at
 	 * another.
 	 */
-	if (eq->status / 100 == 5 && eq->state != EQ_STREAMING && idempotent &&
-	    eq->runs < eq->route->max_attempts &&
+	if (eq->attempt->status / 100 == 5 && eq->state != EQ_STREAMING &&
+	    idempotent && eq->runs < eq->route->max_attempts &&
 	    bud_may_retry(edge_budget(eq->edge, eq->service->name, now), now)) {
 		eq_avoid(eq, wk);
 		eq_retry_or_fail(eq, "worker failed it");
@@ -359,10 +377,10 @@
 		eq_finish(eq);
 		return;
 	}
-	len = evbuffer_get_length(eq->body);
-	hs_reply(eq->caller, eq->status,
-		 (const char *)evbuffer_pullup(eq->fields, -1),
-		 evbuffer_pullup(eq->body, -1), len);
+	len = evbuffer_get_length(eq->attempt->body);
+	hs_reply(eq->caller, eq->attempt->status,
+		 (const char *)evbuffer_pullup(eq->attempt->fields, -1),
+		 evbuffer_pullup(eq->attempt->body, -1), len);
 	eq_finish(eq);
 }
 
@@ -377,15 +395,15 @@
 	struct edge *edge = eq->edge;
 	struct wk *fault = NULL;
 
-	if (eq->at_fault[0])
-		fault = eq_worker_at_address(eq, eq->at_fault);
+	if (eq->attempt->at_fault[0])
+		fault = eq_worker_at_address(eq, eq->attempt->at_fault);
 	if (!fault)
 		fault = wk;
 	eq_avoid(eq, fault);
 	if (eq->service->has_engine) {
 		wk_on_refusal(fault, now);
 		wkp_probe(edge, fault, now);
-	} else if (eq->status == 421) {
+	} else if (eq->attempt->status == 421) {
 		wk_suspect(fault, now, "another worker has its address");
 	}
 	eq_retry_or_fail(eq, "worker did not begin it");
@@ -412,13 +430,13 @@
 	eq->may_have_run = true;
 	eq->runs++;
 	wk_add_result(wk, false, 0);
-	if (!eq->answered || eq_is_truncated(eq))
+	if (!eq->attempt->answered || eq_is_truncated(eq))
 		wk_on_break(wk, now);
 	if (end == HC_CONN_LOST) {
 		eq_add_crash_candidate(eq, wk, now);
 		wkp_probe(edge, wk, now);
 	}
-	eq_retry_or_fail(eq, eq->garbled || end == HC_PROTOCOL_ERROR
+	eq_retry_or_fail(eq, eq->attempt->garbled || end == HC_PROTOCOL_ERROR
 				     ? "malformed answer"
 				     : "connection broke");
 }
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -105,7 +105,7 @@
 bool eq_find_repair(struct eq *eq, struct chn_chain *replacement, int64_t now)
 {
 	struct edge *edge = eq->edge;
-	const struct eq_hop *hop = &eq->hops[0];
+	const struct eq_hop *hop = &eq->attempt->hops[0];
 	struct chn_first_hop first;
 	struct chn_request chain_request;
 	int count;
@@ -189,13 +189,13 @@
 {
 	int i;
 
-	for (i = 0; i < eq->hop_count; i++) {
+	for (i = 0; i < eq->attempt->hop_count; i++) {
 		mag_copy_name(hops[i].address, sizeof(hops[i].address),
-			      eq->hops[i].worker->entry.address);
-		hops[i].from = eq->hops[i].from;
-		hops[i].to = eq->hops[i].to;
+			      eq->attempt->hops[i].worker->entry.address);
+		hops[i].from = eq->attempt->hops[i].from;
+		hops[i].to = eq->attempt->hops[i].to;
 	}
-	return eq->hop_count;
+	return eq->attempt->hop_count;
 }
 
 /* Formats a chain for the log: each worker with its first layer. */
@@ -205,10 +205,11 @@
 	int i;
 
 	dst[0] = '\0';
-	for (i = 0; i < eq->hop_count && len < size; i++)
-		len += (size_t)snprintf(
-			dst + len, size - len, "%s%s@%d", i > 0 ? " " : "",
-			eq->hops[i].worker->entry.id, eq->hops[i].from);
+	for (i = 0; i < eq->attempt->hop_count && len < size; i++)
+		len += (size_t)snprintf(dst + len, size - len, "%s%s@%d",
+					i > 0 ? " " : "",
+					eq->attempt->hops[i].worker->entry.id,
+					eq->attempt->hops[i].from);
 	return dst;
 }
 
@@ -219,7 +220,7 @@
 void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to)
 {
 	struct room_request request = eq_room_request(eq);
-	struct eq_hop *hop = &eq->hops[eq->hop_count];
+	struct eq_hop *hop = &eq->attempt->hops[eq->attempt->hop_count];
 
 	hop->worker = wk_ref(wk);
 	hop->from = from;
@@ -228,9 +229,9 @@
 	wk->held += hop->held;
 	wk->recent_held += hop->held;
 	wk_add_loaded(wk);
-	if (eq->hop_count == 0)
+	if (eq->attempt->hop_count == 0)
 		wk->first_hops++;
-	eq->hop_count++;
+	eq->attempt->hop_count++;
 }
 
 /*
@@ -421,9 +422,9 @@
 {
 	int i;
 
-	for (i = 0; i < eq->hop_count; i++) {
-		if (eq->hops[i].worker == wk)
-			return &eq->hops[i];
+	for (i = 0; i < eq->attempt->hop_count; i++) {
+		if (eq->attempt->hops[i].worker == wk)
+			return &eq->attempt->hops[i];
 	}
 	return NULL;
 }
@@ -437,9 +438,10 @@
 {
 	int i;
 
-	for (i = 0; i < eq->hop_count; i++) {
-		if (strcmp(eq->hops[i].worker->entry.address, address) == 0)
-			return eq->hops[i].worker;
+	for (i = 0; i < eq->attempt->hop_count; i++) {
+		if (strcmp(eq->attempt->hops[i].worker->entry.address,
+			   address) == 0)
+			return eq->attempt->hops[i].worker;
 	}
 	return NULL;
 }
@@ -468,12 +470,12 @@
 	struct eq_hop old[CHN_HOPS_MAX];
 	const struct eq_hop *kept;
 	const struct chn_hop *hop;
-	int count = eq->hop_count;
+	int count = eq->attempt->hop_count;
 	struct wk *wk;
 	int i;
 
-	memcpy(old, eq->hops, sizeof(old));
-	eq->hop_count = 1;
+	memcpy(old, eq->attempt->hops, sizeof(old));
+	eq->attempt->hop_count = 1;
 	for (i = 0; i < replacement->count; i++) {
 		hop = &replacement->hops[i];
 		wk = eq_candidate_workers[hop->ref];
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -69,8 +69,8 @@
 	send.ops = &eq_forward_ops;
 	eq_fill_send(eq, &send);
 	send.connect_by_us = now + EQ_FORWARD_CONNECT_US;
-	if (hc_start(host, &send, &eq->call)) {
-		eq->call = NULL;
+	if (hc_start(host, &send, &eq->attempt->call)) {
+		eq->attempt->call = NULL;
 		return false;
 	}
 	eq_leave_queue(eq, now);
@@ -105,18 +105,21 @@
 
 static bool eq_forward_headers(void *user, const struct hc_response *response)
 {
-	return eq_take_headers(user, response);
+	struct eq_attempt *attempt = user;
+
+	return eq_take_headers(attempt->eq, response);
 }
 
 /* Called when a peer's answer has ended; the call has been released. */
 static void eq_forward_end(void *user, enum hc_result end)
 {
-	struct eq *eq = user;
+	struct eq_attempt *attempt = user;
+	struct eq *eq = attempt->eq;
 	int64_t now = clk_boot_us();
 
-	eq->call = NULL;
-	if (end == HC_COMPLETE && !eq->garbled && eq->answered &&
-	    !eq_is_truncated(eq)) {
+	eq->attempt->call = NULL;
+	if (end == HC_COMPLETE && !eq->attempt->garbled &&
+	    eq->attempt->answered && !eq_is_truncated(eq)) {
 		eq_forward_answered(eq, now);
 		return;
 	}
@@ -139,8 +142,8 @@
 	}
 	eq->may_have_run = true;
 	eq->runs = eq->route->max_attempts;
-	if (eq->status / 100 == 2)
-		eq_did_well(eq, eq->sent_us, now);
+	if (eq->attempt->status / 100 == 2)
+		eq_did_well(eq, eq->attempt->sent_us, now);
 	else if (eq->state == EQ_STREAMING) {
 		eq_retry_or_fail(eq, "peer refused to go on");
 		return;
@@ -164,6 +167,7 @@
 /* Tells whether a peer's answer says that the request was not run there. */
 static bool eq_is_refusal(const struct eq *eq)
 {
-	return !eq->answer.sealed && (eq->status == 503 || eq->status == 429 ||
-				      eq->status == 408 || eq->status == 421);
+	return !eq->attempt->answer.sealed &&
+	       (eq->attempt->status == 503 || eq->attempt->status == 429 ||
+		eq->attempt->status == 408 || eq->attempt->status == 421);
 }
--- a/src/eq_move.c
+++ b/src/eq_move.c
@@ -167,15 +167,15 @@
 				 int64_t now)
 {
 	return (fault && wk_is_dead(fault, now)) ||
-	       run_since(&eq->edge->workers.run, eq->heard_run_us, now) >=
-		       EQ_FORWARD_SILENCE_US;
+	       run_since(&eq->edge->workers.run, eq->attempt->heard_run_us,
+			 now) >= EQ_FORWARD_SILENCE_US;
 }
 
 /* Forwards a running request to a peer instead; false if none takes it. */
 static bool eq_forward_on(struct eq *eq, struct wk *fault, const char *why,
 			  int64_t now)
 {
-	struct hc_call *call = eq->call;
+	struct hc_call *call = eq->attempt->call;
 	bool may_have_run = eq->may_have_run;
 
 	if (!eq_may_forward(eq, now))
@@ -189,7 +189,7 @@
 	eq->may_have_run = true;
 	eq->runs++;
 	if (!eq_forward_start(eq, now)) {
-		eq->call = call;
+		eq->attempt->call = call;
 		eq->may_have_run = may_have_run;
 		eq->runs--;
 		if (!fault)
@@ -235,11 +235,11 @@
 /* Exchanges a request's hops with others; both remain reserved. */
 static void eq_swap_hops(struct eq *eq, struct eq_next *other)
 {
-	struct eq_next old = { .count = eq->hop_count };
+	struct eq_next old = { .count = eq->attempt->hop_count };
 
-	memcpy(old.hops, eq->hops, sizeof(old.hops));
-	memcpy(eq->hops, other->hops, sizeof(eq->hops));
-	eq->hop_count = other->count;
+	memcpy(old.hops, eq->attempt->hops, sizeof(old.hops));
+	memcpy(eq->attempt->hops, other->hops, sizeof(eq->attempt->hops));
+	eq->attempt->hop_count = other->count;
 	*other = old;
 }
 
@@ -248,10 +248,11 @@
 {
 	int i;
 
-	for (i = 0; i < eq->hop_count; i++) {
-		eq->hops[i].worker->held += sign * eq->hops[i].held;
+	for (i = 0; i < eq->attempt->hop_count; i++) {
+		eq->attempt->hops[i].worker->held +=
+			sign * eq->attempt->hops[i].held;
 		if (i == 0)
-			eq->hops[i].worker->first_hops += sign;
+			eq->attempt->hops[i].worker->first_hops += sign;
 	}
 }
 
@@ -264,8 +265,8 @@
 
 static void eq_end_attempt(struct eq *eq)
 {
-	hc_cancel(eq->call);
-	eq->call = NULL;
+	hc_cancel(eq->attempt->call);
+	eq->attempt->call = NULL;
 	eq->may_have_run = true;
 	eq->runs++;
 }
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -64,11 +64,13 @@
 	struct hc_send send = { 0 };
 	struct eq_repair *repair;
 
-	if (!eq->call || eq->repair || eq->repairs >= EQ_REPAIRS_MAX ||
-	    !eq->request.attempt_id || eq->hops[0].worker == fault ||
-	    !adv_may_send(&eq->hops[0].worker->proc.adv, ADV_REPAIR, now) ||
-	    !eq_is_first_alive(eq->hops[0].worker, now) ||
-	    !hc_host_has_room(eq->hops[0].worker->host) ||
+	if (!eq->attempt->call || eq->repair ||
+	    eq->attempt->repairs >= EQ_REPAIRS_MAX || !eq->request.attempt_id ||
+	    eq->attempt->hops[0].worker == fault ||
+	    !adv_may_send(&eq->attempt->hops[0].worker->proc.adv, ADV_REPAIR,
+			  now) ||
+	    !eq_is_first_alive(eq->attempt->hops[0].worker, now) ||
+	    !hc_host_has_room(eq->attempt->hops[0].worker->host) ||
 	    eq_check_quarantine(eq, now) == QUAR_QUARANTINED)
 		return false;
 	eq_avoid(eq, fault);
@@ -91,20 +93,20 @@
 	send.user = repair;
 	send.connect_by_us = now + EQ_REPAIR_ANSWER_US;
 	send.deadline_us = now + EQ_REPAIR_ANSWER_US;
-	if (!send.request || wk_send(eq->hops[0].worker, ADV_REPAIR, &send, now,
-				     &repair->call)) {
+	if (!send.request || wk_send(eq->attempt->hops[0].worker, ADV_REPAIR,
+				     &send, now, &repair->call)) {
 		repair->call = NULL;
 		eq_repair_free(repair);
-		eq->misrouted = true;
+		eq->attempt->misrouted = true;
 		return false;
 	}
 	eq->repair = repair;
-	eq->repairs++;
-	eq->repaired_us = now;
-	eq->heard_run_us = run_at(&eq->edge->workers.run, now);
-	eq->longest_run_us = 0;
-	eq->begun_us = 0;
-	eq->ran_well = false;
+	eq->attempt->repairs++;
+	eq->attempt->repaired_us = now;
+	eq->attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
+	eq->attempt->longest_run_us = 0;
+	eq->attempt->begun_us = 0;
+	eq->attempt->ran_well = false;
 	return true;
 }
 
@@ -142,7 +144,7 @@
 				   hops, count))
 		return NULL;
 	return pl_call_encode("POST", PL_ORDER_PATH,
-			      eq->hops[0].worker->entry.address, body);
+			      eq->attempt->hops[0].worker->entry.address, body);
 }
 
 static bool eq_repair_headers(void *user, const struct hc_response *response)
@@ -151,8 +153,9 @@
 	struct wire_advert advert;
 
 	pl_advert_decode(response->status, response->headers, &advert);
-	wkp_apply_advert(repair->eq->edge, repair->eq->hops[0].worker, &advert,
-			 WK_ANSWER_OTHER, repair->eq->repaired_us);
+	wkp_apply_advert(repair->eq->edge, repair->eq->attempt->hops[0].worker,
+			 &advert, WK_ANSWER_OTHER,
+			 repair->eq->attempt->repaired_us);
 	repair->status = response->status;
 	return true;
 }
@@ -185,9 +188,9 @@
 	     "\"chain\":\"%s\",\"repair\":%d,\"status\":%d,\"at_fault\":\"%s\","
 	     "\"silent_ms\":%d",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
-	     eq->hops[0].worker->entry.id, eq->hop_count,
-	     eq_chain_text(eq, chain, sizeof(chain)), eq->repairs, status,
-	     address, (int)((now - eq->progress_us) / MAG_US_PER_MS));
+	     eq->attempt->hops[0].worker->entry.id, eq->attempt->hop_count,
+	     eq_chain_text(eq, chain, sizeof(chain)), eq->attempt->repairs,
+	     status, address, (int)((now - eq->progress_us) / MAG_US_PER_MS));
 	eq->repair = NULL;
 	eq_repair_free(repair);
 	if (status / 100 == 2) {
@@ -216,7 +219,7 @@
 	}
 	/* Otherwise the stream may still flow on its old chain. */
 	if (!eq_restart(eq, NULL, "chain not repaired", now))
-		eq->misrouted = true;
+		eq->attempt->misrouted = true;
 }
 
 static void eq_repair_free(struct eq_repair *repair)
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -94,14 +94,14 @@
 	const struct wk_table *workers = &eq->edge->workers;
 
 	return reach_is_lost(&workers->reach) ||
-	       (eq->sends > 0 && workers->heard_us < eq->sent_us);
+	       (eq->sends > 0 && workers->heard_us < eq->attempt->sent_us);
 }
 
 /* Releases slots and memory of the last attempt and abandons its repair. */
 void eq_release(struct eq *eq)
 {
 	eq_repair_cancel(eq);
-	eq->repairs = 0;
+	eq->attempt->repairs = 0;
 	eq_release_hops(eq);
 }
 
@@ -110,13 +110,13 @@
 {
 	int i;
 
-	for (i = 0; i < eq->hop_count; i++) {
-		eq->hops[i].worker->held -= eq->hops[i].held;
+	for (i = 0; i < eq->attempt->hop_count; i++) {
+		eq->attempt->hops[i].worker->held -= eq->attempt->hops[i].held;
 		if (i == 0)
-			eq->hops[i].worker->first_hops--;
-		wk_unref(eq->hops[i].worker);
+			eq->attempt->hops[i].worker->first_hops--;
+		wk_unref(eq->attempt->hops[i].worker);
 	}
-	eq->hop_count = 0;
+	eq->attempt->hop_count = 0;
 }
 
 /*
@@ -149,15 +149,16 @@
 			   int64_t now)
 {
 	const struct wk *wk = hop->worker;
-	int64_t began_us = eq->sent_us;
+	int64_t began_us = eq->attempt->sent_us;
 	bool others;
 
 	if (!eq->service->has_engine ||
-	    (!eq->call && now - eq->sent_us >= EQ_RESET_US))
+	    (!eq->attempt->call && now - eq->attempt->sent_us >= EQ_RESET_US))
 		return true;
-	others = wk->first_hops > (hop == eq->hops) || wk->held > hop->held;
-	if (eq->repaired_us > began_us)
-		began_us = eq->repaired_us;
+	others = wk->first_hops > (hop == eq->attempt->hops) ||
+		 wk->held > hop->held;
+	if (eq->attempt->repaired_us > began_us)
+		began_us = eq->attempt->repaired_us;
 	return quar_is_evidence(began_us, wk->proc.last_event_us, others);
 }
 
@@ -168,7 +169,7 @@
 void eq_add_left(struct eq *eq, int64_t now)
 {
 	if (!eq_has_run_well(eq))
-		eq_add_interrupted(eq, &eq->hops[0], true, now);
+		eq_add_interrupted(eq, &eq->attempt->hops[0], true, now);
 }
 
 /* Returns whether a request may have crashed the worker of a hop. */
@@ -176,8 +177,8 @@
 			       bool left, int64_t now)
 {
 	struct wk_interrupted interrupted = { .left = left, .at_us = now };
-	bool others =
-		wk_runs_others(hop->worker, hop == eq->hops, hop->held, now);
+	bool others = wk_runs_others(hop->worker, hop == eq->attempt->hops,
+				     hop->held, now);
 
 	if (others && eq_has_run_well(eq)) {
 		hop->worker->proc.bystander_us = now;
@@ -196,17 +197,17 @@
  */
 void eq_clear_suspect(struct eq *eq, int64_t now)
 {
-	if (eq->ran_well || !eq_has_run_well(eq))
+	if (eq->attempt->ran_well || !eq_has_run_well(eq))
 		return;
-	eq->ran_well = true;
-	eq_did_well(eq, eq->begun_us, now);
+	eq->attempt->ran_well = true;
+	eq_did_well(eq, eq->attempt->begun_us, now);
 }
 
 /* Tells whether an attempt was making progress for a while. */
 static bool eq_has_run_well(const struct eq *eq)
 {
-	return eq->begun_us &&
-	       eq->progress_us - eq->begun_us >= EQ_BEGINNING_US;
+	return eq->attempt->begun_us &&
+	       eq->progress_us - eq->attempt->begun_us >= EQ_BEGINNING_US;
 }
 
 /*
@@ -286,7 +287,7 @@
 /* Sends a request to its chosen workers. */
 void eq_send(struct eq *eq, int64_t now)
 {
-	struct wk *wk = eq->hops[0].worker;
+	struct wk *wk = eq->attempt->hops[0].worker;
 	struct bud *bud = edge_budget(eq->edge, eq->service->name, now);
 	struct hc_send send = { 0 };
 	char chain[EQ_CHAIN_TEXT];
@@ -319,26 +320,27 @@
 	     "\"requests_there\":%d,"
 	     "\"left_ms\":%d",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
-	     wk->entry.id, eq->hop_count,
+	     wk->entry.id, eq->attempt->hop_count,
 	     eq_chain_text(eq, chain, sizeof(chain)), eq->sends,
 	     (long long)eq->last_event, wk->first_hops,
 	     (int)((eq->deadline_us - now) / MAG_US_PER_MS));
-	if (!send.request || wk_send(wk, ADV_REQUEST, &send, now, &eq->call)) {
-		eq->call = NULL;
+	if (!send.request ||
+	    wk_send(wk, ADV_REQUEST, &send, now, &eq->attempt->call)) {
+		eq->attempt->call = NULL;
 		eq_avoid(eq, wk);
 		eq_release(eq);
 		if (eq->state == EQ_SENT)
 			eq->state = EQ_WAITING;
 		return;
 	}
-	for (i = 1; i < eq->hop_count; i++)
-		thr_sent(&eq->hops[i].worker->proc.adv.thr, now);
+	for (i = 1; i < eq->attempt->hop_count; i++)
+		thr_sent(&eq->attempt->hops[i].worker->proc.adv.thr, now);
 }
 
 /* Fills in how a request is sent, to a worker or to a peer. */
 void eq_fill_send(struct eq *eq, struct hc_send *send)
 {
-	send->user = eq;
+	send->user = eq->attempt;
 	send->deadline_us = MAG_NEVER;
 	/*
 	 * The other side may close an idle connection while a request is in
@@ -351,21 +353,22 @@
 /* Clears what is known of the last attempt, as another one begins. */
 void eq_begin_attempt(struct eq *eq, int64_t now)
 {
-	eq->sent_us = now;
+	eq->attempt->sent_us = now;
 	eq->progress_us = eq->state == EQ_STREAMING ? eq->progress_us : now;
 	eq->probed_us = now;
-	eq->heard_run_us = run_at(&eq->edge->workers.run, now);
-	eq->longest_run_us = 0;
-	eq->misrouted = false;
-	eq->begun_us = 0;
-	eq->ran_well = false;
-	eq->answered = false;
-	eq->garbled = false;
-	eq->status = 0;
-	evbuffer_drain(eq->body, evbuffer_get_length(eq->body));
+	eq->attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
+	eq->attempt->longest_run_us = 0;
+	eq->attempt->misrouted = false;
+	eq->attempt->begun_us = 0;
+	eq->attempt->ran_well = false;
+	eq->attempt->answered = false;
+	eq->attempt->garbled = false;
+	eq->attempt->status = 0;
+	evbuffer_drain(eq->attempt->body,
+		       evbuffer_get_length(eq->attempt->body));
 	if (eq->state == EQ_WAITING)
 		eq->state = EQ_SENT;
-	evs_reset(&eq->events);
+	evs_reset(&eq->attempt->events);
 }
 
 /* Encodes the message to the first worker. */
@@ -377,7 +380,7 @@
 	out.method = hs_method(eq->caller);
 	out.target = hs_target(eq->caller);
 	out.headers = hs_headers(eq->caller);
-	out.worker_id = eq->hops[0].worker->entry.id;
+	out.worker_id = eq->attempt->hops[0].worker->entry.id;
 	out.account = eq->account;
 	out.remaining_ms = (eq->deadline_us - now) / MAG_US_PER_MS;
 	out.last_event = -1;
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -73,17 +73,17 @@
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
 		if (eq_is_stuck_at_plain(eq, now) &&
-		    eq_move(eq, eq->hops[0].worker, "no sign of the worker",
-			    now))
+		    eq_move(eq, eq->attempt->hops[0].worker,
+			    "no sign of the worker", now))
 			continue;
 		if (eq_waits_for_plain(eq, now))
-			wkp_probe(edge, eq->hops[0].worker, now);
+			wkp_probe(edge, eq->attempt->hops[0].worker, now);
 		if (!eq_runs_on_chain(eq))
 			continue;
 		lost = eq_find_lost_worker(eq, now);
 		if (lost && eq_move(eq, lost, "on a suspected worker", now))
 			continue;
-		if (eq->misrouted && now >= eq->next_move_us &&
+		if (eq->attempt->misrouted && now >= eq->next_move_us &&
 		    eq_retry_move(eq, now))
 			continue;
 		if (now - eq->probed_us >= ASK_INTERVAL_US)
@@ -107,12 +107,12 @@
 	int64_t run_us = run_at(&eq->edge->workers.run, now);
 	int i;
 
-	if (eq->hop_count > 0)
+	if (eq->attempt->hop_count > 0)
 		eq->edge->workers.heard_us = now;
-	for (i = 0; i < eq->hop_count; i++) {
-		eq->hops[i].worker->proc.last_event_us = now;
-		eq->hops[i].worker->proc.last_event_run_us = run_us;
-		eq->hops[i].worker->proc.probes_since_event = 0;
+	for (i = 0; i < eq->attempt->hop_count; i++) {
+		eq->attempt->hops[i].worker->proc.last_event_us = now;
+		eq->attempt->hops[i].worker->proc.last_event_run_us = run_us;
+		eq->attempt->hops[i].worker->proc.probes_since_event = 0;
 	}
 }
 
@@ -122,8 +122,8 @@
 	struct wk *wk;
 	int i;
 
-	for (i = 0; i < eq->hop_count; i++) {
-		wk = eq->hops[i].worker;
+	for (i = 0; i < eq->attempt->hop_count; i++) {
+		wk = eq->attempt->hops[i].worker;
 		if ((wk->proc.unresponsive || wk->proc.suspected) &&
 		    eq_is_stalled_at(eq, wk, now))
 			return wk;
@@ -138,10 +138,10 @@
 {
 	const struct wk *wk;
 
-	if (!eq->call || eq->hop_count == 0 || eq->service->has_engine ||
-	    eq->answered)
+	if (!eq->attempt->call || eq->attempt->hop_count == 0 ||
+	    eq->service->has_engine || eq->attempt->answered)
 		return false;
-	wk = eq->hops[0].worker;
+	wk = eq->attempt->hops[0].worker;
 	return eq_silence(eq, now) >= EQ_PLAIN_SILENCE_US &&
 	       now - wk->proc.answered_us >= EQ_PLAIN_SILENCE_US;
 }
@@ -152,19 +152,19 @@
  */
 static bool eq_is_stuck_at_plain(const struct eq *eq, int64_t now)
 {
-	if (!eq->call || eq->hop_count == 0 || eq->answered ||
-	    eq->route->kind != RT_IDEMPOTENT ||
+	if (!eq->attempt->call || eq->attempt->hop_count == 0 ||
+	    eq->attempt->answered || eq->route->kind != RT_IDEMPOTENT ||
 	    eq_silence(eq, now) < EQ_PLAIN_LOST_US)
 		return false;
 	return reach_is_lost(&eq->edge->workers.reach) ||
-	       (eq->hops[0].worker->proc.suspected &&
+	       (eq->attempt->hops[0].worker->proc.suspected &&
 		eq_waits_for_plain(eq, now));
 }
 
 /* Tells whether a stream runs on a chain of ours that is not under repair. */
 static bool eq_runs_on_chain(const struct eq *eq)
 {
-	return eq->call && eq->hop_count > 0 && !eq->repair &&
+	return eq->attempt->call && eq->attempt->hop_count > 0 && !eq->repair &&
 	       eq->service->has_engine;
 }
 
@@ -183,9 +183,9 @@
 {
 	return (struct stall_stream){
 		.silent_us = eq_silence(eq, now),
-		.flows = eq->begun_us != 0,
+		.flows = eq->attempt->begun_us != 0,
 		.limit_us = eq_silence_limit(eq),
-		.longest_us = eq->longest_run_us,
+		.longest_us = eq->attempt->longest_run_us,
 		.allowed_us = eq_allowed_gap(eq),
 	};
 }
@@ -217,7 +217,8 @@
 /* Probes those workers of a stream that may be dead, stuck or slow. */
 static void eq_probe(struct eq *eq, int64_t now)
 {
-	struct ask_stream stream = { eq->sent_us, now - eq_silence(eq, now),
+	struct ask_stream stream = { eq->attempt->sent_us,
+				     now - eq_silence(eq, now),
 				     eq_silence_limit(eq),
 				     eq->first_event_us != 0 };
 	struct ask_worker worker;
@@ -225,8 +226,8 @@
 	struct wk *wk;
 	int i;
 
-	for (i = 0; i < eq->hop_count; i++) {
-		wk = eq->hops[i].worker;
+	for (i = 0; i < eq->attempt->hop_count; i++) {
+		wk = eq->attempt->hops[i].worker;
 		worker = (struct ask_worker){ now - eq_worker_silence(wk, now),
 					      wk->probed_us,
 					      wk->proc.slowdown_us,
@@ -242,7 +243,7 @@
 	if (eq_silence(eq, now) < EQ_LONG_SILENCE_US)
 		return;
 	eq->probed_us = now;
-	wkp_probe(eq->edge, eq->hops[0].worker, now);
+	wkp_probe(eq->edge, eq->attempt->hops[0].worker, now);
 }
 
 /* Returns the silence after which the workers of a stream are probed. */
@@ -251,8 +252,8 @@
 	int64_t silence_us =
 		(int64_t)((double)eq_allowed_gap(eq) * EQ_SILENCE_FRACTION);
 
-	if (eq->state != EQ_STREAMING || !eq->answered ||
-	    eq->repaired_us > eq->progress_us)
+	if (eq->state != EQ_STREAMING || !eq->attempt->answered ||
+	    eq->attempt->repaired_us > eq->progress_us)
 		return EQ_FIRST_EVENT_SILENCE_US;
 	if (eq->event_interval_us * EQ_SILENCE_INTERVALS > silence_us)
 		return eq->event_interval_us * EQ_SILENCE_INTERVALS;
@@ -314,7 +315,8 @@
  */
 static int64_t eq_silence(const struct eq *eq, int64_t now)
 {
-	return run_since(&eq->edge->workers.run, eq->heard_run_us, now);
+	return run_since(&eq->edge->workers.run, eq->attempt->heard_run_us,
+			 now);
 }
 
 static struct eq *eq_by_id(struct edge *edge, const char *attempt_id)
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -94,9 +94,9 @@
 	struct eq *next;
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (!eq->call && !eq_is_queued(eq))
+		if (!eq->attempt->call && !eq_is_queued(eq))
 			eq_dispatch(eq, now);
-		else if (eq->call && !eq->ran_well)
+		else if (eq->attempt->call && !eq->attempt->ran_well)
 			eq_refuse_quarantined(eq, now);
 	}
 	cds_list_for_each_entry (service, &edge->services, node)
