eq: log what is known of the worker that a request leaves

Operators could not tell from the log whether a stream was taken off a dead worker or off a silent one, nor how long its caller had received nothing. 10002 (request-again) names the worker held to be at fault, its state and the silence; 10003 (request-ended) the silence. No decision changes.

--- a/src/eq.c
+++ b/src/eq.c
@@ -240,6 +240,7 @@
 	eq->caller = conn;
 	eq->rt = rt_hold(edge->rt);
 	eq->arrived_us = now;
+	eq->progress_us = now;
 	eq->deadline_us = MAG_NEVER;
 	eq->bad_field = pl_request_decode(hs_headers(conn), &eq->request);
 	eq->last_event = eq->request.last_event;
@@ -408,7 +409,7 @@
 	     "\"request\":\"%s\",\"route\":\"%s\",\"account\":\"%s\","
 	     "\"status\":%d,\"why\":\"%s\",\"took_ms\":%d,"
 	     "\"first_event_ms\":%d,\"longest_gap_ms\":%d,"
-	     "\"target_ms\":%d,\"gap_aim_ms\":%d,\"sends\":%d,"
+	     "\"silent_ms\":%d,\"target_ms\":%d,\"gap_aim_ms\":%d,\"sends\":%d,"
 	     "\"may_have_run\":%s,\"config\":%lld,\"config_age_ms\":%d,"
 	     "\"worker\":\"%s\",\"framing\":\"%s\",\"events\":%lld,"
 	     "\"partial_bytes\":%zu",
@@ -419,6 +420,7 @@
 					MAG_US_PER_MS)
 				: -1,
 	     (int)(eq->max_gap_us / MAG_US_PER_MS),
+	     (int)((now - eq->progress_us) / MAG_US_PER_MS),
 	     eq->route ? (int)(eq->route->target_us / MAG_US_PER_MS) : 0,
 	     eq->route ? (int)(eq->route->max_gap_us / MAG_US_PER_MS) : 0,
 	     eq->sends, eq->may_have_run ? "true" : "false",
--- a/src/eq.h
+++ b/src/eq.h
@@ -231,7 +231,7 @@
 /* eq_answer.c */
 extern const struct hc_ops eq_ops;
 bool eq_is_repeatable(const struct eq *eq);
-void eq_log_again(const struct eq *eq, const char *why);
+void eq_log_again(const struct eq *eq, const struct wk *fault, const char *why);
 void eq_retry_or_fail(struct eq *eq, const char *why);
 const char *eq_framing_text(const struct eq *eq);
 bool eq_take_headers(struct eq *eq, const struct hc_response *response);
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -44,9 +44,13 @@
 	       (route->kind == RT_STREAMING && route->resumable);
 }
 
-/* Logs that an attempt is given up. */
-void eq_log_again(const struct eq *eq, const char *why)
+/*
+ * Logs that an attempt is given up, and the worker that is held to be at fault,
+ * if one is known.
+ */
+void eq_log_again(const struct eq *eq, const struct wk *fault, const char *why)
 {
+	int64_t now = clk_boot_us();
 	char fingerprint[QUAR_TEXT_SIZE];
 	char parts[EQ_PARTS_TEXT];
 	char id[WIRE_ID_MAX];
@@ -54,14 +58,18 @@
 	jlog(LOG_EQ_AGAIN,
 	     "\"request\":\"%s\",\"why\":\"%s\",\"sends\":%d,\"runs\":%d,"
 	     "\"may_have_run\":%s,\"last_event\":%lld,\"answer\":%d,"
-	     "\"at_fault\":\"%s\",\"fingerprint\":\"%s\","
+	     "\"at_fault\":\"%s\",\"fault\":\"%s\",\"fault_state\":\"%s\","
+	     "\"silent_ms\":%d,\"fingerprint\":\"%s\","
 	     "\"parts\":\"%s\",\"framing\":\"%s\",\"events\":%lld,"
 	     "\"partial_bytes\":%zu",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id), why,
 	     eq->sends, eq->runs, eq->may_have_run ? "true" : "false",
 	     (long long)eq->last_event,
 	     eq->attempt->answered ? eq->attempt->status : 0,
-	     eq->attempt->at_fault, quar_text(eq->fingerprint, fingerprint),
+	     eq->attempt->at_fault, fault ? fault->entry.id : "",
+	     fault ? wk_state_text(fault, now) : "",
+	     (int)((now - eq->progress_us) / MAG_US_PER_MS),
+	     quar_text(eq->fingerprint, fingerprint),
 	     eq_parts_text(eq, parts, sizeof(parts)), eq_framing_text(eq),
 	     (long long)eq->attempt->events.count,
 	     evs_pending(&eq->attempt->events));
@@ -73,7 +81,7 @@
  */
 void eq_retry_or_fail(struct eq *eq, const char *why)
 {
-	eq_log_again(eq, why);
+	eq_log_again(eq, NULL, why);
 	eq_release(eq);
 	if (eq->may_have_run && !eq_is_repeatable(eq)) {
 		eq_fail(eq, 502, why);
--- a/src/eq_move.c
+++ b/src/eq_move.c
@@ -144,7 +144,7 @@
 		return true;
 	}
 	eq_end_attempt(eq);
-	eq_log_again(eq, why);
+	eq_log_again(eq, fault, why);
 	eq_release(eq);
 	eq_swap_hops(eq, &next);
 	if (eq->state == EQ_SENT)
@@ -199,7 +199,7 @@
 		return true;
 	}
 	hc_cancel(call);
-	eq_log_again(eq, why);
+	eq_log_again(eq, fault, why);
 	eq_release(eq);
 	if (eq->state == EQ_STREAMING)
 		met_increment(&eq->edge->met, MET_RESUMES);
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -104,6 +104,16 @@
 	       (!wk->listed && now >= wk->gone_us);
 }
 
+/* Returns what this router holds a worker to be, for the log. */
+const char *wk_state_text(const struct wk *wk, int64_t now)
+{
+	if (wk_is_dead(wk, now))
+		return "dead";
+	if (wk->proc.suspected)
+		return "suspected";
+	return wk->proc.unresponsive ? "unresponsive" : "alive";
+}
+
 /* Adds the reasons why a worker gets no new work. */
 void wk_count_barred(const struct wk *wk, struct wk_barred *barred, int64_t now)
 {
