eq: an attempt is kept until a later one has begun to answer

What callers saw: streams reset in the middle, or answered 502, while their workers were silent for a second and then went on.

Cause: a request was moved by cancelling its attempt as soon as the next one was placed. Placed does not mean that it answers. A peer that a stream was forwarded to had no worker either ("peer refused to go on"), or a chain of this router refused it since another worker there was silent ("no chain to go on" 1.5 s later).

Why this works: eq_set_aside() keeps the earlier attempt with its chain and call. The first of the two that relays an event, or brings a whole answer, goes on (eq_prefer()); if the later one fails in any way, the request returns to the kept one (eq_fall_back()), which is where it was before. A later attempt can no longer cost a caller its answer. MaxAttempts holds: both count as runs. A chain is not repaired while its first worker has both attempts, as an order names the request. After a second possible crash a request now stays at its worker until the routers have judged it, instead of leaving it first.

--- a/src/eq.c
+++ b/src/eq.c
@@ -317,6 +317,10 @@
 	if (eq_check_quarantine(eq, now) != QUAR_QUARANTINED ||
 	    eq_may_try(eq, now))
 		return false;
+	if (eq->kept) {
+		eq_fall_back(eq, "crashes workers", now);
+		return true;
+	}
 	met_increment(&eq->edge->met, MET_POISON);
 	eq->may_have_run |= eq->attempt->call != NULL;
 	eq_refuse(eq, 503,
@@ -442,6 +446,8 @@
 	}
 	eq->attempt->call = NULL;
 	eq_release(eq);
+	if (eq->kept)
+		eq_drop_kept(eq);
 	eq_leave_queue(eq, clk_boot_us());
 	cds_list_del(&eq->node);
 	eq->edge->request_count--;
--- a/src/eq.h
+++ b/src/eq.h
@@ -15,6 +15,11 @@
 #include "room.h"
 
 #define EQ_AVOID_MAX 16
+/*
+ * Interval between attempts to move a request.  Each one considers all workers,
+ * which takes a millisecond with 3,000 of them.
+ */
+#define EQ_MOVE_RETRY_US (25 * MAG_US_PER_MS)
 /*
  * Buffer size for a chain in the log: 32 ids of 16 characters, each followed by
  * its first layer.
@@ -49,7 +54,8 @@
 	int64_t repaired_us; /* last repair of its chain; 0: never */
 	/* Its hops are not the workers that it runs on; it is to be moved. */
 	bool misrouted;
-	bool ran_well; /* it did not crash a worker */
+	bool ran_well;		  /* it did not crash a worker */
+	char blamed[WIRE_ID_MAX]; /* worker that it may have crashed, or "" */
 
 	int64_t begun_us; /* first event on its present chain; 0: none */
 	/* By the clock run.h: when it was sent, repaired, or had an event. */
@@ -104,8 +110,9 @@
 	int64_t first_event_us;	   /* first event forwarded; 0: none */
 	int64_t next_move_us;	   /* it is not moved before then */
 
-	struct eq_attempt attempts[1];
+	struct eq_attempt attempts[2];
 	struct eq_attempt *attempt; /* the present one */
+	struct eq_attempt *kept;    /* an earlier one that may go on, or NULL */
 	struct eq_repair *repair;   /* repair in progress, or NULL */
 	int sends;		    /* to workers, including refused ones */
 	int runs;		    /* sends that may have run */
@@ -150,6 +157,11 @@
 /* eq_attempt.c */
 int eq_attempts_init(struct eq *eq);
 void eq_attempts_free(struct eq *eq);
+void eq_set_aside(struct eq *eq);
+void eq_fall_back(struct eq *eq, const char *why, int64_t now);
+void eq_prefer(struct eq *eq, struct eq_attempt *attempt, int64_t now);
+void eq_drop_kept(struct eq *eq);
+void eq_release_hops(struct eq_attempt *attempt);
 
 /* eq_room.c */
 struct room_request eq_room_request(const struct eq *eq);
@@ -190,7 +202,6 @@
 void eq_begin_attempt(struct eq *eq, int64_t now);
 void eq_fill_send(struct eq *eq, struct hc_send *send);
 void eq_release(struct eq *eq);
-void eq_release_hops(struct eq *eq);
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now);
 void eq_add_left(struct eq *eq, int64_t now);
 void eq_clear_suspect(struct eq *eq, int64_t now);
@@ -208,7 +219,8 @@
 void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
 const struct eq_hop *eq_find_hop(const struct eq *eq, const struct wk *wk);
-struct wk *eq_worker_at_address(const struct eq *eq, const char *address);
+struct wk *eq_worker_at_address(const struct eq_attempt *attempt,
+				const char *address);
 const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
 
 /* eq_repair.c */
@@ -234,9 +246,10 @@
 void eq_log_again(const struct eq *eq, const struct wk *fault, const char *why);
 void eq_retry_or_fail(struct eq *eq, const char *why);
 const char *eq_framing_text(const struct eq *eq);
-bool eq_take_headers(struct eq *eq, const struct hc_response *response);
+bool eq_take_headers(struct eq_attempt *attempt,
+		     const struct hc_response *response);
 void eq_take_body(void *user, const void *bytes, size_t len);
-bool eq_is_truncated(const struct eq *eq);
+bool eq_is_truncated(const struct eq_attempt *attempt);
 void eq_relay(struct eq *eq);
 
 /* eq_move.c */
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -18,16 +18,22 @@
 
 static const char *eq_parts_text(const struct eq *eq, char *dst, size_t size);
 static bool eq_on_headers(void *user, const struct hc_response *response);
-static void eq_apply_advert(const struct eq *eq,
+static void eq_apply_advert(const struct eq_attempt *attempt,
 			    const struct hc_response *response, bool own);
 static void eq_on_end(void *user, enum hc_result end);
-static void eq_relay_events(struct eq *eq, const void *bytes, size_t len);
+static void eq_relay_events(struct eq_attempt *attempt, const void *bytes,
+			    size_t len);
 static void eq_note_started(struct eq *eq);
 static void eq_update_interval(struct eq *eq, int64_t now);
+static bool eq_is_success(const struct eq_attempt *attempt);
+static void eq_on_kept_end(struct eq *eq, enum hc_result end, int64_t now);
 static void eq_on_complete(struct eq *eq, struct wk *wk, int64_t now);
 static void eq_on_broken(struct eq *eq, struct wk *wk, enum hc_result end,
 			 int64_t now);
+static void eq_note_broken(struct eq *eq, struct wk *wk, enum hc_result end,
+			   int64_t now);
 static void eq_on_not_run(struct eq *eq, struct wk *wk, int64_t now);
+static void eq_note_not_run(struct eq *eq, struct wk *wk, int64_t now);
 
 const struct hc_ops eq_ops = {
 	.headers = eq_on_headers,
@@ -76,12 +82,16 @@
 }
 
 /*
- * Retries a request after an attempt that ended without its answer if the route
- * allows it; ends the request otherwise.
+ * Handles an attempt that ended without its answer: returns to an earlier one,
+ * or retries the request if the route allows it; ends it otherwise.
  */
 void eq_retry_or_fail(struct eq *eq, const char *why)
 {
 	eq_log_again(eq, NULL, why);
+	if (eq->kept) {
+		eq_fall_back(eq, why, clk_boot_us());
+		return;
+	}
 	eq_release(eq);
 	if (eq->may_have_run && !eq_is_repeatable(eq)) {
 		eq_fail(eq, 502, why);
@@ -128,11 +138,10 @@
 static bool eq_on_headers(void *user, const struct hc_response *response)
 {
 	struct eq_attempt *attempt = user;
-	struct eq *eq = attempt->eq;
-	bool own = eq_take_headers(eq, response);
+	bool own = eq_take_headers(attempt, response);
 
-	eq->edge->workers.heard_us = clk_boot_us();
-	eq_apply_advert(eq, response, own);
+	attempt->eq->edge->workers.heard_us = clk_boot_us();
+	eq_apply_advert(attempt, response, own);
 	return own;
 }
 
@@ -140,35 +149,34 @@
  * Takes the header of an answer.  Returns false to skip one that names another
  * request: this request's answer may follow.
  */
-bool eq_take_headers(struct eq *eq, const struct hc_response *response)
+bool eq_take_headers(struct eq_attempt *attempt,
+		     const struct hc_response *response)
 {
+	struct eq *eq = attempt->eq;
 	bool own;
 
 	pl_response_decode(response->status, response->headers,
-			   &eq->attempt->answer);
-	own = !eq->attempt->answer.attempt_id || !eq->request.attempt_id ||
-	      strcmp(eq->attempt->answer.attempt_id, eq->request.attempt_id) ==
-		      0;
-	eq->attempt->at_fault[0] = '\0';
-	if (own && eq->attempt->answer.at_fault &&
-	    strlen(eq->attempt->answer.at_fault) <
-		    sizeof(eq->attempt->at_fault))
-		mag_copy_name(eq->attempt->at_fault,
-			      sizeof(eq->attempt->at_fault),
-			      eq->attempt->answer.at_fault);
+			   &attempt->answer);
+	own = !attempt->answer.attempt_id || !eq->request.attempt_id ||
+	      strcmp(attempt->answer.attempt_id, eq->request.attempt_id) == 0;
+	attempt->at_fault[0] = '\0';
+	if (own && attempt->answer.at_fault &&
+	    strlen(attempt->answer.at_fault) < sizeof(attempt->at_fault))
+		mag_copy_name(attempt->at_fault, sizeof(attempt->at_fault),
+			      attempt->answer.at_fault);
 	if (!own)
 		return false;
-	eq->attempt->answered = true;
-	eq->attempt->status = response->status;
-	eq->attempt->framing = response->framing;
-	if (eq->attempt->status / 100 == 2 &&
-	    (!eq->attempt->answer.sealed || eq->attempt->answer.encoded))
-		eq->attempt->garbled = true;
+	attempt->answered = true;
+	attempt->status = response->status;
+	attempt->framing = response->framing;
+	if (attempt->status / 100 == 2 &&
+	    (!attempt->answer.sealed || attempt->answer.encoded))
+		attempt->garbled = true;
 	if (eq->state != EQ_STREAMING) {
-		evbuffer_drain(eq->attempt->fields,
-			       evbuffer_get_length(eq->attempt->fields));
-		pl_response_fields(response->headers, eq->attempt->fields);
-		evbuffer_add(eq->attempt->fields, "", 1);
+		evbuffer_drain(attempt->fields,
+			       evbuffer_get_length(attempt->fields));
+		pl_response_fields(response->headers, attempt->fields);
+		evbuffer_add(attempt->fields, "", 1);
 	}
 	return true;
 }
@@ -178,20 +186,21 @@
  * answers another request (own is false).  A worker of the chain that refused
  * through the first one has requested the backoff, too.
  */
-static void eq_apply_advert(const struct eq *eq,
+static void eq_apply_advert(const struct eq_attempt *attempt,
 			    const struct hc_response *response, bool own)
 {
-	bool sound = own && response->status / 100 == 2 &&
-		     eq->attempt->answer.sealed;
-	struct wk *wk = eq->attempt->hops[0].worker;
+	struct eq *eq = attempt->eq;
+	bool sound =
+		own && response->status / 100 == 2 && attempt->answer.sealed;
+	struct wk *wk = attempt->hops[0].worker;
 	struct wire_advert advert;
 	struct wk *fault;
 
 	pl_advert_decode(response->status, response->headers, &advert);
 	wkp_apply_advert(eq->edge, wk, &advert,
 			 sound ? WK_ANSWER_SUCCESS : WK_ANSWER_OTHER,
-			 eq->attempt->sent_us);
-	fault = eq_worker_at_address(eq, eq->attempt->at_fault);
+			 attempt->sent_us);
+	fault = eq_worker_at_address(attempt, attempt->at_fault);
 	if (fault && fault != wk)
 		wk_apply_backoff(fault, &advert.backoff_s, WK_ANSWER_OTHER,
 				 clk_boot_us());
@@ -201,37 +210,39 @@
 void eq_take_body(void *user, const void *bytes, size_t len)
 {
 	struct eq_attempt *attempt = user;
-	struct eq *eq = attempt->eq;
 
-	if (eq->attempt->garbled)
+	if (attempt->garbled)
 		return;
-	if (eq->attempt->status / 100 == 2 && eq->route->kind == RT_STREAMING)
-		eq_relay_events(eq, bytes, len);
+	if (attempt->status / 100 == 2 &&
+	    attempt->eq->route->kind == RT_STREAMING)
+		eq_relay_events(attempt, bytes, len);
 	else
-		evbuffer_add(eq->attempt->body, bytes, len);
+		evbuffer_add(attempt->body, bytes, len);
 }
 
 /* Relays complete events of a stream, each once and in order. */
-static void eq_relay_events(struct eq *eq, const void *bytes, size_t len)
+static void eq_relay_events(struct eq_attempt *attempt, const void *bytes,
+			    size_t len)
 {
+	struct eq *eq = attempt->eq;
 	int64_t now = clk_boot_us();
 	struct evs_event event;
 	struct evbuffer *out;
 	size_t ready;
 
-	if (evs_feed(&eq->attempt->events, bytes, len)) {
-		eq->attempt->garbled = true;
+	if (evs_feed(&attempt->events, bytes, len)) {
+		attempt->garbled = true;
 		return;
 	}
-	out = eq->attempt->body;
-	while (evs_next(&eq->attempt->events, &event)) {
+	out = attempt->body;
+	while (evs_next(&attempt->events, &event)) {
 		if (event.id != EVS_NO_ID) {
 			if (event.id <= eq->last_event)
 				continue;
 			if (eq->last_event >= 0 &&
 			    event.id != eq->last_event + 1) {
 				/* Event ids have a gap: an event is missing. */
-				eq->attempt->garbled = true;
+				attempt->garbled = true;
 				break;
 			}
 			eq->last_event = event.id;
@@ -242,21 +253,22 @@
 	ready = evbuffer_get_length(out);
 	if (ready == 0)
 		return;
+	eq_prefer(eq, attempt, now);
 	if (eq->state != EQ_STREAMING) {
 		eq->state = EQ_STREAMING;
 		eq->first_event_us = now;
 		eq_note_started(eq);
 		hs_stream_begin(
-			eq->caller, eq->attempt->status,
-			(const char *)evbuffer_pullup(eq->attempt->fields, -1));
+			eq->caller, attempt->status,
+			(const char *)evbuffer_pullup(attempt->fields, -1));
 	} else {
 		eq_update_interval(eq, now);
 	}
 	eq->progress_us = now;
-	eq->attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
-	eq->attempt->misrouted = false;
-	if (!eq->attempt->begun_us)
-		eq->attempt->begun_us = now;
+	attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
+	attempt->misrouted = false;
+	if (!attempt->begun_us)
+		attempt->begun_us = now;
 	eq_on_progress(eq, now);
 	eq_clear_suspect(eq, now);
 	hs_stream_data(eq->caller, evbuffer_pullup(out, -1), ready);
@@ -302,34 +314,68 @@
 {
 	struct eq_attempt *attempt = user;
 	struct eq *eq = attempt->eq;
-	struct wk *wk = eq->attempt->hops[0].worker;
+	struct wk *wk = attempt->hops[0].worker;
 	int64_t now = clk_boot_us();
+	bool whole;
 
-	eq->attempt->call = NULL;
-	if (end == HC_COMPLETE && eq_is_truncated(eq))
+	attempt->call = NULL;
+	if (end == HC_COMPLETE && eq_is_truncated(attempt))
 		end = HC_CONN_LOST;
-	if (end == HC_COMPLETE && !eq->attempt->garbled &&
-	    eq->attempt->answered)
+	whole = end == HC_COMPLETE && !attempt->garbled && attempt->answered;
+	if (whole && eq_is_success(attempt))
+		eq_prefer(eq, attempt, now);
+	if (attempt == eq->kept)
+		eq_on_kept_end(eq, end, now);
+	else if (whole)
 		eq_on_complete(eq, wk, now);
 	else
 		eq_on_broken(eq, wk, end, now);
 }
 
+static bool eq_is_success(const struct eq_attempt *attempt)
+{
+	return attempt->status / 100 == 2 && !attempt->answer.not_run;
+}
+
+/*
+ * Handles the end of the kept attempt without a whole answer: the present one
+ * goes on alone.
+ */
+static void eq_on_kept_end(struct eq *eq, enum hc_result end, int64_t now)
+{
+	struct eq_attempt *present = eq->attempt;
+	struct wk *wk = eq->kept->hops[0].worker;
+
+	eq->attempt = eq->kept;
+	eq_log_again(eq, NULL, "earlier attempt ended");
+	eq->runs--;
+	if (end != HC_COMPLETE)
+		eq_note_broken(eq, wk, end, now);
+	else if (eq->attempt->answer.not_run)
+		eq_note_not_run(eq, wk, now);
+	else
+		eq->runs++;
+	eq->attempt = present;
+	eq_drop_kept(eq);
+}
+
 /*
  * Tells whether a stream was broken off although its framing is complete.  A
  * whole one has an event at least, and ends after an event.  If it resumes
  * another one, there may be no event left; that its connection closes does not
  * say so, because a crash closes it as well.
  */
-bool eq_is_truncated(const struct eq *eq)
+bool eq_is_truncated(const struct eq_attempt *attempt)
 {
-	if (eq->route->kind != RT_STREAMING || eq->attempt->status / 100 != 2 ||
-	    eq->attempt->framing == HC_FRAMING_NONE)
+	const struct eq *eq = attempt->eq;
+
+	if (eq->route->kind != RT_STREAMING || attempt->status / 100 != 2 ||
+	    attempt->framing == HC_FRAMING_NONE)
 		return false;
-	if (evs_pending(&eq->attempt->events) > 0)
+	if (evs_pending(&attempt->events) > 0)
 		return true;
-	return eq->attempt->events.count == 0 &&
-	       (eq->last_event < 0 || eq->attempt->framing == HC_FRAMING_CLOSE);
+	return attempt->events.count == 0 &&
+	       (eq->last_event < 0 || attempt->framing == HC_FRAMING_CLOSE);
 }
 
 /* Handles a complete answer of the worker. */
@@ -368,6 +414,11 @@
 		eq_retry_or_fail(eq, "worker failed it");
 		return;
 	}
+	if (eq->kept && eq->attempt->status / 100 == 5) {
+		eq_avoid(eq, wk);
+		eq_retry_or_fail(eq, "worker failed it");
+		return;
+	}
 	if (eq->state == EQ_STREAMING) {
 		eq_retry_or_fail(eq, "worker refused to go on");
 		return;
@@ -399,12 +450,19 @@
  * until then.
  */
 static void eq_on_not_run(struct eq *eq, struct wk *wk, int64_t now)
+{
+	eq_note_not_run(eq, wk, now);
+	eq_retry_or_fail(eq, "worker did not begin it");
+}
+
+static void eq_note_not_run(struct eq *eq, struct wk *wk, int64_t now)
 {
 	struct edge *edge = eq->edge;
 	struct wk *fault = NULL;
 
 	if (eq->attempt->at_fault[0])
-		fault = eq_worker_at_address(eq, eq->attempt->at_fault);
+		fault = eq_worker_at_address(eq->attempt,
+					     eq->attempt->at_fault);
 	if (!fault)
 		fault = wk;
 	eq_avoid(eq, fault);
@@ -414,7 +472,6 @@
 	} else if (eq->attempt->status == 421) {
 		wk_suspect(fault, now, "another worker has its address");
 	}
-	eq_retry_or_fail(eq, "worker did not begin it");
 }
 
 /* Handles an attempt that ended without a complete answer. */
@@ -422,29 +479,39 @@
 			 int64_t now)
 {
 	struct edge *edge = eq->edge;
+	bool malformed = eq->attempt->garbled || end == HC_PROTOCOL_ERROR;
+
+	eq_note_broken(eq, wk, end, now);
+	if (end == HC_UNSENT) {
+		eq_retry_or_fail(eq, "not sent");
+		eq_on_suspect(edge, wk, now);
+		return;
+	}
+	eq_retry_or_fail(eq,
+			 malformed ? "malformed answer" : "connection broke");
+}
 
+/* Notes what the end of an attempt tells of its worker and of the request. */
+static void eq_note_broken(struct eq *eq, struct wk *wk, enum hc_result end,
+			   int64_t now)
+{
 	eq_avoid(eq, wk);
 	if (end == HC_UNSENT) {
 		/* A probe tells a death, and suspects the worker, too. */
 		if (wk_count_interrupted(wk, now) > 0)
-			wkp_probe(edge, wk, now);
+			wkp_probe(eq->edge, wk, now);
 		wk->proc.unreached = true;
 		if (!wk->probing)
 			wk_suspect(wk, now, "no connection");
-		eq_retry_or_fail(eq, "not sent");
-		eq_on_suspect(edge, wk, now);
 		return;
 	}
 	eq->may_have_run = true;
 	eq->runs++;
 	wk_add_result(wk, false, 0);
-	if (!eq->attempt->answered || eq_is_truncated(eq))
+	if (!eq->attempt->answered || eq_is_truncated(eq->attempt))
 		wk_on_break(wk, now);
 	if (end == HC_CONN_LOST) {
 		eq_add_crash_candidate(eq, wk, now);
-		wkp_probe(edge, wk, now);
+		wkp_probe(eq->edge, wk, now);
 	}
-	eq_retry_or_fail(eq, eq->attempt->garbled || end == HC_PROTOCOL_ERROR
-				     ? "malformed answer"
-				     : "connection broke");
 }
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -1,10 +1,21 @@
 #include "eq.h"
+#include "jlog.h"
 
-/* The attempts of a request: their buffers, and which one is the present one.
+/*
+ * The attempts of a request.
+ *
+ * Load pattern: workers fall silent, most or all of them together, and go on
+ * after a second.  A chain or a peer that takes over a stream may be as silent,
+ * full, or without a worker.  The earlier attempt is therefore kept while the
+ * present one has not begun to answer.  The one that answers first goes on, and
+ * the other one is cancelled.  If the present one fails, the request returns to
+ * the kept one.
  */
 
 static int eq_attempt_init(struct eq_attempt *attempt, struct eq *eq);
 static void eq_attempt_free(struct eq_attempt *attempt);
+static struct eq_attempt *eq_other_attempt(struct eq *eq);
+static void eq_count_run(struct eq *eq);
 
 /* Prepares a request's attempts.  Returns -1 if memory is exhausted. */
 int eq_attempts_init(struct eq *eq)
@@ -45,3 +56,107 @@
 		evbuffer_free(attempt->body);
 	evs_free(&attempt->events);
 }
+
+/*
+ * Makes room for another attempt of a request that has one in progress, which
+ * counts as a run.  It is kept; if an earlier one is kept already, the present
+ * one, which has not answered, ends instead.
+ */
+void eq_set_aside(struct eq *eq)
+{
+	eq_count_run(eq);
+	if (eq->kept) {
+		hc_cancel(eq->attempt->call);
+		eq->attempt->call = NULL;
+		eq_release(eq);
+		return;
+	}
+	eq_repair_cancel(eq);
+	eq->kept = eq->attempt;
+	eq->attempt = eq_other_attempt(eq);
+	eq->attempt->repairs = 0;
+	eq->attempt->repaired_us = 0;
+}
+
+/*
+ * Returns to the kept attempt, as the present one has failed.  That one's run,
+ * if any, is counted; the kept one's is counted again when it ends.
+ */
+void eq_fall_back(struct eq *eq, const char *why, int64_t now)
+{
+	char id[WIRE_ID_MAX];
+
+	if (eq->attempt->call)
+		hc_cancel(eq->attempt->call);
+	eq->attempt->call = NULL;
+	eq_release(eq);
+	eq->attempt = eq->kept;
+	eq->kept = NULL;
+	eq->runs--;
+	if (eq->state == EQ_WAITING)
+		eq->state = EQ_SENT;
+	eq->next_move_us = now + EQ_MOVE_RETRY_US;
+	met_increment(&eq->edge->met, MET_FALL_BACKS);
+	jlog(LOG_EQ_FELL_BACK,
+	     "\"request\":\"%s\",\"why\":\"%s\",\"worker\":\"%s\","
+	     "\"sends\":%d,\"runs\":%d,\"last_event\":%lld,"
+	     "\"silent_ms\":%d",
+	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id), why,
+	     eq->attempt->hop_count > 0 ? eq->attempt->hops[0].worker->entry.id
+					: "",
+	     eq->sends, eq->runs, (long long)eq->last_event,
+	     (int)((now - eq->progress_us) / MAG_US_PER_MS));
+}
+
+/* Makes an attempt that has answered the only one. */
+void eq_prefer(struct eq *eq, struct eq_attempt *attempt, int64_t now)
+{
+	if (!eq->kept)
+		return;
+	if (attempt != eq->kept) {
+		eq_drop_kept(eq);
+		return;
+	}
+	if (eq->attempt->hop_count == 0)
+		/* A peer may have used all runs that the route allows. */
+		eq->runs = eq->route->max_attempts;
+	else if (!hc_unsent(eq->attempt->call))
+		eq_count_run(eq);
+	eq_fall_back(eq, "answered first", now);
+}
+
+/* Ends the kept attempt. */
+void eq_drop_kept(struct eq *eq)
+{
+	if (eq->kept->call)
+		hc_cancel(eq->kept->call);
+	eq->kept->call = NULL;
+	eq_release_hops(eq->kept);
+	eq->kept = NULL;
+}
+
+/* Releases slots and memory at the workers of an attempt. */
+void eq_release_hops(struct eq_attempt *attempt)
+{
+	int i;
+
+	for (i = 0; i < attempt->hop_count; i++) {
+		attempt->hops[i].worker->held -= attempt->hops[i].held;
+		if (i == 0)
+			attempt->hops[i].worker->first_hops--;
+		wk_unref(attempt->hops[i].worker);
+	}
+	attempt->hop_count = 0;
+}
+
+static struct eq_attempt *eq_other_attempt(struct eq *eq)
+{
+	return &eq->attempts[eq->attempt == eq->attempts];
+}
+
+/* Counts the present attempt as one that may have run. */
+static void eq_count_run(struct eq *eq)
+{
+	eq->may_have_run = true;
+	eq->runs++;
+}
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -430,18 +430,19 @@
 }
 
 /*
- * Returns the worker of the request's chain with this address, or NULL.  The
+ * Returns the worker of an attempt's chain with this address, or NULL.  The
  * worker table may hold several with one address; this is the one that the
  * request was sent to.
  */
-struct wk *eq_worker_at_address(const struct eq *eq, const char *address)
+struct wk *eq_worker_at_address(const struct eq_attempt *attempt,
+				const char *address)
 {
 	int i;
 
-	for (i = 0; i < eq->attempt->hop_count; i++) {
-		if (strcmp(eq->attempt->hops[i].worker->entry.address,
-			   address) == 0)
-			return eq->attempt->hops[i].worker;
+	for (i = 0; i < attempt->hop_count; i++) {
+		if (strcmp(attempt->hops[i].worker->entry.address, address) ==
+		    0)
+			return attempt->hops[i].worker;
 	}
 	return NULL;
 }
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -107,7 +107,7 @@
 {
 	struct eq_attempt *attempt = user;
 
-	return eq_take_headers(attempt->eq, response);
+	return eq_take_headers(attempt, response);
 }
 
 /* Called when a peer's answer has ended; the call has been released. */
@@ -119,7 +119,7 @@
 
 	eq->attempt->call = NULL;
 	if (end == HC_COMPLETE && !eq->attempt->garbled &&
-	    eq->attempt->answered && !eq_is_truncated(eq)) {
+	    eq->attempt->answered && !eq_is_truncated(attempt)) {
 		eq_forward_answered(eq, now);
 		return;
 	}
@@ -140,6 +140,10 @@
 		eq_forward_refused(eq, now);
 		return;
 	}
+	if (eq->kept && eq->attempt->status / 100 != 2) {
+		eq_retry_or_fail(eq, "peer failed it");
+		return;
+	}
 	eq->may_have_run = true;
 	eq->runs = eq->route->max_attempts;
 	if (eq->attempt->status / 100 == 2)
@@ -156,6 +160,10 @@
 {
 	if (eq_forward_start(eq, now))
 		return;
+	if (eq->kept) {
+		eq_retry_or_fail(eq, "peer refused it");
+		return;
+	}
 	if (eq->may_have_run || eq->state == EQ_STREAMING) {
 		eq_fail(eq, 502, "peer refused it");
 		return;
--- a/src/eq_move.c
+++ b/src/eq_move.c
@@ -6,26 +6,21 @@
  * Load pattern: workers fall silent under full load, many streams have to be
  * moved at once, and the retry budget and the memory of the other workers do
  * not suffice for all of them.  A stream whose attempt is cancelled without a
- * successor is lost, while its worker may only have been slow.  A request
- * therefore keeps its attempt until everything that the next one needs is at
- * hand: a run and a send that the limits leave, a retry in the budget, a chain
- * with room reserved on it, and a free connection.  Otherwise it stays where it
- * is and is looked at again.
+ * successor is lost, while its worker may only have been slow.  A request is
+ * therefore moved only when everything that the next attempt needs is at hand:
+ * a run and a send that the limits leave, a retry in the budget, a chain with
+ * room reserved on it, and a free connection.  Otherwise it stays where it is
+ * and is looked at again.  The earlier attempt is kept (eq_attempt.c).
  */
 
-/*
- * Interval between attempts to move a request.  Each one considers all workers,
- * which takes a millisecond with 3,000 of them.
- */
-#define EQ_MOVE_RETRY_US (25 * MAG_US_PER_MS)
 /* Retries that are left in the budget for requests that cannot be repaired. */
 #define EQ_RETRIES_RESERVED 12
 
 /*
- * A peer is no certain successor: if all workers hang, it has no chain either.
- * A request whose worker is only silent is forwarded after this long.  By then
- * a router that is cut off from all workers of the service alone has failed to
- * reach them on a new connection, and callers leave after two seconds.
+ * A request whose worker is only silent is forwarded to a peer after this long.
+ * By then a router that is cut off from all workers of the service alone has
+ * failed to reach them on a new connection, and callers leave after two
+ * seconds.
  */
 #define EQ_FORWARD_SILENCE_US (500 * MAG_US_PER_MS)
 
@@ -48,7 +43,6 @@
 static void eq_swap_hops(struct eq *eq, struct eq_next *other);
 static void eq_hold_hops(const struct eq *eq, int sign);
 static void eq_give_up(struct eq *eq, const char *why);
-static void eq_end_attempt(struct eq *eq);
 
 /*
  * Moves a request off a faulty worker: restarts it elsewhere, or repairs its
@@ -101,14 +95,14 @@
 }
 
 /*
- * Ends an attempt once the next one is certain; another chain continues a
- * stream after its last event.  Returns false if the request stays where it is.
- * The run counts against the route's limit on runs even if its first worker
- * seems dead: silence does not prove death, and a stream whose worker was only
- * slow to answer would otherwise run on three.
+ * Starts another attempt once all that it needs is at hand; another chain
+ * continues a stream after its last event.  Returns false if the request stays
+ * where it is.  The run counts against the route's limit on runs even if its
+ * first worker seems dead: silence does not prove death, and a stream whose
+ * worker was only slow to answer would otherwise run on three.
  *
  * The worker at fault, if one is named, may have been crashed by the request.
- * If it is dead and the request must not run again, the request ends.
+ * If it is dead and the request must not run again, the attempt ends.
  */
 bool eq_restart(struct eq *eq, struct wk *fault, const char *why, int64_t now)
 {
@@ -139,13 +133,12 @@
 	if (fault)
 		eq_add_crash_candidate(eq, fault, now);
 	if (now < eq->resend_us) {
+		/* The routers' verdict is awaited. */
 		eq_drop_next(eq, &next);
-		eq_give_up(eq, why);
-		return true;
+		return false;
 	}
-	eq_end_attempt(eq);
 	eq_log_again(eq, fault, why);
-	eq_release(eq);
+	eq_set_aside(eq);
 	eq_swap_hops(eq, &next);
 	if (eq->state == EQ_SENT)
 		eq->state = EQ_WAITING;
@@ -171,36 +164,28 @@
 			 now) >= EQ_FORWARD_SILENCE_US;
 }
 
-/* Forwards a running request to a peer instead; false if none takes it. */
+/*
+ * Forwards a running request to a peer, or else returns it to its earlier
+ * attempt; false if it stays where it is, as there is no peer or the routers'
+ * verdict on the request is awaited.
+ */
 static bool eq_forward_on(struct eq *eq, struct wk *fault, const char *why,
 			  int64_t now)
 {
-	struct hc_call *call = eq->attempt->call;
-	bool may_have_run = eq->may_have_run;
+	bool had_kept = eq->kept != NULL;
 
 	if (!eq_may_forward(eq, now))
 		return false;
 	if (fault)
 		eq_add_crash_candidate(eq, fault, now);
-	if (now < eq->resend_us) {
-		eq_give_up(eq, why);
-		return true;
-	}
-	eq->may_have_run = true;
-	eq->runs++;
+	if (now < eq->resend_us)
+		return false;
+	eq_log_again(eq, fault, why);
+	eq_set_aside(eq);
 	if (!eq_forward_start(eq, now)) {
-		eq->attempt->call = call;
-		eq->may_have_run = may_have_run;
-		eq->runs--;
-		if (!fault)
-			return false;
-		/* The evidence is recorded, and must not be so again. */
-		eq_give_up(eq, why);
-		return true;
+		eq_fall_back(eq, "no peer", now);
+		return had_kept;
 	}
-	hc_cancel(call);
-	eq_log_again(eq, fault, why);
-	eq_release(eq);
 	if (eq->state == EQ_STREAMING)
 		met_increment(&eq->edge->met, MET_RESUMES);
 	return true;
@@ -228,7 +213,7 @@
 static void eq_drop_next(struct eq *eq, struct eq_next *next)
 {
 	eq_swap_hops(eq, next);
-	eq_release_hops(eq);
+	eq_release_hops(eq->attempt);
 	eq_swap_hops(eq, next);
 }
 
@@ -256,17 +241,12 @@
 	}
 }
 
-/* Ends an attempt without a successor: the request waits for one, or ends. */
+/* Ends an attempt that is not moved: the request waits, or ends. */
 static void eq_give_up(struct eq *eq, const char *why)
-{
-	eq_end_attempt(eq);
-	eq_retry_or_fail(eq, why);
-}
-
-static void eq_end_attempt(struct eq *eq)
 {
 	hc_cancel(eq->attempt->call);
 	eq->attempt->call = NULL;
 	eq->may_have_run = true;
 	eq->runs++;
+	eq_retry_or_fail(eq, why);
 }
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -43,6 +43,7 @@
 static void eq_repair_body(void *user, const void *bytes, size_t len);
 static void eq_repair_end(void *user, enum hc_result end);
 static bool eq_is_first_alive(const struct wk *wk, int64_t now);
+static bool eq_runs_there_twice(const struct eq *eq);
 static struct evbuffer *eq_repair_encode(const struct eq *eq);
 static void eq_repair_refused(struct eq *eq, const char *address, int64_t now);
 static void eq_repair_free(struct eq_repair *repair);
@@ -66,7 +67,7 @@
 
 	if (!eq->attempt->call || eq->repair ||
 	    eq->attempt->repairs >= EQ_REPAIRS_MAX || !eq->request.attempt_id ||
-	    eq->attempt->hops[0].worker == fault ||
+	    eq->attempt->hops[0].worker == fault || eq_runs_there_twice(eq) ||
 	    !adv_may_send(&eq->attempt->hops[0].worker->proc.adv, ADV_REPAIR,
 			  now) ||
 	    !eq_is_first_alive(eq->attempt->hops[0].worker, now) ||
@@ -122,6 +123,16 @@
 	       now - wk->proc.reported_us < EQ_REPAIR_ALIVE_US;
 }
 
+/*
+ * Tells whether the first worker has the kept attempt, too.  An order names a
+ * request, not one of its attempts.
+ */
+static bool eq_runs_there_twice(const struct eq *eq)
+{
+	return eq->kept &&
+	       eq->kept->hops[0].worker == eq->attempt->hops[0].worker;
+}
+
 /*
  * Abandons a repair.  The worker may still carry out the order, which is
  * harmless.
@@ -210,7 +221,7 @@
 	struct wk *fault = NULL;
 
 	if (address[0])
-		fault = eq_worker_at_address(eq, address);
+		fault = eq_worker_at_address(eq->attempt, address);
 	if (fault) {
 		wk_on_refusal(fault, now);
 		if (eq_repair_start(eq, fault, false, now))
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -102,21 +102,7 @@
 {
 	eq_repair_cancel(eq);
 	eq->attempt->repairs = 0;
-	eq_release_hops(eq);
-}
-
-/* Releases slots and memory at a request's workers. */
-void eq_release_hops(struct eq *eq)
-{
-	int i;
-
-	for (i = 0; i < eq->attempt->hop_count; i++) {
-		eq->attempt->hops[i].worker->held -= eq->attempt->hops[i].held;
-		if (i == 0)
-			eq->attempt->hops[i].worker->first_hops--;
-		wk_unref(eq->attempt->hops[i].worker);
-	}
-	eq->attempt->hop_count = 0;
+	eq_release_hops(eq->attempt);
 }
 
 /*
@@ -125,15 +111,18 @@
  * crashes workers does so as it begins, so that one which has run for a while
  * did not either, unless nothing else ran there.  A request that may have
  * crashed two workers is not sent again before all routers could report what
- * they know of it.
+ * they know of it.  An attempt is recorded once for a worker.
  */
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now)
 {
 	const struct eq_hop *hop = eq_find_hop(eq, wk);
 
-	if (!hop || !eq_is_evidence(eq, hop, now) ||
+	if (!hop || strcmp(eq->attempt->blamed, wk->entry.id) == 0 ||
+	    !eq_is_evidence(eq, hop, now) ||
 	    !eq_add_interrupted(eq, hop, false, now))
 		return;
+	mag_copy_name(eq->attempt->blamed, sizeof(eq->attempt->blamed),
+		      wk->entry.id);
 	if (eq->crash_candidate || eq_check_quarantine(eq, now) != QUAR_CLEAR)
 		eq->resend_us = now + EQ_VERDICT_US;
 	eq->crash_candidate = true;
@@ -299,7 +288,9 @@
 		met_observe(&eq->edge->met, MET_WAIT, now - eq->arrived_us);
 	} else if (!bud_take_retry(bud, now)) {
 		eq_release(eq);
-		if (eq->state == EQ_STREAMING)
+		if (eq->kept)
+			eq_fall_back(eq, "retry budget spent", now);
+		else if (eq->state == EQ_STREAMING)
 			eq_fail(eq, 502, "retry budget spent");
 		else
 			eq_refuse(eq, 503, EQ_RETRY_SOON, "retry budget spent");
@@ -331,6 +322,8 @@
 		eq_release(eq);
 		if (eq->state == EQ_SENT)
 			eq->state = EQ_WAITING;
+		if (eq->kept)
+			eq_fall_back(eq, "not sent", now);
 		return;
 	}
 	for (i = 1; i < eq->attempt->hop_count; i++)
@@ -359,6 +352,7 @@
 	eq->attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
 	eq->attempt->longest_run_us = 0;
 	eq->attempt->misrouted = false;
+	eq->attempt->blamed[0] = '\0';
 	eq->attempt->begun_us = 0;
 	eq->attempt->ran_well = false;
 	eq->attempt->answered = false;
--- a/src/met.h
+++ b/src/met.h
@@ -20,6 +20,7 @@
 	MET_COUNTER(MET_SENDS, "sends_total", "requests sent to workers") \
 	MET_COUNTER(MET_REPEATS, "repeats_total", "second and later sends of a request") \
 	MET_COUNTER(MET_RESUMES, "streams_resumed_total", "streams that went on at another chain") \
+	MET_COUNTER(MET_FALL_BACKS, "attempts_regained_total", "requests that returned to an earlier attempt") \
 	MET_COUNTER(MET_REPAIRS, "chains_repaired_total", "streams whose chain was repaired in place") \
 	MET_COUNTER(MET_EVENTS, "events_relayed_total", "events of streams handed on") \
 	MET_COUNTER(MET_STALLS, "stalls_total", "streams found standing still") \
