--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -83,6 +83,7 @@
 static double pace = 1;	  /* over 1: slow; appears only in the report */
 static int slots = 64;
 static bool draining;
+static bool full;	    /* refuse requests, but reply to reports */
 static bool drop_replies;   /* run a request and close without a reply */
 static bool abort_requests; /* abort all requests, but reply to reports */
 static const char *limit;   /* requests per second, sent in all replies */
@@ -420,7 +421,7 @@
 		refuse(conn, 421, NULL);
 		return;
 	}
-	if (draining || !attempt) {
+	if (draining || full || !attempt) {
 		refuse(conn, 503, kind ? address : NULL);
 		return;
 	}
@@ -493,6 +494,8 @@
 		handle_order(conn);
 	else if (strcmp(target, "/stand-in/drain") == 0)
 		draining = true, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (strcmp(target, "/stand-in/full") == 0)
+		full = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/slow") == 0)
 		pace = 10, event_us *= 10, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/lose") == 0)
