hc, wk: a worker is dead if it refuses a connection, not if none comes about

Streams that may not run again were reset while the machines of their workers were paused for 0.8 s. A connection attempt that times out was reported like one that is refused (HC_UNSENT), and either one, or the reset of a probe's new connection, made wk_is_dead true, so that eq_restart ended the stream with "on a suspected worker". A paused machine answers no attempt, and a worker at its connection limit resets new ones; both go on with what they run.

hc_host keeps whether its last attempt was refused, and only that counts as a death. What a failed probe makes of a possible crash (wkp_on_death) stays as it was.

--- a/regress/tool_proxy.c
+++ b/regress/tool_proxy.c
@@ -3,8 +3,9 @@
  * pass, delay (100 ms), reset (open and new connections), up or down (drop the
  * data of callers or of the target), silent (drop both), refuse (new
  * connections; open ones live on), sever (reset open ones, refuse new ones),
- * hang (new ones hang, open ones drop both).  It may serve several pairs of OWN
- * and TARGET.
+ * hang (new ones hang, open ones drop both), freeze (new ones hang, the data of
+ * open ones waits for the next mode).  It may serve several pairs of OWN and
+ * TARGET.
  */
 
 #include <fcntl.h>
@@ -34,7 +35,8 @@
 	SILENT,
 	REFUSE,
 	SEVER,
-	HANG
+	HANG,
+	FREEZE
 };
 
 #define ROUTES_MAX 16
@@ -92,6 +94,8 @@
 {
 	struct evbuffer *in = bufferevent_get_input(end->bev);
 
+	if (mode == FREEZE)
+		return;
 	if (mode == SILENT || mode == HANG || (mode == UP && end->is_caller) ||
 	    (mode == DOWN && !end->is_caller))
 		evbuffer_drain(in, evbuffer_get_length(in));
@@ -101,10 +105,15 @@
 
 static void on_delay(evutil_socket_t fd, short what, void *arg)
 {
+	struct timeval wait = { 0, DELAY_MS * 1000 };
 	struct pair *pair = arg;
 
 	(void)fd;
 	(void)what;
+	if (mode == FREEZE) {
+		event_add(pair->delay_timer, &wait);
+		return;
+	}
 	forward(&pair->ends[0]);
 	forward(&pair->ends[1]);
 	if (pair->closing)
@@ -202,7 +211,8 @@
 /* Opens and closes the listener of a route as the mode asks. */
 static void apply_mode(struct route *route)
 {
-	bool accepting = mode != REFUSE && mode != SEVER && mode != HANG;
+	bool hanging = mode == HANG || mode == FREEZE;
+	bool accepting = mode != REFUSE && mode != SEVER && !hanging;
 	int i;
 
 	if (route->hanging >= 0) {
@@ -217,7 +227,7 @@
 		evconnlistener_free(route->listener);
 		route->listener = NULL;
 	}
-	if (mode == HANG)
+	if (hanging)
 		open_hanging(route);
 }
 
@@ -225,7 +235,8 @@
 {
 	static const char *const words[] = { "pass",   "delay", "reset",
 					     "up",     "down",	"silent",
-					     "refuse", "sever", "hang" };
+					     "refuse", "sever", "hang",
+					     "freeze" };
 	struct pair *pair;
 	struct pair *next;
 	char line[64];
@@ -239,16 +250,20 @@
 		return;
 	line[len] = '\0';
 	line[strcspn(line, "\n")] = '\0';
-	for (i = 0; i < 9; i++) {
+	for (i = 0; i < 10; i++) {
 		if (strcmp(line, words[i]) == 0)
 			mode = (enum mode)i;
 	}
 	for (i = 0; i < route_count; i++)
 		apply_mode(&routes[i]);
-	if (mode != RESET && mode != SEVER)
-		return;
-	cds_list_for_each_entry_safe (pair, next, &pairs, node)
-		close_pair(pair);
+	cds_list_for_each_entry_safe (pair, next, &pairs, node) {
+		if (mode == RESET || mode == SEVER) {
+			close_pair(pair);
+			continue;
+		}
+		forward(&pair->ends[0]);
+		forward(&pair->ends[1]);
+	}
 }
 
 int main(int argc, char **argv)
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -428,7 +428,7 @@
 		/* A probe tells a death, and suspects the worker, too. */
 		if (wk_count_interrupted(wk, now) > 0)
 			wkp_probe(edge, wk, now);
-		wk->proc.unreached = true;
+		wk_on_unsent(wk);
 		if (!wk->probing)
 			wk_suspect(wk, now, "no connection");
 		eq_retry_or_fail(eq, "not sent");
--- a/src/hc.c
+++ b/src/hc.c
@@ -41,6 +41,7 @@
 	int addr_len;
 	int max_connections;
 	int open;
+	bool refused; /* the last connection attempt */
 	struct cds_list_head conns;
 	struct cds_list_head idle; /* most recently used first */
 	void (*observe)(void *ctx, bool reached);
@@ -82,6 +83,7 @@
 static void hc_event(struct bufferevent *bev, short what, void *arg);
 static void hc_parse(struct hc_call *call);
 static void hc_complete(struct hc_call *call);
+static void hc_connect_failed(struct hc_call *call, int error);
 static void hc_finish(struct hc_call *call, enum hc_result result);
 static void hc_close(struct hc_call *call);
 static void hc_set_idle_timeout(struct hc_call *call, int64_t now);
@@ -185,7 +187,7 @@
 			hc_close(call);
 		else if (call->state == HC_CONNECTING &&
 			 now >= call->connect_by_us)
-			hc_finish(call, HC_UNSENT);
+			hc_connect_failed(call, ETIMEDOUT);
 		else if (call->state == HC_ACTIVE && now >= call->deadline_us)
 			hc_finish(call, HC_TIMED_OUT);
 		else
@@ -267,6 +269,15 @@
 	       host->idle.next != &host->idle;
 }
 
+/*
+ * Tells whether the last connection attempt was refused: no process listens at
+ * the host's address.  An attempt that timed out does not say so.
+ */
+bool hc_host_is_refused(const struct hc_host *host)
+{
+	return host->refused;
+}
+
 /* Closes the idle connections of a host. */
 void hc_host_drop_idle(struct hc_host *host)
 {
@@ -425,6 +436,7 @@
 
 	(void)bev;
 	if (what & BEV_EVENT_CONNECTED) {
+		call->host->refused = false;
 		call->state = HC_ACTIVE;
 		hc_write(call);
 		return;
@@ -433,7 +445,7 @@
 		return;
 	switch (call->state) {
 	case HC_CONNECTING:
-		hc_finish(call, HC_UNSENT);
+		hc_connect_failed(call, EVUTIL_SOCKET_ERROR());
 		return;
 	case HC_IDLE:
 		hc_close(call);
@@ -513,6 +525,13 @@
 		ops->ended(user, HC_COMPLETE);
 }
 
+/* Ends a call whose connection could not be established, for this errno. */
+static void hc_connect_failed(struct hc_call *call, int error)
+{
+	call->host->refused = error == ECONNREFUSED;
+	hc_finish(call, HC_UNSENT);
+}
+
 /* Ends a call that failed, or whose response ended with its connection. */
 static void hc_finish(struct hc_call *call, enum hc_result result)
 {
--- a/src/hc.h
+++ b/src/hc.h
@@ -86,6 +86,7 @@
 void hc_host_free(struct hc_host *host);
 void hc_host_drop_idle(struct hc_host *host);
 bool hc_host_has_room(const struct hc_host *host);
+bool hc_host_is_refused(const struct hc_host *host);
 int hc_host_open_count(const struct hc_host *host);
 
 int hc_start(struct hc_host *host, const struct hc_send *send,
--- a/src/wk.h
+++ b/src/wk.h
@@ -86,7 +86,7 @@
 	int64_t last_event_us; /* when an event of ours last came through it */
 	int64_t last_event_run_us; /* the same by the clock run.h */
 	bool unresponsive;	   /* the probe in flight is overdue */
-	bool unreached; /* it refused or reset a connection since it answered */
+	bool unreached;		/* it refused a connection since it answered */
 	int probes_since_event; /* probes since last_event_us */
 
 	struct adv adv; /* what it advertises */
@@ -253,6 +253,7 @@
 		       int64_t now);
 void wk_clear_suspicion(struct wk *wk, int64_t now);
 void wk_on_unreached(struct wk *wk);
+void wk_on_unsent(struct wk *wk);
 void wk_path_regained(struct wk_table *table, int routers, int64_t now);
 struct wk *wk_pick_probe(struct wk_table *table, int64_t now,
 			 struct reach_workers *workers);
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -95,8 +95,10 @@
 }
 
 /*
- * Tells whether a worker is known to be dead, rather than silent: it refused or
- * reset a connection, its entry is gone, or another process has its address.
+ * Tells whether a worker is known to be dead, rather than silent: it refused a
+ * connection, its entry is gone, or another process has its address.  One whose
+ * machine is paused does not answer connection attempts, and one that has too
+ * many connections resets new ones; both go on with their requests.
  */
 bool wk_is_dead(const struct wk *wk, int64_t now)
 {
@@ -209,6 +211,13 @@
 			 htab_hash(wk->entry.data_centre));
 }
 
+/* Notes that nothing of a request or a probe was sent to a worker. */
+void wk_on_unsent(struct wk *wk)
+{
+	if (hc_host_is_refused(wk->host))
+		wk->proc.unreached = true;
+}
+
 /*
  * Our path to the workers is back: those that seemed dead are probed soon, one
  * after the other, and peers hear of those that still do.  All routers of the
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -307,8 +307,8 @@
 				 enum hc_result end, int64_t now)
 {
 	wk->proc.suspect_until_us = 0;
-	if (end == HC_UNSENT || end == HC_CONN_LOST)
-		wk->proc.unreached = true;
+	if (end == HC_UNSENT)
+		wk_on_unsent(wk);
 	wk_on_unreached(wk);
 	wk_suspect(wk, now, "no answer to a probe");
 	edge->probe_ops->suspected(edge, wk, now);
