--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -55,6 +55,8 @@
 # put_config VERSION [KEYS]: publishes a configuration as the operator does.  With
 # PRIORITIES=1 there are two more accounts, one of high and one of low priority, and
 # routes differ in priority, too; with PRIORITIES=swapped these two are swapped.
+# $TIMEOUT_MS, $TARGET_MS, $PLAIN_TIMEOUT_MS, $LOOKUPS_TO, $IDLE_MS and $BODY_BYTES
+# change single fields, $ROUTES and $SERVICES replace all, $MORE_SERVICES adds some.
 put_config() {
 	keys=${2:-\"key-1\"}
 	more="" first="" last=""
@@ -65,17 +67,20 @@
 		first='"Priority":1,'
 		last='"Priority":4,'
 	fi
-	curl -s -X POST "http://$store/stand-in/put?Key=op/config" --data-binary @- <<-JSON
-	{"Version":$1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-	"Services":[{"Name":"model","HealthPath":"/healthz","MaxConnections":900,
+	services='{"Name":"model","HealthPath":"/healthz","MaxConnections":900,
 	"Engine":{"Slots":64,"KvTokenBytes":590000,"Models":[{"Name":"m","LoadS":1}],"step_ms":1,"per_seq_ms":0.004,"context_per_k":0.006,
 	"read_per_s":160000,"usual":{"prompt":100,"answer":20},"Layers":20,"LayerMb":1750,"ActBytes":29500,"PipeMbps":19000,
 	"Kinds":[{"Name":"big","Mb":72000,"pace":2.4,"ReadX":3.2},{"Name":"small","Mb":21600,"pace":16,"ReadX":8.2}]}},
-	{"Name":"app","HealthPath":"/healthz","MaxConnections":900}],
+	{"Name":"app","HealthPath":"/healthz","MaxConnections":900}'
+	streams='{"Name":"s",'$first'"Host":"h.example","PathPrefix":"/s/","Kind":"streaming","StreamResume":true,"SessionAffinity":true,"TimeoutMs":'${TIMEOUT_MS:-6000}',"TargetLatencyMs":'${TARGET_MS:-500}',"GapAimMs":250,"MaxAttempts":'${STREAM_ATTEMPTS:-2}',"Service":"model"}'
+	bookings='{"Name":"b","Host":"h.example","PathPrefix":"/b/","Kind":"non_idempotent","TimeoutMs":'${PLAIN_TIMEOUT_MS:-3000}',"TargetLatencyMs":500,"MaxAttempts":1,"Service":"app"}'
+	lookups='{"Name":"r",'$last'"Host":"h.example","PathPrefix":"/r/","Kind":"idempotent","TimeoutMs":'${PLAIN_TIMEOUT_MS:-3000}',"TargetLatencyMs":500,"MaxAttempts":2,'${LOOKUPS_TO:-'"Service":"app"'}'}'
+	routes="$streams,$bookings,$lookups"
+	curl -s -X POST "http://$store/stand-in/put?Key=op/config" --data-binary @- <<-JSON
+	{"Version":$1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":${BODY_BYTES:-65536},"HeaderTimeoutMs":3000,"IdleTimeoutMs":${IDLE_MS:-15000}},
+	"Services":[${SERVICES-$services$MORE_SERVICES}],
 	"Tenants":[{"Name":"acme","ApiKeys":[$keys]}$more],
-	"Routes":[{"Name":"s",$first"Host":"h.example","PathPrefix":"/s/","Kind":"streaming","StreamResume":true,"SessionAffinity":true,"TimeoutMs":6000,"TargetLatencyMs":500,"GapAimMs":250,"MaxAttempts":${STREAM_ATTEMPTS:-2},"Service":"model"},
-	{"Name":"b","Host":"h.example","PathPrefix":"/b/","Kind":"non_idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":1,"Service":"app"},
-	{"Name":"r",$last"Host":"h.example","PathPrefix":"/r/","Kind":"idempotent","TimeoutMs":3000,"TargetLatencyMs":500,"MaxAttempts":2,"Service":"app"}]}
+	"Routes":[${ROUTES-$routes}]}
 	JSON
 }
 
--- a/regress/tool_calls.c
+++ b/regress/tool_calls.c
@@ -4,8 +4,11 @@
  * -p N the prompts of streams have parts: one of some subjects, in every N-th
  * stream one that crashes workers, and one of its own; with -k KINDS the calls
  * are of these kinds in turn, s, b or r; with -t TOKEN they are of the account
- * with this key.  Prints the result of each call on a
- * line; promises.awk compares these with the workers' output.
+ * with this key.  With -o there are PER_S callers instead, each with a
+ * connection of its own, on which it sends one call after the other with
+ * pauses.  Prints the result of each call on a line, with -o then the number of
+ * connections that were opened; promises.awk compares the calls with the
+ * workers' output.
  */
 
 #include <inttypes.h>
@@ -21,16 +24,26 @@
 #include "mag.h"
 
 #define ROUTERS_MAX	16
+#define CALLERS_MAX	64
 #define TICK_MS		10
 #define CALL_TIMEOUT_US (8 * MAG_US_PER_S)
 #define CONNECT_US	MAG_US_PER_S
+/* Pause of a caller that keeps its connection, between two calls. */
+#define PAUSE_US (200 * MAG_US_PER_MS)
 /* Events of a complete stream, as the stand-in for the workers sends them. */
 #define EVENTS_PER_STREAM 20
 /* Parts that begin the prompts, one for each so many streams. */
 #define SUBJECTS 17
 
+/* A caller that keeps its connection. */
+struct caller {
+	struct hc_host *router;
+	int64_t next_us; /* of its next call; MAG_NEVER: one is in progress */
+};
+
 struct call {
 	char id[32];
+	struct caller *caller; /* NULL: the call has its own connection */
 	char kind;
 	int status;
 	int64_t last; /* id of the last event */
@@ -43,6 +56,9 @@
 static struct hc *hc;
 static struct hc_host *routers[ROUTERS_MAX];
 static int router_count;
+static struct caller callers[CALLERS_MAX];
+static int caller_count; /* 0: each call has a connection of its own */
+static int connection_count;
 static struct event_base *base;
 static const char *prefix;
 static int64_t next_us;
@@ -98,6 +114,8 @@
 	printf("CALL %s %c %d %s %s %s %" PRId64 "\n", call->id, call->kind,
 	       call->status, ends[end], call->in_order ? "ordered" : "DISORDER",
 	       call->mismatched ? "FOREIGN" : "own", call->started_us);
+	if (call->caller)
+		call->caller->next_us = clk_boot_us() + PAUSE_US;
 	evs_free(&call->evs);
 	free(call);
 	open_calls--;
@@ -121,13 +139,14 @@
 		 0xf00000 + started_count);
 }
 
-static void start_call(int64_t now)
+/* Starts a call of a caller that keeps its connection, or of another one. */
+static void start_call(struct caller *caller, int64_t now)
 {
 	static const struct hc_ops ops = { on_headers, on_body, on_end };
 	struct call *call = calloc(1, sizeof(*call));
 	struct hc_send send = { .ops = &ops,
 				.user = call,
-				.new_connection = true,
+				.new_connection = !caller,
 				.connect_by_us = now + CONNECT_US,
 				.deadline_us = now + CALL_TIMEOUT_US };
 	struct hc_call *started;
@@ -139,6 +158,9 @@
 	if (call->kind == 's')
 		fill_parts(call, parts, sizeof(parts));
 	call->in_order = true;
+	call->caller = caller;
+	if (caller)
+		caller->next_us = MAG_NEVER;
 	call->started_us = now;
 	send.request = evbuffer_new();
 	evbuffer_add_printf(send.request,
@@ -150,31 +172,69 @@
 			    distinct ? call->id : "x", call->id, token, parts,
 			    call->kind == 'r' ? "" : "Content-Length: 0\r\n");
 	open_calls++;
-	if (hc_start(routers[started_count % router_count], &send, &started))
+	if (hc_start(caller ? caller->router
+			    : routers[started_count % router_count],
+		     &send, &started))
 		on_end(call, HC_UNSENT);
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *arg)
 {
 	int64_t now = clk_boot_us();
+	int i;
 
 	(void)fd;
 	(void)what;
 	(void)arg;
 	hc_tick(hc, now);
-	while (now < until_us && now >= next_us) {
-		start_call(now);
+	for (i = 0; i < caller_count; i++) {
+		if (now < until_us && now >= callers[i].next_us)
+			start_call(&callers[i], now);
+	}
+	while (caller_count == 0 && now < until_us && now >= next_us) {
+		start_call(NULL, now);
 		next_us += every_us;
 	}
 	if (now >= until_us && open_calls == 0)
 		event_base_loopbreak(base);
 }
 
+/* Called when the first answer comes on a connection. */
+static void on_connection(void *ctx, bool reached)
+{
+	(void)ctx;
+	connection_count += reached;
+}
+
+/* Creates callers that keep their connections, spread over the routers. */
+static int create_callers(int count, char **addresses)
+{
+	int i;
+
+	if (count < 1 || count > CALLERS_MAX)
+		return -1;
+	for (i = 0; i < count; i++) {
+		if (hc_host_new(hc, addresses[i % router_count], 1,
+				&callers[i].router))
+			return -1;
+		hc_host_observe(callers[i].router, on_connection, NULL);
+		callers[i].next_us = next_us + PAUSE_US * i / count;
+	}
+	caller_count = count;
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	struct timeval every = { 0, TICK_MS * 1000 };
+	bool open = false;
 	int i;
 
+	if (argc > 1 && strcmp(argv[1], "-o") == 0) {
+		open = true;
+		argv++;
+		argc--;
+	}
 	if (argc > 1 && strcmp(argv[1], "-d") == 0) {
 		distinct = true;
 		argv++;
@@ -196,7 +256,7 @@
 		argc -= 2;
 	}
 	if (argc < 5) {
-		fprintf(stderr, "usage: tool_calls [-d] [-k KINDS] [-p N] "
+		fprintf(stderr, "usage: tool_calls [-o] [-d] [-k KINDS] [-p N] "
 				"[-t TOKEN] PREFIX SECONDS PER_S "
 				"ROUTER...\n");
 		return 1;
@@ -211,7 +271,11 @@
 		if (hc_host_new(hc, argv[i], 4096, &routers[router_count++]))
 			return 1;
 	}
+	if (open && create_callers(atoi(argv[3]), argv + 4))
+		return 1;
 	event_add(event_new(base, -1, EV_PERSIST, on_tick, NULL), &every);
 	event_base_dispatch(base);
+	if (open)
+		printf("CONNECTIONS %d\n", connection_count);
 	return 0;
 }
