eq_wait: a stream waits for a chain as long as callers of its route stay

Streams without a chain, or without a retry in the budget, were reset after 1.5 s of silence, although callers of a route with a longer latency target or allowed gap stay for longer: they leave after the longest of two seconds, four times the target and eight times the gap. A stream of a route with a target of 1 s was reset with "no chain to go on" half a second before its engine went on.

The wait is three quarters of the route's time, which is 1.5 s as before for a target up to 500 ms and a gap up to 250 ms.

--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -41,10 +41,18 @@
  */
 #define EQ_LATE_WAIT_US (1200 * MAG_US_PER_MS)
 /*
- * A stream that has begun may wait this long for a chain on which to resume;
- * callers leave after two seconds of silence.
+ * Callers leave a stream after a silence of this long, of so many times its
+ * route's latency target, or of so many times its allowed gap, whichever is
+ * longest.
  */
-#define EQ_RESUME_WAIT_US (1500 * MAG_US_PER_MS)
+#define EQ_LEAVE_US	 (2 * MAG_US_PER_S)
+#define EQ_LEAVE_TARGETS 4
+#define EQ_LEAVE_GAPS	 8
+/*
+ * Fraction of that time for which a stream that has begun waits for a chain on
+ * which to resume: the rest is for the chain to read the prompt.
+ */
+#define EQ_RESUME_FRACTION 0.75
 /*
  * Time that a ranked request waits without an estimate of its turn, as a
  * fraction of its route's latency target: more of it would be missed by the
@@ -67,6 +75,7 @@
 static void eq_join_queue(struct eq *eq, int64_t now);
 static void eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now);
 static int64_t eq_wait_us(const struct eq *eq);
+static bool eq_gives_up_resuming(const struct eq *eq, int64_t now);
 static bool eq_is_queued(const struct eq *eq);
 static bool eq_is_short(const struct edge_service *service, int64_t now);
 static void eq_log_no_worker(const struct eq *eq, int64_t now);
@@ -208,7 +217,7 @@
 	};
 
 	if (eq->state == EQ_STREAMING) {
-		if (now - eq->progress_us > EQ_RESUME_WAIT_US)
+		if (eq_gives_up_resuming(eq, now))
 			eq_fail(eq, 502, "no chain to go on");
 		return;
 	}
@@ -232,6 +241,19 @@
 	eq_refuse(eq, 503, EQ_RETRY_LATER, whys[choice]);
 }
 
+/* Tells whether a stream has waited too long for its caller to resume it. */
+static bool eq_gives_up_resuming(const struct eq *eq, int64_t now)
+{
+	int64_t leave_us = EQ_LEAVE_US;
+
+	if (eq->route->target_us * EQ_LEAVE_TARGETS > leave_us)
+		leave_us = eq->route->target_us * EQ_LEAVE_TARGETS;
+	if (eq->route->max_gap_us * EQ_LEAVE_GAPS > leave_us)
+		leave_us = eq->route->max_gap_us * EQ_LEAVE_GAPS;
+	return now - eq->progress_us >
+	       (int64_t)((double)leave_us * EQ_RESUME_FRACTION);
+}
+
 /* Returns how long a request waits for a worker at the most. */
 static int64_t eq_wait_us(const struct eq *eq)
 {
@@ -269,7 +291,7 @@
 	if (eq->state != EQ_STREAMING || eq->sends == 0 ||
 	    bud_may_retry(edge_budget(eq->edge, eq->service->name, now), now))
 		return false;
-	if (now - eq->progress_us > EQ_RESUME_WAIT_US)
+	if (eq_gives_up_resuming(eq, now))
 		eq_fail(eq, 502, "retry budget spent");
 	return true;
 }
