edge: requests that are open when the router must exit get an answer

Callers whose bookings and lookups were still at a worker when a stopping router reached its last moment saw their connection close without an answer: the loop was left, and the process ended. All requests are now ended 200 ms before that: with 503 if they were not sent, with 502 if they may have run, and streams that have begun by a reset as before.

--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -53,8 +53,10 @@
  * callers to connect are answered.
  */
 #define EDGE_LAST_CALLERS_US (300 * MAG_US_PER_MS)
-/* The router exits this long before it would be killed. */
+/* The router ends all requests this long before it would be killed. */
 #define EDGE_STOP_MARGIN_US (600 * MAG_US_PER_MS)
+/* Time to send the last answers after that. */
+#define EDGE_LAST_ANSWERS_US (200 * MAG_US_PER_MS)
 /*
  * Number of remembered requests that crashed workers, and how long each is
  * remembered.
@@ -296,9 +298,9 @@
 }
 
 /*
- * Ends the loop once nothing is open, or at the latest time for it.  Callers
- * that have connected by the time the router stops listening are still
- * answered.
+ * Ends the loop once nothing is open, or at the latest time for it; what is
+ * open shortly before that is answered as it is.  Callers that have connected
+ * by the time the router stops listening are still answered.
  */
 static void edge_stop_tick(struct edge *edge, int64_t now)
 {
@@ -311,8 +313,10 @@
 	    (idle || now >= edge->stop_by_us - EDGE_LAST_CALLERS_US)) {
 		edge->stopped_listening = true;
 		hs_stop_listening(edge->callers);
-	} else if (idle || now >= edge->stop_by_us) {
+	} else if (idle || now >= edge->stop_by_us + EDGE_LAST_ANSWERS_US) {
 		event_base_loopbreak(edge->base);
+	} else if (now >= edge->stop_by_us) {
+		eq_end_all(edge);
 	}
 }
 
--- a/src/eq.c
+++ b/src/eq.c
@@ -132,6 +132,22 @@
 	eq_coverage_tick(edge, now);
 }
 
+/*
+ * Ends all requests, as the process must exit: refuses those that have not run.
+ */
+void eq_end_all(struct edge *edge)
+{
+	struct eq *eq;
+	struct eq *next;
+
+	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
+		if (eq->attempt->call)
+			eq_fail(eq, 502, "stopped");
+		else
+			eq_refuse(eq, 503, EQ_RETRY_ELSEWHERE, "stopped");
+	}
+}
+
 /*
  * Refuses a request that has not run and never will.  If it may have run, the
  * caller receives 502 instead.
--- a/src/eq.h
+++ b/src/eq.h
@@ -125,6 +125,7 @@
 void eq_on_forwarded(void *ctx, struct hs_conn *conn);
 void eq_on_caller_gone(void *ctx, struct hs_conn *conn, void *user);
 void eq_tick(struct edge *edge, int64_t now);
+void eq_end_all(struct edge *edge);
 /* When a refused caller should retry. */
 enum eq_retry {
 	EQ_RETRY_NEVER,
