eq: a peer refuses what it has not run, also if it ran elsewhere

A router forwarded streams that may have run to a peer without a usable worker; the peer answered 502 instead of 503. 502 promises nothing, so that the first router counted all runs of the route as used and reset the stream: "peer refused to go on".

may_have_run was set from the runs that the first router had counted, and eq_refuse() turns a refusal of what may have run into 502. It now tells only of runs here. That the first router counts runs stands in ran_elsewhere, which keeps such a request out of the queue as before. No refusal reaches a caller whose request may have run: the first router knows of its own runs and fails the request.

regress/edge/forwarded-not-run sends as a router does; for a stream that may have run elsewhere it got 502 before, 503 now. A lookup that hangs at the peer's worker gets 504 in both.

--- a/src/eq.c
+++ b/src/eq.c
@@ -92,7 +92,10 @@
 	eq_dispatch(eq, now);
 }
 
-/* Continues the counts of the router that forwarded a request. */
+/*
+ * Continues the counts of the router that forwarded a request.  Whether it has
+ * run elsewhere is no matter of the answer to that router, which knows it.
+ */
 static void eq_take_forwarded(struct eq *eq)
 {
 	bool was_sent;
@@ -100,7 +103,7 @@
 	met_increment(&eq->edge->met, MET_TAKEN_OVER);
 	if (!pl_forward_decode(hs_headers(eq->caller), &eq->runs, &was_sent))
 		eq->bad_field = PL_FORWARD_FIELD;
-	eq->may_have_run = eq->runs > 0;
+	eq->ran_elsewhere = eq->runs > 0;
 	eq->sends = was_sent;
 }
 
--- a/src/eq.h
+++ b/src/eq.h
@@ -109,12 +109,13 @@
 	struct eq_repair *repair;   /* repair in progress, or NULL */
 	int sends;		    /* to workers, including refused ones */
 	int runs;		    /* sends that may have run */
-	bool may_have_run;
-	bool crash_candidate; /* it may have crashed a worker */
+	bool may_have_run;	    /* here, or at a peer that it was sent to */
+	bool crash_candidate;	    /* it may have crashed a worker */
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
 	int avoid_count;
 
 	bool is_forwarded;     /* a peer forwarded it to this router */
+	bool ran_elsewhere;    /* it may have run at the peer's workers */
 	int forwards;	       /* peers that it was forwarded to */
 	uint32_t forwarded_to; /* hash of the last one's name */
 	int64_t last_event;    /* id of the last event forwarded; -1: none */
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -132,7 +132,8 @@
  */
 bool eq_must_queue(const struct eq *eq, int64_t now)
 {
-	if (!eq_is_ranked(eq) || eq->state != EQ_WAITING || eq->may_have_run)
+	if (!eq_is_ranked(eq) || eq->state != EQ_WAITING || eq->may_have_run ||
+	    eq->ran_elsewhere)
 		return false;
 	if (eq->wait.rank > 0 && hint_is_behind(eq->edge->hint, now))
 		return true;
@@ -221,7 +222,7 @@
 	}
 	if (now < eq->wait_until_us && eq_may_send_again(eq)) {
 		if (choice != EQ_NO_WORKER && eq_is_ranked(eq) &&
-		    !eq->may_have_run)
+		    !eq->may_have_run && !eq->ran_elsewhere)
 			eq_wait_in_queue(eq, choice, now);
 		else
 			eq_leave_queue(eq, now);
