eq: a stream goes on when a peer refuses it

Streams that had begun, and requests that may have run, ended with the refusal of the last peer that they were forwarded to ("peer refused it"): callers saw a reset connection or 502, though an engine answered again a moment later.

eq_forward_refused() failed them, as it could not pass the refusal on. It did not run there, so that they now go on as after any attempt that ended without an answer: another peer, a chain of this router, or the usual wait for one, within the route's runs.

regress/edge/forwarded-refused, two routers and three engines as real processes: two engines are killed under streams while the third one hangs, which goes on 0.8 s later.

--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -151,15 +151,18 @@
 	eq_relay(eq);
 }
 
-/* Tries another peer after a refusal, or passes the refusal on. */
+/*
+ * Goes on as after any attempt that did not run if a refusal would not be true,
+ * or would cut a stream.  Tries another peer, or passes the refusal on, else.
+ */
 static void eq_forward_refused(struct eq *eq, int64_t now)
 {
-	if (eq_forward_start(eq, now))
-		return;
 	if (eq->may_have_run || eq->state == EQ_STREAMING) {
-		eq_fail(eq, 502, "peer refused it");
+		eq_retry_or_fail(eq, "peer refused it");
 		return;
 	}
+	if (eq_forward_start(eq, now))
+		return;
 	met_increment(&eq->edge->met, MET_REFUSED);
 	eq_relay(eq);
 }
