eq: a peer that fails a request says how many runs it has had

A lookup that broke at a peer without another worker got 502, and a stream that a peer had not begun was reset, although the route left a run and a worker came back: the first router took all runs of the route as used.

The peer's 502 now carries the counts in the field in which it got them, unless an attempt goes on there. The first router goes on with them as after a broken attempt of its own; the next send takes a retry of the budget. Without the field, as from an older router, all runs count as used; the field does not reach callers.

After a peer that breaks a stream off, all runs still count as used: it may begin another one at any time before, and nothing that it says earlier bounds them. To grant it fewer runs would take its own retries from it, which are needed more often than it dies.

--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -188,6 +188,24 @@
 	hdr_free(&headers);
 }
 
+/* "failed RUNS": prints the field of a failed answer, and what clients get. */
+static void print_failed(FILE *out, const char *line)
+{
+	struct evbuffer *passed = evbuffer_new();
+	struct hdr_list headers = { 0 };
+	char fields[64];
+
+	pl_forward_fields((int)strtol(line, NULL, 10), true, fields,
+			  sizeof(fields));
+	fprintf(out, "%.*s\n", (int)strcspn(fields, "\r"), fields);
+	hdr_add_name(&headers, PL_FORWARD_FIELD, strlen(PL_FORWARD_FIELD));
+	hdr_add_value(&headers, "1,1", 3);
+	pl_response_fields(&headers, passed);
+	fprintf(out, "%zu bytes to the client\n", evbuffer_get_length(passed));
+	evbuffer_free(passed);
+	hdr_free(&headers);
+}
+
 /* "swap LENGTH": prints how much of a value of this length is encoded. */
 static void print_swap(FILE *out, const char *line)
 {
@@ -317,6 +335,8 @@
 			print_forward(out, line + 8);
 		else if (strncmp(line, "forwarded", 9) == 0)
 			print_forwarded(out, line + 9);
+		else if (strncmp(line, "failed ", 7) == 0)
+			print_failed(out, line + 7);
 		else if (strncmp(line, "swap ", 5) == 0)
 			print_swap(out, line + 5);
 		else if (strncmp(line, "request ", 8) == 0)
--- a/src/eq.c
+++ b/src/eq.c
@@ -159,16 +159,24 @@
 	eq_free(eq);
 }
 
-/* Ends a request that may have run or that has run out of time. */
+/*
+ * Ends a request that may have run or that has run out of time.  A router that
+ * forwarded it is told how many runs it has had, unless one goes on.
+ */
 void eq_fail(struct eq *eq, int status, const char *why)
 {
+	char fields[64] = "";
+
+	if (eq->is_forwarded && !eq->attempt->call)
+		pl_forward_fields(eq->runs, eq->sends > 0, fields,
+				  sizeof(fields));
 	met_increment(&eq->edge->met,
 		      eq->state == EQ_STREAMING ? MET_CUT : MET_FAILED);
 	eq_log_end(eq, status, why);
 	if (eq->state == EQ_STREAMING)
 		hs_abort(eq->caller);
 	else
-		hs_reply(eq->caller, status, NULL, NULL, 0);
+		hs_reply(eq->caller, status, fields, NULL, 0);
 	eq->caller = NULL;
 	eq_free(eq);
 }
--- a/src/eq.h
+++ b/src/eq.h
@@ -59,7 +59,9 @@
 	int status;
 	struct pl_response answer;
 	char at_fault[MAG_ADDR_MAX];
-	bool answered; /* the header of its answer has been received */
+	int peer_runs;	/* that it has had at the most once a peer answers */
+	bool peer_sent; /* the peer has sent it to a worker, and said so */
+	bool answered;	/* the header of its answer has been received */
 	enum hc_framing framing;
 	bool garbled;
 	struct evbuffer *fields;
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -107,6 +107,10 @@
 {
 	struct eq_attempt *attempt = user;
 
+	if (response->status != 502 ||
+	    !pl_forward_decode(response->headers, &attempt->peer_runs,
+			       &attempt->peer_sent))
+		attempt->peer_runs = attempt->eq->route->max_attempts;
 	return eq_take_headers(attempt->eq, response);
 }
 
@@ -141,11 +145,16 @@
 		return;
 	}
 	eq->may_have_run = true;
-	eq->runs = eq->route->max_attempts;
+	if (eq->attempt->peer_runs > eq->runs)
+		eq->runs = eq->attempt->peer_runs;
+	/* The next send of it, also at a peer, is a repeat. */
+	if (eq->attempt->peer_sent && eq->sends == 0)
+		eq->sends = 1;
 	if (eq->attempt->status / 100 == 2)
 		eq_did_well(eq, eq->attempt->sent_us, now);
-	else if (eq->state == EQ_STREAMING) {
-		eq_retry_or_fail(eq, "peer refused to go on");
+	else if (eq->state == EQ_STREAMING ||
+		 (eq->attempt->status == 502 && !eq->attempt->answer.sealed)) {
+		eq_retry_or_fail(eq, "peer failed it");
 		return;
 	}
 	eq_relay(eq);
