eq: a request that may have run waits for a worker as long as a stream

Lookups, and streams without an event, whose worker died got 502 after the wait of a new request, half of the route's latency target, although a worker came a moment later. That wait ends early so that callers can be refused and go elsewhere; there is no refusal for what may have run, and 502 promises them nothing.

Such a request now waits for up to 1.5 s after it found no worker, as a stream that has begun does, or until its deadline. At a peer it keeps the short wait: the router that forwarded it has other ways.

regress/edge/wait-to-repeat: the only plain worker is killed with a lookup, and one comes 0.6 s later.

--- a/src/eq.h
+++ b/src/eq.h
@@ -97,6 +97,7 @@
 	int64_t deadline_us;	    /* latest time for the final answer */
 	int64_t target_deadline_us; /* on time if answered or begun by then */
 	int64_t wait_until_us;
+	bool waits_to_repeat;	/* that is the wait of a request that ran */
 	int64_t backoff_end_us; /* for EQ_RETRY_BACKOFF */
 	int64_t resend_us;	/* not sent again before then */
 	int64_t progress_us;	/* when it was last sent, or its last event */
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -41,8 +41,9 @@
  */
 #define EQ_LATE_WAIT_US (1200 * MAG_US_PER_MS)
 /*
- * A stream that has begun may wait this long for a chain on which to resume;
- * callers leave after two seconds of silence.
+ * A stream that has begun may wait this long for a chain on which to resume,
+ * and a request that may have run for a worker that repeats it; callers leave
+ * after two seconds of silence.
  */
 #define EQ_RESUME_WAIT_US (1500 * MAG_US_PER_MS)
 /*
@@ -199,7 +200,11 @@
 	eq_refuse(eq, 503, EQ_RETRY_LATER, "no room in time");
 }
 
-/* Leaves an unplaced request waiting while that can help, else ends it. */
+/*
+ * Leaves an unplaced request waiting while that can help, else ends it.  One
+ * that may have run waits as long as a stream that has begun, because there is
+ * no refusal for it, but not at a peer, whose router has other ways.
+ */
 void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
 {
 	static const char *const whys[] = {
@@ -215,6 +220,10 @@
 	}
 	if (!eq->wait_until_us)
 		eq->wait_until_us = now + eq_wait_us(eq);
+	if (eq->may_have_run && !eq->is_forwarded && !eq->waits_to_repeat) {
+		eq->waits_to_repeat = true;
+		eq->wait_until_us = now + EQ_RESUME_WAIT_US;
+	}
 	eq->backoff_end_us = eq_backoff_end(eq, now);
 	if (eq->backoff_end_us > eq->wait_until_us) {
 		eq_refuse(eq, 503, EQ_RETRY_BACKOFF, "workers back off");
