--- a/src/eq.h
+++ b/src/eq.h
@@ -65,7 +65,9 @@
 	int status;
 	struct pl_response answer;
 	char at_fault[MAG_ADDR_MAX];
-	bool answered; /* the header of its answer has been received */
+	int peer_runs;	/* that it has had at the most once a peer answers */
+	bool peer_sent; /* the peer has sent it to a worker, and said so */
+	bool answered;	/* the header of its answer has been received */
 	enum hc_framing framing;
 	bool garbled;
 	struct evbuffer *fields;
@@ -101,6 +103,7 @@
 	int64_t deadline_us;	    /* latest time for the final answer */
 	int64_t target_deadline_us; /* on time if answered or begun by then */
 	int64_t wait_until_us;
+	bool waits_to_repeat;	/* that is the wait of a request that ran */
 	int64_t backoff_end_us; /* for EQ_RETRY_BACKOFF */
 	int64_t resend_us;	/* not sent again before then */
 	int64_t progress_us;	/* when it was last sent, or its last event */
@@ -116,12 +119,13 @@
 	struct eq_repair *repair;   /* repair in progress, or NULL */
 	int sends;		    /* to workers, including refused ones */
 	int runs;		    /* sends that may have run */
-	bool may_have_run;
-	bool crash_candidate; /* it may have crashed a worker */
+	bool may_have_run;	    /* here, or at a peer that it was sent to */
+	bool crash_candidate;	    /* it may have crashed a worker */
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
 	int avoid_count;
 
 	bool is_forwarded;     /* a peer forwarded it to this router */
+	bool ran_elsewhere;    /* it may have run at the peer's workers */
 	int forwards;	       /* peers that it was forwarded to */
 	uint32_t forwarded_to; /* hash of the last one's name */
 	int64_t last_event;    /* id of the last event forwarded; -1: none */
