regress/promises: a refused run has begun only if its worker did not refuse it

Worker 6 passes layers 0 to 8 of the first token on, worker 5 refuses that step, as it had requested a backoff, and worker 6 answers 503 with Not-Executed, naming worker 5. 70 ms later the router refuses the call with 503, "no worker". Nothing reached layer 20, no event was sent. A request begins to run with its first token, and Not-Executed says that it did not, so that the refusal is true; the check took each TOKEN line for a run.

Now a worker prints REFUSED when it answers Not-Executed for a run whose first token some layers have passed, and the check leaves the partial tokens of just that run out. A token that passed all layers counts as before, refused or not; so do the partial tokens of runs that were left, broken off or stalled without such an answer, and those of another run of the same request. promises-seen has a case of each.

--- a/regress/edge/promises-seen.sh
+++ b/regress/edge/promises-seen.sh
@@ -11,7 +11,20 @@
 	TOKEN often w-1.2-0 1 0 20 9
 	TOKEN often w-2.1-0 1 0 20 10
 	TOKEN often w-3.1-0 1 0 20 11
+	TOKEN passed-on w-1.3-0 1 0 10 12
+	REFUSED passed-on w-1.3
+	TOKEN stalled w-1.4-0 1 0 10 13
+	TOKEN refused-late w-1.5-0 1 0 10 14
+	TOKEN refused-late w-1.5-0 1 10 20 15
+	REFUSED refused-late w-1.5
+	TOKEN refused-twice w-1.6-0 1 0 10 16
+	REFUSED refused-twice w-1.6
+	TOKEN refused-twice w-2.7-0 1 0 10 17
 	CALL refused r 503 whole ordered own
+	CALL passed-on s 503 whole ordered own
+	CALL stalled s 503 whole ordered own
+	CALL refused-late s 503 whole ordered own
+	CALL refused-twice s 503 whole ordered own
 	CALL foreign r 200 whole ordered FOREIGN
 	CALL mixed s 200 whole DISORDER own
 	CALL fine s 200 whole ordered own
--- a/regress/edge/promises.awk
+++ b/regress/edge/promises.awk
@@ -1,21 +1,27 @@
-# Compares what callers saw (CALL lines) with what workers did (RUN and TOKEN
-# lines) and prints for each guarantee how often it was violated.
+# Compares what callers saw (CALL lines) with what workers did (RUN, TOKEN and
+# REFUSED lines) and prints for each guarantee how often it was violated.
 $1 == "RUN" && $4 == "POST" { runs[$2]++ }
 $1 == "RUN" { ran[$2] = 1 }
 # A run of a stream is counted at the first token that passed the last layer.  A
 # run that continues on a repaired chain is the same run; the number after the
 # dash counts its chains.
-$1 == "TOKEN" && $6 == 20 {
+$1 == "TOKEN" {
 	run = $3
 	sub(/-[0-9]+$/, "", run)
+	passed[$2, run] = $2
+}
+$1 == "TOKEN" && $6 == 20 {
+	ran[$2] = 1
 	if (!(($2, run) in began)) {
 		began[$2, run] = 1
 		times[$2]++
 	}
 }
 $1 == "RUN" { times[$2]++ }
+# A run whose token has passed layers of some workers only has begun, unless its
+# first worker refused it for another one.
+$1 == "REFUSED" { not_begun[$2, $3] = 1 }
 $1 == "TOKEN" {
-	ran[$2] = 1
 	key = $2 " " $3 " " $4
 	if ($5 != at[key] + 0)
 		layers++
@@ -32,6 +38,7 @@
 }
 END {
 	for (id in runs) if (runs[id] > 1) twice++
+	for (run in passed) if (!(run in not_begun)) ran[passed[run]] = 1
 	for (id in refused) if (id in ran) untrue++
 	for (id in times) if (times[id] > 2) often++
 	printf "bookings run twice: %d\n", twice
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -395,6 +395,17 @@
 	refuse_for(conn, status, fault, NULL);
 }
 
+/*
+ * Refuses a request of which nothing has run but layers of the first token at
+ * some of its workers.
+ */
+static void refuse_job(struct job *job, int status, const char *retry_after)
+{
+	printf("REFUSED %s %s.%d\n", job->id, id, job->run);
+	refuse_for(job->conn, status, job->hops[job->hop].address, retry_after);
+	job->conn = NULL;
+}
+
 /* Tells whether a request crashes this worker as it begins, or goes on. */
 static bool crashes(struct hs_conn *conn, bool resumed)
 {
@@ -648,13 +659,10 @@
 {
 	struct job *job = user;
 
-	if (response->status != 200 && !job->started) {
-		/* The chain is broken: names the worker at fault. */
-		refuse_for(job->conn, response->status,
-			   job->hops[job->hop].address,
+	/* The chain is broken: names the worker at fault. */
+	if (response->status != 200 && !job->started)
+		refuse_job(job, response->status,
 			   hdr_get(response->headers, "Retry-After"));
-		job->conn = NULL;
-	}
 	return true;
 }
 
@@ -723,7 +731,7 @@
 		if (job->started)
 			hs_abort(job->conn);
 		else
-			refuse(job->conn, 503, job->hops[job->hop].address);
+			refuse_job(job, 503, NULL);
 		job->conn = NULL;
 		end_job(job);
 		return false;
