--- a/regress/edge/promises-seen.sh
+++ b/regress/edge/promises-seen.sh
@@ -29,3 +29,19 @@
 	CALL mixed s 200 whole DISORDER own
 	CALL fine s 200 whole ordered own
 LOGS
+# The same for calls that were given up.
+awk -f edge/given-up.awk <<-LOGS | sort
+	{"event":10003,"request":"accepted","status":0}
+	GOT w-1 5 at-worker
+	CALL whole s 200 whole ordered own 1
+	CALL refused s 503 whole ordered own 1
+	CALL not-accepted s 0 broken ordered own 1
+	CALL not-sent s 0 unsent ordered own 1
+	CALL accepted s 0 broken ordered own 1
+	CALL at-worker b 0 unsent ordered own 1
+	CALL cut s 200 broken ordered own 1
+	CALL half-refused s 503 broken ordered own 1
+	CALL failed r 502 whole ordered own 1
+	CALL late r 504 whole ordered own 1
+	CALL silent s 0 timeout ordered own 1
+LOGS
