--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -106,7 +106,7 @@
 }
 
 /*
- * Tells whether a worker cannot go on with its requests: it refused or reset a
+ * Tells whether a worker cannot go on with its requests: it refused a
  * connection, or another process has its address.  One without an entry may
  * have left without notice, or have been silent for some heartbeats, and goes
  * on.
