eq_urgency: less urgent requests leave slots that peers take meanwhile

Cause: a router knows the requests that a peer has begun at a worker as of its last report. All routers saw the same slots become free and used them for less urgent requests within a round of messages, so that workers with 32 slots got up to 42. They then accepted nobody until enough of these had ended, and the next ones ended together. For memory, what peers may have taken is counted (room_held), for slots it was not.

A request that has to leave slots free (slot_reserve) now counts what this router has begun at a worker since peers' figures were last summed once more for each peer of the data centre. Others, the most urgent ones and services with one urgency, are placed as before.

--- a/src/eq.h
+++ b/src/eq.h
@@ -184,6 +184,7 @@
 void eq_update_reserve(struct eq *eq, int64_t now);
 double eq_memory_limit(const struct eq *eq, int64_t now);
 double eq_load_factor(const struct eq *eq, int64_t now);
+int eq_unreported_firsts(const struct eq *eq, const struct wk *wk);
 int eq_slot_limit(const struct eq *eq, int slots);
 void eq_count_outcome(struct eq *eq, bool served);
 
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -229,8 +229,10 @@
 	wk->held += hop->held;
 	wk->recent_held += hop->held;
 	wk_add_loaded(wk);
-	if (eq->attempt->hop_count == 0)
+	if (eq->attempt->hop_count == 0) {
 		wk->first_hops++;
+		wk->recent_first_hops++;
+	}
 	eq->attempt->hop_count++;
 }
 
@@ -515,6 +517,8 @@
 	double factor = eq_load_factor(eq, now);
 	int firsts = (int)ceil((wk->first_hops + wk->peer_first_hops) * factor);
 
+	firsts += eq_unreported_firsts(eq, wk);
+
 	load.peers += (wk->held + wk->peer_held) * (factor - 1);
 	if (room_is_report_fresh(wk->proc.reported_us, now) &&
 	    wk->proc.reported_first_hops > firsts)
--- a/src/eq_urgency.c
+++ b/src/eq_urgency.c
@@ -119,6 +119,21 @@
 	return factor < EQ_LOAD_FACTOR_MAX ? factor : EQ_LOAD_FACTOR_MAX;
 }
 
+/*
+ * Returns how many requests peers are assumed to have begun at a worker since
+ * they last reported: each as many as this router.  All routers see the same
+ * slots become free.  Less urgent requests would use them several times over in
+ * a round of messages, and more urgent ones would find none until enough of
+ * those have ended.
+ */
+int eq_unreported_firsts(const struct eq *eq, const struct wk *wk)
+{
+	if (!(eq->slot_reserve > 0))
+		return 0;
+	return wk->recent_first_hops *
+	       (edge_routers_per_data_centre(eq->edge) - 1);
+}
+
 /*
  * Returns how many requests a plain worker may have, of its slots and places in
  * its queue together.
--- a/src/hint_load.c
+++ b/src/hint_load.c
@@ -112,6 +112,7 @@
 
 	cds_list_for_each_entry_safe (wk, next, &table->loaded, loaded) {
 		wk->recent_held = 0;
+		wk->recent_first_hops = 0;
 		wk->peer_held = 0;
 		wk->peer_first_hops = 0;
 		if (wk->held <= 0 && wk->first_hops == 0 &&
--- a/src/wk.h
+++ b/src/wk.h
@@ -131,6 +131,7 @@
 	 * summed.
 	 */
 	double recent_held;
+	int recent_first_hops; /* the same of first_hops */
 	double peer_held;      /* memory of other instances' requests */
 	bool probing;	       /* a probe is in flight */
 	int64_t probed_us;     /* when it was last probed */
