bud, eq: a retry of which nothing was sent goes back to the budget

Callers got 502 "retry budget spent" while engines that could serve them answered: connections that did not come about had used the retries of the window, though they are no load on any worker.

bud_return_retry() takes one off the slice in which it was consumed; eq does so when no byte of an attempt was sent. The bound over all arrivals at a service holds, as these never arrive.

--- a/regress/check_bud.c
+++ b/regress/check_bud.c
@@ -8,7 +8,7 @@
 
 /*
  * Runs retries against the budget: "budget WINDOW_S RATIO SLACK", "at MS",
- * "requests N", "take N" and "slack SLACK".
+ * "requests N", "take N", "return N MS" (taken then) and "slack SLACK".
  */
 /*
  * "fleet INSTANCES SLACK": each instance has its part of the slack and wants
@@ -64,6 +64,9 @@
 			while (n-- > 0)
 				taken += bud_take_retry(&bud, now);
 			fprintf(out, "%d taken\n", taken);
+		} else if (sscanf(line, "return %d %ld", &n, &ms) == 2) {
+			while (n-- > 0)
+				bud_return_retry(&bud, ms * MAG_US_PER_MS);
 		} else if (sscanf(line, "fleet %d %lf", &n, &slack) == 2) {
 			run_fleet(out, n, slack);
 		} else if (sscanf(line, "slack %lf", &slack) == 1) {
--- a/src/bud.c
+++ b/src/bud.c
@@ -54,6 +54,19 @@
 	return true;
 }
 
+/*
+ * Returns a retry that was consumed then and of which no byte was sent.  One
+ * that has left the window is no part of it any more.
+ */
+void bud_return_retry(struct bud *bud, int64_t taken_us)
+{
+	int64_t number = taken_us / bud->slice_us;
+	struct bud_slice *slice = &bud->slices[number % BUD_SLICES];
+
+	if (slice->number == number && slice->retries > 0)
+		slice->retries--;
+}
+
 /* Returns how many retries are left now. */
 double bud_left(const struct bud *bud, int64_t now)
 {
--- a/src/bud.h
+++ b/src/bud.h
@@ -43,6 +43,7 @@
 void bud_add_request(struct bud *bud, int64_t now);
 bool bud_may_retry(const struct bud *bud, int64_t now);
 bool bud_take_retry(struct bud *bud, int64_t now);
+void bud_return_retry(struct bud *bud, int64_t taken_us);
 double bud_left(const struct bud *bud, int64_t now);
 
 #endif /* BUD_H */
--- a/src/eq.h
+++ b/src/eq.h
@@ -50,6 +50,7 @@
 	struct eq_hop hops[CHN_HOPS_MAX];
 	int hop_count; /* 0 at a peer */
 	int64_t sent_us;
+	bool is_repeat; /* it took a retry of the budget */
 	int repairs;	     /* of its chain */
 	int64_t repaired_us; /* last repair of its chain; 0: never */
 	/* Its hops are not the workers that it runs on; it is to be moved. */
@@ -205,6 +206,7 @@
 enum eq_choice eq_choose(struct eq *eq, int64_t now);
 void eq_send(struct eq *eq, int64_t now);
 void eq_begin_attempt(struct eq *eq, int64_t now);
+void eq_return_retry(struct eq *eq, int64_t now);
 void eq_fill_send(struct eq *eq, struct hc_send *send);
 void eq_release(struct eq *eq);
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now);
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -120,7 +120,9 @@
 	if (eq->attempt->hop_count == 0)
 		/* A peer may have used all runs that the route allows. */
 		eq->runs = eq->route->max_attempts;
-	else if (!hc_unsent(eq->attempt->call))
+	else if (hc_unsent(eq->attempt->call))
+		eq_return_retry(eq, now);
+	else
 		eq_count_run(eq);
 	eq_fall_back(eq, "answered first", now);
 }
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -298,9 +298,10 @@
 	} else {
 		met_increment(&eq->edge->met, MET_REPEATS);
 	}
+	eq_begin_attempt(eq, now);
+	eq->attempt->is_repeat = eq->sends > 0;
 	eq->sends++;
 	met_increment(&eq->edge->met, MET_SENDS);
-	eq_begin_attempt(eq, now);
 	send.request = eq_encode(eq, now);
 	send.ops = &eq_ops;
 	eq_fill_send(eq, &send);
@@ -318,6 +319,7 @@
 	if (!send.request ||
 	    wk_send(wk, ADV_REQUEST, &send, now, &eq->attempt->call)) {
 		eq->attempt->call = NULL;
+		eq_return_retry(eq, now);
 		eq_avoid(eq, wk);
 		eq_release(eq);
 		if (eq->state == EQ_SENT)
@@ -343,10 +345,21 @@
 	send->head_request = strcmp(hs_method(eq->caller), "HEAD") == 0;
 }
 
+/* Returns the retry of an attempt of which nothing was sent to the budget. */
+void eq_return_retry(struct eq *eq, int64_t now)
+{
+	if (!eq->attempt->is_repeat)
+		return;
+	bud_return_retry(edge_budget(eq->edge, eq->service->name, now),
+			 eq->attempt->sent_us);
+	eq->attempt->is_repeat = false;
+}
+
 /* Clears what is known of the last attempt, as another one begins. */
 void eq_begin_attempt(struct eq *eq, int64_t now)
 {
 	eq->attempt->sent_us = now;
+	eq->attempt->is_repeat = false;
 	eq->progress_us = eq->state == EQ_STREAMING ? eq->progress_us : now;
 	eq->probed_us = now;
 	eq->attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
