eq_wait: what may have run waits for the retry budget

Lookups and streams that had not begun got 502 "retry budget spent" at once when their worker died and the budget had nothing left. They may have run, so that no refusal is true, and 502 promises their callers nothing. They now wait for a retry as streams that have begun do; the budget refills as requests come.

--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -292,12 +292,13 @@
 }
 
 /*
- * Tells whether a stream that has begun waits for the retry budget, which
- * refills as requests come.  Ends it if that has taken too long.
+ * Tells whether a request that has begun or may have run waits for the retry
+ * budget, which refills as requests come.  Ends it if that has taken too long.
  */
 bool eq_waits_for_budget(struct eq *eq, int64_t now)
 {
-	if (eq->state != EQ_STREAMING || eq->sends == 0 ||
+	if ((eq->state != EQ_STREAMING && !eq->may_have_run) ||
+	    eq->sends == 0 ||
 	    bud_may_retry(edge_budget(eq->edge, eq->service->name, now), now))
 		return false;
 	if (now - eq->progress_us > eq_repeat_wait_us(eq))
