regress/edge/forwarded-refused: the engine returns in time

The script failed in one of sixteen runs, some of them beside other scripts: four streams were cut after 1.5 s, "retry budget spent". The engine that goes on is in the list again some 0.6 s after it, so that the streams met it at 1.4 s, all at once, with the budget spent by the two deaths. It now goes on 0.7 s after these, not 0.8 s, and the budget does not limit.

--- a/regress/edge/forwarded-refused.sh
+++ b/regress/edge/forwarded-refused.sh
@@ -3,6 +3,7 @@
 # engine is back within the second and its caller still waits.
 . edge/lib.sh
 export FAKE_EVENT_MS=50 STREAM_ATTEMPTS=3
+RETRY_RATIO=1
 start_centre 3 1 2
 kill -STOP $worker_3
 sleep 1.5
@@ -10,7 +11,7 @@
 calls=$!
 sleep 1.5
 kill -KILL $worker_1 $worker_2
-sleep 0.8
+sleep 0.7
 kill -CONT $worker_3
 wait $calls
 logged 1 '"name":"request-forwarded"' && echo "forwarded"
