eq_move: streams go on at an engine whose entry is gone

What callers saw: a stream reset in the middle, or answered 502, when its engine was silent for longer than its entry in the store lasts, and when an engine that had left without notice was silent for 60 ms.

Cause: eq_restart() ends the attempt of a request that must not run again if the worker at fault is dead, and wk_is_dead() holds for one without an entry. That only says that it gets nothing new.

Why this works: wk_has_ended() holds only if the worker refused or reset a connection or another process has its address. Otherwise the request stays at the worker, whose connection ends by itself if the process does.

--- a/src/eq_move.c
+++ b/src/eq_move.c
@@ -102,7 +102,8 @@
  * worker was only slow to answer would otherwise run on three.
  *
  * The worker at fault, if one is named, may have been crashed by the request.
- * If it is dead and the request must not run again, the attempt ends.
+ * If its process has ended and the request must not run again, the attempt
+ * ends.
  */
 bool eq_restart(struct eq *eq, struct wk *fault, const char *why, int64_t now)
 {
@@ -111,7 +112,7 @@
 	enum eq_choice choice;
 
 	if (!eq_may_run_again(eq, now)) {
-		if (!fault || !wk_is_dead(fault, now))
+		if (!fault || !wk_has_ended(fault))
 			return false;
 		eq_add_crash_candidate(eq, fault, now);
 		eq_give_up(eq, why);
--- a/src/wk.h
+++ b/src/wk.h
@@ -242,6 +242,7 @@
 
 bool wk_alive(const struct wk *wk, int64_t now);
 bool wk_is_dead(const struct wk *wk, int64_t now);
+bool wk_has_ended(const struct wk *wk);
 const char *wk_state_text(const struct wk *wk, int64_t now);
 int64_t wk_probe_age(const struct wk *wk, int64_t now);
 bool wk_usable(const struct wk *wk, int64_t now);
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -100,8 +100,18 @@
  */
 bool wk_is_dead(const struct wk *wk, int64_t now)
 {
-	return wk->proc.unreached || wk->replaced ||
-	       (!wk->listed && now >= wk->gone_us);
+	return wk_has_ended(wk) || (!wk->listed && now >= wk->gone_us);
+}
+
+/*
+ * Tells whether a worker cannot go on with its requests: it refused or reset a
+ * connection, or another process has its address.  One without an entry may
+ * have left without notice, or have been silent for some heartbeats, and goes
+ * on.
+ */
+bool wk_has_ended(const struct wk *wk)
+{
+	return wk->proc.unreached || wk->replaced;
 }
 
 /* Returns what this router holds a worker to be, for the log. */
