eq_attempt: a third attempt does not end the second one

What callers saw, on routes that allow three runs: a stream that was lost although one of its two engines went on in time.

Cause: when a request with a kept attempt was moved again, eq_set_aside() ended its present one. The third may be refused, and the kept one, to which the request then returns, may hang for good. The one that was ended was as likely to go on.

Why this works: up to three attempts of a request are in progress. Kept ones form a list, last first; the first that answers ends all others, one that ends leaves the rest. A request returns to the last that is kept. All count as runs, as before, so that routes that allow two runs see no change.

--- a/src/eq.h
+++ b/src/eq.h
@@ -15,6 +15,8 @@
 #include "room.h"
 
 #define EQ_AVOID_MAX 16
+/* Attempts of a request that may be in progress together. */
+#define EQ_ATTEMPTS_MAX 3
 /*
  * Interval between attempts to move a request.  Each one considers all workers,
  * which takes a millisecond with 3,000 of them.
@@ -46,7 +48,8 @@
 /* One send of a request to a chain of workers or to a peer, and its answer. */
 struct eq_attempt {
 	struct eq *eq;
-	struct hc_call *call; /* NULL: none is in progress */
+	struct eq_attempt *earlier; /* the next one that is kept, or NULL */
+	struct hc_call *call;	    /* NULL: none is in progress */
 	struct eq_hop hops[CHN_HOPS_MAX];
 	int hop_count; /* 0 at a peer */
 	int64_t sent_us;
@@ -110,12 +113,12 @@
 	int64_t first_event_us;	   /* first event forwarded; 0: none */
 	int64_t next_move_us;	   /* it is not moved before then */
 
-	struct eq_attempt attempts[2];
+	struct eq_attempt attempts[EQ_ATTEMPTS_MAX];
 	struct eq_attempt *attempt; /* the present one */
-	struct eq_attempt *kept;    /* an earlier one that may go on, or NULL */
-	struct eq_repair *repair;   /* repair in progress, or NULL */
-	int sends;		    /* to workers, including refused ones */
-	int runs;		    /* sends that may have run */
+	struct eq_attempt *kept;  /* earlier ones that may go on, last first */
+	struct eq_repair *repair; /* repair in progress, or NULL */
+	int sends;		  /* to workers, including refused ones */
+	int runs;		  /* sends that may have run */
 	bool may_have_run;
 	bool crash_candidate; /* it may have crashed a worker */
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
@@ -157,10 +160,12 @@
 /* eq_attempt.c */
 int eq_attempts_init(struct eq *eq);
 void eq_attempts_free(struct eq *eq);
-void eq_set_aside(struct eq *eq);
+bool eq_set_aside(struct eq *eq);
 void eq_fall_back(struct eq *eq, const char *why, int64_t now);
 void eq_prefer(struct eq *eq, struct eq_attempt *attempt, int64_t now);
 void eq_drop_kept(struct eq *eq);
+void eq_end_kept(struct eq *eq, struct eq_attempt *attempt);
+bool eq_has_begun(const struct eq *eq);
 void eq_release_hops(struct eq_attempt *attempt);
 
 /* eq_room.c */
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -26,7 +26,8 @@
 static void eq_note_started(struct eq *eq);
 static void eq_update_interval(struct eq *eq, int64_t now);
 static bool eq_is_success(const struct eq_attempt *attempt);
-static void eq_on_kept_end(struct eq *eq, enum hc_result end, int64_t now);
+static void eq_on_kept_end(struct eq *eq, struct eq_attempt *attempt,
+			   enum hc_result end, int64_t now);
 static void eq_on_complete(struct eq *eq, struct wk *wk, int64_t now);
 static void eq_on_broken(struct eq *eq, struct wk *wk, enum hc_result end,
 			 int64_t now);
@@ -324,8 +325,8 @@
 	whole = end == HC_COMPLETE && !attempt->garbled && attempt->answered;
 	if (whole && eq_is_success(attempt))
 		eq_prefer(eq, attempt, now);
-	if (attempt == eq->kept)
-		eq_on_kept_end(eq, end, now);
+	if (attempt != eq->attempt)
+		eq_on_kept_end(eq, attempt, end, now);
 	else if (whole)
 		eq_on_complete(eq, wk, now);
 	else
@@ -338,15 +339,16 @@
 }
 
 /*
- * Handles the end of the kept attempt without a whole answer: the present one
- * goes on alone.
+ * Handles the end of an attempt that is kept without a whole answer: the others
+ * go on.
  */
-static void eq_on_kept_end(struct eq *eq, enum hc_result end, int64_t now)
+static void eq_on_kept_end(struct eq *eq, struct eq_attempt *attempt,
+			   enum hc_result end, int64_t now)
 {
 	struct eq_attempt *present = eq->attempt;
-	struct wk *wk = eq->kept->hops[0].worker;
+	struct wk *wk = attempt->hops[0].worker;
 
-	eq->attempt = eq->kept;
+	eq->attempt = attempt;
 	eq_log_again(eq, NULL, "earlier attempt ended");
 	eq->runs--;
 	if (end != HC_COMPLETE)
@@ -356,7 +358,7 @@
 	else
 		eq->runs++;
 	eq->attempt = present;
-	eq_drop_kept(eq);
+	eq_end_kept(eq, attempt);
 }
 
 /*
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -6,15 +6,16 @@
  *
  * Load pattern: workers fall silent, most or all of them together, and go on
  * after a second.  A chain or a peer that takes over a stream may be as silent,
- * full, or without a worker.  The earlier attempt is therefore kept while the
+ * full, or without a worker.  Earlier attempts are therefore kept while the
  * present one has not begun to answer.  The one that answers first goes on, and
- * the other one is cancelled.  If the present one fails, the request returns to
- * the kept one.
+ * the others are cancelled.  If the present one fails, the request returns to
+ * the last that is kept.
  */
 
 static int eq_attempt_init(struct eq_attempt *attempt, struct eq *eq);
 static void eq_attempt_free(struct eq_attempt *attempt);
-static struct eq_attempt *eq_other_attempt(struct eq *eq);
+static struct eq_attempt *eq_spare_attempt(struct eq *eq);
+static bool eq_is_kept(const struct eq *eq, const struct eq_attempt *attempt);
 static void eq_count_run(struct eq *eq);
 
 /* Prepares a request's attempts.  Returns -1 if memory is exhausted. */
@@ -59,27 +60,31 @@
 
 /*
  * Makes room for another attempt of a request that has one in progress, which
- * counts as a run.  It is kept; if an earlier one is kept already, the present
- * one, which has not answered, ends instead.
+ * counts as a run.  It is kept, which is returned; if too many are kept, it
+ * ends instead.
  */
-void eq_set_aside(struct eq *eq)
+bool eq_set_aside(struct eq *eq)
 {
+	struct eq_attempt *spare = eq_spare_attempt(eq);
+
 	eq_count_run(eq);
-	if (eq->kept) {
+	if (!spare) {
 		hc_cancel(eq->attempt->call);
 		eq->attempt->call = NULL;
 		eq_release(eq);
-		return;
+		return false;
 	}
 	eq_repair_cancel(eq);
+	eq->attempt->earlier = eq->kept;
 	eq->kept = eq->attempt;
-	eq->attempt = eq_other_attempt(eq);
+	eq->attempt = spare;
 	eq->attempt->repairs = 0;
 	eq->attempt->repaired_us = 0;
+	return true;
 }
 
 /*
- * Returns to the kept attempt, as the present one has failed.  That one's run,
+ * Returns to the last kept attempt, as the present one has failed.  That run,
  * if any, is counted; the kept one's is counted again when it ends.
  */
 void eq_fall_back(struct eq *eq, const char *why, int64_t now)
@@ -91,7 +96,7 @@
 	eq->attempt->call = NULL;
 	eq_release(eq);
 	eq->attempt = eq->kept;
-	eq->kept = NULL;
+	eq->kept = eq->kept->earlier;
 	eq->runs--;
 	if (eq->state == EQ_WAITING)
 		eq->state = EQ_SENT;
@@ -113,7 +118,7 @@
 {
 	if (!eq->kept)
 		return;
-	if (attempt != eq->kept) {
+	if (attempt == eq->attempt) {
 		eq_drop_kept(eq);
 		return;
 	}
@@ -122,17 +127,46 @@
 		eq->runs = eq->route->max_attempts;
 	else if (!hc_unsent(eq->attempt->call))
 		eq_count_run(eq);
+	while (eq->kept != attempt)
+		eq_end_kept(eq, eq->kept);
+	while (attempt->earlier)
+		eq_end_kept(eq, attempt->earlier);
 	eq_fall_back(eq, "answered first", now);
 }
 
-/* Ends the kept attempt. */
+/* Ends all attempts that are kept. */
 void eq_drop_kept(struct eq *eq)
 {
-	if (eq->kept->call)
-		hc_cancel(eq->kept->call);
-	eq->kept->call = NULL;
-	eq_release_hops(eq->kept);
-	eq->kept = NULL;
+	while (eq->kept)
+		eq_end_kept(eq, eq->kept);
+}
+
+/* Ends an attempt that is kept. */
+void eq_end_kept(struct eq *eq, struct eq_attempt *attempt)
+{
+	struct eq_attempt **link = &eq->kept;
+
+	while (*link != attempt)
+		link = &(*link)->earlier;
+	*link = attempt->earlier;
+	if (attempt->call)
+		hc_cancel(attempt->call);
+	attempt->call = NULL;
+	eq_release_hops(attempt);
+}
+
+/* Tells whether an attempt in progress has had an event. */
+bool eq_has_begun(const struct eq *eq)
+{
+	const struct eq_attempt *attempt;
+
+	if (eq->attempt->call && eq->attempt->begun_us)
+		return true;
+	for (attempt = eq->kept; attempt; attempt = attempt->earlier) {
+		if (attempt->begun_us)
+			return true;
+	}
+	return false;
 }
 
 /* Releases slots and memory at the workers of an attempt. */
@@ -149,9 +183,29 @@
 	attempt->hop_count = 0;
 }
 
-static struct eq_attempt *eq_other_attempt(struct eq *eq)
+/* Returns an attempt that is neither the present one nor kept, or NULL. */
+static struct eq_attempt *eq_spare_attempt(struct eq *eq)
 {
-	return &eq->attempts[eq->attempt == eq->attempts];
+	struct eq_attempt *attempt;
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(eq->attempts); i++) {
+		attempt = &eq->attempts[i];
+		if (attempt != eq->attempt && !eq_is_kept(eq, attempt))
+			return attempt;
+	}
+	return NULL;
+}
+
+static bool eq_is_kept(const struct eq *eq, const struct eq_attempt *attempt)
+{
+	const struct eq_attempt *kept;
+
+	for (kept = eq->kept; kept; kept = kept->earlier) {
+		if (kept == attempt)
+			return true;
+	}
+	return false;
 }
 
 /* Counts the present attempt as one that may have run. */
--- a/src/eq_move.c
+++ b/src/eq_move.c
@@ -173,7 +173,7 @@
 static bool eq_forward_on(struct eq *eq, struct wk *fault, const char *why,
 			  int64_t now)
 {
-	bool had_kept = eq->kept != NULL;
+	bool kept;
 
 	if (!eq_may_forward(eq, now))
 		return false;
@@ -182,10 +182,10 @@
 	if (now < eq->resend_us)
 		return false;
 	eq_log_again(eq, fault, why);
-	eq_set_aside(eq);
+	kept = eq_set_aside(eq);
 	if (!eq_forward_start(eq, now)) {
 		eq_fall_back(eq, "no peer", now);
-		return had_kept;
+		return !kept;
 	}
 	if (eq->state == EQ_STREAMING)
 		met_increment(&eq->edge->met, MET_RESUMES);
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -124,13 +124,18 @@
 }
 
 /*
- * Tells whether the first worker has the kept attempt, too.  An order names a
+ * Tells whether the first worker has a kept attempt, too.  An order names a
  * request, not one of its attempts.
  */
 static bool eq_runs_there_twice(const struct eq *eq)
 {
-	return eq->kept &&
-	       eq->kept->hops[0].worker == eq->attempt->hops[0].worker;
+	const struct eq_attempt *kept;
+
+	for (kept = eq->kept; kept; kept = kept->earlier) {
+		if (kept->hops[0].worker == eq->attempt->hops[0].worker)
+			return true;
+	}
+	return false;
 }
 
 /*
--- a/src/eq_trait.c
+++ b/src/eq_trait.c
@@ -59,9 +59,7 @@
 /* Tells whether a request may have crashed workers, by what is known of it. */
 enum quar_state eq_check_quarantine(const struct eq *eq, int64_t now)
 {
-	bool begun = eq->attempt->call && eq->attempt->begun_us;
-
-	return eq_check_run(eq, begun || (eq->kept && eq->kept->begun_us), now);
+	return eq_check_run(eq, eq_has_begun(eq), now);
 }
 
 /* Tells whether a request that was sent once must not be sent again. */
