eq: runs, refusals and evidence with several attempts in progress

- A request that returns to an earlier attempt counts the run of the one that it cancels, also when it is found to crash workers meanwhile: MaxAttempts (BUDGET).
- It may have run only as long as a run is counted, so that a refusal can again be true, with Retry-After, if no attempt began.
- Evidence of a crash is recorded once for a worker that several attempts run through, and for all attempts that a caller leaves; the own other attempt is no stranger there.
- A report of a stalled request moves it only if it comes from the first worker of the present attempt.

--- a/src/eq.c
+++ b/src/eq.c
@@ -466,11 +466,9 @@
 /* Cancels outstanding work for a request and releases all that it holds. */
 static void eq_free(struct eq *eq)
 {
-	if (eq->attempt->call) {
-		if (eq->attempt->hop_count > 0)
-			eq_add_left(eq, clk_boot_us());
+	eq_add_left(eq, clk_boot_us());
+	if (eq->attempt->call)
 		hc_cancel(eq->attempt->call);
-	}
 	eq->attempt->call = NULL;
 	eq_release(eq);
 	if (eq->kept)
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -357,6 +357,7 @@
 		eq_note_not_run(eq, wk, now);
 	else
 		eq->runs++;
+	eq->may_have_run = eq->runs > 0;
 	eq->attempt = present;
 	eq_end_kept(eq, attempt);
 }
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -17,6 +17,7 @@
 static struct eq_attempt *eq_spare_attempt(struct eq *eq);
 static bool eq_is_kept(const struct eq *eq, const struct eq_attempt *attempt);
 static void eq_count_run(struct eq *eq);
+static void eq_count_present(struct eq *eq, int64_t now);
 
 /* Prepares a request's attempts.  Returns -1 if memory is exhausted. */
 int eq_attempts_init(struct eq *eq)
@@ -84,20 +85,23 @@
 }
 
 /*
- * Returns to the last kept attempt, as the present one has failed.  That run,
- * if any, is counted; the kept one's is counted again when it ends.
+ * Returns to the last kept attempt, as the present one has failed or is not
+ * wanted.  The kept one's run is counted again when it ends.
  */
 void eq_fall_back(struct eq *eq, const char *why, int64_t now)
 {
 	char id[WIRE_ID_MAX];
 
-	if (eq->attempt->call)
+	if (eq->attempt->call) {
+		eq_count_present(eq, now);
 		hc_cancel(eq->attempt->call);
+	}
 	eq->attempt->call = NULL;
 	eq_release(eq);
 	eq->attempt = eq->kept;
 	eq->kept = eq->kept->earlier;
 	eq->runs--;
+	eq->may_have_run = eq->runs > 0;
 	if (eq->state == EQ_WAITING)
 		eq->state = EQ_SENT;
 	eq->next_move_us = now + EQ_MOVE_RETRY_US;
@@ -122,13 +126,6 @@
 		eq_drop_kept(eq);
 		return;
 	}
-	if (eq->attempt->hop_count == 0)
-		/* A peer may have used all runs that the route allows. */
-		eq->runs = eq->route->max_attempts;
-	else if (hc_unsent(eq->attempt->call))
-		eq_return_retry(eq, now);
-	else
-		eq_count_run(eq);
 	while (eq->kept != attempt)
 		eq_end_kept(eq, eq->kept);
 	while (attempt->earlier)
@@ -154,6 +151,7 @@
 	if (attempt->call)
 		hc_cancel(attempt->call);
 	attempt->call = NULL;
+	attempt->blamed[0] = '\0';
 	eq_release_hops(attempt);
 }
 
@@ -216,3 +214,16 @@
 	eq->may_have_run = true;
 	eq->runs++;
 }
+
+/* Counts what the present attempt, which is in progress, may have run. */
+static void eq_count_present(struct eq *eq, int64_t now)
+{
+	if (hc_unsent(eq->attempt->call)) {
+		eq_return_retry(eq, now);
+		return;
+	}
+	eq_count_run(eq);
+	/* A peer may have used all runs that the route allows. */
+	if (eq->attempt->hop_count == 0)
+		eq->runs = eq->route->max_attempts;
+}
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -33,8 +33,11 @@
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk);
 static bool eq_is_evidence(const struct eq *eq, const struct eq_hop *hop,
 			   int64_t now);
-static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
+static bool eq_add_interrupted(struct eq *eq, const struct eq_hop *hop,
 			       bool left, int64_t now);
+static bool eq_is_blamed(const struct eq *eq, const struct wk *wk);
+static bool eq_runs_beside_others(const struct eq *eq, struct wk *wk,
+				  int64_t now);
 static bool eq_has_run_well(const struct eq *eq);
 static struct evbuffer *eq_encode(struct eq *eq, int64_t now);
 
@@ -97,11 +100,12 @@
 	       (eq->sends > 0 && workers->heard_us < eq->attempt->sent_us);
 }
 
-/* Releases slots and memory of the last attempt and abandons its repair. */
+/* Releases slots and memory of the present attempt and abandons its repair. */
 void eq_release(struct eq *eq)
 {
 	eq_repair_cancel(eq);
 	eq->attempt->repairs = 0;
+	eq->attempt->blamed[0] = '\0';
 	eq_release_hops(eq->attempt);
 }
 
@@ -111,18 +115,15 @@
  * crashes workers does so as it begins, so that one which has run for a while
  * did not either, unless nothing else ran there.  A request that may have
  * crashed two workers is not sent again before all routers could report what
- * they know of it.  An attempt is recorded once for a worker.
+ * they know of it.
  */
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now)
 {
 	const struct eq_hop *hop = eq_find_hop(eq, wk);
 
-	if (!hop || strcmp(eq->attempt->blamed, wk->entry.id) == 0 ||
-	    !eq_is_evidence(eq, hop, now) ||
+	if (!hop || !eq_is_evidence(eq, hop, now) ||
 	    !eq_add_interrupted(eq, hop, false, now))
 		return;
-	mag_copy_name(eq->attempt->blamed, sizeof(eq->attempt->blamed),
-		      wk->entry.id);
 	if (eq->crash_candidate || eq_check_quarantine(eq, now) != QUAR_CLEAR)
 		eq->resend_us = now + EQ_VERDICT_US;
 	eq->crash_candidate = true;
@@ -152,23 +153,37 @@
 }
 
 /*
- * Records a request that is given up while it waits or begins at its worker,
- * which it may still crash.
+ * Records a request whose attempts are given up while they wait or begin at
+ * their workers, which they may still crash.
  */
 void eq_add_left(struct eq *eq, int64_t now)
 {
-	if (!eq_has_run_well(eq))
-		eq_add_interrupted(eq, &eq->attempt->hops[0], true, now);
+	struct eq_attempt *present = eq->attempt;
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(eq->attempts); i++) {
+		eq->attempt = &eq->attempts[i];
+		if (eq->attempt->call && eq->attempt->hop_count > 0 &&
+		    !eq_has_run_well(eq))
+			eq_add_interrupted(eq, &eq->attempt->hops[0], true,
+					   now);
+	}
+	eq->attempt = present;
 }
 
-/* Returns whether a request may have crashed the worker of a hop. */
-static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
+/*
+ * Returns whether a request may have crashed the worker of a hop.  It is
+ * recorded once there, also if several of its attempts run through the worker.
+ */
+static bool eq_add_interrupted(struct eq *eq, const struct eq_hop *hop,
 			       bool left, int64_t now)
 {
 	struct wk_interrupted interrupted = { .left = left, .at_us = now };
-	bool others = wk_runs_others(hop->worker, hop == eq->attempt->hops,
-				     hop->held, now);
+	bool others;
 
+	if (eq_is_blamed(eq, hop->worker))
+		return false;
+	others = eq_runs_beside_others(eq, hop->worker, now);
 	if (others && eq_has_run_well(eq)) {
 		hop->worker->proc.bystander_us = now;
 		return false;
@@ -177,9 +192,43 @@
 	interrupted.traits = eq->traits;
 	memcpy(interrupted.fingerprint, eq->fingerprint, MAG_DIGEST_BYTES);
 	wk_add_interrupted(hop->worker, &interrupted);
+	mag_copy_name(eq->attempt->blamed, sizeof(eq->attempt->blamed),
+		      hop->worker->entry.id);
 	return true;
 }
 
+/* Tells whether an attempt in progress is recorded at a worker. */
+static bool eq_is_blamed(const struct eq *eq, const struct wk *wk)
+{
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(eq->attempts); i++) {
+		if (strcmp(eq->attempts[i].blamed, wk->entry.id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether a worker runs anything besides the attempts of a request. */
+static bool eq_runs_beside_others(const struct eq *eq, struct wk *wk,
+				  int64_t now)
+{
+	const struct eq_attempt *attempt = eq->attempts;
+	double held = 0;
+	int firsts = 0;
+	int i;
+
+	for (; attempt < eq->attempts + EQ_ATTEMPTS_MAX; attempt++) {
+		for (i = 0; i < attempt->hop_count; i++) {
+			if (attempt->hops[i].worker != wk)
+				continue;
+			held += attempt->hops[i].held;
+			firsts += i == 0;
+		}
+	}
+	return wk_runs_others(wk, firsts, held, now);
+}
+
 /*
  * Clears a suspect whose attempt has run for so long that it does not crash its
  * workers.
@@ -365,7 +414,6 @@
 	eq->attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
 	eq->attempt->longest_run_us = 0;
 	eq->attempt->misrouted = false;
-	eq->attempt->blamed[0] = '\0';
 	eq->attempt->begun_us = 0;
 	eq->attempt->ran_well = false;
 	eq->attempt->answered = false;
--- a/src/eq_stall.c
+++ b/src/eq_stall.c
@@ -281,7 +281,9 @@
 		if (fault != wk)
 			wk_suspect(fault, now, "streams wait for it");
 		eq = eq_by_id(edge, stalled->attempt_id);
-		if (!eq || !eq_runs_on_chain(eq) || !eq_find_hop(eq, fault) ||
+		if (!eq || !eq_runs_on_chain(eq) ||
+		    eq->attempt->hops[0].worker != wk ||
+		    !eq_find_hop(eq, fault) ||
 		    eq_silence(eq, now) < EQ_REPORTED_SILENCE_US)
 			continue;
 		stream = eq_view(eq, now);
--- a/src/wk.h
+++ b/src/wk.h
@@ -266,7 +266,7 @@
 void wk_on_break(struct wk *wk, int64_t now);
 void wk_on_success(struct wk *wk);
 void wk_add_result(struct wk *wk, bool good, int64_t took_us);
-bool wk_runs_others(struct wk *wk, bool first, double held, int64_t now);
+bool wk_runs_others(struct wk *wk, int firsts, double held, int64_t now);
 void wk_add_interrupted(struct wk *wk,
 			const struct wk_interrupted *interrupted);
 int wk_count_interrupted(struct wk *wk, int64_t now);
--- a/src/wk_lost.c
+++ b/src/wk_lost.c
@@ -16,11 +16,12 @@
 
 /*
  * Tells whether a worker runs, or just ran, anything besides one of our
- * requests, whose first worker it is or not, and which holds memory there.
+ * requests, which runs there so many times as the first worker's and holds so
+ * much memory.
  */
-bool wk_runs_others(struct wk *wk, bool first, double held, int64_t now)
+bool wk_runs_others(struct wk *wk, int firsts, double held, int64_t now)
 {
-	return wk->first_hops > first || wk->held > held ||
+	return wk->first_hops > firsts || wk->held > held ||
 	       wk->peer_first_hops > 0 || wk->peer_held > 0 ||
 	       (wk->proc.bystander_us &&
 		now - wk->proc.bystander_us < WK_INTERRUPTED_US) ||
