eq: a request that was never sent is refused at its deadline

Callers whose deadline came before the end of the router's own wait got 504, which promises nothing, though their request had not been sent to any worker and never would be. It is answered 503 with Retry-After now, like one whose wait ends before. Requests that were sent get 504 as before.

--- a/src/eq.c
+++ b/src/eq.c
@@ -124,8 +124,12 @@
 	struct eq *next;
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (now >= eq->deadline_us)
+		if (now < eq->deadline_us)
+			continue;
+		if (eq->attempt->call || eq->may_have_run)
 			eq_fail(eq, 504, "deadline");
+		else
+			eq_refuse(eq, 503, EQ_RETRY_LATER, "deadline");
 	}
 	eq_wait_tick(edge, now);
 	eq_stall_tick(edge, now);
