hc: a request to a paused host is not broken off after 3 s

A booking whose bytes a paused worker had not acknowledged ended with 502 after 3.5 s, although the worker went on half a second later: TCP_USER_TIMEOUT (3 s) closed the connection, which also counts a peer that reads nothing. Such a request may have run and cannot be sent again, and silence is no reason to end it.

The option goes. Every call has a deadline of its own or of its request; lost hosts are found by probes, and streams and lookups leave them long before 3 s.

--- a/src/hc.c
+++ b/src/hc.c
@@ -18,8 +18,6 @@
  * without notice.  A shorter timeout in the host's Keep-Alive field applies.
  */
 #define HC_IDLE_US (4 * MAG_US_PER_S)
-/* Data unacknowledged for this long closes a connection (milliseconds). */
-#define HC_USER_TIMEOUT_MS 3000
 
 enum hc_state {
 	HC_CONNECTING,
@@ -353,7 +351,6 @@
 static struct hc_call *hc_open(struct hc_host *host)
 {
 	struct hc_call *call = calloc(1, sizeof(*call));
-	unsigned int timeout_ms = HC_USER_TIMEOUT_MS;
 	int on = 1;
 	int fd;
 
@@ -378,8 +375,6 @@
 				       host->addr_len) == 0) {
 		fd = bufferevent_getfd(call->bev);
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-			   sizeof(timeout_ms));
 		bufferevent_enable(call->bev, EV_READ | EV_WRITE);
 	} else {
 		/*
--- a/src/hc.h
+++ b/src/hc.h
@@ -5,7 +5,9 @@
  * HTTP/1.1 client on an event loop.  Each host has a pool of connections; a
  * connection carries one call at a time.  The result of a failed call tells
  * whether any byte of the request may have reached the host: a request that
- * must not run twice may be resent only if none did.
+ * must not run twice may be resent only if none did.  A host that acknowledges
+ * nothing may only be paused: a call to it ends by its deadline, or its
+ * owner's.
  */
 
 #include <stdbool.h>
