rel: connections between routers stay open when callers' idle time is short

The idle time of the configuration, which is meant for callers, also closed the connections on which routers forward requests; the forwarding side reuses one for up to 4 s. With a shorter idle time a forwarded request can be on its way as the other end closes: it then counts as one that may have run, and its caller gets 502 or, in a stream, a reset. Routers now allow each other 15 s.

--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -12,6 +12,11 @@
 
 /* Room for the fields that a router adds to a request that it forwards. */
 #define REL_FORWARD_FIELDS_BYTES 256
+/*
+ * Time that a connection of a router may be idle; routers reuse one for 4 s
+ * (hc.c).  A request on a connection that closes at that moment would be lost.
+ */
+#define REL_IDLE_MS 15000
 
 /* A poll that is not answered yet. */
 struct rel_wait {
@@ -125,13 +130,15 @@
 
 /*
  * Sets the limits of forwarded requests, which have passed those of the router
- * that forwards them and carry some fields more.
+ * that forwards them and carry some fields more.  The idle time of callers does
+ * not apply to routers.
  */
 void rel_set_limits(struct rel *rel, const struct hs_limits *limits)
 {
 	struct hs_limits more = *limits;
 
 	more.header_bytes += REL_FORWARD_FIELDS_BYTES;
+	more.idle_ms = REL_IDLE_MS;
 	hs_set_limits(rel->hs, &more);
 }
 
