--- a/src/eq.c
+++ b/src/eq.c
@@ -127,8 +127,12 @@
 	struct eq *next;
 
 	cds_list_for_each_entry_safe (eq, next, &edge->requests, node) {
-		if (now >= eq->deadline_us)
+		if (now < eq->deadline_us)
+			continue;
+		if (eq->attempt->call || eq->may_have_run)
 			eq_fail(eq, 504, "deadline");
+		else
+			eq_refuse(eq, 503, EQ_RETRY_LATER, "deadline");
 	}
 	eq_wait_tick(edge, now);
 	eq_stall_tick(edge, now);
@@ -466,11 +470,9 @@
 /* Cancels outstanding work for a request and releases all that it holds. */
 static void eq_free(struct eq *eq)
 {
-	if (eq->attempt->call) {
-		if (eq->attempt->hop_count > 0)
-			eq_add_left(eq, clk_boot_us());
+	eq_add_left(eq, clk_boot_us());
+	if (eq->attempt->call)
 		hc_cancel(eq->attempt->call);
-	}
 	eq->attempt->call = NULL;
 	eq_release(eq);
 	if (eq->kept)
