req: a stream may resume on endpoints that were only paused

Streams of magnoliad ended with 503, outcome unknown, "no endpoint in time", when all engines of their service had been paused for 1.5 s: the stages that did not answer the probe of a stalled stream were avoided for the rest of the request, and nothing else was left during the 5 s that it waits for a chain, though the engines were back in use for others.

A request keeps in mind which endpoints it avoids only because they were silent, and forgets them if there is no chain without them. pick still decides when they may be used; endpoints at which an attempt failed stay avoided.

--- a/src/core_int.h
+++ b/src/core_int.h
@@ -66,6 +66,7 @@
 	bool has_last_chain;
 	int avoid[CORE_AVOID_MAX];
 	int avoid_count;
+	uint32_t avoid_silent;	    /* a bit for each that only was silent */
 	int stalled[MAG_CHAIN_MAX]; /* endpoints of the last stalled chain,
 				       except the one that was blamed */
 	int stalled_count;
@@ -137,6 +138,8 @@
 		     enum pick_result_kind kind, int at_stage,
 		     uint32_t silent_stages);
 void req_avoid_endpoint(struct core_req *req, int endpoint);
+void req_avoid_silent(struct core_req *req, int endpoint);
+void req_forget_silent(struct core_req *req);
 void req_cancel(struct core *core, struct core_req *req, bool probe);
 bool req_may_retry(struct core *core, struct core_req *req, int endpoint);
 bool req_may_redispatch(struct core *core, struct core_req *req, int endpoint);
--- a/src/req.c
+++ b/src/req.c
@@ -135,7 +135,11 @@
 	req_table[req->state][event](core, req, data);
 }
 
-/* Tries to dispatch each request that waits only for a chain, oldest first. */
+/*
+ * Tries to dispatch each request that waits only for a chain, oldest first.  If
+ * no other endpoints are left, those that were silent may serve it as soon as
+ * they respond again.
+ */
 void req_ready_system(struct core *core)
 {
 	struct core_req *req, *next;
@@ -148,6 +152,8 @@
 			req_dispatch(core, req, &chain);
 		else if (rc == PICK_E_NO_CHAIN && req->attempt == 0)
 			req_handle(core, req, REQ_EV_STALL, NULL);
+		else if (rc == PICK_E_NO_CHAIN)
+			req_forget_silent(req);
 	}
 }
 
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -164,7 +164,7 @@
 	for (i = 0; i < req->chain.count; i++) {
 		if (!(silent_stages & (1U << i)))
 			continue;
-		req_avoid_endpoint(req, req->chain.stages[i].endpoint);
+		req_avoid_silent(req, req->chain.stages[i].endpoint);
 		stage = i;
 	}
 	if (stage >= 0)
--- a/src/req_run.c
+++ b/src/req_run.c
@@ -181,11 +181,41 @@
 
 void req_avoid_endpoint(struct core_req *req, int endpoint)
 {
+	int i;
+
 	if (endpoint < 0 || req->avoid_count >= CORE_AVOID_MAX)
 		return;
+	for (i = 0; i < req->avoid_count; i++) {
+		if (req->avoid[i] == endpoint)
+			return;
+	}
 	req->avoid[req->avoid_count++] = endpoint;
 }
 
+/* The same for an endpoint that did not respond, but may only be paused. */
+void req_avoid_silent(struct core_req *req, int endpoint)
+{
+	int count = req->avoid_count;
+
+	req_avoid_endpoint(req, endpoint);
+	if (req->avoid_count > count)
+		req->avoid_silent |= 1U << count;
+}
+
+/* Avoids no more the endpoints that only were silent. */
+void req_forget_silent(struct core_req *req)
+{
+	int kept = 0;
+	int i;
+
+	for (i = 0; i < req->avoid_count; i++) {
+		if (!(req->avoid_silent & (1U << i)))
+			req->avoid[kept++] = req->avoid[i];
+	}
+	req->avoid_count = kept;
+	req->avoid_silent = 0;
+}
+
 static void fill_dispatch(struct core *core, struct core_req *req,
 			  struct core_dispatch *dispatch)
 {
