eq_send: a request's last run goes out on a new connection

Callers saw: streams broken off when two engines crashed together; with MaxAttempts 2 their second attempt went to the other crashed engine and ended them at once ("connection broke", 2 runs).

Cause: the attempt was sent on an idle connection whose engine had died in the same moment. It broke after the request was written, so that it was unknown whether it had run, and counted as the last run. A new connection is refused by a process that is dead, which is no run, and the stream goes on elsewhere.

Now a send after which no further run is left uses a new connection, if the request has run before; first attempts do not. It costs a connection only where an attempt has failed. Requests that must not be repeated do so already.

--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -388,9 +388,12 @@
 	send->deadline_us = MAG_NEVER;
 	/*
 	 * The other side may close an idle connection while a request is in
-	 * transit; it would then be unknown whether the request ran.
+	 * transit; it would then be unknown whether the request ran.  That must
+	 * not cost a request its last run.
 	 */
-	send->new_connection = eq->route->kind == RT_NON_IDEMPOTENT;
+	send->new_connection =
+		eq->route->kind == RT_NON_IDEMPOTENT ||
+		(eq->runs > 0 && eq->runs + 1 >= eq->route->max_attempts);
 	send->head_request = strcmp(hs_method(eq->caller), "HEAD") == 0;
 }
 
