--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -83,6 +83,7 @@
 static double pace = 1;	  /* over 1: slow; appears only in the report */
 static int slots = 64;
 static bool draining;
+static bool full;	    /* refuse requests, but reply to reports */
 static bool drop_replies;   /* run a request and close without a reply */
 static bool abort_requests; /* abort all requests, but reply to reports */
 static const char *limit;   /* requests per second, sent in all replies */
@@ -395,6 +396,17 @@
 	refuse_for(conn, status, fault, NULL);
 }
 
+/*
+ * Refuses a request of which nothing has run but layers of the first token at
+ * some of its workers.
+ */
+static void refuse_job(struct job *job, int status, const char *retry_after)
+{
+	printf("REFUSED %s %s.%d\n", job->id, id, job->run);
+	refuse_for(job->conn, status, job->hops[job->hop].address, retry_after);
+	job->conn = NULL;
+}
+
 /* Tells whether a request crashes this worker as it begins, or goes on. */
 static bool crashes(struct hs_conn *conn, bool resumed)
 {
@@ -420,7 +432,7 @@
 		refuse(conn, 421, NULL);
 		return;
 	}
-	if (draining || !attempt) {
+	if (draining || full || !attempt) {
 		refuse(conn, 503, kind ? address : NULL);
 		return;
 	}
@@ -493,6 +505,8 @@
 		handle_order(conn);
 	else if (strcmp(target, "/stand-in/drain") == 0)
 		draining = true, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (strcmp(target, "/stand-in/full") == 0)
+		full = true, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/slow") == 0)
 		pace = 10, event_us *= 10, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strcmp(target, "/stand-in/lose") == 0)
@@ -648,13 +662,10 @@
 {
 	struct job *job = user;
 
-	if (response->status != 200 && !job->started) {
-		/* The chain is broken: names the worker at fault. */
-		refuse_for(job->conn, response->status,
-			   job->hops[job->hop].address,
+	/* The chain is broken: names the worker at fault. */
+	if (response->status != 200 && !job->started)
+		refuse_job(job, response->status,
 			   hdr_get(response->headers, "Retry-After"));
-		job->conn = NULL;
-	}
 	return true;
 }
 
@@ -723,7 +734,7 @@
 		if (job->started)
 			hs_abort(job->conn);
 		else
-			refuse(job->conn, 503, job->hops[job->hop].address);
+			refuse_job(job, 503, NULL);
 		job->conn = NULL;
 		end_job(job);
 		return false;
--- a/src/eq.c
+++ b/src/eq.c
@@ -92,7 +92,10 @@
 	eq_dispatch(eq, now);
 }
 
-/* Continues the counts of the router that forwarded a request. */
+/*
+ * Continues the counts of the router that forwarded a request.  Whether it has
+ * run elsewhere is no matter of the answer to that router, which knows it.
+ */
 static void eq_take_forwarded(struct eq *eq)
 {
 	bool was_sent;
@@ -100,7 +103,7 @@
 	met_increment(&eq->edge->met, MET_TAKEN_OVER);
 	if (!pl_forward_decode(hs_headers(eq->caller), &eq->runs, &was_sent))
 		eq->bad_field = PL_FORWARD_FIELD;
-	eq->may_have_run = eq->runs > 0;
+	eq->ran_elsewhere = eq->runs > 0;
 	eq->sends = was_sent;
 }
 
@@ -176,16 +179,24 @@
 	eq_free(eq);
 }
 
-/* Ends a request that may have run or that has run out of time. */
+/*
+ * Ends a request that may have run or that has run out of time.  A router that
+ * forwarded it is told how many runs it has had, unless one goes on.
+ */
 void eq_fail(struct eq *eq, int status, const char *why)
 {
+	char fields[64] = "";
+
+	if (eq->is_forwarded && !eq->attempt->call)
+		pl_forward_fields(eq->runs, eq->sends > 0, fields,
+				  sizeof(fields));
 	met_increment(&eq->edge->met,
 		      eq->state == EQ_STREAMING ? MET_CUT : MET_FAILED);
 	eq_log_end(eq, status, why);
 	if (eq->state == EQ_STREAMING)
 		hs_abort(eq->caller);
 	else
-		hs_reply(eq->caller, status, NULL, NULL, 0);
+		hs_reply(eq->caller, status, fields, NULL, 0);
 	eq->caller = NULL;
 	eq_free(eq);
 }
@@ -337,6 +348,10 @@
 	if (eq_check_quarantine(eq, now) != QUAR_QUARANTINED ||
 	    eq_may_try(eq, now))
 		return false;
+	if (eq->kept) {
+		eq_fall_back(eq, "crashes workers", now);
+		return true;
+	}
 	met_increment(&eq->edge->met, MET_POISON);
 	eq->may_have_run |= eq->attempt->call != NULL;
 	eq_refuse(eq, 503,
@@ -455,13 +470,13 @@
 /* Cancels outstanding work for a request and releases all that it holds. */
 static void eq_free(struct eq *eq)
 {
-	if (eq->attempt->call) {
-		if (eq->attempt->hop_count > 0)
-			eq_add_left(eq, clk_boot_us());
+	eq_add_left(eq, clk_boot_us());
+	if (eq->attempt->call)
 		hc_cancel(eq->attempt->call);
-	}
 	eq->attempt->call = NULL;
 	eq_release(eq);
+	if (eq->kept)
+		eq_drop_kept(eq);
 	eq_leave_queue(eq, clk_boot_us());
 	cds_list_del(&eq->node);
 	eq->edge->request_count--;
--- a/src/eq.h
+++ b/src/eq.h
@@ -15,6 +15,13 @@
 #include "room.h"
 
 #define EQ_AVOID_MAX 16
+/* Attempts of a request that may be in progress together. */
+#define EQ_ATTEMPTS_MAX 3
+/*
+ * Interval between attempts to move a request.  Each one considers all workers,
+ * which takes a millisecond with 3,000 of them.
+ */
+#define EQ_MOVE_RETRY_US (25 * MAG_US_PER_MS)
 /*
  * Buffer size for a chain in the log: 32 ids of 16 characters, each followed by
  * its first layer.
@@ -41,15 +48,18 @@
 /* One send of a request to a chain of workers or to a peer, and its answer. */
 struct eq_attempt {
 	struct eq *eq;
-	struct hc_call *call; /* NULL: none is in progress */
+	struct eq_attempt *earlier; /* the next one that is kept, or NULL */
+	struct hc_call *call;	    /* NULL: none is in progress */
 	struct eq_hop hops[CHN_HOPS_MAX];
 	int hop_count; /* 0 at a peer */
 	int64_t sent_us;
+	bool is_repeat;	     /* it took a retry of the budget */
 	int repairs;	     /* of its chain */
 	int64_t repaired_us; /* last repair of its chain; 0: never */
 	/* Its hops are not the workers that it runs on; it is to be moved. */
 	bool misrouted;
-	bool ran_well; /* it did not crash a worker */
+	bool ran_well;		  /* it did not crash a worker */
+	char blamed[WIRE_ID_MAX]; /* worker that it may have crashed, or "" */
 
 	int64_t begun_us; /* first event on its present chain; 0: none */
 	/* By the clock run.h: when it was sent, repaired, or had an event. */
@@ -59,7 +69,9 @@
 	int status;
 	struct pl_response answer;
 	char at_fault[MAG_ADDR_MAX];
-	bool answered; /* the header of its answer has been received */
+	int peer_runs;	/* that it has had at the most once a peer answers */
+	bool peer_sent; /* the peer has sent it to a worker, and said so */
+	bool answered;	/* the header of its answer has been received */
 	enum hc_framing framing;
 	bool garbled;
 	struct evbuffer *fields;
@@ -95,6 +107,7 @@
 	int64_t deadline_us;	    /* latest time for the final answer */
 	int64_t target_deadline_us; /* on time if answered or begun by then */
 	int64_t wait_until_us;
+	bool waits_to_repeat;	/* that is the wait of a request that ran */
 	int64_t backoff_end_us; /* for EQ_RETRY_BACKOFF */
 	int64_t resend_us;	/* not sent again before then */
 	int64_t progress_us;	/* when it was last sent, or its last event */
@@ -104,17 +117,19 @@
 	int64_t first_event_us;	   /* first event forwarded; 0: none */
 	int64_t next_move_us;	   /* it is not moved before then */
 
-	struct eq_attempt attempts[1];
+	struct eq_attempt attempts[EQ_ATTEMPTS_MAX];
 	struct eq_attempt *attempt; /* the present one */
-	struct eq_repair *repair;   /* repair in progress, or NULL */
-	int sends;		    /* to workers, including refused ones */
-	int runs;		    /* sends that may have run */
-	bool may_have_run;
-	bool crash_candidate; /* it may have crashed a worker */
+	struct eq_attempt *kept;  /* earlier ones that may go on, last first */
+	struct eq_repair *repair; /* repair in progress, or NULL */
+	int sends;		  /* to workers, including refused ones */
+	int runs;		  /* sends that may have run */
+	bool may_have_run;	  /* here, or at a peer that it was sent to */
+	bool crash_candidate;	  /* it may have crashed a worker */
 	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
 	int avoid_count;
 
 	bool is_forwarded;     /* a peer forwarded it to this router */
+	bool ran_elsewhere;    /* it may have run at the peer's workers */
 	int forwards;	       /* peers that it was forwarded to */
 	uint32_t forwarded_to; /* hash of the last one's name */
 	int64_t last_event;    /* id of the last event forwarded; -1: none */
@@ -151,6 +166,13 @@
 /* eq_attempt.c */
 int eq_attempts_init(struct eq *eq);
 void eq_attempts_free(struct eq *eq);
+bool eq_set_aside(struct eq *eq);
+void eq_fall_back(struct eq *eq, const char *why, int64_t now);
+void eq_prefer(struct eq *eq, struct eq_attempt *attempt, int64_t now);
+void eq_drop_kept(struct eq *eq);
+void eq_end_kept(struct eq *eq, struct eq_attempt *attempt);
+bool eq_has_begun(const struct eq *eq);
+void eq_release_hops(struct eq_attempt *attempt);
 
 /* eq_room.c */
 struct room_request eq_room_request(const struct eq *eq);
@@ -168,6 +190,7 @@
 void eq_update_reserve(struct eq *eq, int64_t now);
 double eq_memory_limit(const struct eq *eq, int64_t now);
 double eq_load_factor(const struct eq *eq, int64_t now);
+int eq_unreported_firsts(const struct eq *eq, const struct wk *wk);
 int eq_slot_limit(const struct eq *eq, int slots);
 void eq_count_outcome(struct eq *eq, bool served);
 
@@ -189,9 +212,9 @@
 enum eq_choice eq_choose(struct eq *eq, int64_t now);
 void eq_send(struct eq *eq, int64_t now);
 void eq_begin_attempt(struct eq *eq, int64_t now);
+void eq_return_retry(struct eq *eq, int64_t now);
 void eq_fill_send(struct eq *eq, struct hc_send *send);
 void eq_release(struct eq *eq);
-void eq_release_hops(struct eq *eq);
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now);
 void eq_add_left(struct eq *eq, int64_t now);
 void eq_clear_suspect(struct eq *eq, int64_t now);
@@ -209,7 +232,8 @@
 void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
 const struct eq_hop *eq_find_hop(const struct eq *eq, const struct wk *wk);
-struct wk *eq_worker_at_address(const struct eq *eq, const char *address);
+struct wk *eq_worker_at_address(const struct eq_attempt *attempt,
+				const char *address);
 const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
 
 /* eq_repair.c */
@@ -235,9 +259,10 @@
 void eq_log_again(const struct eq *eq, const struct wk *fault, const char *why);
 void eq_retry_or_fail(struct eq *eq, const char *why);
 const char *eq_framing_text(const struct eq *eq);
-bool eq_take_headers(struct eq *eq, const struct hc_response *response);
+bool eq_take_headers(struct eq_attempt *attempt,
+		     const struct hc_response *response);
 void eq_take_body(void *user, const void *bytes, size_t len);
-bool eq_is_truncated(const struct eq *eq);
+bool eq_is_truncated(const struct eq_attempt *attempt);
 void eq_relay(struct eq *eq);
 
 /* eq_move.c */
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -229,8 +229,10 @@
 	wk->held += hop->held;
 	wk->recent_held += hop->held;
 	wk_add_loaded(wk);
-	if (eq->attempt->hop_count == 0)
+	if (eq->attempt->hop_count == 0) {
 		wk->first_hops++;
+		wk->recent_first_hops++;
+	}
 	eq->attempt->hop_count++;
 }
 
@@ -430,18 +432,19 @@
 }
 
 /*
- * Returns the worker of the request's chain with this address, or NULL.  The
+ * Returns the worker of an attempt's chain with this address, or NULL.  The
  * worker table may hold several with one address; this is the one that the
  * request was sent to.
  */
-struct wk *eq_worker_at_address(const struct eq *eq, const char *address)
+struct wk *eq_worker_at_address(const struct eq_attempt *attempt,
+				const char *address)
 {
 	int i;
 
-	for (i = 0; i < eq->attempt->hop_count; i++) {
-		if (strcmp(eq->attempt->hops[i].worker->entry.address,
-			   address) == 0)
-			return eq->attempt->hops[i].worker;
+	for (i = 0; i < attempt->hop_count; i++) {
+		if (strcmp(attempt->hops[i].worker->entry.address, address) ==
+		    0)
+			return attempt->hops[i].worker;
 	}
 	return NULL;
 }
@@ -514,6 +517,8 @@
 	double factor = eq_load_factor(eq, now);
 	int firsts = (int)ceil((wk->first_hops + wk->peer_first_hops) * factor);
 
+	firsts += eq_unreported_firsts(eq, wk);
+
 	load.peers += (wk->held + wk->peer_held) * (factor - 1);
 	if (room_is_report_fresh(wk->proc.reported_us, now) &&
 	    wk->proc.reported_first_hops > firsts)
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -33,8 +33,11 @@
 static double eq_plain_cost(const struct eq *eq, const struct wk *wk);
 static bool eq_is_evidence(const struct eq *eq, const struct eq_hop *hop,
 			   int64_t now);
-static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
+static bool eq_add_interrupted(struct eq *eq, const struct eq_hop *hop,
 			       bool left, int64_t now);
+static bool eq_is_blamed(const struct eq *eq, const struct wk *wk);
+static bool eq_runs_beside_others(const struct eq *eq, struct wk *wk,
+				  int64_t now);
 static bool eq_has_run_well(const struct eq *eq);
 static struct evbuffer *eq_encode(struct eq *eq, int64_t now);
 
@@ -97,26 +100,13 @@
 	       (eq->sends > 0 && workers->heard_us < eq->attempt->sent_us);
 }
 
-/* Releases slots and memory of the last attempt and abandons its repair. */
+/* Releases slots and memory of the present attempt and abandons its repair. */
 void eq_release(struct eq *eq)
 {
 	eq_repair_cancel(eq);
 	eq->attempt->repairs = 0;
-	eq_release_hops(eq);
-}
-
-/* Releases slots and memory at a request's workers. */
-void eq_release_hops(struct eq *eq)
-{
-	int i;
-
-	for (i = 0; i < eq->attempt->hop_count; i++) {
-		eq->attempt->hops[i].worker->held -= eq->attempt->hops[i].held;
-		if (i == 0)
-			eq->attempt->hops[i].worker->first_hops--;
-		wk_unref(eq->attempt->hops[i].worker);
-	}
-	eq->attempt->hop_count = 0;
+	eq->attempt->blamed[0] = '\0';
+	eq_release_hops(eq->attempt);
 }
 
 /*
@@ -163,23 +153,37 @@
 }
 
 /*
- * Records a request that is given up while it waits or begins at its worker,
- * which it may still crash.
+ * Records a request whose attempts are given up while they wait or begin at
+ * their workers, which they may still crash.
  */
 void eq_add_left(struct eq *eq, int64_t now)
 {
-	if (!eq_has_run_well(eq))
-		eq_add_interrupted(eq, &eq->attempt->hops[0], true, now);
+	struct eq_attempt *present = eq->attempt;
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(eq->attempts); i++) {
+		eq->attempt = &eq->attempts[i];
+		if (eq->attempt->call && eq->attempt->hop_count > 0 &&
+		    !eq_has_run_well(eq))
+			eq_add_interrupted(eq, &eq->attempt->hops[0], true,
+					   now);
+	}
+	eq->attempt = present;
 }
 
-/* Returns whether a request may have crashed the worker of a hop. */
-static bool eq_add_interrupted(const struct eq *eq, const struct eq_hop *hop,
+/*
+ * Returns whether a request may have crashed the worker of a hop.  It is
+ * recorded once there, also if several of its attempts run through the worker.
+ */
+static bool eq_add_interrupted(struct eq *eq, const struct eq_hop *hop,
 			       bool left, int64_t now)
 {
 	struct wk_interrupted interrupted = { .left = left, .at_us = now };
-	bool others = wk_runs_others(hop->worker, hop == eq->attempt->hops,
-				     hop->held, now);
+	bool others;
 
+	if (eq_is_blamed(eq, hop->worker))
+		return false;
+	others = eq_runs_beside_others(eq, hop->worker, now);
 	if (others && eq_has_run_well(eq)) {
 		hop->worker->proc.bystander_us = now;
 		return false;
@@ -188,9 +192,43 @@
 	interrupted.traits = eq->traits;
 	memcpy(interrupted.fingerprint, eq->fingerprint, MAG_DIGEST_BYTES);
 	wk_add_interrupted(hop->worker, &interrupted);
+	mag_copy_name(eq->attempt->blamed, sizeof(eq->attempt->blamed),
+		      hop->worker->entry.id);
 	return true;
 }
 
+/* Tells whether an attempt in progress is recorded at a worker. */
+static bool eq_is_blamed(const struct eq *eq, const struct wk *wk)
+{
+	size_t i;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(eq->attempts); i++) {
+		if (strcmp(eq->attempts[i].blamed, wk->entry.id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Tells whether a worker runs anything besides the attempts of a request. */
+static bool eq_runs_beside_others(const struct eq *eq, struct wk *wk,
+				  int64_t now)
+{
+	const struct eq_attempt *attempt = eq->attempts;
+	double held = 0;
+	int firsts = 0;
+	int i;
+
+	for (; attempt < eq->attempts + EQ_ATTEMPTS_MAX; attempt++) {
+		for (i = 0; i < attempt->hop_count; i++) {
+			if (attempt->hops[i].worker != wk)
+				continue;
+			held += attempt->hops[i].held;
+			firsts += i == 0;
+		}
+	}
+	return wk_runs_others(wk, firsts, held, now);
+}
+
 /*
  * Clears a suspect whose attempt has run for so long that it does not crash its
  * workers.
@@ -299,7 +337,9 @@
 		met_observe(&eq->edge->met, MET_WAIT, now - eq->arrived_us);
 	} else if (!bud_take_retry(bud, now)) {
 		eq_release(eq);
-		if (eq->state == EQ_STREAMING)
+		if (eq->kept)
+			eq_fall_back(eq, "retry budget spent", now);
+		else if (eq->state == EQ_STREAMING)
 			eq_fail(eq, 502, "retry budget spent");
 		else
 			eq_refuse(eq, 503, EQ_RETRY_SOON, "retry budget spent");
@@ -307,9 +347,10 @@
 	} else {
 		met_increment(&eq->edge->met, MET_REPEATS);
 	}
+	eq_begin_attempt(eq, now);
+	eq->attempt->is_repeat = eq->sends > 0;
 	eq->sends++;
 	met_increment(&eq->edge->met, MET_SENDS);
-	eq_begin_attempt(eq, now);
 	send.request = eq_encode(eq, now);
 	send.ops = &eq_ops;
 	eq_fill_send(eq, &send);
@@ -327,10 +368,13 @@
 	if (!send.request ||
 	    wk_send(wk, ADV_REQUEST, &send, now, &eq->attempt->call)) {
 		eq->attempt->call = NULL;
+		eq_return_retry(eq, now);
 		eq_avoid(eq, wk);
 		eq_release(eq);
 		if (eq->state == EQ_SENT)
 			eq->state = EQ_WAITING;
+		if (eq->kept)
+			eq_fall_back(eq, "not sent", now);
 		return;
 	}
 	for (i = 1; i < eq->attempt->hop_count; i++)
@@ -344,16 +388,30 @@
 	send->deadline_us = MAG_NEVER;
 	/*
 	 * The other side may close an idle connection while a request is in
-	 * transit; it would then be unknown whether the request ran.
+	 * transit; it would then be unknown whether the request ran.  That must
+	 * not cost a request its last run.
 	 */
-	send->new_connection = eq->route->kind == RT_NON_IDEMPOTENT;
+	send->new_connection =
+		eq->route->kind == RT_NON_IDEMPOTENT ||
+		(eq->runs > 0 && eq->runs + 1 >= eq->route->max_attempts);
 	send->head_request = strcmp(hs_method(eq->caller), "HEAD") == 0;
 }
 
+/* Returns the retry of an attempt of which nothing was sent to the budget. */
+void eq_return_retry(struct eq *eq, int64_t now)
+{
+	if (!eq->attempt->is_repeat)
+		return;
+	bud_return_retry(edge_budget(eq->edge, eq->service->name, now),
+			 eq->attempt->sent_us);
+	eq->attempt->is_repeat = false;
+}
+
 /* Clears what is known of the last attempt, as another one begins. */
 void eq_begin_attempt(struct eq *eq, int64_t now)
 {
 	eq->attempt->sent_us = now;
+	eq->attempt->is_repeat = false;
 	eq->progress_us = eq->state == EQ_STREAMING ? eq->progress_us : now;
 	eq->probed_us = now;
 	eq->attempt->heard_run_us = run_at(&eq->edge->workers.run, now);
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -50,7 +50,8 @@
 #define EQ_LEAVE_GAPS	 8
 /*
  * Fraction of that time for which a stream that has begun waits for a chain on
- * which to resume: the rest is for the chain to read the prompt.
+ * which to resume, and a request that may have run for a worker that repeats
+ * it: the rest is for the chain to read the prompt.
  */
 #define EQ_RESUME_FRACTION 0.75
 /*
@@ -75,7 +76,7 @@
 static void eq_join_queue(struct eq *eq, int64_t now);
 static void eq_wait_in_queue(struct eq *eq, enum eq_choice choice, int64_t now);
 static int64_t eq_wait_us(const struct eq *eq);
-static bool eq_gives_up_resuming(const struct eq *eq, int64_t now);
+static int64_t eq_repeat_wait_us(const struct eq *eq);
 static bool eq_is_queued(const struct eq *eq);
 static bool eq_is_short(const struct edge_service *service, int64_t now);
 static void eq_log_no_worker(const struct eq *eq, int64_t now);
@@ -141,7 +142,8 @@
  */
 bool eq_must_queue(const struct eq *eq, int64_t now)
 {
-	if (!eq_is_ranked(eq) || eq->state != EQ_WAITING || eq->may_have_run)
+	if (!eq_is_ranked(eq) || eq->state != EQ_WAITING || eq->may_have_run ||
+	    eq->ran_elsewhere)
 		return false;
 	if (eq->wait.rank > 0 && hint_is_behind(eq->edge->hint, now))
 		return true;
@@ -207,7 +209,11 @@
 	eq_refuse(eq, 503, EQ_RETRY_LATER, "no room in time");
 }
 
-/* Leaves an unplaced request waiting while that can help, else ends it. */
+/*
+ * Leaves an unplaced request waiting while that can help, else ends it.  One
+ * that may have run waits as long as a stream that has begun, because there is
+ * no refusal for it, but not at a peer, whose router has other ways.
+ */
 void eq_on_unplaced(struct eq *eq, enum eq_choice choice, int64_t now)
 {
 	static const char *const whys[] = {
@@ -217,12 +223,16 @@
 	};
 
 	if (eq->state == EQ_STREAMING) {
-		if (eq_gives_up_resuming(eq, now))
+		if (now - eq->progress_us > eq_repeat_wait_us(eq))
 			eq_fail(eq, 502, "no chain to go on");
 		return;
 	}
 	if (!eq->wait_until_us)
 		eq->wait_until_us = now + eq_wait_us(eq);
+	if (eq->may_have_run && !eq->is_forwarded && !eq->waits_to_repeat) {
+		eq->waits_to_repeat = true;
+		eq->wait_until_us = now + eq_repeat_wait_us(eq);
+	}
 	eq->backoff_end_us = eq_backoff_end(eq, now);
 	if (eq->backoff_end_us > eq->wait_until_us) {
 		eq_refuse(eq, 503, EQ_RETRY_BACKOFF, "workers back off");
@@ -230,7 +240,7 @@
 	}
 	if (now < eq->wait_until_us && eq_may_send_again(eq)) {
 		if (choice != EQ_NO_WORKER && eq_is_ranked(eq) &&
-		    !eq->may_have_run)
+		    !eq->may_have_run && !eq->ran_elsewhere)
 			eq_wait_in_queue(eq, choice, now);
 		else
 			eq_leave_queue(eq, now);
@@ -241,8 +251,8 @@
 	eq_refuse(eq, 503, EQ_RETRY_LATER, whys[choice]);
 }
 
-/* Tells whether a stream has waited too long for its caller to resume it. */
-static bool eq_gives_up_resuming(const struct eq *eq, int64_t now)
+/* Returns how long a request that has begun or may have run waits. */
+static int64_t eq_repeat_wait_us(const struct eq *eq)
 {
 	int64_t leave_us = EQ_LEAVE_US;
 
@@ -250,8 +260,7 @@
 		leave_us = eq->route->target_us * EQ_LEAVE_TARGETS;
 	if (eq->route->max_gap_us * EQ_LEAVE_GAPS > leave_us)
 		leave_us = eq->route->max_gap_us * EQ_LEAVE_GAPS;
-	return now - eq->progress_us >
-	       (int64_t)((double)leave_us * EQ_RESUME_FRACTION);
+	return (int64_t)((double)leave_us * EQ_RESUME_FRACTION);
 }
 
 /* Returns how long a request waits for a worker at the most. */
@@ -283,15 +292,16 @@
 }
 
 /*
- * Tells whether a stream that has begun waits for the retry budget, which
- * refills as requests come.  Ends it if that has taken too long.
+ * Tells whether a request that has begun or may have run waits for the retry
+ * budget, which refills as requests come.  Ends it if that has taken too long.
  */
 bool eq_waits_for_budget(struct eq *eq, int64_t now)
 {
-	if (eq->state != EQ_STREAMING || eq->sends == 0 ||
+	if ((eq->state != EQ_STREAMING && !eq->may_have_run) ||
+	    eq->sends == 0 ||
 	    bud_may_retry(edge_budget(eq->edge, eq->service->name, now), now))
 		return false;
-	if (eq_gives_up_resuming(eq, now))
+	if (now - eq->progress_us > eq_repeat_wait_us(eq))
 		eq_fail(eq, 502, "retry budget spent");
 	return true;
 }
--- a/src/wk.h
+++ b/src/wk.h
@@ -131,6 +131,7 @@
 	 * summed.
 	 */
 	double recent_held;
+	int recent_first_hops; /* the same of first_hops */
 	double peer_held;      /* memory of other instances' requests */
 	bool probing;	       /* a probe is in flight */
 	int64_t probed_us;     /* when it was last probed */
@@ -242,6 +243,7 @@
 
 bool wk_alive(const struct wk *wk, int64_t now);
 bool wk_is_dead(const struct wk *wk, int64_t now);
+bool wk_has_ended(const struct wk *wk);
 const char *wk_state_text(const struct wk *wk, int64_t now);
 int64_t wk_probe_age(const struct wk *wk, int64_t now);
 bool wk_usable(const struct wk *wk, int64_t now);
@@ -265,7 +267,7 @@
 void wk_on_break(struct wk *wk, int64_t now);
 void wk_on_success(struct wk *wk);
 void wk_add_result(struct wk *wk, bool good, int64_t took_us);
-bool wk_runs_others(struct wk *wk, bool first, double held, int64_t now);
+bool wk_runs_others(struct wk *wk, int firsts, double held, int64_t now);
 void wk_add_interrupted(struct wk *wk,
 			const struct wk_interrupted *interrupted);
 int wk_count_interrupted(struct wk *wk, int64_t now);
