regress/edge/lib: put_config also runs with unset variables as errors

The demo gave up at its start ("MORE_SERVICES: parameter not set"): it sources the functions of the scripts with set -u.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -78,7 +78,7 @@
 	routes="$streams,$bookings,$lookups"
 	curl -s -X POST "http://$store/stand-in/put?Key=op/config" --data-binary @- <<-JSON
 	{"Version":$1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":${BODY_BYTES:-65536},"HeaderTimeoutMs":3000,"IdleTimeoutMs":${IDLE_MS:-15000}},
-	"Services":[${SERVICES-$services$MORE_SERVICES}],
+	"Services":[${SERVICES-$services${MORE_SERVICES:-}}],
 	"Tenants":[{"Name":"acme","ApiKeys":[$keys]}$more],
 	"Routes":[${ROUTES-$routes}]}
 	JSON
