rel, eq: log what a poll for changes brought, and when

Whether a late configuration was held up on the links or by the processor was not in the logs: now a large answer is logged with its size and the times of its first and last byte and of its application (10503), and a poll that ended without a whole answer with what had come of it (10504). The end of a request names the newest version that another router had reported. No decision depends on any of it.

--- a/src/eq.c
+++ b/src/eq.c
@@ -445,7 +445,8 @@
 	     "\"status\":%d,\"why\":\"%s\",\"took_ms\":%d,"
 	     "\"first_event_ms\":%d,\"longest_gap_ms\":%d,"
 	     "\"silent_ms\":%d,\"target_ms\":%d,\"gap_aim_ms\":%d,\"sends\":%d,"
-	     "\"may_have_run\":%s,\"config\":%lld,\"config_age_ms\":%d,"
+	     "\"may_have_run\":%s,\"config\":%lld,\"config_heard\":%lld,"
+	     "\"config_age_ms\":%d,"
 	     "\"worker\":\"%s\",\"framing\":\"%s\",\"events\":%lld,"
 	     "\"partial_bytes\":%zu",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
@@ -460,6 +461,7 @@
 	     eq->route ? (int)(eq->route->max_gap_us / MAG_US_PER_MS) : 0,
 	     eq->sends, eq->may_have_run ? "true" : "false",
 	     (long long)eq->rt->version,
+	     (long long)eq->edge->newest_peer_version,
 	     (int)((now - eq->edge->attest.confirmed_us) / MAG_US_PER_MS),
 	     eq->attempt->hop_count > 0 ? eq->attempt->hops[0].worker->entry.id
 					: "",
--- a/src/rel.c
+++ b/src/rel.c
@@ -28,6 +28,7 @@
 static bool rel_on_headers(void *user, const struct hc_response *response);
 static void rel_on_body(void *user, const void *bytes, size_t len);
 static void rel_on_end(void *user, enum hc_result end);
+static void rel_log_cut(struct rel *rel, enum hc_result end, int64_t now);
 static void rel_reject(struct rel *rel, const char *why, int64_t now);
 
 static const struct hc_ops rel_ops = {
@@ -149,13 +150,23 @@
 		"magnolia_tree_age_seconds %.3f\n"
 		"magnolia_tree_polls_total %llu\n"
 		"magnolia_tree_answers_total %llu\n"
-		"magnolia_tree_bad_answers_total %llu\n",
+		"magnolia_tree_bad_answers_total %llu\n"
+		"magnolia_tree_cut_answers_total %llu\n"
+		"magnolia_tree_received_bytes_total %llu\n"
+		"magnolia_tree_sent_bytes_total %llu\n"
+		"magnolia_config_version %lld\n"
+		"magnolia_config_version_heard %lld\n",
 		rel->tree.rank, rel_follows_store(rel), rel->wait_count,
 		rel->fresh_us ? (double)(now - rel->fresh_us) / MAG_US_PER_S
 			      : -1.0,
 		(unsigned long long)rel->polls,
 		(unsigned long long)rel->answers,
-		(unsigned long long)rel->bad_answers);
+		(unsigned long long)rel->bad_answers,
+		(unsigned long long)rel->cut_answers,
+		(unsigned long long)rel->bytes_received,
+		(unsigned long long)rel->bytes_sent,
+		rel->edge->rt ? (long long)rel->edge->rt->version : -1LL,
+		(long long)rel->edge->newest_peer_version);
 }
 
 /* The shortest time within which a change must be known everywhere. */
@@ -233,6 +244,7 @@
 	rel_poll_write(target, sizeof(target), &poll);
 	rel->sent_after = poll.after;
 	rel->sent_us = now;
+	rel->first_byte_us = 0;
 	rel->next_poll_us = now + REL_POLL_INTERVAL_US;
 	rel->status = 0;
 	evbuffer_drain(rel->body, evbuffer_get_length(rel->body));
@@ -281,6 +293,9 @@
 {
 	struct rel *rel = user;
 
+	if (!rel->first_byte_us)
+		rel->first_byte_us = clk_boot_us();
+	rel->bytes_received += len;
 	if (evbuffer_get_length(rel->body) + len <= REL_BYTES_MAX)
 		evbuffer_add(rel->body, bytes, len);
 }
@@ -300,11 +315,13 @@
 		return;
 	}
 	if (end != HC_COMPLETE || rel->status != 200) {
+		rel_log_cut(rel, end, now);
 		if (rel->hosts[rel->call_source])
 			hc_host_drop_idle(rel->hosts[rel->call_source]);
 		tree_on_failure(&rel->tree, rel->call_source, now);
 		return;
 	}
+	rel->arrived_us = now;
 	body = (char *)evbuffer_pullup(rel->body, -1);
 	switch (rel_answer_decode(body, len, rel->sent_after, &answer,
 				  &items)) {
@@ -323,6 +340,27 @@
 	}
 }
 
+/* Logs a poll that ended without a whole answer. */
+static void rel_log_cut(struct rel *rel, enum hc_result end, int64_t now)
+{
+	static const char *const reasons[] = {
+		[HC_COMPLETE] = "refused",
+		[HC_UNSENT] = "not sent",
+		[HC_CONN_LOST] = "connection lost",
+		[HC_PROTOCOL_ERROR] = "not HTTP",
+		[HC_TIMED_OUT] = "timed out",
+	};
+
+	rel->cut_answers++;
+	jlog(LOG_REL_CUT,
+	     "\"peer\":\"%s\",\"why\":\"%s\",\"status\":%d,\"bytes\":%zu,"
+	     "\"after_ms\":%d,\"revision\":%lld",
+	     rel->tree.candidates[rel->call_source].name, reasons[end],
+	     rel->status, evbuffer_get_length(rel->body),
+	     (int)((now - rel->sent_us) / MAG_US_PER_MS),
+	     (long long)rel->sent_after.revision);
+}
+
 /* Drops an answer: nothing of it is applied, and another source is tried. */
 static void rel_reject(struct rel *rel, const char *why, int64_t now)
 {
--- a/src/rel_apply.c
+++ b/src/rel_apply.c
@@ -7,12 +7,15 @@
 
 /* Items applied at a time; between them the event loop serves others. */
 #define REL_SLICE_ITEMS 64
+/* Answers of at least this size are logged. */
+#define REL_LOG_BYTES 4096
 
 static void rel_mirror(struct rel *rel, const struct rel_answer *answer,
 		       const struct wire_items *items);
 static void rel_apply_reachable(struct rel *rel,
 				const struct rel_answer *answer);
 static void rel_apply_slice(struct rel *rel);
+static void rel_log_taken(const struct rel *rel, int64_t now);
 
 /*
  * Takes over the changes of an answer, and follows its sender if it may.  They
@@ -50,6 +53,7 @@
 	rel->pending.active = true;
 	rel->pending.pos = answer->pos;
 	rel->pending.complete = answer->complete;
+	rel->pending.bytes = evbuffer_get_length(rel->body);
 	rel->pending.fresh_us = fresh_us;
 	rel->pending.items = *items;
 	rel->pending.next = 0;
@@ -113,9 +117,28 @@
 		ops->list_end(rel->owner.user);
 	if (pending->fresh_us)
 		ops->confirmed(rel->owner.user, pending->fresh_us);
+	if (pending->bytes >= REL_LOG_BYTES)
+		rel_log_taken(rel, clk_boot_us());
 	rel_drop_pending(rel);
 }
 
+/* Logs how long a large answer took to arrive and to be applied. */
+static void rel_log_taken(const struct rel *rel, int64_t now)
+{
+	const struct rel_pending *pending = &rel->pending;
+
+	jlog(LOG_REL_TAKEN,
+	     "\"peer\":\"%s\",\"complete\":%s,\"items\":%d,\"bytes\":%zu,"
+	     "\"first_ms\":%d,\"arrived_ms\":%d,\"applied_ms\":%d,"
+	     "\"revision\":%lld",
+	     rel->source_name, pending->complete ? "true" : "false",
+	     pending->items.count, pending->bytes,
+	     (int)((rel->first_byte_us - rel->sent_us) / MAG_US_PER_MS),
+	     (int)((rel->arrived_us - rel->sent_us) / MAG_US_PER_MS),
+	     (int)((now - rel->arrived_us) / MAG_US_PER_MS),
+	     (long long)pending->pos.revision);
+}
+
 /* Puts the changes of an answer into the mirror. */
 static void rel_mirror(struct rel *rel, const struct rel_answer *answer,
 		       const struct wire_items *items)
--- a/src/rel_int.h
+++ b/src/rel_int.h
@@ -19,6 +19,7 @@
 	bool active;
 	bool complete;
 	struct pos pos;
+	size_t bytes;	  /* of the answer */
 	int64_t fresh_us; /* 0: unknown */
 	struct wire_items items;
 	int next; /* item to apply */
@@ -51,9 +52,13 @@
 	struct evbuffer *body;
 	struct pos sent_after;
 	int64_t sent_us;
+	int64_t first_byte_us; /* of the body; 0: none yet */
+	int64_t arrived_us;    /* of the last answer's last byte */
 	int64_t next_poll_us;
 	uint64_t polls;
 	uint64_t bad_answers;
+	uint64_t cut_answers;
+	uint64_t bytes_received;
 	struct rel_pending pending;
 
 	/* Serving. */
@@ -61,6 +66,7 @@
 	struct cds_list_head waits; /* of struct rel_wait, by receipt */
 	int wait_count;
 	uint64_t answers;
+	uint64_t bytes_sent;
 };
 
 /* rel.c */
--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -199,6 +199,7 @@
 	hs_reply(wait->conn, 200, NULL, body, len);
 	free(body);
 	rel->answers++;
+	rel->bytes_sent += len;
 }
 
 static void rel_drop_wait(struct rel_wait *wait)
