regress/tree, regress/edge: large configurations reach no router in time

In virtual time one changed route of 10,000 is unknown to 14 of 24, 133 of 137 and 475 of 985 routers after 1 s; as processes, nine routers send each other 45 MB for five changed routes.

The deadline of an answer (xfer) and what the mirror takes of a configuration (conf) become functions of their own, so that the test uses those of the router; no decision changes.

--- a/regress/check_tree.c
+++ b/regress/check_tree.c
@@ -2,23 +2,32 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "conf.h"
+#include "pl_store.h"
+#include "rel_msg.h"
 #include "script.h"
 #include "tree.h"
-
-#define LINE_MAX_   256
-#define STEP_US	    (10 * MAG_US_PER_MS)
-#define BOUND_US    (5 * MAG_US_PER_S) /* of a change, and of removed keys */
-#define COALESCE_US (800 * MAG_US_PER_MS)
-#define QUERY_US    MAG_US_PER_S
-#define RETRY_US    (500 * MAG_US_PER_MS)
-#define TIMEOUT_US  (300 * MAG_US_PER_MS)
-#define FAST_LINKS  25 /* routers of a data centre with a faster link */
-#define START_US    (100 * MAG_US_PER_S)
-#define STORE_PAGES 9 /* calls of a complete list */
+#include "xfer.h"
+
+#define LINE_MAX_     256
+#define STEP_US	      (10 * MAG_US_PER_MS)
+#define BOUND_US      (5 * MAG_US_PER_S) /* of a change, and of removed keys */
+#define COALESCE_US   (800 * MAG_US_PER_MS)
+#define QUERY_US      MAG_US_PER_S
+#define RETRY_US      (500 * MAG_US_PER_MS)
+#define TIMEOUT_US    (300 * MAG_US_PER_MS)
+#define FAST_LINKS    25 /* routers of a data centre with a faster link */
+#define START_US      (100 * MAG_US_PER_S)
+#define STORE_PAGES   9 /* calls of a complete list */
+#define REVISIONS_MAX 64
+#define ROUTE_BYTES   320
+#define WORKERS	      93
 
 /*
  * A fleet of routers and a store in virtual time: each router follows the store
- * or another router, as tree.c decides, and a message takes one step.
+ * or another router, as tree.c decides, and a message takes one step.  With
+ * "routes", an answer takes as long as its bytes need on the links, of which
+ * each one is shared equally by the answers on it.
  */
 struct router {
 	struct pres_peer self;
@@ -39,8 +48,22 @@
 	int candidate;
 	int64_t sent_us;
 	int64_t answer_by_us;
+	/* Its answer on the way. */
+	bool receiving;
+	long long answer_revision;
+	double answer_bytes;
+	struct xfer xfer;
+	int sending;	   /* answers that this router sends now */
+	double sent_bytes; /* since the last "busiest" */
 };
 
+/* The store's items; without "routes" there are none, and answers are empty. */
+static struct mir store;
+static int route_count;
+static unsigned int route_generation; /* of the next routes that change */
+static long long config_version;
+static double answer_sizes[REVISIONS_MAX][REVISIONS_MAX]; /* after, up to */
+
 static struct router *routers;
 static int count;
 static int64_t now;
@@ -55,6 +78,132 @@
 	return router->up && !router->frozen;
 }
 
+/* Notes how large the answer is for a follower at each earlier revision. */
+static void measure_answers(void)
+{
+	struct rel_answer answer = { .pos = { 1, newest } };
+	long long after;
+	char *body;
+	size_t len;
+
+	for (after = 0; mir_may_serve(&store) && after < newest; after++) {
+		answer.complete = after == 0;
+		if (rel_answer_encode(&answer, &store, after, &body, &len))
+			continue;
+		answer_sizes[after][newest] = (double)len;
+		free(body);
+	}
+}
+
+/* A route with names that are hardly alike, as those of users are. */
+static int write_route(char *to, size_t size, int i, unsigned int generation)
+{
+	uint64_t seed = ((uint64_t)i + 1) * 0x9e3779b97f4a7c15ULL;
+	char host[16];
+	int k;
+
+	for (k = 0; k < 15; k++)
+		host[k] = (char)('a' + mag_random(&seed) % 26);
+	host[k] = '\0';
+	return snprintf(to, size,
+			"%s{\"Name\":\"r-%.7s%d\",\"Host\":\"%s.example\","
+			"\"PathPrefix\":\"/%.8s/\",\"Kind\":\"idempotent\","
+			"\"TimeoutMs\":%u,\"TargetLatencyMs\":300,"
+			"\"MaxAttempts\":2,\"Priority\":2,"
+			"\"AuthExempt\":true,\"Service\":\"app\"}",
+			i ? "," : "", host, i, host + 3, host + 6,
+			800 + generation);
+}
+
+/*
+ * Writes a configuration in which the last routes up to changed have the
+ * present generation.
+ */
+static void write_config(int changed)
+{
+	static unsigned int generations[1 << 16];
+	size_t size = 4096 + (size_t)route_count * ROUTE_BYTES;
+	struct wire_item item = { .key = PL_CONFIG_KEY, .revision = newest };
+	size_t len;
+	int i;
+
+	item.value = malloc(size);
+	for (i = route_count - changed; i < route_count; i++)
+		generations[i] = route_generation;
+	len = (size_t)snprintf(
+		item.value, size,
+		"{\"Version\":%lld,\"Limits\":{\"MaxHeaderBytes\":16384,"
+		"\"MaxBodyBytes\":65536,\"HeaderTimeoutMs\":3000,"
+		"\"IdleTimeoutMs\":15000},\"Services\":[{\"Name\":\"app\","
+		"\"HealthPath\":\"/healthz\",\"MaxConnections\":900}],"
+		"\"Tenants\":[],\"Routes\":[",
+		++config_version);
+	for (i = 0; i < route_count; i++)
+		len += (size_t)write_route(item.value + len, size - len, i,
+					   generations[i]);
+	len += (size_t)snprintf(item.value + len, size - len, "]}");
+	item.len = len;
+	conf_mirror(&store, &item);
+	free(item.value);
+}
+
+/* Writes a worker's entry; it leaves if draining. */
+static void write_worker(int i, bool draining)
+{
+	struct wire_item item = { .revision = newest };
+	char value[256];
+
+	snprintf(item.key, sizeof(item.key), "servers/i-%d", i);
+	item.len = (size_t)snprintf(
+		value, sizeof(value),
+		"{\"Service\":\"app\",\"Address\":\"10.1.64.%d:8384\","
+		"\"Zone\":\"a\",\"Slots\":6,\"State\":\"%s\"}",
+		i, draining ? "draining" : "ready");
+	item.value = value;
+	mir_put(&store, &item);
+}
+
+/* "routes N": the store's items, which all routers of the fleet know. */
+static void set_routes(int n)
+{
+	int i;
+
+	mir_clear(&store);
+	mir_list_begin(&store);
+	route_count = n;
+	for (i = 0; i < WORKERS; i++)
+		write_worker(i, false);
+	write_config(n);
+	mir_list_end(&store, newest);
+	measure_answers();
+	for (i = 0; i < count; i++)
+		routers[i].revision = newest;
+}
+
+/* A change of the store: "add N" or "alter N" routes, or "leave" of a worker.
+ */
+static bool change_items(const char *line)
+{
+	static int leaving;
+	int n;
+
+	if (strncmp(line, "leave", 5) != 0 && sscanf(line, "add %d", &n) != 1 &&
+	    sscanf(line, "alter %d", &n) != 1)
+		return false;
+	newest++;
+	changed_us = now;
+	route_generation++;
+	if (line[0] == 'l') {
+		write_worker(leaving++ % WORKERS, true);
+	} else {
+		if (line[1] == 'd')
+			route_count += n;
+		write_config(n);
+	}
+	measure_answers();
+	return true;
+}
+
 static int find_router(const char *name)
 {
 	return atoi(name + 2);
@@ -98,6 +247,8 @@
 	now = START_US;
 	store_up = true;
 	newest = 1;
+	mir_clear(&store);
+	memset(answer_sizes, 0, sizeof(answer_sizes));
 	calls = 0;
 	oldest_us = 0;
 	for (i = 0; i < n; i++) {
@@ -153,7 +304,8 @@
 	bool good;
 
 	router->poll_to = -1;
-	if (from->revision == 0 || from->revision < router->revision) {
+	if (from->revision == 0 || from->revision < router->revision ||
+	    router->answer_revision < router->revision) {
 		tree_on_empty(&router->tree, router->candidate, now);
 		return;
 	}
@@ -163,27 +315,83 @@
 		router->source = (int)(from - routers);
 	if (router->source == TREE_STORE)
 		return;
-	router->revision = from->revision;
+	router->revision = router->answer_revision;
 	if (from->fresh_us > router->fresh_us)
 		router->fresh_us = from->fresh_us;
 }
 
+/* Stops the answer that a router waits for. */
+static void fail_poll(struct router *router)
+{
+	if (router->receiving)
+		routers[router->poll_to].sending--;
+	router->receiving = false;
+	router->poll_to = -1;
+	tree_on_failure(&router->tree, router->candidate, now);
+}
+
+/* An answer on its way comes as fast as both links allow. */
+static void step_transfer(struct router *router)
+{
+	struct router *from = &routers[router->poll_to];
+	double own = router->self.link_mbps;
+	double share = (double)from->self.link_mbps / from->sending;
+	double bytes = (own < share ? own : share) / 8 * STEP_US;
+	struct xfer *xfer = &router->xfer;
+
+	if (bytes > router->answer_bytes - (double)xfer->received)
+		bytes = router->answer_bytes - (double)xfer->received;
+	xfer->received += (size_t)bytes + 1;
+	xfer->progress_us = now;
+	if (!xfer->begun_us)
+		xfer->begun_us = now;
+	from->sent_bytes += bytes;
+	if ((double)xfer->received >= router->answer_bytes) {
+		from->sending--;
+		router->receiving = false;
+		receive_answer(router, from);
+	} else if (now >= xfer_deadline_us(xfer)) {
+		fail_poll(router);
+	}
+}
+
+/* The router that was polled sends all that it knows now. */
+static void begin_answer(struct router *router, struct router *from)
+{
+	long long after = router->revision;
+
+	router->answer_revision = from->revision;
+	router->answer_bytes = 0;
+	if (mir_may_serve(&store) && from->revision > after)
+		router->answer_bytes = answer_sizes[after][from->revision];
+	router->xfer = (struct xfer){ .begin_by_us = router->answer_by_us +
+						     TIMEOUT_US };
+	if (router->answer_bytes == 0) {
+		receive_answer(router, from);
+		return;
+	}
+	router->receiving = true;
+	from->sending++;
+}
+
 static void step_poll(struct router *router)
 {
-	const struct router *to = &routers[router->poll_to];
+	struct router *to = &routers[router->poll_to];
 	bool may_answer = to->revision && to->revision >= router->revision;
 
 	if (!to->up ||
 	    (!is_running(to) &&
 	     now >= (to->gone ? router->sent_us : router->answer_by_us) +
 			     TIMEOUT_US)) {
-		router->poll_to = -1;
-		tree_on_failure(&router->tree, router->candidate, now);
+		fail_poll(router);
+	} else if (router->receiving) {
+		if (is_running(to))
+			step_transfer(router);
 	} else if (is_running(to) && now > router->sent_us &&
 		   (now >= router->answer_by_us ||
 		    (may_answer && (to->revision > router->revision ||
 				    to->fresh_us > router->sent_us)))) {
-		receive_answer(router, to);
+		begin_answer(router, to);
 	}
 }
 
@@ -281,11 +489,60 @@
 		fprintf(out, "in bounds\n");
 }
 
-/* Returns the router at a place of the tree: the root, or a head by number. */
+/*
+ * "busiest KB": prints how much one router has sent since the last time if it
+ * is more than that.
+ */
+static void print_busiest(FILE *out, long kb)
+{
+	double most = 0;
+	int i;
+
+	for (i = 0; i < count; i++) {
+		if (routers[i].sent_bytes > most)
+			most = routers[i].sent_bytes;
+		routers[i].sent_bytes = 0;
+	}
+	if (most > (double)kb * 1000)
+		fprintf(out, "too many: %.0f KB\n", most / 1000);
+	else
+		fprintf(out, "in bounds\n");
+}
+
+/* "links N FAST SLOW": Mbit/s of the first N of each data centre, and others.
+ */
+static void set_links(int n, int centres, int fast, int slow)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		routers[i].self.link_mbps = i / centres < n ? fast : slow;
+	for (i = 0; i < count; i++)
+		start_router(&routers[i]);
+}
+
+/* "series N EACH_MS": one route changes so often, always as fast. */
+static void run_series(FILE *out, int n, long gap_ms, long ms)
+{
+	int64_t next_us;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		change_items("alter 1");
+		next_us = now + gap_ms * MAG_US_PER_MS;
+		while (now < next_us)
+			step();
+	}
+	wait_known(out, ms);
+}
+
+/* Returns the router at a place of the tree: the root, a head, or the last. */
 static struct router *find_place(const char *place)
 {
 	int i;
 
+	if (strcmp(place, "last") == 0)
+		return &routers[count - 1];
 	for (i = 0; i < count; i++) {
 		if (routers[i].up && routers[i].tree.rank == 0 &&
 		    (strcmp(place, "root") == 0) ==
@@ -352,15 +609,19 @@
 	long ms;
 	long most;
 	long age;
+	int centres = 1;
 	int a;
 	int b;
+	int c;
 
+	mir_init(&store);
 	while (fgets(line, sizeof(line), in)) {
 		if (line[0] == '#' || line[0] == '\n')
 			continue;
 		fprintf(out, "> %s", line);
 		if (sscanf(line, "fleet %d %d", &a, &b) == 2) {
 			start_fleet(a, b);
+			centres = b;
 			changed_us = now;
 		} else if (strncmp(line, "change", 6) == 0) {
 			newest++;
@@ -376,10 +637,24 @@
 			remove_machines(a);
 		} else if (sscanf(line, "herd %d", &a) == 1) {
 			restart_herd(a);
-		} else if (!run_fault(line)) {
+		} else if (sscanf(line, "links %d %d %d", &a, &b, &c) == 3) {
+			set_links(a, centres, b, c);
+		} else if (sscanf(line, "routes %d", &a) == 1) {
+			set_routes(a);
+		} else if (sscanf(line, "series %d %ld %ld", &a, &most, &ms) ==
+			   3) {
+			run_series(out, a, most, ms);
+		} else if (sscanf(line, "busiest %ld", &ms) == 1) {
+			print_busiest(out, ms);
+		} else if (strncmp(line, "start ", 6) == 0) {
+			line[strcspn(line, "\n")] = '\0';
+			start_router(find_place(line + 6));
+			changed_us = now;
+		} else if (!change_items(line) && !run_fault(line)) {
 			fprintf(out, "unknown command\n");
 		}
 	}
+	mir_clear(&store);
 	free(routers);
 	routers = NULL;
 }
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "clk.h"
+#include "conf.h"
 #include "edge.h"
 #include "hint.h"
 #include "jlog.h"
@@ -123,10 +124,15 @@
 static void edge_on_entry(void *user, const struct wire_item *item)
 {
 	struct edge *edge = user;
+	bool is_config = strcmp(item->key, PL_CONFIG_KEY) == 0;
+	int rc = MIR_OK;
 
-	if (!rel_is_applying(edge->rel) && mir_put(&edge->mir, item))
+	if (!rel_is_applying(edge->rel))
+		rc = is_config ? conf_mirror(&edge->mir, item)
+			       : mir_put(&edge->mir, item);
+	if (rc)
 		jlog(LOG_REL_BAD, "\"peer\":\"\",\"why\":\"out of memory\"");
-	if (strcmp(item->key, PL_CONFIG_KEY) == 0)
+	if (is_config)
 		edge_apply_config(edge, item);
 	else if (strncmp(item->key, PL_WORKERS_PREFIX,
 			 strlen(PL_WORKERS_PREFIX)) == 0)
--- a/src/rel.c
+++ b/src/rel.c
@@ -244,7 +244,6 @@
 	rel_poll_write(target, sizeof(target), &poll);
 	rel->sent_after = poll.after;
 	rel->sent_us = now;
-	rel->first_byte_us = 0;
 	rel->next_poll_us = now + REL_POLL_INTERVAL_US;
 	rel->status = 0;
 	evbuffer_drain(rel->body, evbuffer_get_length(rel->body));
@@ -254,9 +253,11 @@
 	send.ops = &rel_ops;
 	send.user = rel;
 	send.connect_by_us = now + REL_CONNECT_US;
-	send.deadline_us =
-		now + poll.wait_us +
-		(poll.after.revision > 0 ? REL_ANSWER_US : REL_COMPLETE_US);
+	rel->xfer = (struct xfer){ .begin_by_us = now + poll.wait_us +
+						  (poll.after.revision > 0
+							   ? REL_ANSWER_US
+							   : REL_COMPLETE_US) };
+	send.deadline_us = xfer_deadline_us(&rel->xfer);
 	rel->polls++;
 	if (!host || !send.request || hc_start(host, &send, &rel->call)) {
 		rel->call = NULL;
@@ -293,8 +294,10 @@
 {
 	struct rel *rel = user;
 
-	if (!rel->first_byte_us)
-		rel->first_byte_us = clk_boot_us();
+	rel->xfer.progress_us = clk_boot_us();
+	if (!rel->xfer.begun_us)
+		rel->xfer.begun_us = rel->xfer.progress_us;
+	rel->xfer.received += len;
 	rel->bytes_received += len;
 	if (evbuffer_get_length(rel->body) + len <= REL_BYTES_MAX)
 		evbuffer_add(rel->body, bytes, len);
--- a/src/rel_apply.c
+++ b/src/rel_apply.c
@@ -133,7 +133,7 @@
 	     "\"revision\":%lld",
 	     rel->source_name, pending->complete ? "true" : "false",
 	     pending->items.count, pending->bytes,
-	     (int)((rel->first_byte_us - rel->sent_us) / MAG_US_PER_MS),
+	     (int)((rel->xfer.begun_us - rel->sent_us) / MAG_US_PER_MS),
 	     (int)((rel->arrived_us - rel->sent_us) / MAG_US_PER_MS),
 	     (int)((now - rel->arrived_us) / MAG_US_PER_MS),
 	     (long long)pending->pos.revision);
--- a/src/rel_int.h
+++ b/src/rel_int.h
@@ -11,6 +11,7 @@
 #include "rel.h"
 #include "rel_msg.h"
 #include "tree.h"
+#include "xfer.h"
 
 struct rel_read;
 
@@ -52,8 +53,8 @@
 	struct evbuffer *body;
 	struct pos sent_after;
 	int64_t sent_us;
-	int64_t first_byte_us; /* of the body; 0: none yet */
-	int64_t arrived_us;    /* of the last answer's last byte */
+	struct xfer xfer;   /* of the answer */
+	int64_t arrived_us; /* of the last answer's last byte */
 	int64_t next_poll_us;
 	uint64_t polls;
 	uint64_t bad_answers;
