conf: routers pass on the parts of a configuration that have changed

What callers saw: after a configuration with 1,400 routes more, most routers went on by an old one, or refused (CONFIG, DENIED). Each answer between routers carried the configuration whole, 330 to 885 KB, also for one changed field: on a link of 14 Mbit/s, to eight followers, that takes seconds, and everything behind it waits, too (DRAIN).

The mirror now holds a head, a part for each route and a seal; a new configuration changes only the parts that differ, and a router builds its tables from the ones it had and the changed parts. A part keeps the revision with which it came, so routers that skipped different versions may label it differently: the seal, a sum over all routes, shows when a router lacks one, and it reads a complete list.

--- a/src/edge.h
+++ b/src/edge.h
@@ -14,6 +14,7 @@
 
 #include "age.h"
 #include "bud.h"
+#include "conf.h"
 #include "era.h"
 #include "eset.h"
 #include "hc.h"
@@ -87,6 +88,7 @@
 	struct edge_placer placer;
 
 	struct rt_set *rt;    /* configuration; NULL until the first one */
+	struct conf conf;     /* from which the next one is built */
 	struct attest attest; /* how long the configuration may be trusted */
 	struct era era;	      /* recovery after a restore of the store */
 	int64_t newest_peer_version; /* of the configuration, from peers */
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -5,7 +5,6 @@
 #include "edge.h"
 #include "hint.h"
 #include "jlog.h"
-#include "pl_config.h"
 #include "pl_store.h"
 #include "pl_worker.h"
 #include "quar_keep.h"
@@ -38,8 +37,15 @@
 static void edge_list_begin(void *user);
 static void edge_on_entry(void *user, const struct wire_item *item);
 static void edge_list_end(void *user);
+static bool edge_on_applied(void *user);
 static void edge_on_fresh(void *user, int64_t sent_us);
-static void edge_apply_config(struct edge *edge, const struct wire_item *item);
+static void edge_on_stored_config(struct edge *edge,
+				  const struct wire_item *item);
+static bool edge_take_config(struct edge *edge);
+static void edge_put_in_force(struct edge *edge, struct rt_set *set,
+			      int64_t revision);
+static void edge_limit_connections(struct edge *edge, struct wk *wk,
+				   const char *service);
 static void edge_apply_worker(struct edge *edge, const struct wire_item *item);
 static int edge_max_connections(const struct edge *edge,
 				const struct rt_service *service);
@@ -76,7 +82,8 @@
 		&edge_ops,
 		edge
 	};
-	struct rel_owner owner = { &edge_ops, edge, forwarded };
+	struct rel_owner owner = { &edge_ops, edge_on_applied, edge,
+				   forwarded };
 
 	mir_init(&edge->mir);
 	edge->store_reachable = true;
@@ -115,6 +122,7 @@
 
 	if (!rel_is_applying(edge->rel))
 		mir_list_begin(&edge->mir);
+	conf_set_base(&edge->conf, NULL, 0);
 	wk_list_begin(&edge->workers);
 	pres_list_begin(edge->pres);
 	quar_keep_list_begin(edge->keep);
@@ -124,18 +132,18 @@
 static void edge_on_entry(void *user, const struct wire_item *item)
 {
 	struct edge *edge = user;
-	bool is_config = strcmp(item->key, PL_CONFIG_KEY) == 0;
-	int rc = MIR_OK;
 
-	if (!rel_is_applying(edge->rel))
-		rc = is_config ? conf_mirror(&edge->mir, item)
-			       : mir_put(&edge->mir, item);
-	if (rc)
+	if (conf_is_part(item->key)) {
+		if (rel_is_applying(edge->rel))
+			edge->conf.changed = true;
+		else if (strcmp(item->key, PL_CONFIG_KEY) == 0)
+			edge_on_stored_config(edge, item);
+		return;
+	}
+	if (!rel_is_applying(edge->rel) && mir_put(&edge->mir, item))
 		jlog(LOG_REL_BAD, "\"peer\":\"\",\"why\":\"out of memory\"");
-	if (is_config)
-		edge_apply_config(edge, item);
-	else if (strncmp(item->key, PL_WORKERS_PREFIX,
-			 strlen(PL_WORKERS_PREFIX)) == 0)
+	if (strncmp(item->key, PL_WORKERS_PREFIX, strlen(PL_WORKERS_PREFIX)) ==
+	    0)
 		edge_apply_worker(edge, item);
 	else if (strncmp(item->key, PRES_PREFIX, strlen(PRES_PREFIX)) == 0)
 		pres_item(edge->pres, item);
@@ -180,39 +188,79 @@
 		hint_send_soon(edge->hint, clk_boot_us());
 }
 
-/* Applies a newer configuration; an older one is never applied again. */
-static void edge_apply_config(struct edge *edge, const struct wire_item *item)
+/* Takes a configuration that was read from the store. */
+static void edge_on_stored_config(struct edge *edge,
+				  const struct wire_item *item)
+{
+	if (item->deleted)
+		return;
+	if (conf_mirror(&edge->mir, item) || !edge_take_config(edge))
+		jlog(LOG_REL_BAD, "\"peer\":\"\",\"why\":\"out of memory\"");
+}
+
+/*
+ * Called when all changes of an answer of another router have been passed on.
+ * Returns false if the configuration is not complete, so that the changes do
+ * not lead from what was known to what the other router has.
+ */
+static bool edge_on_applied(void *user)
+{
+	struct edge *edge = user;
+
+	return !edge->conf.changed || edge_take_config(edge);
+}
+
+/*
+ * Puts the configuration in the mirror in force if it is newer.  Returns false
+ * if it is not complete.
+ */
+static bool edge_take_config(struct edge *edge)
 {
 	char text[EDGE_WHY_MAX];
 	char why[EDGE_WHY_MAX];
-	struct rt_set *decoded;
+	struct rt_set *set;
 
-	if (item->deleted)
-		return;
-	if (pl_config_decode(item->value, item->len, &decoded, why,
-			     sizeof(why))) {
-		jlog(LOG_RT_BAD, "\"why\":\"%s\"",
-		     jlog_sanitize(text, sizeof(text), why));
-		return;
-	}
-	edge->store_version = decoded->version;
 	if (!edge->workers.listing)
 		edge->era.config_written = true;
-	if (edge->rt && decoded->version <= edge->rt->version) {
-		rt_drop(decoded);
-		return;
+	switch (conf_build(&edge->conf, &edge->mir,
+			   edge->rt ? edge->rt->version : -1, &set,
+			   &edge->store_version, why, sizeof(why))) {
+	case CONF_NEW:
+		edge_put_in_force(edge, set, edge->conf.base_revision);
+		return true;
+	case CONF_NONE:
+		return true;
+	case CONF_INCOMPLETE:
+		return false;
+	case CONF_BAD:
+		jlog(LOG_RT_BAD, "\"why\":\"%s\"",
+		     jlog_sanitize(text, sizeof(text), why));
+		return true;
 	}
+	return true;
+}
+
+/* Puts a newer configuration in force; an older one never is again. */
+static void edge_put_in_force(struct edge *edge, struct rt_set *set,
+			      int64_t revision)
+{
+	bool is_first = !edge->rt;
+	struct wk *wk;
+
 	jlog(LOG_RT_TAKEN,
 	     "\"version\":%lld,\"before\":%lld,\"routes\":%d,\"services\":%d,"
 	     "\"accounts\":%d,\"revision\":%lld",
-	     (long long)decoded->version,
-	     edge->rt ? (long long)edge->rt->version : -1LL,
-	     decoded->route_count, decoded->service_count,
-	     decoded->account_count, (long long)item->revision);
+	     (long long)set->version,
+	     edge->rt ? (long long)edge->rt->version : -1LL, set->route_count,
+	     set->service_count, set->account_count, (long long)revision);
 	rt_drop(edge->rt);
-	edge->rt = decoded;
-	hs_set_limits(edge->callers, &decoded->limits);
-	rel_set_limits(edge->rel, &decoded->limits);
+	edge->rt = set;
+	hs_set_limits(edge->callers, &set->limits);
+	rel_set_limits(edge->rel, &set->limits);
+	if (!is_first)
+		return;
+	cds_list_for_each_entry (wk, &edge->workers.workers, node)
+		edge_limit_connections(edge, wk, wk->entry.service);
 }
 
 /* Returns how many connections this router may open to one worker. */
@@ -240,7 +288,6 @@
 	char text[EDGE_WHY_MAX];
 	int64_t now = clk_boot_us();
 	struct wk *wk;
-	int service;
 
 	if (item->deleted) {
 		wk_remove(&edge->workers, item->key + strlen(PL_WORKERS_PREFIX),
@@ -255,11 +302,18 @@
 	}
 	if (wk_list_put(&edge->workers, &worker, now, &wk))
 		return;
-	service = edge->rt ? rt_find_service(edge->rt, worker.service) : -1;
-	if (service >= 0)
-		hc_host_limit(wk->host,
-			      edge_max_connections(
-				      edge, &edge->rt->services[service]));
+	edge_limit_connections(edge, wk, worker.service);
+}
+
+/* Limits the connections to a worker of a service that is configured. */
+static void edge_limit_connections(struct edge *edge, struct wk *wk,
+				   const char *service)
+{
+	int i = edge->rt ? rt_find_service(edge->rt, service) : -1;
+
+	if (i >= 0 && wk->host)
+		hc_host_limit(wk->host, edge_max_connections(
+						edge, &edge->rt->services[i]));
 }
 
 /*
@@ -274,6 +328,7 @@
 	met_increment(&edge->met, MET_RETURNS);
 	rel_drop_pending(edge->rel);
 	mir_clear(&edge->mir);
+	conf_set_base(&edge->conf, NULL, 0);
 	era_store_restored(&edge->era, now);
 	wk_store_restored(&edge->workers, now);
 	pres_store_restored(edge->pres, now);
--- a/src/mir.c
+++ b/src/mir.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <sodium.h>
+
 #include "mir.h"
 
 /*
@@ -13,6 +15,7 @@
 static struct mir_item *mir_add(struct mir *mir, const char *key);
 static int mir_set(struct mir *mir, struct mir_item *entry,
 		   const struct wire_item *item);
+static uint64_t mir_digest(const struct wire_item *item);
 static void mir_sort_in(struct mir *mir, struct mir_item *entry);
 static void mir_drop_tombstones(struct mir *mir);
 static void mir_drop(struct mir *mir, struct mir_item *entry);
@@ -72,6 +75,19 @@
 	return rc;
 }
 
+/* The items whose keys begin with a prefix are in the complete list, too. */
+void mir_list_prefix(struct mir *mir, const char *prefix)
+{
+	struct mir_item *entry;
+
+	if (!mir->listing)
+		return;
+	cds_list_for_each_entry (entry, &mir->items, by_revision) {
+		if (strncmp(entry->item.key, prefix, strlen(prefix)) == 0)
+			entry->in_listing = true;
+	}
+}
+
 /*
  * Ends a complete list that holds everything up to a revision: the items that
  * it lacks have been deleted by then.
@@ -187,11 +203,31 @@
 	free(entry->item.value);
 	entry->item = *item;
 	entry->item.value = value;
+	entry->digest = mir_digest(&entry->item);
 	cds_list_del(&entry->by_revision);
 	mir_sort_in(mir, entry);
 	return MIR_OK;
 }
 
+/* Returns a hash of key and value, the same at all routers. */
+static uint64_t mir_digest(const struct wire_item *item)
+{
+	static const unsigned char key[crypto_shorthash_KEYBYTES];
+	unsigned char sums[2][crypto_shorthash_BYTES];
+	unsigned char bytes[crypto_shorthash_BYTES];
+	uint64_t digest;
+
+	if (item->deleted)
+		return 0;
+	crypto_shorthash(sums[0], (const unsigned char *)item->key,
+			 strlen(item->key), key);
+	crypto_shorthash(sums[1], (const unsigned char *)item->value, item->len,
+			 key);
+	crypto_shorthash(bytes, sums[0], sizeof(sums), key);
+	memcpy(&digest, bytes, sizeof(digest));
+	return digest;
+}
+
 /* Changes arrive nearly in order, so the place is near the end. */
 static void mir_sort_in(struct mir *mir, struct mir_item *entry)
 {
--- a/src/mir.h
+++ b/src/mir.h
@@ -22,6 +22,7 @@
 	struct cds_list_head by_revision;
 	struct htab_node by_key;
 	struct wire_item item; /* value is NULL if deleted */
+	uint64_t digest;       /* of key and value */
 	bool in_listing;
 };
 
@@ -45,6 +46,7 @@
 void mir_clear(struct mir *mir);
 void mir_list_begin(struct mir *mir);
 int mir_put(struct mir *mir, const struct wire_item *item);
+void mir_list_prefix(struct mir *mir, const char *prefix);
 void mir_list_end(struct mir *mir, int64_t revision);
 bool mir_may_serve(const struct mir *mir);
 bool mir_has_changes(const struct mir *mir, int64_t after);
--- a/src/rel.h
+++ b/src/rel.h
@@ -28,6 +28,11 @@
 /* What the owner does with what a relay learns. */
 struct rel_owner {
 	const struct sto_follow_ops *ops; /* of the store's follower, too */
+	/*
+	 * All items of an answer have been passed to it.  Returns false if they
+	 * do not fit together: then a complete list is read.
+	 */
+	bool (*applied)(void *user);
 	void *user;
 	/* Requests of callers that other routers forward to this one. */
 	const struct hs_ops *forwarded;
--- a/src/rel_apply.c
+++ b/src/rel_apply.c
@@ -15,6 +15,7 @@
 static void rel_apply_reachable(struct rel *rel,
 				const struct rel_answer *answer);
 static void rel_apply_slice(struct rel *rel);
+static void rel_on_mismatch(struct rel *rel);
 static void rel_log_taken(const struct rel *rel, int64_t now);
 
 /*
@@ -113,6 +114,10 @@
 		return;
 	}
 	sto_follow_set_pos(rel->edge->follow, pending->pos);
+	if (!rel->owner.applied(rel->owner.user)) {
+		rel_on_mismatch(rel);
+		return;
+	}
 	if (pending->complete)
 		ops->list_end(rel->owner.user);
 	if (pending->fresh_us)
@@ -122,6 +127,27 @@
 	rel_drop_pending(rel);
 }
 
+/*
+ * The changes do not lead to what the sender has: reads a complete list, from
+ * another router if this was one.
+ */
+static void rel_on_mismatch(struct rel *rel)
+{
+	struct rel_pending *pending = &rel->pending;
+	int64_t now = clk_boot_us();
+
+	rel->bad_answers++;
+	jlog(LOG_REL_BAD,
+	     "\"peer\":\"%s\",\"why\":\"configuration incomplete\"",
+	     rel->source_name);
+	sto_follow_relist(rel->edge->follow);
+	if (pending->complete) {
+		tree_on_failure(&rel->tree, rel->call_source, now);
+		rel->owner.ops->list_end(rel->owner.user);
+	}
+	rel_drop_pending(rel);
+}
+
 /* Logs how long a large answer took to arrive and to be applied. */
 static void rel_log_taken(const struct rel *rel, int64_t now)
 {
--- a/src/rel_msg.c
+++ b/src/rel_msg.c
@@ -9,7 +9,7 @@
 #include "rel_msg.h"
 
 #define REL_MAGIC   0x4d414752U
-#define REL_VERSION 1U
+#define REL_VERSION 2U
 /* Largest encoded sizes, of an item without its key and value. */
 #define REL_HEAD_BYTES 96
 #define REL_ITEM_BYTES 40
--- a/src/rt.c
+++ b/src/rt.c
@@ -6,6 +6,8 @@
 
 static int rt_by_prefix(const void *a, const void *b);
 static int rt_by_key(const void *a, const void *b);
+static int rt_by_name(const void *a, const void *b);
+static void rt_sort_routes(struct rt_set *set);
 static bool rt_same_host(const char *pattern, const char *host);
 static void rt_list_urgencies(struct rt_set *set);
 static void rt_add_urgencies(struct rt_set *set, const struct rt_route *route,
@@ -54,12 +56,94 @@
  */
 void rt_index_tables(struct rt_set *set)
 {
-	qsort(set->routes, (size_t)set->route_count, sizeof(*set->routes),
-	      rt_by_prefix);
+	rt_sort_routes(set);
 	qsort(set->keys, (size_t)set->key_count, sizeof(*set->keys), rt_by_key);
 	rt_list_urgencies(set);
 }
 
+/* Merged routes are sorted already. */
+static void rt_sort_routes(struct rt_set *set)
+{
+	int i;
+
+	for (i = 1; i < set->route_count; i++) {
+		if (rt_by_prefix(&set->routes[i - 1], &set->routes[i]) > 0)
+			break;
+	}
+	if (i < set->route_count)
+		qsort(set->routes, (size_t)set->route_count,
+		      sizeof(*set->routes), rt_by_prefix);
+}
+
+/* Allocates room for so many changes; RT_E_MEMORY if there is none. */
+int rt_changes_init(struct rt_changes *changes, int max)
+{
+	memset(changes, 0, sizeof(*changes));
+	changes->names = calloc((size_t)max + 1, sizeof(*changes->names));
+	changes->routes = calloc((size_t)max + 1, sizeof(*changes->routes));
+	return changes->names && changes->routes ? RT_OK : RT_E_MEMORY;
+}
+
+void rt_changes_free(struct rt_changes *changes)
+{
+	free(changes->names);
+	free(changes->routes);
+}
+
+/* Tells whether two sets number the same services in the same way. */
+bool rt_has_same_services(const struct rt_set *a, const struct rt_set *b)
+{
+	int i;
+
+	if (a->service_count != b->service_count)
+		return false;
+	for (i = 0; i < a->service_count; i++) {
+		if (strcmp(a->services[i].name, b->services[i].name) != 0)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * Fills in the routes of a set and indexes it: the changed ones, and those of
+ * another set that have not changed.  Returns RT_E_BAD unless there are count.
+ */
+int rt_merge_routes(struct rt_set *set, const struct rt_set *base,
+		    struct rt_changes *changes, int count)
+{
+	const struct rt_route *from = base ? base->routes : NULL;
+	const struct rt_route *end = from + (base ? base->route_count : 0);
+	const struct rt_route *changed = changes->routes;
+	const struct rt_route *changed_end = changed + changes->route_count;
+
+	qsort(changes->names, (size_t)changes->name_count,
+	      sizeof(*changes->names), rt_by_name);
+	qsort(changes->routes, (size_t)changes->route_count,
+	      sizeof(*changes->routes), rt_by_prefix);
+	set->route_count = 0;
+	while (from < end || changed < changed_end) {
+		const char *name = from < end ? from->name : NULL;
+
+		if (name &&
+		    bsearch(&name, changes->names, (size_t)changes->name_count,
+			    sizeof(*changes->names), rt_by_name)) {
+			from++;
+			continue;
+		}
+		if (set->route_count == count)
+			return RT_E_BAD;
+		if (name && (changed == changed_end ||
+			     rt_by_prefix(from, changed) <= 0))
+			set->routes[set->route_count++] = *from++;
+		else
+			set->routes[set->route_count++] = *changed++;
+	}
+	if (set->route_count != count)
+		return RT_E_BAD;
+	rt_index_tables(set);
+	return RT_OK;
+}
+
 /* Lists the distinct urgencies of the requests of each service. */
 static void rt_list_urgencies(struct rt_set *set)
 {
@@ -167,6 +251,14 @@
 		      ((const struct rt_key *)b)->key);
 }
 
+static int rt_by_name(const void *a, const void *b)
+{
+	const char *const *x = a;
+	const char *const *y = b;
+
+	return strcmp(*x, *y);
+}
+
 /* Compares a route's host with a Host field, ignoring case and port. */
 static bool rt_same_host(const char *pattern, const char *host)
 {
--- a/src/rt.h
+++ b/src/rt.h
@@ -122,10 +122,23 @@
 	struct hs_limits limits;
 };
 
+/* Routes that replace those of an earlier set. */
+struct rt_changes {
+	const char **names; /* of all routes that have changed or are gone */
+	int name_count;
+	struct rt_route *routes;
+	int route_count;
+};
+
 struct rt_set *rt_new(int routes, int services, int accounts, int keys);
 struct rt_set *rt_hold(struct rt_set *set);
 void rt_drop(struct rt_set *set);
 void rt_index_tables(struct rt_set *set);
+int rt_changes_init(struct rt_changes *changes, int max);
+void rt_changes_free(struct rt_changes *changes);
+bool rt_has_same_services(const struct rt_set *a, const struct rt_set *b);
+int rt_merge_routes(struct rt_set *set, const struct rt_set *base,
+		    struct rt_changes *changes, int count);
 const struct rt_route *rt_find_route(const struct rt_set *set, const char *host,
 				     const char *target);
 int rt_account_by_key(const struct rt_set *set, const char *key);
