rel_msg: large answers between routers are compressed, and encoded once

They are alike but for their names: compressed by zstd, level 1, they are a fraction of that, and the eight followers share one encoding.

A damaged answer, or one that names another length, is rejected (regress/rel/compressed).

--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 CFLAGS    ?= -O2 -g
 ALLFLAGS   = -std=gnu11 -D_GNU_SOURCE $(WARN) $(CFLAGS) $(SANFLAGS) -Isrc -Iplatform \
 	     $(PKG_FLAGS) -pthread -MMD -MP
-LIBS       = $(PKG_LIBS) -lhttp_parser -lcivetweb -lm -pthread
+LIBS       = $(PKG_LIBS) -lhttp_parser -lcivetweb -lzstd -lm -pthread
 
 # Every file of src/ but the two mains goes into one archive.
 MAINS     := src/magnoliad.c src/magctl.c src/edge_main.c
@@ -22,7 +22,7 @@
 LIB_OBJS  := $(LIB_SRCS:%.c=$(BUILD)/%.o)
 LIB       := $(BUILD)/libmagnolia.a
 PROGS     := $(BUILD)/magnoliad $(BUILD)/magctl $(BUILD)/magnolia-edge
-EDGE_LIBS := -levent_core -lhttp_parser -ljansson -lsodium -ltirpc -lurcu-common
+EDGE_LIBS := -levent_core -lhttp_parser -ljansson -lsodium -ltirpc -lurcu-common -lzstd
 FAKES     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/fake_*.c))
 CHECKS    := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/check_*.c))
 TOOLS     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/tool_*.c))
--- a/regress/check_rel.c
+++ b/regress/check_rel.c
@@ -5,7 +5,8 @@
 #include "rel_msg.h"
 #include "script.h"
 
-#define LINE_MAX_ 256
+#define LINE_MAX_     256
+#define ITEMS_PRINTED 20
 
 /*
  * The mirror of a router, and a router that follows it: each answer is encoded
@@ -35,6 +36,10 @@
 {
 	int i;
 
+	if (items->count > ITEMS_PRINTED) {
+		fprintf(out, "%d items\n", items->count);
+		return;
+	}
 	for (i = 0; i < items->count; i++)
 		fprintf(out, "%s %lld %s\n", items->items[i].key,
 			(long long)items->items[i].revision,
@@ -55,6 +60,12 @@
 		memset(body + *len - 8, 0x7f, 4);
 	else if (strcmp(how, "magic") == 0)
 		body[0] ^= 1;
+	else if (strcmp(how, "plain") == 0)
+		body[50] ^= 1;
+	else if (strcmp(how, "huge") == 0)
+		memset(body + 48, 0x7f, 4);
+	else if (strcmp(how, "frame") == 0)
+		body[*len / 2] ^= 0x55;
 }
 
 /*
@@ -66,6 +77,7 @@
 	static const char *const errors[] = { "", "out of memory", "unreadable",
 					      "out of order" };
 	struct rel_answer answer = { 0 };
+	struct rel_items encoded;
 	struct wire_items items;
 	char how[16] = "";
 	long long x[4];
@@ -87,7 +99,12 @@
 		fprintf(out, "nothing to serve\n");
 		return;
 	}
-	if (rel_answer_encode(&answer, &mir, after.revision, &body, &len))
+	if (rel_items_encode(&mir, answer.complete ? 0 : after.revision,
+			     &encoded))
+		return;
+	rc = rel_answer_encode(&answer, &encoded, &body, &len);
+	rel_items_free(&encoded);
+	if (rc)
 		return;
 	damage(body, &len, how);
 	rc = rel_answer_decode(body, len, after, &answer, &items);
@@ -100,9 +117,24 @@
 		answer.complete ? "all" : "changes", (long long)answer.pos.era,
 		(long long)answer.pos.revision);
 	print_items(out, &items);
+	fprintf(out, "%s", answer.plain_len ? "compressed\n" : "");
 	pl_store_items_free(&items);
 }
 
+/* "fill N": N items of the next revision. */
+static void fill(int n)
+{
+	char line[LINE_MAX_];
+	long long revision = pos.revision + 1;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(line, sizeof(line), "put w-%d %lld value-of-%d", i,
+			 revision, i);
+		put_item(line, false);
+	}
+}
+
 /* "workers N": N workers are replaced one after the other. */
 static void replace_workers(FILE *out, int n)
 {
@@ -145,6 +177,8 @@
 		} else if (sscanf(line, "restored %lld", &revision) == 1) {
 			pos = (struct pos){ revision, 0 };
 			mir_clear(&mir);
+		} else if (sscanf(line, "fill %d", &n) == 1) {
+			fill(n);
 		} else if (sscanf(line, "workers %d", &n) == 1) {
 			replace_workers(out, n);
 		} else if (strncmp(line, "poll ", 5) == 0) {
--- a/regress/check_tree.c
+++ b/regress/check_tree.c
@@ -9,19 +9,20 @@
 #include "tree.h"
 #include "xfer.h"
 
-#define LINE_MAX_     256
-#define STEP_US	      (10 * MAG_US_PER_MS)
-#define BOUND_US      (5 * MAG_US_PER_S) /* of a change, and of removed keys */
-#define COALESCE_US   (800 * MAG_US_PER_MS)
-#define QUERY_US      MAG_US_PER_S
-#define RETRY_US      (500 * MAG_US_PER_MS)
-#define TIMEOUT_US    (300 * MAG_US_PER_MS)
-#define FAST_LINKS    25 /* routers of a data centre with a faster link */
-#define START_US      (100 * MAG_US_PER_S)
-#define STORE_PAGES   9 /* calls of a complete list */
-#define REVISIONS_MAX 64
-#define ROUTE_BYTES   320
-#define WORKERS	      93
+#define LINE_MAX_	  256
+#define STEP_US		  (10 * MAG_US_PER_MS)
+#define BOUND_US	  (5 * MAG_US_PER_S) /* of a change, and of removed keys */
+#define COALESCE_US	  (800 * MAG_US_PER_MS)
+#define QUERY_US	  MAG_US_PER_S
+#define RETRY_US	  (500 * MAG_US_PER_MS)
+#define TIMEOUT_US	  (300 * MAG_US_PER_MS)
+#define FAST_LINKS	  25 /* routers of a data centre with a faster link */
+#define START_US	  (100 * MAG_US_PER_S)
+#define STORE_PAGES	  9 /* calls of a complete list */
+#define REVISIONS_MAX	  64
+#define ROUTE_BYTES	  320
+#define ANSWER_HEAD_BYTES 160 /* with that of HTTP */
+#define WORKERS		  93
 
 /*
  * A fleet of routers and a store in virtual time: each router follows the store
@@ -81,17 +82,15 @@
 /* Notes how large the answer is for a follower at each earlier revision. */
 static void measure_answers(void)
 {
-	struct rel_answer answer = { .pos = { 1, newest } };
+	struct rel_items items;
 	long long after;
-	char *body;
-	size_t len;
 
 	for (after = 0; mir_may_serve(&store) && after < newest; after++) {
-		answer.complete = after == 0;
-		if (rel_answer_encode(&answer, &store, after, &body, &len))
+		if (rel_items_encode(&store, after, &items))
 			continue;
-		answer_sizes[after][newest] = (double)len;
-		free(body);
+		answer_sizes[after][newest] =
+			(double)items.len + ANSWER_HEAD_BYTES;
+		rel_items_free(&items);
 	}
 }
 
--- a/src/rel_int.h
+++ b/src/rel_int.h
@@ -27,6 +27,13 @@
 	struct event *event;
 };
 
+/* The items of the last answer. */
+struct rel_encoded {
+	int64_t after; /* revision; 0: all items */
+	struct pos pos;
+	struct rel_items items;
+};
+
 struct rel {
 	struct edge *edge;
 	struct rel_owner owner;
@@ -66,6 +73,7 @@
 	struct hs *hs;
 	struct cds_list_head waits; /* of struct rel_wait, by receipt */
 	int wait_count;
+	struct rel_encoded encoded;
 	uint64_t answers;
 	uint64_t bytes_sent;
 };
--- a/src/rel_msg.c
+++ b/src/rel_msg.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include <rpc/rpc.h>
+#include <zstd.h>
 
 #include "pl_store.h"
 #include "rel_msg.h"
@@ -16,11 +17,19 @@
 /* Smallest encoded size of an item. */
 #define REL_ITEM_BYTES_MIN 24
 #define REL_PATH	   "/changes"
+/* Items of at least this size are compressed. */
+#define REL_COMPRESS_BYTES 1024
+#define REL_COMPRESS_LEVEL 1
 
-static size_t rel_answer_size(struct rel_answer *answer, const struct mir *mir,
-			      const struct mir_item *first);
-static bool rel_is_sent(const struct rel_answer *answer,
-			const struct mir_item *entry);
+static int rel_items_decode(char *bytes, size_t len, struct pos after,
+			    const struct rel_answer *answer,
+			    struct wire_items *items);
+static void rel_compress(struct rel_items *items);
+static int rel_decompress(const char *bytes, size_t len, size_t plain_len,
+			  char **plain);
+static size_t rel_items_size(bool complete, const struct mir *mir,
+			     const struct mir_item *first, uint32_t *count);
+static bool rel_is_sent(bool complete, const struct mir_item *entry);
 static bool_t rel_xdr_head(XDR *xdr, struct rel_answer *answer);
 static bool_t rel_xdr_item(XDR *xdr, struct wire_item *item);
 static bool rel_is_in_order(const struct rel_answer *answer, struct pos after);
@@ -46,36 +55,66 @@
 }
 
 /*
- * Encodes the changes after a revision, or all items if answer->complete is
- * set.  The caller frees the body.
+ * Encodes the changes after a revision, or all items if it is 0.  The caller
+ * frees them with rel_items_free().
  */
-int rel_answer_encode(struct rel_answer *answer, const struct mir *mir,
-		      int64_t after, char **body, size_t *len)
+int rel_items_encode(const struct mir *mir, int64_t after,
+		     struct rel_items *items)
 {
-	const struct mir_item *first =
-		mir_first_change(mir, answer->complete ? 0 : after);
-	size_t size = rel_answer_size(answer, mir, first);
+	const struct mir_item *first = mir_first_change(mir, after);
+	bool complete = after == 0;
 	const struct mir_item *entry;
 	struct wire_item item;
-	bool_t good;
+	bool_t good = TRUE;
+	size_t size;
 	XDR xdr;
 
-	*body = malloc(size);
-	if (!*body)
+	memset(items, 0, sizeof(*items));
+	size = rel_items_size(complete, mir, first, &items->count);
+	items->bytes = malloc(size);
+	if (!items->bytes)
 		return REL_MSG_E_MEMORY;
-	xdrmem_create(&xdr, *body, (u_int)size, XDR_ENCODE);
-	good = rel_xdr_head(&xdr, answer);
+	xdrmem_create(&xdr, items->bytes, (u_int)size, XDR_ENCODE);
 	for (entry = first; good && entry;
 	     entry = mir_next_change(mir, entry)) {
 		item = entry->item;
-		if (rel_is_sent(answer, entry))
+		if (rel_is_sent(complete, entry))
 			good = rel_xdr_item(&xdr, &item);
 	}
-	*len = xdr_getpos(&xdr);
-	if (good)
-		return REL_MSG_OK;
-	free(*body);
-	return REL_MSG_E_FORMAT;
+	items->len = xdr_getpos(&xdr);
+	if (!good) {
+		rel_items_free(items);
+		return REL_MSG_E_FORMAT;
+	}
+	rel_compress(items);
+	return REL_MSG_OK;
+}
+
+void rel_items_free(struct rel_items *items)
+{
+	free(items->bytes);
+	memset(items, 0, sizeof(*items));
+}
+
+/* Encodes an answer with these items.  The caller frees the body. */
+int rel_answer_encode(struct rel_answer *answer, const struct rel_items *items,
+		      char **body, size_t *len)
+{
+	XDR xdr;
+
+	*body = malloc(REL_HEAD_BYTES + items->len);
+	if (!*body)
+		return REL_MSG_E_MEMORY;
+	answer->item_count = items->count;
+	answer->plain_len = items->plain_len;
+	xdrmem_create(&xdr, *body, REL_HEAD_BYTES, XDR_ENCODE);
+	if (!rel_xdr_head(&xdr, answer)) {
+		free(*body);
+		return REL_MSG_E_FORMAT;
+	}
+	*len = xdr_getpos(&xdr) + items->len;
+	memcpy(*body + xdr_getpos(&xdr), items->bytes, items->len);
+	return REL_MSG_OK;
 }
 
 /*
@@ -85,16 +124,41 @@
 int rel_answer_decode(char *body, size_t len, struct pos after,
 		      struct rel_answer *answer, struct wire_items *items)
 {
-	int rc = REL_MSG_E_FORMAT;
-	uint32_t i;
+	char *plain = NULL;
+	size_t head_len;
 	XDR xdr;
+	int rc;
 
 	memset(items, 0, sizeof(*items));
 	if (len > REL_BYTES_MAX)
 		return REL_MSG_E_FORMAT;
 	xdrmem_create(&xdr, body, (u_int)len, XDR_DECODE);
-	if (!rel_xdr_head(&xdr, answer) ||
-	    answer->item_count > len / REL_ITEM_BYTES_MIN)
+	if (!rel_xdr_head(&xdr, answer))
+		return REL_MSG_E_FORMAT;
+	head_len = xdr_getpos(&xdr);
+	body += head_len;
+	len -= head_len;
+	if (answer->plain_len) {
+		rc = rel_decompress(body, len, answer->plain_len, &plain);
+		if (rc)
+			return rc;
+		body = plain;
+		len = answer->plain_len;
+	}
+	rc = rel_items_decode(body, len, after, answer, items);
+	free(plain);
+	return rc;
+}
+
+static int rel_items_decode(char *bytes, size_t len, struct pos after,
+			    const struct rel_answer *answer,
+			    struct wire_items *items)
+{
+	int rc = REL_MSG_E_FORMAT;
+	uint32_t i;
+	XDR xdr;
+
+	if (answer->item_count > len / REL_ITEM_BYTES_MIN)
 		return REL_MSG_E_FORMAT;
 	if (!rel_is_in_order(answer, after))
 		return REL_MSG_E_ORDER;
@@ -102,6 +166,7 @@
 	if (!items->items)
 		return REL_MSG_E_MEMORY;
 	items->revision = answer->pos.revision;
+	xdrmem_create(&xdr, bytes, (u_int)len, XDR_DECODE);
 	for (i = 0; i < answer->item_count; i++) {
 		if (!rel_xdr_item(&xdr, &items->items[items->count]))
 			break;
@@ -114,18 +179,59 @@
 	return rc;
 }
 
+/* Compresses encoded items if they become smaller. */
+static void rel_compress(struct rel_items *items)
+{
+	size_t size = ZSTD_compressBound(items->len);
+	char *bytes;
+	size_t len;
+
+	if (items->len < REL_COMPRESS_BYTES)
+		return;
+	bytes = malloc(size);
+	if (!bytes)
+		return;
+	len = ZSTD_compress(bytes, size, items->bytes, items->len,
+			    REL_COMPRESS_LEVEL);
+	if (ZSTD_isError(len) || len >= items->len) {
+		free(bytes);
+		return;
+	}
+	items->plain_len = (uint32_t)items->len;
+	free(items->bytes);
+	items->bytes = bytes;
+	items->len = len;
+}
+
+/* Decompresses items, which must have the length that their sender names. */
+static int rel_decompress(const char *bytes, size_t len, size_t plain_len,
+			  char **plain)
+{
+	if (plain_len > REL_BYTES_MAX ||
+	    ZSTD_getFrameContentSize(bytes, len) != plain_len)
+		return REL_MSG_E_FORMAT;
+	*plain = malloc(plain_len);
+	if (!*plain)
+		return REL_MSG_E_MEMORY;
+	if (ZSTD_decompress(*plain, plain_len, bytes, len) == plain_len)
+		return REL_MSG_OK;
+	free(*plain);
+	*plain = NULL;
+	return REL_MSG_E_FORMAT;
+}
+
 /* Counts the items to send; returns the size of the buffer for them. */
-static size_t rel_answer_size(struct rel_answer *answer, const struct mir *mir,
-			      const struct mir_item *first)
+static size_t rel_items_size(bool complete, const struct mir *mir,
+			     const struct mir_item *first, uint32_t *count)
 {
-	size_t size = REL_HEAD_BYTES;
 	const struct mir_item *entry;
+	size_t size = 1;
 
-	answer->item_count = 0;
+	*count = 0;
 	for (entry = first; entry; entry = mir_next_change(mir, entry)) {
-		if (!rel_is_sent(answer, entry))
+		if (!rel_is_sent(complete, entry))
 			continue;
-		answer->item_count++;
+		(*count)++;
 		size += REL_ITEM_BYTES + strlen(entry->item.key) +
 			entry->item.len;
 	}
@@ -133,10 +239,9 @@
 }
 
 /* A complete list has no deletions. */
-static bool rel_is_sent(const struct rel_answer *answer,
-			const struct mir_item *entry)
+static bool rel_is_sent(bool complete, const struct mir_item *entry)
 {
-	return !answer->complete || !entry->item.deleted;
+	return !complete || !entry->item.deleted;
 }
 
 static bool_t rel_xdr_head(XDR *xdr, struct rel_answer *answer)
@@ -154,7 +259,8 @@
 	    !xdr_uint32_t(xdr, &flags) ||
 	    !xdr_int64_t(xdr, &answer->fresh_us) ||
 	    !xdr_int64_t(xdr, &answer->regained_us) ||
-	    !xdr_uint32_t(xdr, &answer->item_count))
+	    !xdr_uint32_t(xdr, &answer->item_count) ||
+	    !xdr_uint32_t(xdr, &answer->plain_len))
 		return FALSE;
 	answer->complete = flags & 1U;
 	answer->has_fresh = flags & 2U;
--- a/src/rel_msg.h
+++ b/src/rel_msg.h
@@ -40,6 +40,15 @@
 	bool has_regained;
 	int64_t regained_us;
 	uint32_t item_count;
+	uint32_t plain_len; /* of compressed items (bytes); 0: they are not */
+};
+
+/* Encoded items; an answer to several followers is encoded once. */
+struct rel_items {
+	char *bytes;
+	size_t len;
+	uint32_t count;
+	uint32_t plain_len; /* as in struct rel_answer */
 };
 
 enum rel_msg_err {
@@ -51,8 +60,11 @@
 
 void rel_poll_write(char *target, size_t size, const struct rel_poll *poll);
 int rel_poll_parse(const char *target, struct rel_poll *poll);
-int rel_answer_encode(struct rel_answer *answer, const struct mir *mir,
-		      int64_t after, char **body, size_t *len);
+int rel_items_encode(const struct mir *mir, int64_t after,
+		     struct rel_items *items);
+void rel_items_free(struct rel_items *items);
+int rel_answer_encode(struct rel_answer *answer, const struct rel_items *items,
+		      char **body, size_t *len);
 int rel_answer_decode(char *body, size_t len, struct pos after,
 		      struct rel_answer *answer, struct wire_items *items);
 
--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -34,6 +34,7 @@
 		       int64_t now);
 static bool rel_may_answer(const struct rel *rel, const struct rel_wait *wait);
 static void rel_answer(struct rel *rel, struct rel_wait *wait);
+static int rel_encode(struct rel *rel, int64_t after);
 static void rel_drop_wait(struct rel_wait *wait);
 
 /* Listens for the polls of other routers. */
@@ -57,6 +58,7 @@
 		rel_drop_wait(wait);
 	}
 	hs_free(rel->hs);
+	rel_items_free(&rel->encoded.items);
 }
 
 /* Answers the polls that have waited long enough or for which there is news. */
@@ -191,8 +193,8 @@
 	answer.reachable = edge->store_reachable;
 	answer.has_regained = edge->store_regained_us != 0;
 	answer.regained_us = edge->store_regained_us - wait->received_us;
-	if (rel_answer_encode(&answer, &edge->mir, wait->after.revision, &body,
-			      &len)) {
+	if (rel_encode(rel, answer.complete ? 0 : wait->after.revision) ||
+	    rel_answer_encode(&answer, &rel->encoded.items, &body, &len)) {
 		hs_reply(wait->conn, 503, NULL, NULL, 0);
 		return;
 	}
@@ -202,6 +204,24 @@
 	rel->bytes_sent += len;
 }
 
+/*
+ * Encodes the changes after a revision, or all items if it is 0, unless the
+ * last answer had the same.
+ */
+static int rel_encode(struct rel *rel, int64_t after)
+{
+	struct rel_encoded *encoded = &rel->encoded;
+	struct pos pos = rel_mirror_pos(rel);
+
+	if (encoded->items.bytes && encoded->after == after &&
+	    pos_compare(encoded->pos, pos) == 0)
+		return REL_MSG_OK;
+	rel_items_free(&encoded->items);
+	encoded->after = after;
+	encoded->pos = pos;
+	return rel_items_encode(&rel->edge->mir, after, &encoded->items);
+}
+
 static void rel_drop_wait(struct rel_wait *wait)
 {
 	cds_list_del(&wait->node);
