xfer: an answer that comes on is not given up after a fixed time

What callers saw: as before. A poll of another router was given up 300 ms after its wait, and a call of the store after 900 ms, whatever the size of the answer: what a link carries more slowly was begun anew at the next router, from its first byte, and never ended.

An answer now ends when nothing of it has come for 300 ms, or when it is slower than 64 KB/s; a body without an end stops to count as progress at the longest size, so that memory and time stay bounded, at the store's answers, too, which had no limit. A watch whose answer is arriving does not count as stuck.

--- a/regress/check_tree.c
+++ b/regress/check_tree.c
@@ -340,10 +340,7 @@
 
 	if (bytes > router->answer_bytes - (double)xfer->received)
 		bytes = router->answer_bytes - (double)xfer->received;
-	xfer->received += (size_t)bytes + 1;
-	xfer->progress_us = now;
-	if (!xfer->begun_us)
-		xfer->begun_us = now;
+	xfer_receive(xfer, (size_t)bytes + 1, now);
 	from->sent_bytes += bytes;
 	if ((double)xfer->received >= router->answer_bytes) {
 		from->sending--;
--- a/src/hc.c
+++ b/src/hc.c
@@ -337,6 +337,13 @@
 	hc_close(call);
 }
 
+/* Sets a later deadline of a call; an earlier one has no effect. */
+void hc_extend_deadline(struct hc_call *call, int64_t deadline_us)
+{
+	if (deadline_us > call->deadline_us)
+		call->deadline_us = deadline_us;
+}
+
 /* Returns true if no byte of the request has been sent so far. */
 bool hc_unsent(const struct hc_call *call)
 {
--- a/src/hc.h
+++ b/src/hc.h
@@ -93,6 +93,7 @@
 
 int hc_start(struct hc_host *host, const struct hc_send *send,
 	     struct hc_call **out);
+void hc_extend_deadline(struct hc_call *call, int64_t deadline_us);
 void hc_cancel(struct hc_call *call);
 bool hc_unsent(const struct hc_call *call);
 
--- a/src/rel.c
+++ b/src/rel.c
@@ -294,13 +294,13 @@
 {
 	struct rel *rel = user;
 
-	rel->xfer.progress_us = clk_boot_us();
-	if (!rel->xfer.begun_us)
-		rel->xfer.begun_us = rel->xfer.progress_us;
-	rel->xfer.received += len;
 	rel->bytes_received += len;
-	if (evbuffer_get_length(rel->body) + len <= REL_BYTES_MAX)
-		evbuffer_add(rel->body, bytes, len);
+	/* One that has no end is not waited for. */
+	if (evbuffer_get_length(rel->body) + len > REL_BYTES_MAX)
+		return;
+	xfer_receive(&rel->xfer, len, clk_boot_us());
+	hc_extend_deadline(rel->call, xfer_deadline_us(&rel->xfer));
+	evbuffer_add(rel->body, bytes, len);
 }
 
 static void rel_on_end(void *user, enum hc_result end)
--- a/src/sto.c
+++ b/src/sto.c
@@ -12,6 +12,8 @@
 
 #define STO_CONNECT_TIMEOUT_US (400 * MAG_US_PER_MS)
 #define STO_CONNECTIONS_MAX    16
+/* Longest body of an answer that is accepted (bytes). */
+#define STO_BODY_MAX ((size_t)16 << 20)
 /* Minimum interval between log lines about malformed eras. */
 #define STO_BAD_ERA_LOG_US MAG_US_PER_S
 
@@ -136,7 +138,8 @@
 	send.ops = &sto_ops;
 	send.user = call;
 	send.connect_by_us = now + STO_CONNECT_TIMEOUT_US;
-	send.deadline_us = now + wait_us + STO_ANSWER_TIMEOUT_US;
+	call->xfer.begin_by_us = now + wait_us + STO_ANSWER_TIMEOUT_US;
+	send.deadline_us = xfer_deadline_us(&call->xfer);
 	sto->call_count++;
 	if (send.request && hc_start(sto->host, &send, &call->call) == HC_OK)
 		return call;
@@ -167,6 +170,11 @@
 {
 	struct sto_call *call = user;
 
+	/* One that has no end is not waited for. */
+	if (evbuffer_get_length(call->body) + len > STO_BODY_MAX)
+		return;
+	xfer_receive(&call->xfer, len, clk_boot_us());
+	hc_extend_deadline(call->call, xfer_deadline_us(&call->xfer));
 	evbuffer_add(call->body, bytes, len);
 }
 
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -420,6 +420,9 @@
 	}
 	if (!follow->lagging_since_us)
 		follow->lagging_since_us = now;
+	/* The answer is on its way. */
+	if (follow->call && follow->call->xfer.begun_us)
+		return false;
 	return now - follow->lagging_since_us > STO_ANSWER_TIMEOUT_US;
 }
 
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -6,6 +6,7 @@
 #include <urcu/list.h>
 
 #include "sto.h"
+#include "xfer.h"
 
 /*
  * Time to wait for an answer in addition to the time that a watch stays open.
@@ -37,6 +38,7 @@
 	int64_t era;	  /* era named in the answer */
 	struct evbuffer *body;
 	struct hc_call *call;
+	struct xfer xfer; /* of the answer */
 };
 
 struct sto_call *sto_send_call(struct sto *sto, const char *method,
--- a/src/xfer.h
+++ b/src/xfer.h
@@ -16,6 +16,7 @@
 	size_t received;     /* bytes so far */
 };
 
+void xfer_receive(struct xfer *xfer, size_t len, int64_t now);
 int64_t xfer_deadline_us(const struct xfer *xfer);
 
 #endif /* XFER_H */
