eq, attest: a router that is behind does not deny what it does not know

A router that has heard of a newer version answers 503 with a short Retry-After for a route or a key that it does not know. If it reaches the store and still has not got the version after 0.6 of the time within which it must be in force, it refuses everything and is not ready; one that cannot reach the store serves what it can.

--- a/regress/check_attest.c
+++ b/regress/check_attest.c
@@ -74,6 +74,22 @@
 		is_wrong ? " a removed key" : "");
 }
 
+/* "apply N MS": prints whether router N goes by an older version than others.
+ */
+static void print_behind(FILE *out, int n, long ms)
+{
+	const struct router *router = &routers[n];
+
+	if (attest_is_outdated(&router->attest, router->version,
+			       ms * MAG_US_PER_MS, router_clock(router)))
+		fprintf(out, "%d outdated\n", n);
+	else
+		fprintf(out, "%d %s\n", n,
+			attest_is_behind(&router->attest, router->version)
+				? "behind"
+				: "current");
+}
+
 static void deliver(FILE *out, int from, int to)
 {
 	struct router *router = &routers[to];
@@ -178,6 +194,11 @@
 			(long long)(attest_coalesce_us(ms * MAG_US_PER_MS,
 						       a * MAG_US_PER_MS) /
 				    MAG_US_PER_MS));
+	} else if (sscanf(line, "hear %d %ld", &a, &ms) == 2) {
+		attest_hear_version(&routers[a].attest, ms, routers[a].version,
+				    router_clock(&routers[a]));
+	} else if (sscanf(line, "apply %d %ld", &a, &ms) == 2) {
+		print_behind(out, a, ms);
 	} else if (sscanf(line, "key %d", &a) == 1) {
 		print_trust(out, a);
 	} else {
--- a/src/attest.c
+++ b/src/attest.c
@@ -12,6 +12,11 @@
  * that the load balancer has moved its callers before it must refuse them.
  */
 #define ATTEST_READY_FRACTION 0.6
+/*
+ * Fraction of the time within which a configuration must be in force
+ * everywhere, from when another router reported it.
+ */
+#define ATTEST_BEHIND_FRACTION 0.6
 /*
  * The store is queried when the configuration has not been confirmed for this
  * long, plus a random delay that grows with the number of routers, each of
@@ -55,6 +60,7 @@
 	memset(attest, 0, sizeof(*attest));
 	attest->session = session ? session : 1;
 	attest->seed = seed | 1;
+	attest->newest_version = -1;
 }
 
 /* Records that the set in force was the newest in the store at a time. */
@@ -92,6 +98,35 @@
 	claim->age_us = attest->confirmed_us ? now - attest->confirmed_us : -1;
 }
 
+/* Records the version that another router reports; in_force is the own one. */
+void attest_hear_version(struct attest *attest, int64_t version,
+			 int64_t in_force, int64_t now)
+{
+	if (version <= attest->newest_version)
+		return;
+	if (!attest_is_behind(attest, in_force))
+		attest->behind_since_us = now;
+	attest->newest_version = version;
+}
+
+/* Returns whether another router has reported a newer version. */
+bool attest_is_behind(const struct attest *attest, int64_t in_force)
+{
+	return in_force < attest->newest_version;
+}
+
+/*
+ * Returns whether a newer version has been known for so long that it should be
+ * in force here, given the time within which it must be.
+ */
+bool attest_is_outdated(const struct attest *attest, int64_t in_force,
+			int64_t bound_us, int64_t now)
+{
+	return attest_is_behind(attest, in_force) &&
+	       (double)(now - attest->behind_since_us) >=
+		       (double)bound_us * ATTEST_BEHIND_FRACTION;
+}
+
 /* Returns whether an account key in force here may be accepted. */
 bool attest_is_trusted(const struct attest *attest, int64_t bound_us,
 		       int64_t now)
--- a/src/attest.h
+++ b/src/attest.h
@@ -28,11 +28,13 @@
 };
 
 struct attest {
-	uint32_t session;	/* of this process; not 0 */
-	int64_t confirmed_us;	/* set in force was the newest; 0: never */
-	int64_t query_us;	/* when to query the store next */
-	int64_t planned_for_us; /* confirmed_us on which query_us is based */
-	int queries;		/* since then, unanswered */
+	uint32_t session;	 /* of this process; not 0 */
+	int64_t confirmed_us;	 /* set in force was the newest; 0: never */
+	int64_t query_us;	 /* when to query the store next */
+	int64_t planned_for_us;	 /* confirmed_us on which query_us is based */
+	int queries;		 /* since then, unanswered */
+	int64_t newest_version;	 /* that any router has reported; -1: none */
+	int64_t behind_since_us; /* reported versions are newer since then */
 	/*
 	 * Not 0: others learn from this router alone, and must know a change
 	 * within this time.
@@ -47,6 +49,11 @@
 		      int64_t version, int64_t now);
 void attest_fill_claim(const struct attest *attest, int64_t version,
 		       int64_t now, struct attest_claim *claim);
+void attest_hear_version(struct attest *attest, int64_t version,
+			 int64_t in_force, int64_t now);
+bool attest_is_behind(const struct attest *attest, int64_t in_force);
+bool attest_is_outdated(const struct attest *attest, int64_t in_force,
+			int64_t bound_us, int64_t now);
 bool attest_is_trusted(const struct attest *attest, int64_t bound_us,
 		       int64_t now);
 bool attest_soon_untrusted(const struct attest *attest, int64_t bound_us,
--- a/src/edge.c
+++ b/src/edge.c
@@ -213,7 +213,7 @@
 		return false;
 	if (edge->attest.confirmed_us)
 		return true;
-	return edge->rt->version >= edge->newest_peer_version &&
+	return !edge_is_behind(edge) &&
 	       era_may_use_config(&edge->era,
 				  sto_era(edge->sto) != POS_ERA_NONE, now);
 }
@@ -230,6 +230,25 @@
 		 now - edge->uncovered_since_us > EDGE_UNCOVERED_US);
 }
 
+/* Tells whether another router has a newer configuration in force. */
+bool edge_is_behind(const struct edge *edge)
+{
+	return attest_is_behind(&edge->attest,
+				edge->rt ? edge->rt->version : -1);
+}
+
+/*
+ * Tells whether this router should have had the newer configuration of another
+ * one long ago, so that it must not go by its own any more.  One that cannot
+ * reach the store serves what it can.
+ */
+bool edge_is_outdated(const struct edge *edge, int64_t now)
+{
+	return edge->store_reachable && edge->rt &&
+	       attest_is_outdated(&edge->attest, edge->rt->version,
+				  edge->set.config_apply_us, now);
+}
+
 /*
  * Tells whether this router can accept requests.  A router that is cut off from
  * the store can soon no longer check keys.
@@ -237,7 +256,7 @@
 bool edge_may_serve(const struct edge *edge, int64_t now)
 {
 	if (!edge_has_config(edge, now) || !edge->workers_listed ||
-	    edge->stopping)
+	    edge->stopping || edge_is_outdated(edge, now))
 		return false;
 	return !edge->rt->has_accounts || !edge->set.keys_fail_closed ||
 	       !attest_soon_untrusted(&edge->attest, edge->set.keys_stale_us,
--- a/src/edge.h
+++ b/src/edge.h
@@ -87,12 +87,11 @@
 	struct quar_keep *keep;
 	struct edge_placer placer;
 
-	struct rt_set *rt;    /* configuration; NULL until the first one */
-	struct conf conf;     /* from which the next one is built */
-	struct attest attest; /* how long the configuration may be trusted */
-	struct era era;	      /* recovery after a restore of the store */
-	int64_t newest_peer_version; /* of the configuration, from peers */
-	int64_t store_version;	     /* of the configuration there */
+	struct rt_set *rt;     /* configuration; NULL until the first one */
+	struct conf conf;      /* from which the next one is built */
+	struct attest attest;  /* how long the configuration may be trusted */
+	struct era era;	       /* recovery after a restore of the store */
+	int64_t store_version; /* of the configuration there */
 	bool workers_listed;
 	bool store_reachable;
 	int64_t store_regained_us; /* reachable again; 0: never lost */
@@ -147,6 +146,8 @@
 uint64_t edge_random(struct edge *edge);
 int edge_routers_per_data_centre(const struct edge *edge);
 bool edge_has_config(const struct edge *edge, int64_t now);
+bool edge_is_behind(const struct edge *edge);
+bool edge_is_outdated(const struct edge *edge, int64_t now);
 bool edge_may_serve(const struct edge *edge, int64_t now);
 bool edge_is_ready(const struct edge *edge, int64_t now);
 
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -179,8 +179,7 @@
 
 	rel_on_fresh(edge->rel, sent_us);
 	if (!era_is_authoritative(&edge->era, sent_us) ||
-	    !edge_has_config(edge, now) ||
-	    edge->rt->version < edge->newest_peer_version)
+	    !edge_has_config(edge, now) || edge_is_behind(edge))
 		return;
 	attest_from_store(&edge->attest, sent_us);
 	if (rel_follows_store(edge->rel) &&
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -152,7 +152,6 @@
 	randombytes_buf(&incarnation, sizeof(incarnation));
 	edge->seed |= 1;
 	edge->started_us = clk_boot_us();
-	edge->newest_peer_version = -1;
 	era_start(&edge->era, edge->started_us);
 	attest_init(&edge->attest, (uint32_t)incarnation, edge_random(edge));
 	CDS_INIT_LIST_HEAD(&edge->requests);
--- a/src/eq.c
+++ b/src/eq.c
@@ -79,6 +79,10 @@
 		eq_refuse(eq, 400, EQ_RETRY_NEVER, eq->bad_field);
 		return;
 	}
+	if (edge_is_outdated(edge, now)) {
+		eq_refuse(eq, 503, EQ_RETRY_SOON, "configuration outdated");
+		return;
+	}
 	if (!eq_resolve_route(eq) || !eq_admit(eq, now))
 		return;
 	edge_service(edge, eq->service->name, now)->requests++;
@@ -293,6 +297,10 @@
 	if (eq->request.host)
 		eq->route = rt_find_route(eq->rt, eq->request.host,
 					  hs_target(eq->caller));
+	if (!eq->route && edge_is_behind(eq->edge)) {
+		eq_refuse(eq, 503, EQ_RETRY_SOON, "no route yet");
+		return false;
+	}
 	if (!eq->route) {
 		met_increment(&eq->edge->met, MET_NO_ROUTE);
 		eq_refuse(eq, 404, EQ_RETRY_NEVER, "no route");
@@ -308,6 +316,10 @@
 		return true;
 	account = eq->request.key ? rt_account_by_key(eq->rt, eq->request.key)
 				  : -1;
+	if (account < 0 && edge_is_behind(eq->edge)) {
+		eq_refuse(eq, 503, EQ_RETRY_SOON, "unknown key yet");
+		return false;
+	}
 	if (account < 0) {
 		met_increment(&eq->edge->met, MET_NO_KEY);
 		eq_refuse(eq, 401, EQ_RETRY_NEVER, "unknown key");
@@ -461,7 +473,7 @@
 	     eq->route ? (int)(eq->route->max_gap_us / MAG_US_PER_MS) : 0,
 	     eq->sends, eq->may_have_run ? "true" : "false",
 	     (long long)eq->rt->version,
-	     (long long)eq->edge->newest_peer_version,
+	     (long long)eq->edge->attest.newest_version,
 	     (int)((now - eq->edge->attest.confirmed_us) / MAG_US_PER_MS),
 	     eq->attempt->hop_count > 0 ? eq->attempt->hops[0].worker->entry.id
 					: "",
--- a/src/hint.c
+++ b/src/hint.c
@@ -247,8 +247,8 @@
 	       message->limit_count * sizeof(message->limits[0]));
 	sto_follow_learn_pos(edge->follow, message->store_pos);
 	edge->era.peer_message_seen = true;
-	if (message->claim.version > edge->newest_peer_version)
-		edge->newest_peer_version = message->claim.version;
+	attest_hear_version(&edge->attest, message->claim.version,
+			    edge->rt ? edge->rt->version : -1, now);
 	if (message->store_pos.era == sto_era(edge->sto))
 		hint_receive_claim(edge, &message->claim, now);
 	for (k = 0; k < message->suspect_count; k++)
--- a/src/rel.c
+++ b/src/rel.c
@@ -166,7 +166,7 @@
 		(unsigned long long)rel->bytes_received,
 		(unsigned long long)rel->bytes_sent,
 		rel->edge->rt ? (long long)rel->edge->rt->version : -1LL,
-		(long long)rel->edge->newest_peer_version);
+		(long long)rel->edge->attest.newest_version);
 }
 
 /* The shortest time within which a change must be known everywhere. */
