hc, eq: bytes without end are broken off before they fill the memory

Others waited for their deadline (504) though nothing could come.

What may have run is answered with 502, the rest is sent elsewhere or refused.

--- a/regress/tool_proxy.c
+++ b/regress/tool_proxy.c
@@ -4,8 +4,10 @@
  * data of callers or of the target), silent (drop both), refuse (new
  * connections; open ones live on), sever (reset open ones, refuse new ones),
  * hang (new ones hang, open ones drop both), freeze (new ones hang, the data of
- * open ones waits for the next mode).  It may serve several pairs of OWN and
- * TARGET.
+ * open ones waits for the next mode).  In the modes head, interim, body, other
+ * and events the caller gets, instead of an answer, bytes without end: in a
+ * header, as interim answers, in a body, in the body of another request's
+ * answer, or in an event.  It may serve several pairs of OWN and TARGET.
  */
 
 #include <fcntl.h>
@@ -36,10 +38,36 @@
 	REFUSE,
 	SEVER,
 	HANG,
-	FREEZE
+	FREEZE,
+	HEAD,
+	INTERIM,
+	BODY,
+	OTHER,
+	EVENTS,
+	MODES
+};
+
+/* How bytes without end begin, and what repeats. */
+struct endless {
+	const char *begin;
+	const char *part;
+};
+
+static const struct endless endless[MODES] = {
+	[HEAD] = { "HTTP/1.1 200 OK\r\nX-Filler: ", "aaaaaaaaaaaaaaaa" },
+	[INTERIM] = { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+	[BODY] = { "HTTP/1.1 200 OK\r\nResponse-Seal: 1\r\n\r\n",
+		   "aaaaaaaaaaaaaaaa" },
+	[OTHER] = { "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n"
+		    "Transfer-Encoding: chunked\r\n\r\n",
+		    "10\r\naaaaaaaaaaaaaaaa\r\n" },
+	[EVENTS] = { "HTTP/1.1 200 OK\r\nResponse-Seal: 1\r\n"
+		     "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: ",
+		     "aaaaaaaaaaaaaaaa" },
 };
 
 #define ROUTES_MAX 16
+#define FILL_BYTES 65536 /* of bytes without end, at a time */
 /* More connections than fit into the queue of a listener without backlog. */
 #define FILLERS 4
 
@@ -60,6 +88,7 @@
 	struct pair *pair;
 	struct end *other;
 	bool is_caller;
+	const struct endless *endless; /* what this caller gets; NULL */
 };
 
 struct pair {
@@ -90,10 +119,34 @@
 	free(pair);
 }
 
+/* Sends more of the bytes without end once the last ones have left. */
+static void on_write(struct bufferevent *bev, void *arg)
+{
+	const struct end *end = arg;
+	size_t len;
+
+	if (!end->endless)
+		return;
+	for (len = 0; len < FILL_BYTES; len += strlen(end->endless->part))
+		bufferevent_write(bev, end->endless->part,
+				  strlen(end->endless->part));
+}
+
 static void forward(struct end *end)
 {
 	struct evbuffer *in = bufferevent_get_input(end->bev);
 
+	if (end->is_caller && endless[mode].begin &&
+	    evbuffer_get_length(in) > 0) {
+		evbuffer_drain(in, evbuffer_get_length(in));
+		if (end->endless)
+			return;
+		end->endless = &endless[mode];
+		bufferevent_write(end->bev, end->endless->begin,
+				  strlen(end->endless->begin));
+		on_write(end->bev, end);
+		return;
+	}
 	if (mode == FREEZE)
 		return;
 	if (mode == SILENT || mode == HANG || (mode == UP && end->is_caller) ||
@@ -170,8 +223,8 @@
 	for (i = 0; i < 2; i++) {
 		pair->ends[i].pair = pair;
 		pair->ends[i].other = &pair->ends[1 - i];
-		bufferevent_setcb(pair->ends[i].bev, on_read, NULL, on_event,
-				  &pair->ends[i]);
+		bufferevent_setcb(pair->ends[i].bev, on_read, on_write,
+				  on_event, &pair->ends[i]);
 	}
 	bufferevent_socket_connect(pair->ends[1].bev,
 				   (struct sockaddr *)&route->target,
@@ -236,7 +289,8 @@
 	static const char *const words[] = { "pass",   "delay", "reset",
 					     "up",     "down",	"silent",
 					     "refuse", "sever", "hang",
-					     "freeze" };
+					     "freeze", "head",	"interim",
+					     "body",   "other", "events" };
 	struct pair *pair;
 	struct pair *next;
 	char line[64];
@@ -250,7 +304,7 @@
 		return;
 	line[len] = '\0';
 	line[strcspn(line, "\n")] = '\0';
-	for (i = 0; i < 10; i++) {
+	for (i = 0; i < MODES; i++) {
 		if (strcmp(line, words[i]) == 0)
 			mode = (enum mode)i;
 	}
--- a/src/eq.h
+++ b/src/eq.h
@@ -74,6 +74,7 @@
 	bool answered;	/* the header of its answer has been received */
 	enum hc_framing framing;
 	bool garbled;
+	size_t garbled_bytes; /* received since then */
 	struct evbuffer *fields;
 	struct evbuffer *body;
 	struct evs events;
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -13,6 +13,12 @@
  * stream's smoothed interval.
  */
 #define EQ_INTERVAL_WEIGHT 8
+/*
+ * Longest answer that is held until it is whole, and what is read of one that
+ * is useless before it is broken off (bytes).
+ */
+#define EQ_ANSWER_MAX  ((size_t)4 << 20)
+#define EQ_GARBLED_MAX ((size_t)64 << 10)
 /* Buffer size for the parts of a prompt in the log, each with a space. */
 #define EQ_PARTS_TEXT (PL_PARTS_MAX * 17 + 1)
 
@@ -212,13 +218,21 @@
 {
 	struct eq_attempt *attempt = user;
 
-	if (attempt->garbled)
-		return;
-	if (attempt->status / 100 == 2 &&
-	    attempt->eq->route->kind == RT_STREAMING)
+	if (attempt->garbled) {
+		attempt->garbled_bytes += len;
+		if (attempt->garbled_bytes > EQ_GARBLED_MAX)
+			hc_abort(attempt->call);
+	} else if (attempt->status / 100 == 2 &&
+		   attempt->eq->route->kind == RT_STREAMING) {
 		eq_relay_events(attempt, bytes, len);
-	else
+	} else if (evbuffer_get_length(attempt->body) + len > EQ_ANSWER_MAX) {
+		evbuffer_drain(attempt->body,
+			       evbuffer_get_length(attempt->body));
+		attempt->garbled = true;
+		hc_abort(attempt->call);
+	} else {
 		evbuffer_add(attempt->body, bytes, len);
+	}
 }
 
 /* Relays complete events of a stream, each once and in order. */
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -421,6 +421,7 @@
 	eq->attempt->ran_well = false;
 	eq->attempt->answered = false;
 	eq->attempt->garbled = false;
+	eq->attempt->garbled_bytes = 0;
 	eq->attempt->status = 0;
 	evbuffer_drain(eq->attempt->body,
 		       evbuffer_get_length(eq->attempt->body));
--- a/src/hc.c
+++ b/src/hc.c
@@ -19,6 +19,10 @@
  */
 #define HC_IDLE_US (4 * MAG_US_PER_S)
 
+/* Bytes of other requests' responses, and interim responses, of one call. */
+#define HC_SKIPPED_MAX ((size_t)1 << 20)
+#define HC_INTERIM_MAX 16
+
 enum hc_state {
 	HC_CONNECTING,
 	HC_ACTIVE,
@@ -70,6 +74,11 @@
 	bool complete;
 	bool keep_alive;
 	bool cancelled; /* by a callback while the parser runs */
+	bool aborted;	/* the response is useless */
+	size_t body_max;
+	size_t body_len;    /* received; the limit is on all of a call */
+	size_t skipped_len; /* the same of responses to other requests */
+	int interim_count;
 	bool parsing;
 };
 
@@ -344,6 +353,15 @@
 		call->deadline_us = deadline_us;
 }
 
+/*
+ * Ends a call whose response is useless, as a protocol error; to be called from
+ * its body callback.
+ */
+void hc_abort(struct hc_call *call)
+{
+	call->aborted = true;
+}
+
 /* Returns true if no byte of the request has been sent so far. */
 bool hc_unsent(const struct hc_call *call)
 {
@@ -402,6 +420,11 @@
 	call->connect_by_us = send->connect_by_us;
 	call->deadline_us = send->deadline_us;
 	call->head_request = send->head_request;
+	call->body_max = send->body_max;
+	call->body_len = 0;
+	call->skipped_len = 0;
+	call->interim_count = 0;
+	call->aborted = false;
 	call->skipping = false;
 	call->until_eof = false;
 	call->bytes_received = false;
@@ -610,7 +633,7 @@
 					hc_framing(call), &call->headers };
 
 	if (parser->status_code / 100 == 1)
-		return 0;
+		return ++call->interim_count > HC_INTERIM_MAX ? -1 : 0;
 	call->skipping = false;
 	if (call->ops)
 		call->skipping = !call->ops->headers(call->user, &response);
@@ -625,9 +648,16 @@
 {
 	struct hc_call *call = parser->data;
 
-	if (call->ops && !call->skipping)
+	if (call->skipping) {
+		call->skipped_len += len;
+		return call->skipped_len > HC_SKIPPED_MAX ? -1 : 0;
+	}
+	call->body_len += len;
+	if (call->body_max && call->body_len > call->body_max)
+		return -1;
+	if (call->ops)
 		call->ops->body(call->user, at, len);
-	return call->cancelled ? -1 : 0;
+	return call->cancelled || call->aborted ? -1 : 0;
 }
 
 static int hc_on_complete(http_parser *parser)
--- a/src/hc.h
+++ b/src/hc.h
@@ -24,6 +24,9 @@
 struct hc_host;
 struct hc_call;
 
+/* Longest body of a message that is not an answer to a caller (bytes). */
+#define HC_MESSAGE_MAX ((size_t)1 << 20)
+
 enum hc_err {
 	HC_OK = 0,
 	HC_E_MEMORY = -1,
@@ -35,7 +38,7 @@
 	HC_COMPLETE,	   /* the response was received completely */
 	HC_UNSENT,	   /* no byte of the request was sent */
 	HC_CONN_LOST,	   /* the connection closed before the response ended */
-	HC_PROTOCOL_ERROR, /* the received bytes are not valid HTTP */
+	HC_PROTOCOL_ERROR, /* the received bytes are no valid response */
 	HC_TIMED_OUT,	   /* the deadline passed */
 };
 
@@ -73,6 +76,7 @@
 	int64_t deadline_us; /* MAG_NEVER: none, the owner cancels */
 	bool new_connection; /* do not reuse an idle connection */
 	bool head_request;   /* the method is HEAD: no response body */
+	size_t body_max;     /* bytes; 0: the owner limits it */
 };
 
 struct hc *hc_new(struct event_base *base);
@@ -95,6 +99,7 @@
 	     struct hc_call **out);
 void hc_extend_deadline(struct hc_call *call, int64_t deadline_us);
 void hc_cancel(struct hc_call *call);
+void hc_abort(struct hc_call *call);
 bool hc_unsent(const struct hc_call *call);
 
 #endif /* HC_H */
--- a/src/rel.c
+++ b/src/rel.c
@@ -258,6 +258,7 @@
 							   ? REL_ANSWER_US
 							   : REL_COMPLETE_US) };
 	send.deadline_us = xfer_deadline_us(&rel->xfer);
+	send.body_max = REL_BYTES_MAX;
 	rel->polls++;
 	if (!host || !send.request || hc_start(host, &send, &rel->call)) {
 		rel->call = NULL;
@@ -295,9 +296,6 @@
 	struct rel *rel = user;
 
 	rel->bytes_received += len;
-	/* One that has no end is not waited for. */
-	if (evbuffer_get_length(rel->body) + len > REL_BYTES_MAX)
-		return;
 	xfer_receive(&rel->xfer, len, clk_boot_us());
 	hc_extend_deadline(rel->call, xfer_deadline_us(&rel->xfer));
 	evbuffer_add(rel->body, bytes, len);
--- a/src/rel_msg.h
+++ b/src/rel_msg.h
@@ -15,7 +15,7 @@
 #include "pos.h"
 
 /* Longest body of an answer that is accepted (bytes). */
-#define REL_BYTES_MAX  ((size_t)64 << 20)
+#define REL_BYTES_MAX  ((size_t)32 << 20)
 #define REL_TARGET_MAX 160
 
 /* A poll for changes. */
--- a/src/sto.c
+++ b/src/sto.c
@@ -140,6 +140,7 @@
 	send.connect_by_us = now + STO_CONNECT_TIMEOUT_US;
 	call->xfer.begin_by_us = now + wait_us + STO_ANSWER_TIMEOUT_US;
 	send.deadline_us = xfer_deadline_us(&call->xfer);
+	send.body_max = STO_BODY_MAX;
 	sto->call_count++;
 	if (send.request && hc_start(sto->host, &send, &call->call) == HC_OK)
 		return call;
@@ -170,9 +171,6 @@
 {
 	struct sto_call *call = user;
 
-	/* One that has no end is not waited for. */
-	if (evbuffer_get_length(call->body) + len > STO_BODY_MAX)
-		return;
 	xfer_receive(&call->xfer, len, clk_boot_us());
 	hc_extend_deadline(call->call, xfer_deadline_us(&call->xfer));
 	evbuffer_add(call->body, bytes, len);
--- a/src/wk_send.c
+++ b/src/wk_send.c
@@ -23,6 +23,9 @@
 	}
 	if (bounded.connect_by_us > now + WK_CONNECT_MAX_US)
 		bounded.connect_by_us = now + WK_CONNECT_MAX_US;
+	/* The sender of a request limits the answer, which may be a stream. */
+	if (message != ADV_REQUEST)
+		bounded.body_max = HC_MESSAGE_MAX;
 	rc = hc_start(wk->host, &bounded, out);
 	if (rc)
 		return rc == HC_E_MEMORY ? WK_E_MEMORY : WK_E_FULL;
