conf: the parts of a configuration are the texts of its routes

The router that reads it no longer parses every route: it finds their texts (jsmn), and identifies each by its hash; only the texts that it does not have are decoded. Followers decode what has come in slices, between which the loop serves others.

--- a/src/conf.c
+++ b/src/conf.c
@@ -3,6 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <sodium.h>
+
 #include "conf.h"
 #include "pl_config.h"
 #include "pl_store.h"
@@ -13,6 +15,10 @@
 #define CONF_SEAL_KEY	  CONF_PREFIX "seal"
 #define CONF_ROUTE_PREFIX CONF_PREFIX "route/"
 #define CONF_SEAL_MAX	  48
+/* Room for routes that have come grows by this factor, from this number. */
+#define CONF_DECODED_GROWTH 2
+#define CONF_DECODED_MIN    64
+#define CONF_WHY_MAX	    64
 
 /* What the seal holds. */
 struct conf_seal {
@@ -21,25 +27,31 @@
 };
 
 static int conf_mirror_whole(struct mir *mir, const struct wire_item *item);
-static int conf_mirror_parts(struct mir *mir, const struct wire_item *item,
-			     struct wire_items *parts);
-static int conf_put(struct mir *mir, struct wire_item *part);
+static int conf_mirror_parts(struct mir *mir, int64_t revision,
+			     const struct pl_config_parts *parts);
+static int conf_mirror_route(struct mir *mir, int64_t revision,
+			     const struct pl_span *route,
+			     const struct rt_part *part);
 static int conf_delete(struct mir *mir, const char *key, int64_t revision);
-static int conf_delete_others(struct mir *mir, const struct wire_items *parts,
-			      int64_t revision);
-static int conf_by_key(const void *a, const void *b);
+static int conf_delete_others(struct mir *mir, const struct rt_part *parts,
+			      int count, int64_t revision);
 static int conf_write_seal(struct mir *mir, int64_t revision);
 static void conf_sum(const struct mir *mir, struct conf_seal *seal);
-static bool conf_is_route(const struct mir_item *entry);
+static void conf_identify(const struct pl_span *route, struct rt_part *part);
+static bool conf_is_route(const char *key);
+static bool conf_part_of_key(const char *key, struct rt_part *part);
 static const struct wire_item *conf_find(const struct mir *mir,
 					 const char *key);
 static bool conf_is_whole(const struct mir *mir, struct conf_seal *seal);
-static int conf_build_routes(const struct conf *conf, const struct mir *mir,
+static int conf_build_routes(struct conf *conf, const struct mir *mir,
 			     struct rt_set *set, int count, char *why,
 			     size_t why_size);
-static int conf_decode_since(const struct mir *mir, int64_t after,
-			     struct rt_set *set, struct rt_changes *changes,
-			     char *why, size_t why_size);
+static int conf_decode_since(const struct conf *conf, const struct mir *mir,
+			     int64_t after, struct rt_set *set,
+			     struct rt_changes *changes, char *why,
+			     size_t why_size);
+static bool conf_is_decoded(const struct conf *conf, const struct rt_part *part,
+			    struct rt_route *route);
 
 /*
  * Puts a configuration that was read from the store into the mirror.  An older
@@ -48,7 +60,7 @@
 int conf_mirror(struct mir *mir, const struct wire_item *item)
 {
 	const struct mir_item *seal = mir_find(mir, CONF_SEAL_KEY);
-	struct wire_items parts;
+	struct pl_config_parts parts;
 	int rc;
 
 	if (item->deleted)
@@ -59,8 +71,8 @@
 	}
 	if (pl_config_split(item->value, item->len, &parts))
 		return conf_mirror_whole(mir, item);
-	rc = conf_mirror_parts(mir, item, &parts);
-	pl_store_items_free(&parts);
+	rc = conf_mirror_parts(mir, item->revision, &parts);
+	pl_config_parts_free(&parts);
 	return rc;
 }
 
@@ -71,6 +83,37 @@
 	       strncmp(key, CONF_PREFIX, strlen(CONF_PREFIX)) == 0;
 }
 
+/*
+ * Notes a part that has come from another router.  A route is decoded at once,
+ * so that this is done for many of them in slices.
+ */
+void conf_on_part(struct conf *conf, const struct wire_item *part)
+{
+	struct rt_route *routes = conf->decoded;
+	int max = conf->decoded_max ? conf->decoded_max * CONF_DECODED_GROWTH
+				    : CONF_DECODED_MIN;
+	char why[CONF_WHY_MAX];
+	struct rt_route *route;
+
+	conf->changed = true;
+	if (!conf->base || part->deleted || !conf_is_route(part->key))
+		return;
+	if (conf->decoded_count == conf->decoded_max) {
+		routes = realloc(conf->decoded, (size_t)max * sizeof(*routes));
+		if (!routes)
+			return;
+		conf->decoded = routes;
+		conf->decoded_max = max;
+	}
+	route = &routes[conf->decoded_count];
+	memset(route, 0, sizeof(*route));
+	/* What cannot be decoded now is reported when the set is built. */
+	if (conf_part_of_key(part->key, &route->part) &&
+	    !pl_config_decode_route(part->value, part->len, conf->base, route,
+				    why, sizeof(why)))
+		conf->decoded_count++;
+}
+
 /*
  * Notes the set that the mirror holds at a revision; NULL: none that the next
  * one can be built from.
@@ -80,6 +123,10 @@
 	rt_drop(conf->base);
 	conf->base = set ? rt_hold(set) : NULL;
 	conf->base_revision = revision;
+	free(conf->decoded);
+	conf->decoded = NULL;
+	conf->decoded_count = 0;
+	conf->decoded_max = 0;
 }
 
 /*
@@ -127,50 +174,60 @@
 
 static int conf_mirror_whole(struct mir *mir, const struct wire_item *item)
 {
-	static const struct wire_items none;
 	int rc = mir_put(mir, item);
 
 	rc |= conf_delete(mir, CONF_HEAD_KEY, item->revision);
 	rc |= conf_delete(mir, CONF_SEAL_KEY, item->revision);
-	rc |= conf_delete_others(mir, &none, item->revision);
+	rc |= conf_delete_others(mir, NULL, 0, item->revision);
 	return rc ? MIR_E_MEMORY : MIR_OK;
 }
 
-static int conf_mirror_parts(struct mir *mir, const struct wire_item *item,
-			     struct wire_items *parts)
+static int conf_mirror_parts(struct mir *mir, int64_t revision,
+			     const struct pl_config_parts *parts)
 {
-	char key[WIRE_KEY_MAX];
-	int rc = 0;
+	struct wire_item head = { .key = CONF_HEAD_KEY,
+				  .value = parts->head,
+				  .len = parts->head_len,
+				  .revision = revision };
+	struct rt_part *ids =
+		calloc((size_t)parts->route_count + 1, sizeof(*ids));
+	int rc;
 	int i;
 
-	for (i = 0; i < parts->count; i++) {
-		struct wire_item *part = &parts->items[i];
-
-		if (i == 0)
-			snprintf(key, sizeof(key), CONF_HEAD_KEY);
-		else
-			snprintf(key, sizeof(key), CONF_ROUTE_PREFIX "%.*s",
-				 MAG_NAME_MAX, part->key);
-		mag_copy_name(part->key, sizeof(part->key), key);
-		part->revision = item->revision;
-		rc |= conf_put(mir, part);
+	if (!ids)
+		return MIR_E_MEMORY;
+	rc = mir_put(mir, &head);
+	for (i = 0; i < parts->route_count; i++) {
+		conf_identify(&parts->routes[i], &ids[i]);
+		rc |= conf_mirror_route(mir, revision, &parts->routes[i],
+					&ids[i]);
 	}
-	rc |= conf_delete_others(mir, parts, item->revision);
-	rc |= conf_delete(mir, PL_CONFIG_KEY, item->revision);
+	qsort(ids, (size_t)parts->route_count, sizeof(*ids), rt_by_part);
+	rc |= conf_delete_others(mir, ids, parts->route_count, revision);
+	rc |= conf_delete(mir, PL_CONFIG_KEY, revision);
+	free(ids);
 	if (!rc)
-		rc = conf_write_seal(mir, item->revision);
+		rc = conf_write_seal(mir, revision);
 	return rc ? MIR_E_MEMORY : MIR_OK;
 }
 
-/* Writes a part; one that has not changed keeps its revision. */
-static int conf_put(struct mir *mir, struct wire_item *part)
+/* Writes a route; one that is known already keeps its revision. */
+static int conf_mirror_route(struct mir *mir, int64_t revision,
+			     const struct pl_span *route,
+			     const struct rt_part *part)
 {
-	const struct wire_item *known = conf_find(mir, part->key);
-
-	if (known && known->len == part->len &&
-	    memcmp(known->value, part->value, part->len) == 0)
-		part->revision = known->revision;
-	return mir_put(mir, part);
+	struct wire_item item = { .value = (char *)route->at,
+				  .len = route->len,
+				  .revision = revision };
+	const struct wire_item *known;
+	char hex[2 * RT_PART_BYTES + 1];
+
+	sodium_bin2hex(hex, sizeof(hex), part->id, sizeof(part->id));
+	snprintf(item.key, sizeof(item.key), CONF_ROUTE_PREFIX "%s", hex);
+	known = conf_find(mir, item.key);
+	if (known)
+		item.revision = known->revision;
+	return mir_put(mir, &item);
 }
 
 static int conf_delete(struct mir *mir, const char *key, int64_t revision)
@@ -183,36 +240,27 @@
 	return mir_put(mir, &deletion);
 }
 
-/* Deletes the routes that are not among the parts. */
-static int conf_delete_others(struct mir *mir, const struct wire_items *parts,
-			      int64_t revision)
+/* Deletes the routes that are not among the parts, which are sorted. */
+static int conf_delete_others(struct mir *mir, const struct rt_part *parts,
+			      int count, int64_t revision)
 {
 	const struct mir_item *entry = mir_first_change(mir, 0);
 	const struct mir_item *next;
+	struct rt_part part;
 	int rc = 0;
 
-	if (parts->count)
-		qsort(parts->items, (size_t)parts->count, sizeof(*parts->items),
-		      conf_by_key);
 	for (; entry; entry = next) {
 		next = mir_next_change(mir, entry);
-		if (conf_is_route(entry) &&
-		    (!parts->count ||
-		     !bsearch(&entry->item, parts->items, (size_t)parts->count,
-			      sizeof(*parts->items), conf_by_key)))
+		if (entry->item.deleted ||
+		    !conf_part_of_key(entry->item.key, &part))
+			continue;
+		if (!count || !bsearch(&part, parts, (size_t)count,
+				       sizeof(*parts), rt_by_part))
 			rc |= conf_delete(mir, entry->item.key, revision);
 	}
 	return rc;
 }
 
-static int conf_by_key(const void *a, const void *b)
-{
-	const struct wire_item *x = a;
-	const struct wire_item *y = b;
-
-	return strcmp(x->key, y->key);
-}
-
 static int conf_write_seal(struct mir *mir, int64_t revision)
 {
 	struct wire_item item = { .key = CONF_SEAL_KEY, .revision = revision };
@@ -233,18 +281,36 @@
 
 	memset(seal, 0, sizeof(*seal));
 	for (; entry; entry = mir_next_change(mir, entry)) {
-		if (!conf_is_route(entry))
+		if (entry->item.deleted || !conf_is_route(entry->item.key))
 			continue;
 		seal->routes++;
 		seal->digest += entry->digest;
 	}
 }
 
-static bool conf_is_route(const struct mir_item *entry)
+/* Sets the identity of a route's text. */
+static void conf_identify(const struct pl_span *route, struct rt_part *part)
+{
+	crypto_generichash(part->id, sizeof(part->id),
+			   (const unsigned char *)route->at, route->len, NULL,
+			   0);
+}
+
+static bool conf_is_route(const char *key)
+{
+	return strncmp(key, CONF_ROUTE_PREFIX, strlen(CONF_ROUTE_PREFIX)) == 0;
+}
+
+/* Reads the identity of a route from its key; false for other keys. */
+static bool conf_part_of_key(const char *key, struct rt_part *part)
 {
-	return !entry->item.deleted &&
-	       strncmp(entry->item.key, CONF_ROUTE_PREFIX,
-		       strlen(CONF_ROUTE_PREFIX)) == 0;
+	const char *hex = key + strlen(CONF_ROUTE_PREFIX);
+	size_t len;
+
+	return conf_is_route(key) &&
+	       sodium_hex2bin(part->id, sizeof(part->id), hex, strlen(hex),
+			      NULL, &len, NULL) == 0 &&
+	       len == sizeof(part->id);
 }
 
 /* Returns an item of the mirror that is not deleted, or NULL. */
@@ -272,7 +338,7 @@
  * Fills in the routes of a set: those of the base and what has changed since,
  * or all parts if the base does not fit.
  */
-static int conf_build_routes(const struct conf *conf, const struct mir *mir,
+static int conf_build_routes(struct conf *conf, const struct mir *mir,
 			     struct rt_set *set, int count, char *why,
 			     size_t why_size)
 {
@@ -280,8 +346,10 @@
 	int rc;
 
 	if (conf->base && rt_has_same_services(conf->base, set)) {
-		rc = conf_decode_since(mir, conf->base_revision, set, &changes,
-				       why, why_size);
+		qsort(conf->decoded, (size_t)conf->decoded_count,
+		      sizeof(*conf->decoded), rt_by_part);
+		rc = conf_decode_since(conf, mir, conf->base_revision, set,
+				       &changes, why, why_size);
 		if (!rc)
 			rc = rt_merge_routes(set, conf->base, &changes, count);
 		rt_changes_free(&changes);
@@ -289,7 +357,8 @@
 			return RT_OK;
 		/* Deletions may have been forgotten by the mirror. */
 	}
-	rc = conf_decode_since(mir, 0, set, &changes, why, why_size);
+	conf->decoded_count = 0;
+	rc = conf_decode_since(conf, mir, 0, set, &changes, why, why_size);
 	if (!rc)
 		rc = rt_merge_routes(set, NULL, &changes, count);
 	rt_changes_free(&changes);
@@ -297,13 +366,15 @@
 }
 
 /* Decodes the routes that have changed after a revision. */
-static int conf_decode_since(const struct mir *mir, int64_t after,
-			     struct rt_set *set, struct rt_changes *changes,
-			     char *why, size_t why_size)
+static int conf_decode_since(const struct conf *conf, const struct mir *mir,
+			     int64_t after, struct rt_set *set,
+			     struct rt_changes *changes, char *why,
+			     size_t why_size)
 {
 	const struct mir_item *first = mir_first_change(mir, after);
 	const struct mir_item *entry;
-	const char *name;
+	struct rt_route *route;
+	struct rt_part *part;
 	int count = 0;
 	int rc;
 
@@ -311,17 +382,34 @@
 		count++;
 	rc = rt_changes_init(changes, count);
 	for (entry = first; entry && !rc; entry = mir_next_change(mir, entry)) {
-		if (strncmp(entry->item.key, CONF_ROUTE_PREFIX,
-			    strlen(CONF_ROUTE_PREFIX)) != 0)
+		part = &changes->gone[changes->gone_count];
+		if (!conf_part_of_key(entry->item.key, part))
 			continue;
-		name = entry->item.key + strlen(CONF_ROUTE_PREFIX);
-		changes->names[changes->name_count++] = name;
+		changes->gone_count++;
 		if (entry->item.deleted)
 			continue;
-		rc = pl_config_decode_route(
-			entry->item.value, entry->item.len, set,
-			&changes->routes[changes->route_count++], why,
-			why_size);
+		route = &changes->routes[changes->route_count++];
+		if (!conf_is_decoded(conf, part, route))
+			rc = pl_config_decode_route(entry->item.value,
+						    entry->item.len, set, route,
+						    why, why_size);
+		route->part = *part;
 	}
 	return rc;
 }
+
+/* Copies a route that was decoded when it came; false if it was not. */
+static bool conf_is_decoded(const struct conf *conf, const struct rt_part *part,
+			    struct rt_route *route)
+{
+	const struct rt_route *found =
+		conf->decoded_count
+			? bsearch(part, conf->decoded,
+				  (size_t)conf->decoded_count,
+				  sizeof(*conf->decoded), rt_by_part)
+			: NULL;
+
+	if (found)
+		*route = *found;
+	return found;
+}
--- a/src/conf.h
+++ b/src/conf.h
@@ -3,9 +3,10 @@
 
 /*
  * The configuration in the mirror that other routers follow: a head, one part
- * for each route, and a seal over all routes.  Of a new configuration only the
- * parts that differ are written, so that what passes between routers, and what
- * each of them decodes, follows the change and not the size of the whole. Pure.
+ * for each route, and a seal over all routes.  The key of a part is a hash of
+ * its text.  Of a new configuration only the parts that differ are written, so
+ * that what passes between routers, and what each of them decodes, follows the
+ * change and not the size of the whole.  Pure.
  *
  * A part has the revision of the configuration with which it came.  Routers
  * that read different revisions from the store may have given a part different
@@ -33,10 +34,15 @@
 	bool changed;	     /* parts have come since the last build */
 	struct rt_set *base; /* NULL: build from all parts */
 	int64_t base_revision;
+	/* Routes that have come since then, with the services of the base. */
+	struct rt_route *decoded;
+	int decoded_count;
+	int decoded_max;
 };
 
 int conf_mirror(struct mir *mir, const struct wire_item *item);
 bool conf_is_part(const char *key);
+void conf_on_part(struct conf *conf, const struct wire_item *part);
 void conf_set_base(struct conf *conf, struct rt_set *set, int64_t revision);
 enum conf_result conf_build(struct conf *conf, const struct mir *mir,
 			    int64_t version, struct rt_set **out,
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -135,7 +135,7 @@
 
 	if (conf_is_part(item->key)) {
 		if (rel_is_applying(edge->rel))
-			edge->conf.changed = true;
+			conf_on_part(&edge->conf, item);
 		else if (strcmp(item->key, PL_CONFIG_KEY) == 0)
 			edge_on_stored_config(edge, item);
 		return;
--- a/src/rt.c
+++ b/src/rt.c
@@ -6,7 +6,6 @@
 
 static int rt_by_prefix(const void *a, const void *b);
 static int rt_by_key(const void *a, const void *b);
-static int rt_by_name(const void *a, const void *b);
 static void rt_sort_routes(struct rt_set *set);
 static bool rt_same_host(const char *pattern, const char *host);
 static void rt_list_urgencies(struct rt_set *set);
@@ -79,14 +78,14 @@
 int rt_changes_init(struct rt_changes *changes, int max)
 {
 	memset(changes, 0, sizeof(*changes));
-	changes->names = calloc((size_t)max + 1, sizeof(*changes->names));
+	changes->gone = calloc((size_t)max + 1, sizeof(*changes->gone));
 	changes->routes = calloc((size_t)max + 1, sizeof(*changes->routes));
-	return changes->names && changes->routes ? RT_OK : RT_E_MEMORY;
+	return changes->gone && changes->routes ? RT_OK : RT_E_MEMORY;
 }
 
 void rt_changes_free(struct rt_changes *changes)
 {
-	free(changes->names);
+	free(changes->gone);
 	free(changes->routes);
 }
 
@@ -105,8 +104,8 @@
 }
 
 /*
- * Fills in the routes of a set and indexes it: the changed ones, and those of
- * another set that have not changed.  Returns RT_E_BAD unless there are count.
+ * Fills in the routes of a set and indexes it: those that come, and those of
+ * another set that stay.  Returns RT_E_BAD unless there are count.
  */
 int rt_merge_routes(struct rt_set *set, const struct rt_set *base,
 		    struct rt_changes *changes, int count)
@@ -116,24 +115,22 @@
 	const struct rt_route *changed = changes->routes;
 	const struct rt_route *changed_end = changed + changes->route_count;
 
-	qsort(changes->names, (size_t)changes->name_count,
-	      sizeof(*changes->names), rt_by_name);
+	qsort(changes->gone, (size_t)changes->gone_count,
+	      sizeof(*changes->gone), rt_by_part);
 	qsort(changes->routes, (size_t)changes->route_count,
 	      sizeof(*changes->routes), rt_by_prefix);
 	set->route_count = 0;
 	while (from < end || changed < changed_end) {
-		const char *name = from < end ? from->name : NULL;
-
-		if (name &&
-		    bsearch(&name, changes->names, (size_t)changes->name_count,
-			    sizeof(*changes->names), rt_by_name)) {
+		if (from < end && bsearch(&from->part, changes->gone,
+					  (size_t)changes->gone_count,
+					  sizeof(*changes->gone), rt_by_part)) {
 			from++;
 			continue;
 		}
 		if (set->route_count == count)
 			return RT_E_BAD;
-		if (name && (changed == changed_end ||
-			     rt_by_prefix(from, changed) <= 0))
+		if (from < end && (changed == changed_end ||
+				   rt_by_prefix(from, changed) <= 0))
 			set->routes[set->route_count++] = *from++;
 		else
 			set->routes[set->route_count++] = *changed++;
@@ -251,12 +248,10 @@
 		      ((const struct rt_key *)b)->key);
 }
 
-static int rt_by_name(const void *a, const void *b)
+/* Orders parts; a route begins with its part. */
+int rt_by_part(const void *a, const void *b)
 {
-	const char *const *x = a;
-	const char *const *y = b;
-
-	return strcmp(*x, *y);
+	return memcmp(a, b, sizeof(struct rt_part));
 }
 
 /* Compares a route's host with a Host field, ignoring case and port. */
--- a/src/rt.h
+++ b/src/rt.h
@@ -20,6 +20,7 @@
 #define RT_HOST_MAX	    128
 #define RT_PREFIX_MAX	    256
 #define RT_KEY_MAX	    128
+#define RT_PART_BYTES	    16
 #define RT_ACCELERATORS_MAX 16
 
 enum rt_err {
@@ -40,7 +41,13 @@
 	double weight;
 };
 
+/* Identifies the text of a route. */
+struct rt_part {
+	unsigned char id[RT_PART_BYTES];
+};
+
 struct rt_route {
+	struct rt_part part; /* 0: unknown */
 	char name[MAG_NAME_MAX];
 	char host[RT_HOST_MAX];
 	char prefix[RT_PREFIX_MAX];
@@ -122,10 +129,10 @@
 	struct hs_limits limits;
 };
 
-/* Routes that replace those of an earlier set. */
+/* Routes that come and go between two sets. */
 struct rt_changes {
-	const char **names; /* of all routes that have changed or are gone */
-	int name_count;
+	struct rt_part *gone; /* also those that come */
+	int gone_count;
 	struct rt_route *routes;
 	int route_count;
 };
@@ -137,6 +144,7 @@
 int rt_changes_init(struct rt_changes *changes, int max);
 void rt_changes_free(struct rt_changes *changes);
 bool rt_has_same_services(const struct rt_set *a, const struct rt_set *b);
+int rt_by_part(const void *a, const void *b);
 int rt_merge_routes(struct rt_set *set, const struct rt_set *base,
 		    struct rt_changes *changes, int count);
 const struct rt_route *rt_find_route(const struct rt_set *set, const char *host,
