--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -9,8 +9,10 @@
 #include "pl_worker.h"
 #include "script.h"
 
-#define LINE_MAX_ 16384
-#define WHY_MAX	  256
+#define LINE_MAX_   16384
+#define WHY_MAX	    256
+#define EVENTS_MAX  4
+#define LARGE_BYTES 20000
 
 static void print_config(FILE *out, const char *text)
 {
@@ -308,6 +310,35 @@
 	hdr_free(&headers);
 }
 
+/* "events TEXT": LARGE in it stands for many bytes, encoded. */
+static void print_events(FILE *out, const char *text)
+{
+	char *json = calloc(1, LINE_MAX_ + EVENTS_MAX * LARGE_BYTES);
+	struct wire_items items;
+	const char *next;
+	int i;
+
+	while ((next = strstr(text, "LARGE"))) {
+		strncat(json, text, (size_t)(next - text));
+		for (i = 0; i < LARGE_BYTES / 4; i++)
+			strcat(json + (size_t)i * 4, "QUJD");
+		text = next + strlen("LARGE");
+	}
+	strcat(json, text);
+	if (pl_store_events(json, strlen(json), &items)) {
+		fprintf(out, "unreadable\n");
+		free(json);
+		return;
+	}
+	for (i = 0; i < items.count; i++)
+		fprintf(out, "%s %lld %zu %.8s\n", items.items[i].key,
+			(long long)items.items[i].revision, items.items[i].len,
+			items.items[i].deleted ? "deleted"
+					       : items.items[i].value);
+	pl_store_items_free(&items);
+	free(json);
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	static char line[LINE_MAX_];
@@ -343,6 +374,8 @@
 			print_request(out, line + 8);
 		else if (strncmp(line, "leaving", 7) == 0)
 			print_leaving(out, line + 7);
+		else if (strncmp(line, "events ", 7) == 0)
+			print_events(out, line + 7);
 		else if (strncmp(line, "backoff ", 8) == 0)
 			print_backoff(out, line + 8);
 	}
--- a/regress/fuzz_pl.c
+++ b/regress/fuzz_pl.c
@@ -48,6 +48,30 @@
 	hdr_free(&headers);
 }
 
+/* Takes the bytes apart as a configuration, and decodes its parts. */
+static void split_config(const char *text, size_t len)
+{
+	struct pl_config_parts parts;
+	struct rt_route route;
+	struct rt_set *set;
+	char why[WHY_MAX];
+	int i;
+
+	if (pl_config_split(text, len, &parts))
+		return;
+	if (pl_config_decode_head(parts.head, parts.head_len, parts.route_count,
+				  &set, why, sizeof(why)) == RT_OK) {
+		for (i = 0; i < parts.route_count; i++) {
+			memset(&route, 0, sizeof(route));
+			pl_config_decode_route(parts.routes[i].at,
+					       parts.routes[i].len, set, &route,
+					       why, sizeof(why));
+		}
+		rt_drop(set);
+	}
+	pl_config_parts_free(&parts);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
 	static struct wire_report report;
@@ -59,7 +83,7 @@
 
 	if (size < 1)
 		return 0;
-	switch (data[0] % 5) {
+	switch (data[0] % 6) {
 	case 0:
 		if (pl_config_decode(text, size - 1, &set, why, sizeof(why)) ==
 		    RT_OK) {
@@ -78,6 +102,9 @@
 	case 4:
 		read_fields(text, size - 1);
 		break;
+	case 5:
+		split_config(text, size - 1);
+		break;
 	default:
 		if (pl_store_items(text, size - 1, &items) == PL_OK)
 			pl_store_items_free(&items);
