edge_follow: a configuration that cannot be used does not count as written again

After the store returned from an older copy, a router waits for the operator to write the configuration again; one that cannot be decoded counted, since the change to parts. As before, it does not.

--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -219,16 +219,14 @@
 	char why[EDGE_WHY_MAX];
 	struct rt_set *set;
 
-	if (!edge->workers.listing)
-		edge->era.config_written = true;
 	switch (conf_build(&edge->conf, &edge->mir,
 			   edge->rt ? edge->rt->version : -1, &set,
 			   &edge->store_version, why, sizeof(why))) {
 	case CONF_NEW:
 		edge_put_in_force(edge, set, edge->conf.base_revision);
-		return true;
+		break;
 	case CONF_NONE:
-		return true;
+		break;
 	case CONF_INCOMPLETE:
 		return false;
 	case CONF_BAD:
@@ -236,6 +234,8 @@
 		     jlog_sanitize(text, sizeof(text), why));
 		return true;
 	}
+	if (!edge->workers.listing)
+		edge->era.config_written = true;
 	return true;
 }
 
