--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -56,7 +56,8 @@
 # PRIORITIES=1 there are two more accounts, one of high and one of low priority, and
 # routes differ in priority, too; with PRIORITIES=swapped these two are swapped.
 # $TIMEOUT_MS, $TARGET_MS, $PLAIN_TIMEOUT_MS, $LOOKUPS_TO, $IDLE_MS and $BODY_BYTES
-# change single fields, $ROUTES and $SERVICES replace all, $MORE_SERVICES adds some.
+# change single fields, $ROUTES and $SERVICES replace all, $MORE_SERVICES and
+# $MORE_ROUTES, each with a comma before it, add some.
 put_config() {
 	keys=${2:-\"key-1\"}
 	more="" first="" last=""
@@ -80,7 +81,7 @@
 	{"Version":$1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":${BODY_BYTES:-65536},"HeaderTimeoutMs":3000,"IdleTimeoutMs":${IDLE_MS:-15000}},
 	"Services":[${SERVICES-$services${MORE_SERVICES:-}}],
 	"Tenants":[{"Name":"acme","ApiKeys":[$keys]}$more],
-	"Routes":[${ROUTES-$routes}]}
+	"Routes":[${ROUTES-$routes${MORE_ROUTES:-}}]}
 	JSON
 }
 
