conf: a configuration that is one item stays in the mirror when it is listed again

After a configuration in parts, one that cannot be taken apart is one item of the mirror; a complete list with the same revision did not keep it, and a router that started to follow then got no configuration (regress/conf/listed: 'nothing newer').

--- a/regress/check_conf.c
+++ b/regress/check_conf.c
@@ -9,6 +9,7 @@
 #define LINE_MAX_    512
 #define ROUTERS_MAX  4
 #define CONFIG_BYTES 4096
+#define MANY_BYTES   (1 << 20)
 #define ROUTES_MAX   32
 
 /*
@@ -46,6 +47,11 @@
 	struct rt_route routes[ROUTES_MAX];
 	int i;
 
+	if (set->route_count > ROUTES_MAX) {
+		fprintf(out, "version %lld: %d routes\n",
+			(long long)set->version, set->route_count);
+		return;
+	}
 	memcpy(routes, set->routes, (size_t)set->route_count * sizeof(*routes));
 	qsort(routes, (size_t)set->route_count, sizeof(*routes), by_name);
 	fprintf(out, "version %lld:", (long long)set->version);
@@ -108,10 +114,12 @@
 		version, service);
 }
 
-/* "store N REVISION VERSION SERVICE ROUTES": router N reads it from the store.
+/*
+ * "store N REVISION VERSION SERVICE ROUTES": router N reads it from the store;
+ * with "list" it reads a complete list.
  */
 static void read_store(FILE *out, int n, long long revision, long long version,
-		       const char *service, char *routes)
+		       const char *service, char *routes, bool listing)
 {
 	struct router *router = &routers[n];
 	struct wire_item item = { .key = PL_CONFIG_KEY, .revision = revision };
@@ -123,10 +131,10 @@
 		write_config(text, version, service, routes);
 	item.value = text;
 	item.len = strlen(text);
-	if (!router->mir.complete)
+	if (!router->mir.complete || listing)
 		mir_list_begin(&router->mir);
 	conf_mirror(&router->mir, &item);
-	if (!router->mir.complete)
+	if (router->mir.listing)
 		mir_list_end(&router->mir, revision);
 	router->revision = revision;
 	build(out, router);
@@ -175,6 +183,41 @@
 	pl_store_items_free(&items);
 }
 
+/* "many N REVISION VERSION COUNT": as "store", with so many routes. */
+static void read_many(FILE *out, int n, long long revision, long long version,
+		      int count)
+{
+	static char text[MANY_BYTES];
+	struct wire_item item = { .key = PL_CONFIG_KEY, .revision = revision };
+	struct router *router = &routers[n];
+	int len;
+	int i;
+
+	len = snprintf(text, sizeof(text), "{\"Routes\":[");
+	for (i = 0; i < count; i++)
+		len += snprintf(text + len, sizeof(text) - (size_t)len,
+				"%s{\"Name\":\"m\",\"Host\":\"h\","
+				"\"PathPrefix\":\"/\",\"Kind\":\"idempotent\","
+				"\"TimeoutMs\":%lld,\"Service\":\"app\"}",
+				i ? "," : "", version * count + i);
+	snprintf(
+		text + len, sizeof(text) - (size_t)len,
+		"],\"Version\":%lld,\"Limits\":{\"MaxHeaderBytes\":1,"
+		"\"MaxBodyBytes\":2,\"HeaderTimeoutMs\":3,\"IdleTimeoutMs\":4},"
+		"\"Tenants\":[],\"Services\":[{\"Name\":\"app\","
+		"\"HealthPath\":\"/h\",\"MaxConnections\":5}]}",
+		version);
+	item.value = text;
+	item.len = strlen(text);
+	if (!router->mir.complete)
+		mir_list_begin(&router->mir);
+	conf_mirror(&router->mir, &item);
+	if (router->mir.listing)
+		mir_list_end(&router->mir, revision);
+	router->revision = revision;
+	build(out, router);
+}
+
 static void run_script(FILE *in, FILE *out)
 {
 	char line[LINE_MAX_];
@@ -192,9 +235,14 @@
 			continue;
 		fprintf(out, "> %s", line);
 		if (sscanf(line, "store %d %lld %lld %15s %n", &a, &revision,
+			   &version, service, &at) == 4 ||
+		    sscanf(line, "list %d %lld %lld %15s %n", &a, &revision,
 			   &version, service, &at) == 4)
 			read_store(out, a, revision, version, service,
-				   line + at);
+				   line + at, line[0] == 'l');
+		else if (sscanf(line, "many %d %lld %lld %d", &a, &revision,
+				&version, &b) == 4)
+			read_many(out, a, revision, version, b);
 		else if (sscanf(line, "follow %d %d", &a, &b) == 2)
 			follow(out, a, b);
 	}
--- a/src/conf.c
+++ b/src/conf.c
@@ -60,13 +60,16 @@
 int conf_mirror(struct mir *mir, const struct wire_item *item)
 {
 	const struct mir_item *seal = mir_find(mir, CONF_SEAL_KEY);
+	const struct mir_item *whole = mir_find(mir, PL_CONFIG_KEY);
 	struct pl_config_parts parts;
 	int rc;
 
 	if (item->deleted)
 		return MIR_OK;
-	if (seal && seal->item.revision >= item->revision) {
+	if ((seal && seal->item.revision >= item->revision) ||
+	    (whole && whole->item.revision >= item->revision)) {
 		mir_list_prefix(mir, CONF_PREFIX);
+		mir_list_prefix(mir, PL_CONFIG_KEY);
 		return MIR_OK;
 	}
 	if (pl_config_split(item->value, item->len, &parts))
