conf: routes that are gone are deleted after the walk over the mirror

A deletion may make the mirror drop other deletions, and among these the entry at which the walk over it was to go on. Found by reading, in code of this change; no run showed it: regress/conf/replaced, in which thousands of routes are replaced, passed under the address sanitizer before, too.

--- a/src/conf.c
+++ b/src/conf.c
@@ -35,6 +35,7 @@
 static int conf_delete(struct mir *mir, const char *key, int64_t revision);
 static int conf_delete_others(struct mir *mir, const struct rt_part *parts,
 			      int count, int64_t revision);
+static void conf_write_key(const struct rt_part *part, char *key);
 static int conf_write_seal(struct mir *mir, int64_t revision);
 static void conf_sum(const struct mir *mir, struct conf_seal *seal);
 static void conf_identify(const struct pl_span *route, struct rt_part *part);
@@ -223,10 +224,8 @@
 				  .len = route->len,
 				  .revision = revision };
 	const struct wire_item *known;
-	char hex[2 * RT_PART_BYTES + 1];
 
-	sodium_bin2hex(hex, sizeof(hex), part->id, sizeof(part->id));
-	snprintf(item.key, sizeof(item.key), CONF_ROUTE_PREFIX "%s", hex);
+	conf_write_key(part, item.key);
 	known = conf_find(mir, item.key);
 	if (known)
 		item.revision = known->revision;
@@ -247,23 +246,42 @@
 static int conf_delete_others(struct mir *mir, const struct rt_part *parts,
 			      int count, int64_t revision)
 {
+	struct rt_part *gone =
+		calloc((size_t)mir->live_count + 1, sizeof(*gone));
 	const struct mir_item *entry = mir_first_change(mir, 0);
-	const struct mir_item *next;
-	struct rt_part part;
+	char key[WIRE_KEY_MAX];
+	int gone_count = 0;
 	int rc = 0;
+	int i;
 
-	for (; entry; entry = next) {
-		next = mir_next_change(mir, entry);
+	if (!gone)
+		return MIR_E_MEMORY;
+	/* A deletion may drop other entries, so it waits for the whole walk. */
+	for (; entry; entry = mir_next_change(mir, entry)) {
 		if (entry->item.deleted ||
-		    !conf_part_of_key(entry->item.key, &part))
+		    !conf_part_of_key(entry->item.key, &gone[gone_count]))
 			continue;
-		if (!count || !bsearch(&part, parts, (size_t)count,
+		if (!count || !bsearch(&gone[gone_count], parts, (size_t)count,
 				       sizeof(*parts), rt_by_part))
-			rc |= conf_delete(mir, entry->item.key, revision);
+			gone_count++;
+	}
+	for (i = 0; i < gone_count; i++) {
+		conf_write_key(&gone[i], key);
+		rc |= conf_delete(mir, key, revision);
 	}
+	free(gone);
 	return rc;
 }
 
+/* Writes the key of a route, of WIRE_KEY_MAX bytes. */
+static void conf_write_key(const struct rt_part *part, char *key)
+{
+	char hex[2 * RT_PART_BYTES + 1];
+
+	sodium_bin2hex(hex, sizeof(hex), part->id, sizeof(part->id));
+	snprintf(key, WIRE_KEY_MAX, CONF_ROUTE_PREFIX "%s", hex);
+}
+
 static int conf_write_seal(struct mir *mir, int64_t revision)
 {
 	struct wire_item item = { .key = CONF_SEAL_KEY, .revision = revision };
