--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -313,19 +313,22 @@
 /* "events TEXT": LARGE in it stands for many bytes, encoded. */
 static void print_events(FILE *out, const char *text)
 {
-	char *json = calloc(1, LINE_MAX_ + EVENTS_MAX * LARGE_BYTES);
+	char *json = malloc(LINE_MAX_ + EVENTS_MAX * LARGE_BYTES);
 	struct wire_items items;
 	const char *next;
+	size_t len = 0;
 	int i;
 
 	while ((next = strstr(text, "LARGE"))) {
-		strncat(json, text, (size_t)(next - text));
-		for (i = 0; i < LARGE_BYTES / 4; i++)
-			strcat(json + (size_t)i * 4, "QUJD");
+		memcpy(json + len, text, (size_t)(next - text));
+		len += (size_t)(next - text);
+		for (i = 0; i < LARGE_BYTES; i++)
+			json[len++] = "QUJD"[i % 4];
 		text = next + strlen("LARGE");
 	}
-	strcat(json, text);
-	if (pl_store_events(json, strlen(json), &items)) {
+	memcpy(json + len, text, strlen(text));
+	len += strlen(text);
+	if (pl_store_events(json, len, &items)) {
 		fprintf(out, "unreadable\n");
 		free(json);
 		return;
