--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -326,8 +326,7 @@
 			json[len++] = "QUJD"[i % 4];
 		text = next + strlen("LARGE");
 	}
-	memcpy(json + len, text, strlen(text));
-	len += strlen(text);
+	len += (size_t)snprintf(json + len, LINE_MAX_, "%s", text);
 	if (pl_store_events(json, len, &items)) {
 		fprintf(out, "unreadable\n");
 		free(json);
