eq: the log tells for whom a request was sent and what its router counts

request-sent names the service, whether another router forwarded the request, whether a retry was taken for it, and what is left of the budget and of its slack; forward-ended (10008) says what a peer made of a request and whether it told how often that was sent and run. No decision depends on them.

The hypotheses on repeats of forwarded requests could not be told apart before: a send 1 at a second router was visible, but not its service, nor the part of the slack by which a router went.

--- a/deploy/retries.awk
+++ b/deploy/retries.awk
@@ -24,7 +24,7 @@
 		next
 	}
 	repeats[service, again[service]++] = $1
-	if (field("send") == 1)
+	if (field("repeat") == "" ? field("send") == 1 : field("repeat") == "false")
 		miscounted[service]++
 }
 
--- a/src/eq.h
+++ b/src/eq.h
@@ -70,6 +70,7 @@
 	struct pl_response answer;
 	char at_fault[MAG_ADDR_MAX];
 	int peer_runs;	/* that it has had at the most once a peer answers */
+	bool peer_told; /* the peer's answer has the counts of the request */
 	bool peer_sent; /* the peer has sent it to a worker, and said so */
 	bool answered;	/* the header of its answer has been received */
 	enum hc_framing framing;
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -31,6 +31,7 @@
 static void eq_forward_answered(struct eq *eq, int64_t now);
 static void eq_forward_refused(struct eq *eq, int64_t now);
 static bool eq_is_refusal(const struct eq *eq);
+static void eq_log_forward_end(const struct eq *eq, const char *why);
 
 static const struct hc_ops eq_forward_ops = {
 	.headers = eq_forward_headers,
@@ -107,9 +108,9 @@
 {
 	struct eq_attempt *attempt = user;
 
-	if (response->status != 502 ||
-	    !pl_forward_decode(response->headers, &attempt->peer_runs,
-			       &attempt->peer_sent))
+	attempt->peer_told = pl_forward_decode(
+		response->headers, &attempt->peer_runs, &attempt->peer_sent);
+	if (response->status != 502 || !attempt->peer_told)
 		attempt->peer_runs = attempt->eq->route->max_attempts;
 	return eq_take_headers(attempt, response);
 }
@@ -128,12 +129,14 @@
 		return;
 	}
 	if (end == HC_UNSENT) {
+		eq_log_forward_end(eq, "peer not reached");
 		eq_retry_or_fail(eq, "peer not reached");
 		return;
 	}
 	/* The peer may have used up all runs that the route allows. */
 	eq->may_have_run = true;
 	eq->runs = eq->route->max_attempts;
+	eq_log_forward_end(eq, "peer broke off");
 	eq_retry_or_fail(eq, "peer broke off");
 }
 
@@ -141,6 +144,7 @@
 static void eq_forward_answered(struct eq *eq, int64_t now)
 {
 	if (eq_is_refusal(eq)) {
+		eq_log_forward_end(eq, "refused");
 		eq_forward_refused(eq, now);
 		return;
 	}
@@ -150,6 +154,7 @@
 	/* The next send of it, also at a peer, is a repeat. */
 	if (eq->attempt->peer_sent && eq->sends == 0)
 		eq->sends = 1;
+	eq_log_forward_end(eq, "answered");
 	if (eq->attempt->status / 100 == 2)
 		eq_did_well(eq, eq->attempt->sent_us, now);
 	else if (eq->state == EQ_STREAMING || eq->kept ||
@@ -183,3 +188,19 @@
 	       (eq->attempt->status == 503 || eq->attempt->status == 429 ||
 		eq->attempt->status == 408 || eq->attempt->status == 421);
 }
+
+/* Logs what a peer made of a request and what this router knows of it then. */
+static void eq_log_forward_end(const struct eq *eq, const char *why)
+{
+	char id[WIRE_ID_MAX];
+
+	jlog(LOG_EQ_FORWARD_END,
+	     "\"request\":\"%s\",\"peer\":%u,\"why\":\"%s\","
+	     "\"status\":%d,\"sealed\":%s,\"told\":%s,\"sends\":%d,"
+	     "\"runs\":%d",
+	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
+	     eq->forwarded_to, why,
+	     eq->attempt->answered ? eq->attempt->status : 0,
+	     eq->attempt->answer.sealed ? "true" : "false",
+	     eq->attempt->peer_told ? "true" : "false", eq->sends, eq->runs);
+}
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -356,15 +356,18 @@
 	eq_fill_send(eq, &send);
 	send.connect_by_us = now + EQ_CONNECT_US;
 	jlog(LOG_EQ_SENT,
-	     "\"request\":\"%s\",\"worker\":\"%s\",\"hops\":%d,"
-	     "\"chain\":\"%s\",\"send\":%d,\"from_event\":%lld,"
-	     "\"requests_there\":%d,"
-	     "\"left_ms\":%d",
+	     "\"request\":\"%s\",\"service\":\"%s\",\"worker\":\"%s\","
+	     "\"hops\":%d,\"chain\":\"%s\",\"send\":%d,\"from_event\":%lld,"
+	     "\"requests_there\":%d,\"left_ms\":%d,\"forwarded\":%s,"
+	     "\"repeat\":%s,\"retries_left\":%.1f,\"slack\":%.1f",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
-	     wk->entry.id, eq->attempt->hop_count,
+	     eq->service->name, wk->entry.id, eq->attempt->hop_count,
 	     eq_chain_text(eq, chain, sizeof(chain)), eq->sends,
 	     (long long)eq->last_event, wk->first_hops,
-	     (int)((eq->deadline_us - now) / MAG_US_PER_MS));
+	     (int)((eq->deadline_us - now) / MAG_US_PER_MS),
+	     eq->is_forwarded ? "true" : "false",
+	     eq->attempt->is_repeat ? "true" : "false", bud_left(bud, now),
+	     bud->slack);
 	if (!send.request ||
 	    wk_send(wk, ADV_REQUEST, &send, now, &eq->attempt->call)) {
 		eq->attempt->call = NULL;
@@ -420,6 +423,7 @@
 	eq->attempt->begun_us = 0;
 	eq->attempt->ran_well = false;
 	eq->attempt->answered = false;
+	eq->attempt->peer_told = false;
 	eq->attempt->garbled = false;
 	eq->attempt->garbled_bytes = 0;
 	eq->attempt->status = 0;
