eq, pl_header: what has been done for a request goes with it to other routers

Callers saw BUDGET: repeats beyond what all routers together are allowed. A router that finds no usable chain forwards a request to a peer. A peer that sent it to workers which refused it answered 503 without a word of that, so that the next router counted its send as the first one: it took no retry from its budget and added the request once more to those which allow retries. The second peer also sent the request to the workers that had refused it at the first one.

The field Magnolia-Forwarded now carries the history of a request both ways: runs, sends, whether it may have crashed a worker, and which workers refused, failed or broke it off (as hashes; not those that a router only failed to reach, nor while it doubts its own path). Each answer that a peer makes itself has it, refusals included. A request counts as sent from the moment in which it is forwarded until the peer says otherwise, so that a peer that breaks off, is killed or has an older version counts as having sent it. Older routers read the first two numbers, as before.

Whether a router doubts its path to the workers is now judged by its own last send; a forward does not count as one any more.

--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -146,8 +146,9 @@
 		{ "X-Own", "kept" },
 	};
 	struct hdr_list headers = { 0 };
+	struct pl_history history = { 1, 2, true, { 0x1a2b, 0xffffffff }, 2 };
 	struct pl_forward forward = { "POST", "/s/x", &headers, NULL,
-				      1500,   -1,     1,	true };
+				      1500,   -1,     &history };
 	struct evbuffer *message;
 	char *text;
 	size_t i;
@@ -174,31 +175,39 @@
 static void print_forwarded(FILE *out, const char *text)
 {
 	struct hdr_list headers = { 0 };
-	bool was_sent;
-	int runs;
+	struct pl_history history;
+	int i;
 
 	if (*text) {
 		hdr_add_name(&headers, PL_FORWARD_FIELD,
 			     strlen(PL_FORWARD_FIELD));
 		hdr_add_value(&headers, text + 1, strlen(text + 1));
 	}
-	if (pl_forward_decode(&headers, &runs, &was_sent))
-		fprintf(out, "%d runs, %s\n", runs,
-			was_sent ? "sent" : "not sent");
-	else
-		fprintf(out, "unreadable, %d runs\n", runs);
+	if (!pl_history_decode(&headers, &history))
+		fprintf(out, "unreadable, ");
+	fprintf(out, "%d runs, %d sends%s", history.runs, history.sends,
+		history.crash_candidate ? ", crash candidate" : "");
+	for (i = 0; i < history.avoid_count; i++)
+		fprintf(out, " %" PRIx32, history.avoid[i]);
+	fprintf(out, "\n");
 	hdr_free(&headers);
 }
 
-/* "failed RUNS": prints the field of a failed answer, and what clients get. */
+/*
+ * "failed RUNS": prints the field of an answer to a router, with as many
+ * workers to avoid as fit, and what clients get.
+ */
 static void print_failed(FILE *out, const char *line)
 {
 	struct evbuffer *passed = evbuffer_new();
 	struct hdr_list headers = { 0 };
-	char fields[64];
+	struct pl_history history = { .sends = 3 };
+	char fields[PL_HISTORY_TEXT];
 
-	pl_forward_fields((int)strtol(line, NULL, 10), true, fields,
-			  sizeof(fields));
+	history.runs = (int)strtol(line, NULL, 10);
+	while (history.avoid_count < PL_AVOID_MAX)
+		history.avoid[history.avoid_count++] = UINT32_MAX;
+	pl_history_field(&history, fields, sizeof(fields));
 	fprintf(out, "%.*s\n", (int)strcspn(fields, "\r"), fields);
 	hdr_add_name(&headers, PL_FORWARD_FIELD, strlen(PL_FORWARD_FIELD));
 	hdr_add_value(&headers, "1,1", 3);
--- a/src/eq.c
+++ b/src/eq.c
@@ -102,13 +102,13 @@
  */
 static void eq_take_forwarded(struct eq *eq)
 {
-	bool was_sent;
+	struct pl_history history;
 
 	met_increment(&eq->edge->met, MET_TAKEN_OVER);
-	if (!pl_forward_decode(hs_headers(eq->caller), &eq->runs, &was_sent))
+	if (!pl_history_decode(hs_headers(eq->caller), &history))
 		eq->bad_field = PL_FORWARD_FIELD;
+	eq_take_history(eq, &history);
 	eq->ran_elsewhere = eq->runs > 0;
-	eq->sends = was_sent;
 }
 
 /* Called when the caller has disconnected; stops all work for it. */
@@ -161,11 +161,14 @@
 
 /*
  * Refuses a request that has not run and never will.  If it may have run, the
- * caller receives 502 instead.
+ * caller receives 502 instead.  A router that forwarded it is told what has
+ * been done for it.
  */
 void eq_refuse(struct eq *eq, int status, enum eq_retry retry, const char *why)
 {
-	char fields[64];
+	char fields[64 + PL_HISTORY_TEXT];
+	struct pl_history history;
+	size_t len;
 
 	if (eq->may_have_run) {
 		eq_fail(eq, 502, why);
@@ -174,6 +177,11 @@
 	if (retry == EQ_RETRY_LATER || retry == EQ_RETRY_BACKOFF)
 		eq_count_outcome(eq, false);
 	eq_write_retry_after(eq, retry, fields, sizeof(fields));
+	if (eq->is_forwarded) {
+		len = strlen(fields);
+		eq_history(eq, &history);
+		pl_history_field(&history, fields + len, sizeof(fields) - len);
+	}
 	met_increment(&eq->edge->met, MET_REFUSED);
 	eq_log_end(eq, status, why);
 	if (retry == EQ_RETRY_ELSEWHERE)
@@ -185,15 +193,17 @@
 
 /*
  * Ends a request that may have run or that has run out of time.  A router that
- * forwarded it is told how many runs it has had, unless one goes on.
+ * forwarded it is told what has been done for it, unless a run goes on.
  */
 void eq_fail(struct eq *eq, int status, const char *why)
 {
-	char fields[64] = "";
+	char fields[PL_HISTORY_TEXT] = "";
+	struct pl_history history;
 
-	if (eq->is_forwarded && !eq->attempt->call)
-		pl_forward_fields(eq->runs, eq->sends > 0, fields,
-				  sizeof(fields));
+	if (eq->is_forwarded && !eq->attempt->call) {
+		eq_history(eq, &history);
+		pl_history_field(&history, fields, sizeof(fields));
+	}
 	met_increment(&eq->edge->met,
 		      eq->state == EQ_STREAMING ? MET_CUT : MET_FAILED);
 	eq_log_end(eq, status, why);
@@ -242,8 +252,10 @@
 static void eq_refuse_early(struct edge *edge, struct hs_conn *conn)
 {
 	struct pl_request request;
-	char fields[64];
+	struct pl_history history;
+	char fields[64 + PL_HISTORY_TEXT];
 	double wait_s;
+	int len;
 
 	/* The fields that are decoded count, also if another one is not. */
 	memset(&request, 0, sizeof(request));
@@ -257,7 +269,11 @@
 	     "\"status\":503,\"why\":\"no configuration yet\","
 	     "\"retry_after_s\":%.2f",
 	     wait_s);
-	snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n", wait_s);
+	len = snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n", wait_s);
+	/* A router that forwarded it is told that nothing has been done. */
+	if (pl_history_decode(hs_headers(conn), &history))
+		pl_history_field(&history, fields + len,
+				 sizeof(fields) - (size_t)len);
 	hs_reply(conn, 503, fields, NULL, 0);
 }
 
--- a/src/eq.h
+++ b/src/eq.h
@@ -14,7 +14,6 @@
 #include "quar_trait.h"
 #include "room.h"
 
-#define EQ_AVOID_MAX 16
 /* Attempts of a request that may be in progress together. */
 #define EQ_ATTEMPTS_MAX 3
 /*
@@ -42,6 +41,12 @@
 	double held; /* memory reserved there, in tokens x layers */
 };
 
+/* A worker that a request is not sent to again. */
+struct eq_avoided {
+	uint32_t worker; /* hash of its id */
+	bool everywhere; /* by no router */
+};
+
 struct eq_repair;
 struct eq;
 
@@ -69,10 +74,11 @@
 	int status;
 	struct pl_response answer;
 	char at_fault[MAG_ADDR_MAX];
-	int peer_runs;	/* that it has had at the most once a peer answers */
-	bool peer_told; /* the peer's answer has the counts of the request */
-	bool peer_sent; /* the peer has sent it to a worker, and said so */
-	bool answered;	/* the header of its answer has been received */
+	/* Of one that was forwarded: */
+	int sends_before;	   /* sends of the request before it */
+	bool peer_told;		   /* the peer's answer says what it did */
+	struct pl_history history; /* that is what it says */
+	bool answered; /* the header of its answer has been received */
 	enum hc_framing framing;
 	bool garbled;
 	size_t garbled_bytes; /* received since then */
@@ -123,11 +129,13 @@
 	struct eq_attempt *attempt; /* the present one */
 	struct eq_attempt *kept;  /* earlier ones that may go on, last first */
 	struct eq_repair *repair; /* repair in progress, or NULL */
-	int sends;		  /* to workers, including refused ones */
-	int runs;		  /* sends that may have run */
-	bool may_have_run;	  /* here, or at a peer that it was sent to */
-	bool crash_candidate;	  /* it may have crashed a worker */
-	char avoid[EQ_AVOID_MAX][WIRE_ID_MAX];
+	/* To workers, including refused ones; at least 1 while at a peer. */
+	int sends;
+	int64_t own_sent_us;  /* when this router last sent it; 0: never */
+	int runs;	      /* sends that may have run */
+	bool may_have_run;    /* here, or at a peer that it was sent to */
+	bool crash_candidate; /* it may have crashed a worker */
+	struct eq_avoided avoid[PL_AVOID_MAX];
 	int avoid_count;
 
 	bool is_forwarded;     /* a peer forwarded it to this router */
@@ -183,6 +191,9 @@
 /* eq_avoid.c */
 bool eq_avoids(const struct eq *eq, const struct wk *wk);
 void eq_avoid(struct eq *eq, const struct wk *wk);
+void eq_avoid_everywhere(struct eq *eq, const struct wk *wk);
+void eq_history(const struct eq *eq, struct pl_history *history);
+void eq_take_history(struct eq *eq, const struct pl_history *history);
 
 /* eq_urgency.c */
 struct met_urgent_key eq_met_key(const struct eq *eq);
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -427,12 +427,12 @@
 	if (eq->attempt->status / 100 == 5 && eq->state != EQ_STREAMING &&
 	    idempotent && eq->runs < eq->route->max_attempts &&
 	    bud_may_retry(edge_budget(eq->edge, eq->service->name, now), now)) {
-		eq_avoid(eq, wk);
+		eq_avoid_everywhere(eq, wk);
 		eq_retry_or_fail(eq, "worker failed it");
 		return;
 	}
 	if (eq->kept && eq->attempt->status / 100 == 5) {
-		eq_avoid(eq, wk);
+		eq_avoid_everywhere(eq, wk);
 		eq_retry_or_fail(eq, "worker failed it");
 		return;
 	}
@@ -482,7 +482,7 @@
 					     eq->attempt->at_fault);
 	if (!fault)
 		fault = wk;
-	eq_avoid(eq, fault);
+	eq_avoid_everywhere(eq, fault);
 	if (eq->service->has_engine) {
 		wk_on_refusal(fault, now);
 		wkp_probe(edge, fault, now);
@@ -523,6 +523,8 @@
 			wk_suspect(wk, now, "no connection");
 		return;
 	}
+	if (!eq_doubts_path(eq) && !reach_is_doubted(&eq->edge->workers.reach))
+		eq_avoid_everywhere(eq, wk);
 	eq->may_have_run = true;
 	eq->runs++;
 	wk_add_result(wk, false, 0);
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -220,6 +220,8 @@
 {
 	if (hc_unsent(eq->attempt->call)) {
 		eq_return_retry(eq, now);
+		if (eq->attempt->hop_count == 0)
+			eq->sends = eq->attempt->sends_before;
 		return;
 	}
 	eq_count_run(eq);
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -76,6 +76,7 @@
 	}
 	eq_leave_queue(eq, now);
 	eq_begin_attempt(eq, now);
+	eq->attempt->sends_before = eq->sends;
 	eq->forwards++;
 	met_increment(&edge->met, MET_FORWARDED);
 	jlog(LOG_EQ_FORWARDED,
@@ -85,11 +86,15 @@
 	     eq->forwarded_to, eq->forwards,
 	     reach_is_lost(&edge->workers.reach) ? "true" : "false", eq->sends,
 	     eq->runs, (long long)eq->last_event);
+	/* The peer sends it, as far as is known before its answer. */
+	if (eq->sends == 0)
+		eq->sends = 1;
 	return true;
 }
 
 static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t now)
 {
+	struct pl_history history;
 	struct pl_forward forward = {
 		.method = hs_method(eq->caller),
 		.target = hs_target(eq->caller),
@@ -97,10 +102,10 @@
 		.body = hs_body(eq->caller),
 		.remaining_ms = (eq->deadline_us - now) / MAG_US_PER_MS,
 		.last_event = eq->state == EQ_STREAMING ? eq->last_event : -1,
-		.runs = eq->runs,
-		.was_sent = eq->sends > 0,
+		.history = &history,
 	};
 
+	eq_history(eq, &history);
 	return pl_forward_encode(&forward);
 }
 
@@ -108,10 +113,8 @@
 {
 	struct eq_attempt *attempt = user;
 
-	attempt->peer_told = pl_forward_decode(
-		response->headers, &attempt->peer_runs, &attempt->peer_sent);
-	if (response->status != 502 || !attempt->peer_told)
-		attempt->peer_runs = attempt->eq->route->max_attempts;
+	attempt->peer_told =
+		pl_history_decode(response->headers, &attempt->history);
 	return eq_take_headers(attempt, response);
 }
 
@@ -129,6 +132,7 @@
 		return;
 	}
 	if (end == HC_UNSENT) {
+		eq->sends = attempt->sends_before;
 		eq_log_forward_end(eq, "peer not reached");
 		eq_retry_or_fail(eq, "peer not reached");
 		return;
@@ -143,17 +147,20 @@
 /* Handles a peer's complete answer, the worker's or its own. */
 static void eq_forward_answered(struct eq *eq, int64_t now)
 {
+	if (eq->attempt->peer_told) {
+		eq->sends = eq->attempt->sends_before;
+		eq_take_history(eq, &eq->attempt->history);
+	}
 	if (eq_is_refusal(eq)) {
 		eq_log_forward_end(eq, "refused");
 		eq_forward_refused(eq, now);
 		return;
 	}
 	eq->may_have_run = true;
-	if (eq->attempt->peer_runs > eq->runs)
-		eq->runs = eq->attempt->peer_runs;
-	/* The next send of it, also at a peer, is a repeat. */
-	if (eq->attempt->peer_sent && eq->sends == 0)
-		eq->sends = 1;
+	/* A peer that does not say may have used all runs that are allowed. */
+	if ((eq->attempt->status != 502 || !eq->attempt->peer_told) &&
+	    eq->runs < eq->route->max_attempts)
+		eq->runs = eq->route->max_attempts;
 	eq_log_forward_end(eq, "answered");
 	if (eq->attempt->status / 100 == 2)
 		eq_did_well(eq, eq->attempt->sent_us, now);
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -89,15 +89,15 @@
 
 /*
  * Tells whether a peer rather serves a request than this router: its path to
- * the workers is lost, or nothing has come from any worker since this request's
- * last attempt was sent.
+ * the workers is lost, or nothing has come from any worker since this router
+ * last sent the request.
  */
 bool eq_doubts_path(const struct eq *eq)
 {
 	const struct wk_table *workers = &eq->edge->workers;
 
 	return reach_is_lost(&workers->reach) ||
-	       (eq->sends > 0 && workers->heard_us < eq->attempt->sent_us);
+	       (eq->own_sent_us && workers->heard_us < eq->own_sent_us);
 }
 
 /* Releases slots and memory of the present attempt and abandons its repair. */
@@ -350,6 +350,7 @@
 	eq_begin_attempt(eq, now);
 	eq->attempt->is_repeat = eq->sends > 0;
 	eq->sends++;
+	eq->own_sent_us = now;
 	met_increment(&eq->edge->met, MET_SENDS);
 	send.request = eq_encode(eq, now);
 	send.ops = &eq_ops;
