--- a/deploy/retries.awk
+++ b/deploy/retries.awk
@@ -2,7 +2,8 @@
 # service the requests, the sends after the first of a request, how many of
 # these a router counted as the first, too, and the worst window: sends after
 # the first, what is allowed, and the fraction that was used.  Variables: ratio,
-# slack and window (seconds) of the retry budget.
+# slack and window (seconds) of the retry budget.  Counts lines that it cannot
+# read.
 
 function field(name, rest) {
 	rest = $0
@@ -12,6 +13,12 @@
 	return rest
 }
 
+# Lines of two routers may be mixed up.
+/"t_ms".*"t_ms"/ || !/}$/ {
+	unreadable++
+	next
+}
+
 /"event":10001,/ {
 	id = field("request")
 	service = field("service")
@@ -66,4 +73,6 @@
 		}
 		printf "%s requests %d repeats %d miscounted %d worst %d allowed %d part %.2f\n", service, count[service], again[service], miscounted[service], worst, allowed, worst_part
 	}
+	if (unreadable)
+		print "unreadable " unreadable
 }
