--- a/deploy/retries.awk
+++ b/deploy/retries.awk
@@ -14,7 +14,7 @@
 }
 
 # Lines of two routers may be mixed up.
-/"t_ms".*"t_ms"/ || !/}$/ {
+/"t_ms".*"t_ms"/ || !/}$/ || $1 !~ /^-?[0-9]+\.[0-9]+$/ {
 	unreadable++
 	next
 }
