edge, bud: a router that is restarted in series does not refill the retry budget

Users would see BUDGET where routers are killed again and again while workers refuse requests. A router took a quarter of its part of the slack anew at each start, and four quarters in one window are the whole part: its predecessors have spent theirs in the same ten seconds. A router that did not know its peers yet took itself for the only one, and four times as much.

The part now grows from nothing within two windows of the start, so that all processes of one address together spend at most one and a half parts in a window, however often they are restarted; one and a half parts of each router are less than the whole. Before the list of routers has been read there is no slack. The first start of the whole system has no predecessors and is as before.

--- a/regress/check_bud.c
+++ b/regress/check_bud.c
@@ -34,6 +34,52 @@
 		taken >= slack / 2 ? "half or more is used" : "too few");
 }
 
+/*
+ * "restarts ROUTERS EVERY_MS FOR_MS": routers that are restarted in turns of so
+ * long, for so long, after they have run for long, spend all that they may.
+ * Prints what the worst ten seconds used of a slack of 200.
+ */
+static void run_restarts(FILE *out, int routers, long every_ms, long for_ms)
+{
+	const int64_t window_us = 10 * MAG_US_PER_S;
+	uint64_t seed = 99;
+	int64_t start_us;
+	int taken[600] = { 0 };
+	struct bud bud;
+	int worst = 0;
+	int sum = 0;
+	int i;
+	int k;
+
+	for (k = 0; k < routers; k++) {
+		start_us = -2 * window_us;
+		bud_init(&bud, window_us, 0, 0);
+		bud_set_draw(&bud, mag_random_unit(&seed));
+		for (i = 0; i < (int)MAG_ARRAY_SIZE(taken); i++) {
+			int64_t now = i * 100 * MAG_US_PER_MS;
+
+			if (i * 100 < for_ms && i * 100 % every_ms == 0 &&
+			    i > 0) {
+				start_us = now;
+				bud_init(&bud, window_us, 0, 0);
+				bud_set_draw(&bud, mag_random_unit(&seed));
+			}
+			bud_set_slack(&bud, bud_slack_part(200, routers,
+							   now - start_us,
+							   window_us));
+			while (bud_take_retry(&bud, now))
+				taken[i]++;
+		}
+	}
+	for (i = 0; i < (int)MAG_ARRAY_SIZE(taken); i++) {
+		sum += taken[i] - (i < 100 ? 0 : taken[i - 100]);
+		if (sum > worst)
+			worst = sum;
+	}
+	fprintf(out, "%s\n",
+		worst <= 200 ? "in bounds" : "too many in ten seconds");
+}
+
 static void run_script(FILE *in, FILE *out)
 {
 	struct bud bud;
@@ -42,6 +88,7 @@
 	double window_s;
 	double ratio;
 	double slack;
+	long for_ms;
 	long ms;
 	int taken;
 	int n;
@@ -69,6 +116,9 @@
 				bud_return_retry(&bud, ms * MAG_US_PER_MS);
 		} else if (sscanf(line, "fleet %d %lf", &n, &slack) == 2) {
 			run_fleet(out, n, slack);
+		} else if (sscanf(line, "restarts %d %ld %ld", &n, &ms,
+				  &for_ms) == 3) {
+			run_restarts(out, n, ms, for_ms);
 		} else if (sscanf(line, "slack %lf", &slack) == 1) {
 			bud_set_slack(&bud, slack);
 		}
--- a/src/bud.c
+++ b/src/bud.c
@@ -84,6 +84,24 @@
 	return bud->ratio * requests + bud->slack - retries;
 }
 
+/*
+ * Returns one router's part of the whole slack.  It is the whole divided by one
+ * and a half times the known routers, plus one, to allow for those that have
+ * just started.  The part grows from nothing within two windows of the router's
+ * start: its predecessors may have spent theirs, and all that one address
+ * spends in a window is at most a part and a half, however often its process is
+ * restarted.
+ */
+double bud_slack_part(double slack, int routers, int64_t age_us,
+		      int64_t window_us)
+{
+	double part = slack / (routers * 1.5 + 1);
+
+	if (age_us < 2 * window_us)
+		part *= (double)age_us / (double)(2 * window_us);
+	return part;
+}
+
 /* Returns the slice of a point in time, reset if it held an older one. */
 static struct bud_slice *bud_slice_at(struct bud *bud, int64_t now)
 {
--- a/src/edge.c
+++ b/src/edge.c
@@ -5,8 +5,6 @@
 #include "edge.h"
 #include "jlog.h"
 
-/* Fraction of its retry slack that a router has at its start. */
-#define EDGE_INITIAL_SLACK 0.25
 /*
  * A router without a chain counts as not ready after this: longer than a worker
  * is excluded after one refusal, shorter than a restart.
@@ -127,31 +125,26 @@
 }
 
 /*
- * Returns the retry budget of a service.  This instance's part of the slack is
- * the total divided by one and a half times the most instances seen so far,
- * plus one, to allow for instances that have just started.  A process that has
- * just started has little slack: its predecessor may have spent its part in the
- * same window, and routers restarted in turn would each spend it again.
+ * Returns the retry budget of a service with this instance's part of the slack.
+ * There is none before the other instances are known.  At the first start of
+ * the whole system no process before this one has spent any.
  */
 struct bud *edge_budget(struct edge *edge, const char *name, int64_t now)
 {
 	struct edge_service *service = edge_service(edge, name, now);
 	int routers = 1 + pres_peer_count(edge->pres);
-	double fraction;
+	int64_t age_us =
+		edge->set.first_start ? MAG_NEVER : now - edge->started_us;
+	double part = 0;
 
 	if (routers > edge->max_routers_seen)
 		edge->max_routers_seen = routers;
-	fraction = (double)(now - edge->started_us) /
-			   (double)edge->set.retry_window_us -
-		   1;
-	if (fraction > 1 || edge->set.first_start)
-		fraction = 1;
-	if (fraction < EDGE_INITIAL_SLACK)
-		fraction = EDGE_INITIAL_SLACK;
+	if (edge->max_routers_seen > 1 || pres_is_listed(edge->pres))
+		part = bud_slack_part(edge->set.retry_slack,
+				      edge->max_routers_seen, age_us,
+				      edge->set.retry_window_us);
 	if (service != &edge->no_service)
-		bud_set_slack(&service->bud,
-			      fraction * edge->set.retry_slack /
-				      (edge->max_routers_seen * 1.5 + 1));
+		bud_set_slack(&service->bud, part);
 	return &service->bud;
 }
 
--- a/src/pres.c
+++ b/src/pres.c
@@ -253,6 +253,12 @@
 	       strcmp(pres->placer, pres->placer_value) == 0;
 }
 
+/* Tells whether the other instances in the store's list are known. */
+bool pres_is_listed(const struct pres *pres)
+{
+	return pres->listed;
+}
+
 /* Returns whether our own key has been seen in the store. */
 bool pres_own_listed(const struct pres *pres)
 {
