bud: requests of more than the window do not allow retries within it

Under steady load a service could get an eighth more retries than its ratio allows, as far as the unused slack did not cover it: retries and requests both counted for 11.25 s, so that the requests of 11.25 s allowed retries which were all sent within ten. Requests now count for 9.8 s; retries, as before, for 11.25 s.

--- a/regress/check_bud.c
+++ b/regress/check_bud.c
@@ -8,7 +8,8 @@
 
 /*
  * Runs retries against the budget: "budget WINDOW_S RATIO SLACK", "at MS",
- * "requests N", "take N", "return N MS" (taken then) and "slack SLACK".
+ * "requests N", "steady N MS" (every 100 ms, for so long), "take N", "return N
+ * MS" (taken then) and "slack SLACK".
  */
 /*
  * "fleet INSTANCES SLACK": each instance has its part of the slack and wants
@@ -91,6 +92,7 @@
 	long for_ms;
 	long ms;
 	int taken;
+	int k;
 	int n;
 
 	while (fgets(line, sizeof(line), in)) {
@@ -106,6 +108,12 @@
 		} else if (sscanf(line, "requests %d", &n) == 1) {
 			while (n-- > 0)
 				bud_add_request(&bud, now);
+		} else if (sscanf(line, "steady %d %ld", &n, &ms) == 2) {
+			for (; ms > 0; ms -= 100) {
+				now += 100 * MAG_US_PER_MS;
+				for (k = 0; k < n; k++)
+					bud_add_request(&bud, now);
+			}
 		} else if (sscanf(line, "take %d", &n) == 1) {
 			taken = 0;
 			while (n-- > 0)
--- a/src/bud.c
+++ b/src/bud.c
@@ -3,11 +3,13 @@
 #include "bud.h"
 
 /*
- * The window is an eighth longer than that of the bound, because slices are
- * coarse and a sliding window of the bound may begin inside of one.
+ * Retries count for an eighth longer than the window of the bound, because
+ * slices are coarse and a sliding window may begin inside of one.  Requests
+ * count for a little less than the window, for the same reason.
  */
-#define BUD_WINDOW_SLICES 56
-#define BUD_MARGIN	  1.125
+#define BUD_WINDOW_SLICES  56
+#define BUD_REQUEST_SLICES 49
+#define BUD_MARGIN	   1.125
 
 static struct bud_slice *bud_slice_at(struct bud *bud, int64_t now);
 
@@ -76,10 +78,10 @@
 	int i;
 
 	for (i = 0; i < BUD_SLICES; i++) {
-		if (bud->slices[i].number <= number - BUD_WINDOW_SLICES)
-			continue;
-		requests += bud->slices[i].requests;
-		retries += bud->slices[i].retries;
+		if (bud->slices[i].number > number - BUD_REQUEST_SLICES)
+			requests += bud->slices[i].requests;
+		if (bud->slices[i].number > number - BUD_WINDOW_SLICES)
+			retries += bud->slices[i].retries;
 	}
 	return bud->ratio * requests + bud->slack - retries;
 }
