eq_send: a send of which no byte was sent is not a send

Callers were refused ("retry budget spent") although no worker had got their request: a worker that refuses the connection, as one that is cut off from this router or has just died, used up the first send of the request, and the next one took a retry. Returning the retry of an unsent attempt covered repeats only.

The send is now taken back whole: the next one is the first send or the retry that this one would have been, and the request that was counted for the budget is, too, so that it is not counted twice if a peer sends it. The limit on the sends of one request includes unsent ones, as before.

regress/edge/unsent-no-retry: no retries are allowed, and eight listed workers refuse connections.

--- a/src/bud.c
+++ b/src/bud.c
@@ -56,6 +56,16 @@
 	return true;
 }
 
+/* Takes back a request that was counted then and of which no byte was sent. */
+void bud_return_request(struct bud *bud, int64_t added_us)
+{
+	int64_t number = added_us / bud->slice_us;
+	struct bud_slice *slice = &bud->slices[number % BUD_SLICES];
+
+	if (slice->number == number && slice->requests > 0)
+		slice->requests--;
+}
+
 /*
  * Returns a retry that was consumed then and of which no byte was sent.  One
  * that has left the window is no part of it any more.
--- a/src/bud.h
+++ b/src/bud.h
@@ -43,6 +43,7 @@
 void bud_add_request(struct bud *bud, int64_t now);
 bool bud_may_retry(const struct bud *bud, int64_t now);
 bool bud_take_retry(struct bud *bud, int64_t now);
+void bud_return_request(struct bud *bud, int64_t added_us);
 void bud_return_retry(struct bud *bud, int64_t taken_us);
 double bud_left(const struct bud *bud, int64_t now);
 double bud_slack_part(double slack, int routers, int64_t age_us,
--- a/src/eq.h
+++ b/src/eq.h
@@ -131,9 +131,10 @@
 	struct eq_repair *repair; /* repair in progress, or NULL */
 	/* To workers, including refused ones; at least 1 while at a peer. */
 	int sends;
-	int64_t own_sent_us;  /* when this router last sent it; 0: never */
-	int runs;	      /* sends that may have run */
-	bool may_have_run;    /* here, or at a peer that it was sent to */
+	int unsent;	     /* sends of which no byte was sent; not in sends */
+	int64_t own_sent_us; /* when this router last sent it; 0: never */
+	int runs;	     /* sends that may have run */
+	bool may_have_run;   /* here, or at a peer that it was sent to */
 	bool crash_candidate; /* it may have crashed a worker */
 	struct eq_avoided avoid[PL_AVOID_MAX];
 	int avoid_count;
@@ -225,7 +226,7 @@
 enum eq_choice eq_choose(struct eq *eq, int64_t now);
 void eq_send(struct eq *eq, int64_t now);
 void eq_begin_attempt(struct eq *eq, int64_t now);
-void eq_return_retry(struct eq *eq, int64_t now);
+void eq_return_send(struct eq *eq, int64_t now);
 void eq_fill_send(struct eq *eq, struct hc_send *send);
 void eq_release(struct eq *eq);
 void eq_add_crash_candidate(struct eq *eq, struct wk *wk, int64_t now);
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -518,7 +518,7 @@
 {
 	eq_avoid(eq, wk);
 	if (end == HC_UNSENT) {
-		eq_return_retry(eq, now);
+		eq_return_send(eq, now);
 		/* A probe tells a death, and suspects the worker, too. */
 		if (wk_count_interrupted(wk, now) > 0)
 			wkp_probe(eq->edge, wk, now);
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -219,8 +219,9 @@
 static void eq_count_present(struct eq *eq, int64_t now)
 {
 	if (hc_unsent(eq->attempt->call)) {
-		eq_return_retry(eq, now);
-		if (eq->attempt->hop_count == 0)
+		if (eq->attempt->hop_count > 0)
+			eq_return_send(eq, now);
+		else
 			eq->sends = eq->attempt->sends_before;
 		return;
 	}
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -7,7 +7,7 @@
 
 /* Connection timeout.  A reachable worker accepts within a few milliseconds. */
 #define EQ_CONNECT_US (250 * MAG_US_PER_MS)
-/* Sends of one request, including refused ones. */
+/* Sends of one request, including refused and unsent ones. */
 #define EQ_SENDS_MAX 6
 /* Requests that a plain worker may queue beyond its slots. */
 #define EQ_PLAIN_QUEUE 3
@@ -76,7 +76,7 @@
 /* Tells whether the limit on sends of one request leaves another one. */
 bool eq_may_send_again(const struct eq *eq)
 {
-	return eq->sends < EQ_SENDS_MAX;
+	return eq->sends + eq->unsent < EQ_SENDS_MAX;
 }
 
 /* Chooses the worker or the chain of a request and reserves room there. */
@@ -372,7 +372,7 @@
 	if (!send.request ||
 	    wk_send(wk, ADV_REQUEST, &send, now, &eq->attempt->call)) {
 		eq->attempt->call = NULL;
-		eq_return_retry(eq, now);
+		eq_return_send(eq, now);
 		eq_avoid(eq, wk);
 		eq_release(eq);
 		if (eq->state == EQ_SENT)
@@ -401,14 +401,21 @@
 	send->head_request = strcmp(hs_method(eq->caller), "HEAD") == 0;
 }
 
-/* Returns the retry of an attempt of which nothing was sent to the budget. */
-void eq_return_retry(struct eq *eq, int64_t now)
+/*
+ * Takes back the send of an attempt of which no byte was sent: the next one is
+ * as this one would have been, the first send or a retry.
+ */
+void eq_return_send(struct eq *eq, int64_t now)
 {
-	if (!eq->attempt->is_repeat)
-		return;
-	bud_return_retry(edge_budget(eq->edge, eq->service->name, now),
-			 eq->attempt->sent_us);
+	struct bud *bud = edge_budget(eq->edge, eq->service->name, now);
+
+	if (eq->attempt->is_repeat)
+		bud_return_retry(bud, eq->attempt->sent_us);
+	else
+		bud_return_request(bud, eq->attempt->sent_us);
 	eq->attempt->is_repeat = false;
+	eq->sends--;
+	eq->unsent++;
 }
 
 /* Clears what is known of the last attempt, as another one begins. */
