eq: a request that all workers have refused is refused at once

A caller whose request had been refused by every worker of a plain service was held for half of its route's objective, although none of them would get it again, and then refused; or its router forwarded it to a peer, and to a second one, which each held it as long.

Before a request is forwarded or waits, its router now sees whether the workers that are listed and have not refused it, failed it or broken it off still hold all layers (a plain service: whether there is one). If they do not, and all together do, the caller is refused at once with the Retry-After of a lack of capacity. Requests that may have run wait as before, because there is no refusal for them.

--- a/src/eq.h
+++ b/src/eq.h
@@ -193,6 +193,8 @@
 bool eq_avoids(const struct eq *eq, const struct wk *wk);
 void eq_avoid(struct eq *eq, const struct wk *wk);
 void eq_avoid_everywhere(struct eq *eq, const struct wk *wk);
+bool eq_avoids_everywhere(const struct eq *eq, const struct wk *wk);
+bool eq_avoids_any_everywhere(const struct eq *eq);
 void eq_history(const struct eq *eq, struct pl_history *history);
 void eq_take_history(struct eq *eq, const struct pl_history *history);
 
@@ -242,6 +244,7 @@
 void eq_use_repair(struct eq *eq, const struct chn_chain *replacement,
 		   int64_t now);
 int64_t eq_backoff_end(struct eq *eq, int64_t now);
+bool eq_is_refused_by_all(struct eq *eq, int64_t now);
 void eq_coverage_tick(struct edge *edge, int64_t now);
 void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
 int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
--- a/src/eq_avoid.c
+++ b/src/eq_avoid.c
@@ -35,6 +35,26 @@
 		avoided->everywhere = true;
 }
 
+/* Tells whether a worker is excluded from attempts by any router. */
+bool eq_avoids_everywhere(const struct eq *eq, const struct wk *wk)
+{
+	int i = eq_find_avoided(eq, htab_hash(wk->entry.id));
+
+	return i >= 0 && eq->avoid[i].everywhere;
+}
+
+/* Tells whether any worker is. */
+bool eq_avoids_any_everywhere(const struct eq *eq)
+{
+	int i;
+
+	for (i = 0; i < eq->avoid_count; i++) {
+		if (eq->avoid[i].everywhere)
+			return true;
+	}
+	return false;
+}
+
 /* Writes what has been done for a request, for another router. */
 void eq_history(const struct eq *eq, struct pl_history *history)
 {
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -39,7 +39,12 @@
 static struct wk **eq_candidate_workers;
 static int eq_candidates_max;
 
+/* Tells whether a worker is of no use to a request. */
+typedef bool (*eq_left_out_fn)(const struct eq *eq, const struct wk *wk);
+
 static int eq_reserve_candidates(const struct edge *edge);
+static int64_t eq_covered_at(struct eq *eq, eq_left_out_fn left_out,
+			     int64_t now);
 
 static bool eq_is_covered(struct edge *edge, const struct rt_service *service,
 			  int64_t now);
@@ -140,9 +145,31 @@
  * serve the request; 0, if other reasons keep it from being placed.
  */
 int64_t eq_backoff_end(struct eq *eq, int64_t now)
+{
+	int64_t end_us = eq_covered_at(eq, eq_avoids, now);
+
+	return end_us == MAG_NEVER || end_us <= now ? 0 : end_us;
+}
+
+/*
+ * Tells whether the workers that refused the request, failed it or broke it off
+ * are so many that no router can serve it with the others.
+ */
+bool eq_is_refused_by_all(struct eq *eq, int64_t now)
+{
+	return eq_avoids_any_everywhere(eq) &&
+	       eq_covered_at(eq, eq_avoids_everywhere, now) == MAG_NEVER &&
+	       eq_covered_at(eq, NULL, now) != MAG_NEVER;
+}
+
+/*
+ * Returns from when on the workers that are alive and not left out hold all
+ * layers, or one of a plain service takes requests; MAG_NEVER if they do not.
+ */
+static int64_t eq_covered_at(struct eq *eq, eq_left_out_fn left_out,
+			     int64_t now)
 {
 	bool engine = eq->service->has_engine;
-	int64_t end_us;
 	struct wk *wk;
 	int max = eq_reserve_candidates(eq->edge);
 	int count = 0;
@@ -150,7 +177,7 @@
 	cds_list_for_each_entry (wk, &eq->edge->workers.workers, node) {
 		if (count == max)
 			break;
-		if (!wk_alive(wk, now) || eq_avoids(eq, wk) ||
+		if (!wk_alive(wk, now) || (left_out && left_out(eq, wk)) ||
 		    strcmp(wk->entry.service, eq->service->name) != 0)
 			continue;
 		eq_candidates[count].from = engine ? wk->layers.from : 0;
@@ -158,9 +185,8 @@
 		eq_candidates[count++].barred_until_us =
 			wk->proc.adv.backoff_until_us;
 	}
-	end_us = chn_covered_at(eq_candidates, count,
-				engine ? eq->service->engine.layers : 1, now);
-	return end_us == MAG_NEVER || end_us <= now ? 0 : end_us;
+	return chn_covered_at(eq_candidates, count,
+			      engine ? eq->service->engine.layers : 1, now);
 }
 
 /*
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -182,7 +182,7 @@
 		eq_retry_or_fail(eq, "peer refused it");
 		return;
 	}
-	if (eq_forward_start(eq, now))
+	if (!eq_is_refused_by_all(eq, now) && eq_forward_start(eq, now))
 		return;
 	met_increment(&eq->edge->met, MET_REFUSED);
 	eq_relay(eq);
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -55,6 +55,11 @@
 		eq_refuse(eq, 503, EQ_RETRY_LATER, "no worker accepted it");
 		return false;
 	}
+	if (eq->state == EQ_WAITING && !eq->may_have_run &&
+	    !eq->ran_elsewhere && eq_is_refused_by_all(eq, now)) {
+		eq_refuse(eq, 503, EQ_RETRY_LATER, "all workers refused it");
+		return true;
+	}
 	if (eq_doubts_path(eq) && eq_forward_start(eq, now))
 		return false;
 	if (eq_waits_for_budget(eq, now))
