--- a/deploy/retries.awk
+++ b/deploy/retries.awk
@@ -5,6 +5,10 @@
 # slack and window (seconds) of the retry budget.  Counts lines that it cannot
 # read.
 
+BEGIN {
+	sends = 0
+}
+
 function field(name, rest) {
 	rest = $0
 	if (!sub(".*\"" name "\":\"?", "", rest))
@@ -21,26 +25,47 @@
 
 /"event":10001,/ {
 	id = field("request")
-	service = field("service")
-	if (service == "")
-		service = field("hops") > 1 ? "chains" : "plain"
-	names[service] = 1
-	# Lines of one moment are not in order between routers.
-	if (field("repeat") == "" ? field("send") == 1 : field("repeat") == "false")
-		miscounted[service] += counted_first[id]++ > 0
-	if (!(id in seen)) {
-		seen[id] = 1
-		requests[service, count[service]++] = $1
-		next
+	service[sends] = field("service")
+	if (service[sends] == "")
+		service[sends] = field("hops") > 1 ? "chains" : "plain"
+	at[sends] = $1
+	request[sends] = id
+	first[sends] = field("repeat") == "" ? field("send") == 1 : field("repeat") == "false"
+	newest[id, $2] = sends++
+}
+
+# No byte of a router's last send of the request was sent.
+/"event":10009,/ {
+	id = field("request")
+	if ((id, $2) in newest)
+		taken_back[newest[id, $2]] = 1
+}
+
+# Sorts the sends into first ones and repeats of each service.  Lines of one
+# moment are not in order between routers.
+function sort_sends(i, name, id) {
+	for (i = 0; i < sends; i++) {
+		if (i in taken_back)
+			continue
+		id = request[i]
+		name = service[i]
+		names[name] = 1
+		if (first[i])
+			miscounted[name] += counted_first[id]++ > 0
+		if (!(id in seen)) {
+			seen[id] = 1
+			requests[name, count[name]++] = at[i]
+			continue
+		}
+		repeats[name, again[name]++] = at[i]
 	}
-	repeats[service, again[service]++] = $1
 }
 
 # Requests of a service from a time on, until another one.
-function requests_in(service, from, to, n, i) {
+function requests_in(name, from, to, n, i) {
 	n = 0
-	for (i = 0; i < count[service]; i++)
-		n += requests[service, i] >= from && requests[service, i] < to
+	for (i = 0; i < count[name]; i++)
+		n += requests[name, i] >= from && requests[name, i] < to
 	return n
 }
 
@@ -49,21 +74,22 @@
 }
 
 END {
-	for (service in names) {
+	sort_sends()
+	for (name in names) {
 		worst = 0
 		allowed = slack
 		worst_part = 0
 		last = 0
-		for (i = 0; i < again[service]; i++) {
-			from = repeats[service, i]
-			while (last < again[service] && repeats[service, last] < from + window)
+		for (i = 0; i < again[name]; i++) {
+			from = repeats[name, i]
+			while (last < again[name] && repeats[name, last] < from + window)
 				last++
 			# Only windows that hold more can be worse.
 			if ((last - i) / slack <= worst_part)
 				continue
-			n = requests_in(service, from, from + window)
-			n = max(n, requests_in(service, from - window, from))
-			n = max(n, requests_in(service, from - window / 2, from + window / 2))
+			n = requests_in(name, from, from + window)
+			n = max(n, requests_in(name, from - window, from))
+			n = max(n, requests_in(name, from - window / 2, from + window / 2))
 			part = (last - i) / (ratio * n + slack)
 			if (part > worst_part) {
 				worst_part = part
@@ -71,7 +97,7 @@
 				allowed = ratio * n + slack
 			}
 		}
-		printf "%s requests %d repeats %d miscounted %d worst %d allowed %d part %.2f\n", service, count[service], again[service], miscounted[service], worst, allowed, worst_part
+		printf "%s requests %d repeats %d miscounted %d worst %d allowed %d part %.2f\n", name, count[name], again[name], miscounted[name], worst, allowed, worst_part
 	}
 	if (unreadable)
 		print "unreadable " unreadable
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -413,7 +413,13 @@
 void eq_return_send(struct eq *eq, int64_t now)
 {
 	struct bud *bud = edge_budget(eq->edge, eq->service->name, now);
+	char id[WIRE_ID_MAX];
 
+	jlog(LOG_EQ_UNSENT,
+	     "\"request\":\"%s\",\"worker\":\"%s\",\"repeat\":%s",
+	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
+	     eq->attempt->hops[0].worker->entry.id,
+	     eq->attempt->is_repeat ? "true" : "false");
 	if (eq->attempt->is_repeat)
 		bud_return_retry(bud, eq->attempt->sent_us);
 	else
