--- a/src/eq_avoid.c
+++ b/src/eq_avoid.c
@@ -43,7 +43,7 @@
 	return i >= 0 && eq->avoid[i].everywhere;
 }
 
-/* Tells whether any worker is. */
+/* Tells whether any worker is excluded from attempts by any router. */
 bool eq_avoids_any_everywhere(const struct eq *eq)
 {
 	int i;
@@ -55,7 +55,7 @@
 	return false;
 }
 
-/* Writes what has been done for a request, for another router. */
+/* Fills in what has been done for a request, for another router. */
 void eq_history(const struct eq *eq, struct pl_history *history)
 {
 	int i;
@@ -73,8 +73,9 @@
 }
 
 /*
- * Takes what another router says has been done for a request, at the most as
- * often as it and this router know of.
+ * Merges what another router says has been done for a request into what is
+ * known here.  Each side knows the counts that the other one started from, so
+ * that the higher one is right.
  */
 void eq_take_history(struct eq *eq, const struct pl_history *history)
 {
--- a/src/wk.h
+++ b/src/wk.h
@@ -72,9 +72,12 @@
 	int64_t answered_us; /* when it last proved to us that it works */
 	bool to_announce;    /* the suspicion was not sent to peers yet */
 	double failure_rate; /* of recent requests, smoothed */
-	/* Of recent requests that it was to begin, smoothed until then. */
+	/*
+	 * Fraction of the recent requests sent to it as the first worker that
+	 * it did not begin, smoothed, as of entry_us.
+	 */
 	double entry_failures;
-	int64_t entry_us;	/* when one last began or failed there */
+	int64_t entry_us;
 	int consecutive_breaks; /* requests broken off since the last event */
 	int distrust_count;	/* consecutive times of distrust */
 	/* No new work until then, whatever the worker reports of itself. */
