--- a/deploy/retries.awk
+++ b/deploy/retries.awk
@@ -2,8 +2,8 @@
 # service the requests, the sends after the first of a request, how many of
 # these a router counted as the first, too, and the worst window: sends after
 # the first, what is allowed, and the fraction that was used.  Variables: ratio,
-# slack and window (seconds) of the retry budget.  Counts lines that it cannot
-# read.
+# slack and window (seconds) of the retry budget.  Counts the lines that it
+# cannot read and those that routers dropped.
 
 BEGIN {
 	sends = 0
@@ -23,6 +23,10 @@
 	next
 }
 
+/"event":8005,/ {
+	dropped += field("lines")
+}
+
 /"event":10001,/ {
 	id = field("request")
 	service[sends] = field("service")
@@ -101,4 +105,7 @@
 	}
 	if (unreadable)
 		print "unreadable " unreadable
+	# A send that was taken back in a line that was dropped shows as miscounted.
+	if (dropped)
+		print "dropped " dropped
 }
