regress/edge_state: a router has no slack before it knows the others

regress/edge_state/services spent retries of a router that had never read the list of instances, which allows none since, and failed in the check ("0 allowed" instead of 19). It now reads the list first; what it compares is as before. regress/edge_state/unlisted checks the rule itself: none before the list has been read, 20 of a slack of 50 after it (the code before allowed them at once).

--- a/regress/check_edge.c
+++ b/regress/check_edge.c
@@ -34,6 +34,13 @@
 	}
 }
 
+/* "listed": the store's list of instances names no other one. */
+static void list_alone(struct edge *edge)
+{
+	pres_list_begin(edge->pres);
+	pres_list_end(edge->pres);
+}
+
 /* "centres COUNT": so many data centres are seen. */
 static void see_centres(struct edge *edge, int count)
 {
@@ -77,6 +84,8 @@
 				edge_data_centre_index(edge, name));
 		else if (sscanf(line, "at %d", &n) == 1)
 			now = n * MAG_US_PER_S;
+		else if (strncmp(line, "listed", 6) == 0)
+			list_alone(edge);
 		else if (strncmp(line, "budgets", 7) == 0)
 			fprintf(out, "%d budgets\n", edge->service_count);
 	}
