--- a/deploy/retries.awk
+++ b/deploy/retries.awk
@@ -2,7 +2,8 @@
 # service the requests, the sends after the first of a request, how many of
 # these a router counted as the first, too, and the worst window: sends after
 # the first, what is allowed, and the fraction that was used.  Variables: ratio,
-# slack and window (seconds) of the retry budget.  Counts the lines that it
+# slack and window (seconds) of the retry budget.  "counted" is the number of
+# retries that the routers took and kept, over all services.  Counts the lines that it
 # cannot read and those that routers dropped.
 
 BEGIN {
@@ -35,12 +36,14 @@
 	at[sends] = $1
 	request[sends] = id
 	first[sends] = field("repeat") == "" ? field("send") == 1 : field("repeat") == "false"
+	counted += !first[sends]
 	newest[id, $2] = sends++
 }
 
 # No byte of a router's last send of the request was sent.
 /"event":10009,/ {
 	id = field("request")
+	counted -= field("repeat") == "true"
 	if ((id, $2) in newest)
 		taken_back[newest[id, $2]] = 1
 }
@@ -103,6 +106,7 @@
 		}
 		printf "%s requests %d repeats %d miscounted %d worst %d allowed %d part %.2f\n", name, count[name], again[name], miscounted[name], worst, allowed, worst_part
 	}
+	print "counted " counted + 0
 	if (unreadable)
 		print "unreadable " unreadable
 	# A send that was taken back in a line that was dropped shows as miscounted.
