eq_answer, eq_send: a requested backoff is no failure to begin requests

A worker that had named a backoff was not used again for seconds after it: its refusals counted as requests that it failed to begin, which the price of remembers for some seconds. The backoff itself says when it ends, so that refusals under one do not count. regress/edge/backoff-worker failed in the whole check and alone ("used again" was missing) and passes now.

request-sent names the worker right after the request again, as regress/edge/silent-thrice reads it; service comes after it.

--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -486,7 +486,8 @@
 		fault = wk;
 	eq_avoid_everywhere(eq, fault);
 	if (eq->service->has_engine) {
-		if (fault == wk)
+		/* A backoff that it requested says itself when it ends. */
+		if (fault == wk && !adv_backs_off(&wk->proc.adv, now))
 			wk_add_entry(wk, false, now);
 		wk_on_refusal(fault, now);
 		wkp_probe(edge, fault, now);
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -362,12 +362,12 @@
 	eq_fill_send(eq, &send);
 	send.connect_by_us = now + EQ_CONNECT_US;
 	jlog(LOG_EQ_SENT,
-	     "\"request\":\"%s\",\"service\":\"%s\",\"worker\":\"%s\","
+	     "\"request\":\"%s\",\"worker\":\"%s\",\"service\":\"%s\","
 	     "\"hops\":%d,\"chain\":\"%s\",\"send\":%d,\"from_event\":%lld,"
 	     "\"requests_there\":%d,\"left_ms\":%d,\"forwarded\":%s,"
 	     "\"repeat\":%s,\"retries_left\":%.1f,\"slack\":%.1f",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
-	     eq->service->name, wk->entry.id, eq->attempt->hop_count,
+	     wk->entry.id, eq->service->name, eq->attempt->hop_count,
 	     eq_chain_text(eq, chain, sizeof(chain)), eq->sends,
 	     (long long)eq->last_event, wk->first_hops,
 	     (int)((eq->deadline_us - now) / MAG_US_PER_MS),
