Revert "eq_chain, wk_health: a first worker that fails requests costs more"

The price keeps a first worker from being used for seconds after a single request that broke off, while other chains are as cheap. regress/edge/cut-answers, which needs that such a worker is used again, takes 186 and 298 s with it instead of 26 s, and was ended by the check's limit of 120 s.

--- a/src/chn_walk.c
+++ b/src/chn_walk.c
@@ -158,10 +158,8 @@
 	if (position == 0) {
 		if (w->first_hops_left <= 0)
 			return CHN_INFINITE_COST;
-		cost = w->entry_us;
-		if (request->centre != w->centre)
-			cost += request->remote_entry_us;
-		return cost;
+		return request->centre == w->centre ? 0
+						    : request->remote_entry_us;
 	}
 	for (i = 0; i < walk->centres; i++) {
 		cost = walk->cheapest[position][i].cost;
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -1,4 +1,3 @@
-#include <math.h>
 #include <string.h>
 
 #include "jlog.h"
@@ -62,13 +61,6 @@
 #define WK_REGAIN_ROUTERS     8
 /* Weight of the newest sample in the moving averages. */
 #define WK_SMOOTHING 0.1
-/* The same for requests that a first worker of chains begins or fails. */
-#define WK_ENTRY_SMOOTHING 0.2
-/*
- * Time constant with which failures to begin requests are forgotten while
- * nothing is sent to a worker.
- */
-#define WK_ENTRY_FORGET_US (4 * MAG_US_PER_S)
 
 static bool wk_is_avoided_by_hearsay(const struct wk *wk, int64_t now);
 static bool wk_is_probe_overdue(const struct wk *wk, int64_t now);
@@ -312,28 +304,6 @@
 	wk->proc.refusals++;
 }
 
-/*
- * Records whether a first worker began a request, or refused it or broke it off
- * before its first event.
- */
-void wk_add_entry(struct wk *wk, bool began, int64_t now)
-{
-	double rate = wk_entry_failures(wk, now);
-
-	wk->proc.entry_failures =
-		rate + WK_ENTRY_SMOOTHING * ((began ? 0 : 1) - rate);
-	wk->proc.entry_us = now;
-}
-
-/* Returns the fraction of recent requests that a first worker did not begin. */
-double wk_entry_failures(const struct wk *wk, int64_t now)
-{
-	if (wk->proc.entry_failures <= 0)
-		return 0;
-	return wk->proc.entry_failures *
-	       exp(-(double)(now - wk->proc.entry_us) / WK_ENTRY_FORGET_US);
-}
-
 /* Notes that a worker began a request: the refusals have ended. */
 void wk_on_start(struct wk *wk)
 {
