edge: no retry slack before the whole list of routers has been read

Cause: gives a router no part of the slack before it knows the others, but took one known peer for all of them. A router reads the instances of its own data centre before the rest; in between it divided the slack by these only.

Ruled out: that it shows on the small sites; there the whole list is read at once.

Before: regress/edge_state/unlisted with one peer read allowed 13 retries of a slack of 50 before the list was whole. After: none before, 13 after it.

Conclusion: the rule that states now holds also while the list is being read. A later gap of the list, as after a restore of the store, changes nothing: the most routers seen are kept.

--- a/regress/check_edge.c
+++ b/regress/check_edge.c
@@ -41,6 +41,16 @@
 	pres_list_end(edge->pres);
 }
 
+/* "peer N": one more instance is read from the store's list. */
+static void list_peer(struct edge *edge, int n)
+{
+	char value[] = "127.0.0.1:2 a 1000";
+	struct wire_item item = { .value = value, .len = strlen(value) };
+
+	snprintf(item.key, sizeof(item.key), PRES_INSTANCE_PREFIX "a/r-%d", n);
+	pres_item(edge->pres, &item);
+}
+
 /* "centres COUNT": so many data centres are seen. */
 static void see_centres(struct edge *edge, int count)
 {
@@ -86,6 +96,8 @@
 			now = n * MAG_US_PER_S;
 		else if (strncmp(line, "listed", 6) == 0)
 			list_alone(edge);
+		else if (sscanf(line, "peer %d", &n) == 1)
+			list_peer(edge, n);
 		else if (strncmp(line, "budgets", 7) == 0)
 			fprintf(out, "%d budgets\n", edge->service_count);
 	}
--- a/src/edge.c
+++ b/src/edge.c
@@ -126,8 +126,9 @@
 
 /*
  * Returns the retry budget of a service with this instance's part of the slack.
- * There is none before the other instances are known.  At the first start of
- * the whole system no process before this one has spent any.
+ * There is none before the whole list of instances has been read; those of a
+ * data centre are read before the others.  At the first start of the whole
+ * system no process before this one has spent any.
  */
 struct bud *edge_budget(struct edge *edge, const char *name, int64_t now)
 {
@@ -139,7 +140,8 @@
 
 	if (routers > edge->max_routers_seen)
 		edge->max_routers_seen = routers;
-	if (edge->max_routers_seen > 1 || pres_is_listed(edge->pres))
+	edge->routers_listed |= pres_is_listed(edge->pres);
+	if (edge->routers_listed)
 		part = bud_slack_part(edge->set.retry_slack,
 				      edge->max_routers_seen, age_us,
 				      edge->set.retry_window_us);
--- a/src/edge.h
+++ b/src/edge.h
@@ -104,6 +104,7 @@
 	struct edge_service no_service; /* without retries; out of memory */
 	struct age caller_ages;
 	int max_routers_seen; /* at one time, this one included */
+	bool routers_listed;  /* the whole list of them has been read */
 	int64_t started_us;
 
 	double crossing_budget_bytes; /* may still cross between data centres */
