bud: one search for the slice of what is returned

Cause: wrote the search for the slice of a point in time a second time, for requests beside retries. Ruled out: a change of behaviour; regress/bud passes as before (7 scripts). Both now use bud_find_slice.

--- a/src/bud.c
+++ b/src/bud.c
@@ -12,6 +12,7 @@
 #define BUD_MARGIN	   1.125
 
 static struct bud_slice *bud_slice_at(struct bud *bud, int64_t now);
+static struct bud_slice *bud_find_slice(struct bud *bud, int64_t then);
 
 /* Initialises an empty budget. */
 void bud_init(struct bud *bud, int64_t window_us, double ratio, double slack)
@@ -59,10 +60,9 @@
 /* Takes back a request that was counted then and of which no byte was sent. */
 void bud_return_request(struct bud *bud, int64_t added_us)
 {
-	int64_t number = added_us / bud->slice_us;
-	struct bud_slice *slice = &bud->slices[number % BUD_SLICES];
+	struct bud_slice *slice = bud_find_slice(bud, added_us);
 
-	if (slice->number == number && slice->requests > 0)
+	if (slice && slice->requests > 0)
 		slice->requests--;
 }
 
@@ -72,10 +72,9 @@
  */
 void bud_return_retry(struct bud *bud, int64_t taken_us)
 {
-	int64_t number = taken_us / bud->slice_us;
-	struct bud_slice *slice = &bud->slices[number % BUD_SLICES];
+	struct bud_slice *slice = bud_find_slice(bud, taken_us);
 
-	if (slice->number == number && slice->retries > 0)
+	if (slice && slice->retries > 0)
 		slice->retries--;
 }
 
@@ -124,3 +123,12 @@
 		*slice = (struct bud_slice){ number, 0, 0 };
 	return slice;
 }
+
+/* Returns the slice of a point in time, or NULL if it has been reset since. */
+static struct bud_slice *bud_find_slice(struct bud *bud, int64_t then)
+{
+	int64_t number = then / bud->slice_us;
+	struct bud_slice *slice = &bud->slices[number % BUD_SLICES];
+
+	return slice->number == number ? slice : NULL;
+}
