eq: only routers are told that nothing has been done for a request

Cause: a router without a configuration echoed the history of a request that has one, also to a client that sends the field itself. Before: such a client got its own counts back with the 503; after: only the listener for other routers answers with them. Ruled out: harm to what routers count, as a client's field is read nowhere else. Read in the change, no run showed it.

--- a/src/eq.c
+++ b/src/eq.c
@@ -40,7 +40,8 @@
 static const struct rt_service *eq_pick_service(struct eq *eq);
 static void eq_log_end(const struct eq *eq, int status, const char *why);
 static void eq_free(struct eq *eq);
-static void eq_refuse_early(struct edge *edge, struct hs_conn *conn);
+static void eq_refuse_early(struct edge *edge, struct hs_conn *conn,
+			    bool is_forwarded);
 static bool eq_refuses_while_stopping(const struct eq *eq, int64_t now);
 
 /* Called when a caller's request has been read completely. */
@@ -64,12 +65,12 @@
 	met_increment(&edge->met, MET_REQUESTS);
 	if (!edge_has_config(edge, now)) {
 		/* Without a configuration no route is known. */
-		eq_refuse_early(edge, conn);
+		eq_refuse_early(edge, conn, is_forwarded);
 		return;
 	}
 	eq = eq_new(edge, conn, now);
 	if (!eq) {
-		eq_refuse_early(edge, conn);
+		eq_refuse_early(edge, conn, is_forwarded);
 		return;
 	}
 	eq->is_forwarded = is_forwarded;
@@ -249,7 +250,8 @@
 	return now - edge->stopped_us > EQ_STOP_ACCEPT_US;
 }
 
-static void eq_refuse_early(struct edge *edge, struct hs_conn *conn)
+static void eq_refuse_early(struct edge *edge, struct hs_conn *conn,
+			    bool is_forwarded)
 {
 	struct pl_request request;
 	struct pl_history history;
@@ -271,7 +273,7 @@
 	     wait_s);
 	len = snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n", wait_s);
 	/* A router that forwarded it is told that nothing has been done. */
-	if (pl_history_decode(hs_headers(conn), &history))
+	if (is_forwarded && pl_history_decode(hs_headers(conn), &history))
 		pl_history_field(&history, fields + len,
 				 sizeof(fields) - (size_t)len);
 	hs_reply(conn, 503, fields, NULL, 0);
