eq_forward: a send that is assumed at a peer is kept apart from those before it

Cause: when a peer answered or was not reached, a request's sends were set back to what they had been before the forward. If an earlier attempt, which was kept, turned out unsent meanwhile, its send had been taken back and came back with that; and if the peer broke off then, the request counted as never sent, though the peer may have sent it.

Ruled out: an effect on BUDGET in any run: a request whose peer broke off has no runs left on routes of two attempts, so that only the answer of an older router without the field could lead to it. Read in the change; no script brings it about.

Before: one number saved and restored. After: the assumed send is a flag of the attempt; it is taken back alone, and a peer that does not tell counts as having sent the request whatever became of earlier attempts.

Conclusion: regress/edge/forwarded-repeats, forwarded-refused, forwarded-failed, forwarded-not-run and unsent-no-retry pass as before.

--- a/src/eq.h
+++ b/src/eq.h
@@ -75,7 +75,7 @@
 	struct pl_response answer;
 	char at_fault[MAG_ADDR_MAX];
 	/* Of one that was forwarded: */
-	int sends_before;	   /* sends of the request before it */
+	bool assumed_sent;	   /* counted in sends, until the peer tells */
 	bool peer_told;		   /* the peer's answer says what it did */
 	struct pl_history history; /* that is what it says */
 	bool answered; /* the header of its answer has been received */
@@ -269,6 +269,7 @@
 /* eq_forward.c */
 bool eq_may_forward(const struct eq *eq, int64_t now);
 bool eq_forward_start(struct eq *eq, int64_t now);
+void eq_drop_assumed_send(struct eq *eq);
 
 /* eq_answer.c */
 extern const struct hc_ops eq_ops;
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -222,7 +222,7 @@
 		if (eq->attempt->hop_count > 0)
 			eq_return_send(eq, now);
 		else
-			eq->sends = eq->attempt->sends_before;
+			eq_drop_assumed_send(eq);
 		return;
 	}
 	eq_count_run(eq);
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -25,6 +25,7 @@
  */
 #define EQ_FORWARD_LEFT_US MAG_US_PER_MS
 
+static void eq_assume_sent(struct eq *eq);
 static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t now);
 static bool eq_forward_headers(void *user, const struct hc_response *response);
 static void eq_forward_end(void *user, enum hc_result end);
@@ -76,7 +77,6 @@
 	}
 	eq_leave_queue(eq, now);
 	eq_begin_attempt(eq, now);
-	eq->attempt->sends_before = eq->sends;
 	eq->forwards++;
 	met_increment(&edge->met, MET_FORWARDED);
 	jlog(LOG_EQ_FORWARDED,
@@ -86,12 +86,28 @@
 	     eq->forwarded_to, eq->forwards,
 	     reach_is_lost(&edge->workers.reach) ? "true" : "false", eq->sends,
 	     eq->runs, (long long)eq->last_event);
-	/* The peer sends it, as far as is known before its answer. */
-	if (eq->sends == 0)
-		eq->sends = 1;
+	eq_assume_sent(eq);
 	return true;
 }
 
+/* Counts a request as sent by a peer that has not said whether it did. */
+static void eq_assume_sent(struct eq *eq)
+{
+	if (eq->sends > 0)
+		return;
+	eq->sends = 1;
+	eq->attempt->assumed_sent = true;
+}
+
+/* Takes that back, as the peer has said so or got nothing. */
+void eq_drop_assumed_send(struct eq *eq)
+{
+	if (!eq->attempt->assumed_sent)
+		return;
+	eq->sends--;
+	eq->attempt->assumed_sent = false;
+}
+
 static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t now)
 {
 	struct pl_history history;
@@ -132,7 +148,7 @@
 		return;
 	}
 	if (end == HC_UNSENT) {
-		eq->sends = attempt->sends_before;
+		eq_drop_assumed_send(eq);
 		eq_log_forward_end(eq, "peer not reached");
 		eq_retry_or_fail(eq, "peer not reached");
 		return;
@@ -140,6 +156,7 @@
 	/* The peer may have used up all runs that the route allows. */
 	eq->may_have_run = true;
 	eq->runs = eq->route->max_attempts;
+	eq_assume_sent(eq);
 	eq_log_forward_end(eq, "peer broke off");
 	eq_retry_or_fail(eq, "peer broke off");
 }
@@ -148,8 +165,10 @@
 static void eq_forward_answered(struct eq *eq, int64_t now)
 {
 	if (eq->attempt->peer_told) {
-		eq->sends = eq->attempt->sends_before;
+		eq_drop_assumed_send(eq);
 		eq_take_history(eq, &eq->attempt->history);
+	} else {
+		eq_assume_sent(eq);
 	}
 	if (eq_is_refusal(eq)) {
 		eq_log_forward_end(eq, "refused");
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -443,6 +443,7 @@
 	eq->attempt->ran_well = false;
 	eq->attempt->answered = false;
 	eq->attempt->peer_told = false;
+	eq->attempt->assumed_sent = false;
 	eq->attempt->garbled = false;
 	eq->attempt->garbled_bytes = 0;
 	eq->attempt->status = 0;
