eq_wait, eq_send: a request whose first send was taken back starts once

Cause: a send of which no byte was sent is taken back since, and the next one is the first again. The queue's estimate of demand then counted the request as arrived and started twice, and the histogram wait_ms had it twice.

Ruled out: the retry budget, which takes its request back. Before: two starts for one request while capacity is short; after: one. Read in the change.

Conclusion: what is counted at the first send is counted at the first try.

--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -339,7 +339,9 @@
 
 	if (eq->sends == 0) {
 		bud_add_request(bud, now);
-		met_observe(&eq->edge->met, MET_WAIT, now - eq->arrived_us);
+		if (eq->unsent == 0)
+			met_observe(&eq->edge->met, MET_WAIT,
+				    now - eq->arrived_us);
 	} else if (!bud_take_retry(bud, now)) {
 		eq_release(eq);
 		if (eq->kept)
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -159,7 +159,7 @@
 	if (!eq_is_ranked(eq))
 		return;
 	service = eq_edge_service(eq, now);
-	if (eq->sends == 0 && eq_is_short(service, now)) {
+	if (eq->sends == 0 && eq->unsent == 0 && eq_is_short(service, now)) {
 		if (!eq_is_queued(eq))
 			wq_arrived(&service->wq, &eq->wait);
 		wq_started(&service->wq, now);
