deploy/retries.awk: a send that was taken back is found by its worker

A router may have two attempts of a request in progress, and takes the earlier one's send back after it has begun the later one.

--- a/deploy/retries.awk
+++ b/deploy/retries.awk
@@ -37,15 +37,17 @@
 	request[sends] = id
 	first[sends] = field("repeat") == "" ? field("send") == 1 : field("repeat") == "false"
 	counted += !first[sends]
-	newest[id, $2] = sends++
+	newest[id, $2, field("worker")] = sends++
 }
 
-# No byte of a router's last send of the request was sent.
+# No byte of a router's last send of the request to this worker was sent; it may
+# have sent it to another one since.
 /"event":10009,/ {
 	id = field("request")
 	counted -= field("repeat") == "true"
-	if ((id, $2) in newest)
-		taken_back[newest[id, $2]] = 1
+	worker = field("worker")
+	if ((id, $2, worker) in newest)
+		taken_back[newest[id, $2, worker]] = 1
 }
 
 # Sorts the sends into first ones and repeats of each service.  Lines of one
