eq_forward, eq_wait: how long a request may still wait goes with it to a peer

Each peer began the wait anew, as it did not know of the one before. How long a request may still wait for a worker is now told to the peer. While there is another peer to ask it is zero, so that a peer without a worker refuses at once and the second one is asked some milliseconds later; that one gets what is left of the wait. A request that has begun or may have run is not limited, because its refusal goes to nobody.

--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -130,7 +130,7 @@
 	hdr_free(&headers);
 }
 
-/* "forward LAST_EVENT": prints a request as it is forwarded. */
+/* "forward LAST_EVENT WAIT_MS": prints a request as it is forwarded. */
 static void print_forward(FILE *out, const char *line)
 {
 	static const char *const fields[][2] = {
@@ -141,6 +141,7 @@
 		{ "Last-Event-Id", "3" },
 		{ "Tenant", "of-the-client" },
 		{ "magnolia-forwarded", "9,9" },
+		{ "magnolia-wait", "9" },
 		{ "Connection", "keep-alive" },
 		{ "Content-Length", "99" },
 		{ "X-Own", "kept" },
@@ -148,7 +149,7 @@
 	struct hdr_list headers = { 0 };
 	struct pl_history history = { 1, 2, true, { 0x1a2b, 0xffffffff }, 2 };
 	struct pl_forward forward = { "POST", "/s/x", &headers, NULL,
-				      1500,   -1,     &history };
+				      1500,   -1,     -1,	&history };
 	struct evbuffer *message;
 	char *text;
 	size_t i;
@@ -159,7 +160,8 @@
 	}
 	forward.body = evbuffer_new();
 	evbuffer_add(forward.body, "body", 4);
-	forward.last_event = strtol(line, NULL, 10);
+	sscanf(line, "%" SCNd64 " %" SCNd64, &forward.last_event,
+	       &forward.wait_ms);
 	message = pl_forward_encode(&forward);
 	while ((text = evbuffer_readln(message, NULL, EVBUFFER_EOL_CRLF))) {
 		fprintf(out, "%s\n", text);
@@ -171,6 +173,19 @@
 	hdr_free(&headers);
 }
 
+/* "wait [TEXT]": prints how long a forwarded request may wait. */
+static void print_wait(FILE *out, const char *text)
+{
+	struct hdr_list headers = { 0 };
+
+	if (*text) {
+		hdr_add_name(&headers, PL_WAIT_FIELD, strlen(PL_WAIT_FIELD));
+		hdr_add_value(&headers, text + 1, strlen(text + 1));
+	}
+	fprintf(out, "%" PRId64 "\n", pl_wait_decode(&headers));
+	hdr_free(&headers);
+}
+
 /* "forwarded [COUNTS]": prints the counts that a forwarded request carries. */
 static void print_forwarded(FILE *out, const char *text)
 {
@@ -375,6 +390,8 @@
 			print_limit(out, line + 5);
 		else if (strncmp(line, "forward ", 8) == 0)
 			print_forward(out, line + 8);
+		else if (strncmp(line, "wait", 4) == 0)
+			print_wait(out, line + 4);
 		else if (strncmp(line, "forwarded", 9) == 0)
 			print_forwarded(out, line + 9);
 		else if (strncmp(line, "failed ", 7) == 0)
--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -55,7 +55,7 @@
 # put_config VERSION [KEYS]: publishes a configuration as the operator does.  With
 # PRIORITIES=1 there are two more accounts, one of high and one of low priority, and
 # routes differ in priority, too; with PRIORITIES=swapped these two are swapped.
-# $TIMEOUT_MS, $TARGET_MS, $PLAIN_TIMEOUT_MS, $LOOKUPS_TO, $IDLE_MS and $BODY_BYTES
+# $TIMEOUT_MS, $TARGET_MS, $PLAIN_TIMEOUT_MS, $PLAIN_TARGET_MS, $LOOKUPS_TO, $IDLE_MS and $BODY_BYTES
 # change single fields, $ROUTES and $SERVICES replace all, $MORE_SERVICES and
 # $MORE_ROUTES, each with a comma before it, add some.
 put_config() {
@@ -75,7 +75,7 @@
 	{"Name":"app","HealthPath":"/healthz","MaxConnections":900}'
 	streams='{"Name":"s",'$first'"Host":"h.example","PathPrefix":"/s/","Kind":"streaming","StreamResume":true,"SessionAffinity":true,"TimeoutMs":'${TIMEOUT_MS:-6000}',"TargetLatencyMs":'${TARGET_MS:-500}',"GapAimMs":250,"MaxAttempts":'${STREAM_ATTEMPTS:-2}',"Service":"model"}'
 	bookings='{"Name":"b","Host":"h.example","PathPrefix":"/b/","Kind":"non_idempotent","TimeoutMs":'${PLAIN_TIMEOUT_MS:-3000}',"TargetLatencyMs":500,"MaxAttempts":1,"Service":"app"}'
-	lookups='{"Name":"r",'$last'"Host":"h.example","PathPrefix":"/r/","Kind":"idempotent","TimeoutMs":'${PLAIN_TIMEOUT_MS:-3000}',"TargetLatencyMs":500,"MaxAttempts":2,'${LOOKUPS_TO:-'"Service":"app"'}'}'
+	lookups='{"Name":"r",'$last'"Host":"h.example","PathPrefix":"/r/","Kind":"idempotent","TimeoutMs":'${PLAIN_TIMEOUT_MS:-3000}',"TargetLatencyMs":'${PLAIN_TARGET_MS:-500}',"MaxAttempts":2,'${LOOKUPS_TO:-'"Service":"app"'}'}'
 	routes="$streams,$bookings,$lookups"
 	curl -s -X POST "http://$store/stand-in/put?Key=op/config" --data-binary @- <<-JSON
 	{"Version":$1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":${BODY_BYTES:-65536},"HeaderTimeoutMs":3000,"IdleTimeoutMs":${IDLE_MS:-15000}},
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -363,7 +363,7 @@
 	/* Peers serve the callers of a router that has lost its path. */
 	if (!ready && reach_is_lost(&edge->workers.reach))
 		ready = edge_may_serve(edge, now) &&
-			hint_has_server(edge->hint, now);
+			hint_count_servers(edge->hint, now) > 0;
 
 	hs_reply(conn, ready ? 200 : 503, NULL, NULL, 0);
 }
--- a/src/eq.c
+++ b/src/eq.c
@@ -104,11 +104,15 @@
 static void eq_take_forwarded(struct eq *eq)
 {
 	struct pl_history history;
+	int64_t wait_ms;
 
 	met_increment(&eq->edge->met, MET_TAKEN_OVER);
 	if (!pl_history_decode(hs_headers(eq->caller), &history))
 		eq->bad_field = PL_FORWARD_FIELD;
 	eq_take_history(eq, &history);
+	wait_ms = pl_wait_decode(hs_headers(eq->caller));
+	if (wait_ms >= 0)
+		eq->wait_until_us = eq->arrived_us + wait_ms * MAG_US_PER_MS;
 	eq->ran_elsewhere = eq->runs > 0;
 }
 
--- a/src/eq.h
+++ b/src/eq.h
@@ -214,6 +214,7 @@
 void eq_wait_tick(struct edge *edge, int64_t now);
 bool eq_must_queue(const struct eq *eq, int64_t now);
 void eq_set_wait(struct eq *eq, int64_t now);
+int64_t eq_wait_until(struct eq *eq, int64_t now);
 void eq_note_placed(struct eq *eq, int64_t now);
 void eq_leave_queue(struct eq *eq, int64_t now);
 bool eq_waits_for_budget(struct eq *eq, int64_t now);
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -25,8 +25,10 @@
  */
 #define EQ_FORWARD_LEFT_US MAG_US_PER_MS
 
+static int64_t eq_forward_wait_ms(struct eq *eq, int64_t now);
 static void eq_assume_sent(struct eq *eq);
-static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t now);
+static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t wait_ms,
+					  int64_t now);
 static bool eq_forward_headers(void *user, const struct hc_response *response);
 static void eq_forward_end(void *user, enum hc_result end);
 static void eq_forward_answered(struct eq *eq, int64_t now);
@@ -45,7 +47,7 @@
 {
 	return !eq->is_forwarded && eq->forwards < EQ_FORWARDS_MAX &&
 	       eq->deadline_us - now >= EQ_FORWARD_LEFT_US &&
-	       hint_has_server(eq->edge->hint, now);
+	       hint_count_servers(eq->edge->hint, now) > 0;
 }
 
 /*
@@ -58,14 +60,16 @@
 	struct hc_send send = { 0 };
 	struct hc_host *host;
 	char id[WIRE_ID_MAX];
+	int64_t wait_ms;
 
 	if (!eq_may_forward(eq, now))
 		return false;
+	wait_ms = eq_forward_wait_ms(eq, now);
 	host = hint_pick_server(edge->hint, eq->forwarded_to, now,
 				&eq->forwarded_to);
 	if (!host)
 		return false;
-	send.request = eq_forward_encode(eq, now);
+	send.request = eq_forward_encode(eq, wait_ms, now);
 	if (!send.request)
 		return false;
 	send.ops = &eq_forward_ops;
@@ -81,15 +85,35 @@
 	met_increment(&edge->met, MET_FORWARDED);
 	jlog(LOG_EQ_FORWARDED,
 	     "\"request\":\"%s\",\"peer\":%u,\"forward\":%d,\"path_lost\":%s,"
-	     "\"sends\":%d,\"runs\":%d,\"from_event\":%lld",
+	     "\"sends\":%d,\"runs\":%d,\"from_event\":%lld,"
+	     "\"wait_ms\":%lld",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
 	     eq->forwarded_to, eq->forwards,
 	     reach_is_lost(&edge->workers.reach) ? "true" : "false", eq->sends,
-	     eq->runs, (long long)eq->last_event);
+	     eq->runs, (long long)eq->last_event, (long long)wait_ms);
 	eq_assume_sent(eq);
 	return true;
 }
 
+/*
+ * Returns how long a peer may let the request wait for a worker.  While there
+ * is another peer to ask, it does not wait at this one; at the last one it
+ * waits for as long as it would here.  One that has begun or may have run waits
+ * as its peer decides, because no refusal of it is passed on (-1).
+ */
+static int64_t eq_forward_wait_ms(struct eq *eq, int64_t now)
+{
+	int64_t until_us;
+
+	if (eq->state == EQ_STREAMING || eq->may_have_run || eq->kept)
+		return -1;
+	if (eq->forwards + 1 < EQ_FORWARDS_MAX &&
+	    hint_count_servers(eq->edge->hint, now) > 1)
+		return 0;
+	until_us = eq_wait_until(eq, now);
+	return until_us > now ? (until_us - now) / MAG_US_PER_MS : 0;
+}
+
 /* Counts a request as sent by a peer that has not said whether it did. */
 static void eq_assume_sent(struct eq *eq)
 {
@@ -108,7 +132,8 @@
 	eq->attempt->assumed_sent = false;
 }
 
-static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t now)
+static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t wait_ms,
+					  int64_t now)
 {
 	struct pl_history history;
 	struct pl_forward forward = {
@@ -117,6 +142,7 @@
 		.headers = hs_headers(eq->caller),
 		.body = hs_body(eq->caller),
 		.remaining_ms = (eq->deadline_us - now) / MAG_US_PER_MS,
+		.wait_ms = wait_ms,
 		.last_event = eq->state == EQ_STREAMING ? eq->last_event : -1,
 		.history = &history,
 	};
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -227,8 +227,7 @@
 			eq_fail(eq, 502, "no chain to go on");
 		return;
 	}
-	if (!eq->wait_until_us)
-		eq->wait_until_us = now + eq_wait_us(eq);
+	eq_wait_until(eq, now);
 	if (eq->may_have_run && !eq->is_forwarded && !eq->waits_to_repeat) {
 		eq->waits_to_repeat = true;
 		eq->wait_until_us = now + eq_repeat_wait_us(eq);
@@ -263,6 +262,14 @@
 	return (int64_t)((double)leave_us * EQ_RESUME_FRACTION);
 }
 
+/* Returns until when a request waits for a worker, from the first try on. */
+int64_t eq_wait_until(struct eq *eq, int64_t now)
+{
+	if (!eq->wait_until_us)
+		eq->wait_until_us = now + eq_wait_us(eq);
+	return eq->wait_until_us;
+}
+
 /* Returns how long a request waits for a worker at the most. */
 static int64_t eq_wait_us(const struct eq *eq)
 {
@@ -278,6 +285,13 @@
 	eq->wait.start_by_us = now + eq_wait_us(eq);
 	eq->wait.grace_until_us = now + (int64_t)((double)eq->route->target_us *
 						  EQ_GRACE_FRACTION);
+	if (!eq->wait_until_us)
+		return;
+	/* The router that forwarded it says how long it waits here. */
+	if (eq->wait.start_by_us > eq->wait_until_us)
+		eq->wait.start_by_us = eq->wait_until_us;
+	if (eq->wait.grace_until_us > eq->wait_until_us)
+		eq->wait.grace_until_us = eq->wait_until_us;
 }
 
 static bool eq_is_queued(const struct eq *eq)
--- a/src/hint.c
+++ b/src/hint.c
@@ -367,17 +367,16 @@
 	return hint_suspect_rank(key, routers, count, hint->self.id);
 }
 
-/* Tells whether a peer serves its callers by paths of its own. */
-bool hint_has_server(const struct hint *hint, int64_t now)
+/* Counts the peers that serve their callers by paths of their own. */
+int hint_count_servers(const struct hint *hint, int64_t now)
 {
 	int64_t expiry_us = hint_expiry_us(hint);
 	const struct hint_peer *peer;
+	int count = 0;
 
-	cds_list_for_each_entry (peer, &hint->peers, node) {
-		if (peer->ready && now - peer->received_us <= expiry_us)
-			return true;
-	}
-	return false;
+	cds_list_for_each_entry (peer, &hint->peers, node)
+		count += peer->ready && now - peer->received_us <= expiry_us;
+	return count;
 }
 
 /*
--- a/src/hint.h
+++ b/src/hint.h
@@ -29,7 +29,7 @@
 struct hc_host *hint_pick_server(struct hint *hint, uint32_t avoid, int64_t now,
 				 uint32_t *id);
 int hint_rank(struct hint *hint, uint32_t key, int64_t now);
-bool hint_has_server(const struct hint *hint, int64_t now);
+int hint_count_servers(const struct hint *hint, int64_t now);
 bool hint_others_ready(const struct hint *hint, int64_t now);
 
 #endif /* HINT_H */
