eq_chain, wk_health: a first worker that fails several requests costs more

A router now counts the recent requests that each first worker began and did not begin, and adds a price for the fraction that it did not begin to chains that begin there.

regress/wk/entry and regress/chn/entry are new, as the price is.

--- a/regress/check_chn.c
+++ b/regress/check_chn.c
@@ -33,6 +33,16 @@
 		workers[count++] = w;
 }
 
+/* "entry REF US": the price of a chain that begins there. */
+static void set_entry(const char *line)
+{
+	double us;
+	int ref;
+
+	if (sscanf(line, "%*s %d %lf", &ref, &us) == 2 && ref < count)
+		workers[ref].entry_us = us;
+}
+
 /* "workers N CENTRE FROM TO LAYER_US": so many alike. */
 static void add_workers(const char *line)
 {
@@ -454,6 +464,8 @@
 			add_worker(line);
 		else if (strncmp(line, "workers ", 8) == 0)
 			add_workers(line);
+		else if (strncmp(line, "entry ", 6) == 0)
+			set_entry(line);
 		else if (strncmp(line, "want ", 5) == 0)
 			set_request(line);
 		else if (sscanf(line, "choose %d", &n) == 1)
--- a/regress/check_wk.c
+++ b/regress/check_wk.c
@@ -90,6 +90,10 @@
 		wk_suspect(wk_by_id(&table, id), now, "test");
 	else if (sscanf(line, "refuses %63s", id) == 1)
 		wk_on_refusal(wk_by_id(&table, id), now);
+	else if (sscanf(line, "begins %63s", id) == 1)
+		wk_add_entry(wk_by_id(&table, id), true, now);
+	else if (sscanf(line, "fails %63s", id) == 1)
+		wk_add_entry(wk_by_id(&table, id), false, now);
 	else if (sscanf(line, "gone %63s", id) == 1)
 		wk_remove(&table, id, now, now);
 	else if (sscanf(line, "lives %63s", id) == 1)
@@ -148,6 +152,9 @@
 		else if (sscanf(line, "candidates %63s", text) == 1 &&
 			 (wk = wk_by_id(&table, text)))
 			fprintf(out, "%d\n", wk_count_interrupted(wk, now));
+		else if (sscanf(line, "failures %63s", text) == 1 &&
+			 (wk = wk_by_id(&table, text)))
+			fprintf(out, "%.2f\n", wk_entry_failure_rate(wk, now));
 		else if (sscanf(line, "dead %63s", text) == 1 &&
 			 (wk = wk_by_id(&table, text)))
 			fprintf(out, "%s\n",
--- a/src/chn.h
+++ b/src/chn.h
@@ -46,6 +46,7 @@
 	double memory;	     /* capacity, tokens x layers */
 	double held;	     /* the part of it that is in use */
 	int first_hops_left; /* free slots for requests that begin there */
+	double entry_us;     /* price of a chain that begins there */
 	/* In a repair: layers of this stream that the worker already runs. */
 	int retained_from;
 	int retained_to;
--- a/src/chn_walk.c
+++ b/src/chn_walk.c
@@ -158,8 +158,10 @@
 	if (position == 0) {
 		if (w->first_hops_left <= 0)
 			return CHN_INFINITE_COST;
-		return request->centre == w->centre ? 0
-						    : request->remote_entry_us;
+		cost = w->entry_us;
+		if (request->centre != w->centre)
+			cost += request->remote_entry_us;
+		return cost;
 	}
 	for (i = 0; i < walk->centres; i++) {
 		cost = walk->cheapest[position][i].cost;
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -296,8 +296,10 @@
 	int i;
 
 	eq_count_outcome(eq, true);
-	if (eq->attempt->hop_count > 0)
+	if (eq->attempt->hop_count > 0) {
 		wk_on_success(eq->attempt->hops[0].worker);
+		wk_add_entry(eq->attempt->hops[0].worker, true, clk_boot_us());
+	}
 	for (i = 0; i < eq->attempt->hop_count; i++)
 		wk_on_start(eq->attempt->hops[i].worker);
 }
@@ -484,6 +486,9 @@
 		fault = wk;
 	eq_avoid_everywhere(eq, fault);
 	if (eq->service->has_engine) {
+		/* A backoff that it requested says itself when it ends. */
+		if (fault == wk && !adv_backs_off(&wk->proc.adv, now))
+			wk_add_entry(wk, false, now);
 		wk_on_refusal(fault, now);
 		wkp_probe(edge, fault, now);
 	} else if (eq->attempt->status == 421) {
@@ -528,8 +533,10 @@
 	eq->may_have_run = true;
 	eq->runs++;
 	wk_add_result(wk, false, 0);
-	if (!eq->attempt->answered || eq_is_truncated(eq->attempt))
+	if (!eq->attempt->answered || eq_is_truncated(eq->attempt)) {
 		wk_on_break(wk, now);
+		wk_add_entry(wk, false, now);
+	}
 	if (end == HC_CONN_LOST) {
 		eq_add_crash_candidate(eq, wk, now);
 		wkp_probe(eq->edge, wk, now);
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -21,6 +21,11 @@
  * both.
  */
 #define EQ_REMOTE_US 8000
+/*
+ * Cost of a first worker that begins none of the requests sent to it.  Beyond
+ * the time of another send it includes the retry, which other requests lack.
+ */
+#define EQ_ENTRY_FAILURE_US 40000
 /* Random variation of a worker's cost, as a fraction of it. */
 #define EQ_COST_VARIATION 0.1
 /*
@@ -437,6 +442,8 @@
 		w->retained_to = retained ? retained->to : 0;
 		w->prefill_us =
 			eq_prefill_us(eq, accelerator) * wk->proc.slowdown;
+		w->entry_us =
+			EQ_ENTRY_FAILURE_US * wk_entry_failure_rate(wk, now);
 		w->prefill_backlog_us =
 			wk->proc.prefill_until_us > now
 				? (double)(wk->proc.prefill_until_us - now)
--- a/src/wk.h
+++ b/src/wk.h
@@ -69,9 +69,16 @@
 	int64_t heard_us; /* when news of the suspicion last came */
 	/* After news of any suspicion, until then. */
 	int64_t hearsay_pause_until_us;
-	int64_t answered_us;	/* when it last proved to us that it works */
-	bool to_announce;	/* the suspicion was not sent to peers yet */
-	double failure_rate;	/* of recent requests, smoothed */
+	int64_t answered_us; /* when it last proved to us that it works */
+	bool to_announce;    /* the suspicion was not sent to peers yet */
+	double failure_rate; /* of recent requests, smoothed */
+	/*
+	 * Recent requests sent to it as the first worker that it began, and
+	 * those that it did not begin; older ones count less, as of entry_us.
+	 */
+	double entries_begun;
+	double entries_failed;
+	int64_t entry_us;
 	int consecutive_breaks; /* requests broken off since the last event */
 	int distrust_count;	/* consecutive times of distrust */
 	/* No new work until then, whatever the worker reports of itself. */
@@ -267,6 +274,8 @@
 void wk_on_break(struct wk *wk, int64_t now);
 void wk_on_success(struct wk *wk);
 void wk_add_result(struct wk *wk, bool good, int64_t took_us);
+void wk_add_entry(struct wk *wk, bool began, int64_t now);
+double wk_entry_failure_rate(const struct wk *wk, int64_t now);
 bool wk_runs_others(struct wk *wk, int firsts, double held, int64_t now);
 void wk_add_interrupted(struct wk *wk,
 			const struct wk_interrupted *interrupted);
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "jlog.h"
@@ -61,9 +62,17 @@
 #define WK_REGAIN_ROUTERS     8
 /* Weight of the newest sample in the moving averages. */
 #define WK_SMOOTHING 0.1
+/*
+ * Time constant with which requests that a first worker was to begin are
+ * forgotten.
+ */
+#define WK_ENTRY_FORGET_US (2 * MAG_US_PER_S)
+/* Recent failures to begin a request that do not count against a worker. */
+#define WK_ENTRY_TOLERATED 1.0
 
 static bool wk_is_avoided_by_hearsay(const struct wk *wk, int64_t now);
 static bool wk_is_probe_overdue(const struct wk *wk, int64_t now);
+static double wk_entry_weight(const struct wk *wk, int64_t now);
 static void wk_log_suspect(const struct wk *wk, const char *why,
 			   int64_t duration_us, int times);
 
@@ -304,6 +313,44 @@
 	wk->proc.refusals++;
 }
 
+/*
+ * Records whether a first worker began a request, or refused it or broke it off
+ * before its first event.
+ */
+void wk_add_entry(struct wk *wk, bool began, int64_t now)
+{
+	double weight = wk_entry_weight(wk, now);
+
+	wk->proc.entries_begun = wk->proc.entries_begun * weight + began;
+	wk->proc.entries_failed = wk->proc.entries_failed * weight + !began;
+	wk->proc.entry_us = now;
+}
+
+/*
+ * Returns the fraction of recent requests that a first worker did not begin,
+ * without a single one, which tells nothing of the next request.
+ */
+double wk_entry_failure_rate(const struct wk *wk, int64_t now)
+{
+	double weight;
+	double failed;
+
+	if (wk->proc.entries_failed <= WK_ENTRY_TOLERATED)
+		return 0;
+	weight = wk_entry_weight(wk, now);
+	failed = wk->proc.entries_failed * weight;
+	if (failed <= WK_ENTRY_TOLERATED)
+		return 0;
+	return (failed - WK_ENTRY_TOLERATED) /
+	       (failed + wk->proc.entries_begun * weight);
+}
+
+/* Returns how much the requests recorded so far count now, up to 1. */
+static double wk_entry_weight(const struct wk *wk, int64_t now)
+{
+	return exp(-(double)(now - wk->proc.entry_us) / WK_ENTRY_FORGET_US);
+}
+
 /* Notes that a worker began a request: the refusals have ended. */
 void wk_on_start(struct wk *wk)
 {
