bud: retries keep to the bound in every window, also after a rush

A rush of 2.4 times the load had ended when workers refused and reset most requests. A router allowed as many retries as the requests of the last ten seconds did at the moment of each retry. The bound compares the retries of a window with the requests in that window, in the one before, or in the one half a window before it: a rush that lies across two of these counts half for the bound, but whole for the router.

A router now compares the retries of every window that holds the present moment with the requests that count for that window. Of the three sums each router takes its largest, and where callers move from one router to another both may allow them the retries, so that the sum of the window before, which adds up over the routers, has twice the weight of the largest one. Of the ratio 0.93 is used.

--- a/src/bud.c
+++ b/src/bud.c
@@ -3,14 +3,34 @@
 #include "bud.h"
 
 /*
- * Retries count for an eighth longer than the window of the bound, because
- * slices are coarse and a sliding window may begin inside of one.  Requests
- * count for a little less than the window, for the same reason.
+ * The bound holds for each window of its length: the retries in it are at most
+ * the slack plus a fraction of the requests in it, in the window before it, or
+ * in the one that begins half a window before it, whichever are most.  As
+ * slices are coarse, all slices that a window touches count for its retries,
+ * and those that lie inside of it however it begins for its requests.
  */
-#define BUD_WINDOW_SLICES  56
-#define BUD_REQUEST_SLICES 49
-#define BUD_MARGIN	   1.125
-
+#define BUD_SLICE_FRACTION (1.125 / 56) /* of the window */
+#define BUD_TOUCHED	   51		/* slices that a window touches */
+#define BUD_INSIDE	   48		/* slices that lie inside of it */
+#define BUD_HALF	   23		/* of them in either half */
+/*
+ * Fraction of the ratio that is used: the windows of the routers' slices do not
+ * begin together, and requests that no router has sent are not counted.
+ */
+#define BUD_RATIO_USED 0.93
+/* Slices that matter: windows that end now, and one before each. */
+#define BUD_KNOWN (BUD_TOUCHED + BUD_INSIDE)
+
+/* Sums over the slices before each of those that matter. */
+struct bud_sums {
+	int requests[BUD_KNOWN + 1];
+	int retries[BUD_KNOWN + 1];
+};
+
+static void bud_sum_up(const struct bud *bud, int64_t number,
+		       struct bud_sums *sums);
+static double bud_requests_of_window(const struct bud_sums *sums, int begin);
+static int bud_requests_in(const struct bud_sums *sums, int from, int to);
 static struct bud_slice *bud_slice_at(struct bud *bud, int64_t now);
 static struct bud_slice *bud_find_slice(struct bud *bud, int64_t then);
 
@@ -18,9 +38,8 @@
 void bud_init(struct bud *bud, int64_t window_us, double ratio, double slack)
 {
 	memset(bud, 0, sizeof(*bud));
-	bud->slice_us =
-		(int64_t)((double)window_us * BUD_MARGIN / BUD_WINDOW_SLICES);
-	bud->ratio = ratio;
+	bud->slice_us = (int64_t)((double)window_us * BUD_SLICE_FRACTION);
+	bud->ratio = ratio * BUD_RATIO_USED;
 	bud->slack = slack;
 	bud->draw = 1;
 }
@@ -78,21 +97,78 @@
 		slice->retries--;
 }
 
-/* Returns how many retries are left now. */
+/*
+ * Returns how many retries are left now: as many as every window that has begun
+ * and holds the present moment has left.
+ */
 double bud_left(const struct bud *bud, int64_t now)
 {
-	int64_t number = now / bud->slice_us;
-	int requests = 0;
-	int retries = 0;
+	struct bud_sums sums;
+	double least = 0;
+	double left;
+	int begin;
+
+	bud_sum_up(bud, now / bud->slice_us, &sums);
+	for (begin = BUD_KNOWN - BUD_TOUCHED; begin < BUD_KNOWN; begin++) {
+		left = bud->ratio * bud_requests_of_window(&sums, begin) +
+		       bud->slack -
+		       (sums.retries[BUD_KNOWN] - sums.retries[begin]);
+		if (begin == BUD_KNOWN - BUD_TOUCHED || left < least)
+			least = left;
+	}
+	return least;
+}
+
+/* Sums up the slices that matter, up to the one of this number. */
+static void bud_sum_up(const struct bud *bud, int64_t number,
+		       struct bud_sums *sums)
+{
+	const struct bud_slice *slice;
 	int i;
 
-	for (i = 0; i < BUD_SLICES; i++) {
-		if (bud->slices[i].number > number - BUD_REQUEST_SLICES)
-			requests += bud->slices[i].requests;
-		if (bud->slices[i].number > number - BUD_WINDOW_SLICES)
-			retries += bud->slices[i].retries;
+	memset(sums, 0, sizeof(*sums));
+	number -= BUD_KNOWN - 1;
+	for (i = 0; i < BUD_KNOWN; i++, number++) {
+		sums->requests[i + 1] = sums->requests[i];
+		sums->retries[i + 1] = sums->retries[i];
+		if (number < 0)
+			continue;
+		slice = &bud->slices[number % BUD_SLICES];
+		if (slice->number != number)
+			continue;
+		sums->requests[i + 1] += slice->requests;
+		sums->retries[i + 1] += slice->retries;
 	}
-	return bud->ratio * requests + bud->slack - retries;
+}
+
+/*
+ * Returns the requests that allow retries in the window from a slice on.  Each
+ * router has a window of the three with the most requests of its own.  If
+ * callers move from one router to another these windows differ, and what both
+ * allow exceeds the bound.  The window before has a greater weight therefore:
+ * its sum over all routers is never more than the bound's.
+ */
+static double bud_requests_of_window(const struct bud_sums *sums, int begin)
+{
+	int before = bud_requests_in(sums, begin - BUD_INSIDE, begin);
+	int around =
+		bud_requests_in(sums, begin - BUD_HALF, begin + BUD_HALF + 1);
+	int within = bud_requests_in(sums, begin + 1, BUD_KNOWN);
+	int most = around > within ? around : within;
+
+	if (before > most)
+		most = before;
+	return (most + 2 * before) / 3.0;
+}
+
+/* Returns the requests of the slices [from, to) that are known. */
+static int bud_requests_in(const struct bud_sums *sums, int from, int to)
+{
+	if (from < 0)
+		from = 0;
+	if (to > BUD_KNOWN)
+		to = BUD_KNOWN;
+	return from < to ? sums->requests[to] - sums->requests[from] : 0;
 }
 
 /*
--- a/src/bud.h
+++ b/src/bud.h
@@ -8,16 +8,16 @@
  * every client retries at once.  Retries then multiply the load of workers that
  * are already at their limit.  The bound over all instances is a fraction of
  * the requests plus a fixed slack.  Each instance limits its retries to that
- * fraction of its own requests plus its part of the slack, so that the sum
- * holds without messages between instances.  Where there are more instances
- * than retries, each one's part is below one: then as many of them may retry as
- * the sum allows, by a number that each drew at its start.
+ * fraction of its own requests plus its part of the slack, in every window, so
+ * that the sum holds without messages between instances.  Where there are more
+ * instances than retries, each one's part is below one: then as many of them
+ * may retry as the sum allows, by a number that each drew at its start.
  */
 
 #include <stdbool.h>
 #include <stdint.h>
 
-#define BUD_SLICES 64
+#define BUD_SLICES 128
 
 struct bud_slice {
 	int64_t number; /* slices since time zero */
