eq_wait: a forwarded request whose send broke waits anew

Found by regress/edge/forwarded-failed in the whole check on: a lookup that broke at the peer's only worker 0.22 s after it was forwarded ended 30 ms later with "no worker" instead of waiting for the worker that was about to come back, and the caller heard 502 in 3 of 3 and 2 of 3 cases. Since the wait that is told to the peer began when the request was forwarded, and was over when the send broke.

The wait that is told is for the first placement.

regress/edge/forwarded-wait let the second peer wait until the deadline, which both routers reach together, so that one of ten callers heard 504 beside load; the wait ends before it now.

--- a/regress/edge/forwarded-wait.sh
+++ b/regress/edge/forwarded-wait.sh
@@ -3,7 +3,7 @@
 . edge/lib.sh
 start_centre 1 1 3
 PLAIN_TIMEOUT_MS=3000
-PLAIN_TARGET_MS=20000
+PLAIN_TARGET_MS=5000
 LOOKUPS_TO='"Service":"none"'
 MORE_SERVICES=',{"Name":"none","HealthPath":"/healthz","MaxConnections":900}'
 put_config 2
--- a/src/eq_wait.c
+++ b/src/eq_wait.c
@@ -228,9 +228,11 @@
 		return;
 	}
 	eq_wait_until(eq, now);
-	if (eq->may_have_run && !eq->is_forwarded && !eq->waits_to_repeat) {
+	if (eq->may_have_run && !eq->waits_to_repeat) {
 		eq->waits_to_repeat = true;
-		eq->wait_until_us = now + eq_repeat_wait_us(eq);
+		eq->wait_until_us =
+			now + (eq->is_forwarded ? eq_wait_us(eq)
+						: eq_repeat_wait_us(eq));
 	}
 	eq->backoff_end_us = eq_backoff_end(eq, now);
 	if (eq->backoff_end_us > eq->wait_until_us) {
