bud, edge: a system that has just been started retries by what it has been sent

Found by regress/edge/broken-no-retry in the whole check on: 2 of 210 lookups whose worker died some seconds after the first start of the system were given up with "retry budget spent". Since the requests of the window before have twice the weight of the others, and there is none before the first start, so that the budget refilled at a third of its rate.

A window that begins before the first start of the whole system has no requests on any router, and callers cannot have moved in it; the window with the most requests counts alone then. A router that starts later does not know what others have counted, and goes on as before.

--- a/regress/check_bud.c
+++ b/regress/check_bud.c
@@ -9,7 +9,8 @@
 /*
  * Runs retries against the budget: "budget WINDOW_S RATIO SLACK", "at MS",
  * "requests N", "steady N MS" (every 100 ms, for so long), "take N", "return N
- * MS" (taken then) and "slack SLACK".
+ * MS" (taken then), "slack SLACK" and "first MS" (the whole system was
+ * started).
  */
 /*
  * "fleet INSTANCES SLACK": each instance has its part of the slack and wants
@@ -271,6 +272,8 @@
 		} else if (sscanf(line, "return %d %ld", &n, &ms) == 2) {
 			while (n-- > 0)
 				bud_return_retry(&bud, ms * MAG_US_PER_MS);
+		} else if (sscanf(line, "first %ld", &ms) == 1) {
+			bud_set_first(&bud, ms * MAG_US_PER_MS);
 		} else if (sscanf(line, "slack %lf", &slack) == 1) {
 			bud_set_slack(&bud, slack);
 		}
--- a/src/bud.c
+++ b/src/bud.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "bud.h"
+#include "mag.h"
 
 /*
  * The bound holds for each window of its length: the retries in it are at most
@@ -29,7 +30,8 @@
 
 static void bud_sum_up(const struct bud *bud, int64_t number,
 		       struct bud_sums *sums);
-static double bud_requests_of_window(const struct bud_sums *sums, int begin);
+static double bud_requests_of_window(const struct bud_sums *sums, int begin,
+				     int64_t first);
 static int bud_requests_in(const struct bud_sums *sums, int from, int to);
 static struct bud_slice *bud_slice_at(struct bud *bud, int64_t now);
 static struct bud_slice *bud_find_slice(struct bud *bud, int64_t then);
@@ -42,6 +44,13 @@
 	bud->ratio = ratio * BUD_RATIO_USED;
 	bud->slack = slack;
 	bud->draw = 1;
+	bud->first_us = -MAG_NEVER;
+}
+
+/* Sets when the whole system was started for the first time. */
+void bud_set_first(struct bud *bud, int64_t first_us)
+{
+	bud->first_us = first_us;
 }
 
 /* Sets the number that this instance drew, from 0 to 1; 1 without. */
@@ -104,13 +113,17 @@
 double bud_left(const struct bud *bud, int64_t now)
 {
 	struct bud_sums sums;
+	int64_t first; /* slice of first_us, as an index of the sums */
 	double least = 0;
 	double left;
 	int begin;
 
 	bud_sum_up(bud, now / bud->slice_us, &sums);
+	first = bud->first_us / bud->slice_us -
+		(now / bud->slice_us - (BUD_KNOWN - 1));
 	for (begin = BUD_KNOWN - BUD_TOUCHED; begin < BUD_KNOWN; begin++) {
-		left = bud->ratio * bud_requests_of_window(&sums, begin) +
+		left = bud->ratio *
+			       bud_requests_of_window(&sums, begin, first) +
 		       bud->slack -
 		       (sums.retries[BUD_KNOWN] - sums.retries[begin]);
 		if (begin == BUD_KNOWN - BUD_TOUCHED || left < least)
@@ -146,9 +159,11 @@
  * router has a window of the three with the most requests of its own.  If
  * callers move from one router to another these windows differ, and what both
  * allow exceeds the bound.  The window before has a greater weight therefore:
- * its sum over all routers is never more than the bound's.
+ * its sum over all routers is never more than the bound's.  A window that
+ * begins before the first start of the whole system has none, on any router.
  */
-static double bud_requests_of_window(const struct bud_sums *sums, int begin)
+static double bud_requests_of_window(const struct bud_sums *sums, int begin,
+				     int64_t first)
 {
 	int before = bud_requests_in(sums, begin - BUD_INSIDE, begin);
 	int around =
@@ -158,6 +173,8 @@
 
 	if (before > most)
 		most = before;
+	if (begin - BUD_INSIDE < first)
+		return most;
 	return (most + 2 * before) / 3.0;
 }
 
--- a/src/bud.h
+++ b/src/bud.h
@@ -29,6 +29,8 @@
 	int64_t slice_us;
 	double ratio;
 	double slack; /* this instance's part */
+	/* No instance has counted anything before, if that is known. */
+	int64_t first_us;
 	/*
 	 * From 0 to 1, other for each instance: which of them may use a
 	 * fraction of a retry that is left.
@@ -40,6 +42,7 @@
 void bud_init(struct bud *bud, int64_t window_us, double ratio, double slack);
 void bud_set_draw(struct bud *bud, double draw);
 void bud_set_slack(struct bud *bud, double slack);
+void bud_set_first(struct bud *bud, int64_t first_us);
 void bud_add_request(struct bud *bud, int64_t now);
 bool bud_may_retry(const struct bud *bud, int64_t now);
 bool bud_take_retry(struct bud *bud, int64_t now);
--- a/src/edge.c
+++ b/src/edge.c
@@ -96,6 +96,8 @@
 	bud_init(&service->bud, edge->set.retry_window_us,
 		 edge->set.retry_ratio, 0);
 	bud_set_draw(&service->bud, mag_random_unit(&edge->seed));
+	if (edge->set.first_start)
+		bud_set_first(&service->bud, edge->started_us);
 	edge_init_urgency(service);
 	cds_list_add_tail(&service->node, &edge->services);
 	edge->service_count++;
