regress/edge/forwarded-wait: the wait at the second peer lasts until the deadline again

The wait lasts until the deadline, which both routers reach together: 503 and 504 both say that the request had no run.

--- a/regress/edge/forwarded-wait.sh
+++ b/regress/edge/forwarded-wait.sh
@@ -3,7 +3,7 @@
 . edge/lib.sh
 start_centre 1 1 3
 PLAIN_TIMEOUT_MS=3000
-PLAIN_TARGET_MS=5000
+PLAIN_TARGET_MS=20000
 LOOKUPS_TO='"Service":"none"'
 MORE_SERVICES=',{"Name":"none","HealthPath":"/healthz","MaxConnections":900}'
 put_config 2
@@ -17,4 +17,5 @@
 		print "refused at once by the first peer: " (asked && at_once == asked ? "all" : at_once + 0 " of " asked)
 		print "allowed to wait at the second one: " (asked && last == asked ? "all" : last + 0 " of " asked)
 	}'
-awk '$4 == 503 { refused++ } END { print "refused: " (refused == NR ? "all" : refused " of " NR) }' "$dir/calls"
+# Both routers reach the deadline together.
+awk '$4 == 503 || $4 == 504 { ended++ } END { print "ended without a run: " (ended == NR ? "all" : ended " of " NR) }' "$dir/calls"
