pl_header: the wait that is told to a peer stands in the field of the history

A router of an earlier version does not know that field, and passes all fields it does not know on to the worker: while versions are mixed, workers would have got a field that is none of theirs.

The wait is now the last part of Magnolia-Forwarded, of which earlier versions read the first two numbers and which they drop, so that there is one field for what goes with a request, and one decoder. What peers are told is the same.

regress/pl/forwards has the cases of the field before in the new form (absent, 0, 250, negative, no number, too large) and two more. forwarded-wait, forwarded-repeats, refused-by-all and forwarded-failed passed.

--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -141,15 +141,16 @@
 		{ "Last-Event-Id", "3" },
 		{ "Tenant", "of-the-client" },
 		{ "magnolia-forwarded", "9,9" },
-		{ "magnolia-wait", "9" },
 		{ "Connection", "keep-alive" },
 		{ "Content-Length", "99" },
 		{ "X-Own", "kept" },
 	};
 	struct hdr_list headers = { 0 };
-	struct pl_history history = { 1, 2, true, { 0x1a2b, 0xffffffff }, 2 };
+	struct pl_history history = {
+		1, 2, true, { 0x1a2b, 0xffffffff }, 2, -1
+	};
 	struct pl_forward forward = { "POST", "/s/x", &headers, NULL,
-				      1500,   -1,     -1,	&history };
+				      1500,   -1,     &history };
 	struct evbuffer *message;
 	char *text;
 	size_t i;
@@ -160,8 +161,7 @@
 	}
 	forward.body = evbuffer_new();
 	evbuffer_add(forward.body, "body", 4);
-	sscanf(line, "%" SCNd64 " %" SCNd64, &forward.last_event,
-	       &forward.wait_ms);
+	sscanf(line, "%" SCNd64 " %d", &forward.last_event, &history.wait_ms);
 	message = pl_forward_encode(&forward);
 	while ((text = evbuffer_readln(message, NULL, EVBUFFER_EOL_CRLF))) {
 		fprintf(out, "%s\n", text);
@@ -173,19 +173,6 @@
 	hdr_free(&headers);
 }
 
-/* "wait [TEXT]": prints how long a forwarded request may wait. */
-static void print_wait(FILE *out, const char *text)
-{
-	struct hdr_list headers = { 0 };
-
-	if (*text) {
-		hdr_add_name(&headers, PL_WAIT_FIELD, strlen(PL_WAIT_FIELD));
-		hdr_add_value(&headers, text + 1, strlen(text + 1));
-	}
-	fprintf(out, "%" PRId64 "\n", pl_wait_decode(&headers));
-	hdr_free(&headers);
-}
-
 /* "forwarded [COUNTS]": prints the counts that a forwarded request carries. */
 static void print_forwarded(FILE *out, const char *text)
 {
@@ -204,6 +191,8 @@
 		history.crash_candidate ? ", crash candidate" : "");
 	for (i = 0; i < history.avoid_count; i++)
 		fprintf(out, " %" PRIx32, history.avoid[i]);
+	if (history.wait_ms >= 0)
+		fprintf(out, ", waits %d ms", history.wait_ms);
 	fprintf(out, "\n");
 	hdr_free(&headers);
 }
@@ -216,7 +205,7 @@
 {
 	struct evbuffer *passed = evbuffer_new();
 	struct hdr_list headers = { 0 };
-	struct pl_history history = { .sends = 3 };
+	struct pl_history history = { .sends = 3, .wait_ms = -1 };
 	char fields[PL_HISTORY_TEXT];
 
 	history.runs = (int)strtol(line, NULL, 10);
@@ -390,8 +379,6 @@
 			print_limit(out, line + 5);
 		else if (strncmp(line, "forward ", 8) == 0)
 			print_forward(out, line + 8);
-		else if (strncmp(line, "wait", 4) == 0)
-			print_wait(out, line + 4);
 		else if (strncmp(line, "forwarded", 9) == 0)
 			print_forwarded(out, line + 9);
 		else if (strncmp(line, "failed ", 7) == 0)
--- a/src/eq.c
+++ b/src/eq.c
@@ -104,15 +104,14 @@
 static void eq_take_forwarded(struct eq *eq)
 {
 	struct pl_history history;
-	int64_t wait_ms;
 
 	met_increment(&eq->edge->met, MET_TAKEN_OVER);
 	if (!pl_history_decode(hs_headers(eq->caller), &history))
 		eq->bad_field = PL_FORWARD_FIELD;
 	eq_take_history(eq, &history);
-	wait_ms = pl_wait_decode(hs_headers(eq->caller));
-	if (wait_ms >= 0)
-		eq->wait_until_us = eq->arrived_us + wait_ms * MAG_US_PER_MS;
+	if (history.wait_ms >= 0)
+		eq->wait_until_us =
+			eq->arrived_us + history.wait_ms * MAG_US_PER_MS;
 	eq->ran_elsewhere = eq->runs > 0;
 }
 
@@ -277,9 +276,11 @@
 	     wait_s);
 	len = snprintf(fields, sizeof(fields), "Retry-After: %.2f\r\n", wait_s);
 	/* A router that forwarded it is told that nothing has been done. */
-	if (is_forwarded && pl_history_decode(hs_headers(conn), &history))
+	if (is_forwarded && pl_history_decode(hs_headers(conn), &history)) {
+		history.wait_ms = -1;
 		pl_history_field(&history, fields + len,
 				 sizeof(fields) - (size_t)len);
+	}
 	hs_reply(conn, 503, fields, NULL, 0);
 }
 
--- a/src/eq_avoid.c
+++ b/src/eq_avoid.c
@@ -64,6 +64,7 @@
 		.runs = eq->runs,
 		.sends = eq->sends,
 		.crash_candidate = eq->crash_candidate,
+		.wait_ms = -1,
 	};
 	for (i = 0; i < eq->avoid_count; i++) {
 		if (eq->avoid[i].everywhere)
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -25,9 +25,9 @@
  */
 #define EQ_FORWARD_LEFT_US MAG_US_PER_MS
 
-static int64_t eq_forward_wait_ms(struct eq *eq, int64_t now);
+static int eq_forward_wait_ms(struct eq *eq, int64_t now);
 static void eq_assume_sent(struct eq *eq);
-static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t wait_ms,
+static struct evbuffer *eq_forward_encode(const struct eq *eq, int wait_ms,
 					  int64_t now);
 static bool eq_forward_headers(void *user, const struct hc_response *response);
 static void eq_forward_end(void *user, enum hc_result end);
@@ -60,7 +60,7 @@
 	struct hc_send send = { 0 };
 	struct hc_host *host;
 	char id[WIRE_ID_MAX];
-	int64_t wait_ms;
+	int wait_ms;
 
 	if (!eq_may_forward(eq, now))
 		return false;
@@ -86,11 +86,11 @@
 	jlog(LOG_EQ_FORWARDED,
 	     "\"request\":\"%s\",\"peer\":%u,\"forward\":%d,\"path_lost\":%s,"
 	     "\"sends\":%d,\"runs\":%d,\"from_event\":%lld,"
-	     "\"wait_ms\":%lld",
+	     "\"wait_ms\":%d",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
 	     eq->forwarded_to, eq->forwards,
 	     reach_is_lost(&edge->workers.reach) ? "true" : "false", eq->sends,
-	     eq->runs, (long long)eq->last_event, (long long)wait_ms);
+	     eq->runs, (long long)eq->last_event, wait_ms);
 	eq_assume_sent(eq);
 	return true;
 }
@@ -101,7 +101,7 @@
  * waits for as long as it would here.  One that has begun or may have run waits
  * as its peer decides, because no refusal of it is passed on (-1).
  */
-static int64_t eq_forward_wait_ms(struct eq *eq, int64_t now)
+static int eq_forward_wait_ms(struct eq *eq, int64_t now)
 {
 	int64_t until_us;
 
@@ -111,7 +111,7 @@
 	    hint_count_servers(eq->edge->hint, now) > 1)
 		return 0;
 	until_us = eq_wait_until(eq, now);
-	return until_us > now ? (until_us - now) / MAG_US_PER_MS : 0;
+	return until_us > now ? (int)((until_us - now) / MAG_US_PER_MS) : 0;
 }
 
 /* Counts a request as sent by a peer that has not said whether it did. */
@@ -132,7 +132,7 @@
 	eq->attempt->assumed_sent = false;
 }
 
-static struct evbuffer *eq_forward_encode(const struct eq *eq, int64_t wait_ms,
+static struct evbuffer *eq_forward_encode(const struct eq *eq, int wait_ms,
 					  int64_t now)
 {
 	struct pl_history history;
@@ -142,12 +142,12 @@
 		.headers = hs_headers(eq->caller),
 		.body = hs_body(eq->caller),
 		.remaining_ms = (eq->deadline_us - now) / MAG_US_PER_MS,
-		.wait_ms = wait_ms,
 		.last_event = eq->state == EQ_STREAMING ? eq->last_event : -1,
 		.history = &history,
 	};
 
 	eq_history(eq, &history);
+	history.wait_ms = wait_ms;
 	return pl_forward_encode(&forward);
 }
 
