eq_hop: the hops of an attempt have a file of their own

What chooses a chain stays there; what is reserved, released and looked up at the workers of an attempt, and its text for the wire and the log, moves to eq_hop.c, with eq_release_hops of eq_attempt.c, which is the counterpart of eq_reserve_hop. No line of a function changes.

--- a/src/eq.h
+++ b/src/eq.h
@@ -183,7 +183,15 @@
 void eq_drop_kept(struct eq *eq);
 void eq_end_kept(struct eq *eq, struct eq_attempt *attempt);
 bool eq_has_begun(const struct eq *eq);
+
+/* eq_hop.c */
+void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
 void eq_release_hops(struct eq_attempt *attempt);
+const struct eq_hop *eq_find_hop(const struct eq *eq, const struct wk *wk);
+struct wk *eq_worker_at_address(const struct eq_attempt *attempt,
+				const char *address);
+int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
+const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
 
 /* eq_room.c */
 struct room_request eq_room_request(const struct eq *eq);
@@ -247,12 +255,6 @@
 int64_t eq_backoff_end(struct eq *eq, int64_t now);
 bool eq_is_refused_by_all(struct eq *eq, int64_t now);
 void eq_coverage_tick(struct edge *edge, int64_t now);
-void eq_reserve_hop(struct eq *eq, struct wk *wk, int from, int to);
-int eq_wire_hops(const struct eq *eq, struct wire_hop *hops);
-const struct eq_hop *eq_find_hop(const struct eq *eq, const struct wk *wk);
-struct wk *eq_worker_at_address(const struct eq_attempt *attempt,
-				const char *address);
-const char *eq_chain_text(const struct eq *eq, char *dst, size_t size);
 
 /* eq_repair.c */
 bool eq_repair_start(struct eq *eq, struct wk *fault, bool may_have_crashed,
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -169,20 +169,6 @@
 	return false;
 }
 
-/* Releases slots and memory at the workers of an attempt. */
-void eq_release_hops(struct eq_attempt *attempt)
-{
-	int i;
-
-	for (i = 0; i < attempt->hop_count; i++) {
-		attempt->hops[i].worker->held -= attempt->hops[i].held;
-		if (i == 0)
-			attempt->hops[i].worker->first_hops--;
-		wk_unref(attempt->hops[i].worker);
-	}
-	attempt->hop_count = 0;
-}
-
 /* Returns an attempt that is neither the present one nor kept, or NULL. */
 static struct eq_attempt *eq_spare_attempt(struct eq *eq)
 {
