--- a/deploy/retries.awk
+++ b/deploy/retries.awk
@@ -1,8 +1,8 @@
 # Reads the log of a played day (fleetbench run --log all) and prints for each
 # service the requests, the sends after the first of a request, how many of
-# these the sending router counted as the first, and the worst window: sends
-# after the first, what is allowed, and the fraction that was used.  Variables:
-# ratio, slack and window (seconds) of the retry budget.
+# these a router counted as the first, too, and the worst window: sends after
+# the first, what is allowed, and the fraction that was used.  Variables: ratio,
+# slack and window (seconds) of the retry budget.
 
 function field(name, rest) {
 	rest = $0
@@ -18,14 +18,15 @@
 	if (service == "")
 		service = field("hops") > 1 ? "chains" : "plain"
 	names[service] = 1
-	if (!(id in first)) {
-		first[id] = $2
+	# Lines of one moment are not in order between routers.
+	if (field("repeat") == "" ? field("send") == 1 : field("repeat") == "false")
+		miscounted[service] += counted_first[id]++ > 0
+	if (!(id in seen)) {
+		seen[id] = 1
 		requests[service, count[service]++] = $1
 		next
 	}
 	repeats[service, again[service]++] = $1
-	if (field("repeat") == "" ? field("send") == 1 : field("repeat") == "false")
-		miscounted[service]++
 }
 
 # Requests of a service from a time on, until another one.
