--- a/review/lib.sh
+++ b/review/lib.sh
@@ -134,10 +134,12 @@
 }
 
 # Two zones, each with one large and two small engines, a plain worker and a
-# router.
+# router.  A script may define first_entries to write into the store before.
+first_entries() { :; }
 start_platform() {
 	start_store
 	put_config 1 "$ACME"
+	first_entries
 	start_worker 1 model a big
 	start_worker 2 model a small
 	start_worker 3 model a small
