--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -26,7 +26,7 @@
 	note "$(now_us) another writer puts servers/x-1"
 	# No Version and ColdRemainingMs, Sequence is a text; the layers are those
 	# of some other model.
-	echo '{"Service":"model","Address":"127.0.0.1:9","Zone":"a","Slots":4,"State":"ready","Kind":"big","Sequence":"seven","Layers":{"From":0,"Target":100000}}' |
+	echo '{"Service":"model","Address":"127.0.0.1:9","Zone":"a","Slots":4,"State":"ready","Kind":"big","Sequence":"seven","Layers":{"From":0,"Target":400}}' |
 		put servers/x-1
 fi
 
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,62 +1,68 @@
 #!/bin/sh
-# Two model services.  An empty worker with a large card crashes for good; 2 s later its
-# address goes to a worker of the other service, which has a small card, while the old
-# entry lies in the store until three status reports are missed (3.6 s).  No worker may
-# be ordered to hold more layers than its card holds.  With TROUBLE=0 the new worker
-# gets another address.
+# Nine routers in three zones; one follows the store and the others learn of changes
+# from it.  It is partitioned from the store for 5.5 s.  Meanwhile a worker is
+# replaced: a new one registers, and the old one's entry is removed without draining,
+# while it goes on serving.  The eight other routers reach the store all the time:
+# no request may reach the old worker later than 2 s after that.
 here=$(cd "$(dirname "$0")" && pwd)
 . "$here/../lib.sh"
 
-engine() {
-	echo "\"Engine\":{\"Slots\":64,\"KvTokenBytes\":590000,\"Models\":[{\"Name\":\"$1\",\"LoadS\":1}],\"step_ms\":1,\"per_seq_ms\":0.004,\"context_per_k\":0.006,
-	\"read_per_s\":160000,\"usual\":{\"prompt\":100,\"answer\":20},\"Layers\":20,\"LayerMb\":1750,\"ActBytes\":29500,\"PipeMbps\":19000,
-	\"Kinds\":[{\"Name\":\"big\",\"Mb\":72000,\"pace\":2.4,\"ReadX\":3.2},{\"Name\":\"small\",\"Mb\":21600,\"pace\":16,\"ReadX\":8.2}]}"
-}
-route() { echo "{\"Name\":\"$1\",\"Host\":\"h.example\",\"PathPrefix\":\"/$1/\",\"Kind\":\"streaming\",\"StreamResume\":true,\"SessionAffinity\":true,\"TimeoutMs\":6000,\"TargetLatencyMs\":500,\"GapAimMs\":250,\"MaxAttempts\":2,\"Service\":\"$2\"}"; }
+zone_of() { echo a b c | cut -d' ' -f$(($1 % 3 + 1)); }
+follows() { http -b -m 1 GET "127.0.0.1:$((base + 90 + $1))" /metrics | grep -q 'magnolia_tree_follows_store 1'; }
+followers() { for n in 1 2 3 4 5 6 7 8 9; do follows $n && echo $n; done; }
+# The routers' names and links decide which one follows the store.
+root=4
 
+mkfifo "$dir/proxy.root" "$dir/proxy.worker"
+"$build/tool_proxy" 127.0.0.1:$((base + 1)) $store <>"$dir/proxy.root" 2>/dev/null &
+pids="$pids $!"
+"$build/tool_proxy" 127.0.0.1:$((base + 2)) $store <>"$dir/proxy.worker" 2>/dev/null &
+pids="$pids $!"
 start_store
-put op/config <<JSON
-{"Version":1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":65536,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-"Services":[{"Name":"model","HealthPath":"/healthz","MaxConnections":900,$(engine m)},
-{"Name":"second","HealthPath":"/healthz","MaxConnections":900,$(engine m2)}],
-"Tenants":$ACME,"Routes":[$(route s model),$(route t second)]}
-JSON
-start_worker 1 model a big
-start_worker 2 model b big
-start_worker 3 second a big
-start_worker 4 second b big
-start_router 1 a
-start_router 2 b
-wait_for "ready 1"
-wait_for "ready 2"
-wait_for "[ \$(cat $dir/worker.*.log | grep -c ^ORDER) -ge 4 ]"
-note "two routers serve two model services; TROUBLE=$TROUBLE"
-"$build/tool_calls" -k s calls 12 20 "$(router 1)" "$(router 2)" >"$dir/calls" 2>&1 &
-calls=$!
-sleep 2
+put_config 1 "$ACME"
+start_worker 1 app a
+start_worker 2 app b
+WORKER_STORE=127.0.0.1:$((base + 2)) start_worker 3 app c
+for n in 1 2 3 4 5 6 7 8 9; do
+	ROUTER_STORE=$store
+	[ $n = $root ] && ROUTER_STORE=127.0.0.1:$((base + 1))
+	start_router $n $(zone_of $n)
+done
+others=""
+for n in 1 2 3 4 5 6 7 8 9; do
+	wait_for "ready $n"
+	[ $n = $root ] || others="$others $(router $n)"
+done
+wait_for '[ "$(followers | tr -d "\n")" = $root ]'
+note "router $root follows the store, the others follow it; TROUBLE=$TROUBLE"
 
-# An empty worker is added, and crashes for good.
-start_worker 5 model a big
-wait_for "http -b GET $store '/api/kv-range?PathPrefix=servers/w-5' | grep -q w-5"
-note "$(now_us) w-5 (model, 72,000 MB, empty) has registered at $(worker 5)"
-sleep 0.4
-http -b GET $store '/api/kv-range?PathPrefix=servers/w-5' |
-	sed -n 's/.*"Value": *"\([^"]*\)".*/\1/p' | base64 -d >"$dir/entry"
-kill -KILL $worker_5
-http POST $store '/stand-in/put?Key=servers/w-5&Ttl=3600' <"$dir/entry" >/dev/null
-note "$(now_us) w-5 crashes for good; its entry expires in 3.6 s"
-sleep 2.05
-at=5
-[ "$TROUBLE" = 1 ] || at=6
-"$build/fake_worker" $store "$(worker $at)" w-6 second a small >"$dir/worker.6.log" 2>&1 &
-pids="$pids $!"
-note "$(now_us) w-6 (second, 21,600 MB, empty) starts at $(worker $at)"
+"$build/tool_calls" -k br calls 14 120 $others >"$dir/calls" 2>/dev/null &
+calls=$!
+sleep 4
+if [ "$TROUBLE" = 1 ]; then
+	note "$(now_us) router $root is partitioned from the store (reset)"
+	echo sever >"$dir/proxy.root"
+fi
+sleep ${AFTER:-2.5}
+start_worker 4 app c
+wait_for "[ \$(http -b GET $store '/api/kv-range?PathPrefix=servers/w-4' | grep -c w-4) = 1 ]"
+note "$(now_us) worker w-4 has registered"
+sleep 0.15
+# The old one's entry is removed; it goes on serving for DrainMs and longer.
+echo sever >"$dir/proxy.worker"
+http GET $store '/stand-in/drop?Key=servers/w-3' >/dev/null
+removed=$(now_us)
+note "$removed the store has removed the entry of w-3"
+left=$(awk "BEGIN { print 5.5 - ${AFTER:-2.5} }")
+sleep $left
+echo pass >"$dir/proxy.root"
+note "$(now_us) the partition ends"
 wait $calls
-note "calls sent: $(grep -c . "$dir/calls"), served: $(grep -c ' 200 whole' "$dir/calls")"
-grep -h '^ORDER' "$dir"/worker.*.log >>"$record"
-grep -h 'layers-ordered' "$dir"/router.*.log | cut -c1-250 >>"$record"
-cat "$dir/calls" >>"$record"
-# w-6 has 21,600 MB and a layer 1,750 MB: 12 layers at most.
-over=$(awk '$1 == "ORDER" { split($3, r, "-"); if (r[2] - r[1] > 12) print $2 " was ordered to hold " r[2] - r[1] " layers, its card holds 12" }' "$dir/worker.6.log")
-[ -n "$over" ] && verdict yes "$over"
-verdict no "no order was for more than the card of w-6 holds"
+awk '{ print $3, $4, $5 }' "$dir/calls" | sort | uniq -c >>"$record"
+grep -h '"store-[ud]\|store-down\|store-up\|store-source' "$dir"/router.*.log | cut -c1-160 >>"$record"
+awk -v t=$removed '$1 == "GOT" { print $0, "after_removal_s", ($3 - t) / 1e6 }' "$dir/worker.3.log" >>"$record"
+note "$(awk -v t=$removed '$1 == "GOT" { s = ($3 - t) / 1e6; if (s > 0) n++; if (s > last) last = s; if (s > 2) late++ }
+	END { print "requests at w-3 after its entry was removed:", n + 0, "the last one after", last + 0, "s, later than 2 s:", late + 0 }' "$dir/worker.3.log")"
+late=$(awk -v t=$removed '$1 == "GOT" && $3 - t > 2e6' "$dir/worker.3.log" | grep -c .)
+[ "$late" -gt 0 ] && verdict yes "$late requests reached w-3 later than DrainMs after it was gone"
+verdict no "none reached it later than DrainMs"
