--- a/review/build.sh
+++ b/review/build.sh
@@ -6,4 +6,3 @@
 make -s -j8 BUILD=target target/fake_store target/fake_worker \
 	target/tool_calls target/tool_proxy
 cc -O1 -Wall -Wextra -o target/review_http review/http.c
-cc -O1 -Wall -Wextra -pthread -o target/review_app review/app.c
