--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,6 +2,9 @@
 # Another writer adds an entry under servers/ with fields missing and of another
 # type.  It names no worker to use.  Routers must go on serving.
 here=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run.
+record=$here/record.txt
+: >"$record"
 . "$here/../lib.sh"
 
 start_platform
@@ -42,8 +45,7 @@
 served=$(grep -c ' 200 whole' "$dir/calls")
 note "calls sent: $sent, served: $served"
 note "ends of router 1: ${ends_1:-0}, of router 2: ${ends_2:-0}"
-cat "$dir/calls" >>"$record"
-grep -h '^GOT' "$dir"/worker.*.log >>"$record"
+record_all
 if [ "${ends_1:-0}" -ge 3 ] && [ "${ends_2:-0}" -ge 3 ]; then
 	verdict yes "two machines of two ended by themselves three times or more, with no impairment there"
 fi
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,6 +3,9 @@
 # adds one of 128 hexadecimal digits.  The old key must not work later than 5 s
 # after the confirmation.  With TROUBLE=0 the new key has 64 digits.
 here=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run.
+record=$here/record.txt
+: >"$record"
 . "$here/../lib.sh"
 
 start_platform
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,9 +1,12 @@
 #!/bin/sh
 # Twenty-four routers in one zone; two have faster links.  The store turns these two away
-# for 9 s and serves the others.  Meanwhile a worker says that it drains, and goes on
+# for 8.8 s and serves the others.  Meanwhile a worker says that it drains, and goes on
 # serving.  The twenty-two other routers reach the store all the time: none may send a
 # request to that worker later than 2 s after that.
 here=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run.
+record=$here/record.txt
+: >"$record"
 . "$here/../lib.sh"
 
 ip() { echo 127.0.1.$1; }
@@ -51,17 +54,20 @@
 	note "$(now_us) the store turns routers 1 and 2 away (reset)"
 	echo sever >"$dir/proxy"
 fi
-sleep ${AFTER:-1.5}
+began=$(now_us)
+sleep 1.5
 # The worker that gets the most requests.
 busiest=$(for n in 1 2 3; do echo "$(grep -c ^GOT "$dir/worker.$n.log") $n"; done | sort -n | tail -n 1 | cut -d' ' -f2)
 http GET "$(worker $busiest)" /stand-in/drain >/dev/null
 wait_for "http -b GET $store '/api/kv-range?PathPrefix=servers/w-$busiest' | sed -n 's/.*\"Value\": *\"\([^\"]*\)\".*/\1/p' | base64 -d | grep -q draining"
 left=$(now_us)
 note "$left the store has taken that w-$busiest drains"
-sleep 7.5
+# Within the 9 s for which the site has it.
+sleep_until $((began + 8800000))
 echo pass >"$dir/proxy"
 note "$(now_us) the store serves all routers again"
 wait $calls1 $calls2
+record_all
 cat "$dir"/calls.* | awk '{ print $3, $4, $5 }' | sort | uniq -c >>"$record"
 awk -v t=$left '$1 == "GOT" { print $0, "after_s", ($3 - t) / 1e6 }' "$dir/worker.$busiest.log" >>"$record"
 note "$(awk -v t=$left '$1 == "GOT" { s = ($3 - t) / 1e6; if (s > 0) n++; if (s > last) last = s; if (s > 2) late++ }
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,10 +1,13 @@
 #!/bin/sh
 # Nine routers in three zones; one follows the store and the others learn of changes
-# from it.  It is partitioned from the store for 5.5 s.  Meanwhile a worker is
+# from it.  It is partitioned from the store for 5.3 s.  Meanwhile a worker is
 # replaced: a new one registers, and the old one's entry is removed without draining,
 # while it goes on serving.  The eight other routers reach the store all the time:
 # no request may reach the old worker later than 2 s after that.
 here=$(cd "$(dirname "$0")" && pwd)
+# What was sent, answered and run.
+record=$here/record.txt
+: >"$record"
 . "$here/../lib.sh"
 
 zone_of() { echo a b c | cut -d' ' -f$(($1 % 3 + 1)); }
@@ -43,7 +46,8 @@
 	note "$(now_us) router $root is partitioned from the store (reset)"
 	echo sever >"$dir/proxy.root"
 fi
-sleep ${AFTER:-2.5}
+began=$(now_us)
+sleep 2.5
 start_worker 4 app c
 wait_for "[ \$(http -b GET $store '/api/kv-range?PathPrefix=servers/w-4' | grep -c w-4) = 1 ]"
 note "$(now_us) worker w-4 has registered"
@@ -53,11 +57,12 @@
 http GET $store '/stand-in/drop?Key=servers/w-3' >/dev/null
 removed=$(now_us)
 note "$removed the store has removed the entry of w-3"
-left=$(awk "BEGIN { print 5.5 - ${AFTER:-2.5} }")
-sleep $left
+# Within the 5.5 s for which the site has it.
+sleep_until $((began + 5300000))
 echo pass >"$dir/proxy.root"
 note "$(now_us) the partition ends"
 wait $calls
+record_all
 awk '{ print $3, $4, $5 }' "$dir/calls" | sort | uniq -c >>"$record"
 grep -h '"store-[ud]\|store-down\|store-up\|store-source' "$dir"/router.*.log | cut -c1-160 >>"$record"
 awk -v t=$removed '$1 == "GOT" { print $0, "after_removal_s", ($3 - t) / 1e6 }' "$dir/worker.3.log" >>"$record"
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,9 +1,8 @@
 # Starts stand-ins and routers as processes on loopback addresses, for the
-# scripts review/N/run.sh.  A script sets $here to its folder before it reads
-# this file, and ends with "verdict" or "give_up".
+# scripts review/N/run.sh.  A script sets $here to its folder and $record to its record
+# before it reads this file, and ends with "verdict" or "give_up".
 cd "$here/../.." || exit 2
 build=target
-record=$here/record.txt
 TROUBLE=${TROUBLE:-1}
 dir=$(mktemp -d) || exit 2
 pids=""
@@ -23,6 +22,13 @@
 
 note() { echo "$*" | tee -a "$record"; }
 now_us() { awk '{ printf "%.0f", $1 * 1e6 }' /proc/uptime; }
+# sleep_until US: returns at this time since boot, or at once if it is over.
+sleep_until() { sleep "$(awk -v t="$1" -v now="$(now_us)" 'BEGIN { s = (t - now) / 1e6; print (s > 0 ? s : 0) }')"; }
+# record_all: what each worker received, and what each call got.
+record_all() {
+	grep -h '^CALL' "$dir"/calls* >>"$record"
+	grep -h '^GOT' "$dir"/worker.*.log >>"$record"
+}
 give_up() {
 	note "could not run: $*"
 	exit 2
