pl_worker, plr: layers of another writer's entry are bounded by the model

Cause: the layers of an entry were taken as they came and became indices of the planner's tables (256 layers, on the stack). Entries with fields missing or of another type were taken for workers.

Evidence: only the holder of the placer's lease ended, while all routers search for chains; the planner's loops run over the range of the entry.

Every user of a worker's layers compares them with the model of its service (wk_holds_of). An entry that becomes unreadable removes its worker. Event 10115 names layers beyond the model.

--- a/regress/edge/unsent-no-retry.sh
+++ b/regress/edge/unsent-no-retry.sh
@@ -11,7 +11,7 @@
 # New entries of workers where nothing listens.
 for n in $(seq 8); do
 	curl -s -X POST "http://$store/stand-in/put?Key=servers/w-none-$n&Ttl=900" --data-binary \
-		'{"Service":"app","Address":"127.0.0.1:'$((base + 40 + n))'","Zone":"a","Version":"v1","Slots":64,"State":"ready","born":'$n',"Sequence":1}'
+		'{"Service":"app","Address":"127.0.0.1:'$((base + 40 + n))'","Zone":"a","Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,"born":'$n',"Sequence":1}'
 	sleep 0.25
 done >"$dir/null"
 wait $calls
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -205,7 +205,8 @@
 	len = snprintf(body, sizeof(body),
 		       "{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"%s\","
 		       "\"Version\":\"v1\",\"Slots\":%d,\"State\":\"%s\","
-		       "\"born\":%" PRId64 ",\"Sequence\":1",
+		       "\"ColdRemainingMs\":0,\"born\":%" PRId64
+		       ",\"Sequence\":1",
 		       service, address, zone, slots,
 		       draining ? "draining" : "ready", started_ms);
 	if (kind)
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -277,8 +277,8 @@
 }
 
 /*
- * Applies an entry of the worker list.  An entry that cannot be decoded is
- * ignored.
+ * Applies an entry of the worker list.  An entry that cannot be decoded names
+ * no worker to use, whatever was there before.
  */
 static void edge_apply_worker(struct edge *edge, const struct wire_item *item)
 {
@@ -297,6 +297,8 @@
 			     sizeof(why))) {
 		jlog(LOG_WK_UNREAD, "\"why\":\"%s\"",
 		     jlog_sanitize(text, sizeof(text), why));
+		wk_remove(&edge->workers, item->key + strlen(PL_WORKERS_PREFIX),
+			  now, now);
 		return;
 	}
 	if (wk_list_put(&edge->workers, &worker, now, &wk))
--- a/src/eq_chain.c
+++ b/src/eq_chain.c
@@ -177,7 +177,8 @@
 		if (count == max)
 			break;
 		if (!wk_alive(wk, now) || (left_out && left_out(eq, wk)) ||
-		    strcmp(wk->entry.service, eq->service->name) != 0)
+		    strcmp(wk->entry.service, eq->service->name) != 0 ||
+		    (engine && !wk_holds_of(wk, eq->service->engine.layers)))
 			continue;
 		eq_candidates[count].from = engine ? wk->layers.from : 0;
 		eq_candidates[count].to = engine ? wk->layers.to : 1;
@@ -252,7 +253,8 @@
 		if (count == max)
 			break;
 		if (!wk_usable_by_own(wk, now) ||
-		    strcmp(wk->entry.service, service->name) != 0)
+		    strcmp(wk->entry.service, service->name) != 0 ||
+		    !wk_holds_of(wk, service->engine.layers))
 			continue;
 		eq_candidates[count].from = wk->layers.from;
 		eq_candidates[count].to = wk->layers.to;
@@ -276,12 +278,13 @@
 	};
 	const struct rt_accelerator *accelerator;
 	struct wk *wk;
-	int slots = 0;
+	double slots = 0;
 
 	kept->capacity = 0;
 	cds_list_for_each_entry (wk, &edge->workers.workers, node) {
 		if (strcmp(wk->entry.service, service->name) != 0 ||
-		    !wk_usable_by_own(wk, now))
+		    !wk_usable_by_own(wk, now) ||
+		    (service->has_engine && !wk_holds_of(wk, engine->layers)))
 			continue;
 		if (!service->has_engine || wk->layers.from == 0)
 			slots += wk->entry.slots;
@@ -363,7 +366,8 @@
 		if (count == max)
 			break;
 		retained = first ? eq_find_hop(eq, wk) : NULL;
-		if (layers <= 0 || eq_avoids(eq, wk) ||
+		if (layers <= 0 || !wk_holds_of(wk, engine->layers) ||
+		    eq_avoids(eq, wk) ||
 		    !(retained ? wk_alive(wk, now) && !wk->proc.suspected
 			       : usable(wk, now)) ||
 		    strcmp(wk->entry.service, eq->service->name) != 0)
--- a/src/plr.c
+++ b/src/plr.c
@@ -45,6 +45,8 @@
  * no harm: it names the same layers and the same order count.
  */
 #define PLR_REORDER_US (2500 * MAG_US_PER_MS)
+/* Interval between log lines on a worker's layers beyond its model. */
+#define PLR_LAYERS_LOG_US (10 * MAG_US_PER_S)
 
 struct plr_call {
 	struct edge *edge;
@@ -67,6 +69,7 @@
 static int plr_list_cards(struct edge *edge, const struct rt_service *service,
 			  struct lay_card *cards, struct wk **workers,
 			  int64_t now);
+static void plr_log_layers(struct wk *wk, int layers, int64_t now);
 static void plr_send_order(struct edge *edge, struct wk *wk,
 			   const struct wire_range *range, int64_t now);
 static bool plr_on_headers(void *user, const struct hc_response *response);
@@ -227,6 +230,10 @@
 			rt_find_accelerator(&service->engine, wk->entry.kind);
 		if (!accelerator)
 			continue;
+		if (!wk_holds_of(wk, service->engine.layers)) {
+			plr_log_layers(wk, service->engine.layers, now);
+			continue;
+		}
 		centre = edge_data_centre_index(edge, wk->entry.data_centre);
 		if (centre < 0)
 			continue;
@@ -248,6 +255,19 @@
 	return count;
 }
 
+/* Logs that a worker names layers that its service's model does not have. */
+static void plr_log_layers(struct wk *wk, int layers, int64_t now)
+{
+	if (now < wk->next_layers_log_us)
+		return;
+	wk->next_layers_log_us = now + PLR_LAYERS_LOG_US;
+	jlog(LOG_WK_LAYERS,
+	     "\"worker\":\"%s\",\"address\":\"%s\",\"layers\":\"%d-%d\","
+	     "\"model_layers\":%d",
+	     wk->entry.id, wk->entry.address, wk->layers.from, wk->layers.to,
+	     layers);
+}
+
 /*
  * Orders a worker to hold layers.  The order carries the number of orders that
  * the worker has accepted, so that it is refused if another order came between.
--- a/src/wk.c
+++ b/src/wk.c
@@ -314,6 +314,16 @@
 	return wk->listed || now < wk->gone_us;
 }
 
+/*
+ * Tells whether what a worker holds, if anything, are layers of a model with so
+ * many.  The range is what the worker or another writer says.
+ */
+bool wk_holds_of(const struct wk *wk, int layers)
+{
+	return wk->layers.from >= 0 && wk->layers.from <= wk->layers.to &&
+	       wk->layers.to <= layers;
+}
+
 struct wk *wk_ref(struct wk *wk)
 {
 	wk->refs++;
--- a/src/wk.h
+++ b/src/wk.h
@@ -151,6 +151,7 @@
 	int64_t next_limit_log_us;
 	int64_t next_backoff_log_us; /* the same for requested backoffs */
 	int64_t next_leaving_log_us; /* the same for unreadable departures */
+	int64_t next_layers_log_us;  /* the same for layers beyond its model */
 
 	/*
 	 * When its connections were refused or broken off; 0: never.  Kept over
@@ -249,6 +250,7 @@
 struct wk *wk_by_address(const struct wk_table *table, const char *address);
 
 bool wk_alive(const struct wk *wk, int64_t now);
+bool wk_holds_of(const struct wk *wk, int layers);
 bool wk_is_dead(const struct wk *wk, int64_t now);
 bool wk_has_ended(const struct wk *wk);
 const char *wk_state_text(const struct wk *wk, int64_t now);
