rt, edge: no version is refused for a limit of ours, none confirmed that was

Cause: two faults that need each other. The tables of a configuration had arrays of fixed sizes, and what did not fit refused the version. And a version that was refused did not count as newer, so that the one before went on being confirmed as the newest in the store.

Evidence: the log names the object; readiness stayed 200 and keys never expired.

Fix: texts and lists of a configuration have any length; copies of a route share them by reference. Names that only identify are kept as mag_identify() writes them, so that tables of services, workers and metrics keep their sizes. A version that cannot be used makes the router one that knows of a newer version: it denies nothing, confirms nothing and takes no confirmation from peers.

--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -26,12 +26,30 @@
 	}
 	fprintf(out, "version %lld accounts %d keys %d\n",
 		(long long)set->version, set->account_count, set->key_count);
+	fprintf(out, "limits %u %u %u %u\n", set->limits.header_bytes,
+		set->limits.body_bytes, set->limits.header_ms,
+		set->limits.idle_ms);
+	for (i = 0; i < set->service_count; i++)
+		fprintf(out, "service %s connections %d slots %d layers %d%s\n",
+			set->services[i].name, set->services[i].max_connections,
+			set->services[i].engine.slots,
+			set->services[i].engine.layers,
+			rt_engine_is_supported(&set->services[i].engine)
+				? ""
+				: " unsupported");
+	for (i = 0; i < set->account_count; i++)
+		fprintf(out, "account %s priority %d\n", set->accounts[i].name,
+			set->accounts[i].priority);
 	for (i = 0; i < set->route_count; i++)
-		fprintf(out, "route %s %s%s repeat %d attempts %d to %s\n",
+		fprintf(out,
+			"route %s %s%s repeat %d attempts %d timeout %lld ms "
+			"to %s and %d more\n",
 			set->routes[i].name, set->routes[i].host,
 			set->routes[i].prefix, set->routes[i].kind,
 			set->routes[i].max_attempts,
-			set->services[set->routes[i].splits[0].service].name);
+			(long long)(set->routes[i].timeout_us / MAG_US_PER_MS),
+			set->services[set->routes[i].splits[0].service].name,
+			set->routes[i].split_count - 1);
 	rt_drop(set);
 }
 
--- a/regress/fuzz_pl.c
+++ b/regress/fuzz_pl.c
@@ -66,6 +66,7 @@
 			pl_config_decode_route(parts.routes[i].at,
 					       parts.routes[i].len, set, &route,
 					       why, sizeof(why));
+			rt_route_drop(&route);
 		}
 		rt_drop(set);
 	}
--- a/src/conf.c
+++ b/src/conf.c
@@ -51,6 +51,7 @@
 			     int64_t after, struct rt_set *set,
 			     struct rt_changes *changes, char *why,
 			     size_t why_size);
+static void conf_forget_decoded(struct conf *conf);
 static bool conf_is_decoded(const struct conf *conf, const struct rt_part *part,
 			    struct rt_route *route);
 
@@ -124,15 +125,25 @@
  */
 void conf_set_base(struct conf *conf, struct rt_set *set, int64_t revision)
 {
+	conf_forget_decoded(conf);
 	rt_drop(conf->base);
 	conf->base = set ? rt_hold(set) : NULL;
 	conf->base_revision = revision;
 	free(conf->decoded);
 	conf->decoded = NULL;
-	conf->decoded_count = 0;
 	conf->decoded_max = 0;
 }
 
+/* Drops the routes that were decoded when they came. */
+static void conf_forget_decoded(struct conf *conf)
+{
+	int i;
+
+	for (i = 0; i < conf->decoded_count; i++)
+		rt_route_drop(&conf->decoded[i]);
+	conf->decoded_count = 0;
+}
+
 /*
  * Builds the configuration in the mirror if it is newer than a version.  Routes
  * that have not changed since the base are copied from it.  *found is set to
@@ -379,7 +390,7 @@
 			return RT_OK;
 		/* Deletions may have been forgotten by the mirror. */
 	}
-	conf->decoded_count = 0;
+	conf_forget_decoded(conf);
 	rc = conf_decode_since(conf, mir, 0, set, &changes, why, why_size);
 	if (!rc)
 		rc = rt_merge_routes(set, NULL, &changes, count);
@@ -431,7 +442,9 @@
 				  sizeof(*conf->decoded), rt_by_part)
 			: NULL;
 
-	if (found)
+	if (found) {
 		*route = *found;
+		rt_route_hold(route);
+	}
 	return found;
 }
--- a/src/edge.c
+++ b/src/edge.c
@@ -227,10 +227,14 @@
 		 now - edge->uncovered_since_us > EDGE_UNCOVERED_US);
 }
 
-/* Tells whether another router has a newer configuration in force. */
+/*
+ * Tells whether there is a newer configuration than the one in force here:
+ * another router has it in force, or it cannot be put in force.
+ */
 bool edge_is_behind(const struct edge *edge)
 {
-	return attest_is_behind(&edge->attest,
+	return edge->config_refused ||
+	       attest_is_behind(&edge->attest,
 				edge->rt ? edge->rt->version : -1);
 }
 
--- a/src/edge.h
+++ b/src/edge.h
@@ -92,6 +92,8 @@
 	struct attest attest;  /* how long the configuration may be trusted */
 	struct era era;	       /* recovery after a restore of the store */
 	int64_t store_version; /* of the configuration there */
+	/* The newest configuration that was read cannot be put in force. */
+	bool config_refused;
 	bool workers_listed;
 	bool store_reachable;
 	int64_t store_regained_us; /* reachable again; 0: never lost */
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -44,6 +44,7 @@
 static bool edge_take_config(struct edge *edge);
 static void edge_put_in_force(struct edge *edge, struct rt_set *set,
 			      int64_t revision);
+static void edge_log_unsupported(const struct rt_set *set);
 static void edge_limit_connections(struct edge *edge, struct wk *wk,
 				   const char *service);
 static void edge_apply_worker(struct edge *edge, const struct wire_item *item);
@@ -193,8 +194,12 @@
 {
 	if (item->deleted)
 		return;
-	if (conf_mirror(&edge->mir, item) || !edge_take_config(edge))
+	if (conf_mirror(&edge->mir, item)) {
+		edge->config_refused = true;
 		jlog(LOG_REL_BAD, "\"peer\":\"\",\"why\":\"out of memory\"");
+	} else if (!edge_take_config(edge)) {
+		jlog(LOG_RT_BAD, "\"why\":\"parts are missing\"");
+	}
 }
 
 /*
@@ -211,17 +216,20 @@
 
 /*
  * Puts the configuration in the mirror in force if it is newer.  Returns false
- * if it is not complete.
+ * if it is not complete.  One that cannot be put in force leaves the one before
+ * in force, which is not confirmed as the newest any more.
  */
 static bool edge_take_config(struct edge *edge)
 {
 	char text[EDGE_WHY_MAX];
 	char why[EDGE_WHY_MAX];
 	struct rt_set *set;
+	enum conf_result result = conf_build(
+		&edge->conf, &edge->mir, edge->rt ? edge->rt->version : -1,
+		&set, &edge->store_version, why, sizeof(why));
 
-	switch (conf_build(&edge->conf, &edge->mir,
-			   edge->rt ? edge->rt->version : -1, &set,
-			   &edge->store_version, why, sizeof(why))) {
+	edge->config_refused = result == CONF_BAD || result == CONF_INCOMPLETE;
+	switch (result) {
 	case CONF_NEW:
 		edge_put_in_force(edge, set, edge->conf.base_revision);
 		break;
@@ -254,6 +262,7 @@
 	     set->service_count, set->account_count, (long long)revision);
 	rt_drop(edge->rt);
 	edge->rt = set;
+	edge_log_unsupported(set);
 	hs_set_limits(edge->callers, &set->limits);
 	rel_set_limits(edge->rel, &set->limits);
 	if (!is_first)
@@ -262,6 +271,24 @@
 		edge_limit_connections(edge, wk, wk->entry.service);
 }
 
+/* Logs the services whose requests cannot be placed. */
+static void edge_log_unsupported(const struct rt_set *set)
+{
+	const struct rt_service *service;
+	char text[EDGE_WHY_MAX];
+	int i;
+
+	for (i = 0; i < set->service_count; i++) {
+		service = &set->services[i];
+		if (service->has_engine &&
+		    !rt_engine_is_supported(&service->engine))
+			jlog(LOG_RT_LAYERS,
+			     "\"service\":\"%s\",\"layers\":%d,\"max\":%d",
+			     jlog_sanitize(text, sizeof(text), service->name),
+			     service->engine.layers, MAG_LAYERS_MAX);
+	}
+}
+
 /* Returns how many connections this router may open to one worker. */
 static int edge_max_connections(const struct edge *edge,
 				const struct rt_service *service)
--- a/src/eq.c
+++ b/src/eq.c
@@ -335,6 +335,11 @@
 		eq_refuse(eq, 503, EQ_RETRY_LATER, "route has no service");
 		return false;
 	}
+	if (eq->service->has_engine &&
+	    !rt_engine_is_supported(&eq->service->engine)) {
+		eq_refuse(eq, 503, EQ_RETRY_LATER, "model too large");
+		return false;
+	}
 	if (!eq->rt->has_accounts || eq->route->auth_exempt)
 		return true;
 	account = eq->request.key ? rt_account_by_key(eq->rt, eq->request.key)
--- a/src/hint.c
+++ b/src/hint.c
@@ -297,7 +297,7 @@
 {
 	int64_t before_us = edge->attest.confirmed_us;
 
-	if (!edge->rt ||
+	if (!edge->rt || edge->config_refused ||
 	    !attest_from_peer(&edge->attest, claim, edge->rt->version, now))
 		return;
 	if (edge->attest.confirmed_us - before_us >= HINT_OUTAGE_US)
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -106,6 +106,7 @@
 	LOG_EVENT(LOG_RT_BAD, 10402, "configuration-bad", LOG_PRIO_ERR) \
 	LOG_EVENT(LOG_SET_RELOADED, 10403, "settings-reloaded", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_EDGE_CENTRES, 10404, "data-centres-full", LOG_PRIO_ERR) \
+	LOG_EVENT(LOG_RT_LAYERS, 10406, "model-too-large", LOG_PRIO_ERR) \
 	LOG_EVENT(LOG_EDGE_MEMORY, 10405, "service-untracked", LOG_PRIO_ERR) \
 	LOG_EVENT(LOG_REL_SOURCE, 10501, "store-source", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_REL_BAD, 10502, "changes-rejected", LOG_PRIO_ERR) \
--- a/src/mag.c
+++ b/src/mag.c
@@ -1,7 +1,13 @@
+#include <stdio.h>
 #include <string.h>
 
+#include <sodium.h>
+
 #include "mag.h"
 
+/* Of a name that is too long; BLAKE2b allows 16 bytes and more. */
+#define MAG_IDENTITY_DIGEST_BYTES 16
+
 static const char *const mag_outcome_names[MAG_OUTCOME_COUNT] = {
 	[MAG_RAN] = "ran",
 	[MAG_NOT_RUN] = "not-run",
@@ -33,6 +39,25 @@
 	return 0;
 }
 
+/*
+ * Writes an identity of a name, of MAG_NAME_MAX bytes with its NUL: the name
+ * itself, or if it is too long its beginning and a hash of all of it.
+ */
+void mag_identify(char *dst, const char *name)
+{
+	unsigned char digest[MAG_IDENTITY_DIGEST_BYTES];
+	char hex[2 * MAG_IDENTITY_DIGEST_BYTES + 1];
+	size_t len = strlen(name);
+
+	if (!mag_copy_name(dst, MAG_NAME_MAX, name))
+		return;
+	crypto_generichash(digest, sizeof(digest), (const unsigned char *)name,
+			   len, NULL, 0);
+	sodium_bin2hex(hex, sizeof(hex), digest, sizeof(digest));
+	snprintf(dst, MAG_NAME_MAX, "%.*s~%s",
+		 (int)(MAG_NAME_MAX - 1 - sizeof(hex)), name, hex);
+}
+
 /*
  * Returns the index of a name in a table of entries that start with their
  * names, or -1.  The search proceeds in both directions from hint, the previous
--- a/src/mag.h
+++ b/src/mag.h
@@ -36,6 +36,7 @@
 
 const char *mag_outcome_name(enum mag_outcome outcome);
 int mag_copy_name(char *dst, size_t size, const char *src);
+void mag_identify(char *dst, const char *name);
 uint64_t mag_random(uint64_t *state);
 double mag_random_unit(uint64_t *state);
 int64_t mag_backoff(int64_t first_us, int times, int doublings_max);
--- a/src/met_urgent.c
+++ b/src/met_urgent.c
@@ -241,7 +241,10 @@
  */
 static bool met_urgent_copy_name(char *name, const char *text)
 {
-	jlog_sanitize(name, MAG_NAME_MAX, text);
+	char identity[MAG_NAME_MAX];
+
+	mag_identify(identity, text);
+	jlog_sanitize(name, MAG_NAME_MAX, identity);
 	return strcmp(name, MET_URGENT_OTHER) != 0;
 }
 
--- a/src/plr.c
+++ b/src/plr.c
@@ -94,7 +94,8 @@
 	    !edge->workers_listed || reach_is_doubted(&edge->workers.reach))
 		return;
 	for (i = 0; i < edge->rt->service_count; i++) {
-		if (edge->rt->services[i].has_engine)
+		if (edge->rt->services[i].has_engine &&
+		    rt_engine_is_supported(&edge->rt->services[i].engine))
 			plr_plan_service(edge, i, now);
 	}
 }
--- a/src/rt.c
+++ b/src/rt.c
@@ -4,6 +4,13 @@
 
 #include "rt.h"
 
+/* An allocation with the splits first, then the texts. */
+struct rt_route_data {
+	int refs;
+	struct rt_split splits[];
+};
+
+static void rt_drop_routes(struct rt_set *set);
 static int rt_by_prefix(const void *a, const void *b);
 static int rt_by_key(const void *a, const void *b);
 static void rt_sort_routes(struct rt_set *set);
@@ -40,8 +47,20 @@
 /* Drops a reference; the last one frees the set.  NULL is allowed. */
 void rt_drop(struct rt_set *set)
 {
+	int i;
+
 	if (!set || --set->refs > 0)
 		return;
+	if (set->routes)
+		rt_drop_routes(set);
+	for (i = 0; set->services && i < set->service_count; i++) {
+		free(set->services[i].health_path);
+		free(set->services[i].engine.accelerators);
+	}
+	for (i = 0; set->accounts && i < set->account_count; i++)
+		free(set->accounts[i].name);
+	for (i = 0; set->keys && i < set->key_count; i++)
+		free(set->keys[i].key);
 	free(set->routes);
 	free(set->services);
 	free(set->accounts);
@@ -49,6 +68,67 @@
 	free(set);
 }
 
+static void rt_drop_routes(struct rt_set *set)
+{
+	int i;
+
+	for (i = 0; i < set->route_count; i++)
+		rt_route_drop(&set->routes[i]);
+	set->route_count = 0;
+}
+
+/*
+ * Copies what a route matches and the services that it leads to; to be called
+ * once.  Returns RT_E_MEMORY without memory.
+ */
+int rt_route_set_data(struct rt_route *route, const char *host,
+		      const char *prefix, const struct rt_split *splits,
+		      int split_count)
+{
+	size_t splits_size = (size_t)split_count * sizeof(*splits);
+	size_t host_size = strlen(host) + 1;
+	size_t prefix_size = strlen(prefix) + 1;
+	struct rt_route_data *data =
+		malloc(sizeof(*data) + splits_size + host_size + prefix_size);
+	char *texts;
+
+	if (!data)
+		return RT_E_MEMORY;
+	data->refs = 1;
+	texts = (char *)data->splits + splits_size;
+	if (split_count)
+		memcpy(data->splits, splits, splits_size);
+	memcpy(texts, host, host_size);
+	memcpy(texts + host_size, prefix, prefix_size);
+	route->data = data;
+	route->splits = data->splits;
+	route->split_count = split_count;
+	route->host = texts;
+	route->prefix = texts + host_size;
+	route->prefix_len = prefix_size - 1;
+	return RT_OK;
+}
+
+/* Takes a reference to the data of a route that was copied. */
+void rt_route_hold(struct rt_route *route)
+{
+	route->data->refs++;
+}
+
+/* Drops the data of a route, if it has any. */
+void rt_route_drop(struct rt_route *route)
+{
+	if (route->data && --route->data->refs == 0)
+		free(route->data);
+	route->data = NULL;
+}
+
+/* Tells whether requests for an engine can be placed. */
+bool rt_engine_is_supported(const struct rt_engine *engine)
+{
+	return engine->layers <= MAG_LAYERS_MAX;
+}
+
 /*
  * Sorts the tables for look-ups and lists the urgencies of each service; to be
  * called once all tables are filled.
@@ -85,6 +165,10 @@
 
 void rt_changes_free(struct rt_changes *changes)
 {
+	int i;
+
+	for (i = 0; i < changes->route_count; i++)
+		rt_route_drop(&changes->routes[i]);
 	free(changes->gone);
 	free(changes->routes);
 }
@@ -119,7 +203,7 @@
 	      sizeof(*changes->gone), rt_by_part);
 	qsort(changes->routes, (size_t)changes->route_count,
 	      sizeof(*changes->routes), rt_by_prefix);
-	set->route_count = 0;
+	rt_drop_routes(set);
 	while (from < end || changed < changed_end) {
 		if (from < end && bsearch(&from->part, changes->gone,
 					  (size_t)changes->gone_count,
@@ -131,9 +215,10 @@
 			return RT_E_BAD;
 		if (from < end && (changed == changed_end ||
 				   rt_by_prefix(from, changed) <= 0))
-			set->routes[set->route_count++] = *from++;
+			set->routes[set->route_count] = *from++;
 		else
-			set->routes[set->route_count++] = *changed++;
+			set->routes[set->route_count] = *changed++;
+		rt_route_hold(&set->routes[set->route_count++]);
 	}
 	if (set->route_count != count)
 		return RT_E_BAD;
@@ -196,18 +281,15 @@
 /* Returns the index of the account that owns a key, or -1. */
 int rt_account_by_key(const struct rt_set *set, const char *key)
 {
+	const struct rt_key want = { .key = (char *)key };
 	const struct rt_key *found;
-	struct rt_key want;
 
-	if (strlen(key) >= sizeof(want.key))
-		return -1;
-	mag_copy_name(want.key, sizeof(want.key), key);
 	found = bsearch(&want, set->keys, (size_t)set->key_count,
 			sizeof(*set->keys), rt_by_key);
 	return found ? found->account : -1;
 }
 
-/* Returns the index of the service with this name, or -1. */
+/* Returns the index of the service with this identity, or -1. */
 int rt_find_service(const struct rt_set *set, const char *name)
 {
 	int i;
@@ -219,7 +301,7 @@
 	return -1;
 }
 
-/* Returns the accelerator with this name, or NULL. */
+/* Returns the accelerator with this identity, or NULL. */
 const struct rt_accelerator *rt_find_accelerator(const struct rt_engine *engine,
 						 const char *name)
 {
--- a/src/rt.h
+++ b/src/rt.h
@@ -6,6 +6,9 @@
  * services, services with their engines, client accounts with their keys.  A
  * set is immutable once built; requests hold a reference to the one that was in
  * force when they arrived.
+ *
+ * Nothing here limits the length of a text or the number of objects.  A name
+ * that serves only to identify an object is kept as mag_identify() writes it.
  */
 
 #include <stdbool.h>
@@ -16,12 +19,7 @@
 #include "mag.h"
 #include "urg.h"
 
-#define RT_SPLIT_MAX	    8
-#define RT_HOST_MAX	    128
-#define RT_PREFIX_MAX	    256
-#define RT_KEY_MAX	    128
-#define RT_PART_BYTES	    16
-#define RT_ACCELERATORS_MAX 16
+#define RT_PART_BYTES 16
 
 enum rt_err {
 	RT_OK = 0,
@@ -41,16 +39,23 @@
 	double weight;
 };
 
+/* What a route matches and where it leads; its copies in several sets share it.
+ */
+struct rt_route_data;
+
 /* Identifies the text of a route. */
 struct rt_part {
 	unsigned char id[RT_PART_BYTES];
 };
 
 struct rt_route {
-	struct rt_part part; /* 0: unknown */
-	char name[MAG_NAME_MAX];
-	char host[RT_HOST_MAX];
-	char prefix[RT_PREFIX_MAX];
+	struct rt_part part;	 /* 0: unknown */
+	char name[MAG_NAME_MAX]; /* identity */
+	struct rt_route_data *data;
+	const char *host; /* this and the next two are in data */
+	const char *prefix;
+	const struct rt_split *splits;
+	int split_count;
 	size_t prefix_len;
 	enum rt_request_kind kind;
 	bool resumable;	  /* a stream may continue at another worker */
@@ -61,13 +66,11 @@
 	int64_t max_gap_us; /* longest gap between events that is on time */
 	int priority;	    /* 0 is the most urgent */
 	int max_attempts;
-	struct rt_split splits[RT_SPLIT_MAX];
-	int split_count;
 };
 
 /* A type of accelerator; times are relative to the reference, 1. */
 struct rt_accelerator {
-	char name[MAG_NAME_MAX];
+	char name[MAG_NAME_MAX]; /* identity */
 	double memory_mb;
 	double step_factor;    /* relative time of a decode step */
 	double prefill_factor; /* relative time of prefill */
@@ -75,8 +78,7 @@
 
 /* Performance model of a service's workers; times cover all layers. */
 struct rt_engine {
-	char model[MAG_NAME_MAX];
-	int layers;
+	int layers; /* may be more than MAG_LAYERS_MAX */
 	double layer_mb;
 	double kv_token_bytes; /* KV cache of a token over all layers */
 	double step_ms;
@@ -90,13 +92,13 @@
 	int slots;
 	int usual_prompt;
 	int usual_answer;
-	struct rt_accelerator accelerators[RT_ACCELERATORS_MAX];
+	struct rt_accelerator *accelerators;
 	int accelerator_count;
 };
 
 struct rt_service {
-	char name[MAG_NAME_MAX];
-	char health_path[RT_PREFIX_MAX];
+	char name[MAG_NAME_MAX]; /* identity */
+	char *health_path;
 	int max_connections; /* per worker, for all callers together */
 	bool has_engine;
 	struct rt_engine engine;
@@ -105,12 +107,12 @@
 };
 
 struct rt_account {
-	char name[MAG_NAME_MAX];
+	char *name;
 	int priority; /* overrides the route's; -1: none */
 };
 
 struct rt_key {
-	char key[RT_KEY_MAX];
+	char *key;
 	int account;
 };
 
@@ -141,6 +143,12 @@
 struct rt_set *rt_hold(struct rt_set *set);
 void rt_drop(struct rt_set *set);
 void rt_index_tables(struct rt_set *set);
+int rt_route_set_data(struct rt_route *route, const char *host,
+		      const char *prefix, const struct rt_split *splits,
+		      int split_count);
+void rt_route_hold(struct rt_route *route);
+void rt_route_drop(struct rt_route *route);
+bool rt_engine_is_supported(const struct rt_engine *engine);
 int rt_changes_init(struct rt_changes *changes, int max);
 void rt_changes_free(struct rt_changes *changes);
 bool rt_has_same_services(const struct rt_set *a, const struct rt_set *b);
--- a/src/wire.h
+++ b/src/wire.h
@@ -27,10 +27,11 @@
 /* An entry of the list of workers. */
 struct wire_worker {
 	char id[WIRE_ID_MAX];
+	/* Identities; see mag_identify(). */
 	char service[MAG_NAME_MAX];
-	char address[MAG_ADDR_MAX];
 	char data_centre[MAG_NAME_MAX];
 	char kind[MAG_NAME_MAX]; /* of accelerator; "" for plain services */
+	char address[MAG_ADDR_MAX];
 	int slots;
 	bool draining;
 	int64_t started_ms; /* Unix time of its start; 0: unknown */
