tree, rel, hint: a router whose data is outdated follows any with newer data

Cause: who may be followed was given by the order of the routers alone. Far from the top a router never left a parent with outdated data; near it the turns to the store came one by one, the ninth after the bound; and a router could follow only those before it, which may all be turned away.

Evidence: the late routers were the followers of the second one of the order, which had only the first one and the store. All of them heard the newer position in every datagram.

Fix: datagrams tell the age of the sender's data, in the field "ready", which earlier versions compare with 0. Outdated routers follow one with newer data. Answers with data that came out of order are marked (a flag that earlier versions do not read), and marked data is taken from a new source only if it is newer than the own: data is never newer than that of its source, so that no circle can form. Whoever follows out of order probes the store to return.

--- a/regress/check_tree.c
+++ b/regress/check_tree.c
@@ -9,16 +9,19 @@
 #include "tree.h"
 #include "xfer.h"
 
-#define LINE_MAX_	  256
-#define STEP_US		  (10 * MAG_US_PER_MS)
-#define BOUND_US	  (5 * MAG_US_PER_S) /* of a change, and of removed keys */
-#define COALESCE_US	  (800 * MAG_US_PER_MS)
-#define QUERY_US	  MAG_US_PER_S
-#define RETRY_US	  (500 * MAG_US_PER_MS)
-#define TIMEOUT_US	  (300 * MAG_US_PER_MS)
-#define FAST_LINKS	  25 /* routers of a data centre with a faster link */
-#define START_US	  (100 * MAG_US_PER_S)
-#define STORE_PAGES	  9 /* calls of a complete list */
+#define LINE_MAX_   256
+#define STEP_US	    (10 * MAG_US_PER_MS)
+#define BOUND_US    (5 * MAG_US_PER_S) /* of a change, and of removed keys */
+#define COALESCE_US (800 * MAG_US_PER_MS)
+#define QUERY_US    MAG_US_PER_S
+#define RETRY_US    (500 * MAG_US_PER_MS)
+#define TIMEOUT_US  (300 * MAG_US_PER_MS)
+#define FAST_LINKS  25 /* routers of a data centre with a faster link */
+#define START_US    (100 * MAG_US_PER_S)
+#define STORE_PAGES 9 /* calls of a complete list */
+/* Datagrams between routers, as hint.c sends them. */
+#define HINT_US		  (150 * MAG_US_PER_MS)
+#define HINT_LOCAL_PEERS  32
 #define REVISIONS_MAX	  64
 #define ROUTE_BYTES	  320
 #define ANSWER_HEAD_BYTES 160 /* with that of HTTP */
@@ -36,6 +39,9 @@
 	bool up;
 	bool frozen;	    /* it runs no more, but its connections stay */
 	bool cut;	    /* from the store */
+	bool rejected;	    /* by the store */
+	bool marked;	    /* see tree.h */
+	int next_peer;	    /* to send a datagram to */
 	bool gone;	    /* its machine was removed */
 	int source;	    /* a router, TREE_STORE or TREE_WAIT */
 	long long revision; /* 0: nothing is known */
@@ -73,6 +79,7 @@
 static int64_t changed_us;
 static long calls;
 static int64_t oldest_us; /* greatest age of any router's data */
+static int rejects_left;  /* routers that the store is still to reject */
 
 static bool is_running(const struct router *router)
 {
@@ -221,7 +228,8 @@
 			peers[found++] = &routers[i].self;
 	}
 	tree_init(&router->tree, &router->self,
-		  (uint64_t)(router - routers) * 7919 + 1, BOUND_US);
+		  ((uint64_t)(router - routers) + 1) * 0x9e3779b97f4a7c15ULL,
+		  BOUND_US);
 	tree_update(&router->tree, peers, found);
 	free(peers);
 	router->up = true;
@@ -233,6 +241,7 @@
 	router->watch_us = 0;
 	router->query_us = 0;
 	router->poll_to = -1;
+	router->marked = false;
 }
 
 /* "fleet ROUTERS DATA_CENTRES": all routers start at the same moment. */
@@ -262,12 +271,23 @@
 		start_router(&routers[i]);
 }
 
+/* Returns whether the store answers a router; it may be the next to reject. */
+static bool asks_store(struct router *router)
+{
+	if (rejects_left && !router->rejected) {
+		router->rejected = true;
+		rejects_left--;
+	}
+	return store_up && !router->cut && !router->rejected;
+}
+
 /* A follower of the store: its watch, and queries where that is silent. */
 static void step_store(struct router *router)
 {
-	bool reached = store_up && !router->cut;
+	bool reached;
 
 	if (router->revision < newest && now >= router->watch_us) {
+		reached = asks_store(router);
 		calls += router->revision ? 1 : STORE_PAGES;
 		router->watch_us = now + (reached ? COALESCE_US : RETRY_US);
 		if (reached) {
@@ -278,6 +298,7 @@
 	if (now - router->fresh_us >= QUERY_US && now >= router->query_us) {
 		calls++;
 		router->query_us = now + RETRY_US;
+		reached = asks_store(router);
 		if (reached)
 			router->fresh_us = now;
 	}
@@ -300,6 +321,12 @@
 /* The router that was polled answers. */
 static void receive_answer(struct router *router, const struct router *from)
 {
+	struct tree_answer answer = {
+		.fresh_us = from->fresh_us,
+		.marked = from->marked,
+		.is_source = router->source == (int)(from - routers),
+		.own_us = router->fresh_us,
+	};
 	bool good;
 
 	router->poll_to = -1;
@@ -308,10 +335,12 @@
 		tree_on_empty(&router->tree, router->candidate, now);
 		return;
 	}
-	good = tree_on_answer(&router->tree, router->candidate, from->fresh_us,
-			      now);
-	if (good || router->source == TREE_WAIT)
+	good = tree_on_answer(&router->tree, router->candidate, &answer, now);
+	if (good || router->source == TREE_WAIT) {
 		router->source = (int)(from - routers);
+		router->marked =
+			from->marked || router->candidate == TREE_HEARD;
+	}
 	if (router->source == TREE_STORE)
 		return;
 	router->revision = router->answer_revision;
@@ -391,6 +420,32 @@
 	}
 }
 
+/* A call that shows whether the store serves a router that does not follow it.
+ */
+static void probe_store(struct router *router)
+{
+	calls++;
+	if (!asks_store(router))
+		return;
+	tree_on_probe(&router->tree, now);
+	if (router->receiving)
+		routers[router->poll_to].sending--;
+	router->receiving = false;
+	router->poll_to = -1;
+	router->source = TREE_STORE;
+	router->marked = false;
+}
+
+/* A poll is left if there is a better source. */
+static void leave_poll(struct router *router, int64_t fresh_us)
+{
+	if (router->poll_to < 0 || router->receiving ||
+	    router->candidate == TREE_HEARD ||
+	    tree_choose(&router->tree, fresh_us, now) != TREE_HEARD)
+		return;
+	router->poll_to = -1;
+}
+
 static void step_router(struct router *router)
 {
 	int64_t fresh_us =
@@ -399,15 +454,43 @@
 
 	if (router->source == TREE_STORE)
 		step_store(router);
+	else if (tree_probe_due(&router->tree, fresh_us, now))
+		probe_store(router);
+	leave_poll(router, fresh_us);
 	if (router->poll_to >= 0) {
 		step_poll(router);
 		return;
 	}
 	choice = tree_choose(&router->tree, fresh_us, now);
-	if (choice == TREE_STORE)
+	if (choice == TREE_STORE) {
 		router->source = TREE_STORE;
-	else if (choice >= 0)
+		router->marked = false;
+	} else if (choice >= 0) {
 		send_poll(router, choice);
+	}
+}
+
+/* Sends datagrams to the next routers of the data centre, and to one other. */
+static void send_hints(struct router *router)
+{
+	struct router *peer;
+	int local = 0;
+	int remote = 0;
+	int i;
+
+	for (i = 1; i < count && (local < HINT_LOCAL_PEERS || !remote); i++) {
+		router->next_peer = (router->next_peer + 1) % count;
+		peer = &routers[router->next_peer];
+		if (strcmp(peer->self.data_centre, router->self.data_centre) ==
+		    0)
+			local++;
+		else if (remote++)
+			continue;
+		if (local <= HINT_LOCAL_PEERS && is_running(peer) &&
+		    peer != router && router->fresh_us > peer->fresh_us)
+			tree_hear(&peer->tree, router->self.name,
+				  router->self.address, router->fresh_us, now);
+	}
 }
 
 static void step(void)
@@ -418,6 +501,9 @@
 	for (i = 0; i < count; i++) {
 		if (!is_running(&routers[i]))
 			continue;
+		if (routers[i].fresh_us &&
+		    now / HINT_US != (now - STEP_US) / HINT_US)
+			send_hints(&routers[i]);
 		step_router(&routers[i]);
 		if (routers[i].fresh_us && !routers[i].cut &&
 		    now - routers[i].fresh_us > oldest_us)
@@ -599,6 +685,28 @@
 	changed_us = now;
 }
 
+/*
+ * "reject first N": the store rejects the first routers of each data centre;
+ * "reject readers N": the next routers to call it; "reject none": serves all.
+ */
+static bool reject(const char *line)
+{
+	int n = 0;
+	int i;
+
+	if (sscanf(line, "reject readers %d", &n) == 1) {
+		rejects_left = n;
+		return true;
+	}
+	if (sscanf(line, "reject first %d", &n) != 1 &&
+	    strncmp(line, "reject none", 11) != 0)
+		return false;
+	rejects_left = 0;
+	for (i = 0; i < count; i++)
+		routers[i].rejected = routers[i].tree.rank < n;
+	return true;
+}
+
 /* Runs a command on the routers or the store; returns false for others. */
 static bool run_fleet_command(char *line, FILE *out, int centres)
 {
@@ -608,7 +716,9 @@
 	int b;
 	int c;
 
-	if (sscanf(line, "store %d", &a) == 1) {
+	if (reject(line)) {
+		return true;
+	} else if (sscanf(line, "store %d", &a) == 1) {
 		store_up = a;
 	} else if (sscanf(line, "gone %d", &a) == 1) {
 		remove_machines(a);
--- a/src/hint.c
+++ b/src/hint.c
@@ -51,6 +51,8 @@
 static struct hint_peer *hint_add_peer(struct hint *hint, const char *name);
 static void hint_receive(struct hint *hint, const struct hint_message *message,
 			 const struct sockaddr_in *from);
+static void hint_receive_age(struct hint *hint, const struct hint_peer *peer,
+			     const struct hint_message *message, int64_t now);
 static void hint_receive_traits(struct hint *hint,
 				const struct hint_trait_message *message);
 static void hint_receive_demands(struct hint *hint,
@@ -246,6 +248,7 @@
 	memcpy(peer->limits, message->limits,
 	       message->limit_count * sizeof(message->limits[0]));
 	sto_follow_learn_pos(edge->follow, message->store_pos);
+	hint_receive_age(hint, peer, message, now);
 	edge->era.peer_message_seen = true;
 	attest_hear_version(&edge->attest, message->claim.version,
 			    edge->rt ? edge->rt->version : -1, now);
@@ -264,6 +267,22 @@
 		hint_send_first(hint, peer);
 }
 
+/* Notes how old a peer's data is: it may be a better source than ours. */
+static void hint_receive_age(struct hint *hint, const struct hint_peer *peer,
+			     const struct hint_message *message, int64_t now)
+{
+	int64_t age_us = hint_msg_data_age(message->ready);
+	char address[MAG_ADDR_MAX];
+	char ip[INET_ADDRSTRLEN];
+
+	if (age_us < 0 ||
+	    !inet_ntop(AF_INET, &peer->address.sin_addr, ip, sizeof(ip)))
+		return;
+	snprintf(address, sizeof(address), "%s:%d", ip,
+		 ntohs(peer->address.sin_port));
+	rel_hear(hint->edge->rel, peer->name, address, now - age_us, now);
+}
+
 /* Takes what a peer reports of losses under traits of requests. */
 static void hint_receive_traits(struct hint *hint,
 				const struct hint_trait_message *message)
--- a/src/hint_msg.c
+++ b/src/hint_msg.c
@@ -25,6 +25,8 @@
 #define HINT_LEFT_MAX	     0xffffffU
 #define HINT_CRASH_ALONE     (1U << 0)
 #define HINT_CRASH_COMPLETED (1U << 1)
+/* Longest age of a router's data that is told. */
+#define HINT_DATA_AGE_MAX_MS 0x3fffffff
 #define HINT_WITNESSES_MASK  ((1U << HINT_WITNESS_BITS) - 1)
 
 static bool_t hint_msg_xdr(XDR *xdr, struct hint_message *message);
@@ -49,6 +51,27 @@
 	return 0;
 }
 
+/*
+ * Returns the field of a router that is ready and whose data was current so
+ * long ago; negative: it has none.
+ */
+uint32_t hint_msg_ready(int64_t data_age_us)
+{
+	int64_t age_ms = data_age_us / MAG_US_PER_MS;
+
+	if (data_age_us < 0)
+		return 1;
+	if (age_ms > HINT_DATA_AGE_MAX_MS)
+		age_ms = HINT_DATA_AGE_MAX_MS;
+	return 1U | ((uint32_t)age_ms + 1) << 1;
+}
+
+/* Returns the age of a router's data in microseconds; negative: unknown. */
+int64_t hint_msg_data_age(uint32_t ready)
+{
+	return ((int64_t)(ready >> 1) - 1) * MAG_US_PER_MS;
+}
+
 /* Decodes a message; one of another version is rejected. */
 int hint_msg_decode(struct hint_message *message, char *bytes, size_t len)
 {
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -55,7 +55,11 @@
 
 struct hint_message {
 	char name[MAG_NAME_MAX];
-	/* It accepts callers, can check their keys and reaches the workers. */
+	/*
+	 * Not 0: it accepts callers, can check their keys and reaches the
+	 * workers.  hint_msg_ready() adds the age of its data; earlier versions
+	 * send 1.
+	 */
 	uint32_t ready;
 	uint32_t session;
 	int64_t sent_us;      /* the sender's clock */
@@ -75,6 +79,9 @@
 	struct hint_limit limits[HINT_LIMITS_MAX];
 };
 
+uint32_t hint_msg_ready(int64_t data_age_us);
+int64_t hint_msg_data_age(uint32_t ready);
+
 /* Both return a negative number if the message is invalid or does not fit. */
 int hint_msg_encode(struct hint_message *message, char *bytes, size_t *len);
 int hint_msg_decode(struct hint_message *message, char *bytes, size_t len);
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -295,8 +295,11 @@
 	int64_t now = clk_boot_us();
 
 	mag_copy_name(message->name, sizeof(message->name), edge->set.instance);
-	message->ready = edge_is_ready(edge, now) &&
-			 !reach_is_lost(&edge->workers.reach);
+	message->ready = 0;
+	if (edge_is_ready(edge, now) && !reach_is_lost(&edge->workers.reach))
+		message->ready = hint_msg_ready(
+			rel_fresh_us(edge->rel) ? now - rel_fresh_us(edge->rel)
+						: -1);
 	message->session = edge->attest.session;
 	message->sent_us = now;
 	message->store_pos = sto_follow_pos(edge->follow);
--- a/src/rel.c
+++ b/src/rel.c
@@ -22,7 +22,8 @@
 static int64_t rel_bound_us(const struct edge *edge);
 static void rel_choose(struct rel *rel, int64_t now);
 static void rel_follow_store(struct rel *rel);
-static bool rel_is_source(const struct rel *rel);
+static void rel_probe(struct rel *rel, int64_t now);
+static int64_t rel_known_us(const struct rel *rel);
 static void rel_poll(struct rel *rel, int64_t now);
 static struct hc_host *rel_host(struct rel *rel, int source);
 static bool rel_on_headers(void *user, const struct hc_response *response);
@@ -71,7 +72,7 @@
 		return;
 	if (rel->hs)
 		rel_serve_stop(rel);
-	for (i = 0; i < TREE_CANDIDATES_MAX; i++)
+	for (i = 0; i <= TREE_CANDIDATES_MAX; i++)
 		hc_host_free(rel->hosts[i]);
 	if (rel->body)
 		evbuffer_free(rel->body);
@@ -90,6 +91,7 @@
 		rel_join_tick(rel, now);
 		return;
 	}
+	rel_probe(rel, now);
 	if (rel->call || rel->pending.active)
 		return;
 	if (now >= rel->next_update_us) {
@@ -107,6 +109,55 @@
 		rel->fresh_us = at_us;
 }
 
+/* Returns when the items known here were current; 0: never. */
+int64_t rel_fresh_us(const struct rel *rel)
+{
+	return rel->fresh_us;
+}
+
+/*
+ * Notes that another router has items that were current at fresh_us, by our
+ * clock.  A poll in progress is left if that router is the better source.
+ */
+void rel_hear(struct rel *rel, const char *name, const char *address,
+	      int64_t fresh_us, int64_t now)
+{
+	bool is_polled = rel->call && rel->call_source == TREE_HEARD;
+
+	if (is_polled || fresh_us <= rel->fresh_us)
+		return;
+	tree_hear(&rel->tree, name, address, fresh_us, now);
+	if (!rel->call || rel->xfer.begun_us ||
+	    tree_choose(&rel->tree, rel_known_us(rel), now) != TREE_HEARD)
+		return;
+	hc_cancel(rel->call);
+	rel->call = NULL;
+}
+
+/*
+ * Asks the store whether it serves this router, if the router that is followed
+ * is not one of its place in the tree or has outdated data, and follows the
+ * store once it has answered.
+ */
+static void rel_probe(struct rel *rel, int64_t now)
+{
+	struct sto_follow *follow = rel->edge->follow;
+
+	if (!sto_follow_is_paused(follow) || rel->pending.active)
+		return;
+	if (rel->probe_sent_us &&
+	    sto_follow_query_answered_us(follow) >= rel->probe_sent_us) {
+		if (rel->call)
+			hc_cancel(rel->call);
+		rel->call = NULL;
+		tree_on_probe(&rel->tree, now);
+		rel_follow_store(rel);
+	} else if (tree_probe_due(&rel->tree, rel_known_us(rel), now)) {
+		rel->probe_sent_us = now;
+		sto_follow_query(follow);
+	}
+}
+
 /* Returns whether this router follows the store itself. */
 bool rel_follows_store(const struct rel *rel)
 {
@@ -146,6 +197,7 @@
 		out,
 		"magnolia_tree_rank %d\n"
 		"magnolia_tree_follows_store %d\n"
+		"magnolia_tree_follows_heard %d\n"
 		"magnolia_tree_followers %d\n"
 		"magnolia_tree_age_seconds %.3f\n"
 		"magnolia_tree_polls_total %llu\n"
@@ -156,7 +208,8 @@
 		"magnolia_tree_sent_bytes_total %llu\n"
 		"magnolia_config_version %lld\n"
 		"magnolia_config_version_heard %lld\n",
-		rel->tree.rank, rel_follows_store(rel), rel->wait_count,
+		rel->tree.rank, rel_follows_store(rel), rel->tree.follows_heard,
+		rel->wait_count,
 		rel->fresh_us ? (double)(now - rel->fresh_us) / MAG_US_PER_S
 			      : -1.0,
 		(unsigned long long)rel->polls,
@@ -184,8 +237,7 @@
  */
 static void rel_choose(struct rel *rel, int64_t now)
 {
-	int64_t fresh_us = rel->fresh_us ? rel->fresh_us : rel->joined_us;
-	int source = tree_choose(&rel->tree, fresh_us, now);
+	int source = tree_choose(&rel->tree, rel_known_us(rel), now);
 
 	if (source == TREE_STORE)
 		rel_follow_store(rel);
@@ -195,34 +247,50 @@
 	}
 }
 
+/* Returns when the items were current, or when following began without any. */
+static int64_t rel_known_us(const struct rel *rel)
+{
+	return rel->fresh_us ? rel->fresh_us : rel->joined_us;
+}
+
 static void rel_follow_store(struct rel *rel)
 {
 	if (rel->source == TREE_STORE)
 		return;
 	rel->source = TREE_STORE;
+	rel->marked = false;
+	rel->probe_sent_us = 0;
 	rel->source_name[0] = '\0';
-	jlog(LOG_REL_SOURCE, "\"source\":\"store\",\"rank\":%d",
-	     rel->tree.rank);
+	jlog(LOG_REL_SOURCE, "\"source\":\"store\",\"rank\":%d,\"age_ms\":%d",
+	     rel->tree.rank,
+	     (int)((clk_boot_us() - rel_known_us(rel)) / MAG_US_PER_MS));
 	sto_follow_resume(rel->edge->follow);
 }
 
-/* Follows the candidate that has answered. */
-void rel_follow_peer(struct rel *rel)
+/* Follows the candidate that has answered, whose items are marked or not. */
+void rel_follow_peer(struct rel *rel, bool marked)
 {
 	const char *name = rel->tree.candidates[rel->call_source].name;
+	bool heard = rel->call_source == TREE_HEARD;
 
 	rel->source = rel->call_source;
+	rel->marked = marked || heard;
 	if (strcmp(rel->source_name, name) == 0)
 		return;
 	mag_copy_name(rel->source_name, sizeof(rel->source_name), name);
-	jlog(LOG_REL_SOURCE, "\"source\":\"%s\",\"rank\":%d", name,
-	     rel->tree.rank);
+	rel->probe_sent_us = 0;
+	jlog(LOG_REL_SOURCE,
+	     "\"source\":\"%s\",\"rank\":%d,\"heard\":%s,\"marked\":%s,"
+	     "\"age_ms\":%d",
+	     name, rel->tree.rank, heard ? "true" : "false",
+	     marked ? "true" : "false",
+	     (int)((clk_boot_us() - rel_known_us(rel)) / MAG_US_PER_MS));
 	if (!sto_follow_is_paused(rel->edge->follow))
 		sto_follow_pause(rel->edge->follow);
 }
 
 /* Tells whether the candidate polled next is the one that is followed. */
-static bool rel_is_source(const struct rel *rel)
+bool rel_is_source(const struct rel *rel)
 {
 	const char *name = rel->tree.candidates[rel->call_source].name;
 
--- a/src/rel.h
+++ b/src/rel.h
@@ -45,6 +45,9 @@
 bool rel_is_idle(const struct rel *rel);
 void rel_set_limits(struct rel *rel, const struct hs_limits *limits);
 void rel_on_fresh(struct rel *rel, int64_t at_us);
+int64_t rel_fresh_us(const struct rel *rel);
+void rel_hear(struct rel *rel, const char *name, const char *address,
+	      int64_t fresh_us, int64_t now);
 void rel_drop_pending(struct rel *rel);
 bool rel_is_applying(const struct rel *rel);
 bool rel_follows_store(const struct rel *rel);
--- a/src/rel_apply.c
+++ b/src/rel_apply.c
@@ -29,10 +29,16 @@
 	struct sto_follow *follow = rel->edge->follow;
 	int64_t now = clk_boot_us();
 	int64_t fresh_us = rel->sent_us + answer->fresh_us;
+	struct tree_answer shown = {
+		.marked = answer->marked,
+		.is_source = rel_is_source(rel),
+		.own_us = rel->fresh_us,
+	};
 	bool good;
 
 	if (!answer->has_fresh || fresh_us > now)
 		fresh_us = 0;
+	shown.fresh_us = fresh_us;
 	/* Changes that the store has reported meanwhile are newer. */
 	if (!sto_follow_is_paused(follow) &&
 	    pos_compare(answer->pos, sto_follow_pos(follow)) < 0) {
@@ -40,9 +46,9 @@
 		pl_store_items_free(items);
 		return;
 	}
-	good = tree_on_answer(&rel->tree, rel->call_source, fresh_us, now);
+	good = tree_on_answer(&rel->tree, rel->call_source, &shown, now);
 	if (good || rel->source == TREE_WAIT)
-		rel_follow_peer(rel);
+		rel_follow_peer(rel, answer->marked);
 	if (!sto_follow_is_paused(follow)) {
 		pl_store_items_free(items);
 		return;
--- a/src/rel_int.h
+++ b/src/rel_int.h
@@ -50,10 +50,12 @@
 	int joins;	       /* reads so far */
 
 	/* Following. */
-	int source;			/* candidate, TREE_STORE or TREE_WAIT */
+	int source;	       /* candidate, TREE_STORE or TREE_WAIT */
+	bool marked;	       /* what comes from there; see tree.h */
+	int64_t probe_sent_us; /* of the last probe of the store; 0: none */
 	char source_name[MAG_NAME_MAX]; /* "": the store, or none yet */
-	struct hc_host *hosts[TREE_CANDIDATES_MAX];
-	char addresses[TREE_CANDIDATES_MAX][MAG_ADDR_MAX];
+	struct hc_host *hosts[TREE_CANDIDATES_MAX + 1];
+	char addresses[TREE_CANDIDATES_MAX + 1][MAG_ADDR_MAX];
 	struct hc_call *call;
 	int call_source;
 	int status;
@@ -80,7 +82,8 @@
 
 /* rel.c */
 void rel_update(struct rel *rel);
-void rel_follow_peer(struct rel *rel);
+void rel_follow_peer(struct rel *rel, bool marked);
+bool rel_is_source(const struct rel *rel);
 
 /* rel_apply.c */
 void rel_apply(struct rel *rel, const struct rel_answer *answer,
--- a/src/rel_join.c
+++ b/src/rel_join.c
@@ -126,7 +126,9 @@
 	rel->read = NULL;
 	free(read);
 	rel->joins++;
-	if ((!good || outdated) && rel->joins < REL_JOINS_MAX) {
+	/* A router that the store rejects can learn all of it from another. */
+	if ((!good || outdated) && rel->joins < REL_JOINS_MAX &&
+	    !(!good && rel->tree.heard_us)) {
 		rel->join_us = clk_boot_us() + REL_JOIN_RETRY_US;
 		return;
 	}
--- a/src/rel_msg.c
+++ b/src/rel_msg.c
@@ -251,7 +251,8 @@
 	uint32_t magic = REL_MAGIC;
 	uint32_t flags =
 		(answer->complete ? 1U : 0) | (answer->has_fresh ? 2U : 0) |
-		(answer->reachable ? 4U : 0) | (answer->has_regained ? 8U : 0);
+		(answer->reachable ? 4U : 0) | (answer->has_regained ? 8U : 0) |
+		(answer->marked ? 16U : 0);
 
 	if (!xdr_uint32_t(xdr, &magic) || magic != REL_MAGIC ||
 	    !xdr_uint32_t(xdr, &version) || version != REL_VERSION ||
@@ -267,6 +268,7 @@
 	answer->has_fresh = flags & 2U;
 	answer->reachable = flags & 4U;
 	answer->has_regained = flags & 8U;
+	answer->marked = flags & 16U;
 	return TRUE;
 }
 
--- a/src/rel_msg.h
+++ b/src/rel_msg.h
@@ -27,6 +27,11 @@
 struct rel_answer {
 	struct pos pos; /* after the changes the receiver has reached it */
 	bool complete;	/* all items, instead of changes */
+	/*
+	 * Some of it may have come from a router that the sender does not
+	 * precede; see tree.h.
+	 */
+	bool marked;
 	/*
 	 * When the items were current, relative to the receipt of the poll, in
 	 * microseconds; may be negative.  The receiver adds the time at which
--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -188,6 +188,7 @@
 	answer.pos = rel_mirror_pos(rel);
 	answer.complete = answer.pos.era != wait->after.era ||
 			  !mir_has_changes(&edge->mir, wait->after.revision);
+	answer.marked = rel->marked;
 	answer.has_fresh = rel->fresh_us != 0;
 	answer.fresh_us = rel->fresh_us - wait->received_us;
 	answer.reachable = edge->store_reachable;
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -387,6 +387,12 @@
 	}
 }
 
+/* Returns when the newest answered query was sent; 0: none since a restore. */
+int64_t sto_follow_query_answered_us(const struct sto_follow *follow)
+{
+	return follow->store_pos_sent_us;
+}
+
 /* Sets the longest delay between attempts while the store does not answer. */
 void sto_follow_set_retry_max(struct sto_follow *follow, int64_t retry_max_us)
 {
