edge, rel, sto: what a router says of its own path to the store holds for it alone

Cause: "unreachable" and the time of the return were passed on along the tree and kept. A router that turned to the store itself and was served at once never reported that it was reachable, as it had not failed. Removed entries were then taken for entries that expired in an outage and their workers kept for 1.7 s.

Evidence: the routers logged worker-gone within 0.7 s of the removal, in_ms 1700; none of them had a failed call.

Fix: store_reachable is about own calls only, and reported again with the first one that succeeds. Whether entries may have expired follows from how long neither the store nor another router told this one anything, compared with the interval at which workers report (new setting worker_report_ms, optional). The fields of earlier versions are still sent, and not read.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -33,7 +33,8 @@
 
 store_of() { echo ${STORE_SEEN:-$store}; }
 
-# start_router NUMBER ZONE: sets router_NUMBER to its pid.  $RETRY_RATIO and
+# start_router NUMBER ZONE: sets router_NUMBER to its pid.  $REPORT_MS is the interval at
+# which it takes workers to report, $RETRY_RATIO and
 # $RETRY_SLACK set its retry budget.
 start_router() {
 	cat >"$dir/router.$1.json" <<-JSON
@@ -44,7 +45,8 @@
 	"store":"$(store_of $1)","store_lease_ms_min":1000,"first_start":true,
 	"stop_s":8,"config_apply_ms":2000,"drain_ms":2000,"keys_stale_ms":5000,
 	"keys_fail_closed":true,"retry_ratio":${RETRY_RATIO:-0.2},"retry_window_s":10,
-	"retry_slack":${RETRY_SLACK:-200},"stall_ms":3000,"open_files":1000,"link_mbps":1000}
+	"retry_slack":${RETRY_SLACK:-200},"stall_ms":3000,"open_files":1000,"link_mbps":1000,
+	"worker_report_ms":${REPORT_MS:-300}}
 	JSON
 	MAGNOLIARAIL_NODE_FILE="$dir/router.$1.json" "$build/magnolia-edge" \
 		>>"$dir/router.$1.log" 2>&1 &
--- a/src/edge.c
+++ b/src/edge.c
@@ -238,14 +238,20 @@
 				edge->rt ? edge->rt->version : -1);
 }
 
+/* Tells whether the store or another router answers this one. */
+bool edge_has_source(const struct edge *edge)
+{
+	return edge->store_reachable || !rel_follows_store(edge->rel);
+}
+
 /*
  * Tells whether this router should have had the newer configuration of another
- * one long ago, so that it must not go by its own any more.  One that cannot
- * reach the store serves what it can.
+ * one long ago, so that it must not go by its own any more.  One that can
+ * reach neither the store nor another router serves what it can.
  */
 bool edge_is_outdated(const struct edge *edge, int64_t now)
 {
-	return edge->store_reachable && edge->rt &&
+	return edge_has_source(edge) && edge->rt &&
 	       attest_is_outdated(&edge->attest, edge->rt->version,
 				  edge->set.config_apply_us, now);
 }
--- a/src/edge.h
+++ b/src/edge.h
@@ -95,8 +95,12 @@
 	/* The newest configuration that was read cannot be put in force. */
 	bool config_refused;
 	bool workers_listed;
-	bool store_reachable;
-	int64_t store_regained_us; /* reachable again; 0: never lost */
+	bool store_reachable; /* by this router's own calls */
+	/*
+	 * When the items were current again after nobody that this router could
+	 * learn from had reached the store for long; 0: never.
+	 */
+	int64_t store_regained_us;
 
 	char data_centres[MAG_DATA_CENTRES_MAX][MAG_NAME_MAX];
 	int data_centre_count;
@@ -149,6 +153,7 @@
 uint64_t edge_random(struct edge *edge);
 int edge_routers_per_data_centre(const struct edge *edge);
 bool edge_has_config(const struct edge *edge, int64_t now);
+bool edge_has_source(const struct edge *edge);
 bool edge_is_behind(const struct edge *edge);
 bool edge_is_outdated(const struct edge *edge, int64_t now);
 bool edge_may_serve(const struct edge *edge, int64_t now);
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -24,6 +24,13 @@
  * this time of its return.
  */
 #define EDGE_REWRITE_US (1700 * MAG_US_PER_MS)
+/*
+ * An entry expires after three report intervals without a report, so that none
+ * can have expired while the store was unreachable for less than two.
+ */
+#define EDGE_OUTAGE_INTERVALS 1.75
+/* A router finds another source within this fraction of the shorter bound. */
+#define EDGE_SEARCH_FRACTION 0.8
 /*
  * A worker resets connections beyond its limit, which all routers share.  Each
  * router uses its part of four fifths of that limit; until other routers are
@@ -54,6 +61,8 @@
 static void edge_end_recovery(struct edge *edge);
 static void edge_log_recovery(struct edge *edge, int64_t now);
 static void edge_on_reachable(void *user, bool reachable);
+static void edge_on_answered(void *user, int64_t at_us);
+static int64_t edge_outage_us(const struct edge *edge);
 static int64_t edge_gone_us(const struct edge *edge, int64_t now);
 
 static const struct sto_follow_ops edge_ops = {
@@ -62,6 +71,7 @@
 	.list_end = edge_list_end,
 	.confirmed = edge_on_fresh,
 	.restored = edge_on_store_restored,
+	.answered = edge_on_answered,
 	.reachable = edge_on_reachable,
 };
 
@@ -178,6 +188,7 @@
 	int64_t before_us = edge->attest.confirmed_us;
 	int64_t now = clk_boot_us();
 
+	edge_on_answered(edge, sent_us);
 	rel_on_fresh(edge->rel, sent_us);
 	if (!era_is_authoritative(&edge->era, sent_us) ||
 	    !edge_has_config(edge, now) || edge_is_behind(edge))
@@ -395,12 +406,47 @@
 	struct edge *edge = user;
 
 	edge->store_reachable = reachable;
-	if (reachable)
-		edge->store_regained_us = clk_boot_us();
 	jlog(reachable ? LOG_PF_UP : LOG_PF_DOWN, "\"store\":\"%s\"",
 	     edge->set.store);
 }
 
+/*
+ * Returns for how long nothing must have been known of the store for an entry
+ * to have expired meanwhile.  Without a failed call of this router that is
+ * longer than it takes to find another source.
+ */
+static int64_t edge_outage_us(const struct edge *edge)
+{
+	const struct eset *set = &edge->set;
+	double least_us = EDGE_OUTAGE_INTERVALS * (double)set->worker_report_us;
+	double search_us = EDGE_SEARCH_FRACTION * (double)eset_bound_us(set);
+
+	if (edge->store_reachable && least_us < search_us)
+		least_us = search_us;
+	return (int64_t)least_us;
+}
+
+/*
+ * Called before items are reported that were current at a time.  If nothing was
+ * known of the store for so long before, entries may have expired meanwhile
+ * although their workers are alive.  That this router alone lost its way to the
+ * store does not matter: while others tell it what changes, the store is up.
+ */
+static void edge_on_answered(void *user, int64_t at_us)
+{
+	struct edge *edge = user;
+	int64_t known_us = rel_fresh_us(edge->rel);
+
+	if (!known_us || at_us - known_us < edge_outage_us(edge))
+		return;
+	edge->store_regained_us = at_us;
+	jlog(LOG_EDGE_GAP,
+	     "\"gap_ms\":%d,\"from_store\":%s,\"entries_kept_ms\":%d",
+	     (int)((at_us - known_us) / MAG_US_PER_MS),
+	     rel_follows_store(edge->rel) ? "true" : "false",
+	     (int)(EDGE_REWRITE_US / MAG_US_PER_MS));
+}
+
 /*
  * Returns when a worker without an entry counts as gone: at once, unless its
  * entry may have expired while the store was unreachable.  In that case the
@@ -413,8 +459,6 @@
 {
 	int64_t rewritten_us = edge->store_regained_us + EDGE_REWRITE_US;
 
-	if (!edge->store_reachable)
-		return now + EDGE_REWRITE_US;
 	return edge->store_regained_us && now < rewritten_us ? rewritten_us
 							     : now;
 }
--- a/src/eset.c
+++ b/src/eset.c
@@ -8,11 +8,12 @@
 
 enum eset_type {
 	ESET_TEXT,
-	ESET_INT,    /* int */
-	ESET_INT64,  /* int64_t */
-	ESET_MS,     /* milliseconds, stored as int64_t microseconds */
-	ESET_S,	     /* seconds, stored as int64_t microseconds */
-	ESET_NUMBER, /* double */
+	ESET_INT,	  /* int */
+	ESET_INT64,	  /* int64_t */
+	ESET_MS,	  /* milliseconds, stored as int64_t microseconds */
+	ESET_OPTIONAL_MS, /* the same; what is missing keeps its default */
+	ESET_S,		  /* seconds, stored as int64_t microseconds */
+	ESET_NUMBER,	  /* double */
 	ESET_FLAG,
 };
 
@@ -23,6 +24,9 @@
 	size_t size; /* of the buffer of a text */
 };
 
+/* Of settings without it. */
+#define ESET_WORKER_REPORT_US (1200 * MAG_US_PER_MS)
+
 #define ESET_TEXT_FIELD(member)                                                \
 	{                                                                      \
 #member, ESET_TEXT, offsetof(struct eset, member),             \
@@ -54,6 +58,8 @@
 	{ "stall_ms", ESET_MS, offsetof(struct eset, stall_us), 0 },
 	{ "open_files", ESET_INT, offsetof(struct eset, open_files), 0 },
 	{ "link_mbps", ESET_INT, offsetof(struct eset, link_mbps), 0 },
+	{ "worker_report_ms", ESET_OPTIONAL_MS,
+	  offsetof(struct eset, worker_report_us), 0 },
 };
 
 static int eset_parse_field(const struct eset_field *field, const json_t *value,
@@ -69,7 +75,7 @@
 int eset_load(const char *path, struct eset *set, char *why, int why_size)
 {
 	const struct eset_field *field;
-	struct eset parsed = { 0 };
+	struct eset parsed = { .worker_report_us = ESET_WORKER_REPORT_US };
 	json_error_t error;
 	json_t *root;
 	size_t i;
@@ -97,6 +103,13 @@
 	return ESET_OK;
 }
 
+/* Returns the shortest time within which a change must be known everywhere. */
+int64_t eset_bound_us(const struct eset *set)
+{
+	return set->config_apply_us < set->drain_us ? set->config_apply_us
+						    : set->drain_us;
+}
+
 static int eset_parse_field(const struct eset_field *field, const json_t *value,
 			    struct eset *set)
 {
@@ -114,6 +127,10 @@
 			return ESET_E_BAD;
 		*(bool *)at = json_is_true(value);
 		return ESET_OK;
+	case ESET_OPTIONAL_MS:
+		if (!value || json_is_null(value))
+			return ESET_OK;
+		return eset_parse_number(field, value, at);
 	default:
 		return eset_parse_number(field, value, at);
 	}
@@ -135,6 +152,7 @@
 		*(int64_t *)at = (int64_t)number;
 		break;
 	case ESET_MS:
+	case ESET_OPTIONAL_MS:
 		*(int64_t *)at = (int64_t)(number * MAG_US_PER_MS);
 		break;
 	case ESET_S:
--- a/src/eset.h
+++ b/src/eset.h
@@ -36,8 +36,11 @@
 	int64_t stall_us;   /* streams of a dead worker are cut after this */
 	int open_files;
 	int link_mbps; /* speed of this machine's network link */
+	/* Workers report to the store at this interval; may be missing. */
+	int64_t worker_report_us;
 };
 
+int64_t eset_bound_us(const struct eset *set);
 int eset_load(const char *path, struct eset *set, char *why, int why_size);
 
 #endif /* ESET_H */
--- a/src/rel.c
+++ b/src/rel.c
@@ -19,7 +19,6 @@
 /* Polls to one router: the one in progress, and one that is being closed. */
 #define REL_CONNECTIONS_MAX 2
 
-static int64_t rel_bound_us(const struct edge *edge);
 static void rel_choose(struct rel *rel, int64_t now);
 static void rel_follow_store(struct rel *rel);
 static void rel_probe(struct rel *rel, int64_t now);
@@ -51,7 +50,8 @@
 	rel->owner = *owner;
 	rel->source = TREE_WAIT;
 	rel->body = evbuffer_new();
-	tree_init(&rel->tree, self, edge_random(edge), rel_bound_us(edge));
+	tree_init(&rel->tree, self, edge_random(edge),
+		  eset_bound_us(&edge->set));
 	rel->pending.event = evtimer_new(edge->base, rel_on_slice, rel);
 	rc = rel->body && rel->pending.event
 		     ? rel_serve_start(rel, self->address)
@@ -222,15 +222,6 @@
 		(long long)rel->edge->attest.newest_version);
 }
 
-/* The shortest time within which a change must be known everywhere. */
-static int64_t rel_bound_us(const struct edge *edge)
-{
-	const struct eset *set = &edge->set;
-
-	return set->config_apply_us < set->drain_us ? set->config_apply_us
-						    : set->drain_us;
-}
-
 /*
  * Follows the best source.  While the store is followed, a candidate is polled
  * without waiting, and takes over once it has answered well.
--- a/src/rel_apply.c
+++ b/src/rel_apply.c
@@ -12,8 +12,6 @@
 
 static void rel_mirror(struct rel *rel, const struct rel_answer *answer,
 		       const struct wire_items *items);
-static void rel_apply_reachable(struct rel *rel,
-				const struct rel_answer *answer);
 static void rel_apply_slice(struct rel *rel);
 static void rel_on_mismatch(struct rel *rel);
 static void rel_log_taken(const struct rel *rel, int64_t now);
@@ -54,7 +52,8 @@
 		return;
 	}
 	sto_learn_era(rel->edge->sto, answer->pos.era);
-	rel_apply_reachable(rel, answer);
+	if (fresh_us > rel->fresh_us)
+		rel->owner.ops->answered(rel->owner.user, fresh_us);
 	rel_mirror(rel, answer, items);
 	rel_on_fresh(rel, fresh_us);
 	rel->pending.active = true;
@@ -190,16 +189,3 @@
 	if (lost)
 		jlog(LOG_REL_BAD, "\"peer\":\"\",\"why\":\"out of memory\"");
 }
-
-/* Learns whether the store was unreachable, and until when. */
-static void rel_apply_reachable(struct rel *rel,
-				const struct rel_answer *answer)
-{
-	struct edge *edge = rel->edge;
-	int64_t regained_us = rel->sent_us + answer->regained_us;
-
-	if (answer->reachable != edge->store_reachable)
-		rel->owner.ops->reachable(rel->owner.user, answer->reachable);
-	if (answer->has_regained && regained_us > edge->store_regained_us)
-		edge->store_regained_us = regained_us;
-}
--- a/src/rel_msg.h
+++ b/src/rel_msg.h
@@ -40,7 +40,9 @@
 	 */
 	bool has_fresh;
 	int64_t fresh_us;
-	/* The sender's source reaches the store; since when, as above. */
+	/*
+	 * For earlier versions: the sender has a source; since when, as above.
+	 */
 	bool reachable;
 	bool has_regained;
 	int64_t regained_us;
--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -191,7 +191,7 @@
 	answer.marked = rel->marked;
 	answer.has_fresh = rel->fresh_us != 0;
 	answer.fresh_us = rel->fresh_us - wait->received_us;
-	answer.reachable = edge->store_reachable;
+	answer.reachable = edge_has_source(edge);
 	answer.has_regained = edge->store_regained_us != 0;
 	answer.regained_us = edge->store_regained_us - wait->received_us;
 	if (rel_encode(rel, answer.complete ? 0 : wait->after.revision) ||
--- a/src/sto.h
+++ b/src/sto.h
@@ -45,7 +45,15 @@
 	 * The store was restored from an older backup; a complete list follows.
 	 */
 	void (*restored)(void *user);
-	/* reachable is true when a call succeeds after several have failed. */
+	/*
+	 * What is about to be reported was current at at_us; called before a
+	 * change of reachable is.
+	 */
+	void (*answered)(void *user, int64_t at_us);
+	/*
+	 * Whether this router's own calls are answered: false after several
+	 * have failed, true with the next one that succeeds.
+	 */
 	void (*reachable)(void *user, bool reachable);
 };
 
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -43,7 +43,8 @@
 	int64_t sent_us;
 	int64_t list_sent_us;
 	int64_t retry_us;
-	int failures; /* consecutive */
+	int failures;	  /* consecutive */
+	bool unreachable; /* as last reported */
 
 	struct sto_call *call;	   /* list or watch in progress */
 	struct pos store_pos;	   /* the store's, by the newest query */
@@ -80,6 +81,8 @@
 			     struct wire_items *items);
 static void sto_back_off(struct sto_follow *follow, bool list_after_delay);
 static void sto_on_success(struct sto_follow *follow);
+static void sto_on_answered(struct sto_follow *follow);
+static void sto_set_reachable(struct sto_follow *follow, bool reachable);
 static void sto_on_restored(struct sto *sto);
 
 /* Starts following all keys under a prefix. */
@@ -308,6 +311,7 @@
 		return;
 	}
 	follow->queries_lost = 0;
+	sto_on_answered(follow);
 	if (sent_us > follow->store_pos_sent_us) {
 		follow->store_pos =
 			(struct pos){ sto_era(follow->sto), items.revision };
@@ -506,16 +510,35 @@
 	/*
 	 * A single failure is a disconnected watch; two in a row are an outage.
 	 */
-	if (follow->failures == 2 && follow->ops->reachable)
-		follow->ops->reachable(follow->user, false);
+	if (follow->failures >= 2)
+		sto_set_reachable(follow, false);
 	follow->state = STO_DELAYING;
 	follow->list_after_delay = list_after_delay;
 	follow->retry_us = clk_boot_us() + wait;
 }
 
+/* Notes that a call succeeded whose items are about to be reported. */
 static void sto_on_success(struct sto_follow *follow)
 {
-	if (follow->failures >= 2 && follow->ops->reachable)
-		follow->ops->reachable(follow->user, true);
+	sto_on_answered(follow);
 	follow->failures = 0;
 }
+
+/* Reports that the store has answered, before what it has answered. */
+static void sto_on_answered(struct sto_follow *follow)
+{
+	if (follow->ops->answered)
+		follow->ops->answered(follow->user, clk_boot_us());
+	sto_set_reachable(follow, true);
+}
+
+/* Reports whether the store answers this router's calls, if that has changed.
+ */
+static void sto_set_reachable(struct sto_follow *follow, bool reachable)
+{
+	if (follow->unreachable != reachable)
+		return;
+	follow->unreachable = !reachable;
+	if (follow->ops->reachable)
+		follow->ops->reachable(follow->user, reachable);
+}
