head: an answer whose head is cut is not a whole one

What callers saw (reported by other operators): a worker stopped in the middle of its answer's head and closed; clients got a 200 with an empty body.

Cause: libcurl reports a response that ends inside its head as a success. The callers' router on a platform does not use it and is not affected; magnoliad is, for answers of plain services, orders to engines and its platform's store.

Fix: the header callback notes the empty line that ends a head; a success without it is a partial transfer, on all paths that read answers with libcurl.

--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -101,7 +101,9 @@
  */
 static int64_t crash_us;
 static bool reset_next_report; /* reset the connection of the next one */
-static struct cut cut;	       /* of the next stream that it applies to */
+static int cut_answer =
+	-1;	       /* bytes of the next answer that are sent; -1: all */
+static struct cut cut; /* of the next stream that it applies to */
 /* Send a request that crashes this worker the beginning of an answer. */
 static bool answer_before_crash;
 static CDS_LIST_HEAD(jobs);
@@ -522,6 +524,9 @@
 		drop_replies = false, hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strncmp(target, "/stand-in/limit/", 16) == 0)
 		set_limit(conn, target + 16);
+	else if (strncmp(target, "/stand-in/cut-answer/", 21) == 0)
+		cut_answer = atoi(target + 21),
+		hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strncmp(target, "/stand-in/cut/", 14) == 0)
 		set_cut(conn, target + 14);
 	else if (strcmp(target, "/healthz") == 0)
@@ -613,6 +618,32 @@
 	end_job(job);
 }
 
+/*
+ * Sends the beginning of an answer, whose length is known, and closes the
+ * connection; false if the whole answer is to be sent.
+ */
+static bool send_beginning(struct job *job, const char *fields,
+			   const char *body)
+{
+	struct evbuffer *out = bufferevent_get_output(job->conn->bev);
+	char text[1024];
+	int len;
+
+	if (cut_answer < 0)
+		return false;
+	len = snprintf(text, sizeof(text),
+		       "HTTP/1.1 200 OK\r\n%sContent-Length: %zu\r\n\r\n%s",
+		       fields, strlen(body), body);
+	printf("CUT %s %s answer %d of %d\n", job->id, id, cut_answer, len);
+	evbuffer_add(out, text, (size_t)(cut_answer < len ? cut_answer : len));
+	cut_answer = -1;
+	job->conn->state = HS_CLOSING;
+	bufferevent_enable(job->conn->bev, EV_WRITE);
+	job->conn = NULL;
+	end_job(job);
+	return true;
+}
+
 /* Sends the requests that crash this worker the beginning of an answer. */
 static void answer_and_crash(void)
 {
@@ -643,8 +674,11 @@
 	}
 	job->event++;
 	if (!job->started) {
-		job->started = true;
 		format_stream_fields(fields, sizeof(fields), job);
+		format_event(event, sizeof(event), job->event);
+		if (send_beginning(job, fields, event))
+			return;
+		job->started = true;
 		hs_stream_begin(job->conn, 200, fields);
 	}
 	len = format_event(event, sizeof(event), job->event);
@@ -752,6 +786,8 @@
 		snprintf(fields, sizeof(fields),
 			 "Attempt-Id: %s\r\nResponse-Seal: %s\r\n%s", job->id,
 			 id, advert_fields());
+		if (send_beginning(job, fields, "done"))
+			return false;
 		hs_reply(job->conn, 200, fields, "done", 4);
 	}
 	job->conn = NULL;
--- a/regress/fk.c
+++ b/regress/fk.c
@@ -1,4 +1,5 @@
 #include <fcntl.h>
+#include <limits.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -34,6 +35,9 @@
 static int fk_on_request(struct mg_connection *conn);
 static void fk_read_body(struct fk_request *req, long long length);
 static void fk_control(struct fk_request *req);
+static void fk_write_reply(struct fk_request *req, int status,
+			   const char *headers, const char *body, size_t len,
+			   size_t bytes);
 
 static int fk_record_fd = -1;
 
@@ -163,12 +167,28 @@
 			     json_integer_value(json_object_get(body, "value")),
 			     count ? json_integer_value(count) : -1);
 	json_decref(body);
-	fk_reply(req, name ? 200 : 400, "", "", 0);
+	fk_write_reply(req, name ? 200 : 400, "", "", 0, SIZE_MAX);
 }
 
-/* Replies with a status, header lines (each ended by CRLF) and a body. */
+/*
+ * Replies with a status, header lines (each ended by CRLF) and a body.  After
+ * the fault "cut" with a number only so many bytes of the reply are sent, and
+ * the connection is closed.
+ */
 void fk_reply(struct fk_request *req, int status, const char *headers,
 	      const char *body, size_t len)
+{
+	long bytes = LONG_MAX;
+
+	if (fk_use_fault(req->fk, "cut", &bytes))
+		fk_abort(req);
+	fk_write_reply(req, status, headers, body, len, (size_t)bytes);
+}
+
+/* Sends at most so many bytes of a reply. */
+static void fk_write_reply(struct fk_request *req, int status,
+			   const char *headers, const char *body, size_t len,
+			   size_t bytes)
 {
 	char *text = malloc(FK_HEADER_MAX + len);
 	int used;
@@ -181,7 +201,8 @@
 	if (used < 0 || used >= FK_HEADER_MAX)
 		abort();
 	memcpy(text + used, body, len);
-	mg_write(req->conn, text, (size_t)used + len);
+	len += (size_t)used;
+	mg_write(req->conn, text, bytes < len ? bytes : len);
 	free(text);
 }
 
--- a/src/ctl_http.c
+++ b/src/ctl_http.c
@@ -5,6 +5,7 @@
 
 #include "clk.h"
 #include "ctl.h"
+#include "head.h"
 
 #define CTL_URL_MAX    512
 #define CTL_BODY_MAX   (16U << 20)
@@ -16,12 +17,14 @@
 	CURL *curl;
 	char *text;
 	size_t len;
+	struct head head;
 	bool complete;
 };
 
 static void ctl_start_request(struct ctl_request *request, CURLM *multi,
 			      const char *address, const char *path,
 			      long left_ms);
+static size_t ctl_on_header(char *line, size_t size, size_t count, void *ctx);
 static void ctl_run_requests(CURLM *multi);
 static json_t *ctl_finish_request(struct ctl_request *request, CURLM *multi);
 static size_t ctl_on_body(char *data, size_t size, size_t count, void *ctx);
@@ -83,10 +86,20 @@
 	curl_easy_setopt(request->curl, CURLOPT_TIMEOUT_MS, left_ms);
 	curl_easy_setopt(request->curl, CURLOPT_WRITEFUNCTION, ctl_on_body);
 	curl_easy_setopt(request->curl, CURLOPT_WRITEDATA, request);
+	curl_easy_setopt(request->curl, CURLOPT_HEADERFUNCTION, ctl_on_header);
+	curl_easy_setopt(request->curl, CURLOPT_HEADERDATA, request);
 	curl_easy_setopt(request->curl, CURLOPT_PRIVATE, request);
 	curl_multi_add_handle(multi, request->curl);
 }
 
+static size_t ctl_on_header(char *line, size_t size, size_t count, void *ctx)
+{
+	struct ctl_request *request = ctx;
+
+	head_on_line(&request->head, line, size * count);
+	return size * count;
+}
+
 /* Runs all requests to their end; each has its own timeout. */
 static void ctl_run_requests(CURLM *multi)
 {
@@ -103,7 +116,9 @@
 				continue;
 			curl_easy_getinfo(message->easy_handle,
 					  CURLINFO_PRIVATE, &request);
-			request->complete = message->data.result == CURLE_OK;
+			request->complete =
+				head_check(&request->head,
+					   message->data.result) == CURLE_OK;
 		}
 		if (running)
 			curl_multi_poll(multi, NULL, 0, CTL_POLL_MS, NULL);
--- a/src/ep.c
+++ b/src/ep.c
@@ -261,7 +261,7 @@
 	msg = curl_multi_info_read(call->ep->multi, &left);
 	if (!msg || msg->msg != CURLMSG_DONE)
 		return false;
-	*code = msg->data.result;
+	*code = head_check(&call->head, msg->data.result);
 	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
 	call->answer->status = (int)status;
 	return true;
@@ -286,6 +286,7 @@
 	size_t len = size * count;
 	char not_begun_value[4] = "";
 
+	head_on_line(&call->head, bytes, len);
 	copy_header(call->echoed_request, sizeof(call->echoed_request), bytes,
 		    len, "Magnolia-Request");
 	copy_header(call->echoed_attempt, sizeof(call->echoed_attempt), bytes,
--- a/src/ep_int.h
+++ b/src/ep_int.h
@@ -7,6 +7,7 @@
 
 #include "ep.h"
 #include "ep_sse.h"
+#include "head.h"
 
 #define EP_HEADERS_MAX 16384	     /* longest response headers, in bytes */
 #define EP_BODY_MAX    (1024 * 1024) /* longest response body, in bytes */
@@ -46,6 +47,7 @@
 	const struct ep_sink *sink;
 	struct ep_answer *answer;
 	struct ep_sse sse;
+	struct head head; /* of the response */
 	char *request_body;		/* if the protocol allocated it */
 	char echoed_request[EP_ID_MAX]; /* Magnolia-Request of the response */
 	char echoed_attempt[16];
--- a/src/ord.c
+++ b/src/ord.c
@@ -8,6 +8,7 @@
 #include <urcu/list.h>
 
 #include "clk.h"
+#include "head.h"
 #include "ord.h"
 
 #define ORD_URL_MAX	 128
@@ -36,6 +37,7 @@
 struct ord_response {
 	char text[ORD_RESPONSE_MAX];
 	size_t len;
+	struct head head;
 };
 
 static void *ord_main(void *arg);
@@ -47,6 +49,7 @@
 static char *ord_body(const struct plc_order *order);
 static void ord_parse_state(const struct ord_response *response,
 			    struct plc_order_result *result);
+static size_t ord_on_header(char *line, size_t size, size_t count, void *ctx);
 static size_t ord_receive(char *bytes, size_t size, size_t count, void *ctx);
 
 /* Starts the thread; returns NULL if that fails. */
@@ -140,7 +143,7 @@
 static void ord_execute(const struct plc_order *order,
 			struct plc_order_result *result)
 {
-	struct ord_response response = { .len = 0 };
+	struct ord_response response = { .head = { false } };
 	char *body = ord_body(order);
 	CURLcode code;
 	long status = 0;
@@ -181,12 +184,22 @@
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ORD_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, ord_receive);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, response);
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, ord_on_header);
+	curl_easy_setopt(easy, CURLOPT_HEADERDATA, response);
 	if (order->kind == PLC_LOAD)
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
 	code = curl_easy_perform(easy);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, status);
 	curl_easy_cleanup(easy);
-	return code;
+	return head_check(&response->head, code);
+}
+
+static size_t ord_on_header(char *line, size_t size, size_t count, void *ctx)
+{
+	struct ord_response *response = ctx;
+
+	head_on_line(&response->head, line, size * count);
+	return size * count;
 }
 
 /* Encodes an order; the deadline is sent as the time that remains. */
--- a/src/pf.c
+++ b/src/pf.c
@@ -14,6 +14,7 @@
 
 #include "clk.h"
 #include "cnt.h"
+#include "head.h"
 #include "log.h"
 #include "mag.h"
 #include "pf.h"
@@ -65,6 +66,7 @@
 	char *answer;
 	size_t answer_len;
 	uint64_t version;
+	struct head head; /* of the answer */
 };
 
 /* How an operation maps to HTTP, and the counter that it increments. */
@@ -277,10 +279,11 @@
 	req->body = NULL;
 	req->answer_len = 0;
 	req->version = 0;
+	req->head.whole = false;
 	curl_easy_reset(curl);
 	if (op->prepare(req, address) == 0) {
 		pf_set_options(req, curl, left_ms);
-		code = curl_easy_perform(curl);
+		code = head_check(&req->head, curl_easy_perform(curl));
 		status = code ? pf_status_of_failure(curl, code)
 			      : pf_status_of_response(req, curl);
 	}
@@ -585,6 +588,7 @@
 	size_t len = size * count;
 	char line[64];
 
+	head_on_line(&req->head, data, len);
 	if (len < sizeof(line) && len > sizeof(name) &&
 	    strncasecmp(data, name, sizeof(name) - 1) == 0) {
 		memcpy(line, data, len);
