rel, edge: a router that follows the store without trouble is not outdated

Cause: the age of what a router knows was taken from the last answer of the store. An open watch is answered with the next change only, and in a small fleet the routers' queries are spared for each other, so that a sound router's data looked seconds old. It then followed a router that had been answered later, and took the silence for an outage.

Fix: a router that follows the store counts as current unless its last call failed or its watch does not bring what others know of; without a failed call it takes no silence for an outage. What is heard of counts after 0.55 of the bound, more than what the collecting of changes takes. A candidate that fails does not keep the router that is followed out of turn from being polled.

--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -188,7 +188,6 @@
 	int64_t before_us = edge->attest.confirmed_us;
 	int64_t now = clk_boot_us();
 
-	edge_on_answered(edge, sent_us);
 	rel_on_fresh(edge->rel, sent_us);
 	if (!era_is_authoritative(&edge->era, sent_us) ||
 	    !edge_has_config(edge, now) || edge_is_behind(edge))
@@ -412,8 +411,8 @@
 
 /*
  * Returns for how long nothing must have been known of the store for an entry
- * to have expired meanwhile.  Without a failed call of this router that is
- * longer than it takes to find another source.
+ * to have expired meanwhile.  What other routers say can be late by the search
+ * for another source.
  */
 static int64_t edge_outage_us(const struct edge *edge)
 {
@@ -421,7 +420,7 @@
 	double least_us = EDGE_OUTAGE_INTERVALS * (double)set->worker_report_us;
 	double search_us = EDGE_SEARCH_FRACTION * (double)eset_bound_us(set);
 
-	if (edge->store_reachable && least_us < search_us)
+	if (!rel_follows_store(edge->rel) && least_us < search_us)
 		least_us = search_us;
 	return (int64_t)least_us;
 }
@@ -431,12 +430,16 @@
  * known of the store for so long before, entries may have expired meanwhile
  * although their workers are alive.  That this router alone lost its way to the
  * store does not matter: while others tell it what changes, the store is up.
+ * Nor does it matter that the store had nothing to report for long, as long as
+ * no call has failed.
  */
 static void edge_on_answered(void *user, int64_t at_us)
 {
 	struct edge *edge = user;
 	int64_t known_us = rel_fresh_us(edge->rel);
 
+	if (rel_follows_store(edge->rel) && edge->store_reachable)
+		return;
 	if (!known_us || at_us - known_us < edge_outage_us(edge))
 		return;
 	edge->store_regained_us = at_us;
--- a/src/ep_int.h
+++ b/src/ep_int.h
@@ -47,7 +47,7 @@
 	const struct ep_sink *sink;
 	struct ep_answer *answer;
 	struct ep_sse sse;
-	struct head head; /* of the response */
+	struct head head;		/* of the response */
 	char *request_body;		/* if the protocol allocated it */
 	char echoed_request[EP_ID_MAX]; /* Magnolia-Request of the response */
 	char echoed_attempt[16];
--- a/src/rel.c
+++ b/src/rel.c
@@ -22,7 +22,8 @@
 static void rel_choose(struct rel *rel, int64_t now);
 static void rel_follow_store(struct rel *rel);
 static void rel_probe(struct rel *rel, int64_t now);
-static int64_t rel_known_us(const struct rel *rel);
+static int64_t rel_known_us(const struct rel *rel, int64_t now);
+static int rel_age_ms(const struct rel *rel);
 static void rel_poll(struct rel *rel, int64_t now);
 static struct hc_host *rel_host(struct rel *rel, int source);
 static bool rel_on_headers(void *user, const struct hc_response *response);
@@ -128,7 +129,7 @@
 		return;
 	tree_hear(&rel->tree, name, address, fresh_us, now);
 	if (!rel->call || rel->xfer.begun_us ||
-	    tree_choose(&rel->tree, rel_known_us(rel), now) != TREE_HEARD)
+	    tree_choose(&rel->tree, rel_known_us(rel, now), now) != TREE_HEARD)
 		return;
 	hc_cancel(rel->call);
 	rel->call = NULL;
@@ -152,7 +153,7 @@
 		rel->call = NULL;
 		tree_on_probe(&rel->tree, now);
 		rel_follow_store(rel);
-	} else if (tree_probe_due(&rel->tree, rel_known_us(rel), now)) {
+	} else if (tree_probe_due(&rel->tree, rel_known_us(rel, now), now)) {
 		rel->probe_sent_us = now;
 		sto_follow_query(follow);
 	}
@@ -228,7 +229,7 @@
  */
 static void rel_choose(struct rel *rel, int64_t now)
 {
-	int source = tree_choose(&rel->tree, rel_known_us(rel), now);
+	int source = tree_choose(&rel->tree, rel_known_us(rel, now), now);
 
 	if (source == TREE_STORE)
 		rel_follow_store(rel);
@@ -238,10 +239,29 @@
 	}
 }
 
-/* Returns when the items were current, or when following began without any. */
-static int64_t rel_known_us(const struct rel *rel)
+/*
+ * Returns when the items were current, or when following began without any.
+ * While the store is followed without trouble that is now, although its answer
+ * to an open watch proves nothing until there are changes.
+ */
+static int64_t rel_known_us(const struct rel *rel, int64_t now)
+{
+	const struct sto_follow *follow = rel->edge->follow;
+
+	if (!rel->fresh_us)
+		return rel->joined_us;
+	if (!sto_follow_is_paused(follow) &&
+	    !sto_follow_is_doubtful(follow, now - tree_answer_us(&rel->tree)))
+		return now;
+	return rel->fresh_us;
+}
+
+/* Returns the age of the items for the log; -1: there are none. */
+static int rel_age_ms(const struct rel *rel)
 {
-	return rel->fresh_us ? rel->fresh_us : rel->joined_us;
+	return rel->fresh_us
+		       ? (int)((clk_boot_us() - rel->fresh_us) / MAG_US_PER_MS)
+		       : -1;
 }
 
 static void rel_follow_store(struct rel *rel)
@@ -253,8 +273,7 @@
 	rel->probe_sent_us = 0;
 	rel->source_name[0] = '\0';
 	jlog(LOG_REL_SOURCE, "\"source\":\"store\",\"rank\":%d,\"age_ms\":%d",
-	     rel->tree.rank,
-	     (int)((clk_boot_us() - rel_known_us(rel)) / MAG_US_PER_MS));
+	     rel->tree.rank, rel_age_ms(rel));
 	sto_follow_resume(rel->edge->follow);
 }
 
@@ -274,8 +293,7 @@
 	     "\"source\":\"%s\",\"rank\":%d,\"heard\":%s,\"marked\":%s,"
 	     "\"age_ms\":%d",
 	     name, rel->tree.rank, heard ? "true" : "false",
-	     marked ? "true" : "false",
-	     (int)((clk_boot_us() - rel_known_us(rel)) / MAG_US_PER_MS));
+	     marked ? "true" : "false", rel_age_ms(rel));
 	if (!sto_follow_is_paused(rel->edge->follow))
 		sto_follow_pause(rel->edge->follow);
 }
--- a/src/sto.h
+++ b/src/sto.h
@@ -103,6 +103,7 @@
  */
 void sto_follow_query(struct sto_follow *follow);
 int64_t sto_follow_query_answered_us(const struct sto_follow *follow);
+bool sto_follow_is_doubtful(const struct sto_follow *follow, int64_t since_us);
 void sto_follow_set_retry_max(struct sto_follow *follow, int64_t retry_max_us);
 void sto_follow_retry_now(struct sto_follow *follow);
 void sto_follow_learn_pos(struct sto_follow *follow, struct pos known);
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -311,7 +311,10 @@
 		return;
 	}
 	follow->queries_lost = 0;
-	sto_on_answered(follow);
+	if (follow->state == STO_PAUSED)
+		sto_set_reachable(follow, true);
+	else
+		sto_on_answered(follow);
 	if (sent_us > follow->store_pos_sent_us) {
 		follow->store_pos =
 			(struct pos){ sto_era(follow->sto), items.revision };
@@ -397,6 +400,16 @@
 	return follow->store_pos_sent_us;
 }
 
+/*
+ * Tells whether a follower may miss changes: its last call failed, or its watch
+ * has not been answered since a time although others know of changes.
+ */
+bool sto_follow_is_doubtful(const struct sto_follow *follow, int64_t since_us)
+{
+	return follow->failures > 0 || (follow->lagging_since_us &&
+					follow->lagging_since_us < since_us);
+}
+
 /* Sets the longest delay between attempts while the store does not answer. */
 void sto_follow_set_retry_max(struct sto_follow *follow, int64_t retry_max_us)
 {
--- a/src/tree.c
+++ b/src/tree.c
@@ -14,6 +14,12 @@
 #define TREE_OLD_FRACTION  0.35
 #define TREE_TURN_FRACTION 0.09
 #define TREE_WAIT_MAX_US   MAG_US_PER_S
+/*
+ * The same fraction after which a router follows one that it hears has newer
+ * data.  It is more than the age that data has at most while the store collects
+ * changes.
+ */
+#define TREE_HEAR_FRACTION 0.55
 /*
  * The same fractions far from the top: after which a router follows one that it
  * hears of, as its parent has found none; and from which on a few probe the
@@ -98,6 +104,15 @@
 	return wait_us;
 }
 
+/*
+ * Returns the time after which a change that others know, but this router does
+ * not, shows that its source is not sound.
+ */
+int64_t tree_answer_us(const struct tree *tree)
+{
+	return tree_part_us(tree, TREE_WAIT_FRACTION);
+}
+
 /* Returns a fraction of the bound. */
 static int64_t tree_part_us(const struct tree *tree, double fraction)
 {
@@ -256,6 +271,7 @@
 	delay_us = mag_backoff(TREE_RETRY_US, candidate->failures,
 			       TREE_RETRY_DOUBLINGS);
 
+	tree->heard_turn = true;
 	candidate->failures++;
 	candidate->alive = false;
 	candidate->empty_since_us = 0;
@@ -397,7 +413,7 @@
 			     int64_t now)
 {
 	double fraction =
-		tree_is_deep(tree) ? TREE_DEEP_FRACTION : TREE_OLD_FRACTION;
+		tree_is_deep(tree) ? TREE_DEEP_FRACTION : TREE_HEAR_FRACTION;
 
 	return tree->heard_us > fresh_us &&
 	       !tree_is_old(tree, tree->heard_us, now) &&
--- a/src/tree.h
+++ b/src/tree.h
@@ -98,6 +98,7 @@
 int tree_update(struct tree *tree, const struct pres_peer *const *peers,
 		int count);
 int64_t tree_wait_us(const struct tree *tree, int64_t fresh_us, int64_t now);
+int64_t tree_answer_us(const struct tree *tree);
 int tree_choose(const struct tree *tree, int64_t fresh_us, int64_t now);
 void tree_on_failure(struct tree *tree, int i, int64_t now);
 void tree_on_empty(struct tree *tree, int i, int64_t now);
