--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -484,6 +484,32 @@
 	hs_reply(conn, 200, NULL, NULL, 0);
 }
 
+/* Begins or ends a fault that a request to the stand-in names. */
+static bool set_fault(const char *target)
+{
+	if (strcmp(target, "/stand-in/drain") == 0)
+		draining = true;
+	else if (strcmp(target, "/stand-in/full") == 0)
+		full = true;
+	else if (strcmp(target, "/stand-in/slow") == 0)
+		pace = 10, event_us *= 10;
+	else if (strcmp(target, "/stand-in/lose") == 0)
+		drop_replies = true;
+	else if (strcmp(target, "/stand-in/break") == 0)
+		abort_requests = true;
+	else if (strcmp(target, "/stand-in/break-next") == 0)
+		abort_next = true;
+	else if (strcmp(target, "/stand-in/drop") == 0)
+		reset_next_report = true;
+	else if (strcmp(target, "/stand-in/keep") == 0)
+		drop_replies = false;
+	else if (strncmp(target, "/stand-in/cut-answer/", 21) == 0)
+		cut_answer = atoi(target + 21);
+	else
+		return false;
+	return true;
+}
+
 static void on_request(void *ctx, struct hs_conn *conn)
 {
 	const char *target = hs_target(conn);
@@ -506,27 +532,10 @@
 		refuse_with_backoff(conn);
 	else if (strcmp(target, "/api/order") == 0 && kind)
 		handle_order(conn);
-	else if (strcmp(target, "/stand-in/drain") == 0)
-		draining = true, hs_reply(conn, 200, NULL, NULL, 0);
-	else if (strcmp(target, "/stand-in/full") == 0)
-		full = true, hs_reply(conn, 200, NULL, NULL, 0);
-	else if (strcmp(target, "/stand-in/slow") == 0)
-		pace = 10, event_us *= 10, hs_reply(conn, 200, NULL, NULL, 0);
-	else if (strcmp(target, "/stand-in/lose") == 0)
-		drop_replies = true, hs_reply(conn, 200, NULL, NULL, 0);
-	else if (strcmp(target, "/stand-in/break") == 0)
-		abort_requests = true, hs_reply(conn, 200, NULL, NULL, 0);
-	else if (strcmp(target, "/stand-in/break-next") == 0)
-		abort_next = true, hs_reply(conn, 200, NULL, NULL, 0);
-	else if (strcmp(target, "/stand-in/drop") == 0)
-		reset_next_report = true, hs_reply(conn, 200, NULL, NULL, 0);
-	else if (strcmp(target, "/stand-in/keep") == 0)
-		drop_replies = false, hs_reply(conn, 200, NULL, NULL, 0);
+	else if (set_fault(target))
+		hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strncmp(target, "/stand-in/limit/", 16) == 0)
 		set_limit(conn, target + 16);
-	else if (strncmp(target, "/stand-in/cut-answer/", 21) == 0)
-		cut_answer = atoi(target + 21),
-		hs_reply(conn, 200, NULL, NULL, 0);
 	else if (strncmp(target, "/stand-in/cut/", 14) == 0)
 		set_cut(conn, target + 14);
 	else if (strcmp(target, "/healthz") == 0)
