--- a/src/room.c
+++ b/src/room.c
@@ -51,7 +51,8 @@
 /* Returns the expected number of tokens of a request at its end. */
 double room_final_tokens(const struct room_request *request)
 {
-	return room_prompt_tokens(request) + room_answer_tokens(request);
+	return (double)room_prompt_tokens(request) +
+	       room_answer_tokens(request);
 }
 
 static int room_prompt_tokens(const struct room_request *request)
