sto: a router that follows another one still tells that its own path is lost

Cause: only the follower's own calls counted, and it is paused then. A lost query counted while a watch was open.

Fix: two queries in a row without an answer report it also while paused; the probes by which such a router looks for its way back are these queries.

--- a/regress/edge/cut-from-store.sh
+++ b/regress/edge/cut-from-store.sh
@@ -24,6 +24,7 @@
 # The store changes meanwhile.
 put_config 1
 wait_for "logged 1 '\"source\":\"r-2\".*\"heard\":true'" && echo "follows its peer"
+wait_for "logged 1 platform-unreachable" && echo "cut off from the store"
 sleep 6
 ready 1 && echo "ready"
 echo "$(ask key-1)"
@@ -43,3 +44,4 @@
 echo "$(ask key-2)"
 echo pass >&5
 wait_for "[ \"\$(curl -s http://127.0.0.1:$((base + 91))/metrics | grep 'follows_store 1')\" ]" && echo "follows the store"
+logged 1 platform-reachable && echo "which is logged"
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -452,15 +452,18 @@
 /*
  * A query was not answered.  Without this, the follower would wait until its
  * watch times out; but an outage, during which entries expire, must be detected
- * before it is over.
+ * before it is over.  While another router is followed, queries are all that
+ * shows whether the store answers.
  */
 static void sto_on_query_lost(struct sto_follow *follow)
 {
 	follow->queries_lost++;
-	if (follow->queries_lost < STO_QUERIES_LOST_MAX ||
-	    follow->state != STO_WATCHING || follow->failures > 0)
+	if (follow->queries_lost < STO_QUERIES_LOST_MAX)
 		return;
-	sto_fail_watch(follow);
+	if (follow->state == STO_PAUSED)
+		sto_set_reachable(follow, false);
+	else if (follow->state == STO_WATCHING && follow->failures == 0)
+		sto_fail_watch(follow);
 }
 
 /*
