lay: a number of layers is one of the model's, and none fits a card too small

What callers would have seen: with LayerMb of 0, or memory beyond measure, the number of layers that fit was cast to an integer that does not hold it, which is undefined and differs between machines; and a card too small for one layer was ordered to hold one (LIMIT). Found by reading for numbers of the configuration that are used as a count.

Fix: one function turns a quotient into a number of layers between 0 and the model's; an empty card on which none fits stays empty.

regress/lay/weightless before: a card of 1600 MB for layers of 1750 MB "holds 55-56 too much"; now none. The other cases of it pass on arm64 before as well; the cast saturates there.

--- a/src/lay.c
+++ b/src/lay.c
@@ -21,6 +21,7 @@
 #define LAY_TARGET_FACTOR 0.93
 #define LAY_TARGET_STEPS  40
 
+static int lay_count_layers(const struct lay_model *model, double layers);
 static int lay_assign_all(const struct lay_model *model, struct lay_card *cards,
 			  int count);
 static int lay_assign_centres(const struct lay_model *model,
@@ -293,17 +294,30 @@
 int lay_layers_beside(const struct lay_model *model,
 		      const struct lay_card *card, double tokens)
 {
-	int fit = (int)(card->memory_mb /
-			(model->layer_mb + tokens * model->token_mb));
+	int fit = lay_count_layers(
+		model,
+		card->memory_mb / (model->layer_mb + tokens * model->token_mb));
 	int max_layers = lay_max_layers(model, card);
 
 	return fit < max_layers ? fit : max_layers;
 }
 
+/*
+ * Returns a number of layers as an integer: none below 0, and all of the model
+ * for what is more than that or no number.
+ */
+static int lay_count_layers(const struct lay_model *model, double layers)
+{
+	if (layers < 0)
+		return 0;
+	return layers < model->layers ? (int)layers : model->layers;
+}
+
 /* Returns the maximum of layers that a card may hold. */
 int lay_max_layers(const struct lay_model *model, const struct lay_card *card)
 {
-	return (int)(card->memory_mb * LAY_LAYERS_FRACTION / model->layer_mb);
+	return lay_count_layers(model, card->memory_mb * LAY_LAYERS_FRACTION /
+					       model->layer_mb);
 }
 
 /* Sorts cards by their cost per layer; the sort is stable. */
--- a/src/lay_repair.c
+++ b/src/lay_repair.c
@@ -158,6 +158,8 @@
 	int start;
 	int i;
 
+	if (lay_max_layers(model, card) < 1)
+		return;
 	width = lay_layers_beside(model, card, target_tokens);
 	if (width < 1)
 		width = 1;
