--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -92,6 +92,11 @@
 struct hint_peer *hint_find_peer(struct hint *hint, const char *name);
 int64_t hint_expiry_us(const struct hint *hint);
 int64_t hint_round_us(const struct hint *hint);
+const struct hint_router *hint_list_routers(struct hint *hint, int64_t now,
+					    int *count);
+
+/* hint_receive.c */
+void hint_on_readable(evutil_socket_t fd, short what, void *arg);
 
 /* hint_send.c */
 void hint_send_turn(struct hint *hint);
--- /dev/null
+++ b/src/hint_receive.c
@@ -0,0 +1,210 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "clk.h"
+#include "hint_int.h"
+#include "hint_suspect.h"
+#include "jlog.h"
+#include "wkp.h"
+
+/*
+ * If a peer's claim advances the time of the last confirmation by this much,
+ * the store was unreachable for all routers.
+ */
+#define HINT_OUTAGE_US (1200 * MAG_US_PER_MS)
+
+static struct hint_peer *hint_add_peer(struct hint *hint, const char *name);
+static void hint_receive(struct hint *hint, const struct hint_message *message,
+			 const struct sockaddr_in *from);
+static void hint_receive_age(struct hint *hint, const struct hint_peer *peer,
+			     const struct hint_message *message, int64_t now);
+static void hint_receive_traits(struct hint *hint,
+				const struct hint_trait_message *message);
+static void hint_receive_demands(struct hint *hint,
+				 const struct hint_demand_message *message);
+static void hint_receive_claim(struct edge *edge,
+			       const struct attest_claim *claim, int64_t now);
+static void hint_receive_suspect(struct hint *hint,
+				 const struct hint_suspect *suspect,
+				 const char *peer, int64_t now);
+
+/* Takes all datagrams that have come; an event callback. */
+void hint_on_readable(evutil_socket_t fd, short what, void *arg)
+{
+	static struct hint_trait_message traits;
+	static struct hint_demand_message demands;
+	static struct hint_message message;
+	char bytes[HINT_BYTES_MAX];
+	struct sockaddr_in from;
+	socklen_t from_len = sizeof(from);
+	struct hint *hint = arg;
+	ssize_t len;
+
+	(void)what;
+	while ((len = recvfrom(fd, bytes, sizeof(bytes), 0,
+			       (struct sockaddr *)&from, &from_len)) > 0) {
+		if (!hint_trait_decode(&traits, bytes, (size_t)len))
+			hint_receive_traits(hint, &traits);
+		else if (!hint_demand_decode(&demands, bytes, (size_t)len))
+			hint_receive_demands(hint, &demands);
+		else if (!hint_msg_decode(&message, bytes, (size_t)len))
+			hint_receive(hint, &message, &from);
+		else
+			(void)hint_urgent_read(hint, bytes, (size_t)len);
+		from_len = sizeof(from);
+	}
+}
+
+/* Adds a peer; NULL without memory. */
+static struct hint_peer *hint_add_peer(struct hint *hint, const char *name)
+{
+	struct hint_peer *peer = calloc(1, sizeof(*peer));
+
+	if (!peer || htab_add(&hint->names, &peer->by_name, htab_hash(name))) {
+		free(peer);
+		return NULL;
+	}
+	mag_copy_name(peer->name, sizeof(peer->name), name);
+	cds_list_add_tail(&peer->node, &hint->peers);
+	hint->peer_count++;
+	return peer;
+}
+
+static void hint_receive(struct hint *hint, const struct hint_message *message,
+			 const struct sockaddr_in *from)
+{
+	struct edge *edge = hint->edge;
+	int64_t now = clk_boot_us();
+	struct hint_peer *peer = hint_find_peer(hint, message->name);
+	bool is_new;
+	bool was_away;
+	uint32_t k;
+
+	/* It may wait for a peer's message before it serves. */
+	is_new = !peer || peer->session != message->session;
+	was_away = peer && now - peer->received_us > hint_expiry_us(hint);
+	if (!peer)
+		peer = hint_add_peer(hint, message->name);
+	if (!peer)
+		return;
+	peer->received_us = now;
+	peer->address = *from;
+	peer->session = message->session;
+	peer->clock_us = message->sent_us;
+	peer->ready = message->ready != 0;
+	/* Without memory the load of its last message counts. */
+	(void)hint_load_receive(&peer->loads, message);
+	peer->router.id = htab_hash(peer->name);
+	peer->router.data_centre = message->data_centre;
+	peer->router.demand = (double)message->demand / HINT_DEMAND_S;
+	peer->limit_count = message->limit_count;
+	memcpy(peer->limits, message->limits,
+	       message->limit_count * sizeof(message->limits[0]));
+	sto_follow_learn_pos(edge->follow, message->store_pos);
+	hint_receive_age(hint, peer, message, now);
+	edge->era.peer_message_seen = true;
+	attest_hear_version(&edge->attest, message->claim.version,
+			    edge->rt ? edge->rt->version : -1, now);
+	if (message->store_pos.era == sto_era(edge->sto))
+		hint_receive_claim(edge, &message->claim, now);
+	for (k = 0; k < message->suspect_count; k++)
+		hint_receive_suspect(hint, &message->suspects[k], message->name,
+				     now);
+	for (k = 0; k < message->crash_count; k++) {
+		if (!quar_traits_explain(edge->traits,
+					 message->crashes[k].endpoint))
+			(void)quar_hear(edge->quar, &message->crashes[k], now);
+	}
+	/* It may have been cut off when the others heard of a quarantine. */
+	if (is_new || (was_away && hint_has_quarantines(hint, now)))
+		hint_send_first(hint, peer);
+}
+
+/* Notes how old a peer's data is: it may be a better source than ours. */
+static void hint_receive_age(struct hint *hint, const struct hint_peer *peer,
+			     const struct hint_message *message, int64_t now)
+{
+	int64_t age_us = hint_msg_data_age(message->ready);
+	char address[MAG_ADDR_MAX];
+	char ip[INET_ADDRSTRLEN];
+
+	if (age_us < 0 ||
+	    !inet_ntop(AF_INET, &peer->address.sin_addr, ip, sizeof(ip)))
+		return;
+	snprintf(address, sizeof(address), "%s:%d", ip,
+		 ntohs(peer->address.sin_port));
+	rel_hear(hint->edge->rel, peer->name, address, now - age_us, now);
+}
+
+/* Takes what a peer reports of losses under traits of requests. */
+static void hint_receive_traits(struct hint *hint,
+				const struct hint_trait_message *message)
+{
+	int64_t now = clk_boot_us();
+	uint32_t i;
+
+	for (i = 0; i < message->count; i++)
+		quar_trait_hear(hint->edge->traits, &message->reports[i], now);
+}
+
+/* Takes what a peer has to send by service. */
+static void hint_receive_demands(struct hint *hint,
+				 const struct hint_demand_message *message)
+{
+	struct hint_peer *peer = hint_find_peer(hint, message->name);
+
+	if (!peer)
+		return;
+	peer->demands = *message;
+	peer->demands_us = clk_boot_us();
+}
+
+/*
+ * Processes a peer's claim on the age of the configuration.  If the confirmed
+ * time advances by HINT_OUTAGE_US or more, an outage has ended and the store
+ * answers again.
+ */
+static void hint_receive_claim(struct edge *edge,
+			       const struct attest_claim *claim, int64_t now)
+{
+	int64_t before_us = edge->attest.confirmed_us;
+
+	if (!edge->rt || edge->config_refused ||
+	    !attest_from_peer(&edge->attest, claim, edge->rt->version, now))
+		return;
+	if (edge->attest.confirmed_us - before_us >= HINT_OUTAGE_US)
+		sto_follow_retry_now(edge->follow);
+}
+
+/*
+ * Routers found a worker dead or stuck through their own requests.  Where
+ * requests wait for it, it is probed at once: its answer clears it; without an
+ * answer they are moved to other workers.  Otherwise a few routers of the data
+ * centre probe it for all, so that a worker's death does not cost a connection
+ * from every router.
+ */
+static void hint_receive_suspect(struct hint *hint,
+				 const struct hint_suspect *suspect,
+				 const char *peer, int64_t now)
+{
+	struct wk *wk = wk_by_hash(&hint->edge->workers, suspect->worker);
+	const struct hint_router *routers;
+	int count;
+
+	for (; wk; wk = wk_next_by_hash(wk)) {
+		if (!hint_suspect_hear(wk, suspect, now) ||
+		    wk->proc.suspected || wk_is_paused(wk, now))
+			continue;
+		wk_pause_on_hearsay(wk, now);
+		routers = hint_list_routers(hint, now, &count);
+		if (!hint_suspect_probes(wk, routers, count, &hint->self, now))
+			continue;
+		jlog(LOG_WK_HINT, "\"worker\":\"%s\",\"peer\":\"%s\"",
+		     wk->entry.id, peer);
+		wkp_probe(hint->edge, wk, now);
+	}
+}
