hint, rel: one function writes a peer's address; only newer data is told to rel

Reading an age repeated what hint_connect_host() had for the address, and did so for every datagram. Both use hint_write_address() now, and an age that is not newer ends there. The comment of head.h says what libcurl does.

--- a/src/head.h
+++ b/src/head.h
@@ -2,11 +2,9 @@
 #define HEAD_H
 
 /*
- * Whether libcurl has received the whole head of a response.
- *
- * Failure guarded against: an endpoint breaks off in the middle of the head and
- * closes the connection.  libcurl takes what came for a whole response without
- * a body, with the status of its first line.
+ * Whether libcurl has received the whole head of a response.  If the connection
+ * closes inside the head, libcurl reports a success without a body, with the
+ * status of the first line.
  */
 
 #include <stdbool.h>
--- a/src/hint.c
+++ b/src/hint.c
@@ -241,7 +241,6 @@
 					 struct hint_peer *peer)
 {
 	char address[MAG_ADDR_MAX];
-	char ip[INET_ADDRSTRLEN];
 
 	if (peer->host &&
 	    (peer->host_address.sin_port != peer->address.sin_port ||
@@ -254,9 +253,7 @@
 	}
 	if (peer->host)
 		return peer->host;
-	inet_ntop(AF_INET, &peer->address.sin_addr, ip, sizeof(ip));
-	snprintf(address, sizeof(address), "%s:%d", ip,
-		 ntohs(peer->address.sin_port));
+	hint_write_address(peer, address);
 	if (hc_host_new(hint->edge->hc, address, HINT_CONNECTIONS_MAX,
 			&peer->host)) {
 		peer->host = NULL;
@@ -266,6 +263,15 @@
 	return peer->host;
 }
 
+/* Writes the address of a peer's sockets, of MAG_ADDR_MAX bytes. */
+void hint_write_address(const struct hint_peer *peer, char *dst)
+{
+	char ip[INET_ADDRSTRLEN] = "";
+
+	inet_ntop(AF_INET, &peer->address.sin_addr, ip, sizeof(ip));
+	snprintf(dst, MAG_ADDR_MAX, "%s:%d", ip, ntohs(peer->address.sin_port));
+}
+
 /* Sums the load of all peers for each worker that they name. */
 static void hint_sum_loads(struct hint *hint, int64_t now)
 {
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -92,6 +92,7 @@
 struct hint_peer *hint_find_peer(struct hint *hint, const char *name);
 int64_t hint_expiry_us(const struct hint *hint);
 int64_t hint_round_us(const struct hint *hint);
+void hint_write_address(const struct hint_peer *peer, char *dst);
 const struct hint_router *hint_list_routers(struct hint *hint, int64_t now,
 					    int *count);
 
--- a/src/hint_receive.c
+++ b/src/hint_receive.c
@@ -1,6 +1,4 @@
-#include <arpa/inet.h>
 #include <netinet/in.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -130,13 +128,10 @@
 {
 	int64_t age_us = hint_msg_data_age(message->ready);
 	char address[MAG_ADDR_MAX];
-	char ip[INET_ADDRSTRLEN];
 
-	if (age_us < 0 ||
-	    !inet_ntop(AF_INET, &peer->address.sin_addr, ip, sizeof(ip)))
+	if (age_us < 0 || now - age_us <= rel_fresh_us(hint->edge->rel))
 		return;
-	snprintf(address, sizeof(address), "%s:%d", ip,
-		 ntohs(peer->address.sin_port));
+	hint_write_address(peer, address);
 	rel_hear(hint->edge->rel, peer->name, address, now - age_us, now);
 }
 
--- a/src/rel.c
+++ b/src/rel.c
@@ -117,15 +117,13 @@
 }
 
 /*
- * Notes that another router has items that were current at fresh_us, by our
- * clock.  A poll in progress is left if that router is the better source.
+ * Notes that another router has newer items, which were current at fresh_us by
+ * our clock.  A poll in progress is left if that router is the better source.
  */
 void rel_hear(struct rel *rel, const char *name, const char *address,
 	      int64_t fresh_us, int64_t now)
 {
-	bool is_polled = rel->call && rel->call_source == TREE_HEARD;
-
-	if (is_polled || fresh_us <= rel->fresh_us)
+	if (rel->call && rel->call_source == TREE_HEARD)
 		return;
 	tree_hear(&rel->tree, name, address, fresh_us, now);
 	if (!rel->call || rel->xfer.begun_us ||
