--- a/regress/edge/turned-away.sh
+++ b/regress/edge/turned-away.sh
@@ -38,6 +38,8 @@
 	more=$!
 	sleep 1.5
 	worker=$(for n in 1 2 3 4 5; do echo "$(grep -c "^GOT .* $mode-" "$dir/worker.$n.log") $n"; done | sort -n | tail -n 1 | cut -d' ' -f2)
+	# Open connections do not end by a refusal of new ones.
+	[ $mode = refuse ] && echo sever >"$dir/proxy" && sleep 0.05
 	echo $mode >"$dir/proxy"
 	sleep 0.1
 	curl -s -o "$dir/null" "http://$(worker $worker)/stand-in/drain"
