plr, wkp: orders name their worker, and reports are those of its process

Cause: orders carried no worker id; both workers had taken no order, so that the expected count fitted; and a report's time of start was not compared with the entry's.

Fix: orders for layers and for new paths carry the id, as requests do; another worker refuses them (421). A report of a process that started at another time is not used (event 10116).

--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -313,6 +313,14 @@
 	start_token(job, clk_boot_us());
 }
 
+/* Tells whether a request names another worker. */
+static bool is_for_another(const struct hs_conn *conn)
+{
+	const char *target = hdr_get(hs_headers(conn), "Target-Instance");
+
+	return target && strcmp(target, id) != 0;
+}
+
 static void handle_order(struct hs_conn *conn)
 {
 	struct evbuffer *body = hs_body(conn);
@@ -322,7 +330,9 @@
 	const json_t *expected = json_object_get(json, "Expected");
 	const char *op = json_string_value(json_object_get(json, "Op"));
 
-	if (op && strcmp(op, "repath") == 0) {
+	if (is_for_another(conn)) {
+		hs_reply(conn, 421, "Not-Executed: 1\r\n", NULL, 0);
+	} else if (op && strcmp(op, "repath") == 0) {
 		handle_repath(conn, json);
 	} else if (expected && json_integer_value(expected) != orders) {
 		hs_reply(conn, 409, NULL, NULL, 0);
@@ -424,14 +434,13 @@
 static void start_job(struct hs_conn *conn)
 {
 	const char *hops = hdr_get(hs_headers(conn), "Hop-Count");
-	const char *target = hdr_get(hs_headers(conn), "Target-Instance");
 	const char *attempt = hdr_get(hs_headers(conn), "Attempt-Id");
 	const char *last = hdr_get(hs_headers(conn), "Last-Event-Id");
 	struct job *job;
 
 	printf("GOT %s %" PRId64 " %s\n", id, clk_boot_us(),
 	       attempt ? attempt : "-");
-	if (target && strcmp(target, id) != 0) {
+	if (is_for_another(conn)) {
 		refuse(conn, 421, NULL);
 		return;
 	}
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -153,14 +153,14 @@
 static struct evbuffer *eq_repair_encode(const struct eq *eq)
 {
 	struct wire_hop hops[CHN_HOPS_MAX];
+	const struct wire_worker *first = &eq->attempt->hops[0].worker->entry;
 	char body[PL_ORDER_MAX];
 	int count = eq_wire_hops(eq, hops);
 
 	if (pl_order_repath_encode(body, sizeof(body), eq->request.attempt_id,
 				   hops, count))
 		return NULL;
-	return pl_call_encode("POST", PL_ORDER_PATH,
-			      eq->attempt->hops[0].worker->entry.address, body);
+	return pl_order_encode(first->address, first->id, body);
 }
 
 static bool eq_repair_headers(void *user, const struct hc_response *response)
--- a/src/plr.c
+++ b/src/plr.c
@@ -300,8 +300,7 @@
 	pl_order_place_encode(body, sizeof(body), range, wk->proc.orders_taken);
 	call->edge = edge;
 	call->wk = wk;
-	send.request =
-		pl_call_encode("POST", PL_ORDER_PATH, wk->entry.address, body);
+	send.request = pl_order_encode(wk->entry.address, wk->entry.id, body);
 	send.ops = &plr_ops;
 	send.user = call;
 	send.connect_by_us = now + PLR_ORDER_TIMEOUT_US;
--- a/src/wk.c
+++ b/src/wk.c
@@ -324,6 +324,16 @@
 	       wk->layers.to <= layers;
 }
 
+/*
+ * Tells whether a process that answers at a worker's address, and started at a
+ * time, is another one than its entry names; 0: it does not say.
+ */
+bool wk_is_other_process(const struct wk *wk, int64_t started_ms)
+{
+	return started_ms && wk->entry.started_ms &&
+	       started_ms != wk->entry.started_ms;
+}
+
 struct wk *wk_ref(struct wk *wk)
 {
 	wk->refs++;
--- a/src/wk.h
+++ b/src/wk.h
@@ -251,6 +251,7 @@
 
 bool wk_alive(const struct wk *wk, int64_t now);
 bool wk_holds_of(const struct wk *wk, int layers);
+bool wk_is_other_process(const struct wk *wk, int64_t started_ms);
 bool wk_is_dead(const struct wk *wk, int64_t now);
 bool wk_has_ended(const struct wk *wk);
 const char *wk_state_text(const struct wk *wk, int64_t now);
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -403,6 +403,16 @@
 		     wk->entry.id, call->status);
 		return;
 	}
+	if (wk_is_other_process(wk, report.started_ms)) {
+		jlog(LOG_WK_OTHER,
+		     "\"worker\":\"%s\",\"address\":\"%s\",\"born_ms\":%lld,"
+		     "\"reported_ms\":%lld",
+		     wk->entry.id, wk->entry.address,
+		     (long long)wk->entry.started_ms,
+		     (long long)report.started_ms);
+		wk->proc.orders_taken = -1;
+		return;
+	}
 	wk->proc.reported_us = now;
 	wk_add_loaded(wk);
 	wk->proc.busy = report.busy;
