rsp, hc: what is no HTTP/1.1 response is a protocol error

What callers saw: an answer of a worker whose status was 000 came to them as an answer, and one with a blank in the name of a field did, too. So did answers with the status 600 or 0200, of version 2.0, with control bytes in the reason phrase or as the first byte of a value, with folded or indented field lines, with a chunk's size followed by other bytes or its data by no line end, after an interim response that was none, and after 101. A 503 with Not-Executed in such a head was passed on as a promise that nothing ran.

Cause: hc.c read responses with http_parser, which takes much that RFC 9112 does not allow: its tokens hold blanks, a status may have any number of digits, a value's first byte is not checked, and the line ends of chunks are not compared.

Fix: rsp.c parses responses, and rsp_syntax.c is the grammar of their lines. All that the router reads as a client comes through hc.c and so through this parser: answers of engines and plain workers, streams, forwarded calls, reports, health checks, orders, polls of peers, and the store. An error ends the call as HC_PROTOCOL_ERROR, which each owner already handles as an answer of which nothing is known: the request may have run, it is retried where its route allows that, and no promise is made. A line that cannot become a valid one is rejected by its beginning, as http_parser did, since its end may never come. Repeated Content-Length fields of one value are taken now, as RFC 9112 asks.

A blank before the colon and a folded line are errors, too: a gateway may reject both, and recipients read them differently. A single LF may end the lines of a head; a status line may lack the space before an empty reason phrase.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -244,6 +244,16 @@
 # and requests this backoff, or accepts again.
 request_backoff() { curl -s -o "$dir/null" "http://$(worker $1)/stand-in/backoff/${2:-}"; }
 
+# set_raw KIND/COUNT[/close] NUMBER...: the next answers of workers to a kind of message
+# (request, report, order, health) are the bytes in $dir/raw.
+set_raw() {
+	raw=$1
+	shift
+	for n in "$@"; do
+		curl -s -o "$dir/null" --data-binary "@$dir/raw" "http://$(worker $n)/stand-in/raw/$raw"
+	done
+}
+
 # backoffs: counts what routers sent during the backoffs that workers requested.
 backoffs() {
 	grep -h '^MESSAGE\|^BACKOFF' "$dir"/worker.*.log | sort -s -k 3,3n |
--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -61,7 +61,8 @@
 	FAULT_BUSY,
 	FAULT_RESET,
 	FAULT_SILENT,
-	FAULT_LOST
+	FAULT_LOST,
+	FAULT_ODD /* a blank in the name of a field of each answer */
 };
 
 static struct item items[ITEMS_MAX];
@@ -263,8 +264,9 @@
 	char fields[128];
 
 	snprintf(fields, sizeof(fields),
-		 "Content-Type: application/json\r\nStore-Era: %" PRId64 "\r\n",
-		 era);
+		 "Content-Type: application/json\r\nStore-Era: %" PRId64
+		 "\r\n%s",
+		 era, fault == FAULT_ODD ? "X Odd: 1\r\n" : "");
 	hs_reply(conn, status, fields, text, text ? strlen(text) : 0);
 	free(text);
 	json_decref(json);
@@ -477,8 +479,8 @@
 static void serve_test_request(struct hs_conn *conn, const char *path,
 			       struct evkeyvalq *query)
 {
-	static const char *const faults[] = { "none", "busy", "reset", "silent",
-					      "lost" };
+	static const char *const faults[] = { "none",	"busy", "reset",
+					      "silent", "lost", "odd" };
 	struct evbuffer *body = hs_body(conn);
 	const char *kind = evhttp_find_header(query, "Kind");
 	const char *key = evhttp_find_header(query, "Key");
@@ -635,7 +637,8 @@
 			drop(&items[i]);
 	}
 	for (i = 0; i < WATCHES_MAX; i++) {
-		if (watches[i].conn && fault == FAULT_NONE &&
+		if (watches[i].conn &&
+		    (fault == FAULT_NONE || fault == FAULT_ODD) &&
 		    serve_watch(&watches[i], now))
 			watches[i].conn = NULL;
 	}
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -106,10 +106,30 @@
 static struct cut cut; /* of the next stream that it applies to */
 /* Send a request that crashes this worker the beginning of an answer. */
 static bool answer_before_crash;
+/* Answers that are sent byte by byte as a test has set them. */
+struct raw {
+	struct evbuffer *bytes; /* %FIELDS%, %LENGTH%, %BODY%: the usual ones */
+	int left;		/* so many answers */
+	bool close;		/* the connection after it */
+};
+
+/* What a name in such bytes stands for. */
+struct raw_text {
+	const char *name;
+	const char *text;
+};
+
+static struct raw raw_answer; /* to requests */
+/* To messages of routers, by their targets. */
+static struct raw raw_report;
+static struct raw raw_order;
+static struct raw raw_health;
+static bool close_each; /* connection after the answer to a request */
 static CDS_LIST_HEAD(jobs);
 static CDS_LIST_HEAD(peers);
 
 static void end_job(struct job *job);
+static int format_event(char *dst, size_t size, int event);
 static void next_hop(struct job *job);
 static void start_token(struct job *job, int64_t now);
 static int parse_hops(const char *text, struct wire_hop *hops);
@@ -465,6 +485,8 @@
 		free(job);
 		return;
 	}
+	if (close_each)
+		hs_close_after_reply(conn);
 	job->event = last ? atoi(last) : 0;
 	job->due_us = clk_boot_us() + event_us;
 	if (cut.framing[0] && cut.resumed == (job->event > 0)) {
@@ -493,6 +515,113 @@
 	hs_reply(conn, 200, NULL, NULL, 0);
 }
 
+/*
+ * Sets the next answers to the body of a request to the stand-in: COUNT,
+ * perhaps
+ * "/close".
+ */
+static void set_raw(struct hs_conn *conn, struct raw *raw, const char *text)
+{
+	if (!raw->bytes)
+		raw->bytes = evbuffer_new();
+	evbuffer_drain(raw->bytes, evbuffer_get_length(raw->bytes));
+	evbuffer_add_buffer(raw->bytes, hs_body(conn));
+	raw->left = atoi(text);
+	raw->close = strstr(text, "/close") != NULL;
+	hs_reply(conn, 200, NULL, NULL, 0);
+}
+
+/* Lets a connection take its next request after an answer in raw bytes. */
+static void await_request(struct hs_conn *conn)
+{
+	conn->state = HS_READING;
+	conn->started = false;
+	conn->target_len = 0;
+	conn->header_len = 0;
+	conn->deadline_us = MAG_NEVER;
+	hdr_reset(&conn->headers);
+	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
+	http_parser_init(&conn->parser, HTTP_REQUEST);
+	conn->parser.data = conn;
+}
+
+/* Adds bytes in which %NAME% stands for the text of that name. */
+static void add_expanded(struct evbuffer *out, const char *bytes, size_t left,
+			 const struct raw_text *texts, size_t count)
+{
+	const char *mark;
+	size_t i;
+
+	while ((mark = memchr(bytes, '%', left))) {
+		evbuffer_add(out, bytes, (size_t)(mark - bytes));
+		left -= (size_t)(mark - bytes);
+		bytes = mark;
+		for (i = 0; i < count; i++) {
+			if (left < strlen(texts[i].name) ||
+			    memcmp(bytes, texts[i].name,
+				   strlen(texts[i].name)) != 0)
+				continue;
+			evbuffer_add(out, texts[i].text, strlen(texts[i].text));
+			bytes += strlen(texts[i].name);
+			left -= strlen(texts[i].name);
+			break;
+		}
+		if (i == count) {
+			evbuffer_add(out, bytes++, 1);
+			left--;
+		}
+	}
+	evbuffer_add(out, bytes, left);
+}
+
+/*
+ * Sends the set bytes, with the usual fields and body where they name these;
+ * false if the usual answer is to be sent.
+ */
+static bool send_raw(struct hs_conn *conn, struct raw *raw, const char *request,
+		     const char *fields, const char *body)
+{
+	char length[64];
+	const struct raw_text texts[] = { { "%FIELDS%", fields },
+					  { "%LENGTH%", length },
+					  { "%BODY%", body } };
+
+	if (raw->left <= 0)
+		return false;
+	raw->left--;
+	printf("RAW %s %s\n", id, request);
+	snprintf(length, sizeof(length), "Content-Length: %zu\r\n",
+		 strlen(body));
+	add_expanded(bufferevent_get_output(conn->bev),
+		     (const char *)evbuffer_pullup(raw->bytes, -1),
+		     evbuffer_get_length(raw->bytes), texts,
+		     MAG_ARRAY_SIZE(texts));
+	hs_set_user(conn, NULL);
+	if (raw->close)
+		conn->state = HS_CLOSING;
+	else
+		await_request(conn);
+	bufferevent_enable(conn->bev, EV_WRITE);
+	return true;
+}
+
+/* Sends the set bytes to a request; false if the usual answer is to be sent. */
+static bool answer_raw(struct job *job, const char *fields)
+{
+	char body[4096] = "done";
+	size_t len = 0;
+	int event;
+
+	for (event = job->event; kind && event < EVENT_COUNT; event++)
+		len += (size_t)format_event(body + len, sizeof(body) - len,
+					    event + 1);
+	if (!send_raw(job->conn, &raw_answer, job->id, fields, body))
+		return false;
+	job->conn = NULL;
+	end_job(job);
+	return true;
+}
+
 /* Begins or ends a fault that a request to the stand-in names. */
 static bool set_fault(const char *target)
 {
@@ -514,20 +643,53 @@
 		drop_replies = false;
 	else if (strncmp(target, "/stand-in/cut-answer/", 21) == 0)
 		cut_answer = atoi(target + 21);
+	else if (strncmp(target, "/stand-in/close-each/", 21) == 0)
+		close_each = atoi(target + 21) != 0;
 	else
 		return false;
 	return true;
 }
 
+/* Returns the set answers to a message of a router; NULL if it is a request. */
+static struct raw *raw_of_message(const char *target)
+{
+	if (strcmp(target, "/api/report") == 0)
+		return &raw_report;
+	if (strcmp(target, "/api/order") == 0)
+		return &raw_order;
+	return strcmp(target, "/healthz") == 0 ? &raw_health : NULL;
+}
+
+/* Sets raw answers: KIND/COUNT, perhaps "/close". */
+static void set_raw_of(struct hs_conn *conn, const char *text)
+{
+	const char *count = strchr(text, '/');
+
+	if (strncmp(text, "report/", 7) == 0)
+		set_raw(conn, &raw_report, count + 1);
+	else if (strncmp(text, "order/", 6) == 0)
+		set_raw(conn, &raw_order, count + 1);
+	else if (strncmp(text, "health/", 7) == 0)
+		set_raw(conn, &raw_health, count + 1);
+	else
+		set_raw(conn, &raw_answer, count ? count + 1 : text);
+}
+
 static void on_request(void *ctx, struct hs_conn *conn)
 {
 	const char *target = hs_target(conn);
+	struct raw *raw = raw_of_message(target);
 
 	(void)ctx;
 	if (print_messages && strncmp(target, "/stand-in/", 10) != 0)
 		printf("MESSAGE %s %" PRId64 " %s\n", id, clk_boot_us(),
 		       target);
-	if (strcmp(target, "/api/report") == 0 && kind && reset_next_report)
+	if (strncmp(target, "/stand-in/raw/", 14) == 0)
+		set_raw_of(conn, target + 14);
+	else if (raw && send_raw(conn, raw, target, advert_fields(), ""))
+		return;
+	else if (strcmp(target, "/api/report") == 0 && kind &&
+		 reset_next_report)
 		reset_next_report = false, hs_abort(conn);
 	else if (strcmp(target, "/api/report") == 0 && kind)
 		send_report(conn);
@@ -690,9 +852,11 @@
 		send_cut(job);
 		return;
 	}
+	format_stream_fields(fields, sizeof(fields), job);
+	if (!job->started && answer_raw(job, fields))
+		return;
 	job->event++;
 	if (!job->started) {
-		format_stream_fields(fields, sizeof(fields), job);
 		format_event(event, sizeof(event), job->event);
 		if (send_beginning(job, fields, event))
 			return;
@@ -806,6 +970,8 @@
 			 id, advert_fields());
 		if (send_beginning(job, fields, "done"))
 			return false;
+		if (answer_raw(job, fields))
+			return false;
 		hs_reply(job->conn, 200, fields, "done", 4);
 	}
 	job->conn = NULL;
--- a/src/eq.h
+++ b/src/eq.h
@@ -79,7 +79,7 @@
 	bool peer_told;		   /* the peer's answer says what it did */
 	struct pl_history history; /* that is what it says */
 	bool answered; /* the header of its answer has been received */
-	enum hc_framing framing;
+	enum rsp_framing framing;
 	bool garbled;
 	size_t garbled_bytes; /* received since then */
 	struct evbuffer *fields;
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -133,10 +133,10 @@
 const char *eq_framing_text(const struct eq *eq)
 {
 	static const char *const texts[] = {
-		[HC_FRAMING_NONE] = "none",
-		[HC_FRAMING_LENGTH] = "length",
-		[HC_FRAMING_CHUNKED] = "chunked",
-		[HC_FRAMING_CLOSE] = "close",
+		[RSP_FRAMING_NONE] = "none",
+		[RSP_FRAMING_LENGTH] = "length",
+		[RSP_FRAMING_CHUNKED] = "chunked",
+		[RSP_FRAMING_CLOSE] = "close",
 	};
 
 	return eq->attempt->answered ? texts[eq->attempt->framing] : "";
@@ -389,12 +389,12 @@
 	const struct eq *eq = attempt->eq;
 
 	if (eq->route->kind != RT_STREAMING || attempt->status / 100 != 2 ||
-	    attempt->framing == HC_FRAMING_NONE)
+	    attempt->framing == RSP_FRAMING_NONE)
 		return false;
 	if (evs_pending(&attempt->events) > 0)
 		return true;
 	return attempt->events.count == 0 &&
-	       (eq->last_event < 0 || attempt->framing == HC_FRAMING_CLOSE);
+	       (eq->last_event < 0 || attempt->framing == RSP_FRAMING_CLOSE);
 }
 
 /* Handles a complete answer of the worker. */
--- a/src/hc.c
+++ b/src/hc.c
@@ -7,7 +7,6 @@
 
 #include <event2/bufferevent.h>
 #include <event2/util.h>
-#include <http_parser.h>
 #include <urcu/list.h>
 
 #include "clk.h"
@@ -19,9 +18,8 @@
  */
 #define HC_IDLE_US (4 * MAG_US_PER_S)
 
-/* Bytes of other requests' responses, and interim responses, of one call. */
+/* Bytes of other requests' responses that one call skips. */
 #define HC_SKIPPED_MAX ((size_t)1 << 20)
-#define HC_INTERIM_MAX 16
 
 enum hc_state {
 	HC_CONNECTING,
@@ -56,9 +54,8 @@
 	struct cds_list_head in_idle;
 	struct hc_host *host;
 	struct bufferevent *bev;
-	http_parser parser;
+	struct rsp rsp;
 	enum hc_state state;
-	struct hdr_list headers;
 	const struct hc_ops *ops;
 	void *user;
 	struct evbuffer *request; /* until the connection is established */
@@ -66,19 +63,14 @@
 	int64_t connect_by_us;
 	int64_t deadline_us;
 	int64_t idle_until_us;
-	bool head_request;
-	bool skipping;	/* the response belongs to another request */
-	bool until_eof; /* the response ends when the connection closes */
+	bool skipping; /* the response belongs to another request */
 	bool bytes_received;
-	bool is_first; /* the first call on its connection */
-	bool complete;
-	bool keep_alive;
+	bool is_first;	/* the first call on its connection */
 	bool cancelled; /* by a callback while the parser runs */
 	bool aborted;	/* the response is useless */
 	size_t body_max;
 	size_t body_len;    /* received; the limit is on all of a call */
 	size_t skipped_len; /* the same of responses to other requests */
-	int interim_count;
 	bool parsing;
 };
 
@@ -96,21 +88,12 @@
 static void hc_set_idle_timeout(struct hc_call *call, int64_t now);
 static bool hc_expire_any(struct hc *hc, int64_t now);
 static bool hc_expire_one(struct hc_host *host, int64_t now);
-static int hc_on_field(http_parser *parser, const char *at, size_t len);
-static int hc_on_value(http_parser *parser, const char *at, size_t len);
-static int hc_on_begin(http_parser *parser);
-static int hc_on_headers(http_parser *parser);
-static int hc_on_body(http_parser *parser, const char *at, size_t len);
-static int hc_on_complete(http_parser *parser);
-static enum hc_framing hc_framing(const struct hc_call *call);
-
-static const http_parser_settings hc_settings = {
-	.on_message_begin = hc_on_begin,
-	.on_header_field = hc_on_field,
-	.on_header_value = hc_on_value,
-	.on_headers_complete = hc_on_headers,
-	.on_body = hc_on_body,
-	.on_message_complete = hc_on_complete,
+static bool hc_on_head(void *ctx, const struct rsp *rsp);
+static bool hc_on_body(void *ctx, const char *bytes, size_t len);
+
+static const struct rsp_ops hc_rsp_ops = {
+	.head = hc_on_head,
+	.body = hc_on_body,
 };
 
 struct hc *hc_new(struct event_base *base)
@@ -388,6 +371,7 @@
 		free(call);
 		return NULL;
 	}
+	rsp_init(&call->rsp, &hc_rsp_ops, call);
 	call->state = HC_CONNECTING;
 	call->is_first = true;
 	if (host->open++ == 0)
@@ -419,20 +403,13 @@
 	call->request_len = evbuffer_get_length(send->request);
 	call->connect_by_us = send->connect_by_us;
 	call->deadline_us = send->deadline_us;
-	call->head_request = send->head_request;
 	call->body_max = send->body_max;
 	call->body_len = 0;
 	call->skipped_len = 0;
-	call->interim_count = 0;
 	call->aborted = false;
 	call->skipping = false;
-	call->until_eof = false;
 	call->bytes_received = false;
-	call->complete = false;
-	call->keep_alive = false;
-	hdr_reset(&call->headers);
-	http_parser_init(&call->parser, HTTP_RESPONSE);
-	call->parser.data = call;
+	rsp_begin(&call->rsp, send->head_request);
 }
 
 static void hc_write(struct hc_call *call)
@@ -478,8 +455,8 @@
 	case HC_ACTIVE:
 		break;
 	}
-	if ((what & BEV_EVENT_EOF) && call->until_eof && !call->skipping) {
-		call->keep_alive = false;
+	if ((what & BEV_EVENT_EOF) && !call->skipping &&
+	    rsp_ends_with_connection(&call->rsp)) {
 		hc_finish(call, HC_COMPLETE);
 		return;
 	}
@@ -492,6 +469,7 @@
 	unsigned char *bytes;
 	size_t len;
 	size_t used;
+	int err;
 
 	if (call->is_first && !call->bytes_received)
 		hc_observe(call, true);
@@ -502,23 +480,24 @@
 			return;
 		bytes = evbuffer_pullup(in, (ev_ssize_t)len);
 		call->parsing = true;
-		used = http_parser_execute(&call->parser, &hc_settings,
-					   (const char *)bytes, len);
+		err = rsp_feed(&call->rsp, (const char *)bytes, len, &used);
 		call->parsing = false;
 		if (call->cancelled) {
 			hc_close(call);
 			return;
 		}
 		evbuffer_drain(in, used);
-		if (call->complete) {
-			hc_complete(call);
+		if (err) {
+			hc_finish(call, HC_PROTOCOL_ERROR);
 			return;
 		}
-		if (HTTP_PARSER_ERRNO(&call->parser) != HPE_OK ||
-		    call->parser.upgrade) {
-			hc_finish(call, HC_PROTOCOL_ERROR);
+		if (call->rsp.state != RSP_COMPLETE)
+			continue;
+		if (!call->skipping) {
+			hc_complete(call);
 			return;
 		}
+		rsp_begin_next(&call->rsp);
 	}
 }
 
@@ -537,7 +516,7 @@
 	 * bytes after the response, leave the connection in an undefined
 	 * state.
 	 */
-	if (!call->keep_alive || evbuffer_get_length(in) > 0 ||
+	if (!call->rsp.persistent || evbuffer_get_length(in) > 0 ||
 	    evbuffer_get_length(out) > 0) {
 		hc_close(call);
 	} else {
@@ -580,7 +559,7 @@
 	if (call->request)
 		evbuffer_free(call->request);
 	bufferevent_free(call->bev);
-	hdr_free(&call->headers);
+	rsp_free(&call->rsp);
 	free(call);
 }
 
@@ -590,7 +569,7 @@
  */
 static void hc_set_idle_timeout(struct hc_call *call, int64_t now)
 {
-	const char *field = hdr_get(&call->headers, "Keep-Alive");
+	const char *field = hdr_get(&call->rsp.headers, "Keep-Alive");
 	const char *value = field ? strstr(field, "timeout=") : NULL;
 	int64_t idle_us = HC_IDLE_US;
 	long timeout_s;
@@ -603,84 +582,30 @@
 	call->idle_until_us = now + idle_us;
 }
 
-static int hc_on_begin(http_parser *parser)
-{
-	struct hc_call *call = parser->data;
-
-	hdr_reset(&call->headers);
-	return 0;
-}
-
-static int hc_on_field(http_parser *parser, const char *at, size_t len)
-{
-	struct hc_call *call = parser->data;
-
-	return hdr_add_name(&call->headers, at, len);
-}
-
-static int hc_on_value(http_parser *parser, const char *at, size_t len)
+static bool hc_on_head(void *ctx, const struct rsp *rsp)
 {
-	struct hc_call *call = parser->data;
-
-	return hdr_add_value(&call->headers, at, len);
-}
+	struct hc_call *call = ctx;
+	struct hc_response response = { rsp->status, rsp->framing,
+					&rsp->headers };
 
-/* Returns 1 for a response without a body, as the parser requires. */
-static int hc_on_headers(http_parser *parser)
-{
-	struct hc_call *call = parser->data;
-	struct hc_response response = { (int)parser->status_code,
-					hc_framing(call), &call->headers };
-
-	if (parser->status_code / 100 == 1)
-		return ++call->interim_count > HC_INTERIM_MAX ? -1 : 0;
 	call->skipping = false;
 	if (call->ops)
 		call->skipping = !call->ops->headers(call->user, &response);
-	if (call->cancelled)
-		return -1;
-	call->keep_alive = http_should_keep_alive(parser) != 0;
-	call->until_eof = response.framing == HC_FRAMING_CLOSE;
-	return call->head_request ? 1 : 0;
+	return !call->cancelled;
 }
 
-static int hc_on_body(http_parser *parser, const char *at, size_t len)
+static bool hc_on_body(void *ctx, const char *bytes, size_t len)
 {
-	struct hc_call *call = parser->data;
+	struct hc_call *call = ctx;
 
 	if (call->skipping) {
 		call->skipped_len += len;
-		return call->skipped_len > HC_SKIPPED_MAX ? -1 : 0;
+		return call->skipped_len <= HC_SKIPPED_MAX;
 	}
 	call->body_len += len;
 	if (call->body_max && call->body_len > call->body_max)
-		return -1;
+		return false;
 	if (call->ops)
-		call->ops->body(call->user, at, len);
-	return call->cancelled || call->aborted ? -1 : 0;
-}
-
-static int hc_on_complete(http_parser *parser)
-{
-	struct hc_call *call = parser->data;
-
-	if (parser->status_code / 100 == 1 || call->skipping)
-		return 0;
-	call->complete = true;
-	http_parser_pause(parser, 1);
-	return 0;
-}
-
-/* Returns what marks the end of the body of a response. */
-static enum hc_framing hc_framing(const struct hc_call *call)
-{
-	const http_parser *parser = &call->parser;
-
-	if (call->head_request || parser->status_code == 204 ||
-	    parser->status_code == 304)
-		return HC_FRAMING_NONE;
-	if (parser->flags & F_CHUNKED)
-		return HC_FRAMING_CHUNKED;
-	return parser->content_length == UINT64_MAX ? HC_FRAMING_CLOSE
-						    : HC_FRAMING_LENGTH;
+		call->ops->body(call->user, bytes, len);
+	return !call->cancelled && !call->aborted;
 }
--- a/src/hc.h
+++ b/src/hc.h
@@ -19,6 +19,7 @@
 
 #include "hdr.h"
 #include "mag.h"
+#include "rsp.h"
 
 struct hc;
 struct hc_host;
@@ -42,17 +43,9 @@
 	HC_TIMED_OUT,	   /* the deadline passed */
 };
 
-/* What marks the end of a response's body. */
-enum hc_framing {
-	HC_FRAMING_NONE, /* there is no body */
-	HC_FRAMING_LENGTH,
-	HC_FRAMING_CHUNKED,
-	HC_FRAMING_CLOSE, /* the end of the connection */
-};
-
 struct hc_response {
 	int status;
-	enum hc_framing framing;
+	enum rsp_framing framing;
 	const struct hdr_list *headers;
 };
 
