crsp: magnoliad reads answers with the same parser

What callers saw: of magnoliad, too, answers that are no HTTP/1.1: with control bytes in the reason phrase, blanks or control bytes in the name of a field, control bytes in a value, folded lines, two lengths, a broken interim head, or a chunk's size followed by other bytes. A write to the platform counted as done by such an answer. Fields of an interim response were added to the final one.

Cause: libcurl is as lenient as http_parser was, and only whether its head was whole was checked (head.c).

Fix: libcurl only moves the bytes. crsp.c passes header lines and the body, with its chunks as they came, to rsp.c, whose callbacks get the status, the fields of the final head and the body. Attempts (plain and engines), probes of stages, orders, cancellations, the platform's store and magctl read this way, so that there is one judge of responses. It replaces head.c: a response is whole if the parser has seen its end. A stage that answers a probe with something else is silent now.

--- a/regress/fake_engine.c
+++ b/regress/fake_engine.c
@@ -209,8 +209,7 @@
 	if (eng_poison && strstr(prompt, eng_poison))
 		_exit(ENG_EXIT_DIED);
 	atomic_fetch_add(&ep->running, 1);
-	mg_printf(req->conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-			     "Content-Type: text/event-stream\r\n\r\n");
+	fk_begin_chunks(req, "Content-Type: text/event-stream\r\n");
 	if (eng_generate(req, &step, prompt, max))
 		eng_event(req, "done",
 			  json_pack("{s:s, s:I, s:I}", "request", step.request,
--- a/regress/fk.c
+++ b/regress/fk.c
@@ -32,9 +32,37 @@
 	struct fk_fault_entry faults[FK_FAULTS_MAX];
 };
 
+/*
+ * What the fault "odd" makes of the head of a reply, by its number: the lines
+ * before it, its status line, or one more field line; or the size of a chunk.
+ */
+struct fk_odd {
+	const char *before;
+	const char *status_line;
+	const char *field;
+	bool chunk;
+};
+
+static const struct fk_odd fk_odds[] = {
+	{ .status_line = "HTTP/1.1 000 Odd" },
+	{ .status_line = "HTTP/1.1 600 Odd" },
+	{ .status_line = "HTTP/1.1 0200 Odd" },
+	{ .status_line = "HTTP/1.1 200 O\001dd" },
+	{ .field = "X Odd: 1\r\n" },
+	{ .field = "X\001Odd: 1\r\n" },
+	{ .field = "X-Odd: \001\r\n" },
+	{ .field = "X-Odd: 1\r\n 2\r\n" },
+	{ .field = "Content-Length: 1x\r\n" },
+	{ .before = "HTTP/1.1 100 Odd\r\nX Odd: 1\r\n\r\n" },
+	{ .chunk = true },
+};
+
 static int fk_on_request(struct mg_connection *conn);
 static void fk_read_body(struct fk_request *req, long long length);
 static void fk_control(struct fk_request *req);
+static int fk_format_head(char *dst, size_t size, const struct fk_odd *odd,
+			  int status, const char *framing, const char *headers);
+static const struct fk_odd *fk_use_odd(struct fk_request *req);
 static void fk_write_reply(struct fk_request *req, int status,
 			   const char *headers, const char *body, size_t len,
 			   size_t bytes);
@@ -191,21 +219,76 @@
 			   size_t bytes)
 {
 	char *text = malloc(FK_HEADER_MAX + len);
+	const struct fk_odd *odd = fk_use_odd(req);
+	char framing[64];
 	int used;
 
 	if (!text)
 		return;
-	used = snprintf(text, FK_HEADER_MAX,
-			"HTTP/1.1 %d Answer\r\nContent-Length: %zu\r\n%s\r\n",
-			status, len, headers);
-	if (used < 0 || used >= FK_HEADER_MAX)
+	if (odd && odd->chunk)
+		snprintf(framing, sizeof(framing),
+			 "Transfer-Encoding: chunked\r\n");
+	else
+		snprintf(framing, sizeof(framing), "Content-Length: %zu\r\n",
+			 len);
+	used = fk_format_head(text, FK_HEADER_MAX, odd, status, framing,
+			      headers);
+	if (odd && odd->chunk)
+		used += snprintf(text + used, FK_HEADER_MAX - (size_t)used,
+				 "%zx odd\r\n", len);
+	if (used >= FK_HEADER_MAX)
 		abort();
 	memcpy(text + used, body, len);
 	len += (size_t)used;
 	mg_write(req->conn, text, bytes < len ? bytes : len);
+	if (odd && odd->chunk)
+		mg_printf(req->conn, "\r\n0\r\n\r\n");
 	free(text);
 }
 
+/* Returns what the fault "odd" makes of a reply; NULL: nothing. */
+static const struct fk_odd *fk_use_odd(struct fk_request *req)
+{
+	long number;
+
+	if (strcmp(req->path, "/control") == 0 ||
+	    !fk_use_fault(req->fk, "odd", &number) || number < 0 ||
+	    number >= (long)MAG_ARRAY_SIZE(fk_odds))
+		return NULL;
+	fk_abort(req);
+	return &fk_odds[number];
+}
+
+/* Formats a head; returns its length, or size at least if it does not fit. */
+static int fk_format_head(char *dst, size_t size, const struct fk_odd *odd,
+			  int status, const char *framing, const char *headers)
+{
+	char status_line[64];
+
+	snprintf(status_line, sizeof(status_line), "HTTP/1.1 %d Answer",
+		 status);
+	return snprintf(dst, size, "%s%s\r\n%s%s%s\r\n",
+			odd && odd->before ? odd->before : "",
+			odd && odd->status_line ? odd->status_line
+						: status_line,
+			odd && odd->field ? odd->field : "", framing, headers);
+}
+
+/* Begins a reply in chunks, which mg_send_chunk() sends. */
+void fk_begin_chunks(struct fk_request *req, const char *headers)
+{
+	const struct fk_odd *odd = fk_use_odd(req);
+	char head[FK_HEADER_MAX];
+	int used = fk_format_head(head, sizeof(head), odd, 200,
+				  "Transfer-Encoding: chunked\r\n", headers);
+
+	if (used >= FK_HEADER_MAX)
+		abort();
+	mg_write(req->conn, head, (size_t)used);
+	if (odd && odd->chunk)
+		mg_printf(req->conn, "2 odd\r\n:\n\r\n");
+}
+
 /* Replies with JSON; releases the caller's reference to body. */
 void fk_reply_json(struct fk_request *req, int status, const char *headers,
 		   json_t *body)
--- a/regress/fk.h
+++ b/regress/fk.h
@@ -46,6 +46,7 @@
 	      const char *body, size_t len);
 void fk_reply_json(struct fk_request *req, int status, const char *headers,
 		   json_t *body);
+void fk_begin_chunks(struct fk_request *req, const char *headers);
 void fk_abort(struct fk_request *req);
 const char *fk_header(const struct fk_request *req, const char *name);
 long fk_query_number(const struct fk_request *req, const char *name);
--- a/src/ctl_http.c
+++ b/src/ctl_http.c
@@ -4,8 +4,8 @@
 #include <curl/curl.h>
 
 #include "clk.h"
+#include "crsp.h"
 #include "ctl.h"
-#include "head.h"
 
 #define CTL_URL_MAX    512
 #define CTL_BODY_MAX   (16U << 20)
@@ -17,17 +17,22 @@
 	CURL *curl;
 	char *text;
 	size_t len;
-	struct head head;
+	struct crsp response;
 	bool complete;
 };
 
 static void ctl_start_request(struct ctl_request *request, CURLM *multi,
 			      const char *address, const char *path,
 			      long left_ms);
-static size_t ctl_on_header(char *line, size_t size, size_t count, void *ctx);
 static void ctl_run_requests(CURLM *multi);
 static json_t *ctl_finish_request(struct ctl_request *request, CURLM *multi);
-static size_t ctl_on_body(char *data, size_t size, size_t count, void *ctx);
+static bool ctl_on_head(void *ctx, const struct rsp *rsp);
+static bool ctl_on_body(void *ctx, const char *bytes, size_t len);
+
+static const struct rsp_ops ctl_rsp_ops = {
+	.head = ctl_on_head,
+	.body = ctl_on_body,
+};
 
 /*
  * Requests a page from the admin ports of all instances in parallel and parses
@@ -84,22 +89,11 @@
 	curl_easy_setopt(request->curl, CURLOPT_CONNECTTIMEOUT_MS,
 			 CTL_CONNECT_MS);
 	curl_easy_setopt(request->curl, CURLOPT_TIMEOUT_MS, left_ms);
-	curl_easy_setopt(request->curl, CURLOPT_WRITEFUNCTION, ctl_on_body);
-	curl_easy_setopt(request->curl, CURLOPT_WRITEDATA, request);
-	curl_easy_setopt(request->curl, CURLOPT_HEADERFUNCTION, ctl_on_header);
-	curl_easy_setopt(request->curl, CURLOPT_HEADERDATA, request);
+	crsp_begin(&request->response, request->curl, &ctl_rsp_ops, request);
 	curl_easy_setopt(request->curl, CURLOPT_PRIVATE, request);
 	curl_multi_add_handle(multi, request->curl);
 }
 
-static size_t ctl_on_header(char *line, size_t size, size_t count, void *ctx)
-{
-	struct ctl_request *request = ctx;
-
-	head_on_line(&request->head, line, size * count);
-	return size * count;
-}
-
 /* Runs all requests to their end; each has its own timeout. */
 static void ctl_run_requests(CURLM *multi)
 {
@@ -117,8 +111,8 @@
 			curl_easy_getinfo(message->easy_handle,
 					  CURLINFO_PRIVATE, &request);
 			request->complete =
-				head_check(&request->head,
-					   message->data.result) == CURLE_OK;
+				crsp_result(&request->response,
+					    message->data.result) == CURLE_OK;
 		}
 		if (running)
 			curl_multi_poll(multi, NULL, 0, CTL_POLL_MS, NULL);
@@ -135,24 +129,32 @@
 	if (request->curl) {
 		curl_multi_remove_handle(multi, request->curl);
 		curl_easy_cleanup(request->curl);
+		crsp_free(&request->response);
 	}
 	free(request->text);
 	return body;
 }
 
-static size_t ctl_on_body(char *data, size_t size, size_t count, void *ctx)
+/* An answer of any status holds a page. */
+static bool ctl_on_head(void *ctx, const struct rsp *rsp)
+{
+	(void)ctx;
+	(void)rsp;
+	return true;
+}
+
+static bool ctl_on_body(void *ctx, const char *bytes, size_t len)
 {
 	struct ctl_request *request = ctx;
-	size_t len = size * count;
 	char *grown;
 
 	if (request->len + len > CTL_BODY_MAX)
-		return 0;
+		return false;
 	grown = realloc(request->text, request->len + len + 1);
 	if (!grown)
-		return 0;
+		return false;
 	request->text = grown;
-	memcpy(grown + request->len, data, len);
+	memcpy(grown + request->len, bytes, len);
 	request->len += len;
-	return len;
+	return true;
 }
--- a/src/ep.c
+++ b/src/ep.c
@@ -1,7 +1,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 
 #include "clk.h"
 #include "ep_int.h"
@@ -13,16 +12,21 @@
 	[CFG_PLAIN] = &ep_plain,
 };
 
-static size_t on_body(char *bytes, size_t size, size_t count, void *ctx);
-static size_t on_header(char *bytes, size_t size, size_t count, void *ctx);
+static bool on_head(void *ctx, const struct rsp *rsp);
+static bool on_body(void *ctx, const char *bytes, size_t len);
 static bool may_be_running(enum core_end end);
 static int prepare(struct ep_call *call);
 static CURLcode transfer(struct ep_call *call, bool *cancelled);
 static bool should_cancel(struct ep_call *call);
 static bool finished(struct ep_call *call, CURLcode *code);
-static void copy_header(char *dst, size_t size, const char *line, size_t len,
+static void copy_header(char *dst, size_t size, const struct hdr_list *headers,
 			const char *name);
 
+static const struct rsp_ops response_ops = {
+	.head = on_head,
+	.body = on_body,
+};
+
 /* Creates a server thread's state for calls; NULL if out of memory. */
 struct ep *ep_new(long connect_ms, struct ep_cancel *cancel)
 {
@@ -87,6 +91,7 @@
 		call->protocol->cancel(call);
 	curl_slist_free_all(call->headers);
 	curl_easy_cleanup(call->easy);
+	crsp_free(&call->response);
 	free(call->request_body);
 	free(call);
 }
@@ -186,10 +191,7 @@
 	curl_easy_setopt(call->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(call->easy, CURLOPT_CONNECTTIMEOUT_MS,
 			 call->ep->connect_ms);
-	curl_easy_setopt(call->easy, CURLOPT_WRITEFUNCTION, on_body);
-	curl_easy_setopt(call->easy, CURLOPT_WRITEDATA, call);
-	curl_easy_setopt(call->easy, CURLOPT_HEADERFUNCTION, on_header);
-	curl_easy_setopt(call->easy, CURLOPT_HEADERDATA, call);
+	crsp_begin(&call->response, call->easy, &response_ops, call);
 	/*
 	 * libcurl silently resends a request when a reused connection closes
 	 * before the first byte of the response.  The endpoint may have run
@@ -251,74 +253,51 @@
 	}
 }
 
-/* Returns whether the transfer has ended, with its result and status. */
+/* Returns whether the transfer has ended, with its result. */
 static bool finished(struct ep_call *call, CURLcode *code)
 {
-	long status = 0;
 	CURLMsg *msg;
 	int left;
 
 	msg = curl_multi_info_read(call->ep->multi, &left);
 	if (!msg || msg->msg != CURLMSG_DONE)
 		return false;
-	*code = head_check(&call->head, msg->data.result);
-	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	call->answer->status = (int)status;
+	*code = crsp_result(&call->response, msg->data.result);
 	return true;
 }
 
-static size_t on_body(char *bytes, size_t size, size_t count, void *ctx)
+/* Stores the status, the ids, the content type and whether it has X-Not-Begun.
+ */
+static bool on_head(void *ctx, const struct rsp *rsp)
 {
 	struct ep_call *call = ctx;
-	long status = 0;
-
-	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	call->answer->status = (int)status;
-	if (!call->protocol->receive_body(call, bytes, size * count))
-		return 0;
-	return size * count;
+	struct ep_answer *answer = call->answer;
+	const char *not_begun = hdr_get(&rsp->headers, "X-Not-Begun");
+
+	answer->status = rsp->status;
+	copy_header(call->echoed_request, sizeof(call->echoed_request),
+		    &rsp->headers, "Magnolia-Request");
+	copy_header(call->echoed_attempt, sizeof(call->echoed_attempt),
+		    &rsp->headers, "Magnolia-Attempt");
+	copy_header(answer->content_type, sizeof(answer->content_type),
+		    &rsp->headers, "Content-Type");
+	call->not_begun = not_begun && *not_begun;
+	return call->protocol->receive_headers(call, &rsp->headers);
 }
 
-/* Stores the ids, the content type and whether X-Not-Begun is present. */
-static size_t on_header(char *bytes, size_t size, size_t count, void *ctx)
+static bool on_body(void *ctx, const char *bytes, size_t len)
 {
 	struct ep_call *call = ctx;
-	size_t len = size * count;
-	char not_begun_value[4] = "";
-
-	head_on_line(&call->head, bytes, len);
-	copy_header(call->echoed_request, sizeof(call->echoed_request), bytes,
-		    len, "Magnolia-Request");
-	copy_header(call->echoed_attempt, sizeof(call->echoed_attempt), bytes,
-		    len, "Magnolia-Attempt");
-	copy_header(call->answer->content_type,
-		    sizeof(call->answer->content_type), bytes, len,
-		    "Content-Type");
-	copy_header(not_begun_value, sizeof(not_begun_value), bytes, len,
-		    "X-Not-Begun");
-	if (not_begun_value[0])
-		call->not_begun = true;
-	return call->protocol->receive_header(call, bytes, len) ? len : 0;
+
+	return call->protocol->receive_body(call, bytes, len);
 }
 
-/* Copies the value of a header line if it has the given name. */
-static void copy_header(char *dst, size_t size, const char *line, size_t len,
+/* Copies the value of the first header with a name, cut to the size. */
+static void copy_header(char *dst, size_t size, const struct hdr_list *headers,
 			const char *name)
 {
-	size_t name_len = strlen(name);
-	size_t end = len;
-	size_t start;
+	const char *value = hdr_get(headers, name);
 
-	if (len <= name_len || strncasecmp(line, name, name_len) != 0 ||
-	    line[name_len] != ':')
-		return;
-	start = name_len + 1;
-	while (start < len && line[start] == ' ')
-		start++;
-	while (end > start && (line[end - 1] == '\r' || line[end - 1] == '\n'))
-		end--;
-	if (end - start >= size)
-		end = start + size - 1;
-	memcpy(dst, line + start, end - start);
-	dst[end - start] = '\0';
+	if (value)
+		snprintf(dst, size, "%s", value);
 }
--- a/src/ep_cancel.c
+++ b/src/ep_cancel.c
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 #include <urcu/list.h>
 
+#include "crsp.h"
 #include "ep_cancel.h"
 #include "mag.h"
 
@@ -21,6 +22,12 @@
 	char *body;
 };
 
+/* A cancellation that is being sent. */
+struct ep_cancel_transfer {
+	CURL *easy;
+	struct crsp response;
+};
+
 struct ep_cancel {
 	pthread_t thread;
 	pthread_mutex_t lock;
@@ -35,8 +42,6 @@
 static void cancel_start(struct ep_cancel *cancel,
 			 struct ep_cancel_message *message);
 static void cancel_free_done(struct ep_cancel *cancel);
-static size_t cancel_discard_body(char *bytes, size_t size, size_t count,
-				  void *ctx);
 
 /* Starts the thread; NULL on failure. */
 struct ep_cancel *ep_cancel_start(void)
@@ -144,18 +149,22 @@
 static void cancel_start(struct ep_cancel *cancel,
 			 struct ep_cancel_message *message)
 {
-	CURL *easy = curl_easy_init();
+	struct ep_cancel_transfer *transfer = calloc(1, sizeof(*transfer));
+	CURL *easy = transfer ? curl_easy_init() : NULL;
 
 	if (easy) {
+		transfer->easy = easy;
 		curl_easy_setopt(easy, CURLOPT_URL, message->url);
 		curl_easy_setopt(easy, CURLOPT_COPYPOSTFIELDS, message->body);
 		curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 				 EP_CANCEL_TIMEOUT_MS);
 		curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 		curl_easy_setopt(easy, CURLOPT_PROXY, "");
-		curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION,
-				 cancel_discard_body);
+		curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+		crsp_begin_ignored(&transfer->response, easy);
 		curl_multi_add_handle(cancel->multi, easy);
+	} else {
+		free(transfer);
 	}
 	free(message->body);
 	free(message);
@@ -164,23 +173,18 @@
 /* Frees the transfers that have ended; their results are ignored. */
 static void cancel_free_done(struct ep_cancel *cancel)
 {
+	struct ep_cancel_transfer *transfer;
 	CURLMsg *msg;
-	CURL *easy;
 	int left;
 
 	while ((msg = curl_multi_info_read(cancel->multi, &left)) != NULL) {
 		if (msg->msg != CURLMSG_DONE)
 			continue;
-		easy = msg->easy_handle;
-		curl_multi_remove_handle(cancel->multi, easy);
-		curl_easy_cleanup(easy);
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE,
+				  &transfer);
+		curl_multi_remove_handle(cancel->multi, transfer->easy);
+		curl_easy_cleanup(transfer->easy);
+		crsp_free(&transfer->response);
+		free(transfer);
 	}
 }
-
-static size_t cancel_discard_body(char *bytes, size_t size, size_t count,
-				  void *ctx)
-{
-	(void)bytes;
-	(void)ctx;
-	return size * count;
-}
--- a/src/ep_engine.c
+++ b/src/ep_engine.c
@@ -10,7 +10,8 @@
 #define EP_URL_MAX 256
 
 static int engine_prepare(struct ep_call *call);
-static bool engine_header(struct ep_call *call, const char *line, size_t len);
+static bool engine_headers(struct ep_call *call,
+			   const struct hdr_list *headers);
 static bool engine_receive(struct ep_call *call, const char *bytes, size_t len);
 static void engine_finish(struct ep_call *call, CURLcode code);
 static void engine_cancel(struct ep_call *call);
@@ -26,7 +27,7 @@
 
 const struct ep_protocol ep_engine = {
 	.prepare = engine_prepare,
-	.receive_header = engine_header,
+	.receive_headers = engine_headers,
 	.receive_body = engine_receive,
 	.finish = engine_finish,
 	.probe = ep_engine_probe,
@@ -245,10 +246,9 @@
 }
 
 /* No header of an engine's response is relayed to the caller. */
-static bool engine_header(struct ep_call *call, const char *line, size_t len)
+static bool engine_headers(struct ep_call *call, const struct hdr_list *headers)
 {
 	(void)call;
-	(void)line;
-	(void)len;
+	(void)headers;
 	return true;
 }
--- a/src/ep_header.c
+++ b/src/ep_header.c
@@ -48,16 +48,10 @@
 	       !is_in_list(not_relayed, MAG_ARRAY_SIZE(not_relayed), name, len);
 }
 
-/* Returns whether a line of an endpoint's response is sent to the caller. */
-bool ep_header_to_caller(const char *line, size_t len)
+/* Returns whether a header of an endpoint's response is sent to the caller. */
+bool ep_header_to_caller(const char *name)
 {
-	const char *colon = memchr(line, ':', len);
-
-	if (!colon || colon == line)
-		return false;
-	len = (size_t)(colon - line);
-	return !is_in_list(hop_by_hop, MAG_ARRAY_SIZE(hop_by_hop), line, len) &&
-	       !is_in_list(not_relayed, MAG_ARRAY_SIZE(not_relayed), line, len);
+	return ep_header_to_endpoint(name);
 }
 
 static bool is_in_list(const char *const *names, size_t count, const char *name,
--- a/src/ep_header.h
+++ b/src/ep_header.h
@@ -7,6 +7,6 @@
 #include <stddef.h>
 
 bool ep_header_to_endpoint(const char *name);
-bool ep_header_to_caller(const char *line, size_t len);
+bool ep_header_to_caller(const char *name);
 
 #endif /* EP_HEADER_H */
--- a/src/ep_int.h
+++ b/src/ep_int.h
@@ -5,9 +5,9 @@
 
 #include <curl/curl.h>
 
+#include "crsp.h"
 #include "ep.h"
 #include "ep_sse.h"
-#include "head.h"
 
 #define EP_HEADERS_MAX 16384	     /* longest response headers, in bytes */
 #define EP_BODY_MAX    (1024 * 1024) /* longest response body, in bytes */
@@ -24,9 +24,9 @@
 struct ep_protocol {
 	/* Sets URL, headers and body.  Returns 0 or EP_E_MEMORY. */
 	int (*prepare)(struct ep_call *call);
-	/* Receives a header line of the response; false aborts. */
-	bool (*receive_header)(struct ep_call *call, const char *line,
-			       size_t len);
+	/* Receives the headers of the response; false aborts. */
+	bool (*receive_headers)(struct ep_call *call,
+				const struct hdr_list *headers);
 	/* Receives a part of the response body; false aborts. */
 	bool (*receive_body)(struct ep_call *call, const char *bytes,
 			     size_t len);
@@ -47,7 +47,7 @@
 	const struct ep_sink *sink;
 	struct ep_answer *answer;
 	struct ep_sse sse;
-	struct head head;		/* of the response */
+	struct crsp response;
 	char *request_body;		/* if the protocol allocated it */
 	char echoed_request[EP_ID_MAX]; /* Magnolia-Request of the response */
 	char echoed_attempt[16];
--- a/src/ep_plain.c
+++ b/src/ep_plain.c
@@ -9,7 +9,9 @@
 #define HTTP_SERVER_ERROR 500
 
 static int plain_prepare(struct ep_call *call);
-static bool plain_header(struct ep_call *call, const char *line, size_t len);
+static bool plain_headers(struct ep_call *call, const struct hdr_list *headers);
+static bool plain_add_header(struct ep_answer *answer, const char *name,
+			     const char *value);
 static bool plain_receive(struct ep_call *call, const char *bytes, size_t len);
 static void plain_finish(struct ep_call *call, CURLcode code);
 static uint32_t plain_probe(struct ep_call *call);
@@ -18,7 +20,7 @@
 
 const struct ep_protocol ep_plain = {
 	.prepare = plain_prepare,
-	.receive_header = plain_header,
+	.receive_headers = plain_headers,
 	.receive_body = plain_receive,
 	.finish = plain_finish,
 	.probe = plain_probe,
@@ -36,9 +38,10 @@
 	snprintf(url, sizeof(url), "http://%s%s", dispatch->stages[0].address,
 		 request->path);
 	curl_easy_setopt(call->easy, CURLOPT_URL, url);
-	if (strcmp(request->method, "HEAD") == 0)
+	if (strcmp(request->method, "HEAD") == 0) {
 		curl_easy_setopt(call->easy, CURLOPT_NOBODY, 1L);
-	else if (strcmp(request->method, "GET") != 0 || request->body_len) {
+		rsp_begin(&call->response.rsp, true);
+	} else if (strcmp(request->method, "GET") != 0 || request->body_len) {
 		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDSIZE,
 				 (long)request->body_len);
 		curl_easy_setopt(call->easy, CURLOPT_POSTFIELDS, request->body);
@@ -111,25 +114,38 @@
 	return 1;
 }
 
+/* Stores the headers that the caller receives. */
+static bool plain_headers(struct ep_call *call, const struct hdr_list *headers)
+{
+	int i;
+
+	for (i = 0; i < headers->count; i++) {
+		if (ep_header_to_caller(hdr_name(headers, i)) &&
+		    !plain_add_header(call->answer, hdr_name(headers, i),
+				      hdr_value(headers, i)))
+			return false;
+	}
+	return true;
+}
+
 /*
- * Stores a header line for the caller.  Beyond EP_HEADERS_MAX the attempt is
- * aborted, as a response with missing headers is incomplete.
+ * Adds a header line.  Beyond EP_HEADERS_MAX the attempt is aborted, as a
+ * response with missing headers is incomplete.
  */
-static bool plain_header(struct ep_call *call, const char *line, size_t len)
+static bool plain_add_header(struct ep_answer *answer, const char *name,
+			     const char *value)
 {
-	struct ep_answer *answer = call->answer;
+	size_t len = strlen(name) + strlen(": ") + strlen(value) + 2;
 	char *grown;
 
-	if (!ep_header_to_caller(line, len))
-		return true;
 	if (answer->headers_len + len > EP_HEADERS_MAX)
 		return false;
 	grown = realloc(answer->headers, answer->headers_len + len + 1);
 	if (!grown)
 		return false;
-	memcpy(grown + answer->headers_len, line, len);
+	snprintf(grown + answer->headers_len, len + 1, "%s: %s\r\n", name,
+		 value);
 	answer->headers = grown;
 	answer->headers_len += len;
-	grown[answer->headers_len] = '\0';
 	return true;
 }
--- a/src/ep_probe.c
+++ b/src/ep_probe.c
@@ -5,11 +5,17 @@
 #define PROBE_URL_MAX	 128
 #define PROBE_TIMEOUT_MS 300L
 
-static CURL *probe_start(CURLM *multi, const struct core_stage *stage);
+/* A request for the state of a stage. */
+struct probe {
+	CURL *easy;
+	struct crsp response;
+};
+
+static void probe_start(struct probe *probe, CURLM *multi,
+			const struct core_stage *stage);
 static void probe_wait(CURLM *multi);
-static uint32_t probe_find_silent(CURLM *multi, CURL *const *probes, int count);
-static size_t probe_discard_body(char *bytes, size_t size, size_t count,
-				 void *ctx);
+static uint32_t probe_find_silent(CURLM *multi, const struct probe *probes,
+				  int count);
 
 /*
  * Requests the state of every stage of a stalled chain, all in parallel.  A
@@ -22,7 +28,7 @@
 uint32_t ep_engine_probe(struct ep_call *call)
 {
 	const struct core_dispatch *dispatch = call->request->dispatch;
-	CURL *probes[MAG_CHAIN_MAX];
+	struct probe probes[MAG_CHAIN_MAX];
 	CURLM *multi = curl_multi_init();
 	uint32_t silent_stages;
 	int i;
@@ -30,34 +36,36 @@
 	if (!multi)
 		return 0;
 	for (i = 0; i < dispatch->stage_count; i++)
-		probes[i] = probe_start(multi, &dispatch->stages[i]);
+		probe_start(&probes[i], multi, &dispatch->stages[i]);
 	probe_wait(multi);
 	silent_stages = probe_find_silent(multi, probes, dispatch->stage_count);
 	for (i = 0; i < dispatch->stage_count; i++) {
-		if (!probes[i])
+		if (!probes[i].easy)
 			continue;
-		curl_multi_remove_handle(multi, probes[i]);
-		curl_easy_cleanup(probes[i]);
+		curl_multi_remove_handle(multi, probes[i].easy);
+		curl_easy_cleanup(probes[i].easy);
+		crsp_free(&probes[i].response);
 	}
 	curl_multi_cleanup(multi);
 	return silent_stages;
 }
 
-static CURL *probe_start(CURLM *multi, const struct core_stage *stage)
+static void probe_start(struct probe *probe, CURLM *multi,
+			const struct core_stage *stage)
 {
 	CURL *easy = curl_easy_init();
 	char url[PROBE_URL_MAX];
 
+	probe->easy = easy;
 	if (!easy)
-		return NULL;
+		return;
 	snprintf(url, sizeof(url), "http://%s/v1/state", stage->address);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, PROBE_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, probe_discard_body);
+	crsp_begin_ignored(&probe->response, easy);
 	curl_multi_add_handle(multi, easy);
-	return easy;
 }
 
 static void probe_wait(CURLM *multi)
@@ -71,8 +79,9 @@
 	} while (running);
 }
 
-/* A stage that sends any response is alive, whatever the status. */
-static uint32_t probe_find_silent(CURLM *multi, CURL *const *probes, int count)
+/* A stage that sends any valid response is alive, whatever the status. */
+static uint32_t probe_find_silent(CURLM *multi, const struct probe *probes,
+				  int count)
 {
 	uint32_t silent_stages = 0;
 	CURLMsg *msg;
@@ -80,20 +89,12 @@
 	int i;
 
 	while ((msg = curl_multi_info_read(multi, &left)) != NULL) {
-		if (msg->msg != CURLMSG_DONE || msg->data.result == CURLE_OK)
-			continue;
-		for (i = 0; i < count; i++) {
-			if (probes[i] == msg->easy_handle)
+		for (i = 0; i < count && msg->msg == CURLMSG_DONE; i++) {
+			if (probes[i].easy == msg->easy_handle &&
+			    crsp_result(&probes[i].response,
+					msg->data.result) != CURLE_OK)
 				silent_stages |= 1U << i;
 		}
 	}
 	return silent_stages;
 }
-
-static size_t probe_discard_body(char *bytes, size_t size, size_t count,
-				 void *ctx)
-{
-	(void)bytes;
-	(void)ctx;
-	return size * count;
-}
--- a/src/ord.c
+++ b/src/ord.c
@@ -8,7 +8,7 @@
 #include <urcu/list.h>
 
 #include "clk.h"
-#include "head.h"
+#include "crsp.h"
 #include "ord.h"
 
 #define ORD_URL_MAX	 128
@@ -37,7 +37,8 @@
 struct ord_response {
 	char text[ORD_RESPONSE_MAX];
 	size_t len;
-	struct head head;
+	struct crsp http;
+	int status;
 };
 
 static void *ord_main(void *arg);
@@ -45,12 +46,17 @@
 static void ord_execute(const struct plc_order *order,
 			struct plc_order_result *result);
 static CURLcode ord_call(const struct plc_order *order, const char *body,
-			 struct ord_response *response, long *status);
+			 struct ord_response *response);
 static char *ord_body(const struct plc_order *order);
 static void ord_parse_state(const struct ord_response *response,
 			    struct plc_order_result *result);
-static size_t ord_on_header(char *line, size_t size, size_t count, void *ctx);
-static size_t ord_receive(char *bytes, size_t size, size_t count, void *ctx);
+static bool ord_on_head(void *ctx, const struct rsp *rsp);
+static bool ord_on_body(void *ctx, const char *bytes, size_t len);
+
+static const struct rsp_ops ord_rsp_ops = {
+	.head = ord_on_head,
+	.body = ord_on_body,
+};
 
 /* Starts the thread; returns NULL if that fails. */
 struct ord *ord_start(struct loop *loop)
@@ -143,21 +149,21 @@
 static void ord_execute(const struct plc_order *order,
 			struct plc_order_result *result)
 {
-	struct ord_response response = { .head = { false } };
+	struct ord_response response = { 0 };
 	char *body = ord_body(order);
 	CURLcode code;
-	long status = 0;
 
 	memset(result, 0, sizeof(*result));
 	result->id = order->id;
 	result->status = PLC_UNSENT;
 	if (clk_now_us() < order->send_before_us) {
-		code = ord_call(order, body, &response, &status);
+		code = ord_call(order, body, &response);
 		if (code == CURLE_COULDNT_CONNECT)
 			result->status = PLC_UNSENT;
-		else if (code == CURLE_OK && status == ORD_HTTP_CONFLICT)
+		else if (code == CURLE_OK &&
+			 response.status == ORD_HTTP_CONFLICT)
 			result->status = PLC_REFUSED;
-		else if (code == CURLE_OK && status == ORD_HTTP_OK)
+		else if (code == CURLE_OK && response.status == ORD_HTTP_OK)
 			result->status = PLC_DONE;
 		else
 			result->status = PLC_NO_ANSWER;
@@ -168,7 +174,7 @@
 }
 
 static CURLcode ord_call(const struct plc_order *order, const char *body,
-			 struct ord_response *response, long *status)
+			 struct ord_response *response)
 {
 	CURL *easy = curl_easy_init();
 	char url[ORD_URL_MAX];
@@ -182,24 +188,21 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, ORD_TIMEOUT_MS);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, ord_receive);
-	curl_easy_setopt(easy, CURLOPT_WRITEDATA, response);
-	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, ord_on_header);
-	curl_easy_setopt(easy, CURLOPT_HEADERDATA, response);
+	crsp_begin(&response->http, easy, &ord_rsp_ops, response);
 	if (order->kind == PLC_LOAD)
 		curl_easy_setopt(easy, CURLOPT_POSTFIELDS, body);
-	code = curl_easy_perform(easy);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, status);
+	code = crsp_result(&response->http, curl_easy_perform(easy));
 	curl_easy_cleanup(easy);
-	return head_check(&response->head, code);
+	crsp_free(&response->http);
+	return code;
 }
 
-static size_t ord_on_header(char *line, size_t size, size_t count, void *ctx)
+static bool ord_on_head(void *ctx, const struct rsp *rsp)
 {
 	struct ord_response *response = ctx;
 
-	head_on_line(&response->head, line, size * count);
-	return size * count;
+	response->status = rsp->status;
+	return true;
 }
 
 /* Encodes an order; the deadline is sent as the time that remains. */
@@ -236,14 +239,13 @@
 	json_decref(object);
 }
 
-static size_t ord_receive(char *bytes, size_t size, size_t count, void *ctx)
+static bool ord_on_body(void *ctx, const char *bytes, size_t len)
 {
 	struct ord_response *response = ctx;
-	size_t len = size * count;
 
 	if (response->len + len > sizeof(response->text))
-		return 0;
+		return false;
 	memcpy(response->text + response->len, bytes, len);
 	response->len += len;
-	return len;
+	return true;
 }
--- a/src/pf.c
+++ b/src/pf.c
@@ -4,7 +4,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <unistd.h>
 
 #include <curl/curl.h>
@@ -14,7 +13,7 @@
 
 #include "clk.h"
 #include "cnt.h"
-#include "head.h"
+#include "crsp.h"
 #include "log.h"
 #include "mag.h"
 #include "pf.h"
@@ -66,7 +65,8 @@
 	char *answer;
 	size_t answer_len;
 	uint64_t version;
-	struct head head; /* of the answer */
+	struct crsp response;
+	int status; /* of the answer */
 };
 
 /* How an operation maps to HTTP, and the counter that it increments. */
@@ -93,18 +93,23 @@
 			     const char *address);
 static void pf_set_options(struct pf_request *req, CURL *curl, int64_t left_ms);
 static enum kv_status pf_status_of_failure(CURL *curl, CURLcode code);
-static enum kv_status pf_status_of_response(struct pf_request *req, CURL *curl);
+static enum kv_status pf_status_of_response(struct pf_request *req);
 static void pf_read_fence(struct pf_request *req);
 static enum pf_gate_verdict pf_admit(struct pf *pf);
 static enum pf_gate_verdict pf_admit_paced(struct pf *pf, int64_t deadline_us);
 static void pf_record_result(struct pf *pf, enum kv_status status);
 static struct pf_handle *pf_handle_get(struct pf *pf);
 static void pf_handle_put(struct pf *pf, struct pf_handle *handle);
-static size_t pf_on_body(char *data, size_t size, size_t count, void *ctx);
-static size_t pf_on_header(char *data, size_t size, size_t count, void *ctx);
+static bool pf_on_head(void *ctx, const struct rsp *rsp);
+static bool pf_on_body(void *ctx, const char *bytes, size_t len);
 static int pf_on_progress(void *ctx, curl_off_t dltotal, curl_off_t dlnow,
 			  curl_off_t ultotal, curl_off_t ulnow);
 
+static const struct rsp_ops pf_rsp_ops = {
+	.head = pf_on_head,
+	.body = pf_on_body,
+};
+
 static const struct pf_op pf_ops[KV_OP_COUNT] = {
 	[KV_GET] = { "GET", false, CNT_PF_GETS, pf_prepare_get },
 	[KV_WATCH] = { "GET", false, CNT_PF_WATCHES, pf_prepare_watch },
@@ -279,13 +284,14 @@
 	req->body = NULL;
 	req->answer_len = 0;
 	req->version = 0;
-	req->head.whole = false;
+	req->status = 0;
 	curl_easy_reset(curl);
 	if (op->prepare(req, address) == 0) {
 		pf_set_options(req, curl, left_ms);
-		code = head_check(&req->head, curl_easy_perform(curl));
+		code = crsp_result(&req->response, curl_easy_perform(curl));
 		status = code ? pf_status_of_failure(curl, code)
-			      : pf_status_of_response(req, curl);
+			      : pf_status_of_response(req);
+		crsp_free(&req->response);
 	}
 	curl_slist_free_all(req->headers);
 	free(req->body);
@@ -310,10 +316,7 @@
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)left_ms);
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS,
 			 (long)PF_CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, pf_on_body);
-	curl_easy_setopt(curl, CURLOPT_WRITEDATA, req);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, pf_on_header);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, req);
+	crsp_begin(&req->response, curl, &pf_rsp_ops, req);
 	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
 	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, pf_on_progress);
 	curl_easy_setopt(curl, CURLOPT_XFERINFODATA, req->pf);
@@ -351,14 +354,12 @@
 }
 
 /* Converts the platform's response to the reply. */
-static enum kv_status pf_status_of_response(struct pf_request *req, CURL *curl)
+static enum kv_status pf_status_of_response(struct pf_request *req)
 {
 	struct kv_reply *reply = req->reply;
-	long status = 0;
 
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &status);
 	reply->version = req->version;
-	switch (status) {
+	switch (req->status) {
 	case PF_HTTP_OK:
 	case PF_HTTP_CREATED:
 	case PF_HTTP_NO_CONTENT:
@@ -561,41 +562,34 @@
 	pthread_mutex_unlock(&pf->lock);
 }
 
+/* Stores the status and the version that the answer names. */
+static bool pf_on_head(void *ctx, const struct rsp *rsp)
+{
+	struct pf_request *req = ctx;
+	const char *version = hdr_get(&rsp->headers, "X-Version");
+
+	req->status = rsp->status;
+	if (version)
+		req->version = strtoull(version, NULL, 10);
+	return true;
+}
+
 /* Appends to the NUL-terminated response body, up to PF_ANSWER_MAX bytes. */
-static size_t pf_on_body(char *data, size_t size, size_t count, void *ctx)
+static bool pf_on_body(void *ctx, const char *bytes, size_t len)
 {
 	struct pf_request *req = ctx;
-	size_t len = size * count;
 	char *grown;
 
 	if (req->answer_len + len > PF_ANSWER_MAX)
-		return 0;
+		return false;
 	grown = realloc(req->answer, req->answer_len + len + 1);
 	if (!grown)
-		return 0;
+		return false;
 	req->answer = grown;
-	memcpy(grown + req->answer_len, data, len);
+	memcpy(grown + req->answer_len, bytes, len);
 	req->answer_len += len;
 	grown[req->answer_len] = '\0';
-	return len;
-}
-
-/* Parses the header X-Version. */
-static size_t pf_on_header(char *data, size_t size, size_t count, void *ctx)
-{
-	static const char name[] = "X-Version:";
-	struct pf_request *req = ctx;
-	size_t len = size * count;
-	char line[64];
-
-	head_on_line(&req->head, data, len);
-	if (len < sizeof(line) && len > sizeof(name) &&
-	    strncasecmp(data, name, sizeof(name) - 1) == 0) {
-		memcpy(line, data, len);
-		line[len] = '\0';
-		req->version = strtoull(line + sizeof(name) - 1, NULL, 10);
-	}
-	return len;
+	return true;
 }
 
 /* Aborts the transfer if the client is interrupted. */
