abuf, eq, hs: all answers together take a bounded part of memory

What callers would see (a report of other operators): a faulty worker answers with bytes without end; the router that called it runs out of memory, and the requests of all its callers end with it.

Can it happen here: not by one answer, which may take 4 MB; heads, interim answers, messages, events and skipped answers have bounds, too, and edge/endless-answers passes on the code as it was.

Counted are bodies, incomplete events, and the bytes of responses that are not sent yet (hs_unsent_all). An answer that does not fit ends as a malformed one, as beyond 4 MB before. A stream whose caller does not read ends; its worker is not blamed.

--- a/regress/tool_proxy.c
+++ b/regress/tool_proxy.c
@@ -4,10 +4,12 @@
  * data of callers or of the target), silent (drop both), refuse (new
  * connections; open ones live on), sever (reset open ones, refuse new ones),
  * hang (new ones hang, open ones drop both), freeze (new ones hang, the data of
- * open ones waits for the next mode).  In the modes head, interim, body, other
- * and events the caller gets, instead of an answer, bytes without end: in a
- * header, as interim answers, in a body, in the body of another request's
- * answer, or in an event.  It may serve several pairs of OWN and TARGET.
+ * open ones waits for the next mode).  In the modes head, fields, interim,
+ * body, other and events the caller gets, instead of an answer, bytes without
+ * end: in a header, as headers, as interim answers, in a body, in the body of
+ * another request's answer, or in an event; in the modes slow-body and
+ * slow-events, by and by in a body, or as events.  It may serve several pairs
+ * of OWN and TARGET.
  */
 
 #include <fcntl.h>
@@ -27,6 +29,12 @@
 #include <urcu/list.h>
 
 #define DELAY_MS 100
+/* Between two parts of bytes without end that come by and by. */
+#define PACE_MS	   10
+#define PACE_BYTES 65536
+#define LONG_TEXT                                                              \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"     \
+	"aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
 
 enum mode {
 	PASS,
@@ -44,6 +52,9 @@
 	BODY,
 	OTHER,
 	EVENTS,
+	FIELDS,
+	SLOW_BODY,
+	SLOW_EVENTS,
 	MODES
 };
 
@@ -51,6 +62,7 @@
 struct endless {
 	const char *begin;
 	const char *part;
+	bool slow;
 };
 
 static const struct endless endless[MODES] = {
@@ -64,6 +76,14 @@
 	[EVENTS] = { "HTTP/1.1 200 OK\r\nResponse-Seal: 1\r\n"
 		     "Content-Type: text/event-stream\r\n\r\nid: 0\ndata: ",
 		     "aaaaaaaaaaaaaaaa" },
+	[FIELDS] = { "HTTP/1.1 200 OK\r\n", "X-Filler: aaaaaa\r\n" },
+	[SLOW_BODY] = { "HTTP/1.1 200 OK\r\nResponse-Seal: 1\r\n\r\n",
+			"aaaaaaaaaaaaaaaa", true },
+	[SLOW_EVENTS] = { "HTTP/1.1 200 OK\r\nResponse-Seal: 1\r\n"
+			  "Content-Type: text/event-stream\r\n\r\n",
+			  "data: " LONG_TEXT LONG_TEXT LONG_TEXT LONG_TEXT
+			  "\n\n",
+			  true },
 };
 
 #define ROUTES_MAX 16
@@ -95,6 +115,7 @@
 	struct cds_list_head node;
 	struct end ends[2];
 	struct event *delay_timer;
+	struct event *pace_timer;
 	bool closing;
 };
 
@@ -115,21 +136,40 @@
 		bufferevent_free(pair->ends[i].bev);
 	}
 	event_free(pair->delay_timer);
+	event_free(pair->pace_timer);
 	cds_list_del(&pair->node);
 	free(pair);
 }
 
+static void send_part(struct end *end, size_t bytes)
+{
+	const char *part = end->endless->part;
+	size_t len;
+
+	for (len = 0; len < bytes; len += strlen(part))
+		bufferevent_write(end->bev, part, strlen(part));
+}
+
 /* Sends more of the bytes without end once the last ones have left. */
 static void on_write(struct bufferevent *bev, void *arg)
 {
-	const struct end *end = arg;
-	size_t len;
+	struct timeval wait = { 0, PACE_MS * 1000 };
+	struct end *end = arg;
 
-	if (!end->endless)
-		return;
-	for (len = 0; len < FILL_BYTES; len += strlen(end->endless->part))
-		bufferevent_write(bev, end->endless->part,
-				  strlen(end->endless->part));
+	(void)bev;
+	if (end->endless && end->endless->slow)
+		event_add(end->pair->pace_timer, &wait);
+	else if (end->endless)
+		send_part(end, FILL_BYTES);
+}
+
+static void on_pace(evutil_socket_t fd, short what, void *arg)
+{
+	struct pair *pair = arg;
+
+	(void)fd;
+	(void)what;
+	send_part(&pair->ends[0], PACE_BYTES);
 }
 
 static void forward(struct end *end)
@@ -219,6 +259,7 @@
 		bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
 	pair->ends[0].is_caller = true;
 	pair->delay_timer = event_new(base, -1, 0, on_delay, pair);
+	pair->pace_timer = event_new(base, -1, 0, on_pace, pair);
 	cds_list_add_tail(&pair->node, &pairs);
 	for (i = 0; i < 2; i++) {
 		pair->ends[i].pair = pair;
@@ -286,11 +327,12 @@
 
 static void on_command(evutil_socket_t fd, short what, void *arg)
 {
-	static const char *const words[] = { "pass",   "delay", "reset",
-					     "up",     "down",	"silent",
-					     "refuse", "sever", "hang",
-					     "freeze", "head",	"interim",
-					     "body",   "other", "events" };
+	static const char *const words[] = {
+		"pass",	  "delay",     "reset",	     "up",    "down",
+		"silent", "refuse",    "sever",	     "hang",  "freeze",
+		"head",	  "interim",   "body",	     "other", "events",
+		"fields", "slow-body", "slow-events"
+	};
 	struct pair *pair;
 	struct pair *next;
 	char line[64];
--- a/src/edge.h
+++ b/src/edge.h
@@ -118,6 +118,7 @@
 
 	struct cds_list_head requests; /* of struct eq, by arrival */
 	int request_count;
+	size_t answer_bytes; /* buffered of all answers, before they are sent */
 	uint64_t seed;
 
 	bool stopping;
--- a/src/eq.c
+++ b/src/eq.c
@@ -290,11 +290,11 @@
 
 	if (!eq)
 		return NULL;
+	eq->edge = edge;
 	if (eq_attempts_init(eq)) {
 		free(eq);
 		return NULL;
 	}
-	eq->edge = edge;
 	eq->caller = conn;
 	eq->rt = rt_hold(edge->rt);
 	eq->arrived_us = now;
--- a/src/eq.h
+++ b/src/eq.h
@@ -85,6 +85,7 @@
 	struct evbuffer *fields;
 	struct evbuffer *body;
 	struct evs events;
+	size_t buffered; /* of its answer, counted in edge.answer_bytes */
 };
 
 struct eq {
@@ -110,6 +111,7 @@
 	/* One that it tries although it is quarantined in doubt, or NULL. */
 	const struct quar_trait *tried;
 	enum eq_state state;
+	bool unread; /* its caller reads too slowly; it is broken off */
 
 	int64_t arrived_us;
 	int64_t deadline_us;	    /* latest time for the final answer */
@@ -177,6 +179,7 @@
 /* eq_attempt.c */
 int eq_attempts_init(struct eq *eq);
 void eq_attempts_free(struct eq *eq);
+void eq_count_buffered(struct eq_attempt *attempt);
 bool eq_set_aside(struct eq *eq);
 void eq_fall_back(struct eq *eq, const char *why, int64_t now);
 void eq_prefer(struct eq *eq, struct eq_attempt *attempt, int64_t now);
@@ -283,6 +286,7 @@
 bool eq_take_headers(struct eq_attempt *attempt,
 		     const struct hc_response *response);
 void eq_take_body(void *user, const void *bytes, size_t len);
+void eq_end_unread(struct eq *eq);
 bool eq_is_truncated(const struct eq_attempt *attempt);
 void eq_relay(struct eq *eq);
 
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "abuf.h"
 #include "clk.h"
 #include "eq.h"
 #include "jlog.h"
@@ -29,6 +30,7 @@
 static void eq_on_end(void *user, enum hc_result end);
 static void eq_relay_events(struct eq_attempt *attempt, const void *bytes,
 			    size_t len);
+static bool eq_may_buffer(struct eq_attempt *attempt, size_t unsent);
 static void eq_note_started(struct eq *eq);
 static void eq_update_interval(struct eq *eq, int64_t now);
 static bool eq_is_success(const struct eq_attempt *attempt);
@@ -213,6 +215,13 @@
 				 clk_boot_us());
 }
 
+/* Ends a request whose caller has not read what was sent to it. */
+void eq_end_unread(struct eq *eq)
+{
+	eq_release(eq);
+	eq_fail(eq, 502, "caller does not read");
+}
+
 /* Takes a part of the answer's body: forwards its events, or stores it. */
 void eq_take_body(void *user, const void *bytes, size_t len)
 {
@@ -225,16 +234,32 @@
 	} else if (attempt->status / 100 == 2 &&
 		   attempt->eq->route->kind == RT_STREAMING) {
 		eq_relay_events(attempt, bytes, len);
-	} else if (evbuffer_get_length(attempt->body) + len > EQ_ANSWER_MAX) {
+	} else {
+		evbuffer_add(attempt->body, bytes, len);
+		if (evbuffer_get_length(attempt->body) <= EQ_ANSWER_MAX &&
+		    eq_may_buffer(attempt, 0))
+			return;
 		evbuffer_drain(attempt->body,
 			       evbuffer_get_length(attempt->body));
+		eq_count_buffered(attempt);
 		attempt->garbled = true;
 		hc_abort(attempt->call);
-	} else {
-		evbuffer_add(attempt->body, bytes, len);
 	}
 }
 
+/*
+ * Tells whether there is memory for what is buffered of an answer, and for
+ * bytes of it that the caller has not read.
+ */
+static bool eq_may_buffer(struct eq_attempt *attempt, size_t unsent)
+{
+	const struct edge *edge = attempt->eq->edge;
+
+	eq_count_buffered(attempt);
+	return abuf_fits(attempt->buffered + unsent,
+			 edge->answer_bytes + hs_unsent_all(edge->callers));
+}
+
 /* Relays complete events of a stream, each once and in order. */
 static void eq_relay_events(struct eq_attempt *attempt, const void *bytes,
 			    size_t len)
@@ -266,6 +291,12 @@
 		evbuffer_add(out, event.bytes, event.len);
 	}
 	ready = evbuffer_get_length(out);
+	if (!eq_may_buffer(attempt, 0)) {
+		evbuffer_drain(out, ready);
+		attempt->garbled = true;
+		hc_abort(attempt->call);
+		return;
+	}
 	if (ready == 0)
 		return;
 	eq_prefer(eq, attempt, now);
@@ -288,6 +319,10 @@
 	eq_clear_suspect(eq, now);
 	hs_stream_data(eq->caller, evbuffer_pullup(out, -1), ready);
 	evbuffer_drain(out, ready);
+	if (!eq_may_buffer(attempt, hs_unsent(eq->caller))) {
+		eq->unread = true;
+		hc_abort(attempt->call);
+	}
 }
 
 /* Notes that all workers of the chain have accepted the request. */
@@ -336,6 +371,10 @@
 	bool whole;
 
 	attempt->call = NULL;
+	if (eq->unread) {
+		eq_end_unread(eq);
+		return;
+	}
 	if (end == HC_COMPLETE && eq_is_truncated(attempt))
 		end = HC_CONN_LOST;
 	whole = end == HC_COMPLETE && !attempt->garbled && attempt->answered;
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -57,6 +57,19 @@
 	if (attempt->body)
 		evbuffer_free(attempt->body);
 	evs_free(&attempt->events);
+	attempt->eq->edge->answer_bytes -= attempt->buffered;
+	attempt->buffered = 0;
+}
+
+/* Counts what is buffered of an attempt's answer, after a change of it. */
+void eq_count_buffered(struct eq_attempt *attempt)
+{
+	size_t *all = &attempt->eq->edge->answer_bytes;
+
+	*all -= attempt->buffered;
+	attempt->buffered = evbuffer_get_length(attempt->body) +
+			    evs_pending(&attempt->events);
+	*all += attempt->buffered;
 }
 
 /*
--- a/src/eq_forward.c
+++ b/src/eq_forward.c
@@ -168,6 +168,10 @@
 	int64_t now = clk_boot_us();
 
 	eq->attempt->call = NULL;
+	if (eq->unread) {
+		eq_end_unread(eq);
+		return;
+	}
 	if (end == HC_COMPLETE && !eq->attempt->garbled &&
 	    eq->attempt->answered && !eq_is_truncated(attempt)) {
 		eq_forward_answered(eq, now);
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -454,6 +454,7 @@
 	if (eq->state == EQ_WAITING)
 		eq->state = EQ_SENT;
 	evs_reset(&eq->attempt->events);
+	eq_count_buffered(eq->attempt);
 }
 
 /* Encodes the message to the first worker. */
--- a/src/hs.c
+++ b/src/hs.c
@@ -36,6 +36,8 @@
 static void hs_read(struct bufferevent *bev, void *arg);
 static void hs_written(struct bufferevent *bev, void *arg);
 static void hs_event(struct bufferevent *bev, short what, void *arg);
+static void hs_count_unsent(struct evbuffer *out,
+			    const struct evbuffer_cb_info *info, void *arg);
 static void hs_parse(struct hs_conn *conn);
 static int64_t hs_idle_deadline(const struct hs_conn *conn);
 static void hs_reset_conn(struct hs_conn *conn);
@@ -298,6 +300,12 @@
 	hs_close(conn);
 }
 
+/* Returns the bytes of all responses that are not yet passed to a socket. */
+size_t hs_unsent_all(const struct hs *hs)
+{
+	return hs->unsent;
+}
+
 /* Returns the response bytes that are not yet passed to the socket. */
 size_t hs_unsent(struct hs_conn *conn)
 {
@@ -340,6 +348,7 @@
 	conn->deadline_us = hs_idle_deadline(conn);
 	cds_list_add_tail(&conn->node, &hs->conns);
 	bufferevent_setcb(conn->bev, hs_read, hs_written, hs_event, conn);
+	evbuffer_add_cb(bufferevent_get_output(conn->bev), hs_count_unsent, hs);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, HS_INPUT_MAX);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 }
@@ -456,8 +465,23 @@
 	hs_reply(conn, status, NULL, NULL, 0);
 }
 
+/* Counts the bytes of responses that were added to, or sent from, an output. */
+static void hs_count_unsent(struct evbuffer *out,
+			    const struct evbuffer_cb_info *info, void *arg)
+{
+	struct hs *hs = arg;
+
+	(void)out;
+	hs->unsent += info->n_added;
+	hs->unsent -= info->n_deleted;
+}
+
 static void hs_close(struct hs_conn *conn)
 {
+	struct evbuffer *out = bufferevent_get_output(conn->bev);
+
+	evbuffer_remove_cb(out, hs_count_unsent, conn->hs);
+	conn->hs->unsent -= evbuffer_get_length(out);
 	cds_list_del(&conn->node);
 	bufferevent_free(conn->bev);
 	evbuffer_free(conn->body);
--- a/src/hs.h
+++ b/src/hs.h
@@ -67,5 +67,6 @@
 void hs_stream_end(struct hs_conn *conn);
 void hs_abort(struct hs_conn *conn);
 size_t hs_unsent(struct hs_conn *conn);
+size_t hs_unsent_all(const struct hs *hs);
 
 #endif /* HS_H */
--- a/src/hs_int.h
+++ b/src/hs_int.h
@@ -27,6 +27,7 @@
 	struct hs_limits limits;
 	struct cds_list_head conns;
 	bool keep_alive; /* connections stay open after a response */
+	size_t unsent;	 /* bytes of responses, on all connections */
 };
 
 struct hs_conn {
