eq: an event stream that does not fit is broken off before its events are taken

The memory was asked for after the events of a part had been counted as passed on; a stream that was broken off there and went on at another worker would have missed them. It is asked for when the part has arrived. Found by reading; edge/endless-at-once, endless-answers, broken-answers and unusual-answers pass.

--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -270,8 +270,10 @@
 	struct evbuffer *out;
 	size_t ready;
 
-	if (evs_feed(&attempt->events, bytes, len)) {
+	if (evs_feed(&attempt->events, bytes, len) ||
+	    !eq_may_buffer(attempt, 0)) {
 		attempt->garbled = true;
+		hc_abort(attempt->call);
 		return;
 	}
 	out = attempt->body;
@@ -291,12 +293,6 @@
 		evbuffer_add(out, event.bytes, event.len);
 	}
 	ready = evbuffer_get_length(out);
-	if (!eq_may_buffer(attempt, 0)) {
-		evbuffer_drain(out, ready);
-		attempt->garbled = true;
-		hc_abort(attempt->call);
-		return;
-	}
 	if (ready == 0)
 		return;
 	eq_prefer(eq, attempt, now);
--- a/src/rsp.c
+++ b/src/rsp.c
@@ -19,7 +19,7 @@
 			 size_t *used);
 static int rsp_feed_body(struct rsp *rsp, const char *bytes, size_t len,
 			 size_t *used);
-static int rsp_feed_byte(struct rsp *rsp, char byte, size_t *used);
+static int rsp_feed_chunk_end(struct rsp *rsp, char byte, size_t *used);
 static int rsp_feed_line(struct rsp *rsp, const char *bytes, size_t len,
 			 size_t *used);
 static int rsp_check_beginning(const struct rsp *rsp);
@@ -141,7 +141,7 @@
 		return rsp_feed_body(rsp, bytes, len, used);
 	case RSP_CHUNK_CR:
 	case RSP_CHUNK_LF:
-		return rsp_feed_byte(rsp, bytes[0], used);
+		return rsp_feed_chunk_end(rsp, bytes[0], used);
 	default:
 		return rsp_feed_line(rsp, bytes, len, used);
 	}
@@ -166,7 +166,7 @@
 }
 
 /* Takes the line terminator after the data of a chunk. */
-static int rsp_feed_byte(struct rsp *rsp, char byte, size_t *used)
+static int rsp_feed_chunk_end(struct rsp *rsp, char byte, size_t *used)
 {
 	bool first = rsp->state == RSP_CHUNK_CR;
 
