ep, req_end: a malformed answer is no crash of its endpoint

What callers saw of magnoliad: a request that got malformed answers was taken for one that crashes endpoints, and was refused as quarantined (422) when it came again.

Cause: an answer that is no HTTP/1.1 ended an attempt as a broken connection does, which counts as the loss of an endpoint. The parser of responses made more answers end so. Ruled out: the breaking off by the stand-in, as the parser has rejected the head before the connection ends.

Fix: such an attempt ends as malformed. It may have run, and counts as a failure of the endpoint, but the request is not held to be harmful. crsp feeds its parser nothing after an error, as rsp.h asks.

--- a/regress/proc/broken-answers.sh
+++ b/regress/proc/broken-answers.sh
@@ -1,5 +1,6 @@
 # Guards against answers that are no HTTP/1.1 and are passed on by magnoliad, or answered
-# with a promise that nothing ran; and against such answers of its platform that are used.
+# with a promise that nothing ran, or taken for a crash; and against such answers of its
+# platform that are used.
 . "$(dirname "$0")/lib.sh"
 init "$1"
 start_all 1
@@ -30,6 +31,7 @@
 try booking "1 2" "$(seq 0 10)"
 try lookup "1 2" "0 4 8 10"
 try stream "10 11 12 13 14 15" "0 4 9 10"
+echo "requests held to be harmful: $(count_log router-0 ' request-suspected ')"
 odd 0 4 -1
 apply && echo "platform: a broken answer counts"
 odd 0 0 0
--- a/src/core.h
+++ b/src/core.h
@@ -63,6 +63,7 @@
 	CORE_END_STAGE,		/* the stream reports which stage failed */
 	CORE_END_DISCONNECTED,	/* the connection broke after the send */
 	CORE_END_WRONG_IDS, /* the ids belong to another request or attempt */
+	CORE_END_MALFORMED, /* the bytes received are no response */
 	CORE_END_CANCELLED, /* cancelled on request of the core */
 	CORE_END_STATUS,    /* the endpoint returned an error status */
 	CORE_END_COUNT
--- a/src/crsp.c
+++ b/src/crsp.c
@@ -59,6 +59,8 @@
 	size_t len = size * count;
 	size_t used;
 
+	if (crsp->err)
+		return 0;
 	crsp->err = rsp_feed(&crsp->rsp, bytes, len, &used);
 	return crsp->err ? 0 : len;
 }
--- a/src/ep.c
+++ b/src/ep.c
@@ -12,6 +12,7 @@
 	[CFG_PLAIN] = &ep_plain,
 };
 
+static bool ep_never_sent(const struct ep_call *call, CURLcode code);
 static bool on_head(void *ctx, const struct rsp *rsp);
 static bool on_body(void *ctx, const char *bytes, size_t len);
 static bool may_be_running(enum core_end end);
@@ -155,11 +156,26 @@
 	return false;
 }
 
+/*
+ * Returns how an attempt ended whose transfer failed.  Only a connection that
+ * breaks tells that the endpoint may have died; one that sends something else
+ * than a response is alive.
+ */
+enum core_end ep_end_of_failure(const struct ep_call *call, CURLcode code)
+{
+	if (ep_never_sent(call, code))
+		return CORE_END_NOT_CONNECTED;
+	if (code == CURLE_WEIRD_SERVER_REPLY ||
+	    code == CURLE_UNSUPPORTED_PROTOCOL)
+		return CORE_END_MALFORMED;
+	return CORE_END_DISCONNECTED;
+}
+
 /*
  * Returns whether a transfer failed before any byte of the request could be
  * sent, because no connection was established.  Any later failure is ambiguous.
  */
-bool ep_never_sent(const struct ep_call *call, CURLcode code)
+static bool ep_never_sent(const struct ep_call *call, CURLcode code)
 {
 	long connects = 0;
 	long sent = 0;
--- a/src/ep_engine.c
+++ b/src/ep_engine.c
@@ -216,8 +216,7 @@
 	else if (call->stream_ended)
 		return;
 	else if (code != CURLE_OK)
-		answer->end = ep_never_sent(call, code) ? CORE_END_NOT_CONNECTED
-							: CORE_END_DISCONNECTED;
+		answer->end = ep_end_of_failure(call, code);
 	else if (ep_status_proves_not_begun(call))
 		answer->end = CORE_END_REFUSED;
 	else if (answer->status != 200)
--- a/src/ep_int.h
+++ b/src/ep_int.h
@@ -66,6 +66,6 @@
 int ep_add_header(struct ep_call *call, const char *name, const char *value);
 bool ep_append_body(struct ep_call *call, const char *bytes, size_t len);
 bool ep_status_proves_not_begun(const struct ep_call *call);
-bool ep_never_sent(const struct ep_call *call, CURLcode code);
+enum core_end ep_end_of_failure(const struct ep_call *call, CURLcode code);
 
 #endif /* EP_INT_H */
--- a/src/ep_plain.c
+++ b/src/ep_plain.c
@@ -76,8 +76,7 @@
 	struct ep_answer *answer = call->answer;
 
 	if (code != CURLE_OK)
-		answer->end = ep_never_sent(call, code) ? CORE_END_NOT_CONNECTED
-							: CORE_END_DISCONNECTED;
+		answer->end = ep_end_of_failure(call, code);
 	else if (has_wrong_ids(call))
 		answer->end = CORE_END_WRONG_IDS;
 	else if (ep_status_proves_not_begun(call))
--- a/src/req_end.c
+++ b/src/req_end.c
@@ -248,6 +248,7 @@
 		[CORE_END_STAGE] = "stage-failed",
 		[CORE_END_DISCONNECTED] = "cut",
 		[CORE_END_WRONG_IDS] = "wrong-ids",
+		[CORE_END_MALFORMED] = "malformed",
 		[CORE_END_CANCELLED] = "stalled",
 		[CORE_END_STATUS] = "error-status",
 	};
