wkp: one malformed answer to a probe does not make a worker suspect

What callers saw: streams moved away from a sound worker, and this router's path to its workers in doubt, after one report or health check whose answer was no HTTP/1.1.

Cause: such an answer was taken for silence at once, while a connection that broke was probed again on a new one; and for a sign that the path is lost, though bytes had come over it.

Fix: the probe is sent again on a new connection; only if that is answered so, too, the worker is suspected, and the path never is.

Evidence, edge/broken-messages: suspected after one broken report before, not after; with broken reports and health checks throughout it is suspected as before.

--- a/regress/edge/broken-messages.sh
+++ b/regress/edge/broken-messages.sh
@@ -1,5 +1,5 @@
-# Guards against answers to a router's own calls that are no HTTP/1.1 and are used: of
-# workers to orders, reports and health checks, and of the store.
+# Guards against answers to a router's own calls that are no HTTP/1.1 and are used, or of
+# which one makes a worker suspect: to orders, reports and health checks, and of the store.
 . edge/lib.sh
 printf 'HTTP/1.1 202 Accepted\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n' >"$dir/raw"
 start_store
@@ -16,8 +16,15 @@
 wait_for "served_by $(router 1)"
 
 printf 'HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 10\r\n\r\n{"born":1}' >"$dir/raw"
+break_next() { for n in "$@"; do curl -s -o "$dir/null" "http://$(worker $n)/stand-in/break-next"; done; }
+set_raw report/1 1 2
+break_next 1 2
+ask 1 broken-once s/x >"$dir/null"
+wait_for "grep -q '^RAW.*report' $dir/worker.[12].log"
+wait_for "served_by $(router 1)"
+logged 1 'worker-suspected.*no answer to a probe' || echo "reports: one broken answer is no silence"
 set_raw report/999 1 2
-for n in 1 2; do curl -s -o "$dir/null" "http://$(worker $n)/stand-in/break-next"; done
+break_next 1 2
 ask 1 broken-1 s/x >"$dir/null"
 wait_for "grep -q '^RAW.*report' $dir/worker.[12].log"
 wait_for "logged 1 'worker-suspected.*no answer to a probe'" && echo "reports: no answer"
@@ -26,7 +33,7 @@
 
 printf 'HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n' >"$dir/raw"
 set_raw health/999 3 4
-for n in 3 4; do curl -s -o "$dir/null" "http://$(worker $n)/stand-in/break-next"; done
+break_next 3 4
 ask 1 broken-2 r/x >"$dir/null"
 wait_for "grep -q '^RAW.*healthz' $dir/worker.[34].log"
 plain_suspected() {
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -286,10 +286,12 @@
 	} else if (end == HC_COMPLETE) {
 		if (call->status == 200)
 			wk_clear_suspicion(wk, now);
-	} else if (end == HC_CONN_LOST && !call->new_connection) {
+	} else if ((end == HC_CONN_LOST || end == HC_PROTOCOL_ERROR) &&
+		   !call->new_connection) {
 		/*
-		 * Workers close idle connections without notice, and links
-		 * reset them; that says nothing about the worker.
+		 * Workers close idle connections without notice, links reset
+		 * them, and bytes of an earlier answer may come late; that
+		 * says nothing about the worker.
 		 */
 		wkp_send_probe(edge, wk, true, now);
 	} else {
@@ -309,7 +311,9 @@
 	wk->proc.suspect_until_us = 0;
 	if (end == HC_UNSENT)
 		wk_on_unsent(wk);
-	wk_on_unreached(wk);
+	/* Bytes that are no answer show that the path is sound. */
+	if (end != HC_PROTOCOL_ERROR)
+		wk_on_unreached(wk);
 	wk_suspect(wk, now, "no answer to a probe");
 	edge->probe_ops->suspected(edge, wk, now);
 	/* Silence may be a freeze; a closed port means a dead process. */
