--- a/regress/edge/odd-entries.sh
+++ b/regress/edge/odd-entries.sh
@@ -42,7 +42,9 @@
 	wait_for "logged $r '\"name\":\"configuration-taken\",\"version\":2'" && echo "router $r: follows the configuration"
 done
 wait $calls
+start_router 3 a
+wait_for "ready 3" && wait_for "served_by $(router 3)" && echo "a router that starts among them serves"
 ended=0
-for pid in $router_1 $router_2; do kill -0 $pid 2>/dev/null || ended=$((ended + 1)); done
+for pid in $router_1 $router_2 $router_3; do kill -0 $pid 2>/dev/null || ended=$((ended + 1)); done
 echo "routers ended: $ended"
 verify 0.99
