edge_start, lsn: a router waits for its addresses

Callers saw a router that was gone after a restart: a supervisor started the next process while the one before was stopping, which takes up to stop_s, and the next one exited with status 3 at the first address in use; so did one whose metrics port another process had. A supervisor that starts it again gets the same exit until the first process is gone.

Cause: the addresses were opened one after the other while the modules were created, and each failure was the end of the process, whatever its reason.

Now lsn opens sockets and tells an address that is not available yet (in use, not configured, no descriptor) from one that can't be right. edge_start opens all that a router needs, or none, before it creates anything, so that two processes of an instance are never both in the store or both ask their peers; the one that waits tries again from the event loop and can be stopped. The metrics are opened apart and later, if need be. The event loop exists before the start; readiness and metrics pages have a file of their own.

The logs tell the hypotheses apart: 8006 says that the process runs, 8007 what the start waits for and why, 8008 the same of the metrics, and 8002 which signal stopped it.

The settings are compared by content each second: the time of the file's last change has the resolution of a timer tick.

--- a/regress/check_hint_urgent.c
+++ b/regress/check_hint_urgent.c
@@ -115,6 +115,7 @@
 					      .ops = &no_ops };
 	struct edge *edge;
 	char address[MAG_ADDR_MAX];
+	char own[MAG_ADDR_MAX];
 	char name[MAG_NAME_MAX];
 	socklen_t len;
 	int i;
@@ -145,7 +146,7 @@
 		abort();
 	edge->pres = pres_new(edge->sto, &presence);
 	list_peers(edge->pres, address, routers - 1, centres);
-	if (hint_new(edge, &edge->hint))
+	if (hint_new(edge, open_sink(own, sizeof(own)), &edge->hint))
 		abort();
 	len = sizeof(world->router);
 	getsockname(edge->hint->fd, (struct sockaddr *)&world->router, &len);
--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -33,10 +33,16 @@
 
 store_of() { echo ${STORE_SEEN:-$store}; }
 
-# start_router NUMBER ZONE: sets router_NUMBER to its pid.  $REPORT_MS is the interval at
-# which it takes workers to report, $RETRY_RATIO and
-# $RETRY_SLACK set its retry budget.
+# start_router NUMBER ZONE: sets router_NUMBER to its pid.
 start_router() {
+	write_settings "$1" "$2"
+	run_router "$1"
+}
+
+# write_settings NUMBER ZONE: writes the settings of a router.  $REPORT_MS is the
+# interval at which it takes workers to report, $RETRY_RATIO and $RETRY_SLACK set its
+# retry budget, $OPEN_FILES its limit on descriptors.
+write_settings() {
 	cat >"$dir/router.$1.json" <<-JSON
 	{"instance":"r-$1","data_centre":"$2","address":"127.0.0.1",
 	"callers":"127.0.0.1:$((base + 60 + $1))",
@@ -45,9 +51,13 @@
 	"store":"$(store_of $1)","store_lease_ms_min":1000,"first_start":true,
 	"stop_s":8,"config_apply_ms":2000,"drain_ms":2000,"keys_stale_ms":5000,
 	"keys_fail_closed":true,"retry_ratio":${RETRY_RATIO:-0.2},"retry_window_s":10,
-	"retry_slack":${RETRY_SLACK:-200},"stall_ms":3000,"open_files":1000,"link_mbps":1000,
+	"retry_slack":${RETRY_SLACK:-200},"stall_ms":3000,"open_files":${OPEN_FILES:-1000},"link_mbps":1000,
 	"worker_report_ms":${REPORT_MS:-300}}
 	JSON
+}
+
+# run_router NUMBER: starts a router with the settings that it has.
+run_router() {
 	MAGNOLIARAIL_NODE_FILE="$dir/router.$1.json" "$build/magnolia-edge" \
 		>>"$dir/router.$1.log" 2>&1 &
 	eval "router_$1=$!"
--- a/src/edge.h
+++ b/src/edge.h
@@ -73,7 +73,8 @@
 	struct hc *hc;
 	struct hs *callers;
 	struct hs *readiness;
-	struct hs *metrics;
+	struct hs *metrics;	  /* NULL until the address is available */
+	int64_t metrics_retry_us; /* when to try again */
 	struct sto *sto;
 	struct sto_follow *follow;
 	struct rel *rel;
@@ -136,8 +137,22 @@
 	struct met_urgent met_urgent;
 };
 
+enum edge_start {
+	EDGE_STARTED = 0,
+	EDGE_START_WAITS = 1, /* for what is not there yet; try again */
+	EDGE_START_FAILED = -1,
+};
+
+/* edge_start.c */
+enum edge_start edge_start(struct edge *edge, char *why, size_t why_size);
+void edge_retry_metrics(struct edge *edge, int64_t now);
+
+/* edge_page.c */
+extern const struct hs_ops edge_readiness_ops;
+extern const struct hs_ops edge_metrics_ops;
+
 /* edge_follow.c */
-int edge_follow(struct edge *edge, const struct pres_peer *self,
+int edge_follow(struct edge *edge, const struct pres_peer *self, int fd,
 		const struct hs_ops *forwarded);
 void edge_follow_tick(struct edge *edge, int64_t now);
 
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -79,8 +79,10 @@
  * Follows everything in the store, by itself or through another router:
  * configuration, workers and routers.  One watch covers all of it; separate
  * ones would each cost a call whenever one returns, and calls are billed.
+ * Other routers follow this one through a socket that listens.  Returns -1 if
+ * out of memory.
  */
-int edge_follow(struct edge *edge, const struct pres_peer *self,
+int edge_follow(struct edge *edge, const struct pres_peer *self, int fd,
 		const struct hs_ops *forwarded)
 {
 	struct sto_follow_settings settings = {
@@ -98,15 +100,9 @@
 
 	mir_init(&edge->mir);
 	edge->store_reachable = true;
-	if (sto_follow(edge->sto, &settings, &edge->follow)) {
-		jlog(LOG_START_FAILED, "\"why\":\"out of memory\"");
+	if (sto_follow(edge->sto, &settings, &edge->follow) ||
+	    rel_new(edge, self, &owner, fd, &edge->rel))
 		return -1;
-	}
-	if (rel_new(edge, self, &owner, &edge->rel)) {
-		jlog(LOG_START_FAILED, "\"why\":\"cannot listen on %s\"",
-		     self->address);
-		return -1;
-	}
 	return 0;
 }
 
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -1,10 +1,8 @@
-#include <fcntl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/resource.h>
-#include <sys/stat.h>
+#include <unistd.h>
 
 #include <event2/event.h>
 #include <sodium.h>
@@ -34,6 +32,9 @@
  */
 #define EDGE_LOG_LINES_S 400
 #define EDGE_WHY_MAX	 256
+/* What the start waits for is tried again after this, and logged again. */
+#define EDGE_START_RETRY_US (50 * MAG_US_PER_MS)
+#define EDGE_START_LOG_US   (5 * MAG_US_PER_S)
 /*
  * Interval of placement planning.  Workers join and leave within seconds, and a
  * plan takes a millisecond.
@@ -57,41 +58,36 @@
 #define EDGE_STOP_MARGIN_US (600 * MAG_US_PER_MS)
 /* Time to send the last answers after that. */
 #define EDGE_LAST_ANSWERS_US (200 * MAG_US_PER_MS)
-/*
- * Number of remembered requests that crashed workers, and how long each is
- * remembered.
- */
-#define EDGE_QUARANTINE_MAX 4096
-#define EDGE_QUARANTINE_US  (60 * MAG_US_PER_S)
-/*
- * The same of what requests have in common: most entries are traits of sound
- * requests.  Each end of a quarantine costs a worker, if the trait is harmful.
- */
-#define EDGE_TRAITS_MAX 8192
-#define EDGE_TRAITS_US	(600 * MAG_US_PER_S)
-
 struct edge_run {
 	struct edge edge;
 	const char *settings_path;
-	struct timespec settings_time;
+	bool settings_loaded;
+	char settings_why[EDGE_WHY_MAX]; /* they can't be loaded; "": they can
+					  */
 	int64_t settings_next_us;
+	bool started;
+	int64_t start_us;	      /* when to try to start again */
+	char start_why[EDGE_WHY_MAX]; /* what the start waits for */
+	int64_t start_log_us;	      /* when to log that again */
+	int exit_status;
 	struct event *tick;
 	struct event *term;
 	struct event *hup;
 	bool hup_seen;
 };
 
-static int edge_start(struct edge_run *run);
-static void edge_describe(const struct edge *edge, struct pres_peer *self);
-static int edge_listen(struct edge *edge);
-static void edge_tick(evutil_socket_t fd, short what, void *arg);
+static int edge_run_loop(struct edge_run *run);
+static int edge_add_events(struct edge_run *run);
+static void edge_on_tick(evutil_socket_t fd, short what, void *arg);
+static void edge_try_start(struct edge_run *run, int64_t now);
+static enum edge_start edge_load_settings(struct edge_run *run, char *why,
+					  size_t why_size);
+static void edge_wait(struct edge_run *run, const char *why, int64_t now);
+static void edge_tick(struct edge_run *run, int64_t now);
 static void edge_on_term(evutil_socket_t fd, short what, void *arg);
 static void edge_on_hup(evutil_socket_t fd, short what, void *arg);
 static void edge_reload(struct edge_run *run, int64_t now);
 static void edge_stop_tick(struct edge *edge, int64_t now);
-static void edge_on_readiness(void *ctx, struct hs_conn *conn);
-static void edge_on_metrics(void *ctx, struct hs_conn *conn);
-static void edge_on_client_gone(void *ctx, struct hs_conn *conn, void *user);
 
 /*
  * Router process on a platform: serves until SIGTERM, then lets open requests
@@ -100,163 +96,157 @@
 int main(void)
 {
 	static struct edge_run run;
-	char why[EDGE_WHY_MAX];
-	int rc;
+	int status;
 
-	run.settings_path = getenv(PL_SETTINGS_ENV);
-	jlog_open("starting", 1, EDGE_LOG_LINES_S);
-	if (!run.settings_path) {
+	signal(SIGPIPE, SIG_IGN);
+	jlog_open("starting", STDOUT_FILENO, EDGE_LOG_LINES_S);
+	jlog(LOG_STARTING, "\"pid\":%d", (int)getpid());
+	jlog_flush();
+	status = edge_run_loop(&run);
+	jlog_flush();
+	return status;
+}
+
+/*
+ * Runs the event loop, which starts the router once everything that it needs is
+ * there.  Returns the exit status.
+ */
+static int edge_run_loop(struct edge_run *run)
+{
+	struct edge *edge = &run->edge;
+
+	run->settings_path = getenv(PL_SETTINGS_ENV);
+	if (!run->settings_path) {
 		jlog(LOG_SET_BAD, "\"why\":\"%s is not set\"", PL_SETTINGS_ENV);
-		jlog_flush();
-		return EDGE_EXIT_SETTINGS;
-	}
-	rc = eset_load(run.settings_path, &run.edge.set, why, sizeof(why));
-	if (rc) {
-		jlog(LOG_SET_BAD, "\"why\":\"%s\"", why);
-		jlog_flush();
 		return EDGE_EXIT_SETTINGS;
 	}
-	jlog_open(run.edge.set.instance, 1, EDGE_LOG_LINES_S);
 	log_set_fields_sink(jlog_fields);
-	signal(SIGPIPE, SIG_IGN);
-	if (sodium_init() < 0 || edge_start(&run)) {
-		jlog_flush();
+	if (sodium_init() < 0 || edge_add_events(run)) {
+		jlog(LOG_START_FAILED, "\"why\":\"no event loop\"");
 		return EDGE_EXIT_START;
 	}
-	jlog(LOG_STARTED, "\"data_centre\":\"%s\",\"callers\":\"%s\"",
-	     run.edge.set.data_centre, run.edge.set.callers);
-	event_base_dispatch(run.edge.base);
-	jlog(LOG_STOPPED, "\"requests_open\":%d,\"connections_unused\":%d",
-	     run.edge.request_count, hs_unused_count(run.edge.callers));
-	jlog_flush();
-	return 0;
+	if (event_base_dispatch(edge->base) < 0) {
+		jlog(LOG_START_FAILED, "\"why\":\"the event loop failed\"");
+		return EDGE_EXIT_START;
+	}
+	if (run->exit_status == 0)
+		jlog(LOG_STOPPED,
+		     "\"requests_open\":%d,\"connections_unused\":%d",
+		     edge->request_count,
+		     run->started ? hs_unused_count(edge->callers) : 0);
+	return run->exit_status;
 }
 
-static int edge_start(struct edge_run *run)
+/* Creates the event loop with its tick and signals; -1 if that fails. */
+static int edge_add_events(struct edge_run *run)
 {
-	static const struct hs_ops forwarded = { eq_on_forwarded,
-						 eq_on_caller_gone };
-	static const struct wkp_ops probe_ops = { eq_on_suspect, eq_on_report,
-						  hint_own_limit_part };
 	struct timeval every = { 0, EDGE_TICK_MS * 1000 };
 	struct event_config *config = event_config_new();
-	struct edge *edge = &run->edge;
-	uint64_t incarnation;
-	struct pres_settings presence = { 0 };
+	struct event_base *base;
 
+	if (!config)
+		return -1;
 	event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER |
 					      EVENT_BASE_FLAG_NOLOCK);
-	edge->base = event_base_new_with_config(config);
+	base = event_base_new_with_config(config);
 	event_config_free(config);
-	randombytes_buf(&edge->seed, sizeof(edge->seed));
-	randombytes_buf(&incarnation, sizeof(incarnation));
-	edge->seed |= 1;
-	edge->started_us = clk_boot_us();
-	era_start(&edge->era, edge->started_us);
-	attest_init(&edge->attest, (uint32_t)incarnation, edge_random(edge));
-	CDS_INIT_LIST_HEAD(&edge->requests);
-	edge->hc = edge->base ? hc_new(edge->base) : NULL;
-	wkp_set_ops(edge, &probe_ops);
-	edge->quar = quar_new(EDGE_QUARANTINE_MAX, EDGE_QUARANTINE_US);
-	edge->traits = quar_traits_new(EDGE_TRAITS_MAX, EDGE_TRAITS_US);
-	edge->keep = quar_keep_new(edge);
-	if (!edge->hc || !edge->quar || !edge->traits || !edge->keep) {
-		jlog(LOG_START_FAILED, "\"why\":\"out of memory\"");
-		return -1;
-	}
-	wk_init(&edge->workers, edge->hc);
-	edge_init(edge);
-	edge_data_centre_index(edge, edge->set.data_centre);
-	if (edge_listen(edge))
-		return -1;
-	if (sto_new(edge->hc, edge->set.store, edge_random(edge), &edge->sto)) {
-		jlog(LOG_START_FAILED, "\"why\":\"store %s\"", edge->set.store);
+	if (!base)
 		return -1;
-	}
-	edge_describe(edge, &presence.self);
-	presence.lease_ms_min = edge->set.store_lease_ms_min;
-	presence.incarnation = incarnation;
-	presence.first_start = edge->set.first_start;
-	edge->pres = pres_new(edge->sto, &presence);
-	if (!edge->pres || hint_new(edge, &edge->hint)) {
-		jlog(LOG_START_FAILED, "\"why\":\"peer socket %s\"",
-		     presence.self.address);
-		return -1;
-	}
-	if (edge_follow(edge, &presence.self, &forwarded))
+	run->edge.base = base;
+	run->tick = event_new(base, -1, EV_PERSIST, edge_on_tick, run);
+	run->term = evsignal_new(base, SIGTERM, edge_on_term, run);
+	run->hup = evsignal_new(base, SIGHUP, edge_on_hup, run);
+	if (!run->tick || !run->term || !run->hup ||
+	    event_add(run->term, NULL) || event_add(run->hup, NULL) ||
+	    event_add(run->tick, &every))
 		return -1;
-	run->tick = event_new(edge->base, -1, EV_PERSIST, edge_tick, run);
-	run->term = evsignal_new(edge->base, SIGTERM, edge_on_term, run);
-	run->hup = evsignal_new(edge->base, SIGHUP, edge_on_hup, run);
-	event_add(run->tick, &every);
-	event_add(run->term, NULL);
-	event_add(run->hup, NULL);
+	event_active(run->tick, EV_TIMEOUT, 1);
 	return 0;
 }
 
-/* Describes this router as other routers see it. */
-static void edge_describe(const struct edge *edge, struct pres_peer *self)
+static void edge_on_tick(evutil_socket_t fd, short what, void *arg)
 {
-	char address[MAG_ADDR_MAX * 2];
+	struct edge_run *run = arg;
+	int64_t now = clk_boot_us();
 
-	snprintf(address, sizeof(address), "%s:%d", edge->set.address,
-		 edge->set.peer_port);
-	mag_copy_name(self->name, sizeof(self->name), edge->set.instance);
-	mag_copy_name(self->address, sizeof(self->address), address);
-	mag_copy_name(self->data_centre, sizeof(self->data_centre),
-		      edge->set.data_centre);
-	self->link_mbps = edge->set.link_mbps;
+	(void)fd;
+	(void)what;
+	if (run->started)
+		edge_tick(run, now);
+	else if (now >= run->start_us && !run->edge.stopping)
+		edge_try_start(run, now);
+	jlog_flush();
 }
 
-static int edge_listen(struct edge *edge)
+/*
+ * Starts the router, or waits for what it needs and what is not there yet: an
+ * address that another process has.
+ */
+static void edge_try_start(struct edge_run *run, int64_t now)
 {
-	static const struct hs_ops callers = { eq_on_request,
-					       eq_on_caller_gone };
-	static const struct hs_ops ready = { edge_on_readiness,
-					     edge_on_client_gone };
-	static const struct hs_ops metrics = { edge_on_metrics,
-					       edge_on_client_gone };
-	char address[MAG_ADDR_MAX * 2];
+	struct edge *edge = &run->edge;
+	char why[EDGE_WHY_MAX];
+	enum edge_start rc = edge_load_settings(run, why, sizeof(why));
 
-	if (hs_new(edge->base, edge->set.callers, &callers, edge,
-		   &edge->callers)) {
-		jlog(LOG_START_FAILED, "\"why\":\"cannot listen on %s\"",
-		     edge->set.callers);
-		return -1;
-	}
-	if (hs_new(edge->base, edge->set.readiness, &ready, edge,
-		   &edge->readiness)) {
-		jlog(LOG_START_FAILED, "\"why\":\"cannot listen on %s\"",
-		     edge->set.readiness);
-		return -1;
+	if (rc == EDGE_STARTED)
+		rc = edge_start(edge, why, sizeof(why));
+	if (rc == EDGE_START_WAITS) {
+		edge_wait(run, why, now);
+		return;
 	}
-	snprintf(address, sizeof(address), "%s:%d", edge->set.address,
-		 edge->set.metrics_port);
-	if (hs_new(edge->base, address, &metrics, edge, &edge->metrics)) {
-		jlog(LOG_START_FAILED, "\"why\":\"cannot listen on %s\"",
-		     address);
-		return -1;
+	if (rc == EDGE_START_FAILED) {
+		run->exit_status = run->settings_loaded ? EDGE_EXIT_START
+							: EDGE_EXIT_SETTINGS;
+		jlog(run->settings_loaded ? LOG_START_FAILED : LOG_SET_BAD,
+		     "\"why\":\"%s\"", why);
+		event_base_loopbreak(edge->base);
+		return;
 	}
-	return 0;
+	run->started = true;
+	run->settings_next_us = now + EDGE_SETTINGS_US;
+	jlog(LOG_STARTED, "\"data_centre\":\"%s\",\"callers\":\"%s\"",
+	     edge->set.data_centre, edge->set.callers);
+}
+
+/* Loads the settings at each attempt to start, as they may have changed. */
+static enum edge_start edge_load_settings(struct edge_run *run, char *why,
+					  size_t why_size)
+{
+	int rc = eset_load(run->settings_path, &run->edge.set, why,
+			   (int)why_size);
+
+	run->settings_loaded = rc == ESET_OK;
+	if (rc == ESET_OK)
+		jlog_set_instance(run->edge.set.instance);
+	return rc ? EDGE_START_FAILED : EDGE_STARTED;
+}
+
+/* Tries again later; logs why when that changes, and now and then. */
+static void edge_wait(struct edge_run *run, const char *why, int64_t now)
+{
+	run->start_us = now + EDGE_START_RETRY_US;
+	if (now < run->start_log_us && strcmp(why, run->start_why) == 0)
+		return;
+	mag_copy_name(run->start_why, sizeof(run->start_why), why);
+	run->start_log_us = now + EDGE_START_LOG_US;
+	jlog(LOG_START_DELAYED, "\"why\":\"%s\"", why);
 }
 
 /* Runs the periodic work of all modules, in this order. */
-static void edge_tick(evutil_socket_t fd, short what, void *arg)
+static void edge_tick(struct edge_run *run, int64_t now)
 {
-	struct edge_run *run = arg;
 	struct edge *edge = &run->edge;
-	int64_t now = clk_boot_us();
 	int64_t paused_us = run_tick(&edge->workers.run, now);
 
-	(void)fd;
-	(void)what;
 	if (paused_us > 0)
 		hc_extend_deadlines(edge->hc, paused_us);
 	edge_reload(run, now);
 	hc_tick(edge->hc, now);
 	hs_tick(edge->callers, now);
 	hs_tick(edge->readiness, now);
-	hs_tick(edge->metrics, now);
+	edge_retry_metrics(edge, now);
+	if (edge->metrics)
+		hs_tick(edge->metrics, now);
 	edge_follow_tick(edge, now);
 	pres_tick(edge->pres, now);
 	quar_keep_tick(edge->keep, now);
@@ -270,7 +260,6 @@
 	eq_tick(edge, now);
 	if (edge->stopping)
 		edge_stop_tick(edge, now);
-	jlog_flush();
 }
 
 /*
@@ -283,15 +272,21 @@
 	struct edge *edge = &run->edge;
 	int64_t now = clk_boot_us();
 
-	(void)fd;
 	(void)what;
 	if (edge->stopping)
 		return;
 	edge->stopping = true;
+	if (!run->started) {
+		jlog(LOG_STOPPING, "\"signal\":%d,\"requests_open\":0",
+		     (int)fd);
+		event_base_loopbreak(edge->base);
+		return;
+	}
 	edge->stopped_us = now;
 	edge->stop_by_us = now + edge->set.stop_us - EDGE_STOP_MARGIN_US;
-	jlog(LOG_STOPPING, "\"requests_open\":%d,\"connections_unused\":%d",
-	     edge->request_count, hs_unused_count(edge->callers));
+	jlog(LOG_STOPPING,
+	     "\"signal\":%d,\"requests_open\":%d,\"connections_unused\":%d",
+	     (int)fd, edge->request_count, hs_unused_count(edge->callers));
 	pres_leave(edge->pres);
 	hs_stop_keep_alive(edge->callers);
 }
@@ -328,76 +323,31 @@
 	run->hup_seen = true;
 }
 
-/* Reads the settings again after SIGHUP, or if the file has changed. */
+/*
+ * Reads the settings again after SIGHUP, and each second, as they may change
+ * without a signal.  The time of the file's change is not relied on: it may be
+ * the same before and after the rest of the file is written.
+ */
 static void edge_reload(struct edge_run *run, int64_t now)
 {
-	char why[EDGE_WHY_MAX];
 	struct eset loaded;
-	struct stat st;
+	char why[EDGE_WHY_MAX];
 
 	if (!run->hup_seen && now < run->settings_next_us)
 		return;
 	run->settings_next_us = now + EDGE_SETTINGS_US;
-	if (stat(run->settings_path, &st))
-		return;
-	if (!run->hup_seen && st.st_mtim.tv_sec == run->settings_time.tv_sec &&
-	    st.st_mtim.tv_nsec == run->settings_time.tv_nsec)
-		return;
-	run->hup_seen = false;
-	run->settings_time = st.st_mtim;
 	if (eset_load(run->settings_path, &loaded, why, sizeof(why))) {
-		jlog(LOG_SET_BAD, "\"why\":\"%s\",\"kept\":true", why);
+		if (run->hup_seen || strcmp(why, run->settings_why) != 0)
+			jlog(LOG_SET_BAD, "\"why\":\"%s\",\"kept\":true", why);
+		mag_copy_name(run->settings_why, sizeof(run->settings_why),
+			      why);
+		run->hup_seen = false;
 		return;
 	}
+	run->settings_why[0] = '\0';
+	if (run->hup_seen || !eset_equal(&loaded, &run->edge.set))
+		jlog(LOG_SET_RELOADED, "\"path\":\"%s\"", run->settings_path);
+	run->hup_seen = false;
 	/* Addresses change only at a restart, limits at once. */
 	run->edge.set = loaded;
-	jlog(LOG_SET_RELOADED, "\"path\":\"%s\"", run->settings_path);
-}
-
-static void edge_on_readiness(void *ctx, struct hs_conn *conn)
-{
-	struct edge *edge = ctx;
-	int64_t now = clk_boot_us();
-	bool ready = edge_is_ready(edge, now);
-
-	/* Peers serve the callers of a router that has lost its path. */
-	if (!ready && reach_is_lost(&edge->workers.reach))
-		ready = edge_may_serve(edge, now) &&
-			hint_count_servers(edge->hint, now) > 0;
-
-	hs_reply(conn, ready ? 200 : 503, NULL, NULL, 0);
-}
-
-static void edge_on_metrics(void *ctx, struct hs_conn *conn)
-{
-	struct edge *edge = ctx;
-	struct evbuffer *out = evbuffer_new();
-
-	if (!out) {
-		hs_reply(conn, 503, NULL, NULL, 0);
-		return;
-	}
-	met_write(&edge->met, out);
-	met_urgent_write(&edge->met_urgent, clk_boot_us(), out);
-	evbuffer_add_printf(out,
-			    "magnolia_requests_open %d\n"
-			    "magnolia_workers %d\n"
-			    "magnolia_store_calls_total %llu\n"
-			    "magnolia_store_era %lld\n"
-			    "magnolia_log_lines_dropped_total %llu\n",
-			    edge->request_count, edge->workers.count,
-			    (unsigned long long)sto_calls(edge->sto),
-			    (long long)sto_era(edge->sto),
-			    (unsigned long long)jlog_dropped());
-	rel_write_metrics(edge->rel, clk_boot_us(), out);
-	hs_reply(conn, 200, "Content-Type: text/plain; version=0.0.4\r\n",
-		 evbuffer_pullup(out, -1), evbuffer_get_length(out));
-	evbuffer_free(out);
-}
-
-static void edge_on_client_gone(void *ctx, struct hs_conn *conn, void *user)
-{
-	(void)ctx;
-	(void)conn;
-	(void)user;
 }
--- a/src/eset.c
+++ b/src/eset.c
@@ -1,3 +1,5 @@
+#include <errno.h>
+#include <limits.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <string.h>
@@ -5,6 +7,10 @@
 #include <jansson.h>
 
 #include "eset.h"
+#include "jlog.h"
+
+/* A settings file has about a kilobyte. */
+#define ESET_FILE_MAX 65536
 
 enum eset_type {
 	ESET_TEXT,
@@ -62,6 +68,11 @@
 	  offsetof(struct eset, worker_report_us), 0 },
 };
 
+static int eset_read(const char *path, char *text, size_t size, size_t *len);
+static int eset_parse(const char *path, const char *text, size_t len,
+		      struct eset *parsed, char *why, int why_size);
+static bool eset_field_equal(const struct eset_field *field,
+			     const struct eset *a, const struct eset *b);
 static int eset_parse_field(const struct eset_field *field, const json_t *value,
 			    struct eset *set);
 static int eset_parse_number(const struct eset_field *field,
@@ -69,38 +80,107 @@
 
 /*
  * Reads and checks a settings file.  Unknown fields are ignored, because a
- * newer platform may add some.  On an error set is unchanged and why names the
- * field.
+ * newer platform may add some.  On an error set is unchanged and why says what
+ * is wrong: ESET_E_READ if the file can't be read, ESET_E_BAD otherwise.
  */
 int eset_load(const char *path, struct eset *set, char *why, int why_size)
 {
-	const struct eset_field *field;
-	struct eset parsed = { .worker_report_us = ESET_WORKER_REPORT_US };
-	json_error_t error;
-	json_t *root;
+	char text[ESET_FILE_MAX + 1];
+	struct eset parsed;
+	size_t len;
+	int rc;
+
+	if (eset_read(path, text, sizeof(text), &len)) {
+		snprintf(why, (size_t)why_size, "%s: %s", path,
+			 strerror(errno));
+		rc = ESET_E_READ;
+	} else if (len > ESET_FILE_MAX) {
+		snprintf(why, (size_t)why_size, "%s: over %d bytes", path,
+			 ESET_FILE_MAX);
+		rc = ESET_E_BAD;
+	} else {
+		rc = eset_parse(path, text, len, &parsed, why, why_size);
+	}
+	if (rc == ESET_OK)
+		*set = parsed;
+	else
+		jlog_sanitize(why, (unsigned int)why_size, why);
+	return rc;
+}
+
+/* Tells whether two settings are the same. */
+bool eset_equal(const struct eset *a, const struct eset *b)
+{
 	size_t i;
 
-	root = json_load_file(path, 0, &error);
+	for (i = 0; i < MAG_ARRAY_SIZE(eset_fields); i++) {
+		if (!eset_field_equal(&eset_fields[i], a, b))
+			return false;
+	}
+	return true;
+}
+
+static bool eset_field_equal(const struct eset_field *field,
+			     const struct eset *a, const struct eset *b)
+{
+	const void *x = (const char *)a + field->offset;
+	const void *y = (const char *)b + field->offset;
+
+	switch (field->type) {
+	case ESET_TEXT:
+		return strcmp(x, y) == 0;
+	case ESET_FLAG:
+		return *(const bool *)x == *(const bool *)y;
+	case ESET_INT:
+		return *(const int *)x == *(const int *)y;
+	case ESET_NUMBER:
+		return *(const double *)x == *(const double *)y;
+	default:
+		return *(const int64_t *)x == *(const int64_t *)y;
+	}
+}
+
+/* Reads up to size bytes of a file.  Returns -1, with the reason in errno. */
+static int eset_read(const char *path, char *text, size_t size, size_t *len)
+{
+	FILE *file = fopen(path, "re");
+	int failed;
+
+	if (!file)
+		return -1;
+	*len = fread(text, 1, size, file);
+	failed = ferror(file) ? errno : 0;
+	fclose(file);
+	errno = failed;
+	return failed ? -1 : 0;
+}
+
+static int eset_parse(const char *path, const char *text, size_t len,
+		      struct eset *parsed, char *why, int why_size)
+{
+	json_error_t error = { 0 };
+	json_t *root = json_loadb(text, len, 0, &error);
+	int rc = ESET_OK;
+	size_t i;
+
+	*parsed = (struct eset){ .worker_report_us = ESET_WORKER_REPORT_US };
 	if (!json_is_object(root)) {
 		snprintf(why, (size_t)why_size, "%s: line %d: %s", path,
-			 error.line, error.text);
+			 error.line, root ? "no object" : error.text);
 		json_decref(root);
-		return ESET_E_READ;
+		return ESET_E_BAD;
 	}
-	for (i = 0; i < MAG_ARRAY_SIZE(eset_fields); i++) {
-		field = &eset_fields[i];
-		if (eset_parse_field(field, json_object_get(root, field->name),
-				     &parsed)) {
+	for (i = 0; i < MAG_ARRAY_SIZE(eset_fields) && !rc; i++) {
+		rc = eset_parse_field(
+			&eset_fields[i],
+			json_object_get(root, eset_fields[i].name), parsed);
+		if (rc)
 			snprintf(why, (size_t)why_size,
 				 "settings: %s: missing or malformed",
-				 field->name);
-			json_decref(root);
-			return ESET_E_BAD;
-		}
+				 eset_fields[i].name);
 	}
 	json_decref(root);
-	*set = parsed;
-	return ESET_OK;
+	return rc;
 }
 
 /* Returns the shortest time within which a change must be known everywhere. */
@@ -141,7 +221,8 @@
 {
 	double number;
 
-	if (!json_is_number(value) || json_number_value(value) < 0)
+	if (!json_is_number(value) || json_number_value(value) < 0 ||
+	    json_number_value(value) > INT_MAX)
 		return ESET_E_BAD;
 	number = json_number_value(value);
 	switch (field->type) {
--- a/src/eset.h
+++ b/src/eset.h
@@ -11,7 +11,7 @@
 enum eset_err {
 	ESET_OK = 0,
 	ESET_E_READ = -1,
-	ESET_E_BAD = -2, /* why names the field */
+	ESET_E_BAD = -2,  /* why names the field */
 };
 
 struct eset {
@@ -40,6 +40,7 @@
 	int64_t worker_report_us;
 };
 
+bool eset_equal(const struct eset *a, const struct eset *b);
 int64_t eset_bound_us(const struct eset *set);
 int eset_load(const char *path, struct eset *set, char *why, int why_size);
 
--- a/src/hint.c
+++ b/src/hint.c
@@ -50,29 +50,26 @@
 						   const char *service,
 						   int64_t now, int *count);
 
-int hint_new(struct edge *edge, struct hint **out)
+/*
+ * Starts to receive datagrams of peers on a UDP socket, which is closed with
+ * the result, and on an error.
+ */
+int hint_new(struct edge *edge, int fd, struct hint **out)
 {
-	struct sockaddr_in addr = { .sin_family = AF_INET };
 	struct hint *hint = calloc(1, sizeof(*hint));
 
-	if (!hint)
+	if (!hint) {
+		close(fd);
 		return HINT_E_MEMORY;
+	}
 	hint->edge = edge;
+	hint->fd = fd;
 	hint->self.id = htab_hash(edge->set.instance);
 	hint->self.data_centre = htab_hash(edge->set.data_centre);
 	CDS_INIT_LIST_HEAD(&hint->peers);
 	hint->local.turn.next = (uint32_t)edge_random(edge);
 	hint->remote.turn.next = (uint32_t)edge_random(edge);
 	hint->next_suspect = (uint32_t)edge_random(edge);
-	hint->fd =
-		socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	addr.sin_port = htons((uint16_t)edge->set.peer_port);
-	if (hint->fd < 0 ||
-	    inet_pton(AF_INET, edge->set.address, &addr.sin_addr) != 1 ||
-	    bind(hint->fd, (struct sockaddr *)&addr, sizeof(addr))) {
-		hint_free(hint);
-		return HINT_E_SOCKET;
-	}
 	hint->readable = event_new(edge->base, hint->fd, EV_READ | EV_PERSIST,
 				   hint_on_readable, hint);
 	if (!hint->readable) {
--- a/src/hint.h
+++ b/src/hint.h
@@ -14,11 +14,10 @@
 
 enum hint_err {
 	HINT_OK = 0,
-	HINT_E_SOCKET = -1,
-	HINT_E_MEMORY = -2,
+	HINT_E_MEMORY = -1,
 };
 
-int hint_new(struct edge *edge, struct hint **out);
+int hint_new(struct edge *edge, int fd, struct hint **out);
 void hint_free(struct hint *hint);
 void hint_tick(struct hint *hint, int64_t now);
 void hint_send_soon(struct hint *hint, int64_t now);
--- a/src/hs.c
+++ b/src/hs.c
@@ -8,17 +8,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <event2/util.h>
-
 #include "clk.h"
 #include "hs_int.h"
+#include "lsn.h"
 
 /*
  * Maximum of unparsed input that is buffered for a connection (bytes).  Further
  * pipelined requests stay in the socket.
  */
 #define HS_INPUT_MAX 65536
-#define HS_BACKLOG   1024
 /*
  * A client sends its first request right after it has connected.  Without
  * keep-alive a connection on which none has come is closed after this time.
@@ -54,15 +52,23 @@
 int hs_new(struct event_base *base, const char *address,
 	   const struct hs_ops *ops, void *ctx, struct hs **out)
 {
-	struct sockaddr_storage addr;
-	int len = sizeof(addr);
-	struct hs *hs;
+	int fd;
 
-	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr, &len))
+	if (lsn_open(address, LSN_TCP, &fd))
 		return HS_E_LISTEN;
-	hs = calloc(1, sizeof(*hs));
-	if (!hs)
+	return hs_serve(base, fd, ops, ctx, out);
+}
+
+/* Serves a socket that listens; closes it, also on an error. */
+int hs_serve(struct event_base *base, int fd, const struct hs_ops *ops,
+	     void *ctx, struct hs **out)
+{
+	struct hs *hs = calloc(1, sizeof(*hs));
+
+	if (!hs) {
+		close(fd);
 		return HS_E_MEMORY;
+	}
 	hs->base = base;
 	hs->ops = *ops;
 	hs->ctx = ctx;
@@ -72,14 +78,13 @@
 				    HS_DEFAULT_BODY_BYTES, HS_DEFAULT_HEADER_MS,
 				    HS_DEFAULT_IDLE_MS };
 	CDS_INIT_LIST_HEAD(&hs->conns);
-	hs->listener = evconnlistener_new_bind(
+	hs->listener = evconnlistener_new(
 		base, hs_accept, hs,
-		LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_FREE |
-			LEV_OPT_CLOSE_ON_EXEC,
-		HS_BACKLOG, (struct sockaddr *)&addr, len);
+		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, fd);
 	if (!hs->listener) {
+		close(fd);
 		free(hs);
-		return HS_E_LISTEN;
+		return HS_E_MEMORY;
 	}
 	*out = hs;
 	return HS_OK;
--- a/src/hs.h
+++ b/src/hs.h
@@ -41,6 +41,8 @@
 
 int hs_new(struct event_base *base, const char *address,
 	   const struct hs_ops *ops, void *ctx, struct hs **out);
+int hs_serve(struct event_base *base, int fd, const struct hs_ops *ops,
+	     void *ctx, struct hs **out);
 void hs_free(struct hs *hs);
 void hs_set_limits(struct hs *hs, const struct hs_limits *limits);
 void hs_stop_keep_alive(struct hs *hs);
--- a/src/jlog.c
+++ b/src/jlog.c
@@ -38,13 +38,19 @@
 {
 	int flags = fcntl(fd, F_GETFL);
 
-	snprintf(jlog_instance, sizeof(jlog_instance), "%s", instance);
+	jlog_set_instance(instance);
 	jlog_fd = fd;
 	jlog_max_per_s = lines_per_s;
 	if (flags >= 0)
 		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
 }
 
+/* Sets the name of the instance in the lines that follow. */
+void jlog_set_instance(const char *instance)
+{
+	snprintf(jlog_instance, sizeof(jlog_instance), "%s", instance);
+}
+
 void jlog(enum log_id id, const char *fmt, ...)
 {
 	int64_t now = clk_boot_us();
--- a/src/jlog.h
+++ b/src/jlog.h
@@ -19,6 +19,7 @@
 	__attribute__((format(printf, 2, 3)));
 /* fields holds key=value pairs separated by spaces. */
 void jlog_fields(enum log_id id, const char *fields);
+void jlog_set_instance(const char *instance);
 void jlog_flush(void);
 uint64_t jlog_dropped(void);
 /*
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -65,6 +65,9 @@
 	LOG_EVENT(LOG_STOPPED, 8003, "stopped", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_START_FAILED, 8004, "start-failed", LOG_PRIO_ERR) \
 	LOG_EVENT(LOG_DROPPED, 8005, "log-lines-dropped", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_STARTING, 8006, "starting", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_START_DELAYED, 8007, "start-delayed", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_METRICS_DELAYED, 8008, "metrics-delayed", LOG_PRIO_WARNING) \
 	\
 	/* 9000 pf: connection to the platform */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
--- /dev/null
+++ b/src/lsn.c
@@ -0,0 +1,75 @@
+#include <errno.h>
+#include <stdbool.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/util.h>
+
+#include "lsn.h"
+
+#define LSN_BACKLOG 1024
+
+static int lsn_bind(int fd, enum lsn_type type, const struct sockaddr *addr,
+		    int len);
+static bool lsn_is_lasting(int error);
+
+/*
+ * Opens a non-blocking socket at "ip:port" that is closed on exec; one for TCP
+ * listens.  Returns LSN_OK and the socket, LSN_E_BUSY if another socket has the
+ * address, if the machine does not have it yet or if there is no descriptor or
+ * memory, and LSN_E_ADDRESS if it can't be used at all.
+ */
+int lsn_open(const char *address, enum lsn_type type, int *fd)
+{
+	struct sockaddr_storage addr;
+	int len = sizeof(addr);
+	int error;
+
+	errno = EINVAL;
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr, &len))
+		return LSN_E_ADDRESS;
+	*fd = socket(addr.ss_family,
+		     (type == LSN_TCP ? SOCK_STREAM : SOCK_DGRAM) |
+			     SOCK_NONBLOCK | SOCK_CLOEXEC,
+		     0);
+	if (*fd >= 0 &&
+	    lsn_bind(*fd, type, (const struct sockaddr *)&addr, len) == 0)
+		return LSN_OK;
+	error = errno;
+	if (*fd >= 0)
+		close(*fd);
+	*fd = -1;
+	errno = error;
+	return lsn_is_lasting(error) ? LSN_E_ADDRESS : LSN_E_BUSY;
+}
+
+/* SO_REUSEADDR: connections of an earlier process may still be closing. */
+static int lsn_bind(int fd, enum lsn_type type, const struct sockaddr *addr,
+		    int len)
+{
+	int on = 1;
+
+	if (type == LSN_UDP)
+		return bind(fd, addr, (socklen_t)len);
+	if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) ||
+	    bind(fd, addr, (socklen_t)len))
+		return -1;
+	return listen(fd, LSN_BACKLOG);
+}
+
+/* Tells whether no later attempt can succeed either. */
+static bool lsn_is_lasting(int error)
+{
+	switch (error) {
+	case EADDRINUSE:
+	case EADDRNOTAVAIL:
+	case EMFILE:
+	case ENFILE:
+	case ENOBUFS:
+	case ENOMEM:
+	case EINTR:
+		return false;
+	default:
+		return true;
+	}
+}
--- /dev/null
+++ b/src/lsn.h
@@ -0,0 +1,19 @@
+#ifndef LSN_H
+#define LSN_H
+
+/* Sockets that receive at an address of this machine. */
+
+enum lsn_err {
+	LSN_OK = 0,
+	LSN_E_ADDRESS = -1, /* malformed, or not one of these sockets' */
+	LSN_E_BUSY = -2,    /* may be available later; errno says why not now */
+};
+
+enum lsn_type {
+	LSN_TCP,
+	LSN_UDP,
+};
+
+int lsn_open(const char *address, enum lsn_type type, int *fd);
+
+#endif /* LSN_H */
--- a/src/rel.c
+++ b/src/rel.c
@@ -38,9 +38,12 @@
 	.ended = rel_on_end,
 };
 
-/* Starts to join the tree, and to serve other routers. */
+/*
+ * Starts to join the tree, and to serve other routers on a socket that listens,
+ * which is closed with the result.
+ */
 int rel_new(struct edge *edge, const struct pres_peer *self,
-	    const struct rel_owner *owner, struct rel **out)
+	    const struct rel_owner *owner, int fd, struct rel **out)
 {
 	struct rel *rel = calloc(1, sizeof(*rel));
 	int rc;
@@ -54,9 +57,8 @@
 	tree_init(&rel->tree, self, edge_random(edge),
 		  eset_bound_us(&edge->set));
 	rel->pending.event = evtimer_new(edge->base, rel_on_slice, rel);
-	rc = rel->body && rel->pending.event
-		     ? rel_serve_start(rel, self->address)
-		     : REL_E_MEMORY;
+	rc = rel->body && rel->pending.event ? rel_serve_start(rel, fd)
+					     : REL_E_MEMORY;
 	if (rc) {
 		rel_free(rel);
 		return rc;
--- a/src/rel.h
+++ b/src/rel.h
@@ -22,7 +22,6 @@
 enum rel_err {
 	REL_OK = 0,
 	REL_E_MEMORY = -1,
-	REL_E_LISTEN = -2,
 };
 
 /* What the owner does with what a relay learns. */
@@ -39,7 +38,7 @@
 };
 
 int rel_new(struct edge *edge, const struct pres_peer *self,
-	    const struct rel_owner *owner, struct rel **out);
+	    const struct rel_owner *owner, int fd, struct rel **out);
 void rel_free(struct rel *rel);
 void rel_tick(struct rel *rel, int64_t now);
 bool rel_is_idle(const struct rel *rel);
--- a/src/rel_int.h
+++ b/src/rel_int.h
@@ -95,7 +95,7 @@
 void rel_join_tick(struct rel *rel, int64_t now);
 
 /* rel_serve.c */
-int rel_serve_start(struct rel *rel, const char *address);
+int rel_serve_start(struct rel *rel, int fd);
 void rel_serve_stop(struct rel *rel);
 void rel_serve_tick(struct rel *rel, int64_t now);
 
--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -37,14 +37,14 @@
 static int rel_encode(struct rel *rel, int64_t after);
 static void rel_drop_wait(struct rel_wait *wait);
 
-/* Listens for the polls of other routers. */
-int rel_serve_start(struct rel *rel, const char *address)
+/* Serves the polls of other routers on a socket that listens; closes it. */
+int rel_serve_start(struct rel *rel, int fd)
 {
 	static const struct hs_ops ops = { rel_on_request, rel_on_disconnect };
 
 	CDS_INIT_LIST_HEAD(&rel->waits);
-	if (hs_new(rel->edge->base, address, &ops, rel, &rel->hs))
-		return REL_E_LISTEN;
+	if (hs_serve(rel->edge->base, fd, &ops, rel, &rel->hs))
+		return REL_E_MEMORY;
 	return REL_OK;
 }
 
