proc: signals are blocked before anything else; standard descriptors are open

Callers saw a router that was gone: a SIGHUP that follows a start within milliseconds ended it without a line in its log, as the default action of the signal applied until the event loop had its handlers. SIGTERM and SIGINT did the same, with a status that says "killed" for a stop that was asked for, and SIGINT did so at any time, in the middle of answers.

Cause: handlers were installed last, after settings, sockets and modules.

A parent's mask or ignored signals change nothing. SIGINT stops like SIGTERM. SIGXFSZ is ignored like SIGPIPE: both say that the log cannot be written.

Until the dynamic linker has ended no program can handle a signal.

Descriptors 0 to 2 that are closed at exec became those of the event loop or of a connection, to which the log was then written; they are /dev/null now.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,8 @@
 LIB_OBJS  := $(LIB_SRCS:%.c=$(BUILD)/%.o)
 LIB       := $(BUILD)/libmagnolia.a
 PROGS     := $(BUILD)/magnoliad $(BUILD)/magctl $(BUILD)/magnolia-edge
-EDGE_LIBS := -levent_core -lhttp_parser -ljansson -lsodium -ltirpc -lurcu-common -lzstd
+EDGE_LIBS := -Wl,-Bstatic -levent_core -lhttp_parser -ljansson -lsodium -ltirpc -lurcu-common \
+	     -lzstd -Wl,-Bdynamic -lm
 FAKES     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/fake_*.c))
 CHECKS    := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/check_*.c))
 TOOLS     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/tool_*.c))
@@ -57,9 +58,10 @@
 $(BUILD)/magnoliad $(BUILD)/magctl: $(BUILD)/%: $(BUILD)/src/%.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
 
-# The router on a platform needs few libraries, which keeps it small.
+# The router on a platform needs few libraries, which keeps it small.  They are
+# linked statically: until the dynamic linker is done, no signal can be handled.
 $(BUILD)/magnolia-edge: $(BUILD)/src/edge_main.o $(LIB)
-	$(CC) $(ALLFLAGS) -o $@ $^ $(EDGE_LIBS) -lm
+	$(CC) $(ALLFLAGS) -o $@ $^ $(EDGE_LIBS)
 
 $(FAKES) $(TOOLS): $(BUILD)/%: $(BUILD)/regress/%.o $(BUILD)/regress/fk.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $(filter-out $(LIB),$^) $(LIB) $(LIBS)
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -15,6 +15,7 @@
 #include "log.h"
 #include "pl_env.h"
 #include "plr.h"
+#include "proc.h"
 #include "quar_keep.h"
 #include "wkp.h"
 
@@ -72,6 +73,7 @@
 	int exit_status;
 	struct event *tick;
 	struct event *term;
+	struct event *interrupt;
 	struct event *hup;
 	bool hup_seen;
 };
@@ -90,15 +92,16 @@
 static void edge_stop_tick(struct edge *edge, int64_t now);
 
 /*
- * Router process on a platform: serves until SIGTERM, then lets open requests
- * end.
+ * Router process on a platform: serves until SIGTERM or SIGINT, then lets open
+ * requests end.
  */
 int main(void)
 {
 	static struct edge_run run;
 	int status;
 
-	signal(SIGPIPE, SIG_IGN);
+	proc_block_signals(NULL);
+	proc_open_std();
 	jlog_open("starting", STDOUT_FILENO, EDGE_LOG_LINES_S);
 	jlog(LOG_STARTING, "\"pid\":%d", (int)getpid());
 	jlog_flush();
@@ -125,6 +128,7 @@
 		jlog(LOG_START_FAILED, "\"why\":\"no event loop\"");
 		return EDGE_EXIT_START;
 	}
+	proc_unblock_signals();
 	if (event_base_dispatch(edge->base) < 0) {
 		jlog(LOG_START_FAILED, "\"why\":\"the event loop failed\"");
 		return EDGE_EXIT_START;
@@ -155,10 +159,11 @@
 	run->edge.base = base;
 	run->tick = event_new(base, -1, EV_PERSIST, edge_on_tick, run);
 	run->term = evsignal_new(base, SIGTERM, edge_on_term, run);
+	run->interrupt = evsignal_new(base, SIGINT, edge_on_term, run);
 	run->hup = evsignal_new(base, SIGHUP, edge_on_hup, run);
-	if (!run->tick || !run->term || !run->hup ||
-	    event_add(run->term, NULL) || event_add(run->hup, NULL) ||
-	    event_add(run->tick, &every))
+	if (!run->tick || !run->term || !run->interrupt || !run->hup ||
+	    event_add(run->term, NULL) || event_add(run->interrupt, NULL) ||
+	    event_add(run->hup, NULL) || event_add(run->tick, &every))
 		return -1;
 	event_active(run->tick, EV_TIMEOUT, 1);
 	return 0;
