eset: a settings file that is not written to its end is waited for

A file that cannot be read, or whose text ends before its object does, is now ESET_E_READ, after which the start tries again; text that no more bytes can mend, a missing field or a value beyond its range ends it at once, as before.

--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -184,8 +184,8 @@
 }
 
 /*
- * Starts the router, or waits for what it needs and what is not there yet: an
- * address that another process has.
+ * Starts the router, or waits for what it needs and what is not there yet: a
+ * settings file that is being written, or an address that another process has.
  */
 static void edge_try_start(struct edge_run *run, int64_t now)
 {
@@ -223,6 +223,8 @@
 	run->settings_loaded = rc == ESET_OK;
 	if (rc == ESET_OK)
 		jlog_set_instance(run->edge.set.instance);
+	if (rc == ESET_E_READ)
+		return EDGE_START_WAITS;
 	return rc ? EDGE_START_FAILED : EDGE_STARTED;
 }
 
--- a/src/eset.c
+++ b/src/eset.c
@@ -11,6 +11,7 @@
 
 /* A settings file has about a kilobyte. */
 #define ESET_FILE_MAX 65536
+#define ESET_UTF8_MAX 4
 
 enum eset_type {
 	ESET_TEXT,
@@ -71,6 +72,7 @@
 static int eset_read(const char *path, char *text, size_t size, size_t *len);
 static int eset_parse(const char *path, const char *text, size_t len,
 		      struct eset *parsed, char *why, int why_size);
+static bool eset_is_at_end(const json_error_t *error, size_t len);
 static bool eset_field_equal(const struct eset_field *field,
 			     const struct eset *a, const struct eset *b);
 static int eset_parse_field(const struct eset_field *field, const json_t *value,
@@ -81,7 +83,8 @@
 /*
  * Reads and checks a settings file.  Unknown fields are ignored, because a
  * newer platform may add some.  On an error set is unchanged and why says what
- * is wrong: ESET_E_READ if the file can't be read, ESET_E_BAD otherwise.
+ * is wrong: ESET_E_READ if the file can't be read or ends before its object
+ * does, as it may still be written, ESET_E_BAD if no more bytes can mend it.
  */
 int eset_load(const char *path, struct eset *set, char *why, int why_size)
 {
@@ -155,6 +158,19 @@
 	return failed ? -1 : 0;
 }
 
+/*
+ * Tells whether an error is the end of the text.  A character of several bytes
+ * that ends early is reported at its first one.
+ */
+static bool eset_is_at_end(const json_error_t *error, size_t len)
+{
+	size_t position = (size_t)error->position;
+
+	if (json_error_code(error) == json_error_invalid_utf8)
+		return position + ESET_UTF8_MAX > len;
+	return position >= len;
+}
+
 static int eset_parse(const char *path, const char *text, size_t len,
 		      struct eset *parsed, char *why, int why_size)
 {
@@ -168,7 +184,8 @@
 		snprintf(why, (size_t)why_size, "%s: line %d: %s", path,
 			 error.line, root ? "no object" : error.text);
 		json_decref(root);
-		return ESET_E_BAD;
+		return !root && eset_is_at_end(&error, len) ? ESET_E_READ
+							    : ESET_E_BAD;
 	}
 	for (i = 0; i < MAG_ARRAY_SIZE(eset_fields) && !rc; i++) {
 		rc = eset_parse_field(
