--- a/src/log_events.h
+++ b/src/log_events.h
@@ -68,6 +68,7 @@
 	LOG_EVENT(LOG_STARTING, 8006, "starting", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_START_DELAYED, 8007, "start-delayed", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_METRICS_DELAYED, 8008, "metrics-delayed", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_HANGUP_IGNORED, 8010, "hangup-ignored", LOG_PRIO_NOTICE) \
 	\
 	/* 9000 pf: connection to the platform */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
--- a/src/magctl.c
+++ b/src/magctl.c
@@ -6,6 +6,7 @@
 
 #include "ctl.h"
 #include "log.h"
+#include "proc.h"
 #include "set.h"
 
 #define OPT(name)     CTL_BIT(CTL_OPT_##name)
@@ -44,6 +45,7 @@
 {
 	size_t i;
 
+	proc_open_std();
 	if (argc < 2) {
 		print_usage(stderr);
 		return CTL_USAGE;
