regress/edge/store-back: the first watch of the router that noticed the outage

The check failed once: "-WATCH 20 +WATCH 10000". It took the first watch of any router after the fault, but waits for router 1's notice of the outage only.

Router 2 may not have noticed: its watch stays open during the fault, or is in the delay after a change, so that its next one is an ordinary one.

A view whose address follows a "=" has the ports of workers as they are.

--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -25,7 +25,10 @@
 #define LEASES_MAX  1024
 #define WATCHES_MAX 256
 #define TICK_MS	    20
-/* A view has the ports of workers shifted by its number times this. */
+/*
+ * A view has the ports of workers shifted by its number times this; one whose
+ * address follows a "=" has them as they are.
+ */
 #define VIEW_SHIFT 10
 #define VIEWS_MAX  4
 
@@ -65,6 +68,12 @@
 	FAULT_ODD /* a blank in the name of a field of each answer */
 };
 
+/* How a router sees the store, by the address that it uses. */
+struct view {
+	int number;
+	int shift; /* of the ports of workers */
+};
+
 static struct item items[ITEMS_MAX];
 static int item_count;
 static struct change changes[CHANGES_MAX];
@@ -278,7 +287,7 @@
 	json_t *events;
 	int i;
 
-	port_shift = *(int *)watch->conn->hs->ctx;
+	port_shift = ((const struct view *)watch->conn->hs->ctx)->shift;
 	if (watch->after < dropped_revision || watch->after > revision) {
 		answer(watch->conn, 410, NULL);
 		return true;
@@ -543,7 +552,7 @@
 }
 
 static void serve(struct hs_conn *conn, const char *path,
-		  struct evkeyvalq *query)
+		  struct evkeyvalq *query, const struct view *view)
 {
 	const char *prefix = evhttp_find_header(query, "PathPrefix");
 	const char *after = evhttp_find_header(query, "After");
@@ -557,7 +566,7 @@
 	if (strcmp(path, "/api/kv-range") == 0) {
 		range(conn, prefix ? prefix : "", after);
 	} else if (strcmp(path, "/api/kv-watch") == 0) {
-		printf("WATCH %s\n", wait ? wait : "0");
+		printf("WATCH %s view %d\n", wait ? wait : "0", view->number);
 		fflush(stdout);
 		add_watch(conn, prefix ? prefix : "", after ? atoll(after) : 0,
 			  wait ? atoll(wait) : 0);
@@ -590,8 +599,9 @@
 	struct evhttp_uri *uri = evhttp_uri_parse(hs_target(conn));
 	struct evkeyvalq query = { 0 };
 	const char *path = evhttp_uri_get_path(uri);
+	const struct view *view = ctx;
 
-	port_shift = *(int *)ctx;
+	port_shift = view->shift;
 	if (evhttp_uri_get_query(uri))
 		evhttp_parse_query_str(evhttp_uri_get_query(uri), &query);
 	if (strncmp(path, "/stand-in/", 10) == 0)
@@ -601,7 +611,7 @@
 	else if (fault == FAULT_RESET)
 		hs_abort(conn);
 	else if (fault != FAULT_SILENT)
-		serve(conn, path, &query);
+		serve(conn, path, &query, view);
 	evhttp_clear_headers(&query);
 	evhttp_uri_free(uri);
 }
@@ -648,17 +658,20 @@
 {
 	static const struct hs_ops ops = { on_request, on_gone };
 	struct timeval every = { 0, TICK_MS * 1000 };
-	static int shifts[VIEWS_MAX + 1];
+	static struct view views[VIEWS_MAX + 1];
 	struct event_base *base = event_base_new();
+	int same;
 	int i;
 
 	if (argc < 2 || argc > VIEWS_MAX + 2 || sodium_init() < 0) {
-		fprintf(stderr, "usage: fake_store IP:PORT [VIEW]...\n");
+		fprintf(stderr, "usage: fake_store IP:PORT [[=]VIEW]...\n");
 		return 1;
 	}
 	for (i = 0; i < argc - 1; i++) {
-		shifts[i] = i * VIEW_SHIFT;
-		if (hs_new(base, argv[i + 1], &ops, &shifts[i], &servers[i]))
+		same = argv[i + 1][0] == '=';
+		views[i] = (struct view){ i, same ? 0 : i * VIEW_SHIFT };
+		if (hs_new(base, argv[i + 1] + same, &ops, &views[i],
+			   &servers[i]))
 			return 1;
 	}
 	event_add(event_new(base, -1, EV_PERSIST, on_tick, NULL), &every);
