sto_follow: after following another router, the first watch is short

Callers may be refused for keys that can't be checked, as a router whose store comes back learns that from its watch 10 s later instead of 20 ms later, unless a query or a peer shows it first.

Cause: a router that cannot reach the store follows another one that it hears of. sto_follow_pause() forgets the failures, so that its first watch after the return to the store was an ordinary one. A log of such a run: platform- unreachable, store-source r-2 after 44 ms, platform-reachable, store-source store after 10 ms, WATCH 10000.

Whether a list or watch was answered since the last failure is now kept beside the count of failures, also while another router is followed. It costs one call more after an outage, as without another router.

--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -44,6 +44,7 @@
 	int64_t list_sent_us;
 	int64_t retry_us;
 	int failures;	  /* consecutive */
+	bool unproven;	  /* no list or watch was answered since a failure */
 	bool unreachable; /* as last reported */
 
 	struct sto_call *call;	   /* list or watch in progress */
@@ -184,9 +185,9 @@
 	/*
 	 * After an outage, a long watch without changes would show only when it
 	 * ends that the store is back, and account keys would be refused until
-	 * then.
+	 * then.  Another router may have been followed in between.
 	 */
-	if (follow->failures > 0)
+	if (follow->unproven)
 		wait_ms = STO_PROBE_WAIT_MS;
 	follow->state = STO_WATCHING;
 	follow->lagging_since_us = 0;
@@ -460,10 +461,12 @@
 	follow->queries_lost++;
 	if (follow->queries_lost < STO_QUERIES_LOST_MAX)
 		return;
-	if (follow->state == STO_PAUSED)
+	if (follow->state == STO_PAUSED) {
+		follow->unproven = true;
 		sto_set_reachable(follow, false);
-	else if (follow->state == STO_WATCHING && follow->failures == 0)
+	} else if (follow->state == STO_WATCHING && follow->failures == 0) {
 		sto_fail_watch(follow);
+	}
 }
 
 /*
@@ -523,6 +526,7 @@
 	wait = wait / 2 +
 	       (int64_t)(mag_random(&follow->sto->seed) % (uint64_t)(wait / 2));
 	follow->failures++;
+	follow->unproven = true;
 	/*
 	 * A single failure is a disconnected watch; two in a row are an outage.
 	 */
@@ -538,6 +542,7 @@
 {
 	sto_on_answered(follow);
 	follow->failures = 0;
+	follow->unproven = false;
 }
 
 /* Reports that the store has answered, before what it has answered. */
