--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -56,12 +56,14 @@
 	JSON
 }
 
-# run_router NUMBER: starts a router with the settings that it has.
+# run_router NUMBER: starts a router with the settings that it has; adds its pid to
+# $processes.
 run_router() {
 	MAGNOLIARAIL_NODE_FILE="$dir/router.$1.json" "$build/magnolia-edge" \
 		>>"$dir/router.$1.log" 2>&1 &
 	eval "router_$1=$!"
 	pids="$pids $!"
+	processes="${processes:-} $!"
 }
 
 # put_config VERSION [KEYS]: publishes a configuration as the operator does.  With
