daemon: a router waits for its addresses

Operators saw a router that exited with status 3 as soon as it was started, again and again: the process before it, which was still stopping, had one of its addresses, and may have for as long as requests are in progress. With another port in use it had already opened the first one, and its loop was running: it had announced itself to its peers, and cut off who had connected.

Cause: each address was opened once, the callers' and the operators' after the loop had started, and any failure ended the process.

All four sockets (callers, operators, peers by TCP and UDP) are checked before anything is started; one that is in use delays the start (8007 with the address and the reason, logged when it changes and each 10 s) until it is available or a signal comes. A socket for the check is bound but does not listen, so that no caller connects to it. CivetWeb binds on its own: an address that is taken between the check and its start is a delay as well, for which the loop starts after all ports; requests that arrive before wait for it, pages are refused with 503. The peers' port comes last, as the RPC library keeps its tables when it is stopped.

--- a/src/admin.c
+++ b/src/admin.c
@@ -17,6 +17,7 @@
 	struct loop *loop;
 	struct front *front;
 	struct mg_context *server;
+	atomic_bool serving; /* the loop runs */
 	atomic_bool stopping;
 };
 
@@ -95,6 +96,12 @@
 	return admin->server ? ADMIN_OK : ADMIN_E_LISTEN;
 }
 
+/* From now on, the loop answers; before, every page is refused. */
+void admin_set_serving(struct admin *admin)
+{
+	atomic_store(&admin->serving, true);
+}
+
 /* From now on, /readyz tells the load balancer to send no new requests. */
 void admin_set_stopping(struct admin *admin)
 {
@@ -125,6 +132,10 @@
 	size_t len = 0;
 	size_t i;
 
+	if (!atomic_load(&admin->serving)) {
+		send_response(conn, 503, "text/plain", "starting\n");
+		return 503;
+	}
 	for (i = 0; i < MAG_ARRAY_SIZE(admin_paths); i++) {
 		if (strcmp(info->local_uri_raw, admin_paths[i].path) == 0)
 			task.path = &admin_paths[i];
--- a/src/admin.h
+++ b/src/admin.h
@@ -25,6 +25,7 @@
 struct admin *admin_new(const struct admin_settings *settings,
 			struct loop *loop, struct front *front);
 int admin_start(struct admin *admin);
+void admin_set_serving(struct admin *admin);
 void admin_set_stopping(struct admin *admin);
 void admin_free(struct admin *admin);
 
--- a/src/daemon.c
+++ b/src/daemon.c
@@ -1,4 +1,6 @@
+#include <errno.h>
 #include <pthread.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -13,6 +15,7 @@
 #include "front.h"
 #include "log.h"
 #include "loop.h"
+#include "lsn.h"
 #include "mesh.h"
 #include "ord.h"
 #include "pf.h"
@@ -38,6 +41,9 @@
 	bool stopped; /* the core has nothing in progress */
 };
 
+static const char *start_error(int err);
+static int check_addresses(const struct set_settings *settings, char *why,
+			   size_t why_size);
 static int open_platform(struct daemon *daemon);
 static int create_loop(struct daemon *daemon);
 static void fill_core_settings(const struct daemon *daemon,
@@ -46,6 +52,7 @@
 				struct fleet_settings *to);
 static int create_servers(struct daemon *daemon);
 static int start_threads(struct daemon *daemon);
+static int start_servers(struct daemon *daemon);
 static int start_mesh(struct daemon *daemon);
 static void release(struct daemon *daemon);
 static void on_action(void *ctx, struct inst_action *action);
@@ -57,15 +64,21 @@
 
 /*
  * Starts all modules of a router.  Returns 0 and the daemon in out, or a
- * negative enum daemon_err with nothing left running.
+ * negative enum daemon_err and the reason in why, with nothing left running.
  */
-int daemon_start(const struct set_settings *settings, struct daemon **out)
+int daemon_start(const struct set_settings *settings, char *why,
+		 size_t why_size, struct daemon **out)
 {
-	struct daemon *daemon = calloc(1, sizeof(*daemon));
-	int rc;
+	struct daemon *daemon;
+	int rc = check_addresses(settings, why, why_size);
 
-	if (!daemon)
+	if (rc)
+		return rc;
+	daemon = calloc(1, sizeof(*daemon));
+	if (!daemon) {
+		snprintf(why, why_size, "%s", start_error(DAEMON_E_MEMORY));
 		return DAEMON_E_MEMORY;
+	}
 	daemon->settings = *settings;
 	randombytes_buf(&daemon->incarnation, sizeof(daemon->incarnation));
 	pthread_mutex_init(&daemon->lock, NULL);
@@ -81,6 +94,7 @@
 		rc = start_threads(daemon);
 	if (rc) {
 		release(daemon);
+		snprintf(why, why_size, "%s", start_error(rc));
 		return rc;
 	}
 	*out = daemon;
@@ -113,8 +127,8 @@
 	log_event(LOG_STOPPED, "open=0");
 }
 
-/* Returns an error message for a daemon_err of daemon_start. */
-const char *daemon_strerror(int err)
+/* Returns an error message for a daemon_err. */
+static const char *start_error(int err)
 {
 	switch (err) {
 	case DAEMON_E_LISTEN:
@@ -124,11 +138,51 @@
 		       "threads";
 	case DAEMON_E_THREAD:
 		return "cannot start a thread";
+	case DAEMON_E_BUSY:
+		return "an address was taken at the same time";
 	default:
 		return "memory is short";
 	}
 }
 
+/*
+ * Tells whether all addresses are available, before anything is started that
+ * others could see; DAEMON_E_LISTEN if one never will be.  Another process can
+ * still take one before it is used.
+ */
+static int check_addresses(const struct set_settings *settings, char *why,
+			   size_t why_size)
+{
+	const struct {
+		const char *name;
+		const char *address;
+		enum lsn_type type;
+	} list[] = {
+		{ "listen", settings->listen, LSN_TCP_BOUND },
+		{ "admin", settings->admin, LSN_TCP_BOUND },
+		{ "rpc", settings->rpc, LSN_TCP_BOUND },
+		{ "rpc", settings->rpc, LSN_UDP },
+	};
+	int busy = DAEMON_OK;
+	size_t i;
+	int rc;
+	int fd;
+
+	for (i = 0; i < MAG_ARRAY_SIZE(list); i++) {
+		rc = lsn_open(list[i].address, list[i].type, &fd);
+		if (!rc)
+			close(fd);
+		if (!rc || (rc == LSN_E_BUSY && busy))
+			continue;
+		snprintf(why, why_size, "%s %s: %s", list[i].name,
+			 list[i].address, strerror(errno));
+		if (rc != LSN_E_BUSY)
+			return DAEMON_E_LISTEN;
+		busy = DAEMON_E_BUSY;
+	}
+	return busy;
+}
+
 static int open_platform(struct daemon *daemon)
 {
 	const struct set_addresses *from = &daemon->settings.platform;
@@ -225,7 +279,10 @@
 	return daemon->admin ? DAEMON_OK : DAEMON_E_MEMORY;
 }
 
-/* The ports open last, as all modules must run before a caller connects. */
+/*
+ * The loop starts after all ports are open: from then on the instance writes to
+ * the platform and announces itself.  It serves what has arrived by then.
+ */
 static int start_threads(struct daemon *daemon)
 {
 	struct kv_backend backend = pf_backend(daemon->pf);
@@ -234,6 +291,7 @@
 			daemon->settings.kv_timeout_ms * MAG_US_PER_MS,
 		.seed = daemon->incarnation,
 	};
+	int rc;
 
 	daemon->async = pf_async_start(&backend, DAEMON_KV_THREADS, on_kv_reply,
 				       daemon);
@@ -242,16 +300,35 @@
 		watch_start(&watch, &backend, daemon->loop, daemon->front);
 	if (!daemon->async || !daemon->ord || !daemon->watch)
 		return DAEMON_E_THREAD;
-	if (start_mesh(daemon))
-		return DAEMON_E_LISTEN;
+	rc = start_servers(daemon);
+	if (rc)
+		return rc;
 	if (loop_start(daemon->loop))
 		return DAEMON_E_THREAD;
-	if (front_start(daemon->front, daemon->loop) ||
-	    admin_start(daemon->admin))
-		return DAEMON_E_LISTEN;
+	front_serve_waiting(daemon->front);
+	admin_set_serving(daemon->admin);
 	return DAEMON_OK;
 }
 
+/*
+ * Opens the ports, which were available just before: any failure to is one that
+ * may not last.  The port for peers is last, because the RPC library can't be
+ * started a second time.
+ */
+static int start_servers(struct daemon *daemon)
+{
+	if (admin_start(daemon->admin))
+		return DAEMON_E_BUSY;
+	switch (front_start(daemon->front, daemon->loop)) {
+	case FRONT_OK:
+		return start_mesh(daemon);
+	case FRONT_E_LISTEN:
+		return DAEMON_E_BUSY;
+	default:
+		return DAEMON_E_MEMORY;
+	}
+}
+
 /* Listens for peers, and adds the peers listed in the settings. */
 static int start_mesh(struct daemon *daemon)
 {
@@ -259,11 +336,13 @@
 	struct inst_event event = { .type = INST_EV_SEED };
 	struct mesh_settings settings;
 	size_t i;
+	int rc;
 
 	memcpy(settings.cluster, from->cluster, sizeof(settings.cluster));
 	memcpy(settings.listen, from->rpc, sizeof(settings.listen));
-	if (mesh_start(&settings, daemon->loop, daemon->watch, &daemon->mesh))
-		return DAEMON_E_LISTEN;
+	rc = mesh_start(&settings, daemon->loop, daemon->watch, &daemon->mesh);
+	if (rc)
+		return rc == RPC_E_BUSY ? DAEMON_E_BUSY : DAEMON_E_LISTEN;
 	for (i = 0; i < from->peers.count; i++) {
 		memcpy(event.seed, from->peers.list[i], sizeof(event.seed));
 		loop_post_inst(daemon->loop, &event);
--- a/src/daemon.h
+++ b/src/daemon.h
@@ -5,6 +5,8 @@
 
 #include "set.h"
 
+#define DAEMON_WHY_MAX 160
+
 struct daemon;
 
 enum daemon_err {
@@ -13,10 +15,11 @@
 	DAEMON_E_LISTEN = -2,
 	DAEMON_E_THREAD = -3,
 	DAEMON_E_FILES = -4,
+	DAEMON_E_BUSY = -5, /* an address may be available later */
 };
 
-int daemon_start(const struct set_settings *settings, struct daemon **daemon);
+int daemon_start(const struct set_settings *settings, char *why,
+		 size_t why_size, struct daemon **daemon);
 void daemon_stop(struct daemon *daemon);
-const char *daemon_strerror(int err);
 
 #endif /* DAEMON_H */
--- a/src/front.c
+++ b/src/front.c
@@ -16,6 +16,7 @@
 static void on_connection_closed(const struct mg_connection *conn);
 static void refuse_early(struct front_req *req, int status, const char *why);
 static int on_request(struct mg_connection *conn);
+static void wait_serving(struct front *front);
 static struct cds_list_head *bucket_of(struct front *front, uint64_t id);
 static void register_request(struct front *front, struct front_req *req);
 static void unregister_request(struct front *front, struct front_req *req);
@@ -32,12 +33,16 @@
 		return NULL;
 	front->settings = *settings;
 	pthread_mutex_init(&front->lock, NULL);
+	pthread_cond_init(&front->begin, NULL);
 	for (i = 0; i < FRONT_BUCKETS; i++)
 		CDS_INIT_LIST_HEAD(&front->buckets[i]);
 	return front;
 }
 
-/* Starts to listen.  Returns 0, FRONT_E_MEMORY or FRONT_E_LISTEN. */
+/*
+ * Starts to listen; requests wait until front_serve_waiting.  Returns 0,
+ * FRONT_E_MEMORY or FRONT_E_LISTEN.
+ */
 int front_start(struct front *front, struct loop *loop)
 {
 	char threads[16];
@@ -77,6 +82,15 @@
 	return front->server ? FRONT_OK : FRONT_E_LISTEN;
 }
 
+/* Begins to serve requests; the loop must run. */
+void front_serve_waiting(struct front *front)
+{
+	pthread_mutex_lock(&front->lock);
+	front->serving = true;
+	pthread_cond_broadcast(&front->begin);
+	pthread_mutex_unlock(&front->lock);
+}
+
 /*
  * Publishes a new configuration to the request threads and takes ownership of
  * it.  Threads may still read the old one, so it is freed after a grace period.
@@ -126,6 +140,9 @@
 void front_refuse_new(struct front *front)
 {
 	atomic_store(&front->refusing, true);
+	pthread_mutex_lock(&front->lock);
+	pthread_cond_broadcast(&front->begin);
+	pthread_mutex_unlock(&front->lock);
 }
 
 /* Returns how many requests are in progress. */
@@ -134,17 +151,22 @@
 	return atomic_load(&front->open);
 }
 
-/* Waits until no request is in progress, stops listening, frees the front. */
+/*
+ * Refuses the requests that no loop has seen, waits until none is in progress,
+ * stops listening, frees the front.
+ */
 void front_free(struct front *front)
 {
 	if (!front)
 		return;
+	front_refuse_new(front);
 	while (front_open_requests(front) > 0)
 		usleep(FRONT_DRAIN_POLL_US);
 	if (front->server)
 		mg_stop(front->server);
 	ep_cancel_stop(front->cancel);
 	cfg_free(front->set);
+	pthread_cond_destroy(&front->begin);
 	pthread_mutex_destroy(&front->lock);
 	free(front);
 }
@@ -225,6 +247,7 @@
 		 front->settings.instance,
 		 (unsigned long long)front->settings.incarnation,
 		 (unsigned long long)req.id);
+	wait_serving(front);
 	status = req.ep ? front_read(&req, &why) : 503;
 	if (status) {
 		refuse_early(&req, status, why);
@@ -238,6 +261,15 @@
 	return 200;
 }
 
+/* The loop starts after the front listens; until then no request is read. */
+static void wait_serving(struct front *front)
+{
+	pthread_mutex_lock(&front->lock);
+	while (!front->serving && !atomic_load(&front->refusing))
+		pthread_cond_wait(&front->begin, &front->lock);
+	pthread_mutex_unlock(&front->lock);
+}
+
 static struct cds_list_head *bucket_of(struct front *front, uint64_t id)
 {
 	return &front->buckets[id % FRONT_BUCKETS];
--- a/src/front.h
+++ b/src/front.h
@@ -32,6 +32,7 @@
 
 struct front *front_new(const struct front_settings *settings);
 int front_start(struct front *front, struct loop *loop);
+void front_serve_waiting(struct front *front);
 void front_set_config(struct front *front, struct cfg_set *set);
 void front_deliver(struct front *front, struct core_action *action);
 void front_close_connections(struct front *front);
--- a/src/front_int.h
+++ b/src/front_int.h
@@ -22,8 +22,10 @@
 	struct mg_context *server;
 	struct ep_cancel *cancel;
 	struct cfg_set *set;  /* current configuration; read under RCU */
-	pthread_mutex_t lock; /* of the buckets and their requests */
+	pthread_mutex_t lock; /* of the buckets, their requests and serving */
 	struct cds_list_head buckets[FRONT_BUCKETS]; /* by request id */
+	pthread_cond_t begin; /* signalled when serving or refusing */
+	bool serving;	      /* the loop runs; under lock */
 	atomic_uint_fast64_t next_id;
 	atomic_uint open;	 /* requests in progress */
 	atomic_uint connections; /* each occupies a server thread */
--- a/src/lsn.c
+++ b/src/lsn.c
@@ -14,10 +14,10 @@
 static bool lsn_is_lasting(int error);
 
 /*
- * Opens a non-blocking socket at "ip:port" that is closed on exec; one for TCP
- * listens.  Returns LSN_OK and the socket, LSN_E_BUSY if another socket has the
- * address, if the machine does not have it yet or if there is no descriptor or
- * memory, and LSN_E_ADDRESS if it can't be used at all.
+ * Opens a non-blocking socket at "ip:port" that is closed on exec; one of type
+ * LSN_TCP listens.  Returns LSN_OK and the socket, LSN_E_BUSY if another socket
+ * has the address, if the machine does not have it yet or if there is no
+ * descriptor or memory, and LSN_E_ADDRESS if it can't be used at all.
  */
 int lsn_open(const char *address, enum lsn_type type, int *fd)
 {
@@ -29,7 +29,7 @@
 	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr, &len))
 		return LSN_E_ADDRESS;
 	*fd = socket(addr.ss_family,
-		     (type == LSN_TCP ? SOCK_STREAM : SOCK_DGRAM) |
+		     (type == LSN_UDP ? SOCK_DGRAM : SOCK_STREAM) |
 			     SOCK_NONBLOCK | SOCK_CLOEXEC,
 		     0);
 	if (*fd >= 0 &&
@@ -54,7 +54,7 @@
 	if (setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) ||
 	    bind(fd, addr, (socklen_t)len))
 		return -1;
-	return listen(fd, LSN_BACKLOG);
+	return type == LSN_TCP ? listen(fd, LSN_BACKLOG) : 0;
 }
 
 /* Tells whether no later attempt can succeed either. */
--- a/src/lsn.h
+++ b/src/lsn.h
@@ -12,6 +12,7 @@
 enum lsn_type {
 	LSN_TCP,
 	LSN_UDP,
+	LSN_TCP_BOUND, /* does not listen, so that none connects */
 };
 
 int lsn_open(const char *address, enum lsn_type type, int *fd);
--- a/src/magnoliad.c
+++ b/src/magnoliad.c
@@ -1,9 +1,11 @@
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 #include <curl/curl.h>
 #include <sodium.h>
 
+#include "clk.h"
 #include "daemon.h"
 #include "log.h"
 #include "proc.h"
@@ -12,8 +14,21 @@
 #define EXIT_SETTINGS 2
 #define EXIT_START    3
 
+#define RETRY_NS     100000000 /* between attempts to start */
+#define LOG_AGAIN_US (10 * MAG_US_PER_S)
+
+/* What the start waits for. */
+struct delay {
+	char why[DAEMON_WHY_MAX];
+	int64_t log_us; /* when to log it again */
+};
+
 static int print_faults(const struct flt_list *faults);
 static int run(const struct set_settings *settings, const sigset_t *signals);
+static int start(const struct set_settings *settings, const sigset_t *signals,
+		 struct daemon **daemon);
+static bool wait_retry(const sigset_t *signals, struct delay *delay,
+		       const char *why);
 static bool is_stop(int signal_number);
 static bool is_stop_pending(const sigset_t *signals);
 static void wait_stop(const sigset_t *signals);
@@ -75,15 +90,56 @@
 		log_event(LOG_START_FAILED, "why=\"a library failed\"");
 		return EXIT_START;
 	}
-	rc = daemon_start(settings, &daemon);
-	if (rc) {
-		log_event(LOG_START_FAILED, "why=\"%s\"", daemon_strerror(rc));
-		return EXIT_START;
+	rc = start(settings, signals, &daemon);
+	if (daemon) {
+		wait_stop(signals);
+		daemon_stop(daemon);
 	}
-	wait_stop(signals);
-	daemon_stop(daemon);
 	curl_global_cleanup();
-	return 0;
+	return rc ? EXIT_START : 0;
+}
+
+/*
+ * Starts the daemon as soon as its addresses are available.  Returns 0, with no
+ * daemon if a signal came first, or a negative enum daemon_err, which is
+ * logged.
+ */
+static int start(const struct set_settings *settings, const sigset_t *signals,
+		 struct daemon **daemon)
+{
+	struct delay delay = { 0 };
+	char why[DAEMON_WHY_MAX];
+	int rc;
+
+	*daemon = NULL;
+	while ((rc = daemon_start(settings, why, sizeof(why), daemon)) ==
+	       DAEMON_E_BUSY) {
+		if (wait_retry(signals, &delay, why)) {
+			log_event(LOG_STOPPED, "open=0");
+			return DAEMON_OK;
+		}
+	}
+	if (rc)
+		log_event(LOG_START_FAILED, "why=\"%s\"", why);
+	return rc;
+}
+
+/*
+ * Waits before the next attempt to start; logs why when that changes, and now
+ * and then.  Tells whether a signal has arrived that stops the daemon.
+ */
+static bool wait_retry(const sigset_t *signals, struct delay *delay,
+		       const char *why)
+{
+	const struct timespec retry = { 0, RETRY_NS };
+	int64_t now = clk_now_us();
+
+	if (now >= delay->log_us || strcmp(why, delay->why) != 0) {
+		mag_copy_name(delay->why, sizeof(delay->why), why);
+		delay->log_us = now + LOG_AGAIN_US;
+		log_event(LOG_START_DELAYED, "why=\"%s\"", why);
+	}
+	return is_stop(sigtimedwait(signals, NULL, &retry));
 }
 
 /* Tells whether a received signal stops the daemon; logs one that does not. */
--- a/src/rpc.c
+++ b/src/rpc.c
@@ -7,17 +7,17 @@
 
 #include "cnt.h"
 #include "log.h"
+#include "lsn.h"
 #include "peer_wire.h"
 #include "rpc_int.h"
 
-#define RPC_BACKLOG	       64
 #define RPC_PORT_MAX	       65535
 #define RPC_DEFAULT_THREADS    2
 #define RPC_DEFAULT_BYTES      (16u << 20)
 #define RPC_DEFAULT_TIMEOUT_US (5 * MAG_US_PER_S)
 
 static void rpc_set_defaults(struct rpc *rpc);
-static int rpc_bind(const struct rpc *rpc, int type);
+static int rpc_bind(struct rpc *rpc);
 static int rpc_start_threads(struct rpc *rpc);
 static void *rpc_receiver(void *arg);
 static void rpc_receive(struct rpc *rpc);
@@ -42,10 +42,10 @@
 	pthread_mutex_init(&new->lock, NULL);
 	pthread_cond_init(&new->wake, NULL);
 	CDS_INIT_LIST_HEAD(&new->jobs);
-	new->udp = rpc_bind(new, SOCK_DGRAM);
-	new->tcp = rpc_bind(new, SOCK_STREAM);
-	err = new->udp < 0 ? new->udp : new->tcp;
-	if (err >= 0)
+	new->udp = -1;
+	new->tcp = -1;
+	err = rpc_bind(new);
+	if (!err)
 		err = rpc_start_threads(new);
 	if (err) {
 		rpc_stop(new);
@@ -131,29 +131,20 @@
 		set->fetch_timeout_us = RPC_DEFAULT_TIMEOUT_US;
 }
 
-/*
- * Returns a bound socket, which listens if it is a stream, or a negative enum
- * rpc_error.
- */
-static int rpc_bind(const struct rpc *rpc, int type)
+/* Opens the sockets.  Returns RPC_OK or a negative enum rpc_error. */
+static int rpc_bind(struct rpc *rpc)
 {
 	struct sockaddr_in address;
-	const int on = 1;
-	int fd;
+	int rc;
 
 	if (rpc_parse_address(rpc->settings.listen, &address))
 		return RPC_E_ADDRESS;
-	fd = socket(AF_INET, type | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		return RPC_E_SOCKET;
-	if (type == SOCK_STREAM)
-		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) ||
-	    (type == SOCK_STREAM && listen(fd, RPC_BACKLOG))) {
-		close(fd);
-		return RPC_E_SOCKET;
-	}
-	return fd;
+	rc = lsn_open(rpc->settings.listen, LSN_UDP, &rpc->udp);
+	if (!rc)
+		rc = lsn_open(rpc->settings.listen, LSN_TCP, &rpc->tcp);
+	if (rc == LSN_E_BUSY)
+		return RPC_E_BUSY;
+	return rc ? RPC_E_ADDRESS : RPC_OK;
 }
 
 /* Starts the server, the fetchers and the receiver. */
--- a/src/rpc.h
+++ b/src/rpc.h
@@ -27,6 +27,7 @@
 	RPC_E_REPLY = -7, /* a message that is invalid or exceeds a bound */
 	RPC_E_NO_REVISION = -8, /* the peer lacks the revision */
 	RPC_E_SEND = -9,
+	RPC_E_BUSY = -10, /* the address may be available later */
 };
 
 struct rpc_settings {
