hs, hc, fd: a router at its limit on descriptors serves

Callers saw a router that answered late or not at all, and workers that were suspected without a fault of theirs; operators saw a core in full use and a log that grew by tens of megabytes a second, which blocks the process for good once nobody reads standard error.

Cause: accept failed with EMFILE while its socket stayed readable, and the event library wrote each failure to standard error. A socket() that failed was reported like a connection that a worker had refused. open_files was read and used nowhere.

fd raises the soft limit to the setting, at most to the hard limit (8022), and divides what is in force: callers are accepted until all connections use three quarters of it, peers get an eighth, so that requests still reach workers; the rest is for store, readiness, metrics and probes. Beyond that connections without a request give way, oldest first, and further callers wait in the kernel: a 503 would need a descriptor, and requests end soon. An accept that fails pauses the listener for 50 ms (8020). hc opens its sockets itself: without a descriptor idle connections of any host give way, then hc_start() returns HC_E_FULL (8021), which is no failure of a worker, and requests wait for room as they do for busy workers. The library's messages go to the log, one a second (8023). /metrics has the counts.

--- a/regress/check_fd.c
+++ b/regress/check_fd.c
@@ -46,12 +46,67 @@
 			 FD_E_HARD_LIMIT);
 }
 
+/*
+ * A router's settings allow 1,000 descriptors; each line of limits differs. The
+ * soft limit is raised to the setting or to the hard limit, and not lowered;
+ * the lower of setting and limit is in force.
+ */
+static void a_limit_follows_the_settings(void **state)
+{
+	static const struct {
+		uint64_t soft, hard, new_soft, in_force;
+	} limits[] = {
+		{ 64, 1048576, 1000, 1000 },
+		{ 64, 100, 100, 100 },
+		{ 20000, 20000, 20000, 1000 },
+	};
+	uint64_t new_soft;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(limits) / sizeof(limits[0]); i++) {
+		assert_int_equal(fd_allowed(1000, limits[i].soft,
+					    limits[i].hard, &new_soft),
+				 limits[i].in_force);
+		assert_int_equal(new_soft, limits[i].new_soft);
+	}
+}
+
+/*
+ * Callers without requests fill all that they may use.  Connections to workers
+ * and of peers must be left, and callers must not be shut out by either.
+ */
+static void no_kind_of_connections_takes_all(void **state)
+{
+	static const uint64_t limits[] = { 0, 64, 400, 1000, 1048576 };
+	struct fd_shares shares;
+	size_t i;
+	int callers;
+
+	(void)state;
+	for (i = 0; i < sizeof(limits) / sizeof(limits[0]); i++) {
+		callers = fd_share(limits[i], 0, 0, 0).callers;
+		assert_true(callers > 0);
+		shares = fd_share(limits[i], callers, 0, 0);
+		assert_true(shares.sent > 0);
+		assert_true(shares.forwarded > 0);
+		shares = fd_share(limits[i], 0, shares.forwarded, shares.sent);
+		assert_true(shares.callers > 0);
+		if (limits[i] >= 400)
+			assert_true(callers + shares.forwarded +
+					    (int)limits[i] / 16 <
+				    (int)limits[i]);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_low_soft_limit_is_raised),
 		cmocka_unit_test(a_high_soft_limit_is_unchanged),
 		cmocka_unit_test(a_low_hard_limit_is_refused),
+		cmocka_unit_test(a_limit_follows_the_settings),
+		cmocka_unit_test(no_kind_of_connections_takes_all),
 	};
 
 	return cmocka_run_group_tests_name("fd", tests, NULL, NULL);
--- a/src/edge.h
+++ b/src/edge.h
@@ -75,6 +75,8 @@
 	struct hs *readiness;
 	struct hs *metrics;	  /* NULL until the address is available */
 	int64_t metrics_retry_us; /* when to try again */
+	int open_files;		  /* that the limit in force is computed of */
+	uint64_t files_max;	  /* descriptors, in force */
 	struct sto *sto;
 	struct sto_follow *follow;
 	struct rel *rel;
@@ -147,6 +149,10 @@
 enum edge_start edge_start(struct edge *edge, char *why, size_t why_size);
 void edge_retry_metrics(struct edge *edge, int64_t now);
 
+/* edge_files.c */
+void edge_allow_files(struct edge *edge);
+void edge_share_files(struct edge *edge);
+
 /* edge_page.c */
 extern const struct hs_ops edge_readiness_ops;
 extern const struct hs_ops edge_metrics_ops;
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -10,6 +10,7 @@
 #include "clk.h"
 #include "edge.h"
 #include "eq.h"
+#include "evlog.h"
 #include "hint.h"
 #include "jlog.h"
 #include "log.h"
@@ -103,6 +104,7 @@
 	proc_block_signals(NULL);
 	proc_open_std();
 	jlog_open("starting", STDOUT_FILENO, EDGE_LOG_LINES_S);
+	evlog_start();
 	jlog(LOG_STARTING, "\"pid\":%d", (int)getpid());
 	jlog_flush();
 	status = edge_run_loop(&run);
@@ -193,8 +195,10 @@
 	char why[EDGE_WHY_MAX];
 	enum edge_start rc = edge_load_settings(run, why, sizeof(why));
 
-	if (rc == EDGE_STARTED)
+	if (rc == EDGE_STARTED) {
+		edge_allow_files(edge);
 		rc = edge_start(edge, why, sizeof(why));
+	}
 	if (rc == EDGE_START_WAITS) {
 		edge_wait(run, why, now);
 		return;
@@ -248,6 +252,7 @@
 	if (paused_us > 0)
 		hc_extend_deadlines(edge->hc, paused_us);
 	edge_reload(run, now);
+	edge_share_files(edge);
 	hc_tick(edge->hc, now);
 	hs_tick(edge->callers, now);
 	hs_tick(edge->readiness, now);
@@ -357,4 +362,5 @@
 	run->hup_seen = false;
 	/* Addresses change only at a restart, limits at once. */
 	run->edge.set = loaded;
+	edge_allow_files(&run->edge);
 }
--- a/src/edge_page.c
+++ b/src/edge_page.c
@@ -5,6 +5,7 @@
 
 static void edge_on_readiness(void *ctx, struct hs_conn *conn);
 static void edge_on_metrics(void *ctx, struct hs_conn *conn);
+static void edge_write_files(const struct edge *edge, struct evbuffer *out);
 static void edge_on_client_gone(void *ctx, struct hs_conn *conn, void *user);
 
 /* The pages that the balancer and the operators' tools read. */
@@ -47,12 +48,28 @@
 			    (unsigned long long)sto_calls(edge->sto),
 			    (long long)sto_era(edge->sto),
 			    (unsigned long long)jlog_dropped());
+	edge_write_files(edge, out);
 	rel_write_metrics(edge->rel, clk_boot_us(), out);
 	hs_reply(conn, 200, "Content-Type: text/plain; version=0.0.4\r\n",
 		 evbuffer_pullup(out, -1), evbuffer_get_length(out));
 	evbuffer_free(out);
 }
 
+static void edge_write_files(const struct edge *edge, struct evbuffer *out)
+{
+	evbuffer_add_printf(
+		out,
+		"magnolia_caller_connections %d\n"
+		"magnolia_sent_connections %d\n"
+		"magnolia_descriptors_max %llu\n"
+		"magnolia_accept_failures_total %llu\n"
+		"magnolia_descriptors_missing_total %llu\n",
+		hs_connections(edge->callers), hc_connections(edge->hc),
+		(unsigned long long)edge->files_max,
+		(unsigned long long)hs_accept_failures(edge->callers),
+		(unsigned long long)hc_open_failures(edge->hc));
+}
+
 static void edge_on_client_gone(void *ctx, struct hs_conn *conn, void *user)
 {
 	(void)ctx;
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -64,7 +64,9 @@
 		return false;
 	if (eq_waits_for_budget(eq, now))
 		return false;
-	choice = eq_must_queue(eq, now) ? EQ_BUSY : eq_choose(eq, now);
+	choice = EQ_BUSY;
+	if (hc_has_room(eq->edge->hc) && !eq_must_queue(eq, now))
+		choice = eq_choose(eq, now);
 	if (choice == EQ_NO_WORKER && eq_forward_start(eq, now))
 		return false;
 	if (choice == EQ_NO_WORKER && !eq->service->has_engine)
@@ -380,7 +382,9 @@
 	    wk_send(wk, ADV_REQUEST, &send, now, &eq->attempt->call)) {
 		eq->attempt->call = NULL;
 		eq_return_send(eq, now);
-		eq_avoid(eq, wk);
+		/* A lack of descriptors says nothing about the worker. */
+		if (hc_has_room(eq->edge->hc))
+			eq_avoid(eq, wk);
 		eq_release(eq);
 		if (eq->state == EQ_SENT)
 			eq->state = EQ_WAITING;
--- /dev/null
+++ b/src/evlog.c
@@ -0,0 +1,44 @@
+#include <stdint.h>
+
+#include <event2/event.h>
+
+#include "clk.h"
+#include "evlog.h"
+#include "jlog.h"
+#include "mag.h"
+
+#define EVLOG_TEXT_MAX 256
+
+static int64_t evlog_next_us;
+static unsigned long evlog_left_out;
+
+static void evlog_on_message(int severity, const char *text);
+
+/*
+ * Sends the library's messages to the log.  On standard error they would block
+ * the process as soon as nobody reads them.
+ */
+void evlog_start(void)
+{
+	event_set_log_callback(evlog_on_message);
+}
+
+/* The process ends after an error, so that one is always logged. */
+static void evlog_on_message(int severity, const char *text)
+{
+	char clean[EVLOG_TEXT_MAX];
+	int64_t now = clk_boot_us();
+
+	if (severity < EVENT_LOG_WARN)
+		return;
+	if (severity < EVENT_LOG_ERR && now < evlog_next_us) {
+		evlog_left_out++;
+		return;
+	}
+	jlog(LOG_LIBRARY, "\"text\":\"%s\",\"more\":%lu",
+	     jlog_sanitize(clean, sizeof(clean), text), evlog_left_out);
+	if (severity >= EVENT_LOG_ERR)
+		jlog_flush();
+	evlog_left_out = 0;
+	evlog_next_us = now + MAG_US_PER_S;
+}
--- /dev/null
+++ b/src/evlog.h
@@ -0,0 +1,8 @@
+#ifndef EVLOG_H
+#define EVLOG_H
+
+/* Warnings of the event library as log lines, one a second at most. */
+
+void evlog_start(void);
+
+#endif /* EVLOG_H */
--- a/src/hc.c
+++ b/src/hc.c
@@ -1,16 +1,20 @@
 #include <errno.h>
+#include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <event2/bufferevent.h>
 #include <event2/util.h>
 #include <urcu/list.h>
 
 #include "clk.h"
+#include "fd.h"
 #include "hc.h"
+#include "jlog.h"
 
 /*
  * An idle connection is closed after this time, because the host may drop it
@@ -18,6 +22,11 @@
  */
 #define HC_IDLE_US (4 * MAG_US_PER_S)
 
+/* A lack of descriptors is rarely over sooner. */
+#define HC_OPEN_PAUSE_US (50 * MAG_US_PER_MS)
+/* Failures that follow each other within this time are logged once. */
+#define HC_OPEN_SERIES_US (10 * MAG_US_PER_S)
+
 /* Bytes of other requests' responses that one call skips. */
 #define HC_SKIPPED_MAX ((size_t)1 << 20)
 
@@ -31,6 +40,11 @@
 	struct event_base *base;
 	struct cds_list_head hosts;
 	struct cds_list_head busy; /* hosts with connections */
+	int connections;
+	int connections_max;
+	int64_t open_from_us;	     /* after a failure */
+	int64_t open_failures_by_us; /* their series ends without another */
+	uint64_t open_failures;
 };
 
 struct hc_host {
@@ -74,7 +88,10 @@
 	bool parsing;
 };
 
-static struct hc_call *hc_open(struct hc_host *host);
+static struct hc_call *hc_open(struct hc_host *host, int fd);
+static struct hc_call *hc_conn_new(struct hc_host *host, int fd);
+static int hc_socket(struct hc_host *host);
+static bool hc_drop_one_idle(struct hc *hc);
 static void hc_observe(struct hc_call *call, bool reached);
 static void hc_begin(struct hc_call *call, const struct hc_send *send);
 static void hc_write(struct hc_call *call);
@@ -103,6 +120,7 @@
 	if (!hc)
 		return NULL;
 	hc->base = base;
+	hc->connections_max = INT_MAX;
 	CDS_INIT_LIST_HEAD(&hc->hosts);
 	CDS_INIT_LIST_HEAD(&hc->busy);
 	return hc;
@@ -121,6 +139,43 @@
 	free(hc);
 }
 
+/* Sets how many connections requests may use, to all hosts together. */
+void hc_set_connections_max(struct hc *hc, int connections_max)
+{
+	hc->connections_max = connections_max;
+}
+
+/* Returns the number of open connections, idle ones included. */
+int hc_connections(const struct hc *hc)
+{
+	return hc->connections;
+}
+
+/* Returns how often there was no descriptor for a connection. */
+uint64_t hc_open_failures(const struct hc *hc)
+{
+	return hc->open_failures;
+}
+
+/*
+ * Tells whether a connection may be opened for a request: neither is the limit
+ * reached, but for idle ones, nor did one fail lately for lack of a descriptor.
+ */
+bool hc_has_room(const struct hc *hc)
+{
+	const struct hc_host *host;
+
+	if (hc->open_failures && clk_boot_us() < hc->open_from_us)
+		return false;
+	if (hc->connections < hc->connections_max)
+		return true;
+	cds_list_for_each_entry (host, &hc->busy, in_busy) {
+		if (host->idle.next != &host->idle)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Extends the deadlines of all calls.  Used after the process did not run for
  * a while, for example because the machine was paused: responses that arrived
@@ -255,8 +310,8 @@
 /* Tells whether a call can be started now. */
 bool hc_host_has_room(const struct hc_host *host)
 {
-	return host->open < host->max_connections ||
-	       host->idle.next != &host->idle;
+	return host->idle.next != &host->idle ||
+	       (host->open < host->max_connections && hc_has_room(host->hc));
 }
 
 /*
@@ -282,12 +337,14 @@
 
 /*
  * Sends a request.  On success the ended callback is called exactly once
- * unless the call is cancelled, and never from within this function.
+ * unless the call is cancelled, and never from within this function.  A lack of
+ * descriptors is no failure of the host: HC_E_FULL.
  */
 int hc_start(struct hc_host *host, const struct hc_send *send,
 	     struct hc_call **out)
 {
 	struct hc_call *call = NULL;
+	int fd;
 
 	if (!send->new_connection && !cds_list_empty(&host->idle)) {
 		call = cds_list_first_entry(&host->idle, struct hc_call,
@@ -302,10 +359,11 @@
 		if (host->open >= host->max_connections)
 			hc_close(cds_list_first_entry(&host->idle,
 						      struct hc_call, in_idle));
-		call = hc_open(host);
+		fd = hc_socket(host);
+		call = fd < 0 ? NULL : hc_open(host, fd);
 		if (!call) {
 			evbuffer_free(send->request);
-			return HC_E_MEMORY;
+			return fd < 0 ? HC_E_FULL : HC_E_MEMORY;
 		}
 	}
 	hc_begin(call, send);
@@ -356,34 +414,69 @@
 	return !call->bytes_received && left >= call->request_len;
 }
 
-static struct hc_call *hc_open(struct hc_host *host)
+/*
+ * Returns a socket for a new connection.  Idle connections give way to it; if
+ * there is still no descriptor, that is logged and counted, and -1 returned.
+ */
+static int hc_socket(struct hc_host *host)
 {
-	struct hc_call *call = calloc(1, sizeof(*call));
-	int on = 1;
+	struct hc *hc = host->hc;
+	int64_t now = clk_boot_us();
 	int fd;
 
+	if (hc->connections >= hc->connections_max)
+		hc_drop_one_idle(hc);
+	do {
+		fd = socket(host->addr.ss_family,
+			    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	} while (fd < 0 && fd_is_missing(errno) && hc_drop_one_idle(hc));
+	if (fd >= 0)
+		return fd;
+	hc->open_failures++;
+	if (now >= hc->open_failures_by_us)
+		jlog(LOG_CONNECTION_FAILED, "\"why\":\"%s\",\"connections\":%d",
+		     strerror(errno), hc->connections);
+	hc->open_failures_by_us = now + HC_OPEN_SERIES_US;
+	hc->open_from_us = now + HC_OPEN_PAUSE_US;
+	return -1;
+}
+
+/* Closes an idle connection to any host; false if there is none. */
+static bool hc_drop_one_idle(struct hc *hc)
+{
+	struct hc_host *host;
+
+	cds_list_for_each_entry (host, &hc->busy, in_busy) {
+		if (cds_list_empty(&host->idle))
+			continue;
+		hc_close(cds_list_entry(host->idle.prev, struct hc_call,
+					in_idle));
+		return true;
+	}
+	return false;
+}
+
+/* Connects a socket; closes it on an error. */
+static struct hc_call *hc_open(struct hc_host *host, int fd)
+{
+	struct hc_call *call = hc_conn_new(host, fd);
+	int on = 1;
+
 	if (!call)
 		return NULL;
-	call->host = host;
-	call->bev = bufferevent_socket_new(host->hc->base, -1,
-					   BEV_OPT_CLOSE_ON_FREE);
-	if (!call->bev) {
-		free(call);
-		return NULL;
-	}
 	rsp_init(&call->rsp, &hc_rsp_ops, call);
 	call->state = HC_CONNECTING;
 	call->is_first = true;
+	host->hc->connections++;
 	if (host->open++ == 0)
 		cds_list_add_tail(&host->in_busy, &host->hc->busy);
 	cds_list_add_tail(&call->node, &host->conns);
 	bufferevent_setcb(call->bev, hc_read, NULL, hc_event, call);
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	/* A connect that fails at once is reported through hc_event(), too. */
 	if (bufferevent_socket_connect(call->bev,
 				       (struct sockaddr *)&host->addr,
 				       host->addr_len) == 0) {
-		fd = bufferevent_getfd(call->bev);
-		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		bufferevent_enable(call->bev, EV_READ | EV_WRITE);
 	} else {
 		/*
@@ -395,6 +488,23 @@
 	return call;
 }
 
+/* Creates a connection; without memory, closes fd and returns NULL. */
+static struct hc_call *hc_conn_new(struct hc_host *host, int fd)
+{
+	struct hc_call *call = calloc(1, sizeof(*call));
+
+	if (call) {
+		call->host = host;
+		call->bev = bufferevent_socket_new(host->hc->base, fd,
+						   BEV_OPT_CLOSE_ON_FREE);
+	}
+	if (call && call->bev)
+		return call;
+	close(fd);
+	free(call);
+	return NULL;
+}
+
 static void hc_begin(struct hc_call *call, const struct hc_send *send)
 {
 	call->ops = send->ops;
@@ -554,6 +664,7 @@
 	if (call->state == HC_IDLE)
 		cds_list_del(&call->in_idle);
 	cds_list_del(&call->node);
+	call->host->hc->connections--;
 	if (--call->host->open == 0)
 		cds_list_del(&call->host->in_busy);
 	if (call->request)
--- a/src/hc.h
+++ b/src/hc.h
@@ -32,7 +32,7 @@
 	HC_OK = 0,
 	HC_E_MEMORY = -1,
 	HC_E_ADDRESS = -2,
-	HC_E_FULL = -3, /* max_connections calls are in progress */
+	HC_E_FULL = -3, /* no connection is free, here or of the host */
 };
 
 enum hc_result {
@@ -74,6 +74,10 @@
 
 struct hc *hc_new(struct event_base *base);
 void hc_free(struct hc *hc);
+void hc_set_connections_max(struct hc *hc, int connections_max);
+int hc_connections(const struct hc *hc);
+uint64_t hc_open_failures(const struct hc *hc);
+bool hc_has_room(const struct hc *hc);
 void hc_tick(struct hc *hc, int64_t now);
 void hc_extend_deadlines(struct hc *hc, int64_t by_us);
 
--- a/src/hs.c
+++ b/src/hs.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
+#include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
@@ -10,6 +11,7 @@
 
 #include "clk.h"
 #include "hs_int.h"
+#include "jlog.h"
 #include "lsn.h"
 
 /*
@@ -19,9 +21,14 @@
 #define HS_INPUT_MAX 65536
 /*
  * A client sends its first request right after it has connected.  Without
- * keep-alive a connection on which none has come is closed after this time.
+ * keep-alive, or when connections are short, one on which none has come is
+ * closed after this time.
  */
 #define HS_FIRST_REQUEST_US (500 * MAG_US_PER_MS)
+/* A failure of accept is rarely over sooner. */
+#define HS_ACCEPT_PAUSE_US (50 * MAG_US_PER_MS)
+/* Failures that follow each other within this time are logged once. */
+#define HS_ACCEPT_SERIES_US (10 * MAG_US_PER_S)
 /* Drops a client that acknowledges no data for this long (milliseconds). */
 #define HS_USER_TIMEOUT_MS	5000
 #define HS_DEFAULT_IDLE_MS	15000
@@ -31,6 +38,12 @@
 
 static void hs_accept(struct evconnlistener *listener, evutil_socket_t fd,
 		      struct sockaddr *addr, int addr_len, void *arg);
+static void hs_accept_failed(struct evconnlistener *listener, void *arg);
+static void hs_note_accept_failure(struct hs *hs, int error);
+static struct hs_conn *hs_conn_new(struct hs *hs, evutil_socket_t fd);
+static void hs_choose_accepting(struct hs *hs, int64_t now);
+static bool hs_close_idle(struct hs *hs, int64_t now);
+static bool hs_is_idle(const struct hs_conn *conn, int64_t now);
 static void hs_read(struct bufferevent *bev, void *arg);
 static void hs_written(struct bufferevent *bev, void *arg);
 static void hs_event(struct bufferevent *bev, short what, void *arg);
@@ -73,6 +86,8 @@
 	hs->ops = *ops;
 	hs->ctx = ctx;
 	hs->keep_alive = true;
+	hs->connections_max = INT_MAX;
+	hs->accepting = true;
 	hs->limits =
 		(struct hs_limits){ HS_DEFAULT_HEADER_BYTES,
 				    HS_DEFAULT_BODY_BYTES, HS_DEFAULT_HEADER_MS,
@@ -86,6 +101,7 @@
 		free(hs);
 		return HS_E_MEMORY;
 	}
+	evconnlistener_set_error_cb(hs->listener, hs_accept_failed);
 	*out = hs;
 	return HS_OK;
 }
@@ -111,6 +127,16 @@
 	hs->limits = *limits;
 }
 
+/*
+ * Sets how many connections may be open.  Those beyond it, after it was
+ * lowered, stay; idle ones give way.
+ */
+void hs_set_connections_max(struct hs *hs, int connections_max)
+{
+	hs->connections_max = connections_max;
+	hs_choose_accepting(hs, clk_boot_us());
+}
+
 /*
  * Disables keep-alive: every further response carries "Connection: close", and
  * idle connections are closed, by the next tick or once their last response
@@ -156,6 +182,18 @@
 	hs->listener = NULL;
 }
 
+/* Returns the number of all connections. */
+int hs_connections(const struct hs *hs)
+{
+	return hs->connections;
+}
+
+/* Returns how often a connection could not be accepted. */
+uint64_t hs_accept_failures(const struct hs *hs)
+{
+	return hs->accept_failures;
+}
+
 /*
  * Returns the number of connections with a request in progress, with unsent
  * bytes of a response or, once keep-alive is disabled, without a request so
@@ -186,7 +224,10 @@
 	return count;
 }
 
-/* Closes connections whose header or next request did not arrive in time. */
+/*
+ * Closes connections whose header or next request did not arrive in time, and
+ * accepts again when a pause is over.
+ */
 void hs_tick(struct hs *hs, int64_t now)
 {
 	struct hs_conn *conn;
@@ -200,6 +241,7 @@
 		else
 			hs_close(conn);
 	}
+	hs_choose_accepting(hs, now);
 }
 
 const char *hs_method(const struct hs_conn *conn)
@@ -321,7 +363,7 @@
 		      struct sockaddr *addr, int addr_len, void *arg)
 {
 	struct hs *hs = arg;
-	struct hs_conn *conn = calloc(1, sizeof(*conn));
+	struct hs_conn *conn = hs_conn_new(hs, fd);
 	unsigned int timeout_ms = HS_USER_TIMEOUT_MS;
 	int on = 1;
 
@@ -330,32 +372,116 @@
 	(void)addr_len;
 	if (!conn) {
 		close(fd);
+		hs_note_accept_failure(hs, ENOMEM);
 		return;
 	}
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
 		   sizeof(timeout_ms));
-	conn->hs = hs;
-	conn->body = evbuffer_new();
-	conn->bev = bufferevent_socket_new(hs->base, fd, BEV_OPT_CLOSE_ON_FREE);
-	if (!conn->body || !conn->bev) {
-		if (conn->body)
-			evbuffer_free(conn->body);
-		if (conn->bev)
-			bufferevent_free(conn->bev);
-		else
-			close(fd);
-		free(conn);
-		return;
-	}
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
 	conn->deadline_us = hs_idle_deadline(conn);
+	conn->first_by_us = clk_boot_us() + HS_FIRST_REQUEST_US;
 	cds_list_add_tail(&conn->node, &hs->conns);
+	hs->connections++;
 	bufferevent_setcb(conn->bev, hs_read, hs_written, hs_event, conn);
 	evbuffer_add_cb(bufferevent_get_output(conn->bev), hs_count_unsent, hs);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, HS_INPUT_MAX);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
+	if (hs->connections >= hs->connections_max)
+		hs_choose_accepting(hs, clk_boot_us());
+}
+
+/* Creates a connection; without memory, returns NULL and leaves fd open. */
+static struct hs_conn *hs_conn_new(struct hs *hs, evutil_socket_t fd)
+{
+	struct hs_conn *conn = calloc(1, sizeof(*conn));
+
+	if (!conn)
+		return NULL;
+	conn->hs = hs;
+	conn->body = evbuffer_new();
+	if (conn->body)
+		conn->bev = bufferevent_socket_new(hs->base, fd,
+						   BEV_OPT_CLOSE_ON_FREE);
+	if (conn->bev)
+		return conn;
+	if (conn->body)
+		evbuffer_free(conn->body);
+	free(conn);
+	return NULL;
+}
+
+static void hs_accept_failed(struct evconnlistener *listener, void *arg)
+{
+	(void)listener;
+	hs_note_accept_failure(arg, EVUTIL_SOCKET_ERROR());
+}
+
+/* Stops accepting for a while: the socket stays readable. */
+static void hs_note_accept_failure(struct hs *hs, int error)
+{
+	int64_t now = clk_boot_us();
+
+	hs->accept_failures++;
+	if (now >= hs->accept_failures_by_us)
+		jlog(LOG_ACCEPT_FAILED, "\"why\":\"%s\",\"connections\":%d",
+		     strerror(error), hs->connections);
+	hs->accept_failures_by_us = now + HS_ACCEPT_SERIES_US;
+	hs->accept_from_us = now + HS_ACCEPT_PAUSE_US;
+	hs_close_idle(hs, now);
+	hs_choose_accepting(hs, now);
+}
+
+/*
+ * Accepts clients, or lets them wait in the kernel: after a failure, or if all
+ * connections that may be open are in use.
+ */
+static void hs_choose_accepting(struct hs *hs, int64_t now)
+{
+	bool accepting = now >= hs->accept_from_us;
+
+	while (hs->connections >= hs->connections_max && hs_close_idle(hs, now))
+		;
+	accepting = accepting && hs->connections < hs->connections_max;
+	if (!hs->listener || accepting == hs->accepting)
+		return;
+	if (accepting ? evconnlistener_enable(hs->listener)
+		      : evconnlistener_disable(hs->listener))
+		return;
+	hs->accepting = accepting;
+}
+
+/* Closes an idle connection; false if there is none. */
+static bool hs_close_idle(struct hs *hs, int64_t now)
+{
+	struct hs_conn *conn;
+	struct hs_conn *oldest = NULL;
+
+	cds_list_for_each_entry (conn, &hs->conns, node) {
+		if (hs_is_idle(conn, now) &&
+		    (!oldest || conn->deadline_us < oldest->deadline_us))
+			oldest = conn;
+	}
+	if (oldest)
+		hs_close(oldest);
+	return oldest != NULL;
+}
+
+/*
+ * Tells whether a connection is between two requests, or is late with its first
+ * one, and nothing is left to send or to read.
+ */
+static bool hs_is_idle(const struct hs_conn *conn, int64_t now)
+{
+	char byte;
+
+	return conn->state == HS_READING && !conn->started &&
+	       (conn->used || now >= conn->first_by_us) &&
+	       evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0 &&
+	       evbuffer_get_length(bufferevent_get_input(conn->bev)) == 0 &&
+	       recv(bufferevent_getfd(conn->bev), &byte, 1,
+		    MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
 static void hs_read(struct bufferevent *bev, void *arg)
@@ -488,6 +614,7 @@
 	evbuffer_remove_cb(out, hs_count_unsent, conn->hs);
 	conn->hs->unsent -= evbuffer_get_length(out);
 	cds_list_del(&conn->node);
+	conn->hs->connections--;
 	bufferevent_free(conn->bev);
 	evbuffer_free(conn->body);
 	hdr_free(&conn->headers);
--- a/src/hs.h
+++ b/src/hs.h
@@ -7,6 +7,11 @@
  * with both Content-Length and Transfer-Encoding, a malformed chunk or an
  * oversized header gets an error response and the connection is closed, which
  * prevents request smuggling.
+ *
+ * Load pattern: more clients connect than the process has descriptors, or
+ * accept fails for another reason while its socket stays readable.  The server
+ * closes idle connections, then stops accepting;
+ * further clients wait in the kernel until a connection ends.
  */
 
 #include <stdbool.h>
@@ -45,8 +50,11 @@
 	     void *ctx, struct hs **out);
 void hs_free(struct hs *hs);
 void hs_set_limits(struct hs *hs, const struct hs_limits *limits);
+void hs_set_connections_max(struct hs *hs, int connections_max);
 void hs_stop_keep_alive(struct hs *hs);
 void hs_stop_listening(struct hs *hs);
+int hs_connections(const struct hs *hs);
+uint64_t hs_accept_failures(const struct hs *hs);
 int hs_open_count(const struct hs *hs);
 int hs_unused_count(const struct hs *hs);
 void hs_tick(struct hs *hs, int64_t now);
--- a/src/hs_int.h
+++ b/src/hs_int.h
@@ -28,6 +28,12 @@
 	struct cds_list_head conns;
 	bool keep_alive; /* connections stay open after a response */
 	size_t unsent;	 /* bytes of responses, on all connections */
+	int connections;
+	int connections_max;
+	bool accepting;
+	int64_t accept_from_us;	       /* after a failure */
+	int64_t accept_failures_by_us; /* their series ends without another */
+	uint64_t accept_failures;
 };
 
 struct hs_conn {
@@ -42,6 +48,7 @@
 	size_t target_len;
 	size_t header_len;
 	int64_t deadline_us; /* for the header, or for the next request */
+	int64_t first_by_us; /* when a first request is late */
 	void *user;
 	int error_status; /* found while parsing; 0: none */
 	bool started;	  /* bytes of the next request have arrived */
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -69,6 +69,10 @@
 	LOG_EVENT(LOG_START_DELAYED, 8007, "start-delayed", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_METRICS_DELAYED, 8008, "metrics-delayed", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_HANGUP_IGNORED, 8010, "hangup-ignored", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_ACCEPT_FAILED, 8020, "accept-failed", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_CONNECTION_FAILED, 8021, "descriptor-missing", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_FILES, 8022, "descriptors", LOG_PRIO_NOTICE) \
+	LOG_EVENT(LOG_LIBRARY, 8023, "library-warning", LOG_PRIO_WARNING) \
 	\
 	/* 9000 pf: connection to the platform */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
--- a/src/rel.h
+++ b/src/rel.h
@@ -42,6 +42,8 @@
 void rel_free(struct rel *rel);
 void rel_tick(struct rel *rel, int64_t now);
 bool rel_is_idle(const struct rel *rel);
+int rel_connections(const struct rel *rel);
+void rel_set_connections_max(struct rel *rel, int connections_max);
 void rel_set_limits(struct rel *rel, const struct hs_limits *limits);
 void rel_on_fresh(struct rel *rel, int64_t at_us);
 int64_t rel_fresh_us(const struct rel *rel);
--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -229,3 +229,15 @@
 	wait->rel->wait_count--;
 	free(wait);
 }
+
+/* Returns the number of connections of peers. */
+int rel_connections(const struct rel *rel)
+{
+	return hs_connections(rel->hs);
+}
+
+/* Sets how many connections of peers may be open. */
+void rel_set_connections_max(struct rel *rel, int connections_max)
+{
+	hs_set_connections_max(rel->hs, connections_max);
+}
