admin: pages that are asked for before the loop runs wait for it

Operators could get 503 "starting" from the pages of a daemon whose ports are open before its loop runs, and a scraper or magctl takes that for an answer. It is a matter of milliseconds: requests now wait until the loop runs, or until the start is given up and CivetWeb is stopped.

Found by reading. regress/proc/port-in-use, which starts daemons whose addresses become available late, passes with it as before; it does not show the difference.

--- a/src/admin.c
+++ b/src/admin.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -17,7 +18,10 @@
 	struct loop *loop;
 	struct front *front;
 	struct mg_context *server;
-	atomic_bool serving; /* the loop runs */
+	pthread_mutex_t lock; /* of serving and closing */
+	pthread_cond_t begin; /* signalled when one of them is set */
+	bool serving;	      /* the loop runs */
+	bool closing;
 	atomic_bool stopping;
 };
 
@@ -38,6 +42,8 @@
 	admin_write_fn write;
 };
 
+static void set_flag(struct admin *admin, bool *flag);
+static bool wait_serving(struct admin *admin);
 static int on_request(struct mg_connection *conn);
 static void write_page(struct inst *inst, void *ctx);
 static void write_health(struct core *core, struct admin_page *page);
@@ -74,6 +80,8 @@
 
 	if (!admin)
 		return NULL;
+	pthread_mutex_init(&admin->lock, NULL);
+	pthread_cond_init(&admin->begin, NULL);
 	admin->settings = *settings;
 	admin->loop = loop;
 	admin->front = front;
@@ -96,10 +104,10 @@
 	return admin->server ? ADMIN_OK : ADMIN_E_LISTEN;
 }
 
-/* From now on, the loop answers; before, every page is refused. */
+/* From now on, the loop answers; requests for pages wait for it. */
 void admin_set_serving(struct admin *admin)
 {
-	atomic_store(&admin->serving, true);
+	set_flag(admin, &admin->serving);
 }
 
 /* From now on, /readyz tells the load balancer to send no new requests. */
@@ -113,11 +121,35 @@
 {
 	if (!admin)
 		return;
+	set_flag(admin, &admin->closing);
 	if (admin->server)
 		mg_stop(admin->server);
+	pthread_cond_destroy(&admin->begin);
+	pthread_mutex_destroy(&admin->lock);
 	free(admin);
 }
 
+static void set_flag(struct admin *admin, bool *flag)
+{
+	pthread_mutex_lock(&admin->lock);
+	*flag = true;
+	pthread_cond_broadcast(&admin->begin);
+	pthread_mutex_unlock(&admin->lock);
+}
+
+/* Waits until the loop runs; false if it does not start. */
+static bool wait_serving(struct admin *admin)
+{
+	bool serving;
+
+	pthread_mutex_lock(&admin->lock);
+	while (!admin->serving && !admin->closing)
+		pthread_cond_wait(&admin->begin, &admin->lock);
+	serving = admin->serving;
+	pthread_mutex_unlock(&admin->lock);
+	return serving;
+}
+
 static int on_request(struct mg_connection *conn)
 {
 	struct admin *admin = mg_get_user_data(mg_get_context(conn));
@@ -132,7 +164,7 @@
 	size_t len = 0;
 	size_t i;
 
-	if (!atomic_load(&admin->serving)) {
+	if (!wait_serving(admin)) {
 		send_response(conn, 503, "text/plain", "starting\n");
 		return 503;
 	}
