set: a settings file that is not written to its end is waited for

Operators saw a router that exited with status 2 because it was started while its settings file was written, or before it was there.

Cause: every fault of the file was a lasting one.

What tells the end of a text is in chk.c now, for both routers. A start without memory for the settings is logged.

--- a/src/chk.c
+++ b/src/chk.c
@@ -7,6 +7,8 @@
 #include "chk.h"
 #include "mag.h"
 
+#define CHK_UTF8_MAX 4 /* bytes of a character */
+
 /* Returns true if a string is a valid name of an object, group or instance. */
 bool chk_name(const char *name)
 {
@@ -62,7 +64,8 @@
  * Parses a JSON text strictly: duplicate fields and NUL bytes are errors.  The
  * library treats a NUL byte after a number as white space, but for code that
  * treats the text as a string it ends there, so that the two would read
- * different sets.  On errors returns NULL and sets the error's line and text.
+ * different sets.  On errors returns NULL and sets the error's line, text and
+ * position; the position of a NUL byte is 0.
  */
 json_t *chk_json(const char *text, size_t len, json_error_t *error)
 {
@@ -71,6 +74,7 @@
 
 	if (!nul)
 		return json_loadb(text, len, JSON_REJECT_DUPLICATES, error);
+	memset(error, 0, sizeof(*error));
 	error->line = 1;
 	while ((at = memchr(at, '\n', (size_t)(nul - at)))) {
 		error->line++;
@@ -79,3 +83,17 @@
 	snprintf(error->text, sizeof(error->text), "a NUL byte");
 	return NULL;
 }
+
+/*
+ * Tells whether an error of a text of len bytes is its end, so that more bytes
+ * could mend it.  A character of several bytes that ends early is reported at
+ * its first one.
+ */
+bool chk_json_is_cut(const json_error_t *error, size_t len)
+{
+	size_t position = (size_t)error->position;
+
+	if (json_error_code(error) == json_error_invalid_utf8)
+		return position + CHK_UTF8_MAX > len;
+	return position >= len;
+}
--- a/src/eset.c
+++ b/src/eset.c
@@ -6,12 +6,12 @@
 
 #include <jansson.h>
 
+#include "chk.h"
 #include "eset.h"
 #include "jlog.h"
 
 /* A settings file has about a kilobyte. */
 #define ESET_FILE_MAX 65536
-#define ESET_UTF8_MAX 4
 
 enum eset_type {
 	ESET_TEXT,
@@ -72,7 +72,6 @@
 static int eset_read(const char *path, char *text, size_t size, size_t *len);
 static int eset_parse(const char *path, const char *text, size_t len,
 		      struct eset *parsed, char *why, int why_size);
-static bool eset_is_at_end(const json_error_t *error, size_t len);
 static bool eset_field_equal(const struct eset_field *field,
 			     const struct eset *a, const struct eset *b);
 static int eset_parse_field(const struct eset_field *field, const json_t *value,
@@ -158,19 +157,6 @@
 	return failed ? -1 : 0;
 }
 
-/*
- * Tells whether an error is the end of the text.  A character of several bytes
- * that ends early is reported at its first one.
- */
-static bool eset_is_at_end(const json_error_t *error, size_t len)
-{
-	size_t position = (size_t)error->position;
-
-	if (json_error_code(error) == json_error_invalid_utf8)
-		return position + ESET_UTF8_MAX > len;
-	return position >= len;
-}
-
 static int eset_parse(const char *path, const char *text, size_t len,
 		      struct eset *parsed, char *why, int why_size)
 {
@@ -184,8 +170,8 @@
 		snprintf(why, (size_t)why_size, "%s: line %d: %s", path,
 			 error.line, root ? "no object" : error.text);
 		json_decref(root);
-		return !root && eset_is_at_end(&error, len) ? ESET_E_READ
-							    : ESET_E_BAD;
+		return !root && chk_json_is_cut(&error, len) ? ESET_E_READ
+							     : ESET_E_BAD;
 	}
 	for (i = 0; i < MAG_ARRAY_SIZE(eset_fields) && !rc; i++) {
 		rc = eset_parse_field(
--- a/src/magnoliad.c
+++ b/src/magnoliad.c
@@ -14,16 +14,22 @@
 #define EXIT_SETTINGS 2
 #define EXIT_START    3
 
+#define WHY_MAX	     512
 #define RETRY_NS     100000000 /* between attempts to start */
 #define LOG_AGAIN_US (10 * MAG_US_PER_S)
 
+/* Beside the results of set_load: a signal came first. */
+#define STOPPED 1
+
 /* What the start waits for. */
 struct delay {
-	char why[DAEMON_WHY_MAX];
+	char why[WHY_MAX];
 	int64_t log_us; /* when to log it again */
 };
 
-static int print_faults(const struct flt_list *faults);
+static int load(int argc, char **argv, const sigset_t *signals,
+		struct set_settings *settings);
+static void print_faults(const struct flt_list *faults);
 static int run(const struct set_settings *settings, const sigset_t *signals);
 static int start(const struct set_settings *settings, const sigset_t *signals,
 		 struct daemon **daemon);
@@ -41,17 +47,17 @@
 int main(int argc, char **argv)
 {
 	struct set_settings settings;
-	struct flt_list *faults = NULL;
 	sigset_t signals;
 	int rc;
 
 	proc_block_signals(&signals);
 	proc_open_std();
 	log_open("magnoliad", LOG_PRIO_INFO);
-	rc = set_load(argc, argv, &settings, &faults);
+	rc = load(argc, argv, &signals, &settings);
+	if (rc == STOPPED)
+		return 0;
 	if (rc)
-		return print_faults(faults);
-	flt_free(faults);
+		return EXIT_SETTINGS;
 	switch (settings.action) {
 	case SET_HELP:
 		set_help(stdout, argv[0]);
@@ -69,14 +75,43 @@
 	return run(&settings, &signals);
 }
 
+/*
+ * Loads the settings; to run, as soon as their file is there and written to its
+ * end.  Returns 0, STOPPED if a signal came first, or a negative enum set_err,
+ * which is logged.
+ */
+static int load(int argc, char **argv, const sigset_t *signals,
+		struct set_settings *settings)
+{
+	struct delay delay = { 0 };
+	struct flt_list *faults;
+	bool stop;
+	int rc;
+
+	while ((rc = set_load(argc, argv, settings, &faults)) == SET_E_READ &&
+	       settings->action == SET_RUN) {
+		stop = wait_retry(signals, &delay, flt_text(faults, 0));
+		flt_free(faults);
+		if (stop) {
+			log_event(LOG_STOPPED, "open=0");
+			return STOPPED;
+		}
+	}
+	if (rc)
+		print_faults(faults);
+	flt_free(faults);
+	return rc;
+}
+
 /* Logs every error in the settings, before anything is started. */
-static int print_faults(const struct flt_list *faults)
+static void print_faults(const struct flt_list *faults)
 {
 	size_t i;
 
 	for (i = 0; i < flt_count(faults); i++)
 		log_event(LOG_SET_BAD, "%s", flt_text(faults, i));
-	return EXIT_SETTINGS;
+	if (flt_count(faults) == 0)
+		log_event(LOG_SET_BAD, "memory is short");
 }
 
 static int run(const struct set_settings *settings, const sigset_t *signals)
@@ -134,8 +169,9 @@
 	const struct timespec retry = { 0, RETRY_NS };
 	int64_t now = clk_now_us();
 
-	if (now >= delay->log_us || strcmp(why, delay->why) != 0) {
-		mag_copy_name(delay->why, sizeof(delay->why), why);
+	if (now >= delay->log_us ||
+	    strncmp(why, delay->why, sizeof(delay->why) - 1) != 0) {
+		snprintf(delay->why, sizeof(delay->why), "%s", why);
 		delay->log_us = now + LOG_AGAIN_US;
 		log_event(LOG_START_DELAYED, "why=\"%s\"", why);
 	}
--- a/src/set.c
+++ b/src/set.c
@@ -12,13 +12,14 @@
  */
 bool set_parse(struct set_build *build, const char *text, size_t len)
 {
-	json_error_t error;
+	json_error_t error = { 0 };
 	json_t *doc = chk_json(text, len, &error);
 	const char *key;
 	json_t *value;
 	size_t i;
 
 	if (!doc) {
+		build->incomplete = chk_json_is_cut(&error, len);
 		set_fault(build, "file", SET_M_SYNTAX, error.line, error.text);
 		return false;
 	}
--- a/src/set.h
+++ b/src/set.h
@@ -33,6 +33,7 @@
 	SET_OK = 0,
 	SET_E_INVALID = -1, /* at least one setting or option is invalid */
 	SET_E_MEMORY = -2,
+	SET_E_READ = -3, /* no fault but that the file may not be written yet */
 };
 
 struct set_addresses {
--- a/src/set_int.h
+++ b/src/set_int.h
@@ -66,6 +66,7 @@
 	struct flt_list *faults;
 	const char *source; /* for messages: settings/FILE, option/-, .. */
 	uint64_t given;	    /* one bit per field that was set */
+	bool incomplete;    /* the file is not there or ends early */
 };
 
 extern const struct set_field set_fields[];
--- a/src/set_option.c
+++ b/src/set_option.c
@@ -73,7 +73,9 @@
 	}
 	if (flt_count(build.faults)) {
 		*faults = build.faults;
-		return SET_E_INVALID;
+		return build.incomplete && flt_count(build.faults) == 1
+			       ? SET_E_READ
+			       : SET_E_INVALID;
 	}
 	flt_free(build.faults);
 	return SET_OK;
@@ -270,7 +272,8 @@
 		flt_mark_incomplete(build->faults);
 	else if (file)
 		len = fread(text, 1, SET_FILE_MAX + 1, file);
-	if (!file || ferror(file))
+	build->incomplete = !file || ferror(file);
+	if (build->incomplete)
 		set_fault(build, "file", SET_M_FILE, strerror(errno));
 	else if (len > SET_FILE_MAX)
 		set_fault(build, "file", SET_M_LARGE, SET_FILE_MAX);
