log: a line that its reader does not take is dropped and counted

Callers of a router whose log is not read got no answers any more: once the pipe was full (64 KiB), each thread that logs a line waited in the write, and the others for the lock of standard error.

magnoliad makes standard error non-blocking before it starts, and writes each line with one write, which a pipe takes whole or not at all. A line that is not taken, also because the reader is gone, is counted; 8005 log-lines-dropped comes before the next line that is. After a line that was written in part the next one begins on a new line.

--- a/src/log.c
+++ b/src/log.c
@@ -1,4 +1,9 @@
+#include <fcntl.h>
+#include <inttypes.h>
+#include <pthread.h>
 #include <stdarg.h>
+#include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <time.h>
 #include <unistd.h>
@@ -7,6 +12,8 @@
 #include "mag.h"
 
 #define LOG_LINE_MAX 1024
+/* With the priority, time and program; a pipe takes it whole or not at all. */
+#define LOG_WRITE_MAX (LOG_LINE_MAX + 128)
 
 struct log_entry {
 	enum log_id id;
@@ -16,6 +23,8 @@
 
 static const struct log_entry *log_find(enum log_id id);
 static void log_to_stderr(void *ctx, enum log_prio prio, const char *line);
+static int log_write_drops(void);
+static int log_write(enum log_prio prio, const char *line);
 
 #define LOG_EVENT(id, number, name, prio) { id, name, prio },
 static const struct log_entry log_entries[] = { LOG_EVENTS };
@@ -26,6 +35,10 @@
 static log_sink_fn log_sink = log_to_stderr;
 static void *log_sink_ctx;
 static log_fields_fn log_fields_sink;
+static pthread_mutex_t log_lock = PTHREAD_MUTEX_INITIALIZER;
+/* Not yet logged, under log_lock. */
+static uint64_t log_drop_count;
+static bool log_is_cut; /* the last line was written in part */
 
 /*
  * Sets the program's name and the least severe priority that is logged.  Must
@@ -37,6 +50,19 @@
 	log_threshold = threshold;
 }
 
+/*
+ * From now on, a line that standard error does not accept at once is dropped
+ * and counted: a reader that stops reading must not block the program.  Must be
+ * called before threads start.
+ */
+void log_never_block(void)
+{
+	int flags = fcntl(STDERR_FILENO, F_GETFL);
+
+	if (flags >= 0)
+		fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
 /*
  * Redirects formatted lines, for tests; a NULL sink drops them.  Must be called
  * before threads start.
@@ -101,17 +127,54 @@
 	return &log_entries[0];
 }
 
-/* Writes a line in syslog style: priority, UTC time, program, process id. */
+/* Writes a line, and before it how many were dropped since the last one. */
 static void log_to_stderr(void *ctx, enum log_prio prio, const char *line)
 {
+	(void)ctx;
+	pthread_mutex_lock(&log_lock);
+	if (log_write_drops() || log_write(prio, line))
+		log_drop_count++;
+	pthread_mutex_unlock(&log_lock);
+}
+
+/* Logs how many lines were dropped.  Returns -1 if that is dropped as well. */
+static int log_write_drops(void)
+{
+	char line[LOG_LINE_MAX];
+
+	if (log_drop_count == 0 || log_threshold < LOG_PRIO_WARNING)
+		return 0;
+	snprintf(line, sizeof(line), "%d %s lines=%" PRIu64, (int)LOG_DROPPED,
+		 log_event_name(LOG_DROPPED), log_drop_count);
+	if (log_write(LOG_PRIO_WARNING, line))
+		return -1;
+	log_drop_count = 0;
+	return 0;
+}
+
+/*
+ * Writes a line in syslog style: priority, UTC time, program, process id.
+ * Returns -1 if not all of it was written.
+ */
+static int log_write(enum log_prio prio, const char *line)
+{
+	char text[LOG_WRITE_MAX];
 	char stamp[32];
 	struct timespec now;
 	struct tm utc;
+	ssize_t written;
+	int len;
 
-	(void)ctx;
 	clock_gettime(CLOCK_REALTIME, &now);
 	gmtime_r(&now.tv_sec, &utc);
 	strftime(stamp, sizeof(stamp), "%Y-%m-%dT%H:%M:%S", &utc);
-	fprintf(stderr, "<%d>%s.%03ldZ %s[%d]: %s\n", (int)prio, stamp,
-		now.tv_nsec / 1000000, log_program, (int)getpid(), line);
+	len = snprintf(text, sizeof(text), "%s<%d>%s.%03ldZ %s[%d]: %s\n",
+		       log_is_cut ? "\n" : "", (int)prio, stamp,
+		       now.tv_nsec / 1000000, log_program, (int)getpid(), line);
+	if (len >= (int)sizeof(text))
+		len = (int)sizeof(text) - 1;
+	written = write(STDERR_FILENO, text, (size_t)len);
+	if (written > 0)
+		log_is_cut = written < len;
+	return written == len ? 0 : -1;
 }
--- a/src/log.h
+++ b/src/log.h
@@ -18,6 +18,7 @@
 typedef void (*log_fields_fn)(enum log_id id, const char *fields);
 
 void log_open(const char *program, enum log_prio threshold);
+void log_never_block(void);
 void log_set_sink(log_sink_fn sink, void *ctx);
 void log_set_fields_sink(log_fields_fn sink);
 const char *log_event_name(enum log_id id);
--- a/src/magnoliad.c
+++ b/src/magnoliad.c
@@ -72,6 +72,7 @@
 		break;
 	}
 	log_open("magnoliad", settings.log_level);
+	log_never_block();
 	return run(&settings, &signals);
 }
 
