hs: the bodies of all requests together have a bound

Operators saw nothing before the machine killed the router: 300 callers who each begin a body of 4 MB, without a key, made one of take 1.19 GB, and kept it as long as they stayed connected, as a body has no deadline.

Cause: a body was bounded alone, by MaxBodyBytes, and not in sum.

A request claims what its Content-Length says, or what has come of a chunked body, until its connection is free for the next one; abuf, which bounds answers, tells whether it may have it. Bodies up to 64 KB always fit. What does not fit is refused with 503 before the body is read (8024, counted in /metrics), unless another long body is late: then that one ends with 408. Late is one of which nothing came for the time that a header may take.

--- a/src/abuf.h
+++ b/src/abuf.h
@@ -2,11 +2,11 @@
 #define ABUF_H
 
 /*
- * Which answers may be buffered.
+ * Which answers, and bodies of requests, may be buffered.
  *
  * Load pattern: faulty workers answer many requests at once with bytes without
- * end, or callers read endless streams slowly.  A bound on each answer alone
- * does not bound their sum.
+ * end, or callers read endless streams slowly; many callers send long bodies. A
+ * bound on each alone does not bound their sum.
  */
 
 #include <stdbool.h>
--- a/src/edge_page.c
+++ b/src/edge_page.c
@@ -63,11 +63,13 @@
 		"magnolia_sent_connections %d\n"
 		"magnolia_descriptors_max %llu\n"
 		"magnolia_accept_failures_total %llu\n"
-		"magnolia_descriptors_missing_total %llu\n",
+		"magnolia_descriptors_missing_total %llu\n"
+		"magnolia_bodies_refused_total %llu\n",
 		hs_connections(edge->callers), hc_connections(edge->hc),
 		(unsigned long long)edge->files_max,
 		(unsigned long long)hs_accept_failures(edge->callers),
-		(unsigned long long)hc_open_failures(edge->hc));
+		(unsigned long long)hc_open_failures(edge->hc),
+		(unsigned long long)hs_bodies_refused(edge->callers));
 }
 
 static void edge_on_client_gone(void *ctx, struct hs_conn *conn, void *user)
--- a/src/hs.c
+++ b/src/hs.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "abuf.h"
 #include "clk.h"
 #include "hs_int.h"
 #include "jlog.h"
@@ -28,7 +29,7 @@
 /* A failure of accept is rarely over sooner. */
 #define HS_ACCEPT_PAUSE_US (50 * MAG_US_PER_MS)
 /* Failures that follow each other within this time are logged once. */
-#define HS_ACCEPT_SERIES_US (10 * MAG_US_PER_S)
+#define HS_SERIES_US (10 * MAG_US_PER_S)
 /* Drops a client that acknowledges no data for this long (milliseconds). */
 #define HS_USER_TIMEOUT_MS	5000
 #define HS_DEFAULT_IDLE_MS	15000
@@ -47,8 +48,11 @@
 static void hs_read(struct bufferevent *bev, void *arg);
 static void hs_written(struct bufferevent *bev, void *arg);
 static void hs_event(struct bufferevent *bev, short what, void *arg);
-static void hs_count_unsent(struct evbuffer *out,
-			    const struct evbuffer_cb_info *info, void *arg);
+static void hs_count(struct evbuffer *buffer,
+		     const struct evbuffer_cb_info *info, void *arg);
+static void hs_claim(struct hs_conn *conn, size_t claim);
+static bool hs_drop_late_body(struct hs *hs, int64_t now);
+static void hs_note_body_refused(struct hs *hs, int64_t now);
 static void hs_parse(struct hs_conn *conn);
 static int64_t hs_idle_deadline(const struct hs_conn *conn);
 static void hs_reset_conn(struct hs_conn *conn);
@@ -188,6 +192,12 @@
 	return hs->connections;
 }
 
+/* Returns how many requests were refused as all bodies took too much. */
+uint64_t hs_bodies_refused(const struct hs *hs)
+{
+	return hs->bodies_refused;
+}
+
 /* Returns how often a connection could not be accepted. */
 uint64_t hs_accept_failures(const struct hs *hs)
 {
@@ -385,7 +395,8 @@
 	cds_list_add_tail(&conn->node, &hs->conns);
 	hs->connections++;
 	bufferevent_setcb(conn->bev, hs_read, hs_written, hs_event, conn);
-	evbuffer_add_cb(bufferevent_get_output(conn->bev), hs_count_unsent, hs);
+	evbuffer_add_cb(bufferevent_get_output(conn->bev), hs_count,
+			&hs->unsent);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, HS_INPUT_MAX);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
 	if (hs->connections >= hs->connections_max)
@@ -427,7 +438,7 @@
 	if (now >= hs->accept_failures_by_us)
 		jlog(LOG_ACCEPT_FAILED, "\"why\":\"%s\",\"connections\":%d",
 		     strerror(error), hs->connections);
-	hs->accept_failures_by_us = now + HS_ACCEPT_SERIES_US;
+	hs->accept_failures_by_us = now + HS_SERIES_US;
 	hs->accept_from_us = now + HS_ACCEPT_PAUSE_US;
 	hs_close_idle(hs, now);
 	hs_choose_accepting(hs, now);
@@ -581,6 +592,7 @@
 	conn->deadline_us = hs_idle_deadline(conn);
 	hdr_reset(&conn->headers);
 	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
+	hs_claim(conn, 0);
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
 	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
@@ -593,26 +605,86 @@
 {
 	conn->state = HS_RESPONDING;
 	conn->keep_alive = false;
-	hs_reply(conn, status, NULL, NULL, 0);
+	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
+	hs_claim(conn, 0);
+	hs_reply(conn, status, status == 503 ? "Retry-After: 1\r\n" : NULL,
+		 NULL, 0);
 }
 
-/* Counts the bytes of responses that were added to, or sent from, an output. */
-static void hs_count_unsent(struct evbuffer *out,
-			    const struct evbuffer_cb_info *info, void *arg)
+/* Counts the bytes that were added to, or taken from, a buffer. */
+static void hs_count(struct evbuffer *buffer,
+		     const struct evbuffer_cb_info *info, void *arg)
 {
-	struct hs *hs = arg;
+	size_t *bytes = arg;
+
+	(void)buffer;
+	*bytes += info->n_added;
+	*bytes -= info->n_deleted;
+}
+
+/*
+ * Claims memory for the body of a request, which is so long in all as far as is
+ * known; bodies that are late give way.  Returns false if the request is to be
+ * refused.
+ */
+bool hs_claim_body(struct hs_conn *conn, size_t len)
+{
+	struct hs *hs = conn->hs;
+	int64_t now = clk_boot_us();
+	size_t claim = len > conn->body_claim ? len : conn->body_claim;
+
+	conn->body_by_us = now + hs->limits.header_ms * MAG_US_PER_MS;
+	hs_claim(conn, claim);
+	do {
+		if (abuf_fits(claim, hs->body_bytes - claim))
+			return true;
+	} while (hs_drop_late_body(hs, now));
+	hs_claim(conn, 0);
+	hs_note_body_refused(hs, now);
+	return false;
+}
 
-	(void)out;
-	hs->unsent += info->n_added;
-	hs->unsent -= info->n_deleted;
+static void hs_claim(struct hs_conn *conn, size_t claim)
+{
+	conn->hs->body_bytes += claim;
+	conn->hs->body_bytes -= conn->body_claim;
+	conn->body_claim = claim;
+}
+
+/*
+ * Ends a request of whose long body nothing has come for as long as a header
+ * may take; false if there is none.
+ */
+static bool hs_drop_late_body(struct hs *hs, int64_t now)
+{
+	struct hs_conn *conn;
+
+	cds_list_for_each_entry (conn, &hs->conns, node) {
+		if (conn->state != HS_READING || now < conn->body_by_us ||
+		    conn->body_claim <= ABUF_SMALL)
+			continue;
+		hs_send_error(conn, 408);
+		return true;
+	}
+	return false;
+}
+
+static void hs_note_body_refused(struct hs *hs, int64_t now)
+{
+	hs->bodies_refused++;
+	if (now >= hs->bodies_refused_by_us)
+		jlog(LOG_BODY_REFUSED, "\"bytes\":%zu,\"connections\":%d",
+		     hs->body_bytes, hs->connections);
+	hs->bodies_refused_by_us = now + HS_SERIES_US;
 }
 
 static void hs_close(struct hs_conn *conn)
 {
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
 
-	evbuffer_remove_cb(out, hs_count_unsent, conn->hs);
+	evbuffer_remove_cb(out, hs_count, &conn->hs->unsent);
 	conn->hs->unsent -= evbuffer_get_length(out);
+	hs_claim(conn, 0);
 	cds_list_del(&conn->node);
 	conn->hs->connections--;
 	bufferevent_free(conn->bev);
--- a/src/hs.h
+++ b/src/hs.h
@@ -54,6 +54,7 @@
 void hs_stop_keep_alive(struct hs *hs);
 void hs_stop_listening(struct hs *hs);
 int hs_connections(const struct hs *hs);
+uint64_t hs_bodies_refused(const struct hs *hs);
 uint64_t hs_accept_failures(const struct hs *hs);
 int hs_open_count(const struct hs *hs);
 int hs_unused_count(const struct hs *hs);
--- a/src/hs_int.h
+++ b/src/hs_int.h
@@ -34,6 +34,9 @@
 	int64_t accept_from_us;	       /* after a failure */
 	int64_t accept_failures_by_us; /* their series ends without another */
 	uint64_t accept_failures;
+	size_t body_bytes;	      /* that bodies of requests have claimed */
+	int64_t bodies_refused_by_us; /* their series ends without another */
+	uint64_t bodies_refused;
 };
 
 struct hs_conn {
@@ -49,6 +52,8 @@
 	size_t header_len;
 	int64_t deadline_us; /* for the header, or for the next request */
 	int64_t first_by_us; /* when a first request is late */
+	size_t body_claim;   /* bytes */
+	int64_t body_by_us;  /* when more of the body is late */
 	void *user;
 	int error_status; /* found while parsing; 0: none */
 	bool started;	  /* bytes of the next request have arrived */
@@ -64,4 +69,6 @@
  */
 extern const http_parser_settings hs_settings;
 
+bool hs_claim_body(struct hs_conn *conn, size_t len);
+
 #endif /* HS_INT_H */
--- a/src/hs_parse.c
+++ b/src/hs_parse.c
@@ -63,8 +63,9 @@
 }
 
 /*
- * Rejects a body whose Content-Length exceeds the limit; otherwise replies to
- * "Expect: 100-continue", so that the client sends the body.
+ * Rejects a body whose Content-Length exceeds the limit, or what is free now;
+ * otherwise replies to "Expect: 100-continue", so that the client sends the
+ * body.
  */
 static int hs_on_headers(http_parser *parser)
 {
@@ -77,6 +78,11 @@
 		conn->error_status = 413;
 		return -1;
 	}
+	if (parser->content_length != UINT64_MAX &&
+	    !hs_claim_body(conn, parser->content_length)) {
+		conn->error_status = 503;
+		return -1;
+	}
 	if (expect && strcasecmp(expect, "100-continue") == 0)
 		evbuffer_add_printf(bufferevent_get_output(conn->bev),
 				    "HTTP/1.1 100 Continue\r\n\r\n");
@@ -92,6 +98,10 @@
 		conn->error_status = 413;
 		return -1;
 	}
+	if (!hs_claim_body(conn, have + len)) {
+		conn->error_status = 503;
+		return -1;
+	}
 	return evbuffer_add(conn->body, at, len);
 }
 
