--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -235,8 +235,8 @@
 		   attempt->eq->route->kind == RT_STREAMING) {
 		eq_relay_events(attempt, bytes, len);
 	} else {
-		evbuffer_add(attempt->body, bytes, len);
-		if (evbuffer_get_length(attempt->body) <= EQ_ANSWER_MAX &&
+		if (!evbuffer_add(attempt->body, bytes, len) &&
+		    evbuffer_get_length(attempt->body) <= EQ_ANSWER_MAX &&
 		    eq_may_buffer(attempt, 0))
 			return;
 		evbuffer_drain(attempt->body,
@@ -290,7 +290,11 @@
 			eq->last_event = event.id;
 		}
 		met_increment(&eq->edge->met, MET_EVENTS);
-		evbuffer_add(out, event.bytes, event.len);
+		if (evbuffer_add(out, event.bytes, event.len)) {
+			/* Without memory for it the event is missing. */
+			attempt->garbled = true;
+			break;
+		}
 	}
 	ready = evbuffer_get_length(out);
 	if (ready == 0)
--- a/src/hint.c
+++ b/src/hint.c
@@ -72,11 +72,10 @@
 	hint->next_suspect = (uint32_t)edge_random(edge);
 	hint->readable = event_new(edge->base, hint->fd, EV_READ | EV_PERSIST,
 				   hint_on_readable, hint);
-	if (!hint->readable) {
+	if (!hint->readable || event_add(hint->readable, NULL)) {
 		hint_free(hint);
 		return HINT_E_MEMORY;
 	}
-	event_add(hint->readable, NULL);
 	*out = hint;
 	return HINT_OK;
 }
--- a/src/hs.c
+++ b/src/hs.c
@@ -59,6 +59,7 @@
 static void hs_send_error(struct hs_conn *conn, int status);
 static void hs_close(struct hs_conn *conn);
 static void hs_disconnect(struct hs_conn *conn);
+static void hs_break(struct hs_conn *conn);
 static void hs_end_response(struct hs_conn *conn);
 static const char *hs_reason(int status);
 
@@ -295,13 +296,14 @@
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
 	bool keep = conn->keep_alive && conn->hs->keep_alive;
 
+	conn->keep_alive = keep;
 	evbuffer_add_printf(out,
 			    "HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n%s\r\n",
 			    status, hs_reason(status), fields ? fields : "",
 			    len, keep ? "" : "Connection: close\r\n");
-	if (len > 0 && conn->parser.method != HTTP_HEAD)
-		evbuffer_add(out, body, len);
-	conn->keep_alive = keep;
+	if (len > 0 && conn->parser.method != HTTP_HEAD &&
+	    (!body || evbuffer_add(out, body, len)))
+		hs_break(conn);
 	hs_end_response(conn);
 }
 
@@ -332,7 +334,10 @@
 		return;
 	if (conn->chunked)
 		evbuffer_add_printf(out, "%zx\r\n", len);
-	evbuffer_add(out, bytes, len);
+	if (!bytes || evbuffer_add(out, bytes, len)) {
+		hs_break(conn);
+		return;
+	}
 	if (conn->chunked)
 		evbuffer_add(out, "\r\n", 2);
 }
@@ -704,6 +709,17 @@
 	hs_close(conn);
 }
 
+/*
+ * Ends a connection on which bytes of a response are missing, as there was no
+ * memory for them.  The owner may still use it; the loop then finds it closed.
+ */
+static void hs_break(struct hs_conn *conn)
+{
+	jlog(LOG_RESPONSE_LOST, "\"why\":\"out of memory\"");
+	conn->keep_alive = false;
+	shutdown(bufferevent_getfd(conn->bev), SHUT_RDWR);
+}
+
 static void hs_end_response(struct hs_conn *conn)
 {
 	conn->user = NULL;
--- a/src/hs_parse.c
+++ b/src/hs_parse.c
@@ -102,13 +102,23 @@
 		conn->error_status = 503;
 		return -1;
 	}
-	return evbuffer_add(conn->body, at, len);
+	if (evbuffer_add(conn->body, at, len)) {
+		conn->error_status = 503;
+		return -1;
+	}
+	return 0;
 }
 
+/* Makes the body contiguous, as its readers expect, or refuses the request. */
 static int hs_on_complete(http_parser *parser)
 {
 	struct hs_conn *conn = parser->data;
 
+	if (evbuffer_get_length(conn->body) > 0 &&
+	    !evbuffer_pullup(conn->body, -1)) {
+		conn->error_status = 503;
+		return -1;
+	}
 	conn->complete = true;
 	http_parser_pause(parser, 1);
 	return 0;
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -74,6 +74,7 @@
 	LOG_EVENT(LOG_FILES, 8022, "descriptors", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_LIBRARY, 8023, "library-warning", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_BODY_REFUSED, 8024, "body-refused", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_RESPONSE_LOST, 8025, "response-lost", LOG_PRIO_ERR) \
 	\
 	/* 9000 pf: connection to the platform */ \
 	LOG_EVENT(LOG_PF_DOWN, 9001, "platform-unreachable", LOG_PRIO_WARNING) \
--- a/src/rel.c
+++ b/src/rel.c
@@ -401,6 +401,8 @@
 	}
 	rel->arrived_us = now;
 	body = (char *)evbuffer_pullup(rel->body, -1);
+	if (!body)
+		len = 0;
 	switch (rel_answer_decode(body, len, rel->sent_after, &answer,
 				  &items)) {
 	case REL_MSG_OK:
--- a/src/sto.c
+++ b/src/sto.c
@@ -193,6 +193,8 @@
 	if (end == HC_TIMED_OUT)
 		hc_host_drop_idle(call->sto->host);
 	body = (const char *)evbuffer_pullup(call->body, -1);
+	if (!body)
+		len = 0;
 	call->done(call->user, result, body, len);
 	evbuffer_free(call->body);
 	free(call);
