jlog: the lines that say why a router ends are kept for a slow reader

Operators found no "stopping" of a router whose log was not read for some seconds, and so nothing that tells a stop from a kill.

Cause: the pipe and the buffer were full, and these lines were dropped like any other, or lost at the exit, which wrote once and did not wait. The same held for the limit of lines a second. Dropped lines were reported with the next line only.

4 kB of the buffer are now for 8002, 8003 and 8004, which come once each and count for no limit of lines. At its end the process waits up to 200 ms for the reader, no time if there is none or no room; 400 ms are left before a kill when the last answers were sent. 8005 is also written if no other line follows, and at the end.

--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -60,6 +60,9 @@
 #define EDGE_STOP_MARGIN_US (600 * MAG_US_PER_MS)
 /* Time to send the last answers after that. */
 #define EDGE_LAST_ANSWERS_US (200 * MAG_US_PER_MS)
+/* Time for the reader of the log to take the last lines after that. */
+#define EDGE_LAST_LINES_US (200 * MAG_US_PER_MS)
+
 struct edge_run {
 	struct edge edge;
 	const char *settings_path;
@@ -108,7 +111,7 @@
 	jlog(LOG_STARTING, "\"pid\":%d", (int)getpid());
 	jlog_flush();
 	status = edge_run_loop(&run);
-	jlog_flush();
+	jlog_finish(clk_boot_us() + EDGE_LAST_LINES_US);
 	return status;
 }
 
--- a/src/jlog.c
+++ b/src/jlog.c
@@ -1,7 +1,9 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <inttypes.h>
+#include <poll.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
@@ -13,6 +15,8 @@
 
 #define JLOG_BUFFER   65536
 #define JLOG_LINE_MAX 1024
+/* Part of the buffer for the lines that say why the process ends. */
+#define JLOG_LAST_BYTES (4 * JLOG_LINE_MAX)
 
 static char jlog_buffer[JLOG_BUFFER];
 static size_t jlog_len;
@@ -24,6 +28,9 @@
 static uint64_t jlog_drop_count;
 static uint64_t jlog_drops_logged;
 
+static int jlog_write(void);
+static void jlog_report_drops(int64_t now);
+static bool jlog_is_last(enum log_id id);
 static void jlog_put(enum log_id id, const char *fmt, va_list ap)
 	__attribute__((format(printf, 2, 0)));
 static void jlog_put_drops(const char *fmt, ...)
@@ -56,14 +63,9 @@
 	int64_t now = clk_boot_us();
 	va_list ap;
 
-	if (now / MAG_US_PER_S != jlog_second) {
-		jlog_second = now / MAG_US_PER_S;
-		jlog_second_lines = 0;
-		if (jlog_drop_count > jlog_drops_logged)
-			jlog_put_drops("\"lines\":%" PRIu64,
-				       jlog_drop_count - jlog_drops_logged);
-	}
-	if (jlog_max_per_s > 0 && jlog_second_lines >= jlog_max_per_s) {
+	jlog_report_drops(now);
+	if (jlog_max_per_s > 0 && jlog_second_lines >= jlog_max_per_s &&
+	    !jlog_is_last(id)) {
 		jlog_drop_count++;
 		return;
 	}
@@ -73,6 +75,25 @@
 	va_end(ap);
 }
 
+/* Each second that begins, logs how many lines were dropped. */
+static void jlog_report_drops(int64_t now)
+{
+	if (now / MAG_US_PER_S == jlog_second)
+		return;
+	jlog_second = now / MAG_US_PER_S;
+	jlog_second_lines = 0;
+	if (jlog_drop_count > jlog_drops_logged)
+		jlog_put_drops("\"lines\":%" PRIu64,
+			       jlog_drop_count - jlog_drops_logged);
+}
+
+/* Tells whether a line says why the process ends; each comes once. */
+static bool jlog_is_last(enum log_id id)
+{
+	return id == LOG_STOPPING || id == LOG_STOPPED ||
+	       id == LOG_START_FAILED;
+}
+
 /* Logs how many lines were dropped since that was last logged. */
 static void jlog_put_drops(const char *fmt, ...)
 {
@@ -89,10 +110,13 @@
 /* Adds a line to the buffer, or counts it as dropped. */
 static void jlog_put(enum log_id id, const char *fmt, va_list ap)
 {
+	size_t max = sizeof(jlog_buffer);
 	char line[JLOG_LINE_MAX];
 	int used;
 	int more;
 
+	if (!jlog_is_last(id))
+		max -= JLOG_LAST_BYTES;
 	used = snprintf(line, sizeof(line),
 			"{\"t_ms\":%" PRId64 ",\"instance\":\"%s\","
 			"\"event\":%d,\"name\":\"%s\",",
@@ -101,7 +125,7 @@
 	more = vsnprintf(line + used, sizeof(line) - (size_t)used - 3, fmt, ap);
 	used += more;
 	if (more < 0 || used >= JLOG_LINE_MAX - 3 ||
-	    jlog_len + (size_t)used + 2 > sizeof(jlog_buffer)) {
+	    jlog_len + (size_t)used + 2 > max) {
 		jlog_drop_count++;
 		return;
 	}
@@ -141,18 +165,54 @@
 	jlog(id, "%s", members);
 }
 
-/* Writes what the descriptor accepts without blocking; the rest is retained. */
+/*
+ * Writes what the descriptor accepts without blocking; the rest is retained.
+ * What was dropped is reported without another line, too.
+ */
 void jlog_flush(void)
+{
+	if (jlog_drop_count > jlog_drops_logged)
+		jlog_report_drops(clk_boot_us());
+	(void)jlog_write();
+}
+
+/*
+ * Writes what is left when the process ends, and what was dropped.  Waits for a
+ * slow reader until until_us at most.
+ */
+void jlog_finish(int64_t until_us)
+{
+	struct pollfd ready = { .fd = jlog_fd, .events = POLLOUT };
+	int64_t now = clk_boot_us();
+
+	while (jlog_write() == 0 && jlog_len > 0 && now < until_us) {
+		poll(&ready, 1, (int)((until_us - now) / MAG_US_PER_MS) + 1);
+		now = clk_boot_us();
+	}
+	if (jlog_drop_count > jlog_drops_logged) {
+		jlog_put_drops("\"lines\":%" PRIu64,
+			       jlog_drop_count - jlog_drops_logged);
+		(void)jlog_write();
+	}
+}
+
+/*
+ * Writes once.  Returns -1 if that fails for another reason than a slow reader:
+ * there is no reader, or no room.  The lines are retained, as both may change;
+ * jlog() drops and counts what does not fit.
+ */
+static int jlog_write(void)
 {
 	ssize_t n;
 
 	if (jlog_len == 0)
-		return;
+		return 0;
 	n = write(jlog_fd, jlog_buffer, jlog_len);
-	if (n <= 0)
-		return; /* pipe full or closed: jlog() drops and counts */
+	if (n < 0)
+		return errno == EAGAIN || errno == EINTR ? 0 : -1;
 	memmove(jlog_buffer, jlog_buffer + n, jlog_len - (size_t)n);
 	jlog_len -= (size_t)n;
+	return 0;
 }
 
 uint64_t jlog_dropped(void)
--- a/src/jlog.h
+++ b/src/jlog.h
@@ -6,7 +6,7 @@
  * number and the name of the event.  Lines are buffered and written when the
  * event loop is idle.  Lines beyond the rate limit, or beyond the buffer if the
  * reader is slow, are dropped and counted, so that no request waits for
- * logging.
+ * logging.  The lines that say why the process ends have room of their own.
  */
 
 #include <stdint.h>
@@ -21,6 +21,7 @@
 void jlog_fields(enum log_id id, const char *fields);
 void jlog_set_instance(const char *instance);
 void jlog_flush(void);
+void jlog_finish(int64_t until_us);
 uint64_t jlog_dropped(void);
 /*
  * Copies text for use in a JSON string: replaces control characters, quotes,
