--- a/regress/edge/log-unread.sh
+++ b/regress/edge/log-unread.sh
@@ -1,5 +1,5 @@
-# Guards against routers that the reader of their log can stop, and against last lines
-# that are missing: it does not read for some seconds, or is gone, or the log is full.
+# Guards against routers that the reader of their log can stop, or whose log others
+# can't write to: it does not read for some seconds, or is gone, or the log is full.
 . edge/lib.sh
 # serve NAME: sends lookups that make more lines than a pipe and the router hold.
 serve() {
@@ -20,6 +20,7 @@
 	wait_for "ready 1"
 	wait_for 'served_by $(router 1)'
 }
+blocks() { [ $(($(sed -n 's/^flags:[^0-9]*/0/p' "/proc/$$/fdinfo/9") & 04000)) = 0 ]; }
 
 start_store
 put_config 1
@@ -29,6 +30,7 @@
 mkfifo "$dir/pipe"
 read_log
 run_logging
+blocks && echo "the descriptor of others blocks as before"
 
 kill -STOP $reader
 serve stalled
