edge, pres: a restarted router does not begin with the whole retry slack

Workers got as many repeats again as the slack allows after each restart of a router whose settings say first_start: they stay the same when its process is started once more.

Cause: first_start alone told that no process before had spent any slack, so that the part did not grow from nothing.

An instance whose key stands in the store before its process has written it, or whose first write conflicts, is not started for the first time. The list is read before there is any slack. A first write whose answer is lost looks the same; the slack then grows over two windows.

--- a/src/edge.c
+++ b/src/edge.c
@@ -96,8 +96,6 @@
 	bud_init(&service->bud, edge->set.retry_window_us,
 		 edge->set.retry_ratio, 0);
 	bud_set_draw(&service->bud, mag_random_unit(&edge->seed));
-	if (edge->set.first_start)
-		bud_set_first(&service->bud, edge->started_us);
 	edge_init_urgency(service);
 	cds_list_add_tail(&service->node, &edge->services);
 	edge->service_count++;
@@ -130,14 +128,15 @@
  * Returns the retry budget of a service with this instance's part of the slack.
  * There is none before the whole list of instances has been read; those of a
  * data centre are read before the others.  At the first start of the whole
- * system no process before this one has spent any.
+ * system no process before this one has spent any; the settings of an instance
+ * that is started once more may still say that it is the first start.
  */
 struct bud *edge_budget(struct edge *edge, const char *name, int64_t now)
 {
 	struct edge_service *service = edge_service(edge, name, now);
 	int routers = 1 + pres_peer_count(edge->pres);
-	int64_t age_us =
-		edge->set.first_start ? MAG_NEVER : now - edge->started_us;
+	bool first = edge->set.first_start && !pres_is_preceded(edge->pres);
+	int64_t age_us = first ? MAG_NEVER : now - edge->started_us;
 	double part = 0;
 
 	if (routers > edge->max_routers_seen)
@@ -147,8 +146,10 @@
 		part = bud_slack_part(edge->set.retry_slack,
 				      edge->max_routers_seen, age_us,
 				      edge->set.retry_window_us);
-	if (service != &edge->no_service)
-		bud_set_slack(&service->bud, part);
+	if (service == &edge->no_service)
+		return &service->bud;
+	bud_set_first(&service->bud, first ? edge->started_us : -MAG_NEVER);
+	bud_set_slack(&service->bud, part);
 	return &service->bud;
 }
 
--- a/src/pres.c
+++ b/src/pres.c
@@ -65,6 +65,8 @@
 	bool lease_call_pending; /* a call about the lease is in progress */
 	bool may_register;	 /* whether our key exists has been read */
 	bool registering;
+	bool registered;     /* this process has written our key */
+	bool preceded;	     /* our key was there before that */
 	int64_t register_us; /* earliest time of the next attempt */
 	bool acquiring;	     /* an attempt to become placer is in progress */
 	bool leaving;
@@ -265,6 +267,15 @@
 	return pres->own_key_valid;
 }
 
+/*
+ * Tells whether a process before this one has registered this instance, or may
+ * have: a write whose answer was lost looks the same.
+ */
+bool pres_is_preceded(const struct pres *pres)
+{
+	return pres->preceded;
+}
+
 /* Returns a number that changes whenever the peers do. */
 unsigned int pres_changes(const struct pres *pres)
 {
@@ -371,6 +382,7 @@
 	pres->registering = false;
 	/* After a lost answer the watch shows the result. */
 	pres->own_key_valid = result == STO_DONE;
+	pres->registered |= result == STO_DONE;
 	pres->register_us = clk_boot_us() + PRES_RETRY_US;
 	if (result == STO_CONFLICT)
 		pres_learn_own_key(pres, body, len);
@@ -394,6 +406,8 @@
 static void pres_own_item(struct pres *pres, const struct wire_item *item)
 {
 	pres->own_seen = true;
+	pres->preceded |=
+		!item->deleted && !pres->registering && !pres->registered;
 	pres->own_revision = item->deleted ? 0 : item->revision;
 	pres->own_key_valid =
 		!item->deleted && strcmp(item->value, pres->value) == 0;
--- a/src/pres.h
+++ b/src/pres.h
@@ -50,6 +50,7 @@
 void pres_yield_placer(struct pres *pres, bool yields);
 bool pres_is_placer(const struct pres *pres, int64_t now);
 bool pres_is_listed(const struct pres *pres);
+bool pres_is_preceded(const struct pres *pres);
 bool pres_own_listed(const struct pres *pres);
 unsigned int pres_changes(const struct pres *pres);
 int pres_peer_count(const struct pres *pres);
