regress/proc/lib: a signal goes only to a process that the script started

A script that signals a process by name, and a process that has ended by then, could end another one of the machine: with 32768 pids a busy machine uses each again within about a minute. The start time told them apart in the clean-up only; now it does for each signal.

--- a/regress/proc/lib.sh
+++ b/regress/proc/lib.sh
@@ -63,9 +63,20 @@
 	cat "$work/$1.pid"
 }
 
+# has_ended NAME: tells whether a process that was started has ended.  Its pid
+# may be another one's by then.
+has_ended() {
+	pid=$(pid_of "$1")
+	at=$(start_time "$pid")
+	case "$pids " in
+	*" $pid:${at:-none} "*) return 1 ;;
+	esac
+}
+
 # signal NAME SIGNAL: TERM requests a stop, KILL simulates a crash, STOP pauses
 # the process.
 signal() {
+	has_ended "$1" && { echo "signal: $1 has ended" >&2; return 1; }
 	kill -"$2" "$(pid_of "$1")"
 	[ "$2" != STOP ] || until_ok stopped "$1"
 }
--- a/regress/proc/port-in-use.sh
+++ b/regress/proc/port-in-use.sh
@@ -23,7 +23,7 @@
 signal router-0 TERM
 start next "$build/magnoliad" --settings "$work/router-0.json"
 until_ok waits next listen && echo "the next one waits"
-kill -0 "$(pid_of router-0)" && echo "the one before has not ended"
+has_ended router-0 || echo "the one before has not ended"
 wait $streams
 wait $bookings
 wait_exit router-0
--- a/regress/proc/settings-incomplete.sh
+++ b/regress/proc/settings-incomplete.sh
@@ -17,11 +17,8 @@
 waits() {
 	grep -q " 8007 .*$1" "$work/router-0.err"
 }
-ended() {
-	! kill -0 "$(pid_of router-0)" 2>/dev/null
-}
 waits_or_ended() {
-	waits "" || ended
+	waits "" || has_ended router-0
 }
 
 run_router
@@ -64,8 +61,7 @@
 	head -c "$cut" "$work/whole" >"$file"
 	run_router
 	until_ok waits_or_ended
-	ended || echo waits
-	kill -KILL "$(pid_of router-0)" 2>/dev/null
+	signal router-0 KILL && echo waits
 	wait_exit router-0
 done | sort | uniq -c | awk -v all="$(echo $cuts | wc -w)" \
 	'{ print "cut files: " $2 ($1 == all ? " in each case" : " " $1) }'
