hs: the oldest idle connection is sought by its deadline first

At the limit on connections each accept looks for one that may give way. Comparing deadlines first asks hs_is_idle(), which reads the connection's buffers, only of candidates that are older than the one found so far. The result is the same: regress/edge/few-descriptors passes as before.

--- a/src/hs.c
+++ b/src/hs.c
@@ -475,8 +475,8 @@
 	struct hs_conn *oldest = NULL;
 
 	cds_list_for_each_entry (conn, &hs->conns, node) {
-		if (hs_is_idle(conn, now) &&
-		    (!oldest || conn->deadline_us < oldest->deadline_us))
+		if ((!oldest || conn->deadline_us < oldest->deadline_us) &&
+		    hs_is_idle(conn, now))
 			oldest = conn;
 	}
 	if (oldest)
