edge_start, eset, evlog: settings that can never be right end the start again

Operators saw a router that waited for ever for itself: two of its own addresses are the same, or it had no port and listened at one that nobody knows; a metrics port beyond its range was logged once and never served. A settings path that is a pipe blocked the router, and its stop, at the next reading. An error that the event library does not survive ended the process with a status of its own. A quote in an address or a name made lines that are no JSON. A new name or address in the settings of a running router went into some of its messages and not into others.

Addresses of one router must differ, and need a port; the metrics end the start like the others if their address can't be right, and are logged each minute while they are not available. What is not a file is read at the start only. What goes into a line is made fit for it. eset_update() leaves names and addresses as they were, as sockets, the store and other routers have those.

--- a/src/edge.h
+++ b/src/edge.h
@@ -75,8 +75,9 @@
 	struct hs *readiness;
 	struct hs *metrics;	  /* NULL until the address is available */
 	int64_t metrics_retry_us; /* when to try again */
-	int open_files;		  /* that the limit in force is computed of */
-	uint64_t files_max;	  /* descriptors, in force */
+	int64_t metrics_log_us; /* when to log again why they are not served */
+	int open_files;		/* that the limit in force is computed of */
+	uint64_t files_max;	/* descriptors, in force */
 	struct sto *sto;
 	struct sto_follow *follow;
 	struct rel *rel;
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <event2/event.h>
@@ -67,6 +68,7 @@
 	struct edge edge;
 	const char *settings_path;
 	bool settings_loaded;
+	struct eset settings_read;	 /* as they were last in the file */
 	char settings_why[EDGE_WHY_MAX]; /* they can't be loaded; "": they can
 					  */
 	int64_t settings_next_us;
@@ -107,7 +109,7 @@
 	proc_block_signals(NULL);
 	proc_open_std();
 	jlog_open("starting", STDOUT_FILENO, EDGE_LOG_LINES_S);
-	evlog_start();
+	evlog_start(EDGE_EXIT_START);
 	jlog(LOG_STARTING, "\"pid\":%d", (int)getpid());
 	jlog_flush();
 	status = edge_run_loop(&run);
@@ -215,6 +217,7 @@
 		return;
 	}
 	run->started = true;
+	run->settings_read = edge->set;
 	run->settings_next_us = now + EDGE_SETTINGS_US;
 	jlog(LOG_STARTED, "\"data_centre\":\"%s\",\"callers\":\"%s\"",
 	     edge->set.data_centre, edge->set.callers);
@@ -340,17 +343,24 @@
 
 /*
  * Reads the settings again after SIGHUP, and each second, as they may change
- * without a signal.  The time of the file's change is not relied on: it may be
+ * without a signal.  What is not a file, such as a pipe, is read at the start
+ * only.  The time of the file's change is not relied on: it may be
  * the same before and after the rest of the file is written.
  */
 static void edge_reload(struct edge_run *run, int64_t now)
 {
 	struct eset loaded;
+	struct stat file;
 	char why[EDGE_WHY_MAX];
 
 	if (!run->hup_seen && now < run->settings_next_us)
 		return;
 	run->settings_next_us = now + EDGE_SETTINGS_US;
+	/* Reading a pipe would block the router. */
+	if (stat(run->settings_path, &file) == 0 && !S_ISREG(file.st_mode)) {
+		run->hup_seen = false;
+		return;
+	}
 	if (eset_load(run->settings_path, &loaded, why, sizeof(why))) {
 		if (run->hup_seen || strcmp(why, run->settings_why) != 0)
 			jlog(LOG_SET_BAD, "\"why\":\"%s\",\"kept\":true", why);
@@ -360,10 +370,10 @@
 		return;
 	}
 	run->settings_why[0] = '\0';
-	if (run->hup_seen || !eset_equal(&loaded, &run->edge.set))
+	if (run->hup_seen || !eset_equal(&loaded, &run->settings_read))
 		jlog(LOG_SET_RELOADED, "\"path\":\"%s\"", run->settings_path);
 	run->hup_seen = false;
-	/* Addresses change only at a restart, limits at once. */
-	run->edge.set = loaded;
+	run->settings_read = loaded;
+	eset_update(&run->edge.set, &loaded);
 	edge_allow_files(&run->edge);
 }
--- a/src/edge_start.c
+++ b/src/edge_start.c
@@ -27,6 +27,8 @@
 #define EDGE_TRAITS_MAX	      8192
 #define EDGE_TRAITS_US	      (600 * MAG_US_PER_S)
 #define EDGE_METRICS_RETRY_US MAG_US_PER_S
+#define EDGE_METRICS_LOG_US   (60 * MAG_US_PER_S)
+#define EDGE_WHY_MAX	      256
 #define EDGE_ADDRESS_MAX      (MAG_ADDR_MAX * 2)
 
 /* The sockets that a router needs; -1: not open. */
@@ -41,6 +43,7 @@
 static enum edge_start edge_open_sockets(const struct eset *set, int *fds,
 					 char *why, size_t why_size);
 static void edge_close_sockets(int *fds);
+static int edge_open_metrics(struct edge *edge, char *why, size_t why_size);
 static int edge_start_modules(struct edge *edge, const int *fds, char *why,
 			      size_t why_size);
 static int edge_serve(struct edge *edge, const int *fds,
@@ -61,6 +64,10 @@
 
 	if (rc != EDGE_STARTED)
 		return rc;
+	if (edge_open_metrics(edge, why, why_size) == LSN_E_ADDRESS) {
+		edge_close_sockets(fds);
+		return EDGE_START_FAILED;
+	}
 	snprintf(why, why_size, "out of memory");
 	if (edge_start_modules(edge, fds, why, why_size))
 		return EDGE_START_FAILED;
@@ -74,22 +81,39 @@
  */
 void edge_retry_metrics(struct edge *edge, int64_t now)
 {
-	char address[EDGE_ADDRESS_MAX];
-	int fd;
+	char why[EDGE_WHY_MAX];
 
 	if (edge->metrics || now < edge->metrics_retry_us)
 		return;
+	if (edge_open_metrics(edge, why, sizeof(why)) != LSN_OK &&
+	    now >= edge->metrics_log_us) {
+		edge->metrics_log_us = now + EDGE_METRICS_LOG_US;
+		jlog(LOG_METRICS_DELAYED, "\"why\":\"%s\"",
+		     jlog_sanitize(why, sizeof(why), why));
+	}
+	edge->metrics_retry_us = now + EDGE_METRICS_RETRY_US;
+}
+
+/* Opens the metrics.  Returns an error of lsn_open(), and the reason in why. */
+static int edge_open_metrics(struct edge *edge, char *why, size_t why_size)
+{
+	char address[EDGE_ADDRESS_MAX];
+	int fd;
+	int rc;
+
 	snprintf(address, sizeof(address), "%s:%d", edge->set.address,
 		 edge->set.metrics_port);
-	if (lsn_open(address, LSN_TCP, &fd) == LSN_OK) {
-		if (hs_serve(edge->base, fd, &edge_metrics_ops, edge,
-			     &edge->metrics))
-			edge->metrics = NULL;
-	} else if (edge->metrics_retry_us == 0) {
-		jlog(LOG_METRICS_DELAYED, "\"why\":\"%s: %s\"", address,
-		     strerror(errno));
+	rc = lsn_open(address, LSN_TCP, &fd);
+	if (rc) {
+		snprintf(why, why_size, "%s: %s", address, strerror(errno));
+		return rc;
 	}
-	edge->metrics_retry_us = now + EDGE_METRICS_RETRY_US;
+	if (hs_serve(edge->base, fd, &edge_metrics_ops, edge, &edge->metrics)) {
+		edge->metrics = NULL;
+		snprintf(why, why_size, "out of memory");
+		return LSN_E_BUSY;
+	}
+	return LSN_OK;
 }
 
 /* Opens all sockets that a router needs, or none. */
--- a/src/eset.c
+++ b/src/eset.c
@@ -72,6 +72,8 @@
 static int eset_read(const char *path, char *text, size_t size, size_t *len);
 static int eset_parse(const char *path, const char *text, size_t len,
 		      struct eset *parsed, char *why, int why_size);
+static int eset_check_addresses(const struct eset *set, char *why,
+				int why_size);
 static bool eset_field_equal(const struct eset_field *field,
 			     const struct eset *a, const struct eset *b);
 static int eset_parse_field(const struct eset_field *field, const json_t *value,
@@ -110,6 +112,25 @@
 	return rc;
 }
 
+/*
+ * Puts what may change while the router runs in force: all but its names and
+ * addresses, which others know and sockets are bound to.
+ */
+void eset_update(struct eset *set, const struct eset *loaded)
+{
+	struct eset former = *set;
+
+	*set = *loaded;
+	memcpy(set->instance, former.instance, sizeof(set->instance));
+	memcpy(set->data_centre, former.data_centre, sizeof(set->data_centre));
+	memcpy(set->address, former.address, sizeof(set->address));
+	memcpy(set->callers, former.callers, sizeof(set->callers));
+	memcpy(set->readiness, former.readiness, sizeof(set->readiness));
+	memcpy(set->store, former.store, sizeof(set->store));
+	set->peer_port = former.peer_port;
+	set->metrics_port = former.metrics_port;
+}
+
 /* Tells whether two settings are the same. */
 bool eset_equal(const struct eset *a, const struct eset *b)
 {
@@ -183,7 +204,35 @@
 				 eset_fields[i].name);
 	}
 	json_decref(root);
-	return rc;
+	return rc ? rc : eset_check_addresses(parsed, why, why_size);
+}
+
+/* A router whose addresses are not all different would wait for itself. */
+static int eset_check_addresses(const struct eset *set, char *why, int why_size)
+{
+	static const char *const names[] = { "callers", "readiness",
+					     "peer_port", "metrics_port" };
+	char addresses[MAG_ARRAY_SIZE(names)][2 * MAG_ADDR_MAX];
+	size_t i;
+	size_t j;
+
+	mag_copy_name(addresses[0], sizeof(addresses[0]), set->callers);
+	mag_copy_name(addresses[1], sizeof(addresses[1]), set->readiness);
+	snprintf(addresses[2], sizeof(addresses[2]), "%s:%d", set->address,
+		 set->peer_port);
+	snprintf(addresses[3], sizeof(addresses[3]), "%s:%d", set->address,
+		 set->metrics_port);
+	for (i = 1; i < MAG_ARRAY_SIZE(names); i++) {
+		for (j = 0; j < i; j++) {
+			if (strcmp(addresses[i], addresses[j]) != 0)
+				continue;
+			snprintf(why, (size_t)why_size,
+				 "settings: %s: same address as %s", names[i],
+				 names[j]);
+			return ESET_E_BAD;
+		}
+	}
+	return ESET_OK;
 }
 
 /* Returns the shortest time within which a change must be known everywhere. */
--- a/src/eset.h
+++ b/src/eset.h
@@ -40,6 +40,7 @@
 	int64_t worker_report_us;
 };
 
+void eset_update(struct eset *set, const struct eset *loaded);
 bool eset_equal(const struct eset *a, const struct eset *b);
 int64_t eset_bound_us(const struct eset *set);
 int eset_load(const char *path, struct eset *set, char *why, int why_size);
--- a/src/evlog.c
+++ b/src/evlog.c
@@ -1,4 +1,5 @@
 #include <stdint.h>
+#include <unistd.h>
 
 #include <event2/event.h>
 
@@ -13,14 +14,20 @@
 static unsigned long evlog_left_out;
 
 static void evlog_on_message(int severity, const char *text);
+static void evlog_on_fatal(int error);
+
+static int evlog_fatal_status;
 
 /*
  * Sends the library's messages to the log.  On standard error they would block
- * the process as soon as nobody reads them.
+ * the process as soon as nobody reads them.  fatal_status is the exit status
+ * after an error with which the library can't go on.
  */
-void evlog_start(void)
+void evlog_start(int fatal_status)
 {
+	evlog_fatal_status = fatal_status;
 	event_set_log_callback(evlog_on_message);
+	event_set_fatal_callback(evlog_on_fatal);
 }
 
 /* The process ends after an error, so that one is always logged. */
@@ -42,3 +49,10 @@
 	evlog_left_out = 0;
 	evlog_next_us = now + MAG_US_PER_S;
 }
+
+static void evlog_on_fatal(int error)
+{
+	(void)error;
+	jlog_flush();
+	_exit(evlog_fatal_status);
+}
--- a/src/evlog.h
+++ b/src/evlog.h
@@ -3,6 +3,6 @@
 
 /* Warnings of the event library as log lines, one a second at most. */
 
-void evlog_start(void);
+void evlog_start(int fatal_status);
 
 #endif /* EVLOG_H */
--- a/src/jlog.c
+++ b/src/jlog.c
@@ -90,7 +90,7 @@
 /* Sets the name of the instance in the lines that follow. */
 void jlog_set_instance(const char *instance)
 {
-	snprintf(jlog_instance, sizeof(jlog_instance), "%s", instance);
+	jlog_sanitize(jlog_instance, sizeof(jlog_instance), instance);
 }
 
 void jlog(enum log_id id, const char *fmt, ...)
--- a/src/lsn.c
+++ b/src/lsn.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,6 +13,7 @@
 static int lsn_bind(int fd, enum lsn_type type, const struct sockaddr *addr,
 		    int len);
 static bool lsn_is_lasting(int error);
+static bool lsn_has_no_port(const struct sockaddr_storage *addr);
 
 /*
  * Opens a non-blocking socket at "ip:port" that is closed on exec; one of type
@@ -26,7 +28,9 @@
 	int error;
 
 	errno = EINVAL;
-	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr, &len))
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr,
+				       &len) ||
+	    lsn_has_no_port(&addr))
 		return LSN_E_ADDRESS;
 	*fd = socket(addr.ss_family,
 		     (type == LSN_UDP ? SOCK_DGRAM : SOCK_STREAM) |
@@ -43,6 +47,14 @@
 	return lsn_is_lasting(error) ? LSN_E_ADDRESS : LSN_E_BUSY;
 }
 
+/* Without a port the kernel would choose one that nobody knows. */
+static bool lsn_has_no_port(const struct sockaddr_storage *addr)
+{
+	if (addr->ss_family == AF_INET6)
+		return ((const struct sockaddr_in6 *)addr)->sin6_port == 0;
+	return ((const struct sockaddr_in *)addr)->sin_port == 0;
+}
+
 /* SO_REUSEADDR: connections of an earlier process may still be closing. */
 static int lsn_bind(int fd, enum lsn_type type, const struct sockaddr *addr,
 		    int len)
