soak, edge/lib.sh: the id of a process may be used again

Cause: the shell reaps an ended router at once, ids go up to 32768 and come round in about 35 s beside other work, so that the check took another process for the router; the end of a script, and a late SIGHUP, could signal it, too.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -8,7 +8,7 @@
 pids=""
 
 end() {
-	for p in $pids; do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
+	for p in $pids $(running_processes); do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
 	wait 2>/dev/null
 	[ -n "$KEEP" ] && cp -r "$dir" "$KEEP"
 	rm -rf "$dir"
@@ -56,15 +56,20 @@
 	JSON
 }
 
-# run_router NUMBER: starts a router with the settings that it has; adds its pid to
-# $processes.
+# run_router NUMBER: starts a router with the settings that it has; adds its process to
+# $processes as PID.BEGAN, because ids of processes are used again.
 run_router() {
 	MAGNOLIARAIL_NODE_FILE="$dir/router.$1.json" "$build/magnolia-edge" \
 		>>"$dir/router.$1.log" 2>&1 &
-	eval "router_$1=$!"
-	pids="$pids $!"
-	processes="${processes:-} $!"
+	eval "router_$1=$! began_$!=$(began $!)"
+	eval "processes=\"${processes:-} $!.\$began_$!\""
 }
+# began PID [STATES]: prints the time at which a process began, unless it is in one of
+# these states.
+began() { awk -v not="[${2:-?}]" '$3 !~ not { print $22 }' "/proc/$1/stat" 2>"$dir/null"; }
+# running PID.BEGAN: tells whether a router's process still runs.
+running() { [ "$(began ${1%.*} XZ)" = "${1#*.}" ] && [ -n "${1#*.}" ]; }
+running_processes() { for id in ${processes:-}; do running $id && echo ${id%.*}; done; }
 
 # put_config VERSION [KEYS]: publishes a configuration as the operator does.  With
 # PRIORITIES=1 there are two more accounts, one of high and one of low priority, and
