hs: a connection whose client still sends is not reset after its last answer

Callers that send on, a pipelined request or the rest of a body, got a reset after an answer with "Connection: close", as every answer of a stopping router is. A reset drops what the kernel has not delivered yet.

Cause: the connection was closed once the last byte was written. The kernel resets a connection that is closed with unread input, or that gets more.

The server now sends its end only, and discards input until the client ends the connection, for 0.5 s at most. Such connections count as open, so that a router that stops waits for them, within stop_s as before.

--- a/src/hs.c
+++ b/src/hs.c
@@ -3,6 +3,7 @@
 #include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -30,6 +31,8 @@
 #define HS_ACCEPT_PAUSE_US (50 * MAG_US_PER_MS)
 /* Failures that follow each other within this time are logged once. */
 #define HS_SERIES_US (10 * MAG_US_PER_S)
+/* Time for the client to end a connection after its last response. */
+#define HS_LINGER_US (500 * MAG_US_PER_MS)
 /* Drops a client that acknowledges no data for this long (milliseconds). */
 #define HS_USER_TIMEOUT_MS	5000
 #define HS_DEFAULT_IDLE_MS	15000
@@ -47,6 +50,7 @@
 static bool hs_is_idle(const struct hs_conn *conn, int64_t now);
 static void hs_read(struct bufferevent *bev, void *arg);
 static void hs_written(struct bufferevent *bev, void *arg);
+static void hs_linger(struct hs_conn *conn);
 static void hs_event(struct bufferevent *bev, short what, void *arg);
 static void hs_count(struct evbuffer *buffer,
 		     const struct evbuffer_cb_info *info, void *arg);
@@ -245,9 +249,11 @@
 	struct hs_conn *next;
 
 	cds_list_for_each_entry_safe (conn, next, &hs->conns, node) {
-		if (conn->state != HS_READING || now < conn->deadline_us)
+		if ((conn->state != HS_READING &&
+		     conn->state != HS_LINGERING) ||
+		    now < conn->deadline_us)
 			continue;
-		if (conn->started)
+		if (conn->state == HS_READING && conn->started)
 			hs_send_error(conn, 408);
 		else
 			hs_close(conn);
@@ -504,9 +510,10 @@
 {
 	struct hs_conn *conn = arg;
 
-	(void)bev;
 	if (conn->state == HS_READING)
 		hs_parse(conn);
+	else if (conn->state == HS_LINGERING)
+		evbuffer_drain(bufferevent_get_input(bev), SIZE_MAX);
 }
 
 /* All output has been written: closes the connection if it is closing. */
@@ -516,7 +523,23 @@
 
 	(void)bev;
 	if (conn->state == HS_CLOSING)
+		hs_linger(conn);
+}
+
+/*
+ * Tells the client that no more comes, and waits for its end.  The kernel would
+ * reset a connection that is closed while the client still sends, and the
+ * client might lose the end of its answer.
+ */
+static void hs_linger(struct hs_conn *conn)
+{
+	if (shutdown(bufferevent_getfd(conn->bev), SHUT_WR)) {
 		hs_close(conn);
+		return;
+	}
+	conn->state = HS_LINGERING;
+	conn->deadline_us = clk_boot_us() + HS_LINGER_US;
+	hs_read(conn->bev, conn);
 }
 
 static void hs_event(struct bufferevent *bev, short what, void *arg)
--- a/src/hs_int.h
+++ b/src/hs_int.h
@@ -17,6 +17,7 @@
 	HS_READING,    /* waits for a request or reads one */
 	HS_RESPONDING, /* the owner processes a request */
 	HS_CLOSING,    /* closes once the response has been sent */
+	HS_LINGERING,  /* sent; what the client still sends is discarded */
 };
 
 struct hs {
