Makefile: routers built with sanitizers link their libraries dynamically

A router built with the address sanitizer jumped to address 0 in xdrmem_create as soon as it had a peer: the sanitizer replaces functions of shared libraries, and libtirpc had become part of the program. No script with two routers could be run with it, and the soak's search for its reports found nothing.

With SAN set the libraries are linked dynamically as before.

--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 LIB_OBJS  := $(LIB_SRCS:%.c=$(BUILD)/%.o)
 LIB       := $(BUILD)/libmagnolia.a
 PROGS     := $(BUILD)/magnoliad $(BUILD)/magctl $(BUILD)/magnolia-edge
-EDGE_LIBS := -Wl,-Bstatic -levent_core -lhttp_parser -ljansson -lsodium -ltirpc -lurcu-common \
-	     -lzstd -Wl,-Bdynamic -lm
+EDGE_LIBS := $(if $(SAN),,-Wl,-Bstatic) -levent_core -lhttp_parser -ljansson -lsodium -ltirpc \
+	     -lurcu-common -lzstd $(if $(SAN),,-Wl,-Bdynamic) -lm
 FAKES     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/fake_*.c))
 CHECKS    := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/check_*.c))
 TOOLS     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/tool_*.c))
@@ -59,7 +59,8 @@
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
 
 # The router on a platform needs few libraries, which keeps it small.  They are
-# linked statically: until the dynamic linker is done, no signal can be handled.
+# linked statically: until the dynamic linker is done, no signal can be handled.  The
+# address sanitizer replaces functions of shared libraries only.
 $(BUILD)/magnolia-edge: $(BUILD)/src/edge_main.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(EDGE_LIBS)
 
