regress/edge/lib: a script's end ends processes of its own group only

The id of a worker that a script has killed may be that of a foreign process by the time the script ends: with 32768 ids a busy machine uses each again within a minute, and the script sent SIGKILL to it. Routers are told apart by the time they began since; workers, proxies and callers were not.

What is ended must be of the script's process group, which run-edge sets by timeout for each script.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -7,8 +7,17 @@
 store=127.0.0.1:$base
 pids=""
 
+# group_of PID: prints its process group.  The id of a process that has ended may be that
+# of a foreign one by now, which is in another group.
+group_of() { sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | cut -d' ' -f3; }
+group=$(group_of $$)
+
 end() {
-	for p in $pids $(running_processes); do kill -CONT "$p" 2>/dev/null; kill -KILL "$p" 2>/dev/null; done
+	for p in $pids $(running_processes); do
+		[ "$(group_of $p)" = "$group" ] || continue
+		kill -CONT "$p" 2>/dev/null
+		kill -KILL "$p" 2>/dev/null
+	done
 	wait 2>/dev/null
 	[ -n "$KEEP" ] && cp -r "$dir" "$KEEP"
 	rm -rf "$dir"
