hs: accepting connections and the memory of bodies have files of their own

hs.c had grown to 790 lines with the limit on connections, the pause after a failed accept, and the bound on bodies. hs_accept.c holds what decides whether a connection is accepted or gives way, hs_body.c what bodies of requests may take together; hs.c keeps connections and their requests.

--- a/src/hs.c
+++ b/src/hs.c
@@ -1,6 +1,5 @@
 #include <arpa/inet.h>
 #include <errno.h>
-#include <limits.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdint.h>
@@ -10,7 +9,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "abuf.h"
 #include "clk.h"
 #include "hs_int.h"
 #include "jlog.h"
@@ -27,41 +25,22 @@
  * closed after this time.
  */
 #define HS_FIRST_REQUEST_US (500 * MAG_US_PER_MS)
-/* A failure of accept is rarely over sooner. */
-#define HS_ACCEPT_PAUSE_US (50 * MAG_US_PER_MS)
-/* Failures that follow each other within this time are logged once. */
-#define HS_SERIES_US (10 * MAG_US_PER_S)
 /* Time for the client to end a connection after its last response. */
-#define HS_LINGER_US (500 * MAG_US_PER_MS)
-/* Drops a client that acknowledges no data for this long (milliseconds). */
-#define HS_USER_TIMEOUT_MS	5000
+#define HS_LINGER_US		(500 * MAG_US_PER_MS)
 #define HS_DEFAULT_IDLE_MS	15000
 #define HS_DEFAULT_HEADER_MS	3000
 #define HS_DEFAULT_HEADER_BYTES 16384
 #define HS_DEFAULT_BODY_BYTES	(4U << 20)
 
-static void hs_accept(struct evconnlistener *listener, evutil_socket_t fd,
-		      struct sockaddr *addr, int addr_len, void *arg);
-static void hs_accept_failed(struct evconnlistener *listener, void *arg);
-static void hs_note_accept_failure(struct hs *hs, int error);
-static struct hs_conn *hs_conn_new(struct hs *hs, evutil_socket_t fd);
-static void hs_choose_accepting(struct hs *hs, int64_t now);
-static bool hs_close_idle(struct hs *hs, int64_t now);
-static bool hs_is_idle(const struct hs_conn *conn, int64_t now);
 static void hs_read(struct bufferevent *bev, void *arg);
 static void hs_written(struct bufferevent *bev, void *arg);
 static void hs_linger(struct hs_conn *conn);
 static void hs_event(struct bufferevent *bev, short what, void *arg);
 static void hs_count(struct evbuffer *buffer,
 		     const struct evbuffer_cb_info *info, void *arg);
-static void hs_claim(struct hs_conn *conn, size_t claim);
-static bool hs_drop_late_body(struct hs *hs, int64_t now);
-static void hs_note_body_refused(struct hs *hs, int64_t now);
 static void hs_parse(struct hs_conn *conn);
 static int64_t hs_idle_deadline(const struct hs_conn *conn);
 static void hs_reset_conn(struct hs_conn *conn);
-static void hs_send_error(struct hs_conn *conn, int status);
-static void hs_close(struct hs_conn *conn);
 static void hs_disconnect(struct hs_conn *conn);
 static void hs_break(struct hs_conn *conn);
 static void hs_end_response(struct hs_conn *conn);
@@ -95,22 +74,16 @@
 	hs->ops = *ops;
 	hs->ctx = ctx;
 	hs->keep_alive = true;
-	hs->connections_max = INT_MAX;
-	hs->accepting = true;
 	hs->limits =
 		(struct hs_limits){ HS_DEFAULT_HEADER_BYTES,
 				    HS_DEFAULT_BODY_BYTES, HS_DEFAULT_HEADER_MS,
 				    HS_DEFAULT_IDLE_MS };
 	CDS_INIT_LIST_HEAD(&hs->conns);
-	hs->listener = evconnlistener_new(
-		base, hs_accept, hs,
-		LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC, 0, fd);
-	if (!hs->listener) {
+	if (hs_listen(hs, fd)) {
 		close(fd);
 		free(hs);
 		return HS_E_MEMORY;
 	}
-	evconnlistener_set_error_cb(hs->listener, hs_accept_failed);
 	*out = hs;
 	return HS_OK;
 }
@@ -136,16 +109,6 @@
 	hs->limits = *limits;
 }
 
-/*
- * Sets how many connections may be open.  Those beyond it, after it was
- * lowered, stay; idle ones give way.
- */
-void hs_set_connections_max(struct hs *hs, int connections_max)
-{
-	hs->connections_max = connections_max;
-	hs_choose_accepting(hs, clk_boot_us());
-}
-
 /*
  * Disables keep-alive: every further response carries "Connection: close", and
  * idle connections are closed, by the next tick or once their last response
@@ -169,46 +132,6 @@
 	}
 }
 
-/*
- * Stops listening.  Connections that the kernel has completed by then are
- * accepted, as their clients may have sent requests.
- */
-void hs_stop_listening(struct hs *hs)
-{
-	evutil_socket_t listening;
-	evutil_socket_t fd;
-
-	if (!hs->listener)
-		return;
-	listening = evconnlistener_get_fd(hs->listener);
-	do {
-		fd = accept4(listening, NULL, NULL,
-			     SOCK_NONBLOCK | SOCK_CLOEXEC);
-		if (fd >= 0)
-			hs_accept(hs->listener, fd, NULL, 0, hs);
-	} while (fd >= 0 || errno == EINTR || errno == ECONNABORTED);
-	evconnlistener_free(hs->listener);
-	hs->listener = NULL;
-}
-
-/* Returns the number of all connections. */
-int hs_connections(const struct hs *hs)
-{
-	return hs->connections;
-}
-
-/* Returns how many requests were refused as all bodies took too much. */
-uint64_t hs_bodies_refused(const struct hs *hs)
-{
-	return hs->bodies_refused;
-}
-
-/* Returns how often a connection could not be accepted. */
-uint64_t hs_accept_failures(const struct hs *hs)
-{
-	return hs->accept_failures;
-}
-
 /*
  * Returns the number of connections with a request in progress, with unsent
  * bytes of a response or, once keep-alive is disabled, without a request so
@@ -380,130 +303,20 @@
 	return evbuffer_get_length(bufferevent_get_output(conn->bev));
 }
 
-static void hs_accept(struct evconnlistener *listener, evutil_socket_t fd,
-		      struct sockaddr *addr, int addr_len, void *arg)
+/* Begins to read requests from a new connection. */
+void hs_conn_begin(struct hs_conn *conn)
 {
-	struct hs *hs = arg;
-	struct hs_conn *conn = hs_conn_new(hs, fd);
-	unsigned int timeout_ms = HS_USER_TIMEOUT_MS;
-	int on = 1;
-
-	(void)listener;
-	(void)addr;
-	(void)addr_len;
-	if (!conn) {
-		close(fd);
-		hs_note_accept_failure(hs, ENOMEM);
-		return;
-	}
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-		   sizeof(timeout_ms));
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
 	conn->deadline_us = hs_idle_deadline(conn);
 	conn->first_by_us = clk_boot_us() + HS_FIRST_REQUEST_US;
-	cds_list_add_tail(&conn->node, &hs->conns);
-	hs->connections++;
+	cds_list_add_tail(&conn->node, &conn->hs->conns);
+	conn->hs->connections++;
 	bufferevent_setcb(conn->bev, hs_read, hs_written, hs_event, conn);
 	evbuffer_add_cb(bufferevent_get_output(conn->bev), hs_count,
-			&hs->unsent);
+			&conn->hs->unsent);
 	bufferevent_setwatermark(conn->bev, EV_READ, 0, HS_INPUT_MAX);
 	bufferevent_enable(conn->bev, EV_READ | EV_WRITE);
-	if (hs->connections >= hs->connections_max)
-		hs_choose_accepting(hs, clk_boot_us());
-}
-
-/* Creates a connection; without memory, returns NULL and leaves fd open. */
-static struct hs_conn *hs_conn_new(struct hs *hs, evutil_socket_t fd)
-{
-	struct hs_conn *conn = calloc(1, sizeof(*conn));
-
-	if (!conn)
-		return NULL;
-	conn->hs = hs;
-	conn->body = evbuffer_new();
-	if (conn->body)
-		conn->bev = bufferevent_socket_new(hs->base, fd,
-						   BEV_OPT_CLOSE_ON_FREE);
-	if (conn->bev)
-		return conn;
-	if (conn->body)
-		evbuffer_free(conn->body);
-	free(conn);
-	return NULL;
-}
-
-static void hs_accept_failed(struct evconnlistener *listener, void *arg)
-{
-	(void)listener;
-	hs_note_accept_failure(arg, EVUTIL_SOCKET_ERROR());
-}
-
-/* Stops accepting for a while: the socket stays readable. */
-static void hs_note_accept_failure(struct hs *hs, int error)
-{
-	int64_t now = clk_boot_us();
-
-	hs->accept_failures++;
-	if (now >= hs->accept_failures_by_us)
-		jlog(LOG_ACCEPT_FAILED, "\"why\":\"%s\",\"connections\":%d",
-		     strerror(error), hs->connections);
-	hs->accept_failures_by_us = now + HS_SERIES_US;
-	hs->accept_from_us = now + HS_ACCEPT_PAUSE_US;
-	hs_close_idle(hs, now);
-	hs_choose_accepting(hs, now);
-}
-
-/*
- * Accepts clients, or lets them wait in the kernel: after a failure, or if all
- * connections that may be open are in use.
- */
-static void hs_choose_accepting(struct hs *hs, int64_t now)
-{
-	bool accepting = now >= hs->accept_from_us;
-
-	while (hs->connections >= hs->connections_max && hs_close_idle(hs, now))
-		;
-	accepting = accepting && hs->connections < hs->connections_max;
-	if (!hs->listener || accepting == hs->accepting)
-		return;
-	if (accepting ? evconnlistener_enable(hs->listener)
-		      : evconnlistener_disable(hs->listener))
-		return;
-	hs->accepting = accepting;
-}
-
-/* Closes an idle connection; false if there is none. */
-static bool hs_close_idle(struct hs *hs, int64_t now)
-{
-	struct hs_conn *conn;
-	struct hs_conn *oldest = NULL;
-
-	cds_list_for_each_entry (conn, &hs->conns, node) {
-		if ((!oldest || conn->deadline_us < oldest->deadline_us) &&
-		    hs_is_idle(conn, now))
-			oldest = conn;
-	}
-	if (oldest)
-		hs_close(oldest);
-	return oldest != NULL;
-}
-
-/*
- * Tells whether a connection is between two requests, or is late with its first
- * one, and nothing is left to send or to read.
- */
-static bool hs_is_idle(const struct hs_conn *conn, int64_t now)
-{
-	char byte;
-
-	return conn->state == HS_READING && !conn->started &&
-	       (conn->used || now >= conn->first_by_us) &&
-	       evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0 &&
-	       evbuffer_get_length(bufferevent_get_input(conn->bev)) == 0 &&
-	       recv(bufferevent_getfd(conn->bev), &byte, 1,
-		    MSG_PEEK | MSG_DONTWAIT) < 0;
 }
 
 static void hs_read(struct bufferevent *bev, void *arg)
@@ -629,7 +442,7 @@
 }
 
 /* Sends an error for a request that could not be read, then closes. */
-static void hs_send_error(struct hs_conn *conn, int status)
+void hs_send_error(struct hs_conn *conn, int status)
 {
 	conn->state = HS_RESPONDING;
 	conn->keep_alive = false;
@@ -650,63 +463,8 @@
 	*bytes -= info->n_deleted;
 }
 
-/*
- * Claims memory for the body of a request, which is so long in all as far as is
- * known; bodies that are late give way.  Returns false if the request is to be
- * refused.
- */
-bool hs_claim_body(struct hs_conn *conn, size_t len)
-{
-	struct hs *hs = conn->hs;
-	int64_t now = clk_boot_us();
-	size_t claim = len > conn->body_claim ? len : conn->body_claim;
-
-	conn->body_by_us = now + hs->limits.header_ms * MAG_US_PER_MS;
-	hs_claim(conn, claim);
-	do {
-		if (abuf_fits(claim, hs->body_bytes - claim))
-			return true;
-	} while (hs_drop_late_body(hs, now));
-	hs_claim(conn, 0);
-	hs_note_body_refused(hs, now);
-	return false;
-}
-
-static void hs_claim(struct hs_conn *conn, size_t claim)
-{
-	conn->hs->body_bytes += claim;
-	conn->hs->body_bytes -= conn->body_claim;
-	conn->body_claim = claim;
-}
-
-/*
- * Ends a request of whose long body nothing has come for as long as a header
- * may take; false if there is none.
- */
-static bool hs_drop_late_body(struct hs *hs, int64_t now)
-{
-	struct hs_conn *conn;
-
-	cds_list_for_each_entry (conn, &hs->conns, node) {
-		if (conn->state != HS_READING || now < conn->body_by_us ||
-		    conn->body_claim <= ABUF_SMALL)
-			continue;
-		hs_send_error(conn, 408);
-		return true;
-	}
-	return false;
-}
-
-static void hs_note_body_refused(struct hs *hs, int64_t now)
-{
-	hs->bodies_refused++;
-	if (now >= hs->bodies_refused_by_us)
-		jlog(LOG_BODY_REFUSED, "\"bytes\":%zu,\"connections\":%d",
-		     hs->body_bytes, hs->connections);
-	hs->bodies_refused_by_us = now + HS_SERIES_US;
-}
-
-static void hs_close(struct hs_conn *conn)
+/* Closes a connection without calling the owner. */
+void hs_close(struct hs_conn *conn)
 {
 	struct evbuffer *out = bufferevent_get_output(conn->bev);
 
--- a/src/hs_int.h
+++ b/src/hs_int.h
@@ -12,6 +12,8 @@
 #include "mag.h"
 
 #define HS_TARGET_MAX 8192
+/* Failures that follow each other within this time are logged once. */
+#define HS_SERIES_US (10 * MAG_US_PER_S)
 
 enum hs_state {
 	HS_READING,    /* waits for a request or reads one */
@@ -70,6 +72,17 @@
  */
 extern const http_parser_settings hs_settings;
 
+/* hs.c */
+void hs_conn_begin(struct hs_conn *conn);
+void hs_send_error(struct hs_conn *conn, int status);
+void hs_close(struct hs_conn *conn);
+
+/* hs_accept.c */
+int hs_listen(struct hs *hs, int fd);
+void hs_choose_accepting(struct hs *hs, int64_t now);
+
+/* hs_body.c */
 bool hs_claim_body(struct hs_conn *conn, size_t len);
+void hs_claim(struct hs_conn *conn, size_t claim);
 
 #endif /* HS_INT_H */
