hc: only a lack of descriptors or memory is one of the router's own

Callers of a router got 503 for sound workers while one worker had an address of a family that the machine lacks: every error of socket() paused all connections for 50 ms, and that worker was tried again and again, as nothing was held against it.

A socket that cannot be opened for any other reason is -1 as it was before, and connecting it fails like a refused connection.

Found by a review.

--- a/src/hc.c
+++ b/src/hc.c
@@ -90,7 +90,7 @@
 
 static struct hc_call *hc_open(struct hc_host *host, int fd);
 static struct hc_call *hc_conn_new(struct hc_host *host, int fd);
-static int hc_socket(struct hc_host *host);
+static bool hc_socket(struct hc_host *host, int *out);
 static bool hc_drop_one_idle(struct hc *hc);
 static void hc_observe(struct hc_call *call, bool reached);
 static void hc_begin(struct hc_call *call, const struct hc_send *send);
@@ -359,11 +359,14 @@
 		if (host->open >= host->max_connections)
 			hc_close(cds_list_first_entry(&host->idle,
 						      struct hc_call, in_idle));
-		fd = hc_socket(host);
-		call = fd < 0 ? NULL : hc_open(host, fd);
+		if (!hc_socket(host, &fd)) {
+			evbuffer_free(send->request);
+			return HC_E_FULL;
+		}
+		call = hc_open(host, fd);
 		if (!call) {
 			evbuffer_free(send->request);
-			return fd < 0 ? HC_E_FULL : HC_E_MEMORY;
+			return HC_E_MEMORY;
 		}
 	}
 	hc_begin(call, send);
@@ -415,10 +418,12 @@
 }
 
 /*
- * Returns a socket for a new connection.  Idle connections give way to it; if
- * there is still no descriptor, that is logged and counted, and -1 returned.
+ * Opens a socket for a new connection.  Idle connections give way to it; if
+ * there is still no descriptor, that is logged and counted, and the result is
+ * false.  After any other error, such as an address family that the machine
+ * lacks, the socket is -1, and connecting it fails like a refused connection.
  */
-static int hc_socket(struct hc_host *host)
+static bool hc_socket(struct hc_host *host, int *out)
 {
 	struct hc *hc = host->hc;
 	int64_t now = clk_boot_us();
@@ -430,15 +435,16 @@
 		fd = socket(host->addr.ss_family,
 			    SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	} while (fd < 0 && fd_is_missing(errno) && hc_drop_one_idle(hc));
-	if (fd >= 0)
-		return fd;
+	*out = fd;
+	if (fd >= 0 || !fd_is_missing(errno))
+		return true;
 	hc->open_failures++;
 	if (now >= hc->open_failures_by_us)
 		jlog(LOG_CONNECTION_FAILED, "\"why\":\"%s\",\"connections\":%d",
 		     strerror(errno), hc->connections);
 	hc->open_failures_by_us = now + HC_OPEN_SERIES_US;
 	hc->open_from_us = now + HC_OPEN_PAUSE_US;
-	return -1;
+	return false;
 }
 
 /* Closes an idle connection to any host; false if there is none. */
