hs: late bodies and answered connections give way at the limit

Callers got no answer while connections with unfinished bodies held all that may be open: such a body has no deadline of its own, and nothing made it give way. Connections that wait for their client's end after the last answer held them for half a second each. Six half-sent requests at the address of readiness kept the balancer out for three seconds.

At the limit a request whose body is late by the time that a header may take is answered 408, one at a tick, and a connection that has got its last answer gives way before idle ones. Readiness has 16 connections.

Found by a review (60 bodies at a limit of 120: no answer in 20 s). regress/edge/few-descriptors holds unfinished bodies now, too: on the code before a new caller got no answer in 8 s ("000"), and too little was served.

--- a/regress/edge/few-descriptors.sh
+++ b/regress/edge/few-descriptors.sh
@@ -32,9 +32,10 @@
 	pids="$pids $holder"
 	wait_for "[ -e $dir/held ]"
 }
-for bytes in '' 'GET /r/x HTTP/1.1\r\nHost'; do
+for bytes in '' 'GET /r/x HTTP/1.1\r\nHost' \
+	'POST /r/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 9\r\n\r\nab'; do
 	printf '%s\n' "callers that send: ${bytes:-nothing}"
-	# Those that have begun a request do not give way before it is late.
+	# Those that have begun a request, or its body, do not give way before it is late.
 	count=150
 	[ -z "$bytes" ] || count=70
 	"$build/tool_calls" -k s long${#bytes} 3 4 $(router 1) >"$dir/calls.long${#bytes}" &
--- a/src/edge_files.c
+++ b/src/edge_files.c
@@ -3,7 +3,8 @@
 #include "jlog.h"
 
 /* Connections of the balancer, and of the operators' tools. */
-#define EDGE_PAGE_CONNECTIONS 6
+#define EDGE_READINESS_CONNECTIONS 16
+#define EDGE_METRICS_CONNECTIONS   6
 
 /*
  * Raises the limit on descriptors to what the settings allow, at the start and
@@ -32,7 +33,7 @@
 	hs_set_connections_max(edge->callers, shares.callers);
 	rel_set_connections_max(edge->rel, shares.forwarded);
 	hc_set_connections_max(edge->hc, shares.sent);
-	hs_set_connections_max(edge->readiness, EDGE_PAGE_CONNECTIONS);
+	hs_set_connections_max(edge->readiness, EDGE_READINESS_CONNECTIONS);
 	if (edge->metrics)
-		hs_set_connections_max(edge->metrics, EDGE_PAGE_CONNECTIONS);
+		hs_set_connections_max(edge->metrics, EDGE_METRICS_CONNECTIONS);
 }
--- a/src/hs_accept.c
+++ b/src/hs_accept.c
@@ -157,6 +157,9 @@
 
 	while (hs->connections >= hs->connections_max && hs_close_idle(hs, now))
 		;
+	/* One is answered at a time, and gives way once that is sent. */
+	if (hs->connections >= hs->connections_max)
+		hs_drop_late_body(hs, 0, now);
 	accepting = accepting && hs->connections < hs->connections_max;
 	if (!hs->listener || accepting == hs->accepting)
 		return;
@@ -183,13 +186,15 @@
 }
 
 /*
- * Tells whether a connection is between two requests, or is late with its first
- * one, and nothing is left to send or to read.
+ * Tells whether a connection has got its last answer, is between two requests,
+ * or is late with its first one, and nothing is left to send or to read.
  */
 static bool hs_is_idle(const struct hs_conn *conn, int64_t now)
 {
 	char byte;
 
+	if (conn->state == HS_LINGERING)
+		return true;
 	return conn->state == HS_READING && !conn->started &&
 	       (conn->used || now >= conn->first_by_us) &&
 	       evbuffer_get_length(bufferevent_get_output(conn->bev)) == 0 &&
--- a/src/hs_body.c
+++ b/src/hs_body.c
@@ -3,7 +3,6 @@
 #include "hs_int.h"
 #include "jlog.h"
 
-static bool hs_drop_late_body(struct hs *hs, int64_t now);
 static void hs_note_body_refused(struct hs *hs, int64_t now);
 
 /* Returns how many requests were refused as all bodies took too much. */
@@ -28,7 +27,7 @@
 	do {
 		if (abuf_fits(claim, hs->body_bytes - claim))
 			return true;
-	} while (hs_drop_late_body(hs, now));
+	} while (hs_drop_late_body(hs, ABUF_SMALL, now));
 	hs_claim(conn, 0);
 	hs_note_body_refused(hs, now);
 	return false;
@@ -43,16 +42,16 @@
 }
 
 /*
- * Ends a request of whose long body nothing has come for as long as a header
- * may take; false if there is none.
+ * Ends a request of whose body, which has claimed more than so many bytes,
+ * nothing has come for as long as a header may take; false if there is none.
  */
-static bool hs_drop_late_body(struct hs *hs, int64_t now)
+bool hs_drop_late_body(struct hs *hs, size_t claim, int64_t now)
 {
 	struct hs_conn *conn;
 
 	cds_list_for_each_entry (conn, &hs->conns, node) {
 		if (conn->state != HS_READING || now < conn->body_by_us ||
-		    conn->body_claim <= ABUF_SMALL)
+		    conn->body_claim <= claim)
 			continue;
 		hs_send_error(conn, 408);
 		return true;
--- a/src/hs_int.h
+++ b/src/hs_int.h
@@ -84,5 +84,6 @@
 /* hs_body.c */
 bool hs_claim_body(struct hs_conn *conn, size_t len);
 void hs_claim(struct hs_conn *conn, size_t claim);
+bool hs_drop_late_body(struct hs *hs, size_t claim, int64_t now);
 
 #endif /* HS_INT_H */
