chk: text after the object, or a comma before its end, is no cut text

Operators saw a router that waited for ever for settings that no more bytes can mend, if their last line had no newline: the position of an error was compared with the length of the text, whatever the error was.

Only an early end, and a word, number, escape or character that has begun at the end of the text, are a cut text.

--- a/src/chk.c
+++ b/src/chk.c
@@ -86,14 +86,23 @@
 
 /*
  * Tells whether an error of a text of len bytes is its end, so that more bytes
- * could mend it.  A character of several bytes that ends early is reported at
- * its first one.
+ * could mend it: an early end, or a word, number, escape or character that has
+ * begun.  A character of several bytes is reported at its first one.
  */
-bool chk_json_is_cut(const json_error_t *error, size_t len)
+bool chk_json_is_cut(const json_error_t *error, const char *text, size_t len)
 {
 	size_t position = (size_t)error->position;
 
-	if (json_error_code(error) == json_error_invalid_utf8)
+	switch (json_error_code(error)) {
+	case json_error_premature_end_of_input:
+		return true;
+	case json_error_invalid_utf8:
 		return position + CHK_UTF8_MAX > len;
-	return position >= len;
+	case json_error_invalid_syntax:
+		return position >= len && len > 0 && text[len - 1] != '\0' &&
+		       (isalnum((unsigned char)text[len - 1]) ||
+			strchr("+-.\\", text[len - 1]));
+	default:
+		return false;
+	}
 }
--- a/src/chk.h
+++ b/src/chk.h
@@ -16,6 +16,6 @@
 bool chk_name(const char *name);
 bool chk_address(const char *address);
 json_t *chk_json(const char *text, size_t len, json_error_t *error);
-bool chk_json_is_cut(const json_error_t *error, size_t len);
+bool chk_json_is_cut(const json_error_t *error, const char *text, size_t len);
 
 #endif /* CHK_H */
--- a/src/eset.c
+++ b/src/eset.c
@@ -191,8 +191,8 @@
 		snprintf(why, (size_t)why_size, "%s: line %d: %s", path,
 			 error.line, root ? "no object" : error.text);
 		json_decref(root);
-		return !root && chk_json_is_cut(&error, len) ? ESET_E_READ
-							     : ESET_E_BAD;
+		return !root && chk_json_is_cut(&error, text, len) ? ESET_E_READ
+								   : ESET_E_BAD;
 	}
 	for (i = 0; i < MAG_ARRAY_SIZE(eset_fields) && !rc; i++) {
 		rc = eset_parse_field(
--- a/src/set.c
+++ b/src/set.c
@@ -19,7 +19,7 @@
 	size_t i;
 
 	if (!doc) {
-		build->incomplete = chk_json_is_cut(&error, len);
+		build->incomplete = chk_json_is_cut(&error, text, len);
 		set_fault(build, "file", SET_M_SYNTAX, error.line, error.text);
 		return false;
 	}
