proc_unshare: magnoliad's log does not change the descriptors of others

A second writer of magnoliad's standard error, such as the shell, found it non-blocking, also after its end, and lost lines: had mended that for magnolia-edge only. The function is in proc now, and both use it.

The line that says why the event library ended the process waits for a slow reader like other last lines. Found by a review; regress/edge/log-unread and regress/proc/log-unread pass as before.

--- a/src/evlog.c
+++ b/src/evlog.c
@@ -9,6 +9,8 @@
 #include "mag.h"
 
 #define EVLOG_TEXT_MAX 256
+/* Time for the reader of the log to take the last lines. */
+#define EVLOG_LAST_LINES_US (200 * MAG_US_PER_MS)
 
 static int64_t evlog_next_us;
 static unsigned long evlog_left_out;
@@ -53,6 +55,6 @@
 static void evlog_on_fatal(int error)
 {
 	(void)error;
-	jlog_flush();
+	jlog_finish(clk_boot_us() + EVLOG_LAST_LINES_US);
 	_exit(evlog_fatal_status);
 }
--- a/src/jlog.c
+++ b/src/jlog.c
@@ -6,19 +6,18 @@
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include "clk.h"
 #include "jlog.h"
 #include "log.h"
 #include "mag.h"
+#include "proc.h"
 
 #define JLOG_BUFFER   65536
 #define JLOG_LINE_MAX 1024
 /* Part of the buffer for the lines that say why the process ends. */
 #define JLOG_LAST_BYTES (4 * JLOG_LINE_MAX)
-#define JLOG_PATH_MAX	64
 
 static char jlog_buffer[JLOG_BUFFER];
 static size_t jlog_len;
@@ -30,7 +29,6 @@
 static uint64_t jlog_drop_count;
 static uint64_t jlog_drops_logged;
 
-static int jlog_unshare(int fd);
 static int jlog_write(void);
 static void jlog_report_drops(int64_t now);
 static bool jlog_is_last(enum log_id id);
@@ -52,41 +50,14 @@
 	jlog_fd = fd;
 	jlog_max_per_s = lines_per_s;
 	if (fd != STDERR_FILENO)
-		(void)jlog_unshare(STDERR_FILENO);
-	if (jlog_unshare(fd) == 0)
+		(void)proc_unshare(STDERR_FILENO);
+	if (proc_unshare(fd) == 0)
 		return;
 	flags = fcntl(fd, F_GETFL);
 	if (flags >= 0)
 		fcntl(fd, F_SETFL, flags | O_NONBLOCK);
 }
 
-/*
- * Opens the pipe or terminal of a descriptor once more in its place, as one
- * that does not block.  The flags of the former are shared with others: the
- * shell, a second writer, and the process after this one.  Files never block,
- * and are written to at the offset that is shared.  Returns -1 if that fails,
- * as for a socket or a pipe whose reader is gone.
- */
-static int jlog_unshare(int fd)
-{
-	char path[JLOG_PATH_MAX];
-	struct stat status;
-	int own;
-	int rc;
-
-	if (fstat(fd, &status))
-		return -1;
-	if (S_ISREG(status.st_mode))
-		return 0;
-	snprintf(path, sizeof(path), "/proc/self/fd/%d", fd);
-	own = open(path, O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
-	if (own < 0)
-		return -1;
-	rc = dup2(own, fd) < 0 ? -1 : 0;
-	close(own);
-	return rc;
-}
-
 /* Sets the name of the instance in the lines that follow. */
 void jlog_set_instance(const char *instance)
 {
--- a/src/log.c
+++ b/src/log.c
@@ -10,6 +10,7 @@
 
 #include "log.h"
 #include "mag.h"
+#include "proc.h"
 
 #define LOG_LINE_MAX 1024
 /* With the priority, time and program; a pipe takes it whole or not at all. */
@@ -57,8 +58,11 @@
  */
 void log_never_block(void)
 {
-	int flags = fcntl(STDERR_FILENO, F_GETFL);
+	int flags;
 
+	if (proc_unshare(STDERR_FILENO) == 0)
+		return;
+	flags = fcntl(STDERR_FILENO, F_GETFL);
 	if (flags >= 0)
 		fcntl(STDERR_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
--- a/src/proc.c
+++ b/src/proc.c
@@ -1,9 +1,13 @@
 #include <fcntl.h>
 #include <signal.h>
+#include <stdio.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "proc.h"
 
+#define PROC_PATH_MAX 64
+
 static void proc_handled_signals(sigset_t *signals);
 
 /*
@@ -53,6 +57,33 @@
 	sigprocmask(SIG_UNBLOCK, &handled, NULL);
 }
 
+/*
+ * Opens the pipe or terminal of a descriptor once more in its place, as one
+ * that does not block.  The flags of the former are shared with others: the
+ * shell, a second writer, and the process after this one.  Files never block,
+ * and are written to at the offset that is shared.  Returns -1 if that fails,
+ * as for a socket or a pipe whose reader is gone.
+ */
+int proc_unshare(int fd)
+{
+	char path[PROC_PATH_MAX];
+	struct stat status;
+	int own;
+	int rc;
+
+	if (fstat(fd, &status))
+		return -1;
+	if (S_ISREG(status.st_mode))
+		return 0;
+	snprintf(path, sizeof(path), "/proc/self/fd/%d", fd);
+	own = open(path, O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
+	if (own < 0)
+		return -1;
+	rc = dup2(own, fd) < 0 ? -1 : 0;
+	close(own);
+	return rc;
+}
+
 static void proc_handled_signals(sigset_t *signals)
 {
 	sigemptyset(signals);
--- a/src/proc.h
+++ b/src/proc.h
@@ -8,5 +8,6 @@
 void proc_open_std(void);
 void proc_block_signals(sigset_t *signals);
 void proc_unblock_signals(void);
+int proc_unshare(int fd);
 
 #endif /* PROC_H */
