edge_main: reasons and names are made fit for a line of the log

A quote in an address or in the name of a data centre made lines of 8001, 8004 and 8007 that are no JSON.

regress/edge/settings-incomplete starts a router with the address a"b: on the line was "why":"a"b: Invalid argument".

--- a/regress/edge/settings-incomplete.sh
+++ b/regress/edge/settings-incomplete.sh
@@ -36,6 +36,11 @@
 run_router 2
 wait $router_2
 echo "malformed text: status $?"
+sed 's/"callers":"[^"]*"/"callers":"a\\"b"/' "$dir/whole" >"$dir/router.2.json"
+run_router 2
+wait $router_2
+echo "malformed address: status $?"
+grep -o '"why":"a?b: Invalid argument"}' "$dir/router.2.log"
 
 # Wherever the file is cut, the router waits.
 for cut in 0 1 $(seq 2 23 $((size - 3))) $((size - 2)); do
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -69,8 +69,7 @@
 	const char *settings_path;
 	bool settings_loaded;
 	struct eset settings_read;	 /* as they were last in the file */
-	char settings_why[EDGE_WHY_MAX]; /* they can't be loaded; "": they can
-					  */
+	char settings_why[EDGE_WHY_MAX]; /* why they can't be loaded, or "" */
 	int64_t settings_next_us;
 	bool started;
 	int64_t start_us;	      /* when to try to start again */
@@ -204,6 +203,8 @@
 		edge_allow_files(edge);
 		rc = edge_start(edge, why, sizeof(why));
 	}
+	if (rc != EDGE_STARTED)
+		jlog_sanitize(why, sizeof(why), why);
 	if (rc == EDGE_START_WAITS) {
 		edge_wait(run, why, now);
 		return;
@@ -220,7 +221,8 @@
 	run->settings_read = edge->set;
 	run->settings_next_us = now + EDGE_SETTINGS_US;
 	jlog(LOG_STARTED, "\"data_centre\":\"%s\",\"callers\":\"%s\"",
-	     edge->set.data_centre, edge->set.callers);
+	     jlog_sanitize(why, sizeof(why), edge->set.data_centre),
+	     edge->set.callers);
 }
 
 /* Loads the settings at each attempt to start, as they may have changed. */
@@ -344,8 +346,8 @@
 /*
  * Reads the settings again after SIGHUP, and each second, as they may change
  * without a signal.  What is not a file, such as a pipe, is read at the start
- * only.  The time of the file's change is not relied on: it may be
- * the same before and after the rest of the file is written.
+ * only.  The time of the file's change is not relied on: it may be the same
+ * before and after the rest of the file is written.
  */
 static void edge_reload(struct edge_run *run, int64_t now)
 {
