eset, set: a settings file that is overwritten in place is waited for

A router ended with status 2 if it read its settings while another process wrote them into the same file without truncating it first: a shorter text before the rest of a longer one, zeros after the text, or an object without its fields. Reading could not tell such a file from one that is wrong, and took it for the latter; only a file that ends early was waited for.

What a writer leaves for a moment is gone after that; a value that can't be right, such as a wrong type or two equal addresses, still ends it at once, and so does any fault beside a malformed option of magnoliad.

regress/edge/settings-incomplete and regress/proc/settings-incomplete have three such files each.

--- a/regress/edge/settings-incomplete.sh
+++ b/regress/edge/settings-incomplete.sh
@@ -51,3 +51,22 @@
 	kill -KILL $router_3 2>"$dir/null" && echo waits
 	wait $router_3 2>"$dir/null"
 done | sort | uniq -c | awk -v all=$(seq 2 23 $((size - 3)) | wc -l) '{ print "cut files: " $2 ($1 == all + 3 ? " in each case" : " " $1) }'
+
+# overwritten WHAT: starts a router whose settings are malformed until they are written
+# to their end in place.
+overwritten() {
+	: >"$dir/router.4.log"
+	run_router 4
+	wait_for "logged 4 start-delayed || ! kill -0 $router_4 2>$dir/null"
+	cat "$dir/whole" 1<>"$dir/router.4.json"
+	truncate -s $size "$dir/router.4.json"
+	wait_for "logged 4 '\"started\"' || ! kill -0 $router_4 2>$dir/null"
+	kill -KILL $router_4 2>"$dir/null" && echo "$1: started"
+	wait $router_4 2>"$dir/null"
+}
+{ cat "$dir/whole"; echo '"worker_report_ms":300}'; } >"$dir/router.4.json"
+overwritten "a longer one before it"
+{ cat "$dir/whole"; head -c 100 /dev/zero; } >"$dir/router.4.json"
+overwritten "zeros after it"
+echo '{}' >"$dir/router.4.json"
+overwritten "an object without fields"
--- a/regress/proc/settings-incomplete.sh
+++ b/regress/proc/settings-incomplete.sh
@@ -65,3 +65,21 @@
 	wait_exit router-0
 done | sort | uniq -c | awk -v all="$(echo $cuts | wc -w)" \
 	'{ print "cut files: " $2 ($1 == all ? " in each case" : " " $1) }'
+
+# overwritten WHAT: starts router 0 with malformed settings, which are written to their
+# end in place.
+overwritten() {
+	run_router
+	until_ok waits_or_ended
+	cat "$work/whole" 1<>"$file"
+	truncate -s "$size" "$file"
+	until_ok ready 0 && echo "$1: ready"
+	signal router-0 KILL 2>/dev/null
+	wait_exit router-0
+}
+{ cat "$work/whole"; echo '"threads":8}'; } >"$file"
+overwritten "a longer one before it"
+{ cat "$work/whole"; head -c 100 /dev/zero; } >"$file"
+overwritten "zeros after it"
+echo '{}' >"$file"
+overwritten "an object without fields"
--- a/src/chk.c
+++ b/src/chk.c
@@ -8,6 +8,8 @@
 #include "mag.h"
 
 #define CHK_UTF8_MAX 4 /* bytes of a character */
+/* A file that is written in place is whole by then. */
+#define CHK_SETTLE_US MAG_US_PER_S
 
 /* Returns true if a string is a valid name of an object, group or instance. */
 bool chk_name(const char *name)
@@ -106,3 +108,15 @@
 		return false;
 	}
 }
+
+/*
+ * Tells whether a malformed text may be one that another process writes in
+ * place, so that it is worth reading again.  *by_us is 0 at first, and then the
+ * time at which the error counts as lasting.
+ */
+bool chk_may_settle(int64_t *by_us, int64_t now)
+{
+	if (*by_us == 0)
+		*by_us = now + CHK_SETTLE_US;
+	return now < *by_us;
+}
--- a/src/chk.h
+++ b/src/chk.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include <jansson.h>
 
@@ -16,6 +17,7 @@
 bool chk_name(const char *name);
 bool chk_address(const char *address);
 json_t *chk_json(const char *text, size_t len, json_error_t *error);
+bool chk_may_settle(int64_t *by_us, int64_t now);
 bool chk_json_is_cut(const json_error_t *error, const char *text, size_t len);
 
 #endif /* CHK_H */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -8,6 +8,7 @@
 #include <event2/event.h>
 #include <sodium.h>
 
+#include "chk.h"
 #include "clk.h"
 #include "edge.h"
 #include "eq.h"
@@ -68,7 +69,8 @@
 	struct edge edge;
 	const char *settings_path;
 	bool settings_loaded;
-	struct eset settings_read;	 /* as they were last in the file */
+	int64_t settings_settle_us; /* how long malformed ones are retried */
+	struct eset settings_read;  /* as they were last in the file */
 	char settings_why[EDGE_WHY_MAX]; /* why they can't be loaded, or "" */
 	int64_t settings_next_us;
 	bool started;
@@ -87,8 +89,8 @@
 static int edge_add_events(struct edge_run *run);
 static void edge_on_tick(evutil_socket_t fd, short what, void *arg);
 static void edge_try_start(struct edge_run *run, int64_t now);
-static enum edge_start edge_load_settings(struct edge_run *run, char *why,
-					  size_t why_size);
+static enum edge_start edge_load_settings(struct edge_run *run, int64_t now,
+					  char *why, size_t why_size);
 static void edge_wait(struct edge_run *run, const char *why, int64_t now);
 static void edge_tick(struct edge_run *run, int64_t now);
 static void edge_on_term(evutil_socket_t fd, short what, void *arg);
@@ -197,7 +199,7 @@
 {
 	struct edge *edge = &run->edge;
 	char why[EDGE_WHY_MAX];
-	enum edge_start rc = edge_load_settings(run, why, sizeof(why));
+	enum edge_start rc = edge_load_settings(run, now, why, sizeof(why));
 
 	if (rc == EDGE_STARTED) {
 		edge_allow_files(edge);
@@ -226,8 +228,8 @@
 }
 
 /* Loads the settings at each attempt to start, as they may have changed. */
-static enum edge_start edge_load_settings(struct edge_run *run, char *why,
-					  size_t why_size)
+static enum edge_start edge_load_settings(struct edge_run *run, int64_t now,
+					  char *why, size_t why_size)
 {
 	int rc = eset_load(run->settings_path, &run->edge.set, why,
 			   (int)why_size);
@@ -235,6 +237,10 @@
 	run->settings_loaded = rc == ESET_OK;
 	if (rc == ESET_OK)
 		jlog_set_instance(run->edge.set.instance);
+	if (rc == ESET_E_TEXT && chk_may_settle(&run->settings_settle_us, now))
+		return EDGE_START_WAITS;
+	if (rc != ESET_E_TEXT)
+		run->settings_settle_us = 0;
 	if (rc == ESET_E_READ)
 		return EDGE_START_WAITS;
 	return rc ? EDGE_START_FAILED : EDGE_STARTED;
--- a/src/eset.c
+++ b/src/eset.c
@@ -85,7 +85,8 @@
  * Reads and checks a settings file.  Unknown fields are ignored, because a
  * newer platform may add some.  On an error set is unchanged and why says what
  * is wrong: ESET_E_READ if the file can't be read or ends before its object
- * does, as it may still be written, ESET_E_BAD if no more bytes can mend it.
+ * does, as it may still be written, ESET_E_TEXT if it is malformed as one is
+ * that is overwritten in place, and ESET_E_BAD if a value can't be right.
  */
 int eset_load(const char *path, struct eset *set, char *why, int why_size)
 {
@@ -183,6 +184,7 @@
 {
 	json_error_t error = { 0 };
 	json_t *root = json_loadb(text, len, 0, &error);
+	json_t *value;
 	int rc = ESET_OK;
 	size_t i;
 
@@ -191,13 +193,15 @@
 		snprintf(why, (size_t)why_size, "%s: line %d: %s", path,
 			 error.line, root ? "no object" : error.text);
 		json_decref(root);
-		return !root && chk_json_is_cut(&error, text, len) ? ESET_E_READ
-								   : ESET_E_BAD;
+		return !root && chk_json_is_cut(&error, text, len)
+			       ? ESET_E_READ
+			       : ESET_E_TEXT;
 	}
 	for (i = 0; i < MAG_ARRAY_SIZE(eset_fields) && !rc; i++) {
-		rc = eset_parse_field(
-			&eset_fields[i],
-			json_object_get(root, eset_fields[i].name), parsed);
+		value = json_object_get(root, eset_fields[i].name);
+		rc = eset_parse_field(&eset_fields[i], value, parsed);
+		if (rc && !value)
+			rc = ESET_E_TEXT;
 		if (rc)
 			snprintf(why, (size_t)why_size,
 				 "settings: %s: missing or malformed",
--- a/src/eset.h
+++ b/src/eset.h
@@ -12,6 +12,7 @@
 	ESET_OK = 0,
 	ESET_E_READ = -1, /* not there, or its end is not written yet */
 	ESET_E_BAD = -2,  /* why names the field */
+	ESET_E_TEXT = -3, /* no whole object with all fields */
 };
 
 struct eset {
--- a/src/magnoliad.c
+++ b/src/magnoliad.c
@@ -5,6 +5,7 @@
 #include <curl/curl.h>
 #include <sodium.h>
 
+#include "chk.h"
 #include "clk.h"
 #include "daemon.h"
 #include "log.h"
@@ -29,6 +30,7 @@
 
 static int load(int argc, char **argv, const sigset_t *signals,
 		struct set_settings *settings);
+static bool may_mend(int rc, int64_t *settle_us);
 static void print_faults(const struct flt_list *faults);
 static int run(const struct set_settings *settings, const sigset_t *signals);
 static int start(const struct set_settings *settings, const sigset_t *signals,
@@ -86,10 +88,12 @@
 {
 	struct delay delay = { 0 };
 	struct flt_list *faults;
+	int64_t settle_us = 0;
 	bool stop;
 	int rc;
 
-	while ((rc = set_load(argc, argv, settings, &faults)) == SET_E_READ &&
+	while (may_mend(rc = set_load(argc, argv, settings, &faults),
+			&settle_us) &&
 	       settings->action == SET_RUN) {
 		stop = wait_retry(signals, &delay, flt_text(faults, 0));
 		flt_free(faults);
@@ -104,6 +108,18 @@
 	return rc;
 }
 
+/*
+ * Tells whether settings may be right later: the file is not there, or it is
+ * being written.  *settle_us is when malformed ones count as wrong, 0 at first.
+ */
+static bool may_mend(int rc, int64_t *settle_us)
+{
+	if (rc == SET_E_TEXT)
+		return chk_may_settle(settle_us, clk_now_us());
+	*settle_us = 0;
+	return rc == SET_E_READ;
+}
+
 /* Logs every error in the settings, before anything is started. */
 static void print_faults(const struct flt_list *faults)
 {
--- a/src/set.c
+++ b/src/set.c
@@ -20,10 +20,12 @@
 
 	if (!doc) {
 		build->incomplete = chk_json_is_cut(&error, text, len);
+		build->unsettled += !build->incomplete;
 		set_fault(build, "file", SET_M_SYNTAX, error.line, error.text);
 		return false;
 	}
 	if (!json_is_object(doc)) {
+		build->unsettled++;
 		set_fault(build, "file", SET_M_DOCUMENT);
 		json_decref(doc);
 		return false;
@@ -48,9 +50,11 @@
 	size_t i;
 
 	for (i = 0; i < set_field_count; i++) {
-		if (set_fields[i].required &&
-		    !(build->given & (UINT64_C(1) << i)))
-			set_fault(build, set_fields[i].name, SET_M_MISSING);
+		if (!set_fields[i].required ||
+		    (build->given & (UINT64_C(1) << i)))
+			continue;
+		build->unsettled += build->from_file;
+		set_fault(build, set_fields[i].name, SET_M_MISSING);
 	}
 	set_check_addresses(build);
 }
--- a/src/set.h
+++ b/src/set.h
@@ -34,6 +34,7 @@
 	SET_E_INVALID = -1, /* at least one setting or option is invalid */
 	SET_E_MEMORY = -2,
 	SET_E_READ = -3, /* no fault but that the file may not be written yet */
+	SET_E_TEXT = -4, /* none but those of a file overwritten in place */
 };
 
 struct set_addresses {
--- a/src/set_int.h
+++ b/src/set_int.h
@@ -66,7 +66,9 @@
 	struct flt_list *faults;
 	const char *source; /* for messages: settings/FILE, option/-, .. */
 	uint64_t given;	    /* one bit per field that was set */
-	bool incomplete;    /* the file is not there or ends early */
+	bool from_file;
+	bool incomplete;  /* the file is not there or ends early */
+	size_t unsettled; /* faults that a file overwritten in place has */
 };
 
 extern const struct set_field set_fields[];
--- a/src/set_option.c
+++ b/src/set_option.c
@@ -73,6 +73,8 @@
 	}
 	if (flt_count(build.faults)) {
 		*faults = build.faults;
+		if (build.unsettled == flt_count(build.faults))
+			return SET_E_TEXT;
 		return build.incomplete && flt_count(build.faults) == 1
 			       ? SET_E_READ
 			       : SET_E_INVALID;
@@ -169,6 +171,7 @@
 		snprintf(source, sizeof(source), "settings/%s",
 			 table->file->basename[0]);
 		build->source = source;
+		build->from_file = true;
 		valid = set_read_file(build, table->file->filename[0]);
 	}
 	build->source = "option/-";
