launch: magnoliad blocks signals before its libraries are loaded

A SIGHUP, SIGTERM or SIGINT shortly after exec ended magnoliad, without a line in its log: with a SIGHUP at a random time within 30 ms of exec, 50 and 65 of 300 starts ended so, the last at 12.7 ms. Signals were blocked at the start of main, but before that the dynamic linker loads 38 shared objects, most of them for libcurl, and the default action holds meanwhile. Not all of them can be linked statically: Debian has no archive of CivetWeb or of the Kerberos library that libtirpc needs.

magnoliad is now a small program that needs the C library only.

regress/proc/signal-at-start sends the signals from a preloaded object while the libraries are loaded. Before: "timed out: ready 0", status 129 and 143.

--- a/Makefile
+++ b/Makefile
@@ -16,17 +16,19 @@
 LIBS       = $(PKG_LIBS) -lhttp_parser -lcivetweb -lzstd -lm -pthread
 
 # Every file of src/ but the two mains goes into one archive.
-MAINS     := src/magnoliad.c src/magctl.c src/edge_main.c
+MAINS     := src/launch.c src/magnoliad.c src/magctl.c src/edge_main.c
 GENERATED := $(wildcard src/rpc_gen_*.[ch])
 LIB_SRCS  := $(filter-out $(MAINS),$(wildcard src/*.c platform/*.c))
 LIB_OBJS  := $(LIB_SRCS:%.c=$(BUILD)/%.o)
 LIB       := $(BUILD)/libmagnolia.a
-PROGS     := $(BUILD)/magnoliad $(BUILD)/magctl $(BUILD)/magnolia-edge
+PROGS     := $(BUILD)/magnoliad $(BUILD)/magnoliad-main $(BUILD)/magctl \
+	     $(BUILD)/magnolia-edge
 EDGE_LIBS := $(if $(SAN),,-Wl,-Bstatic) -levent_core -lhttp_parser -ljansson -lsodium -ltirpc \
 	     -lurcu-common -lzstd $(if $(SAN),,-Wl,-Bdynamic) -lm
 FAKES     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/fake_*.c))
 CHECKS    := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/check_*.c))
 TOOLS     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/tool_*.c))
+PRELOADS  := $(patsubst regress/%.c,$(BUILD)/%.so,$(wildcard regress/preload_*.c))
 BENCHES   := $(patsubst bench/%.c,$(BUILD)/%,$(wildcard bench/bench_*.c))
 SIM_OBJS  := $(patsubst bench/%.c,$(BUILD)/bench/%.o,$(wildcard bench/sim*.c))
 STYLED    := $(filter-out $(GENERATED),$(wildcard src/*.[ch] platform/*.[ch] \
@@ -37,7 +39,7 @@
 .PHONY: all deps check demo bench path capacity generate format format-check lint test \
 	spec fuzz regress clean events-check
 
-all: $(PROGS) $(FAKES) $(TOOLS) $(CHECKS) $(BENCHES)
+all: $(PROGS) $(FAKES) $(TOOLS) $(PRELOADS) $(CHECKS) $(BENCHES)
 
 deps:
 	@sh .ci/deps
@@ -55,9 +57,16 @@
 	@rm -f $@
 	ar rcs $@ $^
 
-$(BUILD)/magnoliad $(BUILD)/magctl: $(BUILD)/%: $(BUILD)/src/%.o $(LIB)
+$(BUILD)/magctl: $(BUILD)/src/magctl.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
 
+$(BUILD)/magnoliad-main: $(BUILD)/src/magnoliad.o $(LIB)
+	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS)
+
+# Runs magnoliad-main, and needs no library, so that it blocks signals early.
+$(BUILD)/magnoliad: $(BUILD)/src/launch.o $(LIB) | $(BUILD)/magnoliad-main
+	$(CC) $(ALLFLAGS) -o $@ $^
+
 # The router on a platform needs few libraries, which keeps it small.  They are
 # linked statically: until the dynamic linker is done, no signal can be handled.  The
 # address sanitizer replaces functions of shared libraries only.
@@ -69,6 +78,10 @@
 
 $(BUILD)/fake_engine: $(BUILD)/regress/eng_stage.o
 
+$(PRELOADS): $(BUILD)/%.so: regress/%.c
+	@mkdir -p $(@D)
+	$(CC) $(ALLFLAGS) -fPIC -shared -o $@ $<
+
 $(CHECKS): $(BUILD)/%: $(BUILD)/regress/%.o $(BUILD)/regress/script.o $(LIB)
 	$(CC) $(ALLFLAGS) -o $@ $^ $(LIBS) -lcmocka
 
@@ -107,7 +120,7 @@
 	@FAULTS_WRITE=1 $(BUILD)/check_matrix
 
 # The scripted runs on real processes.
-regress: $(PROGS) $(FAKES) $(TOOLS)
+regress: $(PROGS) $(FAKES) $(TOOLS) $(PRELOADS)
 	@sh regress/run-processes $(BUILD)
 
 spec:
--- a/regress/proc/signal-at-start.sh
+++ b/regress/proc/signal-at-start.sh
@@ -65,4 +65,22 @@
 	wait_exit router-0
 	echo "$sig at the start: status $?, $(count_log router-0 ' 8001 ') started"
 done
+
+# signal_while_loading NUMBER: starts router 0 and signals it while the dynamic linker
+# loads its libraries, one of which defines curl_easy_init.
+signal_while_loading() {
+	: >"$work/router-0.err"
+	start router-0 env LD_PRELOAD="$build/preload_signal.so" \
+		PRELOAD_SIGNAL="$1" PRELOAD_SYMBOL=curl_easy_init \
+		"$build/magnoliad" --settings "$work/whole"
+}
+signal_while_loading 1
+until_ok ready 0 && echo "HUP while its libraries are loaded: ready"
+logged 1 && echo "HUP while its libraries are loaded: logged"
+signal router-0 TERM
+wait_exit router-0
+echo "status $?"
+signal_while_loading 15
+wait_exit router-0
+echo "TERM while its libraries are loaded: status $?, $(count_log router-0 ' 8001 ') started"
 verify
