watch, daemon: magnoliad waits for threads, and does not abort without them

At the limit on threads, which the process before it may still have, a start of magnoliad ended with SIGABRT if the threads that follow the platform could not be created, with status 3 for those of calls to the platform, and did neither start nor end if the first thread of CivetWeb's workers could not: CivetWeb keeps its listening socket then, and the daemon waited for its own address.

Where CivetWeb or the RPC library has failed half-way, which neither can be started again after, the daemon ends with status 3 and the reason; a socket of its own at the address tells that from one of another process.

regress/proc/few-threads lets one of the first twelve threads fail. Before: status 3 for 1 to 6, SIGABRT (status 134, no reason logged) for 7 and 8, and "timed out: ready_or_ended" for 9. Now 1 to 8 become ready, and 9 ends with status 3 and its reason.

--- a/src/daemon.c
+++ b/src/daemon.c
@@ -53,6 +53,7 @@
 static int create_servers(struct daemon *daemon);
 static int start_threads(struct daemon *daemon);
 static int start_servers(struct daemon *daemon);
+static int listen_error(const char *address);
 static int start_mesh(struct daemon *daemon);
 static void release(struct daemon *daemon);
 static void on_action(void *ctx, struct inst_action *action);
@@ -138,6 +139,8 @@
 		       "threads";
 	case DAEMON_E_THREAD:
 		return "cannot start a thread";
+	case DAEMON_E_LIBRARY:
+		return "cannot start the threads of a library";
 	case DAEMON_E_BUSY:
 		return "an address was taken at the same time";
 	default:
@@ -304,7 +307,7 @@
 	if (rc)
 		return rc;
 	if (loop_start(daemon->loop))
-		return DAEMON_E_THREAD;
+		return DAEMON_E_LIBRARY;
 	front_serve_waiting(daemon->front);
 	admin_set_serving(daemon->admin);
 	return DAEMON_OK;
@@ -318,17 +321,26 @@
 static int start_servers(struct daemon *daemon)
 {
 	if (admin_start(daemon->admin))
-		return DAEMON_E_BUSY;
+		return listen_error(daemon->settings.admin);
 	switch (front_start(daemon->front, daemon->loop)) {
 	case FRONT_OK:
 		return start_mesh(daemon);
 	case FRONT_E_LISTEN:
-		return DAEMON_E_BUSY;
+		return listen_error(daemon->settings.listen);
 	default:
 		return DAEMON_E_MEMORY;
 	}
 }
 
+/*
+ * Returns the error of a server that CivetWeb could not start.  Without threads
+ * it keeps its sockets, so that the next attempt would wait for this one.
+ */
+static int listen_error(const char *address)
+{
+	return lsn_is_own(address) ? DAEMON_E_LIBRARY : DAEMON_E_BUSY;
+}
+
 /* Listens for peers, and adds the peers listed in the settings. */
 static int start_mesh(struct daemon *daemon)
 {
@@ -341,6 +353,8 @@
 	memcpy(settings.cluster, from->cluster, sizeof(settings.cluster));
 	memcpy(settings.listen, from->rpc, sizeof(settings.listen));
 	rc = mesh_start(&settings, daemon->loop, daemon->watch, &daemon->mesh);
+	if (rc == RPC_E_THREAD)
+		return DAEMON_E_LIBRARY;
 	if (rc)
 		return rc == RPC_E_BUSY ? DAEMON_E_BUSY : DAEMON_E_LISTEN;
 	for (i = 0; i < from->peers.count; i++) {
--- a/src/lsn.c
+++ b/src/lsn.c
@@ -1,6 +1,7 @@
+#include <dirent.h>
 #include <errno.h>
 #include <netinet/in.h>
-#include <stdbool.h>
+#include <stdlib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +13,7 @@
 
 static int lsn_bind(int fd, enum lsn_type type, const struct sockaddr *addr,
 		    int len);
+static bool lsn_listens_at(int fd, const struct sockaddr *addr);
 static bool lsn_is_lasting(int error);
 static bool lsn_has_no_port(const struct sockaddr_storage *addr);
 
@@ -85,3 +87,39 @@
 		return true;
 	}
 }
+
+/* Tells whether a socket of this process listens at "ip:port". */
+bool lsn_is_own(const char *address)
+{
+	struct sockaddr_storage addr;
+	int len = sizeof(addr);
+	struct dirent *entry;
+	bool own = false;
+	DIR *dir;
+
+	if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&addr, &len))
+		return false;
+	dir = opendir("/proc/self/fd");
+	if (!dir)
+		return false;
+	while (!own && (entry = readdir(dir)))
+		own = lsn_listens_at((int)strtol(entry->d_name, NULL, 10),
+				     (const struct sockaddr *)&addr);
+	closedir(dir);
+	return own;
+}
+
+static bool lsn_listens_at(int fd, const struct sockaddr *addr)
+{
+	struct sockaddr_storage bound;
+	socklen_t len = sizeof(bound);
+	int listens = 0;
+	socklen_t size = sizeof(listens);
+
+	return getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) ==
+		       0 &&
+	       listens &&
+	       getsockname(fd, (struct sockaddr *)&bound, &len) == 0 &&
+	       evutil_sockaddr_cmp((const struct sockaddr *)&bound, addr, 1) ==
+		       0;
+}
--- a/src/lsn.h
+++ b/src/lsn.h
@@ -3,6 +3,8 @@
 
 /* Sockets that receive at an address of this machine. */
 
+#include <stdbool.h>
+
 enum lsn_err {
 	LSN_OK = 0,
 	LSN_E_ADDRESS = -1, /* malformed, or not one of these sockets' */
@@ -16,5 +18,6 @@
 };
 
 int lsn_open(const char *address, enum lsn_type type, int *fd);
+bool lsn_is_own(const char *address);
 
 #endif /* LSN_H */
--- a/src/magnoliad.c
+++ b/src/magnoliad.c
@@ -152,7 +152,8 @@
 }
 
 /*
- * Starts the daemon as soon as its addresses are available.  Returns 0, with no
+ * Starts the daemon as soon as its addresses and threads are available: the
+ * process before this one may still have them.  Returns 0, with no
  * daemon if a signal came first, or a negative enum daemon_err, which is
  * logged.
  */
@@ -165,7 +166,8 @@
 
 	*daemon = NULL;
 	while ((rc = daemon_start(settings, why, sizeof(why), daemon)) ==
-	       DAEMON_E_BUSY) {
+		       DAEMON_E_BUSY ||
+	       rc == DAEMON_E_THREAD) {
 		if (wait_retry(signals, &delay, why)) {
 			log_event(LOG_STOPPED, "open=0");
 			return DAEMON_OK;
--- a/src/watch.c
+++ b/src/watch.c
@@ -19,6 +19,7 @@
 #define WATCH_LOADS_PER_S    50		  /* reads by all instances together */
 #define WATCH_BACKOFF_MIN_US (200 * MAG_US_PER_MS)
 #define WATCH_BACKOFF_MAX_US (2 * MAG_US_PER_S)
+#define WATCH_THREADS	     2
 /* Assumed age of a load report that doesn't state one. */
 #define WATCH_DEFAULT_AGE_US (5 * MAG_US_PER_S)
 
@@ -27,8 +28,8 @@
 	struct kv_backend backend;
 	struct loop *loop;
 	struct front *front;
-	pthread_t config_thread;
-	pthread_t load_thread;
+	pthread_t threads[WATCH_THREADS];
+	int thread_count;	   /* that were started */
 	pthread_mutex_t stop_lock; /* protects stopping */
 	pthread_cond_t wake;
 	bool stopping;
@@ -56,13 +57,19 @@
 static json_t *fetch_list(struct watch *watch, enum kv_op op,
 			  const char *field);
 
-/* Starts threads that follow the platform; returns NULL if out of memory. */
+/*
+ * Starts threads that follow the platform; returns NULL if there is no memory
+ * or no thread.
+ */
 struct watch *watch_start(const struct watch_settings *settings,
 			  const struct kv_backend *backend, struct loop *loop,
 			  struct front *front)
 {
+	static void *(*const mains[WATCH_THREADS])(void *) = { config_main,
+							       load_main };
 	struct watch *watch = calloc(1, sizeof(*watch));
 	pthread_condattr_t attr;
+	int i;
 
 	if (!watch)
 		return NULL;
@@ -83,24 +90,29 @@
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&watch->wake, &attr);
 	pthread_condattr_destroy(&attr);
-	if (pthread_create(&watch->config_thread, NULL, config_main, watch))
-		abort();
-	if (pthread_create(&watch->load_thread, NULL, load_main, watch))
-		abort();
+	for (i = 0; i < WATCH_THREADS; i++) {
+		if (pthread_create(&watch->threads[i], NULL, mains[i], watch)) {
+			watch_stop(watch);
+			return NULL;
+		}
+		watch->thread_count++;
+	}
 	return watch;
 }
 
 /* Stops the threads; the caller must have interrupted waiting calls before. */
 void watch_stop(struct watch *watch)
 {
+	int i;
+
 	if (!watch)
 		return;
 	pthread_mutex_lock(&watch->stop_lock);
 	watch->stopping = true;
 	pthread_cond_broadcast(&watch->wake);
 	pthread_mutex_unlock(&watch->stop_lock);
-	pthread_join(watch->config_thread, NULL);
-	pthread_join(watch->load_thread, NULL);
+	for (i = 0; i < watch->thread_count; i++)
+		pthread_join(watch->threads[i], NULL);
 	pthread_cond_destroy(&watch->wake);
 	pthread_mutex_destroy(&watch->stop_lock);
 	pthread_mutex_destroy(&watch->config_lock);
