eset: a port of the metrics that the router has itself does not end it

The port of the metrics is fixed in deploy/settings.json.in, the others come from the platform. Where one of them is the same, each router of the deployment ended with status 2 at each start ("metrics_port: same address as callers") since, and with status 3 before; the metrics of a router are not needed to serve. That port is no longer compared with the others: it can't be listened at, which is logged (8008) and tried again.

A retry_window_s of 0 passed the check and ended the router by SIGFPE (status 136, nothing logged) at its first call: the retry budget divides by a part of it. Windows below a millisecond are refused with the name of the field.

--- a/regress/edge/port-in-use.sh
+++ b/regress/edge/port-in-use.sh
@@ -28,3 +28,9 @@
 wait_for "ready 3" && wait_for "logged 3 metrics-delayed" && echo "ready without metrics"
 kill -KILL $holder
 wait_for "curl -s http://127.0.0.1:$((base + 93))/metrics | grep -q magnolia_workers" && echo "metrics served"
+
+# The port of the metrics is that of the router's callers.
+write_settings 4 a
+sed -i "s/\"metrics_port\":[0-9]*/\"metrics_port\":$((base + 64))/" "$dir/router.4.json"
+run_router 4
+wait_for "ready 4" && wait_for "logged 4 metrics-delayed" && echo "ready with the metrics' port as its own"
--- a/src/eset.c
+++ b/src/eset.c
@@ -20,6 +20,7 @@
 	ESET_MS,	  /* milliseconds, stored as int64_t microseconds */
 	ESET_OPTIONAL_MS, /* the same; what is missing keeps its default */
 	ESET_S,		  /* seconds, stored as int64_t microseconds */
+	ESET_WINDOW_S,	  /* the same, a millisecond or more */
 	ESET_NUMBER,	  /* double */
 	ESET_FLAG,
 };
@@ -60,7 +61,8 @@
 	{ "keys_fail_closed", ESET_FLAG,
 	  offsetof(struct eset, keys_fail_closed), 0 },
 	{ "retry_ratio", ESET_NUMBER, offsetof(struct eset, retry_ratio), 0 },
-	{ "retry_window_s", ESET_S, offsetof(struct eset, retry_window_us), 0 },
+	{ "retry_window_s", ESET_WINDOW_S,
+	  offsetof(struct eset, retry_window_us), 0 },
 	{ "retry_slack", ESET_NUMBER, offsetof(struct eset, retry_slack), 0 },
 	{ "stall_ms", ESET_MS, offsetof(struct eset, stall_us), 0 },
 	{ "open_files", ESET_INT, offsetof(struct eset, open_files), 0 },
@@ -211,11 +213,14 @@
 	return rc ? rc : eset_check_addresses(parsed, why, why_size);
 }
 
-/* A router whose addresses are not all different would wait for itself. */
+/*
+ * A router whose addresses are not all different would wait for itself.  The
+ * metrics may have any: without them it serves.
+ */
 static int eset_check_addresses(const struct eset *set, char *why, int why_size)
 {
 	static const char *const names[] = { "callers", "readiness",
-					     "peer_port", "metrics_port" };
+					     "peer_port" };
 	char addresses[MAG_ARRAY_SIZE(names)][2 * MAG_ADDR_MAX];
 	size_t i;
 	size_t j;
@@ -224,8 +229,6 @@
 	mag_copy_name(addresses[1], sizeof(addresses[1]), set->readiness);
 	snprintf(addresses[2], sizeof(addresses[2]), "%s:%d", set->address,
 		 set->peer_port);
-	snprintf(addresses[3], sizeof(addresses[3]), "%s:%d", set->address,
-		 set->metrics_port);
 	for (i = 1; i < MAG_ARRAY_SIZE(names); i++) {
 		for (j = 0; j < i; j++) {
 			if (strcmp(addresses[i], addresses[j]) != 0)
@@ -292,6 +295,11 @@
 	case ESET_OPTIONAL_MS:
 		*(int64_t *)at = (int64_t)(number * MAG_US_PER_MS);
 		break;
+	case ESET_WINDOW_S:
+		if (number * MAG_US_PER_S < MAG_US_PER_MS)
+			return ESET_E_BAD;
+		*(int64_t *)at = (int64_t)(number * MAG_US_PER_S);
+		break;
 	case ESET_S:
 		*(int64_t *)at = (int64_t)(number * MAG_US_PER_S);
 		break;
