tool_ports: the process scripts' ports are apart from those of regress/edge

tool_ports searched 10000 to 32000 for free ports; the edge scripts use 12000 + 100 * SLOT without a lock. Between the search and the start of a stand-in, an edge script could take its port. In a trial fake_platform ended so at once ("can't listen on port 29800"), and start_platform went on, as the other process answers its question with 404.

--- a/regress/tool_ports.c
+++ b/regress/tool_ports.c
@@ -11,7 +11,7 @@
 #include <unistd.h>
 
 #define PORTS_LOW   10000
-#define PORTS_HIGH  32000 /* above it the kernel assigns ephemeral ports */
+#define PORTS_HIGH  12000 /* from there on, those of regress/edge */
 #define PORTS_BLOCK 110
 #define PORTS_STEP  97
 
