regress/edge/stop-late-connections: no bound on real time

A slow machine would fail it without a fault of the router. That the process ends by itself in time is shown by its status: it would be 137 otherwise, as timeout kills the script's processes.

--- a/regress/edge/stop-late-connections.sh
+++ b/regress/edge/stop-late-connections.sh
@@ -68,15 +68,10 @@
 talk slow-reader "$(head GET s/x slow-reader)\r\n" '' '' 0.08
 for id in $talks; do wait_for "[ -e $dir/sent.$id ]"; done
 sleep 0.3
-now() { awk '{ printf "%.0f", $1 * 100 }' /proc/uptime; }
-began=$(now)
 kill -TERM $old
 run_router 1
 wait $old
 echo "the one before: status $?"
-took=$(($(now) - began))
-echo "took $took cs" >&2
-[ $took -le 900 ] && echo "within the time to stop"
 kill -CONT $worker_3
 wait_for "ready 1" && echo "the next one is ready"
 for id in $talks; do wait_for "[ -e $dir/over.$id ]"; done
