hs: a client that reads no answers is not answered for ever

The next request was parsed as soon as the answer before it was complete, whether or not that was sent. Now no further request of a connection is parsed while more than 64 KB are unsent, and parsing goes on once they are; the input that waits has a bound already.

regress/hs/pipelined asks for 1000 answers of 60 KB at once and reads them later: "too much, 1000 answers" before, "in bounds, 1000 answers" now.

--- a/regress/check_hs.c
+++ b/regress/check_hs.c
@@ -22,7 +22,10 @@
 #define CLIENTS_MAX 8
 #define REQUEST	    "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 #define REQUEST_MAX 128
+/* As the last answers may need another turn to arrive. */
+#define PIPELINE_TURNS 100000
 
+static const char long_body[60000];
 static int clients[CLIENTS_MAX];
 static struct sockaddr_in address;
 static struct hs_conn *cut_conn; /* with a stream that "cut" breaks off */
@@ -32,6 +35,10 @@
 	const char *target = hs_target(conn);
 
 	(void)ctx;
+	if (strcmp(target, "/long") == 0) {
+		hs_reply(conn, 200, NULL, long_body, sizeof(long_body));
+		return;
+	}
 	if (strcmp(target, "/x") == 0) {
 		hs_reply(conn, 200, NULL, "done", 4);
 		return;
@@ -129,6 +136,41 @@
 	fputc('\n', out);
 }
 
+/*
+ * "pipeline N COUNT": sends requests for long answers at once, and reads none
+ * while the server answers.  Prints the most that it kept unsent, and how much
+ * the client receives when it reads in the end.
+ */
+static void pipeline(FILE *out, struct event_base *base, struct hs *hs, int n,
+		     int count)
+{
+	char bytes[65536];
+	size_t most = 0;
+	size_t got = 0;
+	ssize_t len;
+	int turns;
+	int i;
+
+	for (i = 0; i < count; i++)
+		ask(n, "/long", "1.1");
+	for (turns = 0; turns < 4 * count; turns++) {
+		event_base_loop(base, EVLOOP_NONBLOCK);
+		if (hs_unsent_all(hs) > most)
+			most = hs_unsent_all(hs);
+	}
+	for (turns = 0; turns < PIPELINE_TURNS; turns++) {
+		event_base_loop(base, EVLOOP_NONBLOCK);
+		while ((len = recv(clients[n], bytes, sizeof(bytes),
+				   MSG_DONTWAIT)) > 0)
+			got += (size_t)len;
+		if (got / sizeof(long_body) >= (size_t)count)
+			break;
+	}
+	fprintf(out, "%s, %zu answers\n",
+		most < 4 * sizeof(long_body) ? "in bounds" : "too much",
+		got / sizeof(long_body));
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	struct event_base *base = event_base_new();
@@ -136,6 +178,7 @@
 	char line[LINE_MAX_];
 	char target[32];
 	char version[8];
+	int count;
 	int n;
 
 	memset(clients, -1, sizeof(clients));
@@ -151,6 +194,8 @@
 		else if (sscanf(line, "ask %d %31s %7s", &n, target, version) ==
 			 3)
 			ask(n, target, version);
+		else if (sscanf(line, "pipeline %d %d", &n, &count) == 2)
+			pipeline(out, base, hs, n, count);
 		else if (sscanf(line, "body %d", &n) == 1)
 			print_body(out, n);
 		else if (strncmp(line, "cut", 3) == 0)
--- a/src/hs.c
+++ b/src/hs.c
@@ -19,6 +19,8 @@
  * pipelined requests stay in the socket.
  */
 #define HS_INPUT_MAX 65536
+/* Unsent bytes of a connection above which no further request is read. */
+#define HS_UNSENT_MAX 65536
 /*
  * A client sends its first request right after it has connected.  Without
  * keep-alive, or when connections are short, one on which none has come is
@@ -329,7 +331,10 @@
 		evbuffer_drain(bufferevent_get_input(bev), SIZE_MAX);
 }
 
-/* All output has been written: closes the connection if it is closing. */
+/*
+ * All output has been written: closes the connection if it is closing, and
+ * reads a request that waited for that.
+ */
 static void hs_written(struct bufferevent *bev, void *arg)
 {
 	struct hs_conn *conn = arg;
@@ -337,6 +342,8 @@
 	(void)bev;
 	if (conn->state == HS_CLOSING)
 		hs_linger(conn);
+	else if (conn->state == HS_READING)
+		hs_parse(conn);
 }
 
 /*
@@ -365,7 +372,10 @@
 	hs_disconnect(conn);
 }
 
-/* Parses the input up to the end of one request. */
+/*
+ * Parses the input up to the end of one request.  A client that does not read
+ * its answers must read some before its next request is.
+ */
 static void hs_parse(struct hs_conn *conn)
 {
 	struct evbuffer *in = bufferevent_get_input(conn->bev);
@@ -373,6 +383,8 @@
 	size_t len;
 	size_t used;
 
+	if (!conn->started && hs_unsent(conn) > HS_UNSENT_MAX)
+		return;
 	while (conn->state == HS_READING && !conn->complete) {
 		len = evbuffer_get_contiguous_space(in);
 		if (len == 0)
