hs: short bodies of requests have a bound in sum, too

The bound on all bodies let those up to 64 KB pass, whatever their number.

All bodies together, short ones included, now take 96 MB at most. Beyond it bodies that are late give way, and others are refused as before (503, not run). A short one that does not fit makes late ones of any size give way. A connection whose own body is claimed never gives way to itself, which it did if the limit on the time for a header was 0 (found by reading).

--- a/src/hs_body.c
+++ b/src/hs_body.c
@@ -3,6 +3,10 @@
 #include "hs_int.h"
 #include "jlog.h"
 
+/* What all bodies together take, small ones included (bytes). */
+#define HS_BODIES_MAX ((size_t)96 << 20)
+
+static bool hs_body_fits(const struct hs *hs, size_t claim);
 static void hs_note_body_refused(struct hs *hs, int64_t now);
 
 /* Returns how many requests were refused as all bodies took too much. */
@@ -22,17 +26,29 @@
 	int64_t now = clk_boot_us();
 	size_t claim = len > conn->body_claim ? len : conn->body_claim;
 
-	conn->body_by_us = now + hs->limits.header_ms * MAG_US_PER_MS;
+	/* This one gives way to none. */
+	conn->body_by_us = MAG_NEVER;
 	hs_claim(conn, claim);
 	do {
-		if (abuf_fits(claim, hs->body_bytes - claim))
+		if (hs_body_fits(hs, claim)) {
+			conn->body_by_us =
+				now + hs->limits.header_ms * MAG_US_PER_MS;
 			return true;
-	} while (hs_drop_late_body(hs, ABUF_SMALL, now));
+		}
+	} while (hs_drop_late_body(hs, claim > ABUF_SMALL ? ABUF_SMALL : 0,
+				   now));
 	hs_claim(conn, 0);
 	hs_note_body_refused(hs, now);
 	return false;
 }
 
+/* Many small bodies take as much as a few long ones. */
+static bool hs_body_fits(const struct hs *hs, size_t claim)
+{
+	return abuf_fits(claim, hs->body_bytes - claim) &&
+	       hs->body_bytes <= HS_BODIES_MAX;
+}
+
 /* Sets what a connection has claimed for a body, in bytes. */
 void hs_claim(struct hs_conn *conn, size_t claim)
 {
