hs_parse: the number of fields in a request's head has a bound

More than one field for each 32 bytes of the limit, and more than 100, are refused with 431, as a head that is too long is.

regress/edge/many-bodies: 3,000 empty fields were answered 200 before.

--- a/regress/edge/many-bodies.sh
+++ b/regress/edge/many-bodies.sh
@@ -1,5 +1,5 @@
-# Guards against callers who send many short bodies and never end them, until the router
-# has taken more memory than its machine has.
+# Guards against callers who send many short bodies, or heads of many empty fields, and
+# never end them, until the router has taken more memory than its machine has.
 . edge/lib.sh
 BODY_BYTES=65536 OPEN_FILES=4000
 start_twins 1
@@ -28,4 +28,16 @@
 # A body is late 3 s after its last byte, and gives way.
 sleep 3
 served_by $(router 1) && echo "others are served"
+# fields COUNT: prints the answer to a request with so many empty fields more.
+fields() {
+	{
+		printf 'GET /r/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: fields-%d\r\n' $1
+		printf 'Authorization: Token key-1\r\nToken-Count: 100,20\r\n'
+		yes 'a:' | head -n $1 | sed 's/$/\r/'
+		printf '\r\n'
+	} >"$dir/request"
+	bash -c 'exec 3<>/dev/tcp/'$(router 1 | tr : /)'; cat "$0" >&3; head -n 1 <&3 | cut -d" " -f2' "$dir/request"
+}
+echo "500 empty fields: $(fields 500)"
+echo "3000 empty fields: $(fields 3000)"
 kill -0 $router_1 && echo "the router goes on"
--- a/src/hs_parse.c
+++ b/src/hs_parse.c
@@ -3,6 +3,9 @@
 
 #include "hs_int.h"
 
+#define HS_FIELD_BYTES 32  /* of the limit on a header, for each field */
+#define HS_FIELDS_MIN  100 /* allowed whatever the limit */
+
 static int hs_count_header(struct hs_conn *conn, size_t len);
 static int hs_on_url(http_parser *parser, const char *at, size_t len);
 static int hs_on_field(http_parser *parser, const char *at, size_t len);
@@ -44,13 +47,24 @@
 	return -1;
 }
 
+/*
+ * The number of fields is bounded, too: an empty one is a byte of the limit,
+ * but takes some twenty to keep.
+ */
 static int hs_on_field(http_parser *parser, const char *at, size_t len)
 {
 	struct hs_conn *conn = parser->data;
+	size_t most = conn->hs->limits.header_bytes / HS_FIELD_BYTES;
 
 	if (hs_count_header(conn, len))
 		return -1;
-	return hdr_add_name(&conn->headers, at, len);
+	if (hdr_add_name(&conn->headers, at, len))
+		return -1;
+	if ((size_t)conn->headers.count <=
+	    (most > HS_FIELDS_MIN ? most : HS_FIELDS_MIN))
+		return 0;
+	conn->error_status = 431;
+	return -1;
 }
 
 static int hs_on_value(http_parser *parser, const char *at, size_t len)
