hs: the body of an answered request is freed before its connection closes

A connection that closes after its answer kept the body of its request, and what that counts in the sum of all bodies, until its client had closed it, or for 0.5 s after the answer was sent.

The body is freed where the answer is complete, whether or not the connection is kept.

regress/hs/closing-body: "5 bytes of bodies" after the answer before, 0 now. The commands of check_hs that are about the server have a function of their own, as drive had become too long.

--- a/regress/check_hs.c
+++ b/regress/check_hs.c
@@ -14,13 +14,16 @@
 #include <event2/event.h>
 
 #include "clk.h"
-#include "hs.h"
+#include "hs_int.h"
 #include "mag.h"
 #include "script.h"
 
 #define LINE_MAX_   256
 #define CLIENTS_MAX 8
 #define REQUEST	    "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+#define POST                                                                   \
+	"POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"                 \
+	"Content-Length: 5\r\n\r\nhello"
 #define REQUEST_MAX 128
 /* As the last answers may need another turn to arrive. */
 #define PIPELINE_TURNS 100000
@@ -171,6 +174,27 @@
 		got / sizeof(long_body));
 }
 
+/* Runs a command about the server, not one of its clients. */
+static void control(FILE *out, const char *line, struct event_base *base,
+		    struct hs *hs)
+{
+	int ms;
+
+	if (strncmp(line, "cut", 3) == 0)
+		hs_abort(cut_conn);
+	else if (sscanf(line, "tick %d", &ms) == 1)
+		hs_tick(hs, clk_boot_us() + ms * MAG_US_PER_MS);
+	else if (strncmp(line, "turn", 4) == 0)
+		event_base_loop(base, EVLOOP_NONBLOCK);
+	else if (strncmp(line, "last answers", 12) == 0)
+		hs_stop_keep_alive(hs);
+	else if (strncmp(line, "stop listening", 14) == 0)
+		hs_stop_listening(hs);
+	else if (strncmp(line, "count", 5) == 0)
+		fprintf(out, "%d open, %d unused\n", hs_open_count(hs),
+			hs_unused_count(hs));
+}
+
 static void drive(FILE *in, FILE *out)
 {
 	struct event_base *base = event_base_new();
@@ -196,23 +220,16 @@
 			ask(n, target, version);
 		else if (sscanf(line, "pipeline %d %d", &n, &count) == 2)
 			pipeline(out, base, hs, n, count);
+		else if (sscanf(line, "post %d", &n) == 1)
+			send(clients[n], POST, strlen(POST), MSG_NOSIGNAL);
+		else if (strncmp(line, "claimed", 7) == 0)
+			fprintf(out, "%zu bytes of bodies\n", hs->body_bytes);
 		else if (sscanf(line, "body %d", &n) == 1)
 			print_body(out, n);
-		else if (strncmp(line, "cut", 3) == 0)
-			hs_abort(cut_conn);
 		else if (sscanf(line, "see %d", &n) == 1)
 			print_received(out, n);
-		else if (sscanf(line, "tick %d", &n) == 1)
-			hs_tick(hs, clk_boot_us() + n * MAG_US_PER_MS);
-		else if (strncmp(line, "turn", 4) == 0)
-			event_base_loop(base, EVLOOP_NONBLOCK);
-		else if (strncmp(line, "last answers", 12) == 0)
-			hs_stop_keep_alive(hs);
-		else if (strncmp(line, "stop listening", 14) == 0)
-			hs_stop_listening(hs);
-		else if (strncmp(line, "count", 5) == 0)
-			fprintf(out, "%d open, %d unused\n", hs_open_count(hs),
-				hs_unused_count(hs));
+		else
+			control(out, line, base, hs);
 	}
 	hs_free(hs);
 	for (n = 0; n < CLIENTS_MAX; n++) {
--- a/src/hs.c
+++ b/src/hs.c
@@ -43,6 +43,7 @@
 static void hs_parse(struct hs_conn *conn);
 static int64_t hs_idle_deadline(const struct hs_conn *conn);
 static void hs_reset_conn(struct hs_conn *conn);
+static void hs_drop_body(struct hs_conn *conn);
 static void hs_disconnect(struct hs_conn *conn);
 static void hs_break(struct hs_conn *conn);
 static void hs_end_response(struct hs_conn *conn);
@@ -444,8 +445,7 @@
 	conn->header_len = 0;
 	conn->deadline_us = hs_idle_deadline(conn);
 	hdr_reset(&conn->headers);
-	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
-	hs_claim(conn, 0);
+	hs_drop_body(conn);
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
 	if (evbuffer_get_length(bufferevent_get_input(conn->bev)) > 0)
@@ -453,13 +453,19 @@
 				    BEV_TRIG_DEFER_CALLBACKS);
 }
 
+/* Frees the memory of the request's body, which nobody needs any more. */
+static void hs_drop_body(struct hs_conn *conn)
+{
+	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
+	hs_claim(conn, 0);
+}
+
 /* Sends an error for a request that could not be read, then closes. */
 void hs_send_error(struct hs_conn *conn, int status)
 {
 	conn->state = HS_RESPONDING;
 	conn->keep_alive = false;
-	evbuffer_drain(conn->body, evbuffer_get_length(conn->body));
-	hs_claim(conn, 0);
+	hs_drop_body(conn);
 	hs_reply(conn, status, status == 503 ? "Retry-After: 1\r\n" : NULL,
 		 NULL, 0);
 }
@@ -521,6 +527,7 @@
 		return;
 	}
 	/* hs_written() closes the connection after the last byte. */
+	hs_drop_body(conn);
 	conn->state = HS_CLOSING;
 	bufferevent_enable(conn->bev, EV_WRITE);
 }
