regress/edge/altered-datagrams: a router that believes an altered datagram for good

What callers saw: after 600 datagrams of a peer, each with one to eight bits inverted, router 1 of three refused all requests with 503, "configuration outdated", until the end of the run (0 of 60 look-ups in each of three tries; 60 of 60 before). Routers 2 and 3 served 60 of 60.

--- /dev/null
+++ b/regress/edge/altered-datagrams.sh
@@ -0,0 +1,23 @@
+# Guards against a router that refuses all callers for good since a datagram of a peer
+# was altered on its way.
+. edge/lib.sh
+REPORT_MS=300
+start_store
+put_config 1
+start_worker 1 app a
+start_worker 2 app a
+for n in 1 2 3; do start_router $n a; done
+for n in 1 2 3; do wait_for "ready $n"; done
+# lookups ROUTER: prints how many of 60 look-ups a router serves within two seconds.
+lookups() {
+	"$build/tool_calls" -k r lookups$1$(date +%N) 2 30 $(router $1) >"$dir/calls"
+	echo "router $1: $(grep -c ' 200 whole' "$dir/calls") of $(grep -c . "$dir/calls")"
+}
+lookups 1
+for kind in bits bytes cut; do
+	echo "$kind: $("$build/tool_alter" $((base + 82)) $((base + 81)) 600 7 $kind)"
+	sleep 1.5
+	lookups 1
+done
+for n in 2 3; do lookups $n; done
+for n in 1 2 3; do ready $n && echo "router $n is ready"; done
