attest: a version that a peer reports is kept by peer, and can be refuted

What callers saw: "configuration outdated" for every request at a router that had once heard of a version that nobody published, for as long as the process lived.

Cause: attest_hear_version kept the greatest version that any router had reported, without its source. A router that is behind it is not confirmed as current and refuses after 0.6 of the bound; neither the peer's next message nor the router's own reading of the store could take it back.

Why this works: each peer's last report is kept with the peer, together with the era of the store in which the peer read the version (a new field behind those that earlier versions read). A report ends when the peer reports something else, is silent for ten seconds, or is refuted. It is refuted when all changes of the store up to a time after the report are known here and there is no such version, unless the peer read it in an earlier era: then it may be missing since the store was restored from an older copy, which is what these reports are for. Such a version is given up after four seconds if one of several peers alone has it, twice the time that everybody has to write again after a restore. A router that is behind for 0.45 of the bound queries the store, so that a false report is refuted before anything is refused for it; changes on their way take 0.4 of it at most. Events 10408 and 10602 name the peer, the value and the own one.

--- a/regress/check_attest.c
+++ b/regress/check_attest.c
@@ -15,7 +15,8 @@
 	struct attest attest;
 	long clock_ms; /* its own clock at common time 0 */
 	long long version;
-	struct attest_claim delayed; /* written but not sent */
+	struct attest_claim delayed;		   /* written but not sent */
+	struct attest_report reports[ROUTERS_MAX]; /* of peers */
 };
 
 static struct router routers[ROUTERS_MAX];
@@ -90,6 +91,64 @@
 				: "current");
 }
 
+/*
+ * "hear N VERSION": the same of peer 0, in era 0 of the store.
+ * "hear N VERSION PEER ERA": a peer reports to router N that it has a version,
+ * which it read in an era.
+ */
+static void hear(int n, int peer, long version, long era)
+{
+	static const char *const names[] = { "0", "1", "2", "3" };
+	struct router *router = &routers[n];
+
+	router->reports[peer].peer = names[peer];
+	attest_hear_version(&router->attest, &router->reports[peer], version,
+			    era, router->version, router_clock(router));
+}
+
+/*
+ * "read N ERA MS": router N knows all changes of the store, which is in an era,
+ * up to MS ago.
+ */
+static void read_all(FILE *out, int n, long era, long ms)
+{
+	struct router *router = &routers[n];
+	const struct attest_report *report;
+
+	while ((report = attest_refute(&router->attest, router->version, era,
+				       router_clock(router) -
+					       ms * MAG_US_PER_MS)))
+		fprintf(out, "%d refutes %lld of peer %s\n", n,
+			(long long)report->version, report->peer);
+}
+
+/* "expire N": what a router has been told for too long. */
+static void expire(FILE *out, int n)
+{
+	struct router *router = &routers[n];
+	const struct attest_report *report;
+
+	while ((report = attest_expire(&router->attest, router->version,
+				       router_clock(router))))
+		fprintf(out, "%d gives up %lld of peer %s\n", n,
+			(long long)report->version, report->peer);
+}
+
+/*
+ * "verify N MS END": prints when router N queries the store for a newer
+ * version, which must be in force MS after it was heard of, until END.
+ */
+static void verify(FILE *out, int n, long ms, long end_ms)
+{
+	struct router *router = &routers[n];
+
+	for (; now_ms < end_ms; now_ms += 10) {
+		if (attest_verify_due(&router->attest, router->version,
+				      ms * MAG_US_PER_MS, router_clock(router)))
+			fprintf(out, "%d queries at %ld\n", n, now_ms);
+	}
+}
+
 static void deliver(FILE *out, int from, int to)
 {
 	struct router *router = &routers[to];
@@ -168,8 +227,10 @@
 /* Runs a command about one router or the time; returns false for others. */
 static bool run_router_command(const char *line, FILE *out)
 {
+	long era;
 	long ms;
 	int a;
+	int b;
 
 	if (sscanf(line, "bound %ld", &bound_ms) == 1) {
 		now_ms = 0;
@@ -194,11 +255,18 @@
 			(long long)(attest_coalesce_us(ms * MAG_US_PER_MS,
 						       a * MAG_US_PER_MS) /
 				    MAG_US_PER_MS));
+	} else if (sscanf(line, "hear %d %ld %d %ld", &a, &ms, &b, &era) == 4) {
+		hear(a, b, ms, era);
 	} else if (sscanf(line, "hear %d %ld", &a, &ms) == 2) {
-		attest_hear_version(&routers[a].attest, ms, routers[a].version,
-				    router_clock(&routers[a]));
+		hear(a, 0, ms, 0);
 	} else if (sscanf(line, "apply %d %ld", &a, &ms) == 2) {
 		print_behind(out, a, ms);
+	} else if (sscanf(line, "read %d %ld %ld", &a, &era, &ms) == 3) {
+		read_all(out, a, era, ms);
+	} else if (sscanf(line, "verify %d %ld %ld", &a, &ms, &era) == 3) {
+		verify(out, a, ms, era);
+	} else if (sscanf(line, "expire %d", &a) == 1) {
+		expire(out, a);
 	} else if (sscanf(line, "key %d", &a) == 1) {
 		print_trust(out, a);
 	} else {
--- a/regress/check_hint_urgent.c
+++ b/regress/check_hint_urgent.c
@@ -133,6 +133,7 @@
 	snprintf(edge->set.address, sizeof(edge->set.address), "127.0.0.1");
 	edge->set.retry_window_us = 100 * MAG_US_PER_S;
 	edge_init(edge);
+	attest_init(&edge->attest, 1, 1);
 	CDS_INIT_LIST_HEAD(&edge->requests);
 	for (i = 0; i < centres; i++) {
 		snprintf(name, sizeof(name), "d-%d", i);
--- a/src/attest.c
+++ b/src/attest.c
@@ -61,6 +61,7 @@
 	attest->session = session ? session : 1;
 	attest->seed = seed | 1;
 	attest->newest_version = -1;
+	CDS_INIT_LIST_HEAD(&attest->reports);
 }
 
 /* Records that the set in force was the newest in the store at a time. */
@@ -98,17 +99,6 @@
 	claim->age_us = attest->confirmed_us ? now - attest->confirmed_us : -1;
 }
 
-/* Records the version that another router reports; in_force is the own one. */
-void attest_hear_version(struct attest *attest, int64_t version,
-			 int64_t in_force, int64_t now)
-{
-	if (version <= attest->newest_version)
-		return;
-	if (!attest_is_behind(attest, in_force))
-		attest->behind_since_us = now;
-	attest->newest_version = version;
-}
-
 /* Returns whether another router has reported a newer version. */
 bool attest_is_behind(const struct attest *attest, int64_t in_force)
 {
--- a/src/attest.h
+++ b/src/attest.h
@@ -17,6 +17,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include <urcu/list.h>
+
 #include "mag.h"
 
 /* One router's claim to another on the configuration. */
@@ -27,14 +29,31 @@
 	int64_t version;  /* of the configuration that it knows */
 };
 
+/*
+ * What one peer last reported of the newest configuration that it knows.  It is
+ * believed until the peer reports something else, falls silent, or is refuted.
+ */
+struct attest_report {
+	struct cds_list_head node; /* in struct attest */
+	const char *peer;	   /* its name; lives as long as this */
+	int64_t version;
+	int64_t era;	  /* of the store when the peer read it there */
+	int64_t since_us; /* when it was first reported */
+	int64_t heard_us; /* when it was last reported; 0: never */
+	bool refuted;	  /* while the version is the same */
+};
+
 struct attest {
-	uint32_t session;	 /* of this process; not 0 */
-	int64_t confirmed_us;	 /* set in force was the newest; 0: never */
-	int64_t query_us;	 /* when to query the store next */
-	int64_t planned_for_us;	 /* confirmed_us on which query_us is based */
-	int queries;		 /* since then, unanswered */
-	int64_t newest_version;	 /* that any router has reported; -1: none */
+	uint32_t session;	/* of this process; not 0 */
+	int64_t confirmed_us;	/* set in force was the newest; 0: never */
+	int64_t query_us;	/* when to query the store next */
+	int64_t planned_for_us; /* confirmed_us on which query_us is based */
+	int queries;		/* since then, unanswered */
+	struct cds_list_head reports; /* of struct attest_report */
+	int64_t newest_version;	 /* that a peer is believed to have; -1: none */
 	int64_t behind_since_us; /* reported versions are newer since then */
+	int64_t verify_us;	 /* when to query the store for it again */
+	int verifications;	 /* queries for it so far */
 	/*
 	 * Not 0: others learn from this router alone, and must know a change
 	 * within this time.
@@ -49,8 +68,17 @@
 		      int64_t version, int64_t now);
 void attest_fill_claim(const struct attest *attest, int64_t version,
 		       int64_t now, struct attest_claim *claim);
-void attest_hear_version(struct attest *attest, int64_t version,
-			 int64_t in_force, int64_t now);
+void attest_hear_version(struct attest *attest, struct attest_report *report,
+			 int64_t version, int64_t era, int64_t in_force,
+			 int64_t now);
+void attest_forget(struct attest *attest, struct attest_report *report);
+const struct attest_report *attest_refute(struct attest *attest, int64_t known,
+					  int64_t era, int64_t read_us);
+const struct attest_report *attest_expire(struct attest *attest,
+					  int64_t in_force, int64_t now);
+const struct attest_report *attest_newest(const struct attest *attest);
+bool attest_verify_due(struct attest *attest, int64_t in_force,
+		       int64_t bound_us, int64_t now);
 bool attest_is_behind(const struct attest *attest, int64_t in_force);
 bool attest_is_outdated(const struct attest *attest, int64_t in_force,
 			int64_t bound_us, int64_t now);
--- a/src/dgram.h
+++ b/src/dgram.h
@@ -12,7 +12,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define DGRAM_BODY_MAX	    1400
+#define DGRAM_BODY_MAX	    1408
 #define DGRAM_TRAILER_BYTES 20
 /* With the headers of UDP and IP it must fit the smallest common MTU. */
 #define DGRAM_BYTES_MAX (DGRAM_BODY_MAX + DGRAM_TRAILER_BYTES)
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -48,6 +48,13 @@
 static void edge_on_fresh(void *user, int64_t sent_us);
 static void edge_on_stored_config(struct edge *edge,
 				  const struct wire_item *item);
+static void edge_refute_versions(struct edge *edge, int64_t read_us,
+				 int64_t now);
+static bool edge_verify_due(struct edge *edge, int64_t now);
+static int64_t edge_version(const struct edge *edge);
+static void edge_log_refuted(const struct edge *edge,
+			     const struct attest_report *report,
+			     const char *why, int64_t now);
 static bool edge_take_config(struct edge *edge);
 static void edge_put_in_force(struct edge *edge, struct rt_set *set,
 			      int64_t revision);
@@ -110,6 +117,7 @@
 void edge_follow_tick(struct edge *edge, int64_t now)
 {
 	int routers = 1 + pres_peer_count(edge->pres);
+	const struct attest_report *report;
 
 	sto_follow_set_retry_max(edge->follow, attest_retry_max_us(routers));
 	if (era_relist_due(&edge->era, now))
@@ -118,8 +126,55 @@
 	sto_tick(edge->sto, now);
 	edge->attest.bound_us = rel_served_bound_us(edge->rel);
 	if (rel_follows_store(edge->rel) &&
-	    attest_query_due(&edge->attest, routers, now))
+	    (edge_verify_due(edge, now) ||
+	     attest_query_due(&edge->attest, routers, now)))
 		sto_follow_query(edge->follow);
+	while ((report = attest_expire(&edge->attest, edge_version(edge), now)))
+		edge_log_refuted(edge, report, "unconfirmed", now);
+}
+
+/*
+ * Tells whether to ask the store for a newer version that a peer has reported
+ * for some time; logs the first time.
+ */
+static bool edge_verify_due(struct edge *edge, int64_t now)
+{
+	int64_t version = edge_version(edge);
+	const struct attest_report *newest;
+
+	if (!attest_verify_due(&edge->attest, version,
+			       edge->set.config_apply_us, now))
+		return false;
+	newest = attest_newest(&edge->attest);
+	if (edge->attest.verifications == 1 && newest)
+		jlog(LOG_EDGE_BEHIND,
+		     "\"peer\":\"%s\",\"version\":%lld,\"heard\":%lld,"
+		     "\"since_ms\":%d",
+		     newest->peer, (long long)version,
+		     (long long)newest->version,
+		     (int)((now - edge->attest.behind_since_us) /
+			   MAG_US_PER_MS));
+	return true;
+}
+
+/* Returns the version in force, -1 if there is none. */
+static int64_t edge_version(const struct edge *edge)
+{
+	return edge->rt ? edge->rt->version : -1;
+}
+
+static void edge_log_refuted(const struct edge *edge,
+			     const struct attest_report *report,
+			     const char *why, int64_t now)
+{
+	jlog(LOG_HINT_REFUTED,
+	     "\"peer\":\"%s\",\"field\":\"version\",\"value\":%lld,"
+	     "\"own\":%lld,\"era\":%lld,\"own_era\":%lld,\"why\":\"%s\","
+	     "\"after_ms\":%d",
+	     report->peer, (long long)report->version,
+	     (long long)edge_version(edge), (long long)report->era,
+	     (long long)sto_era(edge->sto), why,
+	     (int)((now - report->since_us) / MAG_US_PER_MS));
 }
 
 /* Called when a complete listing of the store's keys begins. */
@@ -185,8 +240,11 @@
 	int64_t now = clk_boot_us();
 
 	rel_on_fresh(edge->rel, sent_us);
-	if (!era_is_authoritative(&edge->era, sent_us) ||
-	    !edge_has_config(edge, now) || edge_is_behind(edge))
+	if (!era_is_authoritative(&edge->era, sent_us))
+		return;
+	if (edge->rt && !edge->config_refused)
+		edge_refute_versions(edge, sent_us, now);
+	if (!edge_has_config(edge, now) || edge_is_behind(edge))
 		return;
 	attest_from_store(&edge->attest, sent_us);
 	if (rel_follows_store(edge->rel) &&
@@ -194,6 +252,23 @@
 		hint_send_soon(edge->hint, clk_boot_us());
 }
 
+/*
+ * Refutes what peers report of newer versions: no configuration that was stored
+ * by read_us is newer than the one that is known here.
+ */
+static void edge_refute_versions(struct edge *edge, int64_t read_us,
+				 int64_t now)
+{
+	const struct attest_report *report;
+	int64_t known = edge_version(edge);
+
+	if (known < edge->store_version)
+		known = edge->store_version;
+	while ((report = attest_refute(&edge->attest, known, sto_era(edge->sto),
+				       read_us)))
+		edge_log_refuted(edge, report, "read later", now);
+}
+
 /* Takes a configuration that was read from the store. */
 static void edge_on_stored_config(struct edge *edge,
 				  const struct wire_item *item)
@@ -240,6 +315,8 @@
 		edge_put_in_force(edge, set, edge->conf.base_revision);
 		break;
 	case CONF_NONE:
+		if (edge->store_version == edge_version(edge))
+			edge->version_era = sto_era(edge->sto);
 		break;
 	case CONF_INCOMPLETE:
 		return false;
@@ -268,6 +345,7 @@
 	     set->service_count, set->account_count, (long long)revision);
 	rt_drop(edge->rt);
 	edge->rt = set;
+	edge->version_era = sto_era(edge->sto);
 	edge_log_unsupported(set);
 	hs_set_limits(edge->callers, &set->limits);
 	rel_set_limits(edge->rel, &set->limits);
--- a/src/hint.c
+++ b/src/hint.c
@@ -103,6 +103,7 @@
 
 static void hint_free_peer(struct hint *hint, struct hint_peer *peer)
 {
+	attest_forget(&hint->edge->attest, &peer->report);
 	cds_list_del(&peer->node);
 	htab_del(&hint->names, &peer->by_name);
 	hint->peer_count--;
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -28,6 +28,7 @@
 	struct cds_list_head node;
 	struct htab_node by_name;
 	char name[MAG_NAME_MAX];
+	struct attest_report report;
 	int64_t received_us;
 	bool ready;
 	struct sockaddr_in address; /* source address of its last message */
@@ -88,7 +89,7 @@
 	double unheard_factor;
 	int64_t behind_until_us; /* see hint_is_behind */
 	bool urgent_unread;	 /* the socket may hold old datagrams */
-	int next_limit;		/* the limit to begin the next message with */
+	int next_limit;		 /* the limit to begin the next message with */
 };
 
 /* hint.c */
--- a/src/hint_msg.c
+++ b/src/hint_msg.c
@@ -112,7 +112,9 @@
 		if (!hint_msg_suspect(xdr, &message->suspects[i]))
 			return FALSE;
 	}
-	return hint_msg_limits(xdr, message);
+	return hint_msg_limits(xdr, message) &&
+	       xdr_int64_t(xdr, &message->version_era) &&
+	       message->version_era >= POS_ERA_NONE;
 }
 
 /*
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -65,6 +65,8 @@
 	int64_t sent_us;      /* the sender's clock */
 	struct pos store_pos; /* the sender knows everything up to it */
 	struct attest_claim claim;
+	/* Of the store when the sender read the version of its claim there. */
+	int64_t version_era;
 	uint32_t part; /* index of this part of the sender's load */
 	uint32_t part_count;
 	uint32_t load_count;
--- a/src/hint_receive.c
+++ b/src/hint_receive.c
@@ -83,6 +83,7 @@
 		return NULL;
 	}
 	mag_copy_name(peer->name, sizeof(peer->name), name);
+	peer->report.peer = peer->name;
 	cds_list_add_tail(&peer->node, &hint->peers);
 	hint->peer_count++;
 	return peer;
@@ -121,7 +122,8 @@
 	sto_follow_learn_pos(edge->follow, message->store_pos);
 	hint_receive_age(hint, peer, message, now);
 	edge->era.peer_message_seen = true;
-	attest_hear_version(&edge->attest, message->claim.version,
+	attest_hear_version(&edge->attest, &peer->report,
+			    message->claim.version, message->version_era,
 			    edge->rt ? edge->rt->version : -1, now);
 	if (message->store_pos.era == sto_era(edge->sto))
 		hint_receive_claim(edge, &message->claim, now);
--- a/src/hint_send.c
+++ b/src/hint_send.c
@@ -300,6 +300,7 @@
 	message->store_pos = sto_follow_pos(edge->follow);
 	attest_fill_claim(&edge->attest, edge->rt ? edge->rt->version : -1, now,
 			  &message->claim);
+	message->version_era = edge->version_era;
 	hint_load_collect(&edge->workers, now, &hint->own);
 	message->data_centre = hint->self.data_centre;
 	message->demand = (uint32_t)(hint->self.demand * HINT_DEMAND_S);
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -119,12 +119,14 @@
 	LOG_EVENT(LOG_EDGE_CENTRES, 10404, "data-centres-full", LOG_PRIO_ERR) \
 	LOG_EVENT(LOG_RT_LAYERS, 10406, "model-too-large", LOG_PRIO_ERR) \
 	LOG_EVENT(LOG_EDGE_GAP, 10407, "updates-missed", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_EDGE_BEHIND, 10408, "configuration-behind", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_EDGE_MEMORY, 10405, "service-untracked", LOG_PRIO_ERR) \
 	LOG_EVENT(LOG_REL_SOURCE, 10501, "store-source", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_REL_BAD, 10502, "changes-rejected", LOG_PRIO_ERR) \
 	LOG_EVENT(LOG_REL_TAKEN, 10503, "changes-taken", LOG_PRIO_INFO) \
 	LOG_EVENT(LOG_REL_CUT, 10504, "changes-cut-off", LOG_PRIO_WARNING) \
-	LOG_EVENT(LOG_HINT_DROPPED, 10601, "peer-datagrams-dropped", LOG_PRIO_WARNING)
+	LOG_EVENT(LOG_HINT_DROPPED, 10601, "peer-datagrams-dropped", LOG_PRIO_WARNING) \
+	LOG_EVENT(LOG_HINT_REFUTED, 10602, "peer-report-refuted", LOG_PRIO_WARNING)
 /* clang-format on */
 
 #define LOG_EVENT(id, number, name, prio) id = number,
