sto_follow: a position of the store that a peer reports can be refuted

What operators saw: since one message of a peer named a position that the store has not reached, a router gave up its watch of the store after each second and began it again, for as long as the process lived: 10 watches in 8 s instead of 2, and 13 in 10 s instead of 3. Each is a call that is paid for, and the router's own watch counts as failed meanwhile. Requests were served.

Cause: the newest known position is a maximum over all that peers report. A watch that does not reach it is taken for a connection that no longer delivers data.

Why this works: the position is kept with the peer and the time at which it came. An answer of the store to a list, a watch or a query that was sent later than that tells where the store is; a greater position of a peer is dropped then, with event 10602. Positions from the refuted one on are ignored for two seconds, doubled up to 32 s, so that a peer that goes on to report them costs few calls: without that a later era reported ten times a second cost a query each. Positions below it, and the store's own answers, are learned as before.

--- a/regress/edge/false-reports.sh
+++ b/regress/edge/false-reports.sh
@@ -1,5 +1,5 @@
 # Guards against routers that believe for good what a peer reports and the store does
-# not have: a newer configuration.
+# not have: a newer configuration, or a later position of the store.
 . edge/lib.sh
 start_store
 put_config 1
@@ -38,13 +38,17 @@
 echo "a version, again and again: served $(lookups 4), refuted by $(refuted version "read later")"
 report 40 r-2,r-7,r-8,r-9 version=4611686027017322499 version_era=3
 echo "a version, of most peers: served $(lookups 4)"
+report 40 r-9 era=1 revision=4611686027017322497
+echo "a position: served $(lookups 4), refuted by $(refuted position "read later")"
+report 40 r-7,r-9 revision=5 era=7
+echo "a position after a restore: served $(lookups 4)"
 # What one peer says of an earlier era, the store cannot refute; it is given up.
 report 80 r-9 version=4611686027017322500 version_era=0
 sleep 6
 echo "a version of an earlier era, of one peer: served $(lookups 2), refuted by $(refuted version unconfirmed)"
 for n in 1 2 3; do ready $n && echo "router $n is ready"; done
 # A true newer version is in force in time, beside false reports.
-report 20 r-9 version=4611686027017322500
+report 20 r-9 version=4611686027017322500 era=1 revision=4611686027017322500
 put_config 2 '"key-1","key-2"'
 sleep 2
 "$build/tool_calls" -k r -t key-2 new 1 30 $(router 1) $(router 2) $(router 3) >"$dir/calls"
--- a/src/edge.h
+++ b/src/edge.h
@@ -96,7 +96,7 @@
 	struct attest attest;  /* how long the configuration may be trusted */
 	struct era era;	       /* recovery after a restore of the store */
 	int64_t store_version; /* of the configuration there */
-	int64_t version_era; /* of the store when rt was last read there */
+	int64_t version_era;   /* of the store when rt was last read there */
 	/* The newest configuration that was read cannot be put in force. */
 	bool config_refused;
 	bool workers_listed;
--- a/src/hint_receive.c
+++ b/src/hint_receive.c
@@ -119,7 +119,7 @@
 	peer->limit_count = message->limit_count;
 	memcpy(peer->limits, message->limits,
 	       message->limit_count * sizeof(message->limits[0]));
-	sto_follow_learn_pos(edge->follow, message->store_pos);
+	sto_follow_learn_pos(edge->follow, message->store_pos, peer->name);
 	hint_receive_age(hint, peer, message, now);
 	edge->era.peer_message_seen = true;
 	attest_hear_version(&edge->attest, &peer->report,
--- a/src/sto.h
+++ b/src/sto.h
@@ -106,7 +106,8 @@
 bool sto_follow_is_doubtful(const struct sto_follow *follow, int64_t since_us);
 void sto_follow_set_retry_max(struct sto_follow *follow, int64_t retry_max_us);
 void sto_follow_retry_now(struct sto_follow *follow);
-void sto_follow_learn_pos(struct sto_follow *follow, struct pos known);
+void sto_follow_learn_pos(struct sto_follow *follow, struct pos known,
+			  const char *peer);
 void sto_follow_relist(struct sto_follow *follow);
 struct pos sto_follow_pos(const struct sto_follow *follow);
 
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "clk.h"
+#include "jlog.h"
 #include "pl_store.h"
 #include "sto_int.h"
 
@@ -12,6 +13,12 @@
  * and the whole, so that instances do not reconnect at the same moment.
  */
 #define STO_RETRY_US (80 * MAG_US_PER_MS)
+/*
+ * Positions beyond a refuted one are ignored for this long, doubled each time,
+ * so that a peer that reports them costs few calls.
+ */
+#define STO_REFUTED_US	      (2 * MAG_US_PER_S)
+#define STO_REFUTED_DOUBLINGS 4
 /* Duration of the first watch after a failure. */
 #define STO_PROBE_WAIT_MS 20
 /* Instances that relist because of the same event are spread over this time. */
@@ -51,8 +58,14 @@
 	struct pos store_pos;	   /* the store's, by the newest query */
 	int64_t store_pos_sent_us; /* when that query was sent */
 	struct pos known_pos;	   /* newest position known from any source */
-	int64_t lagging_since_us;  /* behind known_pos since; 0: no */
-	int queries_lost;	   /* consecutive unanswered queries */
+	int64_t known_us;	   /* when it was learned */
+	char known_from[MAG_NAME_MAX]; /* the peer; "": the store */
+	/* The last refuted position; no later one is learned for a while. */
+	struct pos refuted_pos;
+	int64_t refuted_until_us;
+	int refutals;		  /* in a row */
+	int64_t lagging_since_us; /* behind known_pos since; 0: no */
+	int queries_lost;	  /* consecutive unanswered queries */
 };
 
 /*
@@ -73,6 +86,8 @@
 static void sto_on_query(void *user, enum sto_result result, const char *body,
 			 size_t len);
 static void sto_check_confirmed(struct sto_follow *follow);
+static void sto_refute_pos(struct sto_follow *follow, struct pos answered,
+			   int64_t sent_us);
 static bool sto_is_watch_stuck(struct sto_follow *follow, int64_t now);
 static void sto_on_query_lost(struct sto_follow *follow);
 static void sto_fail_watch(struct sto_follow *follow);
@@ -233,6 +248,7 @@
 	follow->after[0] = '\0';
 	follow->pos =
 		(struct pos){ sto_era(follow->sto), follow->list_revision };
+	sto_refute_pos(follow, follow->pos, follow->list_sent_us);
 	follow->ops->list_end(follow->user);
 	follow->ops->confirmed(follow->user, follow->list_sent_us);
 	sto_check_confirmed(follow);
@@ -264,6 +280,7 @@
 	follow->pos.era = sto_era(follow->sto);
 	if (items.revision > follow->pos.revision)
 		follow->pos.revision = items.revision;
+	sto_refute_pos(follow, follow->pos, follow->sent_us);
 	pl_store_items_free(&items);
 	follow->ops->confirmed(follow->user, follow->sent_us);
 	sto_check_confirmed(follow);
@@ -321,8 +338,12 @@
 			(struct pos){ sto_era(follow->sto), items.revision };
 		follow->store_pos_sent_us = sent_us;
 	}
+	sto_refute_pos(follow,
+		       (struct pos){ sto_era(follow->sto), items.revision },
+		       sent_us);
 	sto_follow_learn_pos(
-		follow, (struct pos){ sto_era(follow->sto), items.revision });
+		follow, (struct pos){ sto_era(follow->sto), items.revision },
+		"");
 	pl_store_items_free(&items);
 	if (follow->state == STO_PAUSED)
 		return;
@@ -344,23 +365,63 @@
 }
 
 /*
- * Records a store position learned from a peer or from an answer.  If it has a
- * newer era, queries the store itself: a position learned from a peer proves
- * nothing.
+ * Records a store position learned from a peer, or from an answer if peer is
+ * "".  If it has a newer era, queries the store itself: a position learned from
+ * a peer proves nothing.
  */
-void sto_follow_learn_pos(struct sto_follow *follow, struct pos known)
+void sto_follow_learn_pos(struct sto_follow *follow, struct pos known,
+			  const char *peer)
 {
 	bool new_era = known.era > follow->known_pos.era &&
 		       known.era > sto_era(follow->sto);
 
-	if (pos_compare(known, follow->known_pos) <= 0)
+	if (pos_compare(known, follow->known_pos) <= 0 ||
+	    (peer[0] && clk_boot_us() < follow->refuted_until_us &&
+	     pos_compare(known, follow->refuted_pos) >= 0))
 		return;
 	follow->known_pos = known;
+	follow->known_us = clk_boot_us();
+	mag_copy_name(follow->known_from, sizeof(follow->known_from), peer);
 	if (new_era && sto_era(follow->sto) != POS_ERA_NONE &&
 	    follow->state != STO_PAUSED)
 		sto_follow_query(follow);
 }
 
+/*
+ * The store was at a position when it answered a call that was sent at sent_us.
+ * A later one that was learned from a peer before that cannot be right.
+ */
+static void sto_refute_pos(struct sto_follow *follow, struct pos answered,
+			   int64_t sent_us)
+{
+	int64_t now = clk_boot_us();
+
+	if (follow->refutals > 0 &&
+	    (now >= follow->refuted_until_us + STO_REFUTED_US ||
+	     pos_compare(answered, follow->refuted_pos) >= 0)) {
+		follow->refuted_until_us = 0;
+		follow->refutals = 0;
+	}
+	if (!follow->known_from[0] || follow->known_us >= sent_us ||
+	    pos_compare(follow->known_pos, answered) <= 0)
+		return;
+	jlog(LOG_HINT_REFUTED,
+	     "\"peer\":\"%s\",\"field\":\"position\",\"value\":%lld,"
+	     "\"own\":%lld,\"era\":%lld,\"own_era\":%lld,"
+	     "\"why\":\"read later\",\"after_ms\":%d",
+	     follow->known_from, (long long)follow->known_pos.revision,
+	     (long long)answered.revision, (long long)follow->known_pos.era,
+	     (long long)answered.era,
+	     (int)((now - follow->known_us) / MAG_US_PER_MS));
+	follow->refuted_pos = follow->known_pos;
+	follow->refuted_until_us =
+		now + mag_backoff(STO_REFUTED_US, follow->refutals,
+				  STO_REFUTED_DOUBLINGS);
+	follow->refutals++;
+	follow->known_pos = answered;
+	follow->known_from[0] = '\0';
+}
+
 /* Lists all keys again after a short random delay. */
 void sto_follow_relist(struct sto_follow *follow)
 {
