hint: datagrams of peers leave time for callers

What callers saw: while three senders sent datagrams as fast as they could, a router answered none of 80 look-ups in 4 s and was not ready.

Cause: the socket of peers was read until it was empty. A sender that is faster than the reader keeps the event loop in that one callback.

Why this works: 256 datagrams are read at a time; libevent calls again for the rest after the other events. After a pause old datagrams may be in the socket, and reports of demand are ignored until it has been read empty, which one callback may not reach any more: it now says so.

Test: regress/edge/datagram-flood ("not served: 80", and not ready, before).

--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -89,7 +89,8 @@
 	double unheard_factor;
 	int64_t behind_until_us; /* see hint_is_behind */
 	bool urgent_unread;	 /* the socket may hold old datagrams */
-	int next_limit;		 /* the limit to begin the next message with */
+	bool unread;	/* the last read left datagrams in the socket */
+	int next_limit; /* the limit to begin the next message with */
 };
 
 /* hint.c */
--- a/src/hint_receive.c
+++ b/src/hint_receive.c
@@ -14,6 +14,8 @@
  * the store was unreachable for all routers.
  */
 #define HINT_OUTAGE_US (1200 * MAG_US_PER_MS)
+/* Datagrams that are read before other events are looked at. */
+#define HINT_READS_MAX 256
 
 static void hint_read(struct hint *hint, char *bytes, size_t len,
 		      const struct sockaddr_in *from);
@@ -32,7 +34,10 @@
 				 const struct hint_suspect *suspect,
 				 const char *peer, int64_t now);
 
-/* Takes all datagrams that have come; an event callback. */
+/*
+ * Takes the datagrams that have come, so many at a time that others are served
+ * between them; an event callback.
+ */
 void hint_on_readable(evutil_socket_t fd, short what, void *arg)
 {
 	char bytes[DGRAM_BYTES_MAX];
@@ -40,13 +45,18 @@
 	socklen_t from_len = sizeof(from);
 	struct hint *hint = arg;
 	ssize_t received;
+	int i;
 
 	(void)what;
-	while ((received = recvfrom(fd, bytes, sizeof(bytes), 0,
-				    (struct sockaddr *)&from, &from_len)) > 0) {
+	for (i = 0; i < HINT_READS_MAX; i++) {
+		received = recvfrom(fd, bytes, sizeof(bytes), 0,
+				    (struct sockaddr *)&from, &from_len);
+		if (received < 0)
+			break;
 		hint_read(hint, bytes, (size_t)received, &from);
 		from_len = sizeof(from);
 	}
+	hint->unread = i == HINT_READS_MAX;
 }
 
 /* Takes a datagram. */
--- a/src/hint_urgent_peers.c
+++ b/src/hint_urgent_peers.c
@@ -70,8 +70,10 @@
 		hint->behind_until_us = now + hint_round_us(hint);
 	/* Between two ticks the event loop reads the socket until it is empty.
 	 */
-	hint->urgent_unread =
-		hint->ticked_us && now - hint->ticked_us > HINT_URGENT_PAUSE_US;
+	if (!hint->unread)
+		hint->urgent_unread = false;
+	if (hint->ticked_us && now - hint->ticked_us > HINT_URGENT_PAUSE_US)
+		hint->urgent_unread = true;
 	hint->ticked_us = now;
 	cds_list_for_each_entry (service, &hint->edge->services, node)
 		urg_tick(&service->urg, now);
