hint: the number of peers that are kept has a bound

Read in the code, and shown in virtual time: 5000 names made 5000 peers, for as long as the process lived.

Cause: a peer was added for each new name and never removed.

Why this works: at most 4096 peers are kept, several times as many as the largest fleet has routers, and a peer that has been silent for a minute is forgotten, unless requests are forwarded to it. Messages of further names are dropped, counted and logged (10601, "too many peers"). What a peer reported counts for ten seconds at most, so that nothing else changes. magnolia_peers_heard is new.

--- a/regress/check_hint_urgent.c
+++ b/regress/check_hint_urgent.c
@@ -11,6 +11,8 @@
 #include "pres.h"
 #include "script.h"
 
+/* Datagrams after which the router reads its socket, which holds some. */
+#define READ_EACH  16
 #define LINE_MAX_  256
 #define TICK_US	   (10 * MAG_US_PER_MS)
 #define WORD_BYTES 4
@@ -276,6 +278,37 @@
 		abort();
 }
 
+/*
+ * "strangers N": so many routers that it has not heard of before send a message
+ * each, within a second or so; prints how many peers the router keeps then, and
+ * how many messages it has dropped for that.
+ */
+static void send_strangers(FILE *out, int n)
+{
+	static struct hint_message message = {
+		.part_count = 1,
+		.store_pos = { POS_ERA_NONE, 0 },
+	};
+	static int stranger;
+	char bytes[HINT_BYTES_MAX];
+	size_t len;
+	int i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(message.name, sizeof(message.name), "s-%d",
+			 stranger++);
+		if (hint_msg_encode(&message, bytes, &len))
+			abort();
+		send_router(bytes, len);
+		if (i % READ_EACH == 0)
+			event_base_loop(world->base, EVLOOP_NONBLOCK);
+	}
+	run_for(1);
+	fprintf(out, "peers %d, dropped %llu\n", world->edge.hint->peer_count,
+		(unsigned long long)
+			world->edge.hint->drops.counts[HINT_DROP_PEERS]);
+}
+
 /* "peer NAME SERVICE URGENCY NEED": a peer reports, after its other message. */
 static void send_report(const char *name, const char *to, int urgency,
 			double need)
@@ -394,6 +427,8 @@
 		/* A pause that ends with a tick, before sockets are read. */
 		world->now += (int64_t)(number * MAG_US_PER_S);
 		hint_tick(world->edge.hint, world->now);
+	} else if (sscanf(line, "strangers %d", &n) == 1) {
+		send_strangers(out, n);
 	} else if (sscanf(line, "traffic %d %d", &n, &m) == 2) {
 		end_world();
 		measure_traffic(out, n, m);
--- a/src/hint.c
+++ b/src/hint.c
@@ -33,6 +33,10 @@
  * message.
  */
 #define HINT_MEMBER_EXPIRY_US (10 * MAG_US_PER_S)
+/* A peer that has been silent for this long is forgotten, a second later or so.
+ */
+#define HINT_FORGET_US	    (60 * MAG_US_PER_S)
+#define HINT_FORGET_EACH_US MAG_US_PER_S
 /* Caller demand is smoothed over this time. */
 #define HINT_DEMAND_SMOOTHING_US (2 * MAG_US_PER_S)
 /* Connections for requests that are forwarded to one peer. */
@@ -112,6 +116,22 @@
 	free(peer);
 }
 
+/*
+ * Frees the peers that have been silent for long, but not those to which
+ * requests are forwarded.
+ */
+void hint_forget_peers(struct hint *hint, int64_t now)
+{
+	struct hint_peer *peer;
+	struct hint_peer *next;
+
+	cds_list_for_each_entry_safe (peer, next, &hint->peers, node) {
+		if (now - peer->received_us > HINT_FORGET_US &&
+		    (!peer->host || hc_host_open_count(peer->host) == 0))
+			hint_free_peer(hint, peer);
+	}
+}
+
 /* Sends messages to some peers, and sums the load reported by all. */
 void hint_tick(struct hint *hint, int64_t now)
 {
@@ -129,6 +149,10 @@
 	if (now < hint->next_us)
 		return;
 	hint->next_us = now + HINT_INTERVAL_US;
+	if (now >= hint->next_forget_us) {
+		hint->next_forget_us = now + HINT_FORGET_EACH_US;
+		hint_forget_peers(hint, now);
+	}
 	hint_update_demand(hint, now);
 	hint_sum_loads(hint, now);
 	hint_update_limit_parts(hint, now);
@@ -148,6 +172,7 @@
 /* Writes the metrics of what peers send. */
 void hint_write_metrics(const struct hint *hint, struct evbuffer *out)
 {
+	evbuffer_add_printf(out, "magnolia_peers_heard %d\n", hint->peer_count);
 	hint_drop_write(&hint->drops, out);
 }
 
--- a/src/hint_drop.c
+++ b/src/hint_drop.c
@@ -14,6 +14,7 @@
 	[HINT_DROP_DEPLOYMENT] = "deployment",
 	[HINT_DROP_ALTERED] = "altered",
 	[HINT_DROP_UNREADABLE] = "unreadable",
+	[HINT_DROP_PEERS] = "too many peers",
 };
 
 static uint64_t hint_drop_total(const struct hint_drops *drops);
--- a/src/hint_drop.h
+++ b/src/hint_drop.h
@@ -14,6 +14,7 @@
 	HINT_DROP_DEPLOYMENT, /* of another deployment */
 	HINT_DROP_ALTERED,    /* other bytes than were sent */
 	HINT_DROP_UNREADABLE, /* no message, or a field out of its range */
+	HINT_DROP_PEERS,      /* of one peer more than are kept */
 	HINT_DROP_COUNT
 };
 
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -18,6 +18,8 @@
 #include "hint_urgent.h"
 #include "htab.h"
 
+/* Routers that are kept at a time, several times as many as a fleet has. */
+#define HINT_PEERS_MAX 4096
 /* Peers in the own data centre that are sent a message in each round. */
 #define HINT_LOCAL_PEERS_MAX 32
 /* Caller demand is reported as the number of requests in this many seconds. */
@@ -89,14 +91,16 @@
 	double unheard_factor;
 	int64_t behind_until_us; /* see hint_is_behind */
 	bool urgent_unread;	 /* the socket may hold old datagrams */
-	bool unread;	/* the last read left datagrams in the socket */
-	int next_limit; /* the limit to begin the next message with */
+	bool unread;		/* the last read left datagrams in the socket */
+	int64_t next_forget_us; /* when to look for peers to forget */
+	int next_limit;		/* the limit to begin the next message with */
 };
 
 /* hint.c */
 struct hint_peer *hint_find_peer(struct hint *hint, const char *name);
 int64_t hint_expiry_us(const struct hint *hint);
 int64_t hint_round_us(const struct hint *hint);
+void hint_forget_peers(struct hint *hint, int64_t now);
 void hint_write_address(const struct hint_peer *peer, char *dst);
 const struct hint_router *hint_list_routers(struct hint *hint, int64_t now,
 					    int *count);
--- a/src/hint_receive.c
+++ b/src/hint_receive.c
@@ -83,11 +83,13 @@
 		hint_drop(&hint->drops, HINT_DROP_UNREADABLE, from, now);
 }
 
-/* Adds a peer; NULL without memory. */
+/* Adds a peer; NULL without memory, or if there are too many. */
 static struct hint_peer *hint_add_peer(struct hint *hint, const char *name)
 {
-	struct hint_peer *peer = calloc(1, sizeof(*peer));
+	struct hint_peer *peer = NULL;
 
+	if (hint->peer_count < HINT_PEERS_MAX)
+		peer = calloc(1, sizeof(*peer));
 	if (!peer || htab_add(&hint->names, &peer->by_name, htab_hash(name))) {
 		free(peer);
 		return NULL;
@@ -114,8 +116,10 @@
 	was_away = peer && now - peer->received_us > hint_expiry_us(hint);
 	if (!peer)
 		peer = hint_add_peer(hint, message->name);
-	if (!peer)
+	if (!peer) {
+		hint_drop(&hint->drops, HINT_DROP_PEERS, from, now);
 		return;
+	}
 	peer->received_us = now;
 	peer->address = *from;
 	peer->session = message->session;
