chn: no thread-local storage

Cause: chn.c kept its two tables of 394 KB each in thread-local storage. The dynamic linker allocates and clears all of it for the main thread before main() runs, some 0.3 ms during which signals have their default action.

Why this works: the tables are static now.

--- a/src/chn.c
+++ b/src/chn.c
@@ -28,7 +28,7 @@
 	       const struct chn_worker *workers, int count,
 	       struct chn_chain *chain)
 {
-	static _Thread_local struct chn_walk walk;
+	static struct chn_walk walk;
 	struct chn_request crossing = *request;
 
 	if (chn_walk_begin(&walk, request, workers, count))
@@ -62,7 +62,7 @@
 	       const struct chn_worker *workers, int count,
 	       struct chn_chain *chain)
 {
-	static _Thread_local struct chn_walk walk;
+	static struct chn_walk walk;
 
 	if (first->to <= 0 || first->to >= request->layers ||
 	    first->centre < 0 || first->centre >= CHN_CENTRES_MAX ||
