attest: a peer that reports ever new versions is refuted, too

And a router that could not read the store at all gave up a true version of one peer after four seconds, and went by the older one again.

Cause: a refutal needed a read later than the last report instead of the first one that was not read here, and a version that one peer alone has was given up by time alone.

Why this works: the first of a peer's newer versions is kept until it has been read or a later read refutes it; then the peer is ignored for two seconds, doubled up to 32. As this ends, a version that was refuted wrongly is looked at again. A version is given up as unconfirmed only if the peer read it in an earlier era and all changes of the present one have been read since; only peers that have reported since then count as others. What a silent peer reported last is believed until such a read, too.

--- a/regress/check_attest.c
+++ b/regress/check_attest.c
@@ -115,20 +115,21 @@
 	struct router *router = &routers[n];
 	const struct attest_report *report;
 
-	while ((report = attest_refute(&router->attest, router->version, era,
-				       router_clock(router) -
-					       ms * MAG_US_PER_MS)))
+	while ((report =
+			attest_refute(&router->attest, router->version, era,
+				      router_clock(router) - ms * MAG_US_PER_MS,
+				      router_clock(router))))
 		fprintf(out, "%d refutes %lld of peer %s\n", n,
 			(long long)report->version, report->peer);
 }
 
-/* "expire N": what a router has been told for too long. */
-static void expire(FILE *out, int n)
+/* "expire N ERA": what a router has been told for too long, in an era. */
+static void expire(FILE *out, int n, long era)
 {
 	struct router *router = &routers[n];
 	const struct attest_report *report;
 
-	while ((report = attest_expire(&router->attest, router->version,
+	while ((report = attest_expire(&router->attest, router->version, era,
 				       router_clock(router))))
 		fprintf(out, "%d gives up %lld of peer %s\n", n,
 			(long long)report->version, report->peer);
@@ -265,8 +266,8 @@
 		read_all(out, a, era, ms);
 	} else if (sscanf(line, "verify %d %ld %ld", &a, &ms, &era) == 3) {
 		verify(out, a, ms, era);
-	} else if (sscanf(line, "expire %d", &a) == 1) {
-		expire(out, a);
+	} else if (sscanf(line, "expire %d %ld", &a, &era) == 2) {
+		expire(out, a, era);
 	} else if (sscanf(line, "key %d", &a) == 1) {
 		print_trust(out, a);
 	} else {
--- a/src/attest.h
+++ b/src/attest.h
@@ -38,9 +38,17 @@
 	const char *peer;	   /* its name; lives as long as this */
 	int64_t version;
 	int64_t era;	  /* of the store when the peer read it there */
-	int64_t since_us; /* when it was first reported */
-	int64_t heard_us; /* when it was last reported; 0: never */
-	bool refuted;	  /* while the version is the same */
+	int64_t since_us; /* when the version was first reported */
+	int64_t heard_us; /* when anything was last reported; 0: never */
+	/*
+	 * The first of the newer versions that the peer has reported and that
+	 * have not been read here; first_us is 0 if there is none.
+	 */
+	int64_t first_version;
+	int64_t first_us;
+	bool ignored; /* it was refuted, until ignored_until_us */
+	int64_t ignored_until_us;
+	int refutals; /* in a row */
 };
 
 struct attest {
@@ -52,6 +60,7 @@
 	struct cds_list_head reports; /* of struct attest_report */
 	int64_t newest_version;	 /* that a peer is believed to have; -1: none */
 	int64_t behind_since_us; /* reported versions are newer since then */
+	int64_t read_us;	 /* changes of the store are known up to it */
 	int64_t verify_us;	 /* when to query the store for it again */
 	int verifications;	 /* queries for it so far */
 	/*
@@ -73,9 +82,11 @@
 			 int64_t now);
 void attest_forget(struct attest *attest, struct attest_report *report);
 const struct attest_report *attest_refute(struct attest *attest, int64_t known,
-					  int64_t era, int64_t read_us);
+					  int64_t era, int64_t read_us,
+					  int64_t now);
 const struct attest_report *attest_expire(struct attest *attest,
-					  int64_t in_force, int64_t now);
+					  int64_t in_force, int64_t era,
+					  int64_t now);
 const struct attest_report *attest_newest(const struct attest *attest);
 bool attest_verify_due(struct attest *attest, int64_t in_force,
 		       int64_t bound_us, int64_t now);
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -129,7 +129,8 @@
 	    (edge_verify_due(edge, now) ||
 	     attest_query_due(&edge->attest, routers, now)))
 		sto_follow_query(edge->follow);
-	while ((report = attest_expire(&edge->attest, edge_version(edge), now)))
+	while ((report = attest_expire(&edge->attest, edge_version(edge),
+				       sto_era(edge->sto), now)))
 		edge_log_refuted(edge, report, "unconfirmed", now);
 }
 
@@ -265,7 +266,7 @@
 	if (known < edge->store_version)
 		known = edge->store_version;
 	while ((report = attest_refute(&edge->attest, known, sto_era(edge->sto),
-				       read_us)))
+				       read_us, now)))
 		edge_log_refuted(edge, report, "read later", now);
 }
 
