hint: routers that are rarely heard of are not forgotten

And a datagram had 1456 bytes with its headers, more than the 1450 of overlay networks.

Why this works: peers are forgotten after half an hour. When there are too many, those that have been silent for ten seconds make room, so that a flood of names does not lock out a router that has just started.

Tests: regress/hint_urgent/many-peers, regress/hint.

--- a/src/dgram.h
+++ b/src/dgram.h
@@ -12,9 +12,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define DGRAM_BODY_MAX	    1408
+#define DGRAM_BODY_MAX	    1400
 #define DGRAM_TRAILER_BYTES 20
-/* With the headers of UDP and IP it must fit the smallest common MTU. */
+/* With the headers of UDP and IP it must fit the smallest common MTU, 1450. */
 #define DGRAM_BYTES_MAX (DGRAM_BODY_MAX + DGRAM_TRAILER_BYTES)
 
 /* The deployment by which the routers of datagrams are told apart. */
--- a/src/hint.c
+++ b/src/hint.c
@@ -33,16 +33,20 @@
  * message.
  */
 #define HINT_MEMBER_EXPIRY_US (10 * MAG_US_PER_S)
-/* A peer that has been silent for this long is forgotten, a second later or so.
+/*
+ * A peer that has been silent for this long is forgotten.  In large fleets
+ * routers of other data centres hear of each other every few minutes.
  */
-#define HINT_FORGET_US	    (60 * MAG_US_PER_S)
-#define HINT_FORGET_EACH_US MAG_US_PER_S
+#define HINT_FORGET_US	    (1800 * MAG_US_PER_S)
+#define HINT_FORGET_EACH_US (60 * MAG_US_PER_S)
 /* Caller demand is smoothed over this time. */
 #define HINT_DEMAND_SMOOTHING_US (2 * MAG_US_PER_S)
 /* Connections for requests that are forwarded to one peer. */
 #define HINT_CONNECTIONS_MAX 1024
 
 static void hint_free_peer(struct hint *hint, struct hint_peer *peer);
+static void hint_forget_peers(struct hint *hint, int64_t silent_us,
+			      int64_t now);
 static struct hc_host *hint_connect_host(struct hint *hint,
 					 struct hint_peer *peer);
 static void hint_sum_loads(struct hint *hint, int64_t now);
@@ -117,21 +121,36 @@
 }
 
 /*
- * Frees the peers that have been silent for long, but not those to which
+ * Frees the peers that have been silent for so long, but not those to which
  * requests are forwarded.
  */
-void hint_forget_peers(struct hint *hint, int64_t now)
+static void hint_forget_peers(struct hint *hint, int64_t silent_us, int64_t now)
 {
 	struct hint_peer *peer;
 	struct hint_peer *next;
 
 	cds_list_for_each_entry_safe (peer, next, &hint->peers, node) {
-		if (now - peer->received_us > HINT_FORGET_US &&
+		if (now - peer->received_us > silent_us &&
 		    (!peer->host || hc_host_open_count(peer->host) == 0))
 			hint_free_peer(hint, peer);
 	}
 }
 
+/*
+ * Tells whether another peer can be added.  If there are too many, those that
+ * are silent are forgotten, once a second.
+ */
+bool hint_has_room(struct hint *hint, int64_t now)
+{
+	if (hint->peer_count < HINT_PEERS_MAX)
+		return true;
+	if (now < hint->next_clear_us)
+		return false;
+	hint->next_clear_us = now + MAG_US_PER_S;
+	hint_forget_peers(hint, HINT_MEMBER_EXPIRY_US, now);
+	return hint->peer_count < HINT_PEERS_MAX;
+}
+
 /* Sends messages to some peers, and sums the load reported by all. */
 void hint_tick(struct hint *hint, int64_t now)
 {
@@ -151,7 +170,7 @@
 	hint->next_us = now + HINT_INTERVAL_US;
 	if (now >= hint->next_forget_us) {
 		hint->next_forget_us = now + HINT_FORGET_EACH_US;
-		hint_forget_peers(hint, now);
+		hint_forget_peers(hint, HINT_FORGET_US, now);
 	}
 	hint_update_demand(hint, now);
 	hint_sum_loads(hint, now);
--- a/src/hint_int.h
+++ b/src/hint_int.h
@@ -93,6 +93,7 @@
 	bool urgent_unread;	 /* the socket may hold old datagrams */
 	bool unread;		/* the last read left datagrams in the socket */
 	int64_t next_forget_us; /* when to look for peers to forget */
+	int64_t next_clear_us;	/* the same if there are too many */
 	int next_limit;		/* the limit to begin the next message with */
 };
 
@@ -100,7 +101,7 @@
 struct hint_peer *hint_find_peer(struct hint *hint, const char *name);
 int64_t hint_expiry_us(const struct hint *hint);
 int64_t hint_round_us(const struct hint *hint);
-void hint_forget_peers(struct hint *hint, int64_t now);
+bool hint_has_room(struct hint *hint, int64_t now);
 void hint_write_address(const struct hint_peer *peer, char *dst);
 const struct hint_router *hint_list_routers(struct hint *hint, int64_t now,
 					    int *count);
--- a/src/hint_msg.h
+++ b/src/hint_msg.h
@@ -13,7 +13,7 @@
 #include "quar.h"
 
 #define HINT_BYTES_MAX	  DGRAM_BODY_MAX
-#define HINT_LOADS_MAX	  112 /* per datagram */
+#define HINT_LOADS_MAX	  108 /* per datagram */
 #define HINT_PARTS_MAX	  4   /* datagrams for the load of one router */
 #define HINT_CRASHES_MAX  6
 #define HINT_DIGEST_BYTES 16 /* of a fingerprint */
--- a/src/hint_receive.c
+++ b/src/hint_receive.c
@@ -88,7 +88,7 @@
 {
 	struct hint_peer *peer = NULL;
 
-	if (hint->peer_count < HINT_PEERS_MAX)
+	if (hint_has_room(hint, clk_boot_us()))
 		peer = calloc(1, sizeof(*peer));
 	if (!peer || htab_add(&hint->names, &peer->by_name, htab_hash(name))) {
 		free(peer);
