pos: an era of the store that only a peer has named can be refuted

What callers would see: a router that has once learned a greater era than the store's from a router that it follows drops every answer of the store as out of date, and all answers of routers of the true era. Its keys expire and it refuses for good.

Cause: the newest era is a maximum over what the store and peers name.

Why this works: the newest era that the store itself has named is kept beside it. The answer to a call that was sent after a peer had named a greater one, and that names an earlier one, refutes it: the store's answers are linearizable. Reads that may be old refute nothing. What was learned in the false era is then read again, as after a restore, and 10602 tells. An era that the store has named stays the newest: an answer of the one before it is out of date, as before.

Test: regress/era/false-era ("answer 1" left era, and each answer after it rejected, before).

--- a/regress/check_era.c
+++ b/regress/check_era.c
@@ -30,6 +30,13 @@
 		era_store_restored(&era, now);
 }
 
+/* "learn ERA": a peer names an era. */
+static void learn_era(FILE *out, long long named)
+{
+	pos_learn_era(&eras, named);
+	fprintf(out, "era %lld\n", (long long)eras.newest);
+}
+
 /* "behind ERA REVISION ERA REVISION": compares two positions. */
 static void compare_positions(FILE *out, const char *line)
 {
@@ -64,7 +71,7 @@
 	long long a;
 	long long b;
 
-	eras = (struct pos_eras){ POS_ERA_NONE, false };
+	eras = (struct pos_eras){ POS_ERA_NONE, POS_ERA_NONE, false };
 	now = START_US;
 	era_start(&era, now);
 	while (fgets(line, sizeof(line), in)) {
@@ -73,6 +80,8 @@
 		fprintf(out, "> %s", line);
 		if (sscanf(line, "answer %lld %lld", &a, &b) == 2)
 			receive_answer(out, a, b);
+		else if (sscanf(line, "learn %lld", &a) == 1)
+			learn_era(out, a);
 		else if (strncmp(line, "behind", 6) == 0)
 			compare_positions(out, line);
 		else if (sscanf(line, "after %lld", &a) == 1)
--- a/src/pos.h
+++ b/src/pos.h
@@ -21,9 +21,11 @@
 /* The eras that a store client has seen. */
 struct pos_eras {
 	int64_t newest; /* POS_ERA_NONE: none seen */
+	int64_t named;	/* the newest that an answer of the store has named */
 	bool increased; /* the era has changed since the first one */
 };
 
+void pos_learn_era(struct pos_eras *eras, int64_t era);
 bool pos_accept_era(struct pos_eras *eras, int64_t sent_era,
 		    int64_t answer_era);
 int pos_compare(struct pos a, struct pos b);
--- a/src/sto.c
+++ b/src/sto.c
@@ -39,6 +39,7 @@
 	sto->hc = hc;
 	sto->seed = seed | 1;
 	sto->eras.newest = POS_ERA_NONE;
+	sto->eras.named = POS_ERA_NONE;
 	strncpy(sto->address, address, sizeof(sto->address) - 1);
 	CDS_INIT_LIST_HEAD(&sto->followers);
 	if (hc_host_new(hc, address, STO_CONNECTIONS_MAX, &sto->host)) {
@@ -102,10 +103,13 @@
 void sto_read_stale(struct sto *sto, const char *prefix, const char *after,
 		    sto_done_fn done, void *user)
 {
+	struct sto_call *call;
 	char path[PL_PATH_MAX];
 
 	pl_store_stale_range_path(path, prefix, after);
-	sto_send_call(sto, "GET", path, NULL, 0, done, user);
+	call = sto_send_call(sto, "GET", path, NULL, 0, done, user);
+	if (call)
+		call->stale = true;
 }
 
 /* Parses the answer to sto_create_lease; negative if it is malformed. */
@@ -206,15 +210,23 @@
 {
 	int64_t from_era = sto->eras.newest;
 
-	pos_accept_era(&sto->eras, from_era, era);
+	pos_learn_era(&sto->eras, era);
 	sto_note_era(sto, from_era);
 }
 
-/* Reports a restore of the store if the era has risen. */
+/*
+ * Reports a restore of the store if the era has changed.  A lower one refutes
+ * what a peer has named: what was learned in that era is to be read again, too.
+ */
 static void sto_note_era(struct sto *sto, int64_t from_era)
 {
 	if (sto->eras.newest == from_era || from_era == POS_ERA_NONE)
 		return;
+	if (sto->eras.newest < from_era)
+		jlog(LOG_HINT_REFUTED,
+		     "\"peer\":\"\",\"field\":\"era\",\"value\":%lld,"
+		     "\"own\":%lld,\"why\":\"read later\"",
+		     (long long)from_era, (long long)sto->eras.newest);
 	jlog(LOG_PF_RETURNED, "\"store\":\"%s\",\"from\":%lld,\"to\":%lld",
 	     sto->address, (long long)from_era, (long long)sto->eras.newest);
 	if (sto->on_restored)
@@ -230,6 +242,9 @@
 		sto->bad_era_log_us = now + STO_BAD_ERA_LOG_US;
 		jlog(LOG_PF_ERA_BAD, "\"store\":\"%s\"", sto->address);
 	}
+	/* A read that may be old says nothing of the present. */
+	if (call->stale && call->era < sto->eras.newest)
+		return false;
 	return pos_accept_era(&sto->eras, call->sent_era, call->era);
 }
 
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -36,6 +36,7 @@
 	int status;
 	int64_t sent_era; /* newest known era when the call was sent */
 	int64_t era;	  /* era named in the answer */
+	bool stale;	  /* the answer may be some seconds old */
 	struct evbuffer *body;
 	struct hc_call *call;
 	struct xfer xfer; /* of the answer */
