sto_follow: a position that the store has not reached is not kept

What callers would see (review): a router that took over a false position from a router that it followed, and then follows the store, watches for changes after a revision that does not exist. It gets none, takes each query for the proof that it knows all of them, and serves by an old configuration for good. Read in the code; there is no script that shows it.

Cause: the reached position was never compared with what the store says.

Why this works: if the store answers a query or a watch that was sent after the position was reached with an earlier revision of the same era, the position is wrong, or the store went back without naming a new era. A sound store's revision never falls within an era.

--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -46,6 +46,7 @@
 	enum sto_follow_state state;
 	bool list_after_delay; /* after the delay: list instead of watch */
 	struct pos pos; /* store position up to which everything was reported */
+	int64_t pos_us; /* when it was last set */
 	int64_t list_revision;
 	int64_t sent_us;
 	int64_t list_sent_us;
@@ -86,6 +87,8 @@
 static void sto_on_query(void *user, enum sto_result result, const char *body,
 			 size_t len);
 static void sto_check_confirmed(struct sto_follow *follow);
+static bool sto_is_pos_refuted(const struct sto_follow *follow,
+			       int64_t revision, int64_t sent_us);
 static void sto_refute_pos(struct sto_follow *follow, struct pos answered,
 			   int64_t sent_us);
 static bool sto_is_watch_stuck(struct sto_follow *follow, int64_t now);
@@ -160,6 +163,7 @@
 void sto_follow_set_pos(struct sto_follow *follow, struct pos pos)
 {
 	follow->pos = pos;
+	follow->pos_us = clk_boot_us();
 }
 
 /* Continues followers whose delay has expired and restarts stuck watches. */
@@ -248,6 +252,7 @@
 	follow->after[0] = '\0';
 	follow->pos =
 		(struct pos){ sto_era(follow->sto), follow->list_revision };
+	follow->pos_us = clk_boot_us();
 	sto_refute_pos(follow, follow->pos, follow->list_sent_us);
 	follow->ops->list_end(follow->user);
 	follow->ops->confirmed(follow->user, follow->list_sent_us);
@@ -276,10 +281,16 @@
 		return;
 	}
 	sto_on_success(follow);
+	if (sto_is_pos_refuted(follow, items.revision, follow->sent_us)) {
+		pl_store_items_free(&items);
+		sto_follow_relist(follow);
+		return;
+	}
 	sto_report_items(follow, &items);
 	follow->pos.era = sto_era(follow->sto);
 	if (items.revision > follow->pos.revision)
 		follow->pos.revision = items.revision;
+	follow->pos_us = clk_boot_us();
 	sto_refute_pos(follow, follow->pos, follow->sent_us);
 	pl_store_items_free(&items);
 	follow->ops->confirmed(follow->user, follow->sent_us);
@@ -322,6 +333,7 @@
 	struct sto_follow *follow = query->follow;
 	int64_t sent_us = query->sent_us;
 	struct wire_items items;
+	bool refuted;
 
 	free(query);
 	if (result != STO_DONE || pl_store_items(body, len, &items)) {
@@ -344,8 +356,11 @@
 	sto_follow_learn_pos(
 		follow, (struct pos){ sto_era(follow->sto), items.revision },
 		"");
+	refuted = sto_is_pos_refuted(follow, items.revision, sent_us);
 	pl_store_items_free(&items);
-	if (follow->state == STO_PAUSED)
+	if (refuted)
+		sto_follow_relist(follow);
+	if (refuted || follow->state == STO_PAUSED)
 		return;
 	sto_check_confirmed(follow);
 	if (follow->failures > 0)
@@ -422,6 +437,26 @@
 	follow->known_from[0] = '\0';
 }
 
+/*
+ * Tells whether the position that has been reached cannot be right, as the
+ * store was before it when it answered a call that was sent later: it came from
+ * another router, or the store went back without naming a new era.
+ */
+static bool sto_is_pos_refuted(const struct sto_follow *follow,
+			       int64_t revision, int64_t sent_us)
+{
+	if (follow->state == STO_LISTING || follow->pos_us >= sent_us ||
+	    follow->pos.era != sto_era(follow->sto) ||
+	    revision >= follow->pos.revision)
+		return false;
+	jlog(LOG_HINT_REFUTED,
+	     "\"peer\":\"\",\"field\":\"own position\",\"value\":%lld,"
+	     "\"own\":%lld,\"own_era\":%lld,\"why\":\"read later\"",
+	     (long long)follow->pos.revision, (long long)revision,
+	     (long long)follow->pos.era);
+	return true;
+}
+
 /* Lists all keys again after a short random delay. */
 void sto_follow_relist(struct sto_follow *follow)
 {
