rel: routers of another deployment are not served changes

What callers would see: a router that follows another one by an address which a router of another deployment has by now would take over that one's configuration and workers.

Cause: a poll named a position in the store's history only.

Why this works: a poll names the deployment as datagrams do, and a router of another one answers 421, so that the next source is tried. Polls of earlier versions, which name none, are answered as before; an answer of an earlier version names none and is believed. Positions below 0 in an answer are malformed.

--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -50,10 +50,10 @@
 
 # write_settings NUMBER ZONE: writes the settings of a router.  $REPORT_MS is the
 # interval at which it takes workers to report, $RETRY_RATIO and $RETRY_SLACK set its
-# retry budget, $OPEN_FILES its limit on descriptors.
+# retry budget, $OPEN_FILES its limit on descriptors, $DEPLOYMENT the deployment.
 write_settings() {
 	cat >"$dir/router.$1.json" <<-JSON
-	{"instance":"r-$1","data_centre":"$2","address":"127.0.0.1",
+	{"instance":"r-$1","data_centre":"$2","address":"127.0.0.1",${DEPLOYMENT:+\"deployment\":\"$DEPLOYMENT\",}
 	"callers":"127.0.0.1:$((base + 60 + $1))",
 	"readiness":"127.0.0.1:$((base + 70 + $1))",
 	"peer_port":$((base + 80 + $1)),"metrics_port":$((base + 90 + $1)),
--- a/src/rel.c
+++ b/src/rel.c
@@ -318,6 +318,7 @@
 	poll.wait_us = rel_is_source(rel) || !rel->fresh_us
 			       ? tree_wait_us(&rel->tree, rel->fresh_us, now)
 			       : 0;
+	poll.deployment = htab_hash(edge->set.deployment);
 	rel_poll_write(target, sizeof(target), &poll);
 	rel->sent_after = poll.after;
 	rel->sent_us = now;
--- a/src/rel_msg.c
+++ b/src/rel_msg.c
@@ -38,19 +38,23 @@
 void rel_poll_write(char *target, size_t size, const struct rel_poll *poll)
 {
 	snprintf(target, size,
-		 REL_PATH "?era=%" PRId64 "&after=%" PRId64 "&wait_us=%" PRId64,
-		 poll->after.era, poll->after.revision, poll->wait_us);
+		 REL_PATH "?era=%" PRId64 "&after=%" PRId64 "&wait_us=%" PRId64
+			  "&deployment=%" PRIu32,
+		 poll->after.era, poll->after.revision, poll->wait_us,
+		 poll->deployment);
 }
 
 int rel_poll_parse(const char *target, struct rel_poll *poll)
 {
-	if (sscanf(target,
-		   REL_PATH "?era=%" SCNd64 "&after=%" SCNd64
-			    "&wait_us=%" SCNd64,
-		   &poll->after.era, &poll->after.revision,
-		   &poll->wait_us) != 3 ||
-	    poll->wait_us < 0)
+	int found = sscanf(target,
+			   REL_PATH "?era=%" SCNd64 "&after=%" SCNd64
+				    "&wait_us=%" SCNd64 "&deployment=%" SCNu32,
+			   &poll->after.era, &poll->after.revision,
+			   &poll->wait_us, &poll->deployment);
+
+	if (found < 3 || poll->wait_us < 0)
 		return REL_MSG_E_FORMAT;
+	poll->has_deployment = found == 4;
 	return REL_MSG_OK;
 }
 
@@ -134,7 +138,8 @@
 	if (len > REL_BYTES_MAX)
 		return REL_MSG_E_FORMAT;
 	xdrmem_create(&xdr, body, (u_int)len, XDR_DECODE);
-	if (!rel_xdr_head(&xdr, answer))
+	if (!rel_xdr_head(&xdr, answer) || answer->pos.era < POS_ERA_NONE ||
+	    answer->pos.revision < 0)
 		return REL_MSG_E_FORMAT;
 	head_len = xdr_getpos(&xdr);
 	body += head_len;
--- a/src/rel_msg.h
+++ b/src/rel_msg.h
@@ -22,6 +22,9 @@
 struct rel_poll {
 	struct pos after; /* the follower knows everything up to it */
 	int64_t wait_us;  /* how long the answer may take */
+	/* Hash of the name of the follower's deployment. */
+	uint32_t deployment;
+	bool has_deployment; /* not of routers of earlier versions */
 };
 
 struct rel_answer {
--- a/src/rel_serve.c
+++ b/src/rel_serve.c
@@ -91,6 +91,12 @@
 		hs_reply(conn, 404, NULL, NULL, 0);
 		return;
 	}
+	/* It has the address of a router that is gone. */
+	if (poll.has_deployment &&
+	    poll.deployment != htab_hash(rel->edge->set.deployment)) {
+		hs_reply(conn, 421, NULL, NULL, 0);
+		return;
+	}
 	wait = rel->wait_count < REL_WAITS_MAX ? calloc(1, sizeof(*wait))
 					       : NULL;
 	if (!wait) {
