rel_join: a key without a slash does not end the router

What callers would see: SIGSEGV at a start, again and again, if the list of routers that the store returns holds a key without "/" (rule FAULT). Found by reading; a sound store returns keys under the prefix only, and there is no script that shows it.

Cause: the result of strrchr() was used unchecked.

Why this works: such a key is nobody's.

--- a/src/rel_join.c
+++ b/src/rel_join.c
@@ -110,7 +110,9 @@
 
 static bool rel_is_own_key(const struct rel *rel, const char *key)
 {
-	return strcmp(strrchr(key, '/') + 1, rel->edge->set.instance) == 0;
+	const char *slash = strrchr(key, '/');
+
+	return slash && strcmp(slash + 1, rel->edge->set.instance) == 0;
 }
 
 /*
