hint: a router does not take itself for a peer

What callers would see: a datagram with the router's own name added a peer of that name, whose demand took the router's part of every limit for ten seconds. Found by a review; read in the code.

Cause: a sender's name was not compared with the own one.

Test: the last line of regress/edge/false-reports ("gave up" before).

--- a/regress/edge/false-reports.sh
+++ b/regress/edge/false-reports.sh
@@ -53,3 +53,5 @@
 sleep 2
 "$build/tool_calls" -k r -t key-2 new 1 30 $(router 1) $(router 2) $(router 3) >"$dir/calls"
 echo "the new configuration: served $(served)"
+"$build/tool_hint" $((base + 81)) 1 0 r-1 demand=4294967295
+wait_for "curl -s http://127.0.0.1:$((base + 91))/metrics | grep -q 'dropped_total{why=.own name.} 1'" && echo "no router hears itself"
--- a/src/hint_drop.c
+++ b/src/hint_drop.c
@@ -15,6 +15,7 @@
 	[HINT_DROP_ALTERED] = "altered",
 	[HINT_DROP_UNREADABLE] = "unreadable",
 	[HINT_DROP_PEERS] = "too many peers",
+	[HINT_DROP_OWN_NAME] = "own name",
 };
 
 static uint64_t hint_drop_total(const struct hint_drops *drops);
--- a/src/hint_drop.h
+++ b/src/hint_drop.h
@@ -15,6 +15,7 @@
 	HINT_DROP_ALTERED,    /* other bytes than were sent */
 	HINT_DROP_UNREADABLE, /* no message, or a field out of its range */
 	HINT_DROP_PEERS,      /* of one peer more than are kept */
+	HINT_DROP_OWN_NAME,   /* of a peer with this router's own name */
 	HINT_DROP_COUNT
 };
 
--- a/src/hint_receive.c
+++ b/src/hint_receive.c
@@ -111,6 +111,10 @@
 	bool was_away;
 	uint32_t k;
 
+	if (strcmp(message->name, edge->set.instance) == 0) {
+		hint_drop(&hint->drops, HINT_DROP_OWN_NAME, from, now);
+		return;
+	}
 	/* It may wait for a peer's message before it serves. */
 	is_new = !peer || peer->session != message->session;
 	was_away = peer && now - peer->received_us > hint_expiry_us(hint);
