sto_follow: a position that the store itself named can be refuted

What operators would see (found by reading): after one answer of the store with a revision that is too great, or after the store went back without naming a new era, each watch is given up after 0.9 s until the store reaches that revision.

Cause: the newest known position was refuted only if a peer had named it.

Why this works: an answer to a call that was sent later refutes any. There is no script for it; false-position and false-reports pass as before.

--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -404,7 +404,8 @@
 
 /*
  * The store was at a position when it answered a call that was sent at sent_us.
- * A later one that was learned from a peer before that cannot be right.
+ * A later one that was learned before that, from a peer or from the store,
+ * cannot be right.
  */
 static void sto_refute_pos(struct sto_follow *follow, struct pos answered,
 			   int64_t sent_us)
@@ -417,7 +418,7 @@
 		follow->refuted_until_us = 0;
 		follow->refutals = 0;
 	}
-	if (!follow->known_from[0] || follow->known_us >= sent_us ||
+	if (follow->known_us >= sent_us ||
 	    pos_compare(follow->known_pos, answered) <= 0)
 		return;
 	jlog(LOG_HINT_REFUTED,
