regress/fk: stand-ins wait for their ports

What was seen: a stand-in ended at its start if the process before it, which was killed, still had its port, so that a worker or a platform was missing for the rest of a script; two process scripts in KNOWN-RED.txt once lost their platform soon after its start, for which a port in use is suspected.

Why this works: stand-ins wait for a port that is in use for up to five seconds, as routers wait for theirs. Whether it was the cause there is not shown, so that the entries stay.

--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -17,6 +17,7 @@
 #include <sodium.h>
 
 #include "clk.h"
+#include "fk.h"
 #include "hs_int.h"
 #include "mag.h"
 
@@ -670,8 +671,8 @@
 	for (i = 0; i < argc - 1; i++) {
 		same = argv[i + 1][0] == '=';
 		views[i] = (struct view){ i, same ? 0 : i * VIEW_SHIFT };
-		if (hs_new(base, argv[i + 1] + same, &ops, &views[i],
-			   &servers[i]))
+		if (hs_serve(base, fk_listen(argv[i + 1] + same), &ops,
+			     &views[i], &servers[i]))
 			return 1;
 	}
 	event_add(event_new(base, -1, EV_PERSIST, on_tick, NULL), &every);
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -16,6 +16,7 @@
 #include <urcu/list.h>
 
 #include "clk.h"
+#include "fk.h"
 #include "hc.h"
 #include "hs_int.h"
 #include "mag.h"
@@ -1033,7 +1034,7 @@
 	report_us = env_number("FAKE_REPORT_MS", 0) * MAG_US_PER_MS;
 	crash_us = env_number("FAKE_CRASH_MS", 60) * MAG_US_PER_MS;
 	if (hc_host_new(hc, argv[1], 8, &store) ||
-	    hs_new(base, address, &ops, NULL, &hs))
+	    hs_serve(base, fk_listen(address), &ops, NULL, &hs))
 		return 1;
 	event_add(event_new(base, -1, EV_PERSIST, on_tick, hs), &interval);
 	event_base_dispatch(base);
--- a/regress/fk.c
+++ b/regress/fk.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <fcntl.h>
 #include <limits.h>
 #include <pthread.h>
@@ -10,12 +11,16 @@
 #include <unistd.h>
 
 #include "fk.h"
+#include "lsn.h"
 #include "mag.h"
 
 #define FK_FAULTS_MAX 16
 #define FK_BODY_MAX   (4U << 20)
 #define FK_HEADER_MAX 1024
 #define FK_LINE_MAX   512
+/* A process that was killed keeps its ports until the kernel has ended it. */
+#define FK_PORT_WAIT_US (5 * MAG_US_PER_S)
+#define FK_PORT_POLL_US (20 * MAG_US_PER_MS)
 
 struct fk_fault_entry {
 	char name[32];
@@ -70,8 +75,31 @@
 static int fk_record_fd = -1;
 
 /*
- * Starts a server on a loopback port; exits if that fails.  closed, if not
- * NULL, is called for each connection that has closed.
+ * Opens a socket that listens at "ip:port".  Waits for the address while
+ * another process has it; exits if that takes too long or if it can't be used
+ * at all.
+ */
+int fk_listen(const char *address)
+{
+	int64_t deadline_us = clk_boot_us() + FK_PORT_WAIT_US;
+	int rc;
+	int fd;
+
+	while ((rc = lsn_open(address, LSN_TCP, &fd)) == LSN_E_BUSY &&
+	       clk_boot_us() < deadline_us)
+		fk_sleep_us(FK_PORT_POLL_US);
+	if (rc) {
+		fprintf(stderr, "can't listen at %s: %s\n", address,
+			strerror(errno));
+		exit(1);
+	}
+	return fd;
+}
+
+/*
+ * Starts a server on a loopback port, for which it waits as fk_listen() does;
+ * exits if that fails.  closed, if not NULL, is called for each connection that
+ * has closed.
  */
 struct fk *fk_start(int port, int threads, fk_handler_fn handler,
 		    fk_closed_fn closed, void *ctx)
@@ -79,6 +107,7 @@
 	struct mg_callbacks callbacks = { .begin_request = fk_on_request,
 					  .connection_close = closed };
 	struct fk *fk = calloc(1, sizeof(*fk));
+	int64_t deadline_us = clk_boot_us() + FK_PORT_WAIT_US;
 	char listen_on[32];
 	char count[16];
 	const char *options[] = { "listening_ports",
@@ -103,7 +132,9 @@
 	fk->ctx = ctx;
 	fk->port = port;
 	pthread_mutex_init(&fk->lock, NULL);
-	fk->server = mg_start(&callbacks, fk, options);
+	while (!(fk->server = mg_start(&callbacks, fk, options)) &&
+	       clk_boot_us() < deadline_us)
+		fk_sleep_us(FK_PORT_POLL_US);
 	if (!fk->server) {
 		fprintf(stderr, "can't listen on port %d\n", port);
 		exit(1);
--- a/regress/fk.h
+++ b/regress/fk.h
@@ -35,6 +35,7 @@
 
 typedef void (*fk_closed_fn)(const struct mg_connection *conn);
 
+int fk_listen(const char *address);
 struct fk *fk_start(int port, int threads, fk_handler_fn handler,
 		    fk_closed_fn closed, void *ctx);
 void *fk_ctx(struct fk *fk);
