peer_wire: a heartbeat that was altered on its way is dropped

Cause: nothing told an altered heartbeat from one that was sent. With an incarnation that the peer never had, the true one became "replaced", and all that the peer sent from then on was dropped as stale for as long as it ran (peer_check_seq). A record with an altered "leaving" or edition was passed on to all instances, and the endpoint got no more calls: only a higher edition replaces it, and nobody has cause to publish one.

Evidence, before: regress/proc/altered-heartbeats, three instances, 300 altered copies of the heartbeats of each of two peers. In virtual time, 700 altered copies: 140 were taken; two minutes later each of three instances pools limits with itself alone (1/3), uses 33.3% of the limit instead of 97.3%, and all three avoid an endpoint that had returned.

Why this works: the header of the call holds a hash of the rest, and what does not match is counted as malformed and dropped. A heartbeat without a hash is taken for that reason.

What stays open: well-formed false reports of a foreign instance with the name and cluster of a peer.

Test: regress/proc/altered-heartbeats ("no" before), regress/fleet/42-altered (1/3 1/3 1/3, 3 of 3 avoid e0, 33.3% before), check_rpc test_altered (differed at offset 3 before) and test_earlier_release.

--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -344,6 +344,53 @@
 	fprintf(run->out, "forged %s: %s\n", how, err ? "dropped" : "accepted");
 }
 
+/* Inverts one to eight bits of a datagram. */
+static void invert_bits(struct run *run, char *buf, int len)
+{
+	int bits = 1 + (int)(net_random(&run->net) % 8);
+
+	while (bits-- > 0)
+		buf[net_random(&run->net) % (uint32_t)len] ^=
+			(char)(1 << net_random(&run->net) % 8);
+}
+
+/*
+ * Delivers to node 0 altered copies of the messages that are on their way to
+ * it, at least count of them.  Prints how many were taken for heartbeats of
+ * other contents than those that were sent.
+ */
+static void alter(struct run *run, int count)
+{
+	char sent[PEER_WIRE_MAX];
+	char buf[PEER_WIRE_MAX];
+	struct peer_msg msg;
+	int altered = 0;
+	int taken = 0;
+	size_t i;
+	int len;
+
+	while (altered < count) {
+		step(run);
+		for (i = 0; i < run->net.queue_len; i++) {
+			if (run->net.queue[i].to != 0)
+				continue;
+			altered++;
+			len = peer_wire_encode(&run->net.queue[i].msg, 1, sent,
+					       sizeof(sent));
+			memcpy(buf, sent, (size_t)len);
+			invert_bits(run, buf, len);
+			if (peer_wire_decode(buf, (size_t)len, &msg))
+				continue;
+			fleet_receive(run->net.nodes[0].fleet, &msg,
+				      run->net.now);
+			taken += peer_wire_encode(&msg, 1, buf, sizeof(buf)) !=
+					 len ||
+				 memcmp(buf, sent, (size_t)len) != 0;
+		}
+	}
+	fprintf(run->out, "altered: %d of %d taken\n", taken, altered);
+}
+
 static void apply_to_nodes(struct run *run, const char *verb, const char *who,
 			   double value, int index)
 {
@@ -524,6 +571,12 @@
 	forge(run, a);
 }
 
+static void do_alter(struct run *run, const char *a, const char *b)
+{
+	(void)b;
+	alter(run, atoi(a));
+}
+
 static void do_arrivals(struct run *run, const char *a, const char *b)
 {
 	(void)a;
@@ -566,6 +619,7 @@
 	{ "cut1", do_cut_one_way },
 	{ "join", do_join },
 	{ "forge", do_forge },
+	{ "alter", do_alter },
 	{ "known", show_notified },
 	{ "arrivals", do_arrivals },
 	{ "groups", do_groups },
--- a/regress/check_rpc.c
+++ b/regress/check_rpc.c
@@ -192,6 +192,71 @@
 	assert_int_equal(cnt_get(CNT_RPC_MALFORMED), dropped + 1);
 }
 
+/*
+ * Bits of a heartbeat are inverted on its way, or bytes overwritten.  What is
+ * accepted is the heartbeat that was sent, so that no false value reaches a
+ * receiver: some are kept until the sender restarts, and some are passed on.
+ */
+static void test_altered(void **state)
+{
+	struct peer_msg msg = full_message();
+	struct peer_msg out;
+	char buf[PEER_WIRE_MAX];
+	char bad[PEER_WIRE_MAX];
+	int len = peer_wire_encode(&msg, 1, buf, sizeof(buf));
+	uint64_t seed = 7;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 8 * len; i++) {
+		memcpy(bad, buf, (size_t)len);
+		bad[i / 8] ^= (char)(1 << i % 8);
+		if (peer_wire_decode(bad, (size_t)len, &out) == 0)
+			assert_memory_equal(&out, &msg, sizeof(msg));
+	}
+	for (i = 0; i < 100000; i++) {
+		int changes = 2 + (int)(mag_random(&seed) % 7);
+
+		memcpy(bad, buf, (size_t)len);
+		while (changes-- > 0) {
+			size_t at = mag_random(&seed) % (uint64_t)len;
+
+			bad[at] = (char)(i % 2 ? 0xff
+					       : bad[at] ^ 1 << mag_random(
+									&seed) %
+									   8);
+		}
+		if (peer_wire_decode(bad, (size_t)len, &out) == 0)
+			assert_memory_equal(&out, &msg, sizeof(msg));
+	}
+}
+
+/*
+ * While instances are replaced by those of a newer release, heartbeats of the
+ * earlier one have no hash: the flavours of credentials and verifier are 0.
+ * They are accepted, as otherwise each half of the fleet would count the other
+ * as down.  The hash is all by which the two releases differ.
+ */
+static void test_earlier_release(void **state)
+{
+	enum {
+		CRED_FLAVOUR_AT = 24,
+		VERF_FLAVOUR_AT = 32,
+		FLAVOUR_BYTES = 4
+	};
+	struct peer_msg msg = full_message();
+	struct peer_msg out;
+	char buf[PEER_WIRE_MAX];
+	int len = peer_wire_encode(&msg, 1, buf, sizeof(buf));
+
+	(void)state;
+	memset(buf + CRED_FLAVOUR_AT, 0, FLAVOUR_BYTES);
+	assert_int_not_equal(peer_wire_decode(buf, (size_t)len, &out), 0);
+	memset(buf + VERF_FLAVOUR_AT, 0, FLAVOUR_BYTES);
+	assert_int_equal(peer_wire_decode(buf, (size_t)len, &out), 0);
+	assert_memory_equal(&out, &msg, sizeof(msg));
+}
+
 /* The complete text arrives in pieces from a peer that is the only source. */
 static void test_fetch(void **state)
 {
@@ -319,6 +384,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_heartbeat),
 		cmocka_unit_test(test_malformed),
+		cmocka_unit_test(test_altered),
+		cmocka_unit_test(test_earlier_release),
 		cmocka_unit_test(test_fetch),
 		cmocka_unit_test(test_fetch_edits),
 		cmocka_unit_test(test_fetch_none),
--- a/src/peer_wire.c
+++ b/src/peer_wire.c
@@ -1,5 +1,8 @@
+#include <endian.h>
 #include <string.h>
 
+#include <sodium.h>
+
 #include "peer_wire.h"
 #include "rpc_gen_magnolia.h"
 
@@ -17,11 +20,17 @@
 static int peer_wire_to_msg(const mag_x_heartbeat *in, struct peer_msg *msg);
 static int peer_wire_to_record(const mag_x_record *from,
 			       struct peer_record *to);
-static bool_t peer_wire_decode_call(XDR *xdr, struct rpc_msg *call);
+static bool_t peer_wire_decode_call(XDR *xdr, const char *buf, size_t len);
+static bool_t peer_wire_check(const struct call_body *call, const char *body,
+			      size_t len);
+static uint64_t peer_wire_hash(const char *body, size_t len);
+static void peer_wire_set_hash(struct call_body *call, uint64_t hash);
+static uint64_t peer_wire_get_hash(const struct call_body *call);
 
 /*
- * Encodes a heartbeat as an RPC call.  Returns its length, or
- * PEER_WIRE_E_SHORT.
+ * Encodes a heartbeat as an RPC call.  Its header holds a hash of the rest, by
+ * which the receiver tells a heartbeat that was altered on its way.  Returns
+ * the length, or PEER_WIRE_E_SHORT.
  */
 int peer_wire_encode(const struct peer_msg *msg, uint32_t xid, char *buf,
 		     size_t size)
@@ -31,7 +40,8 @@
 	mag_x_heartbeat out;
 	XDR xdr;
 	bool_t ok;
-	int len;
+	u_int body;
+	u_int len;
 
 	memset(&call, 0, sizeof(call));
 	call.rm_xid = xid;
@@ -42,26 +52,33 @@
 	call.rm_call.cb_proc = MAG_X_HEARTBEAT;
 	peer_wire_from_msg(msg, &out, &storage);
 	xdrmem_create(&xdr, buf, (u_int)size, XDR_ENCODE);
-	ok = xdr_callmsg(&xdr, &call) && xdr_mag_x_heartbeat(&xdr, &out);
-	len = (int)xdr_getpos(&xdr);
+	ok = xdr_callmsg(&xdr, &call);
+	body = xdr_getpos(&xdr);
+	ok = ok && xdr_mag_x_heartbeat(&xdr, &out);
+	len = xdr_getpos(&xdr);
+	if (ok) {
+		peer_wire_set_hash(&call.rm_call,
+				   peer_wire_hash(buf + body, len - body));
+		ok = xdr_setpos(&xdr, 0) && xdr_callmsg(&xdr, &call);
+	}
 	xdr_destroy(&xdr);
-	return ok ? len : PEER_WIRE_E_SHORT;
+	return ok ? (int)len : PEER_WIRE_E_SHORT;
 }
 
 /*
  * Decodes a datagram.  Returns 0, or PEER_WIRE_E_FORMAT for what isn't a
- * heartbeat or exceeds a bound; the contents of msg are then undefined.
+ * heartbeat, was altered or exceeds a bound; the contents of msg are then
+ * undefined.
  */
 int peer_wire_decode(char *buf, size_t len, struct peer_msg *msg)
 {
-	struct rpc_msg call;
 	mag_x_heartbeat in;
 	XDR xdr;
 	int err = PEER_WIRE_E_FORMAT;
 
 	memset(&in, 0, sizeof(in));
 	xdrmem_create(&xdr, buf, (u_int)len, XDR_DECODE);
-	if (peer_wire_decode_call(&xdr, &call) &&
+	if (peer_wire_decode_call(&xdr, buf, len) &&
 	    xdr_mag_x_heartbeat(&xdr, &in) && xdr_getpos(&xdr) == len)
 		err = peer_wire_to_msg(&in, msg);
 	xdr_destroy(&xdr);
@@ -69,20 +86,74 @@
 	return err;
 }
 
-/* Decodes the header of a call and checks that it is a heartbeat. */
-static bool_t peer_wire_decode_call(XDR *xdr, struct rpc_msg *call)
+/*
+ * Decodes the header of a call and checks that it is one of a heartbeat and
+ * that what follows is as it was sent.
+ */
+static bool_t peer_wire_decode_call(XDR *xdr, const char *buf, size_t len)
 {
 	char cred[MAX_AUTH_BYTES];
 	char verf[MAX_AUTH_BYTES];
+	struct rpc_msg call;
+	size_t body;
+
+	memset(&call, 0, sizeof(call));
+	call.rm_call.cb_cred.oa_base = cred;
+	call.rm_call.cb_verf.oa_base = verf;
+	if (!xdr_callmsg(xdr, &call) || call.rm_direction != CALL ||
+	    call.rm_call.cb_rpcvers != RPC_MSG_VERSION ||
+	    call.rm_call.cb_prog != MAG_X_PROGRAM ||
+	    call.rm_call.cb_vers != MAG_X_VERSION ||
+	    call.rm_call.cb_proc != MAG_X_HEARTBEAT)
+		return FALSE;
+	body = xdr_getpos(xdr);
+	return peer_wire_check(&call.rm_call, buf + body, len - body);
+}
 
-	memset(call, 0, sizeof(*call));
-	call->rm_call.cb_cred.oa_base = cred;
-	call->rm_call.cb_verf.oa_base = verf;
-	return xdr_callmsg(xdr, call) && call->rm_direction == CALL &&
-	       call->rm_call.cb_rpcvers == RPC_MSG_VERSION &&
-	       call->rm_call.cb_prog == MAG_X_PROGRAM &&
-	       call->rm_call.cb_vers == MAG_X_VERSION &&
-	       call->rm_call.cb_proc == MAG_X_HEARTBEAT;
+/*
+ * Returns whether a heartbeat has the hash that its header holds.  A peer of an
+ * earlier release sends none, and would count as down if it were refused.
+ */
+static bool_t peer_wire_check(const struct call_body *call, const char *body,
+			      size_t len)
+{
+	uint64_t hash = peer_wire_get_hash(call);
+
+	if (call->cb_cred.oa_length || call->cb_verf.oa_length)
+		return FALSE;
+	return hash == 0 || hash == peer_wire_hash(body, len);
+}
+
+/*
+ * Returns the hash of a heartbeat; never 0.  It detects errors and proves
+ * nothing of the sender, as its key is known.
+ */
+static uint64_t peer_wire_hash(const char *body, size_t len)
+{
+	static const uint8_t key[crypto_shorthash_KEYBYTES] = "heartbeat";
+	uint64_t hash;
+
+	crypto_shorthash((uint8_t *)&hash, (const uint8_t *)body, len, key);
+	hash = le64toh(hash);
+	return hash ? hash : 1;
+}
+
+/*
+ * Puts a hash into the header of a call, as the flavours of its credentials and
+ * of its verifier, both of which are empty.  Earlier releases send 0 in both
+ * and skip them, so the form and the length of a heartbeat remain theirs.
+ */
+static void peer_wire_set_hash(struct call_body *call, uint64_t hash)
+{
+	call->cb_cred.oa_flavor = (enum_t)(uint32_t)(hash >> 32);
+	call->cb_verf.oa_flavor = (enum_t)(uint32_t)hash;
+}
+
+/* Returns the hash that the header of a call holds; 0: none. */
+static uint64_t peer_wire_get_hash(const struct call_body *call)
+{
+	return (uint64_t)(uint32_t)call->cb_cred.oa_flavor << 32 |
+	       (uint32_t)call->cb_verf.oa_flavor;
 }
 
 /*
