peer: an incarnation that a peer never had is refuted by its messages

Cause: the true incarnation counts as replaced by the false one, and a sequence number up to 1024 ahead makes all that follows look late. Both are maxima that nothing takes back, so that the instance drops what the peer sends, as stale: for as long as the peer runs, or for up to 1023 heartbeats.

Evidence: in virtual time, three instances, one false message to one of them: all pool limits with themselves alone (1/3), 200 s later, too.

Why this works: only a message that is followed by newer ones is late. If nothing newer has come until the sender counted as down and for 5 s more, the longest period of heartbeats, what arrives is of the sender that runs, and is taken. Within that time late messages are refused as before, those of a peer that stopped, too.

What stays open: false records (an endpoint "leaving" of a high edition, a quarantine of up to 49 days) are passed on, and nothing refutes them.

--- a/regress/check_fleet.c
+++ b/regress/check_fleet.c
@@ -334,6 +334,10 @@
 		msg.version++;
 	else if (strcmp(how, "stranger") == 0)
 		msg.sender++;
+	else if (strcmp(how, "incarnation") == 0)
+		msg.incarnation += 77;
+	else if (strcmp(how, "ahead") == 0)
+		msg.seq = 1000;
 	else if (strcmp(how, "late") == 0)
 		msg.seq = 999999;
 	else if (strcmp(how, "period") == 0)
--- a/src/peer.c
+++ b/src/peer.c
@@ -17,7 +17,8 @@
 static void peer_drop_seed(struct peer *peer, const struct peer_msg *msg);
 static int peer_find_sender(struct peer *peer, const struct peer_msg *msg,
 			    int64_t now);
-static int peer_check_seq(struct peer_node *node, const struct peer_msg *msg);
+static int peer_check_seq(struct peer_node *node, const struct peer_msg *msg,
+			  int64_t now);
 static void peer_apply_header(struct peer *peer, int link,
 			      const struct peer_msg *msg, int64_t now);
 static int peer_count_drop(int err);
@@ -169,7 +170,7 @@
 	*link = peer_find_sender(peer, msg, now);
 	if (*link < 0)
 		return peer_count_drop(*link);
-	err = peer_check_seq(&peer->nodes[*link], msg);
+	err = peer_check_seq(&peer->nodes[*link], msg, now);
 	if (err)
 		return peer_count_drop(err);
 	cnt_add(CNT_PEER_RECEIVED, 1);
@@ -362,13 +363,18 @@
 /*
  * Checks a message against the sender's incarnation and sequence number.
  * Datagrams may arrive late or twice.  One of an incarnation that was already
- * replaced, or one older than the last, would revert newer information.
+ * replaced, or one older than the last, would revert newer information.  But
+ * if nothing newer has followed until the sender counted as down, and for
+ * longer than datagrams are late, what made the message look old was false, and
+ * the sender refutes it.
  */
-static int peer_check_seq(struct peer_node *node, const struct peer_msg *msg)
+static int peer_check_seq(struct peer_node *node, const struct peer_msg *msg,
+			  int64_t now)
 {
 	uint32_t behind = node->seq_received - msg->seq;
+	bool recent = node->alive_until_us + PEER_PERIOD_MAX_US > now;
 
-	if (msg->incarnation == node->old_incarnation)
+	if (recent && msg->incarnation == node->old_incarnation)
 		return PEER_E_STALE;
 	if (msg->incarnation != node->incarnation) {
 		node->old_incarnation = node->incarnation;
@@ -376,7 +382,7 @@
 		node->epoch++;
 		node->acked_until_us = 0;
 		node->message_lost = false;
-	} else if (behind < PEER_SEQ_WINDOW) {
+	} else if (recent && behind < PEER_SEQ_WINDOW) {
 		return PEER_E_STALE;
 	} else if (msg->seq != node->seq_received + 1) {
 		node->message_lost = true;
