--- a/Makefile
+++ b/Makefile
@@ -78,6 +78,8 @@
 
 $(BUILD)/fake_engine: $(BUILD)/regress/eng_stage.o
 
+$(BUILD)/tool_alter $(BUILD)/tool_heartbeat: $(BUILD)/regress/cap.o
+
 $(PRELOADS): $(BUILD)/%.so: regress/%.c
 	@mkdir -p $(@D)
 	$(CC) $(ALLFLAGS) -fPIC -shared -o $@ $<
--- a/regress/tool_alter.c
+++ b/regress/tool_alter.c
@@ -11,35 +11,26 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "cap.h"
 #include "clk.h"
 #include "dgram.h"
 #include "fk.h"
 #include "hint_msg.h"
 
-#define CAPTURED_MAX 64
-#define TRIES	     50
-#define POLL_US	     (20 * MAG_US_PER_MS)
-#define ALTERED_MAX  8
-#define DATAGRAM_MAX 1500
+#define TRIES	    50
+#define POLL_US	    (20 * MAG_US_PER_MS)
+#define ALTERED_MAX 8
 
-struct datagram {
-	size_t len;
-	char bytes[DATAGRAM_MAX];
-};
-
-static struct datagram captured[CAPTURED_MAX];
-static int captured_count;
+static struct cap captured;
 static uint64_t seed;
 
-static void set_address(struct sockaddr_in *addr, const char *port);
 static void capture(int fd, const struct sockaddr_in *from);
-static void take_captured(int fd);
-static void alter(struct datagram *datagram, const char *kind);
+static void alter(struct cap_datagram *datagram, const char *kind);
 
 int main(int argc, char **argv)
 {
 	int fd = socket(AF_INET, SOCK_DGRAM, 0);
-	struct datagram datagram;
+	struct cap_datagram datagram;
 	struct sockaddr_in from;
 	struct sockaddr_in to;
 	int count;
@@ -53,16 +44,16 @@
 	}
 	count = atoi(argv[3]);
 	seed = strtoull(argv[4], NULL, 10) | 1;
-	set_address(&from, argv[1]);
-	set_address(&to, argv[2]);
+	cap_set_address(&from, argv[1]);
+	cap_set_address(&to, argv[2]);
 	capture(fd, &from);
-	if (captured_count == 0) {
+	if (captured.count == 0) {
 		fprintf(stderr, "no datagram was captured\n");
 		return 1;
 	}
 	for (i = 0; i < count; i++) {
-		datagram =
-			captured[mag_random(&seed) % (uint64_t)captured_count];
+		datagram = captured.datagrams[mag_random(&seed) %
+					      (uint64_t)captured.count];
 		alter(&datagram, argv[5]);
 		sent += sendto(fd, datagram.bytes, datagram.len, 0,
 			       (struct sockaddr *)&to, sizeof(to)) >= 0;
@@ -72,15 +63,6 @@
 	return 0;
 }
 
-/* Sets an address of the loopback interface. */
-static void set_address(struct sockaddr_in *addr, const char *port)
-{
-	memset(addr, 0, sizeof(*addr));
-	addr->sin_family = AF_INET;
-	addr->sin_port = htons((uint16_t)atoi(port));
-	addr->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-}
-
 /* Announces new peers to a router until it has answered often enough. */
 static void capture(int fd, const struct sockaddr_in *from)
 {
@@ -96,33 +78,16 @@
 	/* The routers of the scripts are in no named deployment. */
 	dgram_key_init(&key, "");
 	snprintf(message.name, sizeof(message.name), "captures");
-	for (i = 0; i < TRIES && captured_count < CAPTURED_MAX / 2; i++) {
+	for (i = 0; i < TRIES && captured.count < CAP_MAX / 2; i++) {
 		message.session = (uint32_t)i + 1;
 		if (!hint_msg_encode(&message, bytes, &len))
 			(void)dgram_send(fd, &key, from, bytes, len);
 		fk_sleep_us(POLL_US);
-		take_captured(fd);
-	}
-}
-
-/* Keeps the datagrams that have arrived. */
-static void take_captured(int fd)
-{
-	struct datagram *datagram;
-	ssize_t len;
-
-	while (captured_count < CAPTURED_MAX) {
-		datagram = &captured[captured_count];
-		len = recv(fd, datagram->bytes, sizeof(datagram->bytes),
-			   MSG_DONTWAIT);
-		if (len <= 0)
-			return;
-		datagram->len = (size_t)len;
-		captured_count++;
+		cap_take(&captured, fd, CAP_MAX);
 	}
 }
 
-static void alter(struct datagram *datagram, const char *kind)
+static void alter(struct cap_datagram *datagram, const char *kind)
 {
 	int changes = 1 + (int)(mag_random(&seed) % ALTERED_MAX);
 	size_t at;
@@ -133,12 +98,12 @@
 	}
 	if (strcmp(kind, "none") == 0)
 		return;
+	if (strcmp(kind, "bits") == 0) {
+		cap_invert_bits(datagram, &seed);
+		return;
+	}
 	while (changes-- > 0) {
 		at = mag_random(&seed) % datagram->len;
-		if (strcmp(kind, "bytes") == 0)
-			datagram->bytes[at] = (char)0xff;
-		else
-			datagram->bytes[at] ^=
-				(char)(1 << mag_random(&seed) % 8);
+		datagram->bytes[at] = (char)0xff;
 	}
 }
--- a/regress/tool_heartbeat.c
+++ b/regress/tool_heartbeat.c
@@ -6,12 +6,12 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 #include <sys/socket.h>
 
 #include <arpa/inet.h>
 #include <sodium.h>
 
+#include "cap.h"
 #include "clk.h"
 #include "fk.h"
 #include "peer_wire.h"
@@ -19,25 +19,15 @@
 #define CAPTURED_MAX 8
 #define TRIES	     100
 #define POLL_US	     (50 * MAG_US_PER_MS)
-#define ALTERED_MAX  8
 
-struct datagram {
-	size_t len;
-	char bytes[PEER_WIRE_MAX];
-};
-
-static struct datagram captured[CAPTURED_MAX];
-static int captured_count;
+static struct cap captured;
 
-static void set_address(struct sockaddr_in *addr, const char *port);
 static int capture(int fd, const struct sockaddr_in *from);
-static void take_captured(int fd);
-static void alter(struct datagram *datagram, uint64_t *seed);
 
 int main(int argc, char **argv)
 {
 	int fd = socket(AF_INET, SOCK_DGRAM, 0);
-	struct datagram datagram;
+	struct cap_datagram datagram;
 	struct sockaddr_in from;
 	struct sockaddr_in to;
 	uint64_t seed;
@@ -52,15 +42,15 @@
 	}
 	count = atoi(argv[3]);
 	seed = strtoull(argv[4], NULL, 10) | 1;
-	set_address(&from, argv[1]);
-	set_address(&to, argv[2]);
+	cap_set_address(&from, argv[1]);
+	cap_set_address(&to, argv[2]);
 	if (capture(fd, &from)) {
 		fprintf(stderr, "no heartbeat was captured\n");
 		return 1;
 	}
 	for (i = 0; i < count; i++) {
-		datagram = captured[i % captured_count];
-		alter(&datagram, &seed);
+		datagram = captured.datagrams[i % captured.count];
+		cap_invert_bits(&datagram, &seed);
 		sent += sendto(fd, datagram.bytes, datagram.len, 0,
 			       (struct sockaddr *)&to, sizeof(to)) >= 0;
 		fk_sleep_us(MAG_US_PER_S / count);
@@ -69,15 +59,6 @@
 	return 0;
 }
 
-/* Sets an address of the loopback interface. */
-static void set_address(struct sockaddr_in *addr, const char *port)
-{
-	memset(addr, 0, sizeof(*addr));
-	addr->sin_family = AF_INET;
-	addr->sin_port = htons((uint16_t)atoi(port));
-	addr->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-}
-
 /*
  * Announces itself until the instance has sent some heartbeats.  Returns -1 if
  * it sends none.
@@ -96,7 +77,7 @@
 	int len;
 	int i;
 
-	set_address(&own, "0");
+	cap_set_address(&own, "0");
 	if (bind(fd, (struct sockaddr *)&own, size) ||
 	    getsockname(fd, (struct sockaddr *)&own, &size))
 		return -1;
@@ -104,40 +85,13 @@
 		 ntohs(own.sin_port));
 	msg.cluster = (uint32_t)peer_hash("test");
 	msg.sender = peer_hash(msg.name);
-	for (i = 0; i < TRIES && captured_count < CAPTURED_MAX; i++) {
+	for (i = 0; i < TRIES && captured.count < CAPTURED_MAX; i++) {
 		msg.seq++;
 		len = peer_wire_encode(&msg, 1, bytes, sizeof(bytes));
 		(void)sendto(fd, bytes, (size_t)len, 0,
 			     (const struct sockaddr *)from, sizeof(*from));
 		fk_sleep_us(POLL_US);
-		take_captured(fd);
-	}
-	return captured_count > 0 ? 0 : -1;
-}
-
-/* Keeps the heartbeats that have arrived. */
-static void take_captured(int fd)
-{
-	struct datagram *datagram;
-	ssize_t len;
-
-	while (captured_count < CAPTURED_MAX) {
-		datagram = &captured[captured_count];
-		len = recv(fd, datagram->bytes, sizeof(datagram->bytes),
-			   MSG_DONTWAIT);
-		if (len <= 0)
-			return;
-		datagram->len = (size_t)len;
-		captured_count++;
+		cap_take(&captured, fd, CAPTURED_MAX);
 	}
-}
-
-/* Inverts one to eight bits. */
-static void alter(struct datagram *datagram, uint64_t *seed)
-{
-	int changes = 1 + (int)(mag_random(seed) % ALTERED_MAX);
-
-	while (changes-- > 0)
-		datagram->bytes[mag_random(seed) % datagram->len] ^=
-			(char)(1 << mag_random(seed) % 8);
+	return captured.count > 0 ? 0 : -1;
 }
