--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -35,12 +35,15 @@
 
 # A range of 100 ports that nobody uses, below those of outgoing connections.
 base=$((11000 + ($$ % 200) * 100))
-taken() { awk 'NR > 1 { sub(/.*:/, "", $2); print $2 }' /proc/net/tcp /proc/net/udp; }
+taken() { awk 'NR > 1 { sub(/.*:/, "", $2); print "x" $2 }' /proc/net/tcp /proc/net/udp; }
+ranges=0
 while :; do
-	first=$(printf %04X $base) last=$(printf %04X $((base + 99)))
+	first=$(printf x%04X $base) last=$(printf x%04X $((base + 99)))
 	taken | awk -v a=$first -v b=$last '$1 >= a && $1 <= b { f = 1 } END { exit !f }' || break
+	ranges=$((ranges + 1))
+	[ $ranges -ge 200 ] && give_up "no free ports"
 	base=$((base + 100))
-	[ $base -gt 31000 ] && give_up "no free ports"
+	[ $base -gt 30900 ] && base=11000
 done
 store=127.0.0.1:$base
 worker_at() { echo 127.0.0.1:$((base + 10 + $1)); }
