--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -16,13 +16,19 @@
 # group_of PID: prints its process group.
 group_of() { sed 's/.*) //' "/proc/$1/stat" 2>"$dir/null" | cut -d' ' -f3; }
 group=$(group_of $$)
-end() {
+kill_all() {
 	for p in $pids $(cat "$dir"/pid.* 2>"$dir/null"); do
 		[ "$(group_of $p)" = "$group" ] || continue
 		kill -CONT "$p" 2>"$dir/null"
 		kill -KILL "$p" 2>"$dir/null"
 	done
+}
+# What runs beside a script ends once $dir/over exists; it may start a worker until then.
+end() {
+	touch "$dir/over"
+	kill_all
 	wait 2>"$dir/null"
+	kill_all
 	[ -n "$KEEP" ] && cp -r "$dir" "$KEEP"
 	rm -rf "$dir"
 }
@@ -49,12 +55,12 @@
 worker_at() { echo 127.0.0.1:$((base + 10 + $1)); }
 router_at() { echo 127.0.0.1:$((base + 60 + $1)); }
 
-# wait_for COMMAND: repeats it until it succeeds, for 15 s.
+# wait_for COMMAND: repeats it until it succeeds, for 30 s and the time of the command.
 wait_for() {
 	tries=0
 	until eval "$1"; do
 		tries=$((tries + 1))
-		[ $tries -gt 300 ] && give_up "$1"
+		[ $tries -gt 600 ] && give_up "$1"
 		sleep 0.05
 	done
 }
