--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,7 +3,9 @@
 # lists 50 items a page, so that one of these keys ends the first page.  Then all
 # routers are killed, and started again a second later.
 cd "$(dirname "$0")/../.." || exit 2
-case_dir=review/7
+trouble=${TROUBLE:-1}
+record=review/7/record.txt
+: >"$record"
 . review/lib-2.sh
 
 export EVENTS=20 EVENT_MS=20 PAGE=50 STORE=store-2
@@ -39,7 +41,7 @@
 	for n in 1 2 3 4 5 6 7 8; do
 		"$bin/call-2" -b "$dir/foreign" $store POST "/stand-in/put?Key=servers/x%20batch%20$n" >"$dir/put"
 	done
-	say "ENTRIES "servers/x batch 1" to "servers/x batch 8" of another writer at $(now_us)"
+	say "ENTRIES 'servers/x batch 1' to 'servers/x batch 8' of another writer at $(now_us)"
 fi
 sleep 2
 between=$(call between)
@@ -54,6 +56,7 @@
 for n in 1 2 3 4; do
 	eval "kill -0 \$router_$n" && say "router $n runs; its last line: $(tail -n 1 "$dir/router.$n.log" | cut -c1-200)"
 done
+grep -h '^RUN' "$dir"/worker.*.log | sort -s -k3,3n >>"$record"
 say "served later than RecoveryS (12 s) after the start: $after of 40, before: $before of 40"
 [ "$before" -ge 10 ] || give_up "not served before"
 [ "$after" -ge 10 ]
--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,7 +3,9 @@
 # configuration; its list of tenants is empty then.  The client goes on to send
 # bookings with its key.
 cd "$(dirname "$0")/../.." || exit 2
-case_dir=review/9
+trouble=${TROUBLE:-1}
+record=review/9/record.txt
+: >"$record"
 . review/lib-2.sh
 
 start_site 0 2 2
--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -1,12 +1,9 @@
 # Starts the router of the deploy file and stand-ins as processes on loopback
-# addresses, for the scripts of the second review.  A script sets $case_dir and
-# sources this from the root of the repository.
+# addresses, for the scripts of the second review.  A script sets $record, the file
+# that it writes to, and sources this from the root of the repository.
 bin=$PWD/target
-record=$case_dir/record.txt
-trouble=${TROUBLE:-1}
 dir=$(mktemp -d)
 pids=""
-: >"$record"
 
 say() { echo "$*" >>"$record"; }
 # give_up WHY: the case could not run.
--- a/review/worker-2.c
+++ b/review/worker-2.c
@@ -9,7 +9,7 @@
  * EVENT_MS milliseconds.  FRAMING is chunked, or close for streams that have no
  * length and end with their connection.  A request whose path holds "deadly"
  * ends this process by SIGKILL, CRASH_MS after its first event; CRASH_MS=-1:
- * it does not.  The ids of events are multiples of ID_STEP.
+ * it does not.
  */
 #include <arpa/inet.h>
 #include <inttypes.h>
@@ -50,7 +50,7 @@
 };
 
 static const char *store, *address, *id, *service, *zone, *kind;
-static int events, event_ms, crash_ms, id_step;
+static int events, event_ms, crash_ms;
 static bool unframed;
 static int64_t born_ms;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -327,7 +327,7 @@
 {
 	char event[128];
 	int len = snprintf(event, sizeof(event), "id: %d\ndata: {\"n\":%d}\n\n",
-			   number * id_step, number);
+			   number, number);
 
 	if (unframed)
 		return send_all(fd, event, (size_t)len);
@@ -342,9 +342,8 @@
 	int first;
 	int n;
 
-	first = field(request, "Last-Event-Id", text, sizeof(text))
-			? atoi(text) / id_step
-			: 0;
+	first = field(request, "Last-Event-Id", text, sizeof(text)) ? atoi(text)
+								    : 0;
 	snprintf(text, sizeof(text), "%s from %d", request->attempt, first + 1);
 	print("RUN", text);
 	if (!send_text(fd,
@@ -461,7 +460,6 @@
 	events = number_of("EVENTS", 20);
 	event_ms = number_of("EVENT_MS", 50);
 	crash_ms = number_of("CRASH_MS", -1);
-	id_step = number_of("ID_STEP", 1);
 	unframed = getenv("FRAMING") && strcmp(getenv("FRAMING"), "close") == 0;
 	clock_gettime(CLOCK_REALTIME, &ts);
 	born_ms = (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
