regress/fake_store: lists have pages, which a test can let fail

The stand-in answered every list on one page, in the order of insertion, so that no script met a second page. Lists are in the order of their keys now; /stand-in/pages sets how many items a page has, and what becomes of the page that follows a key: refused, repeated, empty, or busy.

A target that is no URI ended the stand-in (evhttp_uri_parse() returned NULL); it is answered 400. fake_worker encodes its id in the key that it writes, so that ids may hold any bytes.

All scripts of regress/edge that run so far see the same lists as before, as a page has all items unless a script asks for fewer.

--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -32,6 +32,7 @@
  */
 #define VIEW_SHIFT 10
 #define VIEWS_MAX  4
+#define KEY_MAX	   (3 * 200 + 1)
 
 struct item {
 	char *key;
@@ -75,8 +76,19 @@
 	int shift; /* of the ports of workers */
 };
 
+/* What becomes of the page that follows a key. */
+enum page_fault {
+	PAGE_REFUSED,  /* status 400 */
+	PAGE_REPEATED, /* the items before it again */
+	PAGE_EMPTY,    /* no items, and more to follow */
+	PAGE_BUSY,     /* status 503 */
+};
+
 static struct item items[ITEMS_MAX];
 static int item_count;
+static int page_items = ITEMS_MAX;     /* items on a page of a list */
+static char page_fault_after[KEY_MAX]; /* "": on no page */
+static enum page_fault page_fault;
 static struct change changes[CHANGES_MAX];
 static int change_count;
 static int64_t dropped_revision; /* changes up to this revision are dropped */
@@ -482,6 +494,22 @@
 	}
 }
 
+/* Sets how many items a page has, and what becomes of the one after a key. */
+static void set_pages(int count, const char *after, const char *kind)
+{
+	static const char *const faults[] = { "refused", "repeated", "empty",
+					      "busy" };
+	size_t i;
+
+	page_items = count;
+	mag_copy_name(page_fault_after, sizeof(page_fault_after),
+		      after ? after : "");
+	for (i = 0; kind && i < MAG_ARRAY_SIZE(faults); i++) {
+		if (strcmp(kind, faults[i]) == 0)
+			page_fault = (enum page_fault)i;
+	}
+}
+
 /*
  * Serves what tests request under /stand-in/, also in place of the operator and
  * the workers.
@@ -496,6 +524,7 @@
 	const char *key = evhttp_find_header(query, "Key");
 	const char *ttl = evhttp_find_header(query, "Ttl");
 	const char *view = evhttp_find_header(query, "View");
+	const char *count = evhttp_find_header(query, "Items");
 	size_t len = evbuffer_get_length(body);
 	char *encoded;
 	size_t size;
@@ -523,6 +552,8 @@
 		drop(find(key, false));
 	} else if (strstr(path, "/lose") && key && view) {
 		lose_router(key, atoi(view));
+	} else if (strstr(path, "/pages") && count) {
+		set_pages(atoi(count), key, kind);
 	} else if (strstr(path, "/forget")) {
 		dropped_revision = revision;
 	} else if (strstr(path, "/deafen")) {
@@ -536,19 +567,64 @@
 	answer(conn, 200, NULL);
 }
 
+static int by_key(const void *a, const void *b)
+{
+	const struct item *x = a;
+	const struct item *y = b;
+
+	return strcmp(x->key, y->key);
+}
+
+/*
+ * Fails a page in the way that a test has requested for it; returns whether it
+ * did.
+ */
+static bool fail_page(struct hs_conn *conn, const char **after)
+{
+	if (!*after || !page_fault_after[0] ||
+	    strcmp(*after, page_fault_after) != 0)
+		return false;
+	switch (page_fault) {
+	case PAGE_REFUSED:
+		answer(conn, 400, NULL);
+		return true;
+	case PAGE_BUSY:
+		answer(conn, 503, NULL);
+		return true;
+	case PAGE_EMPTY:
+		answer(conn, 200,
+		       json_pack("{s:[],s:b,s:I}", "Items", "HasMore", 1,
+				 "StoreRevision", (json_int_t)revision));
+		return true;
+	case PAGE_REPEATED:
+		*after = NULL;
+	}
+	return false;
+}
+
 static void range(struct hs_conn *conn, const char *prefix, const char *after)
 {
-	json_t *list = json_array();
+	static struct item found[ITEMS_MAX];
+	json_t *list;
+	int count = 0;
 	int i;
 
+	if (fail_page(conn, &after))
+		return;
 	for (i = 0; i < item_count; i++) {
 		if (items[i].value &&
 		    strncmp(items[i].key, prefix, strlen(prefix)) == 0 &&
 		    (!after || strcmp(items[i].key, after) > 0))
-			json_array_append_new(list, item_json(&items[i]));
+			found[count++] = items[i];
 	}
+	qsort(found, (size_t)count, sizeof(found[0]), by_key);
+	list = json_array();
+	for (i = 0; i < count && i < page_items; i++)
+		json_array_append_new(list, item_json(&found[i]));
+	printf("RANGE %s %s %d of %d\n", prefix, after ? after : "", i, count);
+	fflush(stdout);
 	answer(conn, 200,
-	       json_pack("{s:o,s:b,s:I}", "Items", list, "HasMore", 0,
+	       json_pack("{s:o,s:b,s:I}", "Items", list, "HasMore", i < count,
 			 "StoreRevision", (json_int_t)revision));
 }
 
@@ -599,9 +675,14 @@
 {
 	struct evhttp_uri *uri = evhttp_uri_parse(hs_target(conn));
 	struct evkeyvalq query = { 0 };
-	const char *path = evhttp_uri_get_path(uri);
 	const struct view *view = ctx;
+	const char *path;
 
+	if (!uri) {
+		answer(conn, 400, NULL);
+		return;
+	}
+	path = evhttp_uri_get_path(uri);
 	port_shift = view->shift;
 	if (evhttp_uri_get_query(uri))
 		evhttp_parse_query_str(evhttp_uri_get_query(uri), &query);
--- a/regress/fake_worker.c
+++ b/regress/fake_worker.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include <event2/event.h>
+#include <event2/http.h>
 #include <jansson.h>
 #include <urcu/list.h>
 
@@ -220,6 +221,7 @@
 	struct hc_send send = { .ops = &ops,
 				.connect_by_us = now + HEARTBEAT_US,
 				.deadline_us = now + HEARTBEAT_US };
+	char *encoded_id = evhttp_uriencode(id, -1, 0);
 	struct hc_call *call;
 	char body[1024];
 	int len;
@@ -246,7 +248,8 @@
 			    "POST /stand-in/put?Key=servers/%s&Ttl=%d "
 			    "HTTP/1.1\r\nHost: store\r\n"
 			    "Content-Length: %zu\r\n\r\n%s",
-			    id, HEARTBEAT_TTL_MS, strlen(body), body);
+			    encoded_id, HEARTBEAT_TTL_MS, strlen(body), body);
+	free(encoded_id);
 	hc_start(store, &send, &call);
 }
 
