pl_store: keys are percent-encoded in request targets

Cause: pl_store_range_path() put the last key of a page into After as it was. The store answers a malformed target 400 and the list begins again; with "&", "+", "#" or an escape it reads another key, and the same page comes again. The prefix, which holds the name of a data centre, was written so, too. A target longer than 512 bytes was cut without an error.

Fix: evhttp_uriencode() of libevent encodes prefix and key.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 LIB       := $(BUILD)/libmagnolia.a
 PROGS     := $(BUILD)/magnoliad $(BUILD)/magnoliad-main $(BUILD)/magctl \
 	     $(BUILD)/magnolia-edge
-EDGE_LIBS := $(if $(SAN),,-Wl,-Bstatic) -levent_core -lhttp_parser -ljansson -lsodium -ltirpc \
+EDGE_LIBS := $(if $(SAN),,-Wl,-Bstatic) -levent_extra -levent_core -lhttp_parser -ljansson -lsodium -ltirpc \
 	     -lurcu-common -lzstd $(if $(SAN),,-Wl,-Bdynamic) -lm
 FAKES     := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/fake_*.c))
 CHECKS    := $(patsubst regress/%.c,$(BUILD)/%,$(wildcard regress/check_*.c))
--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -263,6 +263,32 @@
 	free(body);
 }
 
+/*
+ * "range PREFIX AFTER": prints the target of a list that begins after a key;
+ * "-" is an empty text, and one of digits stands for so many bytes of "%".
+ */
+static void print_range(FILE *out, const char *line)
+{
+	char texts[2][256] = { "", "" };
+	char path[PL_PATH_MAX];
+	int i;
+
+	if (sscanf(line, "%255s %255[^\n]", texts[0], texts[1]) != 2)
+		return;
+	for (i = 0; i < 2; i++) {
+		size_t len = strtoul(texts[i], NULL, 10);
+
+		if (strcmp(texts[i], "-") == 0)
+			texts[i][0] = '\0';
+		else if (len > 0 && len < sizeof(texts[i]))
+			memset(texts[i], '%', len);
+	}
+	if (pl_store_stale_range_path(path, texts[0], texts[1]))
+		fprintf(out, "does not fit\n");
+	else
+		fprintf(out, "%zu bytes %.80s\n", strlen(path), path);
+}
+
 /* "request FIELD: VALUE": prints the numbers of a client's request. */
 static void print_request(FILE *out, const char *text)
 {
@@ -403,6 +429,8 @@
 			print_failed(out, line + 7);
 		else if (strncmp(line, "swap ", 5) == 0)
 			print_swap(out, line + 5);
+		else if (strncmp(line, "range ", 6) == 0)
+			print_range(out, line + 6);
 		else if (strncmp(line, "request ", 8) == 0)
 			print_request(out, line + 8);
 		else if (strncmp(line, "leaving", 7) == 0)
--- a/src/sto.c
+++ b/src/sto.c
@@ -106,7 +106,10 @@
 	struct sto_call *call;
 	char path[PL_PATH_MAX];
 
-	pl_store_stale_range_path(path, prefix, after);
+	if (pl_store_stale_range_path(path, prefix, after)) {
+		done(user, STO_REFUSED, NULL, 0);
+		return;
+	}
 	call = sto_send_call(sto, "GET", path, NULL, 0, done, user);
 	if (call)
 		call->stale = true;
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -191,7 +191,10 @@
 	follow->sent_us = clk_boot_us();
 	if (!follow->after[0])
 		follow->list_sent_us = follow->sent_us;
-	pl_store_range_path(path, follow->prefix, follow->after);
+	if (pl_store_range_path(path, follow->prefix, follow->after)) {
+		sto_on_list(follow, STO_REFUSED, NULL, 0);
+		return;
+	}
 	follow->call = sto_send_call(follow->sto, "GET", path, NULL, 0,
 				     sto_on_list, follow);
 }
@@ -211,8 +214,11 @@
 	follow->state = STO_WATCHING;
 	follow->lagging_since_us = 0;
 	follow->sent_us = clk_boot_us();
-	pl_store_watch_path(path, follow->prefix, follow->pos.revision,
-			    wait_ms);
+	if (pl_store_watch_path(path, follow->prefix, follow->pos.revision,
+				wait_ms)) {
+		sto_on_watch(follow, STO_REFUSED, NULL, 0);
+		return;
+	}
 	follow->call =
 		sto_send_call(follow->sto, "GET", path, NULL,
 			      wait_ms * MAG_US_PER_MS, sto_on_watch, follow);
@@ -322,7 +328,10 @@
 		return;
 	query->follow = follow;
 	query->sent_us = clk_boot_us();
-	pl_store_range_path(path, PL_CONFIG_KEY, PL_CONFIG_KEY);
+	if (pl_store_range_path(path, PL_CONFIG_KEY, PL_CONFIG_KEY)) {
+		sto_on_query(query, STO_REFUSED, NULL, 0);
+		return;
+	}
 	sto_send_call(follow->sto, "GET", path, NULL, 0, sto_on_query, query);
 }
 
