sto_list: lists of the store in a file of their own

The state of a follower is declared in sto_int.h, and sto_start_list() and sto_on_list() move; nothing else changes. regress/edge/keys-encoded passes as before.

--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -26,49 +26,6 @@
 /* A watch is also abandoned after this many consecutive unanswered queries. */
 #define STO_QUERIES_LOST_MAX 2
 
-enum sto_follow_state {
-	STO_LISTING,
-	STO_WATCHING,
-	STO_DELAYING, /* until retry_us, then list or watch */
-	STO_PAUSED,   /* the owner learns the changes from elsewhere */
-};
-
-struct sto_follow {
-	struct cds_list_head node;
-	struct sto *sto;
-	char prefix[WIRE_KEY_MAX];
-	char after[WIRE_KEY_MAX]; /* last key of the previous page */
-	int64_t wait_ms;
-	int64_t coalesce_us;
-	int64_t retry_max_us;
-	const struct sto_follow_ops *ops;
-	void *user;
-	enum sto_follow_state state;
-	bool list_after_delay; /* after the delay: list instead of watch */
-	struct pos pos; /* store position up to which everything was reported */
-	int64_t pos_us; /* when it was last set */
-	int64_t list_revision;
-	int64_t sent_us;
-	int64_t list_sent_us;
-	int64_t retry_us;
-	int failures;	  /* consecutive */
-	bool unproven;	  /* no list or watch was answered since a failure */
-	bool unreachable; /* as last reported */
-
-	struct sto_call *call;	   /* list or watch in progress */
-	struct pos store_pos;	   /* the store's, by the newest query */
-	int64_t store_pos_sent_us; /* when that query was sent */
-	struct pos known_pos;	   /* newest position known from any source */
-	int64_t known_us;	   /* when it was learned */
-	char known_from[MAG_NAME_MAX]; /* the peer; "": the store */
-	/* The last refuted position; no later one is learned for a while. */
-	struct pos refuted_pos;
-	int64_t refuted_until_us;
-	int refutals;		  /* in a row */
-	int64_t lagging_since_us; /* behind known_pos since; 0: no */
-	int queries_lost;	  /* consecutive unanswered queries */
-};
-
 /*
  * A query for the store's revision.  Several may be in progress at once,
  * because an answer can be lost.
@@ -78,28 +35,17 @@
 	int64_t sent_us;
 };
 
-static void sto_start_list(struct sto_follow *follow);
-static void sto_start_watch(struct sto_follow *follow);
-static void sto_on_list(void *user, enum sto_result result, const char *body,
-			size_t len);
 static void sto_on_watch(void *user, enum sto_result result, const char *body,
 			 size_t len);
 static void sto_on_query(void *user, enum sto_result result, const char *body,
 			 size_t len);
-static void sto_check_confirmed(struct sto_follow *follow);
 static bool sto_is_pos_refuted(const struct sto_follow *follow,
 			       int64_t revision, int64_t sent_us);
-static void sto_refute_pos(struct sto_follow *follow, struct pos answered,
-			   int64_t sent_us);
 static bool sto_is_watch_stuck(struct sto_follow *follow, int64_t now);
 static void sto_on_query_lost(struct sto_follow *follow);
 static void sto_fail_watch(struct sto_follow *follow);
 static void sto_start_over(struct sto_follow *follow);
 static void sto_cancel_current(struct sto_follow *follow);
-static void sto_report_items(struct sto_follow *follow,
-			     struct wire_items *items);
-static void sto_back_off(struct sto_follow *follow, bool list_after_delay);
-static void sto_on_success(struct sto_follow *follow);
 static void sto_on_answered(struct sto_follow *follow);
 static void sto_set_reachable(struct sto_follow *follow, bool reachable);
 static void sto_on_restored(struct sto *sto);
@@ -183,23 +129,7 @@
 	}
 }
 
-static void sto_start_list(struct sto_follow *follow)
-{
-	char path[PL_PATH_MAX];
-
-	follow->state = STO_LISTING;
-	follow->sent_us = clk_boot_us();
-	if (!follow->after[0])
-		follow->list_sent_us = follow->sent_us;
-	if (pl_store_range_path(path, follow->prefix, follow->after)) {
-		sto_on_list(follow, STO_REFUSED, NULL, 0);
-		return;
-	}
-	follow->call = sto_send_call(follow->sto, "GET", path, NULL, 0,
-				     sto_on_list, follow);
-}
-
-static void sto_start_watch(struct sto_follow *follow)
+void sto_start_watch(struct sto_follow *follow)
 {
 	int64_t wait_ms = follow->wait_ms;
 	char path[PL_PATH_MAX];
@@ -224,48 +154,6 @@
 			      wait_ms * MAG_US_PER_MS, sto_on_watch, follow);
 }
 
-/* Handles a page of a list, or its failure. */
-static void sto_on_list(void *user, enum sto_result result, const char *body,
-			size_t len)
-{
-	struct sto_follow *follow = user;
-	struct wire_items items;
-
-	follow->call = NULL;
-	if (result != STO_DONE || pl_store_items(body, len, &items)) {
-		follow->after[0] = '\0';
-		sto_back_off(follow, true);
-		return;
-	}
-	sto_on_success(follow);
-	if (!follow->after[0]) {
-		/*
-		 * The pages are not a snapshot: watch from the revision of the
-		 * first.
-		 */
-		follow->list_revision = items.revision;
-		follow->ops->list_begin(follow->user);
-	}
-	sto_report_items(follow, &items);
-	if (items.has_more && items.count > 0) {
-		mag_copy_name(follow->after, sizeof(follow->after),
-			      items.items[items.count - 1].key);
-		pl_store_items_free(&items);
-		sto_start_list(follow);
-		return;
-	}
-	pl_store_items_free(&items);
-	follow->after[0] = '\0';
-	follow->pos =
-		(struct pos){ sto_era(follow->sto), follow->list_revision };
-	follow->pos_us = clk_boot_us();
-	sto_refute_pos(follow, follow->pos, follow->list_sent_us);
-	follow->ops->list_end(follow->user);
-	follow->ops->confirmed(follow->user, follow->list_sent_us);
-	sto_check_confirmed(follow);
-	sto_start_watch(follow);
-}
-
 static void sto_on_watch(void *user, enum sto_result result, const char *body,
 			 size_t len)
 {
@@ -380,7 +268,7 @@
  * Confirms what was reported if the follower has reached the store's queried
  * position.
  */
-static void sto_check_confirmed(struct sto_follow *follow)
+void sto_check_confirmed(struct sto_follow *follow)
 {
 	if (follow->store_pos_sent_us && follow->state != STO_LISTING &&
 	    follow->state != STO_PAUSED &&
@@ -416,8 +304,8 @@
  * A later one that was learned before that, from a peer or from the store,
  * cannot be right.
  */
-static void sto_refute_pos(struct sto_follow *follow, struct pos answered,
-			   int64_t sent_us)
+void sto_refute_pos(struct sto_follow *follow, struct pos answered,
+		    int64_t sent_us)
 {
 	int64_t now = clk_boot_us();
 
@@ -610,8 +498,7 @@
 	follow->call = NULL;
 }
 
-static void sto_report_items(struct sto_follow *follow,
-			     struct wire_items *items)
+void sto_report_items(struct sto_follow *follow, struct wire_items *items)
 {
 	int i;
 
@@ -620,7 +507,7 @@
 }
 
 /* Waits after a failure; the delay doubles with each consecutive failure. */
-static void sto_back_off(struct sto_follow *follow, bool list_after_delay)
+void sto_back_off(struct sto_follow *follow, bool list_after_delay)
 {
 	int64_t wait = STO_RETRY_US;
 	int i;
@@ -644,7 +531,7 @@
 }
 
 /* Notes that a call succeeded whose items are about to be reported. */
-static void sto_on_success(struct sto_follow *follow)
+void sto_on_success(struct sto_follow *follow)
 {
 	sto_on_answered(follow);
 	follow->failures = 0;
