sto_list: a page that does not lead on no longer keeps a router from serving

Cause: sto_on_list() took any page with items for progress, an empty one with more to follow for the end of the list, and each failure for a reason to begin with the first page. Nothing of a list was in use before its last page. No line of the log told any of it.

Fix: the keys of pages must increase. A page that the store is too busy for is asked for again, not the list. One that it rejects, or that cannot be read, is asked for four times; then event 9006 names key, reason and status, what was listed is in use, the changes since the first page are watched, and the list is read again later, with doubled pauses. Nothing counts as gone for an unfinished list, and no router is served from its mirror.

--- a/regress/fake_store.c
+++ b/regress/fake_store.c
@@ -586,9 +586,13 @@
 		return false;
 	switch (page_fault) {
 	case PAGE_REFUSED:
+		printf("RANGE refused after %s\n", *after);
+		fflush(stdout);
 		answer(conn, 400, NULL);
 		return true;
 	case PAGE_BUSY:
+		printf("BUSY %s\n", *after);
+		fflush(stdout);
 		answer(conn, 503, NULL);
 		return true;
 	case PAGE_EMPTY:
@@ -621,7 +625,8 @@
 	list = json_array();
 	for (i = 0; i < count && i < page_items; i++)
 		json_array_append_new(list, item_json(&found[i]));
-	printf("RANGE %s %s %d of %d\n", prefix, after ? after : "", i, count);
+	printf("RANGE %s after %s: %d of %d\n", prefix, after ? after : "", i,
+	       count);
 	fflush(stdout);
 	answer(conn, 200,
 	       json_pack("{s:o,s:b,s:I}", "Items", list, "HasMore", i < count,
--- a/src/edge_follow.c
+++ b/src/edge_follow.c
@@ -44,6 +44,7 @@
 static void edge_list_begin(void *user);
 static void edge_on_entry(void *user, const struct wire_item *item);
 static void edge_list_end(void *user);
+static void edge_list_unfinished(void *user, const char *after);
 static bool edge_on_applied(void *user);
 static void edge_on_fresh(void *user, int64_t sent_us);
 static void edge_on_stored_config(struct edge *edge,
@@ -76,6 +77,7 @@
 	.list_begin = edge_list_begin,
 	.item = edge_on_entry,
 	.list_end = edge_list_end,
+	.list_unfinished = edge_list_unfinished,
 	.confirmed = edge_on_fresh,
 	.restored = edge_on_store_restored,
 	.answered = edge_on_answered,
@@ -229,6 +231,26 @@
 	pres_list_end(edge->pres);
 }
 
+/*
+ * Called when the store does not serve the rest of a list.  Its keys are in
+ * order: routers come before the configuration, and workers after it.  Workers
+ * that have not been listed are missing, but the others can be used.
+ */
+static void edge_list_unfinished(void *user, const char *after)
+{
+	struct edge *edge = user;
+
+	mir_list_unfinished(&edge->mir);
+	wk_list_unfinished(&edge->workers);
+	if (strcmp(after, PL_CONFIG_KEY) < 0) {
+		/* There may be a newer version than the one in force. */
+		edge->config_refused = true;
+		return;
+	}
+	pres_list_end(edge->pres);
+	edge->workers_listed = true;
+}
+
 /*
  * Called when all entries up to a call sent at sent_us have been reported: they
  * were current then, unless the store was just restored from an older backup or
--- a/src/log_events.h
+++ b/src/log_events.h
@@ -82,6 +82,7 @@
 	LOG_EVENT(LOG_PF_RETURNED, 9003, "store-returned", LOG_PRIO_WARNING) \
 	LOG_EVENT(LOG_PF_SETTLED, 9004, "store-settled", LOG_PRIO_NOTICE) \
 	LOG_EVENT(LOG_PF_ERA_BAD, 9005, "store-era-unreadable", LOG_PRIO_ERR) \
+	LOG_EVENT(LOG_PF_LIST_UNFINISHED, 9006, "store-list-unfinished", LOG_PRIO_ERR) \
 	\
 	/* 10000 the router on a platform */ \
 	LOG_EVENT(LOG_EQ_SENT, 10001, "request-sent", LOG_PRIO_INFO) \
--- a/src/mir.c
+++ b/src/mir.c
@@ -112,6 +112,13 @@
 	mir_drop_tombstones(mir);
 }
 
+/* A list could not be finished: nothing is served until another one is. */
+void mir_list_unfinished(struct mir *mir)
+{
+	mir->listing = false;
+	mir->lossy = true;
+}
+
 /* Returns whether the mirror holds all items of the store at a position. */
 bool mir_may_serve(const struct mir *mir)
 {
--- a/src/mir.h
+++ b/src/mir.h
@@ -47,6 +47,7 @@
 void mir_list_begin(struct mir *mir);
 int mir_put(struct mir *mir, const struct wire_item *item);
 void mir_list_prefix(struct mir *mir, const char *prefix);
+void mir_list_unfinished(struct mir *mir);
 void mir_list_end(struct mir *mir, int64_t revision);
 bool mir_may_serve(const struct mir *mir);
 bool mir_has_changes(const struct mir *mir, int64_t after);
--- a/src/rel_join.c
+++ b/src/rel_join.c
@@ -86,7 +86,7 @@
 	struct rel_read *read = user;
 	struct rel *rel = read->rel;
 	struct wire_items items;
-	bool more;
+	enum sto_page next;
 	int i;
 
 	if (result != STO_DONE || pl_store_items(body, len, &items)) {
@@ -97,15 +97,12 @@
 		pres_item(rel->edge->pres, &items.items[i]);
 		read->own_seen |= rel_is_own_key(rel, items.items[i].key);
 	}
-	more = items.has_more && items.count > 0;
-	if (more)
-		mag_copy_name(read->after, sizeof(read->after),
-			      items.items[items.count - 1].key);
+	next = sto_next_page(&items, read->after);
 	pl_store_items_free(&items);
-	if (more)
+	if (next == STO_PAGE_MORE)
 		rel_read_page(read);
 	else
-		rel_read_end(read, true);
+		rel_read_end(read, next == STO_PAGE_LAST);
 }
 
 static bool rel_is_own_key(const struct rel *rel, const char *key)
--- a/src/sto.c
+++ b/src/sto.c
@@ -115,6 +115,26 @@
 		call->stale = true;
 }
 
+/*
+ * Sets the last key of a page, of WIRE_KEY_MAX bytes, after which the next page
+ * begins.  The keys of a list increase; one that does not would be listed again
+ * and again.
+ */
+enum sto_page sto_next_page(const struct wire_items *items, char *after)
+{
+	const char *last;
+
+	if (!items->has_more)
+		return STO_PAGE_LAST;
+	if (items->count == 0)
+		return STO_PAGE_STUCK;
+	last = items->items[items->count - 1].key;
+	if (strcmp(last, after) <= 0)
+		return STO_PAGE_STUCK;
+	mag_copy_name(after, WIRE_KEY_MAX, last);
+	return STO_PAGE_MORE;
+}
+
 /* Parses the answer to sto_create_lease; negative if it is malformed. */
 int sto_parse_lease(const char *body, size_t len, int64_t *lease,
 		    int64_t *ttl_ms)
@@ -170,6 +190,7 @@
 	struct sto_call *call = user;
 
 	call->status = response->status;
+	call->sto->status = response->status;
 	call->era = pl_store_era(response->headers);
 	return true;
 }
@@ -271,6 +292,6 @@
 	case 503:
 		return STO_REFUSED;
 	default:
-		return STO_LOST;
+		return STO_REJECTED;
 	}
 }
--- a/src/sto.h
+++ b/src/sto.h
@@ -24,6 +24,11 @@
 	STO_CONFLICT, /* the key has another revision */
 	STO_MISSING,  /* the key or lease does not exist */
 	STO_REFUSED,  /* not executed: over the rate limit, or not served */
+	/*
+	 * Answered with another status, such as 400; whether it was executed is
+	 * not known.
+	 */
+	STO_REJECTED,
 	/*
 	 * No answer, or an answer from another era.  The call may have been
 	 * executed or may still be executed later.
@@ -39,6 +44,11 @@
 	void (*list_begin)(void *user); /* a complete list starts */
 	void (*item)(void *user, const struct wire_item *item);
 	void (*list_end)(void *user); /* the list is complete */
+	/*
+	 * In place of list_end: the store does not serve what follows a key.
+	 * Changes are reported all the same, and another list follows later.
+	 */
+	void (*list_unfinished)(void *user, const char *after);
 	/* Everything reported so far was current at sent_us. */
 	void (*confirmed)(void *user, int64_t sent_us);
 	/*
@@ -77,6 +87,15 @@
 	    struct sto **out);
 void sto_tick(struct sto *sto, int64_t now);
 uint64_t sto_calls(const struct sto *sto);
+
+/* What follows a page of a list. */
+enum sto_page {
+	STO_PAGE_LAST,
+	STO_PAGE_MORE,
+	STO_PAGE_STUCK, /* more, but from a key that was listed before */
+};
+
+enum sto_page sto_next_page(const struct wire_items *items, char *after);
 int64_t sto_era(const struct sto *sto);
 
 /*
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -84,7 +84,7 @@
 {
 	sto_cancel_current(follow);
 	follow->state = STO_PAUSED;
-	follow->after[0] = '\0';
+	sto_reset_list(follow);
 	follow->failures = 0;
 	follow->queries_lost = 0;
 }
@@ -120,6 +120,9 @@
 	cds_list_for_each_entry (follow, &sto->followers, node) {
 		if (sto_is_watch_stuck(follow, now))
 			sto_fail_watch(follow);
+		if (follow->list_again_us && now >= follow->list_again_us &&
+		    follow->state == STO_WATCHING)
+			sto_follow_relist(follow);
 		if (follow->state != STO_DELAYING || now < follow->retry_us)
 			continue;
 		if (follow->list_after_delay)
@@ -358,7 +361,7 @@
 /* Lists all keys again after a short random delay. */
 void sto_follow_relist(struct sto_follow *follow)
 {
-	follow->after[0] = '\0';
+	sto_reset_list(follow);
 	if (follow->state == STO_PAUSED) {
 		/* The owner gets a complete list from its source. */
 		follow->pos.revision = 0;
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -22,6 +22,7 @@
 	struct cds_list_head followers; /* of struct sto_follow */
 	uint64_t seed;
 	uint64_t call_count;
+	int status; /* of the last answer */
 	struct pos_eras eras;
 	int64_t bad_era_log_us; /* next log line on a malformed era */
 	/* The era has increased; NULL while there is no follower. */
@@ -67,7 +68,10 @@
 	int64_t sent_us;
 	int64_t list_sent_us;
 	int64_t retry_us;
-	int failures;	  /* consecutive */
+	int page_failures;     /* of the same page, in a row */
+	int unfinished;	       /* lists in a row that could not be finished */
+	int64_t list_again_us; /* after such a list; 0: the list is complete */
+	int failures;	       /* consecutive */
 	bool unproven;	  /* no list or watch was answered since a failure */
 	bool unreachable; /* as last reported */
 
@@ -93,6 +97,7 @@
 /* Shared by the parts of a follower. */
 void sto_start_list(struct sto_follow *follow);
 void sto_start_watch(struct sto_follow *follow);
+void sto_reset_list(struct sto_follow *follow);
 void sto_report_items(struct sto_follow *follow, struct wire_items *items);
 void sto_back_off(struct sto_follow *follow, bool list_after_delay);
 void sto_on_success(struct sto_follow *follow);
--- a/src/wk.c
+++ b/src/wk.c
@@ -166,6 +166,12 @@
 	}
 }
 
+/* A listing could not be finished: no worker counts as gone for it. */
+void wk_list_unfinished(struct wk_table *table)
+{
+	table->listing = false;
+}
+
 /* Notes that the store was restored from an older backup. */
 void wk_store_restored(struct wk_table *table, int64_t now)
 {
--- a/src/wk.h
+++ b/src/wk.h
@@ -237,6 +237,7 @@
 void wk_list_begin(struct wk_table *table);
 int wk_list_put(struct wk_table *table, const struct wire_worker *worker,
 		int64_t now, struct wk **out);
+void wk_list_unfinished(struct wk_table *table);
 void wk_list_end(struct wk_table *table, int64_t gone_us, int64_t now);
 void wk_store_restored(struct wk_table *table, int64_t now);
 void wk_store_settled(struct wk_table *table);
