wk: ids of workers may be as long as the store's keys

What callers saw: 503 "no worker" for a service whose workers have ids of 64 bytes or more. The log said "worker-unread", "worker ID: key".

Fix: what holds a worker's id has WIRE_KEY_MAX bytes: its entry, the memory of workers that are gone, the worker that a request is suspected of crashing, and the text of which the hash of a process is made.

--- a/src/eq.h
+++ b/src/eq.h
@@ -63,8 +63,8 @@
 	int64_t repaired_us; /* last repair of its chain; 0: never */
 	/* Its hops are not the workers that it runs on; it is to be moved. */
 	bool misrouted;
-	bool ran_well;		  /* it did not crash a worker */
-	char blamed[WIRE_ID_MAX]; /* worker that it may have crashed, or "" */
+	bool ran_well;		   /* it did not crash a worker */
+	char blamed[WIRE_KEY_MAX]; /* worker that it may have crashed, or "" */
 
 	int64_t begun_us; /* first event on its present chain; 0: none */
 	/* By the clock run.h: when it was sent, repaired, or had an event. */
--- a/src/wire.h
+++ b/src/wire.h
@@ -13,7 +13,8 @@
 
 #include "mag.h"
 
-#define WIRE_ID_MAX	 64
+#define WIRE_ID_MAX 64 /* longest id of a request that is kept, with its NUL   \
+			*/
 #define WIRE_STALLED_MAX 256
 #define WIRE_KEY_MAX	 201 /* longest key of the store, with its NUL */
 #define WIRE_HOPS_MAX	 32
@@ -26,7 +27,7 @@
 
 /* An entry of the list of workers. */
 struct wire_worker {
-	char id[WIRE_ID_MAX];
+	char id[WIRE_KEY_MAX]; /* its key after the prefix */
 	/* Identities; see mag_identify(). */
 	char service[MAG_NAME_MAX];
 	char data_centre[MAG_NAME_MAX];
--- a/src/wk.c
+++ b/src/wk.c
@@ -268,7 +268,7 @@
  */
 uint32_t wk_process_hash(const struct wk *wk)
 {
-	char text[WIRE_ID_MAX + 24];
+	char text[WIRE_KEY_MAX + 24];
 
 	snprintf(text, sizeof(text), "%s %lld", wk->entry.id,
 		 (long long)wk->entry.started_ms);
--- a/src/wk.h
+++ b/src/wk.h
@@ -170,7 +170,7 @@
 
 /* A worker whose entry was removed, or was missing from a complete listing. */
 struct wk_gone {
-	char id[WIRE_ID_MAX];
+	char id[WIRE_KEY_MAX];
 	int64_t born_ms;
 	int64_t gone_us;
 	struct adv adv; /* holds again if the same process is listed again */
