--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -2,7 +2,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <event2/http.h>
+
 #include "hdr.h"
+#include "jlog.h"
 #include "pl_config.h"
 #include "pl_header.h"
 #include "pl_store.h"
@@ -53,14 +56,26 @@
 	rt_drop(set);
 }
 
+/* "id ID": the id, percent-encoded, of the workers that follow. */
+static char worker_key[WIRE_KEY_MAX] = "servers/i-1";
+
+static void set_worker_id(const char *encoded)
+{
+	char *id = evhttp_uridecode(encoded, 0, NULL);
+
+	snprintf(worker_key, sizeof(worker_key), "servers/%s", id ? id : "");
+	free(id);
+}
+
 static void print_worker(FILE *out, const char *text)
 {
 	struct wire_worker worker;
 	char why[WHY_MAX];
 
-	if (pl_worker_decode("servers/i-1", text, strlen(text), &worker, why,
+	if (pl_worker_decode(worker_key, text, strlen(text), &worker, why,
 			     sizeof(why))) {
-		fprintf(out, "refused: %s\n", why);
+		fprintf(out, "refused: %s\n",
+			jlog_sanitize(why, sizeof(why), why));
 		return;
 	}
 	fprintf(out, "%s at %s in %s %s slots %d layers %d-%d born %lld\n",
@@ -411,6 +426,8 @@
 			print_config(out, line + 7);
 		else if (strncmp(line, "worker ", 7) == 0)
 			print_worker(out, line + 7);
+		else if (strncmp(line, "id ", 3) == 0)
+			set_worker_id(line + 3);
 		else if (strncmp(line, "report ", 7) == 0)
 			print_report(out, line + 7);
 		else if (strncmp(line, "repath ", 7) == 0)
--- a/src/edge.c
+++ b/src/edge.c
@@ -51,6 +51,7 @@
  */
 int edge_data_centre_index(struct edge *edge, const char *name)
 {
+	char text[MAG_NAME_MAX];
 	int i;
 
 	for (i = 0; i < edge->data_centre_count; i++) {
@@ -60,7 +61,8 @@
 	if (i == MAG_DATA_CENTRES_MAX) {
 		if (!edge->data_centres_full)
 			jlog(LOG_EDGE_CENTRES,
-			     "\"data_centre\":\"%s\",\"max\":%d", name,
+			     "\"data_centre\":\"%s\",\"max\":%d",
+			     jlog_sanitize(text, sizeof(text), name),
 			     MAG_DATA_CENTRES_MAX);
 		edge->data_centres_full = true;
 		return -1;
--- a/src/eq.c
+++ b/src/eq.c
@@ -503,7 +503,7 @@
 	     (long long)eq->rt->version,
 	     (long long)eq->edge->attest.newest_version,
 	     (int)((now - eq->edge->attest.confirmed_us) / MAG_US_PER_MS),
-	     eq->attempt->hop_count > 0 ? eq->attempt->hops[0].worker->entry.id
+	     eq->attempt->hop_count > 0 ? eq->attempt->hops[0].worker->label
 					: "",
 	     eq_framing_text(eq), (long long)eq->attempt->events.count,
 	     evs_pending(&eq->attempt->events));
--- a/src/eq_answer.c
+++ b/src/eq_answer.c
@@ -68,6 +68,7 @@
 	int64_t now = clk_boot_us();
 	char fingerprint[QUAR_TEXT_SIZE];
 	char parts[EQ_PARTS_TEXT];
+	char at_fault[MAG_ADDR_MAX];
 	char id[WIRE_ID_MAX];
 
 	jlog(LOG_EQ_AGAIN,
@@ -81,8 +82,8 @@
 	     eq->sends, eq->runs, eq->may_have_run ? "true" : "false",
 	     (long long)eq->last_event,
 	     eq->attempt->answered ? eq->attempt->status : 0,
-	     eq->attempt->at_fault, fault ? fault->entry.id : "",
-	     fault ? wk_state_text(fault, now) : "",
+	     jlog_sanitize(at_fault, sizeof(at_fault), eq->attempt->at_fault),
+	     fault ? fault->label : "", fault ? wk_state_text(fault, now) : "",
 	     (int)((now - eq->progress_us) / MAG_US_PER_MS),
 	     quar_text(eq->fingerprint, fingerprint),
 	     eq_parts_text(eq, parts, sizeof(parts)), eq_framing_text(eq),
--- a/src/eq_attempt.c
+++ b/src/eq_attempt.c
@@ -124,7 +124,7 @@
 	     "\"sends\":%d,\"runs\":%d,\"last_event\":%lld,"
 	     "\"silent_ms\":%d",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id), why,
-	     eq->attempt->hop_count > 0 ? eq->attempt->hops[0].worker->entry.id
+	     eq->attempt->hop_count > 0 ? eq->attempt->hops[0].worker->label
 					: "",
 	     eq->sends, eq->runs, (long long)eq->last_event,
 	     (int)((now - eq->progress_us) / MAG_US_PER_MS));
--- a/src/eq_hop.c
+++ b/src/eq_hop.c
@@ -97,7 +97,7 @@
 	for (i = 0; i < eq->attempt->hop_count && len < size; i++)
 		len += (size_t)snprintf(dst + len, size - len, "%s%s@%d",
 					i > 0 ? " " : "",
-					eq->attempt->hops[i].worker->entry.id,
+					eq->attempt->hops[i].worker->label,
 					eq->attempt->hops[i].from);
 	return dst;
 }
--- a/src/eq_repair.c
+++ b/src/eq_repair.c
@@ -204,7 +204,7 @@
 	     "\"chain\":\"%s\",\"repair\":%d,\"status\":%d,\"at_fault\":\"%s\","
 	     "\"silent_ms\":%d",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
-	     eq->attempt->hops[0].worker->entry.id, eq->attempt->hop_count,
+	     eq->attempt->hops[0].worker->label, eq->attempt->hop_count,
 	     eq_chain_text(eq, chain, sizeof(chain)), eq->attempt->repairs,
 	     status, address, (int)((now - eq->progress_us) / MAG_US_PER_MS));
 	eq->repair = NULL;
--- a/src/eq_send.c
+++ b/src/eq_send.c
@@ -370,8 +370,8 @@
 	     "\"hops\":%d,\"chain\":\"%s\",\"send\":%d,\"from_event\":%lld,"
 	     "\"requests_there\":%d,\"left_ms\":%d,\"forwarded\":%s,"
 	     "\"repeat\":%s,\"retries_left\":%.1f,\"slack\":%.1f",
-	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
-	     wk->entry.id, eq->service->name, eq->attempt->hop_count,
+	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id), wk->label,
+	     eq->service->name, eq->attempt->hop_count,
 	     eq_chain_text(eq, chain, sizeof(chain)), eq->sends,
 	     (long long)eq->last_event, wk->first_hops,
 	     (int)((eq->deadline_us - now) / MAG_US_PER_MS),
@@ -424,7 +424,7 @@
 	jlog(LOG_EQ_UNSENT,
 	     "\"request\":\"%s\",\"worker\":\"%s\",\"repeat\":%s",
 	     jlog_sanitize(id, sizeof(id), eq->request.attempt_id),
-	     eq->attempt->hops[0].worker->entry.id,
+	     eq->attempt->hops[0].worker->label,
 	     eq->attempt->is_repeat ? "true" : "false");
 	if (eq->attempt->is_repeat)
 		bud_return_retry(bud, eq->attempt->sent_us);
--- a/src/hint_receive.c
+++ b/src/hint_receive.c
@@ -235,7 +235,7 @@
 		if (!hint_suspect_probes(wk, routers, count, &hint->self, now))
 			continue;
 		jlog(LOG_WK_HINT, "\"worker\":\"%s\",\"peer\":\"%s\"",
-		     wk->entry.id, peer);
+		     wk->label, peer);
 		wkp_probe(hint->edge, wk, now);
 	}
 }
--- a/src/plr.c
+++ b/src/plr.c
@@ -181,6 +181,7 @@
 				int64_t now)
 {
 	struct lay_bottleneck bottleneck;
+	char centre[MAG_NAME_MAX];
 	int i;
 
 	if (now < edge->placer.next_coverage_log_us)
@@ -191,8 +192,10 @@
 		jlog(LOG_PLR_COVER,
 		     "\"data_centre\":\"%s\",\"workers\":%d,"
 		     "\"least_layer\":%d,\"holders\":%d,\"tokens\":%.0f",
-		     edge->data_centres[i], bottleneck.cards, bottleneck.layer,
-		     bottleneck.holders, bottleneck.tokens);
+		     jlog_sanitize(centre, sizeof(centre),
+				   edge->data_centres[i]),
+		     bottleneck.cards, bottleneck.layer, bottleneck.holders,
+		     bottleneck.tokens);
 	}
 }
 
@@ -265,7 +268,7 @@
 	jlog(LOG_WK_LAYERS,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"layers\":\"%d-%d\","
 	     "\"model_layers\":%d",
-	     wk->entry.id, wk->entry.address, wk->layers.from, wk->layers.to,
+	     wk->label, wk->entry.address, wk->layers.from, wk->layers.to,
 	     layers);
 }
 
@@ -318,8 +321,8 @@
 	jlog(LOG_PLR_ORDERED,
 	     "\"worker\":\"%s\",\"holds\":\"%d-%d\",\"layers\":\"%d-%d\","
 	     "\"orders_taken\":%lld",
-	     wk->entry.id, wk->layers.from, wk->layers.to, range->from,
-	     range->to, (long long)wk->proc.orders_taken);
+	     wk->label, wk->layers.from, wk->layers.to, range->from, range->to,
+	     (long long)wk->proc.orders_taken);
 }
 
 static bool plr_on_headers(void *user, const struct hc_response *response)
@@ -353,7 +356,7 @@
 	}
 	if (end != HC_COMPLETE || call->status / 100 != 2)
 		jlog(LOG_PLR_UNSURE, "\"worker\":\"%s\",\"status\":%d",
-		     wk->entry.id, end == HC_COMPLETE ? call->status : 0);
+		     wk->label, end == HC_COMPLETE ? call->status : 0);
 	wk_unref(wk);
 	free(call);
 }
--- a/src/rsp_syntax.c
+++ b/src/rsp_syntax.c
@@ -64,6 +64,19 @@
 	return rsp_is_text(value->at, value->len);
 }
 
+/*
+ * Tells whether a text, if it is sent as the value of a field, is received as
+ * it is: it is not empty, has no control characters and no blanks around it.
+ */
+bool rsp_is_field_value(const char *text)
+{
+	size_t len = strlen(text);
+
+	return len > 0 && rsp_is_text(text, len) &&
+	       rsp_blank_len(text, 1) == 0 &&
+	       rsp_blank_len(text + len - 1, 1) == 0;
+}
+
 /*
  * Reads the value of Content-Length.  A list whose elements are all the same
  * number is valid; it stands for repeated fields.
--- a/src/rsp_syntax.h
+++ b/src/rsp_syntax.h
@@ -25,6 +25,7 @@
 bool rsp_may_be_status_line(const char *line, size_t len);
 bool rsp_may_be_field(const char *line, size_t len);
 bool rsp_may_be_chunk_size(const char *line, size_t len);
+bool rsp_is_field_value(const char *text);
 bool rsp_next_element(struct rsp_text *list, struct rsp_text *element);
 bool rsp_text_is(const struct rsp_text *text, const char *word);
 
--- a/src/wire.h
+++ b/src/wire.h
@@ -13,8 +13,9 @@
 
 #include "mag.h"
 
-#define WIRE_ID_MAX 64 /* longest id of a request that is kept, with its NUL   \
-			*/
+#define WIRE_ID_MAX                                                            \
+	64 /* longest id of a request that is kept, with its NUL               \
+	    */
 #define WIRE_STALLED_MAX 256
 #define WIRE_KEY_MAX	 201 /* longest key of the store, with its NUL */
 #define WIRE_HOPS_MAX	 32
--- a/src/wk.c
+++ b/src/wk.c
@@ -55,6 +55,7 @@
 		int64_t now, struct wk **out)
 {
 	struct wk *wk = wk_by_id(table, worker->id);
+	char centre[MAG_NAME_MAX];
 	int rc;
 
 	if (table->listing && wk_is_known_gone(table, worker, now))
@@ -74,7 +75,9 @@
 		jlog(LOG_WK_SEEN,
 		     "\"worker\":\"%s\",\"address\":\"%s\","
 		     "\"data_centre\":\"%s\",\"layers\":\"%d-%d\"",
-		     wk->entry.id, wk->entry.address, wk->entry.data_centre,
+		     wk->label, wk->entry.address,
+		     jlog_sanitize(centre, sizeof(centre),
+				   wk->entry.data_centre),
 		     wk->layers.from, wk->layers.to);
 	}
 	if (table->listing && table->settling)
@@ -139,6 +142,8 @@
 		htab_del(&table->ids, &wk->by_id);
 		return WK_E_MEMORY;
 	}
+	mag_identify(wk->label, wk->entry.id);
+	jlog_sanitize(wk->label, sizeof(wk->label), wk->label);
 	wk->table = table;
 	CDS_INIT_LIST_HEAD(&wk->attended);
 	CDS_INIT_LIST_HEAD(&wk->loaded);
@@ -211,7 +216,7 @@
 	wk->gone_us = gone_us;
 	wk_attend(wk);
 	wk_remember_gone(table, wk, now);
-	jlog(LOG_WK_GONE, "\"worker\":\"%s\",\"in_ms\":%d", wk->entry.id,
+	jlog(LOG_WK_GONE, "\"worker\":\"%s\",\"in_ms\":%d", wk->label,
 	     (int)((gone_us - now) / MAG_US_PER_MS));
 }
 
--- a/src/wk.h
+++ b/src/wk.h
@@ -116,6 +116,7 @@
 	struct cds_list_head attended;
 	struct cds_list_head loaded;
 	struct wire_worker entry; /* as listed in the store */
+	char label[MAG_NAME_MAX]; /* its id as log lines have it */
 	struct hc_host *host;
 	int refs; /* requests and calls that reference the worker */
 	int64_t first_seen_us; /* when the worker was first listed */
--- a/src/wk_advert.c
+++ b/src/wk_advert.c
@@ -58,8 +58,8 @@
 	wk->next_leaving_log_us = now + WK_ADVERT_LOG_US;
 	wk->proc.adv.leaving |= valid;
 	jlog(LOG_WK_LEAVING,
-	     "\"worker\":\"%s\",\"source\":\"%s\",\"readable\":%s",
-	     wk->entry.id, wk_answer_names[answer], valid ? "true" : "false");
+	     "\"worker\":\"%s\",\"source\":\"%s\",\"readable\":%s", wk->label,
+	     wk_answer_names[answer], valid ? "true" : "false");
 }
 
 /* Applies the backoff that an answer requests, if it requests one. */
@@ -150,7 +150,7 @@
 	jlog(LOG_WK_LIMIT,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"change\":\"%s\","
 	     "\"limit\":%s,\"source\":\"%s\"",
-	     wk->entry.id, wk->entry.address, changes[change], value, source);
+	     wk->label, wk->entry.address, changes[change], value, source);
 }
 
 /* Logs a backoff that the worker requested, or that was unreadable. */
@@ -166,5 +166,5 @@
 	jlog(LOG_WK_BACKOFF,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"for_ms\":%s,"
 	     "\"source\":\"%s\"",
-	     wk->entry.id, wk->entry.address, for_ms, wk_answer_names[answer]);
+	     wk->label, wk->entry.address, for_ms, wk_answer_names[answer]);
 }
--- a/src/wk_health.c
+++ b/src/wk_health.c
@@ -387,7 +387,7 @@
 	jlog(LOG_WK_SUSPECT,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"why\":\"%s\","
 	     "\"for_ms\":%d,\"times\":%d",
-	     wk->entry.id, wk->entry.address, why,
+	     wk->label, wk->entry.address, why,
 	     (int)(duration_us / MAG_US_PER_MS), times);
 }
 
@@ -410,8 +410,8 @@
 	wk->proc.hearsay_until_us = 0;
 	wk->proc.suspect_count = 0;
 	wk->proc.suspect_until_us = 0;
-	jlog(LOG_WK_CLEARED, "\"worker\":\"%s\",\"address\":\"%s\"",
-	     wk->entry.id, wk->entry.address);
+	jlog(LOG_WK_CLEARED, "\"worker\":\"%s\",\"address\":\"%s\"", wk->label,
+	     wk->entry.address);
 }
 
 /* Adds a request's outcome and duration to the moving averages. */
--- a/src/wkp.c
+++ b/src/wkp.c
@@ -241,7 +241,7 @@
 	wk->proc.unresponsive = true;
 	wk_pause(wk, now);
 	jlog(LOG_WK_UNRESPONSIVE, "\"worker\":\"%s\",\"asked_ms_ago\":%d",
-	     wk->entry.id, (int)((now - wk->probed_us) / MAG_US_PER_MS));
+	     wk->label, (int)((now - wk->probed_us) / MAG_US_PER_MS));
 }
 
 static bool wkp_on_headers(void *user, const struct hc_response *response)
@@ -360,7 +360,7 @@
 	jlog(LOG_WK_DIED,
 	     "\"worker\":\"%s\",\"address\":\"%s\",\"candidates\":%d,"
 	     "\"died_together\":%d,\"common_cause\":%s",
-	     wk->entry.id, wk->entry.address, count, deaths,
+	     wk->label, wk->entry.address, count, deaths,
 	     common_cause ? "true" : "false");
 	cds_list_for_each_entry (candidate, &wk->interrupted, node)
 		wkp_add_trait_losses(edge, candidate, now);
@@ -404,14 +404,14 @@
 
 	if (call->status != 200 || pl_report_decode(text, len, &report)) {
 		jlog(LOG_WK_UNREAD, "\"worker\":\"%s\",\"status\":%d",
-		     wk->entry.id, call->status);
+		     wk->label, call->status);
 		return;
 	}
 	if (wk_is_other_process(wk, report.started_ms)) {
 		jlog(LOG_WK_OTHER,
 		     "\"worker\":\"%s\",\"address\":\"%s\",\"born_ms\":%lld,"
 		     "\"reported_ms\":%lld",
-		     wk->entry.id, wk->entry.address,
+		     wk->label, wk->entry.address,
 		     (long long)wk->entry.started_ms,
 		     (long long)report.started_ms);
 		wk->proc.orders_taken = -1;
