--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -27,8 +27,9 @@
 		fprintf(out, "refused: %s\n", why);
 		return;
 	}
-	fprintf(out, "version %lld accounts %d keys %d\n",
-		(long long)set->version, set->account_count, set->key_count);
+	fprintf(out, "version %lld accounts %d keys %d%s\n",
+		(long long)set->version, set->account_count, set->key_count,
+		set->has_accounts ? "" : ", none required");
 	fprintf(out, "limits %u %u %u %u\n", set->limits.header_bytes,
 		set->limits.body_bytes, set->limits.header_ms,
 		set->limits.idle_ms);
--- a/regress/edge/lib.sh
+++ b/regress/edge/lib.sh
@@ -84,7 +84,8 @@
 # PRIORITIES=1 there are two more accounts, one of high and one of low priority, and
 # routes differ in priority, too; with PRIORITIES=swapped these two are swapped.
 # $TIMEOUT_MS, $TARGET_MS, $PLAIN_TIMEOUT_MS, $PLAIN_TARGET_MS, $LOOKUPS_TO, $IDLE_MS and $BODY_BYTES
-# change single fields, $ROUTES and $SERVICES replace all, $MORE_SERVICES and
+# change single fields, $ROUTES and $SERVICES replace all, $TENANTS the accounts, with
+# the name of the field before and a comma after them, $MORE_SERVICES and
 # $MORE_ROUTES, each with a comma before it, add some.
 put_config() {
 	keys=${2:-\"key-1\"}
@@ -108,7 +109,7 @@
 	curl -s -X POST "http://$store/stand-in/put?Key=op/config" --data-binary @- <<-JSON
 	{"Version":$1,"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":${BODY_BYTES:-65536},"HeaderTimeoutMs":3000,"IdleTimeoutMs":${IDLE_MS:-15000}},
 	"Services":[${SERVICES-$services${MORE_SERVICES:-}}],
-	"Tenants":[{"Name":"acme","ApiKeys":[$keys]}$more],
+	${TENANTS-"\"Tenants\":[{\"Name\":\"acme\",\"ApiKeys\":[$keys]}$more],"}
 	"Routes":[${ROUTES-$routes${MORE_ROUTES:-}}]}
 	JSON
 }
