--- a/regress/edge/empty-accounts.sh
+++ b/regress/edge/empty-accounts.sh
@@ -34,6 +34,8 @@
 statuses "accounts left out"
 publish 4 '"Tenants":[],'
 statuses "no account again"
+publish 5 '"Tenants":[{"Name":"acme","ApiKeys":["key-1",""]}],'
+statuses "an empty key"
 publish 6 '"Tenants":[{"Name":"acme","ApiKeys":[]}],'
 statuses "no key"
 for tenants in null '{}' '"x"' 0; do
