--- a/regress/check_pl.c
+++ b/regress/check_pl.c
@@ -17,6 +17,13 @@
 #define EVENTS_MAX  4
 #define LARGE_BYTES 20000
 
+static const char *first_service(const struct rt_set *set,
+				 const struct rt_route *route)
+{
+	return route->split_count ? set->services[route->splits[0].service].name
+				  : "no service";
+}
+
 static void print_config(FILE *out, const char *text)
 {
 	struct rt_set *set;
@@ -52,7 +59,7 @@
 			set->routes[i].prefix, set->routes[i].kind,
 			set->routes[i].max_attempts,
 			(long long)(set->routes[i].timeout_us / MAG_US_PER_MS),
-			set->services[set->routes[i].splits[0].service].name,
+			first_service(set, &set->routes[i]),
 			set->routes[i].split_count - 1);
 	rt_drop(set);
 }
