edge: a router that is not ready says why

A router that ran and never became ready left no line that told the reason; the refused requests said "no configuration yet", which four different states cause.

Test: regress/edge/unconfigured; before "gave up: logged 1 router-not-ready".

--- a/regress/edge/unconfigured.sh
+++ b/regress/edge/unconfigured.sh
@@ -10,3 +10,4 @@
 		tr -d '\r' | grep -i '^HTTP\|^Retry-After'
 done
 curl -s -o "$dir/null" -D - "http://$(router 1)/s/x" | tr -d '\r' | grep -i '^Retry-After'
+wait_for 'logged 1 "router-not-ready.*no configuration"' && echo "the log says why it is not ready"
--- a/src/edge.c
+++ b/src/edge.c
@@ -16,6 +16,13 @@
 /* A service counts as short of capacity for so long after it lacked some. */
 #define EDGE_SHORT_US (5 * MAG_US_PER_S)
 
+/* A router that is not ready says so after this, and then after twice as long.
+ */
+#define EDGE_UNREADY_LOG_US    (3 * MAG_US_PER_S)
+#define EDGE_UNREADY_DOUBLINGS 10
+
+static const char *edge_unready_why(const struct edge *edge, int64_t now);
+static const char *edge_unserved_why(const struct edge *edge, int64_t now);
 static void edge_init_urgency(struct edge_service *service);
 static void edge_expire_services(struct edge *edge, int64_t now);
 
@@ -225,9 +232,42 @@
  */
 bool edge_is_ready(const struct edge *edge, int64_t now)
 {
-	return edge_may_serve(edge, now) &&
-	       !(edge->was_covered && edge->uncovered_since_us &&
-		 now - edge->uncovered_since_us > EDGE_UNCOVERED_US);
+	return !edge_unready_why(edge, now);
+}
+
+/* Returns why this router should not receive callers; NULL if it should. */
+static const char *edge_unready_why(const struct edge *edge, int64_t now)
+{
+	if (edge->was_covered && edge->uncovered_since_us &&
+	    now - edge->uncovered_since_us > EDGE_UNCOVERED_US)
+		return "no chain";
+	return edge_unserved_why(edge, now);
+}
+
+/* Logs why this router is not ready, at first after some seconds. */
+void edge_log_unready(struct edge *edge, int64_t now)
+{
+	const char *why = edge_unready_why(edge, now);
+
+	if (!why || edge->stopping) {
+		edge->unready_since_us = 0;
+		return;
+	}
+	if (!edge->unready_since_us) {
+		edge->unready_since_us = now;
+		edge->unready_logs = 0;
+	}
+	if (now - edge->unready_since_us < mag_backoff(EDGE_UNREADY_LOG_US,
+						       edge->unready_logs,
+						       EDGE_UNREADY_DOUBLINGS))
+		return;
+	edge->unready_logs++;
+	jlog(LOG_EDGE_UNREADY,
+	     "\"why\":\"%s\",\"since_ms\":%d,\"config\":%lld,"
+	     "\"workers\":%d,\"store_reachable\":%s",
+	     why, (int)((now - edge->unready_since_us) / MAG_US_PER_MS),
+	     edge->rt ? (long long)edge->rt->version : -1LL,
+	     edge->workers.count, edge->store_reachable ? "true" : "false");
 }
 
 /*
@@ -265,10 +305,24 @@
  */
 bool edge_may_serve(const struct edge *edge, int64_t now)
 {
-	if (!edge_has_config(edge, now) || !edge->workers_listed ||
-	    edge->stopping || edge_is_outdated(edge, now))
-		return false;
-	return !edge->rt->has_accounts || !edge->set.keys_fail_closed ||
-	       !attest_soon_untrusted(&edge->attest, edge->set.keys_stale_us,
-				      now);
+	return !edge_unserved_why(edge, now);
+}
+
+/* Returns why this router cannot accept requests; NULL if it can. */
+static const char *edge_unserved_why(const struct edge *edge, int64_t now)
+{
+	if (!edge->rt)
+		return "no configuration";
+	if (!edge->workers_listed)
+		return "no list of workers";
+	if (!edge_has_config(edge, now))
+		return "configuration unconfirmed";
+	if (edge->stopping)
+		return "stopping";
+	if (edge_is_outdated(edge, now))
+		return "configuration outdated";
+	if (edge->rt->has_accounts && edge->set.keys_fail_closed &&
+	    attest_soon_untrusted(&edge->attest, edge->set.keys_stale_us, now))
+		return "keys too old";
+	return NULL;
 }
--- a/src/edge.h
+++ b/src/edge.h
@@ -134,7 +134,9 @@
 	int64_t next_no_worker_log_us;
 	/* Since when no chain covers all layers; 0: one does. */
 	int64_t uncovered_since_us;
-	bool was_covered; /* a chain has covered all layers before */
+	int64_t unready_since_us; /* not ready since; 0: it is ready */
+	int unready_logs;	  /* since then */
+	bool was_covered;	  /* a chain has covered all layers before */
 
 	int64_t stopped_us;
 	struct met met;
@@ -182,5 +184,6 @@
 bool edge_is_outdated(const struct edge *edge, int64_t now);
 bool edge_may_serve(const struct edge *edge, int64_t now);
 bool edge_is_ready(const struct edge *edge, int64_t now);
+void edge_log_unready(struct edge *edge, int64_t now);
 
 #endif /* EDGE_H */
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -284,6 +284,7 @@
 	}
 	hint_tick(edge->hint, now);
 	eq_tick(edge, now);
+	edge_log_unready(edge, now);
 	if (edge->stopping)
 		edge_stop_tick(edge, now);
 }
