sto_list: a rejected first page is an outage, and an old list begins anew

A first page that the store rejects counted no longer as a failure of the store, so that event 9001 did not come and other routers were not preferred as sources. It is a failure again; with a later page the store does answer.

A page that is asked for again long after the first one leads to a watch from a revision that the store has dropped, and from there to another list. After 10 s the list begins anew at once.

regress/edge/list-unfinished and keys-encoded pass as before.

--- a/src/sto.c
+++ b/src/sto.c
@@ -190,7 +190,6 @@
 	struct sto_call *call = user;
 
 	call->status = response->status;
-	call->sto->status = response->status;
 	call->era = pl_store_era(response->headers);
 	return true;
 }
@@ -220,6 +219,7 @@
 	/* The host's idle connections may have stopped working as well. */
 	if (end == HC_TIMED_OUT)
 		hc_host_drop_idle(call->sto->host);
+	sto->status = call->status;
 	body = (const char *)evbuffer_pullup(call->body, -1);
 	if (!body)
 		len = 0;
--- a/src/sto_int.h
+++ b/src/sto_int.h
@@ -22,7 +22,7 @@
 	struct cds_list_head followers; /* of struct sto_follow */
 	uint64_t seed;
 	uint64_t call_count;
-	int status; /* of the last answer */
+	int status; /* of the last call that ended; 0: no answer */
 	struct pos_eras eras;
 	int64_t bad_era_log_us; /* next log line on a malformed era */
 	/* The era has increased; NULL while there is no follower. */
--- a/src/sto_list.c
+++ b/src/sto_list.c
@@ -3,6 +3,11 @@
 #include "pl_store.h"
 #include "sto_int.h"
 
+/*
+ * A list that began longer ago than this is not continued after a failure: the
+ * store may have dropped the history since its first page.
+ */
+#define STO_LIST_AGE_US (10 * MAG_US_PER_S)
 /*
  * A page that the store rejects, or whose answer does not lead on, is asked for
  * so many times, with doubled delays, before the list is left unfinished.
@@ -63,6 +68,8 @@
 
 	follow->call = NULL;
 	if (result == STO_LOST || result == STO_REFUSED) {
+		if (clk_boot_us() - follow->list_sent_us > STO_LIST_AGE_US)
+			sto_reset_list(follow);
 		sto_back_off(follow, true);
 	} else if (result != STO_DONE) {
 		sto_fail_page(follow, "rejected");
@@ -126,12 +133,16 @@
 	int64_t now = clk_boot_us();
 
 	follow->page_failures++;
-	if (follow->page_failures % STO_PAGE_TRIES == 0) {
+	if (follow->page_failures % STO_PAGE_TRIES == 0)
 		sto_log_unfinished(follow, why);
-		if (follow->after[0]) {
-			sto_leave_unfinished(follow, now);
-			return;
-		}
+	/* Without a first page there is nothing to go on with. */
+	if (!follow->after[0]) {
+		sto_back_off(follow, true);
+		return;
+	}
+	if (follow->page_failures == STO_PAGE_TRIES) {
+		sto_leave_unfinished(follow, now);
+		return;
 	}
 	follow->state = STO_DELAYING;
 	follow->list_after_delay = true;
