rel: after an unfinished list another router is asked for a complete one

Found by reading the difference: a router whose list of the store was left unfinished polled other routers for the changes since the list began, and went on from there, so that what the list lacked would have stayed unknown to it as long as it followed them. It asks for a complete list now.

No script plays it (a store that fails a page for one router and not for another); regress/edge/list-unfinished passes as before.

A router that is not ready for several reasons logs the one for which it refuses first.

--- a/src/edge.c
+++ b/src/edge.c
@@ -16,8 +16,7 @@
 /* A service counts as short of capacity for so long after it lacked some. */
 #define EDGE_SHORT_US (5 * MAG_US_PER_S)
 
-/* A router that is not ready says so after this, and then after twice as long.
- */
+/* A router that is not ready logs why after this, and then twice as late. */
 #define EDGE_UNREADY_LOG_US    (3 * MAG_US_PER_S)
 #define EDGE_UNREADY_DOUBLINGS 10
 
@@ -238,10 +237,12 @@
 /* Returns why this router should not receive callers; NULL if it should. */
 static const char *edge_unready_why(const struct edge *edge, int64_t now)
 {
-	if (edge->was_covered && edge->uncovered_since_us &&
+	const char *why = edge_unserved_why(edge, now);
+
+	if (!why && edge->was_covered && edge->uncovered_since_us &&
 	    now - edge->uncovered_since_us > EDGE_UNCOVERED_US)
-		return "no chain";
-	return edge_unserved_why(edge, now);
+		why = "no chain";
+	return why;
 }
 
 /* Logs why this router is not ready, at first after some seconds. */
--- a/src/rel.c
+++ b/src/rel.c
@@ -315,6 +315,9 @@
 	struct rel_poll poll;
 
 	poll.after = sto_follow_pos(edge->follow);
+	/* Changes alone would not bring what an unfinished list lacks. */
+	if (sto_follow_is_unfinished(edge->follow))
+		poll.after.revision = 0;
 	poll.wait_us = rel_is_source(rel) || !rel->fresh_us
 			       ? tree_wait_us(&rel->tree, rel->fresh_us, now)
 			       : 0;
--- a/src/sto.h
+++ b/src/sto.h
@@ -136,6 +136,7 @@
  */
 void sto_follow_pause(struct sto_follow *follow);
 void sto_follow_resume(struct sto_follow *follow);
+bool sto_follow_is_unfinished(const struct sto_follow *follow);
 bool sto_follow_is_paused(const struct sto_follow *follow);
 void sto_follow_set_pos(struct sto_follow *follow, struct pos pos);
 void sto_learn_era(struct sto *sto, int64_t era);
--- a/src/sto_follow.c
+++ b/src/sto_follow.c
@@ -100,6 +100,13 @@
 		sto_start_list(follow);
 }
 
+/* Tells whether the last list was left unfinished, so that items are missing.
+ */
+bool sto_follow_is_unfinished(const struct sto_follow *follow)
+{
+	return follow->list_again_us != 0;
+}
+
 bool sto_follow_is_paused(const struct sto_follow *follow)
 {
 	return follow->state == STO_PAUSED;
